--- /dev/null
+++ b/fescueward/kernel/__init__.py
@@ -0,0 +1,24 @@
+"""The micro-kernel: registry, life cycle, settings, errors, log events and the clock."""
+
+from .clock import BootClock, Clock
+from .errors import FescuewardError, Outcome, RefusalError
+from .events import Event, Level, configure_logging, events
+from .kernel import Kernel
+from .registry import Registry, Service
+from .tasks import TaskOwner
+
+__all__ = [
+    "BootClock",
+    "Clock",
+    "Event",
+    "FescuewardError",
+    "Kernel",
+    "Level",
+    "Outcome",
+    "RefusalError",
+    "Registry",
+    "Service",
+    "TaskOwner",
+    "configure_logging",
+    "events",
+]
--- /dev/null
+++ b/fescueward/kernel/errors.py
@@ -0,0 +1,436 @@
+"""Exception types with numeric codes.
+
+Codes are grouped by area: 1xxx settings and kernel, 2xxx refusals of requests, 3xxx platform,
+4xxx peer protocol, 5xxx upstream, 6xxx catalogue and administration. docs/errors.md lists every
+code and is checked against this module.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import ClassVar
+
+
+class Outcome(enum.StrEnum):
+    """What is known about a request that was refused."""
+
+    NOT_RUN = "not_run"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    FAILED_AFTER_RUNNING = "failed_after_running"
+
+
+class FescuewardError(Exception):
+    """Base of all errors of this package.
+
+    Attributes:
+        code: Number of the error, unique in the package.
+        label: Stable name of the error as it stands in JSON answers.
+    """
+
+    code: ClassVar[int] = 1000
+    label: ClassVar[str] = "internal_error"
+
+
+class SettingsError(FescuewardError):
+    """The settings file has at least one bad value."""
+
+    code = 1001
+    label = "bad_settings"
+
+
+class UnknownNameError(FescuewardError):
+    """A service or plugin name is not registered."""
+
+    code = 1002
+    label = "unknown_name"
+
+    def __init__(self, kind: str, name: str, valid: tuple[str, ...]) -> None:
+        super().__init__(f"unknown {kind} {name!r}; valid names are: {', '.join(valid) or 'none'}")
+        self.name = name
+        self.valid = valid
+
+
+class DuplicateNameError(FescuewardError):
+    """A name is registered twice."""
+
+    code = 1003
+    label = "duplicate_name"
+
+
+class ServiceTypeError(FescuewardError):
+    """A registered service does not satisfy the Protocol it was asked for."""
+
+    code = 1004
+    label = "wrong_service_type"
+
+
+class ServiceFailedError(FescuewardError):
+    """A task of a service ended with an unexpected exception."""
+
+    code = 1005
+    label = "service_failed"
+
+
+class RefusalError(FescuewardError):
+    """A request is refused.
+
+    Attributes:
+        http_status: Status sent to the caller.
+        outcome: What is known about the run of the request.
+        retry_after_s: Seconds after which a retry is useful, or None.
+    """
+
+    code = 2000
+    label = "refused"
+    http_status: ClassVar[int] = 503
+    outcome: ClassVar[Outcome] = Outcome.NOT_RUN
+
+    def __init__(self, message: str, *, retry_after_s: float | None = None) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class UnknownServiceError(RefusalError):
+    """No catalogue entry has the service name of the request."""
+
+    code = 2001
+    label = "unknown_service"
+    http_status = 404
+
+
+class MissingKeyError(RefusalError):
+    """The request carries no key."""
+
+    code = 2002
+    label = "missing_key"
+    http_status = 400
+
+
+class NoOwnerError(RefusalError):
+    """The shard of the key has no owner at present."""
+
+    code = 2003
+    label = "no_owner"
+
+
+class LeaseExpiredError(RefusalError):
+    """The lease of the owning agent has ended."""
+
+    code = 2004
+    label = "lease_expired"
+
+
+class ShardMovingError(RefusalError):
+    """The shard is being handed over and did not become active within the deadline."""
+
+    code = 2005
+    label = "shard_moving"
+
+
+class OverloadedError(RefusalError):
+    """The expected wait for a slot exceeds the deadline, or the queue is full."""
+
+    code = 2006
+    label = "overloaded"
+
+
+class DeadlineExceededError(RefusalError):
+    """The deadline passed before the request reached the upstream."""
+
+    code = 2007
+    label = "deadline_exceeded"
+    http_status = 504
+
+
+class DeadlineExceededRunningError(RefusalError):
+    """The deadline passed while the upstream was running the request."""
+
+    code = 2008
+    label = "deadline_exceeded_running"
+    http_status = 504
+    outcome = Outcome.OUTCOME_UNKNOWN
+
+
+class TokenRequiredError(RefusalError):
+    """The class of the service needs a token; the answer carries one.
+
+    Attributes:
+        token: Token to send with the request.
+    """
+
+    code = 2009
+    label = "token_required"
+    http_status = 428
+
+    def __init__(self, message: str, *, token: str = "") -> None:
+        super().__init__(message)
+        self.token = token
+
+
+class OutcomeLostError(RefusalError):
+    """The request may have run and its outcome is not known."""
+
+    code = 2010
+    label = "outcome_unknown"
+    http_status = 502
+    outcome = Outcome.OUTCOME_UNKNOWN
+
+
+class InProgressError(RefusalError):
+    """A request with the same token is still running."""
+
+    code = 2011
+    label = "in_progress"
+    http_status = 409
+    outcome = Outcome.OUTCOME_UNKNOWN
+
+
+class QuarantinedError(RefusalError):
+    """The request was in flight in two upstream crashes."""
+
+    code = 2012
+    label = "quarantined"
+    http_status = 422
+
+
+class BodyTooLargeError(RefusalError):
+    """The request body exceeds the limit of the entry."""
+
+    code = 2013
+    label = "body_too_large"
+    http_status = 413
+
+
+class RateLimitedError(RefusalError):
+    """The request rate of the service on this server exceeds the limit of the entry."""
+
+    code = 2014
+    label = "rate_limited"
+    http_status = 429
+
+
+class AnswerLostError(RefusalError):
+    """The upstream ran the request but its answer could not be delivered whole."""
+
+    code = 2015
+    label = "answer_lost"
+    http_status = 502
+    outcome = Outcome.FAILED_AFTER_RUNNING
+
+
+class NotOwnerError(RefusalError):
+    """The request reached an agent that does not own the shard.
+
+    Attributes:
+        owner_id: Member id of the owner as far as the refusing agent knows, or None.
+    """
+
+    code = 2016
+    label = "not_owner"
+    http_status = 421
+
+    def __init__(self, message: str, *, owner_id: str | None = None) -> None:
+        super().__init__(message)
+        self.owner_id = owner_id
+
+
+class DrainingError(RefusalError):
+    """The server is leaving and admits no new work."""
+
+    code = 2017
+    label = "draining"
+
+
+class InvalidRequestError(RefusalError):
+    """The request cannot be understood."""
+
+    code = 2018
+    label = "invalid_request"
+    http_status = 400
+
+
+class AnswerNotRetainedError(RefusalError):
+    """The request ran; its answer was too large to be kept for a repeat."""
+
+    code = 2019
+    label = "answer_not_retained"
+    http_status = 410
+    outcome = Outcome.FAILED_AFTER_RUNNING
+
+
+class UpstreamUnavailableError(RefusalError):
+    """No connection to the upstream could be made, so no byte reached it."""
+
+    code = 2020
+    label = "upstream_unavailable"
+
+
+class OwnerUnreachableError(RefusalError):
+    """The owner could not be reached, so the request was not sent."""
+
+    code = 2021
+    label = "owner_unreachable"
+
+
+class PlatformError(FescuewardError):
+    """Base of the errors of the platform client."""
+
+    code = 3000
+    label = "platform_error"
+
+
+class ObjectNotFoundError(PlatformError):
+    """The platform has no object with this key."""
+
+    code = 3001
+    label = "object_not_found"
+
+
+class VersionConflictError(PlatformError):
+    """A conditional update named a version that is not the present one.
+
+    Attributes:
+        version: Present version of the object, 0 if it does not exist.
+    """
+
+    code = 3002
+    label = "version_conflict"
+
+    def __init__(self, message: str, *, version: int) -> None:
+        super().__init__(message)
+        self.version = version
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform refused the call or could not be reached; a write had no effect."""
+
+    code = 3003
+    label = "platform_unavailable"
+
+
+class OutcomeUnknownError(PlatformError):
+    """The answer to a write was lost; the write may have taken effect or may still do so."""
+
+    code = 3004
+    label = "write_outcome_unknown"
+
+
+class PlatformAnswerError(PlatformError):
+    """The platform's answer does not follow its protocol."""
+
+    code = 3005
+    label = "bad_platform_answer"
+
+
+class PeerError(FescuewardError):
+    """Base of the errors of the peer protocol."""
+
+    code = 4000
+    label = "peer_error"
+
+
+class PeerUnavailableError(PeerError):
+    """No stream to the peer exists or can be made."""
+
+    code = 4001
+    label = "peer_unavailable"
+
+
+class PeerTimeoutError(PeerError):
+    """The peer did not answer in time."""
+
+    code = 4002
+    label = "peer_timeout"
+
+
+class MalformedMessageError(PeerError):
+    """A frame or message cannot be decoded or holds a value out of range."""
+
+    code = 4003
+    label = "malformed_message"
+
+
+class HandshakeError(PeerError):
+    """The peer failed the handshake.
+
+    The secret is wrong, the name is another's, the incarnation is old or the version is unknown.
+    """
+
+    code = 4004
+    label = "handshake_failed"
+
+
+class InvalidAnnouncementError(FescuewardError):
+    """The upstream's announcement has a bad value."""
+
+    code = 5001
+    label = "invalid_announcement"
+
+
+class EntryConflictError(FescuewardError):
+    """The entry changed since the version that the edit was made from.
+
+    Attributes:
+        version: Present version of the entry.
+    """
+
+    code = 6001
+    label = "entry_conflict"
+
+    def __init__(self, message: str, *, version: int) -> None:
+        super().__init__(message)
+        self.version = version
+
+
+class InvalidEntryError(FescuewardError):
+    """The entry has a bad value."""
+
+    code = 6002
+    label = "invalid_entry"
+
+
+class NotAuthorizedError(FescuewardError):
+    """The administration token is missing or wrong."""
+
+    code = 6003
+    label = "not_authorized"
+
+
+class AdministrationUnavailableError(FescuewardError):
+    """The administration address of the agent does not answer."""
+
+    code = 6004
+    label = "administration_unavailable"
+
+
+def error_types() -> tuple[type[FescuewardError], ...]:
+    """Returns every error type of the package in the order of its code."""
+    found: dict[int, type[FescuewardError]] = {FescuewardError.code: FescuewardError}
+    pending: list[type[FescuewardError]] = [FescuewardError]
+    while pending:
+        for subtype in pending.pop().__subclasses__():
+            found[subtype.code] = subtype
+            pending.append(subtype)
+    return tuple(found[code] for code in sorted(found))
+
+
+def refusal_from_label(label: str, message: str, **details: str | None) -> RefusalError:
+    """Rebuilds a refusal that a peer reported.
+
+    Args:
+        label: The `label` of the refusal's type.
+        message: Text of the refusal.
+        **details: `owner_id` and `token` where the type has them.
+
+    Returns:
+        The refusal; an unknown label becomes `OutcomeLostError`, the cautious reading.
+    """
+    for kind in error_types():
+        if kind.label != label or not issubclass(kind, RefusalError):
+            continue
+        if kind is NotOwnerError:
+            return NotOwnerError(message, owner_id=details.get("owner_id"))
+        if kind is TokenRequiredError:
+            return TokenRequiredError(message, token=details.get("token") or "")
+        return kind(message)
+    return OutcomeLostError(message)
--- /dev/null
+++ b/fescueward/kernel/events.py
@@ -0,0 +1,112 @@
+"""Numbered log events.
+
+Each module declares its events as constants. docs/events.md lists all of them and is checked by
+a test.
+"""
+
+from __future__ import annotations
+
+import enum
+import json
+import sys
+from dataclasses import dataclass
+from typing import Any, TextIO
+
+from loguru import logger
+
+from .errors import DuplicateNameError
+
+
+class Level(enum.StrEnum):
+    """Severity of an event, by loguru's names."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of log line.
+
+    Attributes:
+        number: Unique number; the hundreds name the module.
+        name: Stable name.
+        level: Severity.
+        text: What happened, for docs/events.md.
+    """
+
+    number: int
+    name: str
+    level: Level
+    text: str
+
+    def __post_init__(self) -> None:
+        known = _EVENTS.get(self.number)
+        if known is not None and known.name != self.name:
+            raise DuplicateNameError(
+                f"event number {self.number} of {self.name!r} is taken by {known.name!r}"
+            )
+        _EVENTS[self.number] = self
+
+    def emit(self, **fields: Any) -> None:
+        """Writes one log line.
+
+        Args:
+            **fields: Values of the line; they are formatted only when the level is enabled.
+        """
+        logger.opt(depth=1).bind(event=self, fields=fields).log(self.level.value, self.name)
+
+
+_EVENTS: dict[int, Event] = {}
+
+
+def events() -> tuple[Event, ...]:
+    """Returns all declared events in the order of their numbers."""
+    return tuple(_EVENTS[number] for number in sorted(_EVENTS))
+
+
+def _format_text(record: Any) -> str:
+    event: Event | None = record["extra"].get("event")
+    time = record["time"].isoformat(timespec="milliseconds")
+    if event is None:
+        return f"{time} {record['level'].name} - {record['message']}\n"
+    fields = record["extra"]["fields"]
+    values = "".join(f" {name}={value}" for name, value in fields.items())
+    return f"{time} {record['level'].name} {event.number} {event.name}{values}\n"
+
+
+def _format_json(record: Any) -> str:
+    event: Event | None = record["extra"].get("event")
+    line: dict[str, Any] = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+    }
+    if event is None:
+        line["message"] = record["message"]
+    else:
+        line.update(event=event.number, name=event.name, **record["extra"]["fields"])
+    return json.dumps(line, default=str) + "\n"
+
+
+_FORMATS = {"text": _format_text, "json": _format_json}
+
+
+def configure_logging(level: str, form: str, stream: TextIO | None = None) -> None:
+    """Sets up the one log sink of the process.
+
+    Args:
+        level: Lowest level that is written.
+        form: `text` or `json`.
+        stream: Where lines go; standard error by default.
+    """
+    target = stream or sys.stderr
+    render = _FORMATS[form]
+
+    def write(message: Any) -> None:
+        target.write(render(message.record))
+        target.flush()
+
+    logger.remove()
+    logger.add(write, level=level, format="{message}", backtrace=False, diagnose=False, catch=True)
--- /dev/null
+++ b/fescueward/kernel/kernel.py
@@ -0,0 +1,124 @@
+"""Start, supervision and stop of services."""
+
+from __future__ import annotations
+
+import asyncio
+
+from .errors import ServiceFailedError
+from .events import Event, Level
+from .registry import Registry, Service
+from .tasks import TaskOwner
+
+_STARTED = Event(1001, "service_started", Level.DEBUG, "A service has started.")
+_STOPPED = Event(1002, "service_stopped", Level.DEBUG, "A service has stopped.")
+_FAILED = Event(
+    1003, "service_failed", Level.ERROR, "A task of a service ended with an unexpected error."
+)
+_STOP_TIMEOUT = Event(
+    1004,
+    "service_stop_timeout",
+    Level.WARNING,
+    "A service did not stop in time and was abandoned.",
+)
+
+STOP_TIMEOUT_S = 45.0
+
+
+class Kernel:
+    """Owns the registry, starts services in the order of their needs and stops them in reverse.
+
+    A failed task of a service ends the process: an agent that has lost one of its parts could
+    hold a lease that it cannot honour, and its monitors replace it within seconds.
+    """
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._services: dict[str, Service] = {}
+        self._started: list[Service] = []
+        self._stop_requested = asyncio.Event()
+        self._failure: ServiceFailedError | None = None
+
+    @property
+    def registry(self) -> Registry:
+        """The registry of this kernel."""
+        return self._registry
+
+    def add(self, service: Service) -> None:
+        """Registers a service that the kernel starts and stops.
+
+        Raises:
+            DuplicateNameError: The name is taken.
+        """
+        self._registry.register(service.name, service)
+        self._services[service.name] = service
+
+    def provide(self, name: str, value: object) -> None:
+        """Registers an object without a life cycle, such as the settings or the clock.
+
+        Raises:
+            DuplicateNameError: The name is taken.
+        """
+        self._registry.register(name, value)
+
+    def task_owner(self, name: str) -> TaskOwner:
+        """Returns an owner of tasks whose failures this kernel reports."""
+        return TaskOwner(name, self._report_failure)
+
+    def request_stop(self) -> None:
+        """Makes `run` stop all services and return."""
+        self._stop_requested.set()
+
+    async def run(self) -> None:
+        """Runs all services until a stop is requested or one of them fails.
+
+        Raises:
+            ServiceFailedError: A task of a service failed.
+        """
+        for service in self._services.values():
+            service.bind(self._registry)
+        try:
+            for service in self._start_order():
+                await service.start()
+                self._started.append(service)
+                _STARTED.emit(service=service.name)
+            await self._stop_requested.wait()
+        finally:
+            await self._stop_all()
+        if self._failure is not None:
+            raise self._failure
+
+    def _start_order(self) -> list[Service]:
+        ordered: list[Service] = []
+        visited: set[str] = set()
+
+        def visit(service: Service) -> None:
+            if service.name in visited:
+                return
+            visited.add(service.name)
+            for needed in service.requires:
+                if needed in self._services:
+                    visit(self._services[needed])
+            ordered.append(service)
+
+        for service in self._services.values():
+            visit(service)
+        return ordered
+
+    async def _stop_all(self) -> None:
+        while self._started:
+            service = self._started.pop()
+            try:
+                await asyncio.wait_for(service.stop(), STOP_TIMEOUT_S)
+            except TimeoutError:
+                _STOP_TIMEOUT.emit(service=service.name, timeout_s=STOP_TIMEOUT_S)
+            except Exception as error:  # one failing stop must not keep the others running
+                self._report_failure(service.name, error)
+            else:
+                _STOPPED.emit(service=service.name)
+
+    def _report_failure(self, task: str, error: BaseException) -> None:
+        _FAILED.emit(task=task, error=type(error).__name__, detail=error)
+        if self._failure is None:
+            self._failure = ServiceFailedError(f"{task}: {type(error).__name__}: {error}")
+            self._failure.__cause__ = error
+        self._stop_requested.set()
--- /dev/null
+++ b/fescueward/kernel/registry.py
@@ -0,0 +1,84 @@
+"""The registry in which services find each other by name."""
+
+from __future__ import annotations
+
+from typing import Protocol, TypeVar, runtime_checkable
+
+from .errors import DuplicateNameError, ServiceTypeError, UnknownNameError
+
+T = TypeVar("T")
+
+
+@runtime_checkable
+class Service(Protocol):
+    """A part of the agent that the kernel starts and stops.
+
+    Attributes:
+        name: Registry name.
+        requires: Names of the services that start before this one and stop after it.
+    """
+
+    name: str
+    requires: tuple[str, ...]
+
+    def bind(self, registry: Registry) -> None:
+        """Looks up the services that this one uses. Nothing runs yet."""
+        ...
+
+    async def start(self) -> None:
+        """Starts the service. Returns once it can be used."""
+        ...
+
+    async def stop(self) -> None:
+        """Stops the service and waits for its tasks."""
+        ...
+
+
+class Registry:
+    """Services by name.
+
+    A new front end, a placement policy or a fake is one registration.
+    """
+
+    def __init__(self) -> None:
+        self._services: dict[str, object] = {}
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Registered names in the order of registration."""
+        return tuple(self._services)
+
+    def register(self, name: str, service: object) -> None:
+        """Adds a service.
+
+        Args:
+            name: Name under which others find it.
+            service: The service object.
+
+        Raises:
+            DuplicateNameError: The name is taken.
+        """
+        if name in self._services:
+            raise DuplicateNameError(f"service name {name!r} is registered already")
+        self._services[name] = service
+
+    def find(self, name: str, kind: type[T]) -> T:
+        """Returns a service, typed by a Protocol.
+
+        Args:
+            name: Registered name.
+            kind: Runtime-checkable Protocol that the service must satisfy.
+
+        Raises:
+            UnknownNameError: No service has this name.
+            ServiceTypeError: The service lacks a member of the Protocol.
+        """
+        try:
+            service = self._services[name]
+        except KeyError:
+            raise UnknownNameError("service", name, tuple(sorted(self._services))) from None
+        if not isinstance(service, kind):
+            raise ServiceTypeError(
+                f"service {name!r} is a {type(service).__name__}, which is no {kind.__name__}"
+            )
+        return service
--- /dev/null
+++ b/fescueward/kernel/tasks.py
@@ -0,0 +1,50 @@
+"""Ownership of asyncio tasks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+FailureHandler = Callable[[str, BaseException], None]
+
+
+class TaskOwner:
+    """Keeps the tasks of one service, reports their failures and cancels them.
+
+    Attributes:
+        name: Name of the owning service.
+    """
+
+    def __init__(self, name: str, on_failure: FailureHandler) -> None:
+        self.name = name
+        self._on_failure = on_failure
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, label: str, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Starts a task that this owner cancels at the end.
+
+        Args:
+            label: What the task does, for reports.
+            coroutine: The body of the task.
+        """
+        task = asyncio.get_running_loop().create_task(coroutine, name=f"{self.name}:{label}")
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    async def cancel(self) -> None:
+        """Cancels all tasks and waits until they have ended."""
+        tasks = [task for task in self._tasks if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _finished(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._on_failure(task.get_name(), error)
--- /dev/null
+++ b/fescueward/messages/__init__.py
@@ -0,0 +1,25 @@
+"""Frozen data classes of every protocol, and their encoding. Nothing here decides anything."""
+
+from .entry import Entry, Limits, RequestClass, VersionedEntry, Weight
+from .group import Group, Member, MemberState, Shard, VersionedGroup
+from .request import Body, Request, Response
+from .upstream import AnnouncedState, Announcement, GrantSet
+
+__all__ = [
+    "AnnouncedState",
+    "Announcement",
+    "Body",
+    "Entry",
+    "GrantSet",
+    "Group",
+    "Limits",
+    "Member",
+    "MemberState",
+    "Request",
+    "RequestClass",
+    "Response",
+    "Shard",
+    "VersionedEntry",
+    "VersionedGroup",
+    "Weight",
+]
--- /dev/null
+++ b/fescueward/messages/group.py
@@ -0,0 +1,146 @@
+"""Groups: members, shards, epochs and single-key exceptions."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import xxhash
+from msgspec import Meta
+
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+
+
+class MemberState(enum.StrEnum):
+    """Whether a member takes new shards."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One agent with its upstream, in one incarnation.
+
+    Attributes:
+        id: `NAME:INCARNATION`.
+        name: Name of the agent from its settings.
+        incarnation: Number that grows with each start of the agent.
+        boot_id: Identifier of the VM's boot.
+        peer_host: Address of the peer streams.
+        peer_port: Port of the peer streams.
+        caller_host: Address of the callers' HTTP.
+        caller_port: Port of the callers' HTTP.
+        failure_domain: Failure domain of the VM.
+        slots: Requests that the upstream runs at a time.
+        connections: Connections that the upstream accepts.
+        checks_grants: Whether the upstream rejects requests without a valid grant.
+        state: Whether it takes new shards.
+        monitors: Member ids of its monitors.
+        stamp: Number of renewals it has written itself.
+    """
+
+    id: str
+    name: str
+    incarnation: Annotated[int, Meta(ge=0)]
+    boot_id: str
+    peer_host: str
+    peer_port: Port
+    caller_host: str
+    caller_port: Port
+    failure_domain: str
+    slots: Annotated[int, Meta(ge=1, le=100_000)]
+    connections: Annotated[int, Meta(ge=1, le=1_000_000)]
+    checks_grants: bool = True
+    state: MemberState = MemberState.ACTIVE
+    monitors: tuple[str, ...] = ()
+    stamp: Annotated[int, Meta(ge=0)] = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """Ownership of one shard.
+
+    Attributes:
+        owner: Member id of the owner, or None.
+        epoch: Grows with each change of owner.
+        successor: Member id that the shard is being handed over to, or None.
+        hold_ms: Time the owner waits, from when it sees this epoch, before it activates the
+            shard, because the lost owner's upstream checks no grants.
+    """
+
+    owner: str | None = None
+    epoch: Annotated[int, Meta(ge=0)] = 0
+    successor: str | None = None
+    hold_ms: Annotated[int, Meta(ge=0)] = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """One group of a service: a platform object that changes only by conditional update.
+
+    Attributes:
+        service: Name of the service.
+        number: Number of the group in the service.
+        shard_count: Number of hash shards.
+        members: Members by id.
+        shards: Hash shards, followed by the shards of exceptions.
+        exceptions: Shard id by key, for keys with a shard of their own.
+        recovery: The entry's `recovery` that this group has acted on.
+        edit_id: Identifier of the last edit, by which a lost response is read back.
+    """
+
+    service: str
+    number: int
+    shard_count: int
+    members: dict[str, Member] = field(default_factory=dict)
+    shards: tuple[Shard, ...] = ()
+    exceptions: dict[str, int] = field(default_factory=dict)
+    recovery: int = 0
+    edit_id: str = ""
+
+    def shard_of(self, key: str, groups: int) -> int:
+        """Returns the shard id of a key.
+
+        Args:
+            key: The key.
+            groups: Number of groups of the service.
+        """
+        exception = self.exceptions.get(key)
+        if exception is not None:
+            return exception
+        return (key_hash(key) // groups) % self.shard_count
+
+
+@dataclass(frozen=True, slots=True)
+class VersionedGroup:
+    """A group with the platform version it was read at.
+
+    Attributes:
+        version: Version of the platform object.
+        group: The group.
+    """
+
+    version: int
+    group: Group
+
+
+def key_hash(key: str) -> int:
+    """Returns the 64-bit hash that divides keys into groups and shards."""
+    return xxhash.xxh64_intdigest(key)
+
+
+def group_number(key: str, groups: int) -> int:
+    """Returns the number of the group that a key belongs to."""
+    return key_hash(key) % groups
+
+
+def group_object_key(service: str, number: int) -> str:
+    """Returns the platform key of a group."""
+    return f"groups/{service}/{number}"
+
+
+def entry_object_key(service: str) -> str:
+    """Returns the platform key of a catalogue entry."""
+    return f"entries/{service}"
--- /dev/null
+++ b/fescueward/messages/peer.py
@@ -0,0 +1,441 @@
+"""Messages between agents."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+from msgspec import Meta
+
+from .entry import VersionedEntry
+from .group import VersionedGroup
+from .request import Headers
+
+PROTOCOL_VERSION = 1
+
+Count = Annotated[int, Meta(ge=0)]
+
+
+@dataclass(frozen=True, slots=True)
+class Challenge:
+    """First message of an accepting agent.
+
+    Attributes:
+        nonce: Random bytes that the dialling agent signs.
+    """
+
+    nonce: Annotated[bytes, Meta(min_length=16, max_length=64)]
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Answer to `Challenge`: who dials.
+
+    Attributes:
+        name: Name of the agent or routing client.
+        incarnation: Its incarnation.
+        protocol: Version of this protocol.
+        mac: HMAC-SHA256 over nonce, name, incarnation and protocol, with the peer secret.
+    """
+
+    name: Annotated[str, Meta(min_length=1, max_length=200)]
+    incarnation: Count
+    protocol: int
+    mac: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Welcome:
+    """The acceptor agrees to the handshake.
+
+    Attributes:
+        name: Name of the accepting agent.
+        incarnation: Its incarnation.
+    """
+
+    name: str
+    incarnation: Count
+
+
+@dataclass(frozen=True, slots=True)
+class Versions:
+    """What an agent knows, so that whoever is behind can fetch.
+
+    Attributes:
+        group: Version of the group object that both sides belong to.
+        entries: Digest of all entry versions.
+    """
+
+    group: Count = 0
+    entries: Count = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """Heartbeat of a member to one of its monitors.
+
+    Attributes:
+        member_id: The member whose lease is renewed.
+        sequence: Number of the renewal; the member remembers when it sent it.
+        versions: What the member knows.
+    """
+
+    member_id: str
+    sequence: Count
+    versions: Versions = field(default_factory=Versions)
+
+
+@dataclass(frozen=True, slots=True)
+class RenewAck:
+    """Acknowledgement of a renewal by a monitor.
+
+    Attributes:
+        monitor_id: The monitor.
+        member_id: The member whose lease is extended.
+        sequence: The renewal's number.
+        granted: Whether the renewal counts.
+        versions: What the monitor knows.
+    """
+
+    monitor_id: str
+    member_id: str
+    sequence: Count
+    granted: bool
+    versions: Versions = field(default_factory=Versions)
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseQuery:
+    """A monitor asks the other monitor of a member for its promise before a takeover.
+
+    Attributes:
+        call: Number that the reply repeats.
+        service: Service of the group.
+        number: Number of the group.
+        member_id: The silent member.
+        version: Version of the group object that the takeover is conditional on.
+    """
+
+    call: Count
+    service: str
+    number: Count
+    member_id: str
+    version: Count
+
+
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """Reply to `PromiseQuery`.
+
+    Attributes:
+        call: The query's number.
+        member_id: The silent member.
+        version: The query's version.
+        granted: Whether the promise is given.
+    """
+
+    call: Count
+    member_id: str
+    version: Count
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """Newer versions of objects.
+
+    Attributes:
+        groups: Group objects.
+        entries: Catalogue entries.
+    """
+
+    groups: tuple[VersionedGroup, ...] = ()
+    entries: tuple[VersionedEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Asks for objects newer than what the sender has; the answer is a `Publish`.
+
+    Attributes:
+        service: Service of the group that is wanted, or empty.
+        number: Number of that group.
+        group_version: Version that the sender has.
+        entries: Versions of the entries that the sender has, by service, or None.
+    """
+
+    service: str = ""
+    number: Count = 0
+    group_version: Count = 0
+    entries: dict[str, int] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Measured work of a member, sent to the planner.
+
+    Attributes:
+        member_id: The member.
+        work: Seconds of upstream time per second, by shard id.
+        hot_keys: Seconds of upstream time per second of the hottest keys.
+        applied_entries: Digest of the entry versions that the member applies.
+        capacity: Share of its slots that it can use now, 1.0 when warm.
+    """
+
+    member_id: str
+    work: dict[int, float]
+    hot_keys: dict[str, float] = field(default_factory=dict)
+    applied_entries: Count = 0
+    capacity: Annotated[float, Meta(ge=0.0, le=1.0)] = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Requests that were in flight when an upstream crashed.
+
+    Attributes:
+        member_id: Member whose upstream crashed.
+        fingerprints: Fingerprints of the requests in flight.
+        quarantined: Fingerprints that are refused from now on.
+        cleared: Fingerprints of former suspects that have run to the end.
+    """
+
+    member_id: str
+    fingerprints: tuple[int, ...] = ()
+    quarantined: tuple[int, ...] = ()
+    cleared: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RetainedOutcome:
+    """The outcome of one token.
+
+    Attributes:
+        token: The token.
+        state: `done`, `lost` (may have run) or `too_large` (ran, response not kept).
+        status: HTTP status of the response.
+        headers: Headers of the response.
+        body: Body of the response.
+    """
+
+    token: str
+    state: str
+    status: int = 0
+    headers: Headers = ()
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """The owner has stopped serving a shard and hands it to its successor.
+
+    Attributes:
+        call: Number that the reply repeats.
+        service: Service of the group.
+        number: Number of the group.
+        shard: The shard id.
+        epoch: Epoch that ends.
+        from_id: Member id of the old owner.
+        to_id: Member id of the successor.
+        lineage: Epochs whose outcomes are complete in `outcomes`.
+        next_sequence: First token sequence that the successor may issue.
+        floor: Lowest token sequence whose outcome is retained.
+        outcomes: Outcomes of the shard's tokens.
+    """
+
+    call: Count
+    service: str
+    number: Count
+    shard: Count
+    epoch: Count
+    from_id: str
+    to_id: str
+    lineage: tuple[int, ...] = ()
+    next_sequence: Count = 0
+    floor: Count = 0
+    outcomes: tuple[RetainedOutcome, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """Reply to `Release`: the successor has taken the shard.
+
+    Attributes:
+        call: The release's number.
+        accepted: False if the successor does not know of the handover.
+    """
+
+    call: Count
+    accepted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StatusQuery:
+    """Asks an agent for its own status.
+
+    Attributes:
+        call: Number that the reply repeats.
+    """
+
+    call: Count
+
+
+@dataclass(frozen=True, slots=True)
+class StatusReply:
+    """Reply to `StatusQuery`.
+
+    Attributes:
+        call: The query's number.
+        status: The agent's status as in the administration API.
+    """
+
+    call: Count
+    status: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOpen:
+    """Forwards a request to the owner.
+
+    Attributes:
+        stream: Number of the stream, chosen by the sender.
+        request_id: Id of the request.
+        service: Service.
+        key: Key.
+        method: HTTP method.
+        path: Path and query.
+        headers: Headers.
+        remaining_ms: Time left until the deadline when this was sent.
+        token: Idempotency token, or None.
+        length: Length of the body if it is known.
+        data: First part of the body.
+        end: Whether `data` is the whole body.
+    """
+
+    stream: Count
+    request_id: str
+    service: str
+    key: str
+    method: str
+    path: str
+    headers: Headers
+    remaining_ms: Annotated[int, Meta(ge=0, le=600_000)]
+    token: str | None = None
+    length: int | None = None
+    data: bytes = b""
+    end: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class StreamHead:
+    """Status and headers of the response to a forwarded request.
+
+    Attributes:
+        stream: The stream.
+        request_id: Id of the request it answers.
+        status: HTTP status.
+        headers: Headers.
+        served_by: Member id of the owner.
+        epoch: Epoch it ran under.
+        length: Length of the body if it is known.
+        data: First part of the body.
+        end: Whether `data` is the whole body.
+    """
+
+    stream: Count
+    request_id: str
+    status: Annotated[int, Meta(ge=100, le=599)]
+    headers: Headers
+    served_by: str
+    epoch: Count
+    length: int | None = None
+    data: bytes = b""
+    end: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class StreamData:
+    """A further part of a body.
+
+    Attributes:
+        stream: The stream.
+        data: The bytes.
+        end: Whether the body ends here.
+    """
+
+    stream: Count
+    data: bytes
+    end: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StreamCredit:
+    """Permits the other side to send more bytes of a body.
+
+    Attributes:
+        stream: The stream.
+        size: Number of bytes.
+    """
+
+    stream: Count
+    size: Count
+
+
+@dataclass(frozen=True, slots=True)
+class StreamReset:
+    """Ends a stream early, in either direction; a body cut by it is not whole.
+
+    Attributes:
+        stream: The stream.
+        reason: Why, for the log.
+    """
+
+    stream: Count
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamRefused:
+    """The owner refuses a forwarded request.
+
+    Attributes:
+        stream: The stream.
+        label: Label of the refusal's type.
+        message: Its text.
+        owner_id: Owner as far as the refusing agent knows, or None.
+        token: Token to send with the request, or None.
+        retry_after_ms: When a retry is useful, or None.
+    """
+
+    stream: Count
+    label: str
+    message: str
+    owner_id: str | None = None
+    token: str | None = None
+    retry_after_ms: int | None = None
+
+
+# The position is the kind on the wire: append only.
+PEER_MESSAGES: tuple[type[Any], ...] = (
+    Challenge,
+    Hello,
+    Welcome,
+    Renew,
+    RenewAck,
+    PromiseQuery,
+    Promise,
+    Publish,
+    Fetch,
+    LoadReport,
+    CrashReport,
+    Release,
+    Released,
+    StatusQuery,
+    StatusReply,
+    StreamOpen,
+    StreamHead,
+    StreamData,
+    StreamCredit,
+    StreamReset,
+    StreamRefused,
+)
--- /dev/null
+++ b/fescueward/messages/request.py
@@ -0,0 +1,89 @@
+"""Requests and responses as the services pass them on, apart from any protocol."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Protocol
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Body(Protocol):
+    """The bytes of a request or response, read once in order.
+
+    Attributes:
+        length: Number of bytes if it is known, else None.
+        started: Whether any byte has been read, so that the body cannot be sent again.
+    """
+
+    length: int | None
+    started: bool
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the bytes. Raises if the body ends early."""
+        ...
+
+
+class BytesBody:
+    """A body that is held in memory and can be read again."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.length: int | None = len(data)
+        self.started = False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the bytes in one piece."""
+        if self.data:
+            yield self.data
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request of a caller.
+
+    Attributes:
+        id: Request id, from the caller or made by the front end.
+        service: Service it is for.
+        key: Key it is for.
+        method: HTTP method.
+        path: Path and query below the service.
+        headers: Headers to pass on.
+        body: Its body.
+        deadline: Latest useful time in seconds of CLOCK_BOOTTIME on this VM.
+        token: Idempotency token, or None.
+        forwarded_by: Member id of the agent that forwarded it here, or None.
+    """
+
+    id: str
+    service: str
+    key: str
+    method: str
+    path: str
+    headers: Headers
+    body: Body
+    deadline: float
+    token: str | None = None
+    forwarded_by: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """The response to one request.
+
+    Attributes:
+        request_id: Id of the request it answers.
+        status: HTTP status.
+        headers: Headers to pass back.
+        body: Its body.
+        served_by: Member id of the owner that ran the request.
+        epoch: Epoch of the shard that the request ran under.
+    """
+
+    request_id: str
+    status: int
+    headers: Headers
+    body: Body
+    served_by: str = ""
+    epoch: int = 0
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
--- /dev/null
+++ b/tests/services/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fescueward.services."""
