--- /dev/null
+++ b/fescueward/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as `python -m fescueward`."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/fescueward/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from .main import app, main
+
+__all__ = ["app", "main"]
--- /dev/null
+++ b/fescueward/daemons/agent.py
@@ -0,0 +1,78 @@
+"""The agent: the process beside each upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+import uvloop
+
+from ..kernel import BootClock, Kernel, configure_logging
+from ..kernel.settings import Settings
+from ..services.admission import SlotAdmission
+from ..services.catalogue import EntryCatalogue
+from ..services.execution import OwnerExecution
+from ..services.frontend import HttpFrontend
+from ..services.groups import GroupStore
+from ..services.lease import MonitoredLease
+from ..services.load import MeasuredLoad
+from ..services.membership import GroupMembership
+from ..services.monitor import LeaseMonitor
+from ..services.outcomes import RetainedOutcomes
+from ..services.ownership import ShardOwnership
+from ..services.peers import MsgpackPeers
+from ..services.placement import ShardPlacement
+from ..services.platform import HttpPlatform
+from ..services.quarantine import CrashQuarantine
+from ..services.router import OwnerRouter
+from ..services.upstream import HttpUpstream
+
+
+class Agent:
+    """Registers the services of an agent and runs them.
+
+    Attributes:
+        kernel: The kernel; further services can be added before `run`.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.kernel = Kernel()
+        self._settings = settings
+        # Milliseconds of wall-clock time, so that a restarted agent has a higher incarnation.
+        incarnation = int(time.time() * 1000)
+        kernel = self.kernel
+        kernel.provide("settings", settings)
+        kernel.provide("clock", BootClock())
+        kernel.add(HttpPlatform())
+        kernel.add(EntryCatalogue())
+        kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
+        kernel.add(GroupStore(kernel))
+        kernel.add(GroupMembership(kernel, incarnation))
+        kernel.add(MonitoredLease(kernel))
+        kernel.add(LeaseMonitor(kernel))
+        kernel.add(ShardPlacement(kernel))
+        kernel.add(MeasuredLoad(kernel))
+        kernel.add(HttpUpstream(kernel))
+        kernel.add(RetainedOutcomes())
+        kernel.add(ShardOwnership(kernel))
+        kernel.add(SlotAdmission())
+        kernel.add(CrashQuarantine())
+        kernel.add(OwnerExecution())
+        kernel.add(OwnerRouter())
+        kernel.add(HttpFrontend())
+
+    def run(self) -> None:
+        """Runs until SIGTERM or SIGINT.
+
+        Raises:
+            ServiceFailedError: A service failed.
+        """
+        configure_logging(self._settings.log.level, self._settings.log.format)
+        uvloop.run(self._run())
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.kernel.request_stop)
+        await self.kernel.run()
--- /dev/null
+++ b/fescueward/interfaces/leases.py
@@ -0,0 +1,77 @@
+"""Leases, monitors and membership as the services see them."""
+
+from __future__ import annotations
+
+from typing import Protocol, runtime_checkable
+
+from ..messages import Announcement, Group, GroupId, Member
+
+
+@runtime_checkable
+class Membership(Protocol):
+    """This agent's place in its group."""
+
+    @property
+    def member_id(self) -> str:
+        """`NAME:INCARNATION` of this agent."""
+        ...
+
+    @property
+    def home(self) -> GroupId | None:
+        """Group that the agent belongs to, or None before its upstream announced itself."""
+        ...
+
+    @property
+    def announcement(self) -> Announcement | None:
+        """What the upstream last said of itself."""
+        ...
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the upstream or the agent leaves, so that no new work is admitted."""
+        ...
+
+    @property
+    def resigned(self) -> bool:
+        """Whether this agent acknowledges no renewals any more, because it leaves the group."""
+        ...
+
+    def me(self) -> Member | None:
+        """Returns this agent's member in the newest group seen, or None."""
+        ...
+
+    def fill_monitors(self, group: Group) -> Group:
+        """Returns the group with monitors added for members that have fewer than two."""
+        ...
+
+    async def leave(self, reason: str) -> None:
+        """Hands all shards over, finishes what is in flight and leaves the group."""
+        ...
+
+
+@runtime_checkable
+class Lease(Protocol):
+    """This agent's lease of its shards."""
+
+    @property
+    def held(self) -> bool:
+        """Whether the lease is held now."""
+        ...
+
+    @property
+    def expires_at(self) -> float:
+        """End of the lease in seconds of CLOCK_BOOTTIME."""
+        ...
+
+    def check(self) -> None:
+        """Raises `LeaseExpiredError` unless the lease is held now."""
+        ...
+
+
+@runtime_checkable
+class Monitor(Protocol):
+    """The leases that this agent acknowledges."""
+
+    def monitored(self) -> dict[str, float]:
+        """Returns seconds since the last acknowledgement by member id."""
+        ...
--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -360,6 +360,13 @@
     label = "handshake_failed"
 
 
+class BodyTruncatedError(FescuewardError):
+    """A body ended before its end was announced."""
+
+    code = 4005
+    label = "body_truncated"
+
+
 class InvalidAnnouncementError(FescuewardError):
     """The upstream's announcement has a bad value."""
 
--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -6,7 +6,7 @@
 
 from .errors import ServiceFailedError
 from .events import Event, Level
-from .registry import Registry, Service
+from .registry import Drainable, Registry, Service
 from .tasks import TaskOwner
 
 _STARTED = Event(1001, "service_started", Level.DEBUG, "A service has started.")
@@ -82,6 +82,8 @@
                 self._started.append(service)
                 _STARTED.emit(service=service.name)
             await self._stop_requested.wait()
+            if self._failure is None:
+                await self._drain_all()
         finally:
             await self._stop_all()
         if self._failure is not None:
@@ -104,6 +106,11 @@
             visit(service)
         return ordered
 
+    async def _drain_all(self) -> None:
+        for service in tuple(self._started):
+            if isinstance(service, Drainable):
+                await service.drain()
+
     async def _stop_all(self) -> None:
         while self._started:
             service = self._started.pop()
--- a/fescueward/kernel/registry.py
+++ b/fescueward/kernel/registry.py
@@ -34,6 +34,15 @@
         ...
 
 
+@runtime_checkable
+class Drainable(Protocol):
+    """A service that gives its work away before any service is stopped."""
+
+    async def drain(self) -> None:
+        """Gives the work away while all services still run. Must end in bounded time."""
+        ...
+
+
 class Registry:
     """Services by name.
 
--- a/fescueward/kernel/settings.py
+++ b/fescueward/kernel/settings.py
@@ -134,9 +134,6 @@
     timeout_ms: int = _option(
         _integer(10, 60_000), "Timeout of a connection attempt or reply, in ms.", 1000
     )
-    window_bytes: int = _option(
-        _integer(65_536, 16 * 1024 * 1024), "Unacknowledged bytes of one body, in bytes.", 262_144
-    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/fescueward/messages/__init__.py
+++ b/fescueward/messages/__init__.py
@@ -1,7 +1,7 @@
 """Frozen data classes of every protocol, and their encoding. Nothing here decides anything."""
 
 from .entry import Entry, Limits, RequestClass, VersionedEntry, Weight
-from .group import Group, Member, MemberState, Shard, VersionedGroup
+from .group import Group, GroupId, Member, MemberState, Shard, VersionedGroup
 from .request import Body, Request, Response
 from .upstream import AnnouncedState, Announcement, GrantSet
 
@@ -12,6 +12,7 @@
     "Entry",
     "GrantSet",
     "Group",
+    "GroupId",
     "Limits",
     "Member",
     "MemberState",
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -19,6 +19,27 @@
     LEAVING = "leaving"
 
 
+@dataclass(frozen=True, slots=True)
+class GroupId:
+    """Names one group.
+
+    Attributes:
+        service: Name of the service.
+        number: Number of the group in the service.
+    """
+
+    service: str
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.service}/{self.number}"
+
+    @property
+    def object_key(self) -> str:
+        """Platform key of the group."""
+        return f"groups/{self.service}/{self.number}"
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """One agent with its upstream, in one incarnation.
@@ -100,6 +121,11 @@
     recovery: int = 0
     edit_id: str = ""
 
+    @property
+    def id(self) -> GroupId:
+        """Service and number of this group."""
+        return GroupId(self.service, self.number)
+
     def shard_of(self, key: str, groups: int) -> int:
         """Returns the shard id of a key.
 
@@ -131,14 +157,9 @@
     return xxhash.xxh64_intdigest(key)
 
 
-def group_number(key: str, groups: int) -> int:
-    """Returns the number of the group that a key belongs to."""
-    return key_hash(key) % groups
-
-
-def group_object_key(service: str, number: int) -> str:
-    """Returns the platform key of a group."""
-    return f"groups/{service}/{number}"
+def group_of(service: str, key: str, groups: int) -> GroupId:
+    """Returns the group that a key belongs to."""
+    return GroupId(service, key_hash(key) % groups)
 
 
 def entry_object_key(service: str) -> str:
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -140,6 +140,32 @@
     granted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PromiseRelease:
+    """Withdraws a `PromiseQuery`: no takeover write was or will be made under it.
+
+    Attributes:
+        call: The query's number.
+        member_id: The member that was to be taken over.
+    """
+
+    call: Count
+    member_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class WatchStatus:
+    """A watcher of the group tells whether its watch of the platform works.
+
+    Attributes:
+        member_id: The watcher.
+        healthy: Whether its last watch call was answered.
+    """
+
+    member_id: str
+    healthy: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Publish:
     """Newer versions of objects.
@@ -438,4 +464,6 @@
     StreamCredit,
     StreamReset,
     StreamRefused,
+    PromiseRelease,
+    WatchStatus,
 )
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -20,7 +20,7 @@
     length: int | None
     started: bool
 
-    def chunks(self) -> AsyncIterator[bytes]:
+    def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yields the bytes. Raises if the body ends early."""
         ...
 
@@ -33,7 +33,7 @@
         self.length: int | None = len(data)
         self.started = False
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yields the bytes in one piece."""
         if self.data:
             yield self.data
--- /dev/null
+++ b/fescueward/services/groups.py
@@ -0,0 +1,322 @@
+"""Group objects: newest versions, conditional edits, propagation and the platform watch."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import uuid
+from dataclasses import replace
+
+from ..interfaces import Catalogue, GroupListener, Membership, Peers, Platform
+from ..interfaces.groups import GroupChange
+from ..kernel import Clock, Event, Kernel, Level, Registry
+from ..kernel.errors import (
+    MalformedMessageError,
+    ObjectNotFoundError,
+    OutcomeUnknownError,
+    PlatformError,
+    VersionConflictError,
+)
+from ..kernel.settings import Settings
+from ..messages import (
+    Entry,
+    Group,
+    GroupId,
+    Member,
+    MemberState,
+    VersionedEntry,
+    VersionedGroup,
+)
+from ..messages.codec import decode_json, encode_json
+from ..messages.peer import Fetch, Publish, Versions, WatchStatus
+
+_CHANGED = Event(2201, "group_changed", Level.INFO, "A newer version of a group is in use.")
+_WATCHING = Event(2202, "watch_started", Level.INFO, "This agent watches the platform.")
+_NOT_WATCHING = Event(2203, "watch_ended", Level.INFO, "Other agents watch for the group now.")
+_BAD_OBJECT = Event(2204, "bad_object", Level.ERROR, "An object of the platform is malformed.")
+
+_WATCHERS = 2
+_WATCH_RETRY_S = 0.25
+_WATCH_STATUS_S = 1.0
+# Three status periods: a watcher that is silent for longer is replaced by the next member.
+_WATCH_STATUS_TIMEOUT_S = 3.0
+_EDIT_ATTEMPTS = 40
+_EDIT_BACKOFF_S = 0.01
+
+
+class GroupStore:
+    """The `groups` service.
+
+    Two members of each group hold a watch of the platform and publish versions to the others.
+    Renewals and their acknowledgements carry versions, so whoever missed one fetches it.
+    """
+
+    name = "groups"
+    requires = ("platform", "catalogue", "peers")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._tasks = kernel.task_owner(self.name)
+        self._views: dict[GroupId, VersionedGroup] = {}
+        self._listeners: list[GroupListener] = []
+        self._waiters: dict[GroupId, asyncio.Event] = {}
+        self._updates: dict[GroupId, asyncio.Task[None]] = {}
+        self._watch_status: dict[str, float] = {}
+        self._watch_healthy = False
+        self._started_at = 0.0
+
+    def bind(self, registry: Registry) -> None:
+        """Finds the services that this one uses."""
+        self._clock = registry.find("clock", Clock)
+        self._platform = registry.find("platform", Platform)
+        self._catalogue = registry.find("catalogue", Catalogue)
+        self._peers = registry.find("peers", Peers)
+        self._membership = registry.find("membership", Membership)
+        self._watch_s = registry.find("settings", Settings).platform.watch_ms / 1000
+        self._peers.on(Publish, self._on_publish)
+        self._peers.on(Fetch, self._on_fetch)
+        self._peers.on(WatchStatus, self._on_watch_status)
+
+    async def start(self) -> None:
+        """Starts the watch and the report of its state."""
+        self._started_at = self._clock.now()
+        self._tasks.spawn("watch", self._run_watch())
+        self._tasks.spawn("watch-status", self._run_watch_status())
+
+    async def stop(self) -> None:
+        """Ends the watch."""
+        await self._tasks.cancel()
+
+    def view(self, group: GroupId) -> VersionedGroup | None:
+        """Returns the newest version seen."""
+        return self._views.get(group)
+
+    async def load(self, group: GroupId) -> VersionedGroup:
+        """Returns the newest version seen, and reads the group if none was."""
+        held = self._views.get(group)
+        return held if held is not None else await self.refresh(group)
+
+    async def refresh(self, group: GroupId) -> VersionedGroup:
+        """Reads the group from the platform."""
+        stored = await self._platform.get(group.object_key)
+        read = VersionedGroup(stored.version, decode_json(stored.value, Group))
+        self.observe(read)
+        held = self._views[group]
+        return held if held.version >= read.version else read
+
+    async def update(self, group: GroupId) -> None:
+        """Asks for a newer version; calls at the same time share one attempt."""
+        running = self._updates.get(group)
+        if running is None:
+            running = self._tasks.spawn(f"update {group}", self._update_once(group))
+            self._updates[group] = running
+            running.add_done_callback(lambda _: self._updates.pop(group, None))
+        await asyncio.shield(running)
+
+    async def write(self, base: VersionedGroup, group: Group) -> VersionedGroup:
+        """Makes one conditional write on the version of `base`."""
+        group = replace(group, edit_id=uuid.uuid4().hex)
+        version = await self._platform.put(group.id.object_key, encode_json(group), base.version)
+        written = VersionedGroup(version, group)
+        self.observe(written)
+        self._publish(written)
+        return written
+
+    async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
+        """Reads, changes and writes until a write succeeds; see `Groups.edit`."""
+        base = self._views.get(group)
+        for attempt in range(_EDIT_ATTEMPTS):
+            if base is None:
+                base = await self._read_or_create(group)
+            changed = change(base.group)
+            if changed is None:
+                return base
+            try:
+                return await self.write(base, changed)
+            except VersionConflictError:
+                base = None
+                await self._clock.sleep(random.uniform(0, _EDIT_BACKOFF_S * min(attempt + 1, 10)))
+            except OutcomeUnknownError:
+                # The change is idempotent: a read shows whether anything is left to do.
+                base = None
+        raise OutcomeUnknownError(
+            f"group {group} could not be edited in {_EDIT_ATTEMPTS} attempts"
+        )
+
+    def observe(self, group: VersionedGroup) -> bool:
+        """Takes a version if it is higher than the one held."""
+        group_id = group.group.id
+        held = self._views.get(group_id)
+        if held is not None and held.version >= group.version:
+            return False
+        self._views[group_id] = group
+        _CHANGED.emit(group=group_id, version=group.version, members=len(group.group.members))
+        for listener in self._listeners:
+            listener.group_changed(group)
+        waiter = self._waiters.pop(group_id, None)
+        if waiter is not None:
+            waiter.set()
+        return True
+
+    def subscribe(self, listener: GroupListener) -> None:
+        """Tells a service of newer versions from now on."""
+        self._listeners.append(listener)
+
+    async def changed(self, group: GroupId, version: int, timeout_s: float) -> bool:
+        """Waits until a version above `version` is seen."""
+        held = self._views.get(group)
+        if held is not None and held.version > version:
+            return True
+        waiter = self._waiters.setdefault(group, asyncio.Event())
+        try:
+            await asyncio.wait_for(waiter.wait(), max(timeout_s, 0))
+        except TimeoutError:
+            return False
+        return True
+
+    def versions(self) -> Versions:
+        """Returns what this agent knows, for renewals and their acknowledgements."""
+        home = self._membership.home
+        held = self._views.get(home) if home is not None else None
+        return Versions(held.version if held is not None else 0, self._catalogue.digest)
+
+    def compare(self, member: Member, theirs: Versions) -> None:
+        """Fetches from a member that knows newer versions.
+
+        Args:
+            member: A member of this agent's group.
+            theirs: What it knows.
+        """
+        mine = self.versions()
+        home = self._membership.home
+        if home is None or (theirs.group <= mine.group and theirs.entries == mine.entries):
+            return
+        entries = self._catalogue.versions() if theirs.entries != mine.entries else None
+        self._peers.send(member, Fetch(home.service, home.number, mine.group, entries))
+
+    async def _read_or_create(self, group: GroupId) -> VersionedGroup:
+        try:
+            return await self.refresh(group)
+        except ObjectNotFoundError:
+            shard_count = self._catalogue.entry(group.service).entry.shard_count
+            return VersionedGroup(0, Group(group.service, group.number, shard_count))
+
+    async def _update_once(self, group: GroupId) -> None:
+        held = self._views.get(group)
+        if held is not None:
+            members = list(held.group.members.values())
+            random.shuffle(members)
+            known = Fetch(group.service, group.number, held.version)
+            asked = 0
+            for member in members:
+                asked += self._peers.send(member, known)
+                if asked == 2:
+                    break
+            if asked and await self.changed(group, held.version, 0.1):
+                return
+        try:
+            await self.refresh(group)
+        except (PlatformError, MalformedMessageError):
+            return
+
+    def _publish(self, group: VersionedGroup, entries: tuple[VersionedEntry, ...] = ()) -> None:
+        message = Publish(groups=(group,), entries=entries)
+        for member in group.group.members.values():
+            if member.id != self._membership.member_id:
+                self._peers.send(member, message)
+
+    def _on_publish(self, sender: str, message: Publish) -> None:
+        for entry in message.entries:
+            self._catalogue.observe(entry)
+        for group in message.groups:
+            self.observe(group)
+
+    def _on_fetch(self, sender: str, message: Fetch) -> None:
+        entries: tuple[VersionedEntry, ...] = ()
+        if message.entries is not None:
+            entries = self._catalogue.newer_than(message.entries)
+        held = self._views.get(GroupId(message.service, message.number))
+        newer = held is not None and held.version > message.group_version
+        if entries or newer:
+            groups = (held,) if held is not None and newer else ()
+            self._peers.reply(sender, Publish(groups=groups, entries=entries))
+
+    def _on_watch_status(self, sender: str, message: WatchStatus) -> None:
+        if message.healthy and message.member_id == sender:
+            self._watch_status[sender] = self._clock.now()
+
+    async def _run_watch(self) -> None:
+        since = 0
+        watched: GroupId | None = None
+        watching = False
+        while True:
+            home = self._membership.home
+            if home != watched:
+                watched, since = home, 0
+            if not self._is_watcher():
+                if watching:
+                    _NOT_WATCHING.emit(group=home)
+                watching, since = False, 0
+                await self._clock.sleep(_WATCH_RETRY_S)
+                continue
+            if not watching:
+                _WATCHING.emit(group=home)
+                watching = True
+            prefixes = ("entries/",) if home is None else ("entries/", home.object_key)
+            # Without a group yet, the wait is short so that the announcement is acted on soon.
+            wait_s = 1.0 if home is None else self._watch_s
+            try:
+                changes = await self._platform.watch(prefixes, since, wait_s if since else 0)
+            except PlatformError:
+                self._watch_healthy = False
+                await self._clock.sleep(_WATCH_RETRY_S)
+                continue
+            self._watch_healthy = True
+            since = changes.revision
+            for stored in changes.objects:
+                self._observe_stored(stored.key, stored.version, stored.value, stored.deleted)
+
+    def _observe_stored(self, key: str, version: int, value: bytes, deleted: bool) -> None:
+        if deleted:
+            return
+        home = self._membership.home
+        view = self._views.get(home) if home is not None else None
+        try:
+            if key.startswith("entries/"):
+                entry = VersionedEntry(version, decode_json(value, Entry))
+                if self._catalogue.observe(entry) and view is not None:
+                    self._publish(view, (entry,))
+            elif home is not None and key == home.object_key:
+                group = VersionedGroup(version, decode_json(value, Group))
+                if self.observe(group):
+                    self._publish(group)
+        except MalformedMessageError as error:
+            _BAD_OBJECT.emit(key=key, version=version, error=error)
+
+    def _is_watcher(self) -> bool:
+        home = self._membership.home
+        view = self._views.get(home) if home is not None else None
+        me = self._membership.member_id
+        if view is None or me not in view.group.members:
+            return True
+        now = self._clock.now()
+        watchers = 0
+        for member_id in sorted(view.group.members):
+            if member_id == me:
+                return watchers < _WATCHERS
+            heard = max(self._watch_status.get(member_id, 0.0), self._started_at)
+            state = view.group.members[member_id].state
+            if state is MemberState.ACTIVE and now - heard < _WATCH_STATUS_TIMEOUT_S:
+                watchers += 1
+        return False
+
+    async def _run_watch_status(self) -> None:
+        while True:
+            await self._clock.sleep(_WATCH_STATUS_S)
+            home = self._membership.home
+            view = self._views.get(home) if home is not None else None
+            if view is None or not self._watch_healthy or not self._is_watcher():
+                continue
+            status = WatchStatus(self._membership.member_id, True)
+            for member in view.group.members.values():
+                if member.id != self._membership.member_id:
+                    self._peers.send(member, status)
--- /dev/null
+++ b/fescueward/services/membership.py
@@ -0,0 +1,345 @@
+"""Membership: announcements of the upstream, joining and leaving the group, and monitors."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+from dataclasses import replace
+from pathlib import Path
+
+from aiohttp import web
+
+from ..interfaces import Admission, Groups, Ownership, Peers, Placement
+from ..kernel import Clock, Event, Kernel, Level, Registry
+from ..kernel.errors import (
+    FescuewardError,
+    InvalidAnnouncementError,
+    MalformedMessageError,
+    PlatformError,
+    UnknownServiceError,
+)
+from ..kernel.settings import Settings
+from ..messages import (
+    AnnouncedState,
+    Announcement,
+    Group,
+    GroupId,
+    Member,
+    MemberState,
+    Shard,
+    VersionedGroup,
+)
+from ..messages.codec import decode_json
+
+_ANNOUNCED = Event(2401, "upstream_announced", Level.INFO, "The upstream announced a new state.")
+_BAD_ANNOUNCEMENT = Event(
+    2402, "announcement_refused", Level.WARNING, "An announcement had a bad value."
+)
+_JOINED = Event(2403, "group_joined", Level.INFO, "This agent is a member of its group.")
+_JOIN_FAILED = Event(
+    2404, "join_failed", Level.WARNING, "Joining the group failed; it is retried."
+)
+_REMOVED = Event(
+    2405, "member_removed", Level.WARNING, "Others took over this member; it joins again as new."
+)
+_LEAVING = Event(2406, "leaving", Level.INFO, "This agent hands its shards over and leaves.")
+_LEFT = Event(2407, "left", Level.INFO, "This agent has left its group.")
+_LEAVE_FAILED = Event(2408, "leave_failed", Level.WARNING, "Leaving failed; it is retried.")
+
+_RETRY_S = 0.2
+_VACATE_PERIOD_S = 0.5
+_MAX_ANNOUNCEMENT_BYTES = 16_384
+# Leaving waits for the platform at most this long; the lease of a stopped agent ends by itself.
+LEAVE_TIMEOUT_S = 30.0
+
+
+class GroupMembership:
+    """The `membership` service."""
+
+    name = "membership"
+    requires = ("platform", "catalogue", "groups", "peers", "placement")
+
+    def __init__(self, kernel: Kernel, incarnation: int) -> None:
+        self._tasks = kernel.task_owner(self.name)
+        self._incarnation = incarnation
+        self._boot_id = Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+        self._home: GroupId | None = None
+        self._announcement: Announcement | None = None
+        self._leaving = False
+        self._resigned = False
+        self._leave_ended = False
+        self._joined = False
+        self._wake = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def member_id(self) -> str:
+        """`NAME:INCARNATION` of this agent."""
+        return f"{self._settings.agent.name}:{self._incarnation}"
+
+    @property
+    def home(self) -> GroupId | None:
+        """Group that the agent belongs to."""
+        return self._home
+
+    @property
+    def announcement(self) -> Announcement | None:
+        """What the upstream last said of itself."""
+        return self._announcement
+
+    @property
+    def leaving(self) -> bool:
+        """Whether no new work is admitted."""
+        return self._leaving
+
+    @property
+    def resigned(self) -> bool:
+        """Whether this agent acknowledges no renewals any more, because it leaves the group."""
+        return self._resigned
+
+    def bind(self, registry: Registry) -> None:
+        """Finds the services that this one uses."""
+        self._clock = registry.find("clock", Clock)
+        self._settings = registry.find("settings", Settings)
+        self._groups = registry.find("groups", Groups)
+        self._peers = registry.find("peers", Peers)
+        self._placement = registry.find("placement", Placement)
+        self._ownership = registry.find("ownership", Ownership)
+        self._admission = registry.find("admission", Admission)
+        self._groups.subscribe(self)
+
+    async def start(self) -> None:
+        """Listens for announcements."""
+        app = web.Application(client_max_size=_MAX_ANNOUNCEMENT_BYTES)
+        app.router.add_post("/announcements", self._on_post)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        section = self._settings.announcements
+        await web.TCPSite(self._runner, section.host, section.port).start()
+        self._tasks.spawn("join", self._run_join())
+
+    async def drain(self) -> None:
+        """Leaves the group."""
+        await self.leave("agent stops")
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        await self._tasks.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def me(self) -> Member | None:
+        """Returns this agent's member in the newest group seen."""
+        view = self._groups.view(self._home) if self._home is not None else None
+        return view.group.members.get(self.member_id) if view is not None else None
+
+    def group_changed(self, group: VersionedGroup) -> None:
+        """Notices that others have removed this member."""
+        if group.group.id != self._home or not self._joined:
+            return
+        if self.member_id not in group.group.members and not self._resigned:
+            _REMOVED.emit(member=self.member_id, group=self._home, version=group.version)
+            self._joined = False
+            self._start_incarnation()
+        self._wake.set()
+
+    def fill_monitors(self, group: Group) -> Group:
+        """Returns the group with monitors added for members that have fewer than two."""
+        ring = _ring(group)
+        for member_id in ring:
+            member = group.members[member_id]
+            while len(member.monitors) < min(2, len(ring) - 1):
+                chosen = _best_monitor(group, ring, member)
+                if chosen is None:
+                    break
+                member = replace(member, monitors=(*member.monitors, chosen))
+                group = replace(group, members={**group.members, member_id: member})
+        return group
+
+    def announce(self, announcement: Announcement) -> None:
+        """Acts on an announcement of the upstream.
+
+        Raises:
+            InvalidAnnouncementError: It names another service or group than before.
+        """
+        home = GroupId(announcement.service, announcement.group)
+        if self._home is not None and home != self._home:
+            raise InvalidAnnouncementError(
+                f"the upstream announced {home}; this agent belongs to {self._home}"
+            )
+        if self._announcement != announcement:
+            _ANNOUNCED.emit(group=home, state=announcement.state, slots=announcement.slots)
+        self._home = home
+        self._announcement = announcement
+        self._admission.observe_announcement(announcement)
+        if announcement.state is AnnouncedState.LEAVING and not self._leaving:
+            self._tasks.spawn("leave", self.leave("upstream leaves"))
+        self._wake.set()
+
+    async def leave(self, reason: str) -> None:
+        """Hands all shards over, finishes what is in flight and leaves the group."""
+        if self._leaving:
+            return
+        self._leaving = True
+        if self.me() is None:
+            self._leave_ended = True
+            return
+        _LEAVING.emit(member=self.member_id, reason=reason)
+        self._leave_ended = False
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self._hand_over_all()
+                # No renewal may be acknowledged once the write that ends the monitor's role
+                # is on its way.
+                self._resigned = True
+                await self._edit_until_done(self._remove_me)
+        except TimeoutError:
+            _LEAVE_FAILED.emit(member=self.member_id, error="timeout")
+        else:
+            _LEFT.emit(member=self.member_id)
+        self._leave_ended = True
+        self._wake.set()
+
+    async def _hand_over_all(self) -> None:
+        # Shards that were on their way here when the leave began arrive later and move on.
+        while True:
+            await self._edit_until_done(self._vacate)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._ownership.drained(), _VACATE_PERIOD_S)
+                return
+
+    async def _edit_until_done(self, change: object) -> None:
+        assert self._home is not None
+        while True:
+            try:
+                await self._groups.edit(self._home, change)  # type: ignore[arg-type]
+                return
+            except PlatformError as error:
+                _LEAVE_FAILED.emit(member=self.member_id, error=error)
+                await self._clock.sleep(_RETRY_S)
+
+    def _vacate(self, group: Group) -> Group | None:
+        me = group.members.get(self.member_id)
+        if me is None:
+            return None
+        vacated = self._placement.vacate(group, self.member_id)
+        return None if vacated == group else vacated
+
+    def _remove_me(self, group: Group) -> Group | None:
+        if self.member_id not in group.members:
+            return None
+        lost = frozenset({self.member_id})
+        return self.fill_monitors(self._placement.assign(group, lost))
+
+    def _start_incarnation(self) -> None:
+        self._incarnation = max(int(time.time() * 1000), self._incarnation + 1)
+        self._peers.rename(self._incarnation)
+
+    async def _on_post(self, request: web.Request) -> web.Response:
+        try:
+            self.announce(decode_json(await request.read(), Announcement))
+        except (MalformedMessageError, InvalidAnnouncementError) as error:
+            _BAD_ANNOUNCEMENT.emit(error=error)
+            refused = InvalidAnnouncementError(str(error))
+            body = {"code": refused.code, "label": refused.label, "message": str(error)}
+            return web.json_response({"error": body}, status=400)
+        return web.json_response({"accepted": True, "member": self.member_id})
+
+    async def _run_join(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            announced = self._announcement
+            if announced is None or announced.state is not AnnouncedState.READY:
+                continue
+            if self._leave_ended:
+                self._leave_ended = self._leaving = False
+                if self._resigned:
+                    self._start_incarnation()
+                    self._resigned = self._joined = False
+            if self._joined or self._leaving:
+                continue
+            await self._join(announced)
+
+    async def _join(self, announced: Announcement) -> None:
+        assert self._home is not None
+        member = self._member(announced)
+        try:
+            joined = await self._groups.edit(self._home, lambda group: self._add(group, member))
+        except (PlatformError, UnknownServiceError) as error:
+            _JOIN_FAILED.emit(group=self._home, error=error)
+            await self._clock.sleep(_RETRY_S)
+            self._wake.set()
+            return
+        except FescuewardError as error:
+            _JOIN_FAILED.emit(group=self._home, error=error)
+            return
+        self._joined = True
+        _JOINED.emit(group=self._home, member=member.id, version=joined.version)
+
+    def _add(self, group: Group, member: Member) -> Group | None:
+        if member.id in group.members:
+            return None
+        # The old process of this boot is dead: this one holds its port.
+        old = frozenset(
+            other.id
+            for other in group.members.values()
+            if other.name == member.name and other.boot_id == member.boot_id
+        )
+        shards = group.shards or (Shard(),) * group.shard_count
+        group = replace(group, shards=shards, members={**group.members, member.id: member})
+        return self.fill_monitors(self._placement.assign(group, old))
+
+    def _member(self, announced: Announcement) -> Member:
+        agent, peers, callers = (
+            self._settings.agent,
+            self._settings.peers,
+            self._settings.callers,
+        )
+        return Member(
+            id=self.member_id,
+            name=agent.name,
+            incarnation=self._incarnation,
+            boot_id=self._boot_id,
+            peer_host=peers.advertised_host or peers.host,
+            peer_port=peers.advertised_port or peers.port,
+            caller_host=callers.host,
+            caller_port=callers.port,
+            failure_domain=agent.failure_domain,
+            slots=announced.slots,
+            connections=announced.connections,
+            checks_grants=announced.checks_grants,
+        )
+
+
+def _ring(group: Group) -> tuple[str, ...]:
+    """Orders members so that neighbours lie in different failure domains where possible."""
+    ranks: dict[str, int] = {}
+    placed = []
+    for member_id in sorted(group.members):
+        domain = group.members[member_id].failure_domain
+        ranks[domain] = ranks.get(domain, 0) + 1
+        placed.append((ranks[domain], domain, member_id))
+    return tuple(member_id for _, _, member_id in sorted(placed))
+
+
+def _best_monitor(group: Group, ring: tuple[str, ...], member: Member) -> str | None:
+    start = ring.index(member.id)
+    domains = {group.members[other].failure_domain for other in member.monitors}
+    best: tuple[tuple[bool, bool, bool, int, int], str] | None = None
+    for distance in range(1, len(ring)):
+        candidate = group.members[ring[(start + distance) % len(ring)]]
+        if candidate.id in member.monitors or candidate.state is MemberState.LEAVING:
+            continue
+        monitored = sum(candidate.id in other.monitors for other in group.members.values())
+        cost = (
+            candidate.failure_domain == member.failure_domain,
+            candidate.failure_domain in domains,
+            candidate.id in member.monitors or member.id in candidate.monitors,
+            monitored,
+            distance,
+        )
+        if best is None or cost < best[0]:
+            best = (cost, candidate.id)
+    return best[1] if best is not None else None
--- /dev/null
+++ b/fescueward/services/platform.py
@@ -0,0 +1,175 @@
+"""Client of the platform's object API over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from ..interfaces import Changes, StoredObject
+from ..kernel import Event, Level, Registry
+from ..kernel.errors import (
+    ObjectNotFoundError,
+    OutcomeUnknownError,
+    PlatformAnswerError,
+    PlatformUnavailableError,
+    VersionConflictError,
+)
+from ..kernel.settings import Settings
+
+_UNAVAILABLE = Event(
+    2001, "platform_unavailable", Level.WARNING, "Calls to the platform have begun to fail."
+)
+_AVAILABLE = Event(
+    2002, "platform_available", Level.INFO, "The platform answers again after failed calls."
+)
+
+# A watch is answered at the end of its wait at the latest; the rest is for the way there and back.
+_WATCH_SLACK_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Envelope:
+    key: str
+    version: int
+    value: msgspec.Raw = field(default_factory=lambda: msgspec.Raw(b"null"))
+    deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Listing:
+    revision: int
+    objects: tuple[_Envelope, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Written:
+    version: int
+
+
+class HttpPlatform:
+    """The `platform` service.
+
+    Every call is bounded by the timeout of the settings. A write whose connection was made but
+    whose response did not arrive raises `OutcomeUnknownError`.
+    """
+
+    name = "platform"
+    requires: tuple[str, ...] = ()
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+        self._available = True
+
+    @property
+    def available(self) -> bool:
+        """Whether the last call was answered."""
+        return self._available
+
+    def bind(self, registry: Registry) -> None:
+        """Takes the URL and the timeouts from the settings."""
+        section = registry.find("settings", Settings).platform
+        self._url = section.url
+        self._timeout_s = section.timeout_ms / 1000
+
+    async def start(self) -> None:
+        """Opens the client session."""
+        self._session = aiohttp.ClientSession()
+
+    async def stop(self) -> None:
+        """Closes the client session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, key: str) -> StoredObject:
+        """Reads an object; see `Platform.get`."""
+        status, data = await self._read(f"/objects/{key}", {}, self._timeout_s)
+        if status == 404:
+            raise ObjectNotFoundError(f"the platform has no object {key!r}")
+        if status != 200:
+            raise PlatformUnavailableError(f"reading {key!r}: HTTP status {status}")
+        return _stored(_decode(data, _Envelope))
+
+    async def put(self, key: str, value: bytes, expected_version: int) -> int:
+        """Writes an object; see `Platform.put`."""
+        return await self._write("PUT", key, value, expected_version)
+
+    async def delete(self, key: str, expected_version: int) -> int:
+        """Deletes an object; see `Platform.delete`."""
+        return await self._write("DELETE", key, None, expected_version)
+
+    async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
+        """Waits for changes; see `Platform.watch`."""
+        query = {"prefix": list(prefixes), "since": str(since), "wait_ms": str(int(wait_s * 1000))}
+        status, data = await self._read("/objects", query, wait_s + _WATCH_SLACK_S)
+        if status != 200:
+            raise PlatformUnavailableError(f"watching {prefixes}: HTTP status {status}")
+        listing = _decode(data, _Listing)
+        return Changes(listing.revision, tuple(_stored(item) for item in listing.objects))
+
+    async def _read(self, path: str, query: dict[str, Any], timeout_s: float) -> tuple[int, bytes]:
+        assert self._session is not None
+        timeout = aiohttp.ClientTimeout(total=timeout_s, connect=self._timeout_s)
+        try:
+            async with self._session.get(self._url + path, params=query, timeout=timeout) as got:
+                data = await got.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._note(False)
+            raise PlatformUnavailableError(f"reading {path}: {_describe(error)}") from error
+        self._note(got.status < 500)
+        return got.status, data
+
+    async def _write(self, method: str, key: str, value: bytes | None, expected: int) -> int:
+        assert self._session is not None
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+        headers = {"If-Match": str(expected), "Content-Type": "application/json"}
+        try:
+            async with self._session.request(
+                method, f"{self._url}/objects/{key}", data=value, headers=headers, timeout=timeout
+            ) as got:
+                data = await got.read()
+        except aiohttp.ClientConnectorError as error:
+            self._note(False)
+            raise PlatformUnavailableError(f"writing {key!r}: {_describe(error)}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._note(False)
+            raise OutcomeUnknownError(f"writing {key!r}: {_describe(error)}") from error
+        self._note(got.status < 500)
+        if got.status == 409:
+            version = _decode(data, _Written).version
+            raise VersionConflictError(f"{key!r} is at version {version}", version=version)
+        if got.status == 503:
+            raise PlatformUnavailableError(f"writing {key!r}: HTTP status 503")
+        if got.status >= 500:
+            raise OutcomeUnknownError(f"writing {key!r}: HTTP status {got.status}")
+        if got.status != 200:
+            raise PlatformAnswerError(f"writing {key!r}: HTTP status {got.status}")
+        return _decode(data, _Written).version
+
+    def _note(self, available: bool) -> None:
+        if available and not self._available:
+            _AVAILABLE.emit(url=self._url)
+        if not available and self._available:
+            _UNAVAILABLE.emit(url=self._url)
+        self._available = available
+
+
+def _stored(envelope: _Envelope) -> StoredObject:
+    value = b"" if envelope.deleted else bytes(envelope.value)
+    return StoredObject(envelope.key, envelope.version, value, envelope.deleted)
+
+
+def _decode(data: bytes, kind: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.DecodeError as error:
+        raise PlatformAnswerError(f"bad answer of the platform: {error}") from error
+
+
+def _describe(error: BaseException) -> str:
+    if isinstance(error, asyncio.TimeoutError):
+        return "timeout"
+    return f"{type(error).__name__}: {error}"
