--- a/fescueward/testing/errors.py
+++ b/fescueward/testing/errors.py
@@ -52,3 +52,18 @@
 
     code = 9006
     label = "bad_journal"
+
+
+class RunAbortedError(HarnessError):
+    """An upstream ends a run before its end.
+
+    Attributes:
+        reason: Why, as it stands in the journal.
+    """
+
+    code = 9007
+    label = "run_aborted"
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"the run was aborted: {reason}")
+        self.reason = reason
