Serve the first requests through real processes

Cause: four agents with four upstreams and the platform stand-in showed six faults on their first runs: xxhash takes bytes only; runtime-checkable Protocols read properties of unbound services; msgspec.Raw does not decode in a data class; header names of aiohttp are not plain strings; a stopping agent joined again because its upstream kept announcing itself; a new member waited one renewal period for its lease. Change: each mended; the registry checks Protocols without reading properties; the lease renews at once after a join.

--- a/fescueward/kernel/registry.py
+++ b/fescueward/kernel/registry.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from inspect import getattr_static
 from typing import Protocol, TypeVar, runtime_checkable
 
+from typing_extensions import get_protocol_members, is_protocol
+
 from .errors import DuplicateNameError, ServiceTypeError, UnknownNameError
 
 T = TypeVar("T")
@@ -43,6 +46,17 @@
         ...
 
 
+def _satisfies(service: object, kind: type) -> bool:
+    if not is_protocol(kind):
+        return isinstance(service, kind)
+    # isinstance() would read every property, also of services that are not bound yet.
+    absent = object()
+    return all(
+        getattr_static(service, member, absent) is not absent
+        for member in get_protocol_members(kind)
+    )
+
+
 class Registry:
     """Services by name.
 
@@ -86,7 +100,7 @@
             service = self._services[name]
         except KeyError:
             raise UnknownNameError("service", name, tuple(sorted(self._services))) from None
-        if not isinstance(service, kind):
+        if not _satisfies(service, kind):
             raise ServiceTypeError(
                 f"service {name!r} is a {type(service).__name__}, which is no {kind.__name__}"
             )
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -154,7 +154,7 @@
 
 def key_hash(key: str) -> int:
     """Returns the 64-bit hash that divides keys into groups and shards."""
-    return xxhash.xxh64_intdigest(key)
+    return xxhash.xxh64_intdigest(key.encode())
 
 
 def group_of(service: str, key: str, groups: int) -> GroupId:
--- a/fescueward/services/catalogue.py
+++ b/fescueward/services/catalogue.py
@@ -53,7 +53,7 @@
                 f"{name}={self._entries[name].version}" for name in sorted(self._entries)
             )
             # 53 bits, so that it stays exact in JSON readers that use floating point.
-            self._digest = xxhash.xxh64_intdigest(text) >> 11
+            self._digest = xxhash.xxh64_intdigest(text.encode()) >> 11
         return self._digest
 
     def bind(self, registry: Registry) -> None:
--- a/fescueward/services/frontend.py
+++ b/fescueward/services/frontend.py
@@ -121,7 +121,7 @@
             method=http.method,
             path=http.path_qs[len(service) + 1 :] or "/",
             headers=tuple(
-                (name, value)
+                (str(name), value)
                 for name, value in http.headers.items()
                 if name.lower() not in _NOT_FORWARDED
             ),
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -34,6 +34,7 @@
 _WATCHING = Event(2202, "watch_started", Level.INFO, "This agent watches the platform.")
 _NOT_WATCHING = Event(2203, "watch_ended", Level.INFO, "Other agents watch for the group now.")
 _BAD_OBJECT = Event(2204, "bad_object", Level.ERROR, "An object of the platform is malformed.")
+_WATCH_FAILED = Event(2205, "watch_failed", Level.WARNING, "A watch call began to fail.")
 
 _WATCHERS = 2
 _WATCH_RETRY_S = 0.25
@@ -266,7 +267,9 @@
             wait_s = 1.0 if home is None else self._watch_s
             try:
                 changes = await self._platform.watch(prefixes, since, wait_s if since else 0)
-            except PlatformError:
+            except PlatformError as error:
+                if self._watch_healthy:
+                    _WATCH_FAILED.emit(error=error)
                 self._watch_healthy = False
                 await self._clock.sleep(_WATCH_RETRY_S)
                 continue
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
 from dataclasses import replace
 
 from ..interfaces import Groups, Membership, Peers
@@ -13,7 +15,7 @@
     VersionConflictError,
 )
 from ..kernel.settings import Settings
-from ..messages import Member
+from ..messages import Member, VersionedGroup
 from ..messages.peer import Renew, RenewAck
 
 _HELD = Event(2501, "lease_held", Level.INFO, "The lease is held.")
@@ -41,6 +43,8 @@
         self._sent: dict[int, float] = {}
         self._acknowledged_at = 0.0
         self._member_id = ""
+        self._seen_id = ""
+        self._joined = asyncio.Event()
         self._was_held = False
         self._by_writes = False
 
@@ -63,6 +67,7 @@
         section = registry.find("settings", Settings).lease
         self._lease_s = section.lease_ms / 1000
         self._renewal_s = section.renewal_ms / 1000
+        self._groups.subscribe(self)
         self._peers.on(RenewAck, self._on_ack)
 
     async def start(self) -> None:
@@ -74,6 +79,13 @@
         """Ends the renewals."""
         await self._tasks.cancel()
 
+    def group_changed(self, group: VersionedGroup) -> None:
+        """Begins to renew at once when this agent has joined."""
+        me = self._membership.me()
+        if me is not None and me.id != self._seen_id:
+            self._seen_id = me.id
+            self._joined.set()
+
     def check(self) -> None:
         """Raises `LeaseExpiredError` unless the lease is held now."""
         if not self.held:
@@ -189,4 +201,6 @@
     async def _run_own_writes(self) -> None:
         while True:
             await self.renew_by_write()
-            await self._clock.sleep(self._renewal_s)
+            self._joined.clear()
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._joined.wait(), self._renewal_s)
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from ..interfaces import Admission, Groups, Ownership, Peers, Placement
+from ..interfaces.groups import GroupChange
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
     FescuewardError,
@@ -69,6 +70,7 @@
         self._leaving = False
         self._resigned = False
         self._leave_ended = False
+        self._stopping = False
         self._joined = False
         self._wake = asyncio.Event()
         self._runner: web.AppRunner | None = None
@@ -121,6 +123,7 @@
 
     async def drain(self) -> None:
         """Leaves the group."""
+        self._stopping = True
         await self.leave("agent stops")
 
     async def stop(self) -> None:
@@ -209,14 +212,17 @@
                 await asyncio.wait_for(self._ownership.drained(), _VACATE_PERIOD_S)
                 return
 
-    async def _edit_until_done(self, change: object) -> None:
+    async def _edit_until_done(self, change: GroupChange) -> None:
         assert self._home is not None
+        reported = False
         while True:
             try:
-                await self._groups.edit(self._home, change)  # type: ignore[arg-type]
+                await self._groups.edit(self._home, change)
                 return
             except PlatformError as error:
-                _LEAVE_FAILED.emit(member=self.member_id, error=error)
+                if not reported:
+                    _LEAVE_FAILED.emit(member=self.member_id, error=error)
+                reported = True
                 await self._clock.sleep(_RETRY_S)
 
     def _vacate(self, group: Group) -> Group | None:
@@ -251,7 +257,9 @@
             await self._wake.wait()
             self._wake.clear()
             announced = self._announcement
-            if announced is None or announced.state is not AnnouncedState.READY:
+            if self._stopping or announced is None:
+                continue
+            if announced.state is not AnnouncedState.READY:
                 continue
             if self._leave_ended:
                 self._leave_ended = self._leaving = False
--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -23,7 +23,7 @@
 
 
 def _rendezvous(shard: int, member: Member) -> int:
-    return xxhash.xxh64_intdigest(f"{member.name}/{shard}")
+    return xxhash.xxh64_intdigest(f"{member.name}/{shard}".encode())
 
 
 def _active(group: Group) -> list[Member]:
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -35,7 +35,7 @@
 class _Envelope:
     key: str
     version: int
-    value: msgspec.Raw = field(default_factory=lambda: msgspec.Raw(b"null"))
+    value: Any = None
     deleted: bool = False
 
 
@@ -158,7 +158,7 @@
 
 
 def _stored(envelope: _Envelope) -> StoredObject:
-    value = b"" if envelope.deleted else bytes(envelope.value)
+    value = b"" if envelope.deleted else msgspec.json.encode(envelope.value)
     return StoredObject(envelope.key, envelope.version, value, envelope.deleted)
 
 
--- a/fescueward/services/upstream.py
+++ b/fescueward/services/upstream.py
@@ -167,7 +167,7 @@
         self, request: Request, epoch: int, response: aiohttp.ClientResponse, deadline: float
     ) -> Response:
         headers = tuple(
-            (name, value)
+            (str(name), value)
             for name, value in response.headers.items()
             if name.lower() not in _HOP_HEADERS
         )
