--- a/fescueward/testing/callers.py
+++ b/fescueward/testing/callers.py
@@ -33,6 +33,19 @@
     return uuid.uuid4().hex
 
 
+def without_retries(session: aiohttp.ClientSession) -> aiohttp.ClientSession:
+    """Returns a session that sends each request once.
+
+    aiohttp repeats GET, PUT and DELETE by itself when a kept connection is lost. That hides lost
+    answers and runs a request twice under one id. There is no public option against it.
+
+    Args:
+        session: The session, which is changed.
+    """
+    session._retry_connection = False
+    return session
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerRequest:
     """One request of a caller.
@@ -74,6 +87,8 @@
         outcome: What the caller knows about the run, None for an answer of the upstream.
         served_by: Name of the upstream that ran it, if the body tells.
         epoch: Epoch that it ran under, if the body tells.
+        run_request_id: Request id of the run, if the body tells. With a token it can be that of
+            an earlier attempt, whose answer the owner has kept.
         digest_ok: Whether body and request id are those of this request; None if the answer
             carries no digest.
         token: Token that a refusal carries, or None.
@@ -87,6 +102,7 @@
     outcome: Outcome | None = None
     served_by: str = ""
     epoch: int | None = None
+    run_request_id: str = ""
     digest_ok: bool | None = None
     token: str | None = None
     retry_after_s: float | None = None
@@ -128,10 +144,9 @@
 
     async def __aenter__(self) -> Caller:
         connector = aiohttp.TCPConnector(limit=self._connections)
-        self._session = aiohttp.ClientSession(connector=connector, timeout=self._timeout)
-        # aiohttp silently repeats GET, PUT and DELETE when a kept connection is lost, with the
-        # same request id; the verdicts need each attempt by itself.
-        self._session._retry_connection = False
+        self._session = without_retries(
+            aiohttp.ClientSession(connector=connector, timeout=self._timeout)
+        )
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -158,7 +173,7 @@
                 headers=_headers(request),
                 data=request.body or None,
             ) as response:
-                return _answer(request.request_id, response, await response.read())
+                return _answer(request, response, await response.read())
         except aiohttp.ClientConnectorError:
             label, outcome = UNREACHABLE, Outcome.NOT_RUN
         except TimeoutError:
@@ -178,41 +193,44 @@
     return headers
 
 
-def _answer(request_id: str, response: aiohttp.ClientResponse, body: bytes) -> CallerAnswer:
-    answered_id = response.headers.get(REQUEST_ID_HEADER, request_id)
+def _answer(request: CallerRequest, response: aiohttp.ClientResponse, body: bytes) -> CallerAnswer:
+    request_id = request.request_id
+    own = response.headers.get(REQUEST_ID_HEADER, request_id) == request_id
     digest = response.headers.get(DIGEST_HEADER)
-    retry_after = response.headers.get("Retry-After")
     answer: dict[str, Any] = {
         "request_id": request_id,
         "status": response.status,
         "body": body,
-        "retry_after_s": float(retry_after) if retry_after else None,
+        "retry_after_s": _seconds(response.headers.get("Retry-After")),
     }
     if digest is None:
-        return CallerAnswer(**answer, **_refusal(body, answered_id == request_id))
-    matches = answered_id == request_id and hashlib.sha256(body).hexdigest() == digest
+        return CallerAnswer(**answer, **_refusal(body), digest_ok=None if own else False)
+    intact = own and hashlib.sha256(body).hexdigest() == digest
     told = _upstream_answer(response, body)
     if told is None:
-        return CallerAnswer(**answer, digest_ok=matches)
+        return CallerAnswer(**answer, digest_ok=intact)
     return CallerAnswer(
         **answer,
-        digest_ok=matches and told.request_id == request_id,
+        digest_ok=intact and (request.token is not None or told.request_id == request_id),
         served_by=told.upstream,
         epoch=told.epoch,
+        run_request_id=told.request_id,
     )
 
 
-def _refusal(body: bytes, own: bool) -> dict[str, Any]:
+def _seconds(text: str | None) -> float | None:
+    try:
+        return None if text is None else float(text)
+    except ValueError:
+        return None
+
+
+def _refusal(body: bytes) -> dict[str, Any]:
     try:
         error = msgspec.json.decode(body, type=_ErrorBody).error
     except (msgspec.DecodeError, UnicodeDecodeError):
-        return {"digest_ok": None if own else False}
-    return {
-        "label": error.label,
-        "outcome": error.outcome,
-        "token": error.token,
-        "digest_ok": None if own else False,
-    }
+        return {}
+    return {"label": error.label, "outcome": error.outcome, "token": error.token}
 
 
 def _upstream_answer(response: aiohttp.ClientResponse, body: bytes) -> UpstreamAnswer | None:
--- a/fescueward/testing/harness.py
+++ b/fescueward/testing/harness.py
@@ -659,6 +659,7 @@
                 pid=pid,
                 port=port,
                 service=service,
+                group=spec.group,
             )
         )
         writer.close()
--- a/fescueward/testing/journal.py
+++ b/fescueward/testing/journal.py
@@ -20,6 +20,7 @@
     END = "end"
     ABORTED = "aborted"
     REJECTED = "rejected"
+    GRANT = "grant"
     EXIT = "exit"
 
 
@@ -28,13 +29,14 @@
     """One line of a journal.
 
     Attributes:
-        kind: What happened. `exit` ends all runs of its process.
+        kind: What happened. `grant` is a new set of grants; `exit` ends all runs of the process.
         time_ns: When, in CLOCK_BOOTTIME nanoseconds.
         upstream: Name of the upstream.
         pid: Its process.
         port: Port of its HTTP server.
         service: Service that it serves.
-        run: Number of the run in the process; 0 for `rejected` and `exit`.
+        group: Number of its group.
+        run: Number of the run in the process; 0 for `rejected`, `grant` and `exit`.
         request_id: Id of the request.
         key: Its key.
         shard: Shard that the request names, or None.
@@ -51,6 +53,7 @@
     pid: int
     port: int
     service: str
+    group: int = 0
     run: int = 0
     request_id: str = ""
     key: str = ""
--- a/fescueward/testing/upstream.py
+++ b/fescueward/testing/upstream.py
@@ -427,6 +427,7 @@
         if not self._grants.replace(grants):
             return False
         now_ns = boot_time_ns()
+        self._write(EventKind.GRANT, None, now_ns)
         for run in self._runs.values():
             abort = self._invalid(run.call, now_ns)
             if abort is None:
@@ -635,6 +636,7 @@
                 pid=os.getpid(),
                 port=self.port,
                 service=self._options.service,
+                group=self._options.group,
                 run=run,
                 request_id="" if call is None else call.request_id,
                 key="" if call is None else call.key,
--- /dev/null
+++ b/tests/testing/test_harness.py
@@ -0,0 +1,147 @@
+"""Tests of the process harness; the agents themselves are tested in tests/integration."""
+
+from __future__ import annotations
+
+import os
+import socket
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+import aiohttp
+import psutil
+
+from fescueward.kernel.errors import DuplicateNameError
+from fescueward.kernel.settings import load_settings
+from fescueward.testing.errors import ConditionTimeoutError, ProcessStateError, UnknownMemberError
+from fescueward.testing.harness import (
+    Deployment,
+    MemberPorts,
+    _process_with_port,
+    agent_settings,
+)
+from fescueward.testing.journal import EventKind
+from fescueward.testing.platform import Faults, Mode
+from fescueward.testing.ports import PortReservations
+from fescueward.testing.proxy import DROP, PASS
+from fescueward.testing.specs import (
+    DeploymentSpec,
+    kagaz_deployment,
+    merrimack_deployment,
+    small_deployment,
+)
+from fescueward.testing.waiting import wait_until
+
+
+class SpecTest(unittest.TestCase):
+    def test_sizes_of_the_deployments(self):
+        """Guards against deployments that differ from section 1.4 of the design."""
+        for spec, sizes, domains in (
+            (kagaz_deployment(), [6, 4, 3, 3], 3),
+            (merrimack_deployment(), [4, 4, 4, 4], 4),
+            (small_deployment(), [4], 2),
+        ):
+            members = [member for service in spec.services for member in service.members]
+            self.assertEqual([len(service.members) for service in spec.services], sizes)
+            self.assertEqual(len({member.failure_domain for member in members}), domains)
+
+    def test_settings_are_valid(self):
+        """Guards against settings files that the agent refuses."""
+        spec = replace(small_deployment(), settings=(("platform", "timeout_ms", "70"),))
+        member = spec.services[0].members[1]
+        text = agent_settings(spec, member, MemberPorts(1, 2, 3, 4, 5, 6), "http://127.0.0.1:9")
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "agent.ini"
+            path.write_text(text)
+            settings = load_settings(path)
+        self.assertEqual(
+            (settings.agent.name, settings.agent.failure_domain), ("depot-2", "nashua")
+        )
+        self.assertEqual((settings.peers.port, settings.peers.advertised_port), (2, 3))
+        self.assertEqual(settings.platform.timeout_ms, 70)
+
+    def test_names_are_unique(self):
+        """Guards against two members that share files and journals."""
+        service = small_deployment().services[0]
+        with self.assertRaises(DuplicateNameError):
+            DeploymentSpec(services=(service, service))
+
+
+class PortTest(unittest.TestCase):
+    def test_reserved_port_is_kept_from_others_and_usable(self):
+        """Guards against two test runs that choose the same port."""
+        ports = PortReservations()
+        self.addCleanup(ports.close)
+        address = ("127.0.0.1", ports.reserve())
+        with socket.socket() as other, self.assertRaises(OSError):
+            other.bind(address)
+        for _ in range(2):  # a restarted process listens again
+            with socket.create_server(address, reuse_port=False) as server:
+                server.listen()
+                with socket.create_connection(address) as client:
+                    port = client.getsockname()[1]
+                    self.assertEqual(_process_with_port({os.getpid(): "me"}, port), "me")
+                    self.assertEqual(_process_with_port({os.getpid(): "me"}, 1), "")
+
+
+class DeploymentTest(unittest.IsolatedAsyncioTestCase):
+    async def _upstream_answers(self, deployment, member):
+        async def answers():
+            try:
+                return await deployment.health(member)
+            except aiohttp.ClientError:
+                return None
+
+        await wait_until(answers, 20, f"{member.name} answers")
+
+    async def test_processes_are_controlled_and_all_end(self):
+        """Guards against processes and files that outlive a test, also after an exception."""
+        spec = replace(small_deployment(), proxy_peers=True, proxy_platform=True)
+        with self.assertRaises(ConditionTimeoutError) as failed:
+            async with Deployment(spec) as deployment:
+                pids = [process.pid for process in deployment.processes()]
+                member = deployment.member("depot-1")
+                await self._upstream_answers(deployment, member)
+                await member.upstream.pause()
+                self.assertEqual(psutil.Process(member.upstream.pid).status(), "stopped")
+                member.upstream.resume()
+                await member.upstream.kill()
+                last = deployment.journal_events()[-1]
+                self.assertEqual((last.kind, last.pid), (EventKind.EXIT, member.upstream.pid))
+                with self.assertRaises(ProcessStateError):
+                    await member.upstream.kill()
+                await member.upstream.start()
+                pids.append(member.upstream.pid)
+                await self._upstream_answers(deployment, member)
+                await member.upstream.pause()
+                await wait_until(lambda: False, 0.0, "never")
+        self.assertEqual([pid for pid in pids if psutil.pid_exists(pid)], [])
+        self.assertIn(str(deployment.directory), failed.exception.__notes__[0])
+        self.assertTrue((deployment.directory / "depot-1-upstream.log").exists())
+
+    async def test_platform_faults_and_partitions(self):
+        """Guards against faults that reach other members or that healing leaves behind."""
+        spec = replace(
+            small_deployment(), proxy_peers=True, proxy_platform=True, domain_latency_ms=1.0
+        )
+        async with Deployment(spec) as deployment:
+            entry = await deployment.platform.get("entries/depot")
+            self.assertIn(b'"service":"depot"', bytes(entry.value))
+            await deployment.platform.set_faults(Faults(Mode.DOWN))
+            with self.assertRaises(aiohttp.ClientResponseError):
+                await deployment.platform.get("entries/depot")
+            await deployment.isolate("depot-1")
+            first, second = deployment.members[:2]
+            self.assertEqual(first.platform_proxy.plan(), DROP)
+            self.assertEqual(second.platform_proxy.plan(), PASS)
+            self.assertEqual(second.peers_proxy.plan("depot-1"), DROP)
+            self.assertEqual(first.peers_proxy.plan("depot-2"), DROP)
+            self.assertNotEqual(second.peers_proxy.plan("depot-3"), DROP)
+            await deployment.heal()
+            self.assertEqual(second.peers_proxy.plan("depot-1").forward.delay_ms, 1.0)
+            self.assertEqual(first.peers_proxy.plan("depot-3"), PASS)
+            with self.assertRaises(UnknownMemberError):
+                await deployment.isolate("depot-9")
+            directory = deployment.directory
+        self.assertFalse(directory.exists())
--- /dev/null
+++ b/tests/testing/test_load.py
@@ -0,0 +1,154 @@
+"""Tests of callers and the load generator."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import unittest
+from collections import Counter
+from pathlib import Path
+
+from aiohttp import web
+
+from fescueward.kernel.errors import Outcome
+from fescueward.testing.load import (
+    ClosedLoop,
+    LoadGenerator,
+    LoadPlan,
+    MovingHotKey,
+    OpenLoop,
+    UniformKeys,
+    ZipfKeys,
+    percentile,
+    read_records,
+    summarize,
+    unavailable_times,
+    write_records,
+)
+from fescueward.testing.ports import PortReservations
+from fescueward.testing.program import HttpSite, abort_connection
+from fescueward.testing.upstream import UpstreamOptions, UpstreamStandIn
+
+from .test_verdicts import _record
+
+
+def _times(*spans, key="k"):
+    return [
+        _record(f"{key}{begun}", key=key, begun_s=begun, end_s=end, succeeded=good)
+        for begun, end, good in spans
+    ]
+
+
+class SummaryTest(unittest.TestCase):
+    def test_unavailable_time_is_a_gap_with_failures(self):
+        """Guards against gaps in demand that count as outages and outages that do not count."""
+        good = _times((0, 1, True), (8, 9, True))
+        self.assertEqual(unavailable_times(good), {"k": 0.0})
+        cases = (((2, 3, False), 8.0), ((0, 0.5, False), 1.0), ((9.5, 10, False), 1.0))
+        for failure, expected in cases:
+            self.assertEqual(unavailable_times(good + _times(failure)), {"k": expected})
+        # A request that hangs from the first gap on and fails in the last one touches all gaps.
+        self.assertEqual(unavailable_times(good + _times((2, 9.5, False))), {"k": 8.0})
+
+    def test_summary(self):
+        """Guards against figures that count attempts as requests."""
+        records = _times((0, 1, True), (1, 3, True)) + _times((3, 4, False), key="j")
+        records[2] = _record(
+            "x", begun_s=3, end_s=4, status=503, label="no_owner", succeeded=False
+        )
+        fetch = _record("t", final=False, status=428, label="token_required", succeeded=False)
+        summary = summarize([*records, fetch], skipped=2)
+        self.assertEqual((summary.requests, summary.successes, summary.skipped), (3, 2, 2))
+        self.assertEqual(summary.refusals, {"no_owner": 1})
+        self.assertEqual((summary.latency_p50_ms, summary.latency_p99_ms), (1000, 2000))
+        self.assertEqual(percentile(range(1, 201), 99), 198)
+        self.assertEqual(summarize([]).requests, 0)
+
+    def test_distributions(self):
+        """Guards against hot keys that do not move and skews that are flat."""
+        draw = random.Random(1)
+        ranks = Counter(ZipfKeys(50).key(draw, 0.0) for _ in range(3000))
+        self.assertEqual(ranks.most_common(1)[0][0], "key-0")
+        self.assertGreater(ranks["key-0"], 5 * ranks["key-9"])
+        self.assertEqual(len({UniformKeys(4).key(draw, 0.0) for _ in range(200)}), 4)
+        hot = MovingHotKey(10, share=1.0, period_s=2.0)
+        self.assertEqual([hot.key(draw, at) for at in (0, 1.9, 2, 21)], [
+            "key-0", "key-0", "key-1", "key-0",
+        ])  # fmt: skip
+
+
+class LoadGeneratorTest(unittest.IsolatedAsyncioTestCase):
+    async def _target(self, handler):
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", handler)
+        site = HttpSite(app, "127.0.0.1", 0)
+        await site.start()
+        self.addAsyncCleanup(site.stop)
+        return f"http://127.0.0.1:{site.port}"
+
+    async def _run(self, targets, **plan):
+        values = {"keys": UniformKeys(3), "pace": ClosedLoop(2), "duration_s": 5.0}
+        values |= {"most_requests": 20, "service": "depot", "targets": tuple(targets)}
+        generator = LoadGenerator(LoadPlan(**{**values, **plan}))
+        records = await generator.run()
+        return records, generator.summary
+
+    async def test_answers_of_an_upstream_are_checked(self):
+        """Guards against a generator that counts wrong or truncated answers as successes."""
+        upstream = UpstreamStandIn(UpstreamOptions(service="depot", checks_grants=False))
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        for pace in (ClosedLoop(2), OpenLoop(500.0)):
+            records, summary = await self._run([upstream.url], pace=pace)
+            self.assertEqual((len(records), summary.successes), (20, 20))
+            self.assertEqual(
+                {(r.served_by, r.digest_ok) for r in records}, {(upstream.name, True)}
+            )
+        cut = await self._run([upstream.url], query=(("size", "9"), ("truncate", "1")))
+        self.assertEqual(cut[1].refusals, {"connection_lost": 20})
+        self.assertEqual(cut[0][0].outcome, Outcome.OUTCOME_UNKNOWN)
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "records"
+            write_records(path, records)
+            self.assertEqual(read_records(path), records)
+
+    async def test_tokens_are_fetched_and_kept_for_resends(self):
+        """Guards against a repeated payment that is sent under a new token."""
+        seen = []
+
+        async def agent(request):
+            token = request.headers.get("Fescueward-Token")
+            seen.append(token)
+            if token is None:
+                error = {"code": 2009, "label": "token_required", "outcome": "not_run"}
+                error |= {"message": "m", "request_id": "r", "token": "t"}
+                return web.json_response({"error": error}, status=428)
+            return abort_connection(request) if seen.count("t") == 1 else web.Response()
+
+        records, summary = await self._run([await self._target(agent)], most_requests=1, resends=1)
+        self.assertEqual(seen, [None, "t", "t"])
+        self.assertEqual(len({record.request_id for record in records}), 3)
+        self.assertEqual([record.final for record in records], [False, False, True])
+        self.assertEqual((summary.requests, summary.successes), (1, 1))
+
+    async def test_failures(self):
+        """Guards against failures whose label or outcome is guessed."""
+
+        async def other_answer(_request):
+            return web.Response(headers={"Fescueward-Request-Id": "other"})
+
+        records, summary = await self._run([await self._target(other_answer)])
+        self.assertEqual((summary.successes, summary.wrong_answers), (0, 20))
+        ports = PortReservations()
+        self.addCleanup(ports.close)
+        closed = f"http://127.0.0.1:{ports.reserve()}"
+        records, summary = await self._run([closed], most_requests=1)
+        self.assertEqual((records[0].label, records[0].outcome), ("unreachable", Outcome.NOT_RUN))
+        options = UpstreamOptions(service="depot", checks_grants=False, slots=20)
+        upstream = UpstreamStandIn(options)
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        _, summary = await self._run([closed, upstream.url])
+        self.assertEqual(summary.successes, 20)
+        slow = await self._run([upstream.url], timeout_s=0.05, query=(("sleep_ms", "5000"),))
+        self.assertEqual(slow[1].refusals["timeout"], 20)
