--- /dev/null
+++ b/tests/integration/test_leaving.py
@@ -0,0 +1,84 @@
+"""Invariants 6 and 7: leaving servers get no new work and cut off no request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fescueward.kernel import BootClock
+from fescueward.testing.journal import EventKind
+from fescueward.testing.load import ClosedLoop
+from fescueward.testing.platform import Faults, Mode
+from fescueward.testing.scenarios import settled, under_load
+from fescueward.testing.upstream import Switches
+from fescueward.testing.waiting import wait_until
+
+from .base import DeploymentTestCase, deployment_spec, joined, removed, wait
+
+NEW_WORK_BOUND_S = 3.0
+
+
+class LeavingTest(DeploymentTestCase):
+    async def test_no_new_work_after_announcement(self):
+        """Guards against new work for a server that announced its leave."""
+        deployment = await self.deploy(deployment_spec())
+        await self._leave(deployment)
+
+    async def test_no_new_work_while_the_platform_is_down(self):
+        """Guards against a leave that needs the platform to stop new work."""
+        deployment = await self.deploy(deployment_spec(member={"linger_ms": 6000}))
+        await deployment.platform.set_faults(Faults(mode=Mode.DOWN))
+        await self._leave(deployment)
+
+    async def _leave(self, deployment):
+        victim = deployment.members[1]
+        left_at: list[float] = []
+
+        async def leave() -> None:
+            await deployment.set_switches(victim, Switches(leaving=True))
+            left_at.append(BootClock().now())
+            await wait(NEW_WORK_BOUND_S + 1.0)
+
+        seen = await under_load(deployment, leave, tail_s=0.5, deadline_ms=1000)
+        self.assert_holds(seen)
+        limit_ns = (left_at[0] + NEW_WORK_BOUND_S) * 1e9
+        late = [
+            event
+            for event in deployment.journal_events()
+            if event.kind is EventKind.START
+            and event.upstream == victim.name
+            and event.time_ns > limit_ns
+        ]
+        self.assertEqual(late, [])
+
+
+class RollingRestartTest(DeploymentTestCase):
+    async def test_rolling_restart_fails_no_request(self):
+        """Guards against requests and uploads that a graceful shutdown cuts off."""
+        deployment = await self.deploy(deployment_spec())
+
+        async def restart_all() -> None:
+            for member in deployment.members:
+                await self._restart(deployment, member)
+
+        small = under_load(deployment, restart_all, tail_s=1.0, pace=ClosedLoop(6, 0.005))
+        upload = under_load(
+            deployment,
+            lambda: wait(10.0),
+            tail_s=1.0,
+            pace=ClosedLoop(2),
+            method="PUT",
+            query=(("sleep_ms", "100"),),
+            body=b"u" * 2_000_000,
+        )
+        for seen in await asyncio.gather(small, upload):
+            self.assert_holds(seen)
+            self.assertEqual(seen.summary.refusals, {})
+            self.assertEqual(seen.summary.wrong_answers, 0)
+
+    async def _restart(self, deployment, member):
+        member.agent.terminate()
+        await member.agent.wait(30.0)
+        await wait_until(lambda: removed(deployment, member.name), 5, "the member has left")
+        await deployment.start_member(member)
+        await wait_until(lambda: joined(deployment, member.name), 20, "the member is back")
+        await settled(deployment, "depot", len(deployment.members))
