Send large bodies from a stream and remove the files of a harness test

Cause: aiohttp warns about raw bodies above 1 MB, which fails under -W error; the harness test left its directory behind.

--- a/fescueward/testing/callers.py
+++ b/fescueward/testing/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import io
 import uuid
 from dataclasses import dataclass, field
 from typing import Annotated, Any
@@ -171,7 +172,7 @@
                 f"{base_url}/{request.service}/{request.path}",
                 params=request.query,
                 headers=_headers(request),
-                data=request.body or None,
+                data=io.BytesIO(request.body) if request.body else None,
             ) as response:
                 return _answer(request, response, await response.read())
         except aiohttp.ClientConnectorError:
--- a/tests/testing/test_harness.py
+++ b/tests/testing/test_harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import shutil
 import socket
 import tempfile
 import unittest
@@ -116,6 +117,7 @@
                 await self._upstream_answers(deployment, member)
                 await member.upstream.pause()
                 await wait_until(lambda: False, 0.0, "never")
+        self.addCleanup(shutil.rmtree, deployment.directory)
         self.assertEqual([pid for pid in pids if psutil.pid_exists(pid)], [])
         self.assertIn(str(deployment.directory), failed.exception.__notes__[0])
         self.assertTrue((deployment.directory / "depot-1-upstream.log").exists())
--- a/tests/testing/test_platform.py
+++ b/tests/testing/test_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import unittest
 
 import aiohttp
@@ -23,8 +24,9 @@
 
     async def _put(self, key, value, version, method="PUT"):
         headers = {"If-Match": str(version)}
+        body = None if value is None else io.BytesIO(value)
         async with self.session.request(
-            method, f"objects/{key}", data=value, headers=headers
+            method, f"objects/{key}", data=body, headers=headers
         ) as response:
             body = await response.json() if response.content_type == "application/json" else {}
             return response.status, body.get("version")
