--- a/fescueward/testing/harness.py
+++ b/fescueward/testing/harness.py
@@ -20,9 +20,9 @@
 import psutil
 
 from ..kernel.settings import load_settings
-from ..messages import Group, VersionedGroup
+from ..messages import Group, GroupId, VersionedGroup
 from ..messages.codec import decode_json, encode_json
-from ..messages.group import entry_object_key, group_number, group_object_key
+from ..messages.group import entry_object_key, group_of
 from .callers import TOKEN_REQUIRED, Caller, CallerAnswer, CallerRequest
 from .errors import ControlError, ProcessStateError, UnknownMemberError
 from .journal import EventKind, JournalEvent, JournalWriter, read_journal
@@ -347,7 +347,7 @@
 
     async def group(self, service: str, number: int = 0) -> VersionedGroup | None:
         """Returns a group object as the platform holds it, or None."""
-        found = await self.platform.get(group_object_key(service, number))
+        found = await self.platform.get(GroupId(service, number).object_key)
         if found is None:
             return None
         return VersionedGroup(found.version, decode_json(bytes(found.value), Group))
@@ -357,7 +357,7 @@
         entry = next(
             found.entry for found in self._spec.services if found.entry.service == service
         )
-        found = await self.group(service, group_number(key, entry.groups))
+        found = await self.group(service, group_of(service, key, entry.groups).number)
         if found is None:
             return None
         shard = found.group.shard_of(key, entry.groups)
