Cut off no request in a rolling restart

Cause: a rolling restart under load failed requests in five ways. A write to a closed uvloop transport raised and ended the agent. An agent listened before it had the catalogue. When a member left, the others closed the stream that it still forwarded on, and the stream on which its last responses came. A refused upload could not be sent elsewhere because its body had been touched. Closing the listener reset connections that the system had accepted already. Ruled out: lost shards (without load the same restart passed). Change: writes to closing transports are dropped; the front end listens once the catalogue is loaded; a member that was leaving is retired instead of dropped; the receiver opens the window of a body when it reads; the front end takes over accepted connections before it closes the listener and waits for callers to end theirs.

--- a/fescueward/interfaces/catalogue.py
+++ b/fescueward/interfaces/catalogue.py
@@ -16,6 +16,10 @@
         """Hash of all entry versions, equal on agents that know the same ones."""
         ...
 
+    async def loaded(self) -> None:
+        """Waits until the entries have been read once."""
+        ...
+
     def entry(self, service: str) -> VersionedEntry:
         """Returns the entry of a service.
 
@@ -36,6 +40,10 @@
         """Returns the entries whose version is higher than the given one or not given."""
         ...
 
+    def mark_loaded(self) -> None:
+        """States that all entries of the platform have been read."""
+        ...
+
     def observe(self, entry: VersionedEntry) -> bool:
         """Applies an entry if its version is higher than the one held; tells whether it was."""
         ...
--- a/fescueward/interfaces/peers.py
+++ b/fescueward/interfaces/peers.py
@@ -65,8 +65,12 @@
         """
         ...
 
+    def retire(self, member_id: str) -> None:
+        """Keeps the stream to a member that has left in order until it ends by itself."""
+        ...
+
     def drop(self, member_id: str) -> None:
-        """Ends the streams to a member that has left; what waits on them fails."""
+        """Ends the stream to a member that was removed; what waits on it fails."""
         ...
 
     def rename(self, incarnation: int) -> None:
--- a/fescueward/services/catalogue.py
+++ b/fescueward/services/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import uuid
 from dataclasses import replace
 
@@ -44,6 +45,7 @@
     def __init__(self) -> None:
         self._entries: dict[str, VersionedEntry] = {}
         self._digest: int | None = None
+        self._loaded = asyncio.Event()
 
     @property
     def digest(self) -> int:
@@ -66,6 +68,14 @@
     async def stop(self) -> None:
         """Does nothing."""
 
+    async def loaded(self) -> None:
+        """Waits until the entries have been read once."""
+        await self._loaded.wait()
+
+    def mark_loaded(self) -> None:
+        """States that all entries of the platform have been read."""
+        self._loaded.set()
+
     def entry(self, service: str) -> VersionedEntry:
         """Returns the entry of a service; see `Catalogue.entry`."""
         held = self._entries.get(service)
--- a/fescueward/services/frontend.py
+++ b/fescueward/services/frontend.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 import uuid
 from collections.abc import AsyncGenerator
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from typing import Any
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from ..interfaces import Catalogue, Membership, Router
-from ..kernel import Clock, Event, Level, RefusalError, Registry
+from ..kernel import Clock, Event, Kernel, Level, RefusalError, Registry
 from ..kernel.errors import (
     BodyTruncatedError,
     FescuewardError,
@@ -33,6 +35,11 @@
     3601, "response_broken", Level.WARNING, "A response ended early and its connection was cut."
 )
 
+# Callers that keep a connection see `Connection: close` with their next response. Those that
+# send none for this long are cut off.
+_LINGER_S = 2.0
+_LINGER_CHECK_S = 0.02
+_BACKLOG = 1024
 SERVED_BY_HEADER = "Fescueward-Served-By"
 _INLINE_BYTES = 65_536
 _MAX_DEADLINE_MS = 600_000
@@ -68,8 +75,11 @@
     name = "frontend"
     requires = ("router",)
 
-    def __init__(self) -> None:
+    def __init__(self, kernel: Kernel) -> None:
+        self._tasks = kernel.task_owner(self.name)
         self._runner: web.AppRunner | None = None
+        self._site: web.SockSite | None = None
+        self._listener: socket.socket | None = None
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -86,13 +96,57 @@
         app.router.add_route("*", "/{service}{path:.*}", self._handle)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=30.0)
         await self._runner.setup()
-        await web.TCPSite(self._runner, self._host, self._port, backlog=1024).start()
+        listener = socket.create_server((self._host, self._port), backlog=_BACKLOG)
+        listener.setblocking(False)
+        self._listener = listener
+        self._tasks.spawn("listen", self._listen())
+
+    async def drain(self) -> None:
+        """Takes no new connections and lets callers end the open ones after a response."""
+        if self._runner is None or self._runner.server is None:
+            return
+        await self._stop_listening(self._runner.server)
+        end = self._clock.now() + _LINGER_S
+        while self._runner.server.connections and self._clock.now() < end:
+            await self._clock.sleep(_LINGER_CHECK_S)
 
     async def stop(self) -> None:
         """Stops listening and lets open requests end."""
+        await self._tasks.cancel()
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _listen(self) -> None:
+        # Without the catalogue every request would be refused as for an unknown service.
+        await self._catalogue.loaded()
+        assert self._runner is not None and self._listener is not None
+        self._site = web.SockSite(self._runner, self._listener.dup())
+        await self._site.start()
+
+    async def _stop_listening(self, server: web.Server) -> None:
+        if (
+            self._site is not None
+            and self._runner is not None
+            and self._site in self._runner.sites
+        ):
+            await self._site.stop()
+        if self._listener is None:
+            return
+        # Closing a listener resets connections that the system has accepted and the process has
+        # not, so these are taken over first.
+        accepted = []
+        with suppress(BlockingIOError):
+            while True:
+                accepted.append(self._listener.accept()[0])
+        self._listener.close()
+        self._listener = None
+        loop = asyncio.get_running_loop()
+        for connection in accepted:
+            connection.setblocking(False)
+            await loop.connect_accepted_socket(server, connection)
+
     async def _handle(self, http: web.Request) -> web.StreamResponse:
         request_id = http.headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
         try:
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -277,6 +277,7 @@
             since = changes.revision
             for stored in changes.objects:
                 self._observe_stored(stored.key, stored.version, stored.value, stored.deleted)
+            self._catalogue.mark_loaded()
 
     def _observe_stored(self, key: str, version: int, value: bytes, deleted: bool) -> None:
         if deleted:
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -65,6 +65,8 @@
 # A peer that takes nothing while this much waits for it is cut off; it dials again.
 _WRITE_LIMIT_BYTES = 16 * 1024 * 1024
 _STREAMS_LIMIT = 10_000
+# The last responses of an agent that stops may still wait for a slow receiver.
+_FLUSH_TIMEOUT_S = 5.0
 
 
 async def _messages(reader: asyncio.StreamReader, decoder: FrameDecoder) -> AsyncIterator[Any]:
@@ -80,6 +82,10 @@
         self._writer = writer
 
     def send(self, message: object) -> None:
+        # uvloop raises on a write to a transport that has been closed; the reader of the
+        # stream notices the end and tells those who wait.
+        if self._writer.transport.is_closing():
+            return
         if self._writer.transport.get_write_buffer_size() > _WRITE_LIMIT_BYTES:
             self._writer.transport.abort()
             return
@@ -88,6 +94,11 @@
     def close(self) -> None:
         self._writer.close()
 
+    async def flush_and_close(self) -> None:
+        self._writer.close()
+        with suppress(OSError, TimeoutError):
+            await asyncio.wait_for(self._writer.wait_closed(), _FLUSH_TIMEOUT_S)
+
 
 class _Outgoing:
     """A request that was forwarded on a dialled stream."""
@@ -111,6 +122,7 @@
         self.member = member
         self.wire: _Wire | None = None
         self.settled = asyncio.Event()
+        self.retired = False
         self.task: asyncio.Task[None] | None = None
         self.streams: dict[int, _Outgoing] = {}
         self.calls: dict[int, asyncio.Future[object]] = {}
@@ -181,8 +193,8 @@
         """Ends all streams."""
         if self._server is not None:
             self._server.close()
-        for accepted in self._accepted.values():
-            accepted.wire.close()
+        accepted = tuple(self._accepted.values())
+        await asyncio.gather(*(found.wire.flush_and_close() for found in accepted))
         await self._tasks.cancel()
 
     def on(self, kind: type[M], handler: MessageHandler[M]) -> None:
@@ -236,20 +248,28 @@
         finally:
             link.calls.pop(call, None)
 
+    def retire(self, member_id: str) -> None:
+        """Keeps the stream to a member that has left in order until it ends by itself."""
+        link = self._links.get(member_id)
+        if link is not None:
+            link.retired = True
+
     def rename(self, incarnation: int) -> None:
         """Takes a new incarnation and ends all streams, which were made under the old one."""
         self._incarnation = incarnation
-        for member_id in {*self._links, *self._accepted}:
+        for member_id in tuple(self._links):
             self.drop(member_id)
+        for accepted in tuple(self._accepted.values()):
+            accepted.wire.close()
 
     def drop(self, member_id: str) -> None:
-        """Ends the streams to a member that has left."""
+        """Ends the stream to a member that was removed.
+
+        What the member itself forwards to this agent goes on: it may still have callers.
+        """
         link = self._links.pop(member_id, None)
         if link is not None and link.task is not None:
             link.task.cancel()
-        accepted = self._accepted.pop(member_id, None)
-        if accepted is not None:
-            accepted.wire.close()
 
     async def forward(self, member: Member, request: Request) -> Response:
         """Sends a request to its owner; see `Peers.forward`."""
@@ -352,10 +372,14 @@
                 except (OSError, TimeoutError, PeerError) as error:
                     link.closed(f"{type(error).__name__}: {error}")
                 _CLOSED.emit(peer=link.member.id)
+                if link.retired:
+                    return
                 await self._clock.sleep(retry_s)
                 retry_s = min(retry_s * 2, _RETRY_LAST_S)
         finally:
             link.closed("dropped")
+            if self._links.get(link.member.id) is link:
+                del self._links[link.member.id]
 
     async def _greet(self, link: _Link, wire: _Wire, messages: AsyncIterator[Any]) -> None:
         challenge = await anext(messages, None)
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -18,7 +18,17 @@
     UpstreamUnavailableError,
 )
 from ..kernel.settings import Settings
-from ..messages import Entry, GroupId, Request, RequestClass, Response, Shard, VersionedGroup
+from ..messages import (
+    Entry,
+    GroupId,
+    Member,
+    MemberState,
+    Request,
+    RequestClass,
+    Response,
+    Shard,
+    VersionedGroup,
+)
 from ..messages.group import group_of
 
 _LOCAL = Event(3501, "request_local", Level.INFO, "This agent owns the key and runs the request.")
@@ -67,7 +77,7 @@
 
     def __init__(self) -> None:
         self._waiting = 0
-        self._members: dict[GroupId, frozenset[str]] = {}
+        self._members: dict[GroupId, dict[str, Member]] = {}
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -89,11 +99,18 @@
         """Does nothing."""
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Ends the streams to members that have left, so that what waits on them is retried."""
-        before = self._members.get(group.group.id, frozenset())
-        self._members[group.group.id] = frozenset(group.group.members)
-        for member_id in before - group.group.members.keys():
-            self._peers.drop(member_id)
+        """Ends the streams to members that were removed, so that waiting requests are retried.
+
+        A member that was leaving has finished its requests, and the last responses may still be
+        on their way here.
+        """
+        before = self._members.get(group.group.id, {})
+        self._members[group.group.id] = group.group.members
+        for member_id in before.keys() - group.group.members.keys():
+            if before[member_id].state is MemberState.LEAVING:
+                self._peers.retire(member_id)
+            else:
+                self._peers.drop(member_id)
 
     async def route(self, request: Request) -> Response:
         """Serves a request here or at its owner; see `Router.route`."""
--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -11,7 +11,8 @@
 from ..messages import Body
 from ..messages.peer import StreamCredit, StreamData
 
-# Both ends start with this window; it is part of the protocol.
+# The receiver of a body permits this much when it begins to read, and not before: a request that
+# is refused before its body was read can be sent to another agent.
 WINDOW_BYTES = 262_144
 CHUNK_BYTES = 65_536
 # A body up to this size travels inside StreamOpen or StreamHead.
@@ -34,7 +35,7 @@
         self._arrived = asyncio.Event()
         self._ended = False
         self._broken: str | None = None
-        self._credit = WINDOW_BYTES
+        self._credit = 0
         self._credit_arrived = asyncio.Event()
 
     def receive(self, data: bytes, end: bool) -> None:
@@ -56,6 +57,10 @@
         self._arrived.set()
         self._credit_arrived.set()
 
+    def open_window(self) -> None:
+        """Permits the other end to send the first part of the body."""
+        self._send(StreamCredit(self.stream, WINDOW_BYTES))
+
     async def read(self) -> bytes:
         """Returns the next part of the body, empty at its end.
 
@@ -79,6 +84,8 @@
         Raises:
             BodyTruncatedError: The stream ended, or the body did not arrive whole.
         """
+        # Until the other end reads, the body stays untouched and can be sent elsewhere.
+        await self._take_credit(0)
         async with aclosing(body.chunks()) as chunks:
             async for chunk in chunks:
                 for start in range(0, len(chunk), CHUNK_BYTES):
@@ -88,7 +95,7 @@
         self._send(StreamData(self.stream, b"", end=True))
 
     async def _take_credit(self, size: int) -> None:
-        while self._credit < size:
+        while self._credit < max(size, 1):
             if self._broken is not None:
                 raise BodyTruncatedError(self._broken)
             self._credit_arrived.clear()
@@ -115,6 +122,7 @@
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yields the parts; raises `BodyTruncatedError` if the stream ends early."""
         self.started = True
+        self._channel.open_window()
         received = 0
         try:
             while chunk := await self._channel.read():
--- a/tests/run.py
+++ b/tests/run.py
@@ -39,7 +39,9 @@
     for case in _cases(
         unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
     ):
-        if prefixes and not case.id().startswith(prefixes):
+        # A module that cannot be imported appears as a case of its own, which must not be lost.
+        importable = not case.id().startswith("unittest.loader.")
+        if prefixes and importable and not case.id().startswith(prefixes):
             continue
         if case.id() in known_red:
             passed_over.append(case.id())
