--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -242,6 +242,7 @@
         status: HTTP status of the response.
         headers: Headers of the response.
         body: Body of the response.
+        fingerprint: Hash of the request that the token was used for.
     """
 
     token: str
@@ -249,6 +250,7 @@
     status: int = 0
     headers: Headers = ()
     body: bytes = b""
+    fingerprint: int = 0
 
 
 @dataclass(frozen=True, slots=True)
