Say outcome_unknown when the lease ends after a run

Cause: the check of the ticket after a run raised lease_expired, whose outcome is not_run, so a request that had run was reported as not run and was routed again. A streamed response that was never read kept its slot and ticket for ever. Change: the check after the run raises OutcomeLostError; bodies have close(), which gives back slot, ticket and upstream connection.

--- a/fescueward/services/execution.py
+++ b/fescueward/services/execution.py
@@ -18,7 +18,13 @@
     Upstream,
 )
 from ..kernel import Clock, Event, Level, Registry
-from ..kernel.errors import BodyTooLargeError, TokenRequiredError
+from ..kernel.errors import (
+    BodyTooLargeError,
+    BodyTruncatedError,
+    LeaseExpiredError,
+    OutcomeLostError,
+    TokenRequiredError,
+)
 from ..messages import Body, Entry, Request, RequestClass, Response
 from ..messages.request import BytesBody
 
@@ -67,7 +73,7 @@
                 response = await self._outcomes.run_once(request, ticket.shard, ticket.epoch, run)
             else:
                 response = await run(request)
-            ticket.check()
+            _check_after_run(ticket)
             _EXECUTED.emit(
                 request=request.id,
                 service=request.service,
@@ -84,18 +90,28 @@
     async def _run(
         self, request: Request, entry: Entry, ticket: Ticket, stack: AsyncExitStack
     ) -> Response:
-        await stack.enter_async_context(self._quarantine.guard(request))
+        request = await stack.enter_async_context(self._quarantine.guard(request))
         await stack.enter_async_context(self._admission.slot(request, entry))
         ticket.check()
         started = self._clock.now()
         deadline = min(request.deadline, started + entry.limits.max_request_ms / 1000)
         response = await self._upstream.run(request, ticket.shard, ticket.epoch, deadline)
         self._load.record(ticket.shard, request.key, self._clock.now() - started)
+        if not isinstance(response.body, BytesBody):
+            stack.push_async_callback(response.body.close)
         return response
 
 
+def _check_after_run(ticket: Ticket) -> None:
+    try:
+        ticket.check()
+    except LeaseExpiredError as error:
+        # The request has run here, so `not_run` would be wrong, and another owner may run it.
+        raise OutcomeLostError(f"the request ran, but its lease ended: {error}") from error
+
+
 class _HeldBody:
-    """A response body that keeps slot and ticket until it has been sent."""
+    """A response body that keeps slot and ticket until it has been sent or closed."""
 
     def __init__(self, body: Body, ticket: Ticket, stack: AsyncExitStack) -> None:
         self.length = body.length
@@ -108,9 +124,15 @@
         self.started = True
         async with self._stack, aclosing(self._body.chunks()) as chunks:
             async for chunk in chunks:
-                self._ticket.check()
+                try:
+                    self._ticket.check()
+                except LeaseExpiredError as error:
+                    raise BodyTruncatedError(f"the lease ended in a response: {error}") from error
                 yield chunk
 
+    async def close(self) -> None:
+        await self._stack.aclose()
+
 
 class _BoundedBody:
     """A request body that may not grow beyond the limit of the entry."""
@@ -131,6 +153,9 @@
                     raise BodyTooLargeError(f"the body exceeds {self._limit} bytes")
                 yield chunk
 
+    async def close(self) -> None:
+        await self._body.close()
+
 
 def _bounded(request: Request, entry: Entry) -> Request:
     limit = entry.limits.max_body_bytes
--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -124,3 +124,7 @@
                 raise BodyTruncatedError(f"{received} of {self.length} bytes arrived")
         finally:
             self._finish()
+
+    async def close(self) -> None:
+        """Ends the stream if the body was not read to its end."""
+        self._finish()
