Recognise upstream crashes and quarantine requests after two of them

Cause: a request that crashes its upstream ran again on each owner, an upstream that was gone kept its keys, and cookies of one caller's response went out with the requests of others. Change: quarantine keeps suspects and quarantined fingerprints and shares them by CrashReport; upstream_watch probes after a broken connection and leaves the group when connections are refused; membership joins again at the next announcement; aborted runs become refusals.

--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -57,7 +57,7 @@
         kernel.add(RetainedOutcomes())
         kernel.add(ShardOwnership(kernel))
         kernel.add(SlotAdmission())
-        kernel.add(CrashQuarantine())
+        kernel.add(CrashQuarantine(kernel))
         kernel.add(OwnerExecution())
         kernel.add(OwnerRouter())
         kernel.add(HttpFrontend())
--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -272,6 +272,22 @@
     label = "owner_unreachable"
 
 
+class UpstreamRefusedError(RefusalError):
+    """The upstream refused the request before it ran, by the header `Fescueward-Refusal`."""
+
+    code = 2022
+    label = "upstream_refused"
+
+
+class InternalError(RefusalError):
+    """The agent met an unexpected exception, so the outcome of the request is not known."""
+
+    code = 2023
+    label = "unexpected_error"
+    http_status = 500
+    outcome = Outcome.OUTCOME_UNKNOWN
+
+
 class PlatformError(FescuewardError):
     """Base of the errors of the platform client."""
 
--- a/fescueward/messages/upstream.py
+++ b/fescueward/messages/upstream.py
@@ -7,6 +7,7 @@
 from typing import Annotated
 
 from msgspec import Meta
+from yarl import URL
 
 from .entry import ServiceName
 
@@ -16,6 +17,9 @@
 REQUEST_ID_HEADER = "Fescueward-Request-Id"
 KEY_HEADER = "Fescueward-Key"
 TOKEN_HEADER = "Fescueward-Token"
+# A refusal before the run, and a run that was ended early, with their reasons.
+REFUSAL_HEADER = "Fescueward-Refusal"
+ABORTED_HEADER = "Fescueward-Aborted"
 DEADLINE_MS_HEADER = "Fescueward-Deadline-Ms"
 
 
@@ -66,3 +70,8 @@
     sequence: Annotated[int, Meta(ge=0)]
     expires_ns: Annotated[int, Meta(ge=0)]
     epochs: dict[int, int]
+
+
+def upstream_url(announcement: Announcement, path: str) -> URL:
+    """Returns the URL of a path on the upstream; the path stays as it was written."""
+    return URL(f"http://{announcement.host}:{announcement.port}{path}", encoded=True)
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -67,6 +67,8 @@
         self._boot_id = Path("/proc/sys/kernel/random/boot_id").read_text().strip()
         self._home: GroupId | None = None
         self._announcement: Announcement | None = None
+        self._announcements = 0
+        self._announcements_before_leave = 0
         self._leaving = False
         self._resigned = False
         self._leave_ended = False
@@ -175,6 +177,7 @@
             _ANNOUNCED.emit(group=home, state=announcement.state, slots=announcement.slots)
         self._home = home
         self._announcement = announcement
+        self._announcements += 1
         self._admission.observe_announcement(announcement)
         if announcement.state is AnnouncedState.LEAVING and not self._leaving:
             self._tasks.spawn("leave", self.leave("upstream leaves"))
@@ -185,6 +188,7 @@
         if self._leaving:
             return
         self._leaving = True
+        self._announcements_before_leave = self._announcements
         if self.me() is None:
             self._leave_ended = True
             return
@@ -262,6 +266,9 @@
             if announced.state is not AnnouncedState.READY:
                 continue
             if self._leave_ended:
+                if self._announcements == self._announcements_before_leave:
+                    # The upstream has not spoken since the leave began; it may be gone.
+                    continue
                 self._leave_ended = self._leaving = False
                 if self._resigned:
                     self._start_incarnation()
--- a/fescueward/services/upstream.py
+++ b/fescueward/services/upstream.py
@@ -1,10 +1,11 @@
-"""The upstream beside this agent: runs, grants and crashes."""
+"""The upstream beside this agent: runs and grants."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import AsyncGenerator
-from contextlib import aclosing
+from contextlib import aclosing, suppress
+from urllib.parse import quote
 
 import aiohttp
 from multidict import CIMultiDict
@@ -17,33 +18,48 @@
     DeadlineExceededError,
     DeadlineExceededRunningError,
     FescuewardError,
-    LeaseExpiredError,
+    InvalidRequestError,
     OutcomeLostError,
     OverloadedError,
     RefusalError,
+    UpstreamRefusedError,
     UpstreamUnavailableError,
 )
 from ..messages import Announcement, GrantSet, Request, Response
 from ..messages.codec import encode_json
 from ..messages.request import Body, BytesBody
 from ..messages.upstream import (
+    ABORTED_HEADER,
     DEADLINE_HEADER,
     EPOCH_HEADER,
     KEY_HEADER,
+    REFUSAL_HEADER,
     REQUEST_ID_HEADER,
     SHARD_HEADER,
     TOKEN_HEADER,
+    upstream_url,
 )
+from .upstream_watch import UpstreamWatch
 
-_CRASHED = Event(3001, "upstream_crashed", Level.WARNING, "The upstream ended during requests.")
 _GRANT_FAILED = Event(3002, "grant_not_confirmed", Level.WARNING, "The upstream took no grants.")
 
 _GRANT_TIMEOUT_S = 0.5
 _CANCEL_TIMEOUT_S = 0.5
 # Responses up to this size are read whole before any byte is released.
 SMALL_BYTES = 65_536
-_REFUSAL_HEADER = "Fescueward-Refusal"
-_HOP_HEADERS = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
 
 class HttpUpstream:
@@ -56,20 +72,22 @@
         self._tasks = kernel.task_owner(self.name)
         self._session: aiohttp.ClientSession | None = None
         self._connections = 0
-        self._crashes = 0
+        self._watch = UpstreamWatch(self._tasks, self._open)
 
     @property
     def crashes(self) -> int:
         """Number of upstream crashes seen so far."""
-        return self._crashes
+        return self._watch.crashes
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
+        self._watch.bind(registry)
 
     async def start(self) -> None:
-        """Does nothing; the session is made once the upstream is known."""
+        """Starts to watch the upstream; the session is made once the upstream is known."""
+        self._tasks.spawn("watch", self._watch.run())
 
     async def stop(self) -> None:
         """Closes all connections to the upstream."""
@@ -82,21 +100,22 @@
         announced = self._membership.announcement
         if announced is None:
             raise UpstreamUnavailableError("no upstream has announced itself")
+        if self._watch.refuses(announced):
+            raise UpstreamUnavailableError("the upstream refuses connections")
         remaining_s = deadline - self._clock.now()
         if remaining_s <= 0:
             raise DeadlineExceededError("the deadline passed before the upstream was reached")
         try:
-            response = await asyncio.wait_for(
-                self._send(announced, request, shard, epoch, deadline), remaining_s
-            )
+            async with asyncio.timeout(remaining_s):
+                response = await self._send(announced, request, shard, epoch, deadline)
+                await _raise_refusal(response)
+                return await self._response(request, epoch, response)
         except TimeoutError:
             self._tasks.spawn("cancel", self._cancel(announced, request.id))
             raise DeadlineExceededRunningError("the deadline passed during the run") from None
         except asyncio.CancelledError:
             self._tasks.spawn("cancel", self._cancel(announced, request.id))
             raise
-        _raise_refusal(response)
-        return await self._response(request, epoch, response, deadline)
 
     async def grant(self, grants: GrantSet) -> bool:
         """Sends grants; see `Upstream.grant`."""
@@ -108,7 +127,7 @@
         timeout = aiohttp.ClientTimeout(total=_GRANT_TIMEOUT_S)
         try:
             async with self._open(announced).put(
-                _url(announced, "/grants"), data=encode_json(grants), timeout=timeout
+                upstream_url(announced, "/grants"), data=encode_json(grants), timeout=timeout
             ) as response:
                 return response.status == 200
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -120,7 +139,12 @@
             old = self._session
             self._connections = announced.connections
             connector = aiohttp.TCPConnector(limit=announced.connections, keepalive_timeout=30)
-            self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+            self._session = aiohttp.ClientSession(
+                connector=connector,
+                auto_decompress=False,
+                # A cookie of one caller's response must not go out with another's request.
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
             # aiohttp repeats GET, PUT and DELETE on a reused connection that breaks. A request
             # that may have reached the upstream must not be sent again here.
             self._session._retry_connection = False
@@ -140,62 +164,74 @@
         if request.token is not None:
             headers[TOKEN_HEADER] = request.token
         body = request.body
-        data: bytes | _Upload | None = _Upload(body)
+        upload: _Upload | None = None
+        data: bytes | AsyncGenerator[bytes, None] | None = None
         if isinstance(body, BytesBody):
             data = body.data or None
-        elif body.length is not None:
-            headers["Content-Length"] = str(body.length)
+        else:
+            upload = _Upload(body)
+            data = upload.chunks()
+            if body.length is not None:
+                headers["Content-Length"] = str(body.length)
         try:
             return await self._open(announced).request(
                 request.method,
-                _url(announced, request.path),
+                upstream_url(announced, request.path),
                 headers=headers,
-                data=data.chunks() if isinstance(data, _Upload) else data,
-                timeout=aiohttp.ClientTimeout(total=None),
+                data=data,
+                timeout=_NO_TIMEOUT,
                 allow_redirects=False,
-                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
             )
         except aiohttp.ClientConnectorError as error:
+            self._watch.check_now()
             raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
         except (aiohttp.ClientError, OSError) as error:
-            if isinstance(data, _Upload) and data.error is not None:
-                raise OutcomeLostError(f"the request body broke: {data.error}") from error
-            self._note_crash(request, error)
+            if upload is not None and upload.error is not None:
+                raise OutcomeLostError(f"the request body broke: {upload.error}") from error
+            await self._watch.check_crash(error)
             raise OutcomeLostError(f"the upstream ended the connection: {error!r}") from error
+        except ValueError as error:
+            # aiohttp refuses a header or method before it sends anything.
+            raise InvalidRequestError(f"the request cannot be sent: {error}") from error
 
     async def _response(
-        self, request: Request, epoch: int, response: aiohttp.ClientResponse, deadline: float
+        self, request: Request, epoch: int, response: aiohttp.ClientResponse
     ) -> Response:
-        headers = tuple(
-            (str(name), value)
+        headers = [
+            (name, value)
             for name, value in response.headers.items()
             if name.lower() not in _HOP_HEADERS
-        )
+        ]
         length = response.content_length
         body: Body
-        if length is not None and length <= SMALL_BYTES:
+        if request.method == "HEAD" or response.status in (204, 304):
+            # Such a response names the length of a body that it does not have.
+            response.release()
+            body = BytesBody(b"")
+            if length is not None and response.status != 204:
+                headers.append(("Content-Length", str(length)))
+        elif length is not None and length <= SMALL_BYTES:
             try:
-                async with asyncio.timeout(max(deadline - self._clock.now(), 0)):
-                    body = BytesBody(await response.read())
-            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                body = BytesBody(await response.read())
+            except (aiohttp.ClientError, OSError) as error:
                 response.close()
+                await self._watch.check_crash(error)
                 raise AnswerLostError(f"the response broke: {error!r}") from error
         else:
-            body = _ResponseBody(response, length)
+            body = _ResponseBody(self._watch, response, length)
+        if not all(value.isascii() or _is_text(value) for _, value in headers):
+            await body.close()
+            raise AnswerLostError("a header of the response is not valid UTF-8")
         return Response(
-            request.id, response.status, headers, body, self._membership.member_id, epoch
+            request.id, response.status, tuple(headers), body, self._membership.member_id, epoch
         )
 
-    def _note_crash(self, request: Request, error: BaseException) -> None:
-        self._crashes += 1
-        _CRASHED.emit(request=request.id, error=f"{type(error).__name__}: {error}")
-
     async def _cancel(self, announced: Announcement, request_id: str) -> None:
         timeout = aiohttp.ClientTimeout(total=_CANCEL_TIMEOUT_S)
+        url = upstream_url(announced, f"/cancel/{quote(request_id, safe='')}")
         try:
-            async with self._open(announced).post(
-                _url(announced, f"/cancel/{request_id}"), timeout=timeout
-            ):
+            async with self._open(announced).post(url, timeout=timeout):
                 pass
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
@@ -221,9 +257,12 @@
 class _ResponseBody:
     """A large response body, read from the upstream as it is consumed."""
 
-    def __init__(self, response: aiohttp.ClientResponse, length: int | None) -> None:
+    def __init__(
+        self, watch: UpstreamWatch, response: aiohttp.ClientResponse, length: int | None
+    ) -> None:
         self.length = length
         self.started = False
+        self._watch = watch
         self._response = response
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
@@ -232,23 +271,42 @@
             async for chunk in self._response.content.iter_any():
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
+            await self._watch.check_crash(error)
             raise BodyTruncatedError(f"the response broke: {error!r}") from error
         finally:
             self._response.close()
 
+    async def close(self) -> None:
+        self._response.close()
+
 
-def _url(announced: Announcement, path: str) -> str:
-    return f"http://{announced.host}:{announced.port}{path}"
+def _is_text(value: str) -> bool:
+    # aiohttp decodes bytes that are not UTF-8 as surrogates, which no message can carry.
+    return not any("\ud800" <= sign <= "\udfff" for sign in value)
 
 
-def _raise_refusal(response: aiohttp.ClientResponse) -> None:
-    reason = response.headers.get(_REFUSAL_HEADER)
-    if reason is None:
+async def _raise_refusal(response: aiohttp.ClientResponse) -> None:
+    headers = response.headers
+    error: RefusalError
+    if (reason := headers.get(REFUSAL_HEADER)) is not None:
+        if reason == "deadline":
+            error = DeadlineExceededError("the upstream got the request after its deadline")
+        elif reason == "shed":
+            error = OverloadedError("the upstream sheds load", retry_after_s=1.0)
+        elif reason == "malformed":
+            error = InvalidRequestError("the upstream cannot read the request")
+        else:
+            error = UpstreamRefusedError(f"the upstream refused the request: {reason}")
+    elif (reason := headers.get(ABORTED_HEADER)) is not None:
+        if reason == "deadline":
+            error = DeadlineExceededRunningError("the upstream ended the run at its deadline")
+        else:
+            error = OutcomeLostError(f"the upstream ended the run: {reason}")
+    else:
         return
-    response.release()
-    refusals: dict[str, RefusalError] = {
-        "grant": LeaseExpiredError("the upstream rejected the grant"),
-        "deadline": DeadlineExceededError("the upstream got the request after its deadline"),
-        "shed": OverloadedError("the upstream sheds load", retry_after_s=1.0),
-    }
-    raise refusals.get(reason, UpstreamUnavailableError(f"the upstream refused: {reason}"))
+    if response.content_length is not None and response.content_length <= SMALL_BYTES:
+        # A response that is read to its end leaves the connection usable.
+        with suppress(aiohttp.ClientError, OSError):
+            await response.read()
+    response.close()
+    raise error
