Bound retries and questions of waiting requests

Cause: the retry budget began with ten retries, so 200 requests could make 230 attempts; a request whose outcome was unknown could end as deadline_exceeded with not_run; each waiting request asked members and platform for its group every 50 ms. Change: the budget begins empty; pauses have jitter and double; questions are paced per group; refused connections wait for a new owner without the budget; upstream refusals use it.

--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+import random
+
 from ..interfaces import Catalogue, Execution, Groups, Membership, Peers
 from ..kernel import Clock, Event, Level, Outcome, RefusalError, Registry
 from ..kernel.errors import (
+    AnswerLostError,
     DeadlineExceededError,
     DrainingError,
     LeaseExpiredError,
     NoOwnerError,
     NotOwnerError,
-    ObjectNotFoundError,
     OutcomeLostError,
     OwnerUnreachableError,
-    PlatformError,
     ShardMovingError,
+    UpstreamRefusedError,
     UpstreamUnavailableError,
 )
 from ..kernel.settings import Settings
@@ -26,31 +28,42 @@
 _RETRIED = Event(3503, "request_retried", Level.INFO, "The request is tried again.")
 _REFUSED = Event(3504, "request_refused", Level.INFO, "The request is refused with a code.")
 
-# How long a request waits for a newer group version before it asks for one.
-_VIEW_WAIT_S = 0.05
+# Pauses double from the first to the last. A newer group version ends a pause that waits for an
+# owner, so the last one only bounds the load of requests whose owner does not come back.
+_FIRST_PAUSE_S = 0.05
+_LAST_PAUSE_S = 0.8
+# How often a group is asked for a newer version while requests wait for an owner: the period
+# doubles from the first to the last and starts again when a newer version is seen.
+_FIRST_UPDATE_S = 0.1
+_LAST_UPDATE_S = 2.0
 # Requests that wait for an owner; more are refused so that an outage does not fill the memory.
 _WAITING_LIMIT = 5_000
+# Retries that can be saved up for a burst.
+_SAVED_RETRIES = 10.0
 
-# These say that no upstream has seen the request, so trying again costs no upstream work.
+# No upstream has seen the request, so another attempt costs no upstream work.
 _REDIRECTS = (
-    NotOwnerError,
-    OwnerUnreachableError,
+    DrainingError,
     LeaseExpiredError,
     NoOwnerError,
-    DrainingError,
+    NotOwnerError,
+    OwnerUnreachableError,
     ShardMovingError,
+    UpstreamUnavailableError,
 )
+# The request has reached an upstream, so another attempt needs the budget.
+_RETRIES = (AnswerLostError, OutcomeLostError, UpstreamRefusedError)
 
 
 class _Budget:
-    """Permits a share of retries; a token bucket that requests fill and retries empty."""
+    """Permits a share of retries: never more in total than that share of all requests."""
 
     def __init__(self, percent: int) -> None:
         self._share = percent / 100
-        self._tokens = 10.0
+        self._tokens = 0.0
 
     def earn(self) -> None:
-        self._tokens = min(self._tokens + self._share, 100.0)
+        self._tokens = min(self._tokens + self._share, _SAVED_RETRIES)
 
     def spend(self) -> bool:
         if self._tokens < 1:
@@ -59,6 +72,26 @@
         return True
 
 
+class _UpdatePace:
+    """When a group may be asked for a newer version again."""
+
+    def __init__(self) -> None:
+        self._version = -1
+        self._period_s = _FIRST_UPDATE_S
+        self._next_at = 0.0
+
+    def due(self, now: float, version: int) -> bool:
+        if version != self._version:
+            self._version = version
+            self._period_s = _FIRST_UPDATE_S
+            self._next_at = now
+        if now < self._next_at:
+            return False
+        self._next_at = now + self._period_s * random.uniform(0.75, 1.25)
+        self._period_s = min(self._period_s * 2, _LAST_UPDATE_S)
+        return True
+
+
 class OwnerRouter:
     """The `router` service."""
 
@@ -68,6 +101,7 @@
     def __init__(self) -> None:
         self._waiting = 0
         self._members: dict[GroupId, frozenset[str]] = {}
+        self._paces: dict[GroupId, _UpdatePace] = {}
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -115,34 +149,49 @@
         group_id = group_of(request.service, request.key, entry.groups)
         self._budget.earn()
         hint: str | None = None
-        attempt = 1
+        hints = 0
+        retries = 0
+        pause_s = _FIRST_PAUSE_S
         while True:
-            view = await self._load(group_id)
+            view: VersionedGroup | None = None
+            last: RefusalError
             try:
+                view = await self._load(group_id)
                 return await self._attempt(request, entry, view, hint)
             except _REDIRECTS as error:
-                last: RefusalError = error
+                last = error
+                self._check_resend(request, error)
                 hint = error.owner_id if isinstance(error, NotOwnerError) else None
-                await self._await_owner(request, group_id, view, error, bool(hint))
-            except (UpstreamUnavailableError, OutcomeLostError) as error:
+                if hint is not None and hints < self._attempts:
+                    # The refusing agent knows the owner; each hint is followed at once.
+                    hints += 1
+                else:
+                    hint = None
+                    await self._await_owner(request, group_id, view, error, pause_s)
+                    pause_s = min(pause_s * 2, _LAST_PAUSE_S)
+            except _RETRIES as error:
                 last = error
-                attempt += 1
-                if not self._may_retry(request, entry, error, attempt):
+                retries += 1
+                if not self._may_retry(request, entry, error, retries):
                     raise
-            _RETRIED.emit(request=request.id, attempt=attempt, after=last.label)
+                hint = None
+                await self._pause(request, group_id, view, pause_s, error)
+                pause_s = min(pause_s * 2, _LAST_PAUSE_S)
+            _RETRIED.emit(request=request.id, after=last.label)
 
     async def _attempt(
         self, request: Request, entry: Entry, view: VersionedGroup, hint: str | None
     ) -> Response:
-        shard_id = view.group.shard_of(request.key, entry.groups)
-        shard = view.group.shards[shard_id] if shard_id < len(view.group.shards) else Shard()
-        owner_id = hint if hint in view.group.members else shard.owner
+        group = view.group
+        shard_id = group.shard_of(request.key, entry.groups)
+        shard = group.shards[shard_id] if shard_id < len(group.shards) else Shard()
+        owner_id = hint if hint in group.members else shard.owner
         if owner_id is None:
-            raise NoOwnerError(f"shard {shard_id} of {view.group.id} has no owner")
+            raise NoOwnerError(f"shard {shard_id} of {group.id} has no owner")
         if owner_id == self._membership.member_id:
             _LOCAL.emit(request=request.id, key=request.key, shard=shard_id, epoch=shard.epoch)
             return await self._execution.execute(request)
-        owner = view.group.members.get(owner_id)
+        owner = group.members.get(owner_id)
         if owner is None:
             raise NoOwnerError(f"the owner {owner_id} of shard {shard_id} has left")
         _FORWARDED.emit(
@@ -151,43 +200,78 @@
         return await self._peers.forward(owner, request)
 
     async def _load(self, group_id: GroupId) -> VersionedGroup:
-        try:
-            return await self._groups.load(group_id)
-        except ObjectNotFoundError:
-            raise NoOwnerError(f"group {group_id} has no members yet") from None
-        except PlatformError as error:
-            raise NoOwnerError(f"group {group_id} could not be read: {error}") from error
+        view = self._groups.view(group_id)
+        if view is None:
+            if self._pace(group_id).due(self._clock.now(), 0):
+                await self._groups.update(group_id)
+            view = self._groups.view(group_id)
+        if view is None:
+            raise NoOwnerError(f"group {group_id} has no members or could not be read")
+        return view
+
+    def _pace(self, group_id: GroupId) -> _UpdatePace:
+        pace = self._paces.get(group_id)
+        if pace is None:
+            pace = self._paces[group_id] = _UpdatePace()
+        return pace
+
+    def _check_resend(self, request: Request, error: RefusalError) -> None:
+        # A body that has begun is gone, also if no upstream has seen it.
+        if request.body.started or request.deadline <= self._clock.now():
+            raise error
 
     async def _await_owner(
         self,
         request: Request,
         group_id: GroupId,
-        view: VersionedGroup,
+        view: VersionedGroup | None,
         error: RefusalError,
-        hinted: bool,
+        pause_s: float,
     ) -> None:
-        remaining_s = request.deadline - self._clock.now()
-        if remaining_s <= 0 or self._waiting >= _WAITING_LIMIT or request.body.started:
+        if self._waiting >= _WAITING_LIMIT:
             raise error
-        if hinted:
-            return
         self._waiting += 1
         try:
-            wait_s = min(_VIEW_WAIT_S, remaining_s)
-            if not await self._groups.changed(group_id, view.version, wait_s):
-                if request.deadline <= self._clock.now():
-                    raise error
-                if group_id != self._membership.home:
-                    await self._groups.update(group_id)
+            changed = await self._pause(request, group_id, view, pause_s, error)
+            # The agent's own group arrives by its renewals and needs no question.
+            if view is None or changed or group_id == self._membership.home:
+                return
+            if self._pace(group_id).due(self._clock.now(), view.version):
+                await self._groups.update(group_id)
         finally:
             self._waiting -= 1
 
+    async def _pause(
+        self,
+        request: Request,
+        group_id: GroupId,
+        view: VersionedGroup | None,
+        pause_s: float,
+        error: RefusalError,
+    ) -> bool:
+        """Waits for a newer group version, at most for a pause with jitter.
+
+        Returns:
+            Whether a newer version was seen.
+        """
+        remaining_s = request.deadline - self._clock.now()
+        if remaining_s <= 0:
+            raise error
+        wait_s = min(pause_s * random.uniform(0.5, 1.0), remaining_s)
+        version = view.version if view is not None else 0
+        changed = await self._groups.changed(group_id, version, wait_s)
+        if request.deadline <= self._clock.now():
+            raise error
+        return changed
+
     def _may_retry(
-        self, request: Request, entry: Entry, error: RefusalError, attempt: int
+        self, request: Request, entry: Entry, error: RefusalError, retries: int
     ) -> bool:
         safe = error.outcome is Outcome.NOT_RUN or entry.request_class is RequestClass.REPEATABLE
-        if not safe or request.body.started or attempt > self._attempts:
+        if not safe or request.body.started or retries >= self._attempts:
             return False
         if request.deadline <= self._clock.now():
-            raise DeadlineExceededError("the deadline passed") from error
+            if error.outcome is Outcome.NOT_RUN:
+                raise DeadlineExceededError("the deadline passed") from error
+            return False
         return self._budget.spend()
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -123,7 +123,7 @@
 class FakeGroups:
     """One group whose newer versions are set by the test."""
 
-    def __init__(self, view: VersionedGroup) -> None:
+    def __init__(self, view: VersionedGroup | None) -> None:
         self.current = view
         self.updates = 0
         self.on_update: Callable[[], None] = lambda: None
@@ -132,7 +132,7 @@
     def subscribe(self, listener: Any) -> None:
         self.listener = listener
 
-    async def load(self, group: GroupId) -> VersionedGroup:
+    def view(self, group: GroupId) -> VersionedGroup | None:
         return self.current
 
     async def update(self, group: GroupId) -> None:
@@ -140,7 +140,7 @@
         self.on_update()
 
     async def changed(self, group: GroupId, version: int, timeout_s: float) -> bool:
-        if self.current.version > version:
+        if self.current is not None and self.current.version > version:
             return True
         try:
             await asyncio.wait_for(self._changed.wait(), timeout_s)
--- /dev/null
+++ b/tests/services/test_router.py
@@ -0,0 +1,190 @@
+"""Tests of retries, waits for an owner and the retry budget."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from fescueward.kernel.errors import (
+    DeadlineExceededRunningError,
+    LeaseExpiredError,
+    NoOwnerError,
+    NotOwnerError,
+    OutcomeLostError,
+    OverloadedError,
+    OwnerUnreachableError,
+    RefusalError,
+    UpstreamRefusedError,
+    UpstreamUnavailableError,
+)
+from fescueward.messages import GroupId, RequestClass
+from fescueward.services.router import OwnerRouter
+
+from .fakes import (
+    FakeCatalogue,
+    FakeGroups,
+    FakePeers,
+    Script,
+    StreamedBody,
+    StubRegistry,
+    make_entry,
+    make_group,
+    make_request,
+    make_response,
+    settings,
+)
+
+
+class RouterTest(unittest.IsolatedAsyncioTestCase):
+    def make(self, *results, owner="b:1", request_class=RequestClass.REPEATABLE, home=None):
+        self.forward = Script(*results)
+        self.execute = Script(*results)
+        self.peers = FakePeers(self.forward)
+        self.groups = FakeGroups(make_group(1, owner, "a", "b", "c"))
+        router = OwnerRouter()
+        router.bind(
+            StubRegistry(
+                catalogue=FakeCatalogue(make_entry(request_class)),
+                groups=self.groups,
+                peers=self.peers,
+                membership=SimpleNamespace(member_id="a:1", home=home),
+                execution=SimpleNamespace(execute=self.execute),
+                settings=settings(),
+            )
+        )
+        return router
+
+    async def earn(self, router, retries=1):
+        """Sends requests that succeed until the budget permits a number of retries."""
+        results, self.forward.results = self.forward.results, type(self.forward.results)()
+        self.forward.results.append(make_response())
+        for _ in range(10 * retries + 1):
+            await router.route(make_request())
+        self.forward.results = results
+        self.forward.calls.clear()
+
+    async def test_owner_runs_the_request(self):
+        """Guards against a request that is sent to itself, or to a member without the key."""
+        router = self.make(make_response(), owner="a:1")
+        await router.route(make_request())
+        self.assertEqual((len(self.execute.calls), len(self.forward.calls)), (1, 0))
+        router = self.make(make_response(), owner="b:1")
+        await router.route(make_request())
+        self.assertEqual(self.forward.calls[0][0].id, "b:1")
+
+    async def test_hint_is_followed_at_once(self):
+        """Guards against a wait for the group object when the refusing agent knows the owner."""
+        router = self.make(NotOwnerError("moved", owner_id="c:1"), make_response())
+        await router.route(make_request())
+        self.assertEqual([call[0].id for call in self.forward.calls], ["b:1", "c:1"])
+        self.assertEqual(self.groups.updates, 0)
+
+    async def test_hints_in_a_circle_end(self):
+        """Guards against two agents that send a request back and forth until its deadline."""
+        router = self.make(NotOwnerError("moved", owner_id="c:1"))
+        with self.assertRaises(NotOwnerError):
+            await router.route(make_request(0.3))
+        self.assertLess(len(self.forward.calls), 20)
+
+    async def test_waits_for_a_new_owner_within_the_deadline(self):
+        """Guards against a refusal although the owner comes back in time."""
+        router = self.make(make_response(), owner=None)
+        waiting = asyncio.create_task(router.route(make_request(5.0)))
+        await asyncio.sleep(0.02)
+        self.groups.set(make_group(2, "c:1", "a", "c"))
+        self.assertEqual((await asyncio.wait_for(waiting, 2)).status, 200)
+
+    async def test_wait_ends_at_the_deadline_with_the_reason(self):
+        """Guards against a wait without end, and a refusal that hides why."""
+        router = self.make(make_response(), owner=None)
+        with self.assertRaises(NoOwnerError) as refused:
+            await asyncio.wait_for(router.route(make_request(0.1)), 2)
+        self.assertEqual(refused.exception.outcome, "not_run")
+
+    async def test_waiting_requests_share_their_questions(self):
+        """Guards against load on the platform that grows with the requests that wait."""
+        for view in (None, make_group(1, None, "b")):
+            router = self.make(make_response())
+            self.groups.current = view
+            tasks = [router.route(make_request(0.6)) for _ in range(200)]
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+            self.assertTrue(all(isinstance(result, NoOwnerError) for result in results))
+            self.assertTrue(1 <= self.groups.updates <= 5, self.groups.updates)
+
+    async def test_own_group_is_not_asked_for(self):
+        """Guards against questions about a group whose versions arrive by the renewals."""
+        router = self.make(make_response(), owner=None, home=GroupId("depot", 0))
+        with self.assertRaises(NoOwnerError):
+            await router.route(make_request(0.1))
+        self.assertEqual(self.groups.updates, 0)
+
+    async def test_not_run_is_tried_again_for_every_class(self):
+        """Guards against a refusal of a request that no upstream has seen."""
+        for error in (
+            LeaseExpiredError("ended"),
+            OwnerUnreachableError("refused"),
+            UpstreamUnavailableError("refused"),
+        ):
+            router = self.make(error, make_response(), request_class=RequestClass.ONCE)
+            self.assertEqual((await router.route(make_request())).status, 200)
+
+    async def test_unknown_outcome_is_tried_again_only_if_repeatable(self):
+        """Guards against a payment that is sent twice."""
+        for request_class, attempts in ((RequestClass.ONCE, 1), (RequestClass.REPEATABLE, 2)):
+            router = self.make(
+                OutcomeLostError("reset"), make_response(), request_class=request_class
+            )
+            await self.earn(router)
+            try:
+                await router.route(make_request())
+            except OutcomeLostError:
+                self.assertEqual(request_class, RequestClass.ONCE)
+            self.assertEqual(len(self.forward.calls), attempts)
+
+    async def test_body_that_has_begun_is_never_sent_twice(self):
+        """Guards against an upload whose second attempt lacks its beginning."""
+        for error in (OutcomeLostError("reset"), LeaseExpiredError("ended")):
+            router = self.make(error, make_response())
+            await self.earn(router)
+            body = StreamedBody(b"x")
+            body.started = True
+            with self.assertRaises(type(error)):
+                await router.route(make_request(body=body))
+            self.assertEqual(len(self.forward.calls), 1)
+            unread = make_request(body=StreamedBody(b"x"))
+            await router.route(unread)
+
+    async def test_final_refusals_are_not_tried_again(self):
+        """Guards against retries that add load to an upstream that sheds."""
+        for error in (OverloadedError("full"), DeadlineExceededRunningError("late")):
+            router = self.make(error, make_response())
+            await self.earn(router, 3)
+            with self.assertRaises(type(error)):
+                await router.route(make_request())
+            self.assertEqual(len(self.forward.calls), 1)
+
+    async def test_attempts_stay_within_the_budget(self):
+        """Guards against a retry storm when one upstream fails all its requests."""
+        for error in (OutcomeLostError("reset"), UpstreamRefusedError("grant")):
+            router = self.make(error)
+            requests = 300
+            for _ in range(requests):
+                with self.assertRaises(RefusalError):
+                    await router.route(make_request(0.05))
+            self.assertGreater(len(self.forward.calls), requests)
+            self.assertLessEqual(len(self.forward.calls) / requests, 1.1)
+
+    async def test_deadline_after_an_unknown_outcome_keeps_it(self):
+        """Guards against `not_run` for a request that may have run before its deadline."""
+        router = self.make(OutcomeLostError("reset"))
+        await self.earn(router, 3)
+        with self.assertRaises(OutcomeLostError):
+            await router.route(make_request(0.03))
+
+    async def test_streams_to_members_that_left_are_dropped(self):
+        """Guards against requests that wait for a lost owner until their deadline."""
+        router = self.make(make_response())
+        router.group_changed(make_group(1, "b:1", "a", "b"))
+        router.group_changed(make_group(2, "a:1", "a"))
+        self.assertEqual(self.peers.dropped, ["b:1"])
