--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -60,7 +60,7 @@
         kernel.add(CrashQuarantine(kernel))
         kernel.add(OwnerExecution())
         kernel.add(OwnerRouter())
-        kernel.add(HttpFrontend())
+        kernel.add(HttpFrontend(kernel))
 
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT.
