Balance measured work and give hot keys their own shards

Placement counted shards only, so skewed keys left servers uneven. The policy bounded-load now balances measured work over slots, isolates hot keys in exceptions and moves only what has to move; static-hash is the baseline. Members report decayed work and their hottest keys to the planner each round, in whole microseconds.

--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -8,7 +8,7 @@
 from .leases import Lease, Membership, Monitor
 from .ownership import Ownership, Ticket
 from .peers import Peers
-from .placement import Load, Placement, PlacementPolicy
+from .placement import Load, Placement, PlacementPolicy, QuarantineExport
 from .platform import Changes, Platform, StoredObject
 from .requests import Admission, Execution, Outcomes, Quarantine, Router, Upstream
 
@@ -30,6 +30,7 @@
     "PlacementPolicy",
     "Platform",
     "Quarantine",
+    "QuarantineExport",
     "Router",
     "StoredObject",
     "Ticket",
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -200,17 +200,20 @@
 class LoadReport:
     """Measured work of a member, sent to the planner.
 
+    Work is in microseconds of upstream time per second: whole numbers take 2 to 5 bytes in
+    msgpack, and a float takes 9.
+
     Attributes:
         member_id: The member.
-        work: Seconds of upstream time per second, by shard id.
-        hot_keys: Seconds of upstream time per second of the hottest keys.
+        work: Work by shard id, only of shards that have any.
+        hot_keys: Work of the hottest keys.
         applied_entries: Digest of the entry versions that the member applies.
         capacity: Share of its slots that it can use now, 1.0 when warm.
     """
 
     member_id: str
-    work: dict[int, float]
-    hot_keys: dict[str, float] = field(default_factory=dict)
+    work: dict[Count, Count]
+    hot_keys: dict[str, Count] = field(default_factory=dict)
     applied_entries: Count = 0
     capacity: Annotated[float, Meta(ge=0.0, le=1.0)] = 1.0
 
--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -1,141 +1,38 @@
-"""Placement of shards on members: policies by name, and the planner of moves."""
+"""Placement of shards on members: the planner of moves and the log of its decisions."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import replace
+from collections import deque
+from dataclasses import dataclass, replace
 
-import xxhash
-
-from ..interfaces import Catalogue, Groups, Lease, Load, Membership, PlacementPolicy
+from ..interfaces import Catalogue, Groups, Lease, Load, Membership
 from ..interfaces.placement import GroupLoad
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import PlatformError, UnknownNameError, UnknownServiceError
 from ..kernel.settings import Settings
-from ..messages import Entry, Group, GroupId, Member, MemberState, Shard
+from ..messages import Entry, Group, GroupId, Member, MemberState, VersionedGroup
+from .policies import POLICIES
 
-_PLANNED = Event(2801, "moves_planned", Level.INFO, "The planner moves shards between members.")
+_ROUND = Event(2801, "placement_round", Level.INFO, "The planner ended a round.")
 _PLAN_FAILED = Event(2802, "plan_failed", Level.WARNING, "A placement round failed.")
+_MOVED = Event(2803, "shard_placed", Level.INFO, "A shard gets another owner.")
+_ISOLATED = Event(2804, "key_isolated", Level.INFO, "A hot key gets a shard of its own.")
+_DISSOLVED = Event(2805, "key_rejoined", Level.INFO, "A cool key is back in its hash shard.")
+_WAITING = Event(2806, "loads_incomplete", Level.DEBUG, "The planner waits for load reports.")
 
-# Moves of one round as a share of the shards; a larger budget shortens a spread after a join and
-# makes more keys wait at the same time.
-_MOVE_BUDGET = 0.05
-
-
-def _rendezvous(shard: int, member: Member) -> int:
-    return xxhash.xxh64_intdigest(f"{member.name}/{shard}".encode())
-
-
-def _active(group: Group) -> list[Member]:
-    return [member for member in group.members.values() if member.state is MemberState.ACTIVE]
+# A round that changed exceptions is followed by the next one after this time, so that a hot key
+# gets room within seconds. The members need it to see the new exception.
+_FOLLOW_UP_S = 0.3
+_PROPOSALS = 16
 
 
-class BoundedLoadPolicy:
-    """The policy `bounded-load`: rendezvous order with a bound on the load of each member."""
+@dataclass(frozen=True, slots=True)
+class _Proposal:
+    """A decision that is logged once it is seen in a version of the group."""
 
-    def assign(self, group: Group, lost: frozenset[str], entry: Entry) -> Group:
-        """Places the shards of lost members; see `PlacementPolicy.assign`."""
-        members = {
-            member.id: replace(
-                member, monitors=tuple(other for other in member.monitors if other not in lost)
-            )
-            for member in group.members.values()
-            if member.id not in lost
-        }
-        held_back = {
-            member_id: entry.limits.max_request_ms
-            for member_id in lost
-            if member_id in group.members and not group.members[member_id].checks_grants
-        }
-        remaining = replace(group, members=members)
-        active = _active(remaining)
-        counts = {member.id: 0 for member in active}
-        for shard in group.shards:
-            target = shard.successor or shard.owner
-            if target in counts:
-                counts[target] += 1
-        total_slots = sum(member.slots for member in active) or 1
-        shards = []
-        for shard_id, shard in enumerate(group.shards):
-            placed = _settle_lost(shard, lost, held_back)
-            if placed is None:
-                limit = len(group.shards) / total_slots
-                placed = _place(shard_id, shard, active, counts, limit, held_back)
-            shards.append(placed)
-        return replace(remaining, shards=tuple(shards))
-
-    def rebalance(self, group: Group, load: GroupLoad, entry: Entry) -> Group:
-        """Moves shards from members above their share to members below it."""
-        active = _active(group)
-        if not active:
-            return group
-        total_slots = sum(member.slots for member in active)
-        share = {member.id: len(group.shards) * member.slots / total_slots for member in active}
-        counts = {member.id: 0.0 for member in active}
-        for shard in group.shards:
-            target = shard.successor or shard.owner
-            if target in counts:
-                counts[target] += 1
-        budget = max(1, int(len(group.shards) * _MOVE_BUDGET))
-        shards = list(group.shards)
-        for shard_id, shard in enumerate(shards):
-            if budget == 0:
-                break
-            owner = shard.owner
-            if owner not in counts or shard.successor is not None:
-                continue
-            target = min(active, key=lambda member: counts[member.id] / share[member.id])
-            if counts[owner] - 1 < share[owner] or counts[target.id] + 1 > share[target.id] + 0.5:
-                continue
-            shards[shard_id] = replace(shard, successor=target.id)
-            counts[owner] -= 1
-            counts[target.id] += 1
-            budget -= 1
-        if tuple(shards) == group.shards:
-            return group
-        return replace(group, shards=tuple(shards))
-
-
-def _settle_lost(shard: Shard, lost: frozenset[str], held_back: dict[str, int]) -> Shard | None:
-    """Returns a shard that needs no new place, with a handover ended if one side is lost."""
-    owner, successor = shard.owner, shard.successor
-    if owner is not None and owner not in lost:
-        if successor is not None and successor in lost:
-            # The successor may have been active at epoch + 1.
-            hold_ms = max(shard.hold_ms, held_back.get(successor, 0))
-            return Shard(owner, shard.epoch + 2, None, hold_ms)
-        return shard
-    if owner is not None and successor is not None and successor not in lost:
-        # The successor may be active at epoch + 1 already.
-        return Shard(successor, shard.epoch + 1, None, max(shard.hold_ms, held_back.get(owner, 0)))
-    return None
-
-
-def _place(
-    shard_id: int,
-    shard: Shard,
-    active: list[Member],
-    counts: dict[str, int],
-    per_slot: float,
-    held_back: dict[str, int],
-) -> Shard:
-    epoch = shard.epoch + (2 if shard.successor is not None else 1)
-    hold_ms = max(
-        held_back.get(shard.owner or "", 0),
-        held_back.get(shard.successor or "", 0),
-        # The lost owner may itself have been waiting for the runs of an earlier one.
-        shard.hold_ms,
-    )
-    if not active:
-        return Shard(None, epoch, None, hold_ms)
-    ordered = sorted(active, key=lambda member: _rendezvous(shard_id, member), reverse=True)
-    below = [member for member in ordered if counts[member.id] < per_slot * member.slots]
-    chosen = (below or ordered)[0]
-    counts[chosen.id] += 1
-    return Shard(chosen.id, epoch, None, hold_ms)
-
-
-POLICIES: dict[str, Callable[[], PlacementPolicy]] = {"bounded-load": BoundedLoadPolicy}
+    before: Group
+    after: Group
+    reason: str
 
 
 class ShardPlacement:
@@ -146,10 +43,11 @@
     """
 
     name = "placement"
-    requires = ("catalogue",)
+    requires = ("catalogue", "groups")
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
+        self._proposals: deque[_Proposal] = deque(maxlen=_PROPOSALS)
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -164,6 +62,7 @@
         if section.policy not in POLICIES:
             raise UnknownNameError("placement policy", section.policy, tuple(POLICIES))
         self._policy = POLICIES[section.policy]()
+        self._groups.subscribe(self)
 
     async def start(self) -> None:
         """Starts the rounds of the planner."""
@@ -175,59 +74,90 @@
 
     def assign(self, group: Group, lost: frozenset[str]) -> Group:
         """Removes lost members and places their shards."""
-        return self._policy.assign(group, lost, self._entry(group.service))
+        assigned = self._policy.assign(group, lost, self._known_load(), self._entry(group.service))
+        self._propose(group, assigned, "loss" if lost else "unowned")
+        return assigned
 
     def vacate(self, group: Group, member_id: str) -> Group:
         """Marks a member as leaving and sets successors for all its shards."""
         leaving = replace(group.members[member_id], state=MemberState.LEAVING)
-        members = {**group.members, member_id: leaving}
-        without = self._policy.assign(
-            replace(group, members=members), frozenset({member_id}), self._entry(group.service)
-        )
-        shards = tuple(
-            replace(shard, successor=new.owner)
-            if shard.owner == member_id and shard.successor is None
-            else shard
-            for shard, new in zip(group.shards, without.shards, strict=True)
-        )
-        return replace(group, members=members, shards=shards)
+        marked = replace(group, members={**group.members, member_id: leaving})
+        entry = self._entry(group.service)
+        vacated = self._policy.vacate(marked, member_id, self._known_load(), entry)
+        self._propose(group, vacated, "leave")
+        return vacated
+
+    def planner(self, group: Group) -> Member | None:
+        """Returns the member that plans moves: the active one with the lowest id."""
+        active = [
+            member for member in group.members.values() if member.state is MemberState.ACTIVE
+        ]
+        return min(active, key=lambda member: member.id, default=None)
+
+    def group_changed(self, group: VersionedGroup) -> None:
+        """Logs decisions of this agent that a version of the group contains."""
+        if group.group.id != self._membership.home:
+            return
+        for proposal in tuple(self._proposals):
+            after = proposal.after
+            if (after.shards, after.exceptions) == (group.group.shards, group.group.exceptions):
+                self._proposals.clear()
+                _log_decisions(proposal, group)
+                return
 
     async def plan(self) -> bool:
         """Runs one round if this agent is the planner.
 
         Returns:
-            Whether moves were written.
+            Whether exceptions changed, so that another round should follow at once.
         """
         home = self._membership.home
         if home is None or not self._is_planner(home):
             return False
         before = self._groups.view(home)
         assert before is not None
+        if not self._load.group_load().complete:
+            _WAITING.emit(group=home)
+            return False
         try:
             after = await self._groups.edit(home, self._planned)
         except (PlatformError, UnknownServiceError) as error:
             _PLAN_FAILED.emit(group=home, error=error)
             return False
-        if after.version <= before.version:
-            return False
-        moves = sum(shard.successor is not None for shard in after.group.shards)
-        _PLANNED.emit(group=home, version=after.version, moving=moves)
-        return True
+        moving = sum(shard.successor is not None for shard in after.group.shards)
+        _ROUND.emit(
+            group=home,
+            version=after.version,
+            changed=after.version > before.version,
+            moving=moving,
+            exceptions=len(after.group.exceptions),
+            imbalance=round(imbalance(after.group, self._load.group_load()), 3),
+        )
+        return after.group.exceptions != before.group.exceptions
 
     def _planned(self, group: Group) -> Group | None:
-        if any(shard.successor is not None for shard in group.shards):
+        load = self._load.group_load()
+        planned = self._policy.rebalance(group, load, self._entry(group.service))
+        if planned == group:
             return None
-        planned = self._policy.rebalance(
-            group, self._load.group_load(), self._entry(group.service)
-        )
-        return None if planned == group else planned
+        self._propose(group, planned, "balance")
+        return planned
+
+    def _propose(self, before: Group, after: Group, reason: str) -> None:
+        if (before.shards, before.exceptions) != (after.shards, after.exceptions):
+            self._proposals.append(_Proposal(before, after, reason))
+
+    def _known_load(self) -> GroupLoad:
+        # Only the planner knows the work of all members; others place by count.
+        load = self._load.group_load()
+        return load if load.complete else GroupLoad()
 
     def _is_planner(self, home: GroupId) -> bool:
         view = self._groups.view(home)
         if view is None or not self._lease.held:
             return False
-        active = sorted(member.id for member in _active(view.group))
-        return bool(active) and active[0] == self._membership.member_id
+        planner = self.planner(view.group)
+        return planner is not None and planner.id == self._membership.member_id
 
     def _entry(self, service: str) -> Entry:
         return self._catalogue.entry(service).entry
@@ -235,4 +165,61 @@
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(self._round_s)
-            await self.plan()
+            if await self.plan():
+                await self._clock.sleep(_FOLLOW_UP_S)
+                await self.plan()
+
+
+def imbalance(group: Group, load: GroupLoad) -> float:
+    """Returns the largest measured work per slot of an active member over the mean.
+
+    Shards that are being handed over count for their successors. Without work it is 1.0.
+    """
+    work = {
+        member.id: 0.0 for member in group.members.values() if member.state is MemberState.ACTIVE
+    }
+    for shard_id, shard in enumerate(group.shards):
+        target = shard.successor or shard.owner
+        if target in work:
+            work[target] += load.work.get(shard_id, 0.0)
+    total = sum(work.values())
+    if not total:
+        return 1.0
+    slots = sum(group.members[member_id].slots for member_id in work)
+    mean = total / slots
+    return max(found / group.members[member_id].slots for member_id, found in work.items()) / mean
+
+
+def _log_decisions(proposal: _Proposal, written: VersionedGroup) -> None:
+    before, after = proposal.before, proposal.after
+    fresh = set()
+    for key, shard_id in after.exceptions.items():
+        if before.exceptions.get(key) != shard_id:
+            fresh.add(shard_id)
+            owner = after.shards[shard_id].owner
+            epoch = after.shards[shard_id].epoch
+            _ISOLATED.emit(
+                group=after.id,
+                version=written.version,
+                key=key,
+                shard=shard_id,
+                owner=owner,
+                epoch=epoch,
+            )
+    for key, shard_id in before.exceptions.items():
+        if key not in after.exceptions:
+            _DISSOLVED.emit(group=after.id, version=written.version, key=key, shard=shard_id)
+    # A fresh exception stays at its owner; its shard is logged above.
+    for shard_id, (old, shard) in enumerate(zip(before.shards, after.shards, strict=False)):
+        source, target = old.successor or old.owner, shard.successor or shard.owner
+        if source == target or shard_id in fresh:
+            continue
+        _MOVED.emit(
+            group=after.id,
+            version=written.version,
+            shard=shard_id,
+            reason=proposal.reason,
+            source=source,
+            target=target,
+            epoch=shard.epoch,
+        )
--- /dev/null
+++ b/fescueward/services/policies/static.py
@@ -0,0 +1,43 @@
+"""The policy `static-hash`: rendezvous hashing alone, the baseline of the benchmarks."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from ...interfaces.placement import GroupLoad
+from ...messages import Entry, Group
+from .losses import active_members, settle_lost, unused_slots, vacated, without_members
+from .rendezvous import rendezvous_order
+
+
+class StaticHashPolicy:
+    """Gives each shard to the first member of its rendezvous order, whatever the load."""
+
+    def assign(self, group: Group, lost: frozenset[str], load: GroupLoad, entry: Entry) -> Group:
+        """Places the shards of lost members; see `PlacementPolicy.assign`."""
+        remaining = without_members(group, lost)
+        return settle_lost(
+            group, remaining, lost, entry, lambda shard, _: _first(remaining, shard)
+        )
+
+    def vacate(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
+        """Sets successors for a leaving member; see `PlacementPolicy.vacate`."""
+        return vacated(group, member_id, lambda shard, _: _first(group, shard))
+
+    def rebalance(self, group: Group, load: GroupLoad, entry: Entry) -> Group:
+        """Moves shards to the first member of their order, for members that have joined."""
+        members = active_members(group)
+        unused = unused_slots(group)
+        shards = list(group.shards)
+        for shard_id, shard in enumerate(shards):
+            if not members or shard_id in unused or shard.successor is not None:
+                continue
+            first = _first(group, shard_id)
+            if shard.owner is not None and shard.owner != first:
+                shards[shard_id] = replace(shard, successor=first)
+        return replace(group, shards=tuple(shards))
+
+
+def _first(group: Group, shard_id: int) -> str | None:
+    members = active_members(group)
+    return rendezvous_order(shard_id, members)[0].id if members else None
