--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -26,6 +26,7 @@
 from ..services.platform import HttpPlatform
 from ..services.quarantine import CrashQuarantine
 from ..services.router import OwnerRouter
+from ..services.snapshots import PlannerSnapshots
 from ..services.upstream import HttpUpstream
 
 
@@ -60,6 +61,7 @@
         kernel.add(CrashQuarantine())
         kernel.add(OwnerExecution())
         kernel.add(OwnerRouter())
+        kernel.add(PlannerSnapshots(kernel))
         kernel.add(HttpFrontend())
 
     def run(self) -> None:
