--- /dev/null
+++ b/tests/services/test_snapshots.py
@@ -0,0 +1,185 @@
+"""Tests of snapshots."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from fescueward.interfaces import StoredObject
+from fescueward.interfaces.placement import GroupLoad
+from fescueward.kernel import Kernel
+from fescueward.kernel.errors import (
+    ObjectNotFoundError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    VersionConflictError,
+)
+from fescueward.messages import GroupId, VersionedGroup
+from fescueward.messages.codec import decode_json, encode_json
+from fescueward.messages.snapshot import Snapshot, snapshot_object_key
+from fescueward.services.placement import ShardPlacement
+from fescueward.services.snapshots import PlannerSnapshots
+
+from .groups_for_tests import member, placed
+
+_HOME = GroupId("depot", 0)
+
+
+class _Platform:
+    def __init__(self):
+        self.objects: dict[str, StoredObject] = {}
+        self.fault: Exception | None = None
+        self.lose_answer = False
+        self.puts = 0
+
+    async def get(self, key):
+        if self.fault is not None:
+            raise self.fault
+        if key not in self.objects:
+            raise ObjectNotFoundError(key)
+        return self.objects[key]
+
+    async def put(self, key, value, expected_version):
+        self.puts += 1
+        if self.fault is not None:
+            raise self.fault
+        held = self.objects.get(key)
+        if (held.version if held is not None else 0) != expected_version:
+            raise VersionConflictError(key)
+        self.objects[key] = StoredObject(key, expected_version + 1, value)
+        if self.lose_answer:
+            raise OutcomeUnknownError(key)
+        return expected_version + 1
+
+    async def delete(self, key, expected_version):
+        raise NotImplementedError
+
+    async def watch(self, prefixes, since, wait_s):
+        raise NotImplementedError
+
+
+class _Load:
+    def __init__(self):
+        self.load = GroupLoad({3: 0.5}, {"viral": 0.25})
+        self.restored = None
+
+    def record(self, shard, key, seconds):
+        raise NotImplementedError
+
+    def group_load(self):
+        return self.load
+
+    def restore(self, work, hot_keys):
+        self.restored = work, hot_keys
+
+
+class _Quarantine:
+    def __init__(self):
+        self.held = {"99": 600_000}
+
+    def export_quarantine(self):
+        return self.held
+
+    def import_quarantine(self, remaining_ms):
+        self.held = {**self.held, **remaining_ms}
+
+
+class _Clock:
+    def now(self):
+        return 0.0
+
+    async def sleep(self, seconds):
+        await asyncio.sleep(0.001)
+
+
+class SnapshotsTest(unittest.IsolatedAsyncioTestCase):
+    """The planner leaves a snapshot, and the next one starts from it."""
+
+    def setUp(self):
+        self.platform, self.load, self.quarantine = _Platform(), _Load(), _Quarantine()
+
+    def _service(self, member_id: str) -> PlannerSnapshots:
+        kernel = Kernel()
+        service = PlannerSnapshots(kernel)
+        service._clock, service._platform = _Clock(), self.platform
+        service._groups = None
+        service._membership = SimpleNamespace(home=_HOME, member_id=member_id)
+        service._placement = ShardPlacement(kernel)
+        service._load, service._quarantine = self.load, self.quarantine
+        service._period_s = 1.0
+        self.addAsyncCleanup(service.stop)
+        return service
+
+    async def _planner(self, member_id: str = "a:1") -> PlannerSnapshots:
+        service = self._service(member_id)
+        service.group_changed(VersionedGroup(1, placed(member("a"), member("b"))))
+        await asyncio.sleep(0.02)
+        return service
+
+    async def test_next_planner_starts_from_the_snapshot(self):
+        """Guards against a new planner that knows no loads and no quarantine."""
+        first = await self._planner()
+        self.assertTrue(await first.store())
+        self.assertTrue(await first.store())
+        self.quarantine.held = {}
+        second = self._service("b:1")
+        second.group_changed(VersionedGroup(2, placed(member("b"))))
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.load.restored, ({3: 0.5}, {"viral": 0.25}))
+        self.assertEqual(self.quarantine.held, {"99": 600_000})
+        self.assertTrue(await second.store())
+
+    async def test_only_the_planner_writes(self):
+        """Guards against one write per member and period."""
+        other = await self._planner("b:1")
+        self.assertFalse(await other.store())
+        self.assertEqual(self.platform.puts, 0)
+
+    async def test_incomplete_loads_are_not_stored(self):
+        """Guards against a fresh planner that overwrites a good snapshot with nothing."""
+        service = await self._planner()
+        self.load.load = GroupLoad(complete=False)
+        self.assertFalse(await service.store())
+        self.assertEqual(self.platform.puts, 0)
+
+    async def test_outage_is_survived(self):
+        """Guards against a failed task, which would end the agent."""
+        self.platform.fault = PlatformUnavailableError("down")
+        service = await self._planner()
+        self.assertFalse(await service.store())
+        self.platform.fault = None
+        await asyncio.sleep(0.05)
+        self.assertTrue(await service.store())
+        self.platform.fault = PlatformUnavailableError("down")
+        self.assertFalse(await service.store())
+        self.assertEqual(self.platform.puts, 2)
+
+    async def test_lost_answer_is_read_back(self):
+        """Guards against snapshots that fail for good after one lost response."""
+        service = await self._planner()
+        self.platform.lose_answer = True
+        self.assertFalse(await service.store())
+        self.platform.lose_answer = False
+        await asyncio.sleep(0.02)
+        self.assertTrue(await service.store())
+
+    async def test_malformed_snapshot_is_replaced(self):
+        """Guards against an object that keeps the planner from working."""
+        key = snapshot_object_key(_HOME)
+        for bad in (b"[]", b'{"service":"depot","number":0,"work":{"3":-1}}', b""):
+            self.platform.objects[key] = StoredObject(key, 7, bad)
+            service = await self._planner()
+            self.assertTrue(await service.store())
+        self.assertIsNone(self.load.restored)
+
+    async def test_size_is_bounded(self):
+        """Guards against a snapshot that the platform refuses for its size."""
+        work = {shard: 123.456789 for shard in range(4096 + 64)}
+        self.load.load = GroupLoad(work, {f"{n:0200d}": 1.0 for n in range(1000)})
+        self.quarantine.held = {str(2**64 - n): 600_000 for n in range(1, 100_000)}
+        service = await self._planner()
+        self.assertTrue(await service.store())
+        stored = self.platform.objects[snapshot_object_key(_HOME)].value
+        self.assertLess(len(stored), 300_000)
+        self.assertEqual(encode_json(decode_json(stored, Snapshot)), stored)
