--- a/fescueward/services/policies/exceptions.py
+++ b/fescueward/services/policies/exceptions.py
@@ -44,7 +44,9 @@
         groups: Number of groups of the service.
     """
     group = _release_unused(group)
-    wanted = _hot_keys(group, load, groups)[:_NEW_PER_ROUND]
+    work = clean_work(load.work, group)
+    mean = sum(work.values()) / max(len(active_members(group)), 1)
+    wanted = _hot_keys(group, load, groups, mean)[:_NEW_PER_ROUND]
     if not wanted:
         return group
     free = sorted(
@@ -65,13 +67,10 @@
         shards[slot] = Shard(parent.owner, max(shards[slot].epoch, parent.epoch) + 1)
         exceptions[hot.key] = slot
     group = replace(group, shards=tuple(shards), exceptions=exceptions)
-    return _make_room(group, load, groups, short) if short > 0 else group
+    return _make_room(group, work, groups, mean, short) if short > 0 else group
 
 
-def hot_threshold(group: Group, load: GroupLoad, slots: int) -> float:
-    """Returns the work above which a key is hot at a member with so many slots."""
-    members = max(len(active_members(group)), 1)
-    mean = sum(clean_work(load.work, group).values()) / members
+def _threshold(mean: float, slots: int) -> float:
     return max(_HOT_OF_SLOTS * slots, _HOT_OF_MEAN * mean)
 
 
@@ -93,7 +92,7 @@
     return Shard(None, shard.epoch)
 
 
-def _hot_keys(group: Group, load: GroupLoad, groups: int) -> list[_Hot]:
+def _hot_keys(group: Group, load: GroupLoad, groups: int, mean: float) -> list[_Hot]:
     found = []
     for key, work in load.hot_keys.items():
         if key in group.exceptions or not math.isfinite(work):
@@ -110,17 +109,18 @@
         # The new owner may still be waiting for runs of the lost one, which could be of this key.
         if shard.hold_ms:
             continue
-        if work > hot_threshold(group, load, owner.slots):
+        if work > _threshold(mean, owner.slots):
             found.append(_Hot(key, shard_id, work))
     return sorted(found, key=lambda hot: (-hot.work, hot.key))
 
 
-def _make_room(group: Group, load: GroupLoad, groups: int, short: int) -> Group:
-    work = clean_work(load.work, group)
+def _make_room(
+    group: Group, work: dict[int, float], groups: int, mean: float, short: int
+) -> Group:
     shards, exceptions = list(group.shards), dict(group.exceptions)
     coolest = sorted(exceptions, key=lambda key: (work.get(exceptions[key], 0.0), key))
     slots = min((member.slots for member in active_members(group)), default=1)
-    limit = _COOL * hot_threshold(group, load, slots)
+    limit = _COOL * _threshold(mean, slots)
     for key in coolest:
         slot, parent_id = exceptions[key], hash_shard(group, key, groups)
         shard, parent = shards[slot], shards[parent_id]
