Fill joined members before relieving others

After a join all others stood above their new share, so moves between them used up the budget. A round fills starved members first and relieves others only with what is left. The benchmark settles before the join, so that moves of an earlier change of keys do not count for it.

--- a/benchmarks/balance.py
+++ b/benchmarks/balance.py
@@ -32,6 +32,7 @@
 ROUND_S = 2.0
 WARM_UP_ROUNDS = 40
 ROUNDS = 300
+SETTLE_ROUNDS = 30
 # A tenth of the 190 hottest keys is replaced each 30 s, so all of them change within minutes.
 HOTTEST = 190
 REPLACED = 19
@@ -211,6 +212,8 @@
     imbalances = trial.rounds(ROUNDS, moving=True)
     churn = trial.keys_moved / KEYS / (ROUNDS * ROUND_S / 3600)
     exceptions = len(trial.group.exceptions)
+    # Moves that the last change of keys still causes are not those of the join.
+    trial.rounds(SETTLE_ROUNDS, moving=False)
     join = trial.join()
     leave = trial.leave()
     return PolicyFigures(
--- a/fescueward/services/policies/bounded.py
+++ b/fescueward/services/policies/bounded.py
@@ -127,11 +127,12 @@
         if not ledger.members:
             return self._group
         self._place_unowned()
-        if ledger.worst() > tuning.key_trigger:
+        # A member that joined takes from all others; moves between those would be wasted.
+        filled = self._fill_starved()
+        if filled and ledger.worst() > tuning.key_trigger:
             self._relieve(exceptions=True)
-        if ledger.worst() > tuning.trigger:
+        if filled and ledger.worst() > tuning.trigger:
             self._relieve(exceptions=False)
-        self._fill_starved()
         return replace(self._group, shards=tuple(self._shards))
 
     def _place_unowned(self) -> None:
@@ -171,7 +172,8 @@
             else:
                 self._apply(*move, source)
 
-    def _fill_starved(self) -> None:
+    def _fill_starved(self) -> bool:
+        """Moves shards to members that have little; tells whether the budget sufficed."""
         ledger = self._ledger
         for target in sorted(ledger.members, key=ledger.ratio):
             ramp = ledger.ramped_share(target) / ledger.shares[target]
@@ -189,6 +191,7 @@
                     break
                 _, move, source = min(moves, key=lambda found: found[0])
                 self._apply(*move, source)
+        return self._budget[False] > 0
 
     def _best_move(
         self, source: str, targets: list[str], exceptions: bool, *, spread: bool
