Add reports up at the start of each placement round

Reports were added up by a task of their own with the same period as the rounds, so a round could plan with figures that were almost a period old. The round adds them up itself now.

--- a/fescueward/interfaces/placement.py
+++ b/fescueward/interfaces/placement.py
@@ -78,6 +78,10 @@
         """Returns what this agent knows of its group, as planner from all members' reports."""
         ...
 
+    def end_round(self) -> GroupLoad:
+        """Adds up the reports of a round on the planner; see `group_load`."""
+        ...
+
     def restore(self, work: dict[int, float], hot_keys: dict[str, float]) -> None:
         """Starts from earlier figures where nothing was measured yet."""
         ...
--- a/fescueward/services/load.py
+++ b/fescueward/services/load.py
@@ -154,6 +154,15 @@
         now = self._clock.now()
         return GroupLoad(self._work.rates(now), self._keys.hottest(now), complete=False)
 
+    def end_round(self) -> GroupLoad:
+        """Adds the reports up on the planner, with what this agent measures now."""
+        view = self._groups.view(self._membership.home) if self._membership.home else None
+        if self._table is not None and view is not None:
+            now = self._clock.now()
+            self._table.add(self.report(), now)
+            self._table.update(view.group, now)
+        return self.group_load()
+
     def restore(self, work: dict[int, float], hot_keys: dict[str, float]) -> None:
         """Starts the planner's figures from those of an earlier planner."""
         if self._table is not None:
@@ -209,13 +218,8 @@
             view = self._groups.view(home) if home is not None else None
             if view is None or self._membership.member_id not in view.group.members:
                 continue
-            if self._table is not None:
-                now = self._clock.now()
-                self._table.add(self.report(), now)
-                self._table.update(view.group, now)
-                continue
             planner = self._placement.planner(view.group)
-            if planner is not None:
+            if planner is not None and planner.id != self._membership.member_id:
                 self._peers.send(planner, self.report())
 
 
--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -105,9 +105,12 @@
                 _log_decisions(proposal, group)
                 return
 
-    async def plan(self) -> bool:
+    async def plan(self, load: GroupLoad | None = None) -> bool:
         """Runs one round if this agent is the planner.
 
+        Args:
+            load: Work to plan with; by default the reports are added up.
+
         Returns:
             Whether exceptions changed, so that another round should follow at once.
         """
@@ -116,7 +119,7 @@
             return False
         before = self._groups.view(home)
         assert before is not None
-        if not self._load.group_load().complete:
+        if not (load or self._load.end_round()).complete:
             _WAITING.emit(group=home)
             return False
         try:
@@ -167,7 +170,7 @@
             await self._clock.sleep(self._round_s)
             if await self.plan():
                 await self._clock.sleep(_FOLLOW_UP_S)
-                await self.plan()
+                await self.plan(self._load.group_load())
 
 
 def imbalance(group: Group, load: GroupLoad) -> float:
--- a/tests/services/test_snapshots.py
+++ b/tests/services/test_snapshots.py
@@ -70,6 +70,9 @@
     def group_load(self):
         return self.load
 
+    def end_round(self):
+        return self.load
+
     def restore(self, work, hot_keys):
         self.restored = work, hot_keys
 
