Add commands for operators

Cause: operators had only the agent command. Change: entry, status, explain, check-config and settings over the administration API, with documented exit codes and one line for each error. check-config also finds a placement policy that does not exist and two sections with one port.

--- /dev/null
+++ b/fescueward/cli/client.py
@@ -0,0 +1,167 @@
+"""Client of the administration API."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import aiohttp
+
+from ..kernel import FescuewardError
+from ..kernel.errors import (
+    AdministrationAnswerError,
+    AdministrationAnswerLostError,
+    AdministrationUnavailableError,
+    MalformedMessageError,
+    PlatformUnavailableError,
+)
+from ..messages.codec import decode_json, encode_json
+from ..messages.status import (
+    DeletedAnswer,
+    EntryAnswer,
+    EntryDocument,
+    EntryList,
+    ErrorAnswer,
+    ErrorDetail,
+    Explanation,
+    FleetStatus,
+)
+
+T = TypeVar("T")
+
+_CONNECT_TIMEOUT_S = 1.0
+# A status waits up to 1 s for silent agents; a change waits for two calls to the platform and up
+# to three to read a lost answer back.
+_CALL_TIMEOUT_S = 10.0
+
+
+class AnsweredError(FescuewardError):
+    """An agent answered with an error.
+
+    Attributes:
+        detail: The error as the agent told it.
+    """
+
+    def __init__(self, detail: ErrorDetail) -> None:
+        super().__init__(detail.message)
+        self.detail = detail
+
+
+class AdministrationClient:
+    """Calls any of several agents; the first one that answers will do.
+
+    Args:
+        urls: Base URLs of administration APIs.
+        token: Token for changes, or empty.
+    """
+
+    def __init__(self, urls: tuple[str, ...], token: str = "") -> None:
+        self._urls = urls
+        self._token = token
+
+    def entries(self) -> EntryList:
+        """Returns all entries."""
+        return self._get("/v1/entries", EntryList)
+
+    def entry(self, service: str) -> EntryAnswer:
+        """Returns one entry.
+
+        Raises:
+            AnsweredError: There is none.
+            AdministrationUnavailableError: No agent answered.
+        """
+        return self._get(f"/v1/entries/{quote(service, safe='')}", EntryAnswer)
+
+    def apply(self, document: EntryDocument, version: int) -> EntryAnswer:
+        """Writes an entry.
+
+        Args:
+            document: The entry.
+            version: Version that the change is made from, 0 to create.
+
+        Raises:
+            AnsweredError: The change was refused.
+            AdministrationAnswerLostError: The change may have been accepted.
+            AdministrationUnavailableError: No agent could be reached; nothing was changed.
+        """
+        path = f"/v1/entries/{quote(document.service, safe='')}"
+        return self._run(self._change("PUT", path, version, encode_json(document), EntryAnswer))
+
+    def delete(self, service: str, version: int) -> DeletedAnswer:
+        """Deletes an entry; raises as `apply`."""
+        path = f"/v1/entries/{quote(service, safe='')}"
+        return self._run(self._change("DELETE", path, version, None, DeletedAnswer))
+
+    def status(self, service: str | None) -> FleetStatus:
+        """Returns the status of one service or of all."""
+        path = "/v1/status" if service is None else f"/v1/status/{quote(service, safe='')}"
+        return self._get(path, FleetStatus)
+
+    def explain(self, service: str, key: str) -> Explanation:
+        """Returns where a key is and why."""
+        path = f"/v1/explain/{quote(service, safe='')}?key={quote(key, safe='')}"
+        return self._get(path, Explanation)
+
+    def _get(self, path: str, kind: type[T]) -> T:
+        return self._run(self._read(path, kind))
+
+    def _run(self, call: Coroutine[Any, Any, T]) -> T:
+        return asyncio.run(call)
+
+    async def _read(self, path: str, kind: type[T]) -> T:
+        failures = []
+        async with self._session() as session:
+            for url in self._urls:
+                try:
+                    async with session.get(url + path) as got:
+                        return _decode(url, got.status, await got.read(), kind)
+                except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+                    failures.append(f"{url}: {_describe(error)}")
+        raise AdministrationUnavailableError("; ".join(failures))
+
+    async def _change(
+        self, method: str, path: str, version: int, data: bytes | None, kind: type[T]
+    ) -> T:
+        headers = {"If-Match": str(version), "Authorization": f"Bearer {self._token}"}
+        failures = []
+        refused: AnsweredError | None = None
+        async with self._session() as session:
+            for url in self._urls:
+                try:
+                    async with session.request(
+                        method, url + path, data=data, headers=headers
+                    ) as got:
+                        return _decode(url, got.status, await got.read(), kind)
+                except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+                    failures.append(f"{url}: {_describe(error)}")
+                except AnsweredError as error:
+                    # Nothing was changed, and another agent may reach the platform.
+                    if error.detail.code != PlatformUnavailableError.code:
+                        raise
+                    refused = error
+                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                    # Another agent would find the change made and report a conflict with it.
+                    raise AdministrationAnswerLostError(
+                        f"{url}: {_describe(error)}; the change may have been accepted"
+                    ) from error
+        raise refused or AdministrationUnavailableError("; ".join(failures))
+
+    def _session(self) -> aiohttp.ClientSession:
+        timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S)
+        return aiohttp.ClientSession(timeout=timeout)
+
+
+def _decode(url: str, status: int, data: bytes, kind: type[T]) -> T:
+    try:
+        if status == 200:
+            return decode_json(data, kind)
+        failure = decode_json(data, ErrorAnswer)
+    except MalformedMessageError as error:
+        raise AdministrationAnswerError(f"{url}: HTTP status {status}: {error}") from error
+    raise AnsweredError(failure.error)
+
+
+def _describe(error: BaseException) -> str:
+    return "timeout" if isinstance(error, TimeoutError) else str(error) or type(error).__name__
--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -68,6 +68,14 @@
         kernel.add(FleetReports())
         kernel.add(HttpAdministration())
 
+    def check(self) -> None:
+        """Connects the services without starting them.
+
+        Raises:
+            FescuewardError: A setting names a plugin that does not exist.
+        """
+        self.kernel.bind()
+
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT.
 
--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -424,6 +424,27 @@
     label = "unknown_path"
 
 
+class InvalidEntryFileError(FescuewardError):
+    """An entry file cannot be read or holds a bad value."""
+
+    code = 6007
+    label = "invalid_entry_file"
+
+
+class AdministrationAnswerError(FescuewardError):
+    """An administration address answered with something that its API does not contain."""
+
+    code = 6008
+    label = "bad_administration_answer"
+
+
+class AdministrationAnswerLostError(FescuewardError):
+    """The answer to a change was lost, so the change may have been accepted."""
+
+    code = 6009
+    label = "administration_answer_lost"
+
+
 def error_types() -> tuple[type[FescuewardError], ...]:
     """Returns every error type of the package in the order of its code."""
     found: dict[int, type[FescuewardError]] = {FescuewardError.code: FescuewardError}
--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -68,14 +68,23 @@
         """Makes `run` stop all services and return."""
         self._stop_requested.set()
 
+    def bind(self) -> None:
+        """Connects the services. Nothing runs yet, so a caller can check settings this way.
+
+        Raises:
+            FescuewardError: A service or plugin is missing or of the wrong type.
+        """
+        for service in self._services.values():
+            service.bind(self._registry)
+
     async def run(self) -> None:
         """Runs all services until a stop is requested or one of them fails.
 
         Raises:
+            FescuewardError: A service or plugin is missing or of the wrong type.
             ServiceFailedError: A task of a service failed.
         """
-        for service in self._services.values():
-            service.bind(self._registry)
+        self.bind()
         try:
             for service in self._start_order():
                 await service.start()
--- a/fescueward/kernel/settings.py
+++ b/fescueward/kernel/settings.py
@@ -262,6 +262,7 @@
     }
     if not problems:
         problems.extend(_check_lease(sections["lease"]))
+        problems.extend(_check_ports(sections))
     if problems:
         raise BadSettingsError(tuple(problems))
     return Settings(**sections)
@@ -311,3 +312,15 @@
         return []
     allowed = f"at most a third of lease_ms, {lease.lease_ms // 3}"
     return [SettingProblem("lease", "renewal_ms", str(lease.renewal_ms), allowed)]
+
+
+def _check_ports(sections: dict[str, Any]) -> list[SettingProblem]:
+    problems = []
+    used: dict[tuple[str, int], str] = {}
+    for name in ("callers", "peers", "administration", "announcements"):
+        address = (sections[name].host, sections[name].port)
+        other = used.setdefault(address, name)
+        if other != name:
+            allowed = f"a port that differs from that of [{other}]"
+            problems.append(SettingProblem(name, "port", str(address[1]), allowed))
+    return problems
