Test the administration API and the commands

Cause: the API and the commands had no tests. Change: tests over a catalogue and a platform in memory; tables cut their widest columns, because long domain names exceeded 80 columns.

--- a/fescueward/cli/tables.py
+++ b/fescueward/cli/tables.py
@@ -20,19 +20,17 @@
 _GAP = 2
 
 
-def table(header: Sequence[str], rows: Sequence[Sequence[str]], flexible: int = 0) -> list[str]:
-    """Returns a table that fits into the width.
+def table(header: Sequence[str], rows: Sequence[Sequence[str]]) -> list[str]:
+    """Returns a table that fits into the width; the widest columns are cut if it is too wide.
 
     Args:
         header: Titles of the columns.
         rows: The cells.
-        flexible: Column that is cut if the table is too wide.
     """
     lines = [header, *rows]
     widths = [max(len(line[column]) for line in lines) for column in range(len(header))]
-    excess = sum(widths) + _GAP * (len(widths) - 1) - WIDTH
-    if excess > 0:
-        widths[flexible] = max(widths[flexible] - excess, 8)
+    while sum(widths) + _GAP * (len(widths) - 1) > WIDTH:
+        widths[widths.index(max(widths))] -= 1
     return [
         (" " * _GAP)
         .join(_cut(cell, width).ljust(width) for cell, width in zip(line, widths, strict=True))
@@ -60,7 +58,7 @@
         )
         for found in entries.entries
     ]
-    return table(("SERVICE", "VERSION", "CLASS", "WEIGHT", "OWNER"), rows, flexible=4)
+    return table(("SERVICE", "VERSION", "CLASS", "WEIGHT", "OWNER"), rows)
 
 
 def fleet_lines(status: FleetStatus) -> list[str]:
@@ -155,7 +153,7 @@
 def _member_row(member: MemberStatus) -> tuple[str, ...]:
     return (
         _name(member.id),
-        member.failure_domain[:16],
+        member.failure_domain,
         member.state,
         member.lease.value.replace("_", " "),
         str(member.shards),
--- /dev/null
+++ b/tests/services/test_administration.py
@@ -0,0 +1,221 @@
+"""Tests of the administration API."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+import aiohttp
+
+from fescueward.kernel.errors import error_types
+from fescueward.messages import VersionedEntry
+from fescueward.services.administration import MAX_ENTRY_BYTES
+from fescueward.testing.ports import PortReservations
+
+from .administration_fakes import TOKEN, AdministrationFake
+
+DEPOT = {"service": "depot", "owner": "siphon-works"}
+
+
+class AdministrationTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        ports = PortReservations()
+        self.addCleanup(ports.close)
+        self.fake = AdministrationFake(ports.reserve())
+        await self.fake.service.start()
+        self.addAsyncCleanup(self.fake.service.stop)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        version: str | None = None,
+        authorization: str = f"Bearer {TOKEN}",
+    ) -> tuple[int, dict]:
+        headers = {"Authorization": authorization} if authorization else {}
+        if version is not None:
+            headers["If-Match"] = version
+        data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+        async with self.session.request(
+            method, self.fake.url + path, data=data, headers=headers
+        ) as got:
+            return got.status, json.loads(await got.read())
+
+    async def refused(self, status: int, label: str, *call: Any, **options: Any) -> dict:
+        got, answer = await self.call(*call, **options)
+        self.assertEqual((got, answer["error"]["label"]), (status, label), answer)
+        known = {kind.label: kind.code for kind in error_types()}
+        self.assertEqual(answer["error"]["code"], known[label])
+        return answer["error"]
+
+    async def put(self, body: Any, version: str = "0") -> tuple[int, dict]:
+        return await self.call("PUT", "/v1/entries/depot", body, version)
+
+    async def test_entry_life(self):
+        """Guards against entries that differ from what was accepted, and against reverts."""
+        status, created = await self.put(DEPOT | {"limits": {"deadline_ms": 700}})
+        self.assertEqual(status, 200)
+        _, read = await self.call("GET", "/v1/entries/depot", authorization="")
+        self.assertEqual(read, created)
+        self.assertEqual(read["entry"]["limits"]["deadline_ms"], 700)
+        version = str(created["version"])
+        status, changed = await self.put(DEPOT | {"weight": "churn"}, f'"{version}"')
+        self.assertEqual((status, changed["entry"]["weight"]), (200, "churn"))
+        _, listed = await self.call("GET", "/v1/entries")
+        self.assertEqual(listed["entries"], [changed])
+        version = str(changed["version"])
+        status, deleted = await self.call("DELETE", "/v1/entries/depot", None, version)
+        self.assertEqual((status, deleted["service"]), (200, "depot"))
+        await self.refused(404, "unknown_service", "GET", "/v1/entries/depot")
+        status, again = await self.put(DEPOT)
+        self.assertEqual(status, 200)
+        self.assertGreater(again["version"], deleted["version"])
+
+    async def test_one_of_racing_edits_wins(self):
+        """Guards against an edit from a stale read that overwrites another one."""
+        _, created = await self.put(DEPOT)
+        edits = [DEPOT | {"owner": f"team-{number}"} for number in range(8)]
+        version = str(created["version"])
+        answers = await asyncio.gather(*(self.put(edit, version) for edit in edits))
+        winners = [answer for status, answer in answers if status == 200]
+        self.assertEqual(len(winners), 1)
+        for status, answer in answers:
+            if status != 200:
+                self.assertEqual((status, answer["error"]["label"]), (409, "entry_conflict"))
+                self.assertEqual(answer["error"]["version"], winners[0]["version"])
+                self.assertEqual(answer["error"]["entry"], winners[0]["entry"])
+
+    async def test_conflict_shows_the_platforms_entry(self):
+        """Guards against a conflict that shows the older entry which this agent still applies."""
+        _, created = await self.put(DEPOT)
+        stale = self.fake.catalogue.entry("depot")
+        _, newer = await self.put(DEPOT | {"owner": "other"}, str(created["version"]))
+        self.fake.catalogue._entries["depot"] = VersionedEntry(stale.version, stale.entry)
+        error = await self.refused(
+            409, "entry_conflict", "PUT", "/v1/entries/depot", DEPOT, str(created["version"])
+        )
+        self.assertEqual((error["version"], error["entry"]["owner"]), (newer["version"], "other"))
+
+    async def test_changes_need_the_token(self):
+        """Guards against changes by anyone who can connect."""
+        bad = ("", f"bearer {TOKEN}", "Bearer ", f"Bearer {TOKEN}x", "Basic eDp5", "Bearer \xe9")
+        for authorization in bad:
+            for method in ("PUT", "DELETE"):
+                with self.subTest(method=method, authorization=authorization):
+                    await self.refused(
+                        401,
+                        "not_authorized",
+                        method,
+                        "/v1/entries/depot",
+                        DEPOT,
+                        version="0",
+                        authorization=authorization,
+                    )
+        self.assertEqual(self.fake.platform.objects, {})
+
+    async def test_malformed_entries_name_value_and_what_is_allowed(self):
+        """Guards against bad values that are stored, or refused without saying why."""
+        limits = {"deadline_ms": 10**30}
+        cases: list[tuple[Any, str]] = [
+            (b"", "no JSON"),
+            (b"{", "no JSON"),
+            (b"\xff\xfe", "no JSON"),
+            (b"[" * 50_000, "no JSON"),
+            (b"[]", "a JSON object is expected, not []"),
+            ({"service": "depot"}, "missing required field `owner`"),
+            (DEPOT | {"colour": "red"}, "unknown field colour; allowed: service, owner,"),
+            (DEPOT | {"limits": {"deadline": 1}}, "unknown field limits.deadline; allowed: dead"),
+            (DEPOT | {"limits": limits}, f"limits.deadline_ms is {10**30}; allowed:"),
+            (
+                DEPOT | {"limits": {"queue_length": -1}},
+                "limits.queue_length is -1; allowed: `int`",
+            ),
+            (DEPOT | {"limits": {"queue_length": 1.5}}, "limits.queue_length is 1.5; allowed:"),
+            (DEPOT | {"shard_count": 0}, "shard_count is 0; allowed: `int` >= 1"),
+            (DEPOT | {"groups": True}, "groups is True; allowed: `int`"),
+            (DEPOT | {"weight": "cost"}, "weight is 'cost'; allowed: unavailability, churn"),
+            (DEPOT | {"request_class": None}, "request_class is None; allowed: repeatable, once"),
+            (DEPOT | {"service": "orders"}, "service is 'orders'; allowed: 'depot'"),
+            (DEPOT | {"owner": "x" * 201}, "owner is 'xxx"),
+            (DEPOT | {"deleted": True}, "unknown field deleted"),
+        ]
+        for body, expected in cases:
+            with self.subTest(expected=expected):
+                error = await self.refused(
+                    400, "invalid_entry", "PUT", "/v1/entries/depot", body, "0"
+                )
+                self.assertIn(expected, error["message"])
+                self.assertLess(len(error["message"]), 500)
+        self.assertEqual(self.fake.platform.objects, {})
+
+    async def test_fixed_values_cannot_change(self):
+        """Guards against keys that change their shard under a running service."""
+        _, created = await self.put(DEPOT)
+        error = await self.refused(
+            400,
+            "invalid_entry",
+            "PUT",
+            "/v1/entries/depot",
+            DEPOT | {"shard_count": 64},
+            str(created["version"]),
+        )
+        self.assertIn("shard_count of entry 'depot' is 256", error["message"])
+
+    async def test_malformed_calls(self):
+        """Guards against calls that end in an untyped error or an exception."""
+        invalid = "invalid_administration_request"
+        for version in (None, "", "abc", "-1", "1.5", "9" * 40, "\u0663", "*"):
+            with self.subTest(version=version):
+                await self.refused(400, invalid, "PUT", "/v1/entries/depot", DEPOT, version)
+        big = b"x" * (MAX_ENTRY_BYTES + 1)
+        await self.refused(413, invalid, "PUT", "/v1/entries/depot", big, "0")
+        await self.refused(400, invalid, "GET", "/v1/explain/depot")
+        await self.refused(400, invalid, "GET", f"/v1/explain/depot?key={'k' * 1025}")
+        await self.refused(404, "unknown_path", "GET", "/v2/entries")
+        await self.refused(405, "unknown_path", "POST", "/v1/entries/depot")
+        await self.refused(404, "unknown_service", "DELETE", "/v1/entries/none", None, "1")
+
+    async def test_platform_failures(self):
+        """Guards against an edit that is reported as accepted or refused when neither is known."""
+        _, created = await self.put(DEPOT)
+        version = str(created["version"])
+        self.fake.platform.down = True
+        await self.refused(503, "platform_unavailable", "PUT", "/v1/entries/depot", DEPOT, version)
+        _, read = await self.call("GET", "/v1/entries/depot")
+        self.assertEqual(read, created)
+        self.fake.platform.down = False
+        self.fake.platform.lose_answers = True
+        status, read_back = await self.put(DEPOT | {"owner": "read-back"}, version)
+        self.assertEqual((status, read_back["entry"]["owner"]), (200, "read-back"))
+        self.fake.platform.down_after_loss = True
+        version = str(read_back["version"])
+        await self.refused(
+            504, "write_outcome_unknown", "PUT", "/v1/entries/depot", DEPOT, version
+        )
+
+    async def test_fault_of_the_program_is_typed(self):
+        """Guards against a stack trace in an answer."""
+        self.fake.reports.failure = ZeroDivisionError("secret detail")
+        error = await self.refused(500, "internal_error", "GET", "/v1/status")
+        self.assertNotIn("secret detail", error["message"])
+
+    async def test_status_explanation_agent_and_metrics(self):
+        """Guards against paths that are not served."""
+        for path, name in (
+            ("/v1/status", "told_by"),
+            ("/v1/status/depot", "told_by"),
+            ("/v1/explain/depot?key=%2Fa%20b", "reasons"),
+            ("/v1/agent", "member_id"),
+        ):
+            with self.subTest(path=path):
+                status, answer = await self.call("GET", path, authorization="")
+                self.assertEqual(status, 200)
+                self.assertIn(name, answer)
+        async with self.session.get(self.fake.url + "/metrics") as got:
+            self.assertIn(b"fescueward_uptime_seconds", await got.read())
+            self.assertTrue(got.headers["Content-Type"].startswith("text/plain"))
