--- a/fescueward/testing/demo.py
+++ b/fescueward/testing/demo.py
@@ -161,8 +161,8 @@
             raise DemoFailedError(f"not every key is served: {traffic.phases['before'].refused}")
         lost = await _busiest_owner(deployment)
         print(f"killing agent and upstream {lost.name} ({lost.spec.failure_domain})")
-        await deployment.kill_member(lost)
         traffic.phase = "after"
+        await deployment.kill_member(lost)
         killed = time.monotonic()
         await wait_until(
             lambda: traffic.served_since(killed) == _KEYS or running.done(),
