--- /dev/null
+++ b/tests/kernel/test_events.py
@@ -0,0 +1,58 @@
+"""Tests of numbered log events."""
+
+from __future__ import annotations
+
+import io
+import json
+import unittest
+
+from fescueward.kernel import Event, Level, configure_logging, events
+from fescueward.kernel.errors import DuplicateNameError
+from fescueward.kernel.events import _EVENTS
+
+
+class EventTest(unittest.TestCase):
+    def setUp(self):
+        self.lines = io.StringIO()
+        self.event = Event(9990, "test_event", Level.INFO, "For tests.")
+        self.addCleanup(_EVENTS.pop, 9990, None)
+
+    def test_one_line_for_each_event(self):
+        """Guards against lines that a log reader cannot attribute to an event."""
+        configure_logging("INFO", "text", self.lines)
+        self.event.emit(member="a:1", shards=3)
+        self.assertRegex(
+            self.lines.getvalue(), r"^\S+ INFO 9990 test_event member=a:1 shards=3\n$"
+        )
+
+    def test_json_lines(self):
+        """Guards against values that break the JSON form of a line."""
+        configure_logging("INFO", "json", self.lines)
+        self.event.emit(error=ValueError('a "quote"\nand a line'), braces="{0} {x}")
+        line = json.loads(self.lines.getvalue())
+        self.assertEqual((line["event"], line["name"]), (9990, "test_event"))
+        self.assertEqual(line["error"], 'a "quote"\nand a line')
+        self.assertEqual(line["braces"], "{0} {x}")
+
+    def test_level(self):
+        """Guards against the cost of lines that nobody asked for."""
+        configure_logging("WARNING", "text", self.lines)
+
+        class Expensive:
+            def __str__(self) -> str:
+                raise AssertionError("formatted although the level is disabled")
+
+        self.event.emit(value=Expensive())
+        self.assertEqual(self.lines.getvalue(), "")
+
+    def test_numbers_are_unique(self):
+        """Guards against two events with one number."""
+        Event(9990, "test_event", Level.INFO, "The same event, declared again.")
+        with self.assertRaisesRegex(
+            DuplicateNameError, "9990 of 'other' is taken by 'test_event'"
+        ):
+            Event(9990, "other", Level.INFO, "Another event.")
+        numbers = [event.number for event in events()]
+        self.assertEqual(numbers, sorted(set(numbers)))
+        names = [event.name for event in events()]
+        self.assertEqual(len(names), len(set(names)))
--- /dev/null
+++ b/tests/kernel/test_kernel.py
@@ -0,0 +1,137 @@
+"""Tests of the kernel's life cycle and of its reports of failures."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import unittest
+from unittest import mock
+
+from fescueward.kernel import Kernel, TaskOwner, configure_logging
+from fescueward.kernel.errors import DuplicateNameError, ServiceFailedError, UnknownNameError
+
+
+class Recorded:
+    """A service that notes what happens to it."""
+
+    def __init__(self, kernel: Kernel, name: str, log: list[str], *requires: str) -> None:
+        self.name = name
+        self.requires = requires
+        self.log = log
+        self.tasks: TaskOwner = kernel.task_owner(name)
+        self.failing = ""
+        self.hang = False
+
+    def bind(self, registry) -> None:
+        self.note("bind")
+
+    async def start(self) -> None:
+        self.note("start")
+
+    async def drain(self) -> None:
+        self.note("drain")
+
+    async def stop(self) -> None:
+        await self.tasks.cancel()
+        self.note("stop")
+        if self.hang:
+            await asyncio.Event().wait()
+
+    def note(self, what: str) -> None:
+        self.log.append(f"{what} {self.name}")
+        if what == self.failing:
+            raise ValueError(f"{what} failed")
+
+
+class KernelTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.lines = io.StringIO()
+        configure_logging("DEBUG", "text", self.lines)
+        self.kernel = Kernel()
+        self.log: list[str] = []
+
+    def add(self, name: str, *requires: str) -> Recorded:
+        service = Recorded(self.kernel, name, self.log, *requires)
+        self.kernel.add(service)
+        return service
+
+    async def test_services_start_after_what_they_need(self):
+        """Guards against a service that uses another before its start or after its stop."""
+        for name, requires in (("c", ("b", "absent")), ("b", ("a",)), ("a", ()), ("d", ())):
+            self.add(name, *requires)
+        running = asyncio.create_task(self.kernel.run())
+        self.kernel.request_stop()
+        await running
+        done = [entry for entry in self.log if entry.startswith(("start", "stop"))]
+        self.assertEqual(done[:4], ["start a", "start b", "start c", "start d"])
+        self.assertEqual(done[4:], ["stop d", "stop c", "stop b", "stop a"])
+        self.assertLess(self.log.index("drain d"), self.log.index("stop d"))
+        self.assertEqual(self.log[:4], ["bind c", "bind b", "bind a", "bind d"])
+
+    async def test_failed_task_ends_the_process(self):
+        """Guards against an agent that keeps its lease after it has lost a part."""
+        self.add("a")
+        broken = self.add("broken", "a")
+
+        async def fail() -> None:
+            raise ZeroDivisionError("in a task")
+
+        async def start() -> None:
+            broken.tasks.spawn("job", fail())
+
+        broken.start = start
+        with self.assertRaisesRegex(ServiceFailedError, "broken:job: ZeroDivisionError") as caught:
+            await asyncio.wait_for(self.kernel.run(), 5)
+        self.assertIsInstance(caught.exception.__cause__, ZeroDivisionError)
+        # A broken agent must not hand work over: its state cannot be trusted.
+        self.assertNotIn("drain a", self.log)
+        self.assertIn("stop a", self.log)
+        self.assertIn("1003 service_failed task=broken:job", self.lines.getvalue())
+
+    async def test_failed_start_stops_what_runs(self):
+        """Guards against ports that stay bound when the start fails half way."""
+        self.add("a")
+        self.add("b", "a").failing = "start"
+        with self.assertRaisesRegex(ValueError, "start failed"):
+            await asyncio.wait_for(self.kernel.run(), 5)
+        self.assertEqual(self.log[-1], "stop a")
+        self.assertNotIn("stop b", self.log)
+
+    async def test_failing_or_hanging_stop_does_not_keep_others(self):
+        """Guards against one service that keeps the others from stopping."""
+        self.add("a")
+        self.add("failing", "a").failing = "stop"
+        self.add("hanging", "a").hang = True
+        self.kernel.request_stop()
+        with (
+            mock.patch("fescueward.kernel.kernel.STOP_TIMEOUT_S", 0.05),
+            self.assertRaises(ServiceFailedError),
+        ):
+            await asyncio.wait_for(self.kernel.run(), 5)
+        self.assertEqual(self.log[-1], "stop a")
+        self.assertIn("1004 service_stop_timeout service=hanging", self.lines.getvalue())
+
+    async def test_bind_checks_without_starting(self):
+        """Guards against `check-config` starting anything."""
+        self.add("a")
+        self.kernel.bind()
+        self.assertEqual(self.log, ["bind a"])
+        with self.assertRaises(DuplicateNameError):
+            self.add("a")
+        with self.assertRaises(UnknownNameError):
+            self.kernel.registry.find("b", Recorded)
+
+    async def test_tasks_end_with_their_owner(self):
+        """Guards against tasks that run on after their service has stopped."""
+        failures: list[str] = []
+        owner = TaskOwner("a", lambda name, error: failures.append(name))
+        task = owner.spawn("wait", asyncio.Event().wait())
+        await owner.cancel()
+        self.assertTrue(task.cancelled())
+
+        async def cancel_from_inside() -> str:
+            await owner.cancel()
+            return "went on"
+
+        self.assertEqual(await owner.spawn("self", cancel_from_inside()), "went on")
+        self.assertEqual(failures, [])
