--- /dev/null
+++ b/tests/docs/test_pages.py
@@ -0,0 +1,60 @@
+"""Tests of the pages against the code."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+from fescueward import docs
+from fescueward.kernel import RefusalError
+from fescueward.kernel.errors import error_types
+from fescueward.messages.status import ProblemKind
+from fescueward.services.administration import _STATUSES
+
+PAGES = Path(__file__).resolve().parents[2] / "docs"
+
+
+class PagesTest(unittest.TestCase):
+    def page(self, name: str) -> str:
+        return (PAGES / name).read_text(encoding="utf-8")
+
+    def test_generated_pages_are_current(self):
+        """Guards against reference pages that differ from the code; `scripts/docs` mends it."""
+        for path, expected in docs.pages().items():
+            self.assertEqual(
+                path.read_text(encoding="utf-8"), expected, f"run scripts/docs: {path}"
+            )
+
+    def test_tables_are_filled(self):
+        """Guards against markers that the generator does not know."""
+        text = self.page("operators.md")
+        names = re.findall(r"<!-- begin (\w+) -->", text)
+        self.assertEqual(names, ["settings", "exits", "metrics"])
+        self.assertEqual(re.findall(r"<!-- end (\w+) -->", text), names)
+
+    def test_operators_know_every_refusal_and_problem(self):
+        """Guards against refusals and problems that no page tells what to do about."""
+        text = self.page("operators.md")
+        for kind in error_types():
+            if issubclass(kind, RefusalError) and kind.__module__ == "fescueward.kernel.errors":
+                self.assertIn(f"| {kind.code} | `{kind.label}` |", text)
+        for problem in ProblemKind:
+            self.assertIn(f"| `{problem.value}` |", text)
+
+    def test_administration_page_lists_every_status(self):
+        """Guards against HTTP statuses that the page of the API leaves out."""
+        text = self.page("administration.md")
+        for kind, status in _STATUSES:
+            if status != 500 and not kind.__subclasses__():
+                self.assertRegex(text, rf"\| {status}[0-9, ]* \| \d+ \|", kind.__name__)
+
+    def test_links_between_pages(self):
+        """Guards against pages that name files which do not exist."""
+        root = PAGES.parent
+        for page in [*root.glob("*.md"), *PAGES.rglob("*.md")]:
+            if page.name == "design.md":
+                continue  # names files of the plan
+            for name in re.findall(r"\b(?:docs|examples|scripts)/[\w./-]*\w", page.read_text()):
+                if name not in ("docs/CAPACITY.md",):
+                    self.assertTrue((root / name).exists(), f"{page.name} names {name}")
