--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -27,8 +27,8 @@
 from ..services.placement import ShardPlacement
 from ..services.platform import HttpPlatform
 from ..services.quarantine import CrashQuarantine
-from ..services.reports import FleetReports
 from ..services.router import OwnerRouter
+from ..services.status import FleetStatusReports
 from ..services.upstream import HttpUpstream
 
 
@@ -56,6 +56,9 @@
         kernel.add(LeaseMonitor(kernel))
         kernel.add(ShardPlacement(kernel))
         kernel.add(MeasuredLoad(kernel))
+        kernel.add(PrometheusMetrics())
+        kernel.add(FleetStatusReports())
+        kernel.add(HttpAdministration())
         kernel.add(HttpUpstream(kernel))
         kernel.add(RetainedOutcomes())
         kernel.add(ShardOwnership(kernel))
@@ -64,17 +67,6 @@
         kernel.add(OwnerExecution())
         kernel.add(OwnerRouter())
         kernel.add(HttpFrontend())
-        kernel.add(PrometheusMetrics())
-        kernel.add(FleetReports())
-        kernel.add(HttpAdministration())
-
-    def check(self) -> None:
-        """Connects the services without starting them.
-
-        Raises:
-            FescuewardError: A setting names a plugin that does not exist.
-        """
-        self.kernel.bind()
 
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT.
@@ -85,6 +77,14 @@
         configure_logging(self._settings.log.level, self._settings.log.format)
         uvloop.run(self._run())
 
+    def check(self) -> None:
+        """Connects the services without starting them.
+
+        Raises:
+            FescuewardError: A setting names a plugin that does not exist.
+        """
+        self.kernel.bind()
+
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -3,7 +3,7 @@
 Services import these types and never each other; the registry connects them by name.
 """
 
-from .administration import PlatformState, Reports, WatchState, WorkState
+from .administration import PlatformState, StatusReports, WatchState, WorkState
 from .catalogue import Catalogue
 from .groups import GroupListener, Groups
 from .leases import Lease, Membership, Monitor
@@ -42,12 +42,12 @@
     "Platform",
     "PlatformState",
     "Quarantine",
-    "Reports",
     "RequestListener",
     "RequestSource",
     "Router",
     "RunListener",
     "RunSource",
+    "StatusReports",
     "StoredObject",
     "Ticket",
     "Upstream",
--- a/fescueward/interfaces/administration.py
+++ b/fescueward/interfaces/administration.py
@@ -8,7 +8,7 @@
 
 
 @runtime_checkable
-class Reports(Protocol):
+class StatusReports(Protocol):
     """Statements about this agent, the services and single keys."""
 
     def agent(self) -> AgentStatus:
--- a/fescueward/services/administration.py
+++ b/fescueward/services/administration.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from ..interfaces import Catalogue, Metrics, Platform, Reports
+from ..interfaces import Catalogue, Metrics, Platform, StatusReports
 from ..kernel import Event, Level, RefusalError, Registry
 from ..kernel.errors import (
     EntryConflictError,
@@ -68,7 +68,7 @@
     """The `administration` service. aiohttp runs one task for each connection of an operator."""
 
     name = "administration"
-    requires = ("catalogue", "reports", "metrics")
+    requires = ("catalogue", "status", "metrics")
 
     def __init__(self) -> None:
         self._runner: web.AppRunner | None = None
@@ -77,7 +77,7 @@
         """Finds the services that this one uses."""
         self._catalogue = registry.find("catalogue", Catalogue)
         self._platform = registry.find("platform", Platform)
-        self._reports = registry.find("reports", Reports)
+        self._status = registry.find("status", StatusReports)
         self._metrics = registry.find("metrics", Metrics)
         section = registry.find("settings", Settings).administration
         self._host, self._port = section.host, section.port
@@ -135,10 +135,10 @@
         return _json(DeletedAnswer(service, deleted.version))
 
     async def _fleet_status(self, http: web.Request) -> web.Response:
-        return _json(await self._reports.fleet())
+        return _json(await self._status.fleet())
 
     async def _service_status(self, http: web.Request) -> web.Response:
-        return _json(await self._reports.fleet(http.match_info["service"]))
+        return _json(await self._status.fleet(http.match_info["service"]))
 
     async def _explain(self, http: web.Request) -> web.Response:
         key = http.query.get("key", "")
@@ -146,10 +146,10 @@
             raise InvalidAdministrationRequestError(
                 f"the parameter key has {len(key)} characters; allowed: 1 to {_MAX_KEY_CHARACTERS}"
             )
-        return _json(await self._reports.explain(http.match_info["service"], key))
+        return _json(await self._status.explain(http.match_info["service"], key))
 
     async def _agent_status(self, http: web.Request) -> web.Response:
-        return _json(self._reports.agent())
+        return _json(self._status.agent())
 
     async def _metrics_page(self, http: web.Request) -> web.Response:
         page = self._metrics.render()
--- a/fescueward/services/execution.py
+++ b/fescueward/services/execution.py
@@ -14,10 +14,10 @@
     Ownership,
     Peers,
     Quarantine,
-    RunListener,
     Ticket,
     Upstream,
 )
+from ..interfaces.metrics import RunListener
 from ..kernel import Clock, Event, Level, Registry
 from ..kernel.errors import BodyTooLargeError, TokenRequiredError
 from ..messages import Body, Entry, Request, RequestClass, Response
@@ -98,10 +98,9 @@
         started = self._clock.now()
         deadline = min(request.deadline, started + entry.limits.max_request_ms / 1000)
         response = await self._upstream.run(request, ticket.shard, ticket.epoch, deadline)
-        seconds = self._clock.now() - started
-        self._load.record(ticket.shard, request.key, seconds)
         for listener in self._listeners:
-            listener.run_ended(request.service, seconds)
+            listener.run_ended(request.service, self._clock.now() - started)
+        self._load.record(ticket.shard, request.key, self._clock.now() - started)
         return response
 
 
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ..interfaces import Catalogue, Execution, Groups, Membership, Peers, RequestListener
+from ..interfaces import Catalogue, Execution, Groups, Membership, Peers
+from ..interfaces.metrics import RequestListener
 from ..kernel import Clock, Event, Level, Outcome, RefusalError, Registry
 from ..kernel.errors import (
     DeadlineExceededError,
@@ -66,8 +67,8 @@
     requires = ("catalogue", "groups", "peers", "membership", "execution")
 
     def __init__(self) -> None:
-        self._waiting = 0
         self._listeners: list[RequestListener] = []
+        self._waiting = 0
         self._members: dict[GroupId, frozenset[str]] = {}
 
     def bind(self, registry: Registry) -> None:
--- a/fescueward/services/reports.py
+++ b/fescueward/services/status.py
@@ -1,4 +1,4 @@
-"""Reports to operators: the status of agents and services, and explanations of single keys."""
+"""Status for operators: of agents, services and single keys."""
 
 from __future__ import annotations
 
@@ -54,13 +54,13 @@
 _VERSIONS_LIMIT = 4_000
 
 
-class FleetReports:
-    """The `reports` service.
+class FleetStatusReports:
+    """The `status` service.
 
     Every agent can report on every service: it reads the group objects and asks the members.
     """
 
-    name = "reports"
+    name = "status"
     requires = ("catalogue", "groups", "peers", "membership", "lease", "monitor", "ownership")
 
     def __init__(self) -> None:
@@ -124,7 +124,7 @@
         )
 
     async def fleet(self, service: str | None = None) -> FleetStatus:
-        """Returns the status of one service or of all; see `Reports.fleet`."""
+        """Returns the status of one service or of all; see `StatusReports.fleet`."""
         if service is None:
             entries = self._catalogue.entries()
         else:
@@ -149,7 +149,7 @@
         )
 
     async def explain(self, service: str, key: str) -> Explanation:
-        """Returns where a key is, why, and whether it would be served; see `Reports.explain`."""
+        """Returns where a key is, why, and whether it would be served; see the Protocol."""
         entry = self._catalogue.entry(service).entry
         view = await self._view(group_of(service, key, entry.groups))
         answers = Answers(self._membership.member_id)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 import tempfile
 import unittest
@@ -14,6 +15,7 @@
 from fescueward.cli import app
 from fescueward.cli.entries import read_entry, write_entry
 from fescueward.cli.exits import EXIT_TEXTS, ExitCode
+from fescueward.kernel import configure_logging
 from fescueward.kernel.errors import InvalidEntryFileError, PlatformUnavailableError
 from fescueward.kernel.settings import setting_rows
 from fescueward.messages import RequestClass, Weight
@@ -54,6 +56,7 @@
 class EntryCommandTest(FilesTest):
     def setUp(self):
         super().setUp()
+        configure_logging("ERROR", "text", io.StringIO())
         self.server = AdministrationThread()
         self.addCleanup(self.server.close)
         self.platform = self.server.fake.platform
--- a/tests/services/administration_fakes.py
+++ b/tests/services/administration_fakes.py
@@ -130,7 +130,7 @@
         registry.register("settings", settings_with_port(port))
         registry.register("platform", self.platform)
         registry.register("catalogue", self.catalogue)
-        registry.register("reports", self.reports)
+        registry.register("status", self.reports)
         registry.register("metrics", FixedMetrics())
         self.catalogue.bind(registry)
         self.service.bind(registry)
--- a/tests/services/test_administration.py
+++ b/tests/services/test_administration.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import json
 import unittest
 from typing import Any
 
 import aiohttp
 
+from fescueward.kernel import configure_logging
 from fescueward.kernel.errors import error_types
 from fescueward.messages import VersionedEntry
 from fescueward.services.administration import MAX_ENTRY_BYTES
@@ -21,6 +23,7 @@
 
 class AdministrationTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
+        configure_logging("ERROR", "text", io.StringIO())
         ports = PortReservations()
         self.addCleanup(ports.close)
         self.fake = AdministrationFake(ports.reserve())
--- a/tests/services/test_reports.py
+++ b/tests/services/test_status.py
@@ -1,4 +1,4 @@
-"""Tests of problems, histories and explanations."""
+"""Tests of status, problems, histories and explanations."""
 
 from __future__ import annotations
 
