Tell of outages and entry versions as they are now

Cause: an agent without a watch makes hardly any calls, so it would have told of an outage long after its end; an agent that lacked an entry did not count as behind. Change: an outage without a failed call for longer than a watch is dropped; versions that are missing count as 0 unless the agent says that its list is not complete.

--- a/fescueward/messages/status.py
+++ b/fescueward/messages/status.py
@@ -162,6 +162,8 @@
         watching: Whether it watches the platform for its group.
         group_version: Version of its group that it applies.
         entry_versions: Version of each entry that it applies, by service.
+        entry_versions_complete: Whether that is all of them; in a large catalogue only the one of
+            its own service is told.
     """
 
     member_id: str
@@ -180,6 +182,7 @@
     watching: bool = False
     group_version: int = 0
     entry_versions: dict[str, int] = field(default_factory=dict)
+    entry_versions_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -29,6 +29,8 @@
 
 # A watch is answered at the end of its wait at the latest; the rest is for the way there and back.
 _WATCH_SLACK_S = 2.0
+# Beyond the length of a watch: its slack, and the pause before the next one.
+_FAILURE_SLACK_S = _WATCH_SLACK_S + 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +66,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._available = True
         self._unavailable_since: float | None = None
+        self._failed_at = 0.0
 
     @property
     def available(self) -> bool:
@@ -72,7 +75,13 @@
 
     @property
     def unavailable_since(self) -> float | None:
-        """When calls began to fail, in seconds of CLOCK_BOOTTIME, or None."""
+        """When calls began to fail, in seconds of CLOCK_BOOTTIME, or None.
+
+        None too if no call was made for longer than a watch takes to fail: an agent that holds no
+        watch makes hardly any calls and would otherwise tell of an outage that is over.
+        """
+        if self._clock.now() - self._failed_at > self._watch_s + _FAILURE_SLACK_S:
+            return None
         return self._unavailable_since
 
     def bind(self, registry: Registry) -> None:
@@ -81,6 +90,7 @@
         section = registry.find("settings", Settings).platform
         self._url = section.url
         self._timeout_s = section.timeout_ms / 1000
+        self._watch_s = section.watch_ms / 1000
 
     async def start(self) -> None:
         """Opens the client session."""
@@ -157,11 +167,14 @@
         return _decode(data, _Written).version
 
     def _note(self, available: bool) -> None:
+        if not available:
+            now = self._clock.now()
+            self._unavailable_since = self.unavailable_since or now
+            self._failed_at = now
         if available and not self._available:
             self._unavailable_since = None
             _AVAILABLE.emit(url=self._url)
         if not available and self._available:
-            self._unavailable_since = self._clock.now()
             _UNAVAILABLE.emit(url=self._url)
         self._available = available
 
--- a/fescueward/services/problems.py
+++ b/fescueward/services/problems.py
@@ -114,19 +114,20 @@
             continue
         groups.append(_group_status(view, view.group, service, answers, history, now))
         problems.extend(_group_problems(view.group.group, answers, history, now))
-    behind = _behind(service, entry.version, answers)
+    # Others may have heard of a newer version than this agent.
+    told = [status.entry_versions.get(service, 0) for status in answers.told.values()]
+    version = max([entry.version, *told])
+    behind = _behind(service, version, answers)
     if behind:
-        problems.append(_not_applied(service, entry.version, behind, answers))
+        problems.append(_not_applied(service, version, behind, answers))
     return ServiceStatus(
         service=service,
         owner=entry.entry.owner,
         request_class=entry.entry.request_class,
         weight=entry.entry.weight,
-        version=entry.version,
+        version=version,
         agents_asked=len(answers.asked),
-        agents_applying=sum(
-            status.entry_versions.get(service) == entry.version for status in answers.told.values()
-        ),
+        agents_applying=told.count(version),
         groups=tuple(groups),
         groups_total=entry.entry.groups,
         problems=tuple(problems),
@@ -281,7 +282,8 @@
     return sorted(
         member_id
         for member_id, status in answers.told.items()
-        if status.entry_versions.get(service, version) < version
+        if status.entry_versions.get(service, 0) < version
+        and (status.entry_versions_complete or service in status.entry_versions)
     )
 
 
--- a/fescueward/services/status.py
+++ b/fescueward/services/status.py
@@ -121,6 +121,7 @@
             watching=self._watch.watching,
             group_version=view.version if view is not None else 0,
             entry_versions=self._entry_versions(home),
+            entry_versions_complete=len(self._catalogue.versions()) <= _VERSIONS_LIMIT,
         )
 
     async def fleet(self, service: str | None = None) -> FleetStatus:
--- a/tests/services/test_status.py
+++ b/tests/services/test_status.py
@@ -120,10 +120,21 @@
     def test_entry_that_is_not_in_effect_everywhere(self):
         """Guards against accepted changes that some agents never apply."""
         self.see(group(*[Shard("a:1", 1)] * 4), 100)
-        given = answers(told("a"), told("b", entry_versions={"depot": 6}))
-        self.assertEqual(self.status(given).agents_applying, 1)
-        problem = self.problem(ProblemKind.ENTRY_NOT_APPLIED, given)
-        self.assertIn("version 7 of depot is not in effect on 1 of 2 agents", problem.text)
+        for versions in ({"depot": 6}, {}):
+            given = answers(told("a"), told("b", entry_versions=versions))
+            self.assertEqual(self.status(given).agents_applying, 1)
+            problem = self.problem(ProblemKind.ENTRY_NOT_APPLIED, given)
+            self.assertIn("version 7 of depot is not in effect on 1 of 2 agents", problem.text)
+        silent = told("b", entry_versions={}, entry_versions_complete=False)
+        self.assertEqual(self.status(answers(told("a"), silent)).problems, ())
+
+    def test_version_that_this_agent_has_not_heard_of(self):
+        """Guards against an agent behind the others that reports its old version as accepted."""
+        self.see(group(*[Shard("a:1", 1)] * 4), 100)
+        given = answers(told("a"), told("b", entry_versions={"depot": 9}))
+        status = self.status(given)
+        self.assertEqual((status.version, status.agents_applying), (9, 1))
+        self.assertIn("on 1 of 2 agents", self.problem(ProblemKind.ENTRY_NOT_APPLIED, given).text)
 
     def test_groups_that_are_missing_or_unreadable(self):
         """Guards against a status that takes an unreadable group for an empty one."""
