--- a/fescueward/services/problems.py
+++ b/fescueward/services/problems.py
@@ -262,7 +262,8 @@
             continue
         text = (
             f"shard {shard_id} of {group.service} moves from {shard.owner} to {shard.successor} "
-            f"since {since_s:.1f} s: requests in flight or an unreachable successor hold it"
+            f"since {since_s:.1f} s: requests in flight, an unreachable successor or an "
+            "outage of the platform holds it"
         )
         yield Problem(ProblemKind.MOVE_SLOW, text, since_s)
 
