Report ports that are taken as a typed failure; test the status service

Cause: an agent whose port was taken ended in a stack trace; the status service had only integration tests. Change: the kernel turns an OSError at the start into ServiceFailedError, which names the service.

--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -82,14 +82,12 @@
 
         Raises:
             FescuewardError: A service or plugin is missing or of the wrong type.
-            ServiceFailedError: A task of a service failed.
+            ServiceFailedError: A task of a service failed, or a port could not be bound.
         """
         self.bind()
         try:
             for service in self._start_order():
-                await service.start()
-                self._started.append(service)
-                _STARTED.emit(service=service.name)
+                await self._start(service)
             await self._stop_requested.wait()
             if self._failure is None:
                 await self._drain_all()
@@ -98,6 +96,14 @@
         if self._failure is not None:
             raise self._failure
 
+    async def _start(self, service: Service) -> None:
+        try:
+            await service.start()
+        except OSError as error:
+            raise ServiceFailedError(f"{service.name} did not start: {error}") from error
+        self._started.append(service)
+        _STARTED.emit(service=service.name)
+
     def _start_order(self) -> list[Service]:
         ordered: list[Service] = []
         visited: set[str] = set()
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -30,6 +30,7 @@
     ProblemKind,
     ServiceStatus,
 )
+from fescueward.testing.ports import PortReservations
 
 from ..services.administration_fakes import SETTINGS, TOKEN, AdministrationThread
 
@@ -159,6 +160,20 @@
         result = run("entry", "apply", "-f", other, "--config", config)
         self.assertEqual(result.exit_code, ExitCode.DONE, result.stderr)
 
+    def test_agent_whose_port_is_taken(self):
+        """Guards against an agent that ends in a stack trace when its port is taken."""
+        port = self.url.rpartition(":")[2]
+        ports = PortReservations()
+        self.addCleanup(ports.close)
+        text = SETTINGS.format(port=port)
+        for number in (1, 2, 3):
+            text = text.replace(f"port = {number}\n", f"port = {ports.reserve()}\n")
+        config = self.file("a.ini", text)
+        result = run("agent", "--config", config)
+        self.assertEqual(result.exit_code, ExitCode.FAILED)
+        last = result.stderr.splitlines()[-1]
+        self.assertTrue(last.startswith("error 1005 service_failed: administration did"), last)
+
     def test_status_and_explanation(self):
         """Guards against JSON that scripts cannot read and explanations without the reason."""
         self.assertEqual(json.loads(self.call("status", "--json").stdout)["told_by"], "a1:1")
--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -97,6 +97,18 @@
         self.assertEqual(self.log[-1], "stop a")
         self.assertNotIn("stop b", self.log)
 
+    async def test_port_that_is_taken_is_a_typed_failure(self):
+        """Guards against a stack trace where the operator needs the service and the address."""
+
+        async def start() -> None:
+            raise OSError(98, "address already in use")
+
+        self.add("a")
+        self.add("b", "a").start = start
+        with self.assertRaisesRegex(ServiceFailedError, "b did not start: .*already in use"):
+            await asyncio.wait_for(self.kernel.run(), 5)
+        self.assertEqual(self.log[-1], "stop a")
+
     async def test_failing_or_hanging_stop_does_not_keep_others(self):
         """Guards against one service that keeps the others from stopping."""
         self.add("a")
--- /dev/null
+++ b/tests/services/test_status_service.py
@@ -0,0 +1,199 @@
+"""Tests of the status service: whom it asks, and what it does without an answer."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import unittest
+from dataclasses import replace
+from types import SimpleNamespace
+from unittest import mock
+
+from fescueward.kernel import Registry, configure_logging
+from fescueward.kernel.errors import (
+    ObjectNotFoundError,
+    PeerUnavailableError,
+    PlatformUnavailableError,
+    UnknownServiceError,
+)
+from fescueward.messages import (
+    Entry,
+    Group,
+    GroupId,
+    Member,
+    Shard,
+    VersionedEntry,
+    VersionedGroup,
+)
+from fescueward.messages.codec import to_map
+from fescueward.messages.peer import Promise, StatusQuery, StatusReply
+from fescueward.messages.status import AgentState, AgentStatus, ProblemKind
+from fescueward.services import status
+from fescueward.services.status import FleetStatusReports
+
+HOME = GroupId("depot", 0)
+
+
+def group(service: str, *names: str) -> VersionedGroup:
+    members = {
+        f"{name}:1": Member(f"{name}:1", name, 1, "b", "h", 1, "h", 2, "lowell", 6, 110)
+        for name in names
+    }
+    shards = tuple(Shard(f"{names[0]}:1", 1) for _ in range(4)) if names else ()
+    return VersionedGroup(3, Group(service, 0, 4, members, shards))
+
+
+class Fleet:
+    """All services that the status service reads; one object stands for each of them."""
+
+    def __init__(self) -> None:
+        self.settings = SimpleNamespace(agent=SimpleNamespace(failure_domain="lowell"))
+        self.agent = self.settings.agent
+        self.member_id = "a:1"
+        self.home = HOME
+        self.announcement = SimpleNamespace()
+        self.leaving = self.watching = False
+        self.held = True
+        self.expires_at = 100.9
+        self.in_flight = 0
+        self.unavailable_since = None
+        self.views = {HOME: group("depot", "a", "b")}
+        self.stored: dict = {}
+        self.replies: dict = {}
+        self.sent: list = []
+        self.calls = 0
+
+    def now(self):
+        return 100.0
+
+    def me(self):
+        return self.views[HOME].group.members["a:1"]
+
+    def monitored(self):
+        return {}
+
+    def active(self):
+        return {0: 1}
+
+    def versions(self):
+        return {"depot": 7, "orders": 8}
+
+    def entries(self):
+        return tuple(self.entry(name) for name in ("depot", "orders"))
+
+    def entry(self, service):
+        if service not in self.versions():
+            raise UnknownServiceError(service)
+        return VersionedEntry(self.versions()[service], Entry(service, "team", shard_count=4))
+
+    def view(self, group_id):
+        return self.views.get(group_id)
+
+    async def refresh(self, group_id):
+        found = self.stored.get(group_id, ObjectNotFoundError("none"))
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+    def subscribe(self, listener): ...
+
+    def on(self, kind, handler):
+        self.handler = handler
+
+    def next_call(self):
+        self.calls += 1
+        return self.calls
+
+    def reply(self, sender, message):
+        self.sent.append((sender, message))
+        return True
+
+    async def call(self, member, message, call):
+        reply = self.replies.get(member.id, PeerUnavailableError("gone"))
+        if isinstance(reply, Exception):
+            raise reply
+        if reply is None:
+            await asyncio.Event().wait()
+        return reply
+
+
+class AnyRegistry(Registry):
+    def __init__(self, fleet: Fleet) -> None:
+        super().__init__()
+        self._fleet = fleet
+
+    def find(self, name, kind):
+        return self._fleet
+
+
+class StatusServiceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        configure_logging("ERROR", "text", io.StringIO())
+        self.fleet = Fleet()
+        self.service = FleetStatusReports()
+        self.service.bind(AnyRegistry(self.fleet))
+        await self.service.start()
+
+    def reply(self, member_id: str, **fields) -> StatusReply:
+        told = AgentStatus(member_id, "lowell", "depot/0", AgentState.ACTIVE, 1.0, True, 0.9)
+        return StatusReply(1, to_map(replace(told, **fields)))
+
+    async def test_bad_answers_count_as_none(self):
+        """Guards against one agent whose answer breaks or delays the status of all others."""
+        bad = [
+            PeerUnavailableError("gone"),
+            None,
+            Promise(1, "b:1", 1, True),
+            StatusReply(1, {"member_id": "b:1"}),
+            self.reply("c:1"),
+        ]
+        for answer in bad:
+            with self.subTest(answer=answer), mock.patch.object(status, "_QUERY_TIMEOUT_S", 0.05):
+                self.fleet.replies["b:1"] = answer
+                found = await asyncio.wait_for(self.service.fleet("depot"), 2)
+                self.assertEqual((found.agents_asked, found.agents_answered), (2, 1))
+                kinds = [problem.kind for problem in found.services[0].problems]
+                self.assertIn(ProblemKind.MEMBER_SILENT, kinds)
+        self.fleet.replies["b:1"] = self.reply("b:1", entry_versions={"depot": 7})
+        found = await self.service.fleet("depot")
+        self.assertEqual((found.agents_answered, found.services[0].agents_applying), (2, 2))
+
+    async def test_groups_of_other_services_are_read(self):
+        """Guards against old views of groups that this agent does not follow."""
+        other = GroupId("orders", 0)
+        self.fleet.views[other] = group("orders", "old")
+        self.fleet.stored[other] = group("orders", "new")
+        found = await self.service.fleet("orders")
+        self.assertEqual([item.id for item in found.services[0].groups[0].members], ["new:1"])
+        self.fleet.stored[other] = PlatformUnavailableError("down")
+        found = await self.service.fleet("orders")
+        shown = found.services[0].groups[0]
+        self.assertEqual((shown.members[0].id, shown.fresh), ("old:1", False))
+        with self.assertRaises(UnknownServiceError):
+            await self.service.fleet("none")
+
+    async def test_cost_is_bounded(self):
+        """Guards against a status that reads or asks a whole large fleet."""
+        many = Entry("depot", "team", groups=1000, shard_count=4)
+        self.fleet.entry = lambda service: VersionedEntry(7, many)
+        names = [f"m{number}" for number in range(500)]
+        self.fleet.views[HOME] = group("depot", "a", *names)
+        found = await self.service.fleet("depot")
+        self.assertEqual(found.agents_asked, status._AGENTS_LIMIT)
+        self.assertEqual(found.services[0].groups_total, 1000)
+        self.assertLess(self.fleet.calls, status._AGENTS_LIMIT)
+
+    async def test_query_of_a_peer_is_answered(self):
+        """Guards against agents that ask others but do not answer."""
+        self.fleet.handler("b:1", StatusQuery(9))
+        ((sender, message),) = self.fleet.sent
+        self.assertEqual((sender, message.call), ("b:1", 9))
+        self.assertEqual(message.status, to_map(self.service.agent()))
+
+    async def test_explanation_asks_owner_and_successor_only(self):
+        """Guards against an explanation that costs as much as a status."""
+        self.fleet.views[HOME] = group("depot", "b", "a", "c", "d")
+        self.fleet.replies["b:1"] = self.reply("b:1", shards=dict.fromkeys(range(4), 1))
+        found = await self.service.explain("depot", "k")
+        self.assertTrue(found.served, found.text)
+        self.assertEqual(self.fleet.calls, 1)
