Keep the agent alive when the platform connection ended during a pause

Cause: uvloop raises RuntimeError for a write to a connection that has ended; after a pause of 5 s under load an agent ended with 'service_failed: groups:watch: RuntimeError'. Change: the platform client treats it as a failed call; for a write the outcome is unknown.

--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -32,6 +32,9 @@
 # Beyond the length of a watch: its slack, and the pause before the next one.
 _FAILURE_SLACK_S = _WATCH_SLACK_S + 3.0
 
+# uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
+_CALL_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, RuntimeError)
+
 
 @dataclass(frozen=True, slots=True)
 class _Envelope:
@@ -133,7 +136,7 @@
         try:
             async with self._session.get(self._url + path, params=query, timeout=timeout) as got:
                 data = await got.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except _CALL_FAILURES as error:
             self._note(False)
             raise PlatformUnavailableError(f"reading {path}: {_describe(error)}") from error
         self._note(got.status < 500)
@@ -151,7 +154,7 @@
         except aiohttp.ClientConnectorError as error:
             self._note(False)
             raise PlatformUnavailableError(f"writing {key!r}: {_describe(error)}") from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except _CALL_FAILURES as error:
             self._note(False)
             raise OutcomeUnknownError(f"writing {key!r}: {_describe(error)}") from error
         self._note(got.status < 500)
--- a/tests/services/test_platform.py
+++ b/tests/services/test_platform.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
+
+import aiohttp
 
 from fescueward.kernel import Registry
-from fescueward.kernel.errors import PlatformUnavailableError
+from fescueward.kernel.errors import OutcomeUnknownError, PlatformUnavailableError
 from fescueward.services.platform import HttpPlatform
 
 from .administration_fakes import settings_with_port
@@ -37,6 +40,21 @@
         with self.assertRaises(PlatformUnavailableError):
             await self.platform.get("entries/depot")
 
+    async def test_connection_that_ended_during_a_pause(self):
+        """Guards against an agent that ends when it resumes: uvloop raises RuntimeError."""
+        closed = RuntimeError("unable to perform operation on <TCPTransport closed=True>")
+        with (
+            mock.patch.object(aiohttp.ClientSession, "get", side_effect=closed),
+            mock.patch.object(aiohttp.ClientSession, "request", side_effect=closed),
+        ):
+            await self.fail()
+            with self.assertRaises(PlatformUnavailableError):
+                await self.platform.watch(("entries/",), 0, 1.0)
+            for call in (self.platform.put("k", b"{}", 1), self.platform.delete("k", 1)):
+                # The bytes may have been sent before the connection ended.
+                with self.assertRaises(OutcomeUnknownError):
+                    await call
+
     async def test_outage_counts_from_its_first_failure(self):
         """Guards against an outage whose age restarts with each failed call."""
         self.assertIsNone(self.platform.unavailable_since)
