Send nothing on a peer stream that has ended

Cause: after a pause, abandoning a forwarded request wrote to an ended stream, uvloop raised RuntimeError, and the caller got an untyped 500. Change: a wire whose transport is closing drops the message; the reader reports the end.

--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -80,6 +80,9 @@
         self._writer = writer
 
     def send(self, message: object) -> None:
+        if self._writer.transport.is_closing():
+            # uvloop raises RuntimeError here; whoever reads the stream learns of its end.
+            return
         if self._writer.transport.get_write_buffer_size() > _WRITE_LIMIT_BYTES:
             self._writer.transport.abort()
             return
