--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -10,6 +10,7 @@
 
 from ..kernel import BootClock, Kernel, configure_logging
 from ..kernel.settings import Settings
+from ..services.administration import HttpAdministration
 from ..services.admission import SlotAdmission
 from ..services.catalogue import EntryCatalogue
 from ..services.execution import OwnerExecution
@@ -18,6 +19,7 @@
 from ..services.lease import MonitoredLease
 from ..services.load import MeasuredLoad
 from ..services.membership import GroupMembership
+from ..services.metrics import PrometheusMetrics
 from ..services.monitor import LeaseMonitor
 from ..services.outcomes import RetainedOutcomes
 from ..services.ownership import ShardOwnership
@@ -27,6 +29,7 @@
 from ..services.quarantine import CrashQuarantine
 from ..services.router import OwnerRouter
 from ..services.snapshots import PlannerSnapshots
+from ..services.status import FleetStatusReports
 from ..services.upstream import HttpUpstream
 
 
@@ -54,6 +57,9 @@
         kernel.add(LeaseMonitor(kernel))
         kernel.add(ShardPlacement(kernel))
         kernel.add(MeasuredLoad(kernel))
+        kernel.add(PrometheusMetrics())
+        kernel.add(FleetStatusReports())
+        kernel.add(HttpAdministration())
         kernel.add(HttpUpstream(kernel))
         kernel.add(RetainedOutcomes())
         kernel.add(ShardOwnership(kernel))
@@ -73,6 +79,14 @@
         configure_logging(self._settings.log.level, self._settings.log.format)
         uvloop.run(self._run())
 
+    def check(self) -> None:
+        """Connects the services without starting them.
+
+        Raises:
+            FescuewardError: A setting names a plugin that does not exist.
+        """
+        self.kernel.bind()
+
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -5,6 +5,7 @@
 import random
 
 from ..interfaces import Catalogue, Execution, Groups, Membership, Peers
+from ..interfaces.metrics import RequestListener
 from ..kernel import Clock, Event, Level, Outcome, RefusalError, Registry
 from ..kernel.errors import (
     AnswerLostError,
@@ -109,6 +110,7 @@
     requires = ("catalogue", "groups", "peers", "membership", "execution")
 
     def __init__(self) -> None:
+        self._listeners: list[RequestListener] = []
         self._waiting = 0
         self._members: dict[GroupId, dict[str, Member]] = {}
         self._paces: dict[GroupId, _UpdatePace] = {}
@@ -146,11 +148,19 @@
             else:
                 self._peers.drop(member_id)
 
+    def subscribe(self, listener: RequestListener) -> None:
+        """Tells a service of the end of each request from now on."""
+        self._listeners.append(listener)
+
     async def route(self, request: Request) -> Response:
         """Serves a request here or at its owner; see `Router.route`."""
+        started = self._clock.now()
         try:
-            return await self._route(request)
+            response = await self._route(request)
+            self._tell_listeners(request, None, started)
+            return response
         except RefusalError as error:
+            self._tell_listeners(request, error, started)
             _REFUSED.emit(
                 request=request.id,
                 service=request.service,
@@ -161,6 +171,13 @@
             )
             raise
 
+    def _tell_listeners(
+        self, request: Request, error: RefusalError | None, started: float
+    ) -> None:
+        seconds = self._clock.now() - started
+        for listener in self._listeners:
+            listener.request_ended(request.service, error, seconds)
+
     async def _route(self, request: Request) -> Response:
         entry = self._catalogue.entry(request.service).entry
         group_id = group_of(request.service, request.key, entry.groups)
