Split announcements and the monitor ring from membership

Cause: membership.py opened a socket itself, so its decisions could not run without one, and tests could set neither boot id nor incarnations. Change: the HTTP listener is the service announcements; the choice of monitors is services/ring.py; boot id and new incarnations can be given to GroupMembership.

--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -11,6 +11,7 @@
 from ..kernel import BootClock, Kernel, configure_logging
 from ..kernel.settings import Settings
 from ..services.admission import SlotAdmission
+from ..services.announcements import HttpAnnouncements
 from ..services.catalogue import EntryCatalogue
 from ..services.execution import OwnerExecution
 from ..services.frontend import HttpFrontend
@@ -60,6 +61,7 @@
         kernel.add(CrashQuarantine())
         kernel.add(OwnerExecution())
         kernel.add(OwnerRouter())
+        kernel.add(HttpAnnouncements())
         kernel.add(HttpFrontend())
 
     def run(self) -> None:
--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -44,6 +44,14 @@
         """Returns the group with monitors added for members that have fewer than two."""
         ...
 
+    def announce(self, announcement: Announcement) -> None:
+        """Acts on an announcement of the upstream.
+
+        Raises:
+            InvalidAnnouncementError: It names another service or group than before.
+        """
+        ...
+
     async def leave(self, reason: str) -> None:
         """Hands all shards over, finishes what is in flight and leaves the group."""
         ...
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -1,22 +1,20 @@
-"""Membership: announcements of the upstream, joining and leaving the group, and monitors."""
+"""Membership: joining and leaving the group as the upstream announces it."""
 
 from __future__ import annotations
 
 import asyncio
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 
-from aiohttp import web
-
 from ..interfaces import Admission, Groups, Ownership, Peers, Placement
 from ..interfaces.groups import GroupChange
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
     FescuewardError,
     InvalidAnnouncementError,
-    MalformedMessageError,
     PlatformError,
     UnknownServiceError,
 )
@@ -27,16 +25,12 @@
     Group,
     GroupId,
     Member,
-    MemberState,
     Shard,
     VersionedGroup,
 )
-from ..messages.codec import decode_json
+from .ring import fill_monitors
 
 _ANNOUNCED = Event(2401, "upstream_announced", Level.INFO, "The upstream announced a new state.")
-_BAD_ANNOUNCEMENT = Event(
-    2402, "announcement_refused", Level.WARNING, "An announcement had a bad value."
-)
 _JOINED = Event(2403, "group_joined", Level.INFO, "This agent is a member of its group.")
 _JOIN_FAILED = Event(
     2404, "join_failed", Level.WARNING, "Joining the group failed; it is retried."
@@ -50,21 +44,31 @@
 
 _RETRY_S = 0.2
 _VACATE_PERIOD_S = 0.5
-_MAX_ANNOUNCEMENT_BYTES = 16_384
 # Leaving waits for the platform at most this long; the lease of a stopped agent ends by itself.
 LEAVE_TIMEOUT_S = 30.0
 
 
+def _wall_clock_ms() -> int:
+    return int(time.time() * 1000)
+
+
 class GroupMembership:
     """The `membership` service."""
 
     name = "membership"
     requires = ("platform", "catalogue", "groups", "peers", "placement")
 
-    def __init__(self, kernel: Kernel, incarnation: int) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        incarnation: int,
+        boot_id: str = "",
+        next_incarnation: Callable[[], int] = _wall_clock_ms,
+    ) -> None:
         self._tasks = kernel.task_owner(self.name)
         self._incarnation = incarnation
-        self._boot_id = Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+        self._next_incarnation = next_incarnation
+        self._boot_id = boot_id or Path("/proc/sys/kernel/random/boot_id").read_text().strip()
         self._home: GroupId | None = None
         self._announcement: Announcement | None = None
         self._leaving = False
@@ -73,7 +77,6 @@
         self._stopping = False
         self._joined = False
         self._wake = asyncio.Event()
-        self._runner: web.AppRunner | None = None
 
     @property
     def member_id(self) -> str:
@@ -112,13 +115,7 @@
         self._groups.subscribe(self)
 
     async def start(self) -> None:
-        """Listens for announcements."""
-        app = web.Application(client_max_size=_MAX_ANNOUNCEMENT_BYTES)
-        app.router.add_post("/announcements", self._on_post)
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        section = self._settings.announcements
-        await web.TCPSite(self._runner, section.host, section.port).start()
+        """Waits for the first announcement and joins then."""
         self._tasks.spawn("join", self._run_join())
 
     async def drain(self) -> None:
@@ -127,10 +124,8 @@
         await self.leave("agent stops")
 
     async def stop(self) -> None:
-        """Stops listening."""
+        """Ends all tasks."""
         await self._tasks.cancel()
-        if self._runner is not None:
-            await self._runner.cleanup()
 
     def me(self) -> Member | None:
         """Returns this agent's member in the newest group seen."""
@@ -149,16 +144,7 @@
 
     def fill_monitors(self, group: Group) -> Group:
         """Returns the group with monitors added for members that have fewer than two."""
-        ring = _ring(group)
-        for member_id in ring:
-            member = group.members[member_id]
-            while len(member.monitors) < min(2, len(ring) - 1):
-                chosen = _best_monitor(group, ring, member)
-                if chosen is None:
-                    break
-                member = replace(member, monitors=(*member.monitors, chosen))
-                group = replace(group, members={**group.members, member_id: member})
-        return group
+        return fill_monitors(group)
 
     def announce(self, announcement: Announcement) -> None:
         """Acts on an announcement of the upstream.
@@ -239,19 +225,9 @@
         return self.fill_monitors(self._placement.assign(group, lost))
 
     def _start_incarnation(self) -> None:
-        self._incarnation = max(int(time.time() * 1000), self._incarnation + 1)
+        self._incarnation = max(self._next_incarnation(), self._incarnation + 1)
         self._peers.rename(self._incarnation)
 
-    async def _on_post(self, request: web.Request) -> web.Response:
-        try:
-            self.announce(decode_json(await request.read(), Announcement))
-        except (MalformedMessageError, InvalidAnnouncementError) as error:
-            _BAD_ANNOUNCEMENT.emit(error=error)
-            refused = InvalidAnnouncementError(str(error))
-            body = {"code": refused.code, "label": refused.label, "message": str(error)}
-            return web.json_response({"error": body}, status=400)
-        return web.json_response({"accepted": True, "member": self.member_id})
-
     async def _run_join(self) -> None:
         while True:
             await self._wake.wait()
@@ -319,35 +295,3 @@
             connections=announced.connections,
             checks_grants=announced.checks_grants,
         )
-
-
-def _ring(group: Group) -> tuple[str, ...]:
-    """Orders members so that neighbours lie in different failure domains where possible."""
-    ranks: dict[str, int] = {}
-    placed = []
-    for member_id in sorted(group.members):
-        domain = group.members[member_id].failure_domain
-        ranks[domain] = ranks.get(domain, 0) + 1
-        placed.append((ranks[domain], domain, member_id))
-    return tuple(member_id for _, _, member_id in sorted(placed))
-
-
-def _best_monitor(group: Group, ring: tuple[str, ...], member: Member) -> str | None:
-    start = ring.index(member.id)
-    domains = {group.members[other].failure_domain for other in member.monitors}
-    best: tuple[tuple[bool, bool, bool, int, int], str] | None = None
-    for distance in range(1, len(ring)):
-        candidate = group.members[ring[(start + distance) % len(ring)]]
-        if candidate.id in member.monitors or candidate.state is MemberState.LEAVING:
-            continue
-        monitored = sum(candidate.id in other.monitors for other in group.members.values())
-        cost = (
-            candidate.failure_domain == member.failure_domain,
-            candidate.failure_domain in domains,
-            candidate.id in member.monitors or member.id in candidate.monitors,
-            monitored,
-            distance,
-        )
-        if best is None or cost < best[0]:
-            best = (cost, candidate.id)
-    return best[1] if best is not None else None
