Keep each bar of a monitor until its own write is settled

Cause: bars were told apart by call number only. A release of one monitor lifted the promise given to another with the same number, and a retry that the platform refused lifted the bar of the attempt before it, whose write could still take effect; the member could then renew its lease and be removed afterwards. Ruled out: versions alone, as both attempts are made on one version. Change: a bar holds the sender and the call number of its own write.

--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -53,11 +53,13 @@
     """Acknowledges nothing to a member until a group version above `version` is seen.
 
     Attributes:
-        version: Version that the takeover is conditional on.
-        call: Number of the query that it was promised to, 0 for a takeover of this agent.
+        version: Version that the write is conditional on.
+        sender: Monitor that it was promised to, empty for a write of this agent.
+        call: Number of the sender's query or of this agent's write.
     """
 
     version: int
+    sender: str
     call: int
 
 
@@ -162,13 +164,14 @@
         view = self._groups.view(home)
         written = False
         if lost and view is not None and view.version == base.version:
+            bar = _Bar(base.version, "", self._peers.next_call())
             for member_id in lost:
-                self._add_bar(member_id, _Bar(base.version, 0))
-            written = await self._write(base, lost)
+                self._add_bar(member_id, bar)
+            written = await self._write(base, lost, bar)
         self._release_promises(base, calls, keep=lost if written else frozenset())
         return written
 
-    async def _write(self, base: VersionedGroup, lost: frozenset[str]) -> bool:
+    async def _write(self, base: VersionedGroup, lost: frozenset[str], bar: _Bar) -> bool:
         names = ",".join(sorted(lost))
         _SILENT.emit(members=names, version=base.version)
         group = self._membership.fill_monitors(self._placement.assign(base.group, lost))
@@ -183,7 +186,7 @@
             return True
         except PlatformError as error:
             for member_id in lost:
-                self._drop_bar(member_id, 0)
+                self._drop_bar(member_id, bar)
             _TAKEOVER_FAILED.emit(members=names, error=error)
             return False
         _TAKEN_OVER.emit(members=names, group=written.group.id, version=written.version)
@@ -274,20 +277,21 @@
             and self._is_silent(member_id)
         )
         if granted:
-            self._add_bar(member_id, _Bar(message.version, message.call))
+            self._add_bar(member_id, _Bar(message.version, sender, message.call))
         event = _PROMISED if granted else _PROMISE_REFUSED
         event.emit(member=member_id, to=sender, version=message.version)
         self._peers.reply(sender, Promise(message.call, member_id, message.version, granted))
 
     def _on_promise_release(self, sender: str, message: PromiseRelease) -> None:
-        self._drop_bar(message.member_id, message.call)
+        for bar in self._bars.get(message.member_id, frozenset()):
+            if (bar.sender, bar.call) == (sender, message.call):
+                self._drop_bar(message.member_id, bar)
 
     def _add_bar(self, member_id: str, bar: _Bar) -> None:
         self._set_bars(member_id, {*self._bars.get(member_id, ()), bar})
 
-    def _drop_bar(self, member_id: str, call: int) -> None:
-        bars = self._bars.get(member_id, frozenset())
-        self._set_bars(member_id, {bar for bar in bars if bar.call != call})
+    def _drop_bar(self, member_id: str, bar: _Bar) -> None:
+        self._set_bars(member_id, {*self._bars.get(member_id, ())} - {bar})
 
     def _set_bars(self, member_id: str, bars: set[_Bar]) -> None:
         if bars:
--- /dev/null
+++ b/tests/services/test_monitor.py
@@ -0,0 +1,81 @@
+"""Tests of the monitor's bars, promises and transfers, one step at a time."""
+
+from __future__ import annotations
+
+import unittest
+
+from fescueward.messages.peer import PromiseQuery, PromiseRelease, Renew
+
+from .fakes import Answers
+from .fleet import HOME, Fleet, SimulatedAgent
+from .test_recovery_time import formed
+
+
+def _monitors(fleet: Fleet, name: str) -> list[SimulatedAgent]:
+    member = fleet.group().members[fleet.agents[name].member_id]
+    return [fleet.agents[monitor.split(":")[0]] for monitor in member.monitors]
+
+
+def _version(fleet: Fleet) -> int:
+    return fleet.platform.read(HOME.object_key).version
+
+
+class BarTest(unittest.TestCase):
+    """A monitor acknowledges nothing while a takeover that it agreed to can be written."""
+
+    def setUp(self):
+        self.fleet = formed(4, 2)
+        self.first, self.second = _monitors(self.fleet, "a0")
+        self.member_id = self.fleet.agents["a0"].member_id
+
+    def _promise(self, sender: str, call: int) -> None:
+        query = PromiseQuery(call, "depot", 0, self.member_id, _version(self.fleet))
+        self.first.monitor._on_promise_query(sender, query)
+
+    def _barred(self) -> bool:
+        return self.member_id in self.first.monitor._bars
+
+    def test_release_of_another_monitor_with_the_same_call_number(self):
+        """Guards against call numbers of one agent that lift the bar of another."""
+        self.fleet.kill("a0")
+        for agent in self.fleet.agents.values():
+            agent.platform.answers = Answers.SILENT
+        self.fleet.world.advance(1.5)
+        self._promise("x:1", 7)
+        self.first.monitor._on_promise_release("y:1", PromiseRelease(7, self.member_id))
+        self.assertTrue(self._barred())
+        self.first.monitor._on_promise_release("x:1", PromiseRelease(7, self.member_id))
+        self.assertFalse(self._barred())
+
+    def test_refused_retry_keeps_the_bar_of_a_pending_write(self):
+        """Guards against a renewal after a write whose outcome is still unknown."""
+        self.fleet.kill("a0")
+        self.first.monitor._ask_promises = _agree
+        for agent in self.fleet.agents.values():
+            if agent is not self.first:
+                agent.platform.answers = Answers.REFUSED
+        writes = []
+        put = self.first.platform.put
+
+        async def put_late_then_never(*args):
+            self.first.platform.answers = Answers.REFUSED if writes else Answers.VERY_LATE
+            writes.append(self.first.platform.answers)
+            try:
+                return await put(*args)
+            finally:
+                self.first.platform.answers = Answers.GOOD
+
+        self.first.platform.put = put_late_then_never
+        self.fleet.world.advance(3.5)
+        self.assertIn(Answers.REFUSED, writes)
+        self.assertTrue(self._barred())
+
+    def test_renewal_for_another_member_is_not_granted(self):
+        """Guards against a member that renews the lease of another."""
+        self.first.peers.handlers[Renew](self.second.member_id, Renew(self.member_id, 10**6))
+        self.fleet.world.advance(0.1)
+        self.assertNotIn(10**6, self.fleet.agents["a0"].lease._sent)
+
+
+async def _agree(*args: object) -> bool:
+    return True
