--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, replace
 
 from ..interfaces import Groups, Lease, Membership, Peers, Placement
@@ -15,12 +16,16 @@
 from ..kernel.settings import Settings
 from ..messages import GroupId, Member, VersionedGroup
 from ..messages.peer import Promise, PromiseQuery, PromiseRelease, Renew, RenewAck
+from .ring import transfer_monitored
 
 _SILENT = Event(2601, "member_silent", Level.WARNING, "A monitored member's lease has ended.")
 _TAKEN_OVER = Event(2602, "member_taken_over", Level.WARNING, "A lost member was removed.")
 _TAKEOVER_FAILED = Event(
     2603, "takeover_failed", Level.INFO, "A takeover attempt did not succeed."
 )
+_TRANSFERRED = Event(
+    2606, "monitored_transferred", Level.INFO, "Better placed monitors took over members."
+)
 _PROMISED = Event(
     2604, "promise_given", Level.INFO, "A takeover by the other monitor is agreed to."
 )
@@ -29,6 +34,13 @@
 )
 
 
+# Joins and takeovers come in bursts; a transfer in between would only conflict with them.
+_SETTLED_S = 0.4
+_TRANSFER_RETRY_S = 2.0
+# Longest wait for a promise; the timeout of a call ends it before.
+_QUERY_LIMIT_S = 60.0
+
+
 @dataclass(frozen=True, slots=True)
 class _Watched:
     """What this monitor knows of one member.
@@ -78,6 +90,7 @@
         self._watched: dict[str, _Watched] = {}
         self._bars: dict[str, frozenset[_Bar]] = {}
         self._version = 0
+        self._transfer_after = 0.0
         self._member_id = ""
 
     def bind(self, registry: Registry) -> None:
@@ -90,7 +103,8 @@
         self._lease = registry.find("lease", Lease)
         section = registry.find("settings", Settings).lease
         self._wait_s = (section.lease_ms + section.drift_margin_ms) / 1000
-        self._period_s = section.renewal_ms / 3000
+        self._renewal_s = section.renewal_ms / 1000
+        self._period_s = self._renewal_s / 3
         self._groups.subscribe(self)
         self._peers.on(Renew, self._on_renew)
         self._peers.on(PromiseQuery, self._on_promise_query)
@@ -123,6 +137,7 @@
             self._bars.clear()
         now = self._clock.now()
         self._version = group.version
+        self._transfer_after = now + _SETTLED_S
         for member_id, bars in list(self._bars.items()):
             self._set_bars(member_id, {bar for bar in bars if bar.version >= group.version})
         self._watched = {
@@ -148,13 +163,55 @@
             _TAKEOVER_FAILED.emit(members=",".join(silent), error=error)
             return False
 
+    async def transfer(self) -> bool:
+        """Gives members up to better placed monitors.
+
+        Returns:
+            Whether a transfer was written.
+        """
+        home = self._membership.home
+        view = self._groups.view(home) if home is not None else None
+        if view is None or self._membership.resigned or not self._lease.held:
+            return False
+        if self._transfer_after > self._clock.now():
+            return False
+        if not transfer_monitored(view.group, self._membership.member_id)[1]:
+            return False
+        try:
+            base = await self._groups.refresh(view.group.id)
+        except PlatformError:
+            self._transfer_after = self._clock.now() + _TRANSFER_RETRY_S
+            return False
+        group, given = transfer_monitored(base.group, self._membership.member_id)
+        if base.version != view.version or not given:
+            return False
+        if not all(map(self._is_renewing, given)):
+            return False
+        self._transfer_after = self._clock.now() + _TRANSFER_RETRY_S
+        # The new monitors wait for leases from the write on, so nothing is acknowledged after it
+        # was sent, until a newer version shows whether it took effect.
+        bar = _Bar(base.version, "", self._peers.next_call())
+        for member_id in given:
+            self._add_bar(member_id, bar)
+        try:
+            written = await self._groups.write(base, group)
+        except (OutcomeUnknownError, VersionConflictError):
+            return False
+        except PlatformError:
+            for member_id in given:
+                self._drop_bar(member_id, bar)
+            return False
+        _TRANSFERRED.emit(members=",".join(sorted(given)), version=written.version)
+        return True
+
     async def _take_over(self, home: GroupId, base: VersionedGroup, silent: list[str]) -> bool:
-        calls: dict[str, list[tuple[Member, int]]] = {}
-        agreed = []
-        for member_id in silent:
-            calls[member_id] = []
-            if await self._ask_promises(home, base, member_id, calls[member_id]):
-                agreed.append(member_id)
+        calls: dict[str, list[tuple[Member, int]]] = {member_id: [] for member_id in silent}
+        # At the same time, because each member that is lost together with its other monitor
+        # costs the whole timeout of a call.
+        answers = await asyncio.gather(
+            *(self._ask_promises(home, base, member_id, calls[member_id]) for member_id in silent)
+        )
+        agreed = [member_id for member_id, agrees in zip(silent, answers, strict=True) if agrees]
         # From here to the write nothing awaits: the last check and the bar are one step.
         lost = frozenset(
             member_id
@@ -210,7 +267,7 @@
             query = PromiseQuery(call, home.service, home.number, member_id, base.version)
             calls.append((monitor, call))
             try:
-                reply = await self._peers.call(monitor, query, call)
+                reply = await self._call_at(home, base.version, monitor, query)
             except PeerError as error:
                 _TAKEOVER_FAILED.emit(members=member_id, error=error)
                 return False
@@ -218,6 +275,19 @@
                 return False
         return True
 
+    async def _call_at(
+        self, home: GroupId, version: int, monitor: Member, query: PromiseQuery
+    ) -> object:
+        """Waits for the reply as long as the version is the newest one seen."""
+        reply = asyncio.ensure_future(self._peers.call(monitor, query, query.call))
+        newer = asyncio.ensure_future(self._groups.changed(home, version, _QUERY_LIMIT_S))
+        try:
+            await asyncio.wait((reply, newer), return_when=asyncio.FIRST_COMPLETED)
+            return await reply if reply.done() else None
+        finally:
+            for task in (reply, newer):
+                task.cancel()
+
     def _release_promises(
         self,
         base: VersionedGroup,
@@ -237,6 +307,13 @@
         last = max(watched.since, watched.acknowledged_at, watched.stamp_seen_at)
         return last + self._wait_s < self._clock.now()
 
+    def _is_renewing(self, member_id: str) -> bool:
+        # A transfer makes the wait for a lost member start again.
+        watched = self._watched.get(member_id)
+        if watched is None:
+            return False
+        return watched.acknowledged_at + 2 * self._renewal_s > self._clock.now()
+
     def _may_acknowledge(self, member_id: str) -> bool:
         # A monitor without a lease may have been removed, and its replacement waits for
         # leases that it must not extend.
@@ -303,6 +380,7 @@
         while True:
             await self._clock.sleep(self._period_s)
             await self.check_silent()
+            await self.transfer()
 
 
 def _updated(watched: _Watched | None, member: Member, now: float) -> _Watched:
--- a/fescueward/services/ring.py
+++ b/fescueward/services/ring.py
@@ -34,22 +34,103 @@
     return tuple(member_id for _, _, member_id in sorted(placed))
 
 
+def transfer_monitored(group: Group, monitor_id: str) -> tuple[Group, frozenset[str]]:
+    """Replaces a monitor by better placed ones where there are any.
+
+    Each transfer makes the sum of the costs smaller, so transfers of all monitors come to an end.
+
+    Args:
+        group: The group.
+        monitor_id: The monitor that gives up members; only it may do so.
+
+    Returns:
+        The group, and the ids of the members that it does not monitor any more.
+    """
+    ring = _ring(group)
+    given = set()
+    for member_id in ring:
+        member = group.members[member_id]
+        if monitor_id not in member.monitors or len(member.monitors) < MONITORS:
+            continue
+        # Only the worst placed monitor gives a member up: both at a time would leave it without
+        # acknowledgements while the platform does not answer.
+        found = [_replacement(group, ring, member, other) for other in member.monitors]
+        improvements = [improvement for improvement in found if improvement is not None]
+        if not improvements:
+            continue
+        _, leaving, improved = max(improvements, key=lambda improvement: improvement[0])
+        if leaving == monitor_id:
+            group = improved
+            given.add(member_id)
+    return group, frozenset(given)
+
+
+def _replacement(
+    group: Group, ring: tuple[str, ...], member: Member, monitor_id: str
+) -> tuple[tuple[int, ...], str, Group] | None:
+    others = tuple(other for other in member.monitors if other != monitor_id)
+    without = _with_monitors(group, member, others)
+    alone = without.members[member.id]
+    chosen = _best_monitor(without, ring, alone)
+    if chosen is None or chosen == monitor_id or monitor_id not in group.members:
+        return None
+    before = _cost(without, alone, group.members[monitor_id])
+    after = _cost(without, alone, group.members[chosen])
+    # A difference of one in the load would only be passed around.
+    if after[:-1] > before[:-1] or (after[:-1] == before[:-1] and after[-1] + 1 >= before[-1]):
+        return None
+    return before, monitor_id, _with_monitors(without, alone, (*others, chosen))
+
+
+def _with_monitors(group: Group, member: Member, monitors: tuple[str, ...]) -> Group:
+    return replace(group, members={**group.members, member.id: replace(member, monitors=monitors)})
+
+
 def _best_monitor(group: Group, ring: tuple[str, ...], member: Member) -> str | None:
     start = ring.index(member.id)
-    domains = {group.members[other].failure_domain for other in member.monitors}
-    best: tuple[tuple[bool, bool, bool, int, int], str] | None = None
+    best: tuple[tuple[int, ...], str] | None = None
     for distance in range(1, len(ring)):
         candidate = group.members[ring[(start + distance) % len(ring)]]
         if candidate.id in member.monitors or candidate.state is MemberState.LEAVING:
             continue
-        monitored = sum(candidate.id in other.monitors for other in group.members.values())
-        cost = (
-            candidate.failure_domain == member.failure_domain,
-            candidate.failure_domain in domains,
-            candidate.id in member.monitors or member.id in candidate.monitors,
-            monitored,
-            distance,
-        )
+        cost = (*_cost(group, member, candidate), distance)
         if best is None or cost < best[0]:
             best = (cost, candidate.id)
     return best[1] if best is not None else None
+
+
+def _cost(group: Group, member: Member, candidate: Member) -> tuple[int, ...]:
+    same_domain = candidate.failure_domain == member.failure_domain
+    repeated = any(
+        group.members[other].failure_domain == candidate.failure_domain
+        for other in member.monitors
+        if other in group.members
+    )
+    cycle = _closes_cycle(group, member, candidate)
+    load = sum(candidate.id in other.monitors for other in group.members.values())
+    domains = {other.failure_domain for other in group.members.values()}
+    # With two domains or fewer than five members, monitors in other domains must be mutual.
+    if len(group.members) < 5 or len(domains) < 3:
+        return (same_domain, repeated, cycle, load)
+    # While some members monitor more than two, others monitor too few to break all cycles.
+    return (cycle, load >= MONITORS, same_domain, repeated, load)
+
+
+def _closes_cycle(group: Group, member: Member, candidate: Member) -> bool:
+    """Whether members that can be lost together would each need another one's promise."""
+    if member.id in candidate.monitors:
+        return True
+    if candidate.failure_domain != member.failure_domain:
+        return False
+    pending, seen = [candidate.id], {candidate.id}
+    while pending:
+        for monitor_id in group.members[pending.pop()].monitors:
+            monitor = group.members.get(monitor_id)
+            if monitor is None or monitor.failure_domain != member.failure_domain:
+                continue
+            if monitor_id == member.id:
+                return True
+            if monitor_id not in seen:
+                seen.add(monitor_id)
+                pending.append(monitor_id)
+    return False
