Count a renewal by write from the attempt that was made

Cause: two attempts from the same stale view wrote the same stamp. After lost answers the stamp of the first was read back as that of the second, so the lease counted from a later moment than the one the monitors wait from. Ruled out: the read itself, which was current. Change: every attempt of an agent has a stamp of its own.

--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -47,6 +47,7 @@
         self._joined = asyncio.Event()
         self._was_held = False
         self._by_writes = False
+        self._stamp = 0
 
     @property
     def held(self) -> bool:
@@ -138,7 +139,10 @@
             member = base.group.members.get(member_id) if base is not None else None
             if base is None or member is None:
                 return False
-            renewed = replace(member, stamp=member.stamp + 1)
+            # No two writes have the same stamp, so the value tells which of them was made: an
+            # earlier one whose answer was lost must not pass for this one.
+            self._stamp = max(self._stamp, member.stamp) + 1
+            renewed = replace(member, stamp=self._stamp)
             group = replace(base.group, members={**base.group.members, member_id: renewed})
             sent = self._clock.now()
             try:
@@ -149,7 +153,7 @@
             except OutcomeUnknownError:
                 read = await self._groups.refresh(home)
                 found = read.group.members.get(member_id)
-                # Only this agent changes the stamp, so its value shows that the write was made.
+                # Only this agent changes the stamp.
                 if found is None or found.stamp != renewed.stamp:
                     return False
             self._extend(member_id, sent)
--- /dev/null
+++ b/tests/services/test_lease.py
@@ -0,0 +1,106 @@
+"""Tests of the lease: what extends it, and from when."""
+
+from __future__ import annotations
+
+import unittest
+
+from fescueward.kernel.errors import PlatformUnavailableError
+from fescueward.messages.peer import RenewAck
+
+from .fakes import Answers
+from .test_recovery_time import formed
+
+
+class RenewalByWriteTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = formed(4, 2)
+        self.agent = self.fleet.agents["a0"]
+        self.fleet.cut("a0", self.fleet.agents)
+        self.results = []
+
+    def test_write_whose_answer_was_lost_does_not_pass_for_a_later_one(self):
+        """Guards against a lease that counts from a later attempt than the one that was made."""
+        lease, platform = self.agent.lease, self.agent.platform
+        get = platform.get
+        reads = []
+
+        async def nothing() -> bool:
+            return False
+
+        async def get_only_second(key: str):
+            platform.answers = Answers.GOOD if reads else Answers.SILENT
+            reads.append(key)
+            return await get(key)
+
+        async def write() -> None:
+            platform.answers = Answers.LOST
+            try:
+                self.results.append(await lease._write_stamp(self.agent.member_id))
+            except PlatformUnavailableError:
+                self.results.append(None)
+
+        lease.renew_by_write = self.agent.monitor.check_silent = nothing
+        self.fleet.world.advance(0.1)
+        platform.get = get_only_second
+        before = self.fleet.group().members[self.agent.member_id].stamp
+        # The monitors must not remove the member before the second write.
+        self.fleet.world.paused |= set(self.fleet.agents) - {"a0"}
+        self.agent.spawn(write)
+        self.fleet.world.advance(2.1)
+        self.agent.spawn(write)
+        self.fleet.world.advance(1.1)
+        self.assertEqual(self.fleet.group().members[self.agent.member_id].stamp, before + 1)
+        self.assertEqual(self.results, [None, False])
+
+    def test_renews_by_writes_while_the_monitors_are_cut_off(self):
+        """Guards against a takeover of a member that only its monitors cannot reach."""
+        self.fleet.world.advance(10)
+        self.assertTrue(self.agent.lease.held)
+        self.assertIn(self.agent.member_id, self.fleet.group().members)
+        self.assertTrue(self.fleet.served())
+
+    def test_lost_answers_are_read_back(self):
+        """Guards against a lease that ends although the writes take effect."""
+        self.agent.platform.answers = Answers.LOST
+        put = self.agent.platform.put
+        get = self.agent.platform.get
+
+        async def lose_put(*args):
+            self.agent.platform.answers = Answers.LOST
+            return await put(*args)
+
+        async def answer_get(*args):
+            self.agent.platform.answers = Answers.GOOD
+            return await get(*args)
+
+        self.agent.platform.put, self.agent.platform.get = lose_put, answer_get
+        self.fleet.world.advance(8)
+        self.assertIn(self.agent.member_id, self.fleet.group().members)
+
+
+class AcknowledgementTest(unittest.TestCase):
+    def test_unknown_or_foreign_acknowledgements_extend_nothing(self):
+        """Guards against acknowledgements that were never asked for or not granted."""
+        fleet = formed(3, 3)
+        agent = fleet.agents["a0"]
+        monitor = fleet.group().members[agent.member_id].monitors[0]
+        fleet.world.advance(0.05)
+        before = agent.lease.expires_at
+        sequence = agent.lease._sequence
+        for sender, message in (
+            (monitor, RenewAck(monitor, agent.member_id, sequence + 9, True)),
+            (monitor, RenewAck(monitor, agent.member_id, sequence, False)),
+            ("x:1", RenewAck(monitor, agent.member_id, sequence, True)),
+            (monitor, RenewAck(monitor, "a0:999", sequence, True)),
+        ):
+            agent.lease._on_ack(sender, message)
+            self.assertEqual(agent.lease.expires_at, before)
+
+    def test_lease_ends_on_the_agents_own_clock(self):
+        """Guards against a paused agent that serves in the instant in which it resumes."""
+        fleet = formed(3, 3)
+        agent = fleet.agents["a0"]
+        fleet.world.paused.add("a0")
+        fleet.world.advance(1.3)
+        self.assertFalse(agent.lease.held)
+        self.assertEqual(agent.serving(), {})
