Take over and release members of a service whose entry was deleted

Cause: placement asked the catalogue for the entry and its UnknownServiceError ended the monitor's task, and with it every monitor's process, when a member of a deleted service was lost or left. Change: placement uses the last entry that it knew, else the defaults of an entry.

--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -150,6 +150,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
+        self._known: Entry | None = None
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -230,7 +231,13 @@
         return bool(active) and active[0] == self._membership.member_id
 
     def _entry(self, service: str) -> Entry:
-        return self._catalogue.entry(service).entry
+        try:
+            self._known = self._catalogue.entry(service).entry
+        except UnknownServiceError:
+            # Members of a service whose entry was deleted still leave and are taken over.
+            if self._known is None or self._known.service != service:
+                return Entry(service, "unknown")
+        return self._known
 
     async def _run(self) -> None:
         while True:
