Treat a malformed group object as a failed platform call

Cause: refresh raised MalformedMessageError, which no caller of the platform expects; the monitors' tasks and with them all agents of the group ended. Change: refresh raises PlatformAnswerError with a log event. An edit whose write had an unknown outcome and whose read then failed raises OutcomeUnknownError, as its interface says. Result: python -m tests.run tests.services.test_membership: the test of the malformed object failed before and passes after.

--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -34,6 +34,7 @@
         Raises:
             ObjectNotFoundError: The group does not exist.
             PlatformUnavailableError: It could not be read.
+            PlatformAnswerError: The object is malformed.
         """
         ...
 
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -14,6 +14,7 @@
     MalformedMessageError,
     ObjectNotFoundError,
     OutcomeUnknownError,
+    PlatformAnswerError,
     PlatformError,
     VersionConflictError,
 )
@@ -99,7 +100,11 @@
     async def refresh(self, group: GroupId) -> VersionedGroup:
         """Reads the group from the platform."""
         stored = await self._platform.get(group.object_key)
-        read = VersionedGroup(stored.version, decode_json(stored.value, Group))
+        try:
+            read = VersionedGroup(stored.version, decode_json(stored.value, Group))
+        except MalformedMessageError as error:
+            _BAD_OBJECT.emit(key=stored.key, version=stored.version, error=error)
+            raise PlatformAnswerError(f"{stored.key!r} is malformed: {error}") from error
         self.observe(read)
         held = self._views[group]
         return held if held.version >= read.version else read
@@ -125,9 +130,15 @@
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
         """Reads, changes and writes until a write succeeds; see `Groups.edit`."""
         base = self._views.get(group)
+        unknown: OutcomeUnknownError | None = None
         for attempt in range(_EDIT_ATTEMPTS):
             if base is None:
-                base = await self._read_or_create(group)
+                try:
+                    base = await self._read_or_create(group)
+                except PlatformError as error:
+                    if unknown is None:
+                        raise
+                    raise unknown from error
             changed = change(base.group)
             if changed is None:
                 return base
@@ -136,7 +147,8 @@
             except VersionConflictError:
                 base = None
                 await self._clock.sleep(random.uniform(0, _EDIT_BACKOFF_S * min(attempt + 1, 10)))
-            except OutcomeUnknownError:
+            except OutcomeUnknownError as error:
+                unknown = error
                 # The change is idempotent: a read shows whether anything is left to do.
                 base = None
         raise OutcomeUnknownError(
@@ -216,7 +228,7 @@
                 return
         try:
             await self.refresh(group)
-        except (PlatformError, MalformedMessageError):
+        except PlatformError:
             return
 
     def _publish(self, group: VersionedGroup, entries: tuple[VersionedEntry, ...] = ()) -> None:
