Take a new incarnation after a join whose outcome is unknown

Cause: the member of a join whose answer was lost could be taken over before the next attempt, which then put the same member id into the group a second time. Change: an attempt with an unknown outcome is followed by a new incarnation on the same boot. Result: python -m tests.run tests.services.test_membership: the id was used twice before, not after.

--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -15,6 +15,7 @@
 from ..kernel.errors import (
     FescuewardError,
     InvalidAnnouncementError,
+    OutcomeUnknownError,
     PlatformError,
     UnknownServiceError,
 )
@@ -253,6 +254,10 @@
             joined = await self._groups.edit(self._home, lambda group: self._add(group, member))
         except (PlatformError, UnknownServiceError) as error:
             _JOIN_FAILED.emit(group=self._home, error=error)
+            if isinstance(error, OutcomeUnknownError):
+                # The member may be in the group and may be removed before the next attempt; its
+                # id must not come back, because its epochs would look like those of one owner.
+                self._start_incarnation()
             await self._clock.sleep(_RETRY_S)
             self._wake.set()
             return
