End the lease before the write that removes a leaving member

Cause: a member that left went on serving what it still held until it saw its own removal. With the answer lost, a joining member served the same shard ("shard 0 is served by a0:2 and a1:4"). Ruled out: the order of drain and write, which is correct while others take the shards. Change: a resigned member holds no lease and sends no renewals.

--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -97,7 +97,7 @@
         self._note_state()
         me = self._membership.me()
         home = self._membership.home
-        if me is None or home is None:
+        if me is None or home is None or self._membership.resigned:
             return
         view = self._groups.view(home)
         assert view is not None
@@ -119,7 +119,7 @@
             Whether the lease was extended.
         """
         me = self._membership.me()
-        if me is None or not self._silent(me):
+        if me is None or self._membership.resigned or not self._silent(me):
             self._by_writes = False
             return False
         if not self._by_writes:
@@ -185,9 +185,10 @@
         self._note_state()
 
     def _current(self) -> bool:
-        # A lease belongs to one incarnation and ends when the member is removed.
+        # A lease belongs to one incarnation and ends when the member is removed. It ends before
+        # the member's own write that removes it, whose answer can be lost.
         me = self._membership.me()
-        return me is not None and me.id == self._member_id
+        return me is not None and me.id == self._member_id and not self._membership.resigned
 
     def _note_state(self) -> None:
         held = self.held
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -182,23 +182,30 @@
     def __init__(self, store: FakePlatform, loop: AgentLoop) -> None:
         self.store, self._loop = store, loop
         self.answers = Answers.GOOD
-        self.calls = 0
+        # Overrides `answers` for writes.
+        self.write_answers: Answers | None = None
 
     async def get(self, key: str) -> StoredObject:
         try:
-            return await self._call(lambda: self.store.read(key))
+            return await self._call(lambda: self.store.read(key), self.answers)
         except TimeoutError:
             raise PlatformUnavailableError(f"reading {key}: timeout") from None
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
+        answers = self.write_answers or self.answers
         try:
-            return await self._call(lambda: self.store.write(key, value, expected_version))
+            return await self._call(
+                lambda: self.store.write(key, value, expected_version), answers
+            )
         except TimeoutError:
             raise OutcomeUnknownError(f"writing {key}: timeout") from None
 
     async def delete(self, key: str, expected_version: int) -> int:
+        answers = self.write_answers or self.answers
         try:
-            return await self._call(lambda: self.store.write(key, b"", expected_version, True))
+            return await self._call(
+                lambda: self.store.write(key, b"", expected_version, True), answers
+            )
         except TimeoutError:
             raise OutcomeUnknownError(f"deleting {key}: timeout") from None
 
@@ -228,9 +235,7 @@
         except TimeoutError:
             raise PlatformUnavailableError("watching: timeout") from None
 
-    async def _call(self, act: Callable[[], Any]) -> Any:
-        self.calls += 1
-        answers = self.answers
+    async def _call(self, act: Callable[[], Any], answers: Answers) -> Any:
         if answers is Answers.REFUSED:
             raise PlatformUnavailableError("refused")
         answer: asyncio.Future[Any] = self._loop.create_future()
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -287,7 +287,7 @@
         self.network.cut.clear()
         self.network.delays.clear()
         for agent in self.agents.values():
-            agent.platform.answers = Answers.GOOD
+            agent.platform.answers, agent.platform.write_answers = Answers.GOOD, None
 
     def cut(self, name: str, others: Iterable[str]) -> None:
         self.network.cut |= {frozenset((name, other)) for other in others if other != name}
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -61,19 +61,7 @@
 
     def test_lost_answers_are_read_back(self):
         """Guards against a lease that ends although the writes take effect."""
-        self.agent.platform.answers = Answers.LOST
-        put = self.agent.platform.put
-        get = self.agent.platform.get
-
-        async def lose_put(*args):
-            self.agent.platform.answers = Answers.LOST
-            return await put(*args)
-
-        async def answer_get(*args):
-            self.agent.platform.answers = Answers.GOOD
-            return await get(*args)
-
-        self.agent.platform.put, self.agent.platform.get = lose_put, answer_get
+        self.agent.platform.write_answers = Answers.LOST
         self.fleet.world.advance(8)
         self.assertIn(self.agent.member_id, self.fleet.group().members)
 
--- /dev/null
+++ b/tests/services/test_membership.py
@@ -0,0 +1,187 @@
+"""Tests of joining and leaving."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from fescueward.kernel.errors import InvalidAnnouncementError
+from fescueward.messages import AnnouncedState, Announcement
+from fescueward.messages.codec import encode_json
+
+from .fakes import Answers
+from .fleet import HOME, Fleet
+from .test_recovery_time import formed
+
+
+def move(fleet: Fleet, shard: int, successor: str) -> None:
+    """Writes a successor as the planner does."""
+    group = fleet.group()
+    shards = list(group.shards)
+    shards[shard] = replace(shards[shard], successor=fleet.agents[successor].member_id)
+    version = fleet.platform.read(HOME.object_key).version
+    fleet.platform.write(
+        HOME.object_key, encode_json(replace(group, shards=tuple(shards))), version
+    )
+
+
+def shards_of(fleet: Fleet, name: str) -> list[int]:
+    member_id = fleet.agents[name].member_id
+    return [
+        number for number, shard in enumerate(fleet.group().shards) if shard.owner == member_id
+    ]
+
+
+class LeaveTest(unittest.TestCase):
+    def test_leave_moves_all_shards(self):
+        """Guards against keys without an owner after a graceful leave."""
+        fleet = formed(3, 3)
+        member_id = fleet.agents["a0"].member_id
+        fleet.agents["a0"].leave()
+        fleet.world.advance(1.5)
+        self.assertNotIn(member_id, fleet.group().members)
+        self.assertTrue(fleet.served(), fleet.owners())
+        for member in fleet.group().members.values():
+            self.assertNotIn(member_id, member.monitors)
+
+    def test_last_member_leaves_while_another_joins(self):
+        """Guards against a last member that serves after its removal took effect."""
+        fleet = formed(1, 1)
+        agent = fleet.agents["a0"]
+        remove_me = agent.membership._remove_me
+
+        def remove_without_answer(group):
+            agent.platform.answers = Answers.LOST
+            return remove_me(group)
+
+        agent.membership._remove_me = remove_without_answer
+        agent.leave()
+        fleet.world.advance(0.1)
+        fleet.start("a1", "d1")
+        fleet.cut("a0", ["a1"])
+        fleet.world.advance(2)
+        self.assertTrue(fleet.served(), fleet.owners())
+
+    def test_leave_while_a_shard_is_on_its_way_here(self):
+        """Guards against a shard that arrives between the last drain and the removal."""
+        for delay in (0.0005, 0.2, 0.4, 0.7, 1.0, 1.4):
+            for lost in (False, True):
+                with self.subTest(delay=delay, lost=lost):
+                    fleet = formed(3, 3)
+                    fleet.network.delays[frozenset(("a0", "a1"))] = delay
+                    agent = fleet.agents["a0"]
+                    move(fleet, shards_of(fleet, "a1")[0], "a0")
+                    agent.platform.write_answers = Answers.LOST if lost else None
+                    agent.leave()
+                    fleet.world.advance(3)
+                    fleet.heal()
+                    fleet.world.advance(6)
+                    self.assertTrue(fleet.served(), fleet.owners())
+                    self.assertEqual(len(fleet.group().members), 2)
+
+    def test_leave_waits_for_requests_in_flight(self):
+        """Guards against a graceful leave that interrupts a request."""
+        fleet = formed(3, 3)
+        agent = fleet.agents["a0"]
+        done = []
+
+        async def run() -> None:
+            await agent.request(key, 3.0)
+            done.append(fleet.world.now)
+
+        view = fleet.group()
+        key = next(
+            key
+            for number in range(200)
+            if view.shard_of(key := f"k{number}", 1) in shards_of(fleet, "a0")
+        )
+        agent.spawn(run)
+        fleet.world.advance(0.1)
+        agent.leave()
+        fleet.world.advance(2)
+        self.assertIn(agent.member_id, fleet.group().members)
+        fleet.world.advance(2)
+        self.assertEqual(len(done), 1)
+        self.assertTrue(fleet.served())
+
+    def test_ready_again_joins_as_a_new_member(self):
+        """Guards against an upstream that comes back and gets no work."""
+        fleet = formed(3, 3)
+        agent = fleet.agents["a0"]
+        before = agent.member_id
+        agent.leave()
+        fleet.world.advance(2)
+        agent.loop.call_soon(agent.announce, AnnouncedState.READY)
+        fleet.world.advance(3)
+        self.assertNotEqual(agent.member_id, before)
+        self.assertIn(agent.member_id, fleet.group().members)
+        self.assertTrue(agent.lease.held)
+
+
+class JoinTest(unittest.TestCase):
+    def test_only_the_same_boot_replaces_the_old_member(self):
+        """Guards against the removal of a process that may still run."""
+        for same_boot in (True, False):
+            with self.subTest(same_boot=same_boot):
+                fleet = formed(3, 3)
+                old = fleet.agents["a0"]
+                fleet.start("a0", "d0", old.boot if same_boot else "")
+                fleet.world.advance(0.5)
+                self.assertEqual(old.member_id not in fleet.group().members, same_boot)
+                fleet.world.advance(3)
+                self.assertNotIn(old.member_id, fleet.group().members)
+                self.assertTrue(fleet.served())
+
+    def test_join_whose_answer_was_lost_and_that_was_taken_over(self):
+        """Guards against a member id that enters the group again after its removal."""
+        fleet = formed(3, 3)
+        agent = fleet.start("a5", "d2")
+        add = agent.membership._add
+
+        def add_without_answer(group, member):
+            agent.platform.answers = Answers.LOST
+            return add(group, member)
+
+        agent.membership._add = add_without_answer
+        fleet.cut("a5", fleet.agents)
+        first = agent.member_id
+        fleet.world.advance(0.5)
+        self.assertIn(first, fleet.group().members)
+        fleet.world.advance(3.5)
+        self.assertNotIn(first, fleet.group().members)
+        agent.membership._add = add
+        fleet.heal()
+        fleet.world.advance(4)
+        self.assertNotEqual(agent.member_id, first)
+        self.assertTrue(agent.lease.held)
+
+    def test_announcement_of_another_service_is_refused(self):
+        """Guards against an agent that serves two groups with one lease."""
+        fleet = formed(1, 1)
+        agent = fleet.agents["a0"]
+        for service, group in (("orders", 0), ("depot", 1)):
+            with self.assertRaises(InvalidAnnouncementError):
+                agent.membership.announce(Announcement(service, "h", 1, 4, 9, group=group))
+        self.assertEqual(agent.membership.home, HOME)
+
+    def test_deleted_entry_does_not_end_the_agents(self):
+        """Guards against a crash of all monitors when a member of a deleted service is lost."""
+        fleet = formed(3, 3)
+        fleet.catalogue.current = None
+        fleet.kill("a0")
+        fleet.world.advance(4)
+        self.assertEqual(len(fleet.group().members), 2)
+        fleet.agents["a1"].leave()
+        fleet.world.advance(3)
+        self.assertEqual(len(fleet.group().members), 1)
+
+    def test_malformed_group_object_does_not_end_the_agents(self):
+        """Guards against a crash of all agents when the group object cannot be read."""
+        fleet = formed(3, 3)
+        good = fleet.platform.read(HOME.object_key)
+        fleet.platform.on_write = lambda old, new: None
+        version = fleet.platform.write(HOME.object_key, b"{", good.version)
+        fleet.kill("a0")
+        fleet.world.advance(3)
+        fleet.platform.write(HOME.object_key, good.value, version)
+        self.assertIsNotNone(fleet.time_until_served(4), fleet.owners())
--- a/tests/services/test_single_owner.py
+++ b/tests/services/test_single_owner.py
@@ -94,9 +94,17 @@
         self.fleet.network.cut.clear()
         self.fleet.network.delays.clear()
 
-    @rule(index=_index, answers=st.sampled_from(Answers), seconds=_times)
-    def platform_of_one(self, index: int, answers: Answers, seconds: float) -> None:
-        self._owner(index).platform.answers = answers
+    @rule(
+        index=_index, answers=st.sampled_from(Answers), only_writes=st.booleans(), seconds=_times
+    )
+    def platform_of_one(
+        self, index: int, answers: Answers, only_writes: bool, seconds: float
+    ) -> None:
+        platform = self._owner(index).platform
+        if only_writes:
+            platform.write_answers = answers
+        else:
+            platform.answers = answers
         self.fleet.world.advance(seconds)
 
     @rule(answers=st.sampled_from(Answers), seconds=_times)
@@ -108,7 +116,7 @@
     @rule()
     def heal_platform(self) -> None:
         for agent in self.fleet.agents.values():
-            agent.platform.answers = Answers.GOOD
+            agent.platform.answers, agent.platform.write_answers = Answers.GOOD, None
 
     @precondition(lambda self: len(self.fleet.agents) > 2)
     @rule(index=_index)
