--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -88,6 +88,8 @@
         self._bars: dict[str, frozenset[_Bar]] = {}
         self._version = 0
         self._transfer_after = 0.0
+        # Version at which no member had a better placed monitor; the search takes milliseconds.
+        self._well_placed_at = 0
         self._member_id = ""
 
     def bind(self, registry: Registry) -> None:
@@ -172,7 +174,10 @@
             return False
         if self._transfer_after > self._clock.now():
             return False
+        if self._well_placed_at == view.version:
+            return False
         if not transfer_monitored(view.group, self._membership.member_id)[1]:
+            self._well_placed_at = view.version
             return False
         try:
             base = await self._groups.refresh(view.group.id)
