--- /dev/null
+++ b/tests/services/test_ownership.py
@@ -0,0 +1,198 @@
+"""Tests of activation, handover and release of shards."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from fescueward.messages.codec import encode_json
+from fescueward.messages.peer import Release
+
+from .fakes import Answers
+from .fleet import HOME, Fleet, SimulatedAgent
+from .test_membership import move, shards_of
+from .test_recovery_time import formed
+
+
+def _key(fleet: Fleet, shard: int) -> str:
+    group = fleet.group()
+    return next(key for number in range(500) if group.shard_of(key := f"k{number}", 1) == shard)
+
+
+class HandoverTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = formed(3, 3)
+        self.source = self.fleet.agents["a0"]
+        self.target = self.fleet.agents["a1"]
+        self.shard = shards_of(self.fleet, "a0")[0]
+        self.epoch = self.source.ownership.active()[self.shard]
+
+    def _request(self, seconds: float) -> list[float]:
+        done: list[float] = []
+        key = _key(self.fleet, self.shard)
+
+        async def run() -> None:
+            await self.source.request(key, seconds)
+            done.append(self.fleet.world.now)
+
+        self.source.spawn(run)
+        self.fleet.world.advance(0.05)
+        return done
+
+    def _serves(self, agent: SimulatedAgent) -> int | None:
+        return agent.serving().get(self.shard)
+
+    def test_request_in_flight_is_finished_first(self):
+        """Guards against a successor that runs beside the last request of the owner."""
+        done = self._request(1.0)
+        move(self.fleet, self.shard, "a1")
+        self.fleet.world.advance(0.8)
+        self.assertEqual((done, self._serves(self.target)), ([], None))
+        self.fleet.world.advance(0.5)
+        self.assertEqual(len(done), 1)
+        self.assertEqual(self._serves(self.target), self.epoch + 1)
+        self.assertIsNone(self._serves(self.source))
+
+    def test_owner_lost_before_the_release(self):
+        """Guards against a third member that gets a shard which the successor may serve."""
+        self._request(3.0)
+        move(self.fleet, self.shard, "a1")
+        self.fleet.world.advance(0.1)
+        self.fleet.kill("a0")
+        self.assertIsNotNone(self.fleet.time_until_served(4))
+        self.assertEqual(self._serves(self.target), self.epoch + 1)
+
+    def test_successor_lost_before_and_after_the_release(self):
+        """Guards against the epoch that the lost successor may have served."""
+        for released in (False, True):
+            with self.subTest(released=released):
+                self.setUp()
+                self.target.platform.answers = Answers.SILENT
+                if not released:
+                    self._request(1.0)
+                move(self.fleet, self.shard, "a1")
+                self.fleet.world.advance(0.1)
+                self.assertEqual(self._serves(self.target) is not None, released)
+                self.fleet.kill("a1")
+                self.assertIsNotNone(self.fleet.time_until_served(4), self.fleet.owners())
+                self.assertEqual(self._serves(self.source), self.epoch + 2)
+
+    def test_repeated_and_late_releases(self):
+        """Guards against a release that takes a shard a second time."""
+        sent: list[Release] = []
+        call = self.source.peers.call
+
+        async def record(member, message, number):
+            if isinstance(message, Release):
+                sent.append(message)
+            return await call(member, message, number)
+
+        self.source.peers.call = record
+        move(self.fleet, self.shard, "a1")
+        self.fleet.world.advance(0.3)
+        self.assertEqual(len(sent), 1)
+        self.target.loop.call_soon(
+            self.target.ownership._on_release, self.source.member_id, sent[0]
+        )
+        self.fleet.world.advance(0.1)
+        self.assertEqual(self._serves(self.target), self.epoch + 1)
+        move(self.fleet, self.shard, "a2")
+        self.fleet.world.advance(0.3)
+        for sender in (self.source.member_id, self.fleet.agents["a2"].member_id):
+            self.target.loop.call_soon(self.target.ownership._on_release, sender, sent[0])
+            self.fleet.world.advance(0.2)
+        self.assertIsNone(self._serves(self.target))
+        self.assertEqual(self._serves(self.fleet.agents["a2"]), self.epoch + 2)
+
+    def test_slow_and_lost_record_of_a_handover(self):
+        """Guards against a shard that is served nowhere until its record is written."""
+        for answers in (Answers.SLOW, Answers.LOST, Answers.LATE, Answers.REFUSED):
+            with self.subTest(answers=answers):
+                self.setUp()
+                self.target.platform.write_answers = answers
+                move(self.fleet, self.shard, "a1")
+                self.fleet.world.advance(0.2)
+                self.assertEqual(self._serves(self.target), self.epoch + 1)
+                self.fleet.world.advance(4)
+                self.fleet.heal()
+                self.fleet.world.advance(3)
+                shard = self.fleet.group().shards[self.shard]
+                self.assertEqual((shard.owner, shard.successor), (self.target.member_id, None))
+
+    def test_releases_are_forgotten(self):
+        """Guards against records of releases that grow with the number of moves."""
+        for _ in range(3):
+            for name in ("a1", "a0"):
+                move(self.fleet, self.shard, name)
+                self.fleet.world.advance(0.5)
+        self.assertEqual(self.source.ownership._released, {})
+
+    def test_raised_epoch_keeps_outcomes(self):
+        """Guards against a payment that runs again after its shard stayed with its owner."""
+        outcomes = self.source.ownership._outcomes
+        before = outcomes.export(self.shard)
+        version = self.fleet.platform.read(HOME.object_key).version
+        group = self.fleet.group()
+        shards = list(group.shards)
+        shards[self.shard] = replace(shards[self.shard], epoch=self.epoch + 2)
+        changed = encode_json(replace(group, shards=tuple(shards)))
+        self.fleet.platform.write(HOME.object_key, changed, version)
+        self.fleet.world.advance(0.5)
+        self.assertEqual(self._serves(self.source), self.epoch + 2)
+        self.assertEqual(outcomes.export(self.shard).lineage, (*before.lineage, self.epoch))
+
+
+class GrantTest(unittest.TestCase):
+    def test_upstream_that_confirms_no_grants(self):
+        """Guards against a successor that serves while the old upstream holds its grants."""
+        fleet = formed(3, 3)
+        source, shard = fleet.agents["a0"], shards_of(fleet, "a0")[0]
+        source.upstream.confirms = False
+        expiry = source.ownership._grants_expire_at - source.loop.time()
+        move(fleet, shard, "a1")
+        fleet.world.advance(expiry * 0.95)
+        self.assertNotIn(shard, fleet.agents["a1"].serving())
+        fleet.world.advance(0.6)
+        self.assertIn(shard, fleet.agents["a1"].serving())
+
+    def test_shard_waits_for_the_confirmed_grant(self):
+        """Guards against requests that the upstream must refuse."""
+        fleet = formed(3, 3)
+        target, shard = fleet.agents["a1"], shards_of(fleet, "a0")[0]
+        target.upstream.confirms = False
+        move(fleet, shard, "a1")
+        fleet.world.advance(1)
+        self.assertNotIn(shard, target.serving())
+        target.upstream.confirms = True
+        fleet.world.advance(0.3)
+        self.assertIn(shard, target.serving())
+
+    def test_hold_after_an_upstream_that_checks_no_grants(self):
+        """Guards against a new owner beside requests that the lost upstream still runs."""
+        fleet = formed(3, 3, checks=False)
+        lost = shards_of(fleet, "a0")
+        fleet.kill("a0")
+        fleet.world.advance(1.5)
+        taken = fleet.world.now
+        self.assertEqual(len(fleet.group().members), 2)
+        hold_s = fleet.catalogue.entry("depot").entry.limits.max_request_ms / 1000
+        fleet.world.advance(hold_s * 0.95)
+        owners = fleet.owners()
+        self.assertEqual([owners[shard] for shard in lost], [[] for _ in lost])
+        self.assertIsNotNone(fleet.time_until_served(2), taken)
+
+    def test_hold_survives_a_second_loss(self):
+        """Guards against a hold that ends with the member that was waiting for it."""
+        fleet = formed(3, 3, checks=False)
+        lost = shards_of(fleet, "a0")
+        fleet.kill("a0")
+        fleet.world.advance(4)
+        held = [
+            shard.hold_ms for number, shard in enumerate(fleet.group().shards) if number in lost
+        ]
+        self.assertTrue(all(held))
+        first = fleet.group().shards[lost[0]].owner.split(":")[0]
+        other = next(name for name in fleet.agents if name != first)
+        fleet.kill(first)
+        fleet.world.advance(8)
+        self.assertNotIn(lost[0], fleet.agents[other].serving())
