--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -15,6 +15,7 @@
 from ..services.catalogue import EntryCatalogue
 from ..services.execution import OwnerExecution
 from ..services.frontend import HttpFrontend
+from ..services.grants import UpstreamGrants
 from ..services.groups import GroupStore
 from ..services.lease import MonitoredLease
 from ..services.load import MeasuredLoad
@@ -58,6 +59,7 @@
         kernel.add(MeasuredLoad(kernel))
         kernel.add(HttpUpstream(kernel))
         kernel.add(RetainedOutcomes())
+        kernel.add(UpstreamGrants(kernel))
         kernel.add(ShardOwnership(kernel))
         kernel.add(SlotAdmission())
         kernel.add(CrashQuarantine())
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -6,7 +6,7 @@
 from .catalogue import Catalogue
 from .groups import GroupListener, Groups
 from .leases import Lease, Membership, Monitor
-from .ownership import Ownership, Ticket
+from .ownership import Grants, Ownership, Ticket
 from .peers import Peers
 from .placement import Load, Placement, PlacementPolicy
 from .platform import Changes, Platform, StoredObject
@@ -17,6 +17,7 @@
     "Catalogue",
     "Changes",
     "Execution",
+    "Grants",
     "GroupListener",
     "Groups",
     "Lease",
--- a/fescueward/interfaces/ownership.py
+++ b/fescueward/interfaces/ownership.py
@@ -59,6 +59,27 @@
         """Returns the epoch of each active shard by shard id."""
         ...
 
+    def owned(self) -> dict[int, int]:
+        """Returns the epoch of each shard that is active or being activated."""
+        ...
+
     async def drained(self) -> None:
         """Waits until no shard is active here and no request is in flight."""
         ...
+
+
+@runtime_checkable
+class Grants(Protocol):
+    """Grants of the upstream for the shards that are owned here."""
+
+    def send_soon(self) -> None:
+        """Sends the present grants without waiting for the next renewal."""
+        ...
+
+    async def confirmed(self) -> None:
+        """Waits until the upstream has confirmed what is owned now."""
+        ...
+
+    async def revoked(self) -> None:
+        """Waits until the upstream holds no grant that is not owned now."""
+        ...
--- /dev/null
+++ b/fescueward/services/grants.py
@@ -0,0 +1,96 @@
+"""Fenced grants of the upstream: sent with each renewal and with each change of the shards."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from ..interfaces import Lease, Membership, Ownership, Upstream
+from ..kernel import Clock, Event, Kernel, Level, Registry
+from ..kernel.settings import Settings
+from ..messages import GrantSet
+
+_REFUSED = Event(2708, "grant_failed", Level.WARNING, "The upstream confirmed no grants.")
+
+_RETRY_S = 0.05
+
+
+class UpstreamGrants:
+    """The `grants` service.
+
+    Each set of grants replaces the one before, so the confirmation of a set that was sent after a
+    shard was released also confirms that its grant is revoked.
+    """
+
+    name = "grants"
+    requires = ("membership", "lease", "upstream")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._tasks = kernel.task_owner(self.name)
+        self._sequence = 0
+        self._expire_at = 0.0
+        self._wanted = asyncio.Event()
+        self._waiters: list[asyncio.Future[None]] = []
+
+    def bind(self, registry: Registry) -> None:
+        """Finds the services that this one uses."""
+        self._clock = registry.find("clock", Clock)
+        self._membership = registry.find("membership", Membership)
+        self._lease = registry.find("lease", Lease)
+        self._upstream = registry.find("upstream", Upstream)
+        self._ownership = registry.find("ownership", Ownership)
+        self._renewal_s = registry.find("settings", Settings).lease.renewal_ms / 1000
+
+    async def start(self) -> None:
+        """Starts the renewal of grants."""
+        self._tasks.spawn("renew", self._run())
+
+    async def stop(self) -> None:
+        """Ends the renewal."""
+        await self._tasks.cancel()
+
+    def send_soon(self) -> None:
+        """Sends the present grants without waiting for the next renewal."""
+        self._wanted.set()
+
+    async def confirmed(self) -> None:
+        """Waits until the upstream has confirmed what is owned now."""
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        self._wanted.set()
+        await waiter
+
+    async def revoked(self) -> None:
+        """Waits until no grant holds that is not owned now."""
+        # An upstream that confirms nothing holds its grants until the last expiry sent to it.
+        wait_s = max(self._expire_at - self._clock.now(), 0)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self.confirmed(), wait_s)
+
+    async def _run(self) -> None:
+        while True:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._wanted.wait(), self._renewal_s)
+            self._wanted.clear()
+            waiters, self._waiters = self._waiters, []
+            if self._membership.announcement is None:
+                self._waiters = waiters + self._waiters
+                continue
+            self._sequence += 1
+            self._expire_at = max(self._expire_at, self._lease.expires_at)
+            grants = GrantSet(
+                holder=self._membership.member_id,
+                sequence=self._sequence,
+                expires_ns=int(self._lease.expires_at * 1e9),
+                epochs=self._ownership.owned(),
+            )
+            if await self._upstream.grant(grants):
+                for waiter in waiters:
+                    if not waiter.done():
+                        waiter.set_result(None)
+                continue
+            self._waiters = waiters + self._waiters
+            if waiters:
+                _REFUSED.emit(member=self._membership.member_id, waiting=len(waiters))
+                self._wanted.set()
+                await self._clock.sleep(_RETRY_S)
--- a/fescueward/services/ownership.py
+++ b/fescueward/services/ownership.py
@@ -1,15 +1,14 @@
-"""Ownership of shards: activation, grants, tickets for requests, and handover."""
+"""Ownership of shards: activation, tickets for requests, and handover."""
 
 from __future__ import annotations
 
 import asyncio
 import enum
 from collections import Counter
-from contextlib import suppress
 from dataclasses import replace
 from types import TracebackType
 
-from ..interfaces import Catalogue, Groups, Lease, Membership, Outcomes, Peers, Upstream
+from ..interfaces import Catalogue, Grants, Groups, Lease, Membership, Outcomes, Peers
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
     DrainingError,
@@ -19,8 +18,7 @@
     PlatformError,
     ShardMovingError,
 )
-from ..kernel.settings import Settings
-from ..messages import GrantSet, Group, GroupId, MemberState, Shard, VersionedGroup
+from ..messages import Group, GroupId, MemberState, Shard, VersionedGroup
 from ..messages.group import group_of
 from ..messages.peer import Release, Released
 
@@ -31,11 +29,9 @@
 _DROPPED = Event(2705, "shards_dropped", Level.WARNING, "Shards are owned by others now.")
 _SETTLED = Event(2706, "handovers_settled", Level.INFO, "Handovers are recorded in the group.")
 _SETTLE_FAILED = Event(2707, "settle_failed", Level.WARNING, "A record failed; it is retried.")
-_GRANT_REFUSED = Event(2708, "grant_failed", Level.WARNING, "The upstream confirmed no grants.")
 _RELEASE_RETRY = Event(2709, "release_retried", Level.INFO, "A successor has not confirmed yet.")
 
 _RELEASE_RETRY_S = 0.05
-_GRANT_RETRY_S = 0.05
 _SETTLE_DELAY_S = 0.02
 _SETTLE_RETRY_S = 0.25
 # A leaving server that cannot hand over, because the platform is down, refuses new work after
@@ -99,7 +95,7 @@
     """
 
     name = "ownership"
-    requires = ("groups", "peers", "membership", "lease", "upstream", "outcomes")
+    requires = ("groups", "peers", "membership", "lease", "grants", "outcomes")
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
@@ -108,10 +104,6 @@
         self._keys: Counter[str] = Counter()
         self._member_id = ""
         self._changed = asyncio.Event()
-        self._grant_sequence = 0
-        self._grants_expire_at = 0.0
-        self._grant_wanted = asyncio.Event()
-        self._grant_waiters: list[asyncio.Future[None]] = []
         self._settle_wanted = asyncio.Event()
         self._leaving_since: float | None = None
 
@@ -123,15 +115,13 @@
         self._peers = registry.find("peers", Peers)
         self._membership = registry.find("membership", Membership)
         self._lease = registry.find("lease", Lease)
-        self._upstream = registry.find("upstream", Upstream)
+        self._grants = registry.find("grants", Grants)
         self._outcomes = registry.find("outcomes", Outcomes)
-        self._renewal_s = registry.find("settings", Settings).lease.renewal_ms / 1000
         self._groups.subscribe(self)
         self._peers.on(Release, self._on_release)
 
     async def start(self) -> None:
-        """Starts the renewal of grants and the record of handovers."""
-        self._tasks.spawn("grants", self._run_grants())
+        """Starts the record of handovers."""
         self._tasks.spawn("settle", self._run_settle())
 
     async def stop(self) -> None:
@@ -146,6 +136,10 @@
             if held.state is not _State.ACTIVATING
         }
 
+    def owned(self) -> dict[int, int]:
+        """Returns the epoch of each shard that is active or being activated."""
+        return {shard: held.epoch for shard, held in self._held.items()}
+
     async def admit(self, service: str, key: str, deadline: float) -> ShardTicket:
         """Waits while the shard of the key moves; see `Ownership.admit`."""
         while True:
@@ -240,7 +234,7 @@
             self._outcomes.end_epoch(shard_id)
         self._held.clear()
         self._released.clear()
-        self._grant_wanted.set()
+        self._grants.send_soon()
 
     def _find(self, service: str, key: str) -> tuple[int, _Held | None]:
         home = self._membership.home
@@ -289,7 +283,7 @@
         if wait_s > 0:
             await self._clock.sleep(wait_s)
         await self._await_other_shards(batch)
-        await self._grants_confirmed()
+        await self._grants.confirmed()
         ready = [
             held
             for shard_id, held in batch.items()
@@ -358,7 +352,7 @@
         exported = self._outcomes.export(shard_id)
         del self._held[shard_id]
         self._released[shard_id] = held.epoch
-        await self._grants_revoked()
+        await self._grants.revoked()
         release = Release(
             call=0,
             service=home.service,
@@ -455,46 +449,6 @@
             return None
         return replace(group, shards=tuple(shards))
 
-    async def _grants_confirmed(self) -> None:
-        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._grant_waiters.append(waiter)
-        self._grant_wanted.set()
-        await waiter
-
-    async def _grants_revoked(self) -> None:
-        # An upstream that confirms nothing holds its grants until the last expiry sent to it.
-        wait_s = max(self._grants_expire_at - self._clock.now(), 0)
-        with suppress(TimeoutError):
-            await asyncio.wait_for(self._grants_confirmed(), wait_s)
-
-    async def _run_grants(self) -> None:
-        while True:
-            with suppress(TimeoutError):
-                await asyncio.wait_for(self._grant_wanted.wait(), self._renewal_s)
-            self._grant_wanted.clear()
-            waiters, self._grant_waiters = self._grant_waiters, []
-            if self._membership.announcement is None:
-                self._grant_waiters = waiters + self._grant_waiters
-                continue
-            self._grant_sequence += 1
-            self._grants_expire_at = max(self._grants_expire_at, self._lease.expires_at)
-            grants = GrantSet(
-                holder=self._member_id,
-                sequence=self._grant_sequence,
-                expires_ns=int(self._lease.expires_at * 1e9),
-                epochs={shard: held.epoch for shard, held in self._held.items()},
-            )
-            if await self._upstream.grant(grants):
-                for waiter in waiters:
-                    if not waiter.done():
-                        waiter.set_result(None)
-                continue
-            self._grant_waiters = waiters + self._grant_waiters
-            if waiters:
-                _GRANT_REFUSED.emit(member=self._member_id, waiting=len(waiters))
-                self._grant_wanted.set()
-                await self._clock.sleep(_GRANT_RETRY_S)
-
 
 def _released_to_me(shard: Shard, held: _Held, me: str) -> bool:
     return shard.successor == me and held.epoch == shard.epoch + 1
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -27,6 +27,7 @@
 )
 from fescueward.messages import AnnouncedState, Announcement, Entry, Group, GroupId, VersionedEntry
 from fescueward.messages.codec import decode_json
+from fescueward.services.grants import UpstreamGrants
 from fescueward.services.groups import GroupStore
 from fescueward.services.lease import MonitoredLease
 from fescueward.services.membership import GroupMembership
@@ -56,6 +57,7 @@
     "monitor": LeaseMonitor,
     "placement": ShardPlacement,
     "recovery": MemberRecovery,
+    "grants": UpstreamGrants,
     "ownership": ShardOwnership,
 }
 
@@ -177,6 +179,7 @@
         self.monitor = kinds["monitor"](kernel)
         self.placement = kinds["placement"](kernel)
         self.recovery = kinds["recovery"](kernel)
+        self.grants = kinds["grants"](kernel)
         self.ownership = kinds["ownership"](kernel)
         provided = {
             "settings": settings(name, domain),
@@ -198,6 +201,7 @@
             self.monitor,
             self.placement,
             self.recovery,
+            self.grants,
             self.ownership,
         ]
         for service in services:
--- a/tests/services/test_ownership.py
+++ b/tests/services/test_ownership.py
@@ -148,7 +148,7 @@
         fleet = formed(3, 3)
         source, shard = fleet.agents["a0"], shards_of(fleet, "a0")[0]
         source.upstream.confirms = False
-        expiry = source.ownership._grants_expire_at - source.loop.time()
+        expiry = source.grants._expire_at - source.loop.time()
         move(fleet, shard, "a1")
         fleet.world.advance(expiry * 0.95)
         self.assertNotIn(shard, fleet.agents["a1"].serving())
