--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -37,7 +37,7 @@
 from fescueward.services.placement import ShardPlacement
 from fescueward.services.recovery import MemberRecovery
 
-from .fakes import (
+from .timed_fakes import (
     AgentLoop,
     Answers,
     FakePeers,
--- a/tests/services/test_groups.py
+++ b/tests/services/test_groups.py
@@ -8,9 +8,9 @@
 from fescueward.kernel.errors import OutcomeUnknownError, PlatformError, PlatformUnavailableError
 from fescueward.messages import VersionedGroup
 
-from .fakes import Answers
 from .fleet import HOME
 from .test_recovery_time import formed
+from .timed_fakes import Answers
 
 
 class EditTest(unittest.TestCase):
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -7,8 +7,8 @@
 from fescueward.kernel.errors import PlatformUnavailableError
 from fescueward.messages.peer import RenewAck
 
-from .fakes import Answers
 from .test_recovery_time import formed
+from .timed_fakes import Answers
 
 
 class RenewalByWriteTest(unittest.TestCase):
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -9,9 +9,9 @@
 from fescueward.messages import AnnouncedState, Announcement
 from fescueward.messages.codec import encode_json
 
-from .fakes import Answers
 from .fleet import HOME, Fleet
 from .test_recovery_time import formed
+from .timed_fakes import Answers
 
 
 def move(fleet: Fleet, shard: int, successor: str) -> None:
--- a/tests/services/test_monitor.py
+++ b/tests/services/test_monitor.py
@@ -8,9 +8,9 @@
 from fescueward.messages.peer import PromiseQuery, PromiseRelease, Renew
 from fescueward.services.promises import PromiseRound
 
-from .fakes import Answers
 from .fleet import HOME, Fleet, SimulatedAgent
 from .test_recovery_time import formed
+from .timed_fakes import Answers
 
 
 def _monitors(fleet: Fleet, name: str) -> list[SimulatedAgent]:
--- a/tests/services/test_recovery.py
+++ b/tests/services/test_recovery.py
@@ -7,9 +7,9 @@
 
 from fescueward.messages import VersionedEntry
 
-from .fakes import Answers
 from .fleet import Fleet
 from .test_recovery_time import formed
+from .timed_fakes import Answers
 
 
 def _state(fleet: Fleet, counter: int) -> None:
--- a/tests/services/test_recovery_time.py
+++ b/tests/services/test_recovery_time.py
@@ -6,8 +6,8 @@
 import random
 import unittest
 
-from .fakes import Answers
 from .fleet import Fleet
+from .timed_fakes import Answers
 
 LIMIT_S = 4.0
 
--- a/tests/services/test_single_owner.py
+++ b/tests/services/test_single_owner.py
@@ -23,8 +23,8 @@
 from fescueward.messages import AnnouncedState, Group, MemberState
 from fescueward.messages.codec import encode_json
 
-from .fakes import Answers
 from .fleet import HOME, SHARDS, Fleet, SimulatedAgent
+from .timed_fakes import Answers
 
 _EXAMPLES = int(os.environ.get("FESCUEWARD_SEARCH_EXAMPLES", "0"))
 _SEED = os.environ.get("FESCUEWARD_SEARCH_SEED")
