--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -62,11 +62,11 @@
         kernel.add(UpstreamGrants(kernel))
         kernel.add(ShardOwnership(kernel))
         kernel.add(SlotAdmission())
-        kernel.add(CrashQuarantine())
+        kernel.add(CrashQuarantine(kernel))
         kernel.add(OwnerExecution())
         kernel.add(OwnerRouter())
         kernel.add(HttpAnnouncements())
-        kernel.add(HttpFrontend())
+        kernel.add(HttpFrontend(kernel))
 
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT.
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -71,6 +71,12 @@
 
     digest = 1
 
+    async def loaded(self) -> None:
+        pass
+
+    def mark_loaded(self) -> None:
+        pass
+
     def __init__(self) -> None:
         self.current: VersionedEntry | None = VersionedEntry(
             1, Entry("depot", "team", shard_count=SHARDS)
@@ -121,6 +127,9 @@
 class FakeAdmission:
     capacity = 1.0
 
+    def begin_slow_start(self) -> None:
+        pass
+
     def slot(self, request: Any, entry: Any) -> Any:
         raise NotImplementedError
 
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -325,6 +325,9 @@
     def drop(self, member_id: str) -> None:
         pass
 
+    def retire(self, member_id: str) -> None:
+        pass
+
     def rename(self, incarnation: int) -> None:
         self.member_id = f"{self.agent_name}:{incarnation}"
 
