--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -12,9 +12,11 @@
 from ..kernel.settings import Settings
 from ..services.administration import HttpAdministration
 from ..services.admission import SlotAdmission
+from ..services.announcements import HttpAnnouncements
 from ..services.catalogue import EntryCatalogue
 from ..services.execution import OwnerExecution
 from ..services.frontend import HttpFrontend
+from ..services.grants import UpstreamGrants
 from ..services.groups import GroupStore
 from ..services.lease import MonitoredLease
 from ..services.load import MeasuredLoad
@@ -27,6 +29,7 @@
 from ..services.placement import ShardPlacement
 from ..services.platform import HttpPlatform
 from ..services.quarantine import CrashQuarantine
+from ..services.recovery import MemberRecovery
 from ..services.router import OwnerRouter
 from ..services.snapshots import PlannerSnapshots
 from ..services.status import FleetStatusReports
@@ -55,6 +58,7 @@
         kernel.add(GroupMembership(kernel, incarnation))
         kernel.add(MonitoredLease(kernel))
         kernel.add(LeaseMonitor(kernel))
+        kernel.add(MemberRecovery(kernel))
         kernel.add(ShardPlacement(kernel))
         kernel.add(MeasuredLoad(kernel))
         kernel.add(PrometheusMetrics())
@@ -62,12 +66,17 @@
         kernel.add(HttpAdministration())
         kernel.add(HttpUpstream(kernel))
         kernel.add(RetainedOutcomes())
+        kernel.add(UpstreamGrants(kernel))
         kernel.add(ShardOwnership(kernel))
         kernel.add(SlotAdmission())
         kernel.add(CrashQuarantine(kernel))
         kernel.add(OwnerExecution())
         kernel.add(OwnerRouter())
+<<<<<<< HEAD
         kernel.add(PlannerSnapshots(kernel))
+=======
+        kernel.add(HttpAnnouncements())
+>>>>>>> lease
         kernel.add(HttpFrontend(kernel))
 
     def run(self) -> None:
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -15,7 +15,7 @@
     RunListener,
     RunSource,
 )
-from .ownership import Ownership, Ticket
+from .ownership import Grants, Ownership, Ticket
 from .peers import Peers
 from .placement import Load, Placement, PlacementPolicy, QuarantineExport
 from .platform import Changes, Platform, StoredObject
@@ -26,6 +26,7 @@
     "Catalogue",
     "Changes",
     "Execution",
+    "Grants",
     "GroupListener",
     "Groups",
     "Lease",
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -47,6 +47,7 @@
         self._joined = asyncio.Event()
         self._was_held = False
         self._by_writes = False
+        self._stamp = 0
 
     @property
     def held(self) -> bool:
@@ -96,7 +97,7 @@
         self._note_state()
         me = self._membership.me()
         home = self._membership.home
-        if me is None or home is None:
+        if me is None or home is None or self._membership.resigned:
             return
         view = self._groups.view(home)
         assert view is not None
@@ -118,7 +119,7 @@
             Whether the lease was extended.
         """
         me = self._membership.me()
-        if me is None or not self._silent(me):
+        if me is None or self._membership.resigned or not self._silent(me):
             self._by_writes = False
             return False
         if not self._by_writes:
@@ -130,6 +131,11 @@
             _WRITE_FAILED.emit(member=me.id, error=error)
             return False
 
+    async def write_stamp(self) -> bool:
+        """Renews by a conditional write; see `Lease.write_stamp`."""
+        me = self._membership.me()
+        return me is not None and await self._write_stamp(me.id)
+
     async def _write_stamp(self, member_id: str) -> bool:
         home = self._membership.home
         assert home is not None
@@ -138,7 +144,10 @@
             member = base.group.members.get(member_id) if base is not None else None
             if base is None or member is None:
                 return False
-            renewed = replace(member, stamp=member.stamp + 1)
+            # No two writes have the same stamp, so the value tells which of them was made: an
+            # earlier one whose answer was lost must not pass for this one.
+            self._stamp = max(self._stamp, member.stamp) + 1
+            renewed = replace(member, stamp=self._stamp)
             group = replace(base.group, members={**base.group.members, member_id: renewed})
             sent = self._clock.now()
             try:
@@ -149,7 +158,7 @@
             except OutcomeUnknownError:
                 read = await self._groups.refresh(home)
                 found = read.group.members.get(member_id)
-                # Only this agent changes the stamp, so its value shows that the write was made.
+                # Only this agent changes the stamp.
                 if found is None or found.stamp != renewed.stamp:
                     return False
             self._extend(member_id, sent)
@@ -181,9 +190,10 @@
         self._note_state()
 
     def _current(self) -> bool:
-        # A lease belongs to one incarnation and ends when the member is removed.
+        # A lease belongs to one incarnation and ends when the member is removed. It ends before
+        # the member's own write that removes it, whose answer can be lost.
         me = self._membership.me()
-        return me is not None and me.id == self._member_id
+        return me is not None and me.id == self._member_id and not self._membership.resigned
 
     def _note_state(self) -> None:
         held = self.held
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -8,19 +8,23 @@
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
     OutcomeUnknownError,
-    PeerError,
     PlatformError,
     VersionConflictError,
 )
 from ..kernel.settings import Settings
 from ..messages import GroupId, Member, VersionedGroup
 from ..messages.peer import Promise, PromiseQuery, PromiseRelease, Renew, RenewAck
+from .promises import PromiseRound
+from .ring import transfer_monitored
 
 _SILENT = Event(2601, "member_silent", Level.WARNING, "A monitored member's lease has ended.")
 _TAKEN_OVER = Event(2602, "member_taken_over", Level.WARNING, "A lost member was removed.")
 _TAKEOVER_FAILED = Event(
     2603, "takeover_failed", Level.INFO, "A takeover attempt did not succeed."
 )
+_TRANSFERRED = Event(
+    2606, "monitored_transferred", Level.INFO, "Better placed monitors took over members."
+)
 _PROMISED = Event(
     2604, "promise_given", Level.INFO, "A takeover by the other monitor is agreed to."
 )
@@ -29,6 +33,11 @@
 )
 
 
+# Joins and takeovers come in bursts; a transfer in between would only conflict with them.
+_SETTLED_S = 0.4
+_TRANSFER_RETRY_S = 2.0
+
+
 @dataclass(frozen=True, slots=True)
 class _Watched:
     """What this monitor knows of one member.
@@ -53,11 +62,13 @@
     """Acknowledges nothing to a member until a group version above `version` is seen.
 
     Attributes:
-        version: Version that the takeover is conditional on.
-        call: Number of the query that it was promised to, 0 for a takeover of this agent.
+        version: Version that the write is conditional on.
+        sender: Monitor that it was promised to, empty for a write of this agent.
+        call: Number of the sender's query or of this agent's write.
     """
 
     version: int
+    sender: str
     call: int
 
 
@@ -76,6 +87,9 @@
         self._watched: dict[str, _Watched] = {}
         self._bars: dict[str, frozenset[_Bar]] = {}
         self._version = 0
+        self._transfer_after = 0.0
+        # Version at which no member had a better placed monitor; the search takes milliseconds.
+        self._well_placed_at = 0
         self._member_id = ""
 
     def bind(self, registry: Registry) -> None:
@@ -88,7 +102,8 @@
         self._lease = registry.find("lease", Lease)
         section = registry.find("settings", Settings).lease
         self._wait_s = (section.lease_ms + section.drift_margin_ms) / 1000
-        self._period_s = section.renewal_ms / 3000
+        self._renewal_s = section.renewal_ms / 1000
+        self._period_s = self._renewal_s / 3
         self._groups.subscribe(self)
         self._peers.on(Renew, self._on_renew)
         self._peers.on(PromiseQuery, self._on_promise_query)
@@ -121,6 +136,7 @@
             self._bars.clear()
         now = self._clock.now()
         self._version = group.version
+        self._transfer_after = now + _SETTLED_S
         for member_id, bars in list(self._bars.items()):
             self._set_bars(member_id, {bar for bar in bars if bar.version >= group.version})
         self._watched = {
@@ -146,29 +162,72 @@
             _TAKEOVER_FAILED.emit(members=",".join(silent), error=error)
             return False
 
+    async def transfer(self) -> bool:
+        """Gives members up to better placed monitors.
+
+        Returns:
+            Whether a transfer was written.
+        """
+        home = self._membership.home
+        view = self._groups.view(home) if home is not None else None
+        if view is None or self._membership.resigned or not self._lease.held:
+            return False
+        if self._transfer_after > self._clock.now():
+            return False
+        if self._well_placed_at == view.version:
+            return False
+        if not transfer_monitored(view.group, self._membership.member_id)[1]:
+            self._well_placed_at = view.version
+            return False
+        try:
+            base = await self._groups.refresh(view.group.id)
+        except PlatformError:
+            self._transfer_after = self._clock.now() + _TRANSFER_RETRY_S
+            return False
+        group, given = transfer_monitored(base.group, self._membership.member_id)
+        if base.version != view.version or not given:
+            return False
+        if not all(map(self._is_renewing, given)):
+            return False
+        self._transfer_after = self._clock.now() + _TRANSFER_RETRY_S
+        # The new monitors wait for leases from the write on, so nothing is acknowledged after it
+        # was sent, until a newer version shows whether it took effect.
+        bar = _Bar(base.version, "", self._peers.next_call())
+        for member_id in given:
+            self._add_bar(member_id, bar)
+        try:
+            written = await self._groups.write(base, group)
+        except (OutcomeUnknownError, VersionConflictError):
+            return False
+        except PlatformError:
+            for member_id in given:
+                self._drop_bar(member_id, bar)
+            return False
+        _TRANSFERRED.emit(members=",".join(sorted(given)), version=written.version)
+        return True
+
     async def _take_over(self, home: GroupId, base: VersionedGroup, silent: list[str]) -> bool:
-        calls: dict[str, list[tuple[Member, int]]] = {}
-        agreed = []
-        for member_id in silent:
-            calls[member_id] = []
-            if await self._ask_promises(home, base, member_id, calls[member_id]):
-                agreed.append(member_id)
-        # From here to the write nothing awaits: the last check and the bar are one step.
-        lost = frozenset(
+        monitored = [
             member_id
-            for member_id in agreed
-            if self._is_silent(member_id) and member_id in base.group.members
-        )
+            for member_id in silent
+            if member_id in base.group.members
+            and self._membership.member_id in base.group.members[member_id].monitors
+        ]
+        promises = PromiseRound(self._groups, self._peers, base, self._membership.member_id)
+        agreed = await promises.ask(monitored)
+        # From here to the write nothing awaits: the last check and the bar are one step.
+        lost = frozenset(filter(self._is_silent, agreed))
         view = self._groups.view(home)
         written = False
         if lost and view is not None and view.version == base.version:
+            bar = _Bar(base.version, "", self._peers.next_call())
             for member_id in lost:
-                self._add_bar(member_id, _Bar(base.version, 0))
-            written = await self._write(base, lost)
-        self._release_promises(base, calls, keep=lost if written else frozenset())
+                self._add_bar(member_id, bar)
+            written = await self._write(base, lost, bar)
+        promises.release(keep=lost if written else frozenset())
         return written
 
-    async def _write(self, base: VersionedGroup, lost: frozenset[str]) -> bool:
+    async def _write(self, base: VersionedGroup, lost: frozenset[str], bar: _Bar) -> bool:
         names = ",".join(sorted(lost))
         _SILENT.emit(members=names, version=base.version)
         group = self._membership.fill_monitors(self._placement.assign(base.group, lost))
@@ -183,50 +242,12 @@
             return True
         except PlatformError as error:
             for member_id in lost:
-                self._drop_bar(member_id, 0)
+                self._drop_bar(member_id, bar)
             _TAKEOVER_FAILED.emit(members=names, error=error)
             return False
         _TAKEN_OVER.emit(members=names, group=written.group.id, version=written.version)
         return True
 
-    async def _ask_promises(
-        self,
-        home: GroupId,
-        base: VersionedGroup,
-        member_id: str,
-        calls: list[tuple[Member, int]],
-    ) -> bool:
-        member = base.group.members.get(member_id)
-        if member is None or self._membership.member_id not in member.monitors:
-            return False
-        for monitor_id in member.monitors:
-            monitor = base.group.members.get(monitor_id)
-            if monitor is None or monitor_id == self._membership.member_id:
-                continue
-            call = self._peers.next_call()
-            query = PromiseQuery(call, home.service, home.number, member_id, base.version)
-            calls.append((monitor, call))
-            try:
-                reply = await self._peers.call(monitor, query, call)
-            except PeerError as error:
-                _TAKEOVER_FAILED.emit(members=member_id, error=error)
-                return False
-            if not isinstance(reply, Promise) or not reply.granted:
-                return False
-        return True
-
-    def _release_promises(
-        self,
-        base: VersionedGroup,
-        calls: dict[str, list[tuple[Member, int]]],
-        keep: frozenset[str],
-    ) -> None:
-        for member_id, asked in calls.items():
-            if member_id in keep:
-                continue
-            for monitor, call in asked:
-                self._peers.send(monitor, PromiseRelease(call, member_id))
-
     def _is_silent(self, member_id: str) -> bool:
         watched = self._watched.get(member_id)
         if watched is None:
@@ -234,6 +255,13 @@
         last = max(watched.since, watched.acknowledged_at, watched.stamp_seen_at)
         return last + self._wait_s < self._clock.now()
 
+    def _is_renewing(self, member_id: str) -> bool:
+        # A transfer makes the wait for a lost member start again.
+        watched = self._watched.get(member_id)
+        if watched is None:
+            return False
+        return watched.acknowledged_at + 2 * self._renewal_s > self._clock.now()
+
     def _may_acknowledge(self, member_id: str) -> bool:
         # A monitor without a lease may have been removed, and its replacement waits for
         # leases that it must not extend.
@@ -264,30 +292,39 @@
         if member is not None:
             self._groups.compare(member, message.versions)
 
-    def _on_promise_query(self, sender: str, message: PromiseQuery) -> None:
-        member_id = message.member_id
-        home = GroupId(message.service, message.number)
+    def promise(self, member_id: str, version: int, to: str, call: int) -> bool:
+        """Agrees to a takeover; see `Monitor.promise`."""
         granted = (
-            home == self._membership.home
-            and message.version >= self._version
-            and member_id in self._watched
-            and self._is_silent(member_id)
+            version >= self._version and member_id in self._watched and self._is_silent(member_id)
         )
         if granted:
-            self._add_bar(member_id, _Bar(message.version, message.call))
+            self._add_bar(member_id, _Bar(version, to, call))
         event = _PROMISED if granted else _PROMISE_REFUSED
-        event.emit(member=member_id, to=sender, version=message.version)
-        self._peers.reply(sender, Promise(message.call, member_id, message.version, granted))
+        event.emit(member=member_id, to=to, version=version)
+        return granted
+
+    def withdraw(self, member_id: str, to: str, call: int) -> None:
+        """Takes a promise back; see `Monitor.withdraw`."""
+        for bar in self._bars.get(member_id, frozenset()):
+            if (bar.sender, bar.call) == (to, call):
+                self._drop_bar(member_id, bar)
+
+    def _on_promise_query(self, sender: str, message: PromiseQuery) -> None:
+        member_id, version = message.member_id, message.version
+        home = GroupId(message.service, message.number)
+        granted = home == self._membership.home and self.promise(
+            member_id, version, sender, message.call
+        )
+        self._peers.reply(sender, Promise(message.call, member_id, version, granted))
 
     def _on_promise_release(self, sender: str, message: PromiseRelease) -> None:
-        self._drop_bar(message.member_id, message.call)
+        self.withdraw(message.member_id, sender, message.call)
 
     def _add_bar(self, member_id: str, bar: _Bar) -> None:
         self._set_bars(member_id, {*self._bars.get(member_id, ()), bar})
 
-    def _drop_bar(self, member_id: str, call: int) -> None:
-        bars = self._bars.get(member_id, frozenset())
-        self._set_bars(member_id, {bar for bar in bars if bar.call != call})
+    def _drop_bar(self, member_id: str, bar: _Bar) -> None:
+        self._set_bars(member_id, {*self._bars.get(member_id, ())} - {bar})
 
     def _set_bars(self, member_id: str, bars: set[_Bar]) -> None:
         if bars:
@@ -299,6 +336,7 @@
         while True:
             await self._clock.sleep(self._period_s)
             await self.check_silent()
+            await self.transfer()
 
 
 def _updated(watched: _Watched | None, member: Member, now: float) -> _Watched:
