--- /dev/null
+++ b/benchmarks/hop.py
@@ -0,0 +1,260 @@
+"""CPU and latency of one request through the router, against a plain aiohttp proxy.
+
+The same requests go in turn through the plain proxy, through the owner's agent and through
+another agent. CPU is that of the router processes, or of the proxy, over a round. All rounds use
+the same upstream, which checks no grants so that the proxy can use it too.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import aiohttp
+import psutil
+import uvloop
+
+from fescueward.messages import Entry
+from fescueward.testing.callers import new_request_id, without_retries
+from fescueward.testing.harness import DeployedMember, Deployment
+from fescueward.testing.load import percentile
+from fescueward.testing.ports import PortReservations
+from fescueward.testing.processes import ManagedProcess
+from fescueward.testing.specs import DeploymentSpec, MemberSpec, service_spec
+from fescueward.testing.waiting import wait_until
+
+ROUNDS = 24
+REQUESTS = 400
+CALLERS = 8
+WARM_UP = 400
+LATENCY_REQUESTS = 600
+RESPONSE_BYTES = 512
+_ROOT = Path(__file__).resolve().parents[1]
+
+Send = Callable[[], Awaitable[bool]]
+
+
+@dataclass(frozen=True, slots=True)
+class HopFigures:
+    """Figures of the benchmark `hop`.
+
+    Attributes:
+        direct_ratio: CPU per request at the owner's agent by that of the plain proxy; goal 1.2.
+        forwarded_ratio: CPU per request of both agents by that of one plain proxy; goal 1.3.
+        forwarded_chain_ratio: The same by that of two plain proxies in a row.
+        library_ratio: CPU per request at the owner's agent when the caller uses the library, by
+            that of the plain proxy; 0 if it was not measured.
+        proxy_ms: CPU of the plain proxy per request, in ms.
+        direct_ms: CPU of the agent per direct request, in ms.
+        forwarded_ms: CPU of both agents per forwarded request, in ms.
+        quiet_direct_ratio: `direct_ratio` with log level WARNING.
+        quiet_forwarded_ratio: `forwarded_ratio` with log level WARNING.
+        log_ms: CPU of the log lines of a direct request, in ms.
+        added_p50_ms: Median latency added by a direct hop, in ms.
+        added_p99_ms: 99th percentile of a direct hop less that without a hop, in ms.
+        failures: Requests that did not succeed; the figures hold only if it is 0.
+    """
+
+    direct_ratio: float
+    forwarded_ratio: float
+    forwarded_chain_ratio: float
+    library_ratio: float
+    proxy_ms: float
+    direct_ms: float
+    forwarded_ms: float
+    quiet_direct_ratio: float
+    quiet_forwarded_ratio: float
+    log_ms: float
+    added_p50_ms: float
+    added_p99_ms: float
+    failures: int
+
+
+@dataclass(slots=True)
+class _Path:
+    """One way of a request, with what it has cost so far."""
+
+    name: str
+    send: Send
+    processes: tuple[ManagedProcess, ...]
+    cpu_s: float = 0.0
+    requests: int = 0
+    failures: int = 0
+    latencies_ms: list[float] = field(default_factory=list)
+
+    @property
+    def cpu_ms(self) -> float:
+        return self.cpu_s / max(self.requests, 1) * 1000
+
+
+def hop_deployment(log_level: str) -> DeploymentSpec:
+    """Returns a service of two members whose upstreams check no grants."""
+    template = MemberSpec(name="", failure_domain="", slots=64, connections=200)
+    service = service_spec(
+        Entry("depot", "benchmarks", shard_count=16),
+        2,
+        ("lowell", "nashua"),
+        replace(template, checks_grants=False),
+    )
+    return DeploymentSpec(services=(service,), log_level=log_level, journals=False)
+
+
+def run() -> HopFigures:
+    """Measures two deployments, which differ in their log level."""
+    return uvloop.run(_run())
+
+
+async def _run() -> HopFigures:
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(
+            without_retries(aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)))
+        )
+        ports = PortReservations()
+        stack.callback(ports.close)
+        logged = await _deploy(stack, "INFO")
+        quiet = await _deploy(stack, "WARNING")
+        upstream_url = logged.owner.upstream_url
+        first = await _plain_proxy(stack, ports, logged.deployment, upstream_url)
+        second = await _plain_proxy(stack, ports, logged.deployment, first.url)
+
+        def via(url: str, key: str = "key") -> Send:
+            return lambda: _send(session, url, key)
+
+        none = _Path("none", via(upstream_url), ())
+        proxy = _Path("proxy", via(first.url), (first.process,))
+        chain = _Path("chain", via(second.url), (first.process, second.process))
+        direct, forwarded = _router_paths(logged, via)
+        quiet_direct, quiet_forwarded = _router_paths(quiet, via)
+        paths = (none, proxy, chain, direct, forwarded, quiet_direct, quiet_forwarded)
+        for path in paths:
+            await _round(path, WARM_UP)
+            path.cpu_s, path.requests = 0.0, 0
+        # Short rounds in turn, so that other load on the machine reaches all paths alike.
+        for _ in range(ROUNDS):
+            for path in paths:
+                await _round(path, REQUESTS)
+        for _ in range(LATENCY_REQUESTS):
+            for path in (none, direct):
+                await _timed(path)
+    return HopFigures(
+        direct_ratio=round(direct.cpu_ms / proxy.cpu_ms, 3),
+        forwarded_ratio=round(forwarded.cpu_ms / proxy.cpu_ms, 3),
+        forwarded_chain_ratio=round(forwarded.cpu_ms / chain.cpu_ms, 3),
+        library_ratio=0.0,
+        proxy_ms=round(proxy.cpu_ms, 4),
+        direct_ms=round(direct.cpu_ms, 4),
+        forwarded_ms=round(forwarded.cpu_ms, 4),
+        quiet_direct_ratio=round(quiet_direct.cpu_ms / proxy.cpu_ms, 3),
+        quiet_forwarded_ratio=round(quiet_forwarded.cpu_ms / proxy.cpu_ms, 3),
+        log_ms=round(direct.cpu_ms - quiet_direct.cpu_ms, 4),
+        added_p50_ms=round(_added_ms(none, direct, 50), 3),
+        added_p99_ms=round(_added_ms(none, direct, 99), 3),
+        failures=sum(path.failures for path in paths),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Pair:
+    """Two agents, and a key that the first owns."""
+
+    deployment: Deployment
+    owner: DeployedMember
+    other: DeployedMember
+    key: str
+
+
+async def _deploy(stack: contextlib.AsyncExitStack, log_level: str) -> _Pair:
+    deployment = await stack.enter_async_context(Deployment(hop_deployment(log_level)))
+    await deployment.wait_ready()
+    owner, other = deployment.members
+    return _Pair(deployment, owner, other, await _key_of(deployment, owner))
+
+
+def _router_paths(pair: _Pair, via: Callable[[str, str], Send]) -> tuple[_Path, _Path]:
+    direct = _Path("direct", via(f"{pair.owner.url}/depot", pair.key), (pair.owner.agent,))
+    both = (pair.owner.agent, pair.other.agent)
+    forwarded = _Path("forwarded", via(f"{pair.other.url}/depot", pair.key), both)
+    return direct, forwarded
+
+
+def _added_ms(without: _Path, hop: _Path, percent: float) -> float:
+    return percentile(hop.latencies_ms, percent) - percentile(without.latencies_ms, percent)
+
+
+@dataclass(frozen=True, slots=True)
+class _Proxy:
+    process: ManagedProcess
+    url: str
+
+
+async def _plain_proxy(
+    stack: contextlib.AsyncExitStack, ports: PortReservations, deployment: Deployment, target: str
+) -> _Proxy:
+    port = ports.reserve()
+    arguments = (sys.executable, "-m", "benchmarks._plain_proxy", target, str(port))
+    environment = {**os.environ, "PYTHONPATH": str(_ROOT)}
+    log = deployment.directory / f"proxy-{port}.log"
+    process = ManagedProcess(f"proxy-{port}", arguments, log, environment)
+    await process.start()
+    stack.push_async_callback(process.stop)
+
+    async def listens() -> bool:
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
+    await wait_until(listens, 10.0, "the plain proxy listens")
+    return _Proxy(process, f"http://127.0.0.1:{port}")
+
+
+async def _key_of(deployment: Deployment, owner: DeployedMember) -> str:
+    number = 0
+    while True:
+        found = await deployment.owner("depot", f"key-{number}")
+        if found is owner:
+            return f"key-{number}"
+        number += 1
+
+
+async def _send(session: aiohttp.ClientSession, url: str, key: str) -> bool:
+    headers = {"Fescueward-Request-Id": new_request_id(), "Fescueward-Key": key}
+    try:
+        async with session.get(f"{url}/stock?size={RESPONSE_BYTES}", headers=headers) as response:
+            return response.status == 200 and len(await response.read()) == RESPONSE_BYTES
+    except (aiohttp.ClientError, TimeoutError):
+        return False
+
+
+async def _round(path: _Path, requests: int) -> None:
+    left = requests
+
+    async def caller() -> None:
+        nonlocal left
+        while left > 0:
+            left -= 1
+            path.requests += 1
+            path.failures += not await path.send()
+
+    before = _cpu_s(path.processes)
+    await asyncio.gather(*(caller() for _ in range(CALLERS)))
+    path.cpu_s += _cpu_s(path.processes) - before
+
+
+async def _timed(path: _Path) -> None:
+    begun = time.perf_counter()
+    path.failures += not await path.send()
+    path.latencies_ms.append((time.perf_counter() - begun) * 1000)
+
+
+def _cpu_s(processes: tuple[ManagedProcess, ...]) -> float:
+    times = (psutil.Process(process.pid).cpu_times() for process in processes)
+    return sum(time.user + time.system for time in times)
--- /dev/null
+++ b/benchmarks/registry.py
@@ -0,0 +1,49 @@
+"""Benchmarks by name."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+from typing import Any, Protocol, cast, runtime_checkable
+
+import benchmarks
+from fescueward.kernel.errors import UnknownNameError
+
+
+@runtime_checkable
+class Benchmark(Protocol):
+    """A module of this package that measures something."""
+
+    def run(self) -> Any:
+        """Measures and returns the figures as a data class."""
+        ...
+
+
+def names() -> tuple[str, ...]:
+    """Returns the names of all benchmarks."""
+    modules = (found.name for found in pkgutil.iter_modules(benchmarks.__path__))
+    return tuple(name for name in sorted(modules) if _load(name) is not None)
+
+
+def find(name: str) -> Benchmark:
+    """Returns a benchmark.
+
+    Raises:
+        UnknownNameError: There is none of this name.
+    """
+    found = _load(name) if name.isidentifier() else None
+    if found is None:
+        raise UnknownNameError("benchmark", name, names())
+    return found
+
+
+def _load(name: str) -> Benchmark | None:
+    if name.startswith("_") or name == "registry":
+        return None
+    try:
+        module = importlib.import_module(f"{benchmarks.__name__}.{name}")
+    except ModuleNotFoundError as error:
+        if error.name == f"{benchmarks.__name__}.{name}":
+            return None
+        raise
+    return cast(Benchmark, module) if callable(getattr(module, "run", None)) else None
