--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -1,8 +1,8 @@
 """CPU and latency of one request through the router, against a plain aiohttp proxy.
 
 The same requests go in turn through the plain proxy, through the owner's agent and through
-another agent. CPU is that of the router processes, or of the proxy, in the middle half of the rounds. All use
-the same upstream, which checks no grants so that the proxy can use it too.
+another agent. CPU is that of the router processes, or of the proxy, in the middle half of the
+rounds. All use the same upstream, which checks no grants so that the proxy can use it too.
 """
 
 from __future__ import annotations
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,13 +1,14 @@
 """Goodput under one, two and four times the capacity, and attempts per request.
 
 Goodput counts requests that are answered within their deadline. Callers send at a fixed rate,
-whatever the answers are. A last phase kills connections of one upstream, so that all its runs
-fail, and counts the runs in the journals.
+whatever the answers are. In a last phase every response is cut, so that all runs fail. Runs are
+counted in the journals of the upstreams.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 
 import uvloop
@@ -17,14 +18,19 @@
 from fescueward.testing.journal import EventKind
 from fescueward.testing.load import LoadGenerator, LoadPlan, OpenLoop, Summary, UniformKeys
 from fescueward.testing.specs import DeploymentSpec, MemberSpec, service_spec
+from fescueward.testing.waiting import wait_until
 
 MEMBERS = 2
 SLOTS = 6
-WORK_MS = 40
-DEADLINE_MS = 400
+WORK_MS = 100
+DEADLINE_MS = 1000
 PHASE_S = 6.0
+FAILING_PHASE_S = 12.0
 WARM_UP_S = 3.0
 KEYS = 400
+SHARDS = 64
+# Placement moves shards in rounds; the capacity counts only once they are spread.
+BALANCE_TIMEOUT_S = 40.0
 # Fails every run of an upstream: the response is cut, so its outcome is unknown.
 FAILING_QUERY = (("truncate", "1"),)
 
@@ -66,7 +72,7 @@
 def overload_deployment() -> DeploymentSpec:
     """Returns a service of two members with few slots and slow work."""
     limits = Limits(deadline_ms=DEADLINE_MS)
-    entry = Entry("depot", "benchmarks", shard_count=64, limits=limits)
+    entry = Entry("depot", "benchmarks", shard_count=SHARDS, limits=limits)
     template = MemberSpec(name="", failure_domain="", slots=SLOTS, work_ms=WORK_MS)
     service = service_spec(entry, MEMBERS, ("lowell", "nashua"), template)
     return DeploymentSpec(services=(service,), log_level="WARNING")
@@ -76,9 +82,10 @@
     capacity = MEMBERS * SLOTS / (WORK_MS / 1000)
     async with Deployment(overload_deployment()) as deployment:
         await deployment.wait_ready()
+        await wait_until(lambda: _balanced(deployment), BALANCE_TIMEOUT_S, "shards are spread")
         await _phase(deployment, capacity, WARM_UP_S)
         phases = [await _phase(deployment, capacity * factor) for factor in (1, 2, 4)]
-        failing = await _phase(deployment, capacity / 2, query=FAILING_QUERY)
+        failing = await _phase(deployment, capacity / 2, FAILING_PHASE_S, query=FAILING_QUERY)
     goodputs = [phase.summary.successes / PHASE_S for phase in phases]
     return OverloadFigures(
         capacity=capacity,
@@ -123,5 +130,13 @@
     return _Phase(summary, (_runs(deployment) - before) / max(summary.requests, 1))
 
 
+async def _balanced(deployment: Deployment) -> bool:
+    found = await deployment.group("depot")
+    if found is None:
+        return False
+    owned = Counter(shard.owner for shard in found.group.shards)
+    return len(owned) == MEMBERS and min(owned.values()) >= SHARDS / MEMBERS * 0.9
+
+
 def _runs(deployment: Deployment) -> int:
     return sum(event.kind is EventKind.START for event in deployment.journal_events())
--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -250,7 +250,7 @@
             place, granted = self._waiting.popitem(0)
             if granted.done():
                 continue
-            if self._clock.now() + self._mean_run_s > place[0]:
+            if self._clock.now() + self._expected_run_s() > place[0]:
                 # A run that cannot end in time would take the slot from one that can.
                 granted.set_exception(
                     OverloadedError("too little time is left to run", retry_after_s=1.0)
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -38,8 +38,11 @@
 _LAST_UPDATE_S = 2.0
 # Requests that wait for an owner; more are refused so that an outage does not fill the memory.
 _WAITING_LIMIT = 5_000
-# Retries that can be saved up for a burst.
-_SAVED_RETRIES = 10.0
+# Retries that can be saved up. More would be spent together when an upstream begins to fail, and
+# the attempts of that time would exceed the share.
+_SAVED_RETRIES = 1.0
+# Part of the share that is earned; the rest makes up for the saved retry.
+_EARNED = 0.95
 
 # No upstream has seen the request, so another attempt costs no upstream work.
 _REDIRECTS = (
@@ -59,7 +62,7 @@
     """Permits a share of retries: never more in total than that share of all requests."""
 
     def __init__(self, percent: int) -> None:
-        self._share = percent / 100
+        self._share = percent / 100 * _EARNED
         self._tokens = 0.0
 
     def earn(self) -> None:
@@ -141,6 +144,7 @@
                 code=error.code,
                 label=error.label,
                 outcome=error.outcome,
+                reason=error,
             )
             raise
 
