Split the peer service and end streams that nobody uses

Change: peer_links holds dialled streams, peer_accepted the accepted ones, peer_wire what they share; links end after a minute without use, a stalled receiver after 30 s, an earlier stream when its sender dials again; TCP keepalive finds lost VMs; windows are enforced.

--- a/fescueward/services/frontend.py
+++ b/fescueward/services/frontend.py
@@ -50,6 +50,8 @@
 _SHUTDOWN_S = 30.0
 # How long a refused caller that still sends its body is read from, so that it sees the refusal.
 _LINGERING_S = 2.0
+# A caller that takes nothing of a response for this long holds a slot of the upstream for nobody.
+_STALL_S = 30.0
 _METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"})
 # Headers of the caller's connection.
 _NOT_FORWARDED = frozenset(
@@ -225,7 +227,8 @@
             await stream.prepare(http)
             async with aclosing(body.chunks()) as chunks:
                 async for chunk in chunks:
-                    await stream.write(chunk)
+                    async with asyncio.timeout(_STALL_S):
+                        await stream.write(chunk)
             await stream.write_eof()
         except (FescuewardError, OSError) as error:
             _BROKEN.emit(request=response.request_id, error=error)
--- /dev/null
+++ b/fescueward/services/peer_wire.py
@@ -0,0 +1,127 @@
+"""What both ends of a peer stream share: writing, reading and the messages of a request."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+import socket
+from collections.abc import AsyncIterator
+from typing import Any
+
+from ..kernel import RefusalError
+from ..kernel.errors import NotOwnerError, TokenRequiredError, refusal_from_label
+from ..messages import Request
+from ..messages.codec import FrameDecoder, encode_frame
+from ..messages.peer import PROTOCOL_VERSION, StreamOpen, StreamRefused
+from ..messages.request import BytesBody
+from .streams import INLINE_BYTES
+
+_READ_BYTES = 262_144
+# A peer that takes nothing while this much waits for it is cut off; it dials again.
+_WRITE_LIMIT_BYTES = 16 * 1024 * 1024
+# A VM that is lost sends no end of its streams; TCP finds it after about a minute.
+_KEEPALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 30),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 10),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+)
+
+
+class Wire:
+    """Writes messages to one TCP connection."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        connection = writer.get_extra_info("socket")
+        if connection is not None:
+            for level, option, value in _KEEPALIVE:
+                connection.setsockopt(level, option, value)
+
+    def send(self, message: object) -> None:
+        """Sends a message without waiting; does nothing once the connection is closing.
+
+        Raises:
+            MalformedMessageError: The message cannot be encoded or is too large.
+        """
+        frame = encode_frame(message)
+        transport = self._writer.transport
+        if transport.is_closing():
+            return
+        if transport.get_write_buffer_size() > _WRITE_LIMIT_BYTES:
+            transport.abort()
+            return
+        self._writer.write(frame)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._writer.close()
+
+
+async def read_messages(reader: asyncio.StreamReader) -> AsyncIterator[Any]:
+    """Yields the messages of a connection until its end.
+
+    Raises:
+        MalformedMessageError: The bytes are no message.
+    """
+    decoder = FrameDecoder()
+    while data := await reader.read(_READ_BYTES):
+        for message in decoder.feed(data):
+            yield message
+
+
+def handshake_mac(secret: bytes, nonce: bytes, name: str, incarnation: int) -> bytes:
+    """Returns the proof that the dialling side knows the peer secret."""
+    text = f"{PROTOCOL_VERSION}\n{incarnation}\n{name}".encode()
+    return hmac.new(secret, nonce + text, hashlib.sha256).digest()
+
+
+def inline_data(body: Any) -> bytes | None:
+    """Returns a body that travels inside its first message, or None."""
+    if isinstance(body, BytesBody) and len(body.data) <= INLINE_BYTES:
+        return body.data
+    return None
+
+
+def open_message(
+    number: int, request: Request, remaining_s: float, inline: bytes | None
+) -> StreamOpen:
+    """Returns the message that forwards a request."""
+    return StreamOpen(
+        stream=number,
+        request_id=request.id,
+        service=request.service,
+        key=request.key,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        remaining_ms=max(int(remaining_s * 1000), 1),
+        token=request.token,
+        length=request.body.length,
+        data=inline or b"",
+        end=inline is not None,
+    )
+
+
+def refused_message(stream: int, error: RefusalError) -> StreamRefused:
+    """Returns the message that reports a refusal."""
+    retry_after_ms = None if error.retry_after_s is None else int(error.retry_after_s * 1000)
+    return StreamRefused(
+        stream=stream,
+        label=error.label,
+        message=str(error),
+        owner_id=error.owner_id if isinstance(error, NotOwnerError) else None,
+        token=error.token if isinstance(error, TokenRequiredError) else None,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def refusal_of(message: StreamRefused) -> RefusalError:
+    """Returns the refusal that a message reports."""
+    error = refusal_from_label(
+        message.label, message.message, owner_id=message.owner_id, token=message.token
+    )
+    if message.retry_after_ms is not None:
+        error.retry_after_s = message.retry_after_ms / 1000
+    return error
--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -17,6 +17,9 @@
 # A body up to this size travels inside StreamOpen or StreamHead.
 INLINE_BYTES = 65_536
 
+# A receiver that takes nothing for this long holds a slot of the upstream for nobody.
+STALL_S = 30.0
+
 Sender = Callable[[object], None]
 
 
@@ -31,6 +34,7 @@
         self.stream = stream
         self._send = send
         self._chunks: deque[bytes] = deque()
+        self._held = 0
         self._arrived = asyncio.Event()
         self._ended = False
         self._broken: str | None = None
@@ -41,6 +45,10 @@
         """Takes a part of the body that arrived."""
         if data:
             self._chunks.append(data)
+            self._held += len(data)
+            if self._held > WINDOW_BYTES + INLINE_BYTES:
+                self.fail("the sender exceeds its window")
+                return
         self._ended = self._ended or end
         self._arrived.set()
 
@@ -70,6 +78,7 @@
             self._arrived.clear()
             await self._arrived.wait()
         chunk = self._chunks.popleft()
+        self._held -= len(chunk)
         self._send(StreamCredit(self.stream, len(chunk)))
         return chunk
 
@@ -92,7 +101,11 @@
             if self._broken is not None:
                 raise BodyTruncatedError(self._broken)
             self._credit_arrived.clear()
-            await self._credit_arrived.wait()
+            try:
+                async with asyncio.timeout(STALL_S):
+                    await self._credit_arrived.wait()
+            except TimeoutError:
+                raise BodyTruncatedError(f"the receiver took nothing for {STALL_S} s") from None
         if self._broken is not None:
             raise BodyTruncatedError(self._broken)
         self._credit -= size
--- /dev/null
+++ b/tests/services/test_peers.py
@@ -0,0 +1,291 @@
+"""Tests of peer streams between two services over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from contextlib import suppress
+from types import SimpleNamespace
+from unittest import mock
+
+from fescueward.kernel import Kernel
+from fescueward.kernel.errors import (
+    BodyTruncatedError,
+    DeadlineExceededRunningError,
+    InvalidRequestError,
+    NotOwnerError,
+    OutcomeLostError,
+    OverloadedError,
+    OwnerUnreachableError,
+    PeerTimeoutError,
+)
+from fescueward.kernel.settings import PeersSection
+from fescueward.messages import Response
+from fescueward.messages.codec import encode_frame
+from fescueward.messages.peer import CrashReport, Renew, StatusQuery, StatusReply, StreamData
+from fescueward.services import peer_links, streams
+from fescueward.services.peers import MsgpackPeers
+from fescueward.services.streams import WINDOW_BYTES, Channel
+from fescueward.testing.ports import PortReservations
+from fescueward.testing.waiting import wait_until
+
+from .fakes import CLOCK, StreamedBody, StubRegistry, make_member, make_request, make_response
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.ports = PortReservations()
+        self.addCleanup(self.ports.close)
+        self.port = self.ports.reserve()
+        self.owner = await self.start("b", self.port)
+        self.router = await self.start("a", 0)
+        self.member = make_member("b", self.port)
+        self.owner.serve(self.handle)
+        self.behave = self.echo
+        self.seen = []
+
+    async def asyncTearDown(self) -> None:
+        await self.router.stop()
+        await self.owner.stop()
+
+    async def start(self, name, port, secret="s" * 16):
+        peers = MsgpackPeers(Kernel(), name, 1)
+        section = PeersSection(host="127.0.0.1", port=port or 1, secret=secret, timeout_ms=500)
+        peers.bind(StubRegistry(settings=SimpleNamespace(peers=section)))
+        peers._port = port
+        await peers.start()
+        return peers
+
+    async def handle(self, request):
+        self.seen.append(request)
+        return await self.behave(request)
+
+    async def echo(self, request):
+        data = b"".join([chunk async for chunk in request.body.chunks()])
+        return make_response(data, served_by="b:1", epoch=7)
+
+    def forward(self, within_s=5.0, **values):
+        return self.router.forward(self.member, make_request(within_s, **values))
+
+    async def assert_nothing_open(self):
+        await wait_until(
+            lambda: self.router.open_requests() + self.owner.open_requests() == 0,
+            2,
+            "no request is open",
+        )
+
+    async def test_requests_and_bodies_of_all_sizes(self):
+        """Guards against changed fields, and bodies cut at the limits of frame and window."""
+        for size in (0, 10, 65_536, 65_537, 3 * WINDOW_BYTES + 1):
+            for streamed in (False, True):
+                body = b"x" * size
+                if streamed:
+                    body = StreamedBody(*(body[at : at + 50_000] for at in range(0, size, 50_000)))
+                response = await self.forward(body=body, token="t", path="/p?q=1")
+                data = b"".join([chunk async for chunk in response.body.chunks()])
+                self.assertEqual(len(data), size)
+                self.assertEqual((response.served_by, response.epoch), ("b:1", 7))
+        self.assertEqual((self.seen[0].token, self.seen[0].path), ("t", "/p?q=1"))
+        self.assertEqual(self.seen[0].forwarded_by, "a:1")
+        await self.assert_nothing_open()
+
+    async def test_refusals_keep_type_and_details(self):
+        """Guards against a refusal that loses its outcome on the way."""
+        for error in (
+            NotOwnerError("moved", owner_id="c:1"),
+            OverloadedError("full", retry_after_s=2.0),
+        ):
+
+            async def refuse(request, error=error):
+                raise error
+
+            self.behave = refuse
+            with self.assertRaises(type(error)) as refused:
+                await self.forward()
+            self.assertEqual(refused.exception.retry_after_s, error.retry_after_s)
+            self.assertEqual(vars(refused.exception), vars(error))
+        await self.assert_nothing_open()
+
+    async def test_unexpected_exception_at_the_owner(self):
+        """Guards against a stream that ends, or `not_run`, because one request failed."""
+
+        async def fail(request):
+            raise ZeroDivisionError
+
+        self.behave = fail
+        with self.assertRaises(OutcomeLostError):
+            await self.forward()
+        self.behave = self.echo
+        self.assertEqual((await self.forward()).status, 200)
+
+    async def test_caller_that_leaves_cancels_the_run(self):
+        """Guards against runs and late responses that stay after their caller has left."""
+        cancelled = asyncio.Event()
+
+        async def slow(request):
+            try:
+                await asyncio.sleep(5)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        self.behave = slow
+        for within_s, kind in ((0.1, DeadlineExceededRunningError), (5.0, asyncio.CancelledError)):
+            cancelled.clear()
+            self.seen.clear()
+            sending = asyncio.create_task(self.forward(within_s))
+            await wait_until(lambda: self.seen, 2, "it runs")
+            if kind is asyncio.CancelledError:
+                sending.cancel()
+            with self.assertRaises(kind):
+                await sending
+            await asyncio.wait_for(cancelled.wait(), 2)
+            await self.assert_nothing_open()
+
+    async def test_response_that_is_not_read(self):
+        """Guards against slots that are held by a response whose caller has gone."""
+        body = StreamedBody(*[b"x" * 60_000] * 20)
+
+        async def large(request):
+            return Response("r1", 200, (), body, "b:1", 1)
+
+        self.behave = large
+        response = await self.forward()
+        await response.body.close()
+        await wait_until(lambda: body.closed, 2, "the body is closed at the owner")
+        await self.assert_nothing_open()
+
+    async def test_receiver_that_stalls(self):
+        """Guards against a slot that is held for ever by a receiver that takes nothing."""
+        body = StreamedBody(*[b"x" * 60_000] * 20)
+
+        async def large(request):
+            return Response("r1", 200, (), body, "b:1", 1)
+
+        self.behave = large
+        with mock.patch.object(streams, "STALL_S", 0.1):
+            response = await self.forward()
+            await wait_until(lambda: body.closed, 2, "the owner gives up")
+            with self.assertRaises(BodyTruncatedError):
+                async for _ in response.body.chunks():
+                    pass
+        await self.assert_nothing_open()
+
+    async def test_body_that_breaks(self):
+        """Guards against part of an upload that is taken for the whole."""
+
+        async def read(request):
+            async for _ in request.body.chunks():
+                pass
+            return make_response()
+
+        self.behave = read
+        body = StreamedBody(b"x" * 100_000, error=BodyTruncatedError("gone"))
+        with self.assertRaises(OutcomeLostError):
+            await self.forward(body=body)
+        await self.assert_nothing_open()
+
+    async def test_owner_that_ends(self):
+        """Guards against `not_run` for a request that was sent, and a wait until its deadline."""
+
+        async def slow(request):
+            await asyncio.sleep(5)
+
+        self.behave = slow
+        sending = asyncio.create_task(self.forward())
+        await wait_until(lambda: self.seen, 2, "it runs")
+        await self.owner.stop()
+        with self.assertRaises(OutcomeLostError):
+            await sending
+        with self.assertRaises(OwnerUnreachableError):
+            await self.forward(0.5)
+        self.assertEqual(self.router.open_requests(), 0)
+
+    async def test_dropped_member(self):
+        """Guards against requests that wait for a member that was removed."""
+        await self.forward()
+        sending = asyncio.create_task(self.forward(body=StreamedBody(b"")))
+
+        async def slow(request):
+            await asyncio.sleep(5)
+
+        self.behave = slow
+        await wait_until(lambda: len(self.seen) == 2, 2, "it runs")
+        self.router.drop("b:1")
+        with self.assertRaises(OutcomeLostError):
+            await sending
+        self.assertEqual(self.router.connected(), ())
+
+    async def test_calls_and_messages(self):
+        """Guards against replies that reach another call, and calls without an end."""
+        received = []
+        self.owner.on(
+            StatusQuery,
+            lambda sender, query: self.owner.reply(sender, StatusReply(query.call, {"n": 1})),
+        )
+        self.owner.on(CrashReport, lambda sender, report: received.append((sender, report)))
+        call = self.router.next_call()
+        reply = await self.router.call(self.member, StatusQuery(call), call)
+        self.assertEqual(reply, StatusReply(call, {"n": 1}))
+        self.assertTrue(self.router.send(self.member, CrashReport("a:1", (1,))))
+        await wait_until(lambda: received, 2, "the report arrives")
+        self.assertEqual(received[0][0], "a:1")
+        with self.assertRaises(PeerTimeoutError):
+            await self.router.call(self.member, Renew("a:1", 1), 999)
+
+    async def test_handler_that_fails(self):
+        """Guards against a stream that ends because one message could not be acted on."""
+        self.owner.on(CrashReport, mock.Mock(side_effect=ZeroDivisionError))
+        await self.forward()
+        self.router.send(self.member, CrashReport("a:1"))
+        self.assertEqual((await self.forward()).status, 200)
+
+    async def test_strangers_and_garbage(self):
+        """Guards against peers without the secret, wrong members and bytes that are no frame."""
+        stranger = await self.start("c", 0, "t" * 16)
+        with self.assertRaises(OwnerUnreachableError):
+            await stranger.forward(self.member, make_request(0.3))
+        await stranger.stop()
+        with self.assertRaises(OwnerUnreachableError):
+            await self.router.forward(make_member("z", self.port), make_request(0.3))
+        for garbage in (b"GET / HTTP/1.1\r\n\r\n", encode_frame(StreamData(1, b"x"))):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(garbage)
+            await asyncio.wait_for(reader.read(), 2)
+            writer.close()
+        self.assertEqual((await self.forward()).status, 200)
+
+    async def test_second_stream_of_a_sender_ends_the_first(self):
+        """Guards against half-open streams that stay after a partition."""
+        await self.forward()
+        again = await self.start("a", 0)
+        await again.forward(self.member, make_request())
+        await wait_until(lambda: not self.router.connected(), 2, "the first has ended")
+        await again.stop()
+
+    async def test_idle_links_are_ended(self):
+        """Guards against streams, and dials of lost members, that grow with the fleet's churn."""
+        await self.forward()
+        with suppress(OwnerUnreachableError):
+            await self.router.forward(make_member("gone", 1), make_request(0.2))
+        now = CLOCK.now()
+        with mock.patch.object(
+            self.router._links, "_clock", SimpleNamespace(now=lambda: now + peer_links._IDLE_S + 5)
+        ):
+            self.router._links.end_idle()
+        self.assertEqual(self.router._links.ids, ())
+
+    async def test_request_that_cannot_be_encoded(self):
+        """Guards against an unknown outcome for a request that was never sent."""
+        with self.assertRaises(InvalidRequestError):
+            await self.forward(path="/" + "x" * 2_000_000)
+        await self.assert_nothing_open()
+
+    async def test_sender_beyond_its_window(self):
+        """Guards against a queue without bound."""
+        channel = Channel(1, lambda message: None)
+        for _ in range(10):
+            channel.receive(b"x" * 60_000, False)
+        with self.assertRaises(BodyTruncatedError):
+            while True:
+                await channel.read()
