Wait when the upstream rejects a grant or leaves

Cause: a grant that had not reached the upstream yet ended in a refusal to the caller: at the start of a deployment the upstream holds grants without validity for up to one renewal period. Change: these two refusals, before which nothing runs, are waited for as those of an agent.

--- a/fescueward/services/upstream.py
+++ b/fescueward/services/upstream.py
@@ -17,8 +17,10 @@
     BodyTruncatedError,
     DeadlineExceededError,
     DeadlineExceededRunningError,
+    DrainingError,
     FescuewardError,
     InvalidRequestError,
+    LeaseExpiredError,
     OutcomeLostError,
     OverloadedError,
     RefusalError,
@@ -285,7 +287,12 @@
     headers = response.headers
     error: RefusalError
     if (reason := headers.get(REFUSAL_HEADER)) is not None:
-        if reason == "deadline":
+        if reason == "grant":
+            # The grants of a new owner or a restarted upstream arrive within a renewal period.
+            error = LeaseExpiredError("the upstream rejected the grant")
+        elif reason == "leaving":
+            error = DrainingError("the upstream is leaving")
+        elif reason == "deadline":
             error = DeadlineExceededError("the upstream got the request after its deadline")
         elif reason == "shed":
             error = OverloadedError("the upstream sheds load", retry_after_s=1.0)
