--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -312,8 +312,11 @@
         if not isinstance(challenge, Challenge):
             raise HandshakeError("the peer sent no challenge")
         me = self._identity()
-        mac = handshake_mac(me.secret, challenge.nonce, me.name, me.incarnation)
-        wire.send(Hello(me.name, me.incarnation, PROTOCOL_VERSION, mac))
+        # A client can dial one agent as a seed and as a member; an acceptor keeps one stream
+        # for each name.
+        name = me.name if link.member.incarnation else f"{me.name}-seed"
+        mac = handshake_mac(me.secret, challenge.nonce, name, me.incarnation)
+        wire.send(Hello(name, me.incarnation, PROTOCOL_VERSION, mac))
         welcome = await anext(messages, None)
         if not isinstance(welcome, Welcome):
             raise HandshakeError("the peer sent no welcome")
