Scale the move budget with urgency and spread idle services at once

A probe's tiny work took the idle budget away, so four idle servers needed 16 s and as many writes to spread. Below 0.5% of the slots the idle budget applies, and the budget grows with the excess of the worst member.

--- a/fescueward/services/policies/bounded.py
+++ b/fescueward/services/policies/bounded.py
@@ -49,8 +49,12 @@
     Weight.CHURN: Tuning(1.20, 1.06, 1.08, 1.02, 0.60, 0.03, 8),
 }
 _BELOW_TRIGGER = 0.03
-# Without measured work nobody waits for a handover, so the shards spread at once.
+# Below this part of the slots hardly anybody waits for a handover, so the shards spread at once.
+_IDLE_WORK = 0.005
 _IDLE_BUDGET = 0.5
+# The budget grows in proportion to the excess of the worst member above this one, up to a factor.
+_PLAIN_EXCESS = 0.25
+_MOST_BUDGETS = 3.0
 
 
 class BoundedLoadPolicy:
@@ -117,8 +121,7 @@
         self._shards = list(group.shards)
         moving = [shard_id for shard_id, shard in enumerate(group.shards) if shard.successor]
         keys = sum(shard_id >= group.shard_count for shard_id in moving)
-        share = tuning.budget if self._ledger.measured else _IDLE_BUDGET
-        budget = max(1, int(group.shard_count * share))
+        budget = max(1, int(group.shard_count * self._budget_share()))
         self._budget = {False: budget - len(moving) + keys, True: tuning.key_budget - keys}
 
     def moved(self) -> Group:
@@ -135,6 +138,13 @@
             self._relieve(exceptions=False)
         return replace(self._group, shards=tuple(self._shards))
 
+    def _budget_share(self) -> float:
+        ledger = self._ledger
+        if ledger.measured < _IDLE_WORK * sum(member.slots for member in ledger.members.values()):
+            return _IDLE_BUDGET
+        urgency = (ledger.worst() - 1) / _PLAIN_EXCESS
+        return self._tuning.budget * min(max(urgency, 1.0), _MOST_BUDGETS)
+
     def _place_unowned(self) -> None:
         if all(shard.owner for shard in self._shards[: self._group.shard_count]):
             return
