Create and dissolve exceptions in separate writes

A write that created an exception and dissolved another one of the same hash shard raised the epoch of the hash shard up to that of the new exception.

--- a/fescueward/services/policies/exceptions.py
+++ b/fescueward/services/policies/exceptions.py
@@ -66,7 +66,10 @@
             break
         shards[slot] = Shard(parent.owner, max(shards[slot].epoch, parent.epoch) + 1)
         exceptions[hot.key] = slot
-    group = replace(group, shards=tuple(shards), exceptions=exceptions)
+    if exceptions != group.exceptions:
+        # Slots are taken back in a later write: a dissolved exception raises the epoch of its
+        # hash shard, which must stay below that of an exception created in the same write.
+        return replace(group, shards=tuple(shards), exceptions=exceptions)
     return _make_room(group, work, groups, mean, short) if short > 0 else group
 
 
--- a/tests/services/test_placement.py
+++ b/tests/services/test_placement.py
@@ -253,6 +253,27 @@
         self.assertEqual(len(group.shards), SHARDS + MAX_EXCEPTIONS)
         self.assertLess(len(encode_json(group)), 40_000)
 
+    def test_creation_and_dissolution_share_no_write(self):
+        """Guards against an exception whose epoch is not above that of its raised hash shard."""
+        names = (f"other-{number}" for number in range(10_000))
+        twin = next(name for name in names if hash_shard(self.group, name, 1) == 5)
+        cool = next(
+            name
+            for name in (f"cool-{number}" for number in range(10_000))
+            if hash_shard(self.group, name, 1) == 5
+        )
+        group = self.group
+        for key in (cool, *(f"key-{number}" for number in range(MAX_EXCEPTIONS - 2))):
+            group = BoundedLoadPolicy().rebalance(group, GroupLoad({}, {key: 0.5}), entry())
+        self.assertEqual(len(group.exceptions), MAX_EXCEPTIONS - 1)
+        load = GroupLoad(
+            {group.exceptions[key]: 0.01 for key in group.exceptions if key != cool},
+            {twin: 0.9, "more": 0.8},
+        )
+        after = BoundedLoadPolicy().rebalance(group, load, entry())
+        self.assertIn(twin, after.exceptions)
+        self.assertEqual(faults(group, after), [])
+
     def test_shards_that_wait_get_no_exception(self):
         """Guards against a key that runs at its new shard while its hash shard still holds."""
         shard_id = key_hash("viral") % SHARDS
