Let single keys leave a gap before hash shards move

A hot key could move only if its server kept 93% of its share, so hash shards with thousands of cold keys moved instead, and moved again when the next key became hot.

--- a/fescueward/services/policies/bounded.py
+++ b/fescueward/services/policies/bounded.py
@@ -16,8 +16,12 @@
 _SMALL = 0.25
 # A joined member that is starved is filled up to this part of its share.
 _FILLED = 0.95
-# A source may fall this far below its share, which heavy shards need.
+# A source may fall this far below its share, which heavy shards need. Single keys may leave more
+# of a gap: it takes the next hot key, where hash shards that fill it would move twice.
 _LOWEST = 0.93
+_LOWEST_FOR_KEYS = 0.75
+# Least gain of a move: ratio of the source after it above that of the target before it.
+_LEAST_GAIN = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,10 +134,10 @@
         if not ledger.members:
             return self._group
         self._place_unowned()
+        if ledger.worst() > tuning.key_trigger:
+            self._relieve(exceptions=True)
         # A member that joined takes from all others; moves between those would be wasted.
         filled = self._fill_starved()
-        if filled and ledger.worst() > tuning.key_trigger:
-            self._relieve(exceptions=True)
         if filled and ledger.worst() > tuning.trigger:
             self._relieve(exceptions=False)
         return replace(self._group, shards=tuple(self._shards))
@@ -217,6 +221,7 @@
         ledger = self._ledger
         excess = ledger.loads[source] - ledger.shares[source]
         bound = self._bound(source, exceptions)
+        lowest = _LOWEST_FOR_KEYS if exceptions else _LOWEST
         best: tuple[tuple[bool, int, float], int, str] | None = None
         first = self._group.shard_count if exceptions else 0
         last = len(self._shards) if exceptions else self._group.shard_count
@@ -224,9 +229,12 @@
             shard, weight = self._shards[shard_id], ledger.weights[shard_id]
             if not self._movable(shard, source) or weight <= 0:
                 continue
-            if ledger.loads[source] - weight < ledger.shares[source] * _LOWEST:
+            rest = (ledger.loads[source] - weight) / ledger.shares[source]
+            if rest < lowest:
                 continue
             for target in targets:
+                if rest < ledger.ratio(target) + _LEAST_GAIN and not spread:
+                    continue
                 room = ledger.ramped_share(target) * bound - ledger.loads[target]
                 if target == source or weight > room:
                     continue
