Tune churn entries

Churn entries left servers between the triggers 1.06 and 1.20 alone and filled servers that a cooling key had emptied with hash shards. They now relieve from 1.15 and fill below 0.45.

--- a/fescueward/services/policies/bounded.py
+++ b/fescueward/services/policies/bounded.py
@@ -50,7 +50,7 @@
 # Moves end well below the level that starts them, so that noise starts none.
 TUNINGS: dict[Weight, Tuning] = {
     Weight.UNAVAILABILITY: Tuning(1.08, 1.05, 1.03, 1.02, 0.80, 0.10, 16),
-    Weight.CHURN: Tuning(1.20, 1.06, 1.08, 1.02, 0.60, 0.03, 8),
+    Weight.CHURN: Tuning(1.15, 1.05, 1.07, 1.02, 0.45, 0.03, 8),
 }
 _BELOW_TRIGGER = 0.03
 # Below this part of the slots hardly anybody waits for a handover, so the shards spread at once.
