--- /dev/null
+++ b/tests/services/test_planner.py
@@ -0,0 +1,137 @@
+"""Tests of the planner: who plans, when, and what is logged."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from types import SimpleNamespace
+
+from loguru import logger
+
+from fescueward.interfaces.placement import GroupLoad
+from fescueward.kernel import Kernel
+from fescueward.kernel.errors import PlatformUnavailableError
+from fescueward.messages import GroupId, MemberState, VersionedGroup
+from fescueward.services.placement import ShardPlacement
+from fescueward.services.policies import BoundedLoadPolicy
+
+from .groups_for_tests import SHARDS, entry, joined, member, owners, placed
+
+_HOME = GroupId("depot", 0)
+
+
+class _Groups:
+    def __init__(self, group):
+        self.held = VersionedGroup(1, group)
+        self.listener = None
+        self.fault = None
+
+    def view(self, group):
+        return self.held
+
+    async def edit(self, group, change):
+        if self.fault is not None:
+            raise self.fault
+        changed = change(self.held.group)
+        if changed is not None:
+            self.held = VersionedGroup(self.held.version + 1, changed)
+            self.listener.group_changed(self.held)
+        return self.held
+
+
+class _Load:
+    def __init__(self):
+        self.load = GroupLoad()
+        self.rounds = 0
+
+    def group_load(self):
+        return self.load
+
+    def end_round(self):
+        self.rounds += 1
+        return self.load
+
+
+class PlannerTest(unittest.IsolatedAsyncioTestCase):
+    """One member plans, with complete figures, and says what it decided."""
+
+    def setUp(self):
+        self.group = joined(placed(member("a")), member("b"))
+        self.groups, self.load = _Groups(self.group), _Load()
+        self.events: list[tuple[int, dict]] = []
+        sink = logger.add(
+            lambda line: self.events.append(
+                (line.record["extra"]["event"].number, line.record["extra"]["fields"])
+            ),
+            filter=lambda record: "event" in record["extra"],
+        )
+        self.addCleanup(logger.remove, sink)
+
+    def _placement(self, member_id: str, *, held: bool = True) -> ShardPlacement:
+        service = ShardPlacement(Kernel())
+        service._membership = SimpleNamespace(home=_HOME, member_id=member_id)
+        service._lease = SimpleNamespace(held=held)
+        service._catalogue = SimpleNamespace(entry=lambda _: SimpleNamespace(entry=entry()))
+        service._groups, service._load = self.groups, self.load
+        service._policy = BoundedLoadPolicy()
+        self.groups.listener = service
+        return service
+
+    def _numbers(self) -> list[int]:
+        return [number for number, _ in self.events]
+
+    async def test_moves_are_logged_once_each_with_their_round(self):
+        """Guards against decisions that no log line explains."""
+        await self._placement("a:1").plan()
+        moving = sum(shard.successor == "b:1" for shard in self.groups.held.group.shards)
+        self.assertGreater(moving, 0)
+        self.assertEqual(self._numbers().count(2803), moving)
+        self.assertEqual(self._numbers().count(2801), 1)
+        fields = next(fields for number, fields in self.events if number == 2803)
+        self.assertEqual(
+            (fields["reason"], fields["source"], fields["target"]), ("balance", "a:1", "b:1")
+        )
+
+    async def test_only_the_planner_with_a_lease_plans(self):
+        """Guards against two planners, and one that acts after its lease ended."""
+        await self._placement("b:1").plan()
+        await self._placement("a:1", held=False).plan()
+        self.assertEqual(self.groups.held.version, 1)
+
+    async def test_incomplete_reports_stop_the_round(self):
+        """Guards against a new planner that moves shards by figures of a few members."""
+        self.load.load = GroupLoad(complete=False)
+        await self._placement("a:1").plan()
+        self.assertEqual(self.groups.held.version, 1)
+
+    async def test_outage_ends_the_round_only(self):
+        """Guards against an agent that ends because the platform is down."""
+        self.groups.fault = PlatformUnavailableError("down")
+        self.assertFalse(await self._placement("a:1").plan())
+        self.assertIn(2802, self._numbers())
+
+    async def test_new_exception_asks_for_another_round(self):
+        """Guards against a hot key that waits a whole round for its room."""
+        self.load.load = GroupLoad(dict.fromkeys(range(SHARDS), 0.05), {"viral": 1.0})
+        self.assertTrue(await self._placement("a:1").plan())
+        self.assertEqual(self._numbers(), [2804, 2801])
+
+    async def test_losses_are_logged_when_they_are_written(self):
+        """Guards against log lines of decisions that lost the conditional write."""
+        service = self._placement("a:1")
+        service.assign(self.group, frozenset({"a:1"}))
+        self.assertEqual(self._numbers(), [])
+        assigned = service.assign(self.group, frozenset({"a:1"}))
+        service.group_changed(VersionedGroup(5, assigned))
+        self.assertEqual(self._numbers(), [2803] * SHARDS)
+        self.assertEqual({fields["reason"] for _, fields in self.events}, {"loss"})
+
+    async def test_vacate_marks_the_member_and_is_repeatable(self):
+        """Guards against an edit that never ends because each try changes the group again."""
+        service = self._placement("a:1")
+        vacated = service.vacate(self.group, "a:1")
+        self.assertEqual(vacated.members["a:1"].state, MemberState.LEAVING)
+        self.assertEqual({shard.successor for shard in vacated.shards}, {"b:1"})
+        self.assertEqual(service.vacate(vacated, "a:1"), vacated)
+        alone = replace(self.group, members={"a:1": self.group.members["a:1"]})
+        self.assertEqual(owners(service.vacate(alone, "a:1")), ["a:1"] * SHARDS)
