--- a/fescueward/services/policies/bounded.py
+++ b/fescueward/services/policies/bounded.py
@@ -16,8 +16,12 @@
 _SMALL = 0.25
 # A joined member that is starved is filled up to this part of its share.
 _FILLED = 0.95
-# A source may fall this far below its share, which heavy shards need.
+# A source may fall this far below its share, which heavy shards need. Single keys may leave more
+# of a gap: it takes the next hot key, where hash shards that fill it would move twice.
 _LOWEST = 0.93
+_LOWEST_FOR_KEYS = 0.75
+# Least gain of a move: ratio of the source after it above that of the target before it.
+_LEAST_GAIN = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,11 +50,15 @@
 # Moves end well below the level that starts them, so that noise starts none.
 TUNINGS: dict[Weight, Tuning] = {
     Weight.UNAVAILABILITY: Tuning(1.08, 1.05, 1.03, 1.02, 0.80, 0.10, 16),
-    Weight.CHURN: Tuning(1.20, 1.06, 1.08, 1.02, 0.60, 0.03, 8),
+    Weight.CHURN: Tuning(1.15, 1.05, 1.07, 1.02, 0.45, 0.03, 8),
 }
 _BELOW_TRIGGER = 0.03
-# Without measured work nobody waits for a handover, so the shards spread at once.
+# Below this part of the slots hardly anybody waits for a handover, so the shards spread at once.
+_IDLE_WORK = 0.005
 _IDLE_BUDGET = 0.5
+# The budget grows in proportion to the excess of the worst member above this one, up to a factor.
+_PLAIN_EXCESS = 0.25
+_MOST_BUDGETS = 3.0
 
 
 class BoundedLoadPolicy:
@@ -117,8 +125,7 @@
         self._shards = list(group.shards)
         moving = [shard_id for shard_id, shard in enumerate(group.shards) if shard.successor]
         keys = sum(shard_id >= group.shard_count for shard_id in moving)
-        share = tuning.budget if self._ledger.measured else _IDLE_BUDGET
-        budget = max(1, int(group.shard_count * share))
+        budget = max(1, int(group.shard_count * self._budget_share()))
         self._budget = {False: budget - len(moving) + keys, True: tuning.key_budget - keys}
 
     def moved(self) -> Group:
@@ -127,14 +134,21 @@
         if not ledger.members:
             return self._group
         self._place_unowned()
+        if ledger.worst() > tuning.key_trigger:
+            self._relieve(exceptions=True)
         # A member that joined takes from all others; moves between those would be wasted.
         filled = self._fill_starved()
-        if filled and ledger.worst() > tuning.key_trigger:
-            self._relieve(exceptions=True)
         if filled and ledger.worst() > tuning.trigger:
             self._relieve(exceptions=False)
         return replace(self._group, shards=tuple(self._shards))
 
+    def _budget_share(self) -> float:
+        ledger = self._ledger
+        if ledger.measured < _IDLE_WORK * sum(member.slots for member in ledger.members.values()):
+            return _IDLE_BUDGET
+        urgency = (ledger.worst() - 1) / _PLAIN_EXCESS
+        return self._tuning.budget * min(max(urgency, 1.0), _MOST_BUDGETS)
+
     def _place_unowned(self) -> None:
         if all(shard.owner for shard in self._shards[: self._group.shard_count]):
             return
@@ -207,6 +221,7 @@
         ledger = self._ledger
         excess = ledger.loads[source] - ledger.shares[source]
         bound = self._bound(source, exceptions)
+        lowest = _LOWEST_FOR_KEYS if exceptions else _LOWEST
         best: tuple[tuple[bool, int, float], int, str] | None = None
         first = self._group.shard_count if exceptions else 0
         last = len(self._shards) if exceptions else self._group.shard_count
@@ -214,9 +229,12 @@
             shard, weight = self._shards[shard_id], ledger.weights[shard_id]
             if not self._movable(shard, source) or weight <= 0:
                 continue
-            if ledger.loads[source] - weight < ledger.shares[source] * _LOWEST:
+            rest = (ledger.loads[source] - weight) / ledger.shares[source]
+            if rest < lowest:
                 continue
             for target in targets:
+                if rest < ledger.ratio(target) + _LEAST_GAIN and not spread:
+                    continue
                 room = ledger.ramped_share(target) * bound - ledger.loads[target]
                 if target == source or weight > room:
                     continue
