Answer malformed HTTP on the administration address with typed errors

Cause: bytes that are no HTTP got aiohttp's text page and a stack trace in the log. Change: the connection's error handler answers in JSON; a body that breaks is refused with 400.

--- a/fescueward/services/administration.py
+++ b/fescueward/services/administration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hmac
 from collections.abc import Awaitable, Callable
 from dataclasses import fields, replace
@@ -40,9 +41,15 @@
 
 _REFUSED = Event(3801, "administration_refused", Level.INFO, "An operator's call was refused.")
 _FAILED = Event(3802, "administration_failed", Level.ERROR, "An operator's call failed here.")
+_MALFORMED = Event(
+    3803, "administration_malformed", Level.INFO, "An operator sent bytes that are no HTTP."
+)
 
 MAX_ENTRY_BYTES = 65_536
 _MAX_KEY_CHARACTERS = 1024
+_SHOWN_CHARACTERS = 200
+# Longest time that open calls get when the agent stops.
+_SHUTDOWN_S = 5.0
 _MAX_VERSION = (1 << 63) - 1
 
 # HTTP status by error type; the first type that matches counts.
@@ -64,6 +71,35 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
+class _Connection(web.RequestHandler):
+    """An operator's connection. Bytes that are no HTTP are answered in JSON as all failures."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Returns the answer to a call that could not be read."""
+        _MALFORMED.emit(status=status, error=repr(exc))
+        text = " ".join((message or type(exc).__name__).split())[:_SHOWN_CHARACTERS]
+        failure = InvalidAdministrationRequestError(f"malformed HTTP: {text}")
+        answer = _json(_error_answer(failure), status=status)
+        answer.force_close()
+        return answer
+
+
+class _Server(web.Server):
+    """Makes a `_Connection` for each operator."""
+
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        return _Connection(self, loop=asyncio.get_running_loop(), access_log=None)
+
+
 class HttpAdministration:
     """The `administration` service. aiohttp runs one task for each connection of an operator."""
 
@@ -71,7 +107,7 @@
     requires = ("catalogue", "status", "metrics")
 
     def __init__(self) -> None:
-        self._runner: web.AppRunner | None = None
+        self._runners: tuple[web.BaseRunner, ...] = ()
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -95,14 +131,21 @@
         app.router.add_get("/v1/explain/{service}", self._explain)
         app.router.add_get("/v1/agent", self._agent_status)
         app.router.add_get("/metrics", self._metrics_page)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=5.0)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, self._host, self._port).start()
+        routes = web.AppRunner(app, access_log=None)
+        await routes.setup()
+        assert routes.server is not None
+        server = _Server(
+            routes.server.request_handler, request_factory=routes.server.request_factory
+        )
+        listener = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
+        await listener.setup()
+        self._runners = (listener, routes)
+        await web.TCPSite(listener, self._host, self._port).start()
 
     async def stop(self) -> None:
         """Stops listening and lets open calls end."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        for runner in self._runners:
+            await runner.cleanup()
 
     async def _list_entries(self, http: web.Request) -> web.Response:
         return _json(EntryList(tuple(_answer(entry) for entry in self._catalogue.entries())))
@@ -198,18 +241,24 @@
             failure, status = _http_failure(http, error), error.status
             if isinstance(error, web.HTTPMethodNotAllowed):
                 headers["Allow"] = ", ".join(sorted(error.allowed_methods))
+        except (ConnectionError, web.RequestPayloadError) as error:
+            failure = InvalidAdministrationRequestError(f"the body broke: {type(error).__name__}")
+            status = 400
         except Exception as error:  # a fault of this program also gets a typed answer
             _FAILED.emit(method=http.method, path=http.path, error=repr(error))
             failure, status = FescuewardError(f"internal error: {type(error).__name__}"), 500
         _REFUSED.emit(method=http.method, path=http.path, code=failure.code, message=failure)
-        detail = ErrorDetail(failure.code, failure.label, str(failure))
+        answer = _error_answer(failure)
         if isinstance(failure, EntryConflictError):
             present = await self._present(http.match_info["service"])
             version = max(failure.version, present.version if present is not None else 0)
-            detail = replace(
-                detail, version=version, entry=_document(present.entry) if present else None
-            )
-        return _json(ErrorAnswer(detail), status=status, headers=headers)
+            entry = _document(present.entry) if present is not None else None
+            answer = ErrorAnswer(replace(answer.error, version=version, entry=entry))
+        return _json(answer, status=status, headers=headers)
+
+
+def _error_answer(failure: FescuewardError) -> ErrorAnswer:
+    return ErrorAnswer(ErrorDetail(failure.code, failure.label, str(failure)))
 
 
 def _http_failure(http: web.Request, error: web.HTTPException) -> FescuewardError:
--- a/tests/services/test_administration.py
+++ b/tests/services/test_administration.py
@@ -183,6 +183,35 @@
         await self.refused(405, "unknown_path", "POST", "/v1/entries/depot")
         await self.refused(404, "unknown_service", "DELETE", "/v1/entries/none", None, "1")
 
+    async def raw(self, data: bytes) -> bytes:
+        port = int(self.fake.url.rpartition(":")[2])
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(data)
+        try:
+            return await asyncio.wait_for(reader.readuntil(b"}}"), 5)
+        finally:
+            writer.close()
+
+    async def test_bytes_that_are_no_http(self):
+        """Guards against text pages and stack traces for operators' broken programs."""
+        put = b"PUT /v1/entries/depot HTTP/1.1\r\nHost: x\r\nIf-Match: 0\r\n"
+        put += f"Authorization: Bearer {TOKEN}\r\n".encode()
+        for data in (
+            b"GARBAGE\r\n\r\n",
+            b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: abc\r\n\r\n",
+            b"GET /" + b"a" * 20_000 + b" HTTP/1.1\r\n\r\n",
+            put + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        ):
+            with self.subTest(data=data[:40]):
+                head, _, body = (await self.raw(data)).partition(b"\r\n\r\n")
+                self.assertIn(b" 400 ", head.splitlines()[0])
+                error = json.loads(body)["error"]
+                self.assertEqual(error["label"], "invalid_administration_request")
+                self.assertLess(len(error["message"]), 300)
+        self.assertEqual(self.fake.platform.objects, {})
+        status, _ = await self.put(DEPOT)
+        self.assertEqual(status, 200)
+
     async def test_platform_failures(self):
         """Guards against an edit that is reported as accepted or refused when neither is known."""
         _, created = await self.put(DEPOT)
