--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -28,6 +28,7 @@
 from ..services.platform import HttpPlatform
 from ..services.quarantine import CrashQuarantine
 from ..services.router import OwnerRouter
+from ..services.snapshots import PlannerSnapshots
 from ..services.status import FleetStatusReports
 from ..services.upstream import HttpUpstream
 
@@ -63,9 +64,10 @@
         kernel.add(RetainedOutcomes())
         kernel.add(ShardOwnership(kernel))
         kernel.add(SlotAdmission())
-        kernel.add(CrashQuarantine())
+        kernel.add(CrashQuarantine(kernel))
         kernel.add(OwnerExecution())
         kernel.add(OwnerRouter())
+        kernel.add(PlannerSnapshots(kernel))
         kernel.add(HttpFrontend(kernel))
 
     def run(self) -> None:
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -17,7 +17,7 @@
 )
 from .ownership import Ownership, Ticket
 from .peers import Peers
-from .placement import Load, Placement, PlacementPolicy
+from .placement import Load, Placement, PlacementPolicy, QuarantineExport
 from .platform import Changes, Platform, StoredObject
 from .requests import Admission, Execution, Outcomes, Quarantine, Router, Upstream
 
@@ -42,6 +42,7 @@
     "Platform",
     "PlatformState",
     "Quarantine",
+    "QuarantineExport",
     "RequestListener",
     "RequestSource",
     "Router",
