--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -38,9 +38,11 @@
         text = self.page("operators.md")
         for kind in error_types():
             if issubclass(kind, RefusalError) and kind.__module__ == "fescueward.kernel.errors":
-                self.assertIn(f"| {kind.code} | `{kind.label}` |", text)
+                row = f"| {kind.code} | `{kind.label}` |"
+                self.assertTrue(row in text, f"operators.md lacks the row {row}")
         for problem in ProblemKind:
-            self.assertIn(f"| `{problem.value}` |", text)
+            row = f"| `{problem.value}` |"
+            self.assertTrue(row in text, f"operators.md lacks the row {row}")
 
     def test_administration_page_lists_every_status(self):
         """Guards against HTTP statuses that the page of the API leaves out."""
