Report slow moves between the same members as one problem

Cause: a drill with the platform down printed six lines of moves around the outage itself. Change: one problem for each pair of owner and successor.

--- a/fescueward/services/problems.py
+++ b/fescueward/services/problems.py
@@ -256,14 +256,22 @@
 
 
 def _slow_moves(group: Group, history: GroupHistory, now: float) -> Iterable[Problem]:
+    moves: dict[tuple[str | None, str], list[int]] = defaultdict(list)
+    oldest: dict[tuple[str | None, str], float] = defaultdict(float)
     for shard_id, shard in enumerate(group.shards):
         since_s = _age(history.moving_since(shard_id), now)
         if shard.successor is None or since_s is None or since_s < _SLOW_MOVE_S:
             continue
+        move = (shard.owner, shard.successor)
+        moves[move].append(shard_id)
+        oldest[move] = max(oldest[move], since_s)
+    for (owner, successor), shards in moves.items():
+        subject, verb = ("shard", "moves") if len(shards) == 1 else ("shards", "move")
+        since_s = oldest[owner, successor]
         text = (
-            f"shard {shard_id} of {group.service} moves from {shard.owner} to {shard.successor} "
-            f"since {since_s:.1f} s: requests in flight, an unreachable successor or an "
-            "outage of the platform holds it"
+            f"{subject} {_listed(shards)} of {group.service} {verb} from {owner} to {successor} "
+            f"since {since_s:.1f} s: requests in flight, an unreachable successor or an outage of "
+            "the platform holds it"
         )
         yield Problem(ProblemKind.MOVE_SLOW, text, since_s)
 
--- a/tests/services/test_status.py
+++ b/tests/services/test_status.py
@@ -116,6 +116,10 @@
         self.now = 106.5
         problem = self.problem(ProblemKind.MOVE_SLOW, answers(told("a"), told("b")))
         self.assertIn("shard 0 of depot moves from a:1 to b:1 since 6.5 s", problem.text)
+        self.see(group(moving, moving, *[Shard("a:1", 1)] * 2), 107)
+        self.now = 112.5
+        problem = self.problem(ProblemKind.MOVE_SLOW, answers(told("a"), told("b")))
+        self.assertIn("shards 0, 1 of depot move from a:1 to b:1 since 12.5 s", problem.text)
 
     def test_entry_that_is_not_in_effect_everywhere(self):
         """Guards against accepted changes that some agents never apply."""
