Follow the owner in the hop benchmark and keep the library silent

The routing client wrote the agent's log lines into its caller's program. Change: the owner is looked up before each round; the library path is measured; lines of this package are disabled until configure_logging is called.

--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -21,9 +21,10 @@
 import psutil
 import uvloop
 
+from fescueward import Client, FescuewardError
 from fescueward.messages import Entry
 from fescueward.testing.callers import new_request_id, without_retries
-from fescueward.testing.harness import DeployedMember, Deployment
+from fescueward.testing.harness import SECRET, Deployment
 from fescueward.testing.load import percentile
 from fescueward.testing.ports import PortReservations
 from fescueward.testing.processes import ManagedProcess
@@ -36,6 +37,7 @@
 WARM_UP = 400
 LATENCY_REQUESTS = 600
 RESPONSE_BYTES = 512
+KEY = "stock-1"
 _ROOT = Path(__file__).resolve().parents[1]
 
 Send = Callable[[], Awaitable[bool]]
@@ -50,7 +52,7 @@
         forwarded_ratio: CPU per request of both agents by that of one plain proxy; goal 1.3.
         forwarded_chain_ratio: The same by that of two plain proxies in a row.
         library_ratio: CPU per request at the owner's agent when the caller uses the library, by
-            that of the plain proxy; 0 if it was not measured.
+            that of the plain proxy.
         proxy_ms: CPU of the plain proxy per request, in ms.
         direct_ms: CPU of the agent per direct request, in ms.
         forwarded_ms: CPU of both agents per forwarded request, in ms.
@@ -83,7 +85,7 @@
 
     name: str
     send: Send
-    processes: tuple[ManagedProcess, ...]
+    processes: Callable[[], tuple[ManagedProcess, ...]]
     rounds_ms: list[float] = field(default_factory=list)
     failures: int = 0
     latencies_ms: list[float] = field(default_factory=list)
@@ -128,20 +130,23 @@
         first = await _plain_proxy(stack, ports, logged.deployment, upstream_url)
         second = await _plain_proxy(stack, ports, logged.deployment, first.url)
 
-        def via(url: str, key: str = "key") -> Send:
-            return lambda: _send(session, url, key)
+        def via(url: str) -> Send:
+            return lambda: _send(session, url, KEY)
 
-        none = _Path("none", via(upstream_url), ())
-        proxy = _Path("proxy", via(first.url), (first.process,))
-        chain = _Path("chain", via(second.url), (first.process, second.process))
-        direct, forwarded = _router_paths(logged, via)
-        quiet_direct, quiet_forwarded = _router_paths(quiet, via)
-        paths = (none, proxy, chain, direct, forwarded, quiet_direct, quiet_forwarded)
+        none = _Path("none", via(upstream_url), tuple)
+        proxy = _Path("proxy", via(first.url), lambda: (first.process,))
+        chain = _Path("chain", via(second.url), lambda: (first.process, second.process))
+        direct, forwarded = _router_paths(logged, session)
+        quiet_direct, quiet_forwarded = _router_paths(quiet, session)
+        library = await _library_path(stack, logged)
+        paths = (none, proxy, chain, direct, forwarded, library, quiet_direct, quiet_forwarded)
         for path in paths:
             await _round(path, WARM_UP)
             path.rounds_ms.clear()
         # Short rounds in turn, so that other load on the machine reaches all paths alike.
         for _ in range(ROUNDS):
+            await logged.find_owner()
+            await quiet.find_owner()
             for path in paths:
                 await _round(path, REQUESTS)
         for _ in range(LATENCY_REQUESTS):
@@ -151,7 +156,7 @@
         direct_ratio=round(direct.cpu_ms / proxy.cpu_ms, 3),
         forwarded_ratio=round(forwarded.cpu_ms / proxy.cpu_ms, 3),
         forwarded_chain_ratio=round(forwarded.cpu_ms / chain.cpu_ms, 3),
-        library_ratio=0.0,
+        library_ratio=round(library.cpu_ms / proxy.cpu_ms, 3),
         proxy_ms=round(proxy.cpu_ms, 4),
         direct_ms=round(direct.cpu_ms, 4),
         forwarded_ms=round(forwarded.cpu_ms, 4),
@@ -164,30 +169,54 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
 class _Pair:
-    """Two agents, and a key that the first owns."""
+    """Two agents, one of which owns the key at present. Placement can move it."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.owner, self.other = deployment.members
 
-    deployment: Deployment
-    owner: DeployedMember
-    other: DeployedMember
-    key: str
+    async def find_owner(self) -> None:
+        if await self.deployment.owner("depot", KEY) is not self.owner:
+            self.owner, self.other = self.other, self.owner
 
 
 async def _deploy(stack: contextlib.AsyncExitStack, log_level: str) -> _Pair:
     deployment = await stack.enter_async_context(Deployment(hop_deployment(log_level)))
     await deployment.wait_ready()
-    owner, other = deployment.members
-    return _Pair(deployment, owner, other, await _key_of(deployment, owner))
+    pair = _Pair(deployment)
+    await pair.find_owner()
+    return pair
 
 
-def _router_paths(pair: _Pair, via: Callable[[str, str], Send]) -> tuple[_Path, _Path]:
-    direct = _Path("direct", via(f"{pair.owner.url}/depot", pair.key), (pair.owner.agent,))
-    both = (pair.owner.agent, pair.other.agent)
-    forwarded = _Path("forwarded", via(f"{pair.other.url}/depot", pair.key), both)
+def _router_paths(pair: _Pair, session: aiohttp.ClientSession) -> tuple[_Path, _Path]:
+    direct = _Path(
+        "direct",
+        lambda: _send(session, f"{pair.owner.url}/depot", KEY),
+        lambda: (pair.owner.agent,),
+    )
+    forwarded = _Path(
+        "forwarded",
+        lambda: _send(session, f"{pair.other.url}/depot", KEY),
+        lambda: (pair.owner.agent, pair.other.agent),
+    )
     return direct, forwarded
 
 
+async def _library_path(stack: contextlib.AsyncExitStack, pair: _Pair) -> _Path:
+    seeds = [("127.0.0.1", member.ports.advertised_peers) for member in (pair.owner, pair.other)]
+    client = await stack.enter_async_context(Client(seeds, SECRET))
+
+    async def send() -> bool:
+        try:
+            answer = await client.request("depot", KEY, path=f"/stock?size={RESPONSE_BYTES}")
+        except FescuewardError:
+            return False
+        return answer.status == 200 and len(answer.body) == RESPONSE_BYTES
+
+    return _Path("library", send, lambda: (pair.owner.agent,))
+
+
 def _added_ms(without: _Path, hop: _Path, percent: float) -> float:
     return percentile(hop.latencies_ms, percent) - percentile(without.latencies_ms, percent)
 
@@ -221,15 +250,6 @@
     return _Proxy(process, f"http://127.0.0.1:{port}")
 
 
-async def _key_of(deployment: Deployment, owner: DeployedMember) -> str:
-    number = 0
-    while True:
-        found = await deployment.owner("depot", f"key-{number}")
-        if found is owner:
-            return f"key-{number}"
-        number += 1
-
-
 async def _send(session: aiohttp.ClientSession, url: str, key: str) -> bool:
     headers = {"Fescueward-Request-Id": new_request_id(), "Fescueward-Key": key}
     try:
@@ -248,9 +268,10 @@
             left -= 1
             path.failures += not await path.send()
 
-    before = _cpu_s(path.processes)
+    processes = path.processes()
+    before = _cpu_s(processes)
     await asyncio.gather(*(caller() for _ in range(CALLERS)))
-    path.rounds_ms.append((_cpu_s(path.processes) - before) / requests * 1000)
+    path.rounds_ms.append((_cpu_s(processes) - before) / requests * 1000)
 
 
 async def _timed(path: _Path) -> None:
--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -68,6 +68,9 @@
 _LOGGER = logger.opt(depth=1)
 # Lines wait this long to be written together; each write to the stream is a system call.
 _FLUSH_DELAY_S = 0.02
+# A program that uses the library gets no lines of it unless it asks for them.
+_PACKAGE = __name__.partition(".")[0]
+logger.disable(_PACKAGE)
 _WARNING_NUMBER = logger.level("WARNING").no
 
 
@@ -140,6 +143,7 @@
     """
     sink = _LineSink(stream or sys.stderr, _FORMATS[form])
     logger.remove()
+    logger.enable(_PACKAGE)
     logger.add(
         sink.write, level=level, format="{message}", backtrace=False, diagnose=False, catch=True
     )
--- a/tests/kernel/test_event_lines.py
+++ b/tests/kernel/test_event_lines.py
@@ -50,6 +50,13 @@
         _ROUTINE.emit(order=1)
         self.assertIn("order=1", self.stream.getvalue())
 
+    async def test_library_is_silent(self):
+        """Guards against lines of the routing client in the output of a caller's program."""
+        logger.disable("fescueward")
+        logger.add(self.stream, format="{message}")
+        exec("event.emit(order=1)", {"event": _SERIOUS, "__name__": "fescueward.services.router"})
+        self.assertEqual(self.stream.getvalue(), "")
+
     async def test_level(self):
         """Guards against lines below the level of the settings."""
         configure_logging("WARNING", "text", self.stream)
