--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -60,18 +60,29 @@
         Args:
             **fields: Values of the line; they are formatted only when the level is enabled.
         """
-        _LOGGER.log(self.level.value, self.name, event=self, fields=fields)
+        if _NUMBERS[self.level] >= _threshold.number:
+            _LOGGER.log(self.level.value, self.name, event=self, fields=fields)
 
 
 _EVENTS: dict[int, Event] = {}
 # Made once, because options and bound values cost as much as the rest of a suppressed line.
 _LOGGER = logger.opt(depth=1)
+_NUMBERS = {level: logger.level(level.value).no for level in Level}
 # Lines wait this long to be written together; each write to the stream is a system call.
 _FLUSH_DELAY_S = 0.02
 # A program that uses the library gets no lines of it unless it asks for them.
 _PACKAGE = __name__.partition(".")[0]
 logger.disable(_PACKAGE)
-_WARNING_NUMBER = logger.level("WARNING").no
+
+
+class _Threshold:
+    """Lowest level of the sink. loguru finds it out later, after half of the cost of a line."""
+
+    def __init__(self) -> None:
+        self.number = 0
+
+
+_threshold = _Threshold()
 
 
 def events() -> tuple[Event, ...]:
@@ -118,7 +129,7 @@
     def write(self, message: Any) -> None:
         record = message.record
         self._lines.append(self._render(record))
-        if record["level"].no < _WARNING_NUMBER:
+        if record["level"].no < _NUMBERS[Level.WARNING]:
             if len(self._lines) > 1:
                 return
             with suppress(RuntimeError):
@@ -142,6 +153,7 @@
         stream: Where lines go; standard error by default.
     """
     sink = _LineSink(stream or sys.stderr, _FORMATS[form])
+    _threshold.number = _NUMBERS[Level(level)]
     logger.remove()
     logger.enable(_PACKAGE)
     logger.add(
