Add a test of transfers during an outage

Cause: nothing showed that a member keeps its lease when the platform fails during a transfer. Change: writes are answered late from the first transfer on, in six orders of joining.

--- a/tests/services/test_monitor.py
+++ b/tests/services/test_monitor.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from unittest.mock import patch
 
 from fescueward.messages.peer import PromiseQuery, PromiseRelease, Renew
 from fescueward.services.promises import PromiseRound
+from fescueward.services.ring import transfer_monitored
 
 from .fleet import HOME, Fleet, SimulatedAgent
 from .test_recovery_time import formed
@@ -83,3 +85,38 @@
 
 async def _agree(self: PromiseRound, member_ids: list[str], *args: object) -> frozenset[str]:
     return frozenset(member_ids)
+
+
+class TransferTest(unittest.TestCase):
+    def test_outage_during_a_transfer_ends_no_lease(self):
+        """Guards against a member that loses both monitors to transfers of unknown outcome."""
+        transfers = 0
+        for order in range(6):
+            with self.subTest(order=order):
+                random.seed(order)
+                fleet = Fleet()
+                started = []
+
+                def begin_outage(
+                    group: object, monitor_id: str, fleet: Fleet = fleet, started: list = started
+                ) -> object:
+                    changed, given = transfer_monitored(group, monitor_id)
+                    if given and fleet.world.now > 1:
+                        started.append(fleet.world.now)
+                        for agent in fleet.agents.values():
+                            agent.platform.write_answers = Answers.LATE
+                    return changed, given
+
+                with patch("fescueward.services.monitor.transfer_monitored", begin_outage):
+                    for number in range(6):
+                        fleet.start(f"a{number}", f"d{number % 3}")
+                    while not started and fleet.world.now < 10:
+                        fleet.world.advance(0.1)
+                    if not started:
+                        continue
+                    transfers += 1
+                    for _ in range(60):
+                        fleet.world.advance(0.1)
+                        held = {name: agent.lease.held for name, agent in fleet.agents.items()}
+                        self.assertTrue(all(held.values()), held)
+        self.assertGreater(transfers, 2)
