--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -10,6 +10,7 @@
 
 from ..kernel import BootClock, Kernel, configure_logging
 from ..kernel.settings import Settings
+from ..services.administration import HttpAdministration
 from ..services.admission import SlotAdmission
 from ..services.announcements import HttpAnnouncements
 from ..services.catalogue import EntryCatalogue
@@ -20,6 +21,7 @@
 from ..services.lease import MonitoredLease
 from ..services.load import MeasuredLoad
 from ..services.membership import GroupMembership
+from ..services.metrics import PrometheusMetrics
 from ..services.monitor import LeaseMonitor
 from ..services.outcomes import RetainedOutcomes
 from ..services.ownership import ShardOwnership
@@ -29,6 +31,8 @@
 from ..services.quarantine import CrashQuarantine
 from ..services.recovery import MemberRecovery
 from ..services.router import OwnerRouter
+from ..services.snapshots import PlannerSnapshots
+from ..services.status import FleetStatusReports
 from ..services.upstream import HttpUpstream
 
 
@@ -57,6 +61,9 @@
         kernel.add(MemberRecovery(kernel))
         kernel.add(ShardPlacement(kernel))
         kernel.add(MeasuredLoad(kernel))
+        kernel.add(PrometheusMetrics())
+        kernel.add(FleetStatusReports())
+        kernel.add(HttpAdministration())
         kernel.add(HttpUpstream(kernel))
         kernel.add(RetainedOutcomes())
         kernel.add(UpstreamGrants(kernel))
@@ -65,6 +72,7 @@
         kernel.add(CrashQuarantine(kernel))
         kernel.add(OwnerExecution())
         kernel.add(OwnerRouter())
+        kernel.add(PlannerSnapshots(kernel))
         kernel.add(HttpAnnouncements())
         kernel.add(HttpFrontend(kernel))
 
@@ -77,6 +85,14 @@
         configure_logging(self._settings.log.level, self._settings.log.format)
         uvloop.run(self._run())
 
+    def check(self) -> None:
+        """Connects the services without starting them.
+
+        Raises:
+            FescuewardError: A setting names a plugin that does not exist.
+        """
+        self.kernel.bind()
+
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -3,12 +3,21 @@
 Services import these types and never each other; the registry connects them by name.
 """
 
+from .administration import PlatformState, StatusReports, WatchState, WorkState
 from .catalogue import Catalogue
 from .groups import GroupListener, Groups
 from .leases import Lease, Membership, Monitor
+from .metrics import (
+    Metrics,
+    MetricsPage,
+    RequestListener,
+    RequestSource,
+    RunListener,
+    RunSource,
+)
 from .ownership import Grants, Ownership, Ticket
 from .peers import Peers
-from .placement import Load, Placement, PlacementPolicy
+from .placement import Load, Placement, PlacementPolicy, QuarantineExport
 from .platform import Changes, Platform, StoredObject
 from .requests import Admission, Execution, Outcomes, Quarantine, Router, Upstream
 
@@ -23,6 +32,8 @@
     "Lease",
     "Load",
     "Membership",
+    "Metrics",
+    "MetricsPage",
     "Monitor",
     "Outcomes",
     "Ownership",
@@ -30,9 +41,18 @@
     "Placement",
     "PlacementPolicy",
     "Platform",
+    "PlatformState",
     "Quarantine",
+    "QuarantineExport",
+    "RequestListener",
+    "RequestSource",
     "Router",
+    "RunListener",
+    "RunSource",
+    "StatusReports",
     "StoredObject",
     "Ticket",
     "Upstream",
+    "WatchState",
+    "WorkState",
 ]
--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -426,6 +426,41 @@
     label = "administration_unavailable"
 
 
+class InvalidAdministrationRequestError(FescuewardError):
+    """A request to the administration API has a bad path, header, parameter or body."""
+
+    code = 6005
+    label = "invalid_administration_request"
+
+
+class UnknownPathError(FescuewardError):
+    """The administration API has no such path, or the path has no such method."""
+
+    code = 6006
+    label = "unknown_path"
+
+
+class InvalidEntryFileError(FescuewardError):
+    """An entry file cannot be read or holds a bad value."""
+
+    code = 6007
+    label = "invalid_entry_file"
+
+
+class AdministrationAnswerError(FescuewardError):
+    """An administration address answered with something that its API does not contain."""
+
+    code = 6008
+    label = "bad_administration_answer"
+
+
+class AdministrationAnswerLostError(FescuewardError):
+    """The answer to a change was lost, so the change may have been accepted."""
+
+    code = 6009
+    label = "administration_answer_lost"
+
+
 def error_types() -> tuple[type[FescuewardError], ...]:
     """Returns every error type of the package in the order of its code."""
     found: dict[int, type[FescuewardError]] = {FescuewardError.code: FescuewardError}
--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -68,19 +68,26 @@
         """Makes `run` stop all services and return."""
         self._stop_requested.set()
 
-    async def run(self) -> None:
-        """Runs all services until a stop is requested or one of them fails.
+    def bind(self) -> None:
+        """Connects the services. Nothing runs yet, so a caller can check settings this way.
 
         Raises:
-            ServiceFailedError: A task of a service failed.
+            FescuewardError: A service or plugin is missing or of the wrong type.
         """
         for service in self._services.values():
             service.bind(self._registry)
+
+    async def run(self) -> None:
+        """Runs all services until a stop is requested or one of them fails.
+
+        Raises:
+            FescuewardError: A service or plugin is missing or of the wrong type.
+            ServiceFailedError: A task of a service failed, or a port could not be bound.
+        """
+        self.bind()
         try:
             for service in self._start_order():
-                await service.start()
-                self._started.append(service)
-                _STARTED.emit(service=service.name)
+                await self._start(service)
             await self._stop_requested.wait()
             if self._failure is None:
                 await self._drain_all()
@@ -89,6 +96,14 @@
         if self._failure is not None:
             raise self._failure
 
+    async def _start(self, service: Service) -> None:
+        try:
+            await service.start()
+        except OSError as error:
+            raise ServiceFailedError(f"{service.name} did not start: {error}") from error
+        self._started.append(service)
+        _STARTED.emit(service=service.name)
+
     def _start_order(self) -> list[Service]:
         ordered: list[Service] = []
         visited: set[str] = set()
--- a/fescueward/services/execution.py
+++ b/fescueward/services/execution.py
@@ -17,6 +17,7 @@
     Ticket,
     Upstream,
 )
+from ..interfaces.metrics import RunListener
 from ..kernel import Clock, Event, Level, Registry
 from ..kernel.errors import (
     BodyTooLargeError,
@@ -37,6 +38,9 @@
     name = "execution"
     requires = ("catalogue", "ownership", "outcomes", "admission", "quarantine", "upstream")
 
+    def __init__(self) -> None:
+        self._listeners: list[RunListener] = []
+
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
@@ -55,6 +59,10 @@
     async def stop(self) -> None:
         """Does nothing."""
 
+    def subscribe(self, listener: RunListener) -> None:
+        """Tells a service of the end of each run on the upstream from now on."""
+        self._listeners.append(listener)
+
     async def execute(self, request: Request) -> Response:
         """Runs a request on the upstream of this agent; see `Execution.execute`."""
         entry = self._catalogue.entry(request.service).entry
@@ -96,6 +104,8 @@
         started = self._clock.now()
         deadline = min(request.deadline, started + entry.limits.max_request_ms / 1000)
         response = await self._upstream.run(request, ticket.shard, ticket.epoch, deadline)
+        for listener in self._listeners:
+            listener.run_ended(request.service, self._clock.now() - started)
         self._load.record(ticket.shard, request.key, self._clock.now() - started)
         if not isinstance(response.body, BytesBody):
             stack.push_async_callback(response.body.close)
--- a/fescueward/services/ownership.py
+++ b/fescueward/services/ownership.py
@@ -136,6 +136,11 @@
             if held.state is not _State.ACTIVATING
         }
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that hold a ticket."""
+        return self._keys.total()
+
     def owned(self) -> dict[int, int]:
         """Returns the epoch of each shard that is active or being activated."""
         return {shard: held.epoch for shard, held in self._held.items()}
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..interfaces import Changes, StoredObject
-from ..kernel import Event, Level, Registry
+from ..kernel import Clock, Event, Level, Registry
 from ..kernel.errors import (
     ObjectNotFoundError,
     OutcomeUnknownError,
@@ -29,6 +29,11 @@
 
 # A watch is answered at the end of its wait at the latest; the rest is for the way there and back.
 _WATCH_SLACK_S = 2.0
+# Beyond the length of a watch: its slack, and the pause before the next one.
+_FAILURE_SLACK_S = _WATCH_SLACK_S + 3.0
+
+# uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
+_CALL_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, RuntimeError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,17 +68,32 @@
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
         self._available = True
+        self._unavailable_since: float | None = None
+        self._failed_at = 0.0
 
     @property
     def available(self) -> bool:
         """Whether the last call was answered."""
         return self._available
 
+    @property
+    def unavailable_since(self) -> float | None:
+        """When calls began to fail, in seconds of CLOCK_BOOTTIME, or None.
+
+        None too if no call was made for longer than a watch takes to fail: an agent that holds no
+        watch makes hardly any calls and would otherwise tell of an outage that is over.
+        """
+        if self._clock.now() - self._failed_at > self._watch_s + _FAILURE_SLACK_S:
+            return None
+        return self._unavailable_since
+
     def bind(self, registry: Registry) -> None:
         """Takes the URL and the timeouts from the settings."""
+        self._clock = registry.find("clock", Clock)
         section = registry.find("settings", Settings).platform
         self._url = section.url
         self._timeout_s = section.timeout_ms / 1000
+        self._watch_s = section.watch_ms / 1000
 
     async def start(self) -> None:
         """Opens the client session."""
@@ -116,7 +136,7 @@
         try:
             async with self._session.get(self._url + path, params=query, timeout=timeout) as got:
                 data = await got.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except _CALL_FAILURES as error:
             self._note(False)
             raise PlatformUnavailableError(f"reading {path}: {_describe(error)}") from error
         self._note(got.status < 500)
@@ -134,7 +154,7 @@
         except aiohttp.ClientConnectorError as error:
             self._note(False)
             raise PlatformUnavailableError(f"writing {key!r}: {_describe(error)}") from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except _CALL_FAILURES as error:
             self._note(False)
             raise OutcomeUnknownError(f"writing {key!r}: {_describe(error)}") from error
         self._note(got.status < 500)
@@ -150,7 +170,12 @@
         return _decode(data, _Written).version
 
     def _note(self, available: bool) -> None:
+        if not available:
+            now = self._clock.now()
+            self._unavailable_since = self.unavailable_since or now
+            self._failed_at = now
         if available and not self._available:
+            self._unavailable_since = None
             _AVAILABLE.emit(url=self._url)
         if not available and self._available:
             _UNAVAILABLE.emit(url=self._url)
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -138,12 +138,23 @@
 
 
 class FakeLoad:
+    """Lets the planner move shards while the fleet wants it to."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
     def record(self, shard: int, key: str, seconds: float) -> None:
         pass
 
     def group_load(self) -> GroupLoad:
         return GroupLoad()
 
+    def end_round(self) -> GroupLoad:
+        return GroupLoad(complete=self._fleet.planning)
+
+    def restore(self, work: dict[int, float], hot_keys: dict[str, float]) -> None:
+        pass
+
 
 def settings(name: str, domain: str) -> Settings:
     return Settings(
@@ -196,7 +207,7 @@
             "platform": self.platform,
             "catalogue": fleet.catalogue,
             "peers": self.peers,
-            "load": FakeLoad(),
+            "load": FakeLoad(fleet),
             "upstream": self.upstream,
             "admission": FakeAdmission(),
             "outcomes": outcomes,
@@ -266,6 +277,7 @@
     def __init__(self, overrides: dict[str, type[Any]] | None = None) -> None:
         logger.remove()
         self.overrides = overrides or {}
+        self.planning = True
         self.world = World()
         self.platform = FakePlatform(self.world)
         self.network = Network(self.world)
--- a/tests/services/test_recovery_time.py
+++ b/tests/services/test_recovery_time.py
@@ -19,6 +19,8 @@
         fleet.start(f"a{number}", f"d{number % domains}", checks=checks)
     # Time for transfers to better placed monitors, of which each waits for quiet.
     fleet.world.advance(10)
+    # Tests make their own moves.
+    fleet.planning = False
     assert fleet.served(), fleet.owners()
     return fleet
 
