--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -150,7 +150,7 @@
         return GroupLoad()
 
     def end_round(self) -> GroupLoad:
-        return GroupLoad()
+        return GroupLoad(complete=self._fleet.planning)
 
     def restore(self, work: dict[int, float], hot_keys: dict[str, float]) -> None:
         pass
@@ -165,8 +165,7 @@
         announcements=AnnouncementsSection(port=1),
         platform=PlatformSection(url="http://platform"),
         lease=LeaseSection(),
-        # The tests move shards themselves; the planner would move them back.
-        placement=PlacementSection(round_ms=600_000),
+        placement=PlacementSection(),
         routing=RoutingSection(),
         log=LogSection(),
     )
