--- a/tests/services/test_recovery_time.py
+++ b/tests/services/test_recovery_time.py
@@ -12,9 +12,11 @@
 LIMIT_S = 4.0
 
 
-def formed(count: int, domains: int, seed: int = 0, checks: bool = True) -> Fleet:
+def formed(
+    count: int, domains: int, seed: int = 0, checks: bool = True, overrides: dict | None = None
+) -> Fleet:
     random.seed(seed)
-    fleet = Fleet()
+    fleet = Fleet(overrides)
     for number in range(count):
         fleet.start(f"a{number}", f"d{number % domains}", checks=checks)
     # Time for transfers to better placed monitors, of which each waits for quiet.
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -19,8 +19,10 @@
 from fescueward.services.monitor import LeaseMonitor, _Bar
 from fescueward.services.ownership import ShardOwnership
 
-from .fleet import SafetyError
+from .fleet import Fleet, SafetyError
+from .test_recovery_time import formed
 from .test_single_owner import OwnershipMachine, search_settings
+from .timed_fakes import Answers
 
 _EXAMPLES = int(os.environ.get("FESCUEWARD_SEARCH_EXAMPLES", "0"))
 
@@ -135,3 +137,35 @@
                 if _EXAMPLES:
                     print(f"{label}: {count} examples, {took:.1f} s: {found}", flush=True)
                 self.assertIsNotNone(found)
+
+    def test_lease_from_receipt_is_found(self):
+        """Guards against a check that misses a lease which ends later than its monitors expect."""
+        for overrides in ({}, {"lease": _CountsLeaseFromReceipt}):
+            fleet = formed(3, 3, overrides=overrides)
+            for other in ("a1", "a2"):
+                fleet.network.delays[frozenset(("a0", other))] = 0.45
+            fleet.world.advance(3)
+            # Acknowledgements on their way still arrive.
+            fleet.agents["a0"].lease.send_renewals = lambda: None
+            fleet.agents["a0"].platform.answers = Answers.SILENT
+            self._assert_found(bool(overrides), fleet)
+
+    def test_acknowledgement_after_a_promise_is_found(self):
+        """Guards against a check that misses a renewal while a takeover is being written."""
+        for overrides in ({}, {"monitor": _PromisesWithoutBar}):
+            fleet = formed(3, 3, overrides=overrides)
+            fleet.cut("a0", fleet.agents)
+            fleet.agents["a0"].platform.answers = Answers.SILENT
+            for other in ("a1", "a2"):
+                fleet.agents[other].platform.write_answers = Answers.LATE
+            fleet.world.advance(1.6)
+            fleet.network.cut.clear()
+            self._assert_found(bool(overrides), fleet)
+
+    def _assert_found(self, expected: bool, fleet: Fleet) -> None:
+        found = False
+        try:
+            fleet.world.advance(4)
+        except SafetyError:
+            found = True
+        self.assertEqual(found, expected)
