Classify header names once

Cause: each header of each request and response was lower-cased, compared and decoded again. Change: names are classified through a bounded cache.

--- a/fescueward/services/frontend.py
+++ b/fescueward/services/frontend.py
@@ -6,6 +6,7 @@
 import uuid
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
+from functools import lru_cache
 from typing import Any
 
 from aiohttp import web
@@ -327,19 +328,26 @@
         dropped = dropped | frozenset(named)
     try:
         for name, value in http.raw_headers:
-            lower = name.lower()
-            if lower.startswith(_OWN_PREFIX):
+            lower, text, is_own = _name(name)
+            if is_own:
                 label = lower.decode()
                 if label in own:
                     raise InvalidRequestError(f"the header {label} is given twice")
                 own[label] = value.decode()
             elif lower not in dropped:
-                passed.append((name.decode(), value.decode()))
+                passed.append((text, value.decode()))
     except UnicodeDecodeError as error:
         raise InvalidRequestError(f"a header is not valid UTF-8: {error}") from error
     return own, tuple(passed)
 
 
+@lru_cache(maxsize=1024)
+def _name(name: bytes) -> tuple[bytes, str, bool]:
+    """Returns a header name in lower case and as text, and whether it is for this agent."""
+    lower = name.lower()
+    return lower, name.decode(), lower.startswith(_OWN_PREFIX)
+
+
 def _check_id(request_id: str) -> None:
     if len(request_id) > _MAX_ID_CHARACTERS or not request_id.isascii():
         raise InvalidRequestError(f"{REQUEST_ID_HEADER} is too long or not ASCII")
--- a/fescueward/services/upstream.py
+++ b/fescueward/services/upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import aclosing, suppress
+from functools import lru_cache
 from urllib.parse import quote
 
 import aiohttp
@@ -202,9 +203,9 @@
     ) -> Response:
         try:
             headers = [
-                (name.decode(), value.decode())
-                for name, value in response.raw_headers
-                if name.lower() not in _HOP_HEADERS
+                (name, value.decode())
+                for raw, value in response.raw_headers
+                if (name := _passed_name(raw)) is not None
             ]
         except UnicodeDecodeError as error:
             response.close()
@@ -283,6 +284,12 @@
         self._response.close()
 
 
+@lru_cache(maxsize=1024)
+def _passed_name(name: bytes) -> str | None:
+    """Returns a header name as text, or None if it belongs to the upstream's connection."""
+    return None if name.lower() in _HOP_HEADERS else name.decode()
+
+
 async def _raise_refusal(response: aiohttp.ClientResponse) -> None:
     headers = response.headers
     error: RefusalError
