Test the owner's side of a request

Cause: the order of checks around a run had no tests. Change: tests of leases that end before, during and after a run, held tickets and body limits.

--- /dev/null
+++ b/tests/services/test_execution.py
@@ -0,0 +1,130 @@
+"""Tests of the owner's side of a request: what is held while it runs, and what is said after."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+from fescueward.kernel.errors import (
+    BodyTooLargeError,
+    BodyTruncatedError,
+    LeaseExpiredError,
+    OutcomeLostError,
+    TokenRequiredError,
+)
+from fescueward.messages import RequestClass, Response
+from fescueward.services.execution import OwnerExecution
+
+from .fakes import (
+    FakeCatalogue,
+    FakePeers,
+    Script,
+    StreamedBody,
+    StubRegistry,
+    free_pass,
+    make_entry,
+    make_request,
+    make_response,
+)
+
+
+class Ticket:
+    """A ticket whose lease ends after a number of checks."""
+
+    shard, epoch = 3, 7
+
+    def __init__(self) -> None:
+        self.held = 0
+        self.checks_left = 1000
+
+    def __enter__(self):
+        self.held += 1
+        return self
+
+    def __exit__(self, *_):
+        self.held -= 1
+
+    def check(self):
+        self.checks_left -= 1
+        if self.checks_left < 0:
+            raise LeaseExpiredError("ended")
+
+
+class ExecutionTest(unittest.IsolatedAsyncioTestCase):
+    def make(self, *results, request_class=RequestClass.REPEATABLE, **limits):
+        self.ticket = Ticket()
+        self.run_upstream = Script(*results)
+        self.execution = OwnerExecution()
+        self.execution.bind(
+            StubRegistry(
+                catalogue=FakeCatalogue(make_entry(request_class, **limits)),
+                ownership=SimpleNamespace(admit=Script(self.ticket)),
+                outcomes=SimpleNamespace(issue=lambda shard, epoch: "3.7.0.x"),
+                admission=SimpleNamespace(slot=lambda request, entry: free_pass()),
+                quarantine=SimpleNamespace(guard=free_pass),
+                upstream=SimpleNamespace(run=self.run_upstream),
+                load=SimpleNamespace(record=lambda *_: None),
+                peers=FakePeers(),
+            )
+        )
+        return self.execution
+
+    async def test_lease_that_ends_during_the_run(self):
+        """Guards against `not_run` for a request that has run."""
+        execution = self.make(make_response())
+        self.ticket.checks_left = 1
+        with self.assertRaises(OutcomeLostError) as refused:
+            await execution.execute(make_request())
+        self.assertEqual(refused.exception.outcome, "outcome_unknown")
+        self.assertEqual((len(self.run_upstream.calls), self.ticket.held), (1, 0))
+
+    async def test_lease_that_ends_before_the_run(self):
+        """Guards against a run, or an unknown outcome, after the lease has ended."""
+        execution = self.make(make_response())
+        self.ticket.checks_left = 0
+        with self.assertRaises(LeaseExpiredError):
+            await execution.execute(make_request())
+        self.assertEqual((self.run_upstream.calls, self.ticket.held), ([], 0))
+
+    async def test_streamed_response_holds_the_ticket_until_it_is_read_or_closed(self):
+        """Guards against a handover in a response, and tickets that are never given back."""
+        for read in (True, False):
+            body = StreamedBody(b"a", b"b")
+            execution = self.make(Response("r1", 200, (), body))
+            response = await execution.execute(make_request())
+            self.assertEqual(self.ticket.held, 1)
+            if read:
+                self.assertEqual([chunk async for chunk in response.body.chunks()], [b"a", b"b"])
+            await response.body.close()
+            self.assertEqual((self.ticket.held, body.closed), (0, True))
+
+    async def test_lease_that_ends_in_a_streamed_response(self):
+        """Guards against stale parts of a response after the key has a new owner."""
+        execution = self.make(Response("r1", 200, (), StreamedBody(b"a", b"b")))
+        response = await execution.execute(make_request())
+        self.ticket.checks_left = 1
+        chunks = response.body.chunks()
+        self.assertEqual(await anext(chunks), b"a")
+        with self.assertRaises(BodyTruncatedError):
+            await anext(chunks)
+        self.assertEqual(self.ticket.held, 0)
+
+    async def test_body_limit(self):
+        """Guards against bodies beyond the limit of the entry, announced or not."""
+        execution = self.make(make_response(), max_body_bytes=10)
+        for body in (b"x" * 11, StreamedBody(b"x", length=11)):
+            with self.assertRaises(BodyTooLargeError):
+                await execution.execute(make_request(body=body))
+        self.assertEqual(self.run_upstream.calls, [])
+        await execution.execute(make_request(body=StreamedBody(b"x" * 6, b"x" * 6)))
+        with self.assertRaises(BodyTooLargeError):
+            async for _ in self.run_upstream.calls[0][0].body.chunks():
+                pass
+
+    async def test_class_once_needs_a_token(self):
+        """Guards against a payment that runs without a token."""
+        execution = self.make(make_response(), request_class=RequestClass.ONCE)
+        with self.assertRaises(TokenRequiredError) as refused:
+            await execution.execute(make_request())
+        self.assertEqual(refused.exception.token, "3.7.0.x")
+        self.assertEqual((self.run_upstream.calls, self.ticket.held), ([], 0))
