Deliver crash reports to members without a stream

A report that arrives after its sender has left the group was ignored. Change: reports are repeated until each member has a stream; members that left are heard for a minute.

--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -20,7 +20,7 @@
     OutcomeLostError,
     QuarantinedError,
 )
-from ..messages import Body, Request
+from ..messages import Body, Request, VersionedGroup
 from ..messages.peer import CrashReport
 from ..messages.request import BytesBody
 
@@ -42,6 +42,12 @@
 _HEAD_BYTES = 65_536
 # Requests that end in the same crash are reported in one message.
 _REPORT_DELAY_S = 0.01
+# A message is dropped while there is no stream to a member, which most pairs of members lack.
+_REPORT_ATTEMPTS = 30
+_REPORT_RETRY_S = 0.05
+# The agent of a crashed upstream leaves the group, and its last reports arrive after that.
+_LEFT_S = 60.0
+_LEFT_MEMBERS = 1000
 
 _CRASH_ERRORS = (OutcomeLostError, AnswerLostError, BodyTruncatedError)
 
@@ -123,7 +129,10 @@
         now = self._clock.now
         self._suspects: TTLCache[int, bool] = TTLCache(_FINGERPRINTS, _QUARANTINE_S, now)
         self._quarantined: TTLCache[int, bool] = TTLCache(_FINGERPRINTS, _QUARANTINE_S, now)
+        self._left: TTLCache[str, bool] = TTLCache(_LEFT_MEMBERS, _LEFT_S, now)
+        self._members: frozenset[str] = frozenset()
         self._peers.on(CrashReport, self._on_report)
+        self._groups.subscribe(self)
 
     async def start(self) -> None:
         """Does nothing."""
@@ -132,6 +141,13 @@
         """Ends all tasks."""
         await self._tasks.cancel()
 
+    def group_changed(self, group: VersionedGroup) -> None:
+        """Remembers the members that leave this agent's group."""
+        if group.group.id == self._membership.home:
+            for member_id in self._members - group.group.members.keys():
+                self._left[member_id] = True
+            self._members = frozenset(group.group.members)
+
     def guard(self, request: Request) -> _Guard:
         """Watches one run; see `Quarantine.guard`."""
         return _Guard(self, request)
@@ -235,14 +251,18 @@
         view = self._groups.view(home) if home is not None else None
         if view is None or report is None:
             return
-        for member in view.group.members.values():
-            if member.id != self._membership.member_id:
-                self._peers.send(member, report)
+        me = self._membership.member_id
+        pending = [member for member in view.group.members.values() if member.id != me]
+        for _ in range(_REPORT_ATTEMPTS):
+            pending = [member for member in pending if not self._peers.send(member, report)]
+            if not pending:
+                return
+            await self._clock.sleep(_REPORT_RETRY_S)
 
     def _on_report(self, sender: str, message: CrashReport) -> None:
         home = self._membership.home
         view = self._groups.view(home) if home is not None else None
-        if view is None or sender not in view.group.members:
+        if view is None or (sender not in view.group.members and sender not in self._left):
             return
         for fingerprint in message.fingerprints[:_FINGERPRINTS]:
             self._suspects[fingerprint] = True
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -21,6 +21,7 @@
 from fescueward.messages.request import BytesBody
 from fescueward.services import quarantine as module
 from fescueward.services.quarantine import CrashQuarantine, fingerprint_of
+from fescueward.testing.waiting import wait_until
 
 from .fakes import FakePeers, StreamedBody, StubRegistry, make_group, make_request
 
@@ -37,7 +38,7 @@
             StubRegistry(
                 peers=self.peers,
                 upstream=self.upstream,
-                groups=SimpleNamespace(view=lambda _: view),
+                groups=SimpleNamespace(view=lambda _: view, subscribe=lambda _: None),
                 membership=SimpleNamespace(member_id=f"{name}:1", home=GroupId("depot", 0)),
             )
         )
@@ -141,7 +142,7 @@
                 clock=clock,
                 peers=self.a.peers,
                 upstream=self.a.upstream,
-                groups=SimpleNamespace(view=lambda _: None),
+                groups=SimpleNamespace(view=lambda _: None, subscribe=lambda _: None),
                 membership=SimpleNamespace(member_id="a:1", home=None),
             )
             self.a.quarantine.bind(registry)
@@ -159,6 +160,30 @@
         self.a.peers.handlers[CrashReport]("client:1", report)
         await self.a.succeed(make_request())
 
+    async def test_report_to_a_member_without_a_stream(self):
+        """Guards against a third crash, because the new owner never heard of the first."""
+        send, dropped = self.a.peers.send, []
+
+        def send_later(member, message):
+            if len(dropped) < 2:
+                dropped.append(message)
+                return False
+            return send(member, message)
+
+        self.a.peers.send = send_later
+        await self.a.crash(make_request())
+        await wait_until(lambda: self.a.peers.sent, 2, "the report is sent")
+        self.assertEqual(len(dropped), 2)
+
+    async def test_report_of_a_member_that_has_left(self):
+        """Guards against a lost report of the agent whose upstream crashed and that left."""
+        report = CrashReport("c:1", quarantined=(fingerprint_of(make_request()),))
+        self.a.quarantine.group_changed(make_group(1, "a:1", "a", "b", "c"))
+        self.a.quarantine.group_changed(make_group(2, "a:1", "a", "b"))
+        self.a.peers.handlers[CrashReport]("c:1", report)
+        with self.assertRaises(QuarantinedError):
+            await self.a.succeed(make_request())
+
     async def test_fingerprint_of_streamed_bodies(self):
         """Guards against an upload that evades its quarantine by the way it is sent."""
         whole = make_request(body=b"ab" * 10)
