--- a/tests/services/test_planner.py
+++ b/tests/services/test_planner.py
@@ -66,6 +66,8 @@
             filter=lambda record: "event" in record["extra"],
         )
         self.addCleanup(logger.remove, sink)
+        logger.enable("fescueward")
+        self.addCleanup(logger.disable, "fescueward")
 
     def _placement(self, member_id: str, *, held: bool = True) -> ShardPlacement:
         service = ShardPlacement(Kernel())
