Say not run, conflict and drained only when they are true

Cause: three statements could be false. A retried request whose last attempt was refused was reported as not run although an earlier attempt may have run (seen by tests.integration.test_catalogue as ran_though_not_run). aiohttp repeated a conditional PUT on a reused connection, so a write that took effect came back as a conflict. A leaving member counted as drained while releases and the end of its grants were still on their way. Shards also became active with grants sent before the lease was held, which the upstream rejected. Change: the router remembers unknown attempts; the platform session repeats nothing; drained waits for handovers; activation waits for the lease.

--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -71,6 +71,10 @@
         """End of the lease in seconds of CLOCK_BOOTTIME."""
         ...
 
+    async def acquired(self) -> None:
+        """Waits until the lease is held."""
+        ...
+
     def check(self) -> None:
         """Raises `LeaseExpiredError` unless the lease is held now."""
         ...
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -45,6 +45,7 @@
         self._member_id = ""
         self._seen_id = ""
         self._joined = asyncio.Event()
+        self._extended = asyncio.Event()
         self._was_held = False
         self._by_writes = False
         self._stamp = 0
@@ -87,6 +88,12 @@
             self._seen_id = me.id
             self._joined.set()
 
+    async def acquired(self) -> None:
+        """Waits until the lease is held."""
+        while not self.held:
+            self._extended.clear()
+            await self._extended.wait()
+
     def check(self) -> None:
         """Raises `LeaseExpiredError` unless the lease is held now."""
         if not self.held:
@@ -187,6 +194,7 @@
             self._member_id = member_id
             self._expires_at = 0.0
         self._expires_at = max(self._expires_at, sent + self._lease_s)
+        self._extended.set()
         self._note_state()
 
     def _current(self) -> bool:
--- a/fescueward/services/ownership.py
+++ b/fescueward/services/ownership.py
@@ -106,6 +106,7 @@
         self._changed = asyncio.Event()
         self._settle_wanted = asyncio.Event()
         self._leaving_since: float | None = None
+        self._handovers = 0
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -181,8 +182,12 @@
             self._wake()
 
     async def drained(self) -> None:
-        """Waits until no request is in flight and no shard is active that others could take."""
-        while self._keys or (self._held and self._others_exist()):
+        """Waits until no request is in flight and no shard is active that others could take.
+
+        A handover ends when the successor has confirmed it: until then the grants may still
+        hold and only this agent has the outcomes.
+        """
+        while self._keys or self._handovers or (self._held and self._others_exist()):
             changed = self._changed
             await changed.wait()
 
@@ -288,6 +293,8 @@
         if wait_s > 0:
             await self._clock.sleep(wait_s)
         await self._await_other_shards(batch)
+        # Grants sent before the lease is held have ended already and admit no request.
+        await self._lease.acquired()
         await self._grants.confirmed()
         ready = [
             held
@@ -341,6 +348,14 @@
         return view.group.shards[shard_id]
 
     async def _hand_over(self, shard_id: int, held: _Held) -> None:
+        self._handovers += 1
+        try:
+            await self._release(shard_id, held)
+        finally:
+            self._handovers -= 1
+            self._wake()
+
+    async def _release(self, shard_id: int, held: _Held) -> None:
         _RELEASING.emit(shard=shard_id, epoch=held.epoch)
         await held.idle.wait()
         shard = self._shard(shard_id)
@@ -374,7 +389,6 @@
         await self._send_release(release)
         if shard_id not in self._held:
             self._outcomes.end_epoch(shard_id)
-        self._wake()
 
     async def _send_release(self, release: Release) -> None:
         while self._released.get(release.shard) == release.epoch:
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -98,6 +98,9 @@
     async def start(self) -> None:
         """Opens the client session."""
         self._session = aiohttp.ClientSession()
+        # aiohttp repeats PUT and DELETE on a reused connection that breaks. The repetition of a
+        # conditional write that took effect is answered as a conflict, as if it had not.
+        self._session._retry_connection = False
 
     async def stop(self) -> None:
         """Closes the client session."""
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -183,6 +183,16 @@
             listener.request_ended(request.service, error, seconds)
 
     async def _route(self, request: Request) -> Response:
+        unknown: list[RefusalError] = []
+        try:
+            return await self._try_until_served(request, unknown)
+        except RefusalError as error:
+            if unknown and error.outcome is Outcome.NOT_RUN:
+                # The last attempt did not run, but an earlier one may have.
+                raise OutcomeLostError(f"{unknown[-1]}; then {error.label}: {error}") from error
+            raise
+
+    async def _try_until_served(self, request: Request, unknown: list[RefusalError]) -> Response:
         entry = self._catalogue.entry(request.service).entry
         group_id = group_of(request.service, request.key, entry.groups)
         self._budget.earn()
@@ -209,6 +219,8 @@
                     pause_s = min(pause_s * 2, _LAST_PAUSE_S)
             except _RETRIES as error:
                 last = error
+                if error.outcome is not Outcome.NOT_RUN:
+                    unknown.append(error)
                 retries += 1
                 if not self._may_retry(request, entry, error, retries):
                     raise
--- a/tests/services/test_ownership.py
+++ b/tests/services/test_ownership.py
@@ -5,6 +5,7 @@
 import unittest
 from dataclasses import replace
 
+from fescueward.kernel.errors import PeerTimeoutError
 from fescueward.messages.codec import encode_json
 from fescueward.messages.peer import Release
 
@@ -79,6 +80,25 @@
                 self.fleet.world.advance(2)
                 self.assertEqual(self._serves(self.source), self.epoch + 2)
 
+    def test_drain_waits_until_the_successor_has_confirmed(self):
+        """Guards against a leave that writes the shard off before its outcomes arrived."""
+        call, calls = self.source.peers.call, []
+
+        async def lose(member, message, number):
+            if isinstance(message, Release) and len(calls) < 5:
+                calls.append(message)
+                raise PeerTimeoutError("lost")
+            return await call(member, message, number)
+
+        self.source.peers.call = lose
+        move(self.fleet, self.shard, "a1")
+        self.fleet.world.advance(0.01)
+        self.assertNotIn(self.shard, self.source.ownership.owned())
+        self.assertGreater(self.source.ownership._handovers, 0)
+        self.fleet.world.advance(1)
+        self.assertEqual(self.source.ownership._handovers, 0)
+        self.assertEqual(self._serves(self.target), self.epoch + 1)
+
     def test_repeated_and_late_releases(self):
         """Guards against a release that takes a shard a second time."""
         sent: list[Release] = []
--- a/tests/services/test_router.py
+++ b/tests/services/test_router.py
@@ -64,6 +64,17 @@
         self.forward.results = results
         self.forward.calls.clear()
 
+    async def test_not_run_is_not_said_after_an_unknown_attempt(self):
+        """Guards against 'not run' for a request whose earlier attempt may have run."""
+        router = self.make()
+        await self.earn(router)
+        self.forward.results.extend(
+            [OutcomeLostError("stream ended"), *[OwnerUnreachableError("gone")] * 200]
+        )
+        with self.assertRaises(OutcomeLostError) as caught:
+            await router.route(make_request(within_s=0.3))
+        self.assertIn("owner_unreachable", str(caught.exception))
+
     async def test_owner_runs_the_request(self):
         """Guards against a request that is sent to itself, or to a member without the key."""
         router = self.make(make_response(), owner="a:1")
