Put monitors outside the failure domain before an even load

Cause: after the loss of a failure domain some members had a monitor in their own domain, so they needed two takeovers in a row. Ruled out: slow promises or writes (one lost owner was taken over in 1.29 s). Change: the failure domain of a monitor goes before an even number of monitored members.

--- a/fescueward/services/ring.py
+++ b/fescueward/services/ring.py
@@ -112,8 +112,9 @@
     # With two domains or fewer than five members, monitors in other domains must be mutual.
     if len(group.members) < 5 or len(domains) < 3:
         return (same_domain, repeated, cycle, load)
-    # While some members monitor more than two, others monitor too few to break all cycles.
-    return (cycle, load >= MONITORS, same_domain, repeated, load)
+    # A member with a monitor in its own failure domain needs two takeovers in a row when the
+    # domain is lost, so the domain goes before an even load.
+    return (cycle, same_domain, load >= MONITORS, repeated, load)
 
 
 def _closes_cycle(group: Group, member: Member, candidate: Member) -> bool:
