--- /dev/null
+++ b/benchmarks/outage.py
@@ -0,0 +1,55 @@
+"""Outage of the platform for a minute under load."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from fescueward.testing.harness import Deployment
+from fescueward.testing.platform import Faults, Mode
+from fescueward.testing.scenarios import settled, under_load
+
+from .failover import benchmark_spec
+
+OUTAGE_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Figures of the benchmark.
+
+    Attributes:
+        requests: Requests during the outage.
+        served_ratio: Share of them that succeeded; the goal is 1.0.
+        latency_ms_p99: 99th percentile of the latency.
+        violations: Violations in the journals.
+        outage_s: Length of the outage in seconds.
+    """
+
+    requests: int
+    served_ratio: float
+    latency_ms_p99: float
+    violations: int
+    outage_s: float = OUTAGE_S
+
+
+async def _measure() -> Figures:
+    async with Deployment(benchmark_spec(members=4, domains=2)) as deployment:
+        await deployment.wait_ready()
+        await settled(deployment, "depot", 4)
+        await deployment.platform.set_faults(Faults(mode=Mode.DOWN))
+        seen = await under_load(
+            deployment, lambda: asyncio.sleep(OUTAGE_S), lead_s=0.0, tail_s=0.0
+        )
+        await deployment.platform.set_faults(Faults())
+    return Figures(
+        requests=seen.summary.requests,
+        served_ratio=round(seen.summary.successes / seen.summary.requests, 6),
+        latency_ms_p99=round(seen.summary.latency_p99_ms, 2),
+        violations=len(seen.verdict.violations),
+    )
+
+
+def run() -> Figures:
+    """Takes the platform down for a minute while all servers live."""
+    return asyncio.run(_measure())
--- a/fescueward/testing/scenarios.py
+++ b/fescueward/testing/scenarios.py
@@ -146,3 +146,22 @@
         return owners == active
 
     await wait_until(spread, SETTLE_TIMEOUT_S, f"the shards of {service} are spread")
+
+
+async def quiet(deployment: Deployment, service: str, quiet_s: float = 3.0) -> None:
+    """Waits until the group object of a service has not changed for a time.
+
+    Raises:
+        ConditionTimeoutError: It took longer than a minute.
+    """
+    loop = asyncio.get_running_loop()
+    version, since = 0, loop.time()
+
+    async def unchanged() -> bool:
+        nonlocal version, since
+        found = await deployment.group(service)
+        if found is None or found.version != version:
+            version, since = found.version if found is not None else 0, loop.time()
+        return loop.time() - since >= quiet_s
+
+    await wait_until(unchanged, SETTLE_TIMEOUT_S, f"group {service} is quiet")
