Transfer monitors also while shards move

Transfers waited for a group without new versions, and placement rounds under load write one every few hundred ms. Ruled out: slow takeovers; the lost members' stamps and versions stood still while the rest of the group changed. Change: only a change of members or monitors puts transfers off; a transfer is tried again after 0.5 s, not 2 s.

--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -35,7 +35,7 @@
 
 # Joins and takeovers come in bursts; a transfer in between would only conflict with them.
 _SETTLED_S = 0.4
-_TRANSFER_RETRY_S = 2.0
+_TRANSFER_RETRY_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +88,7 @@
         self._bars: dict[str, frozenset[_Bar]] = {}
         self._version = 0
         self._transfer_after = 0.0
+        self._arrangement: dict[str, tuple[str, ...]] = {}
         # Version at which no member had a better placed monitor; the search takes milliseconds.
         self._well_placed_at = 0
         self._member_id = ""
@@ -136,7 +137,11 @@
             self._bars.clear()
         now = self._clock.now()
         self._version = group.version
-        self._transfer_after = now + _SETTLED_S
+        arrangement = {member.id: member.monitors for member in group.group.members.values()}
+        # Moves of shards change the group all the time and must not put transfers off.
+        if arrangement != self._arrangement:
+            self._arrangement = arrangement
+            self._transfer_after = now + _SETTLED_S
         for member_id, bars in list(self._bars.items()):
             self._set_bars(member_id, {bar for bar in bars if bar.version >= group.version})
         self._watched = {
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -185,3 +185,24 @@
         fleet.world.advance(3)
         fleet.platform.write(HOME.object_key, good.value, version)
         self.assertIsNotNone(fleet.time_until_served(4), fleet.owners())
+
+
+class MonitorPlacementTest(unittest.TestCase):
+    def test_monitors_leave_the_domain_while_shards_move(self):
+        """Guards against transfers that wait for a group that never stops changing."""
+        fleet = Fleet()
+        for number in range(6):
+            fleet.start(f"a{number}", f"d{number // 2}")
+        fleet.planning = False
+        fleet.world.advance(0.15)
+        for count in range(40):
+            group, name = fleet.group(), f"a{count % 6}"
+            free = group.shards and group.shards[0].successor is None
+            target = fleet.agents[name].member_id
+            if free and target in group.members and group.shards[0].owner != target:
+                move(fleet, 0, name)
+            fleet.world.advance(0.15)
+        members = fleet.group().members
+        for member in members.values():
+            domains = {members[other].failure_domain for other in member.monitors}
+            self.assertNotIn(member.failure_domain, domains, member.monitors)
