Count failing subtests of one test once

Cause: several failing subtests made the number of passed tests negative. Change: the runner counts their test.

--- a/tests/run.py
+++ b/tests/run.py
@@ -67,7 +67,9 @@
     passed_over = [case.id() for case in cases if case.id() in known_red]
     for name in passed_over:
         print(f"known red, not run: {name}")
-    failed = len({case.id() for case, _ in result.failures + result.errors})
+    # Several subtests of one test can fail; they count as one.
+    cases_failed = [case for case, _ in result.failures + result.errors]
+    failed = len({getattr(case, "test_case", case).id() for case in cases_failed})
     skipped = len(result.skipped)
     return Counts(result.testsRun - failed - skipped, failed, skipped + len(passed_over))
 
