Send a changed entry without the group object

Cause: a watcher that saw a newer entry published the whole group object with it, 25,492 bytes to each member where the entry takes 273, although no version of the group had changed. docs/CAPACITY.md already counts 273 bytes.

--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -129,7 +129,7 @@
         version = await self._platform.put(group.id.object_key, encode_json(group), base.version)
         written = VersionedGroup(version, group)
         self.observe(written)
-        self._publish(written)
+        self._tell_members(written, Publish(groups=(written,)))
         return written
 
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
@@ -236,8 +236,7 @@
         except PlatformError:
             return
 
-    def _publish(self, group: VersionedGroup, entries: tuple[VersionedEntry, ...] = ()) -> None:
-        message = Publish(groups=(group,), entries=entries)
+    def _tell_members(self, group: VersionedGroup, message: Publish) -> None:
         for member in group.group.members.values():
             if member.id != self._membership.member_id:
                 self._peers.send(member, message)
@@ -305,11 +304,11 @@
             if key.startswith("entries/"):
                 entry = VersionedEntry(version, decode_json(value, Entry))
                 if self._catalogue.observe(entry) and view is not None:
-                    self._publish(view, (entry,))
+                    self._tell_members(view, Publish(entries=(entry,)))
             elif home is not None and key == home.object_key:
                 group = VersionedGroup(version, decode_json(value, Group))
                 if self.observe(group):
-                    self._publish(group)
+                    self._tell_members(group, Publish(groups=(group,)))
         except MalformedMessageError as error:
             _BAD_OBJECT.emit(key=key, version=version, error=error)
 
