--- a/fescueward/cli/main.py
+++ b/fescueward/cli/main.py
@@ -9,7 +9,7 @@
 
 import typer
 
-from ..daemons import Agent
+from ..daemons.agent import Agent
 from ..kernel.errors import (
     EntryConflictError,
     InvalidAdministrationRequestError,
--- /dev/null
+++ b/fescueward/daemons/platform_agent.py
@@ -0,0 +1,110 @@
+"""The agent on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+import time
+
+import uvloop
+
+from ..kernel import BootClock, Kernel, configure_logging
+from ..kernel.errors import FescuewardError
+from ..platform.announcements import Heartbeats
+from ..platform.frontend import CallerFrontend
+from ..platform.settings import Site, load_site, settings_path
+from ..platform.store import ObjectStore
+from ..platform.upstream import LocalUpstream
+from ..services.admission import SlotAdmission
+from ..services.gate.execution import GateExecution
+from ..services.groups import GroupStore
+from ..services.keyspace.load import KeyBlockLoad
+from ..services.keyspace.ownership import RangeOwnership
+from ..services.keyspace.placement import RangePlacement
+from ..services.lease import MonitoredLease
+from ..services.membership import GroupMembership
+from ..services.monitor import LeaseMonitor
+from ..services.peers import MsgpackPeers
+from ..services.routing.dispatcher import DispatchRouter
+from ..services.routing.routes import ConfiguredCatalogue, RouteTable
+
+# A request leaves some hundred objects and few cycles; Python's default of 700 starts a collection
+# every few requests.
+_COLLECTIONS = (20_000, 20, 20)
+
+
+class PlatformAgent:
+    """Registers the services of an agent on the platform and runs them.
+
+    Attributes:
+        kernel: The kernel; further services can be added before `run`.
+    """
+
+    def __init__(self, site: Site) -> None:
+        self.kernel = Kernel()
+        self._site = site
+        incarnation = int(time.time() * 1000)
+        kernel = self.kernel
+        settings = site.settings
+        # This process holds the port, so an earlier one of the same name and address is dead.
+        place = f"{settings.peers.host}:{settings.peers.port}"
+        kernel.provide("settings", settings)
+        kernel.provide("bounds", site.bounds)
+        kernel.provide("clock", BootClock())
+        kernel.add(ObjectStore())
+        kernel.add(RouteTable())
+        kernel.add(ConfiguredCatalogue())
+        kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
+        kernel.add(GroupStore(kernel, fleet_wide=True))
+        kernel.add(GroupMembership(kernel, incarnation, boot_id=place))
+        kernel.add(MonitoredLease(kernel))
+        kernel.add(LeaseMonitor(kernel))
+        kernel.add(RangePlacement(kernel))
+        kernel.add(KeyBlockLoad(kernel))
+        kernel.add(LocalUpstream(site))
+        kernel.add(RangeOwnership(kernel))
+        kernel.add(SlotAdmission())
+        kernel.add(GateExecution())
+        kernel.add(DispatchRouter())
+        kernel.add(Heartbeats(site))
+        kernel.add(CallerFrontend(kernel, site))
+
+    def run(self) -> None:
+        """Runs until SIGTERM or SIGINT.
+
+        Raises:
+            ServiceFailedError: A service failed.
+        """
+        log = self._site.settings.log
+        configure_logging(log.level, log.format, sys.stdout)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*_COLLECTIONS)
+        uvloop.run(self._run())
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.kernel.request_stop)
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        await self.kernel.run()
+
+
+def main() -> int:
+    """Runs the agent with the settings file that the platform names.
+
+    Returns:
+        Exit code: 0 after an orderly stop, 1 after a failure.
+    """
+    try:
+        PlatformAgent(load_site(settings_path())).run()
+    except FescuewardError as error:
+        print(f"{error.label}: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -5,8 +5,8 @@
 
 from .administration import PlatformState, StatusReports, WatchState, WorkState
 from .catalogue import Catalogue
-from .groups import GroupListener, Groups
-from .leases import Lease, Membership, Monitor
+from .groups import Directory, GroupListener, Groups
+from .leases import Departure, Lease, Membership, Monitor
 from .metrics import (
     Metrics,
     MetricsPage,
@@ -19,12 +19,15 @@
 from .peers import Peers
 from .placement import Load, Placement, PlacementPolicy, QuarantineExport
 from .platform import Changes, Platform, StoredObject
-from .requests import Admission, Execution, Outcomes, Quarantine, Router, Upstream
+from .requests import Admission, Execution, Outcomes, Quarantine, Router, SlotLoad, Upstream
+from .routes import Routes, UpstreamProbe
 
 __all__ = [
     "Admission",
     "Catalogue",
     "Changes",
+    "Departure",
+    "Directory",
     "Execution",
     "Grants",
     "GroupListener",
@@ -47,12 +50,15 @@
     "RequestListener",
     "RequestSource",
     "Router",
+    "Routes",
     "RunListener",
     "RunSource",
+    "SlotLoad",
     "StatusReports",
     "StoredObject",
     "Ticket",
     "Upstream",
+    "UpstreamProbe",
     "WatchState",
     "WorkState",
 ]
--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -20,6 +20,20 @@
         ...
 
 
+@runtime_checkable
+class Directory(Protocol):
+    """All groups of the fleet, where every agent holds them."""
+
+    @property
+    def complete(self) -> bool:
+        """Whether all groups have been read or received once."""
+        ...
+
+    def views(self) -> tuple[VersionedGroup, ...]:
+        """Returns the newest version of every group that was seen."""
+        ...
+
+
 @runtime_checkable
 class Groups(Protocol):
     """The newest group object of each group that was seen."""
--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -57,6 +57,16 @@
         ...
 
 
+@runtime_checkable
+class Departure(Protocol):
+    """Whether the upstream beside this agent still takes work."""
+
+    @property
+    def closed(self) -> bool:
+        """Whether the upstream gets no more requests, because it leaves or is gone."""
+        ...
+
+
 @runtime_checkable
 class Lease(Protocol):
     """This agent's lease of its shards."""
--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -7,6 +7,7 @@
 
 from ..messages import Announcement, Entry, GrantSet, Request, Response
 from ..messages.peer import RetainedOutcome
+from ..messages.request import Occupancy
 
 
 @runtime_checkable
@@ -63,6 +64,16 @@
         ...
 
 
+@runtime_checkable
+class SlotLoad(Protocol):
+    """Load of the upstream's slots."""
+
+    @property
+    def occupancy(self) -> Occupancy:
+        """Requests that run and wait, as this agent counts them."""
+        ...
+
+
 @runtime_checkable
 class Upstream(Protocol):
     """The upstream beside this agent."""
--- /dev/null
+++ b/fescueward/kernel/bounds.py
@@ -0,0 +1,30 @@
+"""Bounds that the operator of a deployment sets for the whole fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Limits that all agents of a fleet keep together; all times are in seconds.
+
+    Attributes:
+        retry_ratio: Repeated sends permitted for each request.
+        retry_burst: Repeated sends permitted beyond the ratio, in one window.
+        retry_window_s: Length of that window.
+        drain_s: Latest time after an announced departure at which new work reaches an upstream.
+        grace_s: Time between the stop signal and the end of the process by force.
+        longest_hold_s: Longest grant of keys.
+        reuse_after_s: Shortest time after which an upstream's address serves another.
+        stable_s: Time without failures after which a part of the fleet counts as healthy.
+    """
+
+    retry_ratio: float = 0.1
+    retry_burst: float = 20.0
+    retry_window_s: float = 10.0
+    drain_s: float = 2.0
+    grace_s: float = 6.0
+    longest_hold_s: float = 10.0
+    reuse_after_s: float = 2.0
+    stable_s: float = 3.0
--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import enum
-from typing import ClassVar
+from typing import Any, ClassVar
 
 
 class Outcome(enum.StrEnum):
@@ -78,6 +78,7 @@
         http_status: Status sent to the caller.
         outcome: What is known about the run of the request.
         retry_after_s: Seconds after which a retry is useful, or None.
+        occupancy: Load of the upstream whose agent refused, or None.
     """
 
     code = 2000
@@ -88,6 +89,7 @@
     def __init__(self, message: str, *, retry_after_s: float | None = None) -> None:
         super().__init__(message)
         self.retry_after_s = retry_after_s
+        self.occupancy: Any = None
 
 
 class UnknownServiceError(RefusalError):
@@ -279,6 +281,21 @@
     label = "upstream_refused"
 
 
+class NoConfigurationError(RefusalError):
+    """This agent has read no configuration yet."""
+
+    code = 2024
+    label = "no_configuration"
+
+
+class NoRouteError(RefusalError):
+    """No route of the configuration matches the request."""
+
+    code = 2025
+    label = "no_route"
+    http_status = 404
+
+
 class InternalError(RefusalError):
     """The agent met an unexpected exception, so the outcome of the request is not known."""
 
--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -43,6 +43,11 @@
         """The registry of this kernel."""
         return self._registry
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a stop was requested."""
+        return self._stop_requested.is_set()
+
     def add(self, service: Service) -> None:
         """Registers a service that the kernel starts and stops.
 
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from typing import Annotated
 
@@ -12,6 +13,10 @@
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 
 
+def _first_key(found: KeyRange) -> int:
+    return found.first
+
+
 class MemberState(enum.StrEnum):
     """Whether a member takes new shards."""
 
@@ -60,6 +65,7 @@
         state: Whether it takes new shards.
         monitors: Member ids of its monitors.
         stamp: Number of renewals it has written itself.
+        instance: Identity of the upstream's present start, empty if upstreams have none.
     """
 
     id: str
@@ -77,6 +83,7 @@
     state: MemberState = MemberState.ACTIVE
     monitors: tuple[str, ...] = ()
     stamp: Annotated[int, Meta(ge=0)] = 0
+    instance: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +104,36 @@
     hold_ms: Annotated[int, Meta(ge=0)] = 0
 
 
+@dataclass(frozen=True, slots=True)
+class KeyRange:
+    """Ownership of neighbouring numeric keys.
+
+    Attributes:
+        first: Lowest key.
+        last: Highest key.
+        owner: Member id of the owner, or None.
+        epoch: Fencing token; above that of every earlier owner of these keys.
+        successor: Member id that the range is being handed over to, or None.
+        handover: Token of the last owner's upstream, with which the keys arrive warm.
+    """
+
+    first: Annotated[int, Meta(ge=0, le=65_535)]
+    last: Annotated[int, Meta(ge=0, le=65_535)]
+    owner: str | None = None
+    epoch: Annotated[int, Meta(ge=0)] = 0
+    successor: str | None = None
+    handover: str = ""
+
+    @property
+    def width(self) -> int:
+        """Number of keys."""
+        return self.last - self.first + 1
+
+
+# Highest numeric key of a service that is divided into ranges.
+LAST_KEY = 65_535
+
+
 @dataclass(frozen=True, slots=True)
 class Group:
     """One group of a service: a platform object that changes only by conditional update.
@@ -110,6 +147,9 @@
         exceptions: Shard id by key, for keys with a shard of their own.
         recovery: The entry's `recovery` that this group has acted on.
         edit_id: Identifier of the last edit, by which a lost response is read back.
+        ranges: Ranges of numeric keys in ascending order without gaps; empty for a service
+            whose keys are hashed or that has none.
+        fence: Highest epoch that any range has had.
     """
 
     service: str
@@ -120,12 +160,19 @@
     exceptions: dict[str, int] = field(default_factory=dict)
     recovery: int = 0
     edit_id: str = ""
+    ranges: tuple[KeyRange, ...] = ()
+    fence: Annotated[int, Meta(ge=0)] = 0
 
     @property
     def id(self) -> GroupId:
         """Service and number of this group."""
         return GroupId(self.service, self.number)
 
+    def range_of(self, key: int) -> KeyRange | None:
+        """Returns the range that holds a numeric key, or None if there are no ranges."""
+        index = bisect_right(self.ranges, key, key=_first_key) - 1
+        return self.ranges[index] if index >= 0 else None
+
     def shard_of(self, key: str, groups: int) -> int:
         """Returns the shard id of a key.
 
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -7,9 +7,10 @@
 
 from msgspec import Meta
 
+from .configuration import VersionedConfiguration
 from .entry import VersionedEntry
 from .group import VersionedGroup
-from .request import Headers
+from .request import Headers, Occupancy
 
 PROTOCOL_VERSION = 1
 
@@ -160,10 +161,12 @@
     Attributes:
         member_id: The watcher.
         healthy: Whether its last watch call was answered.
+        versions: What it knows.
     """
 
     member_id: str
     healthy: bool
+    versions: Versions = Versions()
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,10 +176,12 @@
     Attributes:
         groups: Group objects.
         entries: Catalogue entries.
+        configuration: The operator's configuration, or None.
     """
 
     groups: tuple[VersionedGroup, ...] = ()
     entries: tuple[VersionedEntry, ...] = ()
+    configuration: VersionedConfiguration | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,12 +193,14 @@
         number: Number of that group.
         group_version: Version that the sender has.
         entries: Versions of the entries that the sender has, by service, or None.
+        objects: Versions of all objects that the sender has, by platform key, or None.
     """
 
     service: str = ""
     number: Count = 0
     group_version: Count = 0
     entries: dict[str, int] | None = None
+    objects: dict[str, int] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +225,21 @@
     capacity: Annotated[float, Meta(ge=0.0, le=1.0)] = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class RangeLoad:
+    """Measured work of a member that owns key ranges, sent to the planner.
+
+    Attributes:
+        member_id: The member.
+        utilisation: Mean share of its slots in use, waiting requests included.
+        work: Mean slots in use by key block, only of blocks that have any.
+    """
+
+    member_id: str
+    utilisation: Annotated[float, Meta(ge=0.0)]
+    work: dict[Count, Annotated[float, Meta(ge=0.0)]]
+
+
 @dataclass(frozen=True, slots=True)
 class CrashReport:
     """Requests that were in flight when an upstream crashed.
@@ -341,6 +363,10 @@
         length: Length of the body if it is known.
         data: First part of the body.
         end: Whether `data` is the whole body.
+        caller: Service beside which the request began.
+        priority: Rank of the request.
+        repeatable: Whether it may run more than once.
+        repeated: Whether an upstream may have seen it before.
     """
 
     stream: Count
@@ -355,6 +381,10 @@
     length: int | None = None
     data: bytes = b""
     end: bool = True
+    caller: str = ""
+    priority: Count = 0
+    repeatable: bool = False
+    repeated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -371,6 +401,7 @@
         length: Length of the body if it is known.
         data: First part of the body.
         end: Whether `data` is the whole body.
+        occupancy: Load of the owner's upstream, or None.
     """
 
     stream: Count
@@ -382,6 +413,7 @@
     length: int | None = None
     data: bytes = b""
     end: bool = True
+    occupancy: Occupancy | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -436,6 +468,7 @@
         owner_id: Owner as far as the refusing agent knows, or None.
         token: Token to send with the request, or None.
         retry_after_ms: When a retry is useful, or None.
+        occupancy: Load of the refusing agent's upstream, or None.
     """
 
     stream: Count
@@ -444,6 +477,7 @@
     owner_id: str | None = None
     token: str | None = None
     retry_after_ms: int | None = None
+    occupancy: Occupancy | None = None
 
 
 # The position is the kind on the wire: append only.
@@ -471,4 +505,5 @@
     StreamRefused,
     PromiseRelease,
     WatchStatus,
+    RangeLoad,
 )
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -46,6 +46,23 @@
         """Does nothing."""
 
 
+@dataclass(frozen=True, slots=True)
+class Occupancy:
+    """Load of one upstream as the agent beside it counts it.
+
+    Attributes:
+        running: Requests that run.
+        waiting: Requests that wait for a slot.
+        slots: Requests that may run at a time.
+        run_ms: Mean time of a run in milliseconds.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    run_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """One request of a caller.
@@ -61,6 +78,12 @@
         deadline: Latest useful time in seconds of CLOCK_BOOTTIME on this VM.
         token: Idempotency token, or None.
         forwarded_by: Member id of the agent that forwarded it here, or None.
+        caller: Service beside which the request began, or empty.
+        priority: Rank of the request; 0 is served first.
+        repeatable: Whether it may run more than once; decides nothing for entries, whose class
+            does.
+        repeated: Whether an upstream may have seen this request before.
+        attempts: Most upstreams that it may be sent to.
     """
 
     id: str
@@ -73,6 +96,11 @@
     deadline: float
     token: str | None = None
     forwarded_by: str | None = None
+    caller: str = ""
+    priority: int = 0
+    repeatable: bool = False
+    repeated: bool = False
+    attempts: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +114,7 @@
         body: Its body.
         served_by: Member id of the owner that ran the request.
         epoch: Epoch of the shard that the request ran under.
+        occupancy: Load of the upstream's slots when it answered, or None.
     """
 
     request_id: str
@@ -94,3 +123,4 @@
     body: Body
     served_by: str = ""
     epoch: int = 0
+    occupancy: Occupancy | None = None
--- a/fescueward/messages/upstream.py
+++ b/fescueward/messages/upstream.py
@@ -43,6 +43,9 @@
         checks_grants: Whether it rejects requests without a valid grant.
         state: Whether it takes work.
         group: Number of the group that it joins.
+        instance: Identity of this start of the upstream, or empty.
+        started_ms: When it started, in Unix milliseconds; 0 if it does not say.
+        cold_s: How much longer it is slow after its start, in seconds; None if it does not say.
     """
 
     service: ServiceName
@@ -53,6 +56,9 @@
     checks_grants: bool = True
     state: AnnouncedState = AnnouncedState.READY
     group: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    instance: str = ""
+    started_ms: Annotated[int, Meta(ge=0)] = 0
+    cold_s: Annotated[float, Meta(ge=0)] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/fescueward/platform/frontend.py
@@ -0,0 +1,277 @@
+"""Callers' HTTP and the platform's question for readiness."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from aiohttp import web
+
+from ..interfaces import Directory, Router, Routes
+from ..kernel import Clock, Event, Kernel, Level, Outcome, RefusalError, Registry
+from ..kernel.bounds import Bounds
+from ..kernel.errors import (
+    BodyTooLargeError,
+    DeadlineExceededRunningError,
+    InternalError,
+    InvalidRequestError,
+    NoConfigurationError,
+    NoRouteError,
+)
+from ..messages import Request, Response
+from ..messages.configuration import CallerLimits
+from ..messages.request import BytesBody
+from .names import HOP_HEADERS, KEY, OWN_HEADERS, READY_PATH, REQUEST_ID, TIMEOUT_MS
+from .settings import Site
+
+_READY = Event(3710, "ready", Level.INFO, "This agent is ready for callers.")
+_NOT_READY = Event(3711, "not_ready", Level.INFO, "This agent is not ready for callers.")
+_RECEIVED = Event(3712, "request_received", Level.INFO, "A caller's request matches a route.")
+_ANSWERED = Event(3713, "request_answered", Level.INFO, "A request has its final answer.")
+_BROKEN = Event(3714, "request_broken", Level.ERROR, "A request met an unexpected exception.")
+
+_HIGHEST_KEY = 65_535
+# Time for which new requests of callers are still taken after a stop, in seconds: the platform
+# sends callers elsewhere after two unanswered questions, one each second.
+_TAKE_AFTER_STOP_S = 3.0
+# Part of the grace time that is left for closing connections, in seconds.
+_CLOSE_S = 0.8
+_POLL_S = 0.05
+# When a caller should come back if the refusal does not say, in seconds.
+_RETRY_AFTER_S = 0.1
+
+
+class CallerFrontend:
+    """The `frontend` service on this platform."""
+
+    name = "frontend"
+    requires = ("router", "routes", "groups", "announcements")
+
+    def __init__(self, kernel: Kernel, site: Site) -> None:
+        self._kernel = kernel
+        self._site = site
+        self._runners: list[web.ServerRunner] = []
+        self._open = 0
+        self._was_ready = False
+
+    def bind(self, registry: Registry) -> None:
+        """Finds the services that this one uses."""
+        self._clock = registry.find("clock", Clock)
+        self._bounds = registry.find("bounds", Bounds)
+        self._router = registry.find("router", Router)
+        self._routes = registry.find("routes", Routes)
+        self._directory = registry.find("groups", Directory)
+
+    async def start(self) -> None:
+        """Opens the ports for callers and for the question for readiness."""
+        callers = self._site.settings.callers
+        await self._listen(self._serve, callers.host, callers.port)
+        ready = self._site.readiness
+        await self._listen(self._readiness, ready.host, ready.port)
+
+    async def drain(self) -> None:
+        """Takes requests until callers go elsewhere, then finishes what is open."""
+        stopped = self._clock.now()
+        while True:
+            elapsed = self._clock.now() - stopped
+            if elapsed > self._bounds.grace_s - _CLOSE_S:
+                return
+            if elapsed > _TAKE_AFTER_STOP_S and self._open == 0:
+                return
+            await self._clock.sleep(_POLL_S)
+
+    async def stop(self) -> None:
+        """Closes the ports."""
+        for runner in self._runners:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(_CLOSE_S):
+                    await runner.cleanup()
+
+    async def _listen(self, handler: object, host: str, port: int) -> None:
+        server = web.Server(
+            handler,  # type: ignore[arg-type]
+            access_log=None,
+            handler_cancellation=False,
+            keepalive_timeout=3600.0,
+            max_line_size=65_536,
+            max_field_size=65_536,
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_S)
+        await runner.setup()
+        await web.TCPSite(runner, host, port, backlog=512).start()
+        self._runners.append(runner)
+
+    async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        ready = request.path == READY_PATH and self._is_ready()
+        if ready != self._was_ready:
+            self._was_ready = ready
+            held = self._routes.current
+            (_READY if ready else _NOT_READY).emit(
+                configuration=held.configuration.version if held is not None else None,
+                directory=self._directory.complete,
+                stopping=self._kernel.stopping,
+            )
+        return web.Response(status=200 if ready else 503)
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._kernel.stopping
+            and self._routes.current is not None
+            and self._directory.complete
+            and bool(self._directory.views())
+        )
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._open += 1
+        started = self._clock.now()
+        request_id = request.headers.get(REQUEST_ID, "")
+        try:
+            answer = await self._answer(request, request_id)
+        except RefusalError as error:
+            answer = _refusal(error)
+        except (ConnectionError, web.HTTPException):
+            raise
+        except Exception as error:  # an unexpected fault of one request must not end others
+            _BROKEN.emit(request=request_id, error=repr(error)[:300])
+            answer = _refusal(InternalError(type(error).__name__))
+        finally:
+            self._open -= 1
+        answer.headers.setdefault(REQUEST_ID, request_id)
+        if self._kernel.stopping:
+            answer.force_close()
+        _ANSWERED.emit(
+            request=request_id,
+            status=answer.status,
+            retry_after=answer.headers.get("Retry-After"),
+            ms=round((self._clock.now() - started) * 1000, 1),
+        )
+        return answer
+
+    async def _answer(self, http: web.BaseRequest, request_id: str) -> web.Response:
+        arrived = self._clock.now()
+        held = self._routes.current
+        if held is None:
+            raise NoConfigurationError(
+                "no configuration has been read yet", retry_after_s=_RETRY_AFTER_S
+            )
+        configuration = held.configuration
+        route = self._routes.select(configuration, http.headers.get("Host", ""), http.path)
+        if route is None:
+            raise NoRouteError(f"no route matches {http.headers.get('Host')!r} {http.path!r}")
+        if not request_id:
+            raise InvalidRequestError(f"the header {REQUEST_ID} is missing")
+        service = self._routes.target(route)
+        spec = configuration.services[service]
+        key = _key(http) if spec.keyed else ""
+        timeout_s = min(_caller_timeout_s(http, route.timeout_s), route.timeout_s)
+        _RECEIVED.emit(
+            request=request_id,
+            route=route.name,
+            service=service,
+            key=key,
+            configuration=configuration.version,
+            timeout_ms=round(timeout_s * 1000),
+        )
+        body = await _body(http, configuration.limits)
+        request = Request(
+            id=request_id,
+            service=service,
+            key=key,
+            method=http.method,
+            path=http.raw_path,
+            headers=_forwarded(http),
+            body=BytesBody(body),
+            deadline=arrived + timeout_s,
+            caller=self._site.service,
+            priority=route.priority,
+            repeatable=route.repeatable,
+            attempts=route.attempts,
+        )
+        response = await self._route(http, request)
+        return await _http_response(response)
+
+    async def _route(self, http: web.BaseRequest, request: Request) -> Response:
+        """Routes a request and ends repeatable work when the caller has left."""
+        task = asyncio.get_running_loop().create_task(self._router.route(request))
+        late = request.deadline - self._clock.now()
+        try:
+            while True:
+                wait_s = min(late, _POLL_S * 4)
+                done, _ = await asyncio.wait((task,), timeout=max(wait_s, 0))
+                if done:
+                    return task.result()
+                late = request.deadline - self._clock.now()
+                if late <= 0:
+                    raise DeadlineExceededRunningError("no answer before the deadline")
+                if request.repeatable and (http.transport is None or http.transport.is_closing()):
+                    raise ConnectionResetError("the caller has left")
+        finally:
+            if not task.done() and request.repeatable:
+                task.cancel()
+            if not task.done() or task.cancelled():
+                task.add_done_callback(_forget)
+
+
+def _forget(task: asyncio.Task[Response]) -> None:
+    if not task.cancelled():
+        task.exception()
+
+
+def _key(http: web.BaseRequest) -> str:
+    text = http.headers.get(KEY, "")
+    if not text.isascii() or not text.isdigit() or int(text) > _HIGHEST_KEY:
+        raise InvalidRequestError(f"the key {text[:20]!r} is no number from 0 to {_HIGHEST_KEY}")
+    return str(int(text))
+
+
+def _caller_timeout_s(http: web.BaseRequest, default_s: float) -> float:
+    text = http.headers.get(TIMEOUT_MS, "")
+    try:
+        return max(float(text) / 1000, 0.0)
+    except ValueError:
+        return default_s
+
+
+def _forwarded(http: web.BaseRequest) -> tuple[tuple[str, str], ...]:
+    named = {
+        name.strip().lower()
+        for value in http.headers.getall("Connection", ())
+        for name in value.split(",")
+    }
+    left_out = HOP_HEADERS | OWN_HEADERS | named | {REQUEST_ID.lower(), KEY.lower()}
+    return tuple(
+        (str(name), value) for name, value in http.headers.items() if name.lower() not in left_out
+    )
+
+
+async def _body(http: web.BaseRequest, limits: CallerLimits) -> bytes:
+    if not http.body_exists:
+        return b""
+    parts = []
+    size = 0
+    async for part in http.content.iter_any():
+        size += len(part)
+        if size > limits.body_bytes:
+            raise BodyTooLargeError(f"the body exceeds {limits.body_bytes} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def _http_response(response: Response) -> web.Response:
+    body = b"".join([part async for part in response.body.chunks()])
+    answer = web.Response(status=response.status, body=body)
+    answer.headers.popall("Content-Type", None)
+    for name, value in response.headers:
+        answer.headers.add(name, value)
+    return answer
+
+
+def _refusal(error: RefusalError) -> web.Response:
+    headers = {"Content-Type": "application/json"}
+    status = error.http_status
+    if error.outcome is Outcome.NOT_RUN and status >= 500:
+        status = 503
+        retry_after_s = error.retry_after_s or _RETRY_AFTER_S
+        headers["Retry-After"] = f"{retry_after_s:.3f}"
+    text = f'{{"error":"{error.label}","outcome":"{error.outcome}"}}'
+    return web.Response(status=status, headers=headers, text=text)
--- /dev/null
+++ b/fescueward/platform/store.py
@@ -0,0 +1,246 @@
+"""The platform's object store as the kernel's `platform` service."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from ..interfaces.platform import Changes, StoredObject
+from ..kernel import Event, Level, Registry
+from ..kernel.errors import (
+    MalformedMessageError,
+    ObjectNotFoundError,
+    OutcomeUnknownError,
+    PlatformAnswerError,
+    PlatformUnavailableError,
+    VersionConflictError,
+)
+from ..kernel.settings import Settings
+from ..messages.codec import encode_json
+from ..messages.configuration import CONFIGURATION_KEY
+from .configuration import decode_configuration
+from .names import OBJECTS_PATH
+
+_BAD_CONFIGURATION = Event(
+    2210, "bad_configuration", Level.ERROR, "The operator's configuration cannot be read."
+)
+
+_CONFIGURATION_KIND = "config"
+_CONFIGURATION_NAME = "main"
+_GROUPS_PREFIX = "groups/"
+_GROUPS_KIND = "fescueward-groups"
+# Time beyond its wait in which a watch must be answered, in seconds.
+_WATCH_SLACK_S = 1.5
+# The store refused the call, so it had no effect.
+_REFUSED_STATUSES = frozenset({429, 503})
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int
+    deleting: bool = False
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _List(msgspec.Struct, rename="camel"):
+    # Revision of the store, not of an object.
+    current_rev: int
+    items: list[_Object] = []
+    has_more: bool = False
+
+
+class _ChangedObject(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct, rename="camel"):
+    # Revision of the store, from which to continue.
+    current_rev: int
+    events: list[_ChangedObject] = []
+
+
+class ObjectStore:
+    """The `platform` service on the platform's object store."""
+
+    name = "platform"
+    requires: tuple[str, ...] = ()
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+        self._unavailable_since: float | None = None
+
+    @property
+    def unavailable_since(self) -> float | None:
+        """When calls began to fail, in seconds of the event loop, or None."""
+        return self._unavailable_since
+
+    def bind(self, registry: Registry) -> None:
+        """Takes address and timeout from the settings."""
+        section = registry.find("settings", Settings).platform
+        self._url = section.url + OBJECTS_PATH
+        self._timeout_s = section.timeout_ms / 1000
+
+    async def start(self) -> None:
+        """Opens the HTTP session."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            auto_decompress=False,
+            trust_env=False,
+        )
+
+    async def stop(self) -> None:
+        """Closes the HTTP session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, key: str) -> StoredObject:
+        """Reads an object; see `Platform.get`."""
+        kind, name = _address(key)
+        status, body = await self._read(f"{self._url}/{kind}/{name}", self._timeout_s)
+        if status == 404:
+            raise ObjectNotFoundError(f"{key!r} does not exist")
+        found = _decode(body, _Object)
+        return _stored(kind, found)
+
+    async def put(self, key: str, value: bytes, expected_version: int) -> int:
+        """Writes an object if its version is the expected one; see `Platform.put`."""
+        kind, name = _address(key)
+        metadata: dict[str, Any] = {"name": name}
+        if expected_version:
+            metadata["revision"] = expected_version
+        body = msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(value)})
+        if expected_version:
+            status, answer = await self._write("PUT", f"{self._url}/{kind}/{name}", body)
+        else:
+            status, answer = await self._write("POST", f"{self._url}/{kind}", body)
+        if status in (404, 409):
+            raise VersionConflictError(f"{key!r} is not at version {expected_version}", version=0)
+        return _decode(answer, _Object).metadata.revision
+
+    async def delete(self, key: str, expected_version: int) -> int:
+        """Deletes an object if its version is the expected one; see `Platform.delete`."""
+        kind, name = _address(key)
+        url = f"{self._url}/{kind}/{name}?revision={expected_version}"
+        status, _ = await self._write("DELETE", url, b"")
+        if status in (404, 409):
+            raise VersionConflictError(f"{key!r} is not at version {expected_version}", version=0)
+        return expected_version
+
+    async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
+        """Waits for changed objects under one prefix; see `Platform.watch`."""
+        kind = _kind(prefixes[0])
+        if not since:
+            return await self._list(kind)
+        url = f"{self._url}/{kind}?watch={since}&waitMs={int(wait_s * 1000)}"
+        status, body = await self._read(url, wait_s + _WATCH_SLACK_S)
+        if status == 410:
+            return await self._list(kind)
+        events = _decode(body, _Events)
+        return Changes(
+            events.current_rev,
+            tuple(
+                stored
+                for event in events.events
+                if (stored := _readable(kind, event.object, event.deleted)) is not None
+            ),
+        )
+
+    async def _list(self, kind: str) -> Changes:
+        items: list[_Object] = []
+        after = ""
+        while True:
+            url = f"{self._url}/{kind}" + (f"?after={after}" if after else "")
+            _, body = await self._read(url, self._timeout_s)
+            page = _decode(body, _List)
+            items += page.items
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].metadata.name
+        found = (_readable(kind, item, False) for item in items)
+        return Changes(page.current_rev, tuple(one for one in found if one is not None))
+
+    async def _read(self, url: str, timeout_s: float) -> tuple[int, bytes]:
+        try:
+            status, body = await self._call("GET", url, b"", timeout_s)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise PlatformUnavailableError(f"no answer: {type(error).__name__}") from error
+        if status not in (200, 404, 410):
+            raise PlatformUnavailableError(f"the store answered {status}")
+        return status, body
+
+    async def _write(self, method: str, url: str, body: bytes) -> tuple[int, bytes]:
+        try:
+            status, answer = await self._call(method, url, body, self._timeout_s)
+        except aiohttp.ClientConnectorError as error:
+            raise PlatformUnavailableError(f"not connected: {error}") from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise OutcomeUnknownError(f"no answer: {type(error).__name__}") from error
+        if status in _REFUSED_STATUSES:
+            raise PlatformUnavailableError(f"the store answered {status}")
+        if status not in (200, 201, 404, 409):
+            raise PlatformAnswerError(f"the store answered {status}: {answer[:200]!r}")
+        return status, answer
+
+    async def _call(
+        self, method: str, url: str, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        assert self._session is not None
+        headers = {"Content-Type": "application/json"} if body else {}
+        async with (
+            asyncio.timeout(timeout_s),
+            self._session.request(method, url, data=body or None, headers=headers) as answer,
+        ):
+            return answer.status, await answer.read()
+
+
+def _address(key: str) -> tuple[str, str]:
+    if key == CONFIGURATION_KEY:
+        return _CONFIGURATION_KIND, _CONFIGURATION_NAME
+    service, _, number = key.removeprefix(_GROUPS_PREFIX).rpartition("/")
+    return _GROUPS_KIND, f"{service}.{number}"
+
+
+def _kind(prefix: str) -> str:
+    return _CONFIGURATION_KIND if prefix == CONFIGURATION_KEY else _GROUPS_KIND
+
+
+def _key(kind: str, name: str) -> str:
+    if kind == _CONFIGURATION_KIND:
+        return CONFIGURATION_KEY
+    service, _, number = name.rpartition(".")
+    return f"{_GROUPS_PREFIX}{service}/{number}"
+
+
+def _stored(kind: str, found: _Object, deleted: bool = False) -> StoredObject:
+    value = bytes(found.spec)
+    if kind == _CONFIGURATION_KIND and not deleted:
+        value = encode_json(decode_configuration(value))
+    name = found.metadata.name
+    return StoredObject(_key(kind, name), found.metadata.revision, value, deleted)
+
+
+def _readable(kind: str, found: _Object, deleted: bool) -> StoredObject | None:
+    if kind == _CONFIGURATION_KIND and found.metadata.name != _CONFIGURATION_NAME:
+        return None
+    try:
+        return _stored(kind, found, deleted)
+    except MalformedMessageError as error:
+        _BAD_CONFIGURATION.emit(
+            kind=kind, object=found.metadata.name, revision=found.metadata.revision, error=error
+        )
+        return None
+
+
+def _decode(body: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PlatformAnswerError(f"the store's answer is malformed: {error}") from error
--- /dev/null
+++ b/fescueward/platform/upstream.py
@@ -0,0 +1,251 @@
+"""Requests, grants and health checks of the upstream on this machine."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from ..interfaces import Membership, Routes
+from ..kernel import Clock, Event, Level, Registry
+from ..kernel.errors import (
+    AnswerLostError,
+    DeadlineExceededRunningError,
+    OutcomeLostError,
+    UpstreamRefusedError,
+    UpstreamUnavailableError,
+)
+from ..messages import GrantSet, Request, Response
+from ..messages.group import KeyRange
+from ..messages.request import BytesBody
+from .names import (
+    CALLER,
+    GRANT_PATH,
+    HANDOVER,
+    HOP_HEADERS,
+    INSTANCE,
+    KEY,
+    NOT_EXECUTED,
+    RECEIPT,
+    RELEASE_PATH,
+    REQUEST_ID,
+    TARGET_INSTANCE,
+    TIMEOUT_MS,
+)
+from .settings import Site
+
+_UNREACHABLE = Event(
+    3010, "upstream_unreachable", Level.WARNING, "The upstream accepts no connection."
+)
+_REACHABLE = Event(3011, "upstream_reachable", Level.INFO, "The upstream accepts connections.")
+
+# Upstreams close connections that were unused for longer, in seconds.
+_KEEPALIVE_S = 4.0
+_CONNECT_TIMEOUT_S = 0.5
+_GRANT_TIMEOUT_S = 0.5
+# A release is confirmed when the work on the keys has ended.
+_RELEASE_TIMEOUT_S = 2.0
+_HEALTH_TIMEOUT_S = 0.5
+# The upstream ends a run at the time that it was given; its answer needs a moment more.
+_ANSWER_SLACK_S = 0.03
+_DEFAULT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class _Grant(msgspec.Struct, rename="camel", omit_defaults=True):
+    # Lowest and highest key, both granted.
+    from_: int = msgspec.field(name="from")
+    target: int
+    fence: int
+    # Length of the grant from its arrival, in seconds.
+    hold_s: float = 0.0
+    handover: str = ""
+
+
+class LocalUpstream:
+    """The `upstream` service on this platform."""
+
+    name = "upstream"
+    requires: tuple[str, ...] = ()
+
+    def __init__(self, site: Site) -> None:
+        self._base = f"http://{site.application.host}:{site.application.port}"
+        self._pooled: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+        self._unreachable = False
+
+    @property
+    def crashes(self) -> int:
+        """Always 0: crashes are recognised by the start that a heartbeat names."""
+        return 0
+
+    def bind(self, registry: Registry) -> None:
+        """Finds the services that this one uses."""
+        self._clock = registry.find("clock", Clock)
+        self._membership = registry.find("membership", Membership)
+        self._routes = registry.find("routes", Routes)
+
+    async def start(self) -> None:
+        """Opens the HTTP sessions."""
+        self._pooled = _session(aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S))
+        # A request that may not run again needs a connection on which nothing can be left over.
+        self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+
+    async def stop(self) -> None:
+        """Closes the HTTP sessions."""
+        for session in (self._pooled, self._fresh):
+            if session is not None:
+                await session.close()
+
+    async def run(self, request: Request, shard: int, epoch: int, deadline: float) -> Response:
+        """Runs a request; see `Upstream.run`."""
+        announced = self._membership.announcement
+        if announced is None:
+            raise UpstreamUnavailableError("the upstream has not announced itself")
+        left_s = deadline - self._clock.now()
+        headers = [
+            *request.headers,
+            (REQUEST_ID, request.id),
+            (TIMEOUT_MS, str(max(int(left_s * 1000), 1))),
+            (TARGET_INSTANCE, announced.instance),
+            (CALLER, request.caller),
+        ]
+        if request.key:
+            headers.append((KEY, request.key))
+        body = b"".join([part async for part in request.body.chunks()])
+        session = self._pooled if request.repeatable else self._fresh
+        assert session is not None
+        try:
+            async with (
+                asyncio.timeout(left_s + _ANSWER_SLACK_S),
+                session.request(
+                    request.method,
+                    URL(self._base + request.path, encoded=True),
+                    headers=headers,
+                    data=body or None,
+                    allow_redirects=False,
+                ) as answer,
+            ):
+                content = await answer.read()
+                return self._response(request, answer, content)
+        except aiohttp.ClientConnectorError as error:
+            self._note_unreachable(error)
+            raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
+        except aiohttp.ConnectionTimeoutError as error:
+            self._note_unreachable(error)
+            raise UpstreamUnavailableError("no connection to the upstream in time") from error
+        except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError) as error:
+            raise AnswerLostError(f"the answer is not whole: {error}") from error
+        except (aiohttp.ClientError, OSError) as error:
+            if isinstance(error, TimeoutError):
+                raise DeadlineExceededRunningError(
+                    "the upstream did not answer before the deadline"
+                ) from error
+            raise OutcomeLostError(
+                f"the connection ended without an answer: {type(error).__name__}"
+            ) from error
+
+    async def grant(self, grants: GrantSet) -> bool:
+        """Does nothing: this platform's upstreams are granted ranges."""
+        return True
+
+    async def grant_range(self, found: KeyRange, hold_s: float) -> bool:
+        """Grants keys; see `UpstreamProbe.grant_range`."""
+        message = _Grant(found.first, found.last, found.epoch, round(hold_s, 3), found.handover)
+        status, _ = await self._order(GRANT_PATH, message, _GRANT_TIMEOUT_S)
+        if status not in (200, 409):
+            raise UpstreamUnavailableError(f"the upstream answered a grant with {status}")
+        return status == 200
+
+    async def release_range(self, found: KeyRange) -> str:
+        """Takes keys back; see `UpstreamProbe.release_range`."""
+        message = _Grant(found.first, found.last, found.epoch)
+        status, headers = await self._order(RELEASE_PATH, message, _RELEASE_TIMEOUT_S)
+        if status != 200:
+            raise UpstreamUnavailableError(f"the upstream answered a release with {status}")
+        return str(headers.get(HANDOVER, ""))
+
+    async def identify(self) -> str | None:
+        """Returns the instance that answers the health check, or None."""
+        announced = self._membership.announcement
+        held = self._routes.current
+        service = announced.service if announced is not None else ""
+        spec = held.configuration.services.get(service) if held is not None else None
+        path = spec.health_path if spec is not None else "/health"
+        assert self._pooled is not None
+        try:
+            async with (
+                asyncio.timeout(_HEALTH_TIMEOUT_S),
+                self._pooled.get(self._base + path) as answer,
+            ):
+                await answer.read()
+                return answer.headers.get(INSTANCE)
+        except (aiohttp.ClientError, OSError) as error:
+            self._note_unreachable(error)
+            return None
+
+    async def _order(self, path: str, message: _Grant, timeout_s: float) -> tuple[int, Any]:
+        assert self._pooled is not None
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._pooled.post(
+                    self._base + path,
+                    data=msgspec.json.encode(message),
+                    headers={"Content-Type": "application/json"},
+                ) as answer,
+            ):
+                await answer.read()
+                return answer.status, answer.headers
+        except (aiohttp.ClientError, OSError) as error:
+            raise UpstreamUnavailableError(
+                f"the upstream did not confirm {path}: {type(error).__name__}"
+            ) from error
+
+    def _response(
+        self, request: Request, answer: aiohttp.ClientResponse, content: bytes
+    ) -> Response:
+        self._note_reachable()
+        headers = answer.headers
+        if NOT_EXECUTED in headers or answer.status == 421:
+            raise UpstreamRefusedError(f"the upstream refused with {answer.status}")
+        if headers.get(REQUEST_ID, request.id) != request.id:
+            answer.close()
+            raise OutcomeLostError(f"the answer names request {headers.get(REQUEST_ID)!r}")
+        if RECEIPT not in headers and answer.status < 300:
+            answer.close()
+            raise AnswerLostError("the answer has no receipt")
+        if "Content-Encoding" in headers:
+            answer.close()
+            raise AnswerLostError("the answer has a content encoding")
+        kept = tuple(
+            (str(name), value)
+            for name, value in headers.items()
+            if name.lower() not in HOP_HEADERS
+        )
+        return Response(request.id, answer.status, kept, BytesBody(content))
+
+    def _note_unreachable(self, error: BaseException) -> None:
+        if not self._unreachable:
+            self._unreachable = True
+            _UNREACHABLE.emit(address=self._base, error=repr(error)[:200])
+
+    def _note_reachable(self) -> None:
+        if self._unreachable:
+            self._unreachable = False
+            _REACHABLE.emit(address=self._base)
+
+
+def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        trust_env=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=_DEFAULT_HEADERS,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
+        max_line_size=65_536,
+        max_field_size=65_536,
+    )
--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -1,4 +1,4 @@
-"""Admission: slots in the order of deadlines, limits and early shedding."""
+"""Admission: slots by priority and deadline, limits and early shedding."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
     RateLimitedError,
 )
 from ..messages import Announcement, Entry, Request
+from ..messages.request import Occupancy
 
 _LIMIT_REDUCED = Event(
     3101, "slots_reduced", Level.WARNING, "The upstream sheds load, so fewer slots are used."
@@ -40,6 +41,9 @@
 # The rate limiter's burst in seconds of the permitted rate.
 _BURST_S = 0.1
 
+# Priority, deadline and number of a waiting request; the lowest gets the next slot.
+_Place = tuple[int, float, int]
+
 
 class _Slot:
     """One use of a slot, as an async context manager."""
@@ -78,7 +82,7 @@
 
     def __init__(self) -> None:
         self._slots = 1
-        self._address: tuple[str, int] | None = None
+        self._started: tuple[str, int, str] | None = None
         self._running = 0
         self._numbers = itertools.count()
         self._waiting: SortedDict = SortedDict()
@@ -96,6 +100,13 @@
         """Usable share of the slots."""
         return min(self._limit() / self._slots, 1.0)
 
+    @property
+    def occupancy(self) -> Occupancy:
+        """Load of the slots as this agent counts it."""
+        return Occupancy(
+            self._running, len(self._waiting), self._limit(), round(self._mean_run_s * 1000, 1)
+        )
+
     def bind(self, registry: Registry) -> None:
         """Finds the clock."""
         self._clock = registry.find("clock", Clock)
@@ -116,9 +127,12 @@
             min(announcement.slots, announcement.connections - _RESERVED_CONNECTIONS), 1
         )
         address = (announcement.host, announcement.port)
-        if address != self._address:
-            self._address = address
-            self.begin_slow_start()
+        started = (*address, announcement.instance)
+        if started != self._started:
+            self._started = started
+            # An upstream that tells its warm-up is slow while cold but uses all its slots.
+            if announcement.cold_s is None:
+                self.begin_slow_start()
         self._wake_next()
 
     def begin_slow_start(self) -> None:
@@ -141,7 +155,7 @@
         if self._running < self._limit() and not self._waiting:
             self._running += 1
             return
-        place = (request.deadline, next(self._numbers))
+        place = (request.priority, request.deadline, next(self._numbers))
         self._shed(place, entry)
         loop = asyncio.get_running_loop()
         granted: asyncio.Future[None] = loop.create_future()
@@ -223,13 +237,13 @@
             )
         await known[1].acquire()
 
-    def _shed(self, place: tuple[float, int], entry: Entry) -> None:
+    def _shed(self, place: _Place, entry: Entry) -> None:
         limit = self._limit()
         wait_s = self._mean_run_s * (self._waiting.bisect_left(place) + 1) / limit
         retry_after_s = max(self._mean_run_s * (len(self._waiting) + 1) / limit, 1.0)
         if len(self._waiting) >= entry.limits.queue_length:
             raise OverloadedError("the queue is full", retry_after_s=retry_after_s)
-        if self._clock.now() + wait_s + self._expected_run_s() > place[0]:
+        if self._clock.now() + wait_s + self._expected_run_s() > place[1]:
             raise OverloadedError(
                 "the expected wait exceeds the deadline", retry_after_s=retry_after_s
             )
@@ -237,7 +251,7 @@
     def _expected_run_s(self) -> float:
         return self._mean_run_s + 2 * self._deviation_s
 
-    def _expire(self, place: tuple[float, int]) -> None:
+    def _expire(self, place: _Place) -> None:
         granted = self._waiting.pop(place, None)
         if granted is not None and not granted.done():
             granted.set_exception(
@@ -250,7 +264,7 @@
             place, granted = self._waiting.popitem(0)
             if granted.done():
                 continue
-            if self._clock.now() + self._expected_run_s() > place[0]:
+            if self._clock.now() + self._expected_run_s() > place[1]:
                 # A run that cannot end in time would take the slot from one that can.
                 granted.set_exception(
                     OverloadedError("too little time is left to run", retry_after_s=1.0)
--- /dev/null
+++ b/fescueward/services/gate/__init__.py
@@ -0,0 +1,1 @@
+"""The side of the agent that is beside the upstream."""
--- /dev/null
+++ b/fescueward/services/gate/execution.py
@@ -0,0 +1,124 @@
+"""The owner's side of a request without tokens: the only way to the upstream on this VM."""
+
+from __future__ import annotations
+
+from ...interfaces import (
+    Admission,
+    Catalogue,
+    Departure,
+    Membership,
+    Ownership,
+    Peers,
+    SlotLoad,
+    Upstream,
+)
+from ...interfaces.metrics import RunListener
+from ...interfaces.placement import Load
+from ...kernel import Clock, Event, Level, RefusalError, Registry
+from ...kernel.errors import DrainingError, NotOwnerError, UpstreamUnavailableError
+from ...messages import AnnouncedState, Request, Response
+
+_EXECUTED = Event(3410, "request_run", Level.INFO, "A request ran on the upstream here.")
+_TURNED_AWAY = Event(3411, "request_not_run", Level.INFO, "The upstream here did not serve it.")
+
+
+class GateExecution:
+    """The `execution` service where each attempt has an id of its own and no token.
+
+    A request that is refused here before it was sent has not run, so another agent may take it
+    without a cost to the retry budget.
+    """
+
+    name = "execution"
+    requires = ("catalogue", "ownership", "admission", "upstream")
+
+    def __init__(self) -> None:
+        self._listeners: list[RunListener] = []
+
+    def bind(self, registry: Registry) -> None:
+        """Finds the services that this one uses."""
+        self._clock = registry.find("clock", Clock)
+        self._catalogue = registry.find("catalogue", Catalogue)
+        self._membership = registry.find("membership", Membership)
+        self._ownership = registry.find("ownership", Ownership)
+        self._departure = registry.find("membership", Departure)
+        self._admission = registry.find("admission", Admission)
+        self._slots = registry.find("admission", SlotLoad)
+        self._upstream = registry.find("upstream", Upstream)
+        self._load = registry.find("load", Load)
+        registry.find("peers", Peers).serve(self.execute)
+
+    async def start(self) -> None:
+        """Does nothing."""
+
+    async def stop(self) -> None:
+        """Does nothing."""
+
+    def subscribe(self, listener: RunListener) -> None:
+        """Tells a service of the end of each run on the upstream from now on."""
+        self._listeners.append(listener)
+
+    async def execute(self, request: Request) -> Response:
+        """Runs a request on the upstream of this agent; see `Execution.execute`."""
+        try:
+            return await self._execute(request)
+        except RefusalError as error:
+            error.occupancy = self._slots.occupancy
+            _TURNED_AWAY.emit(
+                request=request.id,
+                service=request.service,
+                label=error.label,
+                outcome=error.outcome,
+                reason=error,
+                occupancy=error.occupancy,
+                source=request.forwarded_by,
+            )
+            raise
+
+    async def _execute(self, request: Request) -> Response:
+        entry = self._catalogue.entry(request.service).entry
+        self._check_open(request)
+        epoch = 0
+        if request.key:
+            with await self._ownership.admit(
+                request.service, request.key, request.deadline
+            ) as ticket:
+                epoch = ticket.epoch
+        async with self._admission.slot(request, entry):
+            # Departure and loss of the keys may have come while the request waited.
+            self._check_open(request)
+            if request.key:
+                with await self._ownership.admit(
+                    request.service, request.key, request.deadline
+                ) as ticket:
+                    epoch = ticket.epoch
+            started = self._clock.now()
+            try:
+                response = await self._upstream.run(
+                    request, int(request.key or 0), epoch, request.deadline
+                )
+            finally:
+                seconds = self._clock.now() - started
+                if request.key:
+                    self._load.record(int(request.key), request.key, seconds)
+        _EXECUTED.emit(
+            request=request.id,
+            service=request.service,
+            key=request.key,
+            epoch=epoch,
+            status=response.status,
+            run_ms=round(seconds * 1000, 1),
+            source=request.forwarded_by,
+        )
+        for listener in self._listeners:
+            listener.run_ended(request.service, seconds)
+        return response
+
+    def _check_open(self, request: Request) -> None:
+        announced = self._membership.announcement
+        if announced is None:
+            raise UpstreamUnavailableError("the upstream has not announced itself")
+        if announced.service != request.service:
+            raise NotOwnerError(f"this agent is beside {announced.service!r}")
+        if announced.state is AnnouncedState.LEAVING or self._departure.closed:
+            raise DrainingError("this upstream is leaving")
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -7,8 +7,11 @@
 import uuid
 from dataclasses import replace
 
-from ..interfaces import Catalogue, GroupListener, Membership, Peers, Platform
+import xxhash
+
+from ..interfaces import Catalogue, GroupListener, Membership, Peers, Platform, Routes
 from ..interfaces.groups import GroupChange
+from ..interfaces.platform import StoredObject
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
     MalformedMessageError,
@@ -29,6 +32,7 @@
     VersionedGroup,
 )
 from ..messages.codec import decode_json, encode_json
+from ..messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
 from ..messages.peer import Fetch, Publish, Versions, WatchStatus
 
 _CHANGED = Event(2201, "group_changed", Level.INFO, "A newer version of a group is in use.")
@@ -37,6 +41,8 @@
 _BAD_OBJECT = Event(2204, "bad_object", Level.ERROR, "An object of the platform is malformed.")
 _WATCH_FAILED = Event(2205, "watch_failed", Level.WARNING, "A watch call began to fail.")
 
+_WATCH_RESUMED = Event(2206, "watch_resumed", Level.INFO, "Watch calls are answered again.")
+
 _WATCHERS = 2
 _WATCH_RETRY_S = 0.25
 _WATCH_STATUS_S = 1.0
@@ -51,19 +57,25 @@
 
     Two members of each group hold a watch of the platform and publish versions to the others.
     Renewals and their acknowledgements carry versions, so whoever missed one fetches it.
+
+    With `fleet_wide`, every agent knows all groups and the configuration: two members of the whole
+    fleet hold the watches, publish to all and tell all each second what they know.
     """
 
     name = "groups"
     requires = ("platform", "catalogue", "peers")
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, fleet_wide: bool = False) -> None:
         self._tasks = kernel.task_owner(self.name)
+        self._fleet_wide = fleet_wide
+        self._routes: Routes | None = None
         self._views: dict[GroupId, VersionedGroup] = {}
         self._listeners: list[GroupListener] = []
         self._waiters: dict[GroupId, asyncio.Event] = {}
         self._updates: dict[GroupId, asyncio.Task[None]] = {}
         self._watch_status: dict[str, float] = {}
         self._watch_healthy = False
+        self._read: set[str] = set()
         self._started_at = 0.0
 
     def bind(self, registry: Registry) -> None:
@@ -73,6 +85,8 @@
         self._catalogue = registry.find("catalogue", Catalogue)
         self._peers = registry.find("peers", Peers)
         self._membership = registry.find("membership", Membership)
+        if self._fleet_wide:
+            self._routes = registry.find("routes", Routes)
         self._watch_s = registry.find("settings", Settings).platform.watch_ms / 1000
         self._peers.on(Publish, self._on_publish)
         self._peers.on(Fetch, self._on_fetch)
@@ -81,7 +95,11 @@
     async def start(self) -> None:
         """Starts the watch and the report of its state."""
         self._started_at = self._clock.now()
-        self._tasks.spawn("watch", self._run_watch())
+        if self._fleet_wide:
+            for prefix in (CONFIGURATION_KEY, "groups/"):
+                self._tasks.spawn(f"watch {prefix}", self._run_fleet_watch(prefix))
+        else:
+            self._tasks.spawn("watch", self._run_watch())
         self._tasks.spawn("watch-status", self._run_watch_status())
 
     async def stop(self) -> None:
@@ -93,6 +111,15 @@
         """Whether this agent watches the platform for its group and the watch works."""
         return self._watch_healthy and self._is_watcher()
 
+    @property
+    def complete(self) -> bool:
+        """Whether all groups have been read or received once."""
+        return "groups/" in self._read
+
+    def views(self) -> tuple[VersionedGroup, ...]:
+        """Returns the newest version of every group that was seen."""
+        return tuple(self._views.values())
+
     def view(self, group: GroupId) -> VersionedGroup | None:
         """Returns the newest version seen."""
         return self._views.get(group)
@@ -193,6 +220,8 @@
 
     def versions(self) -> Versions:
         """Returns what this agent knows, for renewals and their acknowledgements."""
+        if self._fleet_wide:
+            return Versions(0, self._fleet_digest())
         home = self._membership.home
         held = self._views.get(home) if home is not None else None
         return Versions(held.version if held is not None else 0, self._catalogue.digest)
@@ -205,6 +234,10 @@
             theirs: What it knows.
         """
         mine = self.versions()
+        if self._fleet_wide:
+            if mine != theirs:
+                self._peers.send(member, Fetch(objects=self._object_versions()))
+            return
         home = self._membership.home
         if home is None or (theirs.group <= mine.group and theirs.entries == mine.entries):
             return
@@ -237,17 +270,55 @@
             return
 
     def _tell_members(self, group: VersionedGroup, message: Publish) -> None:
-        for member in group.group.members.values():
+        members = self._fleet() if self._fleet_wide else group.group.members
+        for member in members.values():
             if member.id != self._membership.member_id:
                 self._peers.send(member, message)
 
+    def _fleet(self) -> dict[str, Member]:
+        found: dict[str, Member] = {}
+        for view in self._views.values():
+            found.update(view.group.members)
+        return found
+
+    def _object_versions(self) -> dict[str, int]:
+        versions = {view.group.id.object_key: view.version for view in self._views.values()}
+        held = self._routes.current if self._routes is not None else None
+        if held is not None:
+            versions[CONFIGURATION_KEY] = held.version
+        return versions
+
+    def _fleet_digest(self) -> int:
+        text = ",".join(
+            f"{key}={version}" for key, version in sorted(self._object_versions().items())
+        )
+        # 53 bits, so that it stays exact in JSON readers that use floating point.
+        return xxhash.xxh64_intdigest(text.encode()) >> 11
+
+    def _newer_objects(self, known: dict[str, int]) -> Publish:
+        groups = tuple(
+            view
+            for view in self._views.values()
+            if view.version > known.get(view.group.id.object_key, 0)
+        )
+        held = self._routes.current if self._routes is not None else None
+        newer = held is not None and held.version > known.get(CONFIGURATION_KEY, 0)
+        return Publish(groups=groups, configuration=held if newer else None)
+
     def _on_publish(self, sender: str, message: Publish) -> None:
+        if message.configuration is not None and self._routes is not None:
+            self._routes.observe(message.configuration)
         for entry in message.entries:
             self._catalogue.observe(entry)
         for group in message.groups:
             self.observe(group)
 
     def _on_fetch(self, sender: str, message: Fetch) -> None:
+        if message.objects is not None:
+            newer_objects = self._newer_objects(message.objects)
+            if newer_objects != Publish():
+                self._peers.reply(sender, newer_objects)
+            return
         entries: tuple[VersionedEntry, ...] = ()
         if message.entries is not None:
             entries = self._catalogue.newer_than(message.entries)
@@ -260,6 +331,9 @@
     def _on_watch_status(self, sender: str, message: WatchStatus) -> None:
         if message.healthy and message.member_id == sender:
             self._watch_status[sender] = self._clock.now()
+            watcher = self._fleet().get(sender) if self._fleet_wide else None
+            if watcher is not None:
+                self.compare(watcher, message.versions)
 
     async def _run_watch(self) -> None:
         since = 0
@@ -295,6 +369,57 @@
                 self._observe_stored(stored.key, stored.version, stored.value, stored.deleted)
             self._catalogue.mark_loaded()
 
+    async def _run_fleet_watch(self, prefix: str) -> None:
+        since = 0
+        reported = False
+        while True:
+            if not self._is_watcher():
+                self._read.add(prefix)
+                since = 0
+                await self._clock.sleep(_WATCH_RETRY_S)
+                continue
+            try:
+                wait_s = self._watch_s if since else 0.0
+                changes = await self._platform.watch((prefix,), since, wait_s)
+            except PlatformError as error:
+                if not reported:
+                    _WATCH_FAILED.emit(prefix=prefix, error=error)
+                reported = True
+                self._watch_healthy = False
+                since = 0 if isinstance(error, PlatformAnswerError) else since
+                await self._clock.sleep(_WATCH_RETRY_S)
+                continue
+            if reported:
+                _WATCH_RESUMED.emit(prefix=prefix)
+            reported = False
+            self._watch_healthy = True
+            since = changes.revision
+            for stored in changes.objects:
+                self._observe_fleet_object(stored)
+            self._read.add(prefix)
+
+    def _observe_fleet_object(self, stored: StoredObject) -> None:
+        if stored.deleted:
+            return
+        try:
+            if stored.key == CONFIGURATION_KEY:
+                assert self._routes is not None
+                configuration = decode_json(stored.value, Configuration)
+                held = VersionedConfiguration(stored.version, configuration)
+                if self._routes.observe(held):
+                    self._tell_fleet(Publish(configuration=held))
+                return
+            group = VersionedGroup(stored.version, decode_json(stored.value, Group))
+            if self.observe(group):
+                self._tell_fleet(Publish(groups=(group,)))
+        except MalformedMessageError as error:
+            _BAD_OBJECT.emit(key=stored.key, version=stored.version, error=error)
+
+    def _tell_fleet(self, message: Publish) -> None:
+        for member in self._fleet().values():
+            if member.id != self._membership.member_id:
+                self._peers.send(member, message)
+
     def _observe_stored(self, key: str, version: int, value: bytes, deleted: bool) -> None:
         if deleted:
             return
@@ -318,13 +443,14 @@
         me = self._membership.member_id
         if view is None or me not in view.group.members:
             return True
+        members = self._fleet() if self._fleet_wide else view.group.members
         now = self._clock.now()
         watchers = 0
-        for member_id in sorted(view.group.members):
+        for member_id in sorted(members):
             if member_id == me:
                 return watchers < _WATCHERS
             heard = max(self._watch_status.get(member_id, 0.0), self._started_at)
-            state = view.group.members[member_id].state
+            state = members[member_id].state
             if state is MemberState.ACTIVE and now - heard < _WATCH_STATUS_TIMEOUT_S:
                 watchers += 1
         return False
@@ -336,7 +462,8 @@
             view = self._views.get(home) if home is not None else None
             if view is None or not self._watch_healthy or not self._is_watcher():
                 continue
-            status = WatchStatus(self._membership.member_id, True)
-            for member in view.group.members.values():
+            members = self._fleet() if self._fleet_wide else view.group.members
+            status = WatchStatus(self._membership.member_id, True, self.versions())
+            for member in members.values():
                 if member.id != self._membership.member_id:
                     self._peers.send(member, status)
--- /dev/null
+++ b/fescueward/services/keyspace/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership and placement of numeric key ranges."""
--- /dev/null
+++ b/fescueward/services/keyspace/ownership.py
@@ -0,0 +1,325 @@
+"""Key ranges that this agent owns: grants, requests and handover."""
+
+from __future__ import annotations
+
+import asyncio
+from bisect import bisect_right
+from contextlib import suppress
+from dataclasses import dataclass
+from types import TracebackType
+
+from ...interfaces import Groups, Lease, Membership, UpstreamProbe
+from ...kernel import Clock, Event, Kernel, Level, Registry
+from ...kernel.bounds import Bounds
+from ...kernel.errors import (
+    LeaseExpiredError,
+    NotOwnerError,
+    PlatformError,
+    RefusalError,
+    ShardMovingError,
+)
+from ...kernel.settings import Settings
+from ...messages import Group, MemberState, VersionedGroup
+from ...messages.group import KeyRange
+from . import moves
+
+_ACTIVE = Event(2820, "range_active", Level.INFO, "A key range is served here from now on.")
+_GRANT_REFUSED = Event(
+    2821, "range_grant_refused", Level.WARNING, "The upstream has seen a higher epoch."
+)
+_GRANT_FAILED = Event(2822, "range_grant_failed", Level.WARNING, "The upstream took no grant.")
+_RELEASED = Event(2823, "range_released", Level.INFO, "The upstream has given a key range back.")
+_RELEASE_FAILED = Event(
+    2824, "range_release_failed", Level.WARNING, "A release was not confirmed; its grant runs out."
+)
+_HANDED_OVER = Event(2825, "ranges_handed_over", Level.INFO, "Successors own key ranges now.")
+_HANDOVER_FAILED = Event(
+    2826, "range_handover_failed", Level.WARNING, "A handover was not recorded; it is retried."
+)
+
+# The upstream's clock may run this much slow, so its hold lasts this many times as long.
+SLOW_CLOCK = 1.02
+# The grant must end before the lease, also with the delay of a timer.
+_HOLD_MARGIN_S = 0.03
+# A shorter grant would end before it is of use.
+_LEAST_HOLD_S = 0.1
+# A request waits this long, in seconds, while its key is being activated here.
+_ACTIVATION_WAIT_S = 0.4
+_RETRY_S = 0.1
+
+_Id = tuple[int, int, int]
+
+
+def _id(found: KeyRange) -> _Id:
+    return (found.first, found.last, found.epoch)
+
+
+@dataclass(frozen=True, slots=True)
+class RangeTicket:
+    """Permission to run one request; see `Ticket`."""
+
+    shard: int
+    epoch: int
+
+    def __enter__(self) -> RangeTicket:
+        """Returns the ticket."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Does nothing: the upstream ends its work before it confirms a release."""
+
+    def check(self) -> None:
+        """Does nothing: the upstream ends work that outlasts its grant."""
+
+
+class RangeOwnership:
+    """The `ownership` service for numeric keys.
+
+    The upstream itself stops work on keys whose grant has ended, and confirms a release only when
+    their work has ended. So no request needs to be counted here: what is sent after a release is
+    refused by the upstream without a run.
+    """
+
+    name = "ownership"
+    requires = ("groups", "membership", "lease", "upstream")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._tasks = kernel.task_owner(self.name)
+        self._wanted: dict[_Id, KeyRange] = {}
+        self._expires: dict[_Id, float] = {}
+        self._handing: set[_Id] = set()
+        self._starts: list[tuple[int, _Id]] = []
+        self._changed = asyncio.Event()
+        self._renew = asyncio.Event()
+        self._instance = ""
+        self._hold_ends_at = 0.0
+
+    def bind(self, registry: Registry) -> None:
+        """Finds the services that this one uses."""
+        self._clock = registry.find("clock", Clock)
+        self._bounds = registry.find("bounds", Bounds)
+        self._groups = registry.find("groups", Groups)
+        self._membership = registry.find("membership", Membership)
+        self._lease = registry.find("lease", Lease)
+        self._upstream = registry.find("upstream", UpstreamProbe)
+        self._renewal_s = registry.find("settings", Settings).lease.renewal_ms / 1000
+        self._groups.subscribe(self)
+
+    async def start(self) -> None:
+        """Starts the renewal of grants."""
+        self._tasks.spawn("grants", self._run_grants())
+
+    async def stop(self) -> None:
+        """Ends all tasks."""
+        await self._tasks.cancel()
+
+    @property
+    def in_flight(self) -> int:
+        """Always 0: the upstream counts what runs."""
+        return 0
+
+    def active(self) -> dict[int, int]:
+        """Returns the epoch of each active range by its first key."""
+        now = self._clock.now()
+        return {first: epoch for (first, _, epoch), end in self._expires.items() if end > now}
+
+    def owned(self) -> dict[int, int]:
+        """Returns the epoch of each range that is owned here by its first key."""
+        return {first: epoch for first, _, epoch in self._wanted}
+
+    async def admit(self, service: str, key: str, deadline: float) -> RangeTicket:
+        """Waits while the range of the key is being activated; see `Ownership.admit`."""
+        number = int(key)
+        until = min(deadline, self._clock.now() + _ACTIVATION_WAIT_S)
+        while True:
+            found = self._find(number)
+            if found is not None:
+                if not self._lease.held:
+                    raise LeaseExpiredError("the lease of this agent has ended")
+                return RangeTicket(found[0], found[2])
+            self._refuse_if_foreign(number)
+            remaining = until - self._clock.now()
+            if remaining <= 0:
+                raise ShardMovingError(f"key {key} is not active here yet")
+            changed = self._changed
+            with suppress(TimeoutError):
+                await asyncio.wait_for(changed.wait(), remaining)
+
+    async def drained(self) -> None:
+        """Waits until no range is owned here that another member could take."""
+        while self._handing or (self._owns_any() and self._others_exist()):
+            changed = self._changed
+            await changed.wait()
+
+    def group_changed(self, group: VersionedGroup) -> None:
+        """Activates, hands over and drops ranges as the group object says."""
+        if group.group.id != self._membership.home:
+            return
+        me = self._membership.member_id
+        mine = [found for found in group.group.ranges if found.owner == me]
+        wanted = {_id(found): found for found in mine if found.successor is None}
+        self._handing &= {_id(found) for found in mine}
+        expires: dict[_Id, float] = {}
+        for found_id in wanted:
+            if found_id not in self._handing:
+                end = self._end_of(found_id)
+                if end is not None:
+                    expires[found_id] = end
+        self._wanted, self._expires = wanted, expires
+        self._index()
+        leaving = [found for found in mine if found.successor and _id(found) not in self._handing]
+        if leaving:
+            self._handing.update(_id(found) for found in leaving)
+            self._tasks.spawn("handover", self._hand_over(leaving))
+        self._renew.set()
+        self._wake()
+
+    def _end_of(self, wanted: _Id) -> float | None:
+        """Returns the end of the grants that cover a range at its epoch, or None."""
+        first, last, epoch = wanted
+        ends = []
+        reach = first
+        for low, high, known in sorted(self._expires):
+            if known == epoch and low <= reach <= high:
+                ends.append(self._expires[(low, high, known)])
+                reach = high + 1
+                if reach > last:
+                    return min(ends)
+        return None
+
+    def _index(self) -> None:
+        self._starts = sorted((found_id[0], found_id) for found_id in self._expires)
+
+    def _find(self, key: int) -> _Id | None:
+        index = bisect_right(self._starts, (key, (65_536, 0, 0))) - 1
+        if index < 0:
+            return None
+        found = self._starts[index][1]
+        if key > found[1] or self._expires[found] <= self._clock.now():
+            return None
+        return found
+
+    def _refuse_if_foreign(self, key: int) -> None:
+        view = self._view()
+        found = view.group.range_of(key) if view is not None else None
+        me = self._membership.member_id
+        if found is None or (found.owner != me and found.successor != me):
+            owner = found.owner if found is not None else None
+            raise NotOwnerError(f"key {key} is owned by {owner}", owner_id=owner)
+        if found.owner == me and found.successor is not None:
+            raise ShardMovingError(f"key {key} is being handed over")
+
+    def _view(self) -> VersionedGroup | None:
+        home = self._membership.home
+        return self._groups.view(home) if home is not None else None
+
+    def _owns_any(self) -> bool:
+        view = self._view()
+        me = self._membership.member_id
+        return view is not None and any(found.owner == me for found in view.group.ranges)
+
+    def _others_exist(self) -> bool:
+        view = self._view()
+        me = self._membership.member_id
+        return view is not None and any(
+            member.id != me and member.state is MemberState.ACTIVE
+            for member in view.group.members.values()
+        )
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def _run_grants(self) -> None:
+        while True:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._renew.wait(), self._renewal_s)
+            self._renew.clear()
+            announced = self._membership.announcement
+            if announced is None or not self._wanted or not self._lease.held:
+                continue
+            if announced.instance != self._instance:
+                # A new start of the upstream holds nothing of what was granted before.
+                self._instance = announced.instance
+                self._expires.clear()
+                self._index()
+            due = [found for found in self._wanted.values() if _id(found) not in self._handing]
+            await asyncio.gather(*(self._grant(found) for found in due))
+
+    async def _grant(self, found: KeyRange) -> None:
+        found_id = _id(found)
+        sent = self._clock.now()
+        lease_left_s = self._lease.expires_at - sent
+        hold_s = min(self._bounds.longest_hold_s, lease_left_s / SLOW_CLOCK - _HOLD_MARGIN_S)
+        if hold_s < _LEAST_HOLD_S:
+            return
+        self._hold_ends_at = max(self._hold_ends_at, sent + lease_left_s)
+        try:
+            accepted = await self._upstream.grant_range(found, hold_s)
+        except RefusalError as error:
+            _GRANT_FAILED.emit(first=found.first, last=found.last, epoch=found.epoch, error=error)
+            return
+        if not accepted:
+            _GRANT_REFUSED.emit(first=found.first, last=found.last, epoch=found.epoch)
+            self._expires.pop(found_id, None)
+            self._index()
+            return
+        if found_id not in self._wanted or found_id in self._handing:
+            return
+        fresh = found_id not in self._expires
+        self._expires[found_id] = sent + hold_s
+        if fresh:
+            _ACTIVE.emit(
+                first=found.first,
+                last=found.last,
+                epoch=found.epoch,
+                hold_s=round(hold_s, 3),
+                warm=bool(found.handover),
+            )
+            self._index()
+            self._wake()
+
+    async def _hand_over(self, leaving: list[KeyRange]) -> None:
+        home = self._membership.home
+        me = self._membership.member_id
+        assert home is not None
+        tokens = await asyncio.gather(*(self._release(found) for found in leaving))
+        released = dict(zip(map(_id, leaving), tokens, strict=True))
+
+        def commit(group: Group) -> Group | None:
+            changed = moves.handed_over(group, released, me)
+            return None if changed == group else changed
+
+        while True:
+            try:
+                written = await self._groups.edit(home, commit)
+                break
+            except PlatformError as error:
+                _HANDOVER_FAILED.emit(group=home, ranges=len(leaving), error=error)
+                await self._clock.sleep(_RETRY_S)
+        self._handing -= set(released)
+        _HANDED_OVER.emit(
+            group=home,
+            version=written.version,
+            ranges=[(found.first, found.last, found.successor) for found in leaving],
+        )
+        self._wake()
+
+    async def _release(self, found: KeyRange) -> str:
+        try:
+            token = await self._upstream.release_range(found)
+        except RefusalError as error:
+            _RELEASE_FAILED.emit(
+                first=found.first, last=found.last, epoch=found.epoch, error=error
+            )
+            wait_s = self._hold_ends_at - self._clock.now()
+            if wait_s > 0:
+                await self._clock.sleep(wait_s)
+            return ""
+        _RELEASED.emit(first=found.first, last=found.last, epoch=found.epoch, warm=bool(token))
+        return token
--- /dev/null
+++ b/fescueward/services/keyspace/placement.py
@@ -0,0 +1,222 @@
+"""Placement of numeric key ranges: first assignment, losses, departures and hot blocks."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from ...interfaces import Groups, Lease, Membership, Routes
+from ...kernel import Clock, Event, Kernel, Level, Registry
+from ...kernel.errors import PlatformError
+from ...messages import Group, Member, MemberState, VersionedGroup
+from ...messages.group import KeyRange
+from ...messages.peer import RangeLoad
+from . import moves
+from .load import BLOCK_KEYS, KeyBlockLoad
+
+_MOVED = Event(2830, "ranges_moving", Level.INFO, "Key ranges get another owner.")
+_PLAN_FAILED = Event(2831, "range_plan_failed", Level.WARNING, "A round of placement failed.")
+
+_ROUND_S = 0.5
+# The first keys are given out once the members have not changed for this long, in seconds.
+_SETTLED_S = 1.0
+# A member above this utilisation gives work away if it is also well above the mean.
+_BUSY = 0.7
+_ABOVE_MEAN = 1.3
+# Time for a move to show in the reports before the next one, in seconds.
+_MOVE_PAUSE_S = 1.5
+# Most ranges that one round moves.
+_MOST_MOVES = 4
+# Largest share of a member's widest range that moves when no block stands out.
+_FLAT_SHARE = 0.25
+
+
+class RangePlacement:
+    """The `placement` service for services with numeric keys and services without keys."""
+
+    name = "placement"
+    requires = ("groups",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._tasks = kernel.task_owner(self.name)
+        self._members: frozenset[str] = frozenset()
+        self._members_since = 0.0
+        self._moved_at = 0.0
+
+    def bind(self, registry: Registry) -> None:
+        """Finds the services that this one uses."""
+        self._clock = registry.find("clock", Clock)
+        self._groups = registry.find("groups", Groups)
+        self._routes = registry.find("routes", Routes)
+        self._membership = registry.find("membership", Membership)
+        self._lease = registry.find("lease", Lease)
+        self._load = registry.find("load", KeyBlockLoad)
+        self._groups.subscribe(self)
+
+    async def start(self) -> None:
+        """Starts the rounds of the planner."""
+        self._tasks.spawn("planner", self._run())
+
+    async def stop(self) -> None:
+        """Ends the rounds."""
+        await self._tasks.cancel()
+
+    def assign(self, group: Group, lost: frozenset[str]) -> Group:
+        """Removes lost members and places their ranges."""
+        return moves.without_members(group, lost)
+
+    def vacate(self, group: Group, member_id: str) -> Group:
+        """Marks a member as leaving and sets successors for all its ranges."""
+        leaving = replace(group.members[member_id], state=MemberState.LEAVING)
+        marked = replace(group, members={**group.members, member_id: leaving})
+        return moves.vacated(marked, member_id)
+
+    def planner(self, group: Group) -> Member | None:
+        """Returns the member that plans moves: the active one with the lowest id."""
+        return next(iter(moves.active_members(group)), None)
+
+    def group_changed(self, group: VersionedGroup) -> None:
+        """Notes when the members of this agent's group last changed."""
+        if group.group.id == self._membership.home:
+            members = frozenset(group.group.members)
+            if members != self._members:
+                self._members = members
+                self._members_since = self._clock.now()
+
+    async def plan(self) -> None:
+        """Runs one round if this agent is the planner of a service with keys."""
+        view = self._planned_view()
+        if view is None:
+            return
+        changed = self._planned(view.group, self._load.reports())
+        if changed is None:
+            return
+        try:
+            written = await self._groups.write(view, changed)
+        except PlatformError as error:
+            _PLAN_FAILED.emit(group=view.group.id, version=view.version, error=error)
+            return
+        self._moved_at = self._clock.now()
+        moving = [found for found in changed.ranges if found.successor is not None]
+        _MOVED.emit(
+            group=view.group.id,
+            version=written.version,
+            ranges=len(changed.ranges),
+            moving=[(one.first, one.last, one.owner, one.successor) for one in moving],
+        )
+
+    def _planned_view(self) -> VersionedGroup | None:
+        home = self._membership.home
+        view = self._groups.view(home) if home is not None else None
+        if view is None or not self._lease.held:
+            return None
+        configured = self._routes.current
+        spec = (
+            configured.configuration.services.get(view.group.service)
+            if configured is not None
+            else None
+        )
+        if spec is None or not spec.keyed:
+            return None
+        planner = self.planner(view.group)
+        if planner is None or planner.id != self._membership.member_id:
+            return None
+        return view
+
+    def _planned(self, group: Group, reports: dict[str, RangeLoad]) -> Group | None:
+        now = self._clock.now()
+        if not group.ranges or any(found.owner is None for found in group.ranges):
+            if not group.ranges and now - self._members_since < _SETTLED_S:
+                return None
+            return moves.assigned(group)
+        if now - self._moved_at < _MOVE_PAUSE_S:
+            return None
+        if any(found.successor is not None for found in group.ranges):
+            return None
+        planned = rebalanced(group, reports)
+        return None if planned == group else planned
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(_ROUND_S)
+            await self.plan()
+
+
+def rebalanced(group: Group, reports: dict[str, RangeLoad]) -> Group:
+    """Returns the group with successors set for work that should move.
+
+    Args:
+        group: The group; no range of it is being handed over.
+        reports: Measured work by member id; members without a report are left alone.
+    """
+    members = [member for member in moves.active_members(group) if member.id in reports]
+    if len(members) < 2:
+        return group
+    usage = {member.id: reports[member.id].utilisation for member in members}
+    mean = sum(usage.values()) / len(usage)
+    source = max(members, key=lambda member: usage[member.id])
+    owners = {found.owner for found in group.ranges}
+    empty = [member for member in members if member.id not in owners]
+    if empty:
+        return _moved_flat(group, source, empty[0], 1 / len(members))
+    target = min(members, key=lambda member: usage[member.id])
+    if usage[source.id] < max(_BUSY, mean * _ABOVE_MEAN):
+        return group
+    excess = (usage[source.id] - mean) * source.slots / 2
+    room = (usage[source.id] - usage[target.id]) * source.slots * 0.8
+    chosen = _hot_blocks(group, source.id, reports[source.id].work, excess, room)
+    if sum(chosen.values()) < excess * 0.3:
+        return _moved_flat(group, source, target, min(_FLAT_SHARE, 0.5))
+    ranges = group.ranges
+    for first, last in _runs(chosen)[:_MOST_MOVES]:
+        ranges = moves.cut(
+            ranges,
+            first,
+            last,
+            lambda part: replace(part, successor=target.id) if part.owner == source.id else part,
+        )
+    return moves.with_ranges(group, ranges)
+
+
+def _hot_blocks(
+    group: Group, owner: str, work: dict[int, float], excess: float, room: float
+) -> dict[int, float]:
+    """Returns the hottest blocks that together carry about the excess."""
+    chosen: dict[int, float] = {}
+    total = 0.0
+    for block, value in sorted(work.items(), key=lambda item: -item[1]):
+        found = group.range_of(block * BLOCK_KEYS)
+        if found is None or found.owner != owner or value > room:
+            continue
+        if total >= excess or len(chosen) >= 32:
+            break
+        chosen[block] = value
+        total += value
+    return chosen
+
+
+def _runs(blocks: dict[int, float]) -> list[tuple[int, int]]:
+    """Joins neighbouring blocks to key ranges, those with the most work first."""
+    runs: list[tuple[float, int, int]] = []
+    for block in sorted(blocks):
+        first, last = block * BLOCK_KEYS, (block + 1) * BLOCK_KEYS - 1
+        if runs and runs[-1][2] + 1 == first:
+            work, low, _ = runs[-1]
+            runs[-1] = (work + blocks[block], low, last)
+        else:
+            runs.append((blocks[block], first, last))
+    return [(first, last) for _, first, last in sorted(runs, reverse=True)]
+
+
+def _moved_flat(group: Group, source: Member, target: Member, share: float) -> Group:
+    """Moves the end of the source's widest range."""
+    owned = [found for found in group.ranges if found.owner == source.id]
+    widest = max(owned, key=lambda found: found.width, default=None)
+    if widest is None or widest.width < 2 * BLOCK_KEYS:
+        return group
+    width = max(int(widest.width * share), BLOCK_KEYS)
+
+    def hand_to_target(part: KeyRange) -> KeyRange:
+        return replace(part, successor=target.id)
+
+    first = widest.last - width + 1
+    return moves.with_ranges(group, moves.cut(group.ranges, first, widest.last, hand_to_target))
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -29,6 +29,7 @@
     Shard,
     VersionedGroup,
 )
+from .keyspace.moves import inherit, refenced
 from .ring import fill_monitors
 
 _ANNOUNCED = Event(2401, "upstream_announced", Level.INFO, "The upstream announced a new state.")
@@ -43,10 +44,16 @@
 _LEFT = Event(2407, "left", Level.INFO, "This agent has left its group.")
 _LEAVE_FAILED = Event(2408, "leave_failed", Level.WARNING, "Leaving failed; it is retried.")
 
+_RESTARTED = Event(
+    2409, "upstream_restarted", Level.INFO, "The upstream has started anew and holds no keys."
+)
+
 _RETRY_S = 0.2
 _VACATE_PERIOD_S = 0.5
 # Leaving waits for the platform at most this long; the lease of a stopped agent ends by itself.
 LEAVE_TIMEOUT_S = 30.0
+# A leaving upstream takes new work for this long, until others know that it leaves.
+LEAVING_GRACE_S = 1.0
 
 
 def _wall_clock_ms() -> int:
@@ -75,6 +82,7 @@
         self._announcements = 0
         self._announcements_before_leave = 0
         self._leaving = False
+        self._leaving_since = 0.0
         self._resigned = False
         self._leave_ended = False
         self._stopping = False
@@ -101,6 +109,13 @@
         """Whether no new work is admitted."""
         return self._leaving
 
+    @property
+    def closed(self) -> bool:
+        """Whether the upstream gets no more requests, because it leaves or is gone."""
+        if not self._leaving:
+            return False
+        return self._clock.now() - self._leaving_since > LEAVING_GRACE_S
+
     @property
     def resigned(self) -> bool:
         """Whether this agent acknowledges no renewals any more, because it leaves the group."""
@@ -162,8 +177,12 @@
             )
         if self._announcement != announcement:
             _ANNOUNCED.emit(group=home, state=announcement.state, slots=announcement.slots)
+        before = self._announcement
+        restarted = before is not None and before.instance != announcement.instance
         self._home = home
         self._announcement = announcement
+        if restarted and self._joined:
+            self._tasks.spawn("restarted", self._edit_until_done(self._restart_upstream))
         self._announcements += 1
         self._admission.observe_announcement(announcement)
         if announcement.state is AnnouncedState.LEAVING and not self._leaving:
@@ -175,6 +194,7 @@
         if self._leaving:
             return
         self._leaving = True
+        self._leaving_since = self._clock.now()
         self._announcements_before_leave = self._announcements
         if self.me() is None:
             self._leave_ended = True
@@ -216,6 +236,16 @@
                 reported = True
                 await self._clock.sleep(_RETRY_S)
 
+    def _restart_upstream(self, group: Group) -> Group | None:
+        me = group.members.get(self.member_id)
+        announced = self._announcement
+        if me is None or announced is None or me.instance == announced.instance:
+            return None
+        _RESTARTED.emit(member=self.member_id, before=me.instance, now=announced.instance)
+        renewed = replace(me, instance=announced.instance, slots=announced.slots)
+        group = replace(group, members={**group.members, me.id: renewed})
+        return refenced(group, me.id)
+
     def _vacate(self, group: Group) -> Group | None:
         me = group.members.get(self.member_id)
         if me is None:
@@ -283,6 +313,7 @@
             for other in group.members.values()
             if other.name == member.name and other.boot_id == member.boot_id
         )
+        group = inherit(group, old, member.id)
         shards = group.shards or (Shard(),) * group.shard_count
         group = replace(group, shards=shards, members={**group.members, member.id: member})
         return self.fill_monitors(self._placement.assign(group, old))
@@ -306,4 +337,5 @@
             slots=announced.slots,
             connections=announced.connections,
             checks_grants=announced.checks_grants,
+            instance=announced.instance,
         )
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -254,6 +254,10 @@
             deadline=self._clock.now() + message.remaining_ms / 1000,
             token=message.token,
             forwarded_by=accepted.sender,
+            caller=message.caller,
+            priority=message.priority,
+            repeatable=message.repeatable,
+            repeated=message.repeated,
         )
 
 
@@ -269,6 +273,7 @@
         length=response.body.length,
         data=inline or b"",
         end=inline is not None,
+        occupancy=response.occupancy,
     )
     if inline is not None:
         wire.send(head)
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -256,7 +256,15 @@
             body = ChannelBody(
                 outgoing.channel, head.length, lambda: self._abandon(link, number, "done")
             )
-        return Response(request.id, head.status, head.headers, body, head.served_by, head.epoch)
+        return Response(
+            request.id,
+            head.status,
+            head.headers,
+            body,
+            head.served_by,
+            head.epoch,
+            head.occupancy,
+        )
 
     async def _ready(self, link: _Link, deadline: float) -> Wire:
         if not link.settled.is_set():
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -29,6 +29,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 30),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 10),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+    # A connection that went silent without a reset is found by the bytes that stay unconfirmed.
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1500),
 )
 
 
@@ -111,6 +113,10 @@
         length=request.body.length,
         data=inline or b"",
         end=inline is not None,
+        caller=request.caller,
+        priority=request.priority,
+        repeatable=request.repeatable,
+        repeated=request.repeated,
     )
 
 
@@ -124,6 +130,7 @@
         owner_id=error.owner_id if isinstance(error, NotOwnerError) else None,
         token=error.token if isinstance(error, TokenRequiredError) else None,
         retry_after_ms=retry_after_ms,
+        occupancy=error.occupancy,
     )
 
 
@@ -134,4 +141,5 @@
     )
     if message.retry_after_ms is not None:
         error.retry_after_s = message.retry_after_ms / 1000
+    error.occupancy = message.occupancy
     return error
