Prefer the own failure domain and serve what can be in time first

Ruled out: loss of keys (no request came to a server without its key). Change: a second lane for requests that will be late; a cost for each kilobyte that crosses; the gate reports its load with each answer; no move to a member without room; refusals are 503 with a time.

--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -393,6 +393,13 @@
     label = "handshake_failed"
 
 
+class CallerLeftError(FescuewardError):
+    """The caller closed its connection before the answer."""
+
+    code = 5002
+    label = "caller_left"
+
+
 class BodyTruncatedError(FescuewardError):
     """A body ended before its end was announced."""
 
--- a/fescueward/messages/entry.py
+++ b/fescueward/messages/entry.py
@@ -35,6 +35,7 @@
         max_body_bytes: Largest request body.
         queue_length: Most requests that wait for a slot.
         requests_per_second: Highest request rate; 0 means no limit.
+        retry_after_ms: Shortest time after which a refused caller is told to come back.
     """
 
     deadline_ms: Annotated[int, Meta(ge=1, le=600_000)] = 5_000
@@ -42,6 +43,7 @@
     max_body_bytes: Annotated[int, Meta(ge=0, le=1 << 40)] = 64 * 1024 * 1024
     queue_length: Annotated[int, Meta(ge=0, le=100_000)] = 64
     requests_per_second: Annotated[int, Meta(ge=0, le=1_000_000)] = 0
+    retry_after_ms: Annotated[int, Meta(ge=0, le=60_000)] = 1_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -367,6 +367,7 @@
         priority: Rank of the request.
         repeatable: Whether it may run more than once.
         repeated: Whether an upstream may have seen it before.
+        useful_ms: Time left in which an answer has its full value, or None.
     """
 
     stream: Count
@@ -385,6 +386,7 @@
     priority: Count = 0
     repeatable: bool = False
     repeated: bool = False
+    useful_ms: Count | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -84,6 +84,8 @@
             does.
         repeated: Whether an upstream may have seen this request before.
         attempts: Most upstreams that it may be sent to.
+        useful_until: Time until which an answer has its full value, in seconds of CLOCK_BOOTTIME
+            on this VM; None means until the deadline.
     """
 
     id: str
@@ -101,6 +103,7 @@
     repeatable: bool = False
     repeated: bool = False
     attempts: int = 1
+    useful_until: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -12,6 +12,7 @@
 from ..kernel.bounds import Bounds
 from ..kernel.errors import (
     BodyTooLargeError,
+    CallerLeftError,
     DeadlineExceededRunningError,
     InternalError,
     InvalidRequestError,
@@ -28,6 +29,9 @@
 _NOT_READY = Event(3711, "not_ready", Level.INFO, "This agent is not ready for callers.")
 _RECEIVED = Event(3712, "request_received", Level.INFO, "A caller's request matches a route.")
 _ANSWERED = Event(3713, "request_answered", Level.INFO, "A request has its final answer.")
+_LEFT = Event(
+    3715, "caller_left", Level.INFO, "The caller closed its connection; repeatable work ends."
+)
 _BROKEN = Event(3714, "request_broken", Level.ERROR, "A request met an unexpected exception.")
 
 _HIGHEST_KEY = 65_535
@@ -37,6 +41,8 @@
 # Part of the grace time that is left for closing connections, in seconds.
 _CLOSE_S = 0.8
 _POLL_S = 0.05
+# Statuses between agents that name another place.
+_REDIRECTS = frozenset({421, 429})
 # When a caller should come back if the refusal does not say, in seconds.
 _RETRY_AFTER_S = 0.1
 
@@ -129,8 +135,9 @@
             answer = await self._answer(request, request_id)
         except RefusalError as error:
             answer = _refusal(error)
-        except (ConnectionError, web.HTTPException):
-            raise
+        except CallerLeftError:
+            _LEFT.emit(request=request_id, ms=round((self._clock.now() - started) * 1000, 1))
+            return web.Response(status=499)
         except Exception as error:  # an unexpected fault of one request must not end others
             _BROKEN.emit(request=request_id, error=repr(error)[:300])
             answer = _refusal(InternalError(type(error).__name__))
@@ -186,6 +193,7 @@
             priority=route.priority,
             repeatable=route.repeatable,
             attempts=route.attempts,
+            useful_until=arrived + min(route.objective_s or timeout_s, timeout_s),
         )
         response = await self._route(http, request)
         return await _http_response(response)
@@ -204,7 +212,7 @@
                 if late <= 0:
                     raise DeadlineExceededRunningError("no answer before the deadline")
                 if request.repeatable and (http.transport is None or http.transport.is_closing()):
-                    raise ConnectionResetError("the caller has left")
+                    raise CallerLeftError("the caller has left")
         finally:
             if not task.done() and request.repeatable:
                 task.cancel()
@@ -269,7 +277,8 @@
 def _refusal(error: RefusalError) -> web.Response:
     headers = {"Content-Type": "application/json"}
     status = error.http_status
-    if error.outcome is Outcome.NOT_RUN and status >= 500:
+    if error.outcome is Outcome.NOT_RUN and (status >= 500 or status in _REDIRECTS):
+        # The caller knows no other agent, so it is told to come back.
         status = 503
         retry_after_s = error.retry_after_s or _RETRY_AFTER_S
         headers["Retry-After"] = f"{retry_after_s:.3f}"
--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -86,6 +86,8 @@
         self._running = 0
         self._numbers = itertools.count()
         self._waiting: SortedDict = SortedDict()
+        # Requests whose answers will be late; they run while no other request waits.
+        self._late: SortedDict = SortedDict()
         self._mean_run_s = 0.0
         self._deviation_s = 0.0
         self._fastest_mean_s: float | None = None
@@ -104,7 +106,10 @@
     def occupancy(self) -> Occupancy:
         """Load of the slots as this agent counts it."""
         return Occupancy(
-            self._running, len(self._waiting), self._limit(), round(self._mean_run_s * 1000, 1)
+            self._running,
+            len(self._waiting) + len(self._late),
+            self._limit(),
+            round(self._mean_run_s * 1000, 1),
         )
 
     def bind(self, registry: Registry) -> None:
@@ -152,15 +157,14 @@
         """Takes a slot; raises as `Admission.slot`."""
         if entry.limits.requests_per_second:
             await self._check_rate(entry)
-        if self._running < self._limit() and not self._waiting:
+        if self._running < self._limit() and not self._waiting and not self._late:
             self._running += 1
             return
-        place = (request.priority, request.deadline, next(self._numbers))
-        self._shed(place, entry)
+        lane, place = self._lane(request, entry)
         loop = asyncio.get_running_loop()
         granted: asyncio.Future[None] = loop.create_future()
-        self._waiting[place] = granted
-        timer = loop.call_later(request.deadline - self._clock.now(), self._expire, place)
+        lane[place] = granted
+        timer = loop.call_later(request.deadline - self._clock.now(), self._expire, lane, place)
         try:
             await granted
         except asyncio.CancelledError:
@@ -171,7 +175,7 @@
             raise
         finally:
             timer.cancel()
-            self._waiting.pop(place, None)
+            lane.pop(place, None)
 
     def release(self, started: float, error: BaseException | None) -> None:
         """Gives a slot back.
@@ -237,22 +241,36 @@
             )
         await known[1].acquire()
 
-    def _shed(self, place: _Place, entry: Entry) -> None:
+    def _lane(self, request: Request, entry: Entry) -> tuple[SortedDict, _Place]:
+        """Returns the lane and place of a request, or refuses it.
+
+        Raises:
+            OverloadedError: The request would not be answered in time.
+        """
         limit = self._limit()
+        now = self._clock.now()
+        useful_until = request.useful_until or request.deadline
+        place = (request.priority, useful_until, next(self._numbers))
+        queued = len(self._waiting) + len(self._late)
         wait_s = self._mean_run_s * (self._waiting.bisect_left(place) + 1) / limit
-        retry_after_s = max(self._mean_run_s * (len(self._waiting) + 1) / limit, 1.0)
-        if len(self._waiting) >= entry.limits.queue_length:
+        drained_s = self._mean_run_s * (queued + 1) / limit
+        retry_after_s = max(drained_s, entry.limits.retry_after_ms / 1000)
+        if queued >= entry.limits.queue_length:
             raise OverloadedError("the queue is full", retry_after_s=retry_after_s)
-        if self._clock.now() + wait_s + self._expected_run_s() > place[1]:
-            raise OverloadedError(
-                "the expected wait exceeds the deadline", retry_after_s=retry_after_s
-            )
+        if now + wait_s + self._expected_run_s() <= useful_until:
+            return self._waiting, place
+        late_fits = now + drained_s + self._expected_run_s() <= request.deadline
+        if late_fits and useful_until < request.deadline and len(self._late) < limit:
+            return self._late, (request.priority, request.deadline, next(self._numbers))
+        raise OverloadedError(
+            "the expected wait exceeds the deadline", retry_after_s=retry_after_s
+        )
 
     def _expected_run_s(self) -> float:
         return self._mean_run_s + 2 * self._deviation_s
 
-    def _expire(self, place: _Place) -> None:
-        granted = self._waiting.pop(place, None)
+    def _expire(self, lane: SortedDict, place: _Place) -> None:
+        granted = lane.pop(place, None)
         if granted is not None and not granted.done():
             granted.set_exception(
                 DeadlineExceededError("the deadline passed while waiting for a slot")
@@ -260,8 +278,8 @@
 
     def _wake_next(self) -> None:
         limit = self._limit()
-        while self._waiting and self._running < limit:
-            place, granted = self._waiting.popitem(0)
+        while (self._waiting or self._late) and self._running < limit:
+            place, granted = (self._waiting or self._late).popitem(0)
             if granted.done():
                 continue
             if self._clock.now() + self._expected_run_s() > place[1]:
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from ...interfaces import (
     Admission,
     Catalogue,
@@ -101,6 +103,7 @@
                 seconds = self._clock.now() - started
                 if request.key:
                     self._load.record(int(request.key), request.key, seconds)
+        occupancy = self._slots.occupancy
         _EXECUTED.emit(
             request=request.id,
             service=request.service,
@@ -112,7 +115,7 @@
         )
         for listener in self._listeners:
             listener.run_ended(request.service, seconds)
-        return response
+        return replace(response, occupancy=occupancy, epoch=epoch)
 
     def _check_open(self, request: Request) -> None:
         announced = self._membership.announcement
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -22,6 +22,8 @@
 # A member above this utilisation gives work away if it is also well above the mean.
 _BUSY = 0.7
 _ABOVE_MEAN = 1.3
+# Utilisation up to which a member takes work from others.
+_TARGET_USAGE = 0.8
 # Time for a move to show in the reports before the next one, in seconds.
 _MOVE_PAUSE_S = 1.5
 # Most ranges that one round moves.
@@ -161,8 +163,11 @@
     target = min(members, key=lambda member: usage[member.id])
     if usage[source.id] < max(_BUSY, mean * _ABOVE_MEAN):
         return group
-    excess = (usage[source.id] - mean) * source.slots / 2
-    room = (usage[source.id] - usage[target.id]) * source.slots * 0.8
+    # A target that has no room itself would give the work back in the next round.
+    room = (_TARGET_USAGE - usage[target.id]) * target.slots
+    if room <= 0:
+        return group
+    excess = min((usage[source.id] - mean) * source.slots / 2, room)
     chosen = _hot_blocks(group, source.id, reports[source.id].work, excess, room)
     if sum(chosen.values()) < excess * 0.3:
         return _moved_flat(group, source, target, min(_FLAT_SHARE, 0.5))
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -243,6 +243,8 @@
         else:
             channel.receive(message.data, False)
             body = ChannelBody(channel, message.length, lambda: None)
+        now = self._clock.now()
+        useful_until = None if message.useful_ms is None else now + message.useful_ms / 1000
         return Request(
             id=message.request_id,
             service=message.service,
@@ -251,13 +253,14 @@
             path=message.path,
             headers=message.headers,
             body=body,
-            deadline=self._clock.now() + message.remaining_ms / 1000,
+            deadline=now + message.remaining_ms / 1000,
             token=message.token,
             forwarded_by=accepted.sender,
             caller=message.caller,
             priority=message.priority,
             repeatable=message.repeatable,
             repeated=message.repeated,
+            useful_until=useful_until,
         )
 
 
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -100,6 +100,10 @@
     number: int, request: Request, remaining_s: float, inline: bytes | None
 ) -> StreamOpen:
     """Returns the message that forwards a request."""
+    useful_ms = None
+    if request.useful_until is not None:
+        useful_s = remaining_s - (request.deadline - request.useful_until)
+        useful_ms = max(int(useful_s * 1000), 0)
     return StreamOpen(
         stream=number,
         request_id=request.id,
@@ -117,6 +121,7 @@
         priority=request.priority,
         repeatable=request.repeatable,
         repeated=request.repeated,
+        useful_ms=useful_ms,
     )
 
 
--- a/fescueward/services/routing/balancer.py
+++ b/fescueward/services/routing/balancer.py
@@ -14,8 +14,11 @@
 _SAMPLE_WEIGHT = 0.2
 # A report of the queue says little about the time after it, in seconds.
 _REPORT_AGE_S = 1.0
-# Cost of another failure domain, as a share of the run time: bytes between domains are dear.
-_REMOTE_SHARE = 0.35
+# Cost of another failure domain, in milliseconds of wait for each kilobyte that crosses: bytes
+# between domains are priced, and a wait of this length risks as much of a request's value.
+_REMOTE_MS_PER_KB = 10.0
+# Bytes of headers and framing of a request and its answer.
+_OVERHEAD_BYTES = 800
 # An upstream that refused is passed over for this long, in seconds, unless all others did too.
 _REFUSED_S = 0.15
 # An upstream whose agent could not be reached is passed over for this long, in seconds.
@@ -31,6 +34,7 @@
     reported: Occupancy | None = None
     reported_at: float = 0.0
     avoid_until: float = 0.0
+    answer_bytes: float = 0.0
 
 
 class Balancer:
@@ -38,7 +42,6 @@
 
     Args:
         failure_domain: Failure domain of this agent.
-        member_id: Gives the member id of this agent.
     """
 
     def __init__(self, failure_domain: str) -> None:
@@ -46,7 +49,7 @@
         self._seen: dict[str, _Seen] = {}
 
     def choose(
-        self, members: Iterable[Member], tried: frozenset[str], now: float
+        self, members: Iterable[Member], tried: frozenset[str], now: float, size: int = 0
     ) -> Member | None:
         """Returns the best member that was not tried yet, or None.
 
@@ -54,6 +57,7 @@
             members: Members of the service.
             tried: Ids of members that the request was sent to before.
             now: Present time in seconds of CLOCK_BOOTTIME.
+            size: Bytes of the request's body.
         """
         candidates = [
             member
@@ -62,14 +66,19 @@
         ]
         if not candidates:
             return None
-        return min(candidates, key=lambda member: (self._cost_ms(member, now), member.id))
+        return min(candidates, key=lambda member: (self._cost_ms(member, now, size), member.id))
 
     def started(self, member_id: str) -> None:
         """Counts a request as sent."""
         self._of(member_id).outstanding += 1
 
     def ended(
-        self, member_id: str, occupancy: Occupancy | None, run_ms: float | None, now: float
+        self,
+        member_id: str,
+        occupancy: Occupancy | None,
+        run_ms: float | None,
+        now: float,
+        answer_bytes: int = 0,
     ) -> None:
         """Counts a request as answered.
 
@@ -78,6 +87,7 @@
             occupancy: Load that came with the answer, or None.
             run_ms: Time until the answer in milliseconds, or None if it was no success.
             now: Present time in seconds of CLOCK_BOOTTIME.
+            answer_bytes: Bytes of the answer's body.
         """
         seen = self._of(member_id)
         seen.outstanding = max(seen.outstanding - 1, 0)
@@ -86,6 +96,7 @@
         if run_ms is not None:
             before = seen.run_ms or run_ms
             seen.run_ms = before + _SAMPLE_WEIGHT * (run_ms - before)
+            seen.answer_bytes += _SAMPLE_WEIGHT * (answer_bytes - seen.answer_bytes)
 
     def avoid(self, member_id: str, now: float, unreachable: bool) -> None:
         """Passes a member over for a short time."""
@@ -98,7 +109,7 @@
             seen = self._seen[member_id] = _Seen()
         return seen
 
-    def _cost_ms(self, member: Member, now: float) -> float:
+    def _cost_ms(self, member: Member, now: float, size: int) -> float:
         seen = self._of(member.id)
         run_ms = seen.run_ms or _UNKNOWN_RUN_MS
         busy = float(seen.outstanding)
@@ -112,7 +123,8 @@
         crowding_ms = run_ms * min(busy / slots, 1.0) * 0.5
         cost = run_ms + wait_ms + crowding_ms
         if member.failure_domain != self._failure_domain:
-            cost += run_ms * _REMOTE_SHARE
+            crossing = size + seen.answer_bytes + _OVERHEAD_BYTES
+            cost += crossing / 1000 * _REMOTE_MS_PER_KB
         if now < seen.avoid_until:
             cost += 10_000
         return cost
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -187,7 +187,9 @@
             raise NoOwnerError(f"{request.service!r} has no members", retry_after_s=_OWNER_RETRY_S)
         members = view.group.members
         if not request.key:
-            chosen = self._balancer.choose(members.values(), tried, self._clock.now())
+            chosen = self._balancer.choose(
+                members.values(), tried, self._clock.now(), request.body.length or 0
+            )
             if chosen is None:
                 raise NoOwnerError(
                     f"no further member of {request.service!r} is active",
@@ -213,6 +215,7 @@
         self._balancer.started(member.id)
         occupancy = None
         run_ms = None
+        answer_bytes = 0
         try:
             if member.id == self._membership.member_id:
                 response = await self._execution.execute(request)
@@ -220,6 +223,7 @@
                 response = await self._peers.forward(member, request)
             occupancy = response.occupancy
             run_ms = (self._clock.now() - started) * 1000
+            answer_bytes = response.body.length or 0
             return response
         except RefusalError as error:
             occupancy = error.occupancy
@@ -228,7 +232,7 @@
                 self._balancer.avoid(member.id, self._clock.now(), unreachable)
             raise
         finally:
-            self._balancer.ended(member.id, occupancy, run_ms, self._clock.now())
+            self._balancer.ended(member.id, occupancy, run_ms, self._clock.now(), answer_bytes)
 
     def _may_repeat(self, request: Request, error: RefusalError, attempts: int) -> bool:
         safe = error.outcome is Outcome.NOT_RUN or request.repeatable
--- a/fescueward/services/routing/routes.py
+++ b/fescueward/services/routing/routes.py
@@ -14,6 +14,8 @@
 
 # Longest queue in front of one upstream; the expected wait refuses earlier in most cases.
 _QUEUE_LENGTH = 256
+# A slot becomes free about this often, so a refused caller need not wait longer.
+_RETRY_AFTER_MS = 100
 
 
 class _Shares:
@@ -153,7 +155,7 @@
             owner="configuration",
             request_class=RequestClass.REPEATABLE,
             shard_count=1,
-            limits=Limits(queue_length=_QUEUE_LENGTH),
+            limits=Limits(queue_length=_QUEUE_LENGTH, retry_after_ms=_RETRY_AFTER_MS),
         )
         return VersionedEntry(held.version if held is not None else 0, entry)
 
