--- a/fescueward/services/routing/balancer.py
+++ b/fescueward/services/routing/balancer.py
@@ -14,9 +14,17 @@
 _SAMPLE_WEIGHT = 0.2
 # A report of the queue says little about the time after it, in seconds.
 _REPORT_AGE_S = 1.0
-# Cost of another failure domain, in milliseconds of wait for each kilobyte that crosses: bytes
-# between domains are priced, and a wait of this length risks as much of a request's value.
-_REMOTE_MS_PER_KB = 10.0
+# Cost of another failure domain, as a share of a request's value for each kilobyte that crosses:
+# bytes between domains are priced.
+_REMOTE_COST_PER_KB = 0.015
+# An expected time to the answer above this share of the time left begins to cost value, because
+# run times scatter, and at this rate.
+_SAFE_SHARE = 0.6
+_LATE_COST = 0.9
+# A faster answer within the objective has no more value; it only breaks ties.
+_SPEED_COST = 0.05
+# Cost of a member that refused or could not be reached a moment ago.
+_AVOIDED_COST = 100.0
 # Bytes of headers and framing of a request and its answer.
 _OVERHEAD_BYTES = 800
 # An upstream that refused is passed over for this long, in seconds, unless all others did too.
@@ -25,6 +33,19 @@
 _UNREACHABLE_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What a request needs of the member that serves it.
+
+    Attributes:
+        size: Bytes of its body.
+        useful_ms: Time left in which an answer has its full value.
+    """
+
+    size: int
+    useful_ms: float
+
+
 @dataclass(slots=True)
 class _Seen:
     """What this agent knows of one member."""
@@ -49,7 +70,7 @@
         self._seen: dict[str, _Seen] = {}
 
     def choose(
-        self, members: Iterable[Member], tried: frozenset[str], now: float, size: int = 0
+        self, members: Iterable[Member], tried: frozenset[str], now: float, ask: Ask
     ) -> Member | None:
         """Returns the best member that was not tried yet, or None.
 
@@ -57,7 +78,7 @@
             members: Members of the service.
             tried: Ids of members that the request was sent to before.
             now: Present time in seconds of CLOCK_BOOTTIME.
-            size: Bytes of the request's body.
+            ask: What the request needs.
         """
         candidates = [
             member
@@ -66,7 +87,7 @@
         ]
         if not candidates:
             return None
-        return min(candidates, key=lambda member: (self._cost_ms(member, now, size), member.id))
+        return min(candidates, key=lambda member: (self._cost(member, now, ask), member.id))
 
     def started(self, member_id: str) -> None:
         """Counts a request as sent."""
@@ -109,7 +130,7 @@
             seen = self._seen[member_id] = _Seen()
         return seen
 
-    def _cost_ms(self, member: Member, now: float, size: int) -> float:
+    def _cost(self, member: Member, now: float, ask: Ask) -> float:
         seen = self._of(member.id)
         run_ms = seen.run_ms or _UNKNOWN_RUN_MS
         busy = float(seen.outstanding)
@@ -121,10 +142,11 @@
         slots = max(member.slots, 1)
         wait_ms = run_ms * max(busy + 1 - slots, 0) / slots
         crowding_ms = run_ms * min(busy / slots, 1.0) * 0.5
-        cost = run_ms + wait_ms + crowding_ms
+        share = (run_ms + wait_ms + crowding_ms) / max(ask.useful_ms, 1.0)
+        cost = share * _SPEED_COST + max(share - _SAFE_SHARE, 0.0) * _LATE_COST
         if member.failure_domain != self._failure_domain:
-            crossing = size + seen.answer_bytes + _OVERHEAD_BYTES
-            cost += crossing / 1000 * _REMOTE_MS_PER_KB
+            crossing = ask.size + seen.answer_bytes + _OVERHEAD_BYTES
+            cost += crossing / 1000 * _REMOTE_COST_PER_KB
         if now < seen.avoid_until:
-            cost += 10_000
+            cost += _AVOIDED_COST
         return cost
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -20,7 +20,7 @@
 )
 from ...kernel.settings import Settings
 from ...messages import GroupId, Member, Request, Response, VersionedGroup
-from .balancer import Balancer
+from .balancer import Ask, Balancer
 from .budget import RetryBudget
 
 _SENT = Event(3510, "request_sent", Level.INFO, "The request goes to an upstream's agent.")
@@ -187,9 +187,10 @@
             raise NoOwnerError(f"{request.service!r} has no members", retry_after_s=_OWNER_RETRY_S)
         members = view.group.members
         if not request.key:
-            chosen = self._balancer.choose(
-                members.values(), tried, self._clock.now(), request.body.length or 0
-            )
+            now = self._clock.now()
+            useful_ms = ((request.useful_until or request.deadline) - now) * 1000
+            ask = Ask(request.body.length or 0, useful_ms)
+            chosen = self._balancer.choose(members.values(), tried, now, ask)
             if chosen is None:
                 raise NoOwnerError(
                     f"no further member of {request.service!r} is active",
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,32 @@
+"""The platform's names and decisions stay apart."""
+
+import re
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+PACKAGE = ROOT / "fescueward"
+NAMES = re.compile(
+    r"X-Fescueward|holdS|coldLeftS|heartbeatAddr|currentRev|staleOk|FESCUEWARD_CONFIG|appAddr"
+    r"|internalPorts|instances\.heartbeat|baseVersion|warmupS|maxConns|sloS|timeoutS|nodeName"
+)
+# Services that decide; the adapter finds them by name only.
+DECIDING = re.compile(r"from \.\.services|import fescueward\.services")
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_names_of_the_platform_stay_in_the_adapter(self):
+        """Guards against a product that only runs on one platform."""
+        for path in PACKAGE.rglob("*.py"):
+            if path.is_relative_to(PACKAGE / "platform"):
+                continue
+            if path.is_relative_to(PACKAGE / "testing"):
+                continue
+            with self.subTest(path=path.name):
+                self.assertIsNone(NAMES.search(path.read_text(encoding="utf-8")))
+
+    def test_adapter_imports_no_deciding_service(self):
+        """Guards against decisions that only hold behind one front end."""
+        for path in (PACKAGE / "platform").glob("*.py"):
+            with self.subTest(path=path.name):
+                self.assertIsNone(DECIDING.search(path.read_text(encoding="utf-8")))
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,46 @@
+"""The platform's settings file."""
+
+import unittest
+
+from fescueward.kernel.errors import SettingsError
+from fescueward.platform.settings import Address, parse_site
+
+LINES = """
+nodeName=sidecar-lowell-1
+ip=10.1.0.8
+zone=lowell
+region=new-england
+listen.outbound=10.1.0.8:8304
+listen.ready=10.1.0.8:8302
+listen.admin=10.1.0.8:8306
+internalPorts=7620,7635
+heartbeatS=0.87
+bounds=drainS=2,graceS=6,retryRatio=0.2,budgetWindowS=10,retryBurst=58,holdMaxS=10
+appAddr=10.1.0.8:8301
+service=orders
+infra.address=10.200.1.7:8309
+unheard.of=1
+"""
+
+
+class SiteTest(unittest.TestCase):
+    def test_lines_become_settings(self):
+        """Guards against names of the platform that are read as something else."""
+        site = parse_site(LINES)
+        self.assertEqual(site.settings.agent.name, "sidecar-lowell-1")
+        self.assertEqual(site.settings.agent.failure_domain, "lowell")
+        self.assertEqual(site.settings.callers.port, 8304)
+        self.assertEqual(site.settings.peers.port, 7620)
+        self.assertEqual(site.settings.platform.url, "http://10.200.1.7:8309")
+        self.assertEqual(site.application, Address("10.1.0.8", 8301))
+        self.assertEqual(site.readiness, Address("10.1.0.8", 8302))
+        self.assertEqual(site.service, "orders")
+        self.assertEqual(site.bounds.retry_burst, 58)
+        self.assertEqual(site.bounds.drain_s, 2)
+
+    def test_missing_and_bad_lines_are_named(self):
+        """Guards against an agent that half starts with a bad file."""
+        with self.assertRaisesRegex(SettingsError, "appAddr"):
+            parse_site(LINES.replace("appAddr=", "other="))
+        with self.assertRaises(SettingsError):
+            parse_site(LINES.replace("8304", "port"))
--- /dev/null
+++ b/tests/services/gate/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agent's side beside the upstream."""
--- /dev/null
+++ b/tests/services/keyspace/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of key ranges."""
--- /dev/null
+++ b/tests/services/keyspace/test_placement.py
@@ -0,0 +1,64 @@
+"""Rounds of the planner of key ranges."""
+
+import unittest
+
+from fescueward.messages import Group
+from fescueward.messages.peer import RangeLoad
+from fescueward.services.keyspace import moves
+from fescueward.services.keyspace.load import BLOCK_KEYS
+from fescueward.services.keyspace.placement import rebalanced
+from tests.services.groups_for_tests import joined, member
+
+
+def placed(*names: str) -> Group:
+    return moves.assigned(joined(Group("depot", 0, 1), *(member(name) for name in names)))
+
+
+def report(name: str, utilisation: float, work: dict[int, float] | None = None) -> RangeLoad:
+    return RangeLoad(f"{name}:1", utilisation, work or {})
+
+
+class RebalanceTest(unittest.TestCase):
+    def moving(self, group: Group) -> list[tuple[int, str, str]]:
+        return [
+            (found.width, found.owner, found.successor)
+            for found in group.ranges
+            if found.successor
+        ]
+
+    def test_hot_neighbours_are_divided(self):
+        """Guards against hot keys that stay with one full server, and moves of cold keys."""
+        group = placed("a", "b", "c")
+        hot = {block: 0.8 for block in range(10, 18)}
+        reports = {
+            "a:1": report("a", 1.4, hot),
+            "b:1": report("b", 0.2),
+            "c:1": report("c", 0.3),
+        }
+        moving = self.moving(rebalanced(group, reports))
+        self.assertTrue(moving)
+        for width, source, target in moving:
+            self.assertEqual((source, target), ("a:1", "b:1"))
+            self.assertLessEqual(width, 8 * BLOCK_KEYS)
+        moved_blocks = sum(width for width, _, _ in moving) // BLOCK_KEYS
+        self.assertLess(moved_blocks, len(hot))
+
+    def test_even_load_moves_nothing(self):
+        """Guards against churn without a benefit."""
+        group = placed("a", "b")
+        reports = {"a:1": report("a", 0.6), "b:1": report("b", 0.5)}
+        self.assertEqual(rebalanced(group, reports), group)
+
+    def test_full_members_take_nothing(self):
+        """Guards against blocks that go to and fro between members without room."""
+        group = placed("a", "b")
+        hot = {block: 0.5 for block in range(10)}
+        reports = {"a:1": report("a", 2.4, hot), "b:1": report("b", 1.1)}
+        self.assertEqual(rebalanced(group, reports), group)
+
+    def test_new_member_gets_keys(self):
+        """Guards against a server that joined and serves nobody."""
+        group = joined(placed("a", "b"), member("c"))
+        reports = {name + ":1": report(name, 0.3) for name in "abc"}
+        moving = self.moving(rebalanced(group, reports))
+        self.assertEqual([target for _, _, target in moving], ["c:1"])
--- /dev/null
+++ b/tests/services/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of routing."""
--- /dev/null
+++ b/tests/services/routing/test_routes.py
@@ -0,0 +1,62 @@
+"""Choice of routes and targets."""
+
+import unittest
+from collections import Counter
+
+from fescueward.messages.configuration import (
+    Configuration,
+    Route,
+    ServiceSpec,
+    Target,
+    VersionedConfiguration,
+)
+from fescueward.services.routing.routes import RouteTable
+
+
+def route(name: str, prefix: str, *targets: Target, host: str = "shop.example") -> Route:
+    return Route(name, host, prefix, True, 2, 1.0, 0.5, 1, targets or (Target("depot"),))
+
+
+def configuration(version: int, *routes: Route) -> VersionedConfiguration:
+    services = {"depot": ServiceSpec("depot"), "orders": ServiceSpec("orders")}
+    content = Configuration(version, {one.name: one for one in routes}, services)
+    return VersionedConfiguration(version, content)
+
+
+class RouteTableTest(unittest.TestCase):
+    def setUp(self):
+        self.table = RouteTable()
+
+    def select(self, host: str, path: str) -> str | None:
+        found = self.table.select(self.table.current.configuration, host, path)
+        return found.name if found is not None else None
+
+    def test_longest_prefix_of_the_host_wins(self):
+        """Guards against a request that a broader route of the same host takes."""
+        self.table.observe(configuration(1, route("wide", "/a/"), route("narrow", "/a/b/")))
+        self.assertEqual(self.select("shop.example", "/a/b/c"), "narrow")
+        self.assertEqual(self.select("Shop.Example:8080", "/a/x"), "wide")
+        self.assertIsNone(self.select("other.example", "/a/x"))
+        self.assertIsNone(self.select("shop.example", "/ab"))
+
+    def test_older_version_changes_nothing(self):
+        """Guards against a configuration that reverts when a late one arrives."""
+        self.assertTrue(self.table.observe(configuration(5, route("new", "/n/"))))
+        self.assertFalse(self.table.observe(configuration(4, route("old", "/o/"))))
+        self.assertFalse(self.table.observe(configuration(5, route("old", "/o/"))))
+        self.assertEqual(self.select("shop.example", "/n/1"), "new")
+        self.assertIsNone(self.select("shop.example", "/o/1"))
+
+    def test_request_keeps_the_configuration_it_began_with(self):
+        """Guards against a request that is judged by two versions."""
+        self.table.observe(configuration(1, route("old", "/o/")))
+        held = self.table.current.configuration
+        self.table.observe(configuration(2, route("new", "/n/")))
+        self.assertEqual(self.table.select(held, "shop.example", "/o/1").name, "old")
+
+    def test_shares_follow_the_weights(self):
+        """Guards against a split whose parts get other shares than the operator set."""
+        split = route("split", "/s/", Target("depot", 90), Target("orders", 10))
+        self.table.observe(configuration(1, split))
+        dealt = Counter(self.table.target(split) for _ in range(200))
+        self.assertEqual(dealt, {"depot": 180, "orders": 20})
