Let grants on their way arrive before keys are released

Ruled out: a wrong epoch (all fences grew), a takeover before the end of a lease. Change: a handover waits for grants on their way, and for the end of unanswered ones; a reset is noted on the connection.

--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import Any
 
 import aiohttp
 import msgspec
+from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from ..interfaces import Membership, Routes
@@ -89,9 +91,9 @@
 
     async def start(self) -> None:
         """Opens the HTTP sessions."""
-        self._pooled = _session(aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S))
+        self._pooled = _session(_connector(keepalive_timeout=_KEEPALIVE_S))
         # A request that may not run again needs a connection on which nothing can be left over.
-        self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._fresh = _session(_connector(force_close=True))
 
     async def stop(self) -> None:
         """Closes the HTTP sessions."""
@@ -128,7 +130,10 @@
                     allow_redirects=False,
                 ) as answer,
             ):
+                protocol = answer.connection.protocol if answer.connection else None
                 content = await answer.read()
+                if isinstance(protocol, _WatchedConnection) and protocol.broken:
+                    raise AnswerLostError("the connection was reset during the answer")
                 return self._response(request, answer, content)
         except aiohttp.ClientConnectorError as error:
             self._note_unreachable(error)
@@ -238,6 +243,28 @@
             _REACHABLE.emit(address=self._base)
 
 
+class _WatchedConnection(ResponseHandler):
+    """A connection that tells its orderly end from a reset.
+
+    The body of an answer without a length ends with its connection, and the library takes a reset
+    for such an end.
+    """
+
+    broken = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Notes a reset."""
+        self.broken = exc is not None
+        super().connection_lost(exc)
+
+
+def _connector(**options: Any) -> aiohttp.TCPConnector:
+    connector = aiohttp.TCPConnector(limit=0, **options)
+    # The connector has no public way to choose the class of its connections.
+    connector._factory = partial(_WatchedConnection, loop=asyncio.get_running_loop())
+    return connector
+
+
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -45,6 +45,10 @@
 
 _WATCHERS = 2
 _WATCH_RETRY_S = 0.25
+# Pause between two watch calls of a member, and of an agent that has not joined: all agents start
+# together and join one after the other.
+_WATCH_PAUSE_S = 0.05
+_WATCH_START_PAUSE_S = 0.5
 _WATCH_STATUS_S = 1.0
 # Three status periods: a watcher that is silent for longer is replaced by the next member.
 _WATCH_STATUS_TIMEOUT_S = 3.0
@@ -397,6 +401,9 @@
             for stored in changes.objects:
                 self._observe_fleet_object(stored)
             self._read.add(prefix)
+            # Changes come in bursts, and each answer of the store is a call that counts.
+            pause_s = _WATCH_PAUSE_S if self._membership.me() else _WATCH_START_PAUSE_S
+            await self._clock.sleep(pause_s)
 
     def _observe_fleet_object(self, stored: StoredObject) -> None:
         if stored.deleted:
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -14,8 +14,8 @@
 # Keys of one block; hot keys are neighbours, so a block is the unit of a move.
 BLOCK_KEYS = 8
 # Time constant of the measured work, in seconds.
-_DECAY_S = 1.5
-_REPORT_S = 0.5
+_DECAY_S = 1.0
+_REPORT_S = 0.4
 # Blocks in one report.
 _REPORTED_BLOCKS = 64
 # Blocks below this work, in slots, are not reported.
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -97,7 +97,10 @@
         self._changed = asyncio.Event()
         self._renew = asyncio.Event()
         self._instance = ""
-        self._hold_ends_at = 0.0
+        # Grants that were sent and not answered yet.
+        self._on_their_way: dict[_Id, asyncio.Task[None]] = {}
+        # Ends of grants without an answer, which the upstream may take up later.
+        self._unanswered: list[tuple[KeyRange, float]] = []
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -107,7 +110,9 @@
         self._membership = registry.find("membership", Membership)
         self._lease = registry.find("lease", Lease)
         self._upstream = registry.find("upstream", UpstreamProbe)
-        self._renewal_s = registry.find("settings", Settings).lease.renewal_ms / 1000
+        section = registry.find("settings", Settings).lease
+        self._renewal_s = section.renewal_ms / 1000
+        self._lease_s = section.lease_ms / 1000
         self._groups.subscribe(self)
 
     async def start(self) -> None:
@@ -148,7 +153,8 @@
                 raise ShardMovingError(f"key {key} is not active here yet")
             changed = self._changed
             with suppress(TimeoutError):
-                await asyncio.wait_for(changed.wait(), remaining)
+                async with asyncio.timeout(remaining):
+                    await changed.wait()
 
     async def drained(self) -> None:
         """Waits until no range is owned here that another member could take."""
@@ -237,8 +243,10 @@
 
     async def _run_grants(self) -> None:
         while True:
+            # wait_for() of Python 3.11 loses a cancellation that comes with the event.
             with suppress(TimeoutError):
-                await asyncio.wait_for(self._renew.wait(), self._renewal_s)
+                async with asyncio.timeout(self._renewal_s):
+                    await self._renew.wait()
             self._renew.clear()
             announced = self._membership.announcement
             if announced is None or not self._wanted or not self._lease.held:
@@ -249,19 +257,29 @@
                 self._expires.clear()
                 self._index()
             due = [found for found in self._wanted.values() if _id(found) not in self._handing]
-            await asyncio.gather(*(self._grant(found) for found in due))
+            for found in due:
+                if _id(found) not in self._on_their_way:
+                    self._on_their_way[_id(found)] = self._tasks.spawn("grant", self._grant(found))
+            if due:
+                await asyncio.wait(self._on_their_way.values())
 
     async def _grant(self, found: KeyRange) -> None:
+        try:
+            await self._send_grant(found)
+        finally:
+            del self._on_their_way[_id(found)]
+
+    async def _send_grant(self, found: KeyRange) -> None:
         found_id = _id(found)
         sent = self._clock.now()
         lease_left_s = self._lease.expires_at - sent
         hold_s = min(self._bounds.longest_hold_s, lease_left_s / SLOW_CLOCK - _HOLD_MARGIN_S)
         if hold_s < _LEAST_HOLD_S:
             return
-        self._hold_ends_at = max(self._hold_ends_at, sent + lease_left_s)
         try:
             accepted = await self._upstream.grant_range(found, hold_s)
         except RefusalError as error:
+            self._unanswered.append((found, sent + lease_left_s))
             _GRANT_FAILED.emit(first=found.first, last=found.last, epoch=found.epoch, error=error)
             return
         if not accepted:
@@ -288,7 +306,11 @@
         home = self._membership.home
         me = self._membership.member_id
         assert home is not None
+        # A grant that reaches the upstream after the release would make it hold the keys again.
+        if self._on_their_way:
+            await asyncio.wait(self._on_their_way.values())
         tokens = await asyncio.gather(*(self._release(found) for found in leaving))
+        await self._await_unanswered(leaving)
         released = dict(zip(map(_id, leaving), tokens, strict=True))
 
         def commit(group: Group) -> Group | None:
@@ -310,16 +332,29 @@
         )
         self._wake()
 
+    async def _await_unanswered(self, leaving: list[KeyRange]) -> None:
+        now = self._clock.now()
+        self._unanswered = [(found, end) for found, end in self._unanswered if end > now]
+        ends = [
+            end
+            for found, end in self._unanswered
+            if any(found.first <= one.last and one.first <= found.last for one in leaving)
+        ]
+        if ends:
+            await self._clock.sleep(max(ends) - now)
+
     async def _release(self, found: KeyRange) -> str:
-        try:
-            token = await self._upstream.release_range(found)
-        except RefusalError as error:
-            _RELEASE_FAILED.emit(
-                first=found.first, last=found.last, epoch=found.epoch, error=error
-            )
-            wait_s = self._hold_ends_at - self._clock.now()
-            if wait_s > 0:
-                await self._clock.sleep(wait_s)
-            return ""
+        held_until = self._clock.now() + self._lease_s
+        while True:
+            try:
+                token = await self._upstream.release_range(found)
+                break
+            except RefusalError as error:
+                _RELEASE_FAILED.emit(
+                    first=found.first, last=found.last, epoch=found.epoch, error=error
+                )
+                if self._clock.now() >= held_until:
+                    return ""
+                await self._clock.sleep(_RETRY_S)
         _RELEASED.emit(first=found.first, last=found.last, epoch=found.epoch, warm=bool(token))
         return token
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -16,7 +16,7 @@
 _MOVED = Event(2830, "ranges_moving", Level.INFO, "Key ranges get another owner.")
 _PLAN_FAILED = Event(2831, "range_plan_failed", Level.WARNING, "A round of placement failed.")
 
-_ROUND_S = 0.5
+_ROUND_S = 0.4
 # The first keys are given out once the members have not changed for this long, in seconds.
 _SETTLED_S = 1.0
 # A member above this utilisation gives work away if it is also well above the mean.
@@ -24,10 +24,12 @@
 _ABOVE_MEAN = 1.3
 # Utilisation up to which a member takes work from others.
 _TARGET_USAGE = 0.8
+# A member at this utilisation has given enough work away.
+_RELIEVED = 0.55
 # Time for a move to show in the reports before the next one, in seconds.
-_MOVE_PAUSE_S = 1.5
-# Most ranges that one round moves.
-_MOST_MOVES = 4
+_MOVE_PAUSE_S = 1.2
+# Most blocks that one round moves.
+_MOST_BLOCKS = 40
 # Largest share of a member's widest range that moves when no block stands out.
 _FLAT_SHARE = 0.25
 
@@ -154,62 +156,80 @@
     if len(members) < 2:
         return group
     usage = {member.id: reports[member.id].utilisation for member in members}
-    mean = sum(usage.values()) / len(usage)
     source = max(members, key=lambda member: usage[member.id])
     owners = {found.owner for found in group.ranges}
     empty = [member for member in members if member.id not in owners]
     if empty:
         return _moved_flat(group, source, empty[0], 1 / len(members))
-    target = min(members, key=lambda member: usage[member.id])
+    mean = sum(usage.values()) / len(usage)
     if usage[source.id] < max(_BUSY, mean * _ABOVE_MEAN):
         return group
-    # A target that has no room itself would give the work back in the next round.
-    room = (_TARGET_USAGE - usage[target.id]) * target.slots
-    if room <= 0:
-        return group
-    excess = min((usage[source.id] - mean) * source.slots / 2, room)
-    chosen = _hot_blocks(group, source.id, reports[source.id].work, excess, room)
-    if sum(chosen.values()) < excess * 0.3:
-        return _moved_flat(group, source, target, min(_FLAT_SHARE, 0.5))
+    chosen = _dealt_blocks(group, source, members, usage, reports[source.id].work)
+    if not chosen:
+        target = min(members, key=lambda member: usage[member.id])
+        if usage[target.id] >= _TARGET_USAGE:
+            return group
+        return _moved_flat(group, source, target, _FLAT_SHARE)
     ranges = group.ranges
-    for first, last in _runs(chosen)[:_MOST_MOVES]:
-        ranges = moves.cut(
-            ranges,
-            first,
-            last,
-            lambda part: replace(part, successor=target.id) if part.owner == source.id else part,
-        )
+    for first, last, target_id in _runs(chosen):
+        ranges = moves.cut(ranges, first, last, _handing_over(source.id, target_id))
     return moves.with_ranges(group, ranges)
 
 
-def _hot_blocks(
-    group: Group, owner: str, work: dict[int, float], excess: float, room: float
-) -> dict[int, float]:
-    """Returns the hottest blocks that together carry about the excess."""
-    chosen: dict[int, float] = {}
-    total = 0.0
+def _handing_over(source_id: str, target_id: str) -> moves.Change:
+    def change(part: KeyRange) -> KeyRange:
+        return replace(part, successor=target_id) if part.owner == source_id else part
+
+    return change
+
+
+def _dealt_blocks(
+    group: Group,
+    source: Member,
+    members: list[Member],
+    usage: dict[str, float],
+    work: dict[int, float],
+) -> dict[int, str]:
+    """Deals the source's hottest blocks to members with room until it is near the mean.
+
+    A member without room would give its blocks back in the next round, so it gets none.
+
+    Returns:
+        The new owner by block.
+    """
+    usage = dict(usage)
+    slots = {member.id: member.slots for member in members}
+    mean = sum(usage.values()) / len(usage)
+    chosen: dict[int, str] = {}
     for block, value in sorted(work.items(), key=lambda item: -item[1]):
+        if usage[source.id] <= max(mean, _RELIEVED) or len(chosen) >= _MOST_BLOCKS:
+            break
         found = group.range_of(block * BLOCK_KEYS)
-        if found is None or found.owner != owner or value > room:
+        if found is None or found.owner != source.id:
             continue
-        if total >= excess or len(chosen) >= 32:
-            break
-        chosen[block] = value
-        total += value
+        # Neighbours go to the same member while it has room, so that ranges stay few.
+        target_id = chosen.get(block - 1) or chosen.get(block + 1)
+        if target_id is None or usage[target_id] + value / slots[target_id] > mean:
+            target_id = min(usage, key=lambda member_id: usage[member_id])
+        after = usage[target_id] + value / slots[target_id]
+        if after > min(_TARGET_USAGE, usage[source.id]):
+            continue
+        chosen[block] = target_id
+        usage[target_id] = after
+        usage[source.id] -= value / slots[source.id]
     return chosen
 
 
-def _runs(blocks: dict[int, float]) -> list[tuple[int, int]]:
-    """Joins neighbouring blocks to key ranges, those with the most work first."""
-    runs: list[tuple[float, int, int]] = []
+def _runs(blocks: dict[int, str]) -> list[tuple[int, int, str]]:
+    """Joins neighbouring blocks with the same new owner to key ranges."""
+    runs: list[tuple[int, int, str]] = []
     for block in sorted(blocks):
         first, last = block * BLOCK_KEYS, (block + 1) * BLOCK_KEYS - 1
-        if runs and runs[-1][2] + 1 == first:
-            work, low, _ = runs[-1]
-            runs[-1] = (work + blocks[block], low, last)
+        if runs and runs[-1][1] + 1 == first and runs[-1][2] == blocks[block]:
+            runs[-1] = (runs[-1][0], last, blocks[block])
         else:
-            runs.append((blocks[block], first, last))
-    return [(first, last) for _, first, last in sorted(runs, reverse=True)]
+            runs.append((first, last, blocks[block]))
+    return runs
 
 
 def _moved_flat(group: Group, source: Member, target: Member, share: float) -> Group:
@@ -220,8 +240,6 @@
         return group
     width = max(int(widest.width * share), BLOCK_KEYS)
 
-    def hand_to_target(part: KeyRange) -> KeyRange:
-        return replace(part, successor=target.id)
-
     first = widest.last - width + 1
-    return moves.with_ranges(group, moves.cut(group.ranges, first, widest.last, hand_to_target))
+    change = _handing_over(source.id, target.id)
+    return moves.with_ranges(group, moves.cut(group.ranges, first, widest.last, change))
