Judge each route by its own run times at the gate

Ruled out: a directory without members (one was active), the retry budget (no send was repeated). Change: mean and deviation of run times by route; a request that becomes late while it waits lets others pass and is refused only when its deadline cannot be met.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -368,6 +368,7 @@
         repeatable: Whether it may run more than once.
         repeated: Whether an upstream may have seen it before.
         useful_ms: Time left in which an answer has its full value, or None.
+        route: Name of the route that it matched.
     """
 
     stream: Count
@@ -387,6 +388,7 @@
     repeatable: bool = False
     repeated: bool = False
     useful_ms: Count | None = None
+    route: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -86,6 +86,7 @@
         attempts: Most upstreams that it may be sent to.
         useful_until: Time until which an answer has its full value, in seconds of CLOCK_BOOTTIME
             on this VM; None means until the deadline.
+        route: Name of the route that it matched, or empty.
     """
 
     id: str
@@ -104,6 +105,7 @@
     repeated: bool = False
     attempts: int = 1
     useful_until: float | None = None
+    route: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -193,6 +193,7 @@
             priority=route.priority,
             repeatable=route.repeatable,
             attempts=route.attempts,
+            route=route.name,
             useful_until=arrived + min(route.objective_s or timeout_s, timeout_s),
         )
         response = await self._route(http, request)
--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -45,6 +45,24 @@
 _Place = tuple[int, float, int]
 
 
+class _RunTime:
+    """Mean time of a run and its mean deviation, in seconds."""
+
+    __slots__ = ("deviation_s", "mean_s")
+
+    def __init__(self) -> None:
+        self.mean_s = 0.0
+        self.deviation_s = 0.0
+
+    def add(self, run_s: float) -> None:
+        """Takes the time of one run."""
+        if not self.mean_s:
+            self.mean_s, self.deviation_s = run_s, run_s / 2
+            return
+        self.deviation_s += _SAMPLE_WEIGHT * (abs(run_s - self.mean_s) - self.deviation_s)
+        self.mean_s += _SAMPLE_WEIGHT * (run_s - self.mean_s)
+
+
 class _Slot:
     """One use of a slot, as an async context manager."""
 
@@ -66,7 +84,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._admission.release(self._started, error)
+        self._admission.release(self._started, error, self._request.route)
 
 
 class SlotAdmission:
@@ -88,8 +106,11 @@
         self._waiting: SortedDict = SortedDict()
         # Requests whose answers will be late; they run while no other request waits.
         self._late: SortedDict = SortedDict()
-        self._mean_run_s = 0.0
-        self._deviation_s = 0.0
+        # Waiting requests of both lanes by the number of their place.
+        self._requests: dict[int, Request] = {}
+        self._runs = _RunTime()
+        # Requests of different routes can differ tenfold in their work.
+        self._runs_by_route: dict[str, _RunTime] = {}
         self._fastest_mean_s: float | None = None
         self._cold_since: float | None = None
         self._cold_slots = 0.0
@@ -109,7 +130,7 @@
             self._running,
             len(self._waiting) + len(self._late),
             self._limit(),
-            round(self._mean_run_s * 1000, 1),
+            round(self._runs.mean_s * 1000, 1),
         )
 
     def bind(self, registry: Registry) -> None:
@@ -145,7 +166,8 @@
         self._cold_since = self._clock.now()
         self._cold_slots = max(self._slots * _COLD_SHARE, 1.0)
         self._fastest_mean_s = None
-        self._mean_run_s = self._deviation_s = 0.0
+        self._runs = _RunTime()
+        self._runs_by_route.clear()
         self._shed_limit = float("inf")
         _SLOW_START.emit(slots=self._slots, usable=int(self._cold_slots))
 
@@ -164,7 +186,8 @@
         loop = asyncio.get_running_loop()
         granted: asyncio.Future[None] = loop.create_future()
         lane[place] = granted
-        timer = loop.call_later(request.deadline - self._clock.now(), self._expire, lane, place)
+        self._requests[place[2]] = request
+        timer = loop.call_later(request.deadline - self._clock.now(), self._expire, granted)
         try:
             await granted
         except asyncio.CancelledError:
@@ -175,20 +198,24 @@
             raise
         finally:
             timer.cancel()
-            lane.pop(place, None)
+            del self._requests[place[2]]
+            self._waiting.pop(place, None)
+            self._late.pop(place, None)
+            self._late.pop((place[0], request.deadline, place[2]), None)
 
-    def release(self, started: float, error: BaseException | None) -> None:
+    def release(self, started: float, error: BaseException | None, route: str = "") -> None:
         """Gives a slot back.
 
         Args:
             started: When the slot was taken, in seconds of CLOCK_BOOTTIME.
             error: What ended the use, or None.
+            route: Route of the request.
         """
         self._running -= 1
         if isinstance(error, OverloadedError):
             self._reduce()
         elif error is None:
-            self._measure(self._clock.now() - started)
+            self._measure(self._clock.now() - started, route)
         self._wake_next()
 
     def _limit(self) -> int:
@@ -202,26 +229,22 @@
                 limit = min(limit, max(self._cold_slots, self._slots * share))
         return max(int(limit), 1)
 
-    def _measure(self, run_s: float) -> None:
-        if not self._mean_run_s:
-            self._mean_run_s, self._deviation_s = run_s, run_s / 2
-        else:
-            self._deviation_s += _SAMPLE_WEIGHT * (
-                abs(run_s - self._mean_run_s) - self._deviation_s
-            )
-            self._mean_run_s += _SAMPLE_WEIGHT * (run_s - self._mean_run_s)
+    def _measure(self, run_s: float, route: str) -> None:
+        self._runs.add(run_s)
+        if route:
+            self._runs_by_route.setdefault(route, _RunTime()).add(run_s)
         if self._cold_since is not None:
-            fastest = self._fastest_mean_s
-            if fastest is None or self._mean_run_s <= fastest * _COLD_TOLERANCE:
+            mean_s, fastest = self._runs.mean_s, self._fastest_mean_s
+            if fastest is None or mean_s <= fastest * _COLD_TOLERANCE:
                 self._cold_slots += _COLD_STEP
-            self._fastest_mean_s = min(fastest or self._mean_run_s, self._mean_run_s)
+            self._fastest_mean_s = min(fastest or mean_s, mean_s)
         if self._shed_limit < self._slots:
             # One slot more after as many successes as there are slots in use.
             self._shed_limit += 1 / self._shed_limit
 
     def _reduce(self) -> None:
         now = self._clock.now()
-        if now - self._reduced_at < self._mean_run_s:
+        if now - self._reduced_at < self._runs.mean_s:
             return
         self._reduced_at = now
         self._shed_limit = max(min(self._shed_limit, self._running + 1) * _REDUCTION, 1.0)
@@ -252,26 +275,27 @@
         useful_until = request.useful_until or request.deadline
         place = (request.priority, useful_until, next(self._numbers))
         queued = len(self._waiting) + len(self._late)
-        wait_s = self._mean_run_s * (self._waiting.bisect_left(place) + 1) / limit
-        drained_s = self._mean_run_s * (queued + 1) / limit
+        run_s = self._expected_run_s(request.route)
+        wait_s = self._runs.mean_s * (self._waiting.bisect_left(place) + 1) / limit
+        drained_s = self._drained_s()
         retry_after_s = max(drained_s, entry.limits.retry_after_ms / 1000)
         if queued >= entry.limits.queue_length:
             raise OverloadedError("the queue is full", retry_after_s=retry_after_s)
-        if now + wait_s + self._expected_run_s() <= useful_until:
+        if now + wait_s + run_s <= useful_until:
             return self._waiting, place
-        late_fits = now + drained_s + self._expected_run_s() <= request.deadline
+        late_fits = now + drained_s + run_s <= request.deadline
         if late_fits and useful_until < request.deadline and len(self._late) < limit:
             return self._late, (request.priority, request.deadline, next(self._numbers))
         raise OverloadedError(
             "the expected wait exceeds the deadline", retry_after_s=retry_after_s
         )
 
-    def _expected_run_s(self) -> float:
-        return self._mean_run_s + 2 * self._deviation_s
+    def _expected_run_s(self, route: str) -> float:
+        runs = self._runs_by_route.get(route, self._runs)
+        return runs.mean_s + 2 * runs.deviation_s
 
-    def _expire(self, lane: SortedDict, place: _Place) -> None:
-        granted = lane.pop(place, None)
-        if granted is not None and not granted.done():
+    def _expire(self, granted: asyncio.Future[None]) -> None:
+        if not granted.done():
             granted.set_exception(
                 DeadlineExceededError("the deadline passed while waiting for a slot")
             )
@@ -282,11 +306,22 @@
             place, granted = (self._waiting or self._late).popitem(0)
             if granted.done():
                 continue
-            if self._clock.now() + self._expected_run_s() > place[1]:
+            request = self._requests[place[2]]
+            ends_at = self._clock.now() + self._expected_run_s(request.route)
+            if ends_at > request.deadline:
                 # A run that cannot end in time would take the slot from one that can.
+                retry_after_s = max(self._drained_s(), self._runs.mean_s)
                 granted.set_exception(
-                    OverloadedError("too little time is left to run", retry_after_s=1.0)
+                    OverloadedError("too little time is left to run", retry_after_s=retry_after_s)
                 )
                 continue
+            if ends_at > place[1] and self._waiting:
+                # Its answer will be late, so those that can be in time go first.
+                self._late[(place[0], request.deadline, place[2])] = granted
+                continue
             self._running += 1
             granted.set_result(None)
+
+    def _drained_s(self) -> float:
+        queued = len(self._waiting) + len(self._late)
+        return self._runs.mean_s * (queued + 1) / self._limit()
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -261,6 +261,7 @@
             repeatable=message.repeatable,
             repeated=message.repeated,
             useful_until=useful_until,
+            route=message.route,
         )
 
 
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -122,6 +122,7 @@
         repeatable=request.repeatable,
         repeated=request.repeated,
         useful_ms=useful_ms,
+        route=request.route,
     )
 
 
--- a/tests/services/test_admission.py
+++ b/tests/services/test_admission.py
@@ -12,10 +12,11 @@
     OverloadedError,
     RateLimitedError,
 )
+from fescueward.messages import Announcement, Request
 from fescueward.services import admission as module
 from fescueward.services.admission import SlotAdmission
 
-from .fakes import StubRegistry, make_announcement, make_entry, make_request
+from .fakes import CLOCK, StubRegistry, make_announcement, make_entry, make_request
 
 
 class AdmissionTest(unittest.IsolatedAsyncioTestCase):
@@ -104,7 +105,7 @@
 
     async def test_expected_wait_beyond_the_deadline_is_shed(self):
         """Guards against a request that waits for a slot it can no longer use."""
-        self.admission._mean_run_s = 0.5
+        self.admission._runs.mean_s = 0.5
         async with (
             self.admission.slot(make_request(), make_entry()),
             self.admission.slot(make_request(), make_entry()),
@@ -133,7 +134,7 @@
         await self.settle()
         late = asyncio.create_task(self.hold([], "late", release, 0.2))
         await self.settle()
-        self.admission._mean_run_s = 1.0
+        self.admission._runs.mean_s = 1.0
         release.set()
         with self.assertRaises(OverloadedError):
             await late
@@ -163,7 +164,7 @@
             async with self.admission.slot(make_request(), make_entry()):
                 await asyncio.sleep(0.002)
         self.assertEqual(self.admission.capacity, 0.5)
-        self.admission._mean_run_s = 10.0  # slower than at first: no more slots by measurement
+        self.admission._runs.mean_s = 10.0  # slower than at first: no more slots by measurement
         for _ in range(4):
             async with self.admission.slot(make_request(), make_entry()):
                 pass
@@ -196,3 +197,72 @@
         """Guards against grants that wait behind requests for a connection."""
         self.admission.observe_announcement(make_announcement(50, connections=10))
         self.assertEqual(self.admission._slots, 7)
+
+
+class LaneTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that can be in time run before those that will be late."""
+
+    async def asyncSetUp(self) -> None:
+        self.admission = SlotAdmission()
+        self.admission.bind(StubRegistry())
+        self.admission.observe_announcement(
+            Announcement("depot", "127.0.0.1", 1, slots=1, connections=110, cold_s=0.0)
+        )
+        self.admission._runs.add(0.1)
+        self.order: list[str] = []
+
+    def request(self, name: str, useful_s: float, **values) -> Request:
+        return make_request(2.0, id=name, useful_until=CLOCK.now() + useful_s, **values)
+
+    async def run_one(self, request: Request) -> None:
+        async with self.admission.slot(request, make_entry()):
+            self.order.append(request.id)
+            await asyncio.sleep(0.02)
+
+    async def test_late_requests_run_last(self):
+        """Guards against an overload in which every answer comes after its objective."""
+        requests = (
+            self.request("first", 1.0),
+            self.request("late", 0.05),
+            self.request("in-time", 1.5),
+        )
+        await asyncio.gather(*map(self.run_one, requests))
+        self.assertEqual(self.order, ["first", "in-time", "late"])
+
+    async def test_late_lane_is_bounded(self):
+        """Guards against requests that are held although they will be refused in the end."""
+        first = asyncio.create_task(self.run_one(self.request("first", 1.0)))
+        await asyncio.sleep(0)
+        late = asyncio.create_task(self.run_one(self.request("late", 0.05)))
+        await asyncio.sleep(0)
+        with self.assertRaises(OverloadedError) as refused:
+            await self.admission.acquire(self.request("later", 0.05), make_entry())
+        self.assertGreater(refused.exception.retry_after_s, 0)
+        await asyncio.gather(first, late)
+
+    async def test_short_route_is_judged_by_its_own_runs(self):
+        """Guards against short calls that are refused because others on the server take long.
+
+        Found by scale-2 of kagaz-mesh: short lookups failed the orders that had called them.
+        """
+        for _ in range(20):
+            self.admission._measure(0.4, "long")
+            self.admission._measure(0.02, "short")
+        holder = asyncio.create_task(self.run_one(self.request("holder", 1.0, route="long")))
+        await asyncio.sleep(0)
+        short = self.request("short", 0.35, route="short")
+        lane, _ = self.admission._lane(short, make_entry())
+        self.assertIs(lane, self.admission._waiting)
+        await holder
+
+    async def test_request_that_becomes_late_lets_others_pass(self):
+        """Guards against a slot for a late answer while one in time still waits."""
+        holder = asyncio.create_task(self.run_one(self.request("holder", 1.0)))
+        await asyncio.sleep(0)
+        tight = asyncio.create_task(self.run_one(self.request("tight", 0.32, priority=0)))
+        await asyncio.sleep(0)
+        roomy = asyncio.create_task(self.run_one(self.request("roomy", 1.5, priority=1)))
+        await asyncio.sleep(0)
+        self.admission._runs.mean_s = 0.33
+        await asyncio.gather(holder, tight, roomy)
+        self.assertEqual(self.order, ["holder", "roomy", "tight"])
