--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from ..kernel import BootClock, Kernel, configure_logging
+from ..kernel import BootClock, Event, Kernel, Level, configure_logging
 from ..kernel.errors import FescuewardError
 from ..platform.announcements import Heartbeats
 from ..platform.frontend import CallerFrontend
@@ -25,11 +25,19 @@
 from ..services.keyspace.placement import RangePlacement
 from ..services.lease import MonitoredLease
 from ..services.membership import GroupMembership
+from ..services.metrics import PrometheusMetrics
 from ..services.monitor import LeaseMonitor
 from ..services.peers import MsgpackPeers
 from ..services.routing.dispatcher import DispatchRouter
 from ..services.routing.routes import ConfiguredCatalogue, RouteTable
 
+_STARTED = Event(1010, "agent_started", Level.INFO, "The agent starts with these settings.")
+_STOPPED = Event(1011, "agent_stopped", Level.INFO, "The agent has stopped in order.")
+_RELOADED = Event(1012, "settings_read_again", Level.INFO, "SIGHUP: the settings were read again.")
+_RELOAD_FAILED = Event(
+    1013, "settings_not_read", Level.ERROR, "SIGHUP: the settings are bad; the old ones stay."
+)
+
 # A request leaves some hundred objects and few cycles; Python's default of 700 starts a collection
 # every few requests.
 _COLLECTIONS = (20_000, 20, 20)
@@ -68,6 +76,7 @@
         kernel.add(SlotAdmission())
         kernel.add(GateExecution())
         kernel.add(DispatchRouter())
+        kernel.add(PrometheusMetrics())
         kernel.add(Heartbeats(site))
         kernel.add(CallerFrontend(kernel, site))
 
@@ -84,12 +93,29 @@
         gc.set_threshold(*_COLLECTIONS)
         uvloop.run(self._run())
 
+    def _reload(self) -> None:
+        """Reads the settings file again and tells what differs; a restart applies it."""
+        try:
+            site = load_site(settings_path())
+        except FescuewardError as error:
+            _RELOAD_FAILED.emit(label=error.label, error=error)
+            return
+        _RELOADED.emit(changed=site != self._site, bounds=site.bounds)
+
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.kernel.request_stop)
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        settings = self._site.settings
+        _STARTED.emit(
+            agent=settings.agent.name,
+            failure_domain=settings.agent.failure_domain,
+            service=self._site.service,
+            store=settings.platform.url,
+        )
         await self.kernel.run()
+        _STOPPED.emit(agent=settings.agent.name)
 
 
 def main() -> int:
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from ..interfaces import Directory, Router, Routes
+from ..interfaces import Directory, Metrics, Router, Routes
 from ..kernel import Clock, Event, Kernel, Level, Outcome, RefusalError, Registry
 from ..kernel.bounds import Bounds
 from ..kernel.errors import (
@@ -41,6 +41,8 @@
 # Part of the grace time that is left for closing connections, in seconds.
 _CLOSE_S = 0.8
 _POLL_S = 0.05
+# The metrics page is on the address of the question for readiness.
+_METRICS_PATH = "/metrics"
 # Statuses between agents that name another place.
 _REDIRECTS = frozenset({421, 429})
 # When a caller should come back if the refusal does not say, in seconds.
@@ -66,6 +68,7 @@
         self._bounds = registry.find("bounds", Bounds)
         self._router = registry.find("router", Router)
         self._routes = registry.find("routes", Routes)
+        self._metrics = registry.find("metrics", Metrics)
         self._directory = registry.find("groups", Directory)
 
     async def start(self) -> None:
@@ -108,6 +111,9 @@
         self._runners.append(runner)
 
     async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == _METRICS_PATH:
+            page = self._metrics.render()
+            return web.Response(body=page.content, headers={"Content-Type": page.content_type})
         ready = request.path == READY_PATH and self._is_ready()
         if ready != self._was_ready:
             self._was_ready = ready
--- /dev/null
+++ b/tests/daemons/test_platform_agent.py
@@ -0,0 +1,17 @@
+"""The agent on the users' platform, put together without being started."""
+
+import unittest
+
+from fescueward.daemons.platform_agent import PlatformAgent
+from fescueward.interfaces import Metrics
+from fescueward.platform.settings import parse_site
+from tests.platform.test_settings import LINES
+
+
+class PlatformAgentTest(unittest.TestCase):
+    def test_services_find_each_other(self):
+        """Guards against a service that another one needs and that is not registered."""
+        agent = PlatformAgent(parse_site(LINES))
+        agent.kernel.bind()
+        page = agent.kernel.registry.find("metrics", Metrics).render()
+        self.assertIn(b"fescueward_", page.content)
