Tell the starts of an upstream apart by their time and test the adapter

Cause: read against the platform's pages: an upstream may start again under the id that it had; starts were told apart by the id alone, so its ranges would have kept their epochs and no new grant. Change: the identity of a start holds its time too.

--- a/fescueward/messages/upstream.py
+++ b/fescueward/messages/upstream.py
@@ -60,6 +60,11 @@
     started_ms: Annotated[int, Meta(ge=0)] = 0
     cold_s: Annotated[float, Meta(ge=0)] | None = None
 
+    @property
+    def start(self) -> str:
+        """Identity of this start; an upstream may start again under the id that it had."""
+        return f"{self.instance}@{self.started_ms}" if self.instance else ""
+
 
 @dataclass(frozen=True, slots=True)
 class GrantSet:
--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -153,7 +153,7 @@
             min(announcement.slots, announcement.connections - _RESERVED_CONNECTIONS), 1
         )
         address = (announcement.host, announcement.port)
-        started = (*address, announcement.instance)
+        started = (*address, announcement.start)
         if started != self._started:
             self._started = started
             # An upstream that tells its warm-up is slow while cold but uses all its slots.
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -96,7 +96,7 @@
         self._starts: list[tuple[int, _Id]] = []
         self._changed = asyncio.Event()
         self._renew = asyncio.Event()
-        self._instance = ""
+        self._upstream_start = ""
         # Grants that were sent and not answered yet.
         self._on_their_way: dict[_Id, asyncio.Task[None]] = {}
         # Ends of grants without an answer, which the upstream may take up later.
@@ -251,9 +251,9 @@
             announced = self._membership.announcement
             if announced is None or not self._wanted or not self._lease.held:
                 continue
-            if announced.instance != self._instance:
+            if announced.start != self._upstream_start:
                 # A new start of the upstream holds nothing of what was granted before.
-                self._instance = announced.instance
+                self._upstream_start = announced.start
                 self._expires.clear()
                 self._index()
             due = [found for found in self._wanted.values() if _id(found) not in self._handing]
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -178,7 +178,7 @@
         if self._announcement != announcement:
             _ANNOUNCED.emit(group=home, state=announcement.state, slots=announcement.slots)
         before = self._announcement
-        restarted = before is not None and before.instance != announcement.instance
+        restarted = before is not None and before.start != announcement.start
         self._home = home
         self._announcement = announcement
         if restarted and self._joined:
@@ -239,10 +239,10 @@
     def _restart_upstream(self, group: Group) -> Group | None:
         me = group.members.get(self.member_id)
         announced = self._announcement
-        if me is None or announced is None or me.instance == announced.instance:
+        if me is None or announced is None or me.instance == announced.start:
             return None
-        _RESTARTED.emit(member=self.member_id, before=me.instance, now=announced.instance)
-        renewed = replace(me, instance=announced.instance, slots=announced.slots)
+        _RESTARTED.emit(member=self.member_id, before=me.instance, now=announced.start)
+        renewed = replace(me, instance=announced.start, slots=announced.slots)
         group = replace(group, members={**group.members, me.id: renewed})
         return refenced(group, me.id)
 
@@ -337,5 +337,5 @@
             slots=announced.slots,
             connections=announced.connections,
             checks_grants=announced.checks_grants,
-            instance=announced.instance,
+            instance=announced.start,
         )
--- /dev/null
+++ b/tests/platform/test_upstream.py
@@ -0,0 +1,96 @@
+"""Requests to the upstream beside the agent."""
+
+import unittest
+from types import SimpleNamespace
+
+from fescueward.kernel.errors import (
+    AnswerLostError,
+    OutcomeLostError,
+    UpstreamRefusedError,
+    UpstreamUnavailableError,
+)
+from fescueward.messages import Response
+from fescueward.platform.upstream import LocalUpstream
+from tests.services.fakes import StubRegistry, make_request
+
+from .fakes import CLOCK, RawUpstream, site_at
+
+RECEIPT = b"X-Fescueward-Response-Sig: s1\r\n"
+ECHO = b"X-Fescueward-Request-Id: r1\r\n"
+
+
+class LocalUpstreamTest(unittest.IsolatedAsyncioTestCase):
+    async def run_against(self, answer: bytes, reset: bool = False) -> Response:
+        raw = RawUpstream(answer, reset)
+        address = await raw.start()
+        self.addAsyncCleanup(raw.stop)
+        self.raw = raw
+        upstream = LocalUpstream(site_at(address))
+        membership = SimpleNamespace(announcement=raw.announcement())
+        upstream.bind(StubRegistry(membership=membership, routes=None))
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        request = make_request(2.0, method="GET", key="", caller="orders")
+        return await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
+
+    async def test_whole_answer_is_passed_on(self):
+        """Guards against an answer that is changed, and a request without its identity."""
+        response = await self.run_against(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + RECEIPT + ECHO + b"\r\nok"
+        )
+        self.assertEqual((response.status, response.body.data), (200, b"ok"))
+        sent = self.raw.requests[0].decode()
+        for line in ("X-Fescueward-Target-Instance: i1", "X-Fescueward-Caller: orders"):
+            self.assertIn(line, sent)
+
+    async def test_reset_during_an_answer_without_length(self):
+        """Guards against a short body that looks whole.
+
+        Found by trouble-2 of kagaz-mesh: MIXED, the answer was framed as complete.
+        """
+        start = b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\nhalf"
+        with self.assertRaises(AnswerLostError):
+            await self.run_against(start, reset=True)
+
+    async def test_orderly_end_of_an_answer_without_length(self):
+        """Guards against whole answers that are thrown away because they name no length."""
+        response = await self.run_against(b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\nwhole")
+        self.assertEqual(response.body.data, b"whole")
+
+    async def test_answers_that_are_not_this_requests(self):
+        """Guards against the answer to another request, a proxy's page and a broken one."""
+        ok = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+        cases = (
+            (OutcomeLostError, ok + RECEIPT + b"X-Fescueward-Request-Id: r2\r\n\r\nok"),
+            (AnswerLostError, ok + ECHO + b"\r\nok"),
+            (AnswerLostError, ok + RECEIPT + ECHO + b"Content-Encoding: gzip\r\n\r\nok"),
+            (AnswerLostError, ok.replace(b": 2", b": 9") + RECEIPT + ECHO + b"\r\nok"),
+            (AnswerLostError, b"no answer at all\r\n\r\n"),
+            (OutcomeLostError, b""),
+        )
+        for kind, answer in cases:
+            with self.subTest(answer=answer), self.assertRaises(kind):
+                await self.run_against(answer)
+
+    async def test_refusal_of_the_upstream_has_not_run(self):
+        """Guards against a failure that is reported although another upstream could run it."""
+        with self.assertRaises(UpstreamRefusedError) as refused:
+            await self.run_against(
+                b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n"
+                b"X-Fescueward-Not-Executed: 1\r\n" + ECHO + b"\r\n"
+            )
+        self.assertEqual(refused.exception.outcome, "not_run")
+
+    async def test_refused_connection_has_not_run(self):
+        """Guards against an unknown outcome where no byte was sent."""
+        raw = RawUpstream(b"")
+        address = await raw.start()
+        announcement = raw.announcement()
+        await raw.stop()
+        upstream = LocalUpstream(site_at(address))
+        membership = SimpleNamespace(announcement=announcement)
+        upstream.bind(StubRegistry(membership=membership, routes=None))
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        with self.assertRaises(UpstreamUnavailableError):
+            await upstream.run(make_request(2.0, key=""), 0, 0, CLOCK.now() + 2.0)
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -12,7 +12,7 @@
     ShardMovingError,
     UpstreamUnavailableError,
 )
-from fescueward.messages import Group, GroupId, VersionedGroup
+from fescueward.messages import Announcement, Group, GroupId, VersionedGroup
 from fescueward.messages.group import KeyRange
 from fescueward.services.keyspace import moves
 from fescueward.services.keyspace.ownership import RangeOwnership
@@ -20,6 +20,13 @@
 from tests.services.groups_for_tests import joined, member
 
 CLOCK = BootClock()
+
+
+def announcement(started_ms: int) -> Announcement:
+    """Returns a report of an upstream that keeps its id from one start to the next."""
+    return Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1", started_ms=started_ms)
+
+
 HOME = GroupId("depot", 0)
 
 
@@ -76,9 +83,7 @@
     async def asyncSetUp(self):
         self.probe, self.groups = FakeProbe(), FakeGroups()
         self.lease = SimpleNamespace(held=True, expires_at=CLOCK.now() + 1.0)
-        self.membership = SimpleNamespace(
-            home=HOME, member_id="a:1", announcement=SimpleNamespace(instance="i1")
-        )
+        self.membership = SimpleNamespace(home=HOME, member_id="a:1", announcement=announcement(1))
         self.ownership = RangeOwnership(Kernel())
         self.ownership.bind(
             StubRegistry(
@@ -182,7 +187,7 @@
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         self.probe.grants_open.clear()
-        self.membership.announcement = SimpleNamespace(instance="i2")
+        self.membership.announcement = announcement(2)
         self.groups.publish(moves.refenced(self.group, "a:1"))
         admitted = asyncio.create_task(self.ownership.admit("depot", "5", CLOCK.now() + 1))
         await asyncio.sleep(0.02)
