Remove the unused identity probe and names of the adapter

Cause: reading the change as a whole: a call, a constant and two names that nothing used. Change: they are gone; the Protocol of grants is named for what it has left.

--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -20,7 +20,7 @@
 from .placement import Load, Placement, PlacementPolicy, QuarantineExport
 from .platform import Changes, Platform, StoredObject
 from .requests import Admission, Execution, Outcomes, Quarantine, Router, SlotLoad, Upstream
-from .routes import Routes, UpstreamProbe
+from .routes import RangeGrants, Routes
 
 __all__ = [
     "Admission",
@@ -47,6 +47,7 @@
     "PlatformState",
     "Quarantine",
     "QuarantineExport",
+    "RangeGrants",
     "RequestListener",
     "RequestSource",
     "Router",
@@ -58,7 +59,6 @@
     "StoredObject",
     "Ticket",
     "Upstream",
-    "UpstreamProbe",
     "WatchState",
     "WorkState",
 ]
--- a/fescueward/interfaces/routes.py
+++ b/fescueward/interfaces/routes.py
@@ -1,4 +1,4 @@
-"""Routes and the upstream's identity as the services see them."""
+"""Routes and grants of key ranges as the services see them."""
 
 from __future__ import annotations
 
@@ -31,8 +31,8 @@
 
 
 @runtime_checkable
-class UpstreamProbe(Protocol):
-    """Calls to the upstream on this VM besides requests."""
+class RangeGrants(Protocol):
+    """Grants of key ranges to the upstream on this VM."""
 
     async def grant_range(self, found: KeyRange, hold_s: float) -> bool:
         """Grants keys to the upstream for a time.
@@ -59,7 +59,3 @@
             UpstreamUnavailableError: It was not confirmed.
         """
         ...
-
-    async def identify(self) -> str | None:
-        """Returns the instance that answers at the upstream's address, or None."""
-        ...
--- a/fescueward/platform/configuration.py
+++ b/fescueward/platform/configuration.py
@@ -9,7 +9,6 @@
 from ..messages.configuration import CallerLimits, Configuration, Route, ServiceSpec, Target
 
 _REPEATABLE_KINDS = frozenset({"idempotent"})
-_PRESENT = "config", "main"
 
 
 class _Part(msgspec.Struct):
--- a/fescueward/platform/names.py
+++ b/fescueward/platform/names.py
@@ -11,9 +11,7 @@
 RECEIPT = "X-Fescueward-Response-Sig"
 # Id of the upstream's start that a request is meant for.
 TARGET_INSTANCE = "X-Fescueward-Target-Instance"
-INSTANCE = "X-Fescueward-Instance"
 NOT_EXECUTED = "X-Fescueward-Not-Executed"
-LOAD = "X-Fescueward-Load"
 # Service beside which the request began.
 CALLER = "X-Fescueward-Caller"
 KEY = "X-Fescueward-Shard-Key"
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -1,4 +1,4 @@
-"""Requests, grants and health checks of the upstream on this machine."""
+"""Requests and grants of the upstream on this machine."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
-from ..interfaces import Membership, Routes
+from ..interfaces import Membership
 from ..kernel import Clock, Event, Level, Registry
 from ..kernel.errors import (
     AnswerLostError,
@@ -28,7 +28,6 @@
     GRANT_PATH,
     HANDOVER,
     HOP_HEADERS,
-    INSTANCE,
     KEY,
     NOT_EXECUTED,
     RECEIPT,
@@ -51,7 +50,6 @@
 _GRANT_TIMEOUT_S = 0.5
 # A release is confirmed when the work on the keys has ended.
 _RELEASE_TIMEOUT_S = 2.0
-_HEALTH_TIMEOUT_S = 0.5
 # The upstream ends a run at the time that it was given; its answer needs a moment more.
 _ANSWER_SLACK_S = 0.03
 _DEFAULT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -89,7 +87,6 @@
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
-        self._routes = registry.find("routes", Routes)
 
     async def start(self) -> None:
         """Opens the HTTP sessions."""
@@ -163,7 +160,7 @@
         return True
 
     async def grant_range(self, found: KeyRange, hold_s: float) -> bool:
-        """Grants keys; see `UpstreamProbe.grant_range`."""
+        """Grants keys; see `RangeGrants.grant_range`."""
         message = _Grant(found.first, found.last, found.epoch, round(hold_s, 3), found.handover)
         status, _ = await self._order(GRANT_PATH, message, _GRANT_TIMEOUT_S)
         if status not in (200, 409):
@@ -171,32 +168,13 @@
         return status == 200
 
     async def release_range(self, found: KeyRange) -> str:
-        """Takes keys back; see `UpstreamProbe.release_range`."""
+        """Takes keys back; see `RangeGrants.release_range`."""
         message = _Grant(found.first, found.last, found.epoch)
         status, headers = await self._order(RELEASE_PATH, message, _RELEASE_TIMEOUT_S)
         if status != 200:
             raise UpstreamUnavailableError(f"the upstream answered a release with {status}")
         return str(headers.get(HANDOVER, ""))
 
-    async def identify(self) -> str | None:
-        """Returns the instance that answers the health check, or None."""
-        announced = self._membership.announcement
-        held = self._routes.current
-        service = announced.service if announced is not None else ""
-        spec = held.configuration.services.get(service) if held is not None else None
-        path = spec.health_path if spec is not None else "/health"
-        assert self._pooled is not None
-        try:
-            async with (
-                asyncio.timeout(_HEALTH_TIMEOUT_S),
-                self._pooled.get(self._base + path) as answer,
-            ):
-                await answer.read()
-                return answer.headers.get(INSTANCE)
-        except (aiohttp.ClientError, OSError) as error:
-            self._note_unreachable(error)
-            return None
-
     async def _order(self, path: str, message: _Grant, timeout_s: float) -> tuple[int, Any]:
         assert self._orders is not None
         try:
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from types import TracebackType
 
-from ...interfaces import Groups, Lease, Membership, UpstreamProbe
+from ...interfaces import Groups, Lease, Membership, RangeGrants
 from ...kernel import Clock, Event, Kernel, Level, Registry
 from ...kernel.bounds import Bounds
 from ...kernel.errors import (
@@ -109,7 +109,7 @@
         self._groups = registry.find("groups", Groups)
         self._membership = registry.find("membership", Membership)
         self._lease = registry.find("lease", Lease)
-        self._upstream = registry.find("upstream", UpstreamProbe)
+        self._upstream = registry.find("upstream", RangeGrants)
         section = registry.find("settings", Settings).lease
         self._renewal_s = section.renewal_ms / 1000
         self._lease_s = section.lease_ms / 1000
