--- a/fescueward/interfaces/placement.py
+++ b/fescueward/interfaces/placement.py
@@ -6,6 +6,7 @@
 from typing import Protocol, runtime_checkable
 
 from ..messages import Entry, Group, Member
+from ..messages.peer import RangeLoad
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +88,15 @@
         ...
 
 
+@runtime_checkable
+class BlockReports(Protocol):
+    """Work of key blocks as the members reported it to the planner."""
+
+    def reports(self) -> dict[str, RangeLoad]:
+        """Returns the recent reports by member id."""
+        ...
+
+
 @runtime_checkable
 class QuarantineExport(Protocol):
     """A quarantine that a new planner can start from."""
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -61,7 +61,6 @@
         heartbeats: Where the upstream on this machine reports.
         application: Address of the upstream on this machine.
         service: Service that runs on this machine.
-        heartbeat_s: Period of the upstream's reports, in seconds.
     """
 
     settings: Settings
@@ -70,7 +69,6 @@
     heartbeats: Address
     application: Address
     service: str
-    heartbeat_s: float
 
 
 def settings_path() -> Path:
@@ -153,7 +151,6 @@
         heartbeats=heartbeats,
         application=_address(values["appAddr"]),
         service=values["service"],
-        heartbeat_s=float(values.get("heartbeatS", "1")),
     )
 
 
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -80,20 +80,11 @@
     async def _execute(self, request: Request) -> Response:
         entry = self._catalogue.entry(request.service).entry
         self._check_open(request)
-        epoch = 0
-        if request.key:
-            with await self._ownership.admit(
-                request.service, request.key, request.deadline
-            ) as ticket:
-                epoch = ticket.epoch
+        await self._admitted_epoch(request)
         async with self._admission.slot(request, entry):
             # Departure and loss of the keys may have come while the request waited.
             self._check_open(request)
-            if request.key:
-                with await self._ownership.admit(
-                    request.service, request.key, request.deadline
-                ) as ticket:
-                    epoch = ticket.epoch
+            epoch = await self._admitted_epoch(request)
             started = self._clock.now()
             try:
                 response = await self._upstream.run(
@@ -117,6 +108,14 @@
             listener.run_ended(request.service, seconds)
         return replace(response, occupancy=occupancy, epoch=epoch)
 
+    async def _admitted_epoch(self, request: Request) -> int:
+        """Returns the epoch of the request's key, or 0 if it has none; raises as `admit`."""
+        if not request.key:
+            return 0
+        admitted = self._ownership.admit(request.service, request.key, request.deadline)
+        with await admitted as ticket:
+            return ticket.epoch
+
     def _check_open(self, request: Request) -> None:
         announced = self._membership.announcement
         if announced is None:
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -274,7 +274,9 @@
             return
 
     def _tell_members(self, group: VersionedGroup, message: Publish) -> None:
-        members = self._fleet() if self._fleet_wide else group.group.members
+        self._send_to(self._fleet() if self._fleet_wide else group.group.members, message)
+
+    def _send_to(self, members: dict[str, Member], message: object) -> None:
         for member in members.values():
             if member.id != self._membership.member_id:
                 self._peers.send(member, message)
@@ -414,21 +416,16 @@
                 configuration = decode_json(stored.value, Configuration)
                 held = VersionedConfiguration(stored.version, configuration)
                 if self._routes.observe(held):
-                    self._tell_fleet(Publish(configuration=held))
+                    self._send_to(self._fleet(), Publish(configuration=held))
                 return
             group = VersionedGroup(stored.version, decode_json(stored.value, Group))
             # The writer tells the fleet itself, so one further copy of a group is enough; a
             # configuration has no other way and goes out from all watchers.
             if self.observe(group) and self._watchers_before_me() == 0:
-                self._tell_fleet(Publish(groups=(group,)))
+                self._send_to(self._fleet(), Publish(groups=(group,)))
         except MalformedMessageError as error:
             _BAD_OBJECT.emit(key=stored.key, version=stored.version, error=error)
 
-    def _tell_fleet(self, message: Publish) -> None:
-        for member in self._fleet().values():
-            if member.id != self._membership.member_id:
-                self._peers.send(member, message)
-
     def _observe_stored(self, key: str, version: int, value: bytes, deleted: bool) -> None:
         if deleted:
             return
@@ -477,6 +474,4 @@
                 continue
             members = self._fleet() if self._fleet_wide else view.group.members
             status = WatchStatus(self._membership.member_id, True, self.versions())
-            for member in members.values():
-                if member.id != self._membership.member_id:
-                    self._peers.send(member, status)
+            self._send_to(members, status)
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -10,9 +10,8 @@
 from ...kernel import Clock, Kernel, Registry
 from ...messages import VersionedGroup
 from ...messages.peer import RangeLoad
+from .moves import BLOCK_KEYS
 
-# Keys of one block; hot keys are neighbours, so a block is the unit of a move.
-BLOCK_KEYS = 8
 # Time constant of the measured work, in seconds.
 _DECAY_S = 1.0
 _REPORT_S = 0.4
--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -9,6 +9,8 @@
 from ...messages.group import LAST_KEY, KeyRange
 
 KEYS = LAST_KEY + 1
+# Keys of one block, the unit of measured load and of a move: hot keys are neighbours.
+BLOCK_KEYS = 8
 # Narrowest part that a range without known load is cut into, in keys.
 _LEAST_WIDTH = 64
 
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -5,13 +5,14 @@
 from dataclasses import replace
 
 from ...interfaces import Groups, Lease, Membership, Routes
+from ...interfaces.placement import BlockReports
 from ...kernel import Clock, Event, Kernel, Level, Registry
 from ...kernel.errors import PlatformError
 from ...messages import Group, Member, MemberState, VersionedGroup
 from ...messages.group import KeyRange
 from ...messages.peer import RangeLoad
 from . import moves
-from .load import BLOCK_KEYS, KeyBlockLoad
+from .moves import BLOCK_KEYS
 
 _MOVED = Event(2830, "ranges_moving", Level.INFO, "Key ranges get another owner.")
 _PLAN_FAILED = Event(2831, "range_plan_failed", Level.WARNING, "A round of placement failed.")
@@ -53,7 +54,7 @@
         self._routes = registry.find("routes", Routes)
         self._membership = registry.find("membership", Membership)
         self._lease = registry.find("lease", Lease)
-        self._load = registry.find("load", KeyBlockLoad)
+        self._load = registry.find("load", BlockReports)
         self._groups.subscribe(self)
 
     async def start(self) -> None:
--- a/fescueward/services/routing/routes.py
+++ b/fescueward/services/routing/routes.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ...kernel import Clock, Event, Level, Registry
+from ...interfaces import Routes
+from ...kernel import Event, Level, Registry
 from ...kernel.errors import UnknownServiceError
 from ...messages import Entry, RequestClass, VersionedEntry
 from ...messages.configuration import Configuration, Route, Target, VersionedConfiguration
@@ -55,8 +56,7 @@
         return self._current
 
     def bind(self, registry: Registry) -> None:
-        """Finds the clock."""
-        self._clock = registry.find("clock", Clock)
+        """Does nothing."""
 
     async def start(self) -> None:
         """Does nothing; configurations arrive by the watch of `groups`."""
@@ -123,7 +123,7 @@
 
     def bind(self, registry: Registry) -> None:
         """Finds the routes."""
-        self._routes = registry.find("routes", RouteTable)
+        self._routes = registry.find("routes", Routes)
 
     async def start(self) -> None:
         """Does nothing."""
--- a/tests/services/keyspace/test_placement.py
+++ b/tests/services/keyspace/test_placement.py
@@ -5,7 +5,7 @@
 from fescueward.messages import Group
 from fescueward.messages.peer import RangeLoad
 from fescueward.services.keyspace import moves
-from fescueward.services.keyspace.load import BLOCK_KEYS
+from fescueward.services.keyspace.moves import BLOCK_KEYS
 from fescueward.services.keyspace.placement import rebalanced
 from tests.services.groups_for_tests import joined, member
 
