Write the lines about requests in bounded batches that never wait

Ruled out: writing fewer lines, because each decision needs its line.

Failures and state changes go through loguru as before, to the same output.

--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -6,19 +6,19 @@
 
 from __future__ import annotations
 
-import asyncio
-import atexit
 import enum
 import json
 import sys
-from collections.abc import Callable
-from contextlib import suppress
+import time
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from typing import Any, TextIO
 
+import msgspec
 from loguru import logger
 
 from .errors import DuplicateNameError
+from .log_lines import LineOutput
 
 
 class Level(enum.StrEnum):
@@ -39,12 +39,15 @@
         name: Stable name.
         level: Severity.
         text: What happened, for docs/events.md.
+        frequent: Whether it tells of one request. Such lines are limited in each second and are
+            the first to be left out when nobody reads them.
     """
 
     number: int
     name: str
     level: Level
     text: str
+    frequent: bool = False
 
     def __post_init__(self) -> None:
         known = _EVENTS.get(self.number)
@@ -60,7 +63,11 @@
         Args:
             **fields: Values of the line; they are formatted only when the level is enabled.
         """
-        if _NUMBERS[self.level] >= _threshold.number:
+        if _NUMBERS[self.level] < _threshold.number:
+            return
+        if self.frequent:
+            _output.write_frequent(self, fields)
+        else:
             _LOGGER.log(self.level.value, self.name, event=self, fields=fields)
 
 
@@ -68,8 +75,6 @@
 # Made once, because options and bound values cost as much as the rest of a suppressed line.
 _LOGGER = logger.opt(depth=1)
 _NUMBERS = {level: logger.level(level.value).no for level in Level}
-# Lines wait this long to be written together; each write to the stream is a system call.
-_FLUSH_DELAY_S = 0.02
 # A program that uses the library gets no lines of it unless it asks for them.
 _PACKAGE = __name__.partition(".")[0]
 logger.disable(_PACKAGE)
@@ -113,35 +118,60 @@
     return json.dumps(line, default=str) + "\n"
 
 
-_FORMATS = {"text": _format_text, "json": _format_json}
+class _Output:
+    """The line output of the process; there is none until logging is set up."""
 
-
-class _LineSink:
-    """Writes lines, those of level WARNING and above at once and others in small batches."""
-
-    def __init__(self, stream: TextIO, render: Callable[[Any], str]) -> None:
-        self._stream = stream
-        self._render = render
-        self._lines: list[str] = []
-        # What has not been written when the process ends in the usual way.
-        atexit.register(self._flush)
+    def __init__(self) -> None:
+        self.lines: LineOutput | None = None
+        self.is_json = False
 
     def write(self, message: Any) -> None:
+        """Takes a line from loguru."""
+        assert self.lines is not None
         record = message.record
-        self._lines.append(self._render(record))
-        if record["level"].no < _NUMBERS[Level.WARNING]:
-            if len(self._lines) > 1:
-                return
-            with suppress(RuntimeError):
-                asyncio.get_running_loop().call_later(_FLUSH_DELAY_S, self._flush)
-                return
-        self._flush()
-
-    def _flush(self) -> None:
-        lines, self._lines = self._lines, []
-        if lines and not self._stream.closed:
-            self._stream.write("".join(lines))
-            self._stream.flush()
+        render = _format_json if self.is_json else _format_text
+        event: Event | None = record["extra"].get("event")
+        urgent = record["level"].no >= _NUMBERS[Level.WARNING]
+        name = event.name if event is not None else ""
+        self.lines.add(name, render(record).encode(), urgent)
+
+    def write_frequent(self, event: Event, fields: dict[str, Any]) -> None:
+        """Takes a line about a request, without the cost of a loguru record."""
+        if self.lines is None or not self.lines.permits(event.name):
+            return
+        self.lines.add(event.name, self._line(event, fields), False)
+
+    def left_out_line(self, counts: dict[str, int]) -> bytes:
+        """Returns the line that tells which lines were left out."""
+        return self._line(_LEFT_OUT, counts)
+
+    def _line(self, event: Event, fields: dict[str, Any]) -> bytes:
+        time = datetime.now(UTC).isoformat(timespec="milliseconds")
+        if not self.is_json:
+            values = "".join(f" {name}={value}" for name, value in fields.items())
+            return f"{time} {event.level.value} {event.number} {event.name}{values}\n".encode()
+        line = {
+            "time": time,
+            "level": event.level.value,
+            "event": event.number,
+            "name": event.name,
+            **fields,
+        }
+        return msgspec.json.encode(line, enc_hook=str) + b"\n"
+
+
+_output = _Output()
+_LEFT_OUT = Event(
+    9001,
+    "log_lines_left_out",
+    Level.WARNING,
+    "These numbers of lines, by event, were not written: too many in a second, or no reader.",
+)
+
+
+def log_lines_left_out() -> int:
+    """Returns the number of log lines that this process did not write."""
+    return _output.lines.left_out if _output.lines is not None else 0
 
 
 def configure_logging(level: str, form: str, stream: TextIO | None = None) -> None:
@@ -152,10 +182,13 @@
         form: `text` or `json`.
         stream: Where lines go; standard error by default.
     """
-    sink = _LineSink(stream or sys.stderr, _FORMATS[form])
+    if _output.lines is not None:
+        _output.lines.close()
+    _output.is_json = form == "json"
+    _output.lines = LineOutput(stream or sys.stderr, time.monotonic, _output.left_out_line)
     _threshold.number = _NUMBERS[Level(level)]
     logger.remove()
     logger.enable(_PACKAGE)
     logger.add(
-        sink.write, level=level, format="{message}", backtrace=False, diagnose=False, catch=True
+        _output.write, level=level, format="{message}", backtrace=False, diagnose=False, catch=True
     )
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -27,10 +27,18 @@
 
 _READY = Event(3710, "ready", Level.INFO, "This agent is ready for callers.")
 _NOT_READY = Event(3711, "not_ready", Level.INFO, "This agent is not ready for callers.")
-_RECEIVED = Event(3712, "request_received", Level.INFO, "A caller's request matches a route.")
-_ANSWERED = Event(3713, "request_answered", Level.INFO, "A request has its final answer.")
+_RECEIVED = Event(
+    3712, "request_received", Level.INFO, "A caller's request matches a route.", frequent=True
+)
+_ANSWERED = Event(
+    3713, "request_answered", Level.INFO, "A request has its final answer.", frequent=True
+)
 _LEFT = Event(
-    3715, "caller_left", Level.INFO, "The caller closed its connection; repeatable work ends."
+    3715,
+    "caller_left",
+    Level.INFO,
+    "The caller closed its connection; repeatable work ends.",
+    frequent=True,
 )
 _BROKEN = Event(3714, "request_broken", Level.ERROR, "A request met an unexpected exception.")
 
--- a/fescueward/services/execution.py
+++ b/fescueward/services/execution.py
@@ -29,7 +29,9 @@
 from ..messages import Body, Entry, Request, RequestClass, Response
 from ..messages.request import BytesBody
 
-_EXECUTED = Event(3401, "request_executed", Level.INFO, "A request ran on the upstream here.")
+_EXECUTED = Event(
+    3401, "request_executed", Level.INFO, "A request ran on the upstream here.", frequent=True
+)
 
 
 class OwnerExecution:
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -20,8 +20,12 @@
 from ...kernel.errors import DrainingError, NotOwnerError, UpstreamUnavailableError
 from ...messages import AnnouncedState, Request, Response
 
-_EXECUTED = Event(3410, "request_run", Level.INFO, "A request ran on the upstream here.")
-_TURNED_AWAY = Event(3411, "request_not_run", Level.INFO, "The upstream here did not serve it.")
+_EXECUTED = Event(
+    3410, "request_run", Level.INFO, "A request ran on the upstream here.", frequent=True
+)
+_TURNED_AWAY = Event(
+    3411, "request_not_run", Level.INFO, "The upstream here did not serve it.", frequent=True
+)
 
 
 class GateExecution:
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -35,9 +35,13 @@
 from ..messages.group import group_of
 
 _LOCAL = Event(3501, "request_local", Level.DEBUG, "This agent owns the key; 3401 follows.")
-_FORWARDED = Event(3502, "request_forwarded", Level.INFO, "The request goes to the key's owner.")
-_RETRIED = Event(3503, "request_retried", Level.INFO, "The request is tried again.")
-_REFUSED = Event(3504, "request_refused", Level.INFO, "The request is refused with a code.")
+_FORWARDED = Event(
+    3502, "request_forwarded", Level.INFO, "The request goes to the key's owner.", frequent=True
+)
+_RETRIED = Event(3503, "request_retried", Level.INFO, "The request is tried again.", frequent=True)
+_REFUSED = Event(
+    3504, "request_refused", Level.INFO, "The request is refused with a code.", frequent=True
+)
 
 # Pauses double from the first to the last. A newer group version ends a pause that waits for an
 # owner, so the last one only bounds the load of requests whose owner does not come back.
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -23,9 +23,19 @@
 from .balancer import Ask, Balancer
 from .budget import RetryBudget
 
-_SENT = Event(3510, "request_sent", Level.INFO, "The request goes to an upstream's agent.")
-_AGAIN = Event(3511, "request_sent_again", Level.INFO, "Another upstream gets the request.")
-_REFUSED = Event(3512, "request_not_served", Level.INFO, "The request is answered with a failure.")
+_SENT = Event(
+    3510, "request_sent", Level.INFO, "The request goes to an upstream's agent.", frequent=True
+)
+_AGAIN = Event(
+    3511, "request_sent_again", Level.INFO, "Another upstream gets the request.", frequent=True
+)
+_REFUSED = Event(
+    3512,
+    "request_not_served",
+    Level.INFO,
+    "The request is answered with a failure.",
+    frequent=True,
+)
 
 # Most agents that one request is offered to while none of them runs it.
 _OFFERS = 6
