Hand the keys of a dead upstream to others

Cause: an upstream that crashed kept its member and its keys until its next heartbeat, so nobody served them for the whole outage. When a handover was begun all the same, the release was tried for a whole lease, and renewals that had reached nobody put the end of the wait off.

Grants that were not sent count for nothing, and a release waits until the last grant that was sent has run out, so that a living upstream behind a cut never has a second owner. Ruled out: a refused connection alone as a proof of death, because a cut can refuse connections to an upstream that works on.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -19,6 +19,7 @@
 from ..platform.upstream import LocalUpstream
 from ..services.admission import SlotAdmission
 from ..services.gate.execution import GateExecution
+from ..services.gate.liveness import UpstreamLiveness
 from ..services.groups import GroupStore
 from ..services.keyspace.load import KeyBlockLoad
 from ..services.keyspace.ownership import RangeOwnership
@@ -71,6 +72,7 @@
         kernel.add(LeaseMonitor(kernel))
         kernel.add(RangePlacement(kernel))
         kernel.add(KeyBlockLoad(kernel))
+        kernel.add(UpstreamLiveness(kernel))
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
         kernel.add(SlotAdmission())
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -19,7 +19,16 @@
 from .peers import Peers
 from .placement import Load, Placement, PlacementPolicy, QuarantineExport
 from .platform import Changes, Platform, StoredObject
-from .requests import Admission, Execution, Outcomes, Quarantine, Router, SlotLoad, Upstream
+from .requests import (
+    Admission,
+    Execution,
+    Liveness,
+    Outcomes,
+    Quarantine,
+    Router,
+    SlotLoad,
+    Upstream,
+)
 from .routes import RangeGrants, Routes
 
 __all__ = [
@@ -33,6 +42,7 @@
     "GroupListener",
     "Groups",
     "Lease",
+    "Liveness",
     "Load",
     "Membership",
     "Metrics",
--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -108,6 +108,23 @@
         ...
 
 
+@runtime_checkable
+class Liveness(Protocol):
+    """Signs of life of the upstream beside this agent."""
+
+    def heard(self) -> None:
+        """Takes note of a heartbeat."""
+        ...
+
+    def connected(self) -> None:
+        """Takes note of a connection that works."""
+        ...
+
+    def unreachable(self) -> None:
+        """Takes note of a connection that could not be made."""
+        ...
+
+
 @runtime_checkable
 class Outcomes(Protocol):
     """Outcomes of requests that run at most once."""
--- a/fescueward/interfaces/routes.py
+++ b/fescueward/interfaces/routes.py
@@ -45,7 +45,8 @@
             False if the upstream has seen a higher epoch.
 
         Raises:
-            UpstreamUnavailableError: It was not confirmed; it may still take effect.
+            UpstreamUnavailableError: No byte of it reached the upstream.
+            OutcomeLostError: It was not confirmed; it may still take effect.
         """
         ...
 
@@ -56,6 +57,7 @@
             The handover token, or an empty text.
 
         Raises:
-            UpstreamUnavailableError: It was not confirmed.
+            UpstreamUnavailableError: No byte of it reached the upstream.
+            OutcomeLostError: It was not confirmed.
         """
         ...
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from ..interfaces import Membership, Routes
+from ..interfaces import Liveness, Membership, Routes
 from ..kernel import Event, Level, Registry
 from ..kernel.errors import InvalidAnnouncementError
 from ..messages import AnnouncedState, Announcement
@@ -69,6 +69,7 @@
         """Finds the services that this one uses."""
         self._membership = registry.find("membership", Membership)
         self._routes = registry.find("routes", Routes)
+        self._liveness = registry.find("liveness", Liveness)
 
     async def start(self) -> None:
         """Opens the port for reports."""
@@ -121,6 +122,7 @@
             return web.json_response({})
         self._newest = number
         self._last = announcement
+        self._liveness.heard()
         try:
             self._membership.announce(announcement)
         except InvalidAnnouncementError as error:
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -11,7 +11,7 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
-from ..interfaces import Membership
+from ..interfaces import Liveness, Membership
 from ..kernel import Clock, Event, Level, Registry
 from ..kernel.errors import (
     AnswerLostError,
@@ -52,6 +52,8 @@
 _RELEASE_TIMEOUT_S = 2.0
 # The upstream ends a run at the time that it was given; its answer needs a moment more.
 _ANSWER_SLACK_S = 0.03
+# Failures before a byte of a call was sent.
+_NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _DEFAULT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -87,6 +89,7 @@
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
+        self._liveness = registry.find("liveness", Liveness)
 
     async def start(self) -> None:
         """Opens the HTTP sessions."""
@@ -138,12 +141,9 @@
                 if isinstance(protocol, _WatchedConnection) and protocol.broken:
                     raise AnswerLostError("the connection was reset during the answer")
                 return self._response(request, answer, content)
-        except aiohttp.ClientConnectorError as error:
+        except _NOT_CONNECTED as error:
             self._note_unreachable(error)
             raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
-        except aiohttp.ConnectionTimeoutError as error:
-            self._note_unreachable(error)
-            raise UpstreamUnavailableError("no connection to the upstream in time") from error
         except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError) as error:
             raise AnswerLostError(f"the answer is not whole: {error}") from error
         except (aiohttp.ClientError, OSError) as error:
@@ -164,7 +164,7 @@
         message = _Grant(found.first, found.last, found.epoch, round(hold_s, 3), found.handover)
         status, _ = await self._order(GRANT_PATH, message, _GRANT_TIMEOUT_S)
         if status not in (200, 409):
-            raise UpstreamUnavailableError(f"the upstream answered a grant with {status}")
+            raise OutcomeLostError(f"the upstream answered a grant with {status}")
         return status == 200
 
     async def release_range(self, found: KeyRange) -> str:
@@ -172,7 +172,7 @@
         message = _Grant(found.first, found.last, found.epoch)
         status, headers = await self._order(RELEASE_PATH, message, _RELEASE_TIMEOUT_S)
         if status != 200:
-            raise UpstreamUnavailableError(f"the upstream answered a release with {status}")
+            raise OutcomeLostError(f"the upstream answered a release with {status}")
         return str(headers.get(HANDOVER, ""))
 
     async def _order(self, path: str, message: _Grant, timeout_s: float) -> tuple[int, Any]:
@@ -187,9 +187,13 @@
                 ) as answer,
             ):
                 await answer.read()
+                self._note_reachable()
                 return answer.status, answer.headers
+        except _NOT_CONNECTED as error:
+            self._note_unreachable(error)
+            raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
         except (aiohttp.ClientError, OSError) as error:
-            raise UpstreamUnavailableError(
+            raise OutcomeLostError(
                 f"the upstream did not confirm {path}: {type(error).__name__}"
             ) from error
 
@@ -217,11 +221,13 @@
         return Response(request.id, answer.status, kept, BytesBody(content))
 
     def _note_unreachable(self, error: BaseException) -> None:
+        self._liveness.unreachable()
         if not self._unreachable:
             self._unreachable = True
             _UNREACHABLE.emit(address=self._base, error=repr(error)[:200])
 
     def _note_reachable(self) -> None:
+        self._liveness.connected()
         if self._unreachable:
             self._unreachable = False
             _REACHABLE.emit(address=self._base)
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -9,7 +9,7 @@
 from types import TracebackType
 
 from ...interfaces import Groups, Lease, Membership, RangeGrants
-from ...kernel import Clock, Event, Kernel, Level, Registry
+from ...kernel import Clock, Event, Kernel, Level, Outcome, Registry
 from ...kernel.bounds import Bounds
 from ...kernel.errors import (
     LeaseExpiredError,
@@ -46,6 +46,9 @@
 # A request waits this long, in seconds, while its key is being activated here.
 _ACTIVATION_WAIT_S = 0.4
 _RETRY_S = 0.1
+# A release is tried for this long, in seconds, although the grants have run out: its answer
+# carries the token that spares the next owner a cold start.
+_LEAST_RELEASE_S = 0.2
 
 _Id = tuple[int, int, int]
 
@@ -101,6 +104,8 @@
         self._on_their_way: dict[_Id, asyncio.Task[None]] = {}
         # Ends of grants without an answer, which the upstream may take up later.
         self._unanswered: list[tuple[KeyRange, float]] = []
+        # Latest time at which the upstream may still hold keys that it does not give back.
+        self._held_until = 0.0
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -112,7 +117,6 @@
         self._upstream = registry.find("upstream", RangeGrants)
         section = registry.find("settings", Settings).lease
         self._renewal_s = section.renewal_ms / 1000
-        self._lease_s = section.lease_ms / 1000
         self._groups.subscribe(self)
 
     async def start(self) -> None:
@@ -279,7 +283,9 @@
         try:
             accepted = await self._upstream.grant_range(found, hold_s)
         except RefusalError as error:
-            self._unanswered.append((found, sent + lease_left_s))
+            if error.outcome is not Outcome.NOT_RUN:
+                self._unanswered.append((found, sent + lease_left_s))
+                self._held_until = max(self._held_until, sent + lease_left_s)
             _GRANT_FAILED.emit(first=found.first, last=found.last, epoch=found.epoch, error=error)
             return
         if not accepted:
@@ -287,6 +293,7 @@
             self._expires.pop(found_id, None)
             self._index()
             return
+        self._held_until = max(self._held_until, sent + lease_left_s)
         if found_id not in self._wanted or found_id in self._handing:
             return
         fresh = found_id not in self._expires
@@ -309,7 +316,8 @@
         # A grant that reaches the upstream after the release would make it hold the keys again.
         if self._on_their_way:
             await asyncio.wait(self._on_their_way.values())
-        tokens = await asyncio.gather(*(self._release(found) for found in leaving))
+        held_until = self._held_until
+        tokens = await asyncio.gather(*(self._release(found, held_until) for found in leaving))
         await self._await_unanswered(leaving)
         released = dict(zip(map(_id, leaving), tokens, strict=True))
 
@@ -343,18 +351,21 @@
         if ends:
             await self._clock.sleep(max(ends) - now)
 
-    async def _release(self, found: KeyRange) -> str:
-        held_until = self._clock.now() + self._lease_s
+    async def _release(self, found: KeyRange, held_until: float) -> str:
+        """Takes a range back; without an answer it waits until the grants have run out."""
         while True:
+            left_s = max(held_until - self._clock.now(), _LEAST_RELEASE_S)
             try:
-                token = await self._upstream.release_range(found)
+                async with asyncio.timeout(left_s):
+                    token = await self._upstream.release_range(found)
                 break
-            except RefusalError as error:
+            except (RefusalError, TimeoutError) as error:
                 _RELEASE_FAILED.emit(
                     first=found.first, last=found.last, epoch=found.epoch, error=error
                 )
-                if self._clock.now() >= held_until:
+                now = self._clock.now()
+                if now >= held_until:
                     return ""
-                await self._clock.sleep(_RETRY_S)
+                await self._clock.sleep(min(_RETRY_S, held_until - now))
         _RELEASED.emit(first=found.first, last=found.last, epoch=found.epoch, warm=bool(token))
         return token
--- a/tests/kernel/test_log_lines.py
+++ b/tests/kernel/test_log_lines.py
@@ -61,6 +61,7 @@
         self.assertGreater(log_lines_left_out(), 1_000)
         os.set_blocking(self.reader.fileno(), False)
         seen = b""
+
         def read_all() -> bool:
             nonlocal seen
             seen += self.reader.read() or b""
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -120,5 +120,21 @@
             writer.close()
 
 
+class RecordedLiveness:
+    """Keeps the signs of life that were reported."""
+
+    def __init__(self) -> None:
+        self.signs: list[str] = []
+
+    def heard(self) -> None:
+        self.signs.append("heard")
+
+    def connected(self) -> None:
+        self.signs.append("connected")
+
+    def unreachable(self) -> None:
+        self.signs.append("unreachable")
+
+
 def site_at(address: Address) -> SimpleNamespace:
     return SimpleNamespace(application=address)
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -12,6 +12,8 @@
 from fescueward.testing.ports import PortReservations
 from tests.services.fakes import StubRegistry
 
+from .fakes import RecordedLiveness
+
 APPLICATION = Address("10.1.0.8", 8301)
 
 
@@ -37,6 +39,7 @@
             StubRegistry(
                 membership=SimpleNamespace(announce=self.announced.append),
                 routes=SimpleNamespace(current=None),
+                liveness=RecordedLiveness(),
             )
         )
         await self.service.start()
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -10,10 +10,11 @@
     UpstreamUnavailableError,
 )
 from fescueward.messages import Response
+from fescueward.messages.group import KeyRange
 from fescueward.platform.upstream import LocalUpstream
 from tests.services.fakes import StubRegistry, make_request
 
-from .fakes import CLOCK, RawUpstream, site_at
+from .fakes import CLOCK, RawUpstream, RecordedLiveness, site_at
 
 RECEIPT = b"X-Fescueward-Response-Sig: s1\r\n"
 ECHO = b"X-Fescueward-Request-Id: r1\r\n"
@@ -27,7 +28,8 @@
         self.raw = raw
         upstream = LocalUpstream(site_at(address))
         membership = SimpleNamespace(announcement=raw.announcement())
-        upstream.bind(StubRegistry(membership=membership, routes=None))
+        self.liveness = RecordedLiveness()
+        upstream.bind(StubRegistry(membership=membership, routes=None, liveness=self.liveness))
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
         request = make_request(2.0, method="GET", key="", caller="orders")
@@ -89,8 +91,12 @@
         await raw.stop()
         upstream = LocalUpstream(site_at(address))
         membership = SimpleNamespace(announcement=announcement)
-        upstream.bind(StubRegistry(membership=membership, routes=None))
+        liveness = RecordedLiveness()
+        upstream.bind(StubRegistry(membership=membership, routes=None, liveness=liveness))
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
         with self.assertRaises(UpstreamUnavailableError):
             await upstream.run(make_request(2.0, key=""), 0, 0, CLOCK.now() + 2.0)
+        self.assertEqual(liveness.signs, ["unreachable"])
+        with self.assertRaises(UpstreamUnavailableError):
+            await upstream.release_range(KeyRange(0, 9, "a:1", 1))
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -9,6 +9,7 @@
 from fescueward.kernel.bounds import Bounds
 from fescueward.kernel.errors import (
     NotOwnerError,
+    OutcomeLostError,
     ShardMovingError,
     UpstreamUnavailableError,
 )
@@ -39,15 +40,22 @@
         self.grants_open.set()
         self.answers = True
         self.accepts = True
+        self.alive = True
 
     async def grant_range(self, found: KeyRange, hold_s: float) -> bool:
         await self.grants_open.wait()
+        self._check_alive()
         self.calls.append(("grant", found.first, found.last))
         if not self.answers:
-            raise UpstreamUnavailableError("no answer")
+            raise OutcomeLostError("no answer")
         return self.accepts
 
+    def _check_alive(self) -> None:
+        if not self.alive:
+            raise UpstreamUnavailableError("connection refused")
+
     async def release_range(self, found: KeyRange) -> str:
+        self._check_alive()
         self.calls.append(("release", found.first, found.last))
         return "token"
 
@@ -162,6 +170,23 @@
         await self.until(lambda: self.groups.edits)
         self.assertGreaterEqual(CLOCK.now(), end)
 
+    async def test_keys_of_a_dead_upstream_wait_for_its_last_grant_alone(self):
+        """Guards against two owners of keys, and against keys that nobody serves for longer.
+
+        Renewals that reached nobody must not put off the end of the wait.
+        """
+        self.groups.publish(self.group)
+        await self.ownership.admit("depot", "5", CLOCK.now() + 1)
+        self.probe.alive = False
+        granted_until = self.lease.expires_at
+        self.lease.expires_at += 1.0
+        await asyncio.sleep(0.25)
+        self.groups.publish(self.moving(0, 99))
+        await self.until(lambda: self.groups.edits)
+        now = CLOCK.now()
+        self.assertGreaterEqual(now, granted_until)
+        self.assertLess(now, granted_until + 0.4)
+
     async def test_key_in_handover_is_refused_at_once(self):
         """Guards against requests that wait at the old owner until the new one serves."""
         self.groups.publish(self.group)
