--- a/fescueward/services/grants.py
+++ b/fescueward/services/grants.py
@@ -65,12 +65,14 @@
         # An upstream that confirms nothing holds its grants until the last expiry sent to it.
         wait_s = max(self._expire_at - self._clock.now(), 0)
         with suppress(TimeoutError):
-            await asyncio.wait_for(self.confirmed(), wait_s)
+            async with asyncio.timeout(wait_s):
+                await self.confirmed()
 
     async def _run(self) -> None:
         while True:
             with suppress(TimeoutError):
-                await asyncio.wait_for(self._wanted.wait(), self._renewal_s)
+                async with asyncio.timeout(self._renewal_s):
+                    await self._wanted.wait()
             self._wanted.clear()
             waiters, self._waiters = self._waiters, []
             if self._membership.announcement is None:
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -217,7 +217,8 @@
             return True
         waiter = self._waiters.setdefault(group, asyncio.Event())
         try:
-            await asyncio.wait_for(waiter.wait(), max(timeout_s, 0))
+            async with asyncio.timeout(max(timeout_s, 0)):
+                await waiter.wait()
         except TimeoutError:
             return False
         return True
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -221,4 +221,5 @@
             await self.renew_by_write()
             self._joined.clear()
             with suppress(TimeoutError):
-                await asyncio.wait_for(self._joined.wait(), self._renewal_s)
+                async with asyncio.timeout(self._renewal_s):
+                    await self._joined.wait()
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -220,7 +220,8 @@
         while True:
             await self._edit_until_done(self._vacate)
             with suppress(TimeoutError):
-                await asyncio.wait_for(self._ownership.drained(), _VACATE_PERIOD_S)
+                async with asyncio.timeout(_VACATE_PERIOD_S):
+                    await self._ownership.drained()
                 return
 
     async def _edit_until_done(self, change: GroupChange) -> None:
--- a/fescueward/services/ownership.py
+++ b/fescueward/services/ownership.py
@@ -159,7 +159,8 @@
                 return ShardTicket(self, shard, held, key)
             changed = self._changed
             try:
-                await asyncio.wait_for(changed.wait(), max(deadline - self._clock.now(), 0))
+                async with asyncio.timeout(max(deadline - self._clock.now(), 0)):
+                    await changed.wait()
             except TimeoutError:
                 raise ShardMovingError(
                     f"shard {shard} of {service!r} did not become active before the deadline"
--- a/fescueward/services/upstream_watch.py
+++ b/fescueward/services/upstream_watch.py
@@ -106,7 +106,8 @@
                 await self._clock.sleep(_REFUSAL_PERIOD_S)
             else:
                 with suppress(TimeoutError):
-                    await asyncio.wait_for(self._check_now.wait(), _HEALTH_PERIOD_S)
+                    async with asyncio.timeout(_HEALTH_PERIOD_S):
+                        await self._check_now.wait()
             self._check_now.clear()
             announced = self._membership.announcement
             if announced is None:
