Keep a stream in use when another incarnation is dialled

The acceptor took the dial for a reconnection of the sender and ended the sender's stream in use, with the requests open on it; only then did the dialler see that it was not the member it wanted. Ruled out: the SIGTERM of the entry agent (the stream ended at its peer, which was not stopped), and a timeout (93 ms after the send).

Change: Hello names the member that is dialled, and the acceptor refuses any other before it replaces a stream (protocol 2). A retired link is not dialled again. The new test failed before: OutcomeLostError, end of stream.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -12,7 +12,7 @@
 from .group import VersionedGroup
 from .request import Headers, Occupancy
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 Count = Annotated[int, Meta(ge=0)]
 
@@ -37,12 +37,14 @@
         incarnation: Its incarnation.
         protocol: Version of this protocol.
         mac: HMAC-SHA256 over nonce, name, incarnation and protocol, with the peer secret.
+        wanted: Member id that is dialled; empty for an address whose agent is not known.
     """
 
     name: Annotated[str, Meta(min_length=1, max_length=200)]
     incarnation: Count
     protocol: int
     mac: bytes
+    wanted: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -170,6 +170,10 @@
         expected = handshake_mac(me.secret, nonce, hello.name, hello.incarnation)
         if not hmac.compare_digest(hello.mac, expected):
             raise HandshakeError(f"{hello.name!r} has another peer secret")
+        found = f"{me.name}:{me.incarnation}"
+        # Checked before the sender's present stream is replaced by this one.
+        if hello.wanted and hello.wanted != found:
+            raise HandshakeError(f"{hello.name!r} dials {hello.wanted}; this is {found}")
         if hello.name == me.name and hello.incarnation >= me.incarnation:
             raise HandshakeError(f"{hello.name!r} claims the name of this agent")
         newest = self._incarnations.get(hello.name, 0)
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -292,7 +292,7 @@
     async def _run(self, link: _Link) -> None:
         retry_s = _RETRY_FIRST_S
         reported = False
-        while True:
+        while not link.retired:
             try:
                 async with asyncio.timeout(self._timeout_s):
                     reader, writer = await asyncio.open_connection(
@@ -319,12 +319,11 @@
             elif not reported:
                 reported = True
                 _UNREACHABLE.emit(peer=link.member.id, reason=reason)
-            if link.retired:
-                if self._links.get(link.member.id) is link:
-                    del self._links[link.member.id]
-                return
-            await self._clock.sleep(retry_s)
-            retry_s = min(retry_s * 2, _RETRY_LAST_S)
+            if not link.retired:
+                await self._clock.sleep(retry_s)
+                retry_s = min(retry_s * 2, _RETRY_LAST_S)
+        if self._links.get(link.member.id) is link:
+            del self._links[link.member.id]
 
     async def _greet(self, link: _Link, wire: Wire, messages: AsyncIterator[Any]) -> None:
         challenge = await anext(messages, None)
@@ -335,14 +334,15 @@
         # for each name.
         name = me.name if link.member.incarnation else f"{me.name}-seed"
         mac = handshake_mac(me.secret, challenge.nonce, name, me.incarnation)
-        wire.send(Hello(name, me.incarnation, PROTOCOL_VERSION, mac))
+        # Incarnation 0 stands for an address whose agent is not known yet, such as a seed.
+        wanted = link.member.id if link.member.incarnation else ""
+        wire.send(Hello(name, me.incarnation, PROTOCOL_VERSION, mac, wanted))
         welcome = await anext(messages, None)
         if not isinstance(welcome, Welcome):
             raise HandshakeError("the peer sent no welcome")
-        # Incarnation 0 stands for an address whose agent is not known yet, such as a seed.
         found = f"{welcome.name}:{welcome.incarnation}"
-        if link.member.incarnation and found != link.member.id:
-            raise HandshakeError(f"{link.member.id} was expected, {found} answered")
+        if wanted and found != wanted:
+            raise HandshakeError(f"{wanted} was expected, {found} answered")
 
     def _receive(self, link: _Link, message: Any) -> None:
         number = getattr(message, "stream", None)
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -233,6 +233,28 @@
         with self.assertRaises(PeerTimeoutError):
             await self.router.call(self.member, Renew("a:1", 1), 999)
 
+    async def test_dial_of_an_earlier_incarnation_leaves_open_requests_alone(self):
+        """Guards against requests that fail because another link dials the address again.
+
+        Found by trouble-3 of merrimack-siphon (LOST): after a restart of an agent, the link to
+        its earlier incarnation dialled the new one, which then ended the stream in use.
+        """
+        entered, proceed = asyncio.Event(), asyncio.Event()
+
+        async def wait(request):
+            entered.set()
+            await proceed.wait()
+            return make_response(b"ok", served_by="b:1", epoch=7)
+
+        self.behave = wait
+        running = asyncio.create_task(self.forward())
+        await entered.wait()
+        earlier = make_member("b", self.port, incarnation=7)
+        with self.assertRaises(OwnerUnreachableError):
+            await self.router.forward(earlier, make_request(0.5))
+        proceed.set()
+        self.assertEqual((await running).status, 200)
+
     async def test_handler_that_fails(self):
         """Guards against a stream that ends because one message could not be acted on."""
         self.owner.on(CrashReport, mock.Mock(side_effect=ZeroDivisionError))
