Let requests finish when an agent takes a new incarnation

Cause: an agent that was removed or left and joined again ended all its peer streams, so every request that it forwarded or ran for others at that moment was lost, also its own callers' requests at other agents. Ruled out: keeping the streams as they are, because renewals on them would be acknowledged for a member that the group no longer has.

Change: streams of an earlier incarnation carry their open requests to the end; other messages on them are not acted on, and new ones are dialled for all that follows. The new test failed before: stream ended, dropped.

--- a/fescueward/interfaces/peers.py
+++ b/fescueward/interfaces/peers.py
@@ -74,7 +74,11 @@
         ...
 
     def rename(self, incarnation: int) -> None:
-        """Takes a new incarnation and ends all streams, which were made under the old one."""
+        """Takes a new incarnation.
+
+        Streams that were made under the old one carry their open requests to the end, and
+        nothing else any more.
+        """
         ...
 
     def connected(self) -> tuple[str, ...]:
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -53,6 +53,8 @@
     def __init__(self, sender: str, wire: Wire) -> None:
         self.sender = sender
         self.wire = wire
+        # Whether it was accepted under an earlier incarnation of this agent.
+        self.outdated = False
         self.channels: dict[int, Channel] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
 
@@ -82,17 +84,14 @@
         self._identity = identity
         self._dispatch = dispatch
         self._accepted: dict[str, _Accepted] = {}
+        self._outdated: set[_Accepted] = set()
         self._incarnations: LRUCache[str, int] = LRUCache(_INCARNATIONS)
         self._handler: RequestHandler | None = None
 
-    @property
-    def ids(self) -> tuple[str, ...]:
-        """Ids of the senders of all streams."""
-        return tuple(self._accepted)
-
     def open_requests(self) -> int:
         """Returns the number of requests that run for peers."""
-        return sum(len(accepted.tasks) for accepted in self._accepted.values())
+        streams = (*self._accepted.values(), *self._outdated)
+        return sum(len(accepted.tasks) for accepted in streams)
 
     def serve(self, handler: RequestHandler) -> None:
         """Registers the handler of forwarded requests."""
@@ -116,14 +115,21 @@
         if accepted is not None:
             accepted.wire.close()
 
-    def close(self) -> None:
-        """Ends all streams."""
-        for sender in self.ids:
-            self.drop(sender)
+    def renew_identity(self) -> None:
+        """Takes only requests on the present streams from now on.
+
+        Other messages on them concern the earlier member. Their senders end them when they see
+        that it is gone.
+        """
+        for accepted in self._accepted.values():
+            accepted.outdated = True
+            self._outdated.add(accepted)
+        self._accepted = {}
 
     async def flush_and_close(self) -> None:
         """Ends all streams once what was sent on them has left."""
-        wires = [accepted.wire for accepted in self._accepted.values()]
+        streams = (*self._accepted.values(), *self._outdated)
+        wires = [accepted.wire for accepted in streams]
         await asyncio.gather(*(wire.flush_and_close() for wire in wires))
 
     async def _run(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -149,6 +155,7 @@
                 self._forget(accepted)
 
     def _forget(self, accepted: _Accepted) -> None:
+        self._outdated.discard(accepted)
         if self._accepted.get(accepted.sender) is accepted:
             del self._accepted[accepted.sender]
         for channel in accepted.channels.values():
@@ -199,7 +206,7 @@
                 channel.fail(message.reason)
             if (task := accepted.tasks.get(message.stream)) is not None:
                 task.cancel()
-        else:
+        elif not accepted.outdated:
             self._dispatch(accepted.sender, message)
 
     def _open(self, accepted: _Accepted, message: StreamOpen) -> None:
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -92,6 +92,8 @@
         self.wire: Wire | None = None
         self.settled = asyncio.Event()
         self.retired = False
+        # Whether it was dialled under an earlier incarnation of this agent.
+        self.outdated = False
         self.task: asyncio.Task[None] | None = None
         self.streams: dict[int, _Outgoing] = {}
         self.calls: dict[int, asyncio.Future[object]] = {}
@@ -139,20 +141,16 @@
         self._identity = identity
         self._dispatch = dispatch
         self._links: dict[str, _Link] = {}
+        self._outdated: set[_Link] = set()
         self._numbers = itertools.count(1)
 
-    @property
-    def ids(self) -> tuple[str, ...]:
-        """Ids of the members that links exist to, open or not."""
-        return tuple(self._links)
-
     def connected(self) -> tuple[str, ...]:
         """Returns the ids of the members that streams are open to."""
         return tuple(link.member.id for link in self._links.values() if link.wire is not None)
 
     def open_requests(self) -> int:
         """Returns the number of forwarded requests whose response is not complete."""
-        return sum(len(link.streams) for link in self._links.values())
+        return sum(len(link.streams) for link in (*self._links.values(), *self._outdated))
 
     def next_call(self) -> int:
         """Returns an unused call number."""
@@ -198,6 +196,14 @@
         if link.task is not None:
             link.task.cancel()
 
+    def renew_identity(self) -> None:
+        """Lets requests finish on the present streams and dials new ones for all that follows."""
+        links, self._links = self._links, {}
+        for link in links.values():
+            link.retired = link.outdated = True
+            self._outdated.add(link)
+        self._end_finished()
+
     async def forward(self, member: Member, request: Request) -> Response:
         """Sends a request to its owner; see `Peers.forward`."""
         link = self._link(member)
@@ -241,6 +247,15 @@
         for member_id, link in tuple(self._links.items()):
             if link.used_at < oldest and not link.streams and not link.calls:
                 self.drop(member_id, "idle")
+        self._end_finished()
+
+    def _end_finished(self) -> None:
+        for link in tuple(self._outdated):
+            if link.wire is None or not link.streams:
+                self._outdated.discard(link)
+                link.closed("dialled under an earlier incarnation")
+                if link.task is not None:
+                    link.task.cancel()
 
     def _response(
         self, link: _Link, outgoing: _Outgoing, head: StreamHead, request: Request
@@ -322,6 +337,7 @@
             if not link.retired:
                 await self._clock.sleep(retry_s)
                 retry_s = min(retry_s * 2, _RETRY_LAST_S)
+        self._outdated.discard(link)
         if self._links.get(link.member.id) is link:
             del self._links[link.member.id]
 
@@ -352,6 +368,8 @@
             if outgoing is not None:
                 self._receive_part(link, outgoing, message)
             return
+        if link.outdated:
+            return
         waiting = link.calls.get(getattr(message, "call", 0))
         if waiting is None:
             self._dispatch(link.member.id, message)
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -113,11 +113,10 @@
         self._links.retire(member_id)
 
     def rename(self, incarnation: int) -> None:
-        """Takes a new incarnation and ends all streams, which were made under the old one."""
+        """Takes a new incarnation; see `Peers.rename`."""
         self._incarnation = incarnation
-        for member_id in self._links.ids:
-            self._links.drop(member_id)
-        self._accepted.close()
+        self._links.renew_identity()
+        self._accepted.renew_identity()
 
     def _identity(self) -> Identity:
         return Identity(self._agent_name, self._incarnation, self._secret)
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -255,6 +255,35 @@
         proceed.set()
         self.assertEqual((await running).status, 200)
 
+    async def test_requests_outlive_a_new_incarnation(self):
+        """Guards against requests that are lost because their agent joins its group again.
+
+        Renewals on the earlier streams must end, because they concern the earlier member.
+        """
+        entered, proceed = asyncio.Event(), asyncio.Event()
+
+        async def wait(request):
+            entered.set()
+            await proceed.wait()
+            return make_response(b"ok", served_by="b:1", epoch=7)
+
+        self.behave = wait
+        renewals = []
+        self.owner.on(Renew, lambda sender, message: renewals.append(sender))
+        running = asyncio.create_task(self.forward())
+        await entered.wait()
+        self.owner.rename(2)
+        self.router.send(self.member, Renew("a:1", 1))
+        self.router.rename(2)
+        self.assertNotIn("b:1", self.router.connected())
+        proceed.set()
+        self.assertEqual((await running).status, 200)
+        member = make_member("b", self.port, incarnation=2)
+        self.assertEqual((await self.router.forward(member, make_request())).status, 200)
+        self.assertEqual(renewals, [])
+        self.assertEqual(self.seen[-1].forwarded_by, "a:2")
+        await self.assert_nothing_open()
+
     async def test_handler_that_fails(self):
         """Guards against a stream that ends because one message could not be acted on."""
         self.owner.on(CrashReport, mock.Mock(side_effect=ZeroDivisionError))
