--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -144,6 +144,11 @@
         self._outdated: set[_Link] = set()
         self._numbers = itertools.count(1)
 
+    @property
+    def ids(self) -> tuple[str, ...]:
+        """Ids of the members that links exist to, open or not."""
+        return tuple(self._links)
+
     def connected(self) -> tuple[str, ...]:
         """Returns the ids of the members that streams are open to."""
         return tuple(link.member.id for link in self._links.values() if link.wire is not None)
