Serve on while a stopping agent cannot tell that it leaves

Each refused requests one second after its signal, for the five seconds until it was killed, although nobody could learn of its leave; all four servers of orders were behind such agents. The leave also took the whole grace time, so open requests were cut at its end. Ruled out: departures of the upstreams.

Change: an agent that stops refuses requests once its member is out of the group, or at 0.7 of the grace time; then it finishes what is open. Callers' new requests are refused from then on as well, with when to come back.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -42,6 +42,9 @@
 # A request leaves some hundred objects and few cycles; Python's default of 700 starts a collection
 # every few requests.
 _COLLECTIONS = (20_000, 20, 20)
+# Share of the time until the process is killed in which it tries to leave its group; requests that
+# were taken until then get the rest to finish.
+_LEAVE_SHARE = 0.7
 
 
 class PlatformAgent:
@@ -67,7 +70,10 @@
         kernel.add(ConfiguredCatalogue())
         kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
         kernel.add(GroupStore(kernel, fleet_wide=True))
-        kernel.add(GroupMembership(kernel, incarnation, boot_id=place))
+        leave_timeout_s = site.bounds.grace_s * _LEAVE_SHARE
+        kernel.add(
+            GroupMembership(kernel, incarnation, boot_id=place, leave_timeout_s=leave_timeout_s)
+        )
         kernel.add(MonitoredLease(kernel))
         kernel.add(LeaseMonitor(kernel))
         kernel.add(RangePlacement(kernel))
--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from .clock import BootClock
 from .errors import ServiceFailedError
 from .events import Event, Level
 from .registry import Drainable, Registry, Service
@@ -36,6 +37,8 @@
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
         self._stop_requested = asyncio.Event()
+        self._clock = BootClock()
+        self._stop_requested_at = 0.0
         self._failure: ServiceFailedError | None = None
 
     @property
@@ -48,6 +51,11 @@
         """Whether a stop was requested."""
         return self._stop_requested.is_set()
 
+    @property
+    def stopping_s(self) -> float:
+        """Time since a stop was requested, in seconds; 0 if none was."""
+        return self._clock.now() - self._stop_requested_at if self.stopping else 0.0
+
     def add(self, service: Service) -> None:
         """Registers a service that the kernel starts and stops.
 
@@ -71,6 +79,8 @@
 
     def request_stop(self) -> None:
         """Makes `run` stop all services and return."""
+        if not self.stopping:
+            self._stop_requested_at = self._clock.now()
         self._stop_requested.set()
 
     def bind(self) -> None:
@@ -148,4 +158,4 @@
         if self._failure is None:
             self._failure = ServiceFailedError(f"{task}: {type(error).__name__}: {error}")
             self._failure.__cause__ = error
-        self._stop_requested.set()
+        self.request_stop()
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -14,6 +14,7 @@
     BodyTooLargeError,
     CallerLeftError,
     DeadlineExceededRunningError,
+    DrainingError,
     InternalError,
     InvalidRequestError,
     NoConfigurationError,
@@ -48,6 +49,8 @@
 _TAKE_AFTER_STOP_S = 3.0
 # Part of the grace time that is left for closing connections, in seconds.
 _CLOSE_S = 0.8
+# Share of the grace time after which new requests are refused, because they might not finish.
+_REFUSE_SHARE = 0.7
 _POLL_S = 0.05
 # The metrics page is on the address of the question for readiness.
 _METRICS_PATH = "/metrics"
@@ -88,12 +91,8 @@
 
     async def drain(self) -> None:
         """Takes requests until callers go elsewhere, then finishes what is open."""
-        stopped = self._clock.now()
-        while True:
-            elapsed = self._clock.now() - stopped
-            if elapsed > self._bounds.grace_s - _CLOSE_S:
-                return
-            if elapsed > _TAKE_AFTER_STOP_S and self._open == 0:
+        while self._kernel.stopping_s < self._bounds.grace_s - _CLOSE_S:
+            if self._kernel.stopping_s > _TAKE_AFTER_STOP_S and self._open == 0:
                 return
             await self._clock.sleep(_POLL_S)
 
@@ -170,6 +169,8 @@
 
     async def _answer(self, http: web.BaseRequest, request_id: str) -> web.Response:
         arrived = self._clock.now()
+        if self._kernel.stopping_s > self._bounds.grace_s * _REFUSE_SHARE:
+            raise DrainingError("this agent is about to end", retry_after_s=_RETRY_AFTER_S)
         held = self._routes.current
         if held is None:
             raise NoConfigurationError(
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -271,7 +271,7 @@
                 await asyncio.wait(self._on_their_way.values())
 
     def _forget_earlier_start(self) -> None:
-        """Drops what was granted to an earlier start of the upstream; the new one holds nothing."""
+        """Drops the grants of an earlier start of the upstream; the new one holds nothing."""
         announced = self._membership.announcement
         if announced is not None and announced.start != self._upstream_start:
             self._upstream_start = announced.start
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -72,11 +72,13 @@
         incarnation: int,
         boot_id: str = "",
         next_incarnation: Callable[[], int] = _wall_clock_ms,
+        leave_timeout_s: float = LEAVE_TIMEOUT_S,
     ) -> None:
         self._tasks = kernel.task_owner(self.name)
         self._incarnation = incarnation
         self._next_incarnation = next_incarnation
         self._boot_id = boot_id or Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+        self._leave_timeout_s = leave_timeout_s
         self._home: GroupId | None = None
         self._announcement: Announcement | None = None
         self._announcements = 0
@@ -114,6 +116,9 @@
         """Whether the upstream gets no more requests, because it leaves or is gone."""
         if not self._leaving:
             return False
+        if self._stopping and not self._resigned:
+            # The upstream itself stays, and while the platform is away nobody knows of the leave.
+            return self._clock.now() - self._leaving_since > self._leave_timeout_s
         return self._clock.now() - self._leaving_since > LEAVING_GRACE_S
 
     @property
@@ -202,7 +207,7 @@
         _LEAVING.emit(member=self.member_id, reason=reason)
         self._leave_ended = False
         try:
-            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+            async with asyncio.timeout(self._leave_timeout_s):
                 await self._hand_over_all()
                 # No renewal may be acknowledged once the write that ends the monitor's role
                 # is on its way.
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -80,6 +80,30 @@
                     self.assertTrue(fleet.served(), fleet.owners())
                     self.assertEqual(len(fleet.group().members), 2)
 
+    def test_stop_while_the_platform_is_away(self):
+        """Guards against an agent that turns requests away although no other can take them.
+
+        Found by trouble-3 of merrimack-siphon: all four servers of a service were behind agents
+        that had been told to stop while the platform was away.
+        """
+        fleet = formed(2, 2)
+        agent = fleet.agents["a0"]
+        agent.platform.answers = Answers.REFUSED
+        agent.loop.call_soon(lambda: agent.loop.create_task(agent.membership.drain()))
+        fleet.world.advance(20)
+        self.assertTrue(agent.membership.leaving)
+        self.assertFalse(agent.membership.closed)
+        fleet.world.advance(11)
+        self.assertTrue(agent.membership.closed)
+
+    def test_stopped_agent_closes_once_others_know(self):
+        """Guards against requests that are taken by an agent without a place in its group."""
+        fleet = formed(2, 2)
+        agent = fleet.agents["a0"]
+        agent.loop.call_soon(lambda: agent.loop.create_task(agent.membership.drain()))
+        fleet.world.advance(3)
+        self.assertTrue(agent.membership.closed)
+
     def test_leave_waits_for_requests_in_flight(self):
         """Guards against a graceful leave that interrupts a request."""
         fleet = formed(3, 3)
