Use and inform agents that were restarted while the platform is away

The others knew only its earlier incarnation, so its upstream got no requests, and it had no configuration for its own callers, until the store came back. Ruled out: taking the earlier member id over, because monitors' promises of the earlier process are lost with its memory.

Change: requests without a key go to whichever agent answers at the address of a member that cannot be reached; watchers tell that agent what they know, and it asks them for what it misses. Keys still wait for the store.

--- a/fescueward/interfaces/peers.py
+++ b/fescueward/interfaces/peers.py
@@ -55,6 +55,10 @@
         """Returns an unused call number."""
         ...
 
+    def dial(self, member: Member) -> bool:
+        """Begins to connect to a member if needed; tells whether a stream is open."""
+        ...
+
     async def forward(self, member: Member, request: Request) -> Response:
         """Sends a request to its owner.
 
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -4,7 +4,7 @@
 
 import enum
 from bisect import bisect_right
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Annotated
 
 import xxhash
@@ -85,6 +85,13 @@
     stamp: Annotated[int, Meta(ge=0)] = 0
     instance: str = ""
 
+    def at_address(self) -> Member:
+        """Returns whichever agent listens at the address of this member.
+
+        It may be a later incarnation that could not join the group yet.
+        """
+        return replace(self, id=f"{self.name}:0", incarnation=0)
+
 
 @dataclass(frozen=True, slots=True)
 class Shard:
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -282,6 +282,15 @@
             if member.id != self._membership.member_id:
                 self._peers.send(member, message)
 
+    def _send_status(self, members: dict[str, Member], status: WatchStatus) -> None:
+        me = self._membership.member_id
+        for member in members.values():
+            reached = member.id == me or self._peers.send(member, status)
+            if not reached and self._fleet_wide:
+                # An agent that was restarted while the platform is away learns by this what the
+                # others know.
+                self._peers.send(member.at_address(), status)
+
     def _fleet(self) -> dict[str, Member]:
         found: dict[str, Member] = {}
         for view in self._views.values():
@@ -315,6 +324,9 @@
     def _on_publish(self, sender: str, message: Publish) -> None:
         if message.configuration is not None and self._routes is not None:
             self._routes.observe(message.configuration)
+            if message.groups:
+                # Both together answer a Fetch and hold all that was missing.
+                self._read.update((CONFIGURATION_KEY, "groups/"))
         for entry in message.entries:
             self._catalogue.observe(entry)
         for group in message.groups:
@@ -336,7 +348,12 @@
             self._peers.reply(sender, Publish(groups=groups, entries=entries))
 
     def _on_watch_status(self, sender: str, message: WatchStatus) -> None:
-        if message.healthy and message.member_id == sender:
+        if message.member_id != sender:
+            # The watcher knows an earlier incarnation of this agent and dialled its address.
+            if self._fleet_wide and message.versions != self.versions():
+                self._peers.reply(sender, Fetch(objects=self._object_versions()))
+            return
+        if message.healthy:
             self._watch_status[sender] = self._clock.now()
             watcher = self._fleet().get(sender) if self._fleet_wide else None
             if watcher is not None:
@@ -475,4 +492,4 @@
                 continue
             members = self._fleet() if self._fleet_wide else view.group.members
             status = WatchStatus(self._membership.member_id, True, self.versions())
-            self._send_to(members, status)
+            self._send_status(members, status)
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -169,6 +169,18 @@
         link.wire.send(message)
         return True
 
+    def dial(self, member: Member) -> bool:
+        """Begins to connect; see `Peers.dial`."""
+        return self._link(member).wire is not None
+
+    def reply(self, member_id: str, message: object) -> bool:
+        """Sends a message on the open stream to a member; False if there is none."""
+        link = self._links.get(member_id)
+        if link is None or link.wire is None:
+            return False
+        link.wire.send(message)
+        return True
+
     async def call(self, member: Member, message: object, call: int) -> object:
         """Sends a message and waits for its reply; see `Peers.call`."""
         link = self._link(member)
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -90,13 +90,17 @@
         return self._links.send(member, message)
 
     def reply(self, sender: str, message: object) -> bool:
-        """Sends a message on the stream that the sender dialled."""
-        return self._accepted.reply(sender, message)
+        """Sends a message on the stream on which the sender's last one came."""
+        return self._accepted.reply(sender, message) or self._links.reply(sender, message)
 
     async def call(self, member: Member, message: object, call: int) -> object:
         """Sends a message and waits for its reply; see `Peers.call`."""
         return await self._links.call(member, message, call)
 
+    def dial(self, member: Member) -> bool:
+        """Begins to connect; see `Peers.dial`."""
+        return self._links.dial(member)
+
     async def forward(self, member: Member, request: Request) -> Response:
         """Sends a request to its owner; see `Peers.forward`."""
         return await self._links.forward(member, request)
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -231,7 +231,7 @@
             if member.id == self._membership.member_id:
                 response = await self._execution.execute(request)
             else:
-                response = await self._peers.forward(member, request)
+                response = await self._forward(request, member)
             occupancy = response.occupancy
             run_ms = (self._clock.now() - started) * 1000
             answer_bytes = response.body.length or 0
@@ -245,6 +245,17 @@
         finally:
             self._balancer.ended(member.id, occupancy, run_ms, self._clock.now(), answer_bytes)
 
+    async def _forward(self, request: Request, member: Member) -> Response:
+        try:
+            return await self._peers.forward(member, request)
+        except OwnerUnreachableError:
+            # An agent that was restarted while the platform is away cannot join, but its upstream
+            # still serves what needs no keys.
+            present = member.at_address()
+            if request.key or not self._peers.dial(present):
+                raise
+        return await self._peers.forward(present, request)
+
     def _may_repeat(self, request: Request, error: RefusalError, attempts: int) -> bool:
         safe = error.outcome is Outcome.NOT_RUN or request.repeatable
         if not safe or attempts >= request.attempts:
--- /dev/null
+++ b/tests/services/routing/test_dispatcher.py
@@ -0,0 +1,75 @@
+"""Sends and repetitions of the router."""
+
+import unittest
+from types import SimpleNamespace
+
+from fescueward.kernel import BootClock
+from fescueward.kernel.bounds import Bounds
+from fescueward.kernel.errors import OwnerUnreachableError, RefusalError
+from fescueward.messages import Group, GroupId, VersionedGroup
+from fescueward.messages.group import LAST_KEY, KeyRange
+from fescueward.services.routing.dispatcher import DispatchRouter
+from tests.services.fakes import StubRegistry, make_request, make_response
+from tests.services.groups_for_tests import joined, member
+
+
+class FakePeers:
+    """Answers for the members with an open stream."""
+
+    def __init__(self, *reachable: str) -> None:
+        self.reachable = set(reachable)
+        self.forwarded: list[str] = []
+
+    def dial(self, member) -> bool:
+        return member.id in self.reachable
+
+    async def forward(self, member, request):
+        self.forwarded.append(member.id)
+        if member.id not in self.reachable:
+            raise OwnerUnreachableError(f"no stream to {member.id}")
+        return make_response(b"ok")
+
+    def retire(self, member_id: str) -> None:
+        """Does nothing."""
+
+
+class DispatchRouterTest(unittest.IsolatedAsyncioTestCase):
+    def router(self, peers: FakePeers) -> DispatchRouter:
+        ranges = (KeyRange(0, LAST_KEY, "b:1", 1),)
+        group = joined(Group("depot", 0, 1, ranges=ranges), member("b"))
+        view = VersionedGroup(1, group)
+        groups = SimpleNamespace(
+            view=lambda group_id: view if group_id == GroupId("depot", 0) else None,
+            subscribe=lambda listener: None,
+            changed=self.unchanged,
+        )
+        router = DispatchRouter()
+        router.bind(
+            StubRegistry(
+                clock=BootClock(),
+                bounds=Bounds(),
+                groups=groups,
+                routes=None,
+                peers=peers,
+                membership=SimpleNamespace(member_id="a:1"),
+                execution=None,
+                settings=SimpleNamespace(agent=SimpleNamespace(failure_domain="lowell")),
+            )
+        )
+        return router
+
+    async def unchanged(self, group: GroupId, version: int, timeout_s: float) -> bool:
+        return False
+
+    async def test_restarted_agent_is_reached_by_its_address(self):
+        """Guards against upstreams that nobody uses because their agent could not join again."""
+        peers = FakePeers("b:0")
+        response = await self.router(peers).route(make_request(1.0, key=""))
+        self.assertEqual((response.status, peers.forwarded), (200, ["b:1", "b:0"]))
+
+    async def test_keys_are_sent_to_their_owner_alone(self):
+        """Guards against a keyed request at an agent that does not own the key any more."""
+        peers = FakePeers("b:0")
+        with self.assertRaises(RefusalError):
+            await self.router(peers).route(make_request(0.2, key="5"))
+        self.assertEqual(set(peers.forwarded), {"b:1"})
--- a/tests/services/test_groups.py
+++ b/tests/services/test_groups.py
@@ -4,11 +4,19 @@
 
 import unittest
 from dataclasses import replace
+from types import SimpleNamespace
 
+from fescueward.kernel import BootClock, Kernel
 from fescueward.kernel.errors import OutcomeUnknownError, PlatformError, PlatformUnavailableError
-from fescueward.messages import VersionedGroup
+from fescueward.messages import Group, GroupId, VersionedGroup
+from fescueward.messages.configuration import Configuration, VersionedConfiguration
+from fescueward.messages.peer import Fetch, Publish, Versions, WatchStatus
+from fescueward.services.groups import GroupStore
+from fescueward.services.routing.routes import RouteTable
 
+from .fakes import StubRegistry
 from .fleet import HOME
+from .groups_for_tests import joined, member
 from .test_recovery_time import formed
 from .timed_fakes import Answers
 
@@ -100,3 +108,65 @@
         fleet.world.advance(30)
         others = set(self._watchers(fleet)) - set(watchers)
         self.assertEqual(len(others), 2)
+
+
+class RecordingPeers:
+    """Keeps what is sent; only streams to the given ids are open."""
+
+    def __init__(self, *open_ids: str) -> None:
+        self.open_ids = set(open_ids)
+        self.sent: list[tuple[str, object]] = []
+
+    def on(self, kind: type, handler) -> None:
+        """Does nothing: the tests call the handlers themselves."""
+
+    def send(self, target, message: object) -> bool:
+        if target.id in self.open_ids:
+            self.sent.append((target.id, message))
+        return target.id in self.open_ids
+
+    def reply(self, sender: str, message: object) -> bool:
+        self.sent.append((sender, message))
+        return True
+
+
+class DirectoryTest(unittest.IsolatedAsyncioTestCase):
+    """What agents tell an agent that was restarted while the platform is away."""
+
+    def store(self, member_id: str, peers: RecordingPeers) -> GroupStore:
+        self.routes = RouteTable()
+        store = GroupStore(Kernel(), fleet_wide=True)
+        store.bind(
+            StubRegistry(
+                clock=BootClock(),
+                platform=None,
+                catalogue=None,
+                peers=peers,
+                membership=SimpleNamespace(home=None, member_id=member_id, me=lambda: None),
+                routes=self.routes,
+                settings=SimpleNamespace(platform=SimpleNamespace(watch_ms=1000)),
+            )
+        )
+        return store
+
+    async def test_unknown_incarnation_is_told_by_its_address(self):
+        """Guards against a restarted agent that nobody tells anything."""
+        peers = RecordingPeers("b:0")
+        store = self.store("w:1", peers)
+        status = WatchStatus("w:1", True, Versions(0, 5))
+        store._send_status({"w:1": member("w"), "b:1": member("b")}, status)
+        self.assertEqual(peers.sent, [("b:0", status)])
+
+    async def test_restarted_agent_learns_from_the_others(self):
+        """Guards against an agent that serves nobody until the platform is back."""
+        peers = RecordingPeers()
+        store = self.store("b:2", peers)
+        store._on_watch_status("w-seed:1", WatchStatus("w:1", True, Versions(0, 5)))
+        self.assertEqual(peers.sent, [("w-seed:1", Fetch(objects={}))])
+        self.assertFalse(store.complete)
+        group = VersionedGroup(3, joined(Group("depot", 0, 1), member("b")))
+        configuration = VersionedConfiguration(2, Configuration(2, {}, {}))
+        store._on_publish("w-seed:1", Publish(groups=(group,), configuration=configuration))
+        self.assertTrue(store.complete)
+        self.assertEqual(store.view(GroupId("depot", 0)), group)
+        self.assertEqual(self.routes.current, configuration)
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -331,6 +331,9 @@
     def rename(self, incarnation: int) -> None:
         self.member_id = f"{self.agent_name}:{incarnation}"
 
+    def dial(self, member: Any) -> bool:
+        return False
+
     async def forward(self, member: Any, request: Any) -> Any:
         raise PeerUnavailableError("the fake forwards nothing")
 
