Note outages of the store, and send a request to the upstream once

Causes, found by reading the adapter beside the product's own client: the metrics page showed the store as reachable in an outage; aiohttp sent a GET again by itself when a reused connection broke, beside attempts and retry budget, and a conditional PUT to the store; uvloop's RuntimeError after a freeze would have ended the agent.

Change: availability of the platform is noted by one class in the kernel for both clients; the sessions of the adapter repeat nothing; RuntimeError counts as a failed call. Each has a test that failed before.

--- /dev/null
+++ b/fescueward/kernel/availability.py
@@ -0,0 +1,60 @@
+"""Whether the platform answers, as its clients see it."""
+
+from __future__ import annotations
+
+from .clock import Clock
+from .events import Event, Level
+
+_UNAVAILABLE = Event(
+    2001, "platform_unavailable", Level.WARNING, "Calls to the platform have begun to fail."
+)
+_AVAILABLE = Event(
+    2002, "platform_available", Level.INFO, "The platform answers again after failed calls."
+)
+
+
+class PlatformAvailability:
+    """Notes the results of calls, and logs when they begin and cease to fail.
+
+    Args:
+        clock: Source of time.
+        url: Address of the platform, for the log.
+        longest_call_s: Time after which a failed call says nothing of the present, in seconds.
+    """
+
+    def __init__(self, clock: Clock, url: str, longest_call_s: float) -> None:
+        self._clock = clock
+        self._url = url
+        self._longest_call_s = longest_call_s
+        self._available = True
+        self._unavailable_since: float | None = None
+        self._failed_at = 0.0
+
+    @property
+    def available(self) -> bool:
+        """Whether the last call was answered."""
+        return self._available
+
+    @property
+    def unavailable_since(self) -> float | None:
+        """When calls began to fail, in seconds of CLOCK_BOOTTIME, or None.
+
+        None too if no call was made for longer than a watch takes to fail: an agent that holds no
+        watch makes hardly any calls and would otherwise tell of an outage that is over.
+        """
+        if self._clock.now() - self._failed_at > self._longest_call_s:
+            return None
+        return self._unavailable_since
+
+    def note(self, available: bool) -> None:
+        """Takes the result of one call."""
+        if not available:
+            now = self._clock.now()
+            self._unavailable_since = self.unavailable_since or now
+            self._failed_at = now
+        if available and not self._available:
+            self._unavailable_since = None
+            _AVAILABLE.emit(url=self._url)
+        if not available and self._available:
+            _UNAVAILABLE.emit(url=self._url)
+        self._available = available
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from ..interfaces.platform import Changes, StoredObject
-from ..kernel import Event, Level, Registry
+from ..kernel import Clock, Event, Level, Registry
+from ..kernel.availability import PlatformAvailability
 from ..kernel.errors import (
     MalformedMessageError,
     ObjectNotFoundError,
@@ -34,6 +35,10 @@
 _GROUPS_KIND = "fescueward-groups"
 # Time beyond its wait in which a watch must be answered, in seconds.
 _WATCH_SLACK_S = 0.7
+# Time, in seconds, from one watch call to the next after a failed one.
+_WATCH_PAUSE_S = 0.5
+# uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
+_CALL_FAILURES = (aiohttp.ClientError, OSError, RuntimeError)
 # The store refused the call, so it had no effect.
 _REFUSED_STATUSES = frozenset({429, 503})
 
@@ -75,18 +80,20 @@
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
-        self._unavailable_since: float | None = None
 
     @property
     def unavailable_since(self) -> float | None:
-        """When calls began to fail, in seconds of the event loop, or None."""
-        return self._unavailable_since
+        """When calls began to fail; see `PlatformAvailability.unavailable_since`."""
+        return self._availability.unavailable_since
 
     def bind(self, registry: Registry) -> None:
         """Takes address and timeout from the settings."""
         section = registry.find("settings", Settings).platform
         self._url = section.url + OBJECTS_PATH
         self._timeout_s = section.timeout_ms / 1000
+        longest_call_s = section.watch_ms / 1000 + _WATCH_SLACK_S + _WATCH_PAUSE_S
+        clock = registry.find("clock", Clock)
+        self._availability = PlatformAvailability(clock, self._url, longest_call_s)
 
     async def start(self) -> None:
         """Opens the HTTP session."""
@@ -95,6 +102,9 @@
             auto_decompress=False,
             trust_env=False,
         )
+        # aiohttp repeats PUT and DELETE on a reused connection that breaks. The repetition of a
+        # conditional write that took effect is answered as a conflict, as if it had not.
+        self._session._retry_connection = False
 
     async def stop(self) -> None:
         """Closes the HTTP session."""
@@ -170,7 +180,7 @@
     async def _read(self, url: str, timeout_s: float) -> tuple[int, bytes]:
         try:
             status, body = await self._call("GET", url, b"", timeout_s)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except _CALL_FAILURES as error:
             raise PlatformUnavailableError(f"no answer: {type(error).__name__}") from error
         if status not in (200, 404, 410):
             raise PlatformUnavailableError(f"the store answered {status}")
@@ -181,7 +191,7 @@
             status, answer = await self._call(method, url, body, self._timeout_s)
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailableError(f"not connected: {error}") from error
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except _CALL_FAILURES as error:
             raise OutcomeUnknownError(f"no answer: {type(error).__name__}") from error
         if status in _REFUSED_STATUSES:
             raise PlatformUnavailableError(f"the store answered {status}")
@@ -194,11 +204,17 @@
     ) -> tuple[int, bytes]:
         assert self._session is not None
         headers = {"Content-Type": "application/json"} if body else {}
-        async with (
-            asyncio.timeout(timeout_s),
-            self._session.request(method, url, data=body or None, headers=headers) as answer,
-        ):
-            return answer.status, await answer.read()
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session.request(method, url, data=body or None, headers=headers) as answer,
+            ):
+                content = await answer.read()
+        except _CALL_FAILURES:
+            self._availability.note(False)
+            raise
+        self._availability.note(answer.status < 500 and answer.status not in _REFUSED_STATUSES)
+        return answer.status, content
 
 
 def _address(key: str) -> tuple[str, str]:
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -52,6 +52,8 @@
 _RELEASE_TIMEOUT_S = 2.0
 # The upstream ends a run at the time that it was given; its answer needs a moment more.
 _ANSWER_SLACK_S = 0.03
+# uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
+_CALL_FAILURES = (aiohttp.ClientError, OSError, RuntimeError)
 # Failures before a byte of a call was sent.
 _NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _DEFAULT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -146,7 +148,7 @@
             raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
         except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError) as error:
             raise AnswerLostError(f"the answer is not whole: {error}") from error
-        except (aiohttp.ClientError, OSError) as error:
+        except _CALL_FAILURES as error:
             if isinstance(error, TimeoutError):
                 raise DeadlineExceededRunningError(
                     "the upstream did not answer before the deadline"
@@ -192,7 +194,7 @@
         except _NOT_CONNECTED as error:
             self._note_unreachable(error)
             raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
-        except (aiohttp.ClientError, OSError) as error:
+        except _CALL_FAILURES as error:
             raise OutcomeLostError(
                 f"the upstream did not confirm {path}: {type(error).__name__}"
             ) from error
@@ -256,7 +258,7 @@
 
 
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         trust_env=False,
@@ -266,3 +268,7 @@
         max_line_size=65_536,
         max_field_size=65_536,
     )
+    # aiohttp sends some requests again when a reused connection breaks. Each send counts against
+    # the attempts of the route and the retry budget, so the router alone decides on it.
+    session._retry_connection = False
+    return session
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from ..interfaces import Changes, StoredObject
-from ..kernel import Clock, Event, Level, Registry
+from ..kernel import Clock, Registry
+from ..kernel.availability import PlatformAvailability
 from ..kernel.errors import (
     ObjectNotFoundError,
     OutcomeUnknownError,
@@ -20,13 +21,6 @@
 )
 from ..kernel.settings import Settings
 
-_UNAVAILABLE = Event(
-    2001, "platform_unavailable", Level.WARNING, "Calls to the platform have begun to fail."
-)
-_AVAILABLE = Event(
-    2002, "platform_available", Level.INFO, "The platform answers again after failed calls."
-)
-
 # A watch is answered at the end of its wait at the latest; the rest is for the way there and back.
 _WATCH_SLACK_S = 2.0
 # Beyond the length of a watch: its slack, and the pause before the next one.
@@ -67,33 +61,25 @@
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
-        self._available = True
-        self._unavailable_since: float | None = None
-        self._failed_at = 0.0
 
     @property
     def available(self) -> bool:
         """Whether the last call was answered."""
-        return self._available
+        return self._availability.available
 
     @property
     def unavailable_since(self) -> float | None:
-        """When calls began to fail, in seconds of CLOCK_BOOTTIME, or None.
-
-        None too if no call was made for longer than a watch takes to fail: an agent that holds no
-        watch makes hardly any calls and would otherwise tell of an outage that is over.
-        """
-        if self._clock.now() - self._failed_at > self._watch_s + _FAILURE_SLACK_S:
-            return None
-        return self._unavailable_since
+        """When calls began to fail; see `PlatformAvailability.unavailable_since`."""
+        return self._availability.unavailable_since
 
     def bind(self, registry: Registry) -> None:
         """Takes the URL and the timeouts from the settings."""
-        self._clock = registry.find("clock", Clock)
+        clock = registry.find("clock", Clock)
         section = registry.find("settings", Settings).platform
         self._url = section.url
         self._timeout_s = section.timeout_ms / 1000
-        self._watch_s = section.watch_ms / 1000
+        longest_call_s = section.watch_ms / 1000 + _FAILURE_SLACK_S
+        self._availability = PlatformAvailability(clock, self._url, longest_call_s)
 
     async def start(self) -> None:
         """Opens the client session."""
@@ -140,9 +126,9 @@
             async with self._session.get(self._url + path, params=query, timeout=timeout) as got:
                 data = await got.read()
         except _CALL_FAILURES as error:
-            self._note(False)
+            self._availability.note(False)
             raise PlatformUnavailableError(f"reading {path}: {_describe(error)}") from error
-        self._note(got.status < 500)
+        self._availability.note(got.status < 500)
         return got.status, data
 
     async def _write(self, method: str, key: str, value: bytes | None, expected: int) -> int:
@@ -155,12 +141,12 @@
             ) as got:
                 data = await got.read()
         except aiohttp.ClientConnectorError as error:
-            self._note(False)
+            self._availability.note(False)
             raise PlatformUnavailableError(f"writing {key!r}: {_describe(error)}") from error
         except _CALL_FAILURES as error:
-            self._note(False)
+            self._availability.note(False)
             raise OutcomeUnknownError(f"writing {key!r}: {_describe(error)}") from error
-        self._note(got.status < 500)
+        self._availability.note(got.status < 500)
         if got.status == 409:
             version = _decode(data, _Written).version
             raise VersionConflictError(f"{key!r} is at version {version}", version=version)
@@ -172,18 +158,6 @@
             raise PlatformAnswerError(f"writing {key!r}: HTTP status {got.status}")
         return _decode(data, _Written).version
 
-    def _note(self, available: bool) -> None:
-        if not available:
-            now = self._clock.now()
-            self._unavailable_since = self.unavailable_since or now
-            self._failed_at = now
-        if available and not self._available:
-            self._unavailable_since = None
-            _AVAILABLE.emit(url=self._url)
-        if not available and self._available:
-            _UNAVAILABLE.emit(url=self._url)
-        self._available = available
-
 
 def _stored(envelope: _Envelope) -> StoredObject:
     value = b"" if envelope.deleted else msgspec.json.encode(envelope.value)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -16,7 +16,7 @@
 from fescueward.platform.store import ObjectStore
 from tests.services.fakes import StubRegistry
 
-from .fakes import FakeStore
+from .fakes import CLOCK, FakeStore
 from .test_configuration import GIVEN
 
 KIND = "fescueward-groups"
@@ -29,7 +29,7 @@
         self.addAsyncCleanup(self.fake.stop)
         self.store = ObjectStore()
         section = PlatformSection(url=self.fake.url, timeout_ms=300)
-        self.store.bind(StubRegistry(settings=SimpleNamespace(platform=section)))
+        self.store.bind(StubRegistry(clock=CLOCK, settings=SimpleNamespace(platform=section)))
         await self.store.start()
         self.addAsyncCleanup(self.store.stop)
 
@@ -85,3 +85,30 @@
         self.fake.put("config", "other", GIVEN)
         changes = await self.store.watch((CONFIGURATION_KEY,), 0, 0)
         self.assertEqual(changes.objects, ())
+
+    async def test_outage_is_noted(self):
+        """Guards against metrics that show the store as reachable while it is not."""
+        self.assertIsNone(self.store.unavailable_since)
+        self.fake.status = 503
+        with self.assertRaises(PlatformUnavailableError):
+            await self.store.get("groups/s1/0")
+        self.assertAlmostEqual(self.store.unavailable_since, CLOCK.now(), delta=1)
+        self.fake.status = 0
+        with self.assertRaises(ObjectNotFoundError):
+            await self.store.get("groups/s1/0")
+        self.assertIsNone(self.store.unavailable_since)
+
+    async def test_broken_connection_after_a_pause(self):
+        """Guards against an agent that ends because uvloop raises an untyped error.
+
+        uvloop raises RuntimeError for a write to a connection that ended during a freeze.
+        """
+        await self.store._session.close()
+        self.store._session = SimpleNamespace(request=self.closed, close=self.fake.stop)
+        with self.assertRaises(PlatformUnavailableError):
+            await self.store.get("groups/s1/0")
+        with self.assertRaises(OutcomeUnknownError):
+            await self.store.put("groups/s1/0", b"{}", 3)
+
+    def closed(self, *_, **__):
+        raise RuntimeError("unable to perform operation on <TCPTransport closed=True>")
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -1,6 +1,8 @@
 """Requests to the upstream beside the agent."""
 
+import asyncio
 import unittest
+from contextlib import suppress
 from types import SimpleNamespace
 
 from fescueward.kernel.errors import (
@@ -9,8 +11,9 @@
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
-from fescueward.messages import Response
+from fescueward.messages import Announcement, Response
 from fescueward.messages.group import KeyRange
+from fescueward.platform.settings import Address
 from fescueward.platform.upstream import LocalUpstream
 from tests.services.fakes import StubRegistry, make_request
 
@@ -18,6 +21,7 @@
 
 RECEIPT = b"X-Fescueward-Response-Sig: s1\r\n"
 ECHO = b"X-Fescueward-Request-Id: r1\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + RECEIPT + ECHO + b"\r\nok"
 
 
 class LocalUpstreamTest(unittest.IsolatedAsyncioTestCase):
@@ -100,3 +104,34 @@
         self.assertEqual(liveness.signs, ["unreachable"])
         with self.assertRaises(UpstreamUnavailableError):
             await upstream.release_range(KeyRange(0, 9, "a:1", 1))
+
+    async def test_broken_idle_connection_is_not_used_twice(self):
+        """Guards against a second send that neither attempts nor the retry budget count.
+
+        aiohttp sends a GET again by itself when a reused connection ends without an answer.
+        """
+        sends = []
+
+        async def serve(reader, writer):
+            with suppress(asyncio.IncompleteReadError):
+                sends.append(await reader.readuntil(b"\r\n\r\n"))
+                if len(sends) == 1:
+                    writer.write(WHOLE)
+                    sends.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = Address(*server.sockets[0].getsockname())
+        announcement = Announcement("depot", address.host, address.port, 6, 110, instance="i1")
+        upstream = LocalUpstream(site_at(address))
+        membership = SimpleNamespace(announcement=announcement)
+        liveness = RecordedLiveness()
+        upstream.bind(StubRegistry(membership=membership, routes=None, liveness=liveness))
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        request = make_request(2.0, method="GET", key="")
+        await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
+        with self.assertRaises(OutcomeLostError):
+            await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
+        self.assertEqual(len(sends), 2)
