Let the successor record a handover that its owner cannot

Change: the owner sends what it has released to the successors, which make the same conditional edit in its name; only the owner itself is believed. The new test failed before: nothing is sent.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -324,6 +324,40 @@
     accepted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ReleasedRange:
+    """A key range that its owner's upstream has given back.
+
+    Attributes:
+        first: Lowest key.
+        last: Highest key.
+        epoch: Epoch that ends.
+        handover: Token with which the keys arrive warm.
+    """
+
+    first: Count
+    last: Count
+    epoch: Count
+    handover: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RangesReleased:
+    """The owner has released ranges and cannot record it; the receiver does that in its place.
+
+    Attributes:
+        service: Service of the group.
+        number: Number of the group.
+        owner_id: Member id of the owner.
+        ranges: The released ranges.
+    """
+
+    service: str
+    number: Count
+    owner_id: str
+    ranges: tuple[ReleasedRange, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StatusQuery:
     """Asks an agent for its own status.
@@ -512,4 +546,5 @@
     PromiseRelease,
     WatchStatus,
     RangeLoad,
+    RangesReleased,
 )
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from types import TracebackType
 
-from ...interfaces import Groups, Lease, Membership, RangeGrants
+from ...interfaces import Groups, Lease, Membership, Peers, RangeGrants
 from ...kernel import Clock, Event, Kernel, Level, Outcome, Registry
 from ...kernel.bounds import Bounds
 from ...kernel.errors import (
@@ -19,8 +19,9 @@
     ShardMovingError,
 )
 from ...kernel.settings import Settings
-from ...messages import Group, MemberState, VersionedGroup
+from ...messages import Group, GroupId, MemberState, VersionedGroup
 from ...messages.group import KeyRange
+from ...messages.peer import RangesReleased, ReleasedRange
 from . import moves
 
 _ACTIVE = Event(2820, "range_active", Level.INFO, "A key range is served here from now on.")
@@ -36,6 +37,9 @@
 _HANDOVER_FAILED = Event(
     2826, "range_handover_failed", Level.WARNING, "A handover was not recorded; it is retried."
 )
+_RECORDED = Event(
+    2827, "range_handover_recorded", Level.INFO, "A handover was recorded for its owner."
+)
 
 # The upstream's clock may run this much slow, so its hold lasts this many times as long.
 SLOW_CLOCK = 1.02
@@ -91,7 +95,7 @@
     """
 
     name = "ownership"
-    requires = ("groups", "membership", "lease", "upstream")
+    requires = ("groups", "membership", "lease", "upstream", "peers")
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
@@ -120,6 +124,8 @@
         section = registry.find("settings", Settings).lease
         self._renewal_s = section.renewal_ms / 1000
         self._lease_s = section.lease_ms / 1000
+        self._peers = registry.find("peers", Peers)
+        self._peers.on(RangesReleased, self._on_released)
         self._groups.subscribe(self)
 
     async def start(self) -> None:
@@ -351,6 +357,7 @@
                 break
             except PlatformError as error:
                 _HANDOVER_FAILED.emit(group=home, ranges=len(leaving), error=error)
+                self._ask_successors(home, leaving, released)
                 await self._clock.sleep(_RETRY_S)
         self._handing -= set(released)
         _HANDED_OVER.emit(
@@ -360,6 +367,41 @@
         )
         self._wake()
 
+    def _ask_successors(
+        self, home: GroupId, leaving: list[KeyRange], released: dict[_Id, str]
+    ) -> None:
+        """Asks the successors to record the handover: they may reach the platform."""
+        view = self._groups.view(home)
+        members = view.group.members if view is not None else {}
+        ranges = tuple(ReleasedRange(*found_id, token) for found_id, token in released.items())
+        message = RangesReleased(home.service, home.number, self._membership.member_id, ranges)
+        for successor in {found.successor for found in leaving}:
+            member = members.get(successor or "")
+            if member is not None:
+                self._peers.send(member, message)
+
+    def _on_released(self, sender: str, message: RangesReleased) -> None:
+        home = GroupId(message.service, message.number)
+        if sender == message.owner_id and home == self._membership.home:
+            self._tasks.spawn("record", self._record(home, message))
+
+    async def _record(self, home: GroupId, message: RangesReleased) -> None:
+        released = {(one.first, one.last, one.epoch): one.handover for one in message.ranges}
+
+        def commit(group: Group) -> Group | None:
+            changed = moves.handed_over(group, released, message.owner_id)
+            return None if changed == group else changed
+
+        try:
+            written = await self._groups.edit(home, commit)
+        except PlatformError as error:
+            # The owner asks again until the handover is recorded.
+            _HANDOVER_FAILED.emit(group=home, ranges=len(released), error=error)
+            return
+        _RECORDED.emit(
+            group=home, version=written.version, owner=message.owner_id, ranges=len(released)
+        )
+
     async def _await_unanswered(self, leaving: list[KeyRange]) -> None:
         now = self._clock.now()
         self._unanswered = [(found, end) for found, end in self._unanswered if end > now]
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -4,18 +4,21 @@
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest import mock
 
 from fescueward.kernel import BootClock, Kernel
 from fescueward.kernel.bounds import Bounds
 from fescueward.kernel.errors import (
     NotOwnerError,
     OutcomeLostError,
+    PlatformUnavailableError,
     ShardMovingError,
     UpstreamUnavailableError,
 )
 from fescueward.messages import Announcement, Group, GroupId, VersionedGroup
 from fescueward.messages.group import KeyRange
 from fescueward.services.keyspace import moves
+from fescueward.services.keyspace import ownership as module
 from fescueward.services.keyspace.ownership import RangeOwnership
 from tests.services.fakes import StubRegistry
 from tests.services.groups_for_tests import joined, member
@@ -67,6 +70,7 @@
         self.current: VersionedGroup | None = None
         self.listener = None
         self.edits = 0
+        self.cut_off = False
 
     def subscribe(self, listener) -> None:
         self.listener = listener
@@ -80,6 +84,8 @@
         self.listener.group_changed(self.current)
 
     async def edit(self, group: GroupId, change) -> VersionedGroup:
+        if self.cut_off:
+            raise PlatformUnavailableError("cut off")
         changed = change(self.current.group)
         if changed is not None:
             self.edits += 1
@@ -87,9 +93,23 @@
         return self.current
 
 
+class FakePeers:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, object]] = []
+
+    def on(self, kind: type, handler) -> None:
+        """Does nothing: the tests call the handler themselves."""
+
+    def send(self, target, message: object) -> bool:
+        self.sent.append((target.id, message))
+        return True
+
+
 class RangeOwnershipTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.probe, self.groups = FakeProbe(), FakeGroups()
+        self.probe, self.groups, self.peers = FakeProbe(), FakeGroups(), FakePeers()
         self.lease = SimpleNamespace(held=True, expires_at=CLOCK.now() + 1.0)
         self.membership = SimpleNamespace(home=HOME, member_id="a:1", announcement=announcement(1))
         self.ownership = RangeOwnership(Kernel())
@@ -97,6 +117,7 @@
             StubRegistry(
                 bounds=Bounds(),
                 groups=self.groups,
+                peers=self.peers,
                 membership=self.membership,
                 lease=self.lease,
                 upstream=self.probe,
@@ -187,6 +208,27 @@
         self.assertGreaterEqual(now, granted_until)
         self.assertLess(now, granted_until + 0.4)
 
+    async def test_successor_records_the_handover_of_an_owner_that_is_cut_off(self):
+        """Guards against released keys that nobody serves while their owner sees no platform."""
+        self.groups.publish(self.group)
+        await self.ownership.admit("depot", "5", CLOCK.now() + 1)
+        self.groups.cut_off = True
+        # The owner itself does not try again within this test.
+        with mock.patch.object(module, "_RETRY_S", 60.0):
+            self.groups.publish(self.moving(0, 99))
+            await self.until(lambda: self.peers.sent)
+            await asyncio.sleep(0.05)
+        target, message = self.peers.sent[0]
+        self.assertEqual((target, message.owner_id), ("b:1", "a:1"))
+        self.groups.cut_off = False
+        self.ownership._on_released("c:1", message)
+        await asyncio.sleep(0)
+        self.assertEqual(self.groups.edits, 0)
+        self.ownership._on_released("a:1", message)
+        await self.until(lambda: self.groups.edits)
+        found = self.groups.current.group.range_of(50)
+        self.assertEqual((found.owner, found.handover), ("b:1", "token"))
+
     async def test_joined_ranges_stay_active(self):
         """Guards against requests that wait because the planner joined two ranges."""
         low, high = replace(self.mine, last=99), replace(self.mine, first=100, epoch=9)
