--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -1,4 +1,4 @@
-"""Key ranges that this agent owns: grants, requests and handover."""
+"""Key ranges that this agent owns: grants and requests."""
 
 from __future__ import annotations
 
@@ -8,38 +8,25 @@
 from dataclasses import dataclass
 from types import TracebackType
 
-from ...interfaces import Groups, Lease, Membership, Peers, RangeGrants
+from ...interfaces import Groups, Lease, Membership, RangeGrants
 from ...kernel import Clock, Event, Kernel, Level, Outcome, Registry
 from ...kernel.bounds import Bounds
 from ...kernel.errors import (
     LeaseExpiredError,
     NotOwnerError,
-    PlatformError,
     RefusalError,
     ShardMovingError,
 )
 from ...kernel.settings import Settings
-from ...messages import Group, GroupId, MemberState, VersionedGroup
+from ...messages import MemberState, VersionedGroup
 from ...messages.group import KeyRange
-from ...messages.peer import RangesReleased, ReleasedRange
-from . import moves
+from .handover import RangeHandover, RangeId, range_id
 
 _ACTIVE = Event(2820, "range_active", Level.INFO, "A key range is served here from now on.")
 _GRANT_REFUSED = Event(
     2821, "range_grant_refused", Level.WARNING, "The upstream has seen a higher epoch."
 )
 _GRANT_FAILED = Event(2822, "range_grant_failed", Level.WARNING, "The upstream took no grant.")
-_RELEASED = Event(2823, "range_released", Level.INFO, "The upstream has given a key range back.")
-_RELEASE_FAILED = Event(
-    2824, "range_release_failed", Level.WARNING, "A release was not confirmed; its grant runs out."
-)
-_HANDED_OVER = Event(2825, "ranges_handed_over", Level.INFO, "Successors own key ranges now.")
-_HANDOVER_FAILED = Event(
-    2826, "range_handover_failed", Level.WARNING, "A handover was not recorded; it is retried."
-)
-_RECORDED = Event(
-    2827, "range_handover_recorded", Level.INFO, "A handover was recorded for its owner."
-)
 
 # The upstream's clock may run this much slow, so its hold lasts this many times as long.
 SLOW_CLOCK = 1.02
@@ -49,18 +36,8 @@
 _LEAST_HOLD_S = 0.1
 # A request waits this long, in seconds, while its key is being activated here.
 _ACTIVATION_WAIT_S = 0.4
-_RETRY_S = 0.1
 # A grant is renewed when this share of the lease is left of it; two tries fit into the rest.
 _RENEWED_SHARE = 0.55
-# A release is tried for this long, in seconds, although the grants have run out: its answer
-# carries the token that spares the next owner a cold start.
-_LEAST_RELEASE_S = 0.2
-
-_Id = tuple[int, int, int]
-
-
-def _id(found: KeyRange) -> _Id:
-    return (found.first, found.last, found.epoch)
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,19 +76,16 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._wanted: dict[_Id, KeyRange] = {}
-        self._expires: dict[_Id, float] = {}
-        self._handing: set[_Id] = set()
-        self._starts: list[tuple[int, _Id]] = []
+        self._wanted: dict[RangeId, KeyRange] = {}
+        self._expires: dict[RangeId, float] = {}
+        self._handing: set[RangeId] = set()
+        self._starts: list[tuple[int, RangeId]] = []
         self._changed = asyncio.Event()
         self._renew = asyncio.Event()
         self._upstream_start = ""
         # Grants that were sent and not answered yet.
-        self._on_their_way: dict[_Id, asyncio.Task[None]] = {}
-        # Ends of grants without an answer, which the upstream may take up later.
-        self._unanswered: list[tuple[KeyRange, float]] = []
-        # Latest time at which the upstream may still hold keys that it does not give back.
-        self._held_until = 0.0
+        self._on_their_way: dict[RangeId, asyncio.Task[None]] = {}
+        self._handover = RangeHandover(self._tasks)
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -124,8 +98,7 @@
         section = registry.find("settings", Settings).lease
         self._renewal_s = section.renewal_ms / 1000
         self._lease_s = section.lease_ms / 1000
-        self._peers = registry.find("peers", Peers)
-        self._peers.on(RangesReleased, self._on_released)
+        self._handover.bind(registry)
         self._groups.subscribe(self)
 
     async def start(self) -> None:
@@ -182,9 +155,9 @@
         self._forget_earlier_start()
         me = self._membership.member_id
         mine = [found for found in group.group.ranges if found.owner == me]
-        wanted = {_id(found): found for found in mine if found.successor is None}
-        self._handing &= {_id(found) for found in mine}
-        expires: dict[_Id, float] = {}
+        wanted = {range_id(found): found for found in mine if found.successor is None}
+        self._handing &= {range_id(found) for found in mine}
+        expires: dict[RangeId, float] = {}
         for found_id in wanted:
             if found_id not in self._handing:
                 end = self._end_of(found_id)
@@ -192,14 +165,16 @@
                     expires[found_id] = end
         self._wanted, self._expires = wanted, expires
         self._index()
-        leaving = [found for found in mine if found.successor and _id(found) not in self._handing]
+        leaving = [
+            found for found in mine if found.successor and range_id(found) not in self._handing
+        ]
         if leaving:
-            self._handing.update(_id(found) for found in leaving)
+            self._handing.update(range_id(found) for found in leaving)
             self._tasks.spawn("handover", self._hand_over(leaving))
         self._renew.set()
         self._wake()
 
-    def _end_of(self, wanted: _Id) -> float | None:
+    def _end_of(self, wanted: RangeId) -> float | None:
         """Returns the end of the grants that cover a range, or None.
 
         A grant at a lower epoch still holds: keys never leave this member without a release here.
@@ -218,7 +193,7 @@
     def _index(self) -> None:
         self._starts = sorted((found_id[0], found_id) for found_id in self._expires)
 
-    def _find(self, key: int) -> _Id | None:
+    def _find(self, key: int) -> RangeId | None:
         index = bisect_right(self._starts, (key, (65_536, 0, 0))) - 1
         if index < 0:
             return None
@@ -271,8 +246,10 @@
             self._forget_earlier_start()
             due = self._due()
             for found in due:
-                if _id(found) not in self._on_their_way:
-                    self._on_their_way[_id(found)] = self._tasks.spawn("grant", self._grant(found))
+                if range_id(found) not in self._on_their_way:
+                    self._on_their_way[range_id(found)] = self._tasks.spawn(
+                        "grant", self._grant(found)
+                    )
             if due:
                 await asyncio.wait(self._on_their_way.values())
 
@@ -297,10 +274,10 @@
         try:
             await self._send_grant(found)
         finally:
-            del self._on_their_way[_id(found)]
+            del self._on_their_way[range_id(found)]
 
     async def _send_grant(self, found: KeyRange) -> None:
-        found_id = _id(found)
+        found_id = range_id(found)
         sent = self._clock.now()
         lease_left_s = self._lease.expires_at - sent
         hold_s = min(self._bounds.longest_hold_s, lease_left_s / SLOW_CLOCK - _HOLD_MARGIN_S)
@@ -310,8 +287,7 @@
             accepted = await self._upstream.grant_range(found, hold_s)
         except RefusalError as error:
             if error.outcome is not Outcome.NOT_RUN:
-                self._unanswered.append((found, sent + lease_left_s))
-                self._held_until = max(self._held_until, sent + lease_left_s)
+                self._handover.grant_unanswered(found, sent + lease_left_s)
             _GRANT_FAILED.emit(first=found.first, last=found.last, epoch=found.epoch, error=error)
             return
         if not accepted:
@@ -319,7 +295,7 @@
             self._expires.pop(found_id, None)
             self._index()
             return
-        self._held_until = max(self._held_until, sent + lease_left_s)
+        self._handover.grant_confirmed(sent + lease_left_s)
         if found_id not in self._wanted or found_id in self._handing:
             return
         fresh = found_id not in self._expires
@@ -337,97 +313,10 @@
 
     async def _hand_over(self, leaving: list[KeyRange]) -> None:
         home = self._membership.home
-        me = self._membership.member_id
         assert home is not None
         # A grant that reaches the upstream after the release would make it hold the keys again.
         if self._on_their_way:
             await asyncio.wait(self._on_their_way.values())
-        held_until = self._held_until
-        tokens = await asyncio.gather(*(self._release(found, held_until) for found in leaving))
-        await self._await_unanswered(leaving)
-        released = dict(zip(map(_id, leaving), tokens, strict=True))
-
-        def commit(group: Group) -> Group | None:
-            changed = moves.handed_over(group, released, me)
-            return None if changed == group else changed
-
-        while True:
-            try:
-                written = await self._groups.edit(home, commit)
-                break
-            except PlatformError as error:
-                _HANDOVER_FAILED.emit(group=home, ranges=len(leaving), error=error)
-                self._ask_successors(home, leaving, released)
-                await self._clock.sleep(_RETRY_S)
-        self._handing -= set(released)
-        _HANDED_OVER.emit(
-            group=home,
-            version=written.version,
-            ranges=[(found.first, found.last, found.successor) for found in leaving],
-        )
+        await self._handover.run(home, leaving)
+        self._handing -= set(map(range_id, leaving))
         self._wake()
-
-    def _ask_successors(
-        self, home: GroupId, leaving: list[KeyRange], released: dict[_Id, str]
-    ) -> None:
-        """Asks the successors to record the handover: they may reach the platform."""
-        view = self._groups.view(home)
-        members = view.group.members if view is not None else {}
-        ranges = tuple(ReleasedRange(*found_id, token) for found_id, token in released.items())
-        message = RangesReleased(home.service, home.number, self._membership.member_id, ranges)
-        for successor in {found.successor for found in leaving}:
-            member = members.get(successor or "")
-            if member is not None:
-                self._peers.send(member, message)
-
-    def _on_released(self, sender: str, message: RangesReleased) -> None:
-        home = GroupId(message.service, message.number)
-        if sender == message.owner_id and home == self._membership.home:
-            self._tasks.spawn("record", self._record(home, message))
-
-    async def _record(self, home: GroupId, message: RangesReleased) -> None:
-        released = {(one.first, one.last, one.epoch): one.handover for one in message.ranges}
-
-        def commit(group: Group) -> Group | None:
-            changed = moves.handed_over(group, released, message.owner_id)
-            return None if changed == group else changed
-
-        try:
-            written = await self._groups.edit(home, commit)
-        except PlatformError as error:
-            # The owner asks again until the handover is recorded.
-            _HANDOVER_FAILED.emit(group=home, ranges=len(released), error=error)
-            return
-        _RECORDED.emit(
-            group=home, version=written.version, owner=message.owner_id, ranges=len(released)
-        )
-
-    async def _await_unanswered(self, leaving: list[KeyRange]) -> None:
-        now = self._clock.now()
-        self._unanswered = [(found, end) for found, end in self._unanswered if end > now]
-        ends = [
-            end
-            for found, end in self._unanswered
-            if any(found.first <= one.last and one.first <= found.last for one in leaving)
-        ]
-        if ends:
-            await self._clock.sleep(max(ends) - now)
-
-    async def _release(self, found: KeyRange, held_until: float) -> str:
-        """Takes a range back; without an answer it waits until the grants have run out."""
-        while True:
-            left_s = max(held_until - self._clock.now(), _LEAST_RELEASE_S)
-            try:
-                async with asyncio.timeout(left_s):
-                    token = await self._upstream.release_range(found)
-                break
-            except (RefusalError, TimeoutError) as error:
-                _RELEASE_FAILED.emit(
-                    first=found.first, last=found.last, epoch=found.epoch, error=error
-                )
-                now = self._clock.now()
-                if now >= held_until:
-                    return ""
-                await self._clock.sleep(min(_RETRY_S, held_until - now))
-        _RELEASED.emit(first=found.first, last=found.last, epoch=found.epoch, warm=bool(token))
-        return token
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -17,8 +17,7 @@
 )
 from fescueward.messages import Announcement, Group, GroupId, VersionedGroup
 from fescueward.messages.group import KeyRange
-from fescueward.services.keyspace import moves
-from fescueward.services.keyspace import ownership as module
+from fescueward.services.keyspace import handover, moves
 from fescueward.services.keyspace.ownership import RangeOwnership
 from tests.services.fakes import StubRegistry
 from tests.services.groups_for_tests import joined, member
@@ -214,17 +213,17 @@
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         self.groups.cut_off = True
         # The owner itself does not try again within this test.
-        with mock.patch.object(module, "_RETRY_S", 60.0):
+        with mock.patch.object(handover, "_RETRY_S", 60.0):
             self.groups.publish(self.moving(0, 99))
             await self.until(lambda: self.peers.sent)
             await asyncio.sleep(0.05)
         target, message = self.peers.sent[0]
         self.assertEqual((target, message.owner_id), ("b:1", "a:1"))
         self.groups.cut_off = False
-        self.ownership._on_released("c:1", message)
+        self.ownership._handover._on_released("c:1", message)
         await asyncio.sleep(0)
         self.assertEqual(self.groups.edits, 0)
-        self.ownership._on_released("a:1", message)
+        self.ownership._handover._on_released("a:1", message)
         await self.until(lambda: self.groups.edits)
         found = self.groups.current.group.range_of(50)
         self.assertEqual((found.owner, found.handover), ("b:1", "token"))
