Finish the requests of other agents before an agent stops

Ruled out: the streams of the entry agents (open until the peer ended).

Change: the gate drains as the callers' port does, until 0.8 s before the end of the grace time; the bound stands once, in Bounds. The new test failed before: GateExecution had no drain.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -82,7 +82,7 @@
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
         kernel.add(SlotAdmission())
-        kernel.add(GateExecution())
+        kernel.add(GateExecution(kernel))
         kernel.add(DispatchRouter())
         kernel.add(PrometheusMetrics())
         kernel.add(Heartbeats(site))
--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+# Part of the grace time in which a stopped agent closes its connections, in seconds.
+_CLOSING_S = 0.8
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -28,3 +31,8 @@
     longest_hold_s: float = 10.0
     reuse_after_s: float = 2.0
     stable_s: float = 3.0
+
+    @property
+    def drain_until_s(self) -> float:
+        """Time after the stop signal until which open requests may finish, in seconds."""
+        return self.grace_s - _CLOSING_S
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -47,7 +47,7 @@
 # Time for which new requests of callers are still taken after a stop, in seconds: the platform
 # sends callers elsewhere after two unanswered questions, one each second.
 _TAKE_AFTER_STOP_S = 3.0
-# Part of the grace time that is left for closing connections, in seconds.
+# Longest time for closing the connections of one port, in seconds.
 _CLOSE_S = 0.8
 # Share of the grace time after which new requests are refused, because they might not finish.
 _REFUSE_SHARE = 0.7
@@ -91,7 +91,7 @@
 
     async def drain(self) -> None:
         """Takes requests until callers go elsewhere, then finishes what is open."""
-        while self._kernel.stopping_s < self._bounds.grace_s - _CLOSE_S:
+        while self._kernel.stopping_s < self._bounds.drain_until_s:
             if self._kernel.stopping_s > _TAKE_AFTER_STOP_S and self._open == 0:
                 return
             await self._clock.sleep(_POLL_S)
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -16,7 +16,8 @@
 )
 from ...interfaces.metrics import RunListener
 from ...interfaces.placement import Load
-from ...kernel import Clock, Event, Level, RefusalError, Registry
+from ...kernel import Clock, Event, Kernel, Level, RefusalError, Registry
+from ...kernel.bounds import Bounds
 from ...kernel.errors import DrainingError, NotOwnerError, UpstreamUnavailableError
 from ...messages import AnnouncedState, Request, Response
 
@@ -27,6 +28,8 @@
     3411, "request_not_run", Level.INFO, "The upstream here did not serve it.", frequent=True
 )
 
+_DRAIN_CHECK_S = 0.02
+
 
 class GateExecution:
     """The `execution` service where each attempt has an id of its own and no token.
@@ -38,12 +41,15 @@
     name = "execution"
     requires = ("catalogue", "ownership", "admission", "upstream")
 
-    def __init__(self) -> None:
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
         self._listeners: list[RunListener] = []
+        self._open = 0
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
+        self._bounds = registry.find("bounds", Bounds)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._membership = registry.find("membership", Membership)
         self._ownership = registry.find("ownership", Ownership)
@@ -57,6 +63,11 @@
     async def start(self) -> None:
         """Does nothing."""
 
+    async def drain(self) -> None:
+        """Lets the requests of other agents finish, as long as the grace time permits."""
+        while self._open and self._kernel.stopping_s < self._bounds.drain_until_s:
+            await self._clock.sleep(_DRAIN_CHECK_S)
+
     async def stop(self) -> None:
         """Does nothing."""
 
@@ -66,6 +77,7 @@
 
     async def execute(self, request: Request) -> Response:
         """Runs a request on the upstream of this agent; see `Execution.execute`."""
+        self._open += 1
         try:
             return await self._execute(request)
         except RefusalError as error:
@@ -80,6 +92,8 @@
                 source=request.forwarded_by,
             )
             raise
+        finally:
+            self._open -= 1
 
     async def _execute(self, request: Request) -> Response:
         entry = self._catalogue.entry(request.service).entry
--- /dev/null
+++ b/tests/services/gate/test_execution.py
@@ -0,0 +1,79 @@
+"""Requests on the upstream behind the gate."""
+
+import asyncio
+import unittest
+from contextlib import nullcontext
+from types import SimpleNamespace
+
+from fescueward.kernel import BootClock, Kernel
+from fescueward.kernel.bounds import Bounds
+from fescueward.messages import Announcement
+from fescueward.messages.request import Occupancy
+from fescueward.services.gate.execution import GateExecution
+from tests.services.fakes import StubRegistry, make_request, make_response
+
+
+class SlowUpstream:
+    """Answers when it is told to."""
+
+    def __init__(self) -> None:
+        self.entered = asyncio.Event()
+        self.proceed = asyncio.Event()
+
+    async def run(self, request, shard: int, epoch: int, deadline: float):
+        self.entered.set()
+        await self.proceed.wait()
+        return make_response(b"ok")
+
+
+class FreeSlots:
+    """Has a slot for everybody."""
+
+    occupancy = Occupancy(0, 0, 6, 1.0)
+
+    def slot(self, request, entry):
+        return nullcontext()
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.kernel, self.upstream = Kernel(), SlowUpstream()
+        self.execution = GateExecution(self.kernel)
+        announced = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1")
+        entry = SimpleNamespace(entry=None)
+        slots = FreeSlots()
+        self.execution.bind(
+            StubRegistry(
+                clock=BootClock(),
+                bounds=Bounds(grace_s=1.3),
+                catalogue=SimpleNamespace(entry=lambda service: entry),
+                membership=SimpleNamespace(announcement=announced, closed=False),
+                ownership=None,
+                admission=slots,
+                upstream=self.upstream,
+                load=None,
+                peers=SimpleNamespace(serve=lambda handler: None),
+            )
+        )
+        self.running = asyncio.create_task(self.execution.execute(make_request(2.0, key="")))
+        await self.upstream.entered.wait()
+        self.kernel.request_stop()
+
+    async def test_stop_waits_for_the_requests_of_others(self):
+        """Guards against forwarded requests that are cut when their agent stops.
+
+        Found by trouble-3 of kagaz-mesh (LOST): the platform was away, the agent gave its leave
+        up after 4.2 s and ended at once, with requests of other agents at its upstream.
+        """
+        drained = asyncio.create_task(self.execution.drain())
+        await asyncio.sleep(0.1)
+        self.assertFalse(drained.done())
+        self.upstream.proceed.set()
+        self.assertEqual((await self.running).status, 200)
+        await asyncio.wait_for(drained, 1)
+
+    async def test_stop_ends_within_the_grace_time(self):
+        """Guards against an agent that is killed because one request never ends."""
+        await asyncio.wait_for(self.execution.drain(), 1)
+        self.assertFalse(self.running.done())
+        self.running.cancel()
