Take the bound on departures from the deployment; count lines left out

The gate closed one second after a departure whatever the deployment's bound; now at half of it, one second at most. Two bounds that nothing used are gone. The metrics page shows the log lines that were left out, and the tests of the upstream share their start.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -25,7 +25,7 @@
 from ..services.keyspace.ownership import RangeOwnership
 from ..services.keyspace.placement import RangePlacement
 from ..services.lease import MonitoredLease
-from ..services.membership import GroupMembership
+from ..services.membership import LEAVING_GRACE_S, GroupMembership
 from ..services.metrics import PrometheusMetrics
 from ..services.monitor import LeaseMonitor
 from ..services.peers import MsgpackPeers
@@ -45,6 +45,9 @@
 # Share of the time until the process is killed in which it tries to leave its group; requests that
 # were taken until then get the rest to finish.
 _LEAVE_SHARE = 0.7
+# Share of the bound on work after an announced departure in which a leaving upstream takes any;
+# the rest is for requests that are on their way.
+_DRAIN_SHARE = 0.5
 
 
 class PlatformAgent:
@@ -71,8 +74,15 @@
         kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
         kernel.add(GroupStore(kernel, fleet_wide=True))
         leave_timeout_s = site.bounds.grace_s * _LEAVE_SHARE
+        leaving_grace_s = min(LEAVING_GRACE_S, site.bounds.drain_s * _DRAIN_SHARE)
         kernel.add(
-            GroupMembership(kernel, incarnation, boot_id=place, leave_timeout_s=leave_timeout_s)
+            GroupMembership(
+                kernel,
+                incarnation,
+                boot_id=place,
+                leave_timeout_s=leave_timeout_s,
+                leaving_grace_s=leaving_grace_s,
+            )
         )
         kernel.add(MonitoredLease(kernel))
         kernel.add(LeaseMonitor(kernel))
--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -19,8 +19,6 @@
         drain_s: Latest time after an announced departure at which new work reaches an upstream.
         grace_s: Time between the stop signal and the end of the process by force.
         longest_hold_s: Longest grant of keys.
-        reuse_after_s: Shortest time after which an upstream's address serves another.
-        stable_s: Time without failures after which a part of the fleet counts as healthy.
     """
 
     retry_ratio: float = 0.1
@@ -29,8 +27,6 @@
     drain_s: float = 2.0
     grace_s: float = 6.0
     longest_hold_s: float = 10.0
-    reuse_after_s: float = 2.0
-    stable_s: float = 3.0
 
     @property
     def drain_until_s(self) -> float:
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -173,6 +173,4 @@
         drain_s=seconds("drainS", default.drain_s),
         grace_s=seconds("graceS", default.grace_s),
         longest_hold_s=seconds("holdMaxS", default.longest_hold_s),
-        reuse_after_s=seconds("reuseAfterS", default.reuse_after_s),
-        stable_s=seconds("stabilityS", default.stable_s),
     )
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -73,12 +73,14 @@
         boot_id: str = "",
         next_incarnation: Callable[[], int] = _wall_clock_ms,
         leave_timeout_s: float = LEAVE_TIMEOUT_S,
+        leaving_grace_s: float = LEAVING_GRACE_S,
     ) -> None:
         self._tasks = kernel.task_owner(self.name)
         self._incarnation = incarnation
         self._next_incarnation = next_incarnation
         self._boot_id = boot_id or Path("/proc/sys/kernel/random/boot_id").read_text().strip()
         self._leave_timeout_s = leave_timeout_s
+        self._leaving_grace_s = leaving_grace_s
         self._home: GroupId | None = None
         self._announcement: Announcement | None = None
         self._announcements = 0
@@ -119,7 +121,7 @@
         if self._stopping and not self._resigned:
             # The upstream itself stays, and while the platform is away nobody knows of the leave.
             return self._clock.now() - self._leaving_since > self._leave_timeout_s
-        return self._clock.now() - self._leaving_since > LEAVING_GRACE_S
+        return self._clock.now() - self._leaving_since > self._leaving_grace_s
 
     @property
     def resigned(self) -> bool:
--- a/fescueward/services/metrics.py
+++ b/fescueward/services/metrics.py
@@ -28,6 +28,7 @@
     WorkState,
 )
 from ..kernel import Clock, RefusalError, Registry
+from ..kernel.events import log_lines_left_out
 
 SERVED = "served"
 # Label of requests to services that have no entry. Names that callers make up must not become
@@ -93,6 +94,9 @@
 PEERS = _gauge("connected_peers", "Agents that a stream exists to.")
 ENTRIES = _gauge("catalogue_entries", "Entries that the agent applies.")
 CAPACITY = _gauge("usable_slots_ratio", "Usable share of the slots; below 1 on a cold upstream.")
+LOG_LINES = _gauge(
+    "left_out_log_lines", "Log lines that were not written: too many in a second, or no reader."
+)
 CRASHES = _gauge("upstream_crashes", "Crashes of the upstream that the agent has seen.")
 
 METRICS: tuple[MetricSpec, ...] = (
@@ -109,6 +113,7 @@
     ENTRIES,
     CAPACITY,
     CRASHES,
+    LOG_LINES,
 )
 
 
@@ -198,6 +203,7 @@
             ENTRIES: len(self._catalogue.entries()),
             CAPACITY: self._admission.capacity,
             CRASHES: self._upstream.crashes,
+            LOG_LINES: log_lines_left_out(),
         }
 
     def _bind_request(self, service: str, outcome: str) -> Histogram:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -9,7 +9,6 @@
 from aiohttp import web
 
 from fescueward.kernel import BootClock
-from fescueward.messages import Announcement
 from fescueward.platform.settings import Address
 
 CLOCK = BootClock()
@@ -104,9 +103,6 @@
     async def stop(self) -> None:
         self._server.close()
 
-    def announcement(self) -> Announcement:
-        return Announcement("depot", self.address.host, self.address.port, 6, 110, instance="i1")
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.requests.append(await reader.readuntil(b"\r\n\r\n"))
         writer.write(self.answer)
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -25,17 +25,22 @@
 
 
 class LocalUpstreamTest(unittest.IsolatedAsyncioTestCase):
-    async def run_against(self, answer: bytes, reset: bool = False) -> Response:
-        raw = RawUpstream(answer, reset)
-        address = await raw.start()
-        self.addAsyncCleanup(raw.stop)
-        self.raw = raw
+    async def start(self, address: Address) -> LocalUpstream:
         upstream = LocalUpstream(site_at(address))
-        membership = SimpleNamespace(announcement=raw.announcement())
+        announced = Announcement("depot", address.host, address.port, 6, 110, instance="i1")
+        membership = SimpleNamespace(announcement=announced)
         self.liveness = RecordedLiveness()
         upstream.bind(StubRegistry(membership=membership, routes=None, liveness=self.liveness))
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
+        return upstream
+
+    async def run_against(self, answer: bytes, reset: bool = False) -> Response:
+        raw = RawUpstream(answer, reset)
+        address = await raw.start()
+        self.addAsyncCleanup(raw.stop)
+        self.raw = raw
+        upstream = await self.start(address)
         request = make_request(2.0, method="GET", key="", caller="orders")
         return await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
 
@@ -91,17 +96,11 @@
         """Guards against an unknown outcome where no byte was sent."""
         raw = RawUpstream(b"")
         address = await raw.start()
-        announcement = raw.announcement()
         await raw.stop()
-        upstream = LocalUpstream(site_at(address))
-        membership = SimpleNamespace(announcement=announcement)
-        liveness = RecordedLiveness()
-        upstream.bind(StubRegistry(membership=membership, routes=None, liveness=liveness))
-        await upstream.start()
-        self.addAsyncCleanup(upstream.stop)
+        upstream = await self.start(address)
         with self.assertRaises(UpstreamUnavailableError):
             await upstream.run(make_request(2.0, key=""), 0, 0, CLOCK.now() + 2.0)
-        self.assertEqual(liveness.signs, ["unreachable"])
+        self.assertEqual(self.liveness.signs, ["unreachable"])
         with self.assertRaises(UpstreamUnavailableError):
             await upstream.release_range(KeyRange(0, 9, "a:1", 1))
 
@@ -122,14 +121,7 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
-        address = Address(*server.sockets[0].getsockname())
-        announcement = Announcement("depot", address.host, address.port, 6, 110, instance="i1")
-        upstream = LocalUpstream(site_at(address))
-        membership = SimpleNamespace(announcement=announcement)
-        liveness = RecordedLiveness()
-        upstream.bind(StubRegistry(membership=membership, routes=None, liveness=liveness))
-        await upstream.start()
-        self.addAsyncCleanup(upstream.stop)
+        upstream = await self.start(Address(*server.sockets[0].getsockname()))
         request = make_request(2.0, method="GET", key="")
         await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
         with self.assertRaises(OutcomeLostError):
--- a/tests/services/test_metrics.py
+++ b/tests/services/test_metrics.py
@@ -10,7 +10,7 @@
 from fescueward.kernel.errors import NoOwnerError, UnknownServiceError
 from fescueward.services.metrics import METRICS, MetricType, PrometheusMetrics
 
-UNITS = ("seconds", "requests", "shards", "bool", "peers", "entries", "ratio", "crashes")
+UNITS = ("seconds", "requests", "shards", "bool", "peers", "entries", "ratio", "crashes", "lines")
 
 
 class Everything:
