--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import enum
-import json
 import sys
 import time
 from dataclasses import dataclass
@@ -88,6 +87,7 @@
 
 
 _threshold = _Threshold()
+_PLAIN = (str, int, float, list, tuple, dict, type(None))
 
 
 def events() -> tuple[Event, ...]:
@@ -95,29 +95,6 @@
     return tuple(_EVENTS[number] for number in sorted(_EVENTS))
 
 
-def _format_text(record: Any) -> str:
-    event: Event | None = record["extra"].get("event")
-    time = record["time"].isoformat(timespec="milliseconds")
-    if event is None:
-        return f"{time} {record['level'].name} - {record['message']}\n"
-    fields = record["extra"]["fields"]
-    values = "".join(f" {name}={value}" for name, value in fields.items())
-    return f"{time} {record['level'].name} {event.number} {event.name}{values}\n"
-
-
-def _format_json(record: Any) -> str:
-    event: Event | None = record["extra"].get("event")
-    line: dict[str, Any] = {
-        "time": record["time"].isoformat(timespec="milliseconds"),
-        "level": record["level"].name,
-    }
-    if event is None:
-        line["message"] = record["message"]
-    else:
-        line.update(event=event.number, name=event.name, **record["extra"]["fields"])
-    return json.dumps(line, default=str) + "\n"
-
-
 class _Output:
     """The line output of the process; there is none until logging is set up."""
 
@@ -129,11 +106,14 @@
         """Takes a line from loguru."""
         assert self.lines is not None
         record = message.record
-        render = _format_json if self.is_json else _format_text
         event: Event | None = record["extra"].get("event")
         urgent = record["level"].no >= _NUMBERS[Level.WARNING]
-        name = event.name if event is not None else ""
-        self.lines.add(name, render(record).encode(), urgent)
+        if event is not None:
+            self.lines.add(event.name, self._line(event, record["extra"]["fields"]), urgent)
+        else:
+            # Lines of libraries.
+            line = self._render(record["level"].name, record["message"], {})
+            self.lines.add("", line, urgent)
 
     def write_frequent(self, event: Event, fields: dict[str, Any]) -> None:
         """Takes a line about a request, without the cost of a loguru record."""
@@ -146,20 +126,30 @@
         return self._line(_LEFT_OUT, counts)
 
     def _line(self, event: Event, fields: dict[str, Any]) -> bytes:
-        time = datetime.now(UTC).isoformat(timespec="milliseconds")
+        if not self.is_json:
+            return self._render(event.level.value, f"{event.number} {event.name}", fields)
+        return self._render(
+            event.level.value, event.name, {"event": event.number, "name": event.name, **fields}
+        )
+
+    def _render(self, level: str, text: str, fields: dict[str, Any]) -> bytes:
+        written_at = datetime.now(UTC).isoformat(timespec="milliseconds")
         if not self.is_json:
             values = "".join(f" {name}={value}" for name, value in fields.items())
-            return f"{time} {event.level.value} {event.number} {event.name}{values}\n".encode()
-        line = {
-            "time": time,
-            "level": event.level.value,
-            "event": event.number,
-            "name": event.name,
-            **fields,
-        }
+            return f"{written_at} {level} {text}{values}\n".encode()
+        line = {"time": written_at, "level": level}
+        if fields:
+            line.update((name, _plain(value)) for name, value in fields.items())
+        else:
+            line["message"] = text
         return msgspec.json.encode(line, enc_hook=str) + b"\n"
 
 
+def _plain(value: Any) -> Any:
+    """Returns a value as it stands in a line: data classes and errors by their text."""
+    return value if isinstance(value, _PLAIN) else str(value)
+
+
 _output = _Output()
 _LEFT_OUT = Event(
     9001,
