--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -73,14 +73,14 @@
         kernel.add(ConfiguredCatalogue())
         kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
         kernel.add(GroupStore(kernel, fleet_wide=True))
-        leave_timeout_s = site.bounds.grace_s * _LEAVE_SHARE
+        stop_timeout_s = site.bounds.grace_s * _LEAVE_SHARE
         leaving_grace_s = min(LEAVING_GRACE_S, site.bounds.drain_s * _DRAIN_SHARE)
         kernel.add(
             GroupMembership(
                 kernel,
                 incarnation,
                 boot_id=place,
-                leave_timeout_s=leave_timeout_s,
+                stop_timeout_s=stop_timeout_s,
                 leaving_grace_s=leaving_grace_s,
             )
         )
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -50,7 +50,8 @@
 
 _RETRY_S = 0.2
 _VACATE_PERIOD_S = 0.5
-# Leaving waits for the platform at most this long; the lease of a stopped agent ends by itself.
+# Leaving waits for the platform at most this long, if the process is not stopped before; the lease
+# of a stopped agent ends by itself.
 LEAVE_TIMEOUT_S = 30.0
 # A leaving upstream takes new work for this long, until others know that it leaves.
 LEAVING_GRACE_S = 1.0
@@ -72,14 +73,14 @@
         incarnation: int,
         boot_id: str = "",
         next_incarnation: Callable[[], int] = _wall_clock_ms,
-        leave_timeout_s: float = LEAVE_TIMEOUT_S,
+        stop_timeout_s: float = LEAVE_TIMEOUT_S,
         leaving_grace_s: float = LEAVING_GRACE_S,
     ) -> None:
         self._tasks = kernel.task_owner(self.name)
         self._incarnation = incarnation
         self._next_incarnation = next_incarnation
         self._boot_id = boot_id or Path("/proc/sys/kernel/random/boot_id").read_text().strip()
-        self._leave_timeout_s = leave_timeout_s
+        self._stop_timeout_s = stop_timeout_s
         self._leaving_grace_s = leaving_grace_s
         self._home: GroupId | None = None
         self._announcement: Announcement | None = None
@@ -120,7 +121,7 @@
             return False
         if self._stopping and not self._resigned:
             # The upstream itself stays, and while the platform is away nobody knows of the leave.
-            return self._clock.now() - self._leaving_since > self._leave_timeout_s
+            return self._clock.now() - self._leaving_since > self._stop_timeout_s
         return self._clock.now() - self._leaving_since > self._leaving_grace_s
 
     @property
@@ -209,7 +210,8 @@
         _LEAVING.emit(member=self.member_id, reason=reason)
         self._leave_ended = False
         try:
-            async with asyncio.timeout(self._leave_timeout_s):
+            timeout_s = self._stop_timeout_s if self._stopping else LEAVE_TIMEOUT_S
+            async with asyncio.timeout(timeout_s):
                 await self._hand_over_all()
                 # No renewal may be acknowledged once the write that ends the monitor's role
                 # is on its way.
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -96,6 +96,22 @@
         fleet.world.advance(11)
         self.assertTrue(agent.membership.closed)
 
+    def test_departure_outlasts_the_time_of_a_stop(self):
+        """Guards against keys that stay with an upstream that left while the platform was away.
+
+        Only a stopping process is short of time; a leave for any other reason goes on.
+        """
+        fleet = formed(2, 2)
+        agent = fleet.agents["a0"]
+        member_id = agent.member_id
+        agent.membership._stop_timeout_s = 4.0
+        agent.platform.answers = Answers.REFUSED
+        agent.leave()
+        fleet.world.advance(10)
+        agent.platform.answers = Answers.GOOD
+        fleet.world.advance(5)
+        self.assertNotIn(member_id, fleet.group().members)
+
     def test_stopped_agent_closes_once_others_know(self):
         """Guards against requests that are taken by an agent without a place in its group."""
         fleet = formed(2, 2)
