Take back a leave that could not be finished

A member whose leave was recorded and then given up stayed in the state leaving for ever when its upstream reported ready again, and got no keys. Found by reading; the new test failed before (leaving).

--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -26,6 +26,7 @@
     Group,
     GroupId,
     Member,
+    MemberState,
     Shard,
     VersionedGroup,
 )
@@ -290,10 +291,25 @@
                 if self._resigned:
                     self._start_incarnation()
                     self._resigned = self._joined = False
+            if self._joined and not self._leaving:
+                await self._stay()
             if self._joined or self._leaving:
                 continue
             await self._join(announced)
 
+    async def _stay(self) -> None:
+        """Takes a leave back that was begun and could not be finished."""
+        me = self.me()
+        if me is not None and me.state is MemberState.LEAVING:
+            await self._edit_until_done(self._activate)
+
+    def _activate(self, group: Group) -> Group | None:
+        me = group.members.get(self.member_id)
+        if me is None or me.state is not MemberState.LEAVING:
+            return None
+        active = replace(me, state=MemberState.ACTIVE)
+        return replace(group, members={**group.members, me.id: active})
+
     async def _join(self, announced: Announcement) -> None:
         assert self._home is not None
         member = self._member(announced)
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from fescueward.kernel.errors import InvalidAnnouncementError
-from fescueward.messages import AnnouncedState, Announcement
+from fescueward.messages import AnnouncedState, Announcement, MemberState
 from fescueward.messages.codec import encode_json
 
 from .fleet import HOME, Fleet
@@ -112,6 +112,21 @@
         fleet.world.advance(5)
         self.assertNotIn(member_id, fleet.group().members)
 
+    def test_unfinished_leave_is_taken_back(self):
+        """Guards against a member that gets no keys because its first leave was never finished."""
+        fleet = formed(2, 2)
+        agent = fleet.agents["a0"]
+        group = fleet.group()
+        me = replace(group.members[agent.member_id], state=MemberState.LEAVING)
+        version = fleet.platform.read(HOME.object_key).version
+        left = replace(group, members={**group.members, me.id: me})
+        fleet.platform.write(HOME.object_key, encode_json(left), version)
+        fleet.world.advance(1)
+        agent.loop.call_soon(agent.announce, AnnouncedState.READY)
+        fleet.world.advance(3)
+        self.assertIs(fleet.group().members[agent.member_id].state, MemberState.ACTIVE)
+        self.assertTrue(fleet.served(), fleet.owners())
+
     def test_stopped_agent_closes_once_others_know(self):
         """Guards against requests that are taken by an agent without a place in its group."""
         fleet = formed(2, 2)
