End the wait for a caller's body at the deadline; tests of the callers' port

A caller that stalled within its body kept its connection and memory without an end. The new test of it failed before; those of refusals and of a stopping agent pass on the old code too.

--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -13,6 +13,7 @@
 from ..kernel.errors import (
     BodyTooLargeError,
     CallerLeftError,
+    DeadlineExceededError,
     DeadlineExceededRunningError,
     DrainingError,
     InternalError,
@@ -194,7 +195,11 @@
             configuration=configuration.version,
             timeout_ms=round(timeout_s * 1000),
         )
-        body = await _body(http, configuration.limits)
+        try:
+            async with asyncio.timeout(timeout_s):
+                body = await _body(http, configuration.limits)
+        except TimeoutError:
+            raise DeadlineExceededError("the body did not arrive before the deadline") from None
         request = Request(
             id=request_id,
             service=service,
