Count refused requests as work of their keys

A server that ran 80 and refused 158 requests a second looked just full, gave half of its measured work away, and the receivers then refused as many; the hot spot went through four servers. Ruled out: the pause between rounds (each moved 50 blocks or more).

Change: a request that the gate refuses for load counts with the time that it would have taken, and work beyond the slots shows in the report.

--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -18,7 +18,12 @@
 from ...interfaces.placement import Load
 from ...kernel import Clock, Event, Kernel, Level, RefusalError, Registry
 from ...kernel.bounds import Bounds
-from ...kernel.errors import DrainingError, NotOwnerError, UpstreamUnavailableError
+from ...kernel.errors import (
+    DrainingError,
+    NotOwnerError,
+    OverloadedError,
+    UpstreamUnavailableError,
+)
 from ...messages import AnnouncedState, Request, Response
 
 _EXECUTED = Event(
@@ -82,6 +87,10 @@
             return await self._execute(request)
         except RefusalError as error:
             error.occupancy = self._slots.occupancy
+            if request.key and isinstance(error, OverloadedError):
+                # What a hot key asks for is the measure of a move, not what its server can run.
+                expected_s = error.occupancy.run_ms / 1000
+                self._load.record(int(request.key), request.key, expected_s)
             _TURNED_AWAY.emit(
                 request=request.id,
                 service=request.service,
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -56,7 +56,10 @@
         await self._tasks.cancel()
 
     def record(self, shard: int, key: str, seconds: float) -> None:
-        """Adds the upstream time of one request to the block of its key."""
+        """Adds the upstream time of one request to the block of its key.
+
+        Refused requests count with the time that they would have taken.
+        """
         block = int(key) // BLOCK_KEYS
         self._work[block] = self._work.get(block, 0.0) + seconds / _DECAY_S
 
@@ -92,7 +95,9 @@
             if work * factor > _LEAST_WORK / 4
         }
         occupancy = self._slots.occupancy
-        sample = (occupancy.running + occupancy.waiting) / max(occupancy.slots, 1)
+        # Refused requests hold no slot, but their work is wanted here all the same.
+        wanted = max(occupancy.running + occupancy.waiting, sum(self._work.values()))
+        sample = wanted / max(occupancy.slots, 1)
         self._utilisation += (sample - self._utilisation) * 0.5
         top = heapq.nlargest(_REPORTED_BLOCKS, self._work.items(), key=lambda item: item[1])
         work = {block: round(value, 3) for block, value in top if value >= _LEAST_WORK}
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -7,11 +7,14 @@
 
 from fescueward.kernel import BootClock, Kernel
 from fescueward.kernel.bounds import Bounds
+from fescueward.kernel.errors import OverloadedError
 from fescueward.messages import Announcement
 from fescueward.messages.request import Occupancy
 from fescueward.services.gate.execution import GateExecution
 from tests.services.fakes import StubRegistry, make_request, make_response
 
+ANNOUNCED = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1")
+
 
 class SlowUpstream:
     """Answers when it is told to."""
@@ -35,11 +38,61 @@
         return nullcontext()
 
 
+class FullSlots:
+    """Refuses everybody."""
+
+    occupancy = Occupancy(6, 9, 6, 120.0)
+
+    def slot(self, request, entry):
+        raise OverloadedError("full")
+
+
+class RecordedLoad:
+    """Keeps what is recorded."""
+
+    def __init__(self) -> None:
+        self.records: list[tuple[int, float]] = []
+
+    def record(self, shard: int, key: str, seconds: float) -> None:
+        self.records.append((shard, seconds))
+
+
+class HotKeyTest(unittest.IsolatedAsyncioTestCase):
+    async def test_refused_requests_count_as_work(self):
+        """Guards against moves that give a hot spot to a server without room for it.
+
+        Found by scale-2 of kagaz-mesh: a server that ran 80 and refused 158 requests a second gave
+        half of what it ran to others, which then refused as many.
+        """
+        load = RecordedLoad()
+        execution = GateExecution(Kernel())
+        ticket = nullcontext(SimpleNamespace(epoch=1))
+
+        async def admit(service, key, deadline):
+            return ticket
+
+        execution.bind(
+            StubRegistry(
+                clock=BootClock(),
+                bounds=Bounds(),
+                catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
+                membership=SimpleNamespace(announcement=ANNOUNCED, closed=False),
+                ownership=SimpleNamespace(admit=admit),
+                admission=FullSlots(),
+                upstream=None,
+                load=load,
+                peers=SimpleNamespace(serve=lambda handler: None),
+            )
+        )
+        with self.assertRaises(OverloadedError):
+            await execution.execute(make_request(1.0, key="70"))
+        self.assertEqual(load.records, [(70, 0.12)])
+
+
 class DrainTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.kernel, self.upstream = Kernel(), SlowUpstream()
         self.execution = GateExecution(self.kernel)
-        announced = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1")
         entry = SimpleNamespace(entry=None)
         slots = FreeSlots()
         self.execution.bind(
@@ -47,7 +100,7 @@
                 clock=BootClock(),
                 bounds=Bounds(grace_s=1.3),
                 catalogue=SimpleNamespace(entry=lambda service: entry),
-                membership=SimpleNamespace(announcement=announced, closed=False),
+                membership=SimpleNamespace(announcement=ANNOUNCED, closed=False),
                 ownership=None,
                 admission=slots,
                 upstream=self.upstream,
--- /dev/null
+++ b/tests/services/keyspace/test_load.py
@@ -0,0 +1,35 @@
+"""Measured work of key blocks."""
+
+import unittest
+from types import SimpleNamespace
+
+from fescueward.kernel import BootClock, Kernel
+from fescueward.messages.request import Occupancy
+from fescueward.services.keyspace.load import KeyBlockLoad
+from fescueward.services.keyspace.moves import BLOCK_KEYS
+from tests.services.fakes import StubRegistry
+
+
+class KeyBlockLoadTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.load = KeyBlockLoad(Kernel())
+        self.load.bind(
+            StubRegistry(
+                clock=BootClock(),
+                groups=None,
+                peers=SimpleNamespace(on=lambda kind, handler: None),
+                membership=SimpleNamespace(member_id="a:1"),
+                placement=None,
+                admission=SimpleNamespace(occupancy=Occupancy(6, 0, 6, 100.0)),
+            )
+        )
+        self.load._decayed_at = BootClock().now()
+
+    def test_work_beyond_the_slots_shows_in_the_report(self):
+        """Guards against an overloaded server that looks just full."""
+        for _ in range(240):
+            self.load.record(5, "5", 0.1)
+        for _ in range(10):
+            report = self.load.measure()
+        self.assertAlmostEqual(report.work[5 // BLOCK_KEYS], 24.0, delta=1)
+        self.assertAlmostEqual(report.utilisation, 4.0, delta=0.3)
