--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -1,5 +1,6 @@
 """Sends and repetitions of the router."""
 
+import asyncio
 import unittest
 from types import SimpleNamespace
 
@@ -59,6 +60,7 @@
         return router
 
     async def unchanged(self, group: GroupId, version: int, timeout_s: float) -> bool:
+        await asyncio.sleep(timeout_s)
         return False
 
     async def test_restarted_agent_is_reached_by_its_address(self):
