Say once what the two daemons and the two directories share

No change of behaviour; found by reading the whole change again: - both daemons set up the collector, the event loop and the signals alike; they call daemons/process.py now - the digest of versions stood in groups.py and catalogue.py; it is version_digest beside Versions - the share of the grace time in which a stopped agent takes requests stood in the daemon and in the callers' port; it is Bounds.take_until_s - the highest key stood four times as a number; it is LAST_KEY - whether a peer stream is of an earlier incarnation was kept twice - Heartbeats had a field that nothing read

--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import signal
 import time
 
-import uvloop
-
 from ..kernel import BootClock, Kernel, configure_logging
 from ..kernel.settings import Settings
 from ..services.administration import HttpAdministration
@@ -35,10 +30,7 @@
 from ..services.snapshots import PlannerSnapshots
 from ..services.status import FleetStatusReports
 from ..services.upstream import HttpUpstream
-
-# A request leaves some hundred objects and few cycles; Python's default of 700 starts a collection
-# every few requests.
-_COLLECTIONS = (20_000, 20, 20)
+from .process import run_until_stopped
 
 
 class Agent:
@@ -88,11 +80,7 @@
             ServiceFailedError: A service failed.
         """
         configure_logging(self._settings.log.level, self._settings.log.format)
-        # What exists now lives as long as the process, so the collector need not look at it again.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*_COLLECTIONS)
-        uvloop.run(self._run())
+        run_until_stopped(self.kernel)
 
     def check(self) -> None:
         """Connects the services without starting them.
@@ -101,9 +89,3 @@
             FescuewardError: A setting names a plugin that does not exist.
         """
         self.kernel.bind()
-
-    async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.kernel.request_stop)
-        await self.kernel.run()
--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -2,14 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import signal
 import sys
 import time
 
-import uvloop
-
 from ..kernel import BootClock, Event, Kernel, Level, configure_logging
 from ..kernel.errors import FescuewardError
 from ..platform.announcements import Heartbeats
@@ -31,6 +26,7 @@
 from ..services.peers import MsgpackPeers
 from ..services.routing.dispatcher import DispatchRouter
 from ..services.routing.routes import ConfiguredCatalogue, RouteTable
+from .process import run_until_stopped
 
 _STARTED = Event(1010, "agent_started", Level.INFO, "The agent starts with these settings.")
 _STOPPED = Event(1011, "agent_stopped", Level.INFO, "The agent has stopped in order.")
@@ -39,12 +35,6 @@
     1013, "settings_not_read", Level.ERROR, "SIGHUP: the settings are bad; the old ones stay."
 )
 
-# A request leaves some hundred objects and few cycles; Python's default of 700 starts a collection
-# every few requests.
-_COLLECTIONS = (20_000, 20, 20)
-# Share of the time until the process is killed in which it tries to leave its group; requests that
-# were taken until then get the rest to finish.
-_LEAVE_SHARE = 0.7
 # Share of the bound on work after an announced departure in which a leaving upstream takes any;
 # the rest is for requests that are on their way.
 _DRAIN_SHARE = 0.5
@@ -73,14 +63,13 @@
         kernel.add(ConfiguredCatalogue())
         kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
         kernel.add(GroupStore(kernel, fleet_wide=True))
-        stop_timeout_s = site.bounds.grace_s * _LEAVE_SHARE
         leaving_grace_s = min(LEAVING_GRACE_S, site.bounds.drain_s * _DRAIN_SHARE)
         kernel.add(
             GroupMembership(
                 kernel,
                 incarnation,
                 boot_id=place,
-                stop_timeout_s=stop_timeout_s,
+                stop_timeout_s=site.bounds.take_until_s,
                 leaving_grace_s=leaving_grace_s,
             )
         )
@@ -104,12 +93,16 @@
         Raises:
             ServiceFailedError: A service failed.
         """
-        log = self._site.settings.log
-        configure_logging(log.level, log.format, sys.stdout)
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*_COLLECTIONS)
-        uvloop.run(self._run())
+        settings = self._site.settings
+        configure_logging(settings.log.level, settings.log.format, sys.stdout)
+        _STARTED.emit(
+            agent=settings.agent.name,
+            failure_domain=settings.agent.failure_domain,
+            service=self._site.service,
+            store=settings.platform.url,
+        )
+        run_until_stopped(self.kernel, self._reload)
+        _STOPPED.emit(agent=settings.agent.name)
 
     def _reload(self) -> None:
         """Reads the settings file again and tells what differs; a restart applies it."""
@@ -120,21 +113,6 @@
             return
         _RELOADED.emit(changed=site != self._site, bounds=site.bounds)
 
-    async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.kernel.request_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
-        settings = self._site.settings
-        _STARTED.emit(
-            agent=settings.agent.name,
-            failure_domain=settings.agent.failure_domain,
-            service=self._site.service,
-            store=settings.platform.url,
-        )
-        await self.kernel.run()
-        _STOPPED.emit(agent=settings.agent.name)
-
 
 def main() -> int:
     """Runs the agent with the settings file that the platform names.
--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -6,6 +6,9 @@
 
 # Part of the grace time in which a stopped agent closes its connections, in seconds.
 _CLOSING_S = 0.8
+# Share of the grace time in which a stopped agent still takes requests; the rest is for finishing
+# them.
+_TAKING_SHARE = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +31,14 @@
     grace_s: float = 6.0
     longest_hold_s: float = 10.0
 
+    @property
+    def take_until_s(self) -> float:
+        """Time after the stop signal until which new requests are taken, in seconds.
+
+        The stopped agent tries to leave its group for as long.
+        """
+        return self.grace_s * _TAKING_SHARE
+
     @property
     def drain_until_s(self) -> float:
         """Time after the stop signal until which open requests may finish, in seconds."""
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -11,6 +11,8 @@
 from msgspec import Meta
 
 Port = Annotated[int, Meta(ge=1, le=65_535)]
+# Highest numeric key of a service that is divided into ranges.
+LAST_KEY = 65_535
 
 
 def _first_key(found: KeyRange) -> int:
@@ -124,8 +126,8 @@
         handover: Token of the last owner's upstream, with which the keys arrive warm.
     """
 
-    first: Annotated[int, Meta(ge=0, le=65_535)]
-    last: Annotated[int, Meta(ge=0, le=65_535)]
+    first: Annotated[int, Meta(ge=0, le=LAST_KEY)]
+    last: Annotated[int, Meta(ge=0, le=LAST_KEY)]
     owner: str | None = None
     epoch: Annotated[int, Meta(ge=0)] = 0
     successor: str | None = None
@@ -137,10 +139,6 @@
         return self.last - self.first + 1
 
 
-# Highest numeric key of a service that is divided into ranges.
-LAST_KEY = 65_535
-
-
 @dataclass(frozen=True, slots=True)
 class Group:
     """One group of a service: a platform object that changes only by conditional update.
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Annotated, Any
 
+import xxhash
 from msgspec import Meta
 
 from .configuration import VersionedConfiguration
@@ -60,6 +61,13 @@
     incarnation: Count
 
 
+def version_digest(versions: dict[str, int]) -> int:
+    """Returns a hash of versions by name, the same for the same content."""
+    text = ",".join(f"{name}={version}" for name, version in sorted(versions.items()))
+    # 53 bits, so that it stays exact in JSON readers that use floating point.
+    return xxhash.xxh64_intdigest(text.encode()) >> 11
+
+
 @dataclass(frozen=True, slots=True)
 class Versions:
     """What an agent knows, so that whoever is behind can fetch.
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -62,7 +62,6 @@
         self._runner: web.ServerRunner | None = None
         # Start and number of the newest report, by which later ones are told from late ones.
         self._newest = (0, -1)
-        self._instance = ""
         self._last: Announcement | None = None
 
     def bind(self, registry: Registry) -> None:
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -23,6 +23,7 @@
 )
 from ..messages import Request, Response
 from ..messages.configuration import CallerLimits
+from ..messages.group import LAST_KEY
 from ..messages.request import BytesBody
 from .names import HOP_HEADERS, KEY, OWN_HEADERS, READY_PATH, REQUEST_ID, TIMEOUT_MS
 from .settings import Site
@@ -44,14 +45,11 @@
 )
 _BROKEN = Event(3714, "request_broken", Level.ERROR, "A request met an unexpected exception.")
 
-_HIGHEST_KEY = 65_535
 # Time for which new requests of callers are still taken after a stop, in seconds: the platform
 # sends callers elsewhere after two unanswered questions, one each second.
 _TAKE_AFTER_STOP_S = 3.0
 # Longest time for closing the connections of one port, in seconds.
 _CLOSE_S = 0.8
-# Share of the grace time after which new requests are refused, because they might not finish.
-_REFUSE_SHARE = 0.7
 _POLL_S = 0.05
 # The metrics page is on the address of the question for readiness.
 _METRICS_PATH = "/metrics"
@@ -170,7 +168,7 @@
 
     async def _answer(self, http: web.BaseRequest, request_id: str) -> web.Response:
         arrived = self._clock.now()
-        if self._kernel.stopping_s > self._bounds.grace_s * _REFUSE_SHARE:
+        if self._kernel.stopping_s > self._bounds.take_until_s:
             raise DrainingError("this agent is about to end", retry_after_s=_RETRY_AFTER_S)
         held = self._routes.current
         if held is None:
@@ -248,8 +246,8 @@
 
 def _key(http: web.BaseRequest) -> str:
     text = http.headers.get(KEY, "")
-    if not text.isascii() or not text.isdigit() or int(text) > _HIGHEST_KEY:
-        raise InvalidRequestError(f"the key {text[:20]!r} is no number from 0 to {_HIGHEST_KEY}")
+    if not text.isascii() or not text.isdigit() or int(text) > LAST_KEY:
+        raise InvalidRequestError(f"the key {text[:20]!r} is no number from 0 to {LAST_KEY}")
     return str(int(text))
 
 
--- a/fescueward/services/catalogue.py
+++ b/fescueward/services/catalogue.py
@@ -6,8 +6,6 @@
 import uuid
 from dataclasses import replace
 
-import xxhash
-
 from ..interfaces import Platform
 from ..kernel import Event, Level, Registry
 from ..kernel.errors import (
@@ -22,6 +20,7 @@
 from ..messages import Entry, VersionedEntry
 from ..messages.codec import decode_json, encode_json
 from ..messages.group import entry_object_key
+from ..messages.peer import version_digest
 
 _APPLIED = Event(2101, "entry_applied", Level.INFO, "A newer version of an entry is in effect.")
 _ACCEPTED = Event(2102, "entry_accepted", Level.INFO, "An edit of an entry was accepted.")
@@ -51,11 +50,7 @@
     def digest(self) -> int:
         """Hash of all entry versions."""
         if self._digest is None:
-            text = ",".join(
-                f"{name}={self._entries[name].version}" for name in sorted(self._entries)
-            )
-            # 53 bits, so that it stays exact in JSON readers that use floating point.
-            self._digest = xxhash.xxh64_intdigest(text.encode()) >> 11
+            self._digest = version_digest(self.versions())
         return self._digest
 
     def bind(self, registry: Registry) -> None:
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -7,8 +7,6 @@
 import uuid
 from dataclasses import replace
 
-import xxhash
-
 from ..interfaces import Catalogue, GroupListener, Membership, Peers, Platform, Routes
 from ..interfaces.groups import GroupChange
 from ..interfaces.platform import StoredObject
@@ -33,7 +31,7 @@
 )
 from ..messages.codec import decode_json, encode_json
 from ..messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
-from ..messages.peer import Fetch, Publish, Versions, WatchStatus
+from ..messages.peer import Fetch, Publish, Versions, WatchStatus, version_digest
 
 _CHANGED = Event(2201, "group_changed", Level.INFO, "A newer version of a group is in use.")
 _WATCHING = Event(2202, "watch_started", Level.INFO, "This agent watches the platform.")
@@ -226,7 +224,7 @@
     def versions(self) -> Versions:
         """Returns what this agent knows, for renewals and their acknowledgements."""
         if self._fleet_wide:
-            return Versions(0, self._fleet_digest())
+            return Versions(0, version_digest(self._object_versions()))
         home = self._membership.home
         held = self._views.get(home) if home is not None else None
         return Versions(held.version if held is not None else 0, self._catalogue.digest)
@@ -304,13 +302,6 @@
             versions[CONFIGURATION_KEY] = held.version
         return versions
 
-    def _fleet_digest(self) -> int:
-        text = ",".join(
-            f"{key}={version}" for key, version in sorted(self._object_versions().items())
-        )
-        # 53 bits, so that it stays exact in JSON readers that use floating point.
-        return xxhash.xxh64_intdigest(text.encode()) >> 11
-
     def _newer_objects(self, known: dict[str, int]) -> Publish:
         groups = tuple(
             view
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -21,6 +21,7 @@
 from ...messages import MemberState, VersionedGroup
 from ...messages.group import KeyRange
 from .handover import RangeHandover, RangeId, range_id
+from .moves import KEYS
 
 _ACTIVE = Event(2820, "range_active", Level.INFO, "A key range is served here from now on.")
 _GRANT_REFUSED = Event(
@@ -194,7 +195,7 @@
         self._starts = sorted((found_id[0], found_id) for found_id in self._expires)
 
     def _find(self, key: int) -> RangeId | None:
-        index = bisect_right(self._starts, (key, (65_536, 0, 0))) - 1
+        index = bisect_right(self._starts, (key, (KEYS, 0, 0))) - 1
         if index < 0:
             return None
         found = self._starts[index][1]
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -53,8 +53,6 @@
     def __init__(self, sender: str, wire: Wire) -> None:
         self.sender = sender
         self.wire = wire
-        # Whether it was accepted under an earlier incarnation of this agent.
-        self.outdated = False
         self.channels: dict[int, Channel] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
 
@@ -84,6 +82,7 @@
         self._identity = identity
         self._dispatch = dispatch
         self._accepted: dict[str, _Accepted] = {}
+        # Streams that were accepted under an earlier incarnation of this agent.
         self._outdated: set[_Accepted] = set()
         self._incarnations: LRUCache[str, int] = LRUCache(_INCARNATIONS)
         self._handler: RequestHandler | None = None
@@ -121,9 +120,7 @@
         Other messages on them concern the earlier member. Their senders end them when they see
         that it is gone.
         """
-        for accepted in self._accepted.values():
-            accepted.outdated = True
-            self._outdated.add(accepted)
+        self._outdated.update(self._accepted.values())
         self._accepted = {}
 
     async def flush_and_close(self) -> None:
@@ -206,7 +203,7 @@
                 channel.fail(message.reason)
             if (task := accepted.tasks.get(message.stream)) is not None:
                 task.cancel()
-        elif not accepted.outdated:
+        elif accepted not in self._outdated:
             self._dispatch(accepted.sender, message)
 
     def _open(self, accepted: _Accepted, message: StreamOpen) -> None:
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -92,8 +92,6 @@
         self.wire: Wire | None = None
         self.settled = asyncio.Event()
         self.retired = False
-        # Whether it was dialled under an earlier incarnation of this agent.
-        self.outdated = False
         self.task: asyncio.Task[None] | None = None
         self.streams: dict[int, _Outgoing] = {}
         self.calls: dict[int, asyncio.Future[object]] = {}
@@ -141,6 +139,7 @@
         self._identity = identity
         self._dispatch = dispatch
         self._links: dict[str, _Link] = {}
+        # Links that were dialled under an earlier incarnation of this agent.
         self._outdated: set[_Link] = set()
         self._numbers = itertools.count(1)
 
@@ -217,7 +216,7 @@
         """Lets requests finish on the present streams and dials new ones for all that follows."""
         links, self._links = self._links, {}
         for link in links.values():
-            link.retired = link.outdated = True
+            link.retired = True
             self._outdated.add(link)
         self._end_finished()
 
@@ -385,7 +384,7 @@
             if outgoing is not None:
                 self._receive_part(link, outgoing, message)
             return
-        if link.outdated:
+        if link in self._outdated:
             return
         waiting = link.calls.get(getattr(message, "call", 0))
         if waiting is None:
