--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -22,6 +22,13 @@
     "A service did not stop in time and was abandoned.",
 )
 
+_STOP_REQUESTED = Event(
+    1005, "stop_requested", Level.INFO, "A stop was requested, by a signal or after a failure."
+)
+_DRAINED = Event(
+    1006, "service_drained", Level.INFO, "A service has given its work away before the stop."
+)
+
 STOP_TIMEOUT_S = 45.0
 
 
@@ -81,6 +88,7 @@
         """Makes `run` stop all services and return."""
         if not self.stopping:
             self._stop_requested_at = self._clock.now()
+            _STOP_REQUESTED.emit(failed=self._failure is not None)
         self._stop_requested.set()
 
     def bind(self) -> None:
@@ -140,6 +148,7 @@
         for service in tuple(self._started):
             if isinstance(service, Drainable):
                 await service.drain()
+                _DRAINED.emit(service=service.name, stopping_s=round(self.stopping_s, 3))
 
     async def _stop_all(self) -> None:
         while self._started:
@@ -151,7 +160,7 @@
             except Exception as error:  # one failing stop must not keep the others running
                 self._report_failure(service.name, error)
             else:
-                _STOPPED.emit(service=service.name)
+                _STOPPED.emit(service=service.name, stopping_s=round(self.stopping_s, 3))
 
     def _report_failure(self, task: str, error: BaseException) -> None:
         _FAILED.emit(task=task, error=type(error).__name__, detail=error)
