--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -27,7 +27,6 @@
 from .test_settings import LINES
 
 ROUTE = Route("r1", "a.example", "/x/", False, 1, 0.4, 0.2, 0, (Target("orders", 1.0),))
-CONFIGURATION = Configuration(3, {"r1": ROUTE}, {"orders": ServiceSpec("orders")})
 HEAD = b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Fescueward-Request-Id: r1\r\n"
 
 
@@ -37,15 +36,25 @@
     def __init__(self) -> None:
         self.requests = []
         self.refusal: Exception | None = None
+        self.answering = asyncio.Event()
+        self.answering.set()
+        self.asked = asyncio.Event()
 
     async def route(self, request):
         self.requests.append(request)
+        self.asked.set()
+        await self.answering.wait()
         if self.refusal is not None:
             raise self.refusal
         return make_response(b"ok")
 
 
-class CallerFrontendTest(unittest.IsolatedAsyncioTestCase):
+class FrontendCase(unittest.IsolatedAsyncioTestCase):
+    """A front end with one route, and a client."""
+
+    grace_s = 1.0
+    route = ROUTE
+
     async def asyncSetUp(self):
         ports = PortReservations()
         self.addCleanup(ports.close)
@@ -58,13 +67,14 @@
             readiness=Address("127.0.0.1", ready),
         )
         routes = RouteTable()
-        routes.observe(VersionedConfiguration(7, CONFIGURATION))
+        configuration = Configuration(3, {"r1": self.route}, {"orders": ServiceSpec("orders")})
+        routes.observe(VersionedConfiguration(7, configuration))
         self.kernel, self.router = Kernel(), FakeRouter()
         self.frontend = CallerFrontend(self.kernel, site)
         self.frontend.bind(
             StubRegistry(
                 clock=CLOCK,
-                bounds=Bounds(grace_s=1.0),
+                bounds=Bounds(grace_s=self.grace_s),
                 router=self.router,
                 routes=routes,
                 metrics=None,
@@ -82,6 +92,8 @@
         async with self.session.get("/x/1", headers=headers) as answer:
             return answer.status, float(answer.headers.get("Retry-After", 0))
 
+
+class CallerFrontendTest(FrontendCase):
     async def test_refusal_says_whether_the_request_ran(self):
         """Guards against callers that repeat what may have run, or that give up what has not."""
         self.router.refusal = OverloadedError("full", retry_after_s=0.3)
@@ -107,3 +119,29 @@
         status, retry_after_s = await self.ask()
         self.assertEqual(status, 503)
         self.assertGreater(retry_after_s, 0)
+
+
+class StoppingFrontendTest(FrontendCase):
+    """The end of a process whose grace time is shorter than the time limit of the route."""
+
+    grace_s = 2.0
+    route = replace(ROUTE, timeout_s=4.0)
+
+    async def test_request_that_may_outlast_the_process_is_refused(self):
+        """Guards against requests that are taken late and lost when the process is killed."""
+        self.kernel.request_stop()
+        await asyncio.sleep(1.1)
+        status, retry_after_s = await self.ask()
+        self.assertEqual((status, self.router.requests), (503, []))
+        self.assertGreater(retry_after_s, 0)
+
+    async def test_process_ends_before_its_grace_time_beside_an_open_request(self):
+        """Guards against closing steps that follow each other until the process is killed."""
+        self.router.answering.clear()
+        asking = asyncio.create_task(self.ask())
+        self.addAsyncCleanup(asyncio.gather, asking, return_exceptions=True)
+        await self.router.asked.wait()
+        self.kernel.request_stop()
+        await self.frontend.drain()
+        await self.frontend.stop()
+        self.assertLess(self.kernel.stopping_s, self.grace_s)
