Bound every phase of a stop by the time since its request

The cause is a class of fault: limits in series. Each phase of the stop had a limit that began when the phase before it ended, and what was taken late had a deadline beyond the end of the process. On the code before this commit the leave was bounded, but a request with 4 s left was taken 4.2 s after the signal, the two ports closed one after the other, and each service had 45 s to stop.

The service 'shutdown' now has all phases, counted from the request: all requests are taken for half of the grace time, then those whose deadline lies before the end; others are refused at once as not run. The gate asks it too, so an upstream of a stopping agent gets no request that the process may not outlive. Ports close together. The kernel abandons a drain or a stop that exceeds its limit, also one that ignores its cancellation.

Ruled out: a lost cancellation as the cause of the record; wait_for() is no longer used in the leave, and the record fits the order of the phases to the millisecond. The kernel is now proof against it.

Before: a request with 4 s left got 200 1.1 s after a stop with 2 s of grace, and the front end needed 2.035 s. The tests of the gate's drain use the shutdown service in place of the drain that moved there.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-from ..kernel import BootClock, Event, Kernel, Level, configure_logging
+from ..kernel import BootClock, Event, Kernel, Level, StopLimits, configure_logging
 from ..kernel.errors import FescuewardError
 from ..platform.announcements import Heartbeats
 from ..platform.frontend import CallerFrontend
@@ -26,6 +26,7 @@
 from ..services.peers import MsgpackPeers
 from ..services.routing.dispatcher import DispatchRouter
 from ..services.routing.routes import ConfiguredCatalogue, RouteTable
+from ..services.shutdown import GracefulShutdown
 from .process import run_until_stopped
 
 _STARTED = Event(1010, "agent_started", Level.INFO, "The agent starts with these settings.")
@@ -48,7 +49,8 @@
     """
 
     def __init__(self, site: Site) -> None:
-        self.kernel = Kernel()
+        bounds = site.bounds
+        self.kernel = Kernel(StopLimits(bounds.finish_until_s, bounds.stop_until_s))
         self._site = site
         incarnation = int(time.time() * 1000)
         kernel = self.kernel
@@ -56,20 +58,20 @@
         # This process holds the port, so an earlier one of the same name and address is dead.
         place = f"{settings.peers.host}:{settings.peers.port}"
         kernel.provide("settings", settings)
-        kernel.provide("bounds", site.bounds)
+        kernel.provide("bounds", bounds)
         kernel.provide("clock", BootClock())
         kernel.add(ObjectStore())
         kernel.add(RouteTable())
         kernel.add(ConfiguredCatalogue())
         kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
         kernel.add(GroupStore(kernel, fleet_wide=True))
-        leaving_grace_s = min(LEAVING_GRACE_S, site.bounds.drain_s * _DRAIN_SHARE)
+        leaving_grace_s = min(LEAVING_GRACE_S, bounds.drain_s * _DRAIN_SHARE)
         kernel.add(
             GroupMembership(
                 kernel,
                 incarnation,
                 boot_id=place,
-                stop_timeout_s=site.bounds.take_until_s,
+                stop_timeout_s=bounds.leave_until_s,
                 leaving_grace_s=leaving_grace_s,
             )
         )
@@ -81,11 +83,12 @@
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
         kernel.add(SlotAdmission())
-        kernel.add(GateExecution(kernel))
+        kernel.add(GracefulShutdown(kernel))
+        kernel.add(GateExecution())
         kernel.add(DispatchRouter())
         kernel.add(PrometheusMetrics())
         kernel.add(Heartbeats(site))
-        kernel.add(CallerFrontend(kernel, site))
+        kernel.add(CallerFrontend(site))
 
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT.
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -30,6 +30,7 @@
     Upstream,
 )
 from .routes import RangeGrants, Routes
+from .shutdown import Shutdown, ShutdownPhase
 
 __all__ = [
     "Admission",
@@ -64,6 +65,8 @@
     "Routes",
     "RunListener",
     "RunSource",
+    "Shutdown",
+    "ShutdownPhase",
     "SlotLoad",
     "StatusReports",
     "StoredObject",
--- a/fescueward/kernel/__init__.py
+++ b/fescueward/kernel/__init__.py
@@ -3,7 +3,7 @@
 from .clock import BootClock, Clock
 from .errors import FescuewardError, Outcome, RefusalError
 from .events import Event, Level, configure_logging, events
-from .kernel import Kernel
+from .kernel import Kernel, StopLimits
 from .registry import Registry, Service
 from .tasks import TaskOwner
 
@@ -18,6 +18,7 @@
     "RefusalError",
     "Registry",
     "Service",
+    "StopLimits",
     "TaskOwner",
     "configure_logging",
     "events",
--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -4,11 +4,14 @@
 
 from dataclasses import dataclass
 
-# Part of the grace time in which a stopped agent closes its connections, in seconds.
+# Share of the grace time in which a stopped agent takes all requests. The platform sends callers
+# elsewhere after two unanswered questions for readiness, one each second.
+_TAKING_SHARE = 0.5
+# Share of the grace time in which a stopped agent tries to leave its group.
+_LEAVING_SHARE = 0.7
+# Last parts of the grace time, in seconds: closing of connections, and the end of the interpreter.
 _CLOSING_S = 0.8
-# Share of the grace time in which a stopped agent still takes requests; the rest is for finishing
-# them.
-_TAKING_SHARE = 0.7
+_EXIT_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,13 +36,20 @@
 
     @property
     def take_until_s(self) -> float:
-        """Time after the stop signal until which new requests are taken, in seconds.
-
-        The stopped agent tries to leave its group for as long.
-        """
+        """Time after the stop signal until which all requests are taken, in seconds."""
         return self.grace_s * _TAKING_SHARE
 
     @property
-    def drain_until_s(self) -> float:
+    def leave_until_s(self) -> float:
+        """Time after the stop signal until which the agent tries to leave, in seconds."""
+        return self.grace_s * _LEAVING_SHARE
+
+    @property
+    def finish_until_s(self) -> float:
         """Time after the stop signal until which open requests may finish, in seconds."""
         return self.grace_s - _CLOSING_S
+
+    @property
+    def stop_until_s(self) -> float:
+        """Time after the stop signal until which services may stop, in seconds."""
+        return self.grace_s - _EXIT_S
--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass
 
 from .clock import BootClock
 from .errors import ServiceFailedError
@@ -29,7 +31,21 @@
     1006, "service_drained", Level.INFO, "A service has given its work away before the stop."
 )
 
-STOP_TIMEOUT_S = 45.0
+# Each service gets this long to stop even if those before it used up the time, in seconds.
+_LEAST_STEP_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class StopLimits:
+    """Latest ends of the steps of a stop, counted from its request.
+
+    Attributes:
+        drain_s: Time until which services give their work away, in seconds.
+        stop_s: Time until which all services stop, in seconds.
+    """
+
+    drain_s: float = 45.0
+    stop_s: float = 60.0
 
 
 class Kernel:
@@ -37,9 +53,14 @@
 
     A failed task of a service ends the process: an agent that has lost one of its parts could
     hold a lease that it cannot honour, and its monitors replace it within seconds.
+
+    Args:
+        stop_limits: When the steps of a stop end at the latest. A service that is still busy then
+            is abandoned.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, stop_limits: StopLimits | None = None) -> None:
+        self._stop_limits = stop_limits or StopLimits()
         self._registry = Registry()
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
@@ -146,21 +167,38 @@
 
     async def _drain_all(self) -> None:
         for service in tuple(self._started):
-            if isinstance(service, Drainable):
-                await service.drain()
+            if not isinstance(service, Drainable):
+                continue
+            if await self._finish_by(self._stop_limits.drain_s, service.name, service.drain()):
                 _DRAINED.emit(service=service.name, stopping_s=round(self.stopping_s, 3))
 
     async def _stop_all(self) -> None:
         while self._started:
             service = self._started.pop()
             try:
-                await asyncio.wait_for(service.stop(), STOP_TIMEOUT_S)
-            except TimeoutError:
-                _STOP_TIMEOUT.emit(service=service.name, timeout_s=STOP_TIMEOUT_S)
+                if await self._finish_by(self._stop_limits.stop_s, service.name, service.stop()):
+                    _STOPPED.emit(service=service.name, stopping_s=round(self.stopping_s, 3))
             except Exception as error:  # one failing stop must not keep the others running
                 self._report_failure(service.name, error)
-            else:
-                _STOPPED.emit(service=service.name, stopping_s=round(self.stopping_s, 3))
+
+    async def _finish_by(self, end_s: float, name: str, step: Coroutine[None, None, None]) -> bool:
+        """Runs one step of the stop and abandons it at its end, in seconds after the request.
+
+        Returns:
+            Whether the step ended in time.
+        """
+        task = asyncio.get_running_loop().create_task(step, name=f"{name}:stop")
+        timeout_s = max(end_s - self.stopping_s, _LEAST_STEP_S)
+        try:
+            # wait_for() would wait for a step that does not end when it is cancelled.
+            await asyncio.wait((task,), timeout=timeout_s)
+            if task.done():
+                task.result()
+                return True
+            _STOP_TIMEOUT.emit(service=name, stopping_s=round(self.stopping_s, 3))
+            return False
+        finally:
+            task.cancel()
 
     def _report_failure(self, task: str, error: BaseException) -> None:
         _FAILED.emit(task=task, error=type(error).__name__, detail=error)
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -3,19 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
 
 from aiohttp import web
 
-from ..interfaces import Directory, Metrics, Router, Routes
-from ..kernel import Clock, Event, Kernel, Level, Outcome, RefusalError, Registry
-from ..kernel.bounds import Bounds
+from ..interfaces import Directory, Metrics, Router, Routes, Shutdown, ShutdownPhase
+from ..kernel import Clock, Event, Level, Outcome, RefusalError, Registry
 from ..kernel.errors import (
     BodyTooLargeError,
     CallerLeftError,
     DeadlineExceededError,
     DeadlineExceededRunningError,
-    DrainingError,
     InternalError,
     InvalidRequestError,
     NoConfigurationError,
@@ -45,11 +42,8 @@
 )
 _BROKEN = Event(3714, "request_broken", Level.ERROR, "A request met an unexpected exception.")
 
-# Time for which new requests of callers are still taken after a stop, in seconds: the platform
-# sends callers elsewhere after two unanswered questions, one each second.
-_TAKE_AFTER_STOP_S = 3.0
-# Longest time for closing the connections of one port, in seconds.
-_CLOSE_S = 0.8
+# Time for which closing a port waits for open requests, in seconds.
+_CLOSE_S = 0.3
 _POLL_S = 0.05
 # The metrics page is on the address of the question for readiness.
 _METRICS_PATH = "/metrics"
@@ -63,19 +57,17 @@
     """The `frontend` service on this platform."""
 
     name = "frontend"
-    requires = ("router", "routes", "groups", "announcements")
+    requires = ("router", "routes", "groups", "announcements", "shutdown")
 
-    def __init__(self, kernel: Kernel, site: Site) -> None:
-        self._kernel = kernel
+    def __init__(self, site: Site) -> None:
         self._site = site
         self._runners: list[web.ServerRunner] = []
-        self._open = 0
         self._was_ready = False
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
-        self._bounds = registry.find("bounds", Bounds)
+        self._shutdown = registry.find("shutdown", Shutdown)
         self._router = registry.find("router", Router)
         self._routes = registry.find("routes", Routes)
         self._metrics = registry.find("metrics", Metrics)
@@ -88,19 +80,9 @@
         ready = self._site.readiness
         await self._listen(self._readiness, ready.host, ready.port)
 
-    async def drain(self) -> None:
-        """Takes requests until callers go elsewhere, then finishes what is open."""
-        while self._kernel.stopping_s < self._bounds.drain_until_s:
-            if self._kernel.stopping_s > _TAKE_AFTER_STOP_S and self._open == 0:
-                return
-            await self._clock.sleep(_POLL_S)
-
     async def stop(self) -> None:
         """Closes the ports."""
-        for runner in self._runners:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(_CLOSE_S):
-                    await runner.cleanup()
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
 
     async def _listen(self, handler: object, host: str, port: int) -> None:
         server = web.Server(
@@ -127,25 +109,27 @@
             (_READY if ready else _NOT_READY).emit(
                 configuration=held.configuration.version if held is not None else None,
                 directory=self._directory.complete,
-                stopping=self._kernel.stopping,
+                shutdown=self._shutdown.phase,
             )
         return web.Response(status=200 if ready else 503)
 
     def _is_ready(self) -> bool:
         return (
-            not self._kernel.stopping
+            self._shutdown.phase is ShutdownPhase.SERVING
             and self._routes.current is not None
             and self._directory.complete
             and bool(self._directory.views())
         )
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._open += 1
         started = self._clock.now()
         request_id = request.headers.get(REQUEST_ID, "")
+        refusal: str | None = None
         try:
-            answer = await self._answer(request, request_id)
+            with self._shutdown.open_request(request_id):
+                answer = await self._answer(request, request_id)
         except RefusalError as error:
+            refusal = error.label
             answer = _refusal(error)
         except CallerLeftError:
             _LEFT.emit(request=request_id, ms=round((self._clock.now() - started) * 1000, 1))
@@ -153,14 +137,13 @@
         except Exception as error:  # an unexpected fault of one request must not end others
             _BROKEN.emit(request=request_id, error=repr(error)[:300])
             answer = _refusal(InternalError(type(error).__name__))
-        finally:
-            self._open -= 1
         answer.headers.setdefault(REQUEST_ID, request_id)
-        if self._kernel.stopping:
+        if self._shutdown.phase is not ShutdownPhase.SERVING:
             answer.force_close()
         _ANSWERED.emit(
             request=request_id,
             status=answer.status,
+            refusal=refusal,
             retry_after=answer.headers.get("Retry-After"),
             ms=round((self._clock.now() - started) * 1000, 1),
         )
@@ -168,8 +151,6 @@
 
     async def _answer(self, http: web.BaseRequest, request_id: str) -> web.Response:
         arrived = self._clock.now()
-        if self._kernel.stopping_s > self._bounds.take_until_s:
-            raise DrainingError("this agent is about to end", retry_after_s=_RETRY_AFTER_S)
         held = self._routes.current
         if held is None:
             raise NoConfigurationError(
@@ -185,6 +166,7 @@
         spec = configuration.services[service]
         key = _key(http) if spec.keyed else ""
         timeout_s = min(_caller_timeout_s(http, route.timeout_s), route.timeout_s)
+        self._shutdown.check(arrived + timeout_s)
         _RECEIVED.emit(
             request=request_id,
             route=route.name,
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -11,13 +11,13 @@
     Membership,
     Ownership,
     Peers,
+    Shutdown,
     SlotLoad,
     Upstream,
 )
 from ...interfaces.metrics import RunListener
 from ...interfaces.placement import Load
-from ...kernel import Clock, Event, Kernel, Level, RefusalError, Registry
-from ...kernel.bounds import Bounds
+from ...kernel import Clock, Event, Level, RefusalError, Registry
 from ...kernel.errors import (
     DrainingError,
     NotOwnerError,
@@ -33,8 +33,6 @@
     3411, "request_not_run", Level.INFO, "The upstream here did not serve it.", frequent=True
 )
 
-_DRAIN_CHECK_S = 0.02
-
 
 class GateExecution:
     """The `execution` service where each attempt has an id of its own and no token.
@@ -44,21 +42,19 @@
     """
 
     name = "execution"
-    requires = ("catalogue", "ownership", "admission", "upstream")
+    requires = ("catalogue", "ownership", "admission", "upstream", "shutdown")
 
-    def __init__(self, kernel: Kernel) -> None:
-        self._kernel = kernel
+    def __init__(self) -> None:
         self._listeners: list[RunListener] = []
-        self._open = 0
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
-        self._bounds = registry.find("bounds", Bounds)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._membership = registry.find("membership", Membership)
         self._ownership = registry.find("ownership", Ownership)
         self._departure = registry.find("membership", Departure)
+        self._shutdown = registry.find("shutdown", Shutdown)
         self._admission = registry.find("admission", Admission)
         self._slots = registry.find("admission", SlotLoad)
         self._upstream = registry.find("upstream", Upstream)
@@ -68,11 +64,6 @@
     async def start(self) -> None:
         """Does nothing."""
 
-    async def drain(self) -> None:
-        """Lets the requests of other agents finish, as long as the grace time permits."""
-        while self._open and self._kernel.stopping_s < self._bounds.drain_until_s:
-            await self._clock.sleep(_DRAIN_CHECK_S)
-
     async def stop(self) -> None:
         """Does nothing."""
 
@@ -82,9 +73,9 @@
 
     async def execute(self, request: Request) -> Response:
         """Runs a request on the upstream of this agent; see `Execution.execute`."""
-        self._open += 1
         try:
-            return await self._execute(request)
+            with self._shutdown.open_request(request.id):
+                return await self._execute(request)
         except RefusalError as error:
             error.occupancy = self._slots.occupancy
             if request.key and isinstance(error, OverloadedError):
@@ -101,8 +92,6 @@
                 source=request.forwarded_by,
             )
             raise
-        finally:
-            self._open -= 1
 
     async def _execute(self, request: Request) -> Response:
         entry = self._catalogue.entry(request.service).entry
@@ -151,3 +140,4 @@
             raise NotOwnerError(f"this agent is beside {announced.service!r}")
         if announced.state is AnnouncedState.LEAVING or self._departure.closed:
             raise DrainingError("this upstream is leaving")
+        self._shutdown.check(request.deadline)
--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -5,9 +5,9 @@
 import asyncio
 import io
 import unittest
-from unittest import mock
+from contextlib import suppress
 
-from fescueward.kernel import Kernel, TaskOwner, configure_logging
+from fescueward.kernel import Kernel, StopLimits, TaskOwner, configure_logging
 from fescueward.kernel.errors import DuplicateNameError, ServiceFailedError, UnknownNameError
 
 
@@ -47,7 +47,7 @@
     def setUp(self):
         self.lines = io.StringIO()
         configure_logging("DEBUG", "text", self.lines)
-        self.kernel = Kernel()
+        self.kernel = Kernel(StopLimits(drain_s=0.1, stop_s=0.2))
         self.log: list[str] = []
 
     def add(self, name: str, *requires: str) -> Recorded:
@@ -115,14 +115,38 @@
         self.add("failing", "a").failing = "stop"
         self.add("hanging", "a").hang = True
         self.kernel.request_stop()
-        with (
-            mock.patch("fescueward.kernel.kernel.STOP_TIMEOUT_S", 0.05),
-            self.assertRaises(ServiceFailedError),
-        ):
+        with self.assertRaises(ServiceFailedError):
             await asyncio.wait_for(self.kernel.run(), 5)
         self.assertEqual(self.log[-1], "stop a")
         self.assertIn("1004 service_stop_timeout service=hanging", self.lines.getvalue())
 
+    async def test_hanging_drain_ends_with_its_limit(self):
+        """Guards against a process that is killed because one service never drains."""
+        hanging = self.add("hanging")
+        hanging.drain = asyncio.Event().wait
+        self.add("after", "hanging")
+        self.kernel.request_stop()
+        await asyncio.wait_for(self.kernel.run(), 5)
+        self.assertEqual(self.log[-3:], ["drain after", "stop after", "stop hanging"])
+        self.assertIn("1004 service_stop_timeout service=hanging", self.lines.getvalue())
+
+    async def test_step_that_ignores_its_cancellation_is_abandoned(self):
+        """Guards against a lost cancellation that keeps a process until it is killed."""
+        released = asyncio.Event()
+
+        async def stop() -> None:
+            with suppress(asyncio.CancelledError):
+                await released.wait()
+            await released.wait()
+
+        self.add("a")
+        self.add("deaf", "a").stop = stop
+        self.kernel.request_stop()
+        await asyncio.wait_for(self.kernel.run(), 5)
+        released.set()
+        self.assertEqual(self.log[-1], "stop a")
+        self.assertLess(self.kernel.stopping_s, 1)
+
     async def test_bind_checks_without_starting(self):
         """Guards against `check-config` starting anything."""
         self.add("a")
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -20,6 +20,7 @@
 from fescueward.platform.frontend import CallerFrontend
 from fescueward.platform.settings import Address, parse_site
 from fescueward.services.routing.routes import RouteTable
+from fescueward.services.shutdown import GracefulShutdown
 from fescueward.testing.ports import PortReservations
 from tests.services.fakes import StubRegistry, make_response
 
@@ -70,11 +71,13 @@
         configuration = Configuration(3, {"r1": self.route}, {"orders": ServiceSpec("orders")})
         routes.observe(VersionedConfiguration(7, configuration))
         self.kernel, self.router = Kernel(), FakeRouter()
-        self.frontend = CallerFrontend(self.kernel, site)
+        self.shutdown = GracefulShutdown(self.kernel)
+        self.shutdown.bind(StubRegistry(clock=CLOCK, bounds=Bounds(grace_s=self.grace_s)))
+        self.frontend = CallerFrontend(site)
         self.frontend.bind(
             StubRegistry(
                 clock=CLOCK,
-                bounds=Bounds(grace_s=self.grace_s),
+                shutdown=self.shutdown,
                 router=self.router,
                 routes=routes,
                 metrics=None,
@@ -142,6 +145,6 @@
         self.addAsyncCleanup(asyncio.gather, asking, return_exceptions=True)
         await self.router.asked.wait()
         self.kernel.request_stop()
-        await self.frontend.drain()
+        await self.shutdown.drain()
         await self.frontend.stop()
         self.assertLess(self.kernel.stopping_s, self.grace_s)
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -7,15 +7,22 @@
 
 from fescueward.kernel import BootClock, Kernel
 from fescueward.kernel.bounds import Bounds
-from fescueward.kernel.errors import OverloadedError
+from fescueward.kernel.errors import DrainingError, OverloadedError
 from fescueward.messages import Announcement
 from fescueward.messages.request import Occupancy
 from fescueward.services.gate.execution import GateExecution
+from fescueward.services.shutdown import GracefulShutdown
 from tests.services.fakes import StubRegistry, make_request, make_response
 
 ANNOUNCED = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1")
 
 
+def running_shutdown(kernel: Kernel, grace_s: float = 6.0) -> GracefulShutdown:
+    shutdown = GracefulShutdown(kernel)
+    shutdown.bind(StubRegistry(clock=BootClock(), bounds=Bounds(grace_s=grace_s)))
+    return shutdown
+
+
 class SlowUpstream:
     """Answers when it is told to."""
 
@@ -65,7 +72,7 @@
         half of what it ran to others, which then refused as many.
         """
         load = RecordedLoad()
-        execution = GateExecution(Kernel())
+        execution = GateExecution()
         ticket = nullcontext(SimpleNamespace(epoch=1))
 
         async def admit(service, key, deadline):
@@ -74,7 +81,7 @@
         execution.bind(
             StubRegistry(
                 clock=BootClock(),
-                bounds=Bounds(),
+                shutdown=running_shutdown(Kernel()),
                 catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
                 membership=SimpleNamespace(announcement=ANNOUNCED, closed=False),
                 ownership=SimpleNamespace(admit=admit),
@@ -92,13 +99,14 @@
 class DrainTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.kernel, self.upstream = Kernel(), SlowUpstream()
-        self.execution = GateExecution(self.kernel)
+        self.shutdown = running_shutdown(self.kernel, grace_s=1.3)
+        self.execution = GateExecution()
         entry = SimpleNamespace(entry=None)
         slots = FreeSlots()
         self.execution.bind(
             StubRegistry(
                 clock=BootClock(),
-                bounds=Bounds(grace_s=1.3),
+                shutdown=self.shutdown,
                 catalogue=SimpleNamespace(entry=lambda service: entry),
                 membership=SimpleNamespace(announcement=ANNOUNCED, closed=False),
                 ownership=None,
@@ -118,7 +126,7 @@
         Found by trouble-3 of kagaz-mesh (LOST): the platform was away, the agent gave its leave
         up after 4.2 s and ended at once, with requests of other agents at its upstream.
         """
-        drained = asyncio.create_task(self.execution.drain())
+        drained = asyncio.create_task(self.shutdown.drain())
         await asyncio.sleep(0.1)
         self.assertFalse(drained.done())
         self.upstream.proceed.set()
@@ -127,6 +135,15 @@
 
     async def test_stop_ends_within_the_grace_time(self):
         """Guards against an agent that is killed because one request never ends."""
-        await asyncio.wait_for(self.execution.drain(), 1)
+        await asyncio.wait_for(self.shutdown.drain(), 1)
         self.assertFalse(self.running.done())
         self.running.cancel()
+
+    async def test_request_that_may_outlast_the_process_is_left_to_others(self):
+        """Guards against forwarded requests whose upstream is cut off when its agent ends."""
+        await asyncio.sleep(0.7)
+        self.upstream.entered.clear()
+        with self.assertRaises(DrainingError):
+            await self.execution.execute(make_request(2.0, key=""))
+        self.assertFalse(self.upstream.entered.is_set())
+        self.running.cancel()
--- /dev/null
+++ b/tests/services/test_shutdown.py
@@ -0,0 +1,56 @@
+"""Phases of the graceful shutdown."""
+
+import asyncio
+import io
+import unittest
+
+from fescueward.interfaces import ShutdownPhase
+from fescueward.kernel import BootClock, Kernel, configure_logging
+from fescueward.kernel.bounds import Bounds
+from fescueward.kernel.errors import DrainingError
+from fescueward.services.shutdown import GracefulShutdown
+
+from .fakes import StubRegistry
+
+# Takes requests for 1 s, and lets them finish for 0.2 s more.
+BOUNDS = Bounds(grace_s=2.0)
+
+
+class GracefulShutdownTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.lines = io.StringIO()
+        configure_logging("DEBUG", "text", self.lines)
+        self.clock, self.kernel = BootClock(), Kernel()
+        self.shutdown = GracefulShutdown(self.kernel)
+        self.shutdown.bind(StubRegistry(clock=self.clock, bounds=BOUNDS))
+
+    async def test_running_agent_takes_everything(self):
+        """Guards against refusals without a stop."""
+        self.assertIs(self.shutdown.phase, ShutdownPhase.SERVING)
+        self.shutdown.check(self.clock.now() + 3600)
+
+    async def test_taking_depends_on_the_deadline_once_callers_know(self):
+        """Guards against requests that are lost at the end, and against needless refusals."""
+        self.kernel.request_stop()
+        self.shutdown.check(self.clock.now() + 3600)
+        await asyncio.sleep(BOUNDS.take_until_s)
+        self.assertIs(self.shutdown.phase, ShutdownPhase.FINISHING)
+        self.shutdown.check(self.clock.now() + 0.1)
+        with self.assertRaises(DrainingError) as refused:
+            self.shutdown.check(self.clock.now() + 0.3)
+        self.assertGreater(refused.exception.retry_after_s, 0)
+
+    async def test_idle_agent_ends_once_callers_know(self):
+        """Guards against a stop that uses up its grace time without a request."""
+        self.kernel.request_stop()
+        await self.shutdown.drain()
+        self.assertGreaterEqual(self.kernel.stopping_s, BOUNDS.take_until_s)
+        self.assertLess(self.kernel.stopping_s, BOUNDS.finish_until_s)
+
+    async def test_late_drain_keeps_to_the_same_end(self):
+        """Guards against phases that count from the end of the one before them."""
+        self.kernel.request_stop()
+        await asyncio.sleep(BOUNDS.finish_until_s)
+        with self.shutdown.open_request("r1"):
+            await asyncio.wait_for(self.shutdown.drain(), 0.2)
+        self.assertIn("1021 request_open_at_end request=r1", self.lines.getvalue())
