--- a/fescueward/testing/processes.py
+++ b/fescueward/testing/processes.py
@@ -123,6 +123,14 @@
         """
         self._signal(signal.SIGCONT)
 
+    def hang_up(self) -> None:
+        """Tells it with SIGHUP that its settings have changed.
+
+        Raises:
+            ProcessStateError: It does not run.
+        """
+        self._signal(signal.SIGHUP)
+
     def terminate(self) -> None:
         """Asks it to end with SIGTERM.
 
--- /dev/null
+++ b/tests/testing/site/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the emulator of the platform."""
