--- a/fescueward/testing/site/holds.py
+++ b/fescueward/testing/site/holds.py
@@ -21,12 +21,14 @@
     Args:
         service: Service of the keys.
         instance: Id of the start.
+        machine: Machine of the upstream.
         book: List that ended holds are appended to.
     """
 
-    def __init__(self, service: str, instance: str, book: list[Hold]) -> None:
+    def __init__(self, service: str, instance: str, machine: str, book: list[Hold]) -> None:
         self._service = service
         self._instance = instance
+        self._machine = machine
         self._book = book
         self._seen: dict[tuple[int, int], int] = {}
         self._open: list[Hold] = []
@@ -51,6 +53,7 @@
             Hold(
                 service=self._service,
                 instance=self._instance,
+                machine=self._machine,
                 first=first,
                 last=last,
                 fence=fence,
--- a/fescueward/testing/site/records.py
+++ b/fescueward/testing/site/records.py
@@ -94,6 +94,7 @@
     Attributes:
         service: Service of the keys.
         instance: Start of the upstream.
+        machine: Its machine.
         first: Lowest key.
         last: Highest key.
         fence: Epoch of the grant.
@@ -103,6 +104,7 @@
 
     service: str
     instance: str
+    machine: str
     first: int
     last: int
     fence: int
@@ -168,12 +170,14 @@
         since: Begin.
         until: End.
         what: Name of the fault.
+        store: Whether it concerns the store or the way to it only.
     """
 
     machine: str
     since: float
     until: float
     what: str
+    store: bool = False
 
 
 @dataclass(slots=True)
--- a/fescueward/testing/site/upstream.py
+++ b/fescueward/testing/site/upstream.py
@@ -123,7 +123,9 @@
         self._leaving = False
         # A start under the same id holds nothing of before, so holds name the start.
         self._life = f"{self.instance}@{self._born}"
-        self._holds = KeyHolds(self.spec.service, self._life, self._evidence.holds)
+        self._holds = KeyHolds(
+            self.spec.service, self._life, self.spec.machine, self._evidence.holds
+        )
         self._slots = asyncio.Semaphore(self.spec.slots)
         self._waiting = 0
         self._working: dict[asyncio.Task[object], int | None] = {}
--- a/tests/testing/site/test_holds.py
+++ b/tests/testing/site/test_holds.py
@@ -10,7 +10,7 @@
 class KeyHoldsTest(unittest.TestCase):
     def setUp(self):
         self.book = []
-        self.holds = KeyHolds("catalogue", "i-1", self.book)
+        self.holds = KeyHolds("catalogue", "i-1", "m", self.book)
 
     def test_lower_fence_is_refused_and_renewal_extends(self):
         """Guards against an upstream that takes a stale grant."""
