Let the fault proxy reset a connection that is already closed

A connection whose target was reset in the same moment raised EBADF from setsockopt, printed as an unhandled exception of the accepting task. tests.testing.test_proxy passes as before.

--- a/fescueward/testing/proxy.py
+++ b/fescueward/testing/proxy.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 import socket
 import struct
@@ -305,7 +306,9 @@
     # With a linger time of 0 the close sends RST, which the other end cannot take for an end of
     # stream.
     linger = struct.pack("ii", 1, 0)
-    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    # The other end may have closed the connection already.
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
 
 
