--- a/fescueward/testing/site/deployment.py
+++ b/fescueward/testing/site/deployment.py
@@ -164,6 +164,11 @@
 
         await wait_until(lambda: not missing(), within_s, "every agent serves every route")
 
+    def log_lines(self, name: str, count: int = 5) -> str:
+        """Returns the last lines of an agent's log."""
+        lines = (self.directory / f"{name}.log").read_text(errors="replace").splitlines()
+        return "\n".join(lines[-count:])
+
     def start_load(self, loads: Iterable[Load]) -> None:
         """Starts the callers of all machines."""
         for machine in self.machines.values():
