Show the lines of one request from many agents with the beliefs that held

A search by `grep | sort` gave the lines of a request, but not what each agent held then, and no summary. `fescueward logs REQUEST_ID FILES...` prints the lines by time with the latest configuration, group version, lease, grant of the key and load of that process and their age, with `--around SECONDS` the beliefs that changed near it, and a summary: code, outcome, status, agents, agents without a line of it, processes that ended meanwhile. `--json` and exit codes are as elsewhere; lines that are no JSON are counted.

Files are read as streams: once for the lines, and those that matter once more for the beliefs, because a line of the owner may lack the key. At most 1,000 lines and 16,384 grants of one agent are kept.

Names with hyphens are no longer broken at the end of a line by `wrap`.

--- a/fescueward/cli/exits.py
+++ b/fescueward/cli/exits.py
@@ -25,6 +25,7 @@
 )
 from ..kernel.settings import BadSettingsError
 from .client import AnsweredError
+from .log_files import LogFileError
 
 
 class ExitCode(enum.IntEnum):
@@ -44,7 +45,7 @@
 EXIT_TEXTS: dict[ExitCode, str] = {
     ExitCode.DONE: "The command did what it says.",
     ExitCode.FAILED: "Any other failure; the line on standard error names its code.",
-    ExitCode.BAD_INPUT: "Arguments, settings, entry file or entry have a bad value.",
+    ExitCode.BAD_INPUT: "Arguments, settings, a file or an entry have a bad value.",
     ExitCode.CONFLICT: "The entry changed since the version that the edit was made from.",
     ExitCode.NO_AGENT: "None of the administration addresses answered.",
     ExitCode.NOT_AUTHORIZED: "The administration token is missing or wrong.",
@@ -58,6 +59,7 @@
     UnknownNameError.code: ExitCode.BAD_INPUT,
     InvalidEntryError.code: ExitCode.BAD_INPUT,
     InvalidEntryFileError.code: ExitCode.BAD_INPUT,
+    LogFileError.code: ExitCode.BAD_INPUT,
     InvalidAdministrationRequestError.code: ExitCode.BAD_INPUT,
     EntryConflictError.code: ExitCode.CONFLICT,
     AdministrationUnavailableError.code: ExitCode.NO_AGENT,
--- /dev/null
+++ b/fescueward/cli/log_tables.py
@@ -0,0 +1,72 @@
+"""Text of the `logs` command."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import fields
+from typing import Any
+
+from .beliefs import Beliefs
+from .log_files import LogLine
+from .request_log import RequestLog, Summary
+from .tables import wrap
+
+# Fields of a line that its head shows already, or that say nothing here.
+_HEAD_FIELDS = frozenset(("time", "level", "event", "name", "request"))
+_INDENT = "      "
+
+
+def request_log_lines(log: RequestLog) -> list[str]:
+    """Returns the lines of the request and the changes near it in order, and the summary."""
+    shown = [(one.line, one.agent, one.beliefs) for one in log.lines]
+    shown += [(one.line, one.agent, None) for one in log.changes]
+    lines: list[str] = []
+    for line, agent, beliefs in sorted(shown, key=lambda one: (one[0].at, one[0].file)):
+        lines += _line(line, agent, is_change=beliefs is None)
+        if beliefs is not None:
+            lines += wrap("held: " + "; ".join(_beliefs(beliefs)), _INDENT)
+    return [*lines, "", *_summary_lines(log.summary)]
+
+
+def _line(line: LogLine, agent: str, *, is_change: bool) -> list[str]:
+    mark = "+ " if is_change else ""
+    head = f"{mark}{line.time[11:23]} {agent} {line.fields.get('event')} {line.event}"
+    values = " ".join(
+        f"{name}={_value(value)}"
+        for name, value in line.fields.items()
+        if name not in _HEAD_FIELDS
+    )
+    return [*wrap(head), *(wrap(values, "    ") if values else [])]
+
+
+def _value(value: Any) -> str:
+    text = str(value)
+    return repr(text) if " " in text or not text else text
+
+
+def _beliefs(beliefs: Beliefs) -> Iterator[str]:
+    for item in fields(beliefs):
+        belief = getattr(beliefs, item.name)
+        if belief is None:
+            yield f"{item.name} not told"
+        else:
+            yield f"{item.name} {belief.value} ({belief.age_s:.3f} s)"
+
+
+def _summary_lines(summary: Summary) -> list[str]:
+    code = f"{summary.code} {summary.label}" if summary.code is not None else "none"
+    status = summary.status if summary.status is not None else "none"
+    lines = wrap(
+        f"code {code}; outcome {summary.outcome}; status {status}; "
+        f"through {' -> '.join(summary.agents)}"
+    )
+    for name in summary.without_lines:
+        lines += wrap(f"sent to {name}, whose files have no line of it")
+    for end in summary.ends:
+        state = f", {end.state} by its last state" if end.state else ""
+        lines += wrap(f"{end.agent} ended meanwhile ({end.how}), last line {end.last_time}{state}")
+    lines += wrap(
+        f"{summary.lines} lines in {summary.files} files; {summary.not_json} lines are not JSON; "
+        f"{summary.left_out} left out by the agents; {summary.not_shown} not shown"
+    )
+    return lines
--- a/fescueward/cli/main.py
+++ b/fescueward/cli/main.py
@@ -22,6 +22,8 @@
 from .client import AdministrationClient, AnsweredError
 from .entries import differences, read_entry, write_entry
 from .exits import reported
+from .log_tables import request_log_lines
+from .request_log import search
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -130,6 +132,32 @@
             _print(tables.explanation_lines(answer))
 
 
+@app.command()
+def logs(
+    request: Annotated[str, typer.Argument(help="Id of the request.")],
+    files: Annotated[
+        list[Path], typer.Argument(help="Log files of agents (JSON lines), one for each agent.")
+    ],
+    around: Annotated[
+        float | None,
+        typer.Option(
+            "--around",
+            min=0,
+            metavar="SECONDS",
+            help="Also show beliefs that changed so near to the request.",
+        ),
+    ] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Shows the lines of one request from many agents, and what each agent held then."""
+    with reported():
+        found = search(request, files, around)
+        if as_json:
+            typer.echo(encode_json(found).decode())
+        else:
+            _print(request_log_lines(found))
+
+
 @entry_app.command("list")
 def list_entries(
     url: UrlOption = None, config: AddressConfigOption = None, as_json: JsonOption = False
--- a/fescueward/cli/tables.py
+++ b/fescueward/cli/tables.py
@@ -40,9 +40,13 @@
 
 
 def wrap(text: str, indent: str = "") -> list[str]:
-    """Returns a text in lines of the width; words that are longer are broken."""
+    """Returns a text in lines of the width; words that are longer are broken, names are not."""
     return textwrap.wrap(
-        text, WIDTH, initial_indent=indent, subsequent_indent=" " * len(indent)
+        text,
+        WIDTH,
+        initial_indent=indent,
+        subsequent_indent=" " * len(indent),
+        break_on_hyphens=False,
     ) or [indent.rstrip()]
 
 
--- /dev/null
+++ b/tests/cli/test_beliefs.py
@@ -0,0 +1,119 @@
+"""Tests of the beliefs of an agent."""
+
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import mock
+
+from fescueward import docs
+from fescueward.cli import beliefs, request_log
+from fescueward.cli.beliefs import BELIEF_EVENTS, Belief, Beliefs, BeliefTracker
+from fescueward.cli.log_files import read_lines
+from fescueward.kernel import events
+
+from .log_samples import EVENTS, line
+
+
+class BeliefsTest(unittest.TestCase):
+    def held(self, text: str, at: float, key: str = "", shard: int | None = None) -> Beliefs:
+        """Returns what held `at` seconds after the minute, after some lines."""
+        with TemporaryDirectory() as directory:
+            path = Path(directory) / "a.log"
+            path.write_text(text + line(at, "request_run"))
+            found = [one for one in read_lines(path, 0) if one is not None]
+        tracker = BeliefTracker()
+        for one in found[:-1]:
+            tracker.observe(one)
+        return tracker.beliefs(found[-1].at, "depot", key, shard)
+
+    def test_latest_value_and_its_age(self):
+        """Guards against a belief that an earlier line told, and ages of another line."""
+        text = (
+            line(1, "configuration_applied", version=2)
+            + line(2, "group_changed", group="depot/0", version=7, members=4)
+            + line(3, "group_changed", group="orders/0", version=9, members=6)
+            + line(4, "lease_held", member="a:1")
+            + line(5, "configuration_applied", version=3)
+            + line(6, "lease_expired", member="a:1")
+        )
+        held = self.held(text, 8)
+        self.assertEqual(held.configuration, Belief("version 3", 3.0))
+        self.assertEqual(held.group, Belief("version 7, 4 members", 6.0))
+        self.assertEqual(held.lease, Belief("expired", 2.0))
+        self.assertIsNone(held.load)
+
+    def test_entry_of_the_service_goes_before_the_configuration(self):
+        """Guards against the version of another service's catalogue entry."""
+        text = line(1, "entry_applied", service="depot", version=4) + line(
+            2, "entry_applied", service="orders", version=9
+        )
+        self.assertEqual(self.held(text, 2).configuration, Belief("entry version 4", 1.0))
+
+    def test_grant_of_the_key(self):
+        """Guards against the grant of another range, and one that was released since."""
+        text = (
+            line(1, "range_active", first=0, last=99, epoch=5)
+            + line(2, "range_active", first=100, last=199, epoch=6)
+            + line(3, "range_released", first=100, last=199, epoch=6)
+            + line(4, "range_active", first=150, last=160, epoch=8)
+        )
+        cases = {
+            "99": Belief("range 0-99 held, epoch 5", 4.0),
+            "100": Belief("range 100-199 released, epoch 6", 2.0),
+            "155": Belief("range 150-160 held, epoch 8", 1.0),
+            "200": None,
+            "": None,
+            "k-1": None,
+        }
+        for key, expected in cases.items():
+            self.assertEqual(self.held(text, 5, key).grant, expected, key)
+
+    def test_grant_of_the_shard(self):
+        """Guards against the shard of another key."""
+        text = line(1, "shard_taken", shard=3, epoch=5) + line(2, "shard_releasing", shard=4)
+        grant = self.held(text, 5, "k", 3).grant
+        self.assertEqual(grant, Belief("shard 3 taken over, epoch 5", 4.0))
+
+    def test_load(self):
+        """Guards against a load that a refusal without a figure erases."""
+        refused = line(1, "request_not_run", occupancy="Occupancy(running=6)")
+        refused += line(2, "request_not_run", occupancy=None)
+        self.assertEqual(self.held(refused, 3).load, Belief("Occupancy(running=6)", 2.0))
+        reduced = refused + line(2, "slots_reduced", limit=3, slots=6)
+        self.assertEqual(self.held(reduced, 3).load, Belief("3 of 6 slots", 1.0))
+        slow = reduced + line(3, "slow_start", usable=1, slots=6)
+        self.assertEqual(self.held(slow, 3).load, Belief("1 of 6 slots", 0.0))
+
+    def test_state(self):
+        """Guards against a stop that looks as if the agent were only not ready."""
+        self.assertIsNone(self.held("", 1).state)
+        waiting = line(1, "not_ready", stopping=False)
+        self.assertEqual(self.held(waiting, 1).state, Belief("not ready", 0.0))
+        stopping = waiting + line(2, "not_ready", stopping=True)
+        self.assertEqual(self.held(stopping, 2).state, Belief("stopping", 0.0))
+
+    def test_memory_is_bounded(self):
+        """Guards against a command that grows with the number of grants and groups."""
+        with mock.patch.object(beliefs, "_MOST_GRANTS", 2):
+            text = "".join(
+                line(at, "range_active", first=at * 10, last=at * 10 + 9, epoch=1)
+                for at in range(1, 4)
+            )
+            self.assertIsNone(self.held(text, 5, "15").grant)
+            self.assertIsNotNone(self.held(text, 5, "25").grant)
+
+    def test_events_exist(self):
+        """Guards against events that were renamed, so that a belief is never seen."""
+        docs.pages()  # imports all modules
+        numbers = {event.name: event.number for event in events()}
+        names = {
+            *BELIEF_EVENTS,
+            *request_log._REFUSED,
+            *request_log._SENT,
+            *request_log._LAST_OF_AN_AGENT,
+        }
+        self.assertEqual(names - set(numbers), set())
+        for name, number in EVENTS.items():
+            self.assertEqual(numbers[name], number, name)
