--- a/fescueward/cli/request_log.py
+++ b/fescueward/cli/request_log.py
@@ -21,10 +21,17 @@
 _MOST_PROCESSES = 64
 
 _ANSWERED = "request_answered"
+_CALLER_LEFT = "caller_left"
 _REFUSED = ("request_refused", "request_not_served")
 _SENT = ("request_sent", "request_forwarded")
 # After one of these an agent has nothing more to do for a request.
-_LAST_OF_AN_AGENT = (_ANSWERED, "request_executed", "request_run", "request_not_run")
+_LAST_OF_AN_AGENT = (
+    _ANSWERED,
+    _CALLER_LEFT,
+    "request_executed",
+    "request_run",
+    "request_not_run",
+)
 # Fields that name members of a group.
 _MEMBER_FIELDS = ("member", "members", "owner", "ranges", "moving", "to")
 # What all agents tell alike, so that only those that the request went to are shown with it: new
@@ -88,7 +95,8 @@
     Attributes:
         code: Code of its last refusal, or None.
         label: Label of that refusal, or empty.
-        outcome: `answered`, an outcome of docs/errors.md, or `no_answer` if no agent tells an end.
+        outcome: `answered`, an outcome of docs/errors.md, `caller_left`, or `no_answer` if no agent
+            tells an end.
         status: HTTP status that the caller got, or None.
         agents: Agents that it went through, in order.
         without_lines: Agents that it was sent to and whose files have no line of it.
@@ -308,7 +316,11 @@
     refusals = [line.fields for line in lines if line.event in _REFUSED]
     answers = [line.fields.get("status") for line in lines if line.event == _ANSWERED]
     refusal = refusals[-1] if refusals else {}
-    outcome = "answered" if answers else "no_answer"
+    outcome = "no_answer"
+    if answers:
+        outcome = "answered"
+    elif any(line.event == _CALLER_LEFT for line in lines):
+        outcome = _CALLER_LEFT
     return Summary(
         refusal.get("code"),
         str(refusal.get("label", "")),
--- a/tests/cli/log_samples.py
+++ b/tests/cli/log_samples.py
@@ -33,6 +33,7 @@
     "not_ready": 3711,
     "request_received": 3712,
     "request_answered": 3713,
+    "caller_left": 3715,
     "log_lines_left_out": 9001,
 }
 
--- a/tests/cli/test_request_log.py
+++ b/tests/cli/test_request_log.py
@@ -156,6 +156,12 @@
         self.assertEqual((summary.outcome, summary.status), ("no_answer", None))
         self.assertEqual([(end.agent, end.how) for end in summary.ends], [("a1", "replaced")])
 
+    def test_caller_left(self):
+        """Guards against a caller's own end that looks like a loss."""
+        a1 = started(1, "a1") + received(3) + line(4, "caller_left", request=ID)
+        summary = self.search(a1=a1, b1=line(9, "lease_held")).summary
+        self.assertEqual((summary.outcome, summary.ends), ("caller_left", ()))
+
     def test_ends_at_other_times_are_not_of_the_request(self):
         """Guards against a restart of yesterday as the cause."""
         restarted = started(1, "b1") + line(2, "agent_stopped") + started(3, "b1")
