--- a/fescueward/cli/request_log.py
+++ b/fescueward/cli/request_log.py
@@ -95,8 +95,8 @@
     Attributes:
         code: Code of its last refusal, or None.
         label: Label of that refusal, or empty.
-        outcome: `answered`, an outcome of docs/errors.md, `caller_left`, or `no_answer` if no agent
-            tells an end.
+        outcome: `answered`, `caller_left`, an outcome of docs/errors.md, or `no_answer` if no
+            agent tells an end.
         status: HTTP status that the caller got, or None.
         agents: Agents that it went through, in order.
         without_lines: Agents that it was sent to and whose files have no line of it.
