Leave out key ranges without the request's key in the output of logs

One round of placement moved 38 ranges, so the one of the key was hard to find among 160 lines of a request that was refused with shard_moving. Ranges that do not hold the key are passed over, and lists of ranges only count them. The answer names service and key.

--- a/fescueward/cli/log_tables.py
+++ b/fescueward/cli/log_tables.py
@@ -8,7 +8,7 @@
 
 from .beliefs import Beliefs
 from .log_files import LogLine
-from .request_log import RequestLog, Summary
+from .request_log import RequestLog, Summary, covers
 from .tables import wrap
 
 # Fields of a line that its head shows already, or that say nothing here.
@@ -22,28 +22,37 @@
     shown += [(one.line, one.agent, None) for one in log.changes]
     lines: list[str] = []
     for line, agent, beliefs in sorted(shown, key=lambda one: (one[0].at, one[0].file)):
-        lines += _line(line, agent, is_change=beliefs is None)
+        lines += _line(line, agent, log.key, is_change=beliefs is None)
         if beliefs is not None:
             lines += wrap("held: " + "; ".join(_beliefs(beliefs)), _INDENT)
     return [*lines, "", *_summary_lines(log.summary)]
 
 
-def _line(line: LogLine, agent: str, *, is_change: bool) -> list[str]:
+def _line(line: LogLine, agent: str, key: str, *, is_change: bool) -> list[str]:
     mark = "+ " if is_change else ""
     head = f"{mark}{line.time[11:23]} {agent} {line.fields.get('event')} {line.event}"
     values = " ".join(
-        f"{name}={_value(value)}"
+        f"{name}={_value(value, key)}"
         for name, value in line.fields.items()
         if name not in _HEAD_FIELDS
     )
     return [*wrap(head), *(wrap(values, "    ") if values else [])]
 
 
-def _value(value: Any) -> str:
+def _value(value: Any, key: str) -> str:
+    if isinstance(value, list):
+        # A plan names up to a few hundred ranges; those without the key are only counted.
+        shown = [one for one in value if _may_hold(one, key)]
+        left_out = len(value) - len(shown)
+        return f"{shown}" + (f" and {left_out} others" if left_out else "")
     text = str(value)
     return repr(text) if " " in text or not text else text
 
 
+def _may_hold(one: object, key: str) -> bool:
+    return not isinstance(one, list) or len(one) < 2 or covers(key, one[0], one[1])
+
+
 def _beliefs(beliefs: Beliefs) -> Iterator[str]:
     for item in fields(beliefs):
         belief = getattr(beliefs, item.name)
--- a/fescueward/cli/request_log.py
+++ b/fescueward/cli/request_log.py
@@ -124,9 +124,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLog:
-    """The answer of the command."""
+    """The answer of the command.
+
+    Attributes:
+        request: Id of the request.
+        service: Its service, as far as a line tells it.
+        key: Its key, or empty.
+        lines: Its lines in order.
+        changes: Beliefs that changed near it, in order.
+        summary: What became of it.
+    """
 
     request: str
+    service: str
+    key: str
     lines: tuple[RequestLine, ...]
     changes: tuple[Change, ...]
     summary: Summary
@@ -230,6 +241,8 @@
             _read_again(file, route, around_s, beliefs, changes)
     return RequestLog(
         request,
+        route.service,
+        route.key,
         tuple(
             RequestLine(files[line.file].agent, line, beliefs.get(_place(line), Beliefs()))
             for line in lines
@@ -267,7 +280,8 @@
 
     def concerns(self, agent: str, line: LogLine) -> bool:
         """Tells whether a change of a belief may have touched the request."""
-        if line.request:
+        first, last = line.fields.get("first"), line.fields.get("last")
+        if line.request or not covers(self.key, first, last):
             return False
         if agent in self.agents or agent in self.without_lines:
             return True
@@ -359,6 +373,13 @@
                 yield ProcessEnd(file.agent, process.last_time, how, process.state)
 
 
+def covers(key: str, first: object, last: object) -> bool:
+    """Tells whether a key range holds a key; without numbers that deny it, it may."""
+    if not key.isdecimal() or not isinstance(first, int) or not isinstance(last, int):
+        return True
+    return first <= int(key) <= last
+
+
 def _first_value(lines: Sequence[LogLine], name: str) -> str:
     values = (str(line.fields.get(name, "")) for line in lines)
     return next((value for value in values if value), "")
--- a/tests/cli/log_samples.py
+++ b/tests/cli/log_samples.py
@@ -23,6 +23,7 @@
     "shard_releasing": 2702,
     "range_active": 2820,
     "range_released": 2823,
+    "ranges_moving": 2830,
     "slots_reduced": 3101,
     "slow_start": 3102,
     "request_executed": 3401,
--- a/tests/cli/test_request_log.py
+++ b/tests/cli/test_request_log.py
@@ -8,6 +8,7 @@
 
 from fescueward.cli import log_files, request_log
 from fescueward.cli.exits import ExitCode
+from fescueward.cli.log_tables import request_log_lines
 from fescueward.cli.request_log import ProcessEnd, RequestLog, search
 
 from .log_samples import line, started
@@ -169,6 +170,18 @@
         a1 = started(1, "a1") + received(10) + sent(10, "b1:7") + answered(12, 200)
         self.assertEqual(self.search(a1=a1, b1=b1).summary.ends, ())
 
+    def test_other_ranges_are_left_out(self):
+        """Guards against hundreds of ranges in which the one of the key is not found."""
+        others = [[number, number, "b1:7", "c1:7"] for number in range(40)]
+        b1 = started(1, "b1") + line(2, "range_released", first=0, last=99, epoch=6)
+        b1 += line(3, "ranges_moving", moving=[*others, [100, 199, "b1:7", "c1:7"]])
+        b1 += received(4) + answered(4, 503)
+        found = self.search(9, b1=b1)
+        moving = [change.line.event for change in found.changes]
+        self.assertEqual(moving, ["agent_started", "ranges_moving"])
+        text = "\n".join(request_log_lines(found))
+        self.assertIn("moving=[[100, 199, 'b1:7', 'c1:7']] and 40 others", text)
+
     def test_changes_near_the_request(self):
         """Guards against changes of all agents, and changes long before."""
         texts = self.overloaded()
