Close tasks that a failed check of the simulated fleet leaves unstarted

scripts/test tests.services warned that the coroutine ShardOwnership._hand_over was never awaited. Traced with the origins of coroutines: both warnings came from test_search_power, whose mutant _ServesAfterRelease breaks a rule on purpose. Fleet.check then raises inside a step of the simulated loop, and the task that this step had just made is thrown away with the loop. Fleet.close closes the coroutines of such tasks; the search calls it after each example.

--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -311,6 +311,11 @@
             del self.network.peers[name]
             self.world.paused.discard(name)
 
+    def close(self) -> None:
+        """Ends the simulation, also inside a step that a failed check has ended."""
+        for agent in self.agents.values():
+            agent.loop.abandon()
+
     def heal(self) -> None:
         """Ends all faults but the kills."""
         self.world.paused.clear()
--- a/tests/services/test_single_owner.py
+++ b/tests/services/test_single_owner.py
@@ -236,9 +236,13 @@
         self.fleet.platform.write(HOME.object_key, changed, version)
 
     def teardown(self) -> None:
-        if hasattr(self, "fleet"):
+        if not hasattr(self, "fleet"):
+            return
+        try:
             self.fleet.heal()
             self.fleet.world.advance(3)
+        finally:
+            self.fleet.close()
 
 
 def search_settings(examples: int, steps: int, deterministic: bool = True) -> settings:
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -9,6 +9,7 @@
 import asyncio
 import enum
 import heapq
+import inspect
 import itertools
 from asyncio import events
 from collections.abc import Callable
@@ -61,6 +62,17 @@
             return float("inf")
         return (self._scheduled[0]._when - self._offset) / self._rate
 
+    def abandon(self) -> None:
+        """Closes the coroutines of tasks that were made and not started.
+
+        Python would warn of each as never awaited. Tasks that have started are left as they are,
+        as those of a killed process.
+        """
+        for task in asyncio.all_tasks(self):
+            coroutine = task.get_coro()
+            if inspect.getcoroutinestate(coroutine) == inspect.CORO_CREATED:
+                coroutine.close()
+
     def step(self) -> None:
         """Runs what is due now."""
         events._set_running_loop(self)
