Show the phases of a stop in logs, and ends after a request's last line

The stop has lines of its own now: 1020 names the phase, which logs shows as the state of the agent, and 1021 the requests that are cut. An agent that holds a request may end after the last line about it, so its end counts until the deadline of a request that has no answer.

--- a/fescueward/cli/beliefs.py
+++ b/fescueward/cli/beliefs.py
@@ -21,6 +21,7 @@
     "agent_started": "starting",
     "ready": "ready",
     "not_ready": "not ready",
+    "shutdown_phase": "stopping",
     "group_joined": "member",
     "member_removed": "removed by others",
     "leaving": "leaving",
@@ -195,5 +196,8 @@
 
 def state_after(line: LogLine) -> str:
     """Returns what an agent is after a line, or empty if the line does not tell it."""
-    stopping = line.event == "not_ready" and line.fields.get("stopping") is True
-    return "stopping" if stopping else _STATES.get(line.event, "")
+    if line.event == "not_ready" and line.fields.get("stopping") is True:
+        return "stopping"
+    if line.event == "shutdown_phase":
+        return f"stopping, {line.fields.get('phase')}"
+    return _STATES.get(line.event, "")
--- a/fescueward/cli/request_log.py
+++ b/fescueward/cli/request_log.py
@@ -262,6 +262,7 @@
 
     def __init__(self, lines: Sequence[LogLine], files: Sequence[_File]) -> None:
         self.first_at, self.last_at = lines[0].at, lines[-1].at
+        self.open_until = self._open_until(lines)
         self.places = {_place(line): line for line in lines}
         self.service = _first_value(lines, "service")
         self.key = _first_value(lines, "key")
@@ -278,6 +279,17 @@
             files[line.file].agent for line in lines if line.event in _LAST_OF_AN_AGENT
         )
 
+    def _open_until(self, lines: Sequence[LogLine]) -> float:
+        """Returns when the request was over: at its last line, or at its deadline without an end.
+
+        Lines of requests are written up to 20 ms late and are lost with the process.
+        """
+        if any(line.event in (_ANSWERED, _CALLER_LEFT) for line in lines):
+            return self.last_at
+        timeouts = [line.fields.get("timeout_ms") for line in lines]
+        known = [value / 1000 for value in timeouts if isinstance(value, int)]
+        return max(self.last_at, self.first_at + max(known, default=0.0))
+
     def concerns(self, agent: str, line: LogLine) -> bool:
         """Tells whether a change of a belief may have touched the request."""
         first, last = line.fields.get("first"), line.fields.get("last")
@@ -358,7 +370,7 @@
             continue
         following = [process.first_at for process in file.processes[1:]]
         for process, next_at in zip_longest(file.processes, following):
-            if process.last_at > route.last_at:
+            if process.last_at > route.open_until:
                 continue
             if process.state == "stopped":
                 how, at = "stopped", process.last_at
@@ -368,7 +380,7 @@
                 # It has done its part, or was not there when the request came.
                 continue
             else:
-                how, at = "silent", route.last_at
+                how, at = "silent", route.open_until
             if at >= route.first_at:
                 yield ProcessEnd(file.agent, process.last_time, how, process.state)
 
--- a/tests/cli/log_samples.py
+++ b/tests/cli/log_samples.py
@@ -9,6 +9,8 @@
 EVENTS = {
     "agent_started": 1010,
     "agent_stopped": 1011,
+    "shutdown_phase": 1020,
+    "request_open_at_end": 1021,
     "entry_applied": 2101,
     "configuration_applied": 2110,
     "group_changed": 2201,
--- a/tests/cli/test_beliefs.py
+++ b/tests/cli/test_beliefs.py
@@ -93,6 +93,8 @@
         self.assertEqual(self.held(waiting, 1).state, Belief("not ready", 0.0))
         stopping = waiting + line(2, "not_ready", stopping=True)
         self.assertEqual(self.held(stopping, 2).state, Belief("stopping", 0.0))
+        finishing = stopping + line(3, "shutdown_phase", phase="finishing", open=2)
+        self.assertEqual(self.held(finishing, 5).state, Belief("stopping, finishing", 2.0))
 
     def test_memory_is_bounded(self):
         """Guards against a command that grows with the number of grants and groups."""
--- a/tests/cli/test_request_log.py
+++ b/tests/cli/test_request_log.py
@@ -19,7 +19,7 @@
 
 
 def received(at: float, request: str = ID) -> str:
-    fields = {"route": "r", "service": "depot", "key": "150", "configuration": 2}
+    fields = {"service": "depot", "key": "150", "configuration": 2, "timeout_ms": 2000}
     return line(at, "request_received", request=request, **fields)
 
 
@@ -157,6 +157,23 @@
         self.assertEqual((summary.outcome, summary.status), ("no_answer", None))
         self.assertEqual([(end.agent, end.how) for end in summary.ends], [("a1", "replaced")])
 
+    def test_open_at_the_end_of_a_stop(self):
+        """Guards against a request that a stopping agent cuts and no line of the answer tells."""
+        a1 = started(1, "a1") + received(3) + line(4, "shutdown_phase", phase="closing", open=1)
+        a1 += line(4, "request_open_at_end", request=ID) + line(5, "agent_stopped")
+        found = self.search(a1=a1, b1=line(9, "lease_held"))
+        beliefs = found.lines[-1].beliefs
+        assert beliefs.state is not None
+        self.assertEqual(beliefs.state.value, "stopping, closing")
+        self.assertEqual(found.summary.outcome, "no_answer")
+        self.assertEqual([end.how for end in found.summary.ends], ["stopped"])
+        # It is also the last that is heard of the request if nobody writes that line.
+        a1 = started(1, "a1") + received(3) + line(4, "leaving") + line(9, "lease_held")
+        self.assertEqual(self.search(a1=a1).summary.ends, ())
+        silent = started(1, "a1") + received(3) + line(4, "leaving")
+        ends = self.search(a1=silent).summary.ends
+        self.assertEqual([(end.how, end.state) for end in ends], [("silent", "leaving")])
+
     def test_caller_left(self):
         """Guards against a caller's own end that looks like a loss."""
         a1 = started(1, "a1") + received(3) + line(4, "caller_left", request=ID)
