--- a/fescueward/cli/log_tables.py
+++ b/fescueward/cli/log_tables.py
@@ -21,7 +21,7 @@
     shown = [(one.line, one.agent, one.beliefs) for one in log.lines]
     shown += [(one.line, one.agent, None) for one in log.changes]
     lines: list[str] = []
-    for line, agent, beliefs in sorted(shown, key=lambda one: (one[0].at, one[0].file)):
+    for line, agent, beliefs in sorted(shown, key=lambda one: one[0].at):
         lines += _line(line, agent, log.key, is_change=beliefs is None)
         if beliefs is not None:
             lines += wrap("held: " + "; ".join(_beliefs(beliefs)), _INDENT)
--- a/fescueward/cli/request_log.py
+++ b/fescueward/cli/request_log.py
@@ -20,6 +20,7 @@
 # Most processes that are kept of one file, the latest ones.
 _MOST_PROCESSES = 64
 
+_RECEIVED = "request_received"
 _ANSWERED = "request_answered"
 _CALLER_LEFT = "caller_left"
 _REFUSED = ("request_refused", "request_not_served")
@@ -232,7 +233,11 @@
         raise RequestNotLoggedError(
             f"no line of request {request!r} in {len(files)} files; {unread} lines are not JSON"
         )
-    lines = sorted(found.items, key=_order)
+    # Times are in milliseconds. In one of them the agent that took the request wrote first.
+    first_files = {line.file for line in found.items if line.event == _RECEIVED}
+    lines = sorted(
+        found.items, key=lambda line: (line.at, line.file not in first_files, _place(line))
+    )
     route = _Route(lines, files)
     beliefs: dict[tuple[int, int], Beliefs] = {}
     changes: _Bounded[Change] = _Bounded()
@@ -247,7 +252,7 @@
             RequestLine(files[line.file].agent, line, beliefs.get(_place(line), Beliefs()))
             for line in lines
         ),
-        tuple(sorted(changes.items, key=lambda change: _order(change.line))),
+        tuple(sorted(changes.items, key=lambda change: (change.line.at, _place(change.line)))),
         _summary(lines, files, route, found.beyond + changes.beyond),
     )
 
@@ -399,7 +404,3 @@
 
 def _place(line: LogLine) -> tuple[int, int]:
     return line.file, line.number
-
-
-def _order(line: LogLine) -> tuple[float, int, int]:
-    return line.at, line.file, line.number
--- a/tests/cli/test_request_log.py
+++ b/tests/cli/test_request_log.py
@@ -88,6 +88,13 @@
         self.assertIsNone(there.load)
         self.assertEqual(found.changes, ())
 
+    def test_lines_of_one_millisecond(self):
+        """Guards against an owner that seems to refuse before the request came."""
+        b1 = line(3, "request_not_run", request=ID)
+        a1 = started(1, "a1") + received(3) + sent(3, "b1:7") + answered(3, 503)
+        summary = self.search(b1=b1, a=a1).summary
+        self.assertEqual(summary.agents, ("a1", "b1"))
+
     def test_summary_of_a_refusal(self):
         """Guards against a summary that does not tell what the caller got and from whom."""
         summary = self.search(**self.overloaded()).summary
