Bound the answers that every HTTP client reads

What callers saw: bytes without end, in the head or the body of an answer, were read until the deadline. The platform adapter kept them in memory; a streamed response of the product's own upstream had no end at all, so its slot was never freed.

Cause: aiohttp bounds lines and the number of header lines, but not the number of 1xx answers, the size of a body, chunk extensions, or complete answers that follow on an idle connection. No client had a limit of its own, and the deadline of a run ended with the head of its response.

Change: all clients open their sessions by kernel/http_client.py. Its connection counts what it receives and aborts itself at 128 KiB of head, at max_answer_bytes in all (new checked setting of [upstream] and [platform]; 8 MiB and 16 MiB on the users' platform) or with bytes after an answer. The errors are those of a broken answer: 502 with a run that may have happened, so repeatable requests go elsewhere. A streamed response ends with the deadline. Compressed bodies are no longer expanded.

Ruled out: a limit where a body is read. It does not see 1xx answers, chunk extensions and idle connections.

--- a/fescueward/cli/client.py
+++ b/fescueward/cli/client.py
@@ -17,6 +17,7 @@
     MalformedMessageError,
     PlatformUnavailableError,
 )
+from ..kernel.http_client import bounded_session
 from ..messages.codec import decode_json, encode_json
 from ..messages.status import (
     DeletedAnswer,
@@ -35,6 +36,8 @@
 # A status waits up to 1 s for silent agents; a change waits for two calls to the platform and up
 # to three to read a lost answer back.
 _CALL_TIMEOUT_S = 10.0
+# Largest answer, in bytes: the status of 4,600 agents takes a few MB.
+_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 class AnsweredError(FescuewardError):
@@ -150,7 +153,9 @@
 
     def _session(self) -> aiohttp.ClientSession:
         timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S)
-        return aiohttp.ClientSession(timeout=timeout)
+        return bounded_session(
+            _ANSWER_BYTES, timeout=timeout, skip_auto_headers=("Accept-Encoding",)
+        )
 
 
 def _decode(url: str, status: int, data: bytes, kind: type[T]) -> T:
--- a/fescueward/kernel/settings.py
+++ b/fescueward/kernel/settings.py
@@ -162,6 +162,20 @@
     watch_ms: int = _option(
         _integer(1000, 300_000), "Longest wait of one watch call, in ms.", 20_000
     )
+    max_answer_bytes: int = _option(
+        _integer(65_536, 1 << 30), "Largest answer of the object API, in bytes.", 32 * 1024 * 1024
+    )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamSection:
+    """Answers of the upstream on this VM."""
+
+    max_answer_bytes: int = _option(
+        _integer(65_536, 1 << 40),
+        "Largest answer to one request, with head and framing, in bytes.",
+        64 * 1024 * 1024,
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -218,6 +232,7 @@
     placement: PlacementSection
     routing: RoutingSection
     log: LogSection
+    upstream: UpstreamSection = UpstreamSection()
 
 
 _SECTIONS: dict[str, type[Any]] = {
@@ -231,6 +246,7 @@
     "placement": PlacementSection,
     "routing": RoutingSection,
     "log": LogSection,
+    "upstream": UpstreamSection,
 }
 
 
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -20,6 +20,7 @@
     PlatformSection,
     RoutingSection,
     Settings,
+    UpstreamSection,
 )
 from .names import SETTINGS_VARIABLE
 
@@ -35,6 +36,11 @@
 # A watch that went silent without a reset delays configurations by this long; two agents of the
 # fleet watch, so that shorter waits cost few calls.
 _WATCH_MS = 2_500
+# An answer is held whole until its receipt and length are checked. Those of 12 slots, the most
+# of the known deployments, take 96 MiB together; a machine has 300 MB.
+_UPSTREAM_ANSWER_BYTES = 8 * 1024 * 1024
+# The store's pages have 1 MB at most; events of a watch are not paged.
+_STORE_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +142,7 @@
             url=f"http://{values['infra.address']}",
             timeout_ms=_STORE_TIMEOUT_MS,
             watch_ms=_WATCH_MS,
+            max_answer_bytes=_STORE_ANSWER_BYTES,
         ),
         lease=LeaseSection(
             lease_ms=_LEASE_MS, renewal_ms=_RENEWAL_MS, drift_margin_ms=_DRIFT_MARGIN_MS
@@ -143,6 +150,7 @@
         placement=PlacementSection(),
         routing=RoutingSection(),
         log=LogSection(level="INFO", format="json"),
+        upstream=UpstreamSection(max_answer_bytes=_UPSTREAM_ANSWER_BYTES),
     )
     return Site(
         settings=settings,
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -19,6 +19,7 @@
     PlatformUnavailableError,
     VersionConflictError,
 )
+from ..kernel.http_client import bounded_session
 from ..kernel.settings import Settings
 from ..messages.codec import encode_json
 from ..messages.configuration import CONFIGURATION_KEY
@@ -39,6 +40,8 @@
 _WATCH_PAUSE_S = 0.5
 # uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
 _CALL_FAILURES = (aiohttp.ClientError, OSError, RuntimeError)
+# Time for which an idle connection is kept, in seconds.
+_KEEPALIVE_S = 30.0
 # The store refused the call, so it had no effect.
 _REFUSED_STATUSES = frozenset({429, 503})
 
@@ -91,20 +94,16 @@
         section = registry.find("settings", Settings).platform
         self._url = section.url + OBJECTS_PATH
         self._timeout_s = section.timeout_ms / 1000
+        self._answer_bytes = section.max_answer_bytes
         longest_call_s = section.watch_ms / 1000 + _WATCH_SLACK_S + _WATCH_PAUSE_S
         clock = registry.find("clock", Clock)
         self._availability = PlatformAvailability(clock, self._url, longest_call_s)
 
     async def start(self) -> None:
         """Opens the HTTP session."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
-            auto_decompress=False,
-            trust_env=False,
+        self._session = bounded_session(
+            self._answer_bytes, keepalive_s=_KEEPALIVE_S, trust_env=False
         )
-        # aiohttp repeats PUT and DELETE on a reused connection that breaks. The repetition of a
-        # conditional write that took effect is answered as a conflict, as if it had not.
-        self._session._retry_connection = False
 
     async def stop(self) -> None:
         """Closes the HTTP session."""
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 from typing import Any
 
 import aiohttp
 import msgspec
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from ..interfaces import Liveness, Membership
@@ -20,6 +18,7 @@
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
+from ..kernel.http_client import BoundedConnection, bounded_session
 from ..messages import GrantSet, Request, Response
 from ..messages.group import KeyRange
 from ..messages.request import BytesBody
@@ -47,6 +46,8 @@
 _KEEPALIVE_S = 4.0
 _CONNECT_TIMEOUT_S = 0.5
 _ORDER_CONNECTIONS = 4
+# Limit on the answer to a grant or release, which carries a header at most, in bytes.
+_ORDER_ANSWER_BYTES = 65_536
 _GRANT_TIMEOUT_S = 0.5
 # A release is confirmed when the work on the keys has ended.
 _RELEASE_TIMEOUT_S = 2.0
@@ -77,6 +78,7 @@
 
     def __init__(self, site: Site) -> None:
         self._base = f"http://{site.application.host}:{site.application.port}"
+        self._answer_bytes = site.settings.upstream.max_answer_bytes
         self._pooled: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
         self._orders: aiohttp.ClientSession | None = None
@@ -95,12 +97,12 @@
 
     async def start(self) -> None:
         """Opens the HTTP sessions."""
-        self._pooled = _session(_connector(keepalive_timeout=_KEEPALIVE_S))
+        self._pooled = _session(self._answer_bytes, keepalive_s=_KEEPALIVE_S)
         # A request that may not run again needs a connection on which nothing can be left over.
-        self._fresh = _session(_connector(force_close=True))
+        self._fresh = _session(self._answer_bytes)
         # Connections of the upstream are few; its many small grants share some of them.
         self._orders = _session(
-            aiohttp.TCPConnector(limit=_ORDER_CONNECTIONS, keepalive_timeout=_KEEPALIVE_S)
+            _ORDER_ANSWER_BYTES, connections=_ORDER_CONNECTIONS, keepalive_s=_KEEPALIVE_S
         )
 
     async def stop(self) -> None:
@@ -140,7 +142,7 @@
             ):
                 protocol = answer.connection.protocol if answer.connection else None
                 content = await answer.read()
-                if isinstance(protocol, _WatchedConnection) and protocol.broken:
+                if isinstance(protocol, BoundedConnection) and protocol.broken:
                     raise AnswerLostError("the connection was reset during the answer")
                 return self._response(request, answer, content)
         except _NOT_CONNECTED as error:
@@ -235,40 +237,11 @@
             _REACHABLE.emit(address=self._base)
 
 
-class _WatchedConnection(ResponseHandler):
-    """A connection that tells its orderly end from a reset.
-
-    The body of an answer without a length ends with its connection, and the library takes a reset
-    for such an end.
-    """
-
-    broken = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Notes a reset."""
-        self.broken = exc is not None
-        super().connection_lost(exc)
-
-
-def _connector(**options: Any) -> aiohttp.TCPConnector:
-    connector = aiohttp.TCPConnector(limit=0, **options)
-    # The connector has no public way to choose the class of its connections.
-    connector._factory = partial(_WatchedConnection, loop=asyncio.get_running_loop())
-    return connector
-
-
-def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    session = aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
+def _session(answer_bytes: int, **options: Any) -> aiohttp.ClientSession:
+    return bounded_session(
+        answer_bytes,
         trust_env=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_DEFAULT_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
-        max_line_size=65_536,
-        max_field_size=65_536,
+        **options,
     )
-    # aiohttp sends some requests again when a reused connection breaks. Each send counts against
-    # the attempts of the route and the retry budget, so the router alone decides on it.
-    session._retry_connection = False
-    return session
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -19,6 +19,7 @@
     PlatformUnavailableError,
     VersionConflictError,
 )
+from ..kernel.http_client import bounded_session
 from ..kernel.settings import Settings
 
 # A watch is answered at the end of its wait at the latest; the rest is for the way there and back.
@@ -26,6 +27,10 @@
 # Beyond the length of a watch: its slack, and the pause before the next one.
 _FAILURE_SLACK_S = _WATCH_SLACK_S + 3.0
 
+_CONNECTIONS = 100
+# Time for which an idle connection is kept, in seconds.
+_KEEPALIVE_S = 15.0
+
 # uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
 _CALL_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, RuntimeError)
 
@@ -78,15 +83,18 @@
         section = registry.find("settings", Settings).platform
         self._url = section.url
         self._timeout_s = section.timeout_ms / 1000
+        self._answer_bytes = section.max_answer_bytes
         longest_call_s = section.watch_ms / 1000 + _FAILURE_SLACK_S
         self._availability = PlatformAvailability(clock, self._url, longest_call_s)
 
     async def start(self) -> None:
         """Opens the client session."""
-        self._session = aiohttp.ClientSession()
-        # aiohttp repeats PUT and DELETE on a reused connection that breaks. The repetition of a
-        # conditional write that took effect is answered as a conflict, as if it had not.
-        self._session._retry_connection = False
+        self._session = bounded_session(
+            self._answer_bytes,
+            connections=_CONNECTIONS,
+            keepalive_s=_KEEPALIVE_S,
+            skip_auto_headers=("Accept-Encoding",),
+        )
 
     async def stop(self) -> None:
         """Closes the client session."""
--- a/fescueward/services/upstream.py
+++ b/fescueward/services/upstream.py
@@ -28,6 +28,8 @@
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
+from ..kernel.http_client import bounded_session
+from ..kernel.settings import Settings
 from ..messages import Announcement, GrantSet, Request, Response
 from ..messages.codec import encode_json
 from ..messages.request import Body, BytesBody
@@ -48,6 +50,8 @@
 
 _GRANT_TIMEOUT_S = 0.5
 _CANCEL_TIMEOUT_S = 0.5
+# Time for which an idle connection is kept, in seconds.
+_KEEPALIVE_S = 30.0
 # Responses up to this size are read whole before any byte is released.
 SMALL_BYTES = 65_536
 _HOP_HEADERS = frozenset(
@@ -86,6 +90,7 @@
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
+        self._answer_bytes = registry.find("settings", Settings).upstream.max_answer_bytes
         self._watch.bind(registry)
 
     async def start(self) -> None:
@@ -112,7 +117,7 @@
             async with asyncio.timeout(remaining_s):
                 response = await self._send(announced, request, shard, epoch, deadline)
                 await _raise_refusal(response)
-                return await self._response(request, epoch, response)
+                return await self._response(request, epoch, response, deadline)
         except TimeoutError:
             self._tasks.spawn("cancel", self._cancel(announced, request.id))
             raise DeadlineExceededRunningError("the deadline passed during the run") from None
@@ -141,16 +146,11 @@
         if self._session is None or self._connections != announced.connections:
             old = self._session
             self._connections = announced.connections
-            connector = aiohttp.TCPConnector(limit=announced.connections, keepalive_timeout=30)
-            self._session = aiohttp.ClientSession(
-                connector=connector,
-                auto_decompress=False,
-                # A cookie of one caller's response must not go out with another's request.
-                cookie_jar=aiohttp.DummyCookieJar(),
+            self._session = bounded_session(
+                self._answer_bytes,
+                connections=announced.connections,
+                keepalive_s=_KEEPALIVE_S,
             )
-            # aiohttp repeats GET, PUT and DELETE on a reused connection that breaks. A request
-            # that may have reached the upstream must not be sent again here.
-            self._session._retry_connection = False
             if old is not None:
                 self._tasks.spawn("close", old.close())
         return self._session
@@ -199,7 +199,11 @@
             raise InvalidRequestError(f"the request cannot be sent: {error}") from error
 
     async def _response(
-        self, request: Request, epoch: int, response: aiohttp.ClientResponse
+        self,
+        request: Request,
+        epoch: int,
+        response: aiohttp.ClientResponse,
+        deadline: float,
     ) -> Response:
         try:
             headers = [
@@ -226,7 +230,7 @@
                 await self._watch.check_crash(error)
                 raise AnswerLostError(f"the response broke: {error!r}") from error
         else:
-            body = _ResponseBody(self._watch, response, length)
+            body = _ResponseBody(self._watch, response, length, deadline, self._clock)
         return Response(
             request.id, response.status, tuple(headers), body, self._membership.member_id, epoch
         )
@@ -262,18 +266,27 @@
     """A large response body, read from the upstream as it is consumed."""
 
     def __init__(
-        self, watch: UpstreamWatch, response: aiohttp.ClientResponse, length: int | None
+        self,
+        watch: UpstreamWatch,
+        response: aiohttp.ClientResponse,
+        length: int | None,
+        deadline: float,
+        clock: Clock,
     ) -> None:
         self.length = length
         self.started = False
+        self._deadline = deadline
+        self._clock = clock
         self._watch = watch
         self._response = response
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         self.started = True
         try:
-            async for chunk in self._response.content.iter_any():
+            while chunk := await self._next():
                 yield chunk
+        except TimeoutError:
+            raise BodyTruncatedError("the deadline passed during the response") from None
         except (aiohttp.ClientError, OSError) as error:
             await self._watch.check_crash(error)
             raise BodyTruncatedError(f"the response broke: {error!r}") from error
@@ -283,6 +296,10 @@
     async def close(self) -> None:
         self._response.close()
 
+    async def _next(self) -> bytes:
+        async with asyncio.timeout(max(self._deadline - self._clock.now(), 0)):
+            return await self._response.content.readany()
+
 
 @lru_cache(maxsize=1024)
 def _passed_name(name: bytes) -> str | None:
--- /dev/null
+++ b/tests/cli/test_client.py
@@ -0,0 +1,32 @@
+"""Tests of the client of the administration API."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from fescueward.cli import client as module
+from fescueward.cli.client import AdministrationClient
+from fescueward.kernel.errors import AdministrationAnswerLostError, AdministrationUnavailableError
+from fescueward.messages.status import DeletedAnswer, EntryList
+from fescueward.testing.waiting import wait_until
+from tests.endless import SOCKET_BYTES, EndlessServer, endless_bodies, endless_heads
+
+
+class AdministrationClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_answers_without_end(self):
+        """Guards against a command that fills the memory until its timeout."""
+        bound = 2 * (300_000 + SOCKET_BYTES)
+        with mock.patch.object(module, "_ANSWER_BYTES", 300_000):
+            for answer in (*endless_heads(), *endless_bodies()):
+                with self.subTest(answer=answer.name):
+                    server = EndlessServer(answer)
+                    host, port = await server.start()
+                    self.addAsyncCleanup(server.stop)
+                    client = AdministrationClient((f"http://{host}:{port}",))
+                    with self.assertRaisesRegex(AdministrationUnavailableError, "^(?!.*timeout)"):
+                        await client._read("/v1/entries", EntryList)
+                    with self.assertRaisesRegex(AdministrationAnswerLostError, "^(?!.*timeout)"):
+                        await client._change("DELETE", "/v1/entries/a", 1, None, DeletedAnswer)
+                    await wait_until(server.idle, 2, "the connections are closed")
+                    self.assertLess(server.accepted, bound)
--- /dev/null
+++ b/tests/endless.py
@@ -0,0 +1,119 @@
+"""A server whose answers never end, for the tests of every HTTP client of the package."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass
+
+# What one connection is sent at most, in bytes. A client without a bound takes all of it.
+SENT_BYTES = 64 * 1024 * 1024
+# Allowance, in bytes, for the buffers of both sockets, which grow while the client reads.
+SOCKET_BYTES = 12 * 1024 * 1024
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+_FILLER = b"x" * 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class Endless:
+    """An answer that never ends.
+
+    Attributes:
+        name: What has no end.
+        start: Bytes sent first.
+        piece: Bytes repeated after them.
+    """
+
+    name: str
+    start: bytes
+    piece: bytes
+
+
+def endless_heads() -> tuple[Endless, ...]:
+    """Returns answers whose head never ends."""
+    return (
+        Endless("status line", _OK[:-2], _FILLER),
+        Endless("header", _OK + b"X-Long: ", _FILLER),
+        Endless("headers", _OK, b"X-More: 1\r\n" * 1000),
+        Endless("100", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+        Endless("103", b"", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 500),
+        Endless("no HTTP", b"", b"\x00" * 16_384),
+    )
+
+
+def endless_bodies(headers: bytes = b"") -> tuple[Endless, ...]:
+    """Returns answers whose body never ends, with these header lines."""
+    chunked = _OK + headers + b"Transfer-Encoding: chunked\r\n\r\n"
+    return (
+        Endless("no length", _OK + headers + b"\r\n", _FILLER),
+        Endless("chunked", chunked, b"4000\r\n" + _FILLER + b"\r\n"),
+        Endless("one chunk", chunked + b"fffffffffff\r\n", _FILLER),
+        Endless("length", _OK + headers + b"Content-Length: 99999999999\r\n\r\n", _FILLER),
+        Endless("chunk extension", chunked + b"4;x=", _FILLER),
+        Endless("trailers", chunked + b"0\r\n", b"X-More: 1\r\n" * 1000),
+    )
+
+
+class EndlessServer:
+    """Sends an answer without end on each connection until its caller closes.
+
+    Attributes:
+        answer: The answer, which can be changed between requests.
+        pause_s: Time between the start of the answer and what follows it, in seconds.
+        accepted: Bytes that the sockets of all connections have accepted.
+        open: Connections on which answers are sent at present.
+        requests: First lines of the requests, without those for health and cancellation.
+    """
+
+    def __init__(self, answer: Endless, pause_s: float = 0.0) -> None:
+        self.answer = answer
+        self.pause_s = pause_s
+        self.accepted = 0
+        self.open = 0
+        self.requests: list[bytes] = []
+
+    async def start(self) -> tuple[str, int]:
+        """Listens and returns host and port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        listening = self._server.sockets[0]
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+        host, port = listening.getsockname()
+        return host, port
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        self._server.close()
+
+    def idle(self) -> bool:
+        """Tells whether no answer is being sent."""
+        return not self.open
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if b"/health " not in head and b"/cancel/" not in head:
+                    break
+                writer.write(_OK + b"Content-Length: 2\r\n\r\n{}")
+            self.requests.append(head.split(b"\r\n")[0])
+            await self._send(writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def _send(self, writer: asyncio.StreamWriter) -> None:
+        self.open += 1
+        sent = 0
+        try:
+            writer.write(self.answer.start)
+            await asyncio.sleep(self.pause_s)
+            while sent < SENT_BYTES:
+                writer.write(self.answer.piece)
+                sent += len(self.answer.piece)
+                await writer.drain()
+            await writer.wait_closed()
+        finally:
+            self.accepted += sent - writer.transport.get_write_buffer_size()
+            self.open -= 1
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -9,9 +9,12 @@
 from aiohttp import web
 
 from fescueward.kernel import BootClock
+from fescueward.kernel.settings import UpstreamSection
 from fescueward.platform.settings import Address
 
 CLOCK = BootClock()
+# Limit on an answer in the tests, in bytes.
+ANSWER_BYTES = 300_000
 
 
 class FakeStore:
@@ -133,4 +136,5 @@
 
 
 def site_at(address: Address) -> SimpleNamespace:
-    return SimpleNamespace(application=address)
+    section = UpstreamSection(max_answer_bytes=ANSWER_BYTES)
+    return SimpleNamespace(application=address, settings=SimpleNamespace(upstream=section))
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -3,21 +3,32 @@
 import asyncio
 import unittest
 from contextlib import suppress
+from dataclasses import replace
 from types import SimpleNamespace
 
 from fescueward.kernel.errors import (
     AnswerLostError,
+    DeadlineExceededRunningError,
     OutcomeLostError,
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
+from fescueward.kernel.http_client import ANSWER_HEAD_BYTES
 from fescueward.messages import Announcement, Response
 from fescueward.messages.group import KeyRange
 from fescueward.platform.settings import Address
 from fescueward.platform.upstream import LocalUpstream
+from fescueward.testing.waiting import wait_until
+from tests.endless import (
+    SOCKET_BYTES,
+    Endless,
+    EndlessServer,
+    endless_bodies,
+    endless_heads,
+)
 from tests.services.fakes import StubRegistry, make_request
 
-from .fakes import CLOCK, RawUpstream, RecordedLiveness, site_at
+from .fakes import ANSWER_BYTES, CLOCK, RawUpstream, RecordedLiveness, site_at
 
 RECEIPT = b"X-Fescueward-Response-Sig: s1\r\n"
 ECHO = b"X-Fescueward-Request-Id: r1\r\n"
@@ -127,3 +138,64 @@
         with self.assertRaises(OutcomeLostError):
             await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
         self.assertEqual(len(sends), 2)
+
+    async def start_endless(self, answer: Endless, pause_s: float = 0.0) -> LocalUpstream:
+        self.server = EndlessServer(answer, pause_s)
+        address = Address(*await self.server.start())
+        self.addAsyncCleanup(self.server.stop)
+        return await self.start(address)
+
+    async def check_bound(self, limit: int) -> None:
+        await wait_until(self.server.idle, 2, "the connection is closed")
+        self.assertLess(self.server.accepted, limit + SOCKET_BYTES)
+
+    async def test_answers_without_end(self):
+        """Guards against an answer without end that fills the memory until the deadline."""
+        for method in ("GET", "POST"):
+            for answer in (*endless_heads(), *endless_bodies(RECEIPT + ECHO)):
+                request = make_request(8.0, method=method, key="")
+                with self.subTest(method=method, answer=answer.name):
+                    upstream = await self.start_endless(answer)
+                    with self.assertRaises(AnswerLostError) as refused:
+                        await upstream.run(request, 0, 0, CLOCK.now() + 8.0)
+                    self.assertEqual(refused.exception.http_status, 502)
+                    await self.check_bound(ANSWER_BYTES)
+
+    async def test_bytes_without_end_after_an_answer(self):
+        """Guards against bytes of no request that fill the memory of an idle connection."""
+        whole = Endless("rest", WHOLE, b"x" * 16_384)
+        pieces = (whole.piece, WHOLE * 200, b"HTTP/1.1 100 Continue\r\n\r\n" * 500)
+        for answer in (replace(whole, piece=piece) for piece in pieces):
+            with self.subTest(piece=answer.piece[:20]):
+                upstream = await self.start_endless(answer, 0.05)
+                for _ in range(2):
+                    request = make_request(8.0, method="GET", key="")
+                    response = await upstream.run(request, 0, 0, CLOCK.now() + 8.0)
+                    self.assertEqual(response.body.data, b"ok")
+                    await self.check_bound(2 * ANSWER_HEAD_BYTES)
+                self.assertEqual(len(self.server.requests), 2)
+
+    async def test_orders_answered_without_end(self):
+        """Guards against a grant whose answer fills the memory."""
+        for answer in (*endless_heads(), *endless_bodies()):
+            with self.subTest(answer=answer.name):
+                upstream = await self.start_endless(answer)
+                with self.assertRaises(OutcomeLostError) as refused:
+                    await upstream.release_range(KeyRange(0, 9, "a:1", 1))
+                self.assertNotIn("Timeout", str(refused.exception))
+                await self.check_bound(ANSWER_BYTES)
+
+    async def test_long_answer_within_its_limit(self):
+        """Guards against a limit that cuts whole answers."""
+        body = b"y" * (ANSWER_BYTES - 1000)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
+        response = await self.run_against(head + RECEIPT + ECHO + b"\r\n" + body)
+        self.assertEqual(response.body.data, body)
+
+    async def test_answer_that_trickles_without_end(self):
+        """Guards against an answer that holds its slot beyond the deadline."""
+        upstream = await self.start_endless(
+            Endless("slow", b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\n", b""), 30.0
+        )
+        with self.assertRaises(DeadlineExceededRunningError):
+            await upstream.run(make_request(0.2, key=""), 0, 0, CLOCK.now() + 0.2)
--- a/tests/services/test_platform.py
+++ b/tests/services/test_platform.py
@@ -14,6 +14,8 @@
 from fescueward.kernel.settings import PlatformSection
 from fescueward.services.platform import HttpPlatform
 from fescueward.testing.platform import Faults, Mode, PlatformStandIn
+from fescueward.testing.waiting import wait_until
+from tests.endless import SOCKET_BYTES, EndlessServer, endless_bodies, endless_heads
 
 from .fakes import StubRegistry
 
@@ -56,3 +58,24 @@
                 await self.platform.get("none")
         self.stand_in.set_faults(Faults())
         self.assertEqual((await self.platform.watch(("a",), 0, 0)).objects, ())
+
+    async def test_answers_without_end(self):
+        """Guards against an answer without end that fills the memory until the timeout."""
+        for answer in (*endless_heads(), *endless_bodies()):
+            with self.subTest(answer=answer.name):
+                server = EndlessServer(answer)
+                host, port = await server.start()
+                self.addAsyncCleanup(server.stop)
+                section = PlatformSection(
+                    url=f"http://{host}:{port}", timeout_ms=8000, max_answer_bytes=300_000
+                )
+                platform = HttpPlatform()
+                platform.bind(StubRegistry(settings=SimpleNamespace(platform=section)))
+                await platform.start()
+                self.addAsyncCleanup(platform.stop)
+                with self.assertRaisesRegex(PlatformUnavailableError, "^(?!.*[Tt]imeout)"):
+                    await platform.get("a")
+                with self.assertRaisesRegex(OutcomeUnknownError, "^(?!.*[Tt]imeout)"):
+                    await platform.put("a", b"{}", 1)
+                await wait_until(server.idle, 2, "the connections are closed")
+                self.assertLess(server.accepted, 2 * (300_000 + SOCKET_BYTES))
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from aiohttp import web
@@ -23,11 +24,23 @@
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
+from fescueward.kernel.settings import UpstreamSection
+from fescueward.messages import GrantSet
 from fescueward.services.upstream import HttpUpstream
 from fescueward.testing.waiting import wait_until
+from tests.endless import (
+    SOCKET_BYTES,
+    Endless,
+    EndlessServer,
+    endless_bodies,
+    endless_heads,
+)
 
 from .fakes import CLOCK, StreamedBody, StubRegistry, make_announcement, make_request
 
+# Limit on a response in these tests, in bytes.
+ANSWER_BYTES = 2_000_000
+
 
 class UpstreamTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -52,6 +65,7 @@
             StubRegistry(
                 membership=self.membership,
                 admission=SimpleNamespace(begin_slow_start=self.begin_slow_start),
+                settings=SimpleNamespace(upstream=UpstreamSection(max_answer_bytes=ANSWER_BYTES)),
             )
         )
         await self.upstream.start()
@@ -254,3 +268,82 @@
         self.handler = handler
         with self.assertRaises(AnswerLostError):
             await self.run_request()
+
+
+class EndlessAnswersTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, answer: Endless, pause_s: float = 0.0) -> HttpUpstream:
+        self.server = EndlessServer(answer, pause_s)
+        _, port = await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        upstream = HttpUpstream(Kernel())
+        upstream.bind(
+            StubRegistry(
+                membership=SimpleNamespace(
+                    announcement=make_announcement(port=port), member_id="a:1"
+                ),
+                admission=None,
+                settings=SimpleNamespace(upstream=UpstreamSection(max_answer_bytes=ANSWER_BYTES)),
+            )
+        )
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        return upstream
+
+    async def check_bound(self) -> None:
+        await wait_until(self.server.idle, 2, "the connection is closed")
+        self.assertLess(self.server.accepted, ANSWER_BYTES + SOCKET_BYTES)
+
+    async def test_heads_without_end(self):
+        """Guards against a head without end that fills the memory until the deadline."""
+        for method in ("GET", "POST"):
+            for answer in endless_heads():
+                with self.subTest(method=method, answer=answer.name):
+                    upstream = await self.start(answer)
+                    with self.assertRaises(OutcomeLostError) as refused:
+                        request = make_request(method=method)
+                        await upstream.run(request, 3, 7, CLOCK.now() + 8.0)
+                    self.assertEqual(refused.exception.http_status, 502)
+                    await self.check_bound()
+
+    async def test_bodies_without_end(self):
+        """Guards against a body without end that keeps its slot and its reader for ever."""
+        for answer in endless_bodies():
+            with self.subTest(answer=answer.name):
+                upstream = await self.start(answer)
+                received = 0
+                # The head of a response that is malformed soon after it gets no further.
+                with self.assertRaises((BodyTruncatedError, OutcomeLostError)) as refused:
+                    response = await upstream.run(make_request(), 3, 7, CLOCK.now() + 8.0)
+                    async for chunk in response.body.chunks():
+                        received += len(chunk)
+                self.assertNotIn("deadline", str(refused.exception))
+                self.assertLessEqual(received, ANSWER_BYTES)
+                await self.check_bound()
+
+    async def test_deadline_ends_a_body(self):
+        """Guards against a silent response that holds its slot beyond the deadline."""
+        upstream = await self.start(Endless("slow", b"HTTP/1.1 200 OK\r\n\r\npart", b""), 30.0)
+        response = await upstream.run(make_request(), 3, 7, CLOCK.now() + 0.3)
+        with self.assertRaisesRegex(BodyTruncatedError, "deadline"):
+            async for _ in response.body.chunks():
+                pass
+
+    async def test_bytes_without_end_after_an_answer(self):
+        """Guards against bytes of no request that fill the memory of an idle connection."""
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        upstream = await self.start(Endless("rest", whole, whole * 200), 0.05)
+        for _ in range(2):
+            response = await upstream.run(make_request(method="GET"), 3, 7, CLOCK.now() + 8.0)
+            self.assertEqual(response.body.data, b"ok")
+            await self.check_bound()
+        self.assertEqual(len(self.server.requests), 2)
+
+    async def test_grants_answered_without_end(self):
+        """Guards against an answer to a grant that fills the memory."""
+        for answer in (*endless_heads(), *endless_bodies()):
+            with self.subTest(answer=answer.name):
+                upstream = await self.start(answer)
+                announced = replace(upstream._membership.announcement, checks_grants=True)
+                upstream._membership.announcement = announced
+                await upstream.grant(GrantSet("a:1", 1, 1, {}))
+                await self.check_bound()
