Refuse requests that crash upstreams on the users' platform

What callers saw: nothing yet; the rule on requests that crash each backend that begins them was not kept by anything, because the quarantine was not registered on the platform and its upstream counted no crashes.

Cause: the quarantine knew of a crash only while the connection that it ended was being handled. On the platform the upstream's end shows later: by a refused connection, or by the new start that a heartbeat names.

Change: runs without an answer are kept for 10 s. A run that began later and ended well shows that the upstream had not ended; a crash that becomes known before accuses them. The adapter counts one crash for each end of its upstream. The gate's run path is guarded; the number of crashes is an option (three there, since the platform counts what is sent after the third), and a request that ran to its end within the last minute is no suspect there, since many callers ask for the same page. The fingerprint has the caller in the place of the key where the caller is known. The refusal is not offered to other agents and goes out as 503: it has not run and is proper.

Ruled out: a probe connection after each lost answer, as the product's own upstream does it. On the platform, answers are lost without a crash, and new connections cost.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -24,6 +24,7 @@
 from ..services.metrics import PrometheusMetrics
 from ..services.monitor import LeaseMonitor
 from ..services.peers import MsgpackPeers
+from ..services.quarantine import CrashQuarantine
 from ..services.routing.dispatcher import DispatchRouter
 from ..services.routing.routes import ConfiguredCatalogue, RouteTable
 from .process import run_until_stopped
@@ -38,6 +39,11 @@
 # Share of the bound on work after an announced departure in which a leaving upstream takes any;
 # the rest is for requests that are on their way.
 _DRAIN_SHARE = 0.5
+# Crashes after which a request is refused: the platform counts what is sent after the third.
+_CRASHES = 3
+# Time for which a request that ran to its end is no suspect, in seconds: one that crashes an
+# upstream crashes each that begins it, and many callers ask for the same page.
+_PROVEN_S = 60.0
 
 
 class PlatformAgent:
@@ -81,6 +87,7 @@
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
         kernel.add(SlotAdmission())
+        kernel.add(CrashQuarantine(kernel, crashes=_CRASHES, proven_s=_PROVEN_S))
         kernel.add(GateExecution(kernel))
         kernel.add(DispatchRouter())
         kernel.add(PrometheusMetrics())
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -21,12 +21,15 @@
 from .platform import Changes, Platform, StoredObject
 from .requests import (
     Admission,
+    CrashListener,
+    CrashSource,
     Execution,
     Liveness,
     Outcomes,
     Quarantine,
     Router,
     SlotLoad,
+    StartListener,
     Upstream,
 )
 from .routes import RangeGrants, Routes
@@ -35,6 +38,8 @@
     "Admission",
     "Catalogue",
     "Changes",
+    "CrashListener",
+    "CrashSource",
     "Departure",
     "Directory",
     "Execution",
@@ -65,6 +70,7 @@
     "RunListener",
     "RunSource",
     "SlotLoad",
+    "StartListener",
     "StatusReports",
     "StoredObject",
     "Ticket",
--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -74,6 +74,37 @@
         ...
 
 
+class CrashListener(Protocol):
+    """A service that is told of crashes of the upstream beside this agent."""
+
+    def upstream_crashed(self) -> None:
+        """Called after each crash was counted."""
+        ...
+
+
+@runtime_checkable
+class CrashSource(Protocol):
+    """Tells of crashes of the upstream beside this agent."""
+
+    @property
+    def crashes(self) -> int:
+        """Number of upstream crashes seen so far."""
+        ...
+
+    def subscribe(self, listener: CrashListener) -> None:
+        """Tells a service of crashes from now on."""
+        ...
+
+
+@runtime_checkable
+class StartListener(Protocol):
+    """A service that is told of the starts of the upstream beside this agent."""
+
+    def started(self, start: str) -> None:
+        """Takes note of the start that the upstream names; see `Announcement.start`."""
+        ...
+
+
 @runtime_checkable
 class Upstream(Protocol):
     """The upstream beside this agent."""
@@ -210,10 +241,11 @@
 
         The context gives the request to run, whose body may have been read in part. An
         `OutcomeLostError`, `AnswerLostError` or `BodyTruncatedError` that leaves the context
-        counts as a crash of the upstream if the upstream reports one.
+        counts as a crash of the upstream if the upstream reports one, then or before another
+        run succeeds.
 
         Raises:
-            QuarantinedError: The request was in flight in two crashes.
+            QuarantinedError: The request was in flight in too many crashes.
             DeadlineExceededError: The deadline passed while it waited for another suspect or
                 for the beginning of its body.
         """
--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -188,7 +188,7 @@
 
 
 class QuarantinedError(RefusalError):
-    """The request was in flight in two upstream crashes."""
+    """The request was in flight in several upstream crashes."""
 
     code = 2012
     label = "quarantined"
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from ..interfaces import Liveness, Membership, Routes
+from ..interfaces import Liveness, Membership, Routes, StartListener
 from ..kernel import Event, Level, Registry
 from ..kernel.errors import InvalidAnnouncementError
 from ..messages import AnnouncedState, Announcement
@@ -69,6 +69,7 @@
         self._membership = registry.find("membership", Membership)
         self._routes = registry.find("routes", Routes)
         self._liveness = registry.find("liveness", Liveness)
+        self._upstream = registry.find("upstream", StartListener)
 
     async def start(self) -> None:
         """Opens the port for reports."""
@@ -122,6 +123,7 @@
         self._newest = number
         self._last = announcement
         self._liveness.heard()
+        self._upstream.started(announcement.start)
         try:
             self._membership.announce(announcement)
         except InvalidAnnouncementError as error:
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -53,8 +53,9 @@
 _POLL_S = 0.05
 # The metrics page is on the address of the question for readiness.
 _METRICS_PATH = "/metrics"
-# Statuses between agents that name another place.
-_REDIRECTS = frozenset({421, 429})
+# Statuses between agents that name another place, and that of a quarantined request, which is as
+# proper as others.
+_NOT_FINAL = frozenset({421, 422, 429})
 # When a caller should come back if the refusal does not say, in seconds.
 _RETRY_AFTER_S = 0.1
 
@@ -296,7 +297,7 @@
 def _refusal(error: RefusalError) -> web.Response:
     headers = {"Content-Type": "application/json"}
     status = error.http_status
-    if error.outcome is Outcome.NOT_RUN and (status >= 500 or status in _REDIRECTS):
+    if error.outcome is Outcome.NOT_RUN and (status >= 500 or status in _NOT_FINAL):
         # The caller knows no other agent, so it is told to come back.
         status = 503
         retry_after_s = error.retry_after_s or _RETRY_AFTER_S
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -9,7 +9,7 @@
 import msgspec
 from yarl import URL
 
-from ..interfaces import Liveness, Membership
+from ..interfaces import CrashListener, Liveness, Membership
 from ..kernel import Clock, Event, Level, Registry
 from ..kernel.errors import (
     AnswerLostError,
@@ -41,6 +41,7 @@
     3010, "upstream_unreachable", Level.WARNING, "The upstream accepts no connection."
 )
 _REACHABLE = Event(3011, "upstream_reachable", Level.INFO, "The upstream accepts connections.")
+_ENDED = Event(3012, "upstream_ended", Level.WARNING, "The upstream has ended or starts anew.")
 
 # Upstreams close connections that were unused for longer, in seconds.
 _KEEPALIVE_S = 4.0
@@ -83,11 +84,27 @@
         self._fresh: aiohttp.ClientSession | None = None
         self._orders: aiohttp.ClientSession | None = None
         self._unreachable = False
+        self._start = ""
+        self._crashes = 0
+        # Whether the end of the present start was counted.
+        self._ended = False
+        self._listeners: list[CrashListener] = []
 
     @property
     def crashes(self) -> int:
-        """Always 0: crashes are recognised by the start that a heartbeat names."""
-        return 0
+        """Number of times that the upstream was found to have ended."""
+        return self._crashes
+
+    def subscribe(self, listener: CrashListener) -> None:
+        """Tells a service of crashes from now on; see `CrashSource.subscribe`."""
+        self._listeners.append(listener)
+
+    def started(self, start: str) -> None:
+        """Takes the start that a heartbeat names; a new one tells that the last has ended."""
+        if self._start and start != self._start:
+            self._note_end(f"the upstream names the new start {start}")
+            self._ended = False
+        self._start = start
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -226,6 +243,10 @@
 
     def _note_unreachable(self, error: BaseException) -> None:
         self._liveness.unreachable()
+        if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+            error.os_error, ConnectionRefusedError
+        ):
+            self._note_end("the upstream refuses connections")
         if not self._unreachable:
             self._unreachable = True
             _UNREACHABLE.emit(address=self._base, error=repr(error)[:200])
@@ -234,8 +255,18 @@
         self._liveness.connected()
         if self._unreachable:
             self._unreachable = False
+            self._ended = False
             _REACHABLE.emit(address=self._base)
 
+    def _note_end(self, reason: str) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._crashes += 1
+        _ENDED.emit(reason=reason, crashes=self._crashes)
+        for listener in self._listeners:
+            listener.upstream_crashed()
+
 
 def _session(answer_bytes: int, **options: Any) -> aiohttp.ClientSession:
     return bounded_session(
--- a/fescueward/services/fingerprints.py
+++ b/fescueward/services/fingerprints.py
@@ -36,7 +36,10 @@
 
 
 def fingerprint_of(request: Request) -> int:
-    """Returns the hash of service, key, method, path, beginning and length of the body."""
+    """Returns the hash of service, method, path, beginning and length of the body, and key.
+
+    Where the caller is known, it stands in the place of the key, which a repetition may change.
+    """
     body = request.body
     head = b""
     if isinstance(body, BytesBody):
@@ -44,6 +47,12 @@
     elif isinstance(body, HeadedBody):
         head = body.head[:HEAD_BYTES]
     names = "\n".join(
-        (request.service, request.method, str(body.length), request.path, request.key)
+        (
+            request.service,
+            request.method,
+            str(body.length),
+            request.path,
+            f"caller {request.caller}" if request.caller else request.key,
+        )
     )
     return xxhash.xxh64_intdigest(names.encode() + b"\n" + head) or 1
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -11,6 +11,7 @@
     Membership,
     Ownership,
     Peers,
+    Quarantine,
     SlotLoad,
     Upstream,
 )
@@ -44,7 +45,7 @@
     """
 
     name = "execution"
-    requires = ("catalogue", "ownership", "admission", "upstream")
+    requires = ("catalogue", "ownership", "admission", "quarantine", "upstream")
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -61,6 +62,7 @@
         self._departure = registry.find("membership", Departure)
         self._admission = registry.find("admission", Admission)
         self._slots = registry.find("admission", SlotLoad)
+        self._quarantine = registry.find("quarantine", Quarantine)
         self._upstream = registry.find("upstream", Upstream)
         self._load = registry.find("load", Load)
         registry.find("peers", Peers).serve(self.execute)
@@ -108,7 +110,10 @@
         entry = self._catalogue.entry(request.service).entry
         self._check_open(request)
         await self._admitted_epoch(request)
-        async with self._admission.slot(request, entry):
+        async with (
+            self._quarantine.guard(request) as request,
+            self._admission.slot(request, entry),
+        ):
             # Departure and loss of the keys may have come while the request waited.
             self._check_open(request)
             epoch = await self._admitted_epoch(request)
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
+from collections import deque
+from dataclasses import dataclass, replace
 from types import TracebackType
 
 from cachetools import TTLCache
 
-from ..interfaces import Groups, Membership, Peers, Upstream
+from ..interfaces import CrashSource, Groups, Membership, Peers
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
     AnswerLostError,
@@ -32,13 +33,17 @@
     3303,
     "request_quarantined",
     Level.ERROR,
-    "A request was in flight in two upstream crashes and is refused in the whole group.",
+    "A request was in flight in too many crashes and is refused in the whole group.",
 )
 
 # Section 4.5 of the design: a second crash quarantines the request for ten minutes.
 _CRASHES = 2
 _QUARANTINE_S = 600.0
 _FINGERPRINTS = 10_000
+# Longest time, in seconds, from the loss of an answer until the crash behind it is known: the
+# upstreams of the users' platform are back after some seconds and name their new start then.
+_LOST_S = 10.0
+_LOST_RUNS = 1000
 # The agent of a crashed upstream leaves the group, and its last reports arrive after that.
 _LEFT_S = 60.0
 _LEFT_MEMBERS = 1000
@@ -48,16 +53,29 @@
 _CRASH_ERRORS = (OutcomeLostError, AnswerLostError, BodyTruncatedError)
 
 
+@dataclass(frozen=True, slots=True)
+class _Lost:
+    """A run without an answer."""
+
+    # Seconds of CLOCK_BOOTTIME.
+    at: float
+    request: str
+    service: str
+    key: str
+    fingerprint: int
+
+
 class _Guard:
     """One run, as an async context manager."""
 
-    __slots__ = ("_alone", "_crashes", "_fingerprint", "_owner", "_request")
+    __slots__ = ("_alone", "_began", "_crashes", "_fingerprint", "_owner", "_request")
 
     def __init__(self, owner: CrashQuarantine, request: Request) -> None:
         self._owner = owner
         self._request = request
         self._fingerprint = 0
         self._crashes = 0
+        self._began = 0.0
         self._alone = False
 
     async def __aenter__(self) -> Request:
@@ -67,6 +85,7 @@
         self._fingerprint = fingerprint_of(request)
         self._alone = await self._owner.admit(request, self._fingerprint)
         self._crashes = self._owner.crashes
+        self._began = self._owner.now
         return request
 
     async def __aexit__(
@@ -75,11 +94,14 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        crashed = isinstance(error, _CRASH_ERRORS) and self._owner.crashes > self._crashes
-        if error is None and self._alone:
-            self._owner.clear(self._fingerprint)
+        lost = isinstance(error, _CRASH_ERRORS)
+        crashed = lost and self._owner.crashes > self._crashes
+        if error is None:
+            self._owner.note_success(self._fingerprint, self._began, self._alone)
         elif crashed:
             self._owner.accuse(self._request, self._fingerprint)
+        elif lost:
+            self._owner.note_loss(self._request, self._fingerprint)
         if self._alone:
             self._owner.end_alone()
         if crashed:
@@ -92,12 +114,19 @@
 
     Suspects and quarantined fingerprints are shared with the members of the group, because the
     keys of a crashed upstream move to them.
+
+    Args:
+        kernel: The kernel.
+        crashes: Crashes after which a request is refused.
+        proven_s: Time after a run that ended well in which its request is no suspect, in seconds.
     """
 
     name = "quarantine"
     requires: tuple[str, ...] = ("peers", "groups", "membership", "upstream")
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, crashes: int = _CRASHES, proven_s: float = 0.0) -> None:
+        self._limit = crashes
+        self._proven_s = proven_s
         self._tasks = kernel.task_owner(self.name)
         # One suspect runs at a time, so that a second crash shows which of them caused it.
         self._alone = asyncio.Lock()
@@ -108,6 +137,11 @@
         """Number of upstream crashes seen so far."""
         return self._upstream.crashes
 
+    @property
+    def now(self) -> float:
+        """Time in seconds of CLOCK_BOOTTIME."""
+        return self._clock.now()
+
     @property
     def suspects(self) -> tuple[int, ...]:
         """Fingerprints of the present suspects."""
@@ -125,17 +159,20 @@
         self._groups = registry.find("groups", Groups)
         self._membership = registry.find("membership", Membership)
         self._peers = registry.find("peers", Peers)
-        self._upstream = registry.find("upstream", Upstream)
+        self._upstream = registry.find("upstream", CrashSource)
         now = self._clock.now
         # Crashes in which each suspect was in flight.
         self._suspects: TTLCache[int, frozenset[_Crash]] = TTLCache(
             _FINGERPRINTS, _QUARANTINE_S, now
         )
         self._quarantined: TTLCache[int, bool] = TTLCache(_FINGERPRINTS, _QUARANTINE_S, now)
+        self._proven: TTLCache[int, bool] = TTLCache(_FINGERPRINTS, self._proven_s, now)
+        self._lost: deque[_Lost] = deque(maxlen=_LOST_RUNS)
         self._left: TTLCache[str, bool] = TTLCache(_LEFT_MEMBERS, _LEFT_S, now)
         self._members: frozenset[str] = frozenset()
         self._peers.on(CrashReport, self._on_report)
         self._groups.subscribe(self)
+        self._upstream.subscribe(self)
 
     async def start(self) -> None:
         """Does nothing."""
@@ -167,7 +204,7 @@
             Whether the request runs as the only suspect; `end_alone` must be called then.
 
         Raises:
-            QuarantinedError: The request was in flight in two crashes.
+            QuarantinedError: The request was in flight in too many crashes.
             DeadlineExceededError: The deadline passed while it waited for another suspect.
         """
         self._refuse_quarantined(fingerprint)
@@ -196,16 +233,49 @@
         """Waits until the members know of the newest crash, for a bounded time."""
         await self._reports.told()
 
-    def clear(self, fingerprint: int) -> None:
-        """Takes a fingerprint from the suspects, because its request ran to the end."""
+    def note_success(self, fingerprint: int, began: float, alone: bool) -> None:
+        """Notes that a request ran to its end.
+
+        Args:
+            fingerprint: Its fingerprint.
+            began: When the run began, in seconds of CLOCK_BOOTTIME.
+            alone: Whether it was the only suspect that ran.
+        """
+        if self._proven_s:
+            self._proven[fingerprint] = True
+        # The upstream has not ended between these losses and the run.
+        while self._lost and self._lost[0].at < began:
+            self._lost.popleft()
+        if alone:
+            self._clear(fingerprint)
+
+    def note_loss(self, request: Request, fingerprint: int) -> None:
+        """Notes a request without an answer, whose upstream may turn out to have ended."""
+        lost = _Lost(self.now, request.id, request.service, request.key, fingerprint)
+        self._lost.append(lost)
+
+    def upstream_crashed(self) -> None:
+        """Accuses the requests that were lost since the last run that ended well."""
+        oldest = self.now - _LOST_S
+        while self._lost:
+            lost = self._lost.popleft()
+            if lost.at >= oldest:
+                self._accuse(lost.fingerprint, lost.request, lost.service, lost.key)
+
+    def _clear(self, fingerprint: int) -> None:
         if self._suspects.pop(fingerprint, None) is not None:
             _CLEARED.emit(fingerprint=f"{fingerprint:016x}")
             self._reports.tell(self.crashes, cleared=(fingerprint,))
 
     def accuse(self, request: Request, fingerprint: int) -> None:
         """Notes that a request was in flight in the newest crash of this agent's upstream."""
+        self._accuse(fingerprint, request.id, request.service, request.key)
+
+    def _accuse(self, fingerprint: int, request: str, service: str, key: str) -> None:
+        if fingerprint in self._proven:
+            return
         crash = (self._membership.member_id, self.crashes)
-        if not self._add(fingerprint, crash, request.id, request.service, request.key):
+        if not self._add(fingerprint, crash, request, service, key):
             return
         if fingerprint in self._quarantined:
             self._reports.tell(self.crashes, quarantined=(fingerprint,))
@@ -221,7 +291,7 @@
             return False
         crashes |= {crash}
         event = _SUSPECT
-        if len(crashes) < _CRASHES:
+        if len(crashes) < self._limit:
             self._suspects[fingerprint] = crashes
         else:
             event = _QUARANTINED
@@ -258,7 +328,8 @@
     def _refuse_quarantined(self, fingerprint: int) -> None:
         if fingerprint in self._quarantined:
             raise QuarantinedError(
-                "the request was in flight in two upstream crashes", retry_after_s=_QUARANTINE_S
+                f"the request was in flight in {self._limit} upstream crashes",
+                retry_after_s=_QUARANTINE_S,
             )
 
     def _on_report(self, sender: str, message: CrashReport) -> None:
@@ -267,7 +338,10 @@
         if view is None or (sender not in view.group.members and sender not in self._left):
             return
         for fingerprint in message.fingerprints[:_FINGERPRINTS]:
-            self._add(fingerprint, (message.member_id, message.crash))
+            if fingerprint in self._proven:
+                self._reports.tell(self.crashes, cleared=(fingerprint,))
+            else:
+                self._add(fingerprint, (message.member_id, message.crash))
         for fingerprint in message.cleared:
             self._suspects.pop(fingerprint, None)
         for fingerprint in message.quarantined[:_FINGERPRINTS]:
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -16,6 +16,7 @@
     OutcomeLostError,
     OverloadedError,
     OwnerUnreachableError,
+    QuarantinedError,
     UpstreamRefusedError,
 )
 from ...kernel.settings import Settings
@@ -163,7 +164,7 @@
                 if error.outcome is not Outcome.NOT_RUN:
                     raise
                 last = error
-                if isinstance(error, DeadlineExceededError):
+                if isinstance(error, DeadlineExceededError | QuarantinedError):
                     raise
                 hint = error.owner_id if isinstance(error, NotOwnerError) else None
                 if request.key:
--- a/fescueward/services/upstream.py
+++ b/fescueward/services/upstream.py
@@ -11,7 +11,7 @@
 import aiohttp
 from multidict import CIMultiDict
 
-from ..interfaces import Membership
+from ..interfaces import CrashListener, Membership
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
     AnswerLostError,
@@ -86,6 +86,10 @@
         """Number of upstream crashes seen so far."""
         return self._watch.crashes
 
+    def subscribe(self, listener: CrashListener) -> None:
+        """Tells a service of crashes from now on."""
+        self._watch.subscribe(listener)
+
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
--- a/fescueward/services/upstream_watch.py
+++ b/fescueward/services/upstream_watch.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from ..interfaces import Admission, Membership
+from ..interfaces import Admission, CrashListener, Membership
 from ..kernel import Clock, Event, Level, Registry, TaskOwner
 from ..messages import Announcement
 from ..messages.upstream import upstream_url
@@ -64,6 +64,7 @@
         self._tasks = tasks
         self._session = session
         self._crashes = 0
+        self._listeners: list[CrashListener] = []
         self._crashed_at = 0.0
         self._probe: asyncio.Task[None] | None = None
         self._refused_at: Announcement | None = None
@@ -80,6 +81,10 @@
         self._membership = registry.find("membership", Membership)
         self._admission = registry.find("admission", Admission)
 
+    def subscribe(self, listener: CrashListener) -> None:
+        """Tells a service of crashes from now on."""
+        self._listeners.append(listener)
+
     def refuses(self, announced: Announcement) -> bool:
         """Tells whether the upstream has refused connections since this announcement."""
         return self._refused_at is announced
@@ -145,6 +150,8 @@
                     self._admission.begin_slow_start()
                     self._check_now.set()
                     _CRASHED.emit(error=f"{type(error).__name__}: {error}")
+                    for listener in self._listeners:
+                        listener.upstream_crashed()
                     return
         finally:
             self._probe = None
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -30,6 +30,7 @@
 class HeartbeatsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.announced = []
+        self.starts = []
         ports = PortReservations()
         self.addCleanup(ports.close)
         port = ports.reserve()
@@ -40,6 +41,7 @@
                 membership=SimpleNamespace(announce=self.announced.append),
                 routes=SimpleNamespace(current=None),
                 liveness=RecordedLiveness(),
+                upstream=SimpleNamespace(started=self.starts.append),
             )
         )
         await self.service.start()
@@ -53,6 +55,13 @@
         async with self.session.post(path, data=data) as answer:
             return answer.status
 
+    async def test_start_is_told_to_the_upstream(self):
+        """Guards against crashes that stay unknown although the upstream names a new start."""
+        await self.say("heartbeat", "i1", beat(1))
+        await self.say("heartbeat", "i1", beat(1, born=2000))
+        await self.say("heartbeat", "i1", beat(9))  # a late one of the first start
+        self.assertEqual(self.starts, ["i1@1000", "i1@2000"])
+
     async def test_report_becomes_an_announcement(self):
         """Guards against units and names of a report that are read as something else."""
         self.assertEqual(await self.say("heartbeat", "i1", beat(1)), 200)
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -9,7 +9,7 @@
 
 from fescueward.kernel import Kernel
 from fescueward.kernel.bounds import Bounds
-from fescueward.kernel.errors import OutcomeLostError, OverloadedError
+from fescueward.kernel.errors import OutcomeLostError, OverloadedError, QuarantinedError
 from fescueward.messages.configuration import (
     Configuration,
     Route,
@@ -88,6 +88,8 @@
         self.assertEqual(await self.ask(), (503, 0.3))
         self.router.refusal = OutcomeLostError("no answer")
         self.assertEqual(await self.ask(), (502, 0))
+        self.router.refusal = QuarantinedError("three crashes", retry_after_s=600.0)
+        self.assertEqual(await self.ask(), (503, 600))
 
     async def test_stalled_body_ends_at_the_deadline(self):
         """Guards against callers that hold a connection and its memory without an end."""
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -199,3 +199,29 @@
         )
         with self.assertRaises(DeadlineExceededRunningError):
             await upstream.run(make_request(0.2, key=""), 0, 0, CLOCK.now() + 0.2)
+
+    async def test_new_start_of_the_upstream_is_a_crash(self):
+        """Guards against a request that crashes upstreams and is never counted."""
+        crashes = []
+        upstream = await self.start(Address("127.0.0.1", 1))
+        upstream.subscribe(SimpleNamespace(upstream_crashed=lambda: crashes.append(1)))
+        upstream.started("i1@1000")
+        upstream.started("i1@1000")
+        self.assertEqual((upstream.crashes, crashes), (0, []))
+        upstream.started("i1@2000")
+        self.assertEqual((upstream.crashes, crashes), (1, [1]))
+
+    async def test_refused_connection_is_a_crash_once(self):
+        """Guards against a crash that is known only when the upstream is back."""
+        raw = RawUpstream(WHOLE)
+        address = await raw.start()
+        upstream = await self.start(address)
+        upstream.started("i1@1000")
+        request = make_request(2.0, method="GET", key="")
+        await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
+        await raw.stop()
+        for _ in range(2):
+            with self.assertRaises(UpstreamUnavailableError):
+                await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
+        upstream.started("i1@2000")
+        self.assertEqual(upstream.crashes, 1)
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -7,11 +7,12 @@
 
 from fescueward.kernel import BootClock, Kernel
 from fescueward.kernel.bounds import Bounds
-from fescueward.kernel.errors import OverloadedError
+from fescueward.kernel.errors import OutcomeLostError, OverloadedError, QuarantinedError
 from fescueward.messages import Announcement
 from fescueward.messages.request import Occupancy
 from fescueward.services.gate.execution import GateExecution
-from tests.services.fakes import StubRegistry, make_request, make_response
+from fescueward.services.quarantine import CrashQuarantine
+from tests.services.fakes import FakePeers, StubRegistry, make_request, make_response
 
 ANNOUNCED = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1")
 
@@ -29,6 +30,28 @@
         return make_response(b"ok")
 
 
+class CrashingUpstream:
+    """Crashes by one path."""
+
+    def __init__(self) -> None:
+        self.crashes = 0
+        self.listeners = []
+
+    def subscribe(self, listener) -> None:
+        self.listeners.append(listener)
+
+    async def run(self, request, shard: int, epoch: int, deadline: float):
+        if request.path != "/poison":
+            return make_response(b"ok")
+        asyncio.get_running_loop().call_later(0.01, self.notice)
+        raise OutcomeLostError("the connection ended without an answer")
+
+    def notice(self) -> None:
+        self.crashes += 1
+        for listener in self.listeners:
+            listener.upstream_crashed()
+
+
 class FreeSlots:
     """Has a slot for everybody."""
 
@@ -47,6 +70,24 @@
         raise OverloadedError("full")
 
 
+class OpenQuarantine:
+    """Lets everything run."""
+
+    def guard(self, request):
+        return _Open(request)
+
+
+class _Open:
+    def __init__(self, request) -> None:
+        self.request = request
+
+    async def __aenter__(self):
+        return self.request
+
+    async def __aexit__(self, kind, error, trace) -> None:
+        return None
+
+
 class RecordedLoad:
     """Keeps what is recorded."""
 
@@ -81,6 +122,7 @@
                 admission=FullSlots(),
                 upstream=None,
                 load=load,
+                quarantine=OpenQuarantine(),
                 peers=SimpleNamespace(serve=lambda handler: None),
             )
         )
@@ -105,6 +147,7 @@
                 admission=slots,
                 upstream=self.upstream,
                 load=None,
+                quarantine=OpenQuarantine(),
                 peers=SimpleNamespace(serve=lambda handler: None),
             )
         )
@@ -130,3 +173,40 @@
         await asyncio.wait_for(self.execution.drain(), 1)
         self.assertFalse(self.running.done())
         self.running.cancel()
+
+
+class CrashingRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def test_crashing_request_is_refused(self):
+        """Guards against a request that crashes one upstream after the other."""
+        upstream = CrashingUpstream()
+        registry = StubRegistry(
+            clock=BootClock(),
+            bounds=Bounds(),
+            catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
+            membership=SimpleNamespace(
+                announcement=ANNOUNCED, closed=False, member_id="a:1", home=None
+            ),
+            ownership=None,
+            admission=FreeSlots(),
+            upstream=upstream,
+            load=None,
+            groups=SimpleNamespace(subscribe=lambda listener: None),
+            peers=FakePeers(),
+        )
+        quarantine = CrashQuarantine(Kernel(), crashes=3, proven_s=60.0)
+        quarantine.bind(registry)
+        registry.register("quarantine", quarantine)
+        execution = GateExecution(Kernel())
+        execution.bind(registry)
+        poison = {"path": "/poison", "key": "", "caller": "orders"}
+        for _ in range(3):
+            with self.assertRaises(OutcomeLostError):
+                await execution.execute(make_request(2.0, **poison))
+            await asyncio.sleep(0.05)
+            self.assertEqual((await execution.execute(make_request(2.0, key=""))).status, 200)
+        with self.assertRaises(QuarantinedError):
+            await execution.execute(make_request(2.0, **poison))
+        self.assertEqual(upstream.crashes, 3)
+        other = make_request(2.0, path="/poison", key="", caller="routes")
+        with self.assertRaises(OutcomeLostError):
+            await execution.execute(other)
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -6,7 +6,7 @@
 
 from fescueward.kernel import BootClock
 from fescueward.kernel.bounds import Bounds
-from fescueward.kernel.errors import OwnerUnreachableError, RefusalError
+from fescueward.kernel.errors import OwnerUnreachableError, QuarantinedError, RefusalError
 from fescueward.messages import Group, GroupId, VersionedGroup
 from fescueward.messages.group import LAST_KEY, KeyRange
 from fescueward.services.routing.dispatcher import DispatchRouter
@@ -20,12 +20,15 @@
     def __init__(self, *reachable: str) -> None:
         self.reachable = set(reachable)
         self.forwarded: list[str] = []
+        self.refusal: RefusalError | None = None
 
     def dial(self, member) -> bool:
         return member.id in self.reachable
 
     async def forward(self, member, request):
         self.forwarded.append(member.id)
+        if self.refusal is not None:
+            raise self.refusal
         if member.id not in self.reachable:
             raise OwnerUnreachableError(f"no stream to {member.id}")
         return make_response(b"ok")
@@ -75,3 +78,12 @@
         with self.assertRaises(RefusalError):
             await self.router(peers).route(make_request(0.2, key="5"))
         self.assertEqual(set(peers.forwarded), {"b:1"})
+
+    async def test_quarantined_request_is_not_offered_again(self):
+        """Guards against a request that asks all agents until one has not heard of it."""
+        for key in ("", "5"):
+            peers = FakePeers("b:1", "b:0")
+            peers.refusal = QuarantinedError("three crashes")
+            with self.assertRaises(QuarantinedError):
+                await self.router(peers).route(make_request(0.5, key=key))
+            self.assertEqual(peers.forwarded, ["b:1"])
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from contextlib import suppress
 from types import SimpleNamespace
 from unittest import mock
 
@@ -30,12 +31,12 @@
 class Member:
     """A quarantine service with a peer, in a group of two."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, **options: float) -> None:
         self.name = f"{name}:1"
         self.peers = FakePeers()
-        self.upstream = SimpleNamespace(crashes=0)
+        self.upstream = SimpleNamespace(crashes=0, subscribe=lambda listener: None)
         self.view = make_group(1, f"{name}:1", "a", "b")
-        self.quarantine = CrashQuarantine(Kernel())
+        self.quarantine = CrashQuarantine(Kernel(), **options)
         self.quarantine.bind(
             StubRegistry(
                 peers=self.peers,
@@ -58,6 +59,17 @@
         for guard in guards:
             await guard.__aexit__(OutcomeLostError, OutcomeLostError("reset"), None)
 
+    async def lose(self, request):
+        """Runs a request whose connection ends before a crash is known."""
+        with suppress(OutcomeLostError):
+            async with self.quarantine.guard(request):
+                raise OutcomeLostError("reset")
+
+    def find_crash(self):
+        """Finds out that the upstream has ended."""
+        self.upstream.crashes += 1
+        self.quarantine.upstream_crashed()
+
     async def succeed(self, request):
         async with self.quarantine.guard(request):
             pass
@@ -253,6 +265,63 @@
         await self.a.crash(make_request(), make_request())
         await self.a.succeed(make_request())
 
+    async def test_crash_that_is_found_out_later(self):
+        """Guards against a crash that nobody counts because the answer was lost before."""
+        poison = make_request(path="/poison")
+        await self.a.lose(poison)
+        self.assertEqual(self.a.quarantine.suspects, ())
+        self.a.find_crash()
+        self.a.find_crash()  # without runs in between, it accuses nobody twice
+        await self.exchange()
+        self.assertEqual(self.b.quarantine.suspects, (fingerprint_of(poison),))
+        await self.b.lose(poison)
+        self.b.find_crash()
+        with self.assertRaises(QuarantinedError):
+            await self.b.succeed(poison)
+
+    async def test_lost_answer_of_an_upstream_that_lives(self):
+        """Guards against suspects from answers that were lost long before a crash."""
+        await self.a.lose(make_request())
+        await self.a.succeed(make_request(path="/other"))
+        self.a.find_crash()
+        self.assertEqual(self.a.quarantine.suspects, ())
+
+    async def test_number_of_crashes_can_be_chosen(self):
+        """Guards against requests beside the culprit that are refused where it is sent on fast."""
+        members = [Member(name, crashes=3) for name in "ab"]
+        self.a, self.b = members
+        poison = make_request(path="/poison")
+        for member in (self.a, self.b, self.a):
+            await member.lose(poison)
+            member.find_crash()
+            await self.exchange()
+        for member in members:
+            with self.assertRaises(QuarantinedError):
+                await member.succeed(poison)
+
+    async def test_request_that_runs_elsewhere_is_no_suspect(self):
+        """Guards against a busy page that is refused because three upstreams ended at once."""
+        self.a, self.b = (Member(name, crashes=3, proven_s=60.0) for name in "ab")
+        page = make_request(path="/page")
+        await self.b.succeed(page)
+        await self.a.lose(page)
+        self.a.find_crash()
+        self.assertEqual(len(self.a.quarantine.suspects), 1)
+        await self.exchange()
+        await self.exchange()
+        self.assertEqual((self.a.quarantine.suspects, self.b.quarantine.suspects), ((), ()))
+        await self.b.lose(page)
+        self.b.find_crash()
+        self.assertEqual(self.b.quarantine.suspects, ())
+
+    async def test_caller_identifies_a_request(self):
+        """Guards against a request that evades its quarantine by another key."""
+        one = make_request(caller="orders", key="1")
+        self.assertEqual(
+            fingerprint_of(one), fingerprint_of(make_request(caller="orders", key="2"))
+        )
+        self.assertNotEqual(fingerprint_of(one), fingerprint_of(make_request(caller="depot")))
+
     async def test_report_of_a_member_that_has_left(self):
         """Guards against a lost report of the agent whose upstream crashed and that left."""
         report = CrashReport("c:1", quarantined=(fingerprint_of(make_request()),))
