--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 from typing import Any
 
 import aiohttp
 import msgspec
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
-from ..interfaces import Liveness, Membership
+from ..interfaces import CrashListener, Liveness, Membership
 from ..kernel import Clock, Event, Level, Registry
 from ..kernel.errors import (
     AnswerLostError,
@@ -20,6 +18,7 @@
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
+from ..kernel.http_client import BoundedConnection, bounded_session
 from ..messages import GrantSet, Request, Response
 from ..messages.group import KeyRange
 from ..messages.request import BytesBody
@@ -42,11 +41,14 @@
     3010, "upstream_unreachable", Level.WARNING, "The upstream accepts no connection."
 )
 _REACHABLE = Event(3011, "upstream_reachable", Level.INFO, "The upstream accepts connections.")
+_ENDED = Event(3012, "upstream_ended", Level.WARNING, "The upstream has ended or starts anew.")
 
 # Upstreams close connections that were unused for longer, in seconds.
 _KEEPALIVE_S = 4.0
 _CONNECT_TIMEOUT_S = 0.5
 _ORDER_CONNECTIONS = 4
+# Limit on the answer to a grant or release, which carries a header at most, in bytes.
+_ORDER_ANSWER_BYTES = 65_536
 _GRANT_TIMEOUT_S = 0.5
 # A release is confirmed when the work on the keys has ended.
 _RELEASE_TIMEOUT_S = 2.0
@@ -77,15 +79,32 @@
 
     def __init__(self, site: Site) -> None:
         self._base = f"http://{site.application.host}:{site.application.port}"
+        self._answer_bytes = site.settings.upstream.max_answer_bytes
         self._pooled: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
         self._orders: aiohttp.ClientSession | None = None
         self._unreachable = False
+        self._start = ""
+        self._crashes = 0
+        # Whether the end of the present start was counted.
+        self._ended = False
+        self._listeners: list[CrashListener] = []
 
     @property
     def crashes(self) -> int:
-        """Always 0: crashes are recognised by the start that a heartbeat names."""
-        return 0
+        """Number of times that the upstream was found to have ended."""
+        return self._crashes
+
+    def subscribe(self, listener: CrashListener) -> None:
+        """Tells a service of crashes from now on; see `CrashSource.subscribe`."""
+        self._listeners.append(listener)
+
+    def started(self, start: str) -> None:
+        """Takes the start that a heartbeat names; a new one tells that the last has ended."""
+        if self._start and start != self._start:
+            self._note_end(f"the upstream names the new start {start}")
+            self._ended = False
+        self._start = start
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -95,12 +114,12 @@
 
     async def start(self) -> None:
         """Opens the HTTP sessions."""
-        self._pooled = _session(_connector(keepalive_timeout=_KEEPALIVE_S))
+        self._pooled = _session(self._answer_bytes, keepalive_s=_KEEPALIVE_S)
         # A request that may not run again needs a connection on which nothing can be left over.
-        self._fresh = _session(_connector(force_close=True))
+        self._fresh = _session(self._answer_bytes)
         # Connections of the upstream are few; its many small grants share some of them.
         self._orders = _session(
-            aiohttp.TCPConnector(limit=_ORDER_CONNECTIONS, keepalive_timeout=_KEEPALIVE_S)
+            _ORDER_ANSWER_BYTES, connections=_ORDER_CONNECTIONS, keepalive_s=_KEEPALIVE_S
         )
 
     async def stop(self) -> None:
@@ -140,7 +159,7 @@
             ):
                 protocol = answer.connection.protocol if answer.connection else None
                 content = await answer.read()
-                if isinstance(protocol, _WatchedConnection) and protocol.broken:
+                if isinstance(protocol, BoundedConnection) and protocol.broken:
                     raise AnswerLostError("the connection was reset during the answer")
                 return self._response(request, answer, content)
         except _NOT_CONNECTED as error:
@@ -224,6 +243,10 @@
 
     def _note_unreachable(self, error: BaseException) -> None:
         self._liveness.unreachable()
+        if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+            error.os_error, ConnectionRefusedError
+        ):
+            self._note_end("the upstream refuses connections")
         if not self._unreachable:
             self._unreachable = True
             _UNREACHABLE.emit(address=self._base, error=repr(error)[:200])
@@ -232,43 +255,24 @@
         self._liveness.connected()
         if self._unreachable:
             self._unreachable = False
+            self._ended = False
             _REACHABLE.emit(address=self._base)
 
-
-class _WatchedConnection(ResponseHandler):
-    """A connection that tells its orderly end from a reset.
-
-    The body of an answer without a length ends with its connection, and the library takes a reset
-    for such an end.
-    """
-
-    broken = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Notes a reset."""
-        self.broken = exc is not None
-        super().connection_lost(exc)
-
-
-def _connector(**options: Any) -> aiohttp.TCPConnector:
-    connector = aiohttp.TCPConnector(limit=0, **options)
-    # The connector has no public way to choose the class of its connections.
-    connector._factory = partial(_WatchedConnection, loop=asyncio.get_running_loop())
-    return connector
+    def _note_end(self, reason: str) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._crashes += 1
+        _ENDED.emit(reason=reason, crashes=self._crashes)
+        for listener in self._listeners:
+            listener.upstream_crashed()
 
 
-def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    session = aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
+def _session(answer_bytes: int, **options: Any) -> aiohttp.ClientSession:
+    return bounded_session(
+        answer_bytes,
         trust_env=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_DEFAULT_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
-        max_line_size=65_536,
-        max_field_size=65_536,
+        **options,
     )
-    # aiohttp sends some requests again when a reused connection breaks. Each send counts against
-    # the attempts of the route and the retry budget, so the router alone decides on it.
-    session._retry_connection = False
-    return session
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -11,6 +11,7 @@
     Membership,
     Ownership,
     Peers,
+    Quarantine,
     Shutdown,
     SlotLoad,
     Upstream,
@@ -42,7 +43,7 @@
     """
 
     name = "execution"
-    requires = ("catalogue", "ownership", "admission", "upstream", "shutdown")
+    requires = ("catalogue", "ownership", "admission", "quarantine", "upstream", "shutdown")
 
     def __init__(self) -> None:
         self._listeners: list[RunListener] = []
@@ -57,6 +58,7 @@
         self._shutdown = registry.find("shutdown", Shutdown)
         self._admission = registry.find("admission", Admission)
         self._slots = registry.find("admission", SlotLoad)
+        self._quarantine = registry.find("quarantine", Quarantine)
         self._upstream = registry.find("upstream", Upstream)
         self._load = registry.find("load", Load)
         registry.find("peers", Peers).serve(self.execute)
@@ -97,7 +99,10 @@
         entry = self._catalogue.entry(request.service).entry
         self._check_open(request)
         await self._admitted_epoch(request)
-        async with self._admission.slot(request, entry):
+        async with (
+            self._quarantine.guard(request) as request,
+            self._admission.slot(request, entry),
+        ):
             # Departure and loss of the keys may have come while the request waited.
             self._check_open(request)
             epoch = await self._admitted_epoch(request)
