Accept what has arrived before the callers' port closes

A connection that the system has accepted and the process has not is reset when the listening socket closes, so its request ends without an answer. The port stays open and refuses for a moment longer.

--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -42,8 +42,7 @@
 )
 _BROKEN = Event(3714, "request_broken", Level.ERROR, "A request met an unexpected exception.")
 
-# Time for which a closed port reads what has arrived on its connections, in seconds, and time for
-# the last answers. All of the connections were told to close by the answer before.
+# Time in which what has arrived at a port is read, in seconds, and time for the last answers.
 _SETTLE_S = 0.05
 _CLOSE_S = 0.1
 # The metrics page is on the address of the question for readiness.
@@ -83,7 +82,9 @@
         await self._listen(self._readiness, ready.host, ready.port)
 
     async def stop(self) -> None:
-        """Closes the ports."""
+        """Closes the ports, after an answer to what has arrived at them."""
+        # Connections that the system has accepted are reset when a listening socket is closed.
+        await asyncio.sleep(_SETTLE_S)
         for runner in self._runners:
             for site in tuple(runner.sites):
                 await site.stop()
