Divide the upstream stand-in by noun

It is a package now: calls, runs, reports (the health page), switches, announcer, server, and the command. No change of behaviour; `python -m fescueward.testing.upstream` works as before. Its tests move to tests/testing/upstream/. The announcements are a class of their own instead of two methods of the server.

--- /dev/null
+++ b/fescueward/testing/upstream/announcer.py
@@ -0,0 +1,62 @@
+"""Announcements of the stand-in to its agent."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from ...messages import AnnouncedState, Announcement
+from ...messages.codec import encode_json
+from .switches import UpstreamOptions
+
+FIRST_ANNOUNCEMENT_S = 1.0
+ANNOUNCEMENT_S = 2.0
+
+
+class Announcer:
+    """Announces an upstream until it is cancelled.
+
+    Args:
+        options: Options of the upstream.
+        port: Port that it listens on.
+        leaving: Set once it leaves.
+    """
+
+    def __init__(self, options: UpstreamOptions, port: int, leaving: asyncio.Event) -> None:
+        self._options, self._port, self._leaving = options, port, leaving
+
+    async def run(self) -> None:
+        """Announces at once, then in the period of the protocol and when the state changes."""
+        timeout = aiohttp.ClientTimeout(total=FIRST_ANNOUNCEMENT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                state = AnnouncedState.LEAVING if self._leaving.is_set() else AnnouncedState.READY
+                accepted = await self._announce(session, state)
+                period_s = ANNOUNCEMENT_S if accepted else FIRST_ANNOUNCEMENT_S
+                if state is AnnouncedState.LEAVING:
+                    await asyncio.sleep(period_s)
+                    continue
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._leaving.wait(), period_s)
+
+    async def _announce(self, session: aiohttp.ClientSession, state: AnnouncedState) -> bool:
+        options = self._options
+        announcement = Announcement(
+            service=options.service,
+            host=options.host,
+            port=self._port,
+            slots=options.slots,
+            connections=options.connections,
+            checks_grants=options.checks_grants,
+            state=state,
+            group=options.group,
+        )
+        headers = {"Content-Type": "application/json"}
+        body = encode_json(announcement)
+        try:
+            async with session.post(options.announce, data=body, headers=headers) as response:
+                return response.ok
+        except (aiohttp.ClientError, TimeoutError):
+            return False
--- /dev/null
+++ b/tests/testing/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the upstream stand-in."""
--- a/tests/testing/test_upstream.py
+++ b/tests/testing/upstream/test_server.py
@@ -23,14 +23,13 @@
     ABORTED_HEADER,
     DIGEST_HEADER,
     REFUSAL_HEADER,
-    LaggingReporter,
     Switches,
     UpstreamOptions,
     UpstreamStandIn,
-    body_pieces,
-    merge_switches,
-    sha256_of,
 )
+from fescueward.testing.upstream.calls import body_pieces, sha256_of
+from fescueward.testing.upstream.reports import LaggingReporter
+from fescueward.testing.upstream.switches import merge_switches
 from fescueward.testing.waiting import wait_until
 
 
