Divide the platform stand-in by noun

It is a package now: objects, faults, server, and the command. No change of behaviour; imports and `python -m fescueward.testing.platform` stay. Its tests move to tests/testing/platform/.

--- a/fescueward/testing/platform.py
+++ b/fescueward/testing/platform/server.py
@@ -1,66 +1,23 @@
-"""Stand-in for the platform: an object API with versions, conditional updates and watches.
-
-The protocol is section 5 of docs/design.md. The stand-in keeps its objects in memory.
-`POST /control` takes `Faults` as JSON and replaces the ones set before; `GET /counters` returns
-`Counters`. Both work in every mode and are not counted.
-"""
+"""The server of the platform stand-in."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import enum
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
-from typing import Annotated
 
 import msgspec
-import typer
 from aiohttp import web
-from msgspec import Meta
 
-from ..kernel.errors import MalformedMessageError, ObjectNotFoundError, VersionConflictError
-from ..messages.codec import decode_json, encode_json
-from .program import LOOPBACK, HttpSite, abort_connection, report_listening, run_program
+from ...kernel.errors import MalformedMessageError, ObjectNotFoundError, VersionConflictError
+from ...messages.codec import decode_json, encode_json
+from ..program import LOOPBACK, HttpSite, abort_connection
+from .faults import Faults, Mode
+from .objects import Listing, ObjectEnvelope, ObjectStore, WrittenVersion
 
 MAX_VALUE_BYTES = 1024 * 1024
 
-Count = Annotated[int, Meta(ge=0)]
-
-
-class Mode(enum.StrEnum):
-    """How the platform treats calls."""
-
-    NORMAL = "normal"
-    DOWN = "down"
-    HANG = "hang"
-    SLOW = "slow"
-
-
-@dataclass(frozen=True, slots=True)
-class Faults:
-    """Faults of the platform.
-
-    Attributes:
-        mode: `down` refuses each call before it acts, `hang` lets it wait and then aborts its
-            connection without an effect, `slow` delays it.
-        delay_ms: Delay of a call in `slow`; wait of a call in `hang`, where 0 means until the
-            mode changes.
-        fail_connections: Whether `down` aborts connections instead of answering 503.
-        lose_responses: Number of following writes that take effect and whose connection is
-            aborted without a response.
-        delay_writes: Number of following writes whose connection is aborted at once and which
-            take effect `delay_writes_ms` later.
-        delay_writes_ms: That delay.
-    """
-
-    mode: Mode = Mode.NORMAL
-    delay_ms: Count = 0
-    fail_connections: bool = False
-    lose_responses: Count = 0
-    delay_writes: Count = 0
-    delay_writes_ms: Count = 0
-
 
 @dataclass(frozen=True, slots=True)
 class Counters:
@@ -87,170 +44,6 @@
     total: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectChange:
-    """State of an object as listings report it.
-
-    Attributes:
-        key: Key of the object.
-        version: Revision of the store at its last write.
-        value: The JSON value, null once deleted.
-        deleted: Whether the last write was a deletion.
-    """
-
-    key: str
-    version: int
-    value: msgspec.Raw
-    deleted: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class ObjectEnvelope:
-    """An object as `GET /objects/KEY` returns it.
-
-    Attributes:
-        key: Key of the object.
-        version: Revision of the store at its last write.
-        value: The JSON value.
-    """
-
-    key: str
-    version: int
-    value: msgspec.Raw
-
-
-@dataclass(frozen=True, slots=True)
-class WrittenVersion:
-    """Body of the response to a write: the new version, or the present one on a conflict.
-
-    Attributes:
-        version: The version, 0 if the object does not exist.
-    """
-
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """Body of the response to a listing.
-
-    Attributes:
-        revision: Revision of the store, to be used as `since` of the next call.
-        objects: Changed objects in the order of their versions.
-    """
-
-    revision: int
-    objects: tuple[ObjectChange, ...]
-
-
-class ObjectStore:
-    """Versioned objects in memory. Every change is conditional."""
-
-    def __init__(self) -> None:
-        self._objects: dict[str, ObjectChange] = {}
-        self._revision = 0
-        self._waiters: dict[asyncio.Future[None], tuple[str, ...]] = {}
-
-    @property
-    def revision(self) -> int:
-        """Number of writes so far."""
-        return self._revision
-
-    @property
-    def waiting(self) -> int:
-        """Number of watches that wait for a change."""
-        return len(self._waiters)
-
-    def get(self, key: str) -> ObjectChange:
-        """Returns an object.
-
-        Raises:
-            ObjectNotFoundError: There is none.
-        """
-        found = self._objects.get(key)
-        if found is None or found.deleted:
-            raise ObjectNotFoundError(f"no object {key!r}")
-        return found
-
-    def put(self, key: str, value: bytes, if_version: int) -> int:
-        """Writes an object.
-
-        Args:
-            key: Key of the object.
-            value: JSON text.
-            if_version: Present version, 0 if the object must not exist.
-
-        Returns:
-            The new version.
-
-        Raises:
-            VersionConflictError: The present version is another one.
-        """
-        return self._write(key, msgspec.Raw(value), if_version, deleted=False)
-
-    def delete(self, key: str, if_version: int) -> int:
-        """Deletes an object.
-
-        Args:
-            key: Key of the object.
-            if_version: Present version.
-
-        Returns:
-            The version of the deletion.
-
-        Raises:
-            ObjectNotFoundError: There is no such object.
-            VersionConflictError: The present version is another one.
-        """
-        self.get(key)
-        return self._write(key, msgspec.Raw(b"null"), if_version, deleted=True)
-
-    def changes(self, prefixes: tuple[str, ...], since: int) -> tuple[ObjectChange, ...]:
-        """Returns the objects that changed after a revision, in the order of their versions.
-
-        Args:
-            prefixes: Prefixes of the keys that are wanted.
-            since: Revision; at 0 all present objects are returned and deletions left out.
-        """
-        found = [
-            item
-            for item in self._objects.values()
-            if item.version > since
-            and item.key.startswith(prefixes)
-            and not (since == 0 and item.deleted)
-        ]
-        return tuple(sorted(found, key=lambda item: item.version))
-
-    async def wait(self, prefixes: tuple[str, ...], timeout_s: float) -> None:
-        """Returns after the next write below one of the prefixes, `wake_all` or the timeout."""
-        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiters[waiter] = prefixes
-        try:
-            await asyncio.wait((waiter,), timeout=timeout_s)
-        finally:
-            del self._waiters[waiter]
-
-    def wake_all(self) -> None:
-        """Ends all waits, so that watches see a changed mode."""
-        self._wake(list(self._waiters))
-
-    def _write(self, key: str, value: msgspec.Raw, if_version: int, *, deleted: bool) -> int:
-        found = self._objects.get(key)
-        present = 0 if found is None or found.deleted else found.version
-        if if_version != present:
-            raise VersionConflictError(f"{key!r} has version {present}", version=present)
-        self._revision += 1
-        self._objects[key] = ObjectChange(key, self._revision, value, deleted)
-        self._wake([waiter for waiter, wanted in self._waiters.items() if key.startswith(wanted)])
-        return self._revision
-
-    @staticmethod
-    def _wake(waiters: list[asyncio.Future[None]]) -> None:
-        for waiter in waiters:
-            if not waiter.done():
-                waiter.set_result(None)
-
-
 Answer = Callable[[], Awaitable[web.StreamResponse]]
 
 
@@ -468,23 +261,3 @@
 
 def _unavailable() -> web.Response:
     return web.Response(status=503, text="the platform is down")
-
-
-def main(
-    port: Annotated[int, typer.Option(help="Port to listen on; 0 chooses a free one.")] = 0,
-    host: Annotated[str, typer.Option(help="Address to listen on.")] = LOOPBACK,
-) -> None:
-    """Runs the platform stand-in until SIGTERM."""
-
-    async def body(stop: asyncio.Event) -> None:
-        platform = PlatformStandIn(host, port)
-        await platform.start()
-        report_listening("platform", host, platform.port)
-        await stop.wait()
-        await platform.stop()
-
-    run_program(body)
-
-
-if __name__ == "__main__":
-    typer.run(main)
--- /dev/null
+++ b/tests/testing/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform stand-in."""
