Divide the process harness by noun

It is a package now: members, platform (the handle), preparation (ports, settings, proxies and processes) and deployment. No change of behaviour; imports stay. Its tests move to tests/testing/harness/.

--- a/fescueward/testing/harness.py
+++ b/fescueward/testing/harness/deployment.py
@@ -1,214 +1,36 @@
-"""Process harness: a whole deployment on loopback, as separate processes."""
+"""A deployment on loopback with its processes and partitions."""
 
 from __future__ import annotations
 
 import asyncio
-import configparser
 import contextlib
-import io
-import os
 import shutil
-import sys
 import tempfile
 from collections.abc import Iterable, Iterator
-from dataclasses import asdict, dataclass
 from pathlib import Path
 from types import TracebackType
-from typing import Any
 
 import aiohttp
-import psutil
-
-from ..kernel.settings import load_settings
-from ..messages import Group, GroupId, VersionedGroup
-from ..messages.codec import decode_json, encode_json
-from ..messages.group import entry_object_key, group_of
-from .callers import TOKEN_REQUIRED, Caller, CallerAnswer, CallerRequest
-from .errors import ControlError, ProcessStateError, UnknownMemberError
-from .journal import EventKind, JournalEvent, JournalWriter, read_journal
-from .platform import Counters, Faults, ObjectEnvelope, WrittenVersion
-from .ports import PortReservations
-from .processes import ExitHandler, ManagedProcess
-from .program import LOOPBACK
-from .proxy import DROP, PASS, FaultProxy, ProxyMode, ProxyPlan
-from .specs import DeploymentSpec, MemberSpec, ServiceSpec
-from .upstream import Health, Switches
-from .waiting import wait_until
-
-SECRET = "loopback-peer-secret"
-ADMINISTRATION_TOKEN = "loopback-administration"
-PROBE_KEY = "probe"
-READY_TIMEOUT_S = 30.0
-
-_ROOT = Path(__file__).resolve().parents[2]
-
-
-@dataclass(frozen=True, slots=True)
-class MemberPorts:
-    """Ports of one member.
-
-    Attributes:
-        callers: Callers' HTTP of the agent.
-        peers: Peer streams of the agent.
-        advertised_peers: Port of the fault proxy before `peers`; `peers` without one.
-        administration: Administration API of the agent.
-        announcements: Announcement address of the agent.
-        upstream: HTTP of the upstream.
-    """
-
-    callers: int
-    peers: int
-    advertised_peers: int
-    administration: int
-    announcements: int
-    upstream: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DeployedMember:
-    """One member with its processes.
-
-    Attributes:
-        service: Its service.
-        spec: Its spec.
-        ports: Its ports.
-        agent: Process of the agent.
-        upstream: Process of the upstream.
-        config: Settings file of the agent.
-        journal: Journal of the upstream, or None.
-        peers_proxy: Fault proxy before its peer port, or None.
-        platform_proxy: Fault proxy between its agent and the platform, or None.
-    """
-
-    service: ServiceSpec
-    spec: MemberSpec
-    ports: MemberPorts
-    agent: ManagedProcess
-    upstream: ManagedProcess
-    config: Path
-    journal: Path | None
-    peers_proxy: FaultProxy | None
-    platform_proxy: FaultProxy | None
-
-    @property
-    def name(self) -> str:
-        """Name of the agent."""
-        return self.spec.name
-
-    @property
-    def url(self) -> str:
-        """URL that callers send to."""
-        return f"http://{LOOPBACK}:{self.ports.callers}"
-
-    @property
-    def administration_url(self) -> str:
-        """URL of the administration API."""
-        return f"http://{LOOPBACK}:{self.ports.administration}"
-
-    @property
-    def upstream_url(self) -> str:
-        """URL of the upstream."""
-        return f"http://{LOOPBACK}:{self.ports.upstream}"
-
-
-def agent_settings(
-    spec: DeploymentSpec, member: MemberSpec, ports: MemberPorts, platform_url: str
-) -> str:
-    """Returns the settings file of an agent.
-
-    Args:
-        spec: The deployment.
-        member: The member.
-        ports: Its ports.
-        platform_url: URL under which it reaches the platform.
-    """
-    parser = configparser.ConfigParser(interpolation=None)
-    sections: dict[str, dict[str, Any]] = {
-        "agent": {"name": member.name, "failure_domain": member.failure_domain},
-        "callers": {"host": LOOPBACK, "port": ports.callers},
-        "peers": {
-            "host": LOOPBACK,
-            "port": ports.peers,
-            "secret": SECRET,
-            "advertised_port": ports.advertised_peers,
-        },
-        "administration": {
-            "host": LOOPBACK,
-            "port": ports.administration,
-            "token": ADMINISTRATION_TOKEN,
-        },
-        "announcements": {"host": LOOPBACK, "port": ports.announcements},
-        "platform": {"url": platform_url},
-        "lease": asdict(spec.lease),
-        "log": {"level": spec.log_level},
-    }
-    for section, option, value in spec.settings:
-        sections.setdefault(section, {})[option] = value
-    parser.read_dict(sections)
-    text = io.StringIO()
-    parser.write(text)
-    return text.getvalue()
-
-
-class PlatformHandle:
-    """The platform stand-in of a deployment.
 
-    Args:
-        process: Its process.
-        url: Base URL of the object API.
-        session: HTTP session.
-    """
-
-    def __init__(self, process: ManagedProcess, url: str, session: aiohttp.ClientSession) -> None:
-        self.process = process
-        self.url = url
-        self._session = session
-
-    async def get(self, key: str) -> ObjectEnvelope | None:
-        """Returns an object, or None. Fails in the modes `down` and `hang`.
-
-        Raises:
-            aiohttp.ClientError: The platform does not answer.
-        """
-        async with self._session.get(f"{self.url}/objects/{key}") as response:
-            if response.status == 404:
-                return None
-            response.raise_for_status()
-            return decode_json(await response.read(), ObjectEnvelope)
+from ...messages import Group, GroupId, VersionedGroup
+from ...messages.codec import decode_json
+from ...messages.group import entry_object_key, group_of
+from ..callers import TOKEN_REQUIRED, Caller, CallerAnswer, CallerRequest
+from ..errors import ProcessStateError, UnknownMemberError
+from ..journal import JournalEvent, read_journal
+from ..ports import PortReservations
+from ..processes import ManagedProcess
+from ..program import LOOPBACK
+from ..proxy import DROP, PASS, ProxyMode, ProxyPlan
+from ..specs import DeploymentSpec
+from ..upstream import Health, Switches
+from ..waiting import wait_until
+from .members import DeployedMember
+from .platform import PlatformHandle, post_json
+from .preparation import Preparation
 
-    async def put(self, key: str, value: object, if_version: int = 0) -> int:
-        """Writes an object.
-
-        Args:
-            key: Its key.
-            value: Data class or other value that JSON can express.
-            if_version: Present version, 0 if it must not exist.
-
-        Returns:
-            The new version.
-
-        Raises:
-            aiohttp.ClientError: The platform does not answer, or the version is another one.
-        """
-        headers = {"If-Match": str(if_version), "Content-Type": "application/json"}
-        async with self._session.put(
-            f"{self.url}/objects/{key}", data=encode_json(value), headers=headers
-        ) as response:
-            response.raise_for_status()
-            return decode_json(await response.read(), WrittenVersion).version
-
-    async def set_faults(self, faults: Faults) -> None:
-        """Replaces the platform's faults.
-
-        Raises:
-            ControlError: The platform refuses them.
-        """
-        await _post(self._session, f"{self.url}/control", faults)
-
-    async def counters(self) -> Counters:
-        """Returns the numbers of calls so far."""
-        async with self._session.get(f"{self.url}/counters") as response:
-            return decode_json(await response.read(), Counters)
+PROBE_KEY = "probe"
+READY_TIMEOUT_S = 30.0
 
 
 class Deployment:
@@ -312,10 +134,13 @@
             aiohttp.ClientSession(timeout=timeout)
         )
         self._caller = await self._cleanup.enter_async_context(Caller())
-        await self._start_platform()
+        preparation = Preparation(self._spec, self.directory, self._ports, self._cleanup)
+        await self._start_platform(preparation)
         for service in self._spec.services:
             for member in service.members:
-                self._members[member.name] = await self._prepare(service, member)
+                self._members[member.name] = await preparation.member(
+                    service, member, self.platform.url
+                )
         await self.heal()
         starts = []
         for member in self.members:
@@ -385,7 +210,7 @@
             ControlError: The upstream refuses it.
         """
         assert self._session is not None, "the deployment is not started"
-        await _post(self._session, f"{member.upstream_url}/control", switches)
+        await post_json(self._session, f"{member.upstream_url}/control", switches)
 
     async def health(self, member: DeployedMember) -> Health:
         """Returns the health page of a member's upstream.
@@ -499,10 +324,10 @@
             yield member.agent
             yield member.upstream
 
-    async def _start_platform(self) -> None:
+    async def _start_platform(self, preparation: Preparation) -> None:
         port = self._ports.reserve()
         arguments = ("fescueward.testing.platform", "--port", str(port))
-        process = self._process("platform", arguments)
+        process = preparation.process("platform", arguments)
         assert self._session is not None
         platform = PlatformHandle(process, f"http://{LOOPBACK}:{port}", self._session)
         await process.start()
@@ -518,72 +343,6 @@
         for service in self._spec.services:
             await platform.put(entry_object_key(service.entry.service), service.entry)
 
-    async def _prepare(self, service: ServiceSpec, spec: MemberSpec) -> DeployedMember:
-        reserve = self._ports.reserve
-        peers = reserve()
-        platform_proxy = peers_proxy = None
-        platform_url = self.platform.url
-        if self._spec.proxy_platform:
-            port = int(platform_url.rpartition(":")[2])
-            platform_proxy = await self._start_proxy(FaultProxy(port, reserve()))
-            platform_url = f"http://{LOOPBACK}:{platform_proxy.port}"
-        if self._spec.proxy_peers:
-            proxy = FaultProxy(peers, reserve(), identify=self._identify)
-            peers_proxy = await self._start_proxy(proxy)
-        ports = MemberPorts(
-            callers=reserve(),
-            peers=peers,
-            advertised_peers=peers if peers_proxy is None else peers_proxy.port,
-            administration=reserve(),
-            announcements=reserve(),
-            upstream=reserve(),
-        )
-        config = self.directory / f"{spec.name}.ini"
-        config.write_text(agent_settings(self._spec, spec, ports, platform_url), encoding="utf-8")
-        load_settings(config)
-        journal = self.directory / f"{spec.name}.journal" if self._spec.journals else None
-        return DeployedMember(
-            service=service,
-            spec=spec,
-            ports=ports,
-            agent=self._process(
-                f"{spec.name}-agent", ("fescueward", "agent", "--config", str(config))
-            ),
-            upstream=self._process(
-                f"{spec.name}-upstream",
-                _upstream_arguments(service, spec, ports, journal),
-                None
-                if journal is None
-                else _exit_handler(service.entry.service, spec, ports.upstream, journal),
-            ),
-            config=config,
-            journal=journal,
-            peers_proxy=peers_proxy,
-            platform_proxy=platform_proxy,
-        )
-
-    async def _start_proxy(self, proxy: FaultProxy) -> FaultProxy:
-        await proxy.start()
-        self._cleanup.push_async_callback(proxy.stop)
-        return proxy
-
-    def _process(
-        self, name: str, arguments: tuple[str, ...], on_exit: ExitHandler | None = None
-    ) -> ManagedProcess:
-        process = ManagedProcess(
-            name,
-            (sys.executable, "-m", *arguments),
-            self.directory / f"{name}.log",
-            {**os.environ, "PYTHONPATH": str(_ROOT)},
-            on_exit,
-        )
-        self._cleanup.push_async_callback(process.stop)
-        return process
-
-    async def _identify(self, source_port: int) -> str:
-        pids = {found.agent.pid: found.name for found in self.members if found.agent.running}
-        return await asyncio.to_thread(_process_with_port, pids, source_port)
-
     async def _placed(self) -> bool:
         for service in self._spec.services:
             entry = service.entry
@@ -621,63 +380,3 @@
                 error.add_note(f"settings, logs and journals: {self._directory}")
             elif self._given_directory is None and self._directory is not None:
                 shutil.rmtree(self._directory, ignore_errors=True)
-
-
-def _upstream_arguments(
-    service: ServiceSpec, spec: MemberSpec, ports: MemberPorts, journal: Path | None
-) -> tuple[str, ...]:
-    announce = f"http://{LOOPBACK}:{ports.announcements}/announcements"
-    options: dict[str, object] = {
-        "--service": service.entry.service,
-        "--name": spec.name,
-        "--port": ports.upstream,
-        "--announce": announce,
-        "--group": spec.group,
-        "--slots": spec.slots,
-        "--connections": spec.connections,
-        "--cold-start-ms": spec.cold_start_ms,
-        "--work-ms": spec.work_ms,
-        "--report": spec.report,
-        "--linger-ms": spec.linger_ms,
-    }
-    if journal is not None:
-        options["--journal"] = journal
-    arguments = [str(part) for option in options.items() for part in option]
-    if not spec.checks_grants:
-        arguments.append("--no-grants")
-    return ("fescueward.testing.upstream", *arguments)
-
-
-def _exit_handler(service: str, spec: MemberSpec, port: int, journal: Path) -> ExitHandler:
-    def append_exit(pid: int, time_ns: int) -> None:
-        writer = JournalWriter(journal)
-        writer.append(
-            JournalEvent(
-                kind=EventKind.EXIT,
-                time_ns=time_ns,
-                upstream=spec.name,
-                pid=pid,
-                port=port,
-                service=service,
-                group=spec.group,
-            )
-        )
-        writer.close()
-
-    return append_exit
-
-
-def _process_with_port(names: dict[int, str], port: int) -> str:
-    for pid, name in names.items():
-        with contextlib.suppress(psutil.Error):
-            for connection in psutil.Process(pid).net_connections("tcp4"):
-                if connection.laddr.port == port and connection.raddr:
-                    return name
-    return ""
-
-
-async def _post(session: aiohttp.ClientSession, url: str, value: object) -> None:
-    headers = {"Content-Type": "application/json"}
-    async with session.post(url, data=encode_json(value), headers=headers) as response:
-        if not response.ok:
-            raise ControlError(f"{url}: {response.status} {await response.text()}")
--- a/tests/testing/test_harness.py
+++ b/tests/testing/harness/test_deployment.py
@@ -1,4 +1,4 @@
-"""Tests of the process harness; the agents themselves are tested in tests/integration."""
+"""Tests of deployments; the agents themselves are tested in tests/integration."""
 
 from __future__ import annotations
 
@@ -16,12 +16,8 @@
 from fescueward.kernel.errors import DuplicateNameError
 from fescueward.kernel.settings import load_settings
 from fescueward.testing.errors import ConditionTimeoutError, ProcessStateError, UnknownMemberError
-from fescueward.testing.harness import (
-    Deployment,
-    MemberPorts,
-    _process_with_port,
-    agent_settings,
-)
+from fescueward.testing.harness import Deployment, MemberPorts, agent_settings
+from fescueward.testing.harness.preparation import _process_with_port
 from fescueward.testing.journal import EventKind
 from fescueward.testing.platform import Faults, Mode
 from fescueward.testing.ports import PortReservations
