Divide callers' HTTP by noun

It is a package now: connections, requests (reading them), refusals and the service. No change of behaviour. Its tests move to tests/services/frontend/.

--- /dev/null
+++ b/fescueward/services/frontend/__init__.py
@@ -0,0 +1,5 @@
+"""Callers' HTTP."""
+
+from .service import HttpFrontend
+
+__all__ = ["HttpFrontend"]
--- /dev/null
+++ b/tests/services/frontend/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of callers' HTTP."""
--- a/tests/services/test_frontend.py
+++ b/tests/services/frontend/test_service.py
@@ -19,7 +19,7 @@
 from fescueward.testing.ports import PortReservations
 from fescueward.testing.waiting import wait_until
 
-from .fakes import FakeCatalogue, StreamedBody, StubRegistry, make_entry, make_response
+from ..fakes import FakeCatalogue, StreamedBody, StubRegistry, make_entry, make_response
 
 
 class FrontendTest(unittest.IsolatedAsyncioTestCase):
