--- a/fescueward/testing/proxy.py
+++ b/fescueward/testing/proxy.py
@@ -306,9 +306,11 @@
     # With a linger time of 0 the close sends RST, which the other end cannot take for an end of
     # stream.
     linger = struct.pack("ii", 1, 0)
-    # The other end may have closed the connection already.
-    with contextlib.suppress(OSError):
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    # A connection that the other end has reset has no socket any more, or a closed one.
+    found = writer.get_extra_info("socket")
+    if found is not None:
+        with contextlib.suppress(OSError):
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
 
 
--- a/fescueward/testing/site/callers.py
+++ b/fescueward/testing/site/callers.py
@@ -22,6 +22,9 @@
 # Pause of a caller that could not connect.
 _PAUSE_S = 0.1
 
+# Time between two questions for the version of the configuration, in seconds.
+_PROBE_PERIOD_S = 0.3
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Load:
@@ -103,6 +106,22 @@
                 pause_s = self._random.expovariate(1 / load.pause_s)
                 await asyncio.sleep(pause_s if attempt.connected else pause_s + _PAUSE_S)
 
+    async def probe(
+        self, routes: Callable[[], tuple[str, ...]], until: Callable[[], bool]
+    ) -> None:
+        """Asks which version of the configuration is in force.
+
+        Args:
+            routes: Returns routes that one version has each.
+            until: Tells when to end.
+        """
+        async with without_retries(aiohttp.ClientSession()) as session:
+            while not until():
+                for route in routes():
+                    load = Load(route=route, repeatable=True, work_ms=(0, 0), timeout_s=1.0)
+                    await self.send(session, load)
+                await asyncio.sleep(_PROBE_PERIOD_S)
+
     async def send(
         self, session: aiohttp.ClientSession, load: Load, work_ms: int | None = None
     ) -> Attempt:
--- a/fescueward/testing/site/deployment.py
+++ b/fescueward/testing/site/deployment.py
@@ -14,6 +14,7 @@
 from types import TracebackType
 
 from ...platform.names import SETTINGS_VARIABLE
+from ..errors import ConditionTimeoutError
 from ..ports import PortReservations
 from ..processes import ManagedProcess
 from ..program import LOOPBACK
@@ -154,15 +155,22 @@
         """
         loads = tuple(loads)
         since = time.monotonic()
-
-        def missing() -> set[tuple[str, str]]:
-            wanted = {(name, load.route) for name in self.machines for load in loads}
-            for attempt in self.evidence.attempts:
+        missing: set[tuple[str, str]] = set()
+
+        def served() -> bool:
+            missing.clear()
+            missing.update((name, load.route) for name in self.machines for load in loads)
+            for attempt in reversed(self.evidence.attempts):
+                if attempt.ended < since:
+                    break
                 if attempt.served and attempt.sent >= since:
-                    wanted.discard((attempt.agent, attempt.route))
-            return wanted
+                    missing.discard((attempt.agent, attempt.route))
+            return not missing
 
-        await wait_until(lambda: not missing(), within_s, "every agent serves every route")
+        try:
+            await wait_until(served, within_s, "every agent serves every route")
+        except ConditionTimeoutError as error:
+            raise ConditionTimeoutError(f"{error}; not served: {sorted(missing)}") from None
 
     def log_lines(self, name: str, count: int = 5) -> str:
         """Returns the last lines of an agent's log."""
@@ -177,6 +185,14 @@
                     sending = machine.callers.send_all(load, lambda: not self._sending)
                     self._loads.append(asyncio.create_task(sending))
 
+    def start_probes(self) -> None:
+        """Starts requests on the routes of the newest versions of the configuration."""
+        for machine in self.machines.values():
+            probing = machine.callers.probe(
+                lambda: self.configurator.newest_routes, lambda: not self._sending
+            )
+            self._loads.append(asyncio.create_task(probing))
+
     async def stop_load(self) -> None:
         """Lets all callers end after their present request; closes the book of holds."""
         self._sending = False
--- a/fescueward/testing/site/judge.py
+++ b/fescueward/testing/site/judge.py
@@ -33,7 +33,8 @@
 class Rule(enum.StrEnum):
     """Rules of the platform, by their names there, and `GRACE`.
 
-    `GRACE` breaks when an undisturbed agent does not end by itself within its grace time.
+    `GRACE` breaks when an undisturbed agent does not end by itself within its grace time. The soak
+    itself finds a broken `RECOVER`.
     """
 
     LOST = "LOST"
@@ -44,6 +45,7 @@
     DRAIN = "DRAIN"
     CONFIG = "CONFIG"
     GRACE = "GRACE"
+    RECOVER = "RECOVER"
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -17,6 +17,8 @@
 GRACE_S = 6.0
 # Time from the end of a process to its next start.
 RESTART_S = 0.4
+# Versions that callers ask for.
+_PROBED_VERSIONS = 3
 _KIND, _NAME = "config", "main"
 
 
@@ -126,6 +128,11 @@
         self._services = services
         self._evidence = evidence
 
+    @property
+    def newest_routes(self) -> tuple[str, ...]:
+        """Routes of the newest versions, oldest first."""
+        return tuple(self._evidence.versions)[-_PROBED_VERSIONS:]
+
     def change(self, step: int = 1) -> str:
         """Writes the next version; returns the route that only this version has."""
         self.version += step
--- a/fescueward/testing/site/store.py
+++ b/fescueward/testing/site/store.py
@@ -178,7 +178,10 @@
         kind, name = request.match_info["kind"], request.match_info.get("name", "")
         if request.method == "GET":
             return await self._read(request, kind, name)
-        body = await request.read()
+        try:
+            body = await request.read()
+        except ConnectionError:
+            return abort_connection(request)
         if self._random.random() < faults.lost_share:
             if faults.late_s:
                 apply = (self._write, request.method, kind, name, body, request.query)
