Grant keys to a new start of an upstream under a higher epoch only

Cause: the renewal of grants took the ranges of the group object as they stood, although only the write that names the new start raises their epochs. With the store up, the same happens until that write is done. Ruled out: a late grant of the earlier start, since the grants went on for 4.7 s.

Change: no grant is sent until the group object names the present start. Keys of an upstream that starts anew wait for the store.

--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -245,6 +245,8 @@
             if announced is None or not self._wanted or not self._lease.held:
                 continue
             self._forget_earlier_start()
+            if not self._epochs_are_of(announced.start):
+                continue
             due = self._due()
             for found in due:
                 if range_id(found) not in self._on_their_way:
@@ -262,6 +264,16 @@
             self._expires.clear()
             self._index()
 
+    def _epochs_are_of(self, start: str) -> bool:
+        """Tells whether the epochs in the group object may be granted to a start of the upstream.
+
+        Keys move to another start with a higher epoch only, which the group object has once it
+        names that start.
+        """
+        view = self._view()
+        me = view.group.members.get(self._membership.member_id) if view is not None else None
+        return me is None or me.instance in ("", start)
+
     def _due(self) -> list[KeyRange]:
         """Returns the ranges whose grant is missing or has passed its middle."""
         soon = self._clock.now() + self._lease_s * _RENEWED_SHARE
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -284,6 +284,28 @@
         self.probe.grants_open.set()
         self.assertGreater((await admitted).epoch, self.mine.epoch)
 
+    async def test_new_start_waits_for_a_higher_epoch(self):
+        """Guards against a new start of an upstream that gets keys under the epoch of the last.
+
+        Found by the soak, seed 4: the store was down, so that the epoch could not be raised.
+        """
+        self.lease.expires_at = CLOCK.now() + 5
+        named = replace(self.group.members["a:1"], instance=announcement(1).start)
+        self.group = replace(self.group, members={**self.group.members, "a:1": named})
+        self.groups.publish(self.group)
+        await self.ownership.admit("depot", "5", CLOCK.now() + 1)
+        self.membership.announcement = announcement(2)
+        seen = len(self.probe.calls)
+        await self.until(lambda: not self.ownership.active())
+        with self.assertRaises(ShardMovingError):
+            await self.ownership.admit("depot", "5", CLOCK.now() + 0.7)
+        self.assertEqual(len(self.probe.calls), seen)
+        again = replace(named, instance=announcement(2).start)
+        renewed = replace(self.group, members={**self.group.members, "a:1": again})
+        self.groups.publish(moves.refenced(renewed, "a:1"))
+        ticket = await self.ownership.admit("depot", "5", CLOCK.now() + 1)
+        self.assertGreater(ticket.epoch, self.mine.epoch)
+
     async def test_keys_end_with_the_lease(self):
         """Guards against an agent that serves keys which its monitor has given to another."""
         self.groups.publish(self.group)
