--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -33,7 +33,7 @@
 LOADS = (
     Load(route="catalogue", repeatable=True, keys=64, connections=1, work_ms=(5, 200)),
     Load(route="catalogue-once", repeatable=False, keys=64, connections=1, work_ms=(5, 400)),
-    Load(route="orders-once", repeatable=False, connections=1, work_ms=(5, 1_500), timeout_s=3.0),
+    Load(route="orders-once", repeatable=False, pause_s=0.05, work_ms=(5, 2_000), timeout_s=3.0),
     Load(route="proofing", repeatable=True, connections=1, work_ms=(5, 300)),
     Load(route="proofing-once", repeatable=False, connections=1, work_ms=(5, 60)),
 )
@@ -64,6 +64,7 @@
         runs: Runs of the upstreams.
         breaches: Broken rules.
         longest_stall_s: Longest time for which the soak's own process was late.
+        stalled_s: Sum of such times while the plan was played.
     """
 
     seed: int
@@ -73,13 +74,14 @@
     runs: int
     breaches: tuple[Breach, ...]
     longest_stall_s: float
+    stalled_s: float
 
     def __str__(self) -> str:
         rules = Counter(str(breach.rule) for breach in self.breaches)
         return (
             f"seed {self.seed}: {len(self.plan)} steps, {self.attempts} requests, "
             f"{self.served} served, {self.runs} runs, longest stall "
-            f"{self.longest_stall_s * 1000:.0f} ms, "
+            f"{self.longest_stall_s * 1000:.0f} ms of {self.stalled_s:.1f} s, "
             + (f"broken {dict(rules)}" if rules else "no rule broken")
         )
 
@@ -92,6 +94,9 @@
         seconds: Length of the plan.
         agents: Number of agents, at least one for each service.
         directory: Where settings and logs go.
+
+    Raises:
+        ConditionTimeoutError: Not all was served before the first fault.
     """
     counts = {
         service: len(range(number, agents, len(SERVICES)))
@@ -102,13 +107,13 @@
         plan = draw_plan(seed, seconds, tuple(site.machines))
         (directory / "plan.json").write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
         lag = _Lag(site.evidence)
-        measuring = asyncio.create_task(lag.measure())
         breaches: list[Breach] = []
+        await site.wait_ready()
+        site.start_load(LOADS)
+        await site.wait_served(LOADS, _FIRST_SERVED_S)
+        site.start_probes()
+        measuring = asyncio.create_task(lag.measure())
         try:
-            await site.wait_ready()
-            site.start_load(LOADS)
-            await site.wait_served(LOADS, _FIRST_SERVED_S)
-            site.start_probes()
             await _Player(site).play(plan)
             await site.wait_served(LOADS, RECOVERY_S)
         except ConditionTimeoutError as error:
@@ -127,6 +132,7 @@
             runs=len(evidence.runs),
             breaches=tuple(breaches),
             longest_stall_s=lag.longest_s,
+            stalled_s=lag.stalled_s,
         )
 
 
@@ -139,6 +145,7 @@
 
     def __init__(self, evidence: Evidence) -> None:
         self.longest_s = 0.0
+        self.stalled_s = 0.0
         self._evidence = evidence
 
     async def measure(self) -> None:
@@ -148,6 +155,7 @@
             now = time.monotonic()
             self.longest_s = max(self.longest_s, now - due)
             if now - due > _STALL_S:
+                self.stalled_s += now - due
                 self._evidence.disturbances.append(
                     Disturbance(machine="", since=due, until=now, what="stall")
                 )
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -23,6 +23,7 @@
     for route in ("orders-once", "proofing-once")
 )
 ROLL_SEEDS = (2, 3, 4)
+WATCHES_FAIL_S = 5.0
 # Time between two agents' stop signals: less than a grace time, so that stops overlap.
 ROLL_S = 3.0
 
@@ -52,6 +53,20 @@
             with self.subTest(seed=seed):
                 await self._roll(seed)
 
+    async def test_restart_while_the_store_is_down(self):
+        """Guards against an agent that refuses all after a restart until the store is back."""
+        loads = tuple(load for load in SHORT if not load.keys)
+        async with SiteDeployment(SiteSpec(seed=5)) as site:
+            await site.wait_ready()
+            site.start_load(loads)
+            await site.wait_served(loads, SERVED_WITHIN_S)
+            site.store.set_faults(StoreFaults(mode=StoreMode.SILENT))
+            # The watches of the store have failed by then, on every agent.
+            await asyncio.sleep(WATCHES_FAIL_S)
+            await site.machines["orders-2"].agent.kill()
+            await site.wait_served(loads, SERVED_WITHIN_S)
+            await self.judged(site)
+
     async def _roll(self, seed: int) -> None:
         async with SiteDeployment(SiteSpec(seed=seed)) as site:
             await site.wait_ready()
