Note when the emulator stands still, and judge by it

The soak's own process was late for up to 5 s beside a load of 40 on 8 cores; most of it is the start of agents. A stall excuses what only a late observer sees: a request without a run that ended late, a grant, a start of work or the end of a process seen late. It no longer excuses a request that an upstream had begun.

--- a/fescueward/testing/site/deployment.py
+++ b/fescueward/testing/site/deployment.py
@@ -22,12 +22,15 @@
 from ..waiting import wait_until
 from .callers import AgentCallers, Load
 from .operator import GRACE_S, AgentProcess, Configurator
-from .records import Evidence
+from .records import Evidence, Stall
 from .store import SiteStore
 from .upstream import HEARTBEAT_S, SiteUpstream, UpstreamSpec
 
 _ROOT = Path(__file__).resolve().parents[3]
 _READY_TIMEOUT_S = 20.0
+_LAG_PERIOD_S = 0.02
+# Half of the loss slack, the shortest bound of a rule, in seconds.
+_STALL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +110,8 @@
             self._directory = Path(self._cleanup.enter_context(temporary))
         self._cleanup.callback(self._ports.close)
         try:
+            stalls = asyncio.create_task(_note_stalls(self.evidence))
+            self._cleanup.callback(stalls.cancel)
             await self.store.start()
             self._cleanup.push_async_callback(self.store.stop)
             self.configurator.change()
@@ -259,6 +264,16 @@
         self._cleanup.callback(asking.cancel)
 
 
+async def _note_stalls(evidence: Evidence) -> None:
+    """Notes when the event loop runs late."""
+    while True:
+        due = time.monotonic() + _LAG_PERIOD_S
+        await asyncio.sleep(_LAG_PERIOD_S)
+        now = time.monotonic()
+        if now - due > _STALL_S:
+            evidence.stalls.append(Stall(due, now))
+
+
 def _settings(
     name: str,
     service: str,
--- a/fescueward/testing/site/records.py
+++ b/fescueward/testing/site/records.py
@@ -180,6 +180,21 @@
     store: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """A time in which the event loop of upstreams, store and callers stood still.
+
+    What they note in it is late. The start of a process on a busy machine is such a time.
+
+    Attributes:
+        since: When the loop should have run.
+        until: When it ran.
+    """
+
+    since: float
+    until: float
+
+
 @dataclass(slots=True)
 class Evidence:
     """Everything that is judged; callers, upstreams and the operator append to it.
@@ -191,6 +206,7 @@
         departures: Acknowledged reports of leaving.
         processes: Signals, starts and ends of agents.
         disturbances: Unplanned faults.
+        stalls: Times in which the emulator stood still.
         versions: Version of the configuration that each route of `versioned_route` tells.
     """
 
@@ -200,4 +216,5 @@
     departures: list[Departure] = field(default_factory=list)
     processes: list[ProcessEvent] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    stalls: list[Stall] = field(default_factory=list)
     versions: dict[str, int] = field(default_factory=dict)
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -24,7 +24,7 @@
 from .deployment import Machine, SiteDeployment, SiteSpec
 from .judge import Breach, Rule, judge
 from .plan import Action, Step, draw_plan
-from .records import Disturbance, Evidence
+from .records import Disturbance
 from .store import StoreFaults, StoreMode
 from .upstream import UpstreamFaults
 
@@ -47,9 +47,6 @@
 _LINK_DELAY_MS = 300.0
 # How long an upstream serves after its leave was acknowledged, and is away then, in seconds.
 _SERVE_S = 2.2
-_LAG_PERIOD_S = 0.05
-# Half of the loss slack, the shortest bound of a rule.
-_STALL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +60,7 @@
         served: Those that an upstream answered with success.
         runs: Runs of the upstreams.
         breaches: Broken rules.
-        longest_stall_s: Longest time for which the soak's own process was late.
+        longest_stall_s: Longest time for which the emulator stood still.
         stalled_s: Sum of such times while the plan was played.
     """
 
@@ -106,23 +103,21 @@
     async with SiteDeployment(spec, directory) as site:
         plan = draw_plan(seed, seconds, tuple(site.machines))
         (directory / "plan.json").write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
-        lag = _Lag(site.evidence)
         breaches: list[Breach] = []
         await site.wait_ready()
         site.start_load(LOADS)
         await site.wait_served(LOADS, _FIRST_SERVED_S)
         site.start_probes()
-        measuring = asyncio.create_task(lag.measure())
+        began = time.monotonic()
         try:
             await _Player(site).play(plan)
             await site.wait_served(LOADS, RECOVERY_S)
         except ConditionTimeoutError as error:
             breaches.append(Breach(Rule.RECOVER, time.monotonic(), str(error)))
-        finally:
-            measuring.cancel()
         await site.stop_load()
         breaches += judge(site.evidence)
         evidence = site.evidence
+        stalls = [one.until - one.since for one in evidence.stalls if one.since >= began]
         (directory / "evidence.json").write_bytes(msgspec.json.encode(evidence))
         return SoakResult(
             seed=seed,
@@ -131,36 +126,11 @@
             served=sum(attempt.served for attempt in evidence.attempts),
             runs=len(evidence.runs),
             breaches=tuple(breaches),
-            longest_stall_s=lag.longest_s,
-            stalled_s=lag.stalled_s,
+            longest_stall_s=max(stalls, default=0.0),
+            stalled_s=sum(stalls),
         )
 
 
-class _Lag:
-    """Measures how late the event loop of the soak runs.
-
-    While it stands still, upstreams, store and callers are silent for all agents, so a stall is
-    noted as a disturbance. The start of a process on a busy machine is one.
-    """
-
-    def __init__(self, evidence: Evidence) -> None:
-        self.longest_s = 0.0
-        self.stalled_s = 0.0
-        self._evidence = evidence
-
-    async def measure(self) -> None:
-        while True:
-            due = time.monotonic() + _LAG_PERIOD_S
-            await asyncio.sleep(_LAG_PERIOD_S)
-            now = time.monotonic()
-            self.longest_s = max(self.longest_s, now - due)
-            if now - due > _STALL_S:
-                self.stalled_s += now - due
-                self._evidence.disturbances.append(
-                    Disturbance(machine="", since=due, until=now, what="stall")
-                )
-
-
 class _Player:
     """Carries out the steps of a plan, each in a task of its own."""
 
--- a/tests/testing/site/test_judge.py
+++ b/tests/testing/site/test_judge.py
@@ -15,6 +15,7 @@
     ProcessEvent,
     Run,
     Signal,
+    Stall,
     receipt,
 )
 
@@ -72,6 +73,12 @@
             processes=[early],
         )
 
+    def test_stall_of_the_emulator(self):
+        """Guards against breaches that only a late emulator sees, and ones that it hides."""
+        stall = Stall(10.1, 10.4)
+        self.assert_finds(attempts=[CUT], processes=[TERM], stalls=[stall])
+        self.assert_finds(Rule.LOST, attempts=[CUT], runs=[RUN], processes=[TERM], stalls=[stall])
+
     def test_outage_of_the_store_excuses_only_keyed_requests(self):
         """Guards against a judge that takes a store outage for an excuse."""
         down = Disturbance(machine="", since=5.0, until=15.0, what="store", store=True)
