Start child processes without blocking the event loop

A start of a child blocked the loop of test programs until the child ran its program: up to 2.2 s beside a load of 36, while upstreams and callers of the emulator stood still. Starts now have a thread of their own; the end of a child is seen by its pidfd.

--- a/fescueward/testing/processes.py
+++ b/fescueward/testing/processes.py
@@ -6,7 +6,10 @@
 import ctypes
 import os
 import signal
+import subprocess
 from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 
 import psutil
@@ -20,6 +23,10 @@
 _PR_SET_PDEATHSIG = 1
 _STOP_TIMEOUT_S = 10.0
 _LIBC = ctypes.CDLL(None)
+# A start blocks its thread until the program runs, seconds on a busy machine. The death signal
+# comes with the end of the thread that started the child, so the thread lives as long as the
+# process.
+_LAUNCHER = ThreadPoolExecutor(1, "launcher")
 
 
 def _die_with_parent() -> None:
@@ -27,6 +34,19 @@
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+async def _ended(pid: int) -> None:
+    """Waits until a child process has ended; its status stays for `Popen.wait`."""
+    loop = asyncio.get_running_loop()
+    ended: asyncio.Future[None] = loop.create_future()
+    descriptor = os.pidfd_open(pid)
+    loop.add_reader(descriptor, lambda: ended.done() or ended.set_result(None))
+    try:
+        await ended
+    finally:
+        loop.remove_reader(descriptor)
+        os.close(descriptor)
+
+
 class ManagedProcess:
     """A program that can be started again after its end.
 
@@ -52,7 +72,7 @@
         self._log = log
         self._environment = dict(environment)
         self._on_exit = on_exit
-        self._process: asyncio.subprocess.Process | None = None
+        self._process: subprocess.Popen[bytes] | None = None
         self._reaper: asyncio.Task[int] | None = None
         self._killed_ns = 0
 
@@ -93,15 +113,22 @@
             raise ProcessStateError(f"{self._name} runs already")
         self._killed_ns = 0
         with self._log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                *self._arguments,
-                stdin=asyncio.subprocess.DEVNULL,
+            launch = partial(
+                subprocess.Popen,
+                self._arguments,
+                stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
                 env=self._environment,
                 preexec_fn=_die_with_parent,
             )
-        self._reaper = asyncio.create_task(self._reap(self._process))
+            launching = asyncio.get_running_loop().run_in_executor(_LAUNCHER, launch)
+            try:
+                await asyncio.shield(launching)
+            finally:
+                # After a cancelled start, too, so that `stop` finds the process.
+                self._process = await launching
+                self._reaper = asyncio.create_task(self._reap(self._process))
 
     async def pause(self) -> None:
         """Stops it with SIGSTOP and waits until it stands still.
@@ -186,8 +213,9 @@
             raise ProcessStateError(f"{self._name} does not run; {number.name} was not sent")
         os.kill(self.pid, number)
 
-    async def _reap(self, process: asyncio.subprocess.Process) -> int:
-        status = await process.wait()
+    async def _reap(self, process: subprocess.Popen[bytes]) -> int:
+        await _ended(process.pid)
+        status = process.wait()
         if self._on_exit is not None:
             self._on_exit(process.pid, self._killed_ns or boot_time_ns())
         return status
