--- a/fescueward/testing/processes.py
+++ b/fescueward/testing/processes.py
@@ -137,10 +137,15 @@
             ProcessStateError: It does not run.
         """
         self._signal(signal.SIGSTOP)
-        found = psutil.Process(self.pid)
-        await wait_until(
-            lambda: found.status() == psutil.STATUS_STOPPED, _STOP_TIMEOUT_S, f"{self._name} stops"
-        )
+        try:
+            found = psutil.Process(self.pid)
+            await wait_until(
+                lambda: found.status() == psutil.STATUS_STOPPED,
+                _STOP_TIMEOUT_S,
+                f"{self._name} stops",
+            )
+        except psutil.NoSuchProcess:
+            raise ProcessStateError(f"{self._name} ended while it was paused") from None
 
     def resume(self) -> None:
         """Continues it with SIGCONT.
--- a/fescueward/testing/site/deployment.py
+++ b/fescueward/testing/site/deployment.py
@@ -22,7 +22,7 @@
 from ..waiting import wait_until
 from .callers import AgentCallers, Load
 from .operator import GRACE_S, AgentProcess, Configurator
-from .records import Evidence, Stall
+from .records import STARVED, Disturbance, Evidence, Stall
 from .store import SiteStore
 from .upstream import HEARTBEAT_S, SiteUpstream, UpstreamSpec
 
@@ -31,6 +31,10 @@
 _LAG_PERIOD_S = 0.02
 # Half of the loss slack, the shortest bound of a rule, in seconds.
 _STALL_S = 0.1
+# An agent that waits for a processor for so long of each period, in seconds, is a machine that was
+# made slow; the rules count this as a disturbance.
+_STARVED_PERIOD_S = 0.5
+_STARVED_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,8 +114,8 @@
             self._directory = Path(self._cleanup.enter_context(temporary))
         self._cleanup.callback(self._ports.close)
         try:
-            stalls = asyncio.create_task(_note_stalls(self.evidence))
-            self._cleanup.callback(stalls.cancel)
+            for watching in (_note_stalls(self.evidence), self._note_starved()):
+                self._cleanup.callback(asyncio.create_task(watching).cancel)
             await self.store.start()
             self._cleanup.push_async_callback(self.store.stop)
             self.configurator.change()
@@ -206,6 +210,20 @@
         for machine in self.machines.values():
             machine.upstream.holds.end()
 
+    async def _note_starved(self) -> None:
+        """Notes when an agent was ready to run and got no processor from the kernel."""
+        waited: dict[int, float] = {}
+        at = time.monotonic()
+        while True:
+            await asyncio.sleep(_STARVED_PERIOD_S)
+            since, at = at, time.monotonic()
+            for machine in self.machines.values():
+                pid, total_s = machine.agent.pid, machine.agent.waited_s
+                if total_s - waited.get(pid, total_s) > _STARVED_S:
+                    fault = Disturbance(machine=machine.name, since=since, until=at, what=STARVED)
+                    self.evidence.disturbances.append(fault)
+                waited[pid] = total_s
+
     async def _add_machine(self, number: int, service: str) -> None:
         name = f"{service}-{number}"
         domain = self._spec.failure_domains[number % len(self._spec.failure_domains)]
--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -44,6 +44,20 @@
         """Name of the agent."""
         return self._process.name
 
+    @property
+    def pid(self) -> int:
+        """Id of the process; 0 if it does not run."""
+        return self._process.pid if self._process.running else 0
+
+    @property
+    def waited_s(self) -> float:
+        """Time for which the process was ready to run without a processor, in seconds."""
+        try:
+            fields = Path(f"/proc/{self.pid}/schedstat").read_text(encoding="ascii").split()
+        except OSError:
+            return 0.0
+        return int(fields[1]) / 1e9
+
     def start(self) -> None:
         """Starts the process and keeps it running until `end`."""
         self._supervisor = asyncio.create_task(self._supervise())
--- a/fescueward/testing/site/records.py
+++ b/fescueward/testing/site/records.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 
 ANSWER_BYTES = 2_000
+# Name of the disturbance of an agent that the machine gives too little processor time.
+STARVED = "starved"
 
 
 def answer_body(request_id: str) -> bytes:
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -24,7 +24,7 @@
 from .deployment import Machine, SiteDeployment, SiteSpec
 from .judge import Breach, Rule, judge
 from .plan import Action, Step, draw_plan
-from .records import Disturbance
+from .records import STARVED, Disturbance
 from .store import StoreFaults, StoreMode
 from .upstream import UpstreamFaults
 
@@ -62,6 +62,7 @@
         breaches: Broken rules.
         longest_stall_s: Longest time for which the emulator stood still.
         stalled_s: Sum of such times while the plan was played.
+        starved: Half seconds in which an agent got too little processor time.
     """
 
     seed: int
@@ -72,13 +73,14 @@
     breaches: tuple[Breach, ...]
     longest_stall_s: float
     stalled_s: float
+    starved: int
 
     def __str__(self) -> str:
         rules = Counter(str(breach.rule) for breach in self.breaches)
         return (
             f"seed {self.seed}: {len(self.plan)} steps, {self.attempts} requests, "
             f"{self.served} served, {self.runs} runs, longest stall "
-            f"{self.longest_stall_s * 1000:.0f} ms of {self.stalled_s:.1f} s, "
+            f"{self.longest_stall_s * 1000:.0f} ms of {self.stalled_s:.1f} s, starved {self.starved}, "
             + (f"broken {dict(rules)}" if rules else "no rule broken")
         )
 
@@ -128,6 +130,7 @@
             breaches=tuple(breaches),
             longest_stall_s=max(stalls, default=0.0),
             stalled_s=sum(stalls),
+            starved=sum(fault.what == STARVED for fault in evidence.disturbances),
         )
 
 
