--- a/fescueward/testing/site/deployment.py
+++ b/fescueward/testing/site/deployment.py
@@ -14,6 +14,7 @@
 from types import TracebackType
 
 from ...platform.names import SETTINGS_VARIABLE
+from ..errors import ConditionTimeoutError
 from ..ports import PortReservations
 from ..processes import ManagedProcess
 from ..program import LOOPBACK
@@ -21,12 +22,19 @@
 from ..waiting import wait_until
 from .callers import AgentCallers, Load
 from .operator import GRACE_S, AgentProcess, Configurator
-from .records import Evidence
+from .records import STARVED, Disturbance, Evidence, Stall
 from .store import SiteStore
 from .upstream import HEARTBEAT_S, SiteUpstream, UpstreamSpec
 
 _ROOT = Path(__file__).resolve().parents[3]
 _READY_TIMEOUT_S = 20.0
+_LAG_PERIOD_S = 0.02
+# Half of the loss slack, the shortest bound of a rule, in seconds.
+_STALL_S = 0.1
+# An agent that waits for a processor for so long of each period, in seconds, is a machine that was
+# made slow; the rules count this as a disturbance.
+_STARVED_PERIOD_S = 0.5
+_STARVED_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +114,8 @@
             self._directory = Path(self._cleanup.enter_context(temporary))
         self._cleanup.callback(self._ports.close)
         try:
+            for watching in (_note_stalls(self.evidence), self._note_starved()):
+                self._cleanup.callback(asyncio.create_task(watching).cancel)
             await self.store.start()
             self._cleanup.push_async_callback(self.store.stop)
             self.configurator.change()
@@ -154,15 +164,22 @@
         """
         loads = tuple(loads)
         since = time.monotonic()
-
-        def missing() -> set[tuple[str, str]]:
-            wanted = {(name, load.route) for name in self.machines for load in loads}
-            for attempt in self.evidence.attempts:
+        missing: set[tuple[str, str]] = set()
+
+        def served() -> bool:
+            missing.clear()
+            missing.update((name, load.route) for name in self.machines for load in loads)
+            for attempt in reversed(self.evidence.attempts):
+                if attempt.ended < since:
+                    break
                 if attempt.served and attempt.sent >= since:
-                    wanted.discard((attempt.agent, attempt.route))
-            return wanted
+                    missing.discard((attempt.agent, attempt.route))
+            return not missing
 
-        await wait_until(lambda: not missing(), within_s, "every agent serves every route")
+        try:
+            await wait_until(served, within_s, "every agent serves every route")
+        except ConditionTimeoutError as error:
+            raise ConditionTimeoutError(f"{error}; not served: {sorted(missing)}") from None
 
     def log_lines(self, name: str, count: int = 5) -> str:
         """Returns the last lines of an agent's log."""
@@ -177,6 +194,14 @@
                     sending = machine.callers.send_all(load, lambda: not self._sending)
                     self._loads.append(asyncio.create_task(sending))
 
+    def start_probes(self) -> None:
+        """Starts requests on the routes of the newest versions of the configuration."""
+        for machine in self.machines.values():
+            probing = machine.callers.probe(
+                lambda: self.configurator.newest_routes, lambda: not self._sending
+            )
+            self._loads.append(asyncio.create_task(probing))
+
     async def stop_load(self) -> None:
         """Lets all callers end after their present request; closes the book of holds."""
         self._sending = False
@@ -185,6 +210,20 @@
         for machine in self.machines.values():
             machine.upstream.holds.end()
 
+    async def _note_starved(self) -> None:
+        """Notes when an agent was ready to run and got no processor from the kernel."""
+        waited: dict[int, float] = {}
+        at = time.monotonic()
+        while True:
+            await asyncio.sleep(_STARVED_PERIOD_S)
+            since, at = at, time.monotonic()
+            for machine in self.machines.values():
+                pid, total_s = machine.agent.pid, machine.agent.waited_s
+                if total_s - waited.get(pid, total_s) > _STARVED_S:
+                    fault = Disturbance(machine=machine.name, since=since, until=at, what=STARVED)
+                    self.evidence.disturbances.append(fault)
+                waited[pid] = total_s
+
     async def _add_machine(self, number: int, service: str) -> None:
         name = f"{service}-{number}"
         domain = self._spec.failure_domains[number % len(self._spec.failure_domains)]
@@ -243,6 +282,16 @@
         self._cleanup.callback(asking.cancel)
 
 
+async def _note_stalls(evidence: Evidence) -> None:
+    """Notes when the event loop runs late."""
+    while True:
+        due = time.monotonic() + _LAG_PERIOD_S
+        await asyncio.sleep(_LAG_PERIOD_S)
+        now = time.monotonic()
+        if now - due > _STALL_S:
+            evidence.stalls.append(Stall(due, now))
+
+
 def _settings(
     name: str,
     service: str,
--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -17,6 +17,8 @@
 GRACE_S = 6.0
 # Time from the end of a process to its next start.
 RESTART_S = 0.4
+# Versions that callers ask for.
+_PROBED_VERSIONS = 3
 _KIND, _NAME = "config", "main"
 
 
@@ -42,6 +44,20 @@
         """Name of the agent."""
         return self._process.name
 
+    @property
+    def pid(self) -> int:
+        """Id of the process; 0 if it does not run."""
+        return self._process.pid if self._process.running else 0
+
+    @property
+    def waited_s(self) -> float:
+        """Time for which the process was ready to run without a processor, in seconds."""
+        try:
+            fields = Path(f"/proc/{self.pid}/schedstat").read_text(encoding="ascii").split()
+        except OSError:
+            return 0.0
+        return int(fields[1]) / 1e9
+
     def start(self) -> None:
         """Starts the process and keeps it running until `end`."""
         self._supervisor = asyncio.create_task(self._supervise())
@@ -126,6 +142,11 @@
         self._services = services
         self._evidence = evidence
 
+    @property
+    def newest_routes(self) -> tuple[str, ...]:
+        """Routes of the newest versions, oldest first."""
+        return tuple(self._evidence.versions)[-_PROBED_VERSIONS:]
+
     def change(self, step: int = 1) -> str:
         """Writes the next version; returns the route that only this version has."""
         self.version += step
--- a/fescueward/testing/site/records.py
+++ b/fescueward/testing/site/records.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 
 ANSWER_BYTES = 2_000
+# Name of the disturbance of an agent that the machine gives too little processor time.
+STARVED = "starved"
 
 
 def answer_body(request_id: str) -> bytes:
@@ -180,6 +182,21 @@
     store: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """A time in which the event loop of upstreams, store and callers stood still.
+
+    What they note in it is late. The start of a process on a busy machine is such a time.
+
+    Attributes:
+        since: When the loop should have run.
+        until: When it ran.
+    """
+
+    since: float
+    until: float
+
+
 @dataclass(slots=True)
 class Evidence:
     """Everything that is judged; callers, upstreams and the operator append to it.
@@ -191,6 +208,7 @@
         departures: Acknowledged reports of leaving.
         processes: Signals, starts and ends of agents.
         disturbances: Unplanned faults.
+        stalls: Times in which the emulator stood still.
         versions: Version of the configuration that each route of `versioned_route` tells.
     """
 
@@ -200,4 +218,5 @@
     departures: list[Departure] = field(default_factory=list)
     processes: list[ProcessEvent] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    stalls: list[Stall] = field(default_factory=list)
     versions: dict[str, int] = field(default_factory=dict)
