--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -169,7 +169,7 @@
             with self.subTest(piece=answer.piece[:20]):
                 upstream = await self.start_endless(answer, 0.05)
                 for _ in range(2):
-                    request = make_request(8.0, method="GET", key="")
+                    request = make_request(8.0, method="GET", key="", repeatable=True)
                     response = await upstream.run(request, 0, 0, CLOCK.now() + 8.0)
                     self.assertEqual(response.body.data, b"ok")
                     await self.check_bound(2 * ANSWER_HEAD_BYTES)
