Count crashes of upstreams that fall silent

What callers saw: nothing yet. Cause: a run whose upstream fell silent, with no reset, ends with its deadline, and that was no sign of a crash. Now it is kept like other runs without an answer, and the new start that a heartbeat names accuses it unless a later run has ended well.

Evidence: test_crash_without_a_reset failed before (no suspect) and passes. Lines about suspects of other members have no empty fields any more.

--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -240,9 +240,9 @@
         """Watches one run: a suspect waits until no other suspect runs.
 
         The context gives the request to run, whose body may have been read in part. An
-        `OutcomeLostError`, `AnswerLostError` or `BodyTruncatedError` that leaves the context
-        counts as a crash of the upstream if the upstream reports one, then or before another
-        run succeeds.
+        `OutcomeLostError`, `AnswerLostError`, `BodyTruncatedError` or
+        `DeadlineExceededRunningError` that leaves the context counts as a crash of the upstream
+        if the upstream reports one, then or before another run succeeds.
 
         Raises:
             QuarantinedError: The request was in flight in too many crashes.
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -15,6 +15,7 @@
     AnswerLostError,
     BodyTruncatedError,
     DeadlineExceededError,
+    DeadlineExceededRunningError,
     InvalidRequestError,
     OutcomeLostError,
     QuarantinedError,
@@ -50,7 +51,13 @@
 
 # A crash: the member whose upstream ended, and the number of the crash there.
 _Crash = tuple[str, int]
-_CRASH_ERRORS = (OutcomeLostError, AnswerLostError, BodyTruncatedError)
+# An upstream that falls silent answers no run in time.
+_CRASH_ERRORS = (
+    OutcomeLostError,
+    AnswerLostError,
+    BodyTruncatedError,
+    DeadlineExceededRunningError,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -275,16 +282,14 @@
         if fingerprint in self._proven:
             return
         crash = (self._membership.member_id, self.crashes)
-        if not self._add(fingerprint, crash, request, service, key):
+        if not self._add(fingerprint, crash, request=request, service=service, key=key):
             return
         if fingerprint in self._quarantined:
             self._reports.tell(self.crashes, quarantined=(fingerprint,))
         else:
             self._reports.tell(self.crashes, suspects=(fingerprint,))
 
-    def _add(
-        self, fingerprint: int, crash: _Crash, request: str = "", service: str = "", key: str = ""
-    ) -> bool:
+    def _add(self, fingerprint: int, crash: _Crash, **details: str) -> bool:
         """Adds a crash to a suspect; tells whether that is new."""
         crashes = self._suspects.get(fingerprint, frozenset())
         if crash in crashes or fingerprint in self._quarantined:
@@ -298,9 +303,7 @@
             self._suspects.pop(fingerprint, None)
             self._quarantined[fingerprint] = True
         event.emit(
-            request=request,
-            service=service,
-            key=key,
+            **details,
             fingerprint=f"{fingerprint:016x}",
             crashes=",".join(f"{member}#{number}" for member, number in sorted(crashes)),
         )
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -12,6 +12,7 @@
 from fescueward.kernel.errors import (
     BodyTruncatedError,
     DeadlineExceededError,
+    DeadlineExceededRunningError,
     InvalidRequestError,
     OutcomeLostError,
     QuarantinedError,
@@ -59,11 +60,11 @@
         for guard in guards:
             await guard.__aexit__(OutcomeLostError, OutcomeLostError("reset"), None)
 
-    async def lose(self, request):
-        """Runs a request whose connection ends before a crash is known."""
-        with suppress(OutcomeLostError):
+    async def lose(self, request, error=OutcomeLostError):
+        """Runs a request that gets no answer before a crash is known."""
+        with suppress(error):
             async with self.quarantine.guard(request):
-                raise OutcomeLostError("reset")
+                raise error("no answer")
 
     def find_crash(self):
         """Finds out that the upstream has ended."""
@@ -279,6 +280,13 @@
         with self.assertRaises(QuarantinedError):
             await self.b.succeed(poison)
 
+    async def test_crash_without_a_reset(self):
+        """Guards against a crash that nobody counts because its machine fell silent."""
+        silent = make_request(path="/poison")
+        await self.a.lose(silent, DeadlineExceededRunningError)
+        self.a.find_crash()
+        self.assertEqual(self.a.quarantine.suspects, (fingerprint_of(silent),))
+
     async def test_lost_answer_of_an_upstream_that_lives(self):
         """Guards against suspects from answers that were lost long before a crash."""
         await self.a.lose(make_request())
