--- a/tests/endless.py
+++ b/tests/endless.py
@@ -4,7 +4,14 @@
 
 import asyncio
 import socket
+import unittest
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
+
+from fescueward.kernel.errors import OutcomeUnknownError, PlatformUnavailableError
+from fescueward.kernel.settings import PlatformSection
+from fescueward.testing.waiting import wait_until
 
 # What one connection is sent at most, in bytes. A client without a bound takes all of it.
 SENT_BYTES = 64 * 1024 * 1024
@@ -117,3 +124,30 @@
         finally:
             self.accepted += sent - writer.transport.get_write_buffer_size()
             self.open -= 1
+
+
+async def check_platform_client(
+    test: unittest.IsolatedAsyncioTestCase, start: Callable[[PlatformSection], Awaitable[Any]]
+) -> None:
+    """Checks that a client of the platform ends answers without end before its timeout.
+
+    Args:
+        test: The test.
+        start: Starts a client with settings.
+    """
+    for answer in (*endless_heads(), *endless_bodies()):
+        with test.subTest(answer=answer.name):
+            server = EndlessServer(answer)
+            host, port = await server.start()
+            test.addAsyncCleanup(server.stop)
+            section = PlatformSection(
+                url=f"http://{host}:{port}", timeout_ms=8000, max_answer_bytes=300_000
+            )
+            client = await start(section)
+            test.addAsyncCleanup(client.stop)
+            with test.assertRaisesRegex(PlatformUnavailableError, "^(?!.*[Tt]imeout)"):
+                await client.get("groups/s1/0")
+            with test.assertRaisesRegex(OutcomeUnknownError, "^(?!.*[Tt]imeout)"):
+                await client.put("groups/s1/0", b"{}", 1)
+            await wait_until(server.idle, 2, "the connections are closed")
+            test.assertLess(server.accepted, 2 * (section.max_answer_bytes + SOCKET_BYTES))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,8 +14,7 @@
 from fescueward.messages.codec import decode_json
 from fescueward.messages.configuration import CONFIGURATION_KEY, Configuration
 from fescueward.platform.store import ObjectStore
-from fescueward.testing.waiting import wait_until
-from tests.endless import SOCKET_BYTES, EndlessServer, endless_bodies, endless_heads
+from tests.endless import check_platform_client
 from tests.services.fakes import StubRegistry
 
 from .fakes import CLOCK, FakeStore
@@ -117,22 +116,11 @@
 
     async def test_answers_without_end(self):
         """Guards against an answer without end that fills the memory until the timeout."""
-        for answer in (*endless_heads(), *endless_bodies()):
-            with self.subTest(answer=answer.name):
-                server = EndlessServer(answer)
-                host, port = await server.start()
-                self.addAsyncCleanup(server.stop)
-                section = PlatformSection(
-                    url=f"http://{host}:{port}", timeout_ms=8000, max_answer_bytes=300_000
-                )
-                store = ObjectStore()
-                settings = SimpleNamespace(platform=section)
-                store.bind(StubRegistry(clock=CLOCK, settings=settings))
-                await store.start()
-                self.addAsyncCleanup(store.stop)
-                with self.assertRaisesRegex(PlatformUnavailableError, "^(?!.*[Tt]imeout)"):
-                    await store.get("groups/s1/0")
-                with self.assertRaisesRegex(OutcomeUnknownError, "^(?!.*[Tt]imeout)"):
-                    await store.put("groups/s1/0", b"{}", 1)
-                await wait_until(server.idle, 2, "the connections are closed")
-                self.assertLess(server.accepted, 2 * (300_000 + SOCKET_BYTES))
+
+        async def start(section: PlatformSection) -> ObjectStore:
+            client = ObjectStore()
+            client.bind(StubRegistry(clock=CLOCK, settings=SimpleNamespace(platform=section)))
+            await client.start()
+            return client
+
+        await check_platform_client(self, start)
--- a/tests/services/test_platform.py
+++ b/tests/services/test_platform.py
@@ -14,8 +14,7 @@
 from fescueward.kernel.settings import PlatformSection
 from fescueward.services.platform import HttpPlatform
 from fescueward.testing.platform import Faults, Mode, PlatformStandIn
-from fescueward.testing.waiting import wait_until
-from tests.endless import SOCKET_BYTES, EndlessServer, endless_bodies, endless_heads
+from tests.endless import check_platform_client
 
 from .fakes import StubRegistry
 
@@ -61,21 +60,11 @@
 
     async def test_answers_without_end(self):
         """Guards against an answer without end that fills the memory until the timeout."""
-        for answer in (*endless_heads(), *endless_bodies()):
-            with self.subTest(answer=answer.name):
-                server = EndlessServer(answer)
-                host, port = await server.start()
-                self.addAsyncCleanup(server.stop)
-                section = PlatformSection(
-                    url=f"http://{host}:{port}", timeout_ms=8000, max_answer_bytes=300_000
-                )
-                platform = HttpPlatform()
-                platform.bind(StubRegistry(settings=SimpleNamespace(platform=section)))
-                await platform.start()
-                self.addAsyncCleanup(platform.stop)
-                with self.assertRaisesRegex(PlatformUnavailableError, "^(?!.*[Tt]imeout)"):
-                    await platform.get("a")
-                with self.assertRaisesRegex(OutcomeUnknownError, "^(?!.*[Tt]imeout)"):
-                    await platform.put("a", b"{}", 1)
-                await wait_until(server.idle, 2, "the connections are closed")
-                self.assertLess(server.accepted, 2 * (300_000 + SOCKET_BYTES))
+
+        async def start(section: PlatformSection) -> HttpPlatform:
+            client = HttpPlatform()
+            client.bind(StubRegistry(settings=SimpleNamespace(platform=section)))
+            await client.start()
+            return client
+
+        await check_platform_client(self, start)
