--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -80,8 +80,8 @@
         return (
             f"seed {self.seed}: {len(self.plan)} steps, {self.attempts} requests, "
             f"{self.served} served, {self.runs} runs, longest stall "
-            f"{self.longest_stall_s * 1000:.0f} ms of {self.stalled_s:.1f} s, starved {self.starved}, "
-            + (f"broken {dict(rules)}" if rules else "no rule broken")
+            f"{self.longest_stall_s * 1000:.0f} ms of {self.stalled_s:.1f} s, "
+            f"starved {self.starved}, " + (f"broken {dict(rules)}" if rules else "no rule broken")
         )
 
 
