Dial an agent by its address only when its member cannot be reached

Cause: a watcher dials a member to tell it its status. The first send finds no stream yet, so the watcher also dialled the member's address as that of an unknown incarnation, at once and for each member. At a start every agent is a watcher for a moment.

The address is now dialled once connecting to the member has failed, as after a restart while the platform is away.

--- a/fescueward/interfaces/peers.py
+++ b/fescueward/interfaces/peers.py
@@ -59,6 +59,10 @@
         """Begins to connect to a member if needed; tells whether a stream is open."""
         ...
 
+    def unreachable(self, member: Member) -> bool:
+        """Tells whether the last attempt to connect to a member failed, or its stream ended."""
+        ...
+
     async def forward(self, member: Member, request: Request) -> Response:
         """Sends a request to its owner.
 
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -284,8 +284,9 @@
     def _send_status(self, members: dict[str, Member], status: WatchStatus) -> None:
         me = self._membership.member_id
         for member in members.values():
-            reached = member.id == me or self._peers.send(member, status)
-            if not reached and self._fleet_wide:
+            if member.id == me or self._peers.send(member, status) or not self._fleet_wide:
+                continue
+            if self._peers.unreachable(member):
                 # An agent that was restarted while the platform is away learns by this what the
                 # others know.
                 self._peers.send(member.at_address(), status)
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -172,6 +172,11 @@
         """Begins to connect; see `Peers.dial`."""
         return self._link(member).wire is not None
 
+    def unreachable(self, member: Member) -> bool:
+        """Tells whether connecting to a member failed; see `Peers.unreachable`."""
+        link = self._links.get(member.id)
+        return link is not None and link.wire is None and link.settled.is_set()
+
     def reply(self, member_id: str, message: object) -> bool:
         """Sends a message on the open stream to a member; False if there is none."""
         link = self._links.get(member_id)
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -101,6 +101,10 @@
         """Begins to connect; see `Peers.dial`."""
         return self._links.dial(member)
 
+    def unreachable(self, member: Member) -> bool:
+        """Tells whether connecting to a member failed; see `Peers.unreachable`."""
+        return self._links.unreachable(member)
+
     async def forward(self, member: Member, request: Request) -> Response:
         """Sends a request to its owner; see `Peers.forward`."""
         return await self._links.forward(member, request)
--- a/tests/services/test_groups.py
+++ b/tests/services/test_groups.py
@@ -120,8 +120,9 @@
 class RecordingPeers:
     """Keeps what is sent; only streams to the given ids are open."""
 
-    def __init__(self, *open_ids: str) -> None:
+    def __init__(self, *open_ids: str, dialled: tuple[str, ...] = ()) -> None:
         self.open_ids = set(open_ids)
+        self.dialled_ids = dialled
         self.sent: list[tuple[str, object]] = []
 
     def on(self, kind: type, handler) -> None:
@@ -132,6 +133,9 @@
             self.sent.append((target.id, message))
         return target.id in self.open_ids
 
+    def unreachable(self, target) -> bool:
+        return target.id not in (*self.open_ids, *self.dialled_ids)
+
     def reply(self, sender: str, message: object) -> bool:
         self.sent.append((sender, message))
         return True
@@ -170,6 +174,13 @@
         store._send_status({"w:1": member("w"), "b:1": member("b")}, status)
         self.assertEqual(peers.sent, [("b:0", status)])
 
+    async def test_member_that_is_being_dialled_gets_no_second_stream(self):
+        """Guards against watchers that hold two streams to each agent of the fleet."""
+        peers = RecordingPeers("b:0", dialled=("b:1",))
+        store = self.store("w:1", peers)
+        store._send_status({"b:1": member("b")}, WatchStatus("w:1", True, Versions(0, 5)))
+        self.assertEqual(peers.sent, [])
+
     async def test_restarted_agent_learns_from_the_others(self):
         """Guards against an agent that serves nobody until the platform is back."""
         peers = RecordingPeers()
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -314,6 +314,15 @@
         await wait_until(lambda: not self.router.connected(), 2, "the first has ended")
         await again.stop()
 
+    async def test_member_is_unreachable_once_its_dial_failed(self):
+        """Guards against a second dial of each member while the first is under way."""
+        gone = make_member("gone", 1)
+        self.assertFalse(self.router.dial(gone))
+        self.assertFalse(self.router.unreachable(gone))
+        await wait_until(lambda: self.router.unreachable(gone), 2, "the dial has failed")
+        await self.forward()
+        self.assertFalse(self.router.unreachable(self.member))
+
     async def test_idle_links_are_ended(self):
         """Guards against streams, and dials of lost members, that grow with the fleet's churn."""
         await self.forward()
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -346,6 +346,9 @@
     def dial(self, member: Any) -> bool:
         return False
 
+    def unreachable(self, member: Any) -> bool:
+        return False
+
     async def forward(self, member: Any, request: Any) -> Any:
         raise PeerUnavailableError("the fake forwards nothing")
 
