Bring versions of groups through the first watcher to the fleet

A writer now tells the two watchers, and the first watcher, which has streams to all anyway, tells the others; versions that follow within 50 ms leave in one message. A removal still goes at once to all members that a stream is open to, and so does any version while a watcher cannot be reached. A first watcher that is lost without notice is made up for by the status of the second, which names its versions each second.

--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -31,8 +31,9 @@
 )
 from ..messages.codec import decode_json, encode_json
 from ..messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
-from ..messages.delta import GroupDelta, group_delta
+from ..messages.delta import GroupDelta
 from ..messages.peer import Fetch, Publish, Versions, WatchStatus, version_digest
+from .relay import GroupRelay, publication
 
 _CHANGED = Event(2201, "group_changed", Level.INFO, "A newer version of a group is in use.")
 _WATCHING = Event(2202, "watch_started", Level.INFO, "This agent watches the platform.")
@@ -90,6 +91,7 @@
         self._membership = registry.find("membership", Membership)
         if self._fleet_wide:
             self._routes = registry.find("routes", Routes)
+        self._relay = GroupRelay(self._tasks, self._clock, self._peers, self._others)
         self._watch_s = registry.find("settings", Settings).platform.watch_ms / 1000
         self._peers.on(Publish, self._on_publish)
         self._peers.on(Fetch, self._on_fetch)
@@ -159,7 +161,10 @@
         version = await self._platform.put(group.id.object_key, encode_json(group), base.version)
         written = VersionedGroup(version, group)
         self.observe(written)
-        self._tell_members(written, _publication(base, written))
+        if self._fleet_wide:
+            self._tell_watchers(base, written)
+        else:
+            self._tell_members(written, publication(base, written))
         return written
 
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
@@ -200,6 +205,8 @@
         _CHANGED.emit(group=group_id, version=group.version, members=len(group.group.members))
         for listener in self._listeners:
             listener.group_changed(group)
+        if self._fleet_wide and self._is_first_watcher():
+            self._relay.tell_fleet(held, group)
         waiter = self._waiters.pop(group_id, None)
         if waiter is not None:
             waiter.set()
@@ -274,7 +281,15 @@
             return
 
     def _tell_members(self, group: VersionedGroup, message: Publish) -> None:
-        self._send_to(self._fleet() if self._fleet_wide else group.group.members, message)
+        self._send_to(group.group.members, message)
+
+    def _tell_watchers(self, base: VersionedGroup, written: VersionedGroup) -> None:
+        if self._is_first_watcher():
+            return
+        watchers = self._watchers()
+        me = self._membership.member_id
+        others = [member for member in watchers if member.id != me]
+        self._relay.tell_watchers(others, base, written)
 
     def _send_to(self, members: dict[str, Member], message: object) -> None:
         for member in members.values():
@@ -297,6 +312,11 @@
             found.update(view.group.members)
         return found
 
+    def _others(self) -> dict[str, Member]:
+        fleet = self._fleet()
+        fleet.pop(self._membership.member_id, None)
+        return fleet
+
     def _object_versions(self) -> dict[str, int]:
         versions = {view.group.id.object_key: view.version for view in self._views.values()}
         held = self._routes.current if self._routes is not None else None
@@ -441,11 +461,7 @@
                     self._send_to(self._fleet(), Publish(configuration=held))
                 return
             group = VersionedGroup(stored.version, decode_json(stored.value, Group))
-            base = self._views.get(group.group.id)
-            # The writer tells the fleet itself, so one further copy of a group is enough; a
-            # configuration has no other way and goes out from all watchers.
-            if self.observe(group) and self._is_first_watcher():
-                self._send_to(self._fleet(), _publication(base, group))
+            self.observe(group)
         except MalformedMessageError as error:
             _BAD_OBJECT.emit(key=stored.key, version=stored.version, error=error)
 
@@ -462,7 +478,7 @@
             elif home is not None and key == home.object_key:
                 group = VersionedGroup(version, decode_json(value, Group))
                 if self.observe(group):
-                    self._tell_members(group, _publication(view, group))
+                    self._tell_members(group, publication(view, group))
         except MalformedMessageError as error:
             _BAD_OBJECT.emit(key=key, version=version, error=error)
 
@@ -481,17 +497,26 @@
         me = self._membership.member_id
         if view is None or me not in view.group.members:
             return 0
+        return sum(member.id < me for member in self._watchers())
+
+    def _watchers(self) -> tuple[Member, ...]:
+        """Returns the members that watch the platform as far as is known, in order."""
+        home = self._membership.home
+        view = self._views.get(home) if home is not None else None
+        if view is None:
+            return ()
         members = self._fleet() if self._fleet_wide else view.group.members
+        me = self._membership.member_id
         now = self._clock.now()
-        watchers = 0
+        watchers: list[Member] = []
         for member_id in sorted(members):
-            if member_id == me or watchers >= _WATCHERS:
-                break
             heard = max(self._watch_status.get(member_id, 0.0), self._started_at)
-            state = members[member_id].state
-            if state is MemberState.ACTIVE and now - heard < _WATCH_STATUS_TIMEOUT_S:
-                watchers += 1
-        return watchers
+            active = members[member_id].state is MemberState.ACTIVE
+            if member_id == me or (active and now - heard < _WATCH_STATUS_TIMEOUT_S):
+                watchers.append(members[member_id])
+            if len(watchers) == _WATCHERS:
+                break
+        return tuple(watchers)
 
     async def _run_watch_status(self) -> None:
         while True:
@@ -503,9 +528,3 @@
             members = self._fleet() if self._fleet_wide else view.group.members
             status = WatchStatus(self._membership.member_id, True, self.versions())
             self._send_status(members, status)
-
-
-def _publication(base: VersionedGroup | None, group: VersionedGroup) -> Publish:
-    """Returns what tells a newer version to agents that hold `base`."""
-    delta = group_delta(base, group) if base is not None else None
-    return Publish(deltas=(delta,)) if delta is not None else Publish(groups=(group,))
--- a/tests/services/test_groups.py
+++ b/tests/services/test_groups.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -20,6 +21,7 @@
 from fescueward.messages.peer import Fetch, Publish, Versions, WatchStatus
 from fescueward.services.groups import GroupStore
 from fescueward.services.routing.routes import RouteTable
+from fescueward.testing.waiting import wait_until
 
 from .fakes import StubRegistry
 from .fleet import HOME
@@ -211,6 +213,7 @@
                 store._started_at = store._clock.now()
                 for stored in objects:
                     store._observe_fleet_object(stored)
+                await asyncio.sleep(0.01)
                 self.assertEqual([target for target, _ in peers.sent], told * len(objects))
                 self.assertEqual(store.view(home), VersionedGroup(3, group))
                 self.assertEqual(self.routes.current, VersionedConfiguration(4, configuration))
@@ -222,9 +225,10 @@
         changed = joined(base.group, replace(member("b"), stamp=1))
         writer_peers = RecordingPeers("c:1")
         writer = self.store("b:1", writer_peers, home)
-        writer.observe(base)
+        writer._views[home] = base
         writer._platform = SimpleNamespace(put=mock.AsyncMock(return_value=4))
         written = await writer.write(base, changed)
+        await wait_until(lambda: writer_peers.sent, 2, "the fleet is told")
         ((target, message),) = writer_peers.sent
         self.assertEqual((target, message.groups), ("c:1", ()))
 
@@ -241,3 +245,47 @@
         writer._on_fetch("d:1", peers.sent[0][1])
         behind._on_publish(*writer_peers.sent[-1])
         self.assertEqual(behind.view(home), written)
+
+    async def test_writer_tells_the_watchers_only(self):
+        """Guards against streams and messages from each agent to each other agent."""
+        home = GroupId("depot", 0)
+        members = [member(name) for name in "abcde"]
+        base = VersionedGroup(3, joined(Group("depot", 0, 1), *members))
+        ids = tuple(base.group.members)
+        changed = joined(base.group, replace(member("d"), stamp=1))
+        without_e = replace(changed, members={**changed.members})
+        del without_e.members["e:1"]
+        for case, group, open_ids, told in (
+            ("a change", changed, ids, ["a:1", "b:1"]),
+            ("a removal concerns all", without_e, ids, ["a:1", "b:1", "c:1"]),
+            ("a lost watcher", changed, ids[1:], ["a:1", "b:1", "c:1", "e:1"]),
+        ):
+            with self.subTest(case):
+                peers = RecordingPeers(*open_ids)
+                writer = self.store("d:1", peers, home)
+                writer._started_at = writer._clock.now()
+                writer.observe(base)
+                writer._platform = SimpleNamespace(put=mock.AsyncMock(return_value=4))
+                await writer.write(base, group)
+                await asyncio.sleep(0.1)
+                self.assertEqual(sorted(target for target, _ in peers.sent), told)
+
+    async def test_first_watcher_brings_versions_to_all(self):
+        """Guards against members that never learn of a version, and against one copy of each."""
+        home = GroupId("depot", 0)
+        base = VersionedGroup(3, joined(Group("depot", 0, 1), *(member(name) for name in "abc")))
+        newer = VersionedGroup(5, joined(base.group, replace(member("c"), stamp=2)))
+        newest = VersionedGroup(6, joined(newer.group, replace(member("b"), stamp=2)))
+        for agent, told in (("a", ["b:1", "c:1"]), ("b", [])):
+            with self.subTest(agent=agent):
+                peers = RecordingPeers("a:1", "b:1", "c:1")
+                store = self.store(f"{agent}:1", peers, home)
+                store._started_at = store._clock.now()
+                store._views[home] = base
+                for version in (newer, newest):
+                    store._on_publish("c:1", Publish(groups=(version,)))
+                await asyncio.sleep(0.1)
+                self.assertEqual([target for target, _ in peers.sent], told)
+                for _, message in peers.sent:
+                    (delta,) = message.deltas
+                    self.assertEqual(delta.applied(base), newest)
