Fetch only versions that are still missing after a pause

A member that names an earlier state of this agent is behind and fetches by itself; another difference is fetched if it is still there after 0.2 s.

--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import uuid
+from collections import deque
 from dataclasses import replace
 
 from ..interfaces import Catalogue, GroupListener, Membership, Peers, Platform, Routes
@@ -52,6 +53,11 @@
 _WATCH_STATUS_S = 1.0
 # Three status periods: a watcher that is silent for longer is replaced by the next member.
 _WATCH_STATUS_TIMEOUT_S = 3.0
+# A version that another member names is as a rule on its way. After this pause, in seconds, it is
+# fetched; a lost message must not delay a configuration, which may take 2.5 s in all.
+_COMPARE_DELAY_S = 0.2
+# A member that names one of so many earlier states is behind and fetches by itself.
+_PAST_VERSIONS = 64
 _EDIT_ATTEMPTS = 40
 _EDIT_BACKOFF_S = 0.01
 
@@ -80,6 +86,9 @@
         self._watch_status: dict[str, float] = {}
         self._watch_healthy = False
         self._read: set[str] = set()
+        # What this agent knew before, so that members that are behind can be told from others.
+        self._past: deque[Versions] = deque(maxlen=_PAST_VERSIONS)
+        self._comparison: asyncio.Task[None] | None = None
         self._started_at = 0.0
 
     def bind(self, registry: Registry) -> None:
@@ -201,6 +210,8 @@
         held = self._views.get(group_id)
         if held is not None and held.version >= group.version:
             return False
+        if self._fleet_wide:
+            self._past.append(self.versions())
         self._views[group_id] = group
         _CHANGED.emit(group=group_id, version=group.version, members=len(group.group.members))
         for listener in self._listeners:
@@ -246,8 +257,9 @@
         """
         mine = self.versions()
         if self._fleet_wide:
-            if mine != theirs:
-                self._peers.send(member, Fetch(objects=self._object_versions()))
+            waiting = self._comparison is not None and not self._comparison.done()
+            if not waiting and not self._knows(theirs):
+                self._comparison = self._tasks.spawn("compare", self._compare(member, theirs))
             return
         home = self._membership.home
         if home is None or (theirs.group <= mine.group and theirs.entries == mine.entries):
@@ -255,6 +267,14 @@
         entries = self._catalogue.versions() if theirs.entries != mine.entries else None
         self._peers.send(member, Fetch(home.service, home.number, mine.group, entries))
 
+    def _knows(self, theirs: Versions) -> bool:
+        return theirs == self.versions() or theirs in self._past
+
+    async def _compare(self, member: Member, theirs: Versions) -> None:
+        await self._clock.sleep(_COMPARE_DELAY_S)
+        if not self._knows(theirs):
+            self._peers.send(member, Fetch(objects=self._object_versions()))
+
     async def _read_or_create(self, group: GroupId) -> VersionedGroup:
         try:
             return await self.refresh(group)
--- a/tests/services/test_groups.py
+++ b/tests/services/test_groups.py
@@ -289,3 +289,28 @@
                 for _, message in peers.sent:
                     (delta,) = message.deltas
                     self.assertEqual(delta.applied(base), newest)
+
+    async def test_versions_on_their_way_are_not_fetched(self):
+        """Guards against a copy of each group with each renewal while a group changes."""
+        home = GroupId("depot", 0)
+        old = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
+        new = VersionedGroup(4, joined(old.group, replace(member("c"), stamp=2)))
+        lost = Versions(0, 5)
+        peers = RecordingPeers("c:1")
+        store = self.store("b:1", peers, home)
+        other = self.store("c:1", RecordingPeers(), home)
+        store._views[home] = old
+        other._views[home] = new
+        store.compare(member("c"), other.versions())
+        store.observe(new)
+        await asyncio.sleep(0.3)
+        store.compare(member("c"), self.store_at(old).versions())
+        await asyncio.sleep(0.3)
+        self.assertEqual([sent for _, sent in peers.sent if isinstance(sent, Fetch)], [])
+        store.compare(member("c"), lost)
+        await wait_until(lambda: isinstance(peers.sent[-1][1], Fetch), 2, "the rest is fetched")
+
+    def store_at(self, view: VersionedGroup) -> GroupStore:
+        store = self.store("d:1", RecordingPeers(), view.group.id)
+        store._views[view.group.id] = view
+        return store
