Write the messages of one turn of the loop together

uvloop 0.23 makes a system call for each write to an idle connection, in the turn in which it is asked for: two bytes written one after the other were readable one by one before the turn ended. Each peer message, each part of a body and each reply to a burst was a system call and a packet of its own.

A stream now keeps the frames of a turn and writes them at its end.

--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -35,11 +35,16 @@
 
 
 class Wire:
-    """Writes messages to one TCP connection."""
+    """Writes messages to one TCP connection.
+
+    uvloop makes a system call for each write, so the messages of one turn of the loop leave in
+    one write at its end.
+    """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self._writer = writer
         self._encoder = FrameEncoder()
+        self._frames: list[bytes] = []
         connection = writer.get_extra_info("socket")
         if connection is not None:
             for level, option, value in _KEEPALIVE:
@@ -57,19 +62,27 @@
         if transport.get_write_buffer_size() > _WRITE_LIMIT_BYTES:
             transport.abort()
             return
-        self._writer.write(self._encoder.encode(message))
+        self._frames.append(self._encoder.encode(message))
+        if len(self._frames) == 1:
+            asyncio.get_running_loop().call_soon(self._write)
 
     def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection once what was sent has left."""
+        self._write()
         self._writer.close()
 
     async def flush_and_close(self) -> None:
         """Closes the connection once what was sent has left, within a few seconds."""
-        self._writer.close()
+        self.close()
         with suppress(OSError, TimeoutError):
             async with asyncio.timeout(_FLUSH_TIMEOUT_S):
                 await self._writer.wait_closed()
 
+    def _write(self) -> None:
+        frames, self._frames = self._frames, []
+        if frames and not self._writer.transport.is_closing():
+            self._writer.writelines(frames)
+
 
 async def read_messages(reader: asyncio.StreamReader) -> AsyncIterator[Any]:
     """Yields the messages of a connection until its end.
--- a/tests/services/test_peer_wire.py
+++ b/tests/services/test_peer_wire.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import uvloop
 
 from fescueward.messages.peer import StreamReset
-from fescueward.services.peer_wire import Wire
+from fescueward.services.peer_wire import Wire, read_messages
 
 
 class WireTest(unittest.TestCase):
@@ -31,3 +32,38 @@
 
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(send_after_end())
+
+    def test_messages_of_one_turn_leave_in_one_write(self):
+        """Guards against a system call for each message of a burst."""
+
+        async def send_some() -> None:
+            received = asyncio.Event()
+            messages: list[object] = []
+
+            async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                async for message in read_messages(reader):
+                    messages.append(message)
+                received.set()
+                writer.close()
+
+            async with await asyncio.start_server(accept, "127.0.0.1", 0) as server:
+                _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+                wire = Wire(writer)
+                sent = [StreamReset(number, "deadline") for number in range(4)]
+                with (
+                    mock.patch.object(writer, "write") as write,
+                    mock.patch.object(writer, "writelines", wraps=writer.writelines) as lines,
+                ):
+                    for message in sent[:3]:
+                        wire.send(message)
+                    self.assertEqual(lines.call_count, 0)
+                    await asyncio.sleep(0.01)
+                    self.assertEqual((write.call_count, lines.call_count), (0, 1))
+                    # The last message before the end of a connection must not be lost.
+                    wire.send(sent[3])
+                    wire.close()
+                    await asyncio.wait_for(received.wait(), 2)
+                self.assertEqual(messages, sent)
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(send_some())
