Take watchers for alive from the time an agent has joined

Cause: a watcher tells its status to members only. The three seconds in which a watcher may be silent were counted from the start of a process, so an agent that joined later than that took all watchers for silent, and itself for the first watcher.

They are now counted from the version in which the agent is first a member.

--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -89,7 +89,7 @@
         # What this agent knew before, so that members that are behind can be told from others.
         self._past: deque[Versions] = deque(maxlen=_PAST_VERSIONS)
         self._comparison: asyncio.Task[None] | None = None
-        self._started_at = 0.0
+        self._listening_since = 0.0
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -108,7 +108,7 @@
 
     async def start(self) -> None:
         """Starts the watch and the report of its state."""
-        self._started_at = self._clock.now()
+        self._listening_since = self._clock.now()
         if self._fleet_wide:
             for prefix in (CONFIGURATION_KEY, "groups/"):
                 self._tasks.spawn(f"watch {prefix}", self._run_fleet_watch(prefix))
@@ -213,6 +213,10 @@
         if self._fleet_wide:
             self._past.append(self.versions())
         self._views[group_id] = group
+        me = self._membership.member_id
+        if me in group.group.members and (held is None or me not in held.group.members):
+            # Watchers tell members only, so until now none of them could be heard.
+            self._listening_since = self._clock.now()
         _CHANGED.emit(group=group_id, version=group.version, members=len(group.group.members))
         for listener in self._listeners:
             listener.group_changed(group)
@@ -543,7 +547,7 @@
         now = self._clock.now()
         watchers: list[Member] = []
         for member_id in sorted(members):
-            heard = max(self._watch_status.get(member_id, 0.0), self._started_at)
+            heard = max(self._watch_status.get(member_id, 0.0), self._listening_since)
             active = members[member_id].state is MemberState.ACTIVE
             if member_id == me or (active and now - heard < _WATCH_STATUS_TIMEOUT_S):
                 watchers.append(members[member_id])
--- a/tests/services/test_groups.py
+++ b/tests/services/test_groups.py
@@ -26,7 +26,7 @@
 from fescueward.services.routing.routes import RouteTable
 from fescueward.testing.waiting import wait_until
 
-from .fakes import StubRegistry
+from .fakes import CLOCK, StubRegistry
 from .fleet import HOME
 from .groups_for_tests import joined, member
 from .test_recovery_time import formed
@@ -213,7 +213,7 @@
             with self.subTest(agent=agent):
                 peers = RecordingPeers("b:1", "c:1")
                 store = self.store(f"{agent}:1", peers, home)
-                store._started_at = store._clock.now()
+                store._listening_since = store._clock.now()
                 for stored in objects:
                     store._observe_fleet_object(stored)
                 await asyncio.sleep(0.01)
@@ -266,7 +266,7 @@
             with self.subTest(case):
                 peers = RecordingPeers(*open_ids)
                 writer = self.store("d:1", peers, home)
-                writer._started_at = writer._clock.now()
+                writer._listening_since = writer._clock.now()
                 writer.observe(base)
                 writer._platform = SimpleNamespace(put=mock.AsyncMock(return_value=4))
                 await writer.write(base, group)
@@ -283,7 +283,7 @@
             with self.subTest(agent=agent):
                 peers = RecordingPeers("a:1", "b:1", "c:1")
                 store = self.store(f"{agent}:1", peers, home)
-                store._started_at = store._clock.now()
+                store._listening_since = store._clock.now()
                 store._views[home] = base
                 for version in (newer, newest):
                     store._on_publish("c:1", Publish(groups=(version,)))
@@ -293,6 +293,22 @@
                     (delta,) = message.deltas
                     self.assertEqual(delta.applied(base), newest)
 
+    async def test_agent_that_joins_late_is_no_watcher(self):
+        """Guards against each agent that joins sending each version to the whole fleet.
+
+        Watchers tell members only, so all of them seemed silent to an agent that joined more than
+        three seconds after its start.
+        """
+        home = GroupId("depot", 0)
+        group = joined(Group("depot", 0, 1), *(member(name) for name in "abc"))
+        store = self.store("d:1", RecordingPeers("a:1", "b:1", "c:1"), home)
+        store._listening_since = store._clock.now() - 10
+        store.observe(VersionedGroup(3, group))
+        store.observe(VersionedGroup(4, joined(group, member("d"))))
+        self.assertFalse(store._is_watcher())
+        with mock.patch.object(store, "_clock", SimpleNamespace(now=lambda: CLOCK.now() + 5)):
+            self.assertTrue(store._is_watcher())
+
     async def test_watcher_tells_what_changed_of_the_configuration(self):
         """Guards against a copy of 1,000 routes to the whole fleet for the change of one."""
         home = GroupId("depot", 0)
