--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -9,11 +9,12 @@
 from msgspec import Meta
 
 from .configuration import VersionedConfiguration
+from .delta import ConfigurationDelta, GroupDelta
 from .entry import VersionedEntry
 from .group import VersionedGroup
 from .request import Headers, Occupancy
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 Count = Annotated[int, Meta(ge=0)]
 
@@ -187,11 +188,16 @@
         groups: Group objects.
         entries: Catalogue entries.
         configuration: The operator's configuration, or None.
+        deltas: Changes of groups; whoever has another version asks for the whole group.
+        configuration_delta: Change of the configuration, or None; whoever has another version asks
+            for the whole.
     """
 
     groups: tuple[VersionedGroup, ...] = ()
     entries: tuple[VersionedEntry, ...] = ()
     configuration: VersionedConfiguration | None = None
+    deltas: tuple[GroupDelta, ...] = ()
+    configuration_delta: ConfigurationDelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import uuid
+from collections import deque
 from dataclasses import replace
 
 from ..interfaces import Catalogue, GroupListener, Membership, Peers, Platform, Routes
@@ -31,7 +32,9 @@
 )
 from ..messages.codec import decode_json, encode_json
 from ..messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
+from ..messages.delta import ConfigurationDelta, GroupDelta
 from ..messages.peer import Fetch, Publish, Versions, WatchStatus, version_digest
+from .relay import GroupRelay, configuration_publication, publication
 
 _CHANGED = Event(2201, "group_changed", Level.INFO, "A newer version of a group is in use.")
 _WATCHING = Event(2202, "watch_started", Level.INFO, "This agent watches the platform.")
@@ -50,6 +53,11 @@
 _WATCH_STATUS_S = 1.0
 # Three status periods: a watcher that is silent for longer is replaced by the next member.
 _WATCH_STATUS_TIMEOUT_S = 3.0
+# A version that another member names is as a rule on its way. After this pause, in seconds, it is
+# fetched; a lost message must not delay a configuration, which may take 2.5 s in all.
+_COMPARE_DELAY_S = 0.2
+# A member that names one of so many earlier states is behind and fetches by itself.
+_PAST_VERSIONS = 64
 _EDIT_ATTEMPTS = 40
 _EDIT_BACKOFF_S = 0.01
 
@@ -78,7 +86,10 @@
         self._watch_status: dict[str, float] = {}
         self._watch_healthy = False
         self._read: set[str] = set()
-        self._started_at = 0.0
+        # What this agent knew before, so that members that are behind can be told from others.
+        self._past: deque[Versions] = deque(maxlen=_PAST_VERSIONS)
+        self._comparison: asyncio.Task[None] | None = None
+        self._listening_since = 0.0
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -89,6 +100,7 @@
         self._membership = registry.find("membership", Membership)
         if self._fleet_wide:
             self._routes = registry.find("routes", Routes)
+        self._relay = GroupRelay(self._tasks, self._clock, self._peers, self._others)
         self._watch_s = registry.find("settings", Settings).platform.watch_ms / 1000
         self._peers.on(Publish, self._on_publish)
         self._peers.on(Fetch, self._on_fetch)
@@ -96,7 +108,7 @@
 
     async def start(self) -> None:
         """Starts the watch and the report of its state."""
-        self._started_at = self._clock.now()
+        self._listening_since = self._clock.now()
         if self._fleet_wide:
             for prefix in (CONFIGURATION_KEY, "groups/"):
                 self._tasks.spawn(f"watch {prefix}", self._run_fleet_watch(prefix))
@@ -158,7 +170,10 @@
         version = await self._platform.put(group.id.object_key, encode_json(group), base.version)
         written = VersionedGroup(version, group)
         self.observe(written)
-        self._tell_members(written, Publish(groups=(written,)))
+        if self._fleet_wide:
+            self._tell_watchers(base, written)
+        else:
+            self._tell_members(written, publication(base, written))
         return written
 
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
@@ -195,10 +210,18 @@
         held = self._views.get(group_id)
         if held is not None and held.version >= group.version:
             return False
+        if self._fleet_wide:
+            self._past.append(self.versions())
         self._views[group_id] = group
+        me = self._membership.member_id
+        if me in group.group.members and (held is None or me not in held.group.members):
+            # Watchers tell members only, so until now none of them could be heard.
+            self._listening_since = self._clock.now()
         _CHANGED.emit(group=group_id, version=group.version, members=len(group.group.members))
         for listener in self._listeners:
             listener.group_changed(group)
+        if self._fleet_wide and self._is_first_watcher():
+            self._relay.tell_fleet(held, group)
         waiter = self._waiters.pop(group_id, None)
         if waiter is not None:
             waiter.set()
@@ -238,8 +261,9 @@
         """
         mine = self.versions()
         if self._fleet_wide:
-            if mine != theirs:
-                self._peers.send(member, Fetch(objects=self._object_versions()))
+            waiting = self._comparison is not None and not self._comparison.done()
+            if not waiting and not self._knows(theirs):
+                self._comparison = self._tasks.spawn("compare", self._compare(member, theirs))
             return
         home = self._membership.home
         if home is None or (theirs.group <= mine.group and theirs.entries == mine.entries):
@@ -247,6 +271,14 @@
         entries = self._catalogue.versions() if theirs.entries != mine.entries else None
         self._peers.send(member, Fetch(home.service, home.number, mine.group, entries))
 
+    def _knows(self, theirs: Versions) -> bool:
+        return theirs == self.versions() or theirs in self._past
+
+    async def _compare(self, member: Member, theirs: Versions) -> None:
+        await self._clock.sleep(_COMPARE_DELAY_S)
+        if not self._knows(theirs):
+            self._peers.send(member, Fetch(objects=self._object_versions()))
+
     async def _read_or_create(self, group: GroupId) -> VersionedGroup:
         try:
             return await self.refresh(group)
@@ -273,7 +305,15 @@
             return
 
     def _tell_members(self, group: VersionedGroup, message: Publish) -> None:
-        self._send_to(self._fleet() if self._fleet_wide else group.group.members, message)
+        self._send_to(group.group.members, message)
+
+    def _tell_watchers(self, base: VersionedGroup, written: VersionedGroup) -> None:
+        if self._is_first_watcher():
+            return
+        watchers = self._watchers()
+        me = self._membership.member_id
+        others = [member for member in watchers if member.id != me]
+        self._relay.tell_watchers(others, base, written)
 
     def _send_to(self, members: dict[str, Member], message: object) -> None:
         for member in members.values():
@@ -283,8 +323,9 @@
     def _send_status(self, members: dict[str, Member], status: WatchStatus) -> None:
         me = self._membership.member_id
         for member in members.values():
-            reached = member.id == me or self._peers.send(member, status)
-            if not reached and self._fleet_wide:
+            if member.id == me or self._peers.send(member, status) or not self._fleet_wide:
+                continue
+            if self._peers.unreachable(member):
                 # An agent that was restarted while the platform is away learns by this what the
                 # others know.
                 self._peers.send(member.at_address(), status)
@@ -295,6 +336,11 @@
             found.update(view.group.members)
         return found
 
+    def _others(self) -> dict[str, Member]:
+        fleet = self._fleet()
+        fleet.pop(self._membership.member_id, None)
+        return fleet
+
     def _object_versions(self) -> dict[str, int]:
         versions = {view.group.id.object_key: view.version for view in self._views.values()}
         held = self._routes.current if self._routes is not None else None
@@ -318,10 +364,33 @@
             if message.groups:
                 # Both together answer a Fetch and hold all that was missing.
                 self._read.update((CONFIGURATION_KEY, "groups/"))
+        if message.configuration_delta is not None and self._routes is not None:
+            self._observe_configuration_delta(sender, message.configuration_delta, self._routes)
         for entry in message.entries:
             self._catalogue.observe(entry)
         for group in message.groups:
             self.observe(group)
+        for delta in message.deltas:
+            self._observe_delta(sender, delta)
+
+    def _observe_delta(self, sender: str, delta: GroupDelta) -> None:
+        held = self._views.get(delta.group)
+        newer = delta.applied(held) if held is not None else None
+        version = held.version if held is not None else 0
+        if newer is not None:
+            self.observe(newer)
+        elif version < delta.version:
+            self._peers.reply(sender, Fetch(delta.service, delta.number, version))
+
+    def _observe_configuration_delta(
+        self, sender: str, delta: ConfigurationDelta, routes: Routes
+    ) -> None:
+        held = routes.current
+        newer = delta.applied(held) if held is not None else None
+        if newer is not None:
+            routes.observe(newer)
+        elif held is None or held.version < delta.version:
+            self._peers.reply(sender, Fetch(objects=self._object_versions()))
 
     def _on_fetch(self, sender: str, message: Fetch) -> None:
         if message.objects is not None:
@@ -423,15 +492,13 @@
             if stored.key == CONFIGURATION_KEY:
                 assert self._routes is not None
                 configuration = decode_json(stored.value, Configuration)
-                held = VersionedConfiguration(stored.version, configuration)
-                if self._routes.observe(held):
-                    self._send_to(self._fleet(), Publish(configuration=held))
+                base = self._routes.current
+                newer = VersionedConfiguration(stored.version, configuration)
+                if self._routes.observe(newer) and self._membership.me() is not None:
+                    self._send_to(self._fleet(), configuration_publication(base, newer))
                 return
             group = VersionedGroup(stored.version, decode_json(stored.value, Group))
-            # The writer tells the fleet itself, so one further copy of a group is enough; a
-            # configuration has no other way and goes out from all watchers.
-            if self.observe(group) and self._watchers_before_me() == 0:
-                self._send_to(self._fleet(), Publish(groups=(group,)))
+            self.observe(group)
         except MalformedMessageError as error:
             _BAD_OBJECT.emit(key=stored.key, version=stored.version, error=error)
 
@@ -448,13 +515,18 @@
             elif home is not None and key == home.object_key:
                 group = VersionedGroup(version, decode_json(value, Group))
                 if self.observe(group):
-                    self._tell_members(group, Publish(groups=(group,)))
+                    self._tell_members(group, publication(view, group))
         except MalformedMessageError as error:
             _BAD_OBJECT.emit(key=key, version=version, error=error)
 
     def _is_watcher(self) -> bool:
         return self._watchers_before_me() < _WATCHERS
 
+    def _is_first_watcher(self) -> bool:
+        # An agent that has not joined watches for itself: at a start all agents do, and copies
+        # from each to all would grow with the square of the fleet.
+        return self._membership.me() is not None and self._watchers_before_me() == 0
+
     def _watchers_before_me(self) -> int:
         """Returns how many members with a lower id watch the platform as far as is known."""
         home = self._membership.home
@@ -462,17 +534,26 @@
         me = self._membership.member_id
         if view is None or me not in view.group.members:
             return 0
+        return sum(member.id < me for member in self._watchers())
+
+    def _watchers(self) -> tuple[Member, ...]:
+        """Returns the members that watch the platform as far as is known, in order."""
+        home = self._membership.home
+        view = self._views.get(home) if home is not None else None
+        if view is None:
+            return ()
         members = self._fleet() if self._fleet_wide else view.group.members
+        me = self._membership.member_id
         now = self._clock.now()
-        watchers = 0
+        watchers: list[Member] = []
         for member_id in sorted(members):
-            if member_id == me or watchers >= _WATCHERS:
+            heard = max(self._watch_status.get(member_id, 0.0), self._listening_since)
+            active = members[member_id].state is MemberState.ACTIVE
+            if member_id == me or (active and now - heard < _WATCH_STATUS_TIMEOUT_S):
+                watchers.append(members[member_id])
+            if len(watchers) == _WATCHERS:
                 break
-            heard = max(self._watch_status.get(member_id, 0.0), self._started_at)
-            state = members[member_id].state
-            if state is MemberState.ACTIVE and now - heard < _WATCH_STATUS_TIMEOUT_S:
-                watchers += 1
-        return watchers
+        return tuple(watchers)
 
     async def _run_watch_status(self) -> None:
         while True:
