Let the fleet of fakes run the services of numeric keys

A fleet names its services and gives what else an agent needs, so that one with numeric keys can be built on the same fakes. The store of the fakes counts reads and writes. No check was changed.

--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable, Coroutine, Iterable
-from typing import Any
+from typing import Any, ClassVar
 
 from loguru import logger
 
@@ -188,42 +188,32 @@
         self.kernel = kernel = Kernel()
         self.platform = PlatformClient(fleet.platform, self.loop)
         self.peers = FakePeers(fleet.network, self.loop, name, incarnation)
-        self.upstream = FakeUpstream()
-        outcomes = RetainedOutcomes()
-        kinds = {**SERVICES, **fleet.overrides}
-        self.groups = kinds["groups"](kernel)
-        self.membership = kinds["membership"](
-            kernel, incarnation, boot, lambda: fleet.next_incarnation()
-        )
-        self.lease = kinds["lease"](kernel)
-        self.monitor = kinds["monitor"](kernel)
-        self.placement = kinds["placement"](kernel)
-        self.recovery = kinds["recovery"](kernel)
-        self.grants = kinds["grants"](kernel)
-        self.ownership = kinds["ownership"](kernel)
+        self.upstream = fleet.upstream(self)
         provided = {
             "settings": settings(name, domain),
             "clock": ManualClock(self.loop),
             "platform": self.platform,
             "catalogue": fleet.catalogue,
             "peers": self.peers,
-            "load": FakeLoad(fleet),
             "upstream": self.upstream,
             "admission": FakeAdmission(),
-            "outcomes": outcomes,
+            "outcomes": RetainedOutcomes(),
+            **fleet.provided(),
         }
         for key, value in provided.items():
             kernel.provide(key, value)
-        services = [
-            self.groups,
-            self.membership,
-            self.lease,
-            self.monitor,
-            self.placement,
-            self.recovery,
-            self.grants,
-            self.ownership,
-        ]
+        kinds = {**fleet.services, **fleet.overrides}
+        made = {
+            key: kind(kernel, incarnation, boot, fleet.next_incarnation)
+            if key == "membership"
+            else kind(kernel)
+            for key, kind in kinds.items()
+        }
+        self.groups, self.membership = made["groups"], made["membership"]
+        self.lease, self.monitor = made["lease"], made["monitor"]
+        self.placement, self.ownership = made["placement"], made["ownership"]
+        self.recovery, self.grants = made.get("recovery"), made.get("grants")
+        services = list(made.values())
         for service in services:
             kernel.add(service)
         for service in services:
@@ -272,8 +262,13 @@
 
     `check` raises `SafetyError` as soon as two agents serve a shard at one instant, an epoch
     gets a second owner, an epoch does not grow, or a shard is served again at a released epoch.
+
+    Attributes:
+        services: Services of each agent by their names in the registry, in the order of start.
     """
 
+    services: ClassVar[dict[str, Callable[..., Any]]] = SERVICES
+
     def __init__(self, overrides: dict[str, type[Any]] | None = None) -> None:
         logger.remove()
         self.overrides = overrides or {}
@@ -291,6 +286,14 @@
         self._before: dict[str, tuple[dict[int, int], float]] = {}
         self.platform.on_write = self._check_write
 
+    def upstream(self, agent: SimulatedAgent) -> Any:
+        """Returns the upstream beside an agent that starts."""
+        return FakeUpstream()
+
+    def provided(self) -> dict[str, Any]:
+        """Returns further objects for the registry of an agent that starts."""
+        return {"load": FakeLoad(self)}
+
     def next_incarnation(self) -> int:
         self._incarnations += 1
         return self._incarnations
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -162,6 +162,8 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.revision = 0
+        # Reads and writes of all agents, answered or not; watches do not count.
+        self.calls = 0
         self.objects: dict[str, StoredObject] = {}
         self.on_write: Callable[[StoredObject | None, StoredObject], None] = lambda old, new: None
         self.watchers: list[Callable[[], bool]] = []
@@ -247,6 +249,7 @@
             raise PlatformUnavailableError("watching: timeout") from None
 
     async def _call(self, act: Callable[[], Any], answers: Answers) -> Any:
+        self.store.calls += 1
         if answers is Answers.REFUSED:
             raise PlatformUnavailableError("refused")
         answer: asyncio.Future[Any] = self._loop.create_future()
