Make edits of a group that wait in one agent by one write

Callers saw group objects with two versions a member and more. Cause: each edit of an agent read and wrote for itself, so handovers and joins that one agent records made each other's writes fail. Edits that wait at the same time are now made by one write, in the order of the calls; a change that fails fails its caller alone.

--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import uuid
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from ..interfaces import Catalogue, GroupListener, Membership, Peers, Platform, Routes
 from ..interfaces.groups import GroupChange
@@ -54,6 +54,38 @@
 _EDIT_BACKOFF_S = 0.01
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingEdit:
+    """An edit that waits for a write.
+
+    Attributes:
+        change: The edit.
+        done: Its result; cancelled if the caller does not wait any more.
+    """
+
+    change: GroupChange
+    done: asyncio.Future[VersionedGroup]
+
+    def applied(self, group: Group) -> Group:
+        """Returns the group with this edit, or the same group if nothing is left to change."""
+        if self.done.done():
+            return group
+        try:
+            changed = self.change(group)
+        except Exception as error:  # it is the caller's; the other edits go on
+            self.fail(error)
+            return group
+        return group if changed is None else changed
+
+    def finish(self, written: VersionedGroup) -> None:
+        if not self.done.done():
+            self.done.set_result(written)
+
+    def fail(self, error: Exception) -> None:
+        if not self.done.done():
+            self.done.set_exception(error)
+
+
 class GroupStore:
     """The `groups` service.
 
@@ -75,6 +107,8 @@
         self._listeners: list[GroupListener] = []
         self._waiters: dict[GroupId, asyncio.Event] = {}
         self._updates: dict[GroupId, asyncio.Task[None]] = {}
+        self._pending: dict[GroupId, list[_PendingEdit]] = {}
+        self._editing: set[GroupId] = set()
         self._watch_status: dict[str, float] = {}
         self._watch_healthy = False
         self._read: set[str] = set()
@@ -162,7 +196,40 @@
         return written
 
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
-        """Reads, changes and writes until a write succeeds; see `Groups.edit`."""
+        """Reads, changes and writes until a write succeeds; see `Groups.edit`.
+
+        Edits that wait at the same time are made by one write, in the order of the calls.
+        """
+        pending = _PendingEdit(change, asyncio.get_running_loop().create_future())
+        waiting = self._pending.setdefault(group, [])
+        waiting.append(pending)
+        if group not in self._editing:
+            self._editing.add(group)
+            self._tasks.spawn(f"edit {group}", self._run_edits(group))
+        return await pending.done
+
+    async def _run_edits(self, group: GroupId) -> None:
+        """Makes all edits that wait for a group, also those that come meanwhile."""
+        batch: tuple[_PendingEdit, ...] = ()
+        try:
+            while self._pending.get(group):
+                batch = tuple(self._pending.pop(group))
+                try:
+                    written = await self._edit_together(group, batch)
+                except PlatformError as error:
+                    for pending in batch:
+                        pending.fail(error)
+                else:
+                    for pending in batch:
+                        pending.finish(written)
+        finally:
+            self._editing.discard(group)
+            for pending in (*batch, *self._pending.pop(group, ())):
+                pending.done.cancel()
+
+    async def _edit_together(
+        self, group: GroupId, batch: tuple[_PendingEdit, ...]
+    ) -> VersionedGroup:
         base = self._views.get(group)
         unknown: OutcomeUnknownError | None = None
         for attempt in range(_EDIT_ATTEMPTS):
@@ -173,8 +240,10 @@
                     if unknown is None:
                         raise
                     raise unknown from error
-            changed = change(base.group)
-            if changed is None:
+            changed = base.group
+            for pending in batch:
+                changed = pending.applied(changed)
+            if changed is base.group:
                 return base
             try:
                 return await self.write(base, changed)
@@ -183,7 +252,7 @@
                 await self._clock.sleep(random.uniform(0, _EDIT_BACKOFF_S * min(attempt + 1, 10)))
             except OutcomeUnknownError as error:
                 unknown = error
-                # The change is idempotent: a read shows whether anything is left to do.
+                # The changes are idempotent: a read shows whether anything is left to do.
                 base = None
         raise OutcomeUnknownError(
             f"group {group} could not be edited in {_EDIT_ATTEMPTS} attempts"
