Let one member record the joins of a group

Cause: every joiner read, computed monitors and wrote by itself. Now the first agent creates the group; the others ask the lowest active member, which records all that wait by one write and answers with the group. An agent without an answer within 1 s takes a new incarnation and writes itself, so that a late record of the old id is void: a join older than the agent's present member is left out.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -10,7 +10,7 @@
 
 from .configuration import VersionedConfiguration
 from .entry import VersionedEntry
-from .group import VersionedGroup
+from .group import Member, VersionedGroup
 from .request import Headers, Occupancy
 
 PROTOCOL_VERSION = 2
@@ -381,6 +381,36 @@
     ranges: tuple[ReleasedRange, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class JoinRequest:
+    """Asks a member of a group to record the sender as a member with its next write.
+
+    Attributes:
+        call: Number that the reply repeats.
+        service: Service of the group.
+        number: Number of the group.
+        member: The sender.
+    """
+
+    call: Count
+    service: str
+    number: Count
+    member: Member
+
+
+@dataclass(frozen=True, slots=True)
+class JoinReply:
+    """Reply to `JoinRequest`.
+
+    Attributes:
+        call: The request's number.
+        group: The group with the sender, or None if it was not and will not be recorded.
+    """
+
+    call: Count
+    group: VersionedGroup | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class StatusQuery:
     """Asks an agent for its own status.
@@ -571,4 +601,6 @@
     RangeLoad,
     RangesReleased,
     CrashNoted,
+    JoinRequest,
+    JoinReply,
 )
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -16,7 +16,10 @@
     FescuewardError,
     InvalidAnnouncementError,
     OutcomeUnknownError,
+    PeerError,
+    PeerTimeoutError,
     PlatformError,
+    PlatformUnavailableError,
     UnknownServiceError,
 )
 from ..kernel.settings import Settings
@@ -30,6 +33,7 @@
     Shard,
     VersionedGroup,
 )
+from ..messages.peer import JoinReply, JoinRequest
 from .keyspace.moves import inherit, refenced
 from .ring import fill_monitors
 
@@ -48,8 +52,17 @@
 _RESTARTED = Event(
     2409, "upstream_restarted", Level.INFO, "The upstream has started anew and holds no keys."
 )
+_JOINS_RECORDED = Event(
+    2412, "joins_recorded", Level.INFO, "Agents that asked for it are members of the group."
+)
+_JOINS_NOT_RECORDED = Event(
+    2413, "joins_not_recorded", Level.WARNING, "A write for agents that asked to join failed."
+)
 
 _RETRY_S = 0.2
+# Longest wait for a member that records a join, in seconds: some writes and a busy processor. An
+# agent that gets no reply joins by a write of its own.
+_JOIN_REPLY_S = 1.0
 _VACATE_PERIOD_S = 0.5
 # Leaving waits for the platform at most this long, if the process is not stopped before; the lease
 # of a stopped agent ends by itself.
@@ -94,6 +107,11 @@
         self._stopping = False
         self._joined = False
         self._wake = asyncio.Event()
+        # Agents that asked this one to record their joins with the next write.
+        self._joining: list[JoinRequest] = []
+        # Whether the next join is not left to another member, because the last one was in vain.
+        self._alone = False
+        self._recording_joins = False
 
     @property
     def member_id(self) -> str:
@@ -140,6 +158,7 @@
         self._ownership = registry.find("ownership", Ownership)
         self._admission = registry.find("admission", Admission)
         self._groups.subscribe(self)
+        self._peers.on(JoinRequest, self._on_join_request)
 
     async def start(self) -> None:
         """Waits for the first announcement and joins then."""
@@ -314,35 +333,116 @@
         assert self._home is not None
         member = self._member(announced)
         try:
-            joined = await self._groups.edit(self._home, lambda group: self._add(group, member))
-        except (PlatformError, UnknownServiceError) as error:
+            joined = await self._record(self._home, member)
+        except (PlatformError, PeerError, UnknownServiceError) as error:
             _JOIN_FAILED.emit(group=self._home, error=error)
-            if isinstance(error, OutcomeUnknownError):
+            if isinstance(error, OutcomeUnknownError | PeerError):
                 # The member may be in the group and may be removed before the next attempt; its
                 # id must not come back, because its epochs would look like those of one owner.
                 self._start_incarnation()
-            await self._clock.sleep(_RETRY_S)
+            self._alone = isinstance(error, PeerError)
+            if not self._alone:
+                await self._clock.sleep(_RETRY_S)
             self._wake.set()
             return
         except FescuewardError as error:
             _JOIN_FAILED.emit(group=self._home, error=error)
             return
-        self._joined = True
+        self._joined, self._alone = True, False
         _JOINED.emit(group=self._home, member=member.id, version=joined.version)
 
-    def _add(self, group: Group, member: Member) -> Group | None:
-        if member.id in group.members:
+    async def _record(self, home: GroupId, member: Member) -> VersionedGroup:
+        """Returns the group with this agent, recorded by a member or, without one, by itself.
+
+        Many agents start at a time. One writer for all of them needs few writes, while agents
+        that all write for themselves make each other's writes fail.
+        """
+
+        def add(group: Group) -> Group | None:
+            return self._with_members(group, (member,))
+
+        def add_first(group: Group) -> Group | None:
+            return None if self._recorder(group) is not None else add(group)
+
+        found = await self._groups.edit(home, add if self._alone else add_first)
+        recorder = self._recorder(found.group)
+        if member.id in found.group.members or recorder is None:
+            return found
+        call = self._peers.next_call()
+        request = JoinRequest(call, home.service, home.number, member)
+        try:
+            async with asyncio.timeout(_JOIN_REPLY_S):
+                reply = await self._peers.call(recorder, request, call)
+        except TimeoutError:
+            raise PeerTimeoutError(f"{recorder.id} did not record the join in time") from None
+        if isinstance(reply, JoinReply) and reply.group is not None:
+            self._groups.observe(reply.group)
+            return reply.group
+        return await self._groups.edit(home, add)
+
+    def _recorder(self, group: Group) -> Member | None:
+        """Returns the member that records joins, or None if this agent has to."""
+        name = self._settings.agent.name
+        others = {
+            member_id: other for member_id, other in group.members.items() if other.name != name
+        }
+        return self._placement.planner(replace(group, members=others))
+
+    def _on_join_request(self, sender: str, message: JoinRequest) -> None:
+        home = GroupId(message.service, message.number)
+        here = home == self._home and self._joined and not self._leaving
+        if not here or sender != message.member.id:
+            self._peers.reply(sender, JoinReply(message.call))
+            return
+        self._joining.append(message)
+        if not self._recording_joins:
+            self._recording_joins = True
+            self._tasks.spawn("record-joins", self._record_joins(home))
+
+    async def _record_joins(self, home: GroupId) -> None:
+        # What comes while a write is on its way goes into the next one.
+        while self._joining:
+            requests, self._joining = tuple(self._joining), []
+            members = tuple(request.member for request in requests)
+            written: VersionedGroup | None = None
+            try:
+                written = await self._groups.edit(
+                    home, lambda group, members=members: self._with_members(group, members)
+                )
+            except PlatformError as error:
+                _JOINS_NOT_RECORDED.emit(group=home, members=len(members), error=error)
+                if not isinstance(error, PlatformUnavailableError):
+                    # The write may still take effect, so nobody is told that it was not made.
+                    continue
+            else:
+                _JOINS_RECORDED.emit(group=home, version=written.version, members=len(members))
+            for request in requests:
+                self._peers.reply(request.member.id, JoinReply(request.call, written))
+        self._recording_joins = False
+
+    def _with_members(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
+        """Returns the group with new members, or None if they are in it already."""
+        added: dict[str, Member] = {}
+        replaced: set[str] = set()
+        for member in joining:
+            # The old process of this boot is dead: the new one holds its port.
+            same = [
+                other
+                for other in (*group.members.values(), *added.values())
+                if other.name == member.name and other.boot_id == member.boot_id
+            ]
+            if any(other.incarnation >= member.incarnation for other in same):
+                # A request that was late: the agent has joined by another write since.
+                continue
+            old = frozenset(other.id for other in same)
+            group = inherit(group, old, member.id)
+            replaced |= old
+            added[member.id] = member
+        if not added:
             return None
-        # The old process of this boot is dead: this one holds its port.
-        old = frozenset(
-            other.id
-            for other in group.members.values()
-            if other.name == member.name and other.boot_id == member.boot_id
-        )
-        group = inherit(group, old, member.id)
         shards = group.shards or (Shard(),) * group.shard_count
-        group = replace(group, shards=shards, members={**group.members, member.id: member})
-        return self.fill_monitors(self._placement.assign(group, old))
+        group = replace(group, shards=shards, members={**group.members, **added})
+        return self.fill_monitors(self._placement.assign(group, frozenset(replaced)))
 
     def _member(self, announced: Announcement) -> Member:
         agent, peers, callers = (
