Give members that joined together their shares of the keys at once

Callers of keyed services were refused while 17 of 39 upstreams owned nothing that was asked for. Cause: one member a round, each 1.2 s, got 1/n of one other member's range instead of 1/n of all keys, from the busiest member, which could be an empty one; and the round was lost whenever anyone else wrote. Now all members without keys get their shares in one plan: from those with the most keys, four sources each at most while the group is even, whole blocks, nothing that is being handed over. It is an edit, so other writes do not undo it. The first keys are dealt 0.5 s after the last join and at the latest 2 s after the first one, which had no limit.

Ruled out: refused grants (none in the logs).

--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import replace
 
 from ...messages import Group, Member, MemberState
@@ -13,6 +13,10 @@
 BLOCK_KEYS = 8
 # Narrowest part that a range without known load is cut into, in keys.
 _LEAST_WIDTH = 64
+# Least part of a new member's share that one member gives: four handovers bring it its share.
+_LEAST_SHARE_PART = 0.25
+# Part of its own share that a member keeps when it gives to a new one.
+_LEAST_SHARE_LEFT = 0.75
 
 Change = Callable[[KeyRange], KeyRange]
 
@@ -122,6 +126,63 @@
     return parts
 
 
+def levelled(group: Group, reachable: Container[str]) -> Group:
+    """Returns the group with successors set for the shares of members that hold no keys.
+
+    Members that joined together get their shares together. Each share comes from few members, at
+    first from those with the most keys, so that ranges and handovers stay few.
+
+    Args:
+        group: The group.
+        reachable: Ids of the members that can give or take keys now.
+    """
+    members = active_members(group)
+    held = dict.fromkeys((member.id for member in members), 0)
+    for found in group.ranges:
+        holder = found.successor or found.owner
+        if holder in held:
+            held[holder] += found.width
+    slots = sum(member.slots for member in members)
+    wanted = {member.id: KEYS * member.slots // slots for member in members}
+    for member in members:
+        if held[member.id] == 0 and member.id in reachable:
+            group = _with_share(group, member.id, wanted, held, reachable)
+    return group
+
+
+def _with_share(
+    group: Group,
+    taker: str,
+    wanted: dict[str, int],
+    held: dict[str, int],
+    reachable: Container[str],
+) -> Group:
+    """Sets a member as the successor of about its share of the keys and adds them to `held`."""
+    sources = [other for other in held if other != taker and held[other] and other in reachable]
+    while sources and held[taker] < wanted[taker] - _LEAST_WIDTH:
+        source = max(sources, key=lambda other: (held[other] - wanted[other], other))
+        missing = wanted[taker] - held[taker]
+        spare = held[source] - wanted[source]
+        part = max(spare, int(wanted[taker] * _LEAST_SHARE_PART))
+        part = min(part, missing, held[source] - int(wanted[source] * _LEAST_SHARE_LEFT))
+        still = [found for found in group.ranges if found.owner == source and not found.successor]
+        widest = max(still, key=lambda found: found.width, default=None)
+        if widest is not None:
+            part = min(part, widest.width - BLOCK_KEYS)
+        if widest is None or part < _LEAST_WIDTH:
+            sources.remove(source)
+            continue
+        # Blocks are not divided.
+        first = (widest.last + 1 - part) // BLOCK_KEYS * BLOCK_KEYS
+        ranges = cut(
+            group.ranges, first, widest.last, lambda found: replace(found, successor=taker)
+        )
+        group = with_ranges(group, ranges)
+        held[source] -= widest.last + 1 - first
+        held[taker] += widest.last + 1 - first
+    return group
+
+
 def with_ranges(group: Group, ranges: Iterable[KeyRange], fence: int | None = None) -> Group:
     """Returns the group with other ranges, in ascending order."""
     ordered = merged(sorted(ranges, key=lambda found: found.first))
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -19,7 +19,10 @@
 
 _ROUND_S = 0.4
 # The first keys are given out once the members have not changed for this long, in seconds.
-_SETTLED_S = 1.0
+_SETTLED_S = 0.5
+# They are given out after this long, in seconds, also while members still join: half of the time
+# within which a key must be served again.
+_UNSETTLED_LIMIT_S = 2.0
 # A member above this utilisation gives work away if it is also well above the mean.
 _BUSY = 0.7
 _ABOVE_MEAN = 1.3
@@ -53,6 +56,8 @@
         self._tasks = kernel.task_owner(self.name)
         self._members: frozenset[str] = frozenset()
         self._members_since = 0.0
+        # Since when the group has members and no keys were given out, as far as it is so.
+        self._unplaced_since: float | None = None
         self._moved_at = 0.0
 
     def bind(self, registry: Registry) -> None:
@@ -94,26 +99,30 @@
             if members != self._members:
                 self._members = members
                 self._members_since = self._clock.now()
+            if group.group.ranges or not members:
+                self._unplaced_since = None
+            elif self._unplaced_since is None:
+                self._unplaced_since = self._clock.now()
 
     async def plan(self) -> None:
         """Runs one round if this agent is the planner of a service with keys."""
         view = self._planned_view()
         if view is None:
             return
-        changed = self._planned(view.group, self._load.reports())
-        if changed is None:
-            return
+        reports = self._load.reports()
         try:
-            written = await self._groups.write(view, changed)
+            written = await self._deal(view, reports) or await self._rebalance(view, reports)
         except PlatformError as error:
             _PLAN_FAILED.emit(group=view.group.id, version=view.version, error=error)
             return
+        if written is None:
+            return
         self._moved_at = self._clock.now()
-        moving = [found for found in changed.ranges if found.successor is not None]
+        moving = [found for found in written.group.ranges if found.successor is not None]
         _MOVED.emit(
             group=view.group.id,
             version=written.version,
-            ranges=len(changed.ranges),
+            ranges=len(written.group.ranges),
             moving=[(one.first, one.last, one.owner, one.successor) for one in moving],
         )
 
@@ -135,12 +144,45 @@
             return None
         return view
 
+    async def _deal(
+        self, view: VersionedGroup, reports: dict[str, RangeLoad]
+    ) -> VersionedGroup | None:
+        """Gives keys to members that hold none; returns None if there is nothing to give.
+
+        It does not depend on measured work, so it waits neither for that nor for other writers.
+        """
+
+        def deal(group: Group) -> Group | None:
+            if not group.ranges and not self._settled():
+                return None
+            if not group.ranges or any(found.owner is None for found in group.ranges):
+                changed = moves.assigned(group)
+            else:
+                changed = moves.levelled(group, reports)
+            return None if changed == group else changed
+
+        if deal(view.group) is None:
+            return None
+        return await self._groups.edit(view.group.id, deal)
+
+    async def _rebalance(
+        self, view: VersionedGroup, reports: dict[str, RangeLoad]
+    ) -> VersionedGroup | None:
+        """Moves work as it was measured; returns None if nothing should move."""
+        planned = self._planned(view.group, reports)
+        return await self._groups.write(view, planned) if planned is not None else None
+
+    def _settled(self) -> bool:
+        now = self._clock.now()
+        unplaced_since = now if self._unplaced_since is None else self._unplaced_since
+        return (
+            now - self._members_since >= _SETTLED_S or now - unplaced_since >= _UNSETTLED_LIMIT_S
+        )
+
     def _planned(self, group: Group, reports: dict[str, RangeLoad]) -> Group | None:
         now = self._clock.now()
-        if not group.ranges or any(found.owner is None for found in group.ranges):
-            if not group.ranges and now - self._members_since < _SETTLED_S:
-                return None
-            return moves.assigned(group)
+        if not group.ranges:
+            return None
         if now - self._moved_at < _MOVE_PAUSE_S:
             return None
         reports = _without_moving(group, reports)
@@ -184,10 +226,6 @@
         return group
     usage = {member.id: reports[member.id].utilisation for member in members}
     source = max(members, key=lambda member: usage[member.id])
-    owners = {found.owner for found in group.ranges}
-    empty = [member for member in members if member.id not in owners]
-    if empty:
-        return _moved_flat(group, source, empty[0], 1 / len(members))
     mean = sum(usage.values()) / len(usage)
     if usage[source.id] < max(_BUSY, mean * _ABOVE_MEAN):
         return group
--- a/tests/services/keyspace/test_moves.py
+++ b/tests/services/keyspace/test_moves.py
@@ -146,3 +146,52 @@
         self.assertEqual([(one.first, one.last) for one in parts], [(0, 9), (10, 19), (20, 99)])
         again = moves.cut(parts, 10, 19, lambda one: replace(one, successor=None))
         self.assertEqual(moves.merged(again), whole)
+
+
+class LevelledTest(Invariants):
+    """Shares of members that hold no keys."""
+
+    def shares(self, group: Group) -> dict[str, int]:
+        found = dict.fromkeys(group.members, 0)
+        for part in group.ranges:
+            found[part.successor or part.owner] += part.width
+        return found
+
+    def grown(self, before: int, after: int) -> tuple[Group, Group]:
+        old = group_of(*(f"a{number:02}" for number in range(before)))
+        new = joined(old, *(member(f"b{number:02}") for number in range(after - before)))
+        return new, moves.levelled(new, frozenset(new.members))
+
+    def test_new_members_get_their_shares_together(self):
+        """Guards against servers that joined and serve nobody while others refuse requests."""
+        for before, after in ((2, 3), (16, 17), (16, 40), (40, 56), (1, 40)):
+            with self.subTest(before=before, after=after):
+                _, group = self.grown(before, after)
+                self.check(group)
+                for width in self.shares(group).values():
+                    self.assertGreaterEqual(width, moves.KEYS / after * 0.7)
+
+    def test_keys_in_handover_stay(self):
+        """Guards against a successor that is replaced while it may be the owner already."""
+        before, once = self.grown(4, 6)
+        again = joined(once, member("c"))
+        twice = moves.levelled(again, frozenset(again.members))
+        for found in once.ranges:
+            if found.successor is not None:
+                self.assertEqual(twice.range_of(found.first), found)
+        for part in twice.ranges:
+            was = before.range_of(part.first)
+            self.assertEqual((part.owner, part.epoch), (was.owner, was.epoch))
+
+    def test_result_is_complete(self):
+        """Guards against an edit that moves more keys when its lost answer is read back."""
+        _, group = self.grown(16, 40)
+        self.assertEqual(moves.levelled(group, frozenset(group.members)), group)
+
+    def test_members_out_of_reach_are_left_alone(self):
+        """Guards against keys on their way from or to a member that is cut off."""
+        old, _ = self.grown(4, 6)
+        group = moves.levelled(old, frozenset(old.members) - {"a00:1", "b00:1"})
+        moving = [found for found in group.ranges if found.successor]
+        self.assertEqual({found.successor for found in moving}, {"b01:1"})
+        self.assertNotIn("a00:1", {found.owner for found in moving})
