Relieve all hot members of a group in one round

Now a round deals the hot blocks of all members above the limit, the busiest first, to those below it, at most 40 blocks of one member as before and 120 together. test_all_hot_members_are_relieved_together failed before.

--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -32,8 +32,9 @@
 _RELIEVED = 0.55
 # Time for a move to show in the reports before the next one, in seconds.
 _MOVE_PAUSE_S = 1.2
-# Most blocks that one round moves.
+# Most blocks that one round moves from one member and from all; each is a release and a grant.
 _MOST_BLOCKS = 40
+_MOST_BLOCKS_TOGETHER = 120
 # Largest share of a member's widest range that moves when no block stands out.
 _FLAT_SHARE = 0.25
 # A range of at most this many blocks goes back to the owner of its neighbourhood once its work, in
@@ -225,20 +226,28 @@
     if len(members) < 2:
         return group
     usage = {member.id: reports[member.id].utilisation for member in members}
-    source = max(members, key=lambda member: usage[member.id])
     mean = sum(usage.values()) / len(usage)
-    if usage[source.id] < max(_BUSY, mean * _ABOVE_MEAN):
+    limit = max(_BUSY, mean * _ABOVE_MEAN)
+    sources = sorted(
+        (member for member in members if usage[member.id] >= limit),
+        key=lambda member: (-usage[member.id], member.id),
+    )
+    others = {member.id: member for member in members if usage[member.id] < limit}
+    if not sources or not others:
         return group
-    chosen = _dealt_blocks(group, source, members, usage, reports[source.id].work)
-    if not chosen:
-        target = min(members, key=lambda member: usage[member.id])
-        if usage[target.id] >= _TARGET_USAGE:
-            return group
-        return _moved_flat(group, source, target, _FLAT_SHARE)
-    ranges = group.ranges
-    for first, last, target_id in _runs(chosen):
-        ranges = moves.cut(ranges, first, last, _handing_over(source.id, target_id))
-    return moves.with_ranges(group, ranges)
+    ranges, left = group.ranges, _MOST_BLOCKS_TOGETHER
+    for source in sources:
+        most = min(_MOST_BLOCKS, left)
+        chosen = _dealt_blocks(group, source, others, usage, reports[source.id].work, most)
+        left -= len(chosen)
+        for first, last, target_id in _runs(chosen):
+            ranges = moves.cut(ranges, first, last, _handing_over(source.id, target_id))
+    if ranges != group.ranges:
+        return moves.with_ranges(group, ranges)
+    target = min(others.values(), key=lambda member: usage[member.id])
+    if usage[target.id] >= _TARGET_USAGE:
+        return group
+    return _moved_flat(group, sources[0], target, _FLAT_SHARE)
 
 
 def gathered(group: Group, reports: dict[str, RangeLoad]) -> Group:
@@ -288,37 +297,44 @@
 def _dealt_blocks(
     group: Group,
     source: Member,
-    members: list[Member],
+    others: dict[str, Member],
     usage: dict[str, float],
     work: dict[int, float],
+    most: int,
 ) -> dict[int, str]:
     """Deals the source's hottest blocks to members with room until it is near the mean.
 
     A member without room would give its blocks back in the next round, so it gets none.
 
+    Args:
+        group: The group.
+        source: The member that gives.
+        others: The members that may get blocks, by id.
+        usage: Utilisation by member id; it is changed by what moves.
+        work: Work of the source by block.
+        most: Most blocks to deal.
+
     Returns:
         The new owner by block.
     """
-    usage = dict(usage)
-    slots = {member.id: member.slots for member in members}
     mean = sum(usage.values()) / len(usage)
     chosen: dict[int, str] = {}
     for block, value in sorted(work.items(), key=lambda item: -item[1]):
-        if usage[source.id] <= max(mean, _RELIEVED) or len(chosen) >= _MOST_BLOCKS:
+        if usage[source.id] <= max(mean, _RELIEVED) or len(chosen) >= most:
             break
         found = group.range_of(block * BLOCK_KEYS)
         if found is None or found.owner != source.id:
             continue
         # Neighbours go to the same member while it has room, so that ranges stay few.
         target_id = chosen.get(block - 1) or chosen.get(block + 1)
-        if target_id is None or usage[target_id] + value / slots[target_id] > mean:
-            target_id = min(usage, key=lambda member_id: usage[member_id])
-        after = usage[target_id] + value / slots[target_id]
+        if target_id is None or usage[target_id] + value / others[target_id].slots > mean:
+            target_id = min(others, key=lambda member_id: usage[member_id])
+        after = usage[target_id] + value / others[target_id].slots
         if after > min(_TARGET_USAGE, usage[source.id]):
             continue
         chosen[block] = target_id
         usage[target_id] = after
-        usage[source.id] -= value / slots[source.id]
+        usage[source.id] -= value / source.slots
     return chosen
 
 
--- a/tests/services/keyspace/test_placement.py
+++ b/tests/services/keyspace/test_placement.py
@@ -46,6 +46,28 @@
         moved_blocks = sum(width for width, _, _ in moving) // BLOCK_KEYS
         self.assertLess(moved_blocks, len(hot))
 
+    def test_all_hot_members_are_relieved_together(self):
+        """Guards against a hot server that waits while the others are relieved one a round.
+
+        Found by trouble-1 of merrimack-siphon-grown: six of 39 servers were full from the first
+        second on, and one of them was relieved each 1.2 s.
+        """
+        names = [f"a{number:02}" for number in range(39)]
+        group = placed(*names)
+        reports = {f"{name}:1": report(name, 0.3) for name in names}
+        hot = names[:6]
+        for name in hot:
+            first = next(one.first for one in group.ranges if one.owner == f"{name}:1")
+            blocks = range(first // BLOCK_KEYS + 1, first // BLOCK_KEYS + 9)
+            reports[f"{name}:1"] = report(name, 1.4, dict.fromkeys(blocks, 1.0))
+        moving = self.moving(rebalanced(group, reports))
+        self.assertEqual({source for _, source, _ in moving}, {f"{name}:1" for name in hot})
+        self.assertFalse({target for _, _, target in moving} & {f"{name}:1" for name in hot})
+        taken: dict[str, int] = {}
+        for width, _, target in moving:
+            taken[target] = taken.get(target, 0) + width // BLOCK_KEYS
+        self.assertLessEqual(max(taken.values()), 3)
+
     def test_even_load_moves_nothing(self):
         """Guards against churn without a benefit."""
         group = placed("a", "b")
