Give each error of an edit to its callers

Found in review: an edit of a service that is not known raised in the task that makes edits together and ended the agent; before, its caller got the error. test_edit_of_an_unknown_service_is_refused failed before. Tests of edits that share a write and of a change that fails beside others are added.

--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -12,6 +12,7 @@
 from ..interfaces.platform import StoredObject
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
+    FescuewardError,
     MalformedMessageError,
     ObjectNotFoundError,
     OutcomeUnknownError,
@@ -216,7 +217,7 @@
                 batch = tuple(self._pending.pop(group))
                 try:
                     written = await self._edit_together(group, batch)
-                except PlatformError as error:
+                except FescuewardError as error:
                     for pending in batch:
                         pending.fail(error)
                 else:
--- a/tests/services/test_groups.py
+++ b/tests/services/test_groups.py
@@ -7,7 +7,13 @@
 from types import SimpleNamespace
 
 from fescueward.kernel import BootClock, Kernel
-from fescueward.kernel.errors import OutcomeUnknownError, PlatformError, PlatformUnavailableError
+from fescueward.kernel.errors import (
+    InvalidRequestError,
+    OutcomeUnknownError,
+    PlatformError,
+    PlatformUnavailableError,
+    UnknownServiceError,
+)
 from fescueward.messages import Group, GroupId, VersionedGroup
 from fescueward.messages.configuration import Configuration, VersionedConfiguration
 from fescueward.messages.peer import Fetch, Publish, Versions, WatchStatus
@@ -80,6 +86,50 @@
         self.fleet.world.advance(2)
         self.assertIsInstance(self.results[0], PlatformUnavailableError)
 
+    def test_edits_that_wait_share_a_write(self):
+        """Guards against edits of one agent that make each other's writes fail."""
+        before = self.fleet.platform.revision
+        for key in ("a", "b", "c", "d"):
+            self._edit(key)
+        self.fleet.world.advance(0.5)
+        self.assertEqual(set(self.fleet.group().exceptions), {"a", "b", "c", "d"})
+        self.assertLessEqual(self.fleet.platform.revision - before, 2)
+
+    def test_failed_change_fails_its_caller_alone(self):
+        """Guards against edits that are lost because they waited beside a faulty one."""
+
+        def fail() -> None:
+            raise InvalidRequestError("faulty")
+
+        async def edit_faulty() -> None:
+            try:
+                await self.agent.groups.edit(HOME, lambda group: fail())
+            except InvalidRequestError as error:
+                self.results.append(error)
+
+        self._edit("a")
+        self.agent.spawn(edit_faulty)
+        self._edit("b")
+        self.fleet.world.advance(0.5)
+        self.assertEqual(set(self.fleet.group().exceptions), {"a", "b"})
+        self.assertEqual(sum(isinstance(one, VersionedGroup) for one in self.results), 2)
+        self.assertEqual(len(self.results), 3)
+
+    def test_edit_of_an_unknown_service_is_refused(self):
+        """Guards against an agent that ends because its service is not known yet."""
+        self.fleet.catalogue.current = None
+        unknown = GroupId("orders", 0)
+
+        async def edit() -> None:
+            try:
+                await self.agent.groups.edit(unknown, lambda group: group)
+            except UnknownServiceError as error:
+                self.results.append(error)
+
+        self.agent.spawn(edit)
+        self.fleet.world.advance(0.5)
+        self.assertEqual(len(self.results), 1)
+
 
 class VersionTest(unittest.TestCase):
     def test_older_versions_are_ignored(self):
