Leave out late joins in the recorder alone

Found in review: the check that leaves out a join older than the agent's present member also ran in the agent's own write, so an agent whose clock had gone back before its restart was told that it had joined although it had not, and came in by a detour. Now only the recorder leaves such joins out, and the agent then writes itself. Other errors of a record than a lost answer are told to the agents that asked.

--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -378,7 +378,8 @@
             raise
         if isinstance(reply, JoinReply) and reply.group is not None:
             self._groups.observe(reply.group)
-            return reply.group
+            if member.id in reply.group.group.members:
+                return reply.group
         return await self._groups.edit(home, add)
 
     async def _recorded_late(self, home: GroupId, member_id: str, until: float) -> bool:
@@ -423,11 +424,13 @@
             written: VersionedGroup | None = None
             try:
                 written = await self._groups.edit(
-                    home, lambda group, members=members: self._with_members(group, members)
+                    home, lambda group, members=members: self._with_asking(group, members)
                 )
-            except PlatformError as error:
+            except FescuewardError as error:
                 _JOINS_NOT_RECORDED.emit(group=home, members=len(members), error=error)
-                if not isinstance(error, PlatformUnavailableError):
+                if isinstance(error, PlatformError) and not isinstance(
+                    error, PlatformUnavailableError
+                ):
                     # The write may still take effect, so nobody is told that it was not made.
                     continue
             else:
@@ -436,21 +439,26 @@
                 self._peers.reply(request.member.id, JoinReply(request.call, written))
         self._recording_joins = False
 
+    def _with_asking(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
+        """Returns the group with agents that asked, but for those that have joined as newer."""
+        present = tuple(
+            member
+            for member in joining
+            if not any(
+                other.incarnation > member.incarnation for other in _same_process(group, member)
+            )
+        )
+        return self._with_members(group, present)
+
     def _with_members(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
         """Returns the group with new members, or None if they are in it already."""
         added: dict[str, Member] = {}
         replaced: set[str] = set()
         for member in joining:
-            # The old process of this boot is dead: the new one holds its port.
-            same = [
-                other
-                for other in (*group.members.values(), *added.values())
-                if other.name == member.name and other.boot_id == member.boot_id
-            ]
-            if any(other.incarnation >= member.incarnation for other in same):
-                # A request that was late: the agent has joined by another write since.
+            if member.id in group.members or member.id in added:
                 continue
-            old = frozenset(other.id for other in same)
+            # The old process of this boot is dead: the new one holds its port.
+            old = frozenset(other.id for other in _same_process(group, member))
             group = inherit(group, old, member.id)
             replaced |= old
             added[member.id] = member
@@ -481,3 +489,12 @@
             checks_grants=announced.checks_grants,
             instance=announced.start,
         )
+
+
+def _same_process(group: Group, member: Member) -> tuple[Member, ...]:
+    """Returns the members of the same name and boot, of which only the newest can run."""
+    return tuple(
+        other
+        for other in group.members.values()
+        if other.name == member.name and other.boot_id == member.boot_id
+    )
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -227,6 +227,19 @@
         self.assertNotEqual(agent.member_id, first)
         self.assertTrue(agent.lease.held)
 
+    def test_agent_whose_clock_went_back_joins(self):
+        """Guards against an agent that stays out because its earlier start has a higher number."""
+        fleet = formed(3, 3)
+        boot = fleet.agents["a1"].boot
+        fleet._incarnations -= 4
+        restarted = fleet.start("a1", "d1", boot)
+        self.assertLess(restarted.membership._incarnation, 4)
+        fleet.world.advance(4)
+        self.assertEqual(
+            [id for id in fleet.group().members if id.startswith("a1:")], [restarted.member_id]
+        )
+        self.assertTrue(restarted.lease.held)
+
     def test_busy_recorder_is_waited_for(self):
         """Guards against agents that all write for themselves while the recorder is busy."""
         fleet = formed(3, 3)
