--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -159,7 +159,8 @@
 ) -> Group:
     """Sets a member as the successor of about its share of the keys and adds them to `held`."""
     sources = [other for other in held if other != taker and held[other] and other in reachable]
-    while sources and held[taker] < wanted[taker] - _LEAST_WIDTH:
+    least = max(BLOCK_KEYS, int(wanted[taker] * _LEAST_SHARE_PART / 4))
+    while sources and held[taker] + least < wanted[taker]:
         source = max(sources, key=lambda other: (held[other] - wanted[other], other))
         missing = wanted[taker] - held[taker]
         spare = held[source] - wanted[source]
@@ -169,7 +170,7 @@
         widest = max(still, key=lambda found: found.width, default=None)
         if widest is not None:
             part = min(part, widest.width - BLOCK_KEYS)
-        if widest is None or part < _LEAST_WIDTH:
+        if widest is None or part < least:
             sources.remove(source)
             continue
         # Blocks are not divided.
--- a/tests/services/keyspace/test_moves.py
+++ b/tests/services/keyspace/test_moves.py
@@ -164,7 +164,7 @@
 
     def test_new_members_get_their_shares_together(self):
         """Guards against servers that joined and serve nobody while others refuse requests."""
-        for before, after in ((2, 3), (16, 17), (16, 40), (40, 56), (1, 40)):
+        for before, after in ((2, 3), (16, 17), (16, 40), (40, 56), (1, 40), (400, 401)):
             with self.subTest(before=before, after=after):
                 _, group = self.grown(before, after)
                 self.check(group)
