Answer what waits at the callers' port, and what is open when a service fails

The port now takes over what the system has accepted, as the product's own front end did; both use kernel/http_port.py. - A drain that raised kept the later ones from running, and a process that ended after a failed service never began its closing phase, so open requests were cut. The kernel goes on after a failed drain, and the front end begins the closing phase itself. - A request whose body ended after the drain was routed and then answered 502; it is refused as not run. - The body of a forwarded answer had neither a deadline nor an end at the stop. - The port for heartbeats waited 60 s for a report that was half sent.

--- a/fescueward/interfaces/shutdown.py
+++ b/fescueward/interfaces/shutdown.py
@@ -45,6 +45,10 @@
         """
         ...
 
+    def close(self) -> None:
+        """Begins the closing phase, if it has not begun."""
+        ...
+
     def open_request(self, request_id: str) -> AbstractContextManager[None]:
         """Returns a context in which the request counts as open."""
         ...
--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -31,8 +31,9 @@
     1006, "service_drained", Level.INFO, "A service has given its work away before the stop."
 )
 
-# Each service gets this long to stop even if those before it used up the time, in seconds.
-_LEAST_STEP_S = 0.05
+# Each service gets this long to stop even if those before it used up the time, in seconds. An
+# agent has some twenty services.
+_LEAST_STEP_S = 0.005
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,8 +170,11 @@
         for service in tuple(self._started):
             if not isinstance(service, Drainable):
                 continue
-            if await self._finish_by(self._stop_limits.drain_s, service.name, service.drain()):
-                _DRAINED.emit(service=service.name, stopping_s=round(self.stopping_s, 3))
+            try:
+                if await self._finish_by(self._stop_limits.drain_s, service.name, service.drain()):
+                    _DRAINED.emit(service=service.name, stopping_s=round(self.stopping_s, 3))
+            except Exception as error:  # one failing drain must not keep the others' requests open
+                self._report_failure(service.name, error)
 
     async def _stop_all(self) -> None:
         while self._started:
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -10,6 +10,7 @@
 from ..interfaces import Liveness, Membership, Routes, StartListener
 from ..kernel import Event, Level, Registry
 from ..kernel.errors import InvalidAnnouncementError
+from ..kernel.http_port import HttpPort
 from ..messages import AnnouncedState, Announcement
 from .names import HEARTBEAT_CALL, LEAVE_CALL, RPC_PATH
 from .settings import Site
@@ -24,6 +25,8 @@
 _STATES = {"ready": AnnouncedState.READY, "draining": AnnouncedState.LEAVING}
 # Connections assumed until the configuration tells them.
 _CONNECTIONS = 100
+# Time for which closing the port waits for reports that are half sent, in seconds.
+_CLOSE_S = 0.1
 
 
 class _Info(msgspec.Struct):
@@ -59,7 +62,7 @@
 
     def __init__(self, site: Site) -> None:
         self._site = site
-        self._runner: web.ServerRunner | None = None
+        self._port: HttpPort | None = None
         # Start and number of the newest report, by which later ones are told from late ones.
         self._newest = (0, -1)
         self._last: Announcement | None = None
@@ -74,16 +77,14 @@
     async def start(self) -> None:
         """Opens the port for reports."""
         server = web.Server(self._answer, access_log=None)
-        self._runner = web.ServerRunner(server)
-        await self._runner.setup()
-        await web.TCPSite(
-            self._runner, self._site.heartbeats.host, self._site.heartbeats.port
-        ).start()
+        address = self._site.heartbeats
+        self._port = HttpPort(server, address.host, address.port, _CLOSE_S)
+        await self._port.start()
 
     async def stop(self) -> None:
         """Closes the port."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._port is not None:
+            await self._port.close()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         call, instance = request.query.get("call", ""), request.query.get("of", "")
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from aiohttp import web
 
@@ -12,12 +14,14 @@
     BodyTooLargeError,
     DeadlineExceededError,
     DeadlineExceededRunningError,
+    DrainingError,
     InternalError,
     InvalidRequestError,
     NoConfigurationError,
     NoRouteError,
     OutcomeLostError,
 )
+from ..kernel.http_port import HttpPort
 from ..messages import Request, Response
 from ..messages.configuration import CallerLimits
 from ..messages.group import LAST_KEY
@@ -53,6 +57,8 @@
 # When a caller should come back if the refusal does not say, in seconds.
 _RETRY_AFTER_S = 0.1
 
+_Result = TypeVar("_Result")
+
 
 class CallerFrontend:
     """The `frontend` service on this platform."""
@@ -62,7 +68,7 @@
 
     def __init__(self, site: Site) -> None:
         self._site = site
-        self._runners: list[web.ServerRunner] = []
+        self._ports: list[HttpPort] = []
         self._was_ready = False
 
     def bind(self, registry: Registry) -> None:
@@ -83,13 +89,12 @@
 
     async def stop(self) -> None:
         """Closes the ports, after an answer to what has arrived at them."""
-        # Connections that the system has accepted are reset when a listening socket is closed.
+        self._shutdown.close()
         await asyncio.sleep(_SETTLE_S)
-        for runner in self._runners:
-            for site in tuple(runner.sites):
-                await site.stop()
+        for port in self._ports:
+            await port.stop_listening()
         await asyncio.sleep(_SETTLE_S)
-        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
+        await asyncio.gather(*(port.close() for port in self._ports))
 
     async def _listen(self, handler: object, host: str, port: int) -> None:
         server = web.Server(
@@ -100,10 +105,9 @@
             max_line_size=65_536,
             max_field_size=65_536,
         )
-        runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_S)
-        await runner.setup()
-        await web.TCPSite(runner, host, port, backlog=512).start()
-        self._runners.append(runner)
+        opened = HttpPort(server, host, port, _CLOSE_S)
+        self._ports.append(opened)
+        await opened.start()
 
     async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == _METRICS_PATH:
@@ -182,11 +186,11 @@
             configuration=configuration.version,
             timeout_ms=round(timeout_s * 1000),
         )
-        try:
-            async with asyncio.timeout(timeout_s):
-                body = await _body(http, configuration.limits)
-        except TimeoutError:
-            raise DeadlineExceededError("the body did not arrive before the deadline") from None
+        deadline = arrived + timeout_s
+        body = b""
+        if http.body_exists:
+            body = await self._body(http, configuration.limits, deadline)
+            self._shutdown.check(deadline)
         request = Request(
             id=request_id,
             service=service,
@@ -195,7 +199,7 @@
             path=http.raw_path,
             headers=_forwarded(http),
             body=BytesBody(body),
-            deadline=arrived + timeout_s,
+            deadline=deadline,
             caller=self._site.service,
             priority=route.priority,
             repeatable=route.repeatable,
@@ -203,31 +207,63 @@
             route=route.name,
             useful_until=arrived + min(route.objective_s or timeout_s, timeout_s),
         )
-        response = await self._route(request)
-        return await _http_response(response)
+        return await self._route(request)
+
+    async def _body(self, http: web.BaseRequest, limits: CallerLimits, deadline: float) -> bytes:
+        read = await self._in_time(_read_body(http, limits), deadline)
+        if read is not None:
+            return read
+        if self._shutdown.closing.done():
+            raise DrainingError("this agent ends before the body arrived")
+        raise DeadlineExceededError("the body did not arrive before the deadline")
 
-    async def _route(self, request: Request) -> Response:
+    async def _route(self, request: Request) -> web.Response:
         """Routes a request; repeatable work ends when the caller leaves, which cancels this."""
-        task = asyncio.get_running_loop().create_task(self._router.route(request))
+        answer = await self._in_time(
+            self._routed(request), request.deadline, kept=not request.repeatable
+        )
+        if answer is not None:
+            return answer
+        if self._shutdown.closing.done():
+            raise OutcomeLostError("this agent ends before the request does")
+        raise DeadlineExceededRunningError("no answer before the deadline")
+
+    async def _routed(self, request: Request) -> web.Response:
+        response = await self._router.route(request)
+        try:
+            async with asyncio.timeout(max(request.deadline - self._clock.now(), 0)):
+                return await _http_response(response)
+        except TimeoutError:
+            raise DeadlineExceededRunningError("the answer is not whole in time") from None
+        finally:
+            await response.body.close()
+
+    async def _in_time(
+        self, work: Coroutine[None, None, _Result], deadline: float, kept: bool = False
+    ) -> _Result | None:
+        """Returns the result of some work, or None at its deadline or when this agent ends.
+
+        Args:
+            work: The work.
+            deadline: Its end in seconds of CLOCK_BOOTTIME.
+            kept: Whether it goes on without a caller.
+        """
+        task = asyncio.get_running_loop().create_task(work)
         closing = self._shutdown.closing
-        left_s = max(request.deadline - self._clock.now(), 0)
+        left_s = max(deadline - self._clock.now(), 0)
         try:
             await asyncio.wait(
                 (task, closing), timeout=left_s, return_when=asyncio.FIRST_COMPLETED
             )
-            if task.done():
-                return task.result()
-            if closing.done():
-                raise OutcomeLostError("this agent ends before the request does")
-            raise DeadlineExceededRunningError("no answer before the deadline")
+            return task.result() if task.done() else None
         finally:
-            if not task.done() and request.repeatable:
-                task.cancel()
-            if not task.done() or task.cancelled():
+            if not task.done():
+                if not kept:
+                    task.cancel()
                 task.add_done_callback(_forget)
 
 
-def _forget(task: asyncio.Task[Response]) -> None:
+def _forget(task: asyncio.Task[Any]) -> None:
     if not task.cancelled():
         task.exception()
 
@@ -259,9 +295,7 @@
     )
 
 
-async def _body(http: web.BaseRequest, limits: CallerLimits) -> bytes:
-    if not http.body_exists:
-        return b""
+async def _read_body(http: web.BaseRequest, limits: CallerLimits) -> bytes:
     parts = []
     size = 0
     async for part in http.content.iter_any():
--- a/fescueward/services/frontend/service.py
+++ b/fescueward/services/frontend/service.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import uuid
-from contextlib import aclosing, suppress
+from contextlib import aclosing
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -16,6 +15,7 @@
     FescuewardError,
     InternalError,
 )
+from ...kernel.http_port import HttpPort
 from ...kernel.settings import Settings
 from ...messages import Request, Response
 from ...messages.request import BytesBody
@@ -34,7 +34,6 @@
 # send none for this long are cut off.
 _LINGER_S = 2.0
 _LINGER_CHECK_S = 0.02
-_BACKLOG = 1024
 SERVED_BY_HEADER = "Fescueward-Served-By"
 # Longest time that open requests get when the agent stops.
 _SHUTDOWN_S = 30.0
@@ -50,14 +49,12 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._runner: web.ServerRunner | None = None
-        self._site: web.SockSite | None = None
-        self._listener: socket.socket | None = None
+        self._http: HttpPort | None = None
 
     @property
     def listening(self) -> bool:
         """Whether callers can connect."""
-        return self._site is not None and self._listener is not None
+        return self._http is not None and self._http.listening
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -71,58 +68,30 @@
     async def start(self) -> None:
         """Listens for callers."""
         server = CallerServer(self._handle, handler_cancellation=True)
-        self._runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
-        await self._runner.setup()
+        self._http = HttpPort(server, self._host, self._port, _SHUTDOWN_S)
         self._tasks.spawn("listen", self._listen())
 
     async def drain(self) -> None:
         """Takes no new connections and lets callers end the open ones after a response."""
-        if self._runner is None or self._runner.server is None:
+        if self._http is None:
             return
-        await self._stop_listening(self._runner.server)
+        await self._http.stop_listening()
         end = self._clock.now() + _LINGER_S
-        while self._runner.server.connections and self._clock.now() < end:
+        while self._http.connections and self._clock.now() < end:
             await self._clock.sleep(_LINGER_CHECK_S)
 
     async def stop(self) -> None:
         """Stops listening and lets open requests end."""
         await self._tasks.cancel()
-        if self._listener is not None:
-            self._listener.close()
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._http is not None:
+            await self._http.close()
         await self._tasks.cancel()
 
     async def _listen(self) -> None:
         # Without the catalogue every request would be refused as for an unknown service.
         await self._catalogue.loaded()
-        assert self._runner is not None
-        self._listener = socket.create_server((self._host, self._port), backlog=_BACKLOG)
-        self._listener.setblocking(False)
-        self._site = web.SockSite(self._runner, self._listener.dup())
-        await self._site.start()
-
-    async def _stop_listening(self, server: web.Server) -> None:
-        if (
-            self._site is not None
-            and self._runner is not None
-            and self._site in self._runner.sites
-        ):
-            await self._site.stop()
-        if self._listener is None:
-            return
-        # Closing a listener resets connections that the system has accepted and the process has
-        # not, so these are taken over first.
-        accepted = []
-        with suppress(BlockingIOError):
-            while True:
-                accepted.append(self._listener.accept()[0])
-        self._listener.close()
-        self._listener = None
-        loop = asyncio.get_running_loop()
-        for connection in accepted:
-            connection.setblocking(False)
-            await loop.connect_accepted_socket(server, connection)
+        assert self._http is not None
+        await self._http.start()
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         request_id = http.headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -45,10 +45,10 @@
     @property
     def phase(self) -> ShutdownPhase:
         """The phase now."""
-        if not self._kernel.stopping:
-            return ShutdownPhase.SERVING
         if self.closing.done():
             return ShutdownPhase.CLOSING
+        if not self._kernel.stopping:
+            return ShutdownPhase.SERVING
         stopping_s = self._kernel.stopping_s
         if stopping_s < self._bounds.take_until_s:
             return ShutdownPhase.TAKING
@@ -80,7 +80,7 @@
             async with asyncio.timeout(max(self._left_s(self._bounds.finish_until_s), 0)):
                 await self._idle.wait()
         # An agent that became idle before the end of its time takes no more either.
-        self.closing.set_result(None)
+        self.close()
         self._log_phase()
         for request_id in self._open:
             _CUT.emit(request=request_id, stopping_s=round(self._kernel.stopping_s, 3))
@@ -99,6 +99,11 @@
                 "this agent may end before the request does", retry_after_s=_RETRY_AFTER_S
             )
 
+    def close(self) -> None:
+        """Begins the closing phase, also where nothing was drained; see `Shutdown.close`."""
+        if not self.closing.done():
+            self.closing.set_result(None)
+
     @contextmanager
     def open_request(self, request_id: str) -> Iterator[None]:
         """Counts a request as open; see `Shutdown.open_request`."""
--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -130,6 +130,15 @@
         self.assertEqual(self.log[-3:], ["drain after", "stop after", "stop hanging"])
         self.assertIn("1004 service_stop_timeout service=hanging", self.lines.getvalue())
 
+    async def test_failing_drain_does_not_keep_others(self):
+        """Guards against requests that are cut because another service failed to drain."""
+        self.add("failing").failing = "drain"
+        self.add("after", "failing")
+        self.kernel.request_stop()
+        with self.assertRaises(ServiceFailedError):
+            await asyncio.wait_for(self.kernel.run(), 5)
+        self.assertIn("drain after", self.log)
+
     async def test_step_that_ignores_its_cancellation_is_abandoned(self):
         """Guards against a lost cancellation that keeps a process until it is killed."""
         released = asyncio.Event()
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -1,12 +1,16 @@
 """Callers' requests at the agent's port."""
 
 import asyncio
+import socket
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from dataclasses import replace
 from types import SimpleNamespace
 
 import aiohttp
+import uvloop
 
 from fescueward.kernel import Kernel
 from fescueward.kernel.bounds import Bounds
@@ -38,6 +42,7 @@
     def __init__(self) -> None:
         self.requests = []
         self.refusal: Exception | None = None
+        self.body = None
         self.answering = asyncio.Event()
         self.answering.set()
         self.asked = asyncio.Event()
@@ -53,7 +58,8 @@
             raise
         if self.refusal is not None:
             raise self.refusal
-        return make_response(b"ok")
+        answer = make_response(b"ok")
+        return answer if self.body is None else replace(answer, body=self.body)
 
 
 class FrontendCase(unittest.IsolatedAsyncioTestCase):
@@ -95,9 +101,9 @@
         self.session = aiohttp.ClientSession(f"http://127.0.0.1:{self.port}")
         self.addAsyncCleanup(self.session.close)
 
-    async def ask(self) -> tuple[int, float]:
+    async def ask(self, headers: dict[str, str] | None = None) -> tuple[int, float]:
         """Sends a request and returns its status and when to come back, in seconds."""
-        headers = {"Host": "a.example", "X-Fescueward-Request-Id": "r1"}
+        headers = {"Host": "a.example", "X-Fescueward-Request-Id": "r1", **(headers or {})}
         async with self.session.get("/x/1", headers=headers) as answer:
             return answer.status, float(answer.headers.get("Retry-After", 0))
 
@@ -197,3 +203,78 @@
         stopping = asyncio.create_task(self.frontend.stop())
         self.assertEqual(((await self.ask())[0], self.router.requests), (503, []))
         await stopping
+
+    async def test_process_that_fails_answers_what_is_open(self):
+        """Guards against requests without an answer where a failed service ends the process."""
+        self.router.answering.clear()
+        asking = asyncio.create_task(self.ask())
+        await self.router.asked.wait()
+        self.kernel.request_stop()
+        await self.frontend.stop()
+        self.assertEqual((await asking)[0], 502)
+
+    async def test_body_that_ends_after_the_drain_is_not_routed(self):
+        """Guards against requests that begin when their agent can no longer answer them."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(HEAD + b"Content-Length: 10\r\n\r\nhalf")
+        await asyncio.sleep(0.05)
+        self.kernel.request_stop()
+        await self.shutdown.drain()
+        writer.write(b"second")
+        async with asyncio.timeout(2):
+            answer = await reader.readuntil(b"\r\n")
+        writer.close()
+        self.assertIn(b" 503 ", answer)
+        self.assertEqual(self.router.requests, [])
+
+    async def test_stalled_answer_ends_at_the_deadline(self):
+        """Guards against callers that wait without an end for the body of an answer."""
+        stalled = asyncio.Event()
+
+        class StalledBody:
+            async def chunks(self):
+                yield b"part"
+                await asyncio.Event().wait()
+
+            async def close(self):
+                stalled.set()
+
+        self.router.body = StalledBody()
+        headers = {"X-Fescueward-Timeout-Ms": "300"}
+        self.assertEqual((await self.ask(headers))[0], 504)
+        async with asyncio.timeout(1):
+            await stalled.wait()
+
+
+class ClosingPortTest(unittest.TestCase):
+    """The callers' port under the event loop of the agent, which takes one connection a turn."""
+
+    def test_connections_that_wait_at_the_port_are_answered(self):
+        """Guards against callers that are reset because the agent was busy as its port closed."""
+        self.assertEqual(uvloop.run(self._answers()), [503] * 20)
+
+    async def _answers(self) -> list[int]:
+        case = FrontendCase("ask")
+        await case.asyncSetUp()
+        try:
+            case.kernel.request_stop()
+            stopping = asyncio.create_task(case.frontend.stop())
+            await asyncio.sleep(0)
+            with ThreadPoolExecutor(20) as callers:
+                waiting = [callers.submit(_status, case.port) for _ in range(20)]
+                # The callers connect while the loop is held up.
+                asyncio.get_running_loop().call_soon(time.sleep, 0.3)
+                await stopping
+                return [await asyncio.wrap_future(one) for one in waiting]
+        finally:
+            await case.session.close()
+
+
+def _status(port: int) -> int:
+    """Sends a request on a new connection and returns its status, or 0 if there is none."""
+    try:
+        with socket.create_connection(("127.0.0.1", port), 2) as connection:
+            connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+            return int(connection.recv(1024).split(b" ")[1])
+    except (OSError, IndexError):
+        return 0
