End the process although a task ignores its end; bound the time of taking

An abandoned step still held the process, because the event loop waits for cancelled tasks without a limit: a service that ignores its cancellation kept a process of 1 s of limits for 4.1 s.

All requests were taken for half of any grace time, counted from the moment at which the process sees the signal. What is cut later than three seconds after the signal is excused by nothing, so taking ends 0.25 s before that. The test of the deadlines takes its figures from the bounds, as they changed.

--- a/fescueward/daemons/process.py
+++ b/fescueward/daemons/process.py
@@ -4,16 +4,23 @@
 
 import asyncio
 import gc
+import os
 import signal
 from collections.abc import Callable
 
 import uvloop
 
-from ..kernel import Kernel
+from ..kernel import Event, Kernel, Level
 
 # A request leaves some hundred objects and few cycles; Python's default of 700 starts a collection
 # every few requests.
 _COLLECTIONS = (20_000, 20, 20)
+# Time for cancelled tasks to end after the services have stopped, in seconds.
+_LAST_TASKS_S = 0.1
+
+_TASKS_LEFT = Event(
+    1007, "tasks_left", Level.ERROR, "The process ends although these tasks ignore their end."
+)
 
 
 def run_until_stopped(kernel: Kernel, reload: Callable[[], None] | None = None) -> None:
@@ -39,4 +46,25 @@
         loop.add_signal_handler(number, kernel.request_stop)
     if reload is not None:
         loop.add_signal_handler(signal.SIGHUP, reload)
-    await kernel.run()
+    failed = True
+    try:
+        await kernel.run()
+        failed = False
+    finally:
+        await _end_tasks(failed)
+
+
+async def _end_tasks(failed: bool) -> None:
+    """Cancels what still runs, and ends the process if a task ignores that.
+
+    The loop would wait for such a task without a limit, until the process is killed.
+    """
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        _, tasks = await asyncio.wait(tasks, timeout=_LAST_TASKS_S)
+    if tasks:
+        # A line at this level is written at once.
+        _TASKS_LEFT.emit(tasks=sorted(task.get_name() for task in tasks))
+        os._exit(1 if failed else 0)
--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -4,9 +4,13 @@
 
 from dataclasses import dataclass
 
-# Share of the grace time in which a stopped agent takes all requests. The platform sends callers
-# elsewhere after two unanswered questions for readiness, one each second.
+# Share of the grace time in which a stopped agent takes all requests, and its longest time in
+# seconds. The platform sends callers elsewhere after two unanswered questions for readiness, one
+# each second; after three seconds nothing excuses a request that is cut off.
 _TAKING_SHARE = 0.5
+_LONGEST_TAKING_S = 3.0
+# Time in which a signal reaches a busy process, in seconds.
+_SIGNAL_SLACK_S = 0.25
 # Share of the grace time in which a stopped agent tries to leave its group.
 _LEAVING_SHARE = 0.7
 # Last parts of the grace time, in seconds: closing of connections, and the end of the interpreter.
@@ -39,7 +43,7 @@
     @property
     def take_until_s(self) -> float:
         """Time after the stop signal until which all requests are taken, in seconds."""
-        return self.grace_s * _TAKING_SHARE
+        return max(min(self.grace_s * _TAKING_SHARE, _LONGEST_TAKING_S) - _SIGNAL_SLACK_S, 0.0)
 
     @property
     def leave_until_s(self) -> float:
--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -74,8 +74,9 @@
     async def drain(self) -> None:
         """Waits until callers go elsewhere, then until no request is open."""
         self._log_phase()
-        await self._clock.sleep(max(self._left_s(self._bounds.take_until_s), 0))
-        self._log_phase()
+        if self.phase is ShutdownPhase.TAKING:
+            await self._clock.sleep(max(self._left_s(self._bounds.take_until_s), 0))
+            self._log_phase()
         with suppress(TimeoutError):
             async with asyncio.timeout(max(self._left_s(self._bounds.finish_until_s), 0)):
                 await self._idle.wait()
--- a/tests/services/test_shutdown.py
+++ b/tests/services/test_shutdown.py
@@ -12,7 +12,7 @@
 
 from .fakes import StubRegistry
 
-# Takes requests for 1 s, and lets them finish for 0.2 s more.
+# Takes requests for 0.75 s, and lets them finish until 1.2 s.
 BOUNDS = Bounds(grace_s=2.0)
 
 
@@ -35,9 +35,10 @@
         self.shutdown.check(self.clock.now() + 3600)
         await asyncio.sleep(BOUNDS.take_until_s)
         self.assertIs(self.shutdown.phase, ShutdownPhase.FINISHING)
-        self.shutdown.check(self.clock.now() + 0.1)
+        left_s = BOUNDS.finish_until_s - self.kernel.stopping_s
+        self.shutdown.check(self.clock.now() + left_s - 0.1)
         with self.assertRaises(DrainingError) as refused:
-            self.shutdown.check(self.clock.now() + 0.3)
+            self.shutdown.check(self.clock.now() + left_s + 0.1)
         self.assertGreater(refused.exception.retry_after_s, 0)
 
     async def test_idle_agent_ends_once_callers_know(self):
@@ -47,6 +48,11 @@
         self.assertGreaterEqual(self.kernel.stopping_s, BOUNDS.take_until_s)
         self.assertLess(self.kernel.stopping_s, BOUNDS.finish_until_s)
 
+    def test_requests_are_taken_only_while_a_cut_is_excused(self):
+        """Guards against long grace times that let requests in which nothing excuses to cut."""
+        self.assertLess(Bounds(grace_s=20.0).take_until_s, 3.0)
+        self.assertLess(Bounds(grace_s=6.0).take_until_s, 3.0)
+
     async def test_late_drain_keeps_to_the_same_end(self):
         """Guards against phases that count from the end of the one before them."""
         self.kernel.request_stop()
