Wait for a leave that was begun before a stop; take back a join on its way

A stop that came during a leave for the upstream's sake returned at once, so the process ended with its keys still its own, and the gate opened again because the limit of a stopped agent is longer. A join that was on its way when the stop found no member to remove was recorded afterwards, and the ended agent got keys.

--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -102,6 +102,9 @@
         self._resigned = False
         self._leave_ended = False
         self._stopping = False
+        # Whether the leave was begun for the upstream's sake, before the process was stopped.
+        self._left_before_stop = False
+        self._left = asyncio.Event()
         self._joined = False
         self._wake = asyncio.Event()
         # Agents that asked this one to record their joins with the next write.
@@ -135,7 +138,7 @@
         """Whether the upstream gets no more requests, because it leaves or is gone."""
         if not self._leaving:
             return False
-        if self._stopping and not self._resigned:
+        if self._stopping and not self._resigned and not self._left_before_stop:
             # The upstream itself stays, and while the platform is away nobody knows of the leave.
             return self._clock.now() - self._leaving_since > self._stop_timeout_s
         return self._clock.now() - self._leaving_since > self._leaving_grace_s
@@ -164,9 +167,15 @@
         self._tasks.spawn("join", self._run_join())
 
     async def drain(self) -> None:
-        """Leaves the group."""
+        """Leaves the group, or waits for a leave that was begun before."""
         self._stopping = True
-        await self.leave("agent stops")
+        self._left_before_stop = self._leaving
+        if not self._leaving:
+            await self.leave("agent stops")
+        elif not self._leave_ended:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._stop_timeout_s):
+                    await self._left.wait()
 
     async def stop(self) -> None:
         """Ends all tasks."""
@@ -228,6 +237,7 @@
             return
         _LEAVING.emit(member=self.member_id, reason=reason)
         self._leave_ended = False
+        self._left.clear()
         try:
             timeout_s = self._stop_timeout_s if self._stopping else LEAVE_TIMEOUT_S
             async with asyncio.timeout(timeout_s):
@@ -241,6 +251,7 @@
         else:
             _LEFT.emit(member=self.member_id)
         self._leave_ended = True
+        self._left.set()
         self._wake.set()
 
     async def _hand_over_all(self) -> None:
@@ -259,7 +270,7 @@
             try:
                 await self._groups.edit(self._home, change)
                 return
-            except PlatformError as error:
+            except (PlatformError, UnknownServiceError) as error:
                 if not reported:
                     _LEAVE_FAILED.emit(member=self.member_id, error=error)
                 reported = True
@@ -349,6 +360,9 @@
             return
         self._joined, self._alone = True, False
         _JOINED.emit(group=self._home, member=member.id, version=joined.version)
+        if self._leaving:
+            # The join was on its way when the leave found no member to remove.
+            await self._edit_until_done(self._remove_me)
 
     async def _record(self, home: GroupId, member: Member) -> VersionedGroup:
         """Returns the group with this agent, recorded by a member or, without one, by itself.
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -96,6 +96,38 @@
         fleet.world.advance(11)
         self.assertTrue(agent.membership.closed)
 
+    def test_stop_waits_for_a_leave_that_was_begun_before(self):
+        """Guards against keys that stay with a lost agent, and against a gate that opens again."""
+        fleet = formed(2, 2)
+        agent = fleet.agents["a0"]
+        member_id = agent.member_id
+        agent.platform.answers = Answers.REFUSED
+        agent.leave()
+        fleet.world.advance(2)
+        self.assertTrue(agent.membership.closed)
+        drained = []
+        draining = agent.membership.drain
+        agent.loop.call_soon(
+            lambda: agent.loop.create_task(draining()).add_done_callback(drained.append)
+        )
+        fleet.world.advance(0.5)
+        self.assertEqual((drained, agent.membership.closed), ([], True))
+        agent.platform.answers = Answers.GOOD
+        fleet.world.advance(2)
+        self.assertEqual(len(drained), 1)
+        self.assertNotIn(member_id, fleet.group().members)
+
+    def test_join_on_its_way_at_a_stop_is_taken_back(self):
+        """Guards against keys that are given to an agent that has stopped."""
+        fleet = formed(2, 2)
+        agent = fleet.start("a9", "d1")
+        agent.platform.answers = Answers.SLOW
+        fleet.world.advance(0.05)
+        self.assertIsNone(agent.membership.me())
+        agent.loop.call_soon(lambda: agent.loop.create_task(agent.membership.drain()))
+        fleet.world.advance(4)
+        self.assertEqual([name for name in fleet.group().members if name.startswith("a9:")], [])
+
     def test_departure_outlasts_the_time_of_a_stop(self):
         """Guards against keys that stay with an upstream that left while the platform was away.
 
