Divide the ownership of hash shards by noun

It is a package now: hash_shards (the service), tickets, releases and settlement. No change of behaviour; names that tests and the search use stay. Finding the group of this agent stood in the file six times and is one method. Its tests move to tests/services/ownership/.

--- a/fescueward/services/ownership.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -1,92 +1,36 @@
-"""Ownership of shards: activation, tickets for requests, and handover."""
+"""Ownership of hash shards: activation, tickets for requests, and handover."""
 
 from __future__ import annotations
 
 import asyncio
-import enum
 from collections import Counter
 from dataclasses import replace
-from types import TracebackType
 
-from ..interfaces import Catalogue, Grants, Groups, Lease, Membership, Outcomes, Peers
-from ..kernel import Clock, Event, Kernel, Level, Registry
-from ..kernel.errors import (
+from ...interfaces import Catalogue, Grants, Groups, Lease, Membership, Outcomes, Peers
+from ...kernel import Clock, Event, Kernel, Level, Registry
+from ...kernel.errors import (
     DrainingError,
     LeaseExpiredError,
     NotOwnerError,
-    PeerError,
-    PlatformError,
     ShardMovingError,
 )
-from ..messages import Group, GroupId, MemberState, Shard, VersionedGroup
-from ..messages.group import group_of
-from ..messages.peer import Release, Released
+from ...messages import Group, GroupId, MemberState, Shard, VersionedGroup
+from ...messages.group import group_of
+from ...messages.peer import Release, Released
+from .releases import ReleaseSender
+from .settlement import HandoverSettlement
+from .tickets import HeldShard, ShardState, ShardTicket
 
 _ACTIVE = Event(2701, "shards_active", Level.INFO, "Shards are served here from now on.")
 _RELEASING = Event(2702, "shard_releasing", Level.INFO, "A shard is being handed over.")
-_RELEASED = Event(2703, "shard_released", Level.INFO, "The successor has taken a shard.")
 _TAKEN = Event(2704, "shard_taken", Level.INFO, "A shard was taken over from its owner.")
 _DROPPED = Event(2705, "shards_dropped", Level.WARNING, "Shards are owned by others now.")
-_SETTLED = Event(2706, "handovers_settled", Level.INFO, "Handovers are recorded in the group.")
-_SETTLE_FAILED = Event(2707, "settle_failed", Level.WARNING, "A record failed; it is retried.")
-_RELEASE_RETRY = Event(2709, "release_retried", Level.INFO, "A successor has not confirmed yet.")
 
-_RELEASE_RETRY_S = 0.05
-_SETTLE_DELAY_S = 0.02
-_SETTLE_RETRY_S = 0.25
 # A leaving server that cannot hand over, because the platform is down, refuses new work after
 # this time, well below the bound of 3 s.
 _LEAVING_GRACE_S = 2.0
 
 
-class _State(enum.Enum):
-    ACTIVATING = enum.auto()
-    ACTIVE = enum.auto()
-    RELEASING = enum.auto()
-
-
-class _Held:
-    """A shard that this agent owns at `epoch`."""
-
-    def __init__(self, epoch: int, ready_at: float) -> None:
-        self.epoch = epoch
-        self.ready_at = ready_at
-        self.state = _State.ACTIVATING
-        self.in_flight = 0
-        self.idle = asyncio.Event()
-        self.idle.set()
-
-
-class ShardTicket:
-    """Permission to run one request; see `Ticket`."""
-
-    __slots__ = ("_held", "_key", "_owner", "epoch", "shard")
-
-    def __init__(self, owner: ShardOwnership, shard: int, held: _Held, key: str) -> None:
-        self.shard = shard
-        self.epoch = held.epoch
-        self._owner = owner
-        self._held = held
-        self._key = key
-
-    def __enter__(self) -> ShardTicket:
-        """Returns the ticket."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Gives the ticket back."""
-        self._owner.give_back(self._held, self._key)
-
-    def check(self) -> None:
-        """Raises `LeaseExpiredError` unless the lease is held and the shard still active."""
-        self._owner.check(self.shard, self._held)
-
-
 class ShardOwnership:
     """The `ownership` service.
 
@@ -99,12 +43,11 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._held: dict[int, _Held] = {}
+        self._held: dict[int, HeldShard] = {}
         self._released: dict[int, int] = {}
         self._keys: Counter[str] = Counter()
         self._member_id = ""
         self._changed = asyncio.Event()
-        self._settle_wanted = asyncio.Event()
         self._leaving_since: float | None = None
         self._handovers = 0
 
@@ -118,12 +61,16 @@
         self._lease = registry.find("lease", Lease)
         self._grants = registry.find("grants", Grants)
         self._outcomes = registry.find("outcomes", Outcomes)
+        self._releases = ReleaseSender(self._clock, self._peers, self._view)
+        self._settlement = HandoverSettlement(
+            self._clock, self._groups, self._membership, self._settle
+        )
         self._groups.subscribe(self)
         self._peers.on(Release, self._on_release)
 
     async def start(self) -> None:
         """Starts the record of handovers."""
-        self._tasks.spawn("settle", self._run_settle())
+        self._tasks.spawn("settle", self._settlement.run())
 
     async def stop(self) -> None:
         """Ends all tasks."""
@@ -134,7 +81,7 @@
         return {
             shard: held.epoch
             for shard, held in self._held.items()
-            if held.state is not _State.ACTIVATING
+            if held.state is not ShardState.ACTIVATING
         }
 
     @property
@@ -150,7 +97,7 @@
         """Waits while the shard of the key moves; see `Ownership.admit`."""
         while True:
             shard, held = self._find(service, key)
-            if held is not None and held.state is _State.ACTIVE:
+            if held is not None and held.state is ShardState.ACTIVE:
                 self._refuse_if_draining()
                 self._lease.check()
                 held.in_flight += 1
@@ -166,13 +113,13 @@
                     f"shard {shard} of {service!r} did not become active before the deadline"
                 ) from None
 
-    def check(self, shard: int, held: _Held) -> None:
+    def check(self, shard: int, held: HeldShard) -> None:
         """Raises `LeaseExpiredError` unless the lease is held and `held` is still current."""
         self._lease.check()
         if self._held.get(shard) is not held:
             raise LeaseExpiredError(f"shard {shard} at epoch {held.epoch} is owned elsewhere now")
 
-    def give_back(self, held: _Held, key: str) -> None:
+    def give_back(self, held: HeldShard, key: str) -> None:
         """Counts a request as finished."""
         held.in_flight -= 1
         self._keys[key] -= 1
@@ -202,7 +149,7 @@
             self._member_id = me
         if me not in group.group.members:
             return
-        new: dict[int, _Held] = {}
+        new: dict[int, HeldShard] = {}
         dropped = []
         for shard_id, shard in enumerate(group.group.shards):
             held = self._held.get(shard_id)
@@ -221,21 +168,23 @@
             self._tasks.spawn("activate", self._activate(batch))
         self._wake()
 
-    def _own(self, shard_id: int, shard: Shard, held: _Held | None, new: dict[int, _Held]) -> None:
+    def _own(
+        self, shard_id: int, shard: Shard, held: HeldShard | None, new: dict[int, HeldShard]
+    ) -> None:
         if self._released.get(shard_id, -1) >= shard.epoch:
             return
         if held is None:
             ready_at = self._clock.now() + shard.hold_ms / 1000 if shard.hold_ms else 0.0
-            held = _Held(shard.epoch, ready_at)
+            held = HeldShard(shard.epoch, ready_at)
             self._held[shard_id] = held
             self._outcomes.begin_epoch(shard_id, shard.epoch, (), 0, 0)
             new[shard_id] = held
-        elif held.epoch < shard.epoch and held.state is not _State.RELEASING:
+        elif held.epoch < shard.epoch and held.state is not ShardState.RELEASING:
             # The epoch grew without a change of owner: requests under the old one finish first.
-            held.state = _State.RELEASING
+            held.state = ShardState.RELEASING
             self._tasks.spawn("epoch", self._raise_epoch(shard_id, held))
-        if shard.successor is not None and held.state is _State.ACTIVE:
-            held.state = _State.RELEASING
+        if shard.successor is not None and held.state is ShardState.ACTIVE:
+            held.state = ShardState.RELEASING
             self._tasks.spawn("handover", self._hand_over(shard_id, held))
 
     def _drop_all(self, version: int) -> None:
@@ -247,7 +196,7 @@
         self._released.clear()
         self._grants.send_soon()
 
-    def _find(self, service: str, key: str) -> tuple[int, _Held | None]:
+    def _find(self, service: str, key: str) -> tuple[int, HeldShard | None]:
         home = self._membership.home
         groups = self._catalogue.entry(service).entry.groups
         if home is None or group_of(service, key, groups) != home:
@@ -278,8 +227,7 @@
             raise DrainingError("this server is leaving and its shards could not be handed over")
 
     def _others_exist(self) -> bool:
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        view = self._view()
         return view is not None and any(
             member.id != self._member_id and member.state is MemberState.ACTIVE
             for member in view.group.members.values()
@@ -289,7 +237,7 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    async def _activate(self, batch: dict[int, _Held]) -> None:
+    async def _activate(self, batch: dict[int, HeldShard]) -> None:
         wait_s = max(held.ready_at for held in batch.values()) - self._clock.now()
         if wait_s > 0:
             await self._clock.sleep(wait_s)
@@ -300,18 +248,17 @@
         ready = [
             held
             for shard_id, held in batch.items()
-            if self._held.get(shard_id) is held and held.state is _State.ACTIVATING
+            if self._held.get(shard_id) is held and held.state is ShardState.ACTIVATING
         ]
         for held in ready:
-            held.state = _State.ACTIVE
+            held.state = ShardState.ACTIVE
         _ACTIVE.emit(shards=len(ready), member=self._member_id)
         self._wake()
         self._recheck()
 
-    async def _await_other_shards(self, ready: dict[int, _Held]) -> None:
+    async def _await_other_shards(self, ready: dict[int, HeldShard]) -> None:
         # A key that gets a shard of its own may still be running under its hash shard here.
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        view = self._view()
         if view is None:
             return
         keys = [key for key, shard_id in view.group.exceptions.items() if shard_id in ready]
@@ -319,7 +266,7 @@
             changed = self._changed
             await changed.wait()
 
-    async def _raise_epoch(self, shard_id: int, held: _Held) -> None:
+    async def _raise_epoch(self, shard_id: int, held: HeldShard) -> None:
         await held.idle.wait()
         shard = self._shard(shard_id)
         if self._held.get(shard_id) is not held or shard is None:
@@ -328,7 +275,7 @@
             return
         exported = self._outcomes.export(shard_id)
         lineage = (*exported.lineage, held.epoch)
-        renewed = _Held(shard.epoch, held.ready_at)
+        renewed = HeldShard(shard.epoch, held.ready_at)
         self._held[shard_id] = renewed
         self._outcomes.begin_epoch(
             shard_id, shard.epoch, lineage, exported.floor, exported.next_sequence
@@ -336,19 +283,21 @@
         await self._activate({shard_id: renewed})
 
     def _recheck(self) -> None:
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        view = self._view()
         if view is not None:
             self.group_changed(view)
 
-    def _shard(self, shard_id: int) -> Shard | None:
+    def _view(self) -> VersionedGroup | None:
         home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        return self._groups.view(home) if home is not None else None
+
+    def _shard(self, shard_id: int) -> Shard | None:
+        view = self._view()
         if view is None or shard_id >= len(view.group.shards):
             return None
         return view.group.shards[shard_id]
 
-    async def _hand_over(self, shard_id: int, held: _Held) -> None:
+    async def _hand_over(self, shard_id: int, held: HeldShard) -> None:
         self._handovers += 1
         try:
             await self._release(shard_id, held)
@@ -356,7 +305,7 @@
             self._handovers -= 1
             self._wake()
 
-    async def _release(self, shard_id: int, held: _Held) -> None:
+    async def _release(self, shard_id: int, held: HeldShard) -> None:
         _RELEASING.emit(shard=shard_id, epoch=held.epoch)
         await held.idle.wait()
         shard = self._shard(shard_id)
@@ -387,29 +336,10 @@
             floor=exported.floor,
             outcomes=exported.outcomes,
         )
-        await self._send_release(release)
+        await self._releases.send(release, lambda: self._released.get(shard_id) == held.epoch)
         if shard_id not in self._held:
             self._outcomes.end_epoch(shard_id)
 
-    async def _send_release(self, release: Release) -> None:
-        while self._released.get(release.shard) == release.epoch:
-            home = self._membership.home
-            view = self._groups.view(home) if home is not None else None
-            member = view.group.members.get(release.to_id) if view is not None else None
-            if member is None or view is None:
-                return
-            if view.group.shards[release.shard].successor != release.to_id:
-                return
-            call = self._peers.next_call()
-            try:
-                reply = await self._peers.call(member, replace(release, call=call), call)
-                if isinstance(reply, Released) and reply.accepted:
-                    _RELEASED.emit(shard=release.shard, epoch=release.epoch, to=release.to_id)
-                    return
-            except PeerError as error:
-                _RELEASE_RETRY.emit(shard=release.shard, to=release.to_id, error=error)
-            await self._clock.sleep(_RELEASE_RETRY_S)
-
     def _on_release(self, sender: str, message: Release) -> None:
         self._tasks.spawn("take", self._take(sender, message))
 
@@ -431,7 +361,7 @@
             return False
         if sender != message.from_id or shard.owner != sender or held is not None:
             return False
-        taken = _Held(message.epoch + 1, 0.0)
+        taken = HeldShard(message.epoch + 1, 0.0)
         self._held[message.shard] = taken
         self._outcomes.begin_epoch(
             message.shard, taken.epoch, message.lineage, message.floor, message.next_sequence
@@ -439,26 +369,9 @@
         self._outcomes.import_outcomes(message.shard, message.outcomes)
         _TAKEN.emit(shard=message.shard, epoch=taken.epoch, source=sender)
         self._tasks.spawn("activate", self._activate({message.shard: taken}))
-        self._settle_wanted.set()
+        self._settlement.request()
         return True
 
-    async def _run_settle(self) -> None:
-        while True:
-            await self._settle_wanted.wait()
-            # A short delay puts the shards of one move into one write.
-            await self._clock.sleep(_SETTLE_DELAY_S)
-            self._settle_wanted.clear()
-            home = self._membership.home
-            if home is None:
-                continue
-            try:
-                settled = await self._groups.edit(home, self._settle)
-                _SETTLED.emit(version=settled.version)
-            except PlatformError as error:
-                _SETTLE_FAILED.emit(error=error)
-                self._settle_wanted.set()
-                await self._clock.sleep(_SETTLE_RETRY_S)
-
     def _settle(self, group: Group) -> Group | None:
         shards = list(group.shards)
         for shard_id, held in self._held.items():
@@ -470,5 +383,5 @@
         return replace(group, shards=tuple(shards))
 
 
-def _released_to_me(shard: Shard, held: _Held, me: str) -> bool:
+def _released_to_me(shard: Shard, held: HeldShard, me: str) -> bool:
     return shard.successor == me and held.epoch == shard.epoch + 1
--- /dev/null
+++ b/tests/services/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ownership of shards."""
--- a/tests/services/test_ownership.py
+++ b/tests/services/ownership/test_hash_shards.py
@@ -9,10 +9,10 @@
 from fescueward.messages.codec import encode_json
 from fescueward.messages.peer import Release
 
-from .fleet import HOME, Fleet, SimulatedAgent
-from .test_membership import move, shards_of
-from .test_recovery_time import formed
-from .timed_fakes import Answers
+from ..fleet import HOME, Fleet, SimulatedAgent
+from ..test_membership import move, shards_of
+from ..test_recovery_time import formed
+from ..timed_fakes import Answers
 
 
 def _key(fleet: Fleet, shard: int) -> str:
