Put the logs command into a folder, divided by noun

No change of behaviour; the state of a process in a file is a plain class, as it changes.

scripts/test tests.cli tests.docs: 51 passed, 0 failed, 0 skipped (51 before).

--- a/fescueward/cli/exits.py
+++ b/fescueward/cli/exits.py
@@ -25,7 +25,7 @@
 )
 from ..kernel.settings import BadSettingsError
 from .client import AnsweredError
-from .log_files import LogFileError
+from .logs import LogFileError
 
 
 class ExitCode(enum.IntEnum):
--- /dev/null
+++ b/fescueward/cli/logs/__init__.py
@@ -0,0 +1,7 @@
+"""The `logs` command: one request in the logs of many agents."""
+
+from .files import LogFileError
+from .search import RequestNotLoggedError, search
+from .text import request_log_lines
+
+__all__ = ["LogFileError", "RequestNotLoggedError", "request_log_lines", "search"]
--- a/fescueward/cli/beliefs.py
+++ b/fescueward/cli/logs/beliefs.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
-from .log_files import LogLine
+from .files import LogLine
 
 K = TypeVar("K", bound=Hashable)
 
--- a/fescueward/cli/log_files.py
+++ b/fescueward/cli/logs/files.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ..kernel import FescuewardError
+from ...kernel import FescuewardError
 
 # Longest line that is read, in bytes. The longest lines of an agent name a few thousand ranges.
 _LINE_BYTES = 1024 * 1024
--- a/fescueward/cli/log_tables.py
+++ b/fescueward/cli/logs/text.py
@@ -6,10 +6,11 @@
 from dataclasses import fields
 from typing import Any
 
+from ..tables import wrap
+from .answer import RequestLog, Summary
 from .beliefs import Beliefs
-from .log_files import LogLine
-from .request_log import RequestLog, Summary, covers
-from .tables import wrap
+from .files import LogLine
+from .route import covers
 
 # Fields of a line that its head shows already, or that say nothing here.
 _HEAD_FIELDS = frozenset(("time", "level", "event", "name", "request"))
--- a/fescueward/cli/main.py
+++ b/fescueward/cli/main.py
@@ -22,8 +22,7 @@
 from .client import AdministrationClient, AnsweredError
 from .entries import differences, read_entry, write_entry
 from .exits import reported
-from .log_tables import request_log_lines
-from .request_log import search
+from .logs import request_log_lines, search
 
 app = typer.Typer(
     no_args_is_help=True,
--- /dev/null
+++ b/tests/cli/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the `logs` command."""
--- a/tests/cli/test_beliefs.py
+++ b/tests/cli/logs/test_beliefs.py
@@ -8,12 +8,13 @@
 from unittest import mock
 
 from fescueward import docs
-from fescueward.cli import beliefs, request_log
-from fescueward.cli.beliefs import BELIEF_EVENTS, Belief, Beliefs, BeliefTracker
-from fescueward.cli.log_files import read_lines
+from fescueward.cli.logs import beliefs, route
+from fescueward.cli.logs.beliefs import BELIEF_EVENTS, Belief, Beliefs, BeliefTracker
+from fescueward.cli.logs.files import read_lines
+from fescueward.cli.logs.search import _REFUSED
 from fescueward.kernel import events
 
-from .log_samples import EVENTS, line
+from .samples import EVENTS, line
 
 
 class BeliefsTest(unittest.TestCase):
@@ -112,9 +113,9 @@
         numbers = {event.name: event.number for event in events()}
         names = {
             *BELIEF_EVENTS,
-            *request_log._REFUSED,
-            *request_log._SENT,
-            *request_log._LAST_OF_AN_AGENT,
+            *_REFUSED,
+            *route._SENT,
+            *route._LAST_OF_AN_AGENT,
         }
         self.assertEqual(names - set(numbers), set())
         for name, number in EVENTS.items():
--- a/tests/cli/test_request_log.py
+++ b/tests/cli/logs/test_search.py
@@ -6,13 +6,12 @@
 from pathlib import Path
 from unittest import mock
 
-from fescueward.cli import log_files, request_log
 from fescueward.cli.exits import ExitCode
-from fescueward.cli.log_tables import request_log_lines
-from fescueward.cli.request_log import ProcessEnd, RequestLog, search
+from fescueward.cli.logs import request_log_lines, search
+from fescueward.cli.logs.answer import ProcessEnd, RequestLog
 
-from .log_samples import line, started
-from .test_commands import FilesTest, run
+from ..test_commands import FilesTest, run
+from .samples import line, started
 
 ID = "f04d6c05f57db934"
 OTHER = "c59304506f169fcd"
@@ -115,13 +114,13 @@
 
     def test_long_line_is_passed_over(self):
         """Guards against a file without line ends that fills the memory."""
-        with mock.patch.object(log_files, "_LINE_BYTES", 1000):
+        with mock.patch("fescueward.cli.logs.files._LINE_BYTES", 1000):
             summary = self.search(a1="x" * 5000 + "\n" + received(1)).summary
         self.assertEqual((summary.lines, summary.not_json), (1, 1))
 
     def test_kept_lines_are_bounded(self):
         """Guards against a request in a loop that fills the memory."""
-        with mock.patch.object(request_log, "MOST_LINES", 3):
+        with mock.patch("fescueward.cli.logs.search.MOST_LINES", 3):
             found = self.search(a1="".join(map(received, range(10))))
         self.assertEqual((len(found.lines), found.summary.not_shown), (3, 7))
 
