Inform restarted agents while the platform is away for all

Cause: only watchers whose own watch works tell what they know, and none works in such an outage. Ruled out: informing by all agents, since a whole fleet would dial each restarted agent.

Change: an agent that sees no platform tells the four names before its own, so each restarted agent is told by four. The receiving side was there.

--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -59,6 +59,9 @@
 _COMPARE_DELAY_S = 0.2
 # A member that names one of so many earlier states is behind and fetches by itself.
 _PAST_VERSIONS = 64
+# Members that one agent tells what it knows in an outage of the platform: more than the monitors of
+# a member, so that one is left when some are restarted with it.
+_TOLD_IN_OUTAGE = 4
 _EDIT_ATTEMPTS = 40
 _EDIT_BACKOFF_S = 0.01
 
@@ -630,8 +633,25 @@
             await self._clock.sleep(_WATCH_STATUS_S)
             home = self._membership.home
             view = self._views.get(home) if home is not None else None
-            if view is None or not self._watch_healthy or not self._is_watcher():
+            if view is None or not self._is_watcher():
                 continue
             members = self._fleet() if self._fleet_wide else view.group.members
-            status = WatchStatus(self._membership.member_id, True, self.versions())
-            self._send_status(members, status)
+            if not self._watch_healthy:
+                if not self._fleet_wide:
+                    continue
+                members = self._told_in_outage(members)
+            me = self._membership.member_id
+            self._send_status(members, WatchStatus(me, self._watch_healthy, self.versions()))
+
+    def _told_in_outage(self, members: dict[str, Member]) -> dict[str, Member]:
+        """Returns the few members that this agent tells what it knows while it sees no platform.
+
+        While the platform is away for all, no watcher informs agents that were restarted. Then
+        every agent is responsible for the ones before it in the order of names, be it itself
+        restarted or not, so that a large fleet does not dial one agent at once.
+        """
+        mine = self._membership.member_id.rpartition(":")[0]
+        names = sorted({member.name for member in members.values()} | {mine})
+        at = names.index(mine)
+        told = {names[at - step] for step in range(1, min(_TOLD_IN_OUTAGE, len(names) - 1) + 1)}
+        return {member.id: member for member in members.values() if member.name in told}
--- a/tests/services/test_groups.py
+++ b/tests/services/test_groups.py
@@ -236,6 +236,24 @@
         store._send_status({"b:1": member("b")}, WatchStatus("w:1", True, Versions(0, 5)))
         self.assertEqual(peers.sent, [])
 
+    async def test_few_agents_inform_a_restarted_one_in_an_outage(self):
+        """Guards against a restarted agent that nobody tells while the platform is away for all.
+
+        Found by tests/integration/test_site.py: only watchers whose own watch works told it.
+        """
+        members = {f"m{number}:1": member(f"m{number}") for number in range(9)}
+        told = {
+            name: set(self.store(name, RecordingPeers())._told_in_outage(members))
+            for name in (*members, "m3:2")
+        }
+        for name in members:
+            tellers = [one for one in members if name in told[one]]
+            self.assertEqual((len(tellers), name in tellers), (4, False))
+        self.assertEqual(told["m3:2"], told["m3:1"])
+        pair = {name: members[name] for name in ("m0:1", "m1:1")}
+        store = self.store("m1:1", RecordingPeers())
+        self.assertEqual(set(store._told_in_outage(pair)), {"m0:1"})
+
     async def test_restarted_agent_learns_from_the_others(self):
         """Guards against an agent that serves nobody until the platform is back."""
         peers = RecordingPeers()
