Release the keys of the last member before it leaves

Cause: a leaving member waited for its ranges to go to others only if there were others. Alone, it removed itself at once, and its upstream held the last grant for up to 1.7 s. Ruled out: a late grant; the last one of catalogue-1 came before its leave.

Change: with nobody to take them, the ranges are released before the member is removed, and not granted again unless the leave is taken back. The new test fails without the change.

--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -59,8 +59,8 @@
 _COMPARE_DELAY_S = 0.2
 # A member that names one of so many earlier states is behind and fetches by itself.
 _PAST_VERSIONS = 64
-# Members that one agent tells what it knows in an outage of the platform: more than the monitors of
-# a member, so that one is left when some are restarted with it.
+# Members that one agent tells what it knows in an outage of the platform: more than the monitors
+# of a member, so that one is left when some are restarted with it.
 _TOLD_IN_OUTAGE = 4
 _EDIT_ATTEMPTS = 40
 _EDIT_BACKOFF_S = 0.01
--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -81,10 +81,7 @@
 
     async def run(self, home: GroupId, leaving: list[KeyRange]) -> None:
         """Releases ranges and returns when the group names their new owners."""
-        held_until = self._held_until
-        tokens = await asyncio.gather(*(self._release(found, held_until) for found in leaving))
-        await self._await_unanswered(leaving)
-        released = dict(zip(map(range_id, leaving), tokens, strict=True))
+        released = await self.give_back(leaving)
         commit = _commit(released, self._membership.member_id)
         written = await self._recorded_by_planner(home, released, commit)
         while written is None:
@@ -100,6 +97,17 @@
             ranges=[(found.first, found.last, found.successor) for found in leaving],
         )
 
+    async def give_back(self, leaving: list[KeyRange]) -> dict[RangeId, str]:
+        """Takes ranges back from the upstream, which holds none of them afterwards.
+
+        Returns:
+            The token of each range that spares its next owner a cold start; empty without one.
+        """
+        held_until = self._held_until
+        tokens = await asyncio.gather(*(self._release(found, held_until) for found in leaving))
+        await self._await_unanswered(leaving)
+        return dict(zip(map(range_id, leaving), tokens, strict=True))
+
     async def _recorded_by_planner(
         self, home: GroupId, released: dict[RangeId, str], commit: GroupChange
     ) -> VersionedGroup | None:
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -87,6 +87,9 @@
         # Grants that were sent and not answered yet.
         self._on_their_way: dict[RangeId, asyncio.Task[None]] = {}
         self._handover = RangeHandover(self._tasks)
+        # Ranges that a leaving upstream gives back although nobody takes them yet.
+        self._withheld: set[RangeId] = set()
+        self._returning: asyncio.Task[None] | None = None
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -144,10 +147,33 @@
                     await changed.wait()
 
     async def drained(self) -> None:
-        """Waits until no range is owned here that another member could take."""
-        while self._handing or (self._owns_any() and self._others_exist()):
-            changed = self._changed
-            await changed.wait()
+        """Waits until others own the ranges of here, or the upstream holds none if there are none.
+
+        The next member that joins is granted the ranges at once.
+        """
+        while True:
+            if self._handing or (self._owns_any() and self._others_exist()):
+                changed = self._changed
+                await changed.wait()
+                continue
+            held = [
+                one for found_id, one in self._wanted.items() if found_id not in self._withheld
+            ]
+            if held:
+                self._withheld.update(map(range_id, held))
+                self._returning = self._tasks.spawn("return", self._give_back(held))
+            if self._returning is None or self._returning.done():
+                return
+            # The caller asks again after a time limit, which must not end the release.
+            await asyncio.wait((self._returning,))
+
+    async def _give_back(self, held: list[KeyRange]) -> None:
+        for found in held:
+            self._expires.pop(range_id(found), None)
+        self._index()
+        if self._on_their_way:
+            await asyncio.wait(self._on_their_way.values())
+        await self._handover.give_back(held)
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Activates, hands over and drops ranges as the group object says."""
@@ -158,6 +184,10 @@
         mine = [found for found in group.group.ranges if found.owner == me]
         wanted = {range_id(found): found for found in mine if found.successor is None}
         self._handing &= {range_id(found) for found in mine}
+        member = group.group.members.get(me)
+        if member is None or member.state is MemberState.ACTIVE:
+            # The leave has ended or was taken back.
+            self._withheld.clear()
         expires: dict[RangeId, float] = {}
         for found_id in wanted:
             if found_id not in self._handing:
@@ -280,7 +310,9 @@
         return [
             found
             for found_id, found in self._wanted.items()
-            if found_id not in self._handing and self._expires.get(found_id, 0.0) < soon
+            if found_id not in self._handing
+            and found_id not in self._withheld
+            and self._expires.get(found_id, 0.0) < soon
         ]
 
     async def _grant(self, found: KeyRange) -> None:
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -32,3 +32,10 @@
         Stops, leaves of upstreams and outages of the store overlap in this plan.
         """
         self.play(4)
+
+    def test_seed_205(self):
+        """Guards against a last member that leaves while its upstream still holds the keys.
+
+        Upstreams of a keyed service leave one after the other in this plan.
+        """
+        self.play(205)
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -16,7 +16,7 @@
     UpstreamUnavailableError,
 )
 from fescueward.messages import Announcement, Group, GroupId, VersionedGroup
-from fescueward.messages.group import KeyRange
+from fescueward.messages.group import KeyRange, MemberState
 from fescueward.services.keyspace import handover, moves
 from fescueward.services.keyspace.ownership import RangeOwnership
 from tests.services.fakes import StubRegistry
@@ -284,6 +284,34 @@
         self.probe.grants_open.set()
         self.assertGreater((await admitted).epoch, self.mine.epoch)
 
+    async def test_last_member_releases_its_keys(self):
+        """Guards against a member that joins and is granted keys which the last one still holds.
+
+        Found by the soak, seed 205: the holds overlapped for 0.63 s after an ordered leave.
+        """
+        self.lease.expires_at = CLOCK.now() + 5
+        alone = moves.assigned(joined(Group("depot", 0, 1), member("a")))
+        self.groups.publish(alone)
+        await self.ownership.admit("depot", "5", CLOCK.now() + 1)
+        leaving = replace(alone.members["a:1"], state=MemberState.LEAVING)
+        self.groups.publish(replace(alone, members={"a:1": leaving}))
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                with mock.patch.object(self.probe, "release_range", self._never):
+                    await self.ownership.drained()
+        await self.ownership.drained()
+        first, last = alone.ranges[0].first, alone.ranges[-1].last
+        self.assertEqual(self.probe.calls[-1], ("release", first, last))
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.probe.calls[-1][0], "release", "granted again")
+        # The leave is taken back.
+        self.groups.publish(alone)
+        await self.ownership.admit("depot", "5", CLOCK.now() + 1)
+
+    async def _never(self, found: KeyRange) -> str:
+        await asyncio.sleep(0.2)
+        raise UpstreamUnavailableError("no answer yet")
+
     async def test_new_start_waits_for_a_higher_epoch(self):
         """Guards against a new start of an upstream that gets keys under the epoch of the last.
 
