--- a/fescueward/testing/site/deployment.py
+++ b/fescueward/testing/site/deployment.py
@@ -134,15 +134,18 @@
         assert self._directory is not None
         return self._directory
 
-    async def wait_ready(self) -> None:
+    async def wait_ready(self, timeout_s: float = _READY_TIMEOUT_S) -> None:
         """Waits until all agents are ready.
 
+        Args:
+            timeout_s: How long, in seconds.
+
         Raises:
             ConditionTimeoutError: One is not.
         """
         await wait_until(
             lambda: all(machine.callers.ready for machine in self.machines.values()),
-            _READY_TIMEOUT_S,
+            timeout_s,
             "all agents are ready",
         )
 
