Hold the lease from the write by which an agent joins

Cause: a new member has no acknowledgement yet, so it renewed by a write of its own at once. Monitors wait for a lease from when they first see a member, which is after its join was sent, exactly as they do after a stamp. The join itself therefore is a renewal that counts from when it was sent.

--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -82,11 +82,24 @@
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Begins to renew at once when this agent has joined."""
+        """Holds the lease from the write by which this agent joined.
+
+        Monitors wait for a lease from when they see a new member, which is after that write was
+        sent, as they do after a stamp.
+        """
         me = self._membership.me()
-        if me is not None and me.id != self._seen_id:
-            self._seen_id = me.id
+        if me is None or me.id == self._seen_id:
+            return
+        self._seen_id = me.id
+        sent = self._groups.sent_at(group)
+        if sent is None:
             self._joined.set()
+            return
+        self._acknowledged_at = max(self._acknowledged_at, sent)
+        self._extend(me.id, sent)
+        for monitor_id in me.monitors:
+            if (monitor := group.group.members.get(monitor_id)) is not None:
+                self._peers.dial(monitor)
 
     async def acquired(self) -> None:
         """Waits until the lease is held."""
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -92,3 +92,34 @@
         fleet.world.advance(1.3)
         self.assertFalse(agent.lease.held)
         self.assertEqual(agent.serving(), {})
+
+
+class JoinTest(unittest.TestCase):
+    def test_join_takes_one_write(self):
+        """Guards against a start whose members each write their group a second time."""
+        fleet = formed(4, 2)
+        agent = fleet.start("a4", "d0")
+        held = []
+        for _ in range(60):
+            fleet.world.advance(0.05)
+            if agent.membership.me() is not None:
+                held.append(agent.lease.held)
+        self.assertTrue(held)
+        self.assertTrue(all(held))
+        self.assertEqual(fleet.group().members[agent.member_id].stamp, 0)
+
+    def test_lease_of_a_join_counts_from_its_write(self):
+        """Guards against a lease that ends after the monitors have stopped to wait for it."""
+        fleet = formed(4, 2)
+        agent = fleet.start("a4", "d0")
+        sent = []
+        put = agent.platform.put
+
+        async def noted(key, value, version):
+            sent.append(agent.lease._clock.now())
+            return await put(key, value, version)
+
+        agent.platform.put = noted
+        while agent.membership.me() is None:
+            fleet.world.advance(0.01)
+        self.assertEqual(agent.lease.expires_at, sent[-1] + agent.lease._lease_s)
