Hand keys over before a join is taken back

Found in review: a join that is on its way when a leave finds no member is taken back by a write that removes the member at once. It may have got keys by then, those of its earlier start in the same write, and its upstream may hold a grant of them while the write gives them to another. The agent now hands over what it got, resigns and then removes itself, as a leave does. test_leave_that_begins_during_the_join failed before with two owners: "shard 0 is served by a1:4 and a2:7 at 3", for an agent that was started again.

--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -361,8 +361,14 @@
         self._joined, self._alone = True, False
         _JOINED.emit(group=self._home, member=member.id, version=joined.version)
         if self._leaving:
-            # The join was on its way when the leave found no member to remove.
-            await self._edit_until_done(self._remove_me)
+            await self._withdraw()
+
+    async def _withdraw(self) -> None:
+        """Leaves the group after a join that was on its way when a leave found no member."""
+        await self._hand_over_all()
+        self._resigned = True
+        await self._edit_until_done(self._remove_me)
+        _LEFT.emit(member=self.member_id)
 
     async def _record(self, home: GroupId, member: Member) -> VersionedGroup:
         """Returns the group with this agent, recorded by a member or, without one, by itself.
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -272,6 +272,23 @@
         )
         self.assertTrue(restarted.lease.held)
 
+    def test_leave_that_begins_during_the_join(self):
+        """Guards against a member that gets keys for an upstream that left before it joined."""
+        for restarted in (False, True):
+            with self.subTest(restarted=restarted):
+                fleet = formed(3, 3)
+                fleet.agents["a0"].platform.answers = Answers.SLOW
+                name, boot = ("a2", fleet.agents["a2"].boot) if restarted else ("a5", "")
+                agent = fleet.start(name, "d2", boot)
+                fleet.world.advance(0.2)
+                self.assertNotIn(agent.member_id, fleet.group().members)
+                agent.leave()
+                fleet.world.advance(6)
+                names = {member.name for member in fleet.group().members.values()}
+                self.assertNotIn(name, names)
+                self.assertTrue(agent.membership.closed)
+                self.assertTrue(fleet.served(), fleet.owners())
+
     def test_busy_recorder_is_waited_for(self):
         """Guards against agents that all write for themselves while the recorder is busy."""
         fleet = formed(3, 3)
