--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -43,16 +43,12 @@
     return tuple(joined)
 
 
-def compacted(group: Group, fresh: Container[str] = ()) -> Group:
+def compacted(group: Group) -> Group:
     """Joins neighbours with one owner at the higher of their epochs.
 
     Each range is a grant of its own, which is renewed several times in the time of a lease. The
     epoch stays above that of every other owner of the keys. A handover token is dropped, so the
     neighbours must have been granted before.
-
-    Args:
-        group: The group.
-        fresh: Ids of the members whose ranges may not have been granted yet.
     """
     joined: list[KeyRange] = []
     for found in group.ranges:
@@ -61,7 +57,6 @@
             last is not None
             and last.owner is not None
             and last.owner == found.owner
-            and last.owner not in fresh
             and last.successor is None
             and found.successor is None
         ):
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -30,7 +30,7 @@
 _TARGET_USAGE = 0.8
 # A member at this utilisation has given enough work away.
 _RELIEVED = 0.55
-# Time for a move to show in the reports of its members before their next one, in seconds.
+# Time for a move to show in the reports before the next one, in seconds.
 _MOVE_PAUSE_S = 1.2
 # Most blocks that one round moves from one member and from all; each is a release and a grant.
 _MOST_BLOCKS = 40
@@ -59,8 +59,7 @@
         self._members_since = 0.0
         # Since when the group has members and no keys were given out, as far as it is so.
         self._unplaced_since: float | None = None
-        # When a plan last moved ranges from or to a member, by member id.
-        self._moved_at: dict[str, float] = {}
+        self._moved_at = 0.0
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -119,7 +118,7 @@
             return
         if written is None:
             return
-        self._note_moves(written.group)
+        self._moved_at = self._clock.now()
         moving = [found for found in written.group.ranges if found.successor is not None]
         _MOVED.emit(
             group=view.group.id,
@@ -182,31 +181,19 @@
         )
 
     def _planned(self, group: Group, reports: dict[str, RangeLoad]) -> Group | None:
+        now = self._clock.now()
         if not group.ranges:
             return None
-        fresh = self._fresh()
-        reports = {
-            member_id: report
-            for member_id, report in _without_moving(group, reports).items()
-            if member_id not in fresh
-        }
-        # Other members got their ranges a while ago, so the handover tokens are used up.
-        joined = moves.compacted(group, fresh)
+        if now - self._moved_at < _MOVE_PAUSE_S:
+            return None
+        reports = _without_moving(group, reports)
+        # The last moves were granted a while ago, so their handover tokens are used up.
+        joined = moves.compacted(group)
         planned = gathered(rebalanced(joined, reports), reports)
         if planned == joined and len(group.ranges) - len(joined.ranges) < _WORTH_JOINING:
             return None
         return planned
 
-    def _note_moves(self, group: Group) -> None:
-        now = self._clock.now()
-        moved = dict.fromkeys(_moving(group), now)
-        self._moved_at = {**{one: self._moved_at[one] for one in self._fresh()}, **moved}
-
-    def _fresh(self) -> frozenset[str]:
-        """Returns the members whose last move does not show in their reports yet."""
-        oldest = self._clock.now() - _MOVE_PAUSE_S
-        return frozenset(one for one, at in self._moved_at.items() if at > oldest)
-
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(_ROUND_S)
@@ -218,19 +205,13 @@
 
     A handover can last as long as its member is cut off; the others must not wait for it.
     """
-    moving = _moving(group)
-    return {member_id: report for member_id, report in reports.items() if member_id not in moving}
-
-
-def _moving(group: Group) -> frozenset[str]:
-    """Returns the ids of the members that give or take a range now."""
-    return frozenset(
+    moving = {
         member_id
         for found in group.ranges
         if found.successor is not None
         for member_id in (found.owner, found.successor)
-        if member_id is not None
-    )
+    }
+    return {member_id: report for member_id, report in reports.items() if member_id not in moving}
 
 
 def rebalanced(group: Group, reports: dict[str, RangeLoad]) -> Group:
@@ -277,7 +258,7 @@
 
     Args:
         group: The group.
-        reports: Measured work by member id; ranges do not go from or to others.
+        reports: Measured work by member id; ranges of members without a report stay.
     """
     active = {member.id for member in moves.active_members(group)}
     width = _SMALL_BLOCKS * BLOCK_KEYS
@@ -291,7 +272,6 @@
             found.successor is None
             and found.owner != wide_owner
             and wide_owner in active
-            and wide_owner in reports
             and returns < _MOST_RETURNS
             and found.owner in reports
             and _work_of(found, reports[found.owner]) < _COLD_WORK
