--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -39,11 +39,6 @@
         self._supervisor: asyncio.Task[None] | None = None
         self._forced = False
 
-    @property
-    def pid(self) -> int:
-        """Process id of the present start."""
-        return self._process.pid
-
     @property
     def name(self) -> str:
         """Name of the agent."""
