Count a join that another member recorded as the first renewal

What was seen: on the merge of recorded joins with the lease that is held from an agent's own join, test_join_takes_one_write fails: a member whose join the recorder wrote has no write of its own, and stamps its group at once.

Now membership tells the lease when it begins to join as which member, and the lease counts from there once a group names that member, whoever wrote it. It is safe for the same reason: no monitor waits from an earlier moment than the write that names the member, and that write comes after the join began. A join that is seen later than a lease lasts is followed by a stamp as before. The id of the last own write, by which the join was known, is not needed any more.

--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -70,14 +70,6 @@
         """
         ...
 
-    def sent_at(self, group: VersionedGroup) -> float | None:
-        """Returns when this agent sent the write that made a version.
-
-        Returns:
-            Seconds of CLOCK_BOOTTIME, or None for a version of another write than its last.
-        """
-        ...
-
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
         """Reads, changes and writes until a write succeeds or `change` returns None.
 
--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -89,6 +89,18 @@
         """Raises `LeaseExpiredError` unless the lease is held now."""
         ...
 
+    def begin(self, member_id: str, sent: float) -> None:
+        """Makes the join of a member its first renewal, once a group names it.
+
+        No monitor waits from an earlier moment than the write that names the member, and that
+        write comes after `sent`, whoever makes it.
+
+        Args:
+            member_id: The member that this agent will be.
+            sent: A time before the join is sent, in seconds of CLOCK_BOOTTIME.
+        """
+        ...
+
     async def write_stamp(self) -> bool:
         """Renews by a conditional write of a new stamp, also while monitors acknowledge.
 
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups.py
@@ -127,8 +127,6 @@
         # What this agent knew before, so that members that are behind can be told from others.
         self._past: deque[Versions] = deque(maxlen=_PAST_VERSIONS)
         self._comparison: asyncio.Task[None] | None = None
-        # Id and time of the last write of this agent. Its version can be seen before its answer.
-        self._own_edit = ("", 0.0)
         self._listening_since = 0.0
 
     def bind(self, registry: Registry) -> None:
@@ -207,7 +205,6 @@
     async def write(self, base: VersionedGroup, group: Group) -> VersionedGroup:
         """Makes one conditional write on the version of `base`."""
         group = replace(group, edit_id=uuid.uuid4().hex)
-        self._own_edit = (group.edit_id, self._clock.now())
         version = await self._platform.put(group.id.object_key, encode_json(group), base.version)
         written = VersionedGroup(version, group)
         self.observe(written)
@@ -217,11 +214,6 @@
             self._tell_members(written, publication(base, written))
         return written
 
-    def sent_at(self, group: VersionedGroup) -> float | None:
-        """Tells when this agent sent the write of a version; see `Groups.sent_at`."""
-        edit_id, sent = self._own_edit
-        return sent if edit_id and group.group.edit_id == edit_id else None
-
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
         """Reads, changes and writes until a write succeeds; see `Groups.edit`.
 
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -44,6 +44,8 @@
         self._acknowledged_at = 0.0
         self._member_id = ""
         self._seen_id = ""
+        # Member that this agent joins as, and a time before that was sent.
+        self._joining = ("", 0.0)
         self._joined = asyncio.Event()
         self._extended = asyncio.Event()
         self._was_held = False
@@ -82,17 +84,17 @@
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Holds the lease from the write by which this agent joined.
+        """Holds the lease from the join of this agent, which another member may have recorded.
 
-        Monitors wait for a lease from when they see a new member, which is after that write was
+        Monitors wait for a lease from when they see a new member, which is after the join was
         sent, as they do after a stamp.
         """
         me = self._membership.me()
         if me is None or me.id == self._seen_id:
             return
         self._seen_id = me.id
-        sent = self._groups.sent_at(group)
-        if sent is None:
+        member_id, sent = self._joining
+        if member_id != me.id:
             self._joined.set()
             return
         self._acknowledged_at = max(self._acknowledged_at, sent)
@@ -151,6 +153,10 @@
             _WRITE_FAILED.emit(member=me.id, error=error)
             return False
 
+    def begin(self, member_id: str, sent: float) -> None:
+        """Makes a join the first renewal; see `Lease.begin`."""
+        self._joining = (member_id, sent)
+
     async def write_stamp(self) -> bool:
         """Renews by a conditional write; see `Lease.write_stamp`."""
         me = self._membership.me()
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from pathlib import Path
 
-from ..interfaces import Admission, Groups, Ownership, Peers, Placement
+from ..interfaces import Admission, Groups, Lease, Ownership, Peers, Placement
 from ..interfaces.groups import GroupChange
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
@@ -157,6 +157,7 @@
         self._placement = registry.find("placement", Placement)
         self._ownership = registry.find("ownership", Ownership)
         self._admission = registry.find("admission", Admission)
+        self._lease = registry.find("lease", Lease)
         self._groups.subscribe(self)
         self._lease_s = self._settings.lease.lease_ms / 1000
         self._peers.on(JoinRequest, self._on_join_request)
@@ -342,6 +343,7 @@
     async def _join(self, announced: Announcement) -> None:
         assert self._home is not None
         member = self._member(announced)
+        self._lease.begin(member.id, self._clock.now())
         try:
             joined = await self._record(self._home, member)
         except (PlatformError, PeerError, UnknownServiceError) as error:
