--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -60,6 +60,9 @@
 )
 
 _RETRY_S = 0.2
+# Time in which a member collects joins for one write, in seconds. Each version of a group goes to
+# all agents, and the processes of a fleet start within some tenths of a second.
+_COLLECT_S = 0.1
 _VACATE_PERIOD_S = 0.5
 # Leaving waits for the platform at most this long, if the process is not stopped before; the lease
 # of a stopped agent ends by itself.
@@ -441,6 +444,7 @@
     async def _record_joins(self, home: GroupId) -> None:
         # What comes while a write is on its way goes into the next one.
         while self._joining:
+            await self._clock.sleep(_COLLECT_S)
             requests, self._joining = tuple(self._joining), []
             members = tuple(request.member for request in requests)
             written: VersionedGroup | None = None
