Let the members in the test of transfers join one after another

The test ends an outage in the middle of a transfer of monitors, and needs starts in which there are transfers. Members whose joins are recorded by one write have well placed monitors at once, so there were none.

--- a/tests/services/test_monitor.py
+++ b/tests/services/test_monitor.py
@@ -110,6 +110,8 @@
                 with patch("fescueward.services.monitor.transfer_monitored", begin_outage):
                     for number in range(6):
                         fleet.start(f"a{number}", f"d{number % 3}")
+                        # Members that are recorded together have well placed monitors at once.
+                        fleet.world.advance(0.15)
                     while not started and fleet.world.now < 10:
                         fleet.world.advance(0.1)
                     if not started:
