--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from pathlib import Path
 
-from ..interfaces import Admission, Groups, Ownership, Peers, Placement
+from ..interfaces import Admission, Groups, Lease, Ownership, Peers, Placement
 from ..interfaces.groups import GroupChange
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
@@ -60,6 +60,9 @@
 )
 
 _RETRY_S = 0.2
+# Time in which a member collects joins for one write, in seconds. Each version of a group goes to
+# all agents, and the processes of a fleet start within some tenths of a second.
+_COLLECT_S = 0.1
 _VACATE_PERIOD_S = 0.5
 # Leaving waits for the platform at most this long, if the process is not stopped before; the lease
 # of a stopped agent ends by itself.
@@ -157,6 +160,7 @@
         self._placement = registry.find("placement", Placement)
         self._ownership = registry.find("ownership", Ownership)
         self._admission = registry.find("admission", Admission)
+        self._lease = registry.find("lease", Lease)
         self._groups.subscribe(self)
         self._lease_s = self._settings.lease.lease_ms / 1000
         self._peers.on(JoinRequest, self._on_join_request)
@@ -342,6 +346,7 @@
     async def _join(self, announced: Announcement) -> None:
         assert self._home is not None
         member = self._member(announced)
+        self._lease.begin(member.id, self._clock.now())
         try:
             joined = await self._record(self._home, member)
         except (PlatformError, PeerError, UnknownServiceError) as error:
@@ -439,6 +444,7 @@
     async def _record_joins(self, home: GroupId) -> None:
         # What comes while a write is on its way goes into the next one.
         while self._joining:
+            await self._clock.sleep(_COLLECT_S)
             requests, self._joining = tuple(self._joining), []
             members = tuple(request.member for request in requests)
             written: VersionedGroup | None = None
