--- a/fescueward/services/relay.py
+++ b/fescueward/services/groups/relay.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable, Iterable
 
-from ..interfaces import Peers
-from ..kernel import Clock, TaskOwner
-from ..messages import GroupId, Member, VersionedGroup
-from ..messages.configuration import VersionedConfiguration
-from ..messages.delta import configuration_delta, group_delta
-from ..messages.peer import Publish
+from ...interfaces import Peers
+from ...kernel import Clock, TaskOwner
+from ...messages import GroupId, Member, VersionedGroup
+from ...messages.configuration import VersionedConfiguration
+from ...messages.delta import configuration_delta, group_delta
+from ...messages.peer import Publish
 
 # Versions that follow within this time, in seconds, leave in one message to each member. A start
 # writes some dozens of versions in a second, and each of them goes to the whole fleet.
--- a/fescueward/services/groups.py
+++ b/fescueward/services/groups/store.py
@@ -6,23 +6,20 @@
 import random
 import uuid
 from collections import deque
-from dataclasses import dataclass, replace
-
-from ..interfaces import Catalogue, GroupListener, Membership, Peers, Platform, Routes
-from ..interfaces.groups import GroupChange
-from ..interfaces.platform import StoredObject
-from ..kernel import Clock, Event, Kernel, Level, Registry
-from ..kernel.errors import (
-    FescuewardError,
+from dataclasses import replace
+
+from ...interfaces import Catalogue, GroupListener, Membership, Peers, Platform, Routes
+from ...interfaces.groups import GroupChange
+from ...interfaces.platform import StoredObject
+from ...kernel import Clock, Event, Kernel, Level, Registry
+from ...kernel.errors import (
     MalformedMessageError,
     ObjectNotFoundError,
-    OutcomeUnknownError,
     PlatformAnswerError,
     PlatformError,
-    VersionConflictError,
 )
-from ..kernel.settings import Settings
-from ..messages import (
+from ...kernel.settings import Settings
+from ...messages import (
     Entry,
     Group,
     GroupId,
@@ -31,10 +28,11 @@
     VersionedEntry,
     VersionedGroup,
 )
-from ..messages.codec import decode_json, encode_json
-from ..messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
-from ..messages.delta import ConfigurationDelta, GroupDelta
-from ..messages.peer import Fetch, Publish, Versions, WatchStatus, version_digest
+from ...messages.codec import decode_json, encode_json
+from ...messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
+from ...messages.delta import ConfigurationDelta, GroupDelta
+from ...messages.peer import Fetch, Publish, Versions, WatchStatus, version_digest
+from .edits import GroupEdits
 from .relay import GroupRelay, configuration_publication, publication
 
 _CHANGED = Event(2201, "group_changed", Level.INFO, "A newer version of a group is in use.")
@@ -62,40 +60,6 @@
 # Members that one agent tells what it knows in an outage of the platform: more than the monitors
 # of a member, so that one is left when some are restarted with it.
 _TOLD_IN_OUTAGE = 4
-_EDIT_ATTEMPTS = 40
-_EDIT_BACKOFF_S = 0.01
-
-
-@dataclass(frozen=True, slots=True)
-class _PendingEdit:
-    """An edit that waits for a write.
-
-    Attributes:
-        change: The edit.
-        done: Its result; cancelled if the caller does not wait any more.
-    """
-
-    change: GroupChange
-    done: asyncio.Future[VersionedGroup]
-
-    def applied(self, group: Group) -> Group:
-        """Returns the group with this edit, or the same group if nothing is left to change."""
-        if self.done.done():
-            return group
-        try:
-            changed = self.change(group)
-        except Exception as error:  # it is the caller's; the other edits go on
-            self.fail(error)
-            return group
-        return group if changed is None else changed
-
-    def finish(self, written: VersionedGroup) -> None:
-        if not self.done.done():
-            self.done.set_result(written)
-
-    def fail(self, error: Exception) -> None:
-        if not self.done.done():
-            self.done.set_exception(error)
 
 
 class GroupStore:
@@ -119,8 +83,6 @@
         self._listeners: list[GroupListener] = []
         self._waiters: dict[GroupId, asyncio.Event] = {}
         self._updates: dict[GroupId, asyncio.Task[None]] = {}
-        self._pending: dict[GroupId, list[_PendingEdit]] = {}
-        self._editing: set[GroupId] = set()
         self._watch_status: dict[str, float] = {}
         self._watch_healthy = False
         self._read: set[str] = set()
@@ -132,6 +94,7 @@
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
         self._clock = registry.find("clock", Clock)
+        self._edits = GroupEdits(self, self._tasks, self._clock)
         self._platform = registry.find("platform", Platform)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._peers = registry.find("peers", Peers)
@@ -215,67 +178,8 @@
         return written
 
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
-        """Reads, changes and writes until a write succeeds; see `Groups.edit`.
-
-        Edits that wait at the same time are made by one write, in the order of the calls.
-        """
-        pending = _PendingEdit(change, asyncio.get_running_loop().create_future())
-        waiting = self._pending.setdefault(group, [])
-        waiting.append(pending)
-        if group not in self._editing:
-            self._editing.add(group)
-            self._tasks.spawn(f"edit {group}", self._run_edits(group))
-        return await pending.done
-
-    async def _run_edits(self, group: GroupId) -> None:
-        """Makes all edits that wait for a group, also those that come meanwhile."""
-        batch: tuple[_PendingEdit, ...] = ()
-        try:
-            while self._pending.get(group):
-                batch = tuple(self._pending.pop(group))
-                try:
-                    written = await self._edit_together(group, batch)
-                except FescuewardError as error:
-                    for pending in batch:
-                        pending.fail(error)
-                else:
-                    for pending in batch:
-                        pending.finish(written)
-        finally:
-            self._editing.discard(group)
-            for pending in (*batch, *self._pending.pop(group, ())):
-                pending.done.cancel()
-
-    async def _edit_together(
-        self, group: GroupId, batch: tuple[_PendingEdit, ...]
-    ) -> VersionedGroup:
-        base = self._views.get(group)
-        unknown: OutcomeUnknownError | None = None
-        for attempt in range(_EDIT_ATTEMPTS):
-            if base is None:
-                try:
-                    base = await self._read_or_create(group)
-                except PlatformError as error:
-                    if unknown is None:
-                        raise
-                    raise unknown from error
-            changed = base.group
-            for pending in batch:
-                changed = pending.applied(changed)
-            if changed is base.group:
-                return base
-            try:
-                return await self.write(base, changed)
-            except VersionConflictError:
-                base = None
-                await self._clock.sleep(random.uniform(0, _EDIT_BACKOFF_S * min(attempt + 1, 10)))
-            except OutcomeUnknownError as error:
-                unknown = error
-                # The changes are idempotent: a read shows whether anything is left to do.
-                base = None
-        raise OutcomeUnknownError(
-            f"group {group} could not be edited in {_EDIT_ATTEMPTS} attempts"
-        )
+        """Reads, changes and writes until a write succeeds; see `Groups.edit`."""
+        return await self._edits.edit(group, change)
 
     def observe(self, group: VersionedGroup) -> bool:
         """Takes a version if it is higher than the one held."""
@@ -352,7 +256,8 @@
         if not self._knows(theirs):
             self._peers.send(member, Fetch(objects=self._object_versions()))
 
-    async def _read_or_create(self, group: GroupId) -> VersionedGroup:
+    async def read_or_create(self, group: GroupId) -> VersionedGroup:
+        """Reads a group, or returns an empty one if the catalogue knows its service."""
         try:
             return await self.refresh(group)
         except ObjectNotFoundError:
--- /dev/null
+++ b/tests/services/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the group objects that an agent holds."""
--- a/tests/services/test_groups.py
+++ b/tests/services/groups/test_store.py
@@ -32,11 +32,11 @@
 from fescueward.services.routing.routes import RouteTable
 from fescueward.testing.waiting import wait_until
 
-from .fakes import CLOCK, StubRegistry
-from .fleet import HOME
-from .groups_for_tests import joined, member
-from .test_recovery_time import formed
-from .timed_fakes import Answers
+from ..fakes import CLOCK, StubRegistry
+from ..fleet import HOME
+from ..groups_for_tests import joined, member
+from ..test_recovery_time import formed
+from ..timed_fakes import Answers
 
 
 class EditTest(unittest.TestCase):
