--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -17,9 +17,7 @@
     InvalidAnnouncementError,
     OutcomeUnknownError,
     PeerError,
-    PeerTimeoutError,
     PlatformError,
-    PlatformUnavailableError,
     UnknownServiceError,
 )
 from ..kernel.settings import Settings
@@ -30,11 +28,10 @@
     GroupId,
     Member,
     MemberState,
-    Shard,
     VersionedGroup,
 )
-from ..messages.peer import JoinReply, JoinRequest
-from .keyspace.moves import inherit, refenced
+from .joins import JoinRecords
+from .keyspace.moves import refenced
 from .ring import fill_monitors
 
 _ANNOUNCED = Event(2401, "upstream_announced", Level.INFO, "The upstream announced a new state.")
@@ -52,17 +49,8 @@
 _RESTARTED = Event(
     2409, "upstream_restarted", Level.INFO, "The upstream has started anew and holds no keys."
 )
-_JOINS_RECORDED = Event(
-    2412, "joins_recorded", Level.INFO, "Agents that asked for it are members of the group."
-)
-_JOINS_NOT_RECORDED = Event(
-    2413, "joins_not_recorded", Level.WARNING, "A write for agents that asked to join failed."
-)
 
 _RETRY_S = 0.2
-# Time in which a member collects joins for one write, in seconds. Each version of a group goes to
-# all agents, and the processes of a fleet start within some tenths of a second.
-_COLLECT_S = 0.1
 _VACATE_PERIOD_S = 0.5
 # Leaving waits for the platform at most this long, if the process is not stopped before; the lease
 # of a stopped agent ends by itself.
@@ -91,6 +79,7 @@
         leaving_grace_s: float = LEAVING_GRACE_S,
     ) -> None:
         self._tasks = kernel.task_owner(self.name)
+        self._joins = JoinRecords(self._tasks)
         self._incarnation = incarnation
         self._next_incarnation = next_incarnation
         self._boot_id = boot_id or Path("/proc/sys/kernel/random/boot_id").read_text().strip()
@@ -110,11 +99,8 @@
         self._left = asyncio.Event()
         self._joined = False
         self._wake = asyncio.Event()
-        # Agents that asked this one to record their joins with the next write.
-        self._joining: list[JoinRequest] = []
         # Whether the next join is not left to another member, because the last one was in vain.
         self._alone = False
-        self._recording_joins = False
 
     @property
     def member_id(self) -> str:
@@ -162,9 +148,7 @@
         self._admission = registry.find("admission", Admission)
         self._lease = registry.find("lease", Lease)
         self._groups.subscribe(self)
-        self._lease_s = self._settings.lease.lease_ms / 1000
-        self._peers.on(JoinRequest, self._on_join_request)
-        self._peers.on(JoinReply, self._on_join_reply)
+        self._joins.bind(registry)
 
     async def start(self) -> None:
         """Waits for the first announcement and joins then."""
@@ -348,7 +332,7 @@
         member = self._member(announced)
         self._lease.begin(member.id, self._clock.now())
         try:
-            joined = await self._record(self._home, member)
+            joined = await self._joins.record(self._home, member, alone=self._alone)
         except (PlatformError, PeerError, UnknownServiceError) as error:
             _JOIN_FAILED.emit(group=self._home, error=error)
             if isinstance(error, OutcomeUnknownError | PeerError):
@@ -375,125 +359,6 @@
         await self._edit_until_done(self._remove_me)
         _LEFT.emit(member=self.member_id)
 
-    async def _record(self, home: GroupId, member: Member) -> VersionedGroup:
-        """Returns the group with this agent, recorded by a member or, without one, by itself.
-
-        Many agents start at a time. One writer for all of them needs few writes, while agents
-        that all write for themselves make each other's writes fail.
-        """
-
-        def add(group: Group) -> Group | None:
-            return self._with_members(group, (member,))
-
-        def add_first(group: Group) -> Group | None:
-            return None if self._recorder(group) is not None else add(group)
-
-        found = await self._groups.edit(home, add if self._alone else add_first)
-        recorder = self._recorder(found.group)
-        if member.id in found.group.members or recorder is None:
-            return found
-        call = self._peers.next_call()
-        request = JoinRequest(call, home.service, home.number, member)
-        until = self._clock.now() + self._lease_s
-        try:
-            reply = await self._peers.call(recorder, request, call)
-        except PeerTimeoutError:
-            if await self._recorded_late(home, member.id, until):
-                return self._groups.view(home) or found
-            raise
-        if isinstance(reply, JoinReply) and reply.group is not None:
-            self._groups.observe(reply.group)
-            if member.id in reply.group.group.members:
-                return reply.group
-        return await self._groups.edit(home, add)
-
-    async def _recorded_late(self, home: GroupId, member_id: str, until: float) -> bool:
-        """Waits for a recorder that is busy; one that is silent for a lease is as good as lost."""
-        while True:
-            view = self._groups.view(home)
-            if view is not None and member_id in view.group.members:
-                return True
-            version = view.version if view is not None else 0
-            if not await self._groups.changed(home, version, until - self._clock.now()):
-                return False
-
-    def _on_join_reply(self, sender: str, message: JoinReply) -> None:
-        """Takes the group of a reply that comes after the call has timed out."""
-        if message.group is not None:
-            self._groups.observe(message.group)
-
-    def _recorder(self, group: Group) -> Member | None:
-        """Returns the member that records joins, or None if this agent has to."""
-        name = self._settings.agent.name
-        others = {
-            member_id: other for member_id, other in group.members.items() if other.name != name
-        }
-        return self._placement.planner(replace(group, members=others))
-
-    def _on_join_request(self, sender: str, message: JoinRequest) -> None:
-        home = GroupId(message.service, message.number)
-        here = home == self._home and self._joined and not self._leaving
-        if not here or sender != message.member.id:
-            self._peers.reply(sender, JoinReply(message.call))
-            return
-        self._joining.append(message)
-        if not self._recording_joins:
-            self._recording_joins = True
-            self._tasks.spawn("record-joins", self._record_joins(home))
-
-    async def _record_joins(self, home: GroupId) -> None:
-        # What comes while a write is on its way goes into the next one.
-        while self._joining:
-            await self._clock.sleep(_COLLECT_S)
-            requests, self._joining = tuple(self._joining), []
-            members = tuple(request.member for request in requests)
-            written: VersionedGroup | None = None
-            try:
-                written = await self._groups.edit(
-                    home, lambda group, members=members: self._with_asking(group, members)
-                )
-            except FescuewardError as error:
-                _JOINS_NOT_RECORDED.emit(group=home, members=len(members), error=error)
-                if isinstance(error, PlatformError) and not isinstance(
-                    error, PlatformUnavailableError
-                ):
-                    # The write may still take effect, so nobody is told that it was not made.
-                    continue
-            else:
-                _JOINS_RECORDED.emit(group=home, version=written.version, members=len(members))
-            for request in requests:
-                self._peers.reply(request.member.id, JoinReply(request.call, written))
-        self._recording_joins = False
-
-    def _with_asking(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
-        """Returns the group with agents that asked, but for those that have joined as newer."""
-        present = tuple(
-            member
-            for member in joining
-            if not any(
-                other.incarnation > member.incarnation for other in _same_process(group, member)
-            )
-        )
-        return self._with_members(group, present)
-
-    def _with_members(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
-        """Returns the group with new members, or None if they are in it already."""
-        added: dict[str, Member] = {}
-        replaced: set[str] = set()
-        for member in joining:
-            if member.id in group.members or member.id in added:
-                continue
-            # The old process of this boot is dead: the new one holds its port.
-            old = frozenset(other.id for other in _same_process(group, member))
-            group = inherit(group, old, member.id)
-            replaced |= old
-            added[member.id] = member
-        if not added:
-            return None
-        shards = group.shards or (Shard(),) * group.shard_count
-        group = replace(group, shards=shards, members={**group.members, **added})
-        return self.fill_monitors(self._placement.assign(group, frozenset(replaced)))
-
     def _member(self, announced: Announcement) -> Member:
         agent, peers, callers = (
             self._settings.agent,
@@ -515,12 +380,3 @@
             checks_grants=announced.checks_grants,
             instance=announced.start,
         )
-
-
-def _same_process(group: Group, member: Member) -> tuple[Member, ...]:
-    """Returns the members of the same name and boot, of which only the newest can run."""
-    return tuple(
-        other
-        for other in group.members.values()
-        if other.name == member.name and other.boot_id == member.boot_id
-    )
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -224,13 +224,13 @@
         """Guards against a member id that enters the group again after its removal."""
         fleet = formed(3, 3)
         agent = fleet.start("a5", "d2")
-        add = agent.membership._with_members
+        add = agent.membership._joins.with_members
 
         def add_without_answer(group, joining):
             agent.platform.answers = Answers.LOST
             return add(group, joining)
 
-        agent.membership._with_members = add_without_answer
+        agent.membership._joins.with_members = add_without_answer
         fleet.cut("a5", fleet.agents)
         # Nobody records the join, so the agent writes itself.
         fleet.world.advance(1.5)
@@ -238,7 +238,7 @@
         self.assertIn(first, fleet.group().members)
         fleet.world.advance(3.5)
         self.assertNotIn(first, fleet.group().members)
-        agent.membership._with_members = add
+        agent.membership._joins.with_members = add
         fleet.heal()
         fleet.world.advance(4)
         self.assertNotEqual(agent.member_id, first)
