--- a/fescueward/services/crash_reports.py
+++ b/fescueward/services/crash_reports.py
@@ -23,7 +23,7 @@
 _CONFIRM_S = 0.25
 
 
-class _Telling:
+class _Delivery:
     """One report that is being confirmed."""
 
     def __init__(self) -> None:
@@ -44,7 +44,7 @@
         self._tasks = tasks
         self._revise = revise
         self._numbers = itertools.count(1)
-        self._tellings: dict[int, _Telling] = {}
+        self._deliveries: dict[int, _Delivery] = {}
         # What is not sent yet, by crash.
         self._news: dict[int, CrashReport] = {}
         self._latest: asyncio.Task[None] | None = None
@@ -82,7 +82,7 @@
             cleared=report.cleared + cleared,
         )
 
-    async def told(self) -> None:
+    async def delivered(self) -> None:
         """Waits until the members have confirmed the newest report, for a bounded time."""
         if self._latest is not None:
             await asyncio.wait({self._latest}, timeout=_CONFIRM_S)
@@ -99,27 +99,27 @@
 
     async def _send(self, report: CrashReport, only: frozenset[str] | None = None) -> None:
         number = next(self._numbers)
-        telling = self._tellings[number] = _Telling()
+        delivery = self._deliveries[number] = _Delivery()
         try:
             for _ in range(_REPORT_ATTEMPTS):
                 # Members may have joined since the last attempt.
                 pending = [
                     member
                     for member in self._others()
-                    if member.id not in telling.confirmed and (only is None or member.id in only)
+                    if member.id not in delivery.confirmed and (only is None or member.id in only)
                 ]
                 if not pending:
                     return
-                telling.waiting = {member.id for member in pending}
-                telling.done.clear()
+                delivery.waiting = {member.id for member in pending}
+                delivery.done.clear()
                 message = replace(self._revise(report), number=number)
                 for member in pending:
                     self._peers.send(member, message)
                 with suppress(TimeoutError):
                     async with asyncio.timeout(_REPORT_RETRY_S):
-                        await telling.done.wait()
+                        await delivery.done.wait()
         finally:
-            del self._tellings[number]
+            del self._deliveries[number]
 
     def _others(self) -> tuple[Member, ...]:
         home = self._membership.home
@@ -130,10 +130,10 @@
         return tuple(member for member in view.group.members.values() if member.id != me)
 
     def _on_noted(self, sender: str, message: CrashNoted) -> None:
-        telling = self._tellings.get(message.number)
-        if telling is None:
+        delivery = self._deliveries.get(message.number)
+        if delivery is None:
             return
-        telling.confirmed.add(sender)
-        telling.waiting.discard(sender)
-        if not telling.waiting:
-            telling.done.set()
+        delivery.confirmed.add(sender)
+        delivery.waiting.discard(sender)
+        if not delivery.waiting:
+            delivery.done.set()
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -113,7 +113,7 @@
             self._owner.end_alone()
         if crashed:
             # The caller may send the request again once it has its answer.
-            await self._owner.told()
+            await self._owner.delivered()
 
 
 class CrashQuarantine:
@@ -236,9 +236,9 @@
         """Lets the next suspect run."""
         self._alone.release()
 
-    async def told(self) -> None:
+    async def delivered(self) -> None:
         """Waits until the members know of the newest crash, for a bounded time."""
-        await self._reports.told()
+        await self._reports.delivered()
 
     def note_success(self, fingerprint: int, began: float, alone: bool) -> None:
         """Notes that a request ran to its end.
