Leave the group by one sequence of steps

A leave and the taking back of a join wrote the same three steps and the line of the leave twice: hand over, resign, remove the member. They share one method now. No change of behaviour; 55 tests of membership, groups, starts, recovery times and the daemons pass, as before.

--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -229,19 +229,20 @@
         try:
             timeout_s = self._stop_timeout_s if self._stopping else LEAVE_TIMEOUT_S
             async with asyncio.timeout(timeout_s):
-                await self._hand_over_all()
-                # No renewal may be acknowledged once the write that ends the monitor's role
-                # is on its way.
-                self._resigned = True
-                await self._edit_until_done(self._remove_me)
+                await self._withdraw()
         except TimeoutError:
             _LEAVE_FAILED.emit(member=self.member_id, error="timeout")
-        else:
-            _LEFT.emit(member=self.member_id)
         self._leave_ended = True
         self._left.set()
         self._wake.set()
 
+    async def _withdraw(self) -> None:
+        await self._hand_over_all()
+        # No renewal may be acknowledged once the write that ends the monitor's role is on its way.
+        self._resigned = True
+        await self._edit_until_done(self._remove_me)
+        _LEFT.emit(member=self.member_id)
+
     async def _hand_over_all(self) -> None:
         # Shards that were on their way here when the leave began arrive later and move on.
         while True:
@@ -350,15 +351,9 @@
         self._joined, self._alone = True, False
         _JOINED.emit(group=self._home, member=member.id, version=joined.version)
         if self._leaving:
+            # The leave ended while this join was on its way, and found no member to remove.
             await self._withdraw()
 
-    async def _withdraw(self) -> None:
-        """Leaves the group after a join that was on its way when a leave found no member."""
-        await self._hand_over_all()
-        self._resigned = True
-        await self._edit_until_done(self._remove_me)
-        _LEFT.emit(member=self.member_id)
-
     def _member(self, announced: Announcement) -> Member:
         agent, peers, callers = (
             self._settings.agent,
