Rename compare to fetch_newer

The method does not return a comparison: it requests the objects of which the member has newer versions. The new name says what is sent.

--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -229,7 +229,7 @@
         held = self._views.get(home) if home is not None else None
         return Versions(held.version if held is not None else 0, self._catalogue.digest)
 
-    def compare(self, member: Member, theirs: Versions) -> None:
+    def fetch_newer(self, member: Member, theirs: Versions) -> None:
         """Fetches from a member that knows newer versions.
 
         Args:
@@ -395,7 +395,7 @@
             self._watch_status[sender] = self._clock.now()
             watcher = self._fleet().get(sender) if self._fleet_wide else None
             if watcher is not None:
-                self.compare(watcher, message.versions)
+                self.fetch_newer(watcher, message.versions)
 
     async def _run_watch(self) -> None:
         since = 0
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -202,7 +202,7 @@
         view = self._groups.view(home)
         monitor = view.group.members.get(sender) if view is not None else None
         if monitor is not None:
-            self._groups.compare(monitor, message.versions)
+            self._groups.fetch_newer(monitor, message.versions)
         sent = self._sent.get(message.sequence)
         if message.granted and message.monitor_id == sender and sent is not None:
             self._acknowledged_at = max(self._acknowledged_at, sent)
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -295,7 +295,7 @@
         view = self._groups.view(home) if home is not None else None
         member = view.group.members.get(sender) if view is not None else None
         if member is not None:
-            self._groups.compare(member, message.versions)
+            self._groups.fetch_newer(member, message.versions)
 
     def promise(self, member_id: str, version: int, to: str, call: int) -> bool:
         """Agrees to a takeover; see `Monitor.promise`."""
--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -421,13 +421,13 @@
         other = self.store("c:1", RecordingPeers(), home)
         store._views[home] = old
         other._views[home] = new
-        store.compare(member("c"), other.versions())
+        store.fetch_newer(member("c"), other.versions())
         store.observe(new)
         await asyncio.sleep(0.3)
-        store.compare(member("c"), self.store_at(old).versions())
+        store.fetch_newer(member("c"), self.store_at(old).versions())
         await asyncio.sleep(0.3)
         self.assertEqual([sent for _, sent in peers.sent if isinstance(sent, Fetch)], [])
-        store.compare(member("c"), lost)
+        store.fetch_newer(member("c"), lost)
         await wait_until(lambda: isinstance(peers.sent[-1][1], Fetch), 2, "the rest is fetched")
 
     def store_at(self, view: VersionedGroup) -> GroupStore:
