Rename loaded to wait_until_loaded

The old name reads as a boolean property, but the method is a coroutine that waits for the first complete read. Only the name changes, in 6 files.

--- a/fescueward/interfaces/catalogue.py
+++ b/fescueward/interfaces/catalogue.py
@@ -16,7 +16,7 @@
         """Hash of all entry versions, equal on agents that know the same ones."""
         ...
 
-    async def loaded(self) -> None:
+    async def wait_until_loaded(self) -> None:
         """Waits until the entries have been read once."""
         ...
 
--- a/fescueward/services/catalogue.py
+++ b/fescueward/services/catalogue.py
@@ -63,7 +63,7 @@
     async def stop(self) -> None:
         """Does nothing."""
 
-    async def loaded(self) -> None:
+    async def wait_until_loaded(self) -> None:
         """Waits until the entries have been read once."""
         await self._loaded.wait()
 
--- a/fescueward/services/frontend/service.py
+++ b/fescueward/services/frontend/service.py
@@ -89,7 +89,7 @@
 
     async def _listen(self) -> None:
         # Without the catalogue every request would be refused as for an unknown service.
-        await self._catalogue.loaded()
+        await self._catalogue.wait_until_loaded()
         assert self._http is not None
         await self._http.start()
 
--- a/fescueward/services/routing/routes.py
+++ b/fescueward/services/routing/routes.py
@@ -136,7 +136,7 @@
         """Always 0: the directory compares the configuration itself."""
         return 0
 
-    async def loaded(self) -> None:
+    async def wait_until_loaded(self) -> None:
         """Returns at once: readiness asks the routes."""
 
     def mark_loaded(self) -> None:
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -116,7 +116,7 @@
     def __init__(self, entry: Entry) -> None:
         self.value = entry
 
-    async def loaded(self) -> None:
+    async def wait_until_loaded(self) -> None:
         return
 
     def entry(self, service: str) -> VersionedEntry:
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -71,7 +71,7 @@
 
     digest = 1
 
-    async def loaded(self) -> None:
+    async def wait_until_loaded(self) -> None:
         pass
 
     def mark_loaded(self) -> None:
