Rename refenced to with_raised_epochs

The old word is private to the project. The function returns the group with higher epochs for the ranges of one member. Only the name changes, in 4 files.

--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -208,7 +208,7 @@
     return with_ranges(group, ranges, fence)
 
 
-def refenced(group: Group, member_id: str) -> Group:
+def with_raised_epochs(group: Group, member_id: str) -> Group:
     """Raises the epochs of a member whose upstream has started anew and holds nothing."""
     fence = group.fence + 1
     ranges = [
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -31,7 +31,7 @@
     VersionedGroup,
 )
 from .joins import JoinRecords
-from .keyspace.moves import refenced
+from .keyspace.moves import with_raised_epochs
 from .ring import fill_monitors
 
 _ANNOUNCED = Event(2401, "upstream_announced", Level.INFO, "The upstream announced a new state.")
@@ -273,7 +273,7 @@
         _RESTARTED.emit(member=self.member_id, before=me.instance, now=announced.start)
         renewed = replace(me, instance=announced.start, slots=announced.slots)
         group = replace(group, members={**group.members, me.id: renewed})
-        return refenced(group, me.id)
+        return with_raised_epochs(group, me.id)
 
     def _vacate(self, group: Group) -> Group | None:
         me = group.members.get(self.member_id)
--- a/tests/services/keyspace/test_moves.py
+++ b/tests/services/keyspace/test_moves.py
@@ -88,7 +88,7 @@
     def test_new_start_of_an_upstream_gets_higher_epochs(self):
         """Guards against a grant of an upstream's earlier life that counts for its next one."""
         group = group_of("a", "b")
-        after = moves.refenced(group, "a:1")
+        after = moves.with_raised_epochs(group, "a:1")
         for found in after.ranges:
             changed = found.epoch > group.fence
             self.assertEqual(changed, found.owner == "a:1")
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -277,7 +277,7 @@
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         self.probe.grants_open.clear()
         self.membership.announcement = announcement(2)
-        self.groups.publish(moves.refenced(self.group, "a:1"))
+        self.groups.publish(moves.with_raised_epochs(self.group, "a:1"))
         admitted = asyncio.create_task(self.ownership.admit("depot", "5", CLOCK.now() + 1))
         await asyncio.sleep(0.02)
         self.assertFalse(admitted.done())
@@ -330,7 +330,7 @@
         self.assertEqual(len(self.probe.calls), seen)
         again = replace(named, instance=announcement(2).start)
         renewed = replace(self.group, members={**self.group.members, "a:1": again})
-        self.groups.publish(moves.refenced(renewed, "a:1"))
+        self.groups.publish(moves.with_raised_epochs(renewed, "a:1"))
         ticket = await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         self.assertGreater(ticket.epoch, self.mine.epoch)
 
