--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -96,7 +96,7 @@
         """Returns what this agent knows, for renewals and their acknowledgements."""
         ...
 
-    def fetch_newer(self, member: Member, theirs: Versions) -> None:
+    def fetch_newer(self, member: Member, member_versions: Versions) -> None:
         """Fetches from a member of this agent's group that knows newer versions."""
         ...
 
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -229,7 +229,7 @@
         held = self._views.get(home) if home is not None else None
         return Versions(held.version if held is not None else 0, self._catalogue.digest)
 
-    def fetch_newer(self, member: Member, theirs: Versions) -> None:
+    def fetch_newer(self, member: Member, member_versions: Versions) -> None:
         """Fetches from a member that knows newer versions.
 
         Args:
@@ -239,21 +239,25 @@
         mine = self.versions()
         if self._fleet_wide:
             waiting = self._comparison is not None and not self._comparison.done()
-            if not waiting and not self._knows(theirs):
-                self._comparison = self._tasks.spawn("compare", self._compare(member, theirs))
+            if not waiting and not self._knows(member_versions):
+                self._comparison = self._tasks.spawn(
+                    "compare", self._compare(member, member_versions)
+                )
             return
         home = self._membership.home
-        if home is None or (theirs.group <= mine.group and theirs.entries == mine.entries):
+        if home is None or (
+            member_versions.group <= mine.group and member_versions.entries == mine.entries
+        ):
             return
-        entries = self._catalogue.versions() if theirs.entries != mine.entries else None
+        entries = self._catalogue.versions() if member_versions.entries != mine.entries else None
         self._peers.send(member, Fetch(home.service, home.number, mine.group, entries))
 
-    def _knows(self, theirs: Versions) -> bool:
-        return theirs == self.versions() or theirs in self._past
+    def _knows(self, member_versions: Versions) -> bool:
+        return member_versions == self.versions() or member_versions in self._past
 
-    async def _compare(self, member: Member, theirs: Versions) -> None:
+    async def _compare(self, member: Member, member_versions: Versions) -> None:
         await self._clock.sleep(_COMPARE_DELAY_S)
-        if not self._knows(theirs):
+        if not self._knows(member_versions):
             self._peers.send(member, Fetch(objects=self._object_versions()))
 
     async def read_or_create(self, group: GroupId) -> VersionedGroup:
