Reword services/groups

Names such as held, told, heard and tell_fleet and comments about agents that know or tell hid what is cached, published or fetched.

--- a/fescueward/services/groups/__init__.py
+++ b/fescueward/services/groups/__init__.py
@@ -1,4 +1,4 @@
-"""Group objects: newest versions, edits, and what agents tell each other of them."""
+"""Group objects: cached versions, conditional edits and their propagation among agents."""
 
 from .store import GroupStore
 
--- a/fescueward/services/groups/edits.py
+++ b/fescueward/services/groups/edits.py
@@ -1,4 +1,4 @@
-"""Edits of groups: those that wait at the same time are made by one conditional write."""
+"""Edits of groups: pending edits of a group are combined into one conditional write."""
 
 from __future__ import annotations
 
@@ -17,46 +17,52 @@
 )
 from ...messages import Group, GroupId, VersionedGroup
 
-_ATTEMPTS = 40
-# Longest pause after the first conflict, in seconds; it grows to ten times that.
+_MAX_ATTEMPTS = 40
+# Upper bound of the random backoff after the first version conflict. It grows linearly up to ten
+# times this value.
 _BACKOFF_S = 0.01
 
 
-class EditedGroups(Protocol):
-    """Reads and writes of groups that edits are made of."""
+class GroupAccess(Protocol):
+    """Cached reads, platform reads and conditional writes that edits are built on."""
 
     def view(self, group: GroupId) -> VersionedGroup | None:
-        """Returns the newest version seen, or None."""
+        """Returns the cached version of a group, or None if none was received yet."""
         ...
 
-    async def read_or_create(self, group: GroupId) -> VersionedGroup:
-        """Reads a group, or returns an empty one if the catalogue knows its service."""
+    async def read_or_empty(self, group: GroupId) -> VersionedGroup:
+        """Reads a group from the platform; an absent group is returned empty at version 0.
+
+        Raises:
+            UnknownServiceError: The group is absent and its service has no catalogue entry.
+            PlatformError: The platform could not be read.
+        """
         ...
 
     async def write(self, base: VersionedGroup, group: Group) -> VersionedGroup:
-        """Makes one conditional write on the version of `base`."""
+        """Writes a group on condition that its version is that of `base`; see `Groups.write`."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class _PendingEdit:
-    """An edit that waits for a write.
+    """An edit that is queued for the next write.
 
     Attributes:
-        change: The edit.
-        done: Its result; cancelled if the caller does not wait any more.
+        change: Function that edits the group.
+        done: Future of the written version; cancelled once the caller has stopped waiting.
     """
 
     change: GroupChange
     done: asyncio.Future[VersionedGroup]
 
-    def applied(self, group: Group) -> Group:
-        """Returns the group with this edit, or the same group if nothing is left to change."""
+    def apply_to(self, group: Group) -> Group:
+        """Returns the edited group, or `group` itself if the edit changes nothing or has ended."""
         if self.done.done():
             return group
         try:
             changed = self.change(group)
-        except Exception as error:  # it is the caller's; the other edits go on
+        except Exception as error:  # fails this edit only; the rest of the batch continues
             self.fail(error)
             return group
         return group if changed is None else changed
@@ -71,41 +77,41 @@
 
 
 class GroupEdits:
-    """Makes the edits of one agent.
+    """Queues and writes the group edits of one agent.
 
     Args:
-        groups: What reads and writes the groups.
-        tasks: Owner of the task that makes the edits of a group.
+        groups: Cached and stored groups.
+        tasks: Owner of the task that writes the edits of a group.
         clock: Source of time.
     """
 
-    def __init__(self, groups: EditedGroups, tasks: TaskOwner, clock: Clock) -> None:
+    def __init__(self, groups: GroupAccess, tasks: TaskOwner, clock: Clock) -> None:
         self._groups = groups
         self._tasks = tasks
         self._clock = clock
         self._pending: dict[GroupId, list[_PendingEdit]] = {}
-        self._editing: set[GroupId] = set()
+        self._active_groups: set[GroupId] = set()
 
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
-        """Reads, changes and writes until a write succeeds; see `Groups.edit`.
+        """Applies an edit with read, change and conditional write; see `Groups.edit`.
 
-        Edits that wait at the same time are made in the order of the calls.
+        Pending edits of a group are applied in call order.
         """
         pending = _PendingEdit(change, asyncio.get_running_loop().create_future())
         self._pending.setdefault(group, []).append(pending)
-        if group not in self._editing:
-            self._editing.add(group)
+        if group not in self._active_groups:
+            self._active_groups.add(group)
             self._tasks.spawn(f"edit {group}", self._run(group))
         return await pending.done
 
     async def _run(self, group: GroupId) -> None:
-        """Makes all edits that wait for a group, also those that come meanwhile."""
+        """Writes the pending edits of a group until the queue is empty."""
         batch: tuple[_PendingEdit, ...] = ()
         try:
             while self._pending.get(group):
                 batch = tuple(self._pending.pop(group))
                 try:
-                    written = await self._edit_together(group, batch)
+                    written = await self._write_batch(group, batch)
                 except FescuewardError as error:
                     for pending in batch:
                         pending.fail(error)
@@ -113,26 +119,26 @@
                     for pending in batch:
                         pending.finish(written)
         finally:
-            self._editing.discard(group)
+            self._active_groups.discard(group)
             for pending in (*batch, *self._pending.pop(group, ())):
                 pending.done.cancel()
 
-    async def _edit_together(
+    async def _write_batch(
         self, group: GroupId, batch: tuple[_PendingEdit, ...]
     ) -> VersionedGroup:
         base = self._groups.view(group)
-        unknown: OutcomeUnknownError | None = None
-        for attempt in range(_ATTEMPTS):
+        outcome_unknown: OutcomeUnknownError | None = None
+        for attempt in range(_MAX_ATTEMPTS):
             if base is None:
                 try:
-                    base = await self._groups.read_or_create(group)
+                    base = await self._groups.read_or_empty(group)
                 except PlatformError as error:
-                    if unknown is None:
+                    if outcome_unknown is None:
                         raise
-                    raise unknown from error
+                    raise outcome_unknown from error
             changed = base.group
             for pending in batch:
-                changed = pending.applied(changed)
+                changed = pending.apply_to(changed)
             if changed is base.group:
                 return base
             try:
@@ -141,7 +147,10 @@
                 base = None
                 await self._clock.sleep(random.uniform(0, _BACKOFF_S * min(attempt + 1, 10)))
             except OutcomeUnknownError as error:
-                unknown = error
-                # The changes are idempotent: a read shows whether anything is left to do.
+                outcome_unknown = error
+                # The edits are idempotent: if a fresh read leaves nothing to change, the write
+                # was made.
                 base = None
-        raise OutcomeUnknownError(f"group {group} could not be edited in {_ATTEMPTS} attempts")
+        raise OutcomeUnknownError(
+            f"edit of group {group} not confirmed after {_MAX_ATTEMPTS} attempts"
+        )
--- a/tests/services/groups/__init__.py
+++ b/tests/services/groups/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the group objects that an agent holds."""
+"""Tests of the `groups` service."""
--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -1,4 +1,4 @@
-"""Tests of edits, versions and watchers of the group object."""
+"""Tests of edits, versions, watchers and propagation of group objects."""
 
 from __future__ import annotations
 
@@ -45,13 +45,13 @@
         self.agent = self.fleet.agents["a0"]
         self.results = []
 
-    def _edit(self, key: str, before=lambda: None) -> None:
+    def _edit(self, key: str, before_change=lambda: None) -> None:
         groups = self.agent.groups
 
         def change(group):
             if key in group.exceptions:
                 return None
-            before()
+            before_change()
             return replace(group, exceptions={**group.exceptions, key: 0})
 
         async def edit() -> None:
@@ -63,7 +63,7 @@
         self.agent.spawn(edit)
 
     def test_concurrent_edits_are_both_made(self):
-        """Guards against an edit that overwrites another one."""
+        """Guards against concurrent edits that overwrite each other."""
         for name, agent in self.fleet.agents.items():
             self.agent = agent
             self._edit(name)
@@ -72,7 +72,7 @@
         self.assertEqual(len(self.results), 3)
 
     def test_lost_answer_is_read_back(self):
-        """Guards against an edit that is made twice or reported as failed."""
+        """Guards against an edit that is written twice or fails because its response was lost."""
         self.agent.platform.write_answers = Answers.LOST
         before = self.fleet.platform.revision
         self._edit("k")
@@ -81,25 +81,25 @@
         self.assertEqual(self.fleet.platform.revision, before + 1)
 
     def test_edit_that_cannot_be_read_back_is_unknown(self):
-        """Guards against an edit that is reported as not made and takes effect."""
+        """Guards against an edit that takes effect although it was reported as not made."""
 
-        def lose() -> None:
+        def lose_responses() -> None:
             self.agent.platform.answers = Answers.LOST
 
-        self._edit("k", before=lose)
+        self._edit("k", before_change=lose_responses)
         self.fleet.world.advance(4)
         self.assertIsInstance(self.results[0], OutcomeUnknownError)
         self.assertIn("k", self.fleet.group().exceptions)
 
     def test_edit_without_platform_is_not_made(self):
-        """Guards against an edit of unknown outcome although no write was sent."""
+        """Guards against an unknown outcome of an edit whose write was never sent."""
         self.agent.platform.answers = Answers.REFUSED
         self._edit("k")
         self.fleet.world.advance(2)
         self.assertIsInstance(self.results[0], PlatformUnavailableError)
 
     def test_edits_that_wait_share_a_write(self):
-        """Guards against edits of one agent that make each other's writes fail."""
+        """Guards against version conflicts between concurrent edits of one agent."""
         before = self.fleet.platform.revision
         for key in ("a", "b", "c", "d"):
             self._edit(key)
@@ -108,7 +108,7 @@
         self.assertLessEqual(self.fleet.platform.revision - before, 2)
 
     def test_failed_change_fails_its_caller_alone(self):
-        """Guards against edits that are lost because they waited beside a faulty one."""
+        """Guards against edits that fail because they share a batch with a faulty one."""
 
         def fail() -> None:
             raise InvalidRequestError("faulty")
@@ -124,11 +124,11 @@
         self._edit("b")
         self.fleet.world.advance(0.5)
         self.assertEqual(set(self.fleet.group().exceptions), {"a", "b"})
-        self.assertEqual(sum(isinstance(one, VersionedGroup) for one in self.results), 2)
+        self.assertEqual(sum(isinstance(result, VersionedGroup) for result in self.results), 2)
         self.assertEqual(len(self.results), 3)
 
     def test_edit_of_an_unknown_service_is_refused(self):
-        """Guards against an agent that ends because its service is not known yet."""
+        """Guards against an agent that stops because its service has no catalogue entry yet."""
         self.fleet.catalogue.current = None
         unknown = GroupId("orders", 0)
 
@@ -145,7 +145,7 @@
 
 class VersionTest(unittest.TestCase):
     def test_older_versions_are_ignored(self):
-        """Guards against a delayed message that brings back an old owner."""
+        """Guards against a delayed message that restores an earlier owner."""
         fleet = formed(3, 3)
         agent = fleet.agents["a0"]
         view = agent.groups.view(HOME)
@@ -160,8 +160,8 @@
     def _watchers(self, fleet) -> list[str]:
         return [name for name, agent in fleet.agents.items() if agent.groups._is_watcher()]
 
-    def test_silent_watchers_are_replaced(self):
-        """Guards against a group that learns of no change while its watchers are lost."""
+    def test_unresponsive_watchers_are_replaced(self):
+        """Guards against a group that receives no changes while its watchers are cut off."""
         fleet = formed(6, 3)
         watchers = self._watchers(fleet)
         self.assertEqual(len(watchers), 2)
@@ -173,7 +173,7 @@
 
 
 class RecordingPeers:
-    """Keeps what is sent; only streams to the given ids are open."""
+    """Records sent messages; only streams to the ids of `open_ids` are open."""
 
     def __init__(self, *open_ids: str, dialled: tuple[str, ...] = ()) -> None:
         self.open_ids = set(open_ids)
@@ -181,7 +181,7 @@
         self.sent: list[tuple[str, object]] = []
 
     def on(self, kind: type, handler) -> None:
-        """Does nothing: the tests call the handlers themselves."""
+        """Registers nothing: the tests call the handlers directly."""
 
     def send(self, target, message: object) -> bool:
         if target.id in self.open_ids:
@@ -197,7 +197,7 @@
 
 
 class DirectoryTest(unittest.IsolatedAsyncioTestCase):
-    """What agents tell an agent that was restarted while the platform is away."""
+    """Propagation in a fleet, also to agents that restart while the platform is unavailable."""
 
     def store(
         self, member_id: str, peers: RecordingPeers, home: GroupId | None = None
@@ -221,8 +221,8 @@
         )
         return store
 
-    async def test_unknown_incarnation_is_told_by_its_address(self):
-        """Guards against a restarted agent that nobody tells anything."""
+    async def test_status_reaches_unknown_incarnation_by_address(self):
+        """Guards against a restarted agent that gets no status until its incarnation is known."""
         peers = RecordingPeers("b:0")
         store = self.store("w:1", peers)
         status = WatchStatus("w:1", True, Versions(0, 5))
@@ -230,32 +230,32 @@
         self.assertEqual(peers.sent, [("b:0", status)])
 
     async def test_member_that_is_being_dialled_gets_no_second_stream(self):
-        """Guards against watchers that hold two streams to each agent of the fleet."""
+        """Guards against watchers that open two streams to each agent of the fleet."""
         peers = RecordingPeers("b:0", dialled=("b:1",))
         store = self.store("w:1", peers)
         store._send_status({"b:1": member("b")}, WatchStatus("w:1", True, Versions(0, 5)))
         self.assertEqual(peers.sent, [])
 
-    async def test_few_agents_inform_a_restarted_one_in_an_outage(self):
-        """Guards against a restarted agent that nobody tells while the platform is away for all.
+    async def test_few_agents_send_status_to_a_restarted_one_in_an_outage(self):
+        """Guards against a restarted agent that gets no status while the platform is unavailable.
 
-        Found by tests/integration/test_site.py: only watchers whose own watch works told it.
+        Found by tests/integration/test_site.py: only watchers whose own watch worked sent one.
         """
         members = {f"m{number}:1": member(f"m{number}") for number in range(9)}
-        told = {
-            name: set(self.store(name, RecordingPeers())._told_in_outage(members))
+        recipients = {
+            name: set(self.store(name, RecordingPeers())._outage_status_recipients(members))
             for name in (*members, "m3:2")
         }
         for name in members:
-            tellers = [one for one in members if name in told[one]]
-            self.assertEqual((len(tellers), name in tellers), (4, False))
-        self.assertEqual(told["m3:2"], told["m3:1"])
+            senders = [sender for sender in members if name in recipients[sender]]
+            self.assertEqual((len(senders), name in senders), (4, False))
+        self.assertEqual(recipients["m3:2"], recipients["m3:1"])
         pair = {name: members[name] for name in ("m0:1", "m1:1")}
         store = self.store("m1:1", RecordingPeers())
-        self.assertEqual(set(store._told_in_outage(pair)), {"m0:1"})
+        self.assertEqual(set(store._outage_status_recipients(pair)), {"m0:1"})
 
-    async def test_restarted_agent_learns_from_the_others(self):
-        """Guards against an agent that serves nobody until the platform is back."""
+    async def test_restarted_agent_fetches_from_members(self):
+        """Guards against an agent that serves nothing until the platform is available again."""
         peers = RecordingPeers()
         store = self.store("b:2", peers)
         store._on_watch_status("w-seed:1", WatchStatus("w:1", True, Versions(0, 5)))
@@ -269,7 +269,7 @@
         self.assertEqual(self.routes.current, configuration)
 
     async def test_agent_that_has_not_joined_publishes_nothing(self):
-        """Guards against a start at which all agents send each change to all others."""
+        """Guards against a fleet start at which each agent sends each change to all others."""
         home = GroupId("depot", 0)
         group = joined(Group("depot", 0, 1), member("b"), member("c"))
         configuration = Configuration(2, {}, {})
@@ -277,20 +277,20 @@
             StoredObject(home.object_key, 3, encode_json(group)),
             StoredObject(CONFIGURATION_KEY, 4, encode_json(configuration)),
         )
-        for agent, told in (("n", []), ("b", ["c:1"])):
+        for agent, recipients in (("n", []), ("b", ["c:1"])):
             with self.subTest(agent=agent):
                 peers = RecordingPeers("b:1", "c:1")
                 store = self.store(f"{agent}:1", peers, home)
-                store._listening_since = store._clock.now()
+                store._status_expected_since = store._clock.now()
                 for stored in objects:
                     store._observe_fleet_object(stored)
                 await asyncio.sleep(0.01)
-                self.assertEqual([target for target, _ in peers.sent], told * len(objects))
+                self.assertEqual([target for target, _ in peers.sent], recipients * len(objects))
                 self.assertEqual(store.view(home), VersionedGroup(3, group))
                 self.assertEqual(self.routes.current, VersionedConfiguration(4, configuration))
 
-    async def test_writer_tells_what_it_changed(self):
-        """Guards against a copy of a large group to the whole fleet for each write."""
+    async def test_writer_publishes_a_delta(self):
+        """Guards against writes that each send a copy of a large group to the whole fleet."""
         home = GroupId("depot", 0)
         base = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
         changed = joined(base.group, replace(member("b"), stamp=1))
@@ -299,7 +299,7 @@
         writer._views[home] = base
         writer._platform = SimpleNamespace(put=mock.AsyncMock(return_value=4))
         written = await writer.write(base, changed)
-        await wait_until(lambda: writer_peers.sent, 2, "the fleet is told")
+        await wait_until(lambda: writer_peers.sent, 2, "the write is published")
         ((target, message),) = writer_peers.sent
         self.assertEqual((target, message.groups), ("c:1", ()))
 
@@ -317,8 +317,8 @@
         behind._on_publish(*writer_peers.sent[-1])
         self.assertEqual(behind.view(home), written)
 
-    async def test_writer_tells_the_watchers_only(self):
-        """Guards against streams and messages from each agent to each other agent."""
+    async def test_writer_publishes_to_watchers_only(self):
+        """Guards against streams and messages between all pairs of agents."""
         home = GroupId("depot", 0)
         members = [member(name) for name in "abcde"]
         base = VersionedGroup(3, joined(Group("depot", 0, 1), *members))
@@ -326,59 +326,59 @@
         changed = joined(base.group, replace(member("d"), stamp=1))
         without_e = replace(changed, members={**changed.members})
         del without_e.members["e:1"]
-        for case, group, open_ids, told in (
+        for case, group, open_ids, recipients in (
             ("a change", changed, ids, ["a:1", "b:1"]),
-            ("a removal concerns all", without_e, ids, ["a:1", "b:1", "c:1"]),
+            ("a removal goes to all", without_e, ids, ["a:1", "b:1", "c:1"]),
             ("a lost watcher", changed, ids[1:], ["a:1", "b:1", "c:1", "e:1"]),
         ):
             with self.subTest(case):
                 peers = RecordingPeers(*open_ids)
                 writer = self.store("d:1", peers, home)
-                writer._listening_since = writer._clock.now()
+                writer._status_expected_since = writer._clock.now()
                 writer.observe(base)
                 writer._platform = SimpleNamespace(put=mock.AsyncMock(return_value=4))
                 await writer.write(base, group)
                 await asyncio.sleep(0.1)
-                self.assertEqual(sorted(target for target, _ in peers.sent), told)
+                self.assertEqual(sorted(target for target, _ in peers.sent), recipients)
 
-    async def test_first_watcher_brings_versions_to_all(self):
-        """Guards against members that never learn of a version, and against one copy of each."""
+    async def test_first_watcher_publishes_versions_to_all(self):
+        """Guards against members that miss a version, and against one full copy per version."""
         home = GroupId("depot", 0)
         base = VersionedGroup(3, joined(Group("depot", 0, 1), *(member(name) for name in "abc")))
         newer = VersionedGroup(5, joined(base.group, replace(member("c"), stamp=2)))
         newest = VersionedGroup(6, joined(newer.group, replace(member("b"), stamp=2)))
-        for agent, told in (("a", ["b:1", "c:1"]), ("b", [])):
+        for agent, recipients in (("a", ["b:1", "c:1"]), ("b", [])):
             with self.subTest(agent=agent):
                 peers = RecordingPeers("a:1", "b:1", "c:1")
                 store = self.store(f"{agent}:1", peers, home)
-                store._listening_since = store._clock.now()
+                store._status_expected_since = store._clock.now()
                 store._views[home] = base
                 for version in (newer, newest):
                     store._on_publish("c:1", Publish(groups=(version,)))
                 await asyncio.sleep(0.1)
-                self.assertEqual([target for target, _ in peers.sent], told)
+                self.assertEqual([target for target, _ in peers.sent], recipients)
                 for _, message in peers.sent:
                     (delta,) = message.deltas
                     self.assertEqual(delta.applied(base), newest)
 
     async def test_agent_that_joins_late_is_no_watcher(self):
-        """Guards against each agent that joins sending each version to the whole fleet.
+        """Guards against joining agents that each publish every version to the whole fleet.
 
-        Watchers tell members only, so all of them seemed silent to an agent that joined more than
-        three seconds after its start.
+        Watchers send their status to members only. An agent that joined more than three seconds
+        after its start regarded all of them as lost and became a watcher.
         """
         home = GroupId("depot", 0)
         group = joined(Group("depot", 0, 1), *(member(name) for name in "abc"))
         store = self.store("d:1", RecordingPeers("a:1", "b:1", "c:1"), home)
-        store._listening_since = store._clock.now() - 10
+        store._status_expected_since = store._clock.now() - 10
         store.observe(VersionedGroup(3, group))
         store.observe(VersionedGroup(4, joined(group, member("d"))))
         self.assertFalse(store._is_watcher())
         with mock.patch.object(store, "_clock", SimpleNamespace(now=lambda: CLOCK.now() + 5)):
             self.assertTrue(store._is_watcher())
 
-    async def test_watcher_tells_what_changed_of_the_configuration(self):
-        """Guards against a copy of 1,000 routes to the whole fleet for the change of one."""
+    async def test_watcher_publishes_a_configuration_delta(self):
+        """Guards against a copy of 1,000 routes to the whole fleet when one of them changes."""
         home = GroupId("depot", 0)
         group = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
         many = {
@@ -404,14 +404,14 @@
         up_to_date._on_publish("b:1", message)
         self.assertEqual(self.routes.current, VersionedConfiguration(5, changed))
 
-        told = RecordingPeers()
-        behind = self.store("d:1", told, home)
+        peers_behind = RecordingPeers()
+        behind = self.store("d:1", peers_behind, home)
         behind._on_publish("b:1", message)
-        self.assertEqual(told.sent, [("b:1", Fetch(objects={}))])
+        self.assertEqual(peers_behind.sent, [("b:1", Fetch(objects={}))])
         self.assertIsNone(self.routes.current)
 
-    async def test_versions_on_their_way_are_not_fetched(self):
-        """Guards against a copy of each group with each renewal while a group changes."""
+    async def test_versions_in_flight_are_not_fetched(self):
+        """Guards against fetches of all groups at each renewal while a group changes."""
         home = GroupId("depot", 0)
         old = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
         new = VersionedGroup(4, joined(old.group, replace(member("c"), stamp=2)))
@@ -428,7 +428,9 @@
         await asyncio.sleep(0.3)
         self.assertEqual([sent for _, sent in peers.sent if isinstance(sent, Fetch)], [])
         store.fetch_newer(member("c"), lost)
-        await wait_until(lambda: isinstance(peers.sent[-1][1], Fetch), 2, "the rest is fetched")
+        await wait_until(
+            lambda: isinstance(peers.sent[-1][1], Fetch), 2, "the unknown versions are fetched"
+        )
 
     def store_at(self, view: VersionedGroup) -> GroupStore:
         store = self.store("d:1", RecordingPeers(), view.group.id)
