--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -36,7 +36,7 @@
         """Whether this agent acknowledges no renewals any more, because it leaves the group."""
         ...
 
-    def me(self) -> Member | None:
+    def own_member(self) -> Member | None:
         """Returns this agent's member in the newest group seen, or None."""
         ...
 
@@ -81,7 +81,7 @@
         """End of the lease in seconds of CLOCK_BOOTTIME."""
         ...
 
-    async def acquired(self) -> None:
+    async def wait_until_held(self) -> None:
         """Waits until the lease is held."""
         ...
 
@@ -89,7 +89,7 @@
         """Raises `LeaseExpiredError` unless the lease is held now."""
         ...
 
-    def begin(self, member_id: str, sent: float) -> None:
+    def start_from_join(self, member_id: str, sent: float) -> None:
         """Makes the join of a member its first renewal, once a group names it.
 
         No monitor waits from an earlier moment than the write that names the member, and that
@@ -135,6 +135,6 @@
         """
         ...
 
-    def withdraw(self, member_id: str, to: str, call: int) -> None:
+    def withdraw_promise(self, member_id: str, to: str, call: int) -> None:
         """Takes a promise back because no write was or will be made under it."""
         ...
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -146,7 +146,7 @@
                 async with asyncio.timeout(remaining):
                     await changed.wait()
 
-    async def drained(self) -> None:
+    async def wait_until_drained(self) -> None:
         """Waits until others own the ranges of here, or the upstream holds none if there are none.
 
         The next member that joins is granted the ranges at once.
@@ -325,7 +325,7 @@
         found_id = range_id(found)
         sent = self._clock.now()
         lease_left_s = self._lease.expires_at - sent
-        hold_s = min(self._bounds.longest_hold_s, lease_left_s / SLOW_CLOCK - _HOLD_MARGIN_S)
+        hold_s = min(self._bounds.max_hold_s, lease_left_s / SLOW_CLOCK - _HOLD_MARGIN_S)
         if hold_s < _LEAST_HOLD_S:
             return
         try:
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -89,7 +89,7 @@
         Monitors wait for a lease from when they see a new member, which is after the join was
         sent, as they do after a stamp.
         """
-        me = self._membership.me()
+        me = self._membership.own_member()
         if me is None or me.id == self._seen_id:
             return
         self._seen_id = me.id
@@ -103,7 +103,7 @@
             if (monitor := group.group.members.get(monitor_id)) is not None:
                 self._peers.dial(monitor)
 
-    async def acquired(self) -> None:
+    async def wait_until_held(self) -> None:
         """Waits until the lease is held."""
         while not self.held:
             self._extended.clear()
@@ -117,7 +117,7 @@
     def send_renewals(self) -> None:
         """Sends one renewal to each monitor."""
         self._note_state()
-        me = self._membership.me()
+        me = self._membership.own_member()
         home = self._membership.home
         if me is None or home is None or self._membership.resigned:
             return
@@ -140,7 +140,7 @@
         Returns:
             Whether the lease was extended.
         """
-        me = self._membership.me()
+        me = self._membership.own_member()
         if me is None or self._membership.resigned or not self._silent(me):
             self._by_writes = False
             return False
@@ -153,13 +153,13 @@
             _WRITE_FAILED.emit(member=me.id, error=error)
             return False
 
-    def begin(self, member_id: str, sent: float) -> None:
-        """Makes a join the first renewal; see `Lease.begin`."""
+    def start_from_join(self, member_id: str, sent: float) -> None:
+        """Makes a join the first renewal; see `Lease.start_from_join`."""
         self._joining = (member_id, sent)
 
     async def write_stamp(self) -> bool:
         """Renews by a conditional write; see `Lease.write_stamp`."""
-        me = self._membership.me()
+        me = self._membership.own_member()
         return me is not None and await self._write_stamp(me.id)
 
     async def _write_stamp(self, member_id: str) -> bool:
@@ -195,14 +195,14 @@
         return not me.monitors or self._acknowledged_at + 2 * self._renewal_s < self._clock.now()
 
     def _on_ack(self, sender: str, message: RenewAck) -> None:
-        me = self._membership.me()
+        me = self._membership.own_member()
         home = self._membership.home
         if me is None or home is None or message.member_id != me.id:
             return
         view = self._groups.view(home)
         monitor = view.group.members.get(sender) if view is not None else None
         if monitor is not None:
-            self._groups.compare(monitor, message.versions)
+            self._groups.fetch_newer(monitor, message.versions)
         sent = self._sent.get(message.sequence)
         if message.granted and message.monitor_id == sender and sent is not None:
             self._acknowledged_at = max(self._acknowledged_at, sent)
@@ -219,7 +219,7 @@
     def _current(self) -> bool:
         # A lease belongs to one incarnation and ends when the member is removed. It ends before
         # the member's own write that removes it, whose answer can be lost.
-        me = self._membership.me()
+        me = self._membership.own_member()
         return me is not None and me.id == self._member_id and not self._membership.resigned
 
     def _note_state(self) -> None:
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -31,7 +31,7 @@
     VersionedGroup,
 )
 from .joins import JoinRecords
-from .keyspace.moves import refenced
+from .keyspace.moves import with_raised_epochs
 from .ring import fill_monitors
 
 _ANNOUNCED = Event(2401, "upstream_announced", Level.INFO, "The upstream announced a new state.")
@@ -169,7 +169,7 @@
         """Ends all tasks."""
         await self._tasks.cancel()
 
-    def me(self) -> Member | None:
+    def own_member(self) -> Member | None:
         """Returns this agent's member in the newest group seen."""
         view = self._groups.view(self._home) if self._home is not None else None
         return view.group.members.get(self.member_id) if view is not None else None
@@ -220,7 +220,7 @@
         self._leaving = True
         self._leaving_since = self._clock.now()
         self._announcements_before_leave = self._announcements
-        if self.me() is None:
+        if self.own_member() is None:
             self._leave_ended = True
             return
         _LEAVING.emit(member=self.member_id, reason=reason)
@@ -249,7 +249,7 @@
             await self._edit_until_done(self._vacate)
             with suppress(TimeoutError):
                 async with asyncio.timeout(_VACATE_PERIOD_S):
-                    await self._ownership.drained()
+                    await self._ownership.wait_until_drained()
                 return
 
     async def _edit_until_done(self, change: GroupChange) -> None:
@@ -273,13 +273,13 @@
         _RESTARTED.emit(member=self.member_id, before=me.instance, now=announced.start)
         renewed = replace(me, instance=announced.start, slots=announced.slots)
         group = replace(group, members={**group.members, me.id: renewed})
-        return refenced(group, me.id)
+        return with_raised_epochs(group, me.id)
 
     def _vacate(self, group: Group) -> Group | None:
         me = group.members.get(self.member_id)
         if me is None:
             return None
-        vacated = self._placement.vacate(group, self.member_id)
+        vacated = self._placement.drain_member(group, self.member_id)
         return None if vacated == group else vacated
 
     def _remove_me(self, group: Group) -> Group | None:
@@ -317,7 +317,7 @@
 
     async def _stay(self) -> None:
         """Takes a leave back that was begun and could not be finished."""
-        me = self.me()
+        me = self.own_member()
         if me is not None and me.state is MemberState.LEAVING:
             await self._edit_until_done(self._activate)
 
@@ -331,7 +331,7 @@
     async def _join(self, announced: Announcement) -> None:
         assert self._home is not None
         member = self._member(announced)
-        self._lease.begin(member.id, self._clock.now())
+        self._lease.start_from_join(member.id, self._clock.now())
         try:
             joined = await self._joins.record(self._home, member, alone=self._alone)
         except (PlatformError, PeerError, UnknownServiceError) as error:
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -158,7 +158,7 @@
         """
         home = self._membership.home
         silent = [member_id for member_id in self._watched if self._is_silent(member_id)]
-        if home is None or not silent or self._membership.me() is None:
+        if home is None or not silent or self._membership.own_member() is None:
             return False
         try:
             base = await self._groups.refresh(home)
@@ -295,7 +295,7 @@
         view = self._groups.view(home) if home is not None else None
         member = view.group.members.get(sender) if view is not None else None
         if member is not None:
-            self._groups.compare(member, message.versions)
+            self._groups.fetch_newer(member, message.versions)
 
     def promise(self, member_id: str, version: int, to: str, call: int) -> bool:
         """Agrees to a takeover; see `Monitor.promise`."""
@@ -308,8 +308,8 @@
         event.emit(member=member_id, to=to, version=version)
         return granted
 
-    def withdraw(self, member_id: str, to: str, call: int) -> None:
-        """Takes a promise back; see `Monitor.withdraw`."""
+    def withdraw_promise(self, member_id: str, to: str, call: int) -> None:
+        """Takes a promise back; see `Monitor.withdraw_promise`."""
         for bar in self._bars.get(member_id, frozenset()):
             if (bar.sender, bar.call) == (to, call):
                 self._drop_bar(member_id, bar)
@@ -323,7 +323,7 @@
         self._peers.reply(sender, Promise(message.call, member_id, version, granted))
 
     def _on_promise_release(self, sender: str, message: PromiseRelease) -> None:
-        self.withdraw(message.member_id, sender, message.call)
+        self.withdraw_promise(message.member_id, sender, message.call)
 
     def _add_bar(self, member_id: str, bar: _Bar) -> None:
         self._set_bars(member_id, {*self._bars.get(member_id, ()), bar})
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -129,7 +129,7 @@
             held.idle.set()
             self._wake()
 
-    async def drained(self) -> None:
+    async def wait_until_drained(self) -> None:
         """Waits until no request is in flight and no shard is active that others could take.
 
         A handover ends when the successor has confirmed it: until then the grants may still
@@ -243,7 +243,7 @@
             await self._clock.sleep(wait_s)
         await self._await_other_shards(batch)
         # Grants sent before the lease is held have ended already and admit no request.
-        await self._lease.acquired()
+        await self._lease.wait_until_held()
         await self._grants.confirmed()
         ready = [
             held
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -16,14 +16,14 @@
 # What one connection is sent at most, in bytes. A client without a bound takes all of it.
 SENT_BYTES = 64 * 1024 * 1024
 # Allowance, in bytes, for the buffers of both sockets, which grow while the client reads.
-SOCKET_BYTES = 12 * 1024 * 1024
+SOCKET_BUFFER_BYTES = 12 * 1024 * 1024
 
 _OK = b"HTTP/1.1 200 OK\r\n"
 _FILLER = b"x" * 16_384
 
 
 @dataclass(frozen=True, slots=True)
-class Endless:
+class EndlessResponse:
     """An answer that never ends.
 
     Attributes:
@@ -37,28 +37,28 @@
     piece: bytes
 
 
-def endless_heads() -> tuple[Endless, ...]:
+def endless_heads() -> tuple[EndlessResponse, ...]:
     """Returns answers whose head never ends."""
     return (
-        Endless("status line", _OK[:-2], _FILLER),
-        Endless("header", _OK + b"X-Long: ", _FILLER),
-        Endless("headers", _OK, b"X-More: 1\r\n" * 1000),
-        Endless("100", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
-        Endless("103", b"", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 500),
-        Endless("no HTTP", b"", b"\x00" * 16_384),
+        EndlessResponse("status line", _OK[:-2], _FILLER),
+        EndlessResponse("header", _OK + b"X-Long: ", _FILLER),
+        EndlessResponse("headers", _OK, b"X-More: 1\r\n" * 1000),
+        EndlessResponse("100", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+        EndlessResponse("103", b"", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 500),
+        EndlessResponse("no HTTP", b"", b"\x00" * 16_384),
     )
 
 
-def endless_bodies(headers: bytes = b"") -> tuple[Endless, ...]:
+def endless_bodies(headers: bytes = b"") -> tuple[EndlessResponse, ...]:
     """Returns answers whose body never ends, with these header lines."""
     chunked = _OK + headers + b"Transfer-Encoding: chunked\r\n\r\n"
     return (
-        Endless("no length", _OK + headers + b"\r\n", _FILLER),
-        Endless("chunked", chunked, b"4000\r\n" + _FILLER + b"\r\n"),
-        Endless("one chunk", chunked + b"fffffffffff\r\n", _FILLER),
-        Endless("length", _OK + headers + b"Content-Length: 99999999999\r\n\r\n", _FILLER),
-        Endless("chunk extension", chunked + b"4;x=", _FILLER),
-        Endless("trailers", chunked + b"0\r\n", b"X-More: 1\r\n" * 1000),
+        EndlessResponse("no length", _OK + headers + b"\r\n", _FILLER),
+        EndlessResponse("chunked", chunked, b"4000\r\n" + _FILLER + b"\r\n"),
+        EndlessResponse("one chunk", chunked + b"fffffffffff\r\n", _FILLER),
+        EndlessResponse("length", _OK + headers + b"Content-Length: 99999999999\r\n\r\n", _FILLER),
+        EndlessResponse("chunk extension", chunked + b"4;x=", _FILLER),
+        EndlessResponse("trailers", chunked + b"0\r\n", b"X-More: 1\r\n" * 1000),
     )
 
 
@@ -73,7 +73,7 @@
         requests: First lines of the requests, without those for health and cancellation.
     """
 
-    def __init__(self, answer: Endless, pause_s: float = 0.0) -> None:
+    def __init__(self, answer: EndlessResponse, pause_s: float = 0.0) -> None:
         self.answer = answer
         self.pause_s = pause_s
         self.accepted = 0
@@ -150,4 +150,4 @@
             with test.assertRaisesRegex(OutcomeUnknownError, "^(?!.*[Tt]imeout)"):
                 await client.put("groups/s1/0", b"{}", 1)
             await wait_until(server.idle, 2, "the connections are closed")
-            test.assertLess(server.accepted, 2 * (section.max_answer_bytes + SOCKET_BYTES))
+            test.assertLess(server.accepted, 2 * (section.max_answer_bytes + SOCKET_BUFFER_BYTES))
