Rename me to own_member

Membership.me is a pronoun that does not say what it returns. own_member says that it is the record of this agent in its group. Only the name changes, in 13 files.

--- a/fescueward/client/services.py
+++ b/fescueward/client/services.py
@@ -169,7 +169,7 @@
     async def stop(self) -> None:
         """Does nothing."""
 
-    def me(self) -> Member | None:
+    def own_member(self) -> Member | None:
         """Returns None."""
         return None
 
--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -36,7 +36,7 @@
         """Whether this agent acknowledges no renewals any more, because it leaves the group."""
         ...
 
-    def me(self) -> Member | None:
+    def own_member(self) -> Member | None:
         """Returns this agent's member in the newest group seen, or None."""
         ...
 
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -460,7 +460,7 @@
                 self._observe_fleet_object(stored)
             self._read.add(prefix)
             # Changes come in bursts, and each answer of the store is a call that counts.
-            pause_s = _WATCH_PAUSE_S if self._membership.me() else _WATCH_START_PAUSE_S
+            pause_s = _WATCH_PAUSE_S if self._membership.own_member() else _WATCH_START_PAUSE_S
             await self._clock.sleep(pause_s)
 
     def _observe_fleet_object(self, stored: StoredObject) -> None:
@@ -472,7 +472,7 @@
                 configuration = decode_json(stored.value, Configuration)
                 base = self._routes.current
                 newer = VersionedConfiguration(stored.version, configuration)
-                if self._routes.observe(newer) and self._membership.me() is not None:
+                if self._routes.observe(newer) and self._membership.own_member() is not None:
                     self._send_to(self._fleet(), configuration_publication(base, newer))
                 return
             group = VersionedGroup(stored.version, decode_json(stored.value, Group))
@@ -503,7 +503,7 @@
     def _is_first_watcher(self) -> bool:
         # An agent that has not joined watches for itself: at a start all agents do, and copies
         # from each to all would grow with the square of the fleet.
-        return self._membership.me() is not None and self._watchers_before_me() == 0
+        return self._membership.own_member() is not None and self._watchers_before_me() == 0
 
     def _watchers_before_me(self) -> int:
         """Returns how many members with a lower id watch the platform as far as is known."""
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -123,7 +123,7 @@
 
     def _on_join_request(self, sender: str, message: JoinRequest) -> None:
         home = GroupId(message.service, message.number)
-        me = self._membership.me()
+        me = self._membership.own_member()
         here = home == self._membership.home and me is not None and not self._membership.leaving
         if not here or sender != message.member.id:
             self._peers.reply(sender, JoinReply(message.call))
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -89,7 +89,7 @@
         Monitors wait for a lease from when they see a new member, which is after the join was
         sent, as they do after a stamp.
         """
-        me = self._membership.me()
+        me = self._membership.own_member()
         if me is None or me.id == self._seen_id:
             return
         self._seen_id = me.id
@@ -117,7 +117,7 @@
     def send_renewals(self) -> None:
         """Sends one renewal to each monitor."""
         self._note_state()
-        me = self._membership.me()
+        me = self._membership.own_member()
         home = self._membership.home
         if me is None or home is None or self._membership.resigned:
             return
@@ -140,7 +140,7 @@
         Returns:
             Whether the lease was extended.
         """
-        me = self._membership.me()
+        me = self._membership.own_member()
         if me is None or self._membership.resigned or not self._silent(me):
             self._by_writes = False
             return False
@@ -159,7 +159,7 @@
 
     async def write_stamp(self) -> bool:
         """Renews by a conditional write; see `Lease.write_stamp`."""
-        me = self._membership.me()
+        me = self._membership.own_member()
         return me is not None and await self._write_stamp(me.id)
 
     async def _write_stamp(self, member_id: str) -> bool:
@@ -195,7 +195,7 @@
         return not me.monitors or self._acknowledged_at + 2 * self._renewal_s < self._clock.now()
 
     def _on_ack(self, sender: str, message: RenewAck) -> None:
-        me = self._membership.me()
+        me = self._membership.own_member()
         home = self._membership.home
         if me is None or home is None or message.member_id != me.id:
             return
@@ -219,7 +219,7 @@
     def _current(self) -> bool:
         # A lease belongs to one incarnation and ends when the member is removed. It ends before
         # the member's own write that removes it, whose answer can be lost.
-        me = self._membership.me()
+        me = self._membership.own_member()
         return me is not None and me.id == self._member_id and not self._membership.resigned
 
     def _note_state(self) -> None:
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -169,7 +169,7 @@
         """Ends all tasks."""
         await self._tasks.cancel()
 
-    def me(self) -> Member | None:
+    def own_member(self) -> Member | None:
         """Returns this agent's member in the newest group seen."""
         view = self._groups.view(self._home) if self._home is not None else None
         return view.group.members.get(self.member_id) if view is not None else None
@@ -220,7 +220,7 @@
         self._leaving = True
         self._leaving_since = self._clock.now()
         self._announcements_before_leave = self._announcements
-        if self.me() is None:
+        if self.own_member() is None:
             self._leave_ended = True
             return
         _LEAVING.emit(member=self.member_id, reason=reason)
@@ -317,7 +317,7 @@
 
     async def _stay(self) -> None:
         """Takes a leave back that was begun and could not be finished."""
-        me = self.me()
+        me = self.own_member()
         if me is not None and me.state is MemberState.LEAVING:
             await self._edit_until_done(self._activate)
 
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -158,7 +158,7 @@
         """
         home = self._membership.home
         silent = [member_id for member_id in self._watched if self._is_silent(member_id)]
-        if home is None or not silent or self._membership.me() is None:
+        if home is None or not silent or self._membership.own_member() is None:
             return False
         try:
             base = await self._groups.refresh(home)
--- a/fescueward/services/problems.py
+++ b/fescueward/services/problems.py
@@ -53,7 +53,7 @@
         told: Answers by member id.
     """
 
-    me: str
+    own_member: str
     asked: frozenset[str] = frozenset()
     told: dict[str, AgentStatus] = field(default_factory=dict)
 
--- a/fescueward/services/status.py
+++ b/fescueward/services/status.py
@@ -98,7 +98,7 @@
     def agent(self) -> AgentStatus:
         """Returns the status of this agent."""
         now = self._clock.now()
-        me = self._membership.me()
+        me = self._membership.own_member()
         home = self._membership.home
         view = self._groups.view(home) if home is not None else None
         shards = self._ownership.active()
@@ -168,7 +168,9 @@
             return AgentState.LEAVING
         if self._membership.announcement is None:
             return AgentState.WAITING
-        return AgentState.ACTIVE if self._membership.me() is not None else AgentState.JOINING
+        return (
+            AgentState.ACTIVE if self._membership.own_member() is not None else AgentState.JOINING
+        )
 
     def _platform_unavailable_s(self) -> float | None:
         since = self._platform.unavailable_since
--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -213,7 +213,7 @@
                 membership=SimpleNamespace(
                     home=home,
                     member_id=member_id,
-                    me=lambda: home and store.view(home).group.members.get(member_id),
+                    own_member=lambda: home and store.view(home).group.members.get(member_id),
                 ),
                 routes=self.routes,
                 settings=SimpleNamespace(platform=SimpleNamespace(watch_ms=1000)),
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -102,7 +102,7 @@
         held = []
         for _ in range(60):
             fleet.world.advance(0.05)
-            if agent.membership.me() is not None:
+            if agent.membership.own_member() is not None:
                 held.append(agent.lease.held)
         self.assertTrue(held)
         self.assertTrue(all(held))
@@ -120,7 +120,7 @@
                 named.append(agent.lease._clock.now())
 
         fleet.platform.on_write = note
-        while agent.membership.me() is None:
+        while agent.membership.own_member() is None:
             fleet.world.advance(0.01)
         # Another member may make the write that names the agent.
         self.assertLessEqual(agent.lease.expires_at, named[0] + agent.lease._lease_s)
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -123,7 +123,7 @@
         agent = fleet.start("a9", "d1")
         agent.platform.answers = Answers.SLOW
         fleet.world.advance(0.05)
-        self.assertIsNone(agent.membership.me())
+        self.assertIsNone(agent.membership.own_member())
         agent.loop.call_soon(lambda: agent.loop.create_task(agent.membership.drain()))
         fleet.world.advance(4)
         self.assertEqual([name for name in fleet.group().members if name.startswith("a9:")], [])
--- a/tests/services/test_status_service.py
+++ b/tests/services/test_status_service.py
@@ -66,7 +66,7 @@
     def now(self):
         return 100.0
 
-    def me(self):
+    def own_member(self):
         return self.views[HOME].group.members["a:1"]
 
     def monitored(self):
