--- a/tests/services/test_single_owner.py
+++ b/tests/services/test_single_owner.py
@@ -40,7 +40,7 @@
     started = 0
 
     @initialize(count=st.integers(2, 6), domains=st.integers(2, 3), checks=st.booleans())
-    def begin(self, count: int, domains: int, checks: bool) -> None:
+    def start_agents(self, count: int, domains: int, checks: bool) -> None:
         OwnershipMachine.started += 1
         if _EXAMPLES and OwnershipMachine.started % 100 == 0:
             print(f"{OwnershipMachine.started} examples", flush=True)
