Rename begin to start_from_join

Lease.begin does not say what begins. start_from_join says that the lease starts from the moment at which the join is sent. Only the name changes, in 3 files.

--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -89,7 +89,7 @@
         """Raises `LeaseExpiredError` unless the lease is held now."""
         ...
 
-    def begin(self, member_id: str, sent: float) -> None:
+    def start_from_join(self, member_id: str, sent: float) -> None:
         """Makes the join of a member its first renewal, once a group names it.
 
         No monitor waits from an earlier moment than the write that names the member, and that
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -153,8 +153,8 @@
             _WRITE_FAILED.emit(member=me.id, error=error)
             return False
 
-    def begin(self, member_id: str, sent: float) -> None:
-        """Makes a join the first renewal; see `Lease.begin`."""
+    def start_from_join(self, member_id: str, sent: float) -> None:
+        """Makes a join the first renewal; see `Lease.start_from_join`."""
         self._joining = (member_id, sent)
 
     async def write_stamp(self) -> bool:
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -331,7 +331,7 @@
     async def _join(self, announced: Announcement) -> None:
         assert self._home is not None
         member = self._member(announced)
-        self._lease.begin(member.id, self._clock.now())
+        self._lease.start_from_join(member.id, self._clock.now())
         try:
             joined = await self._joins.record(self._home, member, alone=self._alone)
         except (PlatformError, PeerError, UnknownServiceError) as error:
