Rename vacate to drain_member

vacate is figurative. The method marks a member as leaving and names successors of its shards, which the field calls draining a member. Only the name changes, in 8 files.

--- a/fescueward/interfaces/placement.py
+++ b/fescueward/interfaces/placement.py
@@ -41,7 +41,7 @@
         """
         ...
 
-    def vacate(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
+    def drain_member(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
         """Sets successors for all shards of a member that is in the state `leaving`."""
         ...
 
@@ -58,7 +58,7 @@
         """Removes lost members and places their shards."""
         ...
 
-    def vacate(self, group: Group, member_id: str) -> Group:
+    def drain_member(self, group: Group, member_id: str) -> Group:
         """Marks a member as leaving and sets successors for all its shards."""
         ...
 
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -83,7 +83,7 @@
         """Removes lost members and places their ranges."""
         return moves.without_members(group, lost)
 
-    def vacate(self, group: Group, member_id: str) -> Group:
+    def drain_member(self, group: Group, member_id: str) -> Group:
         """Marks a member as leaving and sets successors for all its ranges."""
         leaving = replace(group.members[member_id], state=MemberState.LEAVING)
         marked = replace(group, members={**group.members, member_id: leaving})
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -279,7 +279,7 @@
         me = group.members.get(self.member_id)
         if me is None:
             return None
-        vacated = self._placement.vacate(group, self.member_id)
+        vacated = self._placement.drain_member(group, self.member_id)
         return None if vacated == group else vacated
 
     def _remove_me(self, group: Group) -> Group | None:
--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -79,12 +79,12 @@
         self._propose(group, assigned, "loss" if lost else "unowned")
         return assigned
 
-    def vacate(self, group: Group, member_id: str) -> Group:
+    def drain_member(self, group: Group, member_id: str) -> Group:
         """Marks a member as leaving and sets successors for all its shards."""
         leaving = replace(group.members[member_id], state=MemberState.LEAVING)
         marked = replace(group, members={**group.members, member_id: leaving})
         entry = self._entry(group.service)
-        vacated = self._policy.vacate(marked, member_id, self._known_load(), entry)
+        vacated = self._policy.drain_member(marked, member_id, self._known_load(), entry)
         self._propose(group, vacated, "leave")
         return vacated
 
--- a/fescueward/services/policies/bounded.py
+++ b/fescueward/services/policies/bounded.py
@@ -70,8 +70,8 @@
         placer = _Placer(group, remaining, load)
         return settle_lost(group, remaining, lost, entry, placer.choose)
 
-    def vacate(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
-        """Sets successors for a leaving member; see `PlacementPolicy.vacate`."""
+    def drain_member(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
+        """Sets successors for a leaving member; see `PlacementPolicy.drain_member`."""
         return vacated(group, member_id, _Placer(group, group, load).choose)
 
     def rebalance(self, group: Group, load: GroupLoad, entry: Entry) -> Group:
--- a/fescueward/services/policies/static.py
+++ b/fescueward/services/policies/static.py
@@ -20,8 +20,8 @@
             group, remaining, lost, entry, lambda shard, _: _first(remaining, shard)
         )
 
-    def vacate(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
-        """Sets successors for a leaving member; see `PlacementPolicy.vacate`."""
+    def drain_member(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
+        """Sets successors for a leaving member; see `PlacementPolicy.drain_member`."""
         return vacated(group, member_id, lambda shard, _: _first(group, shard))
 
     def rebalance(self, group: Group, load: GroupLoad, entry: Entry) -> Group:
--- a/tests/services/test_placement.py
+++ b/tests/services/test_placement.py
@@ -82,7 +82,7 @@
         group = placed(*(member(name) for name in _NAMES[:count]))
         leaving = replace(group.members["a:1"], state=MemberState.LEAVING)
         marked = replace(group, members={**group.members, "a:1": leaving})
-        after = BoundedLoadPolicy().vacate(marked, "a:1", load, entry())
+        after = BoundedLoadPolicy().drain_member(marked, "a:1", load, entry())
         self.assertEqual(faults(group, after), [])
         for old, new in zip(group.shards, after.shards, strict=True):
             if old.owner != "a:1":
--- a/tests/services/test_planner.py
+++ b/tests/services/test_planner.py
@@ -133,9 +133,9 @@
     async def test_vacate_marks_the_member_and_is_repeatable(self):
         """Guards against an edit that never ends because each try changes the group again."""
         service = self._placement("a:1")
-        vacated = service.vacate(self.group, "a:1")
+        vacated = service.drain_member(self.group, "a:1")
         self.assertEqual(vacated.members["a:1"].state, MemberState.LEAVING)
         self.assertEqual({shard.successor for shard in vacated.shards}, {"b:1"})
-        self.assertEqual(service.vacate(vacated, "a:1"), vacated)
+        self.assertEqual(service.drain_member(vacated, "a:1"), vacated)
         alone = replace(self.group, members={"a:1": self.group.members["a:1"]})
-        self.assertEqual(owners(service.vacate(alone, "a:1")), ["a:1"] * SHARDS)
+        self.assertEqual(owners(service.drain_member(alone, "a:1")), ["a:1"] * SHARDS)
