Rename withdraw to withdraw_promise

Monitor.withdraw does not say what is withdrawn: the promise to acknowledge nothing while a takeover is written. Only the name changes, in 3 files.

--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -135,6 +135,6 @@
         """
         ...
 
-    def withdraw(self, member_id: str, to: str, call: int) -> None:
+    def withdraw_promise(self, member_id: str, to: str, call: int) -> None:
         """Takes a promise back because no write was or will be made under it."""
         ...
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -308,8 +308,8 @@
         event.emit(member=member_id, to=to, version=version)
         return granted
 
-    def withdraw(self, member_id: str, to: str, call: int) -> None:
-        """Takes a promise back; see `Monitor.withdraw`."""
+    def withdraw_promise(self, member_id: str, to: str, call: int) -> None:
+        """Takes a promise back; see `Monitor.withdraw_promise`."""
         for bar in self._bars.get(member_id, frozenset()):
             if (bar.sender, bar.call) == (to, call):
                 self._drop_bar(member_id, bar)
@@ -323,7 +323,7 @@
         self._peers.reply(sender, Promise(message.call, member_id, version, granted))
 
     def _on_promise_release(self, sender: str, message: PromiseRelease) -> None:
-        self.withdraw(message.member_id, sender, message.call)
+        self.withdraw_promise(message.member_id, sender, message.call)
 
     def _add_bar(self, member_id: str, bar: _Bar) -> None:
         self._set_bars(member_id, {*self._bars.get(member_id, ()), bar})
--- a/fescueward/services/recovery.py
+++ b/fescueward/services/recovery.py
@@ -175,7 +175,7 @@
     ) -> None:
         promises.release(kept)
         for member_id in lost - kept:
-            self._monitor.withdraw(member_id, self._membership.member_id, call)
+            self._monitor.withdraw_promise(member_id, self._membership.member_id, call)
 
     async def _write(self, base: VersionedGroup, lost: frozenset[str], counter: int) -> None:
         group = base.group
