--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -81,7 +81,7 @@
         """End of the lease in seconds of CLOCK_BOOTTIME."""
         ...
 
-    async def wait_held(self) -> None:
+    async def wait_until_held(self) -> None:
         """Waits until the lease is held."""
         ...
 
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -103,7 +103,7 @@
             if (monitor := group.group.members.get(monitor_id)) is not None:
                 self._peers.dial(monitor)
 
-    async def wait_held(self) -> None:
+    async def wait_until_held(self) -> None:
         """Waits until the lease is held."""
         while not self.held:
             self._extended.clear()
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -243,7 +243,7 @@
             await self._clock.sleep(wait_s)
         await self._await_other_shards(batch)
         # Grants sent before the lease is held have ended already and admit no request.
-        await self._lease.wait_held()
+        await self._lease.wait_until_held()
         await self._grants.confirmed()
         ready = [
             held
