--- a/fescueward/interfaces/ownership.py
+++ b/fescueward/interfaces/ownership.py
@@ -63,7 +63,7 @@
         """Returns the epoch of each shard that is active or being activated."""
         ...
 
-    async def wait_drained(self) -> None:
+    async def wait_until_drained(self) -> None:
         """Waits until no shard is active here and no request is in flight."""
         ...
 
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -146,7 +146,7 @@
                 async with asyncio.timeout(remaining):
                     await changed.wait()
 
-    async def wait_drained(self) -> None:
+    async def wait_until_drained(self) -> None:
         """Waits until others own the ranges of here, or the upstream holds none if there are none.
 
         The next member that joins is granted the ranges at once.
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -249,7 +249,7 @@
             await self._edit_until_done(self._vacate)
             with suppress(TimeoutError):
                 async with asyncio.timeout(_VACATE_PERIOD_S):
-                    await self._ownership.wait_drained()
+                    await self._ownership.wait_until_drained()
                 return
 
     async def _edit_until_done(self, change: GroupChange) -> None:
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -129,7 +129,7 @@
             held.idle.set()
             self._wake()
 
-    async def wait_drained(self) -> None:
+    async def wait_until_drained(self) -> None:
         """Waits until no request is in flight and no shard is active that others could take.
 
         A handover ends when the successor has confirmed it: until then the grants may still
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -298,8 +298,8 @@
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(0.05):
                 with mock.patch.object(self.probe, "release_range", self._never):
-                    await self.ownership.wait_drained()
-        await self.ownership.wait_drained()
+                    await self.ownership.wait_until_drained()
+        await self.ownership.wait_until_drained()
         first, last = alone.ranges[0].first, alone.ranges[-1].last
         self.assertEqual(self.probe.calls[-1], ("release", first, last))
         await asyncio.sleep(0.3)
