--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -1,4 +1,4 @@
-"""Joins of a group: one member records those of all agents that start together."""
+"""Group joins: one member writes the joins of all agents that start at about the same time."""
 
 from __future__ import annotations
 
@@ -19,28 +19,31 @@
 from .ring import fill_monitors
 
 _JOINS_RECORDED = Event(
-    2412, "joins_recorded", Level.INFO, "Agents that asked for it are members of the group."
+    2412, "joins_recorded", Level.INFO, "Agents that requested a join are members of the group."
 )
 _JOINS_NOT_RECORDED = Event(
-    2413, "joins_not_recorded", Level.WARNING, "A write for agents that asked to join failed."
+    2413,
+    "joins_not_recorded",
+    Level.WARNING,
+    "The write that adds joining agents to the group failed.",
 )
 
-# Time in which a member collects joins for one write, in seconds. Each version of a group goes to
-# all agents, and the processes of a fleet start within some tenths of a second.
-_COLLECT_S = 0.1
+# Join requests that arrive within this time share one write, because each version of a group is
+# sent to all agents. The processes of a fleet start within some tenths of a second.
+_JOIN_BATCH_S = 0.1
 
 
-class JoinRecords:
-    """Records the join of this agent, and those of agents that ask it.
+class JoinRecorder:
+    """Writes joins to the group object, for this agent and for agents that request it.
 
     Args:
-        tasks: Owner of the task that records joins for others.
+        tasks: Owner of the task that writes the joins of other agents.
     """
 
     def __init__(self, tasks: TaskOwner) -> None:
         self._tasks = tasks
-        # Agents whose joins the next write records.
-        self._asked: list[JoinRequest] = []
+        # Requests whose joins the next write records.
+        self._pending_requests: list[JoinRequest] = []
         self._recording = False
 
     def bind(self, registry: Registry) -> None:
@@ -56,20 +59,23 @@
         self._peers.on(JoinRequest, self._on_join_request)
         self._peers.on(JoinReply, self._on_join_reply)
 
-    async def record(self, home: GroupId, member: Member, alone: bool) -> VersionedGroup:
-        """Returns the group with this agent, recorded by a member or, without one, by itself.
+    async def record(self, home: GroupId, member: Member, write_directly: bool) -> VersionedGroup:
+        """Adds this agent to the group, through another member if there is one.
 
-        Many agents start at a time. One writer for all of them needs few writes, while agents
-        that all write for themselves make each other's writes fail.
+        Many agents start at the same time. One writer for all of them needs few writes, whereas
+        the conditional writes of agents that each write their own join conflict.
 
         Args:
-            home: The group.
-            member: This agent in it.
-            alone: Whether no other member is asked.
+            home: Id of the group.
+            member: Member record of this agent.
+            write_directly: Whether this agent writes its join without a request to a member.
+
+        Returns:
+            A version of the group that contains the member.
 
         Raises:
-            PlatformError: The platform did not answer.
-            PeerError: The member that was asked did not answer.
+            PlatformError: The platform did not respond.
+            PeerError: The member that was sent the request did not respond.
         """
 
         def add(group: Group) -> Group | None:
@@ -78,18 +84,18 @@
         def add_first(group: Group) -> Group | None:
             return None if self._recorder(group) is not None else add(group)
 
-        found = await self._groups.edit(home, add if alone else add_first)
-        recorder = self._recorder(found.group)
-        if member.id in found.group.members or recorder is None:
-            return found
+        current = await self._groups.edit(home, add if write_directly else add_first)
+        recorder = self._recorder(current.group)
+        if member.id in current.group.members or recorder is None:
+            return current
         call = self._peers.next_call()
         request = JoinRequest(call, home.service, home.number, member)
-        until = self._clock.now() + self._lease_s
+        deadline = self._clock.now() + self._lease_s
         try:
             reply = await self._peers.call(recorder, request, call)
         except PeerTimeoutError:
-            if await self._recorded_late(home, member.id, until):
-                return self._groups.view(home) or found
+            if await self._wait_until_recorded(home, member.id, deadline):
+                return self._groups.view(home) or current
             raise
         if isinstance(reply, JoinReply) and reply.group is not None:
             self._groups.observe(reply.group)
@@ -97,23 +103,26 @@
                 return reply.group
         return await self._groups.edit(home, add)
 
-    async def _recorded_late(self, home: GroupId, member_id: str, until: float) -> bool:
-        """Waits for a recorder that is busy; one that is silent for a lease is as good as lost."""
+    async def _wait_until_recorded(self, home: GroupId, member_id: str, deadline: float) -> bool:
+        """Waits until a busy recorder has written the join; returns False at the deadline.
+
+        A recorder that does not write for the duration of a lease is treated as lost.
+        """
         while True:
             view = self._groups.view(home)
             if view is not None and member_id in view.group.members:
                 return True
             version = view.version if view is not None else 0
-            if not await self._groups.changed(home, version, until - self._clock.now()):
+            if not await self._groups.changed(home, version, deadline - self._clock.now()):
                 return False
 
     def _on_join_reply(self, sender: str, message: JoinReply) -> None:
-        """Takes the group of a reply that comes after the call has timed out."""
+        """Stores the group of a reply that arrives after its call timed out."""
         if message.group is not None:
             self._groups.observe(message.group)
 
     def _recorder(self, group: Group) -> Member | None:
-        """Returns the member that records joins, or None if this agent has to."""
+        """Returns the member that writes joins, or None if this agent has to write its own."""
         others = {
             member_id: other
             for member_id, other in group.members.items()
@@ -123,33 +132,37 @@
 
     def _on_join_request(self, sender: str, message: JoinRequest) -> None:
         home = GroupId(message.service, message.number)
-        me = self._membership.own_member()
-        here = home == self._membership.home and me is not None and not self._membership.leaving
-        if not here or sender != message.member.id:
+        own_member = self._membership.own_member()
+        accepts_joins = (
+            home == self._membership.home
+            and own_member is not None
+            and not self._membership.leaving
+        )
+        if not accepts_joins or sender != message.member.id:
             self._peers.reply(sender, JoinReply(message.call))
             return
-        self._asked.append(message)
+        self._pending_requests.append(message)
         if not self._recording:
             self._recording = True
             self._tasks.spawn("record-joins", self._record_joins(home))
 
     async def _record_joins(self, home: GroupId) -> None:
-        # What comes while a write is on its way goes into the next one.
-        while self._asked:
-            await self._clock.sleep(_COLLECT_S)
-            requests, self._asked = tuple(self._asked), []
+        # Requests that arrive while a write is in flight go into the next one.
+        while self._pending_requests:
+            await self._clock.sleep(_JOIN_BATCH_S)
+            requests, self._pending_requests = tuple(self._pending_requests), []
             members = tuple(request.member for request in requests)
             written: VersionedGroup | None = None
             try:
                 written = await self._groups.edit(
-                    home, lambda group, members=members: self._with_asking(group, members)
+                    home, lambda group, members=members: self._with_requested(group, members)
                 )
             except FescuewardError as error:
                 _JOINS_NOT_RECORDED.emit(group=home, members=len(members), error=error)
                 if isinstance(error, PlatformError) and not isinstance(
                     error, PlatformUnavailableError
                 ):
-                    # The write may still take effect, so nobody is told that it was not made.
+                    # The write may still take effect, so no reply reports a failure.
                     continue
             else:
                 _JOINS_RECORDED.emit(group=home, version=written.version, members=len(members))
@@ -157,28 +170,28 @@
                 self._peers.reply(request.member.id, JoinReply(request.call, written))
         self._recording = False
 
-    def _with_asking(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
-        """Returns the group with agents that asked, but for those that have joined as newer."""
-        present = tuple(
+    def _with_requested(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
+        """Adds the joining agents, except those that are members with a newer incarnation."""
+        eligible = tuple(
             member
             for member in joining
             if not any(
                 other.incarnation > member.incarnation for other in _same_process(group, member)
             )
         )
-        return self.with_members(group, present)
+        return self.with_members(group, eligible)
 
     def with_members(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
-        """Returns the group with new members, or None if they are in it already."""
+        """Returns the group with the joining members added, or None if it contains all of them."""
         added: dict[str, Member] = {}
         replaced: set[str] = set()
         for member in joining:
             if member.id in group.members or member.id in added:
                 continue
-            # The old process of this boot is dead: the new one holds its port.
-            old = frozenset(other.id for other in _same_process(group, member))
-            group = inherit(group, old, member.id)
-            replaced |= old
+            # The old process of this boot has ended: the new one has bound its port.
+            old_ids = frozenset(other.id for other in _same_process(group, member))
+            group = inherit(group, old_ids, member.id)
+            replaced |= old_ids
             added[member.id] = member
         if not added:
             return None
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -1,4 +1,4 @@
-"""Membership: joining and leaving the group as the upstream announces it."""
+"""Membership: joins and leaves the group according to the announcements of the upstream."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
     MemberState,
     VersionedGroup,
 )
-from .joins import JoinRecords
+from .joins import JoinRecorder
 from .keyspace.moves import refenced
 from .ring import fill_monitors
 
@@ -40,22 +40,23 @@
     2404, "join_failed", Level.WARNING, "Joining the group failed; it is retried."
 )
 _REMOVED = Event(
-    2405, "member_removed", Level.WARNING, "Others took over this member; it joins again as new."
+    2405, "member_removed", Level.WARNING, "Others took over this member; it joins with a new id."
 )
-_LEAVING = Event(2406, "leaving", Level.INFO, "This agent hands its shards over and leaves.")
+_LEAVING = Event(2406, "leaving", Level.INFO, "This agent drains its shards and leaves.")
 _LEFT = Event(2407, "left", Level.INFO, "This agent has left its group.")
 _LEAVE_FAILED = Event(2408, "leave_failed", Level.WARNING, "Leaving failed; it is retried.")
 
 _RESTARTED = Event(
-    2409, "upstream_restarted", Level.INFO, "The upstream has started anew and holds no keys."
+    2409, "upstream_restarted", Level.INFO, "The upstream restarted and holds no keys."
 )
 
 _RETRY_S = 0.2
-_VACATE_PERIOD_S = 0.5
-# Leaving waits for the platform at most this long, if the process is not stopped before; the lease
-# of a stopped agent ends by itself.
+_DRAIN_CHECK_PERIOD_S = 0.5
+# Longest wait for the platform while leaving, unless the process is stopped earlier; the lease of
+# a stopped agent expires without a write.
 LEAVE_TIMEOUT_S = 30.0
-# A leaving upstream takes new work for this long, until others know that it leaves.
+# A leaving upstream is still sent new work for this long, because other agents learn of the leave
+# with a delay.
 LEAVING_GRACE_S = 1.0
 
 
@@ -64,7 +65,17 @@
 
 
 class GroupMembership:
-    """The `membership` service."""
+    """The `membership` service.
+
+    Args:
+        kernel: Owner of the tasks.
+        incarnation: Incarnation of the first member id.
+        boot_id: Identifies the boot of the machine; read from the kernel if empty.
+        next_incarnation: Returns a number for the next incarnation, by default the time in
+            milliseconds.
+        stop_timeout_s: Longest time that a stopping process spends on leaving, in seconds.
+        leaving_grace_s: How long a leaving upstream is still sent new work, in seconds.
+    """
 
     name = "membership"
     requires = ("platform", "catalogue", "groups", "peers", "placement")
@@ -79,7 +90,7 @@
         leaving_grace_s: float = LEAVING_GRACE_S,
     ) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._joins = JoinRecords(self._tasks)
+        self._join_recorder = JoinRecorder(self._tasks)
         self._incarnation = incarnation
         self._next_incarnation = next_incarnation
         self._boot_id = boot_id or Path("/proc/sys/kernel/random/boot_id").read_text().strip()
@@ -87,54 +98,55 @@
         self._leaving_grace_s = leaving_grace_s
         self._home: GroupId | None = None
         self._announcement: Announcement | None = None
-        self._announcements = 0
-        self._announcements_before_leave = 0
+        self._announcement_count = 0
+        self._announcement_count_at_leave = 0
         self._leaving = False
         self._leaving_since = 0.0
         self._resigned = False
         self._leave_ended = False
         self._stopping = False
-        # Whether the leave was begun for the upstream's sake, before the process was stopped.
-        self._left_before_stop = False
-        self._left = asyncio.Event()
+        # Whether the leave began before the process was stopped, because the upstream leaves.
+        self._leave_began_before_stop = False
+        self._leave_done = asyncio.Event()
         self._joined = False
         self._wake = asyncio.Event()
-        # Whether the next join is not left to another member, because the last one was in vain.
-        self._alone = False
+        # Whether this agent writes its next join itself, because its last request failed.
+        self._write_directly = False
 
     @property
     def member_id(self) -> str:
-        """`NAME:INCARNATION` of this agent."""
+        """Member id of this agent, `NAME:INCARNATION`."""
         return f"{self._settings.agent.name}:{self._incarnation}"
 
     @property
     def home(self) -> GroupId | None:
-        """Group that the agent belongs to."""
+        """Id of the agent's group, or None before the first announcement of its upstream."""
         return self._home
 
     @property
     def announcement(self) -> Announcement | None:
-        """What the upstream last said of itself."""
+        """Last announcement of the upstream, or None before the first one."""
         return self._announcement
 
     @property
     def leaving(self) -> bool:
-        """Whether no new work is admitted."""
+        """Whether the upstream or the agent leaves, so that no new work is admitted."""
         return self._leaving
 
     @property
     def closed(self) -> bool:
-        """Whether the upstream gets no more requests, because it leaves or is gone."""
+        """Whether the upstream is sent no more requests, because it leaves or has stopped."""
         if not self._leaving:
             return False
-        if self._stopping and not self._resigned and not self._left_before_stop:
-            # The upstream itself stays, and while the platform is away nobody knows of the leave.
+        if self._stopping and not self._resigned and not self._leave_began_before_stop:
+            # The upstream keeps running, and other agents learn of the leave only through the
+            # platform, which may be unavailable.
             return self._clock.now() - self._leaving_since > self._stop_timeout_s
         return self._clock.now() - self._leaving_since > self._leaving_grace_s
 
     @property
     def resigned(self) -> bool:
-        """Whether this agent acknowledges no renewals any more, because it leaves the group."""
+        """Whether this agent has stopped acknowledging renewals, because it leaves the group."""
         return self._resigned
 
     def bind(self, registry: Registry) -> None:
@@ -148,34 +160,34 @@
         self._admission = registry.find("admission", Admission)
         self._lease = registry.find("lease", Lease)
         self._groups.subscribe(self)
-        self._joins.bind(registry)
+        self._join_recorder.bind(registry)
 
     async def start(self) -> None:
-        """Waits for the first announcement and joins then."""
+        """Starts the task that joins the group after the first announcement."""
         self._tasks.spawn("join", self._run_join())
 
     async def drain(self) -> None:
-        """Leaves the group, or waits for a leave that was begun before."""
+        """Leaves the group, or waits for a leave that is already in progress."""
         self._stopping = True
-        self._left_before_stop = self._leaving
+        self._leave_began_before_stop = self._leaving
         if not self._leaving:
             await self.leave("agent stops")
         elif not self._leave_ended:
             with suppress(TimeoutError):
                 async with asyncio.timeout(self._stop_timeout_s):
-                    await self._left.wait()
+                    await self._leave_done.wait()
 
     async def stop(self) -> None:
         """Ends all tasks."""
         await self._tasks.cancel()
 
     def own_member(self) -> Member | None:
-        """Returns this agent's member in the newest group seen."""
+        """Returns the member record of this agent, or None if it is not in the known group."""
         view = self._groups.view(self._home) if self._home is not None else None
         return view.group.members.get(self.member_id) if view is not None else None
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Notices that others have removed this member."""
+        """Starts a new incarnation if another agent has removed this member."""
         if group.group.id != self._home or not self._joined:
             return
         if self.member_id not in group.group.members and not self._resigned:
@@ -189,10 +201,11 @@
         return fill_monitors(group)
 
     def announce(self, announcement: Announcement) -> None:
-        """Acts on an announcement of the upstream.
+        """Applies an announcement of the upstream.
 
         Raises:
-            InvalidAnnouncementError: It names another service or group than before.
+            InvalidAnnouncementError: The announcement names another service or group than the
+                first one.
         """
         home = GroupId(announcement.service, announcement.group)
         if self._home is not None and home != self._home:
@@ -207,48 +220,49 @@
         self._announcement = announcement
         if restarted and self._joined:
             self._tasks.spawn("restarted", self._edit_until_done(self._restart_upstream))
-        self._announcements += 1
+        self._announcement_count += 1
         self._admission.observe_announcement(announcement)
         if announcement.state is AnnouncedState.LEAVING and not self._leaving:
             self._tasks.spawn("leave", self.leave("upstream leaves"))
         self._wake.set()
 
     async def leave(self, reason: str) -> None:
-        """Hands all shards over, finishes what is in flight and leaves the group."""
+        """Hands over all shards, waits for requests in flight and leaves the group."""
         if self._leaving:
             return
         self._leaving = True
         self._leaving_since = self._clock.now()
-        self._announcements_before_leave = self._announcements
+        self._announcement_count_at_leave = self._announcement_count
         if self.own_member() is None:
             self._leave_ended = True
             return
         _LEAVING.emit(member=self.member_id, reason=reason)
         self._leave_ended = False
-        self._left.clear()
+        self._leave_done.clear()
         try:
             timeout_s = self._stop_timeout_s if self._stopping else LEAVE_TIMEOUT_S
             async with asyncio.timeout(timeout_s):
-                await self._withdraw()
+                await self._leave_group()
         except TimeoutError:
             _LEAVE_FAILED.emit(member=self.member_id, error="timeout")
         self._leave_ended = True
-        self._left.set()
+        self._leave_done.set()
         self._wake.set()
 
-    async def _withdraw(self) -> None:
+    async def _leave_group(self) -> None:
         await self._hand_over_all()
-        # No renewal may be acknowledged once the write that ends the monitor's role is on its way.
+        # No renewal may be acknowledged once the write that ends the monitor's role is in flight.
         self._resigned = True
-        await self._edit_until_done(self._remove_me)
+        await self._edit_until_done(self._remove_own_member)
         _LEFT.emit(member=self.member_id)
 
     async def _hand_over_all(self) -> None:
-        # Shards that were on their way here when the leave began arrive later and move on.
+        # Shards whose handover to this agent began before the leave arrive during it, and are
+        # handed over in the next pass.
         while True:
-            await self._edit_until_done(self._vacate)
+            await self._edit_until_done(self._drain_own_member)
             with suppress(TimeoutError):
-                async with asyncio.timeout(_VACATE_PERIOD_S):
+                async with asyncio.timeout(_DRAIN_CHECK_PERIOD_S):
                     await self._ownership.wait_until_drained()
                 return
 
@@ -266,27 +280,27 @@
                 await self._clock.sleep(_RETRY_S)
 
     def _restart_upstream(self, group: Group) -> Group | None:
-        me = group.members.get(self.member_id)
-        announced = self._announcement
-        if me is None or announced is None or me.instance == announced.start:
+        member = group.members.get(self.member_id)
+        announcement = self._announcement
+        if member is None or announcement is None or member.instance == announcement.start:
             return None
-        _RESTARTED.emit(member=self.member_id, before=me.instance, now=announced.start)
-        renewed = replace(me, instance=announced.start, slots=announced.slots)
-        group = replace(group, members={**group.members, me.id: renewed})
-        return refenced(group, me.id)
-
-    def _vacate(self, group: Group) -> Group | None:
-        me = group.members.get(self.member_id)
-        if me is None:
+        _RESTARTED.emit(member=self.member_id, before=member.instance, now=announcement.start)
+        restarted = replace(member, instance=announcement.start, slots=announcement.slots)
+        group = replace(group, members={**group.members, member.id: restarted})
+        return refenced(group, member.id)
+
+    def _drain_own_member(self, group: Group) -> Group | None:
+        member = group.members.get(self.member_id)
+        if member is None:
             return None
-        vacated = self._placement.drain_member(group, self.member_id)
-        return None if vacated == group else vacated
+        drained = self._placement.drain_member(group, self.member_id)
+        return None if drained == group else drained
 
-    def _remove_me(self, group: Group) -> Group | None:
+    def _remove_own_member(self, group: Group) -> Group | None:
         if self.member_id not in group.members:
             return None
-        lost = frozenset({self.member_id})
-        return self.fill_monitors(self._placement.assign(group, lost))
+        removed_ids = frozenset({self.member_id})
+        return self.fill_monitors(self._placement.assign(group, removed_ids))
 
     def _start_incarnation(self) -> None:
         self._incarnation = max(self._next_incarnation(), self._incarnation + 1)
@@ -296,65 +310,68 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            announced = self._announcement
-            if self._stopping or announced is None:
+            announcement = self._announcement
+            if self._stopping or announcement is None:
                 continue
-            if announced.state is not AnnouncedState.READY:
+            if announcement.state is not AnnouncedState.READY:
                 continue
             if self._leave_ended:
-                if self._announcements == self._announcements_before_leave:
-                    # The upstream has not spoken since the leave began; it may be gone.
+                if self._announcement_count == self._announcement_count_at_leave:
+                    # No announcement since the leave began: the upstream may have stopped.
                     continue
                 self._leave_ended = self._leaving = False
                 if self._resigned:
                     self._start_incarnation()
                     self._resigned = self._joined = False
             if self._joined and not self._leaving:
-                await self._stay()
+                await self._cancel_unfinished_leave()
             if self._joined or self._leaving:
                 continue
-            await self._join(announced)
+            await self._join(announcement)
 
-    async def _stay(self) -> None:
-        """Takes a leave back that was begun and could not be finished."""
-        me = self.own_member()
-        if me is not None and me.state is MemberState.LEAVING:
+    async def _cancel_unfinished_leave(self) -> None:
+        """Cancels a leave that began and could not be completed."""
+        member = self.own_member()
+        if member is not None and member.state is MemberState.LEAVING:
             await self._edit_until_done(self._activate)
 
     def _activate(self, group: Group) -> Group | None:
-        me = group.members.get(self.member_id)
-        if me is None or me.state is not MemberState.LEAVING:
+        member = group.members.get(self.member_id)
+        if member is None or member.state is not MemberState.LEAVING:
             return None
-        active = replace(me, state=MemberState.ACTIVE)
-        return replace(group, members={**group.members, me.id: active})
+        active = replace(member, state=MemberState.ACTIVE)
+        return replace(group, members={**group.members, member.id: active})
 
-    async def _join(self, announced: Announcement) -> None:
+    async def _join(self, announcement: Announcement) -> None:
         assert self._home is not None
-        member = self._member(announced)
+        member = self._member(announcement)
         self._lease.start_from_join(member.id, self._clock.now())
         try:
-            joined = await self._joins.record(self._home, member, alone=self._alone)
+            joined = await self._join_recorder.record(
+                self._home, member, write_directly=self._write_directly
+            )
         except (PlatformError, PeerError, UnknownServiceError) as error:
             _JOIN_FAILED.emit(group=self._home, error=error)
             if isinstance(error, OutcomeUnknownError | PeerError):
-                # The member may be in the group and may be removed before the next attempt; its
-                # id must not come back, because its epochs would look like those of one owner.
+                # The member may be in the group and may be removed before the next attempt. Its
+                # id must not be used again, because the epochs of both members would look like
+                # those of one owner.
                 self._start_incarnation()
-            self._alone = isinstance(error, PeerError)
-            if not self._alone:
+            self._write_directly = isinstance(error, PeerError)
+            if not self._write_directly:
                 await self._clock.sleep(_RETRY_S)
             self._wake.set()
             return
         except FescuewardError as error:
             _JOIN_FAILED.emit(group=self._home, error=error)
             return
-        self._joined, self._alone = True, False
+        self._joined, self._write_directly = True, False
         _JOINED.emit(group=self._home, member=member.id, version=joined.version)
         if self._leaving:
-            # The leave ended while this join was on its way, and found no member to remove.
-            await self._withdraw()
+            # The leave ended while this join was in flight, and found no member to remove.
+            await self._leave_group()
 
-    def _member(self, announced: Announcement) -> Member:
+    def _member(self, announcement: Announcement) -> Member:
         agent, peers, callers = (
             self._settings.agent,
             self._settings.peers,
@@ -370,8 +387,8 @@
             caller_host=callers.host,
             caller_port=callers.port,
             failure_domain=agent.failure_domain,
-            slots=announced.slots,
-            connections=announced.connections,
-            checks_grants=announced.checks_grants,
-            instance=announced.start,
+            slots=announcement.slots,
+            connections=announcement.connections,
+            checks_grants=announcement.checks_grants,
+            instance=announcement.start,
         )
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -16,7 +16,7 @@
 
 
 def move(fleet: Fleet, shard: int, successor: str) -> None:
-    """Writes a successor as the planner does."""
+    """Writes a successor of a shard to the group object, as the planner does."""
     group = fleet.group()
     shards = list(group.shards)
     shards[shard] = replace(shards[shard], successor=fleet.agents[successor].member_id)
@@ -46,16 +46,16 @@
             self.assertNotIn(member_id, member.monitors)
 
     def test_last_member_leaves_while_another_joins(self):
-        """Guards against a last member that serves after its removal took effect."""
+        """Guards against a last member that serves after its removal has taken effect."""
         fleet = formed(1, 1)
         agent = fleet.agents["a0"]
-        remove_me = agent.membership._remove_me
+        remove_own_member = agent.membership._remove_own_member
 
-        def remove_without_answer(group):
+        def remove_without_response(group):
             agent.platform.answers = Answers.LOST
-            return remove_me(group)
+            return remove_own_member(group)
 
-        agent.membership._remove_me = remove_without_answer
+        agent.membership._remove_own_member = remove_without_response
         agent.leave()
         fleet.world.advance(0.1)
         fleet.start("a1", "d1")
@@ -63,7 +63,7 @@
         fleet.world.advance(2)
         self.assertTrue(fleet.served(), fleet.owners())
 
-    def test_leave_while_a_shard_is_on_its_way_here(self):
+    def test_leave_during_a_handover_to_the_leaving_member(self):
         """Guards against a shard that arrives between the last drain and the removal."""
         for delay in (0.0005, 0.2, 0.4, 0.7, 1.0, 1.4):
             for lost in (False, True):
@@ -80,11 +80,11 @@
                     self.assertTrue(fleet.served(), fleet.owners())
                     self.assertEqual(len(fleet.group().members), 2)
 
-    def test_stop_while_the_platform_is_away(self):
-        """Guards against an agent that turns requests away although no other can take them.
+    def test_stop_while_the_platform_is_unavailable(self):
+        """Guards against an agent that refuses requests although no other agent can take them.
 
-        Found by trouble-3 of merrimack-siphon: all four servers of a service were behind agents
-        that had been told to stop while the platform was away.
+        On the day trouble-3 of merrimack-siphon, the agents of all four servers of a service were
+        stopped while the platform was unavailable.
         """
         fleet = formed(2, 2)
         agent = fleet.agents["a0"]
@@ -96,8 +96,8 @@
         fleet.world.advance(11)
         self.assertTrue(agent.membership.closed)
 
-    def test_stop_waits_for_a_leave_that_was_begun_before(self):
-        """Guards against keys that stay with a lost agent, and against a gate that opens again."""
+    def test_stop_waits_for_a_leave_in_progress(self):
+        """Guards against keys that stay with a stopped agent, and a gate that opens again."""
         fleet = formed(2, 2)
         agent = fleet.agents["a0"]
         member_id = agent.member_id
@@ -117,8 +117,8 @@
         self.assertEqual(len(drained), 1)
         self.assertNotIn(member_id, fleet.group().members)
 
-    def test_join_on_its_way_at_a_stop_is_taken_back(self):
-        """Guards against keys that are given to an agent that has stopped."""
+    def test_join_in_flight_at_a_stop_is_undone(self):
+        """Guards against shards that are assigned to an agent that has stopped."""
         fleet = formed(2, 2)
         agent = fleet.start("a9", "d1")
         agent.platform.answers = Answers.SLOW
@@ -128,10 +128,10 @@
         fleet.world.advance(4)
         self.assertEqual([name for name in fleet.group().members if name.startswith("a9:")], [])
 
-    def test_departure_outlasts_the_time_of_a_stop(self):
-        """Guards against keys that stay with an upstream that left while the platform was away.
+    def test_leave_of_the_upstream_outlasts_the_stop_timeout(self):
+        """Guards against keys that stay with an upstream that left during a platform outage.
 
-        Only a stopping process is short of time; a leave for any other reason goes on.
+        The stop timeout bounds the leave of a stopping process only; any other leave continues.
         """
         fleet = formed(2, 2)
         agent = fleet.agents["a0"]
@@ -144,23 +144,23 @@
         fleet.world.advance(5)
         self.assertNotIn(member_id, fleet.group().members)
 
-    def test_unfinished_leave_is_taken_back(self):
-        """Guards against a member that gets no keys because its first leave was never finished."""
+    def test_unfinished_leave_is_cancelled(self):
+        """Guards against a member that gets no keys because an earlier leave was not completed."""
         fleet = formed(2, 2)
         agent = fleet.agents["a0"]
         group = fleet.group()
-        me = replace(group.members[agent.member_id], state=MemberState.LEAVING)
+        leaving = replace(group.members[agent.member_id], state=MemberState.LEAVING)
         version = fleet.platform.read(HOME.object_key).version
-        left = replace(group, members={**group.members, me.id: me})
-        fleet.platform.write(HOME.object_key, encode_json(left), version)
+        changed = replace(group, members={**group.members, leaving.id: leaving})
+        fleet.platform.write(HOME.object_key, encode_json(changed), version)
         fleet.world.advance(1)
         agent.loop.call_soon(agent.announce, AnnouncedState.READY)
         fleet.world.advance(3)
         self.assertIs(fleet.group().members[agent.member_id].state, MemberState.ACTIVE)
         self.assertTrue(fleet.served(), fleet.owners())
 
-    def test_stopped_agent_closes_once_others_know(self):
-        """Guards against requests that are taken by an agent without a place in its group."""
+    def test_stopped_agent_closes_after_it_has_left(self):
+        """Guards against requests that an agent admits after it has left its group."""
         fleet = formed(2, 2)
         agent = fleet.agents["a0"]
         agent.loop.call_soon(lambda: agent.loop.create_task(agent.membership.drain()))
@@ -193,7 +193,7 @@
         self.assertTrue(fleet.served())
 
     def test_ready_again_joins_as_a_new_member(self):
-        """Guards against an upstream that comes back and gets no work."""
+        """Guards against an upstream that becomes ready again and gets no work."""
         fleet = formed(3, 3)
         agent = fleet.agents["a0"]
         before = agent.member_id
@@ -220,32 +220,32 @@
                 self.assertNotIn(old.member_id, fleet.group().members)
                 self.assertTrue(fleet.served())
 
-    def test_join_whose_answer_was_lost_and_that_was_taken_over(self):
-        """Guards against a member id that enters the group again after its removal."""
+    def test_join_with_a_lost_response_that_was_taken_over(self):
+        """Guards against a member id that is added to the group again after its removal."""
         fleet = formed(3, 3)
         agent = fleet.start("a5", "d2")
-        add = agent.membership._joins.with_members
+        add = agent.membership._join_recorder.with_members
 
-        def add_without_answer(group, joining):
+        def add_without_response(group, joining):
             agent.platform.answers = Answers.LOST
             return add(group, joining)
 
-        agent.membership._joins.with_members = add_without_answer
+        agent.membership._join_recorder.with_members = add_without_response
         fleet.cut("a5", fleet.agents)
-        # Nobody records the join, so the agent writes itself.
+        # The agent cannot reach a member that records its join, so it writes the join itself.
         fleet.world.advance(1.5)
         first = agent.member_id
         self.assertIn(first, fleet.group().members)
         fleet.world.advance(3.5)
         self.assertNotIn(first, fleet.group().members)
-        agent.membership._joins.with_members = add
+        agent.membership._join_recorder.with_members = add
         fleet.heal()
         fleet.world.advance(4)
         self.assertNotEqual(agent.member_id, first)
         self.assertTrue(agent.lease.held)
 
-    def test_join_that_is_recorded_after_the_agent_gave_up(self):
-        """Guards against a late record that replaces the agent's present member by an old one."""
+    def test_join_that_is_recorded_after_its_request_timed_out(self):
+        """Guards against a late write that replaces the agent's current member by an older one."""
         fleet = formed(3, 3)
         recorder = fleet.agents["a0"]
         recorder.platform.write_answers = Answers.VERY_LATE
@@ -260,7 +260,7 @@
         self.assertTrue(agent.lease.held)
 
     def test_agent_whose_clock_went_back_joins(self):
-        """Guards against an agent that stays out because its earlier start has a higher number."""
+        """Guards against an agent that cannot join because its last incarnation was higher."""
         fleet = formed(3, 3)
         boot = fleet.agents["a1"].boot
         fleet._incarnations -= 4
@@ -290,7 +290,7 @@
                 self.assertTrue(fleet.served(), fleet.owners())
 
     def test_busy_recorder_is_waited_for(self):
-        """Guards against agents that all write for themselves while the recorder is busy."""
+        """Guards against agents that each write their own join while the recorder is busy."""
         fleet = formed(3, 3)
         recorder = fleet.agents["a0"]
         recorder.platform.answers = Answers.SLOW
@@ -311,7 +311,7 @@
         self.assertEqual(agent.membership.home, HOME)
 
     def test_deleted_entry_does_not_end_the_agents(self):
-        """Guards against a crash of all monitors when a member of a deleted service is lost."""
+        """Guards against monitors that crash when a member of a deleted service is lost."""
         fleet = formed(3, 3)
         fleet.catalogue.current = None
         fleet.kill("a0")
@@ -322,7 +322,7 @@
         self.assertEqual(len(fleet.group().members), 1)
 
     def test_malformed_group_object_does_not_end_the_agents(self):
-        """Guards against a crash of all agents when the group object cannot be read."""
+        """Guards against agents that crash when the group object is malformed."""
         fleet = formed(3, 3)
         good = fleet.platform.read(HOME.object_key)
         fleet.platform.on_write = lambda old, new: None
@@ -335,7 +335,7 @@
 
 class MonitorPlacementTest(unittest.TestCase):
     def test_mutual_monitors_of_a_domain_end_while_the_group_changes(self):
-        """Guards against a lost failure domain whose members each need the other's promise."""
+        """Guards against a lost failure domain whose members need each other's promise."""
         for seed in (1, 3, 8):
             with self.subTest(seed=seed):
                 random.seed(seed)
