--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -143,7 +143,7 @@
 class Liveness(Protocol):
     """Signs of life of the upstream beside this agent."""
 
-    def heard(self) -> None:
+    def heartbeat_received(self) -> None:
         """Takes note of a heartbeat."""
         ...
 
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -123,7 +123,7 @@
             return web.json_response({})
         self._newest = number
         self._last = announcement
-        self._liveness.heard()
+        self._liveness.heartbeat_received()
         self._upstream.started(announcement.start)
         try:
             self._membership.announce(announcement)
--- a/fescueward/services/gate/liveness.py
+++ b/fescueward/services/gate/liveness.py
@@ -52,8 +52,8 @@
         """Ends the check."""
         await self._tasks.cancel()
 
-    def heard(self) -> None:
-        """Takes note of a heartbeat; see `Liveness.heard`."""
+    def heartbeat_received(self) -> None:
+        """Takes note of a heartbeat; see `Liveness.heartbeat_received`."""
         self._heard_at = self._clock.now()
         self.connected()
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -128,7 +128,7 @@
     def __init__(self) -> None:
         self.signs: list[str] = []
 
-    def heard(self) -> None:
+    def heartbeat_received(self) -> None:
         self.signs.append("heard")
 
     def connected(self) -> None:
--- a/tests/services/gate/test_liveness.py
+++ b/tests/services/gate/test_liveness.py
@@ -34,7 +34,7 @@
         self.liveness.bind(StubRegistry(clock=self.clock, membership=self.membership))
         await self.liveness.start()
         self.addAsyncCleanup(self.liveness.stop)
-        self.liveness.heard()
+        self.liveness.heartbeat_received()
 
     async def fail(self, seconds: float) -> None:
         self.liveness.unreachable()
@@ -51,7 +51,7 @@
         """Guards against an agent that leaves because its upstream is full."""
         await self.fail(0.5)
         self.assertEqual(self.membership.left, 0)
-        self.liveness.heard()
+        self.liveness.heartbeat_received()
         self.clock.shift += 2.0
         await asyncio.sleep(0.25)
         self.assertEqual(self.membership.left, 0)
