--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -89,7 +89,7 @@
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
         kernel.add(SlotAdmission())
-        kernel.add(CrashQuarantine(kernel, crashes=_CRASHES, proven_s=_PROVEN_S))
+        kernel.add(CrashQuarantine(kernel, crashes=_CRASHES, success_window_s=_PROVEN_S))
         kernel.add(GracefulShutdown(kernel))
         kernel.add(GateExecution())
         kernel.add(DispatchRouter())
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -125,15 +125,17 @@
     Args:
         kernel: The kernel.
         crashes: Crashes after which a request is refused.
-        proven_s: Time after a run that ended well in which its request is no suspect, in seconds.
+        success_window_s: Time after a run that ended well in which its request is no suspect, in seconds.
     """
 
     name = "quarantine"
     requires: tuple[str, ...] = ("peers", "groups", "membership", "upstream")
 
-    def __init__(self, kernel: Kernel, crashes: int = _CRASHES, proven_s: float = 0.0) -> None:
+    def __init__(
+        self, kernel: Kernel, crashes: int = _CRASHES, success_window_s: float = 0.0
+    ) -> None:
         self._limit = crashes
-        self._proven_s = proven_s
+        self._proven_s = success_window_s
         self._tasks = kernel.task_owner(self.name)
         # One suspect runs at a time, so that a second crash shows which of them caused it.
         self._alone = asyncio.Lock()
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -309,7 +309,7 @@
 
     async def test_request_that_runs_elsewhere_is_no_suspect(self):
         """Guards against a busy page that is refused because three upstreams ended at once."""
-        self.a, self.b = (Member(name, crashes=3, proven_s=60.0) for name in "ab")
+        self.a, self.b = (Member(name, crashes=3, success_window_s=60.0) for name in "ab")
         page = make_request(path="/page")
         await self.b.succeed(page)
         await self.a.lose(page)
