Reword services/gate

Constants, events and test fakes had figurative names (_TURNED_AWAY, _GONE, heard_ago, OpenQuarantine), and comments described the upstream as dead or gone. They are named after the event, condition or quantity now.

--- a/fescueward/services/gate/__init__.py
+++ b/fescueward/services/gate/__init__.py
@@ -1,1 +1,1 @@
-"""The side of the agent that is beside the upstream."""
+"""The part of an agent that runs requests on the upstream of its VM and watches that upstream."""
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -1,4 +1,4 @@
-"""The owner's side of a request without tokens: the only way to the upstream on this VM."""
+"""Execution of requests without tokens; all requests to the upstream on this VM pass here."""
 
 from __future__ import annotations
 
@@ -27,19 +27,28 @@
 )
 from ...messages import AnnouncedState, Request, Response
 
-_EXECUTED = Event(
-    3410, "request_run", Level.INFO, "A request ran on the upstream here.", frequent=True
+_REQUEST_RUN = Event(
+    3410,
+    "request_run",
+    Level.INFO,
+    "A request ran on the upstream of this VM.",
+    frequent=True,
 )
-_TURNED_AWAY = Event(
-    3411, "request_not_run", Level.INFO, "The upstream here did not serve it.", frequent=True
+_REQUEST_NOT_RUN = Event(
+    3411,
+    "request_not_run",
+    Level.INFO,
+    "A request got no response from the upstream of this VM; `outcome` tells whether it may have "
+    "run.",
+    frequent=True,
 )
 
 
 class GateExecution:
-    """The `execution` service where each attempt has an id of its own and no token.
+    """The `execution` service of platforms that give each attempt its own id and use no tokens.
 
-    A request that is refused here before it was sent has not run, so another agent may take it
-    without a cost to the retry budget.
+    A request that is refused before it is sent to the upstream has not run, so the router may send
+    it to another agent without using the retry budget.
     """
 
     name = "execution"
@@ -49,7 +58,7 @@
         self._listeners: list[RunListener] = []
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._membership = registry.find("membership", Membership)
@@ -64,13 +73,13 @@
         registry.find("peers", Peers).serve(self.execute)
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Starts nothing: this service has no background task."""
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
     def subscribe(self, listener: RunListener) -> None:
-        """Tells a service of the end of each run on the upstream from now on."""
+        """Registers a listener to be called after each run on the upstream."""
         self._listeners.append(listener)
 
     async def execute(self, request: Request) -> Response:
@@ -81,10 +90,11 @@
         except RefusalError as error:
             error.occupancy = self._slots.occupancy
             if request.key and isinstance(error, OverloadedError):
-                # What a hot key asks for is the measure of a move, not what its server can run.
-                expected_s = error.occupancy.run_ms / 1000
-                self._load.record(int(request.key), request.key, expected_s)
-            _TURNED_AWAY.emit(
+                # Keys are moved according to demand. Counting only the requests that ran would cap
+                # the load of a hot key at what its server can run.
+                expected_run_s = error.occupancy.run_ms / 1000
+                self._load.record(int(request.key), request.key, expected_run_s)
+            _REQUEST_NOT_RUN.emit(
                 request=request.id,
                 service=request.service,
                 label=error.label,
@@ -97,52 +107,52 @@
 
     async def _execute(self, request: Request) -> Response:
         entry = self._catalogue.entry(request.service).entry
-        self._check_open(request)
+        self._check_accepting(request)
         await self._admitted_epoch(request)
         async with (
             self._quarantine.guard(request) as request,
             self._admission.slot(request, entry),
         ):
-            # Departure and loss of the keys may have come while the request waited.
-            self._check_open(request)
+            # The upstream may have begun to leave, or the key may have moved, during the wait.
+            self._check_accepting(request)
             epoch = await self._admitted_epoch(request)
-            started = self._clock.now()
+            started_at = self._clock.now()
             try:
                 response = await self._upstream.run(
                     request, int(request.key or 0), epoch, request.deadline
                 )
             finally:
-                seconds = self._clock.now() - started
+                run_s = self._clock.now() - started_at
                 if request.key:
-                    self._load.record(int(request.key), request.key, seconds)
+                    self._load.record(int(request.key), request.key, run_s)
         occupancy = self._slots.occupancy
-        _EXECUTED.emit(
+        _REQUEST_RUN.emit(
             request=request.id,
             service=request.service,
             key=request.key,
             epoch=epoch,
             status=response.status,
-            run_ms=round(seconds * 1000, 1),
+            run_ms=round(run_s * 1000, 1),
             source=request.forwarded_by,
         )
         for listener in self._listeners:
-            listener.run_ended(request.service, seconds)
+            listener.run_ended(request.service, run_s)
         return replace(response, occupancy=occupancy, epoch=epoch)
 
     async def _admitted_epoch(self, request: Request) -> int:
-        """Returns the epoch of the request's key, or 0 if it has none; raises as `admit`."""
+        """Returns the epoch of the request's key, or 0 without a key; raises as `admit`."""
         if not request.key:
             return 0
-        admitted = self._ownership.admit(request.service, request.key, request.deadline)
-        with await admitted as ticket:
+        pending_ticket = self._ownership.admit(request.service, request.key, request.deadline)
+        with await pending_ticket as ticket:
             return ticket.epoch
 
-    def _check_open(self, request: Request) -> None:
-        announced = self._membership.announcement
-        if announced is None:
+    def _check_accepting(self, request: Request) -> None:
+        announcement = self._membership.announcement
+        if announcement is None:
             raise UpstreamUnavailableError("the upstream has not announced itself")
-        if announced.service != request.service:
-            raise NotOwnerError(f"this agent is beside {announced.service!r}")
-        if announced.state is AnnouncedState.LEAVING or self._departure.closed:
-            raise DrainingError("this upstream is leaving")
+        if announcement.service != request.service:
+            raise NotOwnerError(f"the upstream of this agent serves {announcement.service!r}")
+        if announcement.state is AnnouncedState.LEAVING or self._departure.closed:
+            raise DrainingError("the upstream is leaving its group")
         self._shutdown.check(request.deadline)
--- a/fescueward/services/gate/liveness.py
+++ b/fescueward/services/gate/liveness.py
@@ -1,4 +1,4 @@
-"""Whether the upstream on this VM still lives."""
+"""Failure detection for the upstream on this VM."""
 
 from __future__ import annotations
 
@@ -7,26 +7,29 @@
 from ...interfaces import Membership
 from ...kernel import Clock, Event, Kernel, Level, Registry
 
-_GONE = Event(
-    3020, "upstream_lost", Level.WARNING, "No connection and no heartbeat: this agent leaves."
+_UPSTREAM_LOST = Event(
+    3020,
+    "upstream_lost",
+    Level.WARNING,
+    "The upstream accepts no connection and sends no heartbeat, so its agent leaves the group.",
 )
 
-# Failed connections that are needed, and the time that they must span, in seconds: the listening
-# socket of a process that starts again is closed for less.
-_LEAST_FAILURES = 2
-_LEAST_SPAN_S = 0.3
-# Upstreams report about once in 0.9 s; a report that is this old, in seconds, is overdue.
-_OVERDUE_S = 1.3
+# Failed connections after which the upstream counts as lost, and the time that they must span. The
+# listening socket of a restarting process is closed for a shorter time.
+_MIN_FAILURES = 2
+_MIN_FAILURE_SPAN_S = 0.3
+# Upstreams send a heartbeat about every 0.9 s.
+_HEARTBEAT_TIMEOUT_S = 1.3
 _CHECK_PERIOD_S = 0.1
 
 
 class UpstreamLiveness:
     """The `liveness` service.
 
-    An upstream that takes no connection and sends no heartbeat is taken for dead. This agent then
-    leaves its group, so that other members get its keys, and joins again with the next heartbeat.
-    One sign alone is not enough: a heartbeat may be seconds late, and a connection may be refused
-    by an upstream that is full.
+    An upstream that accepts no connection and sends no heartbeat counts as lost. The agent then
+    leaves its group, so that other members take over its keys, and rejoins on the next heartbeat.
+    Neither condition suffices alone: a heartbeat may be seconds late, and an overloaded upstream
+    may refuse connections.
     """
 
     name = "liveness"
@@ -34,58 +37,58 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._failures = 0
+        self._failed_connections = 0
         self._failing_since = 0.0
-        self._heard_at = 0.0
-        self._failed = asyncio.Event()
+        self._last_heartbeat_at = 0.0
+        self._connection_failed = asyncio.Event()
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
 
     async def start(self) -> None:
-        """Starts the check that follows a failed connection."""
+        """Starts the task that checks the upstream after failed connections."""
         self._tasks.spawn("check", self._run())
 
     async def stop(self) -> None:
-        """Ends the check."""
+        """Cancels the check."""
         await self._tasks.cancel()
 
     def heartbeat_received(self) -> None:
-        """Takes note of a heartbeat; see `Liveness.heartbeat_received`."""
-        self._heard_at = self._clock.now()
+        """Records a heartbeat and resets the failures; see `Liveness.heartbeat_received`."""
+        self._last_heartbeat_at = self._clock.now()
         self.connected()
 
     def connected(self) -> None:
-        """Takes note of a connection that works; see `Liveness.connected`."""
-        self._failures = 0
-        self._failed.clear()
+        """Resets the failures after a successful connection; see `Liveness.connected`."""
+        self._failed_connections = 0
+        self._connection_failed.clear()
 
     def unreachable(self) -> None:
-        """Takes note of a connection that could not be made; see `Liveness.unreachable`."""
-        if self._failures == 0:
+        """Counts a failed connection and starts a check; see `Liveness.unreachable`."""
+        if self._failed_connections == 0:
             self._failing_since = self._clock.now()
-        self._failures += 1
-        self._failed.set()
+        self._failed_connections += 1
+        self._connection_failed.set()
 
     async def _run(self) -> None:
         while True:
-            await self._failed.wait()
+            await self._connection_failed.wait()
             await self._clock.sleep(_CHECK_PERIOD_S)
             now = self._clock.now()
-            heard_ago = now - self._heard_at
-            spanned = now - self._failing_since
+            heartbeat_age_s = now - self._last_heartbeat_at
+            failing_s = now - self._failing_since
             if (
-                self._failures < _LEAST_FAILURES
-                or spanned < _LEAST_SPAN_S
-                or heard_ago < _OVERDUE_S
+                self._failed_connections < _MIN_FAILURES
+                or failing_s < _MIN_FAILURE_SPAN_S
+                or heartbeat_age_s < _HEARTBEAT_TIMEOUT_S
             ):
                 continue
-            _GONE.emit(
-                failures=self._failures,
-                failing_s=round(spanned, 2),
-                heartbeat_age_s=round(heard_ago, 2),
+            _UPSTREAM_LOST.emit(
+                failures=self._failed_connections,
+                failing_s=round(failing_s, 2),
+                heartbeat_age_s=round(heartbeat_age_s, 2),
             )
-            await self._membership.leave("the upstream is gone")
+            await self._membership.leave("the upstream is lost")
             self.connected()
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -125,7 +125,7 @@
     Args:
         kernel: The kernel.
         crashes: Crashes after which a request is refused.
-        success_window_s: Time after a run that ended well in which its request is no suspect, in seconds.
+        success_window_s: Seconds after a successful run during which its request is not suspected.
     """
 
     name = "quarantine"
--- a/tests/services/gate/__init__.py
+++ b/tests/services/gate/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the agent's side beside the upstream."""
+"""Tests of execution and failure detection on the VM of the upstream."""
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -1,4 +1,4 @@
-"""Requests on the upstream behind the gate."""
+"""Tests of `GateExecution`: admission, shutdown and quarantine of requests without tokens."""
 
 import asyncio
 import unittest
@@ -20,7 +20,7 @@
 from fescueward.services.shutdown import GracefulShutdown
 from tests.services.fakes import FakePeers, StubRegistry, make_request, make_response
 
-ANNOUNCED = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1")
+ANNOUNCEMENT = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1")
 
 
 def running_shutdown(kernel: Kernel, grace_s: float = 6.0) -> GracefulShutdown:
@@ -30,20 +30,20 @@
 
 
 class SlowUpstream:
-    """Answers when it is told to."""
+    """Responds once `proceed` is set."""
 
     def __init__(self) -> None:
-        self.entered = asyncio.Event()
+        self.run_started = asyncio.Event()
         self.proceed = asyncio.Event()
 
     async def run(self, request, shard: int, epoch: int, deadline: float):
-        self.entered.set()
+        self.run_started.set()
         await self.proceed.wait()
         return make_response(b"ok")
 
 
 class CrashingUpstream:
-    """Crashes by one path."""
+    """Crashes on requests for `/poison`."""
 
     def __init__(self) -> None:
         self.crashes = 0
@@ -55,17 +55,17 @@
     async def run(self, request, shard: int, epoch: int, deadline: float):
         if request.path != "/poison":
             return make_response(b"ok")
-        asyncio.get_running_loop().call_later(0.01, self.notice)
+        asyncio.get_running_loop().call_later(0.01, self.report_crash)
         raise OutcomeLostError("the connection ended without an answer")
 
-    def notice(self) -> None:
+    def report_crash(self) -> None:
         self.crashes += 1
         for listener in self.listeners:
             listener.upstream_crashed()
 
 
 class FreeSlots:
-    """Has a slot for everybody."""
+    """An admission service that always has a free slot."""
 
     occupancy = Occupancy(0, 0, 6, 1.0)
 
@@ -74,7 +74,7 @@
 
 
 class FullSlots:
-    """Refuses everybody."""
+    """An admission service that refuses every request as overloaded."""
 
     occupancy = Occupancy(6, 9, 6, 120.0)
 
@@ -82,14 +82,14 @@
         raise OverloadedError("full")
 
 
-class OpenQuarantine:
-    """Lets everything run."""
+class PassingQuarantine:
+    """A quarantine service that admits every request."""
 
     def guard(self, request):
-        return _Open(request)
+        return _PassingGuard(request)
 
 
-class _Open:
+class _PassingGuard:
     def __init__(self, request) -> None:
         self.request = request
 
@@ -101,7 +101,7 @@
 
 
 class RecordedLoad:
-    """Keeps what is recorded."""
+    """A load service that stores its records as (shard, seconds)."""
 
     def __init__(self) -> None:
         self.records: list[tuple[int, float]] = []
@@ -112,10 +112,10 @@
 
 class HotKeyTest(unittest.IsolatedAsyncioTestCase):
     async def test_refused_requests_count_as_work(self):
-        """Guards against moves that give a hot spot to a server without room for it.
+        """Guards against moving a hot key range to a server that has no capacity for it.
 
-        Found by scale-2 of kagaz-mesh: a server that ran 80 and refused 158 requests a second gave
-        half of what it ran to others, which then refused as many.
+        In scale-2 of kagaz-mesh, a server that ran 80 requests/s and refused 158 handed over half
+        of the load that it ran, and the new owners refused as many requests.
         """
         load = RecordedLoad()
         execution = GateExecution()
@@ -129,12 +129,12 @@
                 clock=BootClock(),
                 shutdown=running_shutdown(Kernel()),
                 catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
-                membership=SimpleNamespace(announcement=ANNOUNCED, closed=False),
+                membership=SimpleNamespace(announcement=ANNOUNCEMENT, closed=False),
                 ownership=SimpleNamespace(admit=admit),
                 admission=FullSlots(),
                 upstream=None,
                 load=load,
-                quarantine=OpenQuarantine(),
+                quarantine=PassingQuarantine(),
                 peers=SimpleNamespace(serve=lambda handler: None),
             )
         )
@@ -155,58 +155,58 @@
                 clock=BootClock(),
                 shutdown=self.shutdown,
                 catalogue=SimpleNamespace(entry=lambda service: entry),
-                membership=SimpleNamespace(announcement=ANNOUNCED, closed=False),
+                membership=SimpleNamespace(announcement=ANNOUNCEMENT, closed=False),
                 ownership=None,
                 admission=slots,
                 upstream=self.upstream,
                 load=None,
-                quarantine=OpenQuarantine(),
+                quarantine=PassingQuarantine(),
                 peers=SimpleNamespace(serve=lambda handler: None),
             )
         )
         self.running = asyncio.create_task(self.execution.execute(make_request(2.0, key="")))
-        await self.upstream.entered.wait()
+        await self.upstream.run_started.wait()
         self.kernel.request_stop()
 
     async def test_stop_waits_for_the_requests_of_others(self):
-        """Guards against forwarded requests that are cut when their agent stops.
+        """Guards against forwarded requests that are aborted when the executing agent stops.
 
-        Found by trouble-3 of kagaz-mesh (LOST): the platform was away, the agent gave its leave
-        up after 4.2 s and ended at once, with requests of other agents at its upstream.
+        In trouble-3 of kagaz-mesh (LOST), the platform was unavailable: the agent gave up leaving
+        its group after 4.2 s and exited while its upstream ran requests of other agents.
         """
-        drained = asyncio.create_task(self.shutdown.drain())
+        drain = asyncio.create_task(self.shutdown.drain())
         await asyncio.sleep(0.1)
-        self.assertFalse(drained.done())
+        self.assertFalse(drain.done())
         self.upstream.proceed.set()
         self.assertEqual((await self.running).status, 200)
-        await asyncio.wait_for(drained, 1)
+        await asyncio.wait_for(drain, 1)
 
     async def test_stop_ends_within_the_grace_time(self):
-        """Guards against an agent that is killed because one request never ends."""
+        """Guards against a stop that exceeds the grace time because one request never ends."""
         await asyncio.wait_for(self.shutdown.drain(), 1)
         self.assertFalse(self.running.done())
         self.running.cancel()
 
     async def test_request_that_may_outlast_the_process_is_left_to_others(self):
-        """Guards against forwarded requests whose upstream is cut off when its agent ends."""
+        """Guards against admitting a forwarded request whose run outlasts the stopping agent."""
         await asyncio.sleep(0.7)
-        self.upstream.entered.clear()
+        self.upstream.run_started.clear()
         with self.assertRaises(DrainingError):
             await self.execution.execute(make_request(2.0, key=""))
-        self.assertFalse(self.upstream.entered.is_set())
+        self.assertFalse(self.upstream.run_started.is_set())
         self.running.cancel()
 
 
 class CrashingRequestTest(unittest.IsolatedAsyncioTestCase):
     async def test_crashing_request_is_refused(self):
-        """Guards against a request that crashes one upstream after the other."""
+        """Guards against a request that crashes upstreams again after three crashes."""
         upstream = CrashingUpstream()
         registry = StubRegistry(
             clock=BootClock(),
             shutdown=running_shutdown(Kernel()),
             catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
             membership=SimpleNamespace(
-                announcement=ANNOUNCED, closed=False, member_id="a:1", home=None
+                announcement=ANNOUNCEMENT, closed=False, member_id="a:1", home=None
             ),
             ownership=None,
             admission=FreeSlots(),
@@ -229,6 +229,6 @@
         with self.assertRaises(QuarantinedError):
             await execution.execute(make_request(2.0, **poison))
         self.assertEqual(upstream.crashes, 3)
-        other = make_request(2.0, path="/poison", key="", caller="routes")
+        other_caller_request = make_request(2.0, path="/poison", key="", caller="routes")
         with self.assertRaises(OutcomeLostError):
-            await execution.execute(other)
+            await execution.execute(other_caller_request)
--- a/tests/services/gate/test_liveness.py
+++ b/tests/services/gate/test_liveness.py
@@ -1,4 +1,4 @@
-"""When an agent takes its upstream for dead."""
+"""Tests of the conditions under which an agent considers its upstream lost."""
 
 import asyncio
 import unittest
@@ -9,22 +9,22 @@
 
 
 class ShiftedClock(BootClock):
-    """A clock that can be put forward."""
+    """A clock that the test moves forward by `shift_s`."""
 
-    shift = 0.0
+    shift_s = 0.0
 
     def now(self) -> float:
-        return super().now() + self.shift
+        return super().now() + self.shift_s
 
 
 class FakeMembership:
-    """Counts departures."""
+    """Counts the calls of `leave`."""
 
     def __init__(self) -> None:
-        self.left = 0
+        self.leave_count = 0
 
     async def leave(self, reason: str) -> None:
-        self.left += 1
+        self.leave_count += 1
 
 
 class UpstreamLivenessTest(unittest.IsolatedAsyncioTestCase):
@@ -36,31 +36,31 @@
         self.addAsyncCleanup(self.liveness.stop)
         self.liveness.heartbeat_received()
 
-    async def fail(self, seconds: float) -> None:
+    async def fail_connections(self, span_s: float) -> None:
         self.liveness.unreachable()
-        self.clock.shift += seconds
+        self.clock.shift_s += span_s
         self.liveness.unreachable()
         await asyncio.sleep(0.25)
 
-    async def test_silent_and_unreachable(self):
-        """Guards against keys that nobody serves until a dead upstream starts again."""
-        await self.fail(2.0)
-        self.assertEqual(self.membership.left, 1)
+    async def test_no_heartbeat_and_no_connection(self):
+        """Guards against keys that stay unserved until a crashed upstream restarts."""
+        await self.fail_connections(2.0)
+        self.assertEqual(self.membership.leave_count, 1)
 
-    async def test_unreachable_but_heard(self):
-        """Guards against an agent that leaves because its upstream is full."""
-        await self.fail(0.5)
-        self.assertEqual(self.membership.left, 0)
+    async def test_no_connection_but_heartbeats(self):
+        """Guards against leaving the group because an overloaded upstream refuses connections."""
+        await self.fail_connections(0.5)
+        self.assertEqual(self.membership.leave_count, 0)
         self.liveness.heartbeat_received()
-        self.clock.shift += 2.0
+        self.clock.shift_s += 2.0
         await asyncio.sleep(0.25)
-        self.assertEqual(self.membership.left, 0)
+        self.assertEqual(self.membership.leave_count, 0)
 
-    async def test_silent_but_connected(self):
-        """Guards against an agent that leaves because a heartbeat is late."""
-        self.clock.shift += 2.0
+    async def test_no_heartbeat_but_connections(self):
+        """Guards against leaving the group because a heartbeat is late."""
+        self.clock.shift_s += 2.0
         self.liveness.unreachable()
         self.liveness.connected()
         self.liveness.unreachable()
         await asyncio.sleep(0.25)
-        self.assertEqual(self.membership.left, 0)
+        self.assertEqual(self.membership.leave_count, 0)
