--- a/fescueward/services/routing/__init__.py
+++ b/fescueward/services/routing/__init__.py
@@ -1,1 +1,1 @@
-"""From a caller's request to the upstream that serves it."""
+"""Routing of requests to upstreams by the routes of the configuration."""
--- a/fescueward/services/routing/balancer.py
+++ b/fescueward/services/routing/balancer.py
@@ -1,4 +1,4 @@
-"""Choice among the upstreams of a service without keys."""
+"""Load balancing among the upstreams of a service without keys."""
 
 from __future__ import annotations
 
@@ -8,38 +8,39 @@
 from ...messages import Member, MemberState
 from ...messages.request import Occupancy
 
-# A run is expected to take this long at an upstream that was never seen, in milliseconds.
-_UNKNOWN_RUN_MS = 100.0
+# Expected run time at an upstream without any measurement.
+_DEFAULT_RUN_MS = 100.0
 # Weight of the newest sample in the mean run time.
 _SAMPLE_WEIGHT = 0.2
-# A report of the queue says little about the time after it, in seconds.
-_REPORT_AGE_S = 1.0
-# Cost of another failure domain, as a share of a request's value for each kilobyte that crosses:
-# bytes between domains are priced.
+# The weight of a reported queue length falls linearly to zero over this time.
+_REPORT_EXPIRY_S = 1.0
+# Cost of each kilobyte sent to or from another failure domain, as a share of a request's value:
+# traffic between domains is charged.
 _REMOTE_COST_PER_KB = 0.015
-# An expected time to the answer above this share of the time left begins to cost value, because
-# run times scatter, and at this rate.
-_SAFE_SHARE = 0.6
+# An expected response time above _SAFE_TIME_SHARE of the remaining time costs _LATE_COST times the
+# excess: run times vary, so such a response may be late.
+_SAFE_TIME_SHARE = 0.6
 _LATE_COST = 0.9
-# A faster answer within the objective has no more value; it only breaks ties.
-_SPEED_COST = 0.05
-# Cost of a member that refused or could not be reached a moment ago.
+# Cost of response time within the objective. A faster response has no higher value, so this only
+# breaks ties.
+_RESPONSE_TIME_COST = 0.05
+# Cost of a member that recently refused a request or was unreachable.
 _AVOIDED_COST = 100.0
-# Bytes of headers and framing of a request and its answer.
+# Headers and framing of a request and its response.
 _OVERHEAD_BYTES = 800
-# An upstream that refused is passed over for this long, in seconds, unless all others did too.
-_REFUSED_S = 0.15
-# An upstream whose agent could not be reached is passed over for this long, in seconds.
-_UNREACHABLE_S = 0.5
+# Time for which a member is avoided after a refusal, unless all others are avoided too.
+_AVOID_REFUSING_S = 0.15
+# Time for which a member is avoided after its agent was unreachable.
+_AVOID_UNREACHABLE_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
-    """What a request needs of the member that serves it.
+class RequestProfile:
+    """Properties of a request that the choice of a member depends on.
 
     Attributes:
-        size: Bytes of its body.
-        useful_ms: Time left in which an answer has its full value.
+        size: Size of its body in bytes.
+        useful_ms: Remaining time in milliseconds in which a response has its full value.
     """
 
     size: int
@@ -47,19 +48,19 @@
 
 
 @dataclass(slots=True)
-class _Seen:
-    """What this agent knows of one member."""
+class _MemberLoad:
+    """Load of one member as observed by this agent and as reported by the member's agent."""
 
     outstanding: int = 0
     run_ms: float = 0.0
-    reported: Occupancy | None = None
+    reported_occupancy: Occupancy | None = None
     reported_at: float = 0.0
     avoid_until: float = 0.0
-    answer_bytes: float = 0.0
+    response_bytes: float = 0.0
 
 
 class Balancer:
-    """Chooses the member with the least expected time to the answer.
+    """Chooses the member with the lowest cost, mainly the shortest expected response time.
 
     Args:
         failure_domain: Failure domain of this agent.
@@ -67,18 +68,18 @@
 
     def __init__(self, failure_domain: str) -> None:
         self._failure_domain = failure_domain
-        self._seen: dict[str, _Seen] = {}
+        self._loads: dict[str, _MemberLoad] = {}
 
     def choose(
-        self, members: Iterable[Member], tried: frozenset[str], now: float, ask: Ask
+        self, members: Iterable[Member], tried: frozenset[str], now: float, profile: RequestProfile
     ) -> Member | None:
-        """Returns the best member that was not tried yet, or None.
+        """Returns the active member with the lowest cost, or None if all were tried.
 
         Args:
             members: Members of the service.
             tried: Ids of members that the request was sent to before.
-            now: Present time in seconds of CLOCK_BOOTTIME.
-            ask: What the request needs.
+            now: Current time in seconds of CLOCK_BOOTTIME.
+            profile: Properties of the request.
         """
         candidates = [
             member
@@ -87,66 +88,68 @@
         ]
         if not candidates:
             return None
-        return min(candidates, key=lambda member: (self._cost(member, now, ask), member.id))
+        return min(candidates, key=lambda member: (self._cost(member, now, profile), member.id))
 
-    def started(self, member_id: str) -> None:
-        """Counts a request as sent."""
-        self._of(member_id).outstanding += 1
+    def record_start(self, member_id: str) -> None:
+        """Counts a request that is sent to a member as outstanding."""
+        self._load_of(member_id).outstanding += 1
 
-    def ended(
+    def record_end(
         self,
         member_id: str,
         occupancy: Occupancy | None,
         run_ms: float | None,
         now: float,
-        answer_bytes: int = 0,
+        response_bytes: int = 0,
     ) -> None:
-        """Counts a request as answered.
+        """Ends an outstanding request and updates the load of its member.
 
         Args:
             member_id: The member.
-            occupancy: Load that came with the answer, or None.
-            run_ms: Time until the answer in milliseconds, or None if it was no success.
-            now: Present time in seconds of CLOCK_BOOTTIME.
-            answer_bytes: Bytes of the answer's body.
+            occupancy: Occupancy that the response or refusal carried, or None.
+            run_ms: Response time in milliseconds, or None if the request was refused or failed.
+            now: Current time in seconds of CLOCK_BOOTTIME.
+            response_bytes: Size of the response body in bytes.
         """
-        seen = self._of(member_id)
-        seen.outstanding = max(seen.outstanding - 1, 0)
+        load = self._load_of(member_id)
+        load.outstanding = max(load.outstanding - 1, 0)
         if occupancy is not None:
-            seen.reported, seen.reported_at = occupancy, now
+            load.reported_occupancy, load.reported_at = occupancy, now
         if run_ms is not None:
-            before = seen.run_ms or run_ms
-            seen.run_ms = before + _SAMPLE_WEIGHT * (run_ms - before)
-            seen.answer_bytes += _SAMPLE_WEIGHT * (answer_bytes - seen.answer_bytes)
+            mean_run_ms = load.run_ms or run_ms
+            load.run_ms = mean_run_ms + _SAMPLE_WEIGHT * (run_ms - mean_run_ms)
+            load.response_bytes += _SAMPLE_WEIGHT * (response_bytes - load.response_bytes)
 
     def avoid(self, member_id: str, now: float, unreachable: bool) -> None:
-        """Passes a member over for a short time."""
-        period_s = _UNREACHABLE_S if unreachable else _REFUSED_S
-        self._of(member_id).avoid_until = now + period_s
-
-    def _of(self, member_id: str) -> _Seen:
-        seen = self._seen.get(member_id)
-        if seen is None:
-            seen = self._seen[member_id] = _Seen()
-        return seen
-
-    def _cost(self, member: Member, now: float, ask: Ask) -> float:
-        seen = self._of(member.id)
-        run_ms = seen.run_ms or _UNKNOWN_RUN_MS
-        busy = float(seen.outstanding)
-        if seen.reported is not None:
-            run_ms = seen.reported.run_ms or run_ms
-            age = min((now - seen.reported_at) / _REPORT_AGE_S, 1.0)
-            reported = seen.reported.running + seen.reported.waiting
-            busy = max(busy, reported * (1 - age))
+        """Avoids a member for a short time, longer if it was unreachable."""
+        avoid_s = _AVOID_UNREACHABLE_S if unreachable else _AVOID_REFUSING_S
+        self._load_of(member_id).avoid_until = now + avoid_s
+
+    def _load_of(self, member_id: str) -> _MemberLoad:
+        load = self._loads.get(member_id)
+        if load is None:
+            load = self._loads[member_id] = _MemberLoad()
+        return load
+
+    def _cost(self, member: Member, now: float, profile: RequestProfile) -> float:
+        load = self._load_of(member.id)
+        run_ms = load.run_ms or _DEFAULT_RUN_MS
+        pending = float(load.outstanding)
+        if load.reported_occupancy is not None:
+            run_ms = load.reported_occupancy.run_ms or run_ms
+            expired_share = min((now - load.reported_at) / _REPORT_EXPIRY_S, 1.0)
+            reported_pending = load.reported_occupancy.running + load.reported_occupancy.waiting
+            pending = max(pending, reported_pending * (1 - expired_share))
         slots = max(member.slots, 1)
-        wait_ms = run_ms * max(busy + 1 - slots, 0) / slots
-        crowding_ms = run_ms * min(busy / slots, 1.0) * 0.5
-        share = (run_ms + wait_ms + crowding_ms) / max(ask.useful_ms, 1.0)
-        cost = share * _SPEED_COST + max(share - _SAFE_SHARE, 0.0) * _LATE_COST
+        wait_ms = run_ms * max(pending + 1 - slots, 0) / slots
+        contention_ms = run_ms * min(pending / slots, 1.0) * 0.5
+        time_share = (run_ms + wait_ms + contention_ms) / max(profile.useful_ms, 1.0)
+        cost = (
+            time_share * _RESPONSE_TIME_COST + max(time_share - _SAFE_TIME_SHARE, 0.0) * _LATE_COST
+        )
         if member.failure_domain != self._failure_domain:
-            crossing = ask.size + seen.answer_bytes + _OVERHEAD_BYTES
-            cost += crossing / 1000 * _REMOTE_COST_PER_KB
-        if now < seen.avoid_until:
+            crossing_bytes = profile.size + load.response_bytes + _OVERHEAD_BYTES
+            cost += crossing_bytes / 1000 * _REMOTE_COST_PER_KB
+        if now < load.avoid_until:
             cost += _AVOIDED_COST
         return cost
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -1,4 +1,4 @@
-"""Routing of requests that a configuration describes: choice, repetition and refusal."""
+"""Routing of configured services: choice of the member, retries and refusals."""
 
 from __future__ import annotations
 
@@ -21,36 +21,45 @@
 )
 from ...kernel.settings import Settings
 from ...messages import GroupId, Member, Request, Response, VersionedGroup
-from .balancer import Ask, Balancer
+from .balancer import Balancer, RequestProfile
 from .budget import RetryBudget
 
-_SENT = Event(
-    3510, "request_sent", Level.INFO, "The request goes to an upstream's agent.", frequent=True
+_REQUEST_SENT = Event(
+    3510,
+    "request_sent",
+    Level.INFO,
+    "The request is sent to the agent of an upstream.",
+    frequent=True,
 )
-_AGAIN = Event(
-    3511, "request_sent_again", Level.INFO, "Another upstream gets the request.", frequent=True
+_REQUEST_SENT_AGAIN = Event(
+    3511,
+    "request_sent_again",
+    Level.INFO,
+    "The request is retried after a refusal or failure.",
+    frequent=True,
 )
-_REFUSED = Event(
+_REQUEST_NOT_SERVED = Event(
     3512,
     "request_not_served",
     Level.INFO,
-    "The request is answered with a failure.",
+    "The request is refused or has failed.",
     frequent=True,
 )
 
-# Most agents that one request is offered to while none of them runs it.
-_OFFERS = 6
-# Pause before the owner of a key is looked up again, in seconds, while the key changes hands.
-_OWNER_PAUSE_S = 0.05
-# A request waits for the owner of its key for at most this share of the time it has.
+# Attempts after which a request without a key is refused if no agent has run it.
+_MAX_SENDS_WITHOUT_RUN = 6
+# Longest wait for a newer group version before the owner of a key is looked up again during a
+# handover.
+_OWNER_POLL_S = 0.05
+# Share of the time to its deadline that a request waits for an owner of its key.
 _OWNER_WAIT_SHARE = 0.5
-# When a caller should come back that was refused for want of an owner, in seconds.
-_OWNER_RETRY_S = 0.25
-# Shortest time in which an upstream can do anything useful, in seconds.
-_LEAST_RUN_S = 0.01
+# Retry-After of a request that is refused because its key has no owner.
+_NO_OWNER_RETRY_AFTER_S = 0.25
+# With less time than this to the deadline, a request is not sent: no upstream could run it.
+_MIN_RUN_S = 0.01
 
-# The upstream may have seen the request.
-_REPEATS = (AnswerLostError, OutcomeLostError, UpstreamRefusedError)
+# The request may have reached an upstream, so another attempt needs the retry budget.
+_BUDGETED_ERRORS = (AnswerLostError, OutcomeLostError, UpstreamRefusedError)
 
 
 class DispatchRouter:
@@ -65,7 +74,7 @@
         self._members: dict[GroupId, dict[str, Member]] = {}
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._bounds = registry.find("bounds", Bounds)
         self._groups = registry.find("groups", Groups)
@@ -77,20 +86,20 @@
         self._groups.subscribe(self)
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Starts nothing: this service has no background task."""
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
     def subscribe(self, listener: RequestListener) -> None:
-        """Tells a service of the end of each request from now on."""
+        """Registers a listener to be called at the end of each request."""
         self._listeners.append(listener)
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Ends the streams to members that are gone; their last answers may still arrive."""
-        before = self._members.get(group.group.id, {})
+        """Retires the streams to removed members; their last responses may still arrive."""
+        previous_members = self._members.get(group.group.id, {})
         self._members[group.group.id] = group.group.members
-        for member_id in before.keys() - group.group.members.keys():
+        for member_id in previous_members.keys() - group.group.members.keys():
             self._peers.retire(member_id)
 
     async def route(self, request: Request) -> Response:
@@ -99,25 +108,27 @@
         Raises:
             RefusalError: The request is refused or failed.
         """
-        started = self._clock.now()
-        self._budget(request.service).earn(started)
-        unknown: list[RefusalError] = []
+        started_at = self._clock.now()
+        self._budget(request.service).deposit(started_at)
+        unknown_outcomes: list[RefusalError] = []
         try:
-            response = await self._serve(request, unknown)
+            response = await self._serve(request, unknown_outcomes)
         except RefusalError as error:
-            if unknown and error.outcome is Outcome.NOT_RUN:
+            if unknown_outcomes and error.outcome is Outcome.NOT_RUN:
                 # The last attempt did not run, but an earlier one may have.
-                lost = OutcomeLostError(f"{unknown[-1]}; then {error.label}: {error}")
-                self._report(request, lost, started)
-                raise lost from error
-            self._report(request, error, started)
+                outcome_error = OutcomeLostError(
+                    f"{unknown_outcomes[-1]}; then {error.label}: {error}"
+                )
+                self._report_failure(request, outcome_error, started_at)
+                raise outcome_error from error
+            self._report_failure(request, error, started_at)
             raise
-        self._tell_listeners(request, None, started)
+        self._notify_listeners(request, None, started_at)
         return response
 
-    def _report(self, request: Request, error: RefusalError, started: float) -> None:
-        self._tell_listeners(request, error, started)
-        _REFUSED.emit(
+    def _report_failure(self, request: Request, error: RefusalError, started_at: float) -> None:
+        self._notify_listeners(request, error, started_at)
+        _REQUEST_NOT_SERVED.emit(
             request=request.id,
             service=request.service,
             key=request.key,
@@ -129,60 +140,60 @@
             left_ms=round((request.deadline - self._clock.now()) * 1000),
         )
 
-    def _tell_listeners(
-        self, request: Request, error: RefusalError | None, started: float
+    def _notify_listeners(
+        self, request: Request, error: RefusalError | None, started_at: float
     ) -> None:
-        seconds = self._clock.now() - started
+        elapsed_s = self._clock.now() - started_at
         for listener in self._listeners:
-            listener.request_ended(request.service, error, seconds)
+            listener.request_ended(request.service, error, elapsed_s)
 
-    async def _serve(self, request: Request, unknown: list[RefusalError]) -> Response:
-        began = self._clock.now()
-        owner_until = began + (request.deadline - began) * _OWNER_WAIT_SHARE
+    async def _serve(self, request: Request, unknown_outcomes: list[RefusalError]) -> Response:
+        started_at = self._clock.now()
+        owner_wait_until = started_at + (request.deadline - started_at) * _OWNER_WAIT_SHARE
         tried: frozenset[str] = frozenset()
-        hint: str | None = None
-        offers = 0
+        owner_hint: str | None = None
+        sends = 0
         attempts = 0
         while True:
-            if request.deadline - self._clock.now() < _LEAST_RUN_S:
-                raise DeadlineExceededError("the deadline passed before an upstream was found")
+            if request.deadline - self._clock.now() < _MIN_RUN_S:
+                raise DeadlineExceededError("the deadline passed before an upstream was available")
             view = self._groups.view(GroupId(request.service, 0))
             try:
-                member = self._choose(request, view, tried, hint)
-                offers += 1
+                member = self._choose(request, view, tried, owner_hint)
+                sends += 1
                 return await self._send(request, member)
-            except _REPEATS as error:
+            except _BUDGETED_ERRORS as error:
                 attempts += 1
-                last: RefusalError = error
+                last_error: RefusalError = error
                 if error.outcome is not Outcome.NOT_RUN:
-                    unknown.append(error)
-                if not self._may_repeat(request, error, attempts):
+                    unknown_outcomes.append(error)
+                if not self._may_retry(request, error, attempts):
                     raise
                 tried |= {member.id}
                 request = replace(request, repeated=True)
             except RefusalError as error:
                 if error.outcome is not Outcome.NOT_RUN:
                     raise
-                last = error
+                last_error = error
                 if isinstance(error, DeadlineExceededError | QuarantinedError):
                     raise
-                hint = error.owner_id if isinstance(error, NotOwnerError) else None
+                owner_hint = error.owner_id if isinstance(error, NotOwnerError) else None
                 if request.key:
-                    if isinstance(error, OverloadedError) or self._clock.now() >= owner_until:
+                    if isinstance(error, OverloadedError) or self._clock.now() >= owner_wait_until:
                         raise
-                    if hint is None:
+                    if owner_hint is None:
                         version = view.version if view is not None else 0
                         await self._groups.changed(
-                            GroupId(request.service, 0), version, _OWNER_PAUSE_S
+                            GroupId(request.service, 0), version, _OWNER_POLL_S
                         )
-                elif isinstance(error, NoOwnerError) or offers >= _OFFERS:
+                elif isinstance(error, NoOwnerError) or sends >= _MAX_SENDS_WITHOUT_RUN:
                     raise
                 else:
                     tried |= {member.id}
-            _AGAIN.emit(
+            _REQUEST_SENT_AGAIN.emit(
                 request=request.id,
-                after=last.label,
-                reason=last,
+                after=last_error.label,
+                reason=last_error,
                 tried=",".join(sorted(tried)),
                 attempts=attempts,
             )
@@ -192,30 +203,38 @@
         request: Request,
         view: VersionedGroup | None,
         tried: frozenset[str],
-        hint: str | None,
+        owner_hint: str | None,
     ) -> Member:
         if view is None or not view.group.members:
-            raise NoOwnerError(f"{request.service!r} has no members", retry_after_s=_OWNER_RETRY_S)
+            raise NoOwnerError(
+                f"{request.service!r} has no members", retry_after_s=_NO_OWNER_RETRY_AFTER_S
+            )
         members = view.group.members
         if not request.key:
             now = self._clock.now()
             useful_ms = ((request.useful_until or request.deadline) - now) * 1000
-            ask = Ask(request.body.length or 0, useful_ms)
-            chosen = self._balancer.choose(members.values(), tried, now, ask)
-            if chosen is None:
+            profile = RequestProfile(request.body.length or 0, useful_ms)
+            member = self._balancer.choose(members.values(), tried, now, profile)
+            if member is None:
                 raise NoOwnerError(
-                    f"no further member of {request.service!r} is active",
-                    retry_after_s=_OWNER_RETRY_S,
+                    f"no other member of {request.service!r} is active",
+                    retry_after_s=_NO_OWNER_RETRY_AFTER_S,
                 )
-            return chosen
-        found = view.group.range_of(int(request.key))
-        owner_id = hint if hint in members else (found.owner if found is not None else None)
+            return member
+        key_range = view.group.range_of(int(request.key))
+        owner_id = (
+            owner_hint
+            if owner_hint in members
+            else (key_range.owner if key_range is not None else None)
+        )
         if owner_id is None or owner_id not in members:
-            raise NoOwnerError(f"key {request.key} has no owner", retry_after_s=_OWNER_RETRY_S)
+            raise NoOwnerError(
+                f"key {request.key} has no owner", retry_after_s=_NO_OWNER_RETRY_AFTER_S
+            )
         return members[owner_id]
 
     async def _send(self, request: Request, member: Member) -> Response:
-        _SENT.emit(
+        _REQUEST_SENT.emit(
             request=request.id,
             service=request.service,
             key=request.key,
@@ -223,19 +242,19 @@
             left_ms=round((request.deadline - self._clock.now()) * 1000),
             repeated=request.repeated,
         )
-        started = self._clock.now()
-        self._balancer.started(member.id)
+        started_at = self._clock.now()
+        self._balancer.record_start(member.id)
         occupancy = None
         run_ms = None
-        answer_bytes = 0
+        response_bytes = 0
         try:
             if member.id == self._membership.member_id:
                 response = await self._execution.execute(request)
             else:
                 response = await self._forward(request, member)
             occupancy = response.occupancy
-            run_ms = (self._clock.now() - started) * 1000
-            answer_bytes = response.body.length or 0
+            run_ms = (self._clock.now() - started_at) * 1000
+            response_bytes = response.body.length or 0
             return response
         except RefusalError as error:
             occupancy = error.occupancy
@@ -244,29 +263,31 @@
                 self._balancer.avoid(member.id, self._clock.now(), unreachable)
             raise
         finally:
-            self._balancer.ended(member.id, occupancy, run_ms, self._clock.now(), answer_bytes)
+            self._balancer.record_end(
+                member.id, occupancy, run_ms, self._clock.now(), response_bytes
+            )
 
     async def _forward(self, request: Request, member: Member) -> Response:
         try:
             return await self._peers.forward(member, request)
         except OwnerUnreachableError:
-            # An agent that was restarted while the platform is away cannot join, but its upstream
-            # still serves what needs no keys.
-            present = member.at_address()
-            if request.key or not self._peers.dial(present):
+            # An agent that restarts while the platform is unavailable cannot join its group, but
+            # its upstream can serve requests without keys.
+            restarted_member = member.at_address()
+            if request.key or not self._peers.dial(restarted_member):
                 raise
-        return await self._peers.forward(present, request)
+        return await self._peers.forward(restarted_member, request)
 
-    def _may_repeat(self, request: Request, error: RefusalError, attempts: int) -> bool:
+    def _may_retry(self, request: Request, error: RefusalError, attempts: int) -> bool:
         safe = error.outcome is Outcome.NOT_RUN or request.repeatable
         if not safe or attempts >= request.attempts:
             return False
-        if request.deadline - self._clock.now() < _LEAST_RUN_S:
+        if request.deadline - self._clock.now() < _MIN_RUN_S:
             return False
         now = self._clock.now()
-        return self._budget(request.service).spend(now, self._agents())
+        return self._budget(request.service).try_withdraw(now, self._agent_count())
 
-    def _agents(self) -> int:
+    def _agent_count(self) -> int:
         return sum(len(members) for members in self._members.values())
 
     def _budget(self, service: str) -> RetryBudget:
--- a/fescueward/services/routing/routes.py
+++ b/fescueward/services/routing/routes.py
@@ -1,4 +1,4 @@
-"""The configuration in force: the choice of a route and of a part of its traffic."""
+"""The active configuration: selection of routes and of their targets."""
 
 from __future__ import annotations
 
@@ -9,37 +9,40 @@
 from ...messages.configuration import Configuration, Route, Target, VersionedConfiguration
 from ...messages.entry import Limits
 
-_APPLIED = Event(
-    2110, "configuration_applied", Level.INFO, "A newer configuration is in force as a whole."
+_CONFIGURATION_APPLIED = Event(
+    2110,
+    "configuration_applied",
+    Level.INFO,
+    "A newer configuration is active, all of its routes and services at once.",
 )
 
-# Longest queue in front of one upstream; the expected wait refuses earlier in most cases.
-_QUEUE_LENGTH = 256
-# A slot becomes free about this often, so a refused caller need not wait longer.
+# Queue limit of one upstream. In most cases requests are refused earlier, for their expected wait.
+_MAX_QUEUE_LENGTH = 256
+# A slot becomes free about this often, so a refused caller need not wait longer to retry.
 _RETRY_AFTER_MS = 100
 
 
-class _Shares:
-    """Deals requests to the targets of one route by smooth weighted round robin."""
+class _WeightedTargets:
+    """Distributes the requests of one route by smooth weighted round robin."""
 
     def __init__(self, targets: tuple[Target, ...]) -> None:
         self._targets = targets
-        self._total = sum(target.weight for target in targets)
-        self._credit = [0.0] * len(targets)
+        self._total_weight = sum(target.weight for target in targets)
+        self._current_weights = [0.0] * len(targets)
 
-    def next(self) -> str:
+    def next_service(self) -> str:
         for index, target in enumerate(self._targets):
-            self._credit[index] += target.weight
-        chosen = max(range(len(self._targets)), key=self._credit.__getitem__)
-        self._credit[chosen] -= self._total
-        return self._targets[chosen].service
+            self._current_weights[index] += target.weight
+        selected = max(range(len(self._targets)), key=self._current_weights.__getitem__)
+        self._current_weights[selected] -= self._total_weight
+        return self._targets[selected].service
 
 
 class RouteTable:
     """The `routes` service.
 
-    A request keeps the configuration that it began with. Versions only grow, so a change never
-    reverts in one life of the process.
+    A request uses one configuration from start to end. Only higher versions are accepted, so a
+    change is not reverted while the process runs.
     """
 
     name = "routes"
@@ -47,33 +50,35 @@
 
     def __init__(self) -> None:
         self._current: VersionedConfiguration | None = None
-        self._by_host: dict[str, tuple[Route, ...]] = {}
-        self._shares: dict[Route, _Shares] = {}
+        self._routes_by_host: dict[str, tuple[Route, ...]] = {}
+        self._weighted_targets: dict[Route, _WeightedTargets] = {}
 
     @property
     def current(self) -> VersionedConfiguration | None:
-        """The newest configuration seen, or None before the first."""
+        """The newest configuration received, or None before the first."""
         return self._current
 
     def bind(self, registry: Registry) -> None:
-        """Does nothing."""
+        """Looks up nothing: this service uses no other."""
 
     async def start(self) -> None:
-        """Does nothing; configurations arrive by the watch of `groups`."""
+        """Starts nothing: the `groups` service watches for configurations."""
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
     def observe(self, configuration: VersionedConfiguration) -> bool:
-        """Takes a configuration whose version is higher than the one held."""
-        held = self._current
-        if held is not None and held.version >= configuration.version:
+        """Activates a configuration with a higher version; returns whether it was activated."""
+        current = self._current
+        if current is not None and current.version >= configuration.version:
             return False
         self._current = configuration
-        self._by_host = _by_host(configuration.configuration)
+        self._routes_by_host = _group_by_host(configuration.configuration)
         routes = set(configuration.configuration.routes.values())
-        self._shares = {route: kept for route, kept in self._shares.items() if route in routes}
-        _APPLIED.emit(
+        self._weighted_targets = {
+            route: targets for route, targets in self._weighted_targets.items() if route in routes
+        }
+        _CONFIGURATION_APPLIED.emit(
             version=configuration.configuration.version,
             revision=configuration.version,
             routes=len(routes),
@@ -82,30 +87,30 @@
         return True
 
     def select(self, configuration: Configuration, host: str, path: str) -> Route | None:
-        """Returns the route of the host with the longest prefix that begins the path."""
-        held = self._current
-        table = (
-            self._by_host
-            if held is not None and held.configuration is configuration
-            else _by_host(configuration)
+        """Returns the route of the host with the longest prefix of the path, or None."""
+        current = self._current
+        routes_by_host = (
+            self._routes_by_host
+            if current is not None and current.configuration is configuration
+            else _group_by_host(configuration)
         )
-        name = host.rpartition(":")[0] if host.rpartition(":")[2].isdigit() else host
-        for route in table.get(name.lower(), ()):
+        host_name = host.rpartition(":")[0] if host.rpartition(":")[2].isdigit() else host
+        for route in routes_by_host.get(host_name.lower(), ()):
             if path.startswith(route.prefix):
                 return route
         return None
 
     def target(self, route: Route) -> str:
-        """Returns the service of the next request on a route."""
+        """Returns the service of the next request on a route, by the weights of its targets."""
         if len(route.targets) == 1:
             return route.targets[0].service
-        shares = self._shares.get(route)
-        if shares is None:
-            shares = self._shares[route] = _Shares(route.targets)
-        return shares.next()
+        targets = self._weighted_targets.get(route)
+        if targets is None:
+            targets = self._weighted_targets[route] = _WeightedTargets(route.targets)
+        return targets.next_service()
 
 
-def _by_host(configuration: Configuration) -> dict[str, tuple[Route, ...]]:
+def _group_by_host(configuration: Configuration) -> dict[str, tuple[Route, ...]]:
     hosts: dict[str, list[Route]] = {}
     for route in configuration.routes.values():
         hosts.setdefault(route.host.lower(), []).append(route)
@@ -116,71 +121,72 @@
 
 
 class ConfiguredCatalogue:
-    """The `catalogue` service where the operator's configuration takes the place of entries."""
+    """The `catalogue` service of platforms with a configuration in place of entries."""
 
     name = "catalogue"
     requires = ("routes",)
 
     def bind(self, registry: Registry) -> None:
-        """Finds the routes."""
+        """Looks up the `routes` service."""
         self._routes = registry.find("routes", Routes)
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Starts nothing: this service has no background task."""
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
     @property
     def digest(self) -> int:
-        """Always 0: the directory compares the configuration itself."""
+        """Always 0: the directory compares configurations, not entries."""
         return 0
 
     async def loaded(self) -> None:
-        """Returns at once: readiness asks the routes."""
+        """Returns at once: readiness depends on the `routes` service instead."""
 
     def mark_loaded(self) -> None:
-        """Does nothing."""
+        """Ignored: entries are derived from the configuration."""
 
     def entry(self, service: str) -> VersionedEntry:
-        """Returns the entry that follows from the configuration; see `Catalogue.entry`.
+        """Returns an entry derived from the configuration; see `Catalogue.entry`.
 
-        A service that is not in the configuration keeps its members: it may come with the next.
+        A service that the configuration lacks has an entry too, so that its members stay in their
+        group: a later configuration may contain it.
         """
         if not service:
-            raise UnknownServiceError("no service is named")
-        held = self._routes.current
+            raise UnknownServiceError("the service name is empty")
+        current = self._routes.current
         entry = Entry(
             service,
             owner="configuration",
             request_class=RequestClass.REPEATABLE,
             shard_count=1,
-            limits=Limits(queue_length=_QUEUE_LENGTH, retry_after_ms=_RETRY_AFTER_MS),
+            limits=Limits(queue_length=_MAX_QUEUE_LENGTH, retry_after_ms=_RETRY_AFTER_MS),
         )
-        return VersionedEntry(held.version if held is not None else 0, entry)
+        return VersionedEntry(current.version if current is not None else 0, entry)
 
     def entries(self) -> tuple[VersionedEntry, ...]:
-        """Returns the entries of all configured services."""
-        held = self._routes.current
-        services = held.configuration.services if held is not None else {}
+        """Returns the entries of all configured services, by name."""
+        current = self._routes.current
+        services = current.configuration.services if current is not None else {}
         return tuple(self.entry(service) for service in sorted(services))
 
     def versions(self) -> dict[str, int]:
-        """Returns nothing: entries do not travel by themselves."""
+        """Returns nothing: agents exchange configurations, not entries."""
         return {}
 
     def newer_than(self, versions: dict[str, int]) -> tuple[VersionedEntry, ...]:
-        """Returns nothing: entries do not travel by themselves."""
+        """Returns nothing: agents exchange configurations, not entries."""
         return ()
 
     def observe(self, entry: VersionedEntry) -> bool:
-        """Takes no entry."""
+        """Ignores the entry and returns False."""
         return False
 
     async def apply(self, entry: Entry, expected_version: int) -> VersionedEntry:
-        """Refuses: the operator edits the configuration at the platform."""
-        raise UnknownServiceError("entries follow from the configuration")
+        """Raises `UnknownServiceError`: operators edit the configuration at the platform."""
+        raise UnknownServiceError("entries are derived from the configuration at the platform")
 
     async def delete(self, service: str, expected_version: int) -> VersionedEntry:
-        """Refuses: the operator edits the configuration at the platform."""
-        raise UnknownServiceError("entries follow from the configuration")
+        """Raises `UnknownServiceError`: operators edit the configuration at the platform."""
+        raise UnknownServiceError("entries are derived from the configuration at the platform")
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -1,4 +1,4 @@
-"""Sends and repetitions of the router."""
+"""Tests of the attempts and retries of `DispatchRouter`."""
 
 import asyncio
 import unittest
@@ -15,7 +15,7 @@
 
 
 class FakePeers:
-    """Answers for the members with an open stream."""
+    """Responds for the reachable members."""
 
     def __init__(self, *reachable: str) -> None:
         self.reachable = set(reachable)
@@ -34,7 +34,7 @@
         return make_response(b"ok")
 
     def retire(self, member_id: str) -> None:
-        """Does nothing."""
+        """Ignored: this fake has no streams."""
 
 
 class DispatchRouterTest(unittest.IsolatedAsyncioTestCase):
@@ -67,20 +67,20 @@
         return False
 
     async def test_restarted_agent_is_reached_by_its_address(self):
-        """Guards against upstreams that nobody uses because their agent could not join again."""
+        """Guards against unused upstreams whose restarted agent could not rejoin its group."""
         peers = FakePeers("b:0")
         response = await self.router(peers).route(make_request(1.0, key=""))
         self.assertEqual((response.status, peers.forwarded), (200, ["b:1", "b:0"]))
 
     async def test_keys_are_sent_to_their_owner_alone(self):
-        """Guards against a keyed request at an agent that does not own the key any more."""
+        """Guards against sending a keyed request to an agent that does not own the key."""
         peers = FakePeers("b:0")
         with self.assertRaises(RefusalError):
             await self.router(peers).route(make_request(0.2, key="5"))
         self.assertEqual(set(peers.forwarded), {"b:1"})
 
     async def test_quarantined_request_is_not_offered_again(self):
-        """Guards against a request that asks all agents until one has not heard of it."""
+        """Guards against retrying a quarantined request at agents without a report of it."""
         for key in ("", "5"):
             peers = FakePeers("b:1", "b:0")
             peers.refusal = QuarantinedError("three crashes")
--- a/tests/services/routing/test_routes.py
+++ b/tests/services/routing/test_routes.py
@@ -1,4 +1,4 @@
-"""Choice of routes and targets."""
+"""Tests of the selection of routes and targets."""
 
 import unittest
 from collections import Counter
@@ -19,7 +19,7 @@
 
 def configuration(version: int, *routes: Route) -> VersionedConfiguration:
     services = {"depot": ServiceSpec("depot"), "orders": ServiceSpec("orders")}
-    content = Configuration(version, {one.name: one for one in routes}, services)
+    content = Configuration(version, {item.name: item for item in routes}, services)
     return VersionedConfiguration(version, content)
 
 
@@ -28,11 +28,11 @@
         self.table = RouteTable()
 
     def select(self, host: str, path: str) -> str | None:
-        found = self.table.select(self.table.current.configuration, host, path)
-        return found.name if found is not None else None
+        selected = self.table.select(self.table.current.configuration, host, path)
+        return selected.name if selected is not None else None
 
     def test_longest_prefix_of_the_host_wins(self):
-        """Guards against a request that a broader route of the same host takes."""
+        """Guards against a match of a shorter prefix of the same host."""
         self.table.observe(configuration(1, route("wide", "/a/"), route("narrow", "/a/b/")))
         self.assertEqual(self.select("shop.example", "/a/b/c"), "narrow")
         self.assertEqual(self.select("Shop.Example:8080", "/a/x"), "wide")
@@ -40,7 +40,7 @@
         self.assertIsNone(self.select("shop.example", "/ab"))
 
     def test_older_version_changes_nothing(self):
-        """Guards against a configuration that reverts when a late one arrives."""
+        """Guards against reverting to an older configuration that arrives late."""
         self.assertTrue(self.table.observe(configuration(5, route("new", "/n/"))))
         self.assertFalse(self.table.observe(configuration(4, route("old", "/o/"))))
         self.assertFalse(self.table.observe(configuration(5, route("old", "/o/"))))
@@ -48,15 +48,17 @@
         self.assertIsNone(self.select("shop.example", "/o/1"))
 
     def test_request_keeps_the_configuration_it_began_with(self):
-        """Guards against a request that is judged by two versions."""
+        """Guards against a request that is routed by two configuration versions."""
         self.table.observe(configuration(1, route("old", "/o/")))
-        held = self.table.current.configuration
+        first_configuration = self.table.current.configuration
         self.table.observe(configuration(2, route("new", "/n/")))
-        self.assertEqual(self.table.select(held, "shop.example", "/o/1").name, "old")
+        self.assertEqual(
+            self.table.select(first_configuration, "shop.example", "/o/1").name, "old"
+        )
 
     def test_shares_follow_the_weights(self):
-        """Guards against a split whose parts get other shares than the operator set."""
+        """Guards against a traffic split that deviates from the configured weights."""
         split = route("split", "/s/", Target("depot", 90), Target("orders", 10))
         self.table.observe(configuration(1, split))
-        dealt = Counter(self.table.target(split) for _ in range(200))
-        self.assertEqual(dealt, {"depot": 180, "orders": 20})
+        selections = Counter(self.table.target(split) for _ in range(200))
+        self.assertEqual(selections, {"depot": 180, "orders": 20})
