--- a/tests/endless.py
+++ b/tests/endless.py
@@ -23,7 +23,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Endless:
+class EndlessResponse:
     """An answer that never ends.
 
     Attributes:
@@ -37,28 +37,28 @@
     piece: bytes
 
 
-def endless_heads() -> tuple[Endless, ...]:
+def endless_heads() -> tuple[EndlessResponse, ...]:
     """Returns answers whose head never ends."""
     return (
-        Endless("status line", _OK[:-2], _FILLER),
-        Endless("header", _OK + b"X-Long: ", _FILLER),
-        Endless("headers", _OK, b"X-More: 1\r\n" * 1000),
-        Endless("100", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
-        Endless("103", b"", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 500),
-        Endless("no HTTP", b"", b"\x00" * 16_384),
+        EndlessResponse("status line", _OK[:-2], _FILLER),
+        EndlessResponse("header", _OK + b"X-Long: ", _FILLER),
+        EndlessResponse("headers", _OK, b"X-More: 1\r\n" * 1000),
+        EndlessResponse("100", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+        EndlessResponse("103", b"", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 500),
+        EndlessResponse("no HTTP", b"", b"\x00" * 16_384),
     )
 
 
-def endless_bodies(headers: bytes = b"") -> tuple[Endless, ...]:
+def endless_bodies(headers: bytes = b"") -> tuple[EndlessResponse, ...]:
     """Returns answers whose body never ends, with these header lines."""
     chunked = _OK + headers + b"Transfer-Encoding: chunked\r\n\r\n"
     return (
-        Endless("no length", _OK + headers + b"\r\n", _FILLER),
-        Endless("chunked", chunked, b"4000\r\n" + _FILLER + b"\r\n"),
-        Endless("one chunk", chunked + b"fffffffffff\r\n", _FILLER),
-        Endless("length", _OK + headers + b"Content-Length: 99999999999\r\n\r\n", _FILLER),
-        Endless("chunk extension", chunked + b"4;x=", _FILLER),
-        Endless("trailers", chunked + b"0\r\n", b"X-More: 1\r\n" * 1000),
+        EndlessResponse("no length", _OK + headers + b"\r\n", _FILLER),
+        EndlessResponse("chunked", chunked, b"4000\r\n" + _FILLER + b"\r\n"),
+        EndlessResponse("one chunk", chunked + b"fffffffffff\r\n", _FILLER),
+        EndlessResponse("length", _OK + headers + b"Content-Length: 99999999999\r\n\r\n", _FILLER),
+        EndlessResponse("chunk extension", chunked + b"4;x=", _FILLER),
+        EndlessResponse("trailers", chunked + b"0\r\n", b"X-More: 1\r\n" * 1000),
     )
 
 
@@ -73,7 +73,7 @@
         requests: First lines of the requests, without those for health and cancellation.
     """
 
-    def __init__(self, answer: Endless, pause_s: float = 0.0) -> None:
+    def __init__(self, answer: EndlessResponse, pause_s: float = 0.0) -> None:
         self.answer = answer
         self.pause_s = pause_s
         self.accepted = 0
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -21,7 +21,7 @@
 from fescueward.testing.waiting import wait_until
 from tests.endless import (
     SOCKET_BYTES,
-    Endless,
+    EndlessResponse,
     EndlessServer,
     endless_bodies,
     endless_heads,
@@ -139,7 +139,7 @@
             await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
         self.assertEqual(len(sends), 2)
 
-    async def start_endless(self, answer: Endless, pause_s: float = 0.0) -> LocalUpstream:
+    async def start_endless(self, answer: EndlessResponse, pause_s: float = 0.0) -> LocalUpstream:
         self.server = EndlessServer(answer, pause_s)
         address = Address(*await self.server.start())
         self.addAsyncCleanup(self.server.stop)
@@ -163,7 +163,7 @@
 
     async def test_bytes_without_end_after_an_answer(self):
         """Guards against bytes of no request that fill the memory of an idle connection."""
-        whole = Endless("rest", WHOLE, b"x" * 16_384)
+        whole = EndlessResponse("rest", WHOLE, b"x" * 16_384)
         pieces = (whole.piece, WHOLE * 200, b"HTTP/1.1 100 Continue\r\n\r\n" * 500)
         for answer in (replace(whole, piece=piece) for piece in pieces):
             with self.subTest(piece=answer.piece[:20]):
@@ -195,7 +195,7 @@
     async def test_answer_that_trickles_without_end(self):
         """Guards against an answer that holds its slot beyond the deadline."""
         upstream = await self.start_endless(
-            Endless("slow", b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\n", b""), 30.0
+            EndlessResponse("slow", b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\n", b""), 30.0
         )
         with self.assertRaises(DeadlineExceededRunningError):
             await upstream.run(make_request(0.2, key=""), 0, 0, CLOCK.now() + 0.2)
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -30,7 +30,7 @@
 from fescueward.testing.waiting import wait_until
 from tests.endless import (
     SOCKET_BYTES,
-    Endless,
+    EndlessResponse,
     EndlessServer,
     endless_bodies,
     endless_heads,
@@ -271,7 +271,7 @@
 
 
 class EndlessAnswersTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, answer: Endless, pause_s: float = 0.0) -> HttpUpstream:
+    async def start(self, answer: EndlessResponse, pause_s: float = 0.0) -> HttpUpstream:
         self.server = EndlessServer(answer, pause_s)
         _, port = await self.server.start()
         self.addAsyncCleanup(self.server.stop)
@@ -322,7 +322,9 @@
 
     async def test_deadline_ends_a_body(self):
         """Guards against a silent response that holds its slot beyond the deadline."""
-        upstream = await self.start(Endless("slow", b"HTTP/1.1 200 OK\r\n\r\npart", b""), 30.0)
+        upstream = await self.start(
+            EndlessResponse("slow", b"HTTP/1.1 200 OK\r\n\r\npart", b""), 30.0
+        )
         response = await upstream.run(make_request(), 3, 7, CLOCK.now() + 0.3)
         with self.assertRaisesRegex(BodyTruncatedError, "deadline"):
             async for _ in response.body.chunks():
@@ -331,7 +333,7 @@
     async def test_bytes_without_end_after_an_answer(self):
         """Guards against bytes of no request that fill the memory of an idle connection."""
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-        upstream = await self.start(Endless("rest", whole, whole * 200), 0.05)
+        upstream = await self.start(EndlessResponse("rest", whole, whole * 200), 0.05)
         for _ in range(2):
             response = await upstream.run(make_request(method="GET"), 3, 7, CLOCK.now() + 8.0)
             self.assertEqual(response.body.data, b"ok")
