--- a/tests/cli/test_client.py
+++ b/tests/cli/test_client.py
@@ -10,13 +10,13 @@
 from fescueward.kernel.errors import AdministrationAnswerLostError, AdministrationUnavailableError
 from fescueward.messages.status import DeletedAnswer, EntryList
 from fescueward.testing.waiting import wait_until
-from tests.endless import SOCKET_BYTES, EndlessServer, endless_bodies, endless_heads
+from tests.endless import SOCKET_BUFFER_BYTES, EndlessServer, endless_bodies, endless_heads
 
 
 class AdministrationClientTest(unittest.IsolatedAsyncioTestCase):
     async def test_answers_without_end(self):
         """Guards against a command that fills the memory until its timeout."""
-        bound = 2 * (300_000 + SOCKET_BYTES)
+        bound = 2 * (300_000 + SOCKET_BUFFER_BYTES)
         with mock.patch.object(module, "_ANSWER_BYTES", 300_000):
             for answer in (*endless_heads(), *endless_bodies()):
                 with self.subTest(answer=answer.name):
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -16,7 +16,7 @@
 # What one connection is sent at most, in bytes. A client without a bound takes all of it.
 SENT_BYTES = 64 * 1024 * 1024
 # Allowance, in bytes, for the buffers of both sockets, which grow while the client reads.
-SOCKET_BYTES = 12 * 1024 * 1024
+SOCKET_BUFFER_BYTES = 12 * 1024 * 1024
 
 _OK = b"HTTP/1.1 200 OK\r\n"
 _FILLER = b"x" * 16_384
@@ -150,4 +150,4 @@
             with test.assertRaisesRegex(OutcomeUnknownError, "^(?!.*[Tt]imeout)"):
                 await client.put("groups/s1/0", b"{}", 1)
             await wait_until(server.idle, 2, "the connections are closed")
-            test.assertLess(server.accepted, 2 * (section.max_answer_bytes + SOCKET_BYTES))
+            test.assertLess(server.accepted, 2 * (section.max_answer_bytes + SOCKET_BUFFER_BYTES))
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -20,7 +20,7 @@
 from fescueward.platform.upstream import LocalUpstream
 from fescueward.testing.waiting import wait_until
 from tests.endless import (
-    SOCKET_BYTES,
+    SOCKET_BUFFER_BYTES,
     EndlessResponse,
     EndlessServer,
     endless_bodies,
@@ -147,7 +147,7 @@
 
     async def check_bound(self, limit: int) -> None:
         await wait_until(self.server.idle, 2, "the connection is closed")
-        self.assertLess(self.server.accepted, limit + SOCKET_BYTES)
+        self.assertLess(self.server.accepted, limit + SOCKET_BUFFER_BYTES)
 
     async def test_answers_without_end(self):
         """Guards against an answer without end that fills the memory until the deadline."""
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -29,7 +29,7 @@
 from fescueward.services.upstream import HttpUpstream
 from fescueward.testing.waiting import wait_until
 from tests.endless import (
-    SOCKET_BYTES,
+    SOCKET_BUFFER_BYTES,
     EndlessResponse,
     EndlessServer,
     endless_bodies,
@@ -291,7 +291,7 @@
 
     async def check_bound(self) -> None:
         await wait_until(self.server.idle, 2, "the connection is closed")
-        self.assertLess(self.server.accepted, ANSWER_BYTES + SOCKET_BYTES)
+        self.assertLess(self.server.accepted, ANSWER_BYTES + SOCKET_BUFFER_BYTES)
 
     async def test_heads_without_end(self):
         """Guards against a head without end that fills the memory until the deadline."""
