--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -1,4 +1,4 @@
-"""Accepted peer streams: handshake, messages and the requests that peers forward here."""
+"""Accepted peer streams: handshake, messages and requests that peers forward to this agent."""
 
 from __future__ import annotations
 
@@ -36,19 +36,19 @@
 from .peer_wire import Wire, handshake_mac, inline_data, read_messages, refused_message
 from .streams import Channel, ChannelBody
 
-_REFUSED = Event(2303, "peer_refused", Level.WARNING, "A peer failed the handshake.")
-_MALFORMED = Event(2304, "peer_malformed", Level.WARNING, "A peer sent bytes that are no message.")
+_HANDSHAKE_FAILED = Event(2303, "peer_refused", Level.WARNING, "A peer failed the handshake.")
+_MALFORMED = Event(2304, "peer_malformed", Level.WARNING, "A peer sent malformed messages.")
 _REQUEST_FAILED = Event(
-    2307, "peer_request_failed", Level.ERROR, "A forwarded request met an unexpected exception."
+    2307, "peer_request_failed", Level.ERROR, "A forwarded request raised an unexpected exception."
 )
 
-_STREAMS_LIMIT = 10_000
-# Names of routing clients are new each time, so the oldest are forgotten.
-_INCARNATIONS = 100_000
+_MAX_REQUESTS_PER_STREAM = 10_000
+# Routing clients have a new name after each start, so the least recently used names are evicted.
+_MAX_CACHED_INCARNATIONS = 100_000
 
 
-class _Accepted:
-    """A stream that a peer dialled."""
+class _AcceptedStream:
+    """A stream that a peer dialled, with the requests that run on it."""
 
     def __init__(self, sender: str, wire: Wire) -> None:
         self.sender = sender
@@ -58,14 +58,14 @@
 
 
 class AcceptedStreams:
-    """All accepted streams, one task for each and one for each request.
+    """All accepted streams, with one task for each stream and one for each request.
 
     Args:
         tasks: Owner of the tasks.
         clock: Source of time.
-        timeout_s: Longest handshake in seconds.
-        identity: Gives who accepts now.
-        dispatch: Takes messages that belong to no request.
+        timeout_s: Timeout of a handshake, in seconds.
+        identity: Returns the current identity of this process.
+        dispatch: Receives messages that belong to no request.
     """
 
     def __init__(
@@ -81,14 +81,14 @@
         self._timeout_s = timeout_s
         self._identity = identity
         self._dispatch = dispatch
-        self._accepted: dict[str, _Accepted] = {}
-        # Streams that were accepted under an earlier incarnation of this agent.
-        self._outdated: set[_Accepted] = set()
-        self._incarnations: LRUCache[str, int] = LRUCache(_INCARNATIONS)
+        self._accepted: dict[str, _AcceptedStream] = {}
+        # Streams accepted under an earlier incarnation of this agent.
+        self._outdated: set[_AcceptedStream] = set()
+        self._incarnations: LRUCache[str, int] = LRUCache(_MAX_CACHED_INCARNATIONS)
         self._handler: RequestHandler | None = None
 
     def open_requests(self) -> int:
-        """Returns the number of requests that run for peers."""
+        """Returns the number of requests in flight that peers forwarded."""
         streams = (*self._accepted.values(), *self._outdated)
         return sum(len(accepted.tasks) for accepted in streams)
 
@@ -97,11 +97,11 @@
         self._handler = handler
 
     def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Takes a new connection."""
+        """Starts a task that serves a new connection."""
         self._tasks.spawn("accepted", self._run(reader, writer))
 
     def reply(self, sender: str, message: object) -> bool:
-        """Sends a message on the stream of a sender; False if it is gone."""
+        """Sends a message on the stream of a sender; returns False if there is none."""
         accepted = self._accepted.get(sender)
         if accepted is None:
             return False
@@ -109,89 +109,90 @@
         return True
 
     def drop(self, sender: str) -> None:
-        """Ends the stream of a sender."""
+        """Closes the stream of a sender, if there is one."""
         accepted = self._accepted.pop(sender, None)
         if accepted is not None:
             accepted.wire.close()
 
     def renew_identity(self) -> None:
-        """Takes only requests on the present streams from now on.
+        """Accepts only forwarded requests on the streams that are open now.
 
-        Other messages on them concern the earlier member. Their senders end them when they see
-        that it is gone.
+        Other messages on them concern the earlier incarnation and are dropped. The senders close
+        these streams once they observe that the earlier member was removed.
         """
         self._outdated.update(self._accepted.values())
         self._accepted = {}
 
     async def flush_and_close(self) -> None:
-        """Ends all streams once what was sent on them has left."""
+        """Closes all streams after flushing the messages that were sent on them."""
         streams = (*self._accepted.values(), *self._outdated)
         wires = [accepted.wire for accepted in streams]
         await asyncio.gather(*(wire.flush_and_close() for wire in wires))
 
     async def _run(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         wire, messages = Wire(writer), read_messages(reader)
-        accepted: _Accepted | None = None
+        accepted: _AcceptedStream | None = None
         try:
             async with asyncio.timeout(self._timeout_s):
-                sender = await self._admit(wire, messages)
-            # A peer that dials again has given its earlier stream up, which may be half open.
+                sender = await self._authenticate(wire, messages)
+            # A peer that dials again has abandoned its earlier stream, which may be half open.
             self.drop(sender)
-            accepted = self._accepted[sender] = _Accepted(sender, wire)
+            accepted = self._accepted[sender] = _AcceptedStream(sender, wire)
             async for message in messages:
                 self._receive(accepted, message)
         except MalformedMessageError as error:
             _MALFORMED.emit(peer=accepted.sender if accepted else "unknown", error=error)
         except HandshakeError as error:
-            _REFUSED.emit(error=error)
+            _HANDSHAKE_FAILED.emit(error=error)
         except (OSError, TimeoutError):
             pass
         finally:
             wire.close()
             if accepted is not None:
-                self._forget(accepted)
+                self._remove(accepted)
 
-    def _forget(self, accepted: _Accepted) -> None:
+    def _remove(self, accepted: _AcceptedStream) -> None:
         self._outdated.discard(accepted)
         if self._accepted.get(accepted.sender) is accepted:
             del self._accepted[accepted.sender]
         for channel in accepted.channels.values():
-            channel.fail("the forwarding agent is gone")
+            channel.fail("the stream of the forwarding agent ended")
         for task in accepted.tasks.values():
             task.cancel()
 
-    async def _admit(self, wire: Wire, messages: AsyncIterator[Any]) -> str:
+    async def _authenticate(self, wire: Wire, messages: AsyncIterator[Any]) -> str:
         nonce = secrets.token_bytes(32)
         wire.send(Challenge(nonce))
         hello = await anext(messages, None)
         if not isinstance(hello, Hello):
-            raise HandshakeError("the peer sent no hello")
+            raise HandshakeError("the peer sent no Hello message")
         if hello.protocol != PROTOCOL_VERSION:
             raise HandshakeError(
-                f"{hello.name!r} speaks protocol {hello.protocol}; valid is {PROTOCOL_VERSION}"
+                f"{hello.name!r} uses protocol {hello.protocol}; supported: {PROTOCOL_VERSION}"
             )
-        me = self._identity()
-        expected = handshake_mac(me.secret, nonce, hello.name, hello.incarnation)
-        if not hmac.compare_digest(hello.mac, expected):
-            raise HandshakeError(f"{hello.name!r} has another peer secret")
-        found = f"{me.name}:{me.incarnation}"
-        # Checked before the sender's present stream is replaced by this one.
-        if hello.wanted and hello.wanted != found:
-            raise HandshakeError(f"{hello.name!r} dials {hello.wanted}; this is {found}")
-        if hello.name == me.name and hello.incarnation >= me.incarnation:
-            raise HandshakeError(f"{hello.name!r} claims the name of this agent")
-        newest = self._incarnations.get(hello.name, 0)
-        if hello.incarnation < newest:
+        identity = self._identity()
+        expected_mac = handshake_mac(identity.secret, nonce, hello.name, hello.incarnation)
+        if not hmac.compare_digest(hello.mac, expected_mac):
+            raise HandshakeError(f"{hello.name!r} uses a different peer secret")
+        own_id = f"{identity.name}:{identity.incarnation}"
+        # Checked before this stream replaces the one that the sender has open.
+        if hello.wanted and hello.wanted != own_id:
+            raise HandshakeError(f"{hello.name!r} dialled {hello.wanted}; this agent is {own_id}")
+        if hello.name == identity.name and hello.incarnation >= identity.incarnation:
+            raise HandshakeError(f"{hello.name!r} uses the name of this agent")
+        newest_incarnation = self._incarnations.get(hello.name, 0)
+        if hello.incarnation < newest_incarnation:
             raise HandshakeError(
-                f"{hello.name!r} claims incarnation {hello.incarnation}; {newest} was seen"
+                f"{hello.name!r} has incarnation {hello.incarnation}, which is older than "
+                f"{newest_incarnation}"
             )
         self._incarnations[hello.name] = hello.incarnation
-        wire.send(Welcome(me.name, me.incarnation))
+        wire.send(Welcome(identity.name, identity.incarnation))
         return f"{hello.name}:{hello.incarnation}"
 
-    def _receive(self, accepted: _Accepted, message: Any) -> None:
+    def _receive(self, accepted: _AcceptedStream, message: Any) -> None:
         if isinstance(message, StreamOpen):
-            self._open(accepted, message)
+            self._start_request(accepted, message)
         elif isinstance(message, StreamData):
             if (channel := accepted.channels.get(message.stream)) is not None:
                 channel.receive(message.data, message.end)
@@ -206,28 +207,28 @@
         elif accepted not in self._outdated:
             self._dispatch(accepted.sender, message)
 
-    def _open(self, accepted: _Accepted, message: StreamOpen) -> None:
-        number = message.stream
-        if number in accepted.tasks:
-            raise MalformedMessageError(f"stream {number} is open already")
-        if len(accepted.tasks) >= _STREAMS_LIMIT:
-            error = OverloadedError("too many streams", retry_after_s=1.0)
-            accepted.wire.send(refused_message(number, error))
+    def _start_request(self, accepted: _AcceptedStream, message: StreamOpen) -> None:
+        stream_number = message.stream
+        if stream_number in accepted.tasks:
+            raise MalformedMessageError(f"stream {stream_number} is already open")
+        if len(accepted.tasks) >= _MAX_REQUESTS_PER_STREAM:
+            error = OverloadedError("too many requests on one stream", retry_after_s=1.0)
+            accepted.wire.send(refused_message(stream_number, error))
             return
-        channel = Channel(number, accepted.wire.send)
-        accepted.channels[number] = channel
+        channel = Channel(stream_number, accepted.wire.send)
+        accepted.channels[stream_number] = channel
         task = self._tasks.spawn("request", self._run_request(accepted, channel, message))
-        accepted.tasks[number] = task
+        accepted.tasks[stream_number] = task
 
-        def ended(_: asyncio.Task[None]) -> None:
-            # A task that is cancelled before its first step runs no clean-up of its own.
-            del accepted.tasks[number]
-            del accepted.channels[number]
+        def remove_request(_: asyncio.Task[None]) -> None:
+            # A task that is cancelled before its first step does not reach its own `finally`.
+            del accepted.tasks[stream_number]
+            del accepted.channels[stream_number]
 
-        task.add_done_callback(ended)
+        task.add_done_callback(remove_request)
 
     async def _run_request(
-        self, accepted: _Accepted, channel: Channel, message: StreamOpen
+        self, accepted: _AcceptedStream, channel: Channel, message: StreamOpen
     ) -> None:
         request = self._request(accepted, channel, message)
         try:
@@ -239,13 +240,15 @@
             accepted.wire.send(refused_message(message.stream, error))
         except BodyTruncatedError as error:
             accepted.wire.send(StreamReset(message.stream, str(error)[:500]))
-        except Exception as error:  # one request's fault must not end the stream of others
+        except Exception as error:  # one failing request must not close a shared stream
             _REQUEST_FAILED.emit(
                 peer=accepted.sender, request=message.request_id, error=repr(error)
             )
             accepted.wire.send(StreamReset(message.stream, type(error).__name__))
 
-    def _request(self, accepted: _Accepted, channel: Channel, message: StreamOpen) -> Request:
+    def _request(
+        self, accepted: _AcceptedStream, channel: Channel, message: StreamOpen
+    ) -> Request:
         if message.end:
             body: Any = BytesBody(message.data)
         else:
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -1,4 +1,4 @@
-"""Dialled peer streams: messages, calls and forwarded requests to one member each."""
+"""Dialled peer streams; each carries messages, calls and requests to one member."""
 
 from __future__ import annotations
 
@@ -35,29 +35,38 @@
     Welcome,
 )
 from ..messages.request import BytesBody
-from .peer_wire import Wire, handshake_mac, inline_data, open_message, read_messages, refusal_of
+from .peer_wire import (
+    Wire,
+    handshake_mac,
+    inline_data,
+    open_message,
+    read_messages,
+    refusal_from_message,
+)
 from .streams import Channel, ChannelBody
 
-_OPENED = Event(2301, "peer_connected", Level.INFO, "A stream to a peer is open.")
-_CLOSED = Event(2302, "peer_disconnected", Level.INFO, "A stream to a peer has ended.")
-_UNREACHABLE = Event(2306, "peer_unreachable", Level.INFO, "A peer cannot be dialled; repeated.")
+_CONNECTED = Event(2301, "peer_connected", Level.INFO, "A stream to a peer was opened.")
+_DISCONNECTED = Event(2302, "peer_disconnected", Level.INFO, "A stream to a peer was closed.")
+_UNREACHABLE = Event(
+    2306, "peer_unreachable", Level.INFO, "Dialling a peer failed; it is retried."
+)
 
-_RETRY_FIRST_S = 0.05
-_RETRY_LAST_S = 1.0
-# A stream that nothing was sent on for this long is ended, and an unreachable peer forgotten.
-# Members of one group send to each other every second.
-_IDLE_S = 60.0
-_IDLE_CHECK_S = 15.0
+_INITIAL_BACKOFF_S = 0.05
+_MAX_BACKOFF_S = 1.0
+# Closes a stream on which nothing was sent for this long, and stops dialling an unreachable peer.
+# Members of one group send messages to each other every second.
+_IDLE_TIMEOUT_S = 60.0
+_IDLE_CHECK_INTERVAL_S = 15.0
 
 Dispatch = Callable[[str, Any], None]
 
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Who dials.
+    """The name, incarnation and secret with which this process dials and accepts.
 
     Attributes:
-        name: Name of the agent or routing client.
+        name: Name of this agent or routing client.
         incarnation: Its incarnation.
         secret: The peer secret.
     """
@@ -67,8 +76,8 @@
     secret: bytes
 
 
-class _Outgoing:
-    """A request that was forwarded on a dialled stream."""
+class _ForwardedRequest:
+    """A request in flight on a dialled stream."""
 
     __slots__ = ("channel", "head")
 
@@ -80,33 +89,34 @@
         self.channel.fail(str(error))
         if not self.head.done():
             self.head.set_exception(error)
-            # The waiter may have gone; this marks the exception as seen.
+            # Marks the exception as retrieved in case the waiter was cancelled.
             self.head.exception()
 
 
 class _Link:
-    """The dialled stream to one member."""
+    """The dialled stream to one member, which is dialled again when it ends."""
 
     def __init__(self, member: Member, now: float) -> None:
         self.member = member
         self.wire: Wire | None = None
-        self.settled = asyncio.Event()
+        # Set once the first dial has succeeded or failed.
+        self.dial_finished = asyncio.Event()
         self.retired = False
         self.task: asyncio.Task[None] | None = None
-        self.streams: dict[int, _Outgoing] = {}
+        self.streams: dict[int, _ForwardedRequest] = {}
         self.calls: dict[int, asyncio.Future[object]] = {}
-        self.used_at = now
+        self.last_used_at = now
 
-    def opened(self, wire: Wire) -> None:
+    def mark_connected(self, wire: Wire) -> None:
         self.wire = wire
-        self.settled.set()
+        self.dial_finished.set()
 
-    def closed(self, reason: str) -> None:
+    def mark_disconnected(self, reason: str) -> None:
         self.wire = None
-        self.settled.set()
+        self.dial_finished.set()
         streams, self.streams = self.streams, {}
-        for outgoing in streams.values():
-            outgoing.fail(OutcomeLostError(f"stream to {self.member.id} ended: {reason}"))
+        for forwarded in streams.values():
+            forwarded.fail(OutcomeLostError(f"stream to {self.member.id} ended: {reason}"))
         calls, self.calls = self.calls, {}
         for reply in calls.values():
             if not reply.done():
@@ -120,9 +130,9 @@
     Args:
         tasks: Owner of the tasks.
         clock: Source of time.
-        timeout_s: Longest wait for a connection or a reply, in seconds.
-        identity: Gives who dials now.
-        dispatch: Takes messages that belong to no request or call.
+        timeout_s: Timeout of a connection attempt, a handshake or a call, in seconds.
+        identity: Returns the current identity of this process.
+        dispatch: Receives messages that belong to no request or call.
     """
 
     def __init__(
@@ -139,46 +149,46 @@
         self._identity = identity
         self._dispatch = dispatch
         self._links: dict[str, _Link] = {}
-        # Links that were dialled under an earlier incarnation of this agent.
+        # Links dialled under an earlier incarnation of this agent.
         self._outdated: set[_Link] = set()
-        self._numbers = itertools.count(1)
+        self._sequence = itertools.count(1)
 
     @property
     def ids(self) -> tuple[str, ...]:
-        """Ids of the members that links exist to, open or not."""
+        """Ids of the members with a link, whether its stream is open or not."""
         return tuple(self._links)
 
     def connected(self) -> tuple[str, ...]:
-        """Returns the ids of the members that streams are open to."""
+        """Returns the ids of the members to which a stream is open."""
         return tuple(link.member.id for link in self._links.values() if link.wire is not None)
 
     def open_requests(self) -> int:
-        """Returns the number of forwarded requests whose response is not complete."""
+        """Returns the number of forwarded requests whose response is incomplete."""
         return sum(len(link.streams) for link in (*self._links.values(), *self._outdated))
 
     def next_call(self) -> int:
         """Returns an unused call number."""
-        return next(self._numbers)
+        return next(self._sequence)
 
     def send(self, member: Member, message: object) -> bool:
         """Sends a message without waiting; see `Peers.send`."""
-        link = self._link(member)
+        link = self._get_or_dial(member)
         if link.wire is None:
             return False
         link.wire.send(message)
         return True
 
     def dial(self, member: Member) -> bool:
-        """Begins to connect; see `Peers.dial`."""
-        return self._link(member).wire is not None
+        """Starts connecting to a member if needed; see `Peers.dial`."""
+        return self._get_or_dial(member).wire is not None
 
     def unreachable(self, member: Member) -> bool:
-        """Tells whether connecting to a member failed; see `Peers.unreachable`."""
+        """Returns whether connecting to a member failed; see `Peers.unreachable`."""
         link = self._links.get(member.id)
-        return link is not None and link.wire is None and link.settled.is_set()
+        return link is not None and link.wire is None and link.dial_finished.is_set()
 
     def reply(self, member_id: str, message: object) -> bool:
-        """Sends a message on the open stream to a member; False if there is none."""
+        """Sends a message on the open stream to a member; returns False if there is none."""
         link = self._links.get(member_id)
         if link is None or link.wire is None:
             return False
@@ -187,110 +197,119 @@
 
     async def call(self, member: Member, message: object, call: int) -> object:
         """Sends a message and waits for its reply; see `Peers.call`."""
-        link = self._link(member)
+        link = self._get_or_dial(member)
         try:
             async with asyncio.timeout(self._timeout_s):
-                await link.settled.wait()
+                await link.dial_finished.wait()
                 if link.wire is None:
-                    raise PeerUnavailableError(f"no stream to {member.id}")
+                    raise PeerUnavailableError(f"no open stream to {member.id}")
                 reply: asyncio.Future[object] = asyncio.get_running_loop().create_future()
                 link.calls[call] = reply
                 link.wire.send(message)
                 return await reply
         except TimeoutError:
-            raise PeerTimeoutError(f"{member.id} did not reply in time") from None
+            raise PeerTimeoutError(f"{member.id} did not reply before the timeout") from None
         finally:
             link.calls.pop(call, None)
 
     def retire(self, member_id: str) -> None:
-        """Keeps the stream to a member that has left in order until it ends by itself."""
+        """Stops redialling a member that left gracefully; its open stream drains first."""
         link = self._links.get(member_id)
         if link is not None:
             link.retired = True
 
     def drop(self, member_id: str, reason: str = "dropped") -> None:
-        """Ends the stream to a member; what waits on it fails."""
+        """Closes the stream to a member; its open requests and calls fail."""
         link = self._links.pop(member_id, None)
         if link is None:
             return
-        link.closed(reason)
+        link.mark_disconnected(reason)
         if link.task is not None:
             link.task.cancel()
 
     def renew_identity(self) -> None:
-        """Lets requests finish on the present streams and dials new ones for all that follows."""
+        """Dials new streams under the new identity.
+
+        The streams of the earlier one stay open only until their requests have finished.
+        """
         links, self._links = self._links, {}
         for link in links.values():
             link.retired = True
             self._outdated.add(link)
-        self._end_finished()
+        self._close_drained()
 
     async def forward(self, member: Member, request: Request) -> Response:
         """Sends a request to its owner; see `Peers.forward`."""
-        link = self._link(member)
-        wire = link.wire or await self._ready(link, request.deadline)
+        link = self._get_or_dial(member)
+        wire = link.wire or await self._wait_for_wire(link, request.deadline)
         remaining_s = request.deadline - self._clock.now()
         if remaining_s <= 0:
-            raise DeadlineExceededError(f"deadline passed before {member.id} was reached")
-        number = next(self._numbers)
-        outgoing = _Outgoing(Channel(number, wire.send))
+            raise DeadlineExceededError(
+                f"the deadline passed before the request was sent to {member.id}"
+            )
+        stream_number = next(self._sequence)
+        forwarded = _ForwardedRequest(Channel(stream_number, wire.send))
         inline = inline_data(request.body)
         try:
-            wire.send(open_message(number, request, remaining_s, inline))
+            wire.send(open_message(stream_number, request, remaining_s, inline))
         except MalformedMessageError as error:
             raise InvalidRequestError(f"the request cannot be forwarded: {error}") from error
-        link.streams[number] = outgoing
-        late = DeadlineExceededRunningError(f"{member.id} did not answer before the deadline")
-        timer = asyncio.get_running_loop().call_later(remaining_s, outgoing.fail, late)
-        pump: asyncio.Task[None] | None = None
+        link.streams[stream_number] = forwarded
+        timeout_error = DeadlineExceededRunningError(
+            f"{member.id} did not respond before the deadline"
+        )
+        timer = asyncio.get_running_loop().call_later(remaining_s, forwarded.fail, timeout_error)
+        body_task: asyncio.Task[None] | None = None
         try:
             if inline is None:
-                pump = self._tasks.spawn("body", _pump(outgoing, request, wire))
-            head = await outgoing.head
+                body_task = self._tasks.spawn("body", _send_body(forwarded, request, wire))
+            head = await forwarded.head
         except BaseException as error:
-            self._abandon(link, number, type(error).__name__)
+            self._reset_stream(link, stream_number, type(error).__name__)
             raise
         finally:
             timer.cancel()
-            if pump is not None:
-                pump.cancel()
-        return self._response(link, outgoing, head, request)
+            if body_task is not None:
+                body_task.cancel()
+        return self._response(link, forwarded, head, request)
 
     async def run_idle_check(self) -> None:
-        """Ends streams that are not used any more, until cancelled."""
+        """Closes idle streams periodically until cancelled."""
         while True:
-            await self._clock.sleep(_IDLE_CHECK_S)
-            self.end_idle()
+            await self._clock.sleep(_IDLE_CHECK_INTERVAL_S)
+            self.close_idle()
 
-    def end_idle(self) -> None:
-        """Ends streams on which nothing was sent for a minute and nothing is open."""
-        oldest = self._clock.now() - _IDLE_S
+    def close_idle(self) -> None:
+        """Closes streams with no request, no call and nothing sent within the idle timeout."""
+        idle_before = self._clock.now() - _IDLE_TIMEOUT_S
         for member_id, link in tuple(self._links.items()):
-            if link.used_at < oldest and not link.streams and not link.calls:
+            if link.last_used_at < idle_before and not link.streams and not link.calls:
                 self.drop(member_id, "idle")
-        self._end_finished()
+        self._close_drained()
 
-    def _end_finished(self) -> None:
+    def _close_drained(self) -> None:
         for link in tuple(self._outdated):
             if link.wire is None or not link.streams:
                 self._outdated.discard(link)
-                link.closed("dialled under an earlier incarnation")
+                link.mark_disconnected("dialled under an earlier incarnation")
                 if link.task is not None:
                     link.task.cancel()
 
     def _response(
-        self, link: _Link, outgoing: _Outgoing, head: StreamHead, request: Request
+        self, link: _Link, forwarded: _ForwardedRequest, head: StreamHead, request: Request
     ) -> Response:
-        number = outgoing.channel.stream
+        stream_number = forwarded.channel.stream
         if head.request_id != request.id:
-            self._abandon(link, number, "wrong request id")
-            raise OutcomeLostError(f"response names request {head.request_id!r}")
+            self._reset_stream(link, stream_number, "wrong request id")
+            raise OutcomeLostError(f"the response carries the id of request {head.request_id!r}")
         if head.end:
-            link.streams.pop(number, None)
+            link.streams.pop(stream_number, None)
             body: Any = BytesBody(head.data)
         else:
             body = ChannelBody(
-                outgoing.channel, head.length, lambda: self._abandon(link, number, "done")
+                forwarded.channel,
+                head.length,
+                lambda: self._reset_stream(link, stream_number, "done"),
             )
         return Response(
             request.id,
@@ -302,31 +321,31 @@
             head.occupancy,
         )
 
-    async def _ready(self, link: _Link, deadline: float) -> Wire:
-        if not link.settled.is_set():
+    async def _wait_for_wire(self, link: _Link, deadline: float) -> Wire:
+        if not link.dial_finished.is_set():
             limit_s = min(self._timeout_s, max(deadline - self._clock.now(), 0))
             with suppress(TimeoutError):
                 async with asyncio.timeout(limit_s):
-                    await link.settled.wait()
+                    await link.dial_finished.wait()
         if link.wire is None:
-            raise OwnerUnreachableError(f"no stream to {link.member.id}")
+            raise OwnerUnreachableError(f"no open stream to {link.member.id}")
         return link.wire
 
-    def _abandon(self, link: _Link, number: int, reason: str) -> None:
-        if link.streams.pop(number, None) is not None and link.wire is not None:
-            link.wire.send(StreamReset(number, reason))
+    def _reset_stream(self, link: _Link, stream_number: int, reason: str) -> None:
+        if link.streams.pop(stream_number, None) is not None and link.wire is not None:
+            link.wire.send(StreamReset(stream_number, reason))
 
-    def _link(self, member: Member) -> _Link:
+    def _get_or_dial(self, member: Member) -> _Link:
         link = self._links.get(member.id)
         if link is None:
             link = _Link(member, self._clock.now())
             self._links[member.id] = link
             link.task = self._tasks.spawn(f"link {member.id}", self._run(link))
-        link.used_at = self._clock.now()
+        link.last_used_at = self._clock.now()
         return link
 
     async def _run(self, link: _Link) -> None:
-        retry_s = _RETRY_FIRST_S
+        backoff_s = _INITIAL_BACKOFF_S
         reported = False
         while not link.retired:
             try:
@@ -337,10 +356,10 @@
                 wire, messages = Wire(writer), read_messages(reader)
                 try:
                     async with asyncio.timeout(self._timeout_s):
-                        await self._greet(link, wire, messages)
-                    link.opened(wire)
-                    _OPENED.emit(peer=link.member.id)
-                    retry_s, reported = _RETRY_FIRST_S, False
+                        await self._handshake(link, wire, messages)
+                    link.mark_connected(wire)
+                    _CONNECTED.emit(peer=link.member.id)
+                    backoff_s, reported = _INITIAL_BACKOFF_S, False
                     async for message in messages:
                         self._receive(link, message)
                     reason = "end of stream"
@@ -349,77 +368,81 @@
             except (OSError, TimeoutError, PeerError) as error:
                 reason = f"{type(error).__name__}: {error}"
             was_open = link.wire is not None
-            link.closed(reason)
+            link.mark_disconnected(reason)
             if was_open:
-                _CLOSED.emit(peer=link.member.id, reason=reason)
+                _DISCONNECTED.emit(peer=link.member.id, reason=reason)
             elif not reported:
                 reported = True
                 _UNREACHABLE.emit(peer=link.member.id, reason=reason)
             if not link.retired:
-                await self._clock.sleep(retry_s)
-                retry_s = min(retry_s * 2, _RETRY_LAST_S)
+                await self._clock.sleep(backoff_s)
+                backoff_s = min(backoff_s * 2, _MAX_BACKOFF_S)
         self._outdated.discard(link)
         if self._links.get(link.member.id) is link:
             del self._links[link.member.id]
 
-    async def _greet(self, link: _Link, wire: Wire, messages: AsyncIterator[Any]) -> None:
+    async def _handshake(self, link: _Link, wire: Wire, messages: AsyncIterator[Any]) -> None:
         challenge = await anext(messages, None)
         if not isinstance(challenge, Challenge):
-            raise HandshakeError("the peer sent no challenge")
-        me = self._identity()
-        # A client can dial one agent as a seed and as a member; an acceptor keeps one stream
-        # for each name.
-        name = me.name if link.member.incarnation else f"{me.name}-seed"
-        mac = handshake_mac(me.secret, challenge.nonce, name, me.incarnation)
-        # Incarnation 0 stands for an address whose agent is not known yet, such as a seed.
-        wanted = link.member.id if link.member.incarnation else ""
-        wire.send(Hello(name, me.incarnation, PROTOCOL_VERSION, mac, wanted))
+            raise HandshakeError("the peer sent no Challenge message")
+        identity = self._identity()
+        # A client may dial one agent both as a seed and as a member, but the accepting side keeps
+        # only one stream for each name.
+        name = identity.name if link.member.incarnation else f"{identity.name}-seed"
+        mac = handshake_mac(identity.secret, challenge.nonce, name, identity.incarnation)
+        # Incarnation 0 marks an address, such as a seed, whose agent is not known yet.
+        expected_id = link.member.id if link.member.incarnation else ""
+        wire.send(Hello(name, identity.incarnation, PROTOCOL_VERSION, mac, expected_id))
         welcome = await anext(messages, None)
         if not isinstance(welcome, Welcome):
-            raise HandshakeError("the peer sent no welcome")
-        found = f"{welcome.name}:{welcome.incarnation}"
-        if wanted and found != wanted:
-            raise HandshakeError(f"{wanted} was expected, {found} answered")
+            raise HandshakeError("the peer sent no Welcome message")
+        actual_id = f"{welcome.name}:{welcome.incarnation}"
+        if expected_id and actual_id != expected_id:
+            raise HandshakeError(f"expected agent {expected_id}, but {actual_id} answered")
 
     def _receive(self, link: _Link, message: Any) -> None:
-        number = getattr(message, "stream", None)
-        if number is not None:
-            outgoing = link.streams.get(number)
-            # A response whose caller has left has no stream any more.
-            if outgoing is not None:
-                self._receive_part(link, outgoing, message)
+        stream_number = getattr(message, "stream", None)
+        if stream_number is not None:
+            forwarded = link.streams.get(stream_number)
+            # The stream of a request whose caller has left was removed.
+            if forwarded is not None:
+                self._receive_stream_message(link, forwarded, message)
             return
         if link in self._outdated:
             return
-        waiting = link.calls.get(getattr(message, "call", 0))
-        if waiting is None:
+        reply = link.calls.get(getattr(message, "call", 0))
+        if reply is None:
             self._dispatch(link.member.id, message)
-        elif not waiting.done():
-            waiting.set_result(message)
+        elif not reply.done():
+            reply.set_result(message)
 
-    def _receive_part(self, link: _Link, outgoing: _Outgoing, message: Any) -> None:
+    def _receive_stream_message(
+        self, link: _Link, forwarded: _ForwardedRequest, message: Any
+    ) -> None:
         if isinstance(message, StreamHead):
             if not message.end:
-                outgoing.channel.receive(message.data, False)
-            if not outgoing.head.done():
-                outgoing.head.set_result(message)
+                forwarded.channel.receive(message.data, False)
+            if not forwarded.head.done():
+                forwarded.head.set_result(message)
         elif isinstance(message, StreamData):
-            outgoing.channel.receive(message.data, message.end)
+            forwarded.channel.receive(message.data, message.end)
             if message.end:
                 link.streams.pop(message.stream, None)
         elif isinstance(message, StreamCredit):
-            outgoing.channel.add_credit(message.size)
+            forwarded.channel.add_credit(message.size)
         elif isinstance(message, StreamRefused):
             link.streams.pop(message.stream, None)
-            outgoing.fail(refusal_of(message))
+            forwarded.fail(refusal_from_message(message))
         elif isinstance(message, StreamReset):
             link.streams.pop(message.stream, None)
-            outgoing.fail(OutcomeLostError(f"{link.member.id} reset: {message.reason}"))
+            forwarded.fail(
+                OutcomeLostError(f"{link.member.id} reset the stream: {message.reason}")
+            )
 
 
-async def _pump(outgoing: _Outgoing, request: Request, wire: Wire) -> None:
+async def _send_body(forwarded: _ForwardedRequest, request: Request, wire: Wire) -> None:
     try:
-        await outgoing.channel.write_body(request.body)
-    except Exception as error:  # the body comes from a caller's socket and may fail in any way
-        wire.send(StreamReset(outgoing.channel.stream, f"{type(error).__name__}: {error}"[:500]))
-        outgoing.fail(OutcomeLostError(f"request body broke: {error}"))
+        await forwarded.channel.write_body(request.body)
+    except Exception as error:  # reading the body from a caller's socket can raise any exception
+        wire.send(StreamReset(forwarded.channel.stream, f"{type(error).__name__}: {error}"[:500]))
+        forwarded.fail(OutcomeLostError(f"reading the request body failed: {error}"))
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -1,4 +1,4 @@
-"""What both ends of a peer stream share: writing, reading and the messages of a request."""
+"""Message reading and writing shared by both ends of a peer stream."""
 
 from __future__ import annotations
 
@@ -19,17 +19,17 @@
 from .streams import INLINE_BYTES
 
 _READ_BYTES = 262_144
-# A peer that takes nothing while this much waits for it is cut off; it dials again.
-_WRITE_LIMIT_BYTES = 16 * 1024 * 1024
-# The last responses of an agent that stops may still wait for a slow receiver.
+# Aborts the connection of a peer that reads too slowly for this buffer; the peer dials again.
+_MAX_WRITE_BUFFER_BYTES = 16 * 1024 * 1024
+# Lets a slow receiver read the last responses of a stopping agent.
 _FLUSH_TIMEOUT_S = 5.0
-# A VM that is lost sends no end of its streams; TCP finds it after about a minute.
-_KEEPALIVE = (
+# A lost VM does not close its streams; TCP keepalive detects the loss after about a minute.
+_SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 30),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 10),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-    # A connection that went silent without a reset is found by the bytes that stay unconfirmed.
+    # In milliseconds. Detects a connection that fails without a reset by unacknowledged bytes.
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1500),
 )
 
@@ -37,8 +37,8 @@
 class Wire:
     """Writes messages to one TCP connection.
 
-    uvloop makes a system call for each write, so the messages of one turn of the loop leave in
-    one write at its end.
+    uvloop makes a system call for each write, so all messages sent in one iteration of the event
+    loop are written together at its end.
     """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
@@ -47,11 +47,11 @@
         self._frames: list[bytes] = []
         connection = writer.get_extra_info("socket")
         if connection is not None:
-            for level, option, value in _KEEPALIVE:
+            for level, option, value in _SOCKET_OPTIONS:
                 connection.setsockopt(level, option, value)
 
     def send(self, message: object) -> None:
-        """Sends a message without waiting; does nothing once the connection is closing.
+        """Queues a message for writing; drops it once the connection is closing.
 
         Raises:
             MalformedMessageError: The message cannot be encoded or is too large.
@@ -59,36 +59,36 @@
         transport = self._writer.transport
         if transport.is_closing():
             return
-        if transport.get_write_buffer_size() > _WRITE_LIMIT_BYTES:
+        if transport.get_write_buffer_size() > _MAX_WRITE_BUFFER_BYTES:
             transport.abort()
             return
         self._frames.append(self._encoder.encode(message))
         if len(self._frames) == 1:
-            asyncio.get_running_loop().call_soon(self._write)
+            asyncio.get_running_loop().call_soon(self._flush)
 
     def close(self) -> None:
-        """Closes the connection once what was sent has left."""
-        self._write()
+        """Closes the connection after writing the queued messages."""
+        self._flush()
         self._writer.close()
 
     async def flush_and_close(self) -> None:
-        """Closes the connection once what was sent has left, within a few seconds."""
+        """Closes the connection and waits up to a few seconds until its buffer is flushed."""
         self.close()
         with suppress(OSError, TimeoutError):
             async with asyncio.timeout(_FLUSH_TIMEOUT_S):
                 await self._writer.wait_closed()
 
-    def _write(self) -> None:
+    def _flush(self) -> None:
         frames, self._frames = self._frames, []
         if frames and not self._writer.transport.is_closing():
             self._writer.writelines(frames)
 
 
 async def read_messages(reader: asyncio.StreamReader) -> AsyncIterator[Any]:
-    """Yields the messages of a connection until its end.
+    """Yields the messages of a connection until it is closed.
 
     Raises:
-        MalformedMessageError: The bytes are no message.
+        MalformedMessageError: The bytes do not decode to a message.
     """
     decoder = FrameDecoder()
     while data := await reader.read(_READ_BYTES):
@@ -97,28 +97,28 @@
 
 
 def handshake_mac(secret: bytes, nonce: bytes, name: str, incarnation: int) -> bytes:
-    """Returns the proof that the dialling side knows the peer secret."""
-    text = f"{PROTOCOL_VERSION}\n{incarnation}\n{name}".encode()
-    return hmac.new(secret, nonce + text, hashlib.sha256).digest()
+    """Returns the HMAC by which the dialling side proves that it has the peer secret."""
+    signed_text = f"{PROTOCOL_VERSION}\n{incarnation}\n{name}".encode()
+    return hmac.new(secret, nonce + signed_text, hashlib.sha256).digest()
 
 
 def inline_data(body: Any) -> bytes | None:
-    """Returns a body that travels inside its first message, or None."""
+    """Returns the bytes of a body that fits into its first message, or None if it is streamed."""
     if isinstance(body, BytesBody) and len(body.data) <= INLINE_BYTES:
         return body.data
     return None
 
 
 def open_message(
-    number: int, request: Request, remaining_s: float, inline: bytes | None
+    stream_number: int, request: Request, remaining_s: float, inline: bytes | None
 ) -> StreamOpen:
-    """Returns the message that forwards a request."""
+    """Returns the message that forwards a request; `inline` is its body, or None if streamed."""
     useful_ms = None
     if request.useful_until is not None:
         useful_s = remaining_s - (request.deadline - request.useful_until)
         useful_ms = max(int(useful_s * 1000), 0)
     return StreamOpen(
-        stream=number,
+        stream=stream_number,
         request_id=request.id,
         service=request.service,
         key=request.key,
@@ -140,7 +140,7 @@
 
 
 def refused_message(stream: int, error: RefusalError) -> StreamRefused:
-    """Returns the message that reports a refusal."""
+    """Returns the message that sends a refusal to a peer."""
     retry_after_ms = None if error.retry_after_s is None else int(error.retry_after_s * 1000)
     return StreamRefused(
         stream=stream,
@@ -153,8 +153,8 @@
     )
 
 
-def refusal_of(message: StreamRefused) -> RefusalError:
-    """Returns the refusal that a message reports."""
+def refusal_from_message(message: StreamRefused) -> RefusalError:
+    """Returns the error of a refusal that a peer sent."""
     error = refusal_from_label(
         message.label, message.message, owner_id=message.owner_id, token=message.token
     )
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -1,7 +1,7 @@
 """Streams between agents: handshake, messages and forwarded requests.
 
-Each dialled peer and each accepted stream has one task, and so has each forwarded request at its
-owner.
+One task runs for each dialled peer, for each accepted stream and, at the owner, for each forwarded
+request.
 """
 
 from __future__ import annotations
@@ -17,15 +17,15 @@
 from .peer_links import Identity, PeerLinks
 
 _HANDLER_FAILED = Event(
-    2305, "peer_handler_failed", Level.ERROR, "A message of a peer could not be acted on."
+    2305, "peer_handler_failed", Level.ERROR, "The handler of a peer message raised an exception."
 )
 
 
 class MsgpackPeers:
     """The `peers` service.
 
-    A message to a peer goes on the stream that this agent dialled; its reply comes back on the
-    same stream. Each dialled stream is one long-lived connection that carries all requests.
+    A message is sent on the stream that this agent dialled, and its reply is received on the same
+    stream. Each dialled stream is one long-lived connection that multiplexes all requests.
     """
 
     name = "peers"
@@ -39,7 +39,7 @@
         self._server: asyncio.Server | None = None
 
     def bind(self, registry: Registry) -> None:
-        """Takes address, secret and timeout from the settings."""
+        """Reads the address, secret and timeout from the settings."""
         clock = registry.find("clock", Clock)
         section = registry.find("settings", Settings).peers
         self._host, self._port = section.host, section.port
@@ -51,7 +51,7 @@
         )
 
     async def start(self) -> None:
-        """Binds the port, which no other process of this VM can hold at the same time."""
+        """Listens on the port, which only one process of this VM can bind at a time."""
         self._tasks.spawn("idle", self._links.run_idle_check())
         if self._port:
             self._server = await asyncio.start_server(
@@ -59,14 +59,14 @@
             )
 
     async def stop(self) -> None:
-        """Ends all streams."""
+        """Flushes and closes all streams."""
         if self._server is not None:
             self._server.close()
         await self._accepted.flush_and_close()
         await self._tasks.cancel()
 
     def on(self, kind: type[M], handler: MessageHandler[M]) -> None:
-        """Registers the handler of a message type."""
+        """Registers the handler of a message type; see `Peers.on`."""
         self._handlers[kind] = handler
 
     def serve(self, handler: RequestHandler) -> None:
@@ -78,11 +78,11 @@
         return self._links.next_call()
 
     def connected(self) -> tuple[str, ...]:
-        """Returns the ids of the members that streams exist to."""
+        """Returns the ids of the members to which a dialled stream is open."""
         return self._links.connected()
 
     def open_requests(self) -> int:
-        """Returns the number of requests that are open on all streams."""
+        """Returns the number of requests in flight on dialled and accepted streams."""
         return self._links.open_requests() + self._accepted.open_requests()
 
     def send(self, member: Member, message: object) -> bool:
@@ -90,7 +90,7 @@
         return self._links.send(member, message)
 
     def reply(self, sender: str, message: object) -> bool:
-        """Sends a message on the stream on which the sender's last one came."""
+        """Sends a message on the sender's stream, else on the dialled one; see `Peers.reply`."""
         return self._accepted.reply(sender, message) or self._links.reply(sender, message)
 
     async def call(self, member: Member, message: object, call: int) -> object:
@@ -98,11 +98,11 @@
         return await self._links.call(member, message, call)
 
     def dial(self, member: Member) -> bool:
-        """Begins to connect; see `Peers.dial`."""
+        """Starts connecting to a member if needed; see `Peers.dial`."""
         return self._links.dial(member)
 
     def unreachable(self, member: Member) -> bool:
-        """Tells whether connecting to a member failed; see `Peers.unreachable`."""
+        """Returns whether connecting to a member failed; see `Peers.unreachable`."""
         return self._links.unreachable(member)
 
     async def forward(self, member: Member, request: Request) -> Response:
@@ -110,18 +110,18 @@
         return await self._links.forward(member, request)
 
     def drop(self, member_id: str) -> None:
-        """Ends the stream to a member that was removed.
+        """Closes the dialled stream to a member that was removed.
 
-        What the member itself forwards to this agent goes on: it may still have callers.
+        The stream that the member dialled stays open: it may still forward requests of callers.
         """
         self._links.drop(member_id)
 
     def retire(self, member_id: str) -> None:
-        """Keeps the stream to a member that has left in order until it ends by itself."""
+        """Stops redialling a member that left gracefully; its open stream drains first."""
         self._links.retire(member_id)
 
     def rename(self, incarnation: int) -> None:
-        """Takes a new incarnation; see `Peers.rename`."""
+        """Sets a new incarnation of this agent; see `Peers.rename`."""
         self._incarnation = incarnation
         self._links.renew_identity()
         self._accepted.renew_identity()
@@ -135,5 +135,5 @@
             return
         try:
             handler(sender, message)
-        except Exception as error:  # a bad message of one peer must not end the stream of others
+        except Exception as error:  # one failing message must not close a shared stream
             _HANDLER_FAILED.emit(peer=sender, message=type(message).__name__, error=repr(error))
--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -1,4 +1,4 @@
-"""Bodies that cross a peer stream, with credit-based flow control."""
+"""Request and response bodies on a peer stream, with credit-based flow control."""
 
 from __future__ import annotations
 
@@ -11,21 +11,21 @@
 from ..messages import Body
 from ..messages.peer import StreamCredit, StreamData
 
-# The receiver of a body permits this much when it begins to read, and not before: a request that
-# is refused before its body was read can be sent to another agent.
+# Credit that the receiver of a body grants when it starts to read, and not before: the body of a
+# request that is refused unread can still be sent to another agent.
 WINDOW_BYTES = 262_144
 CHUNK_BYTES = 65_536
-# A body up to this size travels inside StreamOpen or StreamHead.
+# A body up to this size is sent inside StreamOpen or StreamHead.
 INLINE_BYTES = 65_536
 
-# A receiver that takes nothing for this long holds a slot of the upstream for nobody.
-STALL_S = 30.0
+# Fails a body whose receiver grants no credit for this long, which frees its upstream slot.
+STALL_TIMEOUT_S = 30.0
 
 Sender = Callable[[object], None]
 
 
 class Channel:
-    """One request stream at one of its ends: the body that arrives and the credit to send.
+    """One end of a request stream: buffers the incoming body and tracks the credit to send.
 
     Attributes:
         stream: Number of the stream.
@@ -35,42 +35,42 @@
         self.stream = stream
         self._send = send
         self._chunks: deque[bytes] = deque()
-        self._held = 0
-        self._arrived = asyncio.Event()
+        self._buffered_bytes = 0
+        self._readable = asyncio.Event()
         self._ended = False
-        self._broken: str | None = None
-        self._credit = 0
-        self._credit_arrived = asyncio.Event()
+        self._failure: str | None = None
+        self._credit_bytes = 0
+        self._credit_available = asyncio.Event()
 
     def receive(self, data: bytes, end: bool) -> None:
-        """Takes a part of the body that arrived."""
+        """Buffers a received part of the body; `end` marks the last one."""
         if data:
             self._chunks.append(data)
-            self._held += len(data)
-            if self._held > WINDOW_BYTES + INLINE_BYTES:
-                self.fail("the sender exceeds its window")
+            self._buffered_bytes += len(data)
+            if self._buffered_bytes > WINDOW_BYTES + INLINE_BYTES:
+                self.fail("the sender exceeded its window")
                 return
         self._ended = self._ended or end
-        self._arrived.set()
+        self._readable.set()
 
     def add_credit(self, size: int) -> None:
-        """Permits `size` more bytes to be sent."""
-        self._credit += size
-        self._credit_arrived.set()
+        """Adds `size` bytes to the credit for sending."""
+        self._credit_bytes += size
+        self._credit_available.set()
 
     def fail(self, reason: str) -> None:
-        """Breaks both directions; readers and senders raise `BodyTruncatedError`."""
-        if self._broken is None:
-            self._broken = reason
-        self._arrived.set()
-        self._credit_arrived.set()
+        """Fails both directions: readers and senders raise `BodyTruncatedError`."""
+        if self._failure is None:
+            self._failure = reason
+        self._readable.set()
+        self._credit_available.set()
 
     def open_window(self) -> None:
-        """Permits the other end to send the first part of the body."""
+        """Grants the other end the credit of one window."""
         self._send(StreamCredit(self.stream, WINDOW_BYTES))
 
     async def read(self) -> bytes:
-        """Returns the next part of the body, empty at its end.
+        """Returns the next part of the body, or empty bytes at its end.
 
         Raises:
             BodyTruncatedError: The stream ended before the body did.
@@ -78,22 +78,22 @@
         while not self._chunks:
             if self._ended:
                 return b""
-            if self._broken is not None:
-                raise BodyTruncatedError(self._broken)
-            self._arrived.clear()
-            await self._arrived.wait()
+            if self._failure is not None:
+                raise BodyTruncatedError(self._failure)
+            self._readable.clear()
+            await self._readable.wait()
         chunk = self._chunks.popleft()
-        self._held -= len(chunk)
+        self._buffered_bytes -= len(chunk)
         self._send(StreamCredit(self.stream, len(chunk)))
         return chunk
 
     async def write_body(self, body: Body) -> None:
-        """Sends a body within the credit of the other end.
+        """Sends a body as the other end grants credit.
 
         Raises:
-            BodyTruncatedError: The stream ended, or the body did not arrive whole.
+            BodyTruncatedError: The stream ended, or the body is incomplete.
         """
-        # Until the other end reads, the body stays untouched and can be sent elsewhere.
+        # Until the other end grants credit, the body is unread and can be sent elsewhere.
         await self._take_credit(0)
         async with aclosing(body.chunks()) as chunks:
             async for chunk in chunks:
@@ -104,48 +104,52 @@
         self._send(StreamData(self.stream, b"", end=True))
 
     async def _take_credit(self, size: int) -> None:
-        while self._credit < max(size, 1):
-            if self._broken is not None:
-                raise BodyTruncatedError(self._broken)
-            self._credit_arrived.clear()
+        while self._credit_bytes < max(size, 1):
+            if self._failure is not None:
+                raise BodyTruncatedError(self._failure)
+            self._credit_available.clear()
             try:
-                async with asyncio.timeout(STALL_S):
-                    await self._credit_arrived.wait()
+                async with asyncio.timeout(STALL_TIMEOUT_S):
+                    await self._credit_available.wait()
             except TimeoutError:
-                raise BodyTruncatedError(f"the receiver took nothing for {STALL_S} s") from None
-        if self._broken is not None:
-            raise BodyTruncatedError(self._broken)
-        self._credit -= size
+                raise BodyTruncatedError(
+                    f"the receiver read nothing for {STALL_TIMEOUT_S} s"
+                ) from None
+        if self._failure is not None:
+            raise BodyTruncatedError(self._failure)
+        self._credit_bytes -= size
 
 
 class ChannelBody:
-    """A body that arrives on a channel.
+    """A body that is received on a channel.
 
     Attributes:
-        length: Number of bytes if it was announced.
+        length: Length in bytes, or None if the sender did not state it.
         started: Whether a byte has been read.
     """
 
-    def __init__(self, channel: Channel, length: int | None, finish: Callable[[], None]) -> None:
+    def __init__(
+        self, channel: Channel, length: int | None, on_finish: Callable[[], None]
+    ) -> None:
         self.length = length
         self.started = False
         self._channel = channel
-        self._finish = finish
+        self._on_finish = on_finish
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yields the parts; raises `BodyTruncatedError` if the stream ends early."""
+        """Yields the parts; raises `BodyTruncatedError` if the body is incomplete."""
         self.started = True
         self._channel.open_window()
-        received = 0
+        received_bytes = 0
         try:
             while chunk := await self._channel.read():
-                received += len(chunk)
+                received_bytes += len(chunk)
                 yield chunk
-            if self.length is not None and received != self.length:
-                raise BodyTruncatedError(f"{received} of {self.length} bytes arrived")
+            if self.length is not None and received_bytes != self.length:
+                raise BodyTruncatedError(f"received {received_bytes} of {self.length} bytes")
         finally:
-            self._finish()
+            self._on_finish()
 
     async def close(self) -> None:
-        """Ends the stream if the body was not read to its end."""
-        self._finish()
+        """Closes the stream, also when the body was not read to its end."""
+        self._on_finish()
--- a/tests/services/test_peer_wire.py
+++ b/tests/services/test_peer_wire.py
@@ -1,4 +1,4 @@
-"""Tests of the writing side of a peer stream."""
+"""Tests of writing messages to a peer stream."""
 
 from __future__ import annotations
 
@@ -13,10 +13,13 @@
 
 
 class WireTest(unittest.TestCase):
-    def test_send_on_a_stream_that_has_ended(self):
-        """Guards against a 500 for a caller when its request is abandoned after a pause."""
+    def test_send_on_a_closed_connection(self):
+        """Guards against a 500 for a caller when its request is reset on a closed connection.
 
-        async def send_after_end() -> None:
+        A paused process may find its connection closed; uvloop raises RuntimeError for a write.
+        """
+
+        async def send_after_close() -> None:
             async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
                 await reader.read()
                 writer.close()
@@ -24,16 +27,16 @@
             async with await asyncio.start_server(accept, "127.0.0.1", 0) as server:
                 _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
                 writer.transport.abort()
-                await asyncio.sleep(0)  # the loop closes the handle
+                await asyncio.sleep(0)  # lets the loop close the handle
                 await asyncio.sleep(0)
                 with self.assertRaises(RuntimeError):
-                    writer.write(b"what uvloop does, and the reason for the check")
+                    writer.write(b"uvloop raises on a closed transport")
                 Wire(writer).send(StreamReset(1, "deadline"))
 
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(send_after_end())
+            runner.run(send_after_close())
 
-    def test_messages_of_one_turn_leave_in_one_write(self):
+    def test_messages_of_one_loop_iteration_are_written_together(self):
         """Guards against a system call for each message of a burst."""
 
         async def send_some() -> None:
@@ -59,7 +62,7 @@
                     self.assertEqual(lines.call_count, 0)
                     await asyncio.sleep(0.01)
                     self.assertEqual((write.call_count, lines.call_count), (0, 1))
-                    # The last message before the end of a connection must not be lost.
+                    # A message that is sent just before the close must not be lost.
                     wire.send(sent[3])
                     wire.close()
                     await asyncio.wait_for(received.wait(), 2)
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -41,8 +41,8 @@
         self.router = await self.start("a", 0)
         self.member = make_member("b", self.port)
         self.owner.serve(self.handle)
-        self.behave = self.echo
-        self.seen = []
+        self.handler = self.echo
+        self.received_requests = []
 
     async def asyncTearDown(self) -> None:
         await self.router.stop()
@@ -57,8 +57,8 @@
         return peers
 
     async def handle(self, request):
-        self.seen.append(request)
-        return await self.behave(request)
+        self.received_requests.append(request)
+        return await self.handler(request)
 
     async def echo(self, request):
         data = b"".join([chunk async for chunk in request.body.chunks()])
@@ -71,11 +71,11 @@
         await wait_until(
             lambda: self.router.open_requests() + self.owner.open_requests() == 0,
             2,
-            "no request is open",
+            "no request is in flight",
         )
 
     async def test_requests_and_bodies_of_all_sizes(self):
-        """Guards against changed fields, and bodies cut at the limits of frame and window."""
+        """Guards against altered fields, and bodies truncated at the frame or window size."""
         for size in (0, 10, 65_536, 65_537, 3 * WINDOW_BYTES + 1):
             for streamed in (False, True):
                 body = b"x" * size
@@ -85,12 +85,14 @@
                 data = b"".join([chunk async for chunk in response.body.chunks()])
                 self.assertEqual(len(data), size)
                 self.assertEqual((response.served_by, response.epoch), ("b:1", 7))
-        self.assertEqual((self.seen[0].token, self.seen[0].path), ("t", "/p?q=1"))
-        self.assertEqual(self.seen[0].forwarded_by, "a:1")
+        self.assertEqual(
+            (self.received_requests[0].token, self.received_requests[0].path), ("t", "/p?q=1")
+        )
+        self.assertEqual(self.received_requests[0].forwarded_by, "a:1")
         await self.assert_nothing_open()
 
     async def test_refusals_keep_type_and_details(self):
-        """Guards against a refusal that loses its outcome on the way."""
+        """Guards against a refusal whose type, outcome or details are lost between agents."""
         for error in (
             NotOwnerError("moved", owner_id="c:1"),
             OverloadedError("full", retry_after_s=2.0),
@@ -99,7 +101,7 @@
             async def refuse(request, error=error):
                 raise error
 
-            self.behave = refuse
+            self.handler = refuse
             with self.assertRaises(type(error)) as refused:
                 await self.forward()
             self.assertEqual(refused.exception.retry_after_s, error.retry_after_s)
@@ -107,19 +109,19 @@
         await self.assert_nothing_open()
 
     async def test_unexpected_exception_at_the_owner(self):
-        """Guards against a stream that ends, or `not_run`, because one request failed."""
+        """Guards against a closed stream, or outcome `not_run`, because one handler raised."""
 
         async def fail(request):
             raise ZeroDivisionError
 
-        self.behave = fail
+        self.handler = fail
         with self.assertRaises(OutcomeLostError):
             await self.forward()
-        self.behave = self.echo
+        self.handler = self.echo
         self.assertEqual((await self.forward()).status, 200)
 
     async def test_caller_that_leaves_cancels_the_run(self):
-        """Guards against runs and late responses that stay after their caller has left."""
+        """Guards against runs and stream state that are leaked after their caller has left."""
         cancelled = asyncio.Event()
 
         async def slow(request):
@@ -129,95 +131,95 @@
                 cancelled.set()
                 raise
 
-        self.behave = slow
+        self.handler = slow
         for within_s, kind in ((0.1, DeadlineExceededRunningError), (5.0, asyncio.CancelledError)):
             cancelled.clear()
-            self.seen.clear()
-            sending = asyncio.create_task(self.forward(within_s))
-            await wait_until(lambda: self.seen, 2, "it runs")
+            self.received_requests.clear()
+            forwarding = asyncio.create_task(self.forward(within_s))
+            await wait_until(lambda: self.received_requests, 2, "the request runs")
             if kind is asyncio.CancelledError:
-                sending.cancel()
+                forwarding.cancel()
             with self.assertRaises(kind):
-                await sending
+                await forwarding
             await asyncio.wait_for(cancelled.wait(), 2)
             await self.assert_nothing_open()
 
     async def test_response_that_is_not_read(self):
-        """Guards against slots that are held by a response whose caller has gone."""
+        """Guards against a leaked upstream slot when the caller abandons its response."""
         body = StreamedBody(*[b"x" * 60_000] * 20)
 
         async def large(request):
             return Response("r1", 200, (), body, "b:1", 1)
 
-        self.behave = large
+        self.handler = large
         response = await self.forward()
         await response.body.close()
         await wait_until(lambda: body.closed, 2, "the body is closed at the owner")
         await self.assert_nothing_open()
 
     async def test_receiver_that_stalls(self):
-        """Guards against a slot that is held for ever by a receiver that takes nothing."""
+        """Guards against an upstream slot that is leaked to a receiver that reads nothing."""
         body = StreamedBody(*[b"x" * 60_000] * 20)
 
         async def large(request):
             return Response("r1", 200, (), body, "b:1", 1)
 
-        self.behave = large
-        with mock.patch.object(streams, "STALL_S", 0.1):
+        self.handler = large
+        with mock.patch.object(streams, "STALL_TIMEOUT_S", 0.1):
             response = await self.forward()
-            await wait_until(lambda: body.closed, 2, "the owner gives up")
+            await wait_until(lambda: body.closed, 2, "the owner closes the body")
             with self.assertRaises(BodyTruncatedError):
                 async for _ in response.body.chunks():
                     pass
         await self.assert_nothing_open()
 
     async def test_body_that_breaks(self):
-        """Guards against part of an upload that is taken for the whole."""
+        """Guards against a truncated upload that is processed as a complete one."""
 
         async def read(request):
             async for _ in request.body.chunks():
                 pass
             return make_response()
 
-        self.behave = read
+        self.handler = read
         body = StreamedBody(b"x" * 100_000, error=BodyTruncatedError("gone"))
         with self.assertRaises(OutcomeLostError):
             await self.forward(body=body)
         await self.assert_nothing_open()
 
     async def test_owner_that_ends(self):
-        """Guards against `not_run` for a request that was sent, and a wait until its deadline."""
+        """Guards against `not_run` for a request that was sent, and a wait for its deadline."""
 
         async def slow(request):
             await asyncio.sleep(5)
 
-        self.behave = slow
-        sending = asyncio.create_task(self.forward())
-        await wait_until(lambda: self.seen, 2, "it runs")
+        self.handler = slow
+        forwarding = asyncio.create_task(self.forward())
+        await wait_until(lambda: self.received_requests, 2, "the request runs")
         await self.owner.stop()
         with self.assertRaises(OutcomeLostError):
-            await sending
+            await forwarding
         with self.assertRaises(OwnerUnreachableError):
             await self.forward(0.5)
         self.assertEqual(self.router.open_requests(), 0)
 
     async def test_dropped_member(self):
-        """Guards against requests that wait for a member that was removed."""
+        """Guards against requests that keep waiting for a removed member."""
         await self.forward()
-        sending = asyncio.create_task(self.forward(body=StreamedBody(b"")))
+        forwarding = asyncio.create_task(self.forward(body=StreamedBody(b"")))
 
         async def slow(request):
             await asyncio.sleep(5)
 
-        self.behave = slow
-        await wait_until(lambda: len(self.seen) == 2, 2, "it runs")
+        self.handler = slow
+        await wait_until(lambda: len(self.received_requests) == 2, 2, "the request runs")
         self.router.drop("b:1")
         with self.assertRaises(OutcomeLostError):
-            await sending
+            await forwarding
         self.assertEqual(self.router.connected(), ())
 
     async def test_calls_and_messages(self):
-        """Guards against replies that reach another call, and calls without an end."""
+        """Guards against replies delivered to another call, and calls without a timeout."""
         received = []
         self.owner.on(
             StatusQuery,
@@ -233,116 +235,120 @@
         with self.assertRaises(PeerTimeoutError):
             await self.router.call(self.member, Renew("a:1", 1), 999)
 
-    async def test_dial_of_an_earlier_incarnation_leaves_open_requests_alone(self):
-        """Guards against requests that fail because another link dials the address again.
+    async def test_dial_of_an_earlier_incarnation_does_not_fail_open_requests(self):
+        """Guards against requests that fail because another link dials the same address.
 
-        Found by trouble-3 of merrimack-siphon (LOST): after a restart of an agent, the link to
-        its earlier incarnation dialled the new one, which then ended the stream in use.
+        After an agent restarted, the link to its earlier incarnation dialled the new one, which
+        then closed the stream in use (LOST on day trouble-3 of merrimack-siphon).
         """
-        entered, proceed = asyncio.Event(), asyncio.Event()
+        started, release = asyncio.Event(), asyncio.Event()
 
         async def wait(request):
-            entered.set()
-            await proceed.wait()
+            started.set()
+            await release.wait()
             return make_response(b"ok", served_by="b:1", epoch=7)
 
-        self.behave = wait
-        running = asyncio.create_task(self.forward())
-        await entered.wait()
+        self.handler = wait
+        forwarding = asyncio.create_task(self.forward())
+        await started.wait()
         earlier = make_member("b", self.port, incarnation=7)
         with self.assertRaises(OwnerUnreachableError):
             await self.router.forward(earlier, make_request(0.5))
-        proceed.set()
-        self.assertEqual((await running).status, 200)
+        release.set()
+        self.assertEqual((await forwarding).status, 200)
 
     async def test_requests_outlive_a_new_incarnation(self):
-        """Guards against requests that are lost because their agent joins its group again.
+        """Guards against requests that are lost when their agent rejoins its group.
 
-        Renewals on the earlier streams must end, because they concern the earlier member.
+        Renewals on the earlier streams must be dropped: they concern the earlier incarnation.
         """
-        entered, proceed = asyncio.Event(), asyncio.Event()
+        started, release = asyncio.Event(), asyncio.Event()
 
         async def wait(request):
-            entered.set()
-            await proceed.wait()
+            started.set()
+            await release.wait()
             return make_response(b"ok", served_by="b:1", epoch=7)
 
-        self.behave = wait
+        self.handler = wait
         renewals = []
         self.owner.on(Renew, lambda sender, message: renewals.append(sender))
-        running = asyncio.create_task(self.forward())
-        await entered.wait()
+        forwarding = asyncio.create_task(self.forward())
+        await started.wait()
         self.owner.rename(2)
         self.router.send(self.member, Renew("a:1", 1))
         self.router.rename(2)
         self.assertNotIn("b:1", self.router.connected())
-        proceed.set()
-        self.assertEqual((await running).status, 200)
+        release.set()
+        self.assertEqual((await forwarding).status, 200)
         member = make_member("b", self.port, incarnation=2)
         self.assertEqual((await self.router.forward(member, make_request())).status, 200)
         self.assertEqual(renewals, [])
-        self.assertEqual(self.seen[-1].forwarded_by, "a:2")
+        self.assertEqual(self.received_requests[-1].forwarded_by, "a:2")
         await self.assert_nothing_open()
 
     async def test_handler_that_fails(self):
-        """Guards against a stream that ends because one message could not be acted on."""
+        """Guards against a stream that is closed because one message handler raised."""
         self.owner.on(CrashReport, mock.Mock(side_effect=ZeroDivisionError))
         await self.forward()
         self.router.send(self.member, CrashReport("a:1"))
         self.assertEqual((await self.forward()).status, 200)
 
-    async def test_strangers_and_garbage(self):
-        """Guards against peers without the secret, wrong members and bytes that are no frame."""
-        stranger = await self.start("c", 0, "t" * 16)
+    async def test_unauthenticated_peers_and_malformed_bytes(self):
+        """Guards against peers with another secret, wrong members and malformed frames."""
+        unauthenticated = await self.start("c", 0, "t" * 16)
         with self.assertRaises(OwnerUnreachableError):
-            await stranger.forward(self.member, make_request(0.3))
-        await stranger.stop()
+            await unauthenticated.forward(self.member, make_request(0.3))
+        await unauthenticated.stop()
         with self.assertRaises(OwnerUnreachableError):
             await self.router.forward(make_member("z", self.port), make_request(0.3))
-        for garbage in (b"GET / HTTP/1.1\r\n\r\n", FrameEncoder().encode(StreamData(1, b"x"))):
+        for malformed in (b"GET / HTTP/1.1\r\n\r\n", FrameEncoder().encode(StreamData(1, b"x"))):
             reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-            writer.write(garbage)
+            writer.write(malformed)
             await asyncio.wait_for(reader.read(), 2)
             writer.close()
         self.assertEqual((await self.forward()).status, 200)
 
     async def test_second_stream_of_a_sender_ends_the_first(self):
-        """Guards against half-open streams that stay after a partition."""
+        """Guards against half-open streams that are leaked after a partition."""
         await self.forward()
-        again = await self.start("a", 0)
-        await again.forward(self.member, make_request())
-        await wait_until(lambda: not self.router.connected(), 2, "the first has ended")
-        await again.stop()
+        second_router = await self.start("a", 0)
+        await second_router.forward(self.member, make_request())
+        await wait_until(lambda: not self.router.connected(), 2, "the first stream is closed")
+        await second_router.stop()
 
     async def test_member_is_unreachable_once_its_dial_failed(self):
-        """Guards against a second dial of each member while the first is under way."""
-        gone = make_member("gone", 1)
-        self.assertFalse(self.router.dial(gone))
-        self.assertFalse(self.router.unreachable(gone))
-        await wait_until(lambda: self.router.unreachable(gone), 2, "the dial has failed")
+        """Guards against dialling a member a second time while the first dial is pending."""
+        unreachable_member = make_member("gone", 1)
+        self.assertFalse(self.router.dial(unreachable_member))
+        self.assertFalse(self.router.unreachable(unreachable_member))
+        await wait_until(
+            lambda: self.router.unreachable(unreachable_member), 2, "the dial has failed"
+        )
         await self.forward()
         self.assertFalse(self.router.unreachable(self.member))
 
-    async def test_idle_links_are_ended(self):
-        """Guards against streams, and dials of lost members, that grow with the fleet's churn."""
+    async def test_idle_links_are_closed(self):
+        """Guards against streams and dials of lost members that accumulate with fleet churn."""
         await self.forward()
         with suppress(OwnerUnreachableError):
             await self.router.forward(make_member("gone", 1), make_request(0.2))
         now = CLOCK.now()
         with mock.patch.object(
-            self.router._links, "_clock", SimpleNamespace(now=lambda: now + peer_links._IDLE_S + 5)
+            self.router._links,
+            "_clock",
+            SimpleNamespace(now=lambda: now + peer_links._IDLE_TIMEOUT_S + 5),
         ):
-            self.router._links.end_idle()
+            self.router._links.close_idle()
         self.assertEqual(self.router._links.ids, ())
 
     async def test_request_that_cannot_be_encoded(self):
-        """Guards against an unknown outcome for a request that was never sent."""
+        """Guards against reporting an unknown outcome for a request that was never sent."""
         with self.assertRaises(InvalidRequestError):
             await self.forward(path="/" + "x" * 2_000_000)
         await self.assert_nothing_open()
 
     async def test_sender_beyond_its_window(self):
-        """Guards against a queue without bound."""
+        """Guards against an unbounded receive buffer."""
         channel = Channel(1, lambda message: None)
         for _ in range(10):
             channel.receive(b"x" * 60_000, False)
