Reword the graceful shutdown

Private names and texts used figurative words (cut, taken, left). Renames: _CUT to _REQUEST_OPEN_AT_END, _open to _open_requests, _left_s to _remaining_s. Unit tests: tests.services.test_shutdown, 5 passed.

--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -1,4 +1,4 @@
-"""Graceful shutdown: what a stopping agent still takes, and when its work has ended."""
+"""Graceful shutdown: which requests a stopping agent accepts, and when it has drained."""
 
 from __future__ import annotations
 
@@ -12,24 +12,24 @@
 from ..kernel.bounds import Bounds
 from ..kernel.errors import DrainingError
 
-_PHASE = Event(1020, "shutdown_phase", Level.INFO, "A stopping agent enters this phase.")
-_CUT = Event(
+_PHASE = Event(1020, "shutdown_phase", Level.INFO, "A stopping agent entered this phase.")
+_REQUEST_OPEN_AT_END = Event(
     1021,
     "request_open_at_end",
     Level.WARNING,
-    "The grace time ends while this request is open; its connection is closed.",
+    "The grace time ended while this request was in flight; its connection is closed.",
 )
 
-# The platform starts an ended process again after about a second; a caller that comes back sooner
-# meets the same refusal.
+# The platform restarts an ended process after about a second; an earlier retry would be refused
+# again.
 _RETRY_AFTER_S = 1.0
 
 
 class GracefulShutdown:
     """The `shutdown` service.
 
-    All phases count from the stop request, so that together they fit into the grace time, however
-    long the leave of the group takes.
+    The end of each phase is measured from the stop request, so that all phases fit into the grace
+    time, however long it takes to leave the group.
     """
 
     name = "shutdown"
@@ -38,13 +38,13 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._closing: asyncio.Future[None] | None = None
-        self._open: Counter[str] = Counter()
+        self._open_requests: Counter[str] = Counter()
         self._idle = asyncio.Event()
         self._idle.set()
 
     @property
     def phase(self) -> ShutdownPhase:
-        """The phase now."""
+        """The current phase; see `ShutdownPhase`."""
         if self.closing.done():
             return ShutdownPhase.CLOSING
         if not self._kernel.stopping:
@@ -58,73 +58,79 @@
 
     @property
     def closing(self) -> asyncio.Future[None]:
-        """Done once open requests must be answered; see `Shutdown.closing`."""
+        """Future that is done once open requests must be answered; see `Shutdown.closing`."""
         if self._closing is None:
             self._closing = asyncio.get_running_loop().create_future()
         return self._closing
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._bounds = registry.find("bounds", Bounds)
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Does nothing: the phases begin with the stop request."""
 
     async def drain(self) -> None:
-        """Waits until callers go elsewhere, then until no request is open."""
+        """Waits until callers have switched to other agents, then until no request is in flight.
+
+        Returns at the end of the finishing phase at the latest and begins the closing phase.
+        """
         self._log_phase()
         if self.phase is ShutdownPhase.TAKING:
-            await self._clock.sleep(max(self._left_s(self._bounds.take_until_s), 0))
+            await self._clock.sleep(max(self._remaining_s(self._bounds.take_until_s), 0))
             self._log_phase()
         with suppress(TimeoutError):
-            async with asyncio.timeout(max(self._left_s(self._bounds.finish_until_s), 0)):
+            async with asyncio.timeout(max(self._remaining_s(self._bounds.finish_until_s), 0)):
                 await self._idle.wait()
-        # An agent that became idle before the end of its time takes no more either.
+        # An agent that is idle before the end of the phase also stops accepting requests.
         self.close()
         self._log_phase()
-        for request_id in self._open:
-            _CUT.emit(request=request_id, stopping_s=round(self._kernel.stopping_s, 3))
+        for request_id in self._open_requests:
+            _REQUEST_OPEN_AT_END.emit(
+                request=request_id, stopping_s=round(self._kernel.stopping_s, 3)
+            )
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Does nothing: `drain` has begun the closing phase."""
 
     def check(self, deadline: float) -> None:
-        """Refuses what may outlast the process; see `Shutdown.check`."""
+        """Refuses a request whose deadline is after the process may end; see `Shutdown.check`."""
         if self.phase in (ShutdownPhase.SERVING, ShutdownPhase.TAKING):
             return
-        if self.phase is ShutdownPhase.CLOSING or deadline > self._clock.now() + self._left_s(
+        if self.phase is ShutdownPhase.CLOSING or deadline > self._clock.now() + self._remaining_s(
             self._bounds.finish_until_s
         ):
             raise DrainingError(
-                "this agent may end before the request does", retry_after_s=_RETRY_AFTER_S
+                "this agent is stopping and may end before the request's deadline",
+                retry_after_s=_RETRY_AFTER_S,
             )
 
     def close(self) -> None:
-        """Begins the closing phase, also where nothing was drained; see `Shutdown.close`."""
+        """Begins the closing phase, also without a drain before it; see `Shutdown.close`."""
         if not self.closing.done():
             self.closing.set_result(None)
 
     @contextmanager
     def open_request(self, request_id: str) -> Iterator[None]:
-        """Counts a request as open; see `Shutdown.open_request`."""
-        self._open[request_id] += 1
+        """Counts a request as in flight within the context; see `Shutdown.open_request`."""
+        self._open_requests[request_id] += 1
         self._idle.clear()
         try:
             yield
         finally:
-            self._open[request_id] -= 1
-            if not self._open[request_id]:
-                del self._open[request_id]
-            if not self._open:
+            self._open_requests[request_id] -= 1
+            if not self._open_requests[request_id]:
+                del self._open_requests[request_id]
+            if not self._open_requests:
                 self._idle.set()
 
-    def _left_s(self, end_s: float) -> float:
+    def _remaining_s(self, end_s: float) -> float:
         return end_s - self._kernel.stopping_s
 
     def _log_phase(self) -> None:
         _PHASE.emit(
             phase=self.phase,
-            open=self._open.total(),
+            open=self._open_requests.total(),
             stopping_s=round(self._kernel.stopping_s, 3),
         )
--- a/tests/services/test_shutdown.py
+++ b/tests/services/test_shutdown.py
@@ -1,4 +1,4 @@
-"""Phases of the graceful shutdown."""
+"""Tests of the phases of the graceful shutdown."""
 
 import asyncio
 import io
@@ -12,7 +12,7 @@
 
 from .fakes import StubRegistry
 
-# Takes requests for 0.75 s, and lets them finish until 1.2 s.
+# Accepts all requests until 0.75 s, and lets them finish until 1.2 s.
 BOUNDS = Bounds(grace_s=2.0)
 
 
@@ -24,37 +24,37 @@
         self.shutdown = GracefulShutdown(self.kernel)
         self.shutdown.bind(StubRegistry(clock=self.clock, bounds=BOUNDS))
 
-    async def test_running_agent_takes_everything(self):
-        """Guards against refusals without a stop."""
+    async def test_running_agent_accepts_all_requests(self):
+        """Guards against refusals by an agent that is not stopping."""
         self.assertIs(self.shutdown.phase, ShutdownPhase.SERVING)
         self.shutdown.check(self.clock.now() + 3600)
 
-    async def test_taking_depends_on_the_deadline_once_callers_know(self):
-        """Guards against requests that are lost at the end, and against needless refusals."""
+    async def test_finishing_phase_accepts_by_deadline(self):
+        """Guards against requests that are lost when the process ends, and needless refusals."""
         self.kernel.request_stop()
         self.shutdown.check(self.clock.now() + 3600)
         await asyncio.sleep(BOUNDS.take_until_s)
         self.assertIs(self.shutdown.phase, ShutdownPhase.FINISHING)
-        left_s = BOUNDS.finish_until_s - self.kernel.stopping_s
-        self.shutdown.check(self.clock.now() + left_s - 0.1)
+        remaining_s = BOUNDS.finish_until_s - self.kernel.stopping_s
+        self.shutdown.check(self.clock.now() + remaining_s - 0.1)
         with self.assertRaises(DrainingError) as refused:
-            self.shutdown.check(self.clock.now() + left_s + 0.1)
+            self.shutdown.check(self.clock.now() + remaining_s + 0.1)
         self.assertGreater(refused.exception.retry_after_s, 0)
 
-    async def test_idle_agent_ends_once_callers_know(self):
-        """Guards against a stop that uses up its grace time without a request."""
+    async def test_idle_agent_ends_after_the_taking_phase(self):
+        """Guards against a stop that waits for its whole grace time without a request."""
         self.kernel.request_stop()
         await self.shutdown.drain()
         self.assertGreaterEqual(self.kernel.stopping_s, BOUNDS.take_until_s)
         self.assertLess(self.kernel.stopping_s, BOUNDS.finish_until_s)
 
-    def test_requests_are_taken_only_while_a_cut_is_excused(self):
-        """Guards against long grace times that let requests in which nothing excuses to cut."""
+    def test_taking_phase_ends_within_three_seconds(self):
+        """Guards against a long taking phase: a request cut 3 s after the stop is a failure."""
         self.assertLess(Bounds(grace_s=20.0).take_until_s, 3.0)
         self.assertLess(Bounds(grace_s=6.0).take_until_s, 3.0)
 
     async def test_late_drain_keeps_to_the_same_end(self):
-        """Guards against phases that count from the end of the one before them."""
+        """Guards against phases that are measured from the end of the previous phase."""
         self.kernel.request_stop()
         await asyncio.sleep(BOUNDS.finish_until_s)
         with self.shutdown.open_request("r1"):
