Reword services/frontend

Names such as `own`, `passed`, `named` and `_NOT_FORWARDED` hid which headers they hold, and texts were figurative.

--- a/fescueward/services/frontend/__init__.py
+++ b/fescueward/services/frontend/__init__.py
@@ -1,4 +1,4 @@
-"""Callers' HTTP."""
+"""The HTTP front end for callers."""
 
 from .service import HttpFrontend
 
--- a/fescueward/services/frontend/connections.py
+++ b/fescueward/services/frontend/connections.py
@@ -1,4 +1,4 @@
-"""Callers' connections."""
+"""HTTP connections of callers: protocol errors get the same JSON refusals as other errors."""
 
 from __future__ import annotations
 
@@ -10,16 +10,16 @@
 from ...kernel.errors import InternalError, InvalidRequestError
 from .refusals import refusal_response
 
-UNEXPECTED = Event(
-    3602, "request_failed", Level.ERROR, "A request met an unexpected exception in the agent."
+REQUEST_FAILED = Event(
+    3602, "request_failed", Level.ERROR, "A request raised an unexpected exception in the agent."
 )
-_MALFORMED = Event(3603, "http_malformed", Level.INFO, "A caller sent bytes that are no HTTP.")
-# How long a refused caller that still sends its body is read from, so that it sees the refusal.
-_LINGERING_S = 2.0
+_MALFORMED = Event(3603, "http_malformed", Level.INFO, "A caller sent malformed HTTP.")
+# A refused caller may still be sending its body; reading on lets it receive the refusal.
+_LINGERING_TIMEOUT_S = 2.0
 
 
 class CallerConnection(web.RequestHandler):
-    """A caller's connection. Errors of HTTP itself are answered in JSON as all others."""
+    """A caller's connection, which also answers malformed HTTP with a refusal in JSON."""
 
     __slots__ = ()
 
@@ -30,29 +30,33 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Returns the refusal of a request that could not be read or handled."""
+        """Returns the refusal of a request that could not be parsed or handled.
+
+        Raises:
+            ConnectionError: Part of another response has been sent; the connection is closed.
+        """
         error: RefusalError
         if status >= 500:
-            UNEXPECTED.emit(error=repr(exc))
+            REQUEST_FAILED.emit(error=repr(exc))
             error = InternalError(f"unexpected {type(exc).__name__}")
         else:
             _MALFORMED.emit(error=repr(exc))
             error = InvalidRequestError(f"malformed HTTP: {message}")
         if request.writer.output_size > 0:
-            raise ConnectionError("part of another response has been sent")
+            raise ConnectionError("an error occurred after part of a response was sent")
         return refusal_response(error, "", close=True)
 
 
 class CallerServer(web.Server):
-    """Makes a `CallerConnection` for each caller."""
+    """Creates a `CallerConnection` for each accepted connection."""
 
     def __call__(self) -> web.RequestHandler:
-        """Returns the protocol of a new connection."""
+        """Returns the aiohttp protocol of a new connection."""
         return CallerConnection(
             self,
             loop=asyncio.get_running_loop(),
             access_log=None,
-            # Bodies go on as the caller encoded them.
+            # Bodies are forwarded in the encoding of the caller.
             auto_decompress=False,
-            lingering_time=_LINGERING_S,
+            lingering_time=_LINGERING_TIMEOUT_S,
         )
--- a/fescueward/services/frontend/refusals.py
+++ b/fescueward/services/frontend/refusals.py
@@ -1,4 +1,4 @@
-"""Refusals as callers get them."""
+"""Encoding of refusals as HTTP responses for callers."""
 
 from __future__ import annotations
 
@@ -18,12 +18,12 @@
 
 
 def refusal_response(error: RefusalError, request_id: str, close: bool = False) -> web.Response:
-    """Returns a refusal in JSON.
+    """Returns the HTTP response for a refusal, with a JSON body.
 
     Args:
         error: The refusal.
-        request_id: Id of the request, or empty.
-        close: Whether the connection ends with it.
+        request_id: Id of the request, or empty if it is not known.
+        close: Whether to close the connection after the response.
     """
     content: dict[str, Any] = {
         "code": error.code,
--- a/fescueward/services/frontend/requests.py
+++ b/fescueward/services/frontend/requests.py
@@ -1,4 +1,4 @@
-"""Reading of callers' requests."""
+"""Parsing and validation of callers' HTTP requests."""
 
 from __future__ import annotations
 
@@ -29,8 +29,8 @@
 _MAX_DEADLINE_MS = 600_000
 _MAX_KEY_CHARACTERS = 1024
 _METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"})
-# Headers of the caller's connection.
-_NOT_FORWARDED = frozenset(
+# Headers that concern only the caller's connection, and those that the next connection sets anew.
+_HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
         b"content-length",
@@ -46,37 +46,38 @@
         b"upgrade",
     }
 )
-_OWN_PREFIX = b"fescueward-"
-# Also the most characters of an id that an answer repeats.
+_AGENT_HEADER_PREFIX = b"fescueward-"
+# Also the limit at which a refusal truncates the id that it repeats.
 MAX_ID_CHARACTERS = 200
 
 
 async def read_request(
     http: web.BaseRequest, request_id: str, catalogue: Catalogue, clock: Clock
 ) -> Request:
-    """Returns a caller's request; a large body is read as it is consumed.
+    """Returns the request that a caller sent; a large body is streamed as it is consumed.
 
     Args:
-        http: What the caller sent.
+        http: The HTTP request.
         request_id: Id of the request.
-        catalogue: Entries of the services.
-        clock: Clock of the deadline.
+        catalogue: Catalogue in which the service is looked up.
+        clock: Clock by which the deadline is set.
 
     Raises:
-        RefusalError: The request is malformed or names no service of the catalogue.
+        RefusalError: The request is malformed, names no service of the catalogue, or its body did
+            not arrive before the deadline.
     """
     if http.method not in _METHODS:
         raise InvalidRequestError(f"method {http.method!r} is not one of {sorted(_METHODS)}")
-    service, path = _split(http)
+    service, path = _split_path(http)
     entry = catalogue.entry(service).entry
-    own, headers = _headers(http)
-    key = own.get(KEY_HEADER.lower(), "")
+    agent_headers, headers = _headers(http)
+    key = agent_headers.get(KEY_HEADER.lower(), "")
     if not key:
         raise MissingKeyError(f"the request to {service!r} has no {KEY_HEADER} header")
     if len(key) > _MAX_KEY_CHARACTERS:
         raise InvalidRequestError(f"the key exceeds {_MAX_KEY_CHARACTERS} characters")
     _check_id(request_id)
-    deadline_ms = _deadline_ms(own, entry.limits.deadline_ms)
+    deadline_ms = _deadline_ms(agent_headers, entry.limits.deadline_ms)
     deadline = clock.now() + deadline_ms / 1000
     body = await _body(http, deadline_ms / 1000)
     return Request(
@@ -88,12 +89,12 @@
         headers=headers,
         body=body,
         deadline=deadline,
-        token=own.get(TOKEN_HEADER.lower()),
+        token=agent_headers.get(TOKEN_HEADER.lower()),
     )
 
 
 class _HttpBody:
-    """The body of a caller's request, read as it is consumed."""
+    """The body of a caller's request, which is streamed as it is consumed."""
 
     def __init__(self, http: web.BaseRequest) -> None:
         self.length = http.content_length
@@ -102,19 +103,19 @@
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         self.started = True
-        received = 0
+        received_bytes = 0
         await _send_continue(self._http)
         try:
             async for chunk in self._http.content.iter_any():
-                received += len(chunk)
+                received_bytes += len(chunk)
                 yield chunk
         except Exception as error:  # aiohttp raises several unrelated types
-            raise BodyTruncatedError(f"the caller's body broke: {error!r}") from error
-        if self.length is not None and received != self.length:
-            raise BodyTruncatedError(f"{received} of {self.length} bytes arrived")
+            raise BodyTruncatedError(f"reading the caller's body failed: {error!r}") from error
+        if self.length is not None and received_bytes != self.length:
+            raise BodyTruncatedError(f"received {received_bytes} of {self.length} bytes")
 
     async def close(self) -> None:
-        """Does nothing; aiohttp ends the connection."""
+        """Does nothing: aiohttp closes the connection if the body was not read to its end."""
 
 
 async def _body(http: web.BaseRequest, timeout_s: float) -> Body:
@@ -130,25 +131,25 @@
     except TimeoutError:
         raise DeadlineExceededError("the deadline passed before the body arrived") from None
     except Exception as error:  # aiohttp raises several unrelated types
-        raise InvalidRequestError(f"the body broke: {error!r}") from error
+        raise InvalidRequestError(f"reading the body failed: {error!r}") from error
 
 
 async def _send_continue(http: web.BaseRequest) -> None:
     expected = http.headers.get("Expect")
     if expected is not None and expected.lower() == "100-continue":
         await http.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        # The interim response is no part of the response.
+        # aiohttp must not count the interim response as a part of the final one.
         http.writer.output_size = 0  # type: ignore[attr-defined]
 
 
-def _split(http: web.BaseRequest) -> tuple[str, str]:
-    """Returns the service and the path below it, as the caller wrote it."""
+def _split_path(http: web.BaseRequest) -> tuple[str, str]:
+    """Returns the service and the path below it, in the caller's percent-encoding."""
     raw = http.raw_path
     if not raw.startswith("/"):
-        # A request line may carry a whole URL.
+        # A request line may contain an absolute URL.
         raw = http.path_qs
     if not raw.isascii():
-        raise InvalidRequestError("the path has characters that are not percent-encoded")
+        raise InvalidRequestError("the path has non-ASCII characters that are not percent-encoded")
     service, separator, rest = raw[1:].partition("/")
     if "?" in service:
         service, _, query = raw[1:].partition("?")
@@ -157,34 +158,34 @@
 
 
 def _headers(http: web.BaseRequest) -> tuple[dict[str, str], Headers]:
-    """Returns the headers for this agent by lower-case name, and those to pass on."""
-    own: dict[str, str] = {}
-    passed: list[tuple[str, str]] = []
+    """Returns the headers for this agent by lower-case name, and the headers to forward."""
+    agent_headers: dict[str, str] = {}
+    forwarded: list[tuple[str, str]] = []
     connection = http.headers.get("Connection")
-    dropped = _NOT_FORWARDED
+    dropped = _HOP_BY_HOP_HEADERS
     if connection is not None and connection.lower() not in ("keep-alive", "close"):
-        named = (name.strip().lower().encode() for name in connection.split(","))
-        dropped = dropped | frozenset(named)
+        connection_names = (name.strip().lower().encode() for name in connection.split(","))
+        dropped = dropped | frozenset(connection_names)
     try:
         for name, value in http.raw_headers:
-            lower, text, is_own = _name(name)
-            if is_own:
+            lower, text, is_agent_header = _parse_name(name)
+            if is_agent_header:
                 label = lower.decode()
-                if label in own:
-                    raise InvalidRequestError(f"the header {label} is given twice")
-                own[label] = value.decode()
+                if label in agent_headers:
+                    raise InvalidRequestError(f"the header {label} is repeated")
+                agent_headers[label] = value.decode()
             elif lower not in dropped:
-                passed.append((text, value.decode()))
+                forwarded.append((text, value.decode()))
     except UnicodeDecodeError as error:
         raise InvalidRequestError(f"a header is not valid UTF-8: {error}") from error
-    return own, tuple(passed)
+    return agent_headers, tuple(forwarded)
 
 
 @lru_cache(maxsize=1024)
-def _name(name: bytes) -> tuple[bytes, str, bool]:
-    """Returns a header name in lower case and as text, and whether it is for this agent."""
+def _parse_name(name: bytes) -> tuple[bytes, str, bool]:
+    """Returns a header name in lower case, as text, and whether the header is for this agent."""
     lower = name.lower()
-    return lower, name.decode(), lower.startswith(_OWN_PREFIX)
+    return lower, name.decode(), lower.startswith(_AGENT_HEADER_PREFIX)
 
 
 def _check_id(request_id: str) -> None:
@@ -192,10 +193,10 @@
         raise InvalidRequestError(f"{REQUEST_ID_HEADER} is too long or not ASCII")
 
 
-def _deadline_ms(own: dict[str, str], default: int) -> int:
-    text = own.get(DEADLINE_MS_HEADER.lower())
+def _deadline_ms(agent_headers: dict[str, str], default_ms: int) -> int:
+    text = agent_headers.get(DEADLINE_MS_HEADER.lower())
     if text is None:
-        return default
+        return default_ms
     if not (text.isascii() and text.isdecimal() and len(text) < 10) or not (
         1 <= int(text) <= _MAX_DEADLINE_MS
     ):
--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -92,7 +92,7 @@
             )
 
     async def stop(self) -> None:
-        """Does nothing: `drain` has begun the closing phase."""
+        """Does nothing: there is nothing to release."""
 
     def check(self, deadline: float) -> None:
         """Refuses a request whose deadline is after the process may end; see `Shutdown.check`."""
--- a/tests/services/frontend/__init__.py
+++ b/tests/services/frontend/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of callers' HTTP."""
+"""Tests of the HTTP front end for callers."""
--- a/tests/services/frontend/test_service.py
+++ b/tests/services/frontend/test_service.py
@@ -1,4 +1,4 @@
-"""Tests of callers' HTTP over real sockets."""
+"""Tests of the HTTP front end over real sockets."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
         self.port = ports.reserve()
         self.requests = []
         self.cancelled = 0
-        self.behave = self.echo
+        self.handler = self.echo
         self.membership = SimpleNamespace(leaving=False)
         self.frontend = HttpFrontend(Kernel())
         self.frontend.bind(
@@ -51,7 +51,7 @@
     async def route(self, request):
         self.requests.append(request)
         try:
-            return await self.behave(request)
+            return await self.handler(request)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
@@ -66,7 +66,7 @@
         async with self.session.request(method, url + path, headers=headers, **values) as response:
             return response, await response.read()
 
-    async def raw(self, text: bytes, read_s: float = 2.0) -> bytes:
+    async def send_raw(self, text: bytes, read_s: float = 2.0) -> bytes:
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(text)
         try:
@@ -74,8 +74,8 @@
         finally:
             writer.close()
 
-    async def test_request_passes_as_it_was_written(self):
-        """Guards against changed paths, decompressed bodies and leaked connection headers."""
+    async def test_request_is_forwarded_unchanged(self):
+        """Guards against altered paths, decompressed bodies and forwarded hop-by-hop headers."""
         body = gzip.compress(b"x" * 100)
         response, data = await self.send(
             "POST",
@@ -103,7 +103,7 @@
         self.assertEqual(self.requests[2].path, "/")
 
     async def test_malformed_requests_get_typed_refusals(self):
-        """Guards against aiohttp's text pages, and exceptions that reach the log as faults."""
+        """Guards against aiohttp's text pages, and caller errors that are logged as faults."""
         head = b"GET /depot/x HTTP/1.1\r\nHost: a\r\n"
         for text, label in (
             (b"nonsense\r\n\r\n", "invalid_request"),
@@ -133,21 +133,21 @@
             ),
         ):
             with self.subTest(text=text[:70]):
-                answer = await self.raw(text)
-                top, _, body = answer.partition(b"\r\n\r\n")
-                self.assertIn(b"application/json", top)
+                answer = await self.send_raw(text)
+                head_lines, _, body = answer.partition(b"\r\n\r\n")
+                self.assertIn(b"application/json", head_lines)
                 error = json.loads(body)["error"]
                 self.assertEqual((error["label"], error["outcome"]), (label, "not_run"))
-                self.assertIn(b" 400 ", top.splitlines()[0])
+                self.assertIn(b" 400 ", head_lines.splitlines()[0])
         self.assertEqual(self.requests, [])
 
     async def test_refusals_carry_code_outcome_and_details(self):
-        """Guards against a refusal that a caller cannot act on."""
+        """Guards against a refusal without the details that a caller needs to retry."""
 
-        async def shed(request):
+        async def refuse(request):
             raise OverloadedError("full", retry_after_s=2.4)
 
-        self.behave = shed
+        self.handler = refuse
         response, data = await self.send()
         self.assertEqual((response.status, response.headers["Retry-After"]), (503, "2"))
         self.assertEqual(json.loads(data)["error"]["code"], 2006)
@@ -155,18 +155,18 @@
         async def token(request):
             raise TokenRequiredError("token", token="1.2.3.x")
 
-        self.behave = token
+        self.handler = token
         response, data = await self.send()
         self.assertEqual(response.status, 428)
         self.assertEqual(json.loads(data)["error"]["token"], "1.2.3.x")
 
     async def test_unexpected_exception_is_a_typed_error(self):
-        """Guards against `not_run`, or a text page, when the agent itself fails."""
+        """Guards against outcome `not_run`, or a text page, when the agent itself fails."""
 
         async def fail(request):
             raise ZeroDivisionError
 
-        self.behave = fail
+        self.handler = fail
         for headers in ({}, {"Fescueward-Token": "1.2.3.x"}):
             response, data = await self.send(headers=headers)
             error = json.loads(data)["error"]
@@ -176,16 +176,16 @@
             )
 
     async def test_bodies_of_all_kinds_arrive(self):
-        """Guards against chunked, large and expected bodies that are lost or cut."""
+        """Guards against chunked, large and `Expect` bodies that are lost or truncated."""
 
-        async def pieces():
+        async def chunks():
             for _ in range(40):
                 yield b"x" * 5000
 
         for values in (
             {"data": b""},
             {"data": b"x" * 200_000},
-            {"data": pieces()},
+            {"data": chunks()},
             {"data": b"x" * 10, "expect100": True},
             {"data": b"x" * 100_000, "expect100": True},
         ):
@@ -194,16 +194,16 @@
                 self.assertEqual(response.status, 200)
                 self.assertIn(len(data), (0, 10, 100_000, 200_000))
 
-    async def test_refused_upload_is_not_asked_for(self):
-        """Guards against uploads that are read although the request is refused."""
-        answer = await self.raw(
+    async def test_refused_upload_gets_no_continue(self):
+        """Guards against reading an upload although its request is refused."""
+        answer = await self.send_raw(
             b"PUT /depot/x HTTP/1.1\r\nHost: a\r\nContent-Length: 9999999\r\n"
             b"Expect: 100-continue\r\n\r\n"
         )
         self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer[:40])
 
     async def test_aborted_upload_breaks_the_body(self):
-        """Guards against part of an upload that is taken for the whole."""
+        """Guards against a truncated upload that is processed as a complete one."""
         broken = asyncio.Event()
 
         async def read(request):
@@ -215,7 +215,7 @@
                 raise
             return make_response()
 
-        self.behave = read
+        self.handler = read
         for head in (b"Content-Length: 100000", b"Transfer-Encoding: chunked"):
             broken.clear()
             _, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -228,34 +228,34 @@
             await asyncio.wait_for(broken.wait(), 2)
 
     async def test_slow_small_body_is_bounded_by_the_deadline(self):
-        """Guards against connections that are held by a body that never arrives."""
-        answer = await self.raw(
+        """Guards against connections that stay occupied by a body that never arrives."""
+        answer = await self.send_raw(
             b"POST /depot/x HTTP/1.1\r\nHost: a\r\nFescueward-Key: k\r\n"
             b"Fescueward-Deadline-Ms: 100\r\nContent-Length: 10\r\n\r\nhalf"
         )
         self.assertIn(b" 504 ", answer.splitlines()[0])
         self.assertIn(b'"not_run"', answer)
 
-    async def test_broken_response_cuts_the_connection(self):
-        """Guards against a truncated response that looks whole."""
+    async def test_broken_response_aborts_the_connection(self):
+        """Guards against a truncated response that looks complete."""
         for length in (None, 1000):
             body = StreamedBody(b"part", length=length, error=BodyTruncatedError("gone"))
 
             async def answer(request, body=body):
                 return Response(request.id, 200, (), body, "a:1", 1)
 
-            self.behave = answer
+            self.handler = answer
             with self.assertRaises(aiohttp.ClientError):
                 await self.send()
             self.assertTrue(body.closed)
 
     async def test_responses_without_a_body(self):
-        """Guards against bodies and lengths that HTTP forbids, which desynchronise callers."""
+        """Guards against bodies and lengths that HTTP forbids, which desynchronize callers."""
 
         async def head(request):
             return Response(request.id, 200, (("Content-Length", "5"),), BytesBody(b""), "a:1", 1)
 
-        self.behave = head
+        self.handler = head
         response, data = await self.send("HEAD")
         self.assertEqual((response.headers["Content-Length"], data), ("5", b""))
         for status in (204, 304):
@@ -263,15 +263,15 @@
             async def empty(request, status=status):
                 return Response(request.id, status, (), BytesBody(b""), "a:1", 1)
 
-            self.behave = empty
+            self.handler = empty
             response, data = await self.send()
             self.assertEqual((response.status, data), (status, b""))
             self.assertNotIn("Transfer-Encoding", response.headers)
-        self.behave = self.echo
+        self.handler = self.echo
         self.assertEqual((await self.send("POST", data=b"next"))[1], b"next")
 
     async def test_caller_that_leaves_cancels_its_request(self):
-        """Guards against work for nobody, and against lost outcomes of requests with a token."""
+        """Guards against runs without a caller, and lost outcomes of requests with a token."""
         ended = asyncio.Event()
 
         async def slow(request):
@@ -279,34 +279,40 @@
             ended.set()
             return make_response()
 
-        self.behave = slow
+        self.handler = slow
         head = b"GET /depot/x HTTP/1.1\r\nHost: a\r\nFescueward-Key: k\r\n"
         for token, cancelled in ((b"", 1), (b"Fescueward-Token: 1.2.3.x\r\n", 1)):
-            begun = len(self.requests)
+            previous_count = len(self.requests)
             _, writer = await asyncio.open_connection("127.0.0.1", self.port)
             writer.write(head + token + b"\r\n")
-            await wait_until(lambda begun=begun: len(self.requests) > begun, 2, "it is routed")
+            await wait_until(
+                lambda previous_count=previous_count: len(self.requests) > previous_count,
+                2,
+                "the request is routed",
+            )
             writer.transport.abort()
-            await wait_until(lambda: self.cancelled == 1, 2, "the first is cancelled")
+            await wait_until(
+                lambda: self.cancelled == 1, 2, "the request without a token is cancelled"
+            )
             if token:
                 await asyncio.wait_for(ended.wait(), 2)
             self.assertEqual(self.cancelled, cancelled)
 
-    async def test_leaving_agent_ends_connections_after_a_response(self):
-        """Guards against callers that stay on a connection that is about to be closed."""
+    async def test_leaving_agent_closes_connections_after_a_response(self):
+        """Guards against callers that keep using a connection that is about to be closed."""
         self.membership.leaving = True
         response, _ = await self.send()
         self.assertEqual(response.headers["Connection"], "close")
 
-    async def test_stop_lets_open_requests_end(self):
+    async def test_stop_waits_for_requests_in_flight(self):
         """Guards against a response that is lost when the agent stops."""
 
         async def slow(request):
             await asyncio.sleep(0.2)
             return make_response(b"whole")
 
-        self.behave = slow
-        sending = asyncio.create_task(self.send())
-        await wait_until(lambda: self.requests, 2, "it is routed")
+        self.handler = slow
+        sent_request = asyncio.create_task(self.send())
+        await wait_until(lambda: self.requests, 2, "the request is routed")
         await self.frontend.stop()
-        self.assertEqual((await sending)[1], b"whole")
+        self.assertEqual((await sent_request)[1], b"whole")
