Rename applied to apply_to

'applied' reads as a flag; GroupDelta, ConfigurationDelta and a pending edit return the version that results from applying them to an argument. Only the name changes, in 5 files.

--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -60,7 +60,7 @@
         """The group that changes."""
         return GroupId(self.service, self.number)
 
-    def applied(self, base: VersionedGroup) -> VersionedGroup | None:
+    def apply_to(self, base: VersionedGroup) -> VersionedGroup | None:
         """Returns the newer version, or None if `base` is not the version that it applies to."""
         group = base.group
         if (group.id, base.version) != (self.group, self.base):
@@ -138,7 +138,7 @@
     removed_services: tuple[str, ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
 
-    def applied(self, base: VersionedConfiguration) -> VersionedConfiguration | None:
+    def apply_to(self, base: VersionedConfiguration) -> VersionedConfiguration | None:
         """Returns the newer version, or None if `base` is not the version that it applies to."""
         if base.version != self.base:
             return None
@@ -171,7 +171,7 @@
         removed_services=tuple(name for name in before.services if name not in after.services),
         limits=after.limits,
     )
-    applied = delta.applied(base)
+    applied = delta.apply_to(base)
     # Of two routes for the same requests the first is taken, so their order has to be kept.
     if applied != newer or list(applied.configuration.routes) != list(after.routes):
         return None
--- a/fescueward/services/groups/edits.py
+++ b/fescueward/services/groups/edits.py
@@ -50,7 +50,7 @@
     change: GroupChange
     done: asyncio.Future[VersionedGroup]
 
-    def applied(self, group: Group) -> Group:
+    def apply_to(self, group: Group) -> Group:
         """Returns the group with this edit, or the same group if nothing is left to change."""
         if self.done.done():
             return group
@@ -132,7 +132,7 @@
                     raise unknown from error
             changed = base.group
             for pending in batch:
-                changed = pending.applied(changed)
+                changed = pending.apply_to(changed)
             if changed is base.group:
                 return base
             try:
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -353,7 +353,7 @@
 
     def _observe_delta(self, sender: str, delta: GroupDelta) -> None:
         held = self._views.get(delta.group)
-        newer = delta.applied(held) if held is not None else None
+        newer = delta.apply_to(held) if held is not None else None
         version = held.version if held is not None else 0
         if newer is not None:
             self.observe(newer)
@@ -364,7 +364,7 @@
         self, sender: str, delta: ConfigurationDelta, routes: Routes
     ) -> None:
         held = routes.current
-        newer = delta.applied(held) if held is not None else None
+        newer = delta.apply_to(held) if held is not None else None
         if newer is not None:
             routes.observe(newer)
         elif held is None or held.version < delta.version:
--- a/tests/messages/test_delta.py
+++ b/tests/messages/test_delta.py
@@ -69,15 +69,15 @@
             with self.subTest(seed=seed):
                 change = group_delta(base, newer)
                 self.assertIsInstance(change, GroupDelta)
-                self.assertEqual(change.applied(base), newer)
+                self.assertEqual(change.apply_to(base), newer)
 
     def test_change_of_another_version_is_not_applied(self):
         """Guards against a change that is applied to a version that it was not made for."""
         base = VersionedGroup(3, formed(2))
         change = group_delta(base, VersionedGroup(5, formed(3)))
-        self.assertIsNone(change.applied(replace(base, version=4)))
+        self.assertIsNone(change.apply_to(replace(base, version=4)))
         other = replace(base, group=replace(base.group, service="orders"))
-        self.assertIsNone(change.applied(other))
+        self.assertIsNone(change.apply_to(other))
 
     def test_whole_group_is_needed_for_other_changes(self):
         """Guards against agents that keep an exception or ranges that are gone."""
@@ -101,7 +101,7 @@
         frame = encoder.encode(Publish(deltas=(group_delta(base, newer),)))
         self.assertLess(len(frame), 500)
         (message,) = decoder.feed(frame)
-        self.assertEqual(message.deltas[0].applied(base), newer)
+        self.assertEqual(message.deltas[0].apply_to(base), newer)
 
 
 def routes(*names: str, prefix: str = "/") -> dict[str, Route]:
@@ -128,10 +128,10 @@
                 # The name of a service is not the one that it is listed under.
                 self.assertIsNone(delta)
                 continue
-            applied = delta.applied(base)
+            applied = delta.apply_to(base)
             self.assertEqual(applied, newer)
             self.assertEqual(list(applied.configuration.routes), list(configuration.routes))
-            self.assertIsNone(delta.applied(replace(base, version=2)))
+            self.assertIsNone(delta.apply_to(replace(base, version=2)))
 
     def test_routes_in_another_order_need_the_whole(self):
         """Guards against agents that take different routes for the same requests."""
--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -359,7 +359,7 @@
                 self.assertEqual([target for target, _ in peers.sent], told)
                 for _, message in peers.sent:
                     (delta,) = message.deltas
-                    self.assertEqual(delta.applied(base), newest)
+                    self.assertEqual(delta.apply_to(base), newest)
 
     async def test_agent_that_joins_late_is_no_watcher(self):
         """Guards against each agent that joins sending each version to the whole fleet.
