Rename at_address to any_incarnation

The method looks nothing up by address; it returns the member with the incarnation replaced by 0, which matches whichever incarnation listens there. Only the name changes, in 3 files.

--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -87,7 +87,7 @@
     stamp: Annotated[int, Meta(ge=0)] = 0
     instance: str = ""
 
-    def at_address(self) -> Member:
+    def any_incarnation(self) -> Member:
         """Returns whichever agent listens at the address of this member.
 
         It may be a later incarnation that could not join the group yet.
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -306,7 +306,7 @@
             if self._peers.unreachable(member):
                 # An agent that was restarted while the platform is away learns by this what the
                 # others know.
-                self._peers.send(member.at_address(), status)
+                self._peers.send(member.any_incarnation(), status)
 
     def _fleet(self) -> dict[str, Member]:
         found: dict[str, Member] = {}
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -252,7 +252,7 @@
         except OwnerUnreachableError:
             # An agent that was restarted while the platform is away cannot join, but its upstream
             # still serves what needs no keys.
-            present = member.at_address()
+            present = member.any_incarnation()
             if request.key or not self._peers.dial(present):
                 raise
         return await self._peers.forward(present, request)
