Rename log_lines_left_out to dropped_log_lines

The usual term for log lines that a bounded output discards is dropped. Only the name changes, in 3 files.

--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -159,7 +159,7 @@
 )
 
 
-def log_lines_left_out() -> int:
+def dropped_log_lines() -> int:
     """Returns the number of log lines that this process did not write."""
     return _output.lines.left_out if _output.lines is not None else 0
 
--- a/fescueward/services/metrics.py
+++ b/fescueward/services/metrics.py
@@ -28,7 +28,7 @@
     WorkState,
 )
 from ..kernel import Clock, RefusalError, Registry
-from ..kernel.events import log_lines_left_out
+from ..kernel.events import dropped_log_lines
 
 SERVED = "served"
 # Label of requests to services that have no entry. Names that callers make up must not become
@@ -203,7 +203,7 @@
             ENTRIES: len(self._catalogue.entries()),
             CAPACITY: self._admission.capacity,
             CRASHES: self._upstream.crashes,
-            LOG_LINES: log_lines_left_out(),
+            LOG_LINES: dropped_log_lines(),
         }
 
     def _bind_request(self, service: str, outcome: str) -> Histogram:
--- a/tests/kernel/test_log_lines.py
+++ b/tests/kernel/test_log_lines.py
@@ -8,7 +8,7 @@
 import time
 import unittest
 
-from fescueward.kernel.events import Event, Level, configure_logging, log_lines_left_out
+from fescueward.kernel.events import Event, Level, configure_logging, dropped_log_lines
 from fescueward.kernel.log_lines import LINES_PER_S, LineOutput
 from fescueward.testing.waiting import wait_until
 
@@ -51,14 +51,14 @@
 
     async def test_nobody_reads(self):
         """Guards against requests that wait for the reader of standard output."""
-        before = log_lines_left_out()
+        before = dropped_log_lines()
         self.assertEqual(before, 0)
         started = time.monotonic()
         for number in range(5_000):
             _REQUEST.emit(request=f"request-{number}", text="x" * 400)
         _FAILURE.emit(text="the last to be left out")
         self.assertLess(time.monotonic() - started, 2)
-        self.assertGreater(log_lines_left_out(), 1_000)
+        self.assertGreater(dropped_log_lines(), 1_000)
         os.set_blocking(self.reader.fileno(), False)
         seen = b""
 
