--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -23,21 +23,21 @@
         self.hang = False
 
     def bind(self, registry) -> None:
-        self.note("bind")
+        self.record_call("bind")
 
     async def start(self) -> None:
-        self.note("start")
+        self.record_call("start")
 
     async def drain(self) -> None:
-        self.note("drain")
+        self.record_call("drain")
 
     async def stop(self) -> None:
         await self.tasks.cancel()
-        self.note("stop")
+        self.record_call("stop")
         if self.hang:
             await asyncio.Event().wait()
 
-    def note(self, what: str) -> None:
+    def record_call(self, what: str) -> None:
         self.log.append(f"{what} {self.name}")
         if what == self.failing:
             raise ValueError(f"{what} failed")
