--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -11,7 +11,7 @@
 
 # Bytes of an answer up to the end of its head, with all 1xx answers before it. A head may have
 # lines of 64 KiB.
-ANSWER_HEAD_BYTES = 131_072
+MAX_RESPONSE_HEAD_BYTES = 131_072
 _LINE_BYTES = 65_536
 # Status that ends HTTP on a connection, unlike the other 1xx, which another answer follows.
 _SWITCHING_PROTOCOLS = 101
@@ -63,8 +63,8 @@
             self._end(f"the answer exceeds {self._answer_bytes} bytes")
             return
         super().data_received(data)
-        if not self._has_head and self._received > ANSWER_HEAD_BYTES:
-            self._end(f"the head of the answer exceeds {ANSWER_HEAD_BYTES} bytes")
+        if not self._has_head and self._received > MAX_RESPONSE_HEAD_BYTES:
+            self._end(f"the head of the answer exceeds {MAX_RESPONSE_HEAD_BYTES} bytes")
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Takes note of a reset, which aiohttp takes for the end of a body without a length."""
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -13,7 +13,7 @@
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
-from fescueward.kernel.http_client import ANSWER_HEAD_BYTES
+from fescueward.kernel.http_client import MAX_RESPONSE_HEAD_BYTES
 from fescueward.messages import Announcement, Response
 from fescueward.messages.group import KeyRange
 from fescueward.platform.settings import Address
@@ -172,7 +172,7 @@
                     request = make_request(8.0, method="GET", key="", repeatable=True)
                     response = await upstream.run(request, 0, 0, CLOCK.now() + 8.0)
                     self.assertEqual(response.body.data, b"ok")
-                    await self.check_bound(2 * ANSWER_HEAD_BYTES)
+                    await self.check_bound(2 * MAX_RESPONSE_HEAD_BYTES)
                 self.assertEqual(len(self.server.requests), 2)
 
     async def test_orders_answered_without_end(self):
