--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -30,7 +30,7 @@
         retry_window_s: Length of that window.
         drain_s: Latest time after an announced departure at which new work reaches an upstream.
         grace_s: Time between the stop signal and the end of the process by force.
-        longest_hold_s: Longest grant of keys.
+        max_hold_s: Longest grant of keys.
         propagation_s: Latest time after which a configuration is in force everywhere.
     """
 
@@ -39,7 +39,7 @@
     retry_window_s: float = 10.0
     drain_s: float = 2.0
     grace_s: float = 6.0
-    longest_hold_s: float = 10.0
+    max_hold_s: float = 10.0
     propagation_s: float = 5.0
 
     @property
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -182,6 +182,6 @@
         retry_window_s=seconds("budgetWindowS", default.retry_window_s),
         drain_s=seconds("drainS", default.drain_s),
         grace_s=seconds("graceS", default.grace_s),
-        longest_hold_s=seconds("holdMaxS", default.longest_hold_s),
+        max_hold_s=seconds("holdMaxS", default.max_hold_s),
         propagation_s=seconds("propagationS", default.propagation_s),
     )
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -325,7 +325,7 @@
         found_id = range_id(found)
         sent = self._clock.now()
         lease_left_s = self._lease.expires_at - sent
-        hold_s = min(self._bounds.longest_hold_s, lease_left_s / SLOW_CLOCK - _HOLD_MARGIN_S)
+        hold_s = min(self._bounds.max_hold_s, lease_left_s / SLOW_CLOCK - _HOLD_MARGIN_S)
         if hold_s < _LEAST_HOLD_S:
             return
         try:
