--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -37,7 +37,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, answer_bytes: int) -> None:
         super().__init__(loop)
-        self.was_reset = False
+        self.broken = False
         self._answer_bytes = answer_bytes
         self._received = 0
         self._has_head = False
@@ -68,7 +68,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Takes note of a reset, which aiohttp takes for the end of a body without a length."""
-        self.was_reset = exc is not None
+        self.broken = exc is not None
         super().connection_lost(exc)
 
     def _end(self, reason: str) -> None:
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -159,7 +159,7 @@
             ):
                 protocol = answer.connection.protocol if answer.connection else None
                 content = await answer.read()
-                if isinstance(protocol, BoundedConnection) and protocol.was_reset:
+                if isinstance(protocol, BoundedConnection) and protocol.broken:
                     raise AnswerLostError("the connection was reset during the answer")
                 return self._response(request, answer, content)
         except _NOT_CONNECTED as error:
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -245,7 +245,7 @@
     async def test_health_that_lies_or_is_silent_changes_nothing(self):
         """Guards against a service that is emptied because of its health pages."""
 
-        async def was_reset():
+        async def broken():
             return web.Response(status=500, text="no JSON")
 
         self.answer_health = broken
