--- a/fescueward/kernel/availability.py
+++ b/fescueward/kernel/availability.py
@@ -46,7 +46,7 @@
             return None
         return self._unavailable_since
 
-    def record_call(self, available: bool) -> None:
+    def note(self, available: bool) -> None:
         """Takes the result of one call."""
         if not available:
             now = self._clock.now()
--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -23,21 +23,21 @@
         self.hang = False
 
     def bind(self, registry) -> None:
-        self.record_call("bind")
+        self.note("bind")
 
     async def start(self) -> None:
-        self.record_call("start")
+        self.note("start")
 
     async def drain(self) -> None:
-        self.record_call("drain")
+        self.note("drain")
 
     async def stop(self) -> None:
         await self.tasks.cancel()
-        self.record_call("stop")
+        self.note("stop")
         if self.hang:
             await asyncio.Event().wait()
 
-    def record_call(self, what: str) -> None:
+    def note(self, what: str) -> None:
         self.log.append(f"{what} {self.name}")
         if what == self.failing:
             raise ValueError(f"{what} failed")
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -115,7 +115,7 @@
         began = agent.lease._clock.now()
         named = []
 
-        def record_call(old, new):
+        def note(old, new):
             if agent.member_id.encode() in new.value:
                 named.append(agent.lease._clock.now())
 
