Reword interfaces

The docs called services "told of" or "knowing" things and described each module "as the services see it".

--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -1,4 +1,4 @@
-"""Protocol types of the services, one module for each area.
+"""Protocol types of the services, one module per area.
 
 Services import these types and never each other; the registry connects them by name.
 """
--- a/fescueward/interfaces/administration.py
+++ b/fescueward/interfaces/administration.py
@@ -1,4 +1,4 @@
-"""What operators are told, as the services see it."""
+"""Protocols of status reporting to operators."""
 
 from __future__ import annotations
 
@@ -9,39 +9,39 @@
 
 @runtime_checkable
 class StatusReports(Protocol):
-    """Statements about this agent, the services and single keys."""
+    """Status of this agent and of services, and the placement of single keys."""
 
     def agent(self) -> AgentStatus:
         """Returns the status of this agent."""
         ...
 
     async def fleet(self, service: str | None = None) -> FleetStatus:
-        """Returns the status of one service or of all.
+        """Returns the status of one service or of all services.
 
         Args:
             service: Name of the service, or None for all.
 
         Raises:
-            UnknownServiceError: No catalogue entry has this name.
+            UnknownServiceError: No catalogue entry has this service name.
         """
         ...
 
     async def explain(self, service: str, key: str) -> Explanation:
-        """Returns where a key is, why, and whether a request to it would be served now.
+        """Returns the owner of a key, the reasons, and whether a request would be served now.
 
         Raises:
-            UnknownServiceError: No catalogue entry has this name.
+            UnknownServiceError: No catalogue entry has this service name.
         """
         ...
 
 
 @runtime_checkable
 class PlatformState(Protocol):
-    """Reachability of the platform."""
+    """Availability of the platform to this agent."""
 
     @property
     def unavailable_since(self) -> float | None:
-        """When calls began to fail, in seconds of CLOCK_BOOTTIME, or None."""
+        """Start of the present outage in seconds of CLOCK_BOOTTIME, or None if none is known."""
         ...
 
 
@@ -51,15 +51,15 @@
 
     @property
     def watching(self) -> bool:
-        """Whether this agent watches the platform for its group and the watch works."""
+        """Whether this agent watches the platform for its group and the watch is healthy."""
         ...
 
 
 @runtime_checkable
 class WorkState(Protocol):
-    """Work that this agent has at hand."""
+    """Requests in progress on this agent."""
 
     @property
     def in_flight(self) -> int:
-        """Number of requests that run or wait here."""
+        """Number of requests that are running or queued on this agent."""
         ...
--- a/fescueward/interfaces/catalogue.py
+++ b/fescueward/interfaces/catalogue.py
@@ -1,4 +1,4 @@
-"""The catalogue as the services see it."""
+"""Protocol of the catalogue."""
 
 from __future__ import annotations
 
@@ -9,43 +9,43 @@
 
 @runtime_checkable
 class Catalogue(Protocol):
-    """Entries of all services, by name, at the newest version seen."""
+    """Newest known version of the entry of each service."""
 
     @property
     def digest(self) -> int:
-        """Hash of all entry versions, equal on agents that know the same ones."""
+        """Hash of the versions of all entries; agents with equal versions have equal digests."""
         ...
 
     async def loaded(self) -> None:
-        """Waits until the entries have been read once."""
+        """Waits until all entries have been read from the platform once."""
         ...
 
     def entry(self, service: str) -> VersionedEntry:
         """Returns the entry of a service.
 
         Raises:
-            UnknownServiceError: There is none, or it was deleted.
+            UnknownServiceError: The service has no entry, or its entry is deleted.
         """
         ...
 
     def entries(self) -> tuple[VersionedEntry, ...]:
-        """Returns all entries that are not deleted, by name."""
+        """Returns all entries that are not deleted, in the order of service names."""
         ...
 
     def versions(self) -> dict[str, int]:
-        """Returns the version of every entry, tombstones included."""
+        """Returns the version of every entry by service name, tombstones included."""
         ...
 
     def newer_than(self, versions: dict[str, int]) -> tuple[VersionedEntry, ...]:
-        """Returns the entries whose version is higher than the given one or not given."""
+        """Returns the entries that `versions` lacks or lists at a lower version."""
         ...
 
     def mark_loaded(self) -> None:
-        """States that all entries of the platform have been read."""
+        """Records that all entries have been read from the platform."""
         ...
 
     def observe(self, entry: VersionedEntry) -> bool:
-        """Applies an entry if its version is higher than the one held; tells whether it was."""
+        """Applies an entry if it is newer than the cached one; returns whether it was applied."""
         ...
 
     async def apply(self, entry: Entry, expected_version: int) -> VersionedEntry:
@@ -53,12 +53,12 @@
 
         Raises:
             EntryConflictError: The entry is at another version.
-            InvalidEntryError: A value that cannot change was changed.
-            OutcomeUnknownError: The response was lost and could not be read back.
-            PlatformUnavailableError: Nothing was changed.
+            InvalidEntryError: The entry changes a value that cannot change once set.
+            OutcomeUnknownError: The response was lost and the result could not be read back.
+            PlatformUnavailableError: The write had no effect.
         """
         ...
 
     async def delete(self, service: str, expected_version: int) -> VersionedEntry:
-        """Replaces an entry by a tombstone; raises as `apply`."""
+        """Replaces an entry with a tombstone; raises the errors of `apply`."""
         ...
--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -1,4 +1,4 @@
-"""Group objects as the services see them."""
+"""Protocols of the group objects: cache, edits and change notifications."""
 
 from __future__ import annotations
 
@@ -13,93 +13,93 @@
 
 @runtime_checkable
 class GroupListener(Protocol):
-    """A service that is told of newer group objects."""
+    """Subscriber to newer versions of group objects."""
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Called once for each newer version, in the order of versions."""
+        """Called once for each newer version of a group, in ascending order of versions."""
         ...
 
 
 @runtime_checkable
 class Directory(Protocol):
-    """All groups of the fleet, where every agent holds them."""
+    """Cache of all groups of the fleet."""
 
     @property
     def complete(self) -> bool:
-        """Whether all groups have been read or received once."""
+        """Whether all groups have been read from the platform or received from a peer once."""
         ...
 
     def views(self) -> tuple[VersionedGroup, ...]:
-        """Returns the newest version of every group that was seen."""
+        """Returns the newest known version of every group."""
         ...
 
 
 @runtime_checkable
 class Groups(Protocol):
-    """The newest group object of each group that was seen."""
+    """Cache of the newest known version of each group, and writes of groups."""
 
     def view(self, group: GroupId) -> VersionedGroup | None:
-        """Returns the newest version seen, or None."""
+        """Returns the newest known version, or None if the group is not cached."""
         ...
 
     async def load(self, group: GroupId) -> VersionedGroup:
-        """Returns the newest version seen, and reads the group if none was.
+        """Returns the newest known version; reads the group from the platform if none is cached.
 
         Raises:
             ObjectNotFoundError: The group does not exist.
-            PlatformUnavailableError: It could not be read.
+            PlatformUnavailableError: The platform did not answer.
             PlatformAnswerError: The object is malformed.
         """
         ...
 
     async def refresh(self, group: GroupId) -> VersionedGroup:
-        """Reads the group from the platform; raises as `load`."""
+        """Reads the group from the platform; raises the errors of `load`."""
         ...
 
     async def update(self, group: GroupId) -> None:
-        """Asks members or the platform for a newer version and returns after one attempt."""
+        """Makes one attempt to fetch a newer version from members or the platform."""
         ...
 
     async def write(self, base: VersionedGroup, group: Group) -> VersionedGroup:
-        """Makes one conditional write on the version of `base`.
+        """Makes one conditional write that expects the version of `base`.
 
         Raises:
             VersionConflictError: The group is at another version.
-            OutcomeUnknownError: The response was lost; the write may take effect, also later.
+            OutcomeUnknownError: The response was lost; the write may still take effect later.
             PlatformUnavailableError: The write had no effect.
         """
         ...
 
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
-        """Reads, changes and writes until a write succeeds or `change` returns None.
+        """Repeats read, change and write until a write succeeds or `change` returns None.
 
         Args:
-            group: The group; `change` gets an empty one if it does not exist.
+            group: Group to change; `change` gets an empty group if it does not exist.
             change: Returns the changed group, or None if nothing is left to change. It may be
-                called several times and must give the same result on its own result.
+                called several times and must be idempotent.
 
         Raises:
-            PlatformError: The platform did not answer; the change may have taken effect if
-                this is an `OutcomeUnknownError`.
+            PlatformError: The platform did not answer. After an `OutcomeUnknownError` the
+                change may have taken effect.
         """
         ...
 
     def observe(self, group: VersionedGroup) -> bool:
-        """Takes a version if it is higher than the one held; tells whether it was."""
+        """Caches a version if it is newer than the cached one; returns whether it was cached."""
         ...
 
     def subscribe(self, listener: GroupListener) -> None:
-        """Tells a service of newer versions from now on."""
+        """Calls the listener for each newer version from now on."""
         ...
 
     def versions(self) -> Versions:
-        """Returns what this agent knows, for renewals and their acknowledgements."""
+        """Returns the versions that this agent has, for renewals and their acknowledgements."""
         ...
 
     def compare(self, member: Member, theirs: Versions) -> None:
-        """Fetches from a member of this agent's group that knows newer versions."""
+        """Fetches objects from a member of this agent's group whose versions are newer."""
         ...
 
     async def changed(self, group: GroupId, version: int, timeout_s: float) -> bool:
-        """Waits until a version above `version` is seen; tells whether it was."""
+        """Waits for a version above `version`; returns False after `timeout_s` seconds."""
         ...
--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -1,4 +1,4 @@
-"""Leases, monitors and membership as the services see them."""
+"""Protocols of membership, leases and monitors."""
 
 from __future__ import annotations
 
@@ -9,35 +9,35 @@
 
 @runtime_checkable
 class Membership(Protocol):
-    """This agent's place in its group."""
+    """Membership of this agent in its group."""
 
     @property
     def member_id(self) -> str:
-        """`NAME:INCARNATION` of this agent."""
+        """Member id of this agent, `NAME:INCARNATION`."""
         ...
 
     @property
     def home(self) -> GroupId | None:
-        """Group that the agent belongs to, or None before its upstream announced itself."""
+        """Group of this agent, or None before the first announcement of its upstream."""
         ...
 
     @property
     def announcement(self) -> Announcement | None:
-        """What the upstream last said of itself."""
+        """Last announcement of the upstream, or None before the first."""
         ...
 
     @property
     def leaving(self) -> bool:
-        """Whether the upstream or the agent leaves, so that no new work is admitted."""
+        """Whether the upstream or the agent is leaving, so that no new requests are admitted."""
         ...
 
     @property
     def resigned(self) -> bool:
-        """Whether this agent acknowledges no renewals any more, because it leaves the group."""
+        """Whether this agent has stopped acknowledging renewals, because it leaves the group."""
         ...
 
     def me(self) -> Member | None:
-        """Returns this agent's member in the newest group seen, or None."""
+        """Returns this agent as a member of the newest known group, or None if it is no member."""
         ...
 
     def fill_monitors(self, group: Group) -> Group:
@@ -45,31 +45,35 @@
         ...
 
     def announce(self, announcement: Announcement) -> None:
-        """Acts on an announcement of the upstream.
+        """Applies an announcement of the upstream.
 
         Raises:
-            InvalidAnnouncementError: It names another service or group than before.
+            InvalidAnnouncementError: It names another service or group than the previous one.
         """
         ...
 
     async def leave(self, reason: str) -> None:
-        """Hands all shards over, finishes what is in flight and leaves the group."""
+        """Hands over all shards, waits for requests in flight and leaves the group.
+
+        Args:
+            reason: Reason to log.
+        """
         ...
 
 
 @runtime_checkable
 class Departure(Protocol):
-    """Whether the upstream beside this agent still takes work."""
+    """Whether the upstream on this VM still accepts requests."""
 
     @property
     def closed(self) -> bool:
-        """Whether the upstream gets no more requests, because it leaves or is gone."""
+        """Whether the upstream gets no more requests, because it is leaving or has stopped."""
         ...
 
 
 @runtime_checkable
 class Lease(Protocol):
-    """This agent's lease of its shards."""
+    """Lease of this agent on its shards."""
 
     @property
     def held(self) -> bool:
@@ -90,19 +94,21 @@
         ...
 
     def begin(self, member_id: str, sent: float) -> None:
-        """Makes the join of a member its first renewal, once a group names it.
+        """Counts the join of a member as its first renewal, once a group version lists it.
 
-        No monitor waits from an earlier moment than the write that names the member, and that
-        write comes after `sent`, whoever makes it.
+        A monitor counts the time without renewals from the write that lists the member, or from
+        later, and that write comes after `sent`, whichever agent makes it.
 
         Args:
-            member_id: The member that this agent will be.
+            member_id: Member id that this agent will have.
             sent: A time before the join is sent, in seconds of CLOCK_BOOTTIME.
         """
         ...
 
     async def write_stamp(self) -> bool:
-        """Renews by a conditional write of a new stamp, also while monitors acknowledge.
+        """Renews the lease by a conditional write of a new stamp.
+
+        It does so even while monitors acknowledge renewals.
 
         Returns:
             Whether the write was made.
@@ -115,26 +121,30 @@
 
 @runtime_checkable
 class Monitor(Protocol):
-    """The leases that this agent acknowledges."""
+    """Members whose renewals this agent acknowledges, and its promises for takeovers."""
 
     def monitored(self) -> dict[str, float]:
-        """Returns seconds since the last acknowledgement by member id."""
+        """Returns the seconds since the last acknowledged renewal, by member id."""
         ...
 
     def promise(self, member_id: str, version: int, to: str, call: int) -> bool:
-        """Agrees to a takeover that is conditional on a version of the group, or refuses.
+        """Grants or refuses a promise for a takeover conditional on a version of the group.
 
         A promise means that this agent's last acknowledgement to the member is older than the
-        lease and the margin, and that it acknowledges nothing until it has seen a later version.
+        lease and the drift margin, and that it acknowledges no renewal of the member until it
+        has received a later version of the group.
 
         Args:
-            member_id: The member to take over.
-            version: Version that the takeover is conditional on.
-            to: Member id of the agent that asks.
-            call: Number of the query.
+            member_id: Member to take over.
+            version: Version of the group that the takeover is conditional on.
+            to: Member id of the requesting agent.
+            call: Call number of the query.
+
+        Returns:
+            Whether the promise is granted.
         """
         ...
 
     def withdraw(self, member_id: str, to: str, call: int) -> None:
-        """Takes a promise back because no write was or will be made under it."""
+        """Withdraws a promise under which no takeover write was or will be made."""
         ...
--- a/fescueward/interfaces/metrics.py
+++ b/fescueward/interfaces/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics and the events that feed them."""
+"""Protocols of the metrics and of the services that supply their observations."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 
 @dataclass(frozen=True, slots=True)
 class MetricsPage:
-    """The metrics in a form that a collector understands.
+    """All metrics, rendered for a scraper.
 
     Attributes:
-        content: The bytes of the page.
-        content_type: Its media type.
+        content: Body of the page.
+        content_type: Media type of the body.
     """
 
     content: bytes
@@ -26,52 +26,52 @@
     """Counters, histograms and gauges of this agent."""
 
     def render(self) -> MetricsPage:
-        """Computes the gauges and returns all metrics in Prometheus' text form."""
+        """Computes the gauges and returns all metrics in the Prometheus text format."""
         ...
 
 
 @runtime_checkable
 class RequestListener(Protocol):
-    """A service that is told of the end of each request that this agent routed."""
+    """Subscriber to the end of each request that this agent routed."""
 
     def request_ended(self, service: str, error: RefusalError | None, seconds: float) -> None:
-        """Called once for each request, when its response begins or it is refused.
+        """Called once per request, when its response begins or it is refused.
 
         Args:
-            service: Service that the request named; it need not exist.
+            service: Service named by the request; it need not exist.
             error: The refusal, or None if the request was served.
-            seconds: Time since the request arrived.
+            seconds: Time since the request arrived, in seconds.
         """
         ...
 
 
 @runtime_checkable
 class RunListener(Protocol):
-    """A service that is told of the end of each run on the local upstream."""
+    """Subscriber to the end of each run on the local upstream."""
 
     def run_ended(self, service: str, seconds: float) -> None:
-        """Called once for each run whose response has begun.
+        """Called once per run, when its response begins.
 
         Args:
             service: Service of the request.
-            seconds: Time since the run began.
+            seconds: Time since the run began, in seconds.
         """
         ...
 
 
 @runtime_checkable
 class RequestSource(Protocol):
-    """A service that tells of the end of requests."""
+    """A service that notifies listeners of the end of requests."""
 
     def subscribe(self, listener: RequestListener) -> None:
-        """Tells a service of the end of each request from now on."""
+        """Calls the listener at the end of each request from now on."""
         ...
 
 
 @runtime_checkable
 class RunSource(Protocol):
-    """A service that tells of the end of runs."""
+    """A service that notifies listeners of the end of runs."""
 
     def subscribe(self, listener: RunListener) -> None:
-        """Tells a service of the end of each run from now on."""
+        """Calls the listener at the end of each run from now on."""
         ...
--- a/fescueward/interfaces/ownership.py
+++ b/fescueward/interfaces/ownership.py
@@ -1,4 +1,4 @@
-"""Active shards as the services see them."""
+"""Protocols of shard ownership and of the grants that follow from it."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 class Ticket(Protocol):
-    """Permission to run one request; the shard is not handed over while it is held.
+    """Permission to run one request; its shard is not handed over until it is released.
 
     Attributes:
         shard: Shard id.
@@ -27,7 +27,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Gives the ticket back."""
+        """Releases the ticket."""
         ...
 
     def check(self) -> None:
@@ -37,21 +37,21 @@
 
 @runtime_checkable
 class Ownership(Protocol):
-    """Which shards this agent serves now."""
+    """Shards that this agent owns and serves."""
 
     async def admit(self, service: str, key: str, deadline: float) -> Ticket:
-        """Waits while the shard of the key is being handed over or activated.
+        """Returns a ticket, after any handover or activation of the key's shard has ended.
 
         Args:
             service: Service of the request.
             key: Key of the request.
-            deadline: Latest time to wait for, in seconds of CLOCK_BOOTTIME.
+            deadline: Time until which to wait, in seconds of CLOCK_BOOTTIME.
 
         Raises:
             NotOwnerError: Another member owns the shard.
             LeaseExpiredError: The lease of this agent has ended.
             ShardMovingError: The deadline passed first.
-            DrainingError: This server is leaving and nobody takes its shards.
+            DrainingError: This server is leaving and no member takes its shards.
         """
         ...
 
@@ -64,22 +64,22 @@
         ...
 
     async def drained(self) -> None:
-        """Waits until no shard is active here and no request is in flight."""
+        """Waits until no shard is active on this agent and no request is in flight."""
         ...
 
 
 @runtime_checkable
 class Grants(Protocol):
-    """Grants of the upstream for the shards that are owned here."""
+    """Grants that allow the upstream to serve the shards that this agent owns."""
 
     def send_soon(self) -> None:
-        """Sends the present grants without waiting for the next renewal."""
+        """Sends the current grants without waiting for the next renewal."""
         ...
 
     async def confirmed(self) -> None:
-        """Waits until the upstream has confirmed what is owned now."""
+        """Waits until the upstream has confirmed the grants of all shards owned now."""
         ...
 
     async def revoked(self) -> None:
-        """Waits until the upstream holds no grant that is not owned now."""
+        """Waits until the upstream holds no grant of a shard that is not owned now."""
         ...
--- a/fescueward/interfaces/peers.py
+++ b/fescueward/interfaces/peers.py
@@ -1,4 +1,4 @@
-"""Streams between agents as the services see them."""
+"""Protocol of the streams between agents."""
 
 from __future__ import annotations
 
@@ -15,13 +15,13 @@
 
 @runtime_checkable
 class Peers(Protocol):
-    """Messages and forwarded requests between agents."""
+    """Sends messages and forwards requests to other agents."""
 
     def on(self, kind: type[M], handler: MessageHandler[M]) -> None:
         """Registers the handler of a message type.
 
         Args:
-            kind: Type of the message.
+            kind: Message type.
             handler: Called with the member id of the sender and the message; must not block.
         """
         ...
@@ -34,20 +34,20 @@
         """Sends a message without waiting.
 
         Returns:
-            False if there is no stream to the member now; one is being made then.
+            False if there is no stream to the member; a connection attempt is started then.
         """
         ...
 
     def reply(self, sender: str, message: object) -> bool:
-        """Sends a message on the stream that the sender dialled; False if it is gone."""
+        """Sends a message on an open stream of a sender; returns False if there is none."""
         ...
 
     async def call(self, member: Member, message: object, call: int) -> object:
         """Sends a message that has a `call` number and waits for the reply with that number.
 
         Raises:
-            PeerUnavailableError: There is no stream and none could be made.
-            PeerTimeoutError: No reply came in time.
+            PeerUnavailableError: There is no stream and the connection attempt failed.
+            PeerTimeoutError: No reply arrived within the timeout.
         """
         ...
 
@@ -56,15 +56,15 @@
         ...
 
     def dial(self, member: Member) -> bool:
-        """Begins to connect to a member if needed; tells whether a stream is open."""
+        """Starts connecting to a member if needed; returns whether a stream is open."""
         ...
 
     def unreachable(self, member: Member) -> bool:
-        """Tells whether the last attempt to connect to a member failed, or its stream ended."""
+        """Returns whether the last connection attempt to a member failed or its stream ended."""
         ...
 
     async def forward(self, member: Member, request: Request) -> Response:
-        """Sends a request to its owner.
+        """Forwards a request to its owner and returns the response.
 
         Raises:
             OwnerUnreachableError: The request was not sent.
@@ -74,21 +74,21 @@
         ...
 
     def retire(self, member_id: str) -> None:
-        """Keeps the stream to a member that has left in order until it ends by itself."""
+        """Stops reconnecting to a departed member; its stream stays open until it ends."""
         ...
 
     def drop(self, member_id: str) -> None:
-        """Ends the stream to a member that was removed; what waits on it fails."""
+        """Closes the stream to a removed member; calls and requests in flight on it fail."""
         ...
 
     def rename(self, incarnation: int) -> None:
-        """Takes a new incarnation.
+        """Sets a new incarnation of this agent.
 
-        Streams that were made under the old one carry their open requests to the end, and
-        nothing else any more.
+        Streams made under the old incarnation finish their open requests and carry no new
+        messages or requests.
         """
         ...
 
     def connected(self) -> tuple[str, ...]:
-        """Returns the ids of the members that streams exist to."""
+        """Returns the ids of the members with an open stream."""
         ...
--- a/fescueward/interfaces/placement.py
+++ b/fescueward/interfaces/placement.py
@@ -1,4 +1,4 @@
-"""Placement and load measurement as the services see them."""
+"""Protocols of placement, load measurement and the state that a new planner starts from."""
 
 from __future__ import annotations
 
@@ -11,13 +11,13 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupLoad:
-    """Measured work of a group.
+    """Measured load of a group.
 
     Attributes:
         work: Seconds of upstream time per second, by shard id.
         hot_keys: Seconds of upstream time per second of the hottest keys.
         capacity: Usable share of the slots by member id; 1.0 for a warm server.
-        complete: Whether this covers the whole group, so that moves may be based on it.
+        complete: Whether the load of the whole group is known, so that moves may be based on it.
     """
 
     work: dict[int, float] = field(default_factory=dict)
@@ -28,25 +28,28 @@
 
 @runtime_checkable
 class PlacementPolicy(Protocol):
-    """Decides where shards go. All methods return a changed group and change nothing else."""
+    """Decides which members own the shards.
+
+    Each method returns a changed group and has no side effects.
+    """
 
     def assign(self, group: Group, lost: frozenset[str], load: GroupLoad, entry: Entry) -> Group:
-        """Removes lost members and places their shards on the others, with raised epochs.
+        """Removes lost members and assigns their shards to other members, with higher epochs.
 
         Args:
-            group: The group, in which the lost members may still stand.
-            lost: Member ids that no longer own anything.
-            load: Measured work; empty if it is not known.
+            group: The group, which may still contain the lost members.
+            lost: Ids of the members that no longer own any shard.
+            load: Measured load; empty if it is not known.
             entry: Entry of the service.
         """
         ...
 
     def vacate(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
-        """Sets successors for all shards of a member that is in the state `leaving`."""
+        """Sets successors for all shards of a member whose state is `leaving`."""
         ...
 
     def rebalance(self, group: Group, load: GroupLoad, entry: Entry) -> Group:
-        """Returns the group with successors set and exceptions changed for one round."""
+        """Sets the successors and changes the exceptions for one placement round."""
         ...
 
 
@@ -55,7 +58,7 @@
     """Placement of the shards of this agent's group."""
 
     def assign(self, group: Group, lost: frozenset[str]) -> Group:
-        """Removes lost members and places their shards."""
+        """Removes lost members and assigns their shards to other members."""
         ...
 
     def vacate(self, group: Group, member_id: str) -> Group:
@@ -63,34 +66,34 @@
         ...
 
     def planner(self, group: Group) -> Member | None:
-        """Returns the member that plans moves: the active one with the lowest id."""
+        """Returns the member that plans moves, the active one with the lowest id, or None."""
         ...
 
 
 @runtime_checkable
 class Load(Protocol):
-    """Measured work of this agent and, on the planner, of its group."""
+    """Measured load of this agent and, on the planner, of its group."""
 
     def record(self, shard: int, key: str, seconds: float) -> None:
-        """Adds the upstream time of one request."""
+        """Adds the time that one request took on the upstream, in seconds."""
         ...
 
     def group_load(self) -> GroupLoad:
-        """Returns what this agent knows of its group, as planner from all members' reports."""
+        """Returns the load of the group on the planner, otherwise of this agent alone."""
         ...
 
     def end_round(self) -> GroupLoad:
-        """Adds up the reports of a round on the planner; see `group_load`."""
+        """Aggregates the reports of a round on the planner; returns `group_load`."""
         ...
 
     def restore(self, work: dict[int, float], hot_keys: dict[str, float]) -> None:
-        """Starts from earlier figures where nothing was measured yet."""
+        """Sets the load to that of an earlier planner where none has been measured yet."""
         ...
 
 
 @runtime_checkable
 class BlockReports(Protocol):
-    """Work of key blocks as the members reported it to the planner."""
+    """Load of key blocks as reported by the members to the planner."""
 
     def reports(self) -> dict[str, RangeLoad]:
         """Returns the recent reports by member id."""
@@ -99,12 +102,16 @@
 
 @runtime_checkable
 class QuarantineExport(Protocol):
-    """A quarantine that a new planner can start from."""
+    """Quarantine state that is carried over to a new planner."""
 
     def export_quarantine(self) -> dict[str, int]:
-        """Returns the milliseconds that each fingerprint, in decimal, stays quarantined."""
+        """Returns the remaining quarantine in milliseconds, by fingerprint in decimal."""
         ...
 
     def import_quarantine(self, remaining_ms: dict[str, int]) -> None:
-        """Quarantines fingerprints that are not known here."""
+        """Quarantines fingerprints that are not known to this agent.
+
+        Args:
+            remaining_ms: Remaining quarantine in milliseconds, by fingerprint in decimal.
+        """
         ...
--- a/fescueward/interfaces/platform.py
+++ b/fescueward/interfaces/platform.py
@@ -1,4 +1,4 @@
-"""The platform's object API as the services see it."""
+"""Protocol of the platform's object API and its data classes."""
 
 from __future__ import annotations
 
@@ -11,10 +11,10 @@
     """One object of the platform.
 
     Attributes:
-        key: Its key.
-        version: Revision of the store at its last write.
-        value: Its JSON text; empty when it was deleted.
-        deleted: Whether it was deleted at this version.
+        key: Key of the object.
+        version: Store revision of the last write of the object.
+        value: JSON text; empty if the object is deleted.
+        deleted: Whether the object was deleted at this version.
     """
 
     key: str
@@ -28,8 +28,8 @@
     """Result of a watch.
 
     Attributes:
-        revision: Revision of the store up to which `objects` is complete.
-        objects: Objects that changed after the revision that was asked for.
+        revision: Store revision up to which `objects` is complete.
+        objects: Objects that changed after the requested revision.
     """
 
     revision: int
@@ -38,40 +38,44 @@
 
 @runtime_checkable
 class Platform(Protocol):
-    """Objects with versions, conditional updates and watches. Every call has a timeout."""
+    """Store of versioned objects with conditional writes and watches. Every call has a timeout."""
 
     async def get(self, key: str) -> StoredObject:
         """Reads an object.
 
         Raises:
-            ObjectNotFoundError: There is none.
+            ObjectNotFoundError: No object has this key.
             PlatformUnavailableError: The platform did not answer.
         """
         ...
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
-        """Writes an object if its version is the expected one; 0 creates it.
+        """Writes an object if its version equals `expected_version`; 0 creates it.
 
         Returns:
             The new version.
 
         Raises:
-            VersionConflictError: The version is another one.
-            OutcomeUnknownError: The response was lost; the write may take effect, also later.
+            VersionConflictError: The object has another version.
+            OutcomeUnknownError: The response was lost; the write may still take effect later.
             PlatformUnavailableError: The write had no effect and will have none.
         """
         ...
 
     async def delete(self, key: str, expected_version: int) -> int:
-        """Deletes an object if its version is the expected one; raises as `put`."""
+        """Deletes an object if its version equals `expected_version`; raises the errors of `put`.
+
+        Returns:
+            The version of the deletion.
+        """
         ...
 
     async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
-        """Waits for objects under the prefixes that changed after a revision.
+        """Waits for changes after a store revision to objects whose keys have one of the prefixes.
 
         Args:
-            prefixes: Beginnings of keys.
-            since: Revision; 0 returns all objects at once.
+            prefixes: Key prefixes.
+            since: Store revision; 0 returns all objects at once.
             wait_s: Longest wait in seconds.
 
         Raises:
--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -1,4 +1,4 @@
-"""The request path as the services see it."""
+"""Protocols of the request path, from routing to the run on the upstream."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 
 @runtime_checkable
 class Router(Protocol):
-    """Finds the owner of a key."""
+    """Routes requests to the owners of their keys."""
 
     async def route(self, request: Request) -> Response:
-        """Serves a request here or at its owner.
+        """Serves a request on this agent or forwards it to its owner.
 
         Raises:
             RefusalError: The request is refused.
@@ -25,7 +25,7 @@
 
 @runtime_checkable
 class Execution(Protocol):
-    """The owner's side of a request."""
+    """Runs requests on the agent that owns their keys."""
 
     async def execute(self, request: Request) -> Response:
         """Runs a request on the upstream of this agent.
@@ -38,10 +38,10 @@
 
 @runtime_checkable
 class Admission(Protocol):
-    """Slots and limits of the upstream."""
+    """Admission control: slots of the upstream and limits of services."""
 
     def slot(self, request: Request, entry: Entry) -> AbstractAsyncContextManager[None]:
-        """Waits for a slot in the order of deadlines.
+        """Returns a context that waits for a slot, in the order of deadlines, and holds it.
 
         Raises:
             OverloadedError: The expected wait exceeds the deadline or the queue is full.
@@ -51,63 +51,63 @@
         ...
 
     def begin_slow_start(self) -> None:
-        """Treats the upstream as cold: its slots come into use gradually."""
+        """Treats the upstream as cold: the number of usable slots grows gradually."""
         ...
 
     def observe_announcement(self, announcement: Announcement) -> None:
-        """Takes over the number of slots that the upstream announced."""
+        """Applies the number of slots in an announcement of the upstream."""
         ...
 
     @property
     def capacity(self) -> float:
-        """Usable share of the slots; below 1.0 while the upstream is cold."""
+        """Usable share of the slots, from 0.0 to 1.0; below 1.0 while the upstream is cold."""
         ...
 
 
 @runtime_checkable
 class SlotLoad(Protocol):
-    """Load of the upstream's slots."""
+    """Occupancy of the upstream's slots."""
 
     @property
     def occupancy(self) -> Occupancy:
-        """Requests that run and wait, as this agent counts them."""
+        """Numbers of running and queued requests, as counted by this agent."""
         ...
 
 
 class CrashListener(Protocol):
-    """A service that is told of crashes of the upstream beside this agent."""
+    """Subscriber to crashes of the upstream on this VM."""
 
     def upstream_crashed(self) -> None:
-        """Called after each crash was counted."""
+        """Called after a crash has been counted."""
         ...
 
 
 @runtime_checkable
 class CrashSource(Protocol):
-    """Tells of crashes of the upstream beside this agent."""
+    """Counts crashes of the upstream on this VM and notifies listeners."""
 
     @property
     def crashes(self) -> int:
-        """Number of upstream crashes seen so far."""
+        """Number of upstream crashes since the start of this agent."""
         ...
 
     def subscribe(self, listener: CrashListener) -> None:
-        """Tells a service of crashes from now on."""
+        """Calls the listener after each crash from now on."""
         ...
 
 
 @runtime_checkable
 class StartListener(Protocol):
-    """A service that is told of the starts of the upstream beside this agent."""
+    """Subscriber to starts of the upstream on this VM."""
 
     def started(self, start: str) -> None:
-        """Takes note of the start that the upstream names; see `Announcement.start`."""
+        """Records the identity of the upstream's current start; see `Announcement.start`."""
         ...
 
 
 @runtime_checkable
 class Upstream(Protocol):
-    """The upstream beside this agent."""
+    """Client of the upstream on this VM."""
 
     async def run(self, request: Request, shard: int, epoch: int, deadline: float) -> Response:
         """Runs a request.
@@ -120,39 +120,39 @@
 
         Raises:
             UpstreamUnavailableError: No byte reached the upstream.
-            OutcomeLostError: The upstream may have run it.
-            AnswerLostError: It ran, but its response did not arrive whole.
-            RefusalError: The upstream refused it.
+            OutcomeLostError: The upstream may have run the request.
+            AnswerLostError: The request ran, but its response did not arrive whole.
+            RefusalError: The upstream refused the request.
         """
         ...
 
     async def grant(self, grants: GrantSet) -> bool:
-        """Sends grants; tells whether the upstream confirmed them.
+        """Sends grants; returns whether the upstream confirmed them.
 
-        Does nothing and returns True if the upstream checks no grants.
+        Returns True without sending anything if the upstream does not check grants.
         """
         ...
 
     @property
     def crashes(self) -> int:
-        """Number of upstream crashes seen so far."""
+        """Number of upstream crashes since the start of this agent."""
         ...
 
 
 @runtime_checkable
 class Liveness(Protocol):
-    """Signs of life of the upstream beside this agent."""
+    """Failure detection of the upstream on this VM, by heartbeats and connections."""
 
     def heard(self) -> None:
-        """Takes note of a heartbeat."""
+        """Records the arrival of a heartbeat."""
         ...
 
     def connected(self) -> None:
-        """Takes note of a connection that works."""
+        """Records a successful connection to the upstream."""
         ...
 
     def unreachable(self) -> None:
-        """Takes note of a connection that could not be made."""
+        """Records a failed connection attempt to the upstream."""
         ...
 
 
@@ -168,43 +168,43 @@
         Args:
             shard: Shard id.
             epoch: The new epoch.
-            lineage: Earlier epochs whose outcomes are known here completely.
-            floor: Lowest sequence whose outcome is retained.
-            next_sequence: First sequence to issue.
+            lineage: Earlier epochs whose outcomes are complete on this agent.
+            floor: Lowest token sequence whose outcome is retained.
+            next_sequence: First token sequence to issue.
         """
         ...
 
     def end_epoch(self, shard: int) -> None:
-        """Forgets a shard that is owned elsewhere."""
+        """Drops the outcomes of a shard that another member owns."""
         ...
 
     def issue(self, shard: int, epoch: int) -> str:
-        """Returns a new token."""
+        """Returns a new idempotency token for the shard."""
         ...
 
     async def run_once(self, request: Request, shard: int, epoch: int, run: Runner) -> Response:
-        """Runs a request under its token unless it ran before.
+        """Runs a request under its token, or returns the retained response if it ran before.
 
         Args:
             request: The request with its token.
             shard: Shard id of the request's key.
-            epoch: Present epoch of the shard.
+            epoch: Current epoch of the shard.
             run: Runs the request on the upstream.
 
         Raises:
-            InProgressError: It is running.
-            OutcomeLostError: Whether it ran is not known here.
-            AnswerNotRetainedError: It ran and its response is no longer kept.
-            RefusalError: `run` refused it.
+            InProgressError: A request with this token is running.
+            OutcomeLostError: It is unknown whether the request ran.
+            AnswerNotRetainedError: The request ran and its response is no longer retained.
+            RefusalError: `run` refused the request.
         """
         ...
 
     def export(self, shard: int) -> ShardOutcomes:
-        """Returns all outcomes of a shard for its successor."""
+        """Returns all retained outcomes of a shard, for its successor."""
         ...
 
     def import_outcomes(self, shard: int, outcomes: tuple[RetainedOutcome, ...]) -> None:
-        """Takes over the outcomes of a shard."""
+        """Adds outcomes that the previous owner of a shard retained."""
         ...
 
 
@@ -212,18 +212,18 @@
     """Runs one request on the upstream."""
 
     async def __call__(self, request: Request) -> Response:
-        """Runs it; raises `RefusalError`."""
+        """Runs a request and returns its response; raises `RefusalError`."""
         ...
 
 
 class ShardOutcomes(Protocol):
-    """What a successor needs to know of a shard.
+    """Outcomes of a shard's tokens, for the successor of the shard.
 
     Attributes:
-        lineage: Epochs whose outcomes are complete.
-        next_sequence: First sequence that may be issued.
-        floor: Lowest sequence whose outcome is retained.
-        outcomes: The outcomes.
+        lineage: Epochs whose outcomes are complete in `outcomes`.
+        next_sequence: First token sequence that the successor may issue.
+        floor: Lowest token sequence whose outcome is retained.
+        outcomes: The retained outcomes.
     """
 
     lineage: tuple[int, ...]
@@ -234,19 +234,19 @@
 
 @runtime_checkable
 class Quarantine(Protocol):
-    """Requests that were in flight in upstream crashes."""
+    """Quarantine of requests that were in flight during upstream crashes."""
 
     def guard(self, request: Request) -> AbstractAsyncContextManager[Request]:
-        """Watches one run: a suspect waits until no other suspect runs.
+        """Returns a context for one run; a suspect waits in it until no other suspect runs.
 
-        The context gives the request to run, whose body may have been read in part. An
+        The context yields the request to run, whose body may have been read in part. An
         `OutcomeLostError`, `AnswerLostError`, `BodyTruncatedError` or
-        `DeadlineExceededRunningError` that leaves the context counts as a crash of the upstream
-        if the upstream reports one, then or before another run succeeds.
+        `DeadlineExceededRunningError` raised in the context counts as a crash of the upstream if
+        the upstream reports a crash at that time or before another run succeeds.
 
         Raises:
-            QuarantinedError: The request was in flight in too many crashes.
-            DeadlineExceededError: The deadline passed while it waited for another suspect or
-                for the beginning of its body.
+            QuarantinedError: The request was in flight during too many crashes.
+            DeadlineExceededError: The deadline passed while the request waited for another
+                suspect or for the beginning of its body.
         """
         ...
--- a/fescueward/interfaces/routes.py
+++ b/fescueward/interfaces/routes.py
@@ -1,4 +1,4 @@
-"""Routes and grants of key ranges as the services see them."""
+"""Protocols of the configured routes and of the grants of key ranges."""
 
 from __future__ import annotations
 
@@ -10,23 +10,23 @@
 
 @runtime_checkable
 class Routes(Protocol):
-    """The configuration in force and the choice of a route."""
+    """Current configuration and the choice of routes and their targets."""
 
     @property
     def current(self) -> VersionedConfiguration | None:
-        """The newest configuration seen, or None before the first."""
+        """Newest known configuration, or None before the first."""
         ...
 
     def observe(self, configuration: VersionedConfiguration) -> bool:
-        """Takes a configuration whose version is higher; tells whether it was taken."""
+        """Applies a configuration if it is newer than the current one; returns whether it was."""
         ...
 
     def select(self, configuration: Configuration, host: str, path: str) -> Route | None:
-        """Returns the route of the host with the longest prefix that begins the path, or None."""
+        """Returns the route of the host with the longest matching path prefix, or None."""
         ...
 
     def target(self, route: Route) -> str:
-        """Returns the service of the next request on a route, by the shares of its targets."""
+        """Returns the service for the next request of a route, by the weights of its targets."""
         ...
 
 
@@ -34,30 +34,30 @@
 class RangeGrants(Protocol):
     """Grants of key ranges to the upstream on this VM."""
 
-    async def grant_range(self, found: KeyRange, hold_s: float) -> bool:
-        """Grants keys to the upstream for a time.
+    async def grant_range(self, key_range: KeyRange, hold_s: float) -> bool:
+        """Grants a key range to the upstream for a limited time.
 
         Args:
-            found: Keys, epoch and handover token.
-            hold_s: Length of the grant from its arrival, in seconds.
+            key_range: Keys, epoch and handover token.
+            hold_s: Duration of the grant from its arrival at the upstream, in seconds.
 
         Returns:
-            False if the upstream has seen a higher epoch.
+            False if the upstream has received a higher epoch for these keys.
 
         Raises:
-            UpstreamUnavailableError: No byte of it reached the upstream.
-            OutcomeLostError: It was not confirmed; it may still take effect.
+            UpstreamUnavailableError: No byte of the grant reached the upstream.
+            OutcomeLostError: The grant was not confirmed; it may still take effect.
         """
         ...
 
-    async def release_range(self, found: KeyRange) -> str:
-        """Takes keys back; returns when their work has ended.
+    async def release_range(self, key_range: KeyRange) -> str:
+        """Revokes a key range and waits until the upstream has ended its requests for the keys.
 
         Returns:
-            The handover token, or an empty text.
+            The handover token, or an empty string.
 
         Raises:
-            UpstreamUnavailableError: No byte of it reached the upstream.
-            OutcomeLostError: It was not confirmed.
+            UpstreamUnavailableError: No byte of the release reached the upstream.
+            OutcomeLostError: The release was not confirmed.
         """
         ...
--- a/fescueward/interfaces/shutdown.py
+++ b/fescueward/interfaces/shutdown.py
@@ -1,4 +1,4 @@
-"""Types of the graceful shutdown."""
+"""Protocol and phases of the graceful shutdown."""
 
 from __future__ import annotations
 
@@ -9,46 +9,46 @@
 
 
 class ShutdownPhase(StrEnum):
-    """What a stopping agent does with requests."""
+    """Phase of the shutdown, which decides whether the agent accepts a request."""
 
     SERVING = "serving"
-    # Callers do not know of the stop yet, so all requests are taken.
+    # Callers still route to this agent, so all requests are accepted.
     TAKING = "taking"
-    # Only requests that end before the process does are taken.
+    # Only requests that end before the process exits are accepted.
     FINISHING = "finishing"
-    # Open requests are answered as lost, and no more are taken.
+    # Open requests are answered with a lost outcome, and no more are accepted.
     CLOSING = "closing"
 
 
 @runtime_checkable
 class Shutdown(Protocol):
-    """Which requests a stopping agent takes, and which are still open."""
+    """Decides which requests a stopping agent accepts, and tracks the open ones."""
 
     @property
     def phase(self) -> ShutdownPhase:
-        """The phase now."""
+        """Current phase; `SERVING` until a stop is requested."""
         ...
 
     @property
     def closing(self) -> asyncio.Future[None]:
-        """Done once requests that are still open must be answered, because the process ends."""
+        """Future that is done once open requests must be answered, because the process exits."""
         ...
 
     def check(self, deadline: float) -> None:
-        """Refuses a request that may still be open at the end of the process.
+        """Refuses a request that may still be open when the process exits.
 
         Args:
             deadline: Deadline of the request in seconds of CLOCK_BOOTTIME.
 
         Raises:
-            DrainingError: The process may end before the deadline.
+            DrainingError: The process may exit before the deadline.
         """
         ...
 
     def close(self) -> None:
-        """Begins the closing phase, if it has not begun."""
+        """Enters the closing phase unless it has begun."""
         ...
 
     def open_request(self, request_id: str) -> AbstractContextManager[None]:
-        """Returns a context in which the request counts as open."""
+        """Returns a context that counts the request as open while it is active."""
         ...
