--- a/fescueward/services/keyspace/__init__.py
+++ b/fescueward/services/keyspace/__init__.py
@@ -1,1 +1,1 @@
-"""Ownership and placement of numeric key ranges."""
+"""Ownership, placement and load of numeric key ranges."""
--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -1,4 +1,4 @@
-"""Handover of key ranges: release by the upstream and the record of the new owners."""
+"""Handover of key ranges: release by the upstream, then a group edit with the new owners."""
 
 from __future__ import annotations
 
@@ -14,37 +14,48 @@
 from ...messages.peer import RangesReleased, ReleasedRange
 from . import moves
 
-_RELEASED = Event(2823, "range_released", Level.INFO, "The upstream has given a key range back.")
+_RELEASED = Event(2823, "range_released", Level.INFO, "The upstream released a key range.")
 _RELEASE_FAILED = Event(
-    2824, "range_release_failed", Level.WARNING, "A release was not confirmed; its grant runs out."
+    2824,
+    "range_release_failed",
+    Level.WARNING,
+    "The release of a key range was not confirmed; its grant will expire.",
+)
+_HANDED_OVER = Event(
+    2825, "ranges_handed_over", Level.INFO, "Key ranges were handed over to their successors."
 )
-_HANDED_OVER = Event(2825, "ranges_handed_over", Level.INFO, "Successors own key ranges now.")
 _HANDOVER_FAILED = Event(
-    2826, "range_handover_failed", Level.WARNING, "A handover was not recorded; it is retried."
+    2826,
+    "range_handover_failed",
+    Level.WARNING,
+    "A handover could not be recorded; it will be retried.",
 )
 _RECORDED = Event(
-    2827, "range_handover_recorded", Level.INFO, "A handover was recorded for its owner."
+    2827,
+    "range_handover_recorded",
+    Level.INFO,
+    "This member recorded a handover for another owner.",
 )
 
 _RETRY_S = 0.1
-# Time in which the planner records a handover, in seconds: a write or two and a busy processor.
-# After it the owner writes itself.
-_RECORD_S = 0.3
-# A release is tried for this long, in seconds, although the grants have run out: its answer
-# carries the token that spares the next owner a cold start.
-_LEAST_RELEASE_S = 0.2
-
-# First key, last key and epoch of a range.
+# Time for the planner to record a handover: one or two writes on a busy processor. After it the
+# owner writes the group itself.
+_PLANNER_RECORD_TIMEOUT_S = 0.3
+# A release is attempted for at least this time, even if the grants have expired: its response has
+# the token that spares the next owner a cold start.
+_MIN_RELEASE_TIMEOUT_S = 0.2
+
+# First key, last key and epoch of a key range.
 RangeId = tuple[int, int, int]
 
 
-def range_id(found: KeyRange) -> RangeId:
-    """Returns what tells a range from its earlier and later forms."""
-    return (found.first, found.last, found.epoch)
+def range_id(key_range: KeyRange) -> RangeId:
+    """Returns the identity of a range; it changes with the bounds and with the epoch."""
+    return (key_range.first, key_range.last, key_range.epoch)
 
 
 class RangeHandover:
-    """Gives ranges of this agent back and makes their successors the owners.
+    """Releases ranges of this agent and makes their successors the owners.
 
     Args:
         tasks: Owner of the tasks that record handovers of other members.
@@ -52,13 +63,13 @@
 
     def __init__(self, tasks: TaskOwner) -> None:
         self._tasks = tasks
-        # Ends of grants without an answer, which the upstream may take up later.
-        self._unanswered: list[tuple[KeyRange, float]] = []
-        # Latest time at which the upstream may still hold keys that it does not give back.
-        self._held_until = 0.0
+        # Unconfirmed grants, which may still take effect, and the times when they end.
+        self._unconfirmed_grants: list[tuple[KeyRange, float]] = []
+        # Time by which all grants to the upstream, confirmed or not, have certainly expired.
+        self._last_grant_end = 0.0
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses and registers the message handler."""
         self._clock = registry.find("clock", Clock)
         self._groups = registry.find("groups", Groups)
         self._membership = registry.find("membership", Membership)
@@ -66,92 +77,105 @@
         self._peers = registry.find("peers", Peers)
         self._peers.on(RangesReleased, self._on_released)
 
-    def grant_confirmed(self, end: float) -> None:
-        """Takes note of a grant.
+    def add_confirmed_grant(self, end: float) -> None:
+        """Records the end of a grant that the upstream has confirmed.
+
+        Args:
+            end: Time by which it has certainly expired, in seconds of CLOCK_BOOTTIME.
+        """
+        self._last_grant_end = max(self._last_grant_end, end)
+
+    def add_unconfirmed_grant(self, key_range: KeyRange, end: float) -> None:
+        """Records a grant without a confirmation, which may still take effect.
 
         Args:
-            end: When it has run out for certain, in seconds of CLOCK_BOOTTIME.
+            key_range: The granted range.
+            end: Time by which it has certainly expired, in seconds of CLOCK_BOOTTIME.
         """
-        self._held_until = max(self._held_until, end)
-
-    def grant_unanswered(self, found: KeyRange, end: float) -> None:
-        """Takes note of a grant that may take effect later, until `end`."""
-        self._unanswered.append((found, end))
-        self.grant_confirmed(end)
-
-    async def run(self, home: GroupId, leaving: list[KeyRange]) -> None:
-        """Releases ranges and returns when the group names their new owners."""
-        released = await self.give_back(leaving)
-        commit = _commit(released, self._membership.member_id)
-        written = await self._recorded_by_planner(home, released, commit)
+        self._unconfirmed_grants.append((key_range, end))
+        self.add_confirmed_grant(end)
+
+    async def hand_over(self, home: GroupId, leaving_ranges: list[KeyRange]) -> None:
+        """Releases ranges and returns once the group object has their new owners."""
+        released = await self.release_all(leaving_ranges)
+        edit = _handover_edit(released, self._membership.member_id)
+        written = await self._record_through_planner(home, released, edit)
         while written is None:
             try:
-                written = await self._groups.edit(home, commit)
+                written = await self._groups.edit(home, edit)
             except PlatformError as error:
-                _HANDOVER_FAILED.emit(group=home, ranges=len(leaving), error=error)
-                self._ask_others(home, leaving, released)
+                _HANDOVER_FAILED.emit(group=home, ranges=len(leaving_ranges), error=error)
+                self._request_record(home, leaving_ranges, released)
                 await self._clock.sleep(_RETRY_S)
         _HANDED_OVER.emit(
             group=home,
             version=written.version,
-            ranges=[(found.first, found.last, found.successor) for found in leaving],
+            ranges=[
+                (key_range.first, key_range.last, key_range.successor)
+                for key_range in leaving_ranges
+            ],
         )
 
-    async def give_back(self, leaving: list[KeyRange]) -> dict[RangeId, str]:
-        """Takes ranges back from the upstream, which holds none of them afterwards.
+    async def release_all(self, leaving_ranges: list[KeyRange]) -> dict[RangeId, str]:
+        """Releases ranges; afterwards the upstream has no grant for any of them.
 
         Returns:
-            The token of each range that spares its next owner a cold start; empty without one.
+            For each range the token that spares its next owner a cold start, or an empty string.
         """
-        held_until = self._held_until
-        tokens = await asyncio.gather(*(self._release(found, held_until) for found in leaving))
-        await self._await_unanswered(leaving)
-        return dict(zip(map(range_id, leaving), tokens, strict=True))
+        grants_end = self._last_grant_end
+        tokens = await asyncio.gather(
+            *(self._release_range(key_range, grants_end) for key_range in leaving_ranges)
+        )
+        await self._wait_for_unconfirmed_grants(leaving_ranges)
+        return dict(zip(map(range_id, leaving_ranges), tokens, strict=True))
 
-    async def _recorded_by_planner(
-        self, home: GroupId, released: dict[RangeId, str], commit: GroupChange
+    async def _record_through_planner(
+        self, home: GroupId, released: dict[RangeId, str], edit: GroupChange
     ) -> VersionedGroup | None:
-        """Lets the planner record a handover with those of others; None if that takes too long.
+        """Lets the planner record a handover; returns None if that fails or takes too long.
 
-        Members that all record their handovers themselves make each other's writes fail.
+        The planner combines the handovers of several members in one write. If each member wrote
+        its own, their conditional writes would conflict.
         """
         view = self._groups.view(home)
         planner = next(iter(moves.active_members(view.group)), None) if view is not None else None
-        me = self._membership.member_id
-        if view is None or planner is None or planner.id == me:
+        own_id = self._membership.member_id
+        if view is None or planner is None or planner.id == own_id:
             return None
-        if not self._peers.send(planner, self._message(home, released)):
+        if not self._peers.send(planner, self._released_message(home, released)):
             return None
-        until = self._clock.now() + _RECORD_S
-        while commit(view.group) is not None:
-            if not await self._groups.changed(home, view.version, until - self._clock.now()):
+        deadline = self._clock.now() + _PLANNER_RECORD_TIMEOUT_S
+        while edit(view.group) is not None:
+            if not await self._groups.changed(home, view.version, deadline - self._clock.now()):
                 return None
             view = self._groups.view(home)
             assert view is not None
         return view
 
-    def _ask_others(
-        self, home: GroupId, leaving: list[KeyRange], released: dict[RangeId, str]
+    def _request_record(
+        self, home: GroupId, leaving_ranges: list[KeyRange], released: dict[RangeId, str]
     ) -> None:
-        """Asks others to record the handover: they may reach the platform.
+        """Requests that other members record the handover, since they may reach the platform.
 
-        The planner and the successors may be cut off like the owner, so each time one more member
-        is asked.
+        The planner and the successors may be cut off like the owner, so each call also includes
+        one random member.
         """
         view = self._groups.view(home)
         if view is None:
             return
-        active = [member.id for member in moves.active_members(view.group)]
-        asked = {found.successor for found in leaving}
-        asked.update(active[:1])
-        asked.update(random.sample(active, min(len(active), 1)))
-        for member_id in asked - {self._membership.member_id}:
+        active_ids = [member.id for member in moves.active_members(view.group)]
+        recipient_ids = {key_range.successor for key_range in leaving_ranges}
+        recipient_ids.update(active_ids[:1])
+        recipient_ids.update(random.sample(active_ids, min(len(active_ids), 1)))
+        for member_id in recipient_ids - {self._membership.member_id}:
             member = view.group.members.get(member_id or "")
             if member is not None:
-                self._peers.send(member, self._message(home, released))
+                self._peers.send(member, self._released_message(home, released))
 
-    def _message(self, home: GroupId, released: dict[RangeId, str]) -> RangesReleased:
-        ranges = tuple(ReleasedRange(*found_id, token) for found_id, token in released.items())
+    def _released_message(self, home: GroupId, released: dict[RangeId, str]) -> RangesReleased:
+        ranges = tuple(
+            ReleasedRange(*key_range_id, token) for key_range_id, token in released.items()
+        )
         return RangesReleased(home.service, home.number, self._membership.member_id, ranges)
 
     def _on_released(self, sender: str, message: RangesReleased) -> None:
@@ -160,54 +184,73 @@
             self._tasks.spawn("record", self._record(home, message))
 
     async def _record(self, home: GroupId, message: RangesReleased) -> None:
-        released = {(one.first, one.last, one.epoch): one.handover for one in message.ranges}
-        commit = _commit(released, message.owner_id)
+        released = {
+            (
+                released_range.first,
+                released_range.last,
+                released_range.epoch,
+            ): released_range.handover
+            for released_range in message.ranges
+        }
+        edit = _handover_edit(released, message.owner_id)
         try:
-            written = await self._groups.edit(home, commit)
+            written = await self._groups.edit(home, edit)
         except PlatformError as error:
-            # The owner asks again until the handover is recorded.
+            # The owner repeats its request until the handover is recorded.
             _HANDOVER_FAILED.emit(group=home, ranges=len(released), error=error)
             return
         _RECORDED.emit(
             group=home, version=written.version, owner=message.owner_id, ranges=len(released)
         )
 
-    async def _await_unanswered(self, leaving: list[KeyRange]) -> None:
+    async def _wait_for_unconfirmed_grants(self, leaving_ranges: list[KeyRange]) -> None:
         now = self._clock.now()
-        self._unanswered = [(found, end) for found, end in self._unanswered if end > now]
+        self._unconfirmed_grants = [
+            (granted_range, end) for granted_range, end in self._unconfirmed_grants if end > now
+        ]
         ends = [
             end
-            for found, end in self._unanswered
-            if any(found.first <= one.last and one.first <= found.last for one in leaving)
+            for granted_range, end in self._unconfirmed_grants
+            if any(
+                granted_range.first <= leaving_range.last
+                and leaving_range.first <= granted_range.last
+                for leaving_range in leaving_ranges
+            )
         ]
         if ends:
             await self._clock.sleep(max(ends) - now)
 
-    async def _release(self, found: KeyRange, held_until: float) -> str:
-        """Takes a range back; without an answer it waits until the grants have run out."""
+    async def _release_range(self, key_range: KeyRange, grants_end: float) -> str:
+        """Releases a range, and retries until it is confirmed or all grants have expired.
+
+        Returns:
+            The handover token, or an empty string without one.
+        """
         while True:
-            left_s = max(held_until - self._clock.now(), _LEAST_RELEASE_S)
+            timeout_s = max(grants_end - self._clock.now(), _MIN_RELEASE_TIMEOUT_S)
             try:
-                async with asyncio.timeout(left_s):
-                    token = await self._upstream.release_range(found)
+                async with asyncio.timeout(timeout_s):
+                    token = await self._upstream.release_range(key_range)
                 break
             except (RefusalError, TimeoutError) as error:
                 _RELEASE_FAILED.emit(
-                    first=found.first, last=found.last, epoch=found.epoch, error=error
+                    first=key_range.first, last=key_range.last, epoch=key_range.epoch, error=error
                 )
                 now = self._clock.now()
-                if now >= held_until:
+                if now >= grants_end:
                     return ""
-                await self._clock.sleep(min(_RETRY_S, held_until - now))
-        _RELEASED.emit(first=found.first, last=found.last, epoch=found.epoch, warm=bool(token))
+                await self._clock.sleep(min(_RETRY_S, grants_end - now))
+        _RELEASED.emit(
+            first=key_range.first, last=key_range.last, epoch=key_range.epoch, warm=bool(token)
+        )
         return token
 
 
-def _commit(released: dict[RangeId, str], owner_id: str) -> GroupChange:
-    """Returns the edit that makes the successors of released ranges their owners."""
+def _handover_edit(released: dict[RangeId, str], owner_id: str) -> GroupChange:
+    """Returns the group edit that makes the successors of released ranges their owners."""
 
-    def commit(group: Group) -> Group | None:
+    def edit(group: Group) -> Group | None:
         changed = moves.handed_over(group, released, owner_id)
         return None if changed == group else changed
 
-    return commit
+    return edit
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -1,4 +1,4 @@
-"""Measured work of key blocks, reported to the planner."""
+"""Measurement of the work of key blocks and its reports to the planner."""
 
 from __future__ import annotations
 
@@ -12,15 +12,15 @@
 from ...messages.peer import RangeLoad
 from .moves import BLOCK_KEYS
 
-# Time constant of the measured work, in seconds.
+# Time constant of the exponential decay of measured work.
 _DECAY_S = 1.0
-_REPORT_S = 0.4
-# Blocks in one report.
-_REPORTED_BLOCKS = 64
-# Blocks below this work, in slots, are not reported.
-_LEAST_WORK = 0.02
-# A report that is older than this, in seconds, says nothing of the present.
-_REPORT_AGE_S = 2.0
+_REPORT_PERIOD_S = 0.4
+# Maximum number of blocks in a report; the hottest ones are included.
+_MAX_REPORTED_BLOCKS = 64
+# Blocks with less work than this number of slots are not reported.
+_MIN_REPORTED_WORK_SLOTS = 0.02
+# Older reports are stale and are ignored.
+_MAX_REPORT_AGE_S = 2.0
 
 
 class KeyBlockLoad:
@@ -31,13 +31,13 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._work: dict[int, float] = {}
+        self._work_by_block: dict[int, float] = {}
         self._decayed_at = 0.0
         self._utilisation = 0.0
-        self._reports: dict[str, tuple[float, RangeLoad]] = {}
+        self._received_reports: dict[str, tuple[float, RangeLoad]] = {}
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses and registers the message handler."""
         self._clock = registry.find("clock", Clock)
         self._groups = registry.find("groups", Groups)
         self._peers = registry.find("peers", Peers)
@@ -47,65 +47,76 @@
         self._peers.on(RangeLoad, self._on_report)
 
     async def start(self) -> None:
-        """Starts the reports."""
+        """Starts the task that reports to the planner."""
         self._decayed_at = self._clock.now()
         self._tasks.spawn("report", self._run())
 
     async def stop(self) -> None:
-        """Ends the reports."""
+        """Cancels the tasks of the service."""
         await self._tasks.cancel()
 
     def record(self, shard: int, key: str, seconds: float) -> None:
-        """Adds the upstream time of one request to the block of its key.
+        """Adds the upstream time of a request to the block of its key.
 
-        Refused requests count with the time that they would have taken.
+        Refused requests are recorded with the time that they would have taken.
+
+        Args:
+            shard: Not used.
+            key: Numeric key of the request.
+            seconds: Time in the upstream, in seconds.
         """
         block = int(key) // BLOCK_KEYS
-        self._work[block] = self._work.get(block, 0.0) + seconds / _DECAY_S
+        self._work_by_block[block] = self._work_by_block.get(block, 0.0) + seconds / _DECAY_S
 
     def group_load(self) -> GroupLoad:
-        """Returns nothing: key blocks are read by `reports`."""
+        """Returns an incomplete load without figures; key blocks are read with `reports`."""
         return GroupLoad(complete=False)
 
     def end_round(self) -> GroupLoad:
-        """Returns nothing: key blocks are read by `reports`."""
+        """Returns an incomplete load without figures; key blocks are read with `reports`."""
         return GroupLoad(complete=False)
 
     def restore(self, work: dict[int, float], hot_keys: dict[str, float]) -> None:
-        """Does nothing: work is measured again within seconds."""
+        """Restores nothing: the work is measured anew within seconds."""
 
     def reports(self) -> dict[str, RangeLoad]:
-        """Returns the recent reports by member id."""
-        oldest = self._clock.now() - _REPORT_AGE_S
-        self._reports = {
-            member_id: (at, report)
-            for member_id, (at, report) in self._reports.items()
-            if at >= oldest
+        """Returns the reports that are not stale, by member id, and drops the others."""
+        oldest_allowed = self._clock.now() - _MAX_REPORT_AGE_S
+        self._received_reports = {
+            member_id: (received_at, report)
+            for member_id, (received_at, report) in self._received_reports.items()
+            if received_at >= oldest_allowed
         }
-        return {member_id: report for member_id, (_, report) in self._reports.items()}
+        return {member_id: report for member_id, (_, report) in self._received_reports.items()}
 
     def measure(self) -> RangeLoad:
-        """Returns this member's report."""
+        """Decays the measured work to the current time and returns this member's report."""
         now = self._clock.now()
         factor = math.exp((self._decayed_at - now) / _DECAY_S)
         self._decayed_at = now
-        self._work = {
+        self._work_by_block = {
             block: work * factor
-            for block, work in self._work.items()
-            if work * factor > _LEAST_WORK / 4
+            for block, work in self._work_by_block.items()
+            if work * factor > _MIN_REPORTED_WORK_SLOTS / 4
         }
         occupancy = self._slots.occupancy
-        # Refused requests hold no slot, but their work is wanted here all the same.
-        wanted = max(occupancy.running + occupancy.waiting, sum(self._work.values()))
-        sample = wanted / max(occupancy.slots, 1)
+        # Refused requests take no slot, but their work is part of the demand.
+        demand = max(occupancy.running + occupancy.waiting, sum(self._work_by_block.values()))
+        sample = demand / max(occupancy.slots, 1)
         self._utilisation += (sample - self._utilisation) * 0.5
-        top = heapq.nlargest(_REPORTED_BLOCKS, self._work.items(), key=lambda item: item[1])
-        work = {block: round(value, 3) for block, value in top if value >= _LEAST_WORK}
+        hottest = heapq.nlargest(
+            _MAX_REPORTED_BLOCKS, self._work_by_block.items(), key=lambda item: item[1]
+        )
+        work = {
+            block: round(block_work, 3)
+            for block, block_work in hottest
+            if block_work >= _MIN_REPORTED_WORK_SLOTS
+        }
         return RangeLoad(self._membership.member_id, round(self._utilisation, 3), work)
 
     async def _run(self) -> None:
         while True:
-            await self._clock.sleep(_REPORT_S)
+            await self._clock.sleep(_REPORT_PERIOD_S)
             view = self._home_view()
             if view is None or not view.group.ranges:
                 continue
@@ -114,7 +125,7 @@
             if planner is None:
                 continue
             if planner.id == self._membership.member_id:
-                self._reports[report.member_id] = (self._clock.now(), report)
+                self._received_reports[report.member_id] = (self._clock.now(), report)
             else:
                 self._peers.send(planner, report)
 
@@ -124,4 +135,4 @@
 
     def _on_report(self, sender: str, message: RangeLoad) -> None:
         if message.member_id == sender:
-            self._reports[sender] = (self._clock.now(), message)
+            self._received_reports[sender] = (self._clock.now(), message)
--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -1,4 +1,4 @@
-"""Changes of key ranges; pure functions on group objects."""
+"""Changes of key range ownership, as pure functions on group objects."""
 
 from __future__ import annotations
 
@@ -8,21 +8,22 @@
 from ...messages import Group, Member, MemberState
 from ...messages.group import LAST_KEY, KeyRange
 
-KEYS = LAST_KEY + 1
-# Keys of one block, the unit of measured load and of a move: hot keys are neighbours.
+KEY_COUNT = LAST_KEY + 1
+# Keys in a block, the unit of measured load and of moves; hot keys are adjacent.
 BLOCK_KEYS = 8
-# Narrowest part that a range without known load is cut into, in keys.
-_LEAST_WIDTH = 64
-# Least part of a new member's share that one member gives: four handovers bring it its share.
-_LEAST_SHARE_PART = 0.25
-# Part of its own share that a member keeps when it gives to a new one.
-_LEAST_SHARE_LEFT = 0.75
+# Smallest part, in keys, that a range is split into when its load is unknown.
+_MIN_PART_KEYS = 64
+# Smallest fraction of a new member's share that comes from one source, so that about four
+# handovers complete the share.
+_MIN_SOURCE_SHARE = 0.25
+# Fraction of its own share that a source retains when it gives keys to a new member.
+_MIN_RETAINED_SHARE = 0.75
 
-Change = Callable[[KeyRange], KeyRange]
+RangeChange = Callable[[KeyRange], KeyRange]
 
 
 def active_members(group: Group) -> tuple[Member, ...]:
-    """Returns the members that may get keys, by id."""
+    """Returns the members in the state `active`, which may be assigned keys, by member id."""
     return tuple(
         group.members[member_id]
         for member_id in sorted(group.members)
@@ -31,269 +32,316 @@
 
 
 def merged(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
-    """Joins neighbours that differ in their bounds alone."""
+    """Joins adjacent ranges that are equal apart from their bounds."""
     joined: list[KeyRange] = []
-    for found in ranges:
-        if joined and joined[-1].last + 1 == found.first:
-            candidate = replace(joined[-1], last=found.last)
-            if candidate == replace(found, first=joined[-1].first):
+    for key_range in ranges:
+        if joined and joined[-1].last + 1 == key_range.first:
+            candidate = replace(joined[-1], last=key_range.last)
+            if candidate == replace(key_range, first=joined[-1].first):
                 joined[-1] = candidate
                 continue
-        joined.append(found)
+        joined.append(key_range)
     return tuple(joined)
 
 
 def compacted(group: Group) -> Group:
-    """Joins neighbours with one owner at the higher of their epochs.
+    """Joins adjacent ranges of the same owner at the higher of their epochs.
 
-    Each range is a grant of its own, which is renewed several times in the time of a lease. The
-    epoch stays above that of every other owner of the keys. A handover token is dropped, so the
-    neighbours must have been granted before.
+    Each range has a grant of its own, which is renewed several times per lease period. The epoch
+    stays above that of every other owner of the keys. Handover tokens are dropped, so the ranges
+    must already have been granted.
     """
     joined: list[KeyRange] = []
-    for found in group.ranges:
-        last = joined[-1] if joined else None
+    for key_range in group.ranges:
+        previous = joined[-1] if joined else None
         if (
-            last is not None
-            and last.owner is not None
-            and last.owner == found.owner
-            and last.successor is None
-            and found.successor is None
+            previous is not None
+            and previous.owner is not None
+            and previous.owner == key_range.owner
+            and previous.successor is None
+            and key_range.successor is None
         ):
-            epoch = max(last.epoch, found.epoch)
-            joined[-1] = replace(last, last=found.last, epoch=epoch, handover="")
+            epoch = max(previous.epoch, key_range.epoch)
+            joined[-1] = replace(previous, last=key_range.last, epoch=epoch, handover="")
         else:
-            joined.append(found)
+            joined.append(key_range)
     return replace(group, ranges=tuple(joined))
 
 
-def cut(
-    ranges: tuple[KeyRange, ...], first: int, last: int, change: Change
+def change_keys(
+    ranges: tuple[KeyRange, ...], first: int, last: int, change: RangeChange
 ) -> tuple[KeyRange, ...]:
-    """Changes the keys from `first` to `last` and divides the ranges that they lie in."""
+    """Changes the keys from `first` to `last` and splits the ranges that they are part of."""
     parts: list[KeyRange] = []
-    for found in ranges:
-        low, high = max(found.first, first), min(found.last, last)
+    for key_range in ranges:
+        low, high = max(key_range.first, first), min(key_range.last, last)
         if low > high:
-            parts.append(found)
+            parts.append(key_range)
             continue
-        if found.first < low:
-            parts.append(replace(found, last=low - 1))
-        parts.append(change(replace(found, first=low, last=high)))
-        if high < found.last:
-            parts.append(replace(found, first=high + 1))
+        if key_range.first < low:
+            parts.append(replace(key_range, last=low - 1))
+        parts.append(change(replace(key_range, first=low, last=high)))
+        if high < key_range.last:
+            parts.append(replace(key_range, first=high + 1))
     return tuple(parts)
 
 
-def deal(
-    group: Group, open_ranges: list[KeyRange], give: Callable[[KeyRange, str], KeyRange]
+def distribute(
+    group: Group, unassigned: list[KeyRange], assign_part: Callable[[KeyRange, str], KeyRange]
 ) -> list[KeyRange]:
-    """Divides ranges among the active members so that each gets near its even share of all keys.
+    """Distributes ranges so that each active member gets close to its share of all keys.
+
+    Shares are proportional to the slots of the members.
 
     Args:
-        group: The group; its other ranges count as held by their owners or successors.
-        open_ranges: Ranges to give away; none of them is divided below a small width.
-        give: Returns the part of a range that a member gets.
+        group: The group; its other ranges count for their successors or else their owners.
+        unassigned: Ranges to distribute; parts are not split below a minimum width.
+        assign_part: Called with a part and a member id; returns the part as it is assigned.
 
     Returns:
-        The parts; ranges stay as they are if no member is active.
+        The assigned parts, or `unassigned` unchanged if no member is active.
     """
     members = active_members(group)
     if not members:
-        return open_ranges
-    taken = dict.fromkeys((member.id for member in members), 0)
-    waiting = {(found.first, found.last) for found in open_ranges}
-    for found in group.ranges:
-        holder = found.successor or found.owner
-        if (found.first, found.last) not in waiting and holder in taken:
-            taken[holder] += found.width
-    slots = sum(member.slots for member in members)
-    wanted = {member.id: KEYS * member.slots // slots for member in members}
+        return unassigned
+    key_counts = dict.fromkeys((member.id for member in members), 0)
+    unassigned_bounds = {(key_range.first, key_range.last) for key_range in unassigned}
+    for key_range in group.ranges:
+        holder_id = key_range.successor or key_range.owner
+        if (key_range.first, key_range.last) not in unassigned_bounds and holder_id in key_counts:
+            key_counts[holder_id] += key_range.width
+    total_slots = sum(member.slots for member in members)
+    target_counts = {member.id: KEY_COUNT * member.slots // total_slots for member in members}
     parts: list[KeyRange] = []
-    for found in open_ranges:
-        rest = found
+    for key_range in unassigned:
+        remainder = key_range
         while True:
-            member_id = min(taken, key=lambda other: (taken[other] - wanted[other], other))
-            room = max(wanted[member_id] - taken[member_id], _LEAST_WIDTH)
-            if room + _LEAST_WIDTH >= rest.width:
-                taken[member_id] += rest.width
-                parts.append(give(rest, member_id))
+            member_id = min(
+                key_counts,
+                key=lambda candidate: (
+                    key_counts[candidate] - target_counts[candidate],
+                    candidate,
+                ),
+            )
+            part_keys = max(target_counts[member_id] - key_counts[member_id], _MIN_PART_KEYS)
+            if part_keys + _MIN_PART_KEYS >= remainder.width:
+                key_counts[member_id] += remainder.width
+                parts.append(assign_part(remainder, member_id))
                 break
-            part = replace(rest, last=rest.first + room - 1)
-            rest = replace(rest, first=part.last + 1)
-            taken[member_id] += part.width
-            parts.append(give(part, member_id))
+            part = replace(remainder, last=remainder.first + part_keys - 1)
+            remainder = replace(remainder, first=part.last + 1)
+            key_counts[member_id] += part.width
+            parts.append(assign_part(part, member_id))
     return parts
 
 
-def levelled(group: Group, reachable: Container[str]) -> Group:
-    """Returns the group with successors set for the shares of members that hold no keys.
+def with_new_member_shares(group: Group, reachable_ids: Container[str]) -> Group:
+    """Returns the group with successors set so that members without keys get their shares.
 
-    Members that joined together get their shares together. Each share comes from few members, at
-    first from those with the most keys, so that ranges and handovers stay few.
+    Members that joined together get their shares in the same change. Each share comes from few
+    sources, those with the largest surplus first, which keeps ranges and handovers few.
 
     Args:
         group: The group.
-        reachable: Ids of the members that can give or take keys now.
+        reachable_ids: Ids of the members that can take part in a handover now.
     """
     members = active_members(group)
-    held = dict.fromkeys((member.id for member in members), 0)
-    for found in group.ranges:
-        holder = found.successor or found.owner
-        if holder in held:
-            held[holder] += found.width
-    slots = sum(member.slots for member in members)
-    wanted = {member.id: KEYS * member.slots // slots for member in members}
+    key_counts = dict.fromkeys((member.id for member in members), 0)
+    for key_range in group.ranges:
+        holder_id = key_range.successor or key_range.owner
+        if holder_id in key_counts:
+            key_counts[holder_id] += key_range.width
+    total_slots = sum(member.slots for member in members)
+    target_counts = {member.id: KEY_COUNT * member.slots // total_slots for member in members}
     for member in members:
-        if held[member.id] == 0 and member.id in reachable:
-            group = _with_share(group, member.id, wanted, held, reachable)
+        if key_counts[member.id] == 0 and member.id in reachable_ids:
+            group = _with_member_share(group, member.id, target_counts, key_counts, reachable_ids)
     return group
 
 
-def _with_share(
+def _with_member_share(
     group: Group,
-    taker: str,
-    wanted: dict[str, int],
-    held: dict[str, int],
-    reachable: Container[str],
+    receiver_id: str,
+    target_counts: dict[str, int],
+    key_counts: dict[str, int],
+    reachable_ids: Container[str],
 ) -> Group:
-    """Sets a member as the successor of about its share of the keys and adds them to `held`."""
-    sources = [other for other in held if other != taker and held[other] and other in reachable]
-    least = max(BLOCK_KEYS, int(wanted[taker] * _LEAST_SHARE_PART / 4))
-    while sources and held[taker] + least < wanted[taker]:
-        source = max(sources, key=lambda other: (held[other] - wanted[other], other))
-        missing = wanted[taker] - held[taker]
-        spare = held[source] - wanted[source]
-        part = max(spare, int(wanted[taker] * _LEAST_SHARE_PART))
-        part = min(part, missing, held[source] - int(wanted[source] * _LEAST_SHARE_LEFT))
-        still = [found for found in group.ranges if found.owner == source and not found.successor]
-        widest = max(still, key=lambda found: found.width, default=None)
+    """Makes a member the successor of about its share of the keys and updates `key_counts`."""
+    source_ids = [
+        candidate
+        for candidate in key_counts
+        if candidate != receiver_id and key_counts[candidate] and candidate in reachable_ids
+    ]
+    min_keys = max(BLOCK_KEYS, int(target_counts[receiver_id] * _MIN_SOURCE_SHARE / 4))
+    while source_ids and key_counts[receiver_id] + min_keys < target_counts[receiver_id]:
+        source_id = max(
+            source_ids,
+            key=lambda candidate: (key_counts[candidate] - target_counts[candidate], candidate),
+        )
+        missing_keys = target_counts[receiver_id] - key_counts[receiver_id]
+        surplus_keys = key_counts[source_id] - target_counts[source_id]
+        moved_keys = max(surplus_keys, int(target_counts[receiver_id] * _MIN_SOURCE_SHARE))
+        moved_keys = min(
+            moved_keys,
+            missing_keys,
+            key_counts[source_id] - int(target_counts[source_id] * _MIN_RETAINED_SHARE),
+        )
+        movable = [
+            key_range
+            for key_range in group.ranges
+            if key_range.owner == source_id and not key_range.successor
+        ]
+        widest = max(movable, key=lambda key_range: key_range.width, default=None)
         if widest is not None:
-            part = min(part, widest.width - BLOCK_KEYS)
-        if widest is None or part < least:
-            sources.remove(source)
+            moved_keys = min(moved_keys, widest.width - BLOCK_KEYS)
+        if widest is None or moved_keys < min_keys:
+            source_ids.remove(source_id)
             continue
-        # Blocks are not divided.
-        first = (widest.last + 1 - part) // BLOCK_KEYS * BLOCK_KEYS
-        ranges = cut(
-            group.ranges, first, widest.last, lambda found: replace(found, successor=taker)
+        # Moves are aligned to blocks.
+        first = (widest.last + 1 - moved_keys) // BLOCK_KEYS * BLOCK_KEYS
+        ranges = change_keys(
+            group.ranges,
+            first,
+            widest.last,
+            lambda key_range: replace(key_range, successor=receiver_id),
         )
         group = with_ranges(group, ranges)
-        held[source] -= widest.last + 1 - first
-        held[taker] += widest.last + 1 - first
+        key_counts[source_id] -= widest.last + 1 - first
+        key_counts[receiver_id] += widest.last + 1 - first
     return group
 
 
 def with_ranges(group: Group, ranges: Iterable[KeyRange], fence: int | None = None) -> Group:
-    """Returns the group with other ranges, in ascending order."""
-    ordered = merged(sorted(ranges, key=lambda found: found.first))
+    """Returns the group with its ranges replaced, which are sorted and merged."""
+    ordered = merged(sorted(ranges, key=lambda key_range: key_range.first))
     return replace(group, ranges=ordered, fence=group.fence if fence is None else fence)
 
 
-def inherit(group: Group, old: frozenset[str], member_id: str) -> Group:
-    """Gives the ranges of earlier incarnations on the same VM to the present one.
+def inherit(group: Group, earlier_ids: frozenset[str], member_id: str) -> Group:
+    """Transfers the ranges of earlier incarnations on the same VM to the current one.
 
-    The upstream on the VM is the same or a new one at its address, so no other can hold them.
+    The upstream on the VM is the same or a new one at its address, so no other upstream can have
+    a grant for them.
     """
-    if not any(found.owner in old or found.successor in old for found in group.ranges):
+    if not any(
+        key_range.owner in earlier_ids or key_range.successor in earlier_ids
+        for key_range in group.ranges
+    ):
         return group
     fence = group.fence + 1
     ranges = []
-    for found in group.ranges:
-        if found.owner in old:
-            found = replace(found, owner=member_id, epoch=fence, handover="")
-        if found.successor in old:
-            found = replace(found, successor=None if found.owner == member_id else member_id)
-        ranges.append(found)
+    for key_range in group.ranges:
+        if key_range.owner in earlier_ids:
+            key_range = replace(key_range, owner=member_id, epoch=fence, handover="")
+        if key_range.successor in earlier_ids:
+            key_range = replace(
+                key_range, successor=None if key_range.owner == member_id else member_id
+            )
+        ranges.append(key_range)
     return with_ranges(group, ranges, fence)
 
 
 def with_raised_epochs(group: Group, member_id: str) -> Group:
-    """Raises the epochs of a member whose upstream has started anew and holds nothing."""
+    """Raises the epochs of a member whose upstream was restarted and has lost its grants."""
     fence = group.fence + 1
     ranges = [
-        replace(found, epoch=fence, handover="") if found.owner == member_id else found
-        for found in group.ranges
+        replace(key_range, epoch=fence, handover="") if key_range.owner == member_id else key_range
+        for key_range in group.ranges
     ]
     return with_ranges(group, ranges, fence)
 
 
 def without_members(group: Group, lost: frozenset[str]) -> Group:
-    """Removes members and gives their ranges to others."""
+    """Removes lost members and assigns their ranges to their successors or to other members."""
     members = {
         member_id: replace(
-            member, monitors=tuple(other for other in member.monitors if other not in lost)
+            member,
+            monitors=tuple(monitor_id for monitor_id in member.monitors if monitor_id not in lost),
         )
         for member_id, member in group.members.items()
         if member_id not in lost
     }
     group = replace(group, members=members)
     fence = group.fence + 1
-    kept: list[KeyRange] = []
-    orphans: list[KeyRange] = []
-    for found in group.ranges:
-        if found.successor in lost:
-            found = replace(found, successor=None)
-        if found.owner is not None and found.owner in lost:
-            if found.successor is not None:
-                kept.append(_owned(found, found.successor, fence))
+    owned_ranges: list[KeyRange] = []
+    unowned_ranges: list[KeyRange] = []
+    for key_range in group.ranges:
+        if key_range.successor in lost:
+            key_range = replace(key_range, successor=None)
+        if key_range.owner is not None and key_range.owner in lost:
+            if key_range.successor is not None:
+                owned_ranges.append(_with_owner(key_range, key_range.successor, fence))
             else:
-                orphans.append(replace(found, owner=None))
+                unowned_ranges.append(replace(key_range, owner=None))
         else:
-            kept.append(found)
-    group = replace(group, ranges=tuple(sorted([*kept, *orphans], key=lambda one: one.first)))
-    dealt = deal(group, orphans, lambda part, member_id: _owned(part, member_id, fence))
-    return with_ranges(group, [*kept, *dealt], fence)
+            owned_ranges.append(key_range)
+    group = replace(
+        group,
+        ranges=tuple(sorted([*owned_ranges, *unowned_ranges], key=lambda item: item.first)),
+    )
+    assigned_parts = distribute(
+        group, unowned_ranges, lambda part, member_id: _with_owner(part, member_id, fence)
+    )
+    return with_ranges(group, [*owned_ranges, *assigned_parts], fence)
 
 
 def assigned(group: Group) -> Group:
-    """Gives ranges without an owner to the active members."""
+    """Assigns the ranges without an owner, at first all keys, to the active members."""
     fence = group.fence + 1
     ranges = group.ranges or (KeyRange(0, LAST_KEY),)
     group = replace(group, ranges=ranges)
-    orphans = [found for found in ranges if found.owner is None]
-    kept = [found for found in ranges if found.owner is not None]
-    if not orphans or not active_members(group):
+    unowned_ranges = [key_range for key_range in ranges if key_range.owner is None]
+    owned_ranges = [key_range for key_range in ranges if key_range.owner is not None]
+    if not unowned_ranges or not active_members(group):
         return group
-    dealt = deal(group, orphans, lambda part, member_id: _owned(part, member_id, fence))
-    return with_ranges(group, [*kept, *dealt], fence)
+    assigned_parts = distribute(
+        group, unowned_ranges, lambda part, member_id: _with_owner(part, member_id, fence)
+    )
+    return with_ranges(group, [*owned_ranges, *assigned_parts], fence)
 
 
-def vacated(group: Group, member_id: str) -> Group:
-    """Sets successors for all ranges of a member that is in the state `leaving`."""
-    going = [
-        found for found in group.ranges if found.owner == member_id and found.successor is None
+def with_successors(group: Group, member_id: str) -> Group:
+    """Sets successors for all ranges of a member in the state `leaving`."""
+    leaving_ranges = [
+        key_range
+        for key_range in group.ranges
+        if key_range.owner == member_id and key_range.successor is None
     ]
-    if not going or not active_members(group):
+    if not leaving_ranges or not active_members(group):
         return group
-    kept = [found for found in group.ranges if found not in going]
-    kept = [
-        replace(found, successor=None) if found.successor == member_id else found for found in kept
+    other_ranges = [key_range for key_range in group.ranges if key_range not in leaving_ranges]
+    other_ranges = [
+        replace(key_range, successor=None) if key_range.successor == member_id else key_range
+        for key_range in other_ranges
     ]
-    dealt = deal(group, going, lambda part, other: replace(part, successor=other))
-    return with_ranges(group, [*kept, *dealt])
+    assigned_parts = distribute(
+        group, leaving_ranges, lambda part, successor_id: replace(part, successor=successor_id)
+    )
+    return with_ranges(group, [*other_ranges, *assigned_parts])
 
 
-def handed_over(group: Group, released: dict[tuple[int, int, int], str], owner: str) -> Group:
-    """Makes successors the owners of ranges that their owner has released.
+def handed_over(group: Group, released: dict[tuple[int, int, int], str], owner_id: str) -> Group:
+    """Makes the successors the owners of ranges that their owner has released.
 
     Args:
-        group: The group.
+        group: The group; ranges that have changed since the release are left unchanged.
         released: Handover tokens by first key, last key and epoch.
-        owner: Member id of the owner that released them.
+        owner_id: Member id of the owner that released the ranges.
     """
     fence = group.fence + 1
     ranges = []
-    for found in group.ranges:
-        token = released.get((found.first, found.last, found.epoch))
-        if token is not None and found.owner == owner:
-            # A successor that was lost meanwhile leaves the keys here, with a grant of their own.
-            found = replace(_owned(found, found.successor or owner, fence), handover=token)
-        ranges.append(found)
+    for key_range in group.ranges:
+        token = released.get((key_range.first, key_range.last, key_range.epoch))
+        if token is not None and key_range.owner == owner_id:
+            # If the successor was lost meanwhile, the owner keeps the keys under a new epoch.
+            key_range = replace(
+                _with_owner(key_range, key_range.successor or owner_id, fence), handover=token
+            )
+        ranges.append(key_range)
     if tuple(ranges) == group.ranges:
         return group
     return with_ranges(group, ranges, fence)
 
 
-def _owned(found: KeyRange, member_id: str, fence: int) -> KeyRange:
-    return replace(found, owner=member_id, epoch=fence, successor=None, handover="")
+def _with_owner(key_range: KeyRange, member_id: str, fence: int) -> KeyRange:
+    return replace(key_range, owner=member_id, epoch=fence, successor=None, handover="")
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -1,4 +1,4 @@
-"""Key ranges that this agent owns: grants and requests."""
+"""Key ranges that this agent owns: grants to the upstream and admission of requests."""
 
 from __future__ import annotations
 
@@ -21,29 +21,40 @@
 from ...messages import MemberState, VersionedGroup
 from ...messages.group import KeyRange
 from .handover import RangeHandover, RangeId, range_id
-from .moves import KEYS
+from .moves import KEY_COUNT
 
-_ACTIVE = Event(2820, "range_active", Level.INFO, "A key range is served here from now on.")
+_RANGE_ACTIVE = Event(2820, "range_active", Level.INFO, "A key range is active on this agent.")
 _GRANT_REFUSED = Event(
-    2821, "range_grant_refused", Level.WARNING, "The upstream has seen a higher epoch."
+    2821,
+    "range_grant_refused",
+    Level.WARNING,
+    "The upstream refused a grant: it has seen a higher epoch.",
+)
+_GRANT_FAILED = Event(
+    2822, "range_grant_failed", Level.WARNING, "A grant was not confirmed by the upstream."
 )
-_GRANT_FAILED = Event(2822, "range_grant_failed", Level.WARNING, "The upstream took no grant.")
 
-# The upstream's clock may run this much slow, so its hold lasts this many times as long.
-SLOW_CLOCK = 1.02
-# The grant must end before the lease, also with the delay of a timer.
+# The upstream's clock may be slow by this factor, so a grant may last this many times as long.
+SLOW_CLOCK_FACTOR = 1.02
+# A grant must end before the lease, even if a timer fires late.
 _HOLD_MARGIN_S = 0.03
-# A shorter grant would end before it is of use.
-_LEAST_HOLD_S = 0.1
-# A request waits this long, in seconds, while its key is being activated here.
-_ACTIVATION_WAIT_S = 0.4
-# A grant is renewed when this share of the lease is left of it; two tries fit into the rest.
-_RENEWED_SHARE = 0.55
+# A shorter grant would expire before it is useful.
+_MIN_HOLD_S = 0.1
+# Time for which a request waits while the range of its key is activated here.
+_ACTIVATION_TIMEOUT_S = 0.4
+# A grant is renewed once its remaining time is below this fraction of the lease period, which
+# leaves time for two attempts.
+_RENEWAL_SHARE = 0.55
 
 
 @dataclass(frozen=True, slots=True)
 class RangeTicket:
-    """Permission to run one request; see `Ticket`."""
+    """Permission to run one request; see `Ticket`.
+
+    Attributes:
+        shard: First key of the range.
+        epoch: Epoch of the range.
+    """
 
     shard: int
     epoch: int
@@ -58,18 +69,18 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Does nothing: the upstream ends its work before it confirms a release."""
+        """Releases nothing: the upstream finishes its work before it confirms a release."""
 
     def check(self) -> None:
-        """Does nothing: the upstream ends work that outlasts its grant."""
+        """Never raises: the upstream itself stops work when its grant expires."""
 
 
 class RangeOwnership:
     """The `ownership` service for numeric keys.
 
-    The upstream itself stops work on keys whose grant has ended, and confirms a release only when
-    their work has ended. So no request needs to be counted here: what is sent after a release is
-    refused by the upstream without a run.
+    The upstream itself stops work on keys whose grant has expired, and confirms a release only
+    once the work on the keys has ended. A request that arrives after a release is refused by the
+    upstream without being run. So requests in flight are not counted here.
     """
 
     name = "ownership"
@@ -77,22 +88,22 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._wanted: dict[RangeId, KeyRange] = {}
-        self._expires: dict[RangeId, float] = {}
-        self._handing: set[RangeId] = set()
-        self._starts: list[tuple[int, RangeId]] = []
-        self._changed = asyncio.Event()
-        self._renew = asyncio.Event()
+        self._owned_ranges: dict[RangeId, KeyRange] = {}
+        self._grant_ends: dict[RangeId, float] = {}
+        self._in_handover: set[RangeId] = set()
+        self._active_ranges: list[tuple[int, RangeId]] = []
+        self._state_changed = asyncio.Event()
+        self._renewal_due = asyncio.Event()
         self._upstream_start = ""
-        # Grants that were sent and not answered yet.
-        self._on_their_way: dict[RangeId, asyncio.Task[None]] = {}
+        # Grants that were sent and have no response yet.
+        self._grants_in_flight: dict[RangeId, asyncio.Task[None]] = {}
         self._handover = RangeHandover(self._tasks)
-        # Ranges that a leaving upstream gives back although nobody takes them yet.
-        self._withheld: set[RangeId] = set()
-        self._returning: asyncio.Task[None] | None = None
+        # Ranges that are released because this member leaves, although they have no successor.
+        self._withdrawn: set[RangeId] = set()
+        self._release_task: asyncio.Task[None] | None = None
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses and reads the lease settings."""
         self._clock = registry.find("clock", Clock)
         self._bounds = registry.find("bounds", Bounds)
         self._groups = registry.find("groups", Groups)
@@ -106,262 +117,283 @@
         self._groups.subscribe(self)
 
     async def start(self) -> None:
-        """Starts the renewal of grants."""
+        """Starts the task that sends and renews grants."""
         self._tasks.spawn("grants", self._run_grants())
 
     async def stop(self) -> None:
-        """Ends all tasks."""
+        """Cancels the tasks of the service."""
         await self._tasks.cancel()
 
     @property
     def in_flight(self) -> int:
-        """Always 0: the upstream counts what runs."""
+        """Always 0: the upstream tracks its requests itself."""
         return 0
 
     def active(self) -> dict[int, int]:
-        """Returns the epoch of each active range by its first key."""
+        """Returns the epochs of the ranges with a valid grant, by first key."""
         now = self._clock.now()
-        return {first: epoch for (first, _, epoch), end in self._expires.items() if end > now}
+        return {first: epoch for (first, _, epoch), end in self._grant_ends.items() if end > now}
 
     def owned(self) -> dict[int, int]:
-        """Returns the epoch of each range that is owned here by its first key."""
-        return {first: epoch for first, _, epoch in self._wanted}
+        """Returns the epochs of the owned ranges without a successor, by first key."""
+        return {first: epoch for first, _, epoch in self._owned_ranges}
 
     async def admit(self, service: str, key: str, deadline: float) -> RangeTicket:
-        """Waits while the range of the key is being activated; see `Ownership.admit`."""
-        number = int(key)
-        until = min(deadline, self._clock.now() + _ACTIVATION_WAIT_S)
+        """Waits until the range of a key is active; see `Ownership.admit`."""
+        key_number = int(key)
+        wait_until = min(deadline, self._clock.now() + _ACTIVATION_TIMEOUT_S)
         while True:
-            found = self._find(number)
-            if found is not None:
+            active_range_id = self._find_active(key_number)
+            if active_range_id is not None:
                 if not self._lease.held:
-                    raise LeaseExpiredError("the lease of this agent has ended")
-                return RangeTicket(found[0], found[2])
-            self._refuse_if_foreign(number)
-            remaining = until - self._clock.now()
-            if remaining <= 0:
+                    raise LeaseExpiredError("the lease of this agent has expired")
+                return RangeTicket(active_range_id[0], active_range_id[2])
+            self._raise_unless_pending(key_number)
+            remaining_s = wait_until - self._clock.now()
+            if remaining_s <= 0:
                 raise ShardMovingError(f"key {key} is not active here yet")
-            changed = self._changed
+            state_changed = self._state_changed
             with suppress(TimeoutError):
-                async with asyncio.timeout(remaining):
-                    await changed.wait()
+                async with asyncio.timeout(remaining_s):
+                    await state_changed.wait()
 
     async def drained(self) -> None:
-        """Waits until others own the ranges of here, or the upstream holds none if there are none.
+        """Waits until other members own the ranges; the last member releases its ranges instead.
 
-        The next member that joins is granted the ranges at once.
+        The next member that joins can then be granted the released ranges without delay.
         """
         while True:
-            if self._handing or (self._owns_any() and self._others_exist()):
-                changed = self._changed
-                await changed.wait()
+            if self._in_handover or (self._owns_ranges() and self._has_other_active_members()):
+                state_changed = self._state_changed
+                await state_changed.wait()
                 continue
-            held = [
-                one for found_id, one in self._wanted.items() if found_id not in self._withheld
+            unreleased = [
+                key_range
+                for key_range_id, key_range in self._owned_ranges.items()
+                if key_range_id not in self._withdrawn
             ]
-            if held:
-                self._withheld.update(map(range_id, held))
-                self._returning = self._tasks.spawn("return", self._give_back(held))
-            if self._returning is None or self._returning.done():
+            if unreleased:
+                self._withdrawn.update(map(range_id, unreleased))
+                self._release_task = self._tasks.spawn(
+                    "return", self._release_withdrawn(unreleased)
+                )
+            if self._release_task is None or self._release_task.done():
                 return
-            # The caller asks again after a time limit, which must not end the release.
-            await asyncio.wait((self._returning,))
+            # The caller repeats the call after a timeout, which must not cancel the release.
+            await asyncio.wait((self._release_task,))
 
-    async def _give_back(self, held: list[KeyRange]) -> None:
-        for found in held:
-            self._expires.pop(range_id(found), None)
-        self._index()
-        if self._on_their_way:
-            await asyncio.wait(self._on_their_way.values())
-        await self._handover.give_back(held)
+    async def _release_withdrawn(self, ranges: list[KeyRange]) -> None:
+        for key_range in ranges:
+            self._grant_ends.pop(range_id(key_range), None)
+        self._rebuild_index()
+        if self._grants_in_flight:
+            await asyncio.wait(self._grants_in_flight.values())
+        await self._handover.release_all(ranges)
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Activates, hands over and drops ranges as the group object says."""
+        """Activates, hands over or drops ranges as recorded in a newer group object."""
         if group.group.id != self._membership.home:
             return
-        self._forget_earlier_start()
-        me = self._membership.member_id
-        mine = [found for found in group.group.ranges if found.owner == me]
-        wanted = {range_id(found): found for found in mine if found.successor is None}
-        self._handing &= {range_id(found) for found in mine}
-        member = group.group.members.get(me)
+        self._drop_grants_of_earlier_start()
+        own_id = self._membership.member_id
+        own_ranges = [key_range for key_range in group.group.ranges if key_range.owner == own_id]
+        owned_ranges = {
+            range_id(key_range): key_range
+            for key_range in own_ranges
+            if key_range.successor is None
+        }
+        self._in_handover &= {range_id(key_range) for key_range in own_ranges}
+        member = group.group.members.get(own_id)
         if member is None or member.state is MemberState.ACTIVE:
-            # The leave has ended or was taken back.
-            self._withheld.clear()
-        expires: dict[RangeId, float] = {}
-        for found_id in wanted:
-            if found_id not in self._handing:
-                end = self._end_of(found_id)
+            # The leave has completed or was cancelled.
+            self._withdrawn.clear()
+        grant_ends: dict[RangeId, float] = {}
+        for key_range_id in owned_ranges:
+            if key_range_id not in self._in_handover:
+                end = self._covering_grant_end(key_range_id)
                 if end is not None:
-                    expires[found_id] = end
-        self._wanted, self._expires = wanted, expires
-        self._index()
-        leaving = [
-            found for found in mine if found.successor and range_id(found) not in self._handing
+                    grant_ends[key_range_id] = end
+        self._owned_ranges, self._grant_ends = owned_ranges, grant_ends
+        self._rebuild_index()
+        leaving_ranges = [
+            key_range
+            for key_range in own_ranges
+            if key_range.successor and range_id(key_range) not in self._in_handover
         ]
-        if leaving:
-            self._handing.update(range_id(found) for found in leaving)
-            self._tasks.spawn("handover", self._hand_over(leaving))
-        self._renew.set()
-        self._wake()
+        if leaving_ranges:
+            self._in_handover.update(range_id(key_range) for key_range in leaving_ranges)
+            self._tasks.spawn("handover", self._hand_over(leaving_ranges))
+        self._renewal_due.set()
+        self._notify_waiters()
 
-    def _end_of(self, wanted: RangeId) -> float | None:
-        """Returns the end of the grants that cover a range, or None.
+    def _covering_grant_end(self, target_id: RangeId) -> float | None:
+        """Returns the earliest end of the grants that cover a range, or None if a part has none.
 
-        A grant at a lower epoch still holds: keys never leave this member without a release here.
+        A grant at a lower epoch is still valid: keys change their owner only after this member has
+        released them.
         """
-        first, last, epoch = wanted
+        first, last, epoch = target_id
         ends = []
-        reach = first
-        for low, high, known in sorted(self._expires):
-            if known <= epoch and low <= reach <= high:
-                ends.append(self._expires[(low, high, known)])
-                reach = high + 1
-                if reach > last:
+        next_key = first
+        for low, high, granted_epoch in sorted(self._grant_ends):
+            if granted_epoch <= epoch and low <= next_key <= high:
+                ends.append(self._grant_ends[(low, high, granted_epoch)])
+                next_key = high + 1
+                if next_key > last:
                     return min(ends)
         return None
 
-    def _index(self) -> None:
-        self._starts = sorted((found_id[0], found_id) for found_id in self._expires)
+    def _rebuild_index(self) -> None:
+        self._active_ranges = sorted(
+            (key_range_id[0], key_range_id) for key_range_id in self._grant_ends
+        )
 
-    def _find(self, key: int) -> RangeId | None:
-        index = bisect_right(self._starts, (key, (KEYS, 0, 0))) - 1
+    def _find_active(self, key: int) -> RangeId | None:
+        index = bisect_right(self._active_ranges, (key, (KEY_COUNT, 0, 0))) - 1
         if index < 0:
             return None
-        found = self._starts[index][1]
-        if key > found[1] or self._expires[found] <= self._clock.now():
+        key_range_id = self._active_ranges[index][1]
+        if key > key_range_id[1] or self._grant_ends[key_range_id] <= self._clock.now():
             return None
-        return found
+        return key_range_id
 
-    def _refuse_if_foreign(self, key: int) -> None:
+    def _raise_unless_pending(self, key: int) -> None:
         view = self._view()
-        found = view.group.range_of(key) if view is not None else None
-        me = self._membership.member_id
-        if found is None or (found.owner != me and found.successor != me):
-            owner = found.owner if found is not None else None
+        key_range = view.group.range_of(key) if view is not None else None
+        own_id = self._membership.member_id
+        if key_range is None or (key_range.owner != own_id and key_range.successor != own_id):
+            owner = key_range.owner if key_range is not None else None
             raise NotOwnerError(f"key {key} is owned by {owner}", owner_id=owner)
-        if found.owner == me and found.successor is not None:
+        if key_range.owner == own_id and key_range.successor is not None:
             raise ShardMovingError(f"key {key} is being handed over")
 
     def _view(self) -> VersionedGroup | None:
         home = self._membership.home
         return self._groups.view(home) if home is not None else None
 
-    def _owns_any(self) -> bool:
+    def _owns_ranges(self) -> bool:
         view = self._view()
-        me = self._membership.member_id
-        return view is not None and any(found.owner == me for found in view.group.ranges)
+        own_id = self._membership.member_id
+        return view is not None and any(
+            key_range.owner == own_id for key_range in view.group.ranges
+        )
 
-    def _others_exist(self) -> bool:
+    def _has_other_active_members(self) -> bool:
         view = self._view()
-        me = self._membership.member_id
+        own_id = self._membership.member_id
         return view is not None and any(
-            member.id != me and member.state is MemberState.ACTIVE
+            member.id != own_id and member.state is MemberState.ACTIVE
             for member in view.group.members.values()
         )
 
-    def _wake(self) -> None:
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+    def _notify_waiters(self) -> None:
+        state_changed, self._state_changed = self._state_changed, asyncio.Event()
+        state_changed.set()
 
     async def _run_grants(self) -> None:
         while True:
             # wait_for() of Python 3.11 loses a cancellation that comes with the event.
             with suppress(TimeoutError):
                 async with asyncio.timeout(self._renewal_s):
-                    await self._renew.wait()
-            self._renew.clear()
-            announced = self._membership.announcement
-            if announced is None or not self._wanted or not self._lease.held:
+                    await self._renewal_due.wait()
+            self._renewal_due.clear()
+            announcement = self._membership.announcement
+            if announcement is None or not self._owned_ranges or not self._lease.held:
                 continue
-            self._forget_earlier_start()
-            if not self._epochs_are_of(announced.start):
+            self._drop_grants_of_earlier_start()
+            if not self._epochs_valid_for(announcement.start):
                 continue
-            due = self._due()
-            for found in due:
-                if range_id(found) not in self._on_their_way:
-                    self._on_their_way[range_id(found)] = self._tasks.spawn(
-                        "grant", self._grant(found)
+            due_ranges = self._ranges_to_grant()
+            for key_range in due_ranges:
+                if range_id(key_range) not in self._grants_in_flight:
+                    self._grants_in_flight[range_id(key_range)] = self._tasks.spawn(
+                        "grant", self._grant(key_range)
                     )
-            if due:
-                await asyncio.wait(self._on_their_way.values())
-
-    def _forget_earlier_start(self) -> None:
-        """Drops the grants of an earlier start of the upstream; the new one holds nothing."""
-        announced = self._membership.announcement
-        if announced is not None and announced.start != self._upstream_start:
-            self._upstream_start = announced.start
-            self._expires.clear()
-            self._index()
-
-    def _epochs_are_of(self, start: str) -> bool:
-        """Tells whether the epochs in the group object may be granted to a start of the upstream.
-
-        Keys move to another start with a higher epoch only, which the group object has once it
-        names that start.
+            if due_ranges:
+                await asyncio.wait(self._grants_in_flight.values())
+
+    def _drop_grants_of_earlier_start(self) -> None:
+        """Drops the grants of an earlier start of the upstream; a new start has no grants."""
+        announcement = self._membership.announcement
+        if announcement is not None and announcement.start != self._upstream_start:
+            self._upstream_start = announcement.start
+            self._grant_ends.clear()
+            self._rebuild_index()
+
+    def _epochs_valid_for(self, upstream_start: str) -> bool:
+        """Returns whether a start of the upstream may be granted the epochs of the group object.
+
+        A new start of the upstream needs higher epochs than the earlier one. The group object has
+        them once it names the new start.
         """
         view = self._view()
-        me = view.group.members.get(self._membership.member_id) if view is not None else None
-        return me is None or me.instance in ("", start)
+        own_member = (
+            view.group.members.get(self._membership.member_id) if view is not None else None
+        )
+        return own_member is None or own_member.instance in ("", upstream_start)
 
-    def _due(self) -> list[KeyRange]:
-        """Returns the ranges whose grant is missing or has passed its middle."""
-        soon = self._clock.now() + self._lease_s * _RENEWED_SHARE
+    def _ranges_to_grant(self) -> list[KeyRange]:
+        """Returns the owned ranges whose grant is missing or due for renewal."""
+        renew_before = self._clock.now() + self._lease_s * _RENEWAL_SHARE
         return [
-            found
-            for found_id, found in self._wanted.items()
-            if found_id not in self._handing
-            and found_id not in self._withheld
-            and self._expires.get(found_id, 0.0) < soon
+            key_range
+            for key_range_id, key_range in self._owned_ranges.items()
+            if key_range_id not in self._in_handover
+            and key_range_id not in self._withdrawn
+            and self._grant_ends.get(key_range_id, 0.0) < renew_before
         ]
 
-    async def _grant(self, found: KeyRange) -> None:
+    async def _grant(self, key_range: KeyRange) -> None:
         try:
-            await self._send_grant(found)
+            await self._send_grant(key_range)
         finally:
-            del self._on_their_way[range_id(found)]
-
-    async def _send_grant(self, found: KeyRange) -> None:
-        found_id = range_id(found)
-        sent = self._clock.now()
-        lease_left_s = self._lease.expires_at - sent
-        hold_s = min(self._bounds.longest_hold_s, lease_left_s / SLOW_CLOCK - _HOLD_MARGIN_S)
-        if hold_s < _LEAST_HOLD_S:
+            del self._grants_in_flight[range_id(key_range)]
+
+    async def _send_grant(self, key_range: KeyRange) -> None:
+        key_range_id = range_id(key_range)
+        sent_at = self._clock.now()
+        lease_left_s = self._lease.expires_at - sent_at
+        hold_s = min(
+            self._bounds.longest_hold_s, lease_left_s / SLOW_CLOCK_FACTOR - _HOLD_MARGIN_S
+        )
+        if hold_s < _MIN_HOLD_S:
             return
         try:
-            accepted = await self._upstream.grant_range(found, hold_s)
+            accepted = await self._upstream.grant_range(key_range, hold_s)
         except RefusalError as error:
             if error.outcome is not Outcome.NOT_RUN:
-                self._handover.grant_unanswered(found, sent + lease_left_s)
-            _GRANT_FAILED.emit(first=found.first, last=found.last, epoch=found.epoch, error=error)
+                self._handover.add_unconfirmed_grant(key_range, sent_at + lease_left_s)
+            _GRANT_FAILED.emit(
+                first=key_range.first, last=key_range.last, epoch=key_range.epoch, error=error
+            )
             return
         if not accepted:
-            _GRANT_REFUSED.emit(first=found.first, last=found.last, epoch=found.epoch)
-            self._expires.pop(found_id, None)
-            self._index()
+            _GRANT_REFUSED.emit(first=key_range.first, last=key_range.last, epoch=key_range.epoch)
+            self._grant_ends.pop(key_range_id, None)
+            self._rebuild_index()
             return
-        self._handover.grant_confirmed(sent + lease_left_s)
-        if found_id not in self._wanted or found_id in self._handing:
+        self._handover.add_confirmed_grant(sent_at + lease_left_s)
+        if key_range_id not in self._owned_ranges or key_range_id in self._in_handover:
             return
-        fresh = found_id not in self._expires
-        self._expires[found_id] = sent + hold_s
-        if fresh:
-            _ACTIVE.emit(
-                first=found.first,
-                last=found.last,
-                epoch=found.epoch,
+        newly_active = key_range_id not in self._grant_ends
+        self._grant_ends[key_range_id] = sent_at + hold_s
+        if newly_active:
+            _RANGE_ACTIVE.emit(
+                first=key_range.first,
+                last=key_range.last,
+                epoch=key_range.epoch,
                 hold_s=round(hold_s, 3),
-                warm=bool(found.handover),
+                warm=bool(key_range.handover),
             )
-            self._index()
-            self._wake()
+            self._rebuild_index()
+            self._notify_waiters()
 
-    async def _hand_over(self, leaving: list[KeyRange]) -> None:
+    async def _hand_over(self, leaving_ranges: list[KeyRange]) -> None:
         home = self._membership.home
         assert home is not None
-        # A grant that reaches the upstream after the release would make it hold the keys again.
-        if self._on_their_way:
-            await asyncio.wait(self._on_their_way.values())
-        await self._handover.run(home, leaving)
-        self._handing -= set(map(range_id, leaving))
-        self._wake()
+        # A grant that reached the upstream after the release would give it the keys again.
+        if self._grants_in_flight:
+            await asyncio.wait(self._grants_in_flight.values())
+        await self._handover.hand_over(home, leaving_ranges)
+        self._in_handover -= set(map(range_id, leaving_ranges))
+        self._notify_waiters()
--- a/tests/services/keyspace/__init__.py
+++ b/tests/services/keyspace/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of key ranges."""
+"""Tests of the services for numeric key ranges."""
--- a/tests/services/keyspace/keyed_fleet.py
+++ b/tests/services/keyspace/keyed_fleet.py
@@ -1,4 +1,4 @@
-"""Agents of a group with numeric keys over the fakes, and upstreams that check their owners."""
+"""Simulated agents of a group with numeric keys, and upstreams that check their grants."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 from fescueward.messages.request import Occupancy
 from fescueward.services.groups import GroupStore
 from fescueward.services.keyspace.load import KeyBlockLoad
-from fescueward.services.keyspace.moves import KEYS
+from fescueward.services.keyspace.moves import KEY_COUNT
 from fescueward.services.keyspace.ownership import RangeOwnership
 from fescueward.services.keyspace.placement import RangePlacement
 from fescueward.services.lease import MonitoredLease
@@ -27,7 +27,7 @@
 from fescueward.services.monitor import LeaseMonitor
 from tests.services.fleet import FakeAdmission, Fleet, SafetyError, SimulatedAgent
 
-_ANSWER_S = 0.002
+_RESPONSE_DELAY_S = 0.002
 
 
 def fleet_wide_groups(kernel: Kernel) -> GroupStore:
@@ -35,46 +35,48 @@
 
 
 class RangeUpstream:
-    """An upstream that holds granted keys until their grants have run out.
+    """An upstream whose grants are valid until they are released or expire.
 
-    It outlives its agent.
+    It keeps running when its agent ends.
     """
 
     def __init__(self, fleet: KeyedFleet, name: str) -> None:
         self._fleet, self.name = fleet, name
-        self.granted: list[tuple[int, int, int, float]] = []
+        self.grants: list[tuple[int, int, int, float]] = []
 
-    def holds(self) -> list[tuple[int, int, int, float]]:
+    def valid_grants(self) -> list[tuple[int, int, int, float]]:
         now = self._fleet.world.now
-        self.granted = [grant for grant in self.granted if grant[3] > now]
-        return self.granted
+        self.grants = [grant for grant in self.grants if grant[3] > now]
+        return self.grants
 
-    async def grant_range(self, found: KeyRange, hold_s: float) -> bool:
-        await asyncio.sleep(_ANSWER_S)
-        self._fleet.check_grant(self, found)
+    async def grant_range(self, key_range: KeyRange, hold_s: float) -> bool:
+        await asyncio.sleep(_RESPONSE_DELAY_S)
+        self._fleet.check_grant(self, key_range)
         until = self._fleet.world.now + hold_s
-        self.granted = [
-            grant for grant in self.holds() if grant[:3] != (found.first, found.last, found.epoch)
+        self.grants = [
+            grant
+            for grant in self.valid_grants()
+            if grant[:3] != (key_range.first, key_range.last, key_range.epoch)
         ]
-        self.granted.append((found.first, found.last, found.epoch, until))
+        self.grants.append((key_range.first, key_range.last, key_range.epoch, until))
         return True
 
-    async def release_range(self, found: KeyRange) -> str:
-        self.granted = [
-            part
-            for first, last, epoch, until in self.holds()
-            for part in (
-                (first, min(last, found.first - 1), epoch, until),
-                (max(first, found.last + 1), last, epoch, until),
+    async def release_range(self, key_range: KeyRange) -> str:
+        self.grants = [
+            remainder
+            for first, last, epoch, until in self.valid_grants()
+            for remainder in (
+                (first, min(last, key_range.first - 1), epoch, until),
+                (max(first, key_range.last + 1), last, epoch, until),
             )
-            if part[0] <= part[1]
+            if remainder[0] <= remainder[1]
         ]
-        await asyncio.sleep(_ANSWER_S)
+        await asyncio.sleep(_RESPONSE_DELAY_S)
         return "token"
 
 
 class IdleAdmission(FakeAdmission):
-    """Slots that no request takes."""
+    """Admission without any requests."""
 
     occupancy = Occupancy(0, 0, 4, 0.0)
 
@@ -82,8 +84,8 @@
 class KeyedFleet(Fleet):
     """Agents of one group whose upstreams own numeric keys.
 
-    Raises `SafetyError` as soon as two upstreams hold a key, or one gets it at an epoch that is
-    not above all that others have had.
+    Raises `SafetyError` as soon as two upstreams have a grant for a key, or one is granted a key
+    at an epoch that is not above all epochs of its earlier upstreams.
     """
 
     services = {
@@ -103,7 +105,7 @@
         configuration = Configuration(1, services={"depot": ServiceSpec("depot", keyed=True)})
         self._routes = SimpleNamespace(
             current=VersionedConfiguration(1, configuration),
-            observe=lambda found: False,
+            observe=lambda newer: False,
             select=None,
             target=None,
         )
@@ -115,41 +117,44 @@
         return {"routes": self._routes, "bounds": Bounds(), "admission": IdleAdmission()}
 
     def check(self) -> None:
-        """Does nothing: the upstreams check each grant."""
+        """Checks nothing: the upstreams check each grant."""
 
-    def check_grant(self, upstream: RangeUpstream, found: KeyRange) -> None:
+    def check_grant(self, upstream: RangeUpstream, key_range: KeyRange) -> None:
         for other in self.upstreams.values():
-            for first, last, epoch, until in other.holds() if other is not upstream else ():
-                if first <= found.last and found.first <= last:
+            for first, last, epoch, until in other.valid_grants() if other is not upstream else ():
+                if first <= key_range.last and key_range.first <= last:
                     raise SafetyError(
-                        f"{upstream.name} gets {found}; {other.name} holds {first} to {last} "
+                        f"{upstream.name} gets {key_range}; {other.name} holds {first} to {last} "
                         f"at {epoch} for {until - self.world.now:.3f} s"
                     )
         for first, last, epoch, name in self._epochs:
-            overlaps = first <= found.last and found.first <= last
-            if overlaps and name != upstream.name and epoch >= found.epoch:
-                raise SafetyError(f"{upstream.name} gets {found}; {name} had {epoch}")
-        self._epochs.add((found.first, found.last, found.epoch, upstream.name))
+            overlaps = first <= key_range.last and key_range.first <= last
+            if overlaps and name != upstream.name and epoch >= key_range.epoch:
+                raise SafetyError(f"{upstream.name} gets {key_range}; {name} had {epoch}")
+        self._epochs.add((key_range.first, key_range.last, key_range.epoch, upstream.name))
 
-    def held(self) -> dict[str, int]:
-        """Returns the number of keys that each running agent serves at this instant."""
+    def served_keys(self) -> dict[str, int]:
+        """Returns the number of keys that each running agent currently serves."""
         return {
-            name: sum(last - first + 1 for first, last, _ in agent.ownership._expires)
+            name: sum(last - first + 1 for first, last, _ in agent.ownership._grant_ends)
             if agent.lease.held
             else 0
             for name, agent in self.agents.items()
         }
 
-    def shared_out(self) -> bool:
-        """Whether all keys are served and each member serves at least half of its share."""
-        held = self.held()
-        return sum(held.values()) == KEYS and min(held.values()) * len(held) * 2 >= KEYS
+    def distributed(self) -> bool:
+        """Returns whether all keys are served, and at least half of its share by each member."""
+        key_counts = self.served_keys()
+        return (
+            sum(key_counts.values()) == KEY_COUNT
+            and min(key_counts.values()) * len(key_counts) * 2 >= KEY_COUNT
+        )
 
-    def time_until_shared_out(self, limit_s: float) -> float | None:
-        """Advances until each member serves its share; returns the time, or None."""
+    def time_until_distributed(self, limit_s: float) -> float | None:
+        """Advances until the keys are distributed; returns the seconds, or None at the limit."""
         start = self.world.now
         while self.world.now - start < limit_s:
-            if self.shared_out():
+            if self.distributed():
                 return self.world.now - start
             self.world.advance(0.02)
         return None
@@ -160,11 +165,15 @@
         after = decode_json(new.value, Group)
         if before is None or not before.ranges:
             return
-        for found in after.ranges:
-            for was in before.ranges:
-                if was.first > found.last or found.first > was.last or was.owner is None:
+        for key_range in after.ranges:
+            for old_range in before.ranges:
+                if (
+                    old_range.first > key_range.last
+                    or key_range.first > old_range.last
+                    or old_range.owner is None
+                ):
                     continue
-                if found.epoch < was.epoch or (
-                    found.owner != was.owner and found.epoch == was.epoch
+                if key_range.epoch < old_range.epoch or (
+                    key_range.owner != old_range.owner and key_range.epoch == old_range.epoch
                 ):
-                    raise SafetyError(f"{was} became {found}")
+                    raise SafetyError(f"{old_range} became {key_range}")
--- a/tests/services/keyspace/test_load.py
+++ b/tests/services/keyspace/test_load.py
@@ -1,4 +1,4 @@
-"""Measured work of key blocks."""
+"""Tests of the measured work of key blocks."""
 
 import unittest
 from types import SimpleNamespace
@@ -26,7 +26,7 @@
         self.load._decayed_at = BootClock().now()
 
     def test_work_beyond_the_slots_shows_in_the_report(self):
-        """Guards against an overloaded server that looks just full."""
+        """Guards against an overloaded server that is reported as merely full."""
         for _ in range(240):
             self.load.record(5, "5", 0.1)
         for _ in range(10):
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -1,4 +1,4 @@
-"""Grants, requests and handover of key ranges."""
+"""Tests of the grants, admission and handover of key ranges."""
 
 import asyncio
 import unittest
@@ -26,15 +26,15 @@
 
 
 def announcement(started_ms: int) -> Announcement:
-    """Returns a report of an upstream that keeps its id from one start to the next."""
+    """Returns an announcement of an upstream whose instance id is the same at each start."""
     return Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1", started_ms=started_ms)
 
 
 HOME = GroupId("depot", 0)
 
 
-class FakeProbe:
-    """An upstream that applies grants and releases in the order in which they reach it."""
+class FakeUpstream:
+    """An upstream that applies grants and releases in the order of their arrival."""
 
     def __init__(self) -> None:
         self.calls: list[tuple[str, int, int]] = []
@@ -44,10 +44,10 @@
         self.accepts = True
         self.alive = True
 
-    async def grant_range(self, found: KeyRange, hold_s: float) -> bool:
+    async def grant_range(self, key_range: KeyRange, hold_s: float) -> bool:
         await self.grants_open.wait()
         self._check_alive()
-        self.calls.append(("grant", found.first, found.last))
+        self.calls.append(("grant", key_range.first, key_range.last))
         if not self.answers:
             raise OutcomeLostError("no answer")
         return self.accepts
@@ -56,20 +56,20 @@
         if not self.alive:
             raise UpstreamUnavailableError("connection refused")
 
-    async def release_range(self, found: KeyRange) -> str:
+    async def release_range(self, key_range: KeyRange) -> str:
         self._check_alive()
-        self.calls.append(("release", found.first, found.last))
+        self.calls.append(("release", key_range.first, key_range.last))
         return "token"
 
 
 class FakeGroups:
-    """Holds one group and applies edits to it."""
+    """Groups service with one group, to which edits are applied."""
 
     def __init__(self) -> None:
         self.current: VersionedGroup | None = None
         self.listener = None
         self.edits = 0
-        self.cut_off = False
+        self.unreachable = False
 
     def subscribe(self, listener) -> None:
         self.listener = listener
@@ -83,7 +83,7 @@
         self.listener.group_changed(self.current)
 
     async def edit(self, group: GroupId, change) -> VersionedGroup:
-        if self.cut_off:
+        if self.unreachable:
             raise PlatformUnavailableError("cut off")
         changed = change(self.current.group)
         if changed is not None:
@@ -93,13 +93,13 @@
 
 
 class FakePeers:
-    """Keeps what is sent."""
+    """Records sent messages."""
 
     def __init__(self) -> None:
         self.sent: list[tuple[str, object]] = []
 
     def on(self, kind: type, handler) -> None:
-        """Does nothing: the tests call the handler themselves."""
+        """Registers nothing: the tests call the handler directly."""
 
     def send(self, target, message: object) -> bool:
         self.sent.append((target.id, message))
@@ -108,7 +108,7 @@
 
 class RangeOwnershipTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.probe, self.groups, self.peers = FakeProbe(), FakeGroups(), FakePeers()
+        self.upstream, self.groups, self.peers = FakeUpstream(), FakeGroups(), FakePeers()
         self.lease = SimpleNamespace(held=True, expires_at=CLOCK.now() + 1.0)
         self.membership = SimpleNamespace(home=HOME, member_id="a:1", announcement=announcement(1))
         self.ownership = RangeOwnership(Kernel())
@@ -119,175 +119,175 @@
                 peers=self.peers,
                 membership=self.membership,
                 lease=self.lease,
-                upstream=self.probe,
+                upstream=self.upstream,
                 settings=SimpleNamespace(lease=SimpleNamespace(renewal_ms=100, lease_ms=1000)),
             )
         )
         await self.ownership.start()
         self.addAsyncCleanup(self.ownership.stop)
         self.group = moves.assigned(joined(Group("depot", 0, 1), member("a"), member("b")))
-        self.mine = self.group.range_of(0)
+        self.own_range = self.group.range_of(0)
 
     def moving(self, first: int, last: int) -> Group:
-        ranges = moves.cut(
-            self.group.ranges, first, last, lambda one: replace(one, successor="b:1")
+        ranges = moves.change_keys(
+            self.group.ranges, first, last, lambda key_range: replace(key_range, successor="b:1")
         )
         return moves.with_ranges(self.group, ranges)
 
-    async def until(self, condition) -> None:
+    async def wait_until(self, condition) -> None:
         async with asyncio.timeout(3):
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.005)
 
     async def test_key_is_served_once_its_grant_is_confirmed(self):
-        """Guards against requests at an upstream that does not hold their key."""
-        self.probe.grants_open.clear()
+        """Guards against requests to an upstream that has no grant for their key."""
+        self.upstream.grants_open.clear()
         self.groups.publish(self.group)
         admitted = asyncio.create_task(self.ownership.admit("depot", "5", CLOCK.now() + 2))
         await asyncio.sleep(0.02)
         self.assertFalse(admitted.done())
-        self.probe.grants_open.set()
-        self.assertEqual((await admitted).epoch, self.mine.epoch)
+        self.upstream.grants_open.set()
+        self.assertEqual((await admitted).epoch, self.own_range.epoch)
 
     async def test_foreign_key_names_its_owner(self):
-        """Guards against requests that wait at an agent that will never own their key."""
+        """Guards against requests that wait at an agent that does not own their key."""
         self.groups.publish(self.group)
         with self.assertRaises(NotOwnerError) as refused:
             await self.ownership.admit("depot", "65535", CLOCK.now() + 1)
         self.assertEqual(refused.exception.owner_id, "b:1")
 
     async def test_grant_on_its_way_reaches_the_upstream_before_the_release(self):
-        """Guards against keys that a late renewal gives back to an upstream that released them.
+        """Guards against a late renewal that grants released keys to their former upstream.
 
-        Found by trouble-2 of kagaz-mesh: two upstreams held the same keys for 1.1 s.
+        Found by trouble-2 of kagaz-mesh: two upstreams had the same keys for 1.1 s.
         """
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.probe.grants_open.clear()
-        await self.until(lambda: self.ownership._on_their_way)
+        self.upstream.grants_open.clear()
+        await self.wait_until(lambda: self.ownership._grants_in_flight)
         self.groups.publish(self.moving(0, 99))
         await asyncio.sleep(0.05)
-        self.assertNotIn(("release", 0, 99), self.probe.calls)
-        self.probe.grants_open.set()
-        await self.until(lambda: self.groups.edits)
-        released = self.probe.calls.index(("release", 0, 99))
+        self.assertNotIn(("release", 0, 99), self.upstream.calls)
+        self.upstream.grants_open.set()
+        await self.wait_until(lambda: self.groups.edits)
+        released = self.upstream.calls.index(("release", 0, 99))
         covering = [
-            call for call in self.probe.calls[released:] if call[0] == "grant" and call[1] <= 99
+            call for call in self.upstream.calls[released:] if call[0] == "grant" and call[1] <= 99
         ]
         self.assertEqual(covering, [])
-        found = self.groups.current.group.range_of(50)
-        self.assertEqual((found.owner, found.handover), ("b:1", "token"))
+        key_range = self.groups.current.group.range_of(50)
+        self.assertEqual((key_range.owner, key_range.handover), ("b:1", "token"))
 
     async def test_unanswered_grant_delays_the_handover(self):
-        """Guards against a successor that is granted keys which a lost grant may still take."""
+        """Guards against a successor that is granted keys during an unconfirmed grant."""
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.probe.answers = False
-        seen = len(self.probe.calls)
-        await self.until(lambda: len(self.probe.calls) > seen)
+        self.upstream.answers = False
+        call_count = len(self.upstream.calls)
+        await self.wait_until(lambda: len(self.upstream.calls) > call_count)
         end = self.lease.expires_at
         self.groups.publish(self.moving(0, 99))
-        await self.until(lambda: self.groups.edits)
+        await self.wait_until(lambda: self.groups.edits)
         self.assertGreaterEqual(CLOCK.now(), end)
 
     async def test_keys_of_a_dead_upstream_wait_for_its_last_grant_alone(self):
-        """Guards against two owners of keys, and against keys that nobody serves for longer.
+        """Guards against two owners of keys, and against a longer wait than the last grant.
 
-        Renewals that reached nobody must not put off the end of the wait.
+        Renewals that did not reach the upstream must not extend the wait.
         """
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.probe.alive = False
+        self.upstream.alive = False
         granted_until = self.lease.expires_at
         self.lease.expires_at += 1.0
         await asyncio.sleep(0.6)
         self.groups.publish(self.moving(0, 99))
-        await self.until(lambda: self.groups.edits)
+        await self.wait_until(lambda: self.groups.edits)
         now = CLOCK.now()
         self.assertGreaterEqual(now, granted_until)
         self.assertLess(now, granted_until + 0.4)
 
     async def test_successor_records_the_handover_of_an_owner_that_is_cut_off(self):
-        """Guards against released keys that nobody serves while their owner sees no platform."""
+        """Guards against released keys that are not served while their owner is cut off."""
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.groups.cut_off = True
-        # The owner itself does not try again within this test.
+        self.groups.unreachable = True
+        # The owner itself does not retry within this test.
         with mock.patch.object(handover, "_RETRY_S", 60.0):
             self.groups.publish(self.moving(0, 99))
-            await self.until(lambda: self.peers.sent)
+            await self.wait_until(lambda: self.peers.sent)
             await asyncio.sleep(0.05)
         target, message = self.peers.sent[0]
         self.assertEqual((target, message.owner_id), ("b:1", "a:1"))
-        self.groups.cut_off = False
+        self.groups.unreachable = False
         self.ownership._handover._on_released("c:1", message)
         await asyncio.sleep(0)
         self.assertEqual(self.groups.edits, 0)
         self.ownership._handover._on_released("a:1", message)
-        await self.until(lambda: self.groups.edits)
-        found = self.groups.current.group.range_of(50)
-        self.assertEqual((found.owner, found.handover), ("b:1", "token"))
+        await self.wait_until(lambda: self.groups.edits)
+        key_range = self.groups.current.group.range_of(50)
+        self.assertEqual((key_range.owner, key_range.handover), ("b:1", "token"))
 
     async def test_joined_ranges_stay_active(self):
-        """Guards against requests that wait because the planner joined two ranges."""
-        low, high = replace(self.mine, last=99), replace(self.mine, first=100, epoch=9)
-        others = [one for one in self.group.ranges if one != self.mine]
+        """Guards against requests that wait because the planner has joined two ranges."""
+        low, high = replace(self.own_range, last=99), replace(self.own_range, first=100, epoch=9)
+        others = [key_range for key_range in self.group.ranges if key_range != self.own_range]
         self.groups.publish(replace(self.group, ranges=(low, high, *others)))
         for key in ("5", "105"):
             await self.ownership.admit("depot", key, CLOCK.now() + 1)
-        self.probe.grants_open.clear()
+        self.upstream.grants_open.clear()
         self.groups.publish(moves.compacted(self.groups.current.group))
         ticket = await self.ownership.admit("depot", "5", CLOCK.now() + 0.1)
         self.assertEqual(ticket.epoch, 9)
 
     async def test_grants_are_renewed_at_their_middle(self):
-        """Guards against renewals that take a third of the agent's processor time.
+        """Guards against frequent renewals that take a third of the agent's processor time.
 
-        Found by scale-1 of kagaz-mesh: 330 grants a second at one agent.
+        Found by scale-1 of kagaz-mesh: 330 grants per second at one agent.
         """
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         await asyncio.sleep(0.3)
-        self.assertEqual(len(self.probe.calls), 1)
-        await self.until(lambda: len(self.probe.calls) == 2)
+        self.assertEqual(len(self.upstream.calls), 1)
+        await self.wait_until(lambda: len(self.upstream.calls) == 2)
 
     async def test_key_in_handover_is_refused_at_once(self):
-        """Guards against requests that wait at the old owner until the new one serves."""
+        """Guards against requests that wait at the former owner until the new one is active."""
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.probe.grants_open.clear()
-        await self.until(lambda: self.ownership._on_their_way)
+        self.upstream.grants_open.clear()
+        await self.wait_until(lambda: self.ownership._grants_in_flight)
         self.groups.publish(self.moving(0, 99))
-        began = CLOCK.now()
+        started_at = CLOCK.now()
         with self.assertRaises(ShardMovingError):
             await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.assertLess(CLOCK.now() - began, 0.05)
-        self.probe.grants_open.set()
+        self.assertLess(CLOCK.now() - started_at, 0.05)
+        self.upstream.grants_open.set()
 
     async def test_refused_grant_serves_nothing(self):
-        """Guards against an owner with a stale view that serves keys of a later one."""
-        self.probe.accepts = False
+        """Guards against an owner with a stale group object that serves keys of a later owner."""
+        self.upstream.accepts = False
         self.groups.publish(self.group)
         with self.assertRaises(ShardMovingError):
             await self.ownership.admit("depot", "5", CLOCK.now() + 0.2)
 
     async def test_new_start_of_the_upstream_is_granted_again(self):
-        """Guards against requests to an upstream that forgot its keys when it started anew."""
+        """Guards against requests to an upstream that has lost its grants by a restart."""
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.probe.grants_open.clear()
+        self.upstream.grants_open.clear()
         self.membership.announcement = announcement(2)
         self.groups.publish(moves.with_raised_epochs(self.group, "a:1"))
         admitted = asyncio.create_task(self.ownership.admit("depot", "5", CLOCK.now() + 1))
         await asyncio.sleep(0.02)
         self.assertFalse(admitted.done())
-        self.probe.grants_open.set()
-        self.assertGreater((await admitted).epoch, self.mine.epoch)
+        self.upstream.grants_open.set()
+        self.assertGreater((await admitted).epoch, self.own_range.epoch)
 
     async def test_last_member_releases_its_keys(self):
-        """Guards against a member that joins and is granted keys which the last one still holds.
+        """Guards against a new member that is granted keys which the last member still has.
 
-        Found by the soak, seed 205: the holds overlapped for 0.63 s after an ordered leave.
+        Found by the soak, seed 205: the grants overlapped for 0.63 s after an ordered leave.
         """
         self.lease.expires_at = CLOCK.now() + 5
         alone = moves.assigned(joined(Group("depot", 0, 1), member("a")))
@@ -297,45 +297,45 @@
         self.groups.publish(replace(alone, members={"a:1": leaving}))
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(0.05):
-                with mock.patch.object(self.probe, "release_range", self._never):
+                with mock.patch.object(self.upstream, "release_range", self._fail_after_delay):
                     await self.ownership.drained()
         await self.ownership.drained()
         first, last = alone.ranges[0].first, alone.ranges[-1].last
-        self.assertEqual(self.probe.calls[-1], ("release", first, last))
+        self.assertEqual(self.upstream.calls[-1], ("release", first, last))
         await asyncio.sleep(0.3)
-        self.assertEqual(self.probe.calls[-1][0], "release", "granted again")
-        # The leave is taken back.
+        self.assertEqual(self.upstream.calls[-1][0], "release", "granted again")
+        # The leave is cancelled.
         self.groups.publish(alone)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
 
-    async def _never(self, found: KeyRange) -> str:
+    async def _fail_after_delay(self, key_range: KeyRange) -> str:
         await asyncio.sleep(0.2)
         raise UpstreamUnavailableError("no answer yet")
 
     async def test_new_start_waits_for_a_higher_epoch(self):
-        """Guards against a new start of an upstream that gets keys under the epoch of the last.
+        """Guards against a restarted upstream that is granted keys at the epoch of its last start.
 
-        Found by the soak, seed 4: the store was down, so that the epoch could not be raised.
+        Found by the soak, seed 4: the platform was down, so the epoch could not be raised.
         """
         self.lease.expires_at = CLOCK.now() + 5
-        named = replace(self.group.members["a:1"], instance=announcement(1).start)
-        self.group = replace(self.group, members={**self.group.members, "a:1": named})
+        member_of_start = replace(self.group.members["a:1"], instance=announcement(1).start)
+        self.group = replace(self.group, members={**self.group.members, "a:1": member_of_start})
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         self.membership.announcement = announcement(2)
-        seen = len(self.probe.calls)
-        await self.until(lambda: not self.ownership.active())
+        call_count = len(self.upstream.calls)
+        await self.wait_until(lambda: not self.ownership.active())
         with self.assertRaises(ShardMovingError):
             await self.ownership.admit("depot", "5", CLOCK.now() + 0.7)
-        self.assertEqual(len(self.probe.calls), seen)
-        again = replace(named, instance=announcement(2).start)
-        renewed = replace(self.group, members={**self.group.members, "a:1": again})
+        self.assertEqual(len(self.upstream.calls), call_count)
+        restarted = replace(member_of_start, instance=announcement(2).start)
+        renewed = replace(self.group, members={**self.group.members, "a:1": restarted})
         self.groups.publish(moves.with_raised_epochs(renewed, "a:1"))
         ticket = await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.assertGreater(ticket.epoch, self.mine.epoch)
+        self.assertGreater(ticket.epoch, self.own_range.epoch)
 
     async def test_keys_end_with_the_lease(self):
-        """Guards against an agent that serves keys which its monitor has given to another."""
+        """Guards against an agent that serves keys after its monitor has reassigned them."""
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         self.lease.held = False
--- a/tests/services/keyspace/test_placement.py
+++ b/tests/services/keyspace/test_placement.py
@@ -1,4 +1,4 @@
-"""Rounds of the planner of key ranges."""
+"""Tests of the placement rounds for key ranges."""
 
 import unittest
 from dataclasses import replace
@@ -8,7 +8,7 @@
 from fescueward.messages.peer import RangeLoad
 from fescueward.services.keyspace import moves
 from fescueward.services.keyspace.moves import BLOCK_KEYS
-from fescueward.services.keyspace.placement import RangePlacement, gathered, rebalanced
+from fescueward.services.keyspace.placement import RangePlacement, consolidated, rebalanced
 from tests.services.groups_for_tests import joined, member
 
 
@@ -23,13 +23,13 @@
 class RebalanceTest(unittest.TestCase):
     def moving(self, group: Group) -> list[tuple[int, str, str]]:
         return [
-            (found.width, found.owner, found.successor)
-            for found in group.ranges
-            if found.successor
+            (key_range.width, key_range.owner, key_range.successor)
+            for key_range in group.ranges
+            if key_range.successor
         ]
 
     def test_hot_neighbours_are_divided(self):
-        """Guards against hot keys that stay with one full server, and moves of cold keys."""
+        """Guards against hot keys that stay with one overloaded server, and moves of cold keys."""
         group = placed("a", "b", "c")
         hot = {block: 0.8 for block in range(10, 18)}
         reports = {
@@ -47,35 +47,37 @@
         self.assertLess(moved_blocks, len(hot))
 
     def test_all_hot_members_are_relieved_together(self):
-        """Guards against a hot server that waits while the others are relieved one a round.
+        """Guards against rounds that move work away from only one hot server each.
 
         Found by trouble-1 of merrimack-siphon-grown: six of 39 servers were full from the first
-        second on, and one of them was relieved each 1.2 s.
+        second on, and one of them was relieved every 1.2 s.
         """
         names = [f"a{number:02}" for number in range(39)]
         group = placed(*names)
         reports = {f"{name}:1": report(name, 0.3) for name in names}
         hot = names[:6]
         for name in hot:
-            first = next(one.first for one in group.ranges if one.owner == f"{name}:1")
+            first = next(
+                key_range.first for key_range in group.ranges if key_range.owner == f"{name}:1"
+            )
             blocks = range(first // BLOCK_KEYS + 1, first // BLOCK_KEYS + 9)
             reports[f"{name}:1"] = report(name, 1.4, dict.fromkeys(blocks, 1.0))
         moving = self.moving(rebalanced(group, reports))
         self.assertEqual({source for _, source, _ in moving}, {f"{name}:1" for name in hot})
         self.assertFalse({target for _, _, target in moving} & {f"{name}:1" for name in hot})
-        taken: dict[str, int] = {}
+        blocks_taken: dict[str, int] = {}
         for width, _, target in moving:
-            taken[target] = taken.get(target, 0) + width // BLOCK_KEYS
-        self.assertLessEqual(max(taken.values()), 3)
+            blocks_taken[target] = blocks_taken.get(target, 0) + width // BLOCK_KEYS
+        self.assertLessEqual(max(blocks_taken.values()), 3)
 
     def test_even_load_moves_nothing(self):
-        """Guards against churn without a benefit."""
+        """Guards against moves without a benefit."""
         group = placed("a", "b")
         reports = {"a:1": report("a", 0.6), "b:1": report("b", 0.5)}
         self.assertEqual(rebalanced(group, reports), group)
 
     def test_full_members_take_nothing(self):
-        """Guards against blocks that go to and fro between members without room."""
+        """Guards against blocks that move back and forth between members without capacity."""
         group = placed("a", "b")
         hot = {block: 0.5 for block in range(10)}
         reports = {"a:1": report("a", 2.4, hot), "b:1": report("b", 1.1)}
@@ -84,13 +86,14 @@
 
 class StuckHandoverTest(unittest.IsolatedAsyncioTestCase):
     async def test_others_are_relieved_meanwhile(self):
-        """Guards against a hot server that waits for the handover of a member that is cut off.
+        """Guards against a hot server that waits for the handover of an unreachable member.
 
-        Found by scale-2 of kagaz-mesh: no key moved for 12 s, 350 requests refused in each.
+        Found by scale-2 of kagaz-mesh: for 12 s no key moved, and 350 requests per second
+        were refused.
         """
         group = placed("a", "b", "c", "d")
-        ranges = moves.cut(
-            group.ranges, 65_000, 65_535, lambda found: replace(found, successor="c:1")
+        ranges = moves.change_keys(
+            group.ranges, 65_000, 65_535, lambda key_range: replace(key_range, successor="c:1")
         )
         group = moves.with_ranges(group, ranges)
         self.assertEqual(group.range_of(65_535).owner, "d:1")
@@ -99,30 +102,30 @@
         reports["a:1"] = report("a", 1.4, hot)
         placement = RangePlacement(Kernel())
         placement._clock = BootClock()
-        planned = placement._planned(group, reports)
-        moving = {(one.owner, one.successor) for one in planned.ranges if one.successor}
+        planned = placement._planned_moves(group, reports)
+        moving = {(moved.owner, moved.successor) for moved in planned.ranges if moved.successor}
         self.assertEqual(moving, {("a:1", "b:1"), ("d:1", "c:1")})
 
 
-class GatheredTest(unittest.TestCase):
+class ConsolidatedTest(unittest.TestCase):
     def scattered(self) -> Group:
-        """Returns a group of three members where one has given two blocks away."""
+        """Returns a group of three members, one of which has moved two of its blocks to others."""
         group = placed("a", "b", "c")
         for block, target in ((10, "b:1"), (20, "c:1")):
             first = block * BLOCK_KEYS
-            ranges = moves.cut(
+            ranges = moves.change_keys(
                 group.ranges,
                 first,
                 first + BLOCK_KEYS - 1,
-                lambda found, target=target: replace(found, owner=target, epoch=5),
+                lambda key_range, target=target: replace(key_range, owner=target, epoch=5),
             )
             group = moves.with_ranges(group, ranges, 5)
         return group
 
     def test_cold_blocks_go_back(self):
-        """Guards against ranges that grow in number with each hot spot.
+        """Guards against a number of ranges that grows with each hot spot.
 
-        Found by scale-1 of kagaz-mesh: 882 ranges after 25 s, and a day that was given up after
+        Found by scale-1 of kagaz-mesh: 882 ranges after 25 s, and a run that was aborted after
         342 s of processor time.
         """
         reports = {
@@ -130,20 +133,25 @@
             "b:1": report("b", 0.3, {10: 0.4}),
             "c:1": report("c", 0.3),
         }
-        changed = gathered(self.scattered(), reports)
-        moving = [(one.first, one.successor) for one in changed.ranges if one.successor]
+        changed = consolidated(self.scattered(), reports)
+        moving = [
+            (key_range.first, key_range.successor)
+            for key_range in changed.ranges
+            if key_range.successor
+        ]
         self.assertEqual(moving, [(20 * BLOCK_KEYS, "a:1")])
 
     def test_without_a_report_nothing_moves(self):
-        """Guards against hot blocks that go back because their owner's report was lost."""
+        """Guards against hot blocks that are returned because their owner's report was lost."""
         group = self.scattered()
-        self.assertEqual(gathered(group, {"a:1": report("a", 0.3)}), group)
+        self.assertEqual(consolidated(group, {"a:1": report("a", 0.3)}), group)
 
     def test_neighbours_are_joined(self):
-        """Guards against grants that stay apart after the keys came back."""
+        """Guards against separate grants that remain after blocks were returned to their owner."""
         group = self.scattered()
         back = [
-            replace(found, owner="a:1") if found.epoch == 5 else found for found in group.ranges
+            replace(key_range, owner="a:1") if key_range.epoch == 5 else key_range
+            for key_range in group.ranges
         ]
         joined_again = moves.compacted(replace(group, ranges=tuple(back)))
         self.assertEqual(len(joined_again.ranges), 3)
