--- a/tests/services/groups_for_tests.py
+++ b/tests/services/groups_for_tests.py
@@ -54,7 +54,9 @@
     return replace(group, shards=shards)
 
 
-def settle_rounds(group: Group, load: GroupLoad, rounds: int, found: Entry | None = None) -> Group:
+def run_rebalance_rounds(
+    group: Group, load: GroupLoad, rounds: int, found: Entry | None = None
+) -> Group:
     for _ in range(rounds):
         group = settled(BoundedLoadPolicy().rebalance(group, load, found or entry()))
     return group
--- a/tests/services/test_placement.py
+++ b/tests/services/test_placement.py
@@ -26,7 +26,7 @@
     member,
     owners,
     placed,
-    settle_rounds,
+    run_rebalance_rounds,
     settled,
 )
 
@@ -63,7 +63,7 @@
     def test_loss_leaves_nothing_at_lost_members(self, count, lost_count, before, during):
         """Guards against shards that a lost member keeps, or whose epoch does not rise."""
         group = placed(*(member(name) for name in _NAMES[:count]))
-        group = settle_rounds(group, before, 2)
+        group = run_rebalance_rounds(group, before, 2)
         group = BoundedLoadPolicy().rebalance(group, during, entry())
         lost = frozenset(f"{name}:1" for name in _NAMES[: min(lost_count, count)])
         after = BoundedLoadPolicy().assign(group, lost, during, entry())
@@ -98,7 +98,7 @@
         """Guards against a division by zero, and a pile-up, where nothing was measured."""
         group = placed(member("a"))
         group = joined(group, member("b"), member("c", slots=12))
-        found = counts(settle_rounds(group, GroupLoad(), 6))
+        found = counts(run_rebalance_rounds(group, GroupLoad(), 6))
         self.assertAlmostEqual(found["c:1"], SHARDS / 2, delta=3)
         self.assertAlmostEqual(found["a:1"], SHARDS / 4, delta=3)
 
@@ -109,7 +109,7 @@
         for weight, goal in ((Weight.UNAVAILABILITY, 1.10), (Weight.CHURN, 1.21)):
             with self.subTest(weight=weight):
                 group = placed(*(member(name) for name in "abcd"))
-                group = settle_rounds(group, load, 20, entry(weight))
+                group = run_rebalance_rounds(group, load, 20, entry(weight))
                 self.assertLess(imbalance(group, load), goal)
                 rested = BoundedLoadPolicy().rebalance(group, load, entry(weight))
                 self.assertEqual(rested, group)
@@ -119,7 +119,7 @@
         group = placed(*(member(name) for name in "abcd"))
         load = GroupLoad(dict.fromkeys(range(SHARDS), 0.05))
         for weight in Weight:
-            rested = settle_rounds(group, load, 20, entry(weight))
+            rested = run_rebalance_rounds(group, load, 20, entry(weight))
             noisy = GroupLoad(
                 {shard: 0.05 + 0.002 * (shard % 3) for shard in range(SHARDS)}, {}, {}
             )
@@ -142,16 +142,16 @@
 
     def test_join_moves_only_to_the_new_member(self):
         """Guards against shards that move between members that were there before."""
-        group = settle_rounds(placed(*(member(name) for name in "abcdefg")), GroupLoad(), 5)
+        group = run_rebalance_rounds(placed(*(member(name) for name in "abcdefg")), GroupLoad(), 5)
         load = GroupLoad(dict.fromkeys(range(SHARDS), 0.05))
-        after = settle_rounds(joined(group, member("h")), load, 20)
+        after = run_rebalance_rounds(joined(group, member("h")), load, 20)
         moved = [new for old, new in zip(owners(group), owners(after), strict=True) if old != new]
         self.assertEqual(set(moved), {"h:1"})
         self.assertAlmostEqual(len(moved), SHARDS / 8, delta=2)
 
     def test_leave_moves_only_shards_of_the_lost_member(self):
         """Guards against a loss that reshuffles the shards of others."""
-        group = settle_rounds(placed(*(member(name) for name in "abcdefg")), GroupLoad(), 5)
+        group = run_rebalance_rounds(placed(*(member(name) for name in "abcdefg")), GroupLoad(), 5)
         after = BoundedLoadPolicy().assign(group, frozenset({"c:1"}), GroupLoad(), entry())
         for old, new in zip(owners(group), owners(after), strict=True):
             self.assertTrue(old == new or old == "c:1")
@@ -160,9 +160,11 @@
 
     def test_returning_server_gets_its_shards_back(self):
         """Guards against a restart that reshuffles keys among all servers."""
-        group = settle_rounds(placed(*(member(name) for name in "abcdefgh")), GroupLoad(), 5)
+        group = run_rebalance_rounds(
+            placed(*(member(name) for name in "abcdefgh")), GroupLoad(), 5
+        )
         without = BoundedLoadPolicy().assign(group, frozenset({"c:1"}), GroupLoad(), entry())
-        after = settle_rounds(joined(without, member("c", incarnation=2)), GroupLoad(), 20)
+        after = run_rebalance_rounds(joined(without, member("c", incarnation=2)), GroupLoad(), 20)
         had = {shard for shard, owner in enumerate(owners(group)) if owner == "c:1"}
         has = {shard for shard, owner in enumerate(owners(after)) if owner == "c:2"}
         self.assertGreaterEqual(len(had & has), len(had) // 2)
@@ -177,16 +179,16 @@
 
     def test_cold_member_is_filled_slowly(self):
         """Guards against a cold server that gets its whole share at once."""
-        group = settle_rounds(placed(*(member(name) for name in "abc")), GroupLoad(), 5)
+        group = run_rebalance_rounds(placed(*(member(name) for name in "abc")), GroupLoad(), 5)
         group = joined(group, member("d"))
         work = dict.fromkeys(range(SHARDS), 0.05)
         reported = {f"{name}:1": 1.0 for name in "abc"}
         cold = GroupLoad(work, {}, reported | {"d:1": 0.25})
         warm = GroupLoad(work, {}, reported | {"d:1": 1.0})
-        partly = settle_rounds(group, cold, 20)
+        partly = run_rebalance_rounds(group, cold, 20)
         self.assertAlmostEqual(counts(partly)["d:1"], SHARDS / 16, delta=1)
-        self.assertAlmostEqual(counts(settle_rounds(partly, warm, 20))["d:1"], 16, delta=2)
-        dipped = settle_rounds(settle_rounds(partly, warm, 20), cold, 5)
+        self.assertAlmostEqual(counts(run_rebalance_rounds(partly, warm, 20))["d:1"], 16, delta=2)
+        dipped = run_rebalance_rounds(run_rebalance_rounds(partly, warm, 20), cold, 5)
         self.assertAlmostEqual(counts(dipped)["d:1"], 16, delta=2)
 
     def test_more_members_than_shards(self):
@@ -194,9 +196,9 @@
         group = Group("depot", 0, 4, {}, (Shard(),) * 4)
         group = joined(group, *(member(name) for name in _NAMES))
         group = BoundedLoadPolicy().assign(group, frozenset(), GroupLoad(), entry())
-        rested = settle_rounds(group, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
+        rested = run_rebalance_rounds(group, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
         self.assertEqual(len(set(rested.shards[i].owner for i in range(4))), 4)
-        again = settle_rounds(rested, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
+        again = run_rebalance_rounds(rested, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
         self.assertEqual(again, rested)
 
     def test_loss_of_a_server_without_grants_holds_the_shard(self):
@@ -212,7 +214,7 @@
 
     def setUp(self):
         members = (member(name) for name in "abcd")
-        self.group = settle_rounds(placed(*members), GroupLoad(), 5)
+        self.group = run_rebalance_rounds(placed(*members), GroupLoad(), 5)
         self.work = dict.fromkeys(range(SHARDS), 0.05)
 
     def _hot(self, group: Group, key: str, work: float, more: dict[int, float]) -> GroupLoad:
@@ -236,7 +238,7 @@
         group = BoundedLoadPolicy().rebalance(
             self.group, self._hot(self.group, "viral", 1.0, {}), entry()
         )
-        rested = settle_rounds(group, GroupLoad(self.work), 10)
+        rested = run_rebalance_rounds(group, GroupLoad(self.work), 10)
         self.assertEqual(rested.exceptions, group.exceptions)
 
     def test_full_table_makes_room_by_steps(self):
