--- a/tests/services/groups_for_tests.py
+++ b/tests/services/groups_for_tests.py
@@ -1,4 +1,4 @@
-"""Groups and invariants for the tests of placement."""
+"""Groups for tests, and a check of placement decisions against the invariants of a group."""
 
 from __future__ import annotations
 
@@ -35,18 +35,18 @@
 
 
 def joined(group: Group, *members: Member) -> Group:
-    added = {found.id: found for found in members}
+    added = {new_member.id: new_member for new_member in members}
     return replace(group, members={**group.members, **added})
 
 
 def placed(*members: Member) -> Group:
-    """Returns a group whose shards are placed on the members."""
+    """Returns a group whose shards are assigned to the members."""
     group = joined(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), *members)
     return BoundedLoadPolicy().assign(group, frozenset(), GroupLoad(), entry())
 
 
 def settled(group: Group) -> Group:
-    """Ends all handovers as their successors do."""
+    """Completes all handovers: each successor becomes the owner at the next epoch."""
     shards = tuple(
         Shard(shard.successor, shard.epoch + 1) if shard.successor else shard
         for shard in group.shards
@@ -55,10 +55,10 @@
 
 
 def run_rebalance_rounds(
-    group: Group, load: GroupLoad, rounds: int, found: Entry | None = None
+    group: Group, load: GroupLoad, rounds: int, custom_entry: Entry | None = None
 ) -> Group:
     for _ in range(rounds):
-        group = settled(BoundedLoadPolicy().rebalance(group, load, found or entry()))
+        group = settled(BoundedLoadPolicy().rebalance(group, load, custom_entry or entry()))
     return group
 
 
@@ -67,39 +67,43 @@
 
 
 def counts(group: Group) -> dict[str, int]:
-    return {found: owners(group).count(found) for found in group.members}
+    return {member_id: owners(group).count(member_id) for member_id in group.members}
 
 
 def faults(before: Group, after: Group) -> list[str]:
-    """Returns what a placement decision must not have done."""
-    found = []
+    """Returns the invariants that a placement decision has violated, as descriptions."""
+    violations = []
     if len(after.exceptions) > MAX_EXCEPTIONS:
-        found.append("too many exceptions")
+        violations.append("too many exceptions")
     if len(set(after.exceptions.values())) < len(after.exceptions):
-        found.append("two keys share an exception shard")
-    for shard_id, new in enumerate(after.shards):
-        old = before.shards[shard_id] if shard_id < len(before.shards) else Shard()
-        if new.epoch < old.epoch:
-            found.append(f"epoch of {shard_id} fell")
-        if old.successor is not None and new != old:
-            found.append(f"{shard_id} changed during its handover")
-        if new.owner not in (None, old.owner) and new.epoch <= old.epoch:
-            found.append(f"{shard_id} changed owner at the same epoch")
-        if new.successor is not None and new.successor not in after.members:
-            found.append(f"successor of {shard_id} is no member")
+        violations.append("two keys share an exception shard")
+    for shard_id, new_shard in enumerate(after.shards):
+        old_shard = before.shards[shard_id] if shard_id < len(before.shards) else Shard()
+        if new_shard.epoch < old_shard.epoch:
+            violations.append(f"epoch of {shard_id} decreased")
+        if old_shard.successor is not None and new_shard != old_shard:
+            violations.append(f"{shard_id} changed during its handover")
+        if new_shard.owner not in (None, old_shard.owner) and new_shard.epoch <= old_shard.epoch:
+            violations.append(f"{shard_id} changed owner at the same epoch")
+        if new_shard.successor is not None and new_shard.successor not in after.members:
+            violations.append(f"successor of {shard_id} is not a member")
     for key, shard_id in after.exceptions.items():
-        parent = after.shards[key_hash(key) % after.shard_count]
+        hash_shard = after.shards[key_hash(key) % after.shard_count]
         if key not in before.exceptions:
-            if after.shards[shard_id].owner != parent.owner:
-                found.append(f"{key} changed owner without a handover")
-            if after.shards[shard_id].epoch <= parent.epoch:
-                found.append(f"epoch of {key} is not above that of its hash shard")
+            if after.shards[shard_id].owner != hash_shard.owner:
+                violations.append(f"{key} changed owner without a handover")
+            if after.shards[shard_id].epoch <= hash_shard.epoch:
+                violations.append(f"epoch of {key} is not above that of its hash shard")
     for key, shard_id in before.exceptions.items():
         if key in after.exceptions:
             continue
-        parent_id = key_hash(key) % after.shard_count
-        if before.shards[shard_id].owner != before.shards[parent_id].owner:
-            found.append(f"{key} was dissolved at another owner")
-        if after.shards[parent_id].epoch <= before.shards[shard_id].epoch:
-            found.append(f"epoch of the hash shard of {key} did not rise above the exception")
-    return found
+        hash_shard_id = key_hash(key) % after.shard_count
+        if before.shards[shard_id].owner != before.shards[hash_shard_id].owner:
+            violations.append(
+                f"exception of {key} was removed at another owner than that of its hash shard"
+            )
+        if after.shards[hash_shard_id].epoch <= before.shards[shard_id].epoch:
+            violations.append(
+                f"epoch of the hash shard of {key} is not above that of the exception"
+            )
+    return violations
