--- a/fescueward/services/announcements.py
+++ b/fescueward/services/announcements.py
@@ -1,4 +1,4 @@
-"""HTTP listener for the announcements of the upstream on this VM."""
+"""HTTP endpoint for the announcements of the upstream on this VM."""
 
 from __future__ import annotations
 
@@ -11,15 +11,18 @@
 from ..messages import Announcement
 from ..messages.codec import decode_json
 
-_BAD_ANNOUNCEMENT = Event(
-    2402, "announcement_refused", Level.WARNING, "An announcement had a bad value."
+_ANNOUNCEMENT_REFUSED = Event(
+    2402,
+    "announcement_refused",
+    Level.WARNING,
+    "An announcement was malformed or had an invalid value.",
 )
 
 _MAX_ANNOUNCEMENT_BYTES = 16_384
 
 
 class HttpAnnouncements:
-    """The `announcements` service."""
+    """The `announcements` service: passes announcements of the upstream to `membership`."""
 
     name = "announcements"
     requires = ("membership",)
@@ -28,12 +31,12 @@
         self._runner: web.AppRunner | None = None
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the `membership` service and reads the address from the settings."""
         self._membership = registry.find("membership", Membership)
         self._section = registry.find("settings", Settings).announcements
 
     async def start(self) -> None:
-        """Listens for announcements."""
+        """Starts the HTTP listener."""
         app = web.Application(client_max_size=_MAX_ANNOUNCEMENT_BYTES)
         app.router.add_post("/announcements", self._on_post)
         self._runner = web.AppRunner(app, access_log=None)
@@ -41,7 +44,7 @@
         await web.TCPSite(self._runner, self._section.host, self._section.port).start()
 
     async def stop(self) -> None:
-        """Stops listening."""
+        """Stops the HTTP listener and closes its connections."""
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -49,8 +52,8 @@
         try:
             self._membership.announce(decode_json(await request.read(), Announcement))
         except (MalformedMessageError, InvalidAnnouncementError) as error:
-            _BAD_ANNOUNCEMENT.emit(error=error)
-            refused = InvalidAnnouncementError(str(error))
-            body = {"code": refused.code, "label": refused.label, "message": str(error)}
+            _ANNOUNCEMENT_REFUSED.emit(error=error)
+            invalid = InvalidAnnouncementError(str(error))
+            body = {"code": invalid.code, "label": invalid.label, "message": str(error)}
             return web.json_response({"error": body}, status=400)
         return web.json_response({"accepted": True, "member": self._membership.member_id})
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -22,16 +22,16 @@
 from ..kernel.http_client import bounded_session
 from ..kernel.settings import Settings
 
-# A watch is answered at the end of its wait at the latest; the rest is for the way there and back.
+# The platform responds to a watch by the end of its wait; the slack allows for the round trip.
 _WATCH_SLACK_S = 2.0
-# Beyond the length of a watch: its slack, and the pause before the next one.
+# A failed call indicates an outage for the wait of a watch plus this time: the slack above and the
+# pause before the next watch.
 _FAILURE_SLACK_S = _WATCH_SLACK_S + 3.0
 
-_CONNECTIONS = 100
-# Time for which an idle connection is kept, in seconds.
+_MAX_CONNECTIONS = 100
 _KEEPALIVE_S = 15.0
 
-# uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
+# uvloop raises RuntimeError for a write to a connection that closed while the process was paused.
 _CALL_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, RuntimeError)
 
 
@@ -50,15 +50,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Written:
+class _WriteResult:
     version: int
 
 
 class HttpPlatform:
     """The `platform` service.
 
-    Every call is bounded by the timeout of the settings. A write whose connection was made but
-    whose response did not arrive raises `OutcomeUnknownError`.
+    Reads and writes are bounded by the timeout of the settings, and a watch by its wait and a
+    slack. A write without a response on an established connection raises `OutcomeUnknownError`.
     """
 
     name = "platform"
@@ -69,35 +69,35 @@
 
     @property
     def available(self) -> bool:
-        """Whether the last call was answered."""
+        """Whether the last call got a response other than a server error."""
         return self._availability.available
 
     @property
     def unavailable_since(self) -> float | None:
-        """When calls began to fail; see `PlatformAvailability.unavailable_since`."""
+        """Time since which calls fail, or None; see `PlatformAvailability.unavailable_since`."""
         return self._availability.unavailable_since
 
     def bind(self, registry: Registry) -> None:
-        """Takes the URL and the timeouts from the settings."""
+        """Reads the URL, the timeouts and the response limit from the settings."""
         clock = registry.find("clock", Clock)
         section = registry.find("settings", Settings).platform
         self._url = section.url
         self._timeout_s = section.timeout_ms / 1000
-        self._answer_bytes = section.max_answer_bytes
-        longest_call_s = section.watch_ms / 1000 + _FAILURE_SLACK_S
-        self._availability = PlatformAvailability(clock, self._url, longest_call_s)
+        self._max_response_bytes = section.max_answer_bytes
+        max_failure_age_s = section.watch_ms / 1000 + _FAILURE_SLACK_S
+        self._availability = PlatformAvailability(clock, self._url, max_failure_age_s)
 
     async def start(self) -> None:
-        """Opens the client session."""
+        """Opens the HTTP client session."""
         self._session = bounded_session(
-            self._answer_bytes,
-            connections=_CONNECTIONS,
+            self._max_response_bytes,
+            connections=_MAX_CONNECTIONS,
             keepalive_s=_KEEPALIVE_S,
             skip_auto_headers=("Accept-Encoding",),
         )
 
     async def stop(self) -> None:
-        """Closes the client session."""
+        """Closes the HTTP client session and its connections."""
         if self._session is not None:
             await self._session.close()
 
@@ -111,15 +111,15 @@
         return _stored(_decode(data, _Envelope))
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
-        """Writes an object; see `Platform.put`."""
+        """Writes an object with a condition on its version; see `Platform.put`."""
         return await self._write("PUT", key, value, expected_version)
 
     async def delete(self, key: str, expected_version: int) -> int:
-        """Deletes an object; see `Platform.delete`."""
+        """Deletes an object with a condition on its version; see `Platform.delete`."""
         return await self._write("DELETE", key, None, expected_version)
 
     async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
-        """Waits for changes; see `Platform.watch`."""
+        """Waits for changes of objects under key prefixes; see `Platform.watch`."""
         query = {"prefix": list(prefixes), "since": str(since), "wait_ms": str(int(wait_s * 1000))}
         status, data = await self._read("/objects", query, wait_s + _WATCH_SLACK_S)
         if status != 200:
@@ -131,40 +131,44 @@
         assert self._session is not None
         timeout = aiohttp.ClientTimeout(total=timeout_s, connect=self._timeout_s)
         try:
-            async with self._session.get(self._url + path, params=query, timeout=timeout) as got:
-                data = await got.read()
+            async with self._session.get(
+                self._url + path, params=query, timeout=timeout
+            ) as response:
+                data = await response.read()
         except _CALL_FAILURES as error:
             self._availability.note(False)
             raise PlatformUnavailableError(f"reading {path}: {_describe(error)}") from error
-        self._availability.note(got.status < 500)
-        return got.status, data
+        self._availability.note(response.status < 500)
+        return response.status, data
 
-    async def _write(self, method: str, key: str, value: bytes | None, expected: int) -> int:
+    async def _write(
+        self, method: str, key: str, value: bytes | None, expected_version: int
+    ) -> int:
         assert self._session is not None
         timeout = aiohttp.ClientTimeout(total=self._timeout_s)
-        headers = {"If-Match": str(expected), "Content-Type": "application/json"}
+        headers = {"If-Match": str(expected_version), "Content-Type": "application/json"}
         try:
             async with self._session.request(
                 method, f"{self._url}/objects/{key}", data=value, headers=headers, timeout=timeout
-            ) as got:
-                data = await got.read()
+            ) as response:
+                data = await response.read()
         except aiohttp.ClientConnectorError as error:
             self._availability.note(False)
             raise PlatformUnavailableError(f"writing {key!r}: {_describe(error)}") from error
         except _CALL_FAILURES as error:
             self._availability.note(False)
             raise OutcomeUnknownError(f"writing {key!r}: {_describe(error)}") from error
-        self._availability.note(got.status < 500)
-        if got.status == 409:
-            version = _decode(data, _Written).version
+        self._availability.note(response.status < 500)
+        if response.status == 409:
+            version = _decode(data, _WriteResult).version
             raise VersionConflictError(f"{key!r} is at version {version}", version=version)
-        if got.status == 503:
+        if response.status == 503:
             raise PlatformUnavailableError(f"writing {key!r}: HTTP status 503")
-        if got.status >= 500:
-            raise OutcomeUnknownError(f"writing {key!r}: HTTP status {got.status}")
-        if got.status != 200:
-            raise PlatformAnswerError(f"writing {key!r}: HTTP status {got.status}")
-        return _decode(data, _Written).version
+        if response.status >= 500:
+            raise OutcomeUnknownError(f"writing {key!r}: HTTP status {response.status}")
+        if response.status != 200:
+            raise PlatformAnswerError(f"writing {key!r}: HTTP status {response.status}")
+        return _decode(data, _WriteResult).version
 
 
 def _stored(envelope: _Envelope) -> StoredObject:
@@ -176,7 +180,7 @@
     try:
         return msgspec.json.decode(data, type=kind)
     except msgspec.DecodeError as error:
-        raise PlatformAnswerError(f"bad answer of the platform: {error}") from error
+        raise PlatformAnswerError(f"malformed response of the platform: {error}") from error
 
 
 def _describe(error: BaseException) -> str:
--- a/tests/services/test_platform.py
+++ b/tests/services/test_platform.py
@@ -1,4 +1,4 @@
-"""Tests of the platform client against the stand-in."""
+"""Tests of the platform client against the platform stand-in."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
         self.addAsyncCleanup(self.platform.stop)
 
     async def test_lost_response_on_a_reused_connection_is_unknown(self):
-        """Guards against a write that took effect and is reported as a conflict."""
+        """Guards against a write that took effect but is reported as a conflict."""
         version = await self.platform.put("a/b", b'{"x": 1}', 0)
         self.stand_in.set_faults(Faults(lose_responses=1))
         with self.assertRaises(OutcomeUnknownError):
@@ -39,8 +39,8 @@
         stored = await self.platform.get("a/b")
         self.assertEqual((stored.value, stored.version > version), (b'{"x":2}', True))
 
-    async def test_conflict_tells_the_present_version(self):
-        """Guards against edits that overwrite newer ones."""
+    async def test_conflict_reports_current_version(self):
+        """Guards against writes that overwrite newer versions."""
         version = await self.platform.put("a", b"1", 0)
         for expected in (0, version + 1):
             with self.assertRaises(VersionConflictError) as caught:
@@ -48,7 +48,7 @@
             self.assertEqual(caught.exception.version, version)
 
     async def test_outage_is_typed_and_bounded(self):
-        """Guards against calls that hang or end in an untyped error during an outage."""
+        """Guards against calls that hang or raise an uncoded error during an outage."""
         with self.assertRaises(ObjectNotFoundError):
             await self.platform.get("none")
         for faults in (Faults(mode=Mode.DOWN), Faults(mode=Mode.HANG)):
@@ -59,7 +59,7 @@
         self.assertEqual((await self.platform.watch(("a",), 0, 0)).objects, ())
 
     async def test_answers_without_end(self):
-        """Guards against an answer without end that fills the memory until the timeout."""
+        """Guards against an endless response that fills the memory until the timeout."""
 
         async def start(section: PlatformSection) -> HttpPlatform:
             client = HttpPlatform()
