Reword remaining texts of services/groups and services/keyspace

_updates and _CHANGED did not name the tasks and the event, and the reason of the fetch delay needed a second reading.

--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -35,7 +35,7 @@
 from .edits import GroupEdits
 from .relay import GroupRelay, build_configuration_publish, build_publish
 
-_CHANGED = Event(2201, "group_changed", Level.INFO, "A newer version of a group was cached.")
+_GROUP_CHANGED = Event(2201, "group_changed", Level.INFO, "A newer version of a group was cached.")
 _WATCH_STARTED = Event(
     2202, "watch_started", Level.INFO, "This agent started to watch the platform."
 )
@@ -61,8 +61,8 @@
 # Three status periods. A watcher without a status for longer is replaced by the next member.
 _WATCH_STATUS_TIMEOUT_S = 3.0
 # A version that another member reports is usually already being published to this agent, so it is
-# fetched only after this delay. If the message was lost, the delay still has to leave time for a
-# configuration, whose propagation may take 2.5 s in all.
+# fetched only after this delay. The delay is short because a lost message must not hold up a
+# configuration, which may take 2.5 s in total to propagate.
 _FETCH_DELAY_S = 0.2
 # Number of earlier states of this agent that are recognised. A member that reports one of them is
 # behind and fetches the newer objects itself.
@@ -92,7 +92,7 @@
         self._views: dict[GroupId, VersionedGroup] = {}
         self._listeners: list[GroupListener] = []
         self._waiters: dict[GroupId, asyncio.Event] = {}
-        self._updates: dict[GroupId, asyncio.Task[None]] = {}
+        self._update_tasks: dict[GroupId, asyncio.Task[None]] = {}
         self._watch_status_at: dict[str, float] = {}
         self._watch_healthy = False
         self._loaded_prefixes: set[str] = set()
@@ -171,11 +171,11 @@
 
     async def update(self, group: GroupId) -> None:
         """Requests a newer version of a group; concurrent calls share one attempt."""
-        task = self._updates.get(group)
+        task = self._update_tasks.get(group)
         if task is None:
             task = self._tasks.spawn(f"update {group}", self._update_once(group))
-            self._updates[group] = task
-            task.add_done_callback(lambda _: self._updates.pop(group, None))
+            self._update_tasks[group] = task
+            task.add_done_callback(lambda _: self._update_tasks.pop(group, None))
         await asyncio.shield(task)
 
     async def write(self, base: VersionedGroup, group: Group) -> VersionedGroup:
@@ -209,7 +209,9 @@
         ):
             # Watchers send their status to members only, so this agent could not get one before.
             self._status_expected_since = self._clock.now()
-        _CHANGED.emit(group=group_id, version=group.version, members=len(group.group.members))
+        _GROUP_CHANGED.emit(
+            group=group_id, version=group.version, members=len(group.group.members)
+        )
         for listener in self._listeners:
             listener.group_changed(group)
         if self._fleet_wide and self._is_first_watcher():
--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -126,7 +126,7 @@
         tokens = await asyncio.gather(
             *(self._release_range(key_range, grants_end) for key_range in leaving_ranges)
         )
-        await self._wait_for_unconfirmed_grants(leaving_ranges)
+        await self._wait_until_unconfirmed_grants_end(leaving_ranges)
         return dict(zip(map(range_id, leaving_ranges), tokens, strict=True))
 
     async def _record_through_planner(
@@ -203,7 +203,7 @@
             group=home, version=written.version, owner=message.owner_id, ranges=len(released)
         )
 
-    async def _wait_for_unconfirmed_grants(self, leaving_ranges: list[KeyRange]) -> None:
+    async def _wait_until_unconfirmed_grants_end(self, leaving_ranges: list[KeyRange]) -> None:
         now = self._clock.now()
         self._unconfirmed_grants = [
             (granted_range, end) for granted_range, end in self._unconfirmed_grants if end > now
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -151,7 +151,7 @@
             self._raise_unless_pending(key_number)
             remaining_s = wait_until - self._clock.now()
             if remaining_s <= 0:
-                raise ShardMovingError(f"key {key} is not active here yet")
+                raise ShardMovingError(f"key {key} is not active on this agent yet")
             state_changed = self._state_changed
             with suppress(TimeoutError):
                 async with asyncio.timeout(remaining_s):
