--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -418,7 +418,7 @@
 
     def _on_watch_status(self, sender: str, message: WatchStatus) -> None:
         if message.member_id != sender:
-            # The watcher knows an earlier incarnation of this agent and connected by its address.
+            # The watcher has an earlier incarnation of this agent and connected by its address.
             if self._fleet_wide and message.versions != self.versions():
                 self._peers.reply(sender, Fetch(objects=self._object_versions()))
             return
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -77,7 +77,7 @@
         return GroupLoad(complete=False)
 
     def restore(self, work: dict[int, float], hot_keys: dict[str, float]) -> None:
-        """Restores nothing: the work is measured anew within seconds."""
+        """Restores nothing: the work is measured again within seconds."""
 
     def reports(self) -> dict[str, RangeLoad]:
         """Returns the reports that are not stale, by member id, and drops the others."""
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -40,7 +40,7 @@
 _HOLD_MARGIN_S = 0.03
 # A shorter grant would expire before it is useful.
 _MIN_HOLD_S = 0.1
-# Time for which a request waits while the range of its key is activated here.
+# Time for which a request waits while the range of its key is activated on this agent.
 _ACTIVATION_TIMEOUT_S = 0.4
 # A grant is renewed once its remaining time is below this fraction of the lease period, which
 # leaves time for two attempts.
