--- a/tests/services/test_administration.py
+++ b/tests/services/test_administration.py
@@ -221,7 +221,7 @@
         _, read = await self.call("GET", "/v1/entries/depot")
         self.assertEqual(read, created)
         self.fake.platform.down = False
-        self.fake.platform.lose_answers = True
+        self.fake.platform.lose_responses = True
         status, read_back = await self.put(DEPOT | {"owner": "read-back"}, version)
         self.assertEqual((status, read_back["entry"]["owner"]), (200, "read-back"))
         self.fake.platform.down_after_loss = True
--- a/tests/services/test_shutdown.py
+++ b/tests/services/test_shutdown.py
@@ -33,7 +33,7 @@
         """Guards against requests that are lost when the process ends, and needless refusals."""
         self.kernel.request_stop()
         self.shutdown.check(self.clock.now() + 3600)
-        await asyncio.sleep(BOUNDS.take_until_s)
+        await asyncio.sleep(BOUNDS.accept_until_s)
         self.assertIs(self.shutdown.phase, ShutdownPhase.FINISHING)
         remaining_s = BOUNDS.finish_until_s - self.kernel.stopping_s
         self.shutdown.check(self.clock.now() + remaining_s - 0.1)
@@ -45,13 +45,13 @@
         """Guards against a stop that waits for its whole grace time without a request."""
         self.kernel.request_stop()
         await self.shutdown.drain()
-        self.assertGreaterEqual(self.kernel.stopping_s, BOUNDS.take_until_s)
+        self.assertGreaterEqual(self.kernel.stopping_s, BOUNDS.accept_until_s)
         self.assertLess(self.kernel.stopping_s, BOUNDS.finish_until_s)
 
     def test_taking_phase_ends_within_three_seconds(self):
         """Guards against a long taking phase: a request cut 3 s after the stop is a failure."""
-        self.assertLess(Bounds(grace_s=20.0).take_until_s, 3.0)
-        self.assertLess(Bounds(grace_s=6.0).take_until_s, 3.0)
+        self.assertLess(Bounds(grace_s=20.0).accept_until_s, 3.0)
+        self.assertLess(Bounds(grace_s=6.0).accept_until_s, 3.0)
 
     async def test_late_drain_keeps_to_the_same_end(self):
         """Guards against phases that are measured from the end of the previous phase."""
