--- a/fescueward/services/promises.py
+++ b/fescueward/services/promises.py
@@ -1,4 +1,4 @@
-"""Promises of monitors that a takeover needs, asked for one version of a group."""
+"""Promises of other monitors that a takeover needs, requested for one version of a group."""
 
 from __future__ import annotations
 
@@ -10,80 +10,95 @@
 from ..messages import Member, VersionedGroup
 from ..messages.peer import Promise, PromiseQuery, PromiseRelease
 
-_NOT_PROMISED = Event(2607, "promise_missing", Level.INFO, "A monitor gave no promise.")
+_PROMISE_MISSING = Event(
+    2607, "promise_missing", Level.INFO, "A monitor did not respond to a promise query."
+)
 
-# Longest wait for a promise; the timeout of a call ends it before.
-_QUERY_LIMIT_S = 60.0
+# Longest wait for a newer group version beside a query; the timeout of the call ends it earlier.
+_NEWER_VERSION_WAIT_S = 60.0
 
 
 class PromiseRound:
-    """The queries of one takeover attempt, conditional on the version of `base`."""
+    """Promise queries of one takeover attempt.
 
-    def __init__(self, groups: Groups, peers: Peers, base: VersionedGroup, asker: str) -> None:
+    Args:
+        groups: The `groups` service.
+        peers: The `peers` service.
+        base: Group version that the takeover is conditional on.
+        requester_id: Member id of this agent, which needs no promise of its own.
+    """
+
+    def __init__(
+        self, groups: Groups, peers: Peers, base: VersionedGroup, requester_id: str
+    ) -> None:
         self._groups = groups
         self._peers = peers
         self._base = base
-        self._asker = asker
+        self._requester_id = requester_id
         self._calls: dict[str, list[tuple[Member, int]]] = {}
 
-    async def ask(
-        self, member_ids: list[str], excused: frozenset[str] = frozenset()
+    async def request(
+        self, member_ids: list[str], exempt_ids: frozenset[str] = frozenset()
     ) -> frozenset[str]:
-        """Returns the members that all their other monitors promised.
+        """Returns the ids of the members whose other monitors all agree to a takeover.
 
         Args:
-            member_ids: Members whose monitors are asked, at the same time for all of them,
-                because each lost monitor costs the whole timeout of a call.
-            excused: Monitors that need not promise.
+            member_ids: Members to take over. Their monitors are queried concurrently, because
+                each lost monitor takes the whole timeout of a call.
+            exempt_ids: Monitors whose promise is not needed.
         """
-        answers = await asyncio.gather(
-            *(self._ask_monitors(member_id, excused) for member_id in member_ids)
+        results = await asyncio.gather(
+            *(self._request_from_monitors(member_id, exempt_ids) for member_id in member_ids)
         )
         return frozenset(
-            member_id for member_id, agrees in zip(member_ids, answers, strict=True) if agrees
+            member_id for member_id, agreed in zip(member_ids, results, strict=True) if agreed
         )
 
-    def release(self, keep: frozenset[str] = frozenset()) -> None:
-        """Withdraws the queries, but for members under which a write may take effect."""
-        for member_id, asked in self._calls.items():
-            if member_id in keep:
+    def release(self, keep_ids: frozenset[str] = frozenset()) -> None:
+        """Releases the promises, except for members that a write may still remove.
+
+        Args:
+            keep_ids: Those members.
+        """
+        for member_id, queries in self._calls.items():
+            if member_id in keep_ids:
                 continue
-            for monitor, call in asked:
+            for monitor, call in queries:
                 self._peers.send(monitor, PromiseRelease(call, member_id))
 
-    async def _ask_monitors(self, member_id: str, excused: frozenset[str]) -> bool:
+    async def _request_from_monitors(self, member_id: str, exempt_ids: frozenset[str]) -> bool:
         members = self._base.group.members
         member = members.get(member_id)
         if member is None:
             return False
-        asked = self._calls.setdefault(member_id, [])
+        queries = self._calls.setdefault(member_id, [])
         for monitor_id in member.monitors:
             monitor = members.get(monitor_id)
-            if monitor is None or monitor_id == self._asker or monitor_id in excused:
+            if monitor is None or monitor_id == self._requester_id or monitor_id in exempt_ids:
                 continue
             call = self._peers.next_call()
             home = self._base.group.id
             query = PromiseQuery(call, home.service, home.number, member_id, self._base.version)
-            asked.append((monitor, call))
+            queries.append((monitor, call))
             try:
                 reply = await self._call(monitor, query)
             except PeerError as error:
-                _NOT_PROMISED.emit(member=member_id, monitor=monitor_id, error=error)
+                _PROMISE_MISSING.emit(member=member_id, monitor=monitor_id, error=error)
                 return False
             if not isinstance(reply, Promise) or not reply.granted:
                 return False
         return True
 
     async def _call(self, monitor: Member, query: PromiseQuery) -> object:
-        # A newer version makes the attempt fail anyway.
-        newer_version = self._groups.changed(
-            self._base.group.id, self._base.version, _QUERY_LIMIT_S
+        # The attempt is conditional on the version of `base`, so a newer one ends the wait.
+        version_change = self._groups.changed(
+            self._base.group.id, self._base.version, _NEWER_VERSION_WAIT_S
         )
-        reply = asyncio.ensure_future(self._peers.call(monitor, query, query.call))
-        newer = asyncio.ensure_future(newer_version)
+        reply_task = asyncio.ensure_future(self._peers.call(monitor, query, query.call))
+        newer_task = asyncio.ensure_future(version_change)
         try:
-            await asyncio.wait((reply, newer), return_when=asyncio.FIRST_COMPLETED)
-            return await reply if reply.done() else None
+            await asyncio.wait((reply_task, newer_task), return_when=asyncio.FIRST_COMPLETED)
+            return await reply_task if reply_task.done() else None
         finally:
-            for task in (reply, newer):
+            for task in (reply_task, newer_task):
                 task.cancel()
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -39,7 +39,7 @@
             except PlatformUnavailableError:
                 self.results.append(None)
 
-        lease.renew_by_write = self.agent.monitor.check_silent = nothing
+        lease.renew_by_write = self.agent.monitor.take_over_expired = nothing
         self.fleet.world.advance(0.1)
         platform.get = get_only_second
         before = self.fleet.group().members[self.agent.member_id].stamp
--- a/tests/services/test_monitor.py
+++ b/tests/services/test_monitor.py
@@ -1,4 +1,4 @@
-"""Tests of the monitor's bars, promises and transfers, one step at a time."""
+"""Tests of the acknowledgement blocks, promises and transfers of the monitor."""
 
 from __future__ import annotations
 
@@ -24,8 +24,8 @@
     return fleet.platform.read(HOME.object_key).version
 
 
-class BarTest(unittest.TestCase):
-    """A monitor acknowledges nothing while a takeover that it agreed to can be written."""
+class AcknowledgementBlockTest(unittest.TestCase):
+    """A monitor acknowledges nothing while a takeover that it promised may be written."""
 
     def setUp(self):
         self.fleet = formed(4, 2)
@@ -36,27 +36,27 @@
         query = PromiseQuery(call, "depot", 0, self.member_id, _version(self.fleet))
         self.first.monitor._on_promise_query(sender, query)
 
-    def _barred(self) -> bool:
-        return self.member_id in self.first.monitor._bars
+    def _blocked(self) -> bool:
+        return self.member_id in self.first.monitor._blocks
 
     def test_release_of_another_monitor_with_the_same_call_number(self):
-        """Guards against call numbers of one agent that lift the bar of another."""
+        """Guards against a release by one agent that removes the block of another."""
         self.fleet.kill("a0")
         for agent in self.fleet.agents.values():
             agent.platform.answers = Answers.SILENT
         self.fleet.world.advance(1.5)
         self._promise("x:1", 7)
         self.first.monitor._on_promise_release("y:1", PromiseRelease(7, self.member_id))
-        self.assertTrue(self._barred())
+        self.assertTrue(self._blocked())
         self.first.monitor._on_promise_release("x:1", PromiseRelease(7, self.member_id))
-        self.assertFalse(self._barred())
+        self.assertFalse(self._blocked())
 
-    def test_refused_retry_keeps_the_bar_of_a_pending_write(self):
-        """Guards against a renewal after a write whose outcome is still unknown."""
+    def test_refused_retry_keeps_the_block_of_a_pending_write(self):
+        """Guards against an acknowledgement while the outcome of a takeover write is unknown."""
         self.fleet.kill("a0")
-        agreed = patch.object(PromiseRound, "ask", _agree)
-        agreed.start()
-        self.addCleanup(agreed.stop)
+        patcher = patch.object(PromiseRound, "request", _agree)
+        patcher.start()
+        self.addCleanup(patcher.stop)
         for agent in self.fleet.agents.values():
             if agent is not self.first:
                 agent.platform.answers = Answers.REFUSED
@@ -74,7 +74,7 @@
         self.first.platform.put = put_late_then_never
         self.fleet.world.advance(3.5)
         self.assertIn(Answers.REFUSED, writes)
-        self.assertTrue(self._barred())
+        self.assertTrue(self._blocked())
 
     def test_renewal_for_another_member_is_not_granted(self):
         """Guards against a member that renews the lease of another."""
@@ -89,36 +89,39 @@
 
 class TransferTest(unittest.TestCase):
     def test_outage_during_a_transfer_ends_no_lease(self):
-        """Guards against a member that loses both monitors to transfers of unknown outcome."""
-        transfers = 0
-        for order in range(6):
-            with self.subTest(order=order):
-                random.seed(order)
+        """Guards against a member that loses both monitors to transfers with unknown outcomes."""
+        transfer_count = 0
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                random.seed(seed)
                 fleet = Fleet()
-                started = []
+                outage_starts_s = []
 
                 def begin_outage(
-                    group: object, monitor_id: str, fleet: Fleet = fleet, started: list = started
+                    group: object,
+                    monitor_id: str,
+                    fleet: Fleet = fleet,
+                    outage_starts_s: list = outage_starts_s,
                 ) -> object:
-                    changed, given = transfer_monitored(group, monitor_id)
-                    if given and fleet.world.now > 1:
-                        started.append(fleet.world.now)
+                    changed, transferred_ids = transfer_monitored(group, monitor_id)
+                    if transferred_ids and fleet.world.now > 1:
+                        outage_starts_s.append(fleet.world.now)
                         for agent in fleet.agents.values():
                             agent.platform.write_answers = Answers.LATE
-                    return changed, given
+                    return changed, transferred_ids
 
                 with patch("fescueward.services.monitor.transfer_monitored", begin_outage):
                     for number in range(6):
                         fleet.start(f"a{number}", f"d{number % 3}")
-                        # Members that are recorded together have well placed monitors at once.
+                        # Members that one write adds have well placed monitors from the start.
                         fleet.world.advance(0.15)
-                    while not started and fleet.world.now < 10:
+                    while not outage_starts_s and fleet.world.now < 10:
                         fleet.world.advance(0.1)
-                    if not started:
+                    if not outage_starts_s:
                         continue
-                    transfers += 1
+                    transfer_count += 1
                     for _ in range(60):
                         fleet.world.advance(0.1)
                         held = {name: agent.lease.held for name, agent in fleet.agents.items()}
                         self.assertTrue(all(held.values()), held)
-        self.assertGreater(transfers, 2)
+        self.assertGreater(transfer_count, 2)
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -16,7 +16,7 @@
 from fescueward.messages import VersionedGroup
 from fescueward.messages.peer import PromiseQuery, RenewAck
 from fescueward.services.lease import MonitoredLease
-from fescueward.services.monitor import LeaseMonitor, _Bar
+from fescueward.services.monitor import LeaseMonitor, _AcknowledgementBlock
 from fescueward.services.ownership import ShardOwnership
 
 from .fleet import Fleet, SafetyError
@@ -30,8 +30,8 @@
 class _AcknowledgesWithoutLease(LeaseMonitor):
     def _may_acknowledge(self, member_id: str) -> bool:
         return (
-            member_id in self._watched
-            and member_id not in self._bars
+            member_id in self._monitored
+            and member_id not in self._blocks
             and not self._membership.resigned
         )
 
@@ -39,41 +39,45 @@
 class _AsksNoPromise(LeaseMonitor):
     async def _take_over(self, home: Any, base: VersionedGroup, silent: list[str]) -> bool:
         lost = frozenset(silent) & base.group.members.keys()
-        return bool(lost) and await self._write(base, lost, _Bar(base.version, "", 0))
+        return bool(lost) and await self._write(
+            base, lost, _AcknowledgementBlock(base.version, "", 0)
+        )
 
 
 class _IgnoresStamps(LeaseMonitor):
-    def _is_silent(self, member_id: str) -> bool:
-        watched = self._watched.get(member_id)
+    def _lease_has_ended(self, member_id: str) -> bool:
+        watched = self._monitored.get(member_id)
         if watched is None:
             return False
-        last = max(watched.since, watched.acknowledged_at)
-        return last + self._wait_s < self._clock.now()
+        last = max(watched.waiting_since, watched.acknowledged_at)
+        return last + self._takeover_wait_s < self._clock.now()
 
 
 class _KeepsWaitWhenListShrinks(LeaseMonitor):
     def group_changed(self, group: VersionedGroup) -> None:
-        before = self._watched if self._member_id == self._membership.member_id else {}
+        before = self._monitored if self._member_id == self._membership.member_id else {}
         super().group_changed(group)
-        for member_id, watched in self._watched.items():
+        for member_id, watched in self._monitored.items():
             if member_id in before:
-                self._watched[member_id] = replace(watched, since=before[member_id].since)
+                self._monitored[member_id] = replace(
+                    watched, waiting_since=before[member_id].waiting_since
+                )
 
 
 class _CountsNoWaitAtStart(LeaseMonitor):
     def group_changed(self, group: VersionedGroup) -> None:
-        before = self._watched if self._member_id == self._membership.member_id else {}
+        before = self._monitored if self._member_id == self._membership.member_id else {}
         super().group_changed(group)
-        for member_id in self._watched.keys() - before.keys():
-            self._watched[member_id] = replace(
-                self._watched[member_id], since=0.0, stamp_seen_at=0.0
+        for member_id in self._monitored.keys() - before.keys():
+            self._monitored[member_id] = replace(
+                self._monitored[member_id], waiting_since=0.0, stamp_seen_at=0.0
             )
 
 
 class _PromisesWithoutBar(LeaseMonitor):
     def _on_promise_query(self, sender: str, message: PromiseQuery) -> None:
         super()._on_promise_query(sender, message)
-        self._bars.pop(message.member_id, None)
+        self._blocks.pop(message.member_id, None)
 
 
 class _CountsLeaseFromReceipt(MonitoredLease):
