--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -1,4 +1,4 @@
-"""Tests of the lease: what extends it, and from when."""
+"""Tests of the renewals that extend a lease, and of the time from which they count."""
 
 from __future__ import annotations
 
@@ -18,16 +18,16 @@
         self.fleet.cut("a0", self.fleet.agents)
         self.results = []
 
-    def test_write_whose_answer_was_lost_does_not_pass_for_a_later_one(self):
-        """Guards against a lease that counts from a later attempt than the one that was made."""
+    def test_write_with_a_lost_response_is_not_taken_for_a_later_one(self):
+        """Guards against a lease that counts from a later write than the one that took effect."""
         lease, platform = self.agent.lease, self.agent.platform
         get = platform.get
         reads = []
 
-        async def nothing() -> bool:
+        async def do_nothing() -> bool:
             return False
 
-        async def get_only_second(key: str):
+        async def get_without_first_response(key: str):
             platform.answers = Answers.GOOD if reads else Answers.SILENT
             reads.append(key)
             return await get(key)
@@ -39,9 +39,9 @@
             except PlatformUnavailableError:
                 self.results.append(None)
 
-        lease.renew_by_write = self.agent.monitor.take_over_expired = nothing
+        lease.renew_by_write = self.agent.monitor.take_over_expired = do_nothing
         self.fleet.world.advance(0.1)
-        platform.get = get_only_second
+        platform.get = get_without_first_response
         before = self.fleet.group().members[self.agent.member_id].stamp
         # The monitors must not remove the member before the second write.
         self.fleet.world.paused |= set(self.fleet.agents) - {"a0"}
@@ -53,13 +53,13 @@
         self.assertEqual(self.results, [None, False])
 
     def test_renews_by_writes_while_the_monitors_are_cut_off(self):
-        """Guards against a takeover of a member that only its monitors cannot reach."""
+        """Guards against the takeover of a member that is cut off from its monitors only."""
         self.fleet.world.advance(10)
         self.assertTrue(self.agent.lease.held)
         self.assertIn(self.agent.member_id, self.fleet.group().members)
         self.assertTrue(self.fleet.served())
 
-    def test_lost_answers_are_read_back(self):
+    def test_writes_with_lost_responses_are_read_back(self):
         """Guards against a lease that ends although the writes take effect."""
         self.agent.platform.write_answers = Answers.LOST
         self.fleet.world.advance(8)
@@ -68,7 +68,7 @@
 
 class AcknowledgementTest(unittest.TestCase):
     def test_unknown_or_foreign_acknowledgements_extend_nothing(self):
-        """Guards against acknowledgements that were never asked for or not granted."""
+        """Guards against a lease that an unexpected or refused acknowledgement extends."""
         fleet = formed(3, 3)
         agent = fleet.agents["a0"]
         monitor = fleet.group().members[agent.member_id].monitors[0]
@@ -85,7 +85,7 @@
             self.assertEqual(agent.lease.expires_at, before)
 
     def test_lease_ends_on_the_agents_own_clock(self):
-        """Guards against a paused agent that serves in the instant in which it resumes."""
+        """Guards against a paused agent that serves requests as soon as it resumes."""
         fleet = formed(3, 3)
         agent = fleet.agents["a0"]
         fleet.world.paused.add("a0")
@@ -96,7 +96,7 @@
 
 class JoinTest(unittest.TestCase):
     def test_join_takes_one_write(self):
-        """Guards against a start whose members each write their group a second time."""
+        """Guards against a start in which each member writes the group a second time."""
         fleet = formed(4, 2)
         agent = fleet.start("a4", "d0")
         held = []
@@ -109,19 +109,19 @@
         self.assertEqual(fleet.group().members[agent.member_id].stamp, 0)
 
     def test_lease_of_a_join_counts_from_its_write(self):
-        """Guards against a lease that ends after the monitors have stopped to wait for it."""
+        """Guards against a lease that ends later than its monitors expect."""
         fleet = formed(4, 2)
         agent = fleet.start("a4", "d0")
-        began = agent.lease._clock.now()
-        named = []
+        started_at = agent.lease._clock.now()
+        added_at = []
 
-        def note(old, new):
+        def record_write(old, new):
             if agent.member_id.encode() in new.value:
-                named.append(agent.lease._clock.now())
+                added_at.append(agent.lease._clock.now())
 
-        fleet.platform.on_write = note
+        fleet.platform.on_write = record_write
         while agent.membership.own_member() is None:
             fleet.world.advance(0.01)
-        # Another member may make the write that names the agent.
-        self.assertLessEqual(agent.lease.expires_at, named[0] + agent.lease._lease_s)
-        self.assertGreaterEqual(agent.lease.expires_at, began + agent.lease._lease_s)
+        # Another member may have made the write that adds the agent.
+        self.assertLessEqual(agent.lease.expires_at, added_at[0] + agent.lease._lease_s)
+        self.assertGreaterEqual(agent.lease.expires_at, started_at + agent.lease._lease_s)
--- a/tests/services/test_monitor.py
+++ b/tests/services/test_monitor.py
@@ -80,7 +80,7 @@
         """Guards against a member that renews the lease of another."""
         self.first.peers.handlers[Renew](self.second.member_id, Renew(self.member_id, 10**6))
         self.fleet.world.advance(0.1)
-        self.assertNotIn(10**6, self.fleet.agents["a0"].lease._sent)
+        self.assertNotIn(10**6, self.fleet.agents["a0"].lease._sent_at)
 
 
 async def _agree(self: PromiseRound, member_ids: list[str], *args: object) -> frozenset[str]:
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -82,8 +82,8 @@
 
 class _CountsLeaseFromReceipt(MonitoredLease):
     def _on_ack(self, sender: str, message: RenewAck) -> None:
-        if message.sequence in self._sent:
-            self._sent[message.sequence] = self._clock.now()
+        if message.sequence in self._sent_at:
+            self._sent_at[message.sequence] = self._clock.now()
         super()._on_ack(sender, message)
 
 
