Reword ring

Members that are given up or passed around read as figures of speech. MONITORS becomes MONITORS_PER_MEMBER, given transferred_ids, seen visited. same-code: 2 changed files compared, 0 differences apart from names, comments and texts. tests.services.test_ring: 5 passed, 0 failed, 0 skipped.

--- a/fescueward/services/ring.py
+++ b/fescueward/services/ring.py
@@ -1,4 +1,4 @@
-"""Choice of monitors along a ring of the members; pure functions on group objects."""
+"""Choice of monitors along a ring of the members, as pure functions on group objects."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from ..messages import Group, Member, MemberState
 
-MONITORS = 2
+MONITORS_PER_MEMBER = 2
 
 
 def fill_monitors(group: Group) -> Group:
@@ -14,7 +14,7 @@
     ring = _ring(group)
     for member_id in ring:
         member = group.members[member_id]
-        while len(member.monitors) < min(MONITORS, len(ring) - 1):
+        while len(member.monitors) < min(MONITORS_PER_MEMBER, len(ring) - 1):
             chosen = _best_monitor(group, ring, member)
             if chosen is None:
                 break
@@ -26,43 +26,43 @@
 def _ring(group: Group) -> tuple[str, ...]:
     """Orders members so that neighbours lie in different failure domains where possible."""
     ranks: dict[str, int] = {}
-    placed = []
+    positions = []
     for member_id in sorted(group.members):
         domain = group.members[member_id].failure_domain
         ranks[domain] = ranks.get(domain, 0) + 1
-        placed.append((ranks[domain], domain, member_id))
-    return tuple(member_id for _, _, member_id in sorted(placed))
+        positions.append((ranks[domain], domain, member_id))
+    return tuple(member_id for _, _, member_id in sorted(positions))
 
 
 def transfer_monitored(group: Group, monitor_id: str) -> tuple[Group, frozenset[str]]:
     """Replaces a monitor by better placed ones where there are any.
 
-    Each transfer makes the sum of the costs smaller, so transfers of all monitors come to an end.
+    Each transfer reduces the sum of the costs, so repeated transfers of all monitors terminate.
 
     Args:
         group: The group.
-        monitor_id: The monitor that gives up members; only it may do so.
+        monitor_id: The monitor to replace; only this monitor itself may make the transfer.
 
     Returns:
-        The group, and the ids of the members that it does not monitor any more.
+        The changed group, and the ids of the members that it no longer monitors.
     """
     ring = _ring(group)
-    given = set()
+    transferred_ids = set()
     for member_id in ring:
         member = group.members[member_id]
-        if monitor_id not in member.monitors or len(member.monitors) < MONITORS:
+        if monitor_id not in member.monitors or len(member.monitors) < MONITORS_PER_MEMBER:
             continue
-        # Only the worst placed monitor gives a member up: both at a time would leave it without
-        # acknowledgements while the platform does not answer.
-        found = [_replacement(group, ring, member, other) for other in member.monitors]
-        improvements = [improvement for improvement in found if improvement is not None]
+        # Only the worst placed monitor transfers a member. If both did so at the same time, the
+        # member would get no acknowledgements while the platform does not respond.
+        replacements = [_replacement(group, ring, member, other) for other in member.monitors]
+        improvements = [improvement for improvement in replacements if improvement is not None]
         if not improvements:
             continue
-        _, leaving, improved = max(improvements, key=lambda improvement: improvement[0])
-        if leaving == monitor_id:
+        _, replaced_id, improved = max(improvements, key=lambda improvement: improvement[0])
+        if replaced_id == monitor_id:
             group = improved
-            given.add(member_id)
-    return group, frozenset(given)
+            transferred_ids.add(member_id)
+    return group, frozenset(transferred_ids)
 
 
 def _replacement(
@@ -70,16 +70,16 @@
 ) -> tuple[tuple[int, ...], str, Group] | None:
     others = tuple(other for other in member.monitors if other != monitor_id)
     without = _with_monitors(group, member, others)
-    alone = without.members[member.id]
-    chosen = _best_monitor(without, ring, alone)
+    remaining = without.members[member.id]
+    chosen = _best_monitor(without, ring, remaining)
     if chosen is None or chosen == monitor_id or monitor_id not in group.members:
         return None
-    before = _cost(without, alone, group.members[monitor_id])
-    after = _cost(without, alone, group.members[chosen])
-    # A difference of one in the load would only be passed around.
+    before = _cost(without, remaining, group.members[monitor_id])
+    after = _cost(without, remaining, group.members[chosen])
+    # A load that differs by one is no improvement: the monitors would swap the member forever.
     if after[:-1] > before[:-1] or (after[:-1] == before[:-1] and after[-1] + 1 >= before[-1]):
         return None
-    return before, monitor_id, _with_monitors(without, alone, (*others, chosen))
+    return before, monitor_id, _with_monitors(without, remaining, (*others, chosen))
 
 
 def _with_monitors(group: Group, member: Member, monitors: tuple[str, ...]) -> Group:
@@ -112,18 +112,18 @@
     # With two domains or fewer than five members, monitors in other domains must be mutual.
     if len(group.members) < 5 or len(domains) < 3:
         return (same_domain, repeated, cycle, load)
-    # A member with a monitor in its own failure domain needs two takeovers in a row when the
-    # domain is lost, so the domain goes before an even load.
-    return (cycle, same_domain, load >= MONITORS, repeated, load)
+    # A member with a monitor in its own failure domain needs two consecutive takeovers when the
+    # domain is lost, so another domain takes precedence over an even load.
+    return (cycle, same_domain, load >= MONITORS_PER_MEMBER, repeated, load)
 
 
 def _closes_cycle(group: Group, member: Member, candidate: Member) -> bool:
-    """Whether members that can be lost together would each need another one's promise."""
+    """Returns whether members that can be lost together would need each other's promises."""
     if member.id in candidate.monitors:
         return True
     if candidate.failure_domain != member.failure_domain:
         return False
-    pending, seen = [candidate.id], {candidate.id}
+    pending, visited = [candidate.id], {candidate.id}
     while pending:
         for monitor_id in group.members[pending.pop()].monitors:
             monitor = group.members.get(monitor_id)
@@ -131,7 +131,7 @@
                 continue
             if monitor_id == member.id:
                 return True
-            if monitor_id not in seen:
-                seen.add(monitor_id)
+            if monitor_id not in visited:
+                visited.add(monitor_id)
                 pending.append(monitor_id)
     return False
