--- a/fescueward/services/recovery.py
+++ b/fescueward/services/recovery.py
@@ -1,4 +1,4 @@
-"""Removal of members that the operator states are gone for good (`recovery` of the entry)."""
+"""Removal of members that the operator states are lost (`recovery` of the entry)."""
 
 from __future__ import annotations
 
@@ -14,23 +14,28 @@
 from .promises import PromiseRound
 
 _REMOVED = Event(
-    2611, "members_recovered", Level.WARNING, "Members were removed as the entry states."
+    2611,
+    "members_recovered",
+    Level.WARNING,
+    "Members that the entry states are lost were removed.",
 )
-# A change of an entry is in effect everywhere within 5 s; the rest is for the stamp.
-_KNOWN_EVERYWHERE_S = 6.0
+# A changed entry takes effect on all agents within 5 s; the rest is for the write of the stamp.
+_ENTRY_PROPAGATION_S = 6.0
 
-_FAILED = Event(2612, "recovery_failed", Level.INFO, "A removal by statement did not succeed.")
+_FAILED = Event(
+    2612, "recovery_failed", Level.INFO, "Removing members that the entry states are lost failed."
+)
 
 
 class MemberRecovery:
     """The `recovery` service.
 
-    Monitors that are lost together cannot promise anything, so the rule of takeovers cannot
-    remove their members. The operator's statement replaces the promises of the monitors that do
-    not answer; those that answer must still promise. Every member that learns of the statement
-    writes its stamp once: an agent that is cut off from the others but not from the platform
-    would otherwise remove all of them, because members that renew by monitors show no sign of
-    life in the group object.
+    Members whose monitors are lost with them cannot be taken over, because a takeover needs the
+    promises of the monitors. The operator's statement replaces the promises of the monitors that
+    do not respond; those that respond must still promise. Every member that receives the
+    statement writes its stamp once. Without these writes, an agent that is cut off from the
+    others but not from the platform would remove all of them, because renewals that monitors
+    acknowledge leave no trace in the group object.
     """
 
     name = "recovery"
@@ -39,10 +44,10 @@
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
         self._counter = 0
-        self._since = 0.0
-        self._shown = 0
+        self._counter_received_at = 0.0
+        self._stamped_counter = 0
         self._stamps: dict[str, tuple[int, float]] = {}
-        self._reached: dict[str, float] = {}
+        self._responded_at: dict[str, float] = {}
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -56,41 +61,41 @@
         self._monitor = registry.find("monitor", Monitor)
         section = registry.find("settings", Settings).lease
         lease_s = (section.lease_ms + section.drift_margin_ms) / 1000
-        self._wait_s = max(lease_s, _KNOWN_EVERYWHERE_S)
-        self._period_s = section.renewal_ms / 1000
+        self._response_wait_s = max(lease_s, _ENTRY_PROPAGATION_S)
+        self._check_period_s = section.renewal_ms / 1000
         self._groups.subscribe(self)
 
     async def start(self) -> None:
-        """Starts the check of the entry's counter."""
+        """Starts the periodic check of the counter in the entry."""
         self._tasks.spawn("check", self._run())
 
     async def stop(self) -> None:
-        """Ends the check."""
+        """Ends the periodic check."""
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Notes when each stamp was seen first."""
+        """Records when the stamp of each member last changed."""
         if group.group.id != self._membership.home:
             return
         now = self._clock.now()
-        noted = self._stamps
+        previous = self._stamps
         self._stamps = {}
         for member in group.group.members.values():
-            stamp, seen_at = noted.get(member.id, (member.stamp, now))
+            stamp, seen_at = previous.get(member.id, (member.stamp, now))
             self._stamps[member.id] = (member.stamp, seen_at if stamp == member.stamp else now)
 
     async def check(self) -> bool:
-        """Removes the members that the entry states are gone, if it has a new statement.
+        """Removes the members that do not respond, if the entry has a new statement.
 
         Returns:
-            Whether the counter was recorded in the group.
+            Whether the counter of the statement was written to the group.
         """
-        counter = self._stated()
+        counter = self._new_counter()
         if counter is None:
             return False
         now = self._clock.now()
         if counter != self._counter:
-            self._counter, self._since = counter, now
+            self._counter, self._counter_received_at = counter, now
         home = self._membership.home
         view = self._groups.view(home) if home is not None else None
         if view is None:
@@ -101,10 +106,10 @@
             if member.id != self._membership.member_id
         ]
         try:
-            if self._shown != counter and await self._lease.write_stamp():
-                self._shown = counter
+            if self._stamped_counter != counter and await self._lease.write_stamp():
+                self._stamped_counter = counter
             await asyncio.gather(*(self._probe(member, view) for member in others))
-            if self._since + self._wait_s > self._clock.now():
+            if self._counter_received_at + self._response_wait_s > self._clock.now():
                 return False
             base = await self._groups.refresh(view.group.id)
             return await self._remove(base, counter)
@@ -112,8 +117,8 @@
             _FAILED.emit(group=home, error=error)
             return False
 
-    def _stated(self) -> int | None:
-        """Returns the entry's counter if the group has not acted on it."""
+    def _new_counter(self) -> int | None:
+        """Returns the counter of the entry if it exceeds that of the group and a lease is held."""
         home = self._membership.home
         view = self._groups.view(home) if home is not None else None
         if view is None or not self._lease.held:
@@ -125,7 +130,7 @@
         return counter if counter > view.group.recovery else None
 
     async def _probe(self, member: Member, view: VersionedGroup) -> None:
-        # A query for the member itself is never granted; any reply shows that it runs.
+        # A promise query for the member itself is never granted; any reply shows that it runs.
         call = self._peers.next_call()
         group = view.group
         query = PromiseQuery(call, group.service, group.number, member.id, view.version)
@@ -133,59 +138,69 @@
             await self._peers.call(member, query, call)
         except PeerError:
             return
-        self._reached[member.id] = self._clock.now()
+        self._responded_at[member.id] = self._clock.now()
 
-    def _gone(self, member_id: str) -> bool:
+    def _is_lost(self, member_id: str) -> bool:
         _, stamp_seen_at = self._stamps.get(member_id, (0, self._clock.now()))
-        return max(stamp_seen_at, self._reached.get(member_id, 0.0)) <= self._since
+        return (
+            max(stamp_seen_at, self._responded_at.get(member_id, 0.0)) <= self._counter_received_at
+        )
 
     async def _remove(self, base: VersionedGroup, counter: int) -> bool:
-        me = self._membership.member_id
-        gone = [other for other in base.group.members if other != me and self._gone(other)]
-        promises = PromiseRound(self._groups, self._peers, base, me)
-        agreed = await promises.ask(gone, frozenset(gone))
+        own_id = self._membership.member_id
+        unresponsive_ids = [
+            other for other in base.group.members if other != own_id and self._is_lost(other)
+        ]
+        promises = PromiseRound(self._groups, self._peers, base, own_id)
+        promised_ids = await promises.request(unresponsive_ids, frozenset(unresponsive_ids))
         call = self._peers.next_call()
-        lost = frozenset(
+        removed_ids = frozenset(
             other
-            for other in agreed
-            if me not in base.group.members[other].monitors
-            or self._monitor.promise(other, base.version, me, call)
+            for other in promised_ids
+            if own_id not in base.group.members[other].monitors
+            or self._monitor.promise(other, base.version, own_id, call)
         )
-        # Members whose living monitors refuse are left for the next round.
-        complete = len(lost) == len(gone)
-        kept: frozenset[str] = frozenset()
+        # Members whose running monitors refuse are left for the next check.
+        complete = len(removed_ids) == len(unresponsive_ids)
+        kept_ids: frozenset[str] = frozenset()
         view = self._groups.view(base.group.id)
-        if view is not None and view.version == base.version and (lost or complete):
+        if view is not None and view.version == base.version and (removed_ids or complete):
             try:
-                kept = lost
-                await self._write(base, lost, counter if complete else base.group.recovery)
+                kept_ids = removed_ids
+                await self._write(base, removed_ids, counter if complete else base.group.recovery)
             except OutcomeUnknownError:
                 raise
             except PlatformError:
-                kept = frozenset()
+                kept_ids = frozenset()
                 raise
             finally:
-                self._withdraw(promises, lost, kept, call)
+                self._withdraw_promises(promises, removed_ids, kept_ids, call)
             return complete
-        self._withdraw(promises, lost, kept, call)
+        self._withdraw_promises(promises, removed_ids, kept_ids, call)
         return False
 
-    def _withdraw(
-        self, promises: PromiseRound, lost: frozenset[str], kept: frozenset[str], call: int
+    def _withdraw_promises(
+        self,
+        promises: PromiseRound,
+        removed_ids: frozenset[str],
+        kept_ids: frozenset[str],
+        call: int,
     ) -> None:
-        promises.release(kept)
-        for member_id in lost - kept:
+        promises.release(kept_ids)
+        for member_id in removed_ids - kept_ids:
             self._monitor.withdraw_promise(member_id, self._membership.member_id, call)
 
-    async def _write(self, base: VersionedGroup, lost: frozenset[str], counter: int) -> None:
+    async def _write(
+        self, base: VersionedGroup, removed_ids: frozenset[str], counter: int
+    ) -> None:
         group = base.group
-        if lost:
-            group = self._membership.fill_monitors(self._placement.assign(group, lost))
+        if removed_ids:
+            group = self._membership.fill_monitors(self._placement.assign(group, removed_ids))
         written = await self._groups.write(base, replace(group, recovery=counter))
-        names = ",".join(sorted(lost))
+        names = ",".join(sorted(removed_ids))
         _REMOVED.emit(members=names, recovery=counter, version=written.version)
 
     async def _run(self) -> None:
         while True:
-            await self._clock.sleep(self._period_s)
+            await self._clock.sleep(self._check_period_s)
             await self.check()
--- a/tests/services/test_recovery.py
+++ b/tests/services/test_recovery.py
@@ -12,7 +12,7 @@
 from .timed_fakes import Answers
 
 
-def _state(fleet: Fleet, counter: int) -> None:
+def _set_recovery_counter(fleet: Fleet, counter: int) -> None:
     entry = fleet.catalogue.entry("depot")
     fleet.catalogue.current = VersionedEntry(
         entry.version + 1, replace(entry.entry, recovery=counter)
@@ -26,25 +26,25 @@
         for name in ("a0", "a1"):
             fleet.kill(name)
         self.assertIsNone(fleet.time_until_served(6))
-        _state(fleet, 1)
+        _set_recovery_counter(fleet, 1)
         self.assertIsNotNone(fleet.time_until_served(9), fleet.owners())
         self.assertEqual(fleet.group().recovery, 1)
         self.assertEqual(len(fleet.group().members), 1)
 
     def test_statement_after_the_loss_of_all_members(self):
-        """Guards against new VMs that cannot use a group whose members are all gone."""
+        """Guards against new VMs that cannot serve a group whose members are all lost."""
         fleet = formed(4, 2)
         for name in list(fleet.agents):
             fleet.kill(name)
         for number in (7, 8):
             fleet.start(f"a{number}", f"d{number % 2}")
         self.assertIsNone(fleet.time_until_served(6))
-        _state(fleet, 1)
+        _set_recovery_counter(fleet, 1)
         self.assertIsNotNone(fleet.time_until_served(9), fleet.owners())
         self.assertEqual(len(fleet.group().members), 2)
 
     def test_statement_spares_members_that_answer_or_renew(self):
-        """Guards against an operator's mistake that removes members that still serve."""
+        """Guards against a mistaken statement that removes members that still serve."""
         for way in ("answer", "renew by writes", "renew by monitors", "resume"):
             with self.subTest(way):
                 fleet = formed(4, 2)
@@ -58,7 +58,7 @@
                     fleet.agents["a0"].platform.answers = Answers.SILENT
                 elif way == "resume":
                     fleet.world.paused.add("a0")
-                _state(fleet, 1)
+                _set_recovery_counter(fleet, 1)
                 fleet.world.advance(1)
                 fleet.world.paused.clear()
                 fleet.world.advance(11)
@@ -66,9 +66,9 @@
                 self.assertEqual(set(fleet.group().members), before)
 
     def test_one_statement_acts_once(self):
-        """Guards against later losses that are removed under an old statement."""
+        """Guards against members that are lost later and removed by an old statement."""
         fleet = formed(3, 3)
-        _state(fleet, 1)
+        _set_recovery_counter(fleet, 1)
         fleet.world.advance(8)
         self.assertEqual(fleet.group().recovery, 1)
         for name in ("a0", "a1"):
--- a/tests/services/test_recovery_time.py
+++ b/tests/services/test_recovery_time.py
@@ -9,7 +9,7 @@
 from .fleet import Fleet
 from .timed_fakes import Answers
 
-LIMIT_S = 4.0
+RECOVERY_LIMIT_S = 4.0
 
 
 def formed(
@@ -19,16 +19,16 @@
     fleet = Fleet(overrides)
     for number in range(count):
         fleet.start(f"a{number}", f"d{number % domains}", checks=checks)
-    # Time for transfers to better placed monitors, of which each waits for quiet.
+    # Time for transfers to better placed monitors, each of which waits for a stable group.
     fleet.world.advance(10)
-    # Tests make their own moves.
+    # Tests write their own moves of shards.
     fleet.planning = False
     assert fleet.served(), fleet.owners()
     return fleet
 
 
 class RecoveryTimeTest(unittest.TestCase):
-    """Each loss that the design claims to survive is repaired within 4 s."""
+    """After each loss that the design tolerates, all shards are served again within 4 s."""
 
     def _assert_survives(self, count: int, domains: int, lost: tuple[str, ...], way: str) -> None:
         with self.subTest(count=count, domains=domains, lost=lost, way=way):
@@ -41,15 +41,15 @@
                 else:
                     fleet.cut(name, fleet.agents)
                     fleet.agents[name].platform.answers = Answers.SILENT
-            took = fleet.time_until_served(LIMIT_S + 2)
-            self.assertIsNotNone(took, fleet.owners())
-            self.assertLessEqual(took, LIMIT_S)
+            recovery_s = fleet.time_until_served(RECOVERY_LIMIT_S + 2)
+            self.assertIsNotNone(recovery_s, fleet.owners())
+            self.assertLessEqual(recovery_s, RECOVERY_LIMIT_S)
             fleet.heal()
             fleet.world.advance(6)
             self.assertTrue(fleet.served(), fleet.owners())
 
     def test_loss_of_one_member(self):
-        """Guards against a member of a small group that nobody can take over."""
+        """Guards against a member of a small group that no other member can take over."""
         for count, domains in ((3, 3), (4, 2)):
             for number in range(count):
                 for way in ("kill", "pause", "isolate"):
@@ -69,7 +69,7 @@
                 self._assert_survives(count, domains, lost, "kill")
 
     def test_loss_during_platform_outage(self):
-        """Guards against a lost member whose monitor role ends the leases of others."""
+        """Guards against the loss of a monitor that ends the leases of the members it monitors."""
         for answers, lost in itertools.product((Answers.REFUSED, Answers.SILENT), range(4)):
             with self.subTest(answers=answers, lost=lost):
                 fleet = formed(4, 2)
@@ -82,23 +82,23 @@
                     held = [agent.lease.held for agent in fleet.agents.values()]
                     self.assertEqual(held, [True] * 3)
                 fleet.heal()
-                self.assertIsNotNone(fleet.time_until_served(LIMIT_S), fleet.owners())
+                self.assertIsNotNone(fleet.time_until_served(RECOVERY_LIMIT_S), fleet.owners())
 
     def test_restart_on_the_same_boot(self):
-        """Guards against a restart that waits for the lease of the dead process."""
+        """Guards against a restart that waits for the lease of the ended process."""
         fleet = formed(4, 2)
         agent = fleet.agents["a1"]
         fleet.start("a1", agent.domain, agent.boot)
-        took = fleet.time_until_served(LIMIT_S)
-        self.assertIsNotNone(took)
-        self.assertLess(took, 0.5)
+        recovery_s = fleet.time_until_served(RECOVERY_LIMIT_S)
+        self.assertIsNotNone(recovery_s)
+        self.assertLess(recovery_s, 0.5)
 
     def test_whole_group_restarts_on_the_same_boots(self):
-        """Guards against a group that no member can enter any more."""
+        """Guards against a group that no agent can join any more."""
         fleet = formed(4, 2)
         for agent in list(fleet.agents.values()):
             fleet.start(agent.name, agent.domain, agent.boot)
-        self.assertIsNotNone(fleet.time_until_served(LIMIT_S), fleet.owners())
+        self.assertIsNotNone(fleet.time_until_served(RECOVERY_LIMIT_S), fleet.owners())
 
     def test_slow_platform(self):
         """Guards against takeovers that fail when each call takes 0.6 s."""
@@ -108,4 +108,4 @@
                 for agent in fleet.agents.values():
                     agent.platform.answers = Answers.SLOW
                 fleet.kill(f"a{lost}")
-                self.assertIsNotNone(fleet.time_until_served(LIMIT_S + 2), fleet.owners())
+                self.assertIsNotNone(fleet.time_until_served(RECOVERY_LIMIT_S + 2), fleet.owners())
