--- a/fescueward/services/grants.py
+++ b/fescueward/services/grants.py
@@ -1,4 +1,4 @@
-"""Fenced grants of the upstream: sent with each renewal and with each change of the shards."""
+"""Fencing grants of the upstream, sent with each renewal and after each change of the shards."""
 
 from __future__ import annotations
 
@@ -10,7 +10,9 @@
 from ..kernel.settings import Settings
 from ..messages import GrantSet
 
-_REFUSED = Event(2708, "grant_failed", Level.WARNING, "The upstream confirmed no grants.")
+_NOT_CONFIRMED = Event(
+    2708, "grant_failed", Level.WARNING, "The upstream did not confirm its grants."
+)
 
 _RETRY_S = 0.05
 
@@ -18,8 +20,8 @@
 class UpstreamGrants:
     """The `grants` service.
 
-    Each set of grants replaces the one before, so the confirmation of a set that was sent after a
-    shard was released also confirms that its grant is revoked.
+    Each set of grants replaces the previous one, so the confirmation of a set that was sent after
+    the release of a shard also confirms that the grant of the shard is revoked.
     """
 
     name = "grants"
@@ -28,8 +30,8 @@
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
         self._sequence = 0
-        self._expire_at = 0.0
-        self._wanted = asyncio.Event()
+        self._latest_expiry_at = 0.0
+        self._send_requested = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
 
     def bind(self, registry: Registry) -> None:
@@ -42,28 +44,28 @@
         self._renewal_s = registry.find("settings", Settings).lease.renewal_ms / 1000
 
     async def start(self) -> None:
-        """Starts the renewal of grants."""
+        """Starts the task that sends and renews grants."""
         self._tasks.spawn("renew", self._run())
 
     async def stop(self) -> None:
-        """Ends the renewal."""
+        """Ends the task that sends and renews grants."""
         await self._tasks.cancel()
 
     def send_soon(self) -> None:
-        """Sends the present grants without waiting for the next renewal."""
-        self._wanted.set()
+        """Sends the current grants without waiting for the next renewal."""
+        self._send_requested.set()
 
     async def confirmed(self) -> None:
-        """Waits until the upstream has confirmed what is owned now."""
+        """Waits until the upstream has confirmed grants for the shards that are owned now."""
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
-        self._wanted.set()
+        self._send_requested.set()
         await waiter
 
     async def revoked(self) -> None:
-        """Waits until no grant holds that is not owned now."""
-        # An upstream that confirms nothing holds its grants until the last expiry sent to it.
-        wait_s = max(self._expire_at - self._clock.now(), 0)
+        """Waits until no grant is in force for a shard that is not owned now."""
+        # An upstream that confirms nothing keeps its grants until the latest expiry sent to it.
+        wait_s = max(self._latest_expiry_at - self._clock.now(), 0)
         with suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
                 await self.confirmed()
@@ -72,14 +74,14 @@
         while True:
             with suppress(TimeoutError):
                 async with asyncio.timeout(self._renewal_s):
-                    await self._wanted.wait()
-            self._wanted.clear()
+                    await self._send_requested.wait()
+            self._send_requested.clear()
             waiters, self._waiters = self._waiters, []
             if self._membership.announcement is None:
                 self._waiters = waiters + self._waiters
                 continue
             self._sequence += 1
-            self._expire_at = max(self._expire_at, self._lease.expires_at)
+            self._latest_expiry_at = max(self._latest_expiry_at, self._lease.expires_at)
             grants = GrantSet(
                 holder=self._membership.member_id,
                 sequence=self._sequence,
@@ -93,6 +95,6 @@
                 continue
             self._waiters = waiters + self._waiters
             if waiters:
-                _REFUSED.emit(member=self._membership.member_id, waiting=len(waiters))
-                self._wanted.set()
+                _NOT_CONFIRMED.emit(member=self._membership.member_id, waiting=len(waiters))
+                self._send_requested.set()
                 await self._clock.sleep(_RETRY_S)
--- a/fescueward/services/ownership/__init__.py
+++ b/fescueward/services/ownership/__init__.py
@@ -1,4 +1,4 @@
-"""Which shards this agent serves now."""
+"""Ownership of shards by this agent."""
 
 from .hash_shards import ShardOwnership
 
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -18,24 +18,26 @@
 from ...messages.group import group_of
 from ...messages.peer import Release, Released
 from .releases import ReleaseSender
-from .settlement import HandoverSettlement
-from .tickets import HeldShard, ShardState, ShardTicket
+from .settlement import HandoverRecorder
+from .tickets import OwnedShard, ShardState, ShardTicket
 
 _ACTIVE = Event(2701, "shards_active", Level.INFO, "Shards are served here from now on.")
 _RELEASING = Event(2702, "shard_releasing", Level.INFO, "A shard is being handed over.")
-_TAKEN = Event(2704, "shard_taken", Level.INFO, "A shard was taken over from its owner.")
-_DROPPED = Event(2705, "shards_dropped", Level.WARNING, "Shards are owned by others now.")
+_TAKEN_OVER = Event(2704, "shard_taken", Level.INFO, "A shard was taken over from its owner.")
+_DROPPED = Event(
+    2705, "shards_dropped", Level.WARNING, "Shards are dropped: other members own them now."
+)
 
-# A leaving server that cannot hand over, because the platform is down, refuses new work after
-# this time, well below the bound of 3 s.
+# A leaving server that cannot hand over its shards, because the platform is unavailable, refuses
+# new work after this time, which is well below the bound of 3 s.
 _LEAVING_GRACE_S = 2.0
 
 
 class ShardOwnership:
     """The `ownership` service.
 
-    What is active here follows from the group object, the lease and the releases of earlier
-    owners. A shard that was released at an epoch is never served again at that epoch.
+    The active shards follow from the group object, the lease and the releases of previous owners.
+    A shard that was released at an epoch is never served again at that epoch.
     """
 
     name = "ownership"
@@ -43,13 +45,13 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._held: dict[int, HeldShard] = {}
-        self._released: dict[int, int] = {}
-        self._keys: Counter[str] = Counter()
+        self._owned_shards: dict[int, OwnedShard] = {}
+        self._released_epochs: dict[int, int] = {}
+        self._keys_in_flight: Counter[str] = Counter()
         self._member_id = ""
-        self._changed = asyncio.Event()
+        self._state_changed = asyncio.Event()
         self._leaving_since: float | None = None
-        self._handovers = 0
+        self._handovers_in_progress = 0
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -62,15 +64,15 @@
         self._grants = registry.find("grants", Grants)
         self._outcomes = registry.find("outcomes", Outcomes)
         self._releases = ReleaseSender(self._clock, self._peers, self._view)
-        self._settlement = HandoverSettlement(
-            self._clock, self._groups, self._membership, self._settle
+        self._handover_recorder = HandoverRecorder(
+            self._clock, self._groups, self._membership, self._record_handovers
         )
         self._groups.subscribe(self)
         self._peers.on(Release, self._on_release)
 
     async def start(self) -> None:
-        """Starts the record of handovers."""
-        self._tasks.spawn("settle", self._settlement.run())
+        """Starts the task that records handovers."""
+        self._tasks.spawn("settle", self._handover_recorder.run())
 
     async def stop(self) -> None:
         """Ends all tasks."""
@@ -79,138 +81,154 @@
     def active(self) -> dict[int, int]:
         """Returns the epoch of each active shard by shard id."""
         return {
-            shard: held.epoch
-            for shard, held in self._held.items()
-            if held.state is not ShardState.ACTIVATING
+            shard: owned_shard.epoch
+            for shard, owned_shard in self._owned_shards.items()
+            if owned_shard.state is not ShardState.ACTIVATING
         }
 
     @property
     def in_flight(self) -> int:
-        """Number of requests that hold a ticket."""
-        return self._keys.total()
+        """Number of requests that have a ticket."""
+        return self._keys_in_flight.total()
 
     def owned(self) -> dict[int, int]:
         """Returns the epoch of each shard that is active or being activated."""
-        return {shard: held.epoch for shard, held in self._held.items()}
+        return {shard: owned_shard.epoch for shard, owned_shard in self._owned_shards.items()}
 
     async def admit(self, service: str, key: str, deadline: float) -> ShardTicket:
-        """Waits while the shard of the key moves; see `Ownership.admit`."""
+        """Waits until the shard of the key is active; see `Ownership.admit`."""
         while True:
-            shard, held = self._find(service, key)
-            if held is not None and held.state is ShardState.ACTIVE:
+            shard, owned_shard = self._find(service, key)
+            if owned_shard is not None and owned_shard.state is ShardState.ACTIVE:
                 self._refuse_if_draining()
                 self._lease.check()
-                held.in_flight += 1
-                held.idle.clear()
-                self._keys[key] += 1
-                return ShardTicket(self, shard, held, key)
-            changed = self._changed
+                owned_shard.in_flight += 1
+                owned_shard.idle.clear()
+                self._keys_in_flight[key] += 1
+                return ShardTicket(self, shard, owned_shard, key)
+            state_changed = self._state_changed
             try:
                 async with asyncio.timeout(max(deadline - self._clock.now(), 0)):
-                    await changed.wait()
+                    await state_changed.wait()
             except TimeoutError:
                 raise ShardMovingError(
                     f"shard {shard} of {service!r} did not become active before the deadline"
                 ) from None
 
-    def check(self, shard: int, held: HeldShard) -> None:
-        """Raises `LeaseExpiredError` unless the lease is held and `held` is still current."""
+    def check(self, shard: int, owned_shard: OwnedShard) -> None:
+        """Raises `LeaseExpiredError` unless the lease is held and `owned_shard` is current."""
         self._lease.check()
-        if self._held.get(shard) is not held:
-            raise LeaseExpiredError(f"shard {shard} at epoch {held.epoch} is owned elsewhere now")
+        if self._owned_shards.get(shard) is not owned_shard:
+            raise LeaseExpiredError(
+                f"shard {shard} at epoch {owned_shard.epoch} is not owned any more"
+            )
 
-    def give_back(self, held: HeldShard, key: str) -> None:
+    def finish_request(self, owned_shard: OwnedShard, key: str) -> None:
         """Counts a request as finished."""
-        held.in_flight -= 1
-        self._keys[key] -= 1
-        if self._keys[key] <= 0:
-            del self._keys[key]
-        if held.in_flight == 0:
-            held.idle.set()
-            self._wake()
+        owned_shard.in_flight -= 1
+        self._keys_in_flight[key] -= 1
+        if self._keys_in_flight[key] <= 0:
+            del self._keys_in_flight[key]
+        if owned_shard.in_flight == 0:
+            owned_shard.idle.set()
+            self._notify_waiters()
 
     async def wait_until_drained(self) -> None:
-        """Waits until no request is in flight and no shard is active that others could take.
+        """Waits until no request is in flight and no shard is left that others could take over.
 
-        A handover ends when the successor has confirmed it: until then the grants may still
-        hold and only this agent has the outcomes.
+        A handover ends when the successor has confirmed it: until then the grants may still be
+        in force and only this agent has the outcomes.
         """
-        while self._keys or self._handovers or (self._held and self._others_exist()):
-            changed = self._changed
-            await changed.wait()
+        while (
+            self._keys_in_flight
+            or self._handovers_in_progress
+            or (self._owned_shards and self._other_active_members_exist())
+        ):
+            state_changed = self._state_changed
+            await state_changed.wait()
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Activates, hands over and drops shards as the group object says."""
+        """Activates, hands over and drops shards according to the group object."""
         if group.group.id != self._membership.home:
             return
-        me = self._membership.member_id
-        if me != self._member_id or me not in group.group.members:
+        member_id = self._membership.member_id
+        if member_id != self._member_id or member_id not in group.group.members:
             self._drop_all(group.version)
-            self._member_id = me
-        if me not in group.group.members:
+            self._member_id = member_id
+        if member_id not in group.group.members:
             return
-        new: dict[int, HeldShard] = {}
-        dropped = []
+        activating: dict[int, OwnedShard] = {}
+        dropped_ids = []
         for shard_id, shard in enumerate(group.group.shards):
-            held = self._held.get(shard_id)
-            if shard.owner == me:
-                self._own(shard_id, shard, held, new)
-            elif held is not None and not _released_to_me(shard, held, me):
-                del self._held[shard_id]
+            owned_shard = self._owned_shards.get(shard_id)
+            if shard.owner == member_id:
+                self._update_own_shard(shard_id, shard, owned_shard, activating)
+            elif owned_shard is not None and not _is_released_to(shard, owned_shard, member_id):
+                del self._owned_shards[shard_id]
                 self._outcomes.end_epoch(shard_id)
-                dropped.append(shard_id)
-            if shard.owner != me and shard.successor is None:
-                self._released.pop(shard_id, None)
-        if dropped:
-            _DROPPED.emit(shards=len(dropped), version=group.version)
-        for ready_at in {held.ready_at for held in new.values()}:
-            batch = {shard: held for shard, held in new.items() if held.ready_at == ready_at}
+                dropped_ids.append(shard_id)
+            if shard.owner != member_id and shard.successor is None:
+                self._released_epochs.pop(shard_id, None)
+        if dropped_ids:
+            _DROPPED.emit(shards=len(dropped_ids), version=group.version)
+        for ready_at in {owned_shard.ready_at for owned_shard in activating.values()}:
+            batch = {
+                shard: owned_shard
+                for shard, owned_shard in activating.items()
+                if owned_shard.ready_at == ready_at
+            }
             self._tasks.spawn("activate", self._activate(batch))
-        self._wake()
-
-    def _own(
-        self, shard_id: int, shard: Shard, held: HeldShard | None, new: dict[int, HeldShard]
+        self._notify_waiters()
+
+    def _update_own_shard(
+        self,
+        shard_id: int,
+        shard: Shard,
+        owned_shard: OwnedShard | None,
+        activating: dict[int, OwnedShard],
     ) -> None:
-        if self._released.get(shard_id, -1) >= shard.epoch:
+        if self._released_epochs.get(shard_id, -1) >= shard.epoch:
             return
-        if held is None:
+        if owned_shard is None:
             ready_at = self._clock.now() + shard.hold_ms / 1000 if shard.hold_ms else 0.0
-            held = HeldShard(shard.epoch, ready_at)
-            self._held[shard_id] = held
+            owned_shard = OwnedShard(shard.epoch, ready_at)
+            self._owned_shards[shard_id] = owned_shard
             self._outcomes.begin_epoch(shard_id, shard.epoch, (), 0, 0)
-            new[shard_id] = held
-        elif held.epoch < shard.epoch and held.state is not ShardState.RELEASING:
-            # The epoch grew without a change of owner: requests under the old one finish first.
-            held.state = ShardState.RELEASING
-            self._tasks.spawn("epoch", self._raise_epoch(shard_id, held))
-        if shard.successor is not None and held.state is ShardState.ACTIVE:
-            held.state = ShardState.RELEASING
-            self._tasks.spawn("handover", self._hand_over(shard_id, held))
+            activating[shard_id] = owned_shard
+        elif owned_shard.epoch < shard.epoch and owned_shard.state is not ShardState.RELEASING:
+            # The epoch rose without a change of owner: requests at the old epoch finish first.
+            owned_shard.state = ShardState.RELEASING
+            self._tasks.spawn("epoch", self._raise_epoch(shard_id, owned_shard))
+        if shard.successor is not None and owned_shard.state is ShardState.ACTIVE:
+            owned_shard.state = ShardState.RELEASING
+            self._tasks.spawn("handover", self._hand_over(shard_id, owned_shard))
 
     def _drop_all(self, version: int) -> None:
-        if self._held:
-            _DROPPED.emit(shards=len(self._held), version=version)
-        for shard_id in self._held:
+        if self._owned_shards:
+            _DROPPED.emit(shards=len(self._owned_shards), version=version)
+        for shard_id in self._owned_shards:
             self._outcomes.end_epoch(shard_id)
-        self._held.clear()
-        self._released.clear()
+        self._owned_shards.clear()
+        self._released_epochs.clear()
         self._grants.send_soon()
 
-    def _find(self, service: str, key: str) -> tuple[int, HeldShard | None]:
+    def _find(self, service: str, key: str) -> tuple[int, OwnedShard | None]:
         home = self._membership.home
         groups = self._catalogue.entry(service).entry.groups
         if home is None or group_of(service, key, groups) != home:
-            raise NotOwnerError(f"this agent serves no keys of {service!r} like {key!r}")
+            raise NotOwnerError(
+                f"this agent does not belong to the group of service {service!r} for key {key!r}"
+            )
         view = self._groups.view(home)
         if view is None:
             raise NotOwnerError(f"group {home} is not known yet")
         shard_id = view.group.shard_of(key, groups)
-        held = self._held.get(shard_id)
-        if held is not None:
-            return shard_id, held
+        owned_shard = self._owned_shards.get(shard_id)
+        if owned_shard is not None:
+            return shard_id, owned_shard
         shard = view.group.shards[shard_id]
-        released = self._released.get(shard_id)
-        if released is not None and shard.owner == self._member_id:
+        released_epoch = self._released_epochs.get(shard_id)
+        if released_epoch is not None and shard.owner == self._member_id:
             raise NotOwnerError(f"shard {shard_id} was released", owner_id=shard.successor)
         if self._member_id in (shard.owner, shard.successor):
             return shard_id, None
@@ -226,63 +244,64 @@
         if now - self._leaving_since > _LEAVING_GRACE_S:
             raise DrainingError("this server is leaving and its shards could not be handed over")
 
-    def _others_exist(self) -> bool:
+    def _other_active_members_exist(self) -> bool:
         view = self._view()
         return view is not None and any(
             member.id != self._member_id and member.state is MemberState.ACTIVE
             for member in view.group.members.values()
         )
 
-    def _wake(self) -> None:
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+    def _notify_waiters(self) -> None:
+        state_changed, self._state_changed = self._state_changed, asyncio.Event()
+        state_changed.set()
 
-    async def _activate(self, batch: dict[int, HeldShard]) -> None:
-        wait_s = max(held.ready_at for held in batch.values()) - self._clock.now()
+    async def _activate(self, batch: dict[int, OwnedShard]) -> None:
+        wait_s = max(owned_shard.ready_at for owned_shard in batch.values()) - self._clock.now()
         if wait_s > 0:
             await self._clock.sleep(wait_s)
-        await self._await_other_shards(batch)
-        # Grants sent before the lease is held have ended already and admit no request.
+        await self._wait_for_other_shards(batch)
+        # Grants that are sent without a lease have already expired and admit no request.
         await self._lease.wait_until_held()
         await self._grants.confirmed()
         ready = [
-            held
-            for shard_id, held in batch.items()
-            if self._held.get(shard_id) is held and held.state is ShardState.ACTIVATING
+            owned_shard
+            for shard_id, owned_shard in batch.items()
+            if self._owned_shards.get(shard_id) is owned_shard
+            and owned_shard.state is ShardState.ACTIVATING
         ]
-        for held in ready:
-            held.state = ShardState.ACTIVE
+        for owned_shard in ready:
+            owned_shard.state = ShardState.ACTIVE
         _ACTIVE.emit(shards=len(ready), member=self._member_id)
-        self._wake()
-        self._recheck()
+        self._notify_waiters()
+        self._apply_newest_group()
 
-    async def _await_other_shards(self, ready: dict[int, HeldShard]) -> None:
-        # A key that gets a shard of its own may still be running under its hash shard here.
+    async def _wait_for_other_shards(self, batch: dict[int, OwnedShard]) -> None:
+        # Requests for a key that gets a shard of its own may still run on its hash shard here.
         view = self._view()
         if view is None:
             return
-        keys = [key for key, shard_id in view.group.exceptions.items() if shard_id in ready]
-        while any(self._keys[key] for key in keys):
-            changed = self._changed
-            await changed.wait()
+        keys = [key for key, shard_id in view.group.exceptions.items() if shard_id in batch]
+        while any(self._keys_in_flight[key] for key in keys):
+            state_changed = self._state_changed
+            await state_changed.wait()
 
-    async def _raise_epoch(self, shard_id: int, held: HeldShard) -> None:
-        await held.idle.wait()
+    async def _raise_epoch(self, shard_id: int, owned_shard: OwnedShard) -> None:
+        await owned_shard.idle.wait()
         shard = self._shard(shard_id)
-        if self._held.get(shard_id) is not held or shard is None:
+        if self._owned_shards.get(shard_id) is not owned_shard or shard is None:
             return
         if shard.owner != self._member_id:
             return
         exported = self._outcomes.export(shard_id)
-        lineage = (*exported.lineage, held.epoch)
-        renewed = HeldShard(shard.epoch, held.ready_at)
-        self._held[shard_id] = renewed
+        lineage = (*exported.lineage, owned_shard.epoch)
+        raised = OwnedShard(shard.epoch, owned_shard.ready_at)
+        self._owned_shards[shard_id] = raised
         self._outcomes.begin_epoch(
             shard_id, shard.epoch, lineage, exported.floor, exported.next_sequence
         )
-        await self._activate({shard_id: renewed})
+        await self._activate({shard_id: raised})
 
-    def _recheck(self) -> None:
+    def _apply_newest_group(self) -> None:
         view = self._view()
         if view is not None:
             self.group_changed(view)
@@ -297,53 +316,55 @@
             return None
         return view.group.shards[shard_id]
 
-    async def _hand_over(self, shard_id: int, held: HeldShard) -> None:
-        self._handovers += 1
+    async def _hand_over(self, shard_id: int, owned_shard: OwnedShard) -> None:
+        self._handovers_in_progress += 1
         try:
-            await self._release(shard_id, held)
+            await self._release(shard_id, owned_shard)
         finally:
-            self._handovers -= 1
-            self._wake()
+            self._handovers_in_progress -= 1
+            self._notify_waiters()
 
-    async def _release(self, shard_id: int, held: HeldShard) -> None:
-        _RELEASING.emit(shard=shard_id, epoch=held.epoch)
-        await held.idle.wait()
+    async def _release(self, shard_id: int, owned_shard: OwnedShard) -> None:
+        _RELEASING.emit(shard=shard_id, epoch=owned_shard.epoch)
+        await owned_shard.idle.wait()
         shard = self._shard(shard_id)
         home = self._membership.home
-        if self._held.get(shard_id) is not held or shard is None or home is None:
+        if self._owned_shards.get(shard_id) is not owned_shard or shard is None or home is None:
             return
-        if shard.owner == self._member_id and shard.epoch > held.epoch:
+        if shard.owner == self._member_id and shard.epoch > owned_shard.epoch:
             # The successor was lost before anything was sent to it.
-            await self._raise_epoch(shard_id, held)
+            await self._raise_epoch(shard_id, owned_shard)
             return
         if shard.owner != self._member_id or shard.successor is None:
             return
-        # From here on the successor may be active, so this epoch ends here.
+        # The successor may be active from here on, so the epoch of this agent ends here.
         exported = self._outcomes.export(shard_id)
-        del self._held[shard_id]
-        self._released[shard_id] = held.epoch
+        del self._owned_shards[shard_id]
+        self._released_epochs[shard_id] = owned_shard.epoch
         await self._grants.revoked()
         release = Release(
             call=0,
             service=home.service,
             number=home.number,
             shard=shard_id,
-            epoch=held.epoch,
+            epoch=owned_shard.epoch,
             from_id=self._member_id,
             to_id=shard.successor,
-            lineage=(*exported.lineage, held.epoch),
+            lineage=(*exported.lineage, owned_shard.epoch),
             next_sequence=exported.next_sequence,
             floor=exported.floor,
             outcomes=exported.outcomes,
         )
-        await self._releases.send(release, lambda: self._released.get(shard_id) == held.epoch)
-        if shard_id not in self._held:
+        await self._releases.send(
+            release, lambda: self._released_epochs.get(shard_id) == owned_shard.epoch
+        )
+        if shard_id not in self._owned_shards:
             self._outcomes.end_epoch(shard_id)
 
     def _on_release(self, sender: str, message: Release) -> None:
-        self._tasks.spawn("take", self._take(sender, message))
+        self._tasks.spawn("take", self._answer_release(sender, message))
 
-    async def _take(self, sender: str, message: Release) -> None:
+    async def _answer_release(self, sender: str, message: Release) -> None:
         accepted = await self._accept_release(sender, message)
         self._peers.reply(sender, Released(message.call, accepted))
 
@@ -351,37 +372,37 @@
         home = self._membership.home
         if home != GroupId(message.service, message.number) or message.to_id != self._member_id:
             return False
-        held = self._held.get(message.shard)
-        if held is not None and held.epoch == message.epoch + 1:
+        owned_shard = self._owned_shards.get(message.shard)
+        if owned_shard is not None and owned_shard.epoch == message.epoch + 1:
             return True
         shard = self._shard(message.shard)
         if shard is None or shard.epoch != message.epoch or shard.successor != self._member_id:
             if shard is None or shard.epoch <= message.epoch:
                 await self._groups.update(home)
             return False
-        if sender != message.from_id or shard.owner != sender or held is not None:
+        if sender != message.from_id or shard.owner != sender or owned_shard is not None:
             return False
-        taken = HeldShard(message.epoch + 1, 0.0)
-        self._held[message.shard] = taken
+        taken_over = OwnedShard(message.epoch + 1, 0.0)
+        self._owned_shards[message.shard] = taken_over
         self._outcomes.begin_epoch(
-            message.shard, taken.epoch, message.lineage, message.floor, message.next_sequence
+            message.shard, taken_over.epoch, message.lineage, message.floor, message.next_sequence
         )
         self._outcomes.import_outcomes(message.shard, message.outcomes)
-        _TAKEN.emit(shard=message.shard, epoch=taken.epoch, source=sender)
-        self._tasks.spawn("activate", self._activate({message.shard: taken}))
-        self._settlement.request()
+        _TAKEN_OVER.emit(shard=message.shard, epoch=taken_over.epoch, source=sender)
+        self._tasks.spawn("activate", self._activate({message.shard: taken_over}))
+        self._handover_recorder.request()
         return True
 
-    def _settle(self, group: Group) -> Group | None:
+    def _record_handovers(self, group: Group) -> Group | None:
         shards = list(group.shards)
-        for shard_id, held in self._held.items():
+        for shard_id, owned_shard in self._owned_shards.items():
             shard = shards[shard_id]
-            if shard.successor == self._member_id and shard.epoch + 1 == held.epoch:
-                shards[shard_id] = Shard(self._member_id, held.epoch)
+            if shard.successor == self._member_id and shard.epoch + 1 == owned_shard.epoch:
+                shards[shard_id] = Shard(self._member_id, owned_shard.epoch)
         if tuple(shards) == group.shards:
             return None
         return replace(group, shards=tuple(shards))
 
 
-def _released_to_me(shard: Shard, held: HeldShard, me: str) -> bool:
-    return shard.successor == me and held.epoch == shard.epoch + 1
+def _is_released_to(shard: Shard, owned_shard: OwnedShard, member_id: str) -> bool:
+    return shard.successor == member_id and owned_shard.epoch == shard.epoch + 1
--- a/fescueward/services/ownership/releases.py
+++ b/fescueward/services/ownership/releases.py
@@ -11,8 +11,10 @@
 from ...messages import VersionedGroup
 from ...messages.peer import Release, Released
 
-_RELEASED = Event(2703, "shard_released", Level.INFO, "The successor has taken a shard.")
-_RELEASE_RETRY = Event(2709, "release_retried", Level.INFO, "A successor has not confirmed yet.")
+_RELEASED = Event(2703, "shard_released", Level.INFO, "The successor has taken over a shard.")
+_RELEASE_RETRY = Event(
+    2709, "release_retried", Level.INFO, "A successor has not confirmed a release yet."
+)
 
 _RELEASE_RETRY_S = 0.05
 
@@ -21,9 +23,9 @@
     """Sends releases until their successors confirm them.
 
     Args:
-        clock: Clock of the pauses.
+        clock: Clock for the pauses between attempts.
         peers: The `peers` service.
-        view: Returns the group of this agent as it is known here.
+        view: Returns the newest known version of the agent's group, or None.
     """
 
     def __init__(
@@ -31,14 +33,14 @@
     ) -> None:
         self._clock, self._peers, self._view = clock, peers, view
 
-    async def send(self, release: Release, wanted: Callable[[], bool]) -> None:
+    async def send(self, release: Release, is_pending: Callable[[], bool]) -> None:
         """Returns once the successor has confirmed, has left, or is no longer the successor.
 
         Args:
             release: The release.
-            wanted: Tells whether it is still to be sent.
+            is_pending: Returns whether the release is still to be sent.
         """
-        while wanted():
+        while is_pending():
             view = self._view()
             member = view.group.members.get(release.to_id) if view is not None else None
             if member is None or view is None:
--- a/fescueward/services/ownership/tickets.py
+++ b/fescueward/services/ownership/tickets.py
@@ -1,4 +1,4 @@
-"""Shards that are held here, and the permission to run a request on one."""
+"""State of the shards that this agent owns, and the tickets of requests on them."""
 
 from __future__ import annotations
 
@@ -9,15 +9,23 @@
 
 
 class ShardState(enum.Enum):
-    """Whether requests run on a shard."""
+    """Whether a shard admits requests."""
 
     ACTIVATING = enum.auto()
     ACTIVE = enum.auto()
     RELEASING = enum.auto()
 
 
-class HeldShard:
-    """A shard that this agent owns at `epoch`."""
+class OwnedShard:
+    """A shard that this agent owns.
+
+    Attributes:
+        epoch: Epoch at which it is owned.
+        ready_at: Earliest activation, in seconds of CLOCK_BOOTTIME; 0.0 for no wait.
+        state: Whether it admits requests.
+        in_flight: Number of requests in flight.
+        idle: Set while no request is in flight.
+    """
 
     def __init__(self, epoch: int, ready_at: float) -> None:
         self.epoch = epoch
@@ -29,13 +37,13 @@
 
 
 class TicketOwner(Protocol):
-    """What a ticket goes back to."""
+    """Service that issues tickets and counts the requests in flight."""
 
-    def check(self, shard: int, held: HeldShard) -> None:
-        """Raises `LeaseExpiredError` unless the lease is held and `held` is still current."""
+    def check(self, shard: int, owned_shard: OwnedShard) -> None:
+        """Raises `LeaseExpiredError` unless the lease is held and `owned_shard` is current."""
         ...
 
-    def give_back(self, held: HeldShard, key: str) -> None:
+    def finish_request(self, owned_shard: OwnedShard, key: str) -> None:
         """Counts a request as finished."""
         ...
 
@@ -43,13 +51,13 @@
 class ShardTicket:
     """Permission to run one request; see `Ticket`."""
 
-    __slots__ = ("_held", "_key", "_owner", "epoch", "shard")
+    __slots__ = ("_key", "_owned_shard", "_owner", "epoch", "shard")
 
-    def __init__(self, owner: TicketOwner, shard: int, held: HeldShard, key: str) -> None:
+    def __init__(self, owner: TicketOwner, shard: int, owned_shard: OwnedShard, key: str) -> None:
         self.shard = shard
-        self.epoch = held.epoch
+        self.epoch = owned_shard.epoch
         self._owner = owner
-        self._held = held
+        self._owned_shard = owned_shard
         self._key = key
 
     def __enter__(self) -> ShardTicket:
@@ -62,9 +70,9 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Gives the ticket back."""
-        self._owner.give_back(self._held, self._key)
+        """Ends the request of the ticket."""
+        self._owner.finish_request(self._owned_shard, self._key)
 
     def check(self) -> None:
         """Raises `LeaseExpiredError` unless the lease is held and the shard still active."""
-        self._owner.check(self.shard, self._held)
+        self._owner.check(self.shard, self._owned_shard)
--- a/tests/services/ownership/test_hash_shards.py
+++ b/tests/services/ownership/test_hash_shards.py
@@ -29,33 +29,33 @@
         self.epoch = self.source.ownership.active()[self.shard]
 
     def _request(self, seconds: float) -> list[float]:
-        done: list[float] = []
+        finished_at: list[float] = []
         key = _key(self.fleet, self.shard)
 
         async def run() -> None:
             await self.source.request(key, seconds)
-            done.append(self.fleet.world.now)
+            finished_at.append(self.fleet.world.now)
 
         self.source.spawn(run)
         self.fleet.world.advance(0.05)
-        return done
+        return finished_at
 
     def _serves(self, agent: SimulatedAgent) -> int | None:
         return agent.serving().get(self.shard)
 
     def test_request_in_flight_is_finished_first(self):
-        """Guards against a successor that runs beside the last request of the owner."""
-        done = self._request(1.0)
+        """Guards against a successor that serves before the owner's last request has ended."""
+        finished_at = self._request(1.0)
         move(self.fleet, self.shard, "a1")
         self.fleet.world.advance(0.8)
-        self.assertEqual((done, self._serves(self.target)), ([], None))
+        self.assertEqual((finished_at, self._serves(self.target)), ([], None))
         self.fleet.world.advance(0.5)
-        self.assertEqual(len(done), 1)
+        self.assertEqual(len(finished_at), 1)
         self.assertEqual(self._serves(self.target), self.epoch + 1)
         self.assertIsNone(self._serves(self.source))
 
     def test_owner_lost_before_the_release(self):
-        """Guards against a third member that gets a shard which the successor may serve."""
+        """Guards against a shard that a third member gets while the successor may serve it."""
         self._request(3.0)
         move(self.fleet, self.shard, "a1")
         self.fleet.world.advance(0.1)
@@ -64,7 +64,7 @@
         self.assertEqual(self._serves(self.target), self.epoch + 1)
 
     def test_successor_lost_before_and_after_the_release(self):
-        """Guards against the epoch that the lost successor may have served."""
+        """Guards against reuse of an epoch at which the lost successor may have served."""
         for released in (False, True):
             with self.subTest(released=released):
                 self.setUp()
@@ -81,26 +81,26 @@
                 self.assertEqual(self._serves(self.source), self.epoch + 2)
 
     def test_drain_waits_until_the_successor_has_confirmed(self):
-        """Guards against a leave that writes the shard off before its outcomes arrived."""
-        call, calls = self.source.peers.call, []
+        """Guards against a leave that ends before the outcomes of a shard are handed over."""
+        call, lost_releases = self.source.peers.call, []
 
-        async def lose(member, message, number):
-            if isinstance(message, Release) and len(calls) < 5:
-                calls.append(message)
+        async def lose_first_releases(member, message, number):
+            if isinstance(message, Release) and len(lost_releases) < 5:
+                lost_releases.append(message)
                 raise PeerTimeoutError("lost")
             return await call(member, message, number)
 
-        self.source.peers.call = lose
+        self.source.peers.call = lose_first_releases
         move(self.fleet, self.shard, "a1")
         self.fleet.world.advance(0.01)
         self.assertNotIn(self.shard, self.source.ownership.owned())
-        self.assertGreater(self.source.ownership._handovers, 0)
+        self.assertGreater(self.source.ownership._handovers_in_progress, 0)
         self.fleet.world.advance(1)
-        self.assertEqual(self.source.ownership._handovers, 0)
+        self.assertEqual(self.source.ownership._handovers_in_progress, 0)
         self.assertEqual(self._serves(self.target), self.epoch + 1)
 
     def test_repeated_and_late_releases(self):
-        """Guards against a release that takes a shard a second time."""
+        """Guards against a release that hands over a shard a second time."""
         sent: list[Release] = []
         call = self.source.peers.call
 
@@ -127,7 +127,7 @@
         self.assertEqual(self._serves(self.fleet.agents["a2"]), self.epoch + 2)
 
     def test_slow_and_lost_record_of_a_handover(self):
-        """Guards against a shard that is served nowhere until its record is written."""
+        """Guards against a shard that nobody serves until its handover is recorded."""
         for answers in (Answers.SLOW, Answers.LOST, Answers.LATE, Answers.REFUSED):
             with self.subTest(answers=answers):
                 self.setUp()
@@ -141,16 +141,16 @@
                 shard = self.fleet.group().shards[self.shard]
                 self.assertEqual((shard.owner, shard.successor), (self.target.member_id, None))
 
-    def test_releases_are_forgotten(self):
-        """Guards against records of releases that grow with the number of moves."""
+    def test_released_epochs_are_removed(self):
+        """Guards against released epochs that accumulate with the number of moves."""
         for _ in range(3):
             for name in ("a1", "a0"):
                 move(self.fleet, self.shard, name)
                 self.fleet.world.advance(0.5)
-        self.assertEqual(self.source.ownership._released, {})
+        self.assertEqual(self.source.ownership._released_epochs, {})
 
     def test_raised_epoch_keeps_outcomes(self):
-        """Guards against a payment that runs again after its shard stayed with its owner."""
+        """Guards against a request that runs again after the epoch rose without a new owner."""
         outcomes = self.source.ownership._outcomes
         before = outcomes.export(self.shard)
         version = self.fleet.platform.read(HOME.object_key).version
@@ -166,19 +166,19 @@
 
 class GrantTest(unittest.TestCase):
     def test_upstream_that_confirms_no_grants(self):
-        """Guards against a successor that serves while the old upstream holds its grants."""
+        """Guards against a successor that serves while grants of the old upstream are in force."""
         fleet = formed(3, 3)
         source, shard = fleet.agents["a0"], shards_of(fleet, "a0")[0]
         source.upstream.confirms = False
-        expiry = source.grants._expire_at - source.loop.time()
+        expires_in_s = source.grants._latest_expiry_at - source.loop.time()
         move(fleet, shard, "a1")
-        fleet.world.advance(expiry * 0.95)
+        fleet.world.advance(expires_in_s * 0.95)
         self.assertNotIn(shard, fleet.agents["a1"].serving())
         fleet.world.advance(0.6)
         self.assertIn(shard, fleet.agents["a1"].serving())
 
     def test_shard_waits_for_the_confirmed_grant(self):
-        """Guards against requests that the upstream must refuse."""
+        """Guards against requests that the upstream refuses because it has no grant yet."""
         fleet = formed(3, 3)
         target, shard = fleet.agents["a1"], shards_of(fleet, "a0")[0]
         target.upstream.confirms = False
@@ -190,29 +190,29 @@
         self.assertIn(shard, target.serving())
 
     def test_hold_after_an_upstream_that_checks_no_grants(self):
-        """Guards against a new owner beside requests that the lost upstream still runs."""
+        """Guards against a new owner that serves while the lost upstream still runs requests."""
         fleet = formed(3, 3, checks=False)
         lost = shards_of(fleet, "a0")
         fleet.kill("a0")
         fleet.world.advance(1.5)
-        taken = fleet.world.now
+        taken_over_at = fleet.world.now
         self.assertEqual(len(fleet.group().members), 2)
         hold_s = fleet.catalogue.entry("depot").entry.limits.max_request_ms / 1000
         fleet.world.advance(hold_s * 0.95)
         owners = fleet.owners()
         self.assertEqual([owners[shard] for shard in lost], [[] for _ in lost])
-        self.assertIsNotNone(fleet.time_until_served(2), taken)
+        self.assertIsNotNone(fleet.time_until_served(2), taken_over_at)
 
     def test_hold_survives_a_second_loss(self):
-        """Guards against a hold that ends with the member that was waiting for it."""
+        """Guards against a hold that ends with the loss of the member that waits for it."""
         fleet = formed(3, 3, checks=False)
         lost = shards_of(fleet, "a0")
         fleet.kill("a0")
         fleet.world.advance(4)
-        held = [
+        holds_ms = [
             shard.hold_ms for number, shard in enumerate(fleet.group().shards) if number in lost
         ]
-        self.assertTrue(all(held))
+        self.assertTrue(all(holds_ms))
         first = fleet.group().shards[lost[0]].owner.split(":")[0]
         other = next(name for name in fleet.agents if name != first)
         fleet.kill(first)
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -88,9 +88,9 @@
 
 
 class _ServesAfterRelease(ShardOwnership):
-    def _own(self, shard_id: int, *args: Any) -> None:
-        self._released.pop(shard_id, None)
-        super()._own(shard_id, *args)
+    def _update_own_shard(self, shard_id: int, *args: Any) -> None:
+        self._released_epochs.pop(shard_id, None)
+        super()._update_own_shard(shard_id, *args)
 
 
 _MUTANTS: dict[str, type[Any]] = {
