--- a/fescueward/services/policies/__init__.py
+++ b/fescueward/services/policies/__init__.py
@@ -1,4 +1,4 @@
-"""Placement policies by name; a new one is one more line in `POLICIES`."""
+"""Placement policies by name; a new policy is registered in `POLICIES`."""
 
 from __future__ import annotations
 
--- a/fescueward/services/policies/exceptions.py
+++ b/fescueward/services/policies/exceptions.py
@@ -1,4 +1,4 @@
-"""Shards of their own for hot keys."""
+"""Exceptions: hot keys that have a shard of their own."""
 
 from __future__ import annotations
 
@@ -12,69 +12,72 @@
 from .losses import active_members, unused_slots
 
 MAX_EXCEPTIONS = 64
-# Keys stand in the group object, which has to stay small.
+# The keys of exceptions are stored in the group object, which has to stay small.
 MAX_KEY_BYTES = 200
-# A key is hot above both shares; the first keeps idle services free of exceptions.
-_HOT_OF_SLOTS = 0.005
-_HOT_OF_MEAN = 0.05
-# An exception below this part of the threshold is cool. The gap prevents that a key around the
-# threshold gains and loses its shard in turn.
-_COOL = 0.5
-# Exceptions created in one write; each makes its key wait for an instant.
-_NEW_PER_ROUND = 8
+# A key is hot if its work exceeds a fraction of its owner's slots and a fraction of the mean work
+# of a member. The first threshold keeps idle services free of exceptions.
+_HOT_FRACTION_OF_SLOTS = 0.005
+_HOT_FRACTION_OF_MEAN = 0.05
+# An exception below this fraction of the threshold is cool. The gap prevents a key close to the
+# threshold from gaining and losing its shard repeatedly.
+_COOL_FRACTION = 0.5
+# Most exceptions created in one write; requests for each of their keys wait briefly.
+_MAX_NEW_PER_ROUND = 8
 
 
 @dataclass(frozen=True, slots=True)
-class _Hot:
+class _HotKey:
     key: str
     hash_shard: int
     work: float
 
 
 def place_hot_keys(group: Group, load: GroupLoad, groups: int) -> Group:
-    """Gives hot keys exceptions and takes slots back from cool ones where slots are short.
+    """Creates exceptions for hot keys, and dissolves those of cool keys if slots are missing.
 
-    A fresh exception starts at the owner of its hash shard, with an epoch above that of the hash
-    shard and above all that its slot has had. An exception is dissolved only at the owner of its
-    hash shard, whose epoch then rises above that of the exception.
+    A new exception starts with the owner of its hash shard, at an epoch above that of the hash
+    shard and above all earlier epochs of its slot. An exception is dissolved only while its owner
+    also owns its hash shard, whose epoch then rises above that of the exception.
 
     Args:
         group: The group.
         load: Measured work.
         groups: Number of groups of the service.
     """
-    group = _release_unused(group)
+    group = _clear_unused_slots(group)
     work = clean_work(load.work, group)
     mean = sum(work.values()) / max(len(active_members(group)), 1)
-    wanted = _hot_keys(group, load, groups, mean)[:_NEW_PER_ROUND]
-    if not wanted:
+    hot_keys = _hot_keys(group, load, groups, mean)[:_MAX_NEW_PER_ROUND]
+    if not hot_keys:
         return group
-    free = sorted(
-        slot for slot in unused_slots(group) if group.shards[slot] == _empty(group.shards[slot])
+    free_slots = sorted(
+        slot
+        for slot in unused_slots(group)
+        if group.shards[slot] == _without_owner(group.shards[slot])
     )
-    fresh = group.shard_count + MAX_EXCEPTIONS - len(group.shards)
-    short = len(wanted) - len(free) - max(fresh, 0)
+    unallocated = group.shard_count + MAX_EXCEPTIONS - len(group.shards)
+    missing = len(hot_keys) - len(free_slots) - max(unallocated, 0)
     shards, exceptions = list(group.shards), dict(group.exceptions)
-    for hot in wanted:
-        parent = shards[hot.hash_shard]
-        if free:
-            slot = free.pop(0)
+    for hot_key in hot_keys:
+        parent = shards[hot_key.hash_shard]
+        if free_slots:
+            slot = free_slots.pop(0)
         elif len(shards) < group.shard_count + MAX_EXCEPTIONS:
             slot = len(shards)
             shards.append(Shard())
         else:
             break
         shards[slot] = Shard(parent.owner, max(shards[slot].epoch, parent.epoch) + 1)
-        exceptions[hot.key] = slot
+        exceptions[hot_key.key] = slot
     if exceptions != group.exceptions:
-        # Slots are taken back in a later write: a dissolved exception raises the epoch of its
-        # hash shard, which must stay below that of an exception created in the same write.
+        # Slots are freed in a later write: a dissolved exception raises the epoch of its hash
+        # shard, which must stay below that of an exception created in the same write.
         return replace(group, shards=tuple(shards), exceptions=exceptions)
-    return _make_room(group, work, groups, mean, short) if short > 0 else group
+    return _dissolve_cool_keys(group, work, groups, mean, missing) if missing > 0 else group
 
 
 def _threshold(mean: float, slots: int) -> float:
-    return max(_HOT_OF_SLOTS * slots, _HOT_OF_MEAN * mean)
+    return max(_HOT_FRACTION_OF_SLOTS * slots, _HOT_FRACTION_OF_MEAN * mean)
 
 
 def hash_shard(group: Group, key: str, groups: int) -> int:
@@ -82,21 +85,21 @@
     return (key_hash(key) // groups) % group.shard_count
 
 
-def _release_unused(group: Group) -> Group:
+def _clear_unused_slots(group: Group) -> Group:
     # The owner kept the shard for requests that were in flight when the exception was dissolved.
     shards = list(group.shards)
     for slot in unused_slots(group):
         if shards[slot].successor is None:
-            shards[slot] = _empty(shards[slot])
+            shards[slot] = _without_owner(shards[slot])
     return replace(group, shards=tuple(shards))
 
 
-def _empty(shard: Shard) -> Shard:
+def _without_owner(shard: Shard) -> Shard:
     return Shard(None, shard.epoch)
 
 
-def _hot_keys(group: Group, load: GroupLoad, groups: int, mean: float) -> list[_Hot]:
-    found = []
+def _hot_keys(group: Group, load: GroupLoad, groups: int, mean: float) -> list[_HotKey]:
+    hot_keys = []
     for key, work in load.hot_keys.items():
         if key in group.exceptions or not math.isfinite(work):
             continue
@@ -109,25 +112,25 @@
         owner = group.members.get(shard.owner or "")
         if owner is None or owner.state is not MemberState.ACTIVE or shard.successor is not None:
             continue
-        # The new owner may still be waiting for runs of the lost one, which could be of this key.
+        # The new owner may still wait for requests of the lost one to end, perhaps for this key.
         if shard.hold_ms:
             continue
         if work > _threshold(mean, owner.slots):
-            found.append(_Hot(key, shard_id, work))
-    return sorted(found, key=lambda hot: (-hot.work, hot.key))
+            hot_keys.append(_HotKey(key, shard_id, work))
+    return sorted(hot_keys, key=lambda hot_key: (-hot_key.work, hot_key.key))
 
 
-def _make_room(
-    group: Group, work: dict[int, float], groups: int, mean: float, short: int
+def _dissolve_cool_keys(
+    group: Group, work: dict[int, float], groups: int, mean: float, missing: int
 ) -> Group:
     shards, exceptions = list(group.shards), dict(group.exceptions)
     coolest = sorted(exceptions, key=lambda key: (work.get(exceptions[key], 0.0), key))
     slots = min((member.slots for member in active_members(group)), default=1)
-    limit = _COOL * _threshold(mean, slots)
+    limit = _COOL_FRACTION * _threshold(mean, slots)
     for key in coolest:
         slot, parent_id = exceptions[key], hash_shard(group, key, groups)
         shard, parent = shards[slot], shards[parent_id]
-        if short == 0 or work.get(slot, 0.0) >= limit:
+        if missing == 0 or work.get(slot, 0.0) >= limit:
             break
         if shard.successor is not None or parent.successor is not None or shard.owner is None:
             continue
@@ -139,5 +142,5 @@
             shards[slot] = replace(shard, successor=parent.owner)
         else:
             continue
-        short -= 1
+        missing -= 1
     return replace(group, shards=tuple(shards), exceptions=exceptions)
--- a/fescueward/services/policies/losses.py
+++ b/fescueward/services/policies/losses.py
@@ -1,4 +1,4 @@
-"""What becomes of the shards of members that are lost or leave."""
+"""Reassignment of the shards of members that are lost or leave."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def active_members(group: Group) -> list[Member]:
-    """Returns the members that take new shards."""
+    """Returns the members that may be assigned shards."""
     return [member for member in group.members.values() if member.state is MemberState.ACTIVE]
 
 
@@ -23,7 +23,7 @@
 
 
 def without_members(group: Group, lost: frozenset[str]) -> Group:
-    """Returns the group with lost members taken out of it and of all lists of monitors."""
+    """Returns the group without the lost members, also as monitors of others."""
     members = {
         member.id: replace(
             member, monitors=tuple(other for other in member.monitors if other not in lost)
@@ -34,10 +34,10 @@
     return replace(group, members=members)
 
 
-def settle_lost(
+def reassign_lost(
     group: Group, remaining: Group, lost: frozenset[str], entry: Entry, choose: Chooser
 ) -> Group:
-    """Ends the handovers that lost members took part in and places what has no owner left.
+    """Ends the handovers of lost members and places the shards that have no owner left.
 
     Args:
         group: The group with the lost members.
@@ -46,44 +46,44 @@
         entry: Entry of the service.
         choose: Returns the new owner of a shard id, given the old one; None if there is none.
     """
-    # Upstreams that check no grants may run what they have received for up to this time.
-    held_back = {
+    # An upstream that checks no grants may run requests it has received for up to this time.
+    hold_ms_by_member = {
         member_id: entry.limits.max_request_ms
         for member_id in lost
         if member_id in group.members and not group.members[member_id].checks_grants
     }
     unused = unused_slots(group)
     shards = list(group.shards)
-    homeless = []
+    unowned_ids = []
     for shard_id, shard in enumerate(shards):
-        settled = _settled(shard, lost, held_back)
-        if settled is not None:
-            shards[shard_id] = settled
+        updated = _after_loss(shard, lost, hold_ms_by_member)
+        if updated is not None:
+            shards[shard_id] = updated
         elif shard_id in unused:
             shards[shard_id] = Shard(None, shard.epoch + (2 if shard.successor else 0))
         else:
-            homeless.append(shard_id)
-    for shard_id in homeless:
+            unowned_ids.append(shard_id)
+    for shard_id in unowned_ids:
         shard = shards[shard_id]
         # A lost successor may have been active at epoch + 1.
         epoch = shard.epoch + (2 if shard.successor is not None else 1)
         hold_ms = max(
-            held_back.get(shard.owner or "", 0),
-            held_back.get(shard.successor or "", 0),
-            # The lost owner may itself have been waiting for the runs of an earlier one.
+            hold_ms_by_member.get(shard.owner or "", 0),
+            hold_ms_by_member.get(shard.successor or "", 0),
+            # The lost owner may itself have been waiting for requests of an earlier owner to end.
             shard.hold_ms,
         )
         shards[shard_id] = Shard(choose(shard_id, shard.owner), epoch, None, hold_ms)
     return replace(remaining, shards=tuple(shards))
 
 
-def vacated(group: Group, member_id: str, choose: Chooser) -> Group:
+def with_successors(group: Group, member_id: str, choose: Chooser) -> Group:
     """Sets successors for all shards of a leaving member that have none.
 
     Args:
         group: The group, in which the member is leaving already.
         member_id: The member.
-        choose: See `settle_lost`.
+        choose: See `reassign_lost`.
     """
     unused = unused_slots(group)
     shards = list(group.shards)
@@ -97,15 +97,19 @@
     return replace(group, shards=tuple(shards))
 
 
-def _settled(shard: Shard, lost: frozenset[str], held_back: dict[str, int]) -> Shard | None:
+def _after_loss(
+    shard: Shard, lost: frozenset[str], hold_ms_by_member: dict[str, int]
+) -> Shard | None:
     owner, successor = shard.owner, shard.successor
     if owner is not None and owner not in lost:
         if successor is not None and successor in lost:
             # The successor may have been active at epoch + 1.
-            hold_ms = max(shard.hold_ms, held_back.get(successor, 0))
+            hold_ms = max(shard.hold_ms, hold_ms_by_member.get(successor, 0))
             return Shard(owner, shard.epoch + 2, None, hold_ms)
         return shard
     if owner is not None and successor is not None and successor not in lost:
         # The successor may be active at epoch + 1 already.
-        return Shard(successor, shard.epoch + 1, None, max(shard.hold_ms, held_back.get(owner, 0)))
+        return Shard(
+            successor, shard.epoch + 1, None, max(shard.hold_ms, hold_ms_by_member.get(owner, 0))
+        )
     return None
--- a/fescueward/services/policies/rendezvous.py
+++ b/fescueward/services/policies/rendezvous.py
@@ -15,12 +15,12 @@
 
 @lru_cache(maxsize=65_536)
 def _distance(name: str, shard: int) -> float:
-    drawn = (xxhash.xxh64_intdigest(f"{name}/{shard}".encode()) + 1) / (_HASH_RANGE + 2)
-    return -math.log(drawn)
+    uniform = (xxhash.xxh64_intdigest(f"{name}/{shard}".encode()) + 1) / (_HASH_RANGE + 2)
+    return -math.log(uniform)
 
 
 def rendezvous_order(shard: int, members: Iterable[Member]) -> list[Member]:
-    """Returns members in the order in which a shard prefers them.
+    """Returns the members in the preference order of a shard.
 
     The order depends on names and slots only, so a server that returns under its name is
     preferred for the shards that it had. A member is first for a share of the shards in
--- a/fescueward/services/policies/static.py
+++ b/fescueward/services/policies/static.py
@@ -6,26 +6,26 @@
 
 from ...interfaces.placement import GroupLoad
 from ...messages import Entry, Group
-from .losses import active_members, settle_lost, unused_slots, vacated, without_members
+from .losses import active_members, reassign_lost, unused_slots, with_successors, without_members
 from .rendezvous import rendezvous_order
 
 
 class StaticHashPolicy:
-    """Gives each shard to the first member of its rendezvous order, whatever the load."""
+    """Assigns each shard to the first member of its rendezvous order, regardless of load."""
 
     def assign(self, group: Group, lost: frozenset[str], load: GroupLoad, entry: Entry) -> Group:
         """Places the shards of lost members; see `PlacementPolicy.assign`."""
         remaining = without_members(group, lost)
-        return settle_lost(
+        return reassign_lost(
             group, remaining, lost, entry, lambda shard, _: _first(remaining, shard)
         )
 
     def drain_member(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
         """Sets successors for a leaving member; see `PlacementPolicy.drain_member`."""
-        return vacated(group, member_id, lambda shard, _: _first(group, shard))
+        return with_successors(group, member_id, lambda shard, _: _first(group, shard))
 
     def rebalance(self, group: Group, load: GroupLoad, entry: Entry) -> Group:
-        """Moves shards to the first member of their order, for members that have joined."""
+        """Moves shards to the first member of their order, so that joined members get shards."""
         members = active_members(group)
         unused = unused_slots(group)
         shards = list(group.shards)
--- a/tests/services/test_placement.py
+++ b/tests/services/test_placement.py
@@ -46,12 +46,12 @@
 
 
 class PolicyPropertyTest(unittest.TestCase):
-    """Rules that hold for every load, also an absurd one."""
+    """Rules that hold for every load, also for one with invalid values."""
 
     @_QUICK
     @given(st.integers(1, 7), st.lists(_LOADS, min_size=1, max_size=6), _WEIGHTS, st.booleans())
     def test_rounds_keep_the_rules(self, count, loads, weight, hand_over):
-        """Guards against a round that lets a key have two owners or an epoch fall."""
+        """Guards against a round that gives a key two owners or lowers an epoch."""
         group = placed(*(member(name) for name in _NAMES[:count]))
         for load in loads:
             after = BoundedLoadPolicy().rebalance(group, load, entry(weight))
@@ -78,7 +78,7 @@
     @_QUICK
     @given(st.integers(1, 7), _LOADS)
     def test_leaving_member_names_successors(self, count, load):
-        """Guards against shards that stay at a member that leaves."""
+        """Guards against shards that stay with a member that leaves."""
         group = placed(*(member(name) for name in _NAMES[:count]))
         leaving = replace(group.members["a:1"], state=MemberState.LEAVING)
         marked = replace(group, members={**group.members, "a:1": leaving})
@@ -95,14 +95,14 @@
     """Moves of the policy `bounded-load`."""
 
     def test_idle_service_spreads_by_slots(self):
-        """Guards against a division by zero, and a pile-up, where nothing was measured."""
+        """Guards against a division by zero and uneven placement without measured work."""
         group = placed(member("a"))
         group = joined(group, member("b"), member("c", slots=12))
-        found = counts(settle_rounds(group, GroupLoad(), 6))
-        self.assertAlmostEqual(found["c:1"], SHARDS / 2, delta=3)
-        self.assertAlmostEqual(found["a:1"], SHARDS / 4, delta=3)
+        shard_counts = counts(settle_rounds(group, GroupLoad(), 6))
+        self.assertAlmostEqual(shard_counts["c:1"], SHARDS / 2, delta=3)
+        self.assertAlmostEqual(shard_counts["a:1"], SHARDS / 4, delta=3)
 
-    def test_skewed_work_is_balanced_and_then_rests(self):
+    def test_skewed_work_is_balanced_and_then_stable(self):
         """Guards against a balance by count alone, and against oscillation."""
         work = {shard: 3.0 / (shard + 4) for shard in range(SHARDS)}
         load = GroupLoad(work)
@@ -111,26 +111,30 @@
                 group = placed(*(member(name) for name in "abcd"))
                 group = settle_rounds(group, load, 20, entry(weight))
                 self.assertLess(imbalance(group, load), goal)
-                rested = BoundedLoadPolicy().rebalance(group, load, entry(weight))
-                self.assertEqual(rested, group)
+                unchanged = BoundedLoadPolicy().rebalance(group, load, entry(weight))
+                self.assertEqual(unchanged, group)
 
     def test_small_imbalance_moves_nothing(self):
-        """Guards against moves that follow the noise of the measurement."""
+        """Guards against moves that are caused by measurement noise."""
         group = placed(*(member(name) for name in "abcd"))
         load = GroupLoad(dict.fromkeys(range(SHARDS), 0.05))
         for weight in Weight:
-            rested = settle_rounds(group, load, 20, entry(weight))
+            stable = settle_rounds(group, load, 20, entry(weight))
             noisy = GroupLoad(
                 {shard: 0.05 + 0.002 * (shard % 3) for shard in range(SHARDS)}, {}, {}
             )
-            self.assertEqual(BoundedLoadPolicy().rebalance(rested, noisy, entry(weight)), rested)
+            self.assertEqual(BoundedLoadPolicy().rebalance(stable, noisy, entry(weight)), stable)
 
     def test_churn_entries_move_later_and_less(self):
         """Guards against a weight of the entry that has no effect."""
         group = placed(*(member(name) for name in "abcd"))
-        mine = [shard for shard, owner in enumerate(owners(group)) if owner == "a:1"]
-        slight = GroupLoad({shard: 0.058 if shard in mine else 0.05 for shard in range(SHARDS)})
-        strong = GroupLoad({shard: 0.2 if shard in mine else 0.05 for shard in range(SHARDS)})
+        shards_of_a = [shard for shard, owner in enumerate(owners(group)) if owner == "a:1"]
+        slight = GroupLoad(
+            {shard: 0.058 if shard in shards_of_a else 0.05 for shard in range(SHARDS)}
+        )
+        strong = GroupLoad(
+            {shard: 0.2 if shard in shards_of_a else 0.05 for shard in range(SHARDS)}
+        )
 
         def moves(load: GroupLoad, weight: Weight) -> int:
             after = BoundedLoadPolicy().rebalance(group, load, entry(weight))
@@ -163,17 +167,19 @@
         group = settle_rounds(placed(*(member(name) for name in "abcdefgh")), GroupLoad(), 5)
         without = BoundedLoadPolicy().assign(group, frozenset({"c:1"}), GroupLoad(), entry())
         after = settle_rounds(joined(without, member("c", incarnation=2)), GroupLoad(), 20)
-        had = {shard for shard, owner in enumerate(owners(group)) if owner == "c:1"}
-        has = {shard for shard, owner in enumerate(owners(after)) if owner == "c:2"}
-        self.assertGreaterEqual(len(had & has), len(had) // 2)
+        shards_before = {shard for shard, owner in enumerate(owners(group)) if owner == "c:1"}
+        shards_after = {shard for shard, owner in enumerate(owners(after)) if owner == "c:2"}
+        self.assertGreaterEqual(len(shards_before & shards_after), len(shards_before) // 2)
 
     def test_restarted_member_replaces_its_old_one(self):
         """Guards against shards that leave a server because its agent was restarted."""
         group = placed(*(member(name) for name in "abcd"))
         both = joined(group, member("c", incarnation=2))
         after = BoundedLoadPolicy().assign(both, frozenset({"c:1"}), GroupLoad(), entry())
-        had = {shard for shard, owner in enumerate(owners(group)) if owner == "c:1"}
-        self.assertEqual({i for i, owner in enumerate(owners(after)) if owner == "c:2"}, had)
+        shards_before = {shard for shard, owner in enumerate(owners(group)) if owner == "c:1"}
+        self.assertEqual(
+            {i for i, owner in enumerate(owners(after)) if owner == "c:2"}, shards_before
+        )
 
     def test_cold_member_is_filled_slowly(self):
         """Guards against a cold server that gets its whole share at once."""
@@ -186,18 +192,18 @@
         partly = settle_rounds(group, cold, 20)
         self.assertAlmostEqual(counts(partly)["d:1"], SHARDS / 16, delta=1)
         self.assertAlmostEqual(counts(settle_rounds(partly, warm, 20))["d:1"], 16, delta=2)
-        dipped = settle_rounds(settle_rounds(partly, warm, 20), cold, 5)
-        self.assertAlmostEqual(counts(dipped)["d:1"], 16, delta=2)
+        cold_again = settle_rounds(settle_rounds(partly, warm, 20), cold, 5)
+        self.assertAlmostEqual(counts(cold_again)["d:1"], 16, delta=2)
 
     def test_more_members_than_shards(self):
-        """Guards against shares below one shard that make shards wander."""
+        """Guards against shards that move repeatedly because shares are below one shard."""
         group = Group("depot", 0, 4, {}, (Shard(),) * 4)
         group = joined(group, *(member(name) for name in _NAMES))
         group = BoundedLoadPolicy().assign(group, frozenset(), GroupLoad(), entry())
-        rested = settle_rounds(group, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
-        self.assertEqual(len(set(rested.shards[i].owner for i in range(4))), 4)
-        again = settle_rounds(rested, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
-        self.assertEqual(again, rested)
+        stable = settle_rounds(group, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
+        self.assertEqual(len(set(stable.shards[i].owner for i in range(4))), 4)
+        again = settle_rounds(stable, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
+        self.assertEqual(again, stable)
 
     def test_loss_of_a_server_without_grants_holds_the_shard(self):
         """Guards against a new owner that starts while the old upstream may still run."""
@@ -219,27 +225,27 @@
         shard = group.exceptions.get(key, hash_shard(group, key, 1))
         return GroupLoad({**self.work, **more, shard: work + 0.05}, {key: work})
 
-    def test_hot_key_gets_room(self):
-        """Guards against a hot key that keeps slowing its neighbours."""
+    def test_hot_key_gets_capacity(self):
+        """Guards against a hot key that keeps slowing the other keys of its member."""
         group = self.group
         for _ in range(12):
             load = self._hot(group, "viral", 2.0, {})
             group = settled(BoundedLoadPolicy().rebalance(group, load, entry()))
         shard = group.shards[group.exceptions["viral"]]
-        neighbours = sum(
+        other_work = sum(
             self.work[i] for i, owner in enumerate(owners(group)) if owner == shard.owner
         )
-        self.assertLess(neighbours, 0.25)
+        self.assertLess(other_work, 0.25)
 
     def test_cool_key_stays_where_it_is(self):
         """Guards against a needless move back."""
         group = BoundedLoadPolicy().rebalance(
             self.group, self._hot(self.group, "viral", 1.0, {}), entry()
         )
-        rested = settle_rounds(group, GroupLoad(self.work), 10)
-        self.assertEqual(rested.exceptions, group.exceptions)
+        stable = settle_rounds(group, GroupLoad(self.work), 10)
+        self.assertEqual(stable.exceptions, group.exceptions)
 
-    def test_full_table_makes_room_by_steps(self):
+    def test_full_table_frees_slots_one_at_a_time(self):
         """Guards against more than 64 exceptions, and a slot reused at an old epoch."""
         group = self.group
         for number in range(100):
@@ -256,30 +262,30 @@
     def test_creation_and_dissolution_share_no_write(self):
         """Guards against an exception whose epoch is not above that of its raised hash shard."""
         names = (f"other-{number}" for number in range(10_000))
-        twin = next(name for name in names if hash_shard(self.group, name, 1) == 5)
-        cool = next(
+        hot_key = next(name for name in names if hash_shard(self.group, name, 1) == 5)
+        cool_key = next(
             name
             for name in (f"cool-{number}" for number in range(10_000))
             if hash_shard(self.group, name, 1) == 5
         )
         group = self.group
-        for key in (cool, *(f"key-{number}" for number in range(MAX_EXCEPTIONS - 2))):
+        for key in (cool_key, *(f"key-{number}" for number in range(MAX_EXCEPTIONS - 2))):
             group = BoundedLoadPolicy().rebalance(group, GroupLoad({}, {key: 0.5}), entry())
         self.assertEqual(len(group.exceptions), MAX_EXCEPTIONS - 1)
         load = GroupLoad(
-            {group.exceptions[key]: 0.01 for key in group.exceptions if key != cool},
-            {twin: 0.9, "more": 0.8},
+            {group.exceptions[key]: 0.01 for key in group.exceptions if key != cool_key},
+            {hot_key: 0.9, "more": 0.8},
         )
         after = BoundedLoadPolicy().rebalance(group, load, entry())
-        self.assertIn(twin, after.exceptions)
+        self.assertIn(hot_key, after.exceptions)
         self.assertEqual(faults(group, after), [])
 
     def test_shards_that_wait_get_no_exception(self):
-        """Guards against a key that runs at its new shard while its hash shard still holds."""
+        """Guards against a key that runs on its new shard while its hash shard still waits."""
         shard_id = key_hash("viral") % SHARDS
-        for held in (Shard("a:1", 5, "b:1"), Shard("a:1", 5, None, 10_000), Shard(None, 5)):
+        for waiting in (Shard("a:1", 5, "b:1"), Shard("a:1", 5, None, 10_000), Shard(None, 5)):
             shards = list(self.group.shards)
-            shards[shard_id] = held
+            shards[shard_id] = waiting
             group = replace(self.group, shards=tuple(shards))
             load = GroupLoad(self.work, {"viral": 2.0})
             after = BoundedLoadPolicy().rebalance(group, load, entry())
@@ -296,7 +302,7 @@
     """The baseline of the benchmarks."""
 
     def test_ignores_work(self):
-        """Guards against a baseline that balances."""
+        """Guards against a baseline that balances measured work."""
         group = joined(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), member("a"))
         policy = StaticHashPolicy()
         group = policy.assign(joined(group, member("b")), frozenset(), GroupLoad(), entry())
