--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -13,22 +13,28 @@
 from ..messages import Entry, Group, GroupId, Member, MemberState, VersionedGroup
 from .policies import POLICIES
 
-_ROUND = Event(2801, "placement_round", Level.INFO, "The planner ended a round.")
+_ROUND = Event(2801, "placement_round", Level.INFO, "The planner completed a round.")
 _PLAN_FAILED = Event(2802, "plan_failed", Level.WARNING, "A placement round failed.")
-_MOVED = Event(2803, "shard_placed", Level.INFO, "A shard gets another owner.")
+_MOVED = Event(2803, "shard_placed", Level.INFO, "A shard is assigned to another owner.")
 _ISOLATED = Event(2804, "key_isolated", Level.INFO, "A hot key gets a shard of its own.")
-_DISSOLVED = Event(2805, "key_rejoined", Level.INFO, "A cool key is back in its hash shard.")
+_REJOINED = Event(2805, "key_rejoined", Level.INFO, "A cool key returned to its hash shard.")
 _WAITING = Event(2806, "loads_incomplete", Level.DEBUG, "The planner waits for load reports.")
 
-# A round that changed exceptions is followed by the next one after this time, so that a hot key
-# gets room within seconds. The members need it to see the new exception.
-_FOLLOW_UP_S = 0.3
-_PROPOSALS = 16
+# An extra round follows a round that changed exceptions after this time, so that a hot key gets
+# capacity within seconds. The members need the time to receive the new exception.
+_EXTRA_ROUND_DELAY_S = 0.3
+_MAX_PROPOSALS = 16
 
 
 @dataclass(frozen=True, slots=True)
 class _Proposal:
-    """A decision that is logged once it is seen in a version of the group."""
+    """A decision that is logged once a version of the group contains it.
+
+    Attributes:
+        before: The group that the decision was made on.
+        after: The group that it leads to.
+        reason: Reason of the moves in the log.
+    """
 
     before: Group
     after: Group
@@ -39,7 +45,7 @@
     """The `placement` service.
 
     Every member can place the shards of lost members. Only the planner, the active member with
-    the lowest id, plans moves; a second planner would lose the conditional write.
+    the lowest id, plans moves; the conditional write of a second planner would fail.
     """
 
     name = "placement"
@@ -47,8 +53,8 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._proposals: deque[_Proposal] = deque(maxlen=_PROPOSALS)
-        self._known: Entry | None = None
+        self._proposals: deque[_Proposal] = deque(maxlen=_MAX_PROPOSALS)
+        self._last_entry: Entry | None = None
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -66,17 +72,19 @@
         self._groups.subscribe(self)
 
     async def start(self) -> None:
-        """Starts the rounds of the planner."""
+        """Starts the task that runs the planner's rounds."""
         self._tasks.spawn("planner", self._run())
 
     async def stop(self) -> None:
-        """Ends the rounds."""
+        """Ends the task that runs the planner's rounds."""
         await self._tasks.cancel()
 
     def assign(self, group: Group, lost: frozenset[str]) -> Group:
         """Removes lost members and places their shards."""
-        assigned = self._policy.assign(group, lost, self._known_load(), self._entry(group.service))
-        self._propose(group, assigned, "loss" if lost else "unowned")
+        assigned = self._policy.assign(
+            group, lost, self._complete_load(), self._entry(group.service)
+        )
+        self._add_proposal(group, assigned, "loss" if lost else "unowned")
         return assigned
 
     def drain_member(self, group: Group, member_id: str) -> Group:
@@ -84,12 +92,12 @@
         leaving = replace(group.members[member_id], state=MemberState.LEAVING)
         marked = replace(group, members={**group.members, member_id: leaving})
         entry = self._entry(group.service)
-        vacated = self._policy.drain_member(marked, member_id, self._known_load(), entry)
-        self._propose(group, vacated, "leave")
-        return vacated
+        drained = self._policy.drain_member(marked, member_id, self._complete_load(), entry)
+        self._add_proposal(group, drained, "leave")
+        return drained
 
     def planner(self, group: Group) -> Member | None:
-        """Returns the member that plans moves: the active one with the lowest id."""
+        """Returns the active member with the lowest id, which plans moves, or None."""
         active = [
             member for member in group.members.values() if member.state is MemberState.ACTIVE
         ]
@@ -110,7 +118,7 @@
         """Runs one round if this agent is the planner.
 
         Args:
-            load: Work to plan with; by default the reports are added up.
+            load: Load to plan with; None adds up the load reports of the round.
 
         Returns:
             Whether exceptions changed, so that another round should follow at once.
@@ -124,7 +132,7 @@
             _WAITING.emit(group=home)
             return False
         try:
-            after = await self._groups.edit(home, self._planned)
+            after = await self._groups.edit(home, self._plan_moves)
         except (PlatformError, UnknownServiceError) as error:
             _PLAN_FAILED.emit(group=home, error=error)
             return False
@@ -139,20 +147,20 @@
         )
         return after.group.exceptions != before.group.exceptions
 
-    def _planned(self, group: Group) -> Group | None:
+    def _plan_moves(self, group: Group) -> Group | None:
         load = self._load.group_load()
         planned = self._policy.rebalance(group, load, self._entry(group.service))
         if planned == group:
             return None
-        self._propose(group, planned, "balance")
+        self._add_proposal(group, planned, "balance")
         return planned
 
-    def _propose(self, before: Group, after: Group, reason: str) -> None:
+    def _add_proposal(self, before: Group, after: Group, reason: str) -> None:
         if (before.shards, before.exceptions) != (after.shards, after.exceptions):
             self._proposals.append(_Proposal(before, after, reason))
 
-    def _known_load(self) -> GroupLoad:
-        # Only the planner knows the work of all members; others place by count.
+    def _complete_load(self) -> GroupLoad:
+        # Only the planner has the load reports of all members; others place shards by count.
         load = self._load.group_load()
         return load if load.complete else GroupLoad()
 
@@ -165,25 +173,25 @@
 
     def _entry(self, service: str) -> Entry:
         try:
-            self._known = self._catalogue.entry(service).entry
+            self._last_entry = self._catalogue.entry(service).entry
         except UnknownServiceError:
-            # Members of a service whose entry was deleted still leave and are taken over.
-            if self._known is None or self._known.service != service:
+            # Members of a service whose entry was deleted can still leave and be taken over.
+            if self._last_entry is None or self._last_entry.service != service:
                 return Entry(service, "unknown")
-        return self._known
+        return self._last_entry
 
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(self._round_s)
             if await self.plan():
-                await self._clock.sleep(_FOLLOW_UP_S)
+                await self._clock.sleep(_EXTRA_ROUND_DELAY_S)
                 await self.plan(self._load.group_load())
 
 
 def imbalance(group: Group, load: GroupLoad) -> float:
-    """Returns the largest measured work per slot of an active member over the mean.
+    """Returns the highest measured work per slot of an active member, divided by the mean.
 
-    Shards that are being handed over count for their successors. Without work it is 1.0.
+    Shards that are being handed over count for their successors. The result is 1.0 without work.
     """
     work = {
         member.id: 0.0 for member in group.members.values() if member.state is MemberState.ACTIVE
@@ -197,15 +205,20 @@
         return 1.0
     slots = sum(group.members[member_id].slots for member_id in work)
     mean = total / slots
-    return max(found / group.members[member_id].slots for member_id, found in work.items()) / mean
+    return (
+        max(
+            member_work / group.members[member_id].slots for member_id, member_work in work.items()
+        )
+        / mean
+    )
 
 
 def _log_decisions(proposal: _Proposal, written: VersionedGroup) -> None:
     before, after = proposal.before, proposal.after
-    fresh = set()
+    new_shard_ids = set()
     for key, shard_id in after.exceptions.items():
         if before.exceptions.get(key) != shard_id:
-            fresh.add(shard_id)
+            new_shard_ids.add(shard_id)
             owner = after.shards[shard_id].owner
             epoch = after.shards[shard_id].epoch
             _ISOLATED.emit(
@@ -218,11 +231,11 @@
             )
     for key, shard_id in before.exceptions.items():
         if key not in after.exceptions:
-            _DISSOLVED.emit(group=after.id, version=written.version, key=key, shard=shard_id)
-    # A fresh exception stays at its owner; its shard is logged above.
-    for shard_id, (old, shard) in enumerate(zip(before.shards, after.shards, strict=False)):
-        source, target = old.successor or old.owner, shard.successor or shard.owner
-        if source == target or shard_id in fresh:
+            _REJOINED.emit(group=after.id, version=written.version, key=key, shard=shard_id)
+    # A new exception stays with the owner of its hash shard, and its shard is logged above.
+    for shard_id, (previous, shard) in enumerate(zip(before.shards, after.shards, strict=False)):
+        source, target = previous.successor or previous.owner, shard.successor or shard.owner
+        if source == target or shard_id in new_shard_ids:
             continue
         _MOVED.emit(
             group=after.id,
--- a/tests/services/test_planner.py
+++ b/tests/services/test_planner.py
@@ -1,4 +1,4 @@
-"""Tests of the planner: who plans, when, and what is logged."""
+"""Tests of the planner: which member plans, when it does, and what it logs."""
 
 from __future__ import annotations
 
@@ -23,21 +23,21 @@
 
 class _Groups:
     def __init__(self, group):
-        self.held = VersionedGroup(1, group)
+        self.current = VersionedGroup(1, group)
         self.listener = None
         self.fault = None
 
     def view(self, group):
-        return self.held
+        return self.current
 
     async def edit(self, group, change):
         if self.fault is not None:
             raise self.fault
-        changed = change(self.held.group)
+        changed = change(self.current.group)
         if changed is not None:
-            self.held = VersionedGroup(self.held.version + 1, changed)
-            self.listener.group_changed(self.held)
-        return self.held
+            self.current = VersionedGroup(self.current.version + 1, changed)
+            self.listener.group_changed(self.current)
+        return self.current
 
 
 class _Load:
@@ -54,13 +54,13 @@
 
 
 class PlannerTest(unittest.IsolatedAsyncioTestCase):
-    """One member plans, with complete figures, and says what it decided."""
+    """One member plans with complete load reports and logs its decisions."""
 
     def setUp(self):
         self.group = joined(placed(member("a")), member("b"))
         self.groups, self.load = _Groups(self.group), _Load()
         self.events: list[tuple[int, dict]] = []
-        # Other tests leave a higher level behind.
+        # Other tests may have set a higher log level.
         configure_logging("DEBUG", "text", io.StringIO())
         sink = logger.add(
             lambda line: self.events.append(
@@ -87,7 +87,7 @@
     async def test_moves_are_logged_once_each_with_their_round(self):
         """Guards against decisions that no log line explains."""
         await self._placement("a:1").plan()
-        moving = sum(shard.successor == "b:1" for shard in self.groups.held.group.shards)
+        moving = sum(shard.successor == "b:1" for shard in self.groups.current.group.shards)
         self.assertGreater(moving, 0)
         self.assertEqual(self._numbers().count(2803), moving)
         self.assertEqual(self._numbers().count(2801), 1)
@@ -100,28 +100,28 @@
         """Guards against two planners, and one that acts after its lease ended."""
         await self._placement("b:1").plan()
         await self._placement("a:1", held=False).plan()
-        self.assertEqual(self.groups.held.version, 1)
+        self.assertEqual(self.groups.current.version, 1)
 
     async def test_incomplete_reports_stop_the_round(self):
-        """Guards against a new planner that moves shards by figures of a few members."""
+        """Guards against a new planner that moves shards by the reports of a few members."""
         self.load.load = GroupLoad(complete=False)
         await self._placement("a:1").plan()
-        self.assertEqual(self.groups.held.version, 1)
+        self.assertEqual(self.groups.current.version, 1)
 
     async def test_outage_ends_the_round_only(self):
-        """Guards against an agent that ends because the platform is down."""
+        """Guards against an agent that ends because the platform is unavailable."""
         self.groups.fault = PlatformUnavailableError("down")
         self.assertFalse(await self._placement("a:1").plan())
         self.assertIn(2802, self._numbers())
 
-    async def test_new_exception_asks_for_another_round(self):
-        """Guards against a hot key that waits a whole round for its room."""
+    async def test_new_exception_causes_another_round(self):
+        """Guards against a hot key that waits a whole round for more capacity."""
         self.load.load = GroupLoad(dict.fromkeys(range(SHARDS), 0.05), {"viral": 1.0})
         self.assertTrue(await self._placement("a:1").plan())
         self.assertEqual(self._numbers(), [2804, 2801])
 
     async def test_losses_are_logged_when_they_are_written(self):
-        """Guards against log lines of decisions that lost the conditional write."""
+        """Guards against log lines of decisions whose conditional write failed."""
         service = self._placement("a:1")
         service.assign(self.group, frozenset({"a:1"}))
         self.assertEqual(self._numbers(), [])
@@ -130,12 +130,12 @@
         self.assertEqual(self._numbers(), [2803] * SHARDS)
         self.assertEqual({fields["reason"] for _, fields in self.events}, {"loss"})
 
-    async def test_vacate_marks_the_member_and_is_repeatable(self):
-        """Guards against an edit that never ends because each try changes the group again."""
+    async def test_drain_marks_the_member_and_is_idempotent(self):
+        """Guards against an edit that never ends because each attempt changes the group."""
         service = self._placement("a:1")
-        vacated = service.drain_member(self.group, "a:1")
-        self.assertEqual(vacated.members["a:1"].state, MemberState.LEAVING)
-        self.assertEqual({shard.successor for shard in vacated.shards}, {"b:1"})
-        self.assertEqual(service.drain_member(vacated, "a:1"), vacated)
+        drained = service.drain_member(self.group, "a:1")
+        self.assertEqual(drained.members["a:1"].state, MemberState.LEAVING)
+        self.assertEqual({shard.successor for shard in drained.shards}, {"b:1"})
+        self.assertEqual(service.drain_member(drained, "a:1"), drained)
         alone = replace(self.group, members={"a:1": self.group.members["a:1"]})
         self.assertEqual(owners(service.drain_member(alone, "a:1")), ["a:1"] * SHARDS)
