--- a/fescueward/services/snapshots.py
+++ b/fescueward/services/snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots: what the planner of a group leaves for the next one."""
+"""Snapshots of loads and quarantine, which a planner stores for the next planner."""
 
 from __future__ import annotations
 
@@ -25,12 +25,12 @@
 
 _STORED = Event(2811, "snapshot_stored", Level.DEBUG, "The planner stored a snapshot.")
 _RESTORED = Event(2812, "snapshot_restored", Level.INFO, "A new planner read the snapshot.")
-_FAILED = Event(2813, "snapshot_failed", Level.WARNING, "A snapshot was not read or stored.")
+_FAILED = Event(2813, "snapshot_failed", Level.WARNING, "Reading or storing a snapshot failed.")
 
-_MICROSECONDS = 1_000_000
-# 4,096 shards, 64 exceptions and the hot keys of 32 members stay below 200 KB; the platform takes
-# 1 MB.
-_MAX_QUARANTINE = 4096
+_MICROSECONDS_PER_S = 1_000_000
+# 4,096 shards, 64 exceptions and the hot keys of 32 members stay below 200 KB. The platform
+# accepts 1 MB.
+_MAX_QUARANTINE_ENTRIES = 4096
 _MAX_HOT_KEYS = 128
 _READ_RETRY_S = 2.0
 
@@ -43,8 +43,8 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._planning: GroupId | None = None
-        self._version: int | None = None
+        self._planned_group: GroupId | None = None
+        self._stored_version: int | None = None
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -60,11 +60,11 @@
         self._groups.subscribe(self)
 
     async def start(self) -> None:
-        """Starts the period of snapshots."""
+        """Starts the task that stores snapshots periodically."""
         self._tasks.spawn("store", self._run())
 
     async def stop(self) -> None:
-        """Ends the period."""
+        """Ends all tasks."""
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
@@ -72,32 +72,38 @@
         if group.group.id != self._membership.home:
             return
         if not self._is_planner(group.group):
-            self._planning = None
-        elif self._planning is None:
-            self._planning = group.group.id
-            self._version = None
+            self._planned_group = None
+        elif self._planned_group is None:
+            self._planned_group = group.group.id
+            self._stored_version = None
             self._tasks.spawn("restore", self._restore(group.group.id))
 
     async def store(self) -> bool:
-        """Writes one snapshot if this agent is the planner; tells whether it did."""
-        group = self._planning
-        if group is None or self._version is None or not self._load.group_load().complete:
+        """Stores a snapshot if this agent is the planner with complete loads.
+
+        Returns:
+            Whether a snapshot was stored.
+        """
+        group = self._planned_group
+        if group is None or self._stored_version is None or not self._load.group_load().complete:
             return False
         try:
-            self._version = await self._platform.put(
-                snapshot_object_key(group), encode_json(self._snapshot(group)), self._version
+            self._stored_version = await self._platform.put(
+                snapshot_object_key(group),
+                encode_json(self._snapshot(group)),
+                self._stored_version,
             )
         except (OutcomeUnknownError, VersionConflictError) as error:
-            # The write may have taken effect, or another planner wrote: the version is read
-            # before the next one.
+            # The write may have taken effect, or another planner has written, so the stored
+            # version is read before the next write.
             _FAILED.emit(group=group, error=error)
-            self._version = None
+            self._stored_version = None
             self._tasks.spawn("restore", self._restore(group))
             return False
         except PlatformError as error:
             _FAILED.emit(group=group, error=error)
             return False
-        _STORED.emit(group=group, version=self._version)
+        _STORED.emit(group=group, version=self._stored_version)
         return True
 
     def _snapshot(self, group: GroupId) -> Snapshot:
@@ -107,28 +113,30 @@
         if self._quarantine is not None:
             exported = self._quarantine.export_quarantine()
             longest = sorted(exported.items(), key=lambda item: -item[1])
-            quarantine = dict(longest[:_MAX_QUARANTINE])
+            quarantine = dict(longest[:_MAX_QUARANTINE_ENTRIES])
         return Snapshot(
             service=group.service,
             number=group.number,
-            work={str(shard): int(work * _MICROSECONDS) for shard, work in load.work.items()},
-            hot_keys={key: int(work * _MICROSECONDS) for key, work in hottest},
+            work={
+                str(shard): int(work * _MICROSECONDS_PER_S) for shard, work in load.work.items()
+            },
+            hot_keys={key: int(work * _MICROSECONDS_PER_S) for key, work in hottest},
             quarantine=quarantine,
         )
 
     async def _restore(self, group: GroupId) -> None:
         reported = False
-        while self._planning == group:
+        while self._planned_group == group:
             try:
                 stored = await self._platform.get(snapshot_object_key(group))
                 snapshot = decode_json(stored.value, Snapshot)
             except ObjectNotFoundError:
-                self._version = 0
+                self._stored_version = 0
                 return
             except MalformedMessageError as error:
-                # It is replaced by the next snapshot.
+                # The next snapshot replaces the malformed one.
                 _FAILED.emit(group=group, error=error)
-                self._version = stored.version
+                self._stored_version = stored.version
                 return
             except PlatformError as error:
                 if not reported:
@@ -136,14 +144,14 @@
                 reported = True
                 await self._clock.sleep(_READ_RETRY_S)
                 continue
-            self._version = stored.version
+            self._stored_version = stored.version
             self._load.restore(
                 {
-                    int(shard): work / _MICROSECONDS
+                    int(shard): work / _MICROSECONDS_PER_S
                     for shard, work in snapshot.work.items()
                     if shard.isdecimal()
                 },
-                {key: work / _MICROSECONDS for key, work in snapshot.hot_keys.items()},
+                {key: work / _MICROSECONDS_PER_S for key, work in snapshot.hot_keys.items()},
             )
             if self._quarantine is not None:
                 self._quarantine.import_quarantine(snapshot.quarantine)
--- a/tests/services/test_snapshots.py
+++ b/tests/services/test_snapshots.py
@@ -30,7 +30,7 @@
     def __init__(self):
         self.objects: dict[str, StoredObject] = {}
         self.fault: Exception | None = None
-        self.lose_answer = False
+        self.lose_response = False
         self.puts = 0
 
     async def get(self, key):
@@ -44,11 +44,11 @@
         self.puts += 1
         if self.fault is not None:
             raise self.fault
-        held = self.objects.get(key)
-        if (held.version if held is not None else 0) != expected_version:
+        stored = self.objects.get(key)
+        if (stored.version if stored is not None else 0) != expected_version:
             raise VersionConflictError(key)
         self.objects[key] = StoredObject(key, expected_version + 1, value)
-        if self.lose_answer:
+        if self.lose_response:
             raise OutcomeUnknownError(key)
         return expected_version + 1
 
@@ -79,13 +79,13 @@
 
 class _Quarantine:
     def __init__(self):
-        self.held = {"99": 600_000}
+        self.entries = {"99": 600_000}
 
     def export_quarantine(self):
-        return self.held
+        return self.entries
 
     def import_quarantine(self, remaining_ms):
-        self.held = {**self.held, **remaining_ms}
+        self.entries = {**self.entries, **remaining_ms}
 
 
 class _Clock:
@@ -97,7 +97,7 @@
 
 
 class SnapshotsTest(unittest.IsolatedAsyncioTestCase):
-    """The planner leaves a snapshot, and the next one starts from it."""
+    """A planner stores snapshots, from which the next planner starts."""
 
     def setUp(self):
         self.platform, self.load, self.quarantine = _Platform(), _Load(), _Quarantine()
@@ -121,16 +121,16 @@
         return service
 
     async def test_next_planner_starts_from_the_snapshot(self):
-        """Guards against a new planner that knows no loads and no quarantine."""
+        """Guards against a new planner that starts without loads and quarantine."""
         first = await self._planner()
         self.assertTrue(await first.store())
         self.assertTrue(await first.store())
-        self.quarantine.held = {}
+        self.quarantine.entries = {}
         second = self._service("b:1")
         second.group_changed(VersionedGroup(2, placed(member("b"))))
         await asyncio.sleep(0.02)
         self.assertEqual(self.load.restored, ({3: 0.5}, {"viral": 0.25}))
-        self.assertEqual(self.quarantine.held, {"99": 600_000})
+        self.assertEqual(self.quarantine.entries, {"99": 600_000})
         self.assertTrue(await second.store())
 
     async def test_only_the_planner_writes(self):
@@ -140,14 +140,14 @@
         self.assertEqual(self.platform.puts, 0)
 
     async def test_incomplete_loads_are_not_stored(self):
-        """Guards against a fresh planner that overwrites a good snapshot with nothing."""
+        """Guards against a new planner that overwrites a snapshot with incomplete loads."""
         service = await self._planner()
         self.load.load = GroupLoad(complete=False)
         self.assertFalse(await service.store())
         self.assertEqual(self.platform.puts, 0)
 
     async def test_outage_is_survived(self):
-        """Guards against a failed task, which would end the agent."""
+        """Guards against a task that fails in an outage, which would end the agent."""
         self.platform.fault = PlatformUnavailableError("down")
         service = await self._planner()
         self.assertFalse(await service.store())
@@ -158,29 +158,29 @@
         self.assertFalse(await service.store())
         self.assertEqual(self.platform.puts, 2)
 
-    async def test_lost_answer_is_read_back(self):
-        """Guards against snapshots that fail for good after one lost response."""
+    async def test_write_with_a_lost_response_is_read_back(self):
+        """Guards against snapshots that fail permanently after one lost response."""
         service = await self._planner()
-        self.platform.lose_answer = True
+        self.platform.lose_response = True
         self.assertFalse(await service.store())
-        self.platform.lose_answer = False
+        self.platform.lose_response = False
         await asyncio.sleep(0.02)
         self.assertTrue(await service.store())
 
     async def test_malformed_snapshot_is_replaced(self):
-        """Guards against an object that keeps the planner from working."""
+        """Guards against a malformed object that stops the planner."""
         key = snapshot_object_key(_HOME)
-        for bad in (b"[]", b'{"service":"depot","number":0,"work":{"3":-1}}', b""):
-            self.platform.objects[key] = StoredObject(key, 7, bad)
+        for malformed in (b"[]", b'{"service":"depot","number":0,"work":{"3":-1}}', b""):
+            self.platform.objects[key] = StoredObject(key, 7, malformed)
             service = await self._planner()
             self.assertTrue(await service.store())
         self.assertIsNone(self.load.restored)
 
     async def test_size_is_bounded(self):
-        """Guards against a snapshot that the platform refuses for its size."""
+        """Guards against a snapshot that the platform refuses because of its size."""
         work = {shard: 123.456789 for shard in range(4096 + 64)}
         self.load.load = GroupLoad(work, {f"{n:0200d}": 1.0 for n in range(1000)})
-        self.quarantine.held = {str(2**64 - n): 600_000 for n in range(1, 100_000)}
+        self.quarantine.entries = {str(2**64 - n): 600_000 for n in range(1, 100_000)}
         service = await self._planner()
         self.assertTrue(await service.store())
         stored = self.platform.objects[snapshot_object_key(_HOME)].value
