--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -1,4 +1,4 @@
-"""Agents made of the real ownership services over the fakes, and the check of their claims."""
+"""Simulated agents that run the real ownership services on fakes, and the safety check."""
 
 from __future__ import annotations
 
@@ -67,7 +67,7 @@
 
 
 class FakeCatalogue:
-    """One entry that all agents know."""
+    """A catalogue of one entry, which all agents share."""
 
     digest = 1
 
@@ -138,7 +138,7 @@
 
 
 class FakeLoad:
-    """Lets the planner move shards while the fleet wants it to."""
+    """Reports complete loads, which the planner needs, while `Fleet.planning` is set."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
@@ -180,10 +180,10 @@
         self.fleet, self.name, self.domain, self.boot = fleet, name, domain, boot
         self.checks_grants = checks
         self._tasks: set[Any] = set()
-        shuffled = random.Random(f"{name}{incarnation}")
-        # The margin of 100 ms in 1200 ms permits clocks that differ by up to 8%.
+        generator = random.Random(f"{name}{incarnation}")
+        # The drift margin of 100 ms in 1200 ms permits clock rates that differ by up to 8%.
         self.loop = AgentLoop(
-            fleet.world, shuffled.uniform(1000, 5000), shuffled.uniform(0.98, 1.02)
+            fleet.world, generator.uniform(1000, 5000), generator.uniform(0.98, 1.02)
         )
         self.kernel = kernel = Kernel()
         self.platform = PlatformClient(fleet.platform, self.loop)
@@ -202,18 +202,18 @@
         }
         for key, value in provided.items():
             kernel.provide(key, value)
-        kinds = {**fleet.services, **fleet.overrides}
-        made = {
-            key: kind(kernel, incarnation, boot, fleet.next_incarnation)
+        factories = {**fleet.services, **fleet.overrides}
+        instances = {
+            key: factory(kernel, incarnation, boot, fleet.next_incarnation)
             if key == "membership"
-            else kind(kernel)
-            for key, kind in kinds.items()
+            else factory(kernel)
+            for key, factory in factories.items()
         }
-        self.groups, self.membership = made["groups"], made["membership"]
-        self.lease, self.monitor = made["lease"], made["monitor"]
-        self.placement, self.ownership = made["placement"], made["ownership"]
-        self.recovery, self.grants = made.get("recovery"), made.get("grants")
-        services = list(made.values())
+        self.groups, self.membership = instances["groups"], instances["membership"]
+        self.lease, self.monitor = instances["lease"], instances["monitor"]
+        self.placement, self.ownership = instances["placement"], instances["ownership"]
+        self.recovery, self.grants = instances.get("recovery"), instances.get("grants")
+        services = list(instances.values())
         for service in services:
             kernel.add(service)
         for service in services:
@@ -239,7 +239,7 @@
         self.loop.call_soon(self.announce, AnnouncedState.LEAVING)
 
     async def request(self, key: str, seconds: float) -> None:
-        """Admits one request and holds its shard for some time."""
+        """Runs one request on the shard of a key for some time, if it is admitted."""
         clock = ManualClock(self.loop)
         try:
             with await self.ownership.admit("depot", key, clock.now() + 2) as ticket:
@@ -253,14 +253,14 @@
         return self.membership.member_id
 
     def serving(self) -> dict[int, int]:
-        """Returns the epoch of each shard that the agent would serve at this instant."""
+        """Returns the epoch of each shard that the agent serves now, by shard id."""
         return self.ownership.active() if self.lease.held else {}
 
 
 class Fleet:
     """Agents of one group, platform and network.
 
-    `check` raises `SafetyError` as soon as two agents serve a shard at one instant, an epoch
+    `check` raises `SafetyError` as soon as two agents serve a shard at the same time, an epoch
     gets a second owner, an epoch does not grow, or a shard is served again at a released epoch.
 
     Attributes:
@@ -279,19 +279,19 @@
         self.catalogue = FakeCatalogue()
         self.agents: dict[str, SimulatedAgent] = {}
         self._incarnations = 0
-        self._holders: dict[tuple[int, int], str] = {}
-        self._ended: set[tuple[str, int, int]] = set()
-        self._active: dict[str, dict[int, int]] = {}
+        self._owner_by_epoch: dict[tuple[int, int], str] = {}
+        self._ended_epochs: set[tuple[str, int, int]] = set()
+        self._last_active: dict[str, dict[int, int]] = {}
         self.world.after_step = self._check_step
-        self._before: dict[str, tuple[dict[int, int], float]] = {}
+        self._last_state: dict[str, tuple[dict[int, int], float]] = {}
         self.platform.on_write = self._check_write
 
     def upstream(self, agent: SimulatedAgent) -> Any:
-        """Returns the upstream beside an agent that starts."""
+        """Returns the upstream of an agent that starts."""
         return FakeUpstream()
 
     def provided(self) -> dict[str, Any]:
-        """Returns further objects for the registry of an agent that starts."""
+        """Returns additional objects for the registry of an agent that starts."""
         return {"load": FakeLoad(self)}
 
     def next_incarnation(self) -> int:
@@ -307,7 +307,7 @@
         return agent
 
     def kill(self, name: str) -> None:
-        """Ends a process at once."""
+        """Ends a process without a shutdown."""
         if name in self.agents:
             del self.agents[name]
             del self.world.loops[name]
@@ -315,12 +315,12 @@
             self.world.paused.discard(name)
 
     def close(self) -> None:
-        """Ends the simulation, also inside a step that a failed check has ended."""
+        """Ends the simulation, also after a failed check has ended a step."""
         for agent in self.agents.values():
             agent.loop.abandon()
 
     def heal(self) -> None:
-        """Ends all faults but the kills."""
+        """Ends all faults; killed agents are not restarted."""
         self.world.paused.clear()
         self.network.cut.clear()
         self.network.delays.clear()
@@ -334,23 +334,23 @@
         return decode_json(self.platform.read(HOME.object_key).value, Group)
 
     def owners(self) -> dict[int, list[str]]:
-        """Returns who serves each shard at this instant."""
-        found: dict[int, list[str]] = {shard: [] for shard in range(SHARDS)}
+        """Returns the names of the agents that serve each shard now."""
+        names: dict[int, list[str]] = {shard: [] for shard in range(SHARDS)}
         for name, agent in self.agents.items():
             for shard in agent.serving():
-                found[shard].append(name)
-        return found
+                names[shard].append(name)
+        return names
 
     def served(self) -> bool:
         return all(len(names) == 1 for names in self.owners().values())
 
     def time_until_served(self, limit_s: float) -> float | None:
-        """Advances until each shard is served; returns the time that took, or None."""
-        start = self.world.now
-        while self.world.now - start < limit_s:
+        """Advances until each shard is served; returns the duration in seconds, or None."""
+        started_at_s = self.world.now
+        while self.world.now - started_at_s < limit_s:
             self.world.advance(0.05)
             if self.served():
-                return self.world.now - start
+                return self.world.now - started_at_s
         return None
 
     def _check_step(self, name: str) -> None:
@@ -358,10 +358,10 @@
         failure = agent.kernel._failure or next(iter(agent.peers.errors), None)
         if failure is not None:
             raise SafetyError(f"{name} failed") from failure
-        # What an agent serves grows only in its own steps, by a shard or by a renewal.
+        # An agent serves more shards only after a step of its own that activates one or renews.
         state = (agent.ownership.active(), agent.lease.expires_at)
-        if self._before.get(name) != state:
-            self._before[name] = state
+        if self._last_state.get(name) != state:
+            self._last_state[name] = state
             self.check()
 
     def check(self) -> None:
@@ -369,7 +369,7 @@
         for agent in self.agents.values():
             active = agent.ownership.active()
             member_id = agent.ownership._member_id
-            self._note_ended(member_id, active)
+            self._record_ended_epochs(member_id, active)
             if not active or not agent.lease.held:
                 continue
             for shard, epoch in active.items():
@@ -378,25 +378,29 @@
                         f"shard {shard} is served by {serving[shard]} and {member_id} at {epoch}"
                     )
                 serving[shard] = member_id
-                holder = self._holders.setdefault((shard, epoch), member_id)
-                if holder != member_id:
-                    raise SafetyError(f"epoch {epoch} of {shard}: {holder} and {member_id}")
-                if (member_id, shard, epoch) in self._ended:
+                owner = self._owner_by_epoch.setdefault((shard, epoch), member_id)
+                if owner != member_id:
+                    raise SafetyError(f"epoch {epoch} of {shard}: {owner} and {member_id}")
+                if (member_id, shard, epoch) in self._ended_epochs:
                     raise SafetyError(f"{member_id} serves {shard} again at {epoch}")
 
-    def _note_ended(self, member_id: str, active: dict[int, int]) -> None:
-        before = self._active.get(member_id)
+    def _record_ended_epochs(self, member_id: str, active: dict[int, int]) -> None:
+        before = self._last_active.get(member_id)
         if before == active:
             return
         for shard, epoch in (before or {}).items():
             if active.get(shard) != epoch:
-                self._ended.add((member_id, shard, epoch))
-        self._active[member_id] = active
+                self._ended_epochs.add((member_id, shard, epoch))
+        self._last_active[member_id] = active
 
     def _check_write(self, old: StoredObject | None, new: StoredObject) -> None:
         if old is None:
             return
         before, after = (decode_json(stored.value, Group) for stored in (old, new))
-        for shard, (was, now) in enumerate(zip(before.shards, after.shards, strict=False)):
-            if now.epoch < was.epoch or (now.owner != was.owner and now.epoch == was.epoch):
-                raise SafetyError(f"shard {shard}: {was} became {now}")
+        for shard, (old_shard, new_shard) in enumerate(
+            zip(before.shards, after.shards, strict=False)
+        ):
+            if new_shard.epoch < old_shard.epoch or (
+                new_shard.owner != old_shard.owner and new_shard.epoch == old_shard.epoch
+            ):
+                raise SafetyError(f"shard {shard}: {old_shard} became {new_shard}")
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -1,4 +1,4 @@
-"""Shows that the search of test_single_owner finds a fault when one rule is switched off.
+"""Tests that the search of test_single_owner finds a violation when one rule is disabled.
 
 FESCUEWARD_SEARCH_EXAMPLES raises the number of examples and prints how many were needed.
 """
@@ -36,31 +36,31 @@
         )
 
 
-class _AsksNoPromise(LeaseMonitor):
-    async def _take_over(self, home: Any, base: VersionedGroup, silent: list[str]) -> bool:
-        lost = frozenset(silent) & base.group.members.keys()
-        return bool(lost) and await self._write(
-            base, lost, _AcknowledgementBlock(base.version, "", 0)
+class _RequestsNoPromise(LeaseMonitor):
+    async def _take_over(self, home: Any, base: VersionedGroup, expired_ids: list[str]) -> bool:
+        lost_ids = frozenset(expired_ids) & base.group.members.keys()
+        return bool(lost_ids) and await self._write(
+            base, lost_ids, _AcknowledgementBlock(base.version, "", 0)
         )
 
 
 class _IgnoresStamps(LeaseMonitor):
     def _lease_has_ended(self, member_id: str) -> bool:
-        watched = self._monitored.get(member_id)
-        if watched is None:
+        monitored = self._monitored.get(member_id)
+        if monitored is None:
             return False
-        last = max(watched.waiting_since, watched.acknowledged_at)
-        return last + self._takeover_wait_s < self._clock.now()
+        last_activity_at = max(monitored.waiting_since, monitored.acknowledged_at)
+        return last_activity_at + self._takeover_wait_s < self._clock.now()
 
 
 class _KeepsWaitWhenListShrinks(LeaseMonitor):
     def group_changed(self, group: VersionedGroup) -> None:
         before = self._monitored if self._member_id == self._membership.member_id else {}
         super().group_changed(group)
-        for member_id, watched in self._monitored.items():
+        for member_id, monitored in self._monitored.items():
             if member_id in before:
                 self._monitored[member_id] = replace(
-                    watched, waiting_since=before[member_id].waiting_since
+                    monitored, waiting_since=before[member_id].waiting_since
                 )
 
 
@@ -74,7 +74,7 @@
             )
 
 
-class _PromisesWithoutBar(LeaseMonitor):
+class _PromisesWithoutBlock(LeaseMonitor):
     def _on_promise_query(self, sender: str, message: PromiseQuery) -> None:
         super()._on_promise_query(sender, message)
         self._blocks.pop(message.member_id, None)
@@ -95,16 +95,16 @@
 
 _MUTANTS: dict[str, type[Any]] = {
     "acknowledges without a lease of its own": _AcknowledgesWithoutLease,
-    "asks no promise": _AsksNoPromise,
+    "requests no promise": _RequestsNoPromise,
     "ignores stamps": _IgnoresStamps,
     "keeps its wait when the list of monitors shrinks": _KeepsWaitWhenListShrinks,
     "counts no wait at its start": _CountsNoWaitAtStart,
-    "promises and goes on acknowledging": _PromisesWithoutBar,
+    "promises and goes on acknowledging": _PromisesWithoutBlock,
     "counts its lease from the receipt of the acknowledgement": _CountsLeaseFromReceipt,
     "serves a shard again after its release": _ServesAfterRelease,
 }
 
-# Found within few examples; the others are part of the long search.
+# Found within a few examples; the long search covers the others.
 _QUICK = {
     label: _MUTANTS[label]
     for label in ("ignores stamps", "serves a shard again after its release")
@@ -112,7 +112,7 @@
 
 
 def _search(mutant: type[Any], examples: int) -> tuple[str | None, int, float]:
-    """Returns what was found, the number of examples and the time in seconds."""
+    """Returns the violation or None, the number of examples and the duration in seconds."""
     count = 0
 
     class Machine(OwnershipMachine):
@@ -123,40 +123,42 @@
             nonlocal count
             count += 1
 
-    started = time.monotonic()
-    found = None
+    started_at = time.monotonic()
+    violation = None
     try:
         run_state_machine_as_test(Machine, settings=search_settings(examples, 30))
     except SafetyError as error:
-        found = str(error)
-    return found, count, time.monotonic() - started
+        violation = str(error)
+    return violation, count, time.monotonic() - started_at
 
 
 class SearchPowerTest(unittest.TestCase):
-    def test_each_switched_off_rule_is_found(self):
-        """Guards against a search that passes because it reaches no dangerous state."""
+    def test_each_disabled_rule_is_found(self):
+        """Guards against a search that passes because it reaches no state with a violation."""
         for label, mutant in _MUTANTS.items() if _EXAMPLES else _QUICK.items():
             with self.subTest(label):
-                found, count, took = _search(mutant, _EXAMPLES or 150)
+                violation, count, duration_s = _search(mutant, _EXAMPLES or 150)
                 if _EXAMPLES:
-                    print(f"{label}: {count} examples, {took:.1f} s: {found}", flush=True)
-                self.assertIsNotNone(found)
+                    print(
+                        f"{label}: {count} examples, {duration_s:.1f} s: {violation}", flush=True
+                    )
+                self.assertIsNotNone(violation)
 
     def test_lease_from_receipt_is_found(self):
-        """Guards against a check that misses a lease which ends later than its monitors expect."""
+        """Guards against a check that misses a lease that ends later than its monitors expect."""
         for overrides in ({}, {"lease": _CountsLeaseFromReceipt}):
             fleet = formed(3, 3, overrides=overrides)
             for other in ("a1", "a2"):
                 fleet.network.delays[frozenset(("a0", other))] = 0.45
             fleet.world.advance(3)
-            # Acknowledgements on their way still arrive.
+            # Acknowledgements in flight still arrive.
             fleet.agents["a0"].lease.send_renewals = lambda: None
             fleet.agents["a0"].platform.answers = Answers.SILENT
             self._assert_found(bool(overrides), fleet)
 
     def test_acknowledgement_after_a_promise_is_found(self):
         """Guards against a check that misses a renewal while a takeover is being written."""
-        for overrides in ({}, {"monitor": _PromisesWithoutBar}):
+        for overrides in ({}, {"monitor": _PromisesWithoutBlock}):
             fleet = formed(3, 3, overrides=overrides)
             fleet.cut("a0", fleet.agents)
             fleet.agents["a0"].platform.answers = Answers.SILENT
--- a/tests/services/test_single_owner.py
+++ b/tests/services/test_single_owner.py
@@ -1,7 +1,7 @@
-"""Search for two owners of a shard over pauses, partitions, platform faults and restarts.
+"""Search for two owners of a shard under pauses, partitions, platform faults and restarts.
 
 FESCUEWARD_SEARCH_EXAMPLES sets the number of examples of a long search; it then starts from a
-random seed. FESCUEWARD_SEARCH_SEED repeats one.
+random seed. FESCUEWARD_SEARCH_SEED repeats the search from a seed.
 """
 
 from __future__ import annotations
@@ -30,20 +30,20 @@
 _SEED = os.environ.get("FESCUEWARD_SEARCH_SEED")
 
 _index = st.integers(0, 5)
-_times = st.sampled_from([0.02, 0.2, 0.5, 0.9, 1.15, 1.25, 1.35, 1.5, 2.0, 3.0])
+_durations_s = st.sampled_from([0.02, 0.2, 0.5, 0.9, 1.15, 1.25, 1.35, 1.5, 2.0, 3.0])
 
 
 class OwnershipMachine(RuleBasedStateMachine):
     """Random faults on a group of three to six agents; `Fleet.check` runs after each step."""
 
     overrides: dict[str, type] = {}
-    started = 0
+    example_count = 0
 
     @initialize(count=st.integers(2, 6), domains=st.integers(2, 3), checks=st.booleans())
     def start_agents(self, count: int, domains: int, checks: bool) -> None:
-        OwnershipMachine.started += 1
-        if _EXAMPLES and OwnershipMachine.started % 100 == 0:
-            print(f"{OwnershipMachine.started} examples", flush=True)
+        OwnershipMachine.example_count += 1
+        if _EXAMPLES and OwnershipMachine.example_count % 100 == 0:
+            print(f"{OwnershipMachine.example_count} examples", flush=True)
         self.fleet = Fleet(self.overrides)
         self.domains = domains
         self.checks = checks
@@ -59,11 +59,11 @@
         owners = [agent for agent in self.fleet.agents.values() if agent.serving()]
         return owners[index % len(owners)] if owners else self._agent(index)
 
-    @rule(seconds=_times)
+    @rule(seconds=_durations_s)
     def advance(self, seconds: float) -> None:
         self.fleet.world.advance(seconds)
 
-    @rule(index=_index, seconds=_times)
+    @rule(index=_index, seconds=_durations_s)
     def pause(self, index: int, seconds: float) -> None:
         self.fleet.world.paused.add(self._owner(index).name)
         self.fleet.world.advance(seconds)
@@ -84,7 +84,7 @@
         which=st.integers(0, 2),
         offline=st.booleans(),
         fresh=st.booleans(),
-        seconds=_times,
+        seconds=_durations_s,
     )
     def cut_from_monitors(
         self, index: int, which: int, offline: bool, fresh: bool, seconds: float
@@ -103,29 +103,31 @@
         which=st.integers(0, 1),
         offline=st.booleans(),
         fresh=st.booleans(),
-        seconds=_times,
+        seconds=_durations_s,
     )
     def strand(self, index: int, which: int, offline: bool, fresh: bool, seconds: float) -> None:
-        """Leaves an owner alone with one monitor that has lost all others and the platform."""
+        """Connects an owner only to a monitor without links to others and the platform."""
         self._refresh(fresh)
         agent = self._owner(index)
         monitors = self._monitors(agent)
         if which >= len(monitors):
             return
-        stranded = monitors[which]
-        rest = set(self.fleet.agents) - {agent.name, stranded.name}
-        self.fleet.cut(stranded.name, rest)
-        stranded.platform.answers = Answers.SILENT
-        self.fleet.cut(agent.name, rest)
+        isolated = monitors[which]
+        others = set(self.fleet.agents) - {agent.name, isolated.name}
+        self.fleet.cut(isolated.name, others)
+        isolated.platform.answers = Answers.SILENT
+        self.fleet.cut(agent.name, others)
         if offline:
             agent.platform.answers = Answers.SILENT
         self.fleet.world.advance(seconds)
 
-    @rule(index=_index, answers=st.sampled_from(Answers), fresh=st.booleans(), seconds=_times)
+    @rule(
+        index=_index, answers=st.sampled_from(Answers), fresh=st.booleans(), seconds=_durations_s
+    )
     def return_during_takeover(
         self, index: int, answers: Answers, fresh: bool, seconds: float
     ) -> None:
-        """Brings an owner back while the write that removes it is on its way."""
+        """Reconnects an owner while the write that removes it is in flight."""
         self._refresh(fresh)
         agent = self._owner(index)
         for other in self.fleet.agents.values():
@@ -137,7 +139,7 @@
         self.fleet.world.advance(seconds)
 
     def _refresh(self, fresh: bool) -> None:
-        # Faults on top of each other soon leave no lease that could be violated.
+        # Faults that accumulate soon end all leases, so that the check could find no violation.
         if fresh:
             self.fleet.heal()
             self.fleet.world.advance(2.5)
@@ -146,7 +148,7 @@
     def heal_all(self) -> None:
         self._refresh(True)
 
-    @rule(index=_index, other=_index, seconds=_times)
+    @rule(index=_index, other=_index, seconds=_durations_s)
     def partition_pair(self, index: int, other: int, seconds: float) -> None:
         self.fleet.cut(self._agent(index).name, [self._agent(other).name])
         self.fleet.world.advance(seconds)
@@ -164,7 +166,10 @@
         self.fleet.network.delays.clear()
 
     @rule(
-        index=_index, answers=st.sampled_from(Answers), only_writes=st.booleans(), seconds=_times
+        index=_index,
+        answers=st.sampled_from(Answers),
+        only_writes=st.booleans(),
+        seconds=_durations_s,
     )
     def platform_of_one(
         self, index: int, answers: Answers, only_writes: bool, seconds: float
@@ -176,7 +181,7 @@
             platform.answers = answers
         self.fleet.world.advance(seconds)
 
-    @rule(answers=st.sampled_from(Answers), seconds=_times)
+    @rule(answers=st.sampled_from(Answers), seconds=_durations_s)
     def platform_of_all(self, answers: Answers, seconds: float) -> None:
         for agent in self.fleet.agents.values():
             agent.platform.answers = answers
@@ -203,7 +208,7 @@
         name = next(name for number in range(7) if (name := f"a{number}") not in self.fleet.agents)
         self.fleet.start(name, f"d{index % self.domains}", checks=self.checks)
 
-    @rule(index=_index, seconds=_times)
+    @rule(index=_index, seconds=_durations_s)
     def leave(self, index: int, seconds: float) -> None:
         self._owner(index).leave()
         self.fleet.world.advance(seconds)
@@ -213,7 +218,7 @@
         agent = self._agent(index)
         agent.loop.call_soon(agent.announce, AnnouncedState.READY)
 
-    @rule(index=_index, key=_index, seconds=_times)
+    @rule(index=_index, key=_index, seconds=_durations_s)
     def request(self, index: int, key: int, seconds: float) -> None:
         agent = self._owner(index)
         agent.spawn(lambda: agent.request(f"key{key}", seconds))
@@ -222,15 +227,15 @@
     def plan_move(self, shard: int, to: int) -> None:
         """Writes a successor as the planner does; a conflict has no effect."""
         group: Group = self.fleet.group()
-        moving = group.shards[shard]
+        previous = group.shards[shard]
         active = [m.id for m in group.members.values() if m.state is MemberState.ACTIVE]
-        if moving.successor is not None or moving.owner is None or not active:
+        if previous.successor is not None or previous.owner is None or not active:
             return
         successor = active[to % len(active)]
-        if successor == moving.owner:
+        if successor == previous.owner:
             return
         shards = list(group.shards)
-        shards[shard % SHARDS] = replace(moving, successor=successor)
+        shards[shard % SHARDS] = replace(previous, successor=successor)
         version = self.fleet.platform.read(HOME.object_key).version
         changed = encode_json(replace(group, shards=tuple(shards)))
         self.fleet.platform.write(HOME.object_key, changed, version)
--- a/tests/services/test_timed_fakes.py
+++ b/tests/services/test_timed_fakes.py
@@ -11,20 +11,20 @@
 
 class FleetTest(unittest.TestCase):
     def test_close_after_a_failed_check(self):
-        """Guards against warnings of coroutines that hide those of the product.
+        """Guards against warnings about simulated coroutines that hide those of the product.
 
-        A check that fails ends the simulation inside a step, so tasks that this step has made
+        A failed check ends the simulation inside a step, so the tasks that this step has created
         are never started.
         """
-        ran = []
+        started = []
 
         async def child() -> None:
-            ran.append("child")
+            started.append("child")
 
         def fail(name: str) -> None:
             raise SafetyError(name)
 
-        with warnings.catch_warnings(record=True) as found:
+        with warnings.catch_warnings(record=True) as caught:
             warnings.simplefilter("always")
             fleet = Fleet()
             agent = fleet.start("a0", "d0")
@@ -36,5 +36,5 @@
             fleet.close()
             del agent, fleet
             gc.collect()
-        self.assertEqual(ran, [])
-        self.assertEqual([str(warning.message) for warning in found], [])
+        self.assertEqual(started, [])
+        self.assertEqual([str(warning.message) for warning in caught], [])
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -1,7 +1,7 @@
-"""Fakes at the interfaces, under one simulated time: clock, platform and peers.
+"""Fakes of the clock, the platform and the peers on simulated time.
 
 Each agent has an event loop of its own that runs only while the agent is neither paused nor
-killed. What others send to a paused agent waits in its loop, as bytes wait in a socket.
+killed. Messages to a paused agent wait in its loop, as bytes wait in a socket.
 """
 
 from __future__ import annotations
@@ -40,7 +40,7 @@
         self.set_exception_handler(lambda loop, context: None)
 
     def __del__(self) -> None:
-        """Killed agents leave their loops open."""
+        """Suppresses the warning about open loops, which killed agents leave."""
 
     def time(self) -> float:
         return self._offset + self._world.now * self._rate
@@ -52,7 +52,7 @@
         pass
 
     def due(self) -> float:
-        """Returns the simulated time of the next step."""
+        """Returns the simulated time of the next step in seconds, infinite if there is none."""
         if self._ready:
             return self._world.now
         while self._scheduled and self._scheduled[0]._cancelled:
@@ -63,10 +63,10 @@
         return (self._scheduled[0]._when - self._offset) / self._rate
 
     def abandon(self) -> None:
-        """Closes the coroutines of tasks that were made and not started.
+        """Closes the coroutines of tasks that were created and not started.
 
-        Python would warn of each as never awaited. Tasks that have started are left as they are,
-        as those of a killed process.
+        Python would warn that each of them was never awaited. Tasks that have started are left
+        as they are, like those of a killed process.
         """
         for task in asyncio.all_tasks(self):
             coroutine = task.get_coro()
@@ -74,7 +74,7 @@
                 coroutine.close()
 
     def step(self) -> None:
-        """Runs what is due now."""
+        """Runs the callbacks that are due now."""
         events._set_running_loop(self)
         try:
             self._run_once()
@@ -83,7 +83,7 @@
 
 
 class ManualClock:
-    """The clock of one agent; it goes on while the agent is paused."""
+    """The clock of one agent, which also advances while the agent is paused."""
 
     def __init__(self, loop: AgentLoop) -> None:
         self._loop = loop
@@ -106,21 +106,21 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
 
-    def at(self, delay: float, event: Callable[[], None]) -> None:
+    def call_later(self, delay_s: float, event: Callable[[], None]) -> None:
         """Runs an event after a delay."""
-        heapq.heappush(self._events, (self.now + delay, next(self._numbers), event))
+        heapq.heappush(self._events, (self.now + delay_s, next(self._numbers), event))
 
     def advance(self, seconds: float) -> None:
-        """Runs agents and events in the order of time."""
-        end = self.now + seconds
+        """Runs agents and events in the order of their due times."""
+        end_s = self.now + seconds
         while True:
             # Agents with equal due times run in the order of their names.
             runnable = [
-                (loop.due(), name) for name, loop in self.loops.items() if self._runs(name)
+                (loop.due(), name) for name, loop in self.loops.items() if self._is_running(name)
             ]
             due, name = min(runnable, default=(float("inf"), ""))
             event_due = self._events[0][0] if self._events else float("inf")
-            if min(due, event_due) > end:
+            if min(due, event_due) > end_s:
                 break
             self.now = max(self.now, min(due, event_due))
             if event_due <= due:
@@ -128,32 +128,32 @@
             else:
                 self.loops[name].step()
                 self.after_step(name)
-        self.now = end
+        self.now = end_s
 
-    def _runs(self, name: str) -> bool:
+    def _is_running(self, name: str) -> bool:
         return name not in self.paused
 
 
 class Answers(enum.Enum):
-    """How the platform treats the calls of one agent."""
+    """How the platform responds to the calls of one agent."""
 
     GOOD = enum.auto()
-    SLOW = enum.auto()  # the answer takes 0.6 s
-    REFUSED = enum.auto()  # no connection
-    SILENT = enum.auto()  # neither effect nor answer
-    LOST = enum.auto()  # effect without an answer
-    LATE = enum.auto()  # effect after the caller has given up, without an answer
+    SLOW = enum.auto()  # the response takes 0.6 s
+    REFUSED = enum.auto()  # the connection is refused
+    SILENT = enum.auto()  # neither effect nor response
+    LOST = enum.auto()  # effect without a response
+    LATE = enum.auto()  # effect after the timeout of the caller, without a response
     VERY_LATE = enum.auto()
 
 
-_EFFECT_S = {
+_EFFECT_DELAY_S = {
     Answers.GOOD: _LATENCY_S,
     Answers.SLOW: 0.3,
     Answers.LOST: _LATENCY_S,
     Answers.LATE: _TIMEOUT_S + 0.2,
     Answers.VERY_LATE: _TIMEOUT_S + 3.0,
 }
-_ANSWER_S = {Answers.GOOD: _LATENCY_S, Answers.SLOW: 0.3}
+_RESPONSE_DELAY_S = {Answers.GOOD: _LATENCY_S, Answers.SLOW: 0.3}
 
 
 class FakePlatform:
@@ -162,14 +162,14 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.revision = 0
-        # Reads and writes of all agents, answered or not; watches do not count.
+        # Reads and writes of all agents, with or without a response; watches are not counted.
         self.calls = 0
         self.objects: dict[str, StoredObject] = {}
         self.on_write: Callable[[StoredObject | None, StoredObject], None] = lambda old, new: None
         self.watchers: list[Callable[[], bool]] = []
 
     def write(self, key: str, value: bytes, expected: int, deleted: bool = False) -> int:
-        """Makes a conditional write at once."""
+        """Makes a conditional write without a delay; returns the new version."""
         old = self.objects.get(key)
         if (old.version if old else 0) != expected:
             version = old.version if old else 0
@@ -181,7 +181,7 @@
         return self.revision
 
     def read(self, key: str) -> StoredObject:
-        """Reads at once."""
+        """Reads an object without a delay."""
         if key not in self.objects:
             raise ObjectNotFoundError(key)
         return self.objects[key]
@@ -225,81 +225,85 @@
     async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
         if self.answers is Answers.REFUSED:
             raise PlatformUnavailableError("refused")
-        answer: asyncio.Future[Changes] = self._loop.create_future()
+        response: asyncio.Future[Changes] = self._loop.create_future()
 
-        def notify(last: bool = False) -> bool:
-            found = tuple(
+        def notify(final: bool = False) -> bool:
+            changed = tuple(
                 stored
                 for key, stored in sorted(self.store.objects.items())
                 if stored.version > since and key.startswith(prefixes)
             )
-            if answer.done() or not (found or last):
-                return answer.done()
-            if self.answers in _ANSWER_S:
-                changes = Changes(self.store.revision, found)
-                self.store.world.at(_ANSWER_S[self.answers], lambda: _set(answer, changes, None))
+            if response.done() or not (changed or final):
+                return response.done()
+            if self.answers in _RESPONSE_DELAY_S:
+                changes = Changes(self.store.revision, changed)
+                self.store.world.call_later(
+                    _RESPONSE_DELAY_S[self.answers], lambda: _set_response(response, changes, None)
+                )
             return True
 
         if not notify(since == 0):
             self.store.watchers.append(notify)
-            self.store.world.at(wait_s, lambda: notify(True) and None)
+            self.store.world.call_later(wait_s, lambda: notify(True) and None)
         try:
-            return await asyncio.wait_for(answer, wait_s + 2.0)
+            return await asyncio.wait_for(response, wait_s + 2.0)
         except TimeoutError:
             raise PlatformUnavailableError("watching: timeout") from None
 
-    async def _call(self, act: Callable[[], Any], answers: Answers) -> Any:
+    async def _call(self, operation: Callable[[], Any], answers: Answers) -> Any:
         self.store.calls += 1
         if answers is Answers.REFUSED:
             raise PlatformUnavailableError("refused")
-        answer: asyncio.Future[Any] = self._loop.create_future()
+        response: asyncio.Future[Any] = self._loop.create_future()
 
         def effect() -> None:
             result, error = None, None
             try:
-                result = act()
+                result = operation()
             except (ObjectNotFoundError, VersionConflictError) as failure:
                 error = failure
-            if answers in _ANSWER_S:
-                delay = _ANSWER_S[answers]
-                self.store.world.at(delay, lambda: _set(answer, result, error))
+            if answers in _RESPONSE_DELAY_S:
+                delay_s = _RESPONSE_DELAY_S[answers]
+                self.store.world.call_later(
+                    delay_s, lambda: _set_response(response, result, error)
+                )
 
-        if answers in _EFFECT_S:
-            self.store.world.at(_EFFECT_S[answers], effect)
-        return await asyncio.wait_for(answer, _TIMEOUT_S)
+        if answers in _EFFECT_DELAY_S:
+            self.store.world.call_later(_EFFECT_DELAY_S[answers], effect)
+        return await asyncio.wait_for(response, _TIMEOUT_S)
 
 
-def _set(answer: asyncio.Future[Any], result: Any, error: Exception | None) -> None:
-    if answer.done():
+def _set_response(response: asyncio.Future[Any], result: Any, error: Exception | None) -> None:
+    if response.done():
         return
     if error is not None:
-        answer.set_exception(error)
-        answer.exception()
+        response.set_exception(error)
+        response.exception()
     else:
-        answer.set_result(result)
+        response.set_result(result)
 
 
 class Network:
-    """State of the path between each two agents, by name."""
+    """State of the connection between each pair of agents, by their names."""
 
     def __init__(self, world: World) -> None:
         self.world = world
         self.peers: dict[str, FakePeers] = {}
         self.cut: set[frozenset[str]] = set()
         self.delays: dict[frozenset[str], float] = {}
-        self._last: dict[tuple[str, str], float] = {}
+        self._last_arrival_s: dict[tuple[str, str], float] = {}
 
     def deliver(
         self, source: FakePeers, target_id: str, event: Callable[[FakePeers], None]
     ) -> None:
-        """Runs an event in the target's loop; messages of one pair keep their order."""
+        """Runs an event in the loop of the target; messages of a pair keep their order."""
         target_name = target_id.rsplit(":", 1)[0]
         pair = frozenset((source.agent_name, target_name))
         if pair in self.cut:
             return
-        at = self.world.now + self.delays.get(pair, _LATENCY_S)
-        at = max(at, self._last.get((source.member_id, target_id), 0.0))
-        self._last[source.member_id, target_id] = at
+        arrival_s = self.world.now + self.delays.get(pair, _LATENCY_S)
+        arrival_s = max(arrival_s, self._last_arrival_s.get((source.member_id, target_id), 0.0))
+        self._last_arrival_s[source.member_id, target_id] = arrival_s
         sender_id = source.member_id
 
         def arrive() -> None:
@@ -307,7 +311,7 @@
             if target is not None and target.member_id == target_id and pair not in self.cut:
                 target.loop.call_soon(target.receive, target_id, sender_id, event)
 
-        self.world.at(at - self.world.now, arrive)
+        self.world.call_later(arrival_s - self.world.now, arrive)
 
 
 class FakePeers:
@@ -382,11 +386,11 @@
             event(self)
 
     def accept_reply(self, message: Any) -> None:
-        waiting = self._calls.get(getattr(message, "call", 0))
-        if waiting is None:
+        pending = self._calls.get(getattr(message, "call", 0))
+        if pending is None:
             self.dispatch(message)
-        elif not waiting.done():
-            waiting.set_result(message)
+        elif not pending.done():
+            pending.set_result(message)
 
     def dispatch(self, message: object) -> None:
         handler = self.handlers.get(type(message))
