--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -81,10 +81,10 @@
         def add(group: Group) -> Group | None:
             return self.with_members(group, (member,))
 
-        def add_first(group: Group) -> Group | None:
+        def add_if_first(group: Group) -> Group | None:
             return None if self._recorder(group) is not None else add(group)
 
-        current = await self._groups.edit(home, add if write_directly else add_first)
+        current = await self._groups.edit(home, add if write_directly else add_if_first)
         recorder = self._recorder(current.group)
         if member.id in current.group.members or recorder is None:
             return current
@@ -184,20 +184,20 @@
     def with_members(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
         """Returns the group with the joining members added, or None if it contains all of them."""
         added: dict[str, Member] = {}
-        replaced: set[str] = set()
+        replaced_ids: set[str] = set()
         for member in joining:
             if member.id in group.members or member.id in added:
                 continue
             # The old process of this boot has ended: the new one has bound its port.
             old_ids = frozenset(other.id for other in _same_process(group, member))
             group = inherit(group, old_ids, member.id)
-            replaced |= old_ids
+            replaced_ids |= old_ids
             added[member.id] = member
         if not added:
             return None
         shards = group.shards or (Shard(),) * group.shard_count
         group = replace(group, shards=shards, members={**group.members, **added})
-        return fill_monitors(self._placement.assign(group, frozenset(replaced)))
+        return fill_monitors(self._placement.assign(group, frozenset(replaced_ids)))
 
 
 def _same_process(group: Group, member: Member) -> tuple[Member, ...]:
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -68,9 +68,9 @@
     """The `membership` service.
 
     Args:
-        kernel: Owner of the tasks.
+        kernel: Kernel that owns the tasks.
         incarnation: Incarnation of the first member id.
-        boot_id: Identifies the boot of the machine; read from the kernel if empty.
+        boot_id: Identifies the boot of the machine; read from procfs if empty.
         next_incarnation: Returns a number for the next incarnation, by default the time in
             milliseconds.
         stop_timeout_s: Longest time that a stopping process spends on leaving, in seconds.
@@ -214,12 +214,12 @@
             )
         if self._announcement != announcement:
             _ANNOUNCED.emit(group=home, state=announcement.state, slots=announcement.slots)
-        before = self._announcement
-        restarted = before is not None and before.start != announcement.start
+        previous = self._announcement
+        restarted = previous is not None and previous.start != announcement.start
         self._home = home
         self._announcement = announcement
         if restarted and self._joined:
-            self._tasks.spawn("restarted", self._edit_until_done(self._restart_upstream))
+            self._tasks.spawn("restarted", self._edit_until_done(self._apply_upstream_restart))
         self._announcement_count += 1
         self._admission.observe_announcement(announcement)
         if announcement.state is AnnouncedState.LEAVING and not self._leaving:
@@ -250,13 +250,13 @@
         self._wake.set()
 
     async def _leave_group(self) -> None:
-        await self._hand_over_all()
+        await self._hand_over_all_shards()
         # No renewal may be acknowledged once the write that ends the monitor's role is in flight.
         self._resigned = True
         await self._edit_until_done(self._remove_own_member)
         _LEFT.emit(member=self.member_id)
 
-    async def _hand_over_all(self) -> None:
+    async def _hand_over_all_shards(self) -> None:
         # Shards whose handover to this agent began before the leave arrive during it, and are
         # handed over in the next pass.
         while True:
@@ -279,7 +279,7 @@
                 reported = True
                 await self._clock.sleep(_RETRY_S)
 
-    def _restart_upstream(self, group: Group) -> Group | None:
+    def _apply_upstream_restart(self, group: Group) -> Group | None:
         member = group.members.get(self.member_id)
         announcement = self._announcement
         if member is None or announcement is None or member.instance == announcement.start:
@@ -333,9 +333,9 @@
         """Cancels a leave that began and could not be completed."""
         member = self.own_member()
         if member is not None and member.state is MemberState.LEAVING:
-            await self._edit_until_done(self._activate)
+            await self._edit_until_done(self._mark_active)
 
-    def _activate(self, group: Group) -> Group | None:
+    def _mark_active(self, group: Group) -> Group | None:
         member = group.members.get(self.member_id)
         if member is None or member.state is not MemberState.LEAVING:
             return None
@@ -344,7 +344,7 @@
 
     async def _join(self, announcement: Announcement) -> None:
         assert self._home is not None
-        member = self._member(announcement)
+        member = self._make_member(announcement)
         self._lease.start_from_join(member.id, self._clock.now())
         try:
             joined = await self._join_recorder.record(
@@ -371,7 +371,7 @@
             # The leave ended while this join was in flight, and found no member to remove.
             await self._leave_group()
 
-    def _member(self, announcement: Announcement) -> Member:
+    def _make_member(self, announcement: Announcement) -> Member:
         agent, peers, callers = (
             self._settings.agent,
             self._settings.peers,
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -49,14 +49,14 @@
         waiting_since: When this monitor started to wait for the end of the lease.
         acknowledged_at: Time of the last acknowledgement.
         stamp: The member's stamp.
-        stamp_seen_at: When the stamp was first received.
+        stamp_received_at: When the stamp was first received.
         monitors: Ids of all monitors of the member.
     """
 
     waiting_since: float
     acknowledged_at: float
     stamp: int
-    stamp_seen_at: float
+    stamp_received_at: float
     monitors: tuple[str, ...]
 
 
@@ -134,9 +134,9 @@
         """Updates the monitored members, their stamps and their monitors."""
         if group.group.id != self._membership.home:
             return
-        me = self._membership.member_id
-        if me != self._member_id:
-            self._member_id = me
+        own_id = self._membership.member_id
+        if own_id != self._member_id:
+            self._member_id = own_id
             self._monitored.clear()
             self._blocks.clear()
         now = self._clock.now()
@@ -155,7 +155,7 @@
         self._monitored = {
             member.id: _with_member_update(self._monitored.get(member.id), member, now)
             for member in group.group.members.values()
-            if me in member.monitors
+            if own_id in member.monitors
         }
 
     async def take_over_expired(self) -> bool:
@@ -272,7 +272,7 @@
         if monitored is None:
             return False
         last_activity_at = max(
-            monitored.waiting_since, monitored.acknowledged_at, monitored.stamp_seen_at
+            monitored.waiting_since, monitored.acknowledged_at, monitored.stamp_received_at
         )
         return last_activity_at + self._takeover_wait_s < self._clock.now()
 
@@ -374,6 +374,6 @@
         waiting_since=now if monitor_removed else monitored.waiting_since,
         acknowledged_at=monitored.acknowledged_at,
         stamp=member.stamp,
-        stamp_seen_at=now if member.stamp != monitored.stamp else monitored.stamp_seen_at,
+        stamp_received_at=now if member.stamp != monitored.stamp else monitored.stamp_received_at,
         monitors=member.monitors,
     )
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -21,11 +21,11 @@
 from .settlement import HandoverRecorder
 from .tickets import OwnedShard, ShardState, ShardTicket
 
-_ACTIVE = Event(2701, "shards_active", Level.INFO, "Shards are served here from now on.")
+_ACTIVE = Event(2701, "shards_active", Level.INFO, "Shards are active on this agent.")
 _RELEASING = Event(2702, "shard_releasing", Level.INFO, "A shard is being handed over.")
 _TAKEN_OVER = Event(2704, "shard_taken", Level.INFO, "A shard was taken over from its owner.")
 _DROPPED = Event(
-    2705, "shards_dropped", Level.WARNING, "Shards are dropped: other members own them now."
+    2705, "shards_dropped", Level.WARNING, "Shards were dropped, because others own them."
 )
 
 # A leaving server that cannot hand over its shards, because the platform is unavailable, refuses
@@ -98,7 +98,7 @@
     async def admit(self, service: str, key: str, deadline: float) -> ShardTicket:
         """Waits until the shard of the key is active; see `Ownership.admit`."""
         while True:
-            shard, owned_shard = self._find(service, key)
+            shard, owned_shard = self._find_shard(service, key)
             if owned_shard is not None and owned_shard.state is ShardState.ACTIVE:
                 self._refuse_if_draining()
                 self._lease.check()
@@ -212,7 +212,7 @@
         self._released_epochs.clear()
         self._grants.send_soon()
 
-    def _find(self, service: str, key: str) -> tuple[int, OwnedShard | None]:
+    def _find_shard(self, service: str, key: str) -> tuple[int, OwnedShard | None]:
         home = self._membership.home
         groups = self._catalogue.entry(service).entry.groups
         if home is None or group_of(service, key, groups) != home:
@@ -362,9 +362,9 @@
             self._outcomes.end_epoch(shard_id)
 
     def _on_release(self, sender: str, message: Release) -> None:
-        self._tasks.spawn("take", self._answer_release(sender, message))
+        self._tasks.spawn("take", self._handle_release(sender, message))
 
-    async def _answer_release(self, sender: str, message: Release) -> None:
+    async def _handle_release(self, sender: str, message: Release) -> None:
         accepted = await self._accept_release(sender, message)
         self._peers.reply(sender, Released(message.call, accepted))
 
--- a/fescueward/services/ownership/settlement.py
+++ b/fescueward/services/ownership/settlement.py
@@ -25,7 +25,7 @@
         clock: Clock for the delays.
         groups: The `groups` service.
         membership: The `membership` service.
-        settle: Edit that makes this agent the owner of the shards that it has taken over.
+        record_handovers: Edit that makes this agent the owner of shards that it has taken over.
     """
 
     def __init__(
--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -136,12 +136,12 @@
         except (PlatformError, UnknownServiceError) as error:
             _PLAN_FAILED.emit(group=home, error=error)
             return False
-        moving = sum(shard.successor is not None for shard in after.group.shards)
+        moving_count = sum(shard.successor is not None for shard in after.group.shards)
         _ROUND.emit(
             group=home,
             version=after.version,
             changed=after.version > before.version,
-            moving=moving,
+            moving=moving_count,
             exceptions=len(after.group.exceptions),
             imbalance=round(imbalance(after.group, self._load.group_load()), 3),
         )
--- a/fescueward/services/policies/bounded.py
+++ b/fescueward/services/policies/bounded.py
@@ -99,8 +99,8 @@
             return None
         weight = table.weights[shard_id]
         ordered = sorted(table.members, key=lambda candidate: table.rank(shard_id, candidate))
-        old = self._group.members.get(old_owner or "")
-        restarted_id = self._by_name.get(old.name) if old is not None else None
+        old_member = self._group.members.get(old_owner or "")
+        restarted_id = self._by_name.get(old_member.name) if old_member is not None else None
         if restarted_id is not None:
             # A restarted server gets its shards back.
             ordered.sort(key=lambda candidate: candidate != restarted_id)
--- a/fescueward/services/policies/exceptions.py
+++ b/fescueward/services/policies/exceptions.py
@@ -32,7 +32,7 @@
     work: float
 
 
-def place_hot_keys(group: Group, load: GroupLoad, groups: int) -> Group:
+def place_hot_keys(group: Group, load: GroupLoad, group_count: int) -> Group:
     """Creates exceptions for hot keys, and dissolves those of cool keys if slots are missing.
 
     A new exception starts with the owner of its hash shard, at an epoch above that of the hash
@@ -42,12 +42,12 @@
     Args:
         group: The group.
         load: Measured work.
-        groups: Number of groups of the service.
+        group_count: Number of groups of the service.
     """
     group = _clear_unused_slots(group)
     work = clean_work(load.work, group)
-    mean = sum(work.values()) / max(len(active_members(group)), 1)
-    hot_keys = _hot_keys(group, load, groups, mean)[:_MAX_NEW_PER_ROUND]
+    mean_work = sum(work.values()) / max(len(active_members(group)), 1)
+    hot_keys = _hot_keys(group, load, group_count, mean_work)[:_MAX_NEW_PER_ROUND]
     if not hot_keys:
         return group
     free_slots = sorted(
@@ -73,16 +73,18 @@
         # Slots are freed in a later write: a dissolved exception raises the epoch of its hash
         # shard, which must stay below that of an exception created in the same write.
         return replace(group, shards=tuple(shards), exceptions=exceptions)
-    return _dissolve_cool_keys(group, work, groups, mean, missing) if missing > 0 else group
+    return (
+        _dissolve_cool_keys(group, work, group_count, mean_work, missing) if missing > 0 else group
+    )
 
 
-def _threshold(mean: float, slots: int) -> float:
-    return max(_HOT_FRACTION_OF_SLOTS * slots, _HOT_FRACTION_OF_MEAN * mean)
+def _threshold(mean_work: float, slots: int) -> float:
+    return max(_HOT_FRACTION_OF_SLOTS * slots, _HOT_FRACTION_OF_MEAN * mean_work)
 
 
-def hash_shard(group: Group, key: str, groups: int) -> int:
+def hash_shard(group: Group, key: str, group_count: int) -> int:
     """Returns the shard that a key has without an exception."""
-    return (key_hash(key) // groups) % group.shard_count
+    return (key_hash(key) // group_count) % group.shard_count
 
 
 def _clear_unused_slots(group: Group) -> Group:
@@ -98,16 +100,16 @@
     return Shard(None, shard.epoch)
 
 
-def _hot_keys(group: Group, load: GroupLoad, groups: int, mean: float) -> list[_HotKey]:
+def _hot_keys(group: Group, load: GroupLoad, group_count: int, mean_work: float) -> list[_HotKey]:
     hot_keys = []
     for key, work in load.hot_keys.items():
         if key in group.exceptions or not math.isfinite(work):
             continue
         if not key or len(key.encode()) > MAX_KEY_BYTES:
             continue
-        if group_of(group.service, key, groups) != group.id:
+        if group_of(group.service, key, group_count) != group.id:
             continue
-        shard_id = hash_shard(group, key, groups)
+        shard_id = hash_shard(group, key, group_count)
         shard = group.shards[shard_id]
         owner = group.members.get(shard.owner or "")
         if owner is None or owner.state is not MemberState.ACTIVE or shard.successor is not None:
@@ -115,22 +117,22 @@
         # The new owner may still wait for requests of the lost one to end, perhaps for this key.
         if shard.hold_ms:
             continue
-        if work > _threshold(mean, owner.slots):
+        if work > _threshold(mean_work, owner.slots):
             hot_keys.append(_HotKey(key, shard_id, work))
     return sorted(hot_keys, key=lambda hot_key: (-hot_key.work, hot_key.key))
 
 
 def _dissolve_cool_keys(
-    group: Group, work: dict[int, float], groups: int, mean: float, missing: int
+    group: Group, work: dict[int, float], group_count: int, mean_work: float, missing: int
 ) -> Group:
     shards, exceptions = list(group.shards), dict(group.exceptions)
-    coolest = sorted(exceptions, key=lambda key: (work.get(exceptions[key], 0.0), key))
+    keys_by_work = sorted(exceptions, key=lambda key: (work.get(exceptions[key], 0.0), key))
     slots = min((member.slots for member in active_members(group)), default=1)
-    limit = _COOL_FRACTION * _threshold(mean, slots)
-    for key in coolest:
-        slot, parent_id = exceptions[key], hash_shard(group, key, groups)
+    cool_below = _COOL_FRACTION * _threshold(mean_work, slots)
+    for key in keys_by_work:
+        slot, parent_id = exceptions[key], hash_shard(group, key, group_count)
         shard, parent = shards[slot], shards[parent_id]
-        if missing == 0 or work.get(slot, 0.0) >= limit:
+        if missing == 0 or work.get(slot, 0.0) >= cool_below:
             break
         if shard.successor is not None or parent.successor is not None or shard.owner is None:
             continue
--- a/fescueward/services/recovery.py
+++ b/fescueward/services/recovery.py
@@ -81,8 +81,8 @@
         previous = self._stamps
         self._stamps = {}
         for member in group.group.members.values():
-            stamp, seen_at = previous.get(member.id, (member.stamp, now))
-            self._stamps[member.id] = (member.stamp, seen_at if stamp == member.stamp else now)
+            stamp, changed_at = previous.get(member.id, (member.stamp, now))
+            self._stamps[member.id] = (member.stamp, changed_at if stamp == member.stamp else now)
 
     async def check(self) -> bool:
         """Removes the members that do not respond, if the entry has a new statement.
@@ -141,9 +141,10 @@
         self._responded_at[member.id] = self._clock.now()
 
     def _is_lost(self, member_id: str) -> bool:
-        _, stamp_seen_at = self._stamps.get(member_id, (0, self._clock.now()))
+        _, stamp_changed_at = self._stamps.get(member_id, (0, self._clock.now()))
         return (
-            max(stamp_seen_at, self._responded_at.get(member_id, 0.0)) <= self._counter_received_at
+            max(stamp_changed_at, self._responded_at.get(member_id, 0.0))
+            <= self._counter_received_at
         )
 
     async def _remove(self, base: VersionedGroup, counter: int) -> bool:
--- a/fescueward/services/reports.py
+++ b/fescueward/services/reports.py
@@ -81,14 +81,14 @@
             for key, work in report.hot_keys.items():
                 hot_keys[key] = hot_keys.get(key, 0.0) + work * scale
             capacity[member_id] = report.capacity
-        self._smoothed_work = self._smoothed(summed)
+        self._smoothed_work = self._smooth(summed)
         self._has_no_history = False
         wait_ended = now - self._planner_since > _FIRST_REPORT_ROUNDS * self._round_s
         if wait_ended or set(group.members) <= set(self._reports):
             self._complete = True
         self._load = GroupLoad(dict(self._smoothed_work), hot_keys, capacity, self._complete)
 
-    def _smoothed(self, summed: dict[int, float]) -> dict[int, float]:
+    def _smooth(self, summed: dict[int, float]) -> dict[int, float]:
         if self._has_no_history:
             return summed
         smoothed = {}
--- a/tests/services/ownership/test_hash_shards.py
+++ b/tests/services/ownership/test_hash_shards.py
@@ -213,8 +213,8 @@
             shard.hold_ms for number, shard in enumerate(fleet.group().shards) if number in lost
         ]
         self.assertTrue(all(holds_ms))
-        first = fleet.group().shards[lost[0]].owner.split(":")[0]
-        other = next(name for name in fleet.agents if name != first)
-        fleet.kill(first)
+        new_owner = fleet.group().shards[lost[0]].owner.split(":")[0]
+        remaining = next(name for name in fleet.agents if name != new_owner)
+        fleet.kill(new_owner)
         fleet.world.advance(8)
-        self.assertNotIn(lost[0], fleet.agents[other].serving())
+        self.assertNotIn(lost[0], fleet.agents[remaining].serving())
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -99,13 +99,13 @@
         """Guards against a start in which each member writes the group a second time."""
         fleet = formed(4, 2)
         agent = fleet.start("a4", "d0")
-        held = []
+        held_after_join = []
         for _ in range(60):
             fleet.world.advance(0.05)
             if agent.membership.own_member() is not None:
-                held.append(agent.lease.held)
-        self.assertTrue(held)
-        self.assertTrue(all(held))
+                held_after_join.append(agent.lease.held)
+        self.assertTrue(held_after_join)
+        self.assertTrue(all(held_after_join))
         self.assertEqual(fleet.group().members[agent.member_id].stamp, 0)
 
     def test_lease_of_a_join_counts_from_its_write(self):
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -171,11 +171,11 @@
         """Guards against a graceful leave that interrupts a request."""
         fleet = formed(3, 3)
         agent = fleet.agents["a0"]
-        done = []
+        finished_at = []
 
         async def run() -> None:
             await agent.request(key, 3.0)
-            done.append(fleet.world.now)
+            finished_at.append(fleet.world.now)
 
         view = fleet.group()
         key = next(
@@ -189,19 +189,19 @@
         fleet.world.advance(2)
         self.assertIn(agent.member_id, fleet.group().members)
         fleet.world.advance(2)
-        self.assertEqual(len(done), 1)
+        self.assertEqual(len(finished_at), 1)
         self.assertTrue(fleet.served())
 
     def test_ready_again_joins_as_a_new_member(self):
         """Guards against an upstream that becomes ready again and gets no work."""
         fleet = formed(3, 3)
         agent = fleet.agents["a0"]
-        before = agent.member_id
+        old_id = agent.member_id
         agent.leave()
         fleet.world.advance(2)
         agent.loop.call_soon(agent.announce, AnnouncedState.READY)
         fleet.world.advance(3)
-        self.assertNotEqual(agent.member_id, before)
+        self.assertNotEqual(agent.member_id, old_id)
         self.assertIn(agent.member_id, fleet.group().members)
         self.assertTrue(agent.lease.held)
 
@@ -234,14 +234,14 @@
         fleet.cut("a5", fleet.agents)
         # The agent cannot reach a member that records its join, so it writes the join itself.
         fleet.world.advance(1.5)
-        first = agent.member_id
-        self.assertIn(first, fleet.group().members)
+        first_id = agent.member_id
+        self.assertIn(first_id, fleet.group().members)
         fleet.world.advance(3.5)
-        self.assertNotIn(first, fleet.group().members)
+        self.assertNotIn(first_id, fleet.group().members)
         agent.membership._join_recorder.with_members = add
         fleet.heal()
         fleet.world.advance(4)
-        self.assertNotEqual(agent.member_id, first)
+        self.assertNotEqual(agent.member_id, first_id)
         self.assertTrue(agent.lease.held)
 
     def test_join_that_is_recorded_after_its_request_timed_out(self):
@@ -250,13 +250,13 @@
         recorder = fleet.agents["a0"]
         recorder.platform.write_answers = Answers.VERY_LATE
         agent = fleet.start("a5", "d2")
-        first = agent.member_id
+        first_id = agent.member_id
         fleet.world.advance(1.5)
         recorder.platform.write_answers = Answers.GOOD
         fleet.world.advance(4)
         members = fleet.group().members
         self.assertEqual([id for id in members if id.startswith("a5:")], [agent.member_id])
-        self.assertNotEqual(agent.member_id, first)
+        self.assertNotEqual(agent.member_id, first_id)
         self.assertTrue(agent.lease.held)
 
     def test_agent_whose_clock_went_back_joins(self):
@@ -296,10 +296,10 @@
         recorder.platform.answers = Answers.SLOW
         fleet.network.delays[frozenset(("a0", "a5"))] = 0.3
         agent = fleet.start("a5", "d2")
-        first = agent.member_id
+        first_id = agent.member_id
         fleet.world.advance(3)
-        self.assertEqual(agent.member_id, first)
-        self.assertIn(first, fleet.group().members)
+        self.assertEqual(agent.member_id, first_id)
+        self.assertIn(first_id, fleet.group().members)
 
     def test_announcement_of_another_service_is_refused(self):
         """Guards against an agent that serves two groups with one lease."""
@@ -324,12 +324,12 @@
     def test_malformed_group_object_does_not_end_the_agents(self):
         """Guards against agents that crash when the group object is malformed."""
         fleet = formed(3, 3)
-        good = fleet.platform.read(HOME.object_key)
+        valid = fleet.platform.read(HOME.object_key)
         fleet.platform.on_write = lambda old, new: None
-        version = fleet.platform.write(HOME.object_key, b"{", good.version)
+        version = fleet.platform.write(HOME.object_key, b"{", valid.version)
         fleet.kill("a0")
         fleet.world.advance(3)
-        fleet.platform.write(HOME.object_key, good.value, version)
+        fleet.platform.write(HOME.object_key, valid.value, version)
         self.assertIsNotNone(fleet.time_until_served(4), fleet.owners())
 
 
--- a/tests/services/test_planner.py
+++ b/tests/services/test_planner.py
@@ -137,5 +137,5 @@
         self.assertEqual(drained.members["a:1"].state, MemberState.LEAVING)
         self.assertEqual({shard.successor for shard in drained.shards}, {"b:1"})
         self.assertEqual(service.drain_member(drained, "a:1"), drained)
-        alone = replace(self.group, members={"a:1": self.group.members["a:1"]})
-        self.assertEqual(owners(service.drain_member(alone, "a:1")), ["a:1"] * SHARDS)
+        without_others = replace(self.group, members={"a:1": self.group.members["a:1"]})
+        self.assertEqual(owners(service.drain_member(without_others, "a:1")), ["a:1"] * SHARDS)
--- a/tests/services/test_recovery.py
+++ b/tests/services/test_recovery.py
@@ -45,18 +45,18 @@
 
     def test_statement_spares_members_that_answer_or_renew(self):
         """Guards against a mistaken statement that removes members that still serve."""
-        for way in ("answer", "renew by writes", "renew by monitors", "resume"):
-            with self.subTest(way):
+        for scenario in ("answer", "renew by writes", "renew by monitors", "resume"):
+            with self.subTest(scenario):
                 fleet = formed(4, 2)
                 before = set(fleet.group().members)
-                if way == "renew by writes":
+                if scenario == "renew by writes":
                     fleet.cut("a0", fleet.agents)
-                elif way == "renew by monitors":
+                elif scenario == "renew by monitors":
                     monitors = fleet.group().members[fleet.agents["a0"].member_id].monitors
                     names = [monitor.split(":")[0] for monitor in monitors]
                     fleet.cut("a0", [name for name in fleet.agents if name not in names])
                     fleet.agents["a0"].platform.answers = Answers.SILENT
-                elif way == "resume":
+                elif scenario == "resume":
                     fleet.world.paused.add("a0")
                 _set_recovery_counter(fleet, 1)
                 fleet.world.advance(1)
--- a/tests/services/test_recovery_time.py
+++ b/tests/services/test_recovery_time.py
@@ -30,13 +30,15 @@
 class RecoveryTimeTest(unittest.TestCase):
     """After each loss that the design tolerates, all shards are served again within 4 s."""
 
-    def _assert_survives(self, count: int, domains: int, lost: tuple[str, ...], way: str) -> None:
-        with self.subTest(count=count, domains=domains, lost=lost, way=way):
+    def _assert_survives(
+        self, count: int, domains: int, lost: tuple[str, ...], fault: str
+    ) -> None:
+        with self.subTest(count=count, domains=domains, lost=lost, fault=fault):
             fleet = formed(count, domains)
             for name in lost:
-                if way == "kill":
+                if fault == "kill":
                     fleet.kill(name)
-                elif way == "pause":
+                elif fault == "pause":
                     fleet.world.paused.add(name)
                 else:
                     fleet.cut(name, fleet.agents)
@@ -52,8 +54,8 @@
         """Guards against a member of a small group that no other member can take over."""
         for count, domains in ((3, 3), (4, 2)):
             for number in range(count):
-                for way in ("kill", "pause", "isolate"):
-                    self._assert_survives(count, domains, (f"a{number}",), way)
+                for fault in ("kill", "pause", "isolate"):
+                    self._assert_survives(count, domains, (f"a{number}",), fault)
 
     def test_loss_of_any_two_of_five_or_more(self):
         """Guards against pairs of members that monitor each other."""
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -70,7 +70,7 @@
         super().group_changed(group)
         for member_id in self._monitored.keys() - before.keys():
             self._monitored[member_id] = replace(
-                self._monitored[member_id], waiting_since=0.0, stamp_seen_at=0.0
+                self._monitored[member_id], waiting_since=0.0, stamp_received_at=0.0
             )
 
 
