Reword services/admission

The two queues were called lanes, positions places, and the future of a waiting request granted, which is also the term for leases. They are _on_time_queue, _late_queue, positions and waiters now; run time statistics and thresholds are named as such.

--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -1,4 +1,4 @@
-"""Admission: slots by priority and deadline, limits and early shedding."""
+"""Admission control: slots by priority and deadline, rate limits and early load shedding."""
 
 from __future__ import annotations
 
@@ -18,35 +18,36 @@
 from ..messages import Announcement, Entry, Request
 from ..messages.request import Occupancy
 
-_LIMIT_REDUCED = Event(
+_SLOTS_REDUCED = Event(
     3101, "slots_reduced", Level.WARNING, "The upstream sheds load, so fewer slots are used."
 )
 _SLOW_START = Event(
-    3102, "slow_start", Level.INFO, "The upstream is new, so its slots come into use gradually."
+    3102, "slow_start", Level.INFO, "The upstream is cold, so its slots come into use gradually."
 )
 
 # Weight of the newest sample in the mean run time and in its mean deviation.
 _SAMPLE_WEIGHT = 0.1
-# Connections that requests leave free for grants, cancellations and health checks.
+# Connections to the upstream reserved for grants, cancellations and health checks.
 _RESERVED_CONNECTIONS = 3
-# Share of the slots that a cold upstream gets at once, and the time until it has all of them.
+# Share of the slots that a cold upstream gets at once, and the time until all of them are usable.
 _COLD_SHARE = 0.25
-_COLD_S = 10.0
-# While cold, a run at most this much slower than the fastest mean so far adds half a slot.
+_COLD_PERIOD_S = 10.0
+# While the upstream is cold, a run adds _COLD_STEP_SLOTS slots if the mean run time is at most
+# _COLD_TOLERANCE times the lowest mean so far.
 _COLD_TOLERANCE = 1.5
-_COLD_STEP = 0.5
-# A shed by the upstream multiplies the limit by this. One run's time passes between reductions,
-# because the requests that are shed together report the same overload.
-_REDUCTION = 0.8
-# The rate limiter's burst in seconds of the permitted rate.
-_BURST_S = 0.1
+_COLD_STEP_SLOTS = 0.5
+# A request that the upstream sheds multiplies the limit by this factor. Reductions are at least
+# one mean run time apart, because requests that are shed together report the same overload.
+_REDUCTION_FACTOR = 0.8
+# Burst of the rate limiter, in seconds of the permitted rate.
+_RATE_BURST_S = 0.1
 
-# Priority, deadline and number of a waiting request; the lowest gets the next slot.
-_Place = tuple[int, float, int]
+# Priority, deadline and sequence number of a waiting request; the lowest gets the next slot.
+_QueuePosition = tuple[int, float, int]
 
 
-class _RunTime:
-    """Mean time of a run and its mean deviation, in seconds."""
+class _RunTimeStats:
+    """Moving averages of the run time and of its deviation, in seconds."""
 
     __slots__ = ("deviation_s", "mean_s")
 
@@ -55,7 +56,7 @@
         self.deviation_s = 0.0
 
     def add(self, run_s: float) -> None:
-        """Takes the time of one run."""
+        """Adds the time of one run in seconds."""
         if not self.mean_s:
             self.mean_s, self.deviation_s = run_s, run_s / 2
             return
@@ -64,7 +65,7 @@
 
 
 class _Slot:
-    """One use of a slot, as an async context manager."""
+    """An async context manager that holds a slot."""
 
     __slots__ = ("_admission", "_entry", "_request", "_started")
 
@@ -90,9 +91,9 @@
 class SlotAdmission:
     """The `admission` service.
 
-    The number of slots in use follows this agent's own measurements: its count of running
-    requests, their run times and the upstream's sheds. The load that the upstream reports is
-    not used, because it lags or is wrong.
+    The number of usable slots follows this agent's own measurements: its count of running
+    requests, their run times and the requests that the upstream sheds. The load that the upstream
+    reports is not used, because it lags or is wrong.
     """
 
     name = "admission"
@@ -100,228 +101,235 @@
 
     def __init__(self) -> None:
         self._slots = 1
-        self._started: tuple[str, int, str] | None = None
+        self._upstream_start: tuple[str, int, str] | None = None
         self._running = 0
-        self._numbers = itertools.count()
-        self._waiting: SortedDict = SortedDict()
-        # Requests whose answers will be late; they run while no other request waits.
-        self._late: SortedDict = SortedDict()
-        # Waiting requests of both lanes by the number of their place.
-        self._requests: dict[int, Request] = {}
-        self._runs = _RunTime()
-        # Requests of different routes can differ tenfold in their work.
-        self._runs_by_route: dict[str, _RunTime] = {}
+        self._sequence_numbers = itertools.count()
+        self._on_time_queue: SortedDict = SortedDict()
+        # Requests whose responses will be late; they run while no other request waits.
+        self._late_queue: SortedDict = SortedDict()
+        # Requests in both queues by the sequence number of their position.
+        self._queued_requests: dict[int, Request] = {}
+        self._run_time = _RunTimeStats()
+        # Run times of different routes can differ tenfold.
+        self._run_time_by_route: dict[str, _RunTimeStats] = {}
         self._fastest_mean_s: float | None = None
         self._cold_since: float | None = None
         self._cold_slots = 0.0
         self._shed_limit = float("inf")
         self._reduced_at = 0.0
-        self._limiters: dict[str, tuple[int, AsyncLimiter]] = {}
+        self._rate_limiters: dict[str, tuple[int, AsyncLimiter]] = {}
 
     @property
     def capacity(self) -> float:
-        """Usable share of the slots."""
-        return min(self._limit() / self._slots, 1.0)
+        """Usable share of the slots, from above 0.0 to 1.0."""
+        return min(self._slot_limit() / self._slots, 1.0)
 
     @property
     def occupancy(self) -> Occupancy:
-        """Load of the slots as this agent counts it."""
+        """Load of the slots as measured by this agent."""
         return Occupancy(
             self._running,
-            len(self._waiting) + len(self._late),
-            self._limit(),
-            round(self._runs.mean_s * 1000, 1),
+            len(self._on_time_queue) + len(self._late_queue),
+            self._slot_limit(),
+            round(self._run_time.mean_s * 1000, 1),
         )
 
     def bind(self, registry: Registry) -> None:
-        """Finds the clock."""
+        """Looks up the clock."""
         self._clock = registry.find("clock", Clock)
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Starts nothing: this service has no background task."""
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
     def now(self) -> float:
-        """Returns the present time in seconds of CLOCK_BOOTTIME."""
+        """Returns the current time in seconds of CLOCK_BOOTTIME."""
         return self._clock.now()
 
     def observe_announcement(self, announcement: Announcement) -> None:
-        """Takes over the number of slots that the upstream announced."""
+        """Sets the number of slots from an announcement; a new upstream begins a slow start."""
         self._slots = max(
             min(announcement.slots, announcement.connections - _RESERVED_CONNECTIONS), 1
         )
         address = (announcement.host, announcement.port)
-        started = (*address, announcement.start)
-        if started != self._started:
-            self._started = started
-            # An upstream that tells its warm-up is slow while cold but uses all its slots.
+        upstream_start = (*address, announcement.start)
+        if upstream_start != self._upstream_start:
+            self._upstream_start = upstream_start
+            # An upstream that announces its warm-up time is slower while cold, but all its slots
+            # are usable.
             if announcement.cold_s is None:
                 self.begin_slow_start()
         self._wake_next()
 
     def begin_slow_start(self) -> None:
-        """Treats the upstream as cold; see `Admission.begin_slow_start`."""
+        """Limits the slots of a cold upstream; see `Admission.begin_slow_start`."""
         self._cold_since = self._clock.now()
         self._cold_slots = max(self._slots * _COLD_SHARE, 1.0)
         self._fastest_mean_s = None
-        self._runs = _RunTime()
-        self._runs_by_route.clear()
+        self._run_time = _RunTimeStats()
+        self._run_time_by_route.clear()
         self._shed_limit = float("inf")
         _SLOW_START.emit(slots=self._slots, usable=int(self._cold_slots))
 
     def slot(self, request: Request, entry: Entry) -> _Slot:
-        """Waits for a slot; see `Admission.slot`."""
+        """Returns a context that waits for a slot; see `Admission.slot`."""
         return _Slot(self, request, entry)
 
     async def acquire(self, request: Request, entry: Entry) -> None:
-        """Takes a slot; raises as `Admission.slot`."""
+        """Waits for a slot and takes it; raises as `Admission.slot`."""
         if entry.limits.requests_per_second:
             await self._check_rate(entry)
-        if self._running < self._limit() and not self._waiting and not self._late:
+        if self._running < self._slot_limit() and not self._on_time_queue and not self._late_queue:
             self._running += 1
             return
-        lane, place = self._lane(request, entry)
+        queue, position = self._choose_queue(request, entry)
         loop = asyncio.get_running_loop()
-        granted: asyncio.Future[None] = loop.create_future()
-        lane[place] = granted
-        self._requests[place[2]] = request
-        timer = loop.call_later(request.deadline - self._clock.now(), self._expire, granted)
+        waiter: asyncio.Future[None] = loop.create_future()
+        queue[position] = waiter
+        self._queued_requests[position[2]] = request
+        timer = loop.call_later(request.deadline - self._clock.now(), self._expire, waiter)
         try:
-            await granted
+            await waiter
         except asyncio.CancelledError:
-            if granted.done() and not granted.cancelled() and granted.exception() is None:
-                # The slot was granted in the same turn of the event loop as the cancellation.
+            if waiter.done() and not waiter.cancelled() and waiter.exception() is None:
+                # The slot was assigned in the event loop iteration of the cancellation.
                 self._running -= 1
                 self._wake_next()
             raise
         finally:
             timer.cancel()
-            del self._requests[place[2]]
-            self._waiting.pop(place, None)
-            self._late.pop(place, None)
-            self._late.pop((place[0], request.deadline, place[2]), None)
+            del self._queued_requests[position[2]]
+            self._on_time_queue.pop(position, None)
+            self._late_queue.pop(position, None)
+            self._late_queue.pop((position[0], request.deadline, position[2]), None)
 
-    def release(self, started: float, error: BaseException | None, route: str = "") -> None:
-        """Gives a slot back.
+    def release(self, acquired_at: float, error: BaseException | None, route: str = "") -> None:
+        """Releases a slot.
 
         Args:
-            started: When the slot was taken, in seconds of CLOCK_BOOTTIME.
-            error: What ended the use, or None.
-            route: Route of the request.
+            acquired_at: When the slot was acquired, in seconds of CLOCK_BOOTTIME.
+            error: The exception that ended the run, or None if the run succeeded.
+            route: Name of the route of the request, or empty.
         """
         self._running -= 1
         if isinstance(error, OverloadedError):
-            self._reduce()
+            self._reduce_limit()
         elif error is None:
-            self._measure(self._clock.now() - started, route)
+            self._record_run(self._clock.now() - acquired_at, route)
         self._wake_next()
 
-    def _limit(self) -> int:
+    def _slot_limit(self) -> int:
         limit = min(float(self._slots), self._shed_limit)
         if self._cold_since is not None:
-            age = (self._clock.now() - self._cold_since) / _COLD_S
-            if age >= 1 or self._cold_slots >= self._slots:
+            elapsed_share = (self._clock.now() - self._cold_since) / _COLD_PERIOD_S
+            if elapsed_share >= 1 or self._cold_slots >= self._slots:
                 self._cold_since = None
             else:
-                share = _COLD_SHARE + (1 - _COLD_SHARE) * age
+                share = _COLD_SHARE + (1 - _COLD_SHARE) * elapsed_share
                 limit = min(limit, max(self._cold_slots, self._slots * share))
         return max(int(limit), 1)
 
-    def _measure(self, run_s: float, route: str) -> None:
-        self._runs.add(run_s)
+    def _record_run(self, run_s: float, route: str) -> None:
+        self._run_time.add(run_s)
         if route:
-            self._runs_by_route.setdefault(route, _RunTime()).add(run_s)
+            self._run_time_by_route.setdefault(route, _RunTimeStats()).add(run_s)
         if self._cold_since is not None:
-            mean_s, fastest = self._runs.mean_s, self._fastest_mean_s
-            if fastest is None or mean_s <= fastest * _COLD_TOLERANCE:
-                self._cold_slots += _COLD_STEP
-            self._fastest_mean_s = min(fastest or mean_s, mean_s)
+            mean_s, fastest_mean_s = self._run_time.mean_s, self._fastest_mean_s
+            if fastest_mean_s is None or mean_s <= fastest_mean_s * _COLD_TOLERANCE:
+                self._cold_slots += _COLD_STEP_SLOTS
+            self._fastest_mean_s = min(fastest_mean_s or mean_s, mean_s)
         if self._shed_limit < self._slots:
-            # One slot more after as many successes as there are slots in use.
+            # Adds one slot after as many successful runs as there are usable slots.
             self._shed_limit += 1 / self._shed_limit
 
-    def _reduce(self) -> None:
+    def _reduce_limit(self) -> None:
         now = self._clock.now()
-        if now - self._reduced_at < self._runs.mean_s:
+        if now - self._reduced_at < self._run_time.mean_s:
             return
         self._reduced_at = now
-        self._shed_limit = max(min(self._shed_limit, self._running + 1) * _REDUCTION, 1.0)
-        _LIMIT_REDUCED.emit(limit=int(self._shed_limit), slots=self._slots)
+        self._shed_limit = max(min(self._shed_limit, self._running + 1) * _REDUCTION_FACTOR, 1.0)
+        _SLOTS_REDUCED.emit(limit=int(self._shed_limit), slots=self._slots)
 
     async def _check_rate(self, entry: Entry) -> None:
         rate = entry.limits.requests_per_second
-        known = self._limiters.get(entry.service)
-        if known is None or known[0] != rate:
-            burst = max(rate * _BURST_S, 1.0)
-            known = (rate, AsyncLimiter(burst, burst / rate))
-            self._limiters[entry.service] = known
-        if not known[1].has_capacity():
+        cached = self._rate_limiters.get(entry.service)
+        if cached is None or cached[0] != rate:
+            burst = max(rate * _RATE_BURST_S, 1.0)
+            cached = (rate, AsyncLimiter(burst, burst / rate))
+            self._rate_limiters[entry.service] = cached
+        if not cached[1].has_capacity():
             raise RateLimitedError(
                 f"{entry.service!r} is limited to {rate} requests/s on each server",
                 retry_after_s=1.0,
             )
-        await known[1].acquire()
+        await cached[1].acquire()
 
-    def _lane(self, request: Request, entry: Entry) -> tuple[SortedDict, _Place]:
-        """Returns the lane and place of a request, or refuses it.
+    def _choose_queue(self, request: Request, entry: Entry) -> tuple[SortedDict, _QueuePosition]:
+        """Returns the queue for a request and its position there.
 
         Raises:
-            OverloadedError: The request would not be answered in time.
+            OverloadedError: The queues are full, or the response would be too late.
         """
-        limit = self._limit()
+        limit = self._slot_limit()
         now = self._clock.now()
         useful_until = request.useful_until or request.deadline
-        place = (request.priority, useful_until, next(self._numbers))
-        queued = len(self._waiting) + len(self._late)
+        position = (request.priority, useful_until, next(self._sequence_numbers))
+        queued_count = len(self._on_time_queue) + len(self._late_queue)
         run_s = self._expected_run_s(request.route)
-        wait_s = self._runs.mean_s * (self._waiting.bisect_left(place) + 1) / limit
-        drained_s = self._drained_s()
-        retry_after_s = max(drained_s, entry.limits.retry_after_ms / 1000)
-        if queued >= entry.limits.queue_length:
+        wait_s = self._run_time.mean_s * (self._on_time_queue.bisect_left(position) + 1) / limit
+        drain_s = self._drain_s()
+        retry_after_s = max(drain_s, entry.limits.retry_after_ms / 1000)
+        if queued_count >= entry.limits.queue_length:
             raise OverloadedError("the queue is full", retry_after_s=retry_after_s)
         if now + wait_s + run_s <= useful_until:
-            return self._waiting, place
-        late_fits = now + drained_s + run_s <= request.deadline
-        if late_fits and useful_until < request.deadline and len(self._late) < limit:
-            return self._late, (request.priority, request.deadline, next(self._numbers))
+            return self._on_time_queue, position
+        fits_late_queue = now + drain_s + run_s <= request.deadline
+        if fits_late_queue and useful_until < request.deadline and len(self._late_queue) < limit:
+            return self._late_queue, (
+                request.priority,
+                request.deadline,
+                next(self._sequence_numbers),
+            )
         raise OverloadedError(
             "the expected wait exceeds the deadline", retry_after_s=retry_after_s
         )
 
     def _expected_run_s(self, route: str) -> float:
-        runs = self._runs_by_route.get(route, self._runs)
-        return runs.mean_s + 2 * runs.deviation_s
+        run_time = self._run_time_by_route.get(route, self._run_time)
+        return run_time.mean_s + 2 * run_time.deviation_s
 
-    def _expire(self, granted: asyncio.Future[None]) -> None:
-        if not granted.done():
-            granted.set_exception(
+    def _expire(self, waiter: asyncio.Future[None]) -> None:
+        if not waiter.done():
+            waiter.set_exception(
                 DeadlineExceededError("the deadline passed while waiting for a slot")
             )
 
     def _wake_next(self) -> None:
-        limit = self._limit()
-        while (self._waiting or self._late) and self._running < limit:
-            place, granted = (self._waiting or self._late).popitem(0)
-            if granted.done():
+        limit = self._slot_limit()
+        while (self._on_time_queue or self._late_queue) and self._running < limit:
+            position, waiter = (self._on_time_queue or self._late_queue).popitem(0)
+            if waiter.done():
                 continue
-            request = self._requests[place[2]]
+            request = self._queued_requests[position[2]]
             ends_at = self._clock.now() + self._expected_run_s(request.route)
             if ends_at > request.deadline:
                 # A run that cannot end in time would take the slot from one that can.
-                retry_after_s = max(self._drained_s(), self._runs.mean_s)
-                granted.set_exception(
-                    OverloadedError("too little time is left to run", retry_after_s=retry_after_s)
+                retry_after_s = max(self._drain_s(), self._run_time.mean_s)
+                waiter.set_exception(
+                    OverloadedError(
+                        "too little time is left to run the request", retry_after_s=retry_after_s
+                    )
                 )
                 continue
-            if ends_at > place[1] and self._waiting:
-                # Its answer will be late, so those that can be in time go first.
-                self._late[(place[0], request.deadline, place[2])] = granted
+            if ends_at > position[1] and self._on_time_queue:
+                # Its response will be late, so requests that can be in time run first.
+                self._late_queue[(position[0], request.deadline, position[2])] = waiter
                 continue
             self._running += 1
-            granted.set_result(None)
+            waiter.set_result(None)
 
-    def _drained_s(self) -> float:
-        queued = len(self._waiting) + len(self._late)
-        return self._runs.mean_s * (queued + 1) / self._limit()
+    def _drain_s(self) -> float:
+        queued_count = len(self._on_time_queue) + len(self._late_queue)
+        return self._run_time.mean_s * (queued_count + 1) / self._slot_limit()
--- a/tests/services/test_admission.py
+++ b/tests/services/test_admission.py
@@ -1,4 +1,4 @@
-"""Tests of slots, queue, limits, shedding and slow start."""
+"""Tests of slots, queues, limits, load shedding and slow start."""
 
 from __future__ import annotations
 
@@ -21,46 +21,47 @@
 
 class AdmissionTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
-        self.admission = self.make(2)
+        self.admission = self.make_admission(2)
 
-    def make(self, slots: int, cold: bool = False) -> SlotAdmission:
+    def make_admission(self, slots: int, cold: bool = False) -> SlotAdmission:
         admission = SlotAdmission()
         admission.bind(StubRegistry())
         with mock.patch.object(module, "_COLD_SHARE", 0.25 if cold else 1.0):
             admission.observe_announcement(make_announcement(slots))
         return admission
 
-    async def hold(self, entered: list, name: str, release: asyncio.Event, within_s=5.0):
+    async def hold_slot(self, run_order: list, name: str, release: asyncio.Event, within_s=5.0):
         async with self.admission.slot(make_request(within_s), make_entry()):
-            entered.append(name)
+            run_order.append(name)
             await release.wait()
 
-    async def settle(self):
+    async def run_pending_tasks(self):
         for _ in range(5):
             await asyncio.sleep(0)
 
     async def test_queue_is_in_the_order_of_deadlines(self):
-        """Guards against a request that misses its deadline behind one that has time."""
-        entered, release = [], asyncio.Event()
-        tasks = [asyncio.create_task(self.hold(entered, n, release)) for n in "ab"]
-        await self.settle()
+        """Guards against a request that misses its deadline behind one with a later deadline."""
+        run_order, release = [], asyncio.Event()
+        tasks = [asyncio.create_task(self.hold_slot(run_order, n, release)) for n in "ab"]
+        await self.run_pending_tasks()
         for name, within_s in (("late", 9.0), ("soon", 1.0), ("later", 10.0)):
-            tasks.append(asyncio.create_task(self.hold(entered, name, release, within_s)))
-        await self.settle()
-        self.assertEqual(entered, ["a", "b"])
+            tasks.append(asyncio.create_task(self.hold_slot(run_order, name, release, within_s)))
+        await self.run_pending_tasks()
+        self.assertEqual(run_order, ["a", "b"])
         release.set()
         await asyncio.gather(*tasks)
-        self.assertEqual(entered, ["a", "b", "soon", "late", "later"])
+        self.assertEqual(run_order, ["a", "b", "soon", "late", "later"])
 
-    async def test_no_slot_is_lost_by_cancellation(self):
-        """Guards against slots that are lost when holders and waiters are cancelled."""
-        entered, release = [], asyncio.Event()
+    async def test_cancellation_leaks_no_slot(self):
+        """Guards against leaking slots when running or waiting requests are cancelled."""
+        run_order, release = [], asyncio.Event()
         for when in ("waiting", "granted", "holding"):
             with self.subTest(when=when):
-                tasks = [asyncio.create_task(self.hold(entered, n, release)) for n in "abc"]
-                await self.settle()
+                tasks = [asyncio.create_task(self.hold_slot(run_order, n, release)) for n in "abc"]
+                await self.run_pending_tasks()
                 if when == "granted":
-                    # The holder's end grants the slot; the waiter is cancelled in the same turn.
+                    # The end of the holder assigns its slot to a waiter, which is cancelled in the
+                    # same iteration of the event loop.
                     tasks[0].cancel()
                     tasks[2].cancel()
                     await asyncio.sleep(0)
@@ -71,15 +72,15 @@
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
                 self.assertEqual(self.admission._running, 0)
-                self.assertEqual(len(self.admission._waiting), 0)
+                self.assertEqual(len(self.admission._on_time_queue), 0)
 
-    async def test_cancellation_after_the_grant(self):
-        """Guards against a slot that was granted to a task that never sees the grant."""
+    async def test_cancellation_after_a_slot_was_assigned(self):
+        """Guards against leaking a slot that is assigned to a task while it is cancelled."""
         release = asyncio.Event()
-        tasks = [asyncio.create_task(self.hold([], n, release)) for n in "abc"]
-        await self.settle()
-        waiter = next(iter(self.admission._waiting.values()))
-        self.admission.release(0.0, RuntimeError())  # grants the slot of `a` to `c`
+        tasks = [asyncio.create_task(self.hold_slot([], n, release)) for n in "abc"]
+        await self.run_pending_tasks()
+        waiter = next(iter(self.admission._on_time_queue.values()))
+        self.admission.release(0.0, RuntimeError())  # assigns the slot of `a` to `c`
         self.assertTrue(waiter.done())
         tasks[2].cancel()
         await asyncio.gather(tasks[2], return_exceptions=True)
@@ -89,14 +90,14 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def test_full_queue_is_shed_at_once(self):
-        """Guards against a queue without bound, and a refusal without a time to retry."""
+        """Guards against an unbounded queue, and a refusal without a retry time."""
         entry = make_entry(queue_length=1)
         async with (
             self.admission.slot(make_request(), entry),
             self.admission.slot(make_request(), entry),
         ):
-            waiting = asyncio.create_task(self.hold([], "w", asyncio.Event()))
-            await self.settle()
+            waiting = asyncio.create_task(self.hold_slot([], "w", asyncio.Event()))
+            await self.run_pending_tasks()
             with self.assertRaises(OverloadedError) as shed:
                 await self.admission.acquire(make_request(), entry)
             self.assertEqual(shed.exception.outcome, Outcome.NOT_RUN)
@@ -104,21 +105,21 @@
             waiting.cancel()
 
     async def test_expected_wait_beyond_the_deadline_is_shed(self):
-        """Guards against a request that waits for a slot it can no longer use."""
-        self.admission._runs.mean_s = 0.5
+        """Guards against queueing a request that cannot run before its deadline."""
+        self.admission._run_time.mean_s = 0.5
         async with (
             self.admission.slot(make_request(), make_entry()),
             self.admission.slot(make_request(), make_entry()),
         ):
             with self.assertRaises(OverloadedError):
                 await self.admission.acquire(make_request(0.6), make_entry())
-            enough = asyncio.create_task(self.hold([], "w", asyncio.Event(), 3.0))
-            await self.settle()
-            self.assertFalse(enough.done())
-            enough.cancel()
+            admitted = asyncio.create_task(self.hold_slot([], "w", asyncio.Event(), 3.0))
+            await self.run_pending_tasks()
+            self.assertFalse(admitted.done())
+            admitted.cancel()
 
     async def test_deadline_passes_in_the_queue(self):
-        """Guards against a waiter that outlives its deadline."""
+        """Guards against a request that waits beyond its deadline."""
         async with (
             self.admission.slot(make_request(), make_entry()),
             self.admission.slot(make_request(), make_entry()),
@@ -128,13 +129,13 @@
         self.assertEqual(self.admission._running, 0)
 
     async def test_slot_is_not_given_to_a_run_that_cannot_end_in_time(self):
-        """Guards against goodput that collapses under overload, as late runs take all slots."""
+        """Guards against a goodput collapse under overload, when late runs occupy all slots."""
         release = asyncio.Event()
-        tasks = [asyncio.create_task(self.hold([], n, release)) for n in "ab"]
-        await self.settle()
-        late = asyncio.create_task(self.hold([], "late", release, 0.2))
-        await self.settle()
-        self.admission._runs.mean_s = 1.0
+        tasks = [asyncio.create_task(self.hold_slot([], n, release)) for n in "ab"]
+        await self.run_pending_tasks()
+        late = asyncio.create_task(self.hold_slot([], "late", release, 0.2))
+        await self.run_pending_tasks()
+        self.admission._run_time.mean_s = 1.0
         release.set()
         with self.assertRaises(OverloadedError):
             await late
@@ -152,19 +153,19 @@
                 self.assertEqual(error.http_status, 429)
                 refused += 1
         self.assertGreaterEqual(refused, 6)
-        raised = make_entry(requests_per_second=10_000)
-        async with self.admission.slot(make_request(), raised):
+        raised_limit_entry = make_entry(requests_per_second=10_000)
+        async with self.admission.slot(make_request(), raised_limit_entry):
             pass
 
     async def test_cold_upstream_gets_its_slots_gradually(self):
-        """Guards against a new upstream that is flooded, and one that stays throttled."""
-        self.admission = self.make(8, cold=True)
+        """Guards against overloading a cold upstream, and against throttling it for too long."""
+        self.admission = self.make_admission(8, cold=True)
         self.assertEqual(self.admission.capacity, 0.25)
         for _ in range(4):
             async with self.admission.slot(make_request(), make_entry()):
                 await asyncio.sleep(0.002)
         self.assertEqual(self.admission.capacity, 0.5)
-        self.admission._runs.mean_s = 10.0  # slower than at first: no more slots by measurement
+        self.admission._run_time.mean_s = 10.0  # slower than at first, so runs add no more slots
         for _ in range(4):
             async with self.admission.slot(make_request(), make_entry()):
                 pass
@@ -177,8 +178,8 @@
         self.assertEqual(self.admission.capacity, 0.25)
 
     async def test_sheds_of_the_upstream_reduce_the_slots(self):
-        """Guards against an upstream that is driven past what it accepts."""
-        self.admission = self.make(10)
+        """Guards against sending an upstream more requests than it accepts."""
+        self.admission = self.make_admission(10)
         entry = make_entry()
         with self.assertRaises(OverloadedError):
             async with self.admission.slot(make_request(), entry):
@@ -194,13 +195,13 @@
         self.assertEqual(self.admission.capacity, 1.0)
 
     async def test_connections_are_left_for_grants(self):
-        """Guards against grants that wait behind requests for a connection."""
+        """Guards against grants that wait for a connection used by requests."""
         self.admission.observe_announcement(make_announcement(50, connections=10))
         self.assertEqual(self.admission._slots, 7)
 
 
-class LaneTest(unittest.IsolatedAsyncioTestCase):
-    """Requests that can be in time run before those that will be late."""
+class LateQueueTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that can be in time run before requests that will be late."""
 
     async def asyncSetUp(self) -> None:
         self.admission = SlotAdmission()
@@ -208,61 +209,61 @@
         self.admission.observe_announcement(
             Announcement("depot", "127.0.0.1", 1, slots=1, connections=110, cold_s=0.0)
         )
-        self.admission._runs.add(0.1)
+        self.admission._run_time.add(0.1)
         self.order: list[str] = []
 
     def request(self, name: str, useful_s: float, **values) -> Request:
         return make_request(2.0, id=name, useful_until=CLOCK.now() + useful_s, **values)
 
-    async def run_one(self, request: Request) -> None:
+    async def run_request(self, request: Request) -> None:
         async with self.admission.slot(request, make_entry()):
             self.order.append(request.id)
             await asyncio.sleep(0.02)
 
     async def test_late_requests_run_last(self):
-        """Guards against an overload in which every answer comes after its objective."""
+        """Guards against an overload in which every response misses its objective."""
         requests = (
             self.request("first", 1.0),
             self.request("late", 0.05),
             self.request("in-time", 1.5),
         )
-        await asyncio.gather(*map(self.run_one, requests))
+        await asyncio.gather(*map(self.run_request, requests))
         self.assertEqual(self.order, ["first", "in-time", "late"])
 
-    async def test_late_lane_is_bounded(self):
-        """Guards against requests that are held although they will be refused in the end."""
-        first = asyncio.create_task(self.run_one(self.request("first", 1.0)))
+    async def test_late_queue_is_bounded(self):
+        """Guards against queueing requests that are refused in the end."""
+        first = asyncio.create_task(self.run_request(self.request("first", 1.0)))
         await asyncio.sleep(0)
-        late = asyncio.create_task(self.run_one(self.request("late", 0.05)))
+        late = asyncio.create_task(self.run_request(self.request("late", 0.05)))
         await asyncio.sleep(0)
         with self.assertRaises(OverloadedError) as refused:
             await self.admission.acquire(self.request("later", 0.05), make_entry())
         self.assertGreater(refused.exception.retry_after_s, 0)
         await asyncio.gather(first, late)
 
-    async def test_short_route_is_judged_by_its_own_runs(self):
-        """Guards against short calls that are refused because others on the server take long.
+    async def test_run_time_is_estimated_per_route(self):
+        """Guards against refusing short requests because of long ones on the same server.
 
-        Found by scale-2 of kagaz-mesh: short lookups failed the orders that had called them.
+        In scale-2 of kagaz-mesh, refused short lookups made the orders fail that had called them.
         """
         for _ in range(20):
-            self.admission._measure(0.4, "long")
-            self.admission._measure(0.02, "short")
-        holder = asyncio.create_task(self.run_one(self.request("holder", 1.0, route="long")))
+            self.admission._record_run(0.4, "long")
+            self.admission._record_run(0.02, "short")
+        holder = asyncio.create_task(self.run_request(self.request("holder", 1.0, route="long")))
         await asyncio.sleep(0)
         short = self.request("short", 0.35, route="short")
-        lane, _ = self.admission._lane(short, make_entry())
-        self.assertIs(lane, self.admission._waiting)
+        queue, _ = self.admission._choose_queue(short, make_entry())
+        self.assertIs(queue, self.admission._on_time_queue)
         await holder
 
-    async def test_request_that_becomes_late_lets_others_pass(self):
-        """Guards against a slot for a late answer while one in time still waits."""
-        holder = asyncio.create_task(self.run_one(self.request("holder", 1.0)))
+    async def test_request_that_becomes_late_yields_to_others(self):
+        """Guards against a late request that takes a slot while one that can be in time waits."""
+        holder = asyncio.create_task(self.run_request(self.request("holder", 1.0)))
         await asyncio.sleep(0)
-        tight = asyncio.create_task(self.run_one(self.request("tight", 0.32, priority=0)))
+        tight = asyncio.create_task(self.run_request(self.request("tight", 0.32, priority=0)))
         await asyncio.sleep(0)
-        roomy = asyncio.create_task(self.run_one(self.request("roomy", 1.5, priority=1)))
+        roomy = asyncio.create_task(self.run_request(self.request("roomy", 1.5, priority=1)))
         await asyncio.sleep(0)
-        self.admission._runs.mean_s = 0.33
+        self.admission._run_time.mean_s = 0.33
         await asyncio.gather(holder, tight, roomy)
         self.assertEqual(self.order, ["holder", "roomy", "tight"])
