Reword services/execution

Bodies were called held and bounded, and the module said "the owner's side" without naming what runs. The classes are _TicketBody and _LimitedBody, sizes carry their unit, and messages name the lease and the limit.

--- a/fescueward/services/execution.py
+++ b/fescueward/services/execution.py
@@ -1,4 +1,4 @@
-"""The owner's side of one request, from top to bottom."""
+"""Execution of a request by the agent that owns its key."""
 
 from __future__ import annotations
 
@@ -29,13 +29,21 @@
 from ..messages import Body, Entry, Request, RequestClass, Response
 from ..messages.request import BytesBody
 
-_EXECUTED = Event(
-    3401, "request_executed", Level.INFO, "A request ran on the upstream here.", frequent=True
+_REQUEST_EXECUTED = Event(
+    3401,
+    "request_executed",
+    Level.INFO,
+    "A request ran on the upstream of this VM.",
+    frequent=True,
 )
 
 
 class OwnerExecution:
-    """The `execution` service."""
+    """The `execution` service.
+
+    Runs a request on the upstream of this VM while it holds the ticket of the key's shard. The
+    ticket is checked after the run and between the chunks of a streamed response.
+    """
 
     name = "execution"
     requires = ("catalogue", "ownership", "outcomes", "admission", "quarantine", "upstream")
@@ -44,7 +52,7 @@
         self._listeners: list[RunListener] = []
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._ownership = registry.find("ownership", Ownership)
@@ -56,25 +64,25 @@
         registry.find("peers", Peers).serve(self.execute)
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Starts nothing: this service has no background task."""
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
     def subscribe(self, listener: RunListener) -> None:
-        """Tells a service of the end of each run on the upstream from now on."""
+        """Registers a listener to be called after each run on the upstream."""
         self._listeners.append(listener)
 
     async def execute(self, request: Request) -> Response:
         """Runs a request on the upstream of this agent; see `Execution.execute`."""
         entry = self._catalogue.entry(request.service).entry
-        request = _bounded(request, entry)
+        request = _with_body_limit(request, entry)
         ticket = await self._ownership.admit(request.service, request.key, request.deadline)
         async with AsyncExitStack() as stack:
             stack.enter_context(ticket)
 
-            async def run(admitted: Request) -> Response:
-                return await self._run(admitted, entry, ticket, stack)
+            async def run(request_to_run: Request) -> Response:
+                return await self._run(request_to_run, entry, ticket, stack)
 
             if entry.request_class is RequestClass.ONCE:
                 if request.token is None:
@@ -84,7 +92,7 @@
             else:
                 response = await run(request)
             _check_after_run(ticket)
-            _EXECUTED.emit(
+            _REQUEST_EXECUTED.emit(
                 request=request.id,
                 service=request.service,
                 key=request.key,
@@ -95,7 +103,7 @@
             )
             if isinstance(response.body, BytesBody):
                 return response
-            return replace(response, body=_HeldBody(response.body, ticket, stack.pop_all()))
+            return replace(response, body=_TicketBody(response.body, ticket, stack.pop_all()))
 
     async def _run(
         self, request: Request, entry: Entry, ticket: Ticket, stack: AsyncExitStack
@@ -103,12 +111,12 @@
         request = await stack.enter_async_context(self._quarantine.guard(request))
         await stack.enter_async_context(self._admission.slot(request, entry))
         ticket.check()
-        started = self._clock.now()
-        deadline = min(request.deadline, started + entry.limits.max_request_ms / 1000)
+        started_at = self._clock.now()
+        deadline = min(request.deadline, started_at + entry.limits.max_request_ms / 1000)
         response = await self._upstream.run(request, ticket.shard, ticket.epoch, deadline)
         for listener in self._listeners:
-            listener.run_ended(request.service, self._clock.now() - started)
-        self._load.record(ticket.shard, request.key, self._clock.now() - started)
+            listener.run_ended(request.service, self._clock.now() - started_at)
+        self._load.record(ticket.shard, request.key, self._clock.now() - started_at)
         if not isinstance(response.body, BytesBody):
             stack.push_async_callback(response.body.close)
         return response
@@ -118,12 +126,13 @@
     try:
         ticket.check()
     except LeaseExpiredError as error:
-        # The request has run here, so `not_run` would be wrong, and another owner may run it.
-        raise OutcomeLostError(f"the request ran, but its lease ended: {error}") from error
+        # The request has run here, and another owner may run it again, so the outcome is not
+        # `not_run`.
+        raise OutcomeLostError(f"the lease ended while the request ran: {error}") from error
 
 
-class _HeldBody:
-    """A response body that keeps slot and ticket until it has been sent or closed."""
+class _TicketBody:
+    """A response body that holds the slot and the ticket until it is read to its end or closed."""
 
     def __init__(self, body: Body, ticket: Ticket, stack: AsyncExitStack) -> None:
         self.length = body.length
@@ -139,41 +148,45 @@
                 try:
                     self._ticket.check()
                 except LeaseExpiredError as error:
-                    raise BodyTruncatedError(f"the lease ended in a response: {error}") from error
+                    raise BodyTruncatedError(
+                        f"the lease ended during the response: {error}"
+                    ) from error
                 yield chunk
 
     async def close(self) -> None:
         await self._stack.aclose()
 
 
-class _BoundedBody:
-    """A request body that may not grow beyond the limit of the entry."""
+class _LimitedBody:
+    """A request body that raises `BodyTooLargeError` beyond the size limit of the entry."""
 
-    def __init__(self, body: Body, limit: int) -> None:
+    def __init__(self, body: Body, limit_bytes: int) -> None:
         self.length = body.length
         self.started = False
         self._body = body
-        self._limit = limit
+        self._limit_bytes = limit_bytes
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         self.started = True
-        size = 0
+        size_bytes = 0
         async with aclosing(self._body.chunks()) as chunks:
             async for chunk in chunks:
-                size += len(chunk)
-                if size > self._limit:
-                    raise BodyTooLargeError(f"the body exceeds {self._limit} bytes")
+                size_bytes += len(chunk)
+                if size_bytes > self._limit_bytes:
+                    raise BodyTooLargeError(f"the request body exceeds {self._limit_bytes} bytes")
                 yield chunk
 
     async def close(self) -> None:
         await self._body.close()
 
 
-def _bounded(request: Request, entry: Entry) -> Request:
-    limit = entry.limits.max_body_bytes
-    length = request.body.length
-    if length is not None and length > limit:
-        raise BodyTooLargeError(f"the body has {length} bytes; at most {limit} are allowed")
+def _with_body_limit(request: Request, entry: Entry) -> Request:
+    limit_bytes = entry.limits.max_body_bytes
+    length_bytes = request.body.length
+    if length_bytes is not None and length_bytes > limit_bytes:
+        raise BodyTooLargeError(
+            f"the request body has {length_bytes} bytes; the limit is {limit_bytes}"
+        )
     if isinstance(request.body, BytesBody):
         return request
-    return replace(request, body=_BoundedBody(request.body, limit))
+    return replace(request, body=_LimitedBody(request.body, limit_bytes))
--- a/tests/services/test_execution.py
+++ b/tests/services/test_execution.py
@@ -1,4 +1,4 @@
-"""Tests of the owner's side of a request: what is held while it runs, and what is said after."""
+"""Tests of `OwnerExecution`: tickets during a run, body limits and outcomes after a run."""
 
 from __future__ import annotations
 
@@ -29,20 +29,20 @@
 
 
 class Ticket:
-    """A ticket whose lease ends after a number of checks."""
+    """A ticket whose lease ends after `checks_left` checks."""
 
     shard, epoch = 3, 7
 
     def __init__(self) -> None:
-        self.held = 0
+        self.hold_count = 0
         self.checks_left = 1000
 
     def __enter__(self):
-        self.held += 1
+        self.hold_count += 1
         return self
 
     def __exit__(self, *_):
-        self.held -= 1
+        self.hold_count -= 1
 
     def check(self):
         self.checks_left -= 1
@@ -51,7 +51,7 @@
 
 
 class ExecutionTest(unittest.IsolatedAsyncioTestCase):
-    def make(self, *results, request_class=RequestClass.REPEATABLE, **limits):
+    def make_execution(self, *results, request_class=RequestClass.REPEATABLE, **limits):
         self.ticket = Ticket()
         self.run_upstream = Script(*results)
         self.execution = OwnerExecution()
@@ -71,47 +71,47 @@
 
     async def test_lease_that_ends_during_the_run(self):
         """Guards against `not_run` for a request that has run."""
-        execution = self.make(make_response())
+        execution = self.make_execution(make_response())
         self.ticket.checks_left = 1
-        with self.assertRaises(OutcomeLostError) as refused:
+        with self.assertRaises(OutcomeLostError) as caught:
             await execution.execute(make_request())
-        self.assertEqual(refused.exception.outcome, "outcome_unknown")
-        self.assertEqual((len(self.run_upstream.calls), self.ticket.held), (1, 0))
+        self.assertEqual(caught.exception.outcome, "outcome_unknown")
+        self.assertEqual((len(self.run_upstream.calls), self.ticket.hold_count), (1, 0))
 
     async def test_lease_that_ends_before_the_run(self):
-        """Guards against a run, or an unknown outcome, after the lease has ended."""
-        execution = self.make(make_response())
+        """Guards against a run, or an unknown outcome, after the end of the lease."""
+        execution = self.make_execution(make_response())
         self.ticket.checks_left = 0
         with self.assertRaises(LeaseExpiredError):
             await execution.execute(make_request())
-        self.assertEqual((self.run_upstream.calls, self.ticket.held), ([], 0))
+        self.assertEqual((self.run_upstream.calls, self.ticket.hold_count), ([], 0))
 
     async def test_streamed_response_holds_the_ticket_until_it_is_read_or_closed(self):
-        """Guards against a handover in a response, and tickets that are never given back."""
+        """Guards against a handover during a streamed response, and against leaking tickets."""
         for read in (True, False):
             body = StreamedBody(b"a", b"b")
-            execution = self.make(Response("r1", 200, (), body))
+            execution = self.make_execution(Response("r1", 200, (), body))
             response = await execution.execute(make_request())
-            self.assertEqual(self.ticket.held, 1)
+            self.assertEqual(self.ticket.hold_count, 1)
             if read:
                 self.assertEqual([chunk async for chunk in response.body.chunks()], [b"a", b"b"])
             await response.body.close()
-            self.assertEqual((self.ticket.held, body.closed), (0, True))
+            self.assertEqual((self.ticket.hold_count, body.closed), (0, True))
 
     async def test_lease_that_ends_in_a_streamed_response(self):
-        """Guards against stale parts of a response after the key has a new owner."""
-        execution = self.make(Response("r1", 200, (), StreamedBody(b"a", b"b")))
+        """Guards against sending stale chunks of a response after the key has a new owner."""
+        execution = self.make_execution(Response("r1", 200, (), StreamedBody(b"a", b"b")))
         response = await execution.execute(make_request())
         self.ticket.checks_left = 1
         chunks = response.body.chunks()
         self.assertEqual(await anext(chunks), b"a")
         with self.assertRaises(BodyTruncatedError):
             await anext(chunks)
-        self.assertEqual(self.ticket.held, 0)
+        self.assertEqual(self.ticket.hold_count, 0)
 
     async def test_body_limit(self):
-        """Guards against bodies beyond the limit of the entry, announced or not."""
-        execution = self.make(make_response(), max_body_bytes=10)
+        """Guards against bodies above the limit of the entry, with and without a known length."""
+        execution = self.make_execution(make_response(), max_body_bytes=10)
         for body in (b"x" * 11, StreamedBody(b"x", length=11)):
             with self.assertRaises(BodyTooLargeError):
                 await execution.execute(make_request(body=body))
@@ -122,9 +122,9 @@
                 pass
 
     async def test_class_once_needs_a_token(self):
-        """Guards against a payment that runs without a token."""
-        execution = self.make(make_response(), request_class=RequestClass.ONCE)
-        with self.assertRaises(TokenRequiredError) as refused:
+        """Guards against running a request of class `once` without a token."""
+        execution = self.make_execution(make_response(), request_class=RequestClass.ONCE)
+        with self.assertRaises(TokenRequiredError) as caught:
             await execution.execute(make_request())
-        self.assertEqual(refused.exception.token, "3.7.0.x")
-        self.assertEqual((self.run_upstream.calls, self.ticket.held), ([], 0))
+        self.assertEqual(caught.exception.token, "3.7.0.x")
+        self.assertEqual((self.run_upstream.calls, self.ticket.hold_count), ([], 0))
