Reword services/upstream and upstream_watch

Errors said that bodies and responses broke, names were announced, refused, seen or left, and constants such as SMALL_BYTES hid their use. Announcements, refusal counts, hop-by-hop headers and buffered sizes have these names now, and errors name the operation that failed.

--- a/fescueward/services/upstream.py
+++ b/fescueward/services/upstream.py
@@ -1,4 +1,4 @@
-"""The upstream beside this agent: runs and grants."""
+"""HTTP client of the upstream on this VM: runs and grants."""
 
 from __future__ import annotations
 
@@ -46,15 +46,17 @@
 )
 from .upstream_watch import UpstreamWatch
 
-_GRANT_FAILED = Event(3002, "grant_not_confirmed", Level.WARNING, "The upstream took no grants.")
+_GRANT_NOT_CONFIRMED = Event(
+    3002, "grant_not_confirmed", Level.WARNING, "The upstream did not confirm the grants."
+)
 
 _GRANT_TIMEOUT_S = 0.5
 _CANCEL_TIMEOUT_S = 0.5
-# Time for which an idle connection is kept, in seconds.
+# Time after which an idle connection is closed.
 _KEEPALIVE_S = 30.0
-# Responses up to this size are read whole before any byte is released.
-SMALL_BYTES = 65_536
-_HOP_HEADERS = frozenset(
+# Responses up to this size are buffered in full before they are passed on.
+MAX_BUFFERED_BYTES = 65_536
+_HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
         b"content-length",
@@ -70,7 +72,7 @@
 
 
 class HttpUpstream:
-    """The `upstream` service."""
+    """The `upstream` service: sends requests and grants to the upstream over HTTP."""
 
     name = "upstream"
     requires: tuple[str, ...] = ()
@@ -79,26 +81,26 @@
         self._tasks = kernel.task_owner(self.name)
         self._session: aiohttp.ClientSession | None = None
         self._connections = 0
-        self._watch = UpstreamWatch(self._tasks, self._open)
+        self._watch = UpstreamWatch(self._tasks, self._session_for)
 
     @property
     def crashes(self) -> int:
-        """Number of upstream crashes seen so far."""
+        """Number of upstream crashes since this agent started."""
         return self._watch.crashes
 
     def subscribe(self, listener: CrashListener) -> None:
-        """Tells a service of crashes from now on."""
+        """Registers a listener to be called after each crash."""
         self._watch.subscribe(listener)
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
-        self._answer_bytes = registry.find("settings", Settings).upstream.max_answer_bytes
+        self._max_response_bytes = registry.find("settings", Settings).upstream.max_answer_bytes
         self._watch.bind(registry)
 
     async def start(self) -> None:
-        """Starts to watch the upstream; the session is made once the upstream is known."""
+        """Starts to watch the upstream; the HTTP session is created when it is first needed."""
         self._tasks.spawn("watch", self._watch.run())
 
     async def stop(self) -> None:
@@ -109,58 +111,60 @@
 
     async def run(self, request: Request, shard: int, epoch: int, deadline: float) -> Response:
         """Runs a request; see `Upstream.run`."""
-        announced = self._membership.announcement
-        if announced is None:
+        announcement = self._membership.announcement
+        if announcement is None:
             raise UpstreamUnavailableError("no upstream has announced itself")
-        if self._watch.refuses(announced):
+        if self._watch.refuses(announcement):
             raise UpstreamUnavailableError("the upstream refuses connections")
         remaining_s = deadline - self._clock.now()
         if remaining_s <= 0:
-            raise DeadlineExceededError("the deadline passed before the upstream was reached")
+            raise DeadlineExceededError(
+                "the deadline passed before the request was sent to the upstream"
+            )
         try:
             async with asyncio.timeout(remaining_s):
-                response = await self._send(announced, request, shard, epoch, deadline)
+                response = await self._send(announcement, request, shard, epoch, deadline)
                 await _raise_refusal(response)
                 return await self._response(request, epoch, response, deadline)
         except TimeoutError:
-            self._tasks.spawn("cancel", self._cancel(announced, request.id))
+            self._tasks.spawn("cancel", self._cancel(announcement, request.id))
             raise DeadlineExceededRunningError("the deadline passed during the run") from None
         except asyncio.CancelledError:
-            self._tasks.spawn("cancel", self._cancel(announced, request.id))
+            self._tasks.spawn("cancel", self._cancel(announcement, request.id))
             raise
 
     async def grant(self, grants: GrantSet) -> bool:
-        """Sends grants; see `Upstream.grant`."""
-        announced = self._membership.announcement
-        if announced is None:
+        """Sends grants; returns whether they were confirmed; see `Upstream.grant`."""
+        announcement = self._membership.announcement
+        if announcement is None:
             return False
-        if not announced.checks_grants:
+        if not announcement.checks_grants:
             return True
         timeout = aiohttp.ClientTimeout(total=_GRANT_TIMEOUT_S)
         try:
-            async with self._open(announced).put(
-                upstream_url(announced, "/grants"), data=encode_json(grants), timeout=timeout
+            async with self._session_for(announcement).put(
+                upstream_url(announcement, "/grants"), data=encode_json(grants), timeout=timeout
             ) as response:
                 return response.status == 200
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            _GRANT_FAILED.emit(error=f"{type(error).__name__}: {error}")
+            _GRANT_NOT_CONFIRMED.emit(error=f"{type(error).__name__}: {error}")
             return False
 
-    def _open(self, announced: Announcement) -> aiohttp.ClientSession:
-        if self._session is None or self._connections != announced.connections:
-            old = self._session
-            self._connections = announced.connections
+    def _session_for(self, announcement: Announcement) -> aiohttp.ClientSession:
+        if self._session is None or self._connections != announcement.connections:
+            previous_session = self._session
+            self._connections = announcement.connections
             self._session = bounded_session(
-                self._answer_bytes,
-                connections=announced.connections,
+                self._max_response_bytes,
+                connections=announcement.connections,
                 keepalive_s=_KEEPALIVE_S,
             )
-            if old is not None:
-                self._tasks.spawn("close", old.close())
+            if previous_session is not None:
+                self._tasks.spawn("close", previous_session.close())
         return self._session
 
     async def _send(
-        self, announced: Announcement, request: Request, shard: int, epoch: int, deadline: float
+        self, announcement: Announcement, request: Request, shard: int, epoch: int, deadline: float
     ) -> aiohttp.ClientResponse:
         headers = CIMultiDict(request.headers)
         headers[SHARD_HEADER] = str(shard)
@@ -181,9 +185,9 @@
             if body.length is not None:
                 headers["Content-Length"] = str(body.length)
         try:
-            return await self._open(announced).request(
+            return await self._session_for(announcement).request(
                 request.method,
-                upstream_url(announced, request.path),
+                upstream_url(announcement, request.path),
                 headers=headers,
                 data=data,
                 timeout=_NO_TIMEOUT,
@@ -192,14 +196,18 @@
             )
         except aiohttp.ClientConnectorError as error:
             self._watch.check_now()
-            raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
+            raise UpstreamUnavailableError(
+                f"could not connect to the upstream: {error}"
+            ) from error
         except (aiohttp.ClientError, OSError) as error:
             if upload is not None and upload.error is not None:
-                raise OutcomeLostError(f"the request body broke: {upload.error}") from error
+                raise OutcomeLostError(
+                    f"reading the request body failed: {upload.error}"
+                ) from error
             await self._watch.check_crash(error)
-            raise OutcomeLostError(f"the upstream ended the connection: {error!r}") from error
+            raise OutcomeLostError(f"the connection to the upstream failed: {error!r}") from error
         except ValueError as error:
-            # aiohttp refuses a header or method before it sends anything.
+            # aiohttp rejects an invalid header or method before it sends any byte.
             raise InvalidRequestError(f"the request cannot be sent: {error}") from error
 
     async def _response(
@@ -212,8 +220,8 @@
         try:
             headers = [
                 (name, value.decode())
-                for raw, value in response.raw_headers
-                if (name := _passed_name(raw)) is not None
+                for raw_name, value in response.raw_headers
+                if (name := _end_to_end_name(raw_name)) is not None
             ]
         except UnicodeDecodeError as error:
             response.close()
@@ -221,36 +229,36 @@
         length = response.content_length
         body: Body
         if request.method == "HEAD" or response.status in (204, 304):
-            # Such a response names the length of a body that it does not have.
+            # These responses have no body, but may state the length that it would have.
             response.release()
             body = BytesBody(b"")
             if length is not None and response.status != 204:
                 headers.append(("Content-Length", str(length)))
-        elif length is not None and length <= SMALL_BYTES:
+        elif length is not None and length <= MAX_BUFFERED_BYTES:
             try:
                 body = BytesBody(await response.read())
             except (aiohttp.ClientError, OSError) as error:
                 response.close()
                 await self._watch.check_crash(error)
-                raise AnswerLostError(f"the response broke: {error!r}") from error
+                raise AnswerLostError(f"reading the response failed: {error!r}") from error
         else:
             body = _ResponseBody(self._watch, response, length, deadline, self._clock)
         return Response(
             request.id, response.status, tuple(headers), body, self._membership.member_id, epoch
         )
 
-    async def _cancel(self, announced: Announcement, request_id: str) -> None:
+    async def _cancel(self, announcement: Announcement, request_id: str) -> None:
         timeout = aiohttp.ClientTimeout(total=_CANCEL_TIMEOUT_S)
-        url = upstream_url(announced, f"/cancel/{quote(request_id, safe='')}")
+        url = upstream_url(announcement, f"/cancel/{quote(request_id, safe='')}")
         try:
-            async with self._open(announced).post(url, timeout=timeout):
+            async with self._session_for(announcement).post(url, timeout=timeout):
                 pass
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
 
 
 class _Upload:
-    """A request body on its way to the upstream, with the error that broke it."""
+    """A request body that is streamed to the upstream; keeps the error that ended it."""
 
     def __init__(self, body: Body) -> None:
         self._body = body
@@ -267,7 +275,7 @@
 
 
 class _ResponseBody:
-    """A large response body, read from the upstream as it is consumed."""
+    """A large response body, read from the upstream while it is consumed."""
 
     def __init__(
         self,
@@ -293,7 +301,7 @@
             raise BodyTruncatedError("the deadline passed during the response") from None
         except (aiohttp.ClientError, OSError) as error:
             await self._watch.check_crash(error)
-            raise BodyTruncatedError(f"the response broke: {error!r}") from error
+            raise BodyTruncatedError(f"reading the response failed: {error!r}") from error
         finally:
             self._response.close()
 
@@ -306,9 +314,9 @@
 
 
 @lru_cache(maxsize=1024)
-def _passed_name(name: bytes) -> str | None:
-    """Returns a header name as text, or None if it belongs to the upstream's connection."""
-    return None if name.lower() in _HOP_HEADERS else name.decode()
+def _end_to_end_name(name: bytes) -> str | None:
+    """Returns a header name as text, or None if the header is hop-by-hop."""
+    return None if name.lower() in _HOP_BY_HOP_HEADERS else name.decode()
 
 
 async def _raise_refusal(response: aiohttp.ClientResponse) -> None:
@@ -321,22 +329,22 @@
         elif reason == "leaving":
             error = DrainingError("the upstream is leaving")
         elif reason == "deadline":
-            error = DeadlineExceededError("the upstream got the request after its deadline")
+            error = DeadlineExceededError("the request reached the upstream after its deadline")
         elif reason == "shed":
             error = OverloadedError("the upstream sheds load", retry_after_s=1.0)
         elif reason == "malformed":
-            error = InvalidRequestError("the upstream cannot read the request")
+            error = InvalidRequestError("the upstream rejected the request as malformed")
         else:
             error = UpstreamRefusedError(f"the upstream refused the request: {reason}")
     elif (reason := headers.get(ABORTED_HEADER)) is not None:
         if reason == "deadline":
-            error = DeadlineExceededRunningError("the upstream ended the run at its deadline")
+            error = DeadlineExceededRunningError("the upstream aborted the run at its deadline")
         else:
-            error = OutcomeLostError(f"the upstream ended the run: {reason}")
+            error = OutcomeLostError(f"the upstream aborted the run: {reason}")
     else:
         return
-    if response.content_length is not None and response.content_length <= SMALL_BYTES:
-        # A response that is read to its end leaves the connection usable.
+    if response.content_length is not None and response.content_length <= MAX_BUFFERED_BYTES:
+        # The connection is reused only if the response is read to its end.
         with suppress(aiohttp.ClientError, OSError):
             await response.read()
     response.close()
--- a/fescueward/services/upstream_watch.py
+++ b/fescueward/services/upstream_watch.py
@@ -1,4 +1,4 @@
-"""Watch over the upstream: crashes, refused connections and health."""
+"""Detection of upstream crashes, refused connections and failed health checks."""
 
 from __future__ import annotations
 
@@ -14,34 +14,42 @@
 from ..messages import Announcement
 from ..messages.upstream import upstream_url
 
-_CRASHED = Event(3001, "upstream_crashed", Level.WARNING, "The upstream ended during requests.")
-_GONE = Event(
-    3003, "upstream_gone", Level.WARNING, "The upstream refuses connections; its agent leaves."
+_UPSTREAM_CRASHED = Event(
+    3001, "upstream_crashed", Level.WARNING, "The upstream process ended while requests ran on it."
 )
-_UNHEALTHY = Event(
+_UPSTREAM_GONE = Event(
+    3003,
+    "upstream_gone",
+    Level.WARNING,
+    "The upstream refuses connections, so its agent leaves the group.",
+)
+_HEALTH_UNANSWERED = Event(
     3004,
     "upstream_health_unanswered",
     Level.WARNING,
-    "The health page does not answer; this alone changes nothing.",
+    "The health check failed or got no valid response; it has no other effect.",
+)
+_UPSTREAM_BACK = Event(
+    3005, "upstream_back", Level.INFO, "The upstream accepts connections again."
 )
-_BACK = Event(3005, "upstream_back", Level.INFO, "The upstream accepts connections again.")
 
 _HEALTH_PERIOD_S = 1.0
 _HEALTH_TIMEOUT_S = 1.0
-# Refused connections in a row, a tenth of a second apart, after which the upstream is gone. A
-# restart of the listening socket takes less.
-_REFUSALS = 4
+# Consecutive refused connections after which the agent leaves its group, and the pause between
+# them. A restarting process closes its listening socket for a shorter time.
+_MAX_REFUSALS = 4
 _REFUSAL_PERIOD_S = 0.1
-# The listening socket of a process that ends can outlive its connections by some milliseconds.
+# The listening socket of an exiting process can stay open some milliseconds longer than its
+# connections, so one probe may still succeed.
 _PROBE_PAUSES_S = (0.0, 0.03)
 _PROBE_TIMEOUT_S = 0.25
-# Connections that break this soon after a crash belong to it.
+# Connections that end within this time after a crash are attributed to it.
 _SAME_CRASH_S = 0.2
-_HEALTH_BYTES = 65_536
+_MAX_HEALTH_BYTES = 65_536
 
 
 class _Health(msgspec.Struct):
-    """What is read of the health page."""
+    """The fields that are read from the health page."""
 
     state: str = ""
 
@@ -49,13 +57,13 @@
 class UpstreamWatch:
     """Watches the upstream for the `upstream` service.
 
-    Crashes are recognised by connections that end during runs while new ones are refused. An
-    upstream that refuses connections for longer is gone, and this agent leaves its group until
-    the next announcement. A health page that is slow, silent or wrong changes nothing.
+    A connection that ends during a run while new connections are refused counts as a crash. If
+    the upstream refuses connections for longer, this agent leaves its group until the next
+    announcement. A health page that is slow, unavailable or malformed has no effect.
 
     Args:
-        tasks: Owner of the probes.
-        session: Gives the session of an announced upstream.
+        tasks: Owner of the probe tasks.
+        session: Returns the HTTP session for an announced upstream.
     """
 
     def __init__(
@@ -67,106 +75,108 @@
         self._listeners: list[CrashListener] = []
         self._crashed_at = 0.0
         self._probe: asyncio.Task[None] | None = None
-        self._refused_at: Announcement | None = None
-        self._check_now = asyncio.Event()
+        self._refusing_announcement: Announcement | None = None
+        self._check_requested = asyncio.Event()
 
     @property
     def crashes(self) -> int:
-        """Number of crashes seen so far."""
+        """Number of crashes since this agent started."""
         return self._crashes
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
         self._admission = registry.find("admission", Admission)
 
     def subscribe(self, listener: CrashListener) -> None:
-        """Tells a service of crashes from now on."""
+        """Registers a listener to be called after each crash."""
         self._listeners.append(listener)
 
-    def refuses(self, announced: Announcement) -> bool:
-        """Tells whether the upstream has refused connections since this announcement."""
-        return self._refused_at is announced
+    def refuses(self, announcement: Announcement) -> bool:
+        """Returns whether the upstream refuses connections since this announcement."""
+        return self._refusing_announcement is announcement
 
     def check_now(self) -> None:
-        """Makes the next check happen at once."""
-        self._check_now.set()
+        """Requests a check without waiting for the end of the period."""
+        self._check_requested.set()
 
     async def check_crash(self, error: BaseException) -> None:
-        """Finds out whether a connection that ended during a run is a crash."""
-        announced = self._membership.announcement
-        if announced is None or self._clock.now() - self._crashed_at < _SAME_CRASH_S:
+        """Counts a crash if the upstream refuses connections after one ended during a run."""
+        announcement = self._membership.announcement
+        if announcement is None or self._clock.now() - self._crashed_at < _SAME_CRASH_S:
             return
         if self._probe is None:
-            self._probe = self._tasks.spawn("probe", self._run_probe(announced, error))
+            self._probe = self._tasks.spawn("probe", self._run_probe(announcement, error))
         await asyncio.shield(self._probe)
 
     async def run(self) -> None:
         """Checks the upstream until cancelled."""
-        refused = 0
-        answering = True
+        refusal_count = 0
+        health_answered = True
         while True:
-            if refused:
+            if refusal_count:
                 await self._clock.sleep(_REFUSAL_PERIOD_S)
             else:
                 with suppress(TimeoutError):
                     async with asyncio.timeout(_HEALTH_PERIOD_S):
-                        await self._check_now.wait()
-            self._check_now.clear()
-            announced = self._membership.announcement
-            if announced is None:
+                        await self._check_requested.wait()
+            self._check_requested.clear()
+            announcement = self._membership.announcement
+            if announcement is None:
                 continue
             try:
-                await self._read_health(announced)
+                await self._read_health(announcement)
             except aiohttp.ClientConnectorError as error:
                 if not isinstance(error.os_error, ConnectionRefusedError):
                     continue
-                refused += 1
-                # Requests fail without a connection attempt from now on.
-                self._refused_at = announced
-                if refused == _REFUSALS:
-                    _GONE.emit(host=announced.host, port=announced.port)
-                    await self._membership.leave("the upstream is gone")
+                refusal_count += 1
+                # From now on, requests fail without a connection attempt.
+                self._refusing_announcement = announcement
+                if refusal_count == _MAX_REFUSALS:
+                    _UPSTREAM_GONE.emit(host=announcement.host, port=announcement.port)
+                    await self._membership.leave("the upstream refuses connections")
                 continue
             except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
-                if answering:
-                    _UNHEALTHY.emit(error=f"{type(error).__name__}: {error}")
-                answering = False
+                if health_answered:
+                    _HEALTH_UNANSWERED.emit(error=f"{type(error).__name__}: {error}")
+                health_answered = False
             else:
-                answering = True
-            if refused:
-                _BACK.emit(host=announced.host, port=announced.port)
+                health_answered = True
+            if refusal_count:
+                _UPSTREAM_BACK.emit(host=announcement.host, port=announcement.port)
                 self._admission.begin_slow_start()
-            refused, self._refused_at = 0, None
+            refusal_count, self._refusing_announcement = 0, None
 
-    async def _run_probe(self, announced: Announcement, error: BaseException) -> None:
+    async def _run_probe(self, announcement: Announcement, error: BaseException) -> None:
         try:
             for pause_s in _PROBE_PAUSES_S:
                 await self._clock.sleep(pause_s)
-                if await _refuses_connections(announced):
+                if await _refuses_connections(announcement):
                     self._crashes += 1
                     self._crashed_at = self._clock.now()
                     self._admission.begin_slow_start()
-                    self._check_now.set()
-                    _CRASHED.emit(error=f"{type(error).__name__}: {error}")
+                    self._check_requested.set()
+                    _UPSTREAM_CRASHED.emit(error=f"{type(error).__name__}: {error}")
                     for listener in self._listeners:
                         listener.upstream_crashed()
                     return
         finally:
             self._probe = None
 
-    async def _read_health(self, announced: Announcement) -> _Health:
+    async def _read_health(self, announcement: Announcement) -> _Health:
         timeout = aiohttp.ClientTimeout(total=_HEALTH_TIMEOUT_S)
-        url = upstream_url(announced, "/health")
-        async with self._session(announced).get(url, timeout=timeout) as response:
-            return msgspec.json.decode(await response.content.read(_HEALTH_BYTES), type=_Health)
+        url = upstream_url(announcement, "/health")
+        async with self._session(announcement).get(url, timeout=timeout) as response:
+            return msgspec.json.decode(
+                await response.content.read(_MAX_HEALTH_BYTES), type=_Health
+            )
 
 
-async def _refuses_connections(announced: Announcement) -> bool:
+async def _refuses_connections(announcement: Announcement) -> bool:
     try:
         async with asyncio.timeout(_PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(announced.host, announced.port)
+            _, writer = await asyncio.open_connection(announcement.host, announcement.port)
     except ConnectionRefusedError:
         return True
     except (OSError, TimeoutError):
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -1,4 +1,4 @@
-"""Tests of runs, refusals, crashes and health against an HTTP server."""
+"""Tests of runs, refusals, crashes and health checks against an HTTP server."""
 
 from __future__ import annotations
 
@@ -38,13 +38,13 @@
 
 from .fakes import CLOCK, StreamedBody, StubRegistry, make_announcement, make_request
 
-# Limit on a response in these tests, in bytes.
-ANSWER_BYTES = 2_000_000
+# Limit on the size of a response in these tests.
+MAX_RESPONSE_BYTES = 2_000_000
 
 
 class UpstreamTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.seen: list[web.Request] = []
+        self.received_requests: list[web.Request] = []
         self.cancelled: list[str] = []
         self.handler = None
         self.health = web.json_response
@@ -55,7 +55,7 @@
         self.site = web.TCPSite(self.runner, "127.0.0.1", 0)
         await self.site.start()
         port = self.site._server.sockets[0].getsockname()[1]
-        self.left: list[str] = []
+        self.leave_reasons: list[str] = []
         self.slow_starts = 0
         self.membership = SimpleNamespace(
             announcement=make_announcement(port=port), member_id="a:1", leave=self.leave
@@ -65,7 +65,9 @@
             StubRegistry(
                 membership=self.membership,
                 admission=SimpleNamespace(begin_slow_start=self.begin_slow_start),
-                settings=SimpleNamespace(upstream=UpstreamSection(max_answer_bytes=ANSWER_BYTES)),
+                settings=SimpleNamespace(
+                    upstream=UpstreamSection(max_answer_bytes=MAX_RESPONSE_BYTES)
+                ),
             )
         )
         await self.upstream.start()
@@ -75,7 +77,7 @@
         await self.runner.cleanup()
 
     async def leave(self, reason):
-        self.left.append(reason)
+        self.leave_reasons.append(reason)
 
     def begin_slow_start(self):
         self.slow_starts += 1
@@ -86,13 +88,13 @@
             return web.Response()
         if http.path == "/health":
             return await self.answer_health()
-        self.seen.append(http)
+        self.received_requests.append(http)
         return await self.handler(http)
 
     async def answer_health(self):
         return web.json_response({"state": "ready"})
 
-    def answers(self, response):
+    def respond_with(self, response):
         async def handler(http):
             return response
 
@@ -103,26 +105,26 @@
         return await self.upstream.run(request, 3, 7, CLOCK.now() + within_s)
 
     async def test_request_and_response_pass_unchanged(self):
-        """Guards against a rewritten path, a lost header and a cookie kept for other callers."""
+        """Guards against a rewritten path, a lost header and cookies shared between callers."""
         response = web.Response(status=201, body=b"ok", headers={"X-One": "1"})
         response.set_cookie("session", "secret")
-        self.answers(response)
-        answer = await self.run_request(path="/a%2Fb%61?x=%20y", token="3.7.0.x", body=b"in")
-        self.assertEqual((answer.status, answer.body.data), (201, b"ok"))
-        self.assertIn(("X-One", "1"), answer.headers)
-        # The peer stream encodes no subclass of str, such as the names that aiohttp gives.
-        self.assertEqual({type(name) for name, _ in answer.headers}, {str})
-        first = self.seen[0]
+        self.respond_with(response)
+        received = await self.run_request(path="/a%2Fb%61?x=%20y", token="3.7.0.x", body=b"in")
+        self.assertEqual((received.status, received.body.data), (201, b"ok"))
+        self.assertIn(("X-One", "1"), received.headers)
+        # The peer stream cannot encode subclasses of str, such as the header names of aiohttp.
+        self.assertEqual({type(name) for name, _ in received.headers}, {str})
+        first = self.received_requests[0]
         self.assertEqual(first.raw_path, "/a%2Fb%61?x=%20y")
         self.assertEqual(first.headers["Fescueward-Shard"], "3")
         self.assertEqual(first.headers["Fescueward-Token"], "3.7.0.x")
-        self.answers(web.Response())
+        self.respond_with(web.Response())
         await self.run_request(method="GET")
-        self.assertNotIn("Cookie", self.seen[1].headers)
+        self.assertNotIn("Cookie", self.received_requests[1].headers)
 
-    async def test_refusals_before_the_run_are_not_run(self):
-        """Guards against a refusal of the upstream that reaches the caller as its response."""
-        for reason, kind in (
+    async def test_refusals_before_the_run_have_outcome_not_run(self):
+        """Guards against passing a refusal of the upstream to the caller as a response."""
+        for reason, error_type in (
             ("grant", LeaseExpiredError),
             ("leaving", DrainingError),
             ("other", UpstreamRefusedError),
@@ -130,24 +132,24 @@
             ("shed", OverloadedError),
             ("malformed", InvalidRequestError),
         ):
-            self.answers(web.Response(status=503, headers={"Fescueward-Refusal": reason}))
-            with self.subTest(reason=reason), self.assertRaises(kind) as refused:
+            self.respond_with(web.Response(status=503, headers={"Fescueward-Refusal": reason}))
+            with self.subTest(reason=reason), self.assertRaises(error_type) as caught:
                 await self.run_request()
-            self.assertEqual(refused.exception.outcome, "not_run")
+            self.assertEqual(caught.exception.outcome, "not_run")
 
     async def test_aborted_runs_have_an_unknown_outcome(self):
-        """Guards against `not_run`, or a plain response, for a run that was ended early."""
-        for reason, kind in (
+        """Guards against `not_run`, or an ordinary response, for a run that was aborted."""
+        for reason, error_type in (
             ("revoked", OutcomeLostError),
             ("deadline", DeadlineExceededRunningError),
         ):
-            self.answers(web.Response(status=503, headers={"Fescueward-Aborted": reason}))
-            with self.subTest(reason=reason), self.assertRaises(kind) as refused:
+            self.respond_with(web.Response(status=503, headers={"Fescueward-Aborted": reason}))
+            with self.subTest(reason=reason), self.assertRaises(error_type) as caught:
                 await self.run_request()
-            self.assertEqual(refused.exception.outcome, "outcome_unknown")
+            self.assertEqual(caught.exception.outcome, "outcome_unknown")
 
     async def test_deadline_and_cancellation_cancel_the_run(self):
-        """Guards against runs that go on at the upstream after their caller has left."""
+        """Guards against runs that continue on the upstream after their caller disconnected."""
 
         async def handler(http):
             await asyncio.sleep(5)
@@ -156,26 +158,26 @@
         with self.assertRaises(DeadlineExceededRunningError):
             await self.run_request(0.1, id="r/1")
         task = asyncio.create_task(self.run_request(id="r2"))
-        await wait_until(lambda: len(self.seen) == 2, 5, "the run has begun")
+        await wait_until(lambda: len(self.received_requests) == 2, 5, "the run has begun")
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         await wait_until(lambda: len(self.cancelled) == 2, 5, "both are cancelled")
         with self.assertRaises(DeadlineExceededError):
             await self.run_request(0.0)
-        self.assertEqual(len(self.seen), 2)
+        self.assertEqual(len(self.received_requests), 2)
 
     async def test_head_and_empty_responses(self):
-        """Guards against a read of a body that such a response does not have."""
-        self.answers(web.Response(body=b"12345"))
-        answer = await self.run_request(method="HEAD")
-        self.assertIn(("Content-Length", "5"), answer.headers)
-        self.assertEqual(answer.body.data, b"")
+        """Guards against reading a body from a response that has none."""
+        self.respond_with(web.Response(body=b"12345"))
+        response = await self.run_request(method="HEAD")
+        self.assertIn(("Content-Length", "5"), response.headers)
+        self.assertEqual(response.body.data, b"")
         for status in (204, 304):
-            self.answers(web.Response(status=status))
+            self.respond_with(web.Response(status=status))
             self.assertEqual((await self.run_request(method="GET")).status, status)
 
     async def test_connection_that_ends_is_no_crash_while_others_are_accepted(self):
-        """Guards against a quarantine, and a leave, because of one broken connection."""
+        """Guards against a quarantine, or leaving the group, because of one reset connection."""
 
         async def handler(http):
             http.transport.abort()
@@ -183,11 +185,11 @@
         self.handler = handler
         with self.assertRaises(OutcomeLostError):
             await self.run_request(method="GET")
-        self.assertEqual(len(self.seen), 1)  # aiohttp did not send it again
+        self.assertEqual(len(self.received_requests), 1)  # aiohttp did not retry it
         self.assertEqual(self.upstream.crashes, 0)
 
     async def test_truncated_response(self):
-        """Guards against part of a response that is taken for the whole."""
+        """Guards against treating a truncated response as complete."""
 
         async def handler(http):
             stream = web.StreamResponse()
@@ -207,7 +209,7 @@
             async for _ in response.body.chunks():
                 pass
 
-    async def test_broken_upload_has_an_unknown_outcome(self):
+    async def test_failed_upload_has_an_unknown_outcome(self):
         """Guards against `not_run` after a part of the body has reached the upstream."""
 
         async def handler(http):
@@ -220,11 +222,11 @@
             with self.assertRaises(OutcomeLostError):
                 await self.run_request(body=body)
         self.assertEqual(self.upstream.crashes, 0)
-        answer = await self.run_request(body=StreamedBody(b"ab", b"cd", length=4))
-        self.assertEqual(answer.status, 200)
+        response = await self.run_request(body=StreamedBody(b"ab", b"cd", length=4))
+        self.assertEqual(response.status, 200)
 
     async def test_crash_is_recognised_and_the_agent_leaves(self):
-        """Guards against an upstream that is gone and keeps its keys, and against two leaves."""
+        """Guards against a crashed upstream that keeps its keys, and against leaving twice."""
 
         async def handler(http):
             await self.site.stop()
@@ -235,28 +237,28 @@
         with self.assertRaises(OutcomeLostError):
             await self.run_request()
         self.assertEqual((self.upstream.crashes, self.slow_starts), (1, 1))
-        await wait_until(lambda: self.left, 5, "the agent leaves")
-        with self.assertRaises(UpstreamUnavailableError) as refused:
+        await wait_until(lambda: self.leave_reasons, 5, "the agent leaves")
+        with self.assertRaises(UpstreamUnavailableError) as caught:
             await self.run_request()
-        self.assertEqual(refused.exception.outcome, "not_run")
+        self.assertEqual(caught.exception.outcome, "not_run")
         await asyncio.sleep(0.3)
-        self.assertEqual(len(self.left), 1)
+        self.assertEqual(len(self.leave_reasons), 1)
 
-    async def test_health_that_lies_or_is_silent_changes_nothing(self):
-        """Guards against a service that is emptied because of its health pages."""
+    async def test_malformed_health_page_has_no_effect(self):
+        """Guards against removing all members of a service because of their health pages."""
 
-        async def broken():
+        async def malformed_health():
             return web.Response(status=500, text="no JSON")
 
-        self.answer_health = broken
-        self.answers(web.Response())
+        self.answer_health = malformed_health
+        self.respond_with(web.Response())
         for _ in range(6):
             self.upstream._watch.check_now()
             await asyncio.sleep(0.02)
         self.assertEqual((await self.run_request()).status, 200)
-        self.assertEqual(self.left, [])
+        self.assertEqual(self.leave_reasons, [])
 
-    async def test_header_that_is_no_text(self):
+    async def test_header_that_is_not_utf8(self):
         """Guards against a response header that breaks the peer stream."""
 
         async def handler(http):
@@ -270,9 +272,9 @@
             await self.run_request()
 
 
-class EndlessAnswersTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, answer: Endless, pause_s: float = 0.0) -> HttpUpstream:
-        self.server = EndlessServer(answer, pause_s)
+class EndlessResponsesTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, endless: Endless, pause_s: float = 0.0) -> HttpUpstream:
+        self.server = EndlessServer(endless, pause_s)
         _, port = await self.server.start()
         self.addAsyncCleanup(self.server.stop)
         upstream = HttpUpstream(Kernel())
@@ -282,7 +284,9 @@
                     announcement=make_announcement(port=port), member_id="a:1"
                 ),
                 admission=None,
-                settings=SimpleNamespace(upstream=UpstreamSection(max_answer_bytes=ANSWER_BYTES)),
+                settings=SimpleNamespace(
+                    upstream=UpstreamSection(max_answer_bytes=MAX_RESPONSE_BYTES)
+                ),
             )
         )
         await upstream.start()
@@ -291,37 +295,37 @@
 
     async def check_bound(self) -> None:
         await wait_until(self.server.idle, 2, "the connection is closed")
-        self.assertLess(self.server.accepted, ANSWER_BYTES + SOCKET_BYTES)
+        self.assertLess(self.server.accepted, MAX_RESPONSE_BYTES + SOCKET_BYTES)
 
     async def test_heads_without_end(self):
-        """Guards against a head without end that fills the memory until the deadline."""
+        """Guards against an endless response head that fills the memory until the deadline."""
         for method in ("GET", "POST"):
-            for answer in endless_heads():
-                with self.subTest(method=method, answer=answer.name):
-                    upstream = await self.start(answer)
-                    with self.assertRaises(OutcomeLostError) as refused:
+            for endless in endless_heads():
+                with self.subTest(method=method, answer=endless.name):
+                    upstream = await self.start(endless)
+                    with self.assertRaises(OutcomeLostError) as caught:
                         request = make_request(method=method)
                         await upstream.run(request, 3, 7, CLOCK.now() + 8.0)
-                    self.assertEqual(refused.exception.http_status, 502)
+                    self.assertEqual(caught.exception.http_status, 502)
                     await self.check_bound()
 
     async def test_bodies_without_end(self):
-        """Guards against a body without end that keeps its slot and its reader for ever."""
-        for answer in endless_bodies():
-            with self.subTest(answer=answer.name):
-                upstream = await self.start(answer)
+        """Guards against an endless response body that occupies its slot forever."""
+        for endless in endless_bodies():
+            with self.subTest(answer=endless.name):
+                upstream = await self.start(endless)
                 received = 0
-                # The head of a response that is malformed soon after it gets no further.
-                with self.assertRaises((BodyTruncatedError, OutcomeLostError)) as refused:
+                # If the body is malformed right after the head, the response itself fails.
+                with self.assertRaises((BodyTruncatedError, OutcomeLostError)) as caught:
                     response = await upstream.run(make_request(), 3, 7, CLOCK.now() + 8.0)
                     async for chunk in response.body.chunks():
                         received += len(chunk)
-                self.assertNotIn("deadline", str(refused.exception))
-                self.assertLessEqual(received, ANSWER_BYTES)
+                self.assertNotIn("deadline", str(caught.exception))
+                self.assertLessEqual(received, MAX_RESPONSE_BYTES)
                 await self.check_bound()
 
     async def test_deadline_ends_a_body(self):
-        """Guards against a silent response that holds its slot beyond the deadline."""
+        """Guards against a stalled response that holds its slot beyond the deadline."""
         upstream = await self.start(Endless("slow", b"HTTP/1.1 200 OK\r\n\r\npart", b""), 30.0)
         response = await upstream.run(make_request(), 3, 7, CLOCK.now() + 0.3)
         with self.assertRaisesRegex(BodyTruncatedError, "deadline"):
@@ -329,7 +333,7 @@
                 pass
 
     async def test_bytes_without_end_after_an_answer(self):
-        """Guards against bytes of no request that fill the memory of an idle connection."""
+        """Guards against unsolicited bytes on an idle connection that fill the memory."""
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
         upstream = await self.start(Endless("rest", whole, whole * 200), 0.05)
         for _ in range(2):
@@ -339,11 +343,11 @@
         self.assertEqual(len(self.server.requests), 2)
 
     async def test_grants_answered_without_end(self):
-        """Guards against an answer to a grant that fills the memory."""
-        for answer in (*endless_heads(), *endless_bodies()):
-            with self.subTest(answer=answer.name):
-                upstream = await self.start(answer)
-                announced = replace(upstream._membership.announcement, checks_grants=True)
-                upstream._membership.announcement = announced
+        """Guards against an endless response to a grant that fills the memory."""
+        for endless in (*endless_heads(), *endless_bodies()):
+            with self.subTest(answer=endless.name):
+                upstream = await self.start(endless)
+                announcement = replace(upstream._membership.announcement, checks_grants=True)
+                upstream._membership.announcement = announcement
                 await upstream.grant(GrantSet("a:1", 1, 1, {}))
                 await self.check_bound()
