--- a/tests/services/test_outcomes.py
+++ b/tests/services/test_outcomes.py
@@ -1,4 +1,4 @@
-"""Tests of tokens and outcomes."""
+"""Tests of tokens and retained outcomes."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
         return await self.outcomes.run_once(make_request(token=token, **values), shard, 7, run)
 
     async def test_repeat_gets_the_same_response_without_a_run(self):
-        """Guards against a payment that is charged again when its caller repeats it."""
+        """Guards against charging a payment twice when the caller repeats the request."""
         token = self.outcomes.issue(3, 7)
         run = Script(make_response(b"charged", 201))
         first = await self.run_token(token, run)
@@ -42,25 +42,25 @@
         self.assertEqual(len(run.calls), 1)
 
     async def test_repeat_during_the_run_is_in_progress(self):
-        """Guards against a second run while the first has not ended."""
+        """Guards against a second run while the first is in progress."""
         token = self.outcomes.issue(3, 7)
-        running, end = asyncio.Event(), asyncio.Event()
+        running, finish = asyncio.Event(), asyncio.Event()
 
         async def run(request):
             running.set()
-            await end.wait()
+            await finish.wait()
             return make_response()
 
         first = asyncio.create_task(self.run_token(token, run))
         await running.wait()
         with self.assertRaises(InProgressError):
             await self.run_token(token, run)
-        end.set()
+        finish.set()
         self.assertEqual((await first).status, 200)
 
     async def test_only_a_request_that_did_not_run_may_run_later(self):
         """Guards against a repeat that runs after a lost, cancelled or failed first run."""
-        for error, again in (
+        for error, may_run_again in (
             (OverloadedError("full"), True),
             (LeaseExpiredError("not sent"), True),
             (OutcomeLostError("reset"), False),
@@ -72,15 +72,15 @@
                 run = Script(error, make_response())
                 with self.assertRaises(type(error)):
                     await self.run_token(token, run)
-                if again:
+                if may_run_again:
                     self.assertEqual((await self.run_token(token, run)).status, 200)
                 else:
                     with self.assertRaises(OutcomeLostError):
                         await self.run_token(token, run)
-                self.assertEqual(len(run.calls), 2 if again else 1)
+                self.assertEqual(len(run.calls), 2 if may_run_again else 1)
 
     async def test_token_belongs_to_one_request(self):
-        """Guards against a caller that receives the response to another request."""
+        """Guards against returning the response to a different request."""
         token = self.outcomes.issue(3, 7)
         run = Script(make_response(b"secret"))
         await self.run_token(token, run, body=b"a")
@@ -95,25 +95,35 @@
                 await self.run_token(token, run, **{"body": b"a", **other})
         self.assertEqual(len(run.calls), 1)
 
-    async def test_tokens_that_are_not_known_here_never_run(self):
-        """Guards against a run under a token of another shard, epoch or lineage."""
+    async def test_unknown_tokens_never_run(self):
+        """Guards against running a request with a token of another shard, epoch or lineage."""
         run = Script(make_response())
         token = self.outcomes.issue(3, 7)
-        shard, epoch, sequence, tail = token.split(".")
-        for foreign in (f"4.{epoch}.{sequence}.{tail}", f"{shard}.6.{sequence}.{tail}"):
+        shard, epoch, sequence, random_part = token.split(".")
+        for foreign in (
+            f"4.{epoch}.{sequence}.{random_part}",
+            f"{shard}.6.{sequence}.{random_part}",
+        ):
             with self.subTest(token=foreign), self.assertRaises(OutcomeLostError):
                 await self.run_token(foreign, run)
         with self.assertRaises(OutcomeLostError):
             await self.run_token(token, run, shard=9)
-        for bad in ("", "a.b.c.d", "1.2.3", f"3.7.{10**30}.x", "3.7.٣.x", "3.7.0." + "x" * 99):
-            with self.subTest(token=bad), self.assertRaises(InvalidRequestError):
-                await self.run_token(bad, run)
+        for malformed in (
+            "",
+            "a.b.c.d",
+            "1.2.3",
+            f"3.7.{10**30}.x",
+            "3.7.٣.x",
+            "3.7.0." + "x" * 99,
+        ):
+            with self.subTest(token=malformed), self.assertRaises(InvalidRequestError):
+                await self.run_token(malformed, run)
         with self.assertRaises(InvalidRequestError):
-            await self.run_token(f"{shard}.{epoch}.1.{tail}", run)  # the next one, not issued
+            await self.run_token(f"{shard}.{epoch}.1.{random_part}", run)  # not issued yet
         self.assertEqual(run.calls, [])
 
     async def test_takeover_without_outcomes_refuses_older_tokens(self):
-        """Guards against a run at the new owner of what the lost owner may have run."""
+        """Guards against running a request again that the lost owner may have run."""
         token = self.outcomes.issue(3, 7)
         self.outcomes.begin_epoch(3, 8, (), 0, 0)
         run = Script(make_response())
@@ -122,7 +132,7 @@
         self.assertEqual((run.calls, self.outcomes.count, self.outcomes.size), ([], 0, 0))
 
     async def test_handover_keeps_outcomes_and_unused_tokens(self):
-        """Guards against a second run, or a needless refusal, after a planned move."""
+        """Guards against a second run, or an unnecessary refusal, after a handover."""
         used, unused = self.outcomes.issue(3, 7), self.outcomes.issue(3, 7)
         run = Script(make_response(b"charged"))
         await self.run_token(used, run)
@@ -139,12 +149,12 @@
         self.assertNotIn(self.outcomes.issue(3, 8).split(".")[2], ("0", "1"))
 
     async def test_export_needs_a_record(self):
-        """Guards against an empty export, with which the successor would run tokens again."""
+        """Guards against an empty export, with which the successor would run requests again."""
         with self.assertRaises(KeyError):
             self.outcomes.export(5)
 
     async def test_large_and_streamed_responses_are_not_run_again(self):
-        """Guards against a second run when the first response was too large to keep."""
+        """Guards against a second run when the first response was too large to retain."""
         for response in (
             make_response(b"x" * 70_000),
             module.Response("r1", 200, (), StreamedBody(b"x")),
@@ -157,7 +167,7 @@
             self.assertEqual(len(run.calls), 1)
 
     async def test_release_frame_of_a_full_shard_fits(self):
-        """Guards against a handover that fails for ever because its frame is too large."""
+        """Guards against a handover that always fails because its frame is too large."""
         run = Script(make_response(b"x" * 60_000))
         tokens = [self.outcomes.issue(3, 7) for _ in range(40)]
         for token in tokens:
@@ -174,7 +184,7 @@
         self.assertEqual(len(run.calls), 40)
 
     async def test_small_outcomes_of_a_full_shard_fit(self):
-        """Guards against an estimate of the frame size that leaves out the field names."""
+        """Guards against a frame size estimate that omits the field names."""
         run = Script(module.Response("r1", 200, (("A", "b"),) * 4, make_response(b"").body))
         for _ in range(5000):
             await self.run_token(self.outcomes.issue(3, 7), run)
@@ -186,9 +196,9 @@
         self.assertLessEqual(len(exported.outcomes), 4096)
 
     async def test_floor_rises_when_the_count_is_reached(self):
-        """Guards against a run under a token whose outcome was forgotten."""
+        """Guards against running a request whose outcome was evicted."""
         run = Script(make_response())
-        with mock.patch.object(module, "_SHARD_COUNT", 3):
+        with mock.patch.object(module, "_MAX_SHARD_OUTCOMES", 3):
             tokens = [self.outcomes.issue(3, 7) for _ in range(5)]
             for token in (tokens[1], tokens[0], *tokens[2:]):
                 await self.run_token(token, run)
@@ -201,18 +211,18 @@
         self.assertEqual(len(run.calls), 5)
 
     async def test_total_limits(self):
-        """Guards against the memory of an agent that owns many shards."""
+        """Guards against unbounded memory use of an agent that owns many shards."""
         run = Script(make_response(b"x" * 1000))
         first = self.outcomes.issue(3, 7)
         self.outcomes.begin_epoch(4, 7, (), 0, 0)
-        with mock.patch.object(module, "_TOTAL_BYTES", 2500):
+        with mock.patch.object(module, "_MAX_TOTAL_BYTES", 2500):
             await self.run_token(first, run)
             for _ in range(3):
                 await self.run_token(self.outcomes.issue(4, 7), run, shard=4)
             self.assertLess(self.outcomes.size, 2500)
         with self.assertRaises(AnswerNotRetainedError):
             await self.run_token(first, run)
-        with mock.patch.object(module, "_TOTAL_COUNT", 3):
+        with mock.patch.object(module, "_MAX_TOTAL_OUTCOMES", 3):
             await self.run_token(self.outcomes.issue(4, 7), run, shard=4)
         self.assertEqual(self.outcomes.count, 3)
         with self.assertRaises(OutcomeLostError):
@@ -222,7 +232,7 @@
         self.assertEqual((self.outcomes.count, self.outcomes.size), (0, 0))
 
     async def test_lineage_is_bounded(self):
-        """Guards against Release frames that grow with each move of a shard."""
+        """Guards against Release frames that grow with each handover of a shard."""
         for epoch in range(8, 200):
             lineage = (*self.outcomes.export(3).lineage, epoch - 1)
             self.outcomes.begin_epoch(3, epoch, lineage, 0, 0)
