--- a/fescueward/services/fingerprints.py
+++ b/fescueward/services/fingerprints.py
@@ -1,4 +1,4 @@
-"""What makes two requests the same for the quarantine."""
+"""Fingerprints by which the quarantine identifies equal requests."""
 
 from __future__ import annotations
 
@@ -9,44 +9,45 @@
 from ..messages import Body, Request
 from ..messages.request import BytesBody
 
-# The fingerprint covers this much of the body, so that a long upload starts to run early.
-HEAD_BYTES = 65_536
+# The fingerprint covers only this prefix of the body, so that the run of a long upload can start
+# before all of it has arrived.
+PREFIX_BYTES = 65_536
 
 
-class HeadedBody:
-    """A body whose beginning has been read."""
+class PrefixedBody:
+    """A streamed body whose prefix is already buffered."""
 
-    def __init__(self, head: bytes, rest: AsyncGenerator[bytes, None], body: Body) -> None:
-        self.head = head
+    def __init__(self, prefix: bytes, rest: AsyncGenerator[bytes, None], body: Body) -> None:
+        self.prefix = prefix
         self.length = body.length
         self.started = True
         self._rest = rest
         self._body = body
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yields the beginning and what follows."""
-        yield self.head
+        """Yields the prefix and then the rest of the body."""
+        yield self.prefix
         async for chunk in self._rest:
             yield chunk
 
     async def close(self) -> None:
-        """Closes the body."""
+        """Closes the rest of the stream and the original body."""
         await self._rest.aclose()
         await self._body.close()
 
 
 def fingerprint_of(request: Request) -> int:
-    """Returns the hash of service, method, path, beginning and length of the body, and key.
+    """Returns the hash of service, method, path, key, and length and prefix of the body.
 
-    Where the caller is known, it stands in the place of the key, which a repetition may change.
+    If the caller is known, it is hashed in place of the key, which may differ in a retry.
     """
     body = request.body
-    head = b""
+    prefix = b""
     if isinstance(body, BytesBody):
-        head = body.data[:HEAD_BYTES]
-    elif isinstance(body, HeadedBody):
-        head = body.head[:HEAD_BYTES]
-    names = "\n".join(
+        prefix = body.data[:PREFIX_BYTES]
+    elif isinstance(body, PrefixedBody):
+        prefix = body.prefix[:PREFIX_BYTES]
+    fields = "\n".join(
         (
             request.service,
             request.method,
@@ -55,4 +56,4 @@
             f"caller {request.caller}" if request.caller else request.key,
         )
     )
-    return xxhash.xxh64_intdigest(names.encode() + b"\n" + head) or 1
+    return xxhash.xxh64_intdigest(fields.encode() + b"\n" + prefix) or 1
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of requests that were in flight in upstream crashes."""
+"""Quarantine of requests that were in flight during upstream crashes."""
 
 from __future__ import annotations
 
@@ -24,34 +24,40 @@
 from ..messages.peer import CrashNoted, CrashReport
 from ..messages.request import BytesBody
 from .crash_reports import CrashReports
-from .fingerprints import HEAD_BYTES, HeadedBody, fingerprint_of
+from .fingerprints import PREFIX_BYTES, PrefixedBody, fingerprint_of
 
-_SUSPECT = Event(
-    3301, "request_suspected", Level.WARNING, "A request was in flight in an upstream crash."
+_REQUEST_SUSPECTED = Event(
+    3301, "request_suspected", Level.WARNING, "A request was in flight during an upstream crash."
 )
-_CLEARED = Event(3302, "suspect_cleared", Level.INFO, "A suspect ran to its end.")
-_QUARANTINED = Event(
+_SUSPECT_CLEARED = Event(
+    3302,
+    "suspect_cleared",
+    Level.INFO,
+    "A suspected request ran without a crash and is no longer suspected.",
+)
+_REQUEST_QUARANTINED = Event(
     3303,
     "request_quarantined",
     Level.ERROR,
-    "A request was in flight in too many crashes and is refused in the whole group.",
+    "A request was in flight during too many crashes and is refused in the whole group.",
 )
 
-# Section 4.5 of the design: a second crash quarantines the request for ten minutes.
-_CRASHES = 2
+# By section 4.5 of the design, a second crash quarantines a request for ten minutes.
+_CRASH_LIMIT = 2
 _QUARANTINE_S = 600.0
-_FINGERPRINTS = 10_000
-# Longest time, in seconds, from the loss of an answer until the crash behind it is known: the
-# upstreams of the users' platform are back after some seconds and name their new start then.
-_LOST_S = 10.0
-_LOST_RUNS = 1000
-# The agent of a crashed upstream leaves the group, and its last reports arrive after that.
-_LEFT_S = 60.0
-_LEFT_MEMBERS = 1000
-
-# A crash: the member whose upstream ended, and the number of the crash there.
+_MAX_FINGERPRINTS = 10_000
+# Longest time from a run without a response until the crash that caused it is detected. The
+# upstreams of the users' platform restart within seconds and announce their new start then.
+_CRASH_DETECTION_S = 10.0
+_MAX_LOST_RUNS = 1000
+# Time for which reports of a former member are accepted: the agent of a crashed upstream leaves
+# the group, and its last reports arrive after that.
+_FORMER_MEMBER_S = 60.0
+_MAX_FORMER_MEMBERS = 1000
+
+# Member id of the agent whose upstream crashed, and the number of the crash at that agent.
 _Crash = tuple[str, int]
-# An upstream that falls silent answers no run in time.
+# Errors of a run that a crash may cause. After a crash without a connection reset, runs time out.
 _CRASH_ERRORS = (
     OutcomeLostError,
     AnswerLostError,
@@ -61,11 +67,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Lost:
-    """A run without an answer."""
+class _LostRun:
+    """A run that ended without a complete response."""
 
     # Seconds of CLOCK_BOOTTIME.
-    at: float
+    failed_at: float
     request: str
     service: str
     key: str
@@ -73,7 +79,7 @@
 
 
 class _Guard:
-    """One run, as an async context manager."""
+    """An async context manager around one run."""
 
     __slots__ = ("_alone", "_began", "_crashes", "_fingerprint", "_owner", "_request")
 
@@ -88,7 +94,7 @@
     async def __aenter__(self) -> Request:
         request = self._request
         if not isinstance(request.body, BytesBody):
-            request = await self._owner.with_read_head(request)
+            request = await self._owner.with_buffered_prefix(request)
         self._fingerprint = fingerprint_of(request)
         self._alone = await self._owner.admit(request, self._fingerprint)
         self._crashes = self._owner.crashes
@@ -101,30 +107,32 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        lost = isinstance(error, _CRASH_ERRORS)
-        crashed = lost and self._owner.crashes > self._crashes
+        without_response = isinstance(error, _CRASH_ERRORS)
+        in_crash = without_response and self._owner.crashes > self._crashes
         if error is None:
-            self._owner.note_success(self._fingerprint, self._began, self._alone)
-        elif crashed:
-            self._owner.accuse(self._request, self._fingerprint)
-        elif lost:
-            self._owner.note_loss(self._request, self._fingerprint)
+            self._owner.record_success(self._fingerprint, self._began, self._alone)
+        elif in_crash:
+            self._owner.add_suspect(self._request, self._fingerprint)
+        elif without_response:
+            self._owner.record_lost_run(self._request, self._fingerprint)
         if self._alone:
-            self._owner.end_alone()
-        if crashed:
-            # The caller may send the request again once it has its answer.
-            await self._owner.delivered()
+            self._owner.release_suspect_lock()
+        if in_crash:
+            # The caller may retry as soon as it has the response, so the members must have the
+            # report by then.
+            await self._owner.wait_for_confirmations()
 
 
 class CrashQuarantine:
     """The `quarantine` service.
 
-    Suspects and quarantined fingerprints are shared with the members of the group, because the
-    keys of a crashed upstream move to them.
+    A request that was in flight during a crash is a suspect. Suspects run one at a time; one that
+    runs successfully is cleared, one with too many crashes is quarantined. Both lists are
+    shared with the members of the group, because they take over the keys of a crashed upstream.
 
     Args:
         kernel: The kernel.
-        crashes: Crashes after which a request is refused.
+        crashes: Number of crashes after which a request is refused.
         success_window_s: Seconds after a successful run during which its request is not suspected.
     """
 
@@ -132,37 +140,37 @@
     requires: tuple[str, ...] = ("peers", "groups", "membership", "upstream")
 
     def __init__(
-        self, kernel: Kernel, crashes: int = _CRASHES, success_window_s: float = 0.0
+        self, kernel: Kernel, crashes: int = _CRASH_LIMIT, success_window_s: float = 0.0
     ) -> None:
-        self._limit = crashes
-        self._proven_s = success_window_s
+        self._crash_limit = crashes
+        self._success_window_s = success_window_s
         self._tasks = kernel.task_owner(self.name)
-        # One suspect runs at a time, so that a second crash shows which of them caused it.
-        self._alone = asyncio.Lock()
-        self._reports = CrashReports(self._tasks, self._revise)
+        # Suspects run one at a time, so that a second crash identifies the one that caused it.
+        self._suspect_lock = asyncio.Lock()
+        self._reports = CrashReports(self._tasks, self._without_outdated)
 
     @property
     def crashes(self) -> int:
-        """Number of upstream crashes seen so far."""
+        """Number of upstream crashes since this agent started."""
         return self._upstream.crashes
 
     @property
     def now(self) -> float:
-        """Time in seconds of CLOCK_BOOTTIME."""
+        """Current time in seconds of CLOCK_BOOTTIME."""
         return self._clock.now()
 
     @property
     def suspects(self) -> tuple[int, ...]:
-        """Fingerprints of the present suspects."""
+        """Fingerprints of the current suspects."""
         return tuple(self._suspects)
 
     @property
     def quarantined(self) -> tuple[int, ...]:
-        """Fingerprints that are refused at present."""
+        """Fingerprints that are currently refused."""
         return tuple(self._quarantined)
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._reports.bind(registry)
         self._groups = registry.find("groups", Groups)
@@ -170,138 +178,147 @@
         self._peers = registry.find("peers", Peers)
         self._upstream = registry.find("upstream", CrashSource)
         now = self._clock.now
-        # Crashes in which each suspect was in flight.
+        # Crashes during which each suspect was in flight, by fingerprint.
         self._suspects: TTLCache[int, frozenset[_Crash]] = TTLCache(
-            _FINGERPRINTS, _QUARANTINE_S, now
+            _MAX_FINGERPRINTS, _QUARANTINE_S, now
+        )
+        self._quarantined: TTLCache[int, bool] = TTLCache(_MAX_FINGERPRINTS, _QUARANTINE_S, now)
+        self._recently_successful: TTLCache[int, bool] = TTLCache(
+            _MAX_FINGERPRINTS, self._success_window_s, now
+        )
+        self._lost_runs: deque[_LostRun] = deque(maxlen=_MAX_LOST_RUNS)
+        self._former_members: TTLCache[str, bool] = TTLCache(
+            _MAX_FORMER_MEMBERS, _FORMER_MEMBER_S, now
         )
-        self._quarantined: TTLCache[int, bool] = TTLCache(_FINGERPRINTS, _QUARANTINE_S, now)
-        self._proven: TTLCache[int, bool] = TTLCache(_FINGERPRINTS, self._proven_s, now)
-        self._lost: deque[_Lost] = deque(maxlen=_LOST_RUNS)
-        self._left: TTLCache[str, bool] = TTLCache(_LEFT_MEMBERS, _LEFT_S, now)
         self._members: frozenset[str] = frozenset()
         self._peers.on(CrashReport, self._on_report)
         self._groups.subscribe(self)
         self._upstream.subscribe(self)
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Starts nothing: tasks are spawned for each report."""
 
     async def stop(self) -> None:
-        """Ends all tasks."""
+        """Cancels all tasks."""
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Remembers who leaves this agent's group, and tells those who join what is known."""
+        """Records members that left the group, and sends current reports to those that joined."""
         if group.group.id != self._membership.home:
             return
         members = frozenset(group.group.members)
         for member_id in self._members - members:
-            self._left[member_id] = True
+            self._former_members[member_id] = True
         joined = members - self._members - {self._membership.member_id}
         self._members = members
         if joined:
-            self._reports.inform(joined, self._known())
+            self._reports.send_to(joined, self._current_reports())
 
     def guard(self, request: Request) -> _Guard:
-        """Watches one run; see `Quarantine.guard`."""
+        """Returns a context that watches one run; see `Quarantine.guard`."""
         return _Guard(self, request)
 
     async def admit(self, request: Request, fingerprint: int) -> bool:
-        """Refuses a quarantined request and makes a suspect wait for its turn.
+        """Refuses a quarantined request and makes a suspect wait until no other suspect runs.
 
         Returns:
-            Whether the request runs as the only suspect; `end_alone` must be called then.
+            Whether the request runs as the only suspect. If so, the caller must call
+            `release_suspect_lock` after the run.
 
         Raises:
-            QuarantinedError: The request was in flight in too many crashes.
-            DeadlineExceededError: The deadline passed while it waited for another suspect.
+            QuarantinedError: The request was in flight during too many crashes.
+            DeadlineExceededError: The deadline passed while another suspect ran.
         """
         self._refuse_quarantined(fingerprint)
         if fingerprint not in self._suspects:
             return False
         try:
             async with asyncio.timeout(max(request.deadline - self._clock.now(), 0)):
-                await self._alone.acquire()
+                await self._suspect_lock.acquire()
         except TimeoutError:
-            raise DeadlineExceededError("the deadline passed behind another suspect") from None
+            raise DeadlineExceededError(
+                "the deadline passed while another suspected request ran"
+            ) from None
         try:
             self._refuse_quarantined(fingerprint)
         except QuarantinedError:
-            self._alone.release()
+            self._suspect_lock.release()
             raise
         if fingerprint not in self._suspects:
-            self._alone.release()
+            self._suspect_lock.release()
             return False
         return True
 
-    def end_alone(self) -> None:
-        """Lets the next suspect run."""
-        self._alone.release()
+    def release_suspect_lock(self) -> None:
+        """Allows the next suspect to run."""
+        self._suspect_lock.release()
 
-    async def delivered(self) -> None:
-        """Waits until the members know of the newest crash, for a bounded time."""
-        await self._reports.delivered()
+    async def wait_for_confirmations(self) -> None:
+        """Waits until all members confirmed the newest report, for a bounded time."""
+        await self._reports.wait_for_confirmations()
 
-    def note_success(self, fingerprint: int, began: float, alone: bool) -> None:
-        """Notes that a request ran to its end.
+    def record_success(self, fingerprint: int, started_at: float, is_only_suspect: bool) -> None:
+        """Records a successful run and clears its request if it was the only running suspect.
 
         Args:
-            fingerprint: Its fingerprint.
-            began: When the run began, in seconds of CLOCK_BOOTTIME.
-            alone: Whether it was the only suspect that ran.
+            fingerprint: Fingerprint of the request.
+            started_at: When the run started, in seconds of CLOCK_BOOTTIME.
+            is_only_suspect: Whether it was the only suspect that ran.
         """
-        if self._proven_s:
-            self._proven[fingerprint] = True
-        # The upstream has not ended between these losses and the run.
-        while self._lost and self._lost[0].at < began:
-            self._lost.popleft()
-        if alone:
-            self._clear(fingerprint)
-
-    def note_loss(self, request: Request, fingerprint: int) -> None:
-        """Notes a request without an answer, whose upstream may turn out to have ended."""
-        lost = _Lost(self.now, request.id, request.service, request.key, fingerprint)
-        self._lost.append(lost)
+        if self._success_window_s:
+            self._recently_successful[fingerprint] = True
+        # A later run succeeded, so the upstream did not crash during these runs.
+        while self._lost_runs and self._lost_runs[0].failed_at < started_at:
+            self._lost_runs.popleft()
+        if is_only_suspect:
+            self._clear_suspect(fingerprint)
+
+    def record_lost_run(self, request: Request, fingerprint: int) -> None:
+        """Records a run without a response; a crash may be detected later as its cause."""
+        lost_run = _LostRun(self.now, request.id, request.service, request.key, fingerprint)
+        self._lost_runs.append(lost_run)
 
     def upstream_crashed(self) -> None:
-        """Accuses the requests that were lost since the last run that ended well."""
-        oldest = self.now - _LOST_S
-        while self._lost:
-            lost = self._lost.popleft()
-            if lost.at >= oldest:
-                self._accuse(lost.fingerprint, lost.request, lost.service, lost.key)
-
-    def _clear(self, fingerprint: int) -> None:
+        """Adds the requests without a response since the last successful run as suspects."""
+        window_start = self.now - _CRASH_DETECTION_S
+        while self._lost_runs:
+            lost_run = self._lost_runs.popleft()
+            if lost_run.failed_at >= window_start:
+                self._add_local_suspect(
+                    lost_run.fingerprint, lost_run.request, lost_run.service, lost_run.key
+                )
+
+    def _clear_suspect(self, fingerprint: int) -> None:
         if self._suspects.pop(fingerprint, None) is not None:
-            _CLEARED.emit(fingerprint=f"{fingerprint:016x}")
-            self._reports.tell(self.crashes, cleared=(fingerprint,))
+            _SUSPECT_CLEARED.emit(fingerprint=f"{fingerprint:016x}")
+            self._reports.report(self.crashes, cleared=(fingerprint,))
 
-    def accuse(self, request: Request, fingerprint: int) -> None:
-        """Notes that a request was in flight in the newest crash of this agent's upstream."""
-        self._accuse(fingerprint, request.id, request.service, request.key)
+    def add_suspect(self, request: Request, fingerprint: int) -> None:
+        """Adds a request that was in flight during the newest crash of this agent's upstream."""
+        self._add_local_suspect(fingerprint, request.id, request.service, request.key)
 
-    def _accuse(self, fingerprint: int, request: str, service: str, key: str) -> None:
-        if fingerprint in self._proven:
+    def _add_local_suspect(self, fingerprint: int, request: str, service: str, key: str) -> None:
+        if fingerprint in self._recently_successful:
             return
         crash = (self._membership.member_id, self.crashes)
-        if not self._add(fingerprint, crash, request=request, service=service, key=key):
+        if not self._add_crash(fingerprint, crash, request=request, service=service, key=key):
             return
         if fingerprint in self._quarantined:
-            self._reports.tell(self.crashes, quarantined=(fingerprint,))
+            self._reports.report(self.crashes, quarantined=(fingerprint,))
         else:
-            self._reports.tell(self.crashes, suspects=(fingerprint,))
+            self._reports.report(self.crashes, suspects=(fingerprint,))
 
-    def _add(self, fingerprint: int, crash: _Crash, **details: str) -> bool:
-        """Adds a crash to a suspect; tells whether that is new."""
+    def _add_crash(self, fingerprint: int, crash: _Crash, **details: str) -> bool:
+        """Adds a crash to a suspect; returns whether it was not counted before."""
         crashes = self._suspects.get(fingerprint, frozenset())
         if crash in crashes or fingerprint in self._quarantined:
             return False
         crashes |= {crash}
-        event = _SUSPECT
-        if len(crashes) < self._limit:
+        event = _REQUEST_SUSPECTED
+        if len(crashes) < self._crash_limit:
             self._suspects[fingerprint] = crashes
         else:
-            event = _QUARANTINED
+            event = _REQUEST_QUARANTINED
             self._suspects.pop(fingerprint, None)
             self._quarantined[fingerprint] = True
         event.emit(
@@ -311,67 +328,75 @@
         )
         return True
 
-    async def with_read_head(self, request: Request) -> Request:
-        """Reads the beginning of a streamed body, which the fingerprint covers."""
-        head: list[bytes] = []
-        size = 0
+    async def with_buffered_prefix(self, request: Request) -> Request:
+        """Buffers the prefix of a streamed body that the fingerprint covers."""
+        prefix: list[bytes] = []
+        size_bytes = 0
         rest = request.body.chunks()
         try:
             async with asyncio.timeout(max(request.deadline - self._clock.now(), 0)):
-                while size < HEAD_BYTES:
+                while size_bytes < PREFIX_BYTES:
                     chunk = await anext(rest, None)
                     if chunk is None:
-                        return replace(request, body=BytesBody(b"".join(head)))
-                    head.append(chunk)
-                    size += len(chunk)
+                        return replace(request, body=BytesBody(b"".join(prefix)))
+                    prefix.append(chunk)
+                    size_bytes += len(chunk)
         except TimeoutError:
-            raise DeadlineExceededError("the deadline passed before the body arrived") from None
+            raise DeadlineExceededError(
+                "the deadline passed before the start of the request body arrived"
+            ) from None
         except BodyTruncatedError as error:
-            raise InvalidRequestError(f"the request body broke: {error}") from error
-        return replace(request, body=HeadedBody(b"".join(head), rest, request.body))
+            raise InvalidRequestError(f"the request body was truncated: {error}") from error
+        return replace(request, body=PrefixedBody(b"".join(prefix), rest, request.body))
 
     def _refuse_quarantined(self, fingerprint: int) -> None:
         if fingerprint in self._quarantined:
             raise QuarantinedError(
-                f"the request was in flight in {self._limit} upstream crashes",
+                f"the request was in flight during {self._crash_limit} upstream crashes",
                 retry_after_s=_QUARANTINE_S,
             )
 
     def _on_report(self, sender: str, message: CrashReport) -> None:
         home = self._membership.home
         view = self._groups.view(home) if home is not None else None
-        if view is None or (sender not in view.group.members and sender not in self._left):
+        if view is None or (
+            sender not in view.group.members and sender not in self._former_members
+        ):
             return
-        for fingerprint in message.fingerprints[:_FINGERPRINTS]:
-            if fingerprint in self._proven:
-                self._reports.tell(self.crashes, cleared=(fingerprint,))
+        for fingerprint in message.fingerprints[:_MAX_FINGERPRINTS]:
+            if fingerprint in self._recently_successful:
+                self._reports.report(self.crashes, cleared=(fingerprint,))
             else:
-                self._add(fingerprint, (message.member_id, message.crash))
+                self._add_crash(fingerprint, (message.member_id, message.crash))
         for fingerprint in message.cleared:
             self._suspects.pop(fingerprint, None)
-        for fingerprint in message.quarantined[:_FINGERPRINTS]:
+        for fingerprint in message.quarantined[:_MAX_FINGERPRINTS]:
             self._suspects.pop(fingerprint, None)
             self._quarantined[fingerprint] = True
         self._peers.reply(sender, CrashNoted(message.number))
 
-    def _known(self) -> tuple[CrashReport, ...]:
-        """Returns reports of all that is suspected or refused, one for each crash."""
-        me = self._membership.member_id
+    def _current_reports(self) -> tuple[CrashReport, ...]:
+        """Returns a report for each crash with suspects, and one for quarantined requests."""
+        own_id = self._membership.member_id
         suspects: dict[_Crash, list[int]] = {}
         for fingerprint, crashes in self._suspects.items():
             for crash in crashes:
                 suspects.setdefault(crash, []).append(fingerprint)
         reports = [
-            CrashReport(member_id, tuple(found), crash=number)
-            for (member_id, number), found in suspects.items()
+            CrashReport(member_id, tuple(fingerprints), crash=number)
+            for (member_id, number), fingerprints in suspects.items()
         ]
         if self._quarantined:
-            reports.append(CrashReport(me, quarantined=tuple(self._quarantined)))
+            reports.append(CrashReport(own_id, quarantined=tuple(self._quarantined)))
         return tuple(reports)
 
-    def _revise(self, report: CrashReport) -> CrashReport:
+    def _without_outdated(self, report: CrashReport) -> CrashReport:
         return replace(
             report,
-            fingerprints=tuple(one for one in report.fingerprints if one in self._suspects),
-            cleared=tuple(one for one in report.cleared if one not in self._suspects),
+            fingerprints=tuple(
+                fingerprint for fingerprint in report.fingerprints if fingerprint in self._suspects
+            ),
+            cleared=tuple(
+                fingerprint for fingerprint in report.cleared if fingerprint not in self._suspects
+            ),
         )
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Tests of suspects and quarantine."""
+"""Tests of suspected and quarantined requests and of their reports."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 class Member:
-    """A quarantine service with a peer, in a group of two."""
+    """A member with a quarantine service, in a group of two."""
 
     def __init__(self, name: str, **options: float) -> None:
         self.name = f"{name}:1"
@@ -52,7 +52,7 @@
         self.quarantine.group_changed(view)
 
     async def crash(self, *requests):
-        """Runs requests at once, which all lose their connection in one crash."""
+        """Runs requests concurrently that all fail in one upstream crash."""
         guards = [self.quarantine.guard(request) for request in requests]
         for guard in guards:
             await guard.__aenter__()
@@ -60,14 +60,14 @@
         for guard in guards:
             await guard.__aexit__(OutcomeLostError, OutcomeLostError("reset"), None)
 
-    async def lose(self, request, error=OutcomeLostError):
-        """Runs a request that gets no answer before a crash is known."""
+    async def fail_without_response(self, request, error=OutcomeLostError):
+        """Runs a request that fails without a response before a crash is detected."""
         with suppress(error):
             async with self.quarantine.guard(request):
                 raise error("no answer")
 
-    def find_crash(self):
-        """Finds out that the upstream has ended."""
+    def detect_crash(self):
+        """Reports a crash of the upstream to the quarantine."""
         self.upstream.crashes += 1
         self.quarantine.upstream_crashed()
 
@@ -80,7 +80,7 @@
     def setUp(self) -> None:
         self.a, self.b = Member("a"), Member("b")
 
-    async def exchange(self) -> None:
+    async def deliver_messages(self) -> None:
         await asyncio.sleep(0.03)
         for source, target in ((self.a, self.b), (self.b, self.a)):
             sent, source.peers.sent[:] = tuple(source.peers.sent), ()
@@ -88,39 +88,39 @@
                 target.peers.handlers[type(message)](source.name, message)
 
     async def test_second_crash_quarantines_in_the_whole_group(self):
-        """Guards against a request that crashes each upstream that runs it, one after another."""
+        """Guards against a request that crashes one upstream after another."""
         poison = make_request(path="/poison")
         await self.a.crash(poison)
-        await self.exchange()
-        await self.b.crash(poison)  # its key has moved
-        with self.assertRaises(QuarantinedError) as refused:
+        await self.deliver_messages()
+        await self.b.crash(poison)  # the key has moved to `b`
+        with self.assertRaises(QuarantinedError) as caught:
             await self.b.succeed(poison)
-        self.assertEqual(refused.exception.label, "quarantined")
-        await self.exchange()
+        self.assertEqual(caught.exception.label, "quarantined")
+        await self.deliver_messages()
         with self.assertRaises(QuarantinedError):
             await self.a.succeed(poison)
-        await self.a.succeed(make_request(path="/other"))  # the same key goes on
+        await self.a.succeed(make_request(path="/other"))  # other requests for the key are served
 
     async def test_success_clears_a_suspect_everywhere(self):
-        """Guards against a quarantine of requests that only ran beside the culprit."""
+        """Guards against a quarantine of requests that only ran during the crash of another."""
         request = make_request()
         await self.a.crash(request)
-        await self.exchange()
+        await self.deliver_messages()
         self.assertEqual(len(self.b.quarantine.suspects), 1)
         await self.b.succeed(request)
-        await self.exchange()
+        await self.deliver_messages()
         self.assertEqual((self.a.quarantine.suspects, self.b.quarantine.suspects), ((), ()))
         await self.a.crash(request)
         await self.a.succeed(request)
 
     async def test_suspects_run_one_at_a_time(self):
-        """Guards against a second crash that quarantines innocent requests with the culprit."""
-        poison, innocent = make_request(path="/poison"), make_request(path="/fine")
-        await self.a.crash(poison, innocent)
+        """Guards against a second crash that quarantines requests which did not cause it."""
+        poison, other_request = make_request(path="/poison"), make_request(path="/fine")
+        await self.a.crash(poison, other_request)
         running = self.a.quarantine.guard(poison)
         await running.__aenter__()
-        waiting = asyncio.create_task(self.a.succeed(innocent))
-        await self.a.succeed(make_request(path="/new"))  # no suspect, so it does not wait
+        waiting = asyncio.create_task(self.a.succeed(other_request))
+        await self.a.succeed(make_request(path="/new"))  # not suspected, so it does not wait
         await asyncio.sleep(0.01)
         self.assertFalse(waiting.done())
         self.a.upstream.crashes += 1
@@ -131,7 +131,7 @@
             await self.a.succeed(poison)
 
     async def test_suspect_waits_within_its_deadline(self):
-        """Guards against a suspect that waits for ever, or whose wait blocks all others."""
+        """Guards against a suspect that waits forever, or whose wait blocks all others."""
         request, other = make_request(0.03), make_request(path="/other")
         await self.a.crash(request, other)
         async with self.a.quarantine.guard(other):
@@ -139,8 +139,8 @@
                 await self.a.succeed(request)
         await self.a.succeed(other)
 
-    async def test_failures_without_a_crash_accuse_nobody(self):
-        """Guards against suspects that come from a broken connection or a refusal."""
+    async def test_failures_without_a_crash_add_no_suspect(self):
+        """Guards against suspects that result from a reset connection or a refusal."""
         for error in (OutcomeLostError("reset"), UpstreamUnavailableError("refused")):
             with self.assertRaises(type(error)):
                 async with self.a.quarantine.guard(make_request()):
@@ -152,7 +152,7 @@
         self.assertEqual(self.a.quarantine.suspects, ())
 
     async def test_quarantine_ends(self):
-        """Guards against a request that is refused for good."""
+        """Guards against a quarantine that never ends."""
         now = 0.0
         clock = SimpleNamespace(now=lambda: now, sleep=asyncio.sleep)
         with mock.patch.object(module, "_QUARANTINE_S", 10.0):
@@ -172,93 +172,93 @@
         now = 11.0
         await self.a.succeed(request)
 
-    async def test_reports_of_strangers_are_ignored(self):
-        """Guards against a routing client that quarantines requests of the group."""
+    async def test_reports_of_non_members_are_ignored(self):
+        """Guards against a client that quarantines requests without being a member."""
         report = CrashReport("a:1", quarantined=(fingerprint_of(make_request()),))
         self.a.peers.handlers[CrashReport]("client:1", report)
         await self.a.succeed(make_request())
 
     async def test_report_to_a_member_without_a_stream(self):
-        """Guards against a third crash, because the new owner never heard of the first."""
-        send, dropped = self.a.peers.send, []
+        """Guards against a third crash because the new owner got no report of the first."""
+        send, unsent = self.a.peers.send, []
 
-        def send_later(member, message):
-            if len(dropped) < 2:
-                dropped.append(message)
+        def fail_first_sends(member, message):
+            if len(unsent) < 2:
+                unsent.append(message)
                 return False
             return send(member, message)
 
-        self.a.peers.send = send_later
+        self.a.peers.send = fail_first_sends
         await self.a.crash(make_request())
         await wait_until(lambda: self.a.peers.sent, 2, "the report is sent")
-        self.assertEqual(len(dropped), 2)
+        self.assertEqual(len(unsent), 2)
 
     async def test_member_that_was_not_known_at_the_crash(self):
-        """Guards against a third crash at a member whose join the reporter had not seen yet.
+        """Guards against a third crash at a member that the reporter did not know at the first.
 
-        Found by tests.integration.test_quarantine: the upstream crashed while its agent still had
-        a view without the others, 4 ms before a newer one; the next crash was taken for the first.
+        In tests.integration.test_quarantine, an upstream crashed 4 ms before its agent received a
+        group version with the other members, so they counted the next crash as the first.
         """
         poison = make_request(path="/poison")
         self.a.view = make_group(1, "a:1", "a")
         await self.a.crash(poison)
-        await self.exchange()
+        await self.deliver_messages()
         self.a.change_group(make_group(2, "a:1", "a", "b"))
-        await self.exchange()
+        await self.deliver_messages()
         await self.b.crash(poison)
         with self.assertRaises(QuarantinedError):
             await self.b.succeed(poison)
 
     async def test_member_that_joins_later(self):
-        """Guards against a member that starts anew and runs what the others refuse."""
+        """Guards against a new member that runs requests which the others refuse."""
         poison, other = make_request(path="/poison"), make_request(path="/other")
         self.a.change_group(make_group(1, "a:1", "a"))
         await self.a.crash(poison)
         await self.a.crash(poison)
         await self.a.crash(other)
-        await self.exchange()
+        await self.deliver_messages()
         self.a.change_group(make_group(2, "a:1", "a", "b"))
-        await self.exchange()
+        await self.deliver_messages()
         with self.assertRaises(QuarantinedError):
             await self.b.succeed(poison)
         self.assertEqual(self.b.quarantine.suspects, (fingerprint_of(other),))
 
     async def test_reports_of_two_crashes_that_cross(self):
-        """Guards against a third crash after two that happened before either was told."""
-        poison, innocent = make_request(path="/poison"), make_request(path="/fine")
-        await asyncio.gather(self.a.crash(poison, innocent), self.b.crash(poison))
-        await self.exchange()
+        """Guards against a third crash after two that were reported at the same time."""
+        poison, other_request = make_request(path="/poison"), make_request(path="/fine")
+        await asyncio.gather(self.a.crash(poison, other_request), self.b.crash(poison))
+        await self.deliver_messages()
         for member in (self.a, self.b):
             with self.assertRaises(QuarantinedError):
                 await member.succeed(poison)
-            await member.succeed(innocent)
+            await member.succeed(other_request)
 
-    async def test_answer_waits_until_the_members_know(self):
-        """Guards against a retry that reaches the next owner before the report of the crash."""
+    async def test_response_waits_for_the_confirmations(self):
+        """Guards against a retry that reaches the next owner before the crash report."""
         with mock.patch.object(crash_reports, "_CONFIRM_S", 5.0):
             crash = asyncio.create_task(self.a.crash(make_request()))
             await wait_until(lambda: self.a.peers.sent, 2, "the report is sent")
             self.assertFalse(crash.done())
-            await self.exchange()
+            await self.deliver_messages()
             async with asyncio.timeout(2):
                 await crash
         self.assertEqual(len(self.b.quarantine.suspects), 1)
 
-    async def test_silent_member_delays_an_answer_for_a_bounded_time(self):
-        """Guards against answers that wait for a member that is gone."""
+    async def test_unresponsive_member_delays_a_response_for_a_bounded_time(self):
+        """Guards against responses that wait for a member that cannot confirm."""
         with mock.patch.object(crash_reports, "_CONFIRM_S", 0.05):
             async with asyncio.timeout(2):
                 await self.a.crash(make_request())
 
-    async def test_report_that_a_newcomer_refuses_is_repeated(self):
-        """Guards against a report that arrives before its receiver knows the sender."""
+    async def test_report_that_a_new_member_ignores_is_repeated(self):
+        """Guards against a lost report whose receiver did not know the sender yet."""
         self.b.view = make_group(1, "b:1", "b")
         await self.a.crash(make_request())
-        await self.exchange()
+        await self.deliver_messages()
         self.assertEqual(self.b.quarantine.suspects, ())
         self.b.change_group(make_group(2, "b:1", "a", "b"))
         await wait_until(lambda: self.a.peers.sent, 2, "the report is sent again")
-        await self.exchange()
+        await self.deliver_messages()
         self.assertEqual(len(self.b.quarantine.suspects), 1)
 
     async def test_equal_requests_of_one_crash_count_once(self):
@@ -266,72 +266,72 @@
         await self.a.crash(make_request(), make_request())
         await self.a.succeed(make_request())
 
-    async def test_crash_that_is_found_out_later(self):
-        """Guards against a crash that nobody counts because the answer was lost before."""
+    async def test_crash_that_is_detected_later(self):
+        """Guards against not counting a crash that is detected after the run failed."""
         poison = make_request(path="/poison")
-        await self.a.lose(poison)
+        await self.a.fail_without_response(poison)
         self.assertEqual(self.a.quarantine.suspects, ())
-        self.a.find_crash()
-        self.a.find_crash()  # without runs in between, it accuses nobody twice
-        await self.exchange()
+        self.a.detect_crash()
+        self.a.detect_crash()  # without runs in between, it adds no suspect
+        await self.deliver_messages()
         self.assertEqual(self.b.quarantine.suspects, (fingerprint_of(poison),))
-        await self.b.lose(poison)
-        self.b.find_crash()
+        await self.b.fail_without_response(poison)
+        self.b.detect_crash()
         with self.assertRaises(QuarantinedError):
             await self.b.succeed(poison)
 
     async def test_crash_without_a_reset(self):
-        """Guards against a crash that nobody counts because its machine fell silent."""
-        silent = make_request(path="/poison")
-        await self.a.lose(silent, DeadlineExceededRunningError)
-        self.a.find_crash()
-        self.assertEqual(self.a.quarantine.suspects, (fingerprint_of(silent),))
-
-    async def test_lost_answer_of_an_upstream_that_lives(self):
-        """Guards against suspects from answers that were lost long before a crash."""
-        await self.a.lose(make_request())
+        """Guards against not counting a crash that reset no connection."""
+        unanswered = make_request(path="/poison")
+        await self.a.fail_without_response(unanswered, DeadlineExceededRunningError)
+        self.a.detect_crash()
+        self.assertEqual(self.a.quarantine.suspects, (fingerprint_of(unanswered),))
+
+    async def test_run_without_response_before_a_success_adds_no_suspect(self):
+        """Guards against suspects from runs that failed long before a crash."""
+        await self.a.fail_without_response(make_request())
         await self.a.succeed(make_request(path="/other"))
-        self.a.find_crash()
+        self.a.detect_crash()
         self.assertEqual(self.a.quarantine.suspects, ())
 
     async def test_number_of_crashes_can_be_chosen(self):
-        """Guards against requests beside the culprit that are refused where it is sent on fast."""
+        """Guards against quarantining other requests where the crashing one is retried quickly."""
         members = [Member(name, crashes=3) for name in "ab"]
         self.a, self.b = members
         poison = make_request(path="/poison")
         for member in (self.a, self.b, self.a):
-            await member.lose(poison)
-            member.find_crash()
-            await self.exchange()
+            await member.fail_without_response(poison)
+            member.detect_crash()
+            await self.deliver_messages()
         for member in members:
             with self.assertRaises(QuarantinedError):
                 await member.succeed(poison)
 
     async def test_request_that_runs_elsewhere_is_no_suspect(self):
-        """Guards against a busy page that is refused because three upstreams ended at once."""
+        """Guards against quarantining a frequent request when three upstreams end at once."""
         self.a, self.b = (Member(name, crashes=3, success_window_s=60.0) for name in "ab")
         page = make_request(path="/page")
         await self.b.succeed(page)
-        await self.a.lose(page)
-        self.a.find_crash()
+        await self.a.fail_without_response(page)
+        self.a.detect_crash()
         self.assertEqual(len(self.a.quarantine.suspects), 1)
-        await self.exchange()
-        await self.exchange()
+        await self.deliver_messages()
+        await self.deliver_messages()
         self.assertEqual((self.a.quarantine.suspects, self.b.quarantine.suspects), ((), ()))
-        await self.b.lose(page)
-        self.b.find_crash()
+        await self.b.fail_without_response(page)
+        self.b.detect_crash()
         self.assertEqual(self.b.quarantine.suspects, ())
 
     async def test_caller_identifies_a_request(self):
-        """Guards against a request that evades its quarantine by another key."""
-        one = make_request(caller="orders", key="1")
+        """Guards against a request that evades its quarantine with a different key."""
+        request = make_request(caller="orders", key="1")
         self.assertEqual(
-            fingerprint_of(one), fingerprint_of(make_request(caller="orders", key="2"))
+            fingerprint_of(request), fingerprint_of(make_request(caller="orders", key="2"))
         )
-        self.assertNotEqual(fingerprint_of(one), fingerprint_of(make_request(caller="depot")))
+        self.assertNotEqual(fingerprint_of(request), fingerprint_of(make_request(caller="depot")))
 
     async def test_report_of_a_member_that_has_left(self):
-        """Guards against a lost report of the agent whose upstream crashed and that left."""
+        """Guards against ignoring the last report of an agent that left after a crash."""
         report = CrashReport("c:1", quarantined=(fingerprint_of(make_request()),))
         self.a.quarantine.group_changed(make_group(1, "a:1", "a", "b", "c"))
         self.a.quarantine.group_changed(make_group(2, "a:1", "a", "b"))
@@ -340,28 +340,28 @@
             await self.a.succeed(make_request())
 
     async def test_fingerprint_of_streamed_bodies(self):
-        """Guards against an upload that evades its quarantine by the way it is sent."""
-        whole = make_request(body=b"ab" * 10)
+        """Guards against an upload that evades its quarantine by different chunk sizes."""
+        buffered = make_request(body=b"ab" * 10)
         streamed = make_request(body=StreamedBody(b"ab", b"ab" * 9))
-        async with self.a.quarantine.guard(streamed) as read:
-            self.assertIsInstance(read.body, BytesBody)
-            self.assertEqual(fingerprint_of(read), fingerprint_of(whole))
+        async with self.a.quarantine.guard(streamed) as guarded:
+            self.assertIsInstance(guarded.body, BytesBody)
+            self.assertEqual(fingerprint_of(guarded), fingerprint_of(buffered))
         pieces = (b"x" * 40_000, b"y" * 40_000, b"z" * 40_000)
-        prints = set()
+        fingerprints = set()
         for body in (StreamedBody(*pieces), StreamedBody(pieces[0] + pieces[1], pieces[2])):
-            async with self.a.quarantine.guard(make_request(body=body)) as read:
-                prints.add(fingerprint_of(read))
+            async with self.a.quarantine.guard(make_request(body=body)) as guarded:
+                fingerprints.add(fingerprint_of(guarded))
                 self.assertEqual(
-                    b"".join([chunk async for chunk in read.body.chunks()]), b"".join(pieces)
+                    b"".join([chunk async for chunk in guarded.body.chunks()]), b"".join(pieces)
                 )
-                self.assertTrue(read.body.started)
-                await read.body.close()
+                self.assertTrue(guarded.body.started)
+                await guarded.body.close()
                 self.assertTrue(body.closed)
-        self.assertEqual(len(prints), 1)
+        self.assertEqual(len(fingerprints), 1)
         self.assertNotEqual(fingerprint_of(make_request(key="o")), fingerprint_of(make_request()))
 
-    async def test_body_that_breaks_before_the_run(self):
-        """Guards against an unknown outcome for a request of which no byte was passed on."""
+    async def test_body_that_is_truncated_before_the_run(self):
+        """Guards against an unknown outcome for a request of which no byte was forwarded."""
         body = StreamedBody(b"a", error=BodyTruncatedError("gone"))
         with self.assertRaises(InvalidRequestError):
             await self.a.succeed(make_request(body=body))
