Reword services/load

Constants were named _LEAST_HOT, _MOST_SECONDS and _SKETCH_SIZE, keys cooled or were found, and locals such as found, span and fresh did not say what they hold. Limits, windows and units are in the names now.

--- a/fescueward/services/load.py
+++ b/fescueward/services/load.py
@@ -1,4 +1,4 @@
-"""Measured work of this agent and, on the planner, of its group."""
+"""Measurement of the work of this agent and, on the planner, of its group."""
 
 from __future__ import annotations
 
@@ -19,93 +19,96 @@
 
 _T = TypeVar("_T")
 
-_MICROSECONDS = 1_000_000
-# Time constant of the work of a shard. Shorter ones follow noise, longer ones follow a hot key
-# too late.
+_MICROSECONDS_PER_S = 1_000_000
+# Time constant of the decay of a shard's work. A shorter one follows noise, a longer one detects a
+# hot key too late.
 DECAY_S = 4.0
-# Two windows are kept, so a key cools within two of them.
+# Length of a window of key work. Two windows are kept, so a key without requests is dropped within
+# two of them.
 WINDOW_S = 2.0
-# 2 ** 9 counters: keys above 0.3% of the work of a window are found.
-_SKETCH_SIZE = 9
-_HOT_KEYS = 12
-# Hottest keys below this work, in seconds per second, are not reported.
-_LEAST_HOT = 0.005
-# Longer keys get no shard of their own and are not tracked.
+# The sketch has 2 ** 9 counters and detects keys above 0.3% of the work of a window.
+_LOG2_SKETCH_COUNTERS = 9
+_MAX_HOT_KEYS = 12
+# Keys with less work than this, in seconds per second, are not reported as hot.
+_MIN_HOT_WORK = 0.005
+# Longer keys get no shard of their own, so their work is not tracked.
 _MAX_KEY_LENGTH = 200
-# A single request cannot count for more; times above it are errors of measurement.
-_MOST_SECONDS = 3600.0
+# Longest valid time of a request; higher values are measurement errors.
+_MAX_REQUEST_S = 3600.0
 
 
 class ShardWork:
-    """Work by shard, decayed exponentially, in seconds of upstream time per second."""
+    """Exponentially decayed work by shard, in seconds of upstream time per second."""
 
     def __init__(self) -> None:
-        self._values: dict[int, tuple[float, float]] = {}
+        self._decayed_work: dict[int, tuple[float, float]] = {}
 
     def add(self, shard: int, seconds: float, now: float) -> None:
-        """Adds the time of one request."""
-        self._values[shard] = (self._at(shard, now) + seconds / DECAY_S, now)
+        """Adds the upstream time of one request in seconds."""
+        self._decayed_work[shard] = (self._work_at(shard, now) + seconds / DECAY_S, now)
 
     def split(self, source: int, target: int, work: float, now: float) -> None:
-        """Moves work from one shard to another."""
-        moved = min(work, self._at(source, now))
-        self._values[source] = (self._at(source, now) - moved, now)
-        self._values[target] = (self._at(target, now) + moved, now)
+        """Moves work, at most what the source has, from one shard to another."""
+        moved_work = min(work, self._work_at(source, now))
+        self._decayed_work[source] = (self._work_at(source, now) - moved_work, now)
+        self._decayed_work[target] = (self._work_at(target, now) + moved_work, now)
 
     def rates(self, now: float) -> dict[int, float]:
-        """Returns the work of all shards that have any, and forgets the others."""
-        rates = {shard: self._at(shard, now) for shard in self._values}
-        self._values = {shard: (rate, now) for shard, rate in rates.items() if rate > 1e-6}
-        return {shard: rate for shard, (rate, _) in self._values.items()}
+        """Returns the work of all shards that have any, and drops the others."""
+        rates = {shard: self._work_at(shard, now) for shard in self._decayed_work}
+        self._decayed_work = {shard: (rate, now) for shard, rate in rates.items() if rate > 1e-6}
+        return {shard: rate for shard, (rate, _) in self._decayed_work.items()}
 
-    def _at(self, shard: int, now: float) -> float:
-        value, at = self._values.get(shard, (0.0, now))
-        return value * math.exp(min(at - now, 0.0) / DECAY_S)
+    def _work_at(self, shard: int, now: float) -> float:
+        work, updated_at = self._decayed_work.get(shard, (0.0, now))
+        return work * math.exp(min(updated_at - now, 0.0) / DECAY_S)
 
 
 class KeyWork:
-    """The hottest keys by a bounded sketch over the last two windows."""
+    """Work by key over the last two windows, in sketches of bounded size."""
 
     def __init__(self, now: float) -> None:
-        self._started = now
-        self._current = frequent_strings_sketch(_SKETCH_SIZE)
-        self._before: frequent_strings_sketch | None = None
+        self._window_start = now
+        self._current = frequent_strings_sketch(_LOG2_SKETCH_COUNTERS)
+        self._previous: frequent_strings_sketch | None = None
 
     def add(self, key: str, seconds: float, now: float) -> None:
-        """Adds the time of one request."""
+        """Adds the upstream time of one request in seconds."""
         self._rotate(now)
-        weight = int(seconds * _MICROSECONDS)
-        if weight > 0 and len(key) <= _MAX_KEY_LENGTH:
-            self._current.update(key, weight)
+        work_us = int(seconds * _MICROSECONDS_PER_S)
+        if work_us > 0 and len(key) <= _MAX_KEY_LENGTH:
+            self._current.update(key, work_us)
 
     def hottest(self, now: float) -> dict[str, float]:
         """Returns the work of the hottest keys in seconds per second, the hottest first."""
         self._rotate(now)
-        windows = [self._current] if self._before is None else [self._current, self._before]
-        span = max(now - self._started, 0.0) + (0.0 if self._before is None else WINDOW_S)
-        if span < WINDOW_S / 2:
+        windows = [self._current] if self._previous is None else [self._current, self._previous]
+        span_s = max(now - self._window_start, 0.0) + (0.0 if self._previous is None else WINDOW_S)
+        if span_s < WINDOW_S / 2:
             return {}
-        found: dict[str, float] = {}
+        work_by_key: dict[str, float] = {}
         for window in windows:
-            kind = frequent_items_error_type.NO_FALSE_POSITIVES
-            for key, _, lower, _ in window.get_frequent_items(kind):
-                found[key] = found.get(key, 0.0) + lower / _MICROSECONDS / span
-        ordered = sorted(found.items(), key=lambda item: (-item[1], item[0]))[:_HOT_KEYS]
-        return {key: work for key, work in ordered if work >= _LEAST_HOT}
+            error_type = frequent_items_error_type.NO_FALSE_POSITIVES
+            for key, _, lower_bound_us, _ in window.get_frequent_items(error_type):
+                work_by_key[key] = (
+                    work_by_key.get(key, 0.0) + lower_bound_us / _MICROSECONDS_PER_S / span_s
+                )
+        ranked = sorted(work_by_key.items(), key=lambda item: (-item[1], item[0]))[:_MAX_HOT_KEYS]
+        return {key: work for key, work in ranked if work >= _MIN_HOT_WORK}
 
     def _rotate(self, now: float) -> None:
-        elapsed = now - self._started
-        if elapsed < WINDOW_S:
+        elapsed_s = now - self._window_start
+        if elapsed_s < WINDOW_S:
             return
-        self._before = self._current if elapsed < 2 * WINDOW_S else None
-        self._started = now if self._before is None else self._started + WINDOW_S
-        self._current = frequent_strings_sketch(_SKETCH_SIZE)
+        self._previous = self._current if elapsed_s < 2 * WINDOW_S else None
+        self._window_start = now if self._previous is None else self._window_start + WINDOW_S
+        self._current = frequent_strings_sketch(_LOG2_SKETCH_COUNTERS)
 
 
 class MeasuredLoad:
     """The `load` service.
 
-    Each member reports its work to the planner once a round. The planner adds the reports up.
+    Each member reports its work to the planner once per round. The planner sums up the reports.
     """
 
     name = "load"
@@ -113,12 +116,12 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._work = ShardWork()
-        self._table: ReportTable | None = None
+        self._shard_work = ShardWork()
+        self._report_table: ReportTable | None = None
         self._exceptions: dict[str, int] = {}
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._peers = registry.find("peers", Peers)
         self._groups = registry.find("groups", Groups)
@@ -127,89 +130,89 @@
         self._placement = registry.find("placement", Placement)
         self._admission = registry.find("admission", Admission)
         self._round_s = registry.find("settings", Settings).placement.round_ms / 1000
-        self._keys = KeyWork(self._clock.now())
+        self._key_work = KeyWork(self._clock.now())
         self._peers.on(LoadReport, self._on_report)
         self._groups.subscribe(self)
 
     async def start(self) -> None:
-        """Starts the reports."""
+        """Starts the task that reports to the planner."""
         self._tasks.spawn("report", self._run())
 
     async def stop(self) -> None:
-        """Ends the reports."""
+        """Cancels the task that reports to the planner."""
         await self._tasks.cancel()
 
     def record(self, shard: int, key: str, seconds: float) -> None:
-        """Adds the upstream time of one request; impossible times are ignored."""
-        if not 0 <= seconds <= _MOST_SECONDS:
+        """Adds the upstream time of one request; negative or too long times are ignored."""
+        if not 0 <= seconds <= _MAX_REQUEST_S:
             return
         now = self._clock.now()
-        self._work.add(shard, seconds, now)
-        self._keys.add(key, seconds, now)
+        self._shard_work.add(shard, seconds, now)
+        self._key_work.add(key, seconds, now)
 
     def group_load(self) -> GroupLoad:
-        """Returns the group's load on the planner, else the work of this agent alone."""
-        if self._table is not None:
-            return self._table.load
+        """Returns the load of the group on the planner, else only the work of this agent."""
+        if self._report_table is not None:
+            return self._report_table.load
         now = self._clock.now()
-        return GroupLoad(self._work.rates(now), self._keys.hottest(now), complete=False)
+        return GroupLoad(self._shard_work.rates(now), self._key_work.hottest(now), complete=False)
 
     def end_round(self) -> GroupLoad:
-        """Adds the reports up on the planner, with what this agent measures now."""
+        """Sums up the reports on the planner, including this agent's own, and returns the load."""
         view = self._groups.view(self._membership.home) if self._membership.home else None
-        if self._table is not None and view is not None:
+        if self._report_table is not None and view is not None:
             now = self._clock.now()
-            self._table.add(self.report(), now)
-            self._table.update(view.group, now)
+            self._report_table.add(self.report(), now)
+            self._report_table.update(view.group, now)
         return self.group_load()
 
     def restore(self, work: dict[int, float], hot_keys: dict[str, float]) -> None:
-        """Starts the planner's figures from those of an earlier planner."""
-        if self._table is not None:
-            self._table.restore(work)
+        """Initializes the planner's work by shard from the values of an earlier planner."""
+        if self._report_table is not None:
+            self._report_table.restore(work)
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Follows the role of the planner and counts split keys for their new shards."""
+        """Collects reports while this agent is the planner, and moves the work of split keys."""
         if group.group.id != self._membership.home:
             return
-        self._follow_exceptions(group.group)
+        self._move_work_of_split_keys(group.group)
         planner = self._placement.planner(group.group)
         if planner is None or planner.id != self._membership.member_id:
-            self._table = None
-        elif self._table is None:
-            self._table = ReportTable(self._clock.now(), self._round_s)
+            self._report_table = None
+        elif self._report_table is None:
+            self._report_table = ReportTable(self._clock.now(), self._round_s)
 
     def report(self) -> LoadReport:
-        """Returns what this member reports now."""
+        """Returns the current report of this member."""
         now = self._clock.now()
         return LoadReport(
             member_id=self._membership.member_id,
-            work=_whole(self._work.rates(now)),
-            hot_keys=_whole(self._keys.hottest(now)),
+            work=_to_microseconds(self._shard_work.rates(now)),
+            hot_keys=_to_microseconds(self._key_work.hottest(now)),
             applied_entries=self._catalogue.digest,
             capacity=min(max(round(self._admission.capacity, 2), 0.0), 1.0),
         )
 
-    def _follow_exceptions(self, group: Group) -> None:
-        fresh = group.exceptions.items() - self._exceptions.items()
+    def _move_work_of_split_keys(self, group: Group) -> None:
+        new_exceptions = group.exceptions.items() - self._exceptions.items()
         self._exceptions = group.exceptions
-        if not fresh:
+        if not new_exceptions:
             return
         now = self._clock.now()
-        hottest = self._keys.hottest(now)
+        hottest = self._key_work.hottest(now)
         try:
             groups = self._catalogue.entry(group.service).entry.groups
         except UnknownServiceError:
             return
-        for key, shard in fresh:
+        for key, shard in new_exceptions:
             source = (key_hash(key) // groups) % group.shard_count
-            self._work.split(source, shard, hottest.get(key, 0.0), now)
-            if self._table is not None:
-                self._table.split(source, shard, key)
+            self._shard_work.split(source, shard, hottest.get(key, 0.0), now)
+            if self._report_table is not None:
+                self._report_table.split(source, shard, key)
 
     def _on_report(self, sender: str, message: LoadReport) -> None:
-        if self._table is not None and message.member_id == sender:
-            self._table.add(message, self._clock.now())
+        if self._report_table is not None and message.member_id == sender:
+            self._report_table.add(message, self._clock.now())
 
     async def _run(self) -> None:
         while True:
@@ -223,5 +226,5 @@
                 self._peers.send(planner, self.report())
 
 
-def _whole(work: dict[_T, float]) -> dict[_T, int]:
-    return {name: int(value * _MICROSECONDS) for name, value in work.items()}
+def _to_microseconds(seconds_by_name: dict[_T, float]) -> dict[_T, int]:
+    return {name: int(seconds * _MICROSECONDS_PER_S) for name, seconds in seconds_by_name.items()}
--- a/tests/services/test_load.py
+++ b/tests/services/test_load.py
@@ -1,4 +1,4 @@
-"""Tests of load measurement and reports."""
+"""Tests of load measurement and load reports."""
 
 from __future__ import annotations
 
@@ -26,20 +26,20 @@
     """Work decays exponentially."""
 
     def test_steady_work_is_its_rate(self):
-        """Guards against a unit or a decay that is off."""
+        """Guards against a wrong unit or a wrong decay."""
         work = ShardWork()
         for step in range(400):
             work.add(3, 0.02, step * 0.1)
         self.assertAlmostEqual(work.rates(40.0)[3], 0.2, delta=0.01)
 
     def test_idle_shards_are_forgotten(self):
-        """Guards against memory and reports that grow with each shard ever served."""
+        """Guards against memory and reports that grow with each shard that was served before."""
         work = ShardWork()
         work.add(3, 0.02, 0.0)
         self.assertEqual(work.rates(DECAY_S * 20), {})
 
     def test_split_keeps_the_sum(self):
-        """Guards against work that is counted twice once a key has its own shard."""
+        """Guards against counting work twice after a key got its own shard."""
         work = ShardWork()
         work.add(3, 0.4, 0.0)
         work.split(3, 256, 0.06, 0.0)
@@ -50,10 +50,10 @@
 
 
 class KeyWorkTest(unittest.TestCase):
-    """The hottest keys are found in bounded memory."""
+    """The hottest keys are detected in bounded memory."""
 
-    def test_hot_key_among_many_is_found_and_cools(self):
-        """Guards against a hot key that is found late, and one that never cools."""
+    def test_hot_key_among_many_is_detected_and_dropped(self):
+        """Guards against a hot key that is detected late, and one that stays hot forever."""
         keys = KeyWork(0.0)
         for step in range(4000):
             keys.add(f"key-{step}", 0.001, step / 1000)
@@ -64,8 +64,8 @@
         self.assertAlmostEqual(hottest["viral"], 2.0, delta=0.3)
         self.assertEqual(keys.hottest(4.0 + 2 * WINDOW_S), {})
 
-    def test_new_hot_key_shows_within_a_window(self):
-        """Guards against windows that hide a key that has just become hot."""
+    def test_new_hot_key_is_detected_within_a_window(self):
+        """Guards against windows that hide a key that became hot recently."""
         keys = KeyWork(0.0)
         for step in range(100):
             keys.add("old", 0.01, step * 0.1)
@@ -74,34 +74,34 @@
         self.assertIn("new", keys.hottest(12.0))
 
     def test_long_keys_are_left_out(self):
-        """Guards against reports and groups that grow with the length of keys."""
+        """Guards against reports and groups whose size grows with the length of keys."""
         keys = KeyWork(0.0)
         keys.add("x" * 5000, 5.0, 1.0)
         self.assertEqual(keys.hottest(1.5), {})
 
 
 class ReportTableTest(unittest.TestCase):
-    """The planner adds reports up."""
+    """The planner sums up the reports."""
 
     def setUp(self):
         self.group = placed(member("a"), member("b"))
         self.table = ReportTable(0.0, 2.0)
 
     def test_waits_for_all_members_or_some_rounds(self):
-        """Guards against a new planner that moves shards before it knows their work."""
+        """Guards against a new planner that moves shards before their work is reported."""
         self.table.add(LoadReport("a:1", {0: 500_000}), 1.0)
         self.table.update(self.group, 2.0)
         self.assertFalse(self.table.load.complete)
         self.table.update(self.group, 7.0)
         self.assertTrue(self.table.load.complete)
-        both = ReportTable(0.0, 2.0)
-        both.add(LoadReport("a:1", {}), 1.0)
-        both.add(LoadReport("b:1", {}), 1.0)
-        both.update(self.group, 2.0)
-        self.assertTrue(both.load.complete)
-
-    def test_reports_expire_and_gone_members_do_not_count(self):
-        """Guards against work of members that left, which would never fade."""
+        full_table = ReportTable(0.0, 2.0)
+        full_table.add(LoadReport("a:1", {}), 1.0)
+        full_table.add(LoadReport("b:1", {}), 1.0)
+        full_table.update(self.group, 2.0)
+        self.assertTrue(full_table.load.complete)
+
+    def test_reports_expire_and_former_members_do_not_count(self):
+        """Guards against counting the work of former members forever."""
         self.table.add(LoadReport("a:1", {0: 500_000}), 1.0)
         self.table.add(LoadReport("gone:1", {1: 500_000}), 1.0)
         self.table.update(self.group, 2.0)
@@ -112,7 +112,7 @@
         self.assertEqual(self.table.load.capacity, {})
 
     def test_restored_work_is_used_until_it_is_reported(self):
-        """Guards against a new planner that starts from nothing, or from NaN."""
+        """Guards against a new planner without work by shard, or with NaN in it."""
         self.table.restore({0: 0.4, 1: math.nan, 2: -1.0})
         self.table.add(LoadReport("a:1", {0: 400_000}), 1.0)
         self.table.update(self.group, 2.0)
@@ -120,8 +120,8 @@
 
     @_QUICK
     @given(st.dictionaries(st.integers(0, 2000), st.integers(0, 1 << 62), max_size=20))
-    def test_absurd_reports_are_bounded_by_slots(self, work):
-        """Guards against one member whose report outweighs the group."""
+    def test_excessive_reports_are_bounded_by_slots(self, work):
+        """Guards against a report that outweighs those of all other members."""
         self.table = ReportTable(0.0, 2.0)
         self.table.add(LoadReport("a:1", work, {"k": max(work.values(), default=0)}), 1.0)
         self.table.update(self.group, 2.0)
@@ -129,7 +129,7 @@
         self.assertTrue(set(self.table.load.work) < set(range(len(self.group.shards))))
 
     def test_report_on_the_wire(self):
-        """Guards against reports that are large, or that carry NaN or negative work."""
+        """Guards against large reports, and reports with NaN or negative work."""
         idle = FrameEncoder().encode(LoadReport("depot-12:1796373518507", {}, {}, 2**63, 1.0))
         self.assertLess(len(idle), 150)
         busy = LoadReport(
@@ -141,18 +141,18 @@
         self.assertLess(len(FrameEncoder().encode(busy)), 600)
         kind = msgpack.unpackb(idle)[0]
         deflate = zlib.compressobj(1, zlib.DEFLATED, -14)
-        for bad in (math.nan, -1, 0.5):
+        for invalid_work in (math.nan, -1, 0.5):
             with self.assertRaises(MalformedMessageError):
-                content = msgpack.packb({"member_id": "a", "work": {0: bad}})
+                content = msgpack.packb({"member_id": "a", "work": {0: invalid_work}})
                 content = deflate.compress(content) + deflate.flush(zlib.Z_FULL_FLUSH)
                 list(FrameDecoder().feed(msgpack.packb([kind, content, b""])))
 
 
 class SplitTest(unittest.TestCase):
-    """A key that got its own shard takes its work with it."""
+    """The work of a split key moves to its new shard."""
 
-    def test_split_shows_before_the_next_report(self):
-        """Guards against a hot key that waits a round longer for its room."""
+    def test_split_takes_effect_before_the_next_report(self):
+        """Guards against a planner that accounts for a split key one round too late."""
         group = placed(member("a"), member("b"))
         table = ReportTable(0.0, 2.0)
         table.add(LoadReport("a:1", {5: 900_000}, {"viral": 700_000}), 1.0)
