Reword the fakes of the request path

Script, free_pass, within_s and pieces did not say what they are. They are ScriptedCall, null_async_context, timeout_s and chunk_data, in the fakes and their users.

--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -1,4 +1,4 @@
-"""Small fakes of the services that the request path uses."""
+"""Fakes of the services on the request path."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 class StubRegistry(Registry):
-    """Gives out whatever was registered, without the check of its type."""
+    """A registry that returns services without checking their type."""
 
     def __init__(self, **services: Any) -> None:
         super().__init__()
@@ -46,8 +46,10 @@
     return Entry("depot", "tests", request_class, shard_count=4, limits=Limits(**limits))
 
 
-def make_request(within_s: float = 5.0, body: Any = b"", key: str = "k", **values: Any) -> Request:
-    content = BytesBody(body) if isinstance(body, bytes) else body
+def make_request(
+    timeout_s: float = 5.0, body: Any = b"", key: str = "k", **values: Any
+) -> Request:
+    request_body = BytesBody(body) if isinstance(body, bytes) else body
     return Request(
         id=values.pop("id", "r1"),
         service="depot",
@@ -55,8 +57,8 @@
         method=values.pop("method", "POST"),
         path=values.pop("path", "/refill"),
         headers=(),
-        body=content,
-        deadline=CLOCK.now() + within_s,
+        body=request_body,
+        deadline=CLOCK.now() + timeout_s,
         **values,
     )
 
@@ -92,19 +94,19 @@
 
 
 class StreamedBody:
-    """A body that arrives in pieces and may break."""
+    """A body that yields chunks and may end with an error."""
 
-    def __init__(self, *pieces: bytes, length: int | None = None, error: Any = None) -> None:
+    def __init__(self, *chunk_data: bytes, length: int | None = None, error: Any = None) -> None:
         self.length = length
         self.started = False
         self.closed = False
-        self._pieces = pieces
+        self._chunk_data = chunk_data
         self._error = error
 
     async def chunks(self):
         self.started = True
-        for piece in self._pieces:
-            yield piece
+        for chunk in self._chunk_data:
+            yield chunk
         if self._error is not None:
             raise self._error
 
@@ -124,11 +126,11 @@
 
 
 class FakeGroups:
-    """One group whose newer versions are set by the test."""
+    """One group whose version the test sets."""
 
     def __init__(self, view: VersionedGroup | None) -> None:
         self.current = view
-        self.updates = 0
+        self.update_count = 0
         self.on_update: Callable[[], None] = lambda: None
         self._changed = asyncio.Event()
 
@@ -139,7 +141,7 @@
         return self.current
 
     async def update(self, group: GroupId) -> None:
-        self.updates += 1
+        self.update_count += 1
         self.on_update()
 
     async def changed(self, group: GroupId, version: int, timeout_s: float) -> bool:
@@ -157,8 +159,8 @@
         self._changed = asyncio.Event()
 
 
-class Script:
-    """Answers calls with the next of a list of results; exceptions are raised."""
+class ScriptedCall:
+    """A callable that returns or raises the next of a list of results; the last one repeats."""
 
     def __init__(self, *results: Any) -> None:
         self.results = deque(results)
@@ -201,10 +203,10 @@
         self.handler = handler
 
 
-def settings(percent: int = 10, attempts: int = 4) -> Any:
+def make_settings(percent: int = 10, attempts: int = 4) -> Any:
     return SimpleNamespace(routing=RoutingSection(retry_percent=percent, attempts=attempts))
 
 
 @asynccontextmanager
-async def free_pass(value: Any = None):
+async def null_async_context(value: Any = None):
     yield value
--- a/tests/services/test_admission.py
+++ b/tests/services/test_admission.py
@@ -30,8 +30,8 @@
             admission.observe_announcement(make_announcement(slots))
         return admission
 
-    async def hold_slot(self, run_order: list, name: str, release: asyncio.Event, within_s=5.0):
-        async with self.admission.slot(make_request(within_s), make_entry()):
+    async def hold_slot(self, run_order: list, name: str, release: asyncio.Event, timeout_s=5.0):
+        async with self.admission.slot(make_request(timeout_s), make_entry()):
             run_order.append(name)
             await release.wait()
 
@@ -44,8 +44,8 @@
         run_order, release = [], asyncio.Event()
         tasks = [asyncio.create_task(self.hold_slot(run_order, n, release)) for n in "ab"]
         await self.run_pending_tasks()
-        for name, within_s in (("late", 9.0), ("soon", 1.0), ("later", 10.0)):
-            tasks.append(asyncio.create_task(self.hold_slot(run_order, name, release, within_s)))
+        for name, timeout_s in (("late", 9.0), ("soon", 1.0), ("later", 10.0)):
+            tasks.append(asyncio.create_task(self.hold_slot(run_order, name, release, timeout_s)))
         await self.run_pending_tasks()
         self.assertEqual(run_order, ["a", "b"])
         release.set()
--- a/tests/services/test_execution.py
+++ b/tests/services/test_execution.py
@@ -18,13 +18,13 @@
 from .fakes import (
     FakeCatalogue,
     FakePeers,
-    Script,
+    ScriptedCall,
     StreamedBody,
     StubRegistry,
-    free_pass,
     make_entry,
     make_request,
     make_response,
+    null_async_context,
 )
 
 
@@ -53,15 +53,15 @@
 class ExecutionTest(unittest.IsolatedAsyncioTestCase):
     def make_execution(self, *results, request_class=RequestClass.REPEATABLE, **limits):
         self.ticket = Ticket()
-        self.run_upstream = Script(*results)
+        self.run_upstream = ScriptedCall(*results)
         self.execution = OwnerExecution()
         self.execution.bind(
             StubRegistry(
                 catalogue=FakeCatalogue(make_entry(request_class, **limits)),
-                ownership=SimpleNamespace(admit=Script(self.ticket)),
+                ownership=SimpleNamespace(admit=ScriptedCall(self.ticket)),
                 outcomes=SimpleNamespace(issue=lambda shard, epoch: "3.7.0.x"),
-                admission=SimpleNamespace(slot=lambda request, entry: free_pass()),
-                quarantine=SimpleNamespace(guard=free_pass),
+                admission=SimpleNamespace(slot=lambda request, entry: null_async_context()),
+                quarantine=SimpleNamespace(guard=null_async_context),
                 upstream=SimpleNamespace(run=self.run_upstream),
                 load=SimpleNamespace(record=lambda *_: None),
                 peers=FakePeers(),
--- a/tests/services/test_outcomes.py
+++ b/tests/services/test_outcomes.py
@@ -19,7 +19,7 @@
 from fescueward.services import outcomes as module
 from fescueward.services.outcomes import RetainedOutcomes
 
-from .fakes import Script, StreamedBody, make_request, make_response
+from .fakes import ScriptedCall, StreamedBody, make_request, make_response
 
 
 class OutcomesTest(unittest.IsolatedAsyncioTestCase):
@@ -33,7 +33,7 @@
     async def test_repeat_gets_the_same_response_without_a_run(self):
         """Guards against charging a payment twice when the caller repeats the request."""
         token = self.outcomes.issue(3, 7)
-        run = Script(make_response(b"charged", 201))
+        run = ScriptedCall(make_response(b"charged", 201))
         first = await self.run_token(token, run)
         second = await self.run_token(token, run, id="r2")
         self.assertEqual((first.status, first.body.data), (second.status, second.body.data))
@@ -69,7 +69,7 @@
         ):
             with self.subTest(error=error):
                 token = self.outcomes.issue(3, 7)
-                run = Script(error, make_response())
+                run = ScriptedCall(error, make_response())
                 with self.assertRaises(type(error)):
                     await self.run_token(token, run)
                 if may_run_again:
@@ -82,7 +82,7 @@
     async def test_token_belongs_to_one_request(self):
         """Guards against returning the response to a different request."""
         token = self.outcomes.issue(3, 7)
-        run = Script(make_response(b"secret"))
+        run = ScriptedCall(make_response(b"secret"))
         await self.run_token(token, run, body=b"a")
         for other in (
             {"method": "PUT"},
@@ -97,7 +97,7 @@
 
     async def test_unknown_tokens_never_run(self):
         """Guards against running a request with a token of another shard, epoch or lineage."""
-        run = Script(make_response())
+        run = ScriptedCall(make_response())
         token = self.outcomes.issue(3, 7)
         shard, epoch, sequence, random_part = token.split(".")
         for foreign in (
@@ -126,7 +126,7 @@
         """Guards against running a request again that the lost owner may have run."""
         token = self.outcomes.issue(3, 7)
         self.outcomes.begin_epoch(3, 8, (), 0, 0)
-        run = Script(make_response())
+        run = ScriptedCall(make_response())
         with self.assertRaises(OutcomeLostError):
             await self.run_token(token, run)
         self.assertEqual((run.calls, self.outcomes.count, self.outcomes.size), ([], 0, 0))
@@ -134,7 +134,7 @@
     async def test_handover_keeps_outcomes_and_unused_tokens(self):
         """Guards against a second run, or an unnecessary refusal, after a handover."""
         used, unused = self.outcomes.issue(3, 7), self.outcomes.issue(3, 7)
-        run = Script(make_response(b"charged"))
+        run = ScriptedCall(make_response(b"charged"))
         await self.run_token(used, run)
         exported = self.outcomes.export(3)
         self.outcomes = RetainedOutcomes()
@@ -160,7 +160,7 @@
             module.Response("r1", 200, (), StreamedBody(b"x")),
         ):
             token = self.outcomes.issue(3, 7)
-            run = Script(response)
+            run = ScriptedCall(response)
             self.assertIs(await self.run_token(token, run), response)
             with self.assertRaises(AnswerNotRetainedError):
                 await self.run_token(token, run)
@@ -168,7 +168,7 @@
 
     async def test_release_frame_of_a_full_shard_fits(self):
         """Guards against a handover that always fails because its frame is too large."""
-        run = Script(make_response(b"x" * 60_000))
+        run = ScriptedCall(make_response(b"x" * 60_000))
         tokens = [self.outcomes.issue(3, 7) for _ in range(40)]
         for token in tokens:
             await self.run_token(token, run)
@@ -185,7 +185,7 @@
 
     async def test_small_outcomes_of_a_full_shard_fit(self):
         """Guards against a frame size estimate that omits the field names."""
-        run = Script(module.Response("r1", 200, (("A", "b"),) * 4, make_response(b"").body))
+        run = ScriptedCall(module.Response("r1", 200, (("A", "b"),) * 4, make_response(b"").body))
         for _ in range(5000):
             await self.run_token(self.outcomes.issue(3, 7), run)
         exported = self.outcomes.export(3)
@@ -197,7 +197,7 @@
 
     async def test_floor_rises_when_the_count_is_reached(self):
         """Guards against running a request whose outcome was evicted."""
-        run = Script(make_response())
+        run = ScriptedCall(make_response())
         with mock.patch.object(module, "_MAX_SHARD_OUTCOMES", 3):
             tokens = [self.outcomes.issue(3, 7) for _ in range(5)]
             for token in (tokens[1], tokens[0], *tokens[2:]):
@@ -212,7 +212,7 @@
 
     async def test_total_limits(self):
         """Guards against unbounded memory use of an agent that owns many shards."""
-        run = Script(make_response(b"x" * 1000))
+        run = ScriptedCall(make_response(b"x" * 1000))
         first = self.outcomes.issue(3, 7)
         self.outcomes.begin_epoch(4, 7, (), 0, 0)
         with mock.patch.object(module, "_MAX_TOTAL_BYTES", 2500):
--- a/tests/services/test_router.py
+++ b/tests/services/test_router.py
@@ -25,21 +25,21 @@
     FakeCatalogue,
     FakeGroups,
     FakePeers,
-    Script,
+    ScriptedCall,
     StreamedBody,
     StubRegistry,
     make_entry,
     make_group,
     make_request,
     make_response,
-    settings,
+    make_settings,
 )
 
 
 class RouterTest(unittest.IsolatedAsyncioTestCase):
     def make_router(self, *results, owner="b:1", request_class=RequestClass.REPEATABLE, home=None):
-        self.forward = Script(*results)
-        self.execute = Script(*results)
+        self.forward = ScriptedCall(*results)
+        self.execute = ScriptedCall(*results)
         self.peers = FakePeers(self.forward)
         self.groups = FakeGroups(make_group(1, owner, "a", "b", "c"))
         router = OwnerRouter()
@@ -50,7 +50,7 @@
                 peers=self.peers,
                 membership=SimpleNamespace(member_id="a:1", home=home),
                 execution=SimpleNamespace(execute=self.execute),
-                settings=settings(),
+                settings=make_settings(),
             )
         )
         return router
@@ -72,7 +72,7 @@
             [OutcomeLostError("stream ended"), *[OwnerUnreachableError("gone")] * 200]
         )
         with self.assertRaises(OutcomeLostError) as caught:
-            await router.route(make_request(within_s=0.3))
+            await router.route(make_request(timeout_s=0.3))
         self.assertIn("owner_unreachable", str(caught.exception))
 
     async def test_owner_runs_the_request(self):
@@ -89,7 +89,7 @@
         router = self.make_router(NotOwnerError("moved", owner_id="c:1"), make_response())
         await router.route(make_request())
         self.assertEqual([call[0].id for call in self.forward.calls], ["b:1", "c:1"])
-        self.assertEqual(self.groups.updates, 0)
+        self.assertEqual(self.groups.update_count, 0)
 
     async def test_circular_hints_are_bounded(self):
         """Guards against two agents that redirect a request to each other until its deadline."""
@@ -121,14 +121,14 @@
             tasks = [router.route(make_request(0.6)) for _ in range(200)]
             results = await asyncio.gather(*tasks, return_exceptions=True)
             self.assertTrue(all(isinstance(result, NoOwnerError) for result in results))
-            self.assertTrue(1 <= self.groups.updates <= 5, self.groups.updates)
+            self.assertTrue(1 <= self.groups.update_count <= 5, self.groups.update_count)
 
     async def test_own_group_is_not_updated(self):
         """Guards against update calls for a group whose versions arrive with lease renewals."""
         router = self.make_router(make_response(), owner=None, home=GroupId("depot", 0))
         with self.assertRaises(NoOwnerError):
             await router.route(make_request(0.1))
-        self.assertEqual(self.groups.updates, 0)
+        self.assertEqual(self.groups.update_count, 0)
 
     async def test_not_run_is_tried_again_for_every_class(self):
         """Guards against refusing a request that has not reached an upstream."""
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -100,9 +100,9 @@
 
         self.handler = handler
 
-    async def run_request(self, within_s=5.0, **values):
+    async def run_request(self, timeout_s=5.0, **values):
         request = make_request(**values)
-        return await self.upstream.run(request, 3, 7, CLOCK.now() + within_s)
+        return await self.upstream.run(request, 3, 7, CLOCK.now() + timeout_s)
 
     async def test_request_and_response_pass_unchanged(self):
         """Guards against a rewritten path, a lost header and cookies shared between callers."""
