Reword the remains of the request path

Test names said "without end" and "answered", two comments and one event text needed a second reading.

--- a/fescueward/services/crash_reports.py
+++ b/fescueward/services/crash_reports.py
@@ -93,7 +93,7 @@
             await asyncio.wait({self._latest_task}, timeout=_CONFIRM_S)
 
     def send_to(self, member_ids: frozenset[str], reports: tuple[CrashReport, ...]) -> None:
-        """Sends reports from before they joined to some members."""
+        """Sends earlier reports to members that joined after them."""
         for report in reports:
             self._tasks.spawn("inform", self._send(report, member_ids))
 
--- a/fescueward/services/routing/routes.py
+++ b/fescueward/services/routing/routes.py
@@ -16,7 +16,7 @@
     "A newer configuration is active, all of its routes and services at once.",
 )
 
-# Queue limit of one upstream. In most cases requests are refused earlier, for their expected wait.
+# Queue limit of one upstream. Most requests are refused earlier because of their expected wait.
 _MAX_QUEUE_LENGTH = 256
 # A slot becomes free about this often, so a refused caller need not wait longer to retry.
 _RETRY_AFTER_MS = 100
--- a/fescueward/services/upstream_watch.py
+++ b/fescueward/services/upstream_watch.py
@@ -27,7 +27,7 @@
     3004,
     "upstream_health_unanswered",
     Level.WARNING,
-    "The health check failed or got no valid response; it has no other effect.",
+    "The health check failed; this alone has no effect.",
 )
 _UPSTREAM_BACK = Event(
     3005, "upstream_back", Level.INFO, "The upstream accepts connections again."
@@ -94,7 +94,7 @@
         self._listeners.append(listener)
 
     def refuses(self, announcement: Announcement) -> bool:
-        """Returns whether the upstream refuses connections since this announcement."""
+        """Returns whether the upstream has refused connections since this announcement."""
         return self._refusing_announcement is announcement
 
     def check_now(self) -> None:
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -45,7 +45,7 @@
 class UpstreamTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.received_requests: list[web.Request] = []
-        self.cancelled: list[str] = []
+        self.cancel_paths: list[str] = []
         self.handler = None
         self.health = web.json_response
         app = web.Application()
@@ -84,14 +84,14 @@
 
     async def handle(self, http):
         if http.path.startswith("/cancel/"):
-            self.cancelled.append(http.path)
+            self.cancel_paths.append(http.path)
             return web.Response()
         if http.path == "/health":
-            return await self.answer_health()
+            return await self.respond_to_health()
         self.received_requests.append(http)
         return await self.handler(http)
 
-    async def answer_health(self):
+    async def respond_to_health(self):
         return web.json_response({"state": "ready"})
 
     def respond_with(self, response):
@@ -161,7 +161,7 @@
         await wait_until(lambda: len(self.received_requests) == 2, 5, "the run has begun")
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await wait_until(lambda: len(self.cancelled) == 2, 5, "both are cancelled")
+        await wait_until(lambda: len(self.cancel_paths) == 2, 5, "both are cancelled")
         with self.assertRaises(DeadlineExceededError):
             await self.run_request(0.0)
         self.assertEqual(len(self.received_requests), 2)
@@ -250,7 +250,7 @@
         async def malformed_health():
             return web.Response(status=500, text="no JSON")
 
-        self.answer_health = malformed_health
+        self.respond_to_health = malformed_health
         self.respond_with(web.Response())
         for _ in range(6):
             self.upstream._watch.check_now()
@@ -293,11 +293,11 @@
         self.addAsyncCleanup(upstream.stop)
         return upstream
 
-    async def check_bound(self) -> None:
+    async def check_accepted_bytes(self) -> None:
         await wait_until(self.server.idle, 2, "the connection is closed")
         self.assertLess(self.server.accepted, MAX_RESPONSE_BYTES + SOCKET_BYTES)
 
-    async def test_heads_without_end(self):
+    async def test_endless_heads(self):
         """Guards against an endless response head that fills the memory until the deadline."""
         for method in ("GET", "POST"):
             for endless in endless_heads():
@@ -307,9 +307,9 @@
                         request = make_request(method=method)
                         await upstream.run(request, 3, 7, CLOCK.now() + 8.0)
                     self.assertEqual(caught.exception.http_status, 502)
-                    await self.check_bound()
+                    await self.check_accepted_bytes()
 
-    async def test_bodies_without_end(self):
+    async def test_endless_bodies(self):
         """Guards against an endless response body that occupies its slot forever."""
         for endless in endless_bodies():
             with self.subTest(answer=endless.name):
@@ -322,7 +322,7 @@
                         received += len(chunk)
                 self.assertNotIn("deadline", str(caught.exception))
                 self.assertLessEqual(received, MAX_RESPONSE_BYTES)
-                await self.check_bound()
+                await self.check_accepted_bytes()
 
     async def test_deadline_ends_a_body(self):
         """Guards against a stalled response that holds its slot beyond the deadline."""
@@ -332,17 +332,19 @@
             async for _ in response.body.chunks():
                 pass
 
-    async def test_bytes_without_end_after_an_answer(self):
+    async def test_endless_bytes_after_a_response(self):
         """Guards against unsolicited bytes on an idle connection that fill the memory."""
-        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-        upstream = await self.start(Endless("rest", whole, whole * 200), 0.05)
+        complete_response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        upstream = await self.start(
+            Endless("rest", complete_response, complete_response * 200), 0.05
+        )
         for _ in range(2):
             response = await upstream.run(make_request(method="GET"), 3, 7, CLOCK.now() + 8.0)
             self.assertEqual(response.body.data, b"ok")
-            await self.check_bound()
+            await self.check_accepted_bytes()
         self.assertEqual(len(self.server.requests), 2)
 
-    async def test_grants_answered_without_end(self):
+    async def test_endless_responses_to_grants(self):
         """Guards against an endless response to a grant that fills the memory."""
         for endless in (*endless_heads(), *endless_bodies()):
             with self.subTest(answer=endless.name):
@@ -350,4 +352,4 @@
                 announcement = replace(upstream._membership.announcement, checks_grants=True)
                 upstream._membership.announcement = announcement
                 await upstream.grant(GrantSet("a:1", 1, 1, {}))
-                await self.check_bound()
+                await self.check_accepted_bytes()
