--- a/fescueward/platform/__init__.py
+++ b/fescueward/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapter of the users' platform: its names, formats and calls. Nothing here decides."""
+"""Adapter to the users' platform: its names, formats and calls, without any decisions."""
--- a/fescueward/platform/configuration.py
+++ b/fescueward/platform/configuration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration as the store holds it, decoded into the product's own types."""
+"""Decodes the operator's configuration from its stored form into `Configuration`."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 _REPEATABLE_KINDS = frozenset({"idempotent"})
 
 
-class _Part(msgspec.Struct):
+class _SplitTarget(msgspec.Struct):
     service: str
     weight: float = 1.0
 
@@ -19,16 +19,16 @@
 class _Route(msgspec.Struct, rename="camel"):
     host: str
     prefix: str
-    # The kind of request: whether it may run again.
+    # Kind of the requests, which determines whether they may run more than once.
     kind: str
-    # Longest time until the final answer, in seconds.
+    # Time limit for the final response, in seconds.
     timeout_s: float
     attempts: int
-    # Time within which an answer has its full value, in seconds.
+    # Service level objective: response time in seconds up to which a response has its full value.
     slo_s: float = 0.0
     priority: int = 0
     service: str | None = None
-    split: list[_Part] = []
+    split: list[_SplitTarget] = []
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -53,33 +53,37 @@
 
 
 def decode_configuration(text: bytes) -> Configuration:
-    """Decodes and checks the operator's configuration.
+    """Decodes and validates the operator's configuration.
+
+    Args:
+        text: The stored object in JSON.
 
     Raises:
-        MalformedMessageError: A field is missing, out of range or names an unknown service.
+        MalformedMessageError: A field is missing or out of range, or a route names an unknown
+            service.
     """
     try:
-        read = msgspec.json.decode(text, type=_Configuration)
+        stored = msgspec.json.decode(text, type=_Configuration)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise MalformedMessageError(f"bad configuration: {error}") from error
+        raise MalformedMessageError(f"the configuration is malformed: {error}") from error
     configuration = Configuration(
-        version=read.version,
-        routes={name: _route(name, route) for name, route in read.routes.items()},
-        services={name: _service(name, found) for name, found in read.services.items()},
+        version=stored.version,
+        routes={name: _route(name, route) for name, route in stored.routes.items()},
+        services={name: _service(name, service) for name, service in stored.services.items()},
         limits=CallerLimits(
-            header_bytes=read.limits.max_header_bytes,
-            body_bytes=read.limits.max_body_bytes,
-            header_timeout_s=read.limits.header_timeout_s,
-            idle_timeout_s=read.limits.idle_timeout_s,
+            header_bytes=stored.limits.max_header_bytes,
+            body_bytes=stored.limits.max_body_bytes,
+            header_timeout_s=stored.limits.header_timeout_s,
+            idle_timeout_s=stored.limits.idle_timeout_s,
         ),
     )
     for route in configuration.routes.values():
         for target in route.targets:
             if target.service not in configuration.services:
                 raise MalformedMessageError(
-                    f"route {route.name} names the unknown service {target.service!r}"
+                    f"route {route.name} refers to the unknown service {target.service!r}"
                 )
-    # The product's own types check their ranges when they are decoded.
+    # Decoding validates the ranges that the types declare.
     return decode_json(encode_json(configuration), Configuration)
 
 
@@ -87,7 +91,7 @@
     if route.service is not None:
         targets = (Target(route.service),)
     else:
-        targets = tuple(Target(part.service, part.weight) for part in route.split)
+        targets = tuple(Target(target.service, target.weight) for target in route.split)
     return Route(
         name=name,
         host=route.host,
@@ -101,11 +105,11 @@
     )
 
 
-def _service(name: str, found: _Service) -> ServiceSpec:
+def _service(name: str, service: _Service) -> ServiceSpec:
     return ServiceSpec(
         name=name,
-        health_path=found.health_path,
-        connections=found.max_conns,
-        keyed=found.sharded,
-        warmup_s=found.warmup_s,
+        health_path=service.health_path,
+        connections=service.max_conns,
+        keyed=service.sharded,
+        warmup_s=service.warmup_s,
     )
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -1,4 +1,4 @@
-"""Callers' HTTP and the platform's question for readiness."""
+"""The HTTP front end for callers on this platform, with the platform's readiness probe."""
 
 from __future__ import annotations
 
@@ -29,32 +29,39 @@
 from .names import HOP_HEADERS, KEY, OWN_HEADERS, READY_PATH, REQUEST_ID, TIMEOUT_MS
 from .settings import Site
 
-_READY = Event(3710, "ready", Level.INFO, "This agent is ready for callers.")
-_NOT_READY = Event(3711, "not_ready", Level.INFO, "This agent is not ready for callers.")
-_RECEIVED = Event(
-    3712, "request_received", Level.INFO, "A caller's request matches a route.", frequent=True
+_READY = Event(3710, "ready", Level.INFO, "This agent became ready for callers.")
+_NOT_READY = Event(3711, "not_ready", Level.INFO, "This agent is no longer ready for callers.")
+_REQUEST_RECEIVED = Event(
+    3712, "request_received", Level.INFO, "A caller's request matched a route.", frequent=True
 )
-_ANSWERED = Event(
-    3713, "request_answered", Level.INFO, "A request has its final answer.", frequent=True
+_REQUEST_ANSWERED = Event(
+    3713,
+    "request_answered",
+    Level.INFO,
+    "The final response to a request was created.",
+    frequent=True,
 )
-_LEFT = Event(
+_CALLER_DISCONNECTED = Event(
     3715,
     "caller_left",
     Level.INFO,
-    "The caller closed its connection; repeatable work ends.",
+    "The caller closed its connection; a repeatable request is cancelled.",
     frequent=True,
 )
-_BROKEN = Event(3714, "request_broken", Level.ERROR, "A request met an unexpected exception.")
+_REQUEST_FAILED = Event(
+    3714, "request_broken", Level.ERROR, "A request raised an unexpected exception."
+)
 
-# Time in which what has arrived at a port is read, in seconds, and time for the last answers.
-_SETTLE_S = 0.05
-_CLOSE_S = 0.1
-# The metrics page is on the address of the question for readiness.
+# Waits for the event loop to accept and read the connections that wait at a port that closes.
+_ACCEPT_WAIT_S = 0.05
+# The last responses may be sent within this time.
+_CLOSE_TIMEOUT_S = 0.1
+# The metrics page is served at the address of the readiness probe.
 _METRICS_PATH = "/metrics"
-# Statuses between agents that name another place, and that of a quarantined request, which is as
-# proper as others.
-_NOT_FINAL = frozenset({421, 422, 429})
-# When a caller should come back if the refusal does not say, in seconds.
+# Statuses that a caller receives as 503: 421 and 429 refer an agent to another agent, and 422
+# would present a quarantined request as malformed, which it is not.
+_REPLACED_STATUSES = frozenset({421, 422, 429})
+# Retry delay for callers if the refusal does not set one.
 _RETRY_AFTER_S = 0.1
 
 _Result = TypeVar("_Result")
@@ -72,7 +79,7 @@
         self._was_ready = False
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._shutdown = registry.find("shutdown", Shutdown)
         self._router = registry.find("router", Router)
@@ -81,19 +88,19 @@
         self._directory = registry.find("groups", Directory)
 
     async def start(self) -> None:
-        """Opens the ports for callers and for the question for readiness."""
+        """Listens for callers and for the readiness probe."""
         callers = self._site.settings.callers
-        await self._listen(self._serve, callers.host, callers.port)
+        await self._listen(self._handle_request, callers.host, callers.port)
         ready = self._site.readiness
-        await self._listen(self._readiness, ready.host, ready.port)
+        await self._listen(self._handle_readiness, ready.host, ready.port)
 
     async def stop(self) -> None:
-        """Closes the ports, after an answer to what has arrived at them."""
+        """Closes the ports after responding to the requests that have arrived at them."""
         self._shutdown.close()
-        await asyncio.sleep(_SETTLE_S)
+        await asyncio.sleep(_ACCEPT_WAIT_S)
         for port in self._ports:
             await port.stop_listening()
-        await asyncio.sleep(_SETTLE_S)
+        await asyncio.sleep(_ACCEPT_WAIT_S)
         await asyncio.gather(*(port.close() for port in self._ports))
 
     async def _listen(self, handler: object, host: str, port: int) -> None:
@@ -105,20 +112,20 @@
             max_line_size=65_536,
             max_field_size=65_536,
         )
-        opened = HttpPort(server, host, port, _CLOSE_S)
-        self._ports.append(opened)
-        await opened.start()
+        http_port = HttpPort(server, host, port, _CLOSE_TIMEOUT_S)
+        self._ports.append(http_port)
+        await http_port.start()
 
-    async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == _METRICS_PATH:
             page = self._metrics.render()
             return web.Response(body=page.content, headers={"Content-Type": page.content_type})
         ready = request.path == READY_PATH and self._is_ready()
         if ready != self._was_ready:
             self._was_ready = ready
-            held = self._routes.current
+            current = self._routes.current
             (_READY if ready else _NOT_READY).emit(
-                configuration=held.configuration.version if held is not None else None,
+                configuration=current.configuration.version if current is not None else None,
                 directory=self._directory.complete,
                 shutdown=self._shutdown.phase,
             )
@@ -132,42 +139,44 @@
             and bool(self._directory.views())
         )
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        started = self._clock.now()
+    async def _handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived_at = self._clock.now()
         request_id = request.headers.get(REQUEST_ID, "")
         refusal: str | None = None
         try:
             with self._shutdown.open_request(request_id):
-                answer = await self._answer(request, request_id)
+                response = await self._process_request(request, request_id)
         except RefusalError as error:
             refusal = error.label
-            answer = _refusal(error)
+            response = _refusal_response(error)
         except asyncio.CancelledError:
-            _LEFT.emit(request=request_id, ms=round((self._clock.now() - started) * 1000, 1))
+            _CALLER_DISCONNECTED.emit(
+                request=request_id, ms=round((self._clock.now() - arrived_at) * 1000, 1)
+            )
             raise
-        except Exception as error:  # an unexpected fault of one request must not end others
-            _BROKEN.emit(request=request_id, error=repr(error)[:300])
-            answer = _refusal(InternalError(type(error).__name__))
-        answer.headers.setdefault(REQUEST_ID, request_id)
+        except Exception as error:  # an unexpected exception in one request must not affect others
+            _REQUEST_FAILED.emit(request=request_id, error=repr(error)[:300])
+            response = _refusal_response(InternalError(type(error).__name__))
+        response.headers.setdefault(REQUEST_ID, request_id)
         if self._shutdown.phase is not ShutdownPhase.SERVING:
-            answer.force_close()
-        _ANSWERED.emit(
+            response.force_close()
+        _REQUEST_ANSWERED.emit(
             request=request_id,
-            status=answer.status,
+            status=response.status,
             refusal=refusal,
-            retry_after=answer.headers.get("Retry-After"),
-            ms=round((self._clock.now() - started) * 1000, 1),
+            retry_after=response.headers.get("Retry-After"),
+            ms=round((self._clock.now() - arrived_at) * 1000, 1),
         )
-        return answer
+        return response
 
-    async def _answer(self, http: web.BaseRequest, request_id: str) -> web.Response:
-        arrived = self._clock.now()
-        held = self._routes.current
-        if held is None:
+    async def _process_request(self, http: web.BaseRequest, request_id: str) -> web.Response:
+        arrived_at = self._clock.now()
+        current = self._routes.current
+        if current is None:
             raise NoConfigurationError(
-                "no configuration has been read yet", retry_after_s=_RETRY_AFTER_S
+                "this agent has not received a configuration yet", retry_after_s=_RETRY_AFTER_S
             )
-        configuration = held.configuration
+        configuration = current.configuration
         route = self._routes.select(configuration, http.headers.get("Host", ""), http.path)
         if route is None:
             raise NoRouteError(f"no route matches {http.headers.get('Host')!r} {http.path!r}")
@@ -177,8 +186,8 @@
         spec = configuration.services[service]
         key = _key(http) if spec.keyed else ""
         timeout_s = min(_caller_timeout_s(http, route.timeout_s), route.timeout_s)
-        self._shutdown.check(arrived + timeout_s)
-        _RECEIVED.emit(
+        self._shutdown.check(arrived_at + timeout_s)
+        _REQUEST_RECEIVED.emit(
             request=request_id,
             route=route.name,
             service=service,
@@ -186,10 +195,10 @@
             configuration=configuration.version,
             timeout_ms=round(timeout_s * 1000),
         )
-        deadline = arrived + timeout_s
+        deadline = arrived_at + timeout_s
         body = b""
         if http.body_exists:
-            body = await self._body(http, configuration.limits, deadline)
+            body = await self._receive_body(http, configuration.limits, deadline)
             self._shutdown.check(deadline)
         request = Request(
             id=request_id,
@@ -197,7 +206,7 @@
             key=key,
             method=http.method,
             path=http.raw_path,
-            headers=_forwarded(http),
+            headers=_forwarded_headers(http),
             body=BytesBody(body),
             deadline=deadline,
             caller=self._site.service,
@@ -205,65 +214,75 @@
             repeatable=route.repeatable,
             attempts=route.attempts,
             route=route.name,
-            useful_until=arrived + min(route.objective_s or timeout_s, timeout_s),
+            useful_until=arrived_at + min(route.objective_s or timeout_s, timeout_s),
         )
         return await self._route(request)
 
-    async def _body(self, http: web.BaseRequest, limits: CallerLimits, deadline: float) -> bytes:
-        read = await self._in_time(_read_body(http, limits), deadline)
-        if read is not None:
-            return read
+    async def _receive_body(
+        self, http: web.BaseRequest, limits: CallerLimits, deadline: float
+    ) -> bytes:
+        body = await self._run_until_deadline(_read_body(http, limits), deadline)
+        if body is not None:
+            return body
         if self._shutdown.closing.done():
-            raise DrainingError("this agent ends before the body arrived")
+            raise DrainingError("this agent is stopping and the body has not arrived")
         raise DeadlineExceededError("the body did not arrive before the deadline")
 
     async def _route(self, request: Request) -> web.Response:
-        """Routes a request; repeatable work ends when the caller leaves, which cancels this."""
-        answer = await self._in_time(
-            self._routed(request), request.deadline, kept=not request.repeatable
+        """Routes a request; a repeatable one is cancelled if the caller disconnects."""
+        response = await self._run_until_deadline(
+            self._route_and_read(request),
+            request.deadline,
+            continue_after_return=not request.repeatable,
         )
-        if answer is not None:
-            return answer
+        if response is not None:
+            return response
         if self._shutdown.closing.done():
-            raise OutcomeLostError("this agent ends before the request does")
-        raise DeadlineExceededRunningError("no answer before the deadline")
+            raise OutcomeLostError("this agent is stopping before the request has finished")
+        raise DeadlineExceededRunningError("no response before the deadline")
 
-    async def _routed(self, request: Request) -> web.Response:
+    async def _route_and_read(self, request: Request) -> web.Response:
         response = await self._router.route(request)
         try:
             async with asyncio.timeout(max(request.deadline - self._clock.now(), 0)):
                 return await _http_response(response)
         except TimeoutError:
-            raise DeadlineExceededRunningError("the answer is not whole in time") from None
+            raise DeadlineExceededRunningError(
+                "the response is incomplete at the deadline"
+            ) from None
         finally:
             await response.body.close()
 
-    async def _in_time(
-        self, work: Coroutine[None, None, _Result], deadline: float, kept: bool = False
+    async def _run_until_deadline(
+        self,
+        work: Coroutine[None, None, _Result],
+        deadline: float,
+        continue_after_return: bool = False,
     ) -> _Result | None:
-        """Returns the result of some work, or None at its deadline or when this agent ends.
+        """Returns the result of a coroutine, or None at its deadline or when this agent closes.
 
         Args:
-            work: The work.
-            deadline: Its end in seconds of CLOCK_BOOTTIME.
-            kept: Whether it goes on without a caller.
+            work: The coroutine, which runs as a task of its own.
+            deadline: Its deadline in seconds of CLOCK_BOOTTIME.
+            continue_after_return: Whether the task goes on after the deadline or a cancellation
+                of the caller; otherwise it is cancelled.
         """
         task = asyncio.get_running_loop().create_task(work)
         closing = self._shutdown.closing
-        left_s = max(deadline - self._clock.now(), 0)
+        remaining_s = max(deadline - self._clock.now(), 0)
         try:
             await asyncio.wait(
-                (task, closing), timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+                (task, closing), timeout=remaining_s, return_when=asyncio.FIRST_COMPLETED
             )
             return task.result() if task.done() else None
         finally:
             if not task.done():
-                if not kept:
+                if not continue_after_return:
                     task.cancel()
-                task.add_done_callback(_forget)
+                task.add_done_callback(_retrieve_exception)
 
 
-def _forget(task: asyncio.Task[Any]) -> None:
+def _retrieve_exception(task: asyncio.Task[Any]) -> None:
     if not task.cancelled():
         task.exception()
 
@@ -271,7 +290,7 @@
 def _key(http: web.BaseRequest) -> str:
     text = http.headers.get(KEY, "")
     if not text.isascii() or not text.isdigit() or int(text) > LAST_KEY:
-        raise InvalidRequestError(f"the key {text[:20]!r} is no number from 0 to {LAST_KEY}")
+        raise InvalidRequestError(f"the key {text[:20]!r} is not an integer from 0 to {LAST_KEY}")
     return str(int(text))
 
 
@@ -283,15 +302,15 @@
         return default_s
 
 
-def _forwarded(http: web.BaseRequest) -> tuple[tuple[str, str], ...]:
-    named = {
+def _forwarded_headers(http: web.BaseRequest) -> tuple[tuple[str, str], ...]:
+    connection_names = {
         name.strip().lower()
         for value in http.headers.getall("Connection", ())
         for name in value.split(",")
     }
-    left_out = HOP_HEADERS | OWN_HEADERS | named | {REQUEST_ID.lower(), KEY.lower()}
+    excluded = HOP_HEADERS | OWN_HEADERS | connection_names | {REQUEST_ID.lower(), KEY.lower()}
     return tuple(
-        (str(name), value) for name, value in http.headers.items() if name.lower() not in left_out
+        (str(name), value) for name, value in http.headers.items() if name.lower() not in excluded
     )
 
 
@@ -308,18 +327,18 @@
 
 async def _http_response(response: Response) -> web.Response:
     body = b"".join([part async for part in response.body.chunks()])
-    answer = web.Response(status=response.status, body=body)
-    answer.headers.popall("Content-Type", None)
+    http_response = web.Response(status=response.status, body=body)
+    http_response.headers.popall("Content-Type", None)
     for name, value in response.headers:
-        answer.headers.add(name, value)
-    return answer
+        http_response.headers.add(name, value)
+    return http_response
 
 
-def _refusal(error: RefusalError) -> web.Response:
+def _refusal_response(error: RefusalError) -> web.Response:
     headers = {"Content-Type": "application/json"}
     status = error.http_status
-    if error.outcome is Outcome.NOT_RUN and (status >= 500 or status in _NOT_FINAL):
-        # The caller knows no other agent, so it is told to come back.
+    if error.outcome is Outcome.NOT_RUN and (status >= 500 or status in _REPLACED_STATUSES):
+        # A caller knows no other agent, so it is asked to retry here.
         status = 503
         retry_after_s = error.retry_after_s or _RETRY_AFTER_S
         headers["Retry-After"] = f"{retry_after_s:.3f}"
--- a/fescueward/platform/names.py
+++ b/fescueward/platform/names.py
@@ -1,18 +1,18 @@
-"""Names on the platform's wire."""
+"""Names in the platform's protocol: headers, paths and calls."""
 
 from __future__ import annotations
 
 SETTINGS_VARIABLE = "FESCUEWARD_CONFIG"
 
 REQUEST_ID = "X-Fescueward-Request-Id"
-# Milliseconds that the receiver may still take, not a point in time.
+# Remaining time of the request in milliseconds; a duration, not a point in time.
 TIMEOUT_MS = "X-Fescueward-Timeout-Ms"
-# Proof that an upstream made the answer.
+# Signature by which an upstream proves that it produced the response.
 RECEIPT = "X-Fescueward-Response-Sig"
-# Id of the upstream's start that a request is meant for.
+# Instance id of the upstream start to which a request is addressed.
 TARGET_INSTANCE = "X-Fescueward-Target-Instance"
 NOT_EXECUTED = "X-Fescueward-Not-Executed"
-# Service beside which the request began.
+# Service on whose machine the request originated.
 CALLER = "X-Fescueward-Caller"
 KEY = "X-Fescueward-Shard-Key"
 HANDOVER = "X-Fescueward-Handover"
@@ -25,7 +25,7 @@
 RELEASE_PATH = "/fescueward/release"
 OBJECTS_PATH = "/fescueward/objects"
 
-# Headers that concern one connection only, and those that the system sets itself.
+# Hop-by-hop headers, and below them the headers that this system sets itself.
 HOP_HEADERS = frozenset(
     {
         "connection",
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -1,4 +1,4 @@
-"""The platform's settings file: lines `a.b=value`, read into the product's own settings."""
+"""Reads the platform's settings file, lines of `a.b=value`, into `Settings` and `Bounds`."""
 
 from __future__ import annotations
 
@@ -24,24 +24,25 @@
 )
 from .names import SETTINGS_VARIABLE
 
-# The platform keeps its machines' ports apart from others, so agents share a fixed secret.
+# Only the platform's own machines can reach the peer ports, so the secret is fixed.
 _PEER_SECRET = "fescueward-agents-on-the-platform"
 _ADMINISTRATION_TOKEN = "fescueward-local"
-# Three renewals fit into a lease; loss of a member is noticed within about two seconds.
+# Three renewals fit into a lease, and the loss of a member is detected within about 2 s.
 _LEASE_MS = 1800
 _RENEWAL_MS = 400
 _DRIFT_MARGIN_MS = 150
 _PEER_TIMEOUT_MS = 700
 _STORE_TIMEOUT_MS = 700
-# Share of the time within which a configuration must be in force that a watch waits. One that went
-# silent without a reset is noticed after its wait; the rest is for the next call and for telling
-# the fleet. Two agents watch, so that short waits cost few calls.
-_WATCH_SHARE = 0.5
-# An answer is held whole until its receipt and length are checked. Those of 12 slots, the most
-# of the known deployments, take 96 MiB together; a machine has 300 MB.
-_UPSTREAM_ANSWER_BYTES = 8 * 1024 * 1024
-# The store's pages have 1 MB at most; events of a watch are not paged.
-_STORE_ANSWER_BYTES = 16 * 1024 * 1024
+# Wait of one watch call, as a share of the bound on the propagation of a configuration. A watch
+# whose connection failed without a reset is detected only after this wait; the rest of the bound
+# is left for the next call and for publishing to the fleet. Only two agents watch, so short waits
+# cost few calls.
+_WATCH_WAIT_RATIO = 0.5
+# A response is buffered completely until its signature and length are verified. 12 slots, the
+# most in a known deployment, buffer 96 MiB in total; a machine has 300 MB.
+_MAX_UPSTREAM_ANSWER_BYTES = 8 * 1024 * 1024
+# A page of the store has at most 1 MB, but the events of a watch are not paged.
+_MAX_STORE_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,15 +60,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Site:
-    """What the platform tells a process of its place.
+    """Settings that the platform gives to the agent of one machine.
 
     Attributes:
-        settings: The product's settings.
-        bounds: Bounds of the deployment.
-        readiness: Where the platform asks whether this agent is ready.
-        heartbeats: Where the upstream on this machine reports.
+        settings: Settings of the agent.
+        bounds: Bounds that apply to the whole deployment.
+        readiness: Address to listen on for the platform's readiness probe.
+        heartbeats: Address to listen on for heartbeats of the upstream on this machine.
         application: Address of the upstream on this machine.
-        service: Service that runs on this machine.
+        service: Name of the service that the upstream on this machine runs.
     """
 
     settings: Settings
@@ -82,11 +83,11 @@
     """Returns the path of the settings file.
 
     Raises:
-        SettingsError: The variable that names it is not set.
+        SettingsError: The environment variable with the path is not set.
     """
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
-        raise SettingsError(f"the variable {SETTINGS_VARIABLE} is not set")
+        raise SettingsError(f"the environment variable {SETTINGS_VARIABLE} is not set")
     return Path(path)
 
 
@@ -94,7 +95,7 @@
     """Reads the settings file.
 
     Raises:
-        SettingsError: The file cannot be read, or a value is missing or bad.
+        SettingsError: The file cannot be read, or a value is missing or invalid.
     """
     try:
         text = path.read_text(encoding="utf-8")
@@ -104,21 +105,21 @@
 
 
 def parse_site(text: str) -> Site:
-    """Builds the settings from the lines of the file; see `load_site`."""
+    """Parses the text of the settings file; see `load_site` for the errors."""
     values = dict(
         (key.strip(), value.strip())
-        for key, found, value in (line.partition("=") for line in text.splitlines())
-        if found
+        for key, separator, value in (line.partition("=") for line in text.splitlines())
+        if separator
     )
     try:
-        return _site(values)
+        return _build_site(values)
     except KeyError as error:
-        raise SettingsError(f"the settings file has no line {error.args[0]!r}") from error
+        raise SettingsError(f"the settings file has no value for {error.args[0]!r}") from error
     except ValueError as error:
-        raise SettingsError(f"a value of the settings file is bad: {error}") from error
+        raise SettingsError(f"the settings file has an invalid value: {error}") from error
 
 
-def _site(values: dict[str, str]) -> Site:
+def _build_site(values: dict[str, str]) -> Site:
     outbound = _address(values["listen.outbound"])
     heartbeats = _address(values["listen.admin"])
     bounds = _bounds(values.get("bounds", ""))
@@ -143,8 +144,8 @@
         platform=PlatformSection(
             url=f"http://{values['infra.address']}",
             timeout_ms=_STORE_TIMEOUT_MS,
-            watch_ms=round(bounds.propagation_s * 1000 * _WATCH_SHARE),
-            max_answer_bytes=_STORE_ANSWER_BYTES,
+            watch_ms=round(bounds.propagation_s * 1000 * _WATCH_WAIT_RATIO),
+            max_answer_bytes=_MAX_STORE_ANSWER_BYTES,
         ),
         lease=LeaseSection(
             lease_ms=_LEASE_MS, renewal_ms=_RENEWAL_MS, drift_margin_ms=_DRIFT_MARGIN_MS
@@ -152,7 +153,7 @@
         placement=PlacementSection(),
         routing=RoutingSection(),
         log=LogSection(level="INFO", format="json"),
-        upstream=UpstreamSection(max_answer_bytes=_UPSTREAM_ANSWER_BYTES),
+        upstream=UpstreamSection(max_answer_bytes=_MAX_UPSTREAM_ANSWER_BYTES),
     )
     return Site(
         settings=settings,
@@ -170,11 +171,11 @@
 
 
 def _bounds(text: str) -> Bounds:
-    given = dict(part.partition("=")[::2] for part in text.split(",") if part)
+    values = dict(part.partition("=")[::2] for part in text.split(",") if part)
     default = Bounds()
 
-    def seconds(name: str, fallback: float) -> float:
-        return float(given.get(name, fallback))
+    def seconds(name: str, default_value: float) -> float:
+        return float(values.get(name, default_value))
 
     return Bounds(
         retry_ratio=seconds("retryRatio", default.retry_ratio),
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's object store as the kernel's `platform` service."""
+"""Client of the platform's object store, as the `platform` service."""
 
 from __future__ import annotations
 
@@ -27,22 +27,22 @@
 from .names import OBJECTS_PATH
 
 _BAD_CONFIGURATION = Event(
-    2210, "bad_configuration", Level.ERROR, "The operator's configuration cannot be read."
+    2210, "bad_configuration", Level.ERROR, "A stored configuration is malformed and was skipped."
 )
 
 _CONFIGURATION_KIND = "config"
 _CONFIGURATION_NAME = "main"
 _GROUPS_PREFIX = "groups/"
 _GROUPS_KIND = "fescueward-groups"
-# Time beyond its wait in which a watch must be answered, in seconds.
+# The response to a watch must arrive within its wait and this time.
 _WATCH_SLACK_S = 0.5
-# Time, in seconds, from one watch call to the next after a failed one.
-_WATCH_PAUSE_S = 0.5
+# Delay before the next watch call after a failed one.
+_WATCH_RETRY_DELAY_S = 0.5
 # uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
 _CALL_FAILURES = (aiohttp.ClientError, OSError, RuntimeError)
-# Time for which an idle connection is kept, in seconds.
-_KEEPALIVE_S = 30.0
-# The store refused the call, so it had no effect.
+# Idle connections are closed after this time.
+_KEEPALIVE_TIMEOUT_S = 30.0
+# Statuses of calls that the store refused, so that they had no effect.
 _REFUSED_STATUSES = frozenset({429, 503})
 
 
@@ -52,31 +52,31 @@
     deleting: bool = False
 
 
-class _Object(msgspec.Struct):
+class _StoreObject(msgspec.Struct):
     metadata: _Metadata
     spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _List(msgspec.Struct, rename="camel"):
-    # Revision of the store, not of an object.
+    # Revision of the whole store, not of one object.
     current_rev: int
-    items: list[_Object] = []
+    items: list[_StoreObject] = []
     has_more: bool = False
 
 
 class _ChangedObject(msgspec.Struct):
-    object: _Object
+    object: _StoreObject
     deleted: bool = False
 
 
 class _Events(msgspec.Struct, rename="camel"):
-    # Revision of the store, from which to continue.
+    # Revision of the whole store, from which the next watch continues.
     current_rev: int
     events: list[_ChangedObject] = []
 
 
 class ObjectStore:
-    """The `platform` service on the platform's object store."""
+    """The `platform` service, which keeps its objects in the platform's object store."""
 
     name = "platform"
     requires: tuple[str, ...] = ()
@@ -86,23 +86,23 @@
 
     @property
     def unavailable_since(self) -> float | None:
-        """When calls began to fail; see `PlatformAvailability.unavailable_since`."""
+        """Time at which calls began to fail; see `PlatformAvailability.unavailable_since`."""
         return self._availability.unavailable_since
 
     def bind(self, registry: Registry) -> None:
-        """Takes address and timeout from the settings."""
+        """Reads the address, timeouts and limits from the settings."""
         section = registry.find("settings", Settings).platform
         self._url = section.url + OBJECTS_PATH
         self._timeout_s = section.timeout_ms / 1000
-        self._answer_bytes = section.max_answer_bytes
-        longest_call_s = section.watch_ms / 1000 + _WATCH_SLACK_S + _WATCH_PAUSE_S
+        self._max_answer_bytes = section.max_answer_bytes
+        longest_call_s = section.watch_ms / 1000 + _WATCH_SLACK_S + _WATCH_RETRY_DELAY_S
         clock = registry.find("clock", Clock)
         self._availability = PlatformAvailability(clock, self._url, longest_call_s)
 
     async def start(self) -> None:
         """Opens the HTTP session."""
         self._session = bounded_session(
-            self._answer_bytes, keepalive_s=_KEEPALIVE_S, trust_env=False
+            self._max_answer_bytes, keepalive_s=_KEEPALIVE_TIMEOUT_S, trust_env=False
         )
 
     async def stop(self) -> None:
@@ -112,31 +112,31 @@
 
     async def get(self, key: str) -> StoredObject:
         """Reads an object; see `Platform.get`."""
-        kind, name = _address(key)
+        kind, name = _object_path(key)
         status, body = await self._read(f"{self._url}/{kind}/{name}", self._timeout_s)
         if status == 404:
             raise ObjectNotFoundError(f"{key!r} does not exist")
-        found = _decode(body, _Object)
-        return _stored(kind, found)
+        item = _decode(body, _StoreObject)
+        return _to_stored_object(kind, item)
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
         """Writes an object if its version is the expected one; see `Platform.put`."""
-        kind, name = _address(key)
+        kind, name = _object_path(key)
         metadata: dict[str, Any] = {"name": name}
         if expected_version:
             metadata["revision"] = expected_version
         body = msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(value)})
         if expected_version:
-            status, answer = await self._write("PUT", f"{self._url}/{kind}/{name}", body)
+            status, response = await self._write("PUT", f"{self._url}/{kind}/{name}", body)
         else:
-            status, answer = await self._write("POST", f"{self._url}/{kind}", body)
+            status, response = await self._write("POST", f"{self._url}/{kind}", body)
         if status in (404, 409):
             raise VersionConflictError(f"{key!r} is not at version {expected_version}", version=0)
-        return _decode(answer, _Object).metadata.revision
+        return _decode(response, _StoreObject).metadata.revision
 
     async def delete(self, key: str, expected_version: int) -> int:
         """Deletes an object if its version is the expected one; see `Platform.delete`."""
-        kind, name = _address(key)
+        kind, name = _object_path(key)
         url = f"{self._url}/{kind}/{name}?revision={expected_version}"
         status, _ = await self._write("DELETE", url, b"")
         if status in (404, 409):
@@ -144,7 +144,7 @@
         return expected_version
 
     async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
-        """Waits for changed objects under one prefix; see `Platform.watch`."""
+        """Waits for changes of objects under one prefix; see `Platform.watch`."""
         kind = _kind(prefixes[0])
         if not since:
             return await self._list(kind)
@@ -156,14 +156,15 @@
         return Changes(
             events.current_rev,
             tuple(
-                stored
+                stored_object
                 for event in events.events
-                if (stored := _readable(kind, event.object, event.deleted)) is not None
+                if (stored_object := _decode_or_skip(kind, event.object, event.deleted))
+                is not None
             ),
         )
 
     async def _list(self, kind: str) -> Changes:
-        items: list[_Object] = []
+        items: list[_StoreObject] = []
         after = ""
         while True:
             url = f"{self._url}/{kind}" + (f"?after={after}" if after else "")
@@ -173,32 +174,34 @@
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].metadata.name
-        found = (_readable(kind, item, False) for item in items)
-        return Changes(page.current_rev, tuple(one for one in found if one is not None))
+        objects = (_decode_or_skip(kind, item, False) for item in items)
+        return Changes(page.current_rev, tuple(item for item in objects if item is not None))
 
     async def _read(self, url: str, timeout_s: float) -> tuple[int, bytes]:
         try:
-            status, body = await self._call("GET", url, b"", timeout_s)
+            status, body = await self._request("GET", url, b"", timeout_s)
         except _CALL_FAILURES as error:
-            raise PlatformUnavailableError(f"no answer: {type(error).__name__}") from error
+            raise PlatformUnavailableError(f"no response: {type(error).__name__}") from error
         if status not in (200, 404, 410):
-            raise PlatformUnavailableError(f"the store answered {status}")
+            raise PlatformUnavailableError(f"the store responded with status {status}")
         return status, body
 
     async def _write(self, method: str, url: str, body: bytes) -> tuple[int, bytes]:
         try:
-            status, answer = await self._call(method, url, body, self._timeout_s)
+            status, response = await self._request(method, url, body, self._timeout_s)
         except aiohttp.ClientConnectorError as error:
-            raise PlatformUnavailableError(f"not connected: {error}") from error
+            raise PlatformUnavailableError(f"no connection to the store: {error}") from error
         except _CALL_FAILURES as error:
-            raise OutcomeUnknownError(f"no answer: {type(error).__name__}") from error
+            raise OutcomeUnknownError(f"no response: {type(error).__name__}") from error
         if status in _REFUSED_STATUSES:
-            raise PlatformUnavailableError(f"the store answered {status}")
+            raise PlatformUnavailableError(f"the store responded with status {status}")
         if status not in (200, 201, 404, 409):
-            raise PlatformAnswerError(f"the store answered {status}: {answer[:200]!r}")
-        return status, answer
+            raise PlatformAnswerError(
+                f"the store responded with status {status}: {response[:200]!r}"
+            )
+        return status, response
 
-    async def _call(
+    async def _request(
         self, method: str, url: str, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
         assert self._session is not None
@@ -206,17 +209,17 @@
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._session.request(method, url, data=body or None, headers=headers) as answer,
+                self._session.request(method, url, data=body or None, headers=headers) as response,
             ):
-                content = await answer.read()
+                content = await response.read()
         except _CALL_FAILURES:
             self._availability.note(False)
             raise
-        self._availability.note(answer.status < 500 and answer.status not in _REFUSED_STATUSES)
-        return answer.status, content
+        self._availability.note(response.status < 500 and response.status not in _REFUSED_STATUSES)
+        return response.status, content
 
 
-def _address(key: str) -> tuple[str, str]:
+def _object_path(key: str) -> tuple[str, str]:
     if key == CONFIGURATION_KEY:
         return _CONFIGURATION_KIND, _CONFIGURATION_NAME
     service, _, number = key.removeprefix(_GROUPS_PREFIX).rpartition("/")
@@ -234,22 +237,22 @@
     return f"{_GROUPS_PREFIX}{service}/{number}"
 
 
-def _stored(kind: str, found: _Object, deleted: bool = False) -> StoredObject:
-    value = bytes(found.spec)
+def _to_stored_object(kind: str, item: _StoreObject, deleted: bool = False) -> StoredObject:
+    value = bytes(item.spec)
     if kind == _CONFIGURATION_KIND and not deleted:
         value = encode_json(decode_configuration(value))
-    name = found.metadata.name
-    return StoredObject(_key(kind, name), found.metadata.revision, value, deleted)
+    name = item.metadata.name
+    return StoredObject(_key(kind, name), item.metadata.revision, value, deleted)
 
 
-def _readable(kind: str, found: _Object, deleted: bool) -> StoredObject | None:
-    if kind == _CONFIGURATION_KIND and found.metadata.name != _CONFIGURATION_NAME:
+def _decode_or_skip(kind: str, item: _StoreObject, deleted: bool) -> StoredObject | None:
+    if kind == _CONFIGURATION_KIND and item.metadata.name != _CONFIGURATION_NAME:
         return None
     try:
-        return _stored(kind, found, deleted)
+        return _to_stored_object(kind, item, deleted)
     except MalformedMessageError as error:
         _BAD_CONFIGURATION.emit(
-            kind=kind, object=found.metadata.name, revision=found.metadata.revision, error=error
+            kind=kind, object=item.metadata.name, revision=item.metadata.revision, error=error
         )
         return None
 
@@ -258,4 +261,4 @@
     try:
         return msgspec.json.decode(body, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise PlatformAnswerError(f"the store's answer is malformed: {error}") from error
+        raise PlatformAnswerError(f"the store's response is malformed: {error}") from error
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -1,4 +1,4 @@
-"""Requests and grants of the upstream on this machine."""
+"""Client of the upstream on this machine: sends requests and grants and detects crashes."""
 
 from __future__ import annotations
 
@@ -38,180 +38,190 @@
 from .settings import Site
 
 _UNREACHABLE = Event(
-    3010, "upstream_unreachable", Level.WARNING, "The upstream accepts no connection."
+    3010, "upstream_unreachable", Level.WARNING, "Connecting to the upstream failed."
+)
+_REACHABLE = Event(
+    3011, "upstream_reachable", Level.INFO, "The upstream accepts connections again."
+)
+_UPSTREAM_ENDED = Event(
+    3012, "upstream_ended", Level.WARNING, "The upstream has ended or restarted."
 )
-_REACHABLE = Event(3011, "upstream_reachable", Level.INFO, "The upstream accepts connections.")
-_ENDED = Event(3012, "upstream_ended", Level.WARNING, "The upstream has ended or starts anew.")
 
-# Upstreams close connections that were unused for longer, in seconds.
-_KEEPALIVE_S = 4.0
+# Shorter than the time after which upstreams close idle connections.
+_KEEPALIVE_TIMEOUT_S = 4.0
 _CONNECT_TIMEOUT_S = 0.5
-_ORDER_CONNECTIONS = 4
-# Limit on the answer to a grant or release, which carries a header at most, in bytes.
-_ORDER_ANSWER_BYTES = 65_536
+_GRANT_CONNECTIONS = 4
+# Limit on the response to a grant or release, which carries at most one header.
+_MAX_GRANT_RESPONSE_BYTES = 65_536
 _GRANT_TIMEOUT_S = 0.5
-# A release is confirmed when the work on the keys has ended.
+# The upstream confirms a release only once the work on the keys has ended.
 _RELEASE_TIMEOUT_S = 2.0
-# The upstream ends a run at the time that it was given; its answer needs a moment more.
-_ANSWER_SLACK_S = 0.03
+# The upstream ends a run at its time limit; the response may arrive this much later.
+_RESPONSE_SLACK_S = 0.03
 # uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
 _CALL_FAILURES = (aiohttp.ClientError, OSError, RuntimeError)
-# Failures before a byte of a call was sent.
+# Failures that occur before any byte of a request was sent.
 _NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _DEFAULT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
 class _Grant(msgspec.Struct, rename="camel", omit_defaults=True):
-    # Lowest and highest key, both granted.
+    # Lowest and highest key of the range, both inclusive.
     from_: int = msgspec.field(name="from")
     target: int
     fence: int
-    # Length of the grant from its arrival, in seconds.
+    # Duration of the grant from its arrival, in seconds.
     hold_s: float = 0.0
     handover: str = ""
 
 
 class LocalUpstream:
-    """The `upstream` service on this platform."""
+    """The `upstream` service on this platform: one HTTP server on the agent's machine."""
 
     name = "upstream"
     requires: tuple[str, ...] = ()
 
     def __init__(self, site: Site) -> None:
-        self._base = f"http://{site.application.host}:{site.application.port}"
-        self._answer_bytes = site.settings.upstream.max_answer_bytes
-        self._pooled: aiohttp.ClientSession | None = None
-        self._fresh: aiohttp.ClientSession | None = None
-        self._orders: aiohttp.ClientSession | None = None
+        self._base_url = f"http://{site.application.host}:{site.application.port}"
+        self._max_answer_bytes = site.settings.upstream.max_answer_bytes
+        self._keepalive_session: aiohttp.ClientSession | None = None
+        self._single_use_session: aiohttp.ClientSession | None = None
+        self._grant_session: aiohttp.ClientSession | None = None
         self._unreachable = False
-        self._start = ""
+        self._start_id = ""
         self._crashes = 0
-        # Whether the end of the present start was counted.
-        self._ended = False
+        # Whether the end of the current start was already counted as a crash.
+        self._end_recorded = False
         self._listeners: list[CrashListener] = []
 
     @property
     def crashes(self) -> int:
-        """Number of times that the upstream was found to have ended."""
+        """Number of times that the upstream was detected to have ended."""
         return self._crashes
 
     def subscribe(self, listener: CrashListener) -> None:
-        """Tells a service of crashes from now on; see `CrashSource.subscribe`."""
+        """Notifies a listener of each crash from now on; see `CrashSource.subscribe`."""
         self._listeners.append(listener)
 
     def started(self, start: str) -> None:
-        """Takes the start that a heartbeat names; a new one tells that the last has ended."""
-        if self._start and start != self._start:
-            self._note_end(f"the upstream names the new start {start}")
-            self._ended = False
-        self._start = start
+        """Records the start id of a heartbeat; a new id means that the last start has ended."""
+        if self._start_id and start != self._start_id:
+            self._record_end(f"the upstream reports the new start {start}")
+            self._end_recorded = False
+        self._start_id = start
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
         self._liveness = registry.find("liveness", Liveness)
 
     async def start(self) -> None:
         """Opens the HTTP sessions."""
-        self._pooled = _session(self._answer_bytes, keepalive_s=_KEEPALIVE_S)
-        # A request that may not run again needs a connection on which nothing can be left over.
-        self._fresh = _session(self._answer_bytes)
-        # Connections of the upstream are few; its many small grants share some of them.
-        self._orders = _session(
-            _ORDER_ANSWER_BYTES, connections=_ORDER_CONNECTIONS, keepalive_s=_KEEPALIVE_S
+        self._keepalive_session = _session(
+            self._max_answer_bytes, keepalive_s=_KEEPALIVE_TIMEOUT_S
+        )
+        # A request that must not run twice gets a new connection, which has no stale response.
+        self._single_use_session = _session(self._max_answer_bytes)
+        # The upstream accepts few connections, so its many small grants share some of them.
+        self._grant_session = _session(
+            _MAX_GRANT_RESPONSE_BYTES,
+            connections=_GRANT_CONNECTIONS,
+            keepalive_s=_KEEPALIVE_TIMEOUT_S,
         )
 
     async def stop(self) -> None:
         """Closes the HTTP sessions."""
-        for session in (self._pooled, self._fresh, self._orders):
+        for session in (self._keepalive_session, self._single_use_session, self._grant_session):
             if session is not None:
                 await session.close()
 
     async def run(self, request: Request, shard: int, epoch: int, deadline: float) -> Response:
-        """Runs a request; see `Upstream.run`."""
-        announced = self._membership.announcement
-        if announced is None:
-            raise UpstreamUnavailableError("the upstream has not announced itself")
-        left_s = deadline - self._clock.now()
+        """Runs a request and buffers the response; see `Upstream.run`."""
+        announcement = self._membership.announcement
+        if announcement is None:
+            raise UpstreamUnavailableError("the upstream has not sent a heartbeat")
+        remaining_s = deadline - self._clock.now()
         headers = [
             *request.headers,
             (REQUEST_ID, request.id),
-            (TIMEOUT_MS, str(max(int(left_s * 1000), 1))),
-            (TARGET_INSTANCE, announced.instance),
+            (TIMEOUT_MS, str(max(int(remaining_s * 1000), 1))),
+            (TARGET_INSTANCE, announcement.instance),
             (CALLER, request.caller),
         ]
         if request.key:
             headers.append((KEY, request.key))
         body = b"".join([part async for part in request.body.chunks()])
-        session = self._pooled if request.repeatable else self._fresh
+        session = self._keepalive_session if request.repeatable else self._single_use_session
         assert session is not None
         try:
             async with (
-                asyncio.timeout(left_s + _ANSWER_SLACK_S),
+                asyncio.timeout(remaining_s + _RESPONSE_SLACK_S),
                 session.request(
                     request.method,
-                    URL(self._base + request.path, encoded=True),
+                    URL(self._base_url + request.path, encoded=True),
                     headers=headers,
                     data=body or None,
                     allow_redirects=False,
-                ) as answer,
+                ) as http_response,
             ):
-                protocol = answer.connection.protocol if answer.connection else None
-                content = await answer.read()
+                protocol = http_response.connection.protocol if http_response.connection else None
+                content = await http_response.read()
                 if isinstance(protocol, BoundedConnection) and protocol.broken:
-                    raise AnswerLostError("the connection was reset during the answer")
-                return self._response(request, answer, content)
+                    raise AnswerLostError("the connection was reset during the response")
+                return self._response(request, http_response, content)
         except _NOT_CONNECTED as error:
-            self._note_unreachable(error)
+            self._record_unreachable(error)
             raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
         except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError) as error:
-            raise AnswerLostError(f"the answer is not whole: {error}") from error
+            raise AnswerLostError(f"the response is incomplete: {error}") from error
         except _CALL_FAILURES as error:
             if isinstance(error, TimeoutError):
                 raise DeadlineExceededRunningError(
-                    "the upstream did not answer before the deadline"
+                    "the upstream did not respond before the deadline"
                 ) from error
             raise OutcomeLostError(
-                f"the connection ended without an answer: {type(error).__name__}"
+                f"the connection ended without a response: {type(error).__name__}"
             ) from error
 
     async def grant(self, grants: GrantSet) -> bool:
-        """Does nothing: this platform's upstreams are granted ranges."""
+        """Does nothing and returns True: this platform's upstreams use `grant_range`."""
         return True
 
-    async def grant_range(self, found: KeyRange, hold_s: float) -> bool:
-        """Grants keys; see `RangeGrants.grant_range`."""
-        message = _Grant(found.first, found.last, found.epoch, round(hold_s, 3), found.handover)
-        status, _ = await self._order(GRANT_PATH, message, _GRANT_TIMEOUT_S)
+    async def grant_range(self, key_range: KeyRange, hold_s: float) -> bool:
+        """Grants a key range; see `RangeGrants.grant_range`."""
+        message = _Grant(
+            key_range.first, key_range.last, key_range.epoch, round(hold_s, 3), key_range.handover
+        )
+        status, _ = await self._send_grant(GRANT_PATH, message, _GRANT_TIMEOUT_S)
         if status not in (200, 409):
-            raise OutcomeLostError(f"the upstream answered a grant with {status}")
+            raise OutcomeLostError(f"the upstream responded to a grant with status {status}")
         return status == 200
 
-    async def release_range(self, found: KeyRange) -> str:
-        """Takes keys back; see `RangeGrants.release_range`."""
-        message = _Grant(found.first, found.last, found.epoch)
-        status, headers = await self._order(RELEASE_PATH, message, _RELEASE_TIMEOUT_S)
+    async def release_range(self, key_range: KeyRange) -> str:
+        """Revokes a key range; see `RangeGrants.release_range`."""
+        message = _Grant(key_range.first, key_range.last, key_range.epoch)
+        status, headers = await self._send_grant(RELEASE_PATH, message, _RELEASE_TIMEOUT_S)
         if status != 200:
-            raise OutcomeLostError(f"the upstream answered a release with {status}")
+            raise OutcomeLostError(f"the upstream responded to a release with status {status}")
         return str(headers.get(HANDOVER, ""))
 
-    async def _order(self, path: str, message: _Grant, timeout_s: float) -> tuple[int, Any]:
-        assert self._orders is not None
+    async def _send_grant(self, path: str, message: _Grant, timeout_s: float) -> tuple[int, Any]:
+        assert self._grant_session is not None
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._orders.post(
-                    self._base + path,
+                self._grant_session.post(
+                    self._base_url + path,
                     data=msgspec.json.encode(message),
                     headers={"Content-Type": "application/json"},
-                ) as answer,
+                ) as http_response,
             ):
-                await answer.read()
-                self._note_reachable()
-                return answer.status, answer.headers
+                await http_response.read()
+                self._record_reachable()
+                return http_response.status, http_response.headers
         except _NOT_CONNECTED as error:
-            self._note_unreachable(error)
+            self._record_unreachable(error)
             raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
         except _CALL_FAILURES as error:
             raise OutcomeLostError(
@@ -219,58 +229,62 @@
             ) from error
 
     def _response(
-        self, request: Request, answer: aiohttp.ClientResponse, content: bytes
+        self, request: Request, http_response: aiohttp.ClientResponse, content: bytes
     ) -> Response:
-        self._note_reachable()
-        headers = answer.headers
-        if NOT_EXECUTED in headers or answer.status == 421:
-            raise UpstreamRefusedError(f"the upstream refused with {answer.status}")
+        self._record_reachable()
+        headers = http_response.headers
+        if NOT_EXECUTED in headers or http_response.status == 421:
+            raise UpstreamRefusedError(
+                f"the upstream refused the request with status {http_response.status}"
+            )
         if headers.get(REQUEST_ID, request.id) != request.id:
-            answer.close()
-            raise OutcomeLostError(f"the answer names request {headers.get(REQUEST_ID)!r}")
-        if RECEIPT not in headers and answer.status < 300:
-            answer.close()
-            raise AnswerLostError("the answer has no receipt")
+            http_response.close()
+            raise OutcomeLostError(
+                f"the response carries the id of request {headers.get(REQUEST_ID)!r}"
+            )
+        if RECEIPT not in headers and http_response.status < 300:
+            http_response.close()
+            raise AnswerLostError("the response has no signature header")
         if "Content-Encoding" in headers:
-            answer.close()
-            raise AnswerLostError("the answer has a content encoding")
-        kept = tuple(
+            http_response.close()
+            raise AnswerLostError("the response has a content encoding")
+        headers_to_forward = tuple(
             (str(name), value)
             for name, value in headers.items()
             if name.lower() not in HOP_HEADERS
         )
-        return Response(request.id, answer.status, kept, BytesBody(content))
+        return Response(request.id, http_response.status, headers_to_forward, BytesBody(content))
 
-    def _note_unreachable(self, error: BaseException) -> None:
+    def _record_unreachable(self, error: BaseException) -> None:
         self._liveness.unreachable()
         if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
             error.os_error, ConnectionRefusedError
         ):
-            self._note_end("the upstream refuses connections")
+            self._record_end("the upstream refuses connections")
         if not self._unreachable:
             self._unreachable = True
-            _UNREACHABLE.emit(address=self._base, error=repr(error)[:200])
+            _UNREACHABLE.emit(address=self._base_url, error=repr(error)[:200])
 
-    def _note_reachable(self) -> None:
+    def _record_reachable(self) -> None:
         self._liveness.connected()
         if self._unreachable:
             self._unreachable = False
-            self._ended = False
-            _REACHABLE.emit(address=self._base)
+            self._end_recorded = False
+            _REACHABLE.emit(address=self._base_url)
 
-    def _note_end(self, reason: str) -> None:
-        if self._ended:
+    def _record_end(self, reason: str) -> None:
+        if self._end_recorded:
             return
-        self._ended = True
+        self._end_recorded = True
         self._crashes += 1
-        _ENDED.emit(reason=reason, crashes=self._crashes)
+        _UPSTREAM_ENDED.emit(reason=reason, crashes=self._crashes)
         for listener in self._listeners:
             listener.upstream_crashed()
 
 
-def _session(answer_bytes: int, **options: Any) -> aiohttp.ClientSession:
+def _session(max_answer_bytes: int, **options: Any) -> aiohttp.ClientSession:
     return bounded_session(
-        answer_bytes,
+        max_answer_bytes,
         trust_env=False,
         skip_auto_headers=_DEFAULT_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
--- a/tests/platform/__init__.py
+++ b/tests/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the platform's adapter."""
+"""Tests of the adapter to the platform."""
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -1,4 +1,4 @@
-"""Small servers in the place of the platform's store and of an upstream."""
+"""Fake servers of the platform's store and of an upstream."""
 
 import asyncio
 import json
@@ -13,25 +13,25 @@
 from fescueward.platform.settings import Address
 
 CLOCK = BootClock()
-# Limit on an answer in the tests, in bytes.
-ANSWER_BYTES = 300_000
+# Limit on the size of a response in the tests.
+MAX_ANSWER_BYTES = 300_000
 
 
 class FakeStore:
-    """Kinds, revisions, pages and conditional writes, as far as the client uses them."""
+    """A store with the kinds, revisions, pages and conditional writes that the client uses."""
 
     def __init__(self) -> None:
         self.revision = 10
         self.objects: dict[tuple[str, str], dict] = {}
-        self.oldest = 0
-        self.page = 2
+        self.oldest_revision = 0
+        self.page_size = 2
         self.status = 0
-        self.lose = False
-        self.silent = False
+        self.lose_responses = False
+        self.hang = False
         self.url = ""
 
     async def start(self) -> None:
-        self._runner = web.ServerRunner(web.Server(self._answer))
+        self._runner = web.ServerRunner(web.Server(self._handle))
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
@@ -43,60 +43,62 @@
 
     def put(self, kind: str, name: str, spec: object) -> dict:
         self.revision += 1
-        found = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
-        self.objects[(kind, name)] = found
-        return found
+        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+        self.objects[(kind, name)] = item
+        return item
 
-    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        if self.silent:
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self.hang:
             await asyncio.Event().wait()
         if self.status:
             return web.Response(status=self.status)
         kind, _, name = request.path.removeprefix("/fescueward/objects/").partition("/")
         if request.method in ("POST", "PUT"):
-            answer = self._write(request.method, kind, name, json.loads(await request.read()))
-            if self.lose:
+            response = self._write(request.method, kind, name, json.loads(await request.read()))
+            if self.lose_responses:
                 request.transport.abort()
-            return answer
+            return response
         if name:
-            found = self.objects.get((kind, name))
-            return web.json_response(found) if found else web.Response(status=404)
+            item = self.objects.get((kind, name))
+            return web.json_response(item) if item else web.Response(status=404)
         if "watch" in request.query:
             return self._changes(kind, int(request.query["watch"]))
         return self._list(kind, request.query.get("after", ""))
 
     def _write(self, method: str, kind: str, name: str, body: dict) -> web.Response:
         name = name or body["metadata"]["name"]
-        held = self.objects.get((kind, name))
+        stored = self.objects.get((kind, name))
         expected = body["metadata"].get("revision")
-        if method == "POST" and held is not None:
-            return web.json_response(held, status=409)
-        if method == "PUT" and (held is None or held["metadata"]["revision"] != expected):
-            return web.json_response(held, status=409)
+        if method == "POST" and stored is not None:
+            return web.json_response(stored, status=409)
+        if method == "PUT" and (stored is None or stored["metadata"]["revision"] != expected):
+            return web.json_response(stored, status=409)
         return web.json_response(self.put(kind, name, body["spec"]))
 
     def _changes(self, kind: str, since: int) -> web.Response:
-        if since < self.oldest:
+        if since < self.oldest_revision:
             return web.Response(status=410)
         events = [
-            {"object": found, "deleted": False}
-            for (held, _), found in sorted(self.objects.items())
-            if held == kind and found["metadata"]["revision"] > since
+            {"object": item, "deleted": False}
+            for (item_kind, _), item in sorted(self.objects.items())
+            if item_kind == kind and item["metadata"]["revision"] > since
         ]
         return web.json_response({"events": events, "currentRev": self.revision})
 
     def _list(self, kind: str, after: str) -> web.Response:
-        names = sorted(name for held, name in self.objects if held == kind and name > after)
-        page = [self.objects[(kind, name)] for name in names[: self.page]]
-        more = len(names) > self.page
+        names = sorted(
+            name for item_kind, name in self.objects if item_kind == kind and name > after
+        )
+        page = [self.objects[(kind, name)] for name in names[: self.page_size]]
+        more = len(names) > self.page_size
         return web.json_response({"items": page, "hasMore": more, "currentRev": self.revision})
 
 
 class RawUpstream:
-    """Answers each connection with given bytes and ends it in order or by a reset."""
+    """Sends fixed bytes on each connection and then closes or resets it."""
 
-    def __init__(self, answer: bytes, reset: bool = False) -> None:
-        self.answer = answer
+    def __init__(self, response: bytes, reset: bool = False) -> None:
+        self.response = response
         self.reset = reset
         self.requests: list[bytes] = []
 
@@ -111,7 +113,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.requests.append(await reader.readuntil(b"\r\n\r\n"))
-        writer.write(self.answer)
+        writer.write(self.response)
         await writer.drain()
         if self.reset:
             await asyncio.sleep(0.05)
@@ -123,21 +125,21 @@
 
 
 class RecordedLiveness:
-    """Keeps the signs of life that were reported."""
+    """Records the calls of the `Liveness` Protocol."""
 
     def __init__(self) -> None:
-        self.signs: list[str] = []
+        self.calls: list[str] = []
 
     def heard(self) -> None:
-        self.signs.append("heard")
+        self.calls.append("heard")
 
     def connected(self) -> None:
-        self.signs.append("connected")
+        self.calls.append("connected")
 
     def unreachable(self) -> None:
-        self.signs.append("unreachable")
+        self.calls.append("unreachable")
 
 
 def site_at(address: Address) -> SimpleNamespace:
-    section = UpstreamSection(max_answer_bytes=ANSWER_BYTES)
+    section = UpstreamSection(max_answer_bytes=MAX_ANSWER_BYTES)
     return SimpleNamespace(application=address, settings=SimpleNamespace(upstream=section))
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -1,4 +1,4 @@
-"""Heartbeats of the upstream on this machine."""
+"""Tests of the receiver of heartbeats."""
 
 import json
 import unittest
@@ -17,7 +17,7 @@
 APPLICATION = Address("10.1.0.8", 8301)
 
 
-def beat(seq: int, state: str = "ready", born: int = 1000, **values) -> dict:
+def make_heartbeat(seq: int, state: str = "ready", born: int = 1000, **values) -> dict:
     return {
         "address": "10.1.0.8:8301",
         "born": born,
@@ -49,64 +49,72 @@
         self.session = aiohttp.ClientSession(f"http://127.0.0.1:{port}")
         self.addAsyncCleanup(self.session.close)
 
-    async def say(self, call: str, instance: str, body: object) -> int:
+    async def post(self, call: str, instance: str, body: object) -> int:
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         path = f"/fescueward/rpc?call=instances.{call}&of={instance}"
         async with self.session.post(path, data=data) as answer:
             return answer.status
 
-    async def test_start_is_told_to_the_upstream(self):
-        """Guards against crashes that stay unknown although the upstream names a new start."""
-        await self.say("heartbeat", "i1", beat(1))
-        await self.say("heartbeat", "i1", beat(1, born=2000))
-        await self.say("heartbeat", "i1", beat(9))  # a late one of the first start
+    async def test_start_is_passed_to_the_upstream_client(self):
+        """Guards against crashes that are not detected although a heartbeat has a new start."""
+        await self.post("heartbeat", "i1", make_heartbeat(1))
+        await self.post("heartbeat", "i1", make_heartbeat(1, born=2000))
+        await self.post("heartbeat", "i1", make_heartbeat(9))  # out of order, from the first start
         self.assertEqual(self.starts, ["i1@1000", "i1@2000"])
 
-    async def test_report_becomes_an_announcement(self):
-        """Guards against units and names of a report that are read as something else."""
-        self.assertEqual(await self.say("heartbeat", "i1", beat(1)), 200)
-        found = self.announced[0]
+    async def test_heartbeat_becomes_an_announcement(self):
+        """Guards against heartbeat fields or units that are misinterpreted."""
+        self.assertEqual(await self.post("heartbeat", "i1", make_heartbeat(1)), 200)
+        announcement = self.announced[0]
         self.assertEqual(
-            (found.service, found.host, found.port, found.slots, found.instance),
+            (
+                announcement.service,
+                announcement.host,
+                announcement.port,
+                announcement.slots,
+                announcement.instance,
+            ),
             ("depot", "10.1.0.8", 8301, 6, "i1"),
         )
-        self.assertEqual((found.cold_s, found.started_ms), (1.5, 1000))
-
-    async def test_late_reports_change_nothing(self):
-        """Guards against a delayed report of an earlier start that reopens the gate."""
-        await self.say("heartbeat", "i2", beat(3, born=2000))
-        self.assertEqual(await self.say("heartbeat", "i2", beat(2, born=2000)), 200)
-        self.assertEqual(await self.say("heartbeat", "i1", beat(9, born=1000)), 200)
-        self.assertEqual([one.instance for one in self.announced], ["i2"])
-
-    async def test_new_start_under_the_same_id_is_taken(self):
-        """Guards against an upstream that counts from the start again and is never heard."""
-        await self.say("heartbeat", "i1", beat(50, born=1000))
-        await self.say("heartbeat", "i1", beat(1, born=2000))
-        self.assertEqual([one.started_ms for one in self.announced], [1000, 2000])
+        self.assertEqual((announcement.cold_s, announcement.started_ms), (1.5, 1000))
+
+    async def test_out_of_order_heartbeats_are_ignored(self):
+        """Guards against a delayed heartbeat of an earlier start that reopens the gate."""
+        await self.post("heartbeat", "i2", make_heartbeat(3, born=2000))
+        self.assertEqual(await self.post("heartbeat", "i2", make_heartbeat(2, born=2000)), 200)
+        self.assertEqual(await self.post("heartbeat", "i1", make_heartbeat(9, born=1000)), 200)
+        self.assertEqual([announcement.instance for announcement in self.announced], ["i2"])
+
+    async def test_new_start_under_the_same_id_is_accepted(self):
+        """Guards against ignoring an upstream whose sequence restarted after a restart."""
+        await self.post("heartbeat", "i1", make_heartbeat(50, born=1000))
+        await self.post("heartbeat", "i1", make_heartbeat(1, born=2000))
+        self.assertEqual(
+            [announcement.started_ms for announcement in self.announced], [1000, 2000]
+        )
 
     async def test_departure(self):
-        """Guards against work for an upstream that said that it leaves, in either way."""
-        await self.say("heartbeat", "i1", beat(1))
-        await self.say("heartbeat", "i1", beat(2, "draining"))
+        """Guards against work for an upstream that drains or has announced its leave."""
+        await self.post("heartbeat", "i1", make_heartbeat(1))
+        await self.post("heartbeat", "i1", make_heartbeat(2, "draining"))
         self.assertEqual(self.announced[-1].state, AnnouncedState.LEAVING)
-        await self.say("heartbeat", "i2", beat(1, born=2000))
-        self.assertEqual(await self.say("leave", "i2", b""), 200)
+        await self.post("heartbeat", "i2", make_heartbeat(1, born=2000))
+        self.assertEqual(await self.post("leave", "i2", b""), 200)
         self.assertEqual(self.announced[-1].state, AnnouncedState.LEAVING)
 
-    async def test_malformed_reports_change_nothing(self):
-        """Guards against an upstream that is taken over from bytes that cannot be read."""
+    async def test_malformed_heartbeats_are_rejected(self):
+        """Guards against announcements that are built from malformed heartbeats."""
         bad = (
             b"\xff",
             [],
-            beat(1, "resting"),
-            beat("one"),
-            beat(1, address=7),
-            beat(1, address="10.1.0.8"),
-            beat(1, info={"service": "depot"}),
-            beat(1, address="10.9.9.9:1"),
+            make_heartbeat(1, "resting"),
+            make_heartbeat("one"),
+            make_heartbeat(1, address=7),
+            make_heartbeat(1, address="10.1.0.8"),
+            make_heartbeat(1, info={"service": "depot"}),
+            make_heartbeat(1, address="10.9.9.9:1"),
         )
         for body in bad:
             with self.subTest(body=body):
-                await self.say("heartbeat", "i1", body)
+                await self.post("heartbeat", "i1", body)
                 self.assertEqual(self.announced, [])
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -1,4 +1,4 @@
-"""The platform's names and decisions stay apart."""
+"""Tests that the platform's names stay in the adapter and decisions outside of it."""
 
 import re
 import unittest
@@ -10,13 +10,13 @@
     r"X-Fescueward|holdS|coldLeftS|heartbeatAddr|currentRev|staleOk|FESCUEWARD_CONFIG|appAddr"
     r"|internalPorts|instances\.heartbeat|baseVersion|warmupS|maxConns|sloS|timeoutS|nodeName"
 )
-# Services that decide; the adapter finds them by name only.
-DECIDING = re.compile(r"from \.\.services|import fescueward\.services")
+# Services make the decisions; the adapter must look them up by name instead of importing them.
+SERVICE_IMPORT = re.compile(r"from \.\.services|import fescueward\.services")
 
 
 class BoundaryTest(unittest.TestCase):
     def test_names_of_the_platform_stay_in_the_adapter(self):
-        """Guards against a product that only runs on one platform."""
+        """Guards against code outside the adapter that depends on one platform."""
         for path in PACKAGE.rglob("*.py"):
             if path.is_relative_to(PACKAGE / "platform"):
                 continue
@@ -25,8 +25,8 @@
             with self.subTest(path=path.name):
                 self.assertIsNone(NAMES.search(path.read_text(encoding="utf-8")))
 
-    def test_adapter_imports_no_deciding_service(self):
-        """Guards against decisions that only hold behind one front end."""
+    def test_adapter_imports_no_service(self):
+        """Guards against decisions that only one front end makes."""
         for path in (PACKAGE / "platform").glob("*.py"):
             with self.subTest(path=path.name):
-                self.assertIsNone(DECIDING.search(path.read_text(encoding="utf-8")))
+                self.assertIsNone(SERVICE_IMPORT.search(path.read_text(encoding="utf-8")))
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -1,4 +1,4 @@
-"""Decoding of the operator's configuration."""
+"""Tests of decoding the operator's configuration."""
 
 import json
 import unittest
@@ -6,7 +6,7 @@
 from fescueward.kernel.errors import MalformedMessageError
 from fescueward.platform.configuration import decode_configuration
 
-GIVEN = {
+STORED_CONFIGURATION = {
     "version": 7,
     "routes": {
         "r-1": {
@@ -44,43 +44,45 @@
 }
 
 
-def changed(**routes):
-    return json.dumps({**GIVEN, "routes": {**GIVEN["routes"], **routes}}).encode()
+def encode_with_routes(**routes):
+    return json.dumps(
+        {**STORED_CONFIGURATION, "routes": {**STORED_CONFIGURATION["routes"], **routes}}
+    ).encode()
 
 
 class ConfigurationTest(unittest.TestCase):
     def test_routes_services_and_limits(self):
-        """Guards against units, kinds and shares that are read as something else."""
-        found = decode_configuration(json.dumps(GIVEN).encode())
-        self.assertEqual(found.version, 7)
-        first, second = found.routes["r-1"], found.routes["r-2"]
+        """Guards against units, kinds and weights that are misinterpreted."""
+        configuration = decode_configuration(json.dumps(STORED_CONFIGURATION).encode())
+        self.assertEqual(configuration.version, 7)
+        first, second = configuration.routes["r-1"], configuration.routes["r-2"]
         self.assertTrue(first.repeatable)
         self.assertFalse(second.repeatable)
         self.assertEqual((first.timeout_s, first.objective_s), (0.8, 0.4))
         self.assertEqual((first.targets[0].service, first.targets[0].weight), ("s1", 90))
-        self.assertTrue(found.services["s1"].keyed)
-        self.assertFalse(found.services["s2"].keyed)
-        self.assertEqual(found.limits.idle_timeout_s, 15)
+        self.assertTrue(configuration.services["s1"].keyed)
+        self.assertFalse(configuration.services["s2"].keyed)
+        self.assertEqual(configuration.limits.idle_timeout_s, 15)
 
-    def test_unknown_kind_may_not_be_repeated(self):
-        """Guards against a second run of a request whose kind is new here."""
-        route = {**GIVEN["routes"]["r-1"], "kind": "other"}
-        self.assertFalse(decode_configuration(changed(r=route)).routes["r"].repeatable)
+    def test_unknown_kind_is_not_repeatable(self):
+        """Guards against a second run of a request whose kind the adapter does not know."""
+        route = {**STORED_CONFIGURATION["routes"]["r-1"], "kind": "other"}
+        self.assertFalse(decode_configuration(encode_with_routes(r=route)).routes["r"].repeatable)
 
-    def test_bad_configurations_are_refused_whole(self):
-        """Guards against a half applied configuration."""
-        good = GIVEN["routes"]["r-2"]
-        bad = (
-            {**good, "service": "nowhere"},
-            {**good, "timeoutS": 0},
-            {**good, "attempts": 0},
-            {**good, "prefix": "y"},
-            {**good, "prefix": 3},
-            {key: value for key, value in good.items() if key != "timeoutS"},
-            {key: value for key, value in good.items() if key != "service"},
+    def test_invalid_configurations_are_rejected(self):
+        """Guards against a configuration that is applied in part."""
+        valid_route = STORED_CONFIGURATION["routes"]["r-2"]
+        invalid_routes = (
+            {**valid_route, "service": "nowhere"},
+            {**valid_route, "timeoutS": 0},
+            {**valid_route, "attempts": 0},
+            {**valid_route, "prefix": "y"},
+            {**valid_route, "prefix": 3},
+            {key: value for key, value in valid_route.items() if key != "timeoutS"},
+            {key: value for key, value in valid_route.items() if key != "service"},
         )
-        for route in bad:
+        for route in invalid_routes:
             with self.subTest(route=route), self.assertRaises(MalformedMessageError):
-                decode_configuration(changed(r=route))
+                decode_configuration(encode_with_routes(r=route))
         with self.assertRaises(MalformedMessageError):
-            decode_configuration(json.dumps(GIVEN).encode()[:-40])
+            decode_configuration(json.dumps(STORED_CONFIGURATION).encode()[:-40])
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -1,4 +1,4 @@
-"""Callers' requests at the agent's port."""
+"""Tests of the platform's HTTP front end for callers."""
 
 import asyncio
 import socket
@@ -37,33 +37,33 @@
 
 
 class FakeRouter:
-    """Keeps the requests and answers or refuses them."""
+    """Records the requests and responds to them or refuses them."""
 
     def __init__(self) -> None:
         self.requests = []
         self.refusal: Exception | None = None
         self.body = None
-        self.answering = asyncio.Event()
-        self.answering.set()
-        self.asked = asyncio.Event()
-        self.left = asyncio.Event()
+        self.response_allowed = asyncio.Event()
+        self.response_allowed.set()
+        self.request_received = asyncio.Event()
+        self.cancelled = asyncio.Event()
 
     async def route(self, request):
         self.requests.append(request)
-        self.asked.set()
+        self.request_received.set()
         try:
-            await self.answering.wait()
+            await self.response_allowed.wait()
         except asyncio.CancelledError:
-            self.left.set()
+            self.cancelled.set()
             raise
         if self.refusal is not None:
             raise self.refusal
-        answer = make_response(b"ok")
-        return answer if self.body is None else replace(answer, body=self.body)
+        response = make_response(b"ok")
+        return response if self.body is None else replace(response, body=self.body)
 
 
 class FrontendCase(unittest.IsolatedAsyncioTestCase):
-    """A front end with one route, and a client."""
+    """A front end with one route, and an HTTP client."""
 
     grace_s = 1.0
     route = ROUTE
@@ -101,120 +101,120 @@
         self.session = aiohttp.ClientSession(f"http://127.0.0.1:{self.port}")
         self.addAsyncCleanup(self.session.close)
 
-    async def ask(self, headers: dict[str, str] | None = None) -> tuple[int, float]:
-        """Sends a request and returns its status and when to come back, in seconds."""
+    async def send(self, headers: dict[str, str] | None = None) -> tuple[int, float]:
+        """Sends a request and returns its status and the retry delay in seconds, 0 if none."""
         headers = {"Host": "a.example", "X-Fescueward-Request-Id": "r1", **(headers or {})}
-        async with self.session.get("/x/1", headers=headers) as answer:
-            return answer.status, float(answer.headers.get("Retry-After", 0))
+        async with self.session.get("/x/1", headers=headers) as response:
+            return response.status, float(response.headers.get("Retry-After", 0))
 
 
 class CallerFrontendTest(FrontendCase):
     async def test_refusal_says_whether_the_request_ran(self):
-        """Guards against callers that repeat what may have run, or that give up what has not."""
+        """Guards against callers that repeat what may have run, or do not retry what has not."""
         self.router.refusal = OverloadedError("full", retry_after_s=0.3)
-        self.assertEqual(await self.ask(), (503, 0.3))
+        self.assertEqual(await self.send(), (503, 0.3))
         self.router.refusal = OutcomeLostError("no answer")
-        self.assertEqual(await self.ask(), (502, 0))
+        self.assertEqual(await self.send(), (502, 0))
         self.router.refusal = QuarantinedError("three crashes", retry_after_s=600.0)
-        self.assertEqual(await self.ask(), (503, 600))
+        self.assertEqual(await self.send(), (503, 600))
 
     async def test_stalled_body_ends_at_the_deadline(self):
-        """Guards against callers that hold a connection and its memory without an end."""
+        """Guards against callers that occupy a connection and its memory without a time limit."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(HEAD + b"Content-Length: 10\r\n\r\nhalf")
         async with asyncio.timeout(2):
-            answer = await reader.readuntil(b"\r\n")
+            response = await reader.readuntil(b"\r\n")
         writer.close()
-        self.assertIn(b" 503 ", answer)
+        self.assertIn(b" 503 ", response)
         self.assertEqual(self.router.requests, [])
 
-    async def test_work_for_a_caller_that_left_ends_if_it_may_run_again(self):
-        """Guards against upstreams that work for callers who are gone, and against lost orders."""
-        self.router.answering.clear()
+    async def test_repeatable_request_is_cancelled_when_its_caller_disconnects(self):
+        """Guards against runs without a caller, and against cancelling what may not run twice."""
+        self.router.response_allowed.clear()
         for version, route in enumerate((replace(ROUTE, repeatable=True), ROUTE), 8):
             configuration = Configuration(3, {"r1": route}, {"orders": ServiceSpec("orders")})
             self.routes.observe(VersionedConfiguration(version, configuration))
-            self.router.asked.clear()
+            self.router.request_received.clear()
             _, writer = await asyncio.open_connection("127.0.0.1", self.port)
             writer.write(HEAD + b"Content-Length: 0\r\n\r\n")
-            await self.router.asked.wait()
+            await self.router.request_received.wait()
             writer.close()
             with suppress(TimeoutError):
                 async with asyncio.timeout(0.1):
-                    await self.router.left.wait()
-            self.assertEqual(self.router.left.is_set(), route.repeatable)
-            self.router.left.clear()
+                    await self.router.cancelled.wait()
+            self.assertEqual(self.router.cancelled.is_set(), route.repeatable)
+            self.router.cancelled.clear()
 
-    async def test_stopping_agent_takes_requests_until_shortly_before_its_end(self):
-        """Guards against requests that are cut at the end of the process."""
+    async def test_stopping_agent_accepts_requests_until_shortly_before_its_end(self):
+        """Guards against requests that are aborted at the end of the process."""
         self.kernel.request_stop()
-        self.assertEqual((await self.ask())[0], 200)
+        self.assertEqual((await self.send())[0], 200)
         await asyncio.sleep(0.75)
-        status, retry_after_s = await self.ask()
+        status, retry_after_s = await self.send()
         self.assertEqual(status, 503)
         self.assertGreater(retry_after_s, 0)
 
 
 class StoppingFrontendTest(FrontendCase):
-    """The end of a process whose grace time is shorter than the time limit of the route."""
+    """Tests of a stop whose grace time is shorter than the time limit of the route."""
 
     grace_s = 2.0
     route = replace(ROUTE, timeout_s=4.0)
 
     async def test_request_that_may_outlast_the_process_is_refused(self):
-        """Guards against requests that are taken late and lost when the process is killed."""
+        """Guards against requests that are accepted late and lost when the process is killed."""
         self.kernel.request_stop()
         await asyncio.sleep(1.1)
-        status, retry_after_s = await self.ask()
+        status, retry_after_s = await self.send()
         self.assertEqual((status, self.router.requests), (503, []))
         self.assertGreater(retry_after_s, 0)
 
     async def test_process_ends_before_its_grace_time_beside_an_open_request(self):
-        """Guards against closing steps that follow each other until the process is killed."""
-        self.router.answering.clear()
-        asking = asyncio.create_task(self.ask())
-        self.addAsyncCleanup(asyncio.gather, asking, return_exceptions=True)
-        await self.router.asked.wait()
+        """Guards against closing steps whose times add up until the process is killed."""
+        self.router.response_allowed.clear()
+        sending = asyncio.create_task(self.send())
+        self.addAsyncCleanup(asyncio.gather, sending, return_exceptions=True)
+        await self.router.request_received.wait()
         self.kernel.request_stop()
         await self.shutdown.drain()
         await self.frontend.stop()
         self.assertLess(self.kernel.stopping_s, self.grace_s)
 
     async def test_request_that_is_open_at_the_end_is_answered(self):
-        """Guards against requests that wait for a lost agent and get no answer at all.
+        """Guards against requests that wait for a lost agent and get no response at all.
 
-        Found by the emulator (rolling restart without store, seed 3): a request had been forwarded
-        to an agent that was starting again.
+        The emulator found it (rolling restart without store, seed 3): a request was forwarded to
+        an agent that was restarting.
         """
-        self.router.answering.clear()
-        asking = asyncio.create_task(self.ask())
-        await self.router.asked.wait()
+        self.router.response_allowed.clear()
+        sending = asyncio.create_task(self.send())
+        await self.router.request_received.wait()
         self.kernel.request_stop()
         await self.shutdown.drain()
         await self.frontend.stop()
-        self.assertEqual((await asking)[0], 502)
+        self.assertEqual((await sending)[0], 502)
 
     async def test_request_that_arrives_as_the_port_closes_is_refused(self):
-        """Guards against requests on kept connections that are read and dropped at the close."""
-        await self.ask()
+        """Guards against requests on persistent connections that are dropped at the close."""
+        await self.send()
         self.kernel.request_stop()
         await self.shutdown.drain()
         self.router.requests.clear()
         stopping = asyncio.create_task(self.frontend.stop())
-        self.assertEqual(((await self.ask())[0], self.router.requests), (503, []))
+        self.assertEqual(((await self.send())[0], self.router.requests), (503, []))
         await stopping
 
-    async def test_process_that_fails_answers_what_is_open(self):
-        """Guards against requests without an answer where a failed service ends the process."""
-        self.router.answering.clear()
-        asking = asyncio.create_task(self.ask())
-        await self.router.asked.wait()
+    async def test_failing_process_responds_to_open_requests(self):
+        """Guards against requests without a response when a failed service ends the process."""
+        self.router.response_allowed.clear()
+        sending = asyncio.create_task(self.send())
+        await self.router.request_received.wait()
         self.kernel.request_stop()
         await self.frontend.stop()
-        self.assertEqual((await asking)[0], 502)
+        self.assertEqual((await sending)[0], 502)
 
     async def test_body_that_ends_after_the_drain_is_not_routed(self):
-        """Guards against requests that begin when their agent can no longer answer them."""
+        """Guards against routing a request when the agent can no longer send the response."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(HEAD + b"Content-Length: 10\r\n\r\nhalf")
         await asyncio.sleep(0.05)
@@ -222,13 +222,13 @@
         await self.shutdown.drain()
         writer.write(b"second")
         async with asyncio.timeout(2):
-            answer = await reader.readuntil(b"\r\n")
+            response = await reader.readuntil(b"\r\n")
         writer.close()
-        self.assertIn(b" 503 ", answer)
+        self.assertIn(b" 503 ", response)
         self.assertEqual(self.router.requests, [])
 
-    async def test_stalled_answer_ends_at_the_deadline(self):
-        """Guards against callers that wait without an end for the body of an answer."""
+    async def test_stalled_response_ends_at_the_deadline(self):
+        """Guards against callers that wait indefinitely for the body of a response."""
         stalled = asyncio.Event()
 
         class StalledBody:
@@ -241,31 +241,31 @@
 
         self.router.body = StalledBody()
         headers = {"X-Fescueward-Timeout-Ms": "300"}
-        self.assertEqual((await self.ask(headers))[0], 504)
+        self.assertEqual((await self.send(headers))[0], 504)
         async with asyncio.timeout(1):
             await stalled.wait()
 
 
 class ClosingPortTest(unittest.TestCase):
-    """The callers' port under the event loop of the agent, which takes one connection a turn."""
+    """Tests under uvloop, the agent's event loop, which accepts one connection per iteration."""
 
-    def test_connections_that_wait_at_the_port_are_answered(self):
-        """Guards against callers that are reset because the agent was busy as its port closed."""
-        self.assertEqual(uvloop.run(self._answers()), [503] * 20)
+    def test_connections_that_wait_at_the_port_get_a_response(self):
+        """Guards against resets of callers when a busy agent closes its port."""
+        self.assertEqual(uvloop.run(self._statuses()), [503] * 20)
 
-    async def _answers(self) -> list[int]:
-        case = FrontendCase("ask")
+    async def _statuses(self) -> list[int]:
+        case = FrontendCase("send")
         await case.asyncSetUp()
         try:
             case.kernel.request_stop()
             stopping = asyncio.create_task(case.frontend.stop())
             await asyncio.sleep(0)
             with ThreadPoolExecutor(20) as callers:
-                waiting = [callers.submit(_status, case.port) for _ in range(20)]
-                # The callers connect while the loop is held up.
+                responses = [callers.submit(_status, case.port) for _ in range(20)]
+                # The callers connect while the event loop is blocked.
                 asyncio.get_running_loop().call_soon(time.sleep, 0.3)
                 await stopping
-                return [await asyncio.wrap_future(one) for one in waiting]
+                return [await asyncio.wrap_future(future) for future in responses]
         finally:
             await case.session.close()
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,4 +1,4 @@
-"""The platform's settings file."""
+"""Tests of reading the platform's settings file."""
 
 import unittest
 
@@ -25,7 +25,7 @@
 
 class SiteTest(unittest.TestCase):
     def test_lines_become_settings(self):
-        """Guards against names of the platform that are read as something else."""
+        """Guards against keys of the settings file that are misinterpreted."""
         site = parse_site(LINES)
         self.assertEqual(site.settings.agent.name, "sidecar-lowell-1")
         self.assertEqual(site.settings.agent.failure_domain, "lowell")
@@ -38,8 +38,8 @@
         self.assertEqual(site.bounds.retry_burst, 58)
         self.assertEqual(site.bounds.drain_s, 2)
 
-    def test_missing_and_bad_lines_are_named(self):
-        """Guards against an agent that half starts with a bad file."""
+    def test_missing_and_invalid_lines_are_reported(self):
+        """Guards against an agent that starts with an incomplete or invalid file."""
         with self.assertRaisesRegex(SettingsError, "appAddr"):
             parse_site(LINES.replace("appAddr=", "other="))
         with self.assertRaises(SettingsError):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,4 @@
-"""The client of the platform's store."""
+"""Tests of the client of the platform's object store."""
 
 import json
 import unittest
@@ -19,7 +19,7 @@
 from tests.services.fakes import StubRegistry
 
 from .fakes import CLOCK, FakeStore
-from .test_configuration import GIVEN
+from .test_configuration import STORED_CONFIGURATION
 from .test_settings import LINES
 
 KIND = "fescueward-groups"
@@ -27,17 +27,17 @@
 
 class ObjectStoreTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.fake = FakeStore()
-        await self.fake.start()
-        self.addAsyncCleanup(self.fake.stop)
+        self.server = FakeStore()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
         self.store = ObjectStore()
-        section = PlatformSection(url=self.fake.url, timeout_ms=300)
+        section = PlatformSection(url=self.server.url, timeout_ms=300)
         self.store.bind(StubRegistry(clock=CLOCK, settings=SimpleNamespace(platform=section)))
         await self.store.start()
         self.addAsyncCleanup(self.store.stop)
 
     async def test_conditional_writes(self):
-        """Guards against a write over a version that was not read."""
+        """Guards against overwriting a version that the writer has not read."""
         first = await self.store.put("groups/s1/0", b'{"x":1}', 0)
         with self.assertRaises(VersionConflictError):
             await self.store.put("groups/s1/0", b'{"x":2}', 0)
@@ -45,79 +45,79 @@
         self.assertGreater(second, first)
         with self.assertRaises(VersionConflictError):
             await self.store.put("groups/s1/0", b'{"x":3}', first)
-        found = await self.store.get("groups/s1/0")
-        self.assertEqual((found.key, found.version), ("groups/s1/0", second))
-        self.assertEqual(json.loads(found.value), {"x": 2})
+        item = await self.store.get("groups/s1/0")
+        self.assertEqual((item.key, item.version), ("groups/s1/0", second))
+        self.assertEqual(json.loads(item.value), {"x": 2})
         with self.assertRaises(ObjectNotFoundError):
             await self.store.get("groups/s2/0")
 
     async def test_list_reads_all_pages(self):
-        """Guards against a directory that ends with the first page."""
+        """Guards against a directory that contains only the first page."""
         for number in range(5):
-            self.fake.put(KIND, f"s{number}.0", {})
+            self.server.put(KIND, f"s{number}.0", {})
         changes = await self.store.watch(("groups/",), 0, 0)
         self.assertEqual(len(changes.objects), 5)
-        self.assertEqual(changes.revision, self.fake.revision)
+        self.assertEqual(changes.revision, self.server.revision)
 
-    async def test_forgotten_history_is_read_as_a_list(self):
-        """Guards against changes that are lost when the store drops its history."""
-        self.fake.put(KIND, "s1.0", {})
-        self.fake.oldest = 1_000
+    async def test_compacted_history_is_read_as_a_list(self):
+        """Guards against changes that are lost when the store has discarded its history."""
+        self.server.put(KIND, "s1.0", {})
+        self.server.oldest_revision = 1_000
         changes = await self.store.watch(("groups/",), 5, 1)
-        self.assertEqual([one.key for one in changes.objects], ["groups/s1/0"])
+        self.assertEqual([item.key for item in changes.objects], ["groups/s1/0"])
 
     async def test_refusal_had_no_effect_and_lost_answer_is_unknown(self):
-        """Guards against a write that took effect and is reported as not made."""
-        self.fake.status = 503
+        """Guards against a write that took effect and is reported as failed."""
+        self.server.status = 503
         with self.assertRaises(PlatformUnavailableError):
             await self.store.put("groups/s1/0", b"{}", 0)
-        self.fake.status, self.fake.lose = 0, True
+        self.server.status, self.server.lose_responses = 0, True
         with self.assertRaises(OutcomeUnknownError):
             await self.store.put("groups/s1/0", b"{}", 0)
 
-    async def test_configuration_comes_in_the_products_form(self):
-        """Guards against names of the platform that reach the services."""
-        self.fake.put("config", "main", GIVEN)
+    async def test_configuration_is_decoded(self):
+        """Guards against field names of the platform that reach the services."""
+        self.server.put("config", "main", STORED_CONFIGURATION)
         changes = await self.store.watch((CONFIGURATION_KEY,), 0, 0)
-        found = decode_json(changes.objects[0].value, Configuration)
-        self.assertEqual((changes.objects[0].key, found.version), (CONFIGURATION_KEY, 7))
+        configuration = decode_json(changes.objects[0].value, Configuration)
+        self.assertEqual((changes.objects[0].key, configuration.version), (CONFIGURATION_KEY, 7))
 
-    async def test_unreadable_configuration_is_passed_over(self):
-        """Guards against an agent that ends, or takes over half, when an object is malformed."""
-        self.fake.put("config", "main", {"version": "seven"})
-        self.fake.put("config", "other", GIVEN)
+    async def test_malformed_configuration_is_skipped(self):
+        """Guards against a malformed object that stops the agent or is applied in part."""
+        self.server.put("config", "main", {"version": "seven"})
+        self.server.put("config", "other", STORED_CONFIGURATION)
         changes = await self.store.watch((CONFIGURATION_KEY,), 0, 0)
         self.assertEqual(changes.objects, ())
 
-    async def test_outage_is_noted(self):
-        """Guards against metrics that show the store as reachable while it is not."""
+    async def test_outage_is_recorded(self):
+        """Guards against metrics that show the store as available during an outage."""
         self.assertIsNone(self.store.unavailable_since)
-        self.fake.status = 503
+        self.server.status = 503
         with self.assertRaises(PlatformUnavailableError):
             await self.store.get("groups/s1/0")
         self.assertAlmostEqual(self.store.unavailable_since, CLOCK.now(), delta=1)
-        self.fake.status = 0
+        self.server.status = 0
         with self.assertRaises(ObjectNotFoundError):
             await self.store.get("groups/s1/0")
         self.assertIsNone(self.store.unavailable_since)
 
     async def test_broken_connection_after_a_pause(self):
-        """Guards against an agent that ends because uvloop raises an untyped error.
+        """Guards against an agent that is stopped by an unexpected exception type.
 
-        uvloop raises RuntimeError for a write to a connection that ended during a freeze.
+        uvloop raises RuntimeError for a write to a connection that ended while the process paused.
         """
         await self.store._session.close()
-        self.store._session = SimpleNamespace(request=self.closed, close=self.fake.stop)
+        self.store._session = SimpleNamespace(request=self.raise_closed, close=self.server.stop)
         with self.assertRaises(PlatformUnavailableError):
             await self.store.get("groups/s1/0")
         with self.assertRaises(OutcomeUnknownError):
             await self.store.put("groups/s1/0", b"{}", 3)
 
-    def closed(self, *_, **__):
+    def raise_closed(self, *_, **__):
         raise RuntimeError("unable to perform operation on <TCPTransport closed=True>")
 
-    async def test_answers_without_end(self):
-        """Guards against an answer without end that fills the memory until the timeout."""
+    async def test_endless_responses(self):
+        """Guards against an endless response that fills the memory until the timeout."""
 
         async def start(section: PlatformSection) -> ObjectStore:
             client = ObjectStore()
@@ -127,16 +127,16 @@
 
         await check_platform_client(self, start)
 
-    async def test_silent_watch_is_given_up_within_the_bound_on_configurations(self):
-        """Guards against configurations that come late because a connection went silent.
+    async def test_hanging_watch_times_out_within_the_propagation_bound(self):
+        """Guards against configurations that are late because a connection failed silently.
 
-        Found by trouble-1 of merrimack-siphon-grown (CONFIG): both watchers were behind for 2.8 s.
+        Both watchers were 2.8 s behind (CONFIG on day trouble-1 of merrimack-siphon-grown).
         """
         lines = LINES.replace("bounds=", "bounds=propagationS=2,")
         site = parse_site(lines)
-        self.fake.silent = True
+        self.server.hang = True
         started = CLOCK.now()
         with self.assertRaises(PlatformUnavailableError):
             await self.store.watch((CONFIGURATION_KEY,), 5, site.settings.platform.watch_ms / 1000)
-        # The next call and the way to the fleet need a fifth of the bound.
+        # The next call and publishing to the fleet need a fifth of the bound.
         self.assertLess(CLOCK.now() - started, 0.8 * site.bounds.propagation_s)
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -1,4 +1,4 @@
-"""Requests to the upstream beside the agent."""
+"""Tests of the client of the upstream on the agent's machine."""
 
 import asyncio
 import unittest
@@ -28,7 +28,7 @@
 )
 from tests.services.fakes import StubRegistry, make_request
 
-from .fakes import ANSWER_BYTES, CLOCK, RawUpstream, RecordedLiveness, site_at
+from .fakes import CLOCK, MAX_ANSWER_BYTES, RawUpstream, RecordedLiveness, site_at
 
 RECEIPT = b"X-Fescueward-Response-Sig: s1\r\n"
 ECHO = b"X-Fescueward-Request-Id: r1\r\n"
@@ -36,27 +36,27 @@
 
 
 class LocalUpstreamTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, address: Address) -> LocalUpstream:
+    async def start_client(self, address: Address) -> LocalUpstream:
         upstream = LocalUpstream(site_at(address))
-        announced = Announcement("depot", address.host, address.port, 6, 110, instance="i1")
-        membership = SimpleNamespace(announcement=announced)
+        announcement = Announcement("depot", address.host, address.port, 6, 110, instance="i1")
+        membership = SimpleNamespace(announcement=announcement)
         self.liveness = RecordedLiveness()
         upstream.bind(StubRegistry(membership=membership, routes=None, liveness=self.liveness))
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
         return upstream
 
-    async def run_against(self, answer: bytes, reset: bool = False) -> Response:
-        raw = RawUpstream(answer, reset)
+    async def run_against(self, response_bytes: bytes, reset: bool = False) -> Response:
+        raw = RawUpstream(response_bytes, reset)
         address = await raw.start()
         self.addAsyncCleanup(raw.stop)
         self.raw = raw
-        upstream = await self.start(address)
+        upstream = await self.start_client(address)
         request = make_request(2.0, method="GET", key="", caller="orders")
         return await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
 
-    async def test_whole_answer_is_passed_on(self):
-        """Guards against an answer that is changed, and a request without its identity."""
+    async def test_complete_response_is_returned(self):
+        """Guards against an altered response, and a request without its identity headers."""
         response = await self.run_against(
             b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + RECEIPT + ECHO + b"\r\nok"
         )
@@ -65,22 +65,22 @@
         for line in ("X-Fescueward-Target-Instance: i1", "X-Fescueward-Caller: orders"):
             self.assertIn(line, sent)
 
-    async def test_reset_during_an_answer_without_length(self):
-        """Guards against a short body that looks whole.
+    async def test_reset_during_a_response_without_length(self):
+        """Guards against a truncated body that looks complete.
 
-        Found by trouble-2 of kagaz-mesh: MIXED, the answer was framed as complete.
+        The client returned such a response as complete (MIXED on day trouble-2 of kagaz-mesh).
         """
-        start = b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\nhalf"
+        truncated = b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\nhalf"
         with self.assertRaises(AnswerLostError):
-            await self.run_against(start, reset=True)
+            await self.run_against(truncated, reset=True)
 
-    async def test_orderly_end_of_an_answer_without_length(self):
-        """Guards against whole answers that are thrown away because they name no length."""
+    async def test_graceful_close_ends_a_response_without_length(self):
+        """Guards against discarding complete responses that have no Content-Length."""
         response = await self.run_against(b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\nwhole")
         self.assertEqual(response.body.data, b"whole")
 
-    async def test_answers_that_are_not_this_requests(self):
-        """Guards against the answer to another request, a proxy's page and a broken one."""
+    async def test_mismatched_and_malformed_responses(self):
+        """Guards against accepting the response to another request, a proxy page or garbage."""
         ok = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
         cases = (
             (OutcomeLostError, ok + RECEIPT + b"X-Fescueward-Request-Id: r2\r\n\r\nok"),
@@ -90,12 +90,12 @@
             (AnswerLostError, b"no answer at all\r\n\r\n"),
             (OutcomeLostError, b""),
         )
-        for kind, answer in cases:
-            with self.subTest(answer=answer), self.assertRaises(kind):
-                await self.run_against(answer)
+        for kind, response_bytes in cases:
+            with self.subTest(response_bytes=response_bytes), self.assertRaises(kind):
+                await self.run_against(response_bytes)
 
-    async def test_refusal_of_the_upstream_has_not_run(self):
-        """Guards against a failure that is reported although another upstream could run it."""
+    async def test_refusal_of_the_upstream_is_reported_as_not_run(self):
+        """Guards against failing a request that another upstream could still run."""
         with self.assertRaises(UpstreamRefusedError) as refused:
             await self.run_against(
                 b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n"
@@ -103,71 +103,71 @@
             )
         self.assertEqual(refused.exception.outcome, "not_run")
 
-    async def test_refused_connection_has_not_run(self):
-        """Guards against an unknown outcome where no byte was sent."""
+    async def test_refused_connection_is_reported_as_not_run(self):
+        """Guards against reporting an unknown outcome when no byte was sent."""
         raw = RawUpstream(b"")
         address = await raw.start()
         await raw.stop()
-        upstream = await self.start(address)
+        upstream = await self.start_client(address)
         with self.assertRaises(UpstreamUnavailableError):
             await upstream.run(make_request(2.0, key=""), 0, 0, CLOCK.now() + 2.0)
-        self.assertEqual(self.liveness.signs, ["unreachable"])
+        self.assertEqual(self.liveness.calls, ["unreachable"])
         with self.assertRaises(UpstreamUnavailableError):
             await upstream.release_range(KeyRange(0, 9, "a:1", 1))
 
-    async def test_broken_idle_connection_is_not_used_twice(self):
-        """Guards against a second send that neither attempts nor the retry budget count.
+    async def test_failure_of_a_reused_connection_is_not_retried(self):
+        """Guards against a resend that counts neither as an attempt nor in the retry budget.
 
-        aiohttp sends a GET again by itself when a reused connection ends without an answer.
+        By default aiohttp resends a GET when a reused connection ends without a response.
         """
-        sends = []
+        received_requests = []
 
         async def serve(reader, writer):
             with suppress(asyncio.IncompleteReadError):
-                sends.append(await reader.readuntil(b"\r\n\r\n"))
-                if len(sends) == 1:
+                received_requests.append(await reader.readuntil(b"\r\n\r\n"))
+                if len(received_requests) == 1:
                     writer.write(WHOLE)
-                    sends.append(await reader.readuntil(b"\r\n\r\n"))
+                    received_requests.append(await reader.readuntil(b"\r\n\r\n"))
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
-        upstream = await self.start(Address(*server.sockets[0].getsockname()))
+        upstream = await self.start_client(Address(*server.sockets[0].getsockname()))
         request = make_request(2.0, method="GET", key="")
         await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
         with self.assertRaises(OutcomeLostError):
             await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
-        self.assertEqual(len(sends), 2)
+        self.assertEqual(len(received_requests), 2)
 
-    async def start_endless(self, answer: EndlessResponse, pause_s: float = 0.0) -> LocalUpstream:
-        self.server = EndlessServer(answer, pause_s)
+    async def start_endless(self, endless: EndlessResponse, pause_s: float = 0.0) -> LocalUpstream:
+        self.server = EndlessServer(endless, pause_s)
         address = Address(*await self.server.start())
         self.addAsyncCleanup(self.server.stop)
-        return await self.start(address)
+        return await self.start_client(address)
 
-    async def check_bound(self, limit: int) -> None:
+    async def check_bound(self, limit_bytes: int) -> None:
         await wait_until(self.server.idle, 2, "the connection is closed")
-        self.assertLess(self.server.accepted, limit + SOCKET_BUFFER_BYTES)
+        self.assertLess(self.server.accepted, limit_bytes + SOCKET_BUFFER_BYTES)
 
-    async def test_answers_without_end(self):
-        """Guards against an answer without end that fills the memory until the deadline."""
+    async def test_endless_responses(self):
+        """Guards against an endless response that fills the memory until the deadline."""
         for method in ("GET", "POST"):
-            for answer in (*endless_heads(), *endless_bodies(RECEIPT + ECHO)):
+            for endless in (*endless_heads(), *endless_bodies(RECEIPT + ECHO)):
                 request = make_request(8.0, method=method, key="")
-                with self.subTest(method=method, answer=answer.name):
-                    upstream = await self.start_endless(answer)
+                with self.subTest(method=method, endless=endless.name):
+                    upstream = await self.start_endless(endless)
                     with self.assertRaises(AnswerLostError) as refused:
                         await upstream.run(request, 0, 0, CLOCK.now() + 8.0)
                     self.assertEqual(refused.exception.http_status, 502)
-                    await self.check_bound(ANSWER_BYTES)
-
-    async def test_bytes_without_end_after_an_answer(self):
-        """Guards against bytes of no request that fill the memory of an idle connection."""
-        whole = EndlessResponse("rest", WHOLE, b"x" * 16_384)
-        pieces = (whole.piece, WHOLE * 200, b"HTTP/1.1 100 Continue\r\n\r\n" * 500)
-        for answer in (replace(whole, piece=piece) for piece in pieces):
-            with self.subTest(piece=answer.piece[:20]):
-                upstream = await self.start_endless(answer, 0.05)
+                    await self.check_bound(MAX_ANSWER_BYTES)
+
+    async def test_endless_bytes_after_a_response(self):
+        """Guards against unsolicited bytes that fill the buffer of an idle connection."""
+        base_response = EndlessResponse("rest", WHOLE, b"x" * 16_384)
+        chunks = (base_response.piece, WHOLE * 200, b"HTTP/1.1 100 Continue\r\n\r\n" * 500)
+        for endless in (replace(base_response, piece=piece) for piece in chunks):
+            with self.subTest(piece=endless.piece[:20]):
+                upstream = await self.start_endless(endless, 0.05)
                 for _ in range(2):
                     request = make_request(8.0, method="GET", key="", repeatable=True)
                     response = await upstream.run(request, 0, 0, CLOCK.now() + 8.0)
@@ -175,25 +175,25 @@
                     await self.check_bound(2 * ANSWER_HEAD_BYTES)
                 self.assertEqual(len(self.server.requests), 2)
 
-    async def test_orders_answered_without_end(self):
-        """Guards against a grant whose answer fills the memory."""
-        for answer in (*endless_heads(), *endless_bodies()):
-            with self.subTest(answer=answer.name):
-                upstream = await self.start_endless(answer)
+    async def test_endless_responses_to_a_release(self):
+        """Guards against a grant or release whose response fills the memory."""
+        for endless in (*endless_heads(), *endless_bodies()):
+            with self.subTest(endless=endless.name):
+                upstream = await self.start_endless(endless)
                 with self.assertRaises(OutcomeLostError) as refused:
                     await upstream.release_range(KeyRange(0, 9, "a:1", 1))
                 self.assertNotIn("Timeout", str(refused.exception))
-                await self.check_bound(ANSWER_BYTES)
+                await self.check_bound(MAX_ANSWER_BYTES)
 
-    async def test_long_answer_within_its_limit(self):
-        """Guards against a limit that cuts whole answers."""
-        body = b"y" * (ANSWER_BYTES - 1000)
+    async def test_large_response_within_the_limit(self):
+        """Guards against a limit that truncates valid responses."""
+        body = b"y" * (MAX_ANSWER_BYTES - 1000)
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
         response = await self.run_against(head + RECEIPT + ECHO + b"\r\n" + body)
         self.assertEqual(response.body.data, body)
 
-    async def test_answer_that_trickles_without_end(self):
-        """Guards against an answer that holds its slot beyond the deadline."""
+    async def test_stalled_response_ends_at_the_deadline(self):
+        """Guards against a response that occupies its slot beyond the deadline."""
         upstream = await self.start_endless(
             EndlessResponse("slow", b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\n", b""), 30.0
         )
@@ -201,9 +201,9 @@
             await upstream.run(make_request(0.2, key=""), 0, 0, CLOCK.now() + 0.2)
 
     async def test_new_start_of_the_upstream_is_a_crash(self):
-        """Guards against a request that crashes upstreams and is never counted."""
+        """Guards against upstream crashes that are not counted."""
         crashes = []
-        upstream = await self.start(Address("127.0.0.1", 1))
+        upstream = await self.start_client(Address("127.0.0.1", 1))
         upstream.subscribe(SimpleNamespace(upstream_crashed=lambda: crashes.append(1)))
         upstream.started("i1@1000")
         upstream.started("i1@1000")
@@ -211,11 +211,11 @@
         upstream.started("i1@2000")
         self.assertEqual((upstream.crashes, crashes), (1, [1]))
 
-    async def test_refused_connection_is_a_crash_once(self):
-        """Guards against a crash that is known only when the upstream is back."""
+    async def test_refused_connection_is_counted_as_one_crash(self):
+        """Guards against a crash that is detected only after the upstream has restarted."""
         raw = RawUpstream(WHOLE)
         address = await raw.start()
-        upstream = await self.start(address)
+        upstream = await self.start_client(address)
         upstream.started("i1@1000")
         request = make_request(2.0, method="GET", key="")
         await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
