--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -175,7 +175,7 @@
                 break
             after = page.items[-1].metadata.name
         objects = (_decode_or_skip(kind, item, False) for item in items)
-        return Changes(page.current_rev, tuple(item for item in objects if item is not None))
+        return Changes(page.current_rev, tuple(stored for stored in objects if stored is not None))
 
     async def _read(self, url: str, timeout_s: float) -> tuple[int, bytes]:
         try:
