Reword the tests' server of endless responses

Its texts called responses answers "without end", and constants did not say that they are limits. Renames: SENT_BYTES to MAX_SENT_BYTES, answer to response.

--- a/tests/endless.py
+++ b/tests/endless.py
@@ -1,4 +1,4 @@
-"""A server whose answers never end, for the tests of every HTTP client of the package."""
+"""A server of endless responses, for the tests of all HTTP clients of the package."""
 
 from __future__ import annotations
 
@@ -13,9 +13,9 @@
 from fescueward.kernel.settings import PlatformSection
 from fescueward.testing.waiting import wait_until
 
-# What one connection is sent at most, in bytes. A client without a bound takes all of it.
-SENT_BYTES = 64 * 1024 * 1024
-# Allowance, in bytes, for the buffers of both sockets, which grow while the client reads.
+# Size at which a response stops on one connection. A client without a bound reads all of it.
+MAX_SENT_BYTES = 64 * 1024 * 1024
+# Allowance for the buffers of both sockets, which grow while the client reads.
 SOCKET_BUFFER_BYTES = 12 * 1024 * 1024
 
 _OK = b"HTTP/1.1 200 OK\r\n"
@@ -24,12 +24,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EndlessResponse:
-    """An answer that never ends.
+    """A response that never ends.
 
     Attributes:
-        name: What has no end.
-        start: Bytes sent first.
-        piece: Bytes repeated after them.
+        name: The part that is endless.
+        start: Bytes that are sent first.
+        piece: Bytes that are repeated after `start`.
     """
 
     name: str
@@ -38,7 +38,7 @@
 
 
 def endless_heads() -> tuple[EndlessResponse, ...]:
-    """Returns answers whose head never ends."""
+    """Returns responses whose head never ends."""
     return (
         EndlessResponse("status line", _OK[:-2], _FILLER),
         EndlessResponse("header", _OK + b"X-Long: ", _FILLER),
@@ -50,7 +50,7 @@
 
 
 def endless_bodies(headers: bytes = b"") -> tuple[EndlessResponse, ...]:
-    """Returns answers whose body never ends, with these header lines."""
+    """Returns responses whose body never ends; their heads contain the given header lines."""
     chunked = _OK + headers + b"Transfer-Encoding: chunked\r\n\r\n"
     return (
         EndlessResponse("no length", _OK + headers + b"\r\n", _FILLER),
@@ -63,25 +63,25 @@
 
 
 class EndlessServer:
-    """Sends an answer without end on each connection until its caller closes.
+    """Sends an endless response on each connection until the client closes it.
 
     Attributes:
-        answer: The answer, which can be changed between requests.
-        pause_s: Time between the start of the answer and what follows it, in seconds.
-        accepted: Bytes that the sockets of all connections have accepted.
-        open: Connections on which answers are sent at present.
-        requests: First lines of the requests, without those for health and cancellation.
+        response: The response, which can be changed between requests.
+        pause_s: Delay between `start` and the first `piece` of the response, in seconds.
+        accepted: Bytes written to the sockets of all connections, without those in user space.
+        open: Number of connections on which a response is being sent.
+        requests: Request lines, except those of health checks and cancellations.
     """
 
-    def __init__(self, answer: EndlessResponse, pause_s: float = 0.0) -> None:
-        self.answer = answer
+    def __init__(self, response: EndlessResponse, pause_s: float = 0.0) -> None:
+        self.response = response
         self.pause_s = pause_s
         self.accepted = 0
         self.open = 0
         self.requests: list[bytes] = []
 
     async def start(self) -> tuple[str, int]:
-        """Listens and returns host and port."""
+        """Starts listening and returns host and port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         listening = self._server.sockets[0]
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
@@ -93,7 +93,7 @@
         self._server.close()
 
     def idle(self) -> bool:
-        """Tells whether no answer is being sent."""
+        """Returns whether no response is being sent."""
         return not self.open
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -112,32 +112,32 @@
 
     async def _send(self, writer: asyncio.StreamWriter) -> None:
         self.open += 1
-        sent = 0
+        sent_bytes = 0
         try:
-            writer.write(self.answer.start)
+            writer.write(self.response.start)
             await asyncio.sleep(self.pause_s)
-            while sent < SENT_BYTES:
-                writer.write(self.answer.piece)
-                sent += len(self.answer.piece)
+            while sent_bytes < MAX_SENT_BYTES:
+                writer.write(self.response.piece)
+                sent_bytes += len(self.response.piece)
                 await writer.drain()
             await writer.wait_closed()
         finally:
-            self.accepted += sent - writer.transport.get_write_buffer_size()
+            self.accepted += sent_bytes - writer.transport.get_write_buffer_size()
             self.open -= 1
 
 
 async def check_platform_client(
     test: unittest.IsolatedAsyncioTestCase, start: Callable[[PlatformSection], Awaitable[Any]]
 ) -> None:
-    """Checks that a client of the platform ends answers without end before its timeout.
+    """Checks that a client of the platform aborts endless responses before its timeout.
 
     Args:
-        test: The test.
-        start: Starts a client with settings.
+        test: The test case that runs the checks.
+        start: Starts a client with the given settings.
     """
-    for answer in (*endless_heads(), *endless_bodies()):
-        with test.subTest(answer=answer.name):
-            server = EndlessServer(answer)
+    for response in (*endless_heads(), *endless_bodies()):
+        with test.subTest(response=response.name):
+            server = EndlessServer(response)
             host, port = await server.start()
             test.addAsyncCleanup(server.stop)
             section = PlatformSection(
