Reword the status service, its problems, histories and explanations

Names such as told, asked, before and held, and texts like "has no owner since 2.1 s", were hard to read.

--- a/fescueward/services/explanations.py
+++ b/fescueward/services/explanations.py
@@ -1,4 +1,4 @@
-"""Why a key is where it is, and whether a request to it would be served."""
+"""Explains the placement of a key, and whether a request to it would be served."""
 
 from __future__ import annotations
 
@@ -11,23 +11,23 @@
 )
 from ..messages import Entry, Shard
 from ..messages.status import AgentStatus, Explanation, Reason
-from .problems import Answers, GroupView
+from .problems import AgentResponses, GroupView
 
 
 def explain_key(
-    entry: Entry, key: str, view: GroupView, answers: Answers, told_by: str
+    entry: Entry, key: str, view: GroupView, responses: AgentResponses, told_by: str
 ) -> Explanation:
-    """Explains one key.
+    """Explains the placement of one key.
 
     Args:
-        entry: Entry of its service.
+        entry: Catalogue entry of the service.
         key: The key.
-        view: Its group as far as it is known.
-        answers: Answers of its owner and successor.
+        view: Group of the key, as this agent could read it.
+        responses: Responses of its owner and successor.
         told_by: Member id of this agent.
     """
     if view.group is None:
-        shard_id, shard, domain = 0, Shard(), None
+        shard_id, shard, failure_domain = 0, Shard(), None
         cause = f"the group could not be read: {view.error}" if view.error else "it has no members"
         reasons, text = (Reason.NO_OWNER,), f"group {view.id} has no known owner: {cause}"
     else:
@@ -35,44 +35,46 @@
         shard_id = group.shard_of(key, entry.groups)
         shard = group.shards[shard_id] if shard_id < len(group.shards) else Shard()
         owner = group.members.get(shard.owner or "")
-        domain = owner.failure_domain if owner is not None else None
-        reasons, text = _reasons(key, shard_id, shard, key in group.exceptions, answers)
-    refusal, state = _serving(shard_id, shard, answers)
+        failure_domain = owner.failure_domain if owner is not None else None
+        reasons, text = _placement_reasons(
+            key, shard_id, shard, key in group.exceptions, responses
+        )
+    refusal, serving_state = _serving_state(shard_id, shard, responses)
     return Explanation(
         service=entry.service,
         key=key,
         group=str(view.id),
         shard=shard_id,
         owner=shard.owner,
-        failure_domain=domain,
+        failure_domain=failure_domain,
         epoch=shard.epoch,
         successor=shard.successor,
         reasons=reasons,
-        text=f"{text}; {state}",
+        text=f"{text}; {serving_state}",
         served=refusal is None,
         refusal=refusal.label if refusal is not None else None,
         told_by=told_by,
     )
 
 
-def _reasons(
-    key: str, shard_id: int, shard: Shard, exception: bool, answers: Answers
+def _placement_reasons(
+    key: str, shard_id: int, shard: Shard, is_exception: bool, responses: AgentResponses
 ) -> tuple[tuple[Reason, ...], str]:
     reasons: list[Reason] = []
-    if exception:
+    if is_exception:
         reasons.append(Reason.EXCEPTION)
-        parts = [f"{key!r} is placed singly as shard {shard_id}, because it is or was hot"]
+        parts = [f"{key!r} has its own shard {shard_id}, because it is or was hot"]
     else:
         parts = [f"the hash of {key!r} selects shard {shard_id}"]
     if shard.owner is None:
         reasons.append(Reason.NO_OWNER)
         parts.append("the shard has no owner")
         return tuple(reasons), "; ".join(parts)
-    told = answers.told.get(shard.owner)
-    origin = told.origins.get(shard_id) if told is not None else None
+    owner_status = responses.statuses.get(shard.owner)
+    origin = owner_status.origins.get(shard_id) if owner_status is not None else None
     if origin is None:
         reasons.append(Reason.PLACED)
-        parts.append(f"the placement policy gave the shard to {shard.owner}")
+        parts.append(f"the placement policy assigned the shard to {shard.owner}")
     elif origin.taken_over:
         reasons.append(Reason.TAKEN_OVER)
         parts.append(
@@ -88,7 +90,7 @@
         reasons.append(Reason.HOLD)
         parts.append(
             f"the owner waited {shard.hold_ms} ms before it activated the shard, because the "
-            "upstream before checks no grants"
+            "previous upstream checks no grants"
         )
     if shard.successor is not None:
         reasons.append(Reason.MOVING)
@@ -96,26 +98,30 @@
     return tuple(reasons), "; ".join(parts)
 
 
-def _serving(
-    shard_id: int, shard: Shard, answers: Answers
+def _serving_state(
+    shard_id: int, shard: Shard, responses: AgentResponses
 ) -> tuple[type[RefusalError] | None, str]:
     if shard.owner is None:
-        return NoOwnerError, "a request waits for an owner within its deadline, then is refused"
+        return NoOwnerError, "a request waits for an owner until its deadline and is then refused"
     for member_id, epoch in ((shard.owner, shard.epoch), (shard.successor, shard.epoch + 1)):
-        told = answers.told.get(member_id or "")
-        if told is not None and told.lease_held and _serves(told, shard_id, epoch):
+        agent_status = responses.statuses.get(member_id or "")
+        if (
+            agent_status is not None
+            and agent_status.lease_held
+            and _serves(agent_status, shard_id, epoch)
+        ):
             if member_id == shard.owner and shard.successor is not None:
                 continue
             return None, f"a request would be served by {member_id} now"
-    told = answers.told.get(shard.owner)
+    agent_status = responses.statuses.get(shard.owner)
     if shard.successor is not None:
-        return ShardMovingError, "a request waits for the handover within its deadline"
-    if told is None:
-        return OwnerUnreachableError, f"{shard.owner} does not answer this agent"
-    if not told.lease_held:
+        return ShardMovingError, "a request waits for the handover until its deadline"
+    if agent_status is None:
+        return OwnerUnreachableError, f"{shard.owner} does not respond to this agent"
+    if not agent_status.lease_held:
         return LeaseExpiredError, f"the lease of {shard.owner} has ended"
     return ShardMovingError, f"{shard.owner} has not activated the shard at this epoch yet"
 
 
-def _serves(told: AgentStatus, shard_id: int, epoch: int) -> bool:
-    return told.shards.get(shard_id) == epoch
+def _serves(agent_status: AgentStatus, shard_id: int, epoch: int) -> bool:
+    return agent_status.shards.get(shard_id) == epoch
--- a/fescueward/services/problems.py
+++ b/fescueward/services/problems.py
@@ -1,4 +1,4 @@
-"""What is wrong with groups and services, in words; decided from group objects and answers."""
+"""Derives the problems of groups and services from group objects and agents' responses."""
 
 from __future__ import annotations
 
@@ -19,22 +19,22 @@
 )
 from .history import GroupHistories, GroupHistory
 
-# A handover waits for the requests in flight; one that takes longer deserves a look.
-_SLOW_MOVE_S = 5.0
-# Entries reach every agent within this time (design, invariant 8).
-_APPLY_S = 5.0
-_SHOWN_SHARDS = 8
+# A handover waits for the requests in flight; one that takes longer is reported as a problem.
+_SLOW_MOVE_THRESHOLD_S = 5.0
+# Bound on the propagation of an entry to every agent (design, invariant 8).
+_MAX_PROPAGATION_S = 5.0
+_MAX_LISTED_IDS = 8
 
 
 @dataclass(frozen=True, slots=True)
 class GroupView:
-    """A group as far as this agent knows it.
+    """The state of a group as this agent could read it.
 
     Attributes:
-        id: Which group.
-        group: The group, or None if it does not exist or was never seen.
-        fresh: Whether it is kept up to date here or was read just now.
-        error: Why it could not be read, or empty.
+        id: Id of the group.
+        group: The group, or None if it does not exist or no version of it is known.
+        fresh: Whether this agent watches the group or has just read it from the platform.
+        error: Why the group could not be read, or empty.
     """
 
     id: GroupId
@@ -44,34 +44,40 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answers:
-    """What the agents that were asked told.
+class AgentResponses:
+    """Responses of the agents to a status query.
 
     Attributes:
-        me: Member id of this agent.
-        asked: Member ids of the agents that were asked, this one included.
-        told: Answers by member id.
+        local_id: Member id of this agent.
+        queried: Member ids of the agents that were queried, this one included.
+        statuses: Status of each agent that responded, by member id.
     """
 
-    me: str
-    asked: frozenset[str] = frozenset()
-    told: dict[str, AgentStatus] = field(default_factory=dict)
+    local_id: str
+    queried: frozenset[str] = frozenset()
+    statuses: dict[str, AgentStatus] = field(default_factory=dict)
 
-    def silent_since_s(self, member_id: str) -> float | None:
-        """Returns the least time since a monitor acknowledged a renewal of a member."""
+    def since_acknowledged_s(self, member_id: str) -> float | None:
+        """Returns the seconds since any monitor last acknowledged a member, None if unknown."""
         times = [
             status.monitored_s[member_id]
-            for status in self.told.values()
+            for status in self.statuses.values()
             if member_id in status.monitored_s
         ]
         return min(times, default=None)
 
 
-def fleet_problems(answers: Answers, unavailable_s: float | None) -> tuple[Problem, ...]:
-    """Returns what is wrong with the platform, as told by all agents that answered."""
+def fleet_problems(responses: AgentResponses, unavailable_s: float | None) -> tuple[Problem, ...]:
+    """Returns the problems of the platform, as reported by the agents that responded.
+
+    Args:
+        responses: Responses of the agents.
+        unavailable_s: Seconds since the platform stopped responding to this agent, or None; used
+            if no response reports an outage.
+    """
     times = [
         status.platform_unavailable_s
-        for status in answers.told.values()
+        for status in responses.statuses.values()
         if status.platform_unavailable_s is not None
     ]
     if unavailable_s is not None and not times:
@@ -79,7 +85,7 @@
     if not times:
         return ()
     text = (
-        f"the platform does not answer {len(times)} of {len(answers.told)} agents since "
+        f"the platform has not responded to {len(times)} of {len(responses.statuses)} agents for "
         f"{max(times):.1f} s: edits, moves and takeovers wait; live agents keep serving"
     )
     return (Problem(ProblemKind.PLATFORM_UNAVAILABLE, text, max(times)),)
@@ -88,18 +94,18 @@
 def service_status(
     entry: VersionedEntry,
     views: tuple[GroupView, ...],
-    answers: Answers,
+    responses: AgentResponses,
     histories: GroupHistories,
     now: float,
 ) -> ServiceStatus:
     """Returns the status of one service.
 
     Args:
-        entry: Its entry at the accepted version.
-        views: Its groups as far as they were read.
-        answers: Answers of the agents.
-        histories: What this agent has seen happen.
-        now: Present time in seconds of CLOCK_BOOTTIME.
+        entry: Catalogue entry of the service.
+        views: Groups of the service.
+        responses: Responses of the agents.
+        histories: Changes of the groups that this agent observed.
+        now: Current time in seconds of CLOCK_BOOTTIME.
     """
     service = entry.entry.service
     problems: list[Problem] = []
@@ -107,27 +113,29 @@
     for view in views:
         history = histories.of(view.id)
         if view.error:
-            problems.append(_unreadable(view))
+            problems.append(_group_unreadable_problem(view))
         if view.group is None:
             if not view.error:
-                problems.append(_no_members(view.id))
+                problems.append(_no_members_problem(view.id))
             continue
-        groups.append(_group_status(view, view.group, service, answers, history, now))
-        problems.extend(_group_problems(view.group.group, answers, history, now))
-    # Others may have heard of a newer version than this agent.
-    told = [status.entry_versions.get(service, 0) for status in answers.told.values()]
-    version = max([entry.version, *told])
-    behind = _behind(service, version, answers)
-    if behind:
-        problems.append(_not_applied(service, version, behind, answers))
+        groups.append(_group_status(view, view.group, service, responses, history, now))
+        problems.extend(_group_problems(view.group.group, responses, history, now))
+    # Other agents may have received a newer version than this one.
+    applied_versions = [
+        status.entry_versions.get(service, 0) for status in responses.statuses.values()
+    ]
+    version = max([entry.version, *applied_versions])
+    outdated_agents = _outdated_agents(service, version, responses)
+    if outdated_agents:
+        problems.append(_entry_not_applied_problem(service, version, outdated_agents, responses))
     return ServiceStatus(
         service=service,
         owner=entry.entry.owner,
         request_class=entry.entry.request_class,
         weight=entry.entry.weight,
         version=version,
-        agents_asked=len(answers.asked),
-        agents_applying=told.count(version),
+        agents_asked=len(responses.queried),
+        agents_applying=applied_versions.count(version),
         groups=tuple(groups),
         groups_total=entry.entry.groups,
         problems=tuple(problems),
@@ -136,18 +144,18 @@
 
 def _group_status(
     view: GroupView,
-    held: VersionedGroup,
+    versioned_group: VersionedGroup,
     service: str,
-    answers: Answers,
+    responses: AgentResponses,
     history: GroupHistory,
     now: float,
 ) -> GroupStatus:
-    group = held.group
+    group = versioned_group.group
     counts: dict[str | None, int] = defaultdict(int)
     for shard in group.shards:
         counts[shard.owner] += 1
     members = tuple(
-        _member_status(group.members[member_id], counts[member_id], service, answers)
+        _member_status(group.members[member_id], counts[member_id], service, responses)
         for member_id in sorted(group.members)
     )
     moves = tuple(
@@ -155,35 +163,37 @@
             shard_id,
             shard.owner,
             shard.successor,
-            _age(history.moving_since(shard_id), now) or 0.0,
+            _elapsed_s(history.moving_since(shard_id), now) or 0.0,
         )
         for shard_id, shard in enumerate(group.shards)
         if shard.successor is not None
     )
     return GroupStatus(
         group=str(view.id),
-        version=held.version,
+        version=versioned_group.version,
         fresh=view.fresh,
         members=members,
         shards=len(group.shards),
         exceptions=len(group.exceptions),
         moves=moves,
-        watchers=_watchers(group, answers),
+        watchers=_watchers(group, responses),
     )
 
 
-def _member_status(member: Member, shards: int, service: str, answers: Answers) -> MemberStatus:
-    told = answers.told.get(member.id)
+def _member_status(
+    member: Member, shards: int, service: str, responses: AgentResponses
+) -> MemberStatus:
+    agent_status = responses.statuses.get(member.id)
     status = MemberStatus(
         id=member.id,
         failure_domain=member.failure_domain,
         state=member.state.value,
         slots=member.slots,
         shards=shards,
-        answered=told is not None,
+        answered=agent_status is not None,
         lease=LeaseState.NOT_TOLD,
     )
-    if told is None:
+    if agent_status is None:
         return status
     return MemberStatus(
         id=status.id,
@@ -192,75 +202,81 @@
         slots=status.slots,
         shards=status.shards,
         answered=True,
-        lease=LeaseState.HELD if told.lease_held else LeaseState.ENDED,
-        in_flight=told.in_flight,
-        entry_version=told.entry_versions.get(service),
-        uptime_s=told.uptime_s,
+        lease=LeaseState.HELD if agent_status.lease_held else LeaseState.ENDED,
+        in_flight=agent_status.in_flight,
+        entry_version=agent_status.entry_versions.get(service),
+        uptime_s=agent_status.uptime_s,
     )
 
 
 def _group_problems(
-    group: Group, answers: Answers, history: GroupHistory, now: float
+    group: Group, responses: AgentResponses, history: GroupHistory, now: float
 ) -> Iterable[Problem]:
     if not group.members:
-        yield _no_members(group.id)
-    yield from _unowned(group, history, now)
-    yield from _slow_moves(group, history, now)
+        yield _no_members_problem(group.id)
+    yield from _no_owner_problems(group, history, now)
+    yield from _slow_move_problems(group, history, now)
     for member in sorted(group.members.values(), key=lambda member: member.id):
         owned = sum(shard.owner == member.id for shard in group.shards)
-        told = answers.told.get(member.id)
-        if told is None and member.id in answers.asked:
-            yield _silent(group, member, owned, answers)
-        elif told is not None and not told.lease_held and owned:
+        agent_status = responses.statuses.get(member.id)
+        if agent_status is None and member.id in responses.queried:
+            yield _member_silent_problem(group, member, owned, responses)
+        elif agent_status is not None and not agent_status.lease_held and owned:
             text = (
-                f"{member.id} ({member.failure_domain}) says that its lease has ended: its "
+                f"{member.id} ({member.failure_domain}) reports that its lease has ended: its "
                 f"{owned} shards of {group.service} are refused until it is renewed or taken over"
             )
-            yield Problem(ProblemKind.LEASE_ENDED, text, answers.silent_since_s(member.id))
-    told_members = [member for member in group.members if member in answers.told]
-    if told_members and not _watchers(group, answers):
+            yield Problem(ProblemKind.LEASE_ENDED, text, responses.since_acknowledged_s(member.id))
+    responding_members = [member for member in group.members if member in responses.statuses]
+    if responding_members and not _watchers(group, responses):
         text = (
-            f"no member of {group.id} watches the platform: edits and moves may arrive late; "
-            "the next members take over after 3 s if the platform answers"
+            f"no member of {group.id} watches the platform: edits and moves may be applied late; "
+            "other members take over the watch after 3 s if the platform responds"
         )
         yield Problem(ProblemKind.NO_WATCHER, text)
 
 
-def _silent(group: Group, member: Member, owned: int, answers: Answers) -> Problem:
-    since_s = answers.silent_since_s(member.id)
-    when = f" since {since_s:.1f} s" if since_s is not None else ""
+def _member_silent_problem(
+    group: Group, member: Member, owned: int, responses: AgentResponses
+) -> Problem:
+    since_s = responses.since_acknowledged_s(member.id)
+    duration = f" for {since_s:.1f} s" if since_s is not None else ""
     text = (
-        f"{member.id} ({member.failure_domain}) does not answer{when}: its {owned} shards of "
-        f"{group.service} are not served if it is lost, until its monitors take it over"
+        f"{member.id} ({member.failure_domain}) has not responded{duration}: its {owned} shards "
+        f"of {group.service} are not served if it is lost, until its monitors take it over"
     )
     return Problem(ProblemKind.MEMBER_SILENT, text, since_s)
 
 
-def _unowned(group: Group, history: GroupHistory, now: float) -> Iterable[Problem]:
-    causes: dict[tuple[float | None, str | None], list[int]] = defaultdict(list)
+def _no_owner_problems(group: Group, history: GroupHistory, now: float) -> Iterable[Problem]:
+    shards_by_cause: dict[tuple[float | None, str | None], list[int]] = defaultdict(list)
     for shard_id, shard in enumerate(group.shards):
         if shard.owner is None:
-            causes[history.unowned_since(shard_id) or (None, None)].append(shard_id)
-    losses = {loss.member_id for loss in history.losses}
-    for (since, before), shards in causes.items():
-        since_s = _age(since, now)
+            shards_by_cause[history.unowned_since(shard_id) or (None, None)].append(shard_id)
+    lost_member_ids = {loss.member_id for loss in history.losses}
+    for (unowned_since, previous_owner), shards in shards_by_cause.items():
+        since_s = _elapsed_s(unowned_since, now)
         subject = "shard" if len(shards) == 1 else "shards"
         verb = "has" if len(shards) == 1 else "have"
-        when = f" since {since_s:.1f} s" if since_s is not None else ""
-        text = f"{subject} {_listed(shards)} of {group.service} {verb} no owner{when}"
-        if before is not None:
-            text += f": agent {before} was lost" if before in losses else f": {before} left"
+        duration = f" for {since_s:.1f} s" if since_s is not None else ""
+        text = f"{subject} {_format_ids(shards)} of {group.service} {verb} had no owner{duration}"
+        if previous_owner is not None:
+            text += (
+                f": agent {previous_owner} was lost"
+                if previous_owner in lost_member_ids
+                else f": {previous_owner} left"
+            )
         elif not group.members:
             text += ": the group has no members"
         yield Problem(ProblemKind.NO_OWNER, text, since_s)
 
 
-def _slow_moves(group: Group, history: GroupHistory, now: float) -> Iterable[Problem]:
+def _slow_move_problems(group: Group, history: GroupHistory, now: float) -> Iterable[Problem]:
     moves: dict[tuple[str | None, str], list[int]] = defaultdict(list)
     oldest: dict[tuple[str | None, str], float] = defaultdict(float)
     for shard_id, shard in enumerate(group.shards):
-        since_s = _age(history.moving_since(shard_id), now)
-        if shard.successor is None or since_s is None or since_s < _SLOW_MOVE_S:
+        since_s = _elapsed_s(history.moving_since(shard_id), now)
+        if shard.successor is None or since_s is None or since_s < _SLOW_MOVE_THRESHOLD_S:
             continue
         move = (shard.owner, shard.successor)
         moves[move].append(shard_id)
@@ -269,55 +285,60 @@
         subject, verb = ("shard", "moves") if len(shards) == 1 else ("shards", "move")
         since_s = oldest[owner, successor]
         text = (
-            f"{subject} {_listed(shards)} of {group.service} {verb} from {owner} to {successor} "
-            f"since {since_s:.1f} s: requests in flight, an unreachable successor or an outage of "
-            "the platform holds it"
+            f"{subject} {_format_ids(shards)} of {group.service} {verb} from {owner} to "
+            f"{successor}, started {since_s:.1f} s ago: requests in flight, an unreachable "
+            "successor or an outage of the platform delays the handover"
         )
         yield Problem(ProblemKind.MOVE_SLOW, text, since_s)
 
 
-def _unreadable(view: GroupView) -> Problem:
-    shown = "the last version seen is shown" if view.group is not None else "nothing is known"
-    text = f"group {view.id} could not be read, {shown}: {view.error}"
+def _group_unreadable_problem(view: GroupView) -> Problem:
+    shown_version = (
+        "the last known version is shown" if view.group is not None else "no version is known"
+    )
+    text = f"group {view.id} could not be read, {shown_version}: {view.error}"
     return Problem(ProblemKind.GROUP_UNREADABLE, text)
 
 
-def _no_members(group: GroupId) -> Problem:
+def _no_members_problem(group: GroupId) -> Problem:
     text = f"group {group} has no members: no upstream has announced itself for it"
     return Problem(ProblemKind.NO_MEMBERS, text)
 
 
-def _behind(service: str, version: int, answers: Answers) -> list[str]:
+def _outdated_agents(service: str, version: int, responses: AgentResponses) -> list[str]:
     return sorted(
         member_id
-        for member_id, status in answers.told.items()
+        for member_id, status in responses.statuses.items()
         if status.entry_versions.get(service, 0) < version
         and (status.entry_versions_complete or service in status.entry_versions)
     )
 
 
-def _not_applied(service: str, version: int, behind: list[str], answers: Answers) -> Problem:
+def _entry_not_applied_problem(
+    service: str, version: int, outdated_agents: list[str], responses: AgentResponses
+) -> Problem:
     text = (
-        f"version {version} of {service} is not in effect on {len(behind)} of "
-        f"{len(answers.told)} agents yet ({', '.join(behind[:_SHOWN_SHARDS])}); it reaches every "
-        f"agent within {_APPLY_S:.0f} s while the platform answers"
+        f"version {version} of {service} is not in effect on {len(outdated_agents)} of "
+        f"{len(responses.statuses)} agents yet "
+        f"({', '.join(outdated_agents[:_MAX_LISTED_IDS])}); it reaches every agent within "
+        f"{_MAX_PROPAGATION_S:.0f} s while the platform responds"
     )
     return Problem(ProblemKind.ENTRY_NOT_APPLIED, text)
 
 
-def _watchers(group: Group, answers: Answers) -> tuple[str, ...]:
+def _watchers(group: Group, responses: AgentResponses) -> tuple[str, ...]:
     return tuple(
         member_id
         for member_id in sorted(group.members)
-        if member_id in answers.told and answers.told[member_id].watching
+        if member_id in responses.statuses and responses.statuses[member_id].watching
     )
 
 
-def _age(since: float | None, now: float) -> float | None:
+def _elapsed_s(since: float | None, now: float) -> float | None:
     return round(now - since, 3) if since is not None else None
 
 
-def _listed(shards: list[int]) -> str:
-    text = ", ".join(str(shard) for shard in shards[:_SHOWN_SHARDS])
-    more = len(shards) - _SHOWN_SHARDS
+def _format_ids(shards: list[int]) -> str:
+    text = ", ".join(str(shard) for shard in shards[:_MAX_LISTED_IDS])
+    more = len(shards) - _MAX_LISTED_IDS
     return f"{text} and {more} more" if more > 0 else text
--- a/fescueward/services/status.py
+++ b/fescueward/services/status.py
@@ -1,4 +1,4 @@
-"""Status for operators: of agents, services and single keys."""
+"""Status of agents, services and single keys for operators."""
 
 from __future__ import annotations
 
@@ -39,25 +39,25 @@
 )
 from .explanations import explain_key
 from .history import GroupHistories, ShardOrigin
-from .problems import Answers, GroupView, fleet_problems, service_status
+from .problems import AgentResponses, GroupView, fleet_problems, service_status
 
-_UNANSWERED = Event(
-    3701, "status_unanswered", Level.INFO, "An agent did not answer a query for its status."
+_STATUS_UNANSWERED = Event(
+    3701, "status_unanswered", Level.INFO, "An agent did not respond to a status query."
 )
 
-# Below the 3 s that operators accept for an answer; a peer that is alive answers within ms.
+# Below the 3 s that operators accept for a response; a live peer replies within milliseconds.
 _QUERY_TIMEOUT_S = 1.0
-# A status covers at most this many groups and agents, so that it stays cheap in a large fleet.
-_GROUPS_LIMIT = 64
-_AGENTS_LIMIT = 256
-# Entry versions that an agent reports, so that a reply fits into one frame.
-_VERSIONS_LIMIT = 4_000
+# Limits on the groups and agents of one status, which bound its cost in a large fleet.
+_MAX_GROUPS = 64
+_MAX_AGENTS = 256
+# Limit on the entry versions in a reply, so that it fits into one frame.
+_MAX_ENTRY_VERSIONS = 4_000
 
 
 class FleetStatusReports:
     """The `status` service.
 
-    Every agent can report on every service: it reads the group objects and asks the members.
+    Every agent can report on every service: it reads the group objects and queries the members.
     """
 
     name = "status"
@@ -68,7 +68,7 @@
         self._started_at = 0.0
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses and registers for changes and queries."""
         self._clock = registry.find("clock", Clock)
         self._settings = registry.find("settings", Settings)
         self._catalogue = registry.find("catalogue", Catalogue)
@@ -85,20 +85,20 @@
         self._peers.on(StatusQuery, self._on_query)
 
     async def start(self) -> None:
-        """Notes the start, from which the uptime counts."""
+        """Records the start time for the uptime."""
         self._started_at = self._clock.now()
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Does nothing: there is nothing to release."""
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Keeps the history of groups."""
+        """Records a new version of a group in its history."""
         self._histories.observe(group, self._clock.now())
 
     def agent(self) -> AgentStatus:
         """Returns the status of this agent."""
         now = self._clock.now()
-        me = self._membership.me()
+        own_member = self._membership.me()
         home = self._membership.home
         view = self._groups.view(home) if home is not None else None
         shards = self._ownership.active()
@@ -106,11 +106,11 @@
             member_id=self._membership.member_id,
             failure_domain=self._settings.agent.failure_domain,
             group=str(home) if home is not None else "",
-            state=self._state(),
+            state=self._agent_state(),
             uptime_s=round(now - self._started_at, 3),
             lease_held=self._lease.held,
             lease_remaining_s=round(max(self._lease.expires_at - now, 0.0), 3),
-            monitors=me.monitors if me is not None else (),
+            monitors=own_member.monitors if own_member is not None else (),
             monitored_s={
                 member: round(seconds, 3) for member, seconds in self._monitor.monitored().items()
             },
@@ -121,49 +121,51 @@
             watching=self._watch.watching,
             group_version=view.version if view is not None else 0,
             entry_versions=self._entry_versions(home),
-            entry_versions_complete=len(self._catalogue.versions()) <= _VERSIONS_LIMIT,
+            entry_versions_complete=len(self._catalogue.versions()) <= _MAX_ENTRY_VERSIONS,
         )
 
     async def fleet(self, service: str | None = None) -> FleetStatus:
-        """Returns the status of one service or of all; see `StatusReports.fleet`."""
+        """Returns the status of one or all services; see `StatusReports.fleet`."""
         if service is None:
             entries = self._catalogue.entries()
         else:
             entries = (self._catalogue.entry(service),)
         views = await self._views(entries)
-        answers = await self._ask(
+        responses = await self._query_agents(
             member for view in views if view.group for member in view.group.group.members.values()
         )
         now = self._clock.now()
         services: list[ServiceStatus] = []
         for entry in entries:
-            own = tuple(view for view in views if view.id.service == entry.entry.service)
-            services.append(service_status(entry, own, answers, self._histories, now))
+            service_views = tuple(view for view in views if view.id.service == entry.entry.service)
+            services.append(service_status(entry, service_views, responses, self._histories, now))
         unavailable_s = self._platform_unavailable_s()
         return FleetStatus(
             told_by=self._membership.member_id,
             platform_unavailable_s=unavailable_s,
-            agents_asked=len(answers.asked),
-            agents_answered=len(answers.told),
+            agents_asked=len(responses.queried),
+            agents_answered=len(responses.statuses),
             services=tuple(services),
-            problems=fleet_problems(answers, unavailable_s),
+            problems=fleet_problems(responses, unavailable_s),
         )
 
     async def explain(self, service: str, key: str) -> Explanation:
-        """Returns where a key is, why, and whether it would be served; see the Protocol."""
+        """Returns where a key is placed, and why; see `StatusReports.explain`."""
         entry = self._catalogue.entry(service).entry
         view = await self._view(group_of(service, key, entry.groups))
-        answers = Answers(self._membership.member_id)
+        responses = AgentResponses(self._membership.member_id)
         if view.group is not None:
             shard_id = view.group.group.shard_of(key, entry.groups)
             shards = view.group.group.shards
             shard = shards[shard_id] if shard_id < len(shards) else Shard()
             members = view.group.group.members
-            wanted = {shard.owner, shard.successor}
-            answers = await self._ask(member for member in members.values() if member.id in wanted)
-        return explain_key(entry, key, view, answers, self._membership.member_id)
+            owner_ids = {shard.owner, shard.successor}
+            responses = await self._query_agents(
+                member for member in members.values() if member.id in owner_ids
+            )
+        return explain_key(entry, key, view, responses, self._membership.member_id)
 
-    def _state(self) -> AgentState:
+    def _agent_state(self) -> AgentState:
         if self._membership.leaving:
             return AgentState.LEAVING
         if self._membership.announcement is None:
@@ -176,9 +178,9 @@
 
     def _entry_versions(self, home: GroupId | None) -> dict[str, int]:
         versions = self._catalogue.versions()
-        if len(versions) <= _VERSIONS_LIMIT:
+        if len(versions) <= _MAX_ENTRY_VERSIONS:
             return versions
-        # In a larger catalogue an agent vouches for the entry that it serves.
+        # In a larger catalogue an agent reports only the entry of the service that it serves.
         return {home.service: versions[home.service]} if home and home.service in versions else {}
 
     def _origins(
@@ -188,20 +190,25 @@
             return {}
         origins = self._histories.of(home).origins
         return {
-            shard: _origin(origins[shard], now) for shard in sorted(shards) if shard in origins
+            shard: _origin_status(origins[shard], now)
+            for shard in sorted(shards)
+            if shard in origins
         }
 
     async def _views(self, entries: tuple[VersionedEntry, ...]) -> tuple[GroupView, ...]:
-        wanted = [
+        group_ids = [
             GroupId(entry.entry.service, number)
             for entry in entries
-            for number in range(min(entry.entry.groups, _GROUPS_LIMIT))
+            for number in range(min(entry.entry.groups, _MAX_GROUPS))
         ]
-        return tuple(await asyncio.gather(*map(self._view, wanted[:_GROUPS_LIMIT])))
+        return tuple(await asyncio.gather(*map(self._view, group_ids[:_MAX_GROUPS])))
 
     async def _view(self, group: GroupId) -> GroupView:
-        if group == self._membership.home and (held := self._groups.view(group)) is not None:
-            return GroupView(group, held, True, "")
+        if (
+            group == self._membership.home
+            and (cached_group := self._groups.view(group)) is not None
+        ):
+            return GroupView(group, cached_group, True, "")
         try:
             return GroupView(group, await self._groups.refresh(group), True, "")
         except ObjectNotFoundError:
@@ -209,25 +216,29 @@
         except (PlatformError, MalformedMessageError) as error:
             return GroupView(group, self._groups.view(group), False, str(error))
 
-    async def _ask(self, members: Iterable[Member]) -> Answers:
-        me = self._membership.member_id
-        others = {member.id: member for member in members if member.id != me}
-        asked = list(others.values())[: _AGENTS_LIMIT - 1]
-        replies = await asyncio.gather(*map(self._ask_one, asked))
-        told = {reply.member_id: reply for reply in replies if reply is not None}
-        told[me] = self.agent()
-        return Answers(me, frozenset({me, *(member.id for member in asked)}), told)
+    async def _query_agents(self, members: Iterable[Member]) -> AgentResponses:
+        local_id = self._membership.member_id
+        remote_members = {member.id: member for member in members if member.id != local_id}
+        queried = list(remote_members.values())[: _MAX_AGENTS - 1]
+        replies = await asyncio.gather(*map(self._query_agent, queried))
+        statuses = {reply.member_id: reply for reply in replies if reply is not None}
+        statuses[local_id] = self.agent()
+        return AgentResponses(
+            local_id, frozenset({local_id, *(member.id for member in queried)}), statuses
+        )
 
-    async def _ask_one(self, member: Member) -> AgentStatus | None:
+    async def _query_agent(self, member: Member) -> AgentStatus | None:
         call = self._peers.next_call()
         try:
             async with asyncio.timeout(_QUERY_TIMEOUT_S):
                 reply = await self._peers.call(member, StatusQuery(call), call)
             if not isinstance(reply, StatusReply):
-                raise MalformedMessageError(f"the reply is a {type(reply).__name__}")
+                raise MalformedMessageError(
+                    f"the reply has type {type(reply).__name__} instead of StatusReply"
+                )
             status = from_map(reply.status, AgentStatus)
         except (PeerError, TimeoutError) as error:
-            _UNANSWERED.emit(member=member.id, error=repr(error))
+            _STATUS_UNANSWERED.emit(member=member.id, error=repr(error))
             return None
         return status if status.member_id == member.id else None
 
@@ -235,5 +246,7 @@
         self._peers.reply(sender, StatusReply(message.call, to_map(self.agent())))
 
 
-def _origin(origin: ShardOrigin, now: float) -> OriginStatus:
-    return OriginStatus(origin.before, origin.lost, round(now - origin.at, 3))
+def _origin_status(origin: ShardOrigin, now: float) -> OriginStatus:
+    return OriginStatus(
+        origin.previous_owner, origin.taken_over, round(now - origin.observed_at, 3)
+    )
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -68,7 +68,7 @@
     Attributes:
         response: The response, which can be changed between requests.
         pause_s: Delay between `start` and the first `piece` of the response, in seconds.
-        accepted: Bytes written to the sockets of all connections, without those in user space.
+        accepted: Bytes written to the sockets of all connections, except their write buffers.
         open: Number of connections on which a response is being sent.
         requests: Request lines, except those of health checks and cancellations.
     """
--- a/tests/services/test_status_service.py
+++ b/tests/services/test_status_service.py
@@ -1,4 +1,4 @@
-"""Tests of the status service: whom it asks, and what it does without an answer."""
+"""Tests of the status service: which agents it queries, and missing or invalid replies."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
 
 
 class Fleet:
-    """All services that the status service reads; one object stands for each of them."""
+    """A fake of all services that the status service reads."""
 
     def __init__(self) -> None:
         self.settings = SimpleNamespace(agent=SimpleNamespace(failure_domain="lowell"))
@@ -90,10 +90,10 @@
         return self.views.get(group_id)
 
     async def refresh(self, group_id):
-        found = self.stored.get(group_id, ObjectNotFoundError("none"))
-        if isinstance(found, Exception):
-            raise found
-        return found
+        stored = self.stored.get(group_id, ObjectNotFoundError("none"))
+        if isinstance(stored, Exception):
+            raise stored
+        return stored
 
     def subscribe(self, listener): ...
 
@@ -117,7 +117,7 @@
         return reply
 
 
-class AnyRegistry(Registry):
+class FakeRegistry(Registry):
     def __init__(self, fleet: Fleet) -> None:
         super().__init__()
         self._fleet = fleet
@@ -131,69 +131,73 @@
         configure_logging("ERROR", "text", io.StringIO())
         self.fleet = Fleet()
         self.service = FleetStatusReports()
-        self.service.bind(AnyRegistry(self.fleet))
+        self.service.bind(FakeRegistry(self.fleet))
         await self.service.start()
 
     def reply(self, member_id: str, **fields) -> StatusReply:
-        told = AgentStatus(member_id, "lowell", "depot/0", AgentState.ACTIVE, 1.0, True, 0.9)
-        return StatusReply(1, to_map(replace(told, **fields)))
+        base = AgentStatus(member_id, "lowell", "depot/0", AgentState.ACTIVE, 1.0, True, 0.9)
+        return StatusReply(1, to_map(replace(base, **fields)))
 
-    async def test_bad_answers_count_as_none(self):
-        """Guards against one agent whose answer breaks or delays the status of all others."""
-        bad = [
+    async def test_malformed_replies_count_as_missing(self):
+        """Guards against one agent whose reply fails or delays the status of all others."""
+        malformed = [
             PeerUnavailableError("gone"),
             None,
             Promise(1, "b:1", 1, True),
             StatusReply(1, {"member_id": "b:1"}),
             self.reply("c:1"),
         ]
-        for answer in bad:
-            with self.subTest(answer=answer), mock.patch.object(status, "_QUERY_TIMEOUT_S", 0.05):
-                self.fleet.replies["b:1"] = answer
-                found = await asyncio.wait_for(self.service.fleet("depot"), 2)
-                self.assertEqual((found.agents_asked, found.agents_answered), (2, 1))
-                kinds = [problem.kind for problem in found.services[0].problems]
+        for reply in malformed:
+            with self.subTest(reply=reply), mock.patch.object(status, "_QUERY_TIMEOUT_S", 0.05):
+                self.fleet.replies["b:1"] = reply
+                fleet_status = await asyncio.wait_for(self.service.fleet("depot"), 2)
+                self.assertEqual((fleet_status.agents_asked, fleet_status.agents_answered), (2, 1))
+                kinds = [problem.kind for problem in fleet_status.services[0].problems]
                 self.assertIn(ProblemKind.MEMBER_SILENT, kinds)
         self.fleet.replies["b:1"] = self.reply("b:1", entry_versions={"depot": 7})
-        found = await self.service.fleet("depot")
-        self.assertEqual((found.agents_answered, found.services[0].agents_applying), (2, 2))
+        fleet_status = await self.service.fleet("depot")
+        self.assertEqual(
+            (fleet_status.agents_answered, fleet_status.services[0].agents_applying), (2, 2)
+        )
 
     async def test_groups_of_other_services_are_read(self):
-        """Guards against old views of groups that this agent does not follow."""
+        """Guards against outdated views of groups that this agent does not watch."""
         other = GroupId("orders", 0)
         self.fleet.views[other] = group("orders", "old")
         self.fleet.stored[other] = group("orders", "new")
-        found = await self.service.fleet("orders")
-        self.assertEqual([item.id for item in found.services[0].groups[0].members], ["new:1"])
+        fleet_status = await self.service.fleet("orders")
+        self.assertEqual(
+            [item.id for item in fleet_status.services[0].groups[0].members], ["new:1"]
+        )
         self.fleet.stored[other] = PlatformUnavailableError("down")
-        found = await self.service.fleet("orders")
-        shown = found.services[0].groups[0]
-        self.assertEqual((shown.members[0].id, shown.fresh), ("old:1", False))
+        fleet_status = await self.service.fleet("orders")
+        group_status = fleet_status.services[0].groups[0]
+        self.assertEqual((group_status.members[0].id, group_status.fresh), ("old:1", False))
         with self.assertRaises(UnknownServiceError):
             await self.service.fleet("none")
 
     async def test_cost_is_bounded(self):
-        """Guards against a status that reads or asks a whole large fleet."""
-        many = Entry("depot", "team", groups=1000, shard_count=4)
-        self.fleet.entry = lambda service: VersionedEntry(7, many)
+        """Guards against a status that reads all groups or queries all agents of a large fleet."""
+        large_entry = Entry("depot", "team", groups=1000, shard_count=4)
+        self.fleet.entry = lambda service: VersionedEntry(7, large_entry)
         names = [f"m{number}" for number in range(500)]
         self.fleet.views[HOME] = group("depot", "a", *names)
-        found = await self.service.fleet("depot")
-        self.assertEqual(found.agents_asked, status._AGENTS_LIMIT)
-        self.assertEqual(found.services[0].groups_total, 1000)
-        self.assertLess(self.fleet.calls, status._AGENTS_LIMIT)
+        fleet_status = await self.service.fleet("depot")
+        self.assertEqual(fleet_status.agents_asked, status._MAX_AGENTS)
+        self.assertEqual(fleet_status.services[0].groups_total, 1000)
+        self.assertLess(self.fleet.calls, status._MAX_AGENTS)
 
-    async def test_query_of_a_peer_is_answered(self):
-        """Guards against agents that ask others but do not answer."""
+    async def test_query_of_a_peer_gets_a_reply(self):
+        """Guards against agents that query others but do not reply themselves."""
         self.fleet.handler("b:1", StatusQuery(9))
         ((sender, message),) = self.fleet.sent
         self.assertEqual((sender, message.call), ("b:1", 9))
         self.assertEqual(message.status, to_map(self.service.agent()))
 
-    async def test_explanation_asks_owner_and_successor_only(self):
-        """Guards against an explanation that costs as much as a status."""
+    async def test_explanation_queries_owner_and_successor_only(self):
+        """Guards against an explanation that queries as many agents as a status."""
         self.fleet.views[HOME] = group("depot", "b", "a", "c", "d")
         self.fleet.replies["b:1"] = self.reply("b:1", shards=dict.fromkeys(range(4), 1))
-        found = await self.service.explain("depot", "k")
-        self.assertTrue(found.served, found.text)
+        explanation = await self.service.explain("depot", "k")
+        self.assertTrue(explanation.served, explanation.text)
         self.assertEqual(self.fleet.calls, 1)
