Reword the administration service and the metrics

Names such as found, given, present and Everything were vague, and texts spoke of calls, bytes "that are no HTTP" and bodies that "broke". The texts of the metrics themselves stay.

--- a/fescueward/services/__init__.py
+++ b/fescueward/services/__init__.py
@@ -1,1 +1,1 @@
-"""The services of an agent, one module each. They find each other in the registry by name."""
+"""The services of an agent, which look each other up by name in the registry."""
--- a/fescueward/services/metrics.py
+++ b/fescueward/services/metrics.py
@@ -1,7 +1,7 @@
-"""Metrics by aioprometheus.
+"""The metrics of an agent, exported with aioprometheus.
 
-Requests and runs are observed as they end, one observation each. Everything else is a gauge that
-is computed when the page is read.
+Each request and each run is observed once, when it ends. All other metrics are gauges, which are
+computed when the page is rendered.
 """
 
 from __future__ import annotations
@@ -31,15 +31,15 @@
 from ..kernel.events import log_lines_left_out
 
 SERVED = "served"
-# Label of requests to services that have no entry. Names that callers make up must not become
-# labels, because each label set is kept for the life of the process.
+# Label of requests to services without an entry. Service names that callers send must not become
+# labels, because each label set uses memory until the process ends.
 UNKNOWN_SERVICE = "unknown"
-# The bound of 9 ms for 99 of 100 requests lies between two of these.
-_BOUNDS_S = (0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.25, 1.0, 4.0, 16.0)
+# The bound of 9 ms on the 99th percentile of requests lies between two of these buckets.
+_DURATION_BUCKETS_S = (0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.25, 1.0, 4.0, 16.0)
 
 
 class MetricType(enum.StrEnum):
-    """Kinds of metrics."""
+    """Types of Prometheus metrics that the agent exports."""
 
     HISTOGRAM = "histogram"
     GAUGE = "gauge"
@@ -47,13 +47,13 @@
 
 @dataclass(frozen=True, slots=True)
 class MetricSpec:
-    """One metric.
+    """Specification of one metric.
 
     Attributes:
-        name: Its name, with the unit at the end.
-        type: Its kind.
-        labels: Names of its labels.
-        text: What it measures, for its help line and docs/operators.md.
+        name: Name of the metric, which ends with the unit.
+        type: Prometheus type.
+        labels: Names of the labels.
+        text: What the metric measures, for its help line and docs/operators.md.
     """
 
     name: str
@@ -130,19 +130,19 @@
         for spec in METRICS:
             if spec.type is MetricType.HISTOGRAM:
                 self._histograms[spec.name] = aioprometheus.Histogram(
-                    spec.name, spec.text, registry=self._registry, buckets=_BOUNDS_S
+                    spec.name, spec.text, registry=self._registry, buckets=_DURATION_BUCKETS_S
                 )
             else:
                 self._gauges[spec.name] = aioprometheus.Gauge(
                     spec.name, spec.text, registry=self._registry
                 )
-        # A lookup by labels in aioprometheus encodes them as JSON, so each set is bound once.
+        # aioprometheus encodes labels as JSON on each lookup, so each histogram is looked up once.
         self._requests: dict[tuple[str, str], Histogram] = {}
         self._runs: dict[str, Histogram] = {}
         self._started_at = 0.0
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one reads and subscribes to requests and runs."""
+        """Looks up the services that this one reads, and subscribes to requests and runs."""
         self._clock = registry.find("clock", Clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._membership = registry.find("membership", Membership)
@@ -158,37 +158,37 @@
         registry.find("execution", RunSource).subscribe(self)
 
     async def start(self) -> None:
-        """Notes the start, from which the uptime counts."""
+        """Records the start time for the uptime."""
         self._started_at = self._clock.now()
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Does nothing: there is nothing to release."""
 
     def request_ended(self, service: str, error: RefusalError | None, seconds: float) -> None:
         """Observes a request; see `RequestListener.request_ended`."""
         labels = (service, SERVED if error is None else error.label)
         histogram = self._requests.get(labels)
         if histogram is None:
-            histogram = self._bind_request(*labels)
+            histogram = self._request_histogram(*labels)
         histogram.observe(seconds)
 
     def run_ended(self, service: str, seconds: float) -> None:
         """Observes a run; see `RunListener.run_ended`."""
         histogram = self._runs.get(service)
         if histogram is None:
-            # Only services with an entry run.
-            histogram = self._bound(RUNS, {"service": service})
+            # Only requests to services with an entry are run, so the name is safe as a label.
+            histogram = self._create_histogram(RUNS, {"service": service})
             self._runs[service] = histogram
         histogram.observe(seconds)
 
     def render(self) -> MetricsPage:
-        """Computes the gauges and returns all metrics; see `Metrics.render`."""
-        for spec, value in self._gauge_values().items():
+        """Computes the gauges and returns the page with all metrics; see `Metrics.render`."""
+        for spec, value in self._read_gauges().items():
             self._gauges[spec.name].set({}, value)
         content, headers = aioprometheus.render(self._registry, [])
         return MetricsPage(content, headers["Content-Type"])
 
-    def _gauge_values(self) -> dict[MetricSpec, float]:
+    def _read_gauges(self) -> dict[MetricSpec, float]:
         now = self._clock.now()
         unavailable = self._platform.unavailable_since
         return {
@@ -206,17 +206,17 @@
             LOG_LINES: log_lines_left_out(),
         }
 
-    def _bind_request(self, service: str, outcome: str) -> Histogram:
+    def _request_histogram(self, service: str, outcome: str) -> Histogram:
         if service not in self._catalogue.versions():
-            known = self._requests.get((UNKNOWN_SERVICE, outcome))
-            if known is not None:
-                return known
+            histogram_of_unknown = self._requests.get((UNKNOWN_SERVICE, outcome))
+            if histogram_of_unknown is not None:
+                return histogram_of_unknown
             service = UNKNOWN_SERVICE
-        histogram = self._bound(REQUESTS, {"service": service, "outcome": outcome})
+        histogram = self._create_histogram(REQUESTS, {"service": service, "outcome": outcome})
         self._requests[service, outcome] = histogram
         return histogram
 
-    def _bound(self, spec: MetricSpec, labels: dict[str, str]) -> Histogram:
-        histogram = Histogram(*_BOUNDS_S)
+    def _create_histogram(self, spec: MetricSpec, labels: dict[str, str]) -> Histogram:
+        histogram = Histogram(*_DURATION_BUCKETS_S)
         self._histograms[spec.name].set_value(labels, histogram)
         return histogram
--- a/tests/services/administration_fakes.py
+++ b/tests/services/administration_fakes.py
@@ -1,4 +1,4 @@
-"""The administration service over a catalogue and a platform in memory."""
+"""An administration service with a catalogue and a platform in memory, for tests."""
 
 from __future__ import annotations
 
@@ -50,10 +50,10 @@
 
 
 class MemoryPlatform:
-    """Objects in memory.
+    """A platform that stores its objects in memory.
 
-    `down` refuses calls, `lose_answers` makes a write and hides that, `down_after_loss` refuses
-    all calls after it.
+    `down` refuses all calls. `lose_answers` makes a write take effect and then raises
+    `OutcomeUnknownError`; `down_after_loss` refuses all calls after that.
     """
 
     def __init__(self) -> None:
@@ -73,9 +73,9 @@
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
         if self.down:
             raise PlatformUnavailableError("down")
-        present = self.objects[key].version if key in self.objects else 0
-        if present != expected_version:
-            raise VersionConflictError(key, version=present)
+        current_version = self.objects[key].version if key in self.objects else 0
+        if current_version != expected_version:
+            raise VersionConflictError(key, version=current_version)
         self.revision += 1
         self.objects[key] = StoredObject(key, self.revision, value)
         if self.lose_answers:
@@ -91,7 +91,7 @@
 
 
 class FixedReports:
-    """Reports that a test sets."""
+    """Status reports that a test sets."""
 
     def __init__(self) -> None:
         self.status = FleetStatus("a1:1", None, 1, 1, (), ())
@@ -118,7 +118,7 @@
 
 
 class AdministrationFake:
-    """An administration address that answers."""
+    """A running administration service with its fakes and its URL."""
 
     def __init__(self, port: int) -> None:
         self.platform = MemoryPlatform()
@@ -137,7 +137,7 @@
 
 
 class AdministrationThread:
-    """Runs an `AdministrationFake` on a loop of its own, for commands that run their own loop."""
+    """Runs an `AdministrationFake` on its own event loop, for commands that run another one."""
 
     def __init__(self) -> None:
         self._ports = PortReservations()
--- a/tests/services/test_administration.py
+++ b/tests/services/test_administration.py
@@ -1,4 +1,4 @@
-"""Tests of the administration API."""
+"""Tests of the administration API over HTTP."""
 
 from __future__ import annotations
 
@@ -46,26 +46,26 @@
         data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
         async with self.session.request(
             method, self.fake.url + path, data=data, headers=headers
-        ) as got:
-            return got.status, json.loads(await got.read())
-
-    async def refused(self, status: int, label: str, *call: Any, **options: Any) -> dict:
-        got, answer = await self.call(*call, **options)
-        self.assertEqual((got, answer["error"]["label"]), (status, label), answer)
-        known = {kind.label: kind.code for kind in error_types()}
-        self.assertEqual(answer["error"]["code"], known[label])
+        ) as response:
+            return response.status, json.loads(await response.read())
+
+    async def assert_refused(self, status: int, label: str, *call: Any, **options: Any) -> dict:
+        actual_status, answer = await self.call(*call, **options)
+        self.assertEqual((actual_status, answer["error"]["label"]), (status, label), answer)
+        codes_by_label = {kind.label: kind.code for kind in error_types()}
+        self.assertEqual(answer["error"]["code"], codes_by_label[label])
         return answer["error"]
 
     async def put(self, body: Any, version: str = "0") -> tuple[int, dict]:
         return await self.call("PUT", "/v1/entries/depot", body, version)
 
-    async def test_entry_life(self):
-        """Guards against entries that differ from what was accepted, and against reverts."""
+    async def test_create_read_change_and_delete_an_entry(self):
+        """Guards against entries that differ from the accepted ones, and lower versions."""
         status, created = await self.put(DEPOT | {"limits": {"deadline_ms": 700}})
         self.assertEqual(status, 200)
-        _, read = await self.call("GET", "/v1/entries/depot", authorization="")
-        self.assertEqual(read, created)
-        self.assertEqual(read["entry"]["limits"]["deadline_ms"], 700)
+        _, stored = await self.call("GET", "/v1/entries/depot", authorization="")
+        self.assertEqual(stored, created)
+        self.assertEqual(stored["entry"]["limits"]["deadline_ms"], 700)
         version = str(created["version"])
         status, changed = await self.put(DEPOT | {"weight": "churn"}, f'"{version}"')
         self.assertEqual((status, changed["entry"]["weight"]), (200, "churn"))
@@ -74,43 +74,50 @@
         version = str(changed["version"])
         status, deleted = await self.call("DELETE", "/v1/entries/depot", None, version)
         self.assertEqual((status, deleted["service"]), (200, "depot"))
-        await self.refused(404, "unknown_service", "GET", "/v1/entries/depot")
-        status, again = await self.put(DEPOT)
+        await self.assert_refused(404, "unknown_service", "GET", "/v1/entries/depot")
+        status, recreated = await self.put(DEPOT)
         self.assertEqual(status, 200)
-        self.assertGreater(again["version"], deleted["version"])
+        self.assertGreater(recreated["version"], deleted["version"])
 
-    async def test_one_of_racing_edits_wins(self):
-        """Guards against an edit from a stale read that overwrites another one."""
+    async def test_one_of_concurrent_edits_is_accepted(self):
+        """Guards against an edit based on a stale read that overwrites a concurrent one."""
         _, created = await self.put(DEPOT)
         edits = [DEPOT | {"owner": f"team-{number}"} for number in range(8)]
         version = str(created["version"])
         answers = await asyncio.gather(*(self.put(edit, version) for edit in edits))
-        winners = [answer for status, answer in answers if status == 200]
-        self.assertEqual(len(winners), 1)
+        accepted = [answer for status, answer in answers if status == 200]
+        self.assertEqual(len(accepted), 1)
         for status, answer in answers:
             if status != 200:
                 self.assertEqual((status, answer["error"]["label"]), (409, "entry_conflict"))
-                self.assertEqual(answer["error"]["version"], winners[0]["version"])
-                self.assertEqual(answer["error"]["entry"], winners[0]["entry"])
+                self.assertEqual(answer["error"]["version"], accepted[0]["version"])
+                self.assertEqual(answer["error"]["entry"], accepted[0]["entry"])
 
     async def test_conflict_shows_the_platforms_entry(self):
-        """Guards against a conflict that shows the older entry which this agent still applies."""
+        """Guards against a conflict response with the outdated entry that this agent applies."""
         _, created = await self.put(DEPOT)
         stale = self.fake.catalogue.entry("depot")
         _, newer = await self.put(DEPOT | {"owner": "other"}, str(created["version"]))
         self.fake.catalogue._entries["depot"] = VersionedEntry(stale.version, stale.entry)
-        error = await self.refused(
+        error = await self.assert_refused(
             409, "entry_conflict", "PUT", "/v1/entries/depot", DEPOT, str(created["version"])
         )
         self.assertEqual((error["version"], error["entry"]["owner"]), (newer["version"], "other"))
 
-    async def test_changes_need_the_token(self):
-        """Guards against changes by anyone who can connect."""
-        bad = ("", f"bearer {TOKEN}", "Bearer ", f"Bearer {TOKEN}x", "Basic eDp5", "Bearer \xe9")
-        for authorization in bad:
+    async def test_changes_require_the_token(self):
+        """Guards against unauthenticated changes."""
+        invalid_headers = (
+            "",
+            f"bearer {TOKEN}",
+            "Bearer ",
+            f"Bearer {TOKEN}x",
+            "Basic eDp5",
+            "Bearer \xe9",
+        )
+        for authorization in invalid_headers:
             for method in ("PUT", "DELETE"):
                 with self.subTest(method=method, authorization=authorization):
-                    await self.refused(
+                    await self.assert_refused(
                         401,
                         "not_authorized",
                         method,
@@ -121,8 +128,8 @@
                     )
         self.assertEqual(self.fake.platform.objects, {})
 
-    async def test_malformed_entries_name_value_and_what_is_allowed(self):
-        """Guards against bad values that are stored, or refused without saying why."""
+    async def test_errors_of_malformed_entries_name_the_value_and_what_is_allowed(self):
+        """Guards against invalid values that are stored, or refused without a reason."""
         limits = {"deadline_ms": 10**30}
         cases: list[tuple[Any, str]] = [
             (b"", "no JSON"),
@@ -149,7 +156,7 @@
         ]
         for body, expected in cases:
             with self.subTest(expected=expected):
-                error = await self.refused(
+                error = await self.assert_refused(
                     400, "invalid_entry", "PUT", "/v1/entries/depot", body, "0"
                 )
                 self.assertIn(expected, error["message"])
@@ -157,9 +164,9 @@
         self.assertEqual(self.fake.platform.objects, {})
 
     async def test_fixed_values_cannot_change(self):
-        """Guards against keys that change their shard under a running service."""
+        """Guards against an edit that moves keys of a running service to other shards."""
         _, created = await self.put(DEPOT)
-        error = await self.refused(
+        error = await self.assert_refused(
             400,
             "invalid_entry",
             "PUT",
@@ -169,21 +176,21 @@
         )
         self.assertIn("shard_count of entry 'depot' is 256", error["message"])
 
-    async def test_malformed_calls(self):
-        """Guards against calls that end in an untyped error or an exception."""
+    async def test_malformed_requests(self):
+        """Guards against malformed requests that end in an untyped error or an exception."""
         invalid = "invalid_administration_request"
         for version in (None, "", "abc", "-1", "1.5", "9" * 40, "\u0663", "*"):
             with self.subTest(version=version):
-                await self.refused(400, invalid, "PUT", "/v1/entries/depot", DEPOT, version)
-        big = b"x" * (MAX_ENTRY_BYTES + 1)
-        await self.refused(413, invalid, "PUT", "/v1/entries/depot", big, "0")
-        await self.refused(400, invalid, "GET", "/v1/explain/depot")
-        await self.refused(400, invalid, "GET", f"/v1/explain/depot?key={'k' * 1025}")
-        await self.refused(404, "unknown_path", "GET", "/v2/entries")
-        await self.refused(405, "unknown_path", "POST", "/v1/entries/depot")
-        await self.refused(404, "unknown_service", "DELETE", "/v1/entries/none", None, "1")
-
-    async def raw(self, data: bytes) -> bytes:
+                await self.assert_refused(400, invalid, "PUT", "/v1/entries/depot", DEPOT, version)
+        oversized = b"x" * (MAX_ENTRY_BYTES + 1)
+        await self.assert_refused(413, invalid, "PUT", "/v1/entries/depot", oversized, "0")
+        await self.assert_refused(400, invalid, "GET", "/v1/explain/depot")
+        await self.assert_refused(400, invalid, "GET", f"/v1/explain/depot?key={'k' * 1025}")
+        await self.assert_refused(404, "unknown_path", "GET", "/v2/entries")
+        await self.assert_refused(405, "unknown_path", "POST", "/v1/entries/depot")
+        await self.assert_refused(404, "unknown_service", "DELETE", "/v1/entries/none", None, "1")
+
+    async def send_raw(self, data: bytes) -> bytes:
         port = int(self.fake.url.rpartition(":")[2])
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(data)
@@ -192,8 +199,8 @@
         finally:
             writer.close()
 
-    async def test_bytes_that_are_no_http(self):
-        """Guards against text pages and stack traces for operators' broken programs."""
+    async def test_malformed_http(self):
+        """Guards against text pages and stack traces as responses to malformed HTTP."""
         put = b"PUT /v1/entries/depot HTTP/1.1\r\nHost: x\r\nIf-Match: 0\r\n"
         put += f"Authorization: Bearer {TOKEN}\r\n".encode()
         for data in (
@@ -203,7 +210,7 @@
             put + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
         ):
             with self.subTest(data=data[:40]):
-                head, _, body = (await self.raw(data)).partition(b"\r\n\r\n")
+                head, _, body = (await self.send_raw(data)).partition(b"\r\n\r\n")
                 self.assertIn(b" 400 ", head.splitlines()[0])
                 error = json.loads(body)["error"]
                 self.assertEqual(error["label"], "invalid_administration_request")
@@ -213,31 +220,33 @@
         self.assertEqual(status, 200)
 
     async def test_platform_failures(self):
-        """Guards against an edit that is reported as accepted or refused when neither is known."""
+        """Guards against an edit with unknown outcome that is reported as accepted or refused."""
         _, created = await self.put(DEPOT)
         version = str(created["version"])
         self.fake.platform.down = True
-        await self.refused(503, "platform_unavailable", "PUT", "/v1/entries/depot", DEPOT, version)
-        _, read = await self.call("GET", "/v1/entries/depot")
-        self.assertEqual(read, created)
+        await self.assert_refused(
+            503, "platform_unavailable", "PUT", "/v1/entries/depot", DEPOT, version
+        )
+        _, stored = await self.call("GET", "/v1/entries/depot")
+        self.assertEqual(stored, created)
         self.fake.platform.down = False
         self.fake.platform.lose_answers = True
-        status, read_back = await self.put(DEPOT | {"owner": "read-back"}, version)
-        self.assertEqual((status, read_back["entry"]["owner"]), (200, "read-back"))
+        status, confirmed = await self.put(DEPOT | {"owner": "read-back"}, version)
+        self.assertEqual((status, confirmed["entry"]["owner"]), (200, "read-back"))
         self.fake.platform.down_after_loss = True
-        version = str(read_back["version"])
-        await self.refused(
+        version = str(confirmed["version"])
+        await self.assert_refused(
             504, "write_outcome_unknown", "PUT", "/v1/entries/depot", DEPOT, version
         )
 
-    async def test_fault_of_the_program_is_typed(self):
-        """Guards against a stack trace in an answer."""
+    async def test_unexpected_exception_is_a_typed_error(self):
+        """Guards against a response that contains details of an exception."""
         self.fake.reports.failure = ZeroDivisionError("secret detail")
-        error = await self.refused(500, "internal_error", "GET", "/v1/status")
+        error = await self.assert_refused(500, "internal_error", "GET", "/v1/status")
         self.assertNotIn("secret detail", error["message"])
 
     async def test_status_explanation_agent_and_metrics(self):
-        """Guards against paths that are not served."""
+        """Guards against API paths that are not served."""
         for path, name in (
             ("/v1/status", "told_by"),
             ("/v1/status/depot", "told_by"),
@@ -248,6 +257,6 @@
                 status, answer = await self.call("GET", path, authorization="")
                 self.assertEqual(status, 200)
                 self.assertIn(name, answer)
-        async with self.session.get(self.fake.url + "/metrics") as got:
-            self.assertIn(b"fescueward_uptime_seconds", await got.read())
-            self.assertTrue(got.headers["Content-Type"].startswith("text/plain"))
+        async with self.session.get(self.fake.url + "/metrics") as response:
+            self.assertIn(b"fescueward_uptime_seconds", await response.read())
+            self.assertTrue(response.headers["Content-Type"].startswith("text/plain"))
--- a/tests/services/test_metrics.py
+++ b/tests/services/test_metrics.py
@@ -1,4 +1,4 @@
-"""Tests of the metrics."""
+"""Tests of the metrics page."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
 UNITS = ("seconds", "requests", "shards", "bool", "peers", "entries", "ratio", "crashes", "lines")
 
 
-class Everything:
-    """All that the metrics read, and the sources that they subscribe to."""
+class FakeServices:
+    """A fake of all services that the metrics read or subscribe to."""
 
     def __init__(self) -> None:
         self.time = 100.0
@@ -47,38 +47,38 @@
         self.listeners.append(listener)
 
 
-class AnyRegistry(Registry):
-    """Finds the same object under every name, whatever Protocol is asked for."""
+class FakeRegistry(Registry):
+    """A registry that returns the same object for every name and Protocol."""
 
-    def __init__(self, found: object) -> None:
+    def __init__(self, services: object) -> None:
         super().__init__()
-        self._found = found
+        self._services = services
 
     def find(self, name, kind):
-        return self._found
+        return self._services
 
 
 class MetricsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.source = Everything()
+        self.services = FakeServices()
         self.metrics = PrometheusMetrics()
-        self.metrics.bind(AnyRegistry(self.source))
+        self.metrics.bind(FakeRegistry(self.services))
         await self.metrics.start()
 
     def lines(self) -> dict[str, float]:
         text = self.metrics.render().content.decode()
-        found = [line for line in text.splitlines() if not line.startswith("#")]
-        return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in found)}
+        samples = [line for line in text.splitlines() if not line.startswith("#")]
+        return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in samples)}
 
     def test_names_carry_units(self):
-        """Guards against values whose unit the reader has to guess."""
+        """Guards against metric names without a unit."""
         for spec in METRICS:
             self.assertRegex(spec.name, r"^fescueward_[a-z_]+$")
             self.assertTrue(spec.name.endswith(UNITS), spec.name)
 
     def test_one_observation_for_each_request_and_run(self):
         """Guards against requests that are not counted, or counted twice."""
-        self.assertEqual(len(self.source.listeners), 2)
+        self.assertEqual(len(self.services.listeners), 2)
         self.metrics.request_ended("depot", None, 0.003)
         self.metrics.request_ended("depot", None, 0.5)
         self.metrics.request_ended("depot", NoOwnerError("x"), 0.5)
@@ -93,7 +93,7 @@
         self.assertEqual(lines[f'{prefix}_count{{outcome="no_owner",service="depot"}}'], 1)
         self.assertEqual(lines['fescueward_run_duration_seconds_count{service="depot"}'], 1)
 
-    def test_names_that_callers_make_up_are_no_labels(self):
+    def test_unknown_service_names_are_not_used_as_labels(self):
         """Guards against memory that grows with each unknown service name."""
         for number in range(1000):
             self.metrics.request_ended(f"made-up-{number}", UnknownServiceError("x"), 0.001)
@@ -102,10 +102,10 @@
         self.assertIn('service="unknown"', names[0])
         self.assertEqual(self.lines()[names[0]], 1000)
 
-    def test_gauges_are_computed_when_the_page_is_read(self):
-        """Guards against gauges that show an older state."""
+    def test_gauges_are_computed_when_the_page_is_rendered(self):
+        """Guards against gauges with outdated values."""
         self.assertEqual(self.lines()["fescueward_platform_unavailable_seconds"], 0)
-        self.source.time, self.source.unavailable_since = 103.0, 101.0
+        self.services.time, self.services.unavailable_since = 103.0, 101.0
         lines = self.lines()
         self.assertEqual(lines["fescueward_platform_unavailable_seconds"], 2)
         self.assertEqual(lines["fescueward_lease_remaining_seconds"], 0)
