--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -142,7 +142,7 @@
         self.assertEqual(result.exit_code, ExitCode.PLATFORM_UNAVAILABLE)
         self.assertIn(f"error {PlatformUnavailableError.code} ", result.stderr)
         self.platform.down = False
-        self.platform.lose_answers = self.platform.down_after_loss = True
+        self.platform.lose_responses = self.platform.down_after_loss = True
         result = self.call("entry", "apply", "-f", other)
         self.assertEqual(result.exit_code, ExitCode.OUTCOME_UNKNOWN)
 
--- a/tests/services/administration_fakes.py
+++ b/tests/services/administration_fakes.py
@@ -52,7 +52,7 @@
 class MemoryPlatform:
     """A platform that stores its objects in memory.
 
-    `down` refuses all calls. `lose_answers` makes a write take effect and then raises
+    `down` refuses all calls. `lose_responses` makes a write take effect and then raises
     `OutcomeUnknownError`; `down_after_loss` refuses all calls after that.
     """
 
@@ -60,7 +60,7 @@
         self.objects: dict[str, StoredObject] = {}
         self.revision = 0
         self.down = False
-        self.lose_answers = False
+        self.lose_responses = False
         self.down_after_loss = False
 
     async def get(self, key: str) -> StoredObject:
@@ -78,7 +78,7 @@
             raise VersionConflictError(key, version=current_version)
         self.revision += 1
         self.objects[key] = StoredObject(key, self.revision, value)
-        if self.lose_answers:
+        if self.lose_responses:
             self.down = self.down_after_loss
             raise OutcomeUnknownError("lost")
         return self.revision
--- a/tests/services/test_administration.py
+++ b/tests/services/test_administration.py
@@ -230,7 +230,7 @@
         _, stored = await self.call("GET", "/v1/entries/depot")
         self.assertEqual(stored, created)
         self.fake.platform.down = False
-        self.fake.platform.lose_answers = True
+        self.fake.platform.lose_responses = True
         status, confirmed = await self.put(DEPOT | {"owner": "read-back"}, version)
         self.assertEqual((status, confirmed["entry"]["owner"]), (200, "read-back"))
         self.fake.platform.down_after_loss = True
