--- a/fescueward/messages/__init__.py
+++ b/fescueward/messages/__init__.py
@@ -1,4 +1,4 @@
-"""Frozen data classes of every protocol, and their encoding. Nothing here decides anything."""
+"""Frozen data classes of every protocol, and their encoding; no decisions are made here."""
 
 from .entry import Entry, Limits, RequestClass, VersionedEntry, Weight
 from .group import Group, GroupId, Member, MemberState, Shard, VersionedGroup
--- a/fescueward/messages/codec.py
+++ b/fescueward/messages/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of messages as JSON, and the maps inside messages."""
+"""Conversion of data classes to and from JSON, maps and documents."""
 
 from __future__ import annotations
 
@@ -12,24 +12,24 @@
 
 T = TypeVar("T")
 
-# Longest part of a bad value that an error repeats.
-_SHOWN_CHARACTERS = 80
+# Longest part of a bad value that an error message quotes.
+_MAX_QUOTED_CHARACTERS = 80
 
 
 def encode_json(value: object) -> bytes:
-    """Encodes a data class as JSON."""
+    """Returns a data class as JSON text in UTF-8."""
     return msgspec.json.encode(value)
 
 
 def decode_json(data: bytes, kind: type[T]) -> T:
-    """Decodes and checks JSON.
+    """Decodes JSON to a data class; unknown fields are ignored.
 
     Args:
         data: The JSON text.
-        kind: Data class that is expected.
+        kind: Data class to return.
 
     Raises:
-        MalformedMessageError: The text is no JSON, or a field is missing or out of range.
+        MalformedMessageError: The text is not JSON, or a field is missing or out of range.
     """
     try:
         return msgspec.json.decode(data, type=kind)
@@ -38,13 +38,13 @@
 
 
 def to_map(value: object) -> dict[str, Any]:
-    """Returns a data class as the map that a message carries."""
-    found: dict[str, Any] = msgspec.to_builtins(value)
-    return found
+    """Converts a data class to a map of built-in types, for use inside a message."""
+    content: dict[str, Any] = msgspec.to_builtins(value)
+    return content
 
 
 def from_map(content: dict[str, Any], kind: type[T]) -> T:
-    """Builds and checks a data class from the map of a message; unknown fields are ignored.
+    """Converts a map inside a message to a data class; unknown fields are ignored.
 
     Raises:
         MalformedMessageError: A field is missing or out of range.
@@ -56,15 +56,16 @@
 
 
 def from_document(content: dict[str, Any], kind: type[T], *, text_values: bool = False) -> T:
-    """Builds and checks a data class from what a person wrote.
+    """Converts a document written by an operator to a data class; unknown fields are refused.
 
     Args:
-        content: The values by name.
-        kind: Data class that is expected.
-        text_values: Whether all values are text, as in an INI file.
+        content: Values by field name.
+        kind: Data class to return.
+        text_values: Whether all values are strings, as in an INI file.
 
     Raises:
-        MalformedMessageError: The text names the bad field, its value and what is allowed.
+        MalformedMessageError: A field is bad or unknown. The message names the field, its value
+            and the allowed values.
     """
     _refuse_unknown_fields(content, kind, "")
     try:
@@ -77,31 +78,31 @@
     """Decodes JSON text as `from_document` does.
 
     Raises:
-        MalformedMessageError: The text is no JSON object, or a field is bad or unknown.
+        MalformedMessageError: The text is not a JSON object, or a field is bad or unknown.
     """
     try:
         content = msgspec.json.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise MalformedMessageError(f"the text is no JSON: {error}") from error
     if not isinstance(content, dict):
-        raise MalformedMessageError(f"a JSON object is expected, not {_shown(content)}")
+        raise MalformedMessageError(f"a JSON object is expected, not {_quoted(content)}")
     return from_document(content, kind)
 
 
-def _refuse_unknown_fields(content: dict[str, Any], kind: type[Any], place: str) -> None:
+def _refuse_unknown_fields(content: dict[str, Any], kind: type[Any], path: str) -> None:
     types = get_type_hints(kind)
     for name, value in content.items():
         if name not in types:
             valid = ", ".join(types)
-            raise MalformedMessageError(f"unknown field {place}{name}; allowed: {valid}")
+            raise MalformedMessageError(f"unknown field {path}{name}; allowed: {valid}")
         if is_dataclass(types[name]) and isinstance(value, dict):
-            _refuse_unknown_fields(value, types[name], f"{place}{name}.")
+            _refuse_unknown_fields(value, types[name], f"{path}{name}.")
 
 
 def _describe_bad_value(content: dict[str, Any], kind: Any, text: str) -> str:
-    """Turns msgspec's `Expected X - at `$.path`` into field, value and what is allowed."""
-    allowed, found, path = text.partition(" - at `$.")
-    if not found:
+    """Rewrites msgspec's `Expected X - at `$.path`` as field, value and allowed values."""
+    allowed, separator, path = text.partition(" - at `$.")
+    if not separator:
         return text
     path = path.rstrip("`")
     value: Any = content
@@ -110,9 +111,9 @@
         kind = get_type_hints(kind).get(name) if is_dataclass(kind) else None
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
         allowed = ", ".join(str(choice.value) for choice in kind)
-    return f"{path} is {_shown(value)}; allowed: {allowed.removeprefix('Expected ')}"
+    return f"{path} is {_quoted(value)}; allowed: {allowed.removeprefix('Expected ')}"
 
 
-def _shown(value: Any) -> str:
+def _quoted(value: Any) -> str:
     text = repr(value)
-    return text if len(text) <= _SHOWN_CHARACTERS else f"{text[:_SHOWN_CHARACTERS]}..."
+    return text if len(text) <= _MAX_QUOTED_CHARACTERS else f"{text[:_MAX_QUOTED_CHARACTERS]}..."
--- a/fescueward/messages/configuration.py
+++ b/fescueward/messages/configuration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration: routes, services and limits under one version."""
+"""Configuration by the operator: routes, services and limits under one version."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """One part of a route's traffic.
+    """Service that gets a share of a route's requests.
 
     Attributes:
-        service: Service that serves this part.
-        weight: Its share, relative to the other parts of the route.
+        service: Name of the service.
+        weight: Weight of the service, relative to the other targets of the route.
     """
 
     service: Name
@@ -25,18 +25,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Requests of one host below one path.
+    """Rule for the requests to one host whose paths have one prefix.
 
     Attributes:
         name: Name of the route.
-        host: Host that callers name, in lower case and without a port.
-        prefix: Beginning of the path; begins and ends with a slash.
+        host: Host of the requests, in lower case and without a port.
+        prefix: Path prefix; begins and ends with a slash.
         repeatable: Whether a request may run more than once.
         attempts: Most upstreams that one request may be sent to.
-        timeout_s: Longest time until the final answer, in seconds.
-        objective_s: Time within which an answer has its full value, in seconds.
-        priority: Rank of its requests; 0 is served first.
-        targets: Services and their shares.
+        timeout_s: Longest time until the final response, in seconds.
+        objective_s: Time within which a response has its full value, in seconds.
+        priority: Rank of the requests; 0 is served first.
+        targets: Services and their weights.
     """
 
     name: Name
@@ -52,14 +52,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """What the operator says of one service.
+    """Configuration of one service.
 
     Attributes:
         name: Name of the service.
-        health_path: Path of the upstreams' health page.
+        health_path: Path of the upstreams' health endpoint.
         connections: Connections that one upstream accepts from all callers together.
-        keyed: Whether each request belongs to a key that one upstream owns.
-        warmup_s: Time for which keys are slow that arrive without a handover, in seconds.
+        keyed: Whether each request has a key that exactly one upstream owns.
+        warmup_s: Time for which keys taken over without a handover are slow, in seconds.
     """
 
     name: Name
@@ -71,13 +71,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What callers may send and how long they may take.
+    """Limits on the size and duration of what callers send.
 
     Attributes:
         header_bytes: Largest header block in bytes.
         body_bytes: Largest request body in bytes.
         header_timeout_s: Longest time until the header block is complete, in seconds.
-        idle_timeout_s: Time after which an unused connection is closed, in seconds.
+        idle_timeout_s: Time after which an idle connection is closed, in seconds.
     """
 
     header_bytes: Annotated[int, Meta(ge=256)] = 16_384
@@ -91,10 +91,10 @@
     """One version of all routes, services and limits; it is applied as a whole.
 
     Attributes:
-        version: Grows with each change.
+        version: Number that increases with each change.
         routes: Routes by name.
         services: Services by name.
-        limits: Limits of callers.
+        limits: Limits on callers.
     """
 
     version: Annotated[int, Meta(ge=0)]
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionedConfiguration:
-    """A configuration with the platform version it was read at.
+    """A configuration with the version of its platform object.
 
     Attributes:
         version: Version of the platform object.
--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -1,8 +1,8 @@
-"""What differs between two versions of a group or of the configuration.
+"""Differences between two versions of a group or of the configuration.
 
 A group of 39 members with key ranges takes 20 to 30 KB and a configuration of 1,000 routes 180 KB,
 more than the window of a peer stream, while most versions change one member or a few ranges or
-routes.
+routes, so agents publish deltas where they can.
 """
 
 from __future__ import annotations
@@ -27,20 +27,20 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupDelta:
-    """The parts of a group that a newer version has and an older one has not.
+    """Difference between two versions of a group.
 
     Attributes:
         service: Service of the group.
         number: Number of the group.
-        base: Version that the change applies to.
-        version: Version that it leads to.
+        base: Version that the delta applies to.
+        version: Version that results from it.
         recovery: `Group.recovery` of the newer version.
         edit_id: `Group.edit_id` of the newer version.
         fence: `Group.fence` of the newer version.
-        members: Members that are new or differ.
-        removed: Ids of the members that are gone.
-        shards: Shards that differ, by id.
-        ranges: Key ranges that differ; each replaces the ranges whose keys it holds.
+        members: Members that were added or changed.
+        removed: Ids of the members that were removed.
+        shards: Changed shards by id.
+        ranges: Changed key ranges; each replaces the ranges with which it shares keys.
     """
 
     service: str
@@ -57,11 +57,11 @@
 
     @property
     def group(self) -> GroupId:
-        """The group that changes."""
+        """Service and number of the group that changes."""
         return GroupId(self.service, self.number)
 
     def apply_to(self, base: VersionedGroup) -> VersionedGroup | None:
-        """Returns the newer version, or None if `base` is not the version that it applies to."""
+        """Returns the newer version, or None if `base` is not what the delta applies to."""
         group = base.group
         if (group.id, base.version) != (self.group, self.base):
             return None
@@ -76,14 +76,18 @@
             shards=shards,
             recovery=self.recovery,
             edit_id=self.edit_id,
-            ranges=_spliced(group.ranges, self.ranges),
+            ranges=_replace_ranges(group.ranges, self.ranges),
             fence=self.fence,
         )
         return VersionedGroup(self.version, changed)
 
 
 def group_delta(base: VersionedGroup, newer: VersionedGroup) -> GroupDelta | None:
-    """Returns what leads from one version to another, or None if only the whole group tells it."""
+    """Returns the delta from one version to another, or None if it needs the whole group.
+
+    A delta cannot express a change of exceptions or of the number of shards, nor the removal of
+    all key ranges.
+    """
     before, after = base.group, newer.group
     if (
         (before.id, before.shard_count, before.exceptions)
@@ -92,7 +96,7 @@
         or (before.ranges and not after.ranges)
     ):
         return None
-    known = set(before.ranges)
+    base_ranges = set(before.ranges)
     return GroupDelta(
         service=after.service,
         number=after.number,
@@ -110,23 +114,23 @@
             for number, (old, shard) in enumerate(zip(before.shards, after.shards, strict=True))
             if old != shard
         },
-        ranges=tuple(found for found in after.ranges if found not in known),
+        ranges=tuple(key_range for key_range in after.ranges if key_range not in base_ranges),
     )
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationDelta:
-    """The parts of a configuration that a newer version has and an older one has not.
+    """Difference between two versions of the configuration.
 
     Attributes:
-        base: Version of the platform object that the change applies to.
-        version: Version of the platform object that it leads to.
+        base: Version of the platform object that the delta applies to.
+        version: Version of the platform object that results from it.
         number: `Configuration.version` of the newer version.
-        routes: Routes that are new or differ.
-        removed: Names of the routes that are gone.
-        services: Services that are new or differ.
-        removed_services: Names of the services that are gone.
-        limits: Limits of callers.
+        routes: Routes that were added or changed.
+        removed: Names of the routes that were removed.
+        services: Services that were added or changed.
+        removed_services: Names of the services that were removed.
+        limits: Limits on callers of the newer version.
     """
 
     base: Annotated[int, Meta(ge=0)]
@@ -139,14 +143,14 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
 
     def apply_to(self, base: VersionedConfiguration) -> VersionedConfiguration | None:
-        """Returns the newer version, or None if `base` is not the version that it applies to."""
+        """Returns the newer version, or None if `base` is not what the delta applies to."""
         if base.version != self.base:
             return None
-        held = base.configuration
+        current = base.configuration
         configuration = Configuration(
             self.number,
-            _merged(held.routes, self.routes, self.removed),
-            _merged(held.services, self.services, self.removed_services),
+            _merge(current.routes, self.routes, self.removed),
+            _merge(current.services, self.services, self.removed_services),
             self.limits,
         )
         return VersionedConfiguration(self.version, configuration)
@@ -155,7 +159,11 @@
 def configuration_delta(
     base: VersionedConfiguration, newer: VersionedConfiguration
 ) -> ConfigurationDelta | None:
-    """Returns what leads from one version to another, or None if only the whole tells it."""
+    """Returns the delta from one version to another, or None if it needs the whole configuration.
+
+    A delta cannot express a change in the order of routes, nor a route or service that is listed
+    under another name than its own.
+    """
     before, after = base.configuration, newer.configuration
     delta = ConfigurationDelta(
         base=base.version,
@@ -166,35 +174,39 @@
         ),
         removed=tuple(name for name in before.routes if name not in after.routes),
         services=tuple(
-            found for name, found in after.services.items() if before.services.get(name) != found
+            service
+            for name, service in after.services.items()
+            if before.services.get(name) != service
         ),
         removed_services=tuple(name for name in before.services if name not in after.services),
         limits=after.limits,
     )
     applied = delta.apply_to(base)
-    # Of two routes for the same requests the first is taken, so their order has to be kept.
+    # Of two routes that match the same requests the first is used, so the order must not change.
     if applied != newer or list(applied.configuration.routes) != list(after.routes):
         return None
     return delta
 
 
-def _merged(
-    held: dict[str, Named], changed: tuple[Named, ...], removed: tuple[str, ...]
+def _merge(
+    current: dict[str, Named], changed: tuple[Named, ...], removed: tuple[str, ...]
 ) -> dict[str, Named]:
-    gone = frozenset(removed)
-    kept = {name: found for name, found in held.items() if name not in gone}
-    return kept | {found.name: found for found in changed}
+    removed_names = frozenset(removed)
+    remaining = {name: item for name, item in current.items() if name not in removed_names}
+    return remaining | {item.name: item for item in changed}
 
 
-def _spliced(ranges: tuple[KeyRange, ...], changed: tuple[KeyRange, ...]) -> tuple[KeyRange, ...]:
-    """Replaces the ranges whose keys the changed ones hold; both are in ascending order."""
+def _replace_ranges(
+    ranges: tuple[KeyRange, ...], changed: tuple[KeyRange, ...]
+) -> tuple[KeyRange, ...]:
+    """Replaces each range that shares keys with a changed one; both are in ascending order."""
     if not changed:
         return ranges
-    firsts = [found.first for found in changed]
+    first_keys = [key_range.first for key_range in changed]
 
-    def is_replaced(found: KeyRange) -> bool:
-        index = bisect_right(firsts, found.last) - 1
-        return index >= 0 and changed[index].last >= found.first
+    def is_replaced(key_range: KeyRange) -> bool:
+        index = bisect_right(first_keys, key_range.last) - 1
+        return index >= 0 and changed[index].last >= key_range.first
 
-    kept = [found for found in ranges if not is_replaced(found)]
-    return tuple(sorted((*kept, *changed), key=lambda found: found.first))
+    unchanged = [key_range for key_range in ranges if not is_replaced(key_range)]
+    return tuple(sorted((*unchanged, *changed), key=lambda key_range: key_range.first))
--- a/fescueward/messages/entry.py
+++ b/fescueward/messages/entry.py
@@ -1,4 +1,4 @@
-"""Catalogue entries."""
+"""Catalogue entries, one per service."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class Weight(enum.StrEnum):
-    """The measure that a service weighs most in placement."""
+    """Measure that placement weighs most for a service."""
 
     UNAVAILABILITY = "unavailability"
     CHURN = "churn"
@@ -27,15 +27,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Limits of a service. All of them hold for each server.
+    """Limits of a service; each limit applies per server.
 
     Attributes:
-        deadline_ms: Deadline of a request whose caller names none.
-        max_request_ms: Longest permitted run of a request.
-        max_body_bytes: Largest request body.
+        deadline_ms: Default deadline of a request, in milliseconds from its arrival.
+        max_request_ms: Longest permitted run of a request in milliseconds.
+        max_body_bytes: Largest request body in bytes.
         queue_length: Most requests that wait for a slot.
         requests_per_second: Highest request rate; 0 means no limit.
-        retry_after_ms: Shortest time after which a refused caller is told to come back.
+        retry_after_ms: Shortest time after which a refused caller should retry, in milliseconds.
     """
 
     deadline_ms: Annotated[int, Meta(ge=1, le=600_000)] = 5_000
@@ -48,20 +48,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """One service as its operators describe it.
+    """Description of one service by its operators.
 
     Attributes:
         service: Name of the service.
-        owner: Team that answers for it.
+        owner: Team that is responsible for the service.
         request_class: Whether requests may run more than once.
-        groups: Number of groups that its keys are divided into. Cannot change once set.
+        groups: Number of groups that the keys are divided into. Cannot change once set.
         shard_count: Shards per group. Cannot change once set.
         limits: Limits of each server.
         weight: Measure that placement weighs most.
-        recovery: Counter; raising it states that all members known so far that do not
-            answer are gone for good.
+        recovery: Counter; an operator raises it to declare that all members known so far that
+            do not answer are permanently lost.
         deleted: Whether the entry is a tombstone. Tombstones keep versions from reverting.
-        operation_id: Identifier of the edit, by which a lost response is read back.
+        operation_id: Identifier of the edit; it shows whether a write whose response was lost
+            took effect.
     """
 
     service: ServiceName
@@ -78,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionedEntry:
-    """An entry with the platform version it was read at.
+    """An entry with the version of its platform object.
 
     Attributes:
         version: Version of the platform object.
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -11,16 +11,16 @@
 from msgspec import Meta
 
 Port = Annotated[int, Meta(ge=1, le=65_535)]
-# Highest numeric key of a service that is divided into ranges.
+# Highest numeric key of a service whose keys are divided into ranges.
 LAST_KEY = 65_535
 
 
-def _first_key(found: KeyRange) -> int:
-    return found.first
+def _first_key(key_range: KeyRange) -> int:
+    return key_range.first
 
 
 class MemberState(enum.StrEnum):
-    """Whether a member takes new shards."""
+    """Whether a member is assigned new shards."""
 
     ACTIVE = "active"
     LEAVING = "leaving"
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupId:
-    """Names one group.
+    """Identity of a group.
 
     Attributes:
         service: Name of the service.
@@ -43,31 +43,31 @@
 
     @property
     def object_key(self) -> str:
-        """Platform key of the group."""
+        """Key of the group's platform object."""
         return f"groups/{self.service}/{self.number}"
 
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One agent with its upstream, in one incarnation.
+    """One incarnation of an agent with its upstream.
 
     Attributes:
-        id: `NAME:INCARNATION`.
+        id: Member id, `NAME:INCARNATION`.
         name: Name of the agent from its settings.
-        incarnation: Number that grows with each start of the agent.
+        incarnation: Number that increases with each start of the agent.
         boot_id: Identifier of the VM's boot.
-        peer_host: Address of the peer streams.
-        peer_port: Port of the peer streams.
-        caller_host: Address of the callers' HTTP.
-        caller_port: Port of the callers' HTTP.
+        peer_host: Address that accepts peer streams.
+        peer_port: Port that accepts peer streams.
+        caller_host: Address that accepts requests of callers.
+        caller_port: Port that accepts requests of callers.
         failure_domain: Failure domain of the VM.
-        slots: Requests that the upstream runs at a time.
+        slots: Requests that the upstream runs concurrently.
         connections: Connections that the upstream accepts.
         checks_grants: Whether the upstream rejects requests without a valid grant.
-        state: Whether it takes new shards.
-        monitors: Member ids of its monitors.
-        stamp: Number of renewals it has written itself.
-        instance: Identity of the upstream's present start, empty if upstreams have none.
+        state: Whether the member is assigned new shards.
+        monitors: Member ids of the member's monitors.
+        stamp: Number of renewals that the member has written to the group object itself.
+        instance: Identity of the upstream's current start, empty if upstreams have none.
     """
 
     id: str
@@ -88,9 +88,9 @@
     instance: str = ""
 
     def any_incarnation(self) -> Member:
-        """Returns whichever agent listens at the address of this member.
+        """Returns this member with incarnation 0, which matches any incarnation at its address.
 
-        It may be a later incarnation that could not join the group yet.
+        The agent there may be a later incarnation that has not been able to join the group yet.
         """
         return replace(self, id=f"{self.name}:0", incarnation=0)
 
@@ -101,10 +101,10 @@
 
     Attributes:
         owner: Member id of the owner, or None.
-        epoch: Grows with each change of owner.
+        epoch: Fencing token; increases with each change of owner.
         successor: Member id that the shard is being handed over to, or None.
-        hold_ms: Time the owner waits, from when it sees this epoch, before it activates the
-            shard, because the lost owner's upstream checks no grants.
+        hold_ms: Time in milliseconds that the owner waits after it receives this epoch before it
+            activates the shard, because the upstream of the lost owner does not check grants.
     """
 
     owner: str | None = None
@@ -115,15 +115,16 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyRange:
-    """Ownership of neighbouring numeric keys.
+    """Ownership of a range of numeric keys.
 
     Attributes:
         first: Lowest key.
         last: Highest key.
         owner: Member id of the owner, or None.
-        epoch: Fencing token; above that of every earlier owner of these keys.
+        epoch: Fencing token; higher than that of every earlier owner of these keys.
         successor: Member id that the range is being handed over to, or None.
-        handover: Token of the last owner's upstream, with which the keys arrive warm.
+        handover: Handover token from the previous owner's upstream; with it the new owner's
+            upstream starts with warm keys.
     """
 
     first: Annotated[int, Meta(ge=0, le=LAST_KEY)]
@@ -141,7 +142,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Group:
-    """One group of a service: a platform object that changes only by conditional update.
+    """One group of a service, stored as a platform object and changed by conditional writes.
 
     Attributes:
         service: Name of the service.
@@ -150,11 +151,12 @@
         members: Members by id.
         shards: Hash shards, followed by the shards of exceptions.
         exceptions: Shard id by key, for keys with a shard of their own.
-        recovery: The entry's `recovery` that this group has acted on.
-        edit_id: Identifier of the last edit, by which a lost response is read back.
+        recovery: Value of the entry's `recovery` that has been applied to this group.
+        edit_id: Identifier of the last edit; it shows whether a write whose response was lost
+            took effect.
         ranges: Ranges of numeric keys in ascending order without gaps; empty for a service
-            whose keys are hashed or that has none.
-        fence: Highest epoch that any range has had.
+            whose keys are hashed or that has no keys.
+        fence: Highest epoch of any range so far.
     """
 
     service: str
@@ -170,11 +172,11 @@
 
     @property
     def id(self) -> GroupId:
-        """Service and number of this group."""
+        """Identity of this group: service and number."""
         return GroupId(self.service, self.number)
 
     def range_of(self, key: int) -> KeyRange | None:
-        """Returns the range that holds a numeric key, or None if there are no ranges."""
+        """Returns the range that contains a numeric key, or None if there are no ranges."""
         index = bisect_right(self.ranges, key, key=_first_key) - 1
         return self.ranges[index] if index >= 0 else None
 
@@ -193,7 +195,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionedGroup:
-    """A group with the platform version it was read at.
+    """A group with the version of its platform object.
 
     Attributes:
         version: Version of the platform object.
@@ -205,7 +207,7 @@
 
 
 def key_hash(key: str) -> int:
-    """Returns the 64-bit hash that divides keys into groups and shards."""
+    """Returns the 64-bit hash of a key, which determines its group and shard."""
     return xxhash.xxh64_intdigest(key.encode())
 
 
@@ -215,5 +217,5 @@
 
 
 def entry_object_key(service: str) -> str:
-    """Returns the platform key of a catalogue entry."""
+    """Returns the key of a catalogue entry's platform object."""
     return f"entries/{service}"
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -1,4 +1,4 @@
-"""Messages between agents."""
+"""Messages of the peer streams between agents."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 
 PROTOCOL_VERSION = 3
 
-Count = Annotated[int, Meta(ge=0)]
+NonNegativeInt = Annotated[int, Meta(ge=0)]
 
 
 @dataclass(frozen=True, slots=True)
 class Challenge:
-    """First message of an accepting agent.
+    """First message of the accepting agent in a handshake.
 
     Attributes:
         nonce: Random bytes that the dialling agent signs.
@@ -32,18 +32,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """Answer to `Challenge`: who dials.
+    """Reply to `Challenge` that identifies and authenticates the dialling side.
 
     Attributes:
         name: Name of the agent or routing client.
-        incarnation: Its incarnation.
+        incarnation: Incarnation of the agent or routing client.
         protocol: Version of this protocol.
         mac: HMAC-SHA256 over nonce, name, incarnation and protocol, with the peer secret.
-        wanted: Member id that is dialled; empty for an address whose agent is not known.
+        wanted: Member id that the sender dials; empty if it does not know which agent listens
+            at the address.
     """
 
     name: Annotated[str, Meta(min_length=1, max_length=200)]
-    incarnation: Count
+    incarnation: NonNegativeInt
     protocol: int
     mac: bytes
     wanted: str = ""
@@ -51,35 +52,35 @@
 
 @dataclass(frozen=True, slots=True)
 class Welcome:
-    """The acceptor agrees to the handshake.
+    """Reply to `Hello` that completes the handshake.
 
     Attributes:
         name: Name of the accepting agent.
-        incarnation: Its incarnation.
+        incarnation: Incarnation of the accepting agent.
     """
 
     name: str
-    incarnation: Count
+    incarnation: NonNegativeInt
 
 
 def version_digest(versions: dict[str, int]) -> int:
-    """Returns a hash of versions by name, the same for the same content."""
+    """Returns a hash of versions by name; equal content gives equal hashes."""
     text = ",".join(f"{name}={version}" for name, version in sorted(versions.items()))
-    # 53 bits, so that it stays exact in JSON readers that use floating point.
+    # 53 bits, so that it is exact in JSON readers that use floating point.
     return xxhash.xxh64_intdigest(text.encode()) >> 11
 
 
 @dataclass(frozen=True, slots=True)
 class Versions:
-    """What an agent knows, so that whoever is behind can fetch.
+    """Versions that an agent has, so that an agent with older versions can fetch newer objects.
 
     Attributes:
-        group: Version of the group object that both sides belong to.
+        group: Version of the object of the group that both sides belong to.
         entries: Digest of all entry versions.
     """
 
-    group: Count = 0
-    entries: Count = 0
+    group: NonNegativeInt = 0
+    entries: NonNegativeInt = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,13 +88,13 @@
     """Heartbeat of a member to one of its monitors.
 
     Attributes:
-        member_id: The member whose lease is renewed.
-        sequence: Number of the renewal; the member remembers when it sent it.
-        versions: What the member knows.
+        member_id: Member whose lease is renewed.
+        sequence: Number of the renewal; the member records the time at which it sent it.
+        versions: Versions that the member has.
     """
 
     member_id: str
-    sequence: Count
+    sequence: NonNegativeInt
     versions: Versions = field(default_factory=Versions)
 
 
@@ -102,37 +103,37 @@
     """Acknowledgement of a renewal by a monitor.
 
     Attributes:
-        monitor_id: The monitor.
-        member_id: The member whose lease is extended.
-        sequence: The renewal's number.
-        granted: Whether the renewal counts.
-        versions: What the monitor knows.
+        monitor_id: Member id of the monitor.
+        member_id: Member whose lease is extended.
+        sequence: Number of the renewal.
+        granted: Whether the renewal extends the lease.
+        versions: Versions that the monitor has.
     """
 
     monitor_id: str
     member_id: str
-    sequence: Count
+    sequence: NonNegativeInt
     granted: bool
     versions: Versions = field(default_factory=Versions)
 
 
 @dataclass(frozen=True, slots=True)
 class PromiseQuery:
-    """A monitor asks the other monitor of a member for its promise before a takeover.
+    """Request of one monitor of a member to the other for a promise before a takeover.
 
     Attributes:
-        call: Number that the reply repeats.
+        call: Call number, which the reply repeats.
         service: Service of the group.
         number: Number of the group.
-        member_id: The silent member.
+        member_id: Member to take over, whose renewals have stopped arriving.
         version: Version of the group object that the takeover is conditional on.
     """
 
-    call: Count
+    call: NonNegativeInt
     service: str
-    number: Count
+    number: NonNegativeInt
     member_id: str
-    version: Count
+    version: NonNegativeInt
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,15 +141,15 @@
     """Reply to `PromiseQuery`.
 
     Attributes:
-        call: The query's number.
-        member_id: The silent member.
-        version: The query's version.
-        granted: Whether the promise is given.
+        call: Call number of the query.
+        member_id: Member to take over.
+        version: Version of the query.
+        granted: Whether the promise is granted.
     """
 
-    call: Count
+    call: NonNegativeInt
     member_id: str
-    version: Count
+    version: NonNegativeInt
     granted: bool
 
 
@@ -157,22 +158,22 @@
     """Withdraws a `PromiseQuery`: no takeover write was or will be made under it.
 
     Attributes:
-        call: The query's number.
-        member_id: The member that was to be taken over.
+        call: Call number of the query.
+        member_id: Member that was to be taken over.
     """
 
-    call: Count
+    call: NonNegativeInt
     member_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class WatchStatus:
-    """A watcher of the group tells whether its watch of the platform works.
+    """Report of a group's watcher on its watch of the platform.
 
     Attributes:
-        member_id: The watcher.
+        member_id: Member id of the watcher.
         healthy: Whether its last watch call was answered.
-        versions: What it knows.
+        versions: Versions that the watcher has.
     """
 
     member_id: str
@@ -188,9 +189,9 @@
         groups: Group objects.
         entries: Catalogue entries.
         configuration: The operator's configuration, or None.
-        deltas: Changes of groups; whoever has another version asks for the whole group.
-        configuration_delta: Change of the configuration, or None; whoever has another version asks
-            for the whole.
+        deltas: Changes of groups; a receiver with another base version fetches the whole group.
+        configuration_delta: Change of the configuration, or None; a receiver with another base
+            version fetches the whole configuration.
     """
 
     groups: tuple[VersionedGroup, ...] = ()
@@ -202,58 +203,58 @@
 
 @dataclass(frozen=True, slots=True)
 class Fetch:
-    """Asks for objects newer than what the sender has; the answer is a `Publish`.
+    """Request for objects newer than those of the sender; the reply is a `Publish`.
 
     Attributes:
-        service: Service of the group that is wanted, or empty.
+        service: Service of the requested group, or empty.
         number: Number of that group.
-        group_version: Version that the sender has.
-        entries: Versions of the entries that the sender has, by service, or None.
-        objects: Versions of all objects that the sender has, by platform key, or None.
+        group_version: Version of that group that the sender has.
+        entries: Versions of the sender's entries by service, or None if it requests none.
+        objects: Versions of all of the sender's objects by platform key, or None.
     """
 
     service: str = ""
-    number: Count = 0
-    group_version: Count = 0
+    number: NonNegativeInt = 0
+    group_version: NonNegativeInt = 0
     entries: dict[str, int] | None = None
     objects: dict[str, int] | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Measured work of a member, sent to the planner.
+    """Measured load of a member, sent to the planner.
 
-    Work is in microseconds of upstream time per second: whole numbers take 2 to 5 bytes in
-    msgpack, and a float takes 9.
+    Work is in microseconds of upstream time per second, because integers take 2 to 5 bytes in
+    msgpack and floats take 9.
 
     Attributes:
-        member_id: The member.
-        work: Work by shard id, only of shards that have any.
-        hot_keys: Work of the hottest keys.
+        member_id: Member id of the sender.
+        work: Work by shard id; shards without work are omitted.
+        hot_keys: Work of the hottest keys, by key.
         applied_entries: Digest of the entry versions that the member applies.
-        capacity: Share of its slots that it can use now, 1.0 when warm.
+        capacity: Usable share of its slots, 1.0 when warm.
     """
 
     member_id: str
-    work: dict[Count, Count]
-    hot_keys: dict[str, Count] = field(default_factory=dict)
-    applied_entries: Count = 0
+    work: dict[NonNegativeInt, NonNegativeInt]
+    hot_keys: dict[str, NonNegativeInt] = field(default_factory=dict)
+    applied_entries: NonNegativeInt = 0
     capacity: Annotated[float, Meta(ge=0.0, le=1.0)] = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class RangeLoad:
-    """Measured work of a member that owns key ranges, sent to the planner.
+    """Measured load of a member that owns key ranges, sent to the planner.
 
     Attributes:
-        member_id: The member.
-        utilisation: Mean share of its slots in use, waiting requests included.
-        work: Mean slots in use by key block, only of blocks that have any.
+        member_id: Member id of the sender.
+        utilisation: Mean share of its slots in use, including waiting requests.
+        work: Mean number of slots in use by key block; blocks without work are omitted.
     """
 
     member_id: str
     utilisation: Annotated[float, Meta(ge=0.0)]
-    work: dict[Count, Annotated[float, Meta(ge=0.0)]]
+    work: dict[NonNegativeInt, Annotated[float, Meta(ge=0.0)]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -261,41 +262,41 @@
     """Requests that were in flight when an upstream crashed.
 
     Attributes:
-        member_id: Member whose upstream crashed; the sender may pass on what it was told.
+        member_id: Member whose upstream crashed; the report may be relayed by another member.
         fingerprints: Fingerprints of the requests in flight.
-        quarantined: Fingerprints that are refused from now on.
-        cleared: Fingerprints of former suspects that have run to the end.
+        quarantined: Fingerprints of requests that are refused from now on.
+        cleared: Fingerprints of former suspects that have run to completion.
         crash: Number of the crash at that member.
-        number: Number of the report, for its confirmation.
+        number: Number of the report, which its confirmation repeats.
     """
 
     member_id: str
     fingerprints: tuple[int, ...] = ()
     quarantined: tuple[int, ...] = ()
     cleared: tuple[int, ...] = ()
-    crash: Count = 0
-    number: Count = 0
+    crash: NonNegativeInt = 0
+    number: NonNegativeInt = 0
 
 
 @dataclass(frozen=True, slots=True)
 class CrashNoted:
-    """Confirms a `CrashReport`.
+    """Acknowledgement of a `CrashReport`.
 
     Attributes:
         number: Number of the report.
     """
 
-    number: Count
+    number: NonNegativeInt
 
 
 @dataclass(frozen=True, slots=True)
 class RetainedOutcome:
-    """The outcome of one token.
+    """Outcome of the request with one token.
 
     Attributes:
-        token: The token.
-        state: `done`, `lost` (may have run) or `too_large` (ran, response not kept).
-        status: HTTP status of the response.
+        token: Idempotency token.
+        state: `done`, `lost` (may have run) or `too_large` (ran, response not retained).
+        status: HTTP status code of the response.
         headers: Headers of the response.
         body: Body of the response.
         fingerprint: Hash of the request that the token was used for.
@@ -311,15 +312,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """The owner has stopped serving a shard and hands it to its successor.
+    """Handover of a shard that its owner has stopped serving, sent to the successor.
 
     Attributes:
-        call: Number that the reply repeats.
+        call: Call number, which the reply repeats.
         service: Service of the group.
         number: Number of the group.
-        shard: The shard id.
+        shard: Shard id.
         epoch: Epoch that ends.
-        from_id: Member id of the old owner.
+        from_id: Member id of the previous owner.
         to_id: Member id of the successor.
         lineage: Epochs whose outcomes are complete in `outcomes`.
         next_sequence: First token sequence that the successor may issue.
@@ -327,52 +328,53 @@
         outcomes: Outcomes of the shard's tokens.
     """
 
-    call: Count
+    call: NonNegativeInt
     service: str
-    number: Count
-    shard: Count
-    epoch: Count
+    number: NonNegativeInt
+    shard: NonNegativeInt
+    epoch: NonNegativeInt
     from_id: str
     to_id: str
     lineage: tuple[int, ...] = ()
-    next_sequence: Count = 0
-    floor: Count = 0
+    next_sequence: NonNegativeInt = 0
+    floor: NonNegativeInt = 0
     outcomes: tuple[RetainedOutcome, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Released:
-    """Reply to `Release`: the successor has taken the shard.
+    """Reply of the successor to `Release`.
 
     Attributes:
-        call: The release's number.
-        accepted: False if the successor does not know of the handover.
+        call: Call number of the release.
+        accepted: Whether the successor has taken the shard; False if it has no record of the
+            handover.
     """
 
-    call: Count
+    call: NonNegativeInt
     accepted: bool
 
 
 @dataclass(frozen=True, slots=True)
 class ReleasedRange:
-    """A key range that its owner's upstream has given back.
+    """A key range that its owner's upstream has released.
 
     Attributes:
         first: Lowest key.
         last: Highest key.
         epoch: Epoch that ends.
-        handover: Token with which the keys arrive warm.
+        handover: Handover token, with which the next owner's upstream starts with warm keys.
     """
 
-    first: Count
-    last: Count
-    epoch: Count
+    first: NonNegativeInt
+    last: NonNegativeInt
+    epoch: NonNegativeInt
     handover: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class RangesReleased:
-    """The owner has released ranges and cannot record it; the receiver does that in its place.
+    """Released ranges that the owner cannot record in the group; the receiver records them.
 
     Attributes:
         service: Service of the group.
@@ -382,25 +384,25 @@
     """
 
     service: str
-    number: Count
+    number: NonNegativeInt
     owner_id: str
     ranges: tuple[ReleasedRange, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class JoinRequest:
-    """Asks a member of a group to record the sender as a member with its next write.
+    """Request to a member of a group to add the sender to the group with its next write.
 
     Attributes:
-        call: Number that the reply repeats.
+        call: Call number, which the reply repeats.
         service: Service of the group.
         number: Number of the group.
         member: The sender.
     """
 
-    call: Count
+    call: NonNegativeInt
     service: str
-    number: Count
+    number: NonNegativeInt
     member: Member
 
 
@@ -409,23 +411,23 @@
     """Reply to `JoinRequest`.
 
     Attributes:
-        call: The request's number.
-        group: The group with the sender, or None if it was not and will not be recorded.
+        call: Call number of the request.
+        group: The group with the sender, or None if the sender was not and will not be added.
     """
 
-    call: Count
+    call: NonNegativeInt
     group: VersionedGroup | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class StatusQuery:
-    """Asks an agent for its own status.
+    """Request for the status of an agent.
 
     Attributes:
-        call: Number that the reply repeats.
+        call: Call number, which the reply repeats.
     """
 
-    call: Count
+    call: NonNegativeInt
 
 
 @dataclass(frozen=True, slots=True)
@@ -433,40 +435,41 @@
     """Reply to `StatusQuery`.
 
     Attributes:
-        call: The query's number.
-        status: The agent's status as in the administration API.
+        call: Call number of the query.
+        status: Status of the agent, an `AgentStatus` as a map.
     """
 
-    call: Count
+    call: NonNegativeInt
     status: dict[str, Any]
 
 
 @dataclass(frozen=True, slots=True)
 class StreamOpen:
-    """Forwards a request to the owner.
+    """Request that is forwarded to the owner; opens a stream for its body and the response.
 
     Attributes:
         stream: Number of the stream, chosen by the sender.
         request_id: Id of the request.
-        service: Service.
-        key: Key.
+        service: Name of the service.
+        key: Key of the request.
         method: HTTP method.
-        path: Path and query.
-        headers: Headers.
-        remaining_ms: Time left until the deadline when this was sent.
+        path: Path and query below the service.
+        headers: Headers of the request.
+        remaining_ms: Time from sending until the deadline, in milliseconds.
         token: Idempotency token, or None.
-        length: Length of the body if it is known.
+        length: Length of the body in bytes, or None if it is unknown.
         data: First part of the body.
         end: Whether `data` is the whole body.
-        caller: Service beside which the request began.
-        priority: Rank of the request.
-        repeatable: Whether it may run more than once.
-        repeated: Whether an upstream may have seen it before.
-        useful_ms: Time left in which an answer has its full value, or None.
-        route: Name of the route that it matched.
+        caller: Service on whose VM the request originated, or empty.
+        priority: Rank of the request; 0 is served first.
+        repeatable: Whether the request may run more than once.
+        repeated: Whether an upstream may have received the request before.
+        useful_ms: Time from sending in which a response has its full value, in milliseconds, or
+            None.
+        route: Name of the matching route, or empty.
     """
 
-    stream: Count
+    stream: NonNegativeInt
     request_id: str
     service: str
     key: str
@@ -479,10 +482,10 @@
     data: bytes = b""
     end: bool = True
     caller: str = ""
-    priority: Count = 0
+    priority: NonNegativeInt = 0
     repeatable: bool = False
     repeated: bool = False
-    useful_ms: Count | None = None
+    useful_ms: NonNegativeInt | None = None
     route: str = ""
 
 
@@ -491,24 +494,24 @@
     """Status and headers of the response to a forwarded request.
 
     Attributes:
-        stream: The stream.
-        request_id: Id of the request it answers.
-        status: HTTP status.
-        headers: Headers.
+        stream: Number of the stream.
+        request_id: Id of the request.
+        status: HTTP status code.
+        headers: Headers of the response.
         served_by: Member id of the owner.
-        epoch: Epoch it ran under.
-        length: Length of the body if it is known.
+        epoch: Epoch of the shard when the request ran.
+        length: Length of the body in bytes, or None if it is unknown.
         data: First part of the body.
         end: Whether `data` is the whole body.
         occupancy: Load of the owner's upstream, or None.
     """
 
-    stream: Count
+    stream: NonNegativeInt
     request_id: str
     status: Annotated[int, Meta(ge=100, le=599)]
     headers: Headers
     served_by: str
-    epoch: Count
+    epoch: NonNegativeInt
     length: int | None = None
     data: bytes = b""
     end: bool = True
@@ -517,60 +520,60 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamData:
-    """A further part of a body.
+    """Further part of the body of a forwarded request or of its response.
 
     Attributes:
-        stream: The stream.
-        data: The bytes.
-        end: Whether the body ends here.
+        stream: Number of the stream.
+        data: Bytes of the body.
+        end: Whether this is the last part.
     """
 
-    stream: Count
+    stream: NonNegativeInt
     data: bytes
     end: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class StreamCredit:
-    """Permits the other side to send more bytes of a body.
+    """Flow control credit: permits the other side to send more bytes of a body.
 
     Attributes:
-        stream: The stream.
+        stream: Number of the stream.
         size: Number of bytes.
     """
 
-    stream: Count
-    size: Count
+    stream: NonNegativeInt
+    size: NonNegativeInt
 
 
 @dataclass(frozen=True, slots=True)
 class StreamReset:
-    """Ends a stream early, in either direction; a body cut by it is not whole.
+    """Aborts a stream, in either direction; a body that it interrupts is incomplete.
 
     Attributes:
-        stream: The stream.
-        reason: Why, for the log.
+        stream: Number of the stream.
+        reason: Reason for the log.
     """
 
-    stream: Count
+    stream: NonNegativeInt
     reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class StreamRefused:
-    """The owner refuses a forwarded request.
+    """Refusal of a forwarded request.
 
     Attributes:
-        stream: The stream.
+        stream: Number of the stream.
         label: Label of the refusal's type.
-        message: Its text.
-        owner_id: Owner as far as the refusing agent knows, or None.
-        token: Token to send with the request, or None.
-        retry_after_ms: When a retry is useful, or None.
+        message: Text of the refusal.
+        owner_id: Member id of the owner according to the refusing agent, or None.
+        token: Idempotency token to send with the request, or None.
+        retry_after_ms: Time in milliseconds after which a retry is useful, or None.
         occupancy: Load of the refusing agent's upstream, or None.
     """
 
-    stream: Count
+    stream: NonNegativeInt
     label: str
     message: str
     owner_id: str | None = None
@@ -579,7 +582,7 @@
     occupancy: Occupancy | None = None
 
 
-# The position is the kind on the wire: append only.
+# The index of a type is its kind on the wire, so types are only appended.
 PEER_MESSAGES: tuple[type[Any], ...] = (
     Challenge,
     Hello,
--- a/fescueward/messages/snapshot.py
+++ b/fescueward/messages/snapshot.py
@@ -1,4 +1,4 @@
-"""Snapshots of what a planner knows, for the next planner."""
+"""Snapshots of a planner's state, from which the next planner starts."""
 
 from __future__ import annotations
 
@@ -9,28 +9,28 @@
 
 from .group import GroupId
 
-_Count = Annotated[int, Meta(ge=0)]
+_NonNegativeInt = Annotated[int, Meta(ge=0)]
 
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """A platform object that the planner of a group writes now and then.
+    """State of a group's planner, written to the platform periodically.
 
     Attributes:
         service: Service of the group.
         number: Number of the group.
-        work: Microseconds of upstream time per second by shard id in decimal.
-        hot_keys: Microseconds of upstream time per second of the hottest keys.
-        quarantine: Milliseconds that each fingerprint, in decimal, stays quarantined.
+        work: Microseconds of upstream time per second, by shard id in decimal.
+        hot_keys: Microseconds of upstream time per second of the hottest keys, by key.
+        quarantine: Remaining quarantine in milliseconds, by fingerprint in decimal.
     """
 
     service: str
-    number: _Count
-    work: dict[str, _Count] = field(default_factory=dict)
-    hot_keys: dict[str, _Count] = field(default_factory=dict)
-    quarantine: dict[str, _Count] = field(default_factory=dict)
+    number: _NonNegativeInt
+    work: dict[str, _NonNegativeInt] = field(default_factory=dict)
+    hot_keys: dict[str, _NonNegativeInt] = field(default_factory=dict)
+    quarantine: dict[str, _NonNegativeInt] = field(default_factory=dict)
 
 
 def snapshot_object_key(group: GroupId) -> str:
-    """Returns the platform key of a group's snapshot."""
+    """Returns the key of the platform object of a group's snapshot."""
     return f"snapshots/{group.service}/{group.number}"
--- a/fescueward/messages/status.py
+++ b/fescueward/messages/status.py
@@ -1,6 +1,6 @@
-"""Answers of the administration API.
+"""Responses of the administration API.
 
-Times are given as seconds before the answer was made, because VMs share no clock.
+Times are given in seconds before the response was made, because VMs share no clock.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 
 
 class AgentState(enum.StrEnum):
-    """What an agent is doing."""
+    """Stage of an agent's membership in its group."""
 
     WAITING = "waiting_for_upstream"
     JOINING = "joining"
@@ -24,7 +24,7 @@
 
 
 class LeaseState(enum.StrEnum):
-    """State of a member's lease as told by the member itself."""
+    """State of a member's lease as reported by the member itself."""
 
     HELD = "held"
     ENDED = "ended"
@@ -32,7 +32,7 @@
 
 
 class ProblemKind(enum.StrEnum):
-    """Stable names of what can be wrong."""
+    """Stable names of the kinds of problems."""
 
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     NO_MEMBERS = "no_members"
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryDocument:
-    """A catalogue entry as operators write it; see `Entry` for the fields."""
+    """Catalogue entry as written by operators; see `Entry` for the fields."""
 
     service: ServiceName
     owner: Annotated[str, Meta(min_length=1, max_length=200)]
@@ -64,7 +64,7 @@
     """An entry with its version.
 
     Attributes:
-        version: Version to name in the next change.
+        version: Version of the entry, which the next change must name.
         entry: The entry.
     """
 
@@ -74,10 +74,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryList:
-    """All entries.
+    """All catalogue entries.
 
     Attributes:
-        entries: The entries by service name.
+        entries: Entries in the order of service names.
     """
 
     entries: tuple[EntryAnswer, ...]
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DeletedAnswer:
-    """An accepted deletion.
+    """Response to an accepted deletion of an entry.
 
     Attributes:
         service: Name of the service.
@@ -98,14 +98,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ErrorDetail:
-    """A failure.
+    """Description of an error.
 
     Attributes:
         code: Number of the error type.
         label: Stable name of the error type.
-        message: What was wrong and what is allowed.
-        version: Present version of the entry, for a conflict.
-        entry: Present entry, for a conflict; None if there is none.
+        message: What is wrong and what is allowed.
+        version: Current version of the entry after a conflict, otherwise None.
+        entry: Current entry after a conflict; None if there is none.
     """
 
     code: int
@@ -117,10 +117,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ErrorAnswer:
-    """Body of every failure.
+    """Body of every error response.
 
     Attributes:
-        error: The failure.
+        error: The error.
     """
 
     error: ErrorDetail
@@ -128,12 +128,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OriginStatus:
-    """How a shard got its present owner.
+    """Last change of a shard's owner.
 
     Attributes:
-        before: Owner before, or None.
-        taken_over: Whether that owner was lost; otherwise it handed the shard over.
-        since_s: Seconds since the change was seen.
+        before: Member id of the previous owner, or None.
+        taken_over: Whether the previous owner was lost; otherwise it handed the shard over.
+        since_s: Seconds since this agent received the change.
     """
 
     before: str | None
@@ -143,27 +143,27 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentStatus:
-    """What one agent says of itself.
+    """Status of one agent, reported by itself.
 
     Attributes:
-        member_id: `NAME:INCARNATION`.
+        member_id: Member id, `NAME:INCARNATION`.
         failure_domain: Failure domain of its VM.
-        group: `SERVICE/NUMBER`, empty before its upstream has announced itself.
-        state: What it is doing.
+        group: `SERVICE/NUMBER`, empty before the first announcement of its upstream.
+        state: Stage of its membership.
         uptime_s: Seconds since its start.
-        lease_held: Whether it may serve its shards.
+        lease_held: Whether it holds its lease and so may serve its shards.
         lease_remaining_s: Seconds until its lease ends if it is not renewed.
-        monitors: Members that renew its lease.
+        monitors: Ids of the members that acknowledge its renewals.
         monitored_s: Seconds since it last acknowledged a renewal, by monitored member.
         shards: Epoch of each active shard by shard id.
-        origins: How a shard got its present owner, by shard id, where this agent saw the change.
-        in_flight: Requests that run or wait on its upstream.
-        platform_unavailable_s: Seconds since the platform stopped answering it, or None.
+        origins: Last change of owner by shard id, for changes that this agent has received.
+        in_flight: Requests that run on its upstream or wait for a slot.
+        platform_unavailable_s: Seconds since the platform stopped answering this agent, or None.
         watching: Whether it watches the platform for its group.
         group_version: Version of its group that it applies.
         entry_versions: Version of each entry that it applies, by service.
-        entry_versions_complete: Whether that is all of them; in a large catalogue only the one of
-            its own service is told.
+        entry_versions_complete: Whether `entry_versions` covers all entries; in a large catalogue
+            it contains only the entry of the agent's own service.
     """
 
     member_id: str
@@ -187,12 +187,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Problem:
-    """Something that is wrong.
+    """A problem of the platform, a service, a group or a member.
 
     Attributes:
-        kind: Stable name.
-        text: What is wrong, since when, and what happens next, in words.
-        since_s: Seconds since it began or was first seen, or None if that is not known.
+        kind: Stable name of the kind of problem.
+        text: Description: what is wrong, since when, and what happens next.
+        since_s: Seconds since the problem began or was detected, or None if unknown.
     """
 
     kind: ProblemKind
@@ -208,13 +208,13 @@
         id: Member id.
         failure_domain: Failure domain of its VM.
         state: `active` or `leaving`, from the group object.
-        slots: Requests that its upstream runs at a time.
-        shards: Number of shards it owns by the group object.
-        answered: Whether its agent answered the query for this status.
-        lease: State of its lease as told by itself.
-        in_flight: Requests on its upstream, or None if it did not answer.
-        entry_version: Version of the service's entry that it applies, or None.
-        uptime_s: Seconds since its agent started, or None.
+        slots: Requests that its upstream runs concurrently.
+        shards: Number of shards that it owns, from the group object.
+        answered: Whether its agent answered the status query.
+        lease: State of its lease as reported by itself.
+        in_flight: Requests that run or wait on its upstream, or None if it did not answer.
+        entry_version: Version of the service's entry that it applies, or None if unknown.
+        uptime_s: Seconds since its agent started, or None if unknown.
     """
 
     id: str
@@ -235,9 +235,9 @@
 
     Attributes:
         shard: Shard id.
-        from_id: Present owner.
-        to_id: Successor.
-        since_s: Seconds since this agent first saw the move.
+        from_id: Member id of the current owner, or None.
+        to_id: Member id of the successor.
+        since_s: Seconds since this agent received the first group version with the move.
     """
 
     shard: int
@@ -253,10 +253,11 @@
     Attributes:
         group: `SERVICE/NUMBER`.
         version: Version of the group object.
-        fresh: Whether it is kept up to date here or was read from the platform just now.
-        members: Its members by id.
-        shards: Number of shards, those of single keys included.
-        exceptions: Number of keys that are placed singly.
+        fresh: Whether this agent receives updates of the group or has just read it from the
+            platform.
+        members: Members of the group in the order of their ids.
+        shards: Number of shards, including shards of single keys.
+        exceptions: Number of keys with a shard of their own.
         moves: Shards that are being handed over.
         watchers: Members that watch the platform for this group.
     """
@@ -273,19 +274,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceStatus:
-    """One service.
+    """Status of one service.
 
     Attributes:
-        service: Its name.
-        owner: Team that answers for it.
+        service: Name of the service.
+        owner: Team that is responsible for the service.
         request_class: Whether requests may run more than once.
         weight: Measure that placement weighs most.
         version: Accepted version of its entry.
-        agents_asked: Agents that were asked which version they apply.
-        agents_applying: How many of them apply the accepted version.
-        groups: Its groups; only the first ones if `groups_total` is larger.
+        agents_asked: Number of agents queried for the version that they apply.
+        agents_applying: Number of queried agents that apply the accepted version.
+        groups: Groups of the service; only the first ones if `groups_total` is larger.
         groups_total: Number of its groups.
-        problems: What is wrong with it.
+        problems: Problems of the service.
     """
 
     service: str
@@ -302,15 +303,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetStatus:
-    """Answer to a status query.
+    """Status of one service or of all services.
 
     Attributes:
-        told_by: Member id of the agent that made the answer.
+        told_by: Member id of the agent that made this status.
         platform_unavailable_s: Seconds since the platform stopped answering that agent, or None.
-        agents_asked: Agents that were asked, this one included.
-        agents_answered: Agents that answered.
-        services: The services.
-        problems: What is wrong with the platform and with all services.
+        agents_asked: Number of queried agents, including that agent.
+        agents_answered: Number of agents that answered.
+        services: Status of each service.
+        problems: Problems of the platform and of all services.
     """
 
     told_by: str
@@ -322,7 +323,7 @@
 
 
 class Reason(enum.StrEnum):
-    """Why a key is where it is, or what happens to its shard."""
+    """Stable names of reasons for the placement of a key or for the state of its shard."""
 
     PLACED = "placed"
     EXCEPTION = "exception"
@@ -335,7 +336,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Explanation:
-    """Where a key is and why.
+    """Owner of a key, with the reasons for its placement.
 
     Attributes:
         service: Name of the service.
@@ -346,11 +347,11 @@
         failure_domain: Failure domain of the owner, or None.
         epoch: Epoch of the shard.
         successor: Member id that the shard is being handed over to, or None.
-        reasons: Why, by stable names.
-        text: Why, in words.
+        reasons: Stable names of the reasons.
+        text: Description of the reasons.
         served: Whether a request to the key would be served now.
-        refusal: Label of the refusal that it would get, or None.
-        told_by: Member id of the agent that made the answer.
+        refusal: Label of the error that such a request would be refused with, or None.
+        told_by: Member id of the agent that made this explanation.
     """
 
     service: str
--- a/fescueward/messages/upstream.py
+++ b/fescueward/messages/upstream.py
@@ -17,14 +17,14 @@
 REQUEST_ID_HEADER = "Fescueward-Request-Id"
 KEY_HEADER = "Fescueward-Key"
 TOKEN_HEADER = "Fescueward-Token"
-# A refusal before the run, and a run that was ended early, with their reasons.
+# The upstream refused the request before the run, or aborted the run; the value is the reason.
 REFUSAL_HEADER = "Fescueward-Refusal"
 ABORTED_HEADER = "Fescueward-Aborted"
 DEADLINE_MS_HEADER = "Fescueward-Deadline-Ms"
 
 
 class AnnouncedState(enum.StrEnum):
-    """What the upstream says about itself."""
+    """State of the upstream as announced by itself."""
 
     READY = "ready"
     LEAVING = "leaving"
@@ -32,20 +32,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """An upstream introduces itself to the agent on its VM.
+    """Registration of an upstream with the agent on its VM.
 
     Attributes:
-        service: Service that it serves.
+        service: Service that the upstream serves.
         host: Address of its HTTP server.
         port: Port of its HTTP server.
-        slots: Requests that it runs at a time.
+        slots: Requests that it runs concurrently.
         connections: Connections that it accepts.
         checks_grants: Whether it rejects requests without a valid grant.
-        state: Whether it takes work.
+        state: Whether it accepts requests.
         group: Number of the group that it joins.
         instance: Identity of this start of the upstream, or empty.
-        started_ms: When it started, in Unix milliseconds; 0 if it does not say.
-        cold_s: How much longer it is slow after its start, in seconds; None if it does not say.
+        started_ms: Time of its start in Unix milliseconds, or 0 if not announced.
+        cold_s: Remaining warm-up time in seconds, or None if not announced.
     """
 
     service: ServiceName
@@ -62,19 +62,20 @@
 
     @property
     def start(self) -> str:
-        """Identity of this start; an upstream may start again under the id that it had."""
+        """Identity of this start, or empty; a restarted upstream may reuse its instance id."""
         return f"{self.instance}@{self.started_ms}" if self.instance else ""
 
 
 @dataclass(frozen=True, slots=True)
 class GrantSet:
-    """All grants of an upstream; replaces the set sent before.
+    """All grants of an upstream; replaces the previous set.
 
     Attributes:
         holder: Member id of the agent.
-        sequence: Grows with each set, so that a delayed older set is ignored.
-        expires_ns: End of all grants, in CLOCK_BOOTTIME nanoseconds of the shared VM.
-        epochs: Epoch by shard id. A shard that is absent is revoked.
+        sequence: Number that increases with each set, so that a delayed older set is ignored.
+        expires_ns: End of all grants in CLOCK_BOOTTIME nanoseconds, which agent and upstream
+            share because they run on the same VM.
+        epochs: Epoch by shard id. The grants of absent shards are revoked.
     """
 
     holder: str
@@ -84,5 +85,5 @@
 
 
 def upstream_url(announcement: Announcement, path: str) -> URL:
-    """Returns the URL of a path on the upstream; the path stays as it was written."""
+    """Returns the URL of a path on the upstream; the path is not encoded again."""
     return URL(f"http://{announcement.host}:{announcement.port}{path}", encoded=True)
--- a/tests/messages/test_codec.py
+++ b/tests/messages/test_codec.py
@@ -1,4 +1,4 @@
-"""Tests of the JSON of messages."""
+"""Tests of the JSON encoding of messages."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 
 
 class JsonTest(unittest.TestCase):
-    """JSON input is checked whole."""
+    """Every field of JSON input is validated."""
 
-    def test_absurd_numbers_are_refused(self):
-        """Guards against announcements and entries with values that no server has."""
-        bad = [
+    def test_out_of_range_values_are_refused(self):
+        """Guards against announcements and entries with values that no server can have."""
+        invalid_documents = [
             (b'{"service":"depot","host":"h","port":0,"slots":6,"connections":1}', Announcement),
             (b'{"service":"depot","host":"h","port":9,"slots":-6,"connections":1}', Announcement),
             (b'{"service":"De pot","owner":"o"}', Entry),
@@ -22,6 +22,6 @@
             (b'{"service":"depot","owner":"o","weight":"speed"}', Entry),
             (b"{", Entry),
         ]
-        for data, kind in bad:
+        for data, kind in invalid_documents:
             with self.subTest(data=data), self.assertRaises(MalformedMessageError):
                 decode_json(data, kind)
--- a/tests/messages/test_delta.py
+++ b/tests/messages/test_delta.py
@@ -1,4 +1,4 @@
-"""Tests of what differs between two versions of a group."""
+"""Tests of deltas between two versions of a group or of the configuration."""
 
 from __future__ import annotations
 
@@ -23,17 +23,17 @@
 from ..services.groups_for_tests import joined, member
 
 
-def ranges(shuffled: random.Random, count: int) -> tuple[KeyRange, ...]:
-    """Divides all keys into ranges of random widths and owners."""
-    firsts = sorted({0, *shuffled.sample(range(1, LAST_KEY), count - 1)})
-    ends = [*(first - 1 for first in firsts[1:]), LAST_KEY]
+def random_ranges(rng: random.Random, count: int) -> tuple[KeyRange, ...]:
+    """Divides all keys into ranges with random widths, owners and epochs."""
+    first_keys = sorted({0, *rng.sample(range(1, LAST_KEY), count - 1)})
+    last_keys = [*(first - 1 for first in first_keys[1:]), LAST_KEY]
     return tuple(
-        KeyRange(first, last, f"m{shuffled.randrange(5)}:1", shuffled.randrange(3))
-        for first, last in zip(firsts, ends, strict=True)
+        KeyRange(first, last, f"m{rng.randrange(5)}:1", rng.randrange(3))
+        for first, last in zip(first_keys, last_keys, strict=True)
     )
 
 
-def formed(size: int) -> Group:
+def group_of_size(size: int) -> Group:
     return joined(
         Group("depot", 0, 2, {}, (Shard("m0:1", 1), Shard("m1:1", 1))),
         *(member(f"m{number}") for number in range(size)),
@@ -42,46 +42,46 @@
 
 class GroupDeltaTest(unittest.TestCase):
     def test_change_leads_to_the_newer_version(self):
-        """Guards against a key that has two owners in the view of an agent, or none."""
+        """Guards against deltas after which a key has two owners, or none, on an agent."""
         for seed in range(300):
-            shuffled = random.Random(seed)
-            before = replace(formed(6), ranges=ranges(shuffled, shuffled.randint(1, 40)))
-            cut = shuffled.randrange(len(before.ranges))
-            fresh = ranges(shuffled, shuffled.randint(1, 40))
-            kept = tuple(found for found in before.ranges[:cut])
-            first = kept[-1].last + 1 if kept else 0
-            tail = tuple(
-                replace(found, first=max(found.first, first))
-                for found in fresh
-                if found.last >= first
+            rng = random.Random(seed)
+            before = replace(group_of_size(6), ranges=random_ranges(rng, rng.randint(1, 40)))
+            unchanged_count = rng.randrange(len(before.ranges))
+            new_ranges = random_ranges(rng, rng.randint(1, 40))
+            unchanged = tuple(key_range for key_range in before.ranges[:unchanged_count])
+            first = unchanged[-1].last + 1 if unchanged else 0
+            replaced = tuple(
+                replace(key_range, first=max(key_range.first, first))
+                for key_range in new_ranges
+                if key_range.last >= first
             )
             after = replace(
                 before,
                 members={**before.members, "m7:1": member("m7")},
                 shards=(before.shards[0], Shard("m2:1", 2)),
-                ranges=(*kept, *tail),
+                ranges=(*unchanged, *replaced),
                 fence=seed,
                 edit_id=f"edit-{seed}",
                 recovery=1,
             )
-            del after.members[f"m{shuffled.randrange(6)}:1"]
+            del after.members[f"m{rng.randrange(6)}:1"]
             base, newer = VersionedGroup(3, before), VersionedGroup(9, after)
             with self.subTest(seed=seed):
-                change = group_delta(base, newer)
-                self.assertIsInstance(change, GroupDelta)
-                self.assertEqual(change.apply_to(base), newer)
+                delta = group_delta(base, newer)
+                self.assertIsInstance(delta, GroupDelta)
+                self.assertEqual(delta.apply_to(base), newer)
 
     def test_change_of_another_version_is_not_applied(self):
-        """Guards against a change that is applied to a version that it was not made for."""
-        base = VersionedGroup(3, formed(2))
-        change = group_delta(base, VersionedGroup(5, formed(3)))
-        self.assertIsNone(change.apply_to(replace(base, version=4)))
-        other = replace(base, group=replace(base.group, service="orders"))
-        self.assertIsNone(change.apply_to(other))
+        """Guards against a delta that is applied to another version than its base."""
+        base = VersionedGroup(3, group_of_size(2))
+        delta = group_delta(base, VersionedGroup(5, group_of_size(3)))
+        self.assertIsNone(delta.apply_to(replace(base, version=4)))
+        other_group = replace(base, group=replace(base.group, service="orders"))
+        self.assertIsNone(delta.apply_to(other_group))
 
     def test_whole_group_is_needed_for_other_changes(self):
-        """Guards against agents that keep an exception or ranges that are gone."""
-        group = replace(formed(2), ranges=ranges(random.Random(1), 3))
+        """Guards against agents that keep removed exceptions or ranges after a delta."""
+        group = replace(group_of_size(2), ranges=random_ranges(random.Random(1), 3))
         base = VersionedGroup(3, group)
         for changed in (
             replace(group, exceptions={"k": 1}),
@@ -92,8 +92,8 @@
             self.assertIsNone(group_delta(base, VersionedGroup(4, changed)))
 
     def test_change_takes_few_bytes(self):
-        """Guards against a copy of a large group to each agent for the change of one member."""
-        group = replace(formed(39), ranges=ranges(random.Random(1), 120))
+        """Guards against a change of one member that sends a whole large group to each agent."""
+        group = replace(group_of_size(39), ranges=random_ranges(random.Random(1), 120))
         base, encoder, decoder = VersionedGroup(1, group), FrameEncoder(), FrameDecoder()
         list(decoder.feed(encoder.encode(Publish(groups=(base,)))))
         changed = replace(group.members["m7:1"], stamp=5)
@@ -113,19 +113,19 @@
 
 class ConfigurationDeltaTest(unittest.TestCase):
     def test_change_leads_to_the_newer_version(self):
-        """Guards against an agent that keeps a route or service that is gone or has changed."""
-        held = Configuration(1, routes("a", "b", "c"), {"depot": ServiceSpec("depot")})
-        base = VersionedConfiguration(3, held)
+        """Guards against an agent that keeps a removed or outdated route or service."""
+        current = Configuration(1, routes("a", "b", "c"), {"depot": ServiceSpec("depot")})
+        base = VersionedConfiguration(3, current)
         for configuration in (
-            Configuration(2, routes("a", "b", "c", "d"), held.services),
-            Configuration(2, routes("c"), held.services, CallerLimits(body_bytes=5)),
+            Configuration(2, routes("a", "b", "c", "d"), current.services),
+            Configuration(2, routes("c"), current.services, CallerLimits(body_bytes=5)),
             Configuration(2, routes("a", "b", "c", prefix="/x/"), {"orders": ServiceSpec("x")}),
             Configuration(2, {}, {"depot": ServiceSpec("depot", keyed=True)}),
         ):
             newer = VersionedConfiguration(4, configuration)
             delta = configuration_delta(base, newer)
             if configuration.services.keys() == {"orders"}:
-                # The name of a service is not the one that it is listed under.
+                # This service is listed under another name than its own.
                 self.assertIsNone(delta)
                 continue
             applied = delta.apply_to(base)
@@ -134,7 +134,7 @@
             self.assertIsNone(delta.apply_to(replace(base, version=2)))
 
     def test_routes_in_another_order_need_the_whole(self):
-        """Guards against agents that take different routes for the same requests."""
+        """Guards against agents that select different routes for the same requests."""
         base = VersionedConfiguration(3, Configuration(1, routes("a", "b")))
         for names in (("b", "a"), ("c", "a", "b")):
             newer = VersionedConfiguration(4, Configuration(2, routes(*names)))
--- a/tests/messages/test_frames.py
+++ b/tests/messages/test_frames.py
@@ -26,13 +26,13 @@
     return b"".join(encoder.encode(message) for message in messages)
 
 
-def _deflated(content: bytes) -> bytes:
-    deflate = zlib.compressobj(1, zlib.DEFLATED, -14)
-    return deflate.compress(content) + deflate.flush(zlib.Z_SYNC_FLUSH)
+def _deflate(content: bytes) -> bytes:
+    compressor = zlib.compressobj(1, zlib.DEFLATED, -14)
+    return compressor.compress(content) + compressor.flush(zlib.Z_SYNC_FLUSH)
 
 
 def _compressed(content: object) -> bytes:
-    return _deflated(msgpack.packb(content))
+    return _deflate(msgpack.packb(content))
 
 
 def _decode(data: bytes) -> list:
@@ -40,10 +40,10 @@
 
 
 class FrameTest(unittest.TestCase):
-    """Frames come back as they were sent, and bad ones are refused."""
+    """Frames are decoded as they were encoded, and bad frames are refused."""
 
     def test_round_trip_of_nested_message(self):
-        """Guards against fields that are lost or change their type on the wire."""
+        """Guards against fields that are lost or change their type in the encoding."""
         member = Member("a:1", "a", 1, "boot", "127.0.0.1", 1, "127.0.0.1", 2, "lowell", 6, 110)
         group = Group("depot", 0, 2, {"a:1": member}, (Shard("a:1", 1), Shard()), {"k": 2})
         message = Publish(groups=(VersionedGroup(7, group),))
@@ -59,10 +59,10 @@
             self.assertEqual(decoded, [first, second])
 
     def test_bad_frames_are_refused(self):
-        """Guards against bad input that ends in an untyped error."""
+        """Guards against bad input that raises another error than MalformedMessageError."""
         renew, opening = PEER_MESSAGES.index(Renew), PEER_MESSAGES.index(StreamOpen)
         whole = _compressed({"member_id": "a:1", "sequence": 4})
-        bad = [
+        bad_frames = [
             msgpack.packb("text"),
             msgpack.packb([renew, whole]),
             msgpack.packb([renew, whole, b"", b""]),
@@ -77,21 +77,21 @@
             b"\xc1",
             b"\xdb\x7f\xff\xff\xff" + b"x" * 2 * MAX_FRAME_BYTES,
         ]
-        for data in bad:
+        for data in bad_frames:
             with self.subTest(data=data[:20]), self.assertRaises(MalformedMessageError):
                 _decode(data)
 
     def test_oversize_frame_is_not_sent(self):
-        """Guards against a frame that the receiver must refuse."""
+        """Guards against sending a frame that the receiver must refuse."""
         with self.assertRaises(MalformedMessageError):
             _encode(StreamOpen(1, "r", "s", "k", "PUT", "/", (), 5, data=b"x" * 1024 * 1024))
 
 
 class CompressionTest(unittest.TestCase):
     def test_large_group_is_small_on_the_wire(self):
-        """Guards against group objects that fill the links between failure domains.
+        """Guards against group objects that saturate the links between failure domains.
 
-        Found by trouble-2 of kagaz-mesh: 0.247 GB crossed, most of it groups of 70 ranges.
+        In the run trouble-2 of kagaz-mesh they carried 0.247 GB, most of it groups of 70 ranges.
         """
         ranges = tuple(
             KeyRange(first, first + 7, f"sidecar-ahmedabad-{first % 6}:1792106965417", first)
@@ -103,16 +103,19 @@
         self.assertEqual(list(FrameDecoder().feed(frame)), [message])
 
     def test_bad_compressed_frame_is_malformed(self):
-        """Guards against a peer that ends the process with bytes that do not inflate."""
+        """Guards against invalid compressed data of a peer that ends the process."""
         number = PEER_MESSAGES.index(Publish)
-        large = zlib.compressobj(1, zlib.DEFLATED, -14)
-        bomb = large.compress(bytes(9_000_000)) + large.flush(zlib.Z_SYNC_FLUSH)
-        for content in (b"no deflate", _deflated(b"\xc1"), bomb):
+        compressor = zlib.compressobj(1, zlib.DEFLATED, -14)
+        oversized = compressor.compress(bytes(9_000_000)) + compressor.flush(zlib.Z_SYNC_FLUSH)
+        for content in (b"no deflate", _deflate(b"\xc1"), oversized):
             with self.subTest(size=len(content)), self.assertRaises(MalformedMessageError):
                 list(FrameDecoder().feed(msgpack.packb([number, content, b""])))
 
     def test_requests_and_changed_groups_repeat_little(self):
-        """Guards against headers and whole groups that cross between failure domains each time."""
+        """Guards against sending the same headers and whole groups between failure domains again.
+
+        Later frames must refer to the content of earlier ones.
+        """
         encoder, decoder = FrameEncoder(), FrameDecoder()
         headers = (("Host", "lemi61.example"), ("User-Agent", "sdk-client/1.9.3"))
         ranges = [
@@ -133,7 +136,7 @@
         self.assertLess(max(len(frame) for frame in frames[3::2]), 700)
 
     def test_data_is_kept_apart(self):
-        """Guards against bodies that are compressed, lost or given to another message."""
+        """Guards against bodies that are compressed, lost or attached to another message."""
         encoder, decoder = FrameEncoder(), FrameDecoder()
         messages = [
             StreamData(1, b"x" * 65_536),
@@ -145,7 +148,10 @@
         self.assertEqual(list(decoder.feed(b"".join(frames))), messages)
 
     def test_large_message_is_compressed_once_for_all_peers(self):
-        """Guards against a watcher that is silent while it sends a configuration to its fleet."""
+        """Guards against a watcher that cannot send heartbeats while it publishes a configuration.
+
+        Compression for each of its peers would block its event loop.
+        """
         routes = {
             f"r{number}": Route(
                 f"r{number}", "a.example", f"/{number}/", True, 3, 4.0, 0.6, 2, (Target("depot"),)
@@ -154,16 +160,16 @@
         }
         message = Publish(configuration=VersionedConfiguration(9, Configuration(7, routes)))
         with mock.patch.object(frames.zlib, "compress", wraps=zlib.compress) as compress:
-            sent = [FrameEncoder().encode(message) for _ in range(85)]
+            frames_by_peer = [FrameEncoder().encode(message) for _ in range(85)]
         self.assertEqual(compress.call_count, 1)
-        self.assertLess(len(sent[0]), 20_000)
+        self.assertLess(len(frames_by_peer[0]), 20_000)
         encoder, decoder = FrameEncoder(), FrameDecoder()
         messages = [Renew("a:1", 1), message, Renew("a:1", 2), message]
-        data = b"".join(encoder.encode(one) for one in messages)
+        data = b"".join(encoder.encode(each) for each in messages)
         self.assertEqual(list(decoder.feed(data)), messages)
 
     def test_bad_message_that_is_compressed_by_itself_is_malformed(self):
-        """Guards against a peer that ends the process with bytes that do not inflate."""
+        """Guards against invalid separately compressed data of a peer that ends the process."""
         number = PEER_MESSAGES.index(Publish)
         for data in (b"no deflate", zlib.compress(b"\xc1"), zlib.compress(bytes(9_000_000))):
             with self.subTest(size=len(data)), self.assertRaises(MalformedMessageError):
