Rename take_until_s to accept_until_s

An agent accepts requests; 'take' did not say what is taken until when. The phase keeps its value taking. Only the name changes, in 3 files.

--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -43,7 +43,7 @@
     propagation_s: float = 5.0
 
     @property
-    def take_until_s(self) -> float:
+    def accept_until_s(self) -> float:
         """Time after the stop signal until which all requests are taken, in seconds."""
         return max(min(self.grace_s * _TAKING_SHARE, _LONGEST_TAKING_S) - _SIGNAL_SLACK_S, 0.0)
 
--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -50,7 +50,7 @@
         if not self._kernel.stopping:
             return ShutdownPhase.SERVING
         stopping_s = self._kernel.stopping_s
-        if stopping_s < self._bounds.take_until_s:
+        if stopping_s < self._bounds.accept_until_s:
             return ShutdownPhase.TAKING
         if stopping_s < self._bounds.finish_until_s:
             return ShutdownPhase.FINISHING
@@ -75,7 +75,7 @@
         """Waits until callers go elsewhere, then until no request is open."""
         self._log_phase()
         if self.phase is ShutdownPhase.TAKING:
-            await self._clock.sleep(max(self._left_s(self._bounds.take_until_s), 0))
+            await self._clock.sleep(max(self._left_s(self._bounds.accept_until_s), 0))
             self._log_phase()
         with suppress(TimeoutError):
             async with asyncio.timeout(max(self._left_s(self._bounds.finish_until_s), 0)):
--- a/tests/services/test_shutdown.py
+++ b/tests/services/test_shutdown.py
@@ -33,7 +33,7 @@
         """Guards against requests that are lost at the end, and against needless refusals."""
         self.kernel.request_stop()
         self.shutdown.check(self.clock.now() + 3600)
-        await asyncio.sleep(BOUNDS.take_until_s)
+        await asyncio.sleep(BOUNDS.accept_until_s)
         self.assertIs(self.shutdown.phase, ShutdownPhase.FINISHING)
         left_s = BOUNDS.finish_until_s - self.kernel.stopping_s
         self.shutdown.check(self.clock.now() + left_s - 0.1)
@@ -45,13 +45,13 @@
         """Guards against a stop that uses up its grace time without a request."""
         self.kernel.request_stop()
         await self.shutdown.drain()
-        self.assertGreaterEqual(self.kernel.stopping_s, BOUNDS.take_until_s)
+        self.assertGreaterEqual(self.kernel.stopping_s, BOUNDS.accept_until_s)
         self.assertLess(self.kernel.stopping_s, BOUNDS.finish_until_s)
 
     def test_requests_are_taken_only_while_a_cut_is_excused(self):
         """Guards against long grace times that let requests in which nothing excuses to cut."""
-        self.assertLess(Bounds(grace_s=20.0).take_until_s, 3.0)
-        self.assertLess(Bounds(grace_s=6.0).take_until_s, 3.0)
+        self.assertLess(Bounds(grace_s=20.0).accept_until_s, 3.0)
+        self.assertLess(Bounds(grace_s=6.0).accept_until_s, 3.0)
 
     async def test_late_drain_keeps_to_the_same_end(self):
         """Guards against phases that count from the end of the one before them."""
