--- a/fescueward/kernel/__init__.py
+++ b/fescueward/kernel/__init__.py
@@ -1,4 +1,4 @@
-"""The micro-kernel: registry, life cycle, settings, errors, log events and the clock."""
+"""The micro-kernel: registry, service life cycle, settings, errors, log events and clock."""
 
 from .clock import BootClock, Clock
 from .errors import FescuewardError, Outcome, RefusalError
--- a/fescueward/kernel/availability.py
+++ b/fescueward/kernel/availability.py
@@ -1,4 +1,4 @@
-"""Whether the platform answers, as its clients see it."""
+"""Availability of the platform, derived from the results of calls to it."""
 
 from __future__ import annotations
 
@@ -14,12 +14,13 @@
 
 
 class PlatformAvailability:
-    """Notes the results of calls, and logs when they begin and cease to fail.
+    """Tracks whether calls to the platform succeed, and logs when this changes.
 
     Args:
         clock: Source of time.
         url: Address of the platform, for the log.
-        longest_call_s: Time after which a failed call says nothing of the present, in seconds.
+        longest_call_s: Longest duration of a call in seconds. A failure that is longer ago does
+            not show that the platform is unavailable now.
     """
 
     def __init__(self, clock: Clock, url: str, longest_call_s: float) -> None:
@@ -32,22 +33,22 @@
 
     @property
     def available(self) -> bool:
-        """Whether the last call was answered."""
+        """Whether the last call succeeded; True before the first call."""
         return self._available
 
     @property
     def unavailable_since(self) -> float | None:
-        """When calls began to fail, in seconds of CLOCK_BOOTTIME, or None.
+        """Start of the present outage in seconds of CLOCK_BOOTTIME, or None if none is known.
 
-        None too if no call was made for longer than a watch takes to fail: an agent that holds no
-        watch makes hardly any calls and would otherwise tell of an outage that is over.
+        It is None, too, if no call has failed for longer than a watch call takes to fail. An agent
+        without a watch makes hardly any calls and would otherwise report an outage that is over.
         """
         if self._clock.now() - self._failed_at > self._longest_call_s:
             return None
         return self._unavailable_since
 
     def note(self, available: bool) -> None:
-        """Takes the result of one call."""
+        """Records whether one call succeeded, and logs an event if the availability changed."""
         if not available:
             now = self._clock.now()
             self._unavailable_since = self.unavailable_since or now
--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -1,37 +1,39 @@
-"""Bounds that the operator of a deployment sets for the whole fleet."""
+"""Fleet-wide bounds that the operator of a deployment sets."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-# Share of the grace time in which a stopped agent takes all requests, and its longest time in
-# seconds. The platform sends callers elsewhere after two unanswered questions for readiness, one
-# each second; after three seconds nothing excuses a request that is cut off.
-_TAKING_SHARE = 0.5
-_LONGEST_TAKING_S = 3.0
-# Time in which a signal reaches a busy process, in seconds.
-_SIGNAL_SLACK_S = 0.25
-# Share of the grace time in which a stopped agent tries to leave its group.
+# Share of the grace time in which a stopping agent accepts all requests, and the upper limit of
+# that time. The platform routes callers elsewhere after two failed readiness probes, one per
+# second; a request that is aborted more than three seconds after the stop counts as a failure.
+_ACCEPTING_SHARE = 0.5
+_MAX_ACCEPTING_S = 3.0
+# Allowance for the delay until a busy process handles the stop signal.
+_SIGNAL_DELAY_S = 0.25
+# Share of the grace time in which a stopping agent tries to leave its group.
 _LEAVING_SHARE = 0.7
-# Last parts of the grace time, in seconds: closing of connections, and the end of the interpreter.
+# Last part of the grace time, reserved for closing connections and for the exit.
 _CLOSING_S = 0.8
-# Time for a drain that ends by itself when open requests may no longer finish.
+# Allowance for a drain that ends by itself once open requests may no longer finish.
 _DRAIN_SLACK_S = 0.1
+# Last part of that, reserved for the exit of the interpreter.
 _EXIT_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Limits that all agents of a fleet keep together; all times are in seconds.
+    """Limits that apply to all agents of a fleet; all times are in seconds.
 
     Attributes:
-        retry_ratio: Repeated sends permitted for each request.
-        retry_burst: Repeated sends permitted beyond the ratio, in one window.
+        retry_ratio: Retries permitted per request.
+        retry_burst: Retries permitted in addition to the ratio, within one window.
         retry_window_s: Length of that window.
-        drain_s: Latest time after an announced departure at which new work reaches an upstream.
-        grace_s: Time between the stop signal and the end of the process by force.
-        max_hold_s: Longest grant of keys.
-        propagation_s: Latest time after which a configuration is in force everywhere.
+        drain_s: Longest time after an upstream announces its departure in which new requests
+            may be sent to it.
+        grace_s: Time between the stop signal and the forced end of the process.
+        max_hold_s: Longest grant of a key range.
+        propagation_s: Longest time until a new configuration is in force on all agents.
     """
 
     retry_ratio: float = 0.1
@@ -44,12 +46,12 @@
 
     @property
     def accept_until_s(self) -> float:
-        """Time after the stop signal until which all requests are taken, in seconds."""
-        return max(min(self.grace_s * _TAKING_SHARE, _LONGEST_TAKING_S) - _SIGNAL_SLACK_S, 0.0)
+        """Time after the stop signal until which all requests are accepted, in seconds."""
+        return max(min(self.grace_s * _ACCEPTING_SHARE, _MAX_ACCEPTING_S) - _SIGNAL_DELAY_S, 0.0)
 
     @property
     def leave_until_s(self) -> float:
-        """Time after the stop signal until which the agent tries to leave, in seconds."""
+        """Time after the stop signal until which an agent tries to leave its group, in seconds."""
         return self.grace_s * _LEAVING_SHARE
 
     @property
--- a/fescueward/kernel/clock.py
+++ b/fescueward/kernel/clock.py
@@ -1,4 +1,4 @@
-"""The clock of leases and deadlines."""
+"""Clock of leases, deadlines and periods."""
 
 from __future__ import annotations
 
@@ -12,23 +12,23 @@
     """Source of time for every lease, deadline and period."""
 
     def now(self) -> float:
-        """Returns seconds of CLOCK_BOOTTIME."""
+        """Returns the current time in seconds of CLOCK_BOOTTIME."""
         ...
 
     async def sleep(self, seconds: float) -> None:
-        """Waits for a number of seconds."""
+        """Waits for `seconds` seconds without blocking the event loop."""
         ...
 
 
 class BootClock:
-    """CLOCK_BOOTTIME, which goes on while the VM is suspended.
+    """CLOCK_BOOTTIME, which advances while the VM is suspended.
 
-    CLOCK_MONOTONIC stops during a suspension, so a resumed holder would still see its lease as
-    held.
+    CLOCK_MONOTONIC stops during a suspension, so after a resume the holder of an expired lease
+    would consider it valid.
     """
 
     def now(self) -> float:
-        """Returns seconds since boot, suspension included."""
+        """Returns the seconds since boot, including suspensions."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     async def sleep(self, seconds: float) -> None:
--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -12,7 +12,7 @@
 
 
 class Outcome(enum.StrEnum):
-    """What is known about a request that was refused."""
+    """What is known about the run of a request that was refused."""
 
     NOT_RUN = "not_run"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -20,11 +20,11 @@
 
 
 class FescuewardError(Exception):
-    """Base of all errors of this package.
+    """Base class of all errors of this package.
 
     Attributes:
         code: Number of the error, unique in the package.
-        label: Stable name of the error as it stands in JSON answers.
+        label: Stable name of the error, as used in JSON responses.
     """
 
     code: ClassVar[int] = 1000
@@ -32,7 +32,7 @@
 
 
 class SettingsError(FescuewardError):
-    """The settings file has at least one bad value."""
+    """The settings file cannot be read or has at least one bad value."""
 
     code = 1001
     label = "bad_settings"
@@ -58,7 +58,7 @@
 
 
 class ServiceTypeError(FescuewardError):
-    """A registered service does not satisfy the Protocol it was asked for."""
+    """A registered service does not satisfy the requested Protocol."""
 
     code = 1004
     label = "wrong_service_type"
@@ -75,10 +75,10 @@
     """A request is refused.
 
     Attributes:
-        http_status: Status sent to the caller.
+        http_status: HTTP status code sent to the caller.
         outcome: What is known about the run of the request.
         retry_after_s: Seconds after which a retry is useful, or None.
-        occupancy: Load of the upstream whose agent refused, or None.
+        occupancy: `Occupancy` of the upstream of the refusing agent, or None.
     """
 
     code = 2000
@@ -109,7 +109,7 @@
 
 
 class NoOwnerError(RefusalError):
-    """The shard of the key has no owner at present."""
+    """The shard of the key currently has no owner."""
 
     code = 2003
     label = "no_owner"
@@ -154,10 +154,10 @@
 
 
 class TokenRequiredError(RefusalError):
-    """The class of the service needs a token; the answer carries one.
+    """The request class of the service requires a token; the response carries one.
 
     Attributes:
-        token: Token to send with the request.
+        token: Idempotency token to send with the request.
     """
 
     code = 2009
@@ -212,7 +212,7 @@
 
 
 class AnswerLostError(RefusalError):
-    """The upstream ran the request but its answer could not be delivered whole."""
+    """The upstream ran the request but its response could not be delivered whole."""
 
     code = 2015
     label = "answer_lost"
@@ -224,7 +224,7 @@
     """The request reached an agent that does not own the shard.
 
     Attributes:
-        owner_id: Member id of the owner as far as the refusing agent knows, or None.
+        owner_id: Member id of the owner according to the refusing agent, or None.
     """
 
     code = 2016
@@ -237,14 +237,14 @@
 
 
 class DrainingError(RefusalError):
-    """The server is leaving and admits no new work."""
+    """The server is leaving and admits no new requests."""
 
     code = 2017
     label = "draining"
 
 
 class InvalidRequestError(RefusalError):
-    """The request cannot be understood."""
+    """The request is malformed."""
 
     code = 2018
     label = "invalid_request"
@@ -252,7 +252,7 @@
 
 
 class AnswerNotRetainedError(RefusalError):
-    """The request ran; its answer was too large to be kept for a repeat."""
+    """The request ran; its response was too large to be retained for a retry."""
 
     code = 2019
     label = "answer_not_retained"
@@ -275,14 +275,14 @@
 
 
 class UpstreamRefusedError(RefusalError):
-    """The upstream refused the request before it ran, by the header `Fescueward-Refusal`."""
+    """The upstream refused the request before its run, with the header `Fescueward-Refusal`."""
 
     code = 2022
     label = "upstream_refused"
 
 
 class NoConfigurationError(RefusalError):
-    """This agent has read no configuration yet."""
+    """This agent has not received a configuration yet."""
 
     code = 2024
     label = "no_configuration"
@@ -297,7 +297,7 @@
 
 
 class InternalError(RefusalError):
-    """The agent met an unexpected exception, so the outcome of the request is not known."""
+    """The agent raised an unexpected exception, so the outcome of the request is not known."""
 
     code = 2023
     label = "unexpected_error"
@@ -306,7 +306,7 @@
 
 
 class PlatformError(FescuewardError):
-    """Base of the errors of the platform client."""
+    """Base class of the errors of the platform client."""
 
     code = 3000
     label = "platform_error"
@@ -320,10 +320,10 @@
 
 
 class VersionConflictError(PlatformError):
-    """A conditional update named a version that is not the present one.
+    """A conditional write expected another version than the current one.
 
     Attributes:
-        version: Present version of the object, 0 if it does not exist.
+        version: Current version of the object, 0 if it does not exist.
     """
 
     code = 3002
@@ -342,42 +342,42 @@
 
 
 class OutcomeUnknownError(PlatformError):
-    """The answer to a write was lost; the write may have taken effect or may still do so."""
+    """The response to a write was lost; the write may have taken effect or may still do so."""
 
     code = 3004
     label = "write_outcome_unknown"
 
 
 class PlatformAnswerError(PlatformError):
-    """The platform's answer does not follow its protocol."""
+    """The platform's response does not follow its protocol."""
 
     code = 3005
     label = "bad_platform_answer"
 
 
 class PeerError(FescuewardError):
-    """Base of the errors of the peer protocol."""
+    """Base class of the errors of the peer protocol."""
 
     code = 4000
     label = "peer_error"
 
 
 class PeerUnavailableError(PeerError):
-    """No stream to the peer exists or can be made."""
+    """No stream to the peer is open and none can be opened."""
 
     code = 4001
     label = "peer_unavailable"
 
 
 class PeerTimeoutError(PeerError):
-    """The peer did not answer in time."""
+    """The peer did not reply within the timeout."""
 
     code = 4002
     label = "peer_timeout"
 
 
 class MalformedMessageError(PeerError):
-    """A frame or message cannot be decoded or holds a value out of range."""
+    """A frame or message cannot be decoded or has a value out of range."""
 
     code = 4003
     label = "malformed_message"
@@ -386,7 +386,8 @@
 class HandshakeError(PeerError):
     """The peer failed the handshake.
 
-    The secret is wrong, the name is another's, the incarnation is old or the version is unknown.
+    Its secret is wrong, its name is not the expected one, its incarnation is outdated or its
+    protocol version is unknown.
     """
 
     code = 4004
@@ -394,7 +395,7 @@
 
 
 class BodyTruncatedError(FescuewardError):
-    """A body ended before its end was announced."""
+    """A body ended before it was complete."""
 
     code = 4005
     label = "body_truncated"
@@ -408,10 +409,10 @@
 
 
 class EntryConflictError(FescuewardError):
-    """The entry changed since the version that the edit was made from.
+    """The entry has changed since the version that the edit is based on.
 
     Attributes:
-        version: Present version of the entry.
+        version: Current version of the entry.
     """
 
     code = 6001
@@ -437,7 +438,7 @@
 
 
 class AdministrationUnavailableError(FescuewardError):
-    """The administration address of the agent does not answer."""
+    """The administration API of the agent does not respond."""
 
     code = 6004
     label = "administration_unavailable"
@@ -458,35 +459,35 @@
 
 
 class InvalidEntryFileError(FescuewardError):
-    """An entry file cannot be read or holds a bad value."""
+    """An entry file cannot be read or has a bad value."""
 
     code = 6007
     label = "invalid_entry_file"
 
 
 class AdministrationAnswerError(FescuewardError):
-    """An administration address answered with something that its API does not contain."""
+    """The response of an administration address does not follow the administration API."""
 
     code = 6008
     label = "bad_administration_answer"
 
 
 class AdministrationAnswerLostError(FescuewardError):
-    """The answer to a change was lost, so the change may have been accepted."""
+    """The response to a change was lost, so the change may have been accepted."""
 
     code = 6009
     label = "administration_answer_lost"
 
 
 def error_types() -> tuple[type[FescuewardError], ...]:
-    """Returns every error type of the package in the order of its code."""
-    found: dict[int, type[FescuewardError]] = {FescuewardError.code: FescuewardError}
+    """Returns every error type of the package in the order of codes."""
+    types_by_code: dict[int, type[FescuewardError]] = {FescuewardError.code: FescuewardError}
     pending: list[type[FescuewardError]] = [FescuewardError]
     while pending:
         for subtype in pending.pop().__subclasses__():
-            found[subtype.code] = subtype
+            types_by_code[subtype.code] = subtype
             pending.append(subtype)
-    return tuple(found[code] for code in sorted(found))
+    return tuple(types_by_code[code] for code in sorted(types_by_code))
 
 
 def refusal_from_label(label: str, message: str, **details: str | None) -> RefusalError:
@@ -495,10 +496,11 @@
     Args:
         label: The `label` of the refusal's type.
         message: Text of the refusal.
-        **details: `owner_id` and `token` where the type has them.
+        **details: `owner_id` and `token`, for the types that have them.
 
     Returns:
-        The refusal; an unknown label becomes `OutcomeLostError`, the cautious reading.
+        The refusal. An unknown label gives an `OutcomeLostError`, so that the request is not
+        assumed to have had no effect.
     """
     for kind in error_types():
         if kind.label != label or not issubclass(kind, RefusalError):
--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -21,7 +21,7 @@
 
 
 class Level(enum.StrEnum):
-    """Severity of an event, by loguru's names."""
+    """Severity of an event, with loguru's names."""
 
     DEBUG = "DEBUG"
     INFO = "INFO"
@@ -34,12 +34,12 @@
     """One kind of log line.
 
     Attributes:
-        number: Unique number; the hundreds name the module.
+        number: Unique number; its hundreds identify the module.
         name: Stable name.
         level: Severity.
-        text: What happened, for docs/events.md.
-        frequent: Whether it tells of one request. Such lines are limited in each second and are
-            the first to be left out when nobody reads them.
+        text: Description of what happened, for docs/events.md.
+        frequent: Whether the event is emitted for single requests. The rate of such lines is
+            limited, and they are the first to be dropped when the reader is too slow.
     """
 
     number: int
@@ -49,10 +49,10 @@
     frequent: bool = False
 
     def __post_init__(self) -> None:
-        known = _EVENTS.get(self.number)
-        if known is not None and known.name != self.name:
+        existing = _EVENTS.get(self.number)
+        if existing is not None and existing.name != self.name:
             raise DuplicateNameError(
-                f"event number {self.number} of {self.name!r} is taken by {known.name!r}"
+                f"event number {self.number} of {self.name!r} is taken by {existing.name!r}"
             )
         _EVENTS[self.number] = self
 
@@ -60,9 +60,9 @@
         """Writes one log line.
 
         Args:
-            **fields: Values of the line; they are formatted only when the level is enabled.
+            **fields: Fields of the line; they are formatted only if the level is enabled.
         """
-        if _NUMBERS[self.level] < _threshold.number:
+        if _SEVERITIES[self.level] < _threshold.severity:
             return
         if self.frequent:
             _output.write_frequent(self, fields)
@@ -71,23 +71,23 @@
 
 
 _EVENTS: dict[int, Event] = {}
-# Made once, because options and bound values cost as much as the rest of a suppressed line.
+# Created once, because options and bound values cost as much as the rest of a suppressed line.
 _LOGGER = logger.opt(depth=1)
-_NUMBERS = {level: logger.level(level.value).no for level in Level}
-# A program that uses the library gets no lines of it unless it asks for them.
+_SEVERITIES = {level: logger.level(level.value).no for level in Level}
+# A program that uses the library gets no log lines of it unless it enables them.
 _PACKAGE = __name__.partition(".")[0]
 logger.disable(_PACKAGE)
 
 
 class _Threshold:
-    """Lowest level of the sink. loguru finds it out later, after half of the cost of a line."""
+    """Lowest severity of the sink; loguru checks it only after half of the cost of a line."""
 
     def __init__(self) -> None:
-        self.number = 0
+        self.severity = 0
 
 
 _threshold = _Threshold()
-_PLAIN = (str, int, float, list, tuple, dict, type(None))
+_JSON_TYPES = (str, int, float, list, tuple, dict, type(None))
 
 
 def events() -> tuple[Event, ...]:
@@ -96,18 +96,18 @@
 
 
 class _Output:
-    """The line output of the process; there is none until logging is set up."""
+    """The line output of the process; `lines` is None until logging is configured."""
 
     def __init__(self) -> None:
         self.lines: LineOutput | None = None
         self.is_json = False
 
     def write(self, message: Any) -> None:
-        """Takes a line from loguru."""
+        """Writes a record of loguru."""
         assert self.lines is not None
         record = message.record
         event: Event | None = record["extra"].get("event")
-        urgent = record["level"].no >= _NUMBERS[Level.WARNING]
+        urgent = record["level"].no >= _SEVERITIES[Level.WARNING]
         if event is not None:
             self.lines.add(event.name, self._line(event, record["extra"]["fields"]), urgent)
         else:
@@ -116,14 +116,14 @@
             self.lines.add("", line, urgent)
 
     def write_frequent(self, event: Event, fields: dict[str, Any]) -> None:
-        """Takes a line about a request, without the cost of a loguru record."""
+        """Writes the line of a frequent event, without the cost of a loguru record."""
         if self.lines is None or not self.lines.permits(event.name):
             return
         self.lines.add(event.name, self._line(event, fields), False)
 
-    def left_out_line(self, counts: dict[str, int]) -> bytes:
-        """Returns the line that tells which lines were left out."""
-        return self._line(_LEFT_OUT, counts)
+    def dropped_lines_line(self, counts: dict[str, int]) -> bytes:
+        """Returns a line with the number of dropped lines by event name."""
+        return self._line(_LINES_DROPPED, counts)
 
     def _line(self, event: Event, fields: dict[str, Any]) -> bytes:
         if not self.is_json:
@@ -139,44 +139,44 @@
             return f"{written_at} {level} {text}{values}\n".encode()
         line = {"time": written_at, "level": level}
         if fields:
-            line.update((name, _plain(value)) for name, value in fields.items())
+            line.update((name, _json_value(value)) for name, value in fields.items())
         else:
             line["message"] = text
         return msgspec.json.encode(line, enc_hook=str) + b"\n"
 
 
-def _plain(value: Any) -> Any:
-    """Returns a value as it stands in a line: data classes and errors by their text."""
-    return value if isinstance(value, _PLAIN) else str(value)
+def _json_value(value: Any) -> Any:
+    """Converts a value for a JSON line: data classes and errors are written as text."""
+    return value if isinstance(value, _JSON_TYPES) else str(value)
 
 
 _output = _Output()
-_LEFT_OUT = Event(
+_LINES_DROPPED = Event(
     9001,
     "log_lines_left_out",
     Level.WARNING,
-    "These numbers of lines, by event, were not written: too many in a second, or no reader.",
+    "Log lines were dropped, too many in one second or a slow reader; fields count them by event.",
 )
 
 
 def dropped_log_lines() -> int:
-    """Returns the number of log lines that this process did not write."""
-    return _output.lines.left_out if _output.lines is not None else 0
+    """Returns the number of log lines that this process has dropped."""
+    return _output.lines.dropped if _output.lines is not None else 0
 
 
-def configure_logging(level: str, form: str, stream: TextIO | None = None) -> None:
-    """Sets up the one log sink of the process.
+def configure_logging(level: str, line_format: str, stream: TextIO | None = None) -> None:
+    """Configures the only log sink of the process.
 
     Args:
         level: Lowest level that is written.
-        form: `text` or `json`.
-        stream: Where lines go; standard error by default.
+        line_format: `text` or `json`.
+        stream: Stream to write to; standard error by default.
     """
     if _output.lines is not None:
         _output.lines.close()
-    _output.is_json = form == "json"
-    _output.lines = LineOutput(stream or sys.stderr, time.monotonic, _output.left_out_line)
-    _threshold.number = _NUMBERS[Level(level)]
+    _output.is_json = line_format == "json"
+    _output.lines = LineOutput(stream or sys.stderr, time.monotonic, _output.dropped_lines_line)
+    _threshold.severity = _SEVERITIES[Level(level)]
     logger.remove()
     logger.enable(_PACKAGE)
     logger.add(
--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP client sessions whose answers are bounded in size."""
+"""HTTP client sessions with a limit on the size of responses."""
 
 from __future__ import annotations
 
@@ -9,69 +9,69 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-# Bytes of an answer up to the end of its head, with all 1xx answers before it. A head may have
-# lines of 64 KiB.
+# Limit on the head of a response, including all preceding 1xx responses. A head may have lines of
+# 64 KiB.
 MAX_RESPONSE_HEAD_BYTES = 131_072
-_LINE_BYTES = 65_536
-# Status that ends HTTP on a connection, unlike the other 1xx, which another answer follows.
+_MAX_LINE_BYTES = 65_536
+# Final 1xx status: it ends HTTP on the connection, while another response follows the others.
 _SWITCHING_PROTOCOLS = 101
 
 
 class AnswerTooLargeError(aiohttp.ClientPayloadError):
-    """An answer exceeds its limit, so its connection was closed."""
+    """A response exceeded its limit, so its connection was closed."""
 
 
 class BoundedConnection(ResponseHandler):
-    """A connection that closes itself when an answer exceeds its limit.
+    """A connection that is closed when a response exceeds its limit.
 
-    aiohttp bounds each line and the number of header lines, but neither the number of 1xx answers,
-    nor the size of a body, nor what follows an answer.
+    aiohttp limits each line and the number of header lines, but neither the number of 1xx
+    responses, nor the size of a body, nor the data after a response.
 
     Args:
         loop: The event loop.
-        answer_bytes: Limit on one answer, with head and framing, in bytes.
+        max_response_bytes: Limit on one response with head and framing, in bytes.
 
     Attributes:
-        broken: Whether the connection was reset.
+        broken: Whether the connection was reset instead of closed.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, answer_bytes: int) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, max_response_bytes: int) -> None:
         super().__init__(loop)
         self.broken = False
-        self._answer_bytes = answer_bytes
-        self._received = 0
+        self._max_response_bytes = max_response_bytes
+        self._received_bytes = 0
         self._has_head = False
 
     def set_response_params(self, **params: Any) -> None:
-        """Begins the next answer."""
-        self._received, self._has_head = 0, False
+        """Resets the counters for the next response."""
+        self._received_bytes, self._has_head = 0, False
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Takes note of the head that ends the 1xx answers."""
+        """Records the arrival of a final head, after any 1xx responses."""
         status = data[0].code
         self._has_head = self._has_head or status >= 200 or status == _SWITCHING_PROTOCOLS
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Counts what arrives; aiohttp also calls this without data, to go on after a pause."""
+        """Counts received bytes; aiohttp also calls this without data, to resume after a pause."""
         if data and self._has_head and self._payload is not None and self._payload.is_eof():
-            self._end("bytes follow the answer")
+            self._abort("data received after the end of the response")
             return
-        self._received += len(data)
-        if self._received > self._answer_bytes:
-            self._end(f"the answer exceeds {self._answer_bytes} bytes")
+        self._received_bytes += len(data)
+        if self._received_bytes > self._max_response_bytes:
+            self._abort(f"the response exceeds {self._max_response_bytes} bytes")
             return
         super().data_received(data)
-        if not self._has_head and self._received > MAX_RESPONSE_HEAD_BYTES:
-            self._end(f"the head of the answer exceeds {MAX_RESPONSE_HEAD_BYTES} bytes")
+        if not self._has_head and self._received_bytes > MAX_RESPONSE_HEAD_BYTES:
+            self._abort(f"the head of the response exceeds {MAX_RESPONSE_HEAD_BYTES} bytes")
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Takes note of a reset, which aiohttp takes for the end of a body without a length."""
+        """Records a reset, which aiohttp treats as the end of a body without a length."""
         self.broken = exc is not None
         super().connection_lost(exc)
 
-    def _end(self, reason: str) -> None:
+    def _abort(self, reason: str) -> None:
         error = AnswerTooLargeError(reason)
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
@@ -81,37 +81,41 @@
 
 
 def bounded_session(
-    answer_bytes: int, *, connections: int = 0, keepalive_s: float | None = None, **options: Any
+    max_response_bytes: int,
+    *,
+    connections: int = 0,
+    keepalive_s: float | None = None,
+    **options: Any,
 ) -> aiohttp.ClientSession:
-    """Opens a session whose answers are bounded and whose requests are sent once.
+    """Opens a session that limits the size of responses and sends each request only once.
 
     Args:
-        answer_bytes: Limit on one answer, with head and framing, in bytes.
-        connections: Most connections at a time; 0 for no limit.
-        keepalive_s: Time that an idle connection is kept, in seconds; None closes each
-            connection after its answer.
-        **options: Further options of the session.
+        max_response_bytes: Limit on one response with head and framing, in bytes.
+        connections: Maximum number of open connections; 0 means no limit.
+        keepalive_s: Time for which an idle connection is kept open, in seconds; None closes each
+            connection after its response.
+        **options: Further options of `aiohttp.ClientSession`.
     """
     connector = aiohttp.TCPConnector(
         limit=connections,
         **({"force_close": True} if keepalive_s is None else {"keepalive_timeout": keepalive_s}),
     )
-    # The connector has no public way to choose the class of its connections.
+    # The connector has no public API to set the class of its connections.
     connector._factory = partial(
-        BoundedConnection, asyncio.get_running_loop(), answer_bytes=answer_bytes
+        BoundedConnection, asyncio.get_running_loop(), max_response_bytes=max_response_bytes
     )
     session = aiohttp.ClientSession(
         connector=connector,
-        # A small compressed body can be of any size.
+        # A small compressed body can decompress to any size.
         auto_decompress=False,
-        # A cookie of one answer must not go out with another caller's request.
+        # A cookie of one response must not be sent with another caller's request.
         cookie_jar=aiohttp.DummyCookieJar(),
-        max_line_size=_LINE_BYTES,
-        max_field_size=_LINE_BYTES,
+        max_line_size=_MAX_LINE_BYTES,
+        max_field_size=_MAX_LINE_BYTES,
         **options,
     )
-    # aiohttp sends GET, PUT and DELETE again by itself when a reused connection breaks. Each send
-    # counts against attempts and retry budget, and a conditional write that is repeated after it
-    # took effect is answered as a conflict.
+    # aiohttp retries GET, PUT and DELETE by itself when a reused connection fails. Each send must
+    # count against attempts and retry budget, and a retry of a conditional write that has taken
+    # effect fails with a conflict.
     session._retry_connection = False
     return session
--- a/fescueward/kernel/http_port.py
+++ b/fescueward/kernel/http_port.py
@@ -1,4 +1,4 @@
-"""A port with an HTTP server that can be closed without losing what has arrived at it."""
+"""Listening port of an HTTP server that can be closed without losing accepted connections."""
 
 from __future__ import annotations
 
@@ -8,18 +8,18 @@
 
 from aiohttp import web
 
-# Connections that may wait for the process, for example while it is busy.
-_BACKLOG = 1024
+# Connections that may wait to be accepted, for example while the process is busy.
+_BACKLOG_CONNECTIONS = 1024
 
 
 class HttpPort:
     """Serves HTTP on one address.
 
     Args:
-        server: The server.
+        server: Server that handles the connections.
         host: Address to listen on.
         port: Port to listen on.
-        shutdown_timeout_s: Time that `close` leaves to open requests, in seconds.
+        shutdown_timeout_s: Time for which `close` waits for open requests, in seconds.
     """
 
     def __init__(
@@ -33,7 +33,7 @@
 
     @property
     def listening(self) -> bool:
-        """Whether new connections are taken."""
+        """Whether new connections are accepted."""
         return self._site is not None
 
     @property
@@ -42,22 +42,22 @@
         return len(self._server.connections)
 
     async def start(self) -> None:
-        """Opens the port.
+        """Starts listening on the address.
 
         Raises:
             OSError: The address is not available.
         """
         await self._runner.setup()
-        self._listener = socket.create_server(self._address, backlog=_BACKLOG)
+        self._listener = socket.create_server(self._address, backlog=_BACKLOG_CONNECTIONS)
         self._listener.setblocking(False)
-        # The site closes its socket when it stops; this one is needed for a moment longer.
+        # The site closes its socket when it stops; `stop_listening` uses this one after that.
         self._site = web.SockSite(self._runner, self._listener.dup())
         await self._site.start()
 
     async def stop_listening(self) -> None:
-        """Takes over the connections that the system has accepted, and closes the port for others.
+        """Accepts the connections in the backlog and stops listening.
 
-        Closing a listening socket resets connections that the process has not taken yet.
+        Closing a listening socket resets the connections that the process has not accepted yet.
         """
         if self._site is not None:
             await self._site.stop()
@@ -76,6 +76,6 @@
             await loop.connect_accepted_socket(self._server, connection)
 
     async def close(self) -> None:
-        """Stops listening and closes all connections."""
+        """Stops listening, waits for open requests and closes all connections."""
         await self.stop_listening()
         await self._runner.cleanup()
--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -15,7 +15,7 @@
 _STARTED = Event(1001, "service_started", Level.DEBUG, "A service has started.")
 _STOPPED = Event(1002, "service_stopped", Level.DEBUG, "A service has stopped.")
 _FAILED = Event(
-    1003, "service_failed", Level.ERROR, "A task of a service ended with an unexpected error."
+    1003, "service_failed", Level.ERROR, "A task of a service raised an unexpected exception."
 )
 _STOP_TIMEOUT = Event(
     1004,
@@ -25,24 +25,24 @@
 )
 
 _STOP_REQUESTED = Event(
-    1005, "stop_requested", Level.INFO, "A stop was requested, by a signal or after a failure."
+    1005, "stop_requested", Level.INFO, "A stop was requested by a signal or after a failure."
 )
 _DRAINED = Event(
-    1006, "service_drained", Level.INFO, "A service has given its work away before the stop."
+    1006, "service_drained", Level.INFO, "A service has finished or handed over its work."
 )
 
-# Each service gets this long to stop even if those before it used up the time, in seconds. An
-# agent has some twenty services.
-_LEAST_STEP_S = 0.005
+# Each service gets this time to stop, even if earlier ones used up the time of the stop. An agent
+# has about twenty services.
+_MIN_STEP_TIMEOUT_S = 0.005
 
 
 @dataclass(frozen=True, slots=True)
 class StopLimits:
-    """Latest ends of the steps of a stop, counted from its request.
+    """Time limits for the steps of a stop, measured from the request to stop.
 
     Attributes:
-        drain_s: Time until which services give their work away, in seconds.
-        stop_s: Time until which all services stop, in seconds.
+        drain_s: Time until which services may drain, in seconds.
+        stop_s: Time until which services may stop, in seconds.
     """
 
     drain_s: float = 45.0
@@ -50,14 +50,15 @@
 
 
 class Kernel:
-    """Owns the registry, starts services in the order of their needs and stops them in reverse.
+    """Owns the registry, starts services in dependency order and stops them in reverse order.
 
-    A failed task of a service ends the process: an agent that has lost one of its parts could
-    hold a lease that it cannot honour, and its monitors replace it within seconds.
+    A failed task of a service stops the process: an agent without one of its services could hold
+    a lease on shards that it cannot serve, and its monitors replace a stopped agent within
+    seconds.
 
     Args:
-        stop_limits: When the steps of a stop end at the latest. A service that is still busy then
-            is abandoned.
+        stop_limits: Time limits for the steps of a stop. A service that exceeds them is
+            abandoned.
     """
 
     def __init__(self, stop_limits: StopLimits | None = None) -> None:
@@ -72,24 +73,24 @@
 
     @property
     def registry(self) -> Registry:
-        """The registry of this kernel."""
+        """Registry of the services and objects of this kernel."""
         return self._registry
 
     @property
     def stopping(self) -> bool:
-        """Whether a stop was requested."""
+        """Whether a stop has been requested."""
         return self._stop_requested.is_set()
 
     @property
     def stopping_s(self) -> float:
-        """Time since a stop was requested, in seconds; 0 if none was."""
+        """Time since the request to stop, in seconds; 0 before it."""
         return self._clock.now() - self._stop_requested_at if self.stopping else 0.0
 
     def add(self, service: Service) -> None:
         """Registers a service that the kernel starts and stops.
 
         Raises:
-            DuplicateNameError: The name is taken.
+            DuplicateNameError: The name is already registered.
         """
         self._registry.register(service.name, service)
         self._services[service.name] = service
@@ -98,23 +99,23 @@
         """Registers an object without a life cycle, such as the settings or the clock.
 
         Raises:
-            DuplicateNameError: The name is taken.
+            DuplicateNameError: The name is already registered.
         """
         self._registry.register(name, value)
 
     def task_owner(self, name: str) -> TaskOwner:
-        """Returns an owner of tasks whose failures this kernel reports."""
+        """Returns a task owner that reports failures to this kernel, which then stops."""
         return TaskOwner(name, self._report_failure)
 
     def request_stop(self) -> None:
-        """Makes `run` stop all services and return."""
+        """Makes `run` drain and stop all services and return; later calls have no effect."""
         if not self.stopping:
             self._stop_requested_at = self._clock.now()
             _STOP_REQUESTED.emit(failed=self._failure is not None)
         self._stop_requested.set()
 
     def bind(self) -> None:
-        """Connects the services. Nothing runs yet, so a caller can check settings this way.
+        """Connects the services without starting them, which also checks the settings.
 
         Raises:
             FescuewardError: A service or plugin is missing or of the wrong type.
@@ -123,11 +124,11 @@
             service.bind(self._registry)
 
     async def run(self) -> None:
-        """Runs all services until a stop is requested or one of them fails.
+        """Runs all services until a stop is requested or a service fails.
 
         Raises:
             FescuewardError: A service or plugin is missing or of the wrong type.
-            ServiceFailedError: A task of a service failed, or a port could not be bound.
+            ServiceFailedError: A task of a service failed, or a service could not bind its port.
         """
         self.bind()
         try:
@@ -157,9 +158,9 @@
             if service.name in visited:
                 return
             visited.add(service.name)
-            for needed in service.requires:
-                if needed in self._services:
-                    visit(self._services[needed])
+            for dependency in service.requires:
+                if dependency in self._services:
+                    visit(self._services[dependency])
             ordered.append(service)
 
         for service in self._services.values():
@@ -171,30 +172,30 @@
             if not isinstance(service, Drainable):
                 continue
             try:
-                if await self._finish_by(self._stop_limits.drain_s, service.name, service.drain()):
+                if await self._run_step(self._stop_limits.drain_s, service.name, service.drain()):
                     _DRAINED.emit(service=service.name, stopping_s=round(self.stopping_s, 3))
-            except Exception as error:  # one failing drain must not keep the others' requests open
+            except Exception as error:  # a failed drain must not prevent the other drains
                 self._report_failure(service.name, error)
 
     async def _stop_all(self) -> None:
         while self._started:
             service = self._started.pop()
             try:
-                if await self._finish_by(self._stop_limits.stop_s, service.name, service.stop()):
+                if await self._run_step(self._stop_limits.stop_s, service.name, service.stop()):
                     _STOPPED.emit(service=service.name, stopping_s=round(self.stopping_s, 3))
-            except Exception as error:  # one failing stop must not keep the others running
+            except Exception as error:  # a failed stop must not leave other services running
                 self._report_failure(service.name, error)
 
-    async def _finish_by(self, end_s: float, name: str, step: Coroutine[None, None, None]) -> bool:
-        """Runs one step of the stop and abandons it at its end, in seconds after the request.
+    async def _run_step(self, end_s: float, name: str, step: Coroutine[None, None, None]) -> bool:
+        """Runs one step of the stop and abandons it `end_s` seconds after the request to stop.
 
         Returns:
             Whether the step ended in time.
         """
         task = asyncio.get_running_loop().create_task(step, name=f"{name}:stop")
-        timeout_s = max(end_s - self.stopping_s, _LEAST_STEP_S)
+        timeout_s = max(end_s - self.stopping_s, _MIN_STEP_TIMEOUT_S)
         try:
-            # wait_for() would wait for a step that does not end when it is cancelled.
+            # wait_for() would wait indefinitely for a step that ignores its cancellation.
             await asyncio.wait((task,), timeout=timeout_s)
             if task.done():
                 task.result()
--- a/fescueward/kernel/log_lines.py
+++ b/fescueward/kernel/log_lines.py
@@ -1,4 +1,4 @@
-"""Output of log lines: in small batches, bounded, and without waiting for the reader."""
+"""Output of log lines in small batches, with bounded memory and without blocking on the reader."""
 
 from __future__ import annotations
 
@@ -10,78 +10,81 @@
 from contextlib import suppress
 from typing import TextIO
 
-# Lines wait this long, in seconds, to be written together: each write is a system call.
+# Lines are buffered for this time and written together, because each write is a system call.
 FLUSH_DELAY_S = 0.02
-# Pause, in seconds, before a reader that takes nothing is tried again.
-_RETRY_S = 0.1
-# A pipe that reports room takes at least this many bytes without waiting (PIPE_BUF of Linux).
-_ATOMIC_BYTES = 4096
-# Lines about requests are left out while this much waits for the reader, in bytes; the rest of
-# the room is kept for failures and changes of state.
-_ROUTINE_BYTES = 256 * 1024
-_ALL_BYTES = 1024 * 1024
-# Most lines of one event in a second. A busy agent serves about 200 requests in a second.
-LINES_PER_S = 1000
+# Pause before the next write to a stream that accepts no data.
+_RETRY_DELAY_S = 0.1
+# A pipe that is reported as writable accepts this many bytes without blocking (PIPE_BUF of Linux).
+_ATOMIC_WRITE_BYTES = 4096
+# Lines of frequent events are dropped while more than this is pending; the rest of the buffer is
+# reserved for failures and changes of state.
+_MAX_PENDING_FREQUENT_BYTES = 256 * 1024
+_MAX_PENDING_BYTES = 1024 * 1024
+# Limit on the lines of one frequent event. A busy agent serves about 200 requests per second.
+MAX_LINES_PER_S = 1000
 
 
 class LineOutput:
     """Writes lines to a stream.
 
-    A line that is urgent is written at once, as far as the reader takes it. What the reader has
-    not taken waits in memory up to a bound; lines beyond it are counted by event and left out.
+    Urgent lines are written at once if the stream accepts them. Lines that the stream does not
+    accept are buffered in memory up to a limit; further lines are dropped and counted by event.
 
     Args:
-        stream: Where lines go.
+        stream: Stream to write to.
         clock: Returns the time in seconds.
-        left_out_line: Returns the line that tells how many lines of which events were left out.
+        format_dropped: Returns a line that reports the number of dropped lines by event name.
     """
 
     def __init__(
         self,
         stream: TextIO,
         clock: Callable[[], float],
-        left_out_line: Callable[[dict[str, int]], bytes],
+        format_dropped: Callable[[dict[str, int]], bytes],
     ) -> None:
         self._stream = stream
         self._clock = clock
-        self._left_out_line = left_out_line
-        self._poll = _poll(stream)
+        self._format_dropped = format_dropped
+        self._is_writable = _writable_check(stream)
         self._pending: deque[bytes] = deque()
         self._pending_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self._second = 0
-        self._counts: Counter[str] = Counter()
-        self._left_out: Counter[str] = Counter()
-        self._left_out_in_all = 0
+        self._lines_in_second: Counter[str] = Counter()
+        self._unreported_drops: Counter[str] = Counter()
+        self._dropped_total = 0
         atexit.register(self.close)
 
     @property
-    def left_out(self) -> int:
-        """Number of lines that were not written since the start."""
-        return self._left_out_in_all
+    def dropped(self) -> int:
+        """Number of lines that have been dropped since the start."""
+        return self._dropped_total
 
     def permits(self, event: str) -> bool:
-        """Tells whether a further line about a request fits the bounds, and counts it."""
+        """Returns whether another line of a frequent event is within the limits; counts it."""
         second = int(self._clock())
         if second != self._second:
             self._second = second
-            self._counts.clear()
-        self._counts[event] += 1
-        if self._counts[event] > LINES_PER_S or self._pending_bytes > _ROUTINE_BYTES:
-            self._leave_out(event)
+            self._lines_in_second.clear()
+        self._lines_in_second[event] += 1
+        if (
+            self._lines_in_second[event] > MAX_LINES_PER_S
+            or self._pending_bytes > _MAX_PENDING_FREQUENT_BYTES
+        ):
+            self._drop(event)
             return False
         return True
 
     def add(self, event: str, line: bytes, urgent: bool) -> None:
-        """Takes one line.
+        """Buffers one line, or drops it if the buffer is full.
 
         Args:
-            event: Name of its event.
-            line: The line with its end.
-            urgent: Whether it is written at once.
+            event: Name of the line's event, empty for a line of a library.
+            line: The line with its line break.
+            urgent: Whether the buffer is flushed at once.
         """
-        if self._pending_bytes + len(line) > _ALL_BYTES:
-            self._leave_out(event)
+        if self._pending_bytes + len(line) > _MAX_PENDING_BYTES:
+            self._drop(event)
             return
         self._pending.append(line)
         self._pending_bytes += len(line)
@@ -89,7 +92,7 @@
             self.flush()
 
     def flush(self) -> None:
-        """Writes what the reader takes now; the rest is tried again later."""
+        """Writes the lines that the stream accepts now and schedules a retry for the others."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -97,35 +100,35 @@
             self._pending.clear()
             self._pending_bytes = 0
             return
-        if self._left_out and self._pending_bytes < _ROUTINE_BYTES:
-            line = self._left_out_line(dict(self._left_out))
-            self._left_out.clear()
+        if self._unreported_drops and self._pending_bytes < _MAX_PENDING_FREQUENT_BYTES:
+            line = self._format_dropped(dict(self._unreported_drops))
+            self._unreported_drops.clear()
             self._pending.append(line)
             self._pending_bytes += len(line)
         while self._pending:
-            if self._poll is not None and not self._poll():
-                self._flush_later(_RETRY_S)
+            if self._is_writable is not None and not self._is_writable():
+                self._flush_later(_RETRY_DELAY_S)
                 return
-            self._write_some()
+            self._write_batch()
 
     def close(self) -> None:
-        """Writes the last lines when the process ends."""
+        """Flushes the buffer; called when the process exits."""
         self.flush()
         atexit.unregister(self.close)
 
-    def _write_some(self) -> None:
+    def _write_batch(self) -> None:
         parts = [self._pending.popleft()]
         size = len(parts[0])
-        if self._poll is not None and size > _ATOMIC_BYTES:
-            # A long line is written in pieces, so that none of them waits for the reader.
-            self._pending.appendleft(parts[0][_ATOMIC_BYTES:])
-            parts, size = [parts[0][:_ATOMIC_BYTES]], _ATOMIC_BYTES
-        while self._pending and size + len(self._pending[0]) <= _ATOMIC_BYTES:
+        if self._is_writable is not None and size > _ATOMIC_WRITE_BYTES:
+            # A long line is written in pieces, so that no write blocks on the reader.
+            self._pending.appendleft(parts[0][_ATOMIC_WRITE_BYTES:])
+            parts, size = [parts[0][:_ATOMIC_WRITE_BYTES]], _ATOMIC_WRITE_BYTES
+        while self._pending and size + len(self._pending[0]) <= _ATOMIC_WRITE_BYTES:
             size += len(self._pending[0])
             parts.append(self._pending.popleft())
         self._pending_bytes -= size
         data = b"".join(parts)
-        if self._poll is None:
+        if self._is_writable is None:
             self._stream.write(data.decode())
             self._stream.flush()
         else:
@@ -141,17 +144,17 @@
             return True
         return False
 
-    def _leave_out(self, event: str) -> None:
-        self._left_out[event] += 1
-        self._left_out_in_all += 1
+    def _drop(self, event: str) -> None:
+        self._unreported_drops[event] += 1
+        self._dropped_total += 1
 
 
-def _poll(stream: TextIO) -> Callable[[], bool] | None:
-    """Returns the question whether a stream takes bytes, or None for one that always does."""
+def _writable_check(stream: TextIO) -> Callable[[], bool] | None:
+    """Returns a function that checks if a stream accepts bytes, or None if it always does."""
     try:
-        number = stream.fileno()
+        descriptor = stream.fileno()
     except (OSError, ValueError):
         return None
-    waiting = select.poll()
-    waiting.register(number, select.POLLOUT)
-    return lambda: bool(waiting.poll(0))
+    poller = select.poll()
+    poller.register(descriptor, select.POLLOUT)
+    return lambda: bool(poller.poll(0))
--- a/fescueward/kernel/registry.py
+++ b/fescueward/kernel/registry.py
@@ -1,4 +1,4 @@
-"""The registry in which services find each other by name."""
+"""Registry in which services find each other by name."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 @runtime_checkable
 class Service(Protocol):
-    """A part of the agent that the kernel starts and stops.
+    """A component of the agent that the kernel starts and stops.
 
     Attributes:
-        name: Registry name.
+        name: Name in the registry.
         requires: Names of the services that start before this one and stop after it.
     """
 
@@ -25,31 +25,31 @@
     requires: tuple[str, ...]
 
     def bind(self, registry: Registry) -> None:
-        """Looks up the services that this one uses. Nothing runs yet."""
+        """Looks up the services that this one uses; no service has started yet."""
         ...
 
     async def start(self) -> None:
-        """Starts the service. Returns once it can be used."""
+        """Starts the service; returns once it is ready for use."""
         ...
 
     async def stop(self) -> None:
-        """Stops the service and waits for its tasks."""
+        """Stops the service and waits until its tasks have ended."""
         ...
 
 
 @runtime_checkable
 class Drainable(Protocol):
-    """A service that gives its work away before any service is stopped."""
+    """A service that finishes or hands over its work before any service is stopped."""
 
     async def drain(self) -> None:
-        """Gives the work away while all services still run. Must end in bounded time."""
+        """Finishes or hands over the work while all services run; must end in bounded time."""
         ...
 
 
 def _satisfies(service: object, kind: type) -> bool:
     if not is_protocol(kind):
         return isinstance(service, kind)
-    # isinstance() would read every property, also of services that are not bound yet.
+    # isinstance() would evaluate every property, even of services that are not bound yet.
     absent = object()
     return all(
         getattr_static(service, member, absent) is not absent
@@ -60,7 +60,7 @@
 class Registry:
     """Services by name.
 
-    A new front end, a placement policy or a fake is one registration.
+    A front end, a placement policy or a test double is added by a single registration.
     """
 
     def __init__(self) -> None:
@@ -75,26 +75,26 @@
         """Adds a service.
 
         Args:
-            name: Name under which others find it.
+            name: Name under which other services find it.
             service: The service object.
 
         Raises:
-            DuplicateNameError: The name is taken.
+            DuplicateNameError: The name is already registered.
         """
         if name in self._services:
-            raise DuplicateNameError(f"service name {name!r} is registered already")
+            raise DuplicateNameError(f"service name {name!r} is already registered")
         self._services[name] = service
 
     def find(self, name: str, kind: type[T]) -> T:
-        """Returns a service, typed by a Protocol.
+        """Returns the service with a name, typed as a Protocol.
 
         Args:
             name: Registered name.
-            kind: Runtime-checkable Protocol that the service must satisfy.
+            kind: Runtime-checkable Protocol, or a class, that the service must satisfy.
 
         Raises:
             UnknownNameError: No service has this name.
-            ServiceTypeError: The service lacks a member of the Protocol.
+            ServiceTypeError: The service lacks a member of the Protocol or is of another class.
         """
         try:
             service = self._services[name]
@@ -102,6 +102,6 @@
             raise UnknownNameError("service", name, tuple(sorted(self._services))) from None
         if not _satisfies(service, kind):
             raise ServiceTypeError(
-                f"service {name!r} is a {type(service).__name__}, which is no {kind.__name__}"
+                f"service {name!r} is a {type(service).__name__}, which is not a {kind.__name__}"
             )
         return service
--- a/fescueward/kernel/settings.py
+++ b/fescueward/kernel/settings.py
@@ -1,4 +1,4 @@
-"""Settings of an agent: an INI file that is checked whole before anything starts."""
+"""Settings of an agent: an INI file that is fully validated before any service starts."""
 
 from __future__ import annotations
 
@@ -10,18 +10,18 @@
 
 from .errors import SettingsError
 
-Check = Callable[[str], Any]
+Parser = Callable[[str], Any]
 
 
 @dataclass(frozen=True, slots=True)
 class SettingProblem:
-    """One bad value.
+    """One bad value in a settings file.
 
     Attributes:
         section: Section of the file.
-        option: Option in the section, or empty for the section itself.
-        value: The value that was given, or None if it is missing.
-        allowed: What is allowed.
+        option: Option of the section, or empty if the section itself is unknown.
+        value: Value in the file, or None if it is missing.
+        allowed: Description of the allowed values.
     """
 
     section: str
@@ -30,9 +30,9 @@
     allowed: str
 
     def __str__(self) -> str:
-        given = "is missing" if self.value is None else f"has the value {self.value!r}"
-        place = f"[{self.section}] {self.option}".rstrip()
-        return f"{place} {given}; allowed: {self.allowed}"
+        fault = "is missing" if self.value is None else f"has the value {self.value!r}"
+        location = f"[{self.section}] {self.option}".rstrip()
+        return f"{location} {fault}; allowed: {self.allowed}"
 
 
 class BadSettingsError(SettingsError):
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Rule:
-    parse: Check
+    parse: Parser
     allowed: str
 
 
@@ -69,12 +69,12 @@
             raise ValueError(text)
         return text
 
-    return _Rule(parse, f"a text of {low} to {high} characters")
+    return _Rule(parse, f"a string of {low} to {high} characters")
 
 
 def _name() -> _Rule:
     def parse(text: str) -> str:
-        if not text or len(text) > 63 or not all(sign.isalnum() or sign in "-_." for sign in text):
+        if not text or len(text) > 63 or not all(char.isalnum() or char in "-_." for char in text):
             raise ValueError(text)
         return text
 
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AgentSection:
-    """Who this agent is."""
+    """Identity and location of this agent."""
 
     name: str = _option(_name(), "Name of the agent, unique in the fleet.")
     failure_domain: str = _option(_name(), "Failure domain of the VM.")
@@ -114,7 +114,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallersSection:
-    """Where callers send their requests."""
+    """Address on which the agent accepts requests of callers."""
 
     host: str = _option(_text(), "Address that callers connect to.", "127.0.0.1")
     port: int = _option(_integer(1, 65_535), "Port that callers connect to.")
@@ -122,17 +122,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeersSection:
-    """Streams between agents."""
+    """Address and authentication of the streams between agents."""
 
     host: str = _option(_text(), "Address that other agents connect to.", "127.0.0.1")
     port: int = _option(_integer(1, 65_535), "Port that other agents connect to.")
     secret: str = _option(_text(16), "Secret shared by all agents and routing clients.")
-    advertised_host: str = _option(_text(0), "Address told to others if it is not `host`.", "")
+    advertised_host: str = _option(
+        _text(0), "Address advertised to other agents if it is not `host`.", ""
+    )
     advertised_port: int = _option(
-        _integer(0, 65_535), "Port told to others if it is not `port`; 0 means `port`.", 0
+        _integer(0, 65_535),
+        "Port advertised to other agents if it is not `port`; 0 means `port`.",
+        0,
     )
     timeout_ms: int = _option(
-        _integer(10, 60_000), "Timeout of a connection attempt or reply, in ms.", 1000
+        _integer(10, 60_000), "Timeout of a connection attempt or a reply, in ms.", 1000
     )
 
 
@@ -142,12 +146,12 @@
 
     host: str = _option(_text(), "Address of the administration API.", "127.0.0.1")
     port: int = _option(_integer(1, 65_535), "Port of the administration API.")
-    token: str = _option(_text(8), "Token that changes must carry.")
+    token: str = _option(_text(8), "Token that requests for changes must carry.")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AnnouncementsSection:
-    """Where the upstream announces itself."""
+    """Address on which the agent accepts announcements of the upstream."""
 
     host: str = _option(_text(), "Address on this VM for announcements.", "127.0.0.1")
     port: int = _option(_integer(1, 65_535), "Port for announcements.")
@@ -163,24 +167,26 @@
         _integer(1000, 300_000), "Longest wait of one watch call, in ms.", 20_000
     )
     max_answer_bytes: int = _option(
-        _integer(65_536, 1 << 30), "Largest answer of the object API, in bytes.", 32 * 1024 * 1024
+        _integer(65_536, 1 << 30),
+        "Largest response of the object API, in bytes.",
+        32 * 1024 * 1024,
     )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamSection:
-    """Answers of the upstream on this VM."""
+    """Limits on the upstream on this VM."""
 
     max_answer_bytes: int = _option(
         _integer(65_536, 1 << 40),
-        "Largest answer to one request, with head and framing, in bytes.",
+        "Largest response to one request, with head and framing, in bytes.",
         64 * 1024 * 1024,
     )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseSection:
-    """Ownership leases. All agents of a group must have the same values."""
+    """Ownership leases; all agents of a group must have the same values."""
 
     lease_ms: int = _option(_integer(200, 60_000), "Length of a lease, in ms.", 1200)
     renewal_ms: int = _option(_integer(50, 20_000), "Period of renewals, in ms.", 300)
@@ -200,12 +206,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoutingSection:
-    """Retries and streams of requests."""
+    """Retries of requests."""
 
     retry_percent: int = _option(
         _integer(0, 100), "Retries permitted per 100 requests, in percent.", 10
     )
-    attempts: int = _option(_integer(1, 10), "Most attempts for one request.", 4)
+    attempts: int = _option(_integer(1, 10), "Maximum number of attempts for one request.", 4)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -215,12 +221,12 @@
     level: str = _option(
         _choice("DEBUG", "INFO", "WARNING", "ERROR"), "Lowest level that is written.", "INFO"
     )
-    format: str = _option(_choice("text", "json"), "Form of a log line.", "text")
+    format: str = _option(_choice("text", "json"), "Format of log lines.", "text")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
-    """All settings of an agent, one attribute for each section of the file."""
+    """All settings of an agent, one attribute per section of the file."""
 
     agent: AgentSection
     callers: CallersSection
@@ -251,17 +257,17 @@
 
 
 def load_settings(path: Path) -> Settings:
-    """Reads and checks a settings file.
+    """Reads and validates a settings file.
 
     Args:
-        path: The INI file.
+        path: Path of the INI file.
 
     Returns:
         The settings.
 
     Raises:
         BadSettingsError: At least one value is bad; all bad values are listed.
-        SettingsError: The file cannot be read or is no INI file.
+        SettingsError: The file cannot be read or is not an INI file.
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -298,17 +304,17 @@
 def _read_section(
     parser: configparser.ConfigParser, name: str, kind: type[Any], problems: list[SettingProblem]
 ) -> Any:
-    given = dict(parser[name]) if parser.has_section(name) else {}
+    values_in_file = dict(parser[name]) if parser.has_section(name) else {}
     options: dict[str, Field[Any]] = {option.name: option for option in fields(kind)}
-    for option in given:
+    for option in values_in_file:
         if option not in options:
             valid = "the options " + ", ".join(options)
-            problems.append(SettingProblem(name, option, given[option], valid))
+            problems.append(SettingProblem(name, option, values_in_file[option], valid))
     values: dict[str, Any] = {}
     complete = True
     for option_name, option in options.items():
         rule: _Rule = option.metadata["rule"]
-        text = given.get(option_name)
+        text = values_in_file.get(option_name)
         if text is None:
             if option.default is MISSING:
                 problems.append(SettingProblem(name, option_name, None, rule.allowed))
@@ -323,7 +329,7 @@
 
 
 def _check_lease(lease: LeaseSection) -> list[SettingProblem]:
-    # A renewal that is lost must leave time for two more before the lease ends.
+    # After a lost renewal there must be time for two more before the lease ends.
     if lease.renewal_ms * 3 <= lease.lease_ms:
         return []
     allowed = f"at most a third of lease_ms, {lease.lease_ms // 3}"
@@ -332,11 +338,11 @@
 
 def _check_ports(sections: dict[str, Any]) -> list[SettingProblem]:
     problems = []
-    used: dict[tuple[str, int], str] = {}
+    section_by_address: dict[tuple[str, int], str] = {}
     for name in ("callers", "peers", "administration", "announcements"):
         address = (sections[name].host, sections[name].port)
-        other = used.setdefault(address, name)
-        if other != name:
-            allowed = f"a port that differs from that of [{other}]"
+        first_section = section_by_address.setdefault(address, name)
+        if first_section != name:
+            allowed = f"a port that differs from that of [{first_section}]"
             problems.append(SettingProblem(name, "port", str(address[1]), allowed))
     return problems
--- a/fescueward/kernel/tasks.py
+++ b/fescueward/kernel/tasks.py
@@ -10,7 +10,7 @@
 
 
 class TaskOwner:
-    """Keeps the tasks of one service, reports their failures and cancels them.
+    """Owns the tasks of one service: reports their failures and cancels them.
 
     Attributes:
         name: Name of the owning service.
@@ -22,26 +22,29 @@
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def spawn(self, label: str, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Starts a task that this owner cancels at the end.
+        """Starts a task, which runs until it ends or `cancel` is called.
 
         Args:
-            label: What the task does, for reports.
-            coroutine: The body of the task.
+            label: Name of the task, for failure reports.
+            coroutine: Coroutine to run.
+
+        Returns:
+            The task.
         """
         task = asyncio.get_running_loop().create_task(coroutine, name=f"{self.name}:{label}")
         self._tasks.add(task)
-        task.add_done_callback(self._finished)
+        task.add_done_callback(self._on_done)
         return task
 
     async def cancel(self) -> None:
-        """Cancels all tasks and waits until they have ended."""
+        """Cancels all tasks except the calling one and waits until they have ended."""
         tasks = [task for task in self._tasks if task is not asyncio.current_task()]
         for task in tasks:
             task.cancel()
         if tasks:
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _finished(self, task: asyncio.Task[Any]) -> None:
+    def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
             return
--- a/tests/kernel/test_event_lines.py
+++ b/tests/kernel/test_event_lines.py
@@ -1,4 +1,4 @@
-"""Tests of when and how log lines are written."""
+"""Tests of the time and format of written log lines."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
         self.addCleanup(logger.remove)
 
     async def test_routine_lines_are_written_soon(self):
-        """Guards against lines that stay in memory while nothing else happens."""
+        """Guards against lines that stay in the buffer until the next line is logged."""
         configure_logging("INFO", "text", self.stream)
         _ROUTINE.emit(key="a", count=1)
         _ROUTINE.emit(key="{b}", count=2)
@@ -34,7 +34,7 @@
         await wait_until(lambda: len(self.stream.getvalue().splitlines()) == 3, 2, "a third")
 
     async def test_serious_lines_are_written_at_once_and_in_order(self):
-        """Guards against the loss of the lines that explain the end of a process."""
+        """Guards against the loss of the last lines before the end of a process."""
         configure_logging("INFO", "json", self.stream)
         _ROUTINE.emit(order=1)
         _SERIOUS.emit(order=2)
@@ -45,7 +45,7 @@
         self.assertEqual(len(self.stream.getvalue().splitlines()), 2)
 
     def test_without_an_event_loop(self):
-        """Guards against lines of the commands that are never written."""
+        """Guards against lines of commands, which run no event loop, that are never written."""
         configure_logging("INFO", "text", self.stream)
         _ROUTINE.emit(order=1)
         self.assertIn("order=1", self.stream.getvalue())
@@ -58,7 +58,7 @@
         self.assertEqual(self.stream.getvalue(), "")
 
     async def test_level(self):
-        """Guards against lines below the level of the settings."""
+        """Guards against written lines below the configured level."""
         configure_logging("WARNING", "text", self.stream)
         _ROUTINE.emit(order=1)
         await asyncio.sleep(0.05)
--- a/tests/kernel/test_events.py
+++ b/tests/kernel/test_events.py
@@ -18,7 +18,7 @@
         self.addCleanup(_EVENTS.pop, 9990, None)
 
     def test_one_line_for_each_event(self):
-        """Guards against lines that a log reader cannot attribute to an event."""
+        """Guards against text lines that do not identify their event."""
         configure_logging("INFO", "text", self.lines)
         self.event.emit(member="a:1", shards=3)
         self.assertRegex(
@@ -26,7 +26,7 @@
         )
 
     def test_json_lines(self):
-        """Guards against values that break the JSON form of a line."""
+        """Guards against values that make a line invalid JSON."""
         configure_logging("INFO", "json", self.lines)
         self.event.emit(error=ValueError('a "quote"\nand a line'), braces="{0} {x}")
         line = json.loads(self.lines.getvalue())
@@ -35,7 +35,7 @@
         self.assertEqual(line["braces"], "{0} {x}")
 
     def test_level(self):
-        """Guards against the cost of lines that nobody asked for."""
+        """Guards against the cost of formatting lines below the configured level."""
         configure_logging("WARNING", "text", self.lines)
 
         class Expensive:
--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -1,4 +1,4 @@
-"""Tests of the kernel's life cycle and of its reports of failures."""
+"""Tests of the service life cycle in the kernel and of its failure reports."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 from fescueward.kernel.errors import DuplicateNameError, ServiceFailedError, UnknownNameError
 
 
-class Recorded:
-    """A service that notes what happens to it."""
+class RecordingService:
+    """A service that records the calls of its life cycle methods."""
 
     def __init__(self, kernel: Kernel, name: str, log: list[str], *requires: str) -> None:
         self.name = name
@@ -23,24 +23,24 @@
         self.hang = False
 
     def bind(self, registry) -> None:
-        self.note("bind")
+        self.record("bind")
 
     async def start(self) -> None:
-        self.note("start")
+        self.record("start")
 
     async def drain(self) -> None:
-        self.note("drain")
+        self.record("drain")
 
     async def stop(self) -> None:
         await self.tasks.cancel()
-        self.note("stop")
+        self.record("stop")
         if self.hang:
             await asyncio.Event().wait()
 
-    def note(self, what: str) -> None:
-        self.log.append(f"{what} {self.name}")
-        if what == self.failing:
-            raise ValueError(f"{what} failed")
+    def record(self, method: str) -> None:
+        self.log.append(f"{method} {self.name}")
+        if method == self.failing:
+            raise ValueError(f"{method} failed")
 
 
 class KernelTest(unittest.IsolatedAsyncioTestCase):
@@ -50,26 +50,26 @@
         self.kernel = Kernel(StopLimits(drain_s=0.1, stop_s=0.2))
         self.log: list[str] = []
 
-    def add(self, name: str, *requires: str) -> Recorded:
-        service = Recorded(self.kernel, name, self.log, *requires)
+    def add(self, name: str, *requires: str) -> RecordingService:
+        service = RecordingService(self.kernel, name, self.log, *requires)
         self.kernel.add(service)
         return service
 
     async def test_services_start_after_what_they_need(self):
-        """Guards against a service that uses another before its start or after its stop."""
+        """Guards against a service that uses another one before its start or after its stop."""
         for name, requires in (("c", ("b", "absent")), ("b", ("a",)), ("a", ()), ("d", ())):
             self.add(name, *requires)
         running = asyncio.create_task(self.kernel.run())
         self.kernel.request_stop()
         await running
-        done = [entry for entry in self.log if entry.startswith(("start", "stop"))]
-        self.assertEqual(done[:4], ["start a", "start b", "start c", "start d"])
-        self.assertEqual(done[4:], ["stop d", "stop c", "stop b", "stop a"])
+        transitions = [entry for entry in self.log if entry.startswith(("start", "stop"))]
+        self.assertEqual(transitions[:4], ["start a", "start b", "start c", "start d"])
+        self.assertEqual(transitions[4:], ["stop d", "stop c", "stop b", "stop a"])
         self.assertLess(self.log.index("drain d"), self.log.index("stop d"))
         self.assertEqual(self.log[:4], ["bind c", "bind b", "bind a", "bind d"])
 
     async def test_failed_task_ends_the_process(self):
-        """Guards against an agent that keeps its lease after it has lost a part."""
+        """Guards against an agent that holds its lease after one of its services has failed."""
         self.add("a")
         broken = self.add("broken", "a")
 
@@ -83,13 +83,13 @@
         with self.assertRaisesRegex(ServiceFailedError, "broken:job: ZeroDivisionError") as caught:
             await asyncio.wait_for(self.kernel.run(), 5)
         self.assertIsInstance(caught.exception.__cause__, ZeroDivisionError)
-        # A broken agent must not hand work over: its state cannot be trusted.
+        # A failed agent must not hand work over, because its state may be inconsistent.
         self.assertNotIn("drain a", self.log)
         self.assertIn("stop a", self.log)
         self.assertIn("1003 service_failed task=broken:job", self.lines.getvalue())
 
     async def test_failed_start_stops_what_runs(self):
-        """Guards against ports that stay bound when the start fails half way."""
+        """Guards against ports that stay bound after a failed start."""
         self.add("a")
         self.add("b", "a").failing = "start"
         with self.assertRaisesRegex(ValueError, "start failed"):
@@ -98,7 +98,7 @@
         self.assertNotIn("stop b", self.log)
 
     async def test_port_that_is_taken_is_a_typed_failure(self):
-        """Guards against a stack trace where the operator needs the service and the address."""
+        """Guards against a stack trace in place of the service name and the address."""
 
         async def start() -> None:
             raise OSError(98, "address already in use")
@@ -110,7 +110,7 @@
         self.assertEqual(self.log[-1], "stop a")
 
     async def test_failing_or_hanging_stop_does_not_keep_others(self):
-        """Guards against one service that keeps the others from stopping."""
+        """Guards against one service that prevents the others from stopping."""
         self.add("a")
         self.add("failing", "a").failing = "stop"
         self.add("hanging", "a").hang = True
@@ -131,7 +131,7 @@
         self.assertIn("1004 service_stop_timeout service=hanging", self.lines.getvalue())
 
     async def test_failing_drain_does_not_keep_others(self):
-        """Guards against requests that are cut because another service failed to drain."""
+        """Guards against requests that are aborted because another service failed to drain."""
         self.add("failing").failing = "drain"
         self.add("after", "failing")
         self.kernel.request_stop()
@@ -140,7 +140,7 @@
         self.assertIn("drain after", self.log)
 
     async def test_step_that_ignores_its_cancellation_is_abandoned(self):
-        """Guards against a lost cancellation that keeps a process until it is killed."""
+        """Guards against a service that ignores its cancellation and blocks the process exit."""
         released = asyncio.Event()
 
         async def stop() -> None:
@@ -157,17 +157,17 @@
         self.assertLess(self.kernel.stopping_s, 1)
 
     async def test_bind_checks_without_starting(self):
-        """Guards against `check-config` starting anything."""
+        """Guards against services that `check-config` starts."""
         self.add("a")
         self.kernel.bind()
         self.assertEqual(self.log, ["bind a"])
         with self.assertRaises(DuplicateNameError):
             self.add("a")
         with self.assertRaises(UnknownNameError):
-            self.kernel.registry.find("b", Recorded)
+            self.kernel.registry.find("b", RecordingService)
 
     async def test_tasks_end_with_their_owner(self):
-        """Guards against tasks that run on after their service has stopped."""
+        """Guards against tasks that continue to run after their service has stopped."""
         failures: list[str] = []
         owner = TaskOwner("a", lambda name, error: failures.append(name))
         task = owner.spawn("wait", asyncio.Event().wait())
--- a/tests/kernel/test_log_lines.py
+++ b/tests/kernel/test_log_lines.py
@@ -9,7 +9,7 @@
 import unittest
 
 from fescueward.kernel.events import Event, Level, configure_logging, dropped_log_lines
-from fescueward.kernel.log_lines import LINES_PER_S, LineOutput
+from fescueward.kernel.log_lines import MAX_LINES_PER_S, LineOutput
 from fescueward.testing.waiting import wait_until
 
 _REQUEST = Event(9903, "test_request", Level.INFO, "Used by a test.", frequent=True)
@@ -17,7 +17,7 @@
 
 
 def _summary(counts: dict[str, int]) -> bytes:
-    return f"left out {sorted(counts.items())}\n".encode()
+    return f"dropped {sorted(counts.items())}\n".encode()
 
 
 class LineOutputTest(unittest.TestCase):
@@ -28,15 +28,15 @@
         self.addCleanup(self.output.close)
 
     def test_limit_of_an_event(self):
-        """Guards against a volume of lines that grows with the load without a bound."""
-        permitted = sum(self.output.permits("a") for _ in range(LINES_PER_S + 5))
-        self.assertEqual(permitted, LINES_PER_S)
+        """Guards against a volume of lines that grows with the load without limit."""
+        permitted = sum(self.output.permits("a") for _ in range(MAX_LINES_PER_S + 5))
+        self.assertEqual(permitted, MAX_LINES_PER_S)
         self.assertTrue(self.output.permits("b"))
         self.now += 1
         self.assertTrue(self.output.permits("a"))
         self.output.add("b", b"line\n", urgent=True)
-        self.assertEqual(self.stream.getvalue(), "line\nleft out [('a', 5)]\n")
-        self.assertEqual(self.output.left_out, 5)
+        self.assertEqual(self.stream.getvalue(), "line\ndropped [('a', 5)]\n")
+        self.assertEqual(self.output.dropped, 5)
 
 
 class BlockedPipeTest(unittest.IsolatedAsyncioTestCase):
@@ -50,27 +50,27 @@
         self.addCleanup(configure_logging, "ERROR", "text", io.StringIO())
 
     async def test_nobody_reads(self):
-        """Guards against requests that wait for the reader of standard output."""
+        """Guards against requests that block while standard output is not read."""
         before = dropped_log_lines()
         self.assertEqual(before, 0)
         started = time.monotonic()
         for number in range(5_000):
             _REQUEST.emit(request=f"request-{number}", text="x" * 400)
-        _FAILURE.emit(text="the last to be left out")
+        _FAILURE.emit(text="the last line to be dropped")
         self.assertLess(time.monotonic() - started, 2)
         self.assertGreater(dropped_log_lines(), 1_000)
         os.set_blocking(self.reader.fileno(), False)
-        seen = b""
+        output = b""
 
         def read_all() -> bool:
-            nonlocal seen
-            seen += self.reader.read() or b""
-            return b"log_lines_left_out" in seen and seen.endswith(b"\n")
+            nonlocal output
+            output += self.reader.read() or b""
+            return b"log_lines_left_out" in output and output.endswith(b"\n")
 
-        await wait_until(read_all, 5, "the count of lines that were left out")
-        lines = [json.loads(line) for line in seen.splitlines()]
-        counted = {line["name"]: line for line in lines}
-        self.assertIn("test_failure", counted)
-        left_out = counted["log_lines_left_out"]["test_request"]
+        await wait_until(read_all, 5, "the number of dropped lines")
+        lines = [json.loads(line) for line in output.splitlines()]
+        last_by_name = {line["name"]: line for line in lines}
+        self.assertIn("test_failure", last_by_name)
+        dropped = last_by_name["log_lines_left_out"]["test_request"]
         written = sum(line["name"] == "test_request" for line in lines)
-        self.assertEqual(written + left_out, 5_000)
+        self.assertEqual(written + dropped, 5_000)
--- a/tests/kernel/test_registry.py
+++ b/tests/kernel/test_registry.py
@@ -30,7 +30,7 @@
 class BrassBell:
     @property
     def loud(self) -> bool:
-        raise AssertionError("a property was read while the service was looked up")
+        raise AssertionError("the lookup of the service evaluated a property")
 
     def ring(self) -> None: ...
 
@@ -46,19 +46,19 @@
         self.registry.register("bell", self.bell)
 
     def test_services_are_found_by_name(self):
-        """Guards against services that are found under a wrong name or evaluated too early."""
+        """Guards against a lookup that returns another service or evaluates its properties."""
         self.assertIs(self.registry.find("bell", Bell), self.bell)
         self.assertIs(self.registry.find("bell", BrassBell), self.bell)
         self.assertEqual(self.registry.names, ("bell",))
 
     def test_bad_lookups_are_typed(self):
-        """Guards against services that fail at their first call instead of at the start."""
+        """Guards against a missing or wrong service that is only detected at its first call."""
         with self.assertRaisesRegex(UnknownNameError, "valid names are: bell"):
             self.registry.find("gong", Bell)
         with self.assertRaises(DuplicateNameError):
             self.registry.register("bell", BrassBell())
         self.registry.register("clapper", Clapper())
-        with self.assertRaisesRegex(ServiceTypeError, "Clapper, which is no Bell"):
+        with self.assertRaisesRegex(ServiceTypeError, "Clapper, which is not a Bell"):
             self.registry.find("clapper", Bell)
         with self.assertRaises(ServiceTypeError):
             self.registry.find("clapper", BrassBell)
@@ -66,18 +66,18 @@
 
 class ErrorTest(unittest.TestCase):
     def test_codes_and_labels_are_unique(self):
-        """Guards against two errors that a caller cannot tell apart."""
+        """Guards against two errors that a caller cannot distinguish."""
         pending, kinds = [RefusalError, *error_types()], set()
         while pending:
             kind = pending.pop()
             kinds.add(kind)
             pending += [sub for sub in kind.__subclasses__() if sub not in kinds]
-        own = [kind for kind in kinds if kind.__module__ == "fescueward.kernel.errors"]
-        self.assertEqual(len({kind.code for kind in own}), len(own))
-        self.assertEqual(len({kind.label for kind in own}), len(own))
+        kernel_kinds = [kind for kind in kinds if kind.__module__ == "fescueward.kernel.errors"]
+        self.assertEqual(len({kind.code for kind in kernel_kinds}), len(kernel_kinds))
+        self.assertEqual(len({kind.label for kind in kernel_kinds}), len(kernel_kinds))
 
     def test_refusals_cross_the_wire(self):
-        """Guards against a refusal that becomes safer to retry when a peer reports it."""
+        """Guards against a refusal that appears safe to retry after it was sent by a peer."""
         for kind in error_types():
             if issubclass(kind, RefusalError) and kind.__module__.startswith("fescueward.kernel"):
                 rebuilt = refusal_from_label(kind.label, "text", owner_id="a:1", token="t")
--- a/tests/kernel/test_settings.py
+++ b/tests/kernel/test_settings.py
@@ -41,7 +41,7 @@
         return [(item.section, item.option, item.value) for item in caught.exception.problems]
 
     def test_defaults_and_values(self):
-        """Guards against settings that are read but not used, and changed defaults."""
+        """Guards against settings that are read but not applied, and against changed defaults."""
         settings = self.load(VALID + "[log]\nformat = json\n")
         self.assertEqual(settings.platform.url, "http://127.0.0.1:9")
         self.assertEqual((settings.log.format, settings.log.level), ("json", "INFO"))
@@ -51,7 +51,7 @@
         )
 
     def test_all_bad_values_are_listed(self):
-        """Guards against operators who mend one value a time."""
+        """Guards against reporting only the first of several bad values."""
         text = VALID.replace("name = a1", "name =").replace("port = 1", "port = 1e9")
         text = text.replace("token = eight-characters\n", "") + "[lease]\nlease = 3\n[x]\n"
         self.assertEqual(
@@ -66,7 +66,7 @@
         )
 
     def test_each_kind_of_value(self):
-        """Guards against absurd values that pass the check."""
+        """Guards against values out of range that pass validation."""
         for section, option, value in (
             ("lease", "lease_ms", "199"),
             ("lease", "lease_ms", "60001"),
@@ -79,20 +79,20 @@
             ("log", "level", "info"),
         ):
             with self.subTest(option=option, value=value[:10]):
-                found = self.problems(f"{VALID}[{section}]\n{option} = {value}\n")
-                self.assertEqual(found, [(section, option, value)])
+                problems = self.problems(f"{VALID}[{section}]\n{option} = {value}\n")
+                self.assertEqual(problems, [(section, option, value)])
         bad_url = VALID.replace("http://127.0.0.1:9/", "ftp://x")
         self.assertEqual(self.problems(bad_url), [("platform", "url", "ftp://x")])
 
     def test_values_that_contradict_each_other(self):
-        """Guards against leases that end with one lost renewal, and ports that clash."""
-        late = VALID + "[lease]\nrenewal_ms = 401\n"
-        self.assertEqual(self.problems(late), [("lease", "renewal_ms", "401")])
-        clash = VALID.replace("port = 4", "port = 2")
-        self.assertEqual(self.problems(clash), [("announcements", "port", "2")])
+        """Guards against leases that end after one lost renewal, and against duplicate ports."""
+        rare_renewals = VALID + "[lease]\nrenewal_ms = 401\n"
+        self.assertEqual(self.problems(rare_renewals), [("lease", "renewal_ms", "401")])
+        duplicate_port = VALID.replace("port = 4", "port = 2")
+        self.assertEqual(self.problems(duplicate_port), [("announcements", "port", "2")])
 
     def test_unreadable_files(self):
-        """Guards against files that end in an untyped error."""
+        """Guards against unreadable files that raise another error than SettingsError."""
         for text in (b"\xff\xfe", "no section", VALID + "[agent]\n", "[agent]\nname\n"):
             with self.assertRaises(SettingsError):
                 self.load(text)
@@ -100,7 +100,7 @@
             load_settings(Path("/nonexistent"))
 
     def test_rows_describe_every_setting(self):
-        """Guards against settings without a meaning or an allowed range."""
+        """Guards against settings without a description or allowed values."""
         rows = setting_rows()
         self.assertEqual(len({row[:2] for row in rows}), len(rows))
         for row in rows:
