--- a/fescueward/__init__.py
+++ b/fescueward/__init__.py
@@ -21,7 +21,7 @@
 
 
 def __getattr__(name: str) -> Any:
-    # An agent imports the package at each start and needs no routing client.
+    # Imported on first use, because an agent imports this package and needs no routing client.
     if name not in _MODULES:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
     return getattr(import_module(_MODULES[name], __name__), name)
