--- a/fescueward/kernel/availability.py
+++ b/fescueward/kernel/availability.py
@@ -47,7 +47,7 @@
             return None
         return self._unavailable_since
 
-    def note(self, available: bool) -> None:
+    def record_call(self, available: bool) -> None:
         """Records whether one call succeeded, and logs an event if the availability changed."""
         if not available:
             now = self._clock.now()
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -210,9 +210,11 @@
             ):
                 content = await answer.read()
         except _CALL_FAILURES:
-            self._availability.note(False)
+            self._availability.record_call(False)
             raise
-        self._availability.note(answer.status < 500 and answer.status not in _REFUSED_STATUSES)
+        self._availability.record_call(
+            answer.status < 500 and answer.status not in _REFUSED_STATUSES
+        )
         return answer.status, content
 
 
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -134,9 +134,9 @@
             async with self._session.get(self._url + path, params=query, timeout=timeout) as got:
                 data = await got.read()
         except _CALL_FAILURES as error:
-            self._availability.note(False)
+            self._availability.record_call(False)
             raise PlatformUnavailableError(f"reading {path}: {_describe(error)}") from error
-        self._availability.note(got.status < 500)
+        self._availability.record_call(got.status < 500)
         return got.status, data
 
     async def _write(self, method: str, key: str, value: bytes | None, expected: int) -> int:
@@ -149,12 +149,12 @@
             ) as got:
                 data = await got.read()
         except aiohttp.ClientConnectorError as error:
-            self._availability.note(False)
+            self._availability.record_call(False)
             raise PlatformUnavailableError(f"writing {key!r}: {_describe(error)}") from error
         except _CALL_FAILURES as error:
-            self._availability.note(False)
+            self._availability.record_call(False)
             raise OutcomeUnknownError(f"writing {key!r}: {_describe(error)}") from error
-        self._availability.note(got.status < 500)
+        self._availability.record_call(got.status < 500)
         if got.status == 409:
             version = _decode(data, _Written).version
             raise VersionConflictError(f"{key!r} is at version {version}", version=version)
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -115,11 +115,11 @@
         began = agent.lease._clock.now()
         named = []
 
-        def note(old, new):
+        def record_call(old, new):
             if agent.member_id.encode() in new.value:
                 named.append(agent.lease._clock.now())
 
-        fleet.platform.on_write = note
+        fleet.platform.on_write = record_call
         while agent.membership.me() is None:
             fleet.world.advance(0.01)
         # Another member may make the write that names the agent.
