--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -115,11 +115,11 @@
         began = agent.lease._clock.now()
         named = []
 
-        def record_call(old, new):
+        def note(old, new):
             if agent.member_id.encode() in new.value:
                 named.append(agent.lease._clock.now())
 
-        fleet.platform.on_write = record_call
+        fleet.platform.on_write = note
         while agent.membership.me() is None:
             fleet.world.advance(0.01)
         # Another member may make the write that names the agent.
