Name the group count and the string rule in messages and kernel

groups named a number of groups, _text a rule for strings, and two comments needed a second reading.

--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -17,7 +17,7 @@
 _CLOSING_S = 0.8
 # Allowance for a drain that ends by itself once open requests may no longer finish.
 _DRAIN_SLACK_S = 0.1
-# Last part of that, reserved for the exit of the interpreter.
+# Last part of the closing time, reserved for the exit of the interpreter.
 _EXIT_S = 0.2
 
 
--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -13,7 +13,7 @@
 # 64 KiB.
 MAX_RESPONSE_HEAD_BYTES = 131_072
 _MAX_LINE_BYTES = 65_536
-# Final 1xx status: it ends HTTP on the connection, while another response follows the others.
+# Status 101 ends HTTP on the connection; every other 1xx response is followed by another one.
 _SWITCHING_PROTOCOLS = 101
 
 
--- a/fescueward/kernel/settings.py
+++ b/fescueward/kernel/settings.py
@@ -63,7 +63,7 @@
     return _Rule(parse, f"a whole number from {low} to {high}")
 
 
-def _text(low: int = 1, high: int = 255) -> _Rule:
+def _string(low: int = 1, high: int = 255) -> _Rule:
     def parse(text: str) -> str:
         if not low <= len(text) <= high:
             raise ValueError(text)
@@ -116,7 +116,7 @@
 class CallersSection:
     """Address on which the agent accepts requests of callers."""
 
-    host: str = _option(_text(), "Address that callers connect to.", "127.0.0.1")
+    host: str = _option(_string(), "Address that callers connect to.", "127.0.0.1")
     port: int = _option(_integer(1, 65_535), "Port that callers connect to.")
 
 
@@ -124,11 +124,11 @@
 class PeersSection:
     """Address and authentication of the streams between agents."""
 
-    host: str = _option(_text(), "Address that other agents connect to.", "127.0.0.1")
+    host: str = _option(_string(), "Address that other agents connect to.", "127.0.0.1")
     port: int = _option(_integer(1, 65_535), "Port that other agents connect to.")
-    secret: str = _option(_text(16), "Secret shared by all agents and routing clients.")
+    secret: str = _option(_string(16), "Secret shared by all agents and routing clients.")
     advertised_host: str = _option(
-        _text(0), "Address advertised to other agents if it is not `host`.", ""
+        _string(0), "Address advertised to other agents if it is not `host`.", ""
     )
     advertised_port: int = _option(
         _integer(0, 65_535),
@@ -144,16 +144,16 @@
 class AdministrationSection:
     """The administration API and the metrics page."""
 
-    host: str = _option(_text(), "Address of the administration API.", "127.0.0.1")
+    host: str = _option(_string(), "Address of the administration API.", "127.0.0.1")
     port: int = _option(_integer(1, 65_535), "Port of the administration API.")
-    token: str = _option(_text(8), "Token that requests for changes must carry.")
+    token: str = _option(_string(8), "Token that requests for changes must carry.")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AnnouncementsSection:
     """Address on which the agent accepts announcements of the upstream."""
 
-    host: str = _option(_text(), "Address on this VM for announcements.", "127.0.0.1")
+    host: str = _option(_string(), "Address on this VM for announcements.", "127.0.0.1")
     port: int = _option(_integer(1, 65_535), "Port for announcements.")
 
 
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -180,17 +180,17 @@
         index = bisect_right(self.ranges, key, key=_first_key) - 1
         return self.ranges[index] if index >= 0 else None
 
-    def shard_of(self, key: str, groups: int) -> int:
+    def shard_of(self, key: str, group_count: int) -> int:
         """Returns the shard id of a key.
 
         Args:
             key: The key.
-            groups: Number of groups of the service.
+            group_count: Number of groups of the service.
         """
         exception = self.exceptions.get(key)
         if exception is not None:
             return exception
-        return (key_hash(key) // groups) % self.shard_count
+        return (key_hash(key) // group_count) % self.shard_count
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,9 +211,9 @@
     return xxhash.xxh64_intdigest(key.encode())
 
 
-def group_of(service: str, key: str, groups: int) -> GroupId:
-    """Returns the group that a key belongs to."""
-    return GroupId(service, key_hash(key) % groups)
+def group_of(service: str, key: str, group_count: int) -> GroupId:
+    """Returns the group that a key belongs to, for a service with `group_count` groups."""
+    return GroupId(service, key_hash(key) % group_count)
 
 
 def entry_object_key(service: str) -> str:
