--- a/fescueward/daemons/__init__.py
+++ b/fescueward/daemons/__init__.py
@@ -1,4 +1,4 @@
-"""Thin daemons: settings to kernel, nothing else."""
+"""Daemons: each assembles the services of a process from its settings."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def __getattr__(name: str) -> Any:
-    # The agents have few services in common, and each start imports only its own.
+    # The agents share few services, so each process imports only the modules of its own agent.
     if name == "Agent":
         from .agent import Agent
 
--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -1,4 +1,4 @@
-"""The agent: the process beside each upstream."""
+"""The agent: the process that runs beside each upstream."""
 
 from __future__ import annotations
 
@@ -83,7 +83,7 @@
         run_until_stopped(self.kernel)
 
     def check(self) -> None:
-        """Connects the services without starting them.
+        """Binds the services to each other without starting them.
 
         Raises:
             FescuewardError: A setting names a plugin that does not exist.
--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -31,20 +31,30 @@
 from .process import run_until_stopped
 
 _STARTED = Event(1010, "agent_started", Level.INFO, "The agent starts with these settings.")
-_STOPPED = Event(1011, "agent_stopped", Level.INFO, "The agent has stopped in order.")
-_RELOADED = Event(1012, "settings_read_again", Level.INFO, "SIGHUP: the settings were read again.")
+_STOPPED = Event(1011, "agent_stopped", Level.INFO, "The agent has shut down in an orderly way.")
+_RELOADED = Event(
+    1012,
+    "settings_read_again",
+    Level.INFO,
+    "The settings file was read again on SIGHUP; changes take effect after a restart.",
+)
 _RELOAD_FAILED = Event(
-    1013, "settings_not_read", Level.ERROR, "SIGHUP: the settings are bad; the old ones stay."
+    1013,
+    "settings_not_read",
+    Level.ERROR,
+    "The settings file that was read on SIGHUP is not valid; the agent keeps its settings.",
 )
 
-# Share of the bound on work after an announced departure in which a leaving upstream takes any;
-# the rest is for requests that are on their way.
-_DRAIN_SHARE = 0.5
-# Crashes after which a request is refused: the platform counts what is sent after the third.
-_CRASHES = 3
-# Time for which a request that ran to its end is no suspect, in seconds: one that crashes an
-# upstream crashes each that begins it, and many callers ask for the same page.
-_PROVEN_S = 60.0
+# Share of `drain_s`, the bound on new work after an announced departure, during which a leaving
+# upstream accepts new requests; the rest is left for requests in transit.
+_LEAVING_GRACE_SHARE = 0.5
+# Upstream crashes after which a request is refused: the platform counts each one that an agent
+# sends after the third crash.
+_CRASH_LIMIT = 3
+# Time after a successful run during which the same request is not suspected of a crash. A request
+# that crashes an upstream crashes every upstream that starts it, and many callers request the
+# same page.
+_SUCCESS_WINDOW_S = 60.0
 
 
 class PlatformAgent:
@@ -61,8 +71,8 @@
         incarnation = int(time.time() * 1000)
         kernel = self.kernel
         settings = site.settings
-        # This process holds the port, so an earlier one of the same name and address is dead.
-        place = f"{settings.peers.host}:{settings.peers.port}"
+        # This process has bound the port, so an earlier one with this name and address has ended.
+        peer_address = f"{settings.peers.host}:{settings.peers.port}"
         kernel.provide("settings", settings)
         kernel.provide("bounds", bounds)
         kernel.provide("clock", BootClock())
@@ -71,12 +81,12 @@
         kernel.add(ConfiguredCatalogue())
         kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
         kernel.add(GroupStore(kernel, fleet_wide=True))
-        leaving_grace_s = min(LEAVING_GRACE_S, bounds.drain_s * _DRAIN_SHARE)
+        leaving_grace_s = min(LEAVING_GRACE_S, bounds.drain_s * _LEAVING_GRACE_SHARE)
         kernel.add(
             GroupMembership(
                 kernel,
                 incarnation,
-                boot_id=place,
+                boot_id=peer_address,
                 stop_timeout_s=bounds.leave_until_s,
                 leaving_grace_s=leaving_grace_s,
             )
@@ -89,7 +99,9 @@
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
         kernel.add(SlotAdmission())
-        kernel.add(CrashQuarantine(kernel, crashes=_CRASHES, success_window_s=_PROVEN_S))
+        kernel.add(
+            CrashQuarantine(kernel, crashes=_CRASH_LIMIT, success_window_s=_SUCCESS_WINDOW_S)
+        )
         kernel.add(GracefulShutdown(kernel))
         kernel.add(GateExecution())
         kernel.add(DispatchRouter())
@@ -115,7 +127,7 @@
         _STOPPED.emit(agent=settings.agent.name)
 
     def _reload(self) -> None:
-        """Reads the settings file again and tells what differs; a restart applies it."""
+        """Reads the settings file again and logs whether it changed; a restart applies it."""
         try:
             site = load_site(settings_path())
         except FescuewardError as error:
@@ -125,10 +137,10 @@
 
 
 def main() -> int:
-    """Runs the agent with the settings file that the platform names.
+    """Runs the agent with the settings file whose path the platform supplies.
 
     Returns:
-        Exit code: 0 after an orderly stop, 1 after a failure.
+        Exit code: 0 after an orderly shutdown, 1 after a failure.
     """
     try:
         PlatformAgent(load_site(settings_path())).run()
--- a/fescueward/daemons/process.py
+++ b/fescueward/daemons/process.py
@@ -1,4 +1,4 @@
-"""What all daemons do with their kernel."""
+"""Running of a kernel in the main process of a daemon: signals, garbage collector and exit."""
 
 from __future__ import annotations
 
@@ -12,14 +12,17 @@
 
 from ..kernel import Event, Kernel, Level
 
-# A request leaves some hundred objects and few cycles; Python's default of 700 starts a collection
-# every few requests.
-_COLLECTIONS = (20_000, 20, 20)
-# Time for cancelled tasks to end after the services have stopped, in seconds.
-_LAST_TASKS_S = 0.1
+# Thresholds of `gc.set_threshold`. A request allocates some hundred objects and few cycles, so
+# Python's default of 700 would start a collection every few requests.
+_GC_THRESHOLDS = (20_000, 20, 20)
+# Time that cancelled tasks have to end after the services have stopped.
+_CANCEL_TIMEOUT_S = 0.1
 
 _TASKS_LEFT = Event(
-    1007, "tasks_left", Level.ERROR, "The process ends although these tasks ignore their end."
+    1007,
+    "tasks_left",
+    Level.ERROR,
+    "The process exits although these tasks have not ended after their cancellation.",
 )
 
 
@@ -28,22 +31,22 @@
 
     Args:
         kernel: The kernel.
-        reload: Called at each SIGHUP, which ends the process without it.
+        reload: Called on each SIGHUP, or None if SIGHUP is to end the process.
 
     Raises:
         ServiceFailedError: A service failed.
     """
-    # What exists now lives as long as the process, so the collector need not look at it again.
+    # Objects that exist now live as long as the process, so later collections skip them.
     gc.collect()
     gc.freeze()
-    gc.set_threshold(*_COLLECTIONS)
+    gc.set_threshold(*_GC_THRESHOLDS)
     uvloop.run(_run(kernel, reload))
 
 
 async def _run(kernel: Kernel, reload: Callable[[], None] | None) -> None:
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, kernel.request_stop)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, kernel.request_stop)
     if reload is not None:
         loop.add_signal_handler(signal.SIGHUP, reload)
     failed = True
@@ -51,20 +54,20 @@
         await kernel.run()
         failed = False
     finally:
-        await _end_tasks(failed)
+        await _cancel_tasks(failed)
 
 
-async def _end_tasks(failed: bool) -> None:
-    """Cancels what still runs, and ends the process if a task ignores that.
+async def _cancel_tasks(failed: bool) -> None:
+    """Cancels the remaining tasks, and exits the process if one of them does not end.
 
-    The loop would wait for such a task without a limit, until the process is killed.
+    The event loop would wait for such a task without a limit, until the process is killed.
     """
     tasks = asyncio.all_tasks() - {asyncio.current_task()}
     for task in tasks:
         task.cancel()
     if tasks:
-        _, tasks = await asyncio.wait(tasks, timeout=_LAST_TASKS_S)
+        _, tasks = await asyncio.wait(tasks, timeout=_CANCEL_TIMEOUT_S)
     if tasks:
-        # A line at this level is written at once.
+        # Log lines of this level are written at once, so the exit does not lose this one.
         _TASKS_LEFT.emit(tasks=sorted(task.get_name() for task in tasks))
         os._exit(1 if failed else 0)
--- a/tests/daemons/test_platform_agent.py
+++ b/tests/daemons/test_platform_agent.py
@@ -1,4 +1,4 @@
-"""The agent on the users' platform, put together without being started."""
+"""Tests of how the agent on the users' platform is assembled; no service is started."""
 
 import unittest
 
@@ -10,7 +10,7 @@
 
 class PlatformAgentTest(unittest.TestCase):
     def test_services_find_each_other(self):
-        """Guards against a service that another one needs and that is not registered."""
+        """Guards against a service that another service requires but that is not registered."""
         agent = PlatformAgent(parse_site(LINES))
         agent.kernel.bind()
         page = agent.kernel.registry.find("metrics", Metrics).render()
--- a/tests/daemons/test_process.py
+++ b/tests/daemons/test_process.py
@@ -1,4 +1,4 @@
-"""The end of a daemon's process."""
+"""Tests of how the process of a daemon exits."""
 
 import signal
 import subprocess
@@ -11,7 +11,7 @@
 
 class ProcessTest(unittest.TestCase):
     def test_process_ends_although_a_task_ignores_its_cancellation(self):
-        """Guards against a process that is killed because its loop waits for one task."""
+        """Guards against a process that must be killed because its event loop waits for a task."""
         with subprocess.Popen(
             [sys.executable, "-m", "tests.daemons.deaf_process"],
             cwd=ROOT,
@@ -20,7 +20,7 @@
             self.addCleanup(process.kill)
             self.assertEqual(process.stdout.readline(), b"started\n")
             process.send_signal(signal.SIGTERM)
-            stopped = time.monotonic()
+            signalled_at_s = time.monotonic()
             self.assertEqual(process.wait(10), 0)
-            # The limit of the stop is 0.3 s; the rest is the interpreter's end on a busy machine.
-            self.assertLess(time.monotonic() - stopped, 1.5)
+            # The stop limit is 0.3 s; the rest allows for interpreter exit on a busy machine.
+            self.assertLess(time.monotonic() - signalled_at_s, 1.5)
