Reword the routing client

Cause: names such as held, known, lost, pause and running did not say what they hold, and doc comments of the stand-in services said nothing. Change: _FIRST_PAUSE_S to _FIRST_RETRY_DELAY_S, _Started to _StartSignal, _running to _kernel_task, held to cached, _ENTRIES_PERIOD_S to _ENTRY_POLL_PERIOD_S. Public names are the same.

--- a/fescueward/client/__init__.py
+++ b/fescueward/client/__init__.py
@@ -1,4 +1,4 @@
-"""The routing library: sends requests straight to the owners of their keys."""
+"""The routing library: sends requests directly to the owners of their keys."""
 
 from .client import Answer, Client
 
--- a/fescueward/client/client.py
+++ b/fescueward/client/client.py
@@ -1,4 +1,4 @@
-"""The routing client."""
+"""The routing client: a kernel with the services that route requests."""
 
 from __future__ import annotations
 
@@ -39,8 +39,8 @@
 from ..services.router import OwnerRouter
 from .services import ClientCatalogue, NoExecution, NoMembership, SeedPlatform, seed_member
 
-_FIRST_PAUSE_S = 0.05
-_LAST_PAUSE_S = 1.0
+_FIRST_RETRY_DELAY_S = 0.05
+_MAX_RETRY_DELAY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,12 +49,12 @@
 
     Attributes:
         status: HTTP status.
-        headers: Headers.
-        body: The whole body.
+        headers: Headers of the response.
+        body: Complete body.
         served_by: Member id of the owner that ran the request.
-        epoch: Epoch of the shard that it ran under.
+        epoch: Epoch of the shard under which the request ran.
         request_id: Id of the request.
-        token: Token that it ran under, or None.
+        token: Idempotency token under which the request ran, or None.
     """
 
     status: int
@@ -66,8 +66,8 @@
     token: str | None
 
 
-class _Started:
-    """Tells that all services of the client have started."""
+class _StartSignal:
+    """The `started` service, which starts last and signals that the client has started."""
 
     name = "started"
     requires = ("router", "groups")
@@ -76,28 +76,28 @@
         self.event = asyncio.Event()
 
     def bind(self, registry: Registry) -> None:
-        """Finds nothing."""
+        """Looks up nothing: this service uses no other."""
 
     async def start(self) -> None:
-        """Sets the event."""
+        """Sets the event, because the required services have started."""
         self.event.set()
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
 
 class Client:
-    """Routes requests to the owners of their keys without a hop in between.
+    """Routes requests to the owners of their keys without an intermediate hop.
 
-    Used as an async context manager, or with `start` and `close`, in one event loop.
+    Use it as an async context manager or call `start` and `close`, all in one event loop.
 
     Args:
-        seeds: Host and peer port of some agents. They should include an agent of each service
-            that is used, because an agent knows the group of its own service.
-        secret: The peer secret of the agents' settings.
+        seeds: Host and peer port of some agents. Include an agent of each service in use, because
+            an agent caches the group of its own service.
+        secret: Peer secret from the agents' settings.
         timeout_s: Longest wait for a connection or a reply of an agent, in seconds.
         retry_percent: Retries permitted per 100 requests.
-        attempts: Most attempts for one request whose outcome is not known.
+        attempts: Maximum number of attempts for a request whose outcome is unknown.
     """
 
     def __init__(
@@ -114,11 +114,11 @@
         self._attempts = attempts
         self._kernel = Kernel()
         self._catalogue = ClientCatalogue()
-        self._started = _Started()
-        self._running: asyncio.Task[None] | None = None
+        self._start_signal = _StartSignal()
+        self._kernel_task: asyncio.Task[None] | None = None
         kernel = self._kernel
         routing = RoutingSection(retry_percent=retry_percent, attempts=attempts)
-        kernel.provide("settings", _settings(name, secret, timeout_s, routing))
+        kernel.provide("settings", _client_settings(name, secret, timeout_s, routing))
         kernel.provide("clock", self._clock)
         kernel.add(MsgpackPeers(kernel, name, 1))
         kernel.add(SeedPlatform(tuple(seed_member(host, port) for host, port in seeds)))
@@ -127,7 +127,7 @@
         kernel.add(GroupStore(kernel))
         kernel.add(NoExecution())
         kernel.add(OwnerRouter())
-        kernel.add(self._started)
+        kernel.add(self._start_signal)
 
     async def __aenter__(self) -> Client:
         await self.start()
@@ -135,36 +135,36 @@
 
     async def __aexit__(
         self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
     ) -> None:
         await self.close()
 
     async def start(self) -> None:
-        """Starts the client. Agents are dialled in the background.
+        """Starts the client. Connections to agents are opened in the background.
 
         Raises:
-            ServiceFailedError: A part of the client failed.
+            ServiceFailedError: A service of the client failed to start.
         """
-        self._running = asyncio.create_task(self._kernel.run(), name="fescueward-client")
-        started = asyncio.create_task(self._started.event.wait())
-        await asyncio.wait({self._running, started}, return_when=asyncio.FIRST_COMPLETED)
-        started.cancel()
-        if self._running.done():
-            await self._running
+        self._kernel_task = asyncio.create_task(self._kernel.run(), name="fescueward-client")
+        start_waiter = asyncio.create_task(self._start_signal.event.wait())
+        await asyncio.wait({self._kernel_task, start_waiter}, return_when=asyncio.FIRST_COMPLETED)
+        start_waiter.cancel()
+        if self._kernel_task.done():
+            await self._kernel_task
         self._router = self._kernel.registry.find("router", Router)
 
     async def close(self) -> None:
-        """Ends all streams; requests that are open fail.
+        """Stops the client and closes all streams; requests in flight fail.
 
         Raises:
-            ServiceFailedError: A part of the client failed before.
+            ServiceFailedError: A service failed while the client was running.
         """
-        running, self._running = self._running, None
-        if running is not None:
+        kernel_task, self._kernel_task = self._kernel_task, None
+        if kernel_task is not None:
             self._kernel.request_stop()
-            await running
+            await kernel_task
 
     async def request(
         self,
@@ -180,77 +180,78 @@
     ) -> Answer:
         """Sends a request to the owner of its key and reads the whole response.
 
-        A service of class `once` gets its token unseen, and every attempt uses the same one, so
+        For a service of class `once`, the client obtains a token and uses it for every attempt, so
         that the request runs at most once.
 
         Args:
-            service: Name of the service.
+            service: Service name.
             key: Key of the request.
             method: HTTP method.
             path: Path and query, percent-encoded.
-            headers: Headers to pass on.
-            body: The body; one that is streamed is sent once only.
-            deadline_s: Seconds until the request is of no use; by default that of the entry.
-            token: Token of an earlier request whose outcome is wanted, or None.
+            headers: Headers to forward.
+            body: Body of the request. A streamed body is sent once only: no retry follows after
+                its first byte is read.
+            deadline_s: Time limit of the request in seconds; by default that of the entry.
+            token: Token of an earlier request, to get the outcome of that request; or None.
 
         Raises:
-            RefusalError: The request is refused; its `outcome` says whether it ran.
-            BodyTruncatedError: The response broke after it had begun.
+            RefusalError: The request was refused; `outcome` says whether it ran.
+            BodyTruncatedError: The body of the response ended early.
             ServiceFailedError: The client is not running.
         """
-        if self._running is None or self._running.done():
+        if self._kernel_task is None or self._kernel_task.done():
             raise ServiceFailedError("the client is not running")
-        begun = self._clock.now()
-        wait_s = deadline_s if deadline_s is not None else 5.0
-        entry = (await self._catalogue.wait_for(service, wait_s)).entry
-        limit_s = deadline_s if deadline_s is not None else entry.limits.deadline_ms / 1000
-        pairs = headers.items() if isinstance(headers, Mapping) else headers
+        start_s = self._clock.now()
+        entry_timeout_s = deadline_s if deadline_s is not None else 5.0
+        entry = (await self._catalogue.wait_for(service, entry_timeout_s)).entry
+        time_limit_s = deadline_s if deadline_s is not None else entry.limits.deadline_ms / 1000
+        header_pairs = headers.items() if isinstance(headers, Mapping) else headers
         request = Request(
             id=uuid.uuid4().hex,
             service=service,
             key=key,
             method=method,
             path=path,
-            headers=tuple((str(name), str(value)) for name, value in pairs),
+            headers=tuple((str(name), str(value)) for name, value in header_pairs),
             body=BytesBody(body) if isinstance(body, bytes) else body,
-            deadline=begun + limit_s,
+            deadline=start_s + time_limit_s,
             token=token,
         )
         return await self._send(request)
 
     async def _send(self, request: Request) -> Answer:
-        pause_s = _FIRST_PAUSE_S
-        lost = 0
+        retry_delay_s = _FIRST_RETRY_DELAY_S
+        lost_count = 0
         while True:
             try:
                 response = await self._router.route(request)
-                return await _read(response, request)
+                return await _read_answer(response, request)
             except TokenRequiredError as error:
                 if request.token is not None or not error.token or request.body.started:
                     raise
                 request = replace(request, token=error.token)
                 continue
             except InProgressError as error:
-                last: RefusalError = error
+                last_error: RefusalError = error
             except OutcomeLostError as error:
-                # With its token, another attempt asks for the outcome and runs nothing twice.
-                lost += 1
-                if request.token is None or lost >= self._attempts:
+                # With the token, the next attempt returns the outcome and runs nothing again.
+                lost_count += 1
+                if request.token is None or lost_count >= self._attempts:
                     raise
-                last = error
-            if request.body.started or self._clock.now() + pause_s >= request.deadline:
-                raise last
-            await self._clock.sleep(pause_s * random.uniform(0.5, 1.0))
-            pause_s = min(pause_s * 2, _LAST_PAUSE_S)
+                last_error = error
+            if request.body.started or self._clock.now() + retry_delay_s >= request.deadline:
+                raise last_error
+            await self._clock.sleep(retry_delay_s * random.uniform(0.5, 1.0))
+            retry_delay_s = min(retry_delay_s * 2, _MAX_RETRY_DELAY_S)
 
 
-async def _read(response: Response, request: Request) -> Answer:
+async def _read_answer(response: Response, request: Request) -> Answer:
     try:
         data = b"".join([chunk async for chunk in response.body.chunks()])
     finally:
         await response.body.close()
     if response.request_id != request.id:
-        raise FescuewardError(f"the response is that of request {response.request_id}")
+        raise FescuewardError(f"the response belongs to request {response.request_id}")
     return Answer(
         response.status,
         response.headers,
@@ -262,11 +263,13 @@
     )
 
 
-def _settings(name: str, secret: str, timeout_s: float, routing: RoutingSection) -> Settings:
+def _client_settings(
+    name: str, secret: str, timeout_s: float, routing: RoutingSection
+) -> Settings:
     return Settings(
         agent=AgentSection(name=name, failure_domain="client"),
         callers=CallersSection(port=0),
-        # Port 0: a client accepts no streams.
+        # Port 0: a client does not accept streams.
         peers=PeersSection(port=0, secret=secret, timeout_ms=int(timeout_s * 1000)),
         administration=AdministrationSection(port=0, token=""),
         announcements=AnnouncementsSection(port=0),
--- a/fescueward/client/services.py
+++ b/fescueward/client/services.py
@@ -1,4 +1,4 @@
-"""Services of a routing client in the places of those that only an agent has."""
+"""Services that replace, in a routing client, those that only an agent can provide."""
 
 from __future__ import annotations
 
@@ -22,15 +22,15 @@
 from ..messages.peer import Fetch
 from ..services.catalogue import EntryCatalogue
 
-# Agents are asked for newer entries this often; a change takes effect within 5 s everywhere.
-_ENTRIES_PERIOD_S = 2.0
+# Period of the requests for newer entries; a change has to take effect everywhere within 5 s.
+_ENTRY_POLL_PERIOD_S = 2.0
 _FETCH_TIMEOUT_S = 2.0
-# Time that a seed gets to answer before the next one is asked.
+# Wait for the response of a seed before the next seed is tried.
 _SEED_TIMEOUT_S = 0.2
 
 
 def seed_member(host: str, port: int) -> Member:
-    """Returns a member that stands for an address; incarnation 0 accepts whoever answers."""
+    """Returns a placeholder member for an address; incarnation 0 matches any agent there."""
     return Member(
         id=f"seed:{host}:{port}",
         name="seed",
@@ -47,10 +47,10 @@
 
 
 class SeedPlatform:
-    """The `platform` service of a client: it reads groups and entries from agents.
+    """The `platform` service of a client, which reads groups and entries from agents.
 
     Args:
-        seeds: Members that stand for the addresses of some agents.
+        seeds: Placeholder members for the addresses of some agents.
     """
 
     name = "platform"
@@ -60,58 +60,58 @@
         self._seeds = itertools.cycle(seeds)
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._peers = registry.find("peers", Peers)
         self._groups = registry.find("groups", Groups)
         self._catalogue = registry.find("catalogue", Catalogue)
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Starts nothing: this service has no background task."""
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
     async def get(self, key: str) -> StoredObject:
-        """Reads a group from the agents; see `Platform.get`."""
-        kind, _, name = key.partition("/")
-        service, _, number = name.rpartition("/")
-        if kind != "groups" or not number.isdecimal():
-            raise ObjectNotFoundError(f"a routing client cannot read {key!r}")
-        group = GroupId(service, int(number))
-        held = self._groups.view(group)
-        version = held.version if held is not None else 0
-        fetch = Fetch(service, group.number, version)
-        give_up_at = self._clock.now() + _FETCH_TIMEOUT_S
-        while self._clock.now() < give_up_at:
+        """Reads a group from the agents; other objects cannot be read. See `Platform.get`."""
+        object_kind, _, name = key.partition("/")
+        service, _, group_number = name.rpartition("/")
+        if object_kind != "groups" or not group_number.isdecimal():
+            raise ObjectNotFoundError(f"a routing client cannot read the object {key!r}")
+        group = GroupId(service, int(group_number))
+        cached = self._groups.view(group)
+        cached_version = cached.version if cached is not None else 0
+        fetch = Fetch(service, group.number, cached_version)
+        give_up_at_s = self._clock.now() + _FETCH_TIMEOUT_S
+        while self._clock.now() < give_up_at_s:
             self._peers.send(next(self._seeds), fetch)
-            if await self._groups.changed(group, version, _SEED_TIMEOUT_S):
+            if await self._groups.changed(group, cached_version, _SEED_TIMEOUT_S):
                 break
-        held = self._groups.view(group)
-        if held is None:
-            raise PlatformUnavailableError(f"no agent answered for group {group}")
-        return StoredObject(key, held.version, encode_json(held.group))
+        cached = self._groups.view(group)
+        if cached is None:
+            raise PlatformUnavailableError(f"no agent returned the group {group}")
+        return StoredObject(key, cached.version, encode_json(cached.group))
 
     async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
-        """Asks an agent for newer entries; they arrive as a message."""
+        """Requests newer entries from an agent; they arrive as a message, not as a result."""
         fetch = Fetch(entries=self._catalogue.versions())
         for _ in range(2):
             if self._peers.send(next(self._seeds), fetch):
                 break
-        known = any(self._catalogue.entries())
-        await self._clock.sleep(_ENTRIES_PERIOD_S if known else _SEED_TIMEOUT_S)
+        has_entries = any(self._catalogue.entries())
+        await self._clock.sleep(_ENTRY_POLL_PERIOD_S if has_entries else _SEED_TIMEOUT_S)
         return Changes(since + 1, ())
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
-        """Refuses: a client writes nothing."""
-        self._refuse()
+        """Raises `PlatformUnavailableError`: a client cannot write."""
+        self._refuse_write()
 
     async def delete(self, key: str, expected_version: int) -> int:
-        """Refuses: a client writes nothing."""
-        self._refuse()
+        """Raises `PlatformUnavailableError`: a client cannot write."""
+        self._refuse_write()
 
-    def _refuse(self) -> NoReturn:
-        raise PlatformUnavailableError("a routing client writes nothing to the platform")
+    def _refuse_write(self) -> NoReturn:
+        raise PlatformUnavailableError("a routing client cannot write to the platform")
 
 
 class ClientCatalogue(EntryCatalogue):
@@ -119,38 +119,38 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._applied = asyncio.Event()
+        self._entry_applied = asyncio.Event()
 
     def observe(self, entry: VersionedEntry) -> bool:
-        """Applies an entry if its version is higher than the one held."""
+        """Applies an entry if it is newer than the cached one; returns whether it was applied."""
         applied = super().observe(entry)
         if applied:
-            self._applied.set()
-            self._applied = asyncio.Event()
+            self._entry_applied.set()
+            self._entry_applied = asyncio.Event()
         return applied
 
     async def wait_for(self, service: str, timeout_s: float) -> VersionedEntry:
-        """Returns the entry of a service once it is known.
+        """Returns the entry of a service, and waits for it if it is not cached yet.
 
         Args:
             service: Name of the service.
             timeout_s: Longest wait in seconds.
 
         Raises:
-            UnknownServiceError: It did not become known in time.
+            UnknownServiceError: No agent sent the entry in time, or the entry is deleted.
         """
         try:
             async with asyncio.timeout(timeout_s):
                 while service not in self.versions():
-                    applied = self._applied
-                    await applied.wait()
+                    entry_applied = self._entry_applied
+                    await entry_applied.wait()
         except TimeoutError:
             pass
         return self.entry(service)
 
 
 class NoMembership:
-    """The `membership` service of a client, which belongs to no group."""
+    """The `membership` service of a client, which is not a member of any group."""
 
     name = "membership"
     requires: tuple[str, ...] = ()
@@ -161,27 +161,27 @@
     resigned = False
 
     def bind(self, registry: Registry) -> None:
-        """Finds nothing."""
+        """Looks up nothing: this service uses no other."""
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Starts nothing: this service has no background task."""
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
     def own_member(self) -> Member | None:
-        """Returns None."""
+        """Returns None: a client is not a member."""
         return None
 
     def fill_monitors(self, group: Group) -> Group:
-        """Returns the group unchanged."""
+        """Returns the group unchanged: a client assigns no monitors."""
         return group
 
     def announce(self, announcement: Announcement) -> None:
-        """Does nothing."""
+        """Ignores the announcement: a client has no upstream."""
 
     async def leave(self, reason: str) -> None:
-        """Does nothing."""
+        """Returns at once: a client has no group to leave."""
 
 
 class NoExecution:
@@ -191,14 +191,14 @@
     requires: tuple[str, ...] = ()
 
     def bind(self, registry: Registry) -> None:
-        """Finds nothing."""
+        """Looks up nothing: this service uses no other."""
 
     async def start(self) -> None:
-        """Does nothing."""
+        """Starts nothing: this service has no background task."""
 
     async def stop(self) -> None:
-        """Does nothing."""
+        """Stops nothing: this service has no background task."""
 
     async def execute(self, request: Request) -> Response:
-        """Refuses the request."""
+        """Raises `NotOwnerError`: a client runs no requests."""
         raise NotOwnerError("a routing client owns no keys")
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -31,17 +31,17 @@
     return Client(seeds, SECRET, **values)
 
 
-def _runs(deployment, path_token=None):
+def _run_starts(deployment, token=None):
     return [
         event
         for event in deployment.journal_events()
-        if event.kind is EventKind.START and (path_token is None or event.token == path_token)
+        if event.kind is EventKind.START and (token is None or event.token == token)
     ]
 
 
 class ClientTest(unittest.IsolatedAsyncioTestCase):
     async def test_requests_go_straight_to_the_owner(self):
-        """Guards against a library that uses an agent as a proxy, or loses parts of bodies."""
+        """Guards against a client that proxies requests through an agent or truncates bodies."""
         async with Deployment(_small(RequestClass.REPEATABLE)) as deployment:
             await deployment.wait_ready()
             async with _client(deployment) as client:
@@ -64,31 +64,35 @@
                 await client.request("depot", "k")
 
     async def test_once_runs_once_under_one_token(self):
-        """Guards against a charge that is made twice, and tokens that callers must handle."""
+        """Guards against a request that runs twice, and tokens that callers have to manage."""
         async with Deployment(_small(RequestClass.ONCE)) as deployment:
             await deployment.wait_ready()
             async with _client(deployment) as client:
                 answer = await client.request("depot", "k", "POST", "/charge", body=b"1")
                 self.assertEqual(answer.status, 200)
-                again = await client.request(
+                repeated = await client.request(
                     "depot", "k", "POST", "/charge", body=b"1", token=answer.token
                 )
-                self.assertEqual(again.body, answer.body)
-                self.assertEqual(len(_runs(deployment, answer.token)), 1)
-                first = asyncio.create_task(
+                self.assertEqual(repeated.body, answer.body)
+                self.assertEqual(len(_run_starts(deployment, answer.token)), 1)
+                first_request = asyncio.create_task(
                     client.request("depot", "k", "POST", "/charge?sleep_ms=400")
                 )
-                await wait_until(lambda: len(_runs(deployment)) == 2, 5, "it runs")
-                token = _runs(deployment)[1].token
-                waits = client.request("depot", "k", "POST", "/charge?sleep_ms=400", token=token)
-                self.assertEqual((await first).body, (await waits).body)
-                self.assertEqual(len(_runs(deployment)), 2)
+                await wait_until(
+                    lambda: len(_run_starts(deployment)) == 2, 5, "the first request runs"
+                )
+                token = _run_starts(deployment)[1].token
+                second_request = client.request(
+                    "depot", "k", "POST", "/charge?sleep_ms=400", token=token
+                )
+                self.assertEqual((await first_request).body, (await second_request).body)
+                self.assertEqual(len(_run_starts(deployment)), 2)
                 with self.assertRaises(OutcomeLostError):
                     await client.request("depot", "k", "POST", "/charge?crash=1")
-                self.assertEqual(len(_runs(deployment)), 3)
+                self.assertEqual(len(_run_starts(deployment)), 3)
 
     async def test_agents_that_do_not_answer(self):
-        """Guards against a client that hangs at its start or at its end without agents."""
+        """Guards against a client that hangs in `start` or `close` if no agent responds."""
         client = Client([("127.0.0.1", 1)], SECRET)
         await client.start()
         with self.assertRaises(UnknownServiceError):
