Reword the command line

Cause: help texts, exit texts and names used idiom (told, present, given, will do). Change: reported to exit_on_error, _ANSWER_BYTES to _MAX_RESPONSE_BYTES, _conflicts to _show_entry_on_conflict, _cut to _truncate, DEAD to UNREACHABLE_URL. Commands, flags, column headings and JSON keys are the same; three status lines and the exit texts are reworded.

--- a/fescueward/cli/__init__.py
+++ b/fescueward/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The command line."""
+"""The command line of fescueward."""
 
 from .main import app, main
 
--- a/fescueward/cli/client.py
+++ b/fescueward/cli/client.py
@@ -33,18 +33,18 @@
 T = TypeVar("T")
 
 _CONNECT_TIMEOUT_S = 1.0
-# A status waits up to 1 s for silent agents; a change waits for two calls to the platform and up
-# to three to read a lost answer back.
+# A status request waits up to 1 s for agents that do not respond. A change waits for two calls to
+# the platform, and for up to three more that read back a write whose response was lost.
 _CALL_TIMEOUT_S = 10.0
-# Largest answer, in bytes: the status of 4,600 agents takes a few MB.
-_ANSWER_BYTES = 64 * 1024 * 1024
+# Limit on one response. The status of 4,600 agents takes a few MB.
+_MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class AnsweredError(FescuewardError):
-    """An agent answered with an error.
+    """An agent returned an error response.
 
     Attributes:
-        detail: The error as the agent told it.
+        detail: The error in the response.
     """
 
     def __init__(self, detail: ErrorDetail) -> None:
@@ -53,11 +53,11 @@
 
 
 class AdministrationClient:
-    """Calls any of several agents; the first one that answers will do.
+    """Calls the administration API of several agents in turn until one responds.
 
     Args:
         urls: Base URLs of administration APIs.
-        token: Token for changes, or empty.
+        token: Administration token, needed for changes; or empty.
     """
 
     def __init__(self, urls: tuple[str, ...], token: str = "") -> None:
@@ -65,15 +65,15 @@
         self._token = token
 
     def entries(self) -> EntryList:
-        """Returns all entries."""
+        """Returns all entries; raises the errors of `entry`."""
         return self._get("/v1/entries", EntryList)
 
     def entry(self, service: str) -> EntryAnswer:
         """Returns one entry.
 
         Raises:
-            AnsweredError: There is none.
-            AdministrationUnavailableError: No agent answered.
+            AnsweredError: The service has no entry.
+            AdministrationUnavailableError: No agent responded.
         """
         return self._get(f"/v1/entries/{quote(service, safe='')}", EntryAnswer)
 
@@ -82,91 +82,91 @@
 
         Args:
             document: The entry.
-            version: Version that the change is made from, 0 to create.
+            version: Version on which the change is based; 0 creates the entry.
 
         Raises:
             AnsweredError: The change was refused.
-            AdministrationAnswerLostError: The change may have been accepted.
+            AdministrationAnswerLostError: No response; the change may have been accepted.
             AdministrationUnavailableError: No agent could be reached; nothing was changed.
         """
         path = f"/v1/entries/{quote(document.service, safe='')}"
         return self._run(self._change("PUT", path, version, encode_json(document), EntryAnswer))
 
     def delete(self, service: str, version: int) -> DeletedAnswer:
-        """Deletes an entry; raises as `apply`."""
+        """Deletes an entry; raises the errors of `apply`."""
         path = f"/v1/entries/{quote(service, safe='')}"
         return self._run(self._change("DELETE", path, version, None, DeletedAnswer))
 
     def status(self, service: str | None) -> FleetStatus:
-        """Returns the status of one service or of all."""
+        """Returns the status of one service, or of all services for None."""
         path = "/v1/status" if service is None else f"/v1/status/{quote(service, safe='')}"
         return self._get(path, FleetStatus)
 
     def explain(self, service: str, key: str) -> Explanation:
-        """Returns where a key is and why."""
+        """Returns which member owns a key, and why."""
         path = f"/v1/explain/{quote(service, safe='')}?key={quote(key, safe='')}"
         return self._get(path, Explanation)
 
-    def _get(self, path: str, kind: type[T]) -> T:
-        return self._run(self._read(path, kind))
+    def _get(self, path: str, answer_type: type[T]) -> T:
+        return self._run(self._read(path, answer_type))
 
     def _run(self, call: Coroutine[Any, Any, T]) -> T:
         return asyncio.run(call)
 
-    async def _read(self, path: str, kind: type[T]) -> T:
+    async def _read(self, path: str, answer_type: type[T]) -> T:
         failures = []
         async with self._session() as session:
             for url in self._urls:
                 try:
-                    async with session.get(url + path) as got:
-                        return _decode(url, got.status, await got.read(), kind)
+                    async with session.get(url + path) as response:
+                        return _decode(url, response.status, await response.read(), answer_type)
                 except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-                    failures.append(f"{url}: {_describe(error)}")
+                    failures.append(f"{url}: {_error_text(error)}")
         raise AdministrationUnavailableError("; ".join(failures))
 
     async def _change(
-        self, method: str, path: str, version: int, data: bytes | None, kind: type[T]
+        self, method: str, path: str, version: int, data: bytes | None, answer_type: type[T]
     ) -> T:
         headers = {"If-Match": str(version), "Authorization": f"Bearer {self._token}"}
         failures = []
-        refused: AnsweredError | None = None
+        refusal: AnsweredError | None = None
         async with self._session() as session:
             for url in self._urls:
                 try:
                     async with session.request(
                         method, url + path, data=data, headers=headers
-                    ) as got:
-                        return _decode(url, got.status, await got.read(), kind)
+                    ) as response:
+                        return _decode(url, response.status, await response.read(), answer_type)
                 except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-                    failures.append(f"{url}: {_describe(error)}")
+                    failures.append(f"{url}: {_error_text(error)}")
                 except AnsweredError as error:
-                    # Nothing was changed, and another agent may reach the platform.
+                    # Nothing was changed, and another agent may be able to reach the platform.
                     if error.detail.code != PlatformUnavailableError.code:
                         raise
-                    refused = error
+                    refusal = error
                 except (aiohttp.ClientError, TimeoutError, OSError) as error:
-                    # Another agent would find the change made and report a conflict with it.
+                    # If the change was accepted, a retry would report a conflict with it.
                     raise AdministrationAnswerLostError(
-                        f"{url}: {_describe(error)}; the change may have been accepted"
+                        f"{url}: {_error_text(error)}; the change may have been accepted"
                     ) from error
-        raise refused or AdministrationUnavailableError("; ".join(failures))
+        raise refusal or AdministrationUnavailableError("; ".join(failures))
 
     def _session(self) -> aiohttp.ClientSession:
         timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S)
         return bounded_session(
-            _ANSWER_BYTES, timeout=timeout, skip_auto_headers=("Accept-Encoding",)
+            _MAX_RESPONSE_BYTES, timeout=timeout, skip_auto_headers=("Accept-Encoding",)
         )
 
 
-def _decode(url: str, status: int, data: bytes, kind: type[T]) -> T:
+def _decode(url: str, status: int, data: bytes, answer_type: type[T]) -> T:
     try:
         if status == 200:
-            return decode_json(data, kind)
-        failure = decode_json(data, ErrorAnswer)
+            return decode_json(data, answer_type)
+        error_answer = decode_json(data, ErrorAnswer)
     except MalformedMessageError as error:
         raise AdministrationAnswerError(f"{url}: HTTP status {status}: {error}") from error
-    raise AnsweredError(failure.error)
+    raise AnsweredError(error_answer.error)
 
 
-def _describe(error: BaseException) -> str:
+def _error_text(error: BaseException) -> str:
     return "timeout" if isinstance(error, TimeoutError) else str(error) or type(error).__name__
--- a/fescueward/cli/entries.py
+++ b/fescueward/cli/entries.py
@@ -1,4 +1,4 @@
-"""Entry files and differences between entries."""
+"""Reading and writing of entry files, and differences between entries."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 
 
 def read_entry(path: Path) -> EntryDocument:
-    """Reads an entry file: JSON if it begins with a brace, else INI.
+    """Reads an entry file, as JSON if it begins with a brace, else as INI.
 
     The INI form has a section `entry` and, optionally, a section `limits`.
 
     Raises:
-        InvalidEntryFileError: It cannot be read, or a value is bad.
+        InvalidEntryFileError: The file cannot be read, or a value is not valid.
     """
     try:
         text = path.read_text(encoding="utf-8")
@@ -42,20 +42,20 @@
 
 
 def flatten(document: Any, prefix: str = "") -> dict[str, str]:
-    """Returns all values of a data class as text by dotted name, nested ones at the end."""
-    found: dict[str, str] = {}
+    """Returns the values of a data class as text by dotted name; nested values come last."""
+    values: dict[str, str] = {}
     nested: dict[str, str] = {}
-    for item in fields(document):
-        value = getattr(document, item.name)
+    for field in fields(document):
+        value = getattr(document, field.name)
         if is_dataclass(value):
-            nested.update(flatten(value, f"{prefix}{item.name}."))
+            nested.update(flatten(value, f"{prefix}{field.name}."))
         else:
-            found[prefix + item.name] = str(value)
-    return found | nested
+            values[prefix + field.name] = str(value)
+    return values | nested
 
 
 def differences(before: EntryDocument | None, after: EntryDocument) -> tuple[str, ...]:
-    """Returns one line for each value that differs."""
+    """Returns a line for each value that differs, or for each value if `before` is None."""
     old = flatten(before) if before is not None else {}
     return tuple(
         f"{name}: {old[name]} -> {value}" if name in old else f"{name}: {value}"
--- a/fescueward/cli/exits.py
+++ b/fescueward/cli/exits.py
@@ -1,4 +1,4 @@
-"""Exit codes of the commands and the one line that an error prints."""
+"""Exit codes of the commands, and the line on standard error that reports an error."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit codes. Scripts depend on them: they are not renumbered."""
+    """Exit codes. They are stable, because scripts depend on them."""
 
     DONE = 0
     FAILED = 1
@@ -43,18 +43,18 @@
 
 
 EXIT_TEXTS: dict[ExitCode, str] = {
-    ExitCode.DONE: "The command did what it says.",
-    ExitCode.FAILED: "Any other failure; the line on standard error names its code.",
-    ExitCode.BAD_INPUT: "Arguments, settings, a file or an entry have a bad value.",
-    ExitCode.CONFLICT: "The entry changed since the version that the edit was made from.",
-    ExitCode.NO_AGENT: "None of the administration addresses answered.",
+    ExitCode.DONE: "The command succeeded.",
+    ExitCode.FAILED: "Any other failure; the line on standard error has its error code.",
+    ExitCode.BAD_INPUT: "An argument, a setting, a file or an entry is not valid.",
+    ExitCode.CONFLICT: "The entry is at another version than the one on which the edit is based.",
+    ExitCode.NO_AGENT: "None of the administration addresses responded.",
     ExitCode.NOT_AUTHORIZED: "The administration token is missing or wrong.",
     ExitCode.UNKNOWN_SERVICE: "No catalogue entry has this service name.",
-    ExitCode.PLATFORM_UNAVAILABLE: "The platform does not answer; nothing was changed.",
-    ExitCode.OUTCOME_UNKNOWN: "An answer was lost; read the entry before trying again.",
+    ExitCode.PLATFORM_UNAVAILABLE: "The platform did not respond; nothing was changed.",
+    ExitCode.OUTCOME_UNKNOWN: "A response was lost; read the entry before trying again.",
 }
 
-_EXITS: dict[int, ExitCode] = {
+_EXIT_CODES: dict[int, ExitCode] = {
     SettingsError.code: ExitCode.BAD_INPUT,
     UnknownNameError.code: ExitCode.BAD_INPUT,
     InvalidEntryError.code: ExitCode.BAD_INPUT,
@@ -72,8 +72,8 @@
 
 
 @contextmanager
-def reported() -> Iterator[None]:
-    """Turns an error into lines on standard error and an exit code."""
+def exit_on_error() -> Iterator[None]:
+    """Prints an error of its block on standard error and exits with the matching code."""
     try:
         yield
     except FescuewardError as error:
@@ -86,4 +86,4 @@
         else:
             text = " ".join(str(error).splitlines())
             typer.echo(f"error {code} {label}: {text}", err=True)
-        raise typer.Exit(_EXITS.get(code, ExitCode.FAILED)) from error
+        raise typer.Exit(_EXIT_CODES.get(code, ExitCode.FAILED)) from error
--- a/fescueward/cli/main.py
+++ b/fescueward/cli/main.py
@@ -1,4 +1,4 @@
-"""Commands of `fescueward`."""
+"""The commands of `fescueward`."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 from . import tables
 from .client import AdministrationClient, AnsweredError
 from .entries import differences, read_entry, write_entry
-from .exits import reported
+from .exits import exit_on_error
 from .logs import request_log_lines, search
 
 app = typer.Typer(
@@ -36,29 +36,34 @@
 ConfigOption = Annotated[Path, typer.Option("--config", help="The settings file (INI).")]
 AddressConfigOption = Annotated[
     Path | None,
-    typer.Option("--config", help="Settings file of an agent: its address and token are used."),
+    typer.Option(
+        "--config",
+        help="Settings file of an agent, whose administration address and token are used.",
+    ),
 ]
 UrlOption = Annotated[
     list[str] | None,
     typer.Option(
         "--url",
         envvar="FESCUEWARD_ADMIN_URL",
-        help="Administration address; may be repeated, the first one that answers is used.",
+        help="Administration address; may be repeated, the first that responds is used.",
     ),
 ]
 TokenOption = Annotated[
     str,
     typer.Option(
-        "--token", envvar="FESCUEWARD_ADMIN_TOKEN", help="Administration token, for changes."
+        "--token",
+        envvar="FESCUEWARD_ADMIN_TOKEN",
+        help="Administration token, needed for changes.",
     ),
 ]
-JsonOption = Annotated[bool, typer.Option("--json", help="Print the answer as JSON.")]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print the result as JSON.")]
 VersionOption = Annotated[
     int | None,
     typer.Option(
         "--version",
         min=0,
-        help="Version that the change is made from; by default the present one.",
+        help="Version on which the change is based; by default the current one.",
     ),
 ]
 ServiceArgument = Annotated[str, typer.Argument(help="Name of the service.")]
@@ -71,15 +76,15 @@
 
 @app.command()
 def agent(config: ConfigOption) -> None:
-    """Runs the agent beside an upstream."""
-    with reported():
+    """Runs an agent beside its upstream."""
+    with exit_on_error():
         Agent(load_settings(config)).run()
 
 
 @app.command("check-config")
 def check_config(path: Annotated[Path, typer.Argument(help="The settings file (INI).")]) -> None:
     """Checks a settings file without starting anything."""
-    with reported():
+    with exit_on_error():
         settings = load_settings(path)
         Agent(settings).check()
         name, domain = settings.agent.name, settings.agent.failure_domain
@@ -91,27 +96,27 @@
     """Lists all settings with their defaults and allowed values."""
     for section, option, default, allowed, meaning in setting_rows():
         typer.echo(f"[{section}] {option} = {default}")
-        _print(tables.wrap(f"{meaning} Allowed: {allowed}.", "    "))
+        _print_lines(tables.wrap(f"{meaning} Allowed: {allowed}.", "    "))
 
 
 @app.command()
 def status(
     service: Annotated[
-        str | None, typer.Argument(help="Name of the service; all if left out.")
+        str | None, typer.Argument(help="Name of the service; all services if omitted.")
     ] = (None),
     url: UrlOption = None,
     config: AddressConfigOption = None,
     as_json: JsonOption = False,
 ) -> None:
-    """Shows who serves what and what is wrong."""
-    with reported():
-        answer = _client(url, config).status(service)
+    """Shows the members of each service, what they own, and all problems."""
+    with exit_on_error():
+        response = _client(url, config).status(service)
         if as_json:
-            typer.echo(encode_json(answer).decode())
+            typer.echo(encode_json(response).decode())
         elif service is None:
-            _print(tables.fleet_lines(answer))
+            _print_lines(tables.fleet_lines(response))
         else:
-            _print(tables.service_lines(answer))
+            _print_lines(tables.service_lines(response))
 
 
 @app.command()
@@ -122,13 +127,13 @@
     config: AddressConfigOption = None,
     as_json: JsonOption = False,
 ) -> None:
-    """Shows where a key is, why, and whether a request to it would be served now."""
-    with reported():
-        answer = _client(url, config).explain(service, key)
+    """Shows which member owns a key, why, and whether a request for it would be served now."""
+    with exit_on_error():
+        response = _client(url, config).explain(service, key)
         if as_json:
-            typer.echo(encode_json(answer).decode())
+            typer.echo(encode_json(response).decode())
         else:
-            _print(tables.explanation_lines(answer))
+            _print_lines(tables.explanation_lines(response))
 
 
 @app.command()
@@ -143,31 +148,31 @@
             "--around",
             min=0,
             metavar="SECONDS",
-            help="Also show beliefs that changed so near to the request.",
+            help="Also show changes of beliefs up to this long before or after the request.",
         ),
     ] = None,
     as_json: JsonOption = False,
 ) -> None:
-    """Shows the lines of one request from many agents, and what each agent held then."""
-    with reported():
-        found = search(request, files, around)
+    """Shows the log lines of one request from many agents, with the beliefs of each agent."""
+    with exit_on_error():
+        request_log = search(request, files, around)
         if as_json:
-            typer.echo(encode_json(found).decode())
+            typer.echo(encode_json(request_log).decode())
         else:
-            _print(request_log_lines(found))
+            _print_lines(request_log_lines(request_log))
 
 
 @entry_app.command("list")
 def list_entries(
     url: UrlOption = None, config: AddressConfigOption = None, as_json: JsonOption = False
 ) -> None:
-    """Lists all entries."""
-    with reported():
-        answer = _client(url, config).entries()
+    """Lists all catalogue entries."""
+    with exit_on_error():
+        response = _client(url, config).entries()
         if as_json:
-            typer.echo(encode_json(answer).decode())
+            typer.echo(encode_json(response).decode())
         else:
-            _print(tables.entry_lines(answer))
+            _print_lines(tables.entry_lines(response))
 
 
 @entry_app.command("get")
@@ -177,41 +182,46 @@
     config: AddressConfigOption = None,
     as_json: JsonOption = False,
 ) -> None:
-    """Prints an entry as a file that `apply` reads, with its version as a comment."""
-    with reported():
-        answer = _client(url, config).entry(service)
+    """Prints an entry in the format that `apply` reads, with its version as a comment."""
+    with exit_on_error():
+        response = _client(url, config).entry(service)
         if as_json:
-            typer.echo(encode_json(answer).decode())
+            typer.echo(encode_json(response).decode())
         else:
-            typer.echo(f"# version {answer.version}")
-            typer.echo(write_entry(answer.entry), nl=False)
+            typer.echo(f"# version {response.version}")
+            typer.echo(write_entry(response.entry), nl=False)
 
 
 @entry_app.command("apply")
 def apply_entry(
     file: Annotated[Path, typer.Option("-f", "--file", help="Entry file, INI or JSON.")],
     version: VersionOption = None,
-    dry_run: Annotated[bool, typer.Option("--dry-run", help="Show the changes only.")] = False,
+    dry_run: Annotated[
+        bool, typer.Option("--dry-run", help="Show the changes, but do not apply them.")
+    ] = False,
     url: UrlOption = None,
     config: AddressConfigOption = None,
     token: TokenOption = "",
 ) -> None:
-    """Creates or changes an entry and shows what changes."""
-    with reported():
+    """Creates or changes an entry and shows the changes."""
+    with exit_on_error():
         document = read_entry(file)
         client = _client(url, config, token)
-        present = _present(client, document.service)
-        changes = differences(present.entry if present is not None else None, document)
-        known = present.version if present is not None else 0
-        typer.echo(f"{document.service}: {'version ' + str(known) if known else 'new entry'}")
-        _print([f"  {change}" for change in changes])
-        if not changes and version in (None, known):
+        current = _current_entry(client, document.service)
+        changes = differences(current.entry if current is not None else None, document)
+        current_version = current.version if current is not None else 0
+        typer.echo(
+            f"{document.service}: "
+            f"{'version ' + str(current_version) if current_version else 'new entry'}"
+        )
+        _print_lines([f"  {change}" for change in changes])
+        if not changes and version in (None, current_version):
             typer.echo("no change")
             return
         if dry_run:
             return
-        with _conflicts(document.service):
-            accepted = client.apply(document, known if version is None else version)
+        with _show_entry_on_conflict(document.service):
+            accepted = client.apply(document, current_version if version is None else version)
         typer.echo(f"accepted: {document.service} is at version {accepted.version}")
 
 
@@ -219,36 +229,36 @@
 def delete_entry(
     service: ServiceArgument,
     version: VersionOption = None,
-    yes: Annotated[bool, typer.Option("--yes", help="Do not ask.")] = False,
+    yes: Annotated[bool, typer.Option("--yes", help="Do not ask for confirmation.")] = False,
     url: UrlOption = None,
     config: AddressConfigOption = None,
     token: TokenOption = "",
 ) -> None:
-    """Deletes an entry: requests to the service are refused from then on."""
-    with reported():
+    """Deletes an entry; further requests to the service are refused."""
+    with exit_on_error():
         client = _client(url, config, token)
-        present = client.entry(service)
-        known = present.version if version is None else version
+        current = client.entry(service)
+        base_version = current.version if version is None else version
         if not yes:
-            question = f"Delete {service} of {present.entry.owner} at version {known}?"
+            question = f"Delete {service} of {current.entry.owner} at version {base_version}?"
             typer.confirm(question, abort=True)
-        with _conflicts(service):
-            deleted = client.delete(service, known)
+        with _show_entry_on_conflict(service):
+            deleted = client.delete(service, base_version)
         typer.echo(f"accepted: {service} is deleted at version {deleted.version}")
 
 
 @contextmanager
-def _conflicts(service: str) -> Iterator[None]:
-    """Shows the present entry before a conflict is reported."""
+def _show_entry_on_conflict(service: str) -> Iterator[None]:
+    """Prints the current entry if a conflict error leaves the block."""
     try:
         yield
     except AnsweredError as error:
         if error.detail.code == EntryConflictError.code:
-            _print_present(service, error.detail)
+            _print_current_entry(service, error.detail)
         raise
 
 
-def _print_present(service: str, detail: ErrorDetail) -> None:
+def _print_current_entry(service: str, detail: ErrorDetail) -> None:
     if detail.entry is None:
         typer.echo(f"{service} does not exist now; its last version is {detail.version}")
         return
@@ -256,7 +266,7 @@
     typer.echo(write_entry(detail.entry), nl=False)
 
 
-def _present(client: AdministrationClient, service: str) -> EntryAnswer | None:
+def _current_entry(client: AdministrationClient, service: str) -> EntryAnswer | None:
     try:
         return client.entry(service)
     except AnsweredError as error:
@@ -266,20 +276,20 @@
 
 
 def _client(urls: list[str] | None, config: Path | None, token: str = "") -> AdministrationClient:
-    """Builds the client; options and environment go before the settings file."""
-    given = tuple(url.rstrip("/") for url in urls or ())
+    """Builds the client; options and environment variables override the settings file."""
+    base_urls = tuple(url.rstrip("/") for url in urls or ())
     if config is not None:
         section = load_settings(config).administration
-        given = given or (f"http://{section.host}:{section.port}",)
+        base_urls = base_urls or (f"http://{section.host}:{section.port}",)
         token = token or section.token
-    if not given:
+    if not base_urls:
         raise InvalidAdministrationRequestError(
             "no administration address; use --url, --config or FESCUEWARD_ADMIN_URL"
         )
-    return AdministrationClient(given, token)
+    return AdministrationClient(base_urls, token)
 
 
-def _print(lines: Sequence[str]) -> None:
+def _print_lines(lines: Sequence[str]) -> None:
     for line in lines:
         typer.echo(line)
 
--- a/fescueward/cli/tables.py
+++ b/fescueward/cli/tables.py
@@ -1,4 +1,4 @@
-"""Text for an 80-column terminal."""
+"""Formatting of results as text for an 80-column terminal."""
 
 from __future__ import annotations
 
@@ -16,34 +16,36 @@
     ServiceStatus,
 )
 
-WIDTH = 80
-_GAP = 2
+_WIDTH_COLUMNS = 80
+_GAP_COLUMNS = 2
 
 
 def table(header: Sequence[str], rows: Sequence[Sequence[str]]) -> list[str]:
-    """Returns a table that fits into the width; the widest columns are cut if it is too wide.
+    """Returns the lines of a table; the widest columns are truncated until it fits the width.
 
     Args:
-        header: Titles of the columns.
-        rows: The cells.
+        header: Column headings.
+        rows: Cells of each row.
     """
     lines = [header, *rows]
     widths = [max(len(line[column]) for line in lines) for column in range(len(header))]
-    while sum(widths) + _GAP * (len(widths) - 1) > WIDTH:
+    while sum(widths) + _GAP_COLUMNS * (len(widths) - 1) > _WIDTH_COLUMNS:
         widths[widths.index(max(widths))] -= 1
     return [
-        (" " * _GAP)
-        .join(_cut(cell, width).ljust(width) for cell, width in zip(line, widths, strict=True))
+        (" " * _GAP_COLUMNS)
+        .join(
+            _truncate(cell, width).ljust(width) for cell, width in zip(line, widths, strict=True)
+        )
         .rstrip()
         for line in lines
     ]
 
 
 def wrap(text: str, indent: str = "") -> list[str]:
-    """Returns a text in lines of the width; words that are longer are broken, names are not."""
+    """Wraps a text to the width, at spaces only; a word longer than a line is broken."""
     return textwrap.wrap(
         text,
-        WIDTH,
+        _WIDTH_COLUMNS,
         initial_indent=indent,
         subsequent_indent=" " * len(indent),
         break_on_hyphens=False,
@@ -51,34 +53,34 @@
 
 
 def entry_lines(entries: EntryList) -> list[str]:
-    """Returns the list of entries."""
+    """Returns the table of all entries."""
     rows = [
         (
-            found.entry.service,
-            str(found.version),
-            found.entry.request_class.value,
-            found.entry.weight.value,
-            found.entry.owner,
+            versioned.entry.service,
+            str(versioned.version),
+            versioned.entry.request_class.value,
+            versioned.entry.weight.value,
+            versioned.entry.owner,
         )
-        for found in entries.entries
+        for versioned in entries.entries
     ]
     return table(("SERVICE", "VERSION", "CLASS", "WEIGHT", "OWNER"), rows)
 
 
 def fleet_lines(status: FleetStatus) -> list[str]:
-    """Returns the status of all services, one line each, and all problems."""
+    """Returns a table with a row for each service, and all problems."""
     rows = []
     for service in status.services:
         members = [member for group in service.groups for member in group.members]
-        held = sum(member.lease is LeaseState.HELD for member in members)
+        leases_held = sum(member.lease is LeaseState.HELD for member in members)
         rows.append(
             (
                 service.service,
                 str(service.version),
                 f"{service.agents_applying}/{service.agents_asked}",
-                f"{held}/{len(members)}",
+                f"{leases_held}/{len(members)}",
                 str(sum(group.shards for group in service.groups)),
-                str(sum(_unowned(group) for group in service.groups)),
+                str(sum(_unowned_shards(group) for group in service.groups)),
                 str(sum(len(group.moves) for group in service.groups)),
             )
         )
@@ -87,25 +89,25 @@
         *status.problems,
         *(problem for service in status.services for problem in service.problems),
     ]
-    return [*table(header, rows), *_head(status), *_problem_lines(problems)]
+    return [*table(header, rows), *_summary_lines(status), *_problem_lines(problems)]
 
 
 def service_lines(status: FleetStatus) -> list[str]:
-    """Returns the status of one service with its members."""
+    """Returns the status of each service with its groups and members, and all problems."""
     lines: list[str] = []
     for service in status.services:
-        lines += _service_head(service)
+        lines += _service_summary_lines(service)
         for group in service.groups:
             lines += ["", *_group_lines(group)]
     problems = [
         *status.problems,
         *(problem for service in status.services for problem in service.problems),
     ]
-    return [*lines, "", *_head(status), *_problem_lines(problems)]
+    return [*lines, "", *_summary_lines(status), *_problem_lines(problems)]
 
 
 def explanation_lines(explanation: Explanation) -> list[str]:
-    """Returns where a key is and why."""
+    """Returns the owner of a key with the reasons for its placement."""
     rows = [
         ("group", explanation.group),
         ("shard", str(explanation.shard)),
@@ -123,7 +125,7 @@
     return [*lines, *wrap(explanation.text)]
 
 
-def _service_head(service: ServiceStatus) -> list[str]:
+def _service_summary_lines(service: ServiceStatus) -> list[str]:
     return wrap(
         f"{service.service}: entry version {service.version}, in effect on "
         f"{service.agents_applying} of {service.agents_asked} agents; "
@@ -133,20 +135,20 @@
 
 def _group_lines(group: GroupStatus) -> list[str]:
     state = "" if group.fresh else " (not fresh)"
-    watchers = ", ".join(map(_name, group.watchers)) or "none"
+    watchers = ", ".join(map(_member_name, group.watchers)) or "none"
     lines = wrap(
         f"group {group.group} version {group.version}{state}: {group.shards} shards, "
-        f"{_unowned(group)} without owner, {len(group.moves)} moving, "
+        f"{_unowned_shards(group)} without owner, {len(group.moves)} moving, "
         f"{group.exceptions} single keys; watchers: {watchers}"
     )
     header = ("MEMBER", "DOMAIN", "STATE", "LEASE", "SHARDS", "SLOTS", "IN FLIGHT", "ENTRY")
     rows = [_member_row(member) for member in group.members]
     lines += table(header, rows)
     for move in group.moves[:10]:
-        source = _name(move.from_id) if move.from_id is not None else "nobody"
+        source = _member_name(move.from_id) if move.from_id is not None else "nobody"
         lines += wrap(
-            f"shard {move.shard} moves from {source} to {_name(move.to_id)} "
-            f"since {move.since_s:.1f} s",
+            f"shard {move.shard} has been moving from {source} to {_member_name(move.to_id)} "
+            f"for {move.since_s:.1f} s",
             "  ",
         )
     if len(group.moves) > 10:
@@ -156,7 +158,7 @@
 
 def _member_row(member: MemberStatus) -> tuple[str, ...]:
     return (
-        _name(member.id),
+        _member_name(member.id),
         member.failure_domain,
         member.state,
         member.lease.value.replace("_", " "),
@@ -167,15 +169,15 @@
     )
 
 
-def _head(status: FleetStatus) -> list[str]:
+def _summary_lines(status: FleetStatus) -> list[str]:
     platform = (
-        "platform answers"
+        "the platform responds"
         if status.platform_unavailable_s is None
-        else f"platform does not answer since {status.platform_unavailable_s:.1f} s"
+        else f"the platform has not responded for {status.platform_unavailable_s:.1f} s"
     )
     return wrap(
-        f"told by {status.told_by}; {status.agents_answered} of {status.agents_asked} agents "
-        f"answered; {platform}"
+        f"reported by {status.told_by}; {status.agents_answered} of {status.agents_asked} agents "
+        f"responded; {platform}"
     )
 
 
@@ -188,13 +190,13 @@
     return lines
 
 
-def _unowned(group: GroupStatus) -> int:
+def _unowned_shards(group: GroupStatus) -> int:
     return max(group.shards - sum(member.shards for member in group.members), 0)
 
 
-def _name(member_id: str) -> str:
+def _member_name(member_id: str) -> str:
     return member_id.rpartition(":")[0] or member_id
 
 
-def _cut(cell: str, width: int) -> str:
+def _truncate(cell: str, width: int) -> str:
     return cell if len(cell) <= width else cell[: width - 3] + "..."
--- a/tests/cli/test_client.py
+++ b/tests/cli/test_client.py
@@ -15,12 +15,12 @@
 
 class AdministrationClientTest(unittest.IsolatedAsyncioTestCase):
     async def test_answers_without_end(self):
-        """Guards against a command that fills the memory until its timeout."""
-        bound = 2 * (300_000 + SOCKET_BUFFER_BYTES)
-        with mock.patch.object(module, "_ANSWER_BYTES", 300_000):
-            for answer in (*endless_heads(), *endless_bodies()):
-                with self.subTest(answer=answer.name):
-                    server = EndlessServer(answer)
+        """Guards against a client that reads an endless response into memory until its timeout."""
+        max_accepted_bytes = 2 * (300_000 + SOCKET_BUFFER_BYTES)
+        with mock.patch.object(module, "_MAX_RESPONSE_BYTES", 300_000):
+            for response in (*endless_heads(), *endless_bodies()):
+                with self.subTest(response=response.name):
+                    server = EndlessServer(response)
                     host, port = await server.start()
                     self.addAsyncCleanup(server.stop)
                     client = AdministrationClient((f"http://{host}:{port}",))
@@ -29,4 +29,4 @@
                     with self.assertRaisesRegex(AdministrationAnswerLostError, "^(?!.*timeout)"):
                         await client._change("DELETE", "/v1/entries/a", 1, None, DeletedAnswer)
                     await wait_until(server.idle, 2, "the connections are closed")
-                    self.assertLess(server.accepted, bound)
+                    self.assertLess(server.accepted, max_accepted_bytes)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -34,12 +34,14 @@
 
 from ..services.administration_fakes import SETTINGS, TOKEN, AdministrationThread
 
-DEAD = "http://127.0.0.1:1"
-NO_VARIABLES = {"FESCUEWARD_ADMIN_URL": None, "FESCUEWARD_ADMIN_TOKEN": None}
+UNREACHABLE_URL = "http://127.0.0.1:1"
+CLEARED_VARIABLES = {"FESCUEWARD_ADMIN_URL": None, "FESCUEWARD_ADMIN_TOKEN": None}
 
 
-def run(*arguments: str, given: str = "", **variables: str) -> Result:
-    return CliRunner().invoke(app, list(arguments), input=given, env=NO_VARIABLES | variables)
+def run(*arguments: str, stdin_text: str = "", **variables: str) -> Result:
+    return CliRunner().invoke(
+        app, list(arguments), input=stdin_text, env=CLEARED_VARIABLES | variables
+    )
 
 
 class FilesTest(unittest.TestCase):
@@ -64,50 +66,53 @@
         self.url = self.server.fake.url
         self.depot = self.file("depot.ini", "[entry]\nservice = depot\nowner = siphon-works\n")
 
-    def call(self, *arguments: str, given: str = "") -> Result:
+    def call(self, *arguments: str, stdin_text: str = "") -> Result:
         return run(
-            *arguments, given=given, FESCUEWARD_ADMIN_URL=self.url, FESCUEWARD_ADMIN_TOKEN=TOKEN
+            *arguments,
+            stdin_text=stdin_text,
+            FESCUEWARD_ADMIN_URL=self.url,
+            FESCUEWARD_ADMIN_TOKEN=TOKEN,
         )
 
     def test_apply_get_and_delete(self):
-        """Guards against changes that the operator does not see, and files that do not return."""
+        """Guards against changes that are not shown, and `get` output that `apply` cannot read."""
         created = self.call("entry", "apply", "-f", self.depot)
         self.assertEqual(created.exit_code, ExitCode.DONE, created.stderr)
         self.assertIn("accepted: depot is at version 1", created.stdout)
-        got = self.call("entry", "get", "depot")
-        self.assertTrue(got.stdout.startswith("# version 1\n"))
-        edited = got.stdout.replace("deadline_ms = 5000", "deadline_ms = 700")
+        printed = self.call("entry", "get", "depot")
+        self.assertTrue(printed.stdout.startswith("# version 1\n"))
+        edited = printed.stdout.replace("deadline_ms = 5000", "deadline_ms = 700")
         path = self.file("edited.ini", edited)
-        dry = self.call("entry", "apply", "-f", path, "--dry-run")
-        self.assertIn("  limits.deadline_ms: 5000 -> 700", dry.stdout)
+        dry_run = self.call("entry", "apply", "-f", path, "--dry-run")
+        self.assertIn("  limits.deadline_ms: 5000 -> 700", dry_run.stdout)
         self.assertEqual(self.platform.revision, 1)
         self.assertIn("version 2", self.call("entry", "apply", "-f", path).stdout)
-        again = self.call("entry", "apply", "-f", path)
-        self.assertEqual((again.exit_code, self.platform.revision), (ExitCode.DONE, 2))
-        self.assertIn("no change", again.stdout)
+        repeated = self.call("entry", "apply", "-f", path)
+        self.assertEqual((repeated.exit_code, self.platform.revision), (ExitCode.DONE, 2))
+        self.assertIn("no change", repeated.stdout)
         self.assertIn("depot", self.call("entry", "list").stdout)
-        refused = self.call("entry", "delete", "depot", given="n\n")
-        self.assertEqual((refused.exit_code, self.platform.revision), (ExitCode.FAILED, 2))
+        declined = self.call("entry", "delete", "depot", stdin_text="n\n")
+        self.assertEqual((declined.exit_code, self.platform.revision), (ExitCode.FAILED, 2))
         deleted = self.call("entry", "delete", "depot", "--yes")
         self.assertIn("depot is deleted at version 3", deleted.stdout)
-        missing = self.call("entry", "get", "depot")
-        self.assertEqual(missing.exit_code, ExitCode.UNKNOWN_SERVICE)
+        deleted_entry = self.call("entry", "get", "depot")
+        self.assertEqual(deleted_entry.exit_code, ExitCode.UNKNOWN_SERVICE)
 
     def test_conflict_shows_the_present_entry(self):
-        """Guards against an edit from a version that the operator saw before another edit."""
+        """Guards against an edit that overwrites a concurrent edit."""
         self.call("entry", "apply", "-f", self.depot)
         other = self.file("other.json", '{"service": "depot", "owner": "others"}')
         self.assertEqual(self.call("entry", "apply", "-f", other).exit_code, ExitCode.DONE)
-        late = self.call("entry", "apply", "-f", self.depot, "--version", "1")
-        self.assertEqual(late.exit_code, ExitCode.CONFLICT)
-        self.assertIn("# depot is at version 2 now", late.stdout)
-        self.assertIn("owner = others", late.stdout)
-        self.assertIn("error 6001 entry_conflict", late.stderr)
-        late = self.call("entry", "delete", "depot", "--version", "1", "--yes")
-        self.assertEqual(late.exit_code, ExitCode.CONFLICT)
+        conflict = self.call("entry", "apply", "-f", self.depot, "--version", "1")
+        self.assertEqual(conflict.exit_code, ExitCode.CONFLICT)
+        self.assertIn("# depot is at version 2 now", conflict.stdout)
+        self.assertIn("owner = others", conflict.stdout)
+        self.assertIn("error 6001 entry_conflict", conflict.stderr)
+        conflict = self.call("entry", "delete", "depot", "--version", "1", "--yes")
+        self.assertEqual(conflict.exit_code, ExitCode.CONFLICT)
 
     def test_errors_are_one_line_with_a_code(self):
-        """Guards against stack traces and exit codes that scripts cannot tell apart."""
+        """Guards against stack traces, and exit codes that do not distinguish the errors."""
         self.call("entry", "apply", "-f", self.depot)
         bad = self.file("bad.ini", "[entry]\nservice = depot\nowner = x\nweight = cost\n")
         unknown = self.file("unknown.ini", "[entry]\nservice = depot\nowner = x\n[limit]\n")
@@ -119,8 +124,12 @@
             (("entry", "apply", "-f", "/nonexistent", url, token), 6007, ExitCode.BAD_INPUT),
             (("entry", "delete", "depot", "--yes", url), 6003, ExitCode.NOT_AUTHORIZED),
             (("entry", "get", "../../x", url), 2001, ExitCode.UNKNOWN_SERVICE),
-            (("status", "--url", DEAD), 6004, ExitCode.NO_AGENT),
-            (("entry", "delete", "depot", "--yes", "--url", DEAD), 6004, ExitCode.NO_AGENT),
+            (("status", "--url", UNREACHABLE_URL), 6004, ExitCode.NO_AGENT),
+            (
+                ("entry", "delete", "depot", "--yes", "--url", UNREACHABLE_URL),
+                6004,
+                ExitCode.NO_AGENT,
+            ),
             (("status",), 6005, ExitCode.BAD_INPUT),
             (("status", "--url", "nonsense"), 6004, ExitCode.NO_AGENT),
             (("explain", "depot", "", url), 6005, ExitCode.BAD_INPUT),
@@ -134,7 +143,7 @@
                 self.assertTrue(result.stderr.startswith(f"error {code} "), result.stderr)
 
     def test_platform_failures(self):
-        """Guards against scripts that take an unknown outcome for a refusal."""
+        """Guards against an unknown outcome that is reported as a refusal."""
         self.call("entry", "apply", "-f", self.depot)
         other = self.file("other.json", '{"service": "depot", "owner": "others"}')
         self.platform.down = True
@@ -146,14 +155,16 @@
         result = self.call("entry", "apply", "-f", other)
         self.assertEqual(result.exit_code, ExitCode.OUTCOME_UNKNOWN)
 
-    def test_any_of_several_agents_will_do(self):
-        """Guards against commands that fail because one agent is gone."""
-        urls = ("--url", DEAD, "--url", self.url)
+    def test_first_agent_that_responds_is_used(self):
+        """Guards against commands that fail because one of several agents is unreachable."""
+        urls = ("--url", UNREACHABLE_URL, "--url", self.url)
         self.assertEqual(run("status", *urls).exit_code, ExitCode.DONE)
         apply = ("entry", "apply", "-f", self.depot, "--token", TOKEN)
         self.assertEqual(run(*apply, *urls).exit_code, ExitCode.DONE)
-        both = f"{DEAD} {self.url}"
-        self.assertEqual(run("entry", "list", FESCUEWARD_ADMIN_URL=both).exit_code, ExitCode.DONE)
+        both_urls = f"{UNREACHABLE_URL} {self.url}"
+        self.assertEqual(
+            run("entry", "list", FESCUEWARD_ADMIN_URL=both_urls).exit_code, ExitCode.DONE
+        )
         port = self.url.rpartition(":")[2]
         config = self.file("a.ini", SETTINGS.format(port=port))
         other = self.file("other.json", '{"service": "depot", "owner": "others"}')
@@ -161,7 +172,7 @@
         self.assertEqual(result.exit_code, ExitCode.DONE, result.stderr)
 
     def test_agent_whose_port_is_taken(self):
-        """Guards against an agent that ends in a stack trace when its port is taken."""
+        """Guards against an agent that exits with a stack trace if its port is in use."""
         port = self.url.rpartition(":")[2]
         ports = PortReservations()
         self.addCleanup(ports.close)
@@ -171,17 +182,19 @@
         config = self.file("a.ini", text)
         result = run("agent", "--config", config)
         self.assertEqual(result.exit_code, ExitCode.FAILED)
-        last = result.stderr.splitlines()[-1]
-        self.assertTrue(last.startswith("error 1005 service_failed: administration did"), last)
+        last_line = result.stderr.splitlines()[-1]
+        self.assertTrue(
+            last_line.startswith("error 1005 service_failed: administration did"), last_line
+        )
 
     def test_status_and_explanation(self):
-        """Guards against JSON that scripts cannot read and explanations without the reason."""
+        """Guards against JSON output that cannot be parsed, and explanations without a reason."""
         self.assertEqual(json.loads(self.call("status", "--json").stdout)["told_by"], "a1:1")
-        explained = self.call("explain", "depot", "k")
-        self.assertIn("no (no_owner)", explained.stdout)
+        explanation = self.call("explain", "depot", "k")
+        self.assertIn("no (no_owner)", explanation.stdout)
 
     def test_status_fits_80_columns(self):
-        """Guards against tables that break on a terminal, even with the longest names."""
+        """Guards against tables that are wider than 80 columns if names are of maximum length."""
         member = MemberStatus(
             "m" * 63 + ":1796373447531", "d" * 63, "leaving", 100_000, 4160, True, LeaseState.HELD
         )
@@ -219,9 +232,9 @@
 
 class CheckConfigTest(FilesTest):
     def test_every_bad_value_is_named(self):
-        """Guards against operators who mend one value a time, and agents that half start."""
+        """Guards against a check that stops at the first bad value, or that starts the agent."""
         text = SETTINGS.format(port=0).replace("lowell", "low/ell") + "[leases]\n[lease]\nx = 1\n"
-        with mock.patch("fescueward.daemons.Agent.run") as started:
+        with mock.patch("fescueward.daemons.Agent.run") as run_agent:
             result = run("check-config", self.file("a.ini", text))
         self.assertEqual(result.exit_code, ExitCode.BAD_INPUT)
         for expected in (
@@ -231,10 +244,10 @@
             "[lease] x has the value '1'; allowed: the options lease_ms,",
         ):
             self.assertIn(expected, result.stderr)
-        started.assert_not_called()
+        run_agent.assert_not_called()
 
     def test_values_that_contradict_each_other(self):
-        """Guards against settings that are valid one by one and fail at the start."""
+        """Guards against settings that are valid one by one but fail together at the start."""
         valid = SETTINGS.format(port=4)
         self.assertEqual(run("check-config", self.file("a.ini", valid)).exit_code, ExitCode.DONE)
         cases = [
@@ -248,24 +261,24 @@
             self.assertIn(expected, result.stderr)
 
     def test_settings_lists_all(self):
-        """Guards against settings that operators cannot find."""
-        shown = run("settings").stdout
+        """Guards against settings that the command does not list."""
+        output = run("settings").stdout
         for section, option, default, _, _ in setting_rows():
-            self.assertIn(f"[{section}] {option} = {default}", shown)
+            self.assertIn(f"[{section}] {option} = {default}", output)
 
     def test_exit_codes_are_documented(self):
-        """Guards against exit codes that no page explains."""
+        """Guards against exit codes without a documented meaning."""
         self.assertEqual(set(EXIT_TEXTS), set(ExitCode))
 
 
 class EntryFileTest(FilesTest):
     def test_written_files_are_read_again(self):
-        """Guards against values that get lost between `get` and `apply`."""
+        """Guards against values that are lost when a written entry file is read again."""
         document = EntryDocument("depot", "a team = 50%", RequestClass.ONCE, recovery=3)
         self.assertEqual(read_entry(Path(self.file("e", write_entry(document)))), document)
 
     def test_bad_files(self):
-        """Guards against files that end in an untyped error."""
+        """Guards against bad files that raise anything but `InvalidEntryFileError`."""
         entry = "[entry]\nservice = depot\nowner = x\n"
         for text, expected in (
             ("", "section [entry] is missing"),
