Reword the logs command

Cause: the code spoke of what agents told, held or had done, and of places and mosts. JSON keys and values and event names are the same.

--- a/fescueward/cli/logs/__init__.py
+++ b/fescueward/cli/logs/__init__.py
@@ -1,4 +1,4 @@
-"""The `logs` command: one request in the logs of many agents."""
+"""The `logs` command, which traces one request through the log files of many agents."""
 
 from .files import LogFileError
 from .search import RequestNotLoggedError, search
--- a/fescueward/cli/logs/answer.py
+++ b/fescueward/cli/logs/answer.py
@@ -1,4 +1,4 @@
-"""What the `logs` command answers."""
+"""Data classes of the result of the `logs` command; `--json` prints them under these names."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLine:
-    """A line of the request.
+    """A log line of the request.
 
     Attributes:
-        agent: Name of the agent that wrote it.
+        agent: Name of the agent that wrote the line.
         line: The line.
-        beliefs: What the agent held then.
+        beliefs: Beliefs of the agent when it wrote the line.
     """
 
     agent: str
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """A belief of an agent that changed near the request."""
+    """A log line, close in time to the request, that changes a belief of an agent."""
 
     agent: str
     line: LogLine
@@ -33,14 +33,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessEnd:
-    """The end of a process that the request went to, seen between its first and last line.
+    """The end, while the request was open, of an agent process that the request was sent to.
 
     Attributes:
         agent: Name of the agent.
-        last_time: Time of the last line of that process.
-        how: `stopped` in order, `replaced` by a new process without that, or `silent`: the file
-            has no later line.
-        state: State of the agent in its last line that told one.
+        last_time: Time of the last log line of the process.
+        how: `stopped` after an orderly shutdown, `replaced` by a new process without one, or
+            `silent` if the file has no later line.
+        state: Last logged state of the agent, or empty.
     """
 
     agent: str
@@ -51,22 +51,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """What became of the request.
+    """Outcome of the request, and how complete the search was.
 
     Attributes:
-        code: Code of its last refusal, or None.
+        code: Error code of the last refusal, or None.
         label: Label of that refusal, or empty.
         outcome: `answered`, `caller_left`, an outcome of docs/errors.md, or `no_answer` if no
-            agent tells an end.
-        status: HTTP status that the caller got, or None.
-        agents: Agents that it went through, in order.
-        without_lines: Agents that it was sent to and whose files have no line of it.
-        ends: Processes that ended meanwhile.
-        lines: Number of its lines.
+            agent logged an end.
+        status: HTTP status of the response to the caller, or None.
+        agents: Agents with log lines of the request, in the order of their first lines.
+        without_lines: Agents that the request was sent to, but that have no line of it.
+        ends: Agent processes that ended while the request was open.
+        lines: Number of lines of the request.
         files: Number of files that were read.
-        not_json: Lines of the files that are no JSON lines of an agent.
-        left_out: Lines that the agents themselves left out of these files (event 9001).
-        not_shown: Lines that were found beyond the bound.
+        not_json: Number of lines that are not JSON lines of an agent.
+        left_out: Number of lines that the agents dropped instead of writing them (event 9001).
+        not_shown: Number of matching lines above the limit on lines.
     """
 
     code: int | None
@@ -85,15 +85,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLog:
-    """The answer of the command.
+    """The result of the command.
 
     Attributes:
         request: Id of the request.
-        service: Its service, as far as a line tells it.
-        key: Its key, or empty.
-        lines: Its lines in order.
-        changes: Beliefs that changed near it, in order.
-        summary: What became of it.
+        service: Service of the request, or empty if no line names it.
+        key: Key of the request, or empty.
+        lines: Lines of the request in order.
+        changes: Changes of beliefs close in time to the request, in order.
+        summary: Outcome of the request.
     """
 
     request: str
--- a/fescueward/cli/logs/beliefs.py
+++ b/fescueward/cli/logs/beliefs.py
@@ -1,4 +1,7 @@
-"""What an agent held as true at a moment, derived from the earlier lines of its log."""
+"""Beliefs: the state that an agent acted on at a point in time.
+
+They are derived from the earlier lines of its log, and may differ from the state of other agents.
+"""
 
 from __future__ import annotations
 
@@ -11,13 +14,14 @@
 
 K = TypeVar("K", bound=Hashable)
 
-# Most groups and grants that are kept for one agent. An agent follows the groups that its callers
-# use, a few hundred, and owns a few thousand key ranges or shards; the oldest are left out first.
-_MOST_GROUPS = 4096
-_MOST_GRANTS = 16384
+# Limits on the groups and grants that are cached for one agent; the oldest are evicted first. An
+# agent caches the groups that its callers use, a few hundred, and owns a few thousand key ranges
+# or shards.
+_MAX_GROUPS = 4096
+_MAX_GRANTS = 16384
 
-# Events that change what an agent is, and what it is after them.
-_STATES = {
+# Events that change the state of an agent, and the state after each.
+_STATE_AFTER_EVENT = {
     "agent_started": "starting",
     "ready": "ready",
     "not_ready": "not ready",
@@ -29,38 +33,47 @@
     "left": "left",
     "agent_stopped": "stopped",
 }
-_LEASES = {
+_LEASE_AFTER_EVENT = {
     "lease_held": "held",
     "lease_own_writes": "renewed by own writes",
     "lease_write_failed": "renewal failed",
     "lease_expired": "expired",
 }
-_RANGES = {
+_RANGE_AFTER_EVENT = {
     "range_active": "held",
     "range_released": "released",
     "range_release_failed": "release not confirmed",
     "range_grant_refused": "refused by the upstream",
     "range_grant_failed": "not taken by the upstream",
 }
-_SHARDS = {
+_SHARD_AFTER_EVENT = {
     "shard_taken": "taken over",
     "shard_releasing": "being handed over",
     "shard_released": "released",
 }
-_LOADS = ("request_not_run", "slots_reduced", "slow_start")
-_OTHERS = ("configuration_applied", "entry_applied", "group_changed")
+_LOAD_EVENTS = ("request_not_run", "slots_reduced", "slow_start")
+_VERSION_EVENTS = ("configuration_applied", "entry_applied", "group_changed")
 
 # Events that change a belief.
-BELIEF_EVENTS = frozenset((*_STATES, *_LEASES, *_RANGES, *_SHARDS, *_LOADS, *_OTHERS))
+BELIEF_EVENTS = frozenset(
+    (
+        *_STATE_AFTER_EVENT,
+        *_LEASE_AFTER_EVENT,
+        *_RANGE_AFTER_EVENT,
+        *_SHARD_AFTER_EVENT,
+        *_LOAD_EVENTS,
+        *_VERSION_EVENTS,
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
 class Belief:
-    """One value and the time since which it held.
+    """One value and its age.
 
     Attributes:
         value: The value.
-        age_s: Seconds from the line that told it to the line that it is shown with.
+        age_s: Seconds from the line that set the value to the line with which it is shown.
     """
 
     value: str
@@ -69,15 +82,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Beliefs:
-    """What an agent held when it wrote a line; None where no earlier line of its file tells.
+    """Beliefs of an agent when it wrote a line; None where no earlier line sets a value.
 
     Attributes:
-        state: What the agent was: starting, ready, member, leaving, ...
-        configuration: Version of the configuration, or of the catalogue entry of the service.
-        group: Version and members of the group of the service.
+        state: State of the agent: starting, ready, member, leaving, ...
+        configuration: Version of the service's catalogue entry, or else of the configuration.
+        group: Version and number of members of the service's group.
         lease: State of the lease.
-        grant: Grant of the key here; None also if this agent never had one.
-        load: Load of the slots here.
+        grant: This agent's grant for the key; None also if it never had one.
+        load: Load of the slots of this agent's upstream.
     """
 
     state: Belief | None = None
@@ -88,71 +101,71 @@
     load: Belief | None = None
 
 
-class _Latest(Generic[K]):
-    """Latest line for each key, up to a bound."""
+class _LatestValues(Generic[K]):
+    """Latest value for each key with its time in seconds; evicts the oldest beyond a limit."""
 
-    def __init__(self, most: int) -> None:
-        self._most = most
-        self._lines: OrderedDict[K, tuple[str, float]] = OrderedDict()
+    def __init__(self, max_keys: int) -> None:
+        self._max_keys = max_keys
+        self._values_by_key: OrderedDict[K, tuple[str, float]] = OrderedDict()
 
-    def put(self, key: K, value: str, at: float) -> None:
-        self._lines[key] = (value, at)
-        self._lines.move_to_end(key)
-        if len(self._lines) > self._most:
-            self._lines.popitem(last=False)
+    def put(self, key: K, value: str, at_s: float) -> None:
+        self._values_by_key[key] = (value, at_s)
+        self._values_by_key.move_to_end(key)
+        if len(self._values_by_key) > self._max_keys:
+            self._values_by_key.popitem(last=False)
 
     def get(self, key: K) -> tuple[str, float] | None:
-        return self._lines.get(key)
+        return self._values_by_key.get(key)
 
     def newest(self, matches: Callable[[K], bool]) -> tuple[str, float] | None:
-        found = [key for key in reversed(self._lines) if matches(key)]
-        return self._lines[found[0]] if found else None
+        matching_keys = [key for key in reversed(self._values_by_key) if matches(key)]
+        return self._values_by_key[matching_keys[0]] if matching_keys else None
 
 
 class BeliefTracker:
-    """Follows the lines of one process."""
+    """Derives the beliefs of one process from its log lines in order."""
 
     def __init__(self) -> None:
         self._values: dict[str, tuple[str, float]] = {}
-        self._entries: _Latest[str] = _Latest(_MOST_GROUPS)
-        self._groups: _Latest[str] = _Latest(_MOST_GROUPS)
-        self._ranges: _Latest[tuple[int, int]] = _Latest(_MOST_GRANTS)
-        self._shards: _Latest[int] = _Latest(_MOST_GRANTS)
+        self._entries: _LatestValues[str] = _LatestValues(_MAX_GROUPS)
+        self._groups: _LatestValues[str] = _LatestValues(_MAX_GROUPS)
+        self._ranges: _LatestValues[tuple[int, int]] = _LatestValues(_MAX_GRANTS)
+        self._shards: _LatestValues[int] = _LatestValues(_MAX_GRANTS)
 
     def observe(self, line: LogLine) -> None:
-        """Takes the next line of the process."""
-        event, at, fields = line.event, line.at, line.fields
+        """Updates the beliefs from the next line of the process."""
+        event, at_s, fields = line.event, line.at, line.fields
         if event not in BELIEF_EVENTS:
             return
-        if event in _STATES:
-            self._values["state"] = (state_after(line), at)
-        elif event in _LEASES:
-            self._values["lease"] = (_LEASES[event], at)
-        elif event in _LOADS:
-            self._observe_load(event, at, fields)
+        if event in _STATE_AFTER_EVENT:
+            self._values["state"] = (state_after(line), at_s)
+        elif event in _LEASE_AFTER_EVENT:
+            self._values["lease"] = (_LEASE_AFTER_EVENT[event], at_s)
+        elif event in _LOAD_EVENTS:
+            self._observe_load(event, at_s, fields)
         elif event == "configuration_applied":
-            self._values["configuration"] = (f"version {fields.get('version')}", at)
+            self._values["configuration"] = (f"version {fields.get('version')}", at_s)
         elif event == "entry_applied":
             value = f"entry version {fields.get('version')}"
-            self._entries.put(str(fields.get("service")), value, at)
+            self._entries.put(str(fields.get("service")), value, at_s)
         elif event == "group_changed":
             value = f"version {fields.get('version')}, {fields.get('members')} members"
-            self._groups.put(str(fields.get("group")), value, at)
+            self._groups.put(str(fields.get("group")), value, at_s)
         else:
-            self._observe_grant(event, at, fields)
+            self._observe_grant(event, at_s, fields)
 
-    def beliefs(self, at: float, service: str, key: str, shard: int | None) -> Beliefs:
-        """Returns what held at a moment.
+    def beliefs(self, at_s: float, service: str, key: str, shard: int | None) -> Beliefs:
+        """Returns the beliefs at a point in time.
 
         Args:
-            at: The moment, in seconds since 1970.
+            at_s: Time in seconds since 1970.
             service: Service of the request.
             key: Key of the request, or empty.
-            shard: Its shard, where the line tells it.
+            shard: Shard of the key, or None if the line has no shard.
         """
 
-        def belief(found: tuple[str, float] | None) -> Belief | None:
-            return None if found is None else Belief(found[0], round(at - found[1], 3))
+        def belief(latest: tuple[str, float] | None) -> Belief | None:
+            return None if latest is None else Belief(latest[0], round(at_s - latest[1], 3))
 
         return Beliefs(
             belief(self._values.get("state")),
@@ -168,36 +181,38 @@
             return self._shards.get(shard)
         if not key.isdecimal():
             return None
-        point = int(key)
-        return self._ranges.newest(lambda found: found[0] <= point <= found[1])
+        key_number = int(key)
+        return self._ranges.newest(lambda bounds: bounds[0] <= key_number <= bounds[1])
 
-    def _observe_load(self, event: str, at: float, fields: dict[str, Any]) -> None:
+    def _observe_load(self, event: str, at_s: float, fields: dict[str, Any]) -> None:
         if event == "request_not_run":
             occupancy = fields.get("occupancy")
             if occupancy:
-                self._values["load"] = (str(occupancy), at)
+                self._values["load"] = (str(occupancy), at_s)
         elif event == "slots_reduced":
-            self._values["load"] = (f"{fields.get('limit')} of {fields.get('slots')} slots", at)
+            self._values["load"] = (f"{fields.get('limit')} of {fields.get('slots')} slots", at_s)
         else:
-            self._values["load"] = (f"{fields.get('usable')} of {fields.get('slots')} slots", at)
+            self._values["load"] = (f"{fields.get('usable')} of {fields.get('slots')} slots", at_s)
 
-    def _observe_grant(self, event: str, at: float, fields: dict[str, Any]) -> None:
+    def _observe_grant(self, event: str, at_s: float, fields: dict[str, Any]) -> None:
         epoch = fields.get("epoch")
-        if event in _SHARDS:
+        if event in _SHARD_AFTER_EVENT:
             shard = fields.get("shard")
             if isinstance(shard, int):
-                self._shards.put(shard, f"shard {shard} {_SHARDS[event]}, epoch {epoch}", at)
+                self._shards.put(
+                    shard, f"shard {shard} {_SHARD_AFTER_EVENT[event]}, epoch {epoch}", at_s
+                )
             return
         first, last = fields.get("first"), fields.get("last")
         if isinstance(first, int) and isinstance(last, int):
-            value = f"range {first}-{last} {_RANGES[event]}, epoch {epoch}"
-            self._ranges.put((first, last), value, at)
+            value = f"range {first}-{last} {_RANGE_AFTER_EVENT[event]}, epoch {epoch}"
+            self._ranges.put((first, last), value, at_s)
 
 
 def state_after(line: LogLine) -> str:
-    """Returns what an agent is after a line, or empty if the line does not tell it."""
+    """Returns the state of an agent after a line, or empty if the line does not set it."""
     if line.event == "not_ready" and line.fields.get("stopping") is True:
         return "stopping"
     if line.event == "shutdown_phase":
         return f"stopping, {line.fields.get('phase')}"
-    return _STATES.get(line.event, "")
+    return _STATE_AFTER_EVENT.get(line.event, "")
--- a/fescueward/cli/logs/files.py
+++ b/fescueward/cli/logs/files.py
@@ -1,4 +1,4 @@
-"""Reading of the log files of many agent processes."""
+"""Reading of log files of agents."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 
 from ...kernel import FescuewardError
 
-# Longest line that is read, in bytes. The longest lines of an agent name a few thousand ranges.
-_LINE_BYTES = 1024 * 1024
+# Limit on the length of a line. The longest lines of an agent list a few thousand ranges.
+_MAX_LINE_BYTES = 1024 * 1024
 
 
 class LogFileError(FescuewardError):
@@ -25,16 +25,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """One line of an agent.
+    """One log line of an agent.
 
     Attributes:
-        file: Number of its file in the order of the arguments.
-        number: Number of the line in its file, from 1.
-        at: Seconds since 1970 by the clock of the agent's machine.
-        time: The same as the line has it.
-        event: Name of the event, or empty for lines of libraries.
+        file: Index of the file in the order of the arguments.
+        number: Line number in the file, from 1.
+        at: Time in seconds since 1970 by the clock of the agent's machine.
+        time: The time as written in the line.
+        event: Name of the event, or empty for a line that a library wrote.
         request: Id of the request that the line is about, or empty.
-        fields: All values of the line by name.
+        fields: All values of the line by field name.
     """
 
     file: int
@@ -50,18 +50,18 @@
     """Reads one file as a stream.
 
     Args:
-        path: The file. Pipes are refused, because the files are read twice.
-        file: Its number.
+        path: The file. Pipes are rejected, because each file is read twice.
+        file: Index of the file, for `LogLine.file`.
 
     Yields:
-        Each line; None for one that is no JSON object with a time.
+        Each line, or None for a line that is not a JSON object with a time.
 
     Raises:
         LogFileError: The file cannot be read.
     """
     try:
         if path.exists() and not path.is_file():
-            raise LogFileError(f"{path}: no regular file")
+            raise LogFileError(f"{path}: not a regular file")
         with path.open("rb") as stream:
             for number, data in enumerate(_raw_lines(stream), start=1):
                 yield _parse(data, file, number)
@@ -70,11 +70,11 @@
 
 
 def _raw_lines(stream: BinaryIO) -> Iterator[bytes]:
-    """Yields the lines; one that is too long is cut and so is no JSON."""
-    while data := stream.readline(_LINE_BYTES):
-        rest = data
-        while rest and not rest.endswith(b"\n"):
-            rest = stream.readline(_LINE_BYTES)
+    """Yields the lines; one above the length limit is truncated, so it is not valid JSON."""
+    while data := stream.readline(_MAX_LINE_BYTES):
+        chunk = data
+        while chunk and not chunk.endswith(b"\n"):
+            chunk = stream.readline(_MAX_LINE_BYTES)
         yield data
 
 
--- a/fescueward/cli/logs/text.py
+++ b/fescueward/cli/logs/text.py
@@ -1,4 +1,4 @@
-"""Text of the `logs` command."""
+"""Text output of the `logs` command."""
 
 from __future__ import annotations
 
@@ -10,57 +10,57 @@
 from .answer import RequestLog, Summary
 from .beliefs import Beliefs
 from .files import LogLine
-from .route import covers
+from .route import may_contain
 
-# Fields of a line that its head shows already, or that say nothing here.
+# Fields that the head of a line shows already, or that add nothing for one request.
 _HEAD_FIELDS = frozenset(("time", "level", "event", "name", "request"))
 _INDENT = "      "
 
 
 def request_log_lines(log: RequestLog) -> list[str]:
-    """Returns the lines of the request and the changes near it in order, and the summary."""
-    shown = [(one.line, one.agent, one.beliefs) for one in log.lines]
-    shown += [(one.line, one.agent, None) for one in log.changes]
+    """Returns the lines of the request and the changes in order of time, then the summary."""
+    entries = [(record.line, record.agent, record.beliefs) for record in log.lines]
+    entries += [(record.line, record.agent, None) for record in log.changes]
     lines: list[str] = []
-    for line, agent, beliefs in sorted(shown, key=lambda one: one[0].at):
-        lines += _line(line, agent, log.key, is_change=beliefs is None)
+    for line, agent, beliefs in sorted(entries, key=lambda record: record[0].at):
+        lines += _format_line(line, agent, log.key, is_change=beliefs is None)
         if beliefs is not None:
-            lines += wrap("held: " + "; ".join(_beliefs(beliefs)), _INDENT)
+            lines += wrap("beliefs: " + "; ".join(_format_beliefs(beliefs)), _INDENT)
     return [*lines, "", *_summary_lines(log.summary)]
 
 
-def _line(line: LogLine, agent: str, key: str, *, is_change: bool) -> list[str]:
-    mark = "+ " if is_change else ""
-    head = f"{mark}{line.time[11:23]} {agent} {line.fields.get('event')} {line.event}"
+def _format_line(line: LogLine, agent: str, key: str, *, is_change: bool) -> list[str]:
+    prefix = "+ " if is_change else ""
+    head = f"{prefix}{line.time[11:23]} {agent} {line.fields.get('event')} {line.event}"
     values = " ".join(
-        f"{name}={_value(value, key)}"
+        f"{name}={_format_value(value, key)}"
         for name, value in line.fields.items()
         if name not in _HEAD_FIELDS
     )
     return [*wrap(head), *(wrap(values, "    ") if values else [])]
 
 
-def _value(value: Any, key: str) -> str:
+def _format_value(value: Any, key: str) -> str:
     if isinstance(value, list):
-        # A plan names up to a few hundred ranges; those without the key are only counted.
-        shown = [one for one in value if _may_hold(one, key)]
-        left_out = len(value) - len(shown)
-        return f"{shown}" + (f" and {left_out} others" if left_out else "")
+        # A plan lists up to a few hundred ranges; those without the key are only counted.
+        matching = [item for item in value if _may_contain_key(item, key)]
+        omitted_count = len(value) - len(matching)
+        return f"{matching}" + (f" and {omitted_count} others" if omitted_count else "")
     text = str(value)
     return repr(text) if " " in text or not text else text
 
 
-def _may_hold(one: object, key: str) -> bool:
-    return not isinstance(one, list) or len(one) < 2 or covers(key, one[0], one[1])
+def _may_contain_key(item: object, key: str) -> bool:
+    return not isinstance(item, list) or len(item) < 2 or may_contain(key, item[0], item[1])
 
 
-def _beliefs(beliefs: Beliefs) -> Iterator[str]:
-    for item in fields(beliefs):
-        belief = getattr(beliefs, item.name)
+def _format_beliefs(beliefs: Beliefs) -> Iterator[str]:
+    for field in fields(beliefs):
+        belief = getattr(beliefs, field.name)
         if belief is None:
-            yield f"{item.name} not told"
+            yield f"{field.name} unknown"
         else:
-            yield f"{item.name} {belief.value} ({belief.age_s:.3f} s)"
+            yield f"{field.name} {belief.value} ({belief.age_s:.3f} s)"
 
 
 def _summary_lines(summary: Summary) -> list[str]:
@@ -71,12 +71,14 @@
         f"through {' -> '.join(summary.agents)}"
     )
     for name in summary.without_lines:
-        lines += wrap(f"sent to {name}, whose files have no line of it")
+        lines += wrap(f"sent to {name}, whose log files have no line of the request")
     for end in summary.ends:
-        state = f", {end.state} by its last state" if end.state else ""
-        lines += wrap(f"{end.agent} ended meanwhile ({end.how}), last line {end.last_time}{state}")
+        state = f", last state {end.state}" if end.state else ""
+        lines += wrap(
+            f"{end.agent} ended during the request ({end.how}), last line {end.last_time}{state}"
+        )
     lines += wrap(
         f"{summary.lines} lines in {summary.files} files; {summary.not_json} lines are not JSON; "
-        f"{summary.left_out} left out by the agents; {summary.not_shown} not shown"
+        f"{summary.left_out} dropped by the agents; {summary.not_shown} not shown"
     )
     return lines
--- a/tests/cli/logs/samples.py
+++ b/tests/cli/logs/samples.py
@@ -1,11 +1,11 @@
-"""Lines as agents write them, for tests of the `logs` command."""
+"""Log lines in the format of the agents, for tests of the `logs` command."""
 
 from __future__ import annotations
 
 import json
 from typing import Any
 
-# Events of the samples with their numbers.
+# Numbers of the events in the samples, by event name.
 EVENTS = {
     "agent_started": 1010,
     "agent_stopped": 1011,
@@ -41,18 +41,18 @@
 }
 
 
-def line(at: float, event: str, **fields: Any) -> str:
-    """Returns a line.
+def line(at_s: float, event: str, **fields: Any) -> str:
+    """Returns a log line.
 
     Args:
-        at: Seconds after a fixed minute.
+        at_s: Time in seconds after the start of a fixed minute.
         event: Name of the event.
-        **fields: Its values.
+        **fields: Further fields of the line.
     """
-    head = {"time": f"2026-04-16T16:55:{at:06.3f}+00:00", "level": "INFO"}
+    head = {"time": f"2026-04-16T16:55:{at_s:06.3f}+00:00", "level": "INFO"}
     return json.dumps({**head, "event": EVENTS[event], "name": event, **fields}) + "\n"
 
 
-def started(at: float, agent: str) -> str:
-    """Returns the first line of a process."""
-    return line(at, "agent_started", agent=agent)
+def start_line(at_s: float, agent: str) -> str:
+    """Returns the first log line of an agent process."""
+    return line(at_s, "agent_started", agent=agent)
--- a/tests/cli/logs/test_beliefs.py
+++ b/tests/cli/logs/test_beliefs.py
@@ -1,4 +1,4 @@
-"""Tests of the beliefs of an agent."""
+"""Tests of the beliefs that are derived from the log of an agent."""
 
 from __future__ import annotations
 
@@ -11,26 +11,28 @@
 from fescueward.cli.logs import beliefs, route
 from fescueward.cli.logs.beliefs import BELIEF_EVENTS, Belief, Beliefs, BeliefTracker
 from fescueward.cli.logs.files import read_lines
-from fescueward.cli.logs.search import _REFUSED
+from fescueward.cli.logs.search import _REFUSAL_EVENTS
 from fescueward.kernel import events
 
 from .samples import EVENTS, line
 
 
 class BeliefsTest(unittest.TestCase):
-    def held(self, text: str, at: float, key: str = "", shard: int | None = None) -> Beliefs:
-        """Returns what held `at` seconds after the minute, after some lines."""
+    def beliefs_at(
+        self, text: str, at_s: float, key: str = "", shard: int | None = None
+    ) -> Beliefs:
+        """Returns the beliefs after the log lines of `text`, `at_s` seconds into the minute."""
         with TemporaryDirectory() as directory:
             path = Path(directory) / "a.log"
-            path.write_text(text + line(at, "request_run"))
-            found = [one for one in read_lines(path, 0) if one is not None]
+            path.write_text(text + line(at_s, "request_run"))
+            lines = [log_line for log_line in read_lines(path, 0) if log_line is not None]
         tracker = BeliefTracker()
-        for one in found[:-1]:
-            tracker.observe(one)
-        return tracker.beliefs(found[-1].at, "depot", key, shard)
+        for log_line in lines[:-1]:
+            tracker.observe(log_line)
+        return tracker.beliefs(lines[-1].at, "depot", key, shard)
 
     def test_latest_value_and_its_age(self):
-        """Guards against a belief that an earlier line told, and ages of another line."""
+        """Guards against an outdated value, and an age that is counted from another line."""
         text = (
             line(1, "configuration_applied", version=2)
             + line(2, "group_changed", group="depot/0", version=7, members=4)
@@ -39,21 +41,21 @@
             + line(5, "configuration_applied", version=3)
             + line(6, "lease_expired", member="a:1")
         )
-        held = self.held(text, 8)
-        self.assertEqual(held.configuration, Belief("version 3", 3.0))
-        self.assertEqual(held.group, Belief("version 7, 4 members", 6.0))
-        self.assertEqual(held.lease, Belief("expired", 2.0))
-        self.assertIsNone(held.load)
+        latest = self.beliefs_at(text, 8)
+        self.assertEqual(latest.configuration, Belief("version 3", 3.0))
+        self.assertEqual(latest.group, Belief("version 7, 4 members", 6.0))
+        self.assertEqual(latest.lease, Belief("expired", 2.0))
+        self.assertIsNone(latest.load)
 
     def test_entry_of_the_service_goes_before_the_configuration(self):
-        """Guards against the version of another service's catalogue entry."""
+        """Guards against the entry version of another service."""
         text = line(1, "entry_applied", service="depot", version=4) + line(
             2, "entry_applied", service="orders", version=9
         )
-        self.assertEqual(self.held(text, 2).configuration, Belief("entry version 4", 1.0))
+        self.assertEqual(self.beliefs_at(text, 2).configuration, Belief("entry version 4", 1.0))
 
     def test_grant_of_the_key(self):
-        """Guards against the grant of another range, and one that was released since."""
+        """Guards against the grant of another range, and a grant that was released later."""
         text = (
             line(1, "range_active", first=0, last=99, epoch=5)
             + line(2, "range_active", first=100, last=199, epoch=6)
@@ -69,53 +71,53 @@
             "k-1": None,
         }
         for key, expected in cases.items():
-            self.assertEqual(self.held(text, 5, key).grant, expected, key)
+            self.assertEqual(self.beliefs_at(text, 5, key).grant, expected, key)
 
     def test_grant_of_the_shard(self):
-        """Guards against the shard of another key."""
+        """Guards against the grant of another shard."""
         text = line(1, "shard_taken", shard=3, epoch=5) + line(2, "shard_releasing", shard=4)
-        grant = self.held(text, 5, "k", 3).grant
+        grant = self.beliefs_at(text, 5, "k", 3).grant
         self.assertEqual(grant, Belief("shard 3 taken over, epoch 5", 4.0))
 
     def test_load(self):
-        """Guards against a load that a refusal without a figure erases."""
+        """Guards against a known load that a refusal without an occupancy clears."""
         refused = line(1, "request_not_run", occupancy="Occupancy(running=6)")
         refused += line(2, "request_not_run", occupancy=None)
-        self.assertEqual(self.held(refused, 3).load, Belief("Occupancy(running=6)", 2.0))
+        self.assertEqual(self.beliefs_at(refused, 3).load, Belief("Occupancy(running=6)", 2.0))
         reduced = refused + line(2, "slots_reduced", limit=3, slots=6)
-        self.assertEqual(self.held(reduced, 3).load, Belief("3 of 6 slots", 1.0))
+        self.assertEqual(self.beliefs_at(reduced, 3).load, Belief("3 of 6 slots", 1.0))
         slow = reduced + line(3, "slow_start", usable=1, slots=6)
-        self.assertEqual(self.held(slow, 3).load, Belief("1 of 6 slots", 0.0))
+        self.assertEqual(self.beliefs_at(slow, 3).load, Belief("1 of 6 slots", 0.0))
 
     def test_state(self):
-        """Guards against a stop that looks as if the agent were only not ready."""
-        self.assertIsNone(self.held("", 1).state)
+        """Guards against a stopping agent that is shown as not ready only."""
+        self.assertIsNone(self.beliefs_at("", 1).state)
         waiting = line(1, "not_ready", stopping=False)
-        self.assertEqual(self.held(waiting, 1).state, Belief("not ready", 0.0))
+        self.assertEqual(self.beliefs_at(waiting, 1).state, Belief("not ready", 0.0))
         stopping = waiting + line(2, "not_ready", stopping=True)
-        self.assertEqual(self.held(stopping, 2).state, Belief("stopping", 0.0))
+        self.assertEqual(self.beliefs_at(stopping, 2).state, Belief("stopping", 0.0))
         finishing = stopping + line(3, "shutdown_phase", phase="finishing", open=2)
-        self.assertEqual(self.held(finishing, 5).state, Belief("stopping, finishing", 2.0))
+        self.assertEqual(self.beliefs_at(finishing, 5).state, Belief("stopping, finishing", 2.0))
 
     def test_memory_is_bounded(self):
-        """Guards against a command that grows with the number of grants and groups."""
-        with mock.patch.object(beliefs, "_MOST_GRANTS", 2):
+        """Guards against memory that grows with the number of grants and groups in a log."""
+        with mock.patch.object(beliefs, "_MAX_GRANTS", 2):
             text = "".join(
-                line(at, "range_active", first=at * 10, last=at * 10 + 9, epoch=1)
-                for at in range(1, 4)
+                line(at_s, "range_active", first=at_s * 10, last=at_s * 10 + 9, epoch=1)
+                for at_s in range(1, 4)
             )
-            self.assertIsNone(self.held(text, 5, "15").grant)
-            self.assertIsNotNone(self.held(text, 5, "25").grant)
+            self.assertIsNone(self.beliefs_at(text, 5, "15").grant)
+            self.assertIsNotNone(self.beliefs_at(text, 5, "25").grant)
 
     def test_events_exist(self):
-        """Guards against events that were renamed, so that a belief is never seen."""
-        docs.pages()  # imports all modules
+        """Guards against renamed events, whose log lines would be ignored without an error."""
+        docs.pages()  # imports all modules, so that all events are declared
         numbers = {event.name: event.number for event in events()}
         names = {
             *BELIEF_EVENTS,
-            *_REFUSED,
-            *route._SENT,
-            *route._LAST_OF_AN_AGENT,
+            *_REFUSAL_EVENTS,
+            *route._SENT_EVENTS,
+            *route._FINAL_EVENTS,
         }
         self.assertEqual(names - set(numbers), set())
         for name, number in EVENTS.items():
