--- a/fescueward/__main__.py
+++ b/fescueward/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the command line as `python -m fescueward`."""
+"""Entry point of `python -m fescueward`, which runs the command line."""
 
 from .cli import main
 
--- a/tests/docs/test_examples.py
+++ b/tests/docs/test_examples.py
@@ -1,4 +1,4 @@
-"""Tests of the example files."""
+"""Tests of the example settings, entries and announcements."""
 
 from __future__ import annotations
 
@@ -14,7 +14,8 @@
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 
-# Section 1.4 of docs/design.md.
+# Members of each service, failure domains, slots and connections of each member, and weight, from
+# section 1.4 of docs/design.md.
 SIZES = {
     "kagaz": (
         {"catalogue": 6, "orders": 4, "artwork": 3, "proofing": 3},
@@ -33,32 +34,34 @@
 
 class ExamplesTest(unittest.TestCase):
     def test_entries(self):
-        """Guards against example entries that agents refuse, or payments that may run twice."""
+        """Guards against example entries that agents reject, and payments that may run twice."""
         for name, (sizes, _, _, weight) in SIZES.items():
-            found = {path.stem: read_entry(path) for path in (EXAMPLES / name).glob("*.ini")}
-            self.assertEqual(set(found), set(sizes))
-            for service, entry in found.items():
+            entries = {path.stem: read_entry(path) for path in (EXAMPLES / name).glob("*.ini")}
+            self.assertEqual(set(entries), set(sizes))
+            for service, entry in entries.items():
                 self.assertEqual((entry.service, entry.weight), (service, weight))
-                once = entry.request_class is RequestClass.ONCE
-                self.assertEqual(once, service == "orders")
+                is_once = entry.request_class is RequestClass.ONCE
+                self.assertEqual(is_once, service == "orders")
                 self.assertGreaterEqual(entry.limits.max_request_ms, entry.limits.deadline_ms)
 
     def test_agents_and_announcements(self):
-        """Guards against examples of other sizes than the deployments have."""
+        """Guards against examples whose sizes differ from those in the design."""
         for name, (sizes, domains, capacity, _) in SIZES.items():
             root = EXAMPLES / name
             settings = {path.stem: load_settings(path) for path in root.glob("agents/*.ini")}
-            announced = {
+            announcements = {
                 agent: from_document(content, Announcement)
                 for agent, content in json.loads((root / "announcements.json").read_text()).items()
             }
-            self.assertEqual(set(settings), set(announced))
-            services = Counter(announcement.service for announcement in announced.values())
+            self.assertEqual(set(settings), set(announcements))
+            services = Counter(announcement.service for announcement in announcements.values())
             self.assertEqual(services, sizes)
-            for agent, found in settings.items():
-                self.assertEqual(found.agent.name, agent)
-                announcement = announced[agent]
+            for agent, agent_settings in settings.items():
+                self.assertEqual(agent_settings.agent.name, agent)
+                announcement = announcements[agent]
                 self.assertEqual((announcement.slots, announcement.connections), capacity)
-            self.assertEqual({item.agent.failure_domain for item in settings.values()}, domains)
-            hosts = {item.callers.host for item in settings.values()}
+            self.assertEqual(
+                {agent_file.agent.failure_domain for agent_file in settings.values()}, domains
+            )
+            hosts = {agent_file.callers.host for agent_file in settings.values()}
             self.assertEqual(len(hosts), len(settings))
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -1,4 +1,4 @@
-"""Tests of the pages against the code."""
+"""Tests that the documentation pages match the code."""
 
 from __future__ import annotations
 
@@ -20,43 +20,46 @@
         return (PAGES / name).read_text(encoding="utf-8")
 
     def test_generated_pages_are_current(self):
-        """Guards against reference pages that differ from the code; `scripts/docs` mends it."""
+        """Guards against reference pages that differ from the code; run `scripts/docs`."""
         for path, expected in docs.pages().items():
             self.assertEqual(
                 path.read_text(encoding="utf-8"), expected, f"run scripts/docs: {path}"
             )
 
     def test_tables_are_filled(self):
-        """Guards against markers that the generator does not know."""
+        """Guards against table markers without a generator, and tables without markers."""
         text = self.page("operators.md")
         names = re.findall(r"<!-- begin (\w+) -->", text)
         self.assertEqual(names, ["settings", "exits", "metrics"])
         self.assertEqual(re.findall(r"<!-- end (\w+) -->", text), names)
 
-    def test_operators_know_every_refusal_and_problem(self):
-        """Guards against refusals and problems that no page tells what to do about."""
+    def test_operators_page_lists_every_refusal_and_problem(self):
+        """Guards against refusals and problems without advice on the page for operators."""
         text = self.page("operators.md")
-        for kind in error_types():
-            if issubclass(kind, RefusalError) and kind.__module__ == "fescueward.kernel.errors":
-                row = f"| {kind.code} | `{kind.label}` |"
+        for error_class in error_types():
+            if (
+                issubclass(error_class, RefusalError)
+                and error_class.__module__ == "fescueward.kernel.errors"
+            ):
+                row = f"| {error_class.code} | `{error_class.label}` |"
                 self.assertTrue(row in text, f"operators.md lacks the row {row}")
         for problem in ProblemKind:
             row = f"| `{problem.value}` |"
             self.assertTrue(row in text, f"operators.md lacks the row {row}")
 
     def test_administration_page_lists_every_status(self):
-        """Guards against HTTP statuses that the page of the API leaves out."""
+        """Guards against HTTP statuses that the page of the administration API lacks."""
         text = self.page("administration.md")
-        for kind, status in _STATUSES:
-            if status != 500 and not kind.__subclasses__():
-                self.assertRegex(text, rf"\| {status}[0-9, ]* \| \d+ \|", kind.__name__)
+        for error_class, status in _STATUSES:
+            if status != 500 and not error_class.__subclasses__():
+                self.assertRegex(text, rf"\| {status}[0-9, ]* \| \d+ \|", error_class.__name__)
 
     def test_links_between_pages(self):
-        """Guards against pages that name files which do not exist."""
+        """Guards against pages with paths of files that do not exist."""
         root = PAGES.parent
         for page in [*root.glob("*.md"), *PAGES.rglob("*.md")]:
             if page.name == "design.md":
-                continue  # names files of the plan
+                continue  # contains paths of planned files
             for name in re.findall(r"\b(?:docs|examples|scripts)/[\w./-]*\w", page.read_text()):
                 if name not in ("docs/CAPACITY.md",):
                     self.assertTrue((root / name).exists(), f"{page.name} names {name}")
