Reword the test runner

Cause: names such as here, found, part and broken did not say what they hold. Change: _run_here to _run_cases, here to local_cases, passed_over to known_red_ids. The printed lines are the same.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,7 +1,7 @@
-"""Runs the tests and closes on a count line.
+"""Runs the tests and prints a line with the counts at the end.
 
-Tests listed in KNOWN-RED.txt are passed over and named. Integration modules run as processes of
-their own, a few at a time, after the other tests.
+Tests that KNOWN-RED.txt lists are not run, but printed and counted as skipped. Integration modules
+run in separate processes, a few at a time, after the other tests.
 """
 
 from __future__ import annotations
@@ -20,7 +20,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 INTEGRATION = "tests.integration."
-# Each deployment has up to 13 processes; more at a time make timing bounds depend on the machine.
+# A deployment has up to 13 processes; with more workers, the time limits of tests would depend on
+# the machine.
 INTEGRATION_WORKERS = 3
 MODULE_TIMEOUT_S = 600
 
@@ -29,14 +30,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Counts:
-    """Results of some tests."""
+    """Numbers of tests by result."""
 
     passed: int = 0
     failed: int = 0
     skipped: int = 0
 
     def __add__(self, other: Counts) -> Counts:
-        """Returns the sum."""
+        """Returns the sums of the numbers."""
         return Counts(
             self.passed + other.passed, self.failed + other.failed, self.skipped + other.skipped
         )
@@ -52,77 +53,83 @@
     return frozenset(line.split()[1] for line in lines if line.startswith("test: "))
 
 
-def _cases(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+def _test_cases(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
     for test in suite:
         if isinstance(test, unittest.TestSuite):
-            yield from _cases(test)
+            yield from _test_cases(test)
         else:
             yield test
 
 
-def _run_here(cases: list[unittest.TestCase]) -> Counts:
+def _run_cases(cases: list[unittest.TestCase]) -> Counts:
     known_red = _known_red()
     selected = unittest.TestSuite(case for case in cases if case.id() not in known_red)
     result = unittest.TextTestRunner(stream=sys.stdout, verbosity=1).run(selected)
-    passed_over = [case.id() for case in cases if case.id() in known_red]
-    for name in passed_over:
+    known_red_ids = [case.id() for case in cases if case.id() in known_red]
+    for name in known_red_ids:
         print(f"known red, not run: {name}")
-    # Several subtests of one test can fail; they count as one.
-    cases_failed = [case for case, _ in result.failures + result.errors]
-    failed = len({getattr(case, "test_case", case).id() for case in cases_failed})
+    # Failures of several subtests of one test count as one.
+    failed_cases = [case for case, _ in result.failures + result.errors]
+    failed = len({getattr(case, "test_case", case).id() for case in failed_cases})
     skipped = len(result.skipped)
-    return Counts(result.testsRun - failed - skipped, failed, skipped + len(passed_over))
+    return Counts(result.testsRun - failed - skipped, failed, skipped + len(known_red_ids))
 
 
 def _run_module(module: str) -> Counts:
     command = [sys.executable, "-m", "tests.run", module + "."]
-    started = time.monotonic()
+    start_s = time.monotonic()
     try:
-        done = subprocess.run(
+        process = subprocess.run(
             command, cwd=ROOT, capture_output=True, text=True, timeout=MODULE_TIMEOUT_S
         )
-        output = done.stdout + done.stderr
+        output = process.stdout + process.stderr
     except subprocess.TimeoutExpired:
         output = f"no result within {MODULE_TIMEOUT_S} s"
-    found = _COUNTS.findall(output)
-    counts = Counts(*map(int, found[-1])) if found else Counts(failed=1)
-    if counts.failed or not found:
+    count_groups = _COUNTS.findall(output)
+    counts = Counts(*map(int, count_groups[-1])) if count_groups else Counts(failed=1)
+    if counts.failed or not count_groups:
         print(output)
     for line in output.splitlines():
         if line.startswith("known red, not run: "):
             print(line)
-    print(f"{module}: {counts} in {time.monotonic() - started:.0f} s", flush=True)
+    print(f"{module}: {counts} in {time.monotonic() - start_s:.0f} s", flush=True)
     return counts
 
 
 def main() -> int:
-    """Runs the tests whose names start with one of the arguments, or all tests."""
+    """Runs the tests whose names start with one of the arguments, or all tests.
+
+    Returns:
+        Exit code: 1 if a test failed, else 0.
+    """
     prefixes = tuple(sys.argv[1:])
-    started = time.monotonic()
-    here: list[unittest.TestCase] = []
+    start_s = time.monotonic()
+    local_cases: list[unittest.TestCase] = []
     modules: set[str] = set()
     suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    for case in _cases(suite):
-        # A module that cannot be imported appears as a case of its own and must not be lost.
-        broken = case.id().startswith("unittest.loader.")
-        if prefixes and not broken and not case.id().startswith(prefixes):
+    for case in _test_cases(suite):
+        # The loader reports a module that cannot be imported as a test case of its own, which runs
+        # for any prefix so that the failure is not lost.
+        import_failed = case.id().startswith("unittest.loader.")
+        if prefixes and not import_failed and not case.id().startswith(prefixes):
             continue
         if not prefixes and case.id().startswith(INTEGRATION):
             modules.add(".".join(case.id().split(".")[:3]))
         else:
-            here.append(case)
-    counts = _run_here(here)
-    with ThreadPoolExecutor(INTEGRATION_WORKERS) as workers:
-        for part in workers.map(_run_module, sorted(modules)):
-            counts += part
-    print(f"{time.monotonic() - started:.0f} s")
+            local_cases.append(case)
+    counts = _run_cases(local_cases)
+    with ThreadPoolExecutor(INTEGRATION_WORKERS) as executor:
+        for module_counts in executor.map(_run_module, sorted(modules)):
+            counts += module_counts
+    print(f"{time.monotonic() - start_s:.0f} s")
     print(counts)
     return 1 if counts.failed else 0
 
 
 if __name__ == "__main__":
-    status = main()
+    exit_code = main()
     sys.stdout.flush()
     sys.stderr.flush()
-    # The extension module of datasketches reports leaks at exit, after the count line.
-    os._exit(status)
+    # A normal exit would print leak reports of the datasketches extension after the line with the
+    # counts.
+    os._exit(exit_code)
