--- a/fescueward/services/grants.py
+++ b/fescueward/services/grants.py
@@ -14,7 +14,7 @@
     2708, "grant_failed", Level.WARNING, "The upstream did not confirm its grants."
 )
 
-_RETRY_S = 0.05
+_SEND_RETRY_S = 0.05
 
 
 class UpstreamGrants:
@@ -97,4 +97,4 @@
             if waiters:
                 _NOT_CONFIRMED.emit(member=self._membership.member_id, waiting=len(waiters))
                 self._send_requested.set()
-                await self._clock.sleep(_RETRY_S)
+                await self._clock.sleep(_SEND_RETRY_S)
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -50,7 +50,7 @@
     2409, "upstream_restarted", Level.INFO, "The upstream restarted and holds no keys."
 )
 
-_RETRY_S = 0.2
+_WRITE_RETRY_S = 0.2
 _DRAIN_CHECK_PERIOD_S = 0.5
 # Longest wait for the platform while leaving, unless the process is stopped earlier; the lease of
 # a stopped agent expires without a write.
@@ -277,7 +277,7 @@
                 if not reported:
                     _LEAVE_FAILED.emit(member=self.member_id, error=error)
                 reported = True
-                await self._clock.sleep(_RETRY_S)
+                await self._clock.sleep(_WRITE_RETRY_S)
 
     def _apply_upstream_restart(self, group: Group) -> Group | None:
         member = group.members.get(self.member_id)
@@ -359,7 +359,7 @@
                 self._start_incarnation()
             self._write_directly = isinstance(error, PeerError)
             if not self._write_directly:
-                await self._clock.sleep(_RETRY_S)
+                await self._clock.sleep(_WRITE_RETRY_S)
             self._wake.set()
             return
         except FescuewardError as error:
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -120,7 +120,7 @@
         self._lease.check()
         if self._owned_shards.get(shard) is not owned_shard:
             raise LeaseExpiredError(
-                f"shard {shard} at epoch {owned_shard.epoch} is not owned any more"
+                f"shard {shard} at epoch {owned_shard.epoch} is no longer owned here"
             )
 
     def finish_request(self, owned_shard: OwnedShard, key: str) -> None:
@@ -214,15 +214,15 @@
 
     def _find_shard(self, service: str, key: str) -> tuple[int, OwnedShard | None]:
         home = self._membership.home
-        groups = self._catalogue.entry(service).entry.groups
-        if home is None or group_of(service, key, groups) != home:
+        group_count = self._catalogue.entry(service).entry.groups
+        if home is None or group_of(service, key, group_count) != home:
             raise NotOwnerError(
                 f"this agent does not belong to the group of service {service!r} for key {key!r}"
             )
         view = self._groups.view(home)
         if view is None:
             raise NotOwnerError(f"group {home} is not known yet")
-        shard_id = view.group.shard_of(key, groups)
+        shard_id = view.group.shard_of(key, group_count)
         owned_shard = self._owned_shards.get(shard_id)
         if owned_shard is not None:
             return shard_id, owned_shard
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -175,10 +175,16 @@
     """One agent process."""
 
     def __init__(
-        self, fleet: Fleet, name: str, domain: str, boot: str, incarnation: int, checks: bool
+        self,
+        fleet: Fleet,
+        name: str,
+        domain: str,
+        boot: str,
+        incarnation: int,
+        checks_grants: bool,
     ) -> None:
         self.fleet, self.name, self.domain, self.boot = fleet, name, domain, boot
-        self.checks_grants = checks
+        self.checks_grants = checks_grants
         self._tasks: set[Any] = set()
         generator = random.Random(f"{name}{incarnation}")
         # The drift margin of 100 ms in 1200 ms permits clock rates that differ by up to 8%.
@@ -298,11 +304,13 @@
         self._incarnations += 1
         return self._incarnations
 
-    def start(self, name: str, domain: str, boot: str = "", checks: bool = True) -> SimulatedAgent:
+    def start(
+        self, name: str, domain: str, boot: str = "", checks_grants: bool = True
+    ) -> SimulatedAgent:
         """Starts a process; it replaces a running one of the same name."""
         self.kill(name)
         boot = boot or f"boot-{self.next_incarnation()}"
-        agent = SimulatedAgent(self, name, domain, boot, self.next_incarnation(), checks)
+        agent = SimulatedAgent(self, name, domain, boot, self.next_incarnation(), checks_grants)
         self.agents[name] = agent
         return agent
 
--- a/tests/services/ownership/test_hash_shards.py
+++ b/tests/services/ownership/test_hash_shards.py
@@ -191,7 +191,7 @@
 
     def test_hold_after_an_upstream_that_checks_no_grants(self):
         """Guards against a new owner that serves while the lost upstream still runs requests."""
-        fleet = formed(3, 3, checks=False)
+        fleet = formed(3, 3, checks_grants=False)
         lost = shards_of(fleet, "a0")
         fleet.kill("a0")
         fleet.world.advance(1.5)
@@ -205,7 +205,7 @@
 
     def test_hold_survives_a_second_loss(self):
         """Guards against a hold that ends with the loss of the member that waits for it."""
-        fleet = formed(3, 3, checks=False)
+        fleet = formed(3, 3, checks_grants=False)
         lost = shards_of(fleet, "a0")
         fleet.kill("a0")
         fleet.world.advance(4)
--- a/tests/services/test_recovery_time.py
+++ b/tests/services/test_recovery_time.py
@@ -13,12 +13,16 @@
 
 
 def formed(
-    count: int, domains: int, seed: int = 0, checks: bool = True, overrides: dict | None = None
+    count: int,
+    domains: int,
+    seed: int = 0,
+    checks_grants: bool = True,
+    overrides: dict | None = None,
 ) -> Fleet:
     random.seed(seed)
     fleet = Fleet(overrides)
     for number in range(count):
-        fleet.start(f"a{number}", f"d{number % domains}", checks=checks)
+        fleet.start(f"a{number}", f"d{number % domains}", checks_grants=checks_grants)
     # Time for transfers to better placed monitors, each of which waits for a stable group.
     fleet.world.advance(10)
     # Tests write their own moves of shards.
--- a/tests/services/test_single_owner.py
+++ b/tests/services/test_single_owner.py
@@ -48,7 +48,7 @@
         self.domains = domains
         self.checks = checks
         for number in range(count):
-            self.fleet.start(f"a{number}", f"d{number % domains}", checks=checks)
+            self.fleet.start(f"a{number}", f"d{number % domains}", checks_grants=checks)
         self.fleet.world.advance(4)
 
     def _agent(self, index: int) -> SimulatedAgent:
@@ -206,7 +206,7 @@
     @rule(index=_index)
     def join(self, index: int) -> None:
         name = next(name for number in range(7) if (name := f"a{number}") not in self.fleet.agents)
-        self.fleet.start(name, f"d{index % self.domains}", checks=self.checks)
+        self.fleet.start(name, f"d{index % self.domains}", checks_grants=self.checks)
 
     @rule(index=_index, seconds=_durations_s)
     def leave(self, index: int, seconds: float) -> None:
