--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -110,11 +110,11 @@
             self._process.resume()
             self._record(Signal.CONTINUE)
 
-    def hang_up(self) -> None:
+    def request_reload(self) -> None:
         """Appends an empty line to the settings file and sends SIGHUP."""
         self._settings.write_text(self._settings.read_text() + "\n")
         with contextlib.suppress(ProcessStateError):
-            self._process.hang_up()
+            self._process.request_reload()
             self._record(Signal.HANGUP)
 
     async def _supervise(self) -> None:
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -163,7 +163,7 @@
         elif step.action is Action.PAUSE:
             await machine.agent.pause(step.seconds)
         elif step.action is Action.HANGUP:
-            machine.agent.hang_up()
+            machine.agent.request_reload()
         else:
             await self._apply_machine_fault(step, machine)
 
