Reword the rest of the peers, front ends and their tests

A second reading found `streams` used for requests on a stream, and answer for responses. Renames: _Link.streams to _Link.requests, NAMES to PLATFORM_NAMES.

--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -54,7 +54,7 @@
 
 # Waits for the event loop to accept and read the connections that wait at a port that closes.
 _ACCEPT_WAIT_S = 0.05
-# The last responses may be sent within this time.
+# Time limit for sending the last responses when a port closes.
 _CLOSE_TIMEOUT_S = 0.1
 # The metrics page is served at the address of the readiness probe.
 _METRICS_PATH = "/metrics"
--- a/fescueward/services/frontend/requests.py
+++ b/fescueward/services/frontend/requests.py
@@ -29,7 +29,7 @@
 _MAX_DEADLINE_MS = 600_000
 _MAX_KEY_CHARACTERS = 1024
 _METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"})
-# Headers that concern only the caller's connection, and those that the next connection sets anew.
+# Headers that concern only the caller's connection, and those that the client sets anew.
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -103,7 +103,7 @@
         self.dial_finished = asyncio.Event()
         self.retired = False
         self.task: asyncio.Task[None] | None = None
-        self.streams: dict[int, _ForwardedRequest] = {}
+        self.requests: dict[int, _ForwardedRequest] = {}
         self.calls: dict[int, asyncio.Future[object]] = {}
         self.last_used_at = now
 
@@ -114,8 +114,8 @@
     def mark_disconnected(self, reason: str) -> None:
         self.wire = None
         self.dial_finished.set()
-        streams, self.streams = self.streams, {}
-        for forwarded in streams.values():
+        requests, self.requests = self.requests, {}
+        for forwarded in requests.values():
             forwarded.fail(OutcomeLostError(f"stream to {self.member.id} ended: {reason}"))
         calls, self.calls = self.calls, {}
         for reply in calls.values():
@@ -164,7 +164,7 @@
 
     def open_requests(self) -> int:
         """Returns the number of forwarded requests whose response is incomplete."""
-        return sum(len(link.streams) for link in (*self._links.values(), *self._outdated))
+        return sum(len(link.requests) for link in (*self._links.values(), *self._outdated))
 
     def next_call(self) -> int:
         """Returns an unused call number."""
@@ -254,7 +254,7 @@
             wire.send(open_message(stream_number, request, remaining_s, inline))
         except MalformedMessageError as error:
             raise InvalidRequestError(f"the request cannot be forwarded: {error}") from error
-        link.streams[stream_number] = forwarded
+        link.requests[stream_number] = forwarded
         timeout_error = DeadlineExceededRunningError(
             f"{member.id} did not respond before the deadline"
         )
@@ -283,13 +283,13 @@
         """Closes streams with no request, no call and nothing sent within the idle timeout."""
         idle_before = self._clock.now() - _IDLE_TIMEOUT_S
         for member_id, link in tuple(self._links.items()):
-            if link.last_used_at < idle_before and not link.streams and not link.calls:
+            if link.last_used_at < idle_before and not link.requests and not link.calls:
                 self.drop(member_id, "idle")
         self._close_drained()
 
     def _close_drained(self) -> None:
         for link in tuple(self._outdated):
-            if link.wire is None or not link.streams:
+            if link.wire is None or not link.requests:
                 self._outdated.discard(link)
                 link.mark_disconnected("dialled under an earlier incarnation")
                 if link.task is not None:
@@ -303,7 +303,7 @@
             self._reset_stream(link, stream_number, "wrong request id")
             raise OutcomeLostError(f"the response carries the id of request {head.request_id!r}")
         if head.end:
-            link.streams.pop(stream_number, None)
+            link.requests.pop(stream_number, None)
             body: Any = BytesBody(head.data)
         else:
             body = ChannelBody(
@@ -332,7 +332,7 @@
         return link.wire
 
     def _reset_stream(self, link: _Link, stream_number: int, reason: str) -> None:
-        if link.streams.pop(stream_number, None) is not None and link.wire is not None:
+        if link.requests.pop(stream_number, None) is not None and link.wire is not None:
             link.wire.send(StreamReset(stream_number, reason))
 
     def _get_or_dial(self, member: Member) -> _Link:
@@ -403,7 +403,7 @@
     def _receive(self, link: _Link, message: Any) -> None:
         stream_number = getattr(message, "stream", None)
         if stream_number is not None:
-            forwarded = link.streams.get(stream_number)
+            forwarded = link.requests.get(stream_number)
             # The stream of a request whose caller has left was removed.
             if forwarded is not None:
                 self._receive_stream_message(link, forwarded, message)
@@ -427,14 +427,14 @@
         elif isinstance(message, StreamData):
             forwarded.channel.receive(message.data, message.end)
             if message.end:
-                link.streams.pop(message.stream, None)
+                link.requests.pop(message.stream, None)
         elif isinstance(message, StreamCredit):
             forwarded.channel.add_credit(message.size)
         elif isinstance(message, StreamRefused):
-            link.streams.pop(message.stream, None)
+            link.requests.pop(message.stream, None)
             forwarded.fail(refusal_from_message(message))
         elif isinstance(message, StreamReset):
-            link.streams.pop(message.stream, None)
+            link.requests.pop(message.stream, None)
             forwarded.fail(
                 OutcomeLostError(f"{link.member.id} reset the stream: {message.reason}")
             )
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -19,7 +19,7 @@
 from .streams import INLINE_BYTES
 
 _READ_BYTES = 262_144
-# Aborts the connection of a peer that reads too slowly for this buffer; the peer dials again.
+# Above this limit the connection of a slow reader is aborted; the peer dials again.
 _MAX_WRITE_BUFFER_BYTES = 16 * 1024 * 1024
 # Lets a slow receiver read the last responses of a stopping agent.
 _FLUSH_TIMEOUT_S = 5.0
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -13,7 +13,7 @@
 from fescueward.kernel.settings import PlatformSection
 from fescueward.testing.waiting import wait_until
 
-# Size at which a response stops on one connection. A client without a bound reads all of it.
+# Limit on the bytes sent on one connection, all of which a client without a bound reads.
 MAX_SENT_BYTES = 64 * 1024 * 1024
 # Allowance for the buffers of both sockets, which grow while the client reads.
 SOCKET_BUFFER_BYTES = 12 * 1024 * 1024
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -52,8 +52,8 @@
     async def post(self, call: str, instance: str, body: object) -> int:
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         path = f"/fescueward/rpc?call=instances.{call}&of={instance}"
-        async with self.session.post(path, data=data) as answer:
-            return answer.status
+        async with self.session.post(path, data=data) as response:
+            return response.status
 
     async def test_start_is_passed_to_the_upstream_client(self):
         """Guards against crashes that are not detected although a heartbeat has a new start."""
@@ -104,7 +104,7 @@
 
     async def test_malformed_heartbeats_are_rejected(self):
         """Guards against announcements that are built from malformed heartbeats."""
-        bad = (
+        malformed_bodies = (
             b"\xff",
             [],
             make_heartbeat(1, "resting"),
@@ -114,7 +114,7 @@
             make_heartbeat(1, info={"service": "depot"}),
             make_heartbeat(1, address="10.9.9.9:1"),
         )
-        for body in bad:
+        for body in malformed_bodies:
             with self.subTest(body=body):
                 await self.post("heartbeat", "i1", body)
                 self.assertEqual(self.announced, [])
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -6,7 +6,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 PACKAGE = ROOT / "fescueward"
-NAMES = re.compile(
+PLATFORM_NAMES = re.compile(
     r"X-Fescueward|holdS|coldLeftS|heartbeatAddr|currentRev|staleOk|FESCUEWARD_CONFIG|appAddr"
     r"|internalPorts|instances\.heartbeat|baseVersion|warmupS|maxConns|sloS|timeoutS|nodeName"
 )
@@ -23,7 +23,7 @@
             if path.is_relative_to(PACKAGE / "testing"):
                 continue
             with self.subTest(path=path.name):
-                self.assertIsNone(NAMES.search(path.read_text(encoding="utf-8")))
+                self.assertIsNone(PLATFORM_NAMES.search(path.read_text(encoding="utf-8")))
 
     def test_adapter_imports_no_service(self):
         """Guards against decisions that only one front end makes."""
--- a/tests/services/frontend/test_service.py
+++ b/tests/services/frontend/test_service.py
@@ -133,8 +133,8 @@
             ),
         ):
             with self.subTest(text=text[:70]):
-                answer = await self.send_raw(text)
-                head_lines, _, body = answer.partition(b"\r\n\r\n")
+                response = await self.send_raw(text)
+                head_lines, _, body = response.partition(b"\r\n\r\n")
                 self.assertIn(b"application/json", head_lines)
                 error = json.loads(body)["error"]
                 self.assertEqual((error["label"], error["outcome"]), (label, "not_run"))
@@ -196,11 +196,11 @@
 
     async def test_refused_upload_gets_no_continue(self):
         """Guards against reading an upload although its request is refused."""
-        answer = await self.send_raw(
+        response = await self.send_raw(
             b"PUT /depot/x HTTP/1.1\r\nHost: a\r\nContent-Length: 9999999\r\n"
             b"Expect: 100-continue\r\n\r\n"
         )
-        self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer[:40])
+        self.assertTrue(response.startswith(b"HTTP/1.1 400"), response[:40])
 
     async def test_aborted_upload_breaks_the_body(self):
         """Guards against a truncated upload that is processed as a complete one."""
@@ -229,22 +229,22 @@
 
     async def test_slow_small_body_is_bounded_by_the_deadline(self):
         """Guards against connections that stay occupied by a body that never arrives."""
-        answer = await self.send_raw(
+        response = await self.send_raw(
             b"POST /depot/x HTTP/1.1\r\nHost: a\r\nFescueward-Key: k\r\n"
             b"Fescueward-Deadline-Ms: 100\r\nContent-Length: 10\r\n\r\nhalf"
         )
-        self.assertIn(b" 504 ", answer.splitlines()[0])
-        self.assertIn(b'"not_run"', answer)
+        self.assertIn(b" 504 ", response.splitlines()[0])
+        self.assertIn(b'"not_run"', response)
 
     async def test_broken_response_aborts_the_connection(self):
         """Guards against a truncated response that looks complete."""
         for length in (None, 1000):
             body = StreamedBody(b"part", length=length, error=BodyTruncatedError("gone"))
 
-            async def answer(request, body=body):
+            async def send_truncated(request, body=body):
                 return Response(request.id, 200, (), body, "a:1", 1)
 
-            self.handler = answer
+            self.handler = send_truncated
             with self.assertRaises(aiohttp.ClientError):
                 await self.send()
             self.assertTrue(body.closed)
