Clarify peer and request streams, and last names of their tests

A reader could take a request stream for the connection that carries it. Renames: continue_after_return to keep_running, assert_nothing_open to assert_no_open_requests.

--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -16,7 +16,10 @@
 from .settings import Site
 
 _MALFORMED = Event(
-    2410, "heartbeat_malformed", Level.WARNING, "A heartbeat is malformed and was rejected."
+    2410,
+    "heartbeat_malformed",
+    Level.WARNING,
+    "A heartbeat is malformed or invalid and was rejected.",
 )
 _IGNORED = Event(
     2411,
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -233,7 +233,7 @@
         response = await self._run_until_deadline(
             self._route_and_read(request),
             request.deadline,
-            continue_after_return=not request.repeatable,
+            keep_running=not request.repeatable,
         )
         if response is not None:
             return response
@@ -257,15 +257,15 @@
         self,
         work: Coroutine[None, None, _Result],
         deadline: float,
-        continue_after_return: bool = False,
+        keep_running: bool = False,
     ) -> _Result | None:
         """Returns the result of a coroutine, or None at its deadline or when this agent closes.
 
         Args:
             work: The coroutine, which runs as a task of its own.
             deadline: Its deadline in seconds of CLOCK_BOOTTIME.
-            continue_after_return: Whether the task goes on after the deadline or a cancellation
-                of the caller; otherwise it is cancelled.
+            keep_running: Whether the task continues after the deadline or a disconnect of the
+                caller; otherwise it is cancelled.
         """
         task = asyncio.get_running_loop().create_task(work)
         closing = self._shutdown.closing
@@ -277,7 +277,7 @@
             return task.result() if task.done() else None
         finally:
             if not task.done():
-                if not continue_after_return:
+                if not keep_running:
                     task.cancel()
                 task.add_done_callback(_retrieve_exception)
 
--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -27,8 +27,10 @@
 class Channel:
     """One end of a request stream: buffers the incoming body and tracks the credit to send.
 
+    A peer stream, which is one connection, carries many request streams by their numbers.
+
     Attributes:
-        stream: Number of the stream.
+        stream: Number of the request stream.
     """
 
     def __init__(self, stream: int, send: Sender) -> None:
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -86,14 +86,14 @@
         self.assertEqual([announcement.instance for announcement in self.announced], ["i2"])
 
     async def test_new_start_under_the_same_id_is_accepted(self):
-        """Guards against ignoring an upstream whose sequence restarted after a restart."""
+        """Guards against ignoring an upstream whose sequence numbers restart with it."""
         await self.post("heartbeat", "i1", make_heartbeat(50, born=1000))
         await self.post("heartbeat", "i1", make_heartbeat(1, born=2000))
         self.assertEqual(
             [announcement.started_ms for announcement in self.announced], [1000, 2000]
         )
 
-    async def test_departure(self):
+    async def test_leaving_upstream(self):
         """Guards against work for an upstream that drains or has announced its leave."""
         await self.post("heartbeat", "i1", make_heartbeat(1))
         await self.post("heartbeat", "i1", make_heartbeat(2, "draining"))
--- a/tests/services/frontend/test_service.py
+++ b/tests/services/frontend/test_service.py
@@ -152,10 +152,10 @@
         self.assertEqual((response.status, response.headers["Retry-After"]), (503, "2"))
         self.assertEqual(json.loads(data)["error"]["code"], 2006)
 
-        async def token(request):
+        async def require_token(request):
             raise TokenRequiredError("token", token="1.2.3.x")
 
-        self.handler = token
+        self.handler = require_token
         response, data = await self.send()
         self.assertEqual(response.status, 428)
         self.assertEqual(json.loads(data)["error"]["token"], "1.2.3.x")
--- a/tests/services/test_administration.py
+++ b/tests/services/test_administration.py
@@ -60,7 +60,7 @@
         return await self.call("PUT", "/v1/entries/depot", body, version)
 
     async def test_create_read_change_and_delete_an_entry(self):
-        """Guards against entries that differ from the accepted ones, and lower versions."""
+        """Guards against entries that differ from the accepted ones, and decreasing versions."""
         status, created = await self.put(DEPOT | {"limits": {"deadline_ms": 700}})
         self.assertEqual(status, 200)
         _, stored = await self.call("GET", "/v1/entries/depot", authorization="")
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -67,7 +67,7 @@
     def forward(self, within_s=5.0, **values):
         return self.router.forward(self.member, make_request(within_s, **values))
 
-    async def assert_nothing_open(self):
+    async def assert_no_open_requests(self):
         await wait_until(
             lambda: self.router.open_requests() + self.owner.open_requests() == 0,
             2,
@@ -89,7 +89,7 @@
             (self.received_requests[0].token, self.received_requests[0].path), ("t", "/p?q=1")
         )
         self.assertEqual(self.received_requests[0].forwarded_by, "a:1")
-        await self.assert_nothing_open()
+        await self.assert_no_open_requests()
 
     async def test_refusals_keep_type_and_details(self):
         """Guards against a refusal whose type, outcome or details are lost between agents."""
@@ -106,7 +106,7 @@
                 await self.forward()
             self.assertEqual(refused.exception.retry_after_s, error.retry_after_s)
             self.assertEqual(vars(refused.exception), vars(error))
-        await self.assert_nothing_open()
+        await self.assert_no_open_requests()
 
     async def test_unexpected_exception_at_the_owner(self):
         """Guards against a closed stream, or outcome `not_run`, because one handler raised."""
@@ -142,7 +142,7 @@
             with self.assertRaises(kind):
                 await forwarding
             await asyncio.wait_for(cancelled.wait(), 2)
-            await self.assert_nothing_open()
+            await self.assert_no_open_requests()
 
     async def test_response_that_is_not_read(self):
         """Guards against a leaked upstream slot when the caller abandons its response."""
@@ -155,7 +155,7 @@
         response = await self.forward()
         await response.body.close()
         await wait_until(lambda: body.closed, 2, "the body is closed at the owner")
-        await self.assert_nothing_open()
+        await self.assert_no_open_requests()
 
     async def test_receiver_that_stalls(self):
         """Guards against an upstream slot that is leaked to a receiver that reads nothing."""
@@ -171,9 +171,9 @@
             with self.assertRaises(BodyTruncatedError):
                 async for _ in response.body.chunks():
                     pass
-        await self.assert_nothing_open()
+        await self.assert_no_open_requests()
 
-    async def test_body_that_breaks(self):
+    async def test_upload_that_fails(self):
         """Guards against a truncated upload that is processed as a complete one."""
 
         async def read(request):
@@ -185,9 +185,9 @@
         body = StreamedBody(b"x" * 100_000, error=BodyTruncatedError("gone"))
         with self.assertRaises(OutcomeLostError):
             await self.forward(body=body)
-        await self.assert_nothing_open()
+        await self.assert_no_open_requests()
 
-    async def test_owner_that_ends(self):
+    async def test_owner_that_stops(self):
         """Guards against `not_run` for a request that was sent, and a wait for its deadline."""
 
         async def slow(request):
@@ -257,7 +257,7 @@
         release.set()
         self.assertEqual((await forwarding).status, 200)
 
-    async def test_requests_outlive_a_new_incarnation(self):
+    async def test_requests_survive_a_new_incarnation(self):
         """Guards against requests that are lost when their agent rejoins its group.
 
         Renewals on the earlier streams must be dropped: they concern the earlier incarnation.
@@ -284,7 +284,7 @@
         self.assertEqual((await self.router.forward(member, make_request())).status, 200)
         self.assertEqual(renewals, [])
         self.assertEqual(self.received_requests[-1].forwarded_by, "a:2")
-        await self.assert_nothing_open()
+        await self.assert_no_open_requests()
 
     async def test_handler_that_fails(self):
         """Guards against a stream that is closed because one message handler raised."""
@@ -345,7 +345,7 @@
         """Guards against reporting an unknown outcome for a request that was never sent."""
         with self.assertRaises(InvalidRequestError):
             await self.forward(path="/" + "x" * 2_000_000)
-        await self.assert_nothing_open()
+        await self.assert_no_open_requests()
 
     async def test_sender_beyond_its_window(self):
         """Guards against an unbounded receive buffer."""
