--- a/fescueward/testing/site/__init__.py
+++ b/fescueward/testing/site/__init__.py
@@ -1,1 +1,1 @@
-"""An emulator of the users' platform, on which real agents run on loopback."""
+"""Emulator of the users' platform that runs real agents on loopback."""
--- a/fescueward/testing/site/callers.py
+++ b/fescueward/testing/site/callers.py
@@ -1,4 +1,4 @@
-"""Callers on the machines, and the platform's question for readiness."""
+"""Emulated callers on the machines, and the platform's readiness checks."""
 
 from __future__ import annotations
 
@@ -13,31 +13,31 @@
 from ...platform.names import KEY, READY_PATH, RECEIPT, REQUEST_ID, TIMEOUT_MS
 from ..callers import new_request_id, without_retries
 from ..program import LOOPBACK
-from .records import Attempt, Evidence, answer_body
+from .records import Attempt, Evidence, response_body
 from .upstream import WORK_MS
 
 READY_PERIOD_S = 1.0
-# Time that a caller allows for a new connection, by the platform's pages.
-_CONNECT_S = 1.0
-# Pause of a caller that could not connect.
-_PAUSE_S = 0.1
+# Connect timeout of a caller, from the platform's documentation.
+_CONNECT_TIMEOUT_S = 1.0
+# Additional pause after a failed connection.
+_FAILED_CONNECT_PAUSE_S = 0.1
 
-# Time between two questions for the version of the configuration, in seconds.
+# Period of the requests that probe the configuration version in force.
 _PROBE_PERIOD_S = 0.3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Load:
-    """Requests of one kind at one agent.
+    """Requests of one kind sent to each agent.
 
     Attributes:
-        route: Name of the route, which is also host and prefix.
-        repeatable: Whether they may run more than once.
-        keys: Keys that they name; 0 for none.
-        connections: Callers with a kept connection each.
-        pause_s: Mean pause of a caller between two requests.
-        work_ms: Shortest and longest work of an upstream.
-        timeout_s: How long a caller waits.
+        route: Name of the route, which is also its host and path prefix.
+        repeatable: Whether the requests are idempotent, so that they may run more than once.
+        keys: Number of distinct keys in the requests; 0 for requests without a key.
+        connections: Number of callers, each with one keep-alive connection.
+        pause_s: Mean pause of a caller between two requests, in seconds.
+        work_ms: Minimum and maximum execution time at the upstream, in milliseconds.
+        timeout_s: Request timeout of a caller, in seconds.
     """
 
     route: str
@@ -54,11 +54,14 @@
 
     Args:
         agent: Name of the agent.
-        port: Its port for callers.
-        ready_port: Its port for the question for readiness.
-        evidence: Where ended requests are kept.
-        life: Returns the number of the agent's present start.
-        seed: Seed of pauses, keys and work.
+        port: Port of the agent for callers.
+        ready_port: Port of the agent for readiness checks.
+        evidence: Receives the completed requests.
+        start_number: Returns the number of the agent's current start.
+        seed: Seed of pauses, keys and execution times.
+
+    Attributes:
+        ready: Whether the agent passes its readiness checks.
     """
 
     def __init__(
@@ -67,7 +70,7 @@
         port: int,
         ready_port: int,
         evidence: Evidence,
-        life: Callable[[], int],
+        start_number: Callable[[], int],
         seed: int,
     ) -> None:
         self.ready = False
@@ -75,48 +78,53 @@
         self._port = port
         self._ready_url = f"http://{LOOPBACK}:{ready_port}{READY_PATH}"
         self._evidence = evidence
-        self._life = life
+        self._start_number = start_number
         self._random = random.Random(seed)
 
-    async def ask_readiness(self) -> None:
-        """Asks each second whether the agent is ready; two misses in a row mean that it is not."""
-        misses = 0
+    async def poll_readiness(self) -> None:
+        """Checks readiness each second; two consecutive failures make the agent not ready.
+
+        Runs until it is cancelled.
+        """
+        failures = 0
         timeout = aiohttp.ClientTimeout(total=READY_PERIOD_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 try:
-                    async with session.get(self._ready_url) as answer:
-                        misses = 0 if answer.status == 200 else misses + 1
+                    async with session.get(self._ready_url) as response:
+                        failures = 0 if response.status == 200 else failures + 1
                 except (aiohttp.ClientError, OSError, TimeoutError):
-                    misses += 1
-                self.ready = misses == 0 or (self.ready and misses < 2)
+                    failures += 1
+                self.ready = failures == 0 or (self.ready and failures < 2)
                 await asyncio.sleep(READY_PERIOD_S)
 
-    async def send_all(self, load: Load, until: Callable[[], bool]) -> None:
-        """Keeps one connection and sends over it, also while the agent stops.
+    async def run_load(self, load: Load, should_stop: Callable[[], bool]) -> None:
+        """Sends requests over one keep-alive connection, also while the agent stops.
 
         Args:
-            load: What to send.
-            until: Tells when to end.
+            load: Kind of the requests.
+            should_stop: Returns whether to end before the next request.
         """
         connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
         async with without_retries(aiohttp.ClientSession(connector=connector)) as session:
-            while not until():
+            while not should_stop():
                 attempt = await self.send(session, load)
                 pause_s = self._random.expovariate(1 / load.pause_s)
-                await asyncio.sleep(pause_s if attempt.connected else pause_s + _PAUSE_S)
+                await asyncio.sleep(
+                    pause_s if attempt.connected else pause_s + _FAILED_CONNECT_PAUSE_S
+                )
 
     async def probe(
-        self, routes: Callable[[], tuple[str, ...]], until: Callable[[], bool]
+        self, routes: Callable[[], tuple[str, ...]], should_stop: Callable[[], bool]
     ) -> None:
-        """Asks which version of the configuration is in force.
+        """Sends requests that show which configuration versions are in force.
 
         Args:
-            routes: Returns routes that one version has each.
-            until: Tells when to end.
+            routes: Returns the routes to probe, each of which only one version contains.
+            should_stop: Returns whether to end before the next round.
         """
         async with without_retries(aiohttp.ClientSession()) as session:
-            while not until():
+            while not should_stop():
                 for route in routes():
                     load = Load(route=route, repeatable=True, work_ms=(0, 0), timeout_s=1.0)
                     await self.send(session, load)
@@ -125,12 +133,16 @@
     async def send(
         self, session: aiohttp.ClientSession, load: Load, work_ms: int | None = None
     ) -> Attempt:
-        """Sends one request and notes its end.
+        """Sends one request and records its result.
 
         Args:
-            session: Session of the caller.
+            session: HTTP session of the caller.
             load: Kind of the request.
-            work_ms: Work of the upstream; drawn from the load without it.
+            work_ms: Execution time at the upstream, in milliseconds; drawn from `load.work_ms` if
+                None.
+
+        Returns:
+            The recorded result. Connection errors and timeouts are part of it.
         """
         request_id = new_request_id()
         key = self._random.randrange(load.keys) * (65_536 // load.keys) if load.keys else None
@@ -143,17 +155,17 @@
         if key is not None:
             headers[KEY] = str(key)
         url = f"http://{LOOPBACK}:{self._port}/{load.route}/x?{WORK_MS}={work_ms}"
-        life, sent = self._life(), time.monotonic()
-        status, proof, echo, whole, connected, error = 0, "", "", False, True, ""
+        start_number, sent = self._start_number(), time.monotonic()
+        status, receipt, echoed_id, complete, connected, error = 0, "", "", False, True, ""
         method = "GET" if load.repeatable else "POST"
-        timeout = aiohttp.ClientTimeout(total=load.timeout_s, sock_connect=_CONNECT_S)
+        timeout = aiohttp.ClientTimeout(total=load.timeout_s, sock_connect=_CONNECT_TIMEOUT_S)
         try:
-            async with session.request(method, url, headers=headers, timeout=timeout) as answer:
-                body = await answer.read()
-                status = answer.status
-                proof = answer.headers.get(RECEIPT, "")
-                echo = answer.headers.get(REQUEST_ID, "")
-                whole = body == answer_body(request_id)
+            async with session.request(method, url, headers=headers, timeout=timeout) as response:
+                body = await response.read()
+                status = response.status
+                receipt = response.headers.get(RECEIPT, "")
+                echoed_id = response.headers.get(REQUEST_ID, "")
+                complete = body == response_body(request_id)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as failure:
             connected, error = False, type(failure).__name__
         except (aiohttp.ClientError, OSError, TimeoutError) as failure:
@@ -161,7 +173,7 @@
         attempt = Attempt(
             id=request_id,
             agent=self._agent,
-            life=life,
+            life=start_number,
             route=load.route,
             repeatable=load.repeatable,
             key=key,
@@ -169,9 +181,9 @@
             ended=time.monotonic(),
             timeout_s=load.timeout_s,
             status=status,
-            receipt=proof,
-            echo=echo,
-            whole=whole,
+            receipt=receipt,
+            echo=echoed_id,
+            whole=complete,
             connected=connected,
             error=error,
         )
--- a/fescueward/testing/site/deployment.py
+++ b/fescueward/testing/site/deployment.py
@@ -1,4 +1,4 @@
-"""Store, upstreams, operator, callers and real agents on loopback."""
+"""Deployment of the emulated platform with real agent processes on loopback."""
 
 from __future__ import annotations
 
@@ -24,28 +24,29 @@
 from .operator import GRACE_S, AgentProcess, Configurator
 from .records import STARVED, Disturbance, Evidence, Stall
 from .store import SiteStore
-from .upstream import HEARTBEAT_S, SiteUpstream, UpstreamSpec
+from .upstream import HEARTBEAT_PERIOD_S, SiteUpstream, UpstreamSpec
 
-_ROOT = Path(__file__).resolve().parents[3]
+_REPOSITORY_ROOT = Path(__file__).resolve().parents[3]
 _READY_TIMEOUT_S = 20.0
-_LAG_PERIOD_S = 0.02
-# Half of the loss slack, the shortest bound of a rule, in seconds.
-_STALL_S = 0.1
-# An agent that waits for a processor for so long of each period, in seconds, is a machine that was
-# made slow; the rules count this as a disturbance.
-_STARVED_PERIOD_S = 0.5
-_STARVED_S = 0.25
+_STALL_CHECK_PERIOD_S = 0.02
+# Delay of the event loop that counts as a stall: half of `judge.LOSS_SLACK_S`, the shortest bound
+# of a rule.
+_STALL_THRESHOLD_S = 0.1
+# An agent that waits for a processor for longer than the threshold in one period counts as running
+# on a slowed machine, which the platform's rules treat as a disturbance.
+_STARVATION_PERIOD_S = 0.5
+_STARVATION_THRESHOLD_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
 class SiteSpec:
-    """What a deployment consists of.
+    """Composition of a deployment.
 
     Attributes:
         services: Number of machines by service.
-        keyed: Services that are divided by key.
-        failure_domains: Failure domains, which machines take in turn.
-        slots: Slots of each upstream.
+        keyed: Services whose keys are partitioned among their upstreams.
+        failure_domains: Failure domains, assigned to machines round-robin.
+        slots: Maximum number of concurrent requests per upstream.
         seed: Seed of callers, upstreams and store.
     """
 
@@ -60,16 +61,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Machine:
-    """One machine: agent, upstream, callers, and the proxies on the agent's links.
+    """One machine with its agent, upstream and callers, and the proxies on the agent's links.
 
     Attributes:
-        name: Its name.
+        name: Name of the machine and of its agent.
         service: Service of its upstream.
-        agent: The agent.
-        upstream: The upstream.
-        callers: Callers on it.
-        store_proxy: Between agent and store.
-        upstream_proxy: Between agent and upstream.
+        agent: Agent process.
+        upstream: Emulated upstream.
+        callers: Emulated callers.
+        store_proxy: Proxy between agent and store.
+        upstream_proxy: Proxy between agent and upstream.
     """
 
     name: str
@@ -82,17 +83,17 @@
 
 
 class SiteDeployment:
-    """An async context in which all parts run.
+    """Async context manager that runs the emulator and the agents.
 
     Args:
-        spec: What to start.
-        directory: Where settings and logs go; a temporary directory without it.
+        spec: Composition of the deployment.
+        directory: Directory of settings files and logs; a temporary directory if None.
 
     Attributes:
-        evidence: What callers, upstreams and the operator saw.
-        store: The store.
-        configurator: Writes configurations.
-        machines: All machines by name.
+        evidence: Evidence recorded so far.
+        store: Emulated object store.
+        configurator: Writes configuration versions to the store.
+        machines: Machines by name.
     """
 
     def __init__(self, spec: SiteSpec, directory: Path | None = None) -> None:
@@ -105,7 +106,7 @@
         self._directory = directory
         self._ports = PortReservations()
         self._cleanup = contextlib.AsyncExitStack()
-        self._loads: list[asyncio.Task[None]] = []
+        self._load_tasks: list[asyncio.Task[None]] = []
         self._sending = True
 
     async def __aenter__(self) -> SiteDeployment:
@@ -114,11 +115,11 @@
             self._directory = Path(self._cleanup.enter_context(temporary))
         self._cleanup.callback(self._ports.close)
         try:
-            for watching in (_note_stalls(self.evidence), self._note_starved()):
-                self._cleanup.callback(asyncio.create_task(watching).cancel)
+            for monitor in (_record_stalls(self.evidence), self._record_starvation()):
+                self._cleanup.callback(asyncio.create_task(monitor).cancel)
             await self.store.start()
             self._cleanup.push_async_callback(self.store.stop)
-            self.configurator.change()
+            self.configurator.write_next_version()
             number = 0
             for service, count in self._spec.services.items():
                 for _ in range(count):
@@ -140,7 +141,7 @@
 
     @property
     def directory(self) -> Path:
-        """Directory of settings and logs."""
+        """Directory of settings files and logs."""
         assert self._directory is not None
         return self._directory
 
@@ -148,10 +149,10 @@
         """Waits until all agents are ready.
 
         Args:
-            timeout_s: How long, in seconds.
+            timeout_s: Timeout in seconds.
 
         Raises:
-            ConditionTimeoutError: One is not.
+            ConditionTimeoutError: An agent is not ready when the timeout is over.
         """
         await wait_until(
             lambda: all(machine.callers.ready for machine in self.machines.values()),
@@ -160,16 +161,21 @@
         )
 
     async def wait_served(self, loads: Iterable[Load], within_s: float) -> None:
-        """Waits until each kind of request is served by each agent.
+        """Waits until each agent has served a request of each kind that was sent after the call.
+
+        Args:
+            loads: Kinds of requests.
+            within_s: Timeout in seconds.
 
         Raises:
-            ConditionTimeoutError: One is not.
+            ConditionTimeoutError: A pair of agent and route was not served in time. The message
+                names these pairs.
         """
         loads = tuple(loads)
         since = time.monotonic()
         missing: set[tuple[str, str]] = set()
 
-        def served() -> bool:
+        def all_served() -> bool:
             missing.clear()
             missing.update((name, load.route) for name in self.machines for load in loads)
             for attempt in reversed(self.evidence.attempts):
@@ -180,58 +186,68 @@
             return not missing
 
         try:
-            await wait_until(served, within_s, "every agent serves every route")
+            await wait_until(all_served, within_s, "every agent serves every route")
         except ConditionTimeoutError as error:
             raise ConditionTimeoutError(f"{error}; not served: {sorted(missing)}") from None
 
     def log_lines(self, name: str, count: int = 5) -> str:
-        """Returns the last lines of an agent's log."""
+        """Returns the last lines of an agent's log.
+
+        Args:
+            name: Name of the agent.
+            count: Maximum number of lines.
+        """
         lines = (self.directory / f"{name}.log").read_text(errors="replace").splitlines()
         return "\n".join(lines[-count:])
 
     def start_load(self, loads: Iterable[Load]) -> None:
-        """Starts the callers of all machines."""
+        """Starts callers for each kind of request on all machines."""
         for machine in self.machines.values():
             for load in loads:
                 for _ in range(load.connections):
-                    sending = machine.callers.send_all(load, lambda: not self._sending)
-                    self._loads.append(asyncio.create_task(sending))
+                    load_run = machine.callers.run_load(load, lambda: not self._sending)
+                    self._load_tasks.append(asyncio.create_task(load_run))
 
     def start_probes(self) -> None:
-        """Starts requests on the routes of the newest versions of the configuration."""
+        """Starts requests to the routes of the newest configuration versions on all machines."""
         for machine in self.machines.values():
-            probing = machine.callers.probe(
+            probe = machine.callers.probe(
                 lambda: self.configurator.newest_routes, lambda: not self._sending
             )
-            self._loads.append(asyncio.create_task(probing))
+            self._load_tasks.append(asyncio.create_task(probe))
 
     async def stop_load(self) -> None:
-        """Lets all callers end after their present request; closes the book of holds."""
+        """Stops all callers after their current requests and ends all open holds.
+
+        Ending the holds adds them to the evidence.
+        """
         self._sending = False
-        await asyncio.gather(*self._loads)
-        self._loads.clear()
+        await asyncio.gather(*self._load_tasks)
+        self._load_tasks.clear()
         for machine in self.machines.values():
-            machine.upstream.holds.end()
+            machine.upstream.holds.end_all()
 
-    async def _note_starved(self) -> None:
-        """Notes when an agent was ready to run and got no processor from the kernel."""
-        waited: dict[int, float] = {}
-        at = time.monotonic()
+    async def _record_starvation(self) -> None:
+        """Records periods in which an agent was runnable but waited for a processor."""
+        last_wait_s: dict[int, float] = {}
+        checked_at = time.monotonic()
         while True:
-            await asyncio.sleep(_STARVED_PERIOD_S)
-            since, at = at, time.monotonic()
+            await asyncio.sleep(_STARVATION_PERIOD_S)
+            since, checked_at = checked_at, time.monotonic()
             for machine in self.machines.values():
-                pid, total_s = machine.agent.pid, machine.agent.waited_s
-                if total_s - waited.get(pid, total_s) > _STARVED_S:
-                    fault = Disturbance(machine=machine.name, since=since, until=at, what=STARVED)
+                pid, total_s = machine.agent.pid, machine.agent.processor_wait_s
+                if total_s - last_wait_s.get(pid, total_s) > _STARVATION_THRESHOLD_S:
+                    fault = Disturbance(
+                        machine=machine.name, since=since, until=checked_at, what=STARVED
+                    )
                     self.evidence.disturbances.append(fault)
-                waited[pid] = total_s
+                last_wait_s[pid] = total_s
 
     async def _add_machine(self, number: int, service: str) -> None:
         name = f"{service}-{number}"
         domain = self._spec.failure_domains[number % len(self._spec.failure_domains)]
-        names = ("inbound", "outbound", "ready", "admin", "first", "last", "upstream")
-        ports = {one: self._ports.reserve() for one in names}
+        port_names = ("inbound", "outbound", "ready", "admin", "first", "last", "upstream")
+        ports = {port_name: self._ports.reserve() for port_name in port_names}
         store_proxy = FaultProxy(self.store.port)
         upstream_proxy = FaultProxy(ports["upstream"])
         for proxy in (store_proxy, upstream_proxy):
@@ -242,7 +258,11 @@
         settings.write_text(
             _settings(name, service, domain, ports, address, store_proxy.port, self._spec)
         )
-        environment = {**os.environ, "PYTHONPATH": str(_ROOT), SETTINGS_VARIABLE: str(settings)}
+        environment = {
+            **os.environ,
+            "PYTHONPATH": str(_REPOSITORY_ROOT),
+            SETTINGS_VARIABLE: str(settings),
+        }
         process = ManagedProcess(
             name,
             (sys.executable, "-m", "fescueward.daemons.platform_agent"),
@@ -266,7 +286,12 @@
             seed,
         )
         callers = AgentCallers(
-            name, ports["outbound"], ports["ready"], self.evidence, lambda: agent.life, seed
+            name,
+            ports["outbound"],
+            ports["ready"],
+            self.evidence,
+            lambda: agent.start_number,
+            seed,
         )
         self.machines[name] = Machine(
             name=name,
@@ -278,20 +303,20 @@
             upstream_proxy=upstream_proxy,
         )
         agent.start()
-        self._cleanup.push_async_callback(agent.end)
+        self._cleanup.push_async_callback(agent.stop)
         await upstream.start()
         self._cleanup.push_async_callback(upstream.crash)
-        asking = asyncio.create_task(callers.ask_readiness())
-        self._cleanup.callback(asking.cancel)
+        readiness = asyncio.create_task(callers.poll_readiness())
+        self._cleanup.callback(readiness.cancel)
 
 
-async def _note_stalls(evidence: Evidence) -> None:
-    """Notes when the event loop runs late."""
+async def _record_stalls(evidence: Evidence) -> None:
+    """Records periods in which the event loop was blocked."""
     while True:
-        due = time.monotonic() + _LAG_PERIOD_S
-        await asyncio.sleep(_LAG_PERIOD_S)
+        due = time.monotonic() + _STALL_CHECK_PERIOD_S
+        await asyncio.sleep(_STALL_CHECK_PERIOD_S)
         now = time.monotonic()
-        if now - due > _STALL_S:
+        if now - due > _STALL_THRESHOLD_S:
             evidence.stalls.append(Stall(due, now))
 
 
@@ -321,7 +346,7 @@
         "internalPorts": f"{ports['first']},{ports['last']}",
         "seeds": "",
         "bootstrap": "true",
-        "heartbeatS": HEARTBEAT_S,
+        "heartbeatS": HEARTBEAT_PERIOD_S,
         "bounds": f"drainS=2,graceS={GRACE_S:g},retryRatio=0.2,budgetWindowS=10,retryBurst=64,"
         "holdMaxS=10,thawSlackS=0.3",
         "grants": "call",
--- a/fescueward/testing/site/holds.py
+++ b/fescueward/testing/site/holds.py
@@ -1,4 +1,4 @@
-"""Keys that one start of an upstream holds, by the platform's grants."""
+"""Key ranges that an upstream holds through the platform's grants."""
 
 from __future__ import annotations
 
@@ -9,46 +9,60 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Seen:
+class _GrantedRange:
     first: int
     last: int
     fence: int
 
 
 class KeyHolds:
-    """Grants and releases of one start.
+    """Key ranges held by one start of an upstream.
 
     Args:
         service: Service of the keys.
-        instance: Id of the start.
+        instance: Start id of the upstream.
         machine: Machine of the upstream.
-        book: List that ended holds are appended to.
+        ended: List to which ended holds are appended.
     """
 
-    def __init__(self, service: str, instance: str, machine: str, book: list[Hold]) -> None:
+    def __init__(self, service: str, instance: str, machine: str, ended: list[Hold]) -> None:
         self._service = service
         self._instance = instance
         self._machine = machine
-        self._book = book
-        self._seen: dict[tuple[int, int], int] = {}
+        self._ended = ended
+        self._fences: dict[tuple[int, int], int] = {}
         self._open: list[Hold] = []
 
     def grant(self, first: int, last: int, fence: int, hold_s: float) -> bool:
-        """Takes a grant that arrives now; returns whether no higher fence was seen before."""
+        """Applies a grant, which replaces or renews the holds of its keys.
+
+        Args:
+            first: Lowest key.
+            last: Highest key, inclusive.
+            fence: Epoch of the grant.
+            hold_s: Duration of the grant from now on, in seconds.
+
+        Returns:
+            False if the grant is stale: an earlier grant of some of the keys had a higher epoch.
+        """
         if any(
-            fence < seen and first <= high and low <= last
-            for (low, high), seen in self._seen.items()
+            fence < known_fence and first <= high and low <= last
+            for (low, high), known_fence in self._fences.items()
         ):
             return False
         now = time.monotonic()
-        self._seen[first, last] = fence
+        self._fences[first, last] = fence
         self._expire(now)
-        same = [h for h in self._open if (h.first, h.last, h.fence) == (first, last, fence)]
-        if same:
-            self._open.remove(same[0])
-            self._open.append(replace(same[0], until=now + hold_s))
+        renewed = [
+            hold
+            for hold in self._open
+            if (hold.first, hold.last, hold.fence) == (first, last, fence)
+        ]
+        if renewed:
+            self._open.remove(renewed[0])
+            self._open.append(replace(renewed[0], until=now + hold_s))
             return True
-        self._cut(first, last, now)
+        self._end_range(first, last, now)
         self._open.append(
             Hold(
                 service=self._service,
@@ -64,48 +78,62 @@
         return True
 
     def release(self, first: int, last: int, fence: int) -> None:
-        """Gives keys back that were granted with this fence or a lower one."""
+        """Ends the holds of a key range that were granted with this epoch or a lower one.
+
+        Args:
+            first: Lowest key.
+            last: Highest key, inclusive.
+            fence: Highest epoch to release.
+        """
         now = time.monotonic()
         self._expire(now)
-        self._cut(first, last, now, fence)
+        self._end_range(first, last, now, fence)
 
-    def end(self) -> None:
-        """Ends all holds, as the upstream does."""
+    def end_all(self) -> None:
+        """Ends all holds, because the upstream stops."""
         now = time.monotonic()
         self._expire(now)
-        self._cut(0, 65_535, now)
+        self._end_range(0, 65_535, now)
 
-    def fence(self, key: int) -> int | None:
-        """Returns the fence under which a key is held now, or None."""
+    def fence_of(self, key: int) -> int | None:
+        """Returns the epoch under which a key is held now, or None if it is not held."""
         now = time.monotonic()
         return next(
-            (h.fence for h in self._open if h.first <= key <= h.last and now < h.until), None
+            (
+                hold.fence
+                for hold in self._open
+                if hold.first <= key <= hold.last and now < hold.until
+            ),
+            None,
         )
 
-    def open(self) -> list[Hold]:
+    def open_holds(self) -> list[Hold]:
         """Returns the holds that have not ended."""
         self._expire(time.monotonic())
         return list(self._open)
 
     def _expire(self, now: float) -> None:
-        self._book += [hold for hold in self._open if hold.until <= now]
+        self._ended += [hold for hold in self._open if hold.until <= now]
         self._open = [hold for hold in self._open if hold.until > now]
 
-    def _cut(self, first: int, last: int, now: float, fence: int | None = None) -> None:
-        """Ends what is held of a range, up to a fence; the parts outside of it go on."""
-        kept = []
+    def _end_range(self, first: int, last: int, now: float, fence: int | None = None) -> None:
+        """Ends the holds of a key range up to an epoch, or with any epoch if `fence` is None.
+
+        A hold that extends beyond the range is split, and its keys outside the range stay held.
+        """
+        remaining = []
         for hold in self._open:
             if (
                 hold.last < first
                 or last < hold.first
                 or (fence is not None and hold.fence > fence)
             ):
-                kept.append(hold)
+                remaining.append(hold)
                 continue
             low, high = max(first, hold.first), min(last, hold.last)
-            self._book.append(replace(hold, first=low, last=high, until=now))
+            self._ended.append(replace(hold, first=low, last=high, until=now))
             if hold.first < low:
-                kept.append(replace(hold, last=low - 1))
+                remaining.append(replace(hold, last=low - 1))
             if high < hold.last:
-                kept.append(replace(hold, first=high + 1))
-        self._open = kept
+                remaining.append(replace(hold, first=high + 1))
+        self._open = remaining
--- a/fescueward/testing/site/judge.py
+++ b/fescueward/testing/site/judge.py
@@ -1,4 +1,4 @@
-"""Judges what callers, upstreams and the operator saw by the platform's rules."""
+"""Checks the recorded evidence against the platform's rules."""
 
 from __future__ import annotations
 
@@ -11,30 +11,30 @@
 from .operator import GRACE_S
 from .records import Attempt, Evidence, Hold, Run, Signal, receipt
 
-# Bounds of the platform's smaller deployments, in seconds.
+# Bounds of the platform's smaller deployments.
 DRAIN_S = 2.0
 STABILITY_S = 3.0
 LOSS_SLACK_S = 0.2
 THAW_SLACK_S = 0.3
 PROPAGATION_S = 2.0
 REVERT_SLACK_S = 0.25
-# On a machine that was paused, the slack of a version is so many times longer.
-_SLOWED_FACTOR = 8
-# Two holds on a key that overlap for longer break the rule also without requests, in seconds.
-_OVERLAP_S = 0.5
-# A request that was sent so early after SIGTERM may be cut in the last sixth of the grace time.
-_EARLY_S = 3.0
-_LAST_SHARE = 5 / 6
-# Statuses that promise that a request has not run and never will.
-_PROMISES = frozenset({408, 421, 429, 503})
-_UNPLANNED = frozenset({Signal.KILL, Signal.PAUSE, Signal.CONTINUE})
+# Factor on `REVERT_SLACK_S` for a machine that was paused.
+_PAUSED_SLACK_FACTOR = 8
+# Two holds of a key that overlap for longer break `OWNER` even if no request ran meanwhile.
+_MAX_OVERLAP_S = 0.5
+# A request sent up to this time after SIGTERM may be cut off in the last sixth of the grace time.
+_EARLY_REQUEST_S = 3.0
+_CUTOFF_SHARE = 5 / 6
+# Statuses which state that a request has not run and never will.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+_UNPLANNED_SIGNALS = frozenset({Signal.KILL, Signal.PAUSE, Signal.CONTINUE})
 
 
 class Rule(enum.StrEnum):
-    """Rules of the platform, by their names there, and `GRACE`.
+    """Rules of the platform under its names, and `GRACE`.
 
-    `GRACE` breaks when an undisturbed agent does not end by itself within its grace time. The soak
-    itself finds a broken `RECOVER`.
+    `GRACE` requires an undisturbed agent to exit by itself within its grace time. `RECOVER` is
+    checked by the soak instead of the judge.
     """
 
     LOST = "LOST"
@@ -50,31 +50,43 @@
 
 @dataclass(frozen=True, slots=True)
 class Breach:
-    """One broken rule.
+    """A violation of a rule.
 
     Attributes:
-        rule: The rule.
-        at: When, in seconds of `time.monotonic`.
-        what: What was seen, with ids.
+        rule: The violated rule.
+        at: Time of the violation, in seconds of `time.monotonic`.
+        detail: What happened, with the ids of requests and agents.
     """
 
     rule: Rule
     at: float
-    what: str
+    detail: str
 
     def __str__(self) -> str:
-        return f"{self.rule} at {self.at:.3f}: {self.what}"
+        return f"{self.rule} at {self.at:.3f}: {self.detail}"
 
 
 def judge(evidence: Evidence) -> tuple[Breach, ...]:
-    """Returns all breaches in the order of time."""
-    case = _Case(evidence)
-    checks = (_lost, _runs, _mixed, _owner, _drain, _config, _grace)
-    return tuple(sorted((b for check in checks for b in check(case)), key=lambda b: b.at))
+    """Returns all breaches of the evidence, in order of time."""
+    index = _EvidenceIndex(evidence)
+    checks = (
+        _find_lost,
+        _find_forbidden_runs,
+        _find_mixed,
+        _find_double_owners,
+        _find_late_runs,
+        _find_reverted_versions,
+        _find_forced_exits,
+    )
+    return tuple(
+        sorted(
+            (breach for check in checks for breach in check(index)), key=lambda breach: breach.at
+        )
+    )
 
 
-class _Case:
-    """The evidence with indexes."""
+class _EvidenceIndex:
+    """The evidence with an index of the runs and queries for faults."""
 
     def __init__(self, evidence: Evidence) -> None:
         self.evidence = evidence
@@ -83,12 +95,12 @@
             self.runs[run.id].append(run)
 
     def disturbed(self, machine: str, since: float, until: float, store: bool = False) -> bool:
-        """Tells whether an unplanned fault concerned a machine in a time.
+        """Returns whether an unplanned fault affected a machine in a period.
 
         Args:
             machine: Name of the machine.
-            since: Begin of the time.
-            until: End of the time.
+            since: Start of the period.
+            until: End of the period.
             store: Whether faults of the store count, too.
         """
         faults = (
@@ -99,57 +111,63 @@
             for fault in self.evidence.disturbances
         )
         signals = (
-            event.agent == machine and event.signal in _UNPLANNED and since <= event.at <= until
+            event.agent == machine
+            and event.signal in _UNPLANNED_SIGNALS
+            and since <= event.at <= until
             for event in self.evidence.processes
         )
         return any(faults) or any(signals) or self.paused(machine, since, until)
 
     def stalled(self, since: float, until: float) -> bool:
-        """Tells whether the emulator stood still in a time, so that what it noted is late."""
-        return any(one.since <= until and since <= one.until for one in self.evidence.stalls)
+        """Returns whether the emulator stalled in a period, which makes its timestamps late."""
+        return any(stall.since <= until and since <= stall.until for stall in self.evidence.stalls)
 
     def paused(self, machine: str, since: float, until: float) -> bool:
-        """Tells whether an agent was paused at some time of a span."""
-        began: float | None = None
+        """Returns whether an agent was paused during some part of a period."""
+        paused_at: float | None = None
         for event in self.evidence.processes:
             if event.agent != machine:
                 continue
             if event.signal is Signal.PAUSE:
-                began = event.at
-            elif began is not None and event.signal in (Signal.CONTINUE, Signal.EXIT):
-                if began <= until and since <= event.at:
+                paused_at = event.at
+            elif paused_at is not None and event.signal in (Signal.CONTINUE, Signal.EXIT):
+                if paused_at <= until and since <= event.at:
                     return True
-                began = None
-        return began is not None and began <= until
+                paused_at = None
+        return paused_at is not None and paused_at <= until
 
 
-def _lost(case: _Case) -> Iterator[Breach]:
-    """Finds requests that a process read and left without an answer around planned work."""
-    planned = [
-        event for event in case.evidence.processes if event.signal in (Signal.TERM, Signal.HANGUP)
+def _find_lost(index: _EvidenceIndex) -> Iterator[Breach]:
+    """Finds requests that an agent read and did not answer around a planned stop or reload."""
+    planned_signals = [
+        event for event in index.evidence.processes if event.signal in (Signal.TERM, Signal.HANGUP)
     ]
-    for attempt in case.evidence.attempts:
-        runs = case.runs.get(attempt.id, [])
-        if not _unanswered(attempt, runs) or any(run.status == 0 for run in runs):
+    for attempt in index.evidence.attempts:
+        runs = index.runs.get(attempt.id, [])
+        if not _cut_off(attempt, runs) or any(run.status == 0 for run in runs):
             continue
-        if not runs and case.stalled(attempt.sent, attempt.ended):
-            # Whether the process had read it is told by the time alone.
+        if not runs and index.stalled(attempt.sent, attempt.ended):
+            # Without a run only the elapsed time shows whether the agent read the request, and a
+            # stall falsifies it.
             continue
         machines = {attempt.agent, *(run.machine for run in runs)}
         since = attempt.sent - STABILITY_S
         if any(
-            case.disturbed(one, since, attempt.ended, store=attempt.key is not None)
-            for one in machines
+            index.disturbed(machine, since, attempt.ended, store=attempt.key is not None)
+            for machine in machines
         ):
             continue
-        for event in planned:
+        for event in planned_signals:
             if event.agent != attempt.agent or event.life != attempt.life:
                 continue
             bound_s = GRACE_S + 1 if event.signal is Signal.TERM else PROPAGATION_S
             if not event.at <= attempt.ended or attempt.sent > event.at + bound_s:
                 continue
-            late = event.at + GRACE_S * _LAST_SHARE
-            if any(run.ended > late for run in runs) and attempt.sent <= event.at + _EARLY_S:
+            cutoff = event.at + GRACE_S * _CUTOFF_SHARE
+            if (
+                any(run.ended > cutoff for run in runs)
+                and attempt.sent <= event.at + _EARLY_REQUEST_S
+            ):
                 continue
             yield Breach(
                 Rule.LOST,
@@ -161,138 +179,140 @@
             break
 
 
-def _unanswered(attempt: Attempt, runs: list[Run]) -> bool:
-    """Tells whether a request was read and then broken off before its time was over."""
+def _cut_off(attempt: Attempt, runs: list[Run]) -> bool:
+    """Returns whether a request was read and cut off before the caller's timeout."""
     if attempt.receipt or not attempt.connected or attempt.error == "TimeoutError":
         return False
     if attempt.ended - attempt.sent >= attempt.timeout_s:
         return False
     if attempt.status:
-        # An answer of the system in the place of that of an upstream which was at work.
+        # The agent answered by itself although an upstream was still executing the request.
         return any(run.started < attempt.ended < run.ended for run in runs)
     return bool(runs) or attempt.ended - attempt.sent > LOSS_SLACK_S
 
 
-def _runs(case: _Case) -> Iterator[Breach]:
-    """Finds non-repeatable requests that ran again, or although a refusal promised otherwise."""
-    for attempt in case.evidence.attempts:
-        runs = case.runs.get(attempt.id, [])
+def _find_forbidden_runs(index: _EvidenceIndex) -> Iterator[Breach]:
+    """Finds non-idempotent requests that ran twice, or that ran and were answered as not run."""
+    for attempt in index.evidence.attempts:
+        runs = index.runs.get(attempt.id, [])
         if attempt.repeatable or not runs:
             continue
-        where = ", ".join(run.machine for run in runs)
+        machines = ", ".join(run.machine for run in runs)
         if len(runs) > 1:
-            what = f"request {attempt.id} ran at {where}"
-            yield Breach(Rule.TWICE, runs[1].started, what)
-        if attempt.status in _PROMISES:
-            what = f"request {attempt.id} was answered {attempt.status} and ran at {where}"
-            yield Breach(Rule.REFUSED, attempt.ended, what)
+            detail = f"request {attempt.id} ran at {machines}"
+            yield Breach(Rule.TWICE, runs[1].started, detail)
+        if attempt.status in _NOT_RUN_STATUSES:
+            detail = f"request {attempt.id} was answered {attempt.status} and ran at {machines}"
+            yield Breach(Rule.REFUSED, attempt.ended, detail)
 
 
-def _mixed(case: _Case) -> Iterator[Breach]:
-    """Finds answers that are not those of an upstream to the same request."""
-    for attempt in case.evidence.attempts:
+def _find_mixed(index: _EvidenceIndex) -> Iterator[Breach]:
+    """Finds responses that do not match the upstream's response to the same request."""
+    for attempt in index.evidence.attempts:
         if not attempt.receipt and not 200 <= attempt.status < 300:
             continue
-        instances = {run.instance.partition("@")[0] for run in case.runs.get(attempt.id, [])}
-        proofs = {receipt(one, attempt.id, attempt.status) for one in instances}
-        wrong = [
+        instances = {run.instance.partition("@")[0] for run in index.runs.get(attempt.id, [])}
+        receipts = {receipt(instance, attempt.id, attempt.status) for instance in instances}
+        mismatches = [
             name
-            for name, right in (
-                ("receipt", attempt.receipt in proofs),
+            for name, matches in (
+                ("receipt", attempt.receipt in receipts),
                 ("request id", attempt.echo == attempt.id),
                 ("body", attempt.whole),
             )
-            if not right
+            if not matches
         ]
-        if wrong:
-            what = f"request {attempt.id} to {attempt.agent}, status {attempt.status}: {wrong}"
-            yield Breach(Rule.MIXED, attempt.ended, what)
+        if mismatches:
+            detail = (
+                f"request {attempt.id} to {attempt.agent}, status {attempt.status}: {mismatches}"
+            )
+            yield Breach(Rule.MIXED, attempt.ended, detail)
 
 
-def _owner(case: _Case) -> Iterator[Breach]:
-    """Finds keys that two starts held at the same time, and epochs that did not grow."""
-    started: dict[str, list[Run]] = defaultdict(list)
-    for run in case.evidence.runs:
-        started[run.instance].append(run)
+def _find_double_owners(index: _EvidenceIndex) -> Iterator[Breach]:
+    """Finds keys held by two starts at the same time, and epochs that did not increase."""
+    runs_by_start: dict[str, list[Run]] = defaultdict(list)
+    for run in index.evidence.runs:
+        runs_by_start[run.instance].append(run)
     holds = sorted(
-        (hold for hold in case.evidence.holds if not _late_grant(case, hold)),
+        (hold for hold in index.evidence.holds if not _may_be_delayed(index, hold)),
         key=lambda hold: hold.since,
     )
     for earlier, later in combinations(holds, 2):
         low, high = max(earlier.first, later.first), min(earlier.last, later.last)
         if earlier.service != later.service or earlier.instance == later.instance or low > high:
             continue
-        what = f"keys {low} to {high} of {earlier.service}: {earlier} and {later}"
+        detail = f"keys {low} to {high} of {earlier.service}: {earlier} and {later}"
         if later.fence <= earlier.fence:
-            yield Breach(Rule.OWNER, later.since, f"epoch does not grow, {what}")
+            yield Breach(Rule.OWNER, later.since, f"epoch does not grow, {detail}")
         until = min(earlier.until, later.until)
-        both = all(
+        both_ran = all(
             any(
                 run.key is not None
                 and low <= run.key <= high
                 and later.since < run.started < until
-                for run in started[hold.instance]
+                for run in runs_by_start[hold.instance]
             )
             for hold in (earlier, later)
         )
-        if until - later.since > _OVERLAP_S or both:
-            what = f"held together for {until - later.since:.3f} s, {what}"
-            yield Breach(Rule.OWNER, later.since, what)
+        if until - later.since > _MAX_OVERLAP_S or both_ran:
+            detail = f"held together for {until - later.since:.3f} s, {detail}"
+            yield Breach(Rule.OWNER, later.since, detail)
 
 
-def _late_grant(case: _Case, hold: Hold) -> bool:
-    """Tells whether a grant may have been held up by a pause or a link."""
+def _may_be_delayed(index: _EvidenceIndex, hold: Hold) -> bool:
+    """Returns whether a pause, a link fault or a stall may have delayed the grant of a hold."""
     since = hold.since - THAW_SLACK_S
-    return case.disturbed(hold.machine, since, hold.since) or case.stalled(since, hold.since)
+    return index.disturbed(hold.machine, since, hold.since) or index.stalled(since, hold.since)
 
 
-def _drain(case: _Case) -> Iterator[Breach]:
-    """Finds work that began after a leave was acknowledged and the bound was over."""
-    for departure in case.evidence.departures:
-        for run in case.evidence.runs:
+def _find_late_runs(index: _EvidenceIndex) -> Iterator[Breach]:
+    """Finds runs that began more than `DRAIN_S` after a departure was acknowledged."""
+    for departure in index.evidence.departures:
+        for run in index.evidence.runs:
             late_s = run.started - departure.acknowledged
             if run.instance != departure.instance or late_s <= DRAIN_S:
                 continue
             since = departure.acknowledged - STABILITY_S
-            if case.disturbed(departure.machine, since, run.started):
+            if index.disturbed(departure.machine, since, run.started):
                 continue
-            if case.stalled(departure.acknowledged + DRAIN_S, run.started):
+            if index.stalled(departure.acknowledged + DRAIN_S, run.started):
                 continue
-            what = f"request {run.id} began at {run.machine} {late_s:.2f} s after its leave"
-            yield Breach(Rule.DRAIN, run.started, what)
+            detail = f"request {run.id} began at {run.machine} {late_s:.2f} s after its leave"
+            yield Breach(Rule.DRAIN, run.started, detail)
 
 
-def _config(case: _Case) -> Iterator[Breach]:
-    """Finds agents that serve a version after they have served a later one."""
-    lives: dict[tuple[str, int], list[Attempt]] = defaultdict(list)
-    for attempt in case.evidence.attempts:
-        if attempt.route in case.evidence.versions and attempt.served:
-            lives[attempt.agent, attempt.life].append(attempt)
-    for (agent, _), attempts in lives.items():
+def _find_reverted_versions(index: _EvidenceIndex) -> Iterator[Breach]:
+    """Finds agents that served a configuration version after a later one."""
+    attempts_by_start: dict[tuple[str, int], list[Attempt]] = defaultdict(list)
+    for attempt in index.evidence.attempts:
+        if attempt.route in index.evidence.versions and attempt.served:
+            attempts_by_start[attempt.agent, attempt.life].append(attempt)
+    for (agent, _), attempts in attempts_by_start.items():
         for attempt in attempts:
-            version = case.evidence.versions[attempt.route]
-            slowed = case.paused(agent, attempt.sent - STABILITY_S, attempt.ended)
-            slack_s = REVERT_SLACK_S * (_SLOWED_FACTOR if slowed else 1)
+            version = index.evidence.versions[attempt.route]
+            paused = index.paused(agent, attempt.sent - STABILITY_S, attempt.ended)
+            slack_s = REVERT_SLACK_S * (_PAUSED_SLACK_FACTOR if paused else 1)
             newest = max(
                 (
-                    case.evidence.versions[other.route]
+                    index.evidence.versions[other.route]
                     for other in attempts
                     if other.ended + slack_s < attempt.sent
                 ),
                 default=0,
             )
             if version < newest:
-                what = f"{agent} served version {version} after {newest}, request {attempt.id}"
-                yield Breach(Rule.CONFIG, attempt.sent, what)
+                detail = f"{agent} served version {version} after {newest}, request {attempt.id}"
+                yield Breach(Rule.CONFIG, attempt.sent, detail)
 
 
-def _grace(case: _Case) -> Iterator[Breach]:
-    """Finds agents that had to be killed at the end of an undisturbed stop."""
-    for event in case.evidence.processes:
+def _find_forced_exits(index: _EvidenceIndex) -> Iterator[Breach]:
+    """Finds agents that were killed because an undisturbed stop exceeded the grace time."""
+    for event in index.evidence.processes:
         if event.signal is not Signal.EXIT or not event.forced:
             continue
         since = event.at - GRACE_S
-        if case.disturbed(event.agent, since - STABILITY_S, event.at):
+        if index.disturbed(event.agent, since - STABILITY_S, event.at):
             continue
-        if not case.stalled(since, event.at):
+        if not index.stalled(since, event.at):
             yield Breach(Rule.GRACE, event.at, f"{event.agent} was killed after {GRACE_S:g} s")
--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -1,4 +1,4 @@
-"""The operator: configurations, and the life of the agents that it started."""
+"""Emulated operator, which supervises the agent processes and writes configurations."""
 
 from __future__ import annotations
 
@@ -14,25 +14,29 @@
 from .records import Evidence, ProcessEvent, Signal
 from .store import SiteStore
 
+# Time from SIGTERM to SIGKILL.
 GRACE_S = 6.0
-# Time from the end of a process to its next start.
-RESTART_S = 0.4
-# Versions that callers ask for.
+# Time from the exit of a process to its next start.
+RESTART_DELAY_S = 0.4
+# Number of newest configuration versions whose routes are probed.
 _PROBED_VERSIONS = 3
-_KIND, _NAME = "config", "main"
+_CONFIG_KIND, _CONFIG_NAME = "config", "main"
 
 
 class AgentProcess:
-    """One agent, which is started again after each end.
+    """An agent process that is restarted after each exit.
 
     Args:
-        process: The program.
-        settings: Its settings file.
-        evidence: Where signals, starts and ends are noted.
+        process: The managed process.
+        settings: Path of its settings file.
+        evidence: Receives signals, starts and exits.
+
+    Attributes:
+        start_number: Number of the current start, from 1; 0 before the first start.
     """
 
     def __init__(self, process: ManagedProcess, settings: Path, evidence: Evidence) -> None:
-        self.life = 0
+        self.start_number = 0
         self._process = process
         self._settings = settings
         self._evidence = evidence
@@ -46,12 +50,15 @@
 
     @property
     def pid(self) -> int:
-        """Id of the process; 0 if it does not run."""
+        """Process id; 0 if the process is not running."""
         return self._process.pid if self._process.running else 0
 
     @property
-    def waited_s(self) -> float:
-        """Time for which the process was ready to run without a processor, in seconds."""
+    def processor_wait_s(self) -> float:
+        """Total time that the process was runnable and waited for a processor, in seconds.
+
+        0 if the process is not running.
+        """
         try:
             fields = Path(f"/proc/{self.pid}/schedstat").read_text(encoding="ascii").split()
         except OSError:
@@ -59,66 +66,72 @@
         return int(fields[1]) / 1e9
 
     def start(self) -> None:
-        """Starts the process and keeps it running until `end`."""
+        """Starts the process and restarts it after each exit until `stop` is called."""
         self._supervisor = asyncio.create_task(self._supervise())
 
-    async def end(self) -> None:
-        """Kills the process for good."""
+    async def stop(self) -> None:
+        """Kills the process and ends its supervision."""
         if self._supervisor is not None:
             self._supervisor.cancel()
             await asyncio.gather(self._supervisor, return_exceptions=True)
         await self._process.stop()
 
     async def terminate(self) -> None:
-        """Sends SIGTERM, and SIGKILL once the grace time is over; returns after the end."""
-        life = self.life
+        """Sends SIGTERM, and SIGKILL after the grace time; returns when the process has exited.
+
+        Does nothing if the process is not running.
+        """
+        start_number = self.start_number
         with contextlib.suppress(ProcessStateError):
             self._process.terminate()
-            self._note(Signal.TERM)
+            self._record(Signal.TERM)
             try:
                 await self._process.wait(GRACE_S)
             except ConditionTimeoutError:
-                if life == self.life:
+                if start_number == self.start_number:
                     self._forced = True
                     await self._process.kill()
 
     async def kill(self) -> None:
-        """Sends SIGKILL."""
+        """Sends SIGKILL; does nothing if the process is not running."""
         with contextlib.suppress(ProcessStateError):
-            self._note(Signal.KILL)
+            self._record(Signal.KILL)
             await self._process.kill()
 
-    async def pause(self, seconds: float) -> None:
-        """Sends SIGSTOP and, some time later, SIGCONT."""
+    async def pause(self, duration_s: float) -> None:
+        """Sends SIGSTOP, then SIGCONT after a number of seconds.
+
+        Does nothing if the process is not running.
+        """
         with contextlib.suppress(ProcessStateError, ConditionTimeoutError):
-            self._note(Signal.PAUSE)
+            self._record(Signal.PAUSE)
             await self._process.pause()
-            await asyncio.sleep(seconds)
+            await asyncio.sleep(duration_s)
             self._process.resume()
-            self._note(Signal.CONTINUE)
+            self._record(Signal.CONTINUE)
 
     def hang_up(self) -> None:
-        """Writes the settings file anew and sends SIGHUP."""
+        """Appends an empty line to the settings file and sends SIGHUP."""
         self._settings.write_text(self._settings.read_text() + "\n")
         with contextlib.suppress(ProcessStateError):
             self._process.hang_up()
-            self._note(Signal.HANGUP)
+            self._record(Signal.HANGUP)
 
     async def _supervise(self) -> None:
         while True:
-            self.life += 1
+            self.start_number += 1
             self._forced = False
             await self._process.start()
-            self._note(Signal.START)
+            self._record(Signal.START)
             code = await self._process.wait(3600)
-            self._note(Signal.EXIT, code)
-            await asyncio.sleep(RESTART_S)
+            self._record(Signal.EXIT, code)
+            await asyncio.sleep(RESTART_DELAY_S)
 
-    def _note(self, signal: Signal, code: int = 0) -> None:
+    def _record(self, signal: Signal, code: int = 0) -> None:
         self._evidence.processes.append(
             ProcessEvent(
                 agent=self.name,
-                life=self.life,
+                life=self.start_number,
                 signal=signal,
                 at=time.monotonic(),
                 forced=self._forced,
@@ -128,12 +141,18 @@
 
 
 class Configurator:
-    """Writes configurations; each version has a route of its own, which tells that it is in force.
+    """Writes configuration versions to the store.
+
+    Each version contains a route that no other version has. A response from this route shows that
+    the version is in force.
 
     Args:
         store: The store.
-        services: Names of the services, and whether they are divided by key.
-        evidence: Where the routes of the versions are noted.
+        services: Whether the keys of a service are partitioned, by service name.
+        evidence: Receives the route of each version.
+
+    Attributes:
+        version: Number of the newest version; 0 before the first.
     """
 
     def __init__(self, store: SiteStore, services: dict[str, bool], evidence: Evidence) -> None:
@@ -144,14 +163,21 @@
 
     @property
     def newest_routes(self) -> tuple[str, ...]:
-        """Routes of the newest versions, oldest first."""
+        """Routes of the newest versions, in ascending order of version."""
         return tuple(self._evidence.versions)[-_PROBED_VERSIONS:]
 
-    def change(self, step: int = 1) -> str:
-        """Writes the next version; returns the route that only this version has."""
+    def write_next_version(self, step: int = 1) -> str:
+        """Writes the next configuration version.
+
+        Args:
+            step: Increment of the version number.
+
+        Returns:
+            Name of the route that only this version has.
+        """
         self.version += step
-        mark = versioned_route(self.version)
-        self._evidence.versions[mark] = self.version
+        version_route = versioned_route(self.version)
+        self._evidence.versions[version_route] = self.version
         services = {
             name: {"healthPath": "/health", "maxConns": 130, "sharded": keyed, "warmupS": 1.0}
             for name, keyed in self._services.items()
@@ -161,7 +187,7 @@
         for name in self._services:
             for route, kind in ((name, "idempotent"), (f"{name}-once", "non_idempotent")):
                 routes[route] = _route(route, kind, name)
-        routes[mark] = _route(mark, "idempotent", unkeyed)
+        routes[version_route] = _route(version_route, "idempotent", unkeyed)
         limits = {
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": 1_048_576,
@@ -174,12 +200,12 @@
             "services": services,
             "limits": limits,
         }
-        self._store.write(_KIND, _NAME, msgspec.json.encode(content))
-        return mark
+        self._store.write(_CONFIG_KIND, _CONFIG_NAME, msgspec.json.encode(content))
+        return version_route
 
 
 def versioned_route(version: int) -> str:
-    """Returns the route that only one version of the configuration has."""
+    """Returns the name of the route that only this configuration version has."""
     return f"version-{version}"
 
 
--- a/fescueward/testing/site/plan.py
+++ b/fescueward/testing/site/plan.py
@@ -1,4 +1,4 @@
-"""Plans of faults, drawn from a seed."""
+"""Fault plans, drawn at random from a seed."""
 
 from __future__ import annotations
 
@@ -6,42 +6,42 @@
 import random
 from dataclasses import dataclass
 
-# Faults end so long before the end of a plan, in seconds, and begin so long after its begin.
+# No fault begins in the first or last second of a plan.
 _MARGIN_S = 1.0
-# Mean time between two entries of a plan, in seconds; most faults last longer, so they overlap.
-_MEAN_GAP_S = 1.6
-# Share of the plans with planned work and outages of the store only: around unplanned faults the
-# platform's rules excuse requests that are cut.
-_PLANNED_SHARE = 0.5
+# Mean time between two draws of an action. Most faults last longer, so they overlap.
+_MEAN_INTERVAL_S = 1.6
+# Share of plans with only planned operations and store outages. Around unplanned faults the
+# platform's rules allow requests to be cut off, so plans with such faults check less.
+_PLANNED_ONLY_SHARE = 0.5
 
 
 class Action(enum.StrEnum):
-    """What a step does."""
+    """Kinds of steps in a plan."""
 
-    # Signals to agents.
+    # Signals sent to an agent.
     TERM = "term"
     KILL = "kill"
     PAUSE = "pause"
     HANGUP = "hangup"
-    # The store, for all machines; `value` is the kind of the outage.
+    # Faults of the store that affect all machines; `value` is the variant of the fault.
     STORE_DOWN = "store-down"
     STORE_SLOW = "store-slow"
     STORE_LOST = "store-lost"
     STORE_FORGET = "store-forget"
-    # The way of some machines to the store; `value` is a mode of the proxy.
+    # Faults of the link between one agent and the store; `value` is a proxy mode.
     STORE_PART = "store-part"
-    # A new configuration.
+    # Writes a new configuration version.
     CONFIGURE = "configure"
-    # Upstreams; `value` tells whether the next start has the same id.
+    # Faults and departures of an upstream; for `CRASH`, `value` selects the id of its next start.
     LEAVE = "leave"
     CRASH = "crash"
     SLOW = "slow"
     ANSWERS_LOST = "answers-lost"
-    # The way from an agent to its upstream; `value` is a mode of the proxy.
+    # Faults of the link between an agent and its upstream; `value` is a proxy mode or `delay`.
     LINK = "link"
 
 
-_PLANNED = (
+_PLANNED_ACTIONS = (
     Action.TERM,
     Action.TERM,
     Action.HANGUP,
@@ -55,7 +55,7 @@
     Action.CONFIGURE,
     Action.LEAVE,
 )
-_UNPLANNED = (
+_UNPLANNED_ACTIONS = (
     Action.KILL,
     Action.PAUSE,
     Action.CRASH,
@@ -63,22 +63,24 @@
     Action.ANSWERS_LOST,
     Action.LINK,
 )
-# Values that an action may have, and its shortest and longest time in seconds.
-_VALUES = {
+# Variants of an action.
+_VARIANTS = {
     Action.STORE_DOWN: ("silent", "refuse", "reset"),
     Action.STORE_LOST: ("now", "late"),
     Action.STORE_PART: ("drop", "cut"),
     Action.CRASH: ("same id", "new id"),
     Action.LINK: ("drop", "cut", "delay"),
 }
-_SECONDS = {
+# Minimum and maximum duration of an action.
+_DURATIONS_S = {
     Action.PAUSE: (0.3, 5.0),
     Action.LINK: (0.3, 3.0),
     Action.CRASH: (0.5, 4.0),
     Action.LEAVE: (2.0, 4.0),
 }
-_DEFAULT_SECONDS = (2.0, 9.0)
-_FOR_ALL = frozenset(
+_DEFAULT_DURATION_S = (2.0, 9.0)
+# Actions that affect all machines.
+_GLOBAL_ACTIONS = frozenset(
     {
         Action.STORE_DOWN,
         Action.STORE_SLOW,
@@ -91,14 +93,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """One fault or change.
+    """One fault or operation of a plan.
 
     Attributes:
-        at_s: When it begins, in seconds from the begin of the plan.
-        action: What it is.
-        machine: Machine that it concerns; empty for all.
-        seconds: How long it lasts, if it lasts.
-        value: Kind of it, if there are several.
+        at_s: When it begins, in seconds from the start of the plan.
+        action: Kind of the step.
+        machine: Affected machine; empty for all.
+        seconds: Duration, for actions that have one.
+        value: Variant of the action; empty if it has no variants.
     """
 
     at_s: float
@@ -109,41 +111,53 @@
 
 
 def draw_plan(seed: int, seconds: float, machines: tuple[str, ...]) -> tuple[Step, ...]:
-    """Returns the plan of a seed: single steps, series over all machines, and bursts.
+    """Returns the plan of a seed, in order of time.
+
+    An action affects one machine, several at once or, for some planned operations, all machines
+    one after another. The same arguments always give the same plan.
 
     Args:
-        seed: The seed.
+        seed: Seed of the random generator.
         seconds: Length of the plan.
         machines: Names of the machines.
     """
     rng = random.Random(seed)
-    actions = _PLANNED if rng.random() < _PLANNED_SHARE else (*_PLANNED, *_UNPLANNED * 2)
+    actions = (
+        _PLANNED_ACTIONS
+        if rng.random() < _PLANNED_ONLY_SHARE
+        else (*_PLANNED_ACTIONS, *_UNPLANNED_ACTIONS * 2)
+    )
     steps: list[Step] = []
     at_s = _MARGIN_S
     while at_s < seconds - _MARGIN_S:
         action = rng.choice(actions)
         steps += _draw(rng, at_s, action, machines)
-        at_s += rng.expovariate(1 / _MEAN_GAP_S)
+        at_s += rng.expovariate(1 / _MEAN_INTERVAL_S)
     return tuple(
-        sorted((s for s in steps if s.at_s < seconds - _MARGIN_S), key=lambda step: step.at_s)
+        sorted(
+            (drawn for drawn in steps if drawn.at_s < seconds - _MARGIN_S),
+            key=lambda step: step.at_s,
+        )
     )
 
 
 def _draw(
     rng: random.Random, at_s: float, action: Action, machines: tuple[str, ...]
 ) -> list[Step]:
+    """Returns the steps of one action with random machines, duration and variant."""
+
     def step(machine: str, at_s: float) -> Step:
-        seconds = round(rng.uniform(*_SECONDS.get(action, _DEFAULT_SECONDS)), 2)
-        value = rng.choice(_VALUES.get(action, ("",)))
-        return Step(round(at_s, 2), action, machine, seconds, value)
+        duration_s = round(rng.uniform(*_DURATIONS_S.get(action, _DEFAULT_DURATION_S)), 2)
+        variant = rng.choice(_VARIANTS.get(action, ("",)))
+        return Step(round(at_s, 2), action, machine, duration_s, variant)
 
-    if action in _FOR_ALL:
+    if action in _GLOBAL_ACTIONS:
         count = rng.randint(2, 5) if action is Action.CONFIGURE and rng.random() < 0.4 else 1
         return [step("", at_s + 0.2 * number) for number in range(count)]
     order = rng.sample(machines, len(machines))
-    shape = rng.random()
-    if action in (Action.TERM, Action.HANGUP, Action.LEAVE) and shape < 0.3:
+    pattern = rng.random()
+    if action in (Action.TERM, Action.HANGUP, Action.LEAVE) and pattern < 0.3:
         gap_s = rng.choice((0.5, 1.5, 3.0))
         return [step(name, at_s + gap_s * number) for number, name in enumerate(order)]
-    count = rng.randint(2, len(machines)) if shape > 0.8 else 1
+    count = rng.randint(2, len(machines)) if pattern > 0.8 else 1
     return [step(name, at_s) for name in order[:count]]
--- a/fescueward/testing/site/records.py
+++ b/fescueward/testing/site/records.py
@@ -1,4 +1,7 @@
-"""What callers, upstreams and the operator saw; all times are seconds of `time.monotonic`."""
+"""Evidence recorded by callers, upstreams and the operator.
+
+All times are in seconds of `time.monotonic`.
+"""
 
 from __future__ import annotations
 
@@ -6,42 +9,42 @@
 import hashlib
 from dataclasses import dataclass, field
 
-ANSWER_BYTES = 2_000
-# Name of the disturbance of an agent that the machine gives too little processor time.
+RESPONSE_BODY_BYTES = 2_000
+# `Disturbance.what` of an agent that waited too long for a processor.
 STARVED = "starved"
 
 
-def answer_body(request_id: str) -> bytes:
-    """Returns the whole body that every upstream answers to a request."""
+def response_body(request_id: str) -> bytes:
+    """Returns the complete body of every upstream's response to a request."""
     digest = hashlib.sha256(request_id.encode()).hexdigest().encode()
-    return (digest * (ANSWER_BYTES // len(digest) + 1))[:ANSWER_BYTES]
+    return (digest * (RESPONSE_BODY_BYTES // len(digest) + 1))[:RESPONSE_BODY_BYTES]
 
 
 def receipt(instance: str, request_id: str, status: int) -> str:
-    """Returns the proof that an upstream adds to its answer."""
+    """Returns the receipt header that an upstream adds to its response."""
     return f"{instance}.{request_id}.{status}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
-    """One request of a caller, from the first byte to the end.
+    """One completed request of a caller.
 
     Attributes:
         id: Id of the request.
         agent: Name of the agent that it was sent to.
-        life: Number of the agent's start to which the connection belongs.
+        life: Start number of the agent process when the request was sent.
         route: Name of the route.
-        repeatable: Whether it may run more than once.
+        repeatable: Whether it is idempotent, so that it may run more than once.
         key: Its key, or None.
         sent: When it was sent.
-        ended: When the answer was complete or the connection ended.
-        timeout_s: How long the caller waits.
-        status: Status of the answer, 0 without one.
-        receipt: Proof of the upstream, empty without one.
-        echo: Request id that the answer names.
-        whole: Whether the body is the whole body of the upstream's answer.
-        connected: Whether a connection could be made.
-        error: Why there is no answer.
+        ended: When the response was complete or the request failed.
+        timeout_s: Timeout of the caller, in seconds.
+        status: Status of the response, 0 without one.
+        receipt: Receipt of the upstream, empty without one.
+        echo: Request id in the response, empty without one.
+        whole: Whether the body equals the complete body of the upstream's response.
+        connected: Whether the connection was established.
+        error: Class name of the error, empty if there is a response.
     """
 
     id: str
@@ -62,22 +65,22 @@
 
     @property
     def served(self) -> bool:
-        """Whether the answer is a success of an upstream."""
+        """Whether an upstream answered with a 2xx status."""
         return 200 <= self.status < 300 and bool(self.receipt)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Run:
-    """Work of an upstream on one request.
+    """One execution of a request by an upstream.
 
     Attributes:
         id: Id of the request.
-        instance: Start of the upstream.
+        instance: Start id of the upstream, `INSTANCE@START_MS`.
         machine: Machine of the upstream.
         key: Key of the request, or None.
-        started: When the work began.
+        started: When the execution began.
         ended: When it ended.
-        status: Status of the answer; 0 if the upstream sent none.
+        status: Status of the response; 0 if the upstream sent none.
     """
 
     id: str
@@ -91,17 +94,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Hold:
-    """A span of time in which one start of an upstream held a range of keys.
+    """A key range held by one start of an upstream for a period of time.
 
     Attributes:
         service: Service of the keys.
-        instance: Start of the upstream.
-        machine: Its machine.
+        instance: Start id of the upstream.
+        machine: Machine of the upstream.
         first: Lowest key.
-        last: Highest key.
+        last: Highest key, inclusive.
         fence: Epoch of the grant.
-        since: Arrival of the first grant.
-        until: End by time, release or end of the upstream.
+        since: When the first grant arrived.
+        until: When the grant expired or was released, or when the upstream stopped.
     """
 
     service: str
@@ -116,11 +119,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Departure:
-    """An acknowledged report that an upstream leaves.
+    """An acknowledged report of an upstream that it is draining.
 
     Attributes:
-        instance: Start of the upstream.
-        machine: Its machine, whose agent acknowledged.
+        instance: Start id of the upstream.
+        machine: Its machine, whose agent acknowledged the report.
         acknowledged: When the acknowledgement arrived.
     """
 
@@ -130,7 +133,7 @@
 
 
 class Signal(enum.StrEnum):
-    """What the operator does to an agent."""
+    """Signals that the operator sends to an agent, and changes of its process state."""
 
     START = "start"
     TERM = "term"
@@ -138,21 +141,21 @@
     PAUSE = "pause"
     CONTINUE = "continue"
     HANGUP = "hangup"
-    # The process ended; `forced` tells whether the operator had to kill it.
+    # The process ended; `ProcessEvent.forced` is set if it ran past the grace time.
     EXIT = "exit"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProcessEvent:
-    """A signal to an agent, or its start or end.
+    """A signal sent to an agent process, or its start or exit.
 
     Attributes:
         agent: Name of the agent.
-        life: Number of its start.
-        signal: What happened.
-        at: When.
-        forced: For an exit, whether the grace time was over.
-        code: For an exit, the status of the process.
+        life: Start number of the agent process.
+        signal: The signal or state change.
+        at: When it happened.
+        forced: For an exit, whether the operator killed the process after the grace time.
+        code: For an exit, the exit status of the process.
     """
 
     agent: str
@@ -165,14 +168,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Disturbance:
-    """An unplanned fault outside of the agents.
+    """An injected or observed fault outside the agent processes.
 
     Attributes:
-        machine: Machine that it concerns; empty for all.
-        since: Begin.
-        until: End.
+        machine: Affected machine; empty for all.
+        since: When it began.
+        until: When it ended.
         what: Name of the fault.
-        store: Whether it concerns the store or the way to it only.
+        store: Whether it affects only the store or the connections to it.
     """
 
     machine: str
@@ -184,12 +187,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Stall:
-    """A time in which the event loop of upstreams, store and callers stood still.
+    """A period in which the event loop of upstreams, store and callers was blocked.
 
-    What they note in it is late. The start of a process on a busy machine is such a time.
+    Timestamps recorded during a stall are late. Starting a process on a busy machine causes one.
 
     Attributes:
-        since: When the loop should have run.
+        since: When the event loop was due to run.
         until: When it ran.
     """
 
@@ -199,17 +202,17 @@
 
 @dataclass(slots=True)
 class Evidence:
-    """Everything that is judged; callers, upstreams and the operator append to it.
+    """Input of the judge; callers, upstreams and the operator append to it.
 
     Attributes:
-        attempts: Requests of the callers that have ended.
-        runs: Work of the upstreams that has ended.
-        holds: Keys that upstreams held, up to now.
-        departures: Acknowledged reports of leaving.
-        processes: Signals, starts and ends of agents.
-        disturbances: Unplanned faults.
-        stalls: Times in which the emulator stood still.
-        versions: Version of the configuration that each route of `versioned_route` tells.
+        attempts: Completed requests of the callers.
+        runs: Completed executions by the upstreams.
+        holds: Ended holds of key ranges by upstreams.
+        departures: Acknowledged reports of upstreams that they are draining.
+        processes: Signals, starts and exits of agents.
+        disturbances: Faults outside the agent processes.
+        stalls: Periods in which the event loop of the emulator was blocked.
+        versions: Configuration version that contains the route, by route of `versioned_route`.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -1,6 +1,6 @@
-"""Fault soak: plays a plan of faults on an emulated deployment and judges what was seen.
+"""Fault soak: runs a fault plan against an emulated deployment and checks the platform's rules.
 
-Run by `scripts/soak`. Exits 0 if no rule was broken, else 1.
+Run by `scripts/soak`. The exit status is 0 if no rule was broken, else 1.
 """
 
 from __future__ import annotations
@@ -37,32 +37,32 @@
     Load(route="proofing", repeatable=True, connections=1, work_ms=(5, 300)),
     Load(route="proofing-once", repeatable=False, connections=1, work_ms=(5, 60)),
 )
-# Time within which all is served again after the last fault, by the platform's `recoveryS`.
-RECOVERY_S = 15.0
-_FIRST_SERVED_S = 20.0
+# Time after the last fault within which each agent serves each route, the platform's `recoveryS`.
+RECOVERY_TIMEOUT_S = 15.0
+_WARMUP_TIMEOUT_S = 20.0
 _STORE_DELAY_S = 0.4
-_LOST_SHARE = 0.4
-_LATE_S = 1.5
+_LOST_RESPONSE_SHARE = 0.4
+_LATE_WRITE_DELAY_S = 1.5
 _SLOW_FACTOR = 4.0
 _LINK_DELAY_MS = 300.0
-# How long an upstream serves after its leave was acknowledged, and is away then, in seconds.
-_SERVE_S = 2.2
+# Time that an upstream serves on after its departure was acknowledged.
+_LEAVE_SERVE_S = 2.2
 
 
 @dataclass(frozen=True, slots=True)
 class SoakResult:
-    """What one seed showed.
+    """Result of a soak with one seed.
 
     Attributes:
         seed: The seed.
-        plan: Its plan.
-        attempts: Requests of callers.
-        served: Those that an upstream answered with success.
-        runs: Runs of the upstreams.
-        breaches: Broken rules.
-        longest_stall_s: Longest time for which the emulator stood still.
-        stalled_s: Sum of such times while the plan was played.
-        starved: Half seconds in which an agent got too little processor time.
+        plan: Plan drawn from the seed.
+        attempts: Number of requests of callers.
+        served: Number of requests that an upstream answered with a 2xx status.
+        runs: Number of executions by the upstreams.
+        breaches: Violations of rules.
+        longest_stall_s: Longest stall of the emulator since the start of the plan, in seconds.
+        stalled_s: Sum of these stalls, in seconds.
+        starved: Number of half seconds in which an agent waited too long for a processor.
     """
 
     seed: int
@@ -76,30 +76,31 @@
     starved: int
 
     def __str__(self) -> str:
-        rules = Counter(str(breach.rule) for breach in self.breaches)
+        rule_counts = Counter(str(breach.rule) for breach in self.breaches)
         return (
             f"seed {self.seed}: {len(self.plan)} steps, {self.attempts} requests, "
             f"{self.served} served, {self.runs} runs, longest stall "
             f"{self.longest_stall_s * 1000:.0f} ms of {self.stalled_s:.1f} s, "
-            f"starved {self.starved}, " + (f"broken {dict(rules)}" if rules else "no rule broken")
+            f"starved {self.starved}, "
+            + (f"broken {dict(rule_counts)}" if rule_counts else "no rule broken")
         )
 
 
 async def run_soak(seed: int, seconds: float, agents: int, directory: Path) -> SoakResult:
-    """Plays one seed.
+    """Runs the soak with one seed.
 
     Args:
         seed: Seed of plan, load and faults.
         seconds: Length of the plan.
         agents: Number of agents, at least one for each service.
-        directory: Where settings and logs go.
+        directory: Directory of plan, evidence, settings files and logs.
 
     Raises:
-        ConditionTimeoutError: Not all was served before the first fault.
+        ConditionTimeoutError: An agent was not ready or did not serve each route before the first
+            fault.
     """
     counts = {
-        service: len(range(number, agents, len(SERVICES)))
-        for number, service in enumerate(SERVICES)
+        service: len(range(index, agents, len(SERVICES))) for index, service in enumerate(SERVICES)
     }
     spec = SiteSpec(services=counts, keyed=KEYED, seed=seed)
     async with SiteDeployment(spec, directory) as site:
@@ -108,18 +109,20 @@
         breaches: list[Breach] = []
         await site.wait_ready()
         site.start_load(LOADS)
-        await site.wait_served(LOADS, _FIRST_SERVED_S)
+        await site.wait_served(LOADS, _WARMUP_TIMEOUT_S)
         site.start_probes()
-        began = time.monotonic()
+        started_at = time.monotonic()
         try:
-            await _Player(site).play(plan)
-            await site.wait_served(LOADS, RECOVERY_S)
+            await _PlanRunner(site).run(plan)
+            await site.wait_served(LOADS, RECOVERY_TIMEOUT_S)
         except ConditionTimeoutError as error:
             breaches.append(Breach(Rule.RECOVER, time.monotonic(), str(error)))
         await site.stop_load()
         breaches += judge(site.evidence)
         evidence = site.evidence
-        stalls = [one.until - one.since for one in evidence.stalls if one.since >= began]
+        stalls_s = [
+            stall.until - stall.since for stall in evidence.stalls if stall.since >= started_at
+        ]
         (directory / "evidence.json").write_bytes(msgspec.json.encode(evidence))
         return SoakResult(
             seed=seed,
@@ -128,31 +131,31 @@
             served=sum(attempt.served for attempt in evidence.attempts),
             runs=len(evidence.runs),
             breaches=tuple(breaches),
-            longest_stall_s=max(stalls, default=0.0),
-            stalled_s=sum(stalls),
-            starved=sum(fault.what == STARVED for fault in evidence.disturbances),
+            longest_stall_s=max(stalls_s, default=0.0),
+            stalled_s=sum(stalls_s),
+            starved=sum(disturbance.what == STARVED for disturbance in evidence.disturbances),
         )
 
 
-class _Player:
-    """Carries out the steps of a plan, each in a task of its own."""
+class _PlanRunner:
+    """Executes the steps of a plan, each in its own task."""
 
     def __init__(self, site: SiteDeployment) -> None:
         self._site = site
-        self._open: Counter[tuple[str, str]] = Counter()
+        self._active_counts: Counter[tuple[str, str]] = Counter()
 
-    async def play(self, plan: tuple[Step, ...]) -> None:
-        """Returns when the last step has ended."""
-        began = time.monotonic()
+    async def run(self, plan: tuple[Step, ...]) -> None:
+        """Executes all steps at their times; returns when the last step has ended."""
+        started_at = time.monotonic()
         async with asyncio.TaskGroup() as tasks:
             for step in plan:
-                await asyncio.sleep(max(began + step.at_s - time.monotonic(), 0))
-                tasks.create_task(self._act(step))
+                await asyncio.sleep(max(started_at + step.at_s - time.monotonic(), 0))
+                tasks.create_task(self._execute(step))
 
-    async def _act(self, step: Step) -> None:
+    async def _execute(self, step: Step) -> None:
         machine = self._site.machines.get(step.machine)
         if machine is None:
-            await self._on_store(step)
+            await self._apply_store_fault(step)
         elif step.action is Action.TERM:
             await machine.agent.terminate()
         elif step.action is Action.KILL:
@@ -162,73 +165,79 @@
         elif step.action is Action.HANGUP:
             machine.agent.hang_up()
         else:
-            await self._on_links(step, machine)
+            await self._apply_machine_fault(step, machine)
 
-    async def _on_store(self, step: Step) -> None:
+    async def _apply_store_fault(self, step: Step) -> None:
         store = self._site.store
         if step.action is Action.CONFIGURE:
-            self._site.configurator.change()
+            self._site.configurator.write_next_version()
             return
         if step.action is Action.STORE_FORGET:
-            store.forget_history()
+            store.drop_history()
             return
         if step.action is Action.STORE_DOWN:
-            change = {"mode": StoreMode(step.value)}
+            changes = {"mode": StoreMode(step.value)}
         elif step.action is Action.STORE_SLOW:
-            change = {"delay_s": _STORE_DELAY_S}
+            changes = {"delay_s": _STORE_DELAY_S}
         else:
-            late_s = _LATE_S if step.value == "late" else 0.0
-            change = {"lost_share": _LOST_SHARE, "late_s": late_s}
-        store.set_faults(replace(store.faults, **change))
-        await self._last(step, store=True)
-        if self._ended(step):
-            normal = StoreFaults()
-            change = {name: getattr(normal, name) for name in change}
-            store.set_faults(replace(store.faults, **change))
+            late_s = _LATE_WRITE_DELAY_S if step.value == "late" else 0.0
+            changes = {"lost_share": _LOST_RESPONSE_SHARE, "late_s": late_s}
+        store.set_faults(replace(store.faults, **changes))
+        await self._wait_and_record(step, store=True)
+        if self._end_fault(step):
+            defaults = StoreFaults()
+            changes = {name: getattr(defaults, name) for name in changes}
+            store.set_faults(replace(store.faults, **changes))
 
-    async def _on_links(self, step: Step, machine: Machine) -> None:
+    async def _apply_machine_fault(self, step: Step, machine: Machine) -> None:
         upstream = machine.upstream
         if step.action is Action.LEAVE:
-            if not self._begun(step):
-                await upstream.leave(_SERVE_S)
+            if not self._begin_fault(step):
+                await upstream.leave(_LEAVE_SERVE_S)
                 await asyncio.sleep(step.seconds)
                 await upstream.start()
-            self._ended(step)
+            self._end_fault(step)
         elif step.action is Action.CRASH:
-            if not self._begun(replace(step, action=Action.LEAVE)):
+            if not self._begin_fault(replace(step, action=Action.LEAVE)):
                 await upstream.crash()
-                await self._last(step, count=False)
+                await self._wait_and_record(step, count=False)
                 await upstream.start(same_id=step.value == "same id")
-            self._ended(replace(step, action=Action.LEAVE))
+            self._end_fault(replace(step, action=Action.LEAVE))
         elif step.action in (Action.LINK, Action.STORE_PART):
             proxy = machine.upstream_proxy
             if step.action is Action.STORE_PART:
                 proxy = machine.store_proxy
-            await self._on_proxy(step, proxy)
+            await self._apply_proxy_fault(step, proxy)
         else:
-            change = {"slow_factor": _SLOW_FACTOR}
+            changes = {"slow_factor": _SLOW_FACTOR}
             if step.action is Action.ANSWERS_LOST:
-                change = {"lost_share": _LOST_SHARE}
-            upstream.faults = replace(upstream.faults, **change)
-            await self._last(step)
-            if self._ended(step):
-                normal = UpstreamFaults()
-                change = {name: getattr(normal, name) for name in change}
-                upstream.faults = replace(upstream.faults, **change)
+                changes = {"lost_share": _LOST_RESPONSE_SHARE}
+            upstream.faults = replace(upstream.faults, **changes)
+            await self._wait_and_record(step)
+            if self._end_fault(step):
+                defaults = UpstreamFaults()
+                changes = {name: getattr(defaults, name) for name in changes}
+                upstream.faults = replace(upstream.faults, **changes)
 
-    async def _on_proxy(self, step: Step, proxy: FaultProxy) -> None:
+    async def _apply_proxy_fault(self, step: Step, proxy: FaultProxy) -> None:
         plan = ProxyPlan.both(ProxyMode.PASS, _LINK_DELAY_MS)
         if step.value != "delay":
             plan = ProxyPlan.both(ProxyMode(step.value))
         await proxy.set_plan(plan)
-        await self._last(step, store=step.action is Action.STORE_PART)
-        if self._ended(step):
+        await self._wait_and_record(step, store=step.action is Action.STORE_PART)
+        if self._end_fault(step):
             await proxy.set_plan(PASS)
 
-    async def _last(self, step: Step, store: bool = False, count: bool = True) -> None:
-        """Waits for the time of a fault and notes it for the judge."""
+    async def _wait_and_record(self, step: Step, store: bool = False, count: bool = True) -> None:
+        """Waits for the duration of a fault and records it as a disturbance.
+
+        Args:
+            step: Step of the fault.
+            store: Whether the fault affects only the store or the link to it.
+            count: Whether to count the fault as active.
+        """
         if count:
-            self._begun(step)
+            self._begin_fault(step)
         since = time.monotonic()
         await asyncio.sleep(step.seconds)
         self._site.evidence.disturbances.append(
@@ -241,15 +250,15 @@
             )
         )
 
-    def _begun(self, step: Step) -> bool:
-        """Counts a fault; returns whether one of its kind is in force already."""
-        self._open[step.action, step.machine] += 1
-        return self._open[step.action, step.machine] > 1
+    def _begin_fault(self, step: Step) -> bool:
+        """Counts a fault as active; returns whether another of its kind was active already."""
+        self._active_counts[step.action, step.machine] += 1
+        return self._active_counts[step.action, step.machine] > 1
 
-    def _ended(self, step: Step) -> bool:
-        """Counts the end of a fault; returns whether it was the last of its kind."""
-        self._open[step.action, step.machine] -= 1
-        return self._open[step.action, step.machine] == 0
+    def _end_fault(self, step: Step) -> bool:
+        """Ends an active fault; returns whether no other of its kind is active."""
+        self._active_counts[step.action, step.machine] -= 1
+        return self._active_counts[step.action, step.machine] == 0
 
 
 def main(
@@ -258,7 +267,7 @@
     agents: Annotated[int, typer.Option(min=3, max=100, help="Number of agents.")] = 6,
     keep: Annotated[Path, typer.Option(help="Directory for logs.")] = Path("runs/soak"),
 ) -> None:
-    """Plays one seed; plan and logs of a seed that breaks a rule are kept."""
+    """Runs the soak with one seed; keeps plan, evidence and logs if a rule is broken."""
     directory = keep / f"seed-{seed}"
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
--- a/fescueward/testing/site/store.py
+++ b/fescueward/testing/site/store.py
@@ -1,4 +1,4 @@
-"""The platform's object store by its published protocol."""
+"""Emulated object store of the platform, with its published HTTP protocol."""
 
 from __future__ import annotations
 
@@ -16,28 +16,28 @@
 from ...platform.names import OBJECTS_PATH
 from ..program import LOOPBACK, HttpSite, abort_connection
 
-# Objects in one page of a list.
-_PAGE = 50
-# Age of the copy that calls with `staleOk` read, in seconds.
-_STALE_S = 2.0
-# Longest wait of a watch in milliseconds, by the platform's pages.
-_LONGEST_WATCH_MS = 30_000
-# Longer than any caller waits, in seconds.
-_FOR_GOOD_S = 3600.0
-# Rates of the platform's smaller deployments.
+# Maximum number of objects in one page of a list response.
+_PAGE_SIZE = 50
+# Maximum age of the snapshot that reads with `staleOk` return.
+_MAX_STALENESS_S = 2.0
+# Maximum wait of a watch, from the platform's documentation.
+_MAX_WATCH_MS = 30_000
+# Longer than any client timeout.
+_HANG_S = 3600.0
+# Rate limits of the platform's smaller deployments.
 _WRITES_PER_S = 400
 _READS_PER_S = 2000
 
 
 class StoreMode(enum.StrEnum):
-    """How the store treats calls."""
+    """How the store handles calls."""
 
     SERVE = "serve"
-    # Answers 503 and does nothing.
+    # Responds with 503 and executes no call.
     REFUSE = "refuse"
-    # Resets each connection and does nothing.
+    # Resets each connection and executes no call.
     RESET = "reset"
-    # Reads calls and never answers.
+    # Accepts calls and never responds.
     SILENT = "silent"
 
 
@@ -46,10 +46,11 @@
     """Faults of the store.
 
     Attributes:
-        mode: How calls are treated.
-        delay_s: Time before each call is looked at.
-        lost_share: Share of the writes whose answer is lost.
-        late_s: Time after which such a write takes effect, if its condition still holds.
+        mode: How calls are handled.
+        delay_s: Delay before each call is processed, in seconds.
+        lost_share: Share of the writes whose response is lost, from 0 to 1.
+        late_s: Delay in seconds after which such a write is applied, if its condition still holds.
+            With 0 it is applied at once.
     """
 
     mode: StoreMode = StoreMode.SERVE
@@ -63,17 +64,17 @@
     """An object of one kind.
 
     Attributes:
-        name: Its name.
-        revision: Revision of its last change.
-        spec: Its content, JSON.
+        name: Name of the object.
+        revision: Store revision of its last change.
+        spec: Content of the object as JSON.
     """
 
     name: str
     revision: int
     spec: msgspec.Raw
 
-    def wire(self) -> dict[str, object]:
-        """Returns the object as it stands in answers."""
+    def to_response(self) -> dict[str, object]:
+        """Returns the object in the form that responses contain."""
         return {
             "metadata": {"name": self.name, "revision": self.revision},
             "spec": self.spec,
@@ -82,7 +83,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """One entry of the history."""
+    """One entry of the change history."""
 
     kind: str
     item: StoredItem
@@ -100,11 +101,14 @@
 
 
 class SiteStore:
-    """Objects by kind and name, behind one HTTP server.
+    """HTTP server of the object store, which keeps objects by kind and name in memory.
+
+    Args:
+        seed: Seed that selects the writes whose response is lost.
 
     Attributes:
-        faults: Faults in force; replaced as a whole.
-        calls: Number of calls so far.
+        faults: Faults in force; changed with `set_faults`.
+        calls: Number of calls received so far.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -112,55 +116,64 @@
         self.calls = 0
         self._random = random.Random(seed)
         self._objects: dict[str, dict[str, StoredItem]] = {}
-        self._stale: tuple[float, dict[str, dict[str, StoredItem]]] = (-_STALE_S, {})
+        self._snapshot: tuple[float, dict[str, dict[str, StoredItem]]] = (-_MAX_STALENESS_S, {})
         self._revision = 1
         self._history: list[Change] = []
-        self._oldest = 1
+        self._oldest_revision = 1
         self._changed = asyncio.Event()
-        self._late: set[asyncio.TimerHandle] = set()
+        self._delayed_writes: set[asyncio.TimerHandle] = set()
         self._writes = AsyncLimiter(_WRITES_PER_S, 1)
         self._reads = AsyncLimiter(_READS_PER_S, 1)
         app = web.Application()
-        app.router.add_route("*", OBJECTS_PATH + "/{kind}", self._answer)
-        app.router.add_route("*", OBJECTS_PATH + "/{kind}/{name}", self._answer)
+        app.router.add_route("*", OBJECTS_PATH + "/{kind}", self._handle)
+        app.router.add_route("*", OBJECTS_PATH + "/{kind}/{name}", self._handle)
         self._site = HttpSite(app, LOOPBACK, 0)
 
     @property
     def port(self) -> int:
-        """Port it listens on."""
+        """Port on which the store listens."""
         return self._site.port
 
     async def start(self) -> None:
-        """Begins to listen."""
+        """Starts the server."""
         await self._site.start()
 
     async def stop(self) -> None:
-        """Ends the server; late writes are forgotten."""
-        for handle in self._late:
+        """Stops the server and discards writes that are still delayed."""
+        for handle in self._delayed_writes:
             handle.cancel()
         await self._site.stop()
 
     def set_faults(self, faults: StoreFaults) -> None:
-        """Puts faults into force; an outage that is not silent also cuts the watches that wait."""
+        """Replaces the faults in force; `REFUSE` and `RESET` also reset all open connections."""
         if faults.mode in (StoreMode.REFUSE, StoreMode.RESET):
             self._site.abort_connections()
         self.faults = faults
 
-    def forget_history(self) -> None:
-        """Drops all history, so that watches from an older revision are answered 410."""
+    def drop_history(self) -> None:
+        """Drops the change history, so that a watch from an older revision gets status 410."""
         self._history.clear()
-        self._oldest = self._revision
+        self._oldest_revision = self._revision
 
     def write(self, kind: str, name: str, spec: bytes) -> int:
-        """Writes as the operator, whom no fault of the store concerns; returns the revision."""
+        """Writes an object as the operator, which faults of the store do not affect.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            spec: Content of the object as JSON.
+
+        Returns:
+            Revision of the store after the write.
+        """
         self._put(kind, StoredItem(name, 0, msgspec.Raw(spec)))
         return self._revision
 
     def objects(self, kind: str) -> dict[str, StoredItem]:
-        """Returns the objects of a kind by name."""
+        """Returns a copy of the objects of a kind, by name."""
         return dict(self._objects.get(kind, {}))
 
-    async def _answer(self, request: web.Request) -> web.StreamResponse:
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
         self.calls += 1
         faults = self.faults
         if faults.delay_s:
@@ -170,7 +183,7 @@
         if faults.mode is StoreMode.RESET:
             return abort_connection(request)
         if faults.mode is StoreMode.SILENT:
-            await asyncio.sleep(_FOR_GOOD_S)
+            await asyncio.sleep(_HANG_S)
         limiter = self._reads if request.method == "GET" else self._writes
         if not limiter.has_capacity():
             return web.Response(status=429)
@@ -184,52 +197,57 @@
             return abort_connection(request)
         if self._random.random() < faults.lost_share:
             if faults.late_s:
-                apply = (self._write, request.method, kind, name, body, request.query)
-                self._late.add(asyncio.get_running_loop().call_later(faults.late_s, *apply))
+                write = (self._write, request.method, kind, name, body, request.query)
+                self._delayed_writes.add(
+                    asyncio.get_running_loop().call_later(faults.late_s, *write)
+                )
             else:
                 self._write(request.method, kind, name, body, request.query)
             return abort_connection(request)
         return self._write(request.method, kind, name, body, request.query)
 
     async def _read(self, request: web.Request, kind: str, name: str) -> web.Response:
-        held = self._held(request.query.get("staleOk") == "1").get(kind, {})
+        items = self._read_view(request.query.get("staleOk") == "1").get(kind, {})
         if name:
-            found = held.get(name)
-            return _json(found.wire()) if found else web.Response(status=404)
+            item = items.get(name)
+            return _json(item.to_response()) if item else web.Response(status=404)
         if "watch" in request.query:
-            wait_ms = min(int(request.query.get("waitMs", "0")), _LONGEST_WATCH_MS)
+            wait_ms = min(int(request.query.get("waitMs", "0")), _MAX_WATCH_MS)
             return await self._watch(kind, int(request.query["watch"]), wait_ms / 1000)
-        names = sorted(one for one in held if one > request.query.get("after", ""))
-        page = [held[one].wire() for one in names[:_PAGE]]
-        more = len(names) > _PAGE
+        names = sorted(
+            item_name for item_name in items if item_name > request.query.get("after", "")
+        )
+        page = [items[item_name].to_response() for item_name in names[:_PAGE_SIZE]]
+        more = len(names) > _PAGE_SIZE
         return _json({"items": page, "hasMore": more, "currentRev": self._revision})
 
-    def _held(self, stale: bool) -> dict[str, dict[str, StoredItem]]:
+    def _read_view(self, stale: bool) -> dict[str, dict[str, StoredItem]]:
+        """Returns the objects by kind and name, or a snapshot of bounded age for stale reads."""
         if not stale:
             return self._objects
         now = time.monotonic()
-        if now - self._stale[0] > _STALE_S:
-            self._stale = now, {kind: dict(items) for kind, items in self._objects.items()}
-        return self._stale[1]
+        if now - self._snapshot[0] > _MAX_STALENESS_S:
+            self._snapshot = now, {kind: dict(items) for kind, items in self._objects.items()}
+        return self._snapshot[1]
 
     async def _watch(self, kind: str, since: int, wait_s: float) -> web.Response:
         deadline = time.monotonic() + wait_s
         while True:
             if self.faults.mode is StoreMode.SILENT:
-                await asyncio.sleep(_FOR_GOOD_S)
-            if since < self._oldest:
+                await asyncio.sleep(_HANG_S)
+            if since < self._oldest_revision:
                 return web.Response(status=410)
             events = [
-                {"object": change.item.wire(), "deleted": change.deleted}
+                {"object": change.item.to_response(), "deleted": change.deleted}
                 for change in self._history
                 if change.kind == kind and change.item.revision > since
             ]
-            left_s = deadline - time.monotonic()
-            if events or left_s <= 0:
+            remaining_s = deadline - time.monotonic()
+            if events or remaining_s <= 0:
                 return _json({"events": events, "currentRev": self._revision})
             changed = self._changed
             try:
-                await asyncio.wait_for(changed.wait(), left_s)
+                await asyncio.wait_for(changed.wait(), remaining_s)
             except TimeoutError:
                 continue
 
@@ -237,30 +255,33 @@
         self, method: str, kind: str, name: str, body: bytes, query: Mapping[str, str]
     ) -> web.Response:
         written = msgspec.json.decode(body, type=_Written) if body else _Written()
-        expected = int(query.get("revision", 0)) or written.metadata.revision
+        expected_revision = int(query.get("revision", 0)) or written.metadata.revision
         name = name or written.metadata.name
-        held = self._objects.get(kind, {}).get(name)
-        if held is None and method != "POST":
+        current = self._objects.get(kind, {}).get(name)
+        if current is None and method != "POST":
             return web.Response(status=404)
-        if held is not None and (method == "POST" or expected not in (None, held.revision)):
-            return _json(held.wire(), status=409)
+        if current is not None and (
+            method == "POST" or expected_revision not in (None, current.revision)
+        ):
+            return _json(current.to_response(), status=409)
         if method == "DELETE":
-            assert held is not None
+            assert current is not None
             del self._objects[kind][name]
-            self._note(Change(kind, replace(held, revision=self._revision + 1), True))
-            return _json(held.wire())
-        return _json(self._put(kind, StoredItem(name, 0, written.spec)).wire())
+            self._append_change(Change(kind, replace(current, revision=self._revision + 1), True))
+            return _json(current.to_response())
+        return _json(self._put(kind, StoredItem(name, 0, written.spec)).to_response())
 
     def _put(self, kind: str, item: StoredItem) -> StoredItem:
-        held = self._objects.setdefault(kind, {}).get(item.name)
-        if held is not None and replace(item, revision=held.revision) == held:
-            return held
+        """Stores an object; a write that changes nothing keeps the revision."""
+        current = self._objects.setdefault(kind, {}).get(item.name)
+        if current is not None and replace(item, revision=current.revision) == current:
+            return current
         item = replace(item, revision=self._revision + 1)
         self._objects[kind][item.name] = item
-        self._note(Change(kind, item, False))
+        self._append_change(Change(kind, item, False))
         return item
 
-    def _note(self, change: Change) -> None:
+    def _append_change(self, change: Change) -> None:
         self._revision = change.item.revision
         self._history.append(change)
         self._changed.set()
--- a/tests/testing/site/__init__.py
+++ b/tests/testing/site/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the emulator of the platform."""
+"""Tests of the platform emulator."""
--- a/tests/testing/site/test_judge.py
+++ b/tests/testing/site/test_judge.py
@@ -1,4 +1,4 @@
-"""Tests that the judge finds each kind of breach, and no breach without one."""
+"""Tests that the judge finds breaches of each rule and reports none for valid evidence."""
 
 from __future__ import annotations
 
@@ -43,23 +43,27 @@
 
 class JudgeTest(unittest.TestCase):
     def assert_finds(self, *rules: Rule, **evidence):
-        found = judge(Evidence(**evidence))
-        self.assertEqual([breach.rule for breach in found], list(rules), found)
+        breaches = judge(Evidence(**evidence))
+        self.assertEqual([breach.rule for breach in breaches], list(rules), breaches)
 
     def test_sound_evidence_has_no_breach(self):
-        """Guards against a judge that sees breaches in ordinary work."""
+        """Guards against breaches that the judge reports for normal operation."""
         self.assert_finds(attempts=[SERVED], runs=[RUN], processes=[TERM], holds=[HOLD])
 
     def test_request_cut_after_stop_signal(self):
-        """Guards against a judge that misses requests which a stopping agent leaves behind."""
+        """Guards against a judge that misses requests which a stopping agent does not answer."""
         self.assert_finds(Rule.LOST, attempts=[CUT], runs=[RUN], processes=[TERM])
         self.assert_finds(Rule.LOST, attempts=[CUT], processes=[TERM])
-        at_work = replace(SERVED, status=502, receipt="")
+        bad_gateway = replace(SERVED, status=502, receipt="")
         running = replace(RUN, ended=11.0)
-        self.assert_finds(Rule.LOST, attempts=[at_work], runs=[running], processes=[TERM])
+        self.assert_finds(Rule.LOST, attempts=[bad_gateway], runs=[running], processes=[TERM])
 
     def test_cuts_that_are_permitted(self):
-        """Guards against breaches for crossed closes, crashes, kills and the last moments."""
+        """Guards against breaches for cut-off requests that the platform's rules permit.
+
+        A request may be cut off when it crosses the close of its connection, when its upstream
+        crashes, when its agent is killed, and at the end of the grace time.
+        """
         self.assert_finds(attempts=[replace(CUT, ended=10.1)], processes=[TERM])
         self.assert_finds(
             attempts=[CUT], runs=[replace(RUN, ended=10.5, status=0)], processes=[TERM]
@@ -74,31 +78,31 @@
         )
 
     def test_stall_of_the_emulator(self):
-        """Guards against breaches that only a late emulator sees, and ones that it hides."""
+        """Guards against breaches caused by late timestamps, and against hidden ones."""
         stall = Stall(10.1, 10.4)
         self.assert_finds(attempts=[CUT], processes=[TERM], stalls=[stall])
         self.assert_finds(Rule.LOST, attempts=[CUT], runs=[RUN], processes=[TERM], stalls=[stall])
 
     def test_outage_of_the_store_excuses_only_keyed_requests(self):
-        """Guards against a judge that takes a store outage for an excuse."""
+        """Guards against a judge that lets a store outage excuse requests without a key."""
         down = Disturbance(machine="", since=5.0, until=15.0, what="store", store=True)
         evidence = {"runs": [RUN], "processes": [TERM], "disturbances": [down]}
         self.assert_finds(Rule.LOST, attempts=[CUT], **evidence)
         self.assert_finds(attempts=[replace(CUT, key=3)], **evidence)
 
     def test_second_run(self):
-        """Guards against a judge that misses a payment which ran twice."""
-        again = replace(RUN, instance="i-2@5", machine="c")
-        self.assert_finds(Rule.TWICE, attempts=[SERVED], runs=[RUN, again])
-        self.assert_finds(attempts=[replace(SERVED, repeatable=True)], runs=[RUN, again])
+        """Guards against a judge that misses a non-idempotent request which ran twice."""
+        second = replace(RUN, instance="i-2@5", machine="c")
+        self.assert_finds(Rule.TWICE, attempts=[SERVED], runs=[RUN, second])
+        self.assert_finds(attempts=[replace(SERVED, repeatable=True)], runs=[RUN, second])
 
     def test_refusal_of_a_request_that_ran(self):
-        """Guards against a judge that believes an untrue refusal."""
+        """Guards against a judge that accepts a status 503 for a request which ran."""
         refused = replace(SERVED, status=503, receipt="")
         self.assert_finds(Rule.REFUSED, attempts=[refused], runs=[RUN])
 
     def test_double_ownership(self):
-        """Guards against a judge that misses two holders of one key, or an old epoch."""
+        """Guards against a judge that misses two holders of one key, or an outdated epoch."""
         second = replace(HOLD, instance="i-2@5", machine="b", fence=4, since=8.0, until=12.0)
         self.assert_finds(Rule.OWNER, holds=[HOLD, second])
         brief = replace(second, since=8.9)
@@ -110,30 +114,30 @@
         self.assert_finds(Rule.OWNER, holds=[HOLD, brief], runs=runs)
         stale = replace(second, fence=3, since=9.5)
         self.assert_finds(Rule.OWNER, holds=[HOLD, stale])
-        thawed = ProcessEvent(agent="b", life=1, signal=Signal.CONTINUE, at=7.9)
-        self.assert_finds(holds=[HOLD, second], processes=[thawed])
+        resumed = ProcessEvent(agent="b", life=1, signal=Signal.CONTINUE, at=7.9)
+        self.assert_finds(holds=[HOLD, second], processes=[resumed])
 
     def test_mixed_answers(self):
-        """Guards against a judge that accepts answers of other requests or cut bodies."""
-        for wrong in (
+        """Guards against a judge that accepts responses to other requests or truncated bodies."""
+        for mixed in (
             replace(SERVED, receipt=""),
             replace(SERVED, receipt=receipt("i-1", "r2", 200)),
             replace(SERVED, status=500),
             replace(SERVED, echo="r2"),
             replace(SERVED, whole=False),
         ):
-            with self.subTest(wrong=wrong):
-                self.assert_finds(Rule.MIXED, attempts=[wrong], runs=[RUN])
+            with self.subTest(wrong=mixed):
+                self.assert_finds(Rule.MIXED, attempts=[mixed], runs=[RUN])
 
     def test_work_after_acknowledged_leave(self):
-        """Guards against a judge that misses new work for an upstream that has left."""
-        left = Departure(instance="i-1@5", machine="b", acknowledged=8.0)
-        self.assert_finds(Rule.DRAIN, attempts=[SERVED], runs=[RUN], departures=[left])
-        late = replace(left, acknowledged=8.2)
-        self.assert_finds(attempts=[SERVED], runs=[RUN], departures=[late])
+        """Guards against a judge that misses requests which start after an upstream has left."""
+        departure = Departure(instance="i-1@5", machine="b", acknowledged=8.0)
+        self.assert_finds(Rule.DRAIN, attempts=[SERVED], runs=[RUN], departures=[departure])
+        later = replace(departure, acknowledged=8.2)
+        self.assert_finds(attempts=[SERVED], runs=[RUN], departures=[later])
 
     def test_configuration_that_goes_back(self):
-        """Guards against a judge that misses an agent which serves an old version again."""
+        """Guards against a judge that misses an agent which returns to an older version."""
         new = replace(SERVED, route="version-2", repeatable=True)
         old = replace(new, id="r2", route="version-1", sent=10.9, ended=11.0)
         old = replace(old, receipt=receipt("i-1", "r2", 200), echo="r2")
@@ -146,7 +150,7 @@
         self.assert_finds(attempts=[new, replace(old, sent=10.7)], **evidence)
 
     def test_stop_beyond_the_grace_time(self):
-        """Guards against a judge that accepts agents which have to be killed."""
+        """Guards against a judge that accepts an agent which is killed after the grace time."""
         forced = ProcessEvent(agent="a", life=1, signal=Signal.EXIT, at=15.0, forced=True)
         self.assert_finds(Rule.GRACE, processes=[TERM, forced])
         paused = replace(TERM, signal=Signal.PAUSE, at=10.0)
--- a/tests/testing/site/test_store.py
+++ b/tests/testing/site/test_store.py
@@ -1,4 +1,4 @@
-"""Tests of the emulated store."""
+"""Tests of the emulated object store."""
 
 from __future__ import annotations
 
@@ -18,32 +18,32 @@
         self.session = await self.enterAsyncContext(aiohttp.ClientSession())
         self.base = f"http://127.0.0.1:{self.store.port}/fescueward/objects/things"
 
-    async def call(self, method, path="", spec=None, revision=None, wait_s=3.0):
+    async def call(self, method, path="", spec=None, revision=None, timeout_s=3.0):
         metadata = {"name": "one"} | ({"revision": revision} if revision else {})
         body = None if spec is None else {"metadata": metadata, "spec": spec}
-        timeout = aiohttp.ClientTimeout(total=wait_s)
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
         async with self.session.request(
             method, self.base + path, json=body, timeout=timeout
-        ) as answer:
-            content = await answer.read()
-            return answer.status, (await answer.json()) if content else None
+        ) as response:
+            content = await response.read()
+            return response.status, (await response.json()) if content else None
 
     async def test_conditional_writes(self):
-        """Guards against a stand-in that lets a stale writer win."""
+        """Guards against a store that accepts a write with an outdated revision."""
         _, created = await self.call("POST", spec=1)
         revision = created["metadata"]["revision"]
         self.assertEqual((await self.call("POST", spec=2))[0], 409)
         self.assertEqual((await self.call("PUT", "/one", 2, revision + 7))[0], 409)
         status, written = await self.call("PUT", "/one", 2, revision)
         self.assertEqual((status, written["spec"]), (200, 2))
-        same = await self.call("PUT", "/one", 2, written["metadata"]["revision"])
-        self.assertEqual(same[1]["metadata"]["revision"], written["metadata"]["revision"])
+        unchanged = await self.call("PUT", "/one", 2, written["metadata"]["revision"])
+        self.assertEqual(unchanged[1]["metadata"]["revision"], written["metadata"]["revision"])
         self.assertEqual((await self.call("DELETE", f"/one?revision={revision}"))[0], 409)
         self.assertEqual((await self.call("DELETE", "/one"))[0], 200)
         self.assertEqual((await self.call("GET", "/one"))[0], 404)
 
     async def test_lists_come_in_pages(self):
-        """Guards against lists that a client need not continue."""
+        """Guards against list responses that are not paged."""
         for number in range(60):
             self.store.write("things", f"n{number:02}", b"0")
         _, first = await self.call("GET")
@@ -52,18 +52,18 @@
         self.assertEqual(len(first["items"]) + len(rest["items"]), 60)
 
     async def test_watch_waits_and_history_ends(self):
-        """Guards against watches that miss a change or continue from a forgotten history."""
+        """Guards against watches that miss a change or start at a dropped part of the history."""
         since = self.store.write("things", "one", b"1")
         watch = asyncio.create_task(self.call("GET", f"?watch={since}&waitMs=2000"))
         await asyncio.sleep(0.05)
         self.store.write("things", "one", b"2")
         _, changes = await watch
         self.assertEqual(changes["events"][0]["object"]["spec"], 2)
-        self.store.forget_history()
+        self.store.drop_history()
         self.assertEqual((await self.call("GET", f"?watch={since}"))[0], 410)
 
     async def test_faults(self):
-        """Guards against faults that do not reach the clients, and lost writes that are undone."""
+        """Guards against faults that have no effect, and lost responses that undo the write."""
         self.store.set_faults(StoreFaults(mode=StoreMode.REFUSE))
         self.assertEqual((await self.call("GET"))[0], 503)
         self.store.set_faults(StoreFaults(mode=StoreMode.RESET))
@@ -71,7 +71,7 @@
             await self.call("GET")
         self.store.set_faults(StoreFaults(mode=StoreMode.SILENT))
         with self.assertRaises(TimeoutError):
-            await self.call("GET", wait_s=0.2)
+            await self.call("GET", timeout_s=0.2)
         self.store.set_faults(StoreFaults(lost_share=1.0))
         with self.assertRaises(aiohttp.ClientError):
             await self.call("POST", spec=1)
