Reword testing/platform

Cause: doc comments described calls as refused, held or told of, and names such as answer, found, _change and _number did not say what they return or do. Change: Answer is Handler, _under_faults is _apply_faults, _change is _conditional_write, _late_writes is _delayed_writes; paths, bodies, fields and status texts stay.

--- a/fescueward/testing/platform/faults.py
+++ b/fescueward/testing/platform/faults.py
@@ -12,7 +12,7 @@
 
 
 class Mode(enum.StrEnum):
-    """How the platform treats calls."""
+    """How the platform handles calls."""
 
     NORMAL = "normal"
     DOWN = "down"
@@ -25,16 +25,16 @@
     """Faults of the platform.
 
     Attributes:
-        mode: `down` refuses each call before it acts, `hang` lets it wait and then aborts its
-            connection without an effect, `slow` delays it.
-        delay_ms: Delay of a call in `slow`; wait of a call in `hang`, where 0 means until the
-            mode changes.
-        fail_connections: Whether `down` aborts connections instead of answering 503.
-        lose_responses: Number of following writes that take effect and whose connection is
+        mode: `down` rejects each call without executing it, `hang` blocks it and then aborts its
+            connection without executing it, `slow` delays it.
+        delay_ms: Delay of a call in `slow`, or time that a call blocks in `hang`, in
+            milliseconds. In `hang`, 0 blocks until the faults are replaced.
+        fail_connections: Whether `down` aborts connections instead of responding with 503.
+        lose_responses: Number of next writes that are applied and whose connection is then
             aborted without a response.
-        delay_writes: Number of following writes whose connection is aborted at once and which
-            take effect `delay_writes_ms` later.
-        delay_writes_ms: That delay.
+        delay_writes: Number of next writes whose connection is aborted at once and which are
+            applied `delay_writes_ms` later.
+        delay_writes_ms: Delay of these writes, in milliseconds.
     """
 
     mode: Mode = Mode.NORMAL
--- a/fescueward/testing/platform/objects.py
+++ b/fescueward/testing/platform/objects.py
@@ -1,4 +1,4 @@
-"""Versioned objects of the platform stand-in, and the bodies that carry them."""
+"""Versioned objects of the platform stand-in and the response bodies that contain them."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ObjectChange:
-    """State of an object as listings report it.
+    """State of an object in a listing.
 
     Attributes:
         key: Key of the object.
         version: Revision of the store at its last write.
-        value: The JSON value, null once deleted.
+        value: JSON value of the object, null if it is deleted.
         deleted: Whether the last write was a deletion.
     """
 
@@ -29,12 +29,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ObjectEnvelope:
-    """An object as `GET /objects/KEY` returns it.
+    """Body of the response to `GET /objects/KEY`.
 
     Attributes:
         key: Key of the object.
         version: Revision of the store at its last write.
-        value: The JSON value.
+        value: JSON value of the object.
     """
 
     key: str
@@ -44,10 +44,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WrittenVersion:
-    """Body of the response to a write: the new version, or the present one on a conflict.
+    """Body of the response to a write.
 
     Attributes:
-        version: The version, 0 if the object does not exist.
+        version: The new version or, on a conflict, the current version; 0 if the object does not
+            exist.
     """
 
     version: int
@@ -58,8 +59,8 @@
     """Body of the response to a listing.
 
     Attributes:
-        revision: Revision of the store, to be used as `since` of the next call.
-        objects: Changed objects in the order of their versions.
+        revision: Revision of the store, for `since` of the next call.
+        objects: Changed objects in ascending order of version.
     """
 
     revision: int
@@ -67,7 +68,7 @@
 
 
 class ObjectStore:
-    """Versioned objects in memory. Every change is conditional."""
+    """In-memory store of versioned objects in which every write is conditional."""
 
     def __init__(self) -> None:
         self._objects: dict[str, ObjectChange] = {}
@@ -81,33 +82,33 @@
 
     @property
     def waiting(self) -> int:
-        """Number of watches that wait for a change."""
+        """Number of watches that are waiting for a change."""
         return len(self._waiters)
 
     def get(self, key: str) -> ObjectChange:
         """Returns an object.
 
         Raises:
-            ObjectNotFoundError: There is none.
+            ObjectNotFoundError: The object does not exist.
         """
-        found = self._objects.get(key)
-        if found is None or found.deleted:
+        stored = self._objects.get(key)
+        if stored is None or stored.deleted:
             raise ObjectNotFoundError(f"no object {key!r}")
-        return found
+        return stored
 
     def put(self, key: str, value: bytes, if_version: int) -> int:
         """Writes an object.
 
         Args:
             key: Key of the object.
-            value: JSON text.
-            if_version: Present version, 0 if the object must not exist.
+            value: Value of the object as JSON.
+            if_version: Expected current version, 0 if the object must not exist.
 
         Returns:
             The new version.
 
         Raises:
-            VersionConflictError: The present version is another one.
+            VersionConflictError: The current version differs from `if_version`.
         """
         return self._write(key, msgspec.Raw(value), if_version, deleted=False)
 
@@ -116,36 +117,41 @@
 
         Args:
             key: Key of the object.
-            if_version: Present version.
+            if_version: Expected current version.
 
         Returns:
-            The version of the deletion.
+            The version that the deletion created.
 
         Raises:
-            ObjectNotFoundError: There is no such object.
-            VersionConflictError: The present version is another one.
+            ObjectNotFoundError: The object does not exist.
+            VersionConflictError: The current version differs from `if_version`.
         """
         self.get(key)
         return self._write(key, msgspec.Raw(b"null"), if_version, deleted=True)
 
     def changes(self, prefixes: tuple[str, ...], since: int) -> tuple[ObjectChange, ...]:
-        """Returns the objects that changed after a revision, in the order of their versions.
+        """Returns the objects that changed after a revision, in ascending order of version.
 
         Args:
-            prefixes: Prefixes of the keys that are wanted.
-            since: Revision; at 0 all present objects are returned and deletions left out.
+            prefixes: Prefixes of the keys to return.
+            since: Revision; 0 returns all existing objects and leaves out deleted ones.
         """
-        found = [
+        changed = [
             item
             for item in self._objects.values()
             if item.version > since
             and item.key.startswith(prefixes)
             and not (since == 0 and item.deleted)
         ]
-        return tuple(sorted(found, key=lambda item: item.version))
+        return tuple(sorted(changed, key=lambda item: item.version))
 
     async def wait(self, prefixes: tuple[str, ...], timeout_s: float) -> None:
-        """Returns after the next write below one of the prefixes, `wake_all` or the timeout."""
+        """Waits for the next write to a key with one of the prefixes, `wake_all` or the timeout.
+
+        Args:
+            prefixes: Prefixes of the watched keys.
+            timeout_s: Timeout in seconds.
+        """
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters[waiter] = prefixes
         try:
@@ -154,17 +160,19 @@
             del self._waiters[waiter]
 
     def wake_all(self) -> None:
-        """Ends all waits, so that watches see a changed mode."""
+        """Wakes all waiting watches, so that they apply the current faults."""
         self._wake(list(self._waiters))
 
     def _write(self, key: str, value: msgspec.Raw, if_version: int, *, deleted: bool) -> int:
-        found = self._objects.get(key)
-        present = 0 if found is None or found.deleted else found.version
-        if if_version != present:
-            raise VersionConflictError(f"{key!r} has version {present}", version=present)
+        stored = self._objects.get(key)
+        current = 0 if stored is None or stored.deleted else stored.version
+        if if_version != current:
+            raise VersionConflictError(f"{key!r} has version {current}", version=current)
         self._revision += 1
         self._objects[key] = ObjectChange(key, self._revision, value, deleted)
-        self._wake([waiter for waiter, wanted in self._waiters.items() if key.startswith(wanted)])
+        self._wake(
+            [waiter for waiter, prefixes in self._waiters.items() if key.startswith(prefixes)]
+        )
         return self._revision
 
     @staticmethod
--- a/fescueward/testing/platform/server.py
+++ b/fescueward/testing/platform/server.py
@@ -1,4 +1,4 @@
-"""The server of the platform stand-in."""
+"""HTTP server of the platform stand-in."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Counters:
-    """Calls that reached the platform, in every mode.
+    """Numbers of calls that the platform received, in every mode.
 
     Attributes:
         gets: Reads of one object.
@@ -29,7 +29,7 @@
         deletes: Deletions.
         lists: Listings that do not wait.
         watches: Listings that may wait, each counted once.
-        conflicts: Writes and deletions that named another version than the present one.
+        conflicts: Writes and deletions that were rejected because of their version.
         waiting: Watches that are waiting now.
         total: All calls.
     """
@@ -44,11 +44,11 @@
     total: int = 0
 
 
-Answer = Callable[[], Awaitable[web.StreamResponse]]
+Handler = Callable[[], Awaitable[web.StreamResponse]]
 
 
 class PlatformStandIn:
-    """The object API over HTTP, with faults.
+    """HTTP server of the object API with injected faults.
 
     Args:
         host: Address to listen on.
@@ -62,18 +62,18 @@
         app.router.add_put("/objects/{key:.+}", self._put)
         app.router.add_delete("/objects/{key:.+}", self._delete)
         app.router.add_post("/control", self._control)
-        app.router.add_get("/counters", self._counters_page)
+        app.router.add_get("/counters", self._get_counters)
         self._host = host
         self._site = HttpSite(app, host, port)
         self._store = ObjectStore()
         self._faults = Faults()
         self._faults_changed = asyncio.Event()
         self._counters = Counters()
-        self._late_writes: set[asyncio.Task[None]] = set()
+        self._delayed_writes: set[asyncio.Task[None]] = set()
 
     @property
     def port(self) -> int:
-        """Port it listens on."""
+        """Port on which the server listens."""
         return self._site.port
 
     @property
@@ -83,21 +83,21 @@
 
     @property
     def store(self) -> ObjectStore:
-        """The objects."""
+        """Store of the objects."""
         return self._store
 
     @property
     def faults(self) -> Faults:
-        """The faults in force, with the numbers of writes that are left."""
+        """Faults in force, with the remaining numbers of affected writes."""
         return self._faults
 
     @property
     def counters(self) -> Counters:
-        """Calls so far."""
+        """Numbers of calls so far."""
         return replace(self._counters, waiting=self._store.waiting)
 
     async def start(self) -> None:
-        """Begins to listen.
+        """Starts the server.
 
         Raises:
             OSError: The address is in use.
@@ -105,14 +105,14 @@
         await self._site.start()
 
     async def stop(self) -> None:
-        """Ends all calls and stops listening. Delayed writes that are pending are dropped."""
+        """Aborts all calls, discards delayed writes and stops the server."""
         self.set_faults(Faults(Mode.DOWN, fail_connections=True))
-        for task in self._late_writes:
+        for task in self._delayed_writes:
             task.cancel()
         await self._site.stop()
 
     def set_faults(self, faults: Faults) -> None:
-        """Replaces the faults in force; waiting watches are held to the new mode at once."""
+        """Replaces the faults in force and applies them to waiting watches at once."""
         self._faults = faults
         self._faults_changed.set()
         self._faults_changed = asyncio.Event()
@@ -121,63 +121,65 @@
     async def _get(self, request: web.Request) -> web.StreamResponse:
         self._count("gets")
 
-        async def answer() -> web.StreamResponse:
+        async def handle() -> web.StreamResponse:
             try:
-                found = self._store.get(request.match_info["key"])
+                item = self._store.get(request.match_info["key"])
             except ObjectNotFoundError:
                 return web.Response(status=404)
-            return _json(ObjectEnvelope(found.key, found.version, found.value))
+            return _json(ObjectEnvelope(item.key, item.version, item.value))
 
-        return await self._under_faults(request, answer)
+        return await self._apply_faults(request, handle)
 
     async def _put(self, request: web.Request) -> web.StreamResponse:
         self._count("puts")
         key = request.match_info["key"]
 
-        async def answer() -> web.StreamResponse:
+        async def handle() -> web.StreamResponse:
             value = await request.read()
             try:
                 msgspec.json.decode(value)
             except (msgspec.DecodeError, UnicodeDecodeError):
                 return web.Response(status=400, text="the value is no JSON")
-            return await self._change(
+            return await self._conditional_write(
                 request, lambda version: self._store.put(key, value, version)
             )
 
-        return await self._under_faults(request, answer)
+        return await self._apply_faults(request, handle)
 
     async def _delete(self, request: web.Request) -> web.StreamResponse:
         self._count("deletes")
         key = request.match_info["key"]
 
-        async def answer() -> web.StreamResponse:
-            return await self._change(request, lambda version: self._store.delete(key, version))
+        async def handle() -> web.StreamResponse:
+            return await self._conditional_write(
+                request, lambda version: self._store.delete(key, version)
+            )
 
-        return await self._under_faults(request, answer)
+        return await self._apply_faults(request, handle)
 
     async def _list(self, request: web.Request) -> web.StreamResponse:
         try:
-            since = _number(request.query.get("since", "0"))
-            wait_ms = _number(request.query.get("wait_ms", "0"))
+            since = _parse_non_negative(request.query.get("since", "0"))
+            wait_ms = _parse_non_negative(request.query.get("wait_ms", "0"))
         except ValueError:
             return web.Response(status=400, text="since and wait_ms are whole numbers")
         self._count("watches" if wait_ms else "lists")
         prefixes = tuple(request.query.getall("prefix", [""]))
 
-        async def answer() -> web.StreamResponse:
+        async def handle() -> web.StreamResponse:
             loop = asyncio.get_running_loop()
             deadline = loop.time() + wait_ms / 1000
             while True:
                 changes = self._store.changes(prefixes, since)
-                remaining = deadline - loop.time()
-                if changes or remaining <= 0:
+                remaining_s = deadline - loop.time()
+                if changes or remaining_s <= 0:
                     return _json(Listing(self._store.revision, changes))
-                await self._store.wait(prefixes, remaining)
-                refused = await self._outage(request)
-                if refused is not None:
-                    return refused
+                await self._store.wait(prefixes, remaining_s)
+                outage_response = await self._outage(request)
+                if outage_response is not None:
+                    return outage_response
 
-        return await self._under_faults(request, answer)
+        return await self._apply_faults(request, handle)
 
     async def _control(self, request: web.Request) -> web.StreamResponse:
         try:
@@ -186,17 +188,18 @@
             return web.Response(status=400, text=str(error))
         return _json(self._faults)
 
-    async def _counters_page(self, _request: web.Request) -> web.StreamResponse:
+    async def _get_counters(self, _request: web.Request) -> web.StreamResponse:
         return _json(self.counters)
 
-    async def _under_faults(self, request: web.Request, answer: Answer) -> web.StreamResponse:
+    async def _apply_faults(self, request: web.Request, handle: Handler) -> web.StreamResponse:
         faults = self._faults
         if faults.mode is Mode.SLOW:
             await asyncio.sleep(faults.delay_ms / 1000)
-        refused = await self._outage(request)
-        return await answer() if refused is None else refused
+        outage_response = await self._outage(request)
+        return await handle() if outage_response is None else outage_response
 
     async def _outage(self, request: web.Request) -> web.StreamResponse | None:
+        """Returns the response during an outage, or None if the call is to be executed."""
         faults = self._faults
         if faults.mode is Mode.DOWN:
             return abort_connection(request) if faults.fail_connections else _unavailable()
@@ -207,19 +210,19 @@
             return abort_connection(request)
         return None
 
-    async def _change(
+    async def _conditional_write(
         self, request: web.Request, write: Callable[[int], int]
     ) -> web.StreamResponse:
         try:
-            if_version = _number(request.headers.get("If-Match", "").strip('"'))
+            if_version = _parse_non_negative(request.headers.get("If-Match", "").strip('"'))
         except ValueError:
             return web.Response(status=400, text="If-Match must be a version")
         if self._faults.delay_writes > 0:
             self._faults = replace(self._faults, delay_writes=self._faults.delay_writes - 1)
             delay_s = self._faults.delay_writes_ms / 1000
-            task = asyncio.create_task(self._write_late(delay_s, write, if_version))
-            self._late_writes.add(task)
-            task.add_done_callback(self._late_writes.discard)
+            task = asyncio.create_task(self._apply_delayed_write(delay_s, write, if_version))
+            self._delayed_writes.add(task)
+            task.add_done_callback(self._delayed_writes.discard)
             return abort_connection(request)
         try:
             version = write(if_version)
@@ -233,7 +236,7 @@
             return abort_connection(request)
         return _json(WrittenVersion(version))
 
-    async def _write_late(
+    async def _apply_delayed_write(
         self, delay_s: float, write: Callable[[int], int], if_version: int
     ) -> None:
         await asyncio.sleep(delay_s)
@@ -248,7 +251,7 @@
         self._counters = replace(counters, **changed)
 
 
-def _number(text: str) -> int:
+def _parse_non_negative(text: str) -> int:
     number = int(text)
     if number < 0:
         raise ValueError(text)
--- a/tests/testing/platform/test_server.py
+++ b/tests/testing/platform/test_server.py
@@ -36,7 +36,7 @@
             return await response.json()
 
     async def test_conditional_writes(self):
-        """Guards against lost updates and against versions that do not grow across objects."""
+        """Guards against lost updates and against versions that do not increase across objects."""
         self.assertEqual(await self._put("groups/depot/0", b"[1]", 0), (200, 1))
         self.assertEqual(await self._put("groups/depot/0", b"[2]", 0), (409, 1))
         self.assertEqual(await self._put("other", b"1", 7), (409, 0))
@@ -50,7 +50,7 @@
         self.assertEqual(await self._put("groups/depot/0", b"[4]", 0), (200, 5))
 
     async def test_bad_writes_are_refused(self):
-        """Guards against values that are too large or no JSON, and writes without a version."""
+        """Guards against writes of oversized or non-JSON values and writes without a version."""
         largest = b'"' + b"x" * (MAX_VALUE_BYTES - 2) + b'"'
         self.assertEqual(await self._put("a", largest, 0), (200, 1))
         self.assertEqual((await self._put("b", largest + b" ", 0))[0], 413)
@@ -58,7 +58,7 @@
         self.assertEqual((await self._put("b", b"1", "x"))[0], 400)
 
     async def test_watch_waits_for_a_change_of_its_prefixes(self):
-        """Guards against watches that miss a change or that wake for other objects."""
+        """Guards against watches that miss a change or return for other objects."""
         await self._put("groups/depot/0", b"1", 0)
         watch = asyncio.create_task(
             self._list(prefix="groups/", since=1, wait_ms=20_000),
@@ -73,7 +73,7 @@
         self.assertEqual(await self._list(since=3, wait_ms=1), {"revision": 3, "objects": []})
 
     async def test_outages_have_no_effect_on_objects(self):
-        """Guards against a write that is refused and still takes effect."""
+        """Guards against a write that is rejected and still applied."""
         self.platform.set_faults(Faults(Mode.DOWN))
         self.assertEqual((await self._put("a", b"1", 0))[0], 503)
         self.platform.set_faults(Faults(Mode.DOWN, fail_connections=True))
@@ -91,7 +91,7 @@
         self.assertEqual(self.platform.store.revision, 0)
 
     async def test_outage_ends_waiting_watches(self):
-        """Guards against watches that keep agents informed while the platform is down."""
+        """Guards against watches that keep delivering changes while the platform is down."""
         watch = asyncio.create_task(self._list(since=0, wait_ms=20_000))
         await wait_until(lambda: self.platform.store.waiting, 5, "the watch waits")
         self.platform.set_faults(Faults(Mode.DOWN, fail_connections=True))
@@ -99,7 +99,7 @@
             await watch
 
     async def test_lost_and_late_writes_take_effect(self):
-        """Guards against a fault that loses the write together with its response."""
+        """Guards against an injected fault that loses the write together with its response."""
         self.platform.set_faults(Faults(lose_responses=1))
         with self.assertRaises(aiohttp.ClientError):
             await self._put("a", b"1", 0)
@@ -111,10 +111,10 @@
             await self._put("b", b"1", 0)
         with self.assertRaises(ObjectNotFoundError):
             self.platform.store.get("b")
-        await wait_until(lambda: self.platform.store.revision == 3, 5, "the late write")
+        await wait_until(lambda: self.platform.store.revision == 3, 5, "the delayed write")
 
     async def test_calls_are_counted_by_kind(self):
-        """Guards against call figures that leave out watches or include control calls."""
+        """Guards against call counters that leave out watches or include control calls."""
         await self._put("a", b"1", 0)
         await self._put("a", b"1", 0)
         await self._list(since=0)
