Reword testing/upstream

Cause: comments about truth, answers and work, and names such as LyingReporter, _limit, _invalid and _aborted, did not say what is reported, scheduled or returned. Change: LyingReporter is ZeroLoadReporter (also CurrentLoadReporter, DelayedLoadReporter), body_pieces is body_chunks, Run.end_now is Run.abort_now, _limit is _schedule_abort; headers, paths, query names, body fields, enum values and status texts stay. Help texts name units.

--- a/fescueward/testing/upstream/__init__.py
+++ b/fescueward/testing/upstream/__init__.py
@@ -1,18 +1,19 @@
 """Stand-in for an upstream: a server with slots, grants, deadlines and a journal.
 
-A message that carries `Fescueward-Request-Id` is a request, whatever its path. Without it,
-`PUT /grants`, `POST /cancel/ID`, `GET /health` and `POST /control` are served. The query of a
-request names its behaviour:
+A message with the header `Fescueward-Request-Id` is a request, whatever its path. Without the
+header, the paths `PUT /grants`, `POST /cancel/ID`, `GET /health` and `POST /control` are served.
+The query of a request selects its behaviour:
 
-- `sleep_ms`: time the request takes, instead of the `work_ms` of the switches
-- `size`: bytes of the response body, instead of a JSON `UpstreamAnswer`
+- `sleep_ms`: execution time in ms, instead of `Switches.work_ms`
+- `size`: size of the response body in bytes, instead of a JSON `UpstreamAnswer`
 - `status`: status of the response
-- `crash=1`: the process ends halfway through the work
-- `truncate=1`: the body is declared longer than it is and the connection is closed
-- `slow_body`: ms between the pieces that the body is sent in, of which there are at least ten
+- `crash=1`: the process exits halfway through the execution time
+- `truncate=1`: the declared length exceeds the body by one byte and the connection is closed
+- `slow_body`: pause in ms between the chunks of the body, which is split into at least ten chunks
 
-A refusal before the run has the header `Fescueward-Refusal`, a run that was ended early the
-header `Fescueward-Aborted`. `POST /control` takes some or all fields of `Switches`.
+The response to a request that is rejected before it runs has the header `Fescueward-Refusal`,
+and the response to one that is aborted while it runs has the header `Fescueward-Aborted`. The JSON
+body of `POST /control` contains some or all fields of `Switches`.
 """
 
 from .calls import DIGEST_HEADER, REFUSAL_HEADER, Refusal, UpstreamAnswer
--- a/fescueward/testing/upstream/__main__.py
+++ b/fescueward/testing/upstream/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of the stand-in: `python -m fescueward.testing.upstream`."""
+"""Command line of the upstream stand-in: `python -m fescueward.testing.upstream`."""
 
 from __future__ import annotations
 
@@ -20,23 +20,27 @@
 
 def main(
     service: Annotated[str, typer.Option(help="Service that it serves.")],
-    name: Annotated[str, typer.Option(help="Name in answers and journal.")] = "",
+    name: Annotated[str, typer.Option(help="Name in responses and journal.")] = "",
     host: Annotated[str, typer.Option(help="Address to listen on.")] = LOOPBACK,
     port: Annotated[int, typer.Option(help="Port to listen on; 0 chooses a free one.")] = 0,
     announce: Annotated[str, typer.Option(help="URL of the announcement address.")] = "",
     group: Annotated[int, typer.Option(help="Number of the group that it joins.")] = 0,
-    slots: Annotated[int, typer.Option(help="Requests that it runs at a time.")] = 12,
-    connections: Annotated[int, typer.Option(help="Connections that it accepts.")] = 130,
-    no_grants: Annotated[bool, typer.Option("--no-grants", help="Check no grants.")] = False,
+    slots: Annotated[int, typer.Option(help="Maximum number of concurrent requests.")] = 12,
+    connections: Annotated[int, typer.Option(help="Maximum number of connections.")] = 130,
+    no_grants: Annotated[
+        bool, typer.Option("--no-grants", help="Accept requests without a grant.")
+    ] = False,
     journal: Annotated[Path | None, typer.Option(help="Journal file.")] = None,
-    cold_start_ms: Annotated[int, typer.Option(help="Time of slower work after start.")] = 0,
-    work_ms: Annotated[int, typer.Option(help="Time that a request takes.")] = 0,
-    report: Annotated[ReportKind, typer.Option(help="Truth of the health page.")] = (
+    cold_start_ms: Annotated[
+        int, typer.Option(help="Time of slower execution after start, in ms.")
+    ] = 0,
+    work_ms: Annotated[int, typer.Option(help="Execution time of a request, in ms.")] = 0,
+    report: Annotated[ReportKind, typer.Option(help="Accuracy of the health report.")] = (
         ReportKind.HONEST
     ),
-    linger_ms: Annotated[int, typer.Option(help="Time it serves on when it leaves.")] = 3000,
+    linger_ms: Annotated[int, typer.Option(help="Time to serve on while leaving, in ms.")] = 3000,
 ) -> None:
-    """Runs an upstream stand-in until SIGTERM; it then leaves and exits with 0."""
+    """Runs an upstream stand-in until SIGTERM, when it drains and exits with status 0."""
     options = UpstreamOptions(
         service=service,
         name=name,
@@ -57,8 +61,11 @@
         upstream = UpstreamStandIn(options)
         await upstream.start()
         report_listening(upstream.name, host, upstream.port)
-        reasons = {asyncio.create_task(stop.wait()), asyncio.create_task(upstream.wait_leaving())}
-        await asyncio.wait(reasons, return_when=asyncio.FIRST_COMPLETED)
+        stop_triggers = {
+            asyncio.create_task(stop.wait()),
+            asyncio.create_task(upstream.wait_leaving()),
+        }
+        await asyncio.wait(stop_triggers, return_when=asyncio.FIRST_COMPLETED)
         await upstream.leave()
         await upstream.stop()
 
--- a/fescueward/testing/upstream/announcer.py
+++ b/fescueward/testing/upstream/announcer.py
@@ -1,4 +1,4 @@
-"""Announcements of the stand-in to its agent."""
+"""Announcements of the upstream stand-in to its agent."""
 
 from __future__ import annotations
 
@@ -11,30 +11,34 @@
 from ...messages.codec import encode_json
 from .switches import UpstreamOptions
 
-FIRST_ANNOUNCEMENT_S = 1.0
-ANNOUNCEMENT_S = 2.0
+# Timeout of an announcement, and period until the agent has accepted one.
+ANNOUNCEMENT_RETRY_S = 1.0
+ANNOUNCEMENT_PERIOD_S = 2.0
 
 
 class Announcer:
-    """Announces an upstream until it is cancelled.
+    """Sends periodic announcements of an upstream to its agent.
 
     Args:
         options: Options of the upstream.
-        port: Port that it listens on.
-        leaving: Set once it leaves.
+        port: Port on which the upstream listens.
+        leaving: Set when the upstream begins to leave.
     """
 
     def __init__(self, options: UpstreamOptions, port: int, leaving: asyncio.Event) -> None:
         self._options, self._port, self._leaving = options, port, leaving
 
     async def run(self) -> None:
-        """Announces at once, then in the period of the protocol and when the state changes."""
-        timeout = aiohttp.ClientTimeout(total=FIRST_ANNOUNCEMENT_S)
+        """Announces at once, then periodically and when the upstream begins to leave.
+
+        Runs until it is cancelled.
+        """
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCEMENT_RETRY_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 state = AnnouncedState.LEAVING if self._leaving.is_set() else AnnouncedState.READY
                 accepted = await self._announce(session, state)
-                period_s = ANNOUNCEMENT_S if accepted else FIRST_ANNOUNCEMENT_S
+                period_s = ANNOUNCEMENT_PERIOD_S if accepted else ANNOUNCEMENT_RETRY_S
                 if state is AnnouncedState.LEAVING:
                     await asyncio.sleep(period_s)
                     continue
@@ -42,6 +46,7 @@
                     await asyncio.wait_for(self._leaving.wait(), period_s)
 
     async def _announce(self, session: aiohttp.ClientSession, state: AnnouncedState) -> bool:
+        """Sends one announcement; returns whether the agent accepted it."""
         options = self._options
         announcement = Announcement(
             service=options.service,
--- a/fescueward/testing/upstream/calls.py
+++ b/fescueward/testing/upstream/calls.py
@@ -1,4 +1,4 @@
-"""Requests to the stand-in: headers, behaviour named by the query, and answers."""
+"""Requests to the upstream stand-in: headers, query parameters and response bodies."""
 
 from __future__ import annotations
 
@@ -24,14 +24,14 @@
 
 REFUSAL_HEADER = "Fescueward-Refusal"
 DIGEST_HEADER = "Digest-Sha256"
-PIECE_BYTES = 64 * 1024
-SLOW_PIECES = 10
+CHUNK_BYTES = 64 * 1024
+MIN_SLOW_CHUNKS = 10
 Milliseconds = Annotated[int, Meta(ge=0, le=600_000)]
 Count = Annotated[int, Meta(ge=0)]
 
 
 class Refusal(enum.StrEnum):
-    """Why a request is rejected before it runs: values of the header `Fescueward-Refusal`."""
+    """Reasons to reject a request before it runs: values of the header `Fescueward-Refusal`."""
 
     GRANT = "grant"
     DEADLINE = "deadline"
@@ -45,15 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamAnswer:
-    """Body of the response to a request that names no size.
+    """Body of the response to a request without the query parameter `size`.
 
     Attributes:
         request_id: Id of the request.
-        key: Its key.
-        epoch: Epoch that it ran under, or None.
+        key: Key of the request, empty without one.
+        epoch: Epoch under which it ran, or None.
         upstream: Name of the upstream.
         body_sha256: SHA-256 of the request body, in hexadecimal digits.
-        body_bytes: Size of the request body.
+        body_bytes: Size of the request body in bytes.
     """
 
     request_id: str
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Behaviour:
-    """What the query of a request asks for; see the module."""
+    """Query parameters of a request, documented in the module `fescueward.testing.upstream`."""
 
     sleep_ms: Milliseconds | None = None
     size: Annotated[int, Meta(ge=0, le=1 << 32)] | None = None
@@ -81,13 +81,13 @@
     """Headers and behaviour of one request.
 
     Attributes:
-        request_id: Its id.
-        key: Its key.
-        shard: Its shard, or None.
-        epoch: Its epoch, or None.
-        deadline_ns: Its deadline in CLOCK_BOOTTIME nanoseconds, or None.
+        request_id: Id of the request.
+        key: Key of the request, empty without one.
+        shard: Shard of the key, or None.
+        epoch: Epoch of the shard's ownership, or None.
+        deadline_ns: Deadline in CLOCK_BOOTTIME nanoseconds, or None.
         token: Idempotency token, or None.
-        behaviour: What its query asks for.
+        behaviour: Query parameters.
     """
 
     request_id: str
@@ -100,10 +100,10 @@
 
 
 def parse_call(request: web.Request) -> Call:
-    """Reads headers and query of a request.
+    """Parses headers and query of a request.
 
     Raises:
-        MalformedMessageError: A number is missing its digits or out of range.
+        MalformedMessageError: A header or query parameter is malformed or out of range.
     """
     headers = request.headers
     values = {
@@ -121,32 +121,41 @@
         raise MalformedMessageError(f"bad request: {error}") from error
 
 
-def body_pieces(request_id: str, size: int, *, slow: bool) -> tuple[bytes, ...]:
-    """Returns a body that differs between requests, so that a mixed-up answer shows.
+def body_chunks(request_id: str, size: int, *, slow: bool) -> tuple[bytes, ...]:
+    """Returns the chunks of a response body.
+
+    The body depends on the request id, so that a response to another request is detected.
 
     Args:
         request_id: Id of the request.
         size: Size of the body in bytes.
-        slow: Whether to make at least ten pieces.
+        slow: Whether to split the body into at least `MIN_SLOW_CHUNKS` chunks, if it is large
+            enough.
     """
     if size == 0:
         return (b"",)
-    piece_bytes = min(PIECE_BYTES, max(1, size // SLOW_PIECES) if slow else size)
+    chunk_bytes = min(CHUNK_BYTES, max(1, size // MIN_SLOW_CHUNKS) if slow else size)
     pattern = hashlib.sha256(request_id.encode()).hexdigest().encode()
-    piece = (pattern * (piece_bytes // len(pattern) + 1))[:piece_bytes]
-    whole, rest = divmod(size, piece_bytes)
-    return (piece,) * whole + ((piece[:rest],) if rest else ())
+    chunk = (pattern * (chunk_bytes // len(pattern) + 1))[:chunk_bytes]
+    full_count, rest_bytes = divmod(size, chunk_bytes)
+    return (chunk,) * full_count + ((chunk[:rest_bytes],) if rest_bytes else ())
 
 
-def sha256_of(pieces: Iterable[bytes]) -> str:
+def sha256_of(chunks: Iterable[bytes]) -> str:
     """Returns the SHA-256 of a body in hexadecimal digits."""
     digest = hashlib.sha256()
-    for piece in pieces:
-        digest.update(piece)
+    for chunk in chunks:
+        digest.update(chunk)
     return digest.hexdigest()
 
 
 def refusal_response(refusal: Refusal, request_id: str, message: str) -> web.Response:
-    """Returns the answer to a request that is rejected before it runs."""
+    """Returns the response to a request that is rejected before it runs.
+
+    Args:
+        refusal: Reason of the rejection.
+        request_id: Id of the request.
+        message: Text of the response body.
+    """
     headers = {REFUSAL_HEADER: refusal, REQUEST_ID_HEADER: request_id}
     return web.Response(status=_REFUSAL_STATUS.get(refusal, 503), headers=headers, text=message)
--- a/fescueward/testing/upstream/reports.py
+++ b/fescueward/testing/upstream/reports.py
@@ -1,4 +1,4 @@
-"""The health page of the stand-in and how truthful it is."""
+"""Load reported by the health page of the upstream stand-in, with selectable accuracy."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-LAG_S = 5.0
+REPORT_LAG_S = 5.0
 
 
 class ReportKind(enum.StrEnum):
-    """How truthful `GET /health` is."""
+    """How accurately `GET /health` reports the load."""
 
     HONEST = "honest"
     LAG = "lag"
@@ -24,8 +24,8 @@
 
     Attributes:
         state: `cold`, `ready` or `leaving`.
-        in_flight: Requests that run, as far as the report is truthful.
-        load: `in_flight` divided by the slots.
+        in_flight: Reported number of running requests.
+        load: `in_flight` divided by the number of slots.
     """
 
     state: str
@@ -34,66 +34,75 @@
 
 
 class LoadReporter(Protocol):
-    """What the health page says about the load."""
+    """Source of the load that the health page reports."""
 
     def observe(self, time_s: float, in_flight: int) -> None:
-        """Takes the number of running requests after a change."""
+        """Records the number of running requests after a change.
+
+        Args:
+            time_s: Time of the change on CLOCK_BOOTTIME, in seconds.
+            in_flight: Number of running requests.
+        """
         ...
 
     def in_flight(self, time_s: float) -> int:
-        """Returns the number of running requests that is reported."""
+        """Returns the number of running requests to report.
+
+        Args:
+            time_s: Current time on CLOCK_BOOTTIME, in seconds.
+        """
         ...
 
 
-class HonestReporter:
-    """Reports the present load."""
+class CurrentLoadReporter:
+    """Reports the current load."""
 
     def __init__(self) -> None:
         self._in_flight = 0
 
     def observe(self, time_s: float, in_flight: int) -> None:
-        """Takes the number of running requests after a change."""
+        """Records the number of running requests after a change."""
         self._in_flight = in_flight
 
     def in_flight(self, time_s: float) -> int:
-        """Returns the present number."""
+        """Returns the current number of running requests."""
         return self._in_flight
 
 
-class LaggingReporter:
-    """Reports the load of five seconds ago."""
+class DelayedLoadReporter:
+    """Reports the load with a delay of `REPORT_LAG_S`."""
 
     def __init__(self) -> None:
         self._history: deque[tuple[float, int]] = deque([(0.0, 0)])
 
     def observe(self, time_s: float, in_flight: int) -> None:
-        """Takes the number of running requests after a change."""
+        """Records the number of running requests after a change."""
         self._history.append((time_s, in_flight))
-        self._forget(time_s)
+        self._drop_expired(time_s)
 
     def in_flight(self, time_s: float) -> int:
-        """Returns the number that was true five seconds before."""
-        self._forget(time_s)
+        """Returns the number of running requests `REPORT_LAG_S` before `time_s`."""
+        self._drop_expired(time_s)
         return self._history[0][1]
 
-    def _forget(self, time_s: float) -> None:
-        while len(self._history) > 1 and self._history[1][0] <= time_s - LAG_S:
+    def _drop_expired(self, time_s: float) -> None:
+        while len(self._history) > 1 and self._history[1][0] <= time_s - REPORT_LAG_S:
             self._history.popleft()
 
 
-class LyingReporter:
-    """Reports no load at all."""
+class ZeroLoadReporter:
+    """Always reports zero load."""
 
     def observe(self, time_s: float, in_flight: int) -> None:
-        """Ignores the load."""
+        """Ignores the number of running requests."""
 
     def in_flight(self, time_s: float) -> int:
-        """Returns 0."""
+        """Returns 0 whatever the load is."""
         return 0
 
 
 REPORTERS: dict[ReportKind, type[LoadReporter]] = {
-    ReportKind.HONEST: HonestReporter,
-    ReportKind.LAG: LaggingReporter,
-    ReportKind.LIE: LyingReporter,
+    ReportKind.HONEST: CurrentLoadReporter,
+    ReportKind.LAG: DelayedLoadReporter,
+    ReportKind.LIE: ZeroLoadReporter,
 }
--- a/fescueward/testing/upstream/runs.py
+++ b/fescueward/testing/upstream/runs.py
@@ -1,4 +1,4 @@
-"""Runs of requests in the stand-in, and why they end early."""
+"""Running requests of the upstream stand-in and the reasons for aborting them."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Abort(enum.StrEnum):
-    """Why a run is ended early: values of the header `Fescueward-Aborted`."""
+    """Reasons to abort a run: values of the header `Fescueward-Aborted`."""
 
     REVOKED = "revoked"
     EXPIRED = "expired"
@@ -22,7 +22,19 @@
 
 
 class Run:
-    """One request that runs: its call and the scope by which it is ended early."""
+    """One running request.
+
+    Args:
+        number: Number of the run, unique in the process.
+        call: Headers and query parameters of the request.
+
+    Attributes:
+        number: Number of the run.
+        call: Headers and query parameters of the request.
+        scope: Timeout scope in which the request runs; its expiry aborts the run.
+        abort: Reason for which the run is aborted, or None.
+        ended: Whether the end of the run has been written to the journal.
+    """
 
     def __init__(self, number: int, call: Call) -> None:
         self.number = number
@@ -31,13 +43,17 @@
         self.abort: Abort | None = None
         self.ended = False
 
-    def end_after(self, delay_s: float) -> None:
-        """Ends the run after a number of seconds unless it has ended by then."""
+    def abort_after(self, delay_s: float) -> None:
+        """Aborts the run after a number of seconds unless it has ended by then."""
         if not self.scope.expired():
             self.scope.reschedule(asyncio.get_running_loop().time() + delay_s)
 
-    def end_now(self, abort: Abort) -> None:
-        """Ends the run."""
+    def abort_now(self, abort: Abort) -> None:
+        """Aborts the run; does nothing if it has been aborted already.
+
+        Args:
+            abort: Reason for the abort.
+        """
         if self.abort is None:
             self.abort = abort
-            self.end_after(0.0)
+            self.abort_after(0.0)
--- a/fescueward/testing/upstream/server.py
+++ b/fescueward/testing/upstream/server.py
@@ -1,4 +1,4 @@
-"""The server of the stand-in."""
+"""HTTP server of the upstream stand-in."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
     Call,
     Refusal,
     UpstreamAnswer,
-    body_pieces,
+    body_chunks,
     parse_call,
     refusal_response,
     sha256_of,
@@ -41,14 +41,15 @@
 from .runs import ABORTED_HEADER, Abort, Run
 from .switches import Switches, UpstreamOptions, merge_switches
 
-COLD_FACTOR = 4.0
+# Factor on execution times right after a cold start; it falls linearly to 1.
+COLD_START_FACTOR = 4.0
 
 
 class UpstreamStandIn:
-    """An upstream on one address.
+    """HTTP server of an upstream that executes requests under grants.
 
     Args:
-        options: Its options.
+        options: Options of the upstream.
     """
 
     def __init__(self, options: UpstreamOptions) -> None:
@@ -63,7 +64,7 @@
         self._reporter: LoadReporter = REPORTERS[options.switches.report]()
         self._journal: JournalWriter | None = None
         self._started_ns = 0
-        self._closing = False
+        self._rejecting = False
         self._leaving = asyncio.Event()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -71,17 +72,17 @@
 
     @property
     def port(self) -> int:
-        """Port it listens on."""
+        """Port on which the server listens."""
         return self._site.port
 
     @property
     def name(self) -> str:
-        """Name in answers and journal."""
+        """Name in responses and journal."""
         return self._options.name or f"{self._options.service}-{self.port}"
 
     @property
     def url(self) -> str:
-        """Base URL."""
+        """Base URL of the server."""
         return f"http://{self._options.host}:{self.port}"
 
     @property
@@ -91,11 +92,11 @@
 
     @property
     def switches(self) -> Switches:
-        """Behaviour in force."""
+        """Switches in force."""
         return self._switches
 
     async def start(self) -> None:
-        """Begins to listen and to announce itself.
+        """Starts the server and, with an announcement URL, the announcements.
 
         Raises:
             OSError: The address is in use or the journal cannot be opened.
@@ -110,9 +111,9 @@
             self._spawn(Announcer(self._options, self.port, self._leaving).run())
 
     async def stop(self) -> None:
-        """Aborts what runs and stops listening."""
+        """Aborts all running requests, stops the server and closes the journal."""
         for run in self._runs.values():
-            run.end_now(Abort.STOPPED)
+            run.abort_now(Abort.STOPPED)
         await self._idle.wait()
         for task in tuple(self._tasks):
             task.cancel()
@@ -123,18 +124,21 @@
             self._journal = None
 
     async def leave(self) -> None:
-        """Announces that it leaves, serves on for `linger_ms` and finishes what is in flight."""
+        """Announces that the upstream leaves, serves on for `linger_ms` and drains.
+
+        Returns when no request is in flight.
+        """
         self.set_switches(replace(self._switches, leaving=True))
         await asyncio.sleep(self._options.linger_ms / 1000)
-        self._closing = True
+        self._rejecting = True
         await self._idle.wait()
 
     async def wait_leaving(self) -> None:
-        """Returns once the upstream has been switched to leaving."""
+        """Waits until the upstream begins to leave."""
         await self._leaving.wait()
 
     def set_switches(self, switches: Switches) -> None:
-        """Replaces the behaviour in force."""
+        """Replaces the switches in force and starts their effects."""
         if switches.report is not self._switches.report:
             self._reporter = REPORTERS[switches.report]()
             self._reporter.observe(boot_time_ns() / 1e9, len(self._runs))
@@ -145,24 +149,24 @@
         self._switches = replace(switches, refuse_ms=0)
 
     def replace_grants(self, grants: GrantSet) -> bool:
-        """Takes a set of grants and ends the runs that it no longer covers.
+        """Replaces the grants by a newer set and aborts the runs that it does not cover.
 
         Args:
-            grants: The set.
+            grants: New set of grants.
 
         Returns:
-            Whether it is newer than the one held.
+            Whether the set is newer than the current one and has replaced it.
         """
         if not self._grants.replace(grants):
             return False
         now_ns = boot_time_ns()
-        self._write(EventKind.GRANT, None, now_ns)
+        self._write_event(EventKind.GRANT, None, now_ns)
         for run in self._runs.values():
-            abort = self._invalid(run.call, now_ns)
+            abort = self._abort_reason(run.call, now_ns)
             if abort is None:
-                self._limit(run, now_ns)
+                self._schedule_abort(run, now_ns)
             else:
-                run.end_now(abort)
+                run.abort_now(abort)
         return True
 
     async def _dispatch(self, request: web.Request) -> web.StreamResponse:
@@ -197,10 +201,10 @@
         return _json(self._switches)
 
     def _cancel(self, request_id: str) -> web.StreamResponse:
-        found = [run for run in self._runs.values() if run.call.request_id == request_id]
-        for run in found:
-            run.end_now(Abort.CANCELLED)
-        return web.Response(status=200 if found else 404)
+        matching_runs = [run for run in self._runs.values() if run.call.request_id == request_id]
+        for run in matching_runs:
+            run.abort_now(Abort.CANCELLED)
+        return web.Response(status=200 if matching_runs else 404)
 
     def _health(self) -> Health:
         in_flight = self._reporter.in_flight(boot_time_ns() / 1e9)
@@ -218,91 +222,97 @@
         now_ns = boot_time_ns()
         refusal = self._refusal_of(call, now_ns)
         if refusal is not None:
-            self._write(EventKind.REJECTED, call, now_ns, reason=refusal)
+            self._write_event(EventKind.REJECTED, call, now_ns, reason=refusal)
             return refusal_response(refusal, call.request_id, f"rejected: {refusal}")
         response = web.StreamResponse(status=call.behaviour.status)
-        run = self._begin(call, now_ns)
+        run = self._start_run(call, now_ns)
         try:
             async with run.scope:
-                self._limit(run, now_ns)
+                self._schedule_abort(run, now_ns)
                 await self._execute(request, run, response)
         except RunAbortedError as error:
-            return self._aborted(request, run, response, Abort(error.reason))
+            return self._abort_response(request, run, response, Abort(error.reason))
         except TimeoutError:
-            abort = run.abort or self._invalid(call, boot_time_ns()) or Abort.DEADLINE
-            return self._aborted(request, run, response, abort)
+            abort = run.abort or self._abort_reason(call, boot_time_ns()) or Abort.DEADLINE
+            return self._abort_response(request, run, response, abort)
         except (ConnectionError, aiohttp.ClientPayloadError):
-            return self._aborted(request, run, response, Abort.CONNECTION)
+            return self._abort_response(request, run, response, Abort.CONNECTION)
         finally:
-            self._finish(run)
+            self._finish_run(run)
         return response
 
     async def _execute(self, request: web.Request, run: Run, response: web.StreamResponse) -> None:
         call = run.call
         behaviour = call.behaviour
         digest = hashlib.sha256()
-        received = 0
-        async for chunk in request.content.iter_any():
-            digest.update(chunk)
-            received += len(chunk)
-        await self._work(call)
-        self._check(run, boot_time_ns())
+        received_bytes = 0
+        async for data in request.content.iter_any():
+            digest.update(data)
+            received_bytes += len(data)
+        await self._simulate_work(call)
+        self._raise_if_aborted(run, boot_time_ns())
         if behaviour.size is None:
-            answer = UpstreamAnswer(
-                call.request_id, call.key, call.epoch, self.name, digest.hexdigest(), received
+            body = UpstreamAnswer(
+                call.request_id,
+                call.key,
+                call.epoch,
+                self.name,
+                digest.hexdigest(),
+                received_bytes,
             )
             response.content_type = "application/json"
-            pieces = (encode_json(answer),)
+            chunks = (encode_json(body),)
         else:
             response.content_type = "application/octet-stream"
-            pieces = body_pieces(call.request_id, behaviour.size, slow=behaviour.slow_body > 0)
+            chunks = body_chunks(call.request_id, behaviour.size, slow=behaviour.slow_body > 0)
         response.headers[REQUEST_ID_HEADER] = call.request_id
-        response.headers[DIGEST_HEADER] = sha256_of(pieces)
-        response.content_length = sum(map(len, pieces)) + behaviour.truncate
+        response.headers[DIGEST_HEADER] = sha256_of(chunks)
+        response.content_length = sum(map(len, chunks)) + behaviour.truncate
         await response.prepare(request)
-        for number, piece in enumerate(pieces, start=1):
+        for number, chunk in enumerate(chunks, start=1):
             now_ns = boot_time_ns()
-            self._check(run, now_ns)
-            if number == len(pieces):
+            self._raise_if_aborted(run, now_ns)
+            if number == len(chunks):
                 run.ended = True
-                self._write(EventKind.END, call, now_ns, run=run.number)
-            await response.write(piece)
+                self._write_event(EventKind.END, call, now_ns, run=run.number)
+            await response.write(chunk)
             if behaviour.slow_body and not run.ended:
                 await asyncio.sleep(behaviour.slow_body / 1000)
         if behaviour.truncate:
             response.force_close()
 
-    async def _work(self, call: Call) -> None:
+    async def _simulate_work(self, call: Call) -> None:
         behaviour = call.behaviour
         work_ms = self._switches.work_ms if behaviour.sleep_ms is None else behaviour.sleep_ms
         work_s = work_ms / 1000 * self._cold_factor()
         if behaviour.crash:
             await asyncio.sleep(work_s / 2)
-            self._write(EventKind.EXIT, None, boot_time_ns(), reason="crash")
+            self._write_event(EventKind.EXIT, None, boot_time_ns(), reason="crash")
             os._exit(1)
         if work_s:
             await asyncio.sleep(work_s)
 
-    def _aborted(
+    def _abort_response(
         self, request: web.Request, run: Run, response: web.StreamResponse, abort: Abort
     ) -> web.StreamResponse:
         if not run.ended:
             now_ns = boot_time_ns()
-            self._write(EventKind.ABORTED, run.call, now_ns, run=run.number, reason=abort)
+            self._write_event(EventKind.ABORTED, run.call, now_ns, run=run.number, reason=abort)
         if response.prepared:
             return abort_connection(request)
         headers = {ABORTED_HEADER: abort, REQUEST_ID_HEADER: run.call.request_id}
         return web.Response(status=503, headers=headers, text=f"aborted: {abort}")
 
     def _refusal_of(self, call: Call, now_ns: int) -> Refusal | None:
-        if self._closing:
+        if self._rejecting:
             return Refusal.LEAVING
-        invalid = self._invalid(call, now_ns)
-        if invalid is not None:
-            return Refusal.DEADLINE if invalid is Abort.DEADLINE else Refusal.GRANT
+        reason = self._abort_reason(call, now_ns)
+        if reason is not None:
+            return Refusal.DEADLINE if reason is Abort.DEADLINE else Refusal.GRANT
         return Refusal.SHED if len(self._runs) >= self._options.slots else None
 
-    def _invalid(self, call: Call, now_ns: int) -> Abort | None:
+    def _abort_reason(self, call: Call, now_ns: int) -> Abort | None:
+        """Returns why a request must not run now, or None if its grant and deadline are valid."""
         if self._options.checks_grants:
             state = self._grants.state(call.shard, call.epoch, now_ns)
             if state is GrantState.EXPIRED:
@@ -313,30 +323,31 @@
             return Abort.DEADLINE
         return None
 
-    def _check(self, run: Run, now_ns: int) -> None:
-        # After SIGCONT the timers of work and of the grant are due together and fire in any
-        # order, so the clock decides before each effect.
-        abort = run.abort or self._invalid(run.call, now_ns)
+    def _raise_if_aborted(self, run: Run, now_ns: int) -> None:
+        # After SIGCONT the timers of the execution time and of the grant may be due together and
+        # fire in any order, so the clock is checked before each effect.
+        abort = run.abort or self._abort_reason(run.call, now_ns)
         if abort is not None:
             raise RunAbortedError(abort)
 
-    def _limit(self, run: Run, now_ns: int) -> None:
-        ends = [] if run.call.deadline_ns is None else [run.call.deadline_ns]
+    def _schedule_abort(self, run: Run, now_ns: int) -> None:
+        """Aborts a run at its deadline or when its grant expires, whichever is earlier."""
+        limits_ns = [] if run.call.deadline_ns is None else [run.call.deadline_ns]
         if self._options.checks_grants:
-            ends.append(self._grants.grants.expires_ns)
-        if ends:
-            run.end_after((min(ends) - now_ns) / 1e9)
+            limits_ns.append(self._grants.grants.expires_ns)
+        if limits_ns:
+            run.abort_after((min(limits_ns) - now_ns) / 1e9)
 
-    def _begin(self, call: Call, now_ns: int) -> Run:
+    def _start_run(self, call: Call, now_ns: int) -> Run:
         self._run_count += 1
         run = Run(self._run_count, call)
         self._runs[run.number] = run
         self._idle.clear()
         self._reporter.observe(now_ns / 1e9, len(self._runs))
-        self._write(EventKind.START, call, now_ns, run=run.number)
+        self._write_event(EventKind.START, call, now_ns, run=run.number)
         return run
 
-    def _finish(self, run: Run) -> None:
+    def _finish_run(self, run: Run) -> None:
         del self._runs[run.number]
         self._reporter.observe(boot_time_ns() / 1e9, len(self._runs))
         if not self._runs:
@@ -344,12 +355,12 @@
 
     def _cold_factor(self) -> float:
         cold_ms = self._options.cold_start_ms
-        age_ms = (boot_time_ns() - self._started_ns) / 1e6
-        if age_ms >= cold_ms:
+        uptime_ms = (boot_time_ns() - self._started_ns) / 1e6
+        if uptime_ms >= cold_ms:
             return 1.0
-        return COLD_FACTOR - (COLD_FACTOR - 1.0) * age_ms / cold_ms
+        return COLD_START_FACTOR - (COLD_START_FACTOR - 1.0) * uptime_ms / cold_ms
 
-    def _write(
+    def _write_event(
         self, kind: EventKind, call: Call | None, now_ns: int, *, run: int = 0, reason: str = ""
     ) -> None:
         if self._journal is None:
--- a/fescueward/testing/upstream/switches.py
+++ b/fescueward/testing/upstream/switches.py
@@ -1,4 +1,4 @@
-"""Options of the stand-in, and the behaviour that can be changed while it runs."""
+"""Options of the upstream stand-in, and switches that can be changed while it runs."""
 
 from __future__ import annotations
 
@@ -21,10 +21,12 @@
     """Behaviour that can be changed while the upstream runs.
 
     Attributes:
-        work_ms: Time that a request takes.
-        report: How truthful the health page is.
-        leaving: Whether it announces that it leaves; it then ends by itself.
-        refuse_ms: Resets all connections and refuses new ones for this long, once.
+        work_ms: Execution time of a request, in milliseconds.
+        report: Accuracy of the load on the health page.
+        leaving: Whether the upstream announces that it leaves. The stand-in's process then drains
+            and exits.
+        refuse_ms: Time in milliseconds for which all connections are reset and new ones refused,
+            once.
     """
 
     work_ms: Milliseconds = 0
@@ -39,18 +41,20 @@
 
     Attributes:
         service: Service that it serves.
-        name: Name in answers and journal; by default made of service and port.
+        name: Name in responses and journal; `SERVICE-PORT` if empty.
         host: Address to listen on.
         port: Port to listen on; 0 chooses a free one.
-        announce: URL of the agent's announcement address, or empty.
+        announce: URL to which announcements are sent; empty for none.
         group: Number of the group that it joins.
-        slots: Requests that it runs at a time; it sheds more.
-        connections: Connections that it accepts; it resets more.
+        slots: Maximum number of concurrent requests; more are shed.
+        connections: Maximum number of connections; more are reset.
         checks_grants: Whether it rejects requests without a valid grant.
-        journal: Journal file, or None.
-        cold_start_ms: Time after the start in which requests take up to four times as long.
-        linger_ms: Time that it takes requests after it has announced that it leaves.
-        switches: Behaviour at the start.
+        journal: Path of the journal file, or None.
+        cold_start_ms: Time after the start in which requests take up to four times as long, in
+            milliseconds.
+        linger_ms: Time for which it accepts requests after it has announced that it leaves, in
+            milliseconds.
+        switches: Initial switches.
     """
 
     service: str
@@ -69,14 +73,14 @@
 
 
 def merge_switches(switches: Switches, body: bytes) -> Switches:
-    """Applies a change in JSON to switches.
+    """Returns switches with the changes of a control call applied.
 
     Args:
-        switches: The switches in force.
+        switches: Switches in force.
         body: JSON object with some or all fields of `Switches`.
 
     Raises:
-        ControlError: The body is no JSON object or a field is unknown or out of range.
+        ControlError: The body is not a JSON object, or a field is unknown or out of range.
     """
     try:
         changes = msgspec.json.decode(body, type=dict[str, Any])
--- a/tests/testing/upstream/test_server.py
+++ b/tests/testing/upstream/test_server.py
@@ -27,8 +27,8 @@
     UpstreamOptions,
     UpstreamStandIn,
 )
-from fescueward.testing.upstream.calls import body_pieces, sha256_of
-from fescueward.testing.upstream.reports import LaggingReporter
+from fescueward.testing.upstream.calls import body_chunks, sha256_of
+from fescueward.testing.upstream.reports import DelayedLoadReporter
 from fescueward.testing.upstream.switches import merge_switches
 from fescueward.testing.waiting import wait_until
 
@@ -71,13 +71,15 @@
             return response.status, reason, response.headers, await response.read()
 
     def events(self, request_id):
-        found = read_journal(self.journal)
-        return [(e.kind.value, e.reason) for e in found if e.request_id == request_id]
+        events = read_journal(self.journal)
+        return [
+            (event.kind.value, event.reason) for event in events if event.request_id == request_id
+        ]
 
 
 class UpstreamTest(_UpstreamCase):
     async def test_grants_are_checked_before_a_run(self):
-        """Guards against runs without a grant, under another epoch or after the expiry."""
+        """Guards against runs without a grant, under another epoch or after the grant expired."""
         upstream = await self.start()
         self.assertEqual((await self.request(upstream.url, "none"))[:2], (403, "grant"))
         upstream.replace_grants(_grants(1, 10_000, {3: 1}))
@@ -91,7 +93,7 @@
         self.assertEqual(bad[:2], (400, "malformed"))
 
     async def test_runs_are_aborted(self):
-        """Guards against work that goes on after revocation, a higher epoch, expiry or cancel."""
+        """Guards against runs that continue after revocation, a higher epoch, expiry or cancel."""
         upstream = await self.start(slots=2)
         changes = (
             ("revoked", _grants(2, 10_000, {})),
@@ -116,7 +118,7 @@
             self.assertEqual(self.events(request_id), [("start", ""), ("aborted", expected)])
 
     async def test_deadlines_and_slots_without_grants(self):
-        """Guards against work past the deadline and beyond the slots."""
+        """Guards against runs past their deadline and more concurrent runs than slots."""
         upstream = await self.start(checks_grants=False, slots=1)
         late = await self.request(upstream.url, "late", deadline_ms=-1)
         self.assertEqual(late[:2], (503, "deadline"))
@@ -127,35 +129,35 @@
         self.assertEqual((await run)[:2], (503, "deadline"))
 
     async def test_bodies(self):
-        """Guards against answers whose digest does not tell a mixed-up or truncated body."""
+        """Guards against responses whose digest does not reveal a mixed-up or truncated body."""
         upstream = await self.start(checks_grants=False)
         upload = b"u" * 1_000_000
-        answer = await self.request(upstream.url, "up", data=upload)
-        self.assertIn(sha256_of([upload]).encode(), answer[3])
+        response = await self.request(upstream.url, "up", data=upload)
+        self.assertIn(sha256_of([upload]).encode(), response[3])
         for size, slow in ((0, 0), (7, 1), (300_000, 0)):
             _, _, headers, body = await self.request(upstream.url, "b", size=size, slow_body=slow)
             self.assertEqual((len(body), headers[DIGEST_HEADER]), (size, sha256_of([body])))
-        self.assertNotEqual(body_pieces("a", 99, slow=False), body_pieces("b", 99, slow=False))
+        self.assertNotEqual(body_chunks("a", 99, slow=False), body_chunks("b", 99, slow=False))
         with self.assertRaises(aiohttp.ClientPayloadError):
             await self.request(upstream.url, "cut", size=10, truncate=1)
 
     async def test_refused_connections(self):
-        """Guards against a refusal switch that never ends."""
+        """Guards against an upstream that refuses connections after `refuse_ms` have elapsed."""
         upstream = await self.start(checks_grants=False)
         upstream.set_switches(Switches(refuse_ms=50))
 
-        async def connect(wanted):
+        async def connect(expected):
             try:
                 await self.request(upstream.url, "r")
             except aiohttp.ClientConnectorError:
-                return wanted == "refused"
-            return wanted == "served"
+                return expected == "refused"
+            return expected == "served"
 
         await wait_until(lambda: connect("refused"), 5, "connections are refused")
         await wait_until(lambda: connect("served"), 5, "connections are accepted again")
 
     async def test_reports(self):
-        """Guards against health pages that are more truthful than asked for."""
+        """Guards against health pages that report the load more accurately than selected."""
         upstream = await self.start(checks_grants=False, slots=2)
         upstream.set_switches(merge_switches(upstream.switches, b'{"report":"lie"}'))
         run = asyncio.create_task(self.request(upstream.url, "r", sleep_ms=20_000))
@@ -167,32 +169,32 @@
             async with self.session.get(f"{upstream.url}/health") as response:
                 self.assertEqual((await response.json())["in_flight"], expected, report)
         run.cancel()
-        lagging = LaggingReporter()
-        lagging.observe(10.0, 3)
-        lagging.observe(12.0, 1)
-        self.assertEqual([lagging.in_flight(at) for at in (14.9, 15.0, 17.0)], [0, 3, 1])
+        reporter = DelayedLoadReporter()
+        reporter.observe(10.0, 3)
+        reporter.observe(12.0, 1)
+        self.assertEqual([reporter.in_flight(time_s) for time_s in (14.9, 15.0, 17.0)], [0, 3, 1])
 
     async def test_announcements_and_leaving(self):
-        """Guards against an agent that hears late that its upstream is there or leaves."""
-        heard = []
+        """Guards against an upstream that announces late that it is ready or leaves."""
+        received = []
 
-        async def announcements(request):
-            heard.append(decode_json(await request.read(), Announcement))
-            return web.Response(status=200 if len(heard) > 1 else 503)
+        async def receive_announcement(request):
+            received.append(decode_json(await request.read(), Announcement))
+            return web.Response(status=200 if len(received) > 1 else 503)
 
         app = web.Application()
-        app.router.add_post("/announcements", announcements)
+        app.router.add_post("/announcements", receive_announcement)
         agent = HttpSite(app, "127.0.0.1", 0)
         await agent.start()
         self.addAsyncCleanup(agent.stop)
         announce = f"http://127.0.0.1:{agent.port}/announcements"
         upstream = await self.start(announce=announce, checks_grants=False, linger_ms=100)
-        await wait_until(lambda: len(heard) == 2, 5, "a repeated announcement")
-        self.assertEqual((heard[0].port, heard[0].checks_grants), (upstream.port, False))
+        await wait_until(lambda: len(received) == 2, 5, "a repeated announcement")
+        self.assertEqual((received[0].port, received[0].checks_grants), (upstream.port, False))
         run = asyncio.create_task(self.request(upstream.url, "last", sleep_ms=300))
         await wait_until(lambda: upstream.in_flight == 1, 5, "the request runs")
         await upstream.leave()
-        self.assertEqual(heard[2].state, "leaving")
+        self.assertEqual(received[2].state, "leaving")
         self.assertEqual((await run)[0], 200)
         self.assertEqual((await self.request(upstream.url, "new"))[:2], (503, "leaving"))
 
@@ -209,20 +211,20 @@
         self.addAsyncCleanup(process.stop)
         url = f"http://127.0.0.1:{port}"
 
-        async def answers():
+        async def responds():
             try:
                 async with self.session.get(f"{url}/health") as response:
                     return response.ok
             except aiohttp.ClientError:
                 return False
 
-        await wait_until(answers, 20, "the upstream answers")
+        await wait_until(responds, 20, "the upstream responds")
         return process, url
 
     async def test_grant_that_expires_during_a_pause(self):
-        """Guards against a resumed upstream that completes work for which its grant has ended.
+        """Guards against a resumed upstream that completes a run whose grant has expired.
 
-        The work and the grant are both due when the process resumes.
+        The timers of the execution time and of the grant are both due when the process resumes.
         """
         process, url = await self._start_program()
         grants = _grants(1, 600, {3: 1})
@@ -237,7 +239,7 @@
         self.assertEqual(self.events("paused"), [("start", ""), ("aborted", "expired")])
 
     async def test_crash_and_graceful_exit(self):
-        """Guards against crashes that leave no trace and against an exit status other than 0."""
+        """Guards against crashes without a journal event, and an exit status other than 0."""
         process, url = await self._start_program("--no-grants")
         with self.assertRaises(aiohttp.ClientError):
             await self.request(url, "crash", crash=1)
