Describe signals to a stopped agent process in testing

Cause: the doc comments of AgentProcess.kill and pause said that nothing happens if the process is not running, but the signal is recorded; two comments of the upstream stand-in were unclear. Change: doc comments only.

--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -93,15 +93,15 @@
                     await self._process.kill()
 
     async def kill(self) -> None:
-        """Sends SIGKILL; does nothing if the process is not running."""
+        """Records and sends SIGKILL; ignores that the process is not running."""
         with contextlib.suppress(ProcessStateError):
             self._record(Signal.KILL)
             await self._process.kill()
 
     async def pause(self, duration_s: float) -> None:
-        """Sends SIGSTOP, then SIGCONT after a number of seconds.
+        """Records and sends SIGSTOP, then SIGCONT after a number of seconds.
 
-        Does nothing if the process is not running.
+        Ignores that the process is not running; SIGCONT is then not recorded.
         """
         with contextlib.suppress(ProcessStateError, ConditionTimeoutError):
             self._record(Signal.PAUSE)
@@ -111,7 +111,10 @@
             self._record(Signal.CONTINUE)
 
     def hang_up(self) -> None:
-        """Appends an empty line to the settings file and sends SIGHUP."""
+        """Appends an empty line to the settings file and sends SIGHUP.
+
+        Ignores that the process is not running.
+        """
         self._settings.write_text(self._settings.read_text() + "\n")
         with contextlib.suppress(ProcessStateError):
             self._process.hang_up()
--- a/fescueward/testing/upstream/announcer.py
+++ b/fescueward/testing/upstream/announcer.py
@@ -11,7 +11,7 @@
 from ...messages.codec import encode_json
 from .switches import UpstreamOptions
 
-# Timeout of an announcement, and period until the agent has accepted one.
+# Timeout of an announcement, and delay before the next one if the agent did not accept it.
 ANNOUNCEMENT_RETRY_S = 1.0
 ANNOUNCEMENT_PERIOD_S = 2.0
 
--- a/fescueward/testing/upstream/runs.py
+++ b/fescueward/testing/upstream/runs.py
@@ -33,7 +33,7 @@
         call: Headers and query parameters of the request.
         scope: Timeout scope in which the request runs; its expiry aborts the run.
         abort: Reason for which the run is aborted, or None.
-        ended: Whether the end of the run has been written to the journal.
+        ended: Whether the run has ended; set just before its last chunk is sent.
     """
 
     def __init__(self, number: int, call: Call) -> None:
