Rename hang_up to request_reload

The method sends SIGHUP so that the process reads its settings again; the old name only translated the signal's name. Only the name changes, in 3 files.

--- a/fescueward/testing/processes.py
+++ b/fescueward/testing/processes.py
@@ -155,7 +155,7 @@
         """
         self._signal(signal.SIGCONT)
 
-    def hang_up(self) -> None:
+    def request_reload(self) -> None:
         """Tells it with SIGHUP that its settings have changed.
 
         Raises:
--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -97,11 +97,11 @@
             self._process.resume()
             self._note(Signal.CONTINUE)
 
-    def hang_up(self) -> None:
+    def request_reload(self) -> None:
         """Writes the settings file anew and sends SIGHUP."""
         self._settings.write_text(self._settings.read_text() + "\n")
         with contextlib.suppress(ProcessStateError):
-            self._process.hang_up()
+            self._process.request_reload()
             self._note(Signal.HANGUP)
 
     async def _supervise(self) -> None:
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -160,7 +160,7 @@
         elif step.action is Action.PAUSE:
             await machine.agent.pause(step.seconds)
         elif step.action is Action.HANGUP:
-            machine.agent.hang_up()
+            machine.agent.request_reload()
         else:
             await self._on_links(step, machine)
 
