Rename shared names of the test harness

Names such as settled, quiet, Observation and Preparation did not say what they are. They become wait_until_settled, wait_until_unchanged, ScenarioResult and DeploymentBuilder; the checks of verdicts.py get verbs.

--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -9,7 +9,13 @@
 from fescueward.messages import Entry, Group
 from fescueward.testing.harness import DeployedMember, Deployment
 from fescueward.testing.load import percentile
-from fescueward.testing.scenarios import Observation, quiet, settled, unavailable_ms, under_load
+from fescueward.testing.scenarios import (
+    ScenarioResult,
+    run_under_load,
+    unavailable_ms,
+    wait_until_settled,
+    wait_until_unchanged,
+)
 from fescueward.testing.specs import DeploymentSpec, MemberSpec, service_spec
 from fescueward.testing.waiting import wait_until
 
@@ -76,8 +82,8 @@
 ) -> FailureFigures:
     async with Deployment(benchmark_spec()) as deployment:
         await deployment.wait_ready()
-        await settled(deployment, "depot", 6)
-        await quiet(deployment, "depot")
+        await wait_until_settled(deployment, "depot", 6)
+        await wait_until_unchanged(deployment, "depot")
         lost = victims(deployment)
         others = tuple(member.url for member in deployment.members if member not in lost)
         names = {member.name for member in lost}
@@ -98,12 +104,12 @@
             await wait_until(removed, 15, "the lost members are removed")
             groups.append(await group())
 
-        seen = await under_load(deployment, act, targets=others, tail_s=2.0, resends=10)
+        seen = await run_under_load(deployment, act, targets=others, tail_s=2.0, resends=10)
         lost_ids = {member.id for member in groups[0].members.values() if member.name in names}
         return _figures(seen, moved_ratio(groups[0], groups[1], lost_ids))
 
 
-def _figures(seen: Observation, ratio: float) -> FailureFigures:
+def _figures(seen: ScenarioResult, ratio: float) -> FailureFigures:
     times = unavailable_ms(seen.records)
     return FailureFigures(
         unavailable_ms_max=round(max(times.values()), 1),
@@ -129,7 +135,7 @@
         return deployment.members[:1]
 
     def domain(deployment: Deployment) -> tuple[DeployedMember, ...]:
-        return deployment.in_domain("domain-0")
+        return deployment.members_in_domain("domain-0")
 
     return Figures(
         killed=asyncio.run(_measure(first, _kill)),
--- a/benchmarks/outage.py
+++ b/benchmarks/outage.py
@@ -7,7 +7,7 @@
 
 from fescueward.testing.harness import Deployment
 from fescueward.testing.platform import Faults, Mode
-from fescueward.testing.scenarios import settled, under_load
+from fescueward.testing.scenarios import run_under_load, wait_until_settled
 
 from .failover import benchmark_spec
 
@@ -36,9 +36,9 @@
 async def _measure() -> Figures:
     async with Deployment(benchmark_spec(members=4, domains=2)) as deployment:
         await deployment.wait_ready()
-        await settled(deployment, "depot", 4)
+        await wait_until_settled(deployment, "depot", 4)
         await deployment.platform.set_faults(Faults(mode=Mode.DOWN))
-        seen = await under_load(
+        seen = await run_under_load(
             deployment, lambda: asyncio.sleep(OUTAGE_S), lead_s=0.0, tail_s=0.0
         )
         await deployment.platform.set_faults(Faults())
--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass
 
 from fescueward.testing.harness import Deployment
-from fescueward.testing.scenarios import quiet, settled, unavailable_ms, under_load
+from fescueward.testing.scenarios import (
+    run_under_load,
+    unavailable_ms,
+    wait_until_settled,
+    wait_until_unchanged,
+)
 from fescueward.testing.waiting import wait_until
 
 from .failover import benchmark_spec
@@ -40,8 +45,8 @@
     moved, had_to = 0, 0
     async with Deployment(benchmark_spec(members=4, domains=2)) as deployment:
         await deployment.wait_ready()
-        await settled(deployment, "depot", 4)
-        await quiet(deployment, "depot")
+        await wait_until_settled(deployment, "depot", 4)
+        await wait_until_unchanged(deployment, "depot")
 
         async def owners() -> list[str | None]:
             found = await deployment.group("depot")
@@ -65,13 +70,13 @@
                 between = await owners()
                 await deployment.start_member(member)
                 await wait_until(lambda name=member.name: present(name), 20, "the member is back")
-                await settled(deployment, "depot", 4)
+                await wait_until_settled(deployment, "depot", 4)
                 after = await owners()
                 had_to += 2 * sum(owner == member.name for owner in before)
                 for one, other in ((before, between), (between, after)):
                     moved += sum(a != b for a, b in zip(one, other, strict=False) if a and b)
 
-        seen = await under_load(deployment, restart_all, tail_s=1.0)
+        seen = await run_under_load(deployment, restart_all, tail_s=1.0)
     return Figures(
         requests=seen.summary.requests,
         failed_requests=sum(seen.summary.refusals.values()),
--- a/fescueward/testing/callers.py
+++ b/fescueward/testing/callers.py
@@ -78,7 +78,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class CallerAnswer:
+class CallerResponse:
     """What the caller got.
 
     Attributes:
@@ -155,7 +155,7 @@
             await self._session.close()
             self._session = None
 
-    async def send(self, base_url: str, request: CallerRequest) -> CallerAnswer:
+    async def send(self, base_url: str, request: CallerRequest) -> CallerResponse:
         """Sends one request once.
 
         Args:
@@ -181,7 +181,7 @@
             label, outcome = TIMEOUT, Outcome.OUTCOME_UNKNOWN
         except (aiohttp.ClientError, ConnectionError):
             label, outcome = CONNECTION_LOST, Outcome.OUTCOME_UNKNOWN
-        return CallerAnswer(request_id=request.request_id, label=label, outcome=outcome)
+        return CallerResponse(request_id=request.request_id, label=label, outcome=outcome)
 
 
 def _headers(request: CallerRequest) -> dict[str, str]:
@@ -194,7 +194,9 @@
     return headers
 
 
-def _answer(request: CallerRequest, response: aiohttp.ClientResponse, body: bytes) -> CallerAnswer:
+def _answer(
+    request: CallerRequest, response: aiohttp.ClientResponse, body: bytes
+) -> CallerResponse:
     request_id = request.request_id
     own = response.headers.get(REQUEST_ID_HEADER, request_id) == request_id
     digest = response.headers.get(DIGEST_HEADER)
@@ -205,12 +207,12 @@
         "retry_after_s": _seconds(response.headers.get("Retry-After")),
     }
     if digest is None:
-        return CallerAnswer(**answer, **_refusal(body), digest_ok=None if own else False)
+        return CallerResponse(**answer, **_refusal(body), digest_ok=None if own else False)
     intact = own and hashlib.sha256(body).hexdigest() == digest
     told = _upstream_answer(response, body)
     if told is None:
-        return CallerAnswer(**answer, digest_ok=intact)
-    return CallerAnswer(
+        return CallerResponse(**answer, digest_ok=intact)
+    return CallerResponse(
         **answer,
         digest_ok=intact and (request.token is not None or told.request_id == request_id),
         served_by=told.upstream,
--- a/fescueward/testing/demo.py
+++ b/fescueward/testing/demo.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field, replace
 
 from ..kernel import FescuewardError
-from .callers import UNREACHABLE, CallerAnswer, CallerRequest
+from .callers import UNREACHABLE, CallerRequest, CallerResponse
 from .errors import ConditionTimeoutError
 from .harness import DeployedMember, Deployment
 from .specs import DeploymentSpec, small_deployment
@@ -101,7 +101,7 @@
 
     async def _send(self, key: str, members: tuple[DeployedMember, ...], first: int) -> None:
         request = CallerRequest(service="depot", key=key, deadline_ms=_DEADLINE_MS)
-        answer = CallerAnswer(request_id=request.request_id)
+        answer = CallerResponse(request_id=request.request_id)
         for offset in range(len(members)):
             via = members[(first + offset) % len(members)]
             answer = await self._deployment.send(request, via)
@@ -109,7 +109,7 @@
                 break  # as a client library does, the caller goes on to the next agent
         self._count(key, answer)
 
-    def _count(self, key: str, answer: CallerAnswer) -> None:
+    def _count(self, key: str, answer: CallerResponse) -> None:
         now = time.monotonic()
         phase = self.phases[self.phase]
         if answer.digest_ok is False:
--- a/fescueward/testing/harness/deployment.py
+++ b/fescueward/testing/harness/deployment.py
@@ -15,7 +15,7 @@
 from ...messages import Group, GroupId, VersionedGroup
 from ...messages.codec import decode_json
 from ...messages.group import entry_object_key, group_of
-from ..callers import TOKEN_REQUIRED, Caller, CallerAnswer, CallerRequest
+from ..callers import TOKEN_REQUIRED, Caller, CallerRequest, CallerResponse
 from ..errors import ProcessStateError, UnknownMemberError
 from ..journal import JournalEvent, read_journal
 from ..ports import PortReservations
@@ -27,7 +27,7 @@
 from ..waiting import wait_until
 from .members import DeployedMember
 from .platform import PlatformHandle, post_json
-from .preparation import Preparation
+from .preparation import DeploymentBuilder
 
 PROBE_KEY = "probe"
 READY_TIMEOUT_S = 30.0
@@ -96,7 +96,7 @@
         """Returns the members of a service."""
         return tuple(found for found in self.members if found.service.entry.service == service)
 
-    def in_domain(self, failure_domain: str) -> tuple[DeployedMember, ...]:
+    def members_in_domain(self, failure_domain: str) -> tuple[DeployedMember, ...]:
         """Returns the members in a failure domain."""
         return tuple(
             found for found in self.members if found.spec.failure_domain == failure_domain
@@ -134,7 +134,7 @@
             aiohttp.ClientSession(timeout=timeout)
         )
         self._caller = await self._cleanup.enter_async_context(Caller())
-        preparation = Preparation(self._spec, self.directory, self._ports, self._cleanup)
+        preparation = DeploymentBuilder(self._spec, self.directory, self._ports, self._cleanup)
         await self._start_platform(preparation)
         for service in self._spec.services:
             for member in service.members:
@@ -193,7 +193,7 @@
 
     async def send(
         self, request: CallerRequest, via: DeployedMember | None = None
-    ) -> CallerAnswer:
+    ) -> CallerResponse:
         """Sends one caller request once.
 
         Args:
@@ -324,7 +324,7 @@
             yield member.agent
             yield member.upstream
 
-    async def _start_platform(self, preparation: Preparation) -> None:
+    async def _start_platform(self, preparation: DeploymentBuilder) -> None:
         port = self._ports.reserve()
         arguments = ("fescueward.testing.platform", "--port", str(port))
         process = preparation.process("platform", arguments)
--- a/fescueward/testing/harness/preparation.py
+++ b/fescueward/testing/harness/preparation.py
@@ -22,7 +22,7 @@
 _ROOT = Path(__file__).resolve().parents[3]
 
 
-class Preparation:
+class DeploymentBuilder:
     """Makes the processes and proxies of a deployment; none of the processes runs yet.
 
     Args:
--- a/fescueward/testing/load/generator.py
+++ b/fescueward/testing/load/generator.py
@@ -11,8 +11,8 @@
     TOKEN_REQUIRED,
     UNREACHABLE,
     Caller,
-    CallerAnswer,
     CallerRequest,
+    CallerResponse,
     new_request_id,
 )
 from .keys import KeyDistribution
@@ -33,7 +33,7 @@
         keys: Distribution of the keys.
         pace: When requests are sent.
         duration_s: Seconds after which no more request is begun.
-        most_requests: Number of requests after which no more is begun.
+        max_requests: Number of requests after which no more is begun.
         method: HTTP method.
         path: Path below the service.
         query: Query; see `fescueward.testing.upstream`.
@@ -49,7 +49,7 @@
     keys: KeyDistribution
     pace: Pace
     duration_s: float
-    most_requests: int = 1_000_000
+    max_requests: int = 1_000_000
     method: str = "GET"
     path: str = ""
     query: Headers = ()
@@ -82,7 +82,7 @@
     def active(self) -> bool:
         """Whether more requests are to be sent."""
         within = self._clock.now() - self._started_s < self._plan.duration_s
-        return within and not self._stopped and self._begun < self._plan.most_requests
+        return within and not self._stopped and self._begun < self._plan.max_requests
 
     @property
     def records(self) -> tuple[Record, ...]:
@@ -163,7 +163,7 @@
         self,
         target: str,
         request: CallerRequest,
-        answer: CallerAnswer,
+        answer: CallerResponse,
         begun_s: float,
         start_s: float,
         *,
--- a/fescueward/testing/load/paces.py
+++ b/fescueward/testing/load/paces.py
@@ -79,12 +79,12 @@
 
     Attributes:
         rate: Requests per second.
-        most_outstanding: Requests without an answer; those due beyond it are skipped.
+        max_outstanding: Requests without an answer; those due beyond it are skipped.
         seed: Seed of the gaps.
     """
 
     rate: float
-    most_outstanding: int = 2000
+    max_outstanding: int = 2000
     seed: int = 0
 
     async def drive(self, sink: Sink) -> None:
@@ -95,7 +95,7 @@
         due_s = clock.now()
         async with asyncio.TaskGroup() as requests:
             while sink.active:
-                if len(outstanding) >= self.most_outstanding:
+                if len(outstanding) >= self.max_outstanding:
                     sink.skip()
                 else:
                     task = requests.create_task(sink.send(due_s))
--- a/fescueward/testing/replay.py
+++ b/fescueward/testing/replay.py
@@ -23,7 +23,7 @@
 from .harness import Deployment
 from .load import ClosedLoop, LoadGenerator, LoadPlan, Record, UniformKeys
 from .platform import Faults, Mode
-from .scenarios import settled, unavailable_ms
+from .scenarios import unavailable_ms, wait_until_settled
 from .specs import DeploymentSpec, kagaz_deployment, merrimack_deployment
 from .verdicts import judge
 from .waiting import wait_until
@@ -176,7 +176,7 @@
         async with Deployment(spec) as deployment:
             await deployment.wait_ready()
             for service in spec.services:
-                await settled(deployment, service.entry.service, len(service.members))
+                await wait_until_settled(deployment, service.entry.service, len(service.members))
             start_s = self._clock.now()
             records: list[Record] = []
             async with asyncio.TaskGroup() as tasks:
@@ -201,10 +201,10 @@
             LoadPlan(
                 targets=tuple(urls[first:] + urls[:first]),
                 service=request.service,
-                keys=OneKey(request.key),
+                keys=SingleKey(request.key),
                 pace=ClosedLoop(1),
                 duration_s=60.0,
-                most_requests=1,
+                max_requests=1,
                 method=request.method,
                 resends=3,
             )
@@ -230,7 +230,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OneKey:
+class SingleKey:
     """A key distribution of a single key.
 
     Attributes:
@@ -280,7 +280,7 @@
     async with Deployment(spec) as deployment:
         await deployment.wait_ready()
         for service in spec.services:
-            await settled(deployment, service.entry.service, len(service.members))
+            await wait_until_settled(deployment, service.entry.service, len(service.members))
         start_s = clock.now()
         generators = {
             service.entry.service: LoadGenerator(
--- a/fescueward/testing/scenarios.py
+++ b/fescueward/testing/scenarios.py
@@ -29,7 +29,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Observation:
+class ScenarioResult:
     """What callers and upstreams saw of a scenario.
 
     Attributes:
@@ -61,7 +61,7 @@
     return times
 
 
-async def under_load(
+async def run_under_load(
     deployment: Deployment,
     action: Action,
     *,
@@ -71,14 +71,14 @@
     targets: tuple[str, ...] | None = None,
     lead_s: float = 1.0,
     tail_s: float = 1.0,
-    longest_s: float = 120.0,
+    max_duration_s: float = 120.0,
     deadline_ms: int | None = None,
     timeout_s: float = 15.0,
     resends: int = 0,
     method: str = "GET",
     query: tuple[tuple[str, str], ...] = (),
     body: bytes = b"",
-) -> Observation:
+) -> ScenarioResult:
     """Runs an action while callers send requests, and judges the outcome.
 
     Args:
@@ -90,7 +90,7 @@
         targets: URLs of agents; all by default.
         lead_s: Seconds of load before the action.
         tail_s: Seconds of load after the action.
-        longest_s: Longest time of the load in seconds.
+        max_duration_s: Longest time of the load in seconds.
         deadline_ms: Deadline of each request, or None for the one of the entry.
         timeout_s: Seconds after which a caller gives up.
         resends: Times that a failed request is sent again.
@@ -104,7 +104,7 @@
             service=service,
             keys=keys or UniformKeys(60),
             pace=pace or ClosedLoop(8, 0.002),
-            duration_s=longest_s,
+            duration_s=max_duration_s,
             deadline_ms=deadline_ms,
             timeout_s=timeout_s,
             resends=resends,
@@ -121,10 +121,10 @@
     finally:
         generator.stop()
         records = await load
-    return Observation(records, summarize(records), judge(deployment.journal_events(), records))
+    return ScenarioResult(records, summarize(records), judge(deployment.journal_events(), records))
 
 
-async def settled(deployment: Deployment, service: str, members: int) -> None:
+async def wait_until_settled(deployment: Deployment, service: str, members: int) -> None:
     """Waits until each active member owns shards and no handover is on its way.
 
     Raises:
@@ -148,7 +148,7 @@
     await wait_until(spread, SETTLE_TIMEOUT_S, f"the shards of {service} are spread")
 
 
-async def quiet(deployment: Deployment, service: str, quiet_s: float = 3.0) -> None:
+async def wait_until_unchanged(deployment: Deployment, service: str, quiet_s: float = 3.0) -> None:
     """Waits until the group object of a service has not changed for a time.
 
     Raises:
--- a/fescueward/testing/verdicts.py
+++ b/fescueward/testing/verdicts.py
@@ -44,8 +44,8 @@
         start_ns: Start of the run.
         end_ns: When it ended in whatever way; None if the journal does not tell.
         ended_by: `end`, `aborted` or `exit`; None if the journal does not tell.
-        granted_at_start_ns: End of the grant when it started; 0 if none is checked.
-        granted_at_end_ns: End of the newest grant that the process had when the run ended.
+        grant_expiry_at_start_ns: End of the grant when it started; 0 if none is checked.
+        grant_expiry_at_end_ns: End of the newest grant that the process had when the run ended.
     """
 
     upstream: str
@@ -60,8 +60,8 @@
     start_ns: int
     end_ns: int | None = None
     ended_by: EventKind | None = None
-    granted_at_start_ns: int = 0
-    granted_at_end_ns: int = 0
+    grant_expiry_at_start_ns: int = 0
+    grant_expiry_at_end_ns: int = 0
 
     def active_until_ns(self, now_ns: int) -> int:
         """Returns the time until which the run could have an effect.
@@ -73,8 +73,8 @@
             now_ns: Time of the verdict, for runs without an end.
         """
         end_ns = now_ns if self.end_ns is None else self.end_ns
-        if self.granted_at_end_ns and self.ended_by is not EventKind.END:
-            return min(end_ns, self.granted_at_end_ns)
+        if self.grant_expiry_at_end_ns and self.ended_by is not EventKind.END:
+            return min(end_ns, self.grant_expiry_at_end_ns)
         return end_ns
 
 
@@ -131,12 +131,12 @@
     runs = collect_runs(ordered)
     now_ns = ordered[-1].time_ns if ordered else 0
     violations = (
-        *two_owners(runs, now_ns),
-        *epoch_faults(runs),
-        *outside_grant(runs),
-        *repeated_tokens(runs),
-        *wrong_answers(found, runs),
-        *false_not_run(found, runs),
+        *find_overlapping_runs(runs, now_ns),
+        *find_epoch_violations(runs),
+        *find_runs_outside_grant(runs),
+        *find_repeated_tokens(runs),
+        *find_wrong_responses(found, runs),
+        *find_runs_reported_as_not_run(found, runs),
     )
     requests = len({run.request_id for run in runs})
     return Verdict(
@@ -169,11 +169,11 @@
             done += [_ended(run, event, granted[process]) for run in running.values()]
             running.clear()
     for process, running in open_runs.items():
-        done += [replace(run, granted_at_end_ns=granted[process]) for run in running.values()]
+        done += [replace(run, grant_expiry_at_end_ns=granted[process]) for run in running.values()]
     return tuple(sorted(done, key=lambda run: run.start_ns))
 
 
-def two_owners(runs: Iterable[Run], now_ns: int) -> tuple[Violation, ...]:
+def find_overlapping_runs(runs: Iterable[Run], now_ns: int) -> tuple[Violation, ...]:
     """Finds runs of one key that overlap at two upstreams or under two epochs.
 
     Args:
@@ -199,7 +199,7 @@
     return tuple(violations)
 
 
-def epoch_faults(runs: Iterable[Run]) -> tuple[Violation, ...]:
+def find_epoch_violations(runs: Iterable[Run]) -> tuple[Violation, ...]:
     """Finds epochs of a shard that go back or that two upstreams run.
 
     Args:
@@ -225,21 +225,21 @@
     return tuple(violations)
 
 
-def outside_grant(runs: Iterable[Run]) -> tuple[Violation, ...]:
+def find_runs_outside_grant(runs: Iterable[Run]) -> tuple[Violation, ...]:
     """Finds runs that start or end without a valid grant, at upstreams that check grants."""
     violations = []
     for run in runs:
-        if not run.granted_at_start_ns:
+        if not run.grant_expiry_at_start_ns:
             continue
-        if run.start_ns >= run.granted_at_start_ns:
+        if run.start_ns >= run.grant_expiry_at_start_ns:
             violations.append(Violation(Rule.OUTSIDE_GRANT, f"{_name(run)} began without a grant"))
         ended = run.ended_by is EventKind.END and run.end_ns is not None
-        if ended and run.end_ns >= run.granted_at_end_ns:
+        if ended and run.end_ns >= run.grant_expiry_at_end_ns:
             violations.append(Violation(Rule.OUTSIDE_GRANT, f"{_name(run)} ended without a grant"))
     return tuple(violations)
 
 
-def repeated_tokens(runs: Iterable[Run]) -> tuple[Violation, ...]:
+def find_repeated_tokens(runs: Iterable[Run]) -> tuple[Violation, ...]:
     """Finds tokens that were started more than once."""
     first: dict[tuple[str, str], Run] = {}
     violations = []
@@ -253,7 +253,7 @@
     return tuple(violations)
 
 
-def wrong_answers(records: Iterable[Record], runs: Iterable[Run]) -> tuple[Violation, ...]:
+def find_wrong_responses(records: Iterable[Record], runs: Iterable[Run]) -> tuple[Violation, ...]:
     """Finds answers that are not intact, or that no ended run can have given.
 
     An answer with a token may come from an earlier attempt with the same token.
@@ -270,7 +270,9 @@
     return tuple(violations)
 
 
-def false_not_run(records: Iterable[Record], runs: Iterable[Run]) -> tuple[Violation, ...]:
+def find_runs_reported_as_not_run(
+    records: Iterable[Record], runs: Iterable[Run]
+) -> tuple[Violation, ...]:
     """Finds requests that ran although their caller was told that they did not."""
     ran = {run.request_id: run for run in runs}
     violations = []
@@ -294,12 +296,14 @@
         request_id=event.request_id,
         token=event.token,
         start_ns=event.time_ns,
-        granted_at_start_ns=event.valid_until_ns,
+        grant_expiry_at_start_ns=event.valid_until_ns,
     )
 
 
 def _ended(run: Run, event: JournalEvent, granted_ns: int) -> Run:
-    return replace(run, end_ns=event.time_ns, ended_by=event.kind, granted_at_end_ns=granted_ns)
+    return replace(
+        run, end_ns=event.time_ns, ended_by=event.kind, grant_expiry_at_end_ns=granted_ns
+    )
 
 
 def _name(run: Run) -> str:
--- a/tests/integration/base.py
+++ b/tests/integration/base.py
@@ -8,7 +8,7 @@
 
 from fescueward.messages import Entry, Limits, RequestClass
 from fescueward.testing.harness import Deployment
-from fescueward.testing.scenarios import Observation, settled
+from fescueward.testing.scenarios import ScenarioResult, wait_until_settled
 from fescueward.testing.specs import DeploymentSpec, MemberSpec, service_spec
 
 FAST_PLACEMENT = (("placement", "round_ms", "200"),)
@@ -38,10 +38,10 @@
         await self.enterAsyncContext(deployment)
         await deployment.wait_ready()
         for service in spec.services:
-            await settled(deployment, service.entry.service, len(service.members))
+            await wait_until_settled(deployment, service.entry.service, len(service.members))
         return deployment
 
-    def assert_holds(self, seen: Observation) -> None:
+    def assert_holds(self, seen: ScenarioResult) -> None:
         self.assertTrue(seen.verdict.holds, str(seen.verdict))
         self.assertGreater(seen.verdict.runs, 0)
 
--- a/tests/integration/test_answers.py
+++ b/tests/integration/test_answers.py
@@ -10,7 +10,7 @@
 from fescueward.testing.journal import EventKind
 from fescueward.testing.load import ClosedLoop
 from fescueward.testing.platform import Faults, Mode
-from fescueward.testing.scenarios import under_load
+from fescueward.testing.scenarios import run_under_load
 from fescueward.testing.waiting import wait_until
 
 from .base import DeploymentTestCase, deployment_spec, joined, removed, wait
@@ -28,8 +28,8 @@
             await deployment.kill_member(second)
             await wait_until(lambda: removed(deployment, second.name), 10, "removed")
 
-        small = under_load(deployment, lose, tail_s=2.0, resends=3)
-        large = under_load(
+        small = run_under_load(deployment, lose, tail_s=2.0, resends=3)
+        large = run_under_load(
             deployment,
             lambda: wait(4.0),
             tail_s=1.0,
@@ -74,7 +74,7 @@
             await deployment.kill_member(killed)
             await wait_until(lambda: removed(deployment, killed.name), 10, "removed")
 
-        seen = await under_load(
+        seen = await run_under_load(
             deployment, fail, tail_s=2.0, resends=6, query=(("sleep_ms", "30"),), method="POST"
         )
         self.assert_holds(seen)
@@ -99,7 +99,7 @@
             await deployment.platform.set_faults(Faults())
             await wait_until(lambda: removed(deployment, killed.name), 10, "removed")
 
-        seen = await under_load(
+        seen = await run_under_load(
             deployment, fail, tail_s=1.5, resends=6, query=(("sleep_ms", "20"),), method="POST"
         )
         self.assert_holds(seen)
@@ -125,7 +125,7 @@
             await deployment.kill_member(victim)
             await wait_until(lambda: removed(deployment, victim.name), 10, "removed")
 
-        seen = await under_load(
+        seen = await run_under_load(
             deployment, fail, tail_s=1.0, pace=ClosedLoop(40), method="POST", body=b"charge"
         )
         self.assert_holds(seen)
@@ -136,7 +136,7 @@
     async def test_crashing_request_stops_after_two_upstreams(self):
         """Guards against one request that takes down upstream after upstream."""
         deployment = await self.deploy(deployment_spec(members=4))
-        others = under_load(
+        others = run_under_load(
             deployment,
             lambda: self._crash(deployment),
             tail_s=0.5,
--- a/tests/integration/test_catalogue.py
+++ b/tests/integration/test_catalogue.py
@@ -6,7 +6,7 @@
 from fescueward.messages.group import entry_object_key
 from fescueward.testing.callers import CallerRequest
 from fescueward.testing.platform import Faults, Mode
-from fescueward.testing.scenarios import under_load
+from fescueward.testing.scenarios import run_under_load
 from fescueward.testing.waiting import wait_until
 
 from .base import DeploymentTestCase, deployment_spec, member_ids, removed
@@ -82,7 +82,7 @@
                 name = lost.name
                 await wait_until(lambda name=name: removed(deployment, name), 10, f"no {name}")
 
-        seen = await under_load(
+        seen = await run_under_load(
             deployment, lose_all, targets=others, tail_s=2.0, deadline_ms=1000, resends=20
         )
         self.assert_holds(seen)
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -8,7 +8,7 @@
 from fescueward.testing.journal import EventKind
 from fescueward.testing.load import ClosedLoop
 from fescueward.testing.platform import Faults, Mode
-from fescueward.testing.scenarios import settled, under_load
+from fescueward.testing.scenarios import run_under_load, wait_until_settled
 from fescueward.testing.upstream import Switches
 from fescueward.testing.waiting import wait_until
 
@@ -38,7 +38,7 @@
             left_at.append(BootClock().now())
             await wait(NEW_WORK_BOUND_S + 1.0)
 
-        seen = await under_load(deployment, leave, tail_s=0.5, deadline_ms=1000)
+        seen = await run_under_load(deployment, leave, tail_s=0.5, deadline_ms=1000)
         self.assert_holds(seen)
         limit_ns = (left_at[0] + NEW_WORK_BOUND_S) * 1e9
         late = [
@@ -60,8 +60,8 @@
             for member in deployment.members:
                 await self._restart(deployment, member)
 
-        small = under_load(deployment, restart_all, tail_s=1.0, pace=ClosedLoop(6, 0.005))
-        upload = under_load(
+        small = run_under_load(deployment, restart_all, tail_s=1.0, pace=ClosedLoop(6, 0.005))
+        upload = run_under_load(
             deployment,
             lambda: wait(10.0),
             tail_s=1.0,
@@ -81,4 +81,4 @@
         await wait_until(lambda: removed(deployment, member.name), 5, "the member has left")
         await deployment.start_member(member)
         await wait_until(lambda: joined(deployment, member.name), 20, "the member is back")
-        await settled(deployment, "depot", len(deployment.members))
+        await wait_until_settled(deployment, "depot", len(deployment.members))
--- a/tests/integration/test_one_owner.py
+++ b/tests/integration/test_one_owner.py
@@ -4,7 +4,7 @@
 
 from fescueward.messages import Limits
 from fescueward.testing.platform import Faults, Mode
-from fescueward.testing.scenarios import unavailable_ms, under_load
+from fescueward.testing.scenarios import run_under_load, unavailable_ms
 from fescueward.testing.waiting import wait_until
 
 from .base import (
@@ -31,7 +31,7 @@
             await deployment.kill_member(victim)
             await wait_until(lambda: removed(deployment, victim.name), 10, "the victim is removed")
 
-        seen = await under_load(deployment, kill, targets=others, tail_s=2.0, resends=5)
+        seen = await run_under_load(deployment, kill, targets=others, tail_s=2.0, resends=5)
         self.assert_holds(seen)
         self.assertLess(max(unavailable_ms(seen.records).values()), UNAVAILABLE_BOUND_MS)
 
@@ -46,13 +46,13 @@
             deployment.resume_member(victim)
             await wait_until(lambda: joined(deployment, victim.name), 10, "the victim is back")
 
-        seen = await under_load(deployment, pause, tail_s=1.0, resends=5)
+        seen = await run_under_load(deployment, pause, tail_s=1.0, resends=5)
         self.assert_holds(seen)
 
     async def test_failure_domain_lost(self):
         """Guards against takeovers that need a monitor of the lost failure domain."""
         deployment = await self.deploy(deployment_spec(members=6, domains=3))
-        lost = deployment.in_domain("domain-0")
+        lost = deployment.members_in_domain("domain-0")
         others = tuple(member.url for member in deployment.members if member not in lost)
 
         async def lose() -> None:
@@ -64,7 +64,7 @@
                     lambda name=name: removed(deployment, name), 10, f"{name} removed"
                 )
 
-        seen = await under_load(deployment, lose, targets=others, tail_s=2.0, resends=5)
+        seen = await run_under_load(deployment, lose, targets=others, tail_s=2.0, resends=5)
         self.assert_holds(seen)
         self.assertLess(max(unavailable_ms(seen.records).values()), UNAVAILABLE_BOUND_MS)
 
@@ -79,7 +79,7 @@
             await deployment.heal()
             await wait_until(lambda: joined(deployment, victim.name), 20, "the victim is back")
 
-        seen = await under_load(deployment, isolate, tail_s=1.0, resends=5)
+        seen = await run_under_load(deployment, isolate, tail_s=1.0, resends=5)
         self.assert_holds(seen)
 
     async def test_cut_from_monitors_only(self):
@@ -99,7 +99,7 @@
             await wait_until(renewed, 10, "the victim renews by writes")
             await deployment.heal()
 
-        seen = await under_load(deployment, cut, targets=(victim.url,), resends=5)
+        seen = await run_under_load(deployment, cut, targets=(victim.url,), resends=5)
         self.assert_holds(seen)
         self.assertEqual(await member_ids(deployment), before)
 
@@ -123,10 +123,12 @@
             await deployment.kill_member(victim)
 
         await outage()
-        whole = await under_load(deployment, lambda: wait(4.0), targets=others, lead_s=0, tail_s=0)
+        whole = await run_under_load(
+            deployment, lambda: wait(4.0), targets=others, lead_s=0, tail_s=0
+        )
         self.assert_holds(whole)
         self.assertEqual(whole.summary.refusals, {})
-        seen = await under_load(
+        seen = await run_under_load(
             deployment, lose, targets=others, lead_s=0, tail_s=4.0, deadline_ms=500
         )
         self.assert_holds(seen)
@@ -134,7 +136,7 @@
         self.assertLessEqual(failed, victim_keys)
         await deployment.platform.set_faults(Faults())
         await wait_until(lambda: removed(deployment, victim.name), 10, "the victim is removed")
-        after = await under_load(deployment, lambda: wait(1.0), targets=others, resends=5)
+        after = await run_under_load(deployment, lambda: wait(1.0), targets=others, resends=5)
         self.assert_holds(after)
 
     async def test_lost_and_late_writes_during_takeover(self):
@@ -150,7 +152,7 @@
             await deployment.kill_member(victim)
             await wait_until(lambda: removed(deployment, victim.name), 10, "the victim is removed")
 
-        seen = await under_load(deployment, kill, targets=others, tail_s=3.0, resends=8)
+        seen = await run_under_load(deployment, kill, targets=others, tail_s=3.0, resends=8)
         self.assert_holds(seen)
 
 
@@ -169,7 +171,7 @@
             victim.agent.resume()
             await wait_until(lambda: joined(deployment, victim.name), 20, "the victim is back")
 
-        seen = await under_load(
+        seen = await run_under_load(
             deployment, pause, tail_s=2.0, resends=8, query=(("sleep_ms", "200"),)
         )
         self.assert_holds(seen)
--- a/tests/testing/load/test_generator.py
+++ b/tests/testing/load/test_generator.py
@@ -34,7 +34,7 @@
 
     async def _run(self, targets, **plan):
         values = {"keys": UniformKeys(3), "pace": ClosedLoop(2), "duration_s": 5.0}
-        values |= {"most_requests": 20, "service": "depot", "targets": tuple(targets)}
+        values |= {"max_requests": 20, "service": "depot", "targets": tuple(targets)}
         generator = LoadGenerator(LoadPlan(**{**values, **plan}))
         records = await generator.run()
         return records, generator.summary
@@ -71,7 +71,7 @@
                 return web.json_response({"error": error}, status=428)
             return abort_connection(request) if seen.count("t") == 1 else web.Response()
 
-        records, summary = await self._run([await self._target(agent)], most_requests=1, resends=1)
+        records, summary = await self._run([await self._target(agent)], max_requests=1, resends=1)
         self.assertEqual(seen, [None, "t", "t"])
         self.assertEqual(len({record.request_id for record in records}), 3)
         self.assertEqual([record.final for record in records], [False, False, True])
@@ -88,7 +88,7 @@
         ports = PortReservations()
         self.addCleanup(ports.close)
         closed = f"http://127.0.0.1:{ports.reserve()}"
-        records, summary = await self._run([closed], most_requests=1)
+        records, summary = await self._run([closed], max_requests=1)
         self.assertEqual((records[0].label, records[0].outcome), ("unreachable", Outcome.NOT_RUN))
         options = UpstreamOptions(service="depot", checks_grants=False, slots=20)
         upstream = UpstreamStandIn(options)
--- a/tests/testing/test_demo.py
+++ b/tests/testing/test_demo.py
@@ -8,13 +8,13 @@
 from unittest import mock
 
 from fescueward.testing import demo
-from fescueward.testing.callers import CallerAnswer
+from fescueward.testing.callers import CallerResponse
 
 
 class TrafficTest(unittest.TestCase):
     def count(self, traffic: demo.Traffic, key: str, at: float, **answer) -> None:
         with mock.patch("time.monotonic", return_value=at):
-            traffic._count(key, CallerAnswer(request_id="r", **answer))
+            traffic._count(key, CallerResponse(request_id="r", **answer))
 
     def test_unavailable_time_spans_all_failures(self):
         """Guards against an unavailable time that restarts with each failed request."""
