Keep the fake registry's attribute apart from its base class's

The rename of `_found` to `_services` took the name of an attribute of Registry, which the type checker reported. It is now `_fake_services`.

--- a/tests/services/test_metrics.py
+++ b/tests/services/test_metrics.py
@@ -52,10 +52,10 @@
 
     def __init__(self, services: object) -> None:
         super().__init__()
-        self._services = services
+        self._fake_services = services
 
     def find(self, name, kind):
-        return self._services
+        return self._fake_services
 
 
 class MetricsTest(unittest.IsolatedAsyncioTestCase):
