Reword testing/harness

Vague locals and doc comments hid what is built and when an argument is None. DeploymentBuilder gets build_member and build_process; _placed and _serving become _all_shards_owned and _all_agents_serving.

--- a/fescueward/testing/harness/__init__.py
+++ b/fescueward/testing/harness/__init__.py
@@ -1,4 +1,4 @@
-"""Process harness: a whole deployment on loopback, as separate processes."""
+"""Process harness: runs a whole deployment on loopback as separate processes."""
 
 from .deployment import PROBE_KEY, READY_TIMEOUT_S, Deployment
 from .members import (
--- a/fescueward/testing/harness/deployment.py
+++ b/fescueward/testing/harness/deployment.py
@@ -1,4 +1,4 @@
-"""A deployment on loopback with its processes and partitions."""
+"""A deployment on loopback: its processes, requests and network partitions."""
 
 from __future__ import annotations
 
@@ -36,17 +36,19 @@
 class Deployment:
     """A running deployment. Used as an async context manager.
 
-    All processes are killed by id on every way out. Without a given directory, files are kept
-    only if the context ends with an exception, whose notes then name the directory.
+    All processes are killed by id when the context ends, also after an exception. Files in the
+    temporary directory are kept only if the context ends with an exception; a note on the
+    exception then names the directory.
 
     Args:
-        spec: What to start.
-        directory: Where settings, logs and journals go; by default a temporary directory.
+        spec: Services, members and settings to start.
+        directory: Directory for settings, logs and journals, which is kept; by default a
+            temporary directory.
     """
 
     def __init__(self, spec: DeploymentSpec, directory: Path | None = None) -> None:
         self._spec = spec
-        self._given_directory = directory
+        self._requested_directory = directory
         self._directory: Path | None = directory
         self._members: dict[str, DeployedMember] = {}
         self._platform: PlatformHandle | None = None
@@ -57,7 +59,7 @@
 
     @property
     def spec(self) -> DeploymentSpec:
-        """What was started."""
+        """Services, members and settings of the deployment."""
         return self._spec
 
     @property
@@ -83,10 +85,10 @@
         return tuple(member.url for member in self.members)
 
     def member(self, name: str) -> DeployedMember:
-        """Returns a member.
+        """Returns the member with a name.
 
         Raises:
-            UnknownMemberError: There is none of this name.
+            UnknownMemberError: No member has this name.
         """
         if name not in self._members:
             raise UnknownMemberError(f"no member {name!r}; there are {', '.join(self._members)}")
@@ -94,19 +96,19 @@
 
     def members_of(self, service: str) -> tuple[DeployedMember, ...]:
         """Returns the members of a service."""
-        return tuple(found for found in self.members if found.service.entry.service == service)
+        return tuple(member for member in self.members if member.service.entry.service == service)
 
     def members_in_domain(self, failure_domain: str) -> tuple[DeployedMember, ...]:
         """Returns the members in a failure domain."""
         return tuple(
-            found for found in self.members if found.spec.failure_domain == failure_domain
+            member for member in self.members if member.spec.failure_domain == failure_domain
         )
 
     async def __aenter__(self) -> Deployment:
         try:
             await self.start()
         except BaseException as error:
-            await self._leave(error)
+            await self._close(error)
             raise
         return self
 
@@ -116,14 +118,14 @@
         error: BaseException | None,
         _traceback: TracebackType | None,
     ) -> None:
-        await self._leave(error)
+        await self._close(error)
 
     async def start(self) -> None:
-        """Starts the platform, seeds the entries, then starts all agents and upstreams.
+        """Starts the platform, writes the entries to it, then starts all agents and upstreams.
 
         Raises:
-            ConditionTimeoutError: The platform stand-in does not answer.
-            BadSettingsError: The spec makes bad settings.
+            ConditionTimeoutError: The platform stand-in does not respond.
+            BadSettingsError: The spec results in invalid agent settings.
         """
         if self._directory is None:
             self._directory = Path(tempfile.mkdtemp(prefix="fescueward-"))
@@ -134,21 +136,21 @@
             aiohttp.ClientSession(timeout=timeout)
         )
         self._caller = await self._cleanup.enter_async_context(Caller())
-        preparation = DeploymentBuilder(self._spec, self.directory, self._ports, self._cleanup)
-        await self._start_platform(preparation)
+        builder = DeploymentBuilder(self._spec, self.directory, self._ports, self._cleanup)
+        await self._start_platform(builder)
         for service in self._spec.services:
             for member in service.members:
-                self._members[member.name] = await preparation.member(
+                self._members[member.name] = await builder.build_member(
                     service, member, self.platform.url
                 )
         await self.heal()
-        starts = []
+        process_starts = []
         for member in self.members:
-            starts += [member.agent.start(), member.upstream.start()]
-        await asyncio.gather(*starts)
+            process_starts += [member.agent.start(), member.upstream.start()]
+        await asyncio.gather(*process_starts)
 
     async def stop(self) -> None:
-        """Kills all processes by id and frees all ports."""
+        """Kills all processes by id and releases all ports."""
         await self._cleanup.aclose()
 
     async def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
@@ -158,27 +160,30 @@
             timeout_s: Longest wait in seconds.
 
         Raises:
-            ConditionTimeoutError: It took longer.
-            ProcessStateError: A process has ended; the error shows the end of its log.
+            ConditionTimeoutError: The deployment was not ready in time.
+            ProcessStateError: A process has exited; the error contains the end of its log.
         """
 
         async def ready() -> bool:
             for process in self.processes():
                 if not process.running:
-                    raise ProcessStateError(f"{process.name} has ended:\n{process.log_tail()}")
-            return await self._placed() and await self._serving()
+                    raise ProcessStateError(f"{process.name} has exited:\n{process.log_tail()}")
+            return await self._all_shards_owned() and await self._all_agents_serving()
 
         await wait_until(ready, timeout_s, "the deployment is ready")
 
     async def group(self, service: str, number: int = 0) -> VersionedGroup | None:
-        """Returns a group object as the platform holds it, or None."""
-        found = await self.platform.get(GroupId(service, number).object_key)
-        if found is None:
+        """Returns the group object that is stored on the platform, None if there is none."""
+        envelope = await self.platform.get(GroupId(service, number).object_key)
+        if envelope is None:
             return None
-        return VersionedGroup(found.version, decode_json(bytes(found.value), Group))
+        return VersionedGroup(envelope.version, decode_json(bytes(envelope.value), Group))
 
     async def owner(self, service: str, key: str) -> DeployedMember | None:
-        """Returns the member that owns a key by the platform's group object, or None."""
+        """Returns the member that owns a key according to the platform's group object.
+
+        The result is None if the key has no owner there.
+        """
         entry = next(
             found.entry for found in self._spec.services if found.entry.service == service
         )
@@ -194,20 +199,20 @@
     async def send(
         self, request: CallerRequest, via: DeployedMember | None = None
     ) -> CallerResponse:
-        """Sends one caller request once.
+        """Sends a request as a caller does, without retries.
 
         Args:
             request: The request.
-            via: Member whose agent it is sent to; by default the first.
+            via: Member whose agent receives it; by default the first member.
         """
         assert self._caller is not None, "the deployment is not started"
         return await self._caller.send((via or self.members[0]).url, request)
 
     async def set_switches(self, member: DeployedMember, switches: Switches) -> None:
-        """Replaces the behaviour of a member's upstream.
+        """Replaces the switches of a member's upstream.
 
         Raises:
-            ControlError: The upstream refuses it.
+            ControlError: The upstream rejects them.
         """
         assert self._session is not None, "the deployment is not started"
         await post_json(self._session, f"{member.upstream_url}/control", switches)
@@ -216,54 +221,54 @@
         """Returns the health page of a member's upstream.
 
         Raises:
-            aiohttp.ClientError: The upstream does not answer.
+            aiohttp.ClientError: The upstream does not respond.
         """
         assert self._session is not None, "the deployment is not started"
         async with self._session.get(f"{member.upstream_url}/health") as response:
             return decode_json(await response.read(), Health)
 
     async def kill_member(self, member: DeployedMember) -> None:
-        """Kills agent and upstream of a member, as the loss of its VM does."""
+        """Kills agent and upstream of a member, which emulates the loss of its VM."""
         await asyncio.gather(member.agent.stop(), member.upstream.stop())
 
     async def pause_member(self, member: DeployedMember) -> None:
-        """Stops agent and upstream of a member, as the suspension of its VM does."""
+        """Pauses agent and upstream of a member, which emulates the suspension of its VM."""
         await asyncio.gather(member.agent.pause(), member.upstream.pause())
 
     def resume_member(self, member: DeployedMember) -> None:
-        """Continues agent and upstream of a member."""
+        """Resumes agent and upstream of a paused member."""
         member.agent.resume()
         member.upstream.resume()
 
     async def start_member(self, member: DeployedMember) -> None:
-        """Starts agent and upstream of a member again if they do not run."""
-        stopped = (found for found in (member.agent, member.upstream) if not found.running)
-        await asyncio.gather(*(found.start() for found in stopped))
+        """Starts those of a member's agent and upstream that do not run."""
+        stopped = (process for process in (member.agent, member.upstream) if not process.running)
+        await asyncio.gather(*(process.start() for process in stopped))
 
     async def partition(
-        self, some: Iterable[str], others: Iterable[str], plan: ProxyPlan = DROP
+        self, names: Iterable[str], other_names: Iterable[str], plan: ProxyPlan = DROP
     ) -> None:
         """Applies a plan to the peer streams between two sets of members, in both directions.
 
         Args:
-            some: Names of members.
-            others: Names of other members.
-            plan: The plan; by default nothing flows.
+            names: Names of the members of one set.
+            other_names: Names of the members of the other set.
+            plan: The plan; by default all bytes are dropped.
 
         Raises:
-            UnknownMemberError: A member has no peer proxy.
+            UnknownMemberError: A member is unknown or has no peer proxy.
         """
-        ends = tuple(others)
-        for name in some:
-            for other in ends:
+        others = tuple(other_names)
+        for name in names:
+            for other in others:
                 await self.block(name, other, plan)
                 await self.block(other, name, plan)
 
     async def block(self, source: str, target: str, plan: ProxyPlan = DROP) -> None:
-        """Applies a plan to the streams that one member has dialled to another.
+        """Applies a plan to the peer streams that one member has opened to another.
 
         Raises:
-            UnknownMemberError: The target has no peer proxy.
+            UnknownMemberError: A member is unknown, or the target has no peer proxy.
         """
         proxy = self.member(target).peers_proxy
         if proxy is None:
@@ -274,7 +279,7 @@
         """Applies a plan to the connections of a member's agent to the platform.
 
         Raises:
-            UnknownMemberError: The member has no platform proxy.
+            UnknownMemberError: The member is unknown or has no platform proxy.
         """
         proxy = self.member(name).platform_proxy
         if proxy is None:
@@ -285,13 +290,13 @@
         """Partitions a member from all other members and from the platform.
 
         Raises:
-            UnknownMemberError: The deployment has no proxies.
+            UnknownMemberError: The member is unknown, or the deployment has no proxies.
         """
         await self.partition([name], [other for other in self._members if other != name])
         await self.block_platform(name)
 
     async def heal(self) -> None:
-        """Ends all partitions."""
+        """Ends all partitions; only the latency between failure domains stays."""
         latency = ProxyPlan.both(ProxyMode.PASS, self._spec.domain_latency_ms)
         for member in self.members:
             if member.platform_proxy is not None:
@@ -304,7 +309,7 @@
                     await member.peers_proxy.set_plan(latency, other.name)
 
     def journal_events(self) -> tuple[JournalEvent, ...]:
-        """Returns the events of all upstreams in the order of their times.
+        """Returns the journal events of all upstreams in the order of their times.
 
         Raises:
             JournalError: A journal is malformed.
@@ -318,48 +323,48 @@
         return tuple(sorted(events, key=lambda event: event.time_ns))
 
     def processes(self) -> Iterator[ManagedProcess]:
-        """Yields all processes."""
+        """Yields the processes of the platform, the agents and the upstreams."""
         yield self.platform.process
         for member in self.members:
             yield member.agent
             yield member.upstream
 
-    async def _start_platform(self, preparation: DeploymentBuilder) -> None:
+    async def _start_platform(self, builder: DeploymentBuilder) -> None:
         port = self._ports.reserve()
         arguments = ("fescueward.testing.platform", "--port", str(port))
-        process = preparation.process("platform", arguments)
+        process = builder.build_process("platform", arguments)
         assert self._session is not None
         platform = PlatformHandle(process, f"http://{LOOPBACK}:{port}", self._session)
         await process.start()
         self._platform = platform
 
-        async def answers() -> bool:
+        async def platform_responds() -> bool:
             with contextlib.suppress(aiohttp.ClientError):
                 await platform.counters()
                 return True
             return False
 
-        await wait_until(answers, READY_TIMEOUT_S, "the platform stand-in answers")
+        await wait_until(platform_responds, READY_TIMEOUT_S, "the platform stand-in responds")
         for service in self._spec.services:
             await platform.put(entry_object_key(service.entry.service), service.entry)
 
-    async def _placed(self) -> bool:
+    async def _all_shards_owned(self) -> bool:
         for service in self._spec.services:
             entry = service.entry
             for number in range(entry.groups):
-                found = await self.group(entry.service, number)
-                if found is None:
+                stored = await self.group(entry.service, number)
+                if stored is None:
                     return False
                 expected = {spec.name for spec in service.members if spec.group == number}
-                if {member.name for member in found.group.members.values()} != expected:
+                if {member.name for member in stored.group.members.values()} != expected:
                     return False
-                owners = [shard.owner for shard in found.group.shards]
-                if len(owners) < found.group.shard_count or None in owners:
+                owners = [shard.owner for shard in stored.group.shards]
+                if len(owners) < stored.group.shard_count or None in owners:
                     return False
         return True
 
-    async def _serving(self) -> bool:
-        answers = await asyncio.gather(
+    async def _all_agents_serving(self) -> bool:
+        responses = await asyncio.gather(
             *(
                 self.send(
                     CallerRequest(
@@ -370,13 +375,15 @@
                 for member in self.members
             )
         )
-        return all(answer.succeeded or answer.label == TOKEN_REQUIRED for answer in answers)
+        return all(
+            response.succeeded or response.label == TOKEN_REQUIRED for response in responses
+        )
 
-    async def _leave(self, error: BaseException | None) -> None:
+    async def _close(self, error: BaseException | None) -> None:
         try:
             await self.stop()
         finally:
             if error is not None:
                 error.add_note(f"settings, logs and journals: {self._directory}")
-            elif self._given_directory is None and self._directory is not None:
+            elif self._requested_directory is None and self._directory is not None:
                 shutil.rmtree(self._directory, ignore_errors=True)
--- a/fescueward/testing/harness/members.py
+++ b/fescueward/testing/harness/members.py
@@ -1,4 +1,4 @@
-"""Members of a deployment: their ports, processes and settings."""
+"""Members of a deployment: ports, processes and settings files."""
 
 from __future__ import annotations
 
@@ -19,15 +19,16 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberPorts:
-    """Ports of one member.
+    """TCP ports of one member on loopback.
 
     Attributes:
-        callers: Callers' HTTP of the agent.
-        peers: Peer streams of the agent.
-        advertised_peers: Port of the fault proxy before `peers`; `peers` without one.
-        administration: Administration API of the agent.
-        announcements: Announcement address of the agent.
-        upstream: HTTP of the upstream.
+        callers: HTTP port of the agent for callers.
+        peers: Port of the agent for peer streams.
+        advertised_peers: Port that other agents connect to: that of the fault proxy in front of
+            `peers`, or `peers` if there is no proxy.
+        administration: Port of the agent's administration API.
+        announcements: Port on which the agent receives announcements of its upstream.
+        upstream: HTTP port of the upstream.
     """
 
     callers: int
@@ -40,18 +41,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeployedMember:
-    """One member with its processes.
+    """One member of a deployment with its processes.
 
     Attributes:
-        service: Its service.
-        spec: Its spec.
-        ports: Its ports.
+        service: Service that the member belongs to.
+        spec: Description of the member.
+        ports: Ports of the member.
         agent: Process of the agent.
         upstream: Process of the upstream.
         config: Settings file of the agent.
-        journal: Journal of the upstream, or None.
-        peers_proxy: Fault proxy before its peer port, or None.
-        platform_proxy: Fault proxy between its agent and the platform, or None.
+        journal: Journal file of the upstream, None if it keeps none.
+        peers_proxy: Fault proxy in front of the peer port, None if there is none.
+        platform_proxy: Fault proxy between the agent and the platform, None if there is none.
     """
 
     service: ServiceSpec
@@ -66,35 +67,35 @@
 
     @property
     def name(self) -> str:
-        """Name of the agent."""
+        """Name of the member, which its agent and its upstream share."""
         return self.spec.name
 
     @property
     def url(self) -> str:
-        """URL that callers send to."""
+        """Base URL of the agent for callers."""
         return f"http://{LOOPBACK}:{self.ports.callers}"
 
     @property
     def administration_url(self) -> str:
-        """URL of the administration API."""
+        """Base URL of the agent's administration API."""
         return f"http://{LOOPBACK}:{self.ports.administration}"
 
     @property
     def upstream_url(self) -> str:
-        """URL of the upstream."""
+        """Base URL of the upstream."""
         return f"http://{LOOPBACK}:{self.ports.upstream}"
 
 
 def agent_settings(
     spec: DeploymentSpec, member: MemberSpec, ports: MemberPorts, platform_url: str
 ) -> str:
-    """Returns the settings file of an agent.
+    """Returns the content of an agent's settings file.
 
     Args:
-        spec: The deployment.
-        member: The member.
-        ports: Its ports.
-        platform_url: URL under which it reaches the platform.
+        spec: Description of the deployment.
+        member: Description of the member.
+        ports: Ports of the member.
+        platform_url: Base URL of the platform, or of the fault proxy in front of it.
     """
     parser = configparser.ConfigParser(interpolation=None)
     sections: dict[str, dict[str, Any]] = {
--- a/fescueward/testing/harness/platform.py
+++ b/fescueward/testing/harness/platform.py
@@ -1,4 +1,4 @@
-"""The platform stand-in of a deployment."""
+"""Client of the platform stand-in of a deployment."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 
 
 class PlatformHandle:
-    """The platform stand-in of a deployment.
+    """Reads and controls the platform stand-in of a deployment.
 
     Args:
-        process: Its process.
+        process: Process of the stand-in.
         url: Base URL of the object API.
-        session: HTTP session.
+        session: HTTP session for all calls.
     """
 
     def __init__(self, process: ManagedProcess, url: str, session: aiohttp.ClientSession) -> None:
@@ -25,10 +25,10 @@
         self._session = session
 
     async def get(self, key: str) -> ObjectEnvelope | None:
-        """Returns an object, or None. Fails in the modes `down` and `hang`.
+        """Returns an object, None if it does not exist. Fails in the modes `down` and `hang`.
 
         Raises:
-            aiohttp.ClientError: The platform does not answer.
+            aiohttp.ClientError: The platform does not respond, or responds with an error.
         """
         async with self._session.get(f"{self.url}/objects/{key}") as response:
             if response.status == 404:
@@ -40,15 +40,15 @@
         """Writes an object.
 
         Args:
-            key: Its key.
-            value: Data class or other value that JSON can express.
-            if_version: Present version, 0 if it must not exist.
+            key: Key of the object.
+            value: Data class or other value that can be encoded as JSON.
+            if_version: Version that the object must have; 0 if it must not exist.
 
         Returns:
             The new version.
 
         Raises:
-            aiohttp.ClientError: The platform does not answer, or the version is another one.
+            aiohttp.ClientError: The platform does not respond, or the object has another version.
         """
         headers = {"If-Match": str(if_version), "Content-Type": "application/json"}
         async with self._session.put(
@@ -61,12 +61,12 @@
         """Replaces the platform's faults.
 
         Raises:
-            ControlError: The platform refuses them.
+            ControlError: The platform rejects them.
         """
         await post_json(self._session, f"{self.url}/control", faults)
 
     async def counters(self) -> Counters:
-        """Returns the numbers of calls so far."""
+        """Returns the numbers of calls since the platform started."""
         async with self._session.get(f"{self.url}/counters") as response:
             return decode_json(await response.read(), Counters)
 
@@ -75,7 +75,7 @@
     """Posts a value as JSON.
 
     Raises:
-        ControlError: The other side refuses it.
+        ControlError: The server responds with an error status.
     """
     headers = {"Content-Type": "application/json"}
     async with session.post(url, data=encode_json(value), headers=headers) as response:
--- a/fescueward/testing/harness/preparation.py
+++ b/fescueward/testing/harness/preparation.py
@@ -1,4 +1,4 @@
-"""Preparation of the processes of a deployment."""
+"""Builds the processes and proxies of a deployment."""
 
 from __future__ import annotations
 
@@ -23,13 +23,13 @@
 
 
 class DeploymentBuilder:
-    """Makes the processes and proxies of a deployment; none of the processes runs yet.
+    """Builds the processes and proxies of a deployment. Proxies are started, processes are not.
 
     Args:
-        spec: The deployment.
-        directory: Where settings, logs and journals go.
-        ports: Reserved ports.
-        cleanup: Ends the processes and proxies.
+        spec: Description of the deployment.
+        directory: Directory for settings, logs and journals.
+        ports: Source of free ports.
+        cleanup: Stack on which the stops of processes and proxies are registered.
     """
 
     def __init__(
@@ -43,13 +43,13 @@
         self._ports, self._cleanup = ports, cleanup
         self._agents: dict[str, ManagedProcess] = {}
 
-    async def member(
+    async def build_member(
         self, service: ServiceSpec, spec: MemberSpec, platform_url: str
     ) -> DeployedMember:
         """Reserves the ports of a member, writes its settings and starts its proxies.
 
         Raises:
-            BadSettingsError: The spec makes bad settings.
+            BadSettingsError: The spec results in invalid agent settings.
         """
         reserve = self._ports.reserve
         peers = reserve()
@@ -59,7 +59,7 @@
             platform_proxy = await self._start_proxy(FaultProxy(port, reserve()))
             platform_url = f"http://{LOOPBACK}:{platform_proxy.port}"
         if self._spec.proxy_peers:
-            proxy = FaultProxy(peers, reserve(), identify=self._identify)
+            proxy = FaultProxy(peers, reserve(), identify=self._identify_agent)
             peers_proxy = await self._start_proxy(proxy)
         ports = MemberPorts(
             callers=reserve(),
@@ -73,7 +73,7 @@
         config.write_text(agent_settings(self._spec, spec, ports, platform_url), encoding="utf-8")
         load_settings(config)
         journal = self._directory / f"{spec.name}.journal" if self._spec.journals else None
-        agent = self.process(
+        agent = self.build_process(
             f"{spec.name}-agent", ("fescueward", "agent", "--config", str(config))
         )
         self._agents[spec.name] = agent
@@ -82,7 +82,7 @@
             spec=spec,
             ports=ports,
             agent=agent,
-            upstream=self.process(
+            upstream=self.build_process(
                 f"{spec.name}-upstream",
                 _upstream_arguments(service, spec, ports, journal),
                 None
@@ -95,10 +95,10 @@
             platform_proxy=platform_proxy,
         )
 
-    def process(
+    def build_process(
         self, name: str, arguments: tuple[str, ...], on_exit: ExitHandler | None = None
     ) -> ManagedProcess:
-        """Makes a process that the cleanup of the deployment kills."""
+        """Returns a process that is not started; the cleanup of the deployment kills it."""
         process = ManagedProcess(
             name,
             (sys.executable, "-m", *arguments),
@@ -114,20 +114,20 @@
         self._cleanup.push_async_callback(proxy.stop)
         return proxy
 
-    async def _identify(self, source_port: int) -> str:
-        pids = {agent.pid: name for name, agent in self._agents.items() if agent.running}
-        return await asyncio.to_thread(_process_with_port, pids, source_port)
+    async def _identify_agent(self, source_port: int) -> str:
+        names_by_pid = {agent.pid: name for name, agent in self._agents.items() if agent.running}
+        return await asyncio.to_thread(_agent_with_local_port, names_by_pid, source_port)
 
 
 def _upstream_arguments(
     service: ServiceSpec, spec: MemberSpec, ports: MemberPorts, journal: Path | None
 ) -> tuple[str, ...]:
-    announce = f"http://{LOOPBACK}:{ports.announcements}/announcements"
+    announcements_url = f"http://{LOOPBACK}:{ports.announcements}/announcements"
     options: dict[str, object] = {
         "--service": service.entry.service,
         "--name": spec.name,
         "--port": ports.upstream,
-        "--announce": announce,
+        "--announce": announcements_url,
         "--group": spec.group,
         "--slots": spec.slots,
         "--connections": spec.connections,
@@ -163,8 +163,8 @@
     return append_exit
 
 
-def _process_with_port(names: dict[int, str], port: int) -> str:
-    for pid, name in names.items():
+def _agent_with_local_port(names_by_pid: dict[int, str], port: int) -> str:
+    for pid, name in names_by_pid.items():
         with contextlib.suppress(psutil.Error):
             for connection in psutil.Process(pid).net_connections("tcp4"):
                 if connection.laddr.port == port and connection.raddr:
