--- a/benchmarks/balance_processes.py
+++ b/benchmarks/balance_processes.py
@@ -74,9 +74,9 @@
 
     weights: tuple[float, ...]
 
-    def key(self, draw: random.Random, elapsed_s: float) -> str:
+    def key(self, rng: random.Random, elapsed_s: float) -> str:
         """Returns a key."""
-        rank = bisect_left(self.weights, draw.random() * self.weights[-1])
+        rank = bisect_left(self.weights, rng.random() * self.weights[-1])
         return f"key-{rank if elapsed_s < SHIFT_S else KEYS - 1 - rank}"
 
 
--- a/benchmarks/hotkey.py
+++ b/benchmarks/hotkey.py
@@ -72,7 +72,7 @@
 class _HotKey:
     """Only the hot key; see `KeyDistribution`."""
 
-    def key(self, draw: object, elapsed_s: float) -> str:
+    def key(self, rng: object, elapsed_s: float) -> str:
         """Returns the hot key."""
         return HOT_KEY
 
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -118,7 +118,7 @@
         targets=deployment.urls,
         service="depot",
         keys=UniformKeys(KEYS),
-        pace=OpenLoop(rate, max_outstanding=5000),
+        pace=OpenLoop(rate, max_in_flight=5000),
         duration_s=duration_s,
         query=query,
         timeout_s=5.0,
--- a/fescueward/testing/load/__init__.py
+++ b/fescueward/testing/load/__init__.py
@@ -1,4 +1,4 @@
-"""Load generator: callers that send requests to agents and record each answer."""
+"""Load generator: callers that send requests to agents and record each response."""
 
 from .generator import LoadGenerator, LoadPlan
 from .keys import KeyDistribution, MovingHotKey, UniformKeys, ZipfKeys
--- a/fescueward/testing/load/__main__.py
+++ b/fescueward/testing/load/__main__.py
@@ -18,7 +18,7 @@
 
 
 class DistributionKind(enum.StrEnum):
-    """Key distributions of the program."""
+    """Key distributions that the command line offers."""
 
     UNIFORM = "uniform"
     ZIPF = "zipf"
@@ -39,14 +39,16 @@
     distribution: Annotated[DistributionKind, typer.Option(help="Distribution of keys.")] = (
         DistributionKind.UNIFORM
     ),
-    callers: Annotated[int, typer.Option(help="Callers of a closed loop.")] = 4,
-    rate: Annotated[float, typer.Option(help="Requests/s of an open loop; 0 closes it.")] = 0.0,
+    callers: Annotated[int, typer.Option(help="Concurrent callers of a closed loop.")] = 4,
+    rate: Annotated[
+        float, typer.Option(help="Requests/s of an open loop; 0 runs a closed loop.")
+    ] = 0.0,
     seconds: Annotated[float, typer.Option(help="Duration.")] = 10.0,
     method: Annotated[str, typer.Option(help="HTTP method.")] = "GET",
     query: Annotated[list[str] | None, typer.Option(help="NAME=VALUE; may be repeated.")] = None,
     body_bytes: Annotated[int, typer.Option(help="Size of the request body.")] = 0,
     deadline_ms: Annotated[int | None, typer.Option(help="Deadline of each attempt.")] = None,
-    resends: Annotated[int, typer.Option(help="Times a failed request is sent again.")] = 0,
+    resends: Annotated[int, typer.Option(help="How often a failed request is sent again.")] = 0,
     seed: Annotated[int, typer.Option(help="Seed of the choice of keys.")] = 0,
     records: Annotated[Path | None, typer.Option(help="File for records, JSON lines.")] = None,
 ) -> None:
@@ -72,9 +74,9 @@
             await stop.wait()
             generator.stop()
 
-        watcher = asyncio.create_task(watch_stop())
+        stop_watch = asyncio.create_task(watch_stop())
         await generator.run()
-        watcher.cancel()
+        stop_watch.cancel()
 
     run_program(body)
     if records is not None:
--- a/fescueward/testing/load/generator.py
+++ b/fescueward/testing/load/generator.py
@@ -1,4 +1,4 @@
-"""The load generator: callers that send requests to agents and record each answer."""
+"""The load generator: callers that send requests to agents and record each response."""
 
 from __future__ import annotations
 
@@ -25,22 +25,22 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadPlan:
-    """What a load generator sends.
+    """Which requests a load generator sends, and where and when.
 
     Attributes:
-        targets: URLs of agents, used in turn.
+        targets: Base URLs of agents, used in turn.
         service: Service of the requests.
         keys: Distribution of the keys.
         pace: When requests are sent.
-        duration_s: Seconds after which no more request is begun.
-        max_requests: Number of requests after which no more is begun.
+        duration_s: Seconds after which no further request is started.
+        max_requests: Number of requests after which no further one is started.
         method: HTTP method.
         path: Path below the service.
-        query: Query; see `fescueward.testing.upstream`.
+        query: Query parameters; see `fescueward.testing.upstream`.
         body: Body of each request.
-        deadline_ms: Deadline of each attempt, or None for the one of the entry.
-        timeout_s: Seconds after which a caller gives up on an attempt.
-        resends: Times that a failed request is sent again, with its token if it has one.
+        deadline_ms: Deadline of each attempt, None for the deadline of the entry.
+        timeout_s: Seconds after which an attempt without a response fails.
+        resends: How often a failed request is sent again, with its token if it has one.
         seed: Seed of the choice of keys.
     """
 
@@ -64,16 +64,16 @@
     """Sends the requests of a plan.
 
     Args:
-        plan: The plan.
+        plan: Which requests to send.
     """
 
     def __init__(self, plan: LoadPlan) -> None:
         self._plan = plan
         self._clock = BootClock()
-        self._draw = random.Random(plan.seed)
+        self._rng = random.Random(plan.seed)
         self._caller = Caller(plan.timeout_s)
         self._records: list[Record] = []
-        self._begun = 0
+        self._started_count = 0
         self._skipped = 0
         self._started_s = 0.0
         self._stopped = False
@@ -81,24 +81,26 @@
     @property
     def active(self) -> bool:
         """Whether more requests are to be sent."""
-        within = self._clock.now() - self._started_s < self._plan.duration_s
-        return within and not self._stopped and self._begun < self._plan.max_requests
+        within_duration = self._clock.now() - self._started_s < self._plan.duration_s
+        return (
+            within_duration and not self._stopped and self._started_count < self._plan.max_requests
+        )
 
     @property
     def records(self) -> tuple[Record, ...]:
-        """All attempts so far, in the order of their ends."""
+        """Records of all attempts so far, in the order in which they ended."""
         return tuple(self._records)
 
     @property
     def summary(self) -> Summary:
-        """Figures so far."""
+        """Summary of the requests so far."""
         return summarize(self._records, self._skipped)
 
     async def run(self) -> tuple[Record, ...]:
-        """Sends requests for the time of the plan and waits for the last answers.
+        """Sends requests for the duration of the plan and waits for the last responses.
 
         Returns:
-            All attempts in the order of their ends.
+            Records of all attempts in the order in which they ended.
         """
         self._started_s = self._clock.now()
         async with self._caller:
@@ -106,28 +108,28 @@
         return self.records
 
     def stop(self) -> None:
-        """Begins no more requests."""
+        """Starts no further requests; those in flight go on."""
         self._stopped = True
 
     def skip(self) -> None:
-        """Counts a request that was due and not sent."""
+        """Counts a request that was due but was not sent."""
         self._skipped += 1
 
     async def send(self, begun_s: float) -> bool:
-        """Sends one request, with its further attempts.
+        """Sends one request, which may take several attempts.
 
         Args:
-            begun_s: Time at which it was due, in seconds of CLOCK_BOOTTIME.
+            begun_s: Time at which the request was due, in seconds of CLOCK_BOOTTIME.
 
         Returns:
             Whether the last attempt succeeded.
         """
         plan = self._plan
-        number = self._begun
-        self._begun += 1
-        key = plan.keys.key(self._draw, begun_s - self._started_s)
+        number = self._started_count
+        self._started_count += 1
+        key = plan.keys.key(self._rng, begun_s - self._started_s)
         token: str | None = None
-        failovers, resends = len(plan.targets) - 1, plan.resends
+        failovers_left, resends_left = len(plan.targets) - 1, plan.resends
         while True:
             target = plan.targets[number % len(plan.targets)]
             request = CallerRequest(
@@ -142,28 +144,28 @@
                 request_id=new_request_id(),
             )
             start_s = self._clock.now()
-            answer = await self._caller.send(target, request)
-            again = True
-            if answer.label == TOKEN_REQUIRED and answer.token and token is None:
-                token = answer.token
-            elif answer.label == UNREACHABLE and failovers > 0:
-                failovers -= 1
+            response = await self._caller.send(target, request)
+            retry = True
+            if response.label == TOKEN_REQUIRED and response.token and token is None:
+                token = response.token
+            elif response.label == UNREACHABLE and failovers_left > 0:
+                failovers_left -= 1
                 number += 1
-            elif not answer.succeeded and resends > 0:
-                resends -= 1
+            elif not response.succeeded and resends_left > 0:
+                resends_left -= 1
                 number += 1
                 await self._clock.sleep(RESEND_PAUSE_S)
             else:
-                again = False
-            self._record(target, request, answer, begun_s, start_s, final=not again)
-            if not again:
-                return answer.succeeded
+                retry = False
+            self._record(target, request, response, begun_s, start_s, final=not retry)
+            if not retry:
+                return response.succeeded
 
     def _record(
         self,
         target: str,
         request: CallerRequest,
-        answer: CallerResponse,
+        response: CallerResponse,
         begun_s: float,
         start_s: float,
         *,
@@ -179,12 +181,12 @@
                 request_id=request.request_id,
                 key=request.key,
                 token=request.token,
-                status=answer.status,
-                label=answer.label,
-                outcome=answer.outcome,
-                served_by=answer.served_by,
-                run_request_id=answer.run_request_id,
-                digest_ok=answer.digest_ok,
-                succeeded=answer.succeeded,
+                status=response.status,
+                label=response.label,
+                outcome=response.outcome,
+                served_by=response.served_by,
+                run_request_id=response.run_request_id,
+                digest_ok=response.digest_ok,
+                succeeded=response.succeeded,
             )
         )
--- a/fescueward/testing/load/paces.py
+++ b/fescueward/testing/load/paces.py
@@ -1,4 +1,4 @@
-"""When the requests of a load are sent."""
+"""Paces: closed and open loops that decide when the requests of a load are sent."""
 
 from __future__ import annotations
 
@@ -10,60 +10,60 @@
 from ...kernel.clock import BootClock
 
 
-class Sink(Protocol):
-    """What a pace drives."""
+class RequestSender(Protocol):
+    """Sends the requests of a load when a pace calls it."""
 
     @property
     def active(self) -> bool:
-        """Whether more requests are wanted."""
+        """Whether the load is to go on."""
         ...
 
     async def send(self, begun_s: float) -> bool:
-        """Sends one request and records its answers.
+        """Sends one request and records the responses to its attempts.
 
         Args:
-            begun_s: Time at which it was due, in seconds of CLOCK_BOOTTIME.
+            begun_s: Time at which the request was due, in seconds of CLOCK_BOOTTIME.
 
         Returns:
-            Whether it succeeded.
+            Whether the request succeeded.
         """
         ...
 
     def skip(self) -> None:
-        """Counts a request that was due and not sent."""
+        """Counts a request that was due but was not sent."""
         ...
 
 
 class Pace(Protocol):
     """Decides when requests are sent."""
 
-    async def drive(self, sink: Sink) -> None:
-        """Sends requests until the sink wants no more."""
+    async def drive(self, sender: RequestSender) -> None:
+        """Sends requests while the sender is active, then waits for their responses."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class ClosedLoop:
-    """Callers that each send the next request after the last answer.
+    """Concurrent callers, each of which sends a request once the last one has a response.
 
     Attributes:
         callers: Number of callers.
         pause_s: Pause of a caller after each success, in seconds.
-        failure_pause_s: Pause after each failure, in seconds. Without one, callers of an agent
-            that refuses connections take a whole core.
+        failure_pause_s: Pause after each failure, in seconds. Without it, callers of an agent
+            that refuses connections use a whole core.
     """
 
     callers: int
     pause_s: float = 0.0
     failure_pause_s: float = 0.01
 
-    async def drive(self, sink: Sink) -> None:
-        """Sends requests until the sink wants no more."""
+    async def drive(self, sender: RequestSender) -> None:
+        """Sends requests while the sender is active, then waits for their responses."""
 
         async def call() -> None:
             clock = BootClock()
-            while sink.active:
-                succeeded = await sink.send(clock.now())
+            while sender.active:
+                succeeded = await sender.send(clock.now())
                 await clock.sleep(self.pause_s if succeeded else self.failure_pause_s)
 
         async with asyncio.TaskGroup() as callers:
@@ -73,33 +73,35 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenLoop:
-    """Requests at a mean rate with exponential gaps, whatever the answers take.
+    """Requests at a mean rate with exponential gaps, however long the responses take.
 
-    A request counts from when it was due, so that a stalled generator does not hide latency.
+    Latency counts from the time at which a request was due, so that a stalled generator does not
+    hide it.
 
     Attributes:
-        rate: Requests per second.
-        max_outstanding: Requests without an answer; those due beyond it are skipped.
+        rate_per_s: Mean number of requests per second.
+        max_in_flight: Largest number of requests in flight; a request that is due beyond it is
+            skipped.
         seed: Seed of the gaps.
     """
 
-    rate: float
-    max_outstanding: int = 2000
+    rate_per_s: float
+    max_in_flight: int = 2000
     seed: int = 0
 
-    async def drive(self, sink: Sink) -> None:
-        """Sends requests until the sink wants no more."""
+    async def drive(self, sender: RequestSender) -> None:
+        """Sends requests while the sender is active, then waits for their responses."""
         clock = BootClock()
-        draw = random.Random(self.seed)
-        outstanding: set[asyncio.Task[bool]] = set()
+        rng = random.Random(self.seed)
+        in_flight: set[asyncio.Task[bool]] = set()
         due_s = clock.now()
         async with asyncio.TaskGroup() as requests:
-            while sink.active:
-                if len(outstanding) >= self.max_outstanding:
-                    sink.skip()
+            while sender.active:
+                if len(in_flight) >= self.max_in_flight:
+                    sender.skip()
                 else:
-                    task = requests.create_task(sink.send(due_s))
-                    outstanding.add(task)
-                    task.add_done_callback(outstanding.discard)
-                due_s += draw.expovariate(self.rate)
+                    task = requests.create_task(sender.send(due_s))
+                    in_flight.add(task)
+                    task.add_done_callback(in_flight.discard)
+                due_s += rng.expovariate(self.rate_per_s)
                 await clock.sleep(max(0.0, due_s - clock.now()))
--- a/fescueward/testing/load/records.py
+++ b/fescueward/testing/load/records.py
@@ -1,4 +1,4 @@
-"""Records of the attempts of a load."""
+"""Records of the attempts of a load, and files of them."""
 
 from __future__ import annotations
 
@@ -20,19 +20,20 @@
     Attributes:
         begun_s: When the request was due; the same for all its attempts.
         start_s: When this attempt was sent.
-        end_s: When its answer was complete or given up.
+        end_s: When the response was complete or the attempt had failed.
         final: Whether this is the last attempt of the request.
-        target: URL that it was sent to.
+        target: Base URL of the agent that it was sent to.
         request_id: Id of the attempt.
         key: Key of the request.
         token: Idempotency token, or None.
-        status: HTTP status, 0 without an answer.
-        label: Label of the refusal or failure, empty for an answer of the upstream.
-        outcome: What the caller knows about the run, None for an answer of the upstream.
-        served_by: Name of the upstream that ran it, if the answer tells.
-        run_request_id: Id of the attempt that ran, if the answer tells.
-        digest_ok: Whether the answer is intact and for this request; None if it cannot be told.
-        succeeded: Whether it is an intact answer of the upstream with a status below 400.
+        status: HTTP status, 0 without a response.
+        label: Label of the refusal or failure, empty for a response of the upstream.
+        outcome: Reported outcome of the run, None for a response of the upstream.
+        served_by: Name of the upstream that ran the request, empty if the response lacks it.
+        run_request_id: Id of the attempt that ran, empty if the response lacks it.
+        digest_ok: Whether the response is intact and belongs to this request; None if it carries
+            no digest to check.
+        succeeded: Whether it is an intact response of the upstream with a status below 400.
     """
 
     begun_s: float
@@ -53,7 +54,7 @@
 
 
 def write_records(path: Path, records: Iterable[Record]) -> None:
-    """Writes records as JSON lines.
+    """Writes records to a file of JSON lines.
 
     Raises:
         OSError: The file cannot be written.
@@ -62,7 +63,7 @@
 
 
 def read_records(path: Path) -> tuple[Record, ...]:
-    """Reads records that `write_records` wrote.
+    """Reads a file that `write_records` wrote.
 
     Raises:
         JournalError: A line is malformed.
@@ -73,4 +74,4 @@
             msgspec.json.decode(line, type=Record) for line in path.read_bytes().splitlines()
         )
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise JournalError(f"bad line in {path}: {error}") from error
+        raise JournalError(f"malformed line in {path}: {error}") from error
--- a/fescueward/testing/replay.py
+++ b/fescueward/testing/replay.py
@@ -239,7 +239,7 @@
 
     name: str
 
-    def key(self, draw: random.Random, elapsed_s: float) -> str:
+    def key(self, rng: random.Random, elapsed_s: float) -> str:
         """Returns the key."""
         return self.name
 
--- a/tests/testing/load/test_keys.py
+++ b/tests/testing/load/test_keys.py
@@ -1,4 +1,4 @@
-"""Tests of the distributions of keys."""
+"""Tests of the key distributions."""
 
 from __future__ import annotations
 
@@ -15,13 +15,13 @@
 
 class KeysTest(unittest.TestCase):
     def test_distributions(self):
-        """Guards against hot keys that do not move and skews that are flat."""
-        draw = random.Random(1)
-        ranks = Counter(ZipfKeys(50).key(draw, 0.0) for _ in range(3000))
-        self.assertEqual(ranks.most_common(1)[0][0], "key-0")
-        self.assertGreater(ranks["key-0"], 5 * ranks["key-9"])
-        self.assertEqual(len({UniformKeys(4).key(draw, 0.0) for _ in range(200)}), 4)
+        """Guards against a hot key that never changes and a Zipf distribution without skew."""
+        rng = random.Random(1)
+        key_counts = Counter(ZipfKeys(50).key(rng, 0.0) for _ in range(3000))
+        self.assertEqual(key_counts.most_common(1)[0][0], "key-0")
+        self.assertGreater(key_counts["key-0"], 5 * key_counts["key-9"])
+        self.assertEqual(len({UniformKeys(4).key(rng, 0.0) for _ in range(200)}), 4)
         hot = MovingHotKey(10, share=1.0, period_s=2.0)
-        self.assertEqual([hot.key(draw, at) for at in (0, 1.9, 2, 21)], [
+        self.assertEqual([hot.key(rng, elapsed_s) for elapsed_s in (0, 1.9, 2, 21)], [
             "key-0", "key-0", "key-1", "key-0",
         ])  # fmt: skip
