--- a/fescueward/testing/__init__.py
+++ b/fescueward/testing/__init__.py
@@ -1,5 +1,5 @@
-"""Small programs that tests, the demo and benchmarks run beside the agents.
+"""Test harness, load generator and stand-ins for tests, the demo and benchmarks.
 
-The modules are programs of their own (`python -m fescueward.testing.NAME`), so this package
-imports none of them.
+Some modules are programs (`python -m fescueward.testing.NAME`), so this package imports none of
+its modules.
 """
--- a/fescueward/testing/errors.py
+++ b/fescueward/testing/errors.py
@@ -1,4 +1,4 @@
-"""Exception types of the test programs, codes 9xxx."""
+"""Exception types of the test harness, codes 9xxx."""
 
 from __future__ import annotations
 
@@ -6,21 +6,21 @@
 
 
 class HarnessError(FescuewardError):
-    """Base of the errors of the test programs."""
+    """Base class of the errors of the test harness."""
 
     code = 9000
     label = "harness_error"
 
 
 class ConditionTimeoutError(HarnessError):
-    """An awaited condition did not hold in time."""
+    """A condition did not hold within its timeout."""
 
     code = 9001
     label = "condition_timeout"
 
 
 class ProcessStateError(HarnessError):
-    """A process is started twice, or signalled while it does not run."""
+    """A process was started while it ran, or used or signalled while it did not run."""
 
     code = 9002
     label = "process_state"
@@ -34,31 +34,31 @@
 
 
 class ControlError(HarnessError):
-    """A stand-in refused a control call."""
+    """A stand-in rejected a control call."""
 
     code = 9004
     label = "control_refused"
 
 
 class NoFreePortError(HarnessError):
-    """No free port was found in the permitted range."""
+    """No free port was found in the range for tests."""
 
     code = 9005
     label = "no_free_port"
 
 
 class JournalError(HarnessError):
-    """A line of an upstream journal is malformed."""
+    """A line of a journal, record file or trace is malformed."""
 
     code = 9006
     label = "bad_journal"
 
 
 class RunAbortedError(HarnessError):
-    """An upstream ends a run before its end.
+    """An upstream aborts a run before it is complete.
 
     Attributes:
-        reason: Why, as it stands in the journal.
+        reason: Reason of the abort, as it is written to the journal.
     """
 
     code = 9007
--- a/fescueward/testing/grants.py
+++ b/fescueward/testing/grants.py
@@ -1,4 +1,4 @@
-"""The upstream's side of fencing: which shard and epoch may run."""
+"""Fencing at the upstream: which shards and epochs it may run requests of."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class GrantState(enum.StrEnum):
-    """Whether a shard and epoch may run."""
+    """Whether requests of a shard and epoch may run."""
 
     VALID = "valid"
     MISSING = "missing"
@@ -17,7 +17,7 @@
 
 
 class GrantTable:
-    """Holds the newest set of grants.
+    """Stores the newest set of grants.
 
     Sets of an older incarnation of the agent, sets with an older sequence and epochs below one
     that was granted before are ignored: they come from a process that was paused or from a
@@ -27,50 +27,50 @@
     def __init__(self) -> None:
         self._grants = GrantSet(holder="", sequence=0, expires_ns=0, epochs={})
         self._received = False
-        self._highest: dict[int, int] = {}
+        self._highest_epochs: dict[int, int] = {}
 
     @property
     def grants(self) -> GrantSet:
-        """The newest set."""
+        """The newest set of grants; before the first one, a set without grants."""
         return self._grants
 
     def replace(self, grants: GrantSet) -> bool:
-        """Takes a set of grants.
+        """Replaces the set of grants by a newer one.
 
         Args:
-            grants: The set.
+            grants: A set that was received.
 
         Returns:
-            Whether it is newer than the one held.
+            Whether the set is newer than the stored one and has replaced it.
         """
-        if self._received and _age(grants) <= _age(self._grants):
+        if self._received and _version(grants) <= _version(self._grants):
             return False
-        current = {
+        accepted_epochs = {
             shard: epoch
             for shard, epoch in grants.epochs.items()
-            if epoch >= self._highest.get(shard, 0)
+            if epoch >= self._highest_epochs.get(shard, 0)
         }
-        self._highest.update(current)
-        self._grants = GrantSet(grants.holder, grants.sequence, grants.expires_ns, current)
+        self._highest_epochs.update(accepted_epochs)
+        self._grants = GrantSet(grants.holder, grants.sequence, grants.expires_ns, accepted_epochs)
         self._received = True
         return True
 
     def state(self, shard: int | None, epoch: int | None, now_ns: int) -> GrantState:
-        """Judges a request.
+        """Returns whether a request may run under the newest grants.
 
         Args:
-            shard: Shard that the request names.
-            epoch: Epoch that the request names.
-            now_ns: Present CLOCK_BOOTTIME in nanoseconds.
+            shard: Shard that the request names, or None.
+            epoch: Epoch that the request names, or None.
+            now_ns: Current time of CLOCK_BOOTTIME in nanoseconds.
         """
-        granted = None if shard is None else self._grants.epochs.get(shard)
-        if granted is None:
+        granted_epoch = None if shard is None else self._grants.epochs.get(shard)
+        if granted_epoch is None:
             return GrantState.MISSING
-        if granted != epoch:
+        if granted_epoch != epoch:
             return GrantState.WRONG_EPOCH
         return GrantState.VALID if now_ns < self._grants.expires_ns else GrantState.EXPIRED
 
 
-def _age(grants: GrantSet) -> tuple[int, int]:
+def _version(grants: GrantSet) -> tuple[int, int]:
     incarnation = grants.holder.rpartition(":")[2]
     return (int(incarnation) if incarnation.isdecimal() else 0, grants.sequence)
--- a/fescueward/testing/journal.py
+++ b/fescueward/testing/journal.py
@@ -1,4 +1,4 @@
-"""Journals of upstreams: one JSON line for each event of a run."""
+"""Journals of upstreams: files with one JSON line for each event."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class EventKind(enum.StrEnum):
-    """What an upstream journals."""
+    """Kinds of events in a journal."""
 
     START = "start"
     END = "end"
@@ -29,22 +29,23 @@
     """One line of a journal.
 
     Attributes:
-        kind: What happened. `grant` is a new set of grants; `exit` ends all runs of the process.
-        time_ns: When, in CLOCK_BOOTTIME nanoseconds.
+        kind: Kind of the event. `grant` is the receipt of a new set of grants; `exit` ends all
+            runs of the process.
+        time_ns: Time of the event in CLOCK_BOOTTIME nanoseconds.
         upstream: Name of the upstream.
-        pid: Its process.
-        port: Port of its HTTP server.
-        service: Service that it serves.
-        group: Number of its group.
+        pid: Process id of the upstream.
+        port: Port of the upstream's HTTP server.
+        service: Service of the upstream.
+        group: Number of the upstream's group.
         run: Number of the run in the process; 0 for `rejected`, `grant` and `exit`.
         request_id: Id of the request.
-        key: Its key.
+        key: Key of the request.
         shard: Shard that the request names, or None.
         epoch: Epoch that the request names, or None.
         token: Idempotency token, or None.
-        valid_until_ns: End of the grant that the upstream holds, in CLOCK_BOOTTIME nanoseconds;
-            0 if it checks none.
-        reason: Why a run was aborted or a request rejected.
+        valid_until_ns: Expiry of the grants that the upstream holds, in CLOCK_BOOTTIME
+            nanoseconds; 0 if it checks none.
+        reason: Why a run was aborted or a request was rejected.
     """
 
     kind: EventKind
@@ -65,10 +66,10 @@
 
 
 class JournalWriter:
-    """Appends events to a journal file, each with one write call, so that none is lost in a kill.
+    """Appends events to a journal file, each with one write call, so that a kill loses none.
 
     Args:
-        path: The file.
+        path: The journal file, which is created if it does not exist.
 
     Raises:
         OSError: The file cannot be opened.
@@ -78,16 +79,16 @@
         self._file = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
 
     def append(self, event: JournalEvent) -> None:
-        """Appends one event."""
+        """Appends one event as a JSON line."""
         os.write(self._file, encode_json(event) + b"\n")
 
     def close(self) -> None:
-        """Closes the file."""
+        """Closes the journal file."""
         os.close(self._file)
 
 
 def read_journal(path: Path) -> tuple[JournalEvent, ...]:
-    """Reads a journal; a file that does not exist is empty.
+    """Returns the events of a journal; a file that does not exist has none.
 
     Raises:
         JournalError: A line is malformed.
@@ -98,4 +99,4 @@
         lines = path.read_bytes().splitlines()
         return tuple(msgspec.json.decode(line, type=JournalEvent) for line in lines)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise JournalError(f"bad line in {path}: {error}") from error
+        raise JournalError(f"malformed line in {path}: {error}") from error
--- a/fescueward/testing/load/paces.py
+++ b/fescueward/testing/load/paces.py
@@ -15,7 +15,7 @@
 
     @property
     def active(self) -> bool:
-        """Whether the load is to go on."""
+        """Whether more requests are to be sent."""
         ...
 
     async def send(self, begun_s: float) -> bool:
--- a/fescueward/testing/program.py
+++ b/fescueward/testing/program.py
@@ -1,4 +1,4 @@
-"""What the test programs share: the event loop, stop signals and an HTTP server."""
+"""Shared parts of the test programs: the event loop, stop signals and an HTTP server."""
 
 from __future__ import annotations
 
@@ -16,34 +16,34 @@
 
 
 def boot_time_ns() -> int:
-    """Returns nanoseconds of CLOCK_BOOTTIME, the clock of grants and deadlines."""
+    """Returns the time of CLOCK_BOOTTIME, the clock of grants and deadlines, in nanoseconds."""
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
 
 
 def run_program(body: Callable[[asyncio.Event], Coroutine[Any, Any, None]]) -> None:
-    """Runs a program under uvloop until its body returns.
+    """Runs a program on a uvloop event loop until its body returns.
 
     Args:
-        body: Called with an event that SIGTERM and SIGINT set.
+        body: Called with an event that is set on SIGTERM and SIGINT.
     """
 
     async def run() -> None:
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, stop.set)
         await body(stop)
 
     uvloop.run(run())
 
 
 def report_listening(program: str, host: str, port: int) -> None:
-    """Prints the address of a program that has begun to listen."""
+    """Prints the address that a program listens on."""
     typer.echo(f"{program} listens on {host}:{port}")
 
 
 class HttpSite:
-    """An aiohttp server on one address, which can stop listening for a while."""
+    """An aiohttp server on one address that can stop and resume listening."""
 
     def __init__(self, app: web.Application, host: str, port: int) -> None:
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
@@ -53,7 +53,7 @@
 
     @property
     def port(self) -> int:
-        """Port it listens on; the chosen one after a start on port 0."""
+        """Port that the server listens on; after a start on port 0, the port that was assigned."""
         return self._port
 
     @property
@@ -63,7 +63,7 @@
         return 0 if server is None else len(server.connections)
 
     async def start(self) -> None:
-        """Begins to listen.
+        """Starts the server.
 
         Raises:
             OSError: The address is in use.
@@ -76,7 +76,7 @@
         await self._runner.cleanup()
 
     async def listen(self) -> None:
-        """Listens, at first or again after `stop_listening`."""
+        """Opens the listening socket, also again after `stop_listening`."""
         self._site = web.TCPSite(self._runner, self._host, self._port, backlog=1024)
         await self._site.start()
         self._port = self._runner.addresses[0][1]
@@ -96,13 +96,13 @@
 
 
 def abort_connection(request: web.Request) -> web.Response:
-    """Resets the connection of a request, so that its caller gets no answer.
+    """Resets the connection of a request, so that its caller gets no response.
 
     Args:
-        request: The request.
+        request: Request whose connection is reset.
 
     Returns:
-        A response that aiohttp cannot send any more.
+        A response for the handler to return; aiohttp cannot send it on the reset connection.
     """
     if request.transport is not None:
         request.transport.abort()
--- a/fescueward/testing/proxy.py
+++ b/fescueward/testing/proxy.py
@@ -1,7 +1,7 @@
 """Fault-injecting TCP proxy.
 
-Each direction has a plan of its own, which can be changed while connections are open. Plans can
-also be set for connections of one source, which a callback recognises by the source port.
+Each direction has its own plan, which can be changed while connections are open. A plan can also
+be set for the connections of one source, which a callback identifies by the source port.
 """
 
 from __future__ import annotations
@@ -20,13 +20,13 @@
 from .program import LOOPBACK, report_listening, run_program
 
 READ_BYTES = 64 * 1024
-QUEUED_CHUNKS = 64
+MAX_QUEUED_CHUNKS = 64
 
 IdentifySource = Callable[[int], Awaitable[str]]
 
 
 class ProxyMode(enum.StrEnum):
-    """What happens to the bytes of one direction."""
+    """Treatment of the bytes of one direction."""
 
     PASS = "pass"
     CUT = "cut"
@@ -39,12 +39,12 @@
     """Treatment of one direction.
 
     Attributes:
-        mode: `pass` forwards. `cut` resets the connections, in both directions, and refuses
-            new ones. `drop` discards, as a network partition does: nothing arrives and no end
-            sees a reset. When the mode changes, connections that lost bytes and connections
-            that were begun meanwhile are reset. `hold` keeps up to 4 MB a connection and
-            forwards it, late, when the mode changes.
-        delay_ms: Delay of each chunk in `pass`.
+        mode: `pass` forwards all bytes. `cut` resets the connections, in both directions, and
+            refuses new ones. `drop` discards all bytes without a reset, like a network
+            partition; when the mode changes, connections that lost bytes and connections that
+            were opened meanwhile are reset. `hold` buffers up to 4 MB per connection and forwards
+            them when the mode changes.
+        delay_ms: Delay of each chunk in mode `pass`, in milliseconds.
     """
 
     mode: ProxyMode = ProxyMode.PASS
@@ -53,11 +53,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ProxyPlan:
-    """Treatment of connections.
+    """Treatment of both directions of connections.
 
     Attributes:
-        forward: From the connecting side to the target.
-        backward: From the target to the connecting side.
+        forward: Direction from the connecting side to the target.
+        backward: Direction from the target to the connecting side.
     """
 
     forward: DirectionPlan = DirectionPlan()
@@ -65,18 +65,18 @@
 
     @classmethod
     def both(cls, mode: ProxyMode, delay_ms: float = 0.0) -> ProxyPlan:
-        """Returns a plan that treats both directions alike."""
+        """Returns a plan with the same treatment of both directions."""
         plan = DirectionPlan(mode, delay_ms)
         return cls(plan, plan)
 
     @property
     def cuts(self) -> bool:
-        """Whether connections are reset."""
+        """Whether connections are reset, because a direction is cut."""
         return ProxyMode.CUT in (self.forward.mode, self.backward.mode)
 
     @property
     def drops(self) -> bool:
-        """Whether a new connection cannot be made because one direction is dead."""
+        """Whether no new connection can be established, because a direction drops all bytes."""
         return ProxyMode.DROP in (self.forward.mode, self.backward.mode)
 
 
@@ -86,32 +86,32 @@
 HOLD = ProxyPlan.both(ProxyMode.HOLD)
 
 
-async def _no_source(_port: int) -> str:
+async def _unknown_source(_port: int) -> str:
     return ""
 
 
 class _Connection:
-    """One accepted connection and its way to the target."""
+    """One accepted connection with the plan that applies to it."""
 
     def __init__(self, source: str, plan: ProxyPlan) -> None:
         self.source = source
         self.plan = plan
         self.lost_bytes = False
         self.task: asyncio.Task[None] | None = None
-        self._changed = asyncio.Event()
+        self._plan_changed = asyncio.Event()
 
     def replace_plan(self, plan: ProxyPlan) -> None:
-        """Puts a plan into force; a connection that lost bytes cannot go on."""
-        healed = self.plan.drops and not plan.drops
+        """Applies a plan. A connection that lost bytes is reset once it no longer drops them."""
+        drop_ended = self.plan.drops and not plan.drops
         self.plan = plan
-        if self.task is not None and (plan.cuts or (healed and self.lost_bytes)):
+        if self.task is not None and (plan.cuts or (drop_ended and self.lost_bytes)):
             self.task.cancel()
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._plan_changed.set()
+        self._plan_changed = asyncio.Event()
 
-    async def change(self) -> None:
-        """Returns after the next change of the plan."""
-        await self._changed.wait()
+    async def wait_for_plan_change(self) -> None:
+        """Waits for the next change of the plan."""
+        await self._plan_changed.wait()
 
 
 class FaultProxy:
@@ -122,8 +122,8 @@
         listen_port: Port to listen on; 0 chooses a free one.
         target_host: Address to forward to.
         listen_host: Address to listen on.
-        identify: Names the source of a connection by its source port; the plan of that source
-            applies.
+        identify: Returns the name of a connection's source for its source port; the plan of that
+            source applies to the connection.
     """
 
     def __init__(
@@ -133,21 +133,21 @@
         *,
         target_host: str = LOOPBACK,
         listen_host: str = LOOPBACK,
-        identify: IdentifySource = _no_source,
+        identify: IdentifySource = _unknown_source,
     ) -> None:
-        self._target = (target_host, target_port)
-        self._listen = (listen_host, listen_port)
+        self._target_address = (target_host, target_port)
+        self._listen_address = (listen_host, listen_port)
         self._identify = identify
         self._server: asyncio.Server | None = None
         self._plan = PASS
-        self._plans: dict[str, ProxyPlan] = {}
+        self._source_plans: dict[str, ProxyPlan] = {}
         self._connections: set[_Connection] = set()
         self._accepted = 0
 
     @property
     def port(self) -> int:
-        """Port it listens on."""
-        return self._listen[1]
+        """Port that the proxy listens on."""
+        return self._listen_address[1]
 
     @property
     def connection_count(self) -> int:
@@ -156,25 +156,27 @@
 
     @property
     def accepted(self) -> int:
-        """Number of connections accepted so far."""
+        """Number of connections accepted since the start."""
         return self._accepted
 
     def plan(self, source: str = "") -> ProxyPlan:
-        """Returns the plan for a source."""
-        return self._plans.get(source, self._plan)
+        """Returns the plan that applies to a source: its own, or else the common one."""
+        return self._source_plans.get(source, self._plan)
 
     async def start(self) -> None:
-        """Begins to listen.
+        """Starts to listen.
 
         Raises:
             OSError: The address is in use.
         """
-        await self._listen_again()
+        await self._start_listening()
 
     async def stop(self) -> None:
         """Resets all connections and stops listening."""
         await self._stop_listening()
-        tasks = [found.task for found in self._connections if found.task is not None]
+        tasks = [
+            connection.task for connection in self._connections if connection.task is not None
+        ]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -182,29 +184,30 @@
     async def set_plan(self, plan: ProxyPlan, source: str | None = None) -> None:
         """Replaces the plan for one source, or for all of them.
 
-        While all sources are cut, the port is closed and connections are refused; a single
-        source that is cut is accepted and reset at once.
+        While all sources are cut, the port is closed and connections are refused. If a single
+        source is cut, its connections are accepted and reset at once.
 
         Args:
-            plan: The plan.
-            source: Name of the source, or None for all, which also forgets the plans of sources.
+            plan: The new plan.
+            source: Name of the source; None for all, which also removes the plans of single
+                sources.
         """
         if source is None:
             self._plan = plan
-            self._plans.clear()
+            self._source_plans.clear()
         else:
-            self._plans[source] = plan
+            self._source_plans[source] = plan
         if self._plan.cuts:
             await self._stop_listening()
         elif self._server is None:
-            await self._listen_again()
+            await self._start_listening()
         for connection in tuple(self._connections):
             connection.replace_plan(self.plan(connection.source))
 
-    async def _listen_again(self) -> None:
-        host, port = self._listen
+    async def _start_listening(self) -> None:
+        host, port = self._listen_address
         self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
-        self._listen = (host, self._server.sockets[0].getsockname()[1])
+        self._listen_address = (host, self._server.sockets[0].getsockname()[1])
 
     async def _stop_listening(self) -> None:
         if self._server is not None:
@@ -228,44 +231,49 @@
         self, connection: _Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if connection.plan.drops:
-            # No handshake completes in a partition, so its bytes must not arrive afterwards.
+            # During a partition no handshake completes, so bytes that were sent on this
+            # connection must not reach the target afterwards.
             while connection.plan.drops:
-                await connection.change()
+                await connection.wait_for_plan_change()
             _reset(writer)
             return
         if connection.plan.cuts:
             _reset(writer)
             return
         try:
-            target_reader, target_writer = await asyncio.open_connection(*self._target)
+            target_reader, target_writer = await asyncio.open_connection(*self._target_address)
         except OSError:
             _reset(writer)
             return
-        whole = False
+        closed_cleanly = False
         try:
             async with asyncio.TaskGroup() as directions:
-                directions.create_task(_carry(connection, "forward", reader, target_writer))
-                directions.create_task(_carry(connection, "backward", target_reader, writer))
-            whole = True
+                directions.create_task(
+                    _forward_direction(connection, "forward", reader, target_writer)
+                )
+                directions.create_task(
+                    _forward_direction(connection, "backward", target_reader, writer)
+                )
+            closed_cleanly = True
         except* OSError:
             pass
         finally:
-            for end in (writer, target_writer):
-                if whole:
-                    end.close()
+            for side in (writer, target_writer):
+                if closed_cleanly:
+                    side.close()
                 else:
-                    _reset(end)
+                    _reset(side)
 
 
-async def _carry(
+async def _forward_direction(
     connection: _Connection,
     direction: str,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
     loop = asyncio.get_running_loop()
-    # An empty chunk is the end of the stream, None a reset.
-    queue: asyncio.Queue[tuple[float, bytes | None]] = asyncio.Queue(QUEUED_CHUNKS)
+    # An empty chunk stands for the end of the stream, None for a reset.
+    queue: asyncio.Queue[tuple[float, bytes | None]] = asyncio.Queue(MAX_QUEUED_CHUNKS)
 
     async def receive() -> None:
         chunk: bytes | None = None
@@ -278,15 +286,15 @@
 
     async def send() -> None:
         while True:
-            received, chunk = await queue.get()
+            received_s, chunk = await queue.get()
             plan: DirectionPlan = getattr(connection.plan, direction)
             while plan.mode is ProxyMode.HOLD or (plan.mode is ProxyMode.DROP and not chunk):
-                await connection.change()
+                await connection.wait_for_plan_change()
                 plan = getattr(connection.plan, direction)
             if plan.mode is ProxyMode.DROP:
                 connection.lost_bytes = True
                 continue
-            remaining_s = received + plan.delay_ms / 1000 - loop.time()
+            remaining_s = received_s + plan.delay_ms / 1000 - loop.time()
             if remaining_s > 0:
                 await asyncio.sleep(remaining_s)
             if chunk is None:
@@ -297,20 +305,20 @@
             writer.write(chunk)
             await writer.drain()
 
-    async with asyncio.TaskGroup() as ends:
-        ends.create_task(receive())
-        ends.create_task(send())
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(receive())
+        tasks.create_task(send())
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
-    # With a linger time of 0 the close sends RST, which the other end cannot take for an end of
-    # stream.
+    # With a linger time of 0 the close sends RST, which the peer cannot mistake for the end of
+    # the stream.
     linger = struct.pack("ii", 1, 0)
-    # A connection that the other end has reset has no socket any more, or a closed one.
-    found = writer.get_extra_info("socket")
-    if found is not None:
+    # If the peer has already reset the connection, the socket is None or closed.
+    connection_socket = writer.get_extra_info("socket")
+    if connection_socket is not None:
         with contextlib.suppress(OSError):
-            found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
 
 
--- a/fescueward/testing/waiting.py
+++ b/fescueward/testing/waiting.py
@@ -1,4 +1,4 @@
-"""Waits on conditions."""
+"""Waiting for conditions."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 T = TypeVar("T")
 
-PERIOD_S = 0.02
+POLL_INTERVAL_S = 0.02
 
 
 async def wait_until(
@@ -20,25 +20,25 @@
     """Waits until a condition holds.
 
     Args:
-        condition: Called every 20 ms; holds once its result is true.
+        condition: Called every 20 ms until its result, awaited if need be, is true.
         timeout_s: Longest wait in seconds.
-        description: What is awaited, for the error.
+        description: Text for the error that says what the caller waits for.
 
     Returns:
-        The true result.
+        The first true result of the condition.
 
     Raises:
         ConditionTimeoutError: The condition did not hold in time.
     """
     loop = asyncio.get_running_loop()
-    deadline = loop.time() + timeout_s
+    deadline_s = loop.time() + timeout_s
     while True:
         result = condition()
         value = await result if inspect.isawaitable(result) else result
         if value:
             return value
-        if loop.time() >= deadline:
+        if loop.time() >= deadline_s:
             raise ConditionTimeoutError(
                 f"{description}: not within {timeout_s} s; last result {value!r}"
             )
-        await asyncio.sleep(PERIOD_S)
+        await asyncio.sleep(POLL_INTERVAL_S)
--- a/tests/testing/__init__.py
+++ b/tests/testing/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of fescueward.testing."""
+"""Tests of the test harness, load generator and stand-ins."""
--- a/tests/testing/test_grants.py
+++ b/tests/testing/test_grants.py
@@ -10,7 +10,7 @@
 
 class GrantTableTest(unittest.TestCase):
     def test_requests_are_judged_by_shard_epoch_and_expiry(self):
-        """Guards against requests that run under an old epoch or after the expiry."""
+        """Guards against requests that run under another epoch or after the expiry."""
         table = GrantTable()
         self.assertEqual(table.state(3, 1, 0), GrantState.MISSING)
         self.assertTrue(table.replace(GrantSet("a:1", 0, 100, {3: 5})))
@@ -21,7 +21,7 @@
         self.assertEqual(table.state(None, None, 0), GrantState.MISSING)
 
     def test_old_sets_and_epochs_are_ignored(self):
-        """Guards against a resumed agent that takes its shards back with an old order."""
+        """Guards against a resumed agent that regains shards with an outdated set of grants."""
         table = GrantTable()
         table.replace(GrantSet("a:2", 4, 100, {3: 5}))
         for old in (GrantSet("a:2", 4, 900, {3: 6}), GrantSet("a:1", 9, 900, {3: 6})):
