--- a/fescueward/testing/callers.py
+++ b/fescueward/testing/callers.py
@@ -1,4 +1,4 @@
-"""A caller: sends requests to agents and checks the answers."""
+"""A caller: sends requests to agents and checks the responses."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 )
 from .upstream import DIGEST_HEADER, UpstreamAnswer
 
-# Labels of failures that the caller sees itself, beside the labels that agents report.
+# Labels of failures that the caller itself detects, in addition to those that agents report.
 UNREACHABLE = "unreachable"
 CONNECTION_LOST = "connection_lost"
 TIMEOUT = "timeout"
@@ -30,18 +30,19 @@
 
 
 def new_request_id() -> str:
-    """Returns a request id that no other request has."""
+    """Returns a new unique request id."""
     return uuid.uuid4().hex
 
 
 def without_retries(session: aiohttp.ClientSession) -> aiohttp.ClientSession:
-    """Returns a session that sends each request once.
+    """Changes a session so that it sends each request once, and returns it.
 
-    aiohttp repeats GET, PUT and DELETE by itself when a kept connection is lost. That hides lost
-    answers and runs a request twice under one id. There is no public option against it.
+    By default aiohttp repeats GET, PUT and DELETE when a kept-alive connection is lost. That
+    hides lost responses and runs a request twice under one id. There is no public option to
+    switch it off.
 
     Args:
-        session: The session, which is changed.
+        session: The session, which is changed in place.
     """
     session._retry_connection = False
     return session
@@ -52,16 +53,17 @@
     """One request of a caller.
 
     Attributes:
-        service: Service it is for.
-        key: Its key.
+        service: Service that the request is for.
+        key: Key of the request.
         method: HTTP method.
-        path: Path below the service, without a slash at the start.
-        query: Query; see `fescueward.testing.upstream`.
-        body: Its body.
-        deadline_ms: Deadline from when it is sent, or None for the one of the entry.
+        path: Path below the service, without a leading slash.
+        query: Query parameters; see `fescueward.testing.upstream`.
+        body: Request body.
+        deadline_ms: Deadline in milliseconds after the request is sent, None for the deadline of
+            the entry.
         token: Idempotency token, or None.
-        request_id: Its id. An attempt that is sent again needs an id of its own, so that the
-            answer to one attempt is not judged by the runs of another.
+        request_id: Id of the request. Each attempt needs its own id, so that the response to one
+            attempt is not matched with the run of another.
         headers: Further headers.
     """
 
@@ -79,22 +81,22 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerResponse:
-    """What the caller got.
+    """Response to a request, or the failure to get one.
 
     Attributes:
         request_id: Id of the request.
-        status: HTTP status, 0 without an answer.
-        label: Label of the refusal or of the failure, empty for an answer of the upstream.
-        outcome: What the caller knows about the run, None for an answer of the upstream.
-        served_by: Name of the upstream that ran it, if the body tells.
-        epoch: Epoch that it ran under, if the body tells.
-        run_request_id: Request id of the run, if the body tells. With a token it can be that of
-            an earlier attempt, whose answer the owner has kept.
-        digest_ok: Whether body and request id are those of this request; None if the answer
+        status: HTTP status, 0 without a response.
+        label: Label of the refusal or of the failure, empty for a response of the upstream.
+        outcome: Reported outcome of the run, None for a response of the upstream.
+        served_by: Name of the upstream that ran the request, empty if the body lacks it.
+        epoch: Epoch that the request ran under, None if the body lacks it.
+        run_request_id: Request id of the run, empty if the body lacks it. With a token it can be
+            that of an earlier attempt, whose response the owner has stored.
+        digest_ok: Whether body and request id are those of this request; None if the response
             carries no digest.
         token: Token that a refusal carries, or None.
         retry_after_s: Retry-After of a refusal in seconds, or None.
-        body: Body of the answer.
+        body: Body of the response.
     """
 
     request_id: str
@@ -111,7 +113,7 @@
 
     @property
     def succeeded(self) -> bool:
-        """Whether the upstream answered with a status below 400 and nothing was mixed up."""
+        """Whether it is an intact response to this request with a status from 200 to 399."""
         return 200 <= self.status < 400 and not self.label and self.digest_ok is not False
 
 
@@ -131,20 +133,20 @@
 
 
 class Caller:
-    """Keeps connections to agents and sends requests. Used as an async context manager.
+    """Sends requests over a pool of connections to agents. Used as an async context manager.
 
     Args:
-        timeout_s: Time after which it gives up on an answer, in seconds.
-        connections: Most connections at a time; 0 means no limit.
+        timeout_s: Time in seconds after which a request without a complete response fails.
+        max_connections: Largest number of open connections; 0 means no limit.
     """
 
-    def __init__(self, timeout_s: float = 15.0, connections: int = 0) -> None:
+    def __init__(self, timeout_s: float = 15.0, max_connections: int = 0) -> None:
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
-        self._connections = connections
+        self._max_connections = max_connections
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Caller:
-        connector = aiohttp.TCPConnector(limit=self._connections)
+        connector = aiohttp.TCPConnector(limit=self._max_connections)
         self._session = without_retries(
             aiohttp.ClientSession(connector=connector, timeout=self._timeout)
         )
@@ -156,14 +158,14 @@
             self._session = None
 
     async def send(self, base_url: str, request: CallerRequest) -> CallerResponse:
-        """Sends one request once.
+        """Sends a request, without retries.
 
         Args:
-            base_url: URL of the agent that it is sent to.
+            base_url: Base URL of the agent.
             request: The request.
 
         Returns:
-            The answer; failures are told by its label.
+            The response; its label names a refusal or failure.
         """
         assert self._session is not None, "the caller is not open"
         try:
@@ -174,7 +176,7 @@
                 headers=_headers(request),
                 data=io.BytesIO(request.body) if request.body else None,
             ) as response:
-                return _answer(request, response, await response.read())
+                return _parse_response(request, response, await response.read())
         except aiohttp.ClientConnectorError:
             label, outcome = UNREACHABLE, Outcome.NOT_RUN
         except TimeoutError:
@@ -194,41 +196,44 @@
     return headers
 
 
-def _answer(
+def _parse_response(
     request: CallerRequest, response: aiohttp.ClientResponse, body: bytes
 ) -> CallerResponse:
     request_id = request.request_id
-    own = response.headers.get(REQUEST_ID_HEADER, request_id) == request_id
+    same_request_id = response.headers.get(REQUEST_ID_HEADER, request_id) == request_id
     digest = response.headers.get(DIGEST_HEADER)
-    answer: dict[str, Any] = {
+    fields: dict[str, Any] = {
         "request_id": request_id,
         "status": response.status,
         "body": body,
-        "retry_after_s": _seconds(response.headers.get("Retry-After")),
+        "retry_after_s": _parse_seconds(response.headers.get("Retry-After")),
     }
     if digest is None:
-        return CallerResponse(**answer, **_refusal(body), digest_ok=None if own else False)
-    intact = own and hashlib.sha256(body).hexdigest() == digest
-    told = _upstream_answer(response, body)
-    if told is None:
-        return CallerResponse(**answer, digest_ok=intact)
+        return CallerResponse(
+            **fields, **_decode_refusal(body), digest_ok=None if same_request_id else False
+        )
+    intact = same_request_id and hashlib.sha256(body).hexdigest() == digest
+    upstream_answer = _decode_upstream_answer(response, body)
+    if upstream_answer is None:
+        return CallerResponse(**fields, digest_ok=intact)
     return CallerResponse(
-        **answer,
-        digest_ok=intact and (request.token is not None or told.request_id == request_id),
-        served_by=told.upstream,
-        epoch=told.epoch,
-        run_request_id=told.request_id,
+        **fields,
+        digest_ok=intact
+        and (request.token is not None or upstream_answer.request_id == request_id),
+        served_by=upstream_answer.upstream,
+        epoch=upstream_answer.epoch,
+        run_request_id=upstream_answer.request_id,
     )
 
 
-def _seconds(text: str | None) -> float | None:
+def _parse_seconds(text: str | None) -> float | None:
     try:
         return None if text is None else float(text)
     except ValueError:
         return None
 
 
-def _refusal(body: bytes) -> dict[str, Any]:
+def _decode_refusal(body: bytes) -> dict[str, Any]:
     try:
         error = msgspec.json.decode(body, type=_ErrorBody).error
     except (msgspec.DecodeError, UnicodeDecodeError):
@@ -236,7 +241,9 @@
     return {"label": error.label, "outcome": error.outcome, "token": error.token}
 
 
-def _upstream_answer(response: aiohttp.ClientResponse, body: bytes) -> UpstreamAnswer | None:
+def _decode_upstream_answer(
+    response: aiohttp.ClientResponse, body: bytes
+) -> UpstreamAnswer | None:
     if response.content_type != "application/json":
         return None
     try:
--- a/fescueward/testing/demo.py
+++ b/fescueward/testing/demo.py
@@ -1,7 +1,7 @@
-"""Demo: four agents serve keyed traffic, one owner is killed, its keys are served again.
+"""Demo: four agents serve keyed traffic, one owner is killed, other members take over its keys.
 
-Run as `python -m fescueward.testing.demo`, or by `scripts/demo`. Exits 0 if every key is served
-again within the bound, else 1 with a reason.
+Run as `python -m fescueward.testing.demo`, or by `scripts/demo`. Exits with 0 if every key is
+served again within the bound, else with 1 and a reason.
 """
 
 from __future__ import annotations
@@ -20,36 +20,36 @@
 from .specs import DeploymentSpec, small_deployment
 from .waiting import wait_until
 
-_KEYS = 64
-_CALLERS = 8
+_KEY_COUNT = 64
+_CALLER_COUNT = 8
 _PAUSE_S = 0.01
-# Shorter than a takeover, so that the demo shows refusals and not only waits.
+# Shorter than a takeover, so that the demo shows refused requests and not only slow ones.
 _DEADLINE_MS = 500
 _TRAFFIC_BEFORE_S = 3.0
 _TRAFFIC_AFTER_S = 2.0
-# Requirement: a key is served again within 4 s of a loss.
-_BOUND_S = 4.0
+# Requirement: a key is served again within 4 s after the loss of its owner.
+_UNAVAILABLE_BOUND_S = 4.0
 _SERVED_AGAIN_TIMEOUT_S = 12.0
 _SPREAD_TIMEOUT_S = 8.0
 _TOTAL_TIMEOUT_S = 40.0
-# Rounds are shortened from 2 s so that the shards are spread within the time of the demo.
+# Shortened from 2 s, so that the shards are spread over all members within the time of the demo.
 _ROUND_MS = "200"
 
 
 class DemoFailedError(FescuewardError):
-    """The demo did not show what it is meant to show."""
+    """A key was not served in time, or a response belonged to another request."""
 
     code = 9101
     label = "demo_failed"
 
 
 @dataclass(slots=True)
-class Phase:
-    """Counts of a part of the traffic.
+class PhaseCounts:
+    """Request counts of one phase of the traffic.
 
     Attributes:
-        served: Served requests by upstream.
-        refused: Refused requests by label.
+        served: Numbers of served requests by upstream.
+        refused: Numbers of refused or failed requests by label.
     """
 
     served: Counter[str] = field(default_factory=Counter)
@@ -57,17 +57,17 @@
 
     @property
     def requests(self) -> int:
-        """All requests."""
+        """Number of all requests of the phase."""
         return self.served.total() + self.refused.total()
 
 
 class Traffic:
-    """Callers that send keyed requests through every agent in turn."""
+    """Callers that send keyed requests to all agents in turn."""
 
     def __init__(self, deployment: Deployment) -> None:
-        self.phases = {"before": Phase(), "after": Phase()}
-        self.phase = "before"
-        self.mixed_up = 0
+        self.phases = {"before": PhaseCounts(), "after": PhaseCounts()}
+        self.current_phase = "before"
+        self.mismatched_responses = 0
         self.unavailable_s: dict[str, float] = {}
         self._deployment = deployment
         self._last_served: dict[str, float] = {}
@@ -75,22 +75,22 @@
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
-        """Sends until `stop`."""
-        await asyncio.gather(*(self._call(number) for number in range(_CALLERS)))
+        """Sends requests until `stop` is called."""
+        await asyncio.gather(*(self._call(number) for number in range(_CALLER_COUNT)))
 
     def stop(self) -> None:
-        """Ends the traffic."""
+        """Ends the traffic; requests in flight are completed."""
         self._stopped.set()
 
-    def served_since(self, started: float) -> int:
-        """Returns the number of keys that were served after a time and are served still."""
+    def keys_served_since(self, since_s: float) -> int:
+        """Returns the number of keys whose last request succeeded, after a monotonic time."""
         return sum(
-            served > started and key not in self._failed
-            for key, served in self._last_served.items()
+            served_s > since_s and key not in self._failed
+            for key, served_s in self._last_served.items()
         )
 
     async def _call(self, caller: int) -> None:
-        keys = [f"depot-{number}" for number in range(caller, _KEYS, _CALLERS)]
+        keys = [f"depot-{number}" for number in range(caller, _KEY_COUNT, _CALLER_COUNT)]
         number = caller
         while not self._stopped.is_set():
             members = self._deployment.members
@@ -99,44 +99,44 @@
                 await self._send(key, members, number)
                 await asyncio.sleep(_PAUSE_S)
 
-    async def _send(self, key: str, members: tuple[DeployedMember, ...], first: int) -> None:
+    async def _send(self, key: str, members: tuple[DeployedMember, ...], first_index: int) -> None:
         request = CallerRequest(service="depot", key=key, deadline_ms=_DEADLINE_MS)
-        answer = CallerResponse(request_id=request.request_id)
+        response = CallerResponse(request_id=request.request_id)
         for offset in range(len(members)):
-            via = members[(first + offset) % len(members)]
-            answer = await self._deployment.send(request, via)
-            if answer.label != UNREACHABLE:
-                break  # as a client library does, the caller goes on to the next agent
-        self._count(key, answer)
-
-    def _count(self, key: str, answer: CallerResponse) -> None:
-        now = time.monotonic()
-        phase = self.phases[self.phase]
-        if answer.digest_ok is False:
-            self.mixed_up += 1
-        if not answer.succeeded:
-            phase.refused[answer.label or str(answer.status)] += 1
+            via = members[(first_index + offset) % len(members)]
+            response = await self._deployment.send(request, via)
+            if response.label != UNREACHABLE:
+                break  # Like a client library, the caller tries the next agent only then.
+        self._count(key, response)
+
+    def _count(self, key: str, response: CallerResponse) -> None:
+        now_s = time.monotonic()
+        phase = self.phases[self.current_phase]
+        if response.digest_ok is False:
+            self.mismatched_responses += 1
+        if not response.succeeded:
+            phase.refused[response.label or str(response.status)] += 1
             self._failed.add(key)
             return
-        phase.served[answer.served_by] += 1
+        phase.served[response.served_by] += 1
         if key in self._failed and key in self._last_served:
-            gap = now - self._last_served[key]
-            self.unavailable_s[key] = max(self.unavailable_s.get(key, 0.0), gap)
+            gap_s = now_s - self._last_served[key]
+            self.unavailable_s[key] = max(self.unavailable_s.get(key, 0.0), gap_s)
         self._failed.discard(key)
-        self._last_served[key] = now
+        self._last_served[key] = now_s
 
 
-async def _spread(deployment: Deployment) -> bool:
-    found = await deployment.group("depot")
-    if found is None:
+async def _all_members_own_shards(deployment: Deployment) -> bool:
+    stored = await deployment.group("depot")
+    if stored is None:
         return False
-    owners = {shard.owner for shard in found.group.shards}
+    owners = {shard.owner for shard in stored.group.shards}
     return len(owners) == len(deployment.members)
 
 
 async def _busiest_owner(deployment: Deployment) -> DeployedMember:
     counts: Counter[str] = Counter()
-    for number in range(_KEYS):
+    for number in range(_KEY_COUNT):
         owner = await deployment.owner("depot", f"depot-{number}")
         if owner is not None:
             counts[owner.name] += 1
@@ -145,11 +145,13 @@
     return deployment.member(counts.most_common(1)[0][0])
 
 
-async def _show(deployment: Deployment) -> Traffic:
+async def _run_scenario(deployment: Deployment) -> Traffic:
     await deployment.wait_ready()
     try:
         await wait_until(
-            lambda: _spread(deployment), _SPREAD_TIMEOUT_S, "every member owns a shard"
+            lambda: _all_members_own_shards(deployment),
+            _SPREAD_TIMEOUT_S,
+            "every member owns a shard",
         )
     except ConditionTimeoutError as error:
         print(f"note: {error}")
@@ -157,15 +159,15 @@
     running = asyncio.create_task(traffic.run())
     try:
         await asyncio.sleep(_TRAFFIC_BEFORE_S)
-        if traffic.served_since(0.0) < _KEYS:
+        if traffic.keys_served_since(0.0) < _KEY_COUNT:
             raise DemoFailedError(f"not every key is served: {traffic.phases['before'].refused}")
         lost = await _busiest_owner(deployment)
         print(f"killing agent and upstream {lost.name} ({lost.spec.failure_domain})")
-        traffic.phase = "after"
+        traffic.current_phase = "after"
         await deployment.kill_member(lost)
-        killed = time.monotonic()
+        killed_s = time.monotonic()
         await wait_until(
-            lambda: traffic.served_since(killed) == _KEYS or running.done(),
+            lambda: traffic.keys_served_since(killed_s) == _KEY_COUNT or running.done(),
             _SERVED_AGAIN_TIMEOUT_S,
             "every key is served again",
         )
@@ -196,17 +198,19 @@
     print(f"{'':24}{'before the loss':>18}{'after the loss':>18}")
     for name, before, after in _rows(traffic):
         print(f"{name:24}{before:>18}{after:>18}")
-    times = list(traffic.unavailable_s.values())
-    longest = max(times, default=0.0)
-    median = statistics.median(times) if times else 0.0
+    times_s = list(traffic.unavailable_s.values())
+    longest_s = max(times_s, default=0.0)
+    median_s = statistics.median(times_s) if times_s else 0.0
     print(
-        f"keys that were unavailable: {len(times)} of {_KEYS}; "
-        f"longest {longest:.2f} s, median {median:.2f} s (bound {_BOUND_S:.0f} s)"
+        f"keys that were unavailable: {len(times_s)} of {_KEY_COUNT}; "
+        f"longest {longest_s:.2f} s, median {median_s:.2f} s (bound {_UNAVAILABLE_BOUND_S:.0f} s)"
     )
-    if traffic.mixed_up:
-        raise DemoFailedError(f"{traffic.mixed_up} answers belong to other requests")
-    if longest > _BOUND_S:
-        raise DemoFailedError(f"a key was unavailable for {longest:.2f} s; bound {_BOUND_S:.0f} s")
+    if traffic.mismatched_responses:
+        raise DemoFailedError(f"{traffic.mismatched_responses} responses belong to other requests")
+    if longest_s > _UNAVAILABLE_BOUND_S:
+        raise DemoFailedError(
+            f"a key was unavailable for {longest_s:.2f} s; bound {_UNAVAILABLE_BOUND_S:.0f} s"
+        )
 
 
 def _spec() -> DeploymentSpec:
@@ -216,12 +220,12 @@
 
 
 async def _run() -> None:
-    started = time.monotonic()
+    started_s = time.monotonic()
     async with asyncio.timeout(_TOTAL_TIMEOUT_S), Deployment(_spec()) as deployment:
         print("starting the platform stand-in, 4 upstreams in 2 failure domains and 4 agents")
-        traffic = await _show(deployment)
+        traffic = await _run_scenario(deployment)
     _report(traffic)
-    print(f"done in {time.monotonic() - started:.0f} s; all processes have ended")
+    print(f"done in {time.monotonic() - started_s:.0f} s; all processes have ended")
 
 
 def main() -> int:
