Reword the scenarios, replay and specs of the test harness

Names such as found, one, finals and stated did not say what they are. They become stored, final_attempts and outcomes; the docs give units, defaults and the longest wait. Fields of trace files are unchanged.

--- a/fescueward/testing/demo.py
+++ b/fescueward/testing/demo.py
@@ -70,8 +70,8 @@
         self.mismatched_responses = 0
         self.unavailable_s: dict[str, float] = {}
         self._deployment = deployment
-        self._last_served: dict[str, float] = {}
-        self._failed: set[str] = set()
+        self._last_served_s: dict[str, float] = {}
+        self._failed_keys: set[str] = set()
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
@@ -83,10 +83,10 @@
         self._stopped.set()
 
     def keys_served_since(self, since_s: float) -> int:
-        """Returns the number of keys whose last request succeeded, after a monotonic time."""
+        """Returns how many keys were served after a monotonic time and have not failed since."""
         return sum(
-            served_s > since_s and key not in self._failed
-            for key, served_s in self._last_served.items()
+            served_s > since_s and key not in self._failed_keys
+            for key, served_s in self._last_served_s.items()
         )
 
     async def _call(self, caller: int) -> None:
@@ -106,7 +106,7 @@
             via = members[(first_index + offset) % len(members)]
             response = await self._deployment.send(request, via)
             if response.label != UNREACHABLE:
-                break  # Like a client library, the caller tries the next agent only then.
+                break  # Like a client library, the caller only replaces an unreachable agent.
         self._count(key, response)
 
     def _count(self, key: str, response: CallerResponse) -> None:
@@ -116,14 +116,14 @@
             self.mismatched_responses += 1
         if not response.succeeded:
             phase.refused[response.label or str(response.status)] += 1
-            self._failed.add(key)
+            self._failed_keys.add(key)
             return
         phase.served[response.served_by] += 1
-        if key in self._failed and key in self._last_served:
-            gap_s = now_s - self._last_served[key]
+        if key in self._failed_keys and key in self._last_served_s:
+            gap_s = now_s - self._last_served_s[key]
             self.unavailable_s[key] = max(self.unavailable_s.get(key, 0.0), gap_s)
-        self._failed.discard(key)
-        self._last_served[key] = now_s
+        self._failed_keys.discard(key)
+        self._last_served_s[key] = now_s
 
 
 async def _all_members_own_shards(deployment: Deployment) -> bool:
--- a/fescueward/testing/replay.py
+++ b/fescueward/testing/replay.py
@@ -1,4 +1,4 @@
-"""Recorded traces: requests, faults and stated outcomes, replayed against real processes.
+"""Recorded traces: requests, faults and expected outcomes, replayed against real processes.
 
 A trace is a file of JSON lines: a `TraceHeader`, then `TraceRequest` and `TraceFault` lines in
 the order of their times.
@@ -29,21 +29,22 @@
 from .waiting import wait_until
 
 DEPLOYMENTS = {"kagaz": kagaz_deployment, "merrimack": merrimack_deployment}
-FAULTS = ("kill", "pause", "resume", "start", "terminate", "platform_down", "platform_up")
-EXIT_DIFFERENT = 1
+FAULT_NAMES = ("kill", "pause", "resume", "start", "terminate", "platform_down", "platform_up")
+EXIT_OUTCOME_DIFFERS = 1
 
 Milliseconds = Annotated[int, Meta(ge=0, le=3_600_000)]
 
 
 @dataclass(frozen=True, slots=True)
 class TraceHeader:
-    """Deployment of a trace and its stated outcomes.
+    """Deployment of a trace and its expected outcomes.
 
     Attributes:
         deployment: `kagaz` or `merrimack`.
-        most_failed: Requests that may fail, each with a refusal or a lost connection.
-        most_unavailable_ms: Longest permitted unavailable time of any key.
-        most_violations: Permitted violations of the invariants; 0.
+        most_failed: Largest number of requests that may fail, each with a refusal or a lost
+            connection.
+        most_unavailable_ms: Longest permitted unavailable time of any key, in milliseconds.
+        most_violations: Largest number of permitted violations of the invariants, normally 0.
     """
 
     deployment: str
@@ -57,11 +58,11 @@
     """One request of a caller.
 
     Attributes:
-        at_ms: When it was sent, from the start of the trace.
-        service: Service.
-        key: Key.
+        at_ms: Time at which it was sent, in milliseconds after the start of the trace.
+        service: Service of the request.
+        key: Key of the request.
         method: HTTP method.
-        via: Member whose agent it was sent to.
+        via: Name of the member whose agent received the request.
     """
 
     at_ms: Milliseconds
@@ -76,9 +77,9 @@
     """One fault.
 
     Attributes:
-        at_ms: When it happens, from the start of the trace.
-        fault: One of `FAULTS`.
-        member: Member that it happens to, or empty.
+        at_ms: Time of the fault, in milliseconds after the start of the trace.
+        fault: One of `FAULT_NAMES`.
+        member: Name of the affected member, empty for a fault of the platform.
     """
 
     at_ms: Milliseconds
@@ -88,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Trace:
-    """A whole trace."""
+    """All lines of a trace: the header, and requests and faults in the order of their times."""
 
     header: TraceHeader
     requests: tuple[TraceRequest, ...]
@@ -100,11 +101,11 @@
     """Outcomes of a replay.
 
     Attributes:
-        requests: Requests that were sent.
-        failed: Requests that failed in the end.
-        unavailable_ms: Longest unavailable time of any key.
-        violations: Violations of the invariants.
-        different: What differs from the stated outcomes; empty if nothing does.
+        requests: Number of requests that were sent.
+        failed: Number of requests whose last attempt failed.
+        unavailable_ms: Longest unavailable time of any key, in milliseconds.
+        violations: Number of violations of the invariants.
+        different: Outcomes that are worse than expected, as text; empty if there are none.
     """
 
     requests: int
@@ -115,15 +116,16 @@
 
 
 def read_trace(path: Path) -> Trace:
-    """Reads a trace.
+    """Reads a trace from a file.
 
     Raises:
         JournalError: A line is malformed.
         OSError: The file cannot be read.
+        UnknownNameError: A line names an unknown fault.
     """
     try:
-        first, *lines = path.read_bytes().splitlines()
-        header = decode_json(first, TraceHeader)
+        header_line, *lines = path.read_bytes().splitlines()
+        header = decode_json(header_line, TraceHeader)
         requests, faults = [], []
         for line in lines:
             if b'"fault"' in line:
@@ -131,15 +133,15 @@
             else:
                 requests.append(decode_json(line, TraceRequest))
     except (ValueError, msgspec.MsgspecError) as error:
-        raise JournalError(f"bad trace {path}: {error}") from error
+        raise JournalError(f"malformed trace {path}: {error}") from error
     for fault in faults:
-        if fault.fault not in FAULTS:
-            raise UnknownNameError("fault", fault.fault, FAULTS)
+        if fault.fault not in FAULT_NAMES:
+            raise UnknownNameError("fault", fault.fault, FAULT_NAMES)
     return Trace(header, tuple(requests), tuple(faults))
 
 
 def write_trace(path: Path, trace: Trace) -> None:
-    """Writes a trace.
+    """Writes a trace to a file.
 
     Raises:
         OSError: The file cannot be written.
@@ -149,10 +151,10 @@
 
 
 def deployment_spec(name: str) -> DeploymentSpec:
-    """Returns the deployment of a trace.
+    """Returns the specification of a deployment that traces can name.
 
     Raises:
-        UnknownNameError: There is none of this name.
+        UnknownNameError: No deployment has this name.
     """
     if name not in DEPLOYMENTS:
         raise UnknownNameError("deployment", name, tuple(DEPLOYMENTS))
@@ -163,7 +165,7 @@
     """Replays a trace against real processes.
 
     Args:
-        trace: The trace.
+        trace: Trace to replay.
     """
 
     def __init__(self, trace: Trace) -> None:
@@ -171,7 +173,7 @@
         self._clock = BootClock()
 
     async def run(self) -> ReplayResult:
-        """Starts the deployment, replays and compares."""
+        """Starts the deployment, replays the trace and compares the outcomes."""
         spec = deployment_spec(self._trace.header.deployment)
         async with Deployment(spec) as deployment:
             await deployment.wait_ready()
@@ -180,26 +182,26 @@
             start_s = self._clock.now()
             records: list[Record] = []
             async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(self._inject(deployment, start_s))
+                tasks.create_task(self._inject_faults(deployment, start_s))
                 for request in self._trace.requests:
                     tasks.create_task(self._send(deployment, request, start_s, records))
             verdict = judge(deployment.journal_events(), records)
         return self._compare(records, len(verdict.violations))
 
-    async def _inject(self, deployment: Deployment, start_s: float) -> None:
+    async def _inject_faults(self, deployment: Deployment, start_s: float) -> None:
         for fault in self._trace.faults:
-            await self._wait_for(start_s + fault.at_ms / 1000)
+            await self._sleep_until(start_s + fault.at_ms / 1000)
             await apply_fault(deployment, fault)
 
     async def _send(
         self, deployment: Deployment, request: TraceRequest, start_s: float, records: list[Record]
     ) -> None:
-        await self._wait_for(start_s + request.at_ms / 1000)
+        await self._sleep_until(start_s + request.at_ms / 1000)
         urls = list(deployment.urls)
-        first = urls.index(deployment.member(request.via).url)
+        first_index = urls.index(deployment.member(request.via).url)
         generator = LoadGenerator(
             LoadPlan(
-                targets=tuple(urls[first:] + urls[:first]),
+                targets=tuple(urls[first_index:] + urls[:first_index]),
                 service=request.service,
                 keys=SingleKey(request.key),
                 pace=ClosedLoop(1),
@@ -211,41 +213,48 @@
         )
         records.extend(await generator.run())
 
-    async def _wait_for(self, due_s: float) -> None:
+    async def _sleep_until(self, due_s: float) -> None:
         await self._clock.sleep(max(0.0, due_s - self._clock.now()))
 
     def _compare(self, records: list[Record], violations: int) -> ReplayResult:
         header = self._trace.header
-        finals = [record for record in records if record.final]
-        failed = sum(not record.succeeded for record in finals)
+        final_attempts = [record for record in records if record.final]
+        failed = sum(not record.succeeded for record in final_attempts)
         longest_ms = max(unavailable_ms(tuple(records)).values(), default=0.0)
-        stated = (
-            ("requests", len(finals) < len(self._trace.requests), len(finals)),
+        outcomes = (
+            ("requests", len(final_attempts) < len(self._trace.requests), len(final_attempts)),
             ("failed", failed > header.most_failed, failed),
             ("unavailable_ms", longest_ms > header.most_unavailable_ms, longest_ms),
             ("violations", violations > header.most_violations, violations),
         )
-        different = tuple(f"{name} is {found}" for name, worse, found in stated if worse)
-        return ReplayResult(len(finals), failed, round(longest_ms, 1), violations, different)
+        different = tuple(f"{name} is {value}" for name, exceeds, value in outcomes if exceeds)
+        return ReplayResult(
+            len(final_attempts), failed, round(longest_ms, 1), violations, different
+        )
 
 
 @dataclass(frozen=True, slots=True)
 class SingleKey:
-    """A key distribution of a single key.
+    """A key distribution with a single key.
 
     Attributes:
-        name: The key.
+        name: The key of all requests.
     """
 
     name: str
 
     def key(self, rng: random.Random, elapsed_s: float) -> str:
-        """Returns the key."""
+        """Returns the single key."""
         return self.name
 
 
 async def apply_fault(deployment: Deployment, fault: TraceFault) -> None:
-    """Makes a fault happen."""
+    """Injects a fault into a deployment.
+
+    Raises:
+        UnknownMemberError: The deployment has no member with the name in the fault.
+        ConditionTimeoutError: A terminated agent did not exit within 40 s.
+    """
     if fault.fault in ("platform_down", "platform_up"):
         down = fault.fault == "platform_down"
         await deployment.platform.set_faults(Faults(mode=Mode.DOWN if down else Mode.NORMAL))
@@ -265,15 +274,15 @@
 
 
 async def record(name: str, faults: tuple[TraceFault, ...], duration_s: float) -> Trace:
-    """Records the requests of all services of a deployment while faults happen.
+    """Records the requests of all services of a deployment while faults are injected.
 
-    The stated outcomes are the users' bounds, not what the recording run saw: requests may fail
-    only if they were under way at a lost member, and a key is served again within 4 s.
+    The expected outcomes are the users' bounds and not the results of the recording run: requests
+    may fail only if they were in flight at a lost member, and a key is served again within 4 s.
 
     Args:
         name: Name of the deployment.
         faults: Faults to inject.
-        duration_s: Length of the trace in seconds.
+        duration_s: Duration of the trace in seconds.
     """
     spec = deployment_spec(name)
     clock = BootClock()
@@ -298,25 +307,25 @@
             for index, service in enumerate(spec.services)
         }
         replay = Replay(Trace(TraceHeader(name, 0, 0), (), faults))
-        injected = asyncio.create_task(replay._inject(deployment, start_s))
+        injection = asyncio.create_task(replay._inject_faults(deployment, start_s))
         found = await asyncio.gather(*(generator.run() for generator in generators.values()))
-        await injected
-        urls = {member.url: member.name for member in deployment.members}
+        await injection
+        names_by_url = {member.url: member.name for member in deployment.members}
     requests = [
         TraceRequest(
-            max(0, round((entry.begun_s - start_s) * 1000)),
+            max(0, round((attempt.begun_s - start_s) * 1000)),
             service,
-            entry.key,
-            "POST" if entry.token else "GET",
-            urls[entry.target],
+            attempt.key,
+            "POST" if attempt.token else "GET",
+            names_by_url[attempt.target],
         )
         for service, records in zip(generators, found, strict=True)
-        for entry in records
-        if entry.final
+        for attempt in records
+        if attempt.final
     ]
-    in_flight_at_losses = 2 * len(generators) * sum(one.fault == "kill" for one in faults)
+    in_flight_at_losses = 2 * len(generators) * sum(line.fault == "kill" for line in faults)
     header = TraceHeader(name, in_flight_at_losses, 4000)
-    return Trace(header, tuple(sorted(requests, key=lambda one: one.at_ms)), faults)
+    return Trace(header, tuple(sorted(requests, key=lambda line: line.at_ms)), faults)
 
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
@@ -324,11 +333,11 @@
 
 @app.command("run")
 def run_command(trace: Annotated[Path, typer.Argument(help="The trace file.")]) -> None:
-    """Replays a trace and compares the outcomes; exits with 1 if one differs."""
+    """Replays a trace and compares the outcomes; exits with 1 if one is worse than expected."""
     result = asyncio.run(Replay(read_trace(trace)).run())
     typer.echo(encode_json(result).decode())
     if result.different:
-        raise typer.Exit(EXIT_DIFFERENT)
+        raise typer.Exit(EXIT_OUTCOME_DIFFERS)
 
 
 @app.command("record")
@@ -336,7 +345,7 @@
     deployment: Annotated[str, typer.Argument(help="kagaz or merrimack.")],
     path: Annotated[Path, typer.Argument(help="The trace file to write.")],
     fault: Annotated[list[str], typer.Option(help="AT_MS:FAULT[:MEMBER]")],
-    seconds: Annotated[float, typer.Option(help="Length of the trace.")] = 10.0,
+    seconds: Annotated[float, typer.Option(help="Duration of the trace in seconds.")] = 10.0,
 ) -> None:
     """Records a trace from a run with faults."""
     faults = []
--- a/fescueward/testing/scenarios.py
+++ b/fescueward/testing/scenarios.py
@@ -1,4 +1,4 @@
-"""Load during a failure: the pattern of the integration tests and benchmarks."""
+"""Scenarios of the integration tests and benchmarks: a load during a failure."""
 
 from __future__ import annotations
 
@@ -23,19 +23,19 @@
 from .verdicts import Verdict, judge
 from .waiting import wait_until
 
-Action = Callable[[], Awaitable[None]]
+ScenarioAction = Callable[[], Awaitable[None]]
 
 SETTLE_TIMEOUT_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
 class ScenarioResult:
-    """What callers and upstreams saw of a scenario.
+    """Result of an action under load.
 
     Attributes:
-        records: All attempts of callers.
-        summary: Figures of the callers.
-        verdict: Judgement from journals and records.
+        records: Records of all attempts of the callers.
+        summary: Summary of the load.
+        verdict: Result of the checks on the journals of all upstreams and the records.
     """
 
     records: tuple[Record, ...]
@@ -46,24 +46,24 @@
 def unavailable_ms(records: tuple[Record, ...]) -> dict[str, float]:
     """Returns the longest unavailable time of each key in milliseconds.
 
-    A request that waits inside its deadline until its key is served again counts like a failed
-    one, so the longest time to an answer counts as well as gaps between successes.
+    A request that waits within its deadline until its key is served again counts like a failed
+    one, so the result covers the longest latency as well as the gaps between successes.
 
     Args:
-        records: All attempts of callers.
+        records: Records of all attempts of the callers.
     """
-    finals = [record for record in records if record.final]
-    times = {key: gap_s * 1000 for key, gap_s in unavailable_times(finals).items()}
-    for record in finals:
+    final_attempts = [record for record in records if record.final]
+    times_ms = {key: gap_s * 1000 for key, gap_s in unavailable_times(final_attempts).items()}
+    for record in final_attempts:
         if record.succeeded:
-            waited_ms = (record.end_s - record.begun_s) * 1000
-            times[record.key] = max(times[record.key], waited_ms)
-    return times
+            latency_ms = (record.end_s - record.begun_s) * 1000
+            times_ms[record.key] = max(times_ms[record.key], latency_ms)
+    return times_ms
 
 
 async def run_under_load(
     deployment: Deployment,
-    action: Action,
+    action: ScenarioAction,
     *,
     service: str = "depot",
     keys: KeyDistribution | None = None,
@@ -79,23 +79,24 @@
     query: tuple[tuple[str, str], ...] = (),
     body: bytes = b"",
 ) -> ScenarioResult:
-    """Runs an action while callers send requests, and judges the outcome.
+    """Runs an action while callers send requests, and checks the invariants afterwards.
 
     Args:
         deployment: A started deployment.
-        action: What happens under load.
+        action: Coroutine function that is called under load, for example to cause a failure.
         service: Service of the requests.
-        keys: Distribution of the keys; 60 keys alike by default.
-        pace: When requests are sent; eight callers without a pause by default.
-        targets: URLs of agents; all by default.
+        keys: Distribution of the keys; by default uniform over 60 keys.
+        pace: When requests are sent; by default a closed loop of eight callers with pauses of
+            2 ms.
+        targets: Base URLs of agents; by default those of all agents.
         lead_s: Seconds of load before the action.
         tail_s: Seconds of load after the action.
-        max_duration_s: Longest time of the load in seconds.
-        deadline_ms: Deadline of each request, or None for the one of the entry.
-        timeout_s: Seconds after which a caller gives up.
-        resends: Times that a failed request is sent again.
+        max_duration_s: Longest duration of the load in seconds.
+        deadline_ms: Deadline of each request, None for the deadline of the entry.
+        timeout_s: Seconds after which an attempt without a response fails.
+        resends: How often a failed request is sent again.
         method: HTTP method.
-        query: Query of each request; see `fescueward.testing.upstream`.
+        query: Query parameters of each request; see `fescueward.testing.upstream`.
         body: Body of each request.
     """
     generator = LoadGenerator(
@@ -125,43 +126,55 @@
 
 
 async def wait_until_settled(deployment: Deployment, service: str, members: int) -> None:
-    """Waits until each active member owns shards and no handover is on its way.
+    """Waits until each active member owns shards and no handover is in progress.
+
+    Args:
+        deployment: A started deployment.
+        service: Service whose first group is checked.
+        members: Number of members that the group must have.
 
     Raises:
-        ConditionTimeoutError: It took longer than a minute.
+        ConditionTimeoutError: The group did not settle within 60 s.
     """
 
-    async def spread() -> bool:
-        found = await deployment.group(service)
-        if found is None or len(found.group.members) != members:
+    async def shards_spread() -> bool:
+        stored = await deployment.group(service)
+        if stored is None or len(stored.group.members) != members:
             return False
-        if any(shard.successor is not None for shard in found.group.shards):
+        if any(shard.successor is not None for shard in stored.group.shards):
             return False
-        owners = {shard.owner for shard in found.group.shards if shard.owner is not None}
-        active = {
+        owners = {shard.owner for shard in stored.group.shards if shard.owner is not None}
+        active_members = {
             member.id
-            for member in found.group.members.values()
+            for member in stored.group.members.values()
             if member.state is MemberState.ACTIVE
         }
-        return owners == active
+        return owners == active_members
 
-    await wait_until(spread, SETTLE_TIMEOUT_S, f"the shards of {service} are spread")
+    await wait_until(shards_spread, SETTLE_TIMEOUT_S, f"the shards of {service} are spread")
 
 
-async def wait_until_unchanged(deployment: Deployment, service: str, quiet_s: float = 3.0) -> None:
-    """Waits until the group object of a service has not changed for a time.
+async def wait_until_unchanged(
+    deployment: Deployment, service: str, unchanged_s: float = 3.0
+) -> None:
+    """Waits until the group object of a service has not changed for some time.
+
+    Args:
+        deployment: A started deployment.
+        service: Service whose first group is checked.
+        unchanged_s: Time in seconds without a change.
 
     Raises:
-        ConditionTimeoutError: It took longer than a minute.
+        ConditionTimeoutError: The group still changed after 60 s.
     """
     loop = asyncio.get_running_loop()
-    version, since = 0, loop.time()
+    version, since_s = 0, loop.time()
 
     async def unchanged() -> bool:
-        nonlocal version, since
-        found = await deployment.group(service)
-        if found is None or found.version != version:
-            version, since = found.version if found is not None else 0, loop.time()
-        return loop.time() - since >= quiet_s
+        nonlocal version, since_s
+        stored = await deployment.group(service)
+        if stored is None or stored.version != version:
+            version, since_s = stored.version if stored is not None else 0, loop.time()
+        return loop.time() - since_s >= unchanged_s
 
-    await wait_until(unchanged, SETTLE_TIMEOUT_S, f"group {service} is quiet")
+    await wait_until(unchanged, SETTLE_TIMEOUT_S, f"group {service} is unchanged")
--- a/fescueward/testing/specs.py
+++ b/fescueward/testing/specs.py
@@ -1,4 +1,4 @@
-"""Descriptions of deployments, among them those of section 1.4 of docs/design.md."""
+"""Specifications of deployments, including those of section 1.4 of docs/design.md."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
     Attributes:
         name: Name of the agent and of the upstream.
         failure_domain: Failure domain of the VM.
-        slots: Requests that the upstream runs at a time.
-        connections: Connections that the upstream accepts.
+        slots: Number of requests that the upstream runs concurrently.
+        connections: Number of connections that the upstream accepts.
         checks_grants: Whether the upstream checks grants.
-        work_ms: Time that a request takes.
-        cold_start_ms: Time after its start in which the upstream is slower.
-        linger_ms: Time that a leaving upstream serves on.
-        report: How truthful the upstream's health page is.
-        group: Number of the group that it joins.
+        work_ms: Run time of a request in milliseconds.
+        cold_start_ms: Time after its start in which the upstream is slower, in milliseconds.
+        linger_ms: Time for which a leaving upstream continues to serve, in milliseconds.
+        report: How accurate the upstream's health page is.
+        group: Number of the group that the member joins.
     """
 
     name: str
@@ -41,11 +41,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """One service.
+    """One service of a deployment.
 
     Attributes:
-        entry: Its catalogue entry.
-        members: Its VMs.
+        entry: Catalogue entry of the service.
+        members: VMs of the service.
     """
 
     entry: Entry
@@ -54,13 +54,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeploymentSpec:
-    """A whole deployment.
+    """All services of a deployment and the settings of its agents.
 
     Attributes:
-        services: Its services.
+        services: Services of the deployment.
         lease: Lease settings of all agents.
-        proxy_peers: Whether a fault proxy stands before the peer port of each agent.
-        proxy_platform: Whether a fault proxy stands between each agent and the platform.
+        proxy_peers: Whether each agent has a fault proxy in front of its peer port.
+        proxy_platform: Whether each agent has a fault proxy between itself and the platform.
         domain_latency_ms: One-way latency between failure domains; needs `proxy_peers`.
         settings: Further settings of all agents: section, option and value.
         log_level: Lowest level that agents log.
@@ -78,21 +78,21 @@
 
     def __post_init__(self) -> None:
         names = [member.name for service in self.services for member in service.members]
-        repeated = sorted({name for name in names if names.count(name) > 1})
-        if repeated:
-            raise DuplicateNameError(f"member names are used twice: {', '.join(repeated)}")
+        duplicates = sorted({name for name in names if names.count(name) > 1})
+        if duplicates:
+            raise DuplicateNameError(f"duplicate member names: {', '.join(duplicates)}")
 
 
 def service_spec(
     entry: Entry, count: int, failure_domains: tuple[str, ...], template: MemberSpec
 ) -> ServiceSpec:
-    """Returns a service whose members are spread over failure domains in turn.
+    """Returns a service whose members are assigned to failure domains round-robin.
 
     Args:
-        entry: Its catalogue entry.
-        count: Number of members; they are named `SERVICE-1` and so on.
-        failure_domains: The failure domains.
-        template: All else about each member.
+        entry: Catalogue entry of the service.
+        count: Number of members, which are named `SERVICE-1`, `SERVICE-2` and so on.
+        failure_domains: Names of the failure domains.
+        template: Member with the other attributes of all members.
     """
     members = []
     for number in range(count):
@@ -105,7 +105,7 @@
 def small_deployment(
     request_class: RequestClass = RequestClass.REPEATABLE, shard_count: int = 64
 ) -> DeploymentSpec:
-    """Returns one service of four upstreams in two failure domains."""
+    """Returns a deployment of one service with four members in two failure domains."""
     entry = Entry("depot", "tests", request_class, shard_count=shard_count)
     template = MemberSpec(name="", failure_domain="")
     return DeploymentSpec(services=(service_spec(entry, 4, ("lowell", "nashua"), template),))
@@ -114,8 +114,8 @@
 def kagaz_deployment() -> DeploymentSpec:
     """Returns the deployment of Kagaz Chhaap Labs.
 
-    Orders carry payments and press jobs, so they are of class `once`. Artwork takes uploads of
-    up to 256 MB.
+    Orders contain payments and press jobs, so they are of class `once`. Artwork accepts uploads
+    of up to 256 MB.
     """
     domains = ("ahmedabad", "gandhinagar", "vadodara")
     template = MemberSpec(name="", failure_domain="", slots=12, connections=130)
@@ -137,7 +137,7 @@
     """Returns the deployment of Merrimack Siphon Works.
 
     Refill orders are charged, so they are of class `once`. Every move of a key risks a stale
-    answer, so all entries are weighted `churn`.
+    response, so all entries have the weight `churn`.
     """
     domains = ("lowell", "nashua", "worcester", "portland")
     template = MemberSpec(name="", failure_domain="", slots=6, connections=110)
