--- a/tests/integration/__init__.py
+++ b/tests/integration/__init__.py
@@ -1,1 +1,1 @@
-"""Tests with real processes."""
+"""Integration tests, which run agents, upstreams and the platform as real processes."""
--- a/tests/integration/base.py
+++ b/tests/integration/base.py
@@ -1,4 +1,4 @@
-"""A started deployment for each test."""
+"""Base class and helpers of tests that start a deployment."""
 
 from __future__ import annotations
 
@@ -21,17 +21,17 @@
     limits: Limits | None = None,
     **options: object,
 ) -> DeploymentSpec:
-    """Returns one service `depot` with 32 shards, which spread quickly."""
+    """Returns a deployment of the service `depot` with 32 shards and fast placement."""
     entry = Entry("depot", "tests", request_class, shard_count=32, limits=limits or Limits())
     template = MemberSpec(name="", failure_domain="", **options.pop("member", {}))
-    names = tuple(f"domain-{number}" for number in range(domains))
-    service = service_spec(entry, members, names, template)
+    domain_names = tuple(f"domain-{number}" for number in range(domains))
+    service = service_spec(entry, members, domain_names, template)
     settings = (*FAST_PLACEMENT, *options.pop("settings", ()))
     return DeploymentSpec(services=(service,), settings=settings, **options)
 
 
 class DeploymentTestCase(unittest.IsolatedAsyncioTestCase):
-    """Starts a deployment and waits until its shards are spread."""
+    """Starts deployments, waits until their shards are spread and checks results."""
 
     async def deploy(self, spec: DeploymentSpec) -> Deployment:
         deployment = Deployment(spec)
@@ -41,44 +41,44 @@
             await wait_until_settled(deployment, service.entry.service, len(service.members))
         return deployment
 
-    def assert_holds(self, seen: ScenarioResult) -> None:
-        self.assertTrue(seen.verdict.holds, str(seen.verdict))
-        self.assertGreater(seen.verdict.runs, 0)
+    def assert_holds(self, result: ScenarioResult) -> None:
+        self.assertTrue(result.verdict.holds, str(result.verdict))
+        self.assertGreater(result.verdict.runs, 0)
 
 
 def with_lease(spec: DeploymentSpec, **values: int) -> DeploymentSpec:
-    """Returns the deployment with other lease settings."""
+    """Returns the specification with some lease settings replaced."""
     return replace(spec, lease=replace(spec.lease, **values))
 
 
-async def wait(seconds: float) -> None:
-    """Lets load run for a time."""
-    await asyncio.sleep(seconds)
+async def wait(duration_s: float) -> None:
+    """Waits for a time in seconds while a load runs."""
+    await asyncio.sleep(duration_s)
 
 
 async def member_ids(deployment: Deployment) -> set[str]:
-    """Returns the member ids of the service `depot`."""
-    found = await deployment.group("depot")
-    return set(found.group.members) if found is not None else set()
+    """Returns the member ids of the service `depot`; empty without a group object."""
+    stored = await deployment.group("depot")
+    return set(stored.group.members) if stored is not None else set()
 
 
-async def names(deployment: Deployment) -> set[str]:
+async def member_names(deployment: Deployment) -> set[str]:
     """Returns the names of the members of the service `depot`."""
     return {member_id.rpartition(":")[0] for member_id in await member_ids(deployment)}
 
 
-async def removed(deployment: Deployment, name: str) -> bool:
-    """Tells whether no member has the name."""
-    return name not in await names(deployment)
+async def is_removed(deployment: Deployment, name: str) -> bool:
+    """Returns whether no member of the service `depot` has a name."""
+    return name not in await member_names(deployment)
 
 
-async def joined(deployment: Deployment, name: str) -> bool:
-    """Tells whether a member has the name."""
-    return name in await names(deployment)
+async def is_member(deployment: Deployment, name: str) -> bool:
+    """Returns whether a member of the service `depot` has a name."""
+    return name in await member_names(deployment)
 
 
-async def stamp(deployment: Deployment, name: str) -> int:
+async def renewal_count(deployment: Deployment, name: str) -> int:
     """Returns the number of renewals that a member has written, -1 without the member."""
-    found = await deployment.group("depot")
-    stamps = [member.stamp for member in found.group.members.values() if member.name == name]
+    stored = await deployment.group("depot")
+    stamps = [member.stamp for member in stored.group.members.values() if member.name == name]
     return stamps[0] if stamps else -1
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -1,4 +1,4 @@
-"""Invariants 6 and 7: leaving servers get no new work and cut off no request."""
+"""Tests of invariants 6 and 7: leaving servers get no new work and complete all requests."""
 
 from __future__ import annotations
 
@@ -12,40 +12,40 @@
 from fescueward.testing.upstream import Switches
 from fescueward.testing.waiting import wait_until
 
-from .base import DeploymentTestCase, deployment_spec, joined, removed, wait
+from .base import DeploymentTestCase, deployment_spec, is_member, is_removed, wait
 
 NEW_WORK_BOUND_S = 3.0
 
 
 class LeavingTest(DeploymentTestCase):
     async def test_no_new_work_after_announcement(self):
-        """Guards against new work for a server that announced its leave."""
+        """Guards against new work for a server that has announced that it leaves."""
         deployment = await self.deploy(deployment_spec())
         await self._leave(deployment)
 
     async def test_no_new_work_while_the_platform_is_down(self):
-        """Guards against a leave that needs the platform to stop new work."""
+        """Guards against leaving servers that get new work while the platform is down."""
         deployment = await self.deploy(deployment_spec(member={"linger_ms": 6000}))
         await deployment.platform.set_faults(Faults(mode=Mode.DOWN))
         await self._leave(deployment)
 
     async def _leave(self, deployment):
-        victim = deployment.members[1]
-        left_at: list[float] = []
+        leaving = deployment.members[1]
+        announced_s: list[float] = []
 
         async def leave() -> None:
-            await deployment.set_switches(victim, Switches(leaving=True))
-            left_at.append(BootClock().now())
+            await deployment.set_switches(leaving, Switches(leaving=True))
+            announced_s.append(BootClock().now())
             await wait(NEW_WORK_BOUND_S + 1.0)
 
-        seen = await run_under_load(deployment, leave, tail_s=0.5, deadline_ms=1000)
-        self.assert_holds(seen)
-        limit_ns = (left_at[0] + NEW_WORK_BOUND_S) * 1e9
+        result = await run_under_load(deployment, leave, tail_s=0.5, deadline_ms=1000)
+        self.assert_holds(result)
+        limit_ns = (announced_s[0] + NEW_WORK_BOUND_S) * 1e9
         late = [
             event
             for event in deployment.journal_events()
             if event.kind is EventKind.START
-            and event.upstream == victim.name
+            and event.upstream == leaving.name
             and event.time_ns > limit_ns
         ]
         self.assertEqual(late, [])
@@ -53,7 +53,7 @@
 
 class RollingRestartTest(DeploymentTestCase):
     async def test_rolling_restart_fails_no_request(self):
-        """Guards against requests and uploads that a graceful shutdown cuts off."""
+        """Guards against requests and uploads that a graceful shutdown aborts."""
         deployment = await self.deploy(deployment_spec())
 
         async def restart_all() -> None:
@@ -70,15 +70,15 @@
             query=(("sleep_ms", "100"),),
             body=b"u" * 2_000_000,
         )
-        for seen in await asyncio.gather(small, upload):
-            self.assert_holds(seen)
-            self.assertEqual(seen.summary.refusals, {})
-            self.assertEqual(seen.summary.wrong_answers, 0)
+        for result in await asyncio.gather(small, upload):
+            self.assert_holds(result)
+            self.assertEqual(result.summary.refusals, {})
+            self.assertEqual(result.summary.wrong_answers, 0)
 
     async def _restart(self, deployment, member):
         member.agent.terminate()
         await member.agent.wait(30.0)
-        await wait_until(lambda: removed(deployment, member.name), 5, "the member has left")
+        await wait_until(lambda: is_removed(deployment, member.name), 5, "the member has left")
         await deployment.start_member(member)
-        await wait_until(lambda: joined(deployment, member.name), 20, "the member is back")
+        await wait_until(lambda: is_member(deployment, member.name), 20, "the member is back")
         await wait_until_settled(deployment, "depot", len(deployment.members))
--- a/tests/integration/test_one_owner.py
+++ b/tests/integration/test_one_owner.py
@@ -1,4 +1,4 @@
-"""Invariant 1: a key has at most one owner, and is served again within 4 s of a loss."""
+"""Tests of invariant 1: a key has at most one owner, and is served again within 4 s of a loss."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 from .base import (
     DeploymentTestCase,
     deployment_spec,
-    joined,
+    is_member,
+    is_removed,
     member_ids,
-    removed,
-    stamp,
+    renewal_count,
     wait,
 )
 
@@ -22,32 +22,36 @@
 
 class LossTest(DeploymentTestCase):
     async def test_killed_owner(self):
-        """Guards against keys that stay without an owner, or get two, after a kill."""
+        """Guards against keys that have no owner, or two owners, after a kill."""
         deployment = await self.deploy(deployment_spec())
         victim = deployment.members[0]
         others = tuple(member.url for member in deployment.members[1:])
 
         async def kill() -> None:
             await deployment.kill_member(victim)
-            await wait_until(lambda: removed(deployment, victim.name), 10, "the victim is removed")
+            await wait_until(
+                lambda: is_removed(deployment, victim.name), 10, "the victim is removed"
+            )
 
-        seen = await run_under_load(deployment, kill, targets=others, tail_s=2.0, resends=5)
-        self.assert_holds(seen)
-        self.assertLess(max(unavailable_ms(seen.records).values()), UNAVAILABLE_BOUND_MS)
+        result = await run_under_load(deployment, kill, targets=others, tail_s=2.0, resends=5)
+        self.assert_holds(result)
+        self.assertLess(max(unavailable_ms(result.records).values()), UNAVAILABLE_BOUND_MS)
 
     async def test_owner_paused_past_its_lease(self):
-        """Guards against an owner that runs requests from its sockets after its lease ended."""
+        """Guards against a resumed owner that runs buffered requests after its lease has ended."""
         deployment = await self.deploy(deployment_spec())
         victim = deployment.members[0]
 
         async def pause() -> None:
             await deployment.pause_member(victim)
-            await wait_until(lambda: removed(deployment, victim.name), 10, "the victim is removed")
+            await wait_until(
+                lambda: is_removed(deployment, victim.name), 10, "the victim is removed"
+            )
             deployment.resume_member(victim)
-            await wait_until(lambda: joined(deployment, victim.name), 10, "the victim is back")
+            await wait_until(lambda: is_member(deployment, victim.name), 10, "the victim is back")
 
-        seen = await run_under_load(deployment, pause, tail_s=1.0, resends=5)
-        self.assert_holds(seen)
+        result = await run_under_load(deployment, pause, tail_s=1.0, resends=5)
+        self.assert_holds(result)
 
     async def test_failure_domain_lost(self):
         """Guards against takeovers that need a monitor of the lost failure domain."""
@@ -61,26 +65,28 @@
             for member in lost:
                 name = member.name
                 await wait_until(
-                    lambda name=name: removed(deployment, name), 10, f"{name} removed"
+                    lambda name=name: is_removed(deployment, name), 10, f"{name} removed"
                 )
 
-        seen = await run_under_load(deployment, lose, targets=others, tail_s=2.0, resends=5)
-        self.assert_holds(seen)
-        self.assertLess(max(unavailable_ms(seen.records).values()), UNAVAILABLE_BOUND_MS)
+        result = await run_under_load(deployment, lose, targets=others, tail_s=2.0, resends=5)
+        self.assert_holds(result)
+        self.assertLess(max(unavailable_ms(result.records).values()), UNAVAILABLE_BOUND_MS)
 
     async def test_owner_isolated(self):
-        """Guards against an owner that serves on while nobody can reach it but its callers."""
+        """Guards against an owner that continues to serve while only its callers can reach it."""
         deployment = await self.deploy(deployment_spec(proxy_peers=True, proxy_platform=True))
         victim = deployment.members[0]
 
         async def isolate() -> None:
             await deployment.isolate(victim.name)
-            await wait_until(lambda: removed(deployment, victim.name), 10, "the victim is removed")
+            await wait_until(
+                lambda: is_removed(deployment, victim.name), 10, "the victim is removed"
+            )
             await deployment.heal()
-            await wait_until(lambda: joined(deployment, victim.name), 20, "the victim is back")
+            await wait_until(lambda: is_member(deployment, victim.name), 20, "the victim is back")
 
-        seen = await run_under_load(deployment, isolate, tail_s=1.0, resends=5)
-        self.assert_holds(seen)
+        result = await run_under_load(deployment, isolate, tail_s=1.0, resends=5)
+        self.assert_holds(result)
 
     async def test_cut_from_monitors_only(self):
         """Guards against a takeover of an owner that can still renew by its own writes."""
@@ -91,22 +97,22 @@
         async def cut() -> None:
             others = [member.name for member in deployment.members[1:]]
             await deployment.partition([victim.name], others)
-            start = await stamp(deployment, victim.name)
+            start = await renewal_count(deployment, victim.name)
 
             async def renewed() -> bool:
-                return await stamp(deployment, victim.name) >= start + 5
+                return await renewal_count(deployment, victim.name) >= start + 5
 
-            await wait_until(renewed, 10, "the victim renews by writes")
+            await wait_until(renewed, 10, "the victim renews its lease by writes")
             await deployment.heal()
 
-        seen = await run_under_load(deployment, cut, targets=(victim.url,), resends=5)
-        self.assert_holds(seen)
+        result = await run_under_load(deployment, cut, targets=(victim.url,), resends=5)
+        self.assert_holds(result)
         self.assertEqual(await member_ids(deployment), before)
 
 
 class OutageTest(DeploymentTestCase):
     async def test_platform_down_and_owner_lost(self):
-        """Guards against leases that end because the platform is down, or one loss spreading."""
+        """Guards against leases that end in a platform outage, and against a loss that spreads."""
         deployment = await self.deploy(deployment_spec())
         victim = deployment.members[0]
         victim_keys = set()
@@ -123,24 +129,26 @@
             await deployment.kill_member(victim)
 
         await outage()
-        whole = await run_under_load(
+        outage_only = await run_under_load(
             deployment, lambda: wait(4.0), targets=others, lead_s=0, tail_s=0
         )
-        self.assert_holds(whole)
-        self.assertEqual(whole.summary.refusals, {})
-        seen = await run_under_load(
+        self.assert_holds(outage_only)
+        self.assertEqual(outage_only.summary.refusals, {})
+        result = await run_under_load(
             deployment, lose, targets=others, lead_s=0, tail_s=4.0, deadline_ms=500
         )
-        self.assert_holds(seen)
-        failed = {record.key for record in seen.records if record.final and not record.succeeded}
-        self.assertLessEqual(failed, victim_keys)
+        self.assert_holds(result)
+        failed_keys = {
+            record.key for record in result.records if record.final and not record.succeeded
+        }
+        self.assertLessEqual(failed_keys, victim_keys)
         await deployment.platform.set_faults(Faults())
-        await wait_until(lambda: removed(deployment, victim.name), 10, "the victim is removed")
+        await wait_until(lambda: is_removed(deployment, victim.name), 10, "the victim is removed")
         after = await run_under_load(deployment, lambda: wait(1.0), targets=others, resends=5)
         self.assert_holds(after)
 
     async def test_lost_and_late_writes_during_takeover(self):
-        """Guards against a takeover write that takes effect unanswered or late."""
+        """Guards against two owners after a takeover write with a lost response or a delay."""
         deployment = await self.deploy(deployment_spec())
         victim = deployment.members[0]
         others = tuple(member.url for member in deployment.members[1:])
@@ -150,10 +158,12 @@
                 Faults(lose_responses=2, delay_writes=2, delay_writes_ms=700)
             )
             await deployment.kill_member(victim)
-            await wait_until(lambda: removed(deployment, victim.name), 10, "the victim is removed")
+            await wait_until(
+                lambda: is_removed(deployment, victim.name), 10, "the victim is removed"
+            )
 
-        seen = await run_under_load(deployment, kill, targets=others, tail_s=3.0, resends=8)
-        self.assert_holds(seen)
+        result = await run_under_load(deployment, kill, targets=others, tail_s=3.0, resends=8)
+        self.assert_holds(result)
 
 
 class UncheckedGrantsTest(DeploymentTestCase):
@@ -167,11 +177,13 @@
 
         async def pause() -> None:
             await victim.agent.pause()
-            await wait_until(lambda: removed(deployment, victim.name), 10, "the victim is removed")
+            await wait_until(
+                lambda: is_removed(deployment, victim.name), 10, "the victim is removed"
+            )
             victim.agent.resume()
-            await wait_until(lambda: joined(deployment, victim.name), 20, "the victim is back")
+            await wait_until(lambda: is_member(deployment, victim.name), 20, "the victim is back")
 
-        seen = await run_under_load(
+        result = await run_under_load(
             deployment, pause, tail_s=2.0, resends=8, query=(("sleep_ms", "200"),)
         )
-        self.assert_holds(seen)
+        self.assert_holds(result)
--- a/tests/integration/test_quarantine.py
+++ b/tests/integration/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Tests of requests that crash their upstream, with real processes."""
+"""Tests of the quarantine of requests that crash their upstream, with real processes."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 class QuarantineTest(unittest.IsolatedAsyncioTestCase):
     async def test_crashing_request_is_refused_after_two_crashes(self):
-        """Guards against one request that crashes all upstreams of a group, one after another."""
+        """Guards against one request that crashes all upstreams of a group one after another."""
         async with Deployment(small_deployment(shard_count=8)) as deployment:
             await deployment.wait_ready()
             labels = []
@@ -24,9 +24,9 @@
                 )
 
             async def quarantined():
-                answer = await send(deployment.members[0])
-                labels.append(answer.label)
-                return answer.label == "quarantined"
+                response = await send(deployment.members[0])
+                labels.append(response.label)
+                return response.label == "quarantined"
 
             await wait_until(quarantined, 20, "the request is quarantined")
             crashes = [
@@ -36,14 +36,14 @@
             ]
             self.assertEqual(len(crashes), 2, labels)
 
-            async def everywhere():
-                answers = [await send(member) for member in deployment.members]
-                return all(answer.label == "quarantined" for answer in answers)
+            async def quarantined_everywhere():
+                responses = [await send(member) for member in deployment.members]
+                return all(response.label == "quarantined" for response in responses)
 
-            await wait_until(everywhere, 5, "all agents refuse it")
+            await wait_until(quarantined_everywhere, 5, "all agents refuse the request")
 
-            async def others_run():
+            async def other_requests_run():
                 return (await send(deployment.members[1], "fine", ())).succeeded
 
-            await wait_until(others_run, 10, "other requests of the key run")
+            await wait_until(other_requests_run, 10, "other requests of the key run")
             self.assertTrue(all(member.agent.running for member in deployment.members))
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -1,4 +1,4 @@
-"""Real agents on the emulated platform."""
+"""Tests of agents as real processes on the emulated platform."""
 
 from __future__ import annotations
 
@@ -11,77 +11,81 @@
 from fescueward.testing.site.records import Signal
 from fescueward.testing.site.store import StoreFaults, StoreMode
 
-SHORT = (
+SHORT_LOADS = (
     Load(route="catalogue", repeatable=True, keys=64),
     Load(route="orders-once", repeatable=False),
     Load(route="proofing", repeatable=True),
 )
 SERVED_WITHIN_S = 10.0
-# Work of up to seconds, so that requests are open in every phase of a stop.
-LONG = tuple(
+# Run times of up to 2 s, so that requests are in flight in every phase of a shutdown.
+LONG_LOADS = tuple(
     Load(route=route, repeatable=False, pause_s=0.05, work_ms=(5, 2_000), timeout_s=3.0)
     for route in ("orders-once", "proofing-once")
 )
-ROLL_SEEDS = (2, 3, 4)
-WATCHES_FAIL_S = 5.0
-# Time between two agents' stop signals: less than a grace time, so that stops overlap.
-ROLL_S = 3.0
+ROLLING_RESTART_SEEDS = (2, 3, 4)
+WATCH_FAILURE_S = 5.0
+# Interval between the stop signals of agents: less than the grace period, so that shutdowns
+# overlap.
+STOP_INTERVAL_S = 3.0
 
 
 class SiteTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        # The test case switches debugging on, which makes upstreams and callers late.
+        # The test case enables debug mode, which delays upstreams and callers.
         asyncio.get_running_loop().set_debug(False)
 
-    async def judged(self, site: SiteDeployment) -> None:
+    async def _assert_no_breaches(self, site: SiteDeployment) -> None:
         await site.stop_load()
         breaches = judge(site.evidence)
         logs = [site.log_lines(name) for name in site.machines] if breaches else []
         self.assertEqual(breaches, (), "\n".join(map(str, (*breaches, *logs))))
 
-    async def test_calm_run(self):
-        """Guards against agents that do not serve every service from every machine."""
+    async def test_run_without_faults(self):
+        """Guards against agents that do not serve every service on every machine."""
         async with SiteDeployment(SiteSpec(seed=1)) as site:
             await site.wait_ready()
-            site.start_load(SHORT)
-            await site.wait_served(SHORT, SERVED_WITHIN_S)
-            await self.judged(site)
+            site.start_load(SHORT_LOADS)
+            await site.wait_served(SHORT_LOADS, SERVED_WITHIN_S)
+            await self._assert_no_breaches(site)
 
     async def test_rolling_restart_while_the_store_is_down(self):
-        """Guards against stops that read a request and end without its answer, or end too late."""
-        for seed in ROLL_SEEDS:
+        """Guards against shutdowns that exceed the grace period or lose the response to a request.
+
+        A stopping agent must answer every request that it has read.
+        """
+        for seed in ROLLING_RESTART_SEEDS:
             with self.subTest(seed=seed):
-                await self._roll(seed)
+                await self._check_rolling_restart(seed)
 
     async def test_restart_while_the_store_is_down(self):
-        """Guards against an agent that refuses all after a restart until the store is back."""
-        loads = tuple(load for load in SHORT if not load.keys)
+        """Guards against a restarted agent that refuses all requests until the store is back."""
+        loads = tuple(load for load in SHORT_LOADS if not load.keys)
         async with SiteDeployment(SiteSpec(seed=5)) as site:
             await site.wait_ready()
             site.start_load(loads)
             await site.wait_served(loads, SERVED_WITHIN_S)
             site.store.set_faults(StoreFaults(mode=StoreMode.SILENT))
-            # The watches of the store have failed by then, on every agent.
-            await asyncio.sleep(WATCHES_FAIL_S)
+            # After this time the watches of the store have failed on every agent.
+            await asyncio.sleep(WATCH_FAILURE_S)
             await site.machines["orders-2"].agent.kill()
             await site.wait_served(loads, SERVED_WITHIN_S)
-            await self.judged(site)
+            await self._assert_no_breaches(site)
 
-    async def _roll(self, seed: int) -> None:
+    async def _check_rolling_restart(self, seed: int) -> None:
         async with SiteDeployment(SiteSpec(seed=seed)) as site:
             await site.wait_ready()
-            site.start_load(LONG)
-            await site.wait_served(LONG, SERVED_WITHIN_S)
+            site.start_load(LONG_LOADS)
+            await site.wait_served(LONG_LOADS, SERVED_WITHIN_S)
             site.store.set_faults(StoreFaults(mode=StoreMode.SILENT))
-            stops = []
+            terminations = []
             for machine in site.machines.values():
-                stops.append(asyncio.create_task(machine.agent.terminate()))
-                await asyncio.sleep(ROLL_S)
-            await asyncio.gather(*stops)
+                terminations.append(asyncio.create_task(machine.agent.terminate()))
+                await asyncio.sleep(STOP_INTERVAL_S)
+            await asyncio.gather(*terminations)
             site.store.set_faults(StoreFaults())
-            await site.wait_served(LONG, SERVED_WITHIN_S)
-            ends = [event for event in site.evidence.processes if event.signal is Signal.EXIT]
+            await site.wait_served(LONG_LOADS, SERVED_WITHIN_S)
+            exits = [event for event in site.evidence.processes if event.signal is Signal.EXIT]
             self.assertEqual(
-                {event.agent for event in ends if event.code == 0}, set(site.machines)
+                {event.agent for event in exits if event.code == 0}, set(site.machines)
             )
-            await self.judged(site)
+            await self._assert_no_breaches(site)
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -1,4 +1,4 @@
-"""A short run of the fault soak, and seeds that once broke a rule."""
+"""Short runs of the fault soak with seeds that violated a rule before."""
 
 from __future__ import annotations
 
@@ -10,32 +10,32 @@
 
 from fescueward.testing.site.soak import run_soak
 
-SECONDS = 20
-AGENTS = 6
-LOGS = Path(__file__).resolve().parents[2] / "runs" / "soak-tests"
+DURATION_S = 20
+AGENT_COUNT = 6
+LOG_DIRECTORY = Path(__file__).resolve().parents[2] / "runs" / "soak-tests"
 
 
 class SoakTest(unittest.TestCase):
-    def play(self, seed: int) -> None:
-        directory = LOGS / f"seed-{seed}"
+    def _run_seed(self, seed: int) -> None:
+        directory = LOG_DIRECTORY / f"seed-{seed}"
         shutil.rmtree(directory, ignore_errors=True)
         directory.mkdir(parents=True)
-        result = uvloop.run(run_soak(seed, SECONDS, AGENTS, directory))
-        found = "\n".join(map(str, (result, *result.breaches, directory)))
-        self.assertEqual(result.breaches, (), found)
+        result = uvloop.run(run_soak(seed, DURATION_S, AGENT_COUNT, directory))
+        details = "\n".join(map(str, (result, *result.breaches, directory)))
+        self.assertEqual(result.breaches, (), details)
         self.assertGreater(result.served, 0)
         shutil.rmtree(directory)
 
     def test_seed_4(self):
-        """Guards against a new start of an upstream that gets keys under an old epoch.
+        """Guards against a restarted upstream that is granted keys under an old epoch.
 
-        Stops, leaves of upstreams and outages of the store overlap in this plan.
+        Shutdowns, leaving upstreams and outages of the store overlap in this plan.
         """
-        self.play(4)
+        self._run_seed(4)
 
     def test_seed_205(self):
         """Guards against a last member that leaves while its upstream still holds the keys.
 
-        Upstreams of a keyed service leave one after the other in this plan.
+        The upstreams of a keyed service leave one after another in this plan.
         """
-        self.play(205)
+        self._run_seed(205)
