Reword the failover, restart, outage, overload and catalogue benchmarks

Names such as seen, had_to, found and again did not say what they are, and docs of figures had no units. They become result, expected_moves, stored and second_results. Names of figures are unchanged. The doc of FailureFigures.paused spoke of a stop of 5 s; the paused member is not resumed. The benchmarks were not run.

--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks, each a module with `run() -> dataclass`; `scripts/bench NAME` runs one."""
+"""Benchmarks. Each is a module whose `run()` returns a data class; see `scripts/bench NAME`."""
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,19 +12,19 @@
 
 from .registry import find
 
-EXIT_UNKNOWN = 2
+EXIT_UNKNOWN_BENCHMARK = 2
 
 
 def main(
     name: Annotated[str, typer.Argument(help="Name of the benchmark.")],
     as_json: Annotated[bool, typer.Option("--json", help="Print one JSON object.")] = False,
 ) -> None:
-    """Runs a benchmark and prints its figures."""
+    """Runs a benchmark and prints its figures, one a line or as JSON."""
     try:
         benchmark = find(name)
     except UnknownNameError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_UNKNOWN) from error
+        raise typer.Exit(EXIT_UNKNOWN_BENCHMARK) from error
     figures = asdict(benchmark.run())
     if as_json:
         typer.echo(encode_json({"benchmark": name, **figures}).decode())
--- a/benchmarks/_plain_proxy.py
+++ b/benchmarks/_plain_proxy.py
@@ -1,6 +1,6 @@
-"""A plain aiohttp proxy, the yardstick of the `hop` benchmark.
+"""A plain aiohttp proxy, the baseline of the `hop` benchmark.
 
-It passes on every request to one address and does nothing else.
+It forwards every request to one address and does nothing else.
 """
 
 from __future__ import annotations
@@ -17,10 +17,10 @@
 
 
 class PlainProxy:
-    """Passes requests on.
+    """Forwards requests to one target.
 
     Args:
-        target: URL without a path.
+        target: URL of the target without a path.
     """
 
     def __init__(self, target: str) -> None:
@@ -28,7 +28,7 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self, port: int) -> web.AppRunner:
-        """Listens on a port of the loopback address."""
+        """Starts to listen on a loopback port; the caller cleans up the returned runner."""
         self._session = aiohttp.ClientSession(auto_decompress=False)
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._handle)
@@ -56,16 +56,23 @@
             data=await request.read() or None,
             allow_redirects=False,
         ) as response:
-            passed = {
+            response_headers = {
                 name: value
                 for name, value in response.headers.items()
                 if name.lower() not in _NOT_FORWARDED
             }
-            return web.Response(status=response.status, headers=passed, body=await response.read())
+            return web.Response(
+                status=response.status, headers=response_headers, body=await response.read()
+            )
 
 
 async def serve(target: str, port: int) -> None:
-    """Runs until SIGTERM."""
+    """Runs the proxy until SIGTERM.
+
+    Args:
+        target: URL of the target without a path.
+        port: Loopback port to listen on.
+    """
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
     proxy = PlainProxy(target)
--- a/benchmarks/catalogue.py
+++ b/benchmarks/catalogue.py
@@ -1,4 +1,4 @@
-"""Catalogue changes: time until they are in effect on every agent, and reverts."""
+"""Catalogue changes: time until a change is in effect on every agent, and reverted changes."""
 
 from __future__ import annotations
 
@@ -14,11 +14,12 @@
 
 from .failover import benchmark_spec
 
-CHANGES = 20
-BOUND_MS = 5000
-GOAL_MS = 1000
-# Small and large limits take turns, so that each agent shows by its refusals which one it applies.
-_SMALL, _LARGE = 10, 10_000
+CHANGE_COUNT = 20
+IN_EFFECT_BOUND_MS = 5000
+IN_EFFECT_GOAL_MS = 1000
+# Changes alternate between a small and a large limit, so that an agent's refusals show which one
+# it applies.
+_SMALL_LIMIT_BYTES, _LARGE_LIMIT_BYTES = 10, 10_000
 _BODY = b"b" * 1000
 
 
@@ -28,29 +29,30 @@
 
     Attributes:
         changes: Number of changes.
-        in_force_ms_max: Longest time from the accepted write until all agents apply it.
-        in_force_ms_p50: Median of it.
-        reverts: Times that an agent applied an older version after a newer one.
-        bound_ms: Bound of the users.
-        goal_ms: Goal of the project.
+        in_force_ms_max: Longest time from the accepted write until all agents apply it, in
+            milliseconds.
+        in_force_ms_p50: Median of this time in milliseconds.
+        reverts: Number of times that an agent applied an older version after a newer one.
+        bound_ms: The users' bound for this time in milliseconds.
+        goal_ms: The project's goal for this time in milliseconds.
     """
 
     changes: int
     in_force_ms_max: float
     in_force_ms_p50: float
     reverts: int
-    bound_ms: int = BOUND_MS
-    goal_ms: int = GOAL_MS
+    bound_ms: int = IN_EFFECT_BOUND_MS
+    goal_ms: int = IN_EFFECT_GOAL_MS
 
 
 async def _applies(deployment: Deployment, member: DeployedMember, key: str, small: bool) -> bool:
     request = CallerRequest(service="depot", key=key, method="PUT", body=_BODY)
-    answer = await deployment.send(request, member)
-    return (answer.label == "body_too_large") is small
+    response = await deployment.send(request, member)
+    return (response.label == "body_too_large") is small
 
 
-async def _own_keys(deployment: Deployment) -> dict[str, str]:
-    """Returns a key that each member owns; the owner applies the limits of the entry."""
+async def _owned_keys(deployment: Deployment) -> dict[str, str]:
+    """Returns one key of each member, because only the owner applies the limits of the entry."""
     keys: dict[str, str] = {}
     for number in range(400):
         key = f"key-{number}"
@@ -63,44 +65,46 @@
 
 
 async def _measure() -> Figures:
-    times, reverts = [], 0
+    times_ms, reverts = [], 0
     spec = replace(benchmark_spec(), settings=(("placement", "round_ms", "60000"),))
     async with Deployment(spec) as deployment:
         await deployment.wait_ready()
         await asyncio.sleep(1.0)
-        keys = await _own_keys(deployment)
+        keys = await _owned_keys(deployment)
         members = [member for member in deployment.members if member.name in keys]
-        for number in range(CHANGES):
+        for number in range(CHANGE_COUNT):
             small = number % 2 == 0
             entry = Entry(
                 "depot",
                 "benchmarks",
                 shard_count=64,
-                limits=Limits(max_body_bytes=_SMALL if small else _LARGE),
+                limits=Limits(max_body_bytes=_SMALL_LIMIT_BYTES if small else _LARGE_LIMIT_BYTES),
             )
             found = await deployment.platform.get(entry_object_key("depot"))
             assert found is not None
             await deployment.platform.put(entry_object_key("depot"), entry, found.version)
-            started = time.monotonic()
+            started_s = time.monotonic()
             pending = list(members)
-            while pending and time.monotonic() - started < BOUND_MS / 1000 * 2:
-                applied = await asyncio.gather(
+            while pending and time.monotonic() - started_s < IN_EFFECT_BOUND_MS / 1000 * 2:
+                results = await asyncio.gather(
                     *(_applies(deployment, found, keys[found.name], small) for found in pending)
                 )
-                pending = [found for found, done in zip(pending, applied, strict=True) if not done]
-            times.append((time.monotonic() - started) * 1000)
-            again = await asyncio.gather(
+                pending = [
+                    found for found, applied in zip(pending, results, strict=True) if not applied
+                ]
+            times_ms.append((time.monotonic() - started_s) * 1000)
+            second_results = await asyncio.gather(
                 *(_applies(deployment, found, keys[found.name], small) for found in members)
             )
-            reverts += again.count(False)
+            reverts += second_results.count(False)
     return Figures(
-        changes=CHANGES,
-        in_force_ms_max=round(max(times), 1),
-        in_force_ms_p50=round(percentile(times, 50), 1),
+        changes=CHANGE_COUNT,
+        in_force_ms_max=round(max(times_ms), 1),
+        in_force_ms_p50=round(percentile(times_ms, 50), 1),
         reverts=reverts,
     )
 
 
 def run() -> Figures:
-    """Changes the entry of a service twenty times."""
+    """Changes the entry of a service 20 times and measures each change."""
     return asyncio.run(_measure())
--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -19,10 +19,10 @@
 from fescueward.testing.specs import DeploymentSpec, MemberSpec, service_spec
 from fescueward.testing.waiting import wait_until
 
-BOUND_MS = 4000
-GOAL_MS = 2000
+UNAVAILABLE_BOUND_MS = 4000
+UNAVAILABLE_GOAL_MS = 2000
 
-Failure = Callable[[Deployment, tuple[DeployedMember, ...]], Awaitable[None]]
+InjectFailure = Callable[[Deployment, tuple[DeployedMember, ...]], Awaitable[None]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,10 +30,10 @@
     """Figures of one kind of failure.
 
     Attributes:
-        unavailable_ms_max: Longest unavailable time of any key.
-        unavailable_ms_p99: 99th percentile over the keys.
-        double_runs: Violations in the upstreams' journals.
-        keys_moved_ratio: Shards that changed owners divided by those that had to.
+        unavailable_ms_max: Longest unavailable time of any key in milliseconds.
+        unavailable_ms_p99: 99th percentile of the unavailable time over the keys, in milliseconds.
+        double_runs: Violations of the invariants.
+        keys_moved_ratio: Shards that changed owners, divided by the shards of the lost members.
     """
 
     unavailable_ms_max: float
@@ -47,38 +47,44 @@
     """Figures of the benchmark.
 
     Attributes:
-        killed: An owner and its upstream were killed.
-        paused: An owner and its upstream were stopped for 5 s.
+        killed: The agent and the upstream of a member were killed.
+        paused: The agent and the upstream of a member were paused and not resumed.
         domain_lost: All members of a failure domain were killed.
-        bound_ms: Bound of the users.
-        goal_ms: Goal of the project.
+        bound_ms: The users' bound for the unavailable time in milliseconds.
+        goal_ms: The project's goal for the unavailable time in milliseconds.
     """
 
     killed: FailureFigures
     paused: FailureFigures
     domain_lost: FailureFigures
-    bound_ms: int = BOUND_MS
-    goal_ms: int = GOAL_MS
+    bound_ms: int = UNAVAILABLE_BOUND_MS
+    goal_ms: int = UNAVAILABLE_GOAL_MS
 
 
 def benchmark_spec(members: int = 6, domains: int = 3, shard_count: int = 64) -> DeploymentSpec:
-    """Returns one service `depot` that spreads quickly."""
+    """Returns a deployment of the service `depot` with fast placement."""
     entry = Entry("depot", "benchmarks", shard_count=shard_count)
-    names = tuple(f"domain-{number}" for number in range(domains))
-    service = service_spec(entry, members, names, MemberSpec(name="", failure_domain=""))
+    domain_names = tuple(f"domain-{number}" for number in range(domains))
+    service = service_spec(entry, members, domain_names, MemberSpec(name="", failure_domain=""))
     return DeploymentSpec(services=(service,), settings=(("placement", "round_ms", "500"),))
 
 
 def moved_ratio(before: Group, after: Group, lost: set[str]) -> float:
-    """Returns shards with another owner divided by the shards of the lost members."""
+    """Returns the number of shards with a new owner, divided by those of the lost members.
+
+    Args:
+        before: The group before the loss.
+        after: The group after the takeovers.
+        lost: Ids of the lost members.
+    """
     pairs = list(zip(before.shards, after.shards, strict=False))
     moved = sum(old.owner != new.owner for old, new in pairs if old.owner is not None)
-    had_to = sum(old.owner in lost for old, _ in pairs)
-    return moved / had_to if had_to else 0.0
+    shards_of_lost = sum(old.owner in lost for old, _ in pairs)
+    return moved / shards_of_lost if shards_of_lost else 0.0
 
 
 async def _measure(
-    victims: Callable[[Deployment], tuple[DeployedMember, ...]], fail: Failure
+    victims: Callable[[Deployment], tuple[DeployedMember, ...]], fail: InjectFailure
 ) -> FailureFigures:
     async with Deployment(benchmark_spec()) as deployment:
         await deployment.wait_ready()
@@ -86,35 +92,39 @@
         await wait_until_unchanged(deployment, "depot")
         lost = victims(deployment)
         others = tuple(member.url for member in deployment.members if member not in lost)
-        names = {member.name for member in lost}
+        lost_names = {member.name for member in lost}
         groups: list[Group] = []
 
         async def group() -> Group:
-            found = await deployment.group("depot")
-            assert found is not None
-            return found.group
+            stored = await deployment.group("depot")
+            assert stored is not None
+            return stored.group
 
-        async def removed() -> bool:
-            present = {member.name for member in (await group()).members.values()}
-            return not names & present
+        async def lost_members_removed() -> bool:
+            member_names = {member.name for member in (await group()).members.values()}
+            return not lost_names & member_names
 
-        async def act() -> None:
+        async def fail_and_wait() -> None:
             groups.append(await group())
             await fail(deployment, lost)
-            await wait_until(removed, 15, "the lost members are removed")
+            await wait_until(lost_members_removed, 15, "the lost members are removed")
             groups.append(await group())
 
-        seen = await run_under_load(deployment, act, targets=others, tail_s=2.0, resends=10)
-        lost_ids = {member.id for member in groups[0].members.values() if member.name in names}
-        return _figures(seen, moved_ratio(groups[0], groups[1], lost_ids))
+        result = await run_under_load(
+            deployment, fail_and_wait, targets=others, tail_s=2.0, resends=10
+        )
+        lost_ids = {
+            member.id for member in groups[0].members.values() if member.name in lost_names
+        }
+        return _figures(result, moved_ratio(groups[0], groups[1], lost_ids))
 
 
-def _figures(seen: ScenarioResult, ratio: float) -> FailureFigures:
-    times = unavailable_ms(seen.records)
+def _figures(result: ScenarioResult, ratio: float) -> FailureFigures:
+    times_ms = unavailable_ms(result.records)
     return FailureFigures(
-        unavailable_ms_max=round(max(times.values()), 1),
-        unavailable_ms_p99=round(percentile(times.values(), 99), 1),
-        double_runs=len(seen.verdict.violations),
+        unavailable_ms_max=round(max(times_ms.values()), 1),
+        unavailable_ms_p99=round(percentile(times_ms.values(), 99), 1),
+        double_runs=len(result.verdict.violations),
         keys_moved_ratio=round(ratio, 3),
     )
 
@@ -129,16 +139,16 @@
 
 
 def run() -> Figures:
-    """Runs the three failures one after the other."""
+    """Measures the three failures one after another."""
 
-    def first(deployment: Deployment) -> tuple[DeployedMember, ...]:
+    def first_member(deployment: Deployment) -> tuple[DeployedMember, ...]:
         return deployment.members[:1]
 
-    def domain(deployment: Deployment) -> tuple[DeployedMember, ...]:
+    def first_domain(deployment: Deployment) -> tuple[DeployedMember, ...]:
         return deployment.members_in_domain("domain-0")
 
     return Figures(
-        killed=asyncio.run(_measure(first, _kill)),
-        paused=asyncio.run(_measure(first, _pause)),
-        domain_lost=asyncio.run(_measure(domain, _kill)),
+        killed=asyncio.run(_measure(first_member, _kill)),
+        paused=asyncio.run(_measure(first_member, _pause)),
+        domain_lost=asyncio.run(_measure(first_domain, _kill)),
     )
--- a/benchmarks/outage.py
+++ b/benchmarks/outage.py
@@ -1,4 +1,4 @@
-"""Outage of the platform for a minute under load."""
+"""Outage of the platform for 60 s under load."""
 
 from __future__ import annotations
 
@@ -19,11 +19,11 @@
     """Figures of the benchmark.
 
     Attributes:
-        requests: Requests during the outage.
-        served_ratio: Share of them that succeeded; the goal is 1.0.
-        latency_ms_p99: 99th percentile of the latency.
-        violations: Violations in the journals.
-        outage_s: Length of the outage in seconds.
+        requests: Number of requests during the outage.
+        served_ratio: Share of the requests that succeeded; the goal is 1.0.
+        latency_ms_p99: 99th percentile of the latency in milliseconds.
+        violations: Violations of the invariants.
+        outage_s: Duration of the outage in seconds.
     """
 
     requests: int
@@ -38,18 +38,18 @@
         await deployment.wait_ready()
         await wait_until_settled(deployment, "depot", 4)
         await deployment.platform.set_faults(Faults(mode=Mode.DOWN))
-        seen = await run_under_load(
+        result = await run_under_load(
             deployment, lambda: asyncio.sleep(OUTAGE_S), lead_s=0.0, tail_s=0.0
         )
         await deployment.platform.set_faults(Faults())
     return Figures(
-        requests=seen.summary.requests,
-        served_ratio=round(seen.summary.successes / seen.summary.requests, 6),
-        latency_ms_p99=round(seen.summary.latency_p99_ms, 2),
-        violations=len(seen.verdict.violations),
+        requests=result.summary.requests,
+        served_ratio=round(result.summary.successes / result.summary.requests, 6),
+        latency_ms_p99=round(result.summary.latency_p99_ms, 2),
+        violations=len(result.verdict.violations),
     )
 
 
 def run() -> Figures:
-    """Takes the platform down for a minute while all servers live."""
+    """Takes the platform down for 60 s while all agents and upstreams run."""
     return asyncio.run(_measure())
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,8 +1,8 @@
 """Goodput under one, two and four times the capacity, and attempts per request.
 
-Goodput counts requests that are answered within their deadline. Callers send at a fixed rate,
-whatever the answers are. In a last phase every response is cut, so that all runs fail. Runs are
-counted in the journals of the upstreams.
+Goodput counts requests that get a response within their deadline. Callers send at a fixed rate,
+whatever the responses are. In the last phase every response is truncated, so that all runs fail.
+Runs are counted in the journals of the upstreams.
 """
 
 from __future__ import annotations
@@ -20,18 +20,18 @@
 from fescueward.testing.specs import DeploymentSpec, MemberSpec, service_spec
 from fescueward.testing.waiting import wait_until
 
-MEMBERS = 2
+MEMBER_COUNT = 2
 SLOTS = 6
 WORK_MS = 100
 DEADLINE_MS = 1000
-PHASE_S = 6.0
-FAILING_PHASE_S = 12.0
-WARM_UP_S = 3.0
-KEYS = 400
-SHARDS = 64
-# Placement moves shards in rounds; the capacity counts only once they are spread.
+PHASE_DURATION_S = 6.0
+FAILING_PHASE_DURATION_S = 12.0
+WARM_UP_DURATION_S = 3.0
+KEY_COUNT = 400
+SHARD_COUNT = 64
+# Placement moves shards in rounds; the full capacity is available once they are spread.
 BALANCE_TIMEOUT_S = 40.0
-# Fails every run of an upstream: the response is cut, so its outcome is unknown.
+# Makes every run fail: its response is truncated, so the outcome is unknown.
 FAILING_QUERY = (("truncate", "1"),)
 
 
@@ -41,15 +41,18 @@
 
     Attributes:
         capacity: Requests per second that the slots can run.
-        goodput_1x: Answered requests per second when the capacity is sent.
-        goodput_2x: The same at twice the capacity.
-        goodput_4x: The same at four times the capacity.
-        goodput_ratio: Lower of the last two by the best of the three; bound 0.9.
-        refused_2x: Refusals by label at twice the capacity.
-        latency_p99_2x_ms: 99th percentile of the answered requests at twice the capacity, in ms.
-        attempts_ratio: Runs of the upstreams by requests in the worst phase; bound 1.1.
-        failing_attempts_ratio: The same when every run fails; bound 1.1.
-        wrong_answers: Answers that belong to another request; must be 0.
+        goodput_1x: Successful requests per second at a request rate equal to the capacity.
+        goodput_2x: Successful requests per second at twice the capacity.
+        goodput_4x: Successful requests per second at four times the capacity.
+        goodput_ratio: The lower goodput at twice and four times the capacity, divided by the
+            highest of the three; bound 0.9.
+        refused_2x: Numbers of refusals by label at twice the capacity.
+        latency_p99_2x_ms: 99th percentile of the latency of successful requests at twice the
+            capacity, in milliseconds.
+        attempts_ratio: Runs of the upstreams divided by requests, in the worst of the three
+            phases; bound 1.1.
+        failing_attempts_ratio: Runs divided by requests when every run fails; bound 1.1.
+        wrong_answers: Responses that are not intact or belong to another request; must be 0.
     """
 
     capacity: float
@@ -65,28 +68,32 @@
 
 
 def run() -> OverloadFigures:
-    """Measures one deployment of two members."""
+    """Measures all phases on one deployment of two members."""
     return uvloop.run(_run())
 
 
 def overload_deployment() -> DeploymentSpec:
-    """Returns a service of two members with few slots and slow work."""
+    """Returns a deployment of two members with 6 slots each and requests that take 100 ms."""
     limits = Limits(deadline_ms=DEADLINE_MS)
-    entry = Entry("depot", "benchmarks", shard_count=SHARDS, limits=limits)
+    entry = Entry("depot", "benchmarks", shard_count=SHARD_COUNT, limits=limits)
     template = MemberSpec(name="", failure_domain="", slots=SLOTS, work_ms=WORK_MS)
-    service = service_spec(entry, MEMBERS, ("lowell", "nashua"), template)
+    service = service_spec(entry, MEMBER_COUNT, ("lowell", "nashua"), template)
     return DeploymentSpec(services=(service,), log_level="WARNING")
 
 
 async def _run() -> OverloadFigures:
-    capacity = MEMBERS * SLOTS / (WORK_MS / 1000)
+    capacity = MEMBER_COUNT * SLOTS / (WORK_MS / 1000)
     async with Deployment(overload_deployment()) as deployment:
         await deployment.wait_ready()
-        await wait_until(lambda: _balanced(deployment), BALANCE_TIMEOUT_S, "shards are spread")
-        await _phase(deployment, capacity, WARM_UP_S)
-        phases = [await _phase(deployment, capacity * factor) for factor in (1, 2, 4)]
-        failing = await _phase(deployment, capacity / 2, FAILING_PHASE_S, query=FAILING_QUERY)
-    goodputs = [phase.summary.successes / PHASE_S for phase in phases]
+        await wait_until(
+            lambda: _shards_balanced(deployment), BALANCE_TIMEOUT_S, "shards are spread"
+        )
+        await _run_phase(deployment, capacity, WARM_UP_DURATION_S)
+        phases = [await _run_phase(deployment, capacity * factor) for factor in (1, 2, 4)]
+        failing = await _run_phase(
+            deployment, capacity / 2, FAILING_PHASE_DURATION_S, query=FAILING_QUERY
+        )
+    goodputs = [phase.summary.successes / PHASE_DURATION_S for phase in phases]
     return OverloadFigures(
         capacity=capacity,
         goodput_1x=round(goodputs[0], 1),
@@ -102,23 +109,23 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Phase:
+class _PhaseResult:
     summary: Summary
     attempts_ratio: float
 
 
-async def _phase(
+async def _run_phase(
     deployment: Deployment,
-    rate: float,
-    duration_s: float = PHASE_S,
+    rate_per_s: float,
+    duration_s: float = PHASE_DURATION_S,
     query: tuple[tuple[str, str], ...] = (),
-) -> _Phase:
-    before = _runs(deployment)
+) -> _PhaseResult:
+    runs_before = _count_runs(deployment)
     plan = LoadPlan(
         targets=deployment.urls,
         service="depot",
-        keys=UniformKeys(KEYS),
-        pace=OpenLoop(rate, max_in_flight=5000),
+        keys=UniformKeys(KEY_COUNT),
+        pace=OpenLoop(rate_per_s, max_in_flight=5000),
         duration_s=duration_s,
         query=query,
         timeout_s=5.0,
@@ -127,16 +134,21 @@
     await generator.run()
     await asyncio.sleep(0.5)
     summary = generator.summary
-    return _Phase(summary, (_runs(deployment) - before) / max(summary.requests, 1))
+    return _PhaseResult(
+        summary, (_count_runs(deployment) - runs_before) / max(summary.requests, 1)
+    )
 
 
-async def _balanced(deployment: Deployment) -> bool:
-    found = await deployment.group("depot")
-    if found is None:
+async def _shards_balanced(deployment: Deployment) -> bool:
+    stored = await deployment.group("depot")
+    if stored is None:
         return False
-    owned = Counter(shard.owner for shard in found.group.shards)
-    return len(owned) == MEMBERS and min(owned.values()) >= SHARDS / MEMBERS * 0.9
+    shards_by_owner = Counter(shard.owner for shard in stored.group.shards)
+    return (
+        len(shards_by_owner) == MEMBER_COUNT
+        and min(shards_by_owner.values()) >= SHARD_COUNT / MEMBER_COUNT * 0.9
+    )
 
 
-def _runs(deployment: Deployment) -> int:
+def _count_runs(deployment: Deployment) -> int:
     return sum(event.kind is EventKind.START for event in deployment.journal_events())
--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -1,4 +1,4 @@
-"""Benchmarks by name."""
+"""Finds benchmarks by name."""
 
 from __future__ import annotations
 
@@ -12,29 +12,29 @@
 
 @runtime_checkable
 class Benchmark(Protocol):
-    """A module of this package that measures something."""
+    """A module of this package that is a benchmark."""
 
     def run(self) -> Any:
-        """Measures and returns the figures as a data class."""
+        """Runs the benchmark and returns its figures as a data class."""
         ...
 
 
 def names() -> tuple[str, ...]:
-    """Returns the names of all benchmarks."""
-    modules = (found.name for found in pkgutil.iter_modules(benchmarks.__path__))
-    return tuple(name for name in sorted(modules) if _load(name) is not None)
+    """Returns the names of all benchmarks in alphabetical order."""
+    module_names = (module.name for module in pkgutil.iter_modules(benchmarks.__path__))
+    return tuple(name for name in sorted(module_names) if _load(name) is not None)
 
 
 def find(name: str) -> Benchmark:
-    """Returns a benchmark.
+    """Returns the benchmark with a name.
 
     Raises:
-        UnknownNameError: There is none of this name.
+        UnknownNameError: No benchmark has this name.
     """
-    found = _load(name) if name.isidentifier() else None
-    if found is None:
+    benchmark = _load(name) if name.isidentifier() else None
+    if benchmark is None:
         raise UnknownNameError("benchmark", name, names())
-    return found
+    return benchmark
 
 
 def _load(name: str) -> Benchmark | None:
--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -16,7 +16,7 @@
 
 from .failover import benchmark_spec
 
-GOAL_MS = 50
+UNAVAILABLE_GOAL_MS = 50
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,13 +24,13 @@
     """Figures of the benchmark.
 
     Attributes:
-        requests: Requests during the restart.
-        failed_requests: Requests that failed; the bound is 0.
-        unavailable_ms_max: Longest unavailable time of any key.
-        keys_moved_ratio: Handovers divided by the shards that each restart had to move out and
-            back.
-        violations: Violations in the journals.
-        goal_ms: Goal of the unavailable time.
+        requests: Number of requests during the restarts.
+        failed_requests: Number of requests that failed; the bound is 0.
+        unavailable_ms_max: Longest unavailable time of any key in milliseconds.
+        keys_moved_ratio: Ownership changes of shards, divided by the number that the restarts
+            require: each shard of a restarted member moves away and back.
+        violations: Violations of the invariants.
+        goal_ms: Goal for `unavailable_ms_max` in milliseconds.
     """
 
     requests: int
@@ -38,54 +38,56 @@
     unavailable_ms_max: float
     keys_moved_ratio: float
     violations: int
-    goal_ms: int = GOAL_MS
+    goal_ms: int = UNAVAILABLE_GOAL_MS
 
 
 async def _measure() -> Figures:
-    moved, had_to = 0, 0
+    actual_moves, expected_moves = 0, 0
     async with Deployment(benchmark_spec(members=4, domains=2)) as deployment:
         await deployment.wait_ready()
         await wait_until_settled(deployment, "depot", 4)
         await wait_until_unchanged(deployment, "depot")
 
-        async def owners() -> list[str | None]:
-            found = await deployment.group("depot")
-            assert found is not None
+        async def owner_names() -> list[str | None]:
+            stored = await deployment.group("depot")
+            assert stored is not None
             return [
                 shard.owner.rpartition(":")[0] if shard.owner else None
-                for shard in found.group.shards
+                for shard in stored.group.shards
             ]
 
-        async def present(name: str) -> bool:
-            found = await deployment.group("depot")
-            assert found is not None
-            return any(member.name == name for member in found.group.members.values())
+        async def is_member(name: str) -> bool:
+            stored = await deployment.group("depot")
+            assert stored is not None
+            return any(member.name == name for member in stored.group.members.values())
 
         async def restart_all() -> None:
-            nonlocal moved, had_to
+            nonlocal actual_moves, expected_moves
             for member in deployment.members:
-                before = await owners()
+                before = await owner_names()
                 member.agent.terminate()
                 await member.agent.wait(30.0)
-                between = await owners()
+                stopped = await owner_names()
                 await deployment.start_member(member)
-                await wait_until(lambda name=member.name: present(name), 20, "the member is back")
+                await wait_until(
+                    lambda name=member.name: is_member(name), 20, "the member is back"
+                )
                 await wait_until_settled(deployment, "depot", 4)
-                after = await owners()
-                had_to += 2 * sum(owner == member.name for owner in before)
-                for one, other in ((before, between), (between, after)):
-                    moved += sum(a != b for a, b in zip(one, other, strict=False) if a and b)
+                after = await owner_names()
+                expected_moves += 2 * sum(owner == member.name for owner in before)
+                for old, new in ((before, stopped), (stopped, after)):
+                    actual_moves += sum(a != b for a, b in zip(old, new, strict=False) if a and b)
 
-        seen = await run_under_load(deployment, restart_all, tail_s=1.0)
+        result = await run_under_load(deployment, restart_all, tail_s=1.0)
     return Figures(
-        requests=seen.summary.requests,
-        failed_requests=sum(seen.summary.refusals.values()),
-        unavailable_ms_max=round(max(unavailable_ms(seen.records).values()), 1),
-        keys_moved_ratio=round(moved / had_to, 3) if had_to else 0.0,
-        violations=len(seen.verdict.violations),
+        requests=result.summary.requests,
+        failed_requests=sum(result.summary.refusals.values()),
+        unavailable_ms_max=round(max(unavailable_ms(result.records).values()), 1),
+        keys_moved_ratio=round(actual_moves / expected_moves, 3) if expected_moves else 0.0,
+        violations=len(result.verdict.violations),
     )
 
 
 def run() -> Figures:
-    """Restarts four members one after the other under load."""
+    """Restarts the agents of four members one after another under load."""
     return asyncio.run(_measure())
