--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,9 +1,9 @@
-"""Cost of control per agent at several numbers of agents, with real processes.
+"""Control cost per agent for several numbers of agents, with real processes.
 
 Memory, CPU and bytes are read from the process table. Bytes are those of read and write calls,
-which uvloop uses for all sockets. Without requests an upstream talks to its agent only, so the
-agent's bytes without those of its upstream and without its log are the ones that leave the VM:
-peers and platform. Groups have at most 32 members.
+which uvloop uses for all sockets. Without requests, an upstream only exchanges data with its
+agent. The agent's bytes minus those of its upstream and of its log are therefore the traffic that
+leaves the VM, to and from peers and the platform. Groups have at most 32 members.
 """
 
 from __future__ import annotations
@@ -22,26 +22,26 @@
 from fescueward.testing.harness import DeployedMember, Deployment
 from fescueward.testing.specs import DeploymentSpec, MemberSpec, service_spec
 
-SIZES = (4, 8, 16, 32, 64)
-GROUP_SIZE = 32
-SETTLE_S = 12.0
-IDLE_S = 12.0
-CHANGE_S = 10.0
+AGENT_COUNTS = (4, 8, 16, 32, 64)
+MAX_GROUP_SIZE = 32
+SETTLE_DURATION_S = 12.0
+IDLE_DURATION_S = 12.0
+CHANGE_DURATION_S = 10.0
 EDIT_PERIOD_S = 1.0
 _START_TIMEOUT_S = 120.0
 
 
 @dataclass(frozen=True, slots=True)
 class ControlCost:
-    """Means over the agents of one deployment, per agent.
+    """Cost per agent, as the mean over the agents of one deployment unless noted.
 
     Attributes:
         cpu_percent: CPU in % of a core.
-        cpu_percent_most: CPU of the agent that takes most, which is a planner as a rule.
+        cpu_percent_most: Largest CPU of an agent in % of a core, usually that of a planner.
         sent_bytes_s: Bytes sent to peers and platform per second.
-        received_bytes_s: Bytes received from them per second.
+        received_bytes_s: Bytes received from peers and platform per second.
         resident_mb: Resident memory in MB.
-        resident_mb_most: Largest resident memory of an agent.
+        resident_mb_most: Largest resident memory of an agent in MB.
     """
 
     cpu_percent: float
@@ -54,16 +54,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlPoint:
-    """Figures at one number of agents.
+    """Figures for one number of agents.
 
     Attributes:
         agents: Number of agents.
         groups: Number of groups.
         idle: Cost without requests and changes.
-        change: Cost while an entry is edited each second and one member is killed and returns.
-        idle_calls_s: Calls of all agents to the platform per second, without watches, in the
-            idle time.
-        idle_watches_s: Watch calls of all agents per second in the idle time.
+        change: Cost while an entry is edited every second and one member is killed and restarted.
+        idle_calls_s: Calls of all agents to the platform per second without requests and changes,
+            except watches.
+        idle_watches_s: Watch calls of all agents per second without requests and changes.
     """
 
     agents: int
@@ -76,16 +76,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Slopes:
-    """Growth per further agent by least squares.
+    """Growth per additional agent, by linear regression.
 
     Attributes:
-        idle_cpu_percent: CPU of an agent.
-        idle_sent_bytes_s: Bytes that an agent sends.
-        idle_received_bytes_s: Bytes that an agent receives.
-        change_cpu_percent: CPU of an agent under change.
-        change_sent_bytes_s: Bytes that an agent sends under change.
-        resident_mb: Memory of an agent.
-        idle_calls_s: Platform calls of all agents, without watches.
+        idle_cpu_percent: CPU of an agent in % of a core, idle.
+        idle_sent_bytes_s: Bytes per second that an agent sends, idle.
+        idle_received_bytes_s: Bytes per second that an agent receives, idle.
+        change_cpu_percent: CPU of an agent in % of a core, during changes.
+        change_sent_bytes_s: Bytes per second that an agent sends during changes.
+        resident_mb: Resident memory of an agent in MB.
+        idle_calls_s: Platform calls of all agents per second except watches, idle.
     """
 
     idle_cpu_percent: float
@@ -99,14 +99,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlFigures:
-    """Result of the benchmark; bounds 3.3% of a core, 3 KB/s and 256 MB per agent.
+    """Figures of the benchmark; bounds 3.3% of a core, 3 KB/s and 256 MB per agent.
 
     Attributes:
-        cpu_percent: Largest mean CPU of any size, idle.
-        bytes_s: Largest mean of bytes sent and received together of any size, idle.
-        resident_mb: Largest memory of any agent.
+        cpu_percent: Largest mean CPU for any number of agents in % of a core, idle.
+        bytes_s: Largest mean of bytes sent and received per second for any number of agents, idle.
+        resident_mb: Largest resident memory of any agent in MB.
         points: Figures by number of agents.
-        slopes: Growth over the sizes whose groups are not divided yet.
+        slopes: Growth over the numbers of agents that fit into one group.
     """
 
     cpu_percent: float
@@ -118,15 +118,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Sample:
-    at: float
+    at_s: float
     cpu_s: float
     sent: int
     received: int
 
 
 def run() -> ControlFigures:
-    """Measures all sizes one after the other."""
-    points = tuple(asyncio.run(_measure(size)) for size in SIZES)
+    """Measures all numbers of agents one after another."""
+    points = tuple(asyncio.run(_measure(agent_count)) for agent_count in AGENT_COUNTS)
     return ControlFigures(
         cpu_percent=max(point.idle.cpu_percent for point in points),
         bytes_s=max(point.idle.sent_bytes_s + point.idle.received_bytes_s for point in points),
@@ -136,53 +136,53 @@
     )
 
 
-async def _measure(size: int) -> ControlPoint:
+async def _measure(agent_count: int) -> ControlPoint:
     clock = BootClock()
-    groups = -(-size // GROUP_SIZE)
+    groups = -(-agent_count // MAX_GROUP_SIZE)
     template = MemberSpec(name="", failure_domain="", slots=12, connections=130)
     entry = Entry("catalogue", "benchmark", groups=groups)
-    service = service_spec(entry, size, ("ahmedabad", "gandhinagar", "vadodara"), template)
+    service = service_spec(entry, agent_count, ("ahmedabad", "gandhinagar", "vadodara"), template)
     members = tuple(
         replace(member, group=number % groups) for number, member in enumerate(service.members)
     )
     spec = DeploymentSpec(services=(replace(service, members=members),), journals=False)
     async with Deployment(spec) as deployment:
         await deployment.wait_ready(_START_TIMEOUT_S)
-        await clock.sleep(SETTLE_S)
-        calls = await deployment.platform.counters()
+        await clock.sleep(SETTLE_DURATION_S)
+        counters_before = await deployment.platform.counters()
         before = _samples(deployment.members)
-        await clock.sleep(IDLE_S)
+        await clock.sleep(IDLE_DURATION_S)
         idle = _cost(deployment.members, before)
-        later = await deployment.platform.counters()
+        counters_after = await deployment.platform.counters()
         before = _samples(deployment.members[:-1])
-        await asyncio.gather(_edit(deployment), _restart(deployment))
+        await asyncio.gather(_edit_entry(deployment), _restart_last_member(deployment))
         change = _cost(deployment.members[:-1], before)
-    watches = later.watches - calls.watches
-    # The reading of the counters is no call to the object API.
-    others = later.total - calls.total - watches
+    watches = counters_after.watches - counters_before.watches
+    # Reading the counters does not count as a call to the object API.
+    other_calls = counters_after.total - counters_before.total - watches
     return ControlPoint(
-        agents=size,
+        agents=agent_count,
         groups=groups,
         idle=idle,
         change=change,
-        idle_calls_s=round(others / IDLE_S, 3),
-        idle_watches_s=round(watches / IDLE_S, 3),
+        idle_calls_s=round(other_calls / IDLE_DURATION_S, 3),
+        idle_watches_s=round(watches / IDLE_DURATION_S, 3),
     )
 
 
-async def _edit(deployment: Deployment) -> None:
+async def _edit_entry(deployment: Deployment) -> None:
     clock = BootClock()
     key = entry_object_key("catalogue")
-    for number in range(int(CHANGE_S / EDIT_PERIOD_S)):
-        found = await deployment.platform.get(key)
-        assert found is not None, "the entry exists"
-        entry = decode_json(bytes(found.value), Entry)
+    for number in range(int(CHANGE_DURATION_S / EDIT_PERIOD_S)):
+        envelope = await deployment.platform.get(key)
+        assert envelope is not None, "the entry exists"
+        entry = decode_json(bytes(envelope.value), Entry)
         edited = replace(entry, operation_id=f"edit-{number}")
-        await deployment.platform.put(key, edited, found.version)
+        await deployment.platform.put(key, edited, envelope.version)
         await clock.sleep(EDIT_PERIOD_S)
 
 
-async def _restart(deployment: Deployment) -> None:
+async def _restart_last_member(deployment: Deployment) -> None:
     clock = BootClock()
     last = deployment.members[-1]
     await clock.sleep(1.0)
@@ -199,13 +199,13 @@
     agent = psutil.Process(member.agent.pid)
     upstream = psutil.Process(member.upstream.pid)
     times = agent.cpu_times()
-    mine, its = agent.io_counters(), upstream.io_counters()
-    logged = os.path.getsize(member.agent.log), os.path.getsize(member.upstream.log)
+    agent_io, upstream_io = agent.io_counters(), upstream.io_counters()
+    log_bytes = os.path.getsize(member.agent.log), os.path.getsize(member.upstream.log)
     return _Sample(
-        at=BootClock().now(),
+        at_s=BootClock().now(),
         cpu_s=times.user + times.system,
-        sent=mine.write_chars - logged[0] - its.read_chars,
-        received=mine.read_chars - (its.write_chars - logged[1]),
+        sent=agent_io.write_chars - log_bytes[0] - upstream_io.read_chars,
+        received=agent_io.read_chars - (upstream_io.write_chars - log_bytes[1]),
     )
 
 
@@ -213,10 +213,10 @@
     cpu, sent, received, resident = [], [], [], []
     for member in members:
         old, new = before[member.name], _sample(member)
-        span = new.at - old.at
-        cpu.append(100 * (new.cpu_s - old.cpu_s) / span)
-        sent.append((new.sent - old.sent) / span)
-        received.append((new.received - old.received) / span)
+        elapsed_s = new.at_s - old.at_s
+        cpu.append(100 * (new.cpu_s - old.cpu_s) / elapsed_s)
+        sent.append((new.sent - old.sent) / elapsed_s)
+        received.append((new.received - old.received) / elapsed_s)
         resident.append(psutil.Process(member.agent.pid).memory_info().rss / 1e6)
     return ControlCost(
         cpu_percent=round(fmean(cpu), 3),
