--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -1,8 +1,8 @@
 """CPU and latency of one request through the router, against a plain aiohttp proxy.
 
-The same requests go in turn through the plain proxy, through the owner's agent and through
-another agent. CPU is that of the router processes, or of the proxy, in the middle half of the
-rounds. All use the same upstream, which checks no grants so that the proxy can use it too.
+The same requests are sent in turn through the plain proxy, through the owner's agent and through
+another agent. CPU is that of the agent processes, or of the proxy, in the middle half of the
+rounds. All paths lead to the same upstream, which checks no grants so that the proxy can use it.
 """
 
 from __future__ import annotations
@@ -31,11 +31,11 @@
 from fescueward.testing.specs import DeploymentSpec, MemberSpec, service_spec
 from fescueward.testing.waiting import wait_until
 
-ROUNDS = 24
-REQUESTS = 400
-CALLERS = 8
-WARM_UP = 400
-LATENCY_REQUESTS = 600
+ROUND_COUNT = 24
+REQUESTS_PER_ROUND = 400
+CALLER_COUNT = 8
+WARM_UP_REQUESTS = 400
+LATENCY_REQUEST_COUNT = 600
 RESPONSE_BYTES = 512
 KEY = "stock-1"
 _ROOT = Path(__file__).resolve().parents[1]
@@ -48,20 +48,24 @@
     """Figures of the benchmark `hop`.
 
     Attributes:
-        direct_ratio: CPU per request at the owner's agent by that of the plain proxy; goal 1.2.
-        forwarded_ratio: CPU per request of both agents by that of one plain proxy; goal 1.3.
-        forwarded_chain_ratio: The same by that of two plain proxies in a row.
-        library_ratio: CPU per request at the owner's agent when the caller uses the library, by
-            that of the plain proxy.
+        direct_ratio: CPU per request of the owner's agent, divided by that of the plain proxy;
+            goal 1.2.
+        forwarded_ratio: CPU per request of both agents, divided by that of one plain proxy; goal
+            1.3.
+        forwarded_chain_ratio: CPU per request of both agents, divided by that of two chained
+            plain proxies.
+        library_ratio: CPU per request of the owner's agent when the caller uses the client
+            library, divided by that of the plain proxy.
         proxy_ms: CPU of the plain proxy per request, in ms.
         direct_ms: CPU of the agent per direct request, in ms.
         forwarded_ms: CPU of both agents per forwarded request, in ms.
         quiet_direct_ratio: `direct_ratio` with log level WARNING.
         quiet_forwarded_ratio: `forwarded_ratio` with log level WARNING.
-        log_ms: CPU of the log lines of a direct request, in ms.
-        added_p50_ms: Median latency added by a direct hop, in ms.
-        added_p99_ms: 99th percentile of a direct hop less that without a hop, in ms.
-        failures: Requests that did not succeed; the figures hold only if it is 0.
+        log_ms: CPU for the log lines of a direct request, in ms.
+        added_p50_ms: Median latency of a direct hop minus that without a hop, in ms.
+        added_p99_ms: 99th percentile of the latency of a direct hop minus that without a hop, in
+            ms.
+        failures: Number of requests that failed; the figures are valid only if it is 0.
     """
 
     direct_ratio: float
@@ -81,7 +85,7 @@
 
 @dataclass(slots=True)
 class _Path:
-    """One way of a request, with what it has cost so far."""
+    """One path of a request to the upstream, with the CPU and latency measured on it."""
 
     name: str
     send: Send
@@ -92,16 +96,20 @@
 
     @property
     def cpu_ms(self) -> float:
-        """CPU of a request, in ms: the mean of the middle half of the rounds.
+        """CPU per request in ms: the mean over the middle half of the rounds.
 
-        Other load on the machine disturbs single rounds.
+        The other rounds are left out because other load on the machine disturbs single rounds.
         """
         quarter = len(self.rounds_ms) // 4
         return statistics.fmean(sorted(self.rounds_ms)[quarter : len(self.rounds_ms) - quarter])
 
 
 def hop_deployment(log_level: str) -> DeploymentSpec:
-    """Returns a service of two members whose upstreams check no grants."""
+    """Returns a deployment of two members whose upstreams check no grants.
+
+    Args:
+        log_level: Lowest level that the agents log.
+    """
     template = MemberSpec(name="", failure_domain="", slots=64, connections=200)
     service = service_spec(
         Entry("depot", "benchmarks", shard_count=16),
@@ -113,7 +121,7 @@
 
 
 def run() -> HopFigures:
-    """Measures two deployments, which differ in their log level."""
+    """Measures two deployments that differ in their log level."""
     return uvloop.run(_run())
 
 
@@ -124,34 +132,37 @@
         )
         ports = PortReservations()
         stack.callback(ports.close)
-        logged = await _deploy(stack, "INFO")
-        quiet = await _deploy(stack, "WARNING")
-        upstream_url = logged.owner.upstream_url
-        first = await _plain_proxy(stack, ports, logged.deployment, upstream_url)
-        second = await _plain_proxy(stack, ports, logged.deployment, first.url)
+        info_pair = await _start_pair(stack, "INFO")
+        warning_pair = await _start_pair(stack, "WARNING")
+        upstream_url = info_pair.owner.upstream_url
+        first_proxy = await _plain_proxy(stack, ports, info_pair.deployment, upstream_url)
+        second_proxy = await _plain_proxy(stack, ports, info_pair.deployment, first_proxy.url)
 
         def via(url: str) -> Send:
             return lambda: _send(session, url, KEY)
 
-        none = _Path("none", via(upstream_url), tuple)
-        proxy = _Path("proxy", via(first.url), lambda: (first.process,))
-        chain = _Path("chain", via(second.url), lambda: (first.process, second.process))
-        direct, forwarded = _router_paths(logged, session)
-        quiet_direct, quiet_forwarded = _router_paths(quiet, session)
-        library = await _library_path(stack, logged)
-        paths = (none, proxy, chain, direct, forwarded, library, quiet_direct, quiet_forwarded)
+        no_hop = _Path("none", via(upstream_url), tuple)
+        proxy = _Path("proxy", via(first_proxy.url), lambda: (first_proxy.process,))
+        chain = _Path(
+            "chain", via(second_proxy.url), lambda: (first_proxy.process, second_proxy.process)
+        )
+        direct, forwarded = _router_paths(info_pair, session)
+        quiet_direct, quiet_forwarded = _router_paths(warning_pair, session)
+        library = await _library_path(stack, info_pair)
+        paths = (no_hop, proxy, chain, direct, forwarded, library, quiet_direct, quiet_forwarded)
         for path in paths:
-            await _round(path, WARM_UP)
+            await _run_round(path, WARM_UP_REQUESTS)
             path.rounds_ms.clear()
-        # Short rounds in turn, so that other load on the machine reaches all paths alike.
-        for _ in range(ROUNDS):
-            await logged.find_owner()
-            await quiet.find_owner()
+        # Short rounds alternate between the paths, so that other load on the machine affects all
+        # paths equally.
+        for _ in range(ROUND_COUNT):
+            await info_pair.find_owner()
+            await warning_pair.find_owner()
             for path in paths:
-                await _round(path, REQUESTS)
-        for _ in range(LATENCY_REQUESTS):
-            for path in (none, direct):
-                await _timed(path)
+                await _run_round(path, REQUESTS_PER_ROUND)
+        for _ in range(LATENCY_REQUEST_COUNT):
+            for path in (no_hop, direct):
+                await _measure_latency(path)
     return HopFigures(
         direct_ratio=round(direct.cpu_ms / proxy.cpu_ms, 3),
         forwarded_ratio=round(forwarded.cpu_ms / proxy.cpu_ms, 3),
@@ -163,14 +174,14 @@
         quiet_direct_ratio=round(quiet_direct.cpu_ms / proxy.cpu_ms, 3),
         quiet_forwarded_ratio=round(quiet_forwarded.cpu_ms / proxy.cpu_ms, 3),
         log_ms=round(direct.cpu_ms - quiet_direct.cpu_ms, 4),
-        added_p50_ms=round(_added_ms(none, direct, 50), 3),
-        added_p99_ms=round(_added_ms(none, direct, 99), 3),
+        added_p50_ms=round(_added_ms(no_hop, direct, 50), 3),
+        added_p99_ms=round(_added_ms(no_hop, direct, 99), 3),
         failures=sum(path.failures for path in paths),
     )
 
 
-class _Pair:
-    """Two agents, one of which owns the key at present. Placement can move it."""
+class _AgentPair:
+    """Two agents, one of which currently owns the key. Placement can move the key."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
@@ -181,15 +192,15 @@
             self.owner, self.other = self.other, self.owner
 
 
-async def _deploy(stack: contextlib.AsyncExitStack, log_level: str) -> _Pair:
+async def _start_pair(stack: contextlib.AsyncExitStack, log_level: str) -> _AgentPair:
     deployment = await stack.enter_async_context(Deployment(hop_deployment(log_level)))
     await deployment.wait_ready()
-    pair = _Pair(deployment)
+    pair = _AgentPair(deployment)
     await pair.find_owner()
     return pair
 
 
-def _router_paths(pair: _Pair, session: aiohttp.ClientSession) -> tuple[_Path, _Path]:
+def _router_paths(pair: _AgentPair, session: aiohttp.ClientSession) -> tuple[_Path, _Path]:
     direct = _Path(
         "direct",
         lambda: _send(session, f"{pair.owner.url}/depot", KEY),
@@ -203,16 +214,16 @@
     return direct, forwarded
 
 
-async def _library_path(stack: contextlib.AsyncExitStack, pair: _Pair) -> _Path:
+async def _library_path(stack: contextlib.AsyncExitStack, pair: _AgentPair) -> _Path:
     seeds = [("127.0.0.1", member.ports.advertised_peers) for member in (pair.owner, pair.other)]
     client = await stack.enter_async_context(Client(seeds, SECRET))
 
     async def send() -> bool:
         try:
-            answer = await client.request("depot", KEY, path=f"/stock?size={RESPONSE_BYTES}")
+            response = await client.request("depot", KEY, path=f"/stock?size={RESPONSE_BYTES}")
         except FescuewardError:
             return False
-        return answer.status == 200 and len(answer.body) == RESPONSE_BYTES
+        return response.status == 200 and len(response.body) == RESPONSE_BYTES
 
     return _Path("library", send, lambda: (pair.owner.agent,))
 
@@ -222,14 +233,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Proxy:
+class _RunningProxy:
     process: ManagedProcess
     url: str
 
 
 async def _plain_proxy(
     stack: contextlib.AsyncExitStack, ports: PortReservations, deployment: Deployment, target: str
-) -> _Proxy:
+) -> _RunningProxy:
     port = ports.reserve()
     arguments = (sys.executable, "-m", "benchmarks._plain_proxy", target, str(port))
     environment = {**os.environ, "PYTHONPATH": str(_ROOT)}
@@ -247,7 +258,7 @@
         return True
 
     await wait_until(listens, 10.0, "the plain proxy listens")
-    return _Proxy(process, f"http://127.0.0.1:{port}")
+    return _RunningProxy(process, f"http://127.0.0.1:{port}")
 
 
 async def _send(session: aiohttp.ClientSession, url: str, key: str) -> bool:
@@ -259,25 +270,25 @@
         return False
 
 
-async def _round(path: _Path, requests: int) -> None:
-    left = requests
+async def _run_round(path: _Path, requests: int) -> None:
+    remaining = requests
 
     async def caller() -> None:
-        nonlocal left
-        while left > 0:
-            left -= 1
+        nonlocal remaining
+        while remaining > 0:
+            remaining -= 1
             path.failures += not await path.send()
 
     processes = path.processes()
     before = _cpu_s(processes)
-    await asyncio.gather(*(caller() for _ in range(CALLERS)))
+    await asyncio.gather(*(caller() for _ in range(CALLER_COUNT)))
     path.rounds_ms.append((_cpu_s(processes) - before) / requests * 1000)
 
 
-async def _timed(path: _Path) -> None:
-    begun = time.perf_counter()
+async def _measure_latency(path: _Path) -> None:
+    started_s = time.perf_counter()
     path.failures += not await path.send()
-    path.latencies_ms.append((time.perf_counter() - begun) * 1000)
+    path.latencies_ms.append((time.perf_counter() - started_s) * 1000)
 
 
 def _cpu_s(processes: tuple[ManagedProcess, ...]) -> float:
