Reword remaining names in the proxy and integration tests

Two test names were figurative (maker, whole), and the doc of replace_plan left out that a cut resets the connection.

--- a/fescueward/testing/proxy.py
+++ b/fescueward/testing/proxy.py
@@ -101,7 +101,7 @@
         self._plan_changed = asyncio.Event()
 
     def replace_plan(self, plan: ProxyPlan) -> None:
-        """Applies a plan. A connection that lost bytes is reset once it no longer drops them."""
+        """Applies a plan; a cut, or the end of a drop that lost bytes, resets the connection."""
         drop_ended = self.plan.drops and not plan.drops
         self.plan = plan
         if self.task is not None and (plan.cuts or (drop_ended and self.lost_bytes)):
--- a/tests/integration/test_answers.py
+++ b/tests/integration/test_answers.py
@@ -42,7 +42,7 @@
             self.assertEqual(result.summary.wrong_answers, 0)
             self.assertGreater(result.summary.successes, 0)
 
-    async def test_truncated_answers_are_never_whole(self):
+    async def test_truncated_answers_are_never_accepted(self):
         """Guards against a truncated body that the caller accepts as complete."""
         deployment = await self.deploy(deployment_spec(members=2))
         for member in deployment.members:
--- a/tests/integration/test_catalogue.py
+++ b/tests/integration/test_catalogue.py
@@ -60,7 +60,7 @@
 
 
 class AssignmentTest(DeploymentTestCase):
-    async def test_assignment_survives_its_maker_and_an_outage(self):
+    async def test_assignment_survives_loss_of_its_planner_and_an_outage(self):
         """Guards against assignments that are lost with the agent that planned them."""
         deployment = await self.deploy(deployment_spec(members=6, domains=3))
         before = await deployment.group("depot")
