Name the unit of the byte counters in the control and fleet benchmarks

The samples' fields sent and received hold bytes; they become sent_bytes and received_bytes. The benchmarks were not run.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -120,8 +120,8 @@
 class _Sample:
     at_s: float
     cpu_s: float
-    sent: int
-    received: int
+    sent_bytes: int
+    received_bytes: int
 
 
 def run() -> ControlFigures:
@@ -204,8 +204,8 @@
     return _Sample(
         at_s=BootClock().now(),
         cpu_s=times.user + times.system,
-        sent=agent_io.write_chars - log_bytes[0] - upstream_io.read_chars,
-        received=agent_io.read_chars - (upstream_io.write_chars - log_bytes[1]),
+        sent_bytes=agent_io.write_chars - log_bytes[0] - upstream_io.read_chars,
+        received_bytes=agent_io.read_chars - (upstream_io.write_chars - log_bytes[1]),
     )
 
 
@@ -215,8 +215,8 @@
         old, new = before[member.name], _sample(member)
         elapsed_s = new.at_s - old.at_s
         cpu.append(100 * (new.cpu_s - old.cpu_s) / elapsed_s)
-        sent.append((new.sent - old.sent) / elapsed_s)
-        received.append((new.received - old.received) / elapsed_s)
+        sent.append((new.sent_bytes - old.sent_bytes) / elapsed_s)
+        received.append((new.received_bytes - old.received_bytes) / elapsed_s)
         resident.append(psutil.Process(member.agent.pid).memory_info().rss / 1e6)
     return ControlCost(
         cpu_percent=round(fmean(cpu), 3),
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -72,7 +72,7 @@
 class _Sample:
     cpu_s: float
     switches: int
-    sent: int
+    sent_bytes: int
 
 
 def run() -> FleetFigures:
@@ -107,7 +107,9 @@
             1,
         ),
         idle_sent_bytes_s=round(
-            fmean(after[name].sent - before[name].sent for name in before) / IDLE_DURATION_S, 1
+            fmean(after[name].sent_bytes - before[name].sent_bytes for name in before)
+            / IDLE_DURATION_S,
+            1,
         ),
         files=round(fmean(files), 1),
         files_most=max(files),
@@ -123,7 +125,7 @@
     return _Sample(
         cpu_s=times.user + times.system,
         switches=process.num_ctx_switches().voluntary,
-        sent=process.io_counters().write_chars - log_bytes,
+        sent_bytes=process.io_counters().write_chars - log_bytes,
     )
 
 
