--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -17,7 +17,7 @@
         ...
 
     @property
-    def home(self) -> GroupId | None:
+    def own_group_id(self) -> GroupId | None:
         """Group of this agent, or None before the first announcement of its upstream."""
         ...
 
@@ -32,7 +32,7 @@
         ...
 
     @property
-    def resigned(self) -> bool:
+    def stopped_acknowledging(self) -> bool:
         """Whether this agent has stopped acknowledging renewals, because it leaves the group."""
         ...
 
--- a/fescueward/services/grants.py
+++ b/fescueward/services/grants.py
@@ -55,20 +55,20 @@
         """Sends the current grants without waiting for the next renewal."""
         self._send_requested.set()
 
-    async def confirmed(self) -> None:
+    async def wait_until_confirmed(self) -> None:
         """Waits until the upstream has confirmed grants for the shards that are owned now."""
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
         self._send_requested.set()
         await waiter
 
-    async def revoked(self) -> None:
+    async def wait_until_revoked(self) -> None:
         """Waits until no grant is in force for a shard that is not owned now."""
         # An upstream that confirms nothing keeps its grants until the latest expiry sent to it.
         wait_s = max(self._latest_expiry_at - self._clock.now(), 0)
         with suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                await self.confirmed()
+                await self.wait_until_confirmed()
 
     async def _run(self) -> None:
         while True:
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -32,12 +32,14 @@
         return (
             member_id in self._monitored
             and member_id not in self._blocks
-            and not self._membership.resigned
+            and not self._membership.stopped_acknowledging
         )
 
 
 class _RequestsNoPromise(LeaseMonitor):
-    async def _take_over(self, home: Any, base: VersionedGroup, expired_ids: list[str]) -> bool:
+    async def _take_over(
+        self, own_group_id: Any, base: VersionedGroup, expired_ids: list[str]
+    ) -> bool:
         lost_ids = frozenset(expired_ids) & base.group.members.keys()
         return bool(lost_ids) and await self._write(
             base, lost_ids, _AcknowledgementBlock(base.version, "", 0)
