--- a/fescueward/services/crash_reports.py
+++ b/fescueward/services/crash_reports.py
@@ -27,7 +27,7 @@
     """The confirmations of one report."""
 
     def __init__(self) -> None:
-        self.confirmed: set[str] = set()
+        self.confirmed_members: set[str] = set()
         self.unconfirmed: set[str] = set()
         self.all_confirmed = asyncio.Event()
 
@@ -111,7 +111,7 @@
                 members = [
                     member
                     for member in self._other_members()
-                    if member.id not in delivery.confirmed
+                    if member.id not in delivery.confirmed_members
                     and (recipients is None or member.id in recipients)
                 ]
                 if not members:
@@ -139,7 +139,7 @@
         delivery = self._deliveries.get(message.number)
         if delivery is None:
             return
-        delivery.confirmed.add(sender)
+        delivery.confirmed_members.add(sender)
         delivery.unconfirmed.discard(sender)
         if not delivery.unconfirmed:
             delivery.all_confirmed.set()
