Rename confirmed to wait_until_confirmed

The coroutine waits until the upstream has confirmed the grants, and its name read like a flag. The new name has the form of wait_until_held and wait_until_drained. Only the name changes, in 3 files.

--- a/fescueward/interfaces/ownership.py
+++ b/fescueward/interfaces/ownership.py
@@ -76,7 +76,7 @@
         """Sends the current grants without waiting for the next renewal."""
         ...
 
-    async def confirmed(self) -> None:
+    async def wait_until_confirmed(self) -> None:
         """Waits until the upstream has confirmed the grants of all shards owned now."""
         ...
 
--- a/fescueward/services/grants.py
+++ b/fescueward/services/grants.py
@@ -55,7 +55,7 @@
         """Sends the current grants without waiting for the next renewal."""
         self._send_requested.set()
 
-    async def confirmed(self) -> None:
+    async def wait_until_confirmed(self) -> None:
         """Waits until the upstream has confirmed grants for the shards that are owned now."""
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
@@ -68,7 +68,7 @@
         wait_s = max(self._latest_expiry_at - self._clock.now(), 0)
         with suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                await self.confirmed()
+                await self.wait_until_confirmed()
 
     async def _run(self) -> None:
         while True:
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -262,7 +262,7 @@
         await self._wait_for_other_shards(batch)
         # Grants that are sent without a lease have already expired and admit no request.
         await self._lease.wait_until_held()
-        await self._grants.confirmed()
+        await self._grants.wait_until_confirmed()
         ready = [
             owned_shard
             for shard_id, owned_shard in batch.items()
