Rename resigned to stopped_acknowledging

The property does not say that the agent has left an office, but that it has stopped acknowledging renewals. Only the name changes, in 6 files.

--- a/fescueward/client/services.py
+++ b/fescueward/client/services.py
@@ -158,7 +158,7 @@
     home: GroupId | None = None
     announcement: Announcement | None = None
     leaving = False
-    resigned = False
+    stopped_acknowledging = False
 
     def bind(self, registry: Registry) -> None:
         """Looks up nothing: this service uses no other."""
--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -32,7 +32,7 @@
         ...
 
     @property
-    def resigned(self) -> bool:
+    def stopped_acknowledging(self) -> bool:
         """Whether this agent has stopped acknowledging renewals, because it leaves the group."""
         ...
 
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -122,7 +122,7 @@
         self._log_state_change()
         member = self._membership.own_member()
         home = self._membership.home
-        if member is None or home is None or self._membership.resigned:
+        if member is None or home is None or self._membership.stopped_acknowledging:
             return
         view = self._groups.view(home)
         assert view is not None
@@ -146,7 +146,11 @@
             Whether the lease was extended.
         """
         member = self._membership.own_member()
-        if member is None or self._membership.resigned or not self._lacks_acknowledgements(member):
+        if (
+            member is None
+            or self._membership.stopped_acknowledging
+            or not self._lacks_acknowledgements(member)
+        ):
             self._renews_by_writes = False
             return False
         if not self._renews_by_writes:
@@ -228,7 +232,9 @@
         # removes itself, the lease ends before that write, whose response can be lost.
         member = self._membership.own_member()
         return (
-            member is not None and member.id == self._member_id and not self._membership.resigned
+            member is not None
+            and member.id == self._member_id
+            and not self._membership.stopped_acknowledging
         )
 
     def _log_state_change(self) -> None:
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -145,7 +145,7 @@
         return self._clock.now() - self._leaving_since > self._leaving_grace_s
 
     @property
-    def resigned(self) -> bool:
+    def stopped_acknowledging(self) -> bool:
         """Whether this agent has stopped acknowledging renewals, because it leaves the group."""
         return self._resigned
 
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -185,7 +185,7 @@
         """
         home = self._membership.home
         view = self._groups.view(home) if home is not None else None
-        if view is None or self._membership.resigned or not self._lease.held:
+        if view is None or self._membership.stopped_acknowledging or not self._lease.held:
             return False
         if self._transfer_after > self._clock.now():
             return False
@@ -291,7 +291,7 @@
             member_id in self._monitored
             and member_id not in self._blocks
             and self._lease.held
-            and not self._membership.resigned
+            and not self._membership.stopped_acknowledging
         )
 
     def _on_renew(self, sender: str, message: Renew) -> None:
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -32,7 +32,7 @@
         return (
             member_id in self._monitored
             and member_id not in self._blocks
-            and not self._membership.resigned
+            and not self._membership.stopped_acknowledging
         )
 
 
