Rename home to own_group_id

The value is the id of the group that the agent itself belongs to, which the figurative name does not say. Only the name changes, in 32 files.

--- a/fescueward/client/services.py
+++ b/fescueward/client/services.py
@@ -155,7 +155,7 @@
     name = "membership"
     requires: tuple[str, ...] = ()
     member_id = ""
-    home: GroupId | None = None
+    own_group_id: GroupId | None = None
     announcement: Announcement | None = None
     leaving = False
     stopped_acknowledging = False
--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -17,7 +17,7 @@
         ...
 
     @property
-    def home(self) -> GroupId | None:
+    def own_group_id(self) -> GroupId | None:
         """Group of this agent, or None before the first announcement of its upstream."""
         ...
 
--- a/fescueward/services/crash_reports.py
+++ b/fescueward/services/crash_reports.py
@@ -128,8 +128,8 @@
             del self._deliveries[number]
 
     def _other_members(self) -> tuple[Member, ...]:
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         if view is None:
             return ()
         own_id = self._membership.member_id
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -242,8 +242,8 @@
         """Returns the versions of this agent, for renewals and their acknowledgements."""
         if self._fleet_wide:
             return Versions(0, version_digest(self._object_versions()))
-        home = self._membership.home
-        cached = self._views.get(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        cached = self._views.get(own_group_id) if own_group_id is not None else None
         return Versions(cached.version if cached is not None else 0, self._catalogue.digest)
 
     def fetch_newer(self, member: Member, member_versions: Versions) -> None:
@@ -263,8 +263,8 @@
                     "compare", self._fetch_unless_known(member, member_versions)
                 )
             return
-        home = self._membership.home
-        if home is None or (
+        own_group_id = self._membership.own_group_id
+        if own_group_id is None or (
             member_versions.group <= own_versions.group
             and member_versions.entries == own_versions.entries
         ):
@@ -272,7 +272,9 @@
         entries = (
             self._catalogue.versions() if member_versions.entries != own_versions.entries else None
         )
-        self._peers.send(member, Fetch(home.service, home.number, own_versions.group, entries))
+        self._peers.send(
+            member, Fetch(own_group_id.service, own_group_id.number, own_versions.group, entries)
+        )
 
     def _is_known(self, member_versions: Versions) -> bool:
         return member_versions == self.versions() or member_versions in self._recent_versions
@@ -433,21 +435,23 @@
         watched: GroupId | None = None
         watching = False
         while True:
-            home = self._membership.home
-            if home != watched:
-                watched, since = home, 0
+            own_group_id = self._membership.own_group_id
+            if own_group_id != watched:
+                watched, since = own_group_id, 0
             if not self._is_watcher():
                 if watching:
-                    _WATCH_ENDED.emit(group=home)
+                    _WATCH_ENDED.emit(group=own_group_id)
                 watching, since = False, 0
                 await self._clock.sleep(_WATCH_RETRY_S)
                 continue
             if not watching:
-                _WATCH_STARTED.emit(group=home)
+                _WATCH_STARTED.emit(group=own_group_id)
                 watching = True
-            prefixes = ("entries/",) if home is None else ("entries/", home.object_key)
+            prefixes = (
+                ("entries/",) if own_group_id is None else ("entries/", own_group_id.object_key)
+            )
             # Before the agent has a group, the wait is short so that it joins soon once announced.
-            wait_s = 1.0 if home is None else self._watch_wait_s
+            wait_s = 1.0 if own_group_id is None else self._watch_wait_s
             try:
                 changes = await self._platform.watch(prefixes, since, wait_s if since else 0)
             except PlatformError as error:
@@ -514,14 +518,14 @@
     def _observe_stored(self, key: str, version: int, value: bytes, deleted: bool) -> None:
         if deleted:
             return
-        home = self._membership.home
-        view = self._views.get(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._views.get(own_group_id) if own_group_id is not None else None
         try:
             if key.startswith("entries/"):
                 entry = VersionedEntry(version, decode_json(value, Entry))
                 if self._catalogue.observe(entry) and view is not None:
                     self._publish_to_members(view, Publish(entries=(entry,)))
-            elif home is not None and key == home.object_key:
+            elif own_group_id is not None and key == own_group_id.object_key:
                 group = VersionedGroup(version, decode_json(value, Group))
                 if self.observe(group):
                     self._publish_to_members(group, build_publish(view, group))
@@ -538,8 +542,8 @@
 
     def _count_preceding_watchers(self) -> int:
         """Returns the number of known watchers whose member id is lower than this agent's."""
-        home = self._membership.home
-        view = self._views.get(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._views.get(own_group_id) if own_group_id is not None else None
         own_id = self._membership.member_id
         if view is None or own_id not in view.group.members:
             return 0
@@ -547,8 +551,8 @@
 
     def _watchers(self) -> tuple[Member, ...]:
         """Returns the members that are believed to watch the platform, by member id."""
-        home = self._membership.home
-        view = self._views.get(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._views.get(own_group_id) if own_group_id is not None else None
         if view is None:
             return ()
         members = self._fleet_members() if self._fleet_wide else view.group.members
@@ -569,8 +573,8 @@
     async def _run_watch_status(self) -> None:
         while True:
             await self._clock.sleep(_WATCH_STATUS_PERIOD_S)
-            home = self._membership.home
-            view = self._views.get(home) if home is not None else None
+            own_group_id = self._membership.own_group_id
+            view = self._views.get(own_group_id) if own_group_id is not None else None
             if view is None or not self._is_watcher():
                 continue
             members = self._fleet_members() if self._fleet_wide else view.group.members
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -59,7 +59,9 @@
         self._peers.on(JoinRequest, self._on_join_request)
         self._peers.on(JoinReply, self._on_join_reply)
 
-    async def record(self, home: GroupId, member: Member, write_directly: bool) -> VersionedGroup:
+    async def record(
+        self, own_group_id: GroupId, member: Member, write_directly: bool
+    ) -> VersionedGroup:
         """Adds this agent to the group, through another member if there is one.
 
         Many agents start at the same time. One writer for all of them needs few writes, whereas
@@ -84,36 +86,38 @@
         def add_if_first(group: Group) -> Group | None:
             return None if self._recorder(group) is not None else add(group)
 
-        current = await self._groups.edit(home, add if write_directly else add_if_first)
+        current = await self._groups.edit(own_group_id, add if write_directly else add_if_first)
         recorder = self._recorder(current.group)
         if member.id in current.group.members or recorder is None:
             return current
         call = self._peers.next_call()
-        request = JoinRequest(call, home.service, home.number, member)
+        request = JoinRequest(call, own_group_id.service, own_group_id.number, member)
         deadline = self._clock.now() + self._lease_s
         try:
             reply = await self._peers.call(recorder, request, call)
         except PeerTimeoutError:
-            if await self._wait_until_recorded(home, member.id, deadline):
-                return self._groups.view(home) or current
+            if await self._wait_until_recorded(own_group_id, member.id, deadline):
+                return self._groups.view(own_group_id) or current
             raise
         if isinstance(reply, JoinReply) and reply.group is not None:
             self._groups.observe(reply.group)
             if member.id in reply.group.group.members:
                 return reply.group
-        return await self._groups.edit(home, add)
+        return await self._groups.edit(own_group_id, add)
 
-    async def _wait_until_recorded(self, home: GroupId, member_id: str, deadline: float) -> bool:
+    async def _wait_until_recorded(
+        self, own_group_id: GroupId, member_id: str, deadline: float
+    ) -> bool:
         """Waits until a busy recorder has written the join; returns False at the deadline.
 
         A recorder that does not write for the duration of a lease is treated as lost.
         """
         while True:
-            view = self._groups.view(home)
+            view = self._groups.view(own_group_id)
             if view is not None and member_id in view.group.members:
                 return True
             version = view.version if view is not None else 0
-            if not await self._groups.changed(home, version, deadline - self._clock.now()):
+            if not await self._groups.changed(own_group_id, version, deadline - self._clock.now()):
                 return False
 
     def _on_join_reply(self, sender: str, message: JoinReply) -> None:
@@ -131,10 +135,10 @@
         return self._placement.planner(replace(group, members=others))
 
     def _on_join_request(self, sender: str, message: JoinRequest) -> None:
-        home = GroupId(message.service, message.number)
+        own_group_id = GroupId(message.service, message.number)
         own_member = self._membership.own_member()
         accepts_joins = (
-            home == self._membership.home
+            own_group_id == self._membership.own_group_id
             and own_member is not None
             and not self._membership.leaving
         )
@@ -144,9 +148,9 @@
         self._pending_requests.append(message)
         if not self._recording:
             self._recording = True
-            self._tasks.spawn("record-joins", self._record_joins(home))
+            self._tasks.spawn("record-joins", self._record_joins(own_group_id))
 
-    async def _record_joins(self, home: GroupId) -> None:
+    async def _record_joins(self, own_group_id: GroupId) -> None:
         # Requests that arrive while a write is in flight go into the next one.
         while self._pending_requests:
             await self._clock.sleep(_JOIN_BATCH_S)
@@ -155,17 +159,20 @@
             written: VersionedGroup | None = None
             try:
                 written = await self._groups.edit(
-                    home, lambda group, members=members: self._with_requested(group, members)
+                    own_group_id,
+                    lambda group, members=members: self._with_requested(group, members),
                 )
             except FescuewardError as error:
-                _JOINS_NOT_RECORDED.emit(group=home, members=len(members), error=error)
+                _JOINS_NOT_RECORDED.emit(group=own_group_id, members=len(members), error=error)
                 if isinstance(error, PlatformError) and not isinstance(
                     error, PlatformUnavailableError
                 ):
                     # The write may still take effect, so no reply reports a failure.
                     continue
             else:
-                _JOINS_RECORDED.emit(group=home, version=written.version, members=len(members))
+                _JOINS_RECORDED.emit(
+                    group=own_group_id, version=written.version, members=len(members)
+                )
             for request in requests:
                 self._peers.reply(request.member.id, JoinReply(request.call, written))
         self._recording = False
--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -95,20 +95,20 @@
         self._unconfirmed_grants.append((key_range, end))
         self.add_confirmed_grant(end)
 
-    async def hand_over(self, home: GroupId, leaving_ranges: list[KeyRange]) -> None:
+    async def hand_over(self, own_group_id: GroupId, leaving_ranges: list[KeyRange]) -> None:
         """Releases ranges and returns once the group object has their new owners."""
         released = await self.release_all(leaving_ranges)
         edit = _handover_edit(released, self._membership.member_id)
-        written = await self._record_through_planner(home, released, edit)
+        written = await self._record_through_planner(own_group_id, released, edit)
         while written is None:
             try:
-                written = await self._groups.edit(home, edit)
+                written = await self._groups.edit(own_group_id, edit)
             except PlatformError as error:
-                _HANDOVER_FAILED.emit(group=home, ranges=len(leaving_ranges), error=error)
-                self._request_record(home, leaving_ranges, released)
+                _HANDOVER_FAILED.emit(group=own_group_id, ranges=len(leaving_ranges), error=error)
+                self._request_record(own_group_id, leaving_ranges, released)
                 await self._clock.sleep(_RETRY_S)
         _HANDED_OVER.emit(
-            group=home,
+            group=own_group_id,
             version=written.version,
             ranges=[
                 (key_range.first, key_range.last, key_range.successor)
@@ -130,37 +130,39 @@
         return dict(zip(map(range_id, leaving_ranges), tokens, strict=True))
 
     async def _record_through_planner(
-        self, home: GroupId, released: dict[RangeId, str], edit: GroupChange
+        self, own_group_id: GroupId, released: dict[RangeId, str], edit: GroupChange
     ) -> VersionedGroup | None:
         """Lets the planner record a handover; returns None if that fails or takes too long.
 
         The planner combines the handovers of several members in one write. If each member wrote
         its own, their conditional writes would conflict.
         """
-        view = self._groups.view(home)
+        view = self._groups.view(own_group_id)
         planner = next(iter(moves.active_members(view.group)), None) if view is not None else None
         own_id = self._membership.member_id
         if view is None or planner is None or planner.id == own_id:
             return None
-        if not self._peers.send(planner, self._released_message(home, released)):
+        if not self._peers.send(planner, self._released_message(own_group_id, released)):
             return None
         deadline = self._clock.now() + _PLANNER_RECORD_TIMEOUT_S
         while edit(view.group) is not None:
-            if not await self._groups.changed(home, view.version, deadline - self._clock.now()):
+            if not await self._groups.changed(
+                own_group_id, view.version, deadline - self._clock.now()
+            ):
                 return None
-            view = self._groups.view(home)
+            view = self._groups.view(own_group_id)
             assert view is not None
         return view
 
     def _request_record(
-        self, home: GroupId, leaving_ranges: list[KeyRange], released: dict[RangeId, str]
+        self, own_group_id: GroupId, leaving_ranges: list[KeyRange], released: dict[RangeId, str]
     ) -> None:
         """Requests that other members record the handover, since they may reach the platform.
 
         The planner and the successors may be cut off like the owner, so each call also includes
         one random member.
         """
-        view = self._groups.view(home)
+        view = self._groups.view(own_group_id)
         if view is None:
             return
         active_ids = [member.id for member in moves.active_members(view.group)]
@@ -170,20 +172,24 @@
         for member_id in recipient_ids - {self._membership.member_id}:
             member = view.group.members.get(member_id or "")
             if member is not None:
-                self._peers.send(member, self._released_message(home, released))
+                self._peers.send(member, self._released_message(own_group_id, released))
 
-    def _released_message(self, home: GroupId, released: dict[RangeId, str]) -> RangesReleased:
+    def _released_message(
+        self, own_group_id: GroupId, released: dict[RangeId, str]
+    ) -> RangesReleased:
         ranges = tuple(
             ReleasedRange(*key_range_id, token) for key_range_id, token in released.items()
         )
-        return RangesReleased(home.service, home.number, self._membership.member_id, ranges)
+        return RangesReleased(
+            own_group_id.service, own_group_id.number, self._membership.member_id, ranges
+        )
 
     def _on_released(self, sender: str, message: RangesReleased) -> None:
-        home = GroupId(message.service, message.number)
-        if sender == message.owner_id and home == self._membership.home:
-            self._tasks.spawn("record", self._record(home, message))
+        own_group_id = GroupId(message.service, message.number)
+        if sender == message.owner_id and own_group_id == self._membership.own_group_id:
+            self._tasks.spawn("record", self._record(own_group_id, message))
 
-    async def _record(self, home: GroupId, message: RangesReleased) -> None:
+    async def _record(self, own_group_id: GroupId, message: RangesReleased) -> None:
         released = {
             (
                 released_range.first,
@@ -194,13 +200,16 @@
         }
         edit = _handover_edit(released, message.owner_id)
         try:
-            written = await self._groups.edit(home, edit)
+            written = await self._groups.edit(own_group_id, edit)
         except PlatformError as error:
             # The owner repeats its request until the handover is recorded.
-            _HANDOVER_FAILED.emit(group=home, ranges=len(released), error=error)
+            _HANDOVER_FAILED.emit(group=own_group_id, ranges=len(released), error=error)
             return
         _RECORDED.emit(
-            group=home, version=written.version, owner=message.owner_id, ranges=len(released)
+            group=own_group_id,
+            version=written.version,
+            owner=message.owner_id,
+            ranges=len(released),
         )
 
     async def _wait_until_unconfirmed_grants_end(self, leaving_ranges: list[KeyRange]) -> None:
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -130,8 +130,8 @@
                 self._peers.send(planner, report)
 
     def _home_view(self) -> VersionedGroup | None:
-        home = self._membership.home
-        return self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        return self._groups.view(own_group_id) if own_group_id is not None else None
 
     def _on_report(self, sender: str, message: RangeLoad) -> None:
         if message.member_id == sender:
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -192,7 +192,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Activates, hands over or drops ranges as recorded in a newer group object."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         self._drop_grants_of_earlier_start()
         own_id = self._membership.member_id
@@ -268,8 +268,8 @@
             raise ShardMovingError(f"key {key} is being handed over")
 
     def _view(self) -> VersionedGroup | None:
-        home = self._membership.home
-        return self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        return self._groups.view(own_group_id) if own_group_id is not None else None
 
     def _owns_ranges(self) -> bool:
         view = self._view()
@@ -387,11 +387,11 @@
             self._notify_waiters()
 
     async def _hand_over(self, leaving_ranges: list[KeyRange]) -> None:
-        home = self._membership.home
-        assert home is not None
+        own_group_id = self._membership.own_group_id
+        assert own_group_id is not None
         # A grant that reached the upstream after the release would give it the keys again.
         if self._grants_in_flight:
             await asyncio.wait(self._grants_in_flight.values())
-        await self._handover.hand_over(home, leaving_ranges)
+        await self._handover.hand_over(own_group_id, leaving_ranges)
         self._in_handover -= set(map(range_id, leaving_ranges))
         self._notify_waiters()
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -100,7 +100,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Records when the members of this agent's group changed and whether keys are assigned."""
-        if group.group.id == self._membership.home:
+        if group.group.id == self._membership.own_group_id:
             members = frozenset(group.group.members)
             if members != self._members:
                 self._members = members
@@ -139,8 +139,8 @@
         )
 
     def _view_as_planner(self) -> VersionedGroup | None:
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         if view is None or not self._lease.held:
             return None
         current = self._routes.current
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -121,10 +121,10 @@
         """Sends one renewal to each monitor."""
         self._log_state_change()
         member = self._membership.own_member()
-        home = self._membership.home
-        if member is None or home is None or self._membership.stopped_acknowledging:
+        own_group_id = self._membership.own_group_id
+        if member is None or own_group_id is None or self._membership.stopped_acknowledging:
             return
-        view = self._groups.view(home)
+        view = self._groups.view(own_group_id)
         assert view is not None
         now = self._clock.now()
         self._sequence += 1
@@ -172,10 +172,10 @@
         return member is not None and await self._write_stamp(member.id)
 
     async def _write_stamp(self, member_id: str) -> bool:
-        home = self._membership.home
-        assert home is not None
+        own_group_id = self._membership.own_group_id
+        assert own_group_id is not None
         for _ in range(3):
-            base = self._groups.view(home)
+            base = self._groups.view(own_group_id)
             member = base.group.members.get(member_id) if base is not None else None
             if base is None or member is None:
                 return False
@@ -188,10 +188,10 @@
             try:
                 await self._groups.write(base, group)
             except VersionConflictError:
-                await self._groups.refresh(home)
+                await self._groups.refresh(own_group_id)
                 continue
             except OutcomeUnknownError:
-                latest = await self._groups.refresh(home)
+                latest = await self._groups.refresh(own_group_id)
                 stored = latest.group.members.get(member_id)
                 # Only this agent changes the stamp.
                 if stored is None or stored.stamp != renewed.stamp:
@@ -207,10 +207,10 @@
 
     def _on_ack(self, sender: str, message: RenewAck) -> None:
         member = self._membership.own_member()
-        home = self._membership.home
-        if member is None or home is None or message.member_id != member.id:
+        own_group_id = self._membership.own_group_id
+        if member is None or own_group_id is None or message.member_id != member.id:
             return
-        view = self._groups.view(home)
+        view = self._groups.view(own_group_id)
         monitor = view.group.members.get(sender) if view is not None else None
         if monitor is not None:
             self._groups.fetch_newer(monitor, message.versions)
--- a/fescueward/services/load.py
+++ b/fescueward/services/load.py
@@ -159,7 +159,11 @@
 
     def end_round(self) -> GroupLoad:
         """Sums up the reports on the planner, including this agent's own, and returns the load."""
-        view = self._groups.view(self._membership.home) if self._membership.home else None
+        view = (
+            self._groups.view(self._membership.own_group_id)
+            if self._membership.own_group_id
+            else None
+        )
         if self._report_table is not None and view is not None:
             now = self._clock.now()
             self._report_table.add(self.report(), now)
@@ -173,7 +177,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Collects reports while this agent is the planner, and moves the work of split keys."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         self._move_work_of_split_keys(group.group)
         planner = self._placement.planner(group.group)
@@ -217,8 +221,8 @@
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(self._round_s)
-            home = self._membership.home
-            view = self._groups.view(home) if home is not None else None
+            own_group_id = self._membership.own_group_id
+            view = self._groups.view(own_group_id) if own_group_id is not None else None
             if view is None or self._membership.member_id not in view.group.members:
                 continue
             planner = self._placement.planner(view.group)
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -119,7 +119,7 @@
         return f"{self._settings.agent.name}:{self._incarnation}"
 
     @property
-    def home(self) -> GroupId | None:
+    def own_group_id(self) -> GroupId | None:
         """Id of the agent's group, or None before the first announcement of its upstream."""
         return self._home
 
@@ -207,16 +207,16 @@
             InvalidAnnouncementError: The announcement names another service or group than the
                 first one.
         """
-        home = GroupId(announcement.service, announcement.group)
-        if self._home is not None and home != self._home:
+        own_group_id = GroupId(announcement.service, announcement.group)
+        if self._home is not None and own_group_id != self._home:
             raise InvalidAnnouncementError(
-                f"the upstream announced {home}; this agent belongs to {self._home}"
+                f"the upstream announced {own_group_id}; this agent belongs to {self._home}"
             )
         if self._announcement != announcement:
-            _ANNOUNCED.emit(group=home, state=announcement.state, slots=announcement.slots)
+            _ANNOUNCED.emit(group=own_group_id, state=announcement.state, slots=announcement.slots)
         previous = self._announcement
         restarted = previous is not None and previous.start != announcement.start
-        self._home = home
+        self._home = own_group_id
         self._announcement = announcement
         if restarted and self._joined:
             self._tasks.spawn("restarted", self._edit_until_done(self._apply_upstream_restart))
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -132,7 +132,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Updates the monitored members, their stamps and their monitors."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         own_id = self._membership.member_id
         if own_id != self._member_id:
@@ -164,15 +164,15 @@
         Returns:
             Whether a takeover was written.
         """
-        home = self._membership.home
+        own_group_id = self._membership.own_group_id
         expired_ids = [
             member_id for member_id in self._monitored if self._lease_has_ended(member_id)
         ]
-        if home is None or not expired_ids or self._membership.own_member() is None:
+        if own_group_id is None or not expired_ids or self._membership.own_member() is None:
             return False
         try:
-            base = await self._groups.refresh(home)
-            return await self._take_over(home, base, expired_ids)
+            base = await self._groups.refresh(own_group_id)
+            return await self._take_over(own_group_id, base, expired_ids)
         except PlatformError as error:
             _TAKEOVER_FAILED.emit(members=",".join(expired_ids), error=error)
             return False
@@ -183,8 +183,8 @@
         Returns:
             Whether a transfer was written.
         """
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         if view is None or self._membership.stopped_acknowledging or not self._lease.held:
             return False
         if self._transfer_after > self._clock.now():
@@ -222,7 +222,7 @@
         return True
 
     async def _take_over(
-        self, home: GroupId, base: VersionedGroup, expired_ids: list[str]
+        self, own_group_id: GroupId, base: VersionedGroup, expired_ids: list[str]
     ) -> bool:
         monitored_ids = [
             member_id
@@ -234,7 +234,7 @@
         promised_ids = await promises.request(monitored_ids)
         # There is no await from here to the write: the last check and the block are one step.
         lost_ids = frozenset(filter(self._lease_has_ended, promised_ids))
-        view = self._groups.view(home)
+        view = self._groups.view(own_group_id)
         written = False
         if lost_ids and view is not None and view.version == base.version:
             block = _AcknowledgementBlock(base.version, "", self._peers.next_call())
@@ -308,8 +308,8 @@
             self._groups.versions(),
         )
         self._peers.reply(sender, acknowledgement)
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         member = view.group.members.get(sender) if view is not None else None
         if member is not None:
             self._groups.fetch_newer(member, message.versions)
@@ -335,8 +335,8 @@
 
     def _on_promise_query(self, sender: str, message: PromiseQuery) -> None:
         member_id, version = message.member_id, message.version
-        home = GroupId(message.service, message.number)
-        granted = home == self._membership.home and self.promise(
+        own_group_id = GroupId(message.service, message.number)
+        granted = own_group_id == self._membership.own_group_id and self.promise(
             member_id, version, sender, message.call
         )
         self._peers.reply(sender, Promise(message.call, member_id, version, granted))
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -149,7 +149,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Activates, hands over and drops shards according to the group object."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         member_id = self._membership.member_id
         if member_id != self._member_id or member_id not in group.group.members:
@@ -213,15 +213,15 @@
         self._grants.send_soon()
 
     def _find_shard(self, service: str, key: str) -> tuple[int, OwnedShard | None]:
-        home = self._membership.home
+        own_group_id = self._membership.own_group_id
         group_count = self._catalogue.entry(service).entry.groups
-        if home is None or group_of(service, key, group_count) != home:
+        if own_group_id is None or group_of(service, key, group_count) != own_group_id:
             raise NotOwnerError(
                 f"this agent does not belong to the group of service {service!r} for key {key!r}"
             )
-        view = self._groups.view(home)
+        view = self._groups.view(own_group_id)
         if view is None:
-            raise NotOwnerError(f"group {home} is not known yet")
+            raise NotOwnerError(f"group {own_group_id} is not known yet")
         shard_id = view.group.shard_of(key, group_count)
         owned_shard = self._owned_shards.get(shard_id)
         if owned_shard is not None:
@@ -307,8 +307,8 @@
             self.group_changed(view)
 
     def _view(self) -> VersionedGroup | None:
-        home = self._membership.home
-        return self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        return self._groups.view(own_group_id) if own_group_id is not None else None
 
     def _shard(self, shard_id: int) -> Shard | None:
         view = self._view()
@@ -328,8 +328,12 @@
         _RELEASING.emit(shard=shard_id, epoch=owned_shard.epoch)
         await owned_shard.idle.wait()
         shard = self._shard(shard_id)
-        home = self._membership.home
-        if self._owned_shards.get(shard_id) is not owned_shard or shard is None or home is None:
+        own_group_id = self._membership.own_group_id
+        if (
+            self._owned_shards.get(shard_id) is not owned_shard
+            or shard is None
+            or own_group_id is None
+        ):
             return
         if shard.owner == self._member_id and shard.epoch > owned_shard.epoch:
             # The successor was lost before anything was sent to it.
@@ -344,8 +348,8 @@
         await self._grants.revoked()
         release = Release(
             call=0,
-            service=home.service,
-            number=home.number,
+            service=own_group_id.service,
+            number=own_group_id.number,
             shard=shard_id,
             epoch=owned_shard.epoch,
             from_id=self._member_id,
@@ -369,8 +373,11 @@
         self._peers.reply(sender, Released(message.call, accepted))
 
     async def _accept_release(self, sender: str, message: Release) -> bool:
-        home = self._membership.home
-        if home != GroupId(message.service, message.number) or message.to_id != self._member_id:
+        own_group_id = self._membership.own_group_id
+        if (
+            own_group_id != GroupId(message.service, message.number)
+            or message.to_id != self._member_id
+        ):
             return False
         owned_shard = self._owned_shards.get(message.shard)
         if owned_shard is not None and owned_shard.epoch == message.epoch + 1:
@@ -378,7 +385,7 @@
         shard = self._shard(message.shard)
         if shard is None or shard.epoch != message.epoch or shard.successor != self._member_id:
             if shard is None or shard.epoch <= message.epoch:
-                await self._groups.update(home)
+                await self._groups.update(own_group_id)
             return False
         if sender != message.from_id or shard.owner != sender or owned_shard is not None:
             return False
--- a/fescueward/services/ownership/settlement.py
+++ b/fescueward/services/ownership/settlement.py
@@ -46,11 +46,11 @@
             # A short delay collects the shards of one move in one write.
             await self._clock.sleep(_RECORD_DELAY_S)
             self._requested.clear()
-            home = self._membership.home
-            if home is None:
+            own_group_id = self._membership.own_group_id
+            if own_group_id is None:
                 continue
             try:
-                recorded = await self._groups.edit(home, self._record_handovers)
+                recorded = await self._groups.edit(own_group_id, self._record_handovers)
                 _RECORDED.emit(version=recorded.version)
             except PlatformError as error:
                 _RECORD_FAILED.emit(error=error)
--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -105,7 +105,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Logs decisions of this agent that a version of the group contains."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         for proposal in tuple(self._proposals):
             after = proposal.after
@@ -123,22 +123,22 @@
         Returns:
             Whether exceptions changed, so that another round should follow at once.
         """
-        home = self._membership.home
-        if home is None or not self._is_planner(home):
+        own_group_id = self._membership.own_group_id
+        if own_group_id is None or not self._is_planner(own_group_id):
             return False
-        before = self._groups.view(home)
+        before = self._groups.view(own_group_id)
         assert before is not None
         if not (load or self._load.end_round()).complete:
-            _WAITING.emit(group=home)
+            _WAITING.emit(group=own_group_id)
             return False
         try:
-            after = await self._groups.edit(home, self._plan_moves)
+            after = await self._groups.edit(own_group_id, self._plan_moves)
         except (PlatformError, UnknownServiceError) as error:
-            _PLAN_FAILED.emit(group=home, error=error)
+            _PLAN_FAILED.emit(group=own_group_id, error=error)
             return False
         moving_count = sum(shard.successor is not None for shard in after.group.shards)
         _ROUND.emit(
-            group=home,
+            group=own_group_id,
             version=after.version,
             changed=after.version > before.version,
             moving=moving_count,
@@ -164,8 +164,8 @@
         load = self._load.group_load()
         return load if load.complete else GroupLoad()
 
-    def _is_planner(self, home: GroupId) -> bool:
-        view = self._groups.view(home)
+    def _is_planner(self, own_group_id: GroupId) -> bool:
+        view = self._groups.view(own_group_id)
         if view is None or not self._lease.held:
             return False
         planner = self.planner(view.group)
--- a/fescueward/services/promises.py
+++ b/fescueward/services/promises.py
@@ -77,8 +77,10 @@
             if monitor is None or monitor_id == self._requester_id or monitor_id in exempt_ids:
                 continue
             call = self._peers.next_call()
-            home = self._base.group.id
-            query = PromiseQuery(call, home.service, home.number, member_id, self._base.version)
+            own_group_id = self._base.group.id
+            query = PromiseQuery(
+                call, own_group_id.service, own_group_id.number, member_id, self._base.version
+            )
             queries.append((monitor, call))
             try:
                 reply = await self._call(monitor, query)
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -204,7 +204,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Records members that left the group, and sends current reports to those that joined."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         members = frozenset(group.group.members)
         for member_id in self._members - members:
@@ -357,8 +357,8 @@
             )
 
     def _on_report(self, sender: str, message: CrashReport) -> None:
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         if view is None or (
             sender not in view.group.members and sender not in self._former_members
         ):
--- a/fescueward/services/recovery.py
+++ b/fescueward/services/recovery.py
@@ -75,7 +75,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Records when the stamp of each member last changed."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         now = self._clock.now()
         previous = self._stamps
@@ -96,8 +96,8 @@
         now = self._clock.now()
         if counter != self._counter:
             self._counter, self._counter_received_at = counter, now
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         if view is None:
             return False
         others = [
@@ -114,13 +114,13 @@
             base = await self._groups.refresh(view.group.id)
             return await self._remove(base, counter)
         except PlatformError as error:
-            _FAILED.emit(group=home, error=error)
+            _FAILED.emit(group=own_group_id, error=error)
             return False
 
     def _new_counter(self) -> int | None:
         """Returns the counter of the entry if it exceeds that of the group and a lease is held."""
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         if view is None or not self._lease.held:
             return None
         try:
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -310,7 +310,7 @@
         try:
             newer_version = await self._pause(request, group_id, view, pause_s, error)
             # Newer versions of the agent's own group arrive with its lease renewals.
-            if view is None or newer_version or group_id == self._membership.home:
+            if view is None or newer_version or group_id == self._membership.own_group_id:
                 return
             if self._update_schedule(group_id).due(self._clock.now(), view.version):
                 await self._groups.update(group_id)
--- a/fescueward/services/snapshots.py
+++ b/fescueward/services/snapshots.py
@@ -69,7 +69,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Reads the snapshot when this agent becomes the planner."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         if not self._is_planner(group.group):
             self._planned_group = None
--- a/fescueward/services/status.py
+++ b/fescueward/services/status.py
@@ -99,13 +99,13 @@
         """Returns the status of this agent."""
         now = self._clock.now()
         own_member = self._membership.own_member()
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         shards = self._ownership.active()
         return AgentStatus(
             member_id=self._membership.member_id,
             failure_domain=self._settings.agent.failure_domain,
-            group=str(home) if home is not None else "",
+            group=str(own_group_id) if own_group_id is not None else "",
             state=self._agent_state(),
             uptime_s=round(now - self._started_at, 3),
             lease_held=self._lease.held,
@@ -115,12 +115,12 @@
                 member: round(seconds, 3) for member, seconds in self._monitor.monitored().items()
             },
             shards=shards,
-            origins=self._origins(home, shards, now),
+            origins=self._origins(own_group_id, shards, now),
             in_flight=self._work.in_flight,
             platform_unavailable_s=self._platform_unavailable_s(),
             watching=self._watch.watching,
             group_version=view.version if view is not None else 0,
-            entry_versions=self._entry_versions(home),
+            entry_versions=self._entry_versions(own_group_id),
             entry_versions_complete=len(self._catalogue.versions()) <= _MAX_ENTRY_VERSIONS,
         )
 
@@ -178,19 +178,23 @@
         since = self._platform.unavailable_since
         return round(self._clock.now() - since, 3) if since is not None else None
 
-    def _entry_versions(self, home: GroupId | None) -> dict[str, int]:
+    def _entry_versions(self, own_group_id: GroupId | None) -> dict[str, int]:
         versions = self._catalogue.versions()
         if len(versions) <= _MAX_ENTRY_VERSIONS:
             return versions
         # In a larger catalogue an agent reports only the entry of the service that it serves.
-        return {home.service: versions[home.service]} if home and home.service in versions else {}
+        return (
+            {own_group_id.service: versions[own_group_id.service]}
+            if own_group_id and own_group_id.service in versions
+            else {}
+        )
 
     def _origins(
-        self, home: GroupId | None, shards: dict[int, int], now: float
+        self, own_group_id: GroupId | None, shards: dict[int, int], now: float
     ) -> dict[int, OriginStatus]:
-        if home is None:
+        if own_group_id is None:
             return {}
-        origins = self._histories.of(home).origins
+        origins = self._histories.of(own_group_id).origins
         return {
             shard: _origin_status(origins[shard], now)
             for shard in sorted(shards)
@@ -207,7 +211,7 @@
 
     async def _view(self, group: GroupId) -> GroupView:
         if (
-            group == self._membership.home
+            group == self._membership.own_group_id
             and (cached_group := self._groups.view(group)) is not None
         ):
             return GroupView(group, cached_group, True, "")
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -206,7 +206,7 @@
             shutdown=running_shutdown(Kernel()),
             catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
             membership=SimpleNamespace(
-                announcement=ANNOUNCEMENT, closed=False, member_id="a:1", home=None
+                announcement=ANNOUNCEMENT, closed=False, member_id="a:1", own_group_id=None
             ),
             ownership=None,
             admission=FreeSlots(),
--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -200,7 +200,7 @@
     """Propagation in a fleet, also to agents that restart while the platform is unavailable."""
 
     def store(
-        self, member_id: str, peers: RecordingPeers, home: GroupId | None = None
+        self, member_id: str, peers: RecordingPeers, own_group_id: GroupId | None = None
     ) -> GroupStore:
         self.routes = RouteTable()
         store = GroupStore(Kernel(), fleet_wide=True)
@@ -211,9 +211,11 @@
                 catalogue=None,
                 peers=peers,
                 membership=SimpleNamespace(
-                    home=home,
+                    own_group_id=own_group_id,
                     member_id=member_id,
-                    own_member=lambda: home and store.view(home).group.members.get(member_id),
+                    own_member=lambda: (
+                        own_group_id and store.view(own_group_id).group.members.get(member_id)
+                    ),
                 ),
                 routes=self.routes,
                 settings=SimpleNamespace(platform=SimpleNamespace(watch_ms=1000)),
@@ -270,56 +272,56 @@
 
     async def test_agent_that_has_not_joined_publishes_nothing(self):
         """Guards against a fleet start at which each agent sends each change to all others."""
-        home = GroupId("depot", 0)
+        own_group_id = GroupId("depot", 0)
         group = joined(Group("depot", 0, 1), member("b"), member("c"))
         configuration = Configuration(2, {}, {})
         objects = (
-            StoredObject(home.object_key, 3, encode_json(group)),
+            StoredObject(own_group_id.object_key, 3, encode_json(group)),
             StoredObject(CONFIGURATION_KEY, 4, encode_json(configuration)),
         )
         for agent, recipients in (("n", []), ("b", ["c:1"])):
             with self.subTest(agent=agent):
                 peers = RecordingPeers("b:1", "c:1")
-                store = self.store(f"{agent}:1", peers, home)
+                store = self.store(f"{agent}:1", peers, own_group_id)
                 store._status_expected_since = store._clock.now()
                 for stored in objects:
                     store._observe_fleet_object(stored)
                 await asyncio.sleep(0.01)
                 self.assertEqual([target for target, _ in peers.sent], recipients * len(objects))
-                self.assertEqual(store.view(home), VersionedGroup(3, group))
+                self.assertEqual(store.view(own_group_id), VersionedGroup(3, group))
                 self.assertEqual(self.routes.current, VersionedConfiguration(4, configuration))
 
     async def test_writer_publishes_a_delta(self):
         """Guards against writes that each send a copy of a large group to the whole fleet."""
-        home = GroupId("depot", 0)
+        own_group_id = GroupId("depot", 0)
         base = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
         changed = joined(base.group, replace(member("b"), stamp=1))
         writer_peers = RecordingPeers("c:1")
-        writer = self.store("b:1", writer_peers, home)
-        writer._views[home] = base
+        writer = self.store("b:1", writer_peers, own_group_id)
+        writer._views[own_group_id] = base
         writer._platform = SimpleNamespace(put=mock.AsyncMock(return_value=4))
         written = await writer.write(base, changed)
         await wait_until(lambda: writer_peers.sent, 2, "the write is published")
         ((target, message),) = writer_peers.sent
         self.assertEqual((target, message.groups), ("c:1", ()))
 
-        up_to_date = self.store("c:1", RecordingPeers(), home)
+        up_to_date = self.store("c:1", RecordingPeers(), own_group_id)
         up_to_date.observe(base)
         up_to_date._on_publish("b:1", message)
-        self.assertEqual(up_to_date.view(home), written)
+        self.assertEqual(up_to_date.view(own_group_id), written)
 
         peers = RecordingPeers()
-        behind = self.store("d:1", peers, home)
+        behind = self.store("d:1", peers, own_group_id)
         behind.observe(replace(base, version=2))
         behind._on_publish("b:1", message)
         self.assertEqual(peers.sent, [("b:1", Fetch("depot", 0, 2))])
         writer._on_fetch("d:1", peers.sent[0][1])
         behind._on_publish(*writer_peers.sent[-1])
-        self.assertEqual(behind.view(home), written)
+        self.assertEqual(behind.view(own_group_id), written)
 
     async def test_writer_publishes_to_watchers_only(self):
         """Guards against streams and messages between all pairs of agents."""
-        home = GroupId("depot", 0)
+        own_group_id = GroupId("depot", 0)
         members = [member(name) for name in "abcde"]
         base = VersionedGroup(3, joined(Group("depot", 0, 1), *members))
         ids = tuple(base.group.members)
@@ -333,7 +335,7 @@
         ):
             with self.subTest(case):
                 peers = RecordingPeers(*open_ids)
-                writer = self.store("d:1", peers, home)
+                writer = self.store("d:1", peers, own_group_id)
                 writer._status_expected_since = writer._clock.now()
                 writer.observe(base)
                 writer._platform = SimpleNamespace(put=mock.AsyncMock(return_value=4))
@@ -343,16 +345,16 @@
 
     async def test_first_watcher_publishes_versions_to_all(self):
         """Guards against members that miss a version, and against one full copy per version."""
-        home = GroupId("depot", 0)
+        own_group_id = GroupId("depot", 0)
         base = VersionedGroup(3, joined(Group("depot", 0, 1), *(member(name) for name in "abc")))
         newer = VersionedGroup(5, joined(base.group, replace(member("c"), stamp=2)))
         newest = VersionedGroup(6, joined(newer.group, replace(member("b"), stamp=2)))
         for agent, recipients in (("a", ["b:1", "c:1"]), ("b", [])):
             with self.subTest(agent=agent):
                 peers = RecordingPeers("a:1", "b:1", "c:1")
-                store = self.store(f"{agent}:1", peers, home)
+                store = self.store(f"{agent}:1", peers, own_group_id)
                 store._status_expected_since = store._clock.now()
-                store._views[home] = base
+                store._views[own_group_id] = base
                 for version in (newer, newest):
                     store._on_publish("c:1", Publish(groups=(version,)))
                 await asyncio.sleep(0.1)
@@ -367,9 +369,9 @@
         Watchers send their status to members only. An agent that joined more than three seconds
         after its start regarded all of them as lost and became a watcher.
         """
-        home = GroupId("depot", 0)
+        own_group_id = GroupId("depot", 0)
         group = joined(Group("depot", 0, 1), *(member(name) for name in "abc"))
-        store = self.store("d:1", RecordingPeers("a:1", "b:1", "c:1"), home)
+        store = self.store("d:1", RecordingPeers("a:1", "b:1", "c:1"), own_group_id)
         store._status_expected_since = store._clock.now() - 10
         store.observe(VersionedGroup(3, group))
         store.observe(VersionedGroup(4, joined(group, member("d"))))
@@ -379,7 +381,7 @@
 
     async def test_watcher_publishes_a_configuration_delta(self):
         """Guards against a copy of 1,000 routes to the whole fleet when one of them changes."""
-        home = GroupId("depot", 0)
+        own_group_id = GroupId("depot", 0)
         group = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
         many = {
             f"r{number}": Route(
@@ -391,36 +393,36 @@
         fewer = {name: route for name, route in many.items() if name != "r7"}
         changed = Configuration(2, fewer)
         peers = RecordingPeers("c:1")
-        watcher = self.store("b:1", peers, home)
-        watcher._views[home] = group
+        watcher = self.store("b:1", peers, own_group_id)
+        watcher._views[own_group_id] = group
         self.routes.observe(base)
         stored = StoredObject(CONFIGURATION_KEY, 5, encode_json(changed))
         watcher._observe_fleet_object(stored)
         ((_, message),) = peers.sent
         self.assertLess(len(FrameEncoder().encode(message)), 200)
 
-        up_to_date = self.store("c:1", RecordingPeers(), home)
+        up_to_date = self.store("c:1", RecordingPeers(), own_group_id)
         self.routes.observe(base)
         up_to_date._on_publish("b:1", message)
         self.assertEqual(self.routes.current, VersionedConfiguration(5, changed))
 
         peers_behind = RecordingPeers()
-        behind = self.store("d:1", peers_behind, home)
+        behind = self.store("d:1", peers_behind, own_group_id)
         behind._on_publish("b:1", message)
         self.assertEqual(peers_behind.sent, [("b:1", Fetch(objects={}))])
         self.assertIsNone(self.routes.current)
 
     async def test_versions_in_flight_are_not_fetched(self):
         """Guards against fetches of all groups at each renewal while a group changes."""
-        home = GroupId("depot", 0)
+        own_group_id = GroupId("depot", 0)
         old = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
         new = VersionedGroup(4, joined(old.group, replace(member("c"), stamp=2)))
         lost = Versions(0, 5)
         peers = RecordingPeers("c:1")
-        store = self.store("b:1", peers, home)
-        other = self.store("c:1", RecordingPeers(), home)
-        store._views[home] = old
-        other._views[home] = new
+        store = self.store("b:1", peers, own_group_id)
+        other = self.store("c:1", RecordingPeers(), own_group_id)
+        store._views[own_group_id] = old
+        other._views[own_group_id] = new
         store.fetch_newer(member("c"), other.versions())
         store.observe(new)
         await asyncio.sleep(0.3)
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -110,7 +110,9 @@
     async def asyncSetUp(self):
         self.upstream, self.groups, self.peers = FakeUpstream(), FakeGroups(), FakePeers()
         self.lease = SimpleNamespace(held=True, expires_at=CLOCK.now() + 1.0)
-        self.membership = SimpleNamespace(home=HOME, member_id="a:1", announcement=announcement(1))
+        self.membership = SimpleNamespace(
+            own_group_id=HOME, member_id="a:1", announcement=announcement(1)
+        )
         self.ownership = RangeOwnership(Kernel())
         self.ownership.bind(
             StubRegistry(
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -308,7 +308,7 @@
         for service, group in (("orders", 0), ("depot", 1)):
             with self.assertRaises(InvalidAnnouncementError):
                 agent.membership.announce(Announcement(service, "h", 1, 4, 9, group=group))
-        self.assertEqual(agent.membership.home, HOME)
+        self.assertEqual(agent.membership.own_group_id, HOME)
 
     def test_deleted_entry_does_not_end_the_agents(self):
         """Guards against monitors that crash when a member of a deleted service is lost."""
--- a/tests/services/test_planner.py
+++ b/tests/services/test_planner.py
@@ -73,7 +73,7 @@
 
     def _placement(self, member_id: str, *, held: bool = True) -> ShardPlacement:
         service = ShardPlacement(Kernel())
-        service._membership = SimpleNamespace(home=_HOME, member_id=member_id)
+        service._membership = SimpleNamespace(own_group_id=_HOME, member_id=member_id)
         service._lease = SimpleNamespace(held=held)
         service._catalogue = SimpleNamespace(entry=lambda _: SimpleNamespace(entry=entry()))
         service._groups, service._load = self.groups, self.load
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -43,7 +43,9 @@
                 peers=self.peers,
                 upstream=self.upstream,
                 groups=SimpleNamespace(view=lambda _: self.view, subscribe=lambda _: None),
-                membership=SimpleNamespace(member_id=f"{name}:1", home=GroupId("depot", 0)),
+                membership=SimpleNamespace(
+                    member_id=f"{name}:1", own_group_id=GroupId("depot", 0)
+                ),
             )
         )
 
@@ -161,7 +163,7 @@
                 peers=self.a.peers,
                 upstream=self.a.upstream,
                 groups=SimpleNamespace(view=lambda _: None, subscribe=lambda _: None),
-                membership=SimpleNamespace(member_id="a:1", home=None),
+                membership=SimpleNamespace(member_id="a:1", own_group_id=None),
             )
             self.a.quarantine.bind(registry)
         request = make_request()
--- a/tests/services/test_router.py
+++ b/tests/services/test_router.py
@@ -37,7 +37,9 @@
 
 
 class RouterTest(unittest.IsolatedAsyncioTestCase):
-    def make_router(self, *results, owner="b:1", request_class=RequestClass.REPEATABLE, home=None):
+    def make_router(
+        self, *results, owner="b:1", request_class=RequestClass.REPEATABLE, own_group_id=None
+    ):
         self.forward = ScriptedCall(*results)
         self.execute = ScriptedCall(*results)
         self.peers = FakePeers(self.forward)
@@ -48,7 +50,7 @@
                 catalogue=FakeCatalogue(make_entry(request_class)),
                 groups=self.groups,
                 peers=self.peers,
-                membership=SimpleNamespace(member_id="a:1", home=home),
+                membership=SimpleNamespace(member_id="a:1", own_group_id=own_group_id),
                 execution=SimpleNamespace(execute=self.execute),
                 settings=make_settings(),
             )
@@ -125,7 +127,7 @@
 
     async def test_own_group_is_not_updated(self):
         """Guards against update calls for a group whose versions arrive with lease renewals."""
-        router = self.make_router(make_response(), owner=None, home=GroupId("depot", 0))
+        router = self.make_router(make_response(), owner=None, own_group_id=GroupId("depot", 0))
         with self.assertRaises(NoOwnerError):
             await router.route(make_request(0.1))
         self.assertEqual(self.groups.update_count, 0)
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -37,7 +37,9 @@
 
 
 class _RequestsNoPromise(LeaseMonitor):
-    async def _take_over(self, home: Any, base: VersionedGroup, expired_ids: list[str]) -> bool:
+    async def _take_over(
+        self, own_group_id: Any, base: VersionedGroup, expired_ids: list[str]
+    ) -> bool:
         lost_ids = frozenset(expired_ids) & base.group.members.keys()
         return bool(lost_ids) and await self._write(
             base, lost_ids, _AcknowledgementBlock(base.version, "", 0)
--- a/tests/services/test_snapshots.py
+++ b/tests/services/test_snapshots.py
@@ -107,7 +107,7 @@
         service = PlannerSnapshots(kernel)
         service._clock, service._platform = _Clock(), self.platform
         service._groups = None
-        service._membership = SimpleNamespace(home=_HOME, member_id=member_id)
+        service._membership = SimpleNamespace(own_group_id=_HOME, member_id=member_id)
         service._placement = ShardPlacement(kernel)
         service._load, service._quarantine = self.load, self.quarantine
         service._period_s = 1.0
--- a/tests/services/test_status_service.py
+++ b/tests/services/test_status_service.py
@@ -50,7 +50,7 @@
         self.settings = SimpleNamespace(agent=SimpleNamespace(failure_domain="lowell"))
         self.agent = self.settings.agent
         self.member_id = "a:1"
-        self.home = HOME
+        self.own_group_id = HOME
         self.announcement = SimpleNamespace()
         self.leaving = self.watching = False
         self.held = True
