Rename revoked to wait_until_revoked

The coroutine waits until the upstream holds no other grants, and its name read like a flag. The new name has the form of wait_until_held and wait_until_drained; the label revoked of the emulator stays. Only the name changes, in 3 files.

--- a/fescueward/interfaces/ownership.py
+++ b/fescueward/interfaces/ownership.py
@@ -80,6 +80,6 @@
         """Waits until the upstream has confirmed the grants of all shards owned now."""
         ...
 
-    async def revoked(self) -> None:
+    async def wait_until_revoked(self) -> None:
         """Waits until the upstream holds no grant of a shard that is not owned now."""
         ...
--- a/fescueward/services/grants.py
+++ b/fescueward/services/grants.py
@@ -62,7 +62,7 @@
         self._send_requested.set()
         await waiter
 
-    async def revoked(self) -> None:
+    async def wait_until_revoked(self) -> None:
         """Waits until no grant is in force for a shard that is not owned now."""
         # An upstream that confirms nothing keeps its grants until the latest expiry sent to it.
         wait_s = max(self._latest_expiry_at - self._clock.now(), 0)
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -345,7 +345,7 @@
         exported = self._outcomes.export(shard_id)
         del self._owned_shards[shard_id]
         self._released_epochs[shard_id] = owned_shard.epoch
-        await self._grants.revoked()
+        await self._grants.wait_until_revoked()
         release = Release(
             call=0,
             service=own_group_id.service,
