--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -15,7 +15,7 @@
 from ..kernel.settings import Settings
 from ..messages import Group, GroupId, Member, Shard, VersionedGroup
 from ..messages.peer import JoinReply, JoinRequest
-from .keyspace.moves import inherit
+from .keyspace.moves import with_transferred_ranges
 from .ring import fill_monitors
 
 _JOINS_RECORDED = Event(
@@ -68,7 +68,7 @@
         the conditional writes of agents that each write their own join conflict.
 
         Args:
-            home: Id of the group.
+            own_group_id: Id of the group.
             member: Member record of this agent.
             write_directly: Whether this agent writes its join without a request to a member.
 
@@ -135,10 +135,10 @@
         return self._placement.planner(replace(group, members=others))
 
     def _on_join_request(self, sender: str, message: JoinRequest) -> None:
-        own_group_id = GroupId(message.service, message.number)
+        group_id = GroupId(message.service, message.number)
         own_member = self._membership.own_member()
         accepts_joins = (
-            own_group_id == self._membership.own_group_id
+            group_id == self._membership.own_group_id
             and own_member is not None
             and not self._membership.leaving
         )
@@ -148,9 +148,9 @@
         self._pending_requests.append(message)
         if not self._recording:
             self._recording = True
-            self._tasks.spawn("record-joins", self._record_joins(own_group_id))
+            self._tasks.spawn("record-joins", self._record_joins(group_id))
 
-    async def _record_joins(self, own_group_id: GroupId) -> None:
+    async def _record_joins(self, group_id: GroupId) -> None:
         # Requests that arrive while a write is in flight go into the next one.
         while self._pending_requests:
             await self._clock.sleep(_JOIN_BATCH_S)
@@ -159,20 +159,18 @@
             written: VersionedGroup | None = None
             try:
                 written = await self._groups.edit(
-                    own_group_id,
+                    group_id,
                     lambda group, members=members: self._with_requested(group, members),
                 )
             except FescuewardError as error:
-                _JOINS_NOT_RECORDED.emit(group=own_group_id, members=len(members), error=error)
+                _JOINS_NOT_RECORDED.emit(group=group_id, members=len(members), error=error)
                 if isinstance(error, PlatformError) and not isinstance(
                     error, PlatformUnavailableError
                 ):
                     # The write may still take effect, so no reply reports a failure.
                     continue
             else:
-                _JOINS_RECORDED.emit(
-                    group=own_group_id, version=written.version, members=len(members)
-                )
+                _JOINS_RECORDED.emit(group=group_id, version=written.version, members=len(members))
             for request in requests:
                 self._peers.reply(request.member.id, JoinReply(request.call, written))
         self._recording = False
@@ -197,7 +195,7 @@
                 continue
             # The old process of this boot has ended: the new one has bound its port.
             old_ids = frozenset(other.id for other in _same_process(group, member))
-            group = inherit(group, old_ids, member.id)
+            group = with_transferred_ranges(group, old_ids, member.id)
             replaced_ids |= old_ids
             added[member.id] = member
         if not added:
--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -185,11 +185,11 @@
         )
 
     def _on_released(self, sender: str, message: RangesReleased) -> None:
-        own_group_id = GroupId(message.service, message.number)
-        if sender == message.owner_id and own_group_id == self._membership.own_group_id:
-            self._tasks.spawn("record", self._record(own_group_id, message))
+        group_id = GroupId(message.service, message.number)
+        if sender == message.owner_id and group_id == self._membership.own_group_id:
+            self._tasks.spawn("record", self._record(group_id, message))
 
-    async def _record(self, own_group_id: GroupId, message: RangesReleased) -> None:
+    async def _record(self, group_id: GroupId, message: RangesReleased) -> None:
         released = {
             (
                 released_range.first,
@@ -200,13 +200,13 @@
         }
         edit = _handover_edit(released, message.owner_id)
         try:
-            written = await self._groups.edit(own_group_id, edit)
+            written = await self._groups.edit(group_id, edit)
         except PlatformError as error:
             # The owner repeats its request until the handover is recorded.
-            _HANDOVER_FAILED.emit(group=own_group_id, ranges=len(released), error=error)
+            _HANDOVER_FAILED.emit(group=group_id, ranges=len(released), error=error)
             return
         _RECORDED.emit(
-            group=own_group_id,
+            group=group_id,
             version=written.version,
             owner=message.owner_id,
             ranges=len(released),
--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -217,7 +217,7 @@
     return replace(group, ranges=ordered, fence=group.fence if fence is None else fence)
 
 
-def inherit(group: Group, earlier_ids: frozenset[str], member_id: str) -> Group:
+def with_transferred_ranges(group: Group, earlier_ids: frozenset[str], member_id: str) -> Group:
     """Transfers the ranges of earlier incarnations on the same VM to the current one.
 
     The upstream on the VM is the same or a new one at its address, so no other upstream can have
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -96,13 +96,13 @@
         self._boot_id = boot_id or Path("/proc/sys/kernel/random/boot_id").read_text().strip()
         self._stop_timeout_s = stop_timeout_s
         self._leaving_grace_s = leaving_grace_s
-        self._home: GroupId | None = None
+        self._own_group_id: GroupId | None = None
         self._announcement: Announcement | None = None
         self._announcement_count = 0
         self._announcement_count_at_leave = 0
         self._leaving = False
         self._leaving_since = 0.0
-        self._resigned = False
+        self._stopped_acknowledging = False
         self._leave_ended = False
         self._stopping = False
         # Whether the leave began before the process was stopped, because the upstream leaves.
@@ -121,7 +121,7 @@
     @property
     def own_group_id(self) -> GroupId | None:
         """Id of the agent's group, or None before the first announcement of its upstream."""
-        return self._home
+        return self._own_group_id
 
     @property
     def announcement(self) -> Announcement | None:
@@ -138,7 +138,11 @@
         """Whether the upstream is sent no more requests, because it leaves or has stopped."""
         if not self._leaving:
             return False
-        if self._stopping and not self._resigned and not self._leave_began_before_stop:
+        if (
+            self._stopping
+            and not self._stopped_acknowledging
+            and not self._leave_began_before_stop
+        ):
             # The upstream keeps running, and other agents learn of the leave only through the
             # platform, which may be unavailable.
             return self._clock.now() - self._leaving_since > self._stop_timeout_s
@@ -147,7 +151,7 @@
     @property
     def stopped_acknowledging(self) -> bool:
         """Whether this agent has stopped acknowledging renewals, because it leaves the group."""
-        return self._resigned
+        return self._stopped_acknowledging
 
     def bind(self, registry: Registry) -> None:
         """Finds the services that this one uses."""
@@ -183,15 +187,15 @@
 
     def own_member(self) -> Member | None:
         """Returns the member record of this agent, or None if it is not in the known group."""
-        view = self._groups.view(self._home) if self._home is not None else None
+        view = self._groups.view(self._own_group_id) if self._own_group_id is not None else None
         return view.group.members.get(self.member_id) if view is not None else None
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Starts a new incarnation if another agent has removed this member."""
-        if group.group.id != self._home or not self._joined:
+        if group.group.id != self._own_group_id or not self._joined:
             return
-        if self.member_id not in group.group.members and not self._resigned:
-            _REMOVED.emit(member=self.member_id, group=self._home, version=group.version)
+        if self.member_id not in group.group.members and not self._stopped_acknowledging:
+            _REMOVED.emit(member=self.member_id, group=self._own_group_id, version=group.version)
             self._joined = False
             self._start_incarnation()
         self._wake.set()
@@ -207,16 +211,16 @@
             InvalidAnnouncementError: The announcement names another service or group than the
                 first one.
         """
-        own_group_id = GroupId(announcement.service, announcement.group)
-        if self._home is not None and own_group_id != self._home:
+        group_id = GroupId(announcement.service, announcement.group)
+        if self._own_group_id is not None and group_id != self._own_group_id:
             raise InvalidAnnouncementError(
-                f"the upstream announced {own_group_id}; this agent belongs to {self._home}"
+                f"the upstream announced {group_id}; this agent belongs to {self._own_group_id}"
             )
         if self._announcement != announcement:
-            _ANNOUNCED.emit(group=own_group_id, state=announcement.state, slots=announcement.slots)
+            _ANNOUNCED.emit(group=group_id, state=announcement.state, slots=announcement.slots)
         previous = self._announcement
         restarted = previous is not None and previous.start != announcement.start
-        self._home = own_group_id
+        self._own_group_id = group_id
         self._announcement = announcement
         if restarted and self._joined:
             self._tasks.spawn("restarted", self._edit_until_done(self._apply_upstream_restart))
@@ -252,7 +256,7 @@
     async def _leave_group(self) -> None:
         await self._hand_over_all_shards()
         # No renewal may be acknowledged once the write that ends the monitor's role is in flight.
-        self._resigned = True
+        self._stopped_acknowledging = True
         await self._edit_until_done(self._remove_own_member)
         _LEFT.emit(member=self.member_id)
 
@@ -267,11 +271,11 @@
                 return
 
     async def _edit_until_done(self, change: GroupChange) -> None:
-        assert self._home is not None
+        assert self._own_group_id is not None
         reported = False
         while True:
             try:
-                await self._groups.edit(self._home, change)
+                await self._groups.edit(self._own_group_id, change)
                 return
             except (PlatformError, UnknownServiceError) as error:
                 if not reported:
@@ -320,9 +324,9 @@
                     # No announcement since the leave began: the upstream may have stopped.
                     continue
                 self._leave_ended = self._leaving = False
-                if self._resigned:
+                if self._stopped_acknowledging:
                     self._start_incarnation()
-                    self._resigned = self._joined = False
+                    self._stopped_acknowledging = self._joined = False
             if self._joined and not self._leaving:
                 await self._cancel_unfinished_leave()
             if self._joined or self._leaving:
@@ -343,15 +347,15 @@
         return replace(group, members={**group.members, member.id: active})
 
     async def _join(self, announcement: Announcement) -> None:
-        assert self._home is not None
+        assert self._own_group_id is not None
         member = self._make_member(announcement)
         self._lease.start_from_join(member.id, self._clock.now())
         try:
             joined = await self._join_recorder.record(
-                self._home, member, write_directly=self._write_directly
+                self._own_group_id, member, write_directly=self._write_directly
             )
         except (PlatformError, PeerError, UnknownServiceError) as error:
-            _JOIN_FAILED.emit(group=self._home, error=error)
+            _JOIN_FAILED.emit(group=self._own_group_id, error=error)
             if isinstance(error, OutcomeUnknownError | PeerError):
                 # The member may be in the group and may be removed before the next attempt. Its
                 # id must not be used again, because the epochs of both members would look like
@@ -363,10 +367,10 @@
             self._wake.set()
             return
         except FescuewardError as error:
-            _JOIN_FAILED.emit(group=self._home, error=error)
+            _JOIN_FAILED.emit(group=self._own_group_id, error=error)
             return
         self._joined, self._write_directly = True, False
-        _JOINED.emit(group=self._home, member=member.id, version=joined.version)
+        _JOINED.emit(group=self._own_group_id, member=member.id, version=joined.version)
         if self._leaving:
             # The leave ended while this join was in flight, and found no member to remove.
             await self._leave_group()
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -335,8 +335,8 @@
 
     def _on_promise_query(self, sender: str, message: PromiseQuery) -> None:
         member_id, version = message.member_id, message.version
-        own_group_id = GroupId(message.service, message.number)
-        granted = own_group_id == self._membership.own_group_id and self.promise(
+        group_id = GroupId(message.service, message.number)
+        granted = group_id == self._membership.own_group_id and self.promise(
             member_id, version, sender, message.call
         )
         self._peers.reply(sender, Promise(message.call, member_id, version, granted))
--- a/fescueward/services/promises.py
+++ b/fescueward/services/promises.py
@@ -77,9 +77,9 @@
             if monitor is None or monitor_id == self._requester_id or monitor_id in exempt_ids:
                 continue
             call = self._peers.next_call()
-            own_group_id = self._base.group.id
+            group_id = self._base.group.id
             query = PromiseQuery(
-                call, own_group_id.service, own_group_id.number, member_id, self._base.version
+                call, group_id.service, group_id.number, member_id, self._base.version
             )
             queries.append((monitor, call))
             try:
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -68,7 +68,8 @@
     Attributes:
         response: The response, which can be changed between requests.
         pause_s: Delay between `start` and the first `piece` of the response, in seconds.
-        accepted: Bytes written to the sockets of all connections, except their write buffers.
+        transmitted_bytes: Bytes written to the sockets of all connections, without their write
+            buffers.
         open: Number of connections on which a response is being sent.
         requests: Request lines, except those of health checks and cancellations.
     """
@@ -76,7 +77,7 @@
     def __init__(self, response: EndlessResponse, pause_s: float = 0.0) -> None:
         self.response = response
         self.pause_s = pause_s
-        self.accepted = 0
+        self.transmitted_bytes = 0
         self.open = 0
         self.requests: list[bytes] = []
 
@@ -122,7 +123,7 @@
                 await writer.drain()
             await writer.wait_closed()
         finally:
-            self.accepted += sent_bytes - writer.transport.get_write_buffer_size()
+            self.transmitted_bytes += sent_bytes - writer.transport.get_write_buffer_size()
             self.open -= 1
 
 
@@ -150,4 +151,6 @@
             with test.assertRaisesRegex(OutcomeUnknownError, "^(?!.*[Tt]imeout)"):
                 await client.put("groups/s1/0", b"{}", 1)
             await wait_until(server.idle, 2, "the connections are closed")
-            test.assertLess(server.accepted, 2 * (section.max_answer_bytes + SOCKET_BUFFER_BYTES))
+            test.assertLess(
+                server.transmitted_bytes, 2 * (section.max_answer_bytes + SOCKET_BUFFER_BYTES)
+            )
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -39,16 +39,16 @@
 
 from .timed_fakes import (
     AgentLoop,
-    Answers,
     FakePeers,
     FakePlatform,
     ManualClock,
     Network,
     PlatformClient,
+    ResponseMode,
     World,
 )
 
-HOME = GroupId("depot", 0)
+GROUP_ID = GroupId("depot", 0)
 SHARDS = 6
 SERVICES: dict[str, type[Any]] = {
     "groups": GroupStore,
@@ -195,7 +195,7 @@
         self.platform = PlatformClient(fleet.platform, self.loop)
         self.peers = FakePeers(fleet.network, self.loop, name, incarnation)
         self.upstream = fleet.upstream(self)
-        provided = {
+        services = {
             "settings": settings(name, domain),
             "clock": ManualClock(self.loop),
             "platform": self.platform,
@@ -204,9 +204,9 @@
             "upstream": self.upstream,
             "admission": FakeAdmission(),
             "outcomes": RetainedOutcomes(),
-            **fleet.provided(),
+            **fleet.extra_services(),
         }
-        for key, value in provided.items():
+        for key, value in services.items():
             kernel.provide(key, value)
         factories = {**fleet.services, **fleet.overrides}
         instances = {
@@ -296,7 +296,7 @@
         """Returns the upstream of an agent that starts."""
         return FakeUpstream()
 
-    def provided(self) -> dict[str, Any]:
+    def extra_services(self) -> dict[str, Any]:
         """Returns additional objects for the registry of an agent that starts."""
         return {"load": FakeLoad(self)}
 
@@ -333,13 +333,16 @@
         self.network.cut.clear()
         self.network.delays.clear()
         for agent in self.agents.values():
-            agent.platform.answers, agent.platform.write_answers = Answers.GOOD, None
+            agent.platform.response_mode, agent.platform.write_response_mode = (
+                ResponseMode.NORMAL,
+                None,
+            )
 
     def cut(self, name: str, others: Iterable[str]) -> None:
         self.network.cut |= {frozenset((name, other)) for other in others if other != name}
 
     def group(self) -> Group:
-        return decode_json(self.platform.read(HOME.object_key).value, Group)
+        return decode_json(self.platform.read(GROUP_ID.object_key).value, Group)
 
     def owners(self) -> dict[int, list[str]]:
         """Returns the names of the agents that serve each shard now."""
--- a/tests/services/groups_for_tests.py
+++ b/tests/services/groups_for_tests.py
@@ -34,18 +34,18 @@
     return Entry("depot", "tests", shard_count=SHARDS, weight=weight)
 
 
-def joined(group: Group, *members: Member) -> Group:
+def with_members(group: Group, *members: Member) -> Group:
     added = {new_member.id: new_member for new_member in members}
     return replace(group, members={**group.members, **added})
 
 
-def placed(*members: Member) -> Group:
+def assigned_group(*members: Member) -> Group:
     """Returns a group whose shards are assigned to the members."""
-    group = joined(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), *members)
+    group = with_members(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), *members)
     return BoundedLoadPolicy().assign(group, frozenset(), GroupLoad(), entry())
 
 
-def settled(group: Group) -> Group:
+def with_completed_handovers(group: Group) -> Group:
     """Completes all handovers: each successor becomes the owner at the next epoch."""
     shards = tuple(
         Shard(shard.successor, shard.epoch + 1) if shard.successor else shard
@@ -58,7 +58,9 @@
     group: Group, load: GroupLoad, rounds: int, custom_entry: Entry | None = None
 ) -> Group:
     for _ in range(rounds):
-        group = settled(BoundedLoadPolicy().rebalance(group, load, custom_entry or entry()))
+        group = with_completed_handovers(
+            BoundedLoadPolicy().rebalance(group, load, custom_entry or entry())
+        )
     return group
 
 
@@ -70,7 +72,7 @@
     return {member_id: owners(group).count(member_id) for member_id in group.members}
 
 
-def faults(before: Group, after: Group) -> list[str]:
+def violated_invariants(before: Group, after: Group) -> list[str]:
     """Returns the invariants that a placement decision has violated, as descriptions."""
     violations = []
     if len(after.exceptions) > MAX_EXCEPTIONS:
--- a/tests/services/keyspace/keyed_fleet.py
+++ b/tests/services/keyspace/keyed_fleet.py
@@ -113,7 +113,7 @@
     def upstream(self, agent: SimulatedAgent) -> RangeUpstream:
         return self.upstreams.setdefault(agent.name, RangeUpstream(self, agent.name))
 
-    def provided(self) -> dict[str, Any]:
+    def extra_services(self) -> dict[str, Any]:
         return {"routes": self._routes, "bounds": Bounds(), "admission": IdleAdmission()}
 
     def check(self) -> None:
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -20,7 +20,7 @@
 from fescueward.services.keyspace import handover, moves
 from fescueward.services.keyspace.ownership import RangeOwnership
 from tests.services.fakes import StubRegistry
-from tests.services.groups_for_tests import joined, member
+from tests.services.groups_for_tests import member, with_members
 
 CLOCK = BootClock()
 
@@ -30,7 +30,7 @@
     return Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1", started_ms=started_ms)
 
 
-HOME = GroupId("depot", 0)
+GROUP_ID = GroupId("depot", 0)
 
 
 class FakeUpstream:
@@ -40,7 +40,7 @@
         self.calls: list[tuple[str, int, int]] = []
         self.grants_open = asyncio.Event()
         self.grants_open.set()
-        self.answers = True
+        self.responds = True
         self.accepts = True
         self.alive = True
 
@@ -48,7 +48,7 @@
         await self.grants_open.wait()
         self._check_alive()
         self.calls.append(("grant", key_range.first, key_range.last))
-        if not self.answers:
+        if not self.responds:
             raise OutcomeLostError("no answer")
         return self.accepts
 
@@ -111,7 +111,7 @@
         self.upstream, self.groups, self.peers = FakeUpstream(), FakeGroups(), FakePeers()
         self.lease = SimpleNamespace(held=True, expires_at=CLOCK.now() + 1.0)
         self.membership = SimpleNamespace(
-            own_group_id=HOME, member_id="a:1", announcement=announcement(1)
+            own_group_id=GROUP_ID, member_id="a:1", announcement=announcement(1)
         )
         self.ownership = RangeOwnership(Kernel())
         self.ownership.bind(
@@ -127,7 +127,7 @@
         )
         await self.ownership.start()
         self.addAsyncCleanup(self.ownership.stop)
-        self.group = moves.assigned(joined(Group("depot", 0, 1), member("a"), member("b")))
+        self.group = moves.assigned(with_members(Group("depot", 0, 1), member("a"), member("b")))
         self.own_range = self.group.range_of(0)
 
     def moving(self, first: int, last: int) -> Group:
@@ -184,7 +184,7 @@
         """Guards against a successor that is granted keys during an unconfirmed grant."""
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.upstream.answers = False
+        self.upstream.responds = False
         call_count = len(self.upstream.calls)
         await self.wait_until(lambda: len(self.upstream.calls) > call_count)
         end = self.lease.expires_at
@@ -292,7 +292,7 @@
         Found by the soak, seed 205: the grants overlapped for 0.63 s after an ordered leave.
         """
         self.lease.expires_at = CLOCK.now() + 5
-        alone = moves.assigned(joined(Group("depot", 0, 1), member("a")))
+        alone = moves.assigned(with_members(Group("depot", 0, 1), member("a")))
         self.groups.publish(alone)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         leaving = replace(alone.members["a:1"], state=MemberState.LEAVING)
--- a/tests/services/keyspace/test_placement.py
+++ b/tests/services/keyspace/test_placement.py
@@ -9,11 +9,11 @@
 from fescueward.services.keyspace import moves
 from fescueward.services.keyspace.moves import BLOCK_KEYS
 from fescueward.services.keyspace.placement import RangePlacement, consolidated, rebalanced
-from tests.services.groups_for_tests import joined, member
+from tests.services.groups_for_tests import member, with_members
 
 
-def placed(*names: str) -> Group:
-    return moves.assigned(joined(Group("depot", 0, 1), *(member(name) for name in names)))
+def assigned_group(*names: str) -> Group:
+    return moves.assigned(with_members(Group("depot", 0, 1), *(member(name) for name in names)))
 
 
 def report(name: str, utilisation: float, work: dict[int, float] | None = None) -> RangeLoad:
@@ -30,7 +30,7 @@
 
     def test_hot_neighbours_are_divided(self):
         """Guards against hot keys that stay with one overloaded server, and moves of cold keys."""
-        group = placed("a", "b", "c")
+        group = assigned_group("a", "b", "c")
         hot = {block: 0.8 for block in range(10, 18)}
         reports = {
             "a:1": report("a", 1.4, hot),
@@ -53,7 +53,7 @@
         second on, and one of them was relieved every 1.2 s.
         """
         names = [f"a{number:02}" for number in range(39)]
-        group = placed(*names)
+        group = assigned_group(*names)
         reports = {f"{name}:1": report(name, 0.3) for name in names}
         hot = names[:6]
         for name in hot:
@@ -72,13 +72,13 @@
 
     def test_even_load_moves_nothing(self):
         """Guards against moves without a benefit."""
-        group = placed("a", "b")
+        group = assigned_group("a", "b")
         reports = {"a:1": report("a", 0.6), "b:1": report("b", 0.5)}
         self.assertEqual(rebalanced(group, reports), group)
 
     def test_full_members_take_nothing(self):
         """Guards against blocks that move back and forth between members without capacity."""
-        group = placed("a", "b")
+        group = assigned_group("a", "b")
         hot = {block: 0.5 for block in range(10)}
         reports = {"a:1": report("a", 2.4, hot), "b:1": report("b", 1.1)}
         self.assertEqual(rebalanced(group, reports), group)
@@ -91,7 +91,7 @@
         Found by scale-2 of kagaz-mesh: for 12 s no key moved, and 350 requests per second
         were refused.
         """
-        group = placed("a", "b", "c", "d")
+        group = assigned_group("a", "b", "c", "d")
         ranges = moves.change_keys(
             group.ranges, 65_000, 65_535, lambda key_range: replace(key_range, successor="c:1")
         )
@@ -110,7 +110,7 @@
 class ConsolidatedTest(unittest.TestCase):
     def scattered(self) -> Group:
         """Returns a group of three members, one of which has moved two of its blocks to others."""
-        group = placed("a", "b", "c")
+        group = assigned_group("a", "b", "c")
         for block, target in ((10, "b:1"), (20, "c:1")):
             first = block * BLOCK_KEYS
             ranges = moves.change_keys(
--- a/tests/services/ownership/test_hash_shards.py
+++ b/tests/services/ownership/test_hash_shards.py
@@ -9,10 +9,10 @@
 from fescueward.messages.codec import encode_json
 from fescueward.messages.peer import Release
 
-from ..fleet import HOME, Fleet, SimulatedAgent
+from ..fleet import GROUP_ID, Fleet, SimulatedAgent
 from ..test_membership import move, shards_of
 from ..test_recovery_time import formed
-from ..timed_fakes import Answers
+from ..timed_fakes import ResponseMode
 
 
 def _key(fleet: Fleet, shard: int) -> str:
@@ -68,7 +68,7 @@
         for released in (False, True):
             with self.subTest(released=released):
                 self.setUp()
-                self.target.platform.answers = Answers.SILENT
+                self.target.platform.response_mode = ResponseMode.IGNORED
                 if not released:
                     self._request(1.0)
                 move(self.fleet, self.shard, "a1")
@@ -128,10 +128,15 @@
 
     def test_slow_and_lost_record_of_a_handover(self):
         """Guards against a shard that nobody serves until its handover is recorded."""
-        for answers in (Answers.SLOW, Answers.LOST, Answers.LATE, Answers.REFUSED):
-            with self.subTest(answers=answers):
+        for response_mode in (
+            ResponseMode.SLOW,
+            ResponseMode.LOST,
+            ResponseMode.LATE,
+            ResponseMode.REFUSED,
+        ):
+            with self.subTest(response_mode=response_mode):
                 self.setUp()
-                self.target.platform.write_answers = answers
+                self.target.platform.write_response_mode = response_mode
                 move(self.fleet, self.shard, "a1")
                 self.fleet.world.advance(0.2)
                 self.assertEqual(self._serves(self.target), self.epoch + 1)
@@ -153,12 +158,12 @@
         """Guards against a request that runs again after the epoch rose without a new owner."""
         outcomes = self.source.ownership._outcomes
         before = outcomes.export(self.shard)
-        version = self.fleet.platform.read(HOME.object_key).version
+        version = self.fleet.platform.read(GROUP_ID.object_key).version
         group = self.fleet.group()
         shards = list(group.shards)
         shards[self.shard] = replace(shards[self.shard], epoch=self.epoch + 2)
         changed = encode_json(replace(group, shards=tuple(shards)))
-        self.fleet.platform.write(HOME.object_key, changed, version)
+        self.fleet.platform.write(GROUP_ID.object_key, changed, version)
         self.fleet.world.advance(0.5)
         self.assertEqual(self._serves(self.source), self.epoch + 2)
         self.assertEqual(outcomes.export(self.shard).lineage, (*before.lineage, self.epoch))
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -8,7 +8,7 @@
 from fescueward.messages.peer import RenewAck
 
 from .test_recovery_time import formed
-from .timed_fakes import Answers
+from .timed_fakes import ResponseMode
 
 
 class RenewalByWriteTest(unittest.TestCase):
@@ -28,12 +28,12 @@
             return False
 
         async def get_without_first_response(key: str):
-            platform.answers = Answers.GOOD if reads else Answers.SILENT
+            platform.response_mode = ResponseMode.NORMAL if reads else ResponseMode.IGNORED
             reads.append(key)
             return await get(key)
 
         async def write() -> None:
-            platform.answers = Answers.LOST
+            platform.response_mode = ResponseMode.LOST
             try:
                 self.results.append(await lease._write_stamp(self.agent.member_id))
             except PlatformUnavailableError:
@@ -61,7 +61,7 @@
 
     def test_writes_with_lost_responses_are_read_back(self):
         """Guards against a lease that ends although the writes take effect."""
-        self.agent.platform.write_answers = Answers.LOST
+        self.agent.platform.write_response_mode = ResponseMode.LOST
         self.fleet.world.advance(8)
         self.assertIn(self.agent.member_id, self.fleet.group().members)
 
--- a/tests/services/test_load.py
+++ b/tests/services/test_load.py
@@ -17,7 +17,7 @@
 from fescueward.services.load import DECAY_S, WINDOW_S, KeyWork, ShardWork
 from fescueward.services.reports import ReportTable
 
-from .groups_for_tests import member, placed
+from .groups_for_tests import assigned_group, member
 
 _QUICK = settings(derandomize=True, max_examples=60, deadline=None, database=None)
 
@@ -84,7 +84,7 @@
     """The planner sums up the reports."""
 
     def setUp(self):
-        self.group = placed(member("a"), member("b"))
+        self.group = assigned_group(member("a"), member("b"))
         self.table = ReportTable(0.0, 2.0)
 
     def test_waits_for_all_members_or_some_rounds(self):
@@ -153,7 +153,7 @@
 
     def test_split_takes_effect_before_the_next_report(self):
         """Guards against a planner that accounts for a split key one round too late."""
-        group = placed(member("a"), member("b"))
+        group = assigned_group(member("a"), member("b"))
         table = ReportTable(0.0, 2.0)
         table.add(LoadReport("a:1", {5: 900_000}, {"viral": 700_000}), 1.0)
         table.update(group, 2.0)
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -10,9 +10,9 @@
 from fescueward.messages import AnnouncedState, Announcement, MemberState
 from fescueward.messages.codec import encode_json
 
-from .fleet import HOME, Fleet
+from .fleet import GROUP_ID, Fleet
 from .test_recovery_time import formed
-from .timed_fakes import Answers
+from .timed_fakes import ResponseMode
 
 
 def move(fleet: Fleet, shard: int, successor: str) -> None:
@@ -20,9 +20,9 @@
     group = fleet.group()
     shards = list(group.shards)
     shards[shard] = replace(shards[shard], successor=fleet.agents[successor].member_id)
-    version = fleet.platform.read(HOME.object_key).version
+    version = fleet.platform.read(GROUP_ID.object_key).version
     fleet.platform.write(
-        HOME.object_key, encode_json(replace(group, shards=tuple(shards))), version
+        GROUP_ID.object_key, encode_json(replace(group, shards=tuple(shards))), version
     )
 
 
@@ -52,7 +52,7 @@
         remove_own_member = agent.membership._remove_own_member
 
         def remove_without_response(group):
-            agent.platform.answers = Answers.LOST
+            agent.platform.response_mode = ResponseMode.LOST
             return remove_own_member(group)
 
         agent.membership._remove_own_member = remove_without_response
@@ -72,7 +72,7 @@
                     fleet.network.delays[frozenset(("a0", "a1"))] = delay
                     agent = fleet.agents["a0"]
                     move(fleet, shards_of(fleet, "a1")[0], "a0")
-                    agent.platform.write_answers = Answers.LOST if lost else None
+                    agent.platform.write_response_mode = ResponseMode.LOST if lost else None
                     agent.leave()
                     fleet.world.advance(3)
                     fleet.heal()
@@ -88,7 +88,7 @@
         """
         fleet = formed(2, 2)
         agent = fleet.agents["a0"]
-        agent.platform.answers = Answers.REFUSED
+        agent.platform.response_mode = ResponseMode.REFUSED
         agent.loop.call_soon(lambda: agent.loop.create_task(agent.membership.drain()))
         fleet.world.advance(20)
         self.assertTrue(agent.membership.leaving)
@@ -101,7 +101,7 @@
         fleet = formed(2, 2)
         agent = fleet.agents["a0"]
         member_id = agent.member_id
-        agent.platform.answers = Answers.REFUSED
+        agent.platform.response_mode = ResponseMode.REFUSED
         agent.leave()
         fleet.world.advance(2)
         self.assertTrue(agent.membership.closed)
@@ -112,7 +112,7 @@
         )
         fleet.world.advance(0.5)
         self.assertEqual((drained, agent.membership.closed), ([], True))
-        agent.platform.answers = Answers.GOOD
+        agent.platform.response_mode = ResponseMode.NORMAL
         fleet.world.advance(2)
         self.assertEqual(len(drained), 1)
         self.assertNotIn(member_id, fleet.group().members)
@@ -121,7 +121,7 @@
         """Guards against shards that are assigned to an agent that has stopped."""
         fleet = formed(2, 2)
         agent = fleet.start("a9", "d1")
-        agent.platform.answers = Answers.SLOW
+        agent.platform.response_mode = ResponseMode.SLOW
         fleet.world.advance(0.05)
         self.assertIsNone(agent.membership.own_member())
         agent.loop.call_soon(lambda: agent.loop.create_task(agent.membership.drain()))
@@ -137,10 +137,10 @@
         agent = fleet.agents["a0"]
         member_id = agent.member_id
         agent.membership._stop_timeout_s = 4.0
-        agent.platform.answers = Answers.REFUSED
+        agent.platform.response_mode = ResponseMode.REFUSED
         agent.leave()
         fleet.world.advance(10)
-        agent.platform.answers = Answers.GOOD
+        agent.platform.response_mode = ResponseMode.NORMAL
         fleet.world.advance(5)
         self.assertNotIn(member_id, fleet.group().members)
 
@@ -150,9 +150,9 @@
         agent = fleet.agents["a0"]
         group = fleet.group()
         leaving = replace(group.members[agent.member_id], state=MemberState.LEAVING)
-        version = fleet.platform.read(HOME.object_key).version
+        version = fleet.platform.read(GROUP_ID.object_key).version
         changed = replace(group, members={**group.members, leaving.id: leaving})
-        fleet.platform.write(HOME.object_key, encode_json(changed), version)
+        fleet.platform.write(GROUP_ID.object_key, encode_json(changed), version)
         fleet.world.advance(1)
         agent.loop.call_soon(agent.announce, AnnouncedState.READY)
         fleet.world.advance(3)
@@ -227,7 +227,7 @@
         add = agent.membership._join_recorder.with_members
 
         def add_without_response(group, joining):
-            agent.platform.answers = Answers.LOST
+            agent.platform.response_mode = ResponseMode.LOST
             return add(group, joining)
 
         agent.membership._join_recorder.with_members = add_without_response
@@ -248,11 +248,11 @@
         """Guards against a late write that replaces the agent's current member by an older one."""
         fleet = formed(3, 3)
         recorder = fleet.agents["a0"]
-        recorder.platform.write_answers = Answers.VERY_LATE
+        recorder.platform.write_response_mode = ResponseMode.VERY_LATE
         agent = fleet.start("a5", "d2")
         first_id = agent.member_id
         fleet.world.advance(1.5)
-        recorder.platform.write_answers = Answers.GOOD
+        recorder.platform.write_response_mode = ResponseMode.NORMAL
         fleet.world.advance(4)
         members = fleet.group().members
         self.assertEqual([id for id in members if id.startswith("a5:")], [agent.member_id])
@@ -277,7 +277,7 @@
         for restarted in (False, True):
             with self.subTest(restarted=restarted):
                 fleet = formed(3, 3)
-                fleet.agents["a0"].platform.answers = Answers.SLOW
+                fleet.agents["a0"].platform.response_mode = ResponseMode.SLOW
                 name, boot = ("a2", fleet.agents["a2"].boot) if restarted else ("a5", "")
                 agent = fleet.start(name, "d2", boot)
                 fleet.world.advance(0.2)
@@ -293,7 +293,7 @@
         """Guards against agents that each write their own join while the recorder is busy."""
         fleet = formed(3, 3)
         recorder = fleet.agents["a0"]
-        recorder.platform.answers = Answers.SLOW
+        recorder.platform.response_mode = ResponseMode.SLOW
         fleet.network.delays[frozenset(("a0", "a5"))] = 0.3
         agent = fleet.start("a5", "d2")
         first_id = agent.member_id
@@ -308,7 +308,7 @@
         for service, group in (("orders", 0), ("depot", 1)):
             with self.assertRaises(InvalidAnnouncementError):
                 agent.membership.announce(Announcement(service, "h", 1, 4, 9, group=group))
-        self.assertEqual(agent.membership.own_group_id, HOME)
+        self.assertEqual(agent.membership.own_group_id, GROUP_ID)
 
     def test_deleted_entry_does_not_end_the_agents(self):
         """Guards against monitors that crash when a member of a deleted service is lost."""
@@ -324,12 +324,12 @@
     def test_malformed_group_object_does_not_end_the_agents(self):
         """Guards against agents that crash when the group object is malformed."""
         fleet = formed(3, 3)
-        valid = fleet.platform.read(HOME.object_key)
+        valid = fleet.platform.read(GROUP_ID.object_key)
         fleet.platform.on_write = lambda old, new: None
-        version = fleet.platform.write(HOME.object_key, b"{", valid.version)
+        version = fleet.platform.write(GROUP_ID.object_key, b"{", valid.version)
         fleet.kill("a0")
         fleet.world.advance(3)
-        fleet.platform.write(HOME.object_key, valid.value, version)
+        fleet.platform.write(GROUP_ID.object_key, valid.value, version)
         self.assertIsNotNone(fleet.time_until_served(4), fleet.owners())
 
 
@@ -345,9 +345,9 @@
                 fleet.planning = False
                 fleet.world.advance(0.1)
                 for count in range(40):
-                    version = fleet.platform.read(HOME.object_key).version
+                    version = fleet.platform.read(GROUP_ID.object_key).version
                     changed = replace(fleet.group(), edit_id=f"edit-{count}")
-                    fleet.platform.write(HOME.object_key, encode_json(changed), version)
+                    fleet.platform.write(GROUP_ID.object_key, encode_json(changed), version)
                     fleet.world.advance(0.1)
                 members = fleet.group().members
                 for member in members.values():
--- a/tests/services/test_monitor.py
+++ b/tests/services/test_monitor.py
@@ -10,9 +10,9 @@
 from fescueward.services.promises import PromiseRound
 from fescueward.services.ring import transfer_monitored
 
-from .fleet import HOME, Fleet, SimulatedAgent
+from .fleet import GROUP_ID, Fleet, SimulatedAgent
 from .test_recovery_time import formed
-from .timed_fakes import Answers
+from .timed_fakes import ResponseMode
 
 
 def _monitors(fleet: Fleet, name: str) -> list[SimulatedAgent]:
@@ -21,7 +21,7 @@
 
 
 def _version(fleet: Fleet) -> int:
-    return fleet.platform.read(HOME.object_key).version
+    return fleet.platform.read(GROUP_ID.object_key).version
 
 
 class AcknowledgementBlockTest(unittest.TestCase):
@@ -43,7 +43,7 @@
         """Guards against a release by one agent that removes the block of another."""
         self.fleet.kill("a0")
         for agent in self.fleet.agents.values():
-            agent.platform.answers = Answers.SILENT
+            agent.platform.response_mode = ResponseMode.IGNORED
         self.fleet.world.advance(1.5)
         self._promise("x:1", 7)
         self.first.monitor._on_promise_release("y:1", PromiseRelease(7, self.member_id))
@@ -59,21 +59,23 @@
         self.addCleanup(patcher.stop)
         for agent in self.fleet.agents.values():
             if agent is not self.first:
-                agent.platform.answers = Answers.REFUSED
+                agent.platform.response_mode = ResponseMode.REFUSED
         writes = []
         put = self.first.platform.put
 
         async def put_late_then_never(*args):
-            self.first.platform.answers = Answers.REFUSED if writes else Answers.VERY_LATE
-            writes.append(self.first.platform.answers)
+            self.first.platform.response_mode = (
+                ResponseMode.REFUSED if writes else ResponseMode.VERY_LATE
+            )
+            writes.append(self.first.platform.response_mode)
             try:
                 return await put(*args)
             finally:
-                self.first.platform.answers = Answers.GOOD
+                self.first.platform.response_mode = ResponseMode.NORMAL
 
         self.first.platform.put = put_late_then_never
         self.fleet.world.advance(3.5)
-        self.assertIn(Answers.REFUSED, writes)
+        self.assertIn(ResponseMode.REFUSED, writes)
         self.assertTrue(self._blocked())
 
     def test_renewal_for_another_member_is_not_granted(self):
@@ -107,7 +109,7 @@
                     if transferred_ids and fleet.world.now > 1:
                         outage_starts_s.append(fleet.world.now)
                         for agent in fleet.agents.values():
-                            agent.platform.write_answers = Answers.LATE
+                            agent.platform.write_response_mode = ResponseMode.LATE
                     return changed, transferred_ids
 
                 with patch("fescueward.services.monitor.transfer_monitored", begin_outage):
--- a/tests/services/test_placement.py
+++ b/tests/services/test_placement.py
@@ -19,15 +19,15 @@
 
 from .groups_for_tests import (
     SHARDS,
+    assigned_group,
     counts,
     entry,
-    faults,
-    joined,
     member,
     owners,
-    placed,
     run_rebalance_rounds,
-    settled,
+    violated_invariants,
+    with_completed_handovers,
+    with_members,
 )
 
 _NAMES = "abcdefghijklmnop"
@@ -52,17 +52,17 @@
     @given(st.integers(1, 7), st.lists(_LOADS, min_size=1, max_size=6), _WEIGHTS, st.booleans())
     def test_rounds_keep_the_rules(self, count, loads, weight, hand_over):
         """Guards against a round that gives a key two owners or lowers an epoch."""
-        group = placed(*(member(name) for name in _NAMES[:count]))
+        group = assigned_group(*(member(name) for name in _NAMES[:count]))
         for load in loads:
             after = BoundedLoadPolicy().rebalance(group, load, entry(weight))
-            self.assertEqual(faults(group, after), [])
-            group = settled(after) if hand_over else after
+            self.assertEqual(violated_invariants(group, after), [])
+            group = with_completed_handovers(after) if hand_over else after
 
     @_QUICK
     @given(st.integers(1, 7), st.integers(0, 7), _LOADS, _LOADS)
     def test_loss_leaves_nothing_at_lost_members(self, count, lost_count, before, during):
         """Guards against shards that a lost member keeps, or whose epoch does not rise."""
-        group = placed(*(member(name) for name in _NAMES[:count]))
+        group = assigned_group(*(member(name) for name in _NAMES[:count]))
         group = run_rebalance_rounds(group, before, 2)
         group = BoundedLoadPolicy().rebalance(group, during, entry())
         lost = frozenset(f"{name}:1" for name in _NAMES[: min(lost_count, count)])
@@ -79,11 +79,11 @@
     @given(st.integers(1, 7), _LOADS)
     def test_leaving_member_names_successors(self, count, load):
         """Guards against shards that stay with a member that leaves."""
-        group = placed(*(member(name) for name in _NAMES[:count]))
+        group = assigned_group(*(member(name) for name in _NAMES[:count]))
         leaving = replace(group.members["a:1"], state=MemberState.LEAVING)
         marked = replace(group, members={**group.members, "a:1": leaving})
         after = BoundedLoadPolicy().drain_member(marked, "a:1", load, entry())
-        self.assertEqual(faults(group, after), [])
+        self.assertEqual(violated_invariants(group, after), [])
         for old, new in zip(group.shards, after.shards, strict=True):
             if old.owner != "a:1":
                 self.assertEqual(new, old)
@@ -96,8 +96,8 @@
 
     def test_idle_service_spreads_by_slots(self):
         """Guards against a division by zero and uneven placement without measured work."""
-        group = placed(member("a"))
-        group = joined(group, member("b"), member("c", slots=12))
+        group = assigned_group(member("a"))
+        group = with_members(group, member("b"), member("c", slots=12))
         shard_counts = counts(run_rebalance_rounds(group, GroupLoad(), 6))
         self.assertAlmostEqual(shard_counts["c:1"], SHARDS / 2, delta=3)
         self.assertAlmostEqual(shard_counts["a:1"], SHARDS / 4, delta=3)
@@ -108,7 +108,7 @@
         load = GroupLoad(work)
         for weight, goal in ((Weight.UNAVAILABILITY, 1.10), (Weight.CHURN, 1.21)):
             with self.subTest(weight=weight):
-                group = placed(*(member(name) for name in "abcd"))
+                group = assigned_group(*(member(name) for name in "abcd"))
                 group = run_rebalance_rounds(group, load, 20, entry(weight))
                 self.assertLess(imbalance(group, load), goal)
                 unchanged = BoundedLoadPolicy().rebalance(group, load, entry(weight))
@@ -116,7 +116,7 @@
 
     def test_small_imbalance_moves_nothing(self):
         """Guards against moves that are caused by measurement noise."""
-        group = placed(*(member(name) for name in "abcd"))
+        group = assigned_group(*(member(name) for name in "abcd"))
         load = GroupLoad(dict.fromkeys(range(SHARDS), 0.05))
         for weight in Weight:
             stable = run_rebalance_rounds(group, load, 20, entry(weight))
@@ -127,7 +127,7 @@
 
     def test_churn_entries_move_later_and_less(self):
         """Guards against a weight of the entry that has no effect."""
-        group = placed(*(member(name) for name in "abcd"))
+        group = assigned_group(*(member(name) for name in "abcd"))
         shards_of_a = [shard for shard, owner in enumerate(owners(group)) if owner == "a:1"]
         slight = GroupLoad(
             {shard: 0.058 if shard in shards_of_a else 0.05 for shard in range(SHARDS)}
@@ -146,16 +146,20 @@
 
     def test_join_moves_only_to_the_new_member(self):
         """Guards against shards that move between members that were there before."""
-        group = run_rebalance_rounds(placed(*(member(name) for name in "abcdefg")), GroupLoad(), 5)
+        group = run_rebalance_rounds(
+            assigned_group(*(member(name) for name in "abcdefg")), GroupLoad(), 5
+        )
         load = GroupLoad(dict.fromkeys(range(SHARDS), 0.05))
-        after = run_rebalance_rounds(joined(group, member("h")), load, 20)
+        after = run_rebalance_rounds(with_members(group, member("h")), load, 20)
         moved = [new for old, new in zip(owners(group), owners(after), strict=True) if old != new]
         self.assertEqual(set(moved), {"h:1"})
         self.assertAlmostEqual(len(moved), SHARDS / 8, delta=2)
 
     def test_leave_moves_only_shards_of_the_lost_member(self):
         """Guards against a loss that reshuffles the shards of others."""
-        group = run_rebalance_rounds(placed(*(member(name) for name in "abcdefg")), GroupLoad(), 5)
+        group = run_rebalance_rounds(
+            assigned_group(*(member(name) for name in "abcdefg")), GroupLoad(), 5
+        )
         after = BoundedLoadPolicy().assign(group, frozenset({"c:1"}), GroupLoad(), entry())
         for old, new in zip(owners(group), owners(after), strict=True):
             self.assertTrue(old == new or old == "c:1")
@@ -165,18 +169,20 @@
     def test_returning_server_gets_its_shards_back(self):
         """Guards against a restart that reshuffles keys among all servers."""
         group = run_rebalance_rounds(
-            placed(*(member(name) for name in "abcdefgh")), GroupLoad(), 5
+            assigned_group(*(member(name) for name in "abcdefgh")), GroupLoad(), 5
         )
         without = BoundedLoadPolicy().assign(group, frozenset({"c:1"}), GroupLoad(), entry())
-        after = run_rebalance_rounds(joined(without, member("c", incarnation=2)), GroupLoad(), 20)
+        after = run_rebalance_rounds(
+            with_members(without, member("c", incarnation=2)), GroupLoad(), 20
+        )
         shards_before = {shard for shard, owner in enumerate(owners(group)) if owner == "c:1"}
         shards_after = {shard for shard, owner in enumerate(owners(after)) if owner == "c:2"}
         self.assertGreaterEqual(len(shards_before & shards_after), len(shards_before) // 2)
 
     def test_restarted_member_replaces_its_old_one(self):
         """Guards against shards that leave a server because its agent was restarted."""
-        group = placed(*(member(name) for name in "abcd"))
-        both = joined(group, member("c", incarnation=2))
+        group = assigned_group(*(member(name) for name in "abcd"))
+        both = with_members(group, member("c", incarnation=2))
         after = BoundedLoadPolicy().assign(both, frozenset({"c:1"}), GroupLoad(), entry())
         shards_before = {shard for shard, owner in enumerate(owners(group)) if owner == "c:1"}
         self.assertEqual(
@@ -185,8 +191,10 @@
 
     def test_cold_member_is_filled_slowly(self):
         """Guards against a cold server that gets its whole share at once."""
-        group = run_rebalance_rounds(placed(*(member(name) for name in "abc")), GroupLoad(), 5)
-        group = joined(group, member("d"))
+        group = run_rebalance_rounds(
+            assigned_group(*(member(name) for name in "abc")), GroupLoad(), 5
+        )
+        group = with_members(group, member("d"))
         work = dict.fromkeys(range(SHARDS), 0.05)
         reported = {f"{name}:1": 1.0 for name in "abc"}
         cold = GroupLoad(work, {}, reported | {"d:1": 0.25})
@@ -200,7 +208,7 @@
     def test_more_members_than_shards(self):
         """Guards against shards that move repeatedly because shares are below one shard."""
         group = Group("depot", 0, 4, {}, (Shard(),) * 4)
-        group = joined(group, *(member(name) for name in _NAMES))
+        group = with_members(group, *(member(name) for name in _NAMES))
         group = BoundedLoadPolicy().assign(group, frozenset(), GroupLoad(), entry())
         stable = run_rebalance_rounds(group, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
         self.assertEqual(len(set(stable.shards[i].owner for i in range(4))), 4)
@@ -209,7 +217,7 @@
 
     def test_loss_of_a_server_without_grants_holds_the_shard(self):
         """Guards against a new owner that starts while the old upstream may still run."""
-        group = placed(member("a", checks_grants=False), member("b"))
+        group = assigned_group(member("a", checks_grants=False), member("b"))
         after = BoundedLoadPolicy().assign(group, frozenset({"a:1"}), GroupLoad(), entry())
         for old, new in zip(group.shards, after.shards, strict=True):
             self.assertEqual(new.hold_ms, 10_000 if old.owner == "a:1" else 0)
@@ -220,7 +228,7 @@
 
     def setUp(self):
         members = (member(name) for name in "abcd")
-        self.group = run_rebalance_rounds(placed(*members), GroupLoad(), 5)
+        self.group = run_rebalance_rounds(assigned_group(*members), GroupLoad(), 5)
         self.work = dict.fromkeys(range(SHARDS), 0.05)
 
     def _hot(self, group: Group, key: str, work: float, more: dict[int, float]) -> GroupLoad:
@@ -232,7 +240,7 @@
         group = self.group
         for _ in range(12):
             load = self._hot(group, "viral", 2.0, {})
-            group = settled(BoundedLoadPolicy().rebalance(group, load, entry()))
+            group = with_completed_handovers(BoundedLoadPolicy().rebalance(group, load, entry()))
         shard = group.shards[group.exceptions["viral"]]
         other_work = sum(
             self.work[i] for i, owner in enumerate(owners(group)) if owner == shard.owner
@@ -254,8 +262,8 @@
             load = GroupLoad(self.work, {f"key-{number}": 0.5})
             for _ in range(5):
                 after = BoundedLoadPolicy().rebalance(group, load, entry())
-                self.assertEqual(faults(group, after), [])
-                group = settled(after)
+                self.assertEqual(violated_invariants(group, after), [])
+                group = with_completed_handovers(after)
             self.assertIn(f"key-{number}", group.exceptions)
         self.assertEqual(len(group.exceptions), MAX_EXCEPTIONS)
         self.assertEqual(len(group.shards), SHARDS + MAX_EXCEPTIONS)
@@ -280,7 +288,7 @@
         )
         after = BoundedLoadPolicy().rebalance(group, load, entry())
         self.assertIn(hot_key, after.exceptions)
-        self.assertEqual(faults(group, after), [])
+        self.assertEqual(violated_invariants(group, after), [])
 
     def test_shards_that_wait_get_no_exception(self):
         """Guards against a key that runs on its new shard while its hash shard still waits."""
@@ -305,10 +313,10 @@
 
     def test_ignores_work(self):
         """Guards against a baseline that balances measured work."""
-        group = joined(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), member("a"))
+        group = with_members(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), member("a"))
         policy = StaticHashPolicy()
-        group = policy.assign(joined(group, member("b")), frozenset(), GroupLoad(), entry())
+        group = policy.assign(with_members(group, member("b")), frozenset(), GroupLoad(), entry())
         load = GroupLoad({0: 5.0}, {"viral": 2.0})
         self.assertEqual(policy.rebalance(group, load, entry()), group)
-        after = policy.rebalance(joined(group, member("c")), GroupLoad(), entry())
+        after = policy.rebalance(with_members(group, member("c")), GroupLoad(), entry())
         self.assertEqual({shard.successor for shard in after.shards}, {None, "c:1"})
--- a/tests/services/test_planner.py
+++ b/tests/services/test_planner.py
@@ -16,9 +16,9 @@
 from fescueward.services.placement import ShardPlacement
 from fescueward.services.policies import BoundedLoadPolicy
 
-from .groups_for_tests import SHARDS, entry, joined, member, owners, placed
+from .groups_for_tests import SHARDS, assigned_group, entry, member, owners, with_members
 
-_HOME = GroupId("depot", 0)
+_GROUP_ID = GroupId("depot", 0)
 
 
 class _Groups:
@@ -57,7 +57,7 @@
     """One member plans with complete load reports and logs its decisions."""
 
     def setUp(self):
-        self.group = joined(placed(member("a")), member("b"))
+        self.group = with_members(assigned_group(member("a")), member("b"))
         self.groups, self.load = _Groups(self.group), _Load()
         self.events: list[tuple[int, dict]] = []
         # Other tests may have set a higher log level.
@@ -73,7 +73,7 @@
 
     def _placement(self, member_id: str, *, held: bool = True) -> ShardPlacement:
         service = ShardPlacement(Kernel())
-        service._membership = SimpleNamespace(own_group_id=_HOME, member_id=member_id)
+        service._membership = SimpleNamespace(own_group_id=_GROUP_ID, member_id=member_id)
         service._lease = SimpleNamespace(held=held)
         service._catalogue = SimpleNamespace(entry=lambda _: SimpleNamespace(entry=entry()))
         service._groups, service._load = self.groups, self.load
--- a/tests/services/test_recovery.py
+++ b/tests/services/test_recovery.py
@@ -9,7 +9,7 @@
 
 from .fleet import Fleet
 from .test_recovery_time import formed
-from .timed_fakes import Answers
+from .timed_fakes import ResponseMode
 
 
 def _set_recovery_counter(fleet: Fleet, counter: int) -> None:
@@ -55,7 +55,7 @@
                     monitors = fleet.group().members[fleet.agents["a0"].member_id].monitors
                     names = [monitor.split(":")[0] for monitor in monitors]
                     fleet.cut("a0", [name for name in fleet.agents if name not in names])
-                    fleet.agents["a0"].platform.answers = Answers.SILENT
+                    fleet.agents["a0"].platform.response_mode = ResponseMode.IGNORED
                 elif scenario == "resume":
                     fleet.world.paused.add("a0")
                 _set_recovery_counter(fleet, 1)
--- a/tests/services/test_recovery_time.py
+++ b/tests/services/test_recovery_time.py
@@ -7,12 +7,12 @@
 import unittest
 
 from .fleet import Fleet
-from .timed_fakes import Answers
+from .timed_fakes import ResponseMode
 
 RECOVERY_LIMIT_S = 4.0
 
 
-def formed(
+def start_fleet(
     count: int,
     domains: int,
     seed: int = 0,
@@ -38,7 +38,7 @@
         self, count: int, domains: int, lost: tuple[str, ...], fault: str
     ) -> None:
         with self.subTest(count=count, domains=domains, lost=lost, fault=fault):
-            fleet = formed(count, domains)
+            fleet = start_fleet(count, domains)
             for name in lost:
                 if fault == "kill":
                     fleet.kill(name)
@@ -46,7 +46,7 @@
                     fleet.world.paused.add(name)
                 else:
                     fleet.cut(name, fleet.agents)
-                    fleet.agents[name].platform.answers = Answers.SILENT
+                    fleet.agents[name].platform.response_mode = ResponseMode.IGNORED
             recovery_s = fleet.time_until_served(RECOVERY_LIMIT_S + 2)
             self.assertIsNotNone(recovery_s, fleet.owners())
             self.assertLessEqual(recovery_s, RECOVERY_LIMIT_S)
@@ -76,11 +76,13 @@
 
     def test_loss_during_platform_outage(self):
         """Guards against the loss of a monitor that ends the leases of the members it monitors."""
-        for answers, lost in itertools.product((Answers.REFUSED, Answers.SILENT), range(4)):
-            with self.subTest(answers=answers, lost=lost):
-                fleet = formed(4, 2)
+        for response_mode, lost in itertools.product(
+            (ResponseMode.REFUSED, ResponseMode.IGNORED), range(4)
+        ):
+            with self.subTest(response_mode=response_mode, lost=lost):
+                fleet = start_fleet(4, 2)
                 for agent in fleet.agents.values():
-                    agent.platform.answers = answers
+                    agent.platform.response_mode = response_mode
                 fleet.world.advance(2)
                 fleet.kill(f"a{lost}")
                 for _ in range(400):
@@ -92,7 +94,7 @@
 
     def test_restart_on_the_same_boot(self):
         """Guards against a restart that waits for the lease of the ended process."""
-        fleet = formed(4, 2)
+        fleet = start_fleet(4, 2)
         agent = fleet.agents["a1"]
         fleet.start("a1", agent.domain, agent.boot)
         recovery_s = fleet.time_until_served(RECOVERY_LIMIT_S)
@@ -101,7 +103,7 @@
 
     def test_whole_group_restarts_on_the_same_boots(self):
         """Guards against a group that no agent can join any more."""
-        fleet = formed(4, 2)
+        fleet = start_fleet(4, 2)
         for agent in list(fleet.agents.values()):
             fleet.start(agent.name, agent.domain, agent.boot)
         self.assertIsNotNone(fleet.time_until_served(RECOVERY_LIMIT_S), fleet.owners())
@@ -110,8 +112,8 @@
         """Guards against takeovers that fail when each call takes 0.6 s."""
         for lost in range(4):
             with self.subTest(lost=lost):
-                fleet = formed(4, 2)
+                fleet = start_fleet(4, 2)
                 for agent in fleet.agents.values():
-                    agent.platform.answers = Answers.SLOW
+                    agent.platform.response_mode = ResponseMode.SLOW
                 fleet.kill(f"a{lost}")
                 self.assertIsNotNone(fleet.time_until_served(RECOVERY_LIMIT_S + 2), fleet.owners())
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -22,7 +22,7 @@
 from .fleet import Fleet, SafetyError
 from .test_recovery_time import formed
 from .test_single_owner import OwnershipMachine, search_settings
-from .timed_fakes import Answers
+from .timed_fakes import ResponseMode
 
 _EXAMPLES = int(os.environ.get("FESCUEWARD_SEARCH_EXAMPLES", "0"))
 
@@ -155,7 +155,7 @@
             fleet.world.advance(3)
             # Acknowledgements in flight still arrive.
             fleet.agents["a0"].lease.send_renewals = lambda: None
-            fleet.agents["a0"].platform.answers = Answers.SILENT
+            fleet.agents["a0"].platform.response_mode = ResponseMode.IGNORED
             self._assert_found(bool(overrides), fleet)
 
     def test_acknowledgement_after_a_promise_is_found(self):
@@ -163,9 +163,9 @@
         for overrides in ({}, {"monitor": _PromisesWithoutBlock}):
             fleet = formed(3, 3, overrides=overrides)
             fleet.cut("a0", fleet.agents)
-            fleet.agents["a0"].platform.answers = Answers.SILENT
+            fleet.agents["a0"].platform.response_mode = ResponseMode.IGNORED
             for other in ("a1", "a2"):
-                fleet.agents[other].platform.write_answers = Answers.LATE
+                fleet.agents[other].platform.write_response_mode = ResponseMode.LATE
             fleet.world.advance(1.6)
             fleet.network.cut.clear()
             self._assert_found(bool(overrides), fleet)
--- a/tests/services/test_single_owner.py
+++ b/tests/services/test_single_owner.py
@@ -23,8 +23,8 @@
 from fescueward.messages import AnnouncedState, Group, MemberState
 from fescueward.messages.codec import encode_json
 
-from .fleet import HOME, SHARDS, Fleet, SimulatedAgent
-from .timed_fakes import Answers
+from .fleet import GROUP_ID, SHARDS, Fleet, SimulatedAgent
+from .timed_fakes import ResponseMode
 
 _EXAMPLES = int(os.environ.get("FESCUEWARD_SEARCH_EXAMPLES", "0"))
 _SEED = os.environ.get("FESCUEWARD_SEARCH_SEED")
@@ -95,7 +95,7 @@
         cut = self._monitors(agent)
         self.fleet.cut(agent.name, [m.name for m in (cut if which == 2 else cut[which:][:1])])
         if offline:
-            agent.platform.answers = Answers.SILENT
+            agent.platform.response_mode = ResponseMode.IGNORED
         self.fleet.world.advance(seconds)
 
     @rule(
@@ -115,25 +115,28 @@
         isolated = monitors[which]
         others = set(self.fleet.agents) - {agent.name, isolated.name}
         self.fleet.cut(isolated.name, others)
-        isolated.platform.answers = Answers.SILENT
+        isolated.platform.response_mode = ResponseMode.IGNORED
         self.fleet.cut(agent.name, others)
         if offline:
-            agent.platform.answers = Answers.SILENT
+            agent.platform.response_mode = ResponseMode.IGNORED
         self.fleet.world.advance(seconds)
 
     @rule(
-        index=_index, answers=st.sampled_from(Answers), fresh=st.booleans(), seconds=_durations_s
+        index=_index,
+        response_mode=st.sampled_from(ResponseMode),
+        fresh=st.booleans(),
+        seconds=_durations_s,
     )
     def return_during_takeover(
-        self, index: int, answers: Answers, fresh: bool, seconds: float
+        self, index: int, response_mode: ResponseMode, fresh: bool, seconds: float
     ) -> None:
         """Reconnects an owner while the write that removes it is in flight."""
         self._refresh(fresh)
         agent = self._owner(index)
         for other in self.fleet.agents.values():
-            other.platform.write_answers = answers
+            other.platform.write_response_mode = response_mode
         self.fleet.cut(agent.name, self.fleet.agents)
-        agent.platform.answers = Answers.SILENT
+        agent.platform.response_mode = ResponseMode.IGNORED
         self.fleet.world.advance(1.0 + seconds / 4)
         self.heal_network()
         self.fleet.world.advance(seconds)
@@ -167,30 +170,33 @@
 
     @rule(
         index=_index,
-        answers=st.sampled_from(Answers),
+        response_mode=st.sampled_from(ResponseMode),
         only_writes=st.booleans(),
         seconds=_durations_s,
     )
     def platform_of_one(
-        self, index: int, answers: Answers, only_writes: bool, seconds: float
+        self, index: int, response_mode: ResponseMode, only_writes: bool, seconds: float
     ) -> None:
         platform = self._owner(index).platform
         if only_writes:
-            platform.write_answers = answers
+            platform.write_response_mode = response_mode
         else:
-            platform.answers = answers
+            platform.response_mode = response_mode
         self.fleet.world.advance(seconds)
 
-    @rule(answers=st.sampled_from(Answers), seconds=_durations_s)
-    def platform_of_all(self, answers: Answers, seconds: float) -> None:
+    @rule(response_mode=st.sampled_from(ResponseMode), seconds=_durations_s)
+    def platform_of_all(self, response_mode: ResponseMode, seconds: float) -> None:
         for agent in self.fleet.agents.values():
-            agent.platform.answers = answers
+            agent.platform.response_mode = response_mode
         self.fleet.world.advance(seconds)
 
     @rule()
     def heal_platform(self) -> None:
         for agent in self.fleet.agents.values():
-            agent.platform.answers, agent.platform.write_answers = Answers.GOOD, None
+            agent.platform.response_mode, agent.platform.write_response_mode = (
+                ResponseMode.NORMAL,
+                None,
+            )
 
     @precondition(lambda self: len(self.fleet.agents) > 2)
     @rule(index=_index)
@@ -236,9 +242,9 @@
             return
         shards = list(group.shards)
         shards[shard % SHARDS] = replace(previous, successor=successor)
-        version = self.fleet.platform.read(HOME.object_key).version
+        version = self.fleet.platform.read(GROUP_ID.object_key).version
         changed = encode_json(replace(group, shards=tuple(shards)))
-        self.fleet.platform.write(HOME.object_key, changed, version)
+        self.fleet.platform.write(GROUP_ID.object_key, changed, version)
 
     def teardown(self) -> None:
         if not hasattr(self, "fleet"):
--- a/tests/services/test_snapshots.py
+++ b/tests/services/test_snapshots.py
@@ -21,9 +21,9 @@
 from fescueward.services.placement import ShardPlacement
 from fescueward.services.snapshots import PlannerSnapshots
 
-from .groups_for_tests import member, placed
+from .groups_for_tests import assigned_group, member
 
-_HOME = GroupId("depot", 0)
+_GROUP_ID = GroupId("depot", 0)
 
 
 class _Platform:
@@ -107,7 +107,7 @@
         service = PlannerSnapshots(kernel)
         service._clock, service._platform = _Clock(), self.platform
         service._groups = None
-        service._membership = SimpleNamespace(own_group_id=_HOME, member_id=member_id)
+        service._membership = SimpleNamespace(own_group_id=_GROUP_ID, member_id=member_id)
         service._placement = ShardPlacement(kernel)
         service._load, service._quarantine = self.load, self.quarantine
         service._period_s = 1.0
@@ -116,7 +116,7 @@
 
     async def _planner(self, member_id: str = "a:1") -> PlannerSnapshots:
         service = self._service(member_id)
-        service.group_changed(VersionedGroup(1, placed(member("a"), member("b"))))
+        service.group_changed(VersionedGroup(1, assigned_group(member("a"), member("b"))))
         await asyncio.sleep(0.02)
         return service
 
@@ -127,7 +127,7 @@
         self.assertTrue(await first.store())
         self.quarantine.entries = {}
         second = self._service("b:1")
-        second.group_changed(VersionedGroup(2, placed(member("b"))))
+        second.group_changed(VersionedGroup(2, assigned_group(member("b"))))
         await asyncio.sleep(0.02)
         self.assertEqual(self.load.restored, ({3: 0.5}, {"viral": 0.25}))
         self.assertEqual(self.quarantine.entries, {"99": 600_000})
@@ -169,7 +169,7 @@
 
     async def test_malformed_snapshot_is_replaced(self):
         """Guards against a malformed object that stops the planner."""
-        key = snapshot_object_key(_HOME)
+        key = snapshot_object_key(_GROUP_ID)
         for malformed in (b"[]", b'{"service":"depot","number":0,"work":{"3":-1}}', b""):
             self.platform.objects[key] = StoredObject(key, 7, malformed)
             service = await self._planner()
@@ -183,6 +183,6 @@
         self.quarantine.entries = {str(2**64 - n): 600_000 for n in range(1, 100_000)}
         service = await self._planner()
         self.assertTrue(await service.store())
-        stored = self.platform.objects[snapshot_object_key(_HOME)].value
+        stored = self.platform.objects[snapshot_object_key(_GROUP_ID)].value
         self.assertLess(len(stored), 300_000)
         self.assertEqual(encode_json(decode_json(stored, Snapshot)), stored)
--- a/tests/services/test_status.py
+++ b/tests/services/test_status.py
@@ -32,7 +32,7 @@
 from fescueward.services.problems import AgentResponses, GroupView, fleet_problems, service_status
 
 ENTRY = VersionedEntry(7, Entry("depot", "siphon-works", shard_count=4))
-HOME = GroupId("depot", 0)
+GROUP_ID = GroupId("depot", 0)
 
 
 def member(name: str, domain: str = "lowell") -> Member:
@@ -67,7 +67,7 @@
         self.histories.observe(self.observed, now)
 
     def status(self, responses: AgentResponses, **view):
-        fields = {"id": HOME, "group": self.observed, "fresh": True, "error": ""} | view
+        fields = {"id": GROUP_ID, "group": self.observed, "fresh": True, "error": ""} | view
         return service_status(ENTRY, (GroupView(**fields),), responses, self.histories, self.now)
 
     def problem(self, kind: ProblemKind, responses: AgentResponses, **view):
@@ -193,15 +193,15 @@
         histories.observe(VersionedGroup(2, handed_over), 2)
         taken_over = group(Shard("b:1", 2), Shard("b:1", 3), members="b")
         histories.observe(VersionedGroup(3, taken_over), 3)
-        history = histories.of(HOME)
+        history = histories.of(GROUP_ID)
         self.assertTrue(history.origins[0].taken_over)
         self.assertEqual(history.origins[1].previous_owner, "a:1")
         self.assertEqual([loss.member_id for loss in history.losses], ["a:1"])
         left = replace(taken_over, members={"b:1": leaving})
         histories.observe(VersionedGroup(4, left), 4)
         histories.observe(VersionedGroup(5, group(Shard(), Shard(), members="")), 5)
-        self.assertEqual([loss.member_id for loss in histories.of(HOME).losses], ["a:1"])
-        self.assertEqual(histories.of(HOME).unowned_since(0), (5, "b:1"))
+        self.assertEqual([loss.member_id for loss in histories.of(GROUP_ID).losses], ["a:1"])
+        self.assertEqual(histories.of(GROUP_ID).unowned_since(0), (5, "b:1"))
 
     def test_memory_is_bounded_by_the_shards(self):
         """Guards against accumulating records of shards that no longer exist."""
@@ -209,14 +209,14 @@
         many = group(*[Shard("a:1", 1, "b:1")] * 100)
         histories.observe(VersionedGroup(1, many), 1)
         histories.observe(VersionedGroup(2, group(Shard("a:1", 1, "b:1"))), 2)
-        self.assertIsNone(histories.of(HOME).moving_since(50))
-        self.assertEqual(histories.of(HOME).moving_since(0), 1)
+        self.assertIsNone(histories.of(GROUP_ID).moving_since(50))
+        self.assertEqual(histories.of(GROUP_ID).moving_since(0), 1)
 
 
 class ExplanationTest(unittest.TestCase):
     def explain(self, shard: Shard, *statuses: AgentStatus, **fields):
         explained_group = group(*[shard] * 5, **fields)
-        view = GroupView(HOME, VersionedGroup(3, explained_group), True, "")
+        view = GroupView(GROUP_ID, VersionedGroup(3, explained_group), True, "")
         return explain_key(ENTRY.entry, "k", view, make_responses(*statuses), "a:1")
 
     def test_reasons_and_refusals(self):
@@ -261,7 +261,7 @@
         serving_status = make_status("b", shards={4: 4})
         explanation = self.explain(Shard("b:1", 4), serving_status, exceptions={"k": 4})
         self.assertEqual((explanation.shard, explanation.reasons[0]), (4, Reason.EXCEPTION))
-        view = GroupView(HOME, None, False, "timeout")
+        view = GroupView(GROUP_ID, None, False, "timeout")
         explanation = explain_key(ENTRY.entry, "k", view, make_responses(), "a:1")
         self.assertEqual((explanation.served, explanation.refusal), (False, "no_owner"))
         self.assertIn("could not be read: timeout", explanation.text)
--- a/tests/services/test_status_service.py
+++ b/tests/services/test_status_service.py
@@ -31,7 +31,7 @@
 from fescueward.services import status
 from fescueward.services.status import FleetStatusReports
 
-HOME = GroupId("depot", 0)
+GROUP_ID = GroupId("depot", 0)
 
 
 def group(service: str, *names: str) -> VersionedGroup:
@@ -50,14 +50,14 @@
         self.settings = SimpleNamespace(agent=SimpleNamespace(failure_domain="lowell"))
         self.agent = self.settings.agent
         self.member_id = "a:1"
-        self.own_group_id = HOME
+        self.own_group_id = GROUP_ID
         self.announcement = SimpleNamespace()
         self.leaving = self.watching = False
         self.held = True
         self.expires_at = 100.9
         self.in_flight = 0
         self.unavailable_since = None
-        self.views = {HOME: group("depot", "a", "b")}
+        self.views = {GROUP_ID: group("depot", "a", "b")}
         self.stored: dict = {}
         self.replies: dict = {}
         self.sent: list = []
@@ -67,7 +67,7 @@
         return 100.0
 
     def own_member(self):
-        return self.views[HOME].group.members["a:1"]
+        return self.views[GROUP_ID].group.members["a:1"]
 
     def monitored(self):
         return {}
@@ -181,7 +181,7 @@
         large_entry = Entry("depot", "team", groups=1000, shard_count=4)
         self.fleet.entry = lambda service: VersionedEntry(7, large_entry)
         names = [f"m{number}" for number in range(500)]
-        self.fleet.views[HOME] = group("depot", "a", *names)
+        self.fleet.views[GROUP_ID] = group("depot", "a", *names)
         fleet_status = await self.service.fleet("depot")
         self.assertEqual(fleet_status.agents_asked, status._MAX_AGENTS)
         self.assertEqual(fleet_status.services[0].groups_total, 1000)
@@ -196,7 +196,7 @@
 
     async def test_explanation_queries_owner_and_successor_only(self):
         """Guards against an explanation that queries as many agents as a status."""
-        self.fleet.views[HOME] = group("depot", "b", "a", "c", "d")
+        self.fleet.views[GROUP_ID] = group("depot", "b", "a", "c", "d")
         self.fleet.replies["b:1"] = self.reply("b:1", shards=dict.fromkeys(range(4), 1))
         explanation = await self.service.explain("depot", "k")
         self.assertTrue(explanation.served, explanation.text)
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -134,26 +134,26 @@
         return name not in self.paused
 
 
-class Answers(enum.Enum):
+class ResponseMode(enum.Enum):
     """How the platform responds to the calls of one agent."""
 
-    GOOD = enum.auto()
+    NORMAL = enum.auto()
     SLOW = enum.auto()  # the response takes 0.6 s
     REFUSED = enum.auto()  # the connection is refused
-    SILENT = enum.auto()  # neither effect nor response
+    IGNORED = enum.auto()  # neither effect nor response
     LOST = enum.auto()  # effect without a response
     LATE = enum.auto()  # effect after the timeout of the caller, without a response
     VERY_LATE = enum.auto()
 
 
 _EFFECT_DELAY_S = {
-    Answers.GOOD: _LATENCY_S,
-    Answers.SLOW: 0.3,
-    Answers.LOST: _LATENCY_S,
-    Answers.LATE: _TIMEOUT_S + 0.2,
-    Answers.VERY_LATE: _TIMEOUT_S + 3.0,
+    ResponseMode.NORMAL: _LATENCY_S,
+    ResponseMode.SLOW: 0.3,
+    ResponseMode.LOST: _LATENCY_S,
+    ResponseMode.LATE: _TIMEOUT_S + 0.2,
+    ResponseMode.VERY_LATE: _TIMEOUT_S + 3.0,
 }
-_RESPONSE_DELAY_S = {Answers.GOOD: _LATENCY_S, Answers.SLOW: 0.3}
+_RESPONSE_DELAY_S = {ResponseMode.NORMAL: _LATENCY_S, ResponseMode.SLOW: 0.3}
 
 
 class FakePlatform:
@@ -194,36 +194,36 @@
 
     def __init__(self, store: FakePlatform, loop: AgentLoop) -> None:
         self.store, self._loop = store, loop
-        self.answers = Answers.GOOD
-        # Overrides `answers` for writes.
-        self.write_answers: Answers | None = None
+        self.response_mode = ResponseMode.NORMAL
+        # Overrides `response_mode` for writes.
+        self.write_response_mode: ResponseMode | None = None
 
     async def get(self, key: str) -> StoredObject:
         try:
-            return await self._call(lambda: self.store.read(key), self.answers)
+            return await self._call(lambda: self.store.read(key), self.response_mode)
         except TimeoutError:
             raise PlatformUnavailableError(f"reading {key}: timeout") from None
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
-        answers = self.write_answers or self.answers
+        response_mode = self.write_response_mode or self.response_mode
         try:
             return await self._call(
-                lambda: self.store.write(key, value, expected_version), answers
+                lambda: self.store.write(key, value, expected_version), response_mode
             )
         except TimeoutError:
             raise OutcomeUnknownError(f"writing {key}: timeout") from None
 
     async def delete(self, key: str, expected_version: int) -> int:
-        answers = self.write_answers or self.answers
+        response_mode = self.write_response_mode or self.response_mode
         try:
             return await self._call(
-                lambda: self.store.write(key, b"", expected_version, True), answers
+                lambda: self.store.write(key, b"", expected_version, True), response_mode
             )
         except TimeoutError:
             raise OutcomeUnknownError(f"deleting {key}: timeout") from None
 
     async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
-        if self.answers is Answers.REFUSED:
+        if self.response_mode is ResponseMode.REFUSED:
             raise PlatformUnavailableError("refused")
         response: asyncio.Future[Changes] = self._loop.create_future()
 
@@ -235,10 +235,11 @@
             )
             if response.done() or not (changed or final):
                 return response.done()
-            if self.answers in _RESPONSE_DELAY_S:
+            if self.response_mode in _RESPONSE_DELAY_S:
                 changes = Changes(self.store.revision, changed)
                 self.store.world.call_later(
-                    _RESPONSE_DELAY_S[self.answers], lambda: _set_response(response, changes, None)
+                    _RESPONSE_DELAY_S[self.response_mode],
+                    lambda: _set_response(response, changes, None),
                 )
             return True
 
@@ -250,9 +251,9 @@
         except TimeoutError:
             raise PlatformUnavailableError("watching: timeout") from None
 
-    async def _call(self, operation: Callable[[], Any], answers: Answers) -> Any:
+    async def _call(self, operation: Callable[[], Any], response_mode: ResponseMode) -> Any:
         self.store.calls += 1
-        if answers is Answers.REFUSED:
+        if response_mode is ResponseMode.REFUSED:
             raise PlatformUnavailableError("refused")
         response: asyncio.Future[Any] = self._loop.create_future()
 
@@ -262,14 +263,14 @@
                 result = operation()
             except (ObjectNotFoundError, VersionConflictError) as failure:
                 error = failure
-            if answers in _RESPONSE_DELAY_S:
-                delay_s = _RESPONSE_DELAY_S[answers]
+            if response_mode in _RESPONSE_DELAY_S:
+                delay_s = _RESPONSE_DELAY_S[response_mode]
                 self.store.world.call_later(
                     delay_s, lambda: _set_response(response, result, error)
                 )
 
-        if answers in _EFFECT_DELAY_S:
-            self.store.world.call_later(_EFFECT_DELAY_S[answers], effect)
+        if response_mode in _EFFECT_DELAY_S:
+            self.store.world.call_later(_EFFECT_DELAY_S[response_mode], effect)
         return await asyncio.wait_for(response, _TIMEOUT_S)
 
 
