Reword services/keyspace

Cause: joining meant both the merging of ranges and the joining of members. Change: joined to merged_ranges and compacted_group, _home_view to _own_group_view, and EndlessServer.accepted to transmitted_bytes in its users.

--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -117,7 +117,7 @@
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(_REPORT_PERIOD_S)
-            view = self._home_view()
+            view = self._own_group_view()
             if view is None or not view.group.ranges:
                 continue
             report = self.measure()
@@ -129,7 +129,7 @@
             else:
                 self._peers.send(planner, report)
 
-    def _home_view(self) -> VersionedGroup | None:
+    def _own_group_view(self) -> VersionedGroup | None:
         own_group_id = self._membership.own_group_id
         return self._groups.view(own_group_id) if own_group_id is not None else None
 
--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -32,28 +32,28 @@
 
 
 def merged(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
-    """Joins adjacent ranges that are equal apart from their bounds."""
-    joined: list[KeyRange] = []
+    """Merges adjacent ranges that are equal apart from their bounds."""
+    merged_ranges: list[KeyRange] = []
     for key_range in ranges:
-        if joined and joined[-1].last + 1 == key_range.first:
-            candidate = replace(joined[-1], last=key_range.last)
-            if candidate == replace(key_range, first=joined[-1].first):
-                joined[-1] = candidate
+        if merged_ranges and merged_ranges[-1].last + 1 == key_range.first:
+            candidate = replace(merged_ranges[-1], last=key_range.last)
+            if candidate == replace(key_range, first=merged_ranges[-1].first):
+                merged_ranges[-1] = candidate
                 continue
-        joined.append(key_range)
-    return tuple(joined)
+        merged_ranges.append(key_range)
+    return tuple(merged_ranges)
 
 
 def compacted(group: Group) -> Group:
-    """Joins adjacent ranges of the same owner at the higher of their epochs.
+    """Merges adjacent ranges of the same owner at the higher of their epochs.
 
     Each range has a grant of its own, which is renewed several times per lease period. The epoch
     stays above that of every other owner of the keys. Handover tokens are dropped, so the ranges
     must already have been granted.
     """
-    joined: list[KeyRange] = []
+    merged_ranges: list[KeyRange] = []
     for key_range in group.ranges:
-        previous = joined[-1] if joined else None
+        previous = merged_ranges[-1] if merged_ranges else None
         if (
             previous is not None
             and previous.owner is not None
@@ -62,10 +62,10 @@
             and key_range.successor is None
         ):
             epoch = max(previous.epoch, key_range.epoch)
-            joined[-1] = replace(previous, last=key_range.last, epoch=epoch, handover="")
+            merged_ranges[-1] = replace(previous, last=key_range.last, epoch=epoch, handover="")
         else:
-            joined.append(key_range)
-    return replace(group, ranges=tuple(joined))
+            merged_ranges.append(key_range)
+    return replace(group, ranges=tuple(merged_ranges))
 
 
 def change_keys(
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -48,8 +48,8 @@
 _COLD_WORK_SLOTS = 0.05
 # Maximum ranges that are returned in one round.
 _MAX_RETURNS_PER_ROUND = 60
-# Number of ranges that joining must save before the group is written for that alone.
-_MIN_JOINED_RANGES = 8
+# Number of ranges that merging must save before the group is written for that alone.
+_MIN_MERGED_RANGES = 8
 
 
 class RangePlacement:
@@ -199,9 +199,12 @@
             return None
         reports = _without_members_in_handover(group, reports)
         # The ranges of the last move were granted since then, so their handover tokens are used.
-        joined = moves.compacted(group)
-        planned = consolidated(rebalanced(joined, reports), reports)
-        if planned == joined and len(group.ranges) - len(joined.ranges) < _MIN_JOINED_RANGES:
+        compacted_group = moves.compacted(group)
+        planned = consolidated(rebalanced(compacted_group, reports), reports)
+        if (
+            planned == compacted_group
+            and len(group.ranges) - len(compacted_group.ranges) < _MIN_MERGED_RANGES
+        ):
             return None
         return planned
 
@@ -364,7 +367,7 @@
 
 
 def _contiguous_ranges(target_by_block: dict[int, str]) -> list[tuple[int, int, str]]:
-    """Joins adjacent blocks with the same new owner; returns first key, last key and owner id."""
+    """Merges adjacent blocks with the same new owner; returns first key, last key and owner id."""
     runs: list[tuple[int, int, str]] = []
     for block in sorted(target_by_block):
         first, last = block * BLOCK_KEYS, (block + 1) * BLOCK_KEYS - 1
--- a/tests/cli/test_client.py
+++ b/tests/cli/test_client.py
@@ -29,4 +29,4 @@
                     with self.assertRaisesRegex(AdministrationAnswerLostError, "^(?!.*timeout)"):
                         await client._change("DELETE", "/v1/entries/a", 1, None, DeletedAnswer)
                     await wait_until(server.idle, 2, "the connections are closed")
-                    self.assertLess(server.accepted, max_accepted_bytes)
+                    self.assertLess(server.transmitted_bytes, max_accepted_bytes)
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -147,7 +147,7 @@
 
     async def check_bound(self, limit_bytes: int) -> None:
         await wait_until(self.server.idle, 2, "the connection is closed")
-        self.assertLess(self.server.accepted, limit_bytes + SOCKET_BUFFER_BYTES)
+        self.assertLess(self.server.transmitted_bytes, limit_bytes + SOCKET_BUFFER_BYTES)
 
     async def test_endless_responses(self):
         """Guards against an endless response that fills the memory until the deadline."""
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -195,7 +195,7 @@
         self.platform = PlatformClient(fleet.platform, self.loop)
         self.peers = FakePeers(fleet.network, self.loop, name, incarnation)
         self.upstream = fleet.upstream(self)
-        services = {
+        provided_services = {
             "settings": settings(name, domain),
             "clock": ManualClock(self.loop),
             "platform": self.platform,
@@ -206,7 +206,7 @@
             "outcomes": RetainedOutcomes(),
             **fleet.extra_services(),
         }
-        for key, value in services.items():
+        for key, value in provided_services.items():
             kernel.provide(key, value)
         factories = {**fleet.services, **fleet.overrides}
         instances = {
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -295,7 +295,7 @@
 
     async def check_accepted_bytes(self) -> None:
         await wait_until(self.server.idle, 2, "the connection is closed")
-        self.assertLess(self.server.accepted, MAX_RESPONSE_BYTES + SOCKET_BUFFER_BYTES)
+        self.assertLess(self.server.transmitted_bytes, MAX_RESPONSE_BYTES + SOCKET_BUFFER_BYTES)
 
     async def test_endless_heads(self):
         """Guards against an endless response head that fills the memory until the deadline."""
