--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -35,13 +35,13 @@
 from ..fakes import CLOCK, StubRegistry
 from ..fleet import GROUP_ID
 from ..groups_for_tests import member, with_members
-from ..test_recovery_time import formed
+from ..test_recovery_time import start_fleet
 from ..timed_fakes import ResponseMode
 
 
 class EditTest(unittest.TestCase):
     def setUp(self):
-        self.fleet = formed(3, 3)
+        self.fleet = start_fleet(3, 3)
         self.agent = self.fleet.agents["a0"]
         self.results = []
 
@@ -146,7 +146,7 @@
 class VersionTest(unittest.TestCase):
     def test_older_versions_are_ignored(self):
         """Guards against a delayed message that restores an earlier owner."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         agent = fleet.agents["a0"]
         view = agent.groups.view(GROUP_ID)
         old = VersionedGroup(view.version - 1, replace(view.group, members={}))
@@ -162,7 +162,7 @@
 
     def test_unresponsive_watchers_are_replaced(self):
         """Guards against a group that receives no changes while its watchers are cut off."""
-        fleet = formed(6, 3)
+        fleet = start_fleet(6, 3)
         watchers = self._watchers(fleet)
         self.assertEqual(len(watchers), 2)
         for name in watchers:
--- a/tests/services/ownership/test_hash_shards.py
+++ b/tests/services/ownership/test_hash_shards.py
@@ -11,7 +11,7 @@
 
 from ..fleet import GROUP_ID, Fleet, SimulatedAgent
 from ..test_membership import move, shards_of
-from ..test_recovery_time import formed
+from ..test_recovery_time import start_fleet
 from ..timed_fakes import ResponseMode
 
 
@@ -22,7 +22,7 @@
 
 class HandoverTest(unittest.TestCase):
     def setUp(self):
-        self.fleet = formed(3, 3)
+        self.fleet = start_fleet(3, 3)
         self.source = self.fleet.agents["a0"]
         self.target = self.fleet.agents["a1"]
         self.shard = shards_of(self.fleet, "a0")[0]
@@ -172,7 +172,7 @@
 class GrantTest(unittest.TestCase):
     def test_upstream_that_confirms_no_grants(self):
         """Guards against a successor that serves while grants of the old upstream are in force."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         source, shard = fleet.agents["a0"], shards_of(fleet, "a0")[0]
         source.upstream.confirms = False
         expires_in_s = source.grants._latest_expiry_at - source.loop.time()
@@ -184,7 +184,7 @@
 
     def test_shard_waits_for_the_confirmed_grant(self):
         """Guards against requests that the upstream refuses because it has no grant yet."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         target, shard = fleet.agents["a1"], shards_of(fleet, "a0")[0]
         target.upstream.confirms = False
         move(fleet, shard, "a1")
@@ -196,7 +196,7 @@
 
     def test_hold_after_an_upstream_that_checks_no_grants(self):
         """Guards against a new owner that serves while the lost upstream still runs requests."""
-        fleet = formed(3, 3, checks_grants=False)
+        fleet = start_fleet(3, 3, checks_grants=False)
         lost = shards_of(fleet, "a0")
         fleet.kill("a0")
         fleet.world.advance(1.5)
@@ -210,7 +210,7 @@
 
     def test_hold_survives_a_second_loss(self):
         """Guards against a hold that ends with the loss of the member that waits for it."""
-        fleet = formed(3, 3, checks_grants=False)
+        fleet = start_fleet(3, 3, checks_grants=False)
         lost = shards_of(fleet, "a0")
         fleet.kill("a0")
         fleet.world.advance(4)
--- a/tests/services/test_lease.py
+++ b/tests/services/test_lease.py
@@ -7,13 +7,13 @@
 from fescueward.kernel.errors import PlatformUnavailableError
 from fescueward.messages.peer import RenewAck
 
-from .test_recovery_time import formed
+from .test_recovery_time import start_fleet
 from .timed_fakes import ResponseMode
 
 
 class RenewalByWriteTest(unittest.TestCase):
     def setUp(self):
-        self.fleet = formed(4, 2)
+        self.fleet = start_fleet(4, 2)
         self.agent = self.fleet.agents["a0"]
         self.fleet.cut("a0", self.fleet.agents)
         self.results = []
@@ -69,7 +69,7 @@
 class AcknowledgementTest(unittest.TestCase):
     def test_unknown_or_foreign_acknowledgements_extend_nothing(self):
         """Guards against a lease that an unexpected or refused acknowledgement extends."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         agent = fleet.agents["a0"]
         monitor = fleet.group().members[agent.member_id].monitors[0]
         fleet.world.advance(0.05)
@@ -86,7 +86,7 @@
 
     def test_lease_ends_on_the_agents_own_clock(self):
         """Guards against a paused agent that serves requests as soon as it resumes."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         agent = fleet.agents["a0"]
         fleet.world.paused.add("a0")
         fleet.world.advance(1.3)
@@ -97,7 +97,7 @@
 class JoinTest(unittest.TestCase):
     def test_join_takes_one_write(self):
         """Guards against a start in which each member writes the group a second time."""
-        fleet = formed(4, 2)
+        fleet = start_fleet(4, 2)
         agent = fleet.start("a4", "d0")
         held_after_join = []
         for _ in range(60):
@@ -110,7 +110,7 @@
 
     def test_lease_of_a_join_counts_from_its_write(self):
         """Guards against a lease that ends later than its monitors expect."""
-        fleet = formed(4, 2)
+        fleet = start_fleet(4, 2)
         agent = fleet.start("a4", "d0")
         started_at = agent.lease._clock.now()
         added_at = []
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -11,7 +11,7 @@
 from fescueward.messages.codec import encode_json
 
 from .fleet import GROUP_ID, Fleet
-from .test_recovery_time import formed
+from .test_recovery_time import start_fleet
 from .timed_fakes import ResponseMode
 
 
@@ -36,7 +36,7 @@
 class LeaveTest(unittest.TestCase):
     def test_leave_moves_all_shards(self):
         """Guards against keys without an owner after a graceful leave."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         member_id = fleet.agents["a0"].member_id
         fleet.agents["a0"].leave()
         fleet.world.advance(1.5)
@@ -47,7 +47,7 @@
 
     def test_last_member_leaves_while_another_joins(self):
         """Guards against a last member that serves after its removal has taken effect."""
-        fleet = formed(1, 1)
+        fleet = start_fleet(1, 1)
         agent = fleet.agents["a0"]
         remove_own_member = agent.membership._remove_own_member
 
@@ -68,7 +68,7 @@
         for delay in (0.0005, 0.2, 0.4, 0.7, 1.0, 1.4):
             for lost in (False, True):
                 with self.subTest(delay=delay, lost=lost):
-                    fleet = formed(3, 3)
+                    fleet = start_fleet(3, 3)
                     fleet.network.delays[frozenset(("a0", "a1"))] = delay
                     agent = fleet.agents["a0"]
                     move(fleet, shards_of(fleet, "a1")[0], "a0")
@@ -86,7 +86,7 @@
         On the day trouble-3 of merrimack-siphon, the agents of all four servers of a service were
         stopped while the platform was unavailable.
         """
-        fleet = formed(2, 2)
+        fleet = start_fleet(2, 2)
         agent = fleet.agents["a0"]
         agent.platform.response_mode = ResponseMode.REFUSED
         agent.loop.call_soon(lambda: agent.loop.create_task(agent.membership.drain()))
@@ -98,7 +98,7 @@
 
     def test_stop_waits_for_a_leave_in_progress(self):
         """Guards against keys that stay with a stopped agent, and a gate that opens again."""
-        fleet = formed(2, 2)
+        fleet = start_fleet(2, 2)
         agent = fleet.agents["a0"]
         member_id = agent.member_id
         agent.platform.response_mode = ResponseMode.REFUSED
@@ -119,7 +119,7 @@
 
     def test_join_in_flight_at_a_stop_is_undone(self):
         """Guards against shards that are assigned to an agent that has stopped."""
-        fleet = formed(2, 2)
+        fleet = start_fleet(2, 2)
         agent = fleet.start("a9", "d1")
         agent.platform.response_mode = ResponseMode.SLOW
         fleet.world.advance(0.05)
@@ -133,7 +133,7 @@
 
         The stop timeout bounds the leave of a stopping process only; any other leave continues.
         """
-        fleet = formed(2, 2)
+        fleet = start_fleet(2, 2)
         agent = fleet.agents["a0"]
         member_id = agent.member_id
         agent.membership._stop_timeout_s = 4.0
@@ -146,7 +146,7 @@
 
     def test_unfinished_leave_is_cancelled(self):
         """Guards against a member that gets no keys because an earlier leave was not completed."""
-        fleet = formed(2, 2)
+        fleet = start_fleet(2, 2)
         agent = fleet.agents["a0"]
         group = fleet.group()
         leaving = replace(group.members[agent.member_id], state=MemberState.LEAVING)
@@ -161,7 +161,7 @@
 
     def test_stopped_agent_closes_after_it_has_left(self):
         """Guards against requests that an agent admits after it has left its group."""
-        fleet = formed(2, 2)
+        fleet = start_fleet(2, 2)
         agent = fleet.agents["a0"]
         agent.loop.call_soon(lambda: agent.loop.create_task(agent.membership.drain()))
         fleet.world.advance(3)
@@ -169,7 +169,7 @@
 
     def test_leave_waits_for_requests_in_flight(self):
         """Guards against a graceful leave that interrupts a request."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         agent = fleet.agents["a0"]
         finished_at = []
 
@@ -194,7 +194,7 @@
 
     def test_ready_again_joins_as_a_new_member(self):
         """Guards against an upstream that becomes ready again and gets no work."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         agent = fleet.agents["a0"]
         old_id = agent.member_id
         agent.leave()
@@ -211,7 +211,7 @@
         """Guards against the removal of a process that may still run."""
         for same_boot in (True, False):
             with self.subTest(same_boot=same_boot):
-                fleet = formed(3, 3)
+                fleet = start_fleet(3, 3)
                 old = fleet.agents["a0"]
                 fleet.start("a0", "d0", old.boot if same_boot else "")
                 fleet.world.advance(0.5)
@@ -222,7 +222,7 @@
 
     def test_join_with_a_lost_response_that_was_taken_over(self):
         """Guards against a member id that is added to the group again after its removal."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         agent = fleet.start("a5", "d2")
         add = agent.membership._join_recorder.with_members
 
@@ -246,7 +246,7 @@
 
     def test_join_that_is_recorded_after_its_request_timed_out(self):
         """Guards against a late write that replaces the agent's current member by an older one."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         recorder = fleet.agents["a0"]
         recorder.platform.write_response_mode = ResponseMode.VERY_LATE
         agent = fleet.start("a5", "d2")
@@ -261,7 +261,7 @@
 
     def test_agent_whose_clock_went_back_joins(self):
         """Guards against an agent that cannot join because its last incarnation was higher."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         boot = fleet.agents["a1"].boot
         fleet._incarnations -= 4
         restarted = fleet.start("a1", "d1", boot)
@@ -276,7 +276,7 @@
         """Guards against a member that gets keys for an upstream that left before it joined."""
         for restarted in (False, True):
             with self.subTest(restarted=restarted):
-                fleet = formed(3, 3)
+                fleet = start_fleet(3, 3)
                 fleet.agents["a0"].platform.response_mode = ResponseMode.SLOW
                 name, boot = ("a2", fleet.agents["a2"].boot) if restarted else ("a5", "")
                 agent = fleet.start(name, "d2", boot)
@@ -291,7 +291,7 @@
 
     def test_busy_recorder_is_waited_for(self):
         """Guards against agents that each write their own join while the recorder is busy."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         recorder = fleet.agents["a0"]
         recorder.platform.response_mode = ResponseMode.SLOW
         fleet.network.delays[frozenset(("a0", "a5"))] = 0.3
@@ -303,7 +303,7 @@
 
     def test_announcement_of_another_service_is_refused(self):
         """Guards against an agent that serves two groups with one lease."""
-        fleet = formed(1, 1)
+        fleet = start_fleet(1, 1)
         agent = fleet.agents["a0"]
         for service, group in (("orders", 0), ("depot", 1)):
             with self.assertRaises(InvalidAnnouncementError):
@@ -312,7 +312,7 @@
 
     def test_deleted_entry_does_not_end_the_agents(self):
         """Guards against monitors that crash when a member of a deleted service is lost."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         fleet.catalogue.current = None
         fleet.kill("a0")
         fleet.world.advance(4)
@@ -323,7 +323,7 @@
 
     def test_malformed_group_object_does_not_end_the_agents(self):
         """Guards against agents that crash when the group object is malformed."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         valid = fleet.platform.read(GROUP_ID.object_key)
         fleet.platform.on_write = lambda old, new: None
         version = fleet.platform.write(GROUP_ID.object_key, b"{", valid.version)
--- a/tests/services/test_monitor.py
+++ b/tests/services/test_monitor.py
@@ -11,7 +11,7 @@
 from fescueward.services.ring import transfer_monitored
 
 from .fleet import GROUP_ID, Fleet, SimulatedAgent
-from .test_recovery_time import formed
+from .test_recovery_time import start_fleet
 from .timed_fakes import ResponseMode
 
 
@@ -28,7 +28,7 @@
     """A monitor acknowledges nothing while a takeover that it promised may be written."""
 
     def setUp(self):
-        self.fleet = formed(4, 2)
+        self.fleet = start_fleet(4, 2)
         self.first, self.second = _monitors(self.fleet, "a0")
         self.member_id = self.fleet.agents["a0"].member_id
 
--- a/tests/services/test_recovery.py
+++ b/tests/services/test_recovery.py
@@ -8,7 +8,7 @@
 from fescueward.messages import VersionedEntry
 
 from .fleet import Fleet
-from .test_recovery_time import formed
+from .test_recovery_time import start_fleet
 from .timed_fakes import ResponseMode
 
 
@@ -22,7 +22,7 @@
 class RecoveryTest(unittest.TestCase):
     def test_statement_removes_members_that_monitored_each_other(self):
         """Guards against a group that stays blocked after the loss of two of three members."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         for name in ("a0", "a1"):
             fleet.kill(name)
         self.assertIsNone(fleet.time_until_served(6))
@@ -33,7 +33,7 @@
 
     def test_statement_after_the_loss_of_all_members(self):
         """Guards against new VMs that cannot serve a group whose members are all lost."""
-        fleet = formed(4, 2)
+        fleet = start_fleet(4, 2)
         for name in list(fleet.agents):
             fleet.kill(name)
         for number in (7, 8):
@@ -47,7 +47,7 @@
         """Guards against a mistaken statement that removes members that still serve."""
         for scenario in ("answer", "renew by writes", "renew by monitors", "resume"):
             with self.subTest(scenario):
-                fleet = formed(4, 2)
+                fleet = start_fleet(4, 2)
                 before = set(fleet.group().members)
                 if scenario == "renew by writes":
                     fleet.cut("a0", fleet.agents)
@@ -67,7 +67,7 @@
 
     def test_one_statement_acts_once(self):
         """Guards against members that are lost later and removed by an old statement."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         _set_recovery_counter(fleet, 1)
         fleet.world.advance(8)
         self.assertEqual(fleet.group().recovery, 1)
--- a/tests/services/test_search_power.py
+++ b/tests/services/test_search_power.py
@@ -20,7 +20,7 @@
 from fescueward.services.ownership import ShardOwnership
 
 from .fleet import Fleet, SafetyError
-from .test_recovery_time import formed
+from .test_recovery_time import start_fleet
 from .test_single_owner import OwnershipMachine, search_settings
 from .timed_fakes import ResponseMode
 
@@ -149,7 +149,7 @@
     def test_lease_from_receipt_is_found(self):
         """Guards against a check that misses a lease that ends later than its monitors expect."""
         for overrides in ({}, {"lease": _CountsLeaseFromReceipt}):
-            fleet = formed(3, 3, overrides=overrides)
+            fleet = start_fleet(3, 3, overrides=overrides)
             for other in ("a1", "a2"):
                 fleet.network.delays[frozenset(("a0", other))] = 0.45
             fleet.world.advance(3)
@@ -161,7 +161,7 @@
     def test_acknowledgement_after_a_promise_is_found(self):
         """Guards against a check that misses a renewal while a takeover is being written."""
         for overrides in ({}, {"monitor": _PromisesWithoutBlock}):
-            fleet = formed(3, 3, overrides=overrides)
+            fleet = start_fleet(3, 3, overrides=overrides)
             fleet.cut("a0", fleet.agents)
             fleet.agents["a0"].platform.response_mode = ResponseMode.IGNORED
             for other in ("a1", "a2"):
