--- a/tests/services/keyspace/test_placement.py
+++ b/tests/services/keyspace/test_placement.py
@@ -9,11 +9,11 @@
 from fescueward.services.keyspace import moves
 from fescueward.services.keyspace.moves import BLOCK_KEYS
 from fescueward.services.keyspace.placement import RangePlacement, consolidated, rebalanced
-from tests.services.groups_for_tests import member, with_members
+from tests.services.groups_for_tests import joined, member
 
 
 def assigned_group(*names: str) -> Group:
-    return moves.assigned(with_members(Group("depot", 0, 1), *(member(name) for name in names)))
+    return moves.assigned(joined(Group("depot", 0, 1), *(member(name) for name in names)))
 
 
 def report(name: str, utilisation: float, work: dict[int, float] | None = None) -> RangeLoad:
