--- a/fescueward/services/crash_reports.py
+++ b/fescueward/services/crash_reports.py
@@ -28,7 +28,7 @@
 
     def __init__(self) -> None:
         self.confirmed_members: set[str] = set()
-        self.unconfirmed: set[str] = set()
+        self.unconfirmed_members: set[str] = set()
         self.all_confirmed = asyncio.Event()
 
 
@@ -116,7 +116,7 @@
                 ]
                 if not members:
                     return
-                delivery.unconfirmed = {member.id for member in members}
+                delivery.unconfirmed_members = {member.id for member in members}
                 delivery.all_confirmed.clear()
                 message = replace(self._without_outdated(report), number=number)
                 for member in members:
@@ -140,6 +140,6 @@
         if delivery is None:
             return
         delivery.confirmed_members.add(sender)
-        delivery.unconfirmed.discard(sender)
-        if not delivery.unconfirmed:
+        delivery.unconfirmed_members.discard(sender)
+        if not delivery.unconfirmed_members:
             delivery.all_confirmed.set()
--- a/fescueward/services/frontend/connections.py
+++ b/fescueward/services/frontend/connections.py
@@ -19,7 +19,7 @@
 
 
 class CallerConnection(web.RequestHandler):
-    """A caller's connection, which also answers malformed HTTP with a refusal in JSON."""
+    """A caller's connection, which responds to malformed HTTP with a refusal in JSON."""
 
     __slots__ = ()
 
--- a/fescueward/services/frontend/service.py
+++ b/fescueward/services/frontend/service.py
@@ -115,7 +115,7 @@
         if request.token is None:
             return await self._router.route(request)
         # A request is cancelled when its caller disconnects. With a token, the caller may
-        # reconnect and ask for the outcome, so the run continues.
+        # reconnect and query the outcome, so the run continues.
         routing = self._tasks.spawn("once", self._route_to_result(request))
         try:
             result = await asyncio.shield(routing)
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -38,7 +38,7 @@
     3411,
     "request_not_run",
     Level.INFO,
-    "A request got no response from the upstream of this VM; `outcome` tells whether it may have "
+    "A request got no response from the upstream of this VM; `outcome` says whether it may have "
     "run.",
     frequent=True,
 )
--- a/fescueward/services/grants.py
+++ b/fescueward/services/grants.py
@@ -35,7 +35,7 @@
         self._waiters: list[asyncio.Future[None]] = []
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
         self._lease = registry.find("lease", Lease)
@@ -48,7 +48,7 @@
         self._tasks.spawn("renew", self._run())
 
     async def stop(self) -> None:
-        """Ends the task that sends and renews grants."""
+        """Cancels the task that sends and renews grants."""
         await self._tasks.cancel()
 
     def send_soon(self) -> None:
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -47,7 +47,7 @@
         self._recording = False
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         settings = registry.find("settings", Settings)
         self._name = settings.agent.name
         self._lease_s = settings.lease.lease_ms / 1000
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -28,7 +28,7 @@
     2821,
     "range_grant_refused",
     Level.WARNING,
-    "The upstream refused a grant: it has seen a higher epoch.",
+    "The upstream refused a grant: it has received a higher epoch.",
 )
 _GRANT_FAILED = Event(
     2822, "range_grant_failed", Level.WARNING, "A grant was not confirmed by the upstream."
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -24,7 +24,7 @@
     2503,
     "lease_own_writes",
     Level.WARNING,
-    "No monitor acknowledges; this agent renews by writes.",
+    "No monitor acknowledges renewals; this agent renews by writes.",
 )
 _WRITE_FAILED = Event(2504, "lease_write_failed", Level.WARNING, "A renewal by write failed.")
 
@@ -66,7 +66,7 @@
         return self._expires_at if self._is_current() else 0.0
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._groups = registry.find("groups", Groups)
         self._peers = registry.find("peers", Peers)
@@ -83,14 +83,14 @@
         self._tasks.spawn("own-writes", self._run_own_writes())
 
     async def stop(self) -> None:
-        """Ends the tasks that renew the lease."""
+        """Cancels the tasks that renew the lease."""
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Starts the lease with the join of this agent, which another member may have written.
 
-        Monitors wait for the lease from the time at which they receive the new member, as they do
-        after a new stamp. That is after the join was sent.
+        A monitor counts the time without renewals from its receipt of the new member, as it does
+        after a new stamp. That receipt comes after the join was sent.
         """
         member = self._membership.own_member()
         if member is None or member.id == self._known_member_id:
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -40,7 +40,10 @@
     2404, "join_failed", Level.WARNING, "Joining the group failed; it is retried."
 )
 _REMOVED = Event(
-    2405, "member_removed", Level.WARNING, "Others took over this member; it joins with a new id."
+    2405,
+    "member_removed",
+    Level.WARNING,
+    "Another agent removed this member; it joins with a new id.",
 )
 _LEAVING = Event(2406, "leaving", Level.INFO, "This agent drains its shards and leaves.")
 _LEFT = Event(2407, "left", Level.INFO, "This agent has left its group.")
@@ -55,7 +58,7 @@
 # Longest wait for the platform while leaving, unless the process is stopped earlier; the lease of
 # a stopped agent expires without a write.
 LEAVE_TIMEOUT_S = 30.0
-# A leaving upstream is still sent new work for this long, because other agents learn of the leave
+# A leaving upstream is still sent new work for this long, because the leave reaches other agents
 # with a delay.
 LEAVING_GRACE_S = 1.0
 
@@ -143,7 +146,7 @@
             and not self._stopped_acknowledging
             and not self._leave_began_before_stop
         ):
-            # The upstream keeps running, and other agents learn of the leave only through the
+            # The upstream keeps running, and the leave reaches other agents only through the
             # platform, which may be unavailable.
             return self._clock.now() - self._leaving_since > self._stop_timeout_s
         return self._clock.now() - self._leaving_since > self._leaving_grace_s
@@ -154,7 +157,7 @@
         return self._stopped_acknowledging
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._settings = registry.find("settings", Settings)
         self._groups = registry.find("groups", Groups)
@@ -182,7 +185,7 @@
                     await self._leave_done.wait()
 
     async def stop(self) -> None:
-        """Ends all tasks."""
+        """Cancels all tasks."""
         await self._tasks.cancel()
 
     def own_member(self) -> Member | None:
@@ -272,15 +275,15 @@
 
     async def _edit_until_done(self, change: GroupChange) -> None:
         assert self._own_group_id is not None
-        reported = False
+        failure_logged = False
         while True:
             try:
                 await self._groups.edit(self._own_group_id, change)
                 return
             except (PlatformError, UnknownServiceError) as error:
-                if not reported:
+                if not failure_logged:
                     _LEAVE_FAILED.emit(member=self.member_id, error=error)
-                reported = True
+                failure_logged = True
                 await self._clock.sleep(_WRITE_RETRY_S)
 
     def _apply_upstream_restart(self, group: Group) -> Group | None:
@@ -372,7 +375,7 @@
         self._joined, self._write_directly = True, False
         _JOINED.emit(group=self._own_group_id, member=member.id, version=joined.version)
         if self._leaving:
-            # The leave ended while this join was in flight, and found no member to remove.
+            # The leave ended while this join was in flight, so it found no member to remove.
             await self._leave_group()
 
     def _make_member(self, announcement: Announcement) -> Member:
--- a/fescueward/services/metrics.py
+++ b/fescueward/services/metrics.py
@@ -162,7 +162,7 @@
         self._started_at = self._clock.now()
 
     async def stop(self) -> None:
-        """Does nothing: there is nothing to release."""
+        """Stops nothing: this service has no background task."""
 
     def request_ended(self, service: str, error: RefusalError | None, seconds: float) -> None:
         """Observes a request; see `RequestListener.request_ended`."""
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -36,7 +36,8 @@
 )
 
 
-# Joins and takeovers come in bursts; a transfer between them would conflict with their writes.
+# Transfers wait until the members and their monitors have not changed for this time. Joins and
+# takeovers come in bursts, and a transfer between them would conflict with their writes.
 _SETTLE_TIME_S = 0.4
 _TRANSFER_RETRY_S = 0.5
 
@@ -89,7 +90,7 @@
         self._tasks = kernel.task_owner(self.name)
         self._monitored: dict[str, _MonitoredMember] = {}
         self._blocks: dict[str, frozenset[_AcknowledgementBlock]] = {}
-        self._version = 0
+        self._group_version = 0
         self._transfer_after = 0.0
         self._monitors_by_member: dict[str, tuple[str, ...]] = {}
         # Version at which no better placed monitor was found. The search takes milliseconds, so it
@@ -98,7 +99,7 @@
         self._member_id = ""
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._groups = registry.find("groups", Groups)
         self._peers = registry.find("peers", Peers)
@@ -119,7 +120,7 @@
         self._tasks.spawn("check", self._run())
 
     async def stop(self) -> None:
-        """Ends the periodic check."""
+        """Cancels the periodic check."""
         await self._tasks.cancel()
 
     def monitored(self) -> dict[str, float]:
@@ -140,7 +141,7 @@
             self._monitored.clear()
             self._blocks.clear()
         now = self._clock.now()
-        self._version = group.version
+        self._group_version = group.version
         monitors_by_member = {
             member.id: member.monitors for member in group.group.members.values()
         }
@@ -205,8 +206,9 @@
         if not all(map(self._is_renewing, transferred_ids)):
             return False
         self._transfer_after = self._clock.now() + _TRANSFER_RETRY_S
-        # The new monitors wait for the leases from the write on. So nothing is acknowledged after
-        # the write was sent, until a newer version shows whether it took effect.
+        # The new monitors count the time without renewals from the write on. So this monitor
+        # acknowledges nothing once the write is sent, until a newer version shows whether it took
+        # effect.
         block = _AcknowledgementBlock(base.version, "", self._peers.next_call())
         for member_id in transferred_ids:
             self._add_block(member_id, block)
@@ -286,7 +288,7 @@
 
     def _may_acknowledge(self, member_id: str) -> bool:
         # A monitor without a lease may have been removed. Its replacement then waits for the
-        # leases of the members, which the removed monitor must not extend.
+        # leases of the members to end, so the removed monitor must not extend them.
         return (
             member_id in self._monitored
             and member_id not in self._blocks
@@ -317,7 +319,7 @@
     def promise(self, member_id: str, version: int, to: str, call: int) -> bool:
         """Agrees to a takeover or refuses it; see `Monitor.promise`."""
         granted = (
-            version >= self._version
+            version >= self._group_version
             and member_id in self._monitored
             and self._lease_has_ended(member_id)
         )
--- a/fescueward/services/outcomes.py
+++ b/fescueward/services/outcomes.py
@@ -88,7 +88,7 @@
         self.with_response: dict[OutcomeKey, None] = {}
         self.size_bytes = 0
 
-    def inherit(self, previous_record: _ShardRecord) -> None:
+    def take_over_outcomes(self, previous_record: _ShardRecord) -> None:
         """Takes over the outcomes of the previous epoch."""
         self.outcomes, self.with_response, self.size_bytes = (
             previous_record.outcomes,
@@ -143,7 +143,7 @@
         record = _ShardRecord(epoch, lineage[-_MAX_LINEAGE:], floor, next_sequence)
         previous_record = self._records.get(shard)
         if previous_record is not None and previous_record.epoch in lineage:
-            record.inherit(previous_record)
+            record.take_over_outcomes(previous_record)
         else:
             self.end_epoch(shard)
         self._records[shard] = record
@@ -221,7 +221,8 @@
         self, shard: int, record: _ShardRecord, outcome: RetainedOutcome, fingerprint: int
     ) -> None:
         if self._records.get(shard) is not record:
-            # The shard moved during the run; its new owner refuses the tokens of this epoch.
+            # This agent lost the shard during the run. The next owner has no outcomes of this
+            # epoch and refuses its tokens.
             return
         key = (_parse_token(outcome.token).sequence, outcome.token)
         if key[0] < record.floor:
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -54,7 +54,7 @@
         self._handovers_in_progress = 0
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._groups = registry.find("groups", Groups)
@@ -75,7 +75,7 @@
         self._tasks.spawn("settle", self._handover_recorder.run())
 
     async def stop(self) -> None:
-        """Ends all tasks."""
+        """Cancels all tasks."""
         await self._tasks.cancel()
 
     def active(self) -> dict[int, int]:
@@ -263,15 +263,15 @@
         # Grants that are sent without a lease have already expired and admit no request.
         await self._lease.wait_until_held()
         await self._grants.wait_until_confirmed()
-        ready = [
+        ready_shards = [
             owned_shard
             for shard_id, owned_shard in batch.items()
             if self._owned_shards.get(shard_id) is owned_shard
             and owned_shard.state is ShardState.ACTIVATING
         ]
-        for owned_shard in ready:
+        for owned_shard in ready_shards:
             owned_shard.state = ShardState.ACTIVE
-        _ACTIVE.emit(shards=len(ready), member=self._member_id)
+        _ACTIVE.emit(shards=len(ready_shards), member=self._member_id)
         self._notify_waiters()
         self._apply_newest_group()
 
@@ -294,12 +294,12 @@
             return
         exported = self._outcomes.export(shard_id)
         lineage = (*exported.lineage, owned_shard.epoch)
-        raised = OwnedShard(shard.epoch, owned_shard.ready_at)
-        self._owned_shards[shard_id] = raised
+        raised_shard = OwnedShard(shard.epoch, owned_shard.ready_at)
+        self._owned_shards[shard_id] = raised_shard
         self._outcomes.begin_epoch(
             shard_id, shard.epoch, lineage, exported.floor, exported.next_sequence
         )
-        await self._activate({shard_id: raised})
+        await self._activate({shard_id: raised_shard})
 
     def _apply_newest_group(self) -> None:
         view = self._view()
@@ -389,14 +389,14 @@
             return False
         if sender != message.from_id or shard.owner != sender or owned_shard is not None:
             return False
-        taken_over = OwnedShard(message.epoch + 1, 0.0)
-        self._owned_shards[message.shard] = taken_over
+        new_shard = OwnedShard(message.epoch + 1, 0.0)
+        self._owned_shards[message.shard] = new_shard
         self._outcomes.begin_epoch(
-            message.shard, taken_over.epoch, message.lineage, message.floor, message.next_sequence
+            message.shard, new_shard.epoch, message.lineage, message.floor, message.next_sequence
         )
         self._outcomes.import_outcomes(message.shard, message.outcomes)
-        _TAKEN_OVER.emit(shard=message.shard, epoch=taken_over.epoch, source=sender)
-        self._tasks.spawn("activate", self._activate({message.shard: taken_over}))
+        _TAKEN_OVER.emit(shard=message.shard, epoch=new_shard.epoch, source=sender)
+        self._tasks.spawn("activate", self._activate({message.shard: new_shard}))
         self._handover_recorder.request()
         return True
 
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -230,7 +230,7 @@
     async def _run_request(
         self, accepted: _AcceptedStream, channel: Channel, message: StreamOpen
     ) -> None:
-        request = self._request(accepted, channel, message)
+        request = self._build_request(accepted, channel, message)
         try:
             if self._handler is None:
                 raise NotOwnerError("this agent serves no forwarded requests")
@@ -246,7 +246,7 @@
             )
             accepted.wire.send(StreamReset(message.stream, type(error).__name__))
 
-    def _request(
+    def _build_request(
         self, accepted: _AcceptedStream, channel: Channel, message: StreamOpen
     ) -> Request:
         if message.end:
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -271,7 +271,7 @@
             timer.cancel()
             if body_task is not None:
                 body_task.cancel()
-        return self._response(link, forwarded, head, request)
+        return self._build_response(link, forwarded, head, request)
 
     async def run_idle_check(self) -> None:
         """Closes idle streams periodically until cancelled."""
@@ -295,7 +295,7 @@
                 if link.task is not None:
                     link.task.cancel()
 
-    def _response(
+    def _build_response(
         self, link: _Link, forwarded: _ForwardedRequest, head: StreamHead, request: Request
     ) -> Response:
         stream_number = forwarded.channel.stream
@@ -346,7 +346,7 @@
 
     async def _run(self, link: _Link) -> None:
         backoff_s = _INITIAL_BACKOFF_S
-        reported = False
+        failure_logged = False
         while not link.retired:
             try:
                 async with asyncio.timeout(self._timeout_s):
@@ -359,7 +359,7 @@
                         await self._handshake(link, wire, messages)
                     link.mark_connected(wire)
                     _CONNECTED.emit(peer=link.member.id)
-                    backoff_s, reported = _INITIAL_BACKOFF_S, False
+                    backoff_s, failure_logged = _INITIAL_BACKOFF_S, False
                     async for message in messages:
                         self._receive(link, message)
                     reason = "end of stream"
@@ -371,8 +371,8 @@
             link.mark_disconnected(reason)
             if was_open:
                 _DISCONNECTED.emit(peer=link.member.id, reason=reason)
-            elif not reported:
-                reported = True
+            elif not failure_logged:
+                failure_logged = True
                 _UNREACHABLE.emit(peer=link.member.id, reason=reason)
             if not link.retired:
                 await self._clock.sleep(backoff_s)
@@ -398,13 +398,13 @@
             raise HandshakeError("the peer sent no Welcome message")
         actual_id = f"{welcome.name}:{welcome.incarnation}"
         if expected_id and actual_id != expected_id:
-            raise HandshakeError(f"expected agent {expected_id}, but {actual_id} answered")
+            raise HandshakeError(f"expected agent {expected_id}, but {actual_id} responded")
 
     def _receive(self, link: _Link, message: Any) -> None:
         stream_number = getattr(message, "stream", None)
         if stream_number is not None:
             forwarded = link.requests.get(stream_number)
-            # The stream of a request whose caller has left was removed.
+            # A request whose caller has left is no longer listed; messages for it are dropped.
             if forwarded is not None:
                 self._receive_stream_message(link, forwarded, message)
             return
--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -17,11 +17,13 @@
 _PLAN_FAILED = Event(2802, "plan_failed", Level.WARNING, "A placement round failed.")
 _MOVED = Event(2803, "shard_placed", Level.INFO, "A shard is assigned to another owner.")
 _ISOLATED = Event(2804, "key_isolated", Level.INFO, "A hot key gets a shard of its own.")
-_REJOINED = Event(2805, "key_rejoined", Level.INFO, "A cool key returned to its hash shard.")
+_REJOINED = Event(
+    2805, "key_rejoined", Level.INFO, "A key that is no longer hot returned to its hash shard."
+)
 _WAITING = Event(2806, "loads_incomplete", Level.DEBUG, "The planner waits for load reports.")
 
-# An extra round follows a round that changed exceptions after this time, so that a hot key gets
-# capacity within seconds. The members need the time to receive the new exception.
+# A round that changed exceptions is followed by an extra round after this time, so that a hot key
+# gets capacity within seconds. The members need the time to receive the new exception.
 _EXTRA_ROUND_DELAY_S = 0.3
 _MAX_PROPOSALS = 16
 
@@ -57,7 +59,7 @@
         self._last_entry: Entry | None = None
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._groups = registry.find("groups", Groups)
@@ -76,7 +78,7 @@
         self._tasks.spawn("planner", self._run())
 
     async def stop(self) -> None:
-        """Ends the task that runs the planner's rounds."""
+        """Cancels the task that runs the planner's rounds."""
         await self._tasks.cancel()
 
     def assign(self, group: Group, lost: frozenset[str]) -> Group:
--- a/fescueward/services/problems.py
+++ b/fescueward/services/problems.py
@@ -239,13 +239,13 @@
 def _member_silent_problem(
     group: Group, member: Member, owned: int, responses: AgentResponses
 ) -> Problem:
-    since_s = responses.since_acknowledged_s(member.id)
-    duration = f" for {since_s:.1f} s" if since_s is not None else ""
+    duration_s = responses.since_acknowledged_s(member.id)
+    duration = f" for {duration_s:.1f} s" if duration_s is not None else ""
     text = (
         f"{member.id} ({member.failure_domain}) has not responded{duration}: its {owned} shards "
         f"of {group.service} are not served if it is lost, until its monitors take it over"
     )
-    return Problem(ProblemKind.MEMBER_SILENT, text, since_s)
+    return Problem(ProblemKind.MEMBER_SILENT, text, duration_s)
 
 
 def _no_owner_problems(group: Group, history: GroupHistory, now: float) -> Iterable[Problem]:
@@ -255,10 +255,10 @@
             shards_by_cause[history.unowned_since(shard_id) or (None, None)].append(shard_id)
     lost_member_ids = {loss.member_id for loss in history.losses}
     for (unowned_since, previous_owner), shards in shards_by_cause.items():
-        since_s = _elapsed_s(unowned_since, now)
+        duration_s = _elapsed_s(unowned_since, now)
         subject = "shard" if len(shards) == 1 else "shards"
         verb = "has" if len(shards) == 1 else "have"
-        duration = f" for {since_s:.1f} s" if since_s is not None else ""
+        duration = f" for {duration_s:.1f} s" if duration_s is not None else ""
         text = f"{subject} {_format_ids(shards)} of {group.service} {verb} had no owner{duration}"
         if previous_owner is not None:
             text += (
@@ -268,28 +268,28 @@
             )
         elif not group.members:
             text += ": the group has no members"
-        yield Problem(ProblemKind.NO_OWNER, text, since_s)
+        yield Problem(ProblemKind.NO_OWNER, text, duration_s)
 
 
 def _slow_move_problems(group: Group, history: GroupHistory, now: float) -> Iterable[Problem]:
     moves: dict[tuple[str | None, str], list[int]] = defaultdict(list)
     oldest: dict[tuple[str | None, str], float] = defaultdict(float)
     for shard_id, shard in enumerate(group.shards):
-        since_s = _elapsed_s(history.moving_since(shard_id), now)
-        if shard.successor is None or since_s is None or since_s < _SLOW_MOVE_THRESHOLD_S:
+        duration_s = _elapsed_s(history.moving_since(shard_id), now)
+        if shard.successor is None or duration_s is None or duration_s < _SLOW_MOVE_THRESHOLD_S:
             continue
         move = (shard.owner, shard.successor)
         moves[move].append(shard_id)
-        oldest[move] = max(oldest[move], since_s)
+        oldest[move] = max(oldest[move], duration_s)
     for (owner, successor), shards in moves.items():
         subject, verb = ("shard", "moves") if len(shards) == 1 else ("shards", "move")
-        since_s = oldest[owner, successor]
+        duration_s = oldest[owner, successor]
         text = (
             f"{subject} {_format_ids(shards)} of {group.service} {verb} from {owner} to "
-            f"{successor}, started {since_s:.1f} s ago: requests in flight, an unreachable "
+            f"{successor}, started {duration_s:.1f} s ago: requests in flight, an unreachable "
             "successor or an outage of the platform delays the handover"
         )
-        yield Problem(ProblemKind.MOVE_SLOW, text, since_s)
+        yield Problem(ProblemKind.MOVE_SLOW, text, duration_s)
 
 
 def _group_unreadable_problem(view: GroupView) -> Problem:
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -81,24 +81,31 @@
 class _Guard:
     """An async context manager around one run."""
 
-    __slots__ = ("_alone", "_began", "_crashes", "_fingerprint", "_owner", "_request")
+    __slots__ = (
+        "_crashes",
+        "_fingerprint",
+        "_is_only_suspect",
+        "_owner",
+        "_request",
+        "_started_at",
+    )
 
     def __init__(self, owner: CrashQuarantine, request: Request) -> None:
         self._owner = owner
         self._request = request
         self._fingerprint = 0
         self._crashes = 0
-        self._began = 0.0
-        self._alone = False
+        self._started_at = 0.0
+        self._is_only_suspect = False
 
     async def __aenter__(self) -> Request:
         request = self._request
         if not isinstance(request.body, BytesBody):
             request = await self._owner.with_buffered_prefix(request)
         self._fingerprint = fingerprint_of(request)
-        self._alone = await self._owner.admit(request, self._fingerprint)
+        self._is_only_suspect = await self._owner.admit(request, self._fingerprint)
         self._crashes = self._owner.crashes
-        self._began = self._owner.now
+        self._started_at = self._owner.now
         return request
 
     async def __aexit__(
@@ -110,12 +117,12 @@
         without_response = isinstance(error, _CRASH_ERRORS)
         in_crash = without_response and self._owner.crashes > self._crashes
         if error is None:
-            self._owner.record_success(self._fingerprint, self._began, self._alone)
+            self._owner.record_success(self._fingerprint, self._started_at, self._is_only_suspect)
         elif in_crash:
             self._owner.add_suspect(self._request, self._fingerprint)
         elif without_response:
             self._owner.record_lost_run(self._request, self._fingerprint)
-        if self._alone:
+        if self._is_only_suspect:
             self._owner.release_suspect_lock()
         if in_crash:
             # The caller may retry as soon as it has the response, so the members must have the
@@ -190,7 +197,7 @@
         self._former_members: TTLCache[str, bool] = TTLCache(
             _MAX_FORMER_MEMBERS, _FORMER_MEMBER_S, now
         )
-        self._members: frozenset[str] = frozenset()
+        self._member_ids: frozenset[str] = frozenset()
         self._peers.on(CrashReport, self._on_report)
         self._groups.subscribe(self)
         self._upstream.subscribe(self)
@@ -206,13 +213,13 @@
         """Records members that left the group, and sends current reports to those that joined."""
         if group.group.id != self._membership.own_group_id:
             return
-        members = frozenset(group.group.members)
-        for member_id in self._members - members:
+        member_ids = frozenset(group.group.members)
+        for member_id in self._member_ids - member_ids:
             self._former_members[member_id] = True
-        joined = members - self._members - {self._membership.member_id}
-        self._members = members
-        if joined:
-            self._reports.send_to(joined, self._current_reports())
+        joined_ids = member_ids - self._member_ids - {self._membership.member_id}
+        self._member_ids = member_ids
+        if joined_ids:
+            self._reports.send_to(joined_ids, self._current_reports())
 
     def guard(self, request: Request) -> _Guard:
         """Returns a context that watches one run; see `Quarantine.guard`."""
@@ -267,7 +274,7 @@
         """
         if self._success_window_s:
             self._recently_successful[fingerprint] = True
-        # A later run succeeded, so the upstream did not crash during these runs.
+        # A run that started after them succeeded, so no crash of the upstream ended them.
         while self._lost_runs and self._lost_runs[0].failed_at < started_at:
             self._lost_runs.popleft()
         if is_only_suspect:
@@ -280,10 +287,10 @@
 
     def upstream_crashed(self) -> None:
         """Adds the requests without a response since the last successful run as suspects."""
-        window_start = self.now - _CRASH_DETECTION_S
+        window_start_at = self.now - _CRASH_DETECTION_S
         while self._lost_runs:
             lost_run = self._lost_runs.popleft()
-            if lost_run.failed_at >= window_start:
+            if lost_run.failed_at >= window_start_at:
                 self._add_local_suspect(
                     lost_run.fingerprint, lost_run.request, lost_run.service, lost_run.key
                 )
--- a/fescueward/services/recovery.py
+++ b/fescueward/services/recovery.py
@@ -50,7 +50,7 @@
         self._responded_at: dict[str, float] = {}
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._groups = registry.find("groups", Groups)
@@ -70,7 +70,7 @@
         self._tasks.spawn("check", self._run())
 
     async def stop(self) -> None:
-        """Ends the periodic check."""
+        """Cancels the periodic check."""
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
@@ -150,16 +150,18 @@
     async def _remove(self, base: VersionedGroup, counter: int) -> bool:
         own_id = self._membership.member_id
         unresponsive_ids = [
-            other for other in base.group.members if other != own_id and self._is_lost(other)
+            other_id
+            for other_id in base.group.members
+            if other_id != own_id and self._is_lost(other_id)
         ]
         promises = PromiseRound(self._groups, self._peers, base, own_id)
         promised_ids = await promises.request(unresponsive_ids, frozenset(unresponsive_ids))
         call = self._peers.next_call()
         removed_ids = frozenset(
-            other
-            for other in promised_ids
-            if own_id not in base.group.members[other].monitors
-            or self._monitor.promise(other, base.version, own_id, call)
+            other_id
+            for other_id in promised_ids
+            if own_id not in base.group.members[other_id].monitors
+            or self._monitor.promise(other_id, base.version, own_id, call)
         )
         # Members whose running monitors refuse are left for the next check.
         complete = len(removed_ids) == len(unresponsive_ids)
--- a/fescueward/services/ring.py
+++ b/fescueward/services/ring.py
@@ -15,10 +15,10 @@
     for member_id in ring:
         member = group.members[member_id]
         while len(member.monitors) < min(MONITORS_PER_MEMBER, len(ring) - 1):
-            chosen = _best_monitor(group, ring, member)
-            if chosen is None:
+            chosen_id = _best_monitor(group, ring, member)
+            if chosen_id is None:
                 break
-            member = replace(member, monitors=(*member.monitors, chosen))
+            member = replace(member, monitors=(*member.monitors, chosen_id))
             group = replace(group, members={**group.members, member_id: member})
     return group
 
@@ -58,9 +58,9 @@
         improvements = [improvement for improvement in replacements if improvement is not None]
         if not improvements:
             continue
-        _, replaced_id, improved = max(improvements, key=lambda improvement: improvement[0])
+        _, replaced_id, improved_group = max(improvements, key=lambda improvement: improvement[0])
         if replaced_id == monitor_id:
-            group = improved
+            group = improved_group
             transferred_ids.add(member_id)
     return group, frozenset(transferred_ids)
 
@@ -69,17 +69,23 @@
     group: Group, ring: tuple[str, ...], member: Member, monitor_id: str
 ) -> tuple[tuple[int, ...], str, Group] | None:
     others = tuple(other for other in member.monitors if other != monitor_id)
-    without = _with_monitors(group, member, others)
-    remaining = without.members[member.id]
-    chosen = _best_monitor(without, ring, remaining)
-    if chosen is None or chosen == monitor_id or monitor_id not in group.members:
+    reduced_group = _with_monitors(group, member, others)
+    remaining_member = reduced_group.members[member.id]
+    chosen_id = _best_monitor(reduced_group, ring, remaining_member)
+    if chosen_id is None or chosen_id == monitor_id or monitor_id not in group.members:
         return None
-    before = _cost(without, remaining, group.members[monitor_id])
-    after = _cost(without, remaining, group.members[chosen])
+    old_cost = _cost(reduced_group, remaining_member, group.members[monitor_id])
+    new_cost = _cost(reduced_group, remaining_member, group.members[chosen_id])
     # A load that differs by one is no improvement: the monitors would swap the member forever.
-    if after[:-1] > before[:-1] or (after[:-1] == before[:-1] and after[-1] + 1 >= before[-1]):
+    if new_cost[:-1] > old_cost[:-1] or (
+        new_cost[:-1] == old_cost[:-1] and new_cost[-1] + 1 >= old_cost[-1]
+    ):
         return None
-    return before, monitor_id, _with_monitors(without, remaining, (*others, chosen))
+    return (
+        old_cost,
+        monitor_id,
+        _with_monitors(reduced_group, remaining_member, (*others, chosen_id)),
+    )
 
 
 def _with_monitors(group: Group, member: Member, monitors: tuple[str, ...]) -> Group:
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -309,7 +309,8 @@
         self._waiting_count += 1
         try:
             newer_version = await self._pause(request, group_id, view, pause_s, error)
-            # Newer versions of the agent's own group arrive with its lease renewals.
+            # Newer versions of the agent's own group arrive with its lease renewals, without a
+            # request.
             if view is None or newer_version or group_id == self._membership.own_group_id:
                 return
             if self._update_schedule(group_id).due(self._clock.now(), view.version):
--- a/fescueward/services/routing/routes.py
+++ b/fescueward/services/routing/routes.py
@@ -138,7 +138,7 @@
 
     @property
     def digest(self) -> int:
-        """Always 0: the directory compares configurations, not entries."""
+        """Always 0: agents compare versions of the configuration, not entries."""
         return 0
 
     async def wait_until_loaded(self) -> None:
--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -58,7 +58,7 @@
 
     @property
     def closing(self) -> asyncio.Future[None]:
-        """Future that is done once open requests must be answered; see `Shutdown.closing`."""
+        """Future that is done once open requests must get a response; see `Shutdown.closing`."""
         if self._closing is None:
             self._closing = asyncio.get_running_loop().create_future()
         return self._closing
@@ -69,7 +69,7 @@
         self._bounds = registry.find("bounds", Bounds)
 
     async def start(self) -> None:
-        """Does nothing: the phases begin with the stop request."""
+        """Starts nothing: the phases begin with the stop request."""
 
     async def drain(self) -> None:
         """Waits until callers have switched to other agents, then until no request is in flight.
@@ -92,7 +92,7 @@
             )
 
     async def stop(self) -> None:
-        """Does nothing: there is nothing to release."""
+        """Stops nothing: this service has no background task."""
 
     def check(self, deadline: float) -> None:
         """Refuses a request whose deadline is after the process may end; see `Shutdown.check`."""
--- a/fescueward/services/snapshots.py
+++ b/fescueward/services/snapshots.py
@@ -47,7 +47,7 @@
         self._stored_version: int | None = None
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._platform = registry.find("platform", Platform)
         self._groups = registry.find("groups", Groups)
@@ -64,7 +64,7 @@
         self._tasks.spawn("store", self._run())
 
     async def stop(self) -> None:
-        """Ends all tasks."""
+        """Cancels all tasks."""
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
@@ -125,7 +125,7 @@
         )
 
     async def _restore(self, group: GroupId) -> None:
-        reported = False
+        failure_logged = False
         while self._planned_group == group:
             try:
                 stored = await self._platform.get(snapshot_object_key(group))
@@ -139,9 +139,9 @@
                 self._stored_version = stored.version
                 return
             except PlatformError as error:
-                if not reported:
+                if not failure_logged:
                     _FAILED.emit(group=group, error=error)
-                reported = True
+                failure_logged = True
                 await self._clock.sleep(_READ_RETRY_S)
                 continue
             self._stored_version = stored.version
--- a/fescueward/services/status.py
+++ b/fescueward/services/status.py
@@ -89,7 +89,7 @@
         self._started_at = self._clock.now()
 
     async def stop(self) -> None:
-        """Does nothing: there is nothing to release."""
+        """Stops nothing: this service has no background task."""
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Records a new version of a group in its history."""
--- a/fescueward/services/upstream.py
+++ b/fescueward/services/upstream.py
@@ -125,7 +125,7 @@
             async with asyncio.timeout(remaining_s):
                 response = await self._send(announcement, request, shard, epoch, deadline)
                 await _raise_refusal(response)
-                return await self._response(request, epoch, response, deadline)
+                return await self._read_response(request, epoch, response, deadline)
         except TimeoutError:
             self._tasks.spawn("cancel", self._cancel(announcement, request.id))
             raise DeadlineExceededRunningError("the deadline passed during the run") from None
@@ -210,7 +210,7 @@
             # aiohttp rejects an invalid header or method before it sends any byte.
             raise InvalidRequestError(f"the request cannot be sent: {error}") from error
 
-    async def _response(
+    async def _read_response(
         self,
         request: Request,
         epoch: int,
