--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -338,7 +338,7 @@
     headers = {"Content-Type": "application/json"}
     status = error.http_status
     if error.outcome is Outcome.NOT_RUN and (status >= 500 or status in _REPLACED_STATUSES):
-        # A caller knows no other agent, so it is asked to retry here.
+        # A caller has the address of this agent only, so it has to retry here.
         status = 503
         retry_after_s = error.retry_after_s or _RETRY_AFTER_S
         headers["Retry-After"] = f"{retry_after_s:.3f}"
--- a/fescueward/services/crash_reports.py
+++ b/fescueward/services/crash_reports.py
@@ -27,8 +27,8 @@
     """The confirmations of one report."""
 
     def __init__(self) -> None:
-        self.confirmed_members: set[str] = set()
-        self.unconfirmed_members: set[str] = set()
+        self.confirmed_ids: set[str] = set()
+        self.unconfirmed_ids: set[str] = set()
         self.all_confirmed = asyncio.Event()
 
 
@@ -111,12 +111,12 @@
                 members = [
                     member
                     for member in self._other_members()
-                    if member.id not in delivery.confirmed_members
+                    if member.id not in delivery.confirmed_ids
                     and (recipients is None or member.id in recipients)
                 ]
                 if not members:
                     return
-                delivery.unconfirmed_members = {member.id for member in members}
+                delivery.unconfirmed_ids = {member.id for member in members}
                 delivery.all_confirmed.clear()
                 message = replace(self._without_outdated(report), number=number)
                 for member in members:
@@ -139,7 +139,7 @@
         delivery = self._deliveries.get(message.number)
         if delivery is None:
             return
-        delivery.confirmed_members.add(sender)
-        delivery.unconfirmed_members.discard(sender)
-        if not delivery.unconfirmed_members:
+        delivery.confirmed_ids.add(sender)
+        delivery.unconfirmed_ids.discard(sender)
+        if not delivery.unconfirmed_ids:
             delivery.all_confirmed.set()
--- a/fescueward/services/frontend/requests.py
+++ b/fescueward/services/frontend/requests.py
@@ -168,14 +168,14 @@
         dropped = dropped | frozenset(connection_names)
     try:
         for name, value in http.raw_headers:
-            lower, text, is_agent_header = _parse_name(name)
+            lower_name, name_text, is_agent_header = _parse_name(name)
             if is_agent_header:
-                label = lower.decode()
+                label = lower_name.decode()
                 if label in agent_headers:
                     raise InvalidRequestError(f"the header {label} is repeated")
                 agent_headers[label] = value.decode()
-            elif lower not in dropped:
-                forwarded.append((text, value.decode()))
+            elif lower_name not in dropped:
+                forwarded.append((name_text, value.decode()))
     except UnicodeDecodeError as error:
         raise InvalidRequestError(f"a header is not valid UTF-8: {error}") from error
     return agent_headers, tuple(forwarded)
@@ -183,9 +183,9 @@
 
 @lru_cache(maxsize=1024)
 def _parse_name(name: bytes) -> tuple[bytes, str, bool]:
-    """Returns a header name in lower case, as text, and whether the header is for this agent."""
-    lower = name.lower()
-    return lower, name.decode(), lower.startswith(_AGENT_HEADER_PREFIX)
+    """Returns a header name in lower_name case, as text, and whether the header is for this agent."""
+    lower_name = name.lower()
+    return lower_name, name.decode(), lower_name.startswith(_AGENT_HEADER_PREFIX)
 
 
 def _check_id(request_id: str) -> None:
--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -159,8 +159,8 @@
     ) -> None:
         """Requests that other members record the handover, since they may reach the platform.
 
-        The planner and the successors may be cut off like the owner, so each call also includes
-        one random member.
+        The planner and the successors may be cut off from the platform like the owner, so each
+        call also includes one random member.
         """
         view = self._groups.view(own_group_id)
         if view is None:
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -32,7 +32,7 @@
 _MEAN_FACTOR = 1.3
 # A member accepts work from others up to this utilisation.
 _MAX_TARGET_UTILISATION = 0.8
-# A source moves no more work once it is at or below this utilisation or the mean.
+# A source moves no more work once it is at or below the larger of this utilisation and the mean.
 _RELIEVED_UTILISATION = 0.55
 # Pause between moves, so that the effect of one shows in the reports before the next.
 _MOVE_PAUSE_S = 1.2
@@ -60,7 +60,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
-        self._members: frozenset[str] = frozenset()
+        self._member_ids: frozenset[str] = frozenset()
         self._members_changed_at = 0.0
         # Time since which the group has members but no assigned keys, or None.
         self._unplaced_since: float | None = None
@@ -101,11 +101,11 @@
     def group_changed(self, group: VersionedGroup) -> None:
         """Records when the members of this agent's group changed and whether keys are assigned."""
         if group.group.id == self._membership.own_group_id:
-            members = frozenset(group.group.members)
-            if members != self._members:
-                self._members = members
+            member_ids = frozenset(group.group.members)
+            if member_ids != self._member_ids:
+                self._member_ids = member_ids
                 self._members_changed_at = self._clock.now()
-            if group.group.ranges or not members:
+            if group.group.ranges or not member_ids:
                 self._unplaced_since = None
             elif self._unplaced_since is None:
                 self._unplaced_since = self._clock.now()
@@ -219,8 +219,8 @@
 ) -> dict[str, RangeLoad]:
     """Returns the reports of the members that take part in no handover.
 
-    A handover lasts as long as its member is cut off. Moves between the other members must not
-    wait for it.
+    A handover can last as long as its member is cut off from the network. Moves between the other
+    members must not wait for it.
     """
     moving_ids = {
         member_id
--- a/fescueward/services/load.py
+++ b/fescueward/services/load.py
@@ -30,9 +30,9 @@
 _LOG2_SKETCH_COUNTERS = 9
 _MAX_HOT_KEYS = 12
 # Keys with less work than this, in seconds per second, are not reported as hot.
-_MIN_HOT_WORK = 0.005
+_MIN_HOT_WORK_S_PER_S = 0.005
 # Longer keys get no shard of their own, so their work is not tracked.
-_MAX_KEY_LENGTH = 200
+_MAX_KEY_CHARACTERS = 200
 # Longest valid time of a request; higher values are measurement errors.
 _MAX_REQUEST_S = 3600.0
 
@@ -76,7 +76,7 @@
         """Adds the upstream time of one request in seconds."""
         self._rotate(now)
         work_us = int(seconds * _MICROSECONDS_PER_S)
-        if work_us > 0 and len(key) <= _MAX_KEY_LENGTH:
+        if work_us > 0 and len(key) <= _MAX_KEY_CHARACTERS:
             self._current.update(key, work_us)
 
     def hottest(self, now: float) -> dict[str, float]:
@@ -94,7 +94,7 @@
                     work_by_key.get(key, 0.0) + lower_bound_us / _MICROSECONDS_PER_S / span_s
                 )
         ranked = sorted(work_by_key.items(), key=lambda item: (-item[1], item[0]))[:_MAX_HOT_KEYS]
-        return {key: work for key, work in ranked if work >= _MIN_HOT_WORK}
+        return {key: work for key, work in ranked if work >= _MIN_HOT_WORK_S_PER_S}
 
     def _rotate(self, now: float) -> None:
         elapsed_s = now - self._window_start
--- a/fescueward/services/policies/bounded.py
+++ b/fescueward/services/policies/bounded.py
@@ -69,9 +69,9 @@
 
     def assign(self, group: Group, lost: frozenset[str], load: GroupLoad, entry: Entry) -> Group:
         """Places the shards of lost members; see `PlacementPolicy.assign`."""
-        remaining = without_members(group, lost)
-        placer = _Placer(group, remaining, load)
-        return reassign_lost(group, remaining, lost, entry, placer.choose)
+        remaining_group = without_members(group, lost)
+        placer = _Placer(group, remaining_group, load)
+        return reassign_lost(group, remaining_group, lost, entry, placer.choose)
 
     def drain_member(self, group: Group, member_id: str, load: GroupLoad, entry: Entry) -> Group:
         """Sets successors for a leaving member; see `PlacementPolicy.drain_member`."""
@@ -88,9 +88,9 @@
 class _Placer:
     """Chooses owners in rendezvous order among the members below their bound."""
 
-    def __init__(self, group: Group, remaining: Group, load: GroupLoad) -> None:
+    def __init__(self, group: Group, remaining_group: Group, load: GroupLoad) -> None:
         self._group = group
-        self._table = LoadTable(remaining, load)
+        self._table = LoadTable(remaining_group, load)
         self._by_name = {member.name: member.id for member in self._table.members.values()}
 
     def choose(self, shard_id: int, old_owner: str | None) -> str | None:
--- a/fescueward/services/policies/ledger.py
+++ b/fescueward/services/policies/ledger.py
@@ -109,24 +109,24 @@
 
     def _fair_shares(self) -> dict[str, float]:
         shares: dict[str, float] = {}
-        remaining = dict(self.members)
+        remaining_members = dict(self.members)
         total = sum(self.weights)
-        while remaining:
-            per_slot = total / sum(member.slots for member in remaining.values())
+        while remaining_members:
+            per_slot = total / sum(member.slots for member in remaining_members.values())
             single_shard_ids = [
                 member_id
-                for member_id, member in remaining.items()
+                for member_id, member in remaining_members.items()
                 if self._heaviest_weight[member_id] > per_slot * member.slots
             ]
             # The last one or two members have no other member to divide the rest with.
-            if not single_shard_ids or len(single_shard_ids) == len(remaining):
+            if not single_shard_ids or len(single_shard_ids) == len(remaining_members):
                 break
             for member_id in single_shard_ids:
                 shares[member_id] = self._heaviest_weight[member_id]
                 total -= self._heaviest_weight[member_id]
-                del remaining[member_id]
-        slots = sum(member.slots for member in remaining.values()) or 1
-        for member_id, member in remaining.items():
+                del remaining_members[member_id]
+        slots = sum(member.slots for member in remaining_members.values()) or 1
+        for member_id, member in remaining_members.items():
             shares[member_id] = max(total * member.slots / slots, 1e-12)
         return shares
 
--- a/fescueward/services/policies/losses.py
+++ b/fescueward/services/policies/losses.py
@@ -35,13 +35,13 @@
 
 
 def reassign_lost(
-    group: Group, remaining: Group, lost: frozenset[str], entry: Entry, choose: Chooser
+    group: Group, remaining_group: Group, lost: frozenset[str], entry: Entry, choose: Chooser
 ) -> Group:
     """Ends the handovers of lost members and places the shards that have no owner left.
 
     Args:
         group: The group with the lost members.
-        remaining: The group without them.
+        remaining_group: The group without them.
         lost: Their ids.
         entry: Entry of the service.
         choose: Returns the new owner of a shard id, given the old one; None if there is none.
@@ -74,7 +74,7 @@
             shard.hold_ms,
         )
         shards[shard_id] = Shard(choose(shard_id, shard.owner), epoch, None, hold_ms)
-    return replace(remaining, shards=tuple(shards))
+    return replace(remaining_group, shards=tuple(shards))
 
 
 def with_successors(group: Group, member_id: str, choose: Chooser) -> Group:
--- a/fescueward/testing/site/judge.py
+++ b/fescueward/testing/site/judge.py
@@ -138,7 +138,7 @@
 
 
 def _find_lost(index: _EvidenceIndex) -> Iterator[Breach]:
-    """Finds requests that an agent read and did not answer around a planned stop or reload."""
+    """Finds requests that an agent read and did not respond to around a planned stop or reload."""
     planned_signals = [
         event for event in index.evidence.processes if event.signal in (Signal.TERM, Signal.HANGUP)
     ]
@@ -186,13 +186,14 @@
     if attempt.ended - attempt.sent >= attempt.timeout_s:
         return False
     if attempt.status:
-        # The agent answered by itself although an upstream was still executing the request.
+        # The agent sent a response of its own although an upstream was still executing the
+        # request.
         return any(run.started < attempt.ended < run.ended for run in runs)
     return bool(runs) or attempt.ended - attempt.sent > LOSS_SLACK_S
 
 
 def _find_forbidden_runs(index: _EvidenceIndex) -> Iterator[Breach]:
-    """Finds non-idempotent requests that ran twice, or that ran and were answered as not run."""
+    """Finds non-idempotent requests that ran twice, or that ran and were reported as not run."""
     for attempt in index.evidence.attempts:
         runs = index.runs.get(attempt.id, [])
         if attempt.repeatable or not runs:
--- a/fescueward/testing/site/records.py
+++ b/fescueward/testing/site/records.py
@@ -65,7 +65,7 @@
 
     @property
     def served(self) -> bool:
-        """Whether an upstream answered with a 2xx status."""
+        """Whether an upstream responded with a 2xx status."""
         return 200 <= self.status < 300 and bool(self.receipt)
 
 
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -1,6 +1,6 @@
 """Fault soak: runs a fault plan against an emulated deployment and checks the platform's rules.
 
-Run by `scripts/soak`. The exit status is 0 if no rule was broken, else 1.
+Run by `scripts/soak`. The exit status is 0 if no rule was violated, else 1.
 """
 
 from __future__ import annotations
@@ -57,7 +57,7 @@
         seed: The seed.
         plan: Plan drawn from the seed.
         attempts: Number of requests of callers.
-        served: Number of requests that an upstream answered with a 2xx status.
+        served: Number of requests to which an upstream responded with a 2xx status.
         runs: Number of executions by the upstreams.
         breaches: Violations of rules.
         longest_stall_s: Longest stall of the emulator since the start of the plan, in seconds.
@@ -267,7 +267,7 @@
     agents: Annotated[int, typer.Option(min=3, max=100, help="Number of agents.")] = 6,
     keep: Annotated[Path, typer.Option(help="Directory for logs.")] = Path("runs/soak"),
 ) -> None:
-    """Runs the soak with one seed; keeps plan, evidence and logs if a rule is broken."""
+    """Runs the soak with one seed; keeps plan, evidence and logs if a rule is violated."""
     directory = keep / f"seed-{seed}"
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -113,7 +113,7 @@
         """Guards against callers that repeat what may have run, or do not retry what has not."""
         self.router.refusal = OverloadedError("full", retry_after_s=0.3)
         self.assertEqual(await self.send(), (503, 0.3))
-        self.router.refusal = OutcomeLostError("no answer")
+        self.router.refusal = OutcomeLostError("no response")
         self.assertEqual(await self.send(), (502, 0))
         self.router.refusal = QuarantinedError("three crashes", retry_after_s=600.0)
         self.assertEqual(await self.send(), (503, 600))
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -56,7 +56,7 @@
         if request.path != "/poison":
             return make_response(b"ok")
         asyncio.get_running_loop().call_later(0.01, self.report_crash)
-        raise OutcomeLostError("the connection ended without an answer")
+        raise OutcomeLostError("the connection ended without a response")
 
     def report_crash(self) -> None:
         self.crashes += 1
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -49,7 +49,7 @@
         self._check_alive()
         self.calls.append(("grant", key_range.first, key_range.last))
         if not self.responds:
-            raise OutcomeLostError("no answer")
+            raise OutcomeLostError("no response")
         return self.accepts
 
     def _check_alive(self) -> None:
@@ -312,7 +312,7 @@
 
     async def _fail_after_delay(self, key_range: KeyRange) -> str:
         await asyncio.sleep(0.2)
-        raise UpstreamUnavailableError("no answer yet")
+        raise UpstreamUnavailableError("no response yet")
 
     async def test_new_start_waits_for_a_higher_epoch(self):
         """Guards against a restarted upstream that is granted keys at the epoch of its last start.
--- a/tests/services/test_administration.py
+++ b/tests/services/test_administration.py
@@ -50,11 +50,13 @@
             return response.status, json.loads(await response.read())
 
     async def assert_refused(self, status: int, label: str, *call: Any, **options: Any) -> dict:
-        actual_status, answer = await self.call(*call, **options)
-        self.assertEqual((actual_status, answer["error"]["label"]), (status, label), answer)
+        actual_status, response_body = await self.call(*call, **options)
+        self.assertEqual(
+            (actual_status, response_body["error"]["label"]), (status, label), response_body
+        )
         codes_by_label = {kind.label: kind.code for kind in error_types()}
-        self.assertEqual(answer["error"]["code"], codes_by_label[label])
-        return answer["error"]
+        self.assertEqual(response_body["error"]["code"], codes_by_label[label])
+        return response_body["error"]
 
     async def put(self, body: Any, version: str = "0") -> tuple[int, dict]:
         return await self.call("PUT", "/v1/entries/depot", body, version)
@@ -84,14 +86,16 @@
         _, created = await self.put(DEPOT)
         edits = [DEPOT | {"owner": f"team-{number}"} for number in range(8)]
         version = str(created["version"])
-        answers = await asyncio.gather(*(self.put(edit, version) for edit in edits))
-        accepted = [answer for status, answer in answers if status == 200]
+        responses = await asyncio.gather(*(self.put(edit, version) for edit in edits))
+        accepted = [response_body for status, response_body in responses if status == 200]
         self.assertEqual(len(accepted), 1)
-        for status, answer in answers:
+        for status, response_body in responses:
             if status != 200:
-                self.assertEqual((status, answer["error"]["label"]), (409, "entry_conflict"))
-                self.assertEqual(answer["error"]["version"], accepted[0]["version"])
-                self.assertEqual(answer["error"]["entry"], accepted[0]["entry"])
+                self.assertEqual(
+                    (status, response_body["error"]["label"]), (409, "entry_conflict")
+                )
+                self.assertEqual(response_body["error"]["version"], accepted[0]["version"])
+                self.assertEqual(response_body["error"]["entry"], accepted[0]["entry"])
 
     async def test_conflict_shows_the_platforms_entry(self):
         """Guards against a conflict response with the outdated entry that this agent applies."""
@@ -254,9 +258,9 @@
             ("/v1/agent", "member_id"),
         ):
             with self.subTest(path=path):
-                status, answer = await self.call("GET", path, authorization="")
+                status, response_body = await self.call("GET", path, authorization="")
                 self.assertEqual(status, 200)
-                self.assertIn(name, answer)
+                self.assertIn(name, response_body)
         async with self.session.get(self.fake.url + "/metrics") as response:
             self.assertIn(b"fescueward_uptime_seconds", await response.read())
             self.assertTrue(response.headers["Content-Type"].startswith("text/plain"))
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -66,7 +66,7 @@
         """Runs a request that fails without a response before a crash is detected."""
         with suppress(error):
             async with self.quarantine.guard(request):
-                raise error("no answer")
+                raise error("no response")
 
     def detect_crash(self):
         """Reports a crash of the upstream to the quarantine."""
@@ -196,7 +196,7 @@
         self.assertEqual(len(unsent), 2)
 
     async def test_member_that_was_not_known_at_the_crash(self):
-        """Guards against a third crash at a member that the reporter did not know at the first.
+        """Guards against a third crash at a member that the reporter's group version lacked at the first.
 
         In tests.integration.test_quarantine, an upstream crashed 4 ms before its agent received a
         group version with the other members, so they counted the next crash as the first.
@@ -253,7 +253,7 @@
                 await self.a.crash(make_request())
 
     async def test_report_that_a_new_member_ignores_is_repeated(self):
-        """Guards against a lost report whose receiver did not know the sender yet."""
+        """Guards against a lost report whose receiver had no group version with the sender yet."""
         self.b.view = make_group(1, "b:1", "b")
         await self.a.crash(make_request())
         await self.deliver_messages()
