--- a/fescueward/services/frontend/requests.py
+++ b/fescueward/services/frontend/requests.py
@@ -183,7 +183,7 @@
 
 @lru_cache(maxsize=1024)
 def _parse_name(name: bytes) -> tuple[bytes, str, bool]:
-    """Returns a header name in lower_name case, as text, and whether the header is for this agent."""
+    """Returns a header name in lower case, as text, and whether the header is for this agent."""
     lower_name = name.lower()
     return lower_name, name.decode(), lower_name.startswith(_AGENT_HEADER_PREFIX)
 
--- a/fescueward/services/policies/static.py
+++ b/fescueward/services/policies/static.py
@@ -29,7 +29,7 @@
         return with_successors(group, member_id, lambda shard, _: _first_member_id(group, shard))
 
     def rebalance(self, group: Group, load: GroupLoad, entry: Entry) -> Group:
-        """Moves shards to the first_id member of their order, so that joined members get shards."""
+        """Moves shards to the first member of their order, so that joined members get shards."""
         members = active_members(group)
         unused = unused_slots(group)
         shards = list(group.shards)
