Shorten the doc comment of a quarantine test

Cause: the doc comment spoke of what the reporter received, where the join of a member is meant. Change: it names the join.

--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -196,7 +196,7 @@
         self.assertEqual(len(unsent), 2)
 
     async def test_member_that_was_not_known_at_the_crash(self):
-        """Guards against a third crash at a member that the reporter received only after the first.
+        """Guards against a third crash at a member whose join the reporter had not received yet.
 
         In tests.integration.test_quarantine, an upstream crashed 4 ms before its agent received a
         group version with the other members, so they counted the next crash as the first.
