--- a/fescueward/services/policies/bounded.py
+++ b/fescueward/services/policies/bounded.py
@@ -54,7 +54,7 @@
     Weight.CHURN: MoveLimits(1.15, 1.05, 1.07, 1.02, 0.45, 0.03, 8),
 }
 _TRIGGER_MARGIN = 0.03
-# Below this work per slot hardly any request waits for a handover, so that more shards may move
+# Below this work per slot hardly any request waits for a handover, so more shards may move
 # at once.
 _IDLE_WORK_PER_SLOT = 0.005
 _IDLE_BUDGET_FRACTION = 0.5
