--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -33,15 +33,15 @@
 from fescueward.testing.waiting import wait_until
 
 from ..fakes import CLOCK, StubRegistry
-from ..fleet import HOME
+from ..fleet import GROUP_ID
 from ..groups_for_tests import joined, member
-from ..test_recovery_time import formed
-from ..timed_fakes import Answers
+from ..test_recovery_time import start_fleet
+from ..timed_fakes import ResponseMode
 
 
 class EditTest(unittest.TestCase):
     def setUp(self):
-        self.fleet = formed(3, 3)
+        self.fleet = start_fleet(3, 3)
         self.agent = self.fleet.agents["a0"]
         self.results = []
 
@@ -56,7 +56,7 @@
 
         async def edit() -> None:
             try:
-                self.results.append(await groups.edit(HOME, change))
+                self.results.append(await groups.edit(GROUP_ID, change))
             except PlatformError as error:
                 self.results.append(error)
 
@@ -73,7 +73,7 @@
 
     def test_lost_answer_is_read_back(self):
         """Guards against an edit that is written twice or fails because its response was lost."""
-        self.agent.platform.write_answers = Answers.LOST
+        self.agent.platform.write_response_mode = ResponseMode.LOST
         before = self.fleet.platform.revision
         self._edit("k")
         self.fleet.world.advance(1.5)
@@ -84,7 +84,7 @@
         """Guards against an edit that takes effect although it was reported as not made."""
 
         def lose_responses() -> None:
-            self.agent.platform.answers = Answers.LOST
+            self.agent.platform.response_mode = ResponseMode.LOST
 
         self._edit("k", before_change=lose_responses)
         self.fleet.world.advance(4)
@@ -93,7 +93,7 @@
 
     def test_edit_without_platform_is_not_made(self):
         """Guards against an unknown outcome of an edit whose write was never sent."""
-        self.agent.platform.answers = Answers.REFUSED
+        self.agent.platform.response_mode = ResponseMode.REFUSED
         self._edit("k")
         self.fleet.world.advance(2)
         self.assertIsInstance(self.results[0], PlatformUnavailableError)
@@ -115,7 +115,7 @@
 
         async def edit_faulty() -> None:
             try:
-                await self.agent.groups.edit(HOME, lambda group: fail())
+                await self.agent.groups.edit(GROUP_ID, lambda group: fail())
             except InvalidRequestError as error:
                 self.results.append(error)
 
@@ -146,13 +146,13 @@
 class VersionTest(unittest.TestCase):
     def test_older_versions_are_ignored(self):
         """Guards against a delayed message that restores an earlier owner."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         agent = fleet.agents["a0"]
-        view = agent.groups.view(HOME)
+        view = agent.groups.view(GROUP_ID)
         old = VersionedGroup(view.version - 1, replace(view.group, members={}))
         same = VersionedGroup(view.version, replace(view.group, members={}))
         self.assertEqual([agent.groups.observe(old), agent.groups.observe(same)], [False, False])
-        self.assertEqual(agent.groups.view(HOME), view)
+        self.assertEqual(agent.groups.view(GROUP_ID), view)
         self.assertTrue(fleet.served())
 
 
@@ -162,11 +162,11 @@
 
     def test_unresponsive_watchers_are_replaced(self):
         """Guards against a group that receives no changes while its watchers are cut off."""
-        fleet = formed(6, 3)
+        fleet = start_fleet(6, 3)
         watchers = self._watchers(fleet)
         self.assertEqual(len(watchers), 2)
         for name in watchers:
-            fleet.agents[name].platform.answers = Answers.SILENT
+            fleet.agents[name].platform.response_mode = ResponseMode.IGNORED
         fleet.world.advance(30)
         others = set(self._watchers(fleet)) - set(watchers)
         self.assertEqual(len(others), 2)
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -30,7 +30,7 @@
     return Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1", started_ms=started_ms)
 
 
-HOME = GroupId("depot", 0)
+GROUP_ID = GroupId("depot", 0)
 
 
 class FakeUpstream:
@@ -40,7 +40,7 @@
         self.calls: list[tuple[str, int, int]] = []
         self.grants_open = asyncio.Event()
         self.grants_open.set()
-        self.answers = True
+        self.responds = True
         self.accepts = True
         self.alive = True
 
@@ -48,8 +48,8 @@
         await self.grants_open.wait()
         self._check_alive()
         self.calls.append(("grant", key_range.first, key_range.last))
-        if not self.answers:
-            raise OutcomeLostError("no answer")
+        if not self.responds:
+            raise OutcomeLostError("no response")
         return self.accepts
 
     def _check_alive(self) -> None:
@@ -111,7 +111,7 @@
         self.upstream, self.groups, self.peers = FakeUpstream(), FakeGroups(), FakePeers()
         self.lease = SimpleNamespace(held=True, expires_at=CLOCK.now() + 1.0)
         self.membership = SimpleNamespace(
-            own_group_id=HOME, member_id="a:1", announcement=announcement(1)
+            own_group_id=GROUP_ID, member_id="a:1", announcement=announcement(1)
         )
         self.ownership = RangeOwnership(Kernel())
         self.ownership.bind(
@@ -184,7 +184,7 @@
         """Guards against a successor that is granted keys during an unconfirmed grant."""
         self.groups.publish(self.group)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        self.upstream.answers = False
+        self.upstream.responds = False
         call_count = len(self.upstream.calls)
         await self.wait_until(lambda: len(self.upstream.calls) > call_count)
         end = self.lease.expires_at
@@ -312,7 +312,7 @@
 
     async def _fail_after_delay(self, key_range: KeyRange) -> str:
         await asyncio.sleep(0.2)
-        raise UpstreamUnavailableError("no answer yet")
+        raise UpstreamUnavailableError("no response yet")
 
     async def test_new_start_waits_for_a_higher_epoch(self):
         """Guards against a restarted upstream that is granted keys at the epoch of its last start.
--- a/tests/services/ownership/test_hash_shards.py
+++ b/tests/services/ownership/test_hash_shards.py
@@ -9,10 +9,10 @@
 from fescueward.messages.codec import encode_json
 from fescueward.messages.peer import Release
 
-from ..fleet import HOME, Fleet, SimulatedAgent
+from ..fleet import GROUP_ID, Fleet, SimulatedAgent
 from ..test_membership import move, shards_of
-from ..test_recovery_time import formed
-from ..timed_fakes import Answers
+from ..test_recovery_time import start_fleet
+from ..timed_fakes import ResponseMode
 
 
 def _key(fleet: Fleet, shard: int) -> str:
@@ -22,7 +22,7 @@
 
 class HandoverTest(unittest.TestCase):
     def setUp(self):
-        self.fleet = formed(3, 3)
+        self.fleet = start_fleet(3, 3)
         self.source = self.fleet.agents["a0"]
         self.target = self.fleet.agents["a1"]
         self.shard = shards_of(self.fleet, "a0")[0]
@@ -68,7 +68,7 @@
         for released in (False, True):
             with self.subTest(released=released):
                 self.setUp()
-                self.target.platform.answers = Answers.SILENT
+                self.target.platform.response_mode = ResponseMode.IGNORED
                 if not released:
                     self._request(1.0)
                 move(self.fleet, self.shard, "a1")
@@ -128,10 +128,15 @@
 
     def test_slow_and_lost_record_of_a_handover(self):
         """Guards against a shard that nobody serves until its handover is recorded."""
-        for answers in (Answers.SLOW, Answers.LOST, Answers.LATE, Answers.REFUSED):
-            with self.subTest(answers=answers):
+        for response_mode in (
+            ResponseMode.SLOW,
+            ResponseMode.LOST,
+            ResponseMode.LATE,
+            ResponseMode.REFUSED,
+        ):
+            with self.subTest(response_mode=response_mode):
                 self.setUp()
-                self.target.platform.write_answers = answers
+                self.target.platform.write_response_mode = response_mode
                 move(self.fleet, self.shard, "a1")
                 self.fleet.world.advance(0.2)
                 self.assertEqual(self._serves(self.target), self.epoch + 1)
@@ -153,12 +158,12 @@
         """Guards against a request that runs again after the epoch rose without a new owner."""
         outcomes = self.source.ownership._outcomes
         before = outcomes.export(self.shard)
-        version = self.fleet.platform.read(HOME.object_key).version
+        version = self.fleet.platform.read(GROUP_ID.object_key).version
         group = self.fleet.group()
         shards = list(group.shards)
         shards[self.shard] = replace(shards[self.shard], epoch=self.epoch + 2)
         changed = encode_json(replace(group, shards=tuple(shards)))
-        self.fleet.platform.write(HOME.object_key, changed, version)
+        self.fleet.platform.write(GROUP_ID.object_key, changed, version)
         self.fleet.world.advance(0.5)
         self.assertEqual(self._serves(self.source), self.epoch + 2)
         self.assertEqual(outcomes.export(self.shard).lineage, (*before.lineage, self.epoch))
@@ -167,7 +172,7 @@
 class GrantTest(unittest.TestCase):
     def test_upstream_that_confirms_no_grants(self):
         """Guards against a successor that serves while grants of the old upstream are in force."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         source, shard = fleet.agents["a0"], shards_of(fleet, "a0")[0]
         source.upstream.confirms = False
         expires_in_s = source.grants._latest_expiry_at - source.loop.time()
@@ -179,7 +184,7 @@
 
     def test_shard_waits_for_the_confirmed_grant(self):
         """Guards against requests that the upstream refuses because it has no grant yet."""
-        fleet = formed(3, 3)
+        fleet = start_fleet(3, 3)
         target, shard = fleet.agents["a1"], shards_of(fleet, "a0")[0]
         target.upstream.confirms = False
         move(fleet, shard, "a1")
@@ -191,7 +196,7 @@
 
     def test_hold_after_an_upstream_that_checks_no_grants(self):
         """Guards against a new owner that serves while the lost upstream still runs requests."""
-        fleet = formed(3, 3, checks_grants=False)
+        fleet = start_fleet(3, 3, checks_grants=False)
         lost = shards_of(fleet, "a0")
         fleet.kill("a0")
         fleet.world.advance(1.5)
@@ -205,7 +210,7 @@
 
     def test_hold_survives_a_second_loss(self):
         """Guards against a hold that ends with the loss of the member that waits for it."""
-        fleet = formed(3, 3, checks_grants=False)
+        fleet = start_fleet(3, 3, checks_grants=False)
         lost = shards_of(fleet, "a0")
         fleet.kill("a0")
         fleet.world.advance(4)
