Name the revision of a platform watch and the summed work

Cause: since held a revision, not a time, and watched a group id. Change: since_revision and watched_group_id in the group store, summed_work in the load reports.

--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -431,17 +431,17 @@
                 self.fetch_newer(watcher, message.versions)
 
     async def _run_watch(self) -> None:
-        since = 0
-        watched: GroupId | None = None
+        since_revision = 0
+        watched_group_id: GroupId | None = None
         watching = False
         while True:
             own_group_id = self._membership.own_group_id
-            if own_group_id != watched:
-                watched, since = own_group_id, 0
+            if own_group_id != watched_group_id:
+                watched_group_id, since_revision = own_group_id, 0
             if not self._is_watcher():
                 if watching:
                     _WATCH_ENDED.emit(group=own_group_id)
-                watching, since = False, 0
+                watching, since_revision = False, 0
                 await self._clock.sleep(_WATCH_RETRY_S)
                 continue
             if not watching:
@@ -453,7 +453,9 @@
             # Before the agent has a group, the wait is short so that it joins soon once announced.
             wait_s = 1.0 if own_group_id is None else self._watch_wait_s
             try:
-                changes = await self._platform.watch(prefixes, since, wait_s if since else 0)
+                changes = await self._platform.watch(
+                    prefixes, since_revision, wait_s if since_revision else 0
+                )
             except PlatformError as error:
                 if self._watch_healthy:
                     _WATCH_FAILED.emit(error=error)
@@ -461,36 +463,36 @@
                 await self._clock.sleep(_WATCH_RETRY_S)
                 continue
             self._watch_healthy = True
-            since = changes.revision
+            since_revision = changes.revision
             for stored in changes.objects:
                 self._observe_stored(stored.key, stored.version, stored.value, stored.deleted)
             self._catalogue.mark_loaded()
 
     async def _run_fleet_watch(self, prefix: str) -> None:
-        since = 0
+        since_revision = 0
         failing = False
         while True:
             if not self._is_watcher():
                 self._loaded_prefixes.add(prefix)
-                since = 0
+                since_revision = 0
                 await self._clock.sleep(_WATCH_RETRY_S)
                 continue
             try:
-                wait_s = self._watch_wait_s if since else 0.0
-                changes = await self._platform.watch((prefix,), since, wait_s)
+                wait_s = self._watch_wait_s if since_revision else 0.0
+                changes = await self._platform.watch((prefix,), since_revision, wait_s)
             except PlatformError as error:
                 if not failing:
                     _WATCH_FAILED.emit(prefix=prefix, error=error)
                 failing = True
                 self._watch_healthy = False
-                since = 0 if isinstance(error, PlatformAnswerError) else since
+                since_revision = 0 if isinstance(error, PlatformAnswerError) else since_revision
                 await self._clock.sleep(_WATCH_RETRY_S)
                 continue
             if failing:
                 _WATCH_RESUMED.emit(prefix=prefix)
             failing = False
             self._watch_healthy = True
-            since = changes.revision
+            since_revision = changes.revision
             for stored in changes.objects:
                 self._observe_fleet_object(stored)
             self._loaded_prefixes.add(prefix)
--- a/fescueward/services/reports.py
+++ b/fescueward/services/reports.py
@@ -70,31 +70,31 @@
             for member_id, (received_at, report) in self._reports.items()
             if member_id in group.members and received_at > expires_before
         }
-        summed: dict[int, float] = {}
+        summed_work: dict[int, float] = {}
         hot_keys: dict[str, float] = {}
         capacity: dict[str, float] = {}
         for member_id, (_, report) in self._reports.items():
             scale = _scale(report, group.members[member_id].slots) / _MICROSECONDS_PER_S
             for shard_id, work in report.work.items():
                 if shard_id < len(group.shards):
-                    summed[shard_id] = summed.get(shard_id, 0.0) + work * scale
+                    summed_work[shard_id] = summed_work.get(shard_id, 0.0) + work * scale
             for key, work in report.hot_keys.items():
                 hot_keys[key] = hot_keys.get(key, 0.0) + work * scale
             capacity[member_id] = report.capacity
-        self._smoothed_work = self._smooth(summed)
+        self._smoothed_work = self._smooth(summed_work)
         self._has_no_history = False
         wait_ended = now - self._planner_since > _FIRST_REPORT_ROUNDS * self._round_s
         if wait_ended or set(group.members) <= set(self._reports):
             self._complete = True
         self._load = GroupLoad(dict(self._smoothed_work), hot_keys, capacity, self._complete)
 
-    def _smooth(self, summed: dict[int, float]) -> dict[int, float]:
+    def _smooth(self, summed_work: dict[int, float]) -> dict[int, float]:
         if self._has_no_history:
-            return summed
+            return summed_work
         smoothed = {}
-        for shard_id in self._smoothed_work.keys() | summed.keys():
+        for shard_id in self._smoothed_work.keys() | summed_work.keys():
             before = self._smoothed_work.get(shard_id, 0.0)
-            value = before + _NEWEST_ROUND_WEIGHT * (summed.get(shard_id, 0.0) - before)
+            value = before + _NEWEST_ROUND_WEIGHT * (summed_work.get(shard_id, 0.0) - before)
             if value > _MIN_WORK_S_PER_S:
                 smoothed[shard_id] = value
         return smoothed
