Rename the last shared names

Groups.changed, Peers.rename, StartListener.started and Liveness.connected read like states or other actions. Only names change.

--- a/fescueward/client/services.py
+++ b/fescueward/client/services.py
@@ -85,7 +85,7 @@
         give_up_at_s = self._clock.now() + _FETCH_TIMEOUT_S
         while self._clock.now() < give_up_at_s:
             self._peers.send(next(self._seeds), fetch)
-            if await self._groups.changed(group, cached_version, _SEED_TIMEOUT_S):
+            if await self._groups.wait_until_newer(group, cached_version, _SEED_TIMEOUT_S):
                 break
         cached = self._groups.view(group)
         if cached is None:
--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -100,7 +100,7 @@
         kernel.add(RangeOwnership(kernel))
         kernel.add(SlotAdmission())
         kernel.add(
-            CrashQuarantine(kernel, crashes=_CRASH_LIMIT, success_window_s=_SUCCESS_WINDOW_S)
+            CrashQuarantine(kernel, crash_limit=_CRASH_LIMIT, success_window_s=_SUCCESS_WINDOW_S)
         )
         kernel.add(GracefulShutdown(kernel))
         kernel.add(GateExecution())
--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -100,6 +100,6 @@
         """Fetches objects from a member of this agent's group whose versions are newer."""
         ...
 
-    async def changed(self, group: GroupId, version: int, timeout_s: float) -> bool:
+    async def wait_until_newer(self, group: GroupId, version: int, timeout_s: float) -> bool:
         """Waits for a version above `version`; returns False after `timeout_s` seconds."""
         ...
--- a/fescueward/interfaces/peers.py
+++ b/fescueward/interfaces/peers.py
@@ -81,7 +81,7 @@
         """Closes the stream to a removed member; calls and requests in flight on it fail."""
         ...
 
-    def rename(self, incarnation: int) -> None:
+    def set_incarnation(self, incarnation: int) -> None:
         """Sets a new incarnation of this agent.
 
         Streams made under the old incarnation finish their open requests and carry no new
--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -100,7 +100,7 @@
 class StartListener(Protocol):
     """Subscriber to starts of the upstream on this VM."""
 
-    def started(self, start: str) -> None:
+    def upstream_started(self, start: str) -> None:
         """Records the identity of the upstream's current start; see `Announcement.start`."""
         ...
 
@@ -147,11 +147,11 @@
         """Records the arrival of a heartbeat."""
         ...
 
-    def connected(self) -> None:
+    def connection_succeeded(self) -> None:
         """Records a successful connection to the upstream."""
         ...
 
-    def unreachable(self) -> None:
+    def connection_failed(self) -> None:
         """Records a failed connection attempt to the upstream."""
         ...
 
--- a/fescueward/kernel/availability.py
+++ b/fescueward/kernel/availability.py
@@ -19,14 +19,14 @@
     Args:
         clock: Source of time.
         url: Address of the platform, for the log.
-        longest_call_s: Longest duration of a call in seconds. A failure that is longer ago does
+        max_call_s: Longest duration of a call in seconds. A failure that is longer ago does
             not show that the platform is unavailable now.
     """
 
-    def __init__(self, clock: Clock, url: str, longest_call_s: float) -> None:
+    def __init__(self, clock: Clock, url: str, max_call_s: float) -> None:
         self._clock = clock
         self._url = url
-        self._longest_call_s = longest_call_s
+        self._max_call_s = max_call_s
         self._available = True
         self._unavailable_since: float | None = None
         self._failed_at = 0.0
@@ -43,7 +43,7 @@
         It is None, too, if no call has failed for longer than a watch call takes to fail. An agent
         without a watch makes hardly any calls and would otherwise report an outage that is over.
         """
-        if self._clock.now() - self._failed_at > self._longest_call_s:
+        if self._clock.now() - self._failed_at > self._max_call_s:
             return None
         return self._unavailable_since
 
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -132,7 +132,7 @@
         self._newest_sequence = sequence
         self._last_announcement = announcement
         self._liveness.heartbeat_received()
-        self._upstream.started(announcement.start)
+        self._upstream.upstream_started(announcement.start)
         try:
             self._membership.announce(announcement)
         except InvalidAnnouncementError as error:
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -95,9 +95,9 @@
         self._url = section.url + OBJECTS_PATH
         self._timeout_s = section.timeout_ms / 1000
         self._max_answer_bytes = section.max_answer_bytes
-        longest_call_s = section.watch_ms / 1000 + _WATCH_SLACK_S + _WATCH_RETRY_DELAY_S
+        max_call_s = section.watch_ms / 1000 + _WATCH_SLACK_S + _WATCH_RETRY_DELAY_S
         clock = registry.find("clock", Clock)
-        self._availability = PlatformAvailability(clock, self._url, longest_call_s)
+        self._availability = PlatformAvailability(clock, self._url, max_call_s)
 
     async def start(self) -> None:
         """Opens the HTTP session."""
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -103,7 +103,7 @@
         """Notifies a listener of each crash from now on; see `CrashSource.subscribe`."""
         self._listeners.append(listener)
 
-    def started(self, start: str) -> None:
+    def upstream_started(self, start: str) -> None:
         """Records the start id of a heartbeat; a new id means that the last start has ended."""
         if self._start_id and start != self._start_id:
             self._record_end(f"the upstream reports the new start {start}")
@@ -256,7 +256,7 @@
         return Response(request.id, http_response.status, headers_to_forward, BytesBody(content))
 
     def _record_unreachable(self, error: BaseException) -> None:
-        self._liveness.unreachable()
+        self._liveness.connection_failed()
         if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
             error.os_error, ConnectionRefusedError
         ):
@@ -266,7 +266,7 @@
             _UNREACHABLE.emit(address=self._base_url, error=repr(error)[:200])
 
     def _record_reachable(self) -> None:
-        self._liveness.connected()
+        self._liveness.connection_succeeded()
         if self._unreachable:
             self._unreachable = False
             self._end_recorded = False
--- a/fescueward/services/gate/liveness.py
+++ b/fescueward/services/gate/liveness.py
@@ -40,7 +40,7 @@
         self._failed_connections = 0
         self._failing_since = 0.0
         self._last_heartbeat_at = 0.0
-        self._connection_failed = asyncio.Event()
+        self._failure_recorded = asyncio.Event()
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -58,23 +58,23 @@
     def heartbeat_received(self) -> None:
         """Records a heartbeat and resets the failures; see `Liveness.heartbeat_received`."""
         self._last_heartbeat_at = self._clock.now()
-        self.connected()
+        self.connection_succeeded()
 
-    def connected(self) -> None:
-        """Resets the failures after a successful connection; see `Liveness.connected`."""
+    def connection_succeeded(self) -> None:
+        """Resets the failures; see `Liveness.connection_succeeded`."""
         self._failed_connections = 0
-        self._connection_failed.clear()
+        self._failure_recorded.clear()
 
-    def unreachable(self) -> None:
-        """Counts a failed connection and starts a check; see `Liveness.unreachable`."""
+    def connection_failed(self) -> None:
+        """Counts the failure and starts a check; see `Liveness.connection_failed`."""
         if self._failed_connections == 0:
             self._failing_since = self._clock.now()
         self._failed_connections += 1
-        self._connection_failed.set()
+        self._failure_recorded.set()
 
     async def _run(self) -> None:
         while True:
-            await self._connection_failed.wait()
+            await self._failure_recorded.wait()
             await self._clock.sleep(_CHECK_PERIOD_S)
             now = self._clock.now()
             heartbeat_age_s = now - self._last_heartbeat_at
@@ -91,4 +91,4 @@
                 heartbeat_age_s=round(heartbeat_age_s, 2),
             )
             await self._membership.leave("the upstream is lost")
-            self.connected()
+            self.connection_succeeded()
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -225,8 +225,8 @@
         """Registers a listener that is called for each newer version from now on."""
         self._listeners.append(listener)
 
-    async def changed(self, group: GroupId, version: int, timeout_s: float) -> bool:
-        """Waits up to `timeout_s` seconds for a version above `version`; see `Groups.changed`."""
+    async def wait_until_newer(self, group: GroupId, version: int, timeout_s: float) -> bool:
+        """Waits for a version above `version`; see `Groups.wait_until_newer`."""
         cached = self._views.get(group)
         if cached is not None and cached.version > version:
             return True
@@ -308,7 +308,7 @@
                 sent_count += self._peers.send(member, request)
                 if sent_count == 2:
                     break
-            if sent_count and await self.changed(group, cached.version, 0.1):
+            if sent_count and await self.wait_until_newer(group, cached.version, 0.1):
                 return
         try:
             await self.refresh(group)
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -117,7 +117,9 @@
             if view is not None and member_id in view.group.members:
                 return True
             version = view.version if view is not None else 0
-            if not await self._groups.changed(own_group_id, version, deadline - self._clock.now()):
+            if not await self._groups.wait_until_newer(
+                own_group_id, version, deadline - self._clock.now()
+            ):
                 return False
 
     def _on_join_reply(self, sender: str, message: JoinReply) -> None:
--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -146,7 +146,7 @@
             return None
         deadline = self._clock.now() + _PLANNER_RECORD_TIMEOUT_S
         while edit(view.group) is not None:
-            if not await self._groups.changed(
+            if not await self._groups.wait_until_newer(
                 own_group_id, view.version, deadline - self._clock.now()
             ):
                 return None
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -141,7 +141,7 @@
     async def admit(self, service: str, key: str, deadline: float) -> RangeTicket:
         """Waits until the range of a key is active; see `Ownership.admit`."""
         key_number = int(key)
-        wait_until = min(deadline, self._clock.now() + _ACTIVATION_TIMEOUT_S)
+        activation_deadline = min(deadline, self._clock.now() + _ACTIVATION_TIMEOUT_S)
         while True:
             active_range_id = self._find_active(key_number)
             if active_range_id is not None:
@@ -149,7 +149,7 @@
                     raise LeaseExpiredError("the lease of this agent has expired")
                 return RangeTicket(active_range_id[0], active_range_id[2])
             self._raise_unless_pending(key_number)
-            remaining_s = wait_until - self._clock.now()
+            remaining_s = activation_deadline - self._clock.now()
             if remaining_s <= 0:
                 raise ShardMovingError(f"key {key} is not active on this agent yet")
             state_changed = self._state_changed
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -311,7 +311,7 @@
 
     def _start_incarnation(self) -> None:
         self._incarnation = max(self._next_incarnation(), self._incarnation + 1)
-        self._peers.rename(self._incarnation)
+        self._peers.set_incarnation(self._incarnation)
 
     async def _run_join(self) -> None:
         while True:
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -120,8 +120,8 @@
         """Stops redialling a member that left gracefully; its open stream drains first."""
         self._links.retire(member_id)
 
-    def rename(self, incarnation: int) -> None:
-        """Sets a new incarnation of this agent; see `Peers.rename`."""
+    def set_incarnation(self, incarnation: int) -> None:
+        """Sets a new incarnation of this agent; see `Peers.set_incarnation`."""
         self._incarnation = incarnation
         self._links.renew_identity()
         self._accepted.renew_identity()
--- a/fescueward/services/promises.py
+++ b/fescueward/services/promises.py
@@ -93,7 +93,7 @@
 
     async def _call(self, monitor: Member, query: PromiseQuery) -> object:
         # The attempt is conditional on the version of `base`, so a newer one ends the wait.
-        version_change = self._groups.changed(
+        version_change = self._groups.wait_until_newer(
             self._base.group.id, self._base.version, _NEWER_VERSION_WAIT_S
         )
         reply_task = asyncio.ensure_future(self._peers.call(monitor, query, query.call))
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -139,7 +139,7 @@
 
     Args:
         kernel: The kernel.
-        crashes: Number of crashes after which a request is refused.
+        crash_limit: Number of crashes after which a request is refused.
         success_window_s: Seconds after a successful run during which its request is not suspected.
     """
 
@@ -147,9 +147,9 @@
     requires: tuple[str, ...] = ("peers", "groups", "membership", "upstream")
 
     def __init__(
-        self, kernel: Kernel, crashes: int = _CRASH_LIMIT, success_window_s: float = 0.0
+        self, kernel: Kernel, crash_limit: int = _CRASH_LIMIT, success_window_s: float = 0.0
     ) -> None:
-        self._crash_limit = crashes
+        self._crash_limit = crash_limit
         self._success_window_s = success_window_s
         self._tasks = kernel.task_owner(self.name)
         # Suspects run one at a time, so that a second crash identifies the one that caused it.
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -339,7 +339,7 @@
             raise error
         wait_s = min(pause_s * random.uniform(0.5, 1.0), remaining_s)
         version = view.version if view is not None else 0
-        newer_version = await self._groups.changed(group_id, version, wait_s)
+        newer_version = await self._groups.wait_until_newer(group_id, version, wait_s)
         if request.deadline <= self._clock.now():
             raise error
         return newer_version
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -183,7 +183,7 @@
                         raise
                     if owner_hint is None:
                         version = view.version if view is not None else 0
-                        await self._groups.changed(
+                        await self._groups.wait_until_newer(
                             GroupId(request.service, 0), version, _OWNER_POLL_S
                         )
                 elif isinstance(error, NoOwnerError) or sends >= _MAX_SENDS_WITHOUT_RUN:
--- a/tests/messages/test_delta.py
+++ b/tests/messages/test_delta.py
@@ -20,7 +20,7 @@
 from fescueward.messages.group import LAST_KEY, KeyRange
 from fescueward.messages.peer import Publish
 
-from ..services.groups_for_tests import joined, member
+from ..services.groups_for_tests import member, with_added_members
 
 
 def random_ranges(rng: random.Random, count: int) -> tuple[KeyRange, ...]:
@@ -34,7 +34,7 @@
 
 
 def group_of_size(size: int) -> Group:
-    return joined(
+    return with_added_members(
         Group("depot", 0, 2, {}, (Shard("m0:1", 1), Shard("m1:1", 1))),
         *(member(f"m{number}") for number in range(size)),
     )
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -133,10 +133,10 @@
     def heartbeat_received(self) -> None:
         self.calls.append("heard")
 
-    def connected(self) -> None:
+    def connection_succeeded(self) -> None:
         self.calls.append("connected")
 
-    def unreachable(self) -> None:
+    def connection_failed(self) -> None:
         self.calls.append("unreachable")
 
 
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -41,7 +41,7 @@
                 membership=SimpleNamespace(announce=self.announced.append),
                 routes=SimpleNamespace(current=None),
                 liveness=RecordedLiveness(),
-                upstream=SimpleNamespace(started=self.starts.append),
+                upstream=SimpleNamespace(upstream_started=self.starts.append),
             )
         )
         await self.service.start()
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -205,10 +205,10 @@
         crashes = []
         upstream = await self.start_client(Address("127.0.0.1", 1))
         upstream.subscribe(SimpleNamespace(upstream_crashed=lambda: crashes.append(1)))
-        upstream.started("i1@1000")
-        upstream.started("i1@1000")
+        upstream.upstream_started("i1@1000")
+        upstream.upstream_started("i1@1000")
         self.assertEqual((upstream.crashes, crashes), (0, []))
-        upstream.started("i1@2000")
+        upstream.upstream_started("i1@2000")
         self.assertEqual((upstream.crashes, crashes), (1, [1]))
 
     async def test_refused_connection_is_counted_as_one_crash(self):
@@ -216,12 +216,12 @@
         raw = RawUpstream(WHOLE)
         address = await raw.start()
         upstream = await self.start_client(address)
-        upstream.started("i1@1000")
+        upstream.upstream_started("i1@1000")
         request = make_request(2.0, method="GET", key="")
         await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
         await raw.stop()
         for _ in range(2):
             with self.assertRaises(UpstreamUnavailableError):
                 await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
-        upstream.started("i1@2000")
+        upstream.upstream_started("i1@2000")
         self.assertEqual(upstream.crashes, 1)
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -144,7 +144,7 @@
         self.update_count += 1
         self.on_update()
 
-    async def changed(self, group: GroupId, version: int, timeout_s: float) -> bool:
+    async def wait_until_newer(self, group: GroupId, version: int, timeout_s: float) -> bool:
         if self.current is not None and self.current.version > version:
             return True
         try:
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -215,7 +215,7 @@
             groups=SimpleNamespace(subscribe=lambda listener: None),
             peers=FakePeers(),
         )
-        quarantine = CrashQuarantine(Kernel(), crashes=3, success_window_s=60.0)
+        quarantine = CrashQuarantine(Kernel(), crash_limit=3, success_window_s=60.0)
         quarantine.bind(registry)
         registry.register("quarantine", quarantine)
         execution = GateExecution()
--- a/tests/services/gate/test_liveness.py
+++ b/tests/services/gate/test_liveness.py
@@ -37,9 +37,9 @@
         self.liveness.heartbeat_received()
 
     async def fail_connections(self, span_s: float) -> None:
-        self.liveness.unreachable()
+        self.liveness.connection_failed()
         self.clock.shift_s += span_s
-        self.liveness.unreachable()
+        self.liveness.connection_failed()
         await asyncio.sleep(0.25)
 
     async def test_no_heartbeat_and_no_connection(self):
@@ -59,8 +59,8 @@
     async def test_no_heartbeat_but_connections(self):
         """Guards against leaving the group because a heartbeat is late."""
         self.clock.shift_s += 2.0
-        self.liveness.unreachable()
-        self.liveness.connected()
-        self.liveness.unreachable()
+        self.liveness.connection_failed()
+        self.liveness.connection_succeeded()
+        self.liveness.connection_failed()
         await asyncio.sleep(0.25)
         self.assertEqual(self.membership.leave_count, 0)
--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -34,7 +34,7 @@
 
 from ..fakes import CLOCK, StubRegistry
 from ..fleet import GROUP_ID
-from ..groups_for_tests import joined, member
+from ..groups_for_tests import member, with_added_members
 from ..test_recovery_time import start_fleet
 from ..timed_fakes import ResponseMode
 
@@ -263,7 +263,7 @@
         store._on_watch_status("w-seed:1", WatchStatus("w:1", True, Versions(0, 5)))
         self.assertEqual(peers.sent, [("w-seed:1", Fetch(objects={}))])
         self.assertFalse(store.complete)
-        group = VersionedGroup(3, joined(Group("depot", 0, 1), member("b")))
+        group = VersionedGroup(3, with_added_members(Group("depot", 0, 1), member("b")))
         configuration = VersionedConfiguration(2, Configuration(2, {}, {}))
         store._on_publish("w-seed:1", Publish(groups=(group,), configuration=configuration))
         self.assertTrue(store.complete)
@@ -273,7 +273,7 @@
     async def test_agent_that_has_not_joined_publishes_nothing(self):
         """Guards against a fleet start at which each agent sends each change to all others."""
         own_group_id = GroupId("depot", 0)
-        group = joined(Group("depot", 0, 1), member("b"), member("c"))
+        group = with_added_members(Group("depot", 0, 1), member("b"), member("c"))
         configuration = Configuration(2, {}, {})
         objects = (
             StoredObject(own_group_id.object_key, 3, encode_json(group)),
@@ -294,8 +294,10 @@
     async def test_writer_publishes_a_delta(self):
         """Guards against writes that each send a copy of a large group to the whole fleet."""
         own_group_id = GroupId("depot", 0)
-        base = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
-        changed = joined(base.group, replace(member("b"), stamp=1))
+        base = VersionedGroup(
+            3, with_added_members(Group("depot", 0, 1), member("b"), member("c"))
+        )
+        changed = with_added_members(base.group, replace(member("b"), stamp=1))
         writer_peers = RecordingPeers("c:1")
         writer = self.store("b:1", writer_peers, own_group_id)
         writer._views[own_group_id] = base
@@ -323,9 +325,9 @@
         """Guards against streams and messages between all pairs of agents."""
         own_group_id = GroupId("depot", 0)
         members = [member(name) for name in "abcde"]
-        base = VersionedGroup(3, joined(Group("depot", 0, 1), *members))
+        base = VersionedGroup(3, with_added_members(Group("depot", 0, 1), *members))
         ids = tuple(base.group.members)
-        changed = joined(base.group, replace(member("d"), stamp=1))
+        changed = with_added_members(base.group, replace(member("d"), stamp=1))
         without_e = replace(changed, members={**changed.members})
         del without_e.members["e:1"]
         for case, group, open_ids, recipients in (
@@ -346,9 +348,11 @@
     async def test_first_watcher_publishes_versions_to_all(self):
         """Guards against members that miss a version, and against one full copy per version."""
         own_group_id = GroupId("depot", 0)
-        base = VersionedGroup(3, joined(Group("depot", 0, 1), *(member(name) for name in "abc")))
-        newer = VersionedGroup(5, joined(base.group, replace(member("c"), stamp=2)))
-        newest = VersionedGroup(6, joined(newer.group, replace(member("b"), stamp=2)))
+        base = VersionedGroup(
+            3, with_added_members(Group("depot", 0, 1), *(member(name) for name in "abc"))
+        )
+        newer = VersionedGroup(5, with_added_members(base.group, replace(member("c"), stamp=2)))
+        newest = VersionedGroup(6, with_added_members(newer.group, replace(member("b"), stamp=2)))
         for agent, recipients in (("a", ["b:1", "c:1"]), ("b", [])):
             with self.subTest(agent=agent):
                 peers = RecordingPeers("a:1", "b:1", "c:1")
@@ -370,11 +374,11 @@
         after its start regarded all of them as lost and became a watcher.
         """
         own_group_id = GroupId("depot", 0)
-        group = joined(Group("depot", 0, 1), *(member(name) for name in "abc"))
+        group = with_added_members(Group("depot", 0, 1), *(member(name) for name in "abc"))
         store = self.store("d:1", RecordingPeers("a:1", "b:1", "c:1"), own_group_id)
         store._status_expected_since = store._clock.now() - 10
         store.observe(VersionedGroup(3, group))
-        store.observe(VersionedGroup(4, joined(group, member("d"))))
+        store.observe(VersionedGroup(4, with_added_members(group, member("d"))))
         self.assertFalse(store._is_watcher())
         with mock.patch.object(store, "_clock", SimpleNamespace(now=lambda: CLOCK.now() + 5)):
             self.assertTrue(store._is_watcher())
@@ -382,7 +386,9 @@
     async def test_watcher_publishes_a_configuration_delta(self):
         """Guards against a copy of 1,000 routes to the whole fleet when one of them changes."""
         own_group_id = GroupId("depot", 0)
-        group = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
+        group = VersionedGroup(
+            3, with_added_members(Group("depot", 0, 1), member("b"), member("c"))
+        )
         many = {
             f"r{number}": Route(
                 f"r{number}", "a.example", f"/{number}/", True, 3, 4.0, 0.6, 2, (Target("depot"),)
@@ -415,8 +421,8 @@
     async def test_versions_in_flight_are_not_fetched(self):
         """Guards against fetches of all groups at each renewal while a group changes."""
         own_group_id = GroupId("depot", 0)
-        old = VersionedGroup(3, joined(Group("depot", 0, 1), member("b"), member("c")))
-        new = VersionedGroup(4, joined(old.group, replace(member("c"), stamp=2)))
+        old = VersionedGroup(3, with_added_members(Group("depot", 0, 1), member("b"), member("c")))
+        new = VersionedGroup(4, with_added_members(old.group, replace(member("c"), stamp=2)))
         lost = Versions(0, 5)
         peers = RecordingPeers("c:1")
         store = self.store("b:1", peers, own_group_id)
--- a/tests/services/groups_for_tests.py
+++ b/tests/services/groups_for_tests.py
@@ -34,14 +34,14 @@
     return Entry("depot", "tests", shard_count=SHARDS, weight=weight)
 
 
-def joined(group: Group, *members: Member) -> Group:
+def with_added_members(group: Group, *members: Member) -> Group:
     added = {new_member.id: new_member for new_member in members}
     return replace(group, members={**group.members, **added})
 
 
 def assigned_group(*members: Member) -> Group:
     """Returns a group whose shards are assigned to the members."""
-    group = joined(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), *members)
+    group = with_added_members(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), *members)
     return BoundedLoadPolicy().assign(group, frozenset(), GroupLoad(), entry())
 
 
--- a/tests/services/keyspace/test_moves.py
+++ b/tests/services/keyspace/test_moves.py
@@ -6,12 +6,12 @@
 from fescueward.messages import Group, MemberState
 from fescueward.messages.group import LAST_KEY, KeyRange
 from fescueward.services.keyspace import moves
-from tests.services.groups_for_tests import joined, member
+from tests.services.groups_for_tests import member, with_added_members
 
 
 def group_of(*names: str) -> Group:
     """Returns a group whose keys are distributed among members with these names."""
-    group = joined(Group("depot", 0, 1), *(member(name) for name in names))
+    group = with_added_members(Group("depot", 0, 1), *(member(name) for name in names))
     return moves.assigned(group)
 
 
@@ -71,13 +71,13 @@
         """Guards against keys that stay with a lost member, and a crash when no member is left."""
         after = moves.without_members(group_of("a"), frozenset({"a:1"}))
         self.assertEqual([key_range.owner for key_range in after.ranges], [None])
-        rejoined = moves.assigned(joined(after, member("b")))
+        rejoined = moves.assigned(with_added_members(after, member("b")))
         self.assertEqual(self.widths(rejoined), {"b:1": LAST_KEY + 1})
 
     def test_restart_on_the_same_vm_keeps_the_ranges(self):
         """Guards against keys that move to other members because an agent was restarted."""
         group = group_of("a", "b")
-        group = joined(group, member("a", incarnation=2))
+        group = with_added_members(group, member("a", incarnation=2))
         after = moves.with_transferred_ranges(group, frozenset({"a:1"}), "a:2")
         self.assertEqual(
             {
@@ -180,7 +180,9 @@
 
     def grown(self, before: int, after: int) -> tuple[Group, Group]:
         old = group_of(*(f"a{number:02}" for number in range(before)))
-        new = joined(old, *(member(f"b{number:02}") for number in range(after - before)))
+        new = with_added_members(
+            old, *(member(f"b{number:02}") for number in range(after - before))
+        )
         return new, moves.with_new_member_shares(new, frozenset(new.members))
 
     def test_new_members_get_their_shares_together(self):
@@ -195,7 +197,7 @@
     def test_keys_in_handover_stay(self):
         """Guards against a successor that is replaced although it may already be the owner."""
         before, once = self.grown(4, 6)
-        again = joined(once, member("c"))
+        again = with_added_members(once, member("c"))
         twice = moves.with_new_member_shares(again, frozenset(again.members))
         for key_range in once.ranges:
             if key_range.successor is not None:
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -20,7 +20,7 @@
 from fescueward.services.keyspace import handover, moves
 from fescueward.services.keyspace.ownership import RangeOwnership
 from tests.services.fakes import StubRegistry
-from tests.services.groups_for_tests import joined, member
+from tests.services.groups_for_tests import member, with_added_members
 
 CLOCK = BootClock()
 
@@ -127,7 +127,9 @@
         )
         await self.ownership.start()
         self.addAsyncCleanup(self.ownership.stop)
-        self.group = moves.assigned(joined(Group("depot", 0, 1), member("a"), member("b")))
+        self.group = moves.assigned(
+            with_added_members(Group("depot", 0, 1), member("a"), member("b"))
+        )
         self.own_range = self.group.range_of(0)
 
     def moving(self, first: int, last: int) -> Group:
@@ -292,7 +294,7 @@
         Found by the soak, seed 205: the grants overlapped for 0.63 s after an ordered leave.
         """
         self.lease.expires_at = CLOCK.now() + 5
-        alone = moves.assigned(joined(Group("depot", 0, 1), member("a")))
+        alone = moves.assigned(with_added_members(Group("depot", 0, 1), member("a")))
         self.groups.publish(alone)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         leaving = replace(alone.members["a:1"], state=MemberState.LEAVING)
--- a/tests/services/keyspace/test_placement.py
+++ b/tests/services/keyspace/test_placement.py
@@ -9,11 +9,13 @@
 from fescueward.services.keyspace import moves
 from fescueward.services.keyspace.moves import BLOCK_KEYS
 from fescueward.services.keyspace.placement import RangePlacement, consolidated, rebalanced
-from tests.services.groups_for_tests import joined, member
+from tests.services.groups_for_tests import member, with_added_members
 
 
 def assigned_group(*names: str) -> Group:
-    return moves.assigned(joined(Group("depot", 0, 1), *(member(name) for name in names)))
+    return moves.assigned(
+        with_added_members(Group("depot", 0, 1), *(member(name) for name in names))
+    )
 
 
 def report(name: str, utilisation: float, work: dict[int, float] | None = None) -> RangeLoad:
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -11,7 +11,7 @@
 from fescueward.messages.group import LAST_KEY, KeyRange
 from fescueward.services.routing.dispatcher import DispatchRouter
 from tests.services.fakes import StubRegistry, make_request, make_response
-from tests.services.groups_for_tests import joined, member
+from tests.services.groups_for_tests import member, with_added_members
 
 
 class FakePeers:
@@ -40,12 +40,12 @@
 class DispatchRouterTest(unittest.IsolatedAsyncioTestCase):
     def router(self, peers: FakePeers) -> DispatchRouter:
         ranges = (KeyRange(0, LAST_KEY, "b:1", 1),)
-        group = joined(Group("depot", 0, 1, ranges=ranges), member("b"))
+        group = with_added_members(Group("depot", 0, 1, ranges=ranges), member("b"))
         view = VersionedGroup(1, group)
         groups = SimpleNamespace(
             view=lambda group_id: view if group_id == GroupId("depot", 0) else None,
             subscribe=lambda listener: None,
-            changed=self.unchanged,
+            wait_until_newer=self.unchanged,
         )
         router = DispatchRouter()
         router.bind(
--- a/tests/services/test_placement.py
+++ b/tests/services/test_placement.py
@@ -22,11 +22,11 @@
     assigned_group,
     counts,
     entry,
-    joined,
     member,
     owners,
     run_rebalance_rounds,
     violated_invariants,
+    with_added_members,
     with_completed_handovers,
 )
 
@@ -97,7 +97,7 @@
     def test_idle_service_spreads_by_slots(self):
         """Guards against a division by zero and uneven placement without measured work."""
         group = assigned_group(member("a"))
-        group = joined(group, member("b"), member("c", slots=12))
+        group = with_added_members(group, member("b"), member("c", slots=12))
         shard_counts = counts(run_rebalance_rounds(group, GroupLoad(), 6))
         self.assertAlmostEqual(shard_counts["c:1"], SHARDS / 2, delta=3)
         self.assertAlmostEqual(shard_counts["a:1"], SHARDS / 4, delta=3)
@@ -150,7 +150,7 @@
             assigned_group(*(member(name) for name in "abcdefg")), GroupLoad(), 5
         )
         load = GroupLoad(dict.fromkeys(range(SHARDS), 0.05))
-        after = run_rebalance_rounds(joined(group, member("h")), load, 20)
+        after = run_rebalance_rounds(with_added_members(group, member("h")), load, 20)
         moved = [new for old, new in zip(owners(group), owners(after), strict=True) if old != new]
         self.assertEqual(set(moved), {"h:1"})
         self.assertAlmostEqual(len(moved), SHARDS / 8, delta=2)
@@ -172,7 +172,9 @@
             assigned_group(*(member(name) for name in "abcdefgh")), GroupLoad(), 5
         )
         without = BoundedLoadPolicy().assign(group, frozenset({"c:1"}), GroupLoad(), entry())
-        after = run_rebalance_rounds(joined(without, member("c", incarnation=2)), GroupLoad(), 20)
+        after = run_rebalance_rounds(
+            with_added_members(without, member("c", incarnation=2)), GroupLoad(), 20
+        )
         shards_before = {shard for shard, owner in enumerate(owners(group)) if owner == "c:1"}
         shards_after = {shard for shard, owner in enumerate(owners(after)) if owner == "c:2"}
         self.assertGreaterEqual(len(shards_before & shards_after), len(shards_before) // 2)
@@ -180,7 +182,7 @@
     def test_restarted_member_replaces_its_old_one(self):
         """Guards against shards that leave a server because its agent was restarted."""
         group = assigned_group(*(member(name) for name in "abcd"))
-        both = joined(group, member("c", incarnation=2))
+        both = with_added_members(group, member("c", incarnation=2))
         after = BoundedLoadPolicy().assign(both, frozenset({"c:1"}), GroupLoad(), entry())
         shards_before = {shard for shard, owner in enumerate(owners(group)) if owner == "c:1"}
         self.assertEqual(
@@ -192,7 +194,7 @@
         group = run_rebalance_rounds(
             assigned_group(*(member(name) for name in "abc")), GroupLoad(), 5
         )
-        group = joined(group, member("d"))
+        group = with_added_members(group, member("d"))
         work = dict.fromkeys(range(SHARDS), 0.05)
         reported = {f"{name}:1": 1.0 for name in "abc"}
         cold = GroupLoad(work, {}, reported | {"d:1": 0.25})
@@ -206,7 +208,7 @@
     def test_more_members_than_shards(self):
         """Guards against shards that move repeatedly because shares are below one shard."""
         group = Group("depot", 0, 4, {}, (Shard(),) * 4)
-        group = joined(group, *(member(name) for name in _NAMES))
+        group = with_added_members(group, *(member(name) for name in _NAMES))
         group = BoundedLoadPolicy().assign(group, frozenset(), GroupLoad(), entry())
         stable = run_rebalance_rounds(group, GroupLoad(dict.fromkeys(range(4), 0.5)), 5)
         self.assertEqual(len(set(stable.shards[i].owner for i in range(4))), 4)
@@ -311,10 +313,12 @@
 
     def test_ignores_work(self):
         """Guards against a baseline that balances measured work."""
-        group = joined(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), member("a"))
+        group = with_added_members(Group("depot", 0, SHARDS, {}, (Shard(),) * SHARDS), member("a"))
         policy = StaticHashPolicy()
-        group = policy.assign(joined(group, member("b")), frozenset(), GroupLoad(), entry())
+        group = policy.assign(
+            with_added_members(group, member("b")), frozenset(), GroupLoad(), entry()
+        )
         load = GroupLoad({0: 5.0}, {"viral": 2.0})
         self.assertEqual(policy.rebalance(group, load, entry()), group)
-        after = policy.rebalance(joined(group, member("c")), GroupLoad(), entry())
+        after = policy.rebalance(with_added_members(group, member("c")), GroupLoad(), entry())
         self.assertEqual({shard.successor for shard in after.shards}, {None, "c:1"})
--- a/tests/services/test_planner.py
+++ b/tests/services/test_planner.py
@@ -16,7 +16,7 @@
 from fescueward.services.placement import ShardPlacement
 from fescueward.services.policies import BoundedLoadPolicy
 
-from .groups_for_tests import SHARDS, assigned_group, entry, joined, member, owners
+from .groups_for_tests import SHARDS, assigned_group, entry, member, owners, with_added_members
 
 _GROUP_ID = GroupId("depot", 0)
 
@@ -57,7 +57,7 @@
     """One member plans with complete load reports and logs its decisions."""
 
     def setUp(self):
-        self.group = joined(assigned_group(member("a")), member("b"))
+        self.group = with_added_members(assigned_group(member("a")), member("b"))
         self.groups, self.load = _Groups(self.group), _Load()
         self.events: list[tuple[int, dict]] = []
         # Other tests may have set a higher log level.
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -298,7 +298,7 @@
 
     async def test_number_of_crashes_can_be_chosen(self):
         """Guards against quarantining other requests where the crashing one is retried quickly."""
-        members = [Member(name, crashes=3) for name in "ab"]
+        members = [Member(name, crash_limit=3) for name in "ab"]
         self.a, self.b = members
         poison = make_request(path="/poison")
         for member in (self.a, self.b, self.a):
@@ -311,7 +311,7 @@
 
     async def test_request_that_runs_elsewhere_is_no_suspect(self):
         """Guards against quarantining a frequent request when three upstreams end at once."""
-        self.a, self.b = (Member(name, crashes=3, success_window_s=60.0) for name in "ab")
+        self.a, self.b = (Member(name, crash_limit=3, success_window_s=60.0) for name in "ab")
         page = make_request(path="/page")
         await self.b.succeed(page)
         await self.a.fail_without_response(page)
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -348,7 +348,7 @@
     def retire(self, member_id: str) -> None:
         pass
 
-    def rename(self, incarnation: int) -> None:
+    def set_incarnation(self, incarnation: int) -> None:
         self.member_id = f"{self.agent_name}:{incarnation}"
 
     def dial(self, member: Any) -> bool:
