Reword the platform adapter, kernel and interfaces once more

Some comments named a place as here or there, gave a time without a unit or used both respond and answer. _INLINE_BYTES becomes _MAX_BUFFERED_BODY_BYTES, _READ_RETRY_S _READ_RETRY_DELAY_S, and seconds(), which also reads ratios, number(). Only names and comments change.

--- a/fescueward/cli/logs/route.py
+++ b/fescueward/cli/logs/route.py
@@ -58,7 +58,7 @@
 
     def __init__(self, path: Path, number: int) -> None:
         self.path, self.number = path, number
-        # The name of the file stands for the agent until a line names the agent.
+        # The file name is used as the agent's name until a line names the agent.
         self.agent = path.stem
         self.processes: list[_Process] = []
         self.not_json = self.left_out = 0
--- a/fescueward/client/services.py
+++ b/fescueward/client/services.py
@@ -30,7 +30,7 @@
 
 
 def seed_member(host: str, port: int) -> Member:
-    """Returns a placeholder member for an address; incarnation 0 matches any agent there."""
+    """Returns a placeholder member for an address; incarnation 0 matches any agent at it."""
     return Member(
         id=f"seed:{host}:{port}",
         name="seed",
--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -47,7 +47,7 @@
 
         Raises:
             ObjectNotFoundError: The group does not exist.
-            PlatformUnavailableError: The platform did not answer.
+            PlatformUnavailableError: The platform did not respond.
             PlatformAnswerError: The object is malformed.
         """
         ...
@@ -79,7 +79,7 @@
                 called several times and must be idempotent.
 
         Raises:
-            PlatformError: The platform did not answer. After an `OutcomeUnknownError` the
+            PlatformError: The platform did not respond. After an `OutcomeUnknownError` the
                 change may have taken effect.
         """
         ...
--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -114,7 +114,7 @@
             Whether the write was made.
 
         Raises:
-            PlatformError: The platform did not answer.
+            PlatformError: The platform did not respond.
         """
         ...
 
--- a/fescueward/interfaces/platform.py
+++ b/fescueward/interfaces/platform.py
@@ -45,7 +45,7 @@
 
         Raises:
             ObjectNotFoundError: No object has this key.
-            PlatformUnavailableError: The platform did not answer.
+            PlatformUnavailableError: The platform did not respond.
         """
         ...
 
@@ -79,6 +79,6 @@
             wait_s: Longest wait in seconds.
 
         Raises:
-            PlatformUnavailableError: The platform did not answer.
+            PlatformUnavailableError: The platform did not respond.
         """
         ...
--- a/fescueward/interfaces/shutdown.py
+++ b/fescueward/interfaces/shutdown.py
@@ -16,7 +16,7 @@
     TAKING = "taking"
     # Only requests that end before the process exits are accepted.
     FINISHING = "finishing"
-    # Open requests are answered with a lost outcome, and no more are accepted.
+    # Open requests get a response with an unknown outcome, and no more are accepted.
     CLOSING = "closing"
 
 
--- a/fescueward/kernel/availability.py
+++ b/fescueward/kernel/availability.py
@@ -40,7 +40,7 @@
     def unavailable_since(self) -> float | None:
         """Start of the present outage in seconds of CLOCK_BOOTTIME, or None if none is known.
 
-        It is None, too, if no call has failed for longer than a watch call takes to fail. An agent
+        It is also None if the last failure is longer ago than a watch call takes to fail. An agent
         without a watch makes hardly any calls and would otherwise report an outage that is over.
         """
         if self._clock.now() - self._failed_at > self._max_call_s:
--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -80,7 +80,7 @@
 
 
 class _Threshold:
-    """Lowest severity of the sink; loguru checks it only after half of the cost of a line."""
+    """Lowest severity of the sink, checked first: loguru's check follows half of a line's cost."""
 
     def __init__(self) -> None:
         self.severity = 0
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -30,7 +30,7 @@
 
 _STATES = {"ready": AnnouncedState.READY, "draining": AnnouncedState.LEAVING}
 # Connection limit of a service that is not in the configuration yet.
-_DEFAULT_CONNECTIONS = 100
+_DEFAULT_CONNECTION_LIMIT = 100
 # Closing the port waits this long for heartbeats that are partly received.
 _CLOSE_TIMEOUT_S = 0.1
 
@@ -151,4 +151,4 @@
     def _connection_limit(self, service: str) -> int:
         current = self._routes.current
         spec = current.configuration.services.get(service) if current is not None else None
-        return spec.connections if spec is not None else _DEFAULT_CONNECTIONS
+        return spec.connections if spec is not None else _DEFAULT_CONNECTION_LIMIT
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -52,7 +52,7 @@
     3714, "request_broken", Level.ERROR, "A request raised an unexpected exception."
 )
 
-# Waits for the event loop to accept and read the connections that wait at a port that closes.
+# Time in which the event loop accepts and reads the connections in the backlog of a closing port.
 _ACCEPT_WAIT_S = 0.05
 # Time limit for sending the last responses when a port closes.
 _CLOSE_TIMEOUT_S = 0.1
@@ -338,7 +338,7 @@
     headers = {"Content-Type": "application/json"}
     status = error.http_status
     if error.outcome is Outcome.NOT_RUN and (status >= 500 or status in _REPLACED_STATUSES):
-        # A caller has the address of this agent only, so it has to retry here.
+        # A caller has the address of this agent only, so it has to retry at this agent.
         status = 503
         retry_after_s = error.retry_after_s or _RETRY_AFTER_S
         headers["Retry-After"] = f"{retry_after_s:.3f}"
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -174,15 +174,15 @@
     values = dict(part.partition("=")[::2] for part in text.split(",") if part)
     default = Bounds()
 
-    def seconds(name: str, default_value: float) -> float:
+    def number(name: str, default_value: float) -> float:
         return float(values.get(name, default_value))
 
     return Bounds(
-        retry_ratio=seconds("retryRatio", default.retry_ratio),
-        retry_burst=seconds("retryBurst", default.retry_burst),
-        retry_window_s=seconds("budgetWindowS", default.retry_window_s),
-        drain_s=seconds("drainS", default.drain_s),
-        grace_s=seconds("graceS", default.grace_s),
-        max_hold_s=seconds("holdMaxS", default.max_hold_s),
-        propagation_s=seconds("propagationS", default.propagation_s),
+        retry_ratio=number("retryRatio", default.retry_ratio),
+        retry_burst=number("retryBurst", default.retry_burst),
+        retry_window_s=number("budgetWindowS", default.retry_window_s),
+        drain_s=number("drainS", default.drain_s),
+        grace_s=number("graceS", default.grace_s),
+        max_hold_s=number("holdMaxS", default.max_hold_s),
+        propagation_s=number("propagationS", default.propagation_s),
     )
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -86,7 +86,7 @@
 
     @property
     def unavailable_since(self) -> float | None:
-        """Time at which calls began to fail; see `PlatformAvailability.unavailable_since`."""
+        """Start of the present outage, or None; see `PlatformAvailability.unavailable_since`."""
         return self._availability.unavailable_since
 
     def bind(self, registry: Registry) -> None:
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -96,7 +96,7 @@
 
     @property
     def crashes(self) -> int:
-        """Number of times that the upstream was detected to have ended."""
+        """Number of detected ends of the upstream since this agent started."""
         return self._crashes
 
     def subscribe(self, listener: CrashListener) -> None:
@@ -121,7 +121,8 @@
         self._keepalive_session = _session(
             self._max_answer_bytes, keepalive_s=_KEEPALIVE_TIMEOUT_S
         )
-        # A request that must not run twice gets a new connection, which has no stale response.
+        # A request that must not run twice gets a new connection: data of an earlier response may
+        # be left on a reused one.
         self._single_use_session = _session(self._max_answer_bytes)
         # The upstream accepts few connections, so its many small grants share some of them.
         self._grant_session = _session(
--- a/fescueward/services/frontend/requests.py
+++ b/fescueward/services/frontend/requests.py
@@ -25,11 +25,12 @@
     TOKEN_HEADER,
 )
 
-_INLINE_BYTES = 65_536
+_MAX_BUFFERED_BODY_BYTES = 65_536
 _MAX_DEADLINE_MS = 600_000
 _MAX_KEY_CHARACTERS = 1024
 _METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"})
-# Headers that concern only the caller's connection, and those that the client sets anew.
+# Headers that concern only the caller's connection, and those that the HTTP client sets
+# itself for the forwarded request.
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -122,7 +123,7 @@
     if not http.can_read_body:
         return BytesBody(b"")
     length = http.content_length
-    if length is None or length > _INLINE_BYTES:
+    if length is None or length > _MAX_BUFFERED_BODY_BYTES:
         return _HttpBody(http)
     try:
         async with asyncio.timeout(timeout_s):
--- a/fescueward/services/history.py
+++ b/fescueward/services/history.py
@@ -119,7 +119,8 @@
         if previous_shard is None or previous_shard.owner == shard.owner:
             return
         previous_owner = previous_shard.owner or (unowned[1] if unowned is not None else None)
-        # A shard without owner lost it, possibly in an earlier version than the previous one.
+        # If the shard had no owner, its last owner was lost, possibly in a version before the
+        # previous one.
         taken_over = previous_owner in lost_members or previous_shard.owner is None
         self._origins_by_shard[shard_id] = ShardOrigin(
             shard.owner, previous_owner, taken_over, now
--- a/fescueward/services/reports.py
+++ b/fescueward/services/reports.py
@@ -25,7 +25,7 @@
     """Newest load report of each member, and the smoothed load of the group.
 
     Args:
-        now: Time at which this agent became the planner.
+        now: Time at which this agent became the planner, in seconds of CLOCK_BOOTTIME.
         round_s: Period of reports in seconds.
     """
 
@@ -44,11 +44,15 @@
         return self._load
 
     def add(self, report: LoadReport, now: float) -> None:
-        """Stores the newest report of a member; `now` is the time of its receipt in seconds."""
+        """Stores the newest report of a member; `now` is its time of receipt in seconds."""
         self._reports[report.member_id] = (now, report)
 
     def restore(self, work: dict[int, float]) -> None:
-        """Takes the work stored by an earlier planner for shards without measured work."""
+        """Sets the work of shards without measured work to that stored by an earlier planner.
+
+        Args:
+            work: Stored work in seconds per second, by shard id.
+        """
         for shard_id, value in work.items():
             if math.isfinite(value) and value > 0:
                 self._smoothed_work.setdefault(shard_id, value)
--- a/fescueward/services/snapshots.py
+++ b/fescueward/services/snapshots.py
@@ -32,7 +32,7 @@
 # accepts 1 MB.
 _MAX_QUARANTINE_ENTRIES = 4096
 _MAX_HOT_KEYS = 128
-_READ_RETRY_S = 2.0
+_READ_RETRY_DELAY_S = 2.0
 
 
 class PlannerSnapshots:
@@ -142,7 +142,7 @@
                 if not failure_logged:
                     _FAILED.emit(group=group, error=error)
                 failure_logged = True
-                await self._clock.sleep(_READ_RETRY_S)
+                await self._clock.sleep(_READ_RETRY_DELAY_S)
                 continue
             self._stored_version = stored.version
             self._load.restore(
