--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,9 +1,9 @@
 """Cost of an agent by the number of agents, on the emulated platform with real processes.
 
-There every agent stores all groups, so work that each agent does for every other agent shows as
-growth with the number of agents. Figures are read from the process table. Sent bytes are those of
-all write calls except those to the log; without requests they are sent to peers and the platform,
-and for the upstream's heartbeats.
+On this platform every agent stores all groups, so work that each agent does for every other agent
+shows as growth with the number of agents. Figures are read from the process table. Sent bytes are
+those of all write calls except those to the log; without requests they are sent to peers and the
+platform, and for the upstream's heartbeats.
 """
 
 from __future__ import annotations
--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -93,7 +93,7 @@
                     await self._process.kill()
 
     async def kill(self) -> None:
-        """Records and sends SIGKILL; ignores that the process is not running."""
+        """Records and sends SIGKILL; it is no error if the process is not running."""
         with contextlib.suppress(ProcessStateError):
             self._record(Signal.KILL)
             await self._process.kill()
@@ -101,7 +101,7 @@
     async def pause(self, duration_s: float) -> None:
         """Records and sends SIGSTOP, then SIGCONT after a number of seconds.
 
-        Ignores that the process is not running; SIGCONT is then not recorded.
+        It is no error if the process is not running; SIGCONT is then not recorded.
         """
         with contextlib.suppress(ProcessStateError, ConditionTimeoutError):
             self._record(Signal.PAUSE)
@@ -113,7 +113,7 @@
     def request_reload(self) -> None:
         """Appends an empty line to the settings file and sends SIGHUP.
 
-        Ignores that the process is not running.
+        It is no error if the process is not running.
         """
         self._settings.write_text(self._settings.read_text() + "\n")
         with contextlib.suppress(ProcessStateError):
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -45,7 +45,7 @@
 _LATE_WRITE_DELAY_S = 1.5
 _SLOW_FACTOR = 4.0
 _LINK_DELAY_MS = 300.0
-# Time that an upstream serves on after its departure was acknowledged.
+# Time for which an upstream continues to serve after its departure was acknowledged.
 _LEAVE_SERVE_S = 2.2
 
 
--- a/fescueward/testing/site/upstream.py
+++ b/fescueward/testing/site/upstream.py
@@ -161,7 +161,7 @@
         await site.stop()
 
     async def leave(self, serve_s: float) -> None:
-        """Reports draining, serves on after the acknowledgement, and stops.
+        """Reports draining, continues to serve after the acknowledgement, and stops.
 
         Args:
             serve_s: Time to serve after the acknowledgement, in seconds.
