--- a/fescueward/client/services.py
+++ b/fescueward/client/services.py
@@ -30,7 +30,7 @@
 
 
 def seed_member(host: str, port: int) -> Member:
-    """Returns a placeholder member for an address; incarnation 0 matches any agent there."""
+    """Returns a placeholder member for an address; incarnation 0 matches any agent at it."""
     return Member(
         id=f"seed:{host}:{port}",
         name="seed",
@@ -85,7 +85,7 @@
         give_up_at_s = self._clock.now() + _FETCH_TIMEOUT_S
         while self._clock.now() < give_up_at_s:
             self._peers.send(next(self._seeds), fetch)
-            if await self._groups.changed(group, cached_version, _SEED_TIMEOUT_S):
+            if await self._groups.wait_until_newer(group, cached_version, _SEED_TIMEOUT_S):
                 break
         cached = self._groups.view(group)
         if cached is None:
--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -47,7 +47,7 @@
 
         Raises:
             ObjectNotFoundError: The group does not exist.
-            PlatformUnavailableError: The platform did not answer.
+            PlatformUnavailableError: The platform did not respond.
             PlatformAnswerError: The object is malformed.
         """
         ...
@@ -79,7 +79,7 @@
                 called several times and must be idempotent.
 
         Raises:
-            PlatformError: The platform did not answer. After an `OutcomeUnknownError` the
+            PlatformError: The platform did not respond. After an `OutcomeUnknownError` the
                 change may have taken effect.
         """
         ...
@@ -100,6 +100,6 @@
         """Fetches objects from a member of this agent's group whose versions are newer."""
         ...
 
-    async def changed(self, group: GroupId, version: int, timeout_s: float) -> bool:
+    async def wait_until_newer(self, group: GroupId, version: int, timeout_s: float) -> bool:
         """Waits for a version above `version`; returns False after `timeout_s` seconds."""
         ...
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -30,7 +30,7 @@
 
 _STATES = {"ready": AnnouncedState.READY, "draining": AnnouncedState.LEAVING}
 # Connection limit of a service that is not in the configuration yet.
-_DEFAULT_CONNECTIONS = 100
+_DEFAULT_CONNECTION_LIMIT = 100
 # Closing the port waits this long for heartbeats that are partly received.
 _CLOSE_TIMEOUT_S = 0.1
 
@@ -132,7 +132,7 @@
         self._newest_sequence = sequence
         self._last_announcement = announcement
         self._liveness.heartbeat_received()
-        self._upstream.started(announcement.start)
+        self._upstream.upstream_started(announcement.start)
         try:
             self._membership.announce(announcement)
         except InvalidAnnouncementError as error:
@@ -151,4 +151,4 @@
     def _connection_limit(self, service: str) -> int:
         current = self._routes.current
         spec = current.configuration.services.get(service) if current is not None else None
-        return spec.connections if spec is not None else _DEFAULT_CONNECTIONS
+        return spec.connections if spec is not None else _DEFAULT_CONNECTION_LIMIT
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -96,14 +96,14 @@
 
     @property
     def crashes(self) -> int:
-        """Number of times that the upstream was detected to have ended."""
+        """Number of detected ends of the upstream since this agent started."""
         return self._crashes
 
     def subscribe(self, listener: CrashListener) -> None:
         """Notifies a listener of each crash from now on; see `CrashSource.subscribe`."""
         self._listeners.append(listener)
 
-    def started(self, start: str) -> None:
+    def upstream_started(self, start: str) -> None:
         """Records the start id of a heartbeat; a new id means that the last start has ended."""
         if self._start_id and start != self._start_id:
             self._record_end(f"the upstream reports the new start {start}")
@@ -121,7 +121,8 @@
         self._keepalive_session = _session(
             self._max_answer_bytes, keepalive_s=_KEEPALIVE_TIMEOUT_S
         )
-        # A request that must not run twice gets a new connection, which has no stale response.
+        # A request that must not run twice gets a new connection: data of an earlier response may
+        # be left on a reused one.
         self._single_use_session = _session(self._max_answer_bytes)
         # The upstream accepts few connections, so its many small grants share some of them.
         self._grant_session = _session(
@@ -256,7 +257,7 @@
         return Response(request.id, http_response.status, headers_to_forward, BytesBody(content))
 
     def _record_unreachable(self, error: BaseException) -> None:
-        self._liveness.unreachable()
+        self._liveness.connection_failed()
         if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
             error.os_error, ConnectionRefusedError
         ):
@@ -266,7 +267,7 @@
             _UNREACHABLE.emit(address=self._base_url, error=repr(error)[:200])
 
     def _record_reachable(self) -> None:
-        self._liveness.connected()
+        self._liveness.connection_succeeded()
         if self._unreachable:
             self._unreachable = False
             self._end_recorded = False
