--- a/fescueward/client/services.py
+++ b/fescueward/client/services.py
@@ -155,10 +155,10 @@
     name = "membership"
     requires: tuple[str, ...] = ()
     member_id = ""
-    home: GroupId | None = None
+    own_group_id: GroupId | None = None
     announcement: Announcement | None = None
     leaving = False
-    resigned = False
+    stopped_acknowledging = False
 
     def bind(self, registry: Registry) -> None:
         """Looks up nothing: this service uses no other."""
--- a/fescueward/interfaces/ownership.py
+++ b/fescueward/interfaces/ownership.py
@@ -76,10 +76,10 @@
         """Sends the current grants without waiting for the next renewal."""
         ...
 
-    async def confirmed(self) -> None:
+    async def wait_until_confirmed(self) -> None:
         """Waits until the upstream has confirmed the grants of all shards owned now."""
         ...
 
-    async def revoked(self) -> None:
+    async def wait_until_revoked(self) -> None:
         """Waits until the upstream holds no grant of a shard that is not owned now."""
         ...
--- a/fescueward/services/crash_reports.py
+++ b/fescueward/services/crash_reports.py
@@ -27,8 +27,8 @@
     """The confirmations of one report."""
 
     def __init__(self) -> None:
-        self.confirmed: set[str] = set()
-        self.unconfirmed: set[str] = set()
+        self.confirmed_ids: set[str] = set()
+        self.unconfirmed_ids: set[str] = set()
         self.all_confirmed = asyncio.Event()
 
 
@@ -111,12 +111,12 @@
                 members = [
                     member
                     for member in self._other_members()
-                    if member.id not in delivery.confirmed
+                    if member.id not in delivery.confirmed_ids
                     and (recipients is None or member.id in recipients)
                 ]
                 if not members:
                     return
-                delivery.unconfirmed = {member.id for member in members}
+                delivery.unconfirmed_ids = {member.id for member in members}
                 delivery.all_confirmed.clear()
                 message = replace(self._without_outdated(report), number=number)
                 for member in members:
@@ -128,8 +128,8 @@
             del self._deliveries[number]
 
     def _other_members(self) -> tuple[Member, ...]:
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         if view is None:
             return ()
         own_id = self._membership.member_id
@@ -139,7 +139,7 @@
         delivery = self._deliveries.get(message.number)
         if delivery is None:
             return
-        delivery.confirmed.add(sender)
-        delivery.unconfirmed.discard(sender)
-        if not delivery.unconfirmed:
+        delivery.confirmed_ids.add(sender)
+        delivery.unconfirmed_ids.discard(sender)
+        if not delivery.unconfirmed_ids:
             delivery.all_confirmed.set()
--- a/fescueward/services/grants.py
+++ b/fescueward/services/grants.py
@@ -14,7 +14,7 @@
     2708, "grant_failed", Level.WARNING, "The upstream did not confirm its grants."
 )
 
-_RETRY_S = 0.05
+_SEND_RETRY_S = 0.05
 
 
 class UpstreamGrants:
@@ -35,7 +35,7 @@
         self._waiters: list[asyncio.Future[None]] = []
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
         self._lease = registry.find("lease", Lease)
@@ -48,27 +48,27 @@
         self._tasks.spawn("renew", self._run())
 
     async def stop(self) -> None:
-        """Ends the task that sends and renews grants."""
+        """Cancels the task that sends and renews grants."""
         await self._tasks.cancel()
 
     def send_soon(self) -> None:
         """Sends the current grants without waiting for the next renewal."""
         self._send_requested.set()
 
-    async def confirmed(self) -> None:
+    async def wait_until_confirmed(self) -> None:
         """Waits until the upstream has confirmed grants for the shards that are owned now."""
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
         self._send_requested.set()
         await waiter
 
-    async def revoked(self) -> None:
+    async def wait_until_revoked(self) -> None:
         """Waits until no grant is in force for a shard that is not owned now."""
         # An upstream that confirms nothing keeps its grants until the latest expiry sent to it.
         wait_s = max(self._latest_expiry_at - self._clock.now(), 0)
         with suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                await self.confirmed()
+                await self.wait_until_confirmed()
 
     async def _run(self) -> None:
         while True:
@@ -97,4 +97,4 @@
             if waiters:
                 _NOT_CONFIRMED.emit(member=self._membership.member_id, waiting=len(waiters))
                 self._send_requested.set()
-                await self._clock.sleep(_RETRY_S)
+                await self._clock.sleep(_SEND_RETRY_S)
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -54,7 +54,7 @@
         self._handovers_in_progress = 0
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._groups = registry.find("groups", Groups)
@@ -75,7 +75,7 @@
         self._tasks.spawn("settle", self._handover_recorder.run())
 
     async def stop(self) -> None:
-        """Ends all tasks."""
+        """Cancels all tasks."""
         await self._tasks.cancel()
 
     def active(self) -> dict[int, int]:
@@ -120,7 +120,7 @@
         self._lease.check()
         if self._owned_shards.get(shard) is not owned_shard:
             raise LeaseExpiredError(
-                f"shard {shard} at epoch {owned_shard.epoch} is not owned any more"
+                f"shard {shard} at epoch {owned_shard.epoch} is no longer owned here"
             )
 
     def finish_request(self, owned_shard: OwnedShard, key: str) -> None:
@@ -149,7 +149,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Activates, hands over and drops shards according to the group object."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         member_id = self._membership.member_id
         if member_id != self._member_id or member_id not in group.group.members:
@@ -213,16 +213,16 @@
         self._grants.send_soon()
 
     def _find_shard(self, service: str, key: str) -> tuple[int, OwnedShard | None]:
-        home = self._membership.home
-        groups = self._catalogue.entry(service).entry.groups
-        if home is None or group_of(service, key, groups) != home:
+        own_group_id = self._membership.own_group_id
+        group_count = self._catalogue.entry(service).entry.groups
+        if own_group_id is None or group_of(service, key, group_count) != own_group_id:
             raise NotOwnerError(
                 f"this agent does not belong to the group of service {service!r} for key {key!r}"
             )
-        view = self._groups.view(home)
+        view = self._groups.view(own_group_id)
         if view is None:
-            raise NotOwnerError(f"group {home} is not known yet")
-        shard_id = view.group.shard_of(key, groups)
+            raise NotOwnerError(f"group {own_group_id} is not known yet")
+        shard_id = view.group.shard_of(key, group_count)
         owned_shard = self._owned_shards.get(shard_id)
         if owned_shard is not None:
             return shard_id, owned_shard
@@ -262,16 +262,16 @@
         await self._wait_for_other_shards(batch)
         # Grants that are sent without a lease have already expired and admit no request.
         await self._lease.wait_until_held()
-        await self._grants.confirmed()
-        ready = [
+        await self._grants.wait_until_confirmed()
+        ready_shards = [
             owned_shard
             for shard_id, owned_shard in batch.items()
             if self._owned_shards.get(shard_id) is owned_shard
             and owned_shard.state is ShardState.ACTIVATING
         ]
-        for owned_shard in ready:
+        for owned_shard in ready_shards:
             owned_shard.state = ShardState.ACTIVE
-        _ACTIVE.emit(shards=len(ready), member=self._member_id)
+        _ACTIVE.emit(shards=len(ready_shards), member=self._member_id)
         self._notify_waiters()
         self._apply_newest_group()
 
@@ -294,12 +294,12 @@
             return
         exported = self._outcomes.export(shard_id)
         lineage = (*exported.lineage, owned_shard.epoch)
-        raised = OwnedShard(shard.epoch, owned_shard.ready_at)
-        self._owned_shards[shard_id] = raised
+        raised_shard = OwnedShard(shard.epoch, owned_shard.ready_at)
+        self._owned_shards[shard_id] = raised_shard
         self._outcomes.begin_epoch(
             shard_id, shard.epoch, lineage, exported.floor, exported.next_sequence
         )
-        await self._activate({shard_id: raised})
+        await self._activate({shard_id: raised_shard})
 
     def _apply_newest_group(self) -> None:
         view = self._view()
@@ -307,8 +307,8 @@
             self.group_changed(view)
 
     def _view(self) -> VersionedGroup | None:
-        home = self._membership.home
-        return self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        return self._groups.view(own_group_id) if own_group_id is not None else None
 
     def _shard(self, shard_id: int) -> Shard | None:
         view = self._view()
@@ -328,8 +328,12 @@
         _RELEASING.emit(shard=shard_id, epoch=owned_shard.epoch)
         await owned_shard.idle.wait()
         shard = self._shard(shard_id)
-        home = self._membership.home
-        if self._owned_shards.get(shard_id) is not owned_shard or shard is None or home is None:
+        own_group_id = self._membership.own_group_id
+        if (
+            self._owned_shards.get(shard_id) is not owned_shard
+            or shard is None
+            or own_group_id is None
+        ):
             return
         if shard.owner == self._member_id and shard.epoch > owned_shard.epoch:
             # The successor was lost before anything was sent to it.
@@ -341,11 +345,11 @@
         exported = self._outcomes.export(shard_id)
         del self._owned_shards[shard_id]
         self._released_epochs[shard_id] = owned_shard.epoch
-        await self._grants.revoked()
+        await self._grants.wait_until_revoked()
         release = Release(
             call=0,
-            service=home.service,
-            number=home.number,
+            service=own_group_id.service,
+            number=own_group_id.number,
             shard=shard_id,
             epoch=owned_shard.epoch,
             from_id=self._member_id,
@@ -369,8 +373,11 @@
         self._peers.reply(sender, Released(message.call, accepted))
 
     async def _accept_release(self, sender: str, message: Release) -> bool:
-        home = self._membership.home
-        if home != GroupId(message.service, message.number) or message.to_id != self._member_id:
+        own_group_id = self._membership.own_group_id
+        if (
+            own_group_id != GroupId(message.service, message.number)
+            or message.to_id != self._member_id
+        ):
             return False
         owned_shard = self._owned_shards.get(message.shard)
         if owned_shard is not None and owned_shard.epoch == message.epoch + 1:
@@ -378,18 +385,18 @@
         shard = self._shard(message.shard)
         if shard is None or shard.epoch != message.epoch or shard.successor != self._member_id:
             if shard is None or shard.epoch <= message.epoch:
-                await self._groups.update(home)
+                await self._groups.update(own_group_id)
             return False
         if sender != message.from_id or shard.owner != sender or owned_shard is not None:
             return False
-        taken_over = OwnedShard(message.epoch + 1, 0.0)
-        self._owned_shards[message.shard] = taken_over
+        new_shard = OwnedShard(message.epoch + 1, 0.0)
+        self._owned_shards[message.shard] = new_shard
         self._outcomes.begin_epoch(
-            message.shard, taken_over.epoch, message.lineage, message.floor, message.next_sequence
+            message.shard, new_shard.epoch, message.lineage, message.floor, message.next_sequence
         )
         self._outcomes.import_outcomes(message.shard, message.outcomes)
-        _TAKEN_OVER.emit(shard=message.shard, epoch=taken_over.epoch, source=sender)
-        self._tasks.spawn("activate", self._activate({message.shard: taken_over}))
+        _TAKEN_OVER.emit(shard=message.shard, epoch=new_shard.epoch, source=sender)
+        self._tasks.spawn("activate", self._activate({message.shard: new_shard}))
         self._handover_recorder.request()
         return True
 
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -103,7 +103,7 @@
         self.dial_finished = asyncio.Event()
         self.retired = False
         self.task: asyncio.Task[None] | None = None
-        self.streams: dict[int, _ForwardedRequest] = {}
+        self.requests: dict[int, _ForwardedRequest] = {}
         self.calls: dict[int, asyncio.Future[object]] = {}
         self.last_used_at = now
 
@@ -114,8 +114,8 @@
     def mark_disconnected(self, reason: str) -> None:
         self.wire = None
         self.dial_finished.set()
-        streams, self.streams = self.streams, {}
-        for forwarded in streams.values():
+        requests, self.requests = self.requests, {}
+        for forwarded in requests.values():
             forwarded.fail(OutcomeLostError(f"stream to {self.member.id} ended: {reason}"))
         calls, self.calls = self.calls, {}
         for reply in calls.values():
@@ -164,7 +164,7 @@
 
     def open_requests(self) -> int:
         """Returns the number of forwarded requests whose response is incomplete."""
-        return sum(len(link.streams) for link in (*self._links.values(), *self._outdated))
+        return sum(len(link.requests) for link in (*self._links.values(), *self._outdated))
 
     def next_call(self) -> int:
         """Returns an unused call number."""
@@ -254,7 +254,7 @@
             wire.send(open_message(stream_number, request, remaining_s, inline))
         except MalformedMessageError as error:
             raise InvalidRequestError(f"the request cannot be forwarded: {error}") from error
-        link.streams[stream_number] = forwarded
+        link.requests[stream_number] = forwarded
         timeout_error = DeadlineExceededRunningError(
             f"{member.id} did not respond before the deadline"
         )
@@ -271,7 +271,7 @@
             timer.cancel()
             if body_task is not None:
                 body_task.cancel()
-        return self._response(link, forwarded, head, request)
+        return self._build_response(link, forwarded, head, request)
 
     async def run_idle_check(self) -> None:
         """Closes idle streams periodically until cancelled."""
@@ -283,19 +283,19 @@
         """Closes streams with no request, no call and nothing sent within the idle timeout."""
         idle_before = self._clock.now() - _IDLE_TIMEOUT_S
         for member_id, link in tuple(self._links.items()):
-            if link.last_used_at < idle_before and not link.streams and not link.calls:
+            if link.last_used_at < idle_before and not link.requests and not link.calls:
                 self.drop(member_id, "idle")
         self._close_drained()
 
     def _close_drained(self) -> None:
         for link in tuple(self._outdated):
-            if link.wire is None or not link.streams:
+            if link.wire is None or not link.requests:
                 self._outdated.discard(link)
                 link.mark_disconnected("dialled under an earlier incarnation")
                 if link.task is not None:
                     link.task.cancel()
 
-    def _response(
+    def _build_response(
         self, link: _Link, forwarded: _ForwardedRequest, head: StreamHead, request: Request
     ) -> Response:
         stream_number = forwarded.channel.stream
@@ -303,7 +303,7 @@
             self._reset_stream(link, stream_number, "wrong request id")
             raise OutcomeLostError(f"the response carries the id of request {head.request_id!r}")
         if head.end:
-            link.streams.pop(stream_number, None)
+            link.requests.pop(stream_number, None)
             body: Any = BytesBody(head.data)
         else:
             body = ChannelBody(
@@ -332,7 +332,7 @@
         return link.wire
 
     def _reset_stream(self, link: _Link, stream_number: int, reason: str) -> None:
-        if link.streams.pop(stream_number, None) is not None and link.wire is not None:
+        if link.requests.pop(stream_number, None) is not None and link.wire is not None:
             link.wire.send(StreamReset(stream_number, reason))
 
     def _get_or_dial(self, member: Member) -> _Link:
@@ -346,7 +346,7 @@
 
     async def _run(self, link: _Link) -> None:
         backoff_s = _INITIAL_BACKOFF_S
-        reported = False
+        failure_logged = False
         while not link.retired:
             try:
                 async with asyncio.timeout(self._timeout_s):
@@ -359,7 +359,7 @@
                         await self._handshake(link, wire, messages)
                     link.mark_connected(wire)
                     _CONNECTED.emit(peer=link.member.id)
-                    backoff_s, reported = _INITIAL_BACKOFF_S, False
+                    backoff_s, failure_logged = _INITIAL_BACKOFF_S, False
                     async for message in messages:
                         self._receive(link, message)
                     reason = "end of stream"
@@ -371,8 +371,8 @@
             link.mark_disconnected(reason)
             if was_open:
                 _DISCONNECTED.emit(peer=link.member.id, reason=reason)
-            elif not reported:
-                reported = True
+            elif not failure_logged:
+                failure_logged = True
                 _UNREACHABLE.emit(peer=link.member.id, reason=reason)
             if not link.retired:
                 await self._clock.sleep(backoff_s)
@@ -398,13 +398,13 @@
             raise HandshakeError("the peer sent no Welcome message")
         actual_id = f"{welcome.name}:{welcome.incarnation}"
         if expected_id and actual_id != expected_id:
-            raise HandshakeError(f"expected agent {expected_id}, but {actual_id} answered")
+            raise HandshakeError(f"expected agent {expected_id}, but {actual_id} responded")
 
     def _receive(self, link: _Link, message: Any) -> None:
         stream_number = getattr(message, "stream", None)
         if stream_number is not None:
-            forwarded = link.streams.get(stream_number)
-            # The stream of a request whose caller has left was removed.
+            forwarded = link.requests.get(stream_number)
+            # A request whose caller has left is no longer listed; messages for it are dropped.
             if forwarded is not None:
                 self._receive_stream_message(link, forwarded, message)
             return
@@ -427,14 +427,14 @@
         elif isinstance(message, StreamData):
             forwarded.channel.receive(message.data, message.end)
             if message.end:
-                link.streams.pop(message.stream, None)
+                link.requests.pop(message.stream, None)
         elif isinstance(message, StreamCredit):
             forwarded.channel.add_credit(message.size)
         elif isinstance(message, StreamRefused):
-            link.streams.pop(message.stream, None)
+            link.requests.pop(message.stream, None)
             forwarded.fail(refusal_from_message(message))
         elif isinstance(message, StreamReset):
-            link.streams.pop(message.stream, None)
+            link.requests.pop(message.stream, None)
             forwarded.fail(
                 OutcomeLostError(f"{link.member.id} reset the stream: {message.reason}")
             )
--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -17,11 +17,13 @@
 _PLAN_FAILED = Event(2802, "plan_failed", Level.WARNING, "A placement round failed.")
 _MOVED = Event(2803, "shard_placed", Level.INFO, "A shard is assigned to another owner.")
 _ISOLATED = Event(2804, "key_isolated", Level.INFO, "A hot key gets a shard of its own.")
-_REJOINED = Event(2805, "key_rejoined", Level.INFO, "A cool key returned to its hash shard.")
+_REJOINED = Event(
+    2805, "key_rejoined", Level.INFO, "A key that is no longer hot returned to its hash shard."
+)
 _WAITING = Event(2806, "loads_incomplete", Level.DEBUG, "The planner waits for load reports.")
 
-# An extra round follows a round that changed exceptions after this time, so that a hot key gets
-# capacity within seconds. The members need the time to receive the new exception.
+# A round that changed exceptions is followed by an extra round after this time, so that a hot key
+# gets capacity within seconds. The members need the time to receive the new exception.
 _EXTRA_ROUND_DELAY_S = 0.3
 _MAX_PROPOSALS = 16
 
@@ -57,7 +59,7 @@
         self._last_entry: Entry | None = None
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._groups = registry.find("groups", Groups)
@@ -76,7 +78,7 @@
         self._tasks.spawn("planner", self._run())
 
     async def stop(self) -> None:
-        """Ends the task that runs the planner's rounds."""
+        """Cancels the task that runs the planner's rounds."""
         await self._tasks.cancel()
 
     def assign(self, group: Group, lost: frozenset[str]) -> Group:
@@ -105,7 +107,7 @@
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Logs decisions of this agent that a version of the group contains."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         for proposal in tuple(self._proposals):
             after = proposal.after
@@ -123,22 +125,22 @@
         Returns:
             Whether exceptions changed, so that another round should follow at once.
         """
-        home = self._membership.home
-        if home is None or not self._is_planner(home):
+        own_group_id = self._membership.own_group_id
+        if own_group_id is None or not self._is_planner(own_group_id):
             return False
-        before = self._groups.view(home)
+        before = self._groups.view(own_group_id)
         assert before is not None
         if not (load or self._load.end_round()).complete:
-            _WAITING.emit(group=home)
+            _WAITING.emit(group=own_group_id)
             return False
         try:
-            after = await self._groups.edit(home, self._plan_moves)
+            after = await self._groups.edit(own_group_id, self._plan_moves)
         except (PlatformError, UnknownServiceError) as error:
-            _PLAN_FAILED.emit(group=home, error=error)
+            _PLAN_FAILED.emit(group=own_group_id, error=error)
             return False
         moving_count = sum(shard.successor is not None for shard in after.group.shards)
         _ROUND.emit(
-            group=home,
+            group=own_group_id,
             version=after.version,
             changed=after.version > before.version,
             moving=moving_count,
@@ -164,8 +166,8 @@
         load = self._load.group_load()
         return load if load.complete else GroupLoad()
 
-    def _is_planner(self, home: GroupId) -> bool:
-        view = self._groups.view(home)
+    def _is_planner(self, own_group_id: GroupId) -> bool:
+        view = self._groups.view(own_group_id)
         if view is None or not self._lease.held:
             return False
         planner = self.planner(view.group)
--- a/fescueward/services/recovery.py
+++ b/fescueward/services/recovery.py
@@ -50,7 +50,7 @@
         self._responded_at: dict[str, float] = {}
 
     def bind(self, registry: Registry) -> None:
-        """Finds the services that this one uses."""
+        """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._groups = registry.find("groups", Groups)
@@ -70,12 +70,12 @@
         self._tasks.spawn("check", self._run())
 
     async def stop(self) -> None:
-        """Ends the periodic check."""
+        """Cancels the periodic check."""
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Records when the stamp of each member last changed."""
-        if group.group.id != self._membership.home:
+        if group.group.id != self._membership.own_group_id:
             return
         now = self._clock.now()
         previous = self._stamps
@@ -96,8 +96,8 @@
         now = self._clock.now()
         if counter != self._counter:
             self._counter, self._counter_received_at = counter, now
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         if view is None:
             return False
         others = [
@@ -114,13 +114,13 @@
             base = await self._groups.refresh(view.group.id)
             return await self._remove(base, counter)
         except PlatformError as error:
-            _FAILED.emit(group=home, error=error)
+            _FAILED.emit(group=own_group_id, error=error)
             return False
 
     def _new_counter(self) -> int | None:
         """Returns the counter of the entry if it exceeds that of the group and a lease is held."""
-        home = self._membership.home
-        view = self._groups.view(home) if home is not None else None
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
         if view is None or not self._lease.held:
             return None
         try:
@@ -150,16 +150,18 @@
     async def _remove(self, base: VersionedGroup, counter: int) -> bool:
         own_id = self._membership.member_id
         unresponsive_ids = [
-            other for other in base.group.members if other != own_id and self._is_lost(other)
+            other_id
+            for other_id in base.group.members
+            if other_id != own_id and self._is_lost(other_id)
         ]
         promises = PromiseRound(self._groups, self._peers, base, own_id)
         promised_ids = await promises.request(unresponsive_ids, frozenset(unresponsive_ids))
         call = self._peers.next_call()
         removed_ids = frozenset(
-            other
-            for other in promised_ids
-            if own_id not in base.group.members[other].monitors
-            or self._monitor.promise(other, base.version, own_id, call)
+            other_id
+            for other_id in promised_ids
+            if own_id not in base.group.members[other_id].monitors
+            or self._monitor.promise(other_id, base.version, own_id, call)
         )
         # Members whose running monitors refuse are left for the next check.
         complete = len(removed_ids) == len(unresponsive_ids)
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -39,16 +39,16 @@
 
 from .timed_fakes import (
     AgentLoop,
-    Answers,
     FakePeers,
     FakePlatform,
     ManualClock,
     Network,
     PlatformClient,
+    ResponseMode,
     World,
 )
 
-HOME = GroupId("depot", 0)
+GROUP_ID = GroupId("depot", 0)
 SHARDS = 6
 SERVICES: dict[str, type[Any]] = {
     "groups": GroupStore,
@@ -175,10 +175,16 @@
     """One agent process."""
 
     def __init__(
-        self, fleet: Fleet, name: str, domain: str, boot: str, incarnation: int, checks: bool
+        self,
+        fleet: Fleet,
+        name: str,
+        domain: str,
+        boot: str,
+        incarnation: int,
+        checks_grants: bool,
     ) -> None:
         self.fleet, self.name, self.domain, self.boot = fleet, name, domain, boot
-        self.checks_grants = checks
+        self.checks_grants = checks_grants
         self._tasks: set[Any] = set()
         generator = random.Random(f"{name}{incarnation}")
         # The drift margin of 100 ms in 1200 ms permits clock rates that differ by up to 8%.
@@ -189,7 +195,7 @@
         self.platform = PlatformClient(fleet.platform, self.loop)
         self.peers = FakePeers(fleet.network, self.loop, name, incarnation)
         self.upstream = fleet.upstream(self)
-        provided = {
+        provided_services = {
             "settings": settings(name, domain),
             "clock": ManualClock(self.loop),
             "platform": self.platform,
@@ -198,9 +204,9 @@
             "upstream": self.upstream,
             "admission": FakeAdmission(),
             "outcomes": RetainedOutcomes(),
-            **fleet.provided(),
+            **fleet.extra_services(),
         }
-        for key, value in provided.items():
+        for key, value in provided_services.items():
             kernel.provide(key, value)
         factories = {**fleet.services, **fleet.overrides}
         instances = {
@@ -290,7 +296,7 @@
         """Returns the upstream of an agent that starts."""
         return FakeUpstream()
 
-    def provided(self) -> dict[str, Any]:
+    def extra_services(self) -> dict[str, Any]:
         """Returns additional objects for the registry of an agent that starts."""
         return {"load": FakeLoad(self)}
 
@@ -298,11 +304,13 @@
         self._incarnations += 1
         return self._incarnations
 
-    def start(self, name: str, domain: str, boot: str = "", checks: bool = True) -> SimulatedAgent:
+    def start(
+        self, name: str, domain: str, boot: str = "", checks_grants: bool = True
+    ) -> SimulatedAgent:
         """Starts a process; it replaces a running one of the same name."""
         self.kill(name)
         boot = boot or f"boot-{self.next_incarnation()}"
-        agent = SimulatedAgent(self, name, domain, boot, self.next_incarnation(), checks)
+        agent = SimulatedAgent(self, name, domain, boot, self.next_incarnation(), checks_grants)
         self.agents[name] = agent
         return agent
 
@@ -325,13 +333,16 @@
         self.network.cut.clear()
         self.network.delays.clear()
         for agent in self.agents.values():
-            agent.platform.answers, agent.platform.write_answers = Answers.GOOD, None
+            agent.platform.response_mode, agent.platform.write_response_mode = (
+                ResponseMode.NORMAL,
+                None,
+            )
 
     def cut(self, name: str, others: Iterable[str]) -> None:
         self.network.cut |= {frozenset((name, other)) for other in others if other != name}
 
     def group(self) -> Group:
-        return decode_json(self.platform.read(HOME.object_key).value, Group)
+        return decode_json(self.platform.read(GROUP_ID.object_key).value, Group)
 
     def owners(self) -> dict[int, list[str]]:
         """Returns the names of the agents that serve each shard now."""
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -56,7 +56,7 @@
         if request.path != "/poison":
             return make_response(b"ok")
         asyncio.get_running_loop().call_later(0.01, self.report_crash)
-        raise OutcomeLostError("the connection ended without an answer")
+        raise OutcomeLostError("the connection ended without a response")
 
     def report_crash(self) -> None:
         self.crashes += 1
@@ -206,7 +206,7 @@
             shutdown=running_shutdown(Kernel()),
             catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
             membership=SimpleNamespace(
-                announcement=ANNOUNCEMENT, closed=False, member_id="a:1", home=None
+                announcement=ANNOUNCEMENT, closed=False, member_id="a:1", own_group_id=None
             ),
             ownership=None,
             admission=FreeSlots(),
--- a/tests/services/keyspace/test_moves.py
+++ b/tests/services/keyspace/test_moves.py
@@ -78,7 +78,7 @@
         """Guards against keys that move to other members because an agent was restarted."""
         group = group_of("a", "b")
         group = joined(group, member("a", incarnation=2))
-        after = moves.inherit(group, frozenset({"a:1"}), "a:2")
+        after = moves.with_transferred_ranges(group, frozenset({"a:1"}), "a:2")
         self.assertEqual(
             {
                 (key_range.first, key_range.last)
