Let only the server end a body without a length

What callers may get: a 200 with the id and the signature of the upstream and a part of its body (MIXED, "the body isn't the server's"), when the agent beside the upstream stops while a response without a length is arriving for another agent. The services stop in reverse order, so the sessions to the upstream close before the peer streams, over which the part was then sent as a whole body.

Cause: aiohttp takes every end of a connection for the end of a body without a length, also a close on this side and a reset. LocalUpstream looked for a reset only, afterwards and only if the response still had its connection; HttpUpstream and all other users of these sessions did not look at all. HttpUpstream also closes a session in use when the upstream announces another number of connections.

BoundedConnection now fails an unfinished body when the connection ends unless the server has closed it, so every user of the sessions sees an error in place of the end, at whatever time the response is read.

The same check ends the wait for a body that turns out malformed: aiohttp closes the connection after a malformed chunk and fails only those who wait for a head, so such a request was held to its deadline.

Ruled out: uvloop reports a reset behind data as a reset, also when both were received in one iteration (3,000 connections, none reported as an orderly end).

--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import StreamReader
 
 # Limit on the head of a response, including all preceding 1xx responses. A head may have lines of
 # 64 KiB.
@@ -27,29 +28,31 @@
     aiohttp limits each line and the number of header lines, but neither the number of 1xx
     responses, nor the size of a body, nor the data after a response.
 
+    Only the server can end a body without a length, by closing the connection. aiohttp also takes
+    a reset and a close on this side for its end.
+
     Args:
         loop: The event loop.
         max_response_bytes: Limit on one response with head and framing, in bytes.
-
-    Attributes:
-        broken: Whether the connection was reset instead of closed.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, max_response_bytes: int) -> None:
         super().__init__(loop)
-        self.broken = False
+        self._body: StreamReader | None = None
+        self._closed_by_server = False
         self._max_response_bytes = max_response_bytes
         self._received_bytes = 0
         self._has_head = False
 
     def set_response_params(self, **params: Any) -> None:
         """Resets the counters for the next response."""
-        self._received_bytes, self._has_head = 0, False
+        self._received_bytes, self._has_head, self._body = 0, False, None
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Records the arrival of a final head, after any 1xx responses."""
-        status = data[0].code
+        message, self._body = data
+        status = message.code
         self._has_head = self._has_head or status >= 200 or status == _SWITCHING_PROTOCOLS
         super().feed_data(data, size)
 
@@ -66,15 +69,25 @@
         if not self._has_head and self._received_bytes > MAX_RESPONSE_HEAD_BYTES:
             self._abort(f"the head of the response exceeds {MAX_RESPONSE_HEAD_BYTES} bytes")
 
+    def eof_received(self) -> None:
+        """Records that the server has closed the connection."""
+        self._closed_by_server = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Records a reset, which aiohttp treats as the end of a body without a length."""
-        self.broken = exc is not None
+        """Fails an unfinished body unless the server has closed the connection."""
+        if exc is not None or not self._closed_by_server:
+            reason = "closed on this side" if exc is None else f"lost: {exc}"
+            self._fail_body(aiohttp.ClientPayloadError(f"the connection was {reason}"))
         super().connection_lost(exc)
 
+    def _fail_body(self, error: aiohttp.ClientPayloadError) -> None:
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
+
     def _abort(self, reason: str) -> None:
         error = AnswerTooLargeError(reason)
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
+        self._fail_body(error)
         self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -18,7 +18,7 @@
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
-from ..kernel.http_client import BoundedConnection, bounded_session
+from ..kernel.http_client import bounded_session
 from ..messages import GrantSet, Request, Response
 from ..messages.group import KeyRange
 from ..messages.request import BytesBody
@@ -175,10 +175,7 @@
                     allow_redirects=False,
                 ) as http_response,
             ):
-                protocol = http_response.connection.protocol if http_response.connection else None
                 content = await http_response.read()
-                if isinstance(protocol, BoundedConnection) and protocol.broken:
-                    raise AnswerLostError("the connection was reset during the response")
                 return self._response(request, http_response, content)
         except _NOT_CONNECTED as error:
             self._record_unreachable(error)
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -112,7 +112,12 @@
         self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+        try:
+            self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+        except asyncio.IncompleteReadError:
+            # A probe of whether the upstream accepts connections sends nothing.
+            writer.close()
+            return
         writer.write(self.response)
         await writer.drain()
         if self.reset:
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -85,6 +85,26 @@
         with self.assertRaises(AnswerLostError):
             await self.run_against(truncated, reset=True)
 
+    async def test_stop_does_not_complete_a_response_without_length(self):
+        """Guards against a part of a body that a stopping agent sends to another as whole."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\nhalf")
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        for repeatable in (False, True):
+            upstream = await self.start_client(Address(*server.sockets[0].getsockname()))
+            request = make_request(2.0, method="GET", key="", repeatable=repeatable)
+            run = asyncio.create_task(upstream.run(request, 0, 0, CLOCK.now() + 2.0))
+            await asyncio.sleep(0.1)
+            await upstream.stop()
+            with self.subTest(repeatable=repeatable), self.assertRaises(AnswerLostError):
+                await run
+
     async def test_graceful_close_ends_a_response_without_length(self):
         """Guards against discarding complete responses that have no Content-Length."""
         response = await self.run_against(b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\nwhole")
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -35,6 +35,7 @@
     endless_bodies,
     endless_heads,
 )
+from tests.platform.fakes import RawUpstream
 
 from .fakes import CLOCK, StreamedBody, StubRegistry, make_announcement, make_request
 
@@ -209,6 +210,17 @@
             async for _ in response.body.chunks():
                 pass
 
+    async def test_reset_during_a_response_without_length(self):
+        """Guards against a part of a body that looks whole because it has no length."""
+        raw = RawUpstream(b"HTTP/1.1 200 OK\r\n\r\nhalf", reset=True)
+        address = await raw.start()
+        self.addAsyncCleanup(raw.stop)
+        self.membership.announcement = make_announcement(port=address.port)
+        response = await self.run_request(method="GET", timeout_s=2.0)
+        with self.assertRaises(BodyTruncatedError):
+            async for _ in response.body.chunks():
+                pass
+
     async def test_failed_upload_has_an_unknown_outcome(self):
         """Guards against `not_run` after a part of the body has reached the upstream."""
 
