Close connections that sent another request's response

What callers saw: after an upstream had written a response once more, late and on a kept connection, the requests that followed on this connection failed one after the other with an unknown outcome, since each read the response to the one before it. A request that was sent again on the connection got the response to its first try, which has the same id.

Cause: the id was compared after the body had been read. By then aiohttp has returned the connection to the pool, and `close` on the response does nothing. The same holds for responses without signature and with an encoding.

The head is now checked before the body is read, and the connection is aborted also when the response arrived whole, so that it is in the pool already: no other task runs between the release and the check.

test_connection_that_sent_another_response_is_not_reused failed before: "the response carries the id of request 'r2'" for request r3.

--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from aiohttp.streams import StreamReader
 
 # Limit on the head of a response, including all preceding 1xx responses. A head may have lines of
@@ -93,6 +94,21 @@
             self.transport.abort()
 
 
+class BoundedResponse(aiohttp.ClientResponse):
+    """A response whose connection can be closed after it has returned to the pool."""
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        """Waits for the head; a response that has arrived whole releases its connection here."""
+        self._bounded_protocol = connection.protocol
+        return await super().start(connection)
+
+    def abort(self) -> None:
+        """Closes the connection, so that no later request gets what is left on it."""
+        self.close()
+        if self._bounded_protocol is not None:
+            self._bounded_protocol.abort()
+
+
 def bounded_session(
     max_response_bytes: int,
     *,
@@ -125,6 +141,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         max_line_size=_MAX_LINE_BYTES,
         max_field_size=_MAX_LINE_BYTES,
+        response_class=BoundedResponse,
         **options,
     )
     # aiohttp retries GET, PUT and DELETE by itself when a reused connection fails. Each send must
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -10,7 +10,7 @@
 from yarl import URL
 
 from ..interfaces import CrashListener, Liveness, Membership
-from ..kernel import Clock, Event, Level, Registry
+from ..kernel import Clock, Event, Level, RefusalError, Registry
 from ..kernel.errors import (
     AnswerLostError,
     DeadlineExceededRunningError,
@@ -175,8 +175,15 @@
                     allow_redirects=False,
                 ) as http_response,
             ):
+                self._record_reachable()
+                try:
+                    _check_head(request, http_response)
+                except RefusalError:
+                    # Its connection is out of step, so it must not return to the pool.
+                    http_response.abort()
+                    raise
                 content = await http_response.read()
-                return self._response(request, http_response, content)
+                return _response(request, http_response, content)
         except _NOT_CONNECTED as error:
             self._record_unreachable(error)
             raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
@@ -242,35 +249,6 @@
                 f"the upstream did not confirm {path}: {type(error).__name__}"
             ) from error
 
-    def _response(
-        self, request: Request, http_response: aiohttp.ClientResponse, content: bytes
-    ) -> Response:
-        self._record_reachable()
-        headers = http_response.headers
-        # The id comes first: a faulty upstream may write an earlier refusal once more on a kept
-        # connection, where it says nothing about this request.
-        if headers.get(REQUEST_ID) != request.id and (request.repeatable or REQUEST_ID in headers):
-            http_response.close()
-            raise OutcomeLostError(
-                f"the response carries the id of request {headers.get(REQUEST_ID)!r}"
-            )
-        if NOT_EXECUTED in headers or http_response.status == 421:
-            raise UpstreamRefusedError(
-                f"the upstream refused the request with status {http_response.status}"
-            )
-        if RECEIPT not in headers and http_response.status < 300:
-            http_response.close()
-            raise AnswerLostError("the response has no signature header")
-        if "Content-Encoding" in headers:
-            http_response.close()
-            raise AnswerLostError("the response has a content encoding")
-        headers_to_forward = tuple(
-            (str(name), value)
-            for name, value in headers.items()
-            if name.lower() not in HOP_HEADERS
-        )
-        return Response(request.id, http_response.status, headers_to_forward, BytesBody(content))
-
     def _record_unreachable(self, error: BaseException) -> None:
         self._liveness.connection_failed()
         if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
@@ -298,6 +276,40 @@
             listener.upstream_crashed()
 
 
+def _check_head(request: Request, http_response: aiohttp.ClientResponse) -> None:
+    """Raises unless a response belongs to a request and can be forwarded."""
+    headers = http_response.headers
+    # The id comes first: a faulty upstream may write an earlier refusal once more on a kept
+    # connection, where it says nothing about this request.
+    if headers.get(REQUEST_ID) != request.id and (request.repeatable or REQUEST_ID in headers):
+        raise OutcomeLostError(
+            f"the response carries the id of request {headers.get(REQUEST_ID)!r}"
+        )
+    if _is_refusal(http_response):
+        return
+    if RECEIPT not in headers and http_response.status < 300:
+        raise AnswerLostError("the response has no signature header")
+    if "Content-Encoding" in headers:
+        raise AnswerLostError("the response has a content encoding")
+
+
+def _is_refusal(http_response: aiohttp.ClientResponse) -> bool:
+    return NOT_EXECUTED in http_response.headers or http_response.status == 421
+
+
+def _response(request: Request, http_response: aiohttp.ClientResponse, content: bytes) -> Response:
+    if _is_refusal(http_response):
+        raise UpstreamRefusedError(
+            f"the upstream refused the request with status {http_response.status}"
+        )
+    headers = tuple(
+        (str(name), value)
+        for name, value in http_response.headers.items()
+        if name.lower() not in HOP_HEADERS
+    )
+    return Response(request.id, http_response.status, headers, BytesBody(content))
+
+
 def _session(max_answer_bytes: int, **options: Any) -> aiohttp.ClientSession:
     return bounded_session(
         max_answer_bytes,
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -193,6 +193,28 @@
         response = await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
         self.assertEqual((200, 2), (response.status, len(connections)))
 
+    async def test_connection_that_sent_another_response_is_not_reused(self):
+        """Guards against requests that each get the response to the one before on a connection."""
+        numbers = iter(range(10))
+
+        async def serve(reader, writer):
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    request_id = head.split(b"Request-Id: ")[1].split(b"\r\n")[0]
+                    own = WHOLE.replace(b"Request-Id: r1", b"Request-Id: " + request_id)
+                    if next(numbers) == 1:
+                        writer.write(WHOLE)
+                        await asyncio.sleep(0.1)
+                    writer.write(own)
+            writer.close()
+
+        upstream, request = await self.run_first_request(serve)
+        with self.assertRaises(OutcomeLostError):
+            await upstream.run(replace(request, id="r2"), 0, 0, CLOCK.now() + 2.0)
+        response = await upstream.run(replace(request, id="r3"), 0, 0, CLOCK.now() + 2.0)
+        self.assertEqual(200, response.status)
+
     async def test_late_second_response_to_a_grant_does_not_confirm_a_release(self):
         """Guards against a next owner that is granted keys on which work is still running.
 
