Send a refused request on a new connection to the same upstream

What callers saw: 503, "not run, come again", for a repeatable request that the upstream was running. The upstream had refused the first try, wrote the refusal once more when the next try arrived on the kept connection, and both tries carry the same id.

Cause: the id tells requests apart, not the tries of one request. All other failures of a try close its connection; a refusal keeps it.

A request that this upstream has refused is now sent on a connection of its own.

test_late_second_refusal_does_not_answer_the_next_try_of_a_request failed before with the refusal.

--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import msgspec
+from cachetools import LRUCache
 from yarl import URL
 
 from ..interfaces import CrashListener, Liveness, Membership
@@ -56,6 +57,8 @@
 _GRANT_TIMEOUT_S = 0.5
 # The upstream confirms a release only once the work on the keys has ended.
 _RELEASE_TIMEOUT_S = 2.0
+# Refused requests that are sent to this upstream again come within a second.
+_MAX_REFUSED_IDS = 4_096
 # The upstream ends a run at its time limit; the response may arrive this much later.
 _RESPONSE_SLACK_S = 0.03
 # uvloop raises RuntimeError for a write to a connection that ended while the process was paused.
@@ -88,6 +91,7 @@
         self._single_use_session: aiohttp.ClientSession | None = None
         self._grant_session: aiohttp.ClientSession | None = None
         self._release_session: aiohttp.ClientSession | None = None
+        self._refused_ids: LRUCache[str, None] = LRUCache(_MAX_REFUSED_IDS)
         self._unreachable = False
         self._start_id = ""
         self._crashes = 0
@@ -162,7 +166,9 @@
         if request.key:
             headers.append((KEY, request.key))
         body = b"".join([part async for part in request.body.chunks()])
-        session = self._keepalive_session if request.repeatable else self._single_use_session
+        # On a kept connection, a second copy of a refusal would carry the id of this request.
+        reusable = request.repeatable and request.id not in self._refused_ids
+        session = self._keepalive_session if reusable else self._single_use_session
         assert session is not None
         try:
             async with (
@@ -183,6 +189,11 @@
                     http_response.abort()
                     raise
                 content = await http_response.read()
+                if _is_refusal(http_response):
+                    self._refused_ids[request.id] = None
+                    raise UpstreamRefusedError(
+                        f"the upstream refused the request with status {http_response.status}"
+                    )
                 return _response(request, http_response, content)
         except _NOT_CONNECTED as error:
             self._record_unreachable(error)
@@ -298,10 +309,6 @@
 
 
 def _response(request: Request, http_response: aiohttp.ClientResponse, content: bytes) -> Response:
-    if _is_refusal(http_response):
-        raise UpstreamRefusedError(
-            f"the upstream refused the request with status {http_response.status}"
-        )
     headers = tuple(
         (str(name), value)
         for name, value in http_response.headers.items()
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -215,6 +215,32 @@
         response = await upstream.run(replace(request, id="r3"), 0, 0, CLOCK.now() + 2.0)
         self.assertEqual(200, response.status)
 
+    async def test_late_second_refusal_does_not_answer_the_next_try_of_a_request(self):
+        """Guards against "not run" for a request that the upstream runs at its second try.
+
+        Both tries of a request at one upstream carry the same id.
+        """
+        refusal = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Fescueward-Not-Executed: 1\r\n"
+        tries = iter(range(10))
+
+        async def serve(reader, writer):
+            refused_here = False
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    if next(tries) == 1 or refused_here:
+                        writer.write(refusal + ECHO + b"\r\n")
+                        refused_here = True
+                        continue
+                    writer.write(WHOLE)
+            writer.close()
+
+        upstream, request = await self.run_first_request(serve)
+        with self.assertRaises(UpstreamRefusedError):
+            await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
+        response = await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
+        self.assertEqual(200, response.status)
+
     async def test_late_second_response_to_a_grant_does_not_confirm_a_release(self):
         """Guards against a next owner that is granted keys on which work is still running.
 
