Reject responses whose head carries two ids or signatures

What callers may get: a 200 with their own id, a signature that is not the upstream's and the body of another response (MIXED). An upstream stopped within the value of a header and wrote its next response on the same connection; the status line of that response became part of the value, and the rest of its head was added to the first one.

Cause: the id was read with `get`, which returns the first of several headers, and the signature was only required to exist.

A response must carry its id once and the signature at most once. Either header of the second head then shows that two were joined: it stands in the first head already, or the cut was before both of them, where the response that follows is complete by itself.

--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -290,16 +290,17 @@
 def _check_head(request: Request, http_response: aiohttp.ClientResponse) -> None:
     """Raises unless a response belongs to a request and can be forwarded."""
     headers = http_response.headers
+    ids = headers.getall(REQUEST_ID, [])
     # The id comes first: a faulty upstream may write an earlier refusal once more on a kept
-    # connection, where it says nothing about this request.
-    if headers.get(REQUEST_ID) != request.id and (request.repeatable or REQUEST_ID in headers):
-        raise OutcomeLostError(
-            f"the response carries the id of request {headers.get(REQUEST_ID)!r}"
-        )
+    # connection, where it says nothing about this request. Two ids stand in a head that was cut
+    # off and continues with the head of another response.
+    if ids != [request.id] and (request.repeatable or ids):
+        raise OutcomeLostError(f"the response carries the ids {ids}")
     if _is_refusal(http_response):
         return
-    if RECEIPT not in headers and http_response.status < 300:
-        raise AnswerLostError("the response has no signature header")
+    receipts = len(headers.getall(RECEIPT, []))
+    if receipts > 1 or (not receipts and http_response.status < 300):
+        raise AnswerLostError(f"the response has {receipts} signature headers")
     if "Content-Encoding" in headers:
         raise AnswerLostError("the response has a content encoding")
 
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -125,6 +125,18 @@
             with self.subTest(response_bytes=response_bytes), self.assertRaises(kind):
                 await self.run_against(response_bytes)
 
+    async def test_head_that_continues_with_another_head(self):
+        """Guards against a response made of the head of one response and the body of another."""
+        for lost_bytes in range(len(RECEIPT + ECHO)):
+            kept = (ECHO + RECEIPT)[: len(RECEIPT + ECHO) - lost_bytes]
+            other = WHOLE.replace(b"Request-Id: r1", b"Request-Id: r2")
+            for second in (WHOLE, other):
+                with (
+                    self.subTest(kept=kept, second=second),
+                    self.assertRaises((AnswerLostError, OutcomeLostError)),
+                ):
+                    await self.run_against(b"HTTP/1.1 200 OK\r\n" + kept + second)
+
     async def test_response_cut_at_each_byte_is_never_complete(self):
         """Guards against a 200 with an empty or short body after a head that stops half-way."""
         head = b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO
