Read entries of the store one by one

What callers saw: an operator reported agents that ended again and again, or stopped following the store, after another program had left one odd entry among theirs. Played here against `ObjectStore.watch`, one odd entry in a list or a watch failed the whole response, each time again.

Cause: a list was decoded as one structure, so a name that is a number, a missing, fractional or too large revision or an entry that is no object raised `PlatformAnswerError` for all entries. A value nested over a thousand levels raised `RecursionError`, which `_decode` did not catch: the task of the watch failed and the kernel stopped the process. A conflict with such an object did the same to a write.

Change: items and events stay raw until each is decoded on its own. A response that msgspec cannot read as a whole is scanned without recursion: values nested deeper than any known field and items that are no JSON become null. Odd entries are skipped and logged once. A list continues after the last readable name, which is now quoted in the query, and ends at a page that has none. A response that is cut is still refused.

Ruled out: raising the recursion limit, which moves the depth that ends the agent; refusing the response and trying again, because the entry is still there.

--- a/fescueward/messages/codec.py
+++ b/fescueward/messages/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from dataclasses import is_dataclass
 from typing import Any, TypeVar, get_type_hints
 
@@ -14,6 +15,12 @@
 
 # Failures of msgspec to decode bytes; values that are nested deeply raise RecursionError.
 DECODE_FAILURES = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+# A string, which may lack its end, or a character that begins, separates or ends values.
+_JSON_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+(?:"|\Z)|[][{},]', re.DOTALL)
+# No known field is nested as deeply.
+_MAX_KEPT_DEPTH = 32
+# Depth of the arrays in the top-level object.
+_ITEMS_DEPTH = 2
 # Longest part of a bad value that an error message quotes.
 _MAX_QUOTED_CHARACTERS = 80
 
@@ -39,6 +46,65 @@
         raise MalformedMessageError(f"bad {kind.__name__}: {error}") from error
 
 
+def decode_list(data: bytes, kind: type[T]) -> T:
+    """Decodes a JSON object with an array of `msgspec.Raw` items that other programs have written.
+
+    Values that are nested too deeply to be read are null, and so is an item that is no JSON.
+
+    Args:
+        data: The JSON text.
+        kind: Type to return.
+
+    Raises:
+        MalformedMessageError: The text is not JSON apart from its items, or a field is missing.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except DECODE_FAILURES:
+        return decode_json(_without_unreadable_items(data), kind)
+
+
+def _without_unreadable_items(data: bytes) -> bytes:
+    """Replaces values that cannot be read by null, in the items of arrays of the top-level object.
+
+    The scan does not recurse, so that it also reads values at which a decoder fails.
+    """
+    parts: list[bytes] = []
+    depth = copied_to = 0
+    # Number of parts before the current item, or None outside the arrays.
+    item_start: int | None = None
+    for token in _JSON_TOKEN.finditer(data):
+        character = token[0][:1]
+        opens, closes = character in b"[{", character in b"]}"
+        depth += opens
+        if opens and depth == _MAX_KEPT_DEPTH + 1:
+            parts += (data[copied_to : token.start()], b"null")
+        elif closes and depth == _MAX_KEPT_DEPTH + 1:
+            copied_to = token.end()
+        elif depth == _ITEMS_DEPTH and character != b'"':
+            if item_start is not None:
+                parts.append(data[copied_to : token.start()])
+                item = b"".join(parts[item_start:])
+                parts[item_start:] = [item if not item.strip() or _is_json(item) else b"null"]
+                copied_to = token.start()
+            if character == b"[" or (character == b"," and item_start is not None):
+                parts.append(data[copied_to : token.end()])
+                copied_to = token.end()
+                item_start = len(parts)
+            else:
+                item_start = None
+        depth -= closes
+    return b"".join((*parts, data[copied_to:]))
+
+
+def _is_json(text: bytes) -> bool:
+    try:
+        msgspec.json.decode(text, type=msgspec.Raw)
+    except DECODE_FAILURES:
+        return False
+    return True
+
+
 def to_map(value: object) -> dict[str, Any]:
     """Converts a data class to a map of built-in types, for use inside a message."""
     content: dict[str, Any] = msgspec.to_builtins(value)
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from collections.abc import Sequence
+from contextlib import suppress
+from typing import Annotated, Any
+from urllib.parse import quote
 
 import aiohttp
 import msgspec
+from cachetools import LRUCache
 
 from ..interfaces.platform import Changes, StoredObject
 from ..kernel import Clock, Event, Level, Registry
@@ -21,7 +25,7 @@
 )
 from ..kernel.http_client import bounded_session
 from ..kernel.settings import Settings
-from ..messages.codec import encode_json
+from ..messages.codec import decode_json, decode_list, encode_json
 from ..messages.configuration import CONFIGURATION_KEY
 from .configuration import decode_configuration
 from .names import OBJECTS_PATH
@@ -29,6 +33,12 @@
 _BAD_CONFIGURATION = Event(
     2210, "bad_configuration", Level.ERROR, "A stored configuration is malformed and was skipped."
 )
+_UNREADABLE_ENTRY = Event(
+    2211,
+    "unreadable_entry",
+    Level.WARNING,
+    "An entry in a response of the store cannot be read and was skipped.",
+)
 
 _CONFIGURATION_KIND = "config"
 _CONFIGURATION_NAME = "main"
@@ -44,11 +54,17 @@
 _KEEPALIVE_TIMEOUT_S = 30.0
 # Statuses of calls that the store refused, so that they had no effect.
 _REFUSED_STATUSES = frozenset({429, 503})
+# Number of skipped entries that are remembered, so that each is logged once.
+_MAX_LOGGED_ENTRIES = 1000
+# Longest part of an unreadable entry in a log line.
+_MAX_LOGGED_BYTES = 200
+
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class _Metadata(msgspec.Struct):
     name: str
-    revision: int
+    revision: _Revision
     deleting: bool = False
 
 
@@ -57,10 +73,19 @@
     spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
+class _Name(msgspec.Struct):
+    name: str
+
+
+class _NamedEntry(msgspec.Struct):
+    metadata: _Name
+
+
 class _List(msgspec.Struct, rename="camel"):
     # Revision of the whole store, not of one object.
-    current_rev: int
-    items: list[_StoreObject] = []
+    current_rev: _Revision
+    # Each a `_StoreObject`, unless another program wrote it.
+    items: list[msgspec.Raw] = []
     has_more: bool = False
 
 
@@ -71,8 +96,9 @@
 
 class _Events(msgspec.Struct, rename="camel"):
     # Revision of the whole store, from which the next watch continues.
-    current_rev: int
-    events: list[_ChangedObject] = []
+    current_rev: _Revision
+    # Each a `_ChangedObject`, unless another program wrote it.
+    events: list[msgspec.Raw] = []
 
 
 class ObjectStore:
@@ -83,6 +109,7 @@
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._logged_entries: LRUCache[object, None] = LRUCache(_MAX_LOGGED_ENTRIES)
 
     @property
     def unavailable_since(self) -> float | None:
@@ -153,30 +180,60 @@
         if status == 410:
             return await self._list(kind)
         events = _decode(body, _Events)
+        changed = self._decode_entries(kind, events.events, _ChangedObject)
+        objects = (self._decode_or_skip(kind, event.object, event.deleted) for event in changed)
         return Changes(
-            events.current_rev,
-            tuple(
-                stored_object
-                for event in events.events
-                if (stored_object := _decode_or_skip(kind, event.object, event.deleted))
-                is not None
-            ),
+            events.current_rev, tuple(stored for stored in objects if stored is not None)
         )
 
     async def _list(self, kind: str) -> Changes:
         items: list[_StoreObject] = []
         after = ""
         while True:
-            url = f"{self._url}/{kind}" + (f"?after={after}" if after else "")
+            url = f"{self._url}/{kind}" + (f"?after={quote(after, safe='')}" if after else "")
             _, body = await self._read(url, self._timeout_s)
             page = _decode(body, _List)
-            items += page.items
-            if not page.has_more or not page.items:
+            items += self._decode_entries(kind, page.items, _StoreObject)
+            last_name = _last_name(page.items)
+            # After a page without a readable name, the next page would be the same.
+            if not page.has_more or last_name in ("", after):
                 break
-            after = page.items[-1].metadata.name
-        objects = (_decode_or_skip(kind, item, False) for item in items)
+            after = last_name
+        objects = (self._decode_or_skip(kind, item, False) for item in items)
         return Changes(page.current_rev, tuple(stored for stored in objects if stored is not None))
 
+    def _decode_entries(
+        self, kind: str, entries: Sequence[msgspec.Raw], entry_type: Any
+    ) -> list[Any]:
+        decoded: list[Any] = []
+        for entry in entries:
+            try:
+                decoded.append(decode_json(bytes(entry), entry_type))
+            except MalformedMessageError as error:
+                content = bytes(entry)
+                if self._is_first_report((kind, hash(content))):
+                    _UNREADABLE_ENTRY.emit(
+                        kind=kind, error=error, entry=repr(content[:_MAX_LOGGED_BYTES])
+                    )
+        return decoded
+
+    def _decode_or_skip(self, kind: str, item: _StoreObject, deleted: bool) -> StoredObject | None:
+        name, revision = item.metadata.name, item.metadata.revision
+        if kind == _CONFIGURATION_KIND and name != _CONFIGURATION_NAME:
+            return None
+        try:
+            return _to_stored_object(kind, item, deleted)
+        except MalformedMessageError as error:
+            if self._is_first_report((kind, name, revision)):
+                _BAD_CONFIGURATION.emit(kind=kind, object=name, revision=revision, error=error)
+            return None
+
+    def _is_first_report(self, entry: object) -> bool:
+        if entry in self._logged_entries:
+            return False
+        self._logged_entries[entry] = None
+        return True
+
     async def _read(self, url: str, timeout_s: float) -> tuple[int, bytes]:
         try:
             status, body = await self._request("GET", url, b"", timeout_s)
@@ -247,24 +304,20 @@
     return StoredObject(_key(kind, name), item.metadata.revision, value, deleted)
 
 
-def _decode_or_skip(kind: str, item: _StoreObject, deleted: bool) -> StoredObject | None:
-    if kind == _CONFIGURATION_KIND and item.metadata.name != _CONFIGURATION_NAME:
-        return None
-    try:
-        return _to_stored_object(kind, item, deleted)
-    except MalformedMessageError as error:
-        _BAD_CONFIGURATION.emit(
-            kind=kind, object=item.metadata.name, revision=item.metadata.revision, error=error
-        )
-        return None
+def _last_name(items: Sequence[msgspec.Raw]) -> str:
+    """Returns the name of the last item whose name can be read, or an empty string."""
+    for item in reversed(items):
+        with suppress(MalformedMessageError):
+            return decode_json(bytes(item), _NamedEntry).metadata.name
+    return ""
 
 
 def _version_conflict(key: str, expected_version: int, response: bytes) -> VersionConflictError:
     """Returns the error of a refused write, with the current object if the store returned it."""
     message = f"{key!r} is not at version {expected_version}"
     try:
-        current = msgspec.json.decode(response, type=_StoreObject)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        current = decode_list(response, _StoreObject)
+    except MalformedMessageError:
         return VersionConflictError(message, version=0)
     return VersionConflictError(
         message, version=current.metadata.revision, value=bytes(current.spec)
@@ -273,6 +326,6 @@
 
 def _decode(body: bytes, kind: Any) -> Any:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_list(body, kind)
+    except MalformedMessageError as error:
         raise PlatformAnswerError(f"the store's response is malformed: {error}") from error
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,8 +1,12 @@
 """Tests of the client of the platform's object store."""
 
+import asyncio
 import json
 import unittest
 from types import SimpleNamespace
+from unittest import mock
+
+from hypothesis import given, settings, strategies
 
 from fescueward.kernel.errors import (
     ObjectNotFoundError,
@@ -14,6 +18,7 @@
 from fescueward.kernel.settings import PlatformSection
 from fescueward.messages.codec import decode_json
 from fescueward.messages.configuration import CONFIGURATION_KEY, Configuration
+from fescueward.platform import store
 from fescueward.platform.settings import parse_site
 from fescueward.platform.store import ObjectStore
 from tests.endless import check_platform_client
@@ -25,6 +30,46 @@
 
 KIND = "fescueward-groups"
 
+DEEP = "[" * 100_000 + "]" * 100_000
+ODD_ENTRIES = (
+    "null",
+    "[]",
+    '"text"',
+    "NaN",
+    "1e999",
+    "9" * 5_000,
+    DEEP,
+    "{}",
+    '{"metadata":{}}',
+    '{"metadata":{"name":7,"revision":12},"spec":{}}',
+    '{"metadata":{"name":"s0.0","revision":1.5},"spec":{}}',
+    '{"metadata":{"name":"s0.0","revision":%s},"spec":{}}' % ("9" * 30),
+    '{"metadata":{"name":"s0.0","revision":null},"spec":{}}',
+    '{"metadata":{"name":"s0.0","revision":"12"},"spec":{}}',
+    f'{{"metadata":{{"name":"s0.0","revision":12}},"spec":{DEEP}}}',
+    f'{{"metadata":{{"name":"s0.0","revision":12}},"spec":{{}},"status":{{"x":{DEEP}}}}}',
+    '{"metadata":{"name":"s0.0","revision":12},"spec":{"x":NaN}}',
+    '{"metadata":{"name":"\\ud800","revision":12},"spec":{}}',
+    '{"metadata":{"name":"\\u0000&after=z#","revision":12},"spec":{}}',
+)
+# Entries of any shape, with the names that the client reads.
+ODD_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(("metadata", "name", "revision", "spec", "object", "x")),
+            inner,
+            max_size=3,
+        )
+    ),
+    max_leaves=8,
+).map(json.dumps)
+
 
 class ObjectStoreTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
@@ -172,3 +217,96 @@
             await self.store.watch((CONFIGURATION_KEY,), 5, site.settings.platform.watch_ms / 1000)
         # The next call and publishing to the fleet need a fifth of the bound.
         self.assertLess(CLOCK.now() - started, 0.8 * site.bounds.propagation_s)
+
+
+class ScriptedStore(ObjectStore):
+    """Reads the bodies that a test supplies, by the name after which a list continues."""
+
+    def __init__(self, bodies: dict[str, str], status: int = 200) -> None:
+        super().__init__()
+        self._url, self._timeout_s = "", 1.0
+        self.bodies = bodies
+        self.status = status
+
+    async def _read(self, url, timeout_s):
+        return self.status, self.bodies[url.partition("after=")[2]].encode(
+            "utf-8", "surrogatepass"
+        )
+
+    async def _write(self, method, url, body):
+        return self.status, self.bodies[""].encode()
+
+
+def entry_text(name: str, revision: int) -> str:
+    return json.dumps({"metadata": {"name": name, "revision": revision}, "spec": {"x": 1}})
+
+
+def keys_beside(*odd_entries: str) -> list[list[str]]:
+    """Returns the keys in a list, a paged list and watches with odd entries and two good ones."""
+    first, last = entry_text("s1.0", 11), entry_text("s2.0", 12)
+    entries = (first, *odd_entries, last)
+    pages = {"": (first, *odd_entries), "s1.0": (*odd_entries, last)}
+    as_events = [f'{{"object":{entry}}}' for entry in entries]
+    bodies = [
+        {"": f'{{"items":[{",".join(entries)}],"currentRev":77}}'},
+        {
+            after: f'{{"hasMore":{json.dumps(not after)},"currentRev":77,'
+            f'"items":[{",".join(page)}]}}'
+            for after, page in pages.items()
+        },
+        {"": f'{{"currentRev":77,"events":[{",".join(as_events)}]}}'},
+        {"": f'{{"currentRev":77,"events":[{",".join((*odd_entries, *as_events))}]}}'},
+    ]
+    bodies[1] |= {"s0.0": bodies[1]["s1.0"], "%00%26after%3Dz%23": bodies[1]["s1.0"]}
+    results = []
+    for since, responses in zip((0, 0, 5, 5), bodies, strict=True):
+        changes = asyncio.run(ScriptedStore(responses).watch(("groups/",), since, 0))
+        assert changes.revision == 77
+        results.append([stored.key for stored in changes.objects])
+    return results
+
+
+class OddEntriesTest(unittest.TestCase):
+    """Other programs write to the store too; their entries are no reason to stop."""
+
+    def test_odd_entry_hides_no_other(self):
+        """Guards against entries of other programs that end the watch or hide good entries."""
+        good = ["groups/s1/0", "groups/s2/0"]
+        for odd in ODD_ENTRIES:
+            with self.subTest(odd=odd[:80]):
+                for keys in keys_beside(odd):
+                    self.assertEqual([key for key in keys if key in good], good)
+
+    @settings(max_examples=150, deadline=None)
+    @given(strategies.lists(ODD_JSON, min_size=1, max_size=3))
+    def test_other_kinds_of_odd_entries(self, odd_entries):
+        """Guards against an odd entry of a kind that no example has."""
+        for keys in keys_beside(*odd_entries):
+            self.assertLessEqual({"groups/s1/0", "groups/s2/0"}, set(keys))
+
+    def test_page_of_odd_entries_ends_the_list(self):
+        """Guards against a list that is read forever because no name on a page can be read."""
+        bodies = {"": '{"items":[null],"hasMore":true,"currentRev":77}'}
+        changes = asyncio.run(ScriptedStore(bodies).watch(("groups/",), 0, 0))
+        self.assertEqual((changes.revision, changes.objects), (77, ()))
+
+    def test_odd_entry_is_logged_once(self):
+        """Guards against a log that is filled by one entry that is read again and again."""
+        scripted = ScriptedStore({"": '{"items":[null,{"metadata":{"name":7}}],"currentRev":7}'})
+        with mock.patch.object(store, "_UNREADABLE_ENTRY") as event:
+            for _ in range(3):
+                asyncio.run(scripted.watch(("groups/",), 0, 0))
+        self.assertEqual(event.emit.call_count, 2)
+
+    def test_conflict_with_an_unreadable_object(self):
+        """Guards against a refused write that ends the agent because of the stored object."""
+        for body in (f'{{"metadata":{DEEP}}}', DEEP, "{", '{"metadata":{"name":"s1.0"}}'):
+            with self.subTest(body=body[:60]), self.assertRaises(VersionConflictError):
+                asyncio.run(ScriptedStore({"": body}, 409).put("groups/s1/0", b"{}", 3))
+
+    def test_unreadable_object(self):
+        """Guards against an object whose reading raises an error that no caller expects."""
+        for revision in (DEEP, "NaN", "9" * 5_000):
+            body = f'{{"metadata":{{"name":"s1.0","revision":{revision}}}}}'
+            with self.subTest(body=body[:60]), self.assertRaises(PlatformAnswerError):
+                asyncio.run(ScriptedStore({"": body}).get("groups/s1/0"))
