Check group objects before they are used

What callers saw: after another program's edit the agents of a service could lose their group, give keys two owners or end.

Cause: a group was taken by its content, whatever its key, and only the types of its fields were checked.

Change: `decode_group` compares the group with its key, checks ranges, exceptions and member ids, and leaves out members that cannot be read and own nothing. `GroupStore.observe` makes the same check, so it holds for peers and deltas too; the version in use stays in use. Numbers are limited to 64 bits. A delta that does not fit is answered with a fetch of the whole group, so that two agents do not exchange it without end. A malformed object is logged once for each version.

Ruled out: leaving out a member that owns keys, because another agent would give its keys away while it still holds them.

--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -11,6 +11,8 @@
 from msgspec import Meta
 
 Port = Annotated[int, Meta(ge=1, le=65_535)]
+# A number that fits into 64 bits with a sign, so that every agent and upstream can read it.
+Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 # Highest numeric key of a service whose keys are divided into ranges.
 LAST_KEY = 65_535
 
@@ -72,7 +74,7 @@
 
     id: str
     name: str
-    incarnation: Annotated[int, Meta(ge=0)]
+    incarnation: Count
     boot_id: str
     peer_host: str
     peer_port: Port
@@ -84,7 +86,7 @@
     checks_grants: bool = True
     state: MemberState = MemberState.ACTIVE
     monitors: tuple[str, ...] = ()
-    stamp: Annotated[int, Meta(ge=0)] = 0
+    stamp: Count = 0
     instance: str = ""
 
     def any_incarnation(self) -> Member:
@@ -108,9 +110,9 @@
     """
 
     owner: str | None = None
-    epoch: Annotated[int, Meta(ge=0)] = 0
+    epoch: Count = 0
     successor: str | None = None
-    hold_ms: Annotated[int, Meta(ge=0)] = 0
+    hold_ms: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +132,7 @@
     first: Annotated[int, Meta(ge=0, le=LAST_KEY)]
     last: Annotated[int, Meta(ge=0, le=LAST_KEY)]
     owner: str | None = None
-    epoch: Annotated[int, Meta(ge=0)] = 0
+    epoch: Count = 0
     successor: str | None = None
     handover: str = ""
 
@@ -160,15 +162,15 @@
     """
 
     service: str
-    number: int
-    shard_count: int
+    number: Count
+    shard_count: Annotated[int, Meta(ge=1, le=4096)]
     members: dict[str, Member] = field(default_factory=dict)
     shards: tuple[Shard, ...] = ()
-    exceptions: dict[str, int] = field(default_factory=dict)
-    recovery: int = 0
+    exceptions: dict[str, Count] = field(default_factory=dict)
+    recovery: Count = 0
     edit_id: str = ""
     ranges: tuple[KeyRange, ...] = ()
-    fence: Annotated[int, Meta(ge=0)] = 0
+    fence: Count = 0
 
     @property
     def id(self) -> GroupId:
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
+from cachetools import LRUCache
+
 from ...interfaces import Catalogue, GroupListener, Membership, Peers, Platform, Routes
 from ...interfaces.groups import GroupChange
 from ...interfaces.platform import StoredObject
@@ -32,6 +34,8 @@
 from ...messages.codec import decode_json, encode_json
 from ...messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
 from ...messages.delta import ConfigurationDelta, GroupDelta
+from ...messages.group import entry_object_key
+from ...messages.group_object import check_group, decode_group
 from ...messages.peer import Fetch, Publish, Versions, WatchStatus, version_digest
 from .edits import GroupEdits
 from .history import GroupHistory
@@ -77,6 +81,7 @@
 # Number of earlier states of this agent that are recognised. A member that reports one of them is
 # behind and fetches the newer objects itself.
 _RECENT_VERSIONS_LIMIT = 64
+_MAX_REPORTED_OBJECTS = 1000
 # Members to which an agent sends its status during a platform outage. More than the monitors of a
 # member, so that a restarted agent gets a status even if several others are restarted with it.
 _OUTAGE_STATUS_RECIPIENTS = 4
@@ -107,6 +112,8 @@
         self._roster = WatcherRoster()
         self._watch_healthy = False
         self._loaded_prefixes: set[str] = set()
+        # Keys and versions of malformed objects that have been logged.
+        self._reported_objects: LRUCache[tuple[str, int], None] = LRUCache(_MAX_REPORTED_OBJECTS)
         # Earlier versions of this agent. A member that reports one of them is behind, not ahead.
         self._recent_versions: deque[Versions] = deque(maxlen=_RECENT_VERSIONS_LIMIT)
         self._fetch_task: asyncio.Task[None] | None = None
@@ -182,9 +189,9 @@
         """Reads the group from the platform and caches it; see `Groups.refresh`."""
         stored = await self._platform.get(group.object_key)
         try:
-            stored_group = VersionedGroup(stored.version, decode_json(stored.value, Group))
+            stored_group = VersionedGroup(stored.version, decode_group(stored.key, stored.value))
         except MalformedMessageError as error:
-            _MALFORMED_OBJECT.emit(key=stored.key, version=stored.version, error=error)
+            self._report_malformed(stored.key, stored.version, error)
             raise PlatformAnswerError(f"{stored.key!r} is malformed: {error}") from error
         self.observe(stored_group)
         cached = self._views[group]
@@ -222,22 +229,36 @@
         if not error.value:
             return
         try:
-            group = decode_json(error.value, Group)
+            group = decode_group(key, error.value)
         except MalformedMessageError as malformed:
-            _MALFORMED_OBJECT.emit(key=key, version=error.version, error=malformed)
+            self._report_malformed(key, error.version, malformed)
             return
         self.observe(VersionedGroup(error.version, group))
 
+    def _report_malformed(self, key: str, version: int, error: MalformedMessageError) -> None:
+        """Logs an object that cannot be used, once for each of its versions."""
+        if (key, version) not in self._reported_objects:
+            self._reported_objects[(key, version)] = None
+            _MALFORMED_OBJECT.emit(key=key, version=version, error=error)
+
     async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
         """Applies an edit with read, change and conditional write; see `Groups.edit`."""
         return await self._edits.edit(group, change)
 
     def observe(self, group: VersionedGroup) -> bool:
-        """Caches a version if it is newer than the cached one; returns whether it was."""
+        """Caches a version if it is newer than the cached one; returns whether it was.
+
+        A version that is inconsistent is not cached, whoever sent it.
+        """
         group_id = group.group.id
         cached = self._views.get(group_id)
         if cached is not None and cached.version >= group.version:
             return False
+        try:
+            check_group(group.group)
+        except MalformedMessageError as error:
+            self._report_malformed(group_id.object_key, group.version, error)
+            return False
         if self._fleet_wide:
             self._recent_versions.append(self.versions())
         self._views[group_id] = group
@@ -445,7 +466,9 @@
         newer = delta.apply_to(cached) if cached is not None else None
         version = cached.version if cached is not None else 0
         if newer is not None:
-            self.observe(newer)
+            if not self.observe(newer) and version < newer.version:
+                # The base is another one than the sender's, so only the whole group helps.
+                self._peers.reply(sender, Fetch(delta.service, delta.number, 0))
         elif version < delta.version:
             self._peers.reply(sender, Fetch(delta.service, delta.number, version))
 
@@ -577,10 +600,10 @@
                     message = build_configuration_publish(base, newer)
                     self._relay.broadcast(message, self._count_preceding_watchers())
                 return
-            group = VersionedGroup(stored.version, decode_json(stored.value, Group))
+            group = VersionedGroup(stored.version, decode_group(stored.key, stored.value))
             self.observe(group)
         except MalformedMessageError as error:
-            _MALFORMED_OBJECT.emit(key=stored.key, version=stored.version, error=error)
+            self._report_malformed(stored.key, stored.version, error)
 
     def _observe_stored(self, key: str, version: int, value: bytes, deleted: bool) -> None:
         if deleted:
@@ -589,15 +612,15 @@
         view = self._views.get(own_group_id) if own_group_id is not None else None
         try:
             if key.startswith("entries/"):
-                entry = VersionedEntry(version, decode_json(value, Entry))
+                entry = VersionedEntry(version, _decode_entry(key, value))
                 if self._catalogue.observe(entry) and view is not None:
                     self._publish_to_members(view, Publish(entries=(entry,)))
             elif own_group_id is not None and key == own_group_id.object_key:
-                group = VersionedGroup(version, decode_json(value, Group))
+                group = VersionedGroup(version, decode_group(key, value))
                 if self.observe(group):
                     self._publish_to_members(group, build_publish(view, group))
         except MalformedMessageError as error:
-            _MALFORMED_OBJECT.emit(key=key, version=version, error=error)
+            self._report_malformed(key, version, error)
 
     def _is_watcher(self) -> bool:
         return self._count_preceding_watchers() < WATCHER_COUNT
@@ -675,3 +698,10 @@
             for offset in range(1, min(_OUTAGE_STATUS_RECIPIENTS, len(names) - 1) + 1)
         }
         return {member.id: member for member in members.values() if member.name in recipient_names}
+
+
+def _decode_entry(key: str, value: bytes) -> Entry:
+    entry = decode_json(value, Entry)
+    if key != entry_object_key(entry.service):
+        raise MalformedMessageError(f"the object contains the entry of {entry.service!r}")
+    return entry
