Read objects of the platform's object API one by one

Played against `HttpPlatform.watch`: one odd object failed the response for all objects, and a value that is nested deeply, or a number over 64 bits, raised `RecursionError` or `OverflowError` when it was encoded again, which stopped the agent.

Change: objects stay raw until each is decoded on its own, and values stay JSON text. Odd objects are skipped and logged once.

--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -4,15 +4,17 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 
 import aiohttp
 import msgspec
+from cachetools import LRUCache
 
 from ..interfaces import Changes, StoredObject
-from ..kernel import Clock, Registry
+from ..kernel import Clock, Event, Level, Registry
 from ..kernel.availability import PlatformAvailability
 from ..kernel.errors import (
+    MalformedMessageError,
     ObjectNotFoundError,
     OutcomeUnknownError,
     PlatformAnswerError,
@@ -21,7 +23,14 @@
 )
 from ..kernel.http_client import bounded_session
 from ..kernel.settings import Settings
-from ..messages.codec import DECODE_FAILURES
+from ..messages.codec import DECODE_FAILURES, decode_json, decode_list
+
+_UNREADABLE_ENVELOPE = Event(
+    2003,
+    "unreadable_object",
+    Level.WARNING,
+    "An object in a response of the platform cannot be read and was skipped.",
+)
 
 # The platform responds to a watch by the end of its wait; the slack allows for the round trip.
 _WATCH_SLACK_S = 2.0
@@ -31,28 +40,34 @@
 
 _MAX_CONNECTIONS = 100
 _KEEPALIVE_S = 15.0
+# Number of skipped objects that are remembered, so that each is logged once.
+_MAX_LOGGED_OBJECTS = 1000
+# Longest part of an unreadable object in a log line.
+_MAX_LOGGED_BYTES = 200
 
 # uvloop raises RuntimeError for a write to a connection that closed while the process was paused.
 _CALL_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, RuntimeError)
 
 
-@dataclass(frozen=True, slots=True)
-class _Envelope:
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+class _Envelope(msgspec.Struct, frozen=True):
     key: str
-    version: int
-    value: Any = None
+    version: _Revision
+    value: msgspec.Raw = msgspec.Raw(b"null")
     deleted: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class _Listing:
-    revision: int
-    objects: tuple[_Envelope, ...]
+class _Listing(msgspec.Struct, frozen=True):
+    revision: _Revision
+    # Each an `_Envelope`, unless another program wrote it.
+    objects: list[msgspec.Raw]
 
 
 @dataclass(frozen=True, slots=True)
 class _WriteResult:
-    version: int
+    version: _Revision
 
 
 class HttpPlatform:
@@ -67,6 +82,7 @@
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._logged_objects: LRUCache[int, None] = LRUCache(_MAX_LOGGED_OBJECTS)
 
     @property
     def available(self) -> bool:
@@ -109,7 +125,10 @@
             raise ObjectNotFoundError(f"the platform has no object {key!r}")
         if status != 200:
             raise PlatformUnavailableError(f"reading {key!r}: HTTP status {status}")
-        return _stored(_decode(data, _Envelope))
+        try:
+            return _stored(_decode(data, _Envelope))
+        except MalformedMessageError as error:
+            raise PlatformAnswerError(f"malformed object {key!r}: {error}") from error
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
         """Writes an object with a condition on its version; see `Platform.put`."""
@@ -126,7 +145,18 @@
         if status != 200:
             raise PlatformUnavailableError(f"watching {prefixes}: HTTP status {status}")
         listing = _decode(data, _Listing)
-        return Changes(listing.revision, tuple(_stored(item) for item in listing.objects))
+        stored = (self._decode_or_skip(content) for content in listing.objects)
+        return Changes(listing.revision, tuple(item for item in stored if item is not None))
+
+    def _decode_or_skip(self, content: msgspec.Raw) -> StoredObject | None:
+        try:
+            return _stored(decode_json(bytes(content), _Envelope))
+        except MalformedMessageError as error:
+            text = bytes(content)
+            if hash(text) not in self._logged_objects:
+                self._logged_objects[hash(text)] = None
+                _UNREADABLE_ENVELOPE.emit(error=error, content=repr(text[:_MAX_LOGGED_BYTES]))
+            return None
 
     async def _read(self, path: str, query: dict[str, Any], timeout_s: float) -> tuple[int, bytes]:
         assert self._session is not None
@@ -173,14 +203,18 @@
 
 
 def _stored(envelope: _Envelope) -> StoredObject:
-    value = b"" if envelope.deleted else msgspec.json.encode(envelope.value)
+    try:
+        # Without the whitespace of its writer.
+        value = b"" if envelope.deleted else msgspec.json.format(bytes(envelope.value), indent=-1)
+    except DECODE_FAILURES as error:
+        raise MalformedMessageError(f"bad value of {envelope.key!r}: {error}") from error
     return StoredObject(envelope.key, envelope.version, value, envelope.deleted)
 
 
 def _decode(data: bytes, kind: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(data, type=kind)
-    except DECODE_FAILURES as error:
+        return decode_list(data, kind)
+    except MalformedMessageError as error:
         raise PlatformAnswerError(f"malformed response of the platform: {error}") from error
 
 
--- a/tests/services/test_platform.py
+++ b/tests/services/test_platform.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from fescueward.kernel.errors import (
     ObjectNotFoundError,
     OutcomeUnknownError,
+    PlatformAnswerError,
     PlatformUnavailableError,
     VersionConflictError,
 )
@@ -68,3 +71,46 @@
             return client
 
         await check_platform_client(self, start)
+
+
+DEEP = "[" * 100_000 + "]" * 100_000
+
+
+class OddObjectsTest(unittest.TestCase):
+    """Other programs write to the platform too; their objects are no reason to stop."""
+
+    def setUp(self):
+        self.platform = HttpPlatform()
+        self.platform._timeout_s = 1.0
+
+    def respond(self, text: str) -> None:
+        self.platform._read = mock.AsyncMock(return_value=(200, text.encode()))
+
+    def test_odd_object_hides_no_other(self):
+        """Guards against objects of other programs that end the watch or hide good objects."""
+        good = '{"key":"entries/a","version":3,"value":{"x":1}}'
+        for odd in (
+            "null",
+            "NaN",
+            "[]",
+            DEEP,
+            "{}",
+            '{"key":7,"version":4}',
+            '{"key":"entries/b","version":1.5}',
+            f'{{"key":"entries/b","version":{"9" * 30}}}',
+            f'{{"key":"entries/b","version":4,"value":{DEEP}}}',
+            '{"key":"entries/b","version":4,"value":1e999}',
+            f'{{"key":"entries/b","version":4,"value":{"9" * 5_000}}}',
+        ):
+            with self.subTest(odd=odd[:60]):
+                self.respond(f'{{"revision":9,"objects":[{odd},{good},{odd}]}}')
+                changes = asyncio.run(self.platform.watch(("entries/",), 0, 0))
+                values = [item.value for item in changes.objects if item.key == "entries/a"]
+                self.assertEqual((changes.revision, values), (9, [b'{"x":1}']))
+
+    def test_unreadable_object(self):
+        """Guards against an object whose reading raises an error that no caller expects."""
+        for text in (DEEP, f'{{"key":{DEEP}}}', "NaN"):
+            self.respond(text)
+            with self.subTest(text=text[:60]), self.assertRaises(PlatformAnswerError):
+                asyncio.run(self.platform.get("entries/a"))
