Continue a list after the last entry that has a name

Cause: an entry with an empty name, last on a page, was taken for the end of the list, so the entries of the following pages were missing. The name of the last entry that has one is used now.

The entry with an empty name is an example in the list of odd entries.

--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -305,10 +305,11 @@
 
 
 def _last_name(items: Sequence[msgspec.Raw]) -> str:
-    """Returns the name of the last item whose name can be read, or an empty string."""
+    """Returns the name of the last item that has a readable one, or an empty string."""
     for item in reversed(items):
         with suppress(MalformedMessageError):
-            return decode_json(bytes(item), _NamedEntry).metadata.name
+            if name := decode_json(bytes(item), _NamedEntry).metadata.name:
+                return name
     return ""
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -42,6 +42,7 @@
     "{}",
     '{"metadata":{}}',
     '{"metadata":{"name":7,"revision":12},"spec":{}}',
+    '{"metadata":{"name":""},"spec":{}}',
     '{"metadata":{"name":"s0.0","revision":1.5},"spec":{}}',
     '{"metadata":{"name":"s0.0","revision":%s},"spec":{}}' % ("9" * 30),
     '{"metadata":{"name":"s0.0","revision":null},"spec":{}}',
@@ -219,6 +220,10 @@
         self.assertLess(CLOCK.now() - started, 0.8 * site.bounds.propagation_s)
 
 
+# Stands for every page but the first, whatever name it is requested after.
+LATER_PAGE = "later"
+
+
 class ScriptedStore(ObjectStore):
     """Reads the bodies that a test supplies, by the name after which a list continues."""
 
@@ -229,9 +234,9 @@
         self.status = status
 
     async def _read(self, url, timeout_s):
-        return self.status, self.bodies[url.partition("after=")[2]].encode(
-            "utf-8", "surrogatepass"
-        )
+        after = url.partition("after=")[2]
+        body = self.bodies[after if after in self.bodies else LATER_PAGE]
+        return self.status, body.encode("utf-8", "surrogatepass")
 
     async def _write(self, method, url, body):
         return self.status, self.bodies[""].encode()
@@ -245,7 +250,7 @@
     """Returns the keys in a list, a paged list and watches with odd entries and two good ones."""
     first, last = entry_text("s1.0", 11), entry_text("s2.0", 12)
     entries = (first, *odd_entries, last)
-    pages = {"": (first, *odd_entries), "s1.0": (*odd_entries, last)}
+    pages = {"": (first, *odd_entries), LATER_PAGE: (*odd_entries, last)}
     as_events = [f'{{"object":{entry}}}' for entry in entries]
     bodies = [
         {"": f'{{"items":[{",".join(entries)}],"currentRev":77}}'},
@@ -257,7 +262,6 @@
         {"": f'{{"currentRev":77,"events":[{",".join(as_events)}]}}'},
         {"": f'{{"currentRev":77,"events":[{",".join((*odd_entries, *as_events))}]}}'},
     ]
-    bodies[1] |= {"s0.0": bodies[1]["s1.0"], "%00%26after%3Dz%23": bodies[1]["s1.0"]}
     results = []
     for since, responses in zip((0, 0, 5, 5), bodies, strict=True):
         changes = asyncio.run(ScriptedStore(responses).watch(("groups/",), since, 0))
