Pass on the time that is left once the body has arrived

What callers saw: an upstream that works on for a caller that has given up. A request of 2 s whose body took 0.3 s to come from another agent was handed 999 ms with 700 ms left.

Cause: the remaining time was taken before the body was read from the stream of the other agent.

Change: it is taken after the body has arrived. Result: test_time_in_which_a_body_arrives_is_not_passed_on failed before (999 not less than or equal to 700); scripts/test tests.platform.test_upstream passes.

--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -155,6 +155,8 @@
         announcement = self._membership.announcement
         if announcement is None:
             raise UpstreamUnavailableError("the upstream has not sent a heartbeat")
+        body = b"".join([part async for part in request.body.chunks()])
+        # The body can take long to arrive from another agent.
         remaining_s = deadline - self._clock.now()
         headers = [
             *request.headers,
@@ -165,7 +167,6 @@
         ]
         if request.key:
             headers.append((KEY, request.key))
-        body = b"".join([part async for part in request.body.chunks()])
         # On a kept connection, a second copy of a refusal would carry the id of this request.
         reusable = request.repeatable and request.id not in self._refused_ids
         session = self._keepalive_session if reusable else self._single_use_session
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -76,6 +76,25 @@
         for line in ("X-Fescueward-Target-Instance: i1", "X-Fescueward-Caller: orders"):
             self.assertIn(line, sent)
 
+    async def test_time_in_which_a_body_arrives_is_not_passed_on(self):
+        """Guards against an upstream that is given more time than the caller has left (BUDGET)."""
+
+        class SlowBody:
+            length = 2
+
+            async def chunks(self):
+                await asyncio.sleep(0.3)
+                yield b"ok"
+
+        raw = RawUpstream(WHOLE)
+        self.addAsyncCleanup(raw.stop)
+        upstream = await self.start_client(await raw.start())
+        request = replace(make_request(2.0, method="POST", key=""), body=SlowBody())
+        await upstream.run(request, 0, 0, CLOCK.now() + 1.0)
+        sent = raw.requests[0].decode()
+        timeout_ms = int(sent.split("X-Fescueward-Timeout-Ms: ")[1].split("\r\n")[0])
+        self.assertLessEqual(timeout_ms, 700)
+
     async def test_reset_during_a_response_without_length(self):
         """Guards against a truncated body that looks complete.
 
