Refuse requests whose time is over before they are sent to the upstream

Cause, by test: with a free slot nothing compares the deadline before the request is sent. The timeout that follows ends the call only at its next wait, and a kept connection has the request by then.

Change: the upstream's client refuses a request without time left, as not run.

--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -14,6 +14,7 @@
 from ..kernel import Clock, Event, Level, RefusalError, Registry
 from ..kernel.errors import (
     AnswerLostError,
+    DeadlineExceededError,
     DeadlineExceededRunningError,
     OutcomeLostError,
     UpstreamRefusedError,
@@ -158,6 +159,8 @@
         body = b"".join([part async for part in request.body.chunks()])
         # The body can take long to arrive from another agent.
         remaining_s = deadline - self._clock.now()
+        if remaining_s <= 0:
+            raise DeadlineExceededError("the deadline passed before the request was sent")
         headers = [
             *request.headers,
             (REQUEST_ID, request.id),
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -8,6 +8,7 @@
 
 from fescueward.kernel.errors import (
     AnswerLostError,
+    DeadlineExceededError,
     DeadlineExceededRunningError,
     OutcomeLostError,
     UpstreamRefusedError,
@@ -76,6 +77,20 @@
         for line in ("X-Fescueward-Target-Instance: i1", "X-Fescueward-Caller: orders"):
             self.assertIn(line, sent)
 
+    async def test_request_without_time_left_is_not_sent(self):
+        """Guards against work for a caller that has given up (GONE)."""
+        connections = []
+
+        async def serve(reader, writer):
+            connections.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(WHOLE)
+
+        upstream, request = await self.run_first_request(serve)
+        with self.assertRaises(DeadlineExceededError):
+            await upstream.run(request, 0, 0, CLOCK.now() - 0.001)
+        await asyncio.sleep(0.05)
+        self.assertEqual(1, len(connections))
+
     async def test_time_in_which_a_body_arrives_is_not_passed_on(self):
         """Guards against an upstream that is given more time than the caller has left (BUDGET)."""
 
