Doubt a body that is followed by bytes that are no response

An upstream stopped within a body and wrote a response, a second copy or the next one, on the same connection.

Cause: the body counts as complete once its length is reached. What tells the case apart is what follows in the same read: the rest of the other response, which does not begin with a status line. aiohttp reported that to those who wait for a head only.

The body now fails together with the connection if the bytes behind its end, in the same read, are no response. A whole response with another one directly behind it is still returned; if the other bytes come in a later read, the two cases cannot be told apart.

test_body_that_is_filled_up_with_another_response failed before under both event loops.

--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -66,7 +66,14 @@
         if self._received_bytes > self._max_response_bytes:
             self._abort(f"the response exceeds {self._max_response_bytes} bytes")
             return
+        failure, body = self.exception(), self._body
+        is_open = body is not None and not body.is_eof()
         super().data_received(data)
+        if is_open and body is not None and self.exception() is not failure:
+            # A body that was cut off and filled up with the beginning of another response is
+            # followed by the rest of it.
+            error = aiohttp.ClientPayloadError("the bytes behind the body are no response")
+            body.set_exception(error)
         if not self._has_head and self._received_bytes > MAX_RESPONSE_HEAD_BYTES:
             self._abort(f"the head of the response exceeds {MAX_RESPONSE_HEAD_BYTES} bytes")
 
--- a/tests/kernel/test_http_client.py
+++ b/tests/kernel/test_http_client.py
@@ -55,3 +55,14 @@
         for run in (asyncio.run, uvloop.run):
             with self.subTest(run=run.__module__), self.assertRaises(aiohttp.ClientPayloadError):
                 run(self.read(head, b"no chunk\r\n"))
+
+    def test_body_that_is_filled_up_with_another_response(self):
+        """Guards against a body that is cut off and completed by the next response's head."""
+        cut = b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n" + b"x" * 30
+        other = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        for run in (asyncio.run, uvloop.run):
+            with self.subTest(run=run.__module__):
+                with self.assertRaises(aiohttp.ClientPayloadError):
+                    run(self.read(cut, other))
+                whole = run(self.read(cut, b"x" * 10 + other))
+                self.assertEqual(b"x" * 40, whole)
