Continue after an unexpected exception while reading other programs' data

What callers saw: machines that ended by themselves again and again after an odd entry (LOST, processes that end by themselves). A member with the host "a..b" raised `UnicodeError` and one with a port out of range `OverflowError` in the task that dials it; a message too large to be encoded ended the task that publishes groups; a health page nested a thousand levels ended the task that watches the upstream.

Cause: the kernel stops the process when a task of a service fails, because an agent without one of its services could hold a lease on shards that it cannot serve. That rule also held for tasks whose exceptions come from what others write, and all agents read the same, so all of them ended, and again after each start.

Change: the rule stays for all other tasks. One object whose application fails hides no other, as it is for messages of peers. A message that cannot be encoded is logged and not sent.

Ruled out: ending after some failures in a row, because the data stays where it is and every agent would reach that number.

--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -54,7 +54,8 @@
 
     A failed task of a service stops the process: an agent without one of its services could hold
     a lease on shards that it cannot serve, and its monitors replace a stopped agent within
-    seconds.
+    seconds. Tasks that read what other programs write continue instead, see `ReadingRetries`:
+    every agent reads the same data, so all of them would stop, and again after each start.
 
     Args:
         stop_limits: Time limits for the steps of a stop. A service that exceeds them is
--- a/fescueward/messages/frames.py
+++ b/fescueward/messages/frames.py
@@ -70,7 +70,7 @@
             message = replace(message, data=b"")
         try:
             content = _last_encoded.encode(message)
-        except (TypeError, UnicodeEncodeError) as error:
+        except (TypeError, UnicodeEncodeError, OverflowError, RecursionError) as error:
             raise MalformedMessageError(f"bad {kind.__name__}: {error}") from error
         size = len(content) + len(data)
         if size > MAX_FRAME_BYTES:
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -22,6 +22,7 @@
     PlatformError,
     VersionConflictError,
 )
+from ...kernel.retries import ReadingRetries, report_reading_failure
 from ...kernel.settings import Settings
 from ...messages import (
     Entry,
@@ -513,6 +514,7 @@
                 self.fetch_newer(watcher, message.versions)
 
     async def _run_watch(self) -> None:
+        retries = ReadingRetries(f"{self.name}:watch", self._clock)
         since_revision = 0
         watched_group_id: GroupId | None = None
         watching = False
@@ -545,13 +547,33 @@
                 self._set_watch_healthy(False)
                 await self._clock.sleep(_WATCH_RETRY_S)
                 continue
+            except Exception as error:  # what another program wrote must not end this agent
+                self._set_watch_healthy(False)
+                since_revision = 0
+                await retries.pause_after(error)
+                continue
+            retries.succeeded()
             self._set_watch_healthy(True)
             since_revision = changes.revision
             for stored in changes.objects:
-                self._observe_stored(stored.key, stored.version, stored.value, stored.deleted)
+                self._observe_safely(stored)
             self._catalogue.mark_loaded()
 
+    def _observe_safely(self, stored: StoredObject) -> None:
+        """Applies a changed object; an unexpected exception concerns this object alone.
+
+        Messages of peers, which bring the same objects, are handled in this way too.
+        """
+        try:
+            if self._fleet_wide:
+                self._observe_fleet_object(stored)
+            else:
+                self._observe_stored(stored.key, stored.version, stored.value, stored.deleted)
+        except Exception as error:  # one object must not hide the others or end this agent
+            report_reading_failure(f"{self.name}:{stored.key}@{stored.version}", error)
+
     async def _run_fleet_watch(self, prefix: str) -> None:
+        retries = ReadingRetries(f"{self.name}:watch {prefix}", self._clock)
         since_revision = 0
         failing = False
         while True:
@@ -572,13 +594,20 @@
                 since_revision = 0 if isinstance(error, PlatformAnswerError) else since_revision
                 await self._clock.sleep(_WATCH_RETRY_S)
                 continue
+            except Exception as error:  # what another program wrote must not end this agent
+                failing = True
+                self._set_watch_healthy(False)
+                since_revision = 0
+                await retries.pause_after(error)
+                continue
+            retries.succeeded()
             if failing:
                 _WATCH_RESUMED.emit(prefix=prefix)
             failing = False
             self._set_watch_healthy(True)
             since_revision = changes.revision
             for stored in changes.objects:
-                self._observe_fleet_object(stored)
+                self._observe_safely(stored)
             self._loaded_prefixes.add(prefix)
             await self._clock.sleep(self._watch_pause_s(prefix))
 
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -19,6 +19,7 @@
     NotOwnerError,
     OverloadedError,
 )
+from ..kernel.retries import report_reading_failure
 from ..messages import Request, Response
 from ..messages.peer import (
     PROTOCOL_VERSION,
@@ -146,6 +147,10 @@
             _HANDSHAKE_FAILED.emit(error=error)
         except (OSError, TimeoutError):
             pass
+        except Exception as error:  # what one connection sends must not end this agent
+            report_reading_failure(
+                f"stream of {accepted.sender if accepted else 'unknown'}", error
+            )
         finally:
             wire.close()
             if accepted is not None:
@@ -230,8 +235,8 @@
     async def _run_request(
         self, accepted: _AcceptedStream, channel: Channel, message: StreamOpen
     ) -> None:
-        request = self._build_request(accepted, channel, message)
         try:
+            request = self._build_request(accepted, channel, message)
             if self._handler is None:
                 raise NotOwnerError("this agent serves no forwarded requests")
             response = await self._handler(request)
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -22,6 +22,7 @@
     PeerTimeoutError,
     PeerUnavailableError,
 )
+from ..kernel.retries import report_reading_failure
 from ..messages import Member, Request, Response
 from ..messages.peer import (
     PROTOCOL_VERSION,
@@ -367,6 +368,12 @@
                     wire.close()
             except (OSError, TimeoutError, PeerError) as error:
                 reason = f"{type(error).__name__}: {error}"
+            except Exception as error:  # an address or a message of one peer concerns it alone
+                reason = f"{type(error).__name__}: {error}"
+                if not failure_logged or link.wire is not None:
+                    report_reading_failure(f"link to {link.member.id}", error)
+                # The fault may occur again on each new stream.
+                backoff_s = _MAX_BACKOFF_S
             was_open = link.wire is not None
             link.mark_disconnected(reason)
             if was_open:
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -11,11 +11,15 @@
 
 from ..interfaces.peers import M, MessageHandler, RequestHandler
 from ..kernel import Clock, Event, Kernel, Level, Registry
+from ..kernel.errors import MalformedMessageError
 from ..kernel.settings import Settings
 from ..messages import Member, Request, Response
 from .peer_accepted import AcceptedStreams
 from .peer_links import Identity, PeerLinks
 
+_MESSAGE_NOT_SENT = Event(
+    2308, "peer_message_not_sent", Level.ERROR, "A message cannot be encoded or is too large."
+)
 _HANDLER_FAILED = Event(
     2305, "peer_handler_failed", Level.ERROR, "The handler of a peer message raised an exception."
 )
@@ -87,11 +91,19 @@
 
     def send(self, member: Member, message: object) -> bool:
         """Sends a message without waiting; see `Peers.send`."""
-        return self._links.send(member, message)
+        try:
+            return self._links.send(member, message)
+        except MalformedMessageError as error:
+            _MESSAGE_NOT_SENT.emit(peer=member.id, error=error)
+            return False
 
     def reply(self, sender: str, message: object) -> bool:
         """Sends a message on the sender's stream, else on the dialled one; see `Peers.reply`."""
-        return self._accepted.reply(sender, message) or self._links.reply(sender, message)
+        try:
+            return self._accepted.reply(sender, message) or self._links.reply(sender, message)
+        except MalformedMessageError as error:
+            _MESSAGE_NOT_SENT.emit(peer=sender, error=error)
+            return False
 
     async def call(self, member: Member, message: object, call: int) -> object:
         """Sends a message and waits for its reply; see `Peers.call`."""
--- a/fescueward/services/upstream_watch.py
+++ b/fescueward/services/upstream_watch.py
@@ -137,7 +137,7 @@
                     _UPSTREAM_GONE.emit(host=announcement.host, port=announcement.port)
                     await self._membership.leave("the upstream refuses connections")
                 continue
-            except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
+            except Exception as error:  # whatever the upstream sends has no other effect
                 if health_answered:
                     _HEALTH_UNANSWERED.emit(error=f"{type(error).__name__}: {error}")
                 health_answered = False
@@ -179,7 +179,8 @@
             _, writer = await asyncio.open_connection(announcement.host, announcement.port)
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError):
+        # ValueError: the announced host is not a valid name.
         return False
     writer.close()
     return False
--- a/tests/services/groups/test_odd_objects.py
+++ b/tests/services/groups/test_odd_objects.py
@@ -101,6 +101,55 @@
 
 
 class OddObjectsInAFleetTest(unittest.TestCase):
+    def test_unexpected_exception_of_the_watch(self):
+        """Guards against agents that end because reading their store raised an exception."""
+        fleet = KeyedFleet()
+        for name in ("a0", "a1"):
+            fleet.start(name, "d0")
+        fleet.world.advance(3)
+        calls = []
+
+        async def fail(prefixes, since, wait_s):
+            calls.append(fleet.world.now)
+            raise RecursionError("nested too deeply")
+
+        agents = list(fleet.agents.values())
+        working = [agent.platform.watch for agent in agents]
+        for agent in agents:
+            agent.platform.watch = fail
+        fleet.world.advance(30)
+        self.assertLess(len(calls), 60, "the watch spins")
+        self.assertTrue(fleet.distributed())
+        for agent, watch in zip(agents, working, strict=True):
+            agent.platform.watch = watch
+        fleet.start("a2", "d0")
+        fleet.world.advance(8)
+        self.assertTrue(fleet.distributed())
+        fleet.close()
+
+    def test_unexpected_exception_for_one_object(self):
+        """Guards against one object that hides the others, or ends the agents that read it."""
+        fleet = KeyedFleet()
+        for name in ("a0", "a1"):
+            fleet.start(name, "d0")
+        fleet.world.advance(3)
+        fleet.platform.on_write = lambda old, new: None
+        original = store.decode_group
+
+        def decode(key, value):
+            if key == "groups/aaa/0":
+                raise ZeroDivisionError
+            return original(key, value)
+
+        with mock.patch.object(store, "decode_group", decode):
+            fleet.platform.write("groups/aaa/0", b"{}", 0)
+            fleet.platform.write("groups/other/0", json.dumps(OTHER).encode(), 0)
+            fleet.start("a2", "d0")
+            self.assertIsNotNone(fleet.time_until_distributed(10))
+        for agent in fleet.agents.values():
+            self.assertIsNotNone(agent.groups.view(GroupId("other", 0)))
+        fleet.close()
+
     @settings(max_examples=25, deadline=None)
     @given(damaged_documents(OTHER), damaged_documents(OTHER))
     def test_fleet_serves_on_beside_odd_groups(self, odd_group, odd_copy):
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 from contextlib import suppress
+from dataclasses import replace
 from types import SimpleNamespace
 from unittest import mock
 
@@ -20,10 +21,17 @@
     PeerTimeoutError,
 )
 from fescueward.kernel.settings import PeersSection
-from fescueward.messages import Response
+from fescueward.messages import Group, Response, VersionedGroup
 from fescueward.messages.frames import FrameEncoder
-from fescueward.messages.peer import CrashReport, Renew, StatusQuery, StatusReply, StreamData
-from fescueward.services import peer_links, streams
+from fescueward.messages.peer import (
+    CrashReport,
+    Publish,
+    Renew,
+    StatusQuery,
+    StatusReply,
+    StreamData,
+)
+from fescueward.services import peer_accepted, peer_links, streams
 from fescueward.services.peers import MsgpackPeers
 from fescueward.services.streams import WINDOW_BYTES, Channel
 from fescueward.testing.ports import PortReservations
@@ -37,8 +45,9 @@
         self.ports = PortReservations()
         self.addCleanup(self.ports.close)
         self.port = self.ports.reserve()
-        self.owner = await self.start("b", self.port)
-        self.router = await self.start("a", 0)
+        self.owner_kernel, self.router_kernel = Kernel(), Kernel()
+        self.owner = await self.start("b", self.port, kernel=self.owner_kernel)
+        self.router = await self.start("a", 0, kernel=self.router_kernel)
         self.member = make_member("b", self.port)
         self.owner.serve(self.handle)
         self.handler = self.echo
@@ -48,8 +57,8 @@
         await self.router.stop()
         await self.owner.stop()
 
-    async def start(self, name, port, secret="s" * 16):
-        peers = MsgpackPeers(Kernel(), name, 1)
+    async def start(self, name, port, secret="s" * 16, kernel=None):
+        peers = MsgpackPeers(kernel or Kernel(), name, 1)
         section = PeersSection(host="127.0.0.1", port=port or 1, secret=secret, timeout_ms=500)
         peers.bind(StubRegistry(settings=SimpleNamespace(peers=section)))
         peers._port = port
@@ -435,6 +444,60 @@
             self.router._links.close_idle()
         self.assertEqual(self.router._links.ids, ())
 
+    async def test_odd_addresses_of_members(self):
+        """Guards against a member whose address raises an exception that ends this agent."""
+        odd_members = [
+            replace(make_member(f"odd{number}"), peer_host=host, peer_port=port)
+            for number, (host, port) in enumerate(
+                (
+                    ("a..b", 1),
+                    ("x" * 300, 1),
+                    ("\0", 1),
+                    ("\ud800", 1),
+                    ("", 1),
+                    ("127.0.0.1", 70_000),
+                    ("127.0.0.1", -1),
+                    ("127.0.0.1", 10**30),
+                )
+            )
+        ]
+        for odd in odd_members:
+            self.router.dial(odd)
+        await wait_until(
+            lambda: all(self.router.unreachable(odd) for odd in odd_members), 5, "all dials fail"
+        )
+        await asyncio.sleep(0.2)
+        self.assertEqual((await self.forward()).status, 200)
+        self.assertFalse(self.router_kernel.stopping)
+
+    async def test_message_that_cannot_be_encoded(self):
+        """Guards against a task that ends its agent because what it publishes is too large."""
+        await self.forward()
+        for message in (
+            Publish(relay=10**30),
+            Publish(groups=(VersionedGroup(10**30, Group("depot", 0, 1)),)),
+            StatusReply(1, {"x": "x" * 2_000_000}),
+        ):
+            self.assertFalse(self.router.send(self.member, message))
+            self.assertFalse(self.router.reply("b:1", message))
+        self.assertEqual((await self.forward()).status, 200)
+
+    async def test_unexpected_exception_on_a_stream(self):
+        """Guards against a connection that ends the agent it was accepted by, or dialled from."""
+        await self.forward()
+        with mock.patch.object(peer_accepted.AcceptedStreams, "_receive", side_effect=KeyError):
+            self.router.send(self.member, CrashReport("a:1"))
+            await wait_until(lambda: not self.router.connected(), 2, "the stream ended")
+        await wait_until(lambda: self.router.connected(), 2, "the stream is open again")
+        self.assertEqual((await self.forward()).status, 200)
+        with mock.patch.object(peer_links.PeerLinks, "_receive", side_effect=KeyError):
+            with self.assertRaises(OutcomeLostError):
+                await self.forward()
+            await wait_until(lambda: not self.router.connected(), 2, "the stream ended")
+        await wait_until(lambda: self.router.connected(), 2, "the stream is open again")
+        self.assertEqual((await self.forward()).status, 200)
+        self.assertFalse(self.owner_kernel.stopping or self.router_kernel.stopping)
+
     async def test_request_that_cannot_be_encoded(self):
         """Guards against reporting an unknown outcome for a request that was never sent."""
         with self.assertRaises(InvalidRequestError):
--- a/tests/services/test_upstream.py
+++ b/tests/services/test_upstream.py
@@ -61,7 +61,8 @@
         self.membership = SimpleNamespace(
             announcement=make_announcement(port=port), member_id="a:1", leave=self.leave
         )
-        self.upstream = HttpUpstream(Kernel())
+        self.kernel = Kernel()
+        self.upstream = HttpUpstream(self.kernel)
         self.upstream.bind(
             StubRegistry(
                 membership=self.membership,
@@ -270,6 +271,24 @@
         self.assertEqual((await self.run_request()).status, 200)
         self.assertEqual(self.leave_reasons, [])
 
+    async def test_odd_health_pages_do_not_end_the_agent(self):
+        """Guards against a health page whose reading raises an exception that no task expects."""
+        pages = [b'{"x":' + b"[" * 50_000, b'{"state":"\xff"}', b"\x00", b"{"]
+        answered = []
+
+        async def odd_health():
+            answered.append(pages[len(answered) % len(pages)])
+            return web.Response(body=answered[-1])
+
+        self.respond_to_health = odd_health
+        for count in range(1, len(pages) + 1):
+            self.upstream._watch.check_now()
+            await wait_until(lambda count=count: len(answered) >= count, 2, "the page is read")
+        await asyncio.sleep(0.1)
+        self.respond_with(web.Response())
+        self.assertEqual((await self.run_request()).status, 200)
+        self.assertFalse(self.kernel.stopping)
+
     async def test_header_that_is_not_utf8(self):
         """Guards against a response header that breaks the peer stream."""
 
