Refuse heartbeats with numbers out of range or of another service

What callers saw: none reported; found by looking for the cause of the odd entries elsewhere. One heartbeat of another program with the address of the upstream and a start time or sequence number above all that follow made each later heartbeat seem out of order, so that the agent no longer learned that its upstream drains or started again. A first heartbeat that named another service fixed the agent to that service, and the upstream's own were then refused with 409.

Cause: only the types of `born`, `seq` and `coldLeftS` were checked, and the service was compared with the first heartbeat in place of the settings.

Change: the numbers have limits, and the service must be the one that the settings name; such heartbeats get 400 as malformed.

Evidence: test_odd_heartbeat_does_not_displace_the_upstream failed in 6 of its 7 heartbeats before and passes; `python -m unittest tests.platform.test_announcements`: 8 tests pass.

--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Annotated
 
 import msgspec
 from aiohttp.web_request import BaseRequest
@@ -36,6 +37,12 @@
 _DEFAULT_CONNECTION_LIMIT = 100
 # Highest limit that an announcement can carry.
 _MAX_CONNECTION_LIMIT = 1_000_000
+# Highest sequence number and start time in Unix milliseconds, which JSON represents exactly. A
+# heartbeat with a larger one would make every later heartbeat seem out of order.
+_MAX_SEQUENCE = 2**53
+_MAX_STARTED_MS = 253_402_300_799_999
+# Longest time for which an upstream can be slow after its start, in seconds.
+_MAX_COLD_S = 3600.0
 # Closing the port waits this long for heartbeats that are partly received.
 _CLOSE_TIMEOUT_S = 0.1
 
@@ -52,9 +59,9 @@
 class _Status(msgspec.Struct, rename="camel"):
     state: str
     # Sequence number, which increases with each heartbeat of one start.
-    seq: int
+    seq: Annotated[int, msgspec.Meta(ge=0, le=_MAX_SEQUENCE)]
     # Remaining time for which the upstream is slow after its start, in seconds.
-    cold_left_s: float = 0.0
+    cold_left_s: Annotated[float, msgspec.Meta(le=_MAX_COLD_S)] = 0.0
 
 
 class _Heartbeat(msgspec.Struct):
@@ -62,7 +69,7 @@
     info: _Info
     status: _Status
     # Time of this start in Unix milliseconds.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_STARTED_MS)] = 0
 
 
 _MALFORMED_HEARTBEAT = (*DECODE_FAILURES, KeyError, ValueError, MalformedMessageError)
@@ -121,6 +128,8 @@
         """
         try:
             heartbeat = msgspec.json.decode(body, type=_Heartbeat)
+            if heartbeat.info.service != self._site.service:
+                raise MalformedMessageError(f"the service is {heartbeat.info.service!r}")
             state = _STATES[heartbeat.status.state]
             host, _, port = heartbeat.address.rpartition(":")
             announcement = Announcement(
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -37,7 +37,9 @@
         ports = PortReservations()
         self.addCleanup(ports.close)
         port = ports.reserve()
-        site = SimpleNamespace(heartbeats=Address("127.0.0.1", port), application=APPLICATION)
+        site = SimpleNamespace(
+            heartbeats=Address("127.0.0.1", port), application=APPLICATION, service="depot"
+        )
         self.service = Heartbeats(site)
         self.service.bind(
             StubRegistry(
@@ -96,6 +98,27 @@
             [announcement.started_ms for announcement in self.announced], [1000, 2000]
         )
 
+    async def test_odd_heartbeat_does_not_displace_the_upstream(self):
+        """Guards against one heartbeat of another program after which all later ones are ignored.
+
+        Its number was above all that follow, or it was the first and named another service.
+        """
+        status = {"state": "ready", "seq": 1}
+        for odd in (
+            make_heartbeat(1, born=10**30),
+            make_heartbeat(1, born=2**62),
+            make_heartbeat(1, born=-1),
+            make_heartbeat(10**30),
+            make_heartbeat(2**62),
+            make_heartbeat(1, status={**status, "coldLeftS": 1e300}),
+            make_heartbeat(1, info={"service": "another", "capacity": 6}),
+        ):
+            with self.subTest(odd=odd):
+                self.assertEqual(await self.post("heartbeat", "i1", odd), 400)
+        self.assertEqual((self.announced, self.starts), ([], []))
+        self.assertEqual(await self.post("heartbeat", "i1", make_heartbeat(1)), 200)
+        self.assertEqual(len(self.announced), 1)
+
     async def test_leaving_upstream(self):
         """Guards against work for an upstream that drains or has announced its leave."""
         await self.post("heartbeat", "i1", make_heartbeat(1))
@@ -140,7 +163,9 @@
     def test_damaged_heartbeat_is_refused_or_readable_by_all(self, body):
         """Guards against one heartbeat that makes a group unreadable, or that ends the process."""
         announced = []
-        service = Heartbeats(SimpleNamespace(heartbeats=None, application=APPLICATION))
+        service = Heartbeats(
+            SimpleNamespace(heartbeats=None, application=APPLICATION, service="depot")
+        )
         service.bind(
             StubRegistry(
                 membership=SimpleNamespace(announce=announced.append),
