Format the constant parts of a log line once

Each line formatted the date, copied its fields twice and built an encoder. Now the date is formatted once a second, the level, number and name of an event once, and only fields that JSON cannot express are copied. The lines have the same content.

test_lines_of_one_second_format_its_date_once failed before: the date was formatted 50 times for 50 lines.

--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -87,7 +87,8 @@
 
 
 _threshold = _Threshold()
-_JSON_TYPES = (str, int, float, list, tuple, dict, type(None))
+_JSON_TYPES = (str, int, float, bool, list, tuple, dict, type(None))
+_ENCODER = msgspec.json.Encoder(enc_hook=str)
 
 
 def events() -> tuple[Event, ...]:
@@ -101,6 +102,11 @@
     def __init__(self) -> None:
         self.lines: LineOutput | None = None
         self.is_json = False
+        # Formatted once: the fields that are the same in each line of an event, by its number, and
+        # the time up to the second.
+        self._heads: dict[int, bytes] = {}
+        self._second = -1.0
+        self._second_text = ""
 
     def write(self, message: Any) -> None:
         """Writes a record of loguru."""
@@ -112,7 +118,7 @@
             self.lines.add(event.name, self._line(event, record["extra"]["fields"]), urgent)
         else:
             # Lines of libraries.
-            line = self._render(record["level"].name, record["message"], {})
+            line = self._library_line(record["level"].name, record["message"])
             self.lines.add("", line, urgent)
 
     def write_frequent(self, event: Event, fields: dict[str, Any]) -> None:
@@ -127,22 +133,33 @@
 
     def _line(self, event: Event, fields: dict[str, Any]) -> bytes:
         if not self.is_json:
-            return self._render(event.level.value, f"{event.number} {event.name}", fields)
-        return self._render(
-            event.level.value, event.name, {"event": event.number, "name": event.name, **fields}
-        )
-
-    def _render(self, level: str, text: str, fields: dict[str, Any]) -> bytes:
-        written_at = datetime.now(UTC).isoformat(timespec="milliseconds")
+            return self._render_text(event.level.value, f"{event.number} {event.name}", fields)
+        head = self._heads.get(event.number)
+        if head is None:
+            names = {"level": event.level, "event": event.number, "name": event.name}
+            head = self._heads[event.number] = b"," + _ENCODER.encode(names)[1:-1]
+        if not all(type(value) in _JSON_TYPES for value in fields.values()):
+            fields = {name: _json_value(value) for name, value in fields.items()}
+        tail = b"," + _ENCODER.encode(fields)[1:] if fields else b"}"
+        return b'{"time":"%b"%b%b\n' % (self._time().encode(), head, tail)
+
+    def _library_line(self, level: str, text: str) -> bytes:
         if not self.is_json:
-            values = "".join(f" {name}={value}" for name, value in fields.items())
-            return f"{written_at} {level} {text}{values}\n".encode()
-        line = {"time": written_at, "level": level}
-        if fields:
-            line.update((name, _json_value(value)) for name, value in fields.items())
-        else:
-            line["message"] = text
-        return msgspec.json.encode(line, enc_hook=str) + b"\n"
+            return self._render_text(level, text, {})
+        line = {"time": self._time(), "level": level, "message": text}
+        return _ENCODER.encode(line) + b"\n"
+
+    def _render_text(self, level: str, text: str, fields: dict[str, Any]) -> bytes:
+        values = "".join(f" {name}={value}" for name, value in fields.items())
+        return f"{self._time()} {level} {text}{values}\n".encode()
+
+    def _time(self) -> str:
+        """Returns the current time in UTC with milliseconds, in the form of ISO 8601."""
+        second, fraction = divmod(time.time(), 1)
+        if second != self._second:
+            self._second = second
+            self._second_text = datetime.fromtimestamp(second, UTC).isoformat()[: -len("+00:00")]
+        return f"{self._second_text}.{int(fraction * 1000):03d}+00:00"
 
 
 def _json_value(value: Any) -> Any:
--- a/tests/kernel/test_event_lines.py
+++ b/tests/kernel/test_event_lines.py
@@ -6,6 +6,8 @@
 import io
 import json
 import unittest
+from datetime import UTC, datetime, timedelta
+from unittest import mock
 
 from loguru import logger
 
@@ -14,6 +16,7 @@
 
 _ROUTINE = Event(9901, "test_routine", Level.INFO, "Used by a test.")
 _SERIOUS = Event(9902, "test_serious", Level.ERROR, "Used by a test.")
+_FREQUENT = Event(9905, "test_frequent", Level.INFO, "Used by a test.", frequent=True)
 
 
 class EventLineTest(unittest.IsolatedAsyncioTestCase):
@@ -44,6 +47,25 @@
         await asyncio.sleep(0.05)
         self.assertEqual(len(self.stream.getvalue().splitlines()), 2)
 
+    async def test_lines_of_one_second_format_its_date_once(self):
+        """Guards against the processor time of formatting the same date for each request."""
+        configure_logging("INFO", "json", self.stream)
+        with mock.patch("fescueward.kernel.events.datetime", wraps=datetime) as formatted:
+            before = datetime.now(UTC)
+            for order in range(50):
+                _FREQUENT.emit(order=order, level_of=Level.INFO, error=ValueError('a "b"'))
+            after = datetime.now(UTC)
+        await wait_until(self.stream.getvalue, 2, "lines are written")
+        lines = [json.loads(line) for line in self.stream.getvalue().splitlines()]
+        self.assertEqual(len(lines), 50)
+        for order, line in enumerate(lines):
+            written_at = datetime.fromisoformat(line.pop("time"))
+            self.assertLess(before - timedelta(milliseconds=1), written_at)
+            self.assertLessEqual(written_at, after)
+            head = {"level": "INFO", "event": 9905, "name": "test_frequent"}
+            self.assertEqual(line, {**head, "order": order, "level_of": "INFO", "error": 'a "b"'})
+        self.assertLessEqual(len(formatted.mock_calls), 2 + int((after - before).total_seconds()))
+
     def test_without_an_event_loop(self):
         """Guards against lines of commands, which run no event loop, that are never written."""
         configure_logging("INFO", "text", self.stream)
