Send members that missed a configuration the difference only

Cause: watchers publish a configuration as a delta from the version before, and in a series of changes each watcher reads other versions. A member with another base fetches, and the response held the whole configuration, 180 KB for 1,000 routes, one to each of up to 85 members over a link of 10 Mbit/s that callers' requests share.

Result: test_member_that_missed_a_configuration_gets_a_delta failed before (8,755 bytes compressed for 1,000 routes that differ by number only, bound 200) and passes.

--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -39,7 +39,7 @@
 from ...messages.group_object import check_group, decode_group
 from ...messages.peer import Fetch, Publish, Versions, WatchStatus, version_digest
 from .edits import GroupEdits
-from .history import GroupHistory
+from .history import ConfigurationHistory, GroupHistory
 from .relay import GroupRelay, build_configuration_publish, build_publish
 from .watchers import WATCHER_COUNT, WatcherRoster
 
@@ -107,6 +107,7 @@
         self._routes: Routes | None = None
         self._views: dict[GroupId, VersionedGroup] = {}
         self._history = GroupHistory()
+        self._configurations = ConfigurationHistory()
         self._listeners: list[GroupListener] = []
         self._waiters: dict[GroupId, asyncio.Event] = {}
         self._update_tasks: dict[GroupId, asyncio.Task[None]] = {}
@@ -437,17 +438,23 @@
             for view in self._views.values()
             if view.version > (known_version := known_versions.get(view.group.id.object_key, 0))
         ]
+        known_version = known_versions.get(CONFIGURATION_KEY, 0)
         cached = self._routes.current if self._routes is not None else None
-        is_newer = cached is not None and cached.version > known_versions.get(CONFIGURATION_KEY, 0)
+        if cached is not None and cached.version > known_version:
+            self._configurations.record(cached)
+            changes.append(self._configurations.changes_since(known_version))
         return Publish(
             groups=tuple(group for change in changes for group in change.groups),
-            configuration=cached if is_newer else None,
+            configuration=next(filter(None, (change.configuration for change in changes)), None),
             deltas=tuple(delta for change in changes for delta in change.deltas),
+            configuration_delta=next(
+                filter(None, (change.configuration_delta for change in changes)), None
+            ),
         )
 
     def _on_publish(self, sender: str, message: Publish) -> None:
         if message.configuration is not None and self._routes is not None:
-            self._routes.observe(message.configuration)
+            self._observe_configuration(message.configuration, self._routes)
             if message.groups or message.deltas:
                 # Only the response to a Fetch has both, and it has every object that was missing.
                 self._loaded_prefixes.update((CONFIGURATION_KEY, "groups/"))
@@ -473,13 +480,20 @@
         elif version < delta.version:
             self._peers.reply(sender, Fetch(delta.service, delta.number, version))
 
+    def _observe_configuration(self, newer: VersionedConfiguration, routes: Routes) -> bool:
+        """Activates a configuration with a higher version; returns whether it was activated."""
+        activated = routes.observe(newer)
+        if activated:
+            self._configurations.record(newer)
+        return activated
+
     def _observe_configuration_delta(
         self, sender: str, delta: ConfigurationDelta, routes: Routes
     ) -> None:
         cached = routes.current
         newer = delta.apply_to(cached) if cached is not None else None
         if newer is not None:
-            routes.observe(newer)
+            self._observe_configuration(newer, routes)
         elif cached is None or cached.version < delta.version:
             self._peers.reply(sender, Fetch(objects=self._object_versions()))
 
@@ -625,7 +639,8 @@
                 configuration = decode_json(stored.value, Configuration)
                 base = self._routes.current
                 newer = VersionedConfiguration(stored.version, configuration)
-                if self._routes.observe(newer) and self._membership.own_member() is not None:
+                activated = self._observe_configuration(newer, self._routes)
+                if activated and self._membership.own_member() is not None:
                     message = build_configuration_publish(base, newer)
                     self._relay.broadcast(message, self._count_preceding_watchers())
                 return
--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -520,6 +520,32 @@
         self.assertEqual(peers_behind.sent, [("b:1", Fetch(objects={}))])
         self.assertIsNone(self.routes.current)
 
+    async def test_member_that_missed_a_configuration_gets_a_delta(self):
+        """Guards against copies of 1,000 routes to all members that missed one of many changes."""
+        many = {
+            f"r{number}": Route(
+                f"r{number}", "a.example", f"/{number}/", True, 3, 4.0, 0.6, 2, (Target("depot"),)
+            )
+            for number in range(1000)
+        }
+        first, second, third = (
+            VersionedConfiguration(
+                version, Configuration(version, dict(list(many.items())[version:]))
+            )
+            for version in (1, 2, 3)
+        )
+        peers = RecordingPeers("c:1")
+        watcher = self.store("b:1", peers, GroupId("depot", 0))
+        for configuration in (first, second, third):
+            watcher._on_publish("a:1", Publish(configuration=configuration))
+        watcher._on_fetch("c:1", Fetch(objects={CONFIGURATION_KEY: 1}))
+        ((_, message),) = peers.sent
+        self.assertLess(len(FrameEncoder().encode(message)), 200)
+        behind = self.store("c:1", RecordingPeers(), GroupId("depot", 0))
+        self.routes.observe(first)
+        behind._on_publish("b:1", message)
+        self.assertEqual(self.routes.current, third)
+
     async def test_versions_in_flight_are_not_fetched(self):
         """Guards against fetches of all groups at each renewal while a group changes."""
         own_group_id = GroupId("depot", 0)
