--- a/fescueward/testing/proxy.py
+++ b/fescueward/testing/proxy.py
@@ -299,10 +299,14 @@
                 await asyncio.sleep(remaining_s)
             if chunk is None:
                 raise ConnectionResetError
-            if not chunk:
-                writer.write_eof()
-                return
-            writer.write(chunk)
+            try:
+                if not chunk:
+                    writer.write_eof()
+                    return
+                writer.write(chunk)
+            except RuntimeError as error:
+                # uvloop raises it for a connection that was reset.
+                raise ConnectionResetError(str(error)) from error
             await writer.drain()
 
     async with asyncio.TaskGroup() as tasks:
--- a/fescueward/testing/site/plan.py
+++ b/fescueward/testing/site/plan.py
@@ -37,6 +37,7 @@
     CRASH = "crash"
     SLOW = "slow"
     ANSWERS_LOST = "answers-lost"
+    STUTTER = "stutter"
     # Faults of the link between an agent and its upstream; `value` is a proxy mode or `delay`.
     LINK = "link"
 
@@ -79,6 +80,8 @@
     Action.LEAVE: (2.0, 4.0),
 }
 _DEFAULT_DURATION_S = (2.0, 9.0)
+# Mean time between two draws of `STUTTER`.
+_MEAN_STUTTER_INTERVAL_S = 5.0
 # Actions that affect all machines.
 _GLOBAL_ACTIONS = frozenset(
     {
@@ -133,6 +136,8 @@
         action = rng.choice(actions)
         steps += _draw(rng, at_s, action, machines)
         at_s += rng.expovariate(1 / _MEAN_INTERVAL_S)
+    if len(actions) > len(_PLANNED_ACTIONS):
+        steps += _draw_stutter(seed, seconds, machines)
     return tuple(
         sorted(
             (drawn for drawn in steps if drawn.at_s < seconds - _MARGIN_S),
@@ -141,6 +146,17 @@
     )
 
 
+def _draw_stutter(seed: int, seconds: float, machines: tuple[str, ...]) -> list[Step]:
+    # A generator of its own leaves the other steps of a seed as they were.
+    rng = random.Random(f"stutter {seed}")
+    steps: list[Step] = []
+    at_s = _MARGIN_S
+    while at_s < seconds - _MARGIN_S:
+        steps += _draw(rng, at_s, Action.STUTTER, machines)
+        at_s += rng.expovariate(1 / _MEAN_STUTTER_INTERVAL_S)
+    return steps
+
+
 def _draw(
     rng: random.Random, at_s: float, action: Action, machines: tuple[str, ...]
 ) -> list[Step]:
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -42,6 +42,7 @@
 _WARMUP_TIMEOUT_S = 20.0
 _STORE_DELAY_S = 0.4
 _LOST_RESPONSE_SHARE = 0.4
+_STUTTER_SHARE = 0.4
 _LATE_WRITE_DELAY_S = 1.5
 _SLOW_FACTOR = 4.0
 _LINK_DELAY_MS = 300.0
@@ -212,6 +213,8 @@
             changes = {"slow_factor": _SLOW_FACTOR}
             if step.action is Action.ANSWERS_LOST:
                 changes = {"lost_share": _LOST_RESPONSE_SHARE}
+            elif step.action is Action.STUTTER:
+                changes = {"stutter_share": _STUTTER_SHARE}
             upstream.faults = replace(upstream.faults, **changes)
             await self._wait_and_record(step)
             if self._end_fault(step):
--- a/fescueward/testing/site/upstream.py
+++ b/fescueward/testing/site/upstream.py
@@ -30,6 +30,7 @@
 from ..program import LOOPBACK, HttpSite, abort_connection
 from .holds import KeyHolds
 from .records import Departure, Evidence, Run, receipt, response_body
+from .stutter import ANSWERED, Answer, Script, ScriptedResponse, draw_script
 
 HEALTH_PATH = "/health"
 # Query field with the execution time of a request, in milliseconds.
@@ -73,10 +74,12 @@
     Attributes:
         slow_factor: Factor on the execution time of all requests.
         lost_share: Share of the executions whose response is lost, from 0 to 1.
+        stutter_share: Share of the executions whose response is faulty, from 0 to 1.
     """
 
     slow_factor: float = 1.0
     lost_share: float = 0.0
+    stutter_share: float = 0.0
 
 
 class _GrantBody(msgspec.Struct, rename="camel"):
@@ -283,6 +286,7 @@
     ) -> web.StreamResponse:
         started = time.monotonic()
         status, start_id = 0, self._start_id
+        script: Script | None = None
         try:
             work_s = float(request.query.get(WORK_MS, "0")) / 1000 * self.faults.slow_factor
             await asyncio.sleep(max(min(work_s, deadline - started), 0))
@@ -292,6 +296,9 @@
             status = 504 if started + work_s > deadline else 200 if holds_key else 500
             if self._random.random() < self.faults.lost_share:
                 status = 0
+            elif self.faults.stutter_share > self._random.random():
+                answer = Answer(self.instance, request_id, status, response_body(request_id))
+                script = draw_script(self._random, answer, None)
         finally:
             self._evidence.runs.append(
                 Run(
@@ -301,9 +308,11 @@
                     key=key,
                     started=started,
                     ended=time.monotonic(),
-                    status=status,
+                    status=status if script is None or script.fault in ANSWERED else 0,
                 )
             )
+        if script is not None:
+            return ScriptedResponse(script)
         if not status:
             return abort_connection(request)
         headers = {
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -39,3 +39,10 @@
         The upstreams of a keyed service leave one after another in this plan.
         """
         self._run_seed(205)
+
+    def test_seed_3110(self):
+        """Guards against bodies and receipts that are not the upstream's.
+
+        Upstreams answer twice, cut off and malformed in this plan, on connections that stay open.
+        """
+        self._run_seed(3110)
