Read bodies that arrive behind a response that closes the connection

What callers saw: no response until the deadline, then a refusal, for a pipelined request that the agent had begun, if its body was still arriving when the response to an earlier request of the connection ended it. All responses of a stopping agent do so.

Cause: once a response closes the connection, all further data was discarded, since later requests must not begin. That included the rest of the body of the last request that had begun. The connection also stayed open for the lingering time if that request was answered before its body.

Data is now parsed until the body of the last begun request is complete; requests behind it are still not begun.

--- a/fescueward/kernel/http_pipeline.py
+++ b/fescueward/kernel/http_pipeline.py
@@ -15,6 +15,7 @@
 
 # `aiohttp.web` would also import applications, routes and files, which delays each start.
 from aiohttp.http_writer import StreamWriter
+from aiohttp.streams import StreamReader
 from aiohttp.web_exceptions import HTTPException
 from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError
 from aiohttp.web_request import BaseRequest
@@ -120,7 +121,15 @@
         pipelined: Whether a request was begun before the response to an earlier one.
     """
 
-    __slots__ = ("_draining", "_exchanges", "_finishing", "_limits", "_server", "pipelined")
+    __slots__ = (
+        "_draining",
+        "_exchanges",
+        "_finishing",
+        "_last_payload",
+        "_limits",
+        "_server",
+        "pipelined",
+    )
 
     def __init__(self, manager: PipelinedServer, limits: PipelineLimits, **options: Any) -> None:
         super().__init__(manager, **options)
@@ -128,6 +137,8 @@
         self._limits = limits
         self._exchanges: deque[_Exchange] = deque()
         self.pipelined = False
+        # Body of the last request that was begun, which may still arrive when later data is discarded.
+        self._last_payload: StreamReader | None = None
         # Whether a response closes the connection, so that no further request is begun.
         self._finishing = False
         # Whether the connection is closed as soon as no request is in progress.
@@ -146,7 +157,7 @@
         while True:
             boundary = data.find(_HEAD_END, start)
             end = boundary + len(_HEAD_END) if boundary >= 0 else len(data)
-            if self._finishing:
+            if self._finishing and self._last_payload_complete():
                 return
             super().data_received(data[start:end])
             self._begin_requests()
@@ -253,8 +264,12 @@
             and self._server.requests_ahead < self._limits.total_requests
         )
 
+    def _last_payload_complete(self) -> bool:
+        return self._last_payload is None or self._last_payload.is_eof()
+
     def _begin(self, message: Any, payload: Any) -> None:
         assert self._request_handler is not None and self._manager is not None
+        self._last_payload = payload
         self._manager.requests_count += 1
         handler: Handler = self._request_handler
         if not hasattr(message, "headers"):
--- a/tests/kernel/test_http_pipeline.py
+++ b/tests/kernel/test_http_pipeline.py
@@ -153,6 +153,18 @@
         self.assertEqual(b"", await self.read_end())
         self.assertEqual(["/1", "/2"], self.begun)
 
+    async def test_body_that_arrives_behind_a_closing_response_is_read(self):
+        """Guards against a discarded body because an earlier response ends the connection."""
+        self.closing_paths.add("/1")
+        self.writer.write(get("/1") + get("/2", "Content-Length: 4") + b"bo")
+        await self.wait_until(lambda: self.begun == ["/1", "/2"])
+        self.release("/1", "/2")
+        await self.read_response()
+        self.writer.write(b"dy" + get("/3"))
+        _, headers, body = await self.read_response()
+        self.assertEqual(("/2body", "close"), (body, headers["connection"]))
+        self.assertEqual(["/1", "/2"], self.begun)
+
     async def test_callers_close_ends_the_connection_after_the_last_response(self):
         """A request with `Connection: close` behind another one ended both."""
         self.writer.write(get("/1") + get("/2", "Connection: close"))
