Select a route by its prefix instead of a search through all routes

Each request compared its path with the prefixes of its host one after the other, and each agent hashed all routes and sorted them at each version, so a request and a version cost processor time in proportion to the number of routes. Prefixes end with a slash (checked when a configuration is read), so the routes of a host are now found by the parts of the path that end with one, the longest first. Targets with weights keep their state by name instead of by the hash of a route.

--- a/fescueward/services/routing/routes.py
+++ b/fescueward/services/routing/routes.py
@@ -38,6 +38,22 @@
         return self._targets[selected].service
 
 
+class _HostRoutes:
+    """The routes of one host by their prefixes, each of which ends with a slash."""
+
+    def __init__(self, routes: dict[str, Route]) -> None:
+        self._routes = routes
+        self._longest_prefix = max(map(len, routes))
+
+    def select(self, path: str) -> Route | None:
+        end = min(len(path), self._longest_prefix)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
 class RouteTable:
     """The `routes` service.
 
@@ -50,7 +66,7 @@
 
     def __init__(self) -> None:
         self._current: VersionedConfiguration | None = None
-        self._routes_by_host: dict[str, tuple[Route, ...]] = {}
+        self._routes_by_host: dict[str, _HostRoutes] = {}
         self._weighted_targets: dict[Route, _WeightedTargets] = {}
 
     @property
@@ -74,9 +90,11 @@
             return False
         self._current = configuration
         self._routes_by_host = _group_by_host(configuration.configuration)
-        routes = set(configuration.configuration.routes.values())
+        routes = configuration.configuration.routes
         self._weighted_targets = {
-            route: targets for route, targets in self._weighted_targets.items() if route in routes
+            route: targets
+            for route, targets in self._weighted_targets.items()
+            if routes.get(route.name) == route
         }
         _CONFIGURATION_APPLIED.emit(
             version=configuration.configuration.version,
@@ -95,10 +113,8 @@
             else _group_by_host(configuration)
         )
         host_name = host.rpartition(":")[0] if host.rpartition(":")[2].isdigit() else host
-        for route in routes_by_host.get(host_name.lower(), ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        routes = routes_by_host.get(host_name.lower())
+        return routes.select(path) if routes is not None else None
 
     def target(self, route: Route) -> str:
         """Returns the service of the next request on a route, by the weights of its targets."""
@@ -110,14 +126,12 @@
         return targets.next_service()
 
 
-def _group_by_host(configuration: Configuration) -> dict[str, tuple[Route, ...]]:
-    hosts: dict[str, list[Route]] = {}
+def _group_by_host(configuration: Configuration) -> dict[str, _HostRoutes]:
+    hosts: dict[str, dict[str, Route]] = {}
     for route in configuration.routes.values():
-        hosts.setdefault(route.host.lower(), []).append(route)
-    return {
-        host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
-        for host, routes in hosts.items()
-    }
+        # Of two routes that match the same requests the first is used.
+        hosts.setdefault(route.host.lower(), {}).setdefault(route.prefix, route)
+    return {host: _HostRoutes(routes) for host, routes in hosts.items()}
 
 
 class ConfiguredCatalogue:
--- a/tests/services/routing/test_routes.py
+++ b/tests/services/routing/test_routes.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from unittest import mock
 
 from fescueward.messages.configuration import (
     Configuration,
@@ -23,6 +24,20 @@
     return VersionedConfiguration(version, content)
 
 
+class CountingPath(str):
+    """A path that counts the searches in it."""
+
+    searches = 0
+
+    def startswith(self, *args):
+        self.searches += 1
+        return super().startswith(*args)
+
+    def rfind(self, *args):
+        self.searches += 1
+        return super().rfind(*args)
+
+
 class RouteTableTest(unittest.TestCase):
     def setUp(self):
         self.table = RouteTable()
@@ -39,6 +54,31 @@
         self.assertIsNone(self.select("other.example", "/a/x"))
         self.assertIsNone(self.select("shop.example", "/ab"))
 
+    def test_first_of_two_equal_prefixes_wins(self):
+        """Guards against a change of the route that a configuration names first."""
+        self.table.observe(configuration(1, route("first", "/a/"), route("second", "/a/")))
+        self.assertEqual(self.select("shop.example", "/a/"), "first")
+        self.table.observe(configuration(2, route("all", "/"), route("narrow", "/a/b/")))
+        self.assertEqual(self.select("shop.example", "/a/x"), "all")
+        self.assertIsNone(self.select("shop.example", "*"))
+
+    def test_selection_does_not_compare_all_routes(self):
+        """Guards against processor time of each request that grows with the number of routes."""
+        routes = [route(f"r{number}", f"/p{number}/") for number in range(1000)]
+        self.table.observe(configuration(1, *routes))
+        for path, name in (("/p1/x", "r1"), ("/p999/x/y", "r999"), ("/" * 50_000, None)):
+            counting_path = CountingPath(path)
+            self.assertEqual(self.select("shop.example", counting_path), name)
+            self.assertLessEqual(counting_path.searches, 10)
+
+    def test_new_version_hashes_no_routes(self):
+        """Guards against processor time of each version for routes that did not change."""
+        routes = [route(f"r{number}", f"/p{number}/") for number in range(1000)]
+        with mock.patch.object(Route, "__hash__", autospec=True, return_value=1) as route_hash:
+            self.table.observe(configuration(1, *routes))
+            self.table.observe(configuration(2, *routes))
+        self.assertEqual(route_hash.call_count, 0)
+
     def test_older_version_changes_nothing(self):
         """Guards against reverting to an older configuration that arrives late."""
         self.assertTrue(self.table.observe(configuration(5, route("new", "/n/"))))
