Apply a group delta without a look at each range

Most versions change one or two of some hundred key ranges, but each agent compared all of them with the changed ones, sorted them and copied the members, half of the time that it takes to apply a version. The changed ranges are now placed by a binary search, and members that did not change are shared between versions.

Ruled out: the check of the new version (0.09 ms under the profiler of 1.8 ms), the listeners (together a quarter).

Processor time of one version of 39 members and 300 ranges with all listeners (arm64): 0.243 ms before, 0.143 ms after at a member; 0.191 ms before, 0.093 ms after at an agent of another service.

test_change_of_one_range_reads_few_others failed before with 1,000 reads; test_change_leads_to_the_newer_version covers 300 random changes.

--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from dataclasses import dataclass, field, replace
+from operator import attrgetter
 from typing import Annotated, TypeVar
 
 from msgspec import Meta
@@ -24,6 +25,9 @@
 
 Named = TypeVar("Named", Route, ServiceSpec)
 
+_FIRST_KEY_OF = attrgetter("first")
+_LAST_KEY_OF = attrgetter("last")
+
 
 @dataclass(frozen=True, slots=True)
 class GroupDelta:
@@ -65,8 +69,10 @@
         group = base.group
         if (group.id, base.version) != (self.group, self.base):
             return None
-        members = {id_: member for id_, member in group.members.items() if id_ not in self.removed}
-        members |= {member.id: member for member in self.members}
+        members = group.members
+        if self.members or self.removed:
+            members = {id_: member for id_, member in members.items() if id_ not in self.removed}
+            members |= {member.id: member for member in self.members}
         shards = group.shards
         if self.shards:
             shards = tuple(self.shards.get(number, shard) for number, shard in enumerate(shards))
@@ -202,11 +208,12 @@
     """Replaces each range that shares keys with a changed one; both are in ascending order."""
     if not changed:
         return ranges
-    first_keys = [key_range.first for key_range in changed]
-
-    def is_replaced(key_range: KeyRange) -> bool:
-        index = bisect_right(first_keys, key_range.last) - 1
-        return index >= 0 and changed[index].last >= key_range.first
-
-    unchanged = [key_range for key_range in ranges if not is_replaced(key_range)]
-    return tuple(sorted((*unchanged, *changed), key=lambda key_range: key_range.first))
+    result: list[KeyRange] = []
+    index = 0
+    for key_range in changed:
+        start = bisect_left(ranges, key_range.first, lo=index, key=_LAST_KEY_OF)
+        result += ranges[index:start]
+        result.append(key_range)
+        index = bisect_right(ranges, key_range.last, lo=start, key=_FIRST_KEY_OF)
+    result += ranges[index:]
+    return tuple(result)
--- a/tests/messages/test_delta.py
+++ b/tests/messages/test_delta.py
@@ -40,6 +40,20 @@
     )
 
 
+class CountingRanges(tuple[KeyRange, ...]):
+    """Ranges that count the reads of single ones; a slice counts as one."""
+
+    reads = 0
+
+    def __getitem__(self, index):
+        self.reads += 1
+        return super().__getitem__(index)
+
+    def __iter__(self):
+        self.reads += len(self)
+        return super().__iter__()
+
+
 class GroupDeltaTest(unittest.TestCase):
     def test_change_leads_to_the_newer_version(self):
         """Guards against deltas after which a key has two owners, or none, on an agent."""
@@ -71,6 +85,19 @@
                 self.assertIsInstance(delta, GroupDelta)
                 self.assertEqual(delta.apply_to(base), newer)
 
+    def test_change_of_one_range_reads_few_others(self):
+        """Guards against processor time of each version that grows with the number of ranges."""
+        ranges = CountingRanges(random_ranges(random.Random(1), 1000))
+        before = replace(group_of_size(6), ranges=ranges)
+        changed = replace(ranges[500], owner="m0:1", epoch=9)
+        base = VersionedGroup(3, before)
+        delta = GroupDelta("depot", 0, base=3, version=4, ranges=(changed,))
+        ranges.reads = 0
+        newer = delta.apply_to(base)
+        self.assertLessEqual(ranges.reads, 40)
+        self.assertEqual(newer.group.ranges, (*ranges[:500], changed, *ranges[501:]))
+        self.assertIs(newer.group.members, before.members)
+
     def test_change_of_another_version_is_not_applied(self):
         """Guards against a delta that is applied to another version than its base."""
         base = VersionedGroup(3, group_of_size(2))
