Refuse a waiting request as soon as a stopping agent may cut it

What callers saw: other operators report a planned stop in which requests that came late in the grace were passed on and cut at its end, among them ones that must not be repeated (LOST). Played here: a request that had been accepted and then waited, for its body, for the response before it on its connection, for a slot of the gate or for another attempt, kept waiting until the grace ended. It was then begun with too little time, or its caller got 502, and another agent a stream that ended, although it had not run.

Cause: `Shutdown.check` compares a deadline with the end of the finishing phase at a few moments. Between them, and in the phase before, nothing ended a wait. A request whose router refused it as the agent closed got 502 because the close came first.

Change: `Shutdown.waiting` is a context for waits, which end when `check` would refuse the request: at the start of the finishing phase if its deadline is too late, at the close in any case. Gate and front end wait in it, the router checks before each attempt, and at the close a request may still end by its own refusal for 0.1 s.

Ruled out: shorter phases, which refuse more requests and leave the wait as it is.

Evidence: five new tests in tests.services.test_shutdown, tests.services.gate.test_execution, tests.services.routing.test_dispatcher and tests.platform.test_frontend failed before (waits of 1.5 s and more without an end, 502 in place of 503) and pass; these and tests.kernel, tests.daemons, tests.docs: 110 passed.

--- a/fescueward/interfaces/shutdown.py
+++ b/fescueward/interfaces/shutdown.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AbstractContextManager
+from contextlib import AbstractAsyncContextManager, AbstractContextManager
 from enum import StrEnum
 from typing import Protocol, runtime_checkable
 
@@ -45,6 +45,20 @@
         """
         ...
 
+    def waiting(self, deadline: float) -> AbstractAsyncContextManager[None]:
+        """Returns a context in which a request waits before it is begun.
+
+        The wait ends as soon as `check` refuses the request, so that it is not begun too late and
+        its caller can go elsewhere in time.
+
+        Args:
+            deadline: Deadline of the request in seconds of CLOCK_BOOTTIME.
+
+        Raises:
+            DrainingError: The process may exit before the deadline.
+        """
+        ...
+
     def close(self) -> None:
         """Enters the closing phase unless it has begun."""
         ...
--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -115,6 +115,10 @@
             _STOP_REQUESTED.emit(failed=self._failure is not None)
         self._stop_requested.set()
 
+    async def wait_until_stopping(self) -> None:
+        """Waits until a stop is requested."""
+        await self._stop_requested.wait()
+
     def bind(self) -> None:
         """Connects the services without starting them, which also checks the settings.
 
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -61,6 +61,9 @@
 _CLOSE_TIMEOUT_S = 0.1
 # The metrics page is served at the address of the readiness probe.
 _METRICS_PATH = "/metrics"
+# A request that waits when the agent closes is refused within this time. Its caller then learns
+# that it has not run.
+_LAST_RESULT_S = 0.1
 # Statuses that a caller receives as 503: 421 and 429 refer an agent to another agent, and 422
 # would present a quarantined request as malformed, which it is not.
 _REPLACED_STATUSES = frozenset({421, 422, 429})
@@ -199,10 +202,12 @@
         deadline = arrived_at + timeout_s
         body = b""
         if http.body_exists:
-            body = await self._receive_body(http, configuration.limits, deadline)
-            self._shutdown.check(deadline)
+            async with self._shutdown.waiting(deadline):
+                body = await self._receive_body(http, configuration.limits, deadline)
         if not route.repeatable and not http.has_turn:
-            await self._wait_for_turn(http, deadline)
+            async with self._shutdown.waiting(deadline):
+                await self._wait_for_turn(http, deadline)
+        self._shutdown.check(deadline)
         request = Request(
             id=request_id,
             service=service,
@@ -248,6 +253,7 @@
             self._route_and_read(request),
             request.deadline,
             keep_running=not request.repeatable,
+            last_result_s=_LAST_RESULT_S,
         )
         if response is not None:
             return response
@@ -272,6 +278,7 @@
         work: Coroutine[None, None, _Result],
         deadline: float,
         keep_running: bool = False,
+        last_result_s: float = 0.0,
     ) -> _Result | None:
         """Returns the result of a coroutine, or None at its deadline or when this agent closes.
 
@@ -280,6 +287,7 @@
             deadline: Its deadline in seconds of CLOCK_BOOTTIME.
             keep_running: Whether the task continues after the deadline or a disconnect of the
                 caller; otherwise it is cancelled.
+            last_result_s: Time after the closing in which the coroutine may still end by itself.
         """
         task = asyncio.get_running_loop().create_task(work)
         closing = self._shutdown.closing
@@ -288,6 +296,8 @@
             await asyncio.wait(
                 (task, closing), timeout=remaining_s, return_when=asyncio.FIRST_COMPLETED
             )
+            if closing.done() and not task.done():
+                await asyncio.wait((task,), timeout=min(last_result_s, remaining_s))
             return task.result() if task.done() else None
         finally:
             if not task.done():
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import AsyncExitStack
 from dataclasses import replace
 
 from ...interfaces import (
@@ -108,14 +109,16 @@
     async def _execute(self, request: Request) -> Response:
         entry = self._catalogue.entry(request.service).entry
         self._check_accepting(request)
-        await self._admitted_epoch(request)
-        async with (
-            self._quarantine.guard(request) as request,
-            self._admission.slot(request, entry),
-        ):
-            # The upstream may have begun to leave, or the key may have moved, during the wait.
-            self._check_accepting(request)
-            epoch = await self._admitted_epoch(request)
+        async with AsyncExitStack() as run_context:
+            async with self._shutdown.waiting(request.deadline):
+                await self._admitted_epoch(request)
+                guard = self._quarantine.guard(request)
+                request = await run_context.enter_async_context(guard)
+                slot = self._admission.slot(request, entry)
+                await run_context.enter_async_context(slot)
+                # The upstream may have begun to leave, or the key may have moved, during the wait.
+                self._check_accepting(request)
+                epoch = await self._admitted_epoch(request)
             started_at = self._clock.now()
             try:
                 response = await self._upstream.run(
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from ...interfaces import Execution, Groups, Membership, Peers, Routes
+from ...interfaces import Execution, Groups, Membership, Peers, Routes, Shutdown
 from ...interfaces.metrics import RequestListener
 from ...kernel import Clock, Event, Level, Outcome, RefusalError, Registry
 from ...kernel.bounds import Bounds
@@ -66,7 +66,7 @@
     """The `router` service for services with numeric keys and services without keys."""
 
     name = "router"
-    requires = ("routes", "groups", "peers", "membership", "execution")
+    requires = ("routes", "groups", "peers", "membership", "execution", "shutdown")
 
     def __init__(self) -> None:
         self._listeners: list[RequestListener] = []
@@ -83,6 +83,7 @@
         self._peers = registry.find("peers", Peers)
         self._membership = registry.find("membership", Membership)
         self._execution = registry.find("execution", Execution)
+        self._shutdown = registry.find("shutdown", Shutdown)
         self._failure_domain = registry.find("settings", Settings).agent.failure_domain
         self._groups.subscribe(self)
 
@@ -158,6 +159,8 @@
         while True:
             if request.deadline - self._clock.now() < _MIN_RUN_S:
                 raise DeadlineExceededError("the deadline passed before an upstream was available")
+            # Each attempt is begun only if this agent can pass on its response.
+            self._shutdown.check(request.deadline)
             view = self._groups.view(GroupId(request.service, 0))
             try:
                 member = self._choose(request, view, tried, owner_hint)
--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager, suppress
 
 from ..interfaces import ShutdownPhase
 from ..kernel import Clock, Event, Kernel, Level, Registry
@@ -37,6 +37,9 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
+        self._tasks = kernel.task_owner(self.name)
+        # Deadlines of the requests that wait to be begun, by the timeout that ends the wait.
+        self._waits: dict[asyncio.Timeout, float] = {}
         self._closing: asyncio.Future[None] | None = None
         self._open_requests: Counter[str] = Counter()
         self._idle = asyncio.Event()
@@ -69,7 +72,8 @@
         self._bounds = registry.find("bounds", Bounds)
 
     async def start(self) -> None:
-        """Starts nothing: the phases begin with the stop request."""
+        """Starts the task that ends waits at the start of each phase."""
+        self._tasks.spawn("phases", self._run_phases())
 
     async def drain(self) -> None:
         """Waits until callers have switched to other agents, then until no request is in flight.
@@ -92,24 +96,36 @@
             )
 
     async def stop(self) -> None:
-        """Stops nothing: this service has no background task."""
+        """Cancels the tasks of the service."""
+        await self._tasks.cancel()
 
     def check(self, deadline: float) -> None:
         """Refuses a request whose deadline is after the process may end; see `Shutdown.check`."""
-        if self.phase in (ShutdownPhase.SERVING, ShutdownPhase.TAKING):
-            return
-        if self.phase is ShutdownPhase.CLOSING or deadline > self._clock.now() + self._remaining_s(
-            self._bounds.finish_until_s
-        ):
-            raise DrainingError(
-                "this agent is stopping and may end before the request's deadline",
-                retry_after_s=_RETRY_AFTER_S,
-            )
+        if self._refuses(deadline):
+            raise _draining_error()
+
+    @asynccontextmanager
+    async def waiting(self, deadline: float) -> AsyncIterator[None]:
+        """Ends a wait as soon as the request is refused; see `Shutdown.waiting`."""
+        self.check(deadline)
+        limit = asyncio.timeout(None)
+        try:
+            async with limit:
+                self._waits[limit] = deadline
+                try:
+                    yield
+                finally:
+                    del self._waits[limit]
+        except TimeoutError:
+            if limit.expired():
+                raise _draining_error() from None
+            raise
 
     def close(self) -> None:
         """Begins the closing phase, also without a drain before it; see `Shutdown.close`."""
         if not self.closing.done():
             self.closing.set_result(None)
+        self._end_refused_waits()
 
     @contextmanager
     def open_request(self, request_id: str) -> Iterator[None]:
@@ -125,6 +141,25 @@
             if not self._open_requests:
                 self._idle.set()
 
+    def _refuses(self, deadline: float) -> bool:
+        phase = self.phase
+        if phase in (ShutdownPhase.SERVING, ShutdownPhase.TAKING):
+            return False
+        end_s = self._clock.now() + self._remaining_s(self._bounds.finish_until_s)
+        return phase is ShutdownPhase.CLOSING or deadline > end_s
+
+    async def _run_phases(self) -> None:
+        await self._kernel.wait_until_stopping()
+        for end_s in (self._bounds.accept_until_s, self._bounds.finish_until_s):
+            while (remaining_s := self._remaining_s(end_s)) > 0:
+                await self._clock.sleep(remaining_s)
+            self._end_refused_waits()
+
+    def _end_refused_waits(self) -> None:
+        for limit, deadline in self._waits.items():
+            if self._refuses(deadline):
+                limit.reschedule(asyncio.get_running_loop().time())
+
     def _remaining_s(self, end_s: float) -> float:
         return end_s - self._kernel.stopping_s
 
@@ -134,3 +169,10 @@
             open=self._open_requests.total(),
             stopping_s=round(self._kernel.stopping_s, 3),
         )
+
+
+def _draining_error() -> DrainingError:
+    return DrainingError(
+        "this agent is stopping and may end before the request's deadline",
+        retry_after_s=_RETRY_AFTER_S,
+    )
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -250,6 +250,41 @@
         self.assertIn(b" 503 ", response)
         self.assertEqual(self.router.requests, [])
 
+    async def test_request_that_waits_is_refused_before_the_end(self):
+        """Guards against a body or an earlier response that is awaited until the close."""
+        await self.shutdown.start()
+        self.addAsyncCleanup(self.shutdown.stop)
+        self.router.response_allowed.clear()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(HEAD + b"Content-Length: 10\r\n\r\nhalf")
+        pipelined_reader, pipelined_writer = await asyncio.open_connection("127.0.0.1", self.port)
+        second = HEAD.replace(b"Id: r1", b"Id: r2") + b"Content-Length: 0\r\n\r\n"
+        pipelined_writer.write(HEAD + b"Content-Length: 0\r\n\r\n" + second)
+        await self.router.request_received.wait()
+        self.kernel.request_stop()
+        async with asyncio.timeout(1.1):
+            self.assertIn(b" 503 ", await reader.readuntil(b"\r\n"))
+        self.assertLess(self.kernel.stopping_s, 0.9)
+        self.router.response_allowed.set()
+        async with asyncio.timeout(1):
+            self.assertIn(b" 200 ", await pipelined_reader.readuntil(b"\r\n\r\n"))
+            await pipelined_reader.readexactly(2)
+            self.assertIn(b" 503 ", await pipelined_reader.readuntil(b"\r\n\r\n"))
+        self.assertEqual([request.id for request in self.router.requests], ["r1"])
+        for each in (writer, pipelined_writer):
+            each.close()
+
+    async def test_request_that_is_refused_as_the_agent_closes_has_not_run(self):
+        """Guards against an unknown outcome for a request that its router refuses at the close."""
+        self.router.response_allowed.clear()
+        self.router.refusal = OverloadedError("refused when the wait ended")
+        sending = asyncio.create_task(self.send())
+        await self.router.request_received.wait()
+        self.shutdown.closing.add_done_callback(lambda _: self.router.response_allowed.set())
+        self.kernel.request_stop()
+        await self.shutdown.drain()
+        self.assertEqual((await sending)[0], 503)
+
     async def test_stalled_response_ends_at_the_deadline(self):
         """Guards against callers that wait indefinitely for the body of a response."""
         stalled = asyncio.Event()
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import unittest
-from contextlib import nullcontext
+from contextlib import asynccontextmanager, nullcontext
 from types import SimpleNamespace
 
 from fescueward.kernel import BootClock, Kernel
@@ -82,6 +82,24 @@
         raise OverloadedError("full")
 
 
+class QueuedSlots:
+    """An admission service whose slots are all in use."""
+
+    occupancy = Occupancy(6, 9, 6, 120.0)
+
+    def __init__(self) -> None:
+        self.waiting = 0
+
+    @asynccontextmanager
+    async def slot(self, request, entry):
+        self.waiting += 1
+        try:
+            await asyncio.Event().wait()
+            yield
+        finally:
+            self.waiting -= 1
+
+
 class PassingQuarantine:
     """A quarantine service that admits every request."""
 
@@ -187,6 +205,20 @@
         self.assertFalse(self.running.done())
         self.running.cancel()
 
+    async def test_queued_request_is_left_to_others_in_time(self):
+        """Guards against a request that waits for a slot until its agent ends."""
+        slots = QueuedSlots()
+        self.execution._admission = slots
+        await self.shutdown.start()
+        self.addAsyncCleanup(self.shutdown.stop)
+        self.upstream.run_started.clear()
+        with self.assertRaises(DrainingError):
+            await asyncio.wait_for(self.execution.execute(make_request(2.0, key="")), 1.5)
+        self.assertLess(self.kernel.stopping_s, 0.6)
+        self.assertEqual(slots.waiting, 0)
+        self.assertFalse(self.upstream.run_started.is_set())
+        self.running.cancel()
+
     async def test_request_that_may_outlast_the_process_is_left_to_others(self):
         """Guards against admitting a forwarded request whose run outlasts the stopping agent."""
         await asyncio.sleep(0.7)
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -4,10 +4,11 @@
 import unittest
 from types import SimpleNamespace
 
-from fescueward.kernel import BootClock, Outcome
+from fescueward.kernel import BootClock, Kernel, Outcome
 from fescueward.kernel.bounds import Bounds
 from fescueward.kernel.errors import (
     AnswerLostError,
+    DrainingError,
     OwnerUnreachableError,
     QuarantinedError,
     RefusalError,
@@ -15,6 +16,7 @@
 from fescueward.messages import Group, GroupId, VersionedGroup
 from fescueward.messages.group import LAST_KEY, KeyRange
 from fescueward.services.routing.dispatcher import DispatchRouter
+from fescueward.services.shutdown import GracefulShutdown
 from tests.services.fakes import StubRegistry, make_request, make_response
 from tests.services.groups_for_tests import member, with_added_members
 
@@ -53,6 +55,11 @@
         Group("depot", 0, 1, ranges=(KeyRange(0, LAST_KEY, "b:1", 1),)), member("b")
     )
 
+    def setUp(self):
+        self.kernel = Kernel()
+        self.shutdown = GracefulShutdown(self.kernel)
+        self.shutdown.bind(StubRegistry(bounds=Bounds(grace_s=1.3)))
+
     def router(self, peers: FakePeers) -> DispatchRouter:
         view = VersionedGroup(1, self.group)
         groups = SimpleNamespace(
@@ -70,6 +77,7 @@
                 peers=peers,
                 membership=SimpleNamespace(member_id="a:1"),
                 execution=None,
+                shutdown=self.shutdown,
                 settings=SimpleNamespace(agent=SimpleNamespace(failure_domain="lowell")),
             )
         )
@@ -94,6 +102,16 @@
             await self.router(peers).route(make_request(0.2, key="5"))
         self.assertEqual(set(peers.forwarded), {"b:1"})
 
+    async def test_stopping_agent_begins_no_attempt_that_it_may_cut(self):
+        """Guards against a request that is sent again late in the grace and cut at its end."""
+        peers = FakePeers("b:1")
+        peers.refusal = OwnerUnreachableError("no stream to b:1")
+        self.kernel.request_stop()
+        with self.assertRaises(DrainingError) as refused:
+            await self.router(peers).route(make_request(5.0, key="5"))
+        self.assertIs(refused.exception.outcome, Outcome.NOT_RUN)
+        self.assertLess(self.kernel.stopping_s, 0.6)
+
     async def test_quarantined_request_is_not_offered_again(self):
         """Guards against retrying a quarantined request at agents without a report of it."""
         for key in ("", "5"):
--- a/tests/services/test_shutdown.py
+++ b/tests/services/test_shutdown.py
@@ -41,6 +41,24 @@
             self.shutdown.check(self.clock.now() + remaining_s + 0.1)
         self.assertGreater(refused.exception.retry_after_s, 0)
 
+    async def test_wait_ends_once_the_request_is_refused(self):
+        """Guards against requests that wait in a stopping agent and are begun late, or cut."""
+        await self.shutdown.start()
+        self.addAsyncCleanup(self.shutdown.stop)
+
+        async def wait(remaining_s: float) -> float:
+            with self.assertRaises(DrainingError) as refused:
+                async with self.shutdown.waiting(self.clock.now() + remaining_s):
+                    await asyncio.Event().wait()
+            self.assertGreater(refused.exception.retry_after_s, 0)
+            return self.kernel.stopping_s
+
+        self.kernel.request_stop()
+        # One deadline is after the end of the process, the other before it.
+        ends = await asyncio.gather(wait(5.0), wait(BOUNDS.finish_until_s - 0.05))
+        self.assertAlmostEqual(ends[0], BOUNDS.accept_until_s, delta=0.1)
+        self.assertAlmostEqual(ends[1], BOUNDS.finish_until_s, delta=0.1)
+
     async def test_idle_agent_ends_after_the_taking_phase(self):
         """Guards against a stop that waits for its whole grace time without a request."""
         self.kernel.request_stop()
