Leave forwarded requests that may outlast a stopping agent to others

What callers saw: callers of an agent that was not stopping got 502 for requests that it had sent to one that was, 0.1 s after the end of that agent's grace.

Cause: in the taking phase all requests are accepted, because callers are not routed elsewhere yet. That does not hold for requests of other agents: the router of the other agent sends a refused request to another member at once.

Change: from the stop signal on, a forwarded request without a key is refused if its deadline is after the finishing phase, also while it waits in the queue. A key has one owner, so its requests are accepted as before.

Ruled out: refusing all forwarded requests, which moves short ones too, and requests of callers here, who would return here.

Evidence: tests.platform.test_stop sends twenty-two kinds of requests at each 0.1 s of a grace of 6 s.

--- a/fescueward/interfaces/shutdown.py
+++ b/fescueward/interfaces/shutdown.py
@@ -34,18 +34,20 @@
         """Future that is done once open requests must be answered, because the process exits."""
         ...
 
-    def check(self, deadline: float) -> None:
+    def check(self, deadline: float, movable: bool = False) -> None:
         """Refuses a request that may still be open when the process exits.
 
         Args:
             deadline: Deadline of the request in seconds of CLOCK_BOOTTIME.
+            movable: Whether another agent can serve it at once. It is then refused in the taking
+                phase too.
 
         Raises:
             DrainingError: The process may exit before the deadline.
         """
         ...
 
-    def waiting(self, deadline: float) -> AbstractAsyncContextManager[None]:
+    def waiting(self, deadline: float, movable: bool = False) -> AbstractAsyncContextManager[None]:
         """Returns a context in which a request waits before it is begun.
 
         The wait ends as soon as `check` refuses the request, so that it is not begun too late and
@@ -53,6 +55,7 @@
 
         Args:
             deadline: Deadline of the request in seconds of CLOCK_BOOTTIME.
+            movable: Whether another agent can serve it; see `check`.
 
         Raises:
             DrainingError: The process may exit before the deadline.
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -110,7 +110,7 @@
         entry = self._catalogue.entry(request.service).entry
         self._check_accepting(request)
         async with AsyncExitStack() as run_context:
-            async with self._shutdown.waiting(request.deadline):
+            async with self._shutdown.waiting(request.deadline, _is_movable(request)):
                 await self._admitted_epoch(request)
                 guard = self._quarantine.guard(request)
                 request = await run_context.enter_async_context(guard)
@@ -158,4 +158,12 @@
             raise NotOwnerError(f"the upstream of this agent serves {announcement.service!r}")
         if announcement.state is AnnouncedState.LEAVING or self._departure.closed:
             raise DrainingError("the upstream is leaving its group")
-        self._shutdown.check(request.deadline)
+        self._shutdown.check(request.deadline, _is_movable(request))
+
+
+def _is_movable(request: Request) -> bool:
+    """Returns whether the agent that sent the request can send it to another one instead.
+
+    A key has one owner, and callers of this agent are not routed elsewhere at once.
+    """
+    return request.forwarded_by is not None and not request.key
--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -38,8 +38,9 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._tasks = kernel.task_owner(self.name)
-        # Deadlines of the requests that wait to be begun, by the timeout that ends the wait.
-        self._waits: dict[asyncio.Timeout, float] = {}
+        # Deadlines of the requests that wait to be begun, and whether another agent can serve
+        # them, by the timeout that ends the wait.
+        self._waits: dict[asyncio.Timeout, tuple[float, bool]] = {}
         self._closing: asyncio.Future[None] | None = None
         self._open_requests: Counter[str] = Counter()
         self._idle = asyncio.Event()
@@ -99,19 +100,19 @@
         """Cancels the tasks of the service."""
         await self._tasks.cancel()
 
-    def check(self, deadline: float) -> None:
+    def check(self, deadline: float, movable: bool = False) -> None:
         """Refuses a request whose deadline is after the process may end; see `Shutdown.check`."""
-        if self._refuses(deadline):
+        if self._refuses(deadline, movable):
             raise _draining_error()
 
     @asynccontextmanager
-    async def waiting(self, deadline: float) -> AsyncIterator[None]:
+    async def waiting(self, deadline: float, movable: bool = False) -> AsyncIterator[None]:
         """Ends a wait as soon as the request is refused; see `Shutdown.waiting`."""
-        self.check(deadline)
+        self.check(deadline, movable)
         limit = asyncio.timeout(None)
         try:
             async with limit:
-                self._waits[limit] = deadline
+                self._waits[limit] = (deadline, movable)
                 try:
                     yield
                 finally:
@@ -141,23 +142,24 @@
             if not self._open_requests:
                 self._idle.set()
 
-    def _refuses(self, deadline: float) -> bool:
+    def _refuses(self, deadline: float, movable: bool) -> bool:
         phase = self.phase
-        if phase in (ShutdownPhase.SERVING, ShutdownPhase.TAKING):
+        if phase is ShutdownPhase.SERVING or (phase is ShutdownPhase.TAKING and not movable):
             return False
         end_s = self._clock.now() + self._remaining_s(self._bounds.finish_until_s)
         return phase is ShutdownPhase.CLOSING or deadline > end_s
 
     async def _run_phases(self) -> None:
         await self._kernel.wait_until_stopping()
+        self._end_refused_waits()
         for end_s in (self._bounds.accept_until_s, self._bounds.finish_until_s):
             while (remaining_s := self._remaining_s(end_s)) > 0:
                 await self._clock.sleep(remaining_s)
             self._end_refused_waits()
 
     def _end_refused_waits(self) -> None:
-        for limit, deadline in self._waits.items():
-            if self._refuses(deadline):
+        for limit, (deadline, movable) in self._waits.items():
+            if self._refuses(deadline, movable):
                 limit.reschedule(asyncio.get_running_loop().time())
 
     def _remaining_s(self, end_s: float) -> float:
