--- a/fescueward/kernel/http_pipeline.py
+++ b/fescueward/kernel/http_pipeline.py
@@ -137,7 +137,7 @@
         self._limits = limits
         self._exchanges: deque[_Exchange] = deque()
         self.pipelined = False
-        # Body of the last request that was begun, which may still arrive when later data is discarded.
+        # Body of the last request that was begun, which may arrive when later data is discarded.
         self._last_payload: StreamReader | None = None
         # Whether a response closes the connection, so that no further request is begun.
         self._finishing = False
