Reject responses with a space behind the name of a header

What callers may get: a response with two statements of its length, of which the upstream's is malformed ("Content-Length : 2"), or a body that was read to the end of the connection instead of its length.

Cause: aiohttp's parser of responses accepts a space before the colon and keeps it in the name, so that neither its own framing nor the list of hop-by-hop headers recognises the header.

Such a response is now treated like other malformed ones. The case added to test_mismatched_and_malformed_responses failed before: the response was returned.

--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -307,6 +307,9 @@
         raise AnswerLostError(f"the response has {receipts} signature headers")
     if "Content-Encoding" in headers:
         raise AnswerLostError("the response has a content encoding")
+    if any(name != name.rstrip() for name in headers):
+        # The parser accepts such a name, but a header of the framing would have no effect.
+        raise AnswerLostError("the name of a header ends with a space")
 
 
 def _is_refusal(http_response: aiohttp.ClientResponse) -> bool:
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -152,6 +152,7 @@
             (AnswerLostError, ok + ECHO + b"\r\nok"),
             (AnswerLostError, ok + RECEIPT + ECHO + b"Content-Encoding: gzip\r\n\r\nok"),
             (AnswerLostError, ok.replace(b": 2", b": 9") + RECEIPT + ECHO + b"\r\nok"),
+            (AnswerLostError, ok.replace(b"Length:", b"Length :") + RECEIPT + ECHO + b"\r\nok"),
             (AnswerLostError, b"no answer at all\r\n\r\n"),
             (OutcomeLostError, b""),
         )
