Give upstreams no more time than a stopping agent has left

What callers saw: a request that was sent within three seconds of SIGTERM, with a time limit after the end of the grace, got 502 from the stopping agent while its upstream worked on, at times after it had waited in the queue of another agent and begun there late. The users' rules excuse most of these, but the upstream's response is lost and the work is for nothing.

Cause: in the taking phase requests are accepted whatever their deadline, and the upstream was given all of it.

Change: a run that begins after SIGTERM has to end 0.1 s before the finishing phase does (`Shutdown.limit`). The agent that forwarded a request waits 0.05 s beyond its deadline for that response.

Ruled out: refusing these requests, as most of them end within milliseconds.

--- a/fescueward/interfaces/shutdown.py
+++ b/fescueward/interfaces/shutdown.py
@@ -47,6 +47,17 @@
         """
         ...
 
+    def limit(self, deadline: float) -> float:
+        """Returns the time by which the run of a request that begins now has to end.
+
+        In the taking phase this may be before the deadline. Its upstream then ends the run and
+        responds while the response can still be passed on.
+
+        Args:
+            deadline: Deadline of the request in seconds of CLOCK_BOOTTIME.
+        """
+        ...
+
     def waiting(self, deadline: float, movable: bool = False) -> AbstractAsyncContextManager[None]:
         """Returns a context in which a request waits before it is begun.
 
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -216,7 +216,7 @@
             path=http.raw_path,
             headers=_forwarded_headers(http),
             body=BytesBody(body),
-            deadline=deadline,
+            deadline=self._shutdown.limit(deadline),
             caller=self._site.service,
             priority=route.priority,
             repeatable=route.repeatable,
@@ -225,7 +225,7 @@
             useful_until=arrived_at + min(route.objective_s or timeout_s, timeout_s),
             delays_others=http.pipelined,
         )
-        return await self._route(request)
+        return await self._route(request, deadline)
 
     async def _receive_body(
         self, http: BaseRequest, limits: CallerLimits, deadline: float
@@ -247,11 +247,16 @@
         if waited is None:
             raise DeadlineExceededError("the earlier requests of the connection are not answered")
 
-    async def _route(self, request: Request) -> HttpResponse:
-        """Routes a request; a repeatable one is cancelled if the caller disconnects."""
+    async def _route(self, request: Request, deadline: float) -> HttpResponse:
+        """Routes a request; a repeatable one is cancelled if the caller disconnects.
+
+        Args:
+            request: The request; its run may have to end before the deadline of the caller.
+            deadline: Deadline of the caller in seconds of CLOCK_BOOTTIME.
+        """
         response = await self._run_until_deadline(
-            self._route_and_read(request),
-            request.deadline,
+            self._route_and_read(request, deadline),
+            deadline,
             keep_running=not request.repeatable,
             last_result_s=_LAST_RESULT_S,
         )
@@ -261,10 +266,10 @@
             raise OutcomeLostError("this agent is stopping before the request has finished")
         raise DeadlineExceededRunningError("no response before the deadline")
 
-    async def _route_and_read(self, request: Request) -> HttpResponse:
+    async def _route_and_read(self, request: Request, deadline: float) -> HttpResponse:
         response = await self._router.route(request)
         try:
-            async with asyncio.timeout(max(request.deadline - self._clock.now(), 0)):
+            async with asyncio.timeout(max(deadline - self._clock.now(), 0)):
                 return await _http_response(response)
         except TimeoutError:
             raise DeadlineExceededRunningError(
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -122,7 +122,7 @@
             started_at = self._clock.now()
             try:
                 response = await self._upstream.run(
-                    request, int(request.key or 0), epoch, request.deadline
+                    request, int(request.key or 0), epoch, self._shutdown.limit(request.deadline)
                 )
             finally:
                 run_s = self._clock.now() - started_at
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -58,6 +58,8 @@
 # Members of one group send messages to each other every second.
 _IDLE_TIMEOUT_S = 60.0
 _IDLE_CHECK_INTERVAL_S = 15.0
+# An upstream that stops its work at the deadline responds this much later at most.
+_RESPONSE_SLACK_S = 0.05
 
 Dispatch = Callable[[str, Any], None]
 
@@ -259,7 +261,9 @@
         timeout_error = DeadlineExceededRunningError(
             f"{member.id} did not respond before the deadline"
         )
-        timer = asyncio.get_running_loop().call_later(remaining_s, forwarded.fail, timeout_error)
+        timer = asyncio.get_running_loop().call_later(
+            remaining_s + _RESPONSE_SLACK_S, forwarded.fail, timeout_error
+        )
         body_task: asyncio.Task[None] | None = None
         try:
             if inline is None:
--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -23,6 +23,8 @@
 # The platform restarts an ended process after about a second; an earlier retry would be refused
 # again.
 _RETRY_AFTER_S = 1.0
+# Time for passing on the response of a run that ends at its limit.
+_LAST_RESPONSE_S = 0.1
 
 
 class GracefulShutdown:
@@ -105,6 +107,13 @@
         if self._refuses(deadline, movable):
             raise _draining_error()
 
+    def limit(self, deadline: float) -> float:
+        """Returns the time by which a run that begins now has to end; see `Shutdown.limit`."""
+        if self.phase is ShutdownPhase.SERVING:
+            return deadline
+        limit_s = self._bounds.finish_until_s - _LAST_RESPONSE_S
+        return min(deadline, self._clock.now() + self._remaining_s(limit_s))
+
     @asynccontextmanager
     async def waiting(self, deadline: float, movable: bool = False) -> AsyncIterator[None]:
         """Ends a wait as soon as the request is refused; see `Shutdown.waiting`."""
