Write odd entries into the store in each soak

Cause: the soak had no other writer, so it could not find that one odd entry ends agents.

Change: each plan has three steps that write a damaged copy of a group beside the groups: nested over 20,000 levels, with a number over 64 bits, with ports out of range, or undamaged under another name. They are drawn by a generator of their own, so the other steps of all seeds stay as they were.

--- a/fescueward/testing/site/plan.py
+++ b/fescueward/testing/site/plan.py
@@ -6,6 +6,8 @@
 import random
 from dataclasses import dataclass
 
+from .odd_entries import VARIANTS
+
 # No fault begins in the first or last second of a plan.
 _MARGIN_S = 1.0
 # Mean time between two draws of an action. Most faults last longer, so they overlap.
@@ -13,6 +15,8 @@
 # Share of plans with only planned operations and store outages. Around unplanned faults the
 # platform's rules allow requests to be cut off, so plans with such faults check less.
 _PLANNED_ONLY_SHARE = 0.5
+# Entries of another program in each plan.
+_ODD_ENTRIES = 3
 
 
 class Action(enum.StrEnum):
@@ -32,6 +36,8 @@
     STORE_PART = "store-part"
     # Writes a new configuration version.
     CONFIGURE = "configure"
+    # Another program writes an entry beside the groups; `value` is its variant.
+    ODD_ENTRY = "odd-entry"
     # Faults and departures of an upstream; for `CRASH`, `value` selects the id of its next start.
     LEAVE = "leave"
     CRASH = "crash"
@@ -71,6 +77,7 @@
     Action.STORE_PART: ("drop", "cut"),
     Action.CRASH: ("same id", "new id"),
     Action.LINK: ("drop", "cut", "delay"),
+    Action.ODD_ENTRY: VARIANTS,
 }
 # Minimum and maximum duration of an action.
 _DURATIONS_S = {
@@ -138,6 +145,7 @@
         at_s += rng.expovariate(1 / _MEAN_INTERVAL_S)
     if len(actions) > len(_PLANNED_ACTIONS):
         steps += _draw_stutter(seed, seconds, machines)
+    steps += _draw_odd_entries(seed, seconds)
     return tuple(
         sorted(
             (drawn for drawn in steps if drawn.at_s < seconds - _MARGIN_S),
@@ -157,6 +165,16 @@
     return steps
 
 
+def _draw_odd_entries(seed: int, seconds: float) -> list[Step]:
+    """Returns steps with a generator of their own, so that the others of a seed stay the same."""
+    rng = random.Random(f"odd entries {seed}")
+    times_s = (rng.uniform(_MARGIN_S, seconds) for _ in range(_ODD_ENTRIES))
+    return [
+        Step(round(at_s, 2), Action.ODD_ENTRY, value=rng.choice(_VARIANTS[Action.ODD_ENTRY]))
+        for at_s in times_s
+    ]
+
+
 def _draw(
     rng: random.Random, at_s: float, action: Action, machines: tuple[str, ...]
 ) -> list[Step]:
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -23,6 +23,7 @@
 from .callers import Load
 from .deployment import Machine, SiteDeployment, SiteSpec
 from .judge import Breach, Rule, judge
+from .odd_entries import write_odd_entry
 from .plan import Action, Step, draw_plan
 from .records import STARVED, Disturbance
 from .store import StoreFaults, StoreMode
@@ -176,6 +177,9 @@
         if step.action is Action.STORE_FORGET:
             store.drop_history()
             return
+        if step.action is Action.ODD_ENTRY:
+            write_odd_entry(store, step.value)
+            return
         if step.action is Action.STORE_DOWN:
             changes = {"mode": StoreMode(step.value)}
         elif step.action is Action.STORE_SLOW:
