Log priority, source and time at the gate of each request

Requests that fail at their deadline could not be told apart by where they waited: on the way to the gate, in its queue or in the run. Requests and refusals at a gate now carry the time since their arrival there, refusals the remaining time as well, and requests at the front end their priority, objective and source address.

--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -197,7 +197,10 @@
             service=service,
             key=key,
             configuration=configuration.version,
+            priority=route.priority,
+            objective_ms=round(route.objective_s * 1000),
             timeout_ms=round(timeout_s * 1000),
+            source=http.remote,
         )
         deadline = arrived_at + timeout_s
         body = b""
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -85,9 +85,10 @@
 
     async def execute(self, request: Request) -> Response:
         """Runs a request on the upstream of this agent; see `Execution.execute`."""
+        arrived_at = self._clock.now()
         try:
             with self._shutdown.open_request(request.id):
-                return await self._execute(request)
+                return await self._execute(request, arrived_at)
         except RefusalError as error:
             error.occupancy = self._slots.occupancy
             if request.key and isinstance(error, OverloadedError):
@@ -102,11 +103,13 @@
                 outcome=error.outcome,
                 reason=error,
                 occupancy=error.occupancy,
+                waited_ms=round((self._clock.now() - arrived_at) * 1000, 1),
+                left_ms=round((request.deadline - self._clock.now()) * 1000),
                 source=request.forwarded_by,
             )
             raise
 
-    async def _execute(self, request: Request) -> Response:
+    async def _execute(self, request: Request, arrived_at: float) -> Response:
         entry = self._catalogue.entry(request.service).entry
         self._check_accepting(request)
         async with AsyncExitStack() as run_context:
@@ -135,6 +138,7 @@
             key=request.key,
             epoch=epoch,
             status=response.status,
+            waited_ms=round((started_at - arrived_at) * 1000, 1),
             run_ms=round(run_s * 1000, 1),
             source=request.forwarded_by,
         )
