Limit the bytes of request bodies on their way to one agent

Callers saw refill-charge and place-order fail with 500 because calls of their runs, 400 to 700 ms long at most, did not end in time although the called upstreams had free slots. Cause: an upload of 60 kB was sent inside its first message, and up to 320 kB of a larger one went out at once, so that 0.1 to 0.6 s of bytes lay on the link of a small machine (5 to 10 Mbit/s) and each call to that machine waited behind them. Ruled out: room at the upstreams (20 to 28 of 30 to 42 slots of routes were busy), the gate's queue, and the way back (2 ms at the median).

Bodies above 16 KiB are now streamed in parts of 8 KiB, and an agent shares a credit of 48 KiB among the request bodies that it receives, at least 16 KiB each, so that the bytes ahead of a call are few however many uploads are on their way.

--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -35,7 +35,7 @@
 from ..messages.request import BytesBody
 from .peer_links import Dispatch, Identity
 from .peer_wire import Wire, handshake_mac, inline_data, read_messages, refused_message
-from .streams import Channel, ChannelBody
+from .streams import Channel, ChannelBody, ReceiveWindows
 
 _HANDSHAKE_FAILED = Event(2303, "peer_refused", Level.WARNING, "A peer failed the handshake.")
 _MALFORMED = Event(2304, "peer_malformed", Level.WARNING, "A peer sent malformed messages.")
@@ -82,6 +82,7 @@
         self._timeout_s = timeout_s
         self._identity = identity
         self._dispatch = dispatch
+        self._windows = ReceiveWindows()
         self._accepted: dict[str, _AcceptedStream] = {}
         # Streams accepted under an earlier incarnation of this agent.
         self._outdated: set[_AcceptedStream] = set()
@@ -220,7 +221,7 @@
             error = OverloadedError("too many requests on one stream", retry_after_s=1.0)
             accepted.wire.send(refused_message(stream_number, error))
             return
-        channel = Channel(stream_number, accepted.wire.send)
+        channel = Channel(stream_number, accepted.wire.send, self._windows)
         accepted.channels[stream_number] = channel
         task = self._tasks.spawn("request", self._run_request(accepted, channel, message))
         accepted.tasks[stream_number] = task
@@ -229,6 +230,7 @@
             # A task that is cancelled before its first step does not reach its own `finally`.
             del accepted.tasks[stream_number]
             del accepted.channels[stream_number]
+            channel.close_window()
 
         task.add_done_callback(remove_request)
 
--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -11,12 +11,13 @@
 from ..messages import Body
 from ..messages.peer import StreamCredit, StreamData
 
-# Credit that the receiver of a body grants when it starts to read, and not before: the body of a
-# request that is refused unread can still be sent to another agent.
-WINDOW_BYTES = 262_144
-CHUNK_BYTES = 65_536
+# Credit that an agent grants for all bodies that it receives, and the least for one of them. Bytes
+# on their way fill the link of the receiving machine, and every message to it waits behind them.
+WINDOW_BYTES = 49_152
+_MIN_WINDOW_BYTES = 16_384
+CHUNK_BYTES = 8_192
 # A body up to this size is sent inside StreamOpen or StreamHead.
-INLINE_BYTES = 65_536
+INLINE_BYTES = 16_384
 
 # Fails a body whose receiver grants no credit for this long, which frees its upstream slot.
 STALL_TIMEOUT_S = 30.0
@@ -24,18 +25,48 @@
 Sender = Callable[[object], None]
 
 
+class ReceiveWindows:
+    """Shares the credit of one agent among the bodies that it is receiving."""
+
+    def __init__(self) -> None:
+        self._open_bodies = 0
+
+    @property
+    def window_bytes(self) -> int:
+        """Credit of each body that is being received."""
+        return max(WINDOW_BYTES // max(self._open_bodies, 1), _MIN_WINDOW_BYTES)
+
+    def open(self) -> None:
+        """Counts a body that is being received."""
+        self._open_bodies += 1
+
+    def close(self) -> None:
+        """Ends the count of a body that has arrived or failed."""
+        self._open_bodies -= 1
+
+
 class Channel:
     """One end of a request stream: buffers the incoming body and tracks the credit to send.
 
     A peer stream, which is one connection, carries many request streams by their numbers.
 
+    Args:
+        stream: Number of the request stream.
+        send: Sends a message to the other end.
+        windows: Shared with the other bodies that this agent receives, or None for a window of
+            its own.
+
     Attributes:
         stream: Number of the request stream.
     """
 
-    def __init__(self, stream: int, send: Sender) -> None:
+    def __init__(self, stream: int, send: Sender, windows: ReceiveWindows | None = None) -> None:
         self.stream = stream
         self._send = send
+        self._windows = windows or ReceiveWindows()
+        # Whether the body is being received, and the credit that the other end has left for it.
+        self._window_open = False
+        self._granted_bytes = 0
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._readable = asyncio.Event()
@@ -52,7 +83,10 @@
             if self._buffered_bytes > WINDOW_BYTES + INLINE_BYTES:
                 self.fail("the sender exceeded its window")
                 return
+            self._granted_bytes -= len(data)
         self._ended = self._ended or end
+        if end:
+            self.close_window()
         self._readable.set()
 
     def add_credit(self, size: int) -> None:
@@ -64,12 +98,33 @@
         """Fails both directions: readers and senders raise `BodyTruncatedError`."""
         if self._failure is None:
             self._failure = reason
+        self.close_window()
         self._readable.set()
         self._credit_available.set()
 
     def open_window(self) -> None:
-        """Grants the other end the credit of one window."""
-        self._send(StreamCredit(self.stream, WINDOW_BYTES))
+        """Grants the other end credit for a body, and not before it is read.
+
+        The body of a request that is refused unread can still be sent to another agent.
+        """
+        if self._ended or self._failure is not None:
+            return
+        self._window_open = True
+        self._windows.open()
+        self._granted_bytes = 0
+        self._grant()
+
+    def close_window(self) -> None:
+        """Leaves the shared credit to other bodies."""
+        if self._window_open:
+            self._window_open = False
+            self._windows.close()
+
+    def _grant(self) -> None:
+        credit_bytes = self._windows.window_bytes - self._granted_bytes - self._buffered_bytes
+        if self._window_open and credit_bytes > 0:
+            self._granted_bytes += credit_bytes
+            self._send(StreamCredit(self.stream, credit_bytes))
 
     async def read(self) -> bytes:
         """Returns the next part of the body, or empty bytes at its end.
@@ -86,7 +141,7 @@
             await self._readable.wait()
         chunk = self._chunks.popleft()
         self._buffered_bytes -= len(chunk)
-        self._send(StreamCredit(self.stream, len(chunk)))
+        self._grant()
         return chunk
 
     async def write_body(self, body: Body) -> None:
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -29,9 +29,11 @@
     Renew,
     StatusQuery,
     StatusReply,
+    StreamCredit,
     StreamData,
 )
 from fescueward.services import peer_accepted, peer_links, streams
+from fescueward.services.peer_wire import Wire
 from fescueward.services.peers import MsgpackPeers
 from fescueward.services.streams import WINDOW_BYTES, Channel
 from fescueward.testing.ports import PortReservations
@@ -504,6 +506,34 @@
             await self.forward(path="/" + "x" * 2_000_000)
         await self.assert_no_open_requests()
 
+    async def test_short_requests_do_not_wait_behind_bodies(self):
+        """Guards against calls that expire behind uploads on the link of a small machine."""
+        credit_bytes = 0
+        send = Wire.send
+
+        def count_credit(wire, message):
+            nonlocal credit_bytes
+            credit_bytes += message.size if isinstance(message, StreamCredit) else 0
+            send(wire, message)
+
+        async def read_nothing_more(request):
+            async for _ in request.body.chunks():
+                await release.wait()
+            return make_response()
+
+        release = asyncio.Event()
+        self.handler = read_nothing_more
+        with mock.patch.object(Wire, "send", count_credit):
+            uploads = [asyncio.create_task(self.forward(body=b"x" * 360_000)) for _ in range(4)]
+            await wait_until(lambda: len(self.received_requests) == 4, 2, "all have arrived")
+            await asyncio.sleep(0.1)
+            # 0.1 s on a link of 10 Mbit/s.
+            self.assertLessEqual(credit_bytes, 131_072)
+            release.set()
+            for upload in uploads:
+                self.assertEqual((await upload).status, 200)
+        await self.assert_no_open_requests()
+
     async def test_sender_beyond_its_window(self):
         """Guards against an unbounded receive buffer."""
         channel = Channel(1, lambda message: None)
