Receive a request body before its run takes a slot

The body of an upload beyond the first 64 KiB arrived while its run held a slot of the upstream: 300 kB take 0.25 s on a link of 10 Mbit/s that nothing else uses. The gate now receives the body first, within the deadline of the request, so a request whose body does not arrive in time has not run. The test failed before: the slot was taken with the body still to come.

--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import AsyncExitStack
 from dataclasses import replace
 
@@ -21,12 +22,14 @@
 from ...interfaces.placement import Load
 from ...kernel import Clock, Event, Level, RefusalError, Registry
 from ...kernel.errors import (
+    DeadlineExceededError,
     DrainingError,
     NotOwnerError,
     OverloadedError,
     UpstreamUnavailableError,
 )
 from ...messages import AnnouncedState, Request, Response
+from ...messages.request import BytesBody
 
 _REQUEST_RUN = Event(
     3410,
@@ -115,6 +118,7 @@
         async with AsyncExitStack() as run_context:
             async with self._shutdown.waiting(request.deadline, _is_movable(request)):
                 await self._admitted_epoch(request)
+                request = await self._with_received_body(request)
                 guard = self._quarantine.guard(request)
                 request = await run_context.enter_async_context(guard)
                 slot = self._admission.slot(request, entry)
@@ -146,6 +150,19 @@
             listener.run_ended(request.service, run_s)
         return replace(response, occupancy=occupancy, epoch=epoch)
 
+    async def _with_received_body(self, request: Request) -> Request:
+        """Receives a streamed body, which would otherwise arrive while its run holds a slot."""
+        if isinstance(request.body, BytesBody):
+            return request
+        try:
+            async with asyncio.timeout(max(request.deadline - self._clock.now(), 0)):
+                body = b"".join([part async for part in request.body.chunks()])
+        except TimeoutError:
+            raise DeadlineExceededError(
+                "the deadline passed before the request body arrived"
+            ) from None
+        return replace(request, body=BytesBody(body))
+
     async def _admitted_epoch(self, request: Request) -> int:
         """Returns the epoch of the request's key, or 0 without a key; raises as `admit`."""
         if not request.key:
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -18,7 +18,13 @@
 from fescueward.services.gate.execution import GateExecution
 from fescueward.services.quarantine import CrashQuarantine
 from fescueward.services.shutdown import GracefulShutdown
-from tests.services.fakes import FakePeers, StubRegistry, make_request, make_response
+from tests.services.fakes import (
+    FakePeers,
+    StreamedBody,
+    StubRegistry,
+    make_request,
+    make_response,
+)
 
 ANNOUNCEMENT = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1")
 
@@ -161,6 +167,40 @@
         self.assertEqual(load.records, [(70, 0.12)])
 
 
+class BodyTest(unittest.IsolatedAsyncioTestCase):
+    async def test_body_arrives_before_a_slot_is_taken(self):
+        """Guards against uploads over slow links that occupy the slots of an upstream."""
+        body = StreamedBody(*[b"x" * 30_000] * 4)
+        received: list[bytes] = []
+
+        class RecordingSlots(FreeSlots):
+            def slot(self, request, entry):
+                received.append(getattr(request.body, "data", b""))
+                return nullcontext()
+
+        upstream = SlowUpstream()
+        upstream.proceed.set()
+        execution = GateExecution()
+        registry = StubRegistry(
+            clock=BootClock(),
+            shutdown=running_shutdown(Kernel()),
+            catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
+            membership=SimpleNamespace(
+                announcement=ANNOUNCEMENT, closed=False, member_id="a:1", own_group_id=None
+            ),
+            ownership=None,
+            admission=RecordingSlots(),
+            upstream=upstream,
+            load=None,
+            quarantine=PassingQuarantine(),
+            peers=FakePeers(),
+        )
+        execution.bind(registry)
+        response = await execution.execute(make_request(2.0, body=body, key=""))
+        self.assertEqual(response.status, 200)
+        self.assertEqual([len(data) for data in received], [120_000])
+
+
 class DrainTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.kernel, self.upstream = Kernel(), SlowUpstream()
