Run short requests although they will be late

Callers of stock-lookup saw 500 at times of full load, because calls of their runs were refused or timed out at orders. A call has an objective of 0.15 to 0.23 s. At a gate whose slots are held by long runs it cannot be met, so the call went to the queue of late requests, which runs while no other request waits, or was refused because three waited there. Each failed call wastes a long run at the other service.

A request whose run is shorter than 0.3 of the runs that hold slots now keeps its place in the queue until its deadline. Ruled out: the priority of the routes (calls have the same as refill-charge).

--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -42,6 +42,9 @@
 # A request that the upstream sheds multiplies the limit by this factor. Reductions are at least
 # one mean run time apart, because requests that are shed together report the same overload.
 _REDUCTION_FACTOR = 0.8
+# Value of a late response in proportion to one in time. A request that will be late is worth its
+# slot if its run is shorter than this share of the runs that it competes with.
+_LATE_VALUE = 0.3
 # Burst of the rate limiter, in seconds of the permitted rate.
 _RATE_BURST_S = 0.1
 
@@ -52,17 +55,25 @@
 class _RunTimeStats:
     """Moving averages of the run time and of its deviation, in seconds."""
 
-    __slots__ = ("deviation_s", "mean_s")
+    __slots__ = ("_mean_square_s2", "deviation_s", "mean_s")
 
     def __init__(self) -> None:
         self.mean_s = 0.0
         self.deviation_s = 0.0
+        self._mean_square_s2 = 0.0
+
+    @property
+    def holding_s(self) -> float:
+        """Mean length of a run that holds a slot at a random moment; long runs weigh more."""
+        return self._mean_square_s2 / self.mean_s if self._mean_square_s2 else self.mean_s
 
     def add(self, run_s: float) -> None:
         """Adds the time of one run in seconds."""
         if not self.mean_s:
             self.mean_s, self.deviation_s = run_s, run_s / 2
+            self._mean_square_s2 = run_s * run_s
             return
+        self._mean_square_s2 += _SAMPLE_WEIGHT * (run_s * run_s - self._mean_square_s2)
         self.deviation_s += _SAMPLE_WEIGHT * (abs(run_s - self.mean_s) - self.deviation_s)
         self.mean_s += _SAMPLE_WEIGHT * (run_s - self.mean_s)
 
@@ -289,7 +300,7 @@
         retry_after_s = max(drain_s, entry.limits.retry_after_ms / 1000)
         if queued_count >= entry.limits.queue_length:
             raise OverloadedError("the queue is full", retry_after_s=retry_after_s)
-        if now + wait_s + run_s <= useful_until:
+        if now + wait_s + run_s <= self._worth_until(request):
             return self._on_time_queue, position
         fits_late_queue = now + drain_s + run_s <= request.deadline
         if fits_late_queue and useful_until < request.deadline and len(self._late_queue) < limit:
@@ -302,6 +313,13 @@
             "the expected wait exceeds the deadline", retry_after_s=retry_after_s
         )
 
+    def _worth_until(self, request: Request) -> float:
+        """Returns until when a response to a request justifies a slot for which others wait."""
+        run_time = self._run_time_by_route.get(request.route)
+        if run_time is not None and run_time.mean_s <= _LATE_VALUE * self._run_time.holding_s:
+            return request.deadline
+        return request.useful_until or request.deadline
+
     def _expected_run_s(self, route: str) -> float:
         run_time = self._run_time_by_route.get(route, self._run_time)
         return run_time.mean_s + 2 * run_time.deviation_s
@@ -344,7 +362,7 @@
                 # A run that cannot end in time would take the slot from one that can.
                 waiter.set_exception(self._too_late_error())
                 continue
-            if ends_at > position[1] and self._on_time_queue:
+            if ends_at > max(position[1], self._worth_until(request)) and self._on_time_queue:
                 # Its response will be late, so requests that can be in time run first.
                 self._late_queue[(position[0], request.deadline, position[2])] = waiter
                 continue
--- a/tests/services/test_admission.py
+++ b/tests/services/test_admission.py
@@ -305,3 +305,18 @@
         self.admission._run_time.mean_s = 0.33
         await asyncio.gather(holder, tight, roomy)
         self.assertEqual(self.order, ["holder", "roomy", "tight"])
+
+    async def test_short_request_that_will_be_late_does_not_wait_for_long_ones(self):
+        """Guards against calls that fail, and with them the long runs that have made them."""
+        for run_s, route in ((0.4, "long"), (0.02, "short")) * 20:
+            self.admission._record_run(run_s, route)
+        names = ("holder", "long-1", "long-2")
+        longs = [self.request(name, 1.9, route="long") for name in names]
+        tasks = [asyncio.create_task(self.run_request(request)) for request in longs]
+        await asyncio.sleep(0)
+        for number in range(4):
+            short = self.request(f"short-{number}", 0.05, route="short")
+            tasks.append(asyncio.create_task(self.run_request(short)))
+        await asyncio.gather(*tasks)
+        self.assertEqual(self.order[0], "holder")
+        self.assertEqual(self.order[5:], ["long-1", "long-2"])
