Look for an upstream that responds in time before queueing a late request

The first two upstreams that a request without a key is offered to now refuse it if its response would be late there, and the third may queue it.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -469,6 +469,7 @@
         useful_ms: Time from sending in which a response has its full value, in milliseconds, or
             None.
         route: Name of the matching route, or empty.
+        has_alternatives: Whether other upstreams may serve the request.
     """
 
     stream: NonNegativeInt
@@ -489,6 +490,7 @@
     repeated: bool = False
     useful_ms: NonNegativeInt | None = None
     route: str = ""
+    has_alternatives: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -89,6 +89,8 @@
         route: Name of the matching route, or empty.
         delays_others: Whether responses to later requests of the connection may have to wait for
             the response to this one.
+        has_alternatives: Whether other upstreams may serve the request, so that one that can only
+            be late here is refused instead of queued.
     """
 
     id: str
@@ -109,6 +111,7 @@
     useful_until: float | None = None
     route: str = ""
     delays_others: bool = False
+    has_alternatives: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -302,6 +302,8 @@
             raise OverloadedError("the queue is full", retry_after_s=retry_after_s)
         if now + wait_s + run_s <= self._worth_until(request):
             return self._on_time_queue, position
+        if request.has_alternatives:
+            raise OverloadedError("the response would be late here", retry_after_s=retry_after_s)
         fits_late_queue = now + drain_s + run_s <= request.deadline
         if fits_late_queue and useful_until < request.deadline and len(self._late_queue) < limit:
             return self._late_queue, (
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -280,6 +280,7 @@
             repeated=message.repeated,
             useful_until=useful_until,
             route=message.route,
+            has_alternatives=message.has_alternatives,
         )
 
 
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -136,6 +136,7 @@
         repeated=request.repeated,
         useful_ms=useful_ms,
         route=request.route,
+        has_alternatives=request.has_alternatives,
     )
 
 
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -20,7 +20,7 @@
     UpstreamRefusedError,
 )
 from ...kernel.settings import Settings
-from ...messages import GroupId, Member, Request, Response, VersionedGroup
+from ...messages import GroupId, Member, MemberState, Request, Response, VersionedGroup
 from .balancer import Balancer, RequestProfile
 from .budget import RetryBudget
 
@@ -48,6 +48,9 @@
 
 # Attempts after which a request without a key is refused if no agent has run it.
 _MAX_SENDS_WITHOUT_RUN = 6
+# Of these, the first that look for an upstream whose response is not late. The next one accepts a
+# late response.
+_SENDS_FOR_TIMELY_RESPONSE = 2
 # Longest wait for a newer group version before the owner of a key is looked up again during a
 # handover.
 _OWNER_POLL_S = 0.05
@@ -165,7 +168,10 @@
             try:
                 member = self._choose(request, view, tried, owner_hint)
                 sends += 1
-                return await self._send(request, member)
+                searching = sends <= _SENDS_FOR_TIMELY_RESPONSE and (
+                    not request.key and _has_others(view, tried | {member.id})
+                )
+                return await self._send(replace(request, has_alternatives=searching), member)
             except _BUDGETED_ERRORS as error:
                 attempts += 1
                 last_error: RefusalError = error
@@ -309,3 +315,11 @@
         if budget is None:
             budget = self._budgets[service] = RetryBudget(self._bounds)
         return budget
+
+
+def _has_others(view: VersionedGroup | None, tried: frozenset[str]) -> bool:
+    """Returns whether the group has an active member that the request was not sent to."""
+    return view is not None and any(
+        member.state is MemberState.ACTIVE and member.id not in tried
+        for member in view.group.members.values()
+    )
--- a/tests/services/gate/call_model.py
+++ b/tests/services/gate/call_model.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections import Counter
+from dataclasses import replace
 
 from fescueward.kernel.errors import RefusalError
 from fescueward.messages import Announcement, Request
@@ -17,6 +18,7 @@
 
 _SLOTS = 3
 _SENDS = 6
+_TIMELY_SENDS = 2
 _ROUTERS = 86
 _NETWORK_S = 0.002
 # Run time of upstreams in proportion to the mean.
@@ -106,7 +108,9 @@
             run_ms = None
             try:
                 await asyncio.sleep(_NETWORK_S)
-                async with gate.slot(request, make_entry(queue_length=256)):
+                searching = send < _TIMELY_SENDS
+                sent = replace(request, has_alternatives=searching)
+                async with gate.slot(sent, make_entry(queue_length=256)):
                     served = await self._work(
                         request,
                         _SPEEDS[self._members[request.service].index(chosen) % len(_SPEEDS)],
--- a/tests/services/gate/test_calls.py
+++ b/tests/services/gate/test_calls.py
@@ -8,11 +8,20 @@
 
 
 class CallsTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = CallingFleet(page_gates=60, order_gates=28, seed=1)
+        cls.fleet.run(pages_per_s=610.0, orders_per_s=280.0, duration_s=6.0)
+
+    def page_share(self, outcome: str) -> float:
+        ends = self.fleet.ends
+        return ends["page", outcome] / sum(ends[end] for end in ends if end[0] == "page")
+
     def test_full_service_serves_the_calls_of_running_requests(self):
         """Guards against runs that are wasted because a full service turned their calls away."""
-        fleet = CallingFleet(page_gates=60, order_gates=28, seed=1)
-        fleet.run(pages_per_s=610.0, orders_per_s=280.0, duration_s=6.0)
-        pages = sum(count for (kind, _), count in fleet.ends.items() if kind == "page")
-        orders_refused = fleet.ends["order", "refused"]
-        self.assertGreater(orders_refused, 0)
-        self.assertLess(fleet.ends["page", "failed"] / pages, 0.01)
+        self.assertGreater(self.fleet.ends["order", "refused"], 0)
+        self.assertLess(self.page_share("failed"), 0.01)
+
+    def test_responses_are_in_time_while_some_upstreams_have_room(self):
+        """Guards against requests that wait as late at one upstream while others have room."""
+        self.assertLess(self.page_share("late"), 0.08)
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -9,6 +9,7 @@
 from fescueward.kernel.errors import (
     AnswerLostError,
     DrainingError,
+    OverloadedError,
     OwnerUnreachableError,
     QuarantinedError,
     RefusalError,
@@ -122,6 +123,38 @@
             self.assertEqual(peers.forwarded, ["b:1"])
 
 
+class LatePeers(FakePeers):
+    """Refuses requests that other upstreams may serve, and records which may be."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.flags: list[bool] = []
+
+    async def forward(self, member, request):
+        self.flags.append(request.has_alternatives)
+        if request.has_alternatives:
+            raise OverloadedError("the response would be late here")
+        return make_response(b"ok")
+
+
+class LateResponseTest(RouterCase):
+    group = with_added_members(Group("depot", 0, 1), *map(member, "bcde"))
+
+    async def test_late_response_is_accepted_once_no_upstream_is_timely(self):
+        """Guards against a request that is refused although an upstream could serve it late."""
+        peers = LatePeers()
+        response = await self.router(peers).route(make_request(1.0, key=""))
+        self.assertEqual((response.status, peers.flags), (200, [True, True, False]))
+
+    async def test_last_upstream_accepts_a_late_response(self):
+        """Guards against a refusal by a service whose few upstreams are all full."""
+        for names, expected in (("b", [False]), ("bc", [True, False])):
+            self.group = with_added_members(Group("depot", 0, 1), *map(member, names))
+            peers = LatePeers()
+            response = await self.router(peers).route(make_request(1.0, key=""))
+            self.assertEqual((response.status, peers.flags), (200, expected))
+
+
 class UnknownOutcomeTest(RouterCase):
     """A request that may have run is neither run again, unless it may be, nor called not run."""
 
--- a/tests/services/test_admission.py
+++ b/tests/services/test_admission.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from fescueward.kernel import BootClock
@@ -320,3 +321,13 @@
         await asyncio.gather(*tasks)
         self.assertEqual(self.order[0], "holder")
         self.assertEqual(self.order[5:], ["long-1", "long-2"])
+
+    async def test_request_that_would_be_late_is_left_to_other_upstreams(self):
+        """Guards against late responses while another upstream could respond in time."""
+        holder = asyncio.create_task(self.run_request(self.request("holder", 1.0)))
+        await asyncio.sleep(0)
+        request = self.request("late", 0.05)
+        with self.assertRaises(OverloadedError):
+            await self.admission.acquire(replace(request, has_alternatives=True), make_entry())
+        await asyncio.gather(holder, self.run_request(request))
+        self.assertEqual(self.order, ["holder", "late"])
