Refuse an upload before its body is sent

It now compares first. After the body has arrived, the request stays even if it will be late, because sending the body elsewhere takes as long again. The test failed before: the body was read.

--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -50,6 +50,14 @@
         """
         ...
 
+    def check(self, request: Request, entry: Entry) -> None:
+        """Checks whether a request would be admitted, before its body is received.
+
+        Raises:
+            OverloadedError: The expected wait exceeds the deadline or the queue is full.
+        """
+        ...
+
     def begin_slow_start(self) -> None:
         """Treats the upstream as cold: the number of usable slots grows gradually."""
         ...
--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -191,6 +191,11 @@
         """Returns a context that waits for a slot; see `Admission.slot`."""
         return _Slot(self, request, entry)
 
+    def check(self, request: Request, entry: Entry) -> None:
+        """Raises as `Admission.check` if the request would be refused now."""
+        if self._running >= self._slot_limit() or self._on_time_queue or self._late_queue:
+            self._choose_queue(request, entry)
+
     async def acquire(self, request: Request, entry: Entry) -> None:
         """Waits for a slot and takes it; raises as `Admission.slot`."""
         if entry.limits.requests_per_second:
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -118,7 +118,9 @@
         async with AsyncExitStack() as run_context:
             async with self._shutdown.waiting(request.deadline, _is_movable(request)):
                 await self._admitted_epoch(request)
-                request = await self._with_received_body(request)
+                if not isinstance(request.body, BytesBody):
+                    self._admission.check(request, entry)
+                    request = await self._with_received_body(request)
                 guard = self._quarantine.guard(request)
                 request = await run_context.enter_async_context(guard)
                 slot = self._admission.slot(request, entry)
@@ -151,9 +153,11 @@
         return replace(response, occupancy=occupancy, epoch=epoch)
 
     async def _with_received_body(self, request: Request) -> Request:
-        """Receives a streamed body, which would otherwise arrive while its run holds a slot."""
-        if isinstance(request.body, BytesBody):
-            return request
+        """Receives a streamed body, which would otherwise arrive while its run holds a slot.
+
+        Afterwards the request stays here even if its response will be late, because sending the
+        body to another upstream takes as long again.
+        """
         try:
             async with asyncio.timeout(max(request.deadline - self._clock.now(), 0)):
                 body = b"".join([part async for part in request.body.chunks()])
@@ -161,7 +165,7 @@
             raise DeadlineExceededError(
                 "the deadline passed before the request body arrived"
             ) from None
-        return replace(request, body=BytesBody(body))
+        return replace(request, body=BytesBody(body), has_alternatives=False)
 
     async def _admitted_epoch(self, request: Request) -> int:
         """Returns the epoch of the request's key, or 0 without a key; raises as `admit`."""
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -130,6 +130,9 @@
     def begin_slow_start(self) -> None:
         pass
 
+    def check(self, request: Any, entry: Any) -> None:
+        """Admits every request."""
+
     def slot(self, request: Any, entry: Any) -> Any:
         raise NotImplementedError
 
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -75,6 +75,9 @@
 
     occupancy = Occupancy(0, 0, 6, 1.0)
 
+    def check(self, request, entry):
+        """Admits the request."""
+
     def slot(self, request, entry):
         return nullcontext()
 
@@ -84,9 +87,11 @@
 
     occupancy = Occupancy(6, 9, 6, 120.0)
 
-    def slot(self, request, entry):
+    def check(self, request, entry):
         raise OverloadedError("full")
 
+    slot = check
+
 
 class QueuedSlots:
     """An admission service whose slots are all in use."""
@@ -180,6 +185,21 @@
 
         upstream = SlowUpstream()
         upstream.proceed.set()
+        execution = self.execution(RecordingSlots(), upstream)
+        request = make_request(2.0, body=body, key="", has_alternatives=True)
+        response = await execution.execute(request)
+        self.assertEqual(response.status, 200)
+        self.assertEqual([len(data) for data in received], [120_000])
+
+    async def test_full_upstream_refuses_before_the_body_is_sent(self):
+        """Guards against uploads that fill the link of a full upstream to be refused there."""
+        body = StreamedBody(b"x" * 120_000)
+        execution = self.execution(FullSlots(), SlowUpstream())
+        with self.assertRaises(OverloadedError):
+            await execution.execute(make_request(2.0, body=body, key=""))
+        self.assertFalse(body.started)
+
+    def execution(self, slots, upstream) -> GateExecution:
         execution = GateExecution()
         registry = StubRegistry(
             clock=BootClock(),
@@ -189,16 +209,14 @@
                 announcement=ANNOUNCEMENT, closed=False, member_id="a:1", own_group_id=None
             ),
             ownership=None,
-            admission=RecordingSlots(),
+            admission=slots,
             upstream=upstream,
             load=None,
             quarantine=PassingQuarantine(),
             peers=FakePeers(),
         )
         execution.bind(registry)
-        response = await execution.execute(make_request(2.0, body=body, key=""))
-        self.assertEqual(response.status, 200)
-        self.assertEqual([len(data) for data in received], [120_000])
+        return execution
 
 
 class DrainTest(unittest.IsolatedAsyncioTestCase):
