Count the arrival of its body in the expected time of an upload

Trace of: uploads that came from another machine waited 385 ms at the median and 2.0 s in the longest tenth, those from the own machine 0 and 72 ms; some bodies arrived after 3 to 4.5 s. All uploads of a failure domain went to one or two machines whose link was full, and their gates accepted more of them, because only the queue for slots was compared with the objective.

The gate now adds the bytes that are still to come, at the rate at which bodies arrive, so an upload that would be late goes to another upstream before its body is sent. The test failed before: the second upload was accepted on the full link.

--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -195,6 +195,10 @@
         """Raises as `Admission.check` if the request would be refused now."""
         if self._running >= self._slot_limit() or self._on_time_queue or self._late_queue:
             self._choose_queue(request, entry)
+        elif request.has_alternatives:
+            ends_at = self._clock.now() + self._expected_run_s(request.route)
+            if ends_at > self._worth_until(request):
+                raise OverloadedError("the response would be late here")
 
     async def acquire(self, request: Request, entry: Entry) -> None:
         """Waits for a slot and takes it; raises as `Admission.slot`."""
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -30,6 +30,7 @@
 )
 from ...messages import AnnouncedState, Request, Response
 from ...messages.request import BytesBody
+from .arrivals import BodyArrivals
 
 _REQUEST_RUN = Event(
     3410,
@@ -64,6 +65,7 @@
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
+        self._arrivals = BodyArrivals(self._clock)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._membership = registry.find("membership", Membership)
         self._ownership = registry.find("ownership", Ownership)
@@ -119,7 +121,7 @@
             async with self._shutdown.waiting(request.deadline, _is_movable(request)):
                 await self._admitted_epoch(request)
                 if not isinstance(request.body, BytesBody):
-                    self._admission.check(request, entry)
+                    self._admission.check(self._without_arrival_time(request), entry)
                     request = await self._with_received_body(request)
                 guard = self._quarantine.guard(request)
                 request = await run_context.enter_async_context(guard)
@@ -152,6 +154,16 @@
             listener.run_ended(request.service, run_s)
         return replace(response, occupancy=occupancy, epoch=epoch)
 
+    def _without_arrival_time(self, request: Request) -> Request:
+        """Returns a request with the time that is left once its body has arrived."""
+        arrival_s = self._arrivals.expected_s(request.body.length or 0)
+        useful_until = request.useful_until or request.deadline
+        return replace(
+            request,
+            useful_until=useful_until - arrival_s,
+            deadline=request.deadline - arrival_s,
+        )
+
     async def _with_received_body(self, request: Request) -> Request:
         """Receives a streamed body, which would otherwise arrive while its run holds a slot.
 
@@ -160,7 +172,7 @@
         """
         try:
             async with asyncio.timeout(max(request.deadline - self._clock.now(), 0)):
-                body = b"".join([part async for part in request.body.chunks()])
+                body = await self._arrivals.receive(request.body)
         except TimeoutError:
             raise DeadlineExceededError(
                 "the deadline passed before the request body arrived"
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from contextlib import asynccontextmanager, nullcontext
+from dataclasses import replace
 from types import SimpleNamespace
 
 from fescueward.kernel import BootClock, Kernel
@@ -15,13 +16,16 @@
 )
 from fescueward.messages import Announcement
 from fescueward.messages.request import Occupancy
+from fescueward.services.admission import SlotAdmission
 from fescueward.services.gate.execution import GateExecution
 from fescueward.services.quarantine import CrashQuarantine
 from fescueward.services.shutdown import GracefulShutdown
 from tests.services.fakes import (
+    CLOCK,
     FakePeers,
     StreamedBody,
     StubRegistry,
+    make_entry,
     make_request,
     make_response,
 )
@@ -111,6 +115,23 @@
             self.waiting -= 1
 
 
+class SlowBody:
+    """A body of which 1000 bytes arrive each 10 ms."""
+
+    started = False
+
+    def __init__(self, length: int) -> None:
+        self.length = length
+
+    async def chunks(self):
+        for _ in range(0, self.length, 1000):
+            await asyncio.sleep(0.01)
+            yield b"x" * 1000
+
+    async def close(self) -> None:
+        """Ignored: there is nothing to release."""
+
+
 class PassingQuarantine:
     """A quarantine service that admits every request."""
 
@@ -199,12 +220,38 @@
             await execution.execute(make_request(2.0, body=body, key=""))
         self.assertFalse(body.started)
 
+    async def test_upload_goes_elsewhere_while_the_link_is_full(self):
+        """Guards against uploads that wait for each other while other machines have free links."""
+        slots = SlotAdmission()
+        slots.bind(StubRegistry())
+        slots.observe_announcement(replace(ANNOUNCEMENT, cold_s=0.0))
+        upstream = SlowUpstream()
+        upstream.proceed.set()
+        execution = self.execution(slots, upstream)
+        slow = SlowBody(200_000)
+        first = asyncio.create_task(execution.execute(make_request(5.0, body=slow, key="")))
+        await asyncio.sleep(0.1)
+        for has_alternatives in (True, False):
+            request = make_request(
+                5.0,
+                body=StreamedBody(b"x" * 20_000, length=20_000),
+                key="",
+                useful_until=CLOCK.now() + 0.3,
+                has_alternatives=has_alternatives,
+            )
+            if has_alternatives:
+                with self.assertRaises(OverloadedError):
+                    await execution.execute(request)
+            else:
+                self.assertEqual((await execution.execute(request)).status, 200)
+        first.cancel()
+
     def execution(self, slots, upstream) -> GateExecution:
         execution = GateExecution()
         registry = StubRegistry(
             clock=BootClock(),
             shutdown=running_shutdown(Kernel()),
-            catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
+            catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=make_entry())),
             membership=SimpleNamespace(
                 announcement=ANNOUNCEMENT, closed=False, member_id="a:1", own_group_id=None
             ),
