Check with processes that odd entries end no agent

Cause: the fixes of the odd entries were tested with stand-ins of the store and simulated agents only.

Change: an integration test writes each variant of odd entry into the emulated store and expects no exit of an agent, a newer configuration in force and every route served.

--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -8,6 +8,7 @@
 from fescueward.testing.site.callers import Load
 from fescueward.testing.site.deployment import SiteDeployment, SiteSpec
 from fescueward.testing.site.judge import judge
+from fescueward.testing.site.odd_entries import VARIANTS, write_odd_entry
 from fescueward.testing.site.records import Signal
 from fescueward.testing.site.store import StoreFaults, StoreMode
 
@@ -48,6 +49,21 @@
             await site.wait_served(SHORT_LOADS, SERVED_WITHIN_S)
             await self._assert_no_breaches(site)
 
+    async def test_odd_entries_end_no_agent(self):
+        """Guards against agents that end, all and again, because of what another program wrote."""
+        async with SiteDeployment(SiteSpec(seed=6)) as site:
+            await site.wait_ready()
+            site.start_load(SHORT_LOADS)
+            await site.wait_served(SHORT_LOADS, SERVED_WITHIN_S)
+            for variant in VARIANTS:
+                write_odd_entry(site.store, variant)
+                await asyncio.sleep(1)
+            site.configurator.write_next_version()
+            await site.wait_served(SHORT_LOADS, SERVED_WITHIN_S)
+            exits = [event for event in site.evidence.processes if event.signal is Signal.EXIT]
+            self.assertEqual(exits, [])
+            await self._assert_no_breaches(site)
+
     async def test_rolling_restart_while_the_store_is_down(self):
         """Guards against shutdowns that exceed the grace period or lose the response to a request.
 
