Send all responses before a stopping agent closes its connections

What callers saw: not reported; found beside the requests that are cut at the end of a grace. A caller that reads slowly lost the rest of a response, although the agent had seconds left.

Cause: a request counts as open until its response exists, not until it is sent. An agent without open requests ends the drain, and its front end then waits for 0.1 s before it closes the connections.

Change: the front end drains too: it waits until no connection has a request in progress or bytes to send, for the time that the kernel gives a drain.

Evidence: test_response_that_is_being_written_is_completed failed before (the front end had stopped while 32 MB were unsent) and passes; `scripts/test tests.platform.test_frontend tests.kernel tests.daemons tests.docs` passes.

--- a/fescueward/kernel/http_pipeline.py
+++ b/fescueward/kernel/http_pipeline.py
@@ -171,6 +171,12 @@
             exchange.request._cancel(exc or ConnectionResetError("the caller disconnected"))
         super().connection_lost(exc)
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in progress or a part of a response has not been sent."""
+        unsent = self.transport is not None and self.transport.get_write_buffer_size() > 0
+        return bool(self._exchanges) or unsent
+
     def close(self) -> None:
         """Closes the connection once no request is in progress.
 
@@ -364,6 +370,14 @@
         self._limits = limits
         self._options = options
 
+    @property
+    def busy(self) -> bool:
+        """Whether a connection has a request in progress or a response to send."""
+        return any(
+            isinstance(connection, PipelinedConnection) and connection.busy
+            for connection in self.connections
+        )
+
     def __call__(self) -> RequestHandler:
         """Returns the aiohttp protocol of a new connection."""
         return self.connection_class(
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -59,6 +59,8 @@
 _ACCEPT_WAIT_S = 0.05
 # Time limit for sending the last responses when a port closes.
 _CLOSE_TIMEOUT_S = 0.1
+# Period of the check whether a stopping agent has sent all responses.
+_BUSY_CHECK_PERIOD_S = 0.02
 # The metrics page is served at the address of the readiness probe.
 _METRICS_PATH = "/metrics"
 # A request that waits when the agent closes is refused within this time. Its caller then learns
@@ -82,6 +84,7 @@
     def __init__(self, site: Site) -> None:
         self._site = site
         self._ports: list[HttpPort] = []
+        self._servers: list[PipelinedServer] = []
         self._was_ready = False
 
     def bind(self, registry: Registry) -> None:
@@ -100,6 +103,11 @@
         ready = self._site.readiness
         await self._listen(self._handle_readiness, ready.host, ready.port)
 
+    async def drain(self) -> None:
+        """Waits until all responses have been sent; the kernel limits the time."""
+        while any(server.busy for server in self._servers):
+            await self._clock.sleep(_BUSY_CHECK_PERIOD_S)
+
     async def stop(self) -> None:
         """Closes the ports after responding to the requests that have arrived at them."""
         self._shutdown.close()
@@ -116,6 +124,7 @@
             max_line_size=65_536,
             max_field_size=65_536,
         )
+        self._servers.append(server)
         http_port = HttpPort(server, host, port, _CLOSE_TIMEOUT_S)
         self._ports.append(http_port)
         await http_port.start()
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -15,6 +15,7 @@
 from fescueward.kernel import Kernel
 from fescueward.kernel.bounds import Bounds
 from fescueward.kernel.errors import OutcomeLostError, OverloadedError, QuarantinedError
+from fescueward.kernel.registry import Drainable
 from fescueward.messages.configuration import (
     Configuration,
     Route,
@@ -250,6 +251,43 @@
         self.assertIn(b" 503 ", response)
         self.assertEqual(self.router.requests, [])
 
+    async def test_response_that_is_being_written_is_completed(self):
+        """Guards against a response that is cut off while time of the grace is left."""
+        size = 32 * 1024 * 1024
+
+        class LargeBody:
+            async def chunks(self):
+                yield b"x" * size
+
+            async def close(self):
+                return
+
+        self.router.body = LargeBody()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(HEAD + b"Content-Length: 0\r\n\r\n")
+        await self.router.request_received.wait()
+        self.kernel.request_stop()
+        stopping = asyncio.create_task(self.stop_services())
+        # The caller reads slowly, and still after the phase that accepts all requests.
+        await asyncio.sleep(1.05)
+        self.assertFalse(stopping.done())
+        received = 0
+        with suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            while data := await reader.read(1 << 20):
+                received += len(data)
+        self.assertEqual(received, size)
+        self.assertLess(await stopping, self.grace_s)
+        writer.close()
+
+    async def stop_services(self) -> float:
+        """Drains and stops as the kernel does; returns the time since the stop request."""
+        await self.shutdown.drain()
+        if isinstance(self.frontend, Drainable):
+            await self.frontend.drain()
+        await self.frontend.stop()
+        return self.kernel.stopping_s
+
     async def test_request_that_waits_is_refused_before_the_end(self):
         """Guards against a body or an earlier response that is awaited until the close."""
         await self.shutdown.start()
