Take a time limit that is no finite number for none

What callers saw: not reported; found while looking for requests without a limit of their own in a planned stop. A request with `X-Fescueward-Timeout-Ms: nan` was answered 500, at any time, and passed the check of a stopping agent, because every comparison with NaN is false.

Cause: `float` accepts nan and inf.

Change: such a value counts as none, so the route's limit holds.

Evidence: test_limit_that_is_no_number_does_not_pass_the_check failed before (500 in place of 503) and passes.

--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -343,9 +344,10 @@
 def _caller_timeout_s(http: BaseRequest, default_s: float) -> float:
     text = http.headers.get(TIMEOUT_MS, "")
     try:
-        return max(float(text) / 1000, 0.0)
+        timeout_s = float(text) / 1000
     except ValueError:
         return default_s
+    return max(timeout_s, 0.0) if math.isfinite(timeout_s) else default_s
 
 
 def _forwarded_headers(http: BaseRequest) -> tuple[tuple[str, str], ...]:
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -193,6 +193,15 @@
         self.assertEqual((status, self.router.requests), (503, []))
         self.assertGreater(retry_after_s, 0)
 
+    async def test_limit_that_is_no_number_does_not_pass_the_check(self):
+        """Guards against a request without a limit that is accepted late and cut at the end."""
+        self.kernel.request_stop()
+        await asyncio.sleep(1.1)
+        for text in ("nan", "inf", "1e999", "-inf", "soon"):
+            with self.subTest(text):
+                self.assertEqual((await self.send({"X-Fescueward-Timeout-Ms": text}))[0], 503)
+        self.assertEqual(self.router.requests, [])
+
     async def test_process_ends_before_its_grace_time_beside_an_open_request(self):
         """Guards against closing steps whose times add up until the process is killed."""
         self.router.response_allowed.clear()
