Order configurations by the operator's number

Cause: agents ordered configurations by the store's revision. A store that is restored from an older copy gives out revisions again, so that a newer configuration has a lower one than the cached one and is ignored; a restarted agent takes the older copy at any revision. Class: an order taken from a counter that belongs to someone who can lose it.

The operator's own number increases with each change, whatever the store loses, and the operator writes its newest configuration again. Versions, digests, deltas and fetches of the configuration use this number now, so agents that know a newer one ignore that of the copy, and a restarted agent gets it from the others.

test_configurations_are_ordered_by_their_own_number failed before: [5, 5, 4] instead of [5, 6, 6]. Two tests of publishing gave configurations versions apart from their numbers; they now expect the number, with the same checks.

--- a/fescueward/messages/configuration.py
+++ b/fescueward/messages/configuration.py
@@ -105,10 +105,10 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionedConfiguration:
-    """A configuration with the version of its platform object.
+    """A configuration with the version that orders it among others.
 
     Attributes:
-        version: Version of the platform object.
+        version: Number given by the operator, which increases with each change.
         configuration: The configuration.
     """
 
--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -129,8 +129,8 @@
     """Difference between two versions of the configuration.
 
     Attributes:
-        base: Version of the platform object that the delta applies to.
-        version: Version of the platform object that results from it.
+        base: Version that the delta applies to.
+        version: Version that results from it.
         number: `Configuration.version` of the newer version.
         routes: Routes that were added or changed.
         removed: Names of the routes that were removed.
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -635,20 +635,24 @@
             return
         try:
             if stored.key == CONFIGURATION_KEY:
-                assert self._routes is not None
-                configuration = decode_json(stored.value, Configuration)
-                base = self._routes.current
-                newer = VersionedConfiguration(stored.version, configuration)
-                activated = self._observe_configuration(newer, self._routes)
-                if activated and self._membership.own_member() is not None:
-                    message = build_configuration_publish(base, newer)
-                    self._relay.broadcast(message, self._count_preceding_watchers())
+                self._observe_stored_configuration(decode_json(stored.value, Configuration))
                 return
             group = VersionedGroup(stored.version, decode_group(stored.key, stored.value))
             self.observe(group)
         except MalformedMessageError as error:
             self._report_malformed(stored.key, stored.version, error)
 
+    def _observe_stored_configuration(self, configuration: Configuration) -> None:
+        assert self._routes is not None
+        base = self._routes.current
+        # The operator's number never decreases; the store's revisions go back when it is restored
+        # from an older copy.
+        newer = VersionedConfiguration(configuration.version, configuration)
+        activated = self._observe_configuration(newer, self._routes)
+        if activated and self._membership.own_member() is not None:
+            message = build_configuration_publish(base, newer)
+            self._relay.broadcast(message, self._count_preceding_watchers())
+
     def _observe_stored(self, key: str, version: int, value: bytes, deleted: bool) -> None:
         if deleted:
             return
--- a/fescueward/services/routing/routes.py
+++ b/fescueward/services/routing/routes.py
@@ -98,7 +98,6 @@
         }
         _CONFIGURATION_APPLIED.emit(
             version=configuration.configuration.version,
-            revision=configuration.version,
             routes=len(routes),
             services=len(configuration.configuration.services),
         )
