Read the store's era and start watches again in a new one

Cause: a watch continues from a revision. A restored store gives out the lost revisions again; once it has passed the one that the watch continues from, it answers with the changes since then instead of 410, and those below are missed. Lists and reads may also come from the copy that was replaced. Class: an identifier that is used again, and is compared without its context.

The store's client reads Store-Era on each response. Versions outside of it carry the era in their high bits, so that a version of a later era is higher than each one of an earlier era and newer still wins by one rule. A watch from another era lists all objects, a list whose pages differ in era is refused, and so is a read that an earlier era answers. A response without the header, or with one that is no number, belongs to the era known so far; a store that sends none has era 0 and versions as before.

test_watch_of_an_earlier_era_reads_all_objects, test_response_of_an_earlier_era_is_refused and test_list_across_a_restore_is_refused fail without it: the watch returns one of four changes. The simulated platform of the ownership tests can be restored and follows the same rules.

--- a/fescueward/client/services.py
+++ b/fescueward/client/services.py
@@ -59,6 +59,11 @@
     def __init__(self, seeds: tuple[Member, ...]) -> None:
         self._seeds = itertools.cycle(seeds)
 
+    @property
+    def era(self) -> int:
+        """Always 0: agents give their groups without the era of the store."""
+        return 0
+
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
--- a/fescueward/interfaces/platform.py
+++ b/fescueward/interfaces/platform.py
@@ -12,7 +12,7 @@
 
     Attributes:
         key: Key of the object.
-        version: Store revision of the last write of the object.
+        version: Era and store revision of the last write of the object; see `messages.era`.
         value: JSON text; empty if the object is deleted.
         deleted: Whether the object was deleted at this version.
     """
@@ -28,17 +28,28 @@
     """Result of a watch.
 
     Attributes:
-        revision: Store revision up to which `objects` is complete.
-        objects: Objects that changed after the requested revision.
+        revision: Version of the store up to which `objects` is complete.
+        objects: Objects that changed after the requested version.
+        complete: Whether `objects` has all objects, changed or not.
     """
 
     revision: int
     objects: tuple[StoredObject, ...]
+    complete: bool = False
 
 
 @runtime_checkable
 class Platform(Protocol):
-    """Store of versioned objects with conditional writes and watches. Every call has a timeout."""
+    """Store of versioned objects with conditional writes and watches. Every call has a timeout.
+
+    A store that is restored from an older copy begins a new era. Versions of a later era are
+    higher; an object that was last written in an earlier era has a version of the present one.
+    """
+
+    @property
+    def era(self) -> int:
+        """Newest era of the store that is known, 0 if the store has none."""
+        ...
 
     async def get(self, key: str) -> StoredObject:
         """Reads an object.
@@ -57,7 +68,9 @@
 
         Raises:
             VersionConflictError: The object has another version.
-            OutcomeUnknownError: The response was lost; the write may still take effect later.
+            OutcomeUnknownError: The response was lost; the write may still take effect later. Or
+                the store was restored since the expected version, so that the write may have
+                met another object at that revision.
             PlatformUnavailableError: The write had no effect and will have none.
         """
         ...
@@ -75,7 +88,8 @@
 
         Args:
             prefixes: Key prefixes.
-            since: Store revision; 0 returns all objects at once.
+            since: Version of the store. 0, or a version of an earlier era, returns all objects
+                at once.
             wait_s: Longest wait in seconds.
 
         Raises:
--- a/fescueward/platform/names.py
+++ b/fescueward/platform/names.py
@@ -16,6 +16,8 @@
 CALLER = "X-Fescueward-Caller"
 KEY = "X-Fescueward-Shard-Key"
 HANDOVER = "X-Fescueward-Handover"
+# Number of times that the store has been restored from an older copy.
+STORE_ERA = "Store-Era"
 
 READY_PATH = "/fescueward/ready"
 RPC_PATH = "/fescueward/rpc"
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Sequence
 from contextlib import suppress
+from dataclasses import dataclass, replace
 from typing import Annotated, Any
 from urllib.parse import quote
 
@@ -27,8 +28,9 @@
 from ..kernel.settings import Settings
 from ..messages.codec import decode_json, decode_list, encode_json
 from ..messages.configuration import CONFIGURATION_KEY
+from ..messages.era import MAX_ERA, MAX_REVISION, era_of, revision_of, to_version
 from .configuration import decode_configuration
-from .names import OBJECTS_PATH
+from .names import OBJECTS_PATH, STORE_ERA
 
 _BAD_CONFIGURATION = Event(
     2210, "bad_configuration", Level.ERROR, "A stored configuration is malformed and was skipped."
@@ -59,7 +61,16 @@
 # Longest part of an unreadable entry in a log line.
 _MAX_LOGGED_BYTES = 200
 
-_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Response of the store, with the era in which it was given."""
+
+    status: int
+    body: bytes
+    era: int
 
 
 class _Metadata(msgspec.Struct):
@@ -110,6 +121,12 @@
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
         self._logged_entries: LRUCache[object, None] = LRUCache(_MAX_LOGGED_ENTRIES)
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Newest era of the store that is known; see `Platform.era`."""
+        return self._era
 
     @property
     def unavailable_since(self) -> float | None:
@@ -140,59 +157,66 @@
     async def get(self, key: str) -> StoredObject:
         """Reads an object; see `Platform.get`."""
         kind, name = _object_path(key)
-        status, body = await self._read(f"{self._url}/{kind}/{name}", self._timeout_s)
-        if status == 404:
+        response = await self._read(f"{self._url}/{kind}/{name}", self._timeout_s)
+        if response.status == 404:
             raise ObjectNotFoundError(f"{key!r} does not exist")
-        item = _decode(body, _StoreObject)
-        return _to_stored_object(kind, item)
+        item = _decode(response.body, _StoreObject)
+        return _in_era(response.era, _to_stored_object(kind, item))
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
         """Writes an object if its version is the expected one; see `Platform.put`."""
         kind, name = _object_path(key)
         metadata: dict[str, Any] = {"name": name}
         if expected_version:
-            metadata["revision"] = expected_version
+            metadata["revision"] = revision_of(expected_version)
         body = msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(value)})
         if expected_version:
-            status, response = await self._write("PUT", f"{self._url}/{kind}/{name}", body)
+            response = await self._write("PUT", f"{self._url}/{kind}/{name}", body)
         else:
-            status, response = await self._write("POST", f"{self._url}/{kind}", body)
-        if status in (404, 409):
-            raise _version_conflict(key, expected_version, response if status == 409 else b"")
-        return _decode(response, _StoreObject).metadata.revision
+            response = await self._write("POST", f"{self._url}/{kind}", body)
+        if response.status in (404, 409):
+            raise _version_conflict(key, expected_version, response)
+        return to_version(response.era, _decode(response.body, _StoreObject).metadata.revision)
 
     async def delete(self, key: str, expected_version: int) -> int:
         """Deletes an object if its version is the expected one; see `Platform.delete`."""
         kind, name = _object_path(key)
-        url = f"{self._url}/{kind}/{name}?revision={expected_version}"
-        status, _ = await self._write("DELETE", url, b"")
-        if status in (404, 409):
-            raise _version_conflict(key, expected_version, b"")
+        url = f"{self._url}/{kind}/{name}?revision={revision_of(expected_version)}"
+        response = await self._write("DELETE", url, b"")
+        if response.status in (404, 409):
+            raise _version_conflict(key, expected_version, response)
         return expected_version
 
     async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
         """Waits for changes of objects under one prefix; see `Platform.watch`."""
         kind = _kind(prefixes[0])
-        if not since:
+        if era_of(since) < self._era or not since:
             return await self._list(kind)
-        url = f"{self._url}/{kind}?watch={since}&waitMs={int(wait_s * 1000)}"
-        status, body = await self._read(url, wait_s + _WATCH_SLACK_S)
-        if status == 410:
+        url = f"{self._url}/{kind}?watch={revision_of(since)}&waitMs={int(wait_s * 1000)}"
+        response = await self._read(url, wait_s + _WATCH_SLACK_S)
+        if response.status == 410 or response.era != era_of(since):
             return await self._list(kind)
-        events = _decode(body, _Events)
+        events = _decode(response.body, _Events)
         changed = self._decode_entries(kind, events.events, _ChangedObject)
         objects = (self._decode_or_skip(kind, event.object, event.deleted) for event in changed)
-        return Changes(
+        changes = Changes(
             events.current_rev, tuple(stored for stored in objects if stored is not None)
         )
+        return _changes_in_era(response.era, changes)
 
     async def _list(self, kind: str) -> Changes:
         items: list[_StoreObject] = []
         after = ""
+        era: int | None = None
         while True:
             url = f"{self._url}/{kind}" + (f"?after={quote(after, safe='')}" if after else "")
-            _, body = await self._read(url, self._timeout_s)
-            page = _decode(body, _List)
+            response = await self._read(url, self._timeout_s)
+            if era is not None and response.era != era:
+                raise PlatformUnavailableError(
+                    "the store was restored between two pages of a list"
+                )
+            era = response.era
+            page = _decode(response.body, _List)
             items += self._decode_entries(kind, page.items, _StoreObject)
             last_name = _last_name(page.items)
             # After a page without a readable name, the next page would be the same.
@@ -200,7 +224,8 @@
                 break
             after = last_name
         objects = (self._decode_or_skip(kind, item, False) for item in items)
-        return Changes(page.current_rev, tuple(stored for stored in objects if stored is not None))
+        listed = tuple(stored for stored in objects if stored is not None)
+        return _changes_in_era(era, Changes(page.current_rev, listed, complete=True))
 
     def _decode_entries(
         self, kind: str, entries: Sequence[msgspec.Raw], entry_type: Any
@@ -234,33 +259,33 @@
         self._logged_entries[entry] = None
         return True
 
-    async def _read(self, url: str, timeout_s: float) -> tuple[int, bytes]:
+    async def _read(self, url: str, timeout_s: float) -> Response:
         try:
-            status, body = await self._request("GET", url, b"", timeout_s)
+            response = await self._request("GET", url, b"", timeout_s)
         except _CALL_FAILURES as error:
             raise PlatformUnavailableError(f"no response: {type(error).__name__}") from error
-        if status not in (200, 404, 410):
-            raise PlatformUnavailableError(f"the store responded with status {status}")
-        return status, body
+        if response.status not in (200, 404, 410):
+            raise PlatformUnavailableError(f"the store responded with status {response.status}")
+        if response.era < self._era:
+            raise PlatformUnavailableError(f"the response is of the old era {response.era}")
+        return response
 
-    async def _write(self, method: str, url: str, body: bytes) -> tuple[int, bytes]:
+    async def _write(self, method: str, url: str, body: bytes) -> Response:
         try:
-            status, response = await self._request(method, url, body, self._timeout_s)
+            response = await self._request(method, url, body, self._timeout_s)
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailableError(f"no connection to the store: {error}") from error
         except _CALL_FAILURES as error:
             raise OutcomeUnknownError(f"no response: {type(error).__name__}") from error
-        if status in _REFUSED_STATUSES:
-            raise PlatformUnavailableError(f"the store responded with status {status}")
-        if status not in (200, 201, 404, 409):
+        if response.status in _REFUSED_STATUSES:
+            raise PlatformUnavailableError(f"the store responded with status {response.status}")
+        if response.status not in (200, 201, 404, 409):
             raise PlatformAnswerError(
-                f"the store responded with status {status}: {response[:200]!r}"
+                f"the store responded with status {response.status}: {response.body[:200]!r}"
             )
-        return status, response
+        return response
 
-    async def _request(
-        self, method: str, url: str, body: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
+    async def _request(self, method: str, url: str, body: bytes, timeout_s: float) -> Response:
         assert self._session is not None
         headers = {"Content-Type": "application/json"} if body else {}
         try:
@@ -275,7 +300,25 @@
         self._availability.record_call(
             response.status < 500 and response.status not in _REFUSED_STATUSES
         )
-        return response.status, content
+        era = _decode_era(response.headers.get(STORE_ERA, ""), self._era)
+        self._era = max(self._era, era)
+        return Response(response.status, content, era)
+
+
+def _decode_era(text: str, known_era: int) -> int:
+    """Returns the era that a response names, or the known one if it names none."""
+    if not (text.isascii() and text.isdecimal() and len(text) <= len(str(MAX_ERA))):
+        return known_era
+    return min(int(text), MAX_ERA)
+
+
+def _in_era(era: int, stored: StoredObject) -> StoredObject:
+    return replace(stored, version=to_version(era, stored.version))
+
+
+def _changes_in_era(era: int, changes: Changes) -> Changes:
+    objects = tuple(_in_era(era, stored) for stored in changes.objects)
+    return replace(changes, revision=to_version(era, changes.revision), objects=objects)
 
 
 def _object_path(key: str) -> tuple[str, str]:
@@ -313,15 +356,19 @@
     return ""
 
 
-def _version_conflict(key: str, expected_version: int, response: bytes) -> VersionConflictError:
+def _version_conflict(key: str, expected_version: int, response: Response) -> VersionConflictError:
     """Returns the error of a refused write, with the current object if the store returned it."""
     message = f"{key!r} is not at version {expected_version}"
+    if response.status == 404:
+        return VersionConflictError(message, version=0)
     try:
-        current = decode_list(response, _StoreObject)
+        current = decode_list(response.body, _StoreObject)
     except MalformedMessageError:
         return VersionConflictError(message, version=0)
     return VersionConflictError(
-        message, version=current.metadata.revision, value=bytes(current.spec)
+        message,
+        version=to_version(response.era, current.metadata.revision),
+        value=bytes(current.spec),
     )
 
 
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -84,6 +84,11 @@
         self._session: aiohttp.ClientSession | None = None
         self._logged_objects: LRUCache[int, None] = LRUCache(_MAX_LOGGED_OBJECTS)
 
+    @property
+    def era(self) -> int:
+        """Always 0: this platform is never restored from an older copy."""
+        return 0
+
     @property
     def available(self) -> bool:
         """Whether the last call got a response other than a server error."""
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -29,9 +29,13 @@
         self.lose_responses = False
         self.hang = False
         self.url = ""
+        # Value of the header `Store-Era`; None sends none.
+        self.era: object = None
+        # Called with each request before it is handled.
+        self.on_call = lambda request: None
 
     async def start(self) -> None:
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(web.Server(self._handle_in_era))
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
@@ -47,6 +51,21 @@
         self.objects[(kind, name)] = item
         return item
 
+    def copy(self) -> tuple[int, dict]:
+        return self.revision, dict(self.objects)
+
+    def restore(self, copy: tuple[int, dict], era: int) -> None:
+        self.revision, objects = copy
+        self.objects = dict(objects)
+        self.era = era
+
+    async def _handle_in_era(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.on_call(request)
+        response = await self._handle(request)
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+        return response
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if self.hang:
             await asyncio.Event().wait()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,6 +18,7 @@
 from fescueward.kernel.settings import PlatformSection
 from fescueward.messages.codec import decode_json
 from fescueward.messages.configuration import CONFIGURATION_KEY, Configuration
+from fescueward.messages.era import era_of
 from fescueward.platform import store
 from fescueward.platform.settings import parse_site
 from fescueward.platform.store import ObjectStore
@@ -144,6 +145,55 @@
         changes = await self.store.watch(("groups/",), 5, 1)
         self.assertEqual([item.key for item in changes.objects], ["groups/s1/0"])
 
+    async def test_watch_of_an_earlier_era_reads_all_objects(self):
+        """Guards against changes that a watch misses because their revisions were given twice."""
+        self.server.era = 1
+        copy = self.server.copy()
+        for number in range(3):
+            self.server.put(KIND, f"s{number}.0", {"written": "before"})
+        before = await self.store.watch(("groups/",), 0, 0)
+        self.server.restore(copy, 2)
+        for number in range(4):
+            self.server.put(KIND, f"s{number}.0", {"written": "after"})
+        after = await self.store.watch(("groups/",), before.revision, 0)
+        self.assertEqual(
+            [json.loads(item.value) for item in after.objects], [{"written": "after"}] * 4
+        )
+        self.assertTrue(after.complete)
+        self.assertGreater(min(item.version for item in after.objects), before.revision)
+        self.assertFalse((await self.store.watch(("groups/",), after.revision, 0)).complete)
+
+    async def test_response_of_an_earlier_era_is_refused(self):
+        """Guards against objects that come back older, from a copy that is still answering."""
+        self.server.put(KIND, "s1.0", {})
+        self.server.era = 3
+        self.assertEqual(era_of((await self.store.get("groups/s1/0")).version), 3)
+        self.server.era = 2
+        with self.assertRaises(PlatformUnavailableError):
+            await self.store.get("groups/s1/0")
+        with self.assertRaises(PlatformUnavailableError):
+            await self.store.watch(("groups/",), 0, 0)
+        self.assertEqual(self.store.era, 3)
+
+    async def test_response_without_an_era_belongs_to_the_known_one(self):
+        """Guards against an outage because a response names no era, or one that is no number."""
+        self.server.put(KIND, "s1.0", {})
+        for named, expected in ((None, 0), ("x", 0), (2, 2), ("-3", 2), ("9" * 30, 2), (None, 2)):
+            with self.subTest(named=named):
+                self.server.era = named
+                self.assertEqual(era_of((await self.store.get("groups/s1/0")).version), expected)
+
+    async def test_list_across_a_restore_is_refused(self):
+        """Guards against a list with pages of two copies of the store."""
+        for number in range(5):
+            self.server.put(KIND, f"s{number}.0", {})
+        copy = self.server.copy()
+        self.server.on_call = lambda request: (
+            "after" in request.query and self.server.restore(copy, 1)
+        )
+        with self.assertRaises(PlatformUnavailableError):
+            await self.store.watch(("groups/",), 0, 0)
+
     async def test_refusal_had_no_effect_and_lost_answer_is_unknown(self):
         """Guards against a write that took effect and is reported as failed."""
         self.server.status = 503
@@ -236,10 +286,10 @@
     async def _read(self, url, timeout_s):
         after = url.partition("after=")[2]
         body = self.bodies[after if after in self.bodies else LATER_PAGE]
-        return self.status, body.encode("utf-8", "surrogatepass")
+        return store.Response(self.status, body.encode("utf-8", "surrogatepass"), 0)
 
     async def _write(self, method, url, body):
-        return self.status, self.bodies[""].encode()
+        return store.Response(self.status, self.bodies[""].encode(), 0)
 
 
 def entry_text(name: str, revision: int) -> str:
--- a/tests/services/administration_fakes.py
+++ b/tests/services/administration_fakes.py
@@ -63,6 +63,8 @@
         self.lose_responses = False
         self.down_after_loss = False
 
+    era = 0
+
     async def get(self, key: str) -> StoredObject:
         if self.down:
             raise PlatformUnavailableError("down")
--- a/tests/services/test_snapshots.py
+++ b/tests/services/test_snapshots.py
@@ -33,6 +33,8 @@
         self.lose_response = False
         self.puts = 0
 
+    era = 0
+
     async def get(self, key):
         if self.fault is not None:
             raise self.fault
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -13,6 +13,7 @@
 import itertools
 from asyncio import events
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from fescueward.interfaces import Changes, StoredObject
@@ -24,6 +25,7 @@
     PlatformUnavailableError,
     VersionConflictError,
 )
+from fescueward.messages.era import era_of, revision_of, to_version
 
 _LATENCY_S = 0.001
 _TIMEOUT_S = 1.0
@@ -161,6 +163,7 @@
 
     def __init__(self, world: World) -> None:
         self.world = world
+        self.era = 0
         self.revision = 0
         # Reads and writes of all agents, with or without a response; watches are not counted.
         self.calls = 0
@@ -180,6 +183,16 @@
         self.watchers = [watcher for watcher in self.watchers if not watcher()]
         return self.revision
 
+    def copy(self) -> tuple[int, dict[str, StoredObject]]:
+        """Returns a copy of revision and objects."""
+        return self.revision, dict(self.objects)
+
+    def restore(self, copy: tuple[int, dict[str, StoredObject]]) -> None:
+        """Replaces revision and objects by those of a copy and begins a new era."""
+        self.revision, objects = copy
+        self.objects = dict(objects)
+        self.era += 1
+
     def read(self, key: str) -> StoredObject:
         """Reads an object without a delay."""
         if key not in self.objects:
@@ -197,30 +210,38 @@
         self.response_mode = ResponseMode.NORMAL
         # Overrides `response_mode` for writes.
         self.write_response_mode: ResponseMode | None = None
+        self.era = 0
 
     async def get(self, key: str) -> StoredObject:
         try:
-            return await self._call(lambda: self.store.read(key), self.response_mode)
+            era, stored = await self._call(lambda: self.store.read(key), self.response_mode)
         except TimeoutError:
             raise PlatformUnavailableError(f"reading {key}: timeout") from None
+        if era < self.era:
+            raise PlatformUnavailableError(f"reading {key}: answered in an earlier era")
+        return replace(stored, version=to_version(era, stored.version))
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
-        response_mode = self.write_response_mode or self.response_mode
-        try:
-            return await self._call(
-                lambda: self.store.write(key, value, expected_version), response_mode
-            )
-        except TimeoutError:
-            raise OutcomeUnknownError(f"writing {key}: timeout") from None
+        return await self._write(key, value, expected_version, False)
 
     async def delete(self, key: str, expected_version: int) -> int:
+        return await self._write(key, b"", expected_version, True)
+
+    async def _write(self, key: str, value: bytes, expected_version: int, deleted: bool) -> int:
+        if expected_version and era_of(expected_version) < self.era:
+            raise VersionConflictError(f"{key} was at a version of an earlier era", version=0)
+        self.era = max(self.era, era_of(expected_version))
         response_mode = self.write_response_mode or self.response_mode
+        expected = revision_of(expected_version)
         try:
-            return await self._call(
-                lambda: self.store.write(key, b"", expected_version, True), response_mode
+            era, revision = await self._call(
+                lambda: self.store.write(key, value, expected, deleted), response_mode
             )
         except TimeoutError:
-            raise OutcomeUnknownError(f"deleting {key}: timeout") from None
+            raise OutcomeUnknownError(f"writing {key}: timeout") from None
+        if expected_version and era != era_of(expected_version):
+            raise OutcomeUnknownError(f"writing {key}: written in another era")
+        return to_version(era, revision)
 
     async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
         if self.response_mode is ResponseMode.REFUSED:
@@ -228,15 +249,19 @@
         response: asyncio.Future[Changes] = self._loop.create_future()
 
         def notify(final: bool = False) -> bool:
+            era = self.store.era
+            complete = since == 0 or era != era_of(since)
             changed = tuple(
-                stored
+                replace(stored, version=to_version(era, stored.version))
                 for key, stored in sorted(self.store.objects.items())
-                if stored.version > since and key.startswith(prefixes)
+                if (complete or stored.version > revision_of(since)) and key.startswith(prefixes)
             )
             if response.done() or not (changed or final):
                 return response.done()
             if self.response_mode in _RESPONSE_DELAY_S:
-                changes = Changes(self.store.revision, changed)
+                self.era = max(self.era, era)
+                revision = to_version(era, self.store.revision)
+                changes = Changes(revision, changed, complete)
                 self.store.world.call_later(
                     _RESPONSE_DELAY_S[self.response_mode],
                     lambda: _set_response(response, changes, None),
@@ -263,7 +288,9 @@
                 result = operation()
             except (ObjectNotFoundError, VersionConflictError) as failure:
                 error = failure
+            result = (self.store.era, result)
             if response_mode in _RESPONSE_DELAY_S:
+                self.era = max(self.era, self.store.era)
                 delay_s = _RESPONSE_DELAY_S[response_mode]
                 self.store.world.call_later(
                     delay_s, lambda: _set_response(response, result, error)
