Refuse conditional writes that expect a version of an earlier era

Cause: a conditional write names only a revision. After a restore the store gives out the lost revisions again, so the condition can hold for another object than the one that was read. Class: an identifier that is used again, and is compared without its context.

A write that expects a version of an earlier era than the known one is refused without a call, with the error of a version conflict, so that callers read the object again. If the response shows that the store was restored between the read and the write, the outcome is unknown: the write was made, on something else.

test_write_of_an_earlier_era_is_refused and test_write_that_meets_a_restored_store_is_unknown failed before: neither error was raised.

--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -166,6 +166,7 @@
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
         """Writes an object if its version is the expected one; see `Platform.put`."""
         kind, name = _object_path(key)
+        self._check_era(key, expected_version)
         metadata: dict[str, Any] = {"name": name}
         if expected_version:
             metadata["revision"] = revision_of(expected_version)
@@ -176,15 +177,18 @@
             response = await self._write("POST", f"{self._url}/{kind}", body)
         if response.status in (404, 409):
             raise _version_conflict(key, expected_version, response)
+        _check_era_of_write(key, expected_version, response.era)
         return to_version(response.era, _decode(response.body, _StoreObject).metadata.revision)
 
     async def delete(self, key: str, expected_version: int) -> int:
         """Deletes an object if its version is the expected one; see `Platform.delete`."""
         kind, name = _object_path(key)
+        self._check_era(key, expected_version)
         url = f"{self._url}/{kind}/{name}?revision={revision_of(expected_version)}"
         response = await self._write("DELETE", url, b"")
         if response.status in (404, 409):
             raise _version_conflict(key, expected_version, response)
+        _check_era_of_write(key, expected_version, response.era)
         return expected_version
 
     async def watch(self, prefixes: tuple[str, ...], since: int, wait_s: float) -> Changes:
@@ -259,6 +263,22 @@
         self._logged_entries[entry] = None
         return True
 
+    def _check_era(self, key: str, expected_version: int) -> None:
+        """Refuses a write whose expected version the store has lost.
+
+        The store may have given out its revision again.
+
+        Raises:
+            VersionConflictError: The expected version is of an earlier era.
+        """
+        era = era_of(expected_version)
+        if expected_version and era < self._era:
+            raise VersionConflictError(
+                f"version {expected_version} of {key!r} is of an earlier era", version=0
+            )
+        # Another agent may have told this one of the era.
+        self._era = max(self._era, era)
+
     async def _read(self, url: str, timeout_s: float) -> Response:
         try:
             response = await self._request("GET", url, b"", timeout_s)
@@ -321,6 +341,16 @@
     return replace(changes, revision=to_version(era, changes.revision), objects=objects)
 
 
+def _check_era_of_write(key: str, expected_version: int, era: int) -> None:
+    """Checks that the store was not restored between the expected version and the write.
+
+    Raises:
+        OutcomeUnknownError: It was, so the write may have replaced another object.
+    """
+    if expected_version and era != era_of(expected_version):
+        raise OutcomeUnknownError(f"{key!r} was written in era {era}, not at {expected_version}")
+
+
 def _object_path(key: str) -> tuple[str, str]:
     if key == CONFIGURATION_KEY:
         return _CONFIGURATION_KIND, _CONFIGURATION_NAME
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,7 +18,7 @@
 from fescueward.kernel.settings import PlatformSection
 from fescueward.messages.codec import decode_json
 from fescueward.messages.configuration import CONFIGURATION_KEY, Configuration
-from fescueward.messages.era import era_of
+from fescueward.messages.era import era_of, revision_of
 from fescueward.platform import store
 from fescueward.platform.settings import parse_site
 from fescueward.platform.store import ObjectStore
@@ -194,6 +194,31 @@
         with self.assertRaises(PlatformUnavailableError):
             await self.store.watch(("groups/",), 0, 0)
 
+    async def test_write_of_an_earlier_era_is_refused(self):
+        """Guards against a write that hits a revision that was given out again."""
+        self.server.era = 1
+        copy = self.server.copy()
+        version = await self.store.put("groups/s1/0", b'{"x":1}', 0)
+        self.server.restore(copy, 2)
+        again = await self.store.put("groups/s1/0", b'{"x":2}', 0)
+        self.assertEqual(revision_of(again), revision_of(version))
+        with self.assertRaises(VersionConflictError):
+            await self.store.put("groups/s1/0", b'{"x":3}', version)
+        with self.assertRaises(VersionConflictError):
+            await self.store.delete("groups/s1/0", version)
+        self.assertEqual(json.loads((await self.store.get("groups/s1/0")).value), {"x": 2})
+
+    async def test_write_that_meets_a_restored_store_is_unknown(self):
+        """Guards against a write that counts as made although it met another object."""
+        self.server.era = 1
+        copy = self.server.copy()
+        version = await self.store.put("groups/s1/0", b'{"x":1}', 0)
+        self.server.restore(copy, 2)
+        self.server.put(KIND, "s1.0", {"x": 2})
+        with self.assertRaises(OutcomeUnknownError):
+            await self.store.put("groups/s1/0", b'{"x":3}', version)
+        self.assertEqual(self.store.era, 2)
+
     async def test_refusal_had_no_effect_and_lost_answer_is_unknown(self):
         """Guards against a write that took effect and is reported as failed."""
         self.server.status = 503
