Confirm the groups of a restored store before they are used

Cause: the group object of the copy was taken for the present one once its revision was higher. Its members, owners and epochs are seconds old, while the upstreams hold grants by writes that it lacks; until then every conditional write expected a version that the store had lost. Class: acknowledged state of a store that can lose it, believed without asking those who know more.

A group names the era in which its content was written. An object whose era is not that of its version is of a copy, or of a late write of an earlier era; it is not cached, edited, published or used for a takeover. A watcher asks all members for newer versions, takes the newest content, gives it epochs above all that lost writes can have given, and writes it under the condition of the copy's version; the store decides between two that do so. The other watcher and other agents that meet the copy take their turns after it. A group that the copy lacks is created again.

Stores without eras have era 0 and work as before.

--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -45,6 +45,8 @@
         removed: Ids of the members that were removed.
         shards: Changed shards by id.
         ranges: Changed key ranges; each replaces the ranges with which it shares keys.
+        era: `Group.era` of the newer version.
+        recovering: `Group.recovering` of the newer version.
     """
 
     service: str
@@ -58,6 +60,8 @@
     removed: tuple[str, ...] = ()
     shards: dict[Annotated[int, Meta(ge=0)], Shard] = field(default_factory=dict)
     ranges: tuple[KeyRange, ...] = ()
+    era: Annotated[int, Meta(ge=0)] = 0
+    recovering: Annotated[int, Meta(ge=0)] = 0
 
     @property
     def group(self) -> GroupId:
@@ -84,6 +88,8 @@
             edit_id=self.edit_id,
             ranges=_replace_ranges(group.ranges, self.ranges),
             fence=self.fence,
+            era=self.era,
+            recovering=self.recovering,
         )
         return VersionedGroup(self.version, changed)
 
@@ -121,6 +127,8 @@
             if old != shard
         },
         ranges=tuple(key_range for key_range in after.ranges if key_range not in base_ranges),
+        era=after.era,
+        recovering=after.recovering,
     )
 
 
--- a/fescueward/messages/era.py
+++ b/fescueward/messages/era.py
@@ -8,7 +8,9 @@
 
 _REVISION_BITS = 40
 MAX_REVISION = (1 << _REVISION_BITS) - 1
-# With it, versions stay below 2**63.
+# Epochs that one write of a group may give; enough for a write that records many joins.
+EPOCHS_PER_WRITE = 1 << 9
+# With it, epochs and versions stay below 2**63.
 MAX_ERA = 1 << 13
 
 
@@ -25,3 +27,16 @@
 def revision_of(version: int) -> int:
     """Returns the store revision of a version."""
     return version & MAX_REVISION
+
+
+def epoch_after(version: int) -> int:
+    """Returns an epoch above all that writes up to a version have given, known or not.
+
+    Each write has a revision of its own, so no two writes give the same epoch.
+    """
+    return (version + 1) * EPOCHS_PER_WRITE
+
+
+def lowest_epoch(era: int) -> int:
+    """Returns an epoch above all epochs of earlier eras."""
+    return (era << _REVISION_BITS) * EPOCHS_PER_WRITE
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -10,6 +10,8 @@
 import xxhash
 from msgspec import Meta
 
+from .era import era_of
+
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 # A number that fits into 64 bits with a sign, so that every agent and upstream can read it.
 Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
@@ -159,6 +161,9 @@
         ranges: Ranges of numeric keys in ascending order without gaps; empty for a service
             whose keys are hashed or that has no keys.
         fence: Highest epoch of any range so far.
+        era: Era of the store in which this content was written.
+        recovering: Lowest epoch that was given after the store lost writes of an earlier era, or
+            0 once all grants have ended that these writes may have led to.
     """
 
     service: str
@@ -171,6 +176,8 @@
     edit_id: str = ""
     ranges: tuple[KeyRange, ...] = ()
     fence: Count = 0
+    era: Count = 0
+    recovering: Count = 0
 
     @property
     def id(self) -> GroupId:
@@ -207,6 +214,15 @@
     version: int
     group: Group
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the content was written in the era of its version.
+
+        Otherwise it is of a copy that the store was restored from, or of a write that expected a
+        version of an earlier era. Newer content may be known to members.
+        """
+        return self.group.era == era_of(self.version)
+
 
 def key_hash(key: str) -> int:
     """Returns the 64-bit hash of a key, which determines its group and shard."""
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -13,11 +13,12 @@
 
 from ...interfaces import Catalogue, GroupListener, Membership, Peers, Platform, Routes
 from ...interfaces.groups import GroupChange
-from ...interfaces.platform import StoredObject
+from ...interfaces.platform import Changes, StoredObject
 from ...kernel import Clock, Event, Kernel, Level, Registry
 from ...kernel.errors import (
     MalformedMessageError,
     ObjectNotFoundError,
+    OutcomeUnknownError,
     PlatformAnswerError,
     PlatformError,
     VersionConflictError,
@@ -35,9 +36,11 @@
 from ...messages.codec import decode_json, encode_json
 from ...messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
 from ...messages.delta import ConfigurationDelta, GroupDelta
+from ...messages.era import era_of, lowest_epoch
 from ...messages.group import entry_object_key
 from ...messages.group_object import check_group, decode_group
 from ...messages.peer import Fetch, Publish, Versions, WatchStatus, version_digest
+from .confirmation import GroupConfirmation
 from .edits import GroupEdits
 from .history import ConfigurationHistory, GroupHistory
 from .relay import GroupRelay, build_configuration_publish, build_publish
@@ -132,6 +135,15 @@
         self._catalogue = registry.find("catalogue", Catalogue)
         self._peers = registry.find("peers", Peers)
         self._membership = registry.find("membership", Membership)
+        self._confirmation = GroupConfirmation(
+            self,
+            self._platform,
+            self._peers,
+            self._tasks,
+            self._clock,
+            lambda: self._membership.member_id,
+            self._confirmation_rank,
+        )
         if self._fleet_wide:
             self._routes = registry.find("routes", Routes)
         settings = registry.find("settings", Settings)
@@ -189,15 +201,42 @@
 
     async def refresh(self, group: GroupId) -> VersionedGroup:
         """Reads the group from the platform and caches it; see `Groups.refresh`."""
+        try:
+            stored_group = await self.read(group)
+        except ObjectNotFoundError:
+            if not self._is_lost(group, self._platform.era):
+                raise
+            return await self._confirmation.confirm(group)
+        if not stored_group.confirmed:
+            return await self._confirmation.confirm(group)
+        self.observe(stored_group)
+        cached = self._views[group]
+        return cached if cached.version >= stored_group.version else stored_group
+
+    async def read(self, group: GroupId) -> VersionedGroup:
+        """Reads the group from the platform, confirmed or not, and does not cache it.
+
+        Raises:
+            ObjectNotFoundError: The group does not exist.
+            PlatformUnavailableError: The platform did not respond.
+            PlatformAnswerError: The object is malformed.
+        """
         stored = await self._platform.get(group.object_key)
         try:
-            stored_group = VersionedGroup(stored.version, decode_group(stored.key, stored.value))
+            return VersionedGroup(stored.version, decode_group(stored.key, stored.value))
         except MalformedMessageError as error:
             self._report_malformed(stored.key, stored.version, error)
             raise PlatformAnswerError(f"{stored.key!r} is malformed: {error}") from error
-        self.observe(stored_group)
-        cached = self._views[group]
-        return cached if cached.version >= stored_group.version else stored_group
+
+    def _is_lost(self, group: GroupId, era: int) -> bool:
+        """Whether a group that a store of some era lacks is known from an earlier one."""
+        cached = self._views.get(group)
+        return cached is not None and era_of(cached.version) < era
+
+    def _confirmation_rank(self) -> int | None:
+        if self._membership.own_member() is None:
+            return None
+        return self._count_preceding_watchers()
 
     async def update(self, group: GroupId) -> None:
         """Requests a newer version of a group; concurrent calls share one attempt."""
@@ -210,7 +249,8 @@
 
     async def write(self, base: VersionedGroup, group: Group) -> VersionedGroup:
         """Writes a group on condition that its version is that of `base`; see `Groups.write`."""
-        group = replace(group, edit_id=uuid.uuid4().hex)
+        era = era_of(base.version) if base.version else self._platform.era
+        group = replace(group, edit_id=uuid.uuid4().hex, era=era)
         try:
             version = await self._platform.put(
                 group.id.object_key, encode_json(group), base.version
@@ -219,6 +259,9 @@
             self._observe_conflicting(group.id.object_key, error)
             raise
         written = VersionedGroup(version, group)
+        if not written.confirmed:
+            self._confirmation.begin(group.id)
+            raise OutcomeUnknownError(f"group {group.id} was created in a later era")
         self.observe(written)
         if self._fleet_wide:
             self._publish_to_watchers(base, written)
@@ -235,7 +278,11 @@
         except MalformedMessageError as malformed:
             self._report_malformed(key, error.version, malformed)
             return
-        self.observe(VersionedGroup(error.version, group))
+        current = VersionedGroup(error.version, group)
+        if current.confirmed:
+            self.observe(current)
+        else:
+            self._confirmation.begin(group.id)
 
     def _report_malformed(self, key: str, version: int, error: MalformedMessageError) -> None:
         """Logs an object that cannot be used, once for each of its versions."""
@@ -248,13 +295,13 @@
         return await self._edits.edit(group, change)
 
     def observe(self, group: VersionedGroup) -> bool:
-        """Caches a version if it is newer than the cached one; returns whether it was.
+        """Caches a confirmed version if it is newer; returns whether it was cached.
 
         A version that is inconsistent is not cached, whoever sent it.
         """
         group_id = group.group.id
         cached = self._views.get(group_id)
-        if cached is not None and cached.version >= group.version:
+        if not group.confirmed or (cached is not None and cached.version >= group.version):
             return False
         try:
             check_group(group.group)
@@ -363,7 +410,13 @@
             return await self.refresh(group)
         except ObjectNotFoundError:
             shard_count = self._catalogue.entry(group.service).entry.shard_count
-            return VersionedGroup(0, Group(group.service, group.number, shard_count))
+            era = self._platform.era
+            fence = lowest_epoch(era)
+            # A store that was restored may have lost the group, and with it grants.
+            empty = Group(
+                group.service, group.number, shard_count, fence=fence, era=era, recovering=fence
+            )
+            return VersionedGroup(0, empty)
 
     async def _update_once(self, group: GroupId) -> None:
         cached = self._views.get(group)
@@ -573,18 +626,21 @@
                 self._observe_safely(stored)
             self._catalogue.mark_loaded()
 
-    def _observe_safely(self, stored: StoredObject) -> None:
+    def _observe_safely(self, stored: StoredObject) -> GroupId | None:
         """Applies a changed object; an unexpected exception concerns this object alone.
 
         Messages of peers, which bring the same objects, are handled in this way too.
+
+        Returns:
+            The id of a group that has to be confirmed, or None.
         """
         try:
             if self._fleet_wide:
-                self._observe_fleet_object(stored)
-            else:
-                self._observe_stored(stored.key, stored.version, stored.value, stored.deleted)
+                return self._observe_fleet_object(stored)
+            self._observe_stored(stored.key, stored.version, stored.value, stored.deleted)
         except Exception as error:  # one object must not hide the others or end this agent
             report_reading_failure(f"{self.name}:{stored.key}@{stored.version}", error)
+        return None
 
     async def _run_fleet_watch(self, prefix: str) -> None:
         retries = ReadingRetries(f"{self.name}:watch {prefix}", self._clock)
@@ -620,27 +676,64 @@
             failing = False
             self._set_watch_healthy(True)
             since_revision = changes.revision
-            for stored in changes.objects:
-                self._observe_safely(stored)
+            unconfirmed_ids = [
+                group_id
+                for stored in changes.objects
+                if (group_id := self._observe_safely(stored)) is not None
+            ]
+            if not await self._confirm_groups(prefix, changes, unconfirmed_ids):
+                since_revision = 0
+                await self._clock.sleep(_WATCH_RETRY_S)
+                continue
             self._loaded_prefixes.add(prefix)
             await self._clock.sleep(self._watch_pause_s(prefix))
 
+    async def _confirm_groups(
+        self, prefix: str, changes: Changes, unconfirmed_ids: list[GroupId]
+    ) -> bool:
+        """Confirms groups of an earlier era, and cached groups that the store has lost since.
+
+        Returns:
+            Whether all of them are confirmed.
+        """
+        era = era_of(changes.revision)
+        keys = {stored.key for stored in changes.objects}
+        lost_ids = [
+            group_id
+            for group_id in self._views
+            if changes.complete
+            and group_id.object_key.startswith(prefix)
+            and group_id.object_key not in keys
+            and self._is_lost(group_id, era)
+        ]
+        results = [
+            self._confirmation.begin(group_id) for group_id in (*unconfirmed_ids, *lost_ids)
+        ]
+        if results:
+            await asyncio.wait(results)
+        return not any(result.cancelled() or result.exception() for result in results)
+
     def _watch_pause_s(self, prefix: str) -> float:
         if self._membership.own_member() is None:
             return _WATCH_START_PAUSE_S
         return _WATCH_PAUSE_S if prefix == CONFIGURATION_KEY else _GROUPS_WATCH_PAUSE_S
 
-    def _observe_fleet_object(self, stored: StoredObject) -> None:
+    def _observe_fleet_object(self, stored: StoredObject) -> GroupId | None:
+        """Caches an object; returns the id of a group that has to be confirmed, or None."""
         if stored.deleted:
-            return
+            return None
         try:
             if stored.key == CONFIGURATION_KEY:
                 self._observe_stored_configuration(decode_json(stored.value, Configuration))
-                return
+                return None
             group = VersionedGroup(stored.version, decode_group(stored.key, stored.value))
-            self.observe(group)
         except MalformedMessageError as error:
             self._report_malformed(stored.key, stored.version, error)
+            return None
+        if not group.confirmed:
+            return group.group.id
+        self.observe(group)
+        return None
 
     def _observe_stored_configuration(self, configuration: Configuration) -> None:
         assert self._routes is not None
--- a/tests/services/keyspace/keyed_fleet.py
+++ b/tests/services/keyspace/keyed_fleet.py
@@ -102,6 +102,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.upstreams: dict[str, RangeUpstream] = {}
+        self._last_confirmed: StoredObject | None = None
         self._epochs: set[tuple[int, int, int, str]] = set()
         configuration = Configuration(1, services={"depot": ServiceSpec("depot", keyed=True)})
         self._routes = SimpleNamespace(
@@ -161,9 +162,13 @@
         return None
 
     def _check_write(self, old: StoredObject | None, new: StoredObject) -> None:
+        after = decode_json(new.value, Group)
+        if after.era != self.platform.era:
+            # A late write of an earlier era is stored, and no agent may believe it.
+            return
+        old, self._last_confirmed = self._last_confirmed, new
         super()._check_write(old, new)
         before = decode_json(old.value, Group) if old is not None else None
-        after = decode_json(new.value, Group)
         if before is None or not before.ranges:
             return
         for key_range in after.ranges:
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -188,10 +188,14 @@
         return self.revision, dict(self.objects)
 
     def restore(self, copy: tuple[int, dict[str, StoredObject]]) -> None:
-        """Replaces revision and objects by those of a copy and begins a new era."""
+        """Replaces revision and objects by those of a copy and begins a new era.
+
+        Waiting watches get a response, as if they were cut off and called again.
+        """
         self.revision, objects = copy
         self.objects = dict(objects)
         self.era += 1
+        self.watchers = [watcher for watcher in self.watchers if not watcher()]
 
     def read(self, key: str) -> StoredObject:
         """Reads an object without a delay."""
