Record the restart of an upstream again if the store has lost it

Cause: an agent records a new start of its upstream once, and sends it grants only while the group names this start. If the confirmed group is older than that write, nothing records it again. Class: a fact that is written once, by the only one who knows it, to a store that can lose it.

Each newer version of the group is compared with the announced start, and a difference is recorded until the group names it.

test_lost_restart_of_the_upstream_is_recorded_again failed before: the group still named the start before.

--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -112,6 +112,7 @@
         self._leave_began_before_stop = False
         self._leave_done = asyncio.Event()
         self._joined = False
+        self._recording_restart = False
         self._wake = asyncio.Event()
         # Whether this agent writes its next join itself, because its last request failed.
         self._write_directly = False
@@ -201,6 +202,9 @@
             _REMOVED.emit(member=self.member_id, group=self._own_group_id, version=group.version)
             self._joined = False
             self._start_incarnation()
+        elif self._lacks_upstream_start(group.group):
+            # A restored store has lost the write that recorded the present start.
+            self._record_upstream_restart()
         self._wake.set()
 
     def fill_monitors(self, group: Group) -> Group:
@@ -226,7 +230,7 @@
         self._own_group_id = group_id
         self._announcement = announcement
         if restarted and self._joined:
-            self._tasks.spawn("restarted", self._edit_until_done(self._apply_upstream_restart))
+            self._record_upstream_restart()
         self._announcement_count += 1
         self._admission.observe_announcement(announcement)
         if announcement.state is AnnouncedState.LEAVING and not self._leaving:
@@ -286,11 +290,35 @@
                 failure_logged = True
                 await self._clock.sleep(_WRITE_RETRY_S)
 
-    def _apply_upstream_restart(self, group: Group) -> Group | None:
+    def _record_upstream_restart(self) -> None:
+        if not self._recording_restart:
+            self._recording_restart = True
+            self._tasks.spawn("restarted", self._edit_until_restart_recorded())
+
+    async def _edit_until_restart_recorded(self) -> None:
+        recorded = False
+        try:
+            while not recorded:
+                await self._edit_until_done(self._apply_upstream_restart)
+                view = self._groups.view(self._own_group_id) if self._own_group_id else None
+                recorded = view is None or not self._lacks_upstream_start(view.group)
+        finally:
+            self._recording_restart = False
+
+    def _lacks_upstream_start(self, group: Group) -> bool:
         member = group.members.get(self.member_id)
         announcement = self._announcement
-        if member is None or announcement is None or member.instance == announcement.start:
+        return (
+            member is not None
+            and announcement is not None
+            and member.instance != announcement.start
+        )
+
+    def _apply_upstream_restart(self, group: Group) -> Group | None:
+        if not self._lacks_upstream_start(group):
             return None
+        member, announcement = group.members[self.member_id], self._announcement
+        assert announcement is not None
         _RESTARTED.emit(member=self.member_id, before=member.instance, now=announcement.start)
         restarted = replace(member, instance=announcement.start, slots=announcement.slots)
         group = replace(group, members={**group.members, member.id: restarted})
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -301,6 +301,26 @@
         self.assertEqual(agent.member_id, first_id)
         self.assertIn(first_id, fleet.group().members)
 
+    def test_lost_restart_of_the_upstream_is_recorded_again(self):
+        """Guards against an upstream without grants because a restored store lost its restart."""
+        fleet = start_fleet(3, 3)
+        agent = fleet.agents["a1"]
+        announcement = Announcement(
+            "depot", "h", 1, 4, 9, state=AnnouncedState.READY, instance="second"
+        )
+        agent.loop.call_soon(agent.membership.announce, announcement)
+        fleet.world.advance(0.5)
+        group = fleet.group()
+        member = group.members[agent.member_id]
+        self.assertEqual(member.instance, announcement.start)
+        earlier = replace(
+            group, members={**group.members, member.id: replace(member, instance="")}
+        )
+        version = fleet.platform.read(GROUP_ID.object_key).version
+        fleet.platform.write(GROUP_ID.object_key, encode_json(earlier), version)
+        fleet.world.advance(1)
+        self.assertEqual(fleet.group().members[agent.member_id].instance, announcement.start)
+
     def test_announcement_of_another_service_is_refused(self):
         """Guards against an agent that serves two groups with one lease."""
         fleet = start_fleet(1, 1)
