Join again if the joined version of the group is no longer the newest

Cause: a join that returns takes the agent for a member without comparing the returned version with the cached one. If a newer version without the member has arrived meanwhile, because it was removed or a restored store has lost it, no later version reports the removal, and the agent never joins.

test_member_that_is_lost_while_it_joins_joins_again failed before: the agent was no member after 2 s.

--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -400,6 +400,12 @@
         except FescuewardError as error:
             _JOIN_FAILED.emit(group=self._own_group_id, error=error)
             return
+        view = self._groups.view(self._own_group_id)
+        if view is not None and view.version > joined.version and self.own_member() is None:
+            # The member was removed, or a restored store has lost it, before the join returned.
+            self._start_incarnation()
+            self._wake.set()
+            return
         self._joined, self._write_directly = True, False
         _JOINED.emit(group=self._own_group_id, member=member.id, version=joined.version)
         if self._leaving:
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from fescueward.kernel.errors import InvalidAnnouncementError
-from fescueward.messages import AnnouncedState, Announcement, MemberState
+from fescueward.messages import AnnouncedState, Announcement, MemberState, VersionedGroup
 from fescueward.messages.codec import encode_json
 
 from .fleet import GROUP_ID, Fleet
@@ -321,6 +321,23 @@
         fleet.world.advance(1)
         self.assertEqual(fleet.group().members[agent.member_id].instance, announcement.start)
 
+    def test_member_that_is_lost_while_it_joins_joins_again(self):
+        """Guards against an agent that believes in a join that a restored store has lost."""
+        fleet = start_fleet(3, 3)
+        agent = fleet.start("a3", "d0")
+        recorder = agent.membership._join_recorder
+        record = recorder.record
+
+        async def record_lost(group_id, member, write_directly):
+            recorder.record = record
+            view = await agent.groups.refresh(group_id)
+            joined = replace(view.group, members={**view.group.members, member.id: member})
+            return VersionedGroup(view.version - 1, joined)
+
+        recorder.record = record_lost
+        fleet.world.advance(2)
+        self.assertIn(agent.member_id, fleet.group().members)
+
     def test_announcement_of_another_service_is_refused(self):
         """Guards against an agent that serves two groups with one lease."""
         fleet = start_fleet(1, 1)
