Wait for lost grants to end before keys of a restored group are granted

Seen by callers: two backends with the same keys after a restore (OWNER), here by a write that gave a member its keys and that the store has lost.

Cause: the confirmed group can lack the last writes of the earlier era if no reachable member knows them. A member that got keys by such a write has a valid grant until it receives the confirmed group or its lease ends. Class: a hold that is given by a record which can be lost.

A confirmation marks the group as recovering. While it does, a member renews the grants that it has and sends none for other keys, until the lease, its margin and the time in which monitors learn of a new era have passed; then the planner ends the mark, so that an agent that restarts in between waits too. A renewal carries the era of the sender's group, and a monitor of a later era acknowledges nothing to a member of an earlier one, so that the lease of a member that does not hear of the new era ends. Monitors start their waits for ended leases again with a confirmation, since the copy can name other monitors than those that acknowledged last. Keys that have a grant are served all the while.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -91,11 +91,13 @@
         member_id: Member whose lease is renewed.
         sequence: Number of the renewal; the member records the time at which it sent it.
         versions: Versions that the member has.
+        era: Era of the version that the member has of its group.
     """
 
     member_id: str
     sequence: NonNegativeInt
     versions: Versions = field(default_factory=Versions)
+    era: NonNegativeInt = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -22,6 +22,7 @@
 from ...messages.group import KeyRange
 from .handover import RangeHandover, RangeId, range_id
 from .moves import KEY_COUNT
+from .recovery import RecoveryWait
 
 _RANGE_ACTIVE = Event(2820, "range_active", Level.INFO, "A key range is active on this agent.")
 _GRANT_REFUSED = Event(
@@ -113,6 +114,7 @@
         section = registry.find("settings", Settings).lease
         self._renewal_s = section.renewal_ms / 1000
         self._lease_s = section.lease_ms / 1000
+        self._recovery_wait = RecoveryWait(self._clock, section)
         self._handover.bind(registry)
         self._groups.subscribe(self)
 
@@ -194,6 +196,7 @@
         """Activates, hands over or drops ranges as recorded in a newer group object."""
         if group.group.id != self._membership.own_group_id:
             return
+        self._recovery_wait.observe(group.group)
         self._drop_grants_of_earlier_start()
         own_id = self._membership.member_id
         own_ranges = [key_range for key_range in group.group.ranges if key_range.owner == own_id]
@@ -333,14 +336,20 @@
         return own_member is None or own_member.instance in ("", upstream_start)
 
     def _ranges_to_grant(self) -> list[KeyRange]:
-        """Returns the owned ranges whose grant is missing or due for renewal."""
-        renew_before = self._clock.now() + self._lease_s * _RENEWAL_SHARE
+        """Returns the owned ranges whose grant is missing or due for renewal.
+
+        While another member may have a grant that a restored store has lost, only grants that are
+        still valid are renewed.
+        """
+        now = self._clock.now()
+        renew_after = now if self._recovery_wait.active else -1.0
+        renew_before = now + self._lease_s * _RENEWAL_SHARE
         return [
             key_range
             for key_range_id, key_range in self._owned_ranges.items()
             if key_range_id not in self._in_handover
             and key_range_id not in self._withdrawn
-            and self._grant_ends.get(key_range_id, 0.0) < renew_before
+            and renew_after < self._grant_ends.get(key_range_id, 0.0) < renew_before
         ]
 
     async def _grant(self, key_range: KeyRange) -> None:
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -8,11 +8,13 @@
 from ...interfaces.placement import BlockReports
 from ...kernel import Clock, Event, Kernel, Level, Registry
 from ...kernel.errors import PlatformError
+from ...kernel.settings import Settings
 from ...messages import Group, Member, MemberState, VersionedGroup
 from ...messages.group import KeyRange
 from ...messages.peer import RangeLoad
 from . import moves
 from .moves import BLOCK_KEYS
+from .recovery import RecoveryWait
 
 _RANGES_MOVING = Event(
     2830, "ranges_moving", Level.INFO, "Key ranges are being moved to other owners."
@@ -74,6 +76,8 @@
         self._membership = registry.find("membership", Membership)
         self._lease = registry.find("lease", Lease)
         self._load = registry.find("load", BlockReports)
+        lease_section = registry.find("settings", Settings).lease
+        self._recovery_wait = RecoveryWait(self._clock, lease_section)
         self._groups.subscribe(self)
 
     async def start(self) -> None:
@@ -101,6 +105,7 @@
     def group_changed(self, group: VersionedGroup) -> None:
         """Records when the members of this agent's group changed and whether keys are assigned."""
         if group.group.id == self._membership.own_group_id:
+            self._recovery_wait.observe(group.group)
             member_ids = frozenset(group.group.members)
             if member_ids != self._member_ids:
                 self._member_ids = member_ids
@@ -117,8 +122,10 @@
             return
         reports = self._load.reports()
         try:
-            written = await self._assign_keys(view, reports) or await self._rebalance(
-                view, reports
+            written = (
+                await self._end_recovery(view)
+                or await self._assign_keys(view, reports)
+                or await self._rebalance(view, reports)
             )
         except PlatformError as error:
             _PLAN_FAILED.emit(group=view.group.id, version=view.version, error=error)
@@ -154,6 +161,17 @@
             return None
         return view
 
+    async def _end_recovery(self, view: VersionedGroup) -> VersionedGroup | None:
+        """Records that all grants have ended that a restored store has lost."""
+        recovering = view.group.recovering
+        if not recovering or self._recovery_wait.active:
+            return None
+
+        def end_recovery(group: Group) -> Group | None:
+            return replace(group, recovering=0) if group.recovering == recovering else None
+
+        return await self._groups.edit(view.group.id, end_recovery)
+
     async def _assign_keys(
         self, view: VersionedGroup, reports: dict[str, RangeLoad]
     ) -> VersionedGroup | None:
@@ -180,6 +198,8 @@
         self, view: VersionedGroup, reports: dict[str, RangeLoad]
     ) -> VersionedGroup | None:
         """Moves ranges according to their measured work; returns None if nothing should move."""
+        if self._recovery_wait.active:
+            return None
         planned = self._planned_moves(view.group, reports)
         return await self._groups.write(view, planned) if planned is not None else None
 
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -16,6 +16,7 @@
 )
 from ..kernel.settings import Settings
 from ..messages import Member, VersionedGroup
+from ..messages.era import era_of
 from ..messages.peer import Renew, RenewAck
 
 _HELD = Event(2501, "lease_held", Level.INFO, "The lease is held.")
@@ -133,7 +134,7 @@
             number for number, sent_at in self._sent_at.items() if sent_at + self._lease_s < now
         ]:
             del self._sent_at[sequence]
-        renewal = Renew(member.id, self._sequence, self._groups.versions())
+        renewal = Renew(member.id, self._sequence, self._groups.versions(), era_of(view.version))
         for monitor_id in member.monitors:
             monitor = view.group.members.get(monitor_id)
             if monitor is not None:
--- a/fescueward/services/monitor.py
+++ b/fescueward/services/monitor.py
@@ -15,6 +15,7 @@
 )
 from ..kernel.settings import Settings
 from ..messages import GroupId, Member, MemberState, VersionedGroup
+from ..messages.era import era_of
 from ..messages.peer import Promise, PromiseQuery, PromiseRelease, Renew, RenewAck
 from .promises import PromiseRound
 from .ring import transfer_monitored
@@ -99,6 +100,7 @@
         self._monitored: dict[str, _MonitoredMember] = {}
         self._blocks: dict[str, frozenset[_AcknowledgementBlock]] = {}
         self._group_version = 0
+        self._recovering = 0
         self._transfer_after = 0.0
         self._monitors_by_member: dict[str, tuple[str, ...]] = {}
         self._states: dict[str, MemberState] = {}
@@ -152,7 +154,14 @@
             self._monitored.clear()
             self._blocks.clear()
         now = self._clock.now()
+        if self._is_confirmed_again(group):
+            # The store has lost writes: a member may have had other monitors until now.
+            self._monitored = {
+                member_id: replace(monitored, waiting_since=now)
+                for member_id, monitored in self._monitored.items()
+            }
         self._group_version = group.version
+        self._recovering = group.group.recovering
         monitors_by_member = {
             member.id: member.monitors for member in group.group.members.values()
         }
@@ -178,6 +187,11 @@
             if own_id in member.monitors
         }
 
+    def _is_confirmed_again(self, group: VersionedGroup) -> bool:
+        return era_of(group.version) != era_of(
+            self._group_version
+        ) or group.group.recovering not in (0, self._recovering)
+
     async def take_over_expired(self) -> bool:
         """Takes over the members whose leases have ended.
 
@@ -323,7 +337,12 @@
         )
 
     def _on_renew(self, sender: str, message: Renew) -> None:
-        granted = message.member_id == sender and self._may_acknowledge(sender)
+        # A member that has not learned of a new era may have grants that its group lacks.
+        granted = (
+            message.member_id == sender
+            and message.era >= era_of(self._group_version)
+            and self._may_acknowledge(sender)
+        )
         if granted:
             self._monitored[sender] = replace(
                 self._monitored[sender], acknowledged_at=self._clock.now()
--- a/tests/services/test_monitor.py
+++ b/tests/services/test_monitor.py
@@ -95,6 +95,37 @@
     return frozenset(member_ids)
 
 
+class NewEraTest(unittest.TestCase):
+    def test_member_of_an_earlier_era_gets_no_acknowledgement(self):
+        """Guards against a member that keeps grants which a restored store has lost."""
+        fleet = start_fleet(3, 3)
+        monitor = _monitors(fleet, "a0")[0]
+        member_id = fleet.agents["a0"].member_id
+        fleet.cut("a0", fleet.agents)
+        fleet.platform.restore(fleet.platform.copy())
+        for agent in fleet.agents.values():
+            agent.loop.call_soon(agent.groups._confirmation.begin, GROUP_ID)
+        fleet.world.advance(0.8)
+        monitored = monitor.monitor._monitored[member_id]
+        for era, acknowledged in ((0, False), (1, True)):
+            monitor.peers.handlers[Renew](member_id, Renew(member_id, 10**6 + era, era=era))
+            newer = monitor.monitor._monitored[member_id]
+            self.assertEqual(newer.acknowledged_at > monitored.acknowledged_at, acknowledged)
+
+    def test_new_era_restarts_the_wait_for_ended_leases(self):
+        """Guards against a takeover of a member that a lost monitor has acknowledged."""
+        fleet = start_fleet(3, 3)
+        monitor = _monitors(fleet, "a0")[0]
+        fleet.cut("a0", fleet.agents)
+        fleet.world.advance(1.0)
+        fleet.platform.restore(fleet.platform.copy())
+        for agent in fleet.agents.values():
+            agent.loop.call_soon(agent.groups._confirmation.begin, GROUP_ID)
+        fleet.world.advance(0.8)
+        waited_s = monitor.monitor.monitored()[fleet.agents["a0"].member_id]
+        self.assertLess(waited_s, 0.8)
+
+
 class TransferTest(unittest.TestCase):
     def _search_count(self, fleet: Fleet, change) -> int:
         """Applies a change of the group and returns the number of searches that follow."""
