--- a/fescueward/testing/site/plan.py
+++ b/fescueward/testing/site/plan.py
@@ -32,6 +32,8 @@
     STORE_SLOW = "store-slow"
     STORE_LOST = "store-lost"
     STORE_FORGET = "store-forget"
+    # The store is down and returns from an older copy; `value` is the age of the copy in seconds.
+    STORE_RESTORED = "store-restored"
     # Faults of the link between one agent and the store; `value` is a proxy mode.
     STORE_PART = "store-part"
     # Writes a new configuration version.
@@ -79,12 +81,16 @@
     Action.LINK: ("drop", "cut", "delay"),
     Action.ODD_ENTRY: VARIANTS,
 }
+# Minimum and maximum age of the copy that the store is restored from.
+_COPY_AGES_S = (0.5, 9.0)
+_MAX_RESTORES = 3
 # Minimum and maximum duration of an action.
 _DURATIONS_S = {
     Action.PAUSE: (0.3, 5.0),
     Action.LINK: (0.3, 3.0),
     Action.CRASH: (0.5, 4.0),
     Action.LEAVE: (2.0, 4.0),
+    Action.STORE_RESTORED: (0.2, 2.5),
 }
 _DEFAULT_DURATION_S = (2.0, 9.0)
 # Mean time between two draws of `STUTTER`.
@@ -120,7 +126,9 @@
     value: str = ""
 
 
-def draw_plan(seed: int, seconds: float, machines: tuple[str, ...]) -> tuple[Step, ...]:
+def draw_plan(
+    seed: int, seconds: float, machines: tuple[str, ...], restores: bool = False
+) -> tuple[Step, ...]:
     """Returns the plan of a seed, in order of time.
 
     An action affects one machine, several at once or, for some planned operations, all machines
@@ -130,6 +138,8 @@
         seed: Seed of the random generator.
         seconds: Length of the plan.
         machines: Names of the machines.
+        restores: Whether the store is also restored from older copies; the other steps of the
+            plan stay the same.
     """
     rng = random.Random(seed)
     actions = (
@@ -146,6 +156,8 @@
     if len(actions) > len(_PLANNED_ACTIONS):
         steps += _draw_stutter(seed, seconds, machines)
     steps += _draw_odd_entries(seed, seconds)
+    if restores:
+        steps += _draw_restores(random.Random(f"{seed} restores"), seconds)
     return tuple(
         sorted(
             (drawn for drawn in steps if drawn.at_s < seconds - _MARGIN_S),
@@ -175,6 +187,19 @@
     ]
 
 
+def _draw_restores(rng: random.Random, seconds: float) -> list[Step]:
+    """Returns one to three restores, also shortly after each other."""
+    steps: list[Step] = []
+    at_s = rng.uniform(_MARGIN_S, seconds / 2)
+    for _ in range(rng.randint(1, _MAX_RESTORES)):
+        duration_s = round(rng.uniform(*_DURATIONS_S[Action.STORE_RESTORED]), 2)
+        age_s = round(rng.uniform(*_COPY_AGES_S), 2)
+        step = Step(round(at_s, 2), Action.STORE_RESTORED, seconds=duration_s, value=str(age_s))
+        steps.append(step)
+        at_s += duration_s + rng.choice((0.1, 1.5, 6.0))
+    return steps
+
+
 def _draw(
     rng: random.Random, at_s: float, action: Action, machines: tuple[str, ...]
 ) -> list[Step]:
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -88,7 +88,9 @@
         )
 
 
-async def run_soak(seed: int, seconds: float, agents: int, directory: Path) -> SoakResult:
+async def run_soak(
+    seed: int, seconds: float, agents: int, directory: Path, restores: bool = False
+) -> SoakResult:
     """Runs the soak with one seed.
 
     Args:
@@ -96,6 +98,7 @@
         seconds: Length of the plan.
         agents: Number of agents, at least one for each service.
         directory: Directory of plan, evidence, settings files and logs.
+        restores: Whether the store is also restored from older copies.
 
     Raises:
         ConditionTimeoutError: An agent was not ready or did not serve each route before the first
@@ -106,7 +109,7 @@
     }
     spec = SiteSpec(services=counts, keyed=KEYED, seed=seed)
     async with SiteDeployment(spec, directory) as site:
-        plan = draw_plan(seed, seconds, tuple(site.machines))
+        plan = draw_plan(seed, seconds, tuple(site.machines), restores)
         (directory / "plan.json").write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
         breaches: list[Breach] = []
         await site.wait_ready()
@@ -180,7 +183,9 @@
         if step.action is Action.ODD_ENTRY:
             write_odd_entry(store, step.value)
             return
-        if step.action is Action.STORE_DOWN:
+        if step.action is Action.STORE_RESTORED:
+            changes = {"mode": StoreMode.REFUSE}
+        elif step.action is Action.STORE_DOWN:
             changes = {"mode": StoreMode(step.value)}
         elif step.action is Action.STORE_SLOW:
             changes = {"delay_s": _STORE_DELAY_S}
@@ -189,6 +194,8 @@
             changes = {"lost_share": _LOST_RESPONSE_SHARE, "late_s": late_s}
         store.set_faults(replace(store.faults, **changes))
         await self._wait_and_record(step, store=True)
+        if step.action is Action.STORE_RESTORED:
+            store.restore(float(step.value) + step.seconds)
         if self._end_fault(step):
             defaults = StoreFaults()
             changes = {name: getattr(defaults, name) for name in changes}
@@ -272,13 +279,16 @@
     seed: Annotated[int, typer.Option(min=0, help="Seed of plan, load and faults.")],
     seconds: Annotated[float, typer.Option(min=5, max=3600, help="Length of the plan.")] = 30.0,
     agents: Annotated[int, typer.Option(min=3, max=100, help="Number of agents.")] = 6,
+    restores: Annotated[
+        bool, typer.Option(help="Also restore the store from older copies.")
+    ] = False,
     keep: Annotated[Path, typer.Option(help="Directory for logs.")] = Path("runs/soak"),
 ) -> None:
     """Runs the soak with one seed; keeps plan, evidence and logs if a rule is violated."""
     directory = keep / f"seed-{seed}"
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
-    result = uvloop.run(run_soak(seed, seconds, agents, directory))
+    result = uvloop.run(run_soak(seed, seconds, agents, directory, restores))
     typer.echo(str(result))
     if not result.breaches:
         shutil.rmtree(directory)
@@ -287,7 +297,10 @@
     (directory / "breaches.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
     typer.echo("\n".join(lines))
     typer.echo(f"plan, evidence and logs: {directory}")
-    typer.echo(f"repeat: scripts/soak --seed {seed} --seconds {seconds:g} --agents {agents}")
+    option = " --restores" if restores else ""
+    typer.echo(
+        f"repeat: scripts/soak --seed {seed} --seconds {seconds:g} --agents {agents}{option}"
+    )
     sys.exit(1)
 
 
--- a/fescueward/testing/site/store.py
+++ b/fescueward/testing/site/store.py
@@ -6,14 +6,16 @@
 import enum
 import random
 import time
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler
 from aiolimiter import AsyncLimiter
 
-from ...platform.names import OBJECTS_PATH
+from ...platform.names import OBJECTS_PATH, STORE_ERA
 from ..program import LOOPBACK, HttpSite, abort_connection
 
 # Maximum number of objects in one page of a list response.
@@ -22,6 +24,8 @@
 _MAX_STALENESS_S = 2.0
 # Maximum wait of a watch, from the platform's documentation.
 _MAX_WATCH_MS = 30_000
+# Number of copies that are kept, one for each change, for a restore.
+_COPIES_LIMIT = 2000
 # Longer than any client timeout.
 _HANG_S = 3600.0
 # Rate limits of the platform's smaller deployments.
@@ -90,6 +94,15 @@
     deleted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """Objects by kind and name, and the revision, from one time until the next change."""
+
+    at: float
+    revision: int
+    objects: dict[str, dict[str, StoredItem]]
+
+
 class _Metadata(msgspec.Struct):
     name: str = ""
     revision: int | None = None
@@ -109,11 +122,16 @@
     Attributes:
         faults: Faults in force; changed with `set_faults`.
         calls: Number of calls received so far.
+        era: Number of times that the store has been restored from a copy.
     """
 
     def __init__(self, seed: int = 0) -> None:
         self.faults = StoreFaults()
         self.calls = 0
+        self.era = 0
+        self._copies: deque[_Copy] = deque(maxlen=_COPIES_LIMIT)
+        # Objects that the operator has written, by kind and name.
+        self._operator_items: dict[tuple[str, str], StoredItem] = {}
         self._random = random.Random(seed)
         self._objects: dict[str, dict[str, StoredItem]] = {}
         self._snapshot: tuple[float, dict[str, dict[str, StoredItem]]] = (-_MAX_STALENESS_S, {})
@@ -124,7 +142,8 @@
         self._delayed_writes: set[asyncio.TimerHandle] = set()
         self._writes = AsyncLimiter(_WRITES_PER_S, 1)
         self._reads = AsyncLimiter(_READS_PER_S, 1)
-        app = web.Application()
+        self._keep_copy()
+        app = web.Application(middlewares=[self._name_era])
         app.router.add_route("*", OBJECTS_PATH + "/{kind}", self._handle)
         app.router.add_route("*", OBJECTS_PATH + "/{kind}/{name}", self._handle)
         self._site = HttpSite(app, LOOPBACK, 0)
@@ -155,6 +174,29 @@
         self._history.clear()
         self._oldest_revision = self._revision
 
+    def restore(self, age_s: float) -> None:
+        """Restores the store from a copy, and writes again what the operator has written.
+
+        Args:
+            age_s: Age of the copy in seconds; the oldest copy that is kept is used at most.
+        """
+        at = time.monotonic() - age_s
+        copy = self._copies[0]
+        for newer in self._copies:
+            if newer.at > at:
+                break
+            copy = newer
+        self.era += 1
+        self._revision = self._oldest_revision = copy.revision
+        self._objects = {kind: dict(items) for kind, items in copy.objects.items()}
+        self._history.clear()
+        self._copies.clear()
+        self._keep_copy()
+        for (kind, _), item in self._operator_items.items():
+            self._put(kind, item)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def write(self, kind: str, name: str, spec: bytes) -> int:
         """Writes an object as the operator, which faults of the store do not affect.
 
@@ -166,13 +208,21 @@
         Returns:
             Revision of the store after the write.
         """
-        self._put(kind, StoredItem(name, 0, msgspec.Raw(spec)))
+        item = StoredItem(name, 0, msgspec.Raw(spec))
+        self._operator_items[kind, name] = item
+        self._put(kind, item)
         return self._revision
 
     def objects(self, kind: str) -> dict[str, StoredItem]:
         """Returns a copy of the objects of a kind, by name."""
         return dict(self._objects.get(kind, {}))
 
+    @web.middleware
+    async def _name_era(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        response = await handler(request)
+        response.headers[STORE_ERA] = str(self.era)
+        return response
+
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         self.calls += 1
         faults = self.faults
@@ -232,10 +282,11 @@
 
     async def _watch(self, kind: str, since: int, wait_s: float) -> web.Response:
         deadline = time.monotonic() + wait_s
+        era = self.era
         while True:
             if self.faults.mode is StoreMode.SILENT:
                 await asyncio.sleep(_HANG_S)
-            if since < self._oldest_revision:
+            if era != self.era or not self._oldest_revision <= since <= self._revision:
                 return web.Response(status=410)
             events = [
                 {"object": change.item.to_response(), "deleted": change.deleted}
@@ -284,9 +335,14 @@
     def _append_change(self, change: Change) -> None:
         self._revision = change.item.revision
         self._history.append(change)
+        self._keep_copy()
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _keep_copy(self) -> None:
+        objects = {kind: dict(items) for kind, items in self._objects.items()}
+        self._copies.append(_Copy(time.monotonic(), self._revision, objects))
+
 
 def _json(value: object, status: int = 200) -> web.Response:
     return web.Response(
--- a/tests/testing/site/test_store.py
+++ b/tests/testing/site/test_store.py
@@ -62,6 +62,24 @@
         self.store.drop_history()
         self.assertEqual((await self.call("GET", f"?watch={since}"))[0], 410)
 
+    async def test_restore_goes_back_to_a_copy(self):
+        """Guards against a restored store that keeps what was written after its copy."""
+        _, created = await self.call("POST", spec=1)
+        copied = created["metadata"]["revision"]
+        await asyncio.sleep(0.1)
+        await self.call("PUT", "/one", 2)
+        since = self.store.write("things", "two", b"3")
+        watch = asyncio.create_task(self.call("GET", f"?watch={since}&waitMs=2000"))
+        await asyncio.sleep(0.02)
+        self.store.restore(0.09)
+        self.assertEqual((await watch)[0], 410)
+        _, listed = await self.call("GET")
+        self.assertEqual([item["spec"] for item in listed["items"]], [1, 3])
+        self.assertEqual(listed["currentRev"], copied + 1)
+        self.assertEqual((await self.call("GET", "?watch=9999&waitMs=10"))[0], 410)
+        async with self.session.get(self.base) as response:
+            self.assertEqual(response.headers["Store-Era"], "1")
+
     async def test_faults(self):
         """Guards against faults that have no effect, and lost responses that undo the write."""
         self.store.set_faults(StoreFaults(mode=StoreMode.REFUSE))
