Let one group that cannot be confirmed hold up no other

Cause: a watcher lists the store again as long as a confirmation fails. One group that the store refuses to take back, written by another program, would make both watchers list all groups without end. Class: one bad object that fails the handling of all.

Only a store that cannot be reached makes a watcher list again. Any other failure is logged; the group is confirmed when it is read or changed next.

test_group_that_cannot_be_written_holds_up_no_other failed before: 48 attempts in 10 s, at most 2 are expected.

--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -21,6 +21,7 @@
     OutcomeUnknownError,
     PlatformAnswerError,
     PlatformError,
+    PlatformUnavailableError,
     VersionConflictError,
 )
 from ...kernel.retries import ReadingRetries, report_reading_failure
@@ -694,7 +695,8 @@
         """Confirms groups of an earlier era, and cached groups that the store has lost since.
 
         Returns:
-            Whether all of them are confirmed.
+            Whether the store could be read and written. A group that cannot be confirmed for
+            another reason does not hold up the others.
         """
         era = era_of(changes.revision)
         keys = {stored.key for stored in changes.objects}
@@ -711,7 +713,10 @@
         ]
         if results:
             await asyncio.wait(results)
-        return not any(result.cancelled() or result.exception() for result in results)
+        return not any(
+            result.cancelled() or isinstance(result.exception(), PlatformUnavailableError)
+            for result in results
+        )
 
     def _watch_pause_s(self, prefix: str) -> float:
         if self._membership.own_member() is None:
--- a/tests/services/groups/test_confirmation.py
+++ b/tests/services/groups/test_confirmation.py
@@ -5,7 +5,7 @@
 import unittest
 from dataclasses import replace
 
-from fescueward.kernel.errors import PlatformError
+from fescueward.kernel.errors import PlatformAnswerError, PlatformError
 from fescueward.messages import Group, GroupId, VersionedGroup
 from fescueward.messages.codec import decode_json, encode_json
 from fescueward.messages.era import epoch_after, era_of, to_version
@@ -159,6 +159,27 @@
         self.fleet.world.advance(3)
         self.assertIn("lost", self.assert_confirmed().exceptions)
 
+    def test_group_that_cannot_be_written_holds_up_no_other(self):
+        """Guards against watchers that list the store without end because of one odd group."""
+        odd = Group("odd", 0, 1)
+        self.fleet.platform.write(odd.id.object_key, encode_json(odd), 0)
+        self.fleet.world.advance(1)
+        attempts = []
+        for agent in self.fleet.agents.values():
+            put = agent.platform.put
+
+            async def refuse_odd(key: str, value: bytes, version: int, put=put) -> int:
+                if key == odd.id.object_key:
+                    attempts.append(version)
+                    raise PlatformAnswerError("too large")
+                return await put(key, value, version)
+
+            agent.platform.put = refuse_odd
+        self.fleet.platform.restore(self.fleet.platform.copy())
+        self.fleet.world.advance(10)
+        self.assert_confirmed()
+        self.assertLessEqual(len(attempts), 2)
+
     def test_late_write_of_an_earlier_era_is_not_believed(self):
         """Guards against a write from before the restore that undoes what was written since."""
         agent = self.fleet.agents["a3"]
