--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -16,11 +16,11 @@
 
 
 class SoakTest(unittest.TestCase):
-    def _run_seed(self, seed: int) -> None:
+    def _run_seed(self, seed: int, restores: bool = False) -> None:
         directory = LOG_DIRECTORY / f"seed-{seed}"
         shutil.rmtree(directory, ignore_errors=True)
         directory.mkdir(parents=True)
-        result = uvloop.run(run_soak(seed, DURATION_S, AGENT_COUNT, directory))
+        result = uvloop.run(run_soak(seed, DURATION_S, AGENT_COUNT, directory, restores))
         details = "\n".join(map(str, (result, *result.breaches, directory)))
         self.assertEqual(result.breaches, (), details)
         self.assertGreater(result.served, 0)
@@ -46,3 +46,7 @@
         Upstreams answer twice, cut off and malformed in this plan, on connections that stay open.
         """
         self._run_seed(3110)
+
+    def test_seed_1_with_restores(self):
+        """Guards against epochs that go back, and keys without an owner, in a restored store."""
+        self._run_seed(1, restores=True)
