Let a paused agent's grants reach the upstream in the search of restored stores

The search (seed 20412) failed before its first restore: a renewal that an agent had sent before it was paused took effect when it was resumed, because the simulated upstream applied it in the agent's own loop. On the network the grant arrives on its way, and the platform's rule excludes grants that a thawed sender sends late. The grant now takes effect after its delay whether the agent is paused or not; seeds 351 and 359 still have two holders without the wait for lost grants.

--- a/tests/services/keyspace/keyed_fleet.py
+++ b/tests/services/keyspace/keyed_fleet.py
@@ -52,6 +52,11 @@
 
     async def grant_range(self, key_range: KeyRange, hold_s: float) -> bool:
         await asyncio.sleep(_RESPONSE_DELAY_S)
+        self.apply_grant(key_range, hold_s)
+        return True
+
+    def apply_grant(self, key_range: KeyRange, hold_s: float) -> None:
+        """Checks and applies a grant, whose time counts from now."""
         self._fleet.check_grant(self, key_range)
         until = self._fleet.world.now + hold_s
         self.grants = [
@@ -60,7 +65,6 @@
             if grant[:3] != (key_range.first, key_range.last, key_range.epoch)
         ]
         self.grants.append((key_range.first, key_range.last, key_range.epoch, until))
-        return True
 
     async def release_range(self, key_range: KeyRange) -> str:
         self.grants = [
--- a/tests/services/keyspace/test_restored.py
+++ b/tests/services/keyspace/test_restored.py
@@ -6,28 +6,43 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import random
 import unittest
 
 from fescueward.messages import AnnouncedState, Announcement
+from fescueward.messages.group import KeyRange
 from fescueward.services.keyspace.moves import KEY_COUNT
 from tests.services.fleet import SimulatedAgent
 from tests.services.timed_fakes import ResponseMode
 
-from .keyed_fleet import KeyedFleet
+from .keyed_fleet import KeyedFleet, RangeUpstream
 
 _EXAMPLES = int(os.environ.get("FESCUEWARD_SEARCH_EXAMPLES", "0"))
 _FIRST_SEED = int(os.environ.get("FESCUEWARD_SEARCH_SEED", "0"))
 # Two members have grants for a key if no member waits for the end of lost grants.
 _SEEDS_WITH_LOST_GRANTS = (351, 359)
 _REPORTED_OUTAGES = (ResponseMode.REFUSED, ResponseMode.IGNORED)
+_GRANT_DELAY_S = 0.001
 _WRITE_FAULTS = (ResponseMode.LOST, ResponseMode.LATE, ResponseMode.VERY_LATE)
 # Longest time until all keys are served after the last fault: removal of lost members, the wait
 # for lost grants, and one attempt of each that fails.
 _RECOVERY_S = 12.0
 
 
+class DistantUpstream(RangeUpstream):
+    """An upstream that a grant reaches on its way, whether its agent is paused meanwhile or not.
+
+    The platform does not count grants that a paused agent sends after it was resumed.
+    """
+
+    async def grant_range(self, key_range: KeyRange, hold_s: float) -> bool:
+        self._fleet.world.call_later(_GRANT_DELAY_S, lambda: self.apply_grant(key_range, hold_s))
+        await asyncio.sleep(2 * _GRANT_DELAY_S)
+        return True
+
+
 class RestoredFleet(KeyedFleet):
     """A fleet whose store is restored from copies while agents fail, leave and join."""
 
@@ -40,6 +55,9 @@
         self.losses = 0
         self.lost: dict[str, SimulatedAgent] = {}
 
+    def upstream(self, agent: SimulatedAgent) -> RangeUpstream:
+        return self.upstreams.setdefault(agent.name, DistantUpstream(self, agent.name))
+
     def join(self) -> None:
         self.start(f"a{self.count}", f"d{self.count % 3}")
         self.count += 1
