End each refused wait of a stopping agent once

A wait that ends at the close of a stopping agent could fail its own shutdown: the waits behind it were not ended, and the process ended with a failure.

Cause: a timeout that has fired cannot be changed, also before its task has taken its next step. The wait was known until that step, and both the end of the finishing phase and the close of the agent changed it.

Change: a wait is forgotten when it is ended. Result: test_waits_that_have_ended_do_not_fail_the_stop failed before (RuntimeError: Cannot change state of expiring Timeout) and passes.

--- a/fescueward/services/shutdown.py
+++ b/fescueward/services/shutdown.py
@@ -125,7 +125,7 @@
                 try:
                     yield
                 finally:
-                    del self._waits[limit]
+                    self._waits.pop(limit, None)
         except TimeoutError:
             if limit.expired():
                 raise _draining_error() from None
@@ -167,8 +167,10 @@
             self._end_refused_waits()
 
     def _end_refused_waits(self) -> None:
-        for limit, (deadline, movable) in self._waits.items():
+        for limit, (deadline, movable) in tuple(self._waits.items()):
             if self._refuses(deadline, movable):
+                # A timeout that has fired cannot be changed, also before its task has continued.
+                del self._waits[limit]
                 limit.reschedule(asyncio.get_running_loop().time())
 
     def _remaining_s(self, end_s: float) -> float:
--- a/tests/services/test_shutdown.py
+++ b/tests/services/test_shutdown.py
@@ -59,6 +59,25 @@
         self.assertAlmostEqual(ends[0], BOUNDS.accept_until_s, delta=0.1)
         self.assertAlmostEqual(ends[1], BOUNDS.finish_until_s, delta=0.1)
 
+    async def test_waits_that_have_ended_do_not_fail_the_stop(self):
+        """Guards against a stop that fails at a wait whose task has not continued yet."""
+
+        async def wait(unwinding_s: float) -> None:
+            with self.assertRaises(DrainingError):
+                async with self.shutdown.waiting(self.clock.now() + 5.0):
+                    try:
+                        await asyncio.Event().wait()
+                    finally:
+                        await asyncio.sleep(unwinding_s)
+
+        waits = [asyncio.create_task(wait(seconds)) for seconds in (0.1, 0.0, 0.1)]
+        await asyncio.sleep(0)
+        self.kernel.request_stop()
+        for _ in range(4):
+            self.shutdown.close()
+            await asyncio.sleep(0)
+        await asyncio.gather(*waits)
+
     async def test_idle_agent_ends_after_the_taking_phase(self):
         """Guards against a stop that waits for its whole grace time without a request."""
         self.kernel.request_stop()
