Count neither pauses of a sender nor a free link in the arrival of bodies

One sender that paused for 5 s within a body made the rate of arrivals so low that a busy gate refused each later upload, also an hour later, since only an upload that it accepts can raise the rate.

Change: a gap between two parts counts as 0.1 s at most, and while no other body is on its way the link counts as free.

Result: test_pause_of_a_sender_is_no_slow_link (3.2 s expected) and test_free_link_delays_no_body (3.0 s for 300 kB) failed before and pass; tests.services.gate passes.

--- a/fescueward/services/gate/arrivals.py
+++ b/fescueward/services/gate/arrivals.py
@@ -7,6 +7,8 @@
 
 # Older receptions lose half of their weight in the rate once this much time is counted.
 _RATE_WINDOW_S = 1.0
+# Longest time between two parts that counts; a longer one is a pause of the sender.
+_MAX_GAP_S = 0.1
 
 
 class BodyArrivals:
@@ -28,8 +30,11 @@
         self._receiving_s = 0.0
 
     def expected_s(self, length: int) -> float:
-        """Returns the expected time in seconds until a body of this length has arrived."""
-        if not self._received_bytes:
+        """Returns the expected time in seconds until a body of this length has arrived.
+
+        It is 0.0 while no other body is being received: the link is free then.
+        """
+        if not self._received_bytes or not self._remaining_bytes:
             return 0.0
         rate = self._received_bytes / max(self._receiving_s, 1e-3)
         return (self._remaining_bytes + length) / rate
@@ -57,7 +62,7 @@
     def _count(self, size: int) -> None:
         now = self._clock.now()
         self._received_bytes += size
-        self._receiving_s += now - self._counted_until
+        self._receiving_s += min(now - self._counted_until, _MAX_GAP_S)
         self._counted_until = now
         if self._receiving_s > _RATE_WINDOW_S:
             self._received_bytes /= 2
