--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -47,6 +47,10 @@
         """
         self._run_seed(3110)
 
+    def test_seed_1035(self):
+        """Guards against a request that is cut without a response by a stopping agent."""
+        self._run_seed(1035)
+
     def test_seed_1_with_restores(self):
         """Guards against epochs that go back, and keys without an owner, in a restored store."""
         self._run_seed(1, restores=True)
