Send and receive bodies with any amount of credit, also from earlier agents

The earlier sender waits for credit for a part of 64 KiB, and the shared credit for bodies is 48 KiB at most.

Change: a sender sends as much of a part as it has credit for, so that no later receiver depends on the size of parts. A receiver that gets no part for 0.1 s grants the size of the earlier parts. A body is counted once in the shared credit, however often it is read.

Not played between real agents of both versions.

--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import AsyncGenerator, Callable
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 
 from ..kernel.errors import BodyTruncatedError
 from ..messages import Body
@@ -19,6 +19,11 @@
 # A body up to this size is sent inside StreamOpen or StreamHead.
 INLINE_BYTES = 16_384
 
+# Earlier versions of the agent send parts of this size, and only with credit for a whole part.
+_EARLIER_CHUNK_BYTES = 65_536
+# Time without a part after which the sender is taken for an earlier version.
+_PART_TIMEOUT_S = 0.1
+
 # Fails a body whose receiver grants no credit for this long, which frees its upstream slot.
 STALL_TIMEOUT_S = 30.0
 
@@ -107,7 +112,7 @@
 
         The body of a request that is refused unread can still be sent to another agent.
         """
-        if self._ended or self._failure is not None:
+        if self._window_open or self._ended or self._failure is not None:
             return
         self._window_open = True
         self._windows.open()
@@ -120,8 +125,9 @@
             self._window_open = False
             self._windows.close()
 
-    def _grant(self) -> None:
-        credit_bytes = self._windows.window_bytes - self._granted_bytes - self._buffered_bytes
+    def _grant(self, min_window_bytes: int = 0) -> None:
+        window_bytes = max(self._windows.window_bytes, min_window_bytes)
+        credit_bytes = window_bytes - self._granted_bytes - self._buffered_bytes
         if self._window_open and credit_bytes > 0:
             self._granted_bytes += credit_bytes
             self._send(StreamCredit(self.stream, credit_bytes))
@@ -137,13 +143,22 @@
                 return b""
             if self._failure is not None:
                 raise BodyTruncatedError(self._failure)
-            self._readable.clear()
-            await self._readable.wait()
+            await self._wait_for_part()
         chunk = self._chunks.popleft()
         self._buffered_bytes -= len(chunk)
         self._grant()
         return chunk
 
+    async def _wait_for_part(self) -> None:
+        self._readable.clear()
+        if self._window_open:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(_PART_TIMEOUT_S):
+                    await self._readable.wait()
+                    return
+            self._grant(_EARLIER_CHUNK_BYTES)
+        await self._readable.wait()
+
     async def write_body(self, body: Body) -> None:
         """Sends a body as the other end grants credit.
 
@@ -154,14 +169,16 @@
         await self._take_credit(0)
         async with aclosing(body.chunks()) as chunks:
             async for chunk in chunks:
-                for start in range(0, len(chunk), CHUNK_BYTES):
-                    part = chunk[start : start + CHUNK_BYTES]
-                    await self._take_credit(len(part))
-                    self._send(StreamData(self.stream, part))
+                start = 0
+                while start < len(chunk):
+                    size = await self._take_credit(min(len(chunk) - start, CHUNK_BYTES))
+                    self._send(StreamData(self.stream, chunk[start : start + size]))
+                    start += size
         self._send(StreamData(self.stream, b"", end=True))
 
-    async def _take_credit(self, size: int) -> None:
-        while self._credit_bytes < max(size, 1):
+    async def _take_credit(self, max_size: int) -> int:
+        """Waits for credit and takes up to `max_size` bytes of it; returns how many."""
+        while self._credit_bytes < 1:
             if self._failure is not None:
                 raise BodyTruncatedError(self._failure)
             self._credit_available.clear()
@@ -174,7 +191,9 @@
                 ) from None
         if self._failure is not None:
             raise BodyTruncatedError(self._failure)
+        size = min(max_size, self._credit_bytes)
         self._credit_bytes -= size
+        return size
 
 
 class ChannelBody:
--- /dev/null
+++ b/tests/services/test_streams.py
@@ -0,0 +1,54 @@
+"""Tests of the flow control of bodies on a peer stream."""
+
+import asyncio
+import unittest
+
+from fescueward.messages.peer import StreamCredit, StreamData
+from fescueward.messages.request import BytesBody
+from fescueward.services.streams import Channel
+
+BODY = bytes(range(256)) * 800
+# Size of the parts that earlier versions of the agent send.
+EARLIER_PART_BYTES = 65_536
+
+
+class ChannelTest(unittest.IsolatedAsyncioTestCase):
+    async def test_body_is_sent_with_credit_for_less_than_a_part(self):
+        """Guards against a body that stalls because its receiver grants little at a time."""
+        sent = []
+        sender = Channel(1, sent.append)
+        writing = asyncio.create_task(sender.write_body(BytesBody(BODY)))
+        while not writing.done():
+            sender.add_credit(1_000)
+            await asyncio.sleep(0)
+        self.assertEqual(b"".join(message.data for message in sent), BODY)
+
+    async def test_body_of_an_earlier_version_arrives(self):
+        """Guards against uploads that stall while a fleet is updated one agent after another."""
+        credits = asyncio.Queue()
+        receiver = Channel(1, credits.put_nowait)
+
+        async def send_whole_parts() -> None:
+            credit_bytes = 0
+            for start in range(0, len(BODY), EARLIER_PART_BYTES):
+                part = BODY[start : start + EARLIER_PART_BYTES]
+                while credit_bytes < len(part):
+                    message = await credits.get()
+                    assert isinstance(message, StreamCredit)
+                    credit_bytes += message.size
+                credit_bytes -= len(part)
+                receiver.receive(part, False)
+            receiver.receive(StreamData(1, b"", end=True).data, True)
+
+        sending = asyncio.create_task(send_whole_parts())
+        receiver.open_window()
+        received = b""
+        async with asyncio.timeout(2):
+            while part := await receiver.read():
+                received += part
+            await sending
+        self.assertEqual(received, BODY)
+
+
+if __name__ == "__main__":
+    unittest.main()
