Order the contents of a restored group by the versions that they were written on

Cause: the newest content was chosen by the revision of its version. A write with content of the earlier era that lands after the restore, such as a stamp of an agent that was cut off, gets a revision of the new era, which can be higher than those of the lost writes.

Change: a group says on which version its content was written; contents are ordered by their era and that version. Between equals the confirmed one wins.

Result: test_late_write_on_the_copy_undoes_nothing_that_members_know failed before ('lost' not found) and passes, with all 13 of tests.services.groups.test_confirmation.

--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -46,6 +46,7 @@
         shards: Changed shards by id.
         ranges: Changed key ranges; each replaces the ranges with which it shares keys.
         era: `Group.era` of the newer version.
+        written_on: `Group.written_on` of the newer version.
         recovering: `Group.recovering` of the newer version.
     """
 
@@ -61,6 +62,7 @@
     shards: dict[Annotated[int, Meta(ge=0)], Shard] = field(default_factory=dict)
     ranges: tuple[KeyRange, ...] = ()
     era: Annotated[int, Meta(ge=0)] = 0
+    written_on: Annotated[int, Meta(ge=0)] = 0
     recovering: Annotated[int, Meta(ge=0)] = 0
 
     @property
@@ -89,6 +91,7 @@
             ranges=_replace_ranges(group.ranges, self.ranges),
             fence=self.fence,
             era=self.era,
+            written_on=self.written_on,
             recovering=self.recovering,
         )
         return VersionedGroup(self.version, changed)
@@ -128,6 +131,7 @@
         },
         ranges=tuple(key_range for key_range in after.ranges if key_range not in base_ranges),
         era=after.era,
+        written_on=after.written_on,
         recovering=after.recovering,
     )
 
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -162,6 +162,7 @@
             whose keys are hashed or that has no keys.
         fence: Highest epoch of any range so far.
         era: Era of the store in which this content was written.
+        written_on: Version that this content was written on, which orders the contents of an era.
         recovering: Lowest epoch that was given after the store lost writes of an earlier era, or
             0 once all grants have ended that these writes may have led to.
     """
@@ -177,6 +178,7 @@
     ranges: tuple[KeyRange, ...] = ()
     fence: Count = 0
     era: Count = 0
+    written_on: Count = 0
     recovering: Count = 0
 
     @property
--- a/fescueward/services/groups/confirmation.py
+++ b/fescueward/services/groups/confirmation.py
@@ -23,7 +23,7 @@
     VersionConflictError,
 )
 from ...messages import Group, GroupId, Member, VersionedGroup
-from ...messages.era import EPOCHS_PER_WRITE, epoch_after, era_of, revision_of, to_version
+from ...messages.era import EPOCHS_PER_WRITE, epoch_after, era_of, to_version
 from ...messages.peer import Fetch
 from .watchers import WATCHER_COUNT
 
@@ -229,8 +229,10 @@
         return max(known, key=_content_order).group
 
 
-def _content_order(versioned: VersionedGroup) -> tuple[int, int]:
-    return (versioned.group.era, revision_of(versioned.version))
+def _content_order(versioned: VersionedGroup) -> tuple[int, int, bool]:
+    # The version does not order contents: a late write of an earlier era gets a revision of the
+    # present one.
+    return (versioned.group.era, versioned.group.written_on, versioned.confirmed)
 
 
 def _confirmed_content(newest: Group, base_version: int) -> Group:
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -251,7 +251,7 @@
     async def write(self, base: VersionedGroup, group: Group) -> VersionedGroup:
         """Writes a group on condition that its version is that of `base`; see `Groups.write`."""
         era = era_of(base.version) if base.version else self._platform.era
-        group = replace(group, edit_id=uuid.uuid4().hex, era=era)
+        group = replace(group, edit_id=uuid.uuid4().hex, era=era, written_on=base.version)
         try:
             version = await self._platform.put(
                 group.id.object_key, encode_json(group), base.version
--- a/tests/services/groups/test_confirmation.py
+++ b/tests/services/groups/test_confirmation.py
@@ -60,6 +60,34 @@
         self.assertTrue(all(view.confirmed for view in self.views()))
         return self.views()[0].group
 
+    def restore_beside_an_old_view(self, name: str, later_writes: int) -> None:
+        """Restores the store while one agent, cut off from the others, has the copy's version."""
+        agents = self.fleet.agents
+        for other in agents:
+            if other != name:
+                self.fleet.network.cut.add(frozenset((name, other)))
+        agents[name].platform.response_mode = ResponseMode.REFUSED
+        self.fleet.world.advance(0.1)
+        copy = self.fleet.platform.copy()
+        self.edit("a1", "lost")
+        self.fleet.world.advance(0.8)
+        for agent in agents.values():
+            agent.platform.response_mode = ResponseMode.REFUSED
+        self.fleet.world.advance(0.2)
+        self.fleet.platform.restore(copy)
+        # Other objects are written before any agent reaches the store.
+        self.fleet.platform.revision += later_writes
+        for agent in agents.values():
+            agent.platform.response_mode = ResponseMode.NORMAL
+        self.fleet.world.advance(1.0)
+        self.fleet.network.cut.clear()
+        self.fleet.world.advance(4.0)
+
+    def test_late_write_on_the_copy_undoes_nothing_that_members_know(self):
+        """Guards against content that counts as newer because it was stored after the restore."""
+        self.restore_beside_an_old_view("a3", later_writes=20)
+        self.assertIn("lost", self.fleet.group().exceptions)
+
     def test_lost_writes_are_written_again(self):
         """Guards against an acknowledged change of a group that a restore undoes."""
         copy = self.fleet.platform.copy()
