Let agents that reach the members confirm a group before an isolated one

Cause: it could not tell that nobody has newer content from nobody being reachable.

Change: members reply to the request of a confirmation also if they have nothing newer. An agent that hears from less than half of the other members waits once for the turns of the others.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -215,6 +215,8 @@
         group_version: Version of that group that the sender has.
         entries: Versions of the sender's entries by service, or None if it requests none.
         objects: Versions of all of the sender's objects by platform key, or None.
+        confirming: Whether the sender confirms the group after a restore of the store, so that it
+            gets a reply in any case.
     """
 
     service: str = ""
@@ -222,6 +224,7 @@
     group_version: NonNegativeInt = 0
     entries: dict[str, int] | None = None
     objects: dict[str, int] | None = None
+    confirming: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/groups/confirmation.py
+++ b/fescueward/services/groups/confirmation.py
@@ -116,6 +116,8 @@
         self._own_id = own_id
         self._preceding_watchers = preceding_watchers
         self._running: dict[GroupId, asyncio.Future[VersionedGroup]] = {}
+        # Members that have sent a group or a reply since the last request to all of them.
+        self._heard_ids: set[str] = set()
 
     def begin(self, group_id: GroupId) -> asyncio.Future[VersionedGroup]:
         """Starts a confirmation unless one is running; returns its result as a future."""
@@ -126,6 +128,10 @@
             self._tasks.spawn(f"confirm {group_id}", self._run(group_id, result))
         return result
 
+    def heard_from(self, member_id: str) -> None:
+        """Records that a member is connected to this agent."""
+        self._heard_ids.add(member_id)
+
     async def confirm(self, group_id: GroupId) -> VersionedGroup:
         """Returns a version of the group that is confirmed in the present era.
 
@@ -153,12 +159,16 @@
         confirmed = await self._wait_for_turn(group_id)
         if confirmed is not None:
             return confirmed
-        for _ in range(_MAX_ATTEMPTS):
+        for attempt in range(_MAX_ATTEMPTS):
             restored = await self._read(group_id)
             if restored is not None and restored.confirmed:
                 self._groups.observe(restored)
                 return self._groups.view(group_id) or restored
             newest = await self._collect(group_id, restored)
+            if not attempt and self._is_isolated(newest):
+                # Agents that reach the members have their turn first.
+                await self._clock.sleep(_OTHERS_DELAY_S + _OTHERS_SPREAD_S)
+                continue
             era = self._platform.era
             base_version = restored.version if restored is not None else 0
             view = self._groups.view(group_id)
@@ -203,6 +213,11 @@
         except ObjectNotFoundError:
             return None
 
+    def _is_isolated(self, group: Group) -> bool:
+        """Whether less than half of the other members have replied."""
+        other_ids = group.members.keys() - {self._own_id()}
+        return len(other_ids & self._heard_ids) * 2 < len(other_ids)
+
     async def _collect(self, group_id: GroupId, restored: VersionedGroup | None) -> Group:
         """Returns the newest content that members or the copy have.
 
@@ -215,7 +230,9 @@
         for versioned in known:
             members |= versioned.group.members
         members.pop(self._own_id(), None)
-        request = Fetch(group_id.service, group_id.number, view.version if view is not None else 0)
+        self._heard_ids.clear()
+        known_version = view.version if view is not None else 0
+        request = Fetch(group_id.service, group_id.number, known_version, confirming=True)
         missed = [member for member in members.values() if not self._peers.send(member, request)]
         await self._clock.sleep(_RESEND_S)
         for member in missed:
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -507,6 +507,7 @@
         )
 
     def _on_publish(self, sender: str, message: Publish) -> None:
+        self._confirmation.heard_from(sender)
         if message.configuration is not None and self._routes is not None:
             self._observe_configuration(message.configuration, self._routes)
             if message.groups or message.deltas:
@@ -566,7 +567,7 @@
             changes = self._history.changes_since(cached.group.id, message.group_version)
         if entries:
             changes = replace(changes, entries=entries)
-        if changes != Publish():
+        if changes != Publish() or message.confirming:
             self._peers.reply(sender, changes)
 
     def _on_watch_status(self, sender: str, message: WatchStatus) -> None:
--- a/tests/services/groups/test_confirmation.py
+++ b/tests/services/groups/test_confirmation.py
@@ -88,6 +88,11 @@
         self.restore_beside_an_old_view("a3", later_writes=20)
         self.assertIn("lost", self.fleet.group().exceptions)
 
+    def test_watcher_without_peers_undoes_nothing_that_members_know(self):
+        """Guards against a confirmation by a watcher that no other agent answers."""
+        self.restore_beside_an_old_view("a2", later_writes=0)
+        self.assertIn("lost", self.fleet.group().exceptions)
+
     def test_lost_writes_are_written_again(self):
         """Guards against an acknowledged change of a group that a restore undoes."""
         copy = self.fleet.platform.copy()
