--- a/fescueward/services/groups/confirmation.py
+++ b/fescueward/services/groups/confirmation.py
@@ -19,6 +19,7 @@
     FescuewardError,
     ObjectNotFoundError,
     OutcomeUnknownError,
+    PlatformAnswerError,
     PlatformUnavailableError,
     VersionConflictError,
 )
@@ -53,6 +54,8 @@
 _RESEND_S = 0.1
 _MAX_ATTEMPTS = 8
 _RETRY_S = 0.1
+# Delay after the store has refused a confirmation with an unexpected status.
+_REFUSED_RETRY_S = 10.0
 
 
 class ConfirmationAccess(Protocol):
@@ -149,12 +152,19 @@
             result.set_exception(error)
             # The error is logged, and a caller of `begin` need not read it.
             result.exception()
+            if isinstance(error, PlatformAnswerError):
+                # The watch does not list the store again for one group.
+                self._tasks.spawn(f"confirm {group_id} again", self._begin_later(group_id))
         else:
             result.set_result(confirmed)
         finally:
             del self._running[group_id]
             result.cancel()
 
+    async def _begin_later(self, group_id: GroupId) -> None:
+        await self._clock.sleep(_REFUSED_RETRY_S)
+        self.begin(group_id)
+
     async def _confirm(self, group_id: GroupId) -> VersionedGroup:
         confirmed = await self._wait_for_turn(group_id)
         if confirmed is not None:
--- a/tests/services/groups/test_confirmation.py
+++ b/tests/services/groups/test_confirmation.py
@@ -213,6 +213,21 @@
         self.assert_confirmed()
         self.assertLessEqual(len(attempts), 2)
 
+    def test_confirmation_that_was_refused_once_is_repeated(self):
+        """Guards against a group that stays unconfirmed after one unexpected status."""
+        for agent in self.fleet.agents.values():
+            put, refusals = agent.platform.put, iter([PlatformAnswerError("status 500")])
+
+            async def refuse_once(key, value, version, put=put, refusals=refusals) -> int:
+                if (refusal := next(refusals, None)) is not None:
+                    raise refusal
+                return await put(key, value, version)
+
+            agent.platform.put = refuse_once
+        self.fleet.platform.restore(self.fleet.platform.copy())
+        self.fleet.world.advance(15)
+        self.assert_confirmed()
+
     def test_late_write_of_an_earlier_era_is_not_believed(self):
         """Guards against a write from before the restore that undoes what was written since."""
         agent = self.fleet.agents["a3"]
