Bound the request bodies that a gate receives before their runs

Change: at 16 MiB of bodies on their way a further one is refused at once, as not run, with Retry-After. A single larger body is received.

--- a/fescueward/services/gate/arrivals.py
+++ b/fescueward/services/gate/arrivals.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from ...kernel import Clock
+from ...kernel.errors import OverloadedError
 from ...messages.request import Body
 
 # Older receptions lose half of their weight in the rate once this much time is counted.
 _RATE_WINDOW_S = 1.0
+# Limit on the bytes of all bodies that are on their way. A single larger body is received.
+_MAX_REMAINING_BYTES = 16 * 1024 * 1024
+# A refused body of the limit's size takes seconds on the link of a small machine.
+_RETRY_AFTER_S = 0.5
 # Longest time between two parts that counts; a longer one is a pause of the sender.
 _MAX_GAP_S = 0.1
 
@@ -39,6 +44,17 @@
         rate = self._received_bytes / max(self._receiving_s, 1e-3)
         return (self._remaining_bytes + length) / rate
 
+    def check(self, length: int) -> None:
+        """Checks whether another body of this length fits in memory beside those on their way.
+
+        Raises:
+            OverloadedError: It does not fit.
+        """
+        if self._remaining_bytes and self._remaining_bytes + length > _MAX_REMAINING_BYTES:
+            raise OverloadedError(
+                "too many request bodies are on their way", retry_after_s=_RETRY_AFTER_S
+            )
+
     async def receive(self, body: Body) -> bytes:
         """Receives a body to its end; raises as `Body.chunks`."""
         remaining_bytes = body.length or 0
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -121,6 +121,7 @@
             async with self._shutdown.waiting(request.deadline, _is_movable(request)):
                 await self._admitted_epoch(request)
                 if not isinstance(request.body, BytesBody):
+                    self._arrivals.check(request.body.length or 0)
                     self._admission.check(self._without_arrival_time(request), entry)
                     request = await self._with_received_body(request)
                 guard = self._quarantine.guard(request)
--- a/tests/services/gate/test_arrivals.py
+++ b/tests/services/gate/test_arrivals.py
@@ -4,6 +4,7 @@
 import unittest
 from types import SimpleNamespace
 
+from fescueward.kernel.errors import OverloadedError
 from fescueward.services.gate.arrivals import BodyArrivals
 
 
@@ -60,6 +61,14 @@
         await self.arrivals.receive(PacedBody(self.clock, 30_000, 0.1, 0.1, 0.1))
         self.assertEqual(self.arrivals.expected_s(300_000), 0.0)
 
+    async def test_bodies_on_their_way_are_bounded(self):
+        """Guards against uploads that together exceed the memory of the agent."""
+        self.arrivals.check(64 * 1024 * 1024)
+        await self.receive_beside_open_body(0.02)
+        self.arrivals.check(1024 * 1024)
+        with self.assertRaises(OverloadedError):
+            self.arrivals.check(17 * 1024 * 1024)
+
 
 if __name__ == "__main__":
     unittest.main()
