Grant keys of a restored group once every member knows the era

Cause: the wait for lost grants was of time alone and assumed that all monitors learn of the new era within 1.2 s. One monitor is enough to extend a lease. A member that took over keys by a write that the store lost, cut off together with one of its monitors, kept its grants, while the copy gave the keys back to the member that had been taken over.

Change: members report the era of their group to the planner with their load. The planner ends the mark of a restored group after the wait, once each member has reported the new era or was removed, and no member grants keys without a valid grant before that.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -257,11 +257,13 @@
         member_id: Member id of the sender.
         utilisation: Mean share of its slots in use, including waiting requests.
         work: Mean number of slots in use by key block; blocks without work are omitted.
+        era: Era of the version that the sender has of its group.
     """
 
     member_id: str
     utilisation: Annotated[float, Meta(ge=0.0)]
     work: dict[NonNegativeInt, Annotated[float, Meta(ge=0.0)]]
+    era: NonNegativeInt = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -4,11 +4,13 @@
 
 import heapq
 import math
+from dataclasses import replace
 
 from ...interfaces import Groups, Membership, Peers, Placement, SlotLoad
 from ...interfaces.placement import GroupLoad
 from ...kernel import Clock, Kernel, Registry
 from ...messages import VersionedGroup
+from ...messages.era import era_of
 from ...messages.peer import RangeLoad
 from .moves import BLOCK_KEYS
 
@@ -120,7 +122,7 @@
             view = self._own_group_view()
             if view is None or not view.group.ranges:
                 continue
-            report = self.measure()
+            report = replace(self.measure(), era=era_of(view.version))
             planner = self._placement.planner(view.group)
             if planner is None:
                 continue
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -10,6 +10,7 @@
 from ...kernel.errors import PlatformError
 from ...kernel.settings import Settings
 from ...messages import Group, Member, MemberState, VersionedGroup
+from ...messages.era import era_of
 from ...messages.group import KeyRange
 from ...messages.peer import RangeLoad
 from . import moves
@@ -123,7 +124,7 @@
         reports = self._load.reports()
         try:
             written = (
-                await self._end_recovery(view)
+                await self._end_recovery(view, reports)
                 or await self._assign_keys(view, reports)
                 or await self._rebalance(view, reports)
             )
@@ -161,10 +162,20 @@
             return None
         return view
 
-    async def _end_recovery(self, view: VersionedGroup) -> VersionedGroup | None:
-        """Records that all grants have ended that a restored store has lost."""
+    async def _end_recovery(
+        self, view: VersionedGroup, reports: dict[str, RangeLoad]
+    ) -> VersionedGroup | None:
+        """Records that all grants have ended that a restored store has lost.
+
+        A member that has not received the confirmed group may still have such a grant, as long as
+        a monitor that has not received it either extends its lease.
+        """
         recovering = view.group.recovering
-        if not recovering or self._recovery_wait.active:
+        if not recovering or not self._recovery_wait.over:
+            return None
+        era = era_of(view.version)
+        informed_ids = {id_ for id_, report in reports.items() if report.era == era}
+        if not informed_ids >= view.group.members.keys():
             return None
 
         def end_recovery(group: Group) -> Group | None:
--- a/fescueward/services/keyspace/recovery.py
+++ b/fescueward/services/keyspace/recovery.py
@@ -31,11 +31,16 @@
 
     @property
     def active(self) -> bool:
-        """Whether lost grants may still be valid."""
-        return self._clock.now() < self._until
+        """Whether lost grants may still be valid, because the group does not record their end."""
+        return self._recovering != 0
+
+    @property
+    def over(self) -> bool:
+        """Whether grants have ended that no member of an earlier era extends."""
+        return self._clock.now() >= self._until
 
     def observe(self, group: Group) -> None:
         """Starts the wait with a group that was confirmed since the last one."""
         if group.recovering not in (0, self._recovering):
-            self._recovering = group.recovering
             self._until = self._clock.now() + self._wait_s
+        self._recovering = group.recovering
--- a/tests/services/keyspace/test_restored.py
+++ b/tests/services/keyspace/test_restored.py
@@ -205,3 +205,40 @@
         for seed in seeds if _EXAMPLES else (*_SEEDS_WITH_LOST_GRANTS, *seeds):
             with self.subTest(seed=seed):
                 self.search(seed)
+
+
+class CutPairTest(unittest.TestCase):
+    """A member and its monitor that are cut off together while the store is restored."""
+
+    def test_keys_of_a_cut_off_pair_are_not_granted_to_others(self):
+        """Guards against two owners while a cut-off monitor extends the lease of the first."""
+        for lost in ("a0", "a1", "a2", "a3"):
+            with self.subTest(lost=lost):
+                fleet = KeyedFleet()
+                self.addCleanup(fleet.close)
+                for number in range(4):
+                    fleet.start(f"a{number}", f"d{number % 3}")
+                fleet.world.advance(8)
+                self.restore_without_a_takeover(fleet, lost)
+                fleet.world.advance(8)
+
+    def restore_without_a_takeover(self, fleet: KeyedFleet, lost: str) -> None:
+        """Restores a copy without the takeover of a member by its monitors, which are cut off."""
+        group = fleet.group()
+        ids = {member_id.partition(":")[0]: member_id for member_id in group.members}
+        pair = [member_id.partition(":")[0] for member_id in group.members[ids[lost]].monitors]
+        others = [name for name in fleet.agents if name not in (lost, *pair)]
+        boot, domain = fleet.agents[lost].boot, fleet.agents[lost].domain
+        copy = fleet.platform.copy()
+        fleet.kill(lost)
+        fleet.network.cut.update(frozenset((name, monitor)) for name in others for monitor in pair)
+        for _ in range(800):
+            fleet.world.advance(0.005)
+            if ids[lost] not in fleet.group().members:
+                break
+        fleet.world.advance(0.03)
+        for monitor in pair:
+            fleet.agents[monitor].platform.response_mode = ResponseMode.REFUSED
+            fleet.network.cut.add(frozenset((lost, monitor)))
+        fleet.platform.restore(copy)
+        fleet.start(lost, domain, boot)
