Test the client of the upstream without its limit on connecting

test_head_that_continues_with_another_head failed twice in one of its cases at load 24. The log of one run shows the cause: the connection to the stand-in, a server of the same process, took longer than the client's 0.5 s, so the case ended with UpstreamUnavailableError before any response. No test of this class is about that limit; it is 10 s in them now. What they assert is unchanged.

--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest import mock
 
 from fescueward.kernel.errors import (
     AnswerLostError,
@@ -17,6 +18,7 @@
 from fescueward.kernel.http_client import MAX_RESPONSE_HEAD_BYTES
 from fescueward.messages import Announcement, Request, Response
 from fescueward.messages.group import KeyRange
+from fescueward.platform import upstream as upstream_module
 from fescueward.platform.settings import Address
 from fescueward.platform.upstream import LocalUpstream
 from fescueward.testing.waiting import wait_until
@@ -37,6 +39,12 @@
 
 
 class LocalUpstreamTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        # A busy machine can hold up the connection to a server of the same process.
+        patcher = mock.patch.object(upstream_module, "_CONNECT_TIMEOUT_S", 10.0)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
     async def start_client(self, address: Address) -> LocalUpstream:
         upstream = LocalUpstream(site_at(address))
         announcement = Announcement("depot", address.host, address.port, 6, 110, instance="i1")
