Show by test that work begins for callers that have left

What callers saw: requests reached upstreams more than half a second after their connections had closed (GONE).

The fake link of test_stop cancels a forwarded request as a peer stream does.

--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -125,15 +125,17 @@
 
 
 class Upstream:
-    """Works as long as a request says; records when each run began."""
+    """Works as long as a request says; records when each run began and which ones ended."""
 
     def __init__(self) -> None:
         self.runs: dict[str, list[float]] = defaultdict(list)
+        self.ended: set[str] = set()
 
     async def run(self, request, shard, epoch, deadline):
         self.runs[request.id].append(CLOCK.now())
         work_s = float(request.path.rpartition("w")[2])
         await asyncio.sleep(min(work_s, max(deadline - CLOCK.now(), 0)))
+        self.ended.add(request.id)
         if CLOCK.now() >= deadline:
             # As upstreams respond at the value of X-Fescueward-Timeout-Ms.
             return make_response(b"limit", status=504)
@@ -218,10 +220,13 @@
             other.execution.execute(replace(request, forwarded_by=self.member_id))
         )
         ended = asyncio.create_task(other.ended.wait())
-        await asyncio.wait((forwarded, ended), return_when=asyncio.FIRST_COMPLETED)
-        ended.cancel()
+        try:
+            await asyncio.wait((forwarded, ended), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            ended.cancel()
+            if not forwarded.done():
+                forwarded.cancel()
         if not forwarded.done():
-            forwarded.cancel()
             raise OutcomeLostError("the stream ended")
         return forwarded.result()
 
--- a/tests/services/test_streams.py
+++ b/tests/services/test_streams.py
@@ -5,7 +5,7 @@
 
 from fescueward.messages.peer import StreamCredit, StreamData
 from fescueward.messages.request import BytesBody
-from fescueward.services.streams import Channel
+from fescueward.services.streams import WINDOW_BYTES, Channel, ReceiveWindows
 
 BODY = bytes(range(256)) * 800
 # Size of the parts that earlier versions of the agent send.
@@ -49,6 +49,24 @@
             await sending
         self.assertEqual(received, BODY)
 
+    async def test_bodies_share_a_bounded_credit(self):
+        """Guards against cancellations that wait for seconds behind the bodies of many uploads."""
+        windows = ReceiveWindows()
+        granted_bytes = 0
+
+        def count_credit(message: StreamCredit) -> None:
+            nonlocal granted_bytes
+            granted_bytes += message.size
+
+        channels = [Channel(number, count_credit, windows) for number in range(20)]
+        for channel in channels:
+            channel.open_window()
+        self.assertLessEqual(granted_bytes, 2 * WINDOW_BYTES)
+        # Every body arrives in the end, also those that had to wait for credit.
+        for channel in channels:
+            channel.receive(b"", True)
+            self.assertEqual(await channel.read(), b"")
+
 
 if __name__ == "__main__":
     unittest.main()
