Log how long forwarded requests are delayed on their way

The logs could not tell a request that waited on a link or unread from one whose first agent learned late that its caller had left: the gate knew neither when a request was sent nor how long it took.

StreamOpen and Hello carry the time of sending. The receiver takes the lowest recent difference between arrival and sending of a stream for the offset of the clocks plus the shortest way, as RFC 6817 does; what exceeds it is the delay. request_run and request_not_run log it. Messages of earlier agents have no time and count as punctual.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -41,6 +41,8 @@
         mac: HMAC-SHA256 over nonce, name, incarnation and protocol, with the peer secret.
         wanted: Member id that the sender dials; empty if it does not know which agent listens
             at the address.
+        sent_ms: Time of sending in milliseconds of the sender's CLOCK_BOOTTIME, or None from
+            earlier versions of the agent.
     """
 
     name: Annotated[str, Meta(min_length=1, max_length=200)]
@@ -48,6 +50,7 @@
     protocol: int
     mac: bytes
     wanted: str = ""
+    sent_ms: NonNegativeInt | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -477,6 +480,8 @@
             None.
         route: Name of the matching route, or empty.
         has_alternatives: Whether other upstreams may serve the request.
+        sent_ms: Time of sending in milliseconds of the sender's CLOCK_BOOTTIME, or None from
+            earlier versions of the agent.
     """
 
     stream: NonNegativeInt
@@ -498,6 +503,7 @@
     useful_ms: NonNegativeInt | None = None
     route: str = ""
     has_alternatives: bool = False
+    sent_ms: NonNegativeInt | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -91,6 +91,8 @@
             the response to this one.
         has_alternatives: Whether other upstreams may serve the request, so that one that can only
             be late here is refused instead of queued.
+        delayed_s: Time in seconds that the request took longer than others on its way from the
+            agent that forwarded it.
     """
 
     id: str
@@ -112,6 +114,7 @@
     route: str = ""
     delays_others: bool = False
     has_alternatives: bool = False
+    delayed_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -111,6 +111,7 @@
                 waited_ms=round((self._clock.now() - arrived_at) * 1000, 1),
                 left_ms=round((request.deadline - self._clock.now()) * 1000),
                 source=request.forwarded_by,
+                delayed_ms=round(request.delayed_s * 1000),
             )
             raise
 
@@ -150,6 +151,7 @@
             waited_ms=round((started_at - arrived_at) * 1000, 1),
             run_ms=round(run_s * 1000, 1),
             source=request.forwarded_by,
+            delayed_ms=round(request.delayed_s * 1000),
         )
         for listener in self._listeners:
             listener.run_ended(request.service, run_s)
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -36,6 +36,7 @@
 from .peer_links import Dispatch, Identity
 from .peer_wire import Wire, handshake_mac, inline_data, read_messages, refused_message
 from .streams import Channel, ChannelBody, ReceiveWindows
+from .transit import TransitDelay
 
 _HANDSHAKE_FAILED = Event(2303, "peer_refused", Level.WARNING, "A peer failed the handshake.")
 _MALFORMED = Event(2304, "peer_malformed", Level.WARNING, "A peer sent malformed messages.")
@@ -51,9 +52,10 @@
 class _AcceptedStream:
     """A stream that a peer dialled, with the requests that run on it."""
 
-    def __init__(self, sender: str, wire: Wire) -> None:
+    def __init__(self, sender: str, wire: Wire, transit: TransitDelay) -> None:
         self.sender = sender
         self.wire = wire
+        self.transit = transit
         self.channels: dict[int, Channel] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
 
@@ -133,13 +135,14 @@
 
     async def _run(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         wire, messages = Wire(writer), read_messages(reader)
+        transit = TransitDelay()
         accepted: _AcceptedStream | None = None
         try:
             async with asyncio.timeout(self._timeout_s):
-                sender = await self._authenticate(wire, messages)
+                sender = await self._authenticate(wire, messages, transit)
             # A peer that dials again has abandoned its earlier stream, which may be half open.
             self.drop(sender)
-            accepted = self._accepted[sender] = _AcceptedStream(sender, wire)
+            accepted = self._accepted[sender] = _AcceptedStream(sender, wire, transit)
             async for message in messages:
                 self._receive(accepted, message)
         except MalformedMessageError as error:
@@ -166,12 +169,15 @@
         for task in accepted.tasks.values():
             task.cancel()
 
-    async def _authenticate(self, wire: Wire, messages: AsyncIterator[Any]) -> str:
+    async def _authenticate(
+        self, wire: Wire, messages: AsyncIterator[Any], transit: TransitDelay
+    ) -> str:
         nonce = secrets.token_bytes(32)
         wire.send(Challenge(nonce))
         hello = await anext(messages, None)
         if not isinstance(hello, Hello):
             raise HandshakeError("the peer sent no Hello message")
+        transit.observe(hello.sent_ms, self._clock.now())
         if hello.protocol != PROTOCOL_VERSION:
             raise HandshakeError(
                 f"{hello.name!r} uses protocol {hello.protocol}; supported: {PROTOCOL_VERSION}"
@@ -262,6 +268,7 @@
             channel.receive(message.data, False)
             body = ChannelBody(channel, message.length, lambda: None)
         now = self._clock.now()
+        delayed_s = accepted.transit.observe(message.sent_ms, now)
         useful_until = None if message.useful_ms is None else now + message.useful_ms / 1000
         return Request(
             id=message.request_id,
@@ -281,6 +288,7 @@
             useful_until=useful_until,
             route=message.route,
             has_alternatives=message.has_alternatives,
+            delayed_s=delayed_s,
         )
 
 
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -245,7 +245,8 @@
         """Sends a request to its owner; see `Peers.forward`."""
         link = self._get_or_dial(member)
         wire = link.wire or await self._wait_for_wire(link, request.deadline)
-        remaining_s = request.deadline - self._clock.now()
+        now = self._clock.now()
+        remaining_s = request.deadline - now
         if remaining_s <= 0:
             raise DeadlineExceededError(
                 f"the deadline passed before the request was sent to {member.id}"
@@ -254,7 +255,7 @@
         forwarded = _ForwardedRequest(Channel(stream_number, wire.send))
         inline = inline_data(request.body)
         try:
-            wire.send(open_message(stream_number, request, remaining_s, inline))
+            wire.send(open_message(stream_number, request, now, inline))
         except MalformedMessageError as error:
             raise InvalidRequestError(f"the request cannot be forwarded: {error}") from error
         link.requests[stream_number] = forwarded
@@ -403,7 +404,8 @@
         mac = handshake_mac(identity.secret, challenge.nonce, name, identity.incarnation)
         # Incarnation 0 marks an address, such as a seed, whose agent is not known yet.
         expected_id = link.member.id if link.member.incarnation else ""
-        wire.send(Hello(name, identity.incarnation, PROTOCOL_VERSION, mac, expected_id))
+        sent_ms = int(self._clock.now() * 1000)
+        wire.send(Hello(name, identity.incarnation, PROTOCOL_VERSION, mac, expected_id, sent_ms))
         welcome = await anext(messages, None)
         if not isinstance(welcome, Welcome):
             raise HandshakeError("the peer sent no Welcome message")
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -110,13 +110,19 @@
 
 
 def open_message(
-    stream_number: int, request: Request, remaining_s: float, inline: bytes | None
+    stream_number: int, request: Request, now: float, inline: bytes | None
 ) -> StreamOpen:
-    """Returns the message that forwards a request; `inline` is its body, or None if streamed."""
+    """Returns the message that forwards a request.
+
+    Args:
+        stream_number: Number of the request stream.
+        request: The request.
+        now: Current time in seconds of CLOCK_BOOTTIME.
+        inline: Body of the request, or None if it is streamed.
+    """
     useful_ms = None
     if request.useful_until is not None:
-        useful_s = remaining_s - (request.deadline - request.useful_until)
-        useful_ms = max(int(useful_s * 1000), 0)
+        useful_ms = max(int((request.useful_until - now) * 1000), 0)
     return StreamOpen(
         stream=stream_number,
         request_id=request.id,
@@ -125,7 +131,7 @@
         method=request.method,
         path=request.path,
         headers=request.headers,
-        remaining_ms=max(int(remaining_s * 1000), 1),
+        remaining_ms=max(int((request.deadline - now) * 1000), 1),
         token=request.token,
         length=request.body.length,
         data=inline or b"",
@@ -137,6 +143,7 @@
         useful_ms=useful_ms,
         route=request.route,
         has_alternatives=request.has_alternatives,
+        sent_ms=int(now * 1000),
     )
 
 
