Withdraw requests of departed callers wherever they wait

Cause: the front end cancelled only repeatable requests, because cancelling another one might break off its run. It cannot know whether a run has begun, so a request also went on while it waited for a slot, for its body or for another attempt. On the other side, a peer stream that ended broke off runs that must not repeat.

Now the front end cancels every request, and the gate, which knows whether a request was sent, decides: one that waits is withdrawn with its place in the queue, also at a second agent; a run that must not repeat ends first, unless the agent closes. The router begins no other attempt after a delayed cancellation.

--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -49,7 +49,7 @@
     3715,
     "caller_left",
     Level.INFO,
-    "The caller closed its connection; a repeatable request is cancelled.",
+    "The caller closed its connection, and its request is cancelled.",
     frequent=True,
 )
 _REQUEST_FAILED = Event(
@@ -261,17 +261,14 @@
             raise DeadlineExceededError("the earlier requests of the connection are not answered")
 
     async def _route(self, request: Request, deadline: float) -> HttpResponse:
-        """Routes a request; a repeatable one is cancelled if the caller disconnects.
+        """Routes a request, which is cancelled at its deadline or if the caller disconnects.
 
         Args:
             request: The request; its run may have to end before the deadline of the caller.
             deadline: Deadline of the caller in seconds of CLOCK_BOOTTIME.
         """
         response = await self._run_until_deadline(
-            self._route_and_read(request, deadline),
-            deadline,
-            keep_running=not request.repeatable,
-            last_result_s=_LAST_RESULT_S,
+            self._route_and_read(request, deadline), deadline, last_result_s=_LAST_RESULT_S
         )
         if response is not None:
             return response
@@ -295,7 +292,6 @@
         self,
         work: Coroutine[None, None, _Result],
         deadline: float,
-        keep_running: bool = False,
         last_result_s: float = 0.0,
     ) -> _Result | None:
         """Returns the result of a coroutine, or None at its deadline or when this agent closes.
@@ -303,8 +299,6 @@
         Args:
             work: The coroutine, which runs as a task of its own.
             deadline: Its deadline in seconds of CLOCK_BOOTTIME.
-            keep_running: Whether the task continues after the deadline or a disconnect of the
-                caller; otherwise it is cancelled.
             last_result_s: Time after the closing in which the coroutine may still end by itself.
         """
         task = asyncio.get_running_loop().create_task(work)
@@ -319,8 +313,7 @@
             return task.result() if task.done() else None
         finally:
             if not task.done():
-                if not keep_running:
-                    task.cancel()
+                task.cancel()
                 task.add_done_callback(_retrieve_exception)
 
 
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import replace
 
@@ -89,11 +90,17 @@
         self._listeners.append(listener)
 
     async def execute(self, request: Request) -> Response:
-        """Runs a request on the upstream of this agent; see `Execution.execute`."""
+        """Runs a request on the upstream of this agent; see `Execution.execute`.
+
+        A cancellation withdraws a request that waits. Once a request that must not repeat has been
+        sent to the upstream, the cancellation takes effect after its run.
+        """
         arrived_at = self._clock.now()
         try:
             with self._shutdown.open_request(request.id):
-                return await self._execute(request, arrived_at)
+                response = await self._execute(request, arrived_at)
+            _raise_if_cancelled()
+            return response
         except RefusalError as error:
             error.occupancy = self._slots.occupancy
             if request.key and isinstance(error, OverloadedError):
@@ -113,6 +120,7 @@
                 source=request.forwarded_by,
                 delayed_ms=round(request.delayed_s * 1000),
             )
+            _raise_if_cancelled()
             raise
 
     async def _execute(self, request: Request, arrived_at: float) -> Response:
@@ -133,10 +141,11 @@
                 self._check_accepting(request)
                 epoch = await self._admitted_epoch(request)
             started_at = self._clock.now()
+            run = self._upstream.run(
+                request, int(request.key or 0), epoch, self._shutdown.limit(request.deadline)
+            )
             try:
-                response = await self._upstream.run(
-                    request, int(request.key or 0), epoch, self._shutdown.limit(request.deadline)
-                )
+                response = await (run if request.repeatable else self._run_to_end(run))
             finally:
                 run_s = self._clock.now() - started_at
                 if request.key:
@@ -157,6 +166,18 @@
             listener.run_ended(request.service, run_s)
         return replace(response, occupancy=occupancy, epoch=epoch)
 
+    async def _run_to_end(self, run: Coroutine[None, None, Response]) -> Response:
+        """Waits for a run that is broken off only if this agent closes."""
+        task = asyncio.get_running_loop().create_task(run)
+        while not task.done():
+            try:
+                await asyncio.wait((task,))
+            except asyncio.CancelledError:
+                if self._shutdown.closing.done():
+                    task.cancel()
+                    raise
+        return task.result()
+
     def _without_arrival_time(self, request: Request) -> Request:
         """Returns a request with the time that is left once its body has arrived."""
         arrival_s = self._arrivals.expected_s(request.body.length or 0)
@@ -201,6 +222,13 @@
         self._shutdown.check(request.deadline, _is_movable(request))
 
 
+def _raise_if_cancelled() -> None:
+    """Raises the cancellation that a run has delayed, so that no other upstream is tried."""
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 def _is_movable(request: Request) -> bool:
     """Returns whether the agent that sent the request can send it to another one instead.
 
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -129,8 +129,8 @@
         self.assertIn(b" 503 ", response)
         self.assertEqual(self.router.requests, [])
 
-    async def test_repeatable_request_is_cancelled_when_its_caller_disconnects(self):
-        """Guards against runs without a caller, and against cancelling what may not run twice."""
+    async def test_request_is_cancelled_when_its_caller_disconnects(self):
+        """Guards against routing a request whose caller has left."""
         self.router.response_allowed.clear()
         for version, route in enumerate((replace(ROUTE, repeatable=True), ROUTE), 8):
             configuration = Configuration(3, {"r1": route}, {"orders": ServiceSpec("orders")})
@@ -140,10 +140,8 @@
             writer.write(HEAD + b"Content-Length: 0\r\n\r\n")
             await self.router.request_received.wait()
             writer.close()
-            with suppress(TimeoutError):
-                async with asyncio.timeout(0.1):
-                    await self.router.cancelled.wait()
-            self.assertEqual(self.router.cancelled.is_set(), route.repeatable)
+            async with asyncio.timeout(0.1):
+                await self.router.cancelled.wait()
             self.router.cancelled.clear()
 
     async def test_stopping_agent_accepts_requests_until_shortly_before_its_end(self):
