Count the time between two agents against a request

What callers saw: a call of the users' record reached its upstream 2.14 s after its caller had left and 1.6 s after its deadline (GONE).

Cause: the receiver took the deadline from the remaining time at the moment of reading, so what a request spent in the buffers of its sender, on a link or unread was given to it again. Its cancellation follows on the same connection and comes as late.

Deadline and objective now count from sending, by the measured delay. The gate refuses a request whose deadline passed on the way, and one without a key that took over 0.5 s longer than others, while other upstreams may serve it: only the agent that sent it knows whether its caller still waits, and it avoids the slow machine for its next attempt.

--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -50,6 +50,11 @@
 )
 
 
+# A request without a key that took this much longer than others on its way is left to other
+# upstreams: its caller may have left, and the cancellation takes as long.
+_MAX_DELAY_S = 0.5
+
+
 class GateExecution:
     """The `execution` service of platforms that give each attempt its own id and use no tokens.
 
@@ -126,6 +131,7 @@
     async def _execute(self, request: Request, arrived_at: float) -> Response:
         entry = self._catalogue.entry(request.service).entry
         self._check_accepting(request)
+        self._check_in_time(request, arrived_at)
         async with AsyncExitStack() as run_context:
             async with self._shutdown.waiting(request.deadline, _is_movable(request)):
                 await self._admitted_epoch(request)
@@ -211,6 +217,12 @@
         with await pending_ticket as ticket:
             return ticket.epoch
 
+    def _check_in_time(self, request: Request, now: float) -> None:
+        if request.deadline <= now:
+            raise DeadlineExceededError("the deadline passed on the way to this agent")
+        if request.delayed_s > _MAX_DELAY_S and request.has_alternatives and not request.key:
+            raise OverloadedError(f"the request took {request.delayed_s:.1f} s longer than others")
+
     def _check_accepting(self, request: Request) -> None:
         announcement = self._membership.announcement
         if announcement is None:
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -269,7 +269,8 @@
             body = ChannelBody(channel, message.length, lambda: None)
         now = self._clock.now()
         delayed_s = accepted.transit.observe(message.sent_ms, now)
-        useful_until = None if message.useful_ms is None else now + message.useful_ms / 1000
+        sent_at = now - delayed_s
+        useful_until = None if message.useful_ms is None else sent_at + message.useful_ms / 1000
         return Request(
             id=message.request_id,
             service=message.service,
@@ -278,7 +279,7 @@
             path=message.path,
             headers=message.headers,
             body=body,
-            deadline=now + message.remaining_ms / 1000,
+            deadline=sent_at + message.remaining_ms / 1000,
             token=message.token,
             forwarded_by=accepted.sender,
             caller=message.caller,
