Receive a few request bodies at a time

Cause: each of the bodies that an agent receives had credit for at least 16 KB. With their number the bytes on their way grew without a bound, and all messages to that machine wait behind them: 50 bodies are 1.3 s on a link of 5 Mbit/s. All bodies also arrived late together.

--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -15,14 +15,18 @@
 # on their way fill the link of the receiving machine, and every message to it waits behind them.
 WINDOW_BYTES = 49_152
 _MIN_WINDOW_BYTES = 16_384
+# Bodies that are received at the same time; the others wait for credit.
+_MAX_FLOWING_BODIES = WINDOW_BYTES // _MIN_WINDOW_BYTES
 CHUNK_BYTES = 8_192
 # A body up to this size is sent inside StreamOpen or StreamHead.
 INLINE_BYTES = 16_384
 
 # Earlier versions of the agent send parts of this size, and only with credit for a whole part.
 _EARLIER_CHUNK_BYTES = 65_536
-# Time without a part after which the sender is taken for an earlier version.
+# Time without a part after which the sender is taken for an earlier version, and after which
+# another body is received in place of this one.
 _PART_TIMEOUT_S = 0.1
+_STALLED_BODY_S = 0.5
 
 # Fails a body whose receiver grants no credit for this long, which frees its upstream slot.
 STALL_TIMEOUT_S = 30.0
@@ -31,23 +35,47 @@
 
 
 class ReceiveWindows:
-    """Shares the credit of one agent among the bodies that it is receiving."""
+    """Shares the credit of one agent among the bodies that it is receiving.
+
+    A few bodies are received at a time, in the order in which their reading began. If all shared
+    the link, the bytes on their way would grow with their number, and all would be late together.
+    """
 
     def __init__(self) -> None:
-        self._open_bodies = 0
+        self._flowing: set[Channel] = set()
+        self._waiting: deque[Channel] = deque()
 
     @property
     def window_bytes(self) -> int:
         """Credit of each body that is being received."""
-        return max(WINDOW_BYTES // max(self._open_bodies, 1), _MIN_WINDOW_BYTES)
+        return max(WINDOW_BYTES // max(len(self._flowing), 1), _MIN_WINDOW_BYTES)
+
+    def open(self, channel: Channel) -> None:
+        """Begins to receive a body as soon as there is credit for it."""
+        self._waiting.append(channel)
+        self._begin_next()
 
-    def open(self) -> None:
-        """Counts a body that is being received."""
-        self._open_bodies += 1
+    def resume(self, channel: Channel) -> None:
+        """Counts a body again of which a part has arrived after a pause."""
+        self._flowing.add(channel)
 
-    def close(self) -> None:
-        """Ends the count of a body that has arrived or failed."""
-        self._open_bodies -= 1
+    def pause(self, channel: Channel) -> None:
+        """Gives the place of a body whose sender has stalled to another one."""
+        self._flowing.discard(channel)
+        self._begin_next()
+
+    def close(self, channel: Channel) -> None:
+        """Ends the reception of a body that has arrived or failed."""
+        self._flowing.discard(channel)
+        if channel in self._waiting:
+            self._waiting.remove(channel)
+        self._begin_next()
+
+    def _begin_next(self) -> None:
+        while self._waiting and len(self._flowing) < _MAX_FLOWING_BODIES:
+            channel = self._waiting.popleft()
+            self._flowing.add(channel)
+            channel.begin_window()
 
 
 class Channel:
@@ -69,7 +97,9 @@
         self.stream = stream
         self._send = send
         self._windows = windows or ReceiveWindows()
-        # Whether the body is being received, and the credit that the other end has left for it.
+        # Whether the body is being read, whether there is credit for it, and how much of it the
+        # other end has left.
+        self._reading = False
         self._window_open = False
         self._granted_bytes = 0
         self._chunks: deque[bytes] = deque()
@@ -89,6 +119,8 @@
                 self.fail("the sender exceeded its window")
                 return
             self._granted_bytes -= len(data)
+            if self._window_open:
+                self._windows.resume(self)
         self._ended = self._ended or end
         if end:
             self.close_window()
@@ -112,18 +144,24 @@
 
         The body of a request that is refused unread can still be sent to another agent.
         """
-        if self._window_open or self._ended or self._failure is not None:
+        if self._reading or self._ended or self._failure is not None:
             return
+        self._reading = True
+        self._windows.open(self)
+
+    def begin_window(self) -> None:
+        """Grants the first credit, once `ReceiveWindows` has some for this body."""
         self._window_open = True
-        self._windows.open()
         self._granted_bytes = 0
         self._grant()
+        # A reader that waits begins to watch for a sender of an earlier version.
+        self._readable.set()
 
     def close_window(self) -> None:
         """Leaves the shared credit to other bodies."""
-        if self._window_open:
-            self._window_open = False
-            self._windows.close()
+        if self._reading:
+            self._reading = self._window_open = False
+            self._windows.close(self)
 
     def _grant(self, min_window_bytes: int = 0) -> None:
         window_bytes = max(self._windows.window_bytes, min_window_bytes)
@@ -152,13 +190,21 @@
     async def _wait_for_part(self) -> None:
         self._readable.clear()
         if self._window_open:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(_PART_TIMEOUT_S):
-                    await self._readable.wait()
-                    return
+            if await self._is_readable_within(_PART_TIMEOUT_S):
+                return
             self._grant(_EARLIER_CHUNK_BYTES)
+            if await self._is_readable_within(_STALLED_BODY_S):
+                return
+            if self._window_open:
+                self._windows.pause(self)
         await self._readable.wait()
 
+    async def _is_readable_within(self, timeout_s: float) -> bool:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._readable.wait()
+        return self._readable.is_set()
+
     async def write_body(self, body: Body) -> None:
         """Sends a body as the other end grants credit.
 
--- a/tests/services/test_streams.py
+++ b/tests/services/test_streams.py
@@ -67,6 +67,24 @@
             channel.receive(b"", True)
             self.assertEqual(await channel.read(), b"")
 
+    async def test_stalled_senders_leave_the_credit_to_others(self):
+        """Guards against uploads that wait for the deadline of machines that were frozen."""
+        windows = ReceiveWindows()
+        stalled = [Channel(number, lambda message: None, windows) for number in range(3)]
+        reading = []
+        for channel in stalled:
+            channel.open_window()
+            reading.append(asyncio.create_task(channel.read()))
+        credited = asyncio.Event()
+        other = Channel(3, lambda message: credited.set(), windows)
+        other.open_window()
+        self.assertFalse(credited.is_set())
+        await asyncio.wait_for(credited.wait(), 2)
+        stalled[0].receive(b"part", False)
+        self.assertEqual(await reading[0], b"part")
+        for task in reading[1:]:
+            task.cancel()
+
 
 if __name__ == "__main__":
     unittest.main()
