Emulate upstreams that name a limit or their departure in responses

The emulated upstream names a limit, or says in its responses alone that it leaves; the judge counts the requests of any 4 s against the limit and runs after such a response as after an acknowledged report.

--- a/fescueward/platform/names.py
+++ b/fescueward/platform/names.py
@@ -16,6 +16,10 @@
 CALLER = "X-Fescueward-Caller"
 KEY = "X-Fescueward-Shard-Key"
 HANDOVER = "X-Fescueward-Handover"
+# Requests per second that the upstream takes from all machines together.
+SERVER_LIMIT = "Server-Limit"
+# `1` in the responses of an upstream that leaves.
+SERVER_LEAVING = "Server-Leaving"
 # Number of times that the store has been restored from an older copy.
 STORE_ERA = "Store-Era"
 
--- a/fescueward/testing/site/judge.py
+++ b/fescueward/testing/site/judge.py
@@ -25,6 +25,11 @@
 # A request sent up to this time after SIGTERM may be cut off in the last sixth of the grace time.
 _EARLY_REQUEST_S = 3.0
 _CUTOFF_SHARE = 5 / 6
+# Window in which the requests to an upstream with a limit are counted, the factor on what the
+# limit allows in it, and the requests that are allowed besides.
+_LIMIT_WINDOW_S = 4.0
+_LIMIT_FACTOR = 1.5
+_LIMIT_SLACK = 5
 # Statuses which state that a request has not run and never will.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _UNPLANNED_SIGNALS = frozenset({Signal.KILL, Signal.PAUSE, Signal.CONTINUE})
@@ -43,6 +48,7 @@
     OWNER = "OWNER"
     MIXED = "MIXED"
     DRAIN = "DRAIN"
+    LIMIT = "LIMIT"
     CONFIG = "CONFIG"
     GRACE = "GRACE"
     RECOVER = "RECOVER"
@@ -75,6 +81,7 @@
         _find_mixed,
         _find_double_owners,
         _find_late_runs,
+        _find_excess,
         _find_reverted_versions,
         _find_forced_exits,
     )
@@ -283,6 +290,26 @@
             yield Breach(Rule.DRAIN, run.started, detail)
 
 
+def _find_excess(index: _EvidenceIndex) -> Iterator[Breach]:
+    """Finds upstreams that got more requests than the limit that they had named permits."""
+    for limit in index.evidence.rate_limits:
+        times = sorted(
+            arrival.at
+            for arrival in index.evidence.arrivals
+            if arrival.instance == limit.instance
+            and limit.since + STABILITY_S <= arrival.at <= limit.until
+        )
+        allowed = _LIMIT_FACTOR * _LIMIT_WINDOW_S * limit.per_second + _LIMIT_SLACK
+        first = 0
+        for last, at in enumerate(times):
+            while times[first] < at - _LIMIT_WINDOW_S:
+                first += 1
+            if last - first + 1 > allowed:
+                detail = f"{last - first + 1} requests at {limit.instance}, allowed {allowed:.0f}"
+                yield Breach(Rule.LIMIT, at, detail)
+                break
+
+
 def _find_reverted_versions(index: _EvidenceIndex) -> Iterator[Breach]:
     """Finds agents that served a configuration version after a later one."""
     attempts_by_start: dict[tuple[str, int], list[Attempt]] = defaultdict(list)
--- a/fescueward/testing/site/records.py
+++ b/fescueward/testing/site/records.py
@@ -119,12 +119,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Departure:
-    """An acknowledged report of an upstream that it is draining.
+    """A report of an upstream that it is draining.
 
     Attributes:
         instance: Start id of the upstream.
-        machine: Its machine, whose agent acknowledged the report.
-        acknowledged: When the acknowledgement arrived.
+        machine: Its machine, whose agent acknowledged the report or got it in a response.
+        acknowledged: When the acknowledgement arrived or the first such response was sent.
     """
 
     instance: str
@@ -132,6 +132,36 @@
     acknowledged: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """A request that reached an upstream, also one that it refused.
+
+    Attributes:
+        instance: Start id of the upstream.
+        at: When it arrived.
+    """
+
+    instance: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateLimit:
+    """A period in which an upstream named the same limit in all its responses.
+
+    Attributes:
+        instance: Start id of the upstream.
+        per_second: The limit in requests per second.
+        since: When its first response named the limit.
+        until: When its last response named it.
+    """
+
+    instance: str
+    per_second: float
+    since: float
+    until: float
+
+
 class Signal(enum.StrEnum):
     """Signals that the operator sends to an agent, and changes of its process state."""
 
@@ -208,7 +238,9 @@
         attempts: Completed requests of the callers.
         runs: Completed executions by the upstreams.
         holds: Ended holds of key ranges by upstreams.
-        departures: Acknowledged reports of upstreams that they are draining.
+        departures: Reports of upstreams that they leave, acknowledged or in their responses.
+        arrivals: Requests that reached upstreams while these named limits.
+        rate_limits: Ended periods of limits that upstreams named.
         processes: Signals, starts and exits of agents.
         disturbances: Faults outside the agent processes.
         stalls: Periods in which the event loop of the emulator was blocked.
@@ -219,6 +251,8 @@
     runs: list[Run] = field(default_factory=list)
     holds: list[Hold] = field(default_factory=list)
     departures: list[Departure] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    rate_limits: list[RateLimit] = field(default_factory=list)
     processes: list[ProcessEvent] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     stalls: list[Stall] = field(default_factory=list)
--- a/fescueward/testing/site/upstream.py
+++ b/fescueward/testing/site/upstream.py
@@ -24,12 +24,14 @@
     RELEASE_PATH,
     REQUEST_ID,
     RPC_PATH,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
     TARGET_INSTANCE,
     TIMEOUT_MS,
 )
 from ..program import LOOPBACK, HttpSite, abort_connection
 from .holds import KeyHolds
-from .records import Departure, Evidence, Run, receipt, response_body
+from .records import Arrival, Departure, Evidence, RateLimit, Run, receipt, response_body
 from .stutter import ANSWERED, Answer, Script, ScriptedResponse, draw_script
 
 HEALTH_PATH = "/health"
@@ -75,11 +77,15 @@
         slow_factor: Factor on the execution time of all requests.
         lost_share: Share of the executions whose response is lost, from 0 to 1.
         stutter_share: Share of the executions whose response is faulty, from 0 to 1.
+        limit: Requests per second that its responses name, or None.
+        leaves_in_responses: Whether its responses say that it leaves, and its heartbeats do not.
     """
 
     slow_factor: float = 1.0
     lost_share: float = 0.0
     stutter_share: float = 0.0
+    limit: float | None = None
+    leaves_in_responses: bool = False
 
 
 class _GrantBody(msgspec.Struct, rename="camel"):
@@ -115,6 +121,9 @@
         self._site: HttpSite | None = None
         self._heartbeats: asyncio.Task[None] | None = None
         self._leaving = False
+        self._limited_since: float | None = None
+        self._limit: float | None = None
+        self._leaves_in_responses = False
 
     @property
     def holds(self) -> KeyHolds:
@@ -130,7 +139,7 @@
         self.instance = self.instance if same_id and self.instance else f"i-{uuid.uuid4().hex[:8]}"
         self._started_ms = int(time.time() * 1000)
         self._sequence = 0
-        self._leaving = False
+        self._leaving = self._leaves_in_responses = False
         # A restart with the same instance id holds no keys, so holds are recorded per start.
         self._start_id = f"{self.instance}@{self._started_ms}"
         self._holds = KeyHolds(
@@ -161,6 +170,7 @@
         for task in tuple(self._running):
             task.cancel()
         self._holds.end_all()
+        self.end_limit()
         await site.stop()
 
     async def leave(self, serve_s: float) -> None:
@@ -187,6 +197,40 @@
             await asyncio.wait(tuple(self._running))
         await self.crash()
 
+    def end_limit(self) -> None:
+        """Records the limit that the responses have named until now."""
+        if self._limit is not None and self._limited_since is not None:
+            self._evidence.rate_limits.append(
+                RateLimit(
+                    instance=self._start_id,
+                    per_second=self._limit,
+                    since=self._limited_since,
+                    until=time.monotonic(),
+                )
+            )
+        self._limit = self._limited_since = None
+
+    def _notices(self) -> dict[str, str]:
+        """Returns the headers in which each response names limit and departure."""
+        notices = {}
+        if self.faults.limit != self._limit:
+            self.end_limit()
+            self._limit, self._limited_since = self.faults.limit, time.monotonic()
+        if self._limit is not None:
+            notices[SERVER_LIMIT] = str(self._limit)
+        if self.faults.leaves_in_responses and not self._leaves_in_responses:
+            self._leaves_in_responses = True
+            self._evidence.departures.append(
+                Departure(
+                    instance=self._start_id,
+                    machine=self.spec.machine,
+                    acknowledged=time.monotonic(),
+                )
+            )
+        if self._leaves_in_responses:
+            notices[SERVER_LEAVING] = "1"
+        return notices
+
     async def _send_heartbeats(self) -> None:
         while True:
             await self._send_report()
@@ -249,14 +293,16 @@
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get(REQUEST_ID, "")
+        if self.faults.limit is not None:
+            self._evidence.arrivals.append(Arrival(instance=self._start_id, at=time.monotonic()))
         deadline = time.monotonic() + float(request.headers.get(TIMEOUT_MS, "1000")) / 1000
         key = int(request.headers[KEY]) if KEY in request.headers else None
         if not request_id or not request.headers.get(CALLER):
-            return _not_executed(400)
+            return self._not_executed(400)
         if request.headers.get(TARGET_INSTANCE, self.instance) != self.instance:
-            return _not_executed(421)
+            return self._not_executed(421)
         if self._queued_count >= self.spec.slots * _QUEUED_PER_SLOT:
-            return _not_executed(503)
+            return self._not_executed(503)
         self._queued_count += 1
         try:
             async with asyncio.timeout_at(
@@ -264,12 +310,12 @@
             ):
                 await self._slots.acquire()
         except TimeoutError:
-            return _not_executed(503)
+            return self._not_executed(503)
         finally:
             self._queued_count -= 1
         try:
             if self.spec.keyed and (key is None or self._holds.fence_of(key) is None):
-                return _not_executed(421)
+                return self._not_executed(421)
             task = asyncio.create_task(self._execute(request, request_id, key, deadline))
             self._running[task] = key
             try:
@@ -319,9 +365,9 @@
             REQUEST_ID: request_id,
             RECEIPT: receipt(self.instance, request_id, status),
             "X-Site-Service": self.spec.service,
+            **self._notices(),
         }
         return web.Response(status=status, body=response_body(request_id), headers=headers)
 
-
-def _not_executed(status: int) -> web.Response:
-    return web.Response(status=status, headers={NOT_EXECUTED: "1"})
+    def _not_executed(self, status: int) -> web.Response:
+        return web.Response(status=status, headers={NOT_EXECUTED: "1", **self._notices()})
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -7,10 +7,11 @@
 
 from fescueward.testing.site.callers import Load
 from fescueward.testing.site.deployment import SiteDeployment, SiteSpec
-from fescueward.testing.site.judge import judge
+from fescueward.testing.site.judge import DRAIN_S, STABILITY_S, judge
 from fescueward.testing.site.odd_entries import VARIANTS, write_odd_entry
 from fescueward.testing.site.records import Signal
 from fescueward.testing.site.store import StoreFaults, StoreMode
+from fescueward.testing.site.upstream import UpstreamFaults
 
 SHORT_LOADS = (
     Load(route="catalogue", repeatable=True, keys=64),
@@ -25,6 +26,12 @@
 )
 ROLLING_RESTART_SEEDS = (2, 3, 4)
 WATCH_FAILURE_S = 5.0
+# More requests than the limited upstreams take.
+HEAVY_LOADS = (
+    Load(route="catalogue", repeatable=True, keys=64, connections=8, pause_s=0.02),
+    Load(route="orders-once", repeatable=False, connections=8, pause_s=0.02),
+)
+LIMIT_PER_S = 6.0
 # Interval between the stop signals of agents: less than the grace period, so that shutdowns
 # overlap.
 STOP_INTERVAL_S = 3.0
@@ -87,6 +94,39 @@
             await site.wait_served(loads, SERVED_WITHIN_S)
             await self._assert_no_breaches(site)
 
+    async def test_upstreams_get_no_more_than_the_limit_that_they_name(self):
+        """Guards against more requests than an upstream in need takes (LIMIT)."""
+        async with SiteDeployment(SiteSpec(seed=7)) as site:
+            await site.wait_ready()
+            site.start_load(HEAVY_LOADS)
+            await site.wait_served(HEAVY_LOADS, SERVED_WITHIN_S)
+            limited = [site.machines[name] for name in ("orders-2", "catalogue-0")]
+            for machine in limited:
+                machine.upstream.faults = UpstreamFaults(limit=LIMIT_PER_S)
+            await asyncio.sleep(STABILITY_S + 5)
+            await limited[0].agent.kill()
+            await asyncio.sleep(5)
+            for machine in limited:
+                machine.upstream.end_limit()
+                machine.upstream.faults = UpstreamFaults()
+            await site.wait_served(HEAVY_LOADS, SERVED_WITHIN_S)
+            self.assertGreater(len(site.evidence.rate_limits), 0)
+            await self._assert_no_breaches(site)
+
+    async def test_upstream_that_leaves_in_its_responses_gets_nothing_more(self):
+        """Guards against requests to an upstream whose responses say that it leaves (DRAIN)."""
+        async with SiteDeployment(SiteSpec(seed=8)) as site:
+            await site.wait_ready()
+            site.start_load(HEAVY_LOADS)
+            await site.wait_served(HEAVY_LOADS, SERVED_WITHIN_S)
+            for name in ("orders-2", "catalogue-0"):
+                upstream = site.machines[name].upstream
+                upstream.faults = UpstreamFaults(leaves_in_responses=True)
+            await asyncio.sleep(DRAIN_S + 3)
+            self.assertEqual(len(site.evidence.departures), 2)
+            await site.wait_served(HEAVY_LOADS, SERVED_WITHIN_S)
+            await self._assert_no_breaches(site)
+
     async def _check_rolling_restart(self, seed: int) -> None:
         async with SiteDeployment(SiteSpec(seed=seed)) as site:
             await site.wait_ready()
--- a/tests/testing/site/test_judge.py
+++ b/tests/testing/site/test_judge.py
@@ -7,12 +7,14 @@
 
 from fescueward.testing.site.judge import Rule, judge
 from fescueward.testing.site.records import (
+    Arrival,
     Attempt,
     Departure,
     Disturbance,
     Evidence,
     Hold,
     ProcessEvent,
+    RateLimit,
     Run,
     Signal,
     Stall,
@@ -136,6 +138,16 @@
         later = replace(departure, acknowledged=8.2)
         self.assert_finds(attempts=[SERVED], runs=[RUN], departures=[later])
 
+    def test_requests_above_a_limit(self):
+        """Guards against a judge that misses an upstream which gets more than it takes."""
+        limit = RateLimit(instance="i-1@5", per_second=2.0, since=10.0, until=30.0)
+        within = [Arrival(instance="i-1@5", at=14.0 + number / 4) for number in range(17)]
+        excess = [*within, Arrival(instance="i-1@5", at=17.9)]
+        self.assert_finds(rate_limits=[limit], arrivals=within)
+        self.assert_finds(Rule.LIMIT, rate_limits=[limit], arrivals=excess)
+        early = [replace(arrival, at=arrival.at - 4.5) for arrival in excess]
+        self.assert_finds(rate_limits=[limit], arrivals=early)
+
     def test_configuration_that_goes_back(self):
         """Guards against a judge that misses an agent which returns to an older version."""
         new = replace(SERVED, route="version-2", repeatable=True)
