Begin runs at the rate that an upstream names in its responses

Cause: nothing read the header, so the gate used all slots. All requests to an upstream pass its gate, so the limit is kept there alone: runs begin by a token bucket at the named rate, by priority and deadline as before, and a request that cannot begin in time is refused at once with the time until there is room. A restarted agent uses a quarter of the slots until the first response. The planner sees the slots that the rate can use, so it moves hot keys away.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -15,6 +15,7 @@
 from ..services.admission import SlotAdmission
 from ..services.gate.execution import GateExecution
 from ..services.gate.liveness import UpstreamLiveness
+from ..services.gate.notices import UpstreamNotices
 from ..services.groups import GroupStore
 from ..services.keyspace.load import KeyBlockLoad
 from ..services.keyspace.ownership import RangeOwnership
@@ -98,12 +99,13 @@
         kernel.add(UpstreamLiveness(kernel))
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
-        kernel.add(SlotAdmission())
+        kernel.add(SlotAdmission(upstream_names_limits=True))
         kernel.add(
             CrashQuarantine(kernel, crash_limit=_CRASH_LIMIT, success_window_s=_SUCCESS_WINDOW_S)
         )
         kernel.add(GracefulShutdown(kernel))
         kernel.add(GateExecution())
+        kernel.add(UpstreamNotices())
         kernel.add(DispatchRouter())
         kernel.add(PrometheusMetrics())
         kernel.add(Heartbeats(site))
--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -8,6 +8,7 @@
 from ..messages import Announcement, Entry, GrantSet, Request, Response
 from ..messages.peer import RetainedOutcome
 from ..messages.request import Occupancy
+from ..messages.upstream import UpstreamNotice
 
 
 @runtime_checkable
@@ -72,6 +73,15 @@
         ...
 
 
+@runtime_checkable
+class RateControl(Protocol):
+    """Rate at which runs begin on the upstream."""
+
+    def limit_rate(self, per_second: float | None) -> None:
+        """Applies the rate that the upstream takes from all agents, or None without a limit."""
+        ...
+
+
 @runtime_checkable
 class SlotLoad(Protocol):
     """Occupancy of the upstream's slots."""
@@ -147,6 +157,23 @@
         ...
 
 
+class NoticeListener(Protocol):
+    """Subscriber to what the upstream says of itself in its responses."""
+
+    def upstream_noticed(self, notice: UpstreamNotice) -> None:
+        """Called for each response to a request, also for a refusal."""
+        ...
+
+
+@runtime_checkable
+class NoticeSource(Protocol):
+    """Client of an upstream that says in its responses what it takes."""
+
+    def subscribe_notices(self, listener: NoticeListener) -> None:
+        """Calls the listener for each response from now on."""
+        ...
+
+
 @runtime_checkable
 class Liveness(Protocol):
     """Failure detection of the upstream on this VM, by heartbeats and connections."""
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -55,12 +55,21 @@
         waiting: Number of requests that wait for a slot.
         slots: Requests that may run concurrently.
         run_ms: Mean duration of a run in milliseconds.
+        per_second: Requests per second that the upstream takes, or None without a limit.
     """
 
     running: int
     waiting: int
     slots: int
     run_ms: float
+    per_second: float | None = None
+
+    @property
+    def usable_slots(self) -> float:
+        """Slots that are in use on average when the upstream gets all that it takes."""
+        if self.per_second is None or not self.run_ms:
+            return float(self.slots)
+        return min(self.per_second * self.run_ms / 1000, float(self.slots))
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/messages/upstream.py
+++ b/fescueward/messages/upstream.py
@@ -66,6 +66,19 @@
         return f"{self.instance}@{self.started_ms}" if self.instance else ""
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamNotice:
+    """What an upstream says of itself in a response.
+
+    Attributes:
+        start: Identity of the start that responded; see `Announcement.start`.
+        per_second: Requests per second that it takes from all agents together, or None.
+    """
+
+    start: str
+    per_second: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class GrantSet:
     """All grants of an upstream; replaces the previous set.
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from collections.abc import Iterable
 from typing import Any
 
 import aiohttp
@@ -10,7 +12,7 @@
 from cachetools import LRUCache
 from yarl import URL
 
-from ..interfaces import CrashListener, Liveness, Membership
+from ..interfaces import CrashListener, Liveness, Membership, NoticeListener
 from ..kernel import Clock, Event, Level, RefusalError, Registry
 from ..kernel.errors import (
     AnswerLostError,
@@ -24,6 +26,7 @@
 from ..messages import GrantSet, Request, Response
 from ..messages.group import KeyRange
 from ..messages.request import BytesBody
+from ..messages.upstream import UpstreamNotice
 from .names import (
     CALLER,
     GRANT_PATH,
@@ -34,6 +37,7 @@
     RECEIPT,
     RELEASE_PATH,
     REQUEST_ID,
+    SERVER_LIMIT,
     TARGET_INSTANCE,
     TIMEOUT_MS,
 )
@@ -49,6 +53,14 @@
     3012, "upstream_ended", Level.WARNING, "The upstream has ended or restarted."
 )
 
+_MALFORMED_LIMIT = Event(
+    3013,
+    "upstream_limit_malformed",
+    Level.WARNING,
+    "The upstream named a limit that is no rate; the last one stays in force.",
+    frequent=True,
+)
+
 # Shorter than the time after which upstreams close idle connections.
 _KEEPALIVE_TIMEOUT_S = 4.0
 _CONNECT_TIMEOUT_S = 0.5
@@ -99,6 +111,9 @@
         # Whether the end of the current start was already counted as a crash.
         self._end_recorded = False
         self._listeners: list[CrashListener] = []
+        self._notice_listeners: list[NoticeListener] = []
+        # The last limit of this start, for responses that name a malformed one.
+        self._limit_per_second: float | None = None
 
     @property
     def crashes(self) -> int:
@@ -109,11 +124,16 @@
         """Notifies a listener of each crash from now on; see `CrashSource.subscribe`."""
         self._listeners.append(listener)
 
+    def subscribe_notices(self, listener: NoticeListener) -> None:
+        """Notifies a listener of each response; see `NoticeSource.subscribe_notices`."""
+        self._notice_listeners.append(listener)
+
     def upstream_started(self, start: str) -> None:
         """Records the start id of a heartbeat; a new id means that the last start has ended."""
         if self._start_id and start != self._start_id:
             self._record_end(f"the upstream reports the new start {start}")
             self._end_recorded = False
+            self._limit_per_second = None
         self._start_id = start
 
     def bind(self, registry: Registry) -> None:
@@ -192,6 +212,7 @@
                     # Its connection is out of step, so it must not return to the pool.
                     http_response.abort()
                     raise
+                self._report_notice(announcement.start, http_response)
                 content = await http_response.read()
                 if _is_refusal(http_response):
                     self._refused_ids[request.id] = None
@@ -264,6 +285,16 @@
                 f"the upstream did not confirm {path}: {type(error).__name__}"
             ) from error
 
+    def _report_notice(self, start: str, http_response: aiohttp.ClientResponse) -> None:
+        headers = http_response.headers
+        try:
+            self._limit_per_second = _limit(headers.getall(SERVER_LIMIT, ()))
+        except ValueError as error:
+            _MALFORMED_LIMIT.emit(error=error)
+        notice = UpstreamNotice(start, self._limit_per_second)
+        for listener in self._notice_listeners:
+            listener.upstream_noticed(notice)
+
     def _record_unreachable(self, error: BaseException) -> None:
         self._liveness.connection_failed()
         if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
@@ -312,6 +343,21 @@
         raise AnswerLostError("the name of a header ends with a space")
 
 
+def _limit(values: Iterable[str]) -> float | None:
+    """Returns the lowest of the limits in a response, or None without one.
+
+    Raises:
+        ValueError: One of them is no rate.
+    """
+    rates = []
+    for value in values:
+        rate = float(value.replace(",", "."))
+        if not math.isfinite(rate) or rate < 0:
+            raise ValueError(f"the limit is {value[:20]!r}")
+        rates.append(rate)
+    return min(rates, default=None)
+
+
 def _is_refusal(http_response: aiohttp.ClientResponse) -> bool:
     return NOT_EXECUTED in http_response.headers or http_response.status == 421
 
--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -17,6 +17,7 @@
 )
 from ..messages import Announcement, Entry, Request
 from ..messages.request import Occupancy
+from .pace import StartPace
 
 if TYPE_CHECKING:
     from aiolimiter import AsyncLimiter
@@ -27,6 +28,12 @@
 _SLOW_START = Event(
     3102, "slow_start", Level.INFO, "The upstream is cold, so its slots come into use gradually."
 )
+_RATE_LIMITED = Event(
+    3103,
+    "rate_limited",
+    Level.INFO,
+    "The upstream named or changed the rate that it takes, or names none any more.",
+)
 
 # Weight of the newest sample in the mean run time and in its mean deviation.
 _SAMPLE_WEIGHT = 0.1
@@ -45,6 +52,9 @@
 # Value of a late response in proportion to one in time. A request that will be late is worth its
 # slot if its run is shorter than this share of the runs that it competes with.
 _LATE_VALUE = 0.3
+# Share of the slots that is used until the upstream has responded once: it may have named a limit
+# to an earlier process of this agent.
+_UNHEARD_SHARE = 0.25
 # Burst of the rate limiter, in seconds of the permitted rate.
 _RATE_BURST_S = 0.1
 
@@ -107,13 +117,20 @@
 
     The number of usable slots follows this agent's own measurements: its count of running
     requests, their run times and the requests that the upstream sheds. The load that the upstream
-    reports is not used, because it lags or is wrong.
+    reports is not used, because it lags or is wrong. A rate that it names is kept.
+
+    Args:
+        upstream_names_limits: Whether upstreams may name a rate in their responses.
     """
 
     name = "admission"
     requires: tuple[str, ...] = ()
 
-    def __init__(self) -> None:
+    def __init__(self, upstream_names_limits: bool = False) -> None:
+        self._upstream_names_limits = upstream_names_limits
+        self._upstream_heard = True
+        self._pace = StartPace()
+        self._pace_timer: asyncio.TimerHandle | None = None
         self._slots = 1
         self._upstream_start: tuple[str, int, str] | None = None
         self._running = 0
@@ -136,7 +153,7 @@
     @property
     def capacity(self) -> float:
         """Usable share of the slots, from above 0.0 to 1.0."""
-        return min(self._slot_limit() / self._slots, 1.0)
+        return min(self.occupancy.usable_slots / self._slots, 1.0)
 
     @property
     def occupancy(self) -> Occupancy:
@@ -146,6 +163,7 @@
             len(self._on_time_queue) + len(self._late_queue),
             self._slot_limit(),
             round(self._run_time.mean_s * 1000, 1),
+            self._pace.per_second,
         )
 
     def bind(self, registry: Registry) -> None:
@@ -171,6 +189,8 @@
         upstream_start = (*address, announcement.start)
         if upstream_start != self._upstream_start:
             self._upstream_start = upstream_start
+            self._pace.limit(None, self._clock.now())
+            self._upstream_heard = not self._upstream_names_limits
             # An upstream that announces its warm-up time is slower while cold, but all its slots
             # are usable.
             if announcement.cold_s is None:
@@ -187,13 +207,22 @@
         self._shed_limit = float("inf")
         _SLOW_START.emit(slots=self._slots, usable=int(self._cold_slots))
 
+    def limit_rate(self, per_second: float | None) -> None:
+        """Sets the rate that the upstream takes; see `Admission.limit_rate`."""
+        self._upstream_heard = True
+        if per_second == self._pace.per_second:
+            return
+        _RATE_LIMITED.emit(per_second=per_second, before=self._pace.per_second)
+        self._pace.limit(per_second, self._clock.now())
+        self._wake_next()
+
     def slot(self, request: Request, entry: Entry) -> _Slot:
         """Returns a context that waits for a slot; see `Admission.slot`."""
         return _Slot(self, request, entry)
 
     def check(self, request: Request, entry: Entry) -> None:
         """Raises as `Admission.check` if the request would be refused now."""
-        if self._running >= self._slot_limit() or self._on_time_queue or self._late_queue:
+        if self._must_wait():
             self._choose_queue(request, entry)
         elif request.has_alternatives:
             ends_at = self._clock.now() + self._expected_run_s(request.route)
@@ -204,8 +233,8 @@
         """Waits for a slot and takes it; raises as `Admission.slot`."""
         if entry.limits.requests_per_second:
             await self._check_rate(entry)
-        if self._running < self._slot_limit() and not self._on_time_queue and not self._late_queue:
-            self._running += 1
+        if not self._must_wait():
+            self._begin_run()
             return
         queue, position = self._choose_queue(request, entry)
         loop = asyncio.get_running_loop()
@@ -213,6 +242,7 @@
         queue[position] = waiter
         self._queued_requests[position[2]] = request
         timer = loop.call_later(self._latest_start_s(request), self._expire, waiter, request)
+        self._wake_at_pace()
         try:
             await waiter
         except asyncio.CancelledError:
@@ -243,8 +273,31 @@
             self._record_run(self._clock.now() - acquired_at, route)
         self._wake_next()
 
+    def _must_wait(self) -> bool:
+        return (
+            self._running >= self._slot_limit()
+            or bool(self._on_time_queue or self._late_queue)
+            or self._pace.wait_s(0, self._clock.now()) > 0
+        )
+
+    def _begin_run(self) -> None:
+        self._running += 1
+        self._pace.take(self._clock.now())
+
+    def _wake_at_pace(self) -> None:
+        """Wakes the queue when the rate of the upstream permits the next run."""
+        wait_s = self._pace.wait_s(0, self._clock.now())
+        if wait_s > 0 and self._pace_timer is None:
+            self._pace_timer = asyncio.get_running_loop().call_later(wait_s, self._wake_paced)
+
+    def _wake_paced(self) -> None:
+        self._pace_timer = None
+        self._wake_next()
+
     def _slot_limit(self) -> int:
         limit = min(float(self._slots), self._shed_limit)
+        if not self._upstream_heard:
+            limit = min(limit, max(self._slots * _UNHEARD_SHARE, 1.0))
         if self._cold_since is not None:
             elapsed_share = (self._clock.now() - self._cold_since) / _COLD_PERIOD_S
             if elapsed_share >= 1 or self._cold_slots >= self._slots:
@@ -304,7 +357,8 @@
         position = (request.priority, useful_until, next(self._sequence_numbers))
         queued_count = len(self._on_time_queue) + len(self._late_queue)
         run_s = self._expected_run_s(request.route)
-        wait_s = self._run_time.mean_s * (self._on_time_queue.bisect_left(position) + 1) / limit
+        ahead = self._on_time_queue.bisect_left(position)
+        wait_s = max(self._run_time.mean_s * (ahead + 1) / limit, self._pace.wait_s(ahead, now))
         drain_s = self._drain_s()
         retry_after_s = max(drain_s, entry.limits.retry_after_ms / 1000)
         if queued_count >= entry.limits.queue_length:
@@ -364,6 +418,9 @@
     def _wake_next(self) -> None:
         limit = self._slot_limit()
         while (self._on_time_queue or self._late_queue) and self._running < limit:
+            if self._pace.wait_s(0, self._clock.now()) > 0:
+                self._wake_at_pace()
+                return
             position, waiter = (self._on_time_queue or self._late_queue).popitem(0)
             if waiter.done():
                 continue
@@ -377,9 +434,12 @@
                 # Its response will be late, so requests that can be in time run first.
                 self._late_queue[(position[0], request.deadline, position[2])] = waiter
                 continue
-            self._running += 1
+            self._begin_run()
             waiter.set_result(None)
 
     def _drain_s(self) -> float:
         queued_count = len(self._on_time_queue) + len(self._late_queue)
-        return self._run_time.mean_s * (queued_count + 1) / self._slot_limit()
+        return max(
+            self._run_time.mean_s * (queued_count + 1) / self._slot_limit(),
+            self._pace.wait_s(queued_count, self._clock.now()),
+        )
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -21,6 +21,8 @@
 _MAX_REPORTED_BLOCKS = 64
 # Blocks with less work than this number of slots are not reported.
 _MIN_REPORTED_WORK_SLOTS = 0.02
+# Bounds the utilisation of an upstream that takes next to nothing.
+_MIN_USABLE_SLOTS = 0.1
 # Older reports are stale and are ignored.
 _MAX_REPORT_AGE_S = 2.0
 
@@ -104,7 +106,7 @@
         occupancy = self._slots.occupancy
         # Refused requests take no slot, but their work is part of the demand.
         demand = max(occupancy.running + occupancy.waiting, sum(self._work_by_block.values()))
-        sample = demand / max(occupancy.slots, 1)
+        sample = demand / max(occupancy.usable_slots, _MIN_USABLE_SLOTS)
         self._utilisation += (sample - self._utilisation) * 0.5
         hottest = heapq.nlargest(
             _MAX_REPORTED_BLOCKS, self._work_by_block.items(), key=lambda item: item[1]
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -18,6 +18,7 @@
 from fescueward.kernel.http_client import MAX_RESPONSE_HEAD_BYTES
 from fescueward.messages import Announcement, Request, Response
 from fescueward.messages.group import KeyRange
+from fescueward.messages.upstream import UpstreamNotice
 from fescueward.platform import upstream as upstream_module
 from fescueward.platform.settings import Address
 from fescueward.platform.upstream import LocalUpstream
@@ -38,6 +39,15 @@
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + RECEIPT + ECHO + b"\r\nok"
 
 
+class RecordedNotices:
+    """Keeps the last notice of an upstream."""
+
+    last: UpstreamNotice | None = None
+
+    def upstream_noticed(self, notice: UpstreamNotice) -> None:
+        self.last = notice
+
+
 class LocalUpstreamTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         # A busy machine can hold up the connection to a server of the same process.
@@ -85,6 +95,35 @@
         for line in ("X-Fescueward-Target-Instance: i1", "X-Fescueward-Caller: orders"):
             self.assertIn(line, sent)
 
+    async def test_limit_is_read_in_every_form(self):
+        """Guards against a limit that is ignored because of its form, and one that is no rate."""
+        notices = RecordedNotices()
+        raw = RawUpstream(WHOLE)
+        self.addAsyncCleanup(raw.stop)
+        upstream = await self.start_client(await raw.start())
+        upstream.subscribe_notices(notices)
+        refused = WHOLE.replace(b"200 OK", b"503 Full").replace(
+            RECEIPT, b"X-Fescueward-Not-Executed: 1\r\n"
+        )
+        for headers, per_second in (
+            (b"Server-Limit: 12.5\r\n", 12.5),
+            (b"server-limit: 7,5\r\n", 7.5),
+            (b"Server-Limit: nan\r\n", 7.5),
+            (b"Server-Limit: -1\r\n", 7.5),
+            (b"Server-Limit: many\r\n", 7.5),
+            (b"Server-Limit: 9\r\nServer-Limit: 6\r\n", 6.0),
+            (b"Server-Limit: 0\r\n", 0.0),
+            (b"Server-Limit: 1e300\r\n", 1e300),
+            (b"", None),
+        ):
+            for response in (WHOLE, refused):
+                raw.response = response.replace(b"\r\nContent", b"\r\n" + headers + b"Content")
+                request = make_request(2.0, method="GET", key="")
+                with suppress(UpstreamRefusedError):
+                    await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
+                with self.subTest(headers):
+                    self.assertEqual(notices.last, UpstreamNotice("i1@0", per_second))
+
     async def test_request_without_time_left_is_not_sent(self):
         """Guards against work for a caller that has given up (GONE)."""
         connections = []
--- a/tests/services/test_admission.py
+++ b/tests/services/test_admission.py
@@ -15,6 +15,7 @@
     RateLimitedError,
 )
 from fescueward.messages import Announcement, Request
+from fescueward.messages.request import Occupancy
 from fescueward.services import admission as module
 from fescueward.services.admission import SlotAdmission
 
@@ -239,6 +240,83 @@
         self.assertEqual(self.admission._slots, 7)
 
 
+class UpstreamRateTest(unittest.IsolatedAsyncioTestCase):
+    """An upstream with many free slots that names a rate."""
+
+    async def asyncSetUp(self):
+        self.admission = SlotAdmission(upstream_names_limits=True)
+        self.admission.bind(StubRegistry())
+        self.admission.observe_announcement(replace(make_announcement(40), cold_s=0.0))
+        self.begun: list[str] = []
+
+    async def run(self, name: str = "", timeout_s: float = 5.0, priority: int = 0) -> None:
+        request = replace(make_request(timeout_s), priority=priority)
+        async with self.admission.slot(request, make_entry()):
+            self.begun.append(name)
+
+    async def test_runs_begin_at_the_rate_and_the_urgent_ones_first(self):
+        """Guards against more runs than the upstream takes, also while all its slots are free."""
+        self.admission.limit_rate(20.0)
+        waiting = [asyncio.create_task(self.run("later", priority=1)) for _ in range(8)]
+        await asyncio.sleep(0)
+        waiting += [asyncio.create_task(self.run("urgent")) for _ in range(8)]
+        await asyncio.sleep(0.4)
+        self.assertIn(len(self.begun), range(6, 11))
+        self.assertLessEqual(self.begun.count("later"), 2)
+        await asyncio.gather(*waiting)
+
+    async def test_requests_beyond_the_rate_are_refused_at_once(self):
+        """Guards against requests that wait for their deadline at an upstream that takes less."""
+        self.admission.limit_rate(10.0)
+        tasks = [asyncio.create_task(self.run(timeout_s=0.5)) for _ in range(20)]
+        await asyncio.sleep(0.05)
+        refusals = [task.exception() for task in tasks if task.done() and task.exception()]
+        self.assertGreaterEqual(len(refusals), 13)
+        for refusal in refusals:
+            self.assertIsInstance(refusal, OverloadedError)
+            self.assertGreaterEqual(refusal.retry_after_s, 0.3)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def test_lifted_limit_lets_all_begin(self):
+        """Guards against requests that wait for a limit which is no longer in force."""
+        self.admission.limit_rate(1.0)
+        tasks = [asyncio.create_task(self.run()) for _ in range(4)]
+        await asyncio.sleep(0.05)
+        self.admission.limit_rate(None)
+        await asyncio.wait_for(asyncio.gather(*tasks), 0.5)
+
+    async def test_limit_ends_with_the_upstream_that_named_it(self):
+        """Guards against holding back requests from an upstream that has just started."""
+        self.admission.limit_rate(1.0)
+        restarted = replace(make_announcement(40), cold_s=0.0, instance="i2")
+        self.admission.observe_announcement(restarted)
+        self.assertIsNone(self.admission.occupancy.per_second)
+
+    async def test_upstream_that_has_not_responded_yet_gets_few_requests(self):
+        """Guards against a restarted agent that forgets the limit which its upstream has named."""
+        release = asyncio.Event()
+
+        async def hold() -> None:
+            async with self.admission.slot(make_request(), make_entry()):
+                self.begun.append("")
+                await release.wait()
+
+        tasks = [asyncio.create_task(hold()) for _ in range(40)]
+        await asyncio.sleep(0.01)
+        self.assertEqual(len(self.begun), 10)
+        self.admission.limit_rate(None)
+        await asyncio.sleep(0.01)
+        self.assertEqual(len(self.begun), 40)
+        release.set()
+        await asyncio.gather(*tasks)
+
+    async def test_capacity_counts_what_the_upstream_takes(self):
+        """Guards against keys that stay with an upstream which takes a fraction of its slots."""
+        occupancy = Occupancy(0, 0, 12, 100.0, per_second=30.0)
+        self.assertEqual(occupancy.usable_slots, 3.0)
+        self.assertEqual(replace(occupancy, per_second=None).usable_slots, 12.0)
+
+
 class LateQueueTest(unittest.IsolatedAsyncioTestCase):
     """Requests that can be in time run before requests that will be late."""
 
