Take the departure of an upstream from its responses

Cause: the header was not read. Now the gate, which gets each response first, takes the upstream as leaving: nothing new is sent to it and its keys are handed over, as after an announced departure. Later heartbeats of the same start that still say ready do not take it back; the next start does not inherit it; refusals count too.

--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -6,7 +6,7 @@
 from .administration import PlatformState, StatusReports, WatchState, WorkState
 from .catalogue import Catalogue
 from .groups import Directory, GroupListener, Groups
-from .leases import Departure, Lease, Membership, Monitor
+from .leases import Departure, DepartureRecord, Lease, Membership, Monitor
 from .metrics import (
     Metrics,
     MetricsPage,
@@ -45,6 +45,7 @@
     "CrashListener",
     "CrashSource",
     "Departure",
+    "DepartureRecord",
     "Directory",
     "Execution",
     "Grants",
--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -61,6 +61,24 @@
         ...
 
 
+@runtime_checkable
+class DepartureRecord(Protocol):
+    """Record of starts of the upstream that leave."""
+
+    @property
+    def announcement(self) -> Announcement | None:
+        """Last announcement of the upstream, or None before the first."""
+        ...
+
+    def upstream_leaves(self, start: str) -> None:
+        """Takes a start of the upstream as leaving, whatever later announcements of it say.
+
+        Args:
+            start: Identity of the start; see `Announcement.start`.
+        """
+        ...
+
+
 @runtime_checkable
 class Departure(Protocol):
     """Whether the upstream on this VM still accepts requests."""
--- a/fescueward/messages/upstream.py
+++ b/fescueward/messages/upstream.py
@@ -73,10 +73,12 @@
     Attributes:
         start: Identity of the start that responded; see `Announcement.start`.
         per_second: Requests per second that it takes from all agents together, or None.
+        leaving: Whether it leaves.
     """
 
     start: str
     per_second: float | None = None
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -37,6 +37,7 @@
     RECEIPT,
     RELEASE_PATH,
     REQUEST_ID,
+    SERVER_LEAVING,
     SERVER_LIMIT,
     TARGET_INSTANCE,
     TIMEOUT_MS,
@@ -291,7 +292,8 @@
             self._limit_per_second = _limit(headers.getall(SERVER_LIMIT, ()))
         except ValueError as error:
             _MALFORMED_LIMIT.emit(error=error)
-        notice = UpstreamNotice(start, self._limit_per_second)
+        leaving = "1" in headers.getall(SERVER_LEAVING, ())
+        notice = UpstreamNotice(start, self._limit_per_second, leaving)
         for listener in self._notice_listeners:
             listener.upstream_noticed(notice)
 
--- a/fescueward/services/gate/notices.py
+++ b/fescueward/services/gate/notices.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from ...interfaces import Membership, NoticeSource, RateControl
+from ...interfaces import DepartureRecord, NoticeSource, RateControl
 from ...kernel import Registry
 from ...messages.upstream import UpstreamNotice
 
 
 class UpstreamNotices:
-    """The `notices` service: passes the limit of an upstream to admission."""
+    """The `notices` service: passes a limit to admission and a departure to membership.
+
+    An upstream says that it leaves in responses before, or instead of, a heartbeat. The agent
+    beside it hears of it first, because all requests pass it.
+    """
 
     name = "notices"
     requires = ("upstream", "admission", "membership")
@@ -16,7 +20,7 @@
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses and subscribes to the responses."""
         self._admission = registry.find("admission", RateControl)
-        self._membership = registry.find("membership", Membership)
+        self._membership = registry.find("membership", DepartureRecord)
         registry.find("upstream", NoticeSource).subscribe_notices(self)
 
     async def start(self) -> None:
@@ -31,3 +35,5 @@
         if announcement is None or announcement.start != notice.start:
             return
         self._admission.limit_rate(notice.per_second)
+        if notice.leaving:
+            self._membership.upstream_leaves(notice.start)
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -101,6 +101,8 @@
         self._leaving_grace_s = leaving_grace_s
         self._own_group_id: GroupId | None = None
         self._announcement: Announcement | None = None
+        # Start of an upstream that has said in a response that it leaves.
+        self._departed_start = ""
         self._announcement_count = 0
         self._announcement_count_at_leave = 0
         self._leaving = False
@@ -223,6 +225,8 @@
             raise InvalidAnnouncementError(
                 f"the upstream announced {group_id}; this agent belongs to {self._own_group_id}"
             )
+        if announcement.start and announcement.start == self._departed_start:
+            announcement = replace(announcement, state=AnnouncedState.LEAVING)
         if self._announcement != announcement:
             _ANNOUNCED.emit(group=group_id, state=announcement.state, slots=announcement.slots)
         previous = self._announcement
@@ -237,6 +241,15 @@
             self._tasks.spawn("leave", self.leave("upstream leaves"))
         self._wake.set()
 
+    def upstream_leaves(self, start: str) -> None:
+        """Records that a start of the upstream leaves; see `DepartureRecord`."""
+        if start == self._departed_start:
+            return
+        self._departed_start = start
+        announcement = self._announcement
+        if announcement is not None and announcement.start == start:
+            self.announce(announcement)
+
     async def leave(self, reason: str) -> None:
         """Hands over all shards, waits for requests in flight and leaves the group."""
         if self._leaving:
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -124,6 +124,21 @@
                 with self.subTest(headers):
                     self.assertEqual(notices.last, UpstreamNotice("i1@0", per_second))
 
+    async def test_departure_is_read_in_refusals_too(self):
+        """Guards against new work for an upstream that has said in a response that it leaves."""
+        notices = RecordedNotices()
+        raw = RawUpstream(
+            WHOLE.replace(b"200 OK", b"503 Full").replace(
+                RECEIPT, b"X-Fescueward-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+            )
+        )
+        self.addAsyncCleanup(raw.stop)
+        upstream = await self.start_client(await raw.start())
+        upstream.subscribe_notices(notices)
+        with self.assertRaises(UpstreamRefusedError):
+            await upstream.run(make_request(2.0, key=""), 0, 0, CLOCK.now() + 2.0)
+        self.assertEqual(notices.last, UpstreamNotice("i1@0", None, leaving=True))
+
     async def test_request_without_time_left_is_not_sent(self):
         """Guards against work for a caller that has given up (GONE)."""
         connections = []
--- /dev/null
+++ b/tests/services/gate/test_notices.py
@@ -0,0 +1,67 @@
+"""Tests of limits and departures that an upstream names in its responses."""
+
+import unittest
+from types import SimpleNamespace
+
+from fescueward.kernel import Kernel
+from fescueward.messages import AnnouncedState, Announcement
+from fescueward.messages.upstream import UpstreamNotice
+from fescueward.services.gate.notices import UpstreamNotices
+from fescueward.services.membership import GroupMembership
+from tests.services.fakes import CLOCK, StubRegistry
+
+READY = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1", started_ms=5)
+
+
+class RecordedRates:
+    """Records the limits; announcements change nothing."""
+
+    def __init__(self) -> None:
+        self.rates: list[float | None] = []
+
+    def limit_rate(self, per_second: float | None) -> None:
+        self.rates.append(per_second)
+
+    def observe_announcement(self, announcement: Announcement) -> None:
+        """Ignored: the slots play no part here."""
+
+
+class UpstreamNoticesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.membership = GroupMembership(Kernel(), 1, "boot")
+        self.rates = RecordedRates()
+        self.notices = UpstreamNotices()
+        # The services that announcements use; joins are tested with a whole fleet.
+        self.membership._groups = SimpleNamespace(view=lambda group_id: None)
+        self.membership._admission = self.rates
+        self.membership._clock = CLOCK
+        services = StubRegistry(
+            membership=self.membership,
+            admission=self.rates,
+            upstream=SimpleNamespace(subscribe_notices=lambda listener: None),
+        )
+        self.notices.bind(services)
+        self.membership.announce(READY)
+        self.addAsyncCleanup(self.membership.stop)
+
+    @property
+    def state(self) -> AnnouncedState:
+        assert self.membership.announcement is not None
+        return self.membership.announcement.state
+
+    async def test_later_heartbeats_do_not_take_a_departure_back(self):
+        """Guards against new work for an upstream whose heartbeats still say that it is ready."""
+        self.notices.upstream_noticed(UpstreamNotice(READY.start, leaving=True))
+        self.assertIs(self.state, AnnouncedState.LEAVING)
+        self.membership.announce(READY)
+        self.assertIs(self.state, AnnouncedState.LEAVING)
+
+    async def test_departure_ends_with_its_start(self):
+        """Guards against giving nothing to the successor of an upstream that left."""
+        self.notices.upstream_noticed(UpstreamNotice(READY.start, leaving=True))
+        restarted = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1", started_ms=6)
+        self.membership.announce(restarted)
+        self.assertIs(self.state, AnnouncedState.READY)
+        self.notices.upstream_noticed(UpstreamNotice(READY.start, 3.0, leaving=True))
+        self.assertIs(self.state, AnnouncedState.READY)
+        self.assertEqual(self.rates.rates, [None])
