Tell a restarted agent that its upstream leaves

What upstreams saw: after the agent beside a leaving upstream was killed, it began again to send requests there, 4.65 s after the first response that had said so (DRAIN, in the emulator), because the heartbeats of that upstream still said ready.

Cause: only the agent beside the upstream knew of the departure, in memory. The other agents have passed the responses on, so they know it too: each response and refusal now carries whether the upstream leaves, a router remembers its start for two minutes, and a request that it sends to that start says so. A gate that has forgotten takes its upstream as leaving from then on and refuses the request. An agent that restarts itself is excused by the rule and learns it from the first other one.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -480,6 +480,7 @@
             None.
         route: Name of the matching route, or empty.
         has_alternatives: Whether other upstreams may serve the request.
+        departed_start: Start of the receiver's upstream that is known to leave, or empty.
         sent_ms: Time of sending in milliseconds of the sender's CLOCK_BOOTTIME, or None from
             earlier versions of the agent.
     """
@@ -503,6 +504,7 @@
     useful_ms: NonNegativeInt | None = None
     route: str = ""
     has_alternatives: bool = False
+    departed_start: str = ""
     sent_ms: NonNegativeInt | None = None
 
 
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -56,6 +56,7 @@
         slots: Requests that may run concurrently.
         run_ms: Mean duration of a run in milliseconds.
         per_second: Requests per second that the upstream takes, or None without a limit.
+        leaving: Whether the upstream leaves.
     """
 
     running: int
@@ -63,6 +64,7 @@
     slots: int
     run_ms: float
     per_second: float | None = None
+    leaving: bool = False
 
     @property
     def usable_slots(self) -> float:
@@ -100,6 +102,8 @@
             the response to this one.
         has_alternatives: Whether other upstreams may serve the request, so that one that can only
             be late here is refused instead of queued.
+        departed_start: Start of the receiving agent's upstream that is known to leave, or empty;
+            that agent may have forgotten it by a restart.
         delayed_s: Time in seconds that the request took longer than others on its way from the
             agent that forwarded it.
     """
@@ -123,6 +127,7 @@
     route: str = ""
     delays_others: bool = False
     has_alternatives: bool = False
+    departed_start: str = ""
     delayed_s: float = 0.0
 
 
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -11,6 +11,7 @@
     Admission,
     Catalogue,
     Departure,
+    DepartureRecord,
     Membership,
     Ownership,
     Peers,
@@ -30,7 +31,7 @@
     UpstreamUnavailableError,
 )
 from ...messages import AnnouncedState, Request, Response
-from ...messages.request import BytesBody
+from ...messages.request import BytesBody, Occupancy
 from .arrivals import BodyArrivals
 
 _REQUEST_RUN = Event(
@@ -76,6 +77,7 @@
         self._membership = registry.find("membership", Membership)
         self._ownership = registry.find("ownership", Ownership)
         self._departure = registry.find("membership", Departure)
+        self._departures = registry.find("membership", DepartureRecord)
         self._shutdown = registry.find("shutdown", Shutdown)
         self._admission = registry.find("admission", Admission)
         self._slots = registry.find("admission", SlotLoad)
@@ -107,7 +109,7 @@
             _raise_if_cancelled()
             return response
         except RefusalError as error:
-            error.occupancy = self._slots.occupancy
+            error.occupancy = self._occupancy()
             if request.key and isinstance(error, OverloadedError):
                 # Keys are moved according to demand. Counting only the requests that ran would cap
                 # the load of a hot key at what its server can run.
@@ -156,7 +158,7 @@
                 run_s = self._clock.now() - started_at
                 if request.key:
                     self._load.record(int(request.key), request.key, run_s)
-        occupancy = self._slots.occupancy
+        occupancy = self._occupancy()
         _REQUEST_RUN.emit(
             request=request.id,
             service=request.service,
@@ -172,6 +174,12 @@
             listener.run_ended(request.service, run_s)
         return replace(response, occupancy=occupancy, epoch=epoch)
 
+    def _occupancy(self) -> Occupancy:
+        announcement = self._membership.announcement
+        leaving = announcement is not None and announcement.state is AnnouncedState.LEAVING
+        occupancy = self._slots.occupancy
+        return replace(occupancy, leaving=True) if leaving else occupancy
+
     async def _run_to_end(self, run: Coroutine[None, None, Response]) -> Response:
         """Waits for a run that is broken off only if this agent closes."""
         task = asyncio.get_running_loop().create_task(run)
@@ -227,6 +235,9 @@
         announcement = self._membership.announcement
         if announcement is None:
             raise UpstreamUnavailableError("the upstream has not announced itself")
+        if request.departed_start and request.departed_start == announcement.start:
+            self._departures.upstream_leaves(announcement.start)
+            raise DrainingError("the upstream has told other agents that it leaves")
         if announcement.service != request.service:
             raise NotOwnerError(f"the upstream of this agent serves {announcement.service!r}")
         if announcement.state is AnnouncedState.LEAVING or self._departure.closed:
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -289,6 +289,7 @@
             useful_until=useful_until,
             route=message.route,
             has_alternatives=message.has_alternatives,
+            departed_start=message.departed_start,
             delayed_s=delayed_s,
         )
 
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -143,6 +143,7 @@
         useful_ms=useful_ms,
         route=request.route,
         has_alternatives=request.has_alternatives,
+        departed_start=request.departed_start,
         sent_ms=int(now * 1000),
     )
 
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+from cachetools import TTLCache
+
 from ...interfaces import Execution, Groups, Membership, Peers, Routes, Shutdown
 from ...interfaces.metrics import RequestListener
 from ...kernel import Clock, Event, Level, Outcome, RefusalError, Registry
@@ -58,6 +60,9 @@
 _OWNER_WAIT_SHARE = 0.5
 # Retry-After of a request that is refused because its key has no owner.
 _NO_OWNER_RETRY_AFTER_S = 0.25
+# Starts of upstreams that leave are remembered until they have ended.
+_DEPARTED_S = 120.0
+_MAX_DEPARTED = 4_096
 # With less time than this to the deadline, a request is not sent: no upstream could run it.
 _MIN_RUN_S = 0.01
 
@@ -76,6 +81,8 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._balancers: dict[str, Balancer] = {}
         self._members: dict[GroupId, dict[str, Member]] = {}
+        # Starts of upstreams that leave, as their agents said. An agent that restarts forgets it.
+        self._departed_starts: TTLCache[str, bool] = TTLCache(_MAX_DEPARTED, _DEPARTED_S)
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -265,7 +272,12 @@
             if member.id == self._membership.member_id:
                 response = await self._execution.execute(request)
             else:
-                response = await self._forward(request, member)
+                departed_start = (
+                    member.instance if member.instance in self._departed_starts else ""
+                )
+                response = await self._forward(
+                    replace(request, departed_start=departed_start), member
+                )
             occupancy = response.occupancy
             run_ms = (self._clock.now() - started_at) * 1000
             response_bytes = response.body.length or 0
@@ -277,6 +289,8 @@
                 balancer.avoid(member.id, self._clock.now(), unreachable)
             raise
         finally:
+            if occupancy is not None and occupancy.leaving and member.instance:
+                self._departed_starts[member.instance] = True
             balancer.record_end(
                 member.id, occupancy, run_ms, self._clock.now(), response_bytes, request.route
             )
--- a/fescueward/testing/site/judge.py
+++ b/fescueward/testing/site/judge.py
@@ -100,6 +100,7 @@
         self.runs: dict[str, list[Run]] = defaultdict(list)
         for run in evidence.runs:
             self.runs[run.id].append(run)
+        self.origins = {attempt.id: attempt.agent for attempt in evidence.attempts}
 
     def disturbed(self, machine: str, since: float, until: float, store: bool = False) -> bool:
         """Returns whether an unplanned fault affected a machine in a period.
@@ -282,7 +283,11 @@
             if run.instance != departure.instance or late_s <= DRAIN_S:
                 continue
             since = departure.acknowledged - STABILITY_S
-            if index.disturbed(departure.machine, since, run.started):
+            machine = departure.machine
+            if departure.in_response:
+                # Of the agents that passed responses on, only a restarted one may have forgotten.
+                machine, since = index.origins.get(run.id, ""), departure.acknowledged
+            if index.disturbed(machine, since, run.started):
                 continue
             if index.stalled(departure.acknowledged + DRAIN_S, run.started):
                 continue
--- a/fescueward/testing/site/records.py
+++ b/fescueward/testing/site/records.py
@@ -125,11 +125,13 @@
         instance: Start id of the upstream.
         machine: Its machine, whose agent acknowledged the report or got it in a response.
         acknowledged: When the acknowledgement arrived or the first such response was sent.
+        in_response: Whether a response said it, so that each agent that passed one on is bound.
     """
 
     instance: str
     machine: str
     acknowledged: float
+    in_response: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/fescueward/testing/site/upstream.py
+++ b/fescueward/testing/site/upstream.py
@@ -225,6 +225,7 @@
                     instance=self._start_id,
                     machine=self.spec.machine,
                     acknowledged=time.monotonic(),
+                    in_response=True,
                 )
             )
         if self._leaves_in_responses:
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -114,7 +114,10 @@
             await self._assert_no_breaches(site)
 
     async def test_upstream_that_leaves_in_its_responses_gets_nothing_more(self):
-        """Guards against requests to an upstream whose responses say that it leaves (DRAIN)."""
+        """Guards against requests to an upstream whose responses say that it leaves (DRAIN).
+
+        Its heartbeats go on, and its agent is killed and starts without knowing it.
+        """
         async with SiteDeployment(SiteSpec(seed=8)) as site:
             await site.wait_ready()
             site.start_load(HEAVY_LOADS)
@@ -122,7 +125,10 @@
             for name in ("orders-2", "catalogue-0"):
                 upstream = site.machines[name].upstream
                 upstream.faults = UpstreamFaults(leaves_in_responses=True)
-            await asyncio.sleep(DRAIN_S + 3)
+            await asyncio.sleep(DRAIN_S + 1)
+            for name in ("orders-2", "catalogue-0"):
+                await site.machines[name].agent.kill()
+            await asyncio.sleep(4)
             self.assertEqual(len(site.evidence.departures), 2)
             await site.wait_served(HEAVY_LOADS, SERVED_WITHIN_S)
             await self._assert_no_breaches(site)
--- a/tests/services/gate/test_notices.py
+++ b/tests/services/gate/test_notices.py
@@ -1,14 +1,19 @@
 """Tests of limits and departures that an upstream names in its responses."""
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from fescueward.kernel import Kernel
+from fescueward.kernel.errors import DrainingError
 from fescueward.messages import AnnouncedState, Announcement
 from fescueward.messages.upstream import UpstreamNotice
+from fescueward.services.gate.execution import GateExecution
 from fescueward.services.gate.notices import UpstreamNotices
 from fescueward.services.membership import GroupMembership
-from tests.services.fakes import CLOCK, StubRegistry
+from tests.services.fakes import CLOCK, FakePeers, StubRegistry, make_request
+
+from .test_execution import FreeSlots, PassingQuarantine, running_shutdown
 
 READY = Announcement("depot", "127.0.0.1", 1, 6, 110, instance="i1", started_ms=5)
 
@@ -56,6 +61,28 @@
         self.membership.announce(READY)
         self.assertIs(self.state, AnnouncedState.LEAVING)
 
+    async def test_restarted_agent_learns_of_a_departure_from_others(self):
+        """Guards against new work for a leaving upstream after a restart of its agent (DRAIN)."""
+        execution = GateExecution()
+        execution.bind(
+            StubRegistry(
+                catalogue=SimpleNamespace(entry=lambda service: SimpleNamespace(entry=None)),
+                membership=self.membership,
+                ownership=None,
+                shutdown=running_shutdown(Kernel()),
+                admission=FreeSlots(),
+                quarantine=PassingQuarantine(),
+                upstream=None,
+                load=None,
+                peers=FakePeers(),
+            )
+        )
+        request = replace(make_request(1.0, key=""), departed_start=READY.start)
+        with self.assertRaises(DrainingError) as refused:
+            await execution.execute(request)
+        self.assertTrue(refused.exception.occupancy.leaving)
+        self.assertIs(self.state, AnnouncedState.LEAVING)
+
     async def test_departure_ends_with_its_start(self):
         """Guards against giving nothing to the successor of an upstream that left."""
         self.notices.upstream_noticed(UpstreamNotice(READY.start, leaving=True))
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from fescueward.kernel import BootClock, Kernel, Outcome
@@ -16,6 +17,7 @@
 )
 from fescueward.messages import Group, GroupId, VersionedGroup
 from fescueward.messages.group import LAST_KEY, KeyRange
+from fescueward.messages.request import Occupancy
 from fescueward.services.routing.dispatcher import DispatchRouter
 from fescueward.services.shutdown import GracefulShutdown
 from tests.services.fakes import StubRegistry, make_request, make_response
@@ -123,6 +125,31 @@
             self.assertEqual(peers.forwarded, ["b:1"])
 
 
+class LeavingPeers(FakePeers):
+    """The upstream of the only member leaves, as the response to the first request says."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.departed_starts: list[str] = []
+
+    async def forward(self, member, request):
+        self.departed_starts.append(request.departed_start)
+        leaving = len(self.departed_starts) == 1
+        return make_response(b"ok", occupancy=Occupancy(0, 0, 6, 1.0, leaving=leaving))
+
+
+class DepartedUpstreamTest(RouterCase):
+    group = with_added_members(Group("depot", 0, 1), replace(member("b"), instance="i1@5"))
+
+    async def test_departure_is_told_to_an_agent_that_may_have_restarted(self):
+        """Guards against new work for a leaving upstream after a restart of its agent (DRAIN)."""
+        peers = LeavingPeers()
+        router = self.router(peers)
+        for _ in range(3):
+            await router.route(make_request(1.0, key=""))
+        self.assertEqual(peers.departed_starts, ["", "i1@5", "i1@5"])
+
+
 class LatePeers(FakePeers):
     """Refuses requests that other upstreams may serve, and records which may be."""
 
