Log a limit of zero once and inject the clock of remembered departures

Found while reading the change: the pace raises a limit of zero to its lowest rate, so each response compared as a change and logged one. The router remembered departures on a clock of its own. The record of departures in the gate has the name of its Protocol; comments say what is meant.

--- a/fescueward/services/admission.py
+++ b/fescueward/services/admission.py
@@ -52,7 +52,7 @@
 # Value of a late response in proportion to one in time. A request that will be late is worth its
 # slot if its run is shorter than this share of the runs that it competes with.
 _LATE_VALUE = 0.3
-# Share of the slots that is used until the upstream has responded once: it may have named a limit
+# Share of the slots that is used until the upstream has responded once: it may have named a rate
 # to an earlier process of this agent.
 _UNHEARD_SHARE = 0.25
 # Burst of the rate limiter, in seconds of the permitted rate.
@@ -128,6 +128,7 @@
 
     def __init__(self, upstream_names_limits: bool = False) -> None:
         self._upstream_names_limits = upstream_names_limits
+        # Whether the present start of the upstream has responded, or cannot name a rate.
         self._upstream_heard = True
         self._pace = StartPace()
         self._pace_timer: asyncio.TimerHandle | None = None
@@ -208,12 +209,14 @@
         _SLOW_START.emit(slots=self._slots, usable=int(self._cold_slots))
 
     def limit_rate(self, per_second: float | None) -> None:
-        """Sets the rate that the upstream takes; see `Admission.limit_rate`."""
-        self._upstream_heard = True
-        if per_second == self._pace.per_second:
-            return
-        _RATE_LIMITED.emit(per_second=per_second, before=self._pace.per_second)
+        """Sets the rate that the upstream takes; see `RateControl.limit_rate`."""
+        was_heard, self._upstream_heard = self._upstream_heard, True
+        before = self._pace.per_second
         self._pace.limit(per_second, self._clock.now())
+        if self._pace.per_second != before:
+            _RATE_LIMITED.emit(per_second=self._pace.per_second, before=before)
+        elif was_heard:
+            return
         self._wake_next()
 
     def slot(self, request: Request, entry: Entry) -> _Slot:
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -50,7 +50,6 @@
     frequent=True,
 )
 
-
 # A request without a key that took this much longer than others on its way is left to other
 # upstreams: its caller may have left, and the cancellation takes as long.
 _MAX_DELAY_S = 0.5
@@ -77,7 +76,7 @@
         self._membership = registry.find("membership", Membership)
         self._ownership = registry.find("ownership", Ownership)
         self._departure = registry.find("membership", Departure)
-        self._departures = registry.find("membership", DepartureRecord)
+        self._departure_record = registry.find("membership", DepartureRecord)
         self._shutdown = registry.find("shutdown", Shutdown)
         self._admission = registry.find("admission", Admission)
         self._slots = registry.find("admission", SlotLoad)
@@ -181,7 +180,10 @@
         return replace(occupancy, leaving=True) if leaving else occupancy
 
     async def _run_to_end(self, run: Coroutine[None, None, Response]) -> Response:
-        """Waits for a run that is broken off only if this agent closes."""
+        """Returns the response to a run that a cancellation does not break off.
+
+        Only the closing of this agent does. The caller has to raise the cancellation afterwards.
+        """
         task = asyncio.get_running_loop().create_task(run)
         while not task.done():
             try:
@@ -236,7 +238,7 @@
         if announcement is None:
             raise UpstreamUnavailableError("the upstream has not announced itself")
         if request.departed_start and request.departed_start == announcement.start:
-            self._departures.upstream_leaves(announcement.start)
+            self._departure_record.upstream_leaves(announcement.start)
             raise DrainingError("the upstream has told other agents that it leaves")
         if announcement.service != request.service:
             raise NotOwnerError(f"the upstream of this agent serves {announcement.service!r}")
@@ -246,7 +248,7 @@
 
 
 def _raise_if_cancelled() -> None:
-    """Raises the cancellation that a run has delayed, so that no other upstream is tried."""
+    """Raises the cancellation that `_run_to_end` has delayed: no other upstream may be tried."""
     task = asyncio.current_task()
     if task is not None and task.cancelling():
         raise asyncio.CancelledError
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -81,12 +81,14 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._balancers: dict[str, Balancer] = {}
         self._members: dict[GroupId, dict[str, Member]] = {}
-        # Starts of upstreams that leave, as their agents said. An agent that restarts forgets it.
-        self._departed_starts: TTLCache[str, bool] = TTLCache(_MAX_DEPARTED, _DEPARTED_S)
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
+        # Starts of upstreams that leave, as their agents said. An agent that restarts forgets it.
+        self._departed_starts: TTLCache[str, bool] = TTLCache(
+            _MAX_DEPARTED, _DEPARTED_S, self._clock.now
+        )
         self._bounds = registry.find("bounds", Bounds)
         self._groups = registry.find("groups", Groups)
         self._routes = registry.find("routes", Routes)
--- a/tests/services/keyspace/test_load.py
+++ b/tests/services/keyspace/test_load.py
@@ -25,6 +25,13 @@
         )
         self.load._decayed_at = BootClock().now()
 
+    def test_upstream_that_takes_little_is_reported_as_full(self):
+        """Guards against keys that stay with an upstream which names a rate below its slots."""
+        self.load._slots.occupancy = Occupancy(3, 0, 6, 100.0, per_second=30.0)
+        for _ in range(10):
+            report = self.load.measure()
+        self.assertAlmostEqual(report.utilisation, 1.0, delta=0.05)
+
     def test_work_beyond_the_slots_shows_in_the_report(self):
         """Guards against an overloaded server that is reported as merely full."""
         for _ in range(240):
--- a/tests/services/test_admission.py
+++ b/tests/services/test_admission.py
@@ -310,6 +310,13 @@
         release.set()
         await asyncio.gather(*tasks)
 
+    async def test_rate_of_zero_is_logged_once(self):
+        """Guards against a log line for each response of an upstream that takes nothing."""
+        with mock.patch.object(module, "_RATE_LIMITED") as event:
+            for _ in range(3):
+                self.admission.limit_rate(0.0)
+        self.assertEqual(event.emit.call_count, 1)
+
     async def test_capacity_counts_what_the_upstream_takes(self):
         """Guards against keys that stay with an upstream which takes a fraction of its slots."""
         occupancy = Occupancy(0, 0, 12, 100.0, per_second=30.0)
