Withdraw waiting requests with a token whose callers have left

What callers saw: nothing; upstreams of the product's own deployments got requests with a token whose callers had left while these waited for a slot. The other way round, a forwarding agent or routing client that ended broke off the run of such a request, and its outcome was lost.

Cause: the same as for requests that must not repeat on the platform (GONE): the front end cannot know whether a run has begun, so it cancelled none, and the owner broke off all. Now the front end cancels all, and the owner withdraws what waits, refused internally as not run, so that its token stays valid, and lets a run that has begun end and retains its outcome, unless the process stops. Both executions use one function for it.

--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -306,6 +306,13 @@
     outcome = Outcome.OUTCOME_UNKNOWN
 
 
+class RequestWithdrawnError(RefusalError):
+    """The caller left while the request waited."""
+
+    code = 2026
+    label = "request_withdrawn"
+
+
 class PlatformError(FescuewardError):
     """Base class of the errors of the platform client."""
 
--- a/fescueward/kernel/tasks.py
+++ b/fescueward/kernel/tasks.py
@@ -1,10 +1,12 @@
-"""Ownership of asyncio tasks."""
+"""Ownership of asyncio tasks, and work that a cancellation must not break off."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, TypeVar
+
+_Result = TypeVar("_Result")
 
 FailureHandler = Callable[[str, BaseException], None]
 
@@ -51,3 +53,32 @@
         error = task.exception()
         if error is not None:
             self._on_failure(task.get_name(), error)
+
+
+async def finish_despite_cancellation(
+    work: Coroutine[Any, Any, _Result], aborts: Callable[[], bool]
+) -> _Result:
+    """Returns the result of work that a cancellation of the calling task does not break off.
+
+    The caller has to call `raise_delayed_cancellation` once it has recorded the result.
+
+    Args:
+        work: The work.
+        aborts: Returns whether a cancellation breaks the work off all the same, as at a stop.
+    """
+    task = asyncio.get_running_loop().create_task(work)
+    while not task.done():
+        try:
+            await asyncio.wait((task,))
+        except asyncio.CancelledError:
+            if aborts():
+                task.cancel()
+                raise
+    return task.result()
+
+
+def raise_delayed_cancellation() -> None:
+    """Raises the cancellation that `finish_despite_cancellation` has delayed, if there is one."""
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
--- a/fescueward/services/execution.py
+++ b/fescueward/services/execution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import AsyncExitStack, aclosing
 from dataclasses import replace
@@ -24,8 +25,10 @@
     BodyTruncatedError,
     LeaseExpiredError,
     OutcomeLostError,
+    RequestWithdrawnError,
     TokenRequiredError,
 )
+from ..kernel.tasks import finish_despite_cancellation, raise_delayed_cancellation
 from ..messages import Body, Entry, Request, RequestClass, Response
 from ..messages.request import BytesBody
 
@@ -42,7 +45,9 @@
     """The `execution` service.
 
     Runs a request on the upstream of this VM while it holds the ticket of the key's shard. The
-    ticket is checked after the run and between the chunks of a streamed response.
+    ticket is checked after the run and between the chunks of a streamed response. A cancellation
+    withdraws a request that waits; the run of a request with a token ends first, so that its
+    outcome is retained.
     """
 
     name = "execution"
@@ -50,6 +55,7 @@
 
     def __init__(self) -> None:
         self._listeners: list[RunListener] = []
+        self._stopped = False
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -67,7 +73,8 @@
         """Starts nothing: this service has no background task."""
 
     async def stop(self) -> None:
-        """Stops nothing: this service has no background task."""
+        """Lets cancellations break off runs from now on."""
+        self._stopped = True
 
     def subscribe(self, listener: RunListener) -> None:
         """Registers a listener to be called after each run on the upstream."""
@@ -88,7 +95,12 @@
                 if request.token is None:
                     token = self._outcomes.issue(ticket.shard, ticket.epoch)
                     raise TokenRequiredError("the request needs a token", token=token)
-                response = await self._outcomes.run_once(request, ticket.shard, ticket.epoch, run)
+                try:
+                    response = await self._outcomes.run_once(
+                        request, ticket.shard, ticket.epoch, run
+                    )
+                finally:
+                    raise_delayed_cancellation()
             else:
                 response = await run(request)
             _check_after_run(ticket)
@@ -108,12 +120,23 @@
     async def _run(
         self, request: Request, entry: Entry, ticket: Ticket, stack: AsyncExitStack
     ) -> Response:
-        request = await stack.enter_async_context(self._quarantine.guard(request))
-        await stack.enter_async_context(self._admission.slot(request, entry))
+        once = entry.request_class is RequestClass.ONCE
+        try:
+            request = await stack.enter_async_context(self._quarantine.guard(request))
+            await stack.enter_async_context(self._admission.slot(request, entry))
+        except asyncio.CancelledError:
+            if not once:
+                raise
+            # Its token stays valid, because it has not run.
+            raise RequestWithdrawnError("the caller left while the request waited") from None
         ticket.check()
         started_at = self._clock.now()
         deadline = min(request.deadline, started_at + entry.limits.max_request_ms / 1000)
-        response = await self._upstream.run(request, ticket.shard, ticket.epoch, deadline)
+        upstream_run = self._upstream.run(request, ticket.shard, ticket.epoch, deadline)
+        if once:
+            response = await finish_despite_cancellation(upstream_run, lambda: self._stopped)
+        else:
+            response = await upstream_run
         for listener in self._listeners:
             listener.run_ended(request.service, self._clock.now() - started_at)
         self._load.record(ticket.shard, request.key, self._clock.now() - started_at)
--- a/fescueward/services/frontend/service.py
+++ b/fescueward/services/frontend/service.py
@@ -131,12 +131,13 @@
     async def _route(self, request: Request) -> Response:
         if request.token is None:
             return await self._router.route(request)
-        # A request is cancelled when its caller disconnects. With a token, the caller may
-        # reconnect and query the outcome, so the run continues.
+        # A task of its own, because a cancellation takes effect after a run that has begun: the
+        # caller may reconnect and query its outcome.
         routing = self._tasks.spawn("once", self._route_to_result(request))
         try:
             result = await asyncio.shield(routing)
         except asyncio.CancelledError:
+            routing.cancel()
             self._tasks.spawn("discard", _discard_response(routing))
             raise
         if isinstance(result, RefusalError):
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -30,6 +30,7 @@
     OverloadedError,
     UpstreamUnavailableError,
 )
+from ...kernel.tasks import finish_despite_cancellation, raise_delayed_cancellation
 from ...messages import AnnouncedState, Request, Response
 from ...messages.request import BytesBody, Occupancy
 from .arrivals import BodyArrivals
@@ -105,7 +106,7 @@
         try:
             with self._shutdown.open_request(request.id):
                 response = await self._execute(request, arrived_at)
-            _raise_if_cancelled()
+            raise_delayed_cancellation()
             return response
         except RefusalError as error:
             error.occupancy = self._occupancy()
@@ -126,7 +127,7 @@
                 source=request.forwarded_by,
                 delayed_ms=round(request.delayed_s * 1000),
             )
-            _raise_if_cancelled()
+            raise_delayed_cancellation()
             raise
 
     async def _execute(self, request: Request, arrived_at: float) -> Response:
@@ -152,7 +153,7 @@
                 request, int(request.key or 0), epoch, self._shutdown.limit(request.deadline)
             )
             try:
-                response = await (run if request.repeatable else self._run_to_end(run))
+                response = await (run if request.repeatable else self._finish(run))
             finally:
                 run_s = self._clock.now() - started_at
                 if request.key:
@@ -179,20 +180,8 @@
         occupancy = self._slots.occupancy
         return replace(occupancy, leaving=True) if leaving else occupancy
 
-    async def _run_to_end(self, run: Coroutine[None, None, Response]) -> Response:
-        """Returns the response to a run that a cancellation does not break off.
-
-        Only the closing of this agent does. The caller has to raise the cancellation afterwards.
-        """
-        task = asyncio.get_running_loop().create_task(run)
-        while not task.done():
-            try:
-                await asyncio.wait((task,))
-            except asyncio.CancelledError:
-                if self._shutdown.closing.done():
-                    task.cancel()
-                    raise
-        return task.result()
+    async def _finish(self, run: Coroutine[None, None, Response]) -> Response:
+        return await finish_despite_cancellation(run, self._shutdown.closing.done)
 
     def _without_arrival_time(self, request: Request) -> Request:
         """Returns a request with the time that is left once its body has arrived."""
@@ -247,13 +236,6 @@
         self._shutdown.check(request.deadline, _is_movable(request))
 
 
-def _raise_if_cancelled() -> None:
-    """Raises the cancellation that `_run_to_end` has delayed: no other upstream may be tried."""
-    task = asyncio.current_task()
-    if task is not None and task.cancelling():
-        raise asyncio.CancelledError
-
-
 def _is_movable(request: Request) -> bool:
     """Returns whether the agent that sent the request can send it to another one instead.
 
--- a/tests/services/test_execution.py
+++ b/tests/services/test_execution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from types import SimpleNamespace
 
@@ -13,7 +14,9 @@
     TokenRequiredError,
 )
 from fescueward.messages import RequestClass, Response
+from fescueward.services.admission import SlotAdmission
 from fescueward.services.execution import OwnerExecution
+from fescueward.services.outcomes import RetainedOutcomes
 
 from .fakes import (
     FakeCatalogue,
@@ -21,6 +24,7 @@
     ScriptedCall,
     StreamedBody,
     StubRegistry,
+    make_announcement,
     make_entry,
     make_request,
     make_response,
@@ -128,3 +132,75 @@
             await execution.execute(make_request())
         self.assertEqual(caught.exception.token, "3.7.0.x")
         self.assertEqual((self.run_upstream.calls, self.ticket.hold_count), ([], 0))
+
+
+class DepartedCallerTest(unittest.IsolatedAsyncioTestCase):
+    """Requests with a token whose callers leave, with one slot and retained outcomes."""
+
+    async def asyncSetUp(self):
+        self.outcomes = RetainedOutcomes()
+        self.outcomes.begin_epoch(3, 7, (7,), 0, 0)
+        self.admission = SlotAdmission()
+        self.admission.bind(StubRegistry())
+        self.admission.observe_announcement(make_announcement(1))
+        self.runs: list[str] = []
+        self.proceed = asyncio.Event()
+        self.execution = OwnerExecution()
+        self.execution.bind(
+            StubRegistry(
+                catalogue=FakeCatalogue(make_entry(RequestClass.ONCE)),
+                ownership=SimpleNamespace(admit=self.admit),
+                outcomes=self.outcomes,
+                admission=self.admission,
+                quarantine=SimpleNamespace(guard=null_async_context),
+                upstream=SimpleNamespace(run=self.run_upstream),
+                load=SimpleNamespace(record=lambda *_: None),
+                peers=FakePeers(),
+            )
+        )
+
+    async def admit(self, service, key, deadline):
+        return Ticket()
+
+    async def run_upstream(self, request, shard, epoch, deadline):
+        self.runs.append(request.token)
+        await self.proceed.wait()
+        return make_response(b"paid")
+
+    async def begin(self, token: str) -> asyncio.Task[Response]:
+        task = asyncio.create_task(self.execution.execute(make_request(token=token)))
+        await asyncio.sleep(0.01)
+        return task
+
+    async def test_request_that_waits_is_withdrawn_and_keeps_its_token(self):
+        """Guards against a run for a caller that has left, and against using up its token."""
+        first, second = self.outcomes.issue(3, 7), self.outcomes.issue(3, 7)
+        running, waiting = await self.begin(first), await self.begin(second)
+        waiting.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await waiting
+        self.proceed.set()
+        await running
+        self.assertEqual(self.runs, [first])
+        self.assertEqual((await (await self.begin(second))).body.data, b"paid")
+
+    async def test_run_ends_and_its_outcome_is_retained(self):
+        """Guards against breaking off a payment whose caller comes back for the outcome."""
+        token = self.outcomes.issue(3, 7)
+        running = await self.begin(token)
+        running.cancel()
+        await asyncio.sleep(0.01)
+        self.assertFalse(running.done())
+        self.proceed.set()
+        with self.assertRaises(asyncio.CancelledError):
+            await running
+        self.assertEqual((await (await self.begin(token))).body.data, b"paid")
+        self.assertEqual(self.runs, [token])
+
+    async def test_stop_breaks_a_run_off(self):
+        """Guards against a process that does not end because of one run."""
+        running = await self.begin(self.outcomes.issue(3, 7))
+        await self.execution.stop()
+        running.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await asyncio.wait_for(running, 1)
