--- a/review/rig/site.py
+++ b/review/rig/site.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -33,6 +34,7 @@
 PROPAGATION_S = 2.0
 STABILITY_S = 3.0
 HEARTBEAT_S = 0.87
+_FIRST_PORT, _LAST_PORT = 12_000, 32_000
 # Time from the end of an agent process to its next start.
 RESTART_S = 0.4
 
@@ -60,7 +62,11 @@
 
 
 class Ports:
-    """Free ports of the loopback address; each is kept bound until it is handed out."""
+    """Free ports of the loopback address.
+
+    They lie below the ports that the system gives to outgoing connections, so that no connection
+    takes the port of an agent or backend that is down.
+    """
 
     def __init__(self) -> None:
         self._used: set[int] = set()
@@ -68,12 +74,16 @@
     def take(self) -> int:
         """Returns a port that no one listens on."""
         while True:
+            port = random.randrange(_FIRST_PORT, _LAST_PORT)
+            if port in self._used:
+                continue
             with socket.socket() as probe:
-                probe.bind((HOST, 0))
-                port: int = probe.getsockname()[1]
-            if port not in self._used:
-                self._used.add(port)
-                return port
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+            self._used.add(port)
+            return port
 
 
 class Store:
