--- a/review/rig/site.py
+++ b/review/rig/site.py
@@ -248,7 +248,10 @@
         app.router.add_post("/fescueward/release", self._release)
         app.router.add_get("/health", self._health)
         app.router.add_route("*", "/{path:.*}", self._request)
-        self._runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.0)
+        # A body is what was sent, whatever its coding.
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=0.0, auto_decompress=False
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, HOST, self.machine.app_port).start()
         self.up = True
@@ -442,12 +445,13 @@
         self, request: web.Request, request_id: str, key: int | None, body: bytes
     ) -> web.StreamResponse:
         began = self.site.record.now()
-        run = {"id": request_id, "key": key, "boot": self.instance, "began": began}
+        run = {"id": request_id, "key": key, "boot": self.instance, "began": began, "body": body}
         run |= {"machine": self.machine.name, "done": False, "ended": None}
         self.runs.append(run)
         self.site.record.write(
             f"{self.machine.name} {self.instance} runs {request_id}"
             + (f" key {key}" if key is not None else "")
+            + (f" body of {len(body)} bytes" if body else "")
         )
         left_s = float(request.headers.get(TIMEOUT, "1000")) / 1000
         work_s = float(request.query.get("ms", "50")) / 1000
@@ -663,16 +667,20 @@
         key: int | None = None,
         body: bytes = b"",
         query: str = "",
+        more: dict[str, str] | None = None,
     ) -> dict:
         """Sends one request as a client of a machine, and records its answer."""
         request_id = uuid.uuid4().hex[:16]
         headers = {ID: request_id, TIMEOUT: str(int(timeout_s * 1000)), "Host": f"{route}.example"}
+        headers |= more or {}
         if key is not None:
             headers[KEY] = str(key)
         sent = self.record.now()
         self.record.write(f"{machine.name} client sends {method} {route} {request_id} key {key}")
+        if body:
+            self.record.write(f"{request_id} has a body of {len(body)} bytes {more or ''}")
         answer = {"id": request_id, "machine": machine.name, "route": route, "sent": sent}
-        answer |= {"status": 0, "error": "", "key": key}
+        answer |= {"status": 0, "error": "", "key": key, "request_body": body}
         url = f"http://{HOST}:{machine.outbound_port}/{route}/x?ms={ms}{query}"
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0)
         try:
