Give each review script a block of ports of its own

Cause: in trials, two scripts that ran beside each other took the same port, and one couldn't run. Change: the block follows from the process id.

--- a/review/rig/site.py
+++ b/review/rig/site.py
@@ -34,7 +34,7 @@
 PROPAGATION_S = 2.0
 STABILITY_S = 3.0
 HEARTBEAT_S = 0.87
-_FIRST_PORT, _LAST_PORT = 12_000, 32_000
+_FIRST_PORT, _BLOCKS, _BLOCK_PORTS = 12_000, 40, 500
 # Time from the end of an agent process to its next start.
 RESTART_S = 0.4
 
@@ -65,16 +65,18 @@
     """Free ports of the loopback address.
 
     They lie below the ports that the system gives to outgoing connections, so that no connection
-    takes the port of an agent or backend that is down.
+    takes the port of an agent or backend that is down. Each script has a block of its own, so that
+    several can run beside each other.
     """
 
     def __init__(self) -> None:
+        self._first = _FIRST_PORT + os.getpid() % _BLOCKS * _BLOCK_PORTS
         self._used: set[int] = set()
 
     def take(self) -> int:
         """Returns a port that no one listens on."""
         while True:
-            port = random.randrange(_FIRST_PORT, _LAST_PORT)
+            port = self._first + random.randrange(_BLOCK_PORTS)
             if port in self._used:
                 continue
             with socket.socket() as probe:
