Divide the stand-ins of the review by noun

Cause: one module held the names, the store, the backend and the site, with hooks that only a trial used.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,8 @@
 import asyncio
 import functools
 
-from review.rig.site import DRAIN_S, Site, play, trouble
+from review.rig.site import Site, play, trouble
+from review.rig.wire import DRAIN_S
 
 ZONES = ("ahmedabad", "gandhinagar", "vadodara")
 LOAD_S = 16.0
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,9 @@
 import functools
 import itertools
 
-from review.rig.site import HEARTBEAT_S, Backend, Site, play, trouble
+from review.rig.backend import Backend
+from review.rig.site import Site, play, trouble
+from review.rig.wire import HEARTBEAT_S
 
 ZONES = ("ahmedabad", "gandhinagar", "vadodara")
 LOAD_S = 14.0
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,8 @@
 import functools
 import signal
 
-from review.rig.site import STABILITY_S, Site, play, trouble
+from review.rig.site import Site, play, trouble
+from review.rig.wire import STABILITY_S
 
 ZONES = ("ahmedabad", "gandhinagar", "vadodara", "ahmedabad")
 # The request that crashes comes again after each of these times, at the next machine.
