Keep departures of upstreams in the group object

Callers saw: orders were sent to an upstream after its acknowledged leave, and got 502 when it exited.

Cause: a departure was a state of the last announcement. The next heartbeat of the same start, which can arrive seconds late, replaced it; a new process of the agent knew of no departure, and ignored a leave that preceded its first heartbeat.

Change: services/departures.py records departed starts, whichever way an upstream announces them, in memory and in the group object. The agent acknowledges a departure once it is written, and sends its upstream nothing until it knows a version of its group. The earlier record of departures in responses is replaced by this one.

--- a/fescueward/interfaces/leases.py
+++ b/fescueward/interfaces/leases.py
@@ -78,6 +78,26 @@
         """
         ...
 
+    def instance_leaves(self, group_id: GroupId, instance: str) -> None:
+        """Takes all starts of an instance up to now as leaving.
+
+        Args:
+            group_id: Group of the upstream, which may not have announced itself to this process.
+            instance: Instance id of the upstream.
+        """
+        ...
+
+    async def departure_recorded(self, instance: str) -> bool:
+        """Waits until a later process of this agent can know of the departures of an instance.
+
+        Args:
+            instance: Instance id of the upstream.
+
+        Returns:
+            False if a departure could not be recorded within a bounded time.
+        """
+        ...
+
 
 @runtime_checkable
 class Departure(Protocol):
--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -24,6 +24,7 @@
 from .group import GroupId, KeyRange, Member, Shard, VersionedGroup
 
 Named = TypeVar("Named", Route, ServiceSpec)
+Item = TypeVar("Item")
 
 _FIRST_KEY_OF = attrgetter("first")
 _LAST_KEY_OF = attrgetter("last")
@@ -48,6 +49,8 @@
         era: `Group.era` of the newer version.
         written_on: `Group.written_on` of the newer version.
         recovering: `Group.recovering` of the newer version.
+        departures: Departures that were added or changed.
+        removed_departures: Instance ids whose departures were removed.
     """
 
     service: str
@@ -64,6 +67,8 @@
     era: Annotated[int, Meta(ge=0)] = 0
     written_on: Annotated[int, Meta(ge=0)] = 0
     recovering: Annotated[int, Meta(ge=0)] = 0
+    departures: dict[str, Annotated[int, Meta(ge=0)]] = field(default_factory=dict)
+    removed_departures: tuple[str, ...] = ()
 
     @property
     def group(self) -> GroupId:
@@ -75,16 +80,13 @@
         group = base.group
         if (group.id, base.version) != (self.group, self.base):
             return None
-        members = group.members
-        if self.members or self.removed:
-            members = {id_: member for id_, member in members.items() if id_ not in self.removed}
-            members |= {member.id: member for member in self.members}
+        members = {member.id: member for member in self.members}
         shards = group.shards
         if self.shards:
             shards = tuple(self.shards.get(number, shard) for number, shard in enumerate(shards))
         changed = replace(
             group,
-            members=members,
+            members=_merge(group.members, members, self.removed),
             shards=shards,
             recovery=self.recovery,
             edit_id=self.edit_id,
@@ -93,6 +95,7 @@
             era=self.era,
             written_on=self.written_on,
             recovering=self.recovering,
+            departures=_merge(group.departures, self.departures, self.removed_departures),
         )
         return VersionedGroup(self.version, changed)
 
@@ -120,10 +123,8 @@
         recovery=after.recovery,
         edit_id=after.edit_id,
         fence=after.fence,
-        members=tuple(
-            member for id_, member in after.members.items() if before.members.get(id_) != member
-        ),
-        removed=tuple(id_ for id_ in before.members if id_ not in after.members),
+        members=tuple(_changed(before.members, after.members).values()),
+        removed=_removed(before.members, after.members),
         shards={
             number: shard
             for number, (old, shard) in enumerate(zip(before.shards, after.shards, strict=True))
@@ -133,6 +134,8 @@
         era=after.era,
         written_on=after.written_on,
         recovering=after.recovering,
+        departures=_changed(before.departures, after.departures),
+        removed_departures=_removed(before.departures, after.departures),
     )
 
 
@@ -167,8 +170,8 @@
         current = base.configuration
         configuration = Configuration(
             self.number,
-            _merge(current.routes, self.routes, self.removed),
-            _merge(current.services, self.services, self.removed_services),
+            _merge(current.routes, _by_name(self.routes), self.removed),
+            _merge(current.services, _by_name(self.services), self.removed_services),
             self.limits,
         )
         return VersionedConfiguration(self.version, configuration)
@@ -187,16 +190,10 @@
         base=base.version,
         version=newer.version,
         number=after.version,
-        routes=tuple(
-            route for name, route in after.routes.items() if before.routes.get(name) != route
-        ),
-        removed=tuple(name for name in before.routes if name not in after.routes),
-        services=tuple(
-            service
-            for name, service in after.services.items()
-            if before.services.get(name) != service
-        ),
-        removed_services=tuple(name for name in before.services if name not in after.services),
+        routes=tuple(_changed(before.routes, after.routes).values()),
+        removed=_removed(before.routes, after.routes),
+        services=tuple(_changed(before.services, after.services).values()),
+        removed_services=_removed(before.services, after.services),
         limits=after.limits,
     )
     applied = delta.apply_to(base)
@@ -206,12 +203,27 @@
     return delta
 
 
+def _by_name(items: tuple[Named, ...]) -> dict[str, Named]:
+    return {item.name: item for item in items}
+
+
+def _changed(before: dict[str, Item], after: dict[str, Item]) -> dict[str, Item]:
+    """Returns the items that were added or changed."""
+    return {name: item for name, item in after.items() if before.get(name) != item}
+
+
+def _removed(before: dict[str, Item], after: dict[str, Item]) -> tuple[str, ...]:
+    return tuple(name for name in before if name not in after)
+
+
 def _merge(
-    current: dict[str, Named], changed: tuple[Named, ...], removed: tuple[str, ...]
-) -> dict[str, Named]:
+    current: dict[str, Item], changed: dict[str, Item], removed: tuple[str, ...]
+) -> dict[str, Item]:
+    if not changed and not removed:
+        return current
     removed_names = frozenset(removed)
     remaining = {name: item for name, item in current.items() if name not in removed_names}
-    return remaining | {item.name: item for item in changed}
+    return remaining | changed
 
 
 def _replace_ranges(
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -165,6 +165,8 @@
         written_on: Version that this content was written on, which orders the contents of an era.
         recovering: Lowest epoch that was given after the store lost writes of an earlier era, or
             0 once all grants have ended that these writes may have led to.
+        departures: Time of the latest start that has left, in Unix milliseconds, by instance id of
+            the upstream; the oldest departure comes first.
     """
 
     service: str
@@ -180,6 +182,7 @@
     era: Count = 0
     written_on: Count = 0
     recovering: Count = 0
+    departures: dict[str, Count] = field(default_factory=dict)
 
     @property
     def id(self) -> GroupId:
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Annotated
 
 import msgspec
@@ -10,11 +9,11 @@
 from aiohttp.web_response import Response, StreamResponse, json_response
 from aiohttp.web_server import Server
 
-from ..interfaces import Liveness, Membership, Routes, StartListener
+from ..interfaces import DepartureRecord, Liveness, Membership, Routes, StartListener
 from ..kernel import Event, Level, Registry
 from ..kernel.errors import InvalidAnnouncementError, MalformedMessageError
 from ..kernel.http_port import HttpPort
-from ..messages import AnnouncedState, Announcement
+from ..messages import AnnouncedState, Announcement, GroupId
 from ..messages.codec import DECODE_FAILURES, decode_json, encode_json
 from .names import HEARTBEAT_CALL, LEAVE_CALL, RPC_PATH
 from .settings import Site
@@ -86,11 +85,11 @@
         self._port: HttpPort | None = None
         # Start time and sequence number of the newest heartbeat, to ignore those out of order.
         self._newest_sequence = (0, -1)
-        self._last_announcement: Announcement | None = None
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
         self._membership = registry.find("membership", Membership)
+        self._departure_record = registry.find("membership", DepartureRecord)
         self._routes = registry.find("routes", Routes)
         self._liveness = registry.find("liveness", Liveness)
         self._upstream = registry.find("upstream", StartListener)
@@ -113,8 +112,16 @@
             return Response(status=404)
         body = await request.read()
         if call == LEAVE_CALL:
-            return self._handle_leave(instance)
-        return self.receive_heartbeat(instance, body)
+            self._departure_record.instance_leaves(GroupId(self._site.service, 0), instance)
+            response = json_response({})
+        else:
+            response = self.receive_heartbeat(instance, body)
+        if response.status == 200 and not await self._departure_record.departure_recorded(
+            instance
+        ):
+            # An acknowledged departure binds later processes too, and they could not know of it.
+            return Response(status=503)
+        return response
 
     def receive_heartbeat(self, instance: str, body: bytes) -> Response:
         """Announces the upstream of a heartbeat, unless it is malformed or out of order.
@@ -161,7 +168,6 @@
             )
             return json_response({})
         self._newest_sequence = sequence
-        self._last_announcement = announcement
         self._liveness.heartbeat_received()
         self._upstream.upstream_started(announcement.start)
         try:
@@ -171,14 +177,6 @@
             return Response(status=409)
         return json_response({})
 
-    def _handle_leave(self, instance: str) -> Response:
-        if self._last_announcement is None or self._last_announcement.instance != instance:
-            _IGNORED.emit(instance=instance, number=(), newest=self._newest_sequence)
-            return json_response({})
-        self._last_announcement = replace(self._last_announcement, state=AnnouncedState.LEAVING)
-        self._membership.announce(self._last_announcement)
-        return json_response({})
-
     def _connection_limit(self, service: str) -> int:
         current = self._routes.current
         spec = current.configuration.services.get(service) if current is not None else None
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -30,6 +30,7 @@
     MemberState,
     VersionedGroup,
 )
+from .departures import Departures
 from .joins import JoinRecorder
 from .keyspace.moves import with_raised_epochs
 from .ring import fill_monitors
@@ -94,6 +95,7 @@
     ) -> None:
         self._tasks = kernel.task_owner(self.name)
         self._join_recorder = JoinRecorder(self._tasks)
+        self._departures = Departures(self._tasks)
         self._incarnation = incarnation
         self._next_incarnation = next_incarnation
         self._boot_id = boot_id or Path("/proc/sys/kernel/random/boot_id").read_text().strip()
@@ -101,8 +103,6 @@
         self._leaving_grace_s = leaving_grace_s
         self._own_group_id: GroupId | None = None
         self._announcement: Announcement | None = None
-        # Start of an upstream that has said in a response that it leaves.
-        self._departed_start = ""
         self._announcement_count = 0
         self._announcement_count_at_leave = 0
         self._leaving = False
@@ -143,7 +143,7 @@
     def closed(self) -> bool:
         """Whether the upstream is sent no more requests, because it leaves or has stopped."""
         if not self._leaving:
-            return False
+            return not self._departures_known
         if (
             self._stopping
             and not self._stopped_acknowledging
@@ -154,6 +154,11 @@
             return self._clock.now() - self._leaving_since > self._stop_timeout_s
         return self._clock.now() - self._leaving_since > self._leaving_grace_s
 
+    @property
+    def _departures_known(self) -> bool:
+        """Whether this process can know of a departure that an earlier one has acknowledged."""
+        return self._own_group_id is None or self._groups.view(self._own_group_id) is not None
+
     @property
     def stopped_acknowledging(self) -> bool:
         """Whether this agent has stopped acknowledging renewals, because it leaves the group."""
@@ -171,6 +176,7 @@
         self._lease = registry.find("lease", Lease)
         self._groups.subscribe(self)
         self._join_recorder.bind(registry)
+        self._departures.bind(registry)
 
     async def start(self) -> None:
         """Starts the task that joins the group after the first announcement."""
@@ -197,8 +203,13 @@
         return view.group.members.get(self.member_id) if view is not None else None
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Starts a new incarnation if another agent has removed this member."""
-        if group.group.id != self._own_group_id or not self._joined:
+        """Applies the departure of the upstream and the removal of this member by others."""
+        if group.group.id != self._own_group_id:
+            return
+        announcement = self._announcement
+        if announcement is not None and self._departures.contains(announcement):
+            self._announce_leave(announcement)
+        if not self._joined:
             return
         if self.member_id not in group.group.members and not self._stopped_acknowledging:
             _REMOVED.emit(member=self.member_id, group=self._own_group_id, version=group.version)
@@ -225,7 +236,9 @@
             raise InvalidAnnouncementError(
                 f"the upstream announced {group_id}; this agent belongs to {self._own_group_id}"
             )
-        if announcement.start and announcement.start == self._departed_start:
+        if announcement.state is AnnouncedState.LEAVING:
+            self._add_departure(announcement)
+        elif self._departures.contains(announcement):
             announcement = replace(announcement, state=AnnouncedState.LEAVING)
         if self._announcement != announcement:
             _ANNOUNCED.emit(group=group_id, state=announcement.state, slots=announcement.slots)
@@ -242,13 +255,31 @@
         self._wake.set()
 
     def upstream_leaves(self, start: str) -> None:
-        """Records that a start of the upstream leaves; see `DepartureRecord`."""
-        if start == self._departed_start:
-            return
-        self._departed_start = start
+        """Takes a start of the upstream as leaving; see `DepartureRecord`."""
         announcement = self._announcement
         if announcement is not None and announcement.start == start:
-            self.announce(announcement)
+            self._announce_leave(announcement)
+
+    def instance_leaves(self, group_id: GroupId, instance: str) -> None:
+        """Takes an instance of the upstream as leaving; see `DepartureRecord`."""
+        announcement = self._announcement
+        if announcement is not None and announcement.instance == instance:
+            self._announce_leave(announcement)
+        else:
+            self._departures.add(group_id, instance, _wall_clock_ms())
+
+    async def departure_recorded(self, instance: str) -> bool:
+        """Waits until a departure is recorded; see `DepartureRecord`."""
+        return await self._departures.wait_until_recorded(instance)
+
+    def _announce_leave(self, announcement: Announcement) -> None:
+        if announcement.state is not AnnouncedState.LEAVING:
+            self.announce(replace(announcement, state=AnnouncedState.LEAVING))
+
+    def _add_departure(self, announcement: Announcement) -> None:
+        if announcement.instance:
+            group_id = GroupId(announcement.service, announcement.group)
+            self._departures.add(group_id, announcement.instance, announcement.started_ms)
 
     async def leave(self, reason: str) -> None:
         """Hands over all shards, waits for requests in flight and leaves the group."""
--- a/tests/messages/test_delta.py
+++ b/tests/messages/test_delta.py
@@ -85,6 +85,17 @@
                 self.assertIsInstance(delta, GroupDelta)
                 self.assertEqual(delta.apply_to(base), newer)
 
+    def test_changed_departures(self):
+        """Guards against an agent that does not learn of a departure, or keeps a removed one."""
+        before = replace(group_of_size(2), departures={"i1": 1, "i2": 2, "i3": 3})
+        after = replace(before, departures={"i2": 9, "i3": 3, "i4": 4})
+        base, newer = VersionedGroup(3, before), VersionedGroup(4, after)
+        delta = group_delta(base, newer)
+        self.assertEqual(
+            (delta.departures, delta.removed_departures), ({"i2": 9, "i4": 4}, ("i1",))
+        )
+        self.assertEqual(delta.apply_to(base), newer)
+
     def test_change_of_one_range_reads_few_others(self):
         """Guards against processor time of each version that grows with the number of ranges."""
         ranges = CountingRanges(random_ranges(random.Random(1), 1000))
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -7,8 +7,15 @@
 from dataclasses import replace
 
 from fescueward.kernel.errors import InvalidAnnouncementError
-from fescueward.messages import AnnouncedState, Announcement, MemberState, VersionedGroup
+from fescueward.messages import (
+    AnnouncedState,
+    Announcement,
+    Group,
+    MemberState,
+    VersionedGroup,
+)
 from fescueward.messages.codec import encode_json
+from fescueward.services.departures import with_departure
 
 from .fleet import GROUP_ID, Fleet
 from .test_recovery_time import start_fleet
@@ -391,3 +398,120 @@
                     for monitor in (members[other] for other in member.monitors):
                         if monitor.failure_domain == member.failure_domain:
                             self.assertNotIn(member.id, monitor.monitors)
+
+
+class LateHeartbeatTest(unittest.TestCase):
+    """A heartbeat can arrive seconds after the departure of its upstream."""
+
+    def setUp(self):
+        self.fleet = start_fleet(3, 3)
+        self.addCleanup(self.fleet.close)
+        self.announce("i1", 1000)
+        self.fleet.world.advance(1)
+        self.assertEqual(self.own_members(), ["i1@1000"])
+
+    def announce(self, instance, started_ms, state=AnnouncedState.READY):
+        agent = self.fleet.agents["a0"]
+        agent.instance, agent.started_ms = instance, started_ms
+        agent.loop.call_soon(agent.announce, state)
+
+    def own_members(self):
+        return [
+            member.instance
+            for member in self.fleet.group().members.values()
+            if member.name == "a0"
+        ]
+
+    def leave(self, instance):
+        agent = self.fleet.agents["a0"]
+        agent.loop.call_soon(agent.membership.instance_leaves, GROUP_ID, instance)
+
+    def recorded(self, instance):
+        """Returns the result of waiting for a departure to be recorded."""
+        results = []
+
+        async def wait():
+            results.append(await self.fleet.agents["a0"].membership.departure_recorded(instance))
+
+        self.fleet.agents["a0"].spawn(wait)
+        self.fleet.world.advance(1)
+        return results
+
+    def test_late_heartbeat_does_not_undo_a_departure(self):
+        """Guards against new work for an upstream that exits, after its leave or its drain."""
+        for leave in (
+            lambda: self.announce("i1", 1000, AnnouncedState.LEAVING),
+            lambda: self.leave("i1"),
+        ):
+            with self.subTest():
+                self.setUp()
+                leave()
+                self.fleet.world.advance(1.2)
+                self.announce("i1", 1000)
+                self.fleet.world.advance(4)
+                self.assertEqual(self.own_members(), [])
+                self.assertTrue(self.fleet.agents["a0"].membership.closed)
+
+    def test_departure_outlives_the_process(self):
+        """Guards against a departure that is forgotten when the agent is killed."""
+        self.leave("i1")
+        self.assertEqual(self.recorded("i1"), [True])
+        for _ in range(2):
+            agent = self.fleet.start("a0", "d0")
+            agent.instance, agent.started_ms = "i1", 1000
+            self.fleet.world.advance(4)
+            self.assertEqual(self.own_members(), [])
+            self.assertTrue(agent.membership.closed)
+
+    def test_leave_that_a_new_process_receives(self):
+        """Guards against a leave that is ignored, because no heartbeat preceded it."""
+        agent = self.fleet.start("a0", "d0")
+        agent.instance, agent.started_ms = "i1", 1000
+        self.leave("i1")
+        self.fleet.world.advance(4)
+        self.assertEqual(self.own_members(), [])
+
+    def test_departure_is_not_recorded_while_the_platform_is_unavailable(self):
+        """Guards against an acknowledgement of a departure that a kill would undo."""
+        agent = self.fleet.agents["a0"]
+        agent.platform.response_mode = ResponseMode.REFUSED
+        self.leave("i1")
+        self.assertEqual(self.recorded("i1"), [False])
+        self.assertTrue(agent.membership.leaving)
+        agent.platform.response_mode = ResponseMode.NORMAL
+        self.fleet.world.advance(1)
+        self.assertEqual(self.recorded("i1"), [True])
+
+    def test_new_process_sends_nothing_before_it_knows_departures(self):
+        """Guards against requests in the time until a new process has read its group."""
+        agent = self.fleet.start("a0", "d0")
+        agent.instance, agent.started_ms = "i1", 1000
+        self.fleet.cut("a0", ["a1", "a2"])
+        agent.platform.response_mode = ResponseMode.REFUSED
+        self.fleet.world.advance(2)
+        self.assertTrue(agent.membership.closed)
+        self.fleet.heal()
+        self.fleet.world.advance(2)
+        self.assertFalse(agent.membership.closed)
+
+    def test_next_start_joins(self):
+        """Guards against an upstream that is unused because an earlier one has left."""
+        for instance, started_ms in (("i2", 2000), ("i1", 2000)):
+            with self.subTest(instance=instance):
+                self.setUp()
+                self.announce("i1", 1000, AnnouncedState.LEAVING)
+                self.fleet.world.advance(3)
+                self.announce(instance, started_ms)
+                self.fleet.world.advance(2)
+                self.assertEqual(self.own_members(), [f"{instance}@{started_ms}"])
+
+    def test_departures_in_the_group_are_bounded(self):
+        """Guards against a group object that grows with each departure."""
+        group = Group("depot", 0, 1)
+        for number in range(500):
+            changed = with_departure(group, f"i{number}", number)
+            assert changed is not None
+            group = changed
+        self.assertLess(len(group.departures), 200)
+        self.assertIn("i499", group.departures)
+        self.assertIsNone(with_departure(group, "i499", 499))
