--- a/tests/services/gate/test_notices.py
+++ b/tests/services/gate/test_notices.py
@@ -4,9 +4,16 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+from fescueward.interfaces.groups import GroupChange
 from fescueward.kernel import Kernel
 from fescueward.kernel.errors import DrainingError
-from fescueward.messages import AnnouncedState, Announcement
+from fescueward.messages import (
+    AnnouncedState,
+    Announcement,
+    Group,
+    GroupId,
+    VersionedGroup,
+)
 from fescueward.messages.upstream import UpstreamNotice
 from fescueward.services.gate.execution import GateExecution
 from fescueward.services.gate.notices import UpstreamNotices
@@ -31,13 +38,26 @@
         """Ignored: the slots play no part here."""
 
 
+class FakeGroups:
+    """A group that this agent does not know yet; edits of it succeed."""
+
+    def view(self, group_id: GroupId) -> None:
+        return None
+
+    async def edit(self, group_id: GroupId, change: GroupChange) -> VersionedGroup:
+        empty = Group(group_id.service, group_id.number, 1)
+        return VersionedGroup(1, change(empty) or empty)
+
+
 class UpstreamNoticesTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.membership = GroupMembership(Kernel(), 1, "boot")
         self.rates = RecordedRates()
         self.notices = UpstreamNotices()
         # The services that announcements use; joins are tested with a whole fleet.
-        self.membership._groups = SimpleNamespace(view=lambda group_id: None)
+        groups = FakeGroups()
+        self.membership._groups = groups
+        self.membership._departures.bind(StubRegistry(groups=groups))
         self.membership._admission = self.rates
         self.membership._clock = CLOCK
         services = StubRegistry(
