Keep requests of several upstream crashes in the group object

Cause: suspects and quarantine were memory of the agents, and members that joined learned of them from others. When all agents of a service end together nobody is left.

Change: services/crash_records.py keeps the crashes of a request in the group object from the second one on, which every agent reads anyway. They are written before the response to the request, for 0.25 s at most, expire after ten minutes and are removed on success. Edits that are repeated until they are written are one function now (services/lasting_edits.py).

--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -17,7 +17,7 @@
 )
 from .ownership import Grants, Ownership, Ticket
 from .peers import Peers
-from .placement import Load, Placement, PlacementPolicy, QuarantineExport
+from .placement import Load, Placement, PlacementPolicy
 from .platform import Changes, Platform, StoredObject
 from .requests import (
     Admission,
@@ -68,7 +68,6 @@
     "Platform",
     "PlatformState",
     "Quarantine",
-    "QuarantineExport",
     "RangeGrants",
     "RateControl",
     "RequestListener",
--- a/fescueward/interfaces/placement.py
+++ b/fescueward/interfaces/placement.py
@@ -98,20 +98,3 @@
     def reports(self) -> dict[str, RangeLoad]:
         """Returns the recent reports by member id."""
         ...
-
-
-@runtime_checkable
-class QuarantineExport(Protocol):
-    """Quarantine state that is carried over to a new planner."""
-
-    def export_quarantine(self) -> dict[str, int]:
-        """Returns the remaining quarantine in milliseconds, by fingerprint in decimal."""
-        ...
-
-    def import_quarantine(self, remaining_ms: dict[str, int]) -> None:
-        """Quarantines fingerprints that are not known to this agent.
-
-        Args:
-            remaining_ms: Remaining quarantine in milliseconds, by fingerprint in decimal.
-        """
-        ...
--- a/fescueward/messages/__init__.py
+++ b/fescueward/messages/__init__.py
@@ -1,7 +1,15 @@
 """Frozen data classes of every protocol, and their encoding; no decisions are made here."""
 
 from .entry import Entry, Limits, RequestClass, VersionedEntry, Weight
-from .group import Group, GroupId, Member, MemberState, Shard, VersionedGroup
+from .group import (
+    Group,
+    GroupId,
+    Member,
+    MemberState,
+    RecordedCrashes,
+    Shard,
+    VersionedGroup,
+)
 from .request import Body, Request, Response
 from .upstream import AnnouncedState, Announcement, GrantSet
 
@@ -16,6 +24,7 @@
     "Limits",
     "Member",
     "MemberState",
+    "RecordedCrashes",
     "Request",
     "RequestClass",
     "Response",
--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -21,9 +21,10 @@
     ServiceSpec,
     VersionedConfiguration,
 )
-from .group import GroupId, KeyRange, Member, Shard, VersionedGroup
+from .group import Fingerprint, GroupId, KeyRange, Member, RecordedCrashes, Shard, VersionedGroup
 
 Named = TypeVar("Named", Route, ServiceSpec)
+Name = TypeVar("Name", str, int)
 Item = TypeVar("Item")
 
 _FIRST_KEY_OF = attrgetter("first")
@@ -51,6 +52,8 @@
         recovering: `Group.recovering` of the newer version.
         departures: Departures that were added or changed.
         removed_departures: Instance ids whose departures were removed.
+        crashes: Records of crashes that were added or changed.
+        removed_crashes: Fingerprints whose records were removed.
     """
 
     service: str
@@ -69,6 +72,8 @@
     recovering: Annotated[int, Meta(ge=0)] = 0
     departures: dict[str, Annotated[int, Meta(ge=0)]] = field(default_factory=dict)
     removed_departures: tuple[str, ...] = ()
+    crashes: dict[Fingerprint, RecordedCrashes] = field(default_factory=dict)
+    removed_crashes: tuple[Fingerprint, ...] = ()
 
     @property
     def group(self) -> GroupId:
@@ -96,6 +101,7 @@
             written_on=self.written_on,
             recovering=self.recovering,
             departures=_merge(group.departures, self.departures, self.removed_departures),
+            crashes=_merge(group.crashes, self.crashes, self.removed_crashes),
         )
         return VersionedGroup(self.version, changed)
 
@@ -136,6 +142,8 @@
         recovering=after.recovering,
         departures=_changed(before.departures, after.departures),
         removed_departures=_removed(before.departures, after.departures),
+        crashes=_changed(before.crashes, after.crashes),
+        removed_crashes=_removed(before.crashes, after.crashes),
     )
 
 
@@ -207,18 +215,18 @@
     return {item.name: item for item in items}
 
 
-def _changed(before: dict[str, Item], after: dict[str, Item]) -> dict[str, Item]:
+def _changed(before: dict[Name, Item], after: dict[Name, Item]) -> dict[Name, Item]:
     """Returns the items that were added or changed."""
     return {name: item for name, item in after.items() if before.get(name) != item}
 
 
-def _removed(before: dict[str, Item], after: dict[str, Item]) -> tuple[str, ...]:
+def _removed(before: dict[Name, Item], after: dict[Name, Item]) -> tuple[Name, ...]:
     return tuple(name for name in before if name not in after)
 
 
 def _merge(
-    current: dict[str, Item], changed: dict[str, Item], removed: tuple[str, ...]
-) -> dict[str, Item]:
+    current: dict[Name, Item], changed: dict[Name, Item], removed: tuple[Name, ...]
+) -> dict[Name, Item]:
     if not changed and not removed:
         return current
     removed_names = frozenset(removed)
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -15,6 +15,8 @@
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 # A number that fits into 64 bits with a sign, so that every agent and upstream can read it.
 Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+# Hash of a request.
+Fingerprint = Annotated[int, Meta(ge=0)]
 # Highest numeric key of a service whose keys are divided into ranges.
 LAST_KEY = 65_535
 
@@ -117,6 +119,19 @@
     hold_ms: Count = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedCrashes:
+    """Upstream crashes during which a request was in flight.
+
+    Attributes:
+        crashes: Each crash as member id of the agent and number of the crash at that agent.
+        until_ms: When the record expires, in Unix milliseconds.
+    """
+
+    crashes: tuple[tuple[str, Count], ...]
+    until_ms: Count
+
+
 @dataclass(frozen=True, slots=True)
 class KeyRange:
     """Ownership of a range of numeric keys.
@@ -167,6 +182,7 @@
             0 once all grants have ended that these writes may have led to.
         departures: Time of the latest start that has left, in Unix milliseconds, by instance id of
             the upstream; the oldest departure comes first.
+        crashes: Crashes of requests that were in flight in several, by fingerprint.
     """
 
     service: str
@@ -183,6 +199,7 @@
     written_on: Count = 0
     recovering: Count = 0
     departures: dict[str, Count] = field(default_factory=dict)
+    crashes: dict[Fingerprint, RecordedCrashes] = field(default_factory=dict)
 
     @property
     def id(self) -> GroupId:
--- a/fescueward/messages/snapshot.py
+++ b/fescueward/messages/snapshot.py
@@ -21,14 +21,12 @@
         number: Number of the group.
         work: Microseconds of upstream time per second, by shard id in decimal.
         hot_keys: Microseconds of upstream time per second of the hottest keys, by key.
-        quarantine: Remaining quarantine in milliseconds, by fingerprint in decimal.
     """
 
     service: str
     number: _NonNegativeInt
     work: dict[str, _NonNegativeInt] = field(default_factory=dict)
     hot_keys: dict[str, _NonNegativeInt] = field(default_factory=dict)
-    quarantine: dict[str, _NonNegativeInt] = field(default_factory=dict)
 
 
 def snapshot_object_key(group: GroupId) -> str:
--- a/fescueward/services/departures.py
+++ b/fescueward/services/departures.py
@@ -10,8 +10,8 @@
 
 from ..interfaces import Groups
 from ..kernel import Clock, Event, Level, Registry, TaskOwner
-from ..kernel.errors import PlatformError, UnknownServiceError
 from ..messages import Announcement, Group, GroupId
+from .lasting_edits import edit_until_written
 
 _RECORDED = Event(
     2414, "departure_recorded", Level.INFO, "The departure of the upstream is in the group object."
@@ -23,7 +23,6 @@
     "The departure of the upstream could not be written; it is retried.",
 )
 
-_WRITE_RETRY_S = 0.2
 # Upstreams wait up to a second for the response to a heartbeat.
 _RECORD_TIMEOUT_S = 0.7
 # Departures that an agent and a group object keep. A heartbeat is late by seconds, in which fewer
@@ -97,16 +96,15 @@
         def change(group: Group) -> Group | None:
             return with_departure(group, instance, started_until_ms)
 
-        failure_logged = False
-        while True:
-            try:
-                written = await self._groups.edit(group_id, change)
-                break
-            except (PlatformError, UnknownServiceError) as error:
-                if not failure_logged:
-                    _RECORD_FAILED.emit(group=group_id, instance=instance, error=error)
-                failure_logged = True
-                await self._clock.sleep(_WRITE_RETRY_S)
+        written = await edit_until_written(
+            self._groups,
+            self._clock,
+            group_id,
+            change,
+            _RECORD_FAILED,
+            group=group_id,
+            instance=instance,
+        )
         _RECORDED.emit(group=group_id, instance=instance, version=written.version)
         if self._writes.get(instance) is asyncio.current_task():
             del self._writes[instance]
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -33,6 +33,7 @@
 from .departures import Departures
 from .joins import JoinRecorder
 from .keyspace.moves import with_raised_epochs
+from .lasting_edits import edit_until_written
 from .ring import fill_monitors
 
 _ANNOUNCED = Event(2401, "upstream_announced", Level.INFO, "The upstream announced a new state.")
@@ -323,16 +324,14 @@
 
     async def _edit_until_done(self, change: GroupChange) -> None:
         assert self._own_group_id is not None
-        failure_logged = False
-        while True:
-            try:
-                await self._groups.edit(self._own_group_id, change)
-                return
-            except (PlatformError, UnknownServiceError) as error:
-                if not failure_logged:
-                    _LEAVE_FAILED.emit(member=self.member_id, error=error)
-                failure_logged = True
-                await self._clock.sleep(_WRITE_RETRY_S)
+        await edit_until_written(
+            self._groups,
+            self._clock,
+            self._own_group_id,
+            change,
+            _LEAVE_FAILED,
+            member=self.member_id,
+        )
 
     def _record_upstream_restart(self) -> None:
         if not self._recording_restart:
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from types import TracebackType
 
-from cachetools import TTLCache
+from cachetools import TLRUCache, TTLCache
 
 from ..interfaces import CrashSource, Groups, Membership, Peers
 from ..kernel import Clock, Event, Kernel, Level, Registry
@@ -20,9 +20,10 @@
     OutcomeLostError,
     QuarantinedError,
 )
-from ..messages import Request, VersionedGroup
+from ..messages import Group, RecordedCrashes, Request, VersionedGroup
 from ..messages.peer import CrashNoted, CrashReport
 from ..messages.request import BytesBody
+from .crash_records import Crash, CrashRecords
 from .crash_reports import CrashReports
 from .fingerprints import PREFIX_BYTES, PrefixedBody, fingerprint_of
 
@@ -46,6 +47,11 @@
 _CRASH_LIMIT = 2
 _QUARANTINE_S = 600.0
 _MAX_FINGERPRINTS = 10_000
+# Crashes of a request from which on the group object has them. Many requests are in flight in one
+# crash, few in two, and the record of the first one would cost a write for each crash.
+_RECORDED_CRASHES = 2
+# Longest time for which the response to a request waits until its crashes are recorded.
+_RECORD_TIMEOUT_S = 0.25
 # Longest time from a run without a response until the crash that caused it is detected. The
 # upstreams of the users' platform restart within seconds and announce their new start then.
 _CRASH_DETECTION_S = 10.0
@@ -55,8 +61,6 @@
 _FORMER_MEMBER_S = 60.0
 _MAX_FORMER_MEMBERS = 1000
 
-# Member id of the agent whose upstream crashed, and the number of the crash at that agent.
-_Crash = tuple[str, int]
 # Errors of a run that a crash may cause. After a crash without a connection reset, runs time out.
 _CRASH_ERRORS = (
     OutcomeLostError,
@@ -126,8 +130,8 @@
             self._owner.release_suspect_lock()
         if in_crash:
             # The caller may retry as soon as it has the response, so the members must have the
-            # report by then.
-            await self._owner.wait_for_confirmations()
+            # report by then, and later processes the record.
+            await self._owner.wait_until_known()
 
 
 class CrashQuarantine:
@@ -136,6 +140,7 @@
     A request that was in flight during a crash is a suspect. Suspects run one at a time; one that
     runs successfully is cleared, one with too many crashes is quarantined. Both lists are
     shared with the members of the group, because they take over the keys of a crashed upstream.
+    The group object keeps requests of several crashes, because all agents can end together.
 
     Args:
         kernel: The kernel.
@@ -155,6 +160,9 @@
         # Suspects run one at a time, so that a second crash identifies the one that caused it.
         self._suspect_lock = asyncio.Lock()
         self._reports = CrashReports(self._tasks, self._without_outdated)
+        self._records = CrashRecords(self._tasks, _QUARANTINE_S)
+        # Records of the group object that were read last.
+        self._read_records: dict[int, RecordedCrashes] = {}
 
     @property
     def crashes(self) -> int:
@@ -180,16 +188,21 @@
         """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._reports.bind(registry)
+        self._records.bind(registry)
         self._groups = registry.find("groups", Groups)
         self._membership = registry.find("membership", Membership)
         self._peers = registry.find("peers", Peers)
         self._upstream = registry.find("upstream", CrashSource)
         now = self._clock.now
+        self._quarantine_s = _QUARANTINE_S
         # Crashes during which each suspect was in flight, by fingerprint.
-        self._suspects: TTLCache[int, frozenset[_Crash]] = TTLCache(
+        self._suspects: TTLCache[int, frozenset[Crash]] = TTLCache(
             _MAX_FINGERPRINTS, _QUARANTINE_S, now
         )
-        self._quarantined: TTLCache[int, bool] = TTLCache(_MAX_FINGERPRINTS, _QUARANTINE_S, now)
+        # Seconds for which each fingerprint is refused.
+        self._quarantined: TLRUCache[int, float] = TLRUCache(
+            _MAX_FINGERPRINTS, lambda _, seconds, now: now + seconds, now
+        )
         self._recently_successful: TTLCache[int, bool] = TTLCache(
             _MAX_FINGERPRINTS, self._success_window_s, now
         )
@@ -210,9 +223,13 @@
         await self._tasks.cancel()
 
     def group_changed(self, group: VersionedGroup) -> None:
-        """Records members that left the group, and sends current reports to those that joined."""
+        """Reads recorded crashes and follows the members of the group.
+
+        Those that left are remembered, and those that joined are sent the current reports.
+        """
         if group.group.id != self._membership.own_group_id:
             return
+        self._read_recorded_crashes(group.group)
         member_ids = frozenset(group.group.members)
         for member_id in self._member_ids - member_ids:
             self._former_members[member_id] = True
@@ -236,6 +253,11 @@
             QuarantinedError: The request was in flight during too many crashes.
             DeadlineExceededError: The deadline passed while another suspect ran.
         """
+        own_group_id = self._membership.own_group_id
+        view = self._groups.view(own_group_id) if own_group_id is not None else None
+        if view is not None:
+            # A version that preceded the first announcement has not been read.
+            self._read_recorded_crashes(view.group)
         self._refuse_quarantined(fingerprint)
         if fingerprint not in self._suspects:
             return False
@@ -260,9 +282,12 @@
         """Allows the next suspect to run."""
         self._suspect_lock.release()
 
-    async def wait_for_confirmations(self) -> None:
-        """Waits until all members confirmed the newest report, for a bounded time."""
-        await self._reports.wait_for_confirmations()
+    async def wait_until_known(self) -> None:
+        """Waits until members and group object have the newest crash, for a bounded time."""
+        await asyncio.gather(
+            self._reports.wait_for_confirmations(),
+            self._records.wait_until_written(_RECORD_TIMEOUT_S),
+        )
 
     def record_success(self, fingerprint: int, started_at: float, is_only_suspect: bool) -> None:
         """Records a successful run and clears its request if it was the only running suspect.
@@ -299,6 +324,7 @@
         if self._suspects.pop(fingerprint, None) is not None:
             _SUSPECT_CLEARED.emit(fingerprint=f"{fingerprint:016x}")
             self._reports.report(self.crashes, cleared=(fingerprint,))
+            self._records.remove(fingerprint)
 
     def add_suspect(self, request: Request, fingerprint: int) -> None:
         """Adds a request that was in flight during the newest crash of this agent's upstream."""
@@ -308,14 +334,23 @@
         if fingerprint in self._recently_successful:
             return
         crash = (self._membership.member_id, self.crashes)
-        if not self._add_crash(fingerprint, crash, request=request, service=service, key=key):
+        if not self._add_crash(
+            fingerprint, crash, observed_here=True, request=request, service=service, key=key
+        ):
             return
         if fingerprint in self._quarantined:
             self._reports.report(self.crashes, quarantined=(fingerprint,))
         else:
             self._reports.report(self.crashes, suspects=(fingerprint,))
 
-    def _add_crash(self, fingerprint: int, crash: _Crash, **details: str) -> bool:
+    def _add_crash(
+        self,
+        fingerprint: int,
+        crash: Crash,
+        quarantine_s: float | None = None,
+        observed_here: bool = False,
+        **details: str,
+    ) -> bool:
         """Adds a crash to a suspect; returns whether it was not counted before."""
         crashes = self._suspects.get(fingerprint, frozenset())
         if crash in crashes or fingerprint in self._quarantined:
@@ -327,7 +362,11 @@
         else:
             event = _REQUEST_QUARANTINED
             self._suspects.pop(fingerprint, None)
-            self._quarantined[fingerprint] = True
+            self._quarantined[fingerprint] = (
+                self._quarantine_s if quarantine_s is None else quarantine_s
+            )
+        if len(crashes) >= _RECORDED_CRASHES:
+            self._records.add(fingerprint, crashes, observed_here)
         event.emit(
             **details,
             fingerprint=f"{fingerprint:016x}",
@@ -379,13 +418,28 @@
             self._suspects.pop(fingerprint, None)
         for fingerprint in message.quarantined[:_MAX_FINGERPRINTS]:
             self._suspects.pop(fingerprint, None)
-            self._quarantined[fingerprint] = True
+            self._quarantined[fingerprint] = self._quarantine_s
         self._peers.reply(sender, CrashNoted(message.number))
 
+    def _read_recorded_crashes(self, group: Group) -> None:
+        """Adds the crashes in the group object, and clears requests that were removed from it."""
+        if group.crashes == self._read_records:
+            return
+        removed = self._read_records.keys() - group.crashes.keys()
+        self._read_records = group.crashes
+        for fingerprint in removed:
+            self._suspects.pop(fingerprint, None)
+        for fingerprint, (crashes, left_s) in self._records.current(group).items():
+            if fingerprint in self._recently_successful:
+                self._records.remove(fingerprint)
+                continue
+            for crash in sorted(crashes):
+                self._add_crash(fingerprint, crash, left_s)
+
     def _current_reports(self) -> tuple[CrashReport, ...]:
         """Returns a report for each crash with suspects, and one for quarantined requests."""
         own_id = self._membership.member_id
-        suspects: dict[_Crash, list[int]] = {}
+        suspects: dict[Crash, list[int]] = {}
         for fingerprint, crashes in self._suspects.items():
             for crash in crashes:
                 suspects.setdefault(crash, []).append(fingerprint)
--- a/fescueward/services/snapshots.py
+++ b/fescueward/services/snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots of loads and quarantine, which a planner stores for the next planner."""
+"""Snapshots of loads, which a planner stores for the next planner."""
 
 from __future__ import annotations
 
@@ -8,7 +8,6 @@
     Membership,
     Placement,
     Platform,
-    QuarantineExport,
 )
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
@@ -30,7 +29,6 @@
 _MICROSECONDS_PER_S = 1_000_000
 # 4,096 shards, 64 exceptions and the hot keys of 32 members stay below 200 KB. The platform
 # accepts 1 MB.
-_MAX_QUARANTINE_ENTRIES = 4096
 _MAX_HOT_KEYS = 128
 _READ_RETRY_DELAY_S = 2.0
 
@@ -54,8 +52,6 @@
         self._membership = registry.find("membership", Membership)
         self._placement = registry.find("placement", Placement)
         self._load = registry.find("load", Load)
-        quarantine = registry.find("quarantine", object)
-        self._quarantine = quarantine if isinstance(quarantine, QuarantineExport) else None
         self._period_s = registry.find("settings", Settings).placement.snapshot_ms / 1000
         self._groups.subscribe(self)
 
@@ -109,11 +105,6 @@
     def _snapshot(self, group: GroupId) -> Snapshot:
         load = self._load.group_load()
         hottest = sorted(load.hot_keys.items(), key=lambda item: -item[1])[:_MAX_HOT_KEYS]
-        quarantine: dict[str, int] = {}
-        if self._quarantine is not None:
-            exported = self._quarantine.export_quarantine()
-            longest = sorted(exported.items(), key=lambda item: -item[1])
-            quarantine = dict(longest[:_MAX_QUARANTINE_ENTRIES])
         return Snapshot(
             service=group.service,
             number=group.number,
@@ -121,7 +112,6 @@
                 str(shard): int(work * _MICROSECONDS_PER_S) for shard, work in load.work.items()
             },
             hot_keys={key: int(work * _MICROSECONDS_PER_S) for key, work in hottest},
-            quarantine=quarantine,
         )
 
     async def _restore(self, group: GroupId) -> None:
@@ -153,8 +143,6 @@
                 },
                 {key: work / _MICROSECONDS_PER_S for key, work in snapshot.hot_keys.items()},
             )
-            if self._quarantine is not None:
-                self._quarantine.import_quarantine(snapshot.quarantine)
             _RESTORED.emit(group=group, version=stored.version, shards=len(snapshot.work))
             return
 
--- a/tests/messages/test_delta.py
+++ b/tests/messages/test_delta.py
@@ -6,7 +6,7 @@
 import unittest
 from dataclasses import replace
 
-from fescueward.messages import Group, Shard, VersionedGroup
+from fescueward.messages import Group, RecordedCrashes, Shard, VersionedGroup
 from fescueward.messages.configuration import (
     CallerLimits,
     Configuration,
@@ -96,6 +96,16 @@
         )
         self.assertEqual(delta.apply_to(base), newer)
 
+    def test_changed_records_of_crashes(self):
+        """Guards against a request that is quarantined at some agents only."""
+        first, second = RecordedCrashes((("a:1", 1),), 5), RecordedCrashes((("a:1", 2),), 6)
+        before = replace(group_of_size(2), crashes={1: first, 2**64 - 1: first})
+        after = replace(before, crashes={2**64 - 1: second, 3: first})
+        base, newer = VersionedGroup(3, before), VersionedGroup(4, after)
+        frame = FrameEncoder().encode(Publish(deltas=(group_delta(base, newer),)))
+        (message,) = FrameDecoder().feed(frame)
+        self.assertEqual(message.deltas[0].apply_to(base), newer)
+
     def test_change_of_one_range_reads_few_others(self):
         """Guards against processor time of each version that grows with the number of ranges."""
         ranges = CountingRanges(random_ranges(random.Random(1), 1000))
