Bound the responses of an upstream together, and their parsing

Callers saw: with a faulty upstream whose responses have no end, its agent answered none of the requests of other callers, or ran out of memory.

Cause: each response was bounded, their sum was not. Chunks of one byte and 1xx responses take longer to parse than to send, and were parsed as they arrived. ClientResponse.read() takes off the limit of the buffer, so that one turn of the event loop reads whatever has arrived.

Change: responses share a budget, above which the largest is aborted; framing and 1xx responses are limited; data is parsed in parts; bodies are read with back pressure. This serves the clients of the upstream and of the store.

--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -17,6 +17,14 @@
 # 64 KiB.
 MAX_RESPONSE_HEAD_BYTES = 131_072
 _MAX_LINE_BYTES = 65_536
+# Servers send a few 1xx responses at most, and each is parsed like a whole response.
+_MAX_INTERIM_RESPONSES = 16
+# Allowance for the framing of a chunked body, and the size of the body that permits a further byte
+# of it. Chunks of a few bytes take much longer to parse than to send.
+_FRAMING_ALLOWANCE_BYTES = 16_384
+_BODY_BYTES_PER_FRAMING_BYTE = 16
+# Bytes that are parsed before the limits are checked again.
+_PARSE_BYTES = 16_384
 # Status 101 ends HTTP on the connection; every other 1xx response is followed by another one.
 _SWITCHING_PROTOCOLS = 101
 
@@ -29,11 +37,44 @@
     """The connection may reach another process than the request is for; nothing was sent."""
 
 
+class ReceptionBudget:
+    """Limit on the bytes of all responses that are being received.
+
+    Above it the largest response is aborted: one without an end grows beyond all others.
+
+    Args:
+        max_bytes: Limit on the sum of all responses, in bytes.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._total_bytes = 0
+        self._sizes: dict[BoundedConnection, int] = {}
+
+    @property
+    def total_bytes(self) -> int:
+        """Bytes of all responses that are being received."""
+        return self._total_bytes
+
+    def update(self, connection: BoundedConnection, size: int) -> None:
+        """Records the bytes that a connection has received of its response."""
+        self._total_bytes += size - self._sizes.get(connection, 0)
+        self._sizes[connection] = size
+        while self._total_bytes > self._max_bytes:
+            largest = max(self._sizes, key=self._sizes.__getitem__)
+            self.release(largest)
+            largest.abort_response(f"all responses exceed {self._max_bytes} bytes")
+
+    def release(self, connection: BoundedConnection) -> None:
+        """Records that a response has ended."""
+        self._total_bytes -= self._sizes.pop(connection, 0)
+
+
 class BoundedConnection(ResponseHandler):
     """A connection that is closed when a response exceeds its limit.
 
     aiohttp limits each line and the number of header lines, but neither the number of 1xx
-    responses, nor the size of a body, nor the data after a response.
+    responses, nor the size of a body or its chunks, nor the data after a response.
 
     Only the server can end a body without a length, by closing the connection. aiohttp also takes
     a reset and a close on this side for its end.
@@ -42,6 +83,7 @@
         loop: The event loop.
         max_response_bytes: Limit on one response with head and framing, in bytes.
         processes: Processes of the server, or None if they are not told apart.
+        budget: Limit that the connection shares with others, or None.
     """
 
     def __init__(
@@ -49,37 +91,54 @@
         loop: asyncio.AbstractEventLoop,
         max_response_bytes: int,
         processes: ServerProcesses | None = None,
+        budget: ReceptionBudget | None = None,
     ) -> None:
         super().__init__(loop)
         self._processes = processes
+        self._budget = budget
         self._body: StreamReader | None = None
         self._closed_by_server = False
         self._max_response_bytes = max_response_bytes
         self._received_bytes = 0
+        self._interim_responses = 0
+        # Bytes received when the parser had begun the body, and those of the body among them.
+        self._body_start: tuple[int, int] | None = None
         self._has_head = False
 
     def set_response_params(self, **params: Any) -> None:
         """Resets the counters for the next response."""
         self._received_bytes, self._has_head, self._body = 0, False, None
+        self._interim_responses, self._body_start = 0, None
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Records the arrival of a final head, after any 1xx responses."""
         message, self._body = data
         status = message.code
-        self._has_head = self._has_head or status >= 200 or status == _SWITCHING_PROTOCOLS
+        is_final = status >= 200 or status == _SWITCHING_PROTOCOLS
+        self._has_head = self._has_head or is_final
+        self._interim_responses += not is_final
         if self._processes is not None:
             self._processes.responded(self)
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Counts received bytes; aiohttp also calls this without data, to resume after a pause."""
+        """Parses data in parts, until a limit is exceeded.
+
+        aiohttp also calls this without data, to resume after a pause.
+        """
+        for start in range(0, max(len(data), 1), _PARSE_BYTES):
+            if start and self.exception() is not None:
+                return
+            self._receive(data[start : start + _PARSE_BYTES])
+
+    def _receive(self, data: bytes) -> None:
         if data and self._has_head and self._payload is not None and self._payload.is_eof():
-            self._abort("data received after the end of the response")
+            self.abort_response("data received after the end of the response")
             return
         self._received_bytes += len(data)
         if self._received_bytes > self._max_response_bytes:
-            self._abort(f"the response exceeds {self._max_response_bytes} bytes")
+            self.abort_response(f"the response exceeds {self._max_response_bytes} bytes")
             return
         failure, body = self.exception(), self._body
         is_open = body is not None and not body.is_eof()
@@ -90,7 +149,26 @@
             error = aiohttp.ClientPayloadError("the bytes behind the body are no response")
             body.set_exception(error)
         if not self._has_head and self._received_bytes > MAX_RESPONSE_HEAD_BYTES:
-            self._abort(f"the head of the response exceeds {MAX_RESPONSE_HEAD_BYTES} bytes")
+            self.abort_response(
+                f"the head of the response exceeds {MAX_RESPONSE_HEAD_BYTES} bytes"
+            )
+        elif self._interim_responses > _MAX_INTERIM_RESPONSES:
+            self.abort_response(f"more than {_MAX_INTERIM_RESPONSES} responses with status 1xx")
+        elif self._body is not None and not self._body.is_eof():
+            self._check_framing(self._body)
+        if self._budget is not None and self._body is not None and self._body.is_eof():
+            self._budget.release(self)
+        elif self._budget is not None and self.exception() is None:
+            self._budget.update(self, self._received_bytes)
+
+    def _check_framing(self, body: StreamReader) -> None:
+        if self._body_start is None:
+            self._body_start = self._received_bytes, body.total_bytes
+        received_bytes = self._received_bytes - self._body_start[0]
+        body_bytes = body.total_bytes - self._body_start[1]
+        allowed_bytes = _FRAMING_ALLOWANCE_BYTES + body_bytes // _BODY_BYTES_PER_FRAMING_BYTE
+        if received_bytes - body_bytes > allowed_bytes:
+            self.abort_response("the framing of the response is too large for its body")
 
     def eof_received(self) -> None:
         """Records that the server has closed the connection."""
@@ -103,6 +181,8 @@
         """Fails an unfinished body unless the server has closed the connection."""
         if self._processes is not None:
             self._processes.ended(self)
+        if self._budget is not None:
+            self._budget.release(self)
         if exc is not None or not self._closed_by_server:
             reason = "closed on this side" if exc is None else f"lost: {exc}"
             self._fail_body(aiohttp.ClientPayloadError(f"the connection was {reason}"))
@@ -112,7 +192,8 @@
         if self._body is not None and not self._body.is_eof():
             self._body.set_exception(error)
 
-    def _abort(self, reason: str) -> None:
+    def abort_response(self, reason: str) -> None:
+        """Closes the connection and fails the response that is being received."""
         error = AnswerTooLargeError(reason)
         self._fail_body(error)
         self.set_exception(error)
@@ -156,13 +237,30 @@
 
 
 class BoundedResponse(aiohttp.ClientResponse):
-    """A response whose connection can be closed after it has returned to the pool."""
+    """A response that is read with back pressure.
+
+    Its connection can be closed after it has returned to the pool.
+    """
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
         """Waits for the head; a response that has arrived whole releases its connection here."""
         self._bounded_protocol = connection.protocol
         return await super().start(connection)
 
+    async def read(self) -> bytes:
+        """Returns the whole body.
+
+        The method of aiohttp takes off the limit of the buffer, so that one turn of the event loop
+        reads whatever has arrived.
+        """
+        if self._body is None:
+            try:
+                self._body = b"".join([part async for part in self.content.iter_any()])
+            except BaseException:
+                self.close()
+                raise
+        return await super().read()
+
     def abort(self) -> None:
         """Closes the connection, so that no later request gets what is left on it."""
         self.close()
@@ -176,6 +274,7 @@
     connections: int = 0,
     keepalive_s: float | None = None,
     processes: ServerProcesses | None = None,
+    budget: ReceptionBudget | None = None,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Opens a session that limits the size of responses and sends each request only once.
@@ -187,6 +286,7 @@
             connection after its response.
         processes: Processes of the only server that the session is used for, or None if they are
             not told apart.
+        budget: Limit that the session shares with others, for responses that are read whole.
         **options: Further options of `aiohttp.ClientSession`.
     """
     connector_options: dict[str, Any] = {"limit": connections}
@@ -205,6 +305,7 @@
         asyncio.get_running_loop(),
         max_response_bytes=max_response_bytes,
         processes=processes,
+        budget=budget,
     )
     session = aiohttp.ClientSession(
         connector=connector,
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -24,7 +24,7 @@
     PlatformUnavailableError,
     VersionConflictError,
 )
-from ..kernel.http_client import bounded_session
+from ..kernel.http_client import ReceptionBudget, bounded_session
 from ..kernel.settings import Settings
 from ..messages.codec import decode_json, decode_list, encode_json
 from ..messages.configuration import CONFIGURATION_KEY
@@ -54,6 +54,8 @@
 _CALL_FAILURES = (aiohttp.ClientError, OSError, RuntimeError)
 # Idle connections are closed after this time.
 _KEEPALIVE_TIMEOUT_S = 30.0
+# Responses of the largest size that fit in memory at a time.
+_LARGEST_RESPONSES = 2
 # Statuses of calls that the store refused, so that they had no effect.
 _REFUSED_STATUSES = frozenset({429, 503})
 # Number of skipped entries that are remembered, so that each is logged once.
@@ -146,7 +148,10 @@
     async def start(self) -> None:
         """Opens the HTTP session."""
         self._session = bounded_session(
-            self._max_answer_bytes, keepalive_s=_KEEPALIVE_TIMEOUT_S, trust_env=False
+            self._max_answer_bytes,
+            keepalive_s=_KEEPALIVE_TIMEOUT_S,
+            budget=ReceptionBudget(_LARGEST_RESPONSES * self._max_answer_bytes),
+            trust_env=False,
         )
 
     async def stop(self) -> None:
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -22,7 +22,7 @@
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
-from ..kernel.http_client import ProcessChangedError, bounded_session
+from ..kernel.http_client import ProcessChangedError, ReceptionBudget, bounded_session
 from ..kernel.server_process import ServerProcesses, requiring_process
 from ..messages import GrantSet, Request, Response
 from ..messages.group import KeyRange
@@ -67,6 +67,8 @@
 _KEEPALIVE_TIMEOUT_S = 4.0
 _CONNECT_TIMEOUT_S = 0.5
 _GRANT_CONNECTIONS = 4
+# Responses of the largest size that fit in memory at a time.
+_LARGEST_RESPONSES = 4
 # Limit on the response to a grant or release, which carries at most one header.
 _MAX_GRANT_RESPONSE_BYTES = 65_536
 _GRANT_TIMEOUT_S = 0.5
@@ -149,6 +151,7 @@
         self._membership = registry.find("membership", Membership)
         self._liveness = registry.find("liveness", Liveness)
         self._processes = ServerProcesses(self._clock.now)
+        self._budget = ReceptionBudget(_LARGEST_RESPONSES * self._max_answer_bytes)
 
     async def start(self) -> None:
         """Opens the HTTP sessions."""
@@ -300,6 +303,7 @@
         return bounded_session(
             max_answer_bytes,
             processes=self._processes,
+            budget=self._budget,
             trust_env=False,
             skip_auto_headers=_DEFAULT_HEADERS,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
--- a/fescueward/services/platform.py
+++ b/fescueward/services/platform.py
@@ -21,7 +21,7 @@
     PlatformUnavailableError,
     VersionConflictError,
 )
-from ..kernel.http_client import bounded_session
+from ..kernel.http_client import ReceptionBudget, bounded_session
 from ..kernel.settings import Settings
 from ..messages.codec import DECODE_FAILURES, decode_json, decode_list
 
@@ -39,6 +39,8 @@
 _FAILURE_SLACK_S = _WATCH_SLACK_S + 3.0
 
 _MAX_CONNECTIONS = 100
+# Responses of the largest size that fit in memory at a time.
+_LARGEST_RESPONSES = 2
 _KEEPALIVE_S = 15.0
 # Number of skipped objects that are remembered, so that each is logged once.
 _MAX_LOGGED_OBJECTS = 1000
@@ -115,6 +117,7 @@
             self._max_response_bytes,
             connections=_MAX_CONNECTIONS,
             keepalive_s=_KEEPALIVE_S,
+            budget=ReceptionBudget(_LARGEST_RESPONSES * self._max_response_bytes),
             skip_auto_headers=("Accept-Encoding",),
         )
 
