Bound the request bodies that an agent holds together

Callers saw: uploads ended when the agent that had read them was killed for its memory.

Cause: the front end holds each body until the response is known, without a bound on their sum; the gate bounded only bytes on their way; a whole body was copied into the write buffer of the connection to the upstream.

What does not fit is refused at once, with Retry-After. Long bodies are written in parts.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -6,6 +6,7 @@
 import time
 
 from ..kernel import BootClock, Event, Kernel, Level, StopLimits, configure_logging
+from ..kernel.body_budget import BodyBudget
 from ..kernel.errors import FescuewardError
 from ..platform.announcements import Heartbeats
 from ..platform.frontend import CallerFrontend
@@ -77,6 +78,7 @@
         kernel.provide("settings", settings)
         kernel.provide("bounds", bounds)
         kernel.provide("clock", BootClock())
+        kernel.provide("bodies", BodyBudget(site.memory_bytes))
         kernel.add(ObjectStore())
         kernel.add(RouteTable())
         kernel.add(ConfiguredCatalogue())
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -13,6 +13,7 @@
 
 from ..interfaces import Directory, Metrics, Router, Routes, Shutdown, ShutdownPhase
 from ..kernel import Clock, Event, Level, Outcome, RefusalError, Registry
+from ..kernel.body_budget import BodyBudget, BodyHolding
 from ..kernel.errors import (
     BodyTooLargeError,
     DeadlineExceededError,
@@ -95,6 +96,7 @@
         self._router = registry.find("router", Router)
         self._routes = registry.find("routes", Routes)
         self._metrics = registry.find("metrics", Metrics)
+        self._bodies = registry.find("bodies", BodyBudget)
         self._directory = registry.find("groups", Directory)
 
     async def start(self) -> None:
@@ -213,37 +215,41 @@
             source=http.remote,
         )
         deadline = arrived_at + timeout_s
-        body = b""
-        if http.body_exists:
-            async with self._shutdown.waiting(deadline):
-                body = await self._receive_body(http, configuration.limits, deadline)
-        if not route.repeatable and not http.has_turn:
-            async with self._shutdown.waiting(deadline):
-                await self._wait_for_turn(http, deadline)
-        self._shutdown.check(deadline)
-        request = Request(
-            id=request_id,
-            service=service,
-            key=key,
-            method=http.method,
-            path=http.raw_path,
-            headers=_forwarded_headers(http),
-            body=BytesBody(body),
-            deadline=self._shutdown.limit(deadline),
-            caller=self._site.service,
-            priority=route.priority,
-            repeatable=route.repeatable,
-            attempts=route.attempts,
-            route=route.name,
-            useful_until=arrived_at + min(route.objective_s or timeout_s, timeout_s),
-            delays_others=http.pipelined,
-        )
-        return await self._route(request, deadline)
+        length = http.content_length or 0
+        _check_body_size(length, configuration.limits)
+        # The body is in memory until the response is known, because it may be sent again.
+        with self._bodies.hold(length) as holding:
+            body = b""
+            if http.body_exists:
+                async with self._shutdown.waiting(deadline):
+                    body = await self._receive_body(http, configuration.limits, holding, deadline)
+            if not route.repeatable and not http.has_turn:
+                async with self._shutdown.waiting(deadline):
+                    await self._wait_for_turn(http, deadline)
+            self._shutdown.check(deadline)
+            request = Request(
+                id=request_id,
+                service=service,
+                key=key,
+                method=http.method,
+                path=http.raw_path,
+                headers=_forwarded_headers(http),
+                body=BytesBody(body),
+                deadline=self._shutdown.limit(deadline),
+                caller=self._site.service,
+                priority=route.priority,
+                repeatable=route.repeatable,
+                attempts=route.attempts,
+                route=route.name,
+                useful_until=arrived_at + min(route.objective_s or timeout_s, timeout_s),
+                delays_others=http.pipelined,
+            )
+            return await self._route(request, deadline)
 
     async def _receive_body(
-        self, http: BaseRequest, limits: CallerLimits, deadline: float
+        self, http: BaseRequest, limits: CallerLimits, holding: BodyHolding, deadline: float
     ) -> bytes:
-        body = await self._run_until_deadline(_read_body(http, limits), deadline)
+        body = await self._run_until_deadline(_read_body(http, limits, holding), deadline)
         if body is not None:
             return body
         if self._shutdown.closing.done():
@@ -355,13 +361,18 @@
     )
 
 
-async def _read_body(http: BaseRequest, limits: CallerLimits) -> bytes:
+def _check_body_size(size: int, limits: CallerLimits) -> None:
+    if size > limits.body_bytes:
+        raise BodyTooLargeError(f"the body exceeds {limits.body_bytes} bytes")
+
+
+async def _read_body(http: BaseRequest, limits: CallerLimits, holding: BodyHolding) -> bytes:
     parts = []
     size = 0
     async for part in http.content.iter_any():
         size += len(part)
-        if size > limits.body_bytes:
-            raise BodyTooLargeError(f"the body exceeds {limits.body_bytes} bytes")
+        _check_body_size(size, limits)
+        holding.grow_to(size)
         parts.append(part)
     return b"".join(parts)
 
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -43,6 +43,8 @@
 _MAX_UPSTREAM_ANSWER_BYTES = 8 * 1024 * 1024
 # A page of the store has at most 1 MB, but the events of a watch are not paged.
 _MAX_STORE_ANSWER_BYTES = 16 * 1024 * 1024
+# Memory of a process if the settings name none.
+_DEFAULT_MEMORY_BYTES = 256_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +71,7 @@
         heartbeats: Address to listen on for heartbeats of the upstream on this machine.
         application: Address of the upstream on this machine.
         service: Name of the service that the upstream on this machine runs.
+        memory_bytes: Memory of the process, in bytes.
     """
 
     settings: Settings
@@ -77,6 +80,7 @@
     heartbeats: Address
     application: Address
     service: str
+    memory_bytes: int = _DEFAULT_MEMORY_BYTES
 
 
 def settings_path() -> Path:
@@ -162,6 +166,9 @@
         heartbeats=heartbeats,
         application=_address(values["appAddr"]),
         service=values["service"],
+        memory_bytes=int(float(values["limits.memoryMb"]) * 1_000_000)
+        if "limits.memoryMb" in values
+        else _DEFAULT_MEMORY_BYTES,
     )
 
 
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
 import aiohttp
@@ -69,6 +69,8 @@
 _GRANT_CONNECTIONS = 4
 # Responses of the largest size that fit in memory at a time.
 _LARGEST_RESPONSES = 4
+# Longer request bodies are written in parts of this size.
+_PART_BYTES = 262_144
 # Limit on the response to a grant or release, which carries at most one header.
 _MAX_GRANT_RESPONSE_BYTES = 65_536
 _GRANT_TIMEOUT_S = 0.5
@@ -201,6 +203,8 @@
         ]
         if request.key:
             headers.append((KEY, request.key))
+        if len(body) > _PART_BYTES:
+            headers.append(("Content-Length", str(len(body))))
         # On a kept connection, a second copy of a refusal would carry the id of this request.
         reusable = request.repeatable and request.id not in self._refused_ids
         session = self._keepalive_session if reusable else self._single_use_session
@@ -212,7 +216,7 @@
                     request.method,
                     URL(self._base_url + request.path, encoded=True),
                     headers=headers,
-                    data=body or None,
+                    data=_upload(body),
                     allow_redirects=False,
                 ) as http_response,
             ):
@@ -388,6 +392,18 @@
     return NOT_EXECUTED in http_response.headers or http_response.status == 421
 
 
+def _upload(body: bytes) -> bytes | AsyncIterator[bytes] | None:
+    """Returns the body for the HTTP client, which copies what it is given at once."""
+    if len(body) <= _PART_BYTES:
+        return body or None
+    return _parts(body)
+
+
+async def _parts(body: bytes) -> AsyncIterator[bytes]:
+    for start in range(0, len(body), _PART_BYTES):
+        yield body[start : start + _PART_BYTES]
+
+
 def _response(request: Request, http_response: aiohttp.ClientResponse, content: bytes) -> Response:
     headers = tuple(
         (str(name), value)
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -23,6 +23,7 @@
 from ...interfaces.metrics import RunListener
 from ...interfaces.placement import Load
 from ...kernel import Clock, Event, Level, RefusalError, Registry
+from ...kernel.body_budget import BodyBudget
 from ...kernel.errors import (
     DeadlineExceededError,
     DrainingError,
@@ -73,6 +74,7 @@
         """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._arrivals = BodyArrivals(self._clock)
+        self._bodies = registry.find("bodies", BodyBudget)
         self._catalogue = registry.find("catalogue", Catalogue)
         self._membership = registry.find("membership", Membership)
         self._ownership = registry.find("ownership", Ownership)
@@ -138,7 +140,9 @@
             async with self._shutdown.waiting(request.deadline, _is_movable(request)):
                 await self._admitted_epoch(request)
                 if not isinstance(request.body, BytesBody):
-                    self._arrivals.check(request.body.length or 0)
+                    length = request.body.length or 0
+                    self._arrivals.check(length)
+                    run_context.enter_context(self._bodies.hold(length))
                     self._admission.check(self._without_arrival_time(request), entry)
                     request = await self._with_received_body(request)
                 guard = self._quarantine.guard(request)
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -13,6 +13,7 @@
 import uvloop
 
 from fescueward.kernel import Kernel
+from fescueward.kernel.body_budget import BodyBudget
 from fescueward.kernel.bounds import Bounds
 from fescueward.kernel.errors import OutcomeLostError, OverloadedError, QuarantinedError
 from fescueward.kernel.registry import Drainable
@@ -28,6 +29,7 @@
 from fescueward.services.routing.routes import RouteTable
 from fescueward.services.shutdown import GracefulShutdown
 from fescueward.testing.ports import PortReservations
+from fescueward.testing.waiting import wait_until
 from tests.services.fakes import StubRegistry, make_response
 
 from .fakes import CLOCK
@@ -68,6 +70,7 @@
 
     grace_s = 1.0
     route = ROUTE
+    memory_bytes = 1_000_000_000
 
     async def asyncSetUp(self):
         ports = PortReservations()
@@ -90,6 +93,7 @@
         self.frontend.bind(
             StubRegistry(
                 clock=CLOCK,
+                bodies=BodyBudget(self.memory_bytes),
                 shutdown=self.shutdown,
                 router=self.router,
                 routes=routes,
@@ -154,6 +158,39 @@
         self.assertGreater(retry_after_s, 0)
 
 
+class UploadTest(FrontendCase):
+    """Uploads that share the memory of the agent, of which one fits."""
+
+    route = replace(ROUTE, timeout_s=20.0)
+    memory_bytes = 50_000_000
+    BODY = b"x" * 6_000_000
+
+    async def upload(self, chunked: bool = False) -> int:
+        async def parts():
+            for start in range(0, len(self.BODY), 1_000_000):
+                yield self.BODY[start : start + 1_000_000]
+
+        headers = {"Host": "a.example", "X-Fescueward-Request-Id": "r1"}
+        data = parts() if chunked else self.BODY
+        async with self.session.post("/x/1", headers=headers, data=data) as response:
+            self.assertEqual(response.status == 503, "Retry-After" in response.headers)
+            return response.status
+
+    async def test_uploads_that_fill_the_memory(self):
+        """Guards against an agent that holds whole uploads until it is killed for its memory."""
+        self.router.response_allowed.clear()
+        first = asyncio.create_task(self.upload())
+        await wait_until(lambda: self.router.requests, 5, "the first upload is routed")
+        self.assertEqual([await self.upload() for _ in range(3)], [503] * 3)
+        self.assertEqual(await self.upload(chunked=True), 503)
+        small = asyncio.create_task(self.send())
+        await wait_until(lambda: len(self.router.requests) == 2, 5, "a small request is routed")
+        self.router.response_allowed.set()
+        self.assertEqual((await first, (await small)[0]), (200, 200))
+        self.assertEqual(await self.upload(chunked=True), 200)
+        self.assertEqual(self.router.requests[-1].body.data, self.BODY)
+
+
 class PipelinedFrontendTest(FrontendCase):
     async def test_request_that_must_not_run_twice_waits_for_earlier_responses(self):
         """The caller sends it again if an earlier response closes the connection."""
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -1,6 +1,7 @@
 """Tests of the client of the upstream on the agent's machine."""
 
 import asyncio
+import random
 import unittest
 from contextlib import suppress
 from dataclasses import replace
@@ -430,6 +431,30 @@
         self.assertTrue(await upstream.grant_range(renewed, 1.0, upstream.process))
         self.assertEqual([served_start for served_start, _ in received], [0, 0, 1])
 
+    async def test_long_body_arrives_unchanged(self):
+        """Guards against an upload that is cut, or whose length is not named, in parts."""
+        received = []
+
+        async def serve(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            received.append((head.lower(), await reader.readexactly(length)))
+            writer.write(WHOLE)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        upstream = await self.start_client(Address(*server.sockets[0].getsockname()))
+        for size in (1, 262_144, 262_145, 3_000_000):
+            body = random.Random(size).randbytes(size)
+            response = await upstream.run(make_request(5.0, body, key=""), 0, 0, CLOCK.now() + 5.0)
+            self.assertEqual(response.body.data, b"ok")
+            head, arrived = received.pop()
+            self.assertEqual(arrived, body)
+            self.assertNotIn(b"transfer-encoding", head)
+            self.assertEqual(head.count(b"content-length"), 1)
+
     async def test_refused_connection_is_reported_as_not_run(self):
         """Guards against reporting an unknown outcome when no byte was sent."""
         raw = RawUpstream(b"")
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from fescueward.kernel import BootClock, Registry
+from fescueward.kernel.body_budget import BodyBudget
 from fescueward.kernel.settings import RoutingSection
 from fescueward.messages import (
     Announcement,
@@ -35,7 +36,8 @@
 
     def __init__(self, **services: Any) -> None:
         super().__init__()
-        for name, service in {"clock": CLOCK, **services}.items():
+        defaults = {"clock": CLOCK, "bodies": BodyBudget(1_000_000_000)}
+        for name, service in {**defaults, **services}.items():
             self.register(name, service)
 
     def find(self, name: str, kind: type[Any]) -> Any:
