Forward compressed request bodies as they were sent

Callers saw: an upload with Content-Encoding reached the upstream decompressed under the same header (UNASKED), got 500, or lost its connection.

Cause: the HTTP library decompresses request bodies by default. Only the front end of the product's own interface turned it off.

Change: the option is set in kernel/http_pipeline.py, for both.

--- a/fescueward/kernel/http_pipeline.py
+++ b/fescueward/kernel/http_pipeline.py
@@ -368,7 +368,8 @@
         super().__init__(handler, handler_cancellation=True)
         self.requests_ahead = 0
         self._limits = limits
-        self._options = options
+        # A body is forwarded under the header that names its encoding.
+        self._options = {"auto_decompress": False, **options}
 
     @property
     def busy(self) -> bool:
--- a/fescueward/services/frontend/connections.py
+++ b/fescueward/services/frontend/connections.py
@@ -58,7 +58,5 @@
     def __init__(self, handler: Handler) -> None:
         super().__init__(
             handler,
-            # Bodies are forwarded in the encoding of the caller.
-            auto_decompress=False,
             lingering_time=_LINGERING_TIMEOUT_S,
         )
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -1,6 +1,7 @@
 """Tests of the platform's HTTP front end for callers."""
 
 import asyncio
+import gzip
 import socket
 import time
 import unittest
@@ -158,6 +159,21 @@
         self.assertGreater(retry_after_s, 0)
 
 
+class EncodedBodyTest(FrontendCase):
+    async def test_compressed_body_is_forwarded_as_it_was_sent(self):
+        """Guards against an upstream that gets another body than the caller sent (UNASKED)."""
+        body = gzip.compress(b"guest\n" * 1000)
+        headers = {"Host": "a.example", "X-Fescueward-Request-Id": "r1"}
+        for encoding in ("gzip", "deflate", "br", "gzip, gzip"):
+            with self.subTest(encoding=encoding):
+                encoded = {**headers, "Content-Encoding": encoding}
+                async with self.session.post("/x/1", headers=encoded, data=body) as response:
+                    self.assertEqual(response.status, 200)
+                request = self.router.requests[-1]
+                self.assertEqual(request.body.data, body)
+                self.assertIn(("Content-Encoding", encoding), request.headers)
+
+
 class UploadTest(FrontendCase):
     """Uploads that share the memory of the agent, of which one fits."""
 
