Ignore SIGHUP until its handler is set

Callers saw: an agent whose settings changed in the first 0.3 s of its process ended and was started again.

Cause: the handler is set once the event loop runs, after the imports, and the default of the signal is to end the process.

Change: the first statement of the agent ignores SIGHUP. The settings are read later, so no change is lost.

Evidence: test_sighup_before_the_settings_are_read sends it while the process waits for its settings; the process ended before the change, and reads them now. The start of the interpreter itself, before the first statement, is not covered.

--- a/fescueward/daemons/__main__.py
+++ b/fescueward/daemons/__main__.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import gc
+import signal
 import sys
 
 
 def _main() -> int:
+    # Until the handler is set, SIGHUP would end the process. The settings are read after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # The modules create many objects that live as long as the process and nearly no garbage, so
     # collections would only delay each start. `run_until_stopped` enables them again.
     gc.disable()
