Replace kept connections to an earlier process of the upstream

Cause: found by reading. After a pause of the agent a request can open a connection while the kept one of the grants has been silent, so that the new one counts as another process. Each grant was then offered the kept connection, refused it and returned it to the pool.

Change: a connection to an earlier process is closed and another one opened. Connections that are used once take no part: they cost two turns of the event loop to identify and end too soon to prove anything.

Evidence: test_grant_after_a_pause_of_the_agent fails without the change.

--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -219,21 +219,32 @@
         Raises:
             ProcessChangedError: The connection may reach another process.
         """
-        connection = await super().connect(*args, **options)
-        try:
-            # The ends of other connections that have arrived are processed first.
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-        except asyncio.CancelledError:
-            connection.close()
-            raise
-        assert connection.protocol is not None
-        process = self._processes.identify(connection.protocol)
         required = required_process()
-        if required is not None and process != required:
-            connection.release()
-            raise ProcessChangedError(f"the connection reaches process {process}, not {required}")
-        return connection
+        while True:
+            connection = await super().connect(*args, **options)
+            process = await self._identify(connection)
+            if required is None or process == required:
+                return connection
+            if process > required:
+                connection.release()
+                raise ProcessChangedError(
+                    f"the connection reaches process {process}, not {required}"
+                )
+            # It may reach the required process too, but that is not known.
+            connection.close()
+
+    async def _identify(self, connection: Connection) -> int:
+        protocol = connection.protocol
+        assert isinstance(protocol, BoundedConnection)
+        if not self._processes.is_identified(protocol):
+            try:
+                # The ends of other connections that have arrived are processed first.
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+            except asyncio.CancelledError:
+                connection.close()
+                raise
+        return self._processes.identify(protocol)
 
 
 class BoundedResponse(aiohttp.ClientResponse):
--- a/fescueward/kernel/server_process.py
+++ b/fescueward/kernel/server_process.py
@@ -60,9 +60,14 @@
         if self._has_connected and not any(map(self._is_witness, self._connections)):
             self._current += 1
         self._has_connected = True
-        self._connections[connection] = (self._current, self._now())
+        if connection.is_connected():
+            self._connections[connection] = (self._current, self._now())
         return self._current
 
+    def is_identified(self, connection: TrackedConnection) -> bool:
+        """Returns whether the process of a connection is known."""
+        return connection in self._connections
+
     def responded(self, connection: TrackedConnection) -> None:
         """Records a response on a connection."""
         known = self._connections.get(connection)
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -162,7 +162,8 @@
         )
         # A request that must not run twice gets a new connection: data of an earlier response may
         # be left on a reused one.
-        self._single_use_session = self._session(self._max_answer_bytes)
+        # Its connections end too soon to tell processes apart.
+        self._single_use_session = self._session(self._max_answer_bytes, processes=None)
         # The upstream accepts few connections, so its many small grants share some of them.
         self._grant_session = self._session(
             _MAX_GRANT_RESPONSE_BYTES,
@@ -171,7 +172,7 @@
         )
         # Responses to grants and releases carry no id. A late second response to a grant would
         # confirm a release on the same connection while work on the keys is still running.
-        self._release_session = self._session(_MAX_GRANT_RESPONSE_BYTES)
+        self._release_session = self._session(_MAX_GRANT_RESPONSE_BYTES, processes=None)
 
     async def stop(self) -> None:
         """Closes the HTTP sessions."""
@@ -306,12 +307,11 @@
     def _session(self, max_answer_bytes: int, **options: Any) -> aiohttp.ClientSession:
         return bounded_session(
             max_answer_bytes,
-            processes=self._processes,
             budget=self._budget,
             trust_env=False,
             skip_auto_headers=_DEFAULT_HEADERS,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
-            **options,
+            **{"processes": self._processes, **options},
         )
 
     def _report_notice(self, start: str, http_response: aiohttp.ClientResponse) -> None:
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from dataclasses import replace
 from types import SimpleNamespace
+from typing import Any
 from unittest import mock
 
 from fescueward.kernel.errors import (
@@ -56,12 +57,14 @@
         patcher.start()
         self.addCleanup(patcher.stop)
 
-    async def start_client(self, address: Address) -> LocalUpstream:
+    async def start_client(self, address: Address, clock: Any = CLOCK) -> LocalUpstream:
         upstream = LocalUpstream(site_at(address))
         announcement = Announcement("depot", address.host, address.port, 6, 110, instance="i1")
         membership = SimpleNamespace(announcement=announcement)
         self.liveness = RecordedLiveness()
-        upstream.bind(StubRegistry(membership=membership, routes=None, liveness=self.liveness))
+        upstream.bind(
+            StubRegistry(membership=membership, routes=None, liveness=self.liveness, clock=clock)
+        )
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
         return upstream
@@ -431,6 +434,36 @@
         self.assertTrue(await upstream.grant_range(renewed, 1.0, upstream.process))
         self.assertEqual([served_start for served_start, _ in received], [0, 0, 1])
 
+    async def test_grant_after_a_pause_of_the_agent(self):
+        """Guards against a kept connection of an earlier process that is offered each grant."""
+        now = 100.0
+        clock = SimpleNamespace(now=lambda: now, sleep=asyncio.sleep)
+
+        async def serve(reader, writer):
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    if head.startswith(b"POST"):
+                        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+                        await reader.readexactly(length)
+                    writer.write(WHOLE)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        upstream = await self.start_client(Address(*server.sockets[0].getsockname()), clock)
+        process = upstream.process
+        self.assertTrue(await upstream.grant_range(KeyRange(0, 99, "a:1", 1), 1.0, process))
+        now = 110.0
+        # The first request after the pause opens a connection, and the kept one has been silent.
+        request = make_request(2.0, method="GET", key="", repeatable=True)
+        await upstream.run(request, 0, 0, now + 2.0)
+        self.assertEqual(upstream.process, process + 1)
+        self.assertTrue(await upstream.grant_range(KeyRange(0, 99, "a:1", 2), 1.0, process + 1))
+        with self.assertRaises(UpstreamUnavailableError):
+            await upstream.grant_range(KeyRange(0, 99, "a:1", 1), 1.0, process)
+        self.assertTrue(await upstream.grant_range(KeyRange(0, 99, "a:1", 2), 1.0, process + 1))
+
     async def test_long_body_arrives_unchanged(self):
         """Guards against an upload that is cut, or whose length is not named, in parts."""
         received = []
