Route the waiting requests of a test on simulated time

Cause: 200 requests wait 0.6 s for an owner, and the test counts the questions that they share.

Change: the requests are routed in the simulated event loop that the tests of leases use. Bounds and expectations are the same, and the kind of each result is compared.

--- a/tests/services/test_router.py
+++ b/tests/services/test_router.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from fescueward.kernel.errors import (
@@ -22,6 +23,7 @@
 from fescueward.services.router import OwnerRouter
 
 from .fakes import (
+    CLOCK,
     FakeCatalogue,
     FakeGroups,
     FakePeers,
@@ -34,11 +36,17 @@
     make_response,
     make_settings,
 )
+from .timed_fakes import AgentLoop, ManualClock, World
 
 
 class RouterTest(unittest.IsolatedAsyncioTestCase):
     def make_router(
-        self, *results, owner="b:1", request_class=RequestClass.REPEATABLE, own_group_id=None
+        self,
+        *results,
+        owner="b:1",
+        request_class=RequestClass.REPEATABLE,
+        own_group_id=None,
+        clock=CLOCK,
     ):
         self.forward = ScriptedCall(*results)
         self.execute = ScriptedCall(*results)
@@ -47,6 +55,7 @@
         router = OwnerRouter()
         router.bind(
             StubRegistry(
+                clock=clock,
                 catalogue=FakeCatalogue(make_entry(request_class)),
                 groups=self.groups,
                 peers=self.peers,
@@ -115,14 +124,25 @@
             await asyncio.wait_for(router.route(make_request(0.1)), 2)
         self.assertEqual(caught.exception.outcome, "not_run")
 
-    async def test_waiting_requests_share_their_questions(self):
+    def route_together(self, view, count, timeout_s):
+        """Returns the results of requests that are routed at once, on simulated time."""
+        world = World()
+        loop = world.loops["a"] = AgentLoop(world, 100.0, 1.0)
+        router = self.make_router(make_response(), clock=ManualClock(loop))
+        self.groups.current = view
+        request = replace(make_request(), deadline=loop.time() + timeout_s)
+        tasks = []
+        loop.call_soon(
+            lambda: tasks.extend(loop.create_task(router.route(request)) for _ in range(count))
+        )
+        world.advance(2 * timeout_s)
+        return [task.exception() for task in tasks]
+
+    def test_waiting_requests_share_their_questions(self):
         """Guards against platform load that grows with the number of waiting requests."""
         for view in (None, make_group(1, None, "b")):
-            router = self.make_router(make_response())
-            self.groups.current = view
-            tasks = [router.route(make_request(0.6)) for _ in range(200)]
-            results = await asyncio.gather(*tasks, return_exceptions=True)
-            self.assertTrue(all(isinstance(result, NoOwnerError) for result in results))
+            results = self.route_together(view, 200, 0.6)
+            self.assertEqual([type(result) for result in results], [NoOwnerError] * 200)
             self.assertTrue(1 <= self.groups.update_count <= 5, self.groups.update_count)
 
     async def test_own_group_is_not_updated(self):
