Wait for the reports of crashes instead of a fixed time in tests

Cause: the tests of the quarantine slept 30 ms before they delivered reports, which are sent 10 ms after a crash.

Change: they wait until no report is pending. Checks and bounds are the same.

--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -101,7 +101,15 @@
         self.a, self.b = Member("a"), Member("b")
 
     async def deliver_messages(self) -> None:
-        await asyncio.sleep(0.03)
+        # Tasks that send reports to new members begin.
+        await asyncio.sleep(0)
+        await wait_until(
+            lambda: (
+                not any(member.quarantine._reports._pending_reports for member in (self.a, self.b))
+            ),
+            5,
+            "all reports are sent",
+        )
         for source, target in ((self.a, self.b), (self.b, self.a)):
             sent, source.peers.sent[:] = tuple(source.peers.sent), ()
             for _, message in sent:
