Abort responses without a length before those that state one

Cause: above the budget the largest response was aborted.

Change: the largest of those that state no length is aborted first. A response whose stated length exceeds the limit ends at its head.

--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -23,6 +23,8 @@
 # of it. Chunks of a few bytes take much longer to parse than to send.
 _FRAMING_ALLOWANCE_BYTES = 16_384
 _BODY_BYTES_PER_FRAMING_BYTE = 16
+# More digits than any length that a parser accepts.
+_MAX_LENGTH_DIGITS = 20
 # Bytes that are parsed before the limits are checked again.
 _PARSE_BYTES = 16_384
 # Status 101 ends HTTP on the connection; every other 1xx response is followed by another one.
@@ -40,7 +42,8 @@
 class ReceptionBudget:
     """Limit on the bytes of all responses that are being received.
 
-    Above it the largest response is aborted: one without an end grows beyond all others.
+    Above it a response is aborted, the largest of those that state no length, or else the largest:
+    one without an end states none, and grows beyond all others.
 
     Args:
         max_bytes: Limit on the sum of all responses, in bytes.
@@ -61,9 +64,12 @@
         self._total_bytes += size - self._sizes.get(connection, 0)
         self._sizes[connection] = size
         while self._total_bytes > self._max_bytes:
-            largest = max(self._sizes, key=self._sizes.__getitem__)
-            self.release(largest)
-            largest.abort_response(f"all responses exceed {self._max_bytes} bytes")
+            aborted = max(self._sizes, key=self._abort_order)
+            self.release(aborted)
+            aborted.abort_response(f"all responses exceed {self._max_bytes} bytes")
+
+    def _abort_order(self, connection: BoundedConnection) -> tuple[bool, int]:
+        return not connection.states_length, self._sizes[connection]
 
     def release(self, connection: BoundedConnection) -> None:
         """Records that a response has ended."""
@@ -84,6 +90,9 @@
         max_response_bytes: Limit on one response with head and framing, in bytes.
         processes: Processes of the server, or None if they are not told apart.
         budget: Limit that the connection shares with others, or None.
+
+    Attributes:
+        states_length: Whether the response states the length of its body.
     """
 
     def __init__(
@@ -101,6 +110,7 @@
         self._max_response_bytes = max_response_bytes
         self._received_bytes = 0
         self._interim_responses = 0
+        self.states_length = False
         # Bytes received when the parser had begun the body, and those of the body among them.
         self._body_start: tuple[int, int] | None = None
         self._has_head = False
@@ -109,6 +119,7 @@
         """Resets the counters for the next response."""
         self._received_bytes, self._has_head, self._body = 0, False, None
         self._interim_responses, self._body_start = 0, None
+        self.states_length = False
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -121,6 +132,8 @@
         if self._processes is not None:
             self._processes.responded(self)
         super().feed_data(data, size)
+        if is_final:
+            self._check_length(message.headers.get("Content-Length", ""))
 
     def data_received(self, data: bytes) -> None:
         """Parses data in parts, until a limit is exceeded.
@@ -161,6 +174,16 @@
         elif self._budget is not None and self.exception() is None:
             self._budget.update(self, self._received_bytes)
 
+    def _check_length(self, stated: str) -> None:
+        self.states_length = stated.isdecimal() and len(stated) <= _MAX_LENGTH_DIGITS
+        if (
+            self.states_length
+            and self._body is not None
+            and not self._body.is_eof()
+            and int(stated) > self._max_response_bytes
+        ):
+            self.abort_response(f"the response exceeds {self._max_response_bytes} bytes")
+
     def _check_framing(self, body: StreamReader) -> None:
         if self._body_start is None:
             self._body_start = self._received_bytes, body.total_bytes
--- a/tests/kernel/test_http_client.py
+++ b/tests/kernel/test_http_client.py
@@ -95,12 +95,16 @@
         async def serve(reader, writer):
             path = (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode()
             start, piece, count = self.responses[path]
-            with suppress(ConnectionError):
+            try:
                 writer.write(start)
                 for _ in range(count):
                     writer.write(piece)
                     await writer.drain()
-            writer.close()
+                await reader.read()
+            except ConnectionError:
+                pass
+            finally:
+                writer.close()
 
         self.responses: dict[str, tuple[bytes, bytes, int]] = {}
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
