Play late heartbeats, departures without draining and late first heartbeats in the soak

Cause: the emulator's upstreams sent their first heartbeat as soon as they listened, always drained before they left, and no heartbeat came late, so that the soak could not meet the cases of the review.

--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -27,7 +27,7 @@
 from .plan import Action, Step, draw_plan
 from .records import STARVED, Disturbance
 from .store import StoreFaults, StoreMode
-from .upstream import UpstreamFaults
+from .upstream import HEARTBEAT_PERIOD_S, UpstreamFaults
 
 SERVICES = ("catalogue", "orders", "proofing")
 KEYED = frozenset({"catalogue"})
@@ -205,7 +205,7 @@
         upstream = machine.upstream
         if step.action is Action.LEAVE:
             if not self._begin_fault(step):
-                await upstream.leave(_LEAVE_SERVE_S)
+                await upstream.leave(_LEAVE_SERVE_S, drains=_varies(step, 2) == 0)
                 await asyncio.sleep(step.seconds)
                 await upstream.start()
             self._end_fault(step)
@@ -213,7 +213,8 @@
             if not self._begin_fault(replace(step, action=Action.LEAVE)):
                 await upstream.crash()
                 await self._wait_and_record(step, count=False)
-                await upstream.start(same_id=step.value == "same id")
+                first_heartbeat_s = HEARTBEAT_PERIOD_S * _varies(step, 4) / 4
+                await upstream.start(step.value == "same id", first_heartbeat_s)
             self._end_fault(replace(step, action=Action.LEAVE))
         elif step.action in (Action.LINK, Action.STORE_PART):
             proxy = machine.upstream_proxy
@@ -275,6 +276,14 @@
         return self._active_counts[step.action, step.machine] == 0
 
 
+def _varies(step: Step, count: int) -> int:
+    """Returns a number below `count` that follows from the time of a step.
+
+    It takes no random number, so that the plans of earlier seeds stay as they are.
+    """
+    return int(step.at_s * 1000) % count
+
+
 def main(
     seed: Annotated[int, typer.Option(min=0, help="Seed of plan, load and faults.")],
     seconds: Annotated[float, typer.Option(min=5, max=3600, help="Length of the plan.")] = 30.0,
--- a/fescueward/testing/site/upstream.py
+++ b/fescueward/testing/site/upstream.py
@@ -43,6 +43,11 @@
 # Maximum number of queued requests per slot.
 _QUEUED_PER_SLOT = 1
 # Number of unacknowledged draining reports after which an upstream stops anyway.
+# Delay of a heartbeat that arrives after the departure of its upstream, and the attempts that it
+# takes while the agent restarts.
+_LATE_HEARTBEAT_S = 1.2
+_MAX_LATE_ATTEMPTS = 20
+_LATE_RETRY_S = 0.1
 _MAX_LEAVE_REPORTS = 5
 
 
@@ -130,11 +135,12 @@
         """Key ranges held by the current start."""
         return self._holds
 
-    async def start(self, same_id: bool = False) -> None:
+    async def start(self, same_id: bool = False, first_heartbeat_s: float = 0.0) -> None:
         """Starts the server and its heartbeats without any state of an earlier start.
 
         Args:
             same_id: Whether to keep the instance id of the previous start.
+            first_heartbeat_s: Time for which it serves before its first heartbeat, in seconds.
         """
         self.instance = self.instance if same_id and self.instance else f"i-{uuid.uuid4().hex[:8]}"
         self._started_ms = int(time.time() * 1000)
@@ -156,7 +162,7 @@
         app.router.add_route("*", "/{path:.*}", self._handle_request)
         self._site = HttpSite(app, LOOPBACK, self._port)
         await self._site.start()
-        self._heartbeats = asyncio.create_task(self._send_heartbeats())
+        self._heartbeats = asyncio.create_task(self._send_heartbeats(first_heartbeat_s))
 
     async def crash(self) -> None:
         """Stops at once: resets connections, cancels executions and sends no more reports."""
@@ -173,15 +179,19 @@
         self.end_limit()
         await site.stop()
 
-    async def leave(self, serve_s: float) -> None:
-        """Reports draining, continues to serve after the acknowledgement, and stops.
+    async def leave(self, serve_s: float, drains: bool = True) -> None:
+        """Reports its departure, continues to serve after the acknowledgement, and stops.
+
+        A heartbeat from before arrives late.
 
         Args:
             serve_s: Time to serve after the acknowledgement, in seconds.
+            drains: Whether it reports `draining`, otherwise it sends `leave` first.
         """
+        late_heartbeat = asyncio.create_task(self._send_late(self._report()))
         self._leaving = True
         for _ in range(_MAX_LEAVE_REPORTS):
-            if await self._send_report():
+            if await (self._send_report() if drains else self._call(LEAVE_CALL, b"")):
                 self._evidence.departures.append(
                     Departure(
                         instance=self._start_id,
@@ -196,6 +206,14 @@
         while self._running:
             await asyncio.wait(tuple(self._running))
         await self.crash()
+        await late_heartbeat
+
+    async def _send_late(self, report: bytes) -> None:
+        await asyncio.sleep(_LATE_HEARTBEAT_S)
+        for _ in range(_MAX_LATE_ATTEMPTS):
+            if await self._call(HEARTBEAT_CALL, report):
+                return
+            await asyncio.sleep(_LATE_RETRY_S)
 
     def end_limit(self) -> None:
         """Records the limit that the responses have named until now."""
@@ -232,12 +250,16 @@
             notices[SERVER_LEAVING] = "1"
         return notices
 
-    async def _send_heartbeats(self) -> None:
+    async def _send_heartbeats(self, first_heartbeat_s: float) -> None:
+        await asyncio.sleep(first_heartbeat_s)
         while True:
             await self._send_report()
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
     async def _send_report(self) -> bool:
+        return await self._call(HEARTBEAT_CALL, self._report())
+
+    def _report(self) -> bytes:
         self._sequence += 1
         report = {
             "address": self.spec.address,
@@ -254,7 +276,7 @@
                 "coldLeftS": 0,
             },
         }
-        return await self._call(HEARTBEAT_CALL, msgspec.json.encode(report))
+        return msgspec.json.encode(report)
 
     async def _call(self, call: str, body: bytes) -> bool:
         url = f"http://{LOOPBACK}:{self.spec.agent_port}{RPC_PATH}?call={call}&of={self.instance}"
