Prove the process of a new connection by a later response of an earlier one

Cause: an open connection with a response in the last 1.5 s was taken as proof that a new connection reaches the same process. An upstream that is gone without closing its connections, and back within that time, would have been granted keys with the old epoch. A kept connection to an earlier process was also dealt with in the connector alone.

Change: only a response to a request that was sent after the new connection was opened proves its process, within 0.3 s. Grants take turns on four connections (kernel/process_sessions.py), so that one grant proves the connections that replace others; no request waits for it.

--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -36,7 +36,11 @@
 
 
 class ProcessChangedError(aiohttp.ClientConnectionError):
-    """The connection may reach another process than the request is for; nothing was sent."""
+    """The connection reaches another process than the request is for; nothing was sent."""
+
+
+class ProcessUnknownError(aiohttp.ClientConnectionError):
+    """It is not known yet which process the connection reaches; nothing was sent."""
 
 
 class ReceptionBudget:
@@ -120,8 +124,16 @@
         self._received_bytes, self._has_head, self._body = 0, False, None
         self._interim_responses, self._body_start = 0, None
         self.states_length = False
+        if self._processes is not None:
+            self._processes.requested(self)
         super().set_response_params(**params)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Records the opening of the connection."""
+        super().connection_made(transport)
+        if self._processes is not None:
+            self._processes.opened(self)
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Records the arrival of a final head, after any 1xx responses."""
         message, self._body = data
@@ -240,14 +252,21 @@
         """Returns a connection to the required process.
 
         Raises:
-            ProcessChangedError: The connection may reach another process.
+            ProcessChangedError: The connection reaches a later process.
+            ProcessUnknownError: Its process is not known yet.
         """
         required = required_process()
         while True:
             connection = await super().connect(*args, **options)
-            process = await self._identify(connection)
-            if required is None or process == required:
+            if required is None:
                 return connection
+            assert isinstance(connection.protocol, BoundedConnection)
+            process = self._processes.process_of(connection.protocol)
+            if process == required:
+                return connection
+            if process is None:
+                connection.release()
+                raise ProcessUnknownError("the process of the connection is not known yet")
             if process > required:
                 connection.release()
                 raise ProcessChangedError(
@@ -256,19 +275,6 @@
             # It may reach the required process too, but that is not known.
             connection.close()
 
-    async def _identify(self, connection: Connection) -> int:
-        protocol = connection.protocol
-        assert isinstance(protocol, BoundedConnection)
-        if not self._processes.is_identified(protocol):
-            try:
-                # The ends of other connections that have arrived are processed first.
-                await asyncio.sleep(0)
-                await asyncio.sleep(0)
-            except asyncio.CancelledError:
-                connection.close()
-                raise
-        return self._processes.identify(protocol)
-
 
 class BoundedResponse(aiohttp.ClientResponse):
     """A response that is read with back pressure.
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import AsyncIterator, Iterable
+from contextlib import AbstractAsyncContextManager
 from typing import Any
 
 import aiohttp
@@ -23,7 +24,8 @@
     UpstreamUnavailableError,
 )
 from ..kernel.http_client import ProcessChangedError, ReceptionBudget, bounded_session
-from ..kernel.server_process import ServerProcesses, requiring_process
+from ..kernel.process_sessions import ProcessSessions
+from ..kernel.server_process import ServerProcesses
 from ..messages import GrantSet, Request, Response
 from ..messages.group import KeyRange
 from ..messages.request import BytesBody
@@ -108,7 +110,7 @@
         self._max_answer_bytes = site.settings.upstream.max_answer_bytes
         self._keepalive_session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
-        self._grant_session: aiohttp.ClientSession | None = None
+        self._grant_sessions: ProcessSessions | None = None
         self._release_session: aiohttp.ClientSession | None = None
         self._refused_ids: LRUCache[str, None] = LRUCache(_MAX_REFUSED_IDS)
         self._unreachable = False
@@ -161,14 +163,16 @@
             self._max_answer_bytes, keepalive_s=_KEEPALIVE_TIMEOUT_S
         )
         # A request that must not run twice gets a new connection: data of an earlier response may
-        # be left on a reused one.
-        # Its connections end too soon to tell processes apart.
+        # be left on a reused one. Such connections end too soon to tell processes apart.
         self._single_use_session = self._session(self._max_answer_bytes, processes=None)
         # The upstream accepts few connections, so its many small grants share some of them.
-        self._grant_session = self._session(
-            _MAX_GRANT_RESPONSE_BYTES,
-            connections=_GRANT_CONNECTIONS,
-            keepalive_s=_KEEPALIVE_TIMEOUT_S,
+        self._grant_sessions = ProcessSessions(
+            [
+                self._session(
+                    _MAX_GRANT_RESPONSE_BYTES, connections=1, keepalive_s=_KEEPALIVE_TIMEOUT_S
+                )
+                for _ in range(_GRANT_CONNECTIONS)
+            ]
         )
         # Responses to grants and releases carry no id. A late second response to a grant would
         # confirm a release on the same connection while work on the keys is still running.
@@ -179,7 +183,7 @@
         for session in (
             self._keepalive_session,
             self._single_use_session,
-            self._grant_session,
+            self._grant_sessions,
             self._release_session,
         ):
             if session is not None:
@@ -259,11 +263,11 @@
         message = _Grant(
             key_range.first, key_range.last, key_range.epoch, round(hold_s, 3), key_range.handover
         )
-        assert self._grant_session is not None
-        with requiring_process(process):
-            status, _ = await self._send_grant(
-                self._grant_session, GRANT_PATH, message, _GRANT_TIMEOUT_S
-            )
+        assert self._grant_sessions is not None
+        sending = self._grant_sessions.post(
+            process, self._base_url + GRANT_PATH, **_grant_content(message)
+        )
+        status, _ = await self._receive_confirmation(sending, GRANT_PATH, _GRANT_TIMEOUT_S)
         if status not in (200, 409):
             raise OutcomeLostError(f"the upstream responded to a grant with status {status}")
         return status == 200
@@ -272,25 +276,24 @@
         """Revokes a key range; see `RangeGrants.release_range`."""
         message = _Grant(key_range.first, key_range.last, key_range.epoch)
         assert self._release_session is not None
-        status, headers = await self._send_grant(
-            self._release_session, RELEASE_PATH, message, _RELEASE_TIMEOUT_S
+        sending = self._release_session.post(
+            self._base_url + RELEASE_PATH, **_grant_content(message)
+        )
+        status, headers = await self._receive_confirmation(
+            sending, RELEASE_PATH, _RELEASE_TIMEOUT_S
         )
         if status != 200:
             raise OutcomeLostError(f"the upstream responded to a release with status {status}")
         return str(headers.get(HANDOVER, ""))
 
-    async def _send_grant(
-        self, session: aiohttp.ClientSession, path: str, message: _Grant, timeout_s: float
+    async def _receive_confirmation(
+        self,
+        sending: AbstractAsyncContextManager[aiohttp.ClientResponse],
+        path: str,
+        timeout_s: float,
     ) -> tuple[int, Any]:
         try:
-            async with (
-                asyncio.timeout(timeout_s),
-                session.post(
-                    self._base_url + path,
-                    data=msgspec.json.encode(message),
-                    headers={"Content-Type": "application/json"},
-                ) as http_response,
-            ):
+            async with asyncio.timeout(timeout_s), sending as http_response:
                 await http_response.read()
                 self._record_reachable()
                 return http_response.status, http_response.headers
@@ -392,6 +395,13 @@
     return NOT_EXECUTED in http_response.headers or http_response.status == 421
 
 
+def _grant_content(message: _Grant) -> dict[str, Any]:
+    return {
+        "data": msgspec.json.encode(message),
+        "headers": {"Content-Type": "application/json"},
+    }
+
+
 def _upload(body: bytes) -> bytes | AsyncIterator[bytes] | None:
     """Returns the body for the HTTP client, which copies what it is given at once."""
     if len(body) <= _PART_BYTES:
--- a/tests/kernel/test_server_process.py
+++ b/tests/kernel/test_server_process.py
@@ -21,26 +21,41 @@
     def setUp(self):
         self.now = 100.0
         self.processes = ServerProcesses(lambda: self.now)
+        self.first = self.connect()
+        self.number = self.processes.process_of(self.first)
 
     def connect(self) -> FakeConnection:
         connection = FakeConnection()
-        self.number = self.processes.identify(connection)
+        self.processes.opened(connection)
         return connection
 
+    def exchange(self, connection: FakeConnection) -> None:
+        self.processes.requested(connection)
+        self.processes.responded(connection)
+
     def test_first_connection_reaches_the_announced_process(self):
         """Guards against a change of process that is seen at the first connection."""
-        number = self.processes.current
-        self.connect()
-        self.assertEqual(self.number, number)
+        processes = ServerProcesses(lambda: self.now)
+        number = processes.current
+        connection = FakeConnection()
+        processes.opened(connection)
+        self.assertEqual(processes.process_of(connection), number)
 
-    def test_connection_beside_an_open_one_reaches_the_same_process(self):
+    def test_response_proves_the_process_of_newer_connections(self):
         """Guards against new epochs for each connection that is opened."""
-        first = self.connect()
-        number = self.number
-        self.connect()
-        self.assertEqual(self.number, number)
-        self.now += 10
-        self.assertEqual(self.processes.identify(first), number)
+        others = [self.connect(), self.connect()]
+        self.assertEqual([self.processes.process_of(other) for other in others], [None, None])
+        self.exchange(self.first)
+        self.assertEqual(
+            [self.processes.process_of(other) for other in others], [self.number, self.number]
+        )
+
+    def test_response_to_an_earlier_request_proves_nothing(self):
+        """Guards against a response that was on its way while the server restarted."""
+        self.processes.requested(self.first)
+        other = self.connect()
+        self.processes.responded(self.first)
+        self.assertIsNone(self.processes.process_of(other))
 
     def test_connection_after_the_end_of_all_others(self):
         """Guards against a restart within milliseconds that is not noticed."""
@@ -50,27 +65,28 @@
         ):
             with self.subTest():
                 self.setUp()
-                first = self.connect()
-                number = self.number
-                end(first)
-                self.connect()
-                self.assertEqual(self.number, number + 1)
-                self.assertEqual(self.processes.current, number + 1)
+                end(self.first)
+                other = self.connect()
+                self.assertEqual(self.processes.process_of(other), self.number + 1)
+                self.assertEqual(self.processes.current, self.number + 1)
 
     def test_silent_connection_proves_nothing(self):
         """Guards against a connection whose end is lost on the way, so that it seems open."""
-        first = self.connect()
-        number = self.number
-        self.now += 2
         second = self.connect()
-        self.assertEqual(self.number, number + 1)
-        self.now += 1
-        self.processes.responded(first)
-        self.processes.responded(second)
-        self.now += 1
-        self.connect()
-        self.assertEqual(self.number, number + 1)
-        self.now += 2
-        self.processes.responded(first)
-        self.connect()
-        self.assertEqual(self.number, number + 2)
+        self.assertIsNone(self.processes.process_of(second))
+        self.now += 0.5
+        third = self.connect()
+        self.assertEqual(self.processes.process_of(second), self.number + 1)
+        self.assertIsNone(self.processes.process_of(third))
+        self.exchange(self.first)
+        self.assertIsNone(self.processes.process_of(third))
+        self.exchange(second)
+        self.assertEqual(self.processes.process_of(third), self.number + 1)
+        self.assertEqual(self.processes.process_of(self.first), self.number)
+
+    def test_connection_that_was_opened_before_a_change(self):
+        """Guards against an unknown connection to the earlier process that seems a new one."""
+        second, third = self.connect(), self.connect()
+        self.now += 0.5
+        self.assertEqual(self.processes.process_of(third), self.number + 1)
+        self.assertEqual(self.processes.process_of(second), self.number)
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -1,12 +1,12 @@
 """Tests of the client of the upstream on the agent's machine."""
 
 import asyncio
+import json
 import random
 import unittest
 from contextlib import suppress
 from dataclasses import replace
 from types import SimpleNamespace
-from typing import Any
 from unittest import mock
 
 from fescueward.kernel.errors import (
@@ -57,14 +57,12 @@
         patcher.start()
         self.addCleanup(patcher.stop)
 
-    async def start_client(self, address: Address, clock: Any = CLOCK) -> LocalUpstream:
+    async def start_client(self, address: Address) -> LocalUpstream:
         upstream = LocalUpstream(site_at(address))
         announcement = Announcement("depot", address.host, address.port, 6, 110, instance="i1")
         membership = SimpleNamespace(announcement=announcement)
         self.liveness = RecordedLiveness()
-        upstream.bind(
-            StubRegistry(membership=membership, routes=None, liveness=self.liveness, clock=clock)
-        )
+        upstream.bind(StubRegistry(membership=membership, routes=None, liveness=self.liveness))
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
         return upstream
@@ -434,10 +432,14 @@
         self.assertTrue(await upstream.grant_range(renewed, 1.0, upstream.process))
         self.assertEqual([served_start for served_start, _ in received], [0, 0, 1])
 
-    async def test_grant_after_a_pause_of_the_agent(self):
-        """Guards against a kept connection of an earlier process that is offered each grant."""
-        now = 100.0
-        clock = SimpleNamespace(now=lambda: now, sleep=asyncio.sleep)
+    async def start_granting(self) -> LocalUpstream:
+        """Starts a client of a server that confirms grants while `granting` is set.
+
+        `arrived` has the epochs of the grants that have reached it.
+        """
+        self.granting = asyncio.Event()
+        self.granting.set()
+        self.arrived: list[int] = []
 
         async def serve(reader, writer):
             with suppress(asyncio.IncompleteReadError, ConnectionError):
@@ -445,24 +447,53 @@
                     head = await reader.readuntil(b"\r\n\r\n")
                     if head.startswith(b"POST"):
                         length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
-                        await reader.readexactly(length)
+                        grant = json.loads(await reader.readexactly(length))
+                        self.arrived.append(grant["fence"])
+                        await self.granting.wait()
                     writer.write(WHOLE)
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
-        upstream = await self.start_client(Address(*server.sockets[0].getsockname()), clock)
+        return await self.start_client(Address(*server.sockets[0].getsockname()))
+
+    async def test_grants_at_the_same_time(self):
+        """Guards against a process that seems new because grants share several connections."""
+        upstream = await self.start_granting()
         process = upstream.process
-        self.assertTrue(await upstream.grant_range(KeyRange(0, 99, "a:1", 1), 1.0, process))
-        now = 110.0
-        # The first request after the pause opens a connection, and the kept one has been silent.
-        request = make_request(2.0, method="GET", key="", repeatable=True)
-        await upstream.run(request, 0, 0, now + 2.0)
+        for _ in range(3):
+            ranges = [KeyRange(first, first, "a:1", 1) for first in range(12)]
+            grants = (upstream.grant_range(key_range, 1.0, process) for key_range in ranges)
+            self.assertEqual(await asyncio.gather(*grants), [True] * 12)
+            request = make_request(2.0, method="GET", key="", repeatable=True)
+            await upstream.run(request, 0, 0, CLOCK.now() + 2.0)
+        self.assertEqual(upstream.process, process)
+
+    async def test_silent_connection_to_an_earlier_process(self):
+        """Guards against a restart that no kept connection shows, because its end was lost.
+
+        The kept connection must not be offered each later grant either.
+        """
+        upstream = await self.start_granting()
+        process = upstream.process
+        key_range = KeyRange(0, 99, "a:1", 1)
+        self.assertTrue(await upstream.grant_range(key_range, 1.0, process))
+        self.granting.clear()
+        unanswered = asyncio.create_task(upstream.grant_range(key_range, 1.0, process))
+        await wait_until(lambda: len(self.arrived) == 2, 2, "the grant has arrived")
+        with self.assertRaises(UpstreamUnavailableError):
+            await upstream.grant_range(replace(key_range, epoch=2), 1.0, process)
+        self.granting.set()
+        with suppress(OutcomeLostError):
+            await unanswered
         self.assertEqual(upstream.process, process + 1)
-        self.assertTrue(await upstream.grant_range(KeyRange(0, 99, "a:1", 2), 1.0, process + 1))
+        self.assertNotIn(2, self.arrived)
+        for _ in range(3):
+            renewed = replace(key_range, epoch=3)
+            self.assertTrue(await upstream.grant_range(renewed, 1.0, upstream.process))
         with self.assertRaises(UpstreamUnavailableError):
-            await upstream.grant_range(KeyRange(0, 99, "a:1", 1), 1.0, process)
-        self.assertTrue(await upstream.grant_range(KeyRange(0, 99, "a:1", 2), 1.0, process + 1))
+            await upstream.grant_range(key_range, 1.0, process)
+        self.assertEqual(self.arrived, [1, 1, 3, 3, 3])
 
     async def test_long_body_arrives_unchanged(self):
         """Guards against an upload that is cut, or whose length is not named, in parts."""
