Skip the record of a request that was cleared before its write

Cause: found by reading. The write of a record can wait, for the agent of the crash or for the store. A request that was cleared meanwhile got its record back, and was suspected again by all agents.

Change: a record is written only while its request is suspected or refused.

Evidence: test_record_that_is_written_after_a_success.

--- a/fescueward/services/crash_records.py
+++ b/fescueward/services/crash_records.py
@@ -39,14 +39,20 @@
 
     Args:
         tasks: Owner of the tasks that write records.
+        is_current: Returns whether a request is still suspected or refused.
         duration_s: Time for which a record is kept, in seconds.
         now_ms: Returns the Unix time in milliseconds, which later processes share.
     """
 
     def __init__(
-        self, tasks: TaskOwner, duration_s: float, now_ms: Callable[[], int] = _wall_clock_ms
+        self,
+        tasks: TaskOwner,
+        is_current: Callable[[int], bool],
+        duration_s: float,
+        now_ms: Callable[[], int] = _wall_clock_ms,
     ) -> None:
         self._tasks = tasks
+        self._is_current = is_current
         self._duration_ms = int(duration_s * 1000)
         self._now_ms = now_ms
         self._latest_write: asyncio.Task[None] | None = None
@@ -68,6 +74,9 @@
         known = frozenset(crashes)
 
         def change(group: Group) -> Group | None:
+            if not self._is_current(fingerprint):
+                # The request was cleared before the write.
+                return None
             now_ms = self._now_ms()
             return with_crashes(group, fingerprint, known, now_ms, now_ms + self._duration_ms)
 
--- a/fescueward/services/quarantine.py
+++ b/fescueward/services/quarantine.py
@@ -5,19 +5,15 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass, replace
-from types import TracebackType
 
 from cachetools import TLRUCache, TTLCache
 
 from ..interfaces import CrashSource, Groups, Membership, Peers
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
-    AnswerLostError,
     BodyTruncatedError,
     DeadlineExceededError,
-    DeadlineExceededRunningError,
     InvalidRequestError,
-    OutcomeLostError,
     QuarantinedError,
 )
 from ..messages import Group, RecordedCrashes, Request, VersionedGroup
@@ -25,7 +21,8 @@
 from ..messages.request import BytesBody
 from .crash_records import Crash, CrashRecords
 from .crash_reports import CrashReports
-from .fingerprints import PREFIX_BYTES, PrefixedBody, fingerprint_of
+from .fingerprints import PREFIX_BYTES, PrefixedBody
+from .run_guard import RunGuard
 
 _REQUEST_SUSPECTED = Event(
     3301, "request_suspected", Level.WARNING, "A request was in flight during an upstream crash."
@@ -61,14 +58,6 @@
 _FORMER_MEMBER_S = 60.0
 _MAX_FORMER_MEMBERS = 1000
 
-# Errors of a run that a crash may cause. After a crash without a connection reset, runs time out.
-_CRASH_ERRORS = (
-    OutcomeLostError,
-    AnswerLostError,
-    BodyTruncatedError,
-    DeadlineExceededRunningError,
-)
-
 
 @dataclass(frozen=True, slots=True)
 class _LostRun:
@@ -82,58 +71,6 @@
     fingerprint: int
 
 
-class _Guard:
-    """An async context manager around one run."""
-
-    __slots__ = (
-        "_crashes",
-        "_fingerprint",
-        "_is_only_suspect",
-        "_owner",
-        "_request",
-        "_started_at",
-    )
-
-    def __init__(self, owner: CrashQuarantine, request: Request) -> None:
-        self._owner = owner
-        self._request = request
-        self._fingerprint = 0
-        self._crashes = 0
-        self._started_at = 0.0
-        self._is_only_suspect = False
-
-    async def __aenter__(self) -> Request:
-        request = self._request
-        if not isinstance(request.body, BytesBody):
-            request = await self._owner.with_buffered_prefix(request)
-        self._fingerprint = fingerprint_of(request)
-        self._is_only_suspect = await self._owner.admit(request, self._fingerprint)
-        self._crashes = self._owner.crashes
-        self._started_at = self._owner.now
-        return request
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        without_response = isinstance(error, _CRASH_ERRORS)
-        in_crash = without_response and self._owner.crashes > self._crashes
-        if error is None:
-            self._owner.record_success(self._fingerprint, self._started_at, self._is_only_suspect)
-        elif in_crash:
-            self._owner.add_suspect(self._request, self._fingerprint)
-        elif without_response:
-            self._owner.record_lost_run(self._request, self._fingerprint)
-        if self._is_only_suspect:
-            self._owner.release_suspect_lock()
-        if in_crash:
-            # The caller may retry as soon as it has the response, so the members must have the
-            # report by then, and later processes the record.
-            await self._owner.wait_until_known()
-
-
 class CrashQuarantine:
     """The `quarantine` service.
 
@@ -160,7 +97,7 @@
         # Suspects run one at a time, so that a second crash identifies the one that caused it.
         self._suspect_lock = asyncio.Lock()
         self._reports = CrashReports(self._tasks, self._without_outdated)
-        self._records = CrashRecords(self._tasks, _QUARANTINE_S)
+        self._records = CrashRecords(self._tasks, self._is_current, _QUARANTINE_S)
         # Records of the group object that were read last.
         self._read_records: dict[int, RecordedCrashes] = {}
 
@@ -238,9 +175,9 @@
         if joined_ids:
             self._reports.send_to(joined_ids, self._current_reports())
 
-    def guard(self, request: Request) -> _Guard:
+    def guard(self, request: Request) -> RunGuard:
         """Returns a context that watches one run; see `Quarantine.guard`."""
-        return _Guard(self, request)
+        return RunGuard(self, request)
 
     async def admit(self, request: Request, fingerprint: int) -> bool:
         """Refuses a quarantined request and makes a suspect wait until no other suspect runs.
@@ -395,6 +332,9 @@
             raise InvalidRequestError(f"the request body was truncated: {error}") from error
         return replace(request, body=PrefixedBody(b"".join(prefix), rest, request.body))
 
+    def _is_current(self, fingerprint: int) -> bool:
+        return fingerprint in self._suspects or fingerprint in self._quarantined
+
     def _refuse_quarantined(self, fingerprint: int) -> None:
         if fingerprint in self._quarantined:
             raise QuarantinedError(
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -27,7 +27,8 @@
 from fescueward.services import crash_reports
 from fescueward.services import quarantine as module
 from fescueward.services.crash_records import CrashRecords, with_crashes
-from fescueward.services.quarantine import CrashQuarantine, fingerprint_of
+from fescueward.services.fingerprints import fingerprint_of
+from fescueward.services.quarantine import CrashQuarantine
 from fescueward.testing.waiting import wait_until
 
 from .fakes import FakePeers, StreamedBody, StubRegistry, make_group, make_request
@@ -468,6 +469,18 @@
         self.assertEqual(other.quarantine.suspects, ())
         self.assertEqual(self.next_process(member).quarantine.suspects, ())
 
+    async def test_record_that_is_written_after_a_success(self):
+        """Guards against a record that returns because its write was delayed."""
+        request = make_request()
+        member = Member("a", crash_limit=3)
+        member.unavailable = True
+        for _ in range(2):
+            await self.crash(member, request)
+        await member.succeed(request)
+        member.unavailable = False
+        await asyncio.sleep(0.5)
+        self.assertEqual(member.view.group.crashes, {})
+
     async def test_record_waits_for_the_platform(self):
         """Guards against a quarantine that is lost because the store was down at the crash."""
         poison = make_request(path="/poison")
@@ -494,7 +507,7 @@
         self.assertLess(len(group.crashes), 200)
         self.assertIn(499, group.crashes)
         self.assertIsNone(with_crashes(group, 499, frozenset({("a:1", 499)}), 0, 2000))
-        records = CrashRecords(SimpleNamespace(), 600.0, lambda: 1400)
+        records = CrashRecords(SimpleNamespace(), bool, 600.0, lambda: 1400)
         left_s = {
             fingerprint: left_s for fingerprint, (_, left_s) in records.current(group).items()
         }
