Move the checks of upstream responses to a module of their own

Change: platform/responses.py has the functions that check and convert responses; nothing else changes.

Result: tests.platform.test_upstream passes.

--- /dev/null
+++ b/fescueward/platform/responses.py
@@ -0,0 +1,66 @@
+"""Responses of the upstream: which can be passed on, and what they say of the upstream."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import aiohttp
+
+from ..kernel.errors import AnswerLostError, OutcomeLostError
+from ..messages import Request, Response
+from ..messages.request import BytesBody
+from .names import HOP_HEADERS, NOT_EXECUTED, RECEIPT, REQUEST_ID
+
+
+def check_head(request: Request, http_response: aiohttp.ClientResponse) -> None:
+    """Raises unless a response belongs to a request and can be forwarded."""
+    headers = http_response.headers
+    ids = headers.getall(REQUEST_ID, [])
+    # The id comes first: a faulty upstream may write an earlier refusal once more on a kept
+    # connection, where it says nothing about this request. Two ids stand in a head that was cut
+    # off and continues with the head of another response.
+    if ids != [request.id] and (request.repeatable or ids):
+        raise OutcomeLostError(f"the response carries the ids {ids}")
+    if is_refusal(http_response):
+        return
+    receipts = len(headers.getall(RECEIPT, []))
+    if receipts > 1 or (not receipts and http_response.status < 300):
+        raise AnswerLostError(f"the response has {receipts} signature headers")
+    if "Content-Encoding" in headers:
+        raise AnswerLostError("the response has a content encoding")
+    if any(name != name.rstrip() for name in headers):
+        # The parser accepts such a name, but a header of the framing would have no effect.
+        raise AnswerLostError("the name of a header ends with a space")
+
+
+def rate_limit(values: Iterable[str]) -> float | None:
+    """Returns the lowest of the limits in a response, or None without one.
+
+    Raises:
+        ValueError: One of them is no rate.
+    """
+    rates = []
+    for value in values:
+        rate = float(value.replace(",", "."))
+        if not math.isfinite(rate) or rate < 0:
+            raise ValueError(f"the limit is {value[:20]!r}")
+        rates.append(rate)
+    return min(rates, default=None)
+
+
+def is_refusal(http_response: aiohttp.ClientResponse) -> bool:
+    """Returns whether the upstream states that it has not run the request."""
+    return NOT_EXECUTED in http_response.headers or http_response.status == 421
+
+
+def to_response(
+    request: Request, http_response: aiohttp.ClientResponse, content: bytes
+) -> Response:
+    """Returns the response as it is passed on."""
+    headers = tuple(
+        (str(name), value)
+        for name, value in http_response.headers.items()
+        if name.lower() not in HOP_HEADERS
+    )
+    return Response(request.id, http_response.status, headers, BytesBody(content))
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from typing import Any
 
@@ -28,16 +27,12 @@
 from ..kernel.server_process import ServerProcesses
 from ..messages import GrantSet, Request, Response
 from ..messages.group import KeyRange
-from ..messages.request import BytesBody
 from ..messages.upstream import UpstreamNotice
 from .names import (
     CALLER,
     GRANT_PATH,
     HANDOVER,
-    HOP_HEADERS,
     KEY,
-    NOT_EXECUTED,
-    RECEIPT,
     RELEASE_PATH,
     REQUEST_ID,
     SERVER_LEAVING,
@@ -45,6 +40,7 @@
     TARGET_INSTANCE,
     TIMEOUT_MS,
 )
+from .responses import check_head, is_refusal, rate_limit, to_response
 from .settings import Site
 
 _UNREACHABLE = Event(
@@ -227,19 +223,19 @@
             ):
                 self._record_reachable()
                 try:
-                    _check_head(request, http_response)
+                    check_head(request, http_response)
                 except RefusalError:
                     # Its connection is out of step, so it must not return to the pool.
                     http_response.abort()
                     raise
                 self._report_notice(announcement.start, http_response)
                 content = await http_response.read()
-                if _is_refusal(http_response):
+                if is_refusal(http_response):
                     self._refused_ids[request.id] = None
                     raise UpstreamRefusedError(
                         f"the upstream refused the request with status {http_response.status}"
                     )
-                return _response(request, http_response, content)
+                return to_response(request, http_response, content)
         except _NOT_CONNECTED as error:
             self._record_unreachable(error)
             raise UpstreamUnavailableError(f"no connection to the upstream: {error}") from error
@@ -320,7 +316,7 @@
     def _report_notice(self, start: str, http_response: aiohttp.ClientResponse) -> None:
         headers = http_response.headers
         try:
-            self._limit_per_second = _limit(headers.getall(SERVER_LIMIT, ()))
+            self._limit_per_second = rate_limit(headers.getall(SERVER_LIMIT, ()))
         except ValueError as error:
             _MALFORMED_LIMIT.emit(error=error)
         leaving = "1" in headers.getall(SERVER_LEAVING, ())
@@ -355,46 +351,6 @@
             listener.upstream_crashed()
 
 
-def _check_head(request: Request, http_response: aiohttp.ClientResponse) -> None:
-    """Raises unless a response belongs to a request and can be forwarded."""
-    headers = http_response.headers
-    ids = headers.getall(REQUEST_ID, [])
-    # The id comes first: a faulty upstream may write an earlier refusal once more on a kept
-    # connection, where it says nothing about this request. Two ids stand in a head that was cut
-    # off and continues with the head of another response.
-    if ids != [request.id] and (request.repeatable or ids):
-        raise OutcomeLostError(f"the response carries the ids {ids}")
-    if _is_refusal(http_response):
-        return
-    receipts = len(headers.getall(RECEIPT, []))
-    if receipts > 1 or (not receipts and http_response.status < 300):
-        raise AnswerLostError(f"the response has {receipts} signature headers")
-    if "Content-Encoding" in headers:
-        raise AnswerLostError("the response has a content encoding")
-    if any(name != name.rstrip() for name in headers):
-        # The parser accepts such a name, but a header of the framing would have no effect.
-        raise AnswerLostError("the name of a header ends with a space")
-
-
-def _limit(values: Iterable[str]) -> float | None:
-    """Returns the lowest of the limits in a response, or None without one.
-
-    Raises:
-        ValueError: One of them is no rate.
-    """
-    rates = []
-    for value in values:
-        rate = float(value.replace(",", "."))
-        if not math.isfinite(rate) or rate < 0:
-            raise ValueError(f"the limit is {value[:20]!r}")
-        rates.append(rate)
-    return min(rates, default=None)
-
-
-def _is_refusal(http_response: aiohttp.ClientResponse) -> bool:
-    return NOT_EXECUTED in http_response.headers or http_response.status == 421
-
-
 def _grant_content(message: _Grant) -> dict[str, Any]:
     return {
         "data": msgspec.json.encode(message),
@@ -412,12 +368,3 @@
 async def _parts(body: bytes) -> AsyncIterator[bytes]:
     for start in range(0, len(body), _PART_BYTES):
         yield body[start : start + _PART_BYTES]
-
-
-def _response(request: Request, http_response: aiohttp.ClientResponse, content: bytes) -> Response:
-    headers = tuple(
-        (str(name), value)
-        for name, value in http_response.headers.items()
-        if name.lower() not in HOP_HEADERS
-    )
-    return Response(request.id, http_response.status, headers, BytesBody(content))
