Record the crash of an emulated upstream from its beginning

Cause: soak seed 2018 broke LOST once: a request that was sent 0.03 s before a SIGTERM got 502. The trace: its run began at 1675.479 s, the plan crashed its upstream at about 1675.53 s, the agent logged the end of the connection without a response, and the crash was recorded from 1675.582 s, when the server had stopped. The rule excuses what the upstream breaks off, and the judge did not see that it was one.

Change: the disturbance begins before the crash. Nothing else is excused. The seed stays as a test.

--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -211,8 +211,9 @@
             self._end_fault(step)
         elif step.action is Action.CRASH:
             if not self._begin_fault(replace(step, action=Action.LEAVE)):
+                since = time.monotonic()
                 await upstream.crash()
-                await self._wait_and_record(step, count=False)
+                await self._wait_and_record(step, count=False, since=since)
                 first_heartbeat_s = HEARTBEAT_PERIOD_S * _varies(step, 4) / 4
                 await upstream.start(step.value == "same id", first_heartbeat_s)
             self._end_fault(replace(step, action=Action.LEAVE))
@@ -243,17 +244,24 @@
         if self._end_fault(step):
             await proxy.set_plan(PASS)
 
-    async def _wait_and_record(self, step: Step, store: bool = False, count: bool = True) -> None:
+    async def _wait_and_record(
+        self,
+        step: Step,
+        store: bool = False,
+        count: bool = True,
+        since: float | None = None,
+    ) -> None:
         """Waits for the duration of a fault and records it as a disturbance.
 
         Args:
             step: Step of the fault.
             store: Whether the fault affects only the store or the link to it.
             count: Whether to count the fault as active.
+            since: When the fault began, in seconds of `time.monotonic`; now if None.
         """
         if count:
             self._begin_fault(step)
-        since = time.monotonic()
+        since = time.monotonic() if since is None else since
         await asyncio.sleep(step.seconds)
         self._site.evidence.disturbances.append(
             Disturbance(
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -51,6 +51,10 @@
         """Guards against a request that is cut without a response by a stopping agent."""
         self._run_seed(1035)
 
+    def test_seed_2018(self):
+        """Guards against a judge that blames an agent for what its upstream cut off by a crash."""
+        self._run_seed(2018)
+
     def test_seed_1_with_restores(self):
         """Guards against epochs that go back, and keys without an owner, in a restored store."""
         self._run_seed(1, restores=True)
