Count a stop from the beginning of a pause in which it was requested

Callers saw: a request was cut by the kill of an agent that had accepted it (LOST).

Cause: the time of SIGTERM was the time of its handling. If it is sent to a paused process, the phases of the stop end later than the platform's grace time.

--- a/fescueward/kernel/kernel.py
+++ b/fescueward/kernel/kernel.py
@@ -9,6 +9,7 @@
 from .clock import BootClock
 from .errors import ServiceFailedError
 from .events import Event, Level
+from .pauses import PauseWatch
 from .registry import Drainable, Registry, Service
 from .tasks import TaskOwner
 
@@ -69,6 +70,7 @@
         self._started: list[Service] = []
         self._stop_requested = asyncio.Event()
         self._clock = BootClock()
+        self._pauses = PauseWatch(self._clock)
         self._stop_requested_at = 0.0
         self._failure: ServiceFailedError | None = None
 
@@ -111,7 +113,8 @@
     def request_stop(self) -> None:
         """Makes `run` drain and stop all services and return; later calls have no effect."""
         if not self.stopping:
-            self._stop_requested_at = self._clock.now()
+            # Whoever sent the signal counts its time limit from the sending.
+            self._stop_requested_at = self._pauses.earliest_arrival()
             _STOP_REQUESTED.emit(failed=self._failure is not None)
         self._stop_requested.set()
 
@@ -136,6 +139,7 @@
             ServiceFailedError: A task of a service failed, or a service could not bind its port.
         """
         self.bind()
+        pause_checks = asyncio.get_running_loop().create_task(self._pauses.run())
         try:
             for service in self._start_order():
                 await self._start(service)
@@ -144,6 +148,7 @@
                 await self._drain_all()
         finally:
             await self._stop_all()
+            pause_checks.cancel()
         if self._failure is not None:
             raise self._failure
 
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -55,6 +55,10 @@
         """Guards against a judge that blames an agent for what its upstream cut off by a crash."""
         self._run_seed(2018)
 
+    def test_seed_3106_with_restores(self):
+        """Guards against requests that are cut when SIGTERM is sent to a paused agent."""
+        self._run_seed(3106, restores=True)
+
     def test_seed_1_with_restores(self):
         """Guards against epochs that go back, and keys without an owner, in a restored store."""
         self._run_seed(1, restores=True)
