Take the Unix time from one function, and restart an agent after a drain in a test

Cause: two services had the same function, and the test of a departure that outlives its process played a leave only.

Change: kernel/clock.py has unix_ms; the test plays draining too.

--- a/fescueward/kernel/clock.py
+++ b/fescueward/kernel/clock.py
@@ -20,6 +20,11 @@
         ...
 
 
+def unix_ms() -> int:
+    """Returns the Unix time in milliseconds, which VMs share up to the errors of their clocks."""
+    return int(time.time() * 1000)
+
+
 class BootClock:
     """CLOCK_BOOTTIME, which advances while the VM is suspended.
 
--- a/fescueward/services/crash_records.py
+++ b/fescueward/services/crash_records.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from ..interfaces import Groups, Membership
 from ..interfaces.groups import GroupChange
 from ..kernel import Clock, Event, Level, Registry, TaskOwner
+from ..kernel.clock import unix_ms
 from ..messages import Group, GroupId, RecordedCrashes
 from .lasting_edits import edit_until_written
 
@@ -30,10 +30,6 @@
 _OTHERS_DELAY_S = 0.5
 
 
-def _wall_clock_ms() -> int:
-    return int(time.time() * 1000)
-
-
 class CrashRecords:
     """Keeps the crashes of requests in the group object.
 
@@ -49,7 +45,7 @@
         tasks: TaskOwner,
         is_current: Callable[[int], bool],
         duration_s: float,
-        now_ms: Callable[[], int] = _wall_clock_ms,
+        now_ms: Callable[[], int] = unix_ms,
     ) -> None:
         self._tasks = tasks
         self._is_current = is_current
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
@@ -12,6 +11,7 @@
 from ..interfaces import Admission, Groups, Lease, Ownership, Peers, Placement
 from ..interfaces.groups import GroupChange
 from ..kernel import Clock, Event, Kernel, Level, Registry
+from ..kernel.clock import unix_ms
 from ..kernel.errors import (
     FescuewardError,
     InvalidAnnouncementError,
@@ -65,10 +65,6 @@
 LEAVING_GRACE_S = 1.0
 
 
-def _wall_clock_ms() -> int:
-    return int(time.time() * 1000)
-
-
 class GroupMembership:
     """The `membership` service.
 
@@ -90,7 +86,7 @@
         kernel: Kernel,
         incarnation: int,
         boot_id: str = "",
-        next_incarnation: Callable[[], int] = _wall_clock_ms,
+        next_incarnation: Callable[[], int] = unix_ms,
         stop_timeout_s: float = LEAVE_TIMEOUT_S,
         leaving_grace_s: float = LEAVING_GRACE_S,
     ) -> None:
@@ -267,7 +263,7 @@
         if announcement is not None and announcement.instance == instance:
             self._announce_leave(announcement)
         else:
-            self._departures.add(group_id, instance, _wall_clock_ms())
+            self._departures.add(group_id, instance, unix_ms())
 
     async def departure_recorded(self, instance: str) -> bool:
         """Waits until a departure is recorded; see `DepartureRecord`."""
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -454,14 +454,22 @@
 
     def test_departure_outlives_the_process(self):
         """Guards against a departure that is forgotten when the agent is killed."""
-        self.leave("i1")
-        self.assertEqual(self.recorded("i1"), [True])
-        for _ in range(2):
-            agent = self.fleet.start("a0", "d0")
-            agent.instance, agent.started_ms = "i1", 1000
-            self.fleet.world.advance(4)
-            self.assertEqual(self.own_members(), [])
-            self.assertTrue(agent.membership.closed)
+        for leave in (
+            lambda: self.announce("i1", 1000, AnnouncedState.LEAVING),
+            lambda: self.leave("i1"),
+        ):
+            with self.subTest():
+                self.setUp()
+                leave()
+                # The announcement is applied in the next step of the agent.
+                self.fleet.world.advance(0.01)
+                self.assertEqual(self.recorded("i1"), [True])
+                for _ in range(2):
+                    agent = self.fleet.start("a0", "d0")
+                    agent.instance, agent.started_ms = "i1", 1000
+                    self.fleet.world.advance(4)
+                    self.assertEqual(self.own_members(), [])
+                    self.assertTrue(agent.membership.closed)
 
     def test_leave_that_a_new_process_receives(self):
         """Guards against a leave that is ignored, because no heartbeat preceded it."""
