--- a/fescueward/kernel/pauses.py
+++ b/fescueward/kernel/pauses.py
@@ -18,14 +18,16 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._checked_at = clock.now()
+        # Time of the last check, or None before the first.
+        self._checked_at: float | None = None
         self._pause_start = self._pause_end = float("-inf")
 
     async def run(self) -> None:
         """Checks the time periodically, until it is cancelled."""
+        self._checked_at = self._clock.now()
         while True:
-            self._check()
             await self._clock.sleep(_CHECK_PERIOD_S)
+            self._check()
 
     def earliest_arrival(self) -> float:
         """Returns the earliest time at which a signal that is handled now can have been sent.
@@ -40,6 +42,8 @@
         return self._pause_start if now - self._pause_end < _CHECK_PERIOD_S else now
 
     def _check(self) -> None:
+        if self._checked_at is None:
+            return
         now = self._clock.now()
         if now - self._checked_at > _MIN_PAUSE_S:
             self._pause_start, self._pause_end = self._checked_at, now
--- a/tests/kernel/test_pauses.py
+++ b/tests/kernel/test_pauses.py
@@ -50,6 +50,12 @@
         await self.advance(3.6)
         self.assertAlmostEqual(self.watch.earliest_arrival(), 104.1)
 
+    async def test_signal_before_the_first_check(self):
+        """Guards against a process whose start counts as a pause."""
+        watch = PauseWatch(self.clock)
+        self.clock.time_s += 5
+        self.assertEqual(watch.earliest_arrival(), 105)
+
     async def test_signal_without_a_pause(self):
         """Guards against a shorter stop after a stall, or long after a pause."""
         await self.advance(0.9)
