Divide admission into modules and agree on the interfaces of the new parts

It is now a folder with the order of waiting requests, the run times, the slot limit, the pace and the limits of entries in modules of their own; decisions are the same. Types and messages of the new parts are declared: warm-up, evacuation, reported load, room of other upstreams, returning callers and calls of runs.

--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -5,6 +5,7 @@
 
 from .administration import PlatformState, StatusReports, WatchState, WorkState
 from .catalogue import Catalogue
+from .evacuations import EvacuationGate, EvacuationListener, EvacuationState
 from .groups import Directory, GroupListener, Groups
 from .leases import Departure, DepartureRecord, Lease, Membership, Monitor
 from .metrics import (
@@ -35,11 +36,14 @@
     StartListener,
     Upstream,
 )
+from .room import CallRoom, Returns, Room
 from .routes import RangeGrants, Routes
 from .shutdown import Shutdown, ShutdownPhase
+from .warmup import Warmup
 
 __all__ = [
     "Admission",
+    "CallRoom",
     "Catalogue",
     "Changes",
     "CrashListener",
@@ -47,6 +51,9 @@
     "Departure",
     "DepartureRecord",
     "Directory",
+    "EvacuationGate",
+    "EvacuationListener",
+    "EvacuationState",
     "Execution",
     "Grants",
     "GroupListener",
@@ -72,6 +79,8 @@
     "RateControl",
     "RequestListener",
     "RequestSource",
+    "Returns",
+    "Room",
     "Router",
     "Routes",
     "RunListener",
@@ -84,6 +93,7 @@
     "StoredObject",
     "Ticket",
     "Upstream",
+    "Warmup",
     "WatchState",
     "WorkState",
 ]
--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -34,6 +34,11 @@
         grace_s: Time between the stop signal and the forced end of the process.
         max_hold_s: Longest grant of a key range.
         propagation_s: Longest time until a new configuration is in force on all agents.
+        cold_over: Factor on the rate that a cold upstream takes, up to which it may be exceeded
+            within one second.
+        cold_slack: Requests that a cold upstream may get in one second beyond that.
+        evacuate_s: Longest time after an evacuation was requested in which requests may be sent
+            to the upstreams of the failure domain.
     """
 
     retry_ratio: float = 0.1
@@ -43,6 +48,9 @@
     grace_s: float = 6.0
     max_hold_s: float = 10.0
     propagation_s: float = 5.0
+    cold_over: float = 1.0
+    cold_slack: float = 1.0
+    evacuate_s: float = 5.0
 
     @property
     def accept_until_s(self) -> float:
--- a/fescueward/messages/configuration.py
+++ b/fescueward/messages/configuration.py
@@ -60,6 +60,8 @@
         connections: Connections that one upstream accepts from all callers together.
         keyed: Whether each request has a key that exactly one upstream owns.
         warmup_s: Time for which keys taken over without a handover are slow, in seconds.
+        cold_start_s: Time for which an upstream is cold after its start, in seconds; 0 if never.
+        cold_per_s: Requests per second that a cold upstream takes; 0 if there is no limit.
     """
 
     name: Name
@@ -67,6 +69,8 @@
     connections: Annotated[int, Meta(ge=1)] = 100
     keyed: bool = False
     warmup_s: Annotated[float, Meta(ge=0)] = 0.0
+    cold_start_s: Annotated[float, Meta(ge=0, le=3600)] = 0.0
+    cold_per_s: Annotated[float, Meta(ge=0, le=1_000_000)] = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -11,6 +11,7 @@
 from .configuration import VersionedConfiguration
 from .delta import ConfigurationDelta, GroupDelta
 from .entry import VersionedEntry
+from .evacuations import Evacuations
 from .group import Member, VersionedGroup
 from .request import Headers, Occupancy
 
@@ -198,6 +199,7 @@
         configuration_delta: Change of the configuration, or None; a receiver with another base
             version fetches the whole configuration.
         relay: Whether the receiver passes the message on to the members of its failure domain.
+        evacuations: Evacuations of failure domains, or None.
     """
 
     groups: tuple[VersionedGroup, ...] = ()
@@ -206,6 +208,7 @@
     deltas: tuple[GroupDelta, ...] = ()
     configuration_delta: ConfigurationDelta | None = None
     relay: bool = False
+    evacuations: Evacuations | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -483,6 +486,8 @@
         departed_start: Start of the receiver's upstream that is known to leave, or empty.
         sent_ms: Time of sending in milliseconds of the sender's CLOCK_BOOTTIME, or None from
             earlier versions of the agent.
+        inner: Whether a run on the upstream of the VM where the request originated has made it.
+        returning: Whether its caller was told to come back at about this time.
     """
 
     stream: NonNegativeInt
@@ -506,6 +511,8 @@
     has_alternatives: bool = False
     departed_start: str = ""
     sent_ms: NonNegativeInt | None = None
+    inner: bool = False
+    returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -601,6 +608,34 @@
     occupancy: Occupancy | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RoomReport:
+    """Room of one upstream as measured by the agent on its VM.
+
+    Attributes:
+        member_id: Member id of that agent.
+        occupancy: Load of its slots.
+        age_ms: Time since the measurement when the message was sent, in milliseconds.
+    """
+
+    member_id: str
+    occupancy: Occupancy
+    age_ms: NonNegativeInt = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RoomReports:
+    """Reports of room, from an agent to the collector of its failure domain or from a collector.
+
+    Attributes:
+        reports: The reports, at most one of each member.
+        relay: Whether the receiver passes them on to the members of its failure domain.
+    """
+
+    reports: tuple[RoomReport, ...]
+    relay: bool = False
+
+
 # The index of a type is its kind on the wire, so types are only appended.
 PEER_MESSAGES: tuple[type[Any], ...] = (
     Challenge,
@@ -631,4 +666,5 @@
     CrashNoted,
     JoinRequest,
     JoinReply,
+    RoomReports,
 )
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -57,6 +57,8 @@
         run_ms: Mean duration of a run in milliseconds.
         per_second: Requests per second that the upstream takes, or None without a limit.
         leaving: Whether the upstream leaves.
+        slowness: How long work takes there at present in proportion to the usual time.
+        cold_ms: Remaining time for which the upstream is cold, in milliseconds.
     """
 
     running: int
@@ -65,6 +67,8 @@
     run_ms: float
     per_second: float | None = None
     leaving: bool = False
+    slowness: float = 1.0
+    cold_ms: int = 0
 
     @property
     def usable_slots(self) -> float:
@@ -106,6 +110,9 @@
             that agent may have forgotten it by a restart.
         delayed_s: Time in seconds that the request took longer than others on its way from the
             agent that forwarded it.
+        inner: Whether a run on the upstream of the VM where the request originated has made it,
+            so that this run is wasted if the request fails.
+        returning: Whether its caller was told to come back at about this time.
     """
 
     id: str
@@ -129,6 +136,8 @@
     has_alternatives: bool = False
     departed_start: str = ""
     delayed_s: float = 0.0
+    inner: bool = False
+    returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/messages/upstream.py
+++ b/fescueward/messages/upstream.py
@@ -66,6 +66,24 @@
         return f"{self.instance}@{self.started_ms}" if self.instance else ""
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Load that an upstream reports of itself.
+
+    Attributes:
+        running: Number of running requests.
+        waiting: Number of waiting requests.
+        slots: Requests that may run concurrently.
+        slowness: How long work takes at present in proportion to the usual time, or None if the
+            upstream does not report it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamNotice:
     """What an upstream says of itself in a response.
@@ -74,11 +92,15 @@
         start: Identity of the start that responded; see `Announcement.start`.
         per_second: Requests per second that it takes from all agents together, or None.
         leaving: Whether it leaves.
+        load: Load that it reports, or None without a readable report.
+        cold_s: Remaining time for which it is cold, in seconds, or None if not stated.
     """
 
     start: str
     per_second: float | None = None
     leaving: bool = False
+    load: ReportedLoad | None = None
+    cold_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -192,4 +192,7 @@
         grace_s=number("graceS", default.grace_s),
         max_hold_s=number("holdMaxS", default.max_hold_s),
         propagation_s=number("propagationS", default.propagation_s),
+        cold_over=number("coldOver", default.cold_over),
+        cold_slack=number("coldSlack", default.cold_slack),
+        evacuate_s=number("evacuateS", default.evacuate_s),
     )
--- /dev/null
+++ b/fescueward/services/admission/slots.py
@@ -0,0 +1,303 @@
+"""Slots of the upstream, given out by priority and deadline, with early load shedding."""
+
+from __future__ import annotations
+
+import asyncio
+from types import TracebackType
+
+from ...kernel import Clock, Event, Level, Registry
+from ...kernel.errors import DeadlineExceededError, OverloadedError
+from ...messages import Announcement, Entry, Request
+from ...messages.request import Occupancy
+from .entry_rates import EntryRates
+from .pace import StartPace
+from .queue import RequestQueue, Waiter
+from .run_times import RunTimes
+from .slot_limit import SlotLimit
+
+_RATE_LIMITED = Event(
+    3103,
+    "rate_limited",
+    Level.INFO,
+    "The upstream named or changed the rate that it takes, or names none any more.",
+)
+
+# Connections to the upstream reserved for grants, cancellations and health checks.
+_RESERVED_CONNECTIONS = 3
+
+
+class _Slot:
+    """An async context manager that holds a slot."""
+
+    __slots__ = ("_admission", "_entry", "_request", "_started")
+
+    def __init__(self, admission: SlotAdmission, request: Request, entry: Entry) -> None:
+        self._admission = admission
+        self._request = request
+        self._entry = entry
+        self._started = 0.0
+
+    async def __aenter__(self) -> None:
+        await self._admission.acquire(self._request, self._entry)
+        self._started = self._admission.now()
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._admission.release(self._started, error, self._request.route)
+
+
+class SlotAdmission:
+    """The `admission` service.
+
+    The number of usable slots follows this agent's own measurements: its count of running
+    requests, their run times and the requests that the upstream sheds. The load that the upstream
+    reports is not used, because it lags or is wrong. A rate that it names is kept.
+
+    Args:
+        upstream_names_limits: Whether upstreams may name a rate in their responses.
+    """
+
+    name = "admission"
+    requires: tuple[str, ...] = ()
+
+    def __init__(self, upstream_names_limits: bool = False) -> None:
+        self._upstream_names_limits = upstream_names_limits
+        self._pace = StartPace()
+        self._pace_timer: asyncio.TimerHandle | None = None
+        self._upstream_start: tuple[str, int, str] | None = None
+        self._running = 0
+        self._queue = RequestQueue()
+        self._run_times = RunTimes()
+        self._entry_rates = EntryRates()
+
+    @property
+    def capacity(self) -> float:
+        """Usable share of the slots, from above 0.0 to 1.0."""
+        return min(self.occupancy.usable_slots / self._slot_limit.slots, 1.0)
+
+    @property
+    def occupancy(self) -> Occupancy:
+        """Load of the slots as measured by this agent."""
+        return Occupancy(
+            self._running,
+            len(self._queue),
+            self._slot_limit.current(),
+            round(self._run_times.mean_s * 1000, 1),
+            self._pace.per_second,
+        )
+
+    def bind(self, registry: Registry) -> None:
+        """Looks up the clock."""
+        self._clock = registry.find("clock", Clock)
+        self._slot_limit = SlotLimit(self._clock)
+
+    async def start(self) -> None:
+        """Starts nothing: this service has no background task."""
+
+    async def stop(self) -> None:
+        """Stops nothing: this service has no background task."""
+
+    def now(self) -> float:
+        """Returns the current time in seconds of CLOCK_BOOTTIME."""
+        return self._clock.now()
+
+    def observe_announcement(self, announcement: Announcement) -> None:
+        """Sets the number of slots from an announcement; a new upstream begins a slow start."""
+        self._slot_limit.slots = max(
+            min(announcement.slots, announcement.connections - _RESERVED_CONNECTIONS), 1
+        )
+        address = (announcement.host, announcement.port)
+        upstream_start = (*address, announcement.start)
+        if upstream_start != self._upstream_start:
+            self._upstream_start = upstream_start
+            self._pace.limit(None, self._clock.now())
+            self._slot_limit.heard = not self._upstream_names_limits
+            # An upstream that announces its warm-up time is slower while cold, but all its slots
+            # are usable.
+            if announcement.cold_s is None:
+                self.begin_slow_start()
+        self._wake_next()
+
+    def begin_slow_start(self) -> None:
+        """Limits the slots of a cold upstream; see `Admission.begin_slow_start`."""
+        self._slot_limit.begin_slow_start()
+        self._run_times = RunTimes()
+
+    def limit_rate(self, per_second: float | None) -> None:
+        """Sets the rate that the upstream takes; see `RateControl.limit_rate`."""
+        was_heard, self._slot_limit.heard = self._slot_limit.heard, True
+        before = self._pace.per_second
+        self._pace.limit(per_second, self._clock.now())
+        if self._pace.per_second != before:
+            _RATE_LIMITED.emit(per_second=self._pace.per_second, before=before)
+        elif was_heard:
+            return
+        self._wake_next()
+
+    def slot(self, request: Request, entry: Entry) -> _Slot:
+        """Returns a context that waits for a slot; see `Admission.slot`."""
+        return _Slot(self, request, entry)
+
+    def check(self, request: Request, entry: Entry) -> None:
+        """Raises as `Admission.check` if the request would be refused now."""
+        if self._must_wait():
+            self._will_be_late(request, entry)
+        elif request.has_alternatives:
+            ends_at = self._clock.now() + self._run_times.expected_s(request.route)
+            if ends_at > self._worth_until(request):
+                raise OverloadedError("the response would be late here")
+
+    async def acquire(self, request: Request, entry: Entry) -> None:
+        """Waits for a slot and takes it; raises as `Admission.slot`."""
+        await self._entry_rates.take(entry)
+        if not self._must_wait():
+            self._begin_run()
+            return
+        waiter = self._queue.add(request, self._will_be_late(request, entry))
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(self._latest_start_s(request), self._expire, waiter)
+        self._wake_at_pace()
+        try:
+            await waiter.admitted
+        except asyncio.CancelledError:
+            admitted = waiter.admitted
+            if admitted.done() and not admitted.cancelled() and admitted.exception() is None:
+                # The slot was assigned in the event loop iteration of the cancellation.
+                self._running -= 1
+                self._wake_next()
+            raise
+        finally:
+            timer.cancel()
+            self._queue.remove(waiter)
+
+    def release(self, acquired_at: float, error: BaseException | None, route: str = "") -> None:
+        """Releases a slot.
+
+        Args:
+            acquired_at: When the slot was acquired, in seconds of CLOCK_BOOTTIME.
+            error: The exception that ended the run, or None if the run succeeded.
+            route: Name of the route of the request, or empty.
+        """
+        self._running -= 1
+        if isinstance(error, OverloadedError):
+            self._slot_limit.record_shed(self._running, self._run_times.mean_s)
+        elif error is None:
+            self._record_run(self._clock.now() - acquired_at, route)
+        self._wake_next()
+
+    def _must_wait(self) -> bool:
+        return (
+            self._running >= self._slot_limit.current()
+            or len(self._queue) > 0
+            or self._pace.wait_s(0, self._clock.now()) > 0
+        )
+
+    def _begin_run(self) -> None:
+        self._running += 1
+        self._pace.take(self._clock.now())
+
+    def _wake_at_pace(self) -> None:
+        """Wakes the queue when the rate of the upstream permits the next run."""
+        wait_s = self._pace.wait_s(0, self._clock.now())
+        if wait_s > 0 and self._pace_timer is None:
+            self._pace_timer = asyncio.get_running_loop().call_later(wait_s, self._wake_paced)
+
+    def _wake_paced(self) -> None:
+        self._pace_timer = None
+        self._wake_next()
+
+    def _record_run(self, run_s: float, route: str) -> None:
+        self._run_times.add(run_s, route)
+        self._slot_limit.record_run(self._run_times.mean_s)
+
+    def _will_be_late(self, request: Request, entry: Entry) -> bool:
+        """Returns whether the response to a request that begins to wait now will be late.
+
+        Raises:
+            OverloadedError: The queue is full, or the response would be too late.
+        """
+        limit = self._slot_limit.current()
+        now = self._clock.now()
+        run_s = self._run_times.expected_s(request.route)
+        ahead = self._queue.ahead_of(request)
+        wait_s = max(self._run_times.mean_s * (ahead + 1) / limit, self._pace.wait_s(ahead, now))
+        drain_s = self._drain_s()
+        retry_after_s = max(drain_s, entry.limits.retry_after_ms / 1000)
+        if len(self._queue) >= entry.limits.queue_length:
+            raise OverloadedError("the queue is full", retry_after_s=retry_after_s)
+        if now + wait_s + run_s <= self._worth_until(request):
+            return False
+        if request.has_alternatives:
+            raise OverloadedError("the response would be late here", retry_after_s=retry_after_s)
+        fits_late = now + drain_s + run_s <= request.deadline
+        can_be_late = (request.useful_until or request.deadline) < request.deadline
+        if fits_late and can_be_late and self._queue.late_count < limit:
+            return True
+        raise OverloadedError(
+            "the expected wait exceeds the deadline", retry_after_s=retry_after_s
+        )
+
+    def _worth_until(self, request: Request) -> float:
+        """Returns until when a response to a request justifies a slot for which others wait."""
+        if self._run_times.is_short(request.route):
+            return request.deadline
+        return request.useful_until or request.deadline
+
+    def _latest_start_s(self, request: Request) -> float:
+        """Returns the time from now after which a run cannot end before the deadline."""
+        remaining_s = request.deadline - self._clock.now()
+        return max(remaining_s - self._run_times.expected_s(request.route), 0.0)
+
+    def _expire(self, waiter: Waiter) -> None:
+        """Refuses a request once it cannot be served any more.
+
+        The agent that forwarded it learns before the deadline that it has not run, so its caller
+        gets a certain answer and can return.
+        """
+        if waiter.admitted.done():
+            return
+        if waiter.request.deadline <= self._clock.now():
+            waiter.admitted.set_exception(
+                DeadlineExceededError("the deadline passed while waiting for a slot")
+            )
+            return
+        waiter.admitted.set_exception(self._too_late_error())
+
+    def _too_late_error(self) -> OverloadedError:
+        return OverloadedError(
+            "too little time is left to run the request",
+            retry_after_s=max(self._drain_s(), self._run_times.mean_s),
+        )
+
+    def _wake_next(self) -> None:
+        limit = self._slot_limit.current()
+        while len(self._queue) and self._running < limit:
+            if self._pace.wait_s(0, self._clock.now()) > 0:
+                self._wake_at_pace()
+                return
+            waiter = self._queue.pop()
+            if waiter.admitted.done():
+                continue
+            request = waiter.request
+            ends_at = self._clock.now() + self._run_times.expected_s(request.route)
+            if ends_at > request.deadline:
+                # A run that cannot end in time would take the slot from one that can.
+                waiter.admitted.set_exception(self._too_late_error())
+                continue
+            if ends_at > self._worth_until(request) and self._queue.has_on_time:
+                # Its response will be late, so requests that can be in time run first.
+                self._queue.put_late(waiter)
+                continue
+            self._begin_run()
+            waiter.admitted.set_result(None)
+
+    def _drain_s(self) -> float:
+        queued_count = len(self._queue)
+        return max(
+            self._run_times.mean_s * (queued_count + 1) / self._slot_limit.current(),
+            self._pace.wait_s(queued_count, self._clock.now()),
+        )
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -291,6 +291,8 @@
             has_alternatives=message.has_alternatives,
             departed_start=message.departed_start,
             delayed_s=delayed_s,
+            inner=message.inner,
+            returning=message.returning,
         )
 
 
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -145,6 +145,8 @@
         has_alternatives=request.has_alternatives,
         departed_start=request.departed_start,
         sent_ms=int(now * 1000),
+        inner=request.inner,
+        returning=request.returning,
     )
 
 
--- /dev/null
+++ b/tests/services/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission control."""
--- a/tests/services/test_pace.py
+++ b/tests/services/admission/test_pace.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from fescueward.services.pace import StartPace
+from fescueward.services.admission.pace import StartPace
 
 WINDOW_S = 4.0
 
--- a/tests/services/test_admission.py
+++ b/tests/services/admission/test_slots.py
@@ -16,10 +16,9 @@
 )
 from fescueward.messages import Announcement, Request
 from fescueward.messages.request import Occupancy
-from fescueward.services import admission as module
-from fescueward.services.admission import SlotAdmission
+from fescueward.services.admission import SlotAdmission, slot_limit, slots
 
-from .fakes import CLOCK, StubRegistry, make_announcement, make_entry, make_request
+from ..fakes import CLOCK, StubRegistry, make_announcement, make_entry, make_request
 
 
 class SteppedClock(BootClock):
@@ -41,7 +40,7 @@
     ) -> SlotAdmission:
         admission = SlotAdmission()
         admission.bind(StubRegistry(clock=clock))
-        with mock.patch.object(module, "_COLD_SHARE", 0.25 if cold else 1.0):
+        with mock.patch.object(slot_limit, "_COLD_SHARE", 0.25 if cold else 1.0):
             admission.observe_announcement(make_announcement(slots))
         return admission
 
@@ -87,16 +86,16 @@
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
                 self.assertEqual(self.admission._running, 0)
-                self.assertEqual(len(self.admission._on_time_queue), 0)
+                self.assertEqual(len(self.admission._queue), 0)
 
     async def test_cancellation_after_a_slot_was_assigned(self):
         """Guards against leaking a slot that is assigned to a task while it is cancelled."""
         release = asyncio.Event()
         tasks = [asyncio.create_task(self.hold_slot([], n, release)) for n in "abc"]
         await self.run_pending_tasks()
-        waiter = next(iter(self.admission._on_time_queue.values()))
+        waiter = next(iter(self.admission._queue._on_time.values()))
         self.admission.release(0.0, RuntimeError())  # assigns the slot of `a` to `c`
-        self.assertTrue(waiter.done())
+        self.assertTrue(waiter.admitted.done())
         tasks[2].cancel()
         await asyncio.gather(tasks[2], return_exceptions=True)
         self.assertEqual(self.admission._running, 1)
@@ -121,7 +120,7 @@
 
     async def test_expected_wait_beyond_the_deadline_is_shed(self):
         """Guards against queueing a request that cannot run before its deadline."""
-        self.admission._run_time.mean_s = 0.5
+        self.admission._run_times.overall.mean_s = 0.5
         async with (
             self.admission.slot(make_request(), make_entry()),
             self.admission.slot(make_request(), make_entry()),
@@ -171,7 +170,7 @@
         await self.run_pending_tasks()
         late = asyncio.create_task(self.hold_slot([], "late", release, 0.2))
         await self.run_pending_tasks()
-        self.admission._run_time.mean_s = 1.0
+        self.admission._run_times.overall.mean_s = 1.0
         release.set()
         with self.assertRaises(OverloadedError):
             await late
@@ -205,7 +204,9 @@
             async with self.admission.slot(make_request(), make_entry()):
                 clock.now_s += 0.002
         self.assertEqual(self.admission.capacity, 0.5)
-        self.admission._run_time.mean_s = 10.0  # slower than at first, so runs add no more slots
+        self.admission._run_times.overall.mean_s = (
+            10.0  # slower than at first, so runs add no more slots
+        )
         for _ in range(4):
             async with self.admission.slot(make_request(), make_entry()):
                 pass
@@ -237,7 +238,7 @@
     async def test_connections_are_left_for_grants(self):
         """Guards against grants that wait for a connection used by requests."""
         self.admission.observe_announcement(make_announcement(50, connections=10))
-        self.assertEqual(self.admission._slots, 7)
+        self.assertEqual(self.admission._slot_limit.slots, 7)
 
 
 class UpstreamRateTest(unittest.IsolatedAsyncioTestCase):
@@ -312,7 +313,7 @@
 
     async def test_rate_of_zero_is_logged_once(self):
         """Guards against a log line for each response of an upstream that takes nothing."""
-        with mock.patch.object(module, "_RATE_LIMITED") as event:
+        with mock.patch.object(slots, "_RATE_LIMITED") as event:
             for _ in range(3):
                 self.admission.limit_rate(0.0)
         self.assertEqual(event.emit.call_count, 1)
@@ -333,7 +334,7 @@
         self.admission.observe_announcement(
             Announcement("depot", "127.0.0.1", 1, slots=1, connections=110, cold_s=0.0)
         )
-        self.admission._run_time.add(0.1)
+        self.admission._run_times.add(0.1, "")
         self.order: list[str] = []
 
     def request(self, name: str, useful_s: float, **values) -> Request:
@@ -376,8 +377,7 @@
         holder = asyncio.create_task(self.run_request(self.request("holder", 1.0, route="long")))
         await asyncio.sleep(0)
         short = self.request("short", 0.35, route="short")
-        queue, _ = self.admission._choose_queue(short, make_entry())
-        self.assertIs(queue, self.admission._on_time_queue)
+        self.assertFalse(self.admission._will_be_late(short, make_entry()))
         await holder
 
     async def test_request_that_becomes_late_yields_to_others(self):
@@ -388,7 +388,7 @@
         await asyncio.sleep(0)
         roomy = asyncio.create_task(self.run_request(self.request("roomy", 1.5, priority=1)))
         await asyncio.sleep(0)
-        self.admission._run_time.mean_s = 0.33
+        self.admission._run_times.overall.mean_s = 0.33
         await asyncio.gather(holder, tight, roomy)
         self.assertEqual(self.order, ["holder", "roomy", "tight"])
 
