Limit the bytes of bodies that are on their way from one agent

The agents of the called service send large responses to 70 others over links of 5 Mbit/s. Each stream had flow control of its own, 48 KB for each body, so short responses were sent behind a megabyte.

A gate refuses a request whose response could not be sent in time, by the mean size of its route's responses, and reports the time until its link is free; the balancer counts it for routes with large responses.

--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -17,7 +17,7 @@
     RunSource,
 )
 from .ownership import Grants, Ownership, Ticket
-from .peers import Peers
+from .peers import BodyTransit, Peers
 from .placement import Load, Placement, PlacementPolicy
 from .platform import Changes, Platform, StoredObject
 from .requests import (
@@ -43,6 +43,7 @@
 
 __all__ = [
     "Admission",
+    "BodyTransit",
     "CallRoom",
     "Catalogue",
     "Changes",
--- a/fescueward/interfaces/peers.py
+++ b/fescueward/interfaces/peers.py
@@ -13,6 +13,22 @@
 RequestHandler = Callable[[Request], Awaitable[Response]]
 
 
+@runtime_checkable
+class BodyTransit(Protocol):
+    """Time that bodies take on the link of this VM."""
+
+    def expected_send_s(self, length: int) -> float:
+        """Returns the time in seconds after which a body that begins now would be sent.
+
+        Args:
+            length: Bytes of the body; 0 gives the time of the bodies before it.
+
+        Returns:
+            0.0 if the speed of the link is unknown.
+        """
+        ...
+
+
 @runtime_checkable
 class Peers(Protocol):
     """Sends messages and forwards requests to other agents."""
--- a/fescueward/kernel/settings.py
+++ b/fescueward/kernel/settings.py
@@ -138,6 +138,12 @@
     timeout_ms: int = _option(
         _integer(10, 60_000), "Timeout of a connection attempt or a reply, in ms.", 1000
     )
+    link_kbps: int = _option(
+        _integer(0, 1_000_000_000),
+        "Speed of the VM's network link in kbit/s, which limits the bytes on their way; 0 means "
+        "unknown.",
+        0,
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -59,6 +59,7 @@
         leaving: Whether the upstream leaves.
         slowness: How long work takes there at present in proportion to the usual time.
         cold_ms: Remaining time for which the upstream is cold, in milliseconds.
+        link_ms: Time until the bodies that the agent is sending have left its VM, in milliseconds.
     """
 
     running: int
@@ -69,6 +70,7 @@
     leaving: bool = False
     slowness: float = 1.0
     cold_ms: int = 0
+    link_ms: int = 0
 
     @property
     def usable_slots(self) -> float:
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -140,6 +140,7 @@
             port=first_port,
             secret=_PEER_SECRET,
             timeout_ms=_PEER_TIMEOUT_MS,
+            link_kbps=max(int(float(values.get("limits.linkMbps", 0)) * 1000), 0),
         ),
         administration=AdministrationSection(
             host=values["ip"], port=min(first_port + 1, last_port), token=_ADMINISTRATION_TOKEN
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -9,6 +9,7 @@
 
 from ...interfaces import (
     Admission,
+    BodyTransit,
     Catalogue,
     Departure,
     DepartureRecord,
@@ -35,6 +36,7 @@
 from ...messages import AnnouncedState, Request, Response
 from ...messages.request import BytesBody, Occupancy
 from .arrivals import BodyArrivals
+from .response_sizes import ResponseSizes
 
 _REQUEST_RUN = Event(
     3410,
@@ -55,6 +57,10 @@
 # A request without a key that took this much longer than others on its way is left to other
 # upstreams: its caller may have left, and the cancellation takes as long.
 _MAX_DELAY_S = 0.5
+# Larger responses are sent in parts, which share the link.
+_LARGE_RESPONSE_BYTES = 16_384
+# Shortest time after which a caller is told to come back because of the link.
+_MIN_WAIT_S = 0.1
 
 
 class GateExecution:
@@ -86,6 +92,8 @@
         self._quarantine = registry.find("quarantine", Quarantine)
         self._upstream = registry.find("upstream", Upstream)
         self._load = registry.find("load", Load)
+        self._response_sizes = ResponseSizes()
+        self._transit = registry.find("peers", BodyTransit)
         registry.find("peers", Peers).serve(self.execute)
 
     async def start(self) -> None:
@@ -147,6 +155,7 @@
                     request = await self._with_received_body(request)
                 guard = self._quarantine.guard(request)
                 request = await run_context.enter_async_context(guard)
+                self._check_sending(request)
                 slot = self._admission.slot(request, entry)
                 await run_context.enter_async_context(slot)
                 # The upstream may have begun to leave, or the key may have moved, during the wait.
@@ -162,6 +171,7 @@
                 run_s = self._clock.now() - started_at
                 if request.key:
                     self._load.record(int(request.key), request.key, run_s)
+        self._response_sizes.add(request.route, response.body.length or 0)
         occupancy = self._occupancy()
         _REQUEST_RUN.emit(
             request=request.id,
@@ -181,8 +191,8 @@
     def _occupancy(self) -> Occupancy:
         announcement = self._membership.announcement
         leaving = announcement is not None and announcement.state is AnnouncedState.LEAVING
-        occupancy = self._slots.occupancy
-        return replace(occupancy, leaving=True) if leaving else occupancy
+        link_ms = int(self._transit.expected_send_s(0) * 1000)
+        return replace(self._slots.occupancy, leaving=leaving, link_ms=link_ms)
 
     async def _finish(self, run: Coroutine[None, None, Response]) -> Response:
         return await finish_despite_cancellation(run, self._shutdown.closing.done)
@@ -197,6 +207,26 @@
             deadline=request.deadline - arrival_s,
         )
 
+    def _check_sending(self, request: Request) -> None:
+        """Checks whether a large response could be sent to the agent that forwarded the request.
+
+        A run whose response is late on the link would take a slot and the link from others. Small
+        responses are sent ahead of the bodies of large ones.
+
+        Raises:
+            OverloadedError: It could not, or another upstream may respond in time.
+        """
+        expected_bytes = self._response_sizes.expected_bytes(request.route)
+        if expected_bytes <= _LARGE_RESPONSE_BYTES or request.forwarded_by is None:
+            return
+        sending_s = self._transit.expected_send_s(expected_bytes)
+        ends_at = self._clock.now() + self._slots.occupancy.run_ms / 1000 + sending_s
+        useful_until = request.useful_until or request.deadline
+        if ends_at > (useful_until if request.has_alternatives else request.deadline):
+            raise OverloadedError(
+                "the response would be late on the link", retry_after_s=max(sending_s, _MIN_WAIT_S)
+            )
+
     async def _with_received_body(self, request: Request) -> Request:
         """Receives a streamed body, which would otherwise arrive while its run holds a slot.
 
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -33,6 +33,7 @@
     Welcome,
 )
 from ..messages.request import BytesBody
+from .link.window import SendWindow
 from .peer_links import Dispatch, Identity
 from .peer_wire import Wire, handshake_mac, inline_data, read_messages, refused_message
 from .streams import Channel, ChannelBody, ReceiveWindows
@@ -69,6 +70,7 @@
         timeout_s: Timeout of a handshake, in seconds.
         identity: Returns the current identity of this process.
         dispatch: Receives messages that belong to no request.
+        outgoing: Shared by the bodies that this agent sends.
     """
 
     def __init__(
@@ -78,7 +80,9 @@
         timeout_s: float,
         identity: Callable[[], Identity],
         dispatch: Dispatch,
+        outgoing: SendWindow | None = None,
     ) -> None:
+        self._outgoing = outgoing
         self._tasks = tasks
         self._clock = clock
         self._timeout_s = timeout_s
@@ -227,7 +231,7 @@
             error = OverloadedError("too many requests on one stream", retry_after_s=1.0)
             accepted.wire.send(refused_message(stream_number, error))
             return
-        channel = Channel(stream_number, accepted.wire.send, self._windows)
+        channel = Channel(stream_number, accepted.wire.send, self._windows, self._outgoing)
         accepted.channels[stream_number] = channel
         task = self._tasks.spawn("request", self._run_request(accepted, channel, message))
         accepted.tasks[stream_number] = task
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -36,6 +36,7 @@
     Welcome,
 )
 from ..messages.request import BytesBody
+from .link.window import SendWindow
 from .peer_wire import (
     Wire,
     handshake_mac,
@@ -136,6 +137,7 @@
         timeout_s: Timeout of a connection attempt, a handshake or a call, in seconds.
         identity: Returns the current identity of this process.
         dispatch: Receives messages that belong to no request or call.
+        outgoing: Shared by the bodies that this agent sends.
     """
 
     def __init__(
@@ -145,7 +147,9 @@
         timeout_s: float,
         identity: Callable[[], Identity],
         dispatch: Dispatch,
+        outgoing: SendWindow | None = None,
     ) -> None:
+        self._outgoing = outgoing
         self._tasks = tasks
         self._clock = clock
         self._timeout_s = timeout_s
@@ -252,7 +256,8 @@
                 f"the deadline passed before the request was sent to {member.id}"
             )
         stream_number = next(self._sequence)
-        forwarded = _ForwardedRequest(Channel(stream_number, wire.send))
+        channel = Channel(stream_number, wire.send, outgoing=self._outgoing)
+        forwarded = _ForwardedRequest(channel)
         inline = inline_data(request.body)
         try:
             wire.send(open_message(stream_number, request, now, inline))
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -14,6 +14,7 @@
 from ..kernel.errors import MalformedMessageError
 from ..kernel.settings import Settings
 from ..messages import Member, Request, Response
+from .link.window import SendWindow
 from .peer_accepted import AcceptedStreams
 from .peer_links import Identity, PeerLinks
 
@@ -24,6 +25,8 @@
     2305, "peer_handler_failed", Level.ERROR, "The handler of a peer message raised an exception."
 )
 
+_BYTES_PER_KBIT = 125
+
 
 class MsgpackPeers:
     """The `peers` service.
@@ -49,9 +52,12 @@
         self._host, self._port = section.host, section.port
         self._secret = section.secret.encode()
         timeout_s = section.timeout_ms / 1000
-        self._links = PeerLinks(self._tasks, clock, timeout_s, self._identity, self._dispatch)
+        self._outgoing = SendWindow(section.link_kbps * _BYTES_PER_KBIT)
+        self._links = PeerLinks(
+            self._tasks, clock, timeout_s, self._identity, self._dispatch, self._outgoing
+        )
         self._accepted = AcceptedStreams(
-            self._tasks, clock, timeout_s, self._identity, self._dispatch
+            self._tasks, clock, timeout_s, self._identity, self._dispatch, self._outgoing
         )
 
     async def start(self) -> None:
@@ -89,6 +95,10 @@
         """Returns the number of requests in flight on dialled and accepted streams."""
         return self._links.open_requests() + self._accepted.open_requests()
 
+    def expected_send_s(self, length: int) -> float:
+        """Returns when a body would be sent; see `BodyTransit.expected_send_s`."""
+        return self._outgoing.expected_s(length)
+
     def send(self, member: Member, message: object) -> bool:
         """Sends a message without waiting; see `Peers.send`."""
         try:
--- a/fescueward/services/routing/balancer.py
+++ b/fescueward/services/routing/balancer.py
@@ -37,6 +37,8 @@
 # Members that are compared for one request, of the own failure domain and of the others.
 _LOCAL_SAMPLES = 2
 _REMOTE_SAMPLES = 1
+# Larger responses wait on the link of their member behind others.
+_LARGE_RESPONSE_BYTES = 16_384
 # Headers and framing of a request and its response.
 _OVERHEAD_BYTES = 800
 # Time for which a member is avoided after a refusal, unless all others are avoided too.
@@ -207,13 +209,16 @@
             response_bytes = route.response_bytes
         slots = max(member.slots, 1)
         pending = float(load.outstanding)
+        sending_ms = 0.0
         if load.reported_occupancy is not None:
             expired_share = min((now - load.reported_at) / _REPORT_EXPIRY_S, 1.0)
             reported_pending = load.reported_occupancy.running + load.reported_occupancy.waiting
             pending = max(pending, reported_pending * (1 - expired_share))
+            if response_bytes > _LARGE_RESPONSE_BYTES:
+                sending_ms = load.reported_occupancy.link_ms * (1 - expired_share)
         wait_ms = mean_ms * max(pending + 1 - slots, 0) / slots
         contention_ms = run_ms * min(pending / slots, 1.0) * 0.5
-        time_share = (run_ms + wait_ms + contention_ms) / max(profile.useful_ms, 1.0)
+        time_share = (run_ms + wait_ms + contention_ms + sending_ms) / max(profile.useful_ms, 1.0)
         time_cost = _DELAYING_RESPONSE_TIME_COST if profile.delays_others else _RESPONSE_TIME_COST
         cost = time_share * time_cost + max(time_share - _SAFE_TIME_SHARE, 0.0) * _LATE_COST
         if member.failure_domain != self._failure_domain:
--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -10,6 +10,7 @@
 from ..kernel.errors import BodyTruncatedError
 from ..messages import Body
 from ..messages.peer import StreamCredit, StreamData
+from .link.window import OutgoingBody, SendWindow
 
 # Credit that an agent grants for all bodies that it receives, and the least for one of them. Bytes
 # on their way fill the link of the receiving machine, and every message to it waits behind them.
@@ -88,14 +89,24 @@
         send: Sends a message to the other end.
         windows: Shared with the other bodies that this agent receives, or None for a window of
             its own.
+        outgoing: Shared with the other bodies that this agent sends, or None for a window of its
+            own.
 
     Attributes:
         stream: Number of the request stream.
     """
 
-    def __init__(self, stream: int, send: Sender, windows: ReceiveWindows | None = None) -> None:
+    def __init__(
+        self,
+        stream: int,
+        send: Sender,
+        windows: ReceiveWindows | None = None,
+        outgoing: SendWindow | None = None,
+    ) -> None:
         self.stream = stream
         self._send = send
+        self._outgoing = outgoing or SendWindow()
+        self._outgoing_body: OutgoingBody | None = None
         self._windows = windows or ReceiveWindows()
         # Whether the body is being read, whether there is credit for it, and how much of it the
         # other end has left.
@@ -129,6 +140,8 @@
     def add_credit(self, size: int) -> None:
         """Adds `size` bytes to the credit for sending."""
         self._credit_bytes += size
+        if self._outgoing_body is not None:
+            self._outgoing_body.acknowledge(size)
         self._credit_available.set()
 
     def fail(self, reason: str) -> None:
@@ -136,6 +149,8 @@
         if self._failure is None:
             self._failure = reason
         self.close_window()
+        if self._outgoing_body is not None:
+            self._outgoing_body.end()
         self._readable.set()
         self._credit_available.set()
 
@@ -213,14 +228,25 @@
         """
         # Until the other end grants credit, the body is unread and can be sent elsewhere.
         await self._take_credit(0)
-        async with aclosing(body.chunks()) as chunks:
-            async for chunk in chunks:
-                start = 0
-                while start < len(chunk):
-                    size = await self._take_credit(min(len(chunk) - start, CHUNK_BYTES))
-                    self._send(StreamData(self.stream, chunk[start : start + size]))
-                    start += size
-        self._send(StreamData(self.stream, b"", end=True))
+        outgoing_body = self._outgoing_body = self._outgoing.begin(body.length or 0)
+        try:
+            async with aclosing(body.chunks()) as chunks:
+                async for chunk in chunks:
+                    await self._write_chunk(chunk, outgoing_body)
+            self._send(StreamData(self.stream, b"", end=True))
+        finally:
+            self._outgoing_body = None
+            outgoing_body.end()
+
+    async def _write_chunk(self, chunk: bytes, outgoing_body: OutgoingBody) -> None:
+        start = 0
+        while start < len(chunk):
+            size = await self._take_credit(min(len(chunk) - start, CHUNK_BYTES))
+            await outgoing_body.take(size)
+            if self._failure is not None:
+                raise BodyTruncatedError(self._failure)
+            self._send(StreamData(self.stream, chunk[start : start + size]))
+            start += size
 
     async def _take_credit(self, max_size: int) -> int:
         """Waits for credit and takes up to `max_size` bytes of it; returns how many."""
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -204,6 +204,9 @@
     def serve(self, handler: Any) -> None:
         self.handler = handler
 
+    def expected_send_s(self, length: int) -> float:
+        return 0.0
+
 
 def make_settings(percent: int = 10, attempts: int = 4) -> Any:
     return SimpleNamespace(routing=RoutingSection(retry_percent=percent, attempts=attempts))
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -185,7 +185,7 @@
                 upstream=None,
                 load=load,
                 quarantine=PassingQuarantine(),
-                peers=SimpleNamespace(serve=lambda handler: None),
+                peers=FakePeers(),
             )
         )
         with self.assertRaises(OverloadedError):
@@ -284,7 +284,7 @@
                 upstream=self.upstream,
                 load=None,
                 quarantine=PassingQuarantine(),
-                peers=SimpleNamespace(serve=lambda handler: None),
+                peers=FakePeers(),
             )
         )
         self.running = asyncio.create_task(self.execution.execute(make_request(2.0, key="")))
--- /dev/null
+++ b/tests/services/link/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the use of the network link."""
