--- a/fescueward/services/link/window.py
+++ b/fescueward/services/link/window.py
@@ -12,9 +12,9 @@
 from sortedcontainers import SortedDict
 
 # Time for which a short message may wait on the link behind parts of bodies.
-_LINK_TIME_S = 0.04
+_LINK_TIME_S = 0.06
 # Bounds of the limit, in bytes. With less, the link idles until the receiver asks for more.
-_MIN_WINDOW_BYTES = 16_384
+_MIN_WINDOW_BYTES = 24_576
 _MAX_WINDOW_BYTES = 262_144
 # Bodies that use the limit together; the others wait in the order of their beginning, because
 # bodies that share a link evenly are all late together.
--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -18,7 +18,9 @@
 _MIN_WINDOW_BYTES = 16_384
 # Bodies that are received at the same time; the others wait for credit.
 _MAX_FLOWING_BODIES = WINDOW_BYTES // _MIN_WINDOW_BYTES
-CHUNK_BYTES = 8_192
+# Size of the parts of bodies. A part crosses the links of both VMs one after the other, so large
+# parts leave slow links idle.
+CHUNK_BYTES = 4_096
 # A body up to this size is sent inside StreamOpen or StreamHead.
 INLINE_BYTES = 16_384
 
