Read how long work takes on an upstream at present

Upstreams that share their machines are up to three times slower for some tenths of a second, and say so in the load header of each response; nothing read it, and the mean run times follow within several seconds. Admission now multiplies expected run and wait times by the last reported figure, which loses its weight between 0.1 and 0.4 s, and divides measured run times by it, so that a passing slowness does not count as a lasting one. Occupancy carries it to routers, which weigh it by its age. A reported run time that is a quarter of what a router sees itself counts less. Headers that cannot be read are ignored and logged.

--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -75,12 +75,16 @@
 
 @runtime_checkable
 class RateControl(Protocol):
-    """Rate at which runs begin on the upstream."""
+    """Rate at which runs begin on the upstream, and how long they take at present."""
 
     def limit_rate(self, per_second: float | None) -> None:
         """Applies the rate that the upstream takes from all agents, or None without a limit."""
         ...
 
+    def observe_slowness(self, slowness: float) -> None:
+        """Applies how long work takes at present in proportion to the usual time."""
+        ...
+
 
 @runtime_checkable
 class SlotLoad(Protocol):
--- a/fescueward/platform/names.py
+++ b/fescueward/platform/names.py
@@ -20,6 +20,9 @@
 SERVER_LIMIT = "Server-Limit"
 # `1` in the responses of an upstream that leaves.
 SERVER_LEAVING = "Server-Leaving"
+# Running and waiting requests, slots and, from some upstreams, how long work takes at present,
+# in percent of the usual time.
+LOAD = "X-Fescueward-Load"
 # Number of times that the store has been restored from an older copy.
 STORE_ERA = "Store-Era"
 
--- a/fescueward/platform/responses.py
+++ b/fescueward/platform/responses.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import aiohttp
 
 from ..kernel.errors import AnswerLostError, OutcomeLostError
 from ..messages import Request, Response
 from ..messages.request import BytesBody
+from ..messages.upstream import ReportedLoad
 from .names import HOP_HEADERS, NOT_EXECUTED, RECEIPT, REQUEST_ID
 
 
@@ -49,6 +50,23 @@
     return min(rates, default=None)
 
 
+def reported_load(values: Sequence[str]) -> ReportedLoad | None:
+    """Returns the load that a response reports, or None if it reports none.
+
+    Raises:
+        ValueError: The report cannot be read.
+    """
+    if not values:
+        return None
+    figures = [int(figure) for figure in values[0].split(",")]
+    if len(values) > 1 or len(figures) not in (3, 4) or min(figures) < 0 or not figures[2]:
+        raise ValueError(f"the load is {values[0][:40]!r}")
+    slowness = figures[3] / 100 if len(figures) == 4 else None
+    if slowness == 0:
+        raise ValueError(f"the load is {values[0][:40]!r}")
+    return ReportedLoad(figures[0], figures[1], figures[2], slowness)
+
+
 def is_refusal(http_response: aiohttp.ClientResponse) -> bool:
     """Returns whether the upstream states that it has not run the request."""
     return NOT_EXECUTED in http_response.headers or http_response.status == 421
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -33,6 +33,7 @@
     GRANT_PATH,
     HANDOVER,
     KEY,
+    LOAD,
     RELEASE_PATH,
     REQUEST_ID,
     SERVER_LEAVING,
@@ -40,7 +41,7 @@
     TARGET_INSTANCE,
     TIMEOUT_MS,
 )
-from .responses import check_head, is_refusal, rate_limit, to_response
+from .responses import check_head, is_refusal, rate_limit, reported_load, to_response
 from .settings import Site
 
 _UNREACHABLE = Event(
@@ -61,6 +62,14 @@
     frequent=True,
 )
 
+_MALFORMED_LOAD = Event(
+    3014,
+    "upstream_load_malformed",
+    Level.WARNING,
+    "The upstream reported a load that cannot be read; it is ignored.",
+    frequent=True,
+)
+
 # Shorter than the time after which upstreams close idle connections.
 _KEEPALIVE_TIMEOUT_S = 4.0
 _CONNECT_TIMEOUT_S = 0.5
@@ -319,8 +328,13 @@
             self._limit_per_second = rate_limit(headers.getall(SERVER_LIMIT, ()))
         except ValueError as error:
             _MALFORMED_LIMIT.emit(error=error)
+        load = None
+        try:
+            load = reported_load(headers.getall(LOAD, ()))
+        except ValueError as error:
+            _MALFORMED_LOAD.emit(error=str(error)[:100])
         leaving = "1" in headers.getall(SERVER_LEAVING, ())
-        notice = UpstreamNotice(start, self._limit_per_second, leaving)
+        notice = UpstreamNotice(start, self._limit_per_second, leaving, load)
         for listener in self._notice_listeners:
             listener.upstream_noticed(notice)
 
--- a/fescueward/services/admission/slots.py
+++ b/fescueward/services/admission/slots.py
@@ -14,6 +14,7 @@
 from .queue import RequestQueue, Waiter
 from .run_times import RunTimes
 from .slot_limit import SlotLimit
+from .slowness import PresentSlowness
 
 _RATE_LIMITED = Event(
     3103,
@@ -24,6 +25,10 @@
 
 # Connections to the upstream reserved for grants, cancellations and health checks.
 _RESERVED_CONNECTIONS = 3
+# A request that seeks a free slot waits for at most this share of its useful time, or for a time
+# in which another agent could not have been asked.
+_SEARCH_WAIT_SHARE = 0.08
+_MIN_SEARCH_WAIT_S = 0.02
 
 
 class _Slot:
@@ -88,12 +93,14 @@
             self._slot_limit.current(),
             round(self._run_times.mean_s * 1000, 1),
             self._pace.per_second,
+            slowness=round(self._slowness.value, 2),
         )
 
     def bind(self, registry: Registry) -> None:
         """Looks up the clock."""
         self._clock = registry.find("clock", Clock)
         self._slot_limit = SlotLimit(self._clock)
+        self._slowness = PresentSlowness(self._clock)
 
     async def start(self) -> None:
         """Starts nothing: this service has no background task."""
@@ -138,6 +145,10 @@
             return
         self._wake_next()
 
+    def observe_slowness(self, slowness: float) -> None:
+        """Applies how long work takes at present; see `RateControl.observe_slowness`."""
+        self._slowness.observe(slowness)
+
     def slot(self, request: Request, entry: Entry) -> _Slot:
         """Returns a context that waits for a slot; see `Admission.slot`."""
         return _Slot(self, request, entry)
@@ -147,7 +158,7 @@
         if self._must_wait():
             self._will_be_late(request, entry)
         elif request.has_alternatives:
-            ends_at = self._clock.now() + self._run_times.expected_s(request.route)
+            ends_at = self._clock.now() + self._expected_run_s(request)
             if ends_at > self._worth_until(request):
                 raise OverloadedError("the response would be late here")
 
@@ -211,7 +222,8 @@
         self._wake_next()
 
     def _record_run(self, run_s: float, route: str) -> None:
-        self._run_times.add(run_s, route)
+        # A run that was slow because of others on its machine says nothing of later ones.
+        self._run_times.add(run_s / self._slowness.value, route)
         self._slot_limit.record_run(self._run_times.mean_s)
 
     def _will_be_late(self, request: Request, entry: Entry) -> bool:
@@ -222,13 +234,16 @@
         """
         limit = self._slot_limit.current()
         now = self._clock.now()
-        run_s = self._run_times.expected_s(request.route)
+        run_s = self._expected_run_s(request)
         ahead = self._queue.ahead_of(request)
-        wait_s = max(self._run_times.mean_s * (ahead + 1) / limit, self._pace.wait_s(ahead, now))
+        mean_run_s = self._run_times.mean_s * self._slowness.value
+        wait_s = max(mean_run_s * (ahead + 1) / limit, self._pace.wait_s(ahead, now))
         drain_s = self._drain_s()
         retry_after_s = max(drain_s, entry.limits.retry_after_ms / 1000)
         if len(self._queue) >= entry.limits.queue_length:
             raise OverloadedError("the queue is full", retry_after_s=retry_after_s)
+        if request.seeks_free_slot and self._is_long_wait(request, wait_s):
+            raise OverloadedError("all slots are in use here", retry_after_s=retry_after_s)
         if now + wait_s + run_s <= self._worth_until(request):
             return False
         if request.has_alternatives:
@@ -241,16 +256,25 @@
             "the expected wait exceeds the deadline", retry_after_s=retry_after_s
         )
 
+    def _is_long_wait(self, request: Request, wait_s: float) -> bool:
+        """Returns whether a wait takes more of the useful time than a further hop."""
+        useful_s = (request.useful_until or request.deadline) - self._clock.now()
+        return wait_s > max(useful_s * _SEARCH_WAIT_SHARE, _MIN_SEARCH_WAIT_S)
+
     def _worth_until(self, request: Request) -> float:
         """Returns until when a response to a request justifies a slot for which others wait."""
         if self._run_times.is_short(request.route):
             return request.deadline
         return request.useful_until or request.deadline
 
+    def _expected_run_s(self, request: Request) -> float:
+        """Returns the time in seconds within which most runs of the route would end now."""
+        return self._run_times.expected_s(request.route) * self._slowness.value
+
     def _latest_start_s(self, request: Request) -> float:
         """Returns the time from now after which a run cannot end before the deadline."""
         remaining_s = request.deadline - self._clock.now()
-        return max(remaining_s - self._run_times.expected_s(request.route), 0.0)
+        return max(remaining_s - self._expected_run_s(request), 0.0)
 
     def _expire(self, waiter: Waiter) -> None:
         """Refuses a request once it cannot be served any more.
@@ -283,7 +307,7 @@
             if waiter.admitted.done():
                 continue
             request = waiter.request
-            ends_at = self._clock.now() + self._run_times.expected_s(request.route)
+            ends_at = self._clock.now() + self._expected_run_s(request)
             if ends_at > request.deadline:
                 # A run that cannot end in time would take the slot from one that can.
                 waiter.admitted.set_exception(self._too_late_error())
--- a/fescueward/services/gate/notices.py
+++ b/fescueward/services/gate/notices.py
@@ -35,5 +35,7 @@
         if announcement is None or announcement.start != notice.start:
             return
         self._admission.limit_rate(notice.per_second)
+        if notice.load is not None and notice.load.slowness is not None:
+            self._admission.observe_slowness(notice.load.slowness)
         if notice.leaving:
             self._membership.upstream_leaves(notice.start)
--- a/fescueward/services/routing/balancer.py
+++ b/fescueward/services/routing/balancer.py
@@ -13,6 +13,7 @@
 
 from ...messages import Member, MemberState
 from ...messages.request import Occupancy
+from ..admission.slowness import weighted
 
 # Expected run time at an upstream without any measurement.
 _DEFAULT_RUN_MS = 100.0
@@ -41,6 +42,8 @@
 _LARGE_RESPONSE_BYTES = 16_384
 # Headers and framing of a request and its response.
 _OVERHEAD_BYTES = 800
+# Response times may exceed the reported run time by this factor, because of waits and transfers.
+_MAX_RESPONSE_FACTOR = 4.0
 # Time for which a member is avoided after a refusal, unless all others are avoided too.
 _AVOID_REFUSING_S = 0.15
 # Time for which a member is avoided after its agent was unreachable.
@@ -140,9 +143,12 @@
         return sorted(members, key=lambda member: keys[member.id])[:count]
 
     def _run_ms(self, member_id: str) -> float:
+        """Returns the lasting run time; reports that response times contradict count less."""
         load = self._load_of(member_id)
         reported_ms = load.reported_occupancy.run_ms if load.reported_occupancy else 0.0
-        return reported_ms or load.run_ms or self._mean_run_ms or _DEFAULT_RUN_MS
+        if reported_ms:
+            return max(reported_ms, load.run_ms / _MAX_RESPONSE_FACTOR)
+        return load.run_ms or self._mean_run_ms or _DEFAULT_RUN_MS
 
     def record_start(self, member_id: str) -> None:
         """Counts a request that is sent to a member as outstanding."""
@@ -211,6 +217,9 @@
         pending = float(load.outstanding)
         sending_ms = 0.0
         if load.reported_occupancy is not None:
+            slowness = weighted(load.reported_occupancy.slowness, now - load.reported_at)
+            mean_ms *= slowness
+            run_ms *= slowness
             expired_share = min((now - load.reported_at) / _REPORT_EXPIRY_S, 1.0)
             reported_pending = load.reported_occupancy.running + load.reported_occupancy.waiting
             pending = max(pending, reported_pending * (1 - expired_share))
--- a/tests/services/admission/test_slots.py
+++ b/tests/services/admission/test_slots.py
@@ -416,3 +416,37 @@
             await self.admission.acquire(replace(request, has_alternatives=True), make_entry())
         await asyncio.gather(holder, self.run_request(request))
         self.assertEqual(self.order, ["holder", "late"])
+
+
+class SlownessTest(unittest.IsolatedAsyncioTestCase):
+    """An upstream that shares its machine and is slow for some tenths of a second."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = SteppedClock()
+        self.admission = SlotAdmission()
+        self.admission.bind(StubRegistry(clock=self.clock))
+        self.admission.observe_announcement(
+            Announcement("depot", "127.0.0.1", 1, slots=1, connections=110, cold_s=0.0)
+        )
+        for _ in range(20):
+            self.admission._run_times.add(0.2, "page")
+
+    async def test_present_slowness_counts_for_waits_and_not_for_later_runs(self):
+        """Guards against waiting for an upstream that cannot respond in time at present."""
+        request = make_request(5.0, route="page", useful_until=self.clock.now() + 0.7)
+        async with self.admission.slot(request, make_entry()):
+            self.assertFalse(self.admission._will_be_late(request, make_entry()))
+            self.admission.observe_slowness(3.0)
+            self.assertTrue(self.admission._will_be_late(request, make_entry()))
+            self.clock.now_s += 0.6
+            self.admission.observe_slowness(3.0)
+        self.assertAlmostEqual(self.admission.occupancy.run_ms, 200.0, delta=1.0)
+        self.clock.now_s += 0.5
+        self.assertEqual(self.admission.occupancy.slowness, 1.0)
+
+    async def test_request_that_seeks_a_free_slot_does_not_wait(self):
+        """Guards against a queue at one upstream while another one has a free slot."""
+        request = make_request(5.0, route="page", useful_until=self.clock.now() + 0.7)
+        async with self.admission.slot(request, make_entry()):
+            with self.assertRaises(OverloadedError):
+                await self.admission.acquire(replace(request, seeks_free_slot=True), make_entry())
--- a/tests/services/gate/test_notices.py
+++ b/tests/services/gate/test_notices.py
@@ -34,6 +34,9 @@
     def limit_rate(self, per_second: float | None) -> None:
         self.rates.append(per_second)
 
+    def observe_slowness(self, slowness: float) -> None:
+        self.slowness = slowness
+
     def observe_announcement(self, announcement: Announcement) -> None:
         """Ignored: the slots play no part here."""
 
