--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -486,6 +486,7 @@
         departed_start: Start of the receiver's upstream that is known to leave, or empty.
         sent_ms: Time of sending in milliseconds of the sender's CLOCK_BOOTTIME, or None from
             earlier versions of the agent.
+        seeks_free_slot: Whether the request is left to others instead of waiting for a slot.
         inner: Whether a run on the upstream of the VM where the request originated has made it.
         returning: Whether its caller was told to come back at about this time.
     """
@@ -511,6 +512,7 @@
     has_alternatives: bool = False
     departed_start: str = ""
     sent_ms: NonNegativeInt | None = None
+    seeks_free_slot: bool = False
     inner: bool = False
     returning: bool = False
 
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -112,6 +112,8 @@
             that agent may have forgotten it by a restart.
         delayed_s: Time in seconds that the request took longer than others on its way from the
             agent that forwarded it.
+        seeks_free_slot: Whether other upstreams may have a free slot, so that the request is left
+            to them instead of waiting here for one.
         inner: Whether a run on the upstream of the VM where the request originated has made it,
             so that this run is wasted if the request fails.
         returning: Whether its caller was told to come back at about this time.
@@ -138,6 +140,7 @@
     has_alternatives: bool = False
     departed_start: str = ""
     delayed_s: float = 0.0
+    seeks_free_slot: bool = False
     inner: bool = False
     returning: bool = False
 
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -295,6 +295,7 @@
             has_alternatives=message.has_alternatives,
             departed_start=message.departed_start,
             delayed_s=delayed_s,
+            seeks_free_slot=message.seeks_free_slot,
             inner=message.inner,
             returning=message.returning,
         )
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -145,6 +145,7 @@
         has_alternatives=request.has_alternatives,
         departed_start=request.departed_start,
         sent_ms=int(now * 1000),
+        seeks_free_slot=request.seeks_free_slot,
         inner=request.inner,
         returning=request.returning,
     )
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import replace
 
 from cachetools import TTLCache
@@ -25,6 +26,7 @@
 from ...messages import GroupId, Member, MemberState, Request, Response, VersionedGroup
 from .balancer import Balancer, RequestProfile
 from .budget import RetryBudget
+from .search import SlotSearch
 
 _REQUEST_SENT = Event(
     3510,
@@ -81,6 +83,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._balancers: dict[str, Balancer] = {}
         self._members: dict[GroupId, dict[str, Member]] = {}
+        self._searches: defaultdict[str, SlotSearch] = defaultdict(SlotSearch)
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -168,6 +171,8 @@
         owner_hint: str | None = None
         sends = 0
         attempts = 0
+        search = None if request.key else self._searches[request.service]
+        seeks_free_slot = search is not None and search.begin()
         while True:
             if request.deadline - self._clock.now() < _MIN_RUN_S:
                 raise DeadlineExceededError("the deadline passed before an upstream was available")
@@ -180,7 +185,14 @@
                 searching = sends <= _SENDS_FOR_TIMELY_RESPONSE and (
                     not request.key and _has_others(view, tried | {member.id})
                 )
-                return await self._send(replace(request, has_alternatives=searching), member)
+                seeks_free_slot = seeks_free_slot and searching
+                response = await self._send(
+                    replace(request, has_alternatives=searching, seeks_free_slot=seeks_free_slot),
+                    member,
+                )
+                if search is not None and seeks_free_slot:
+                    search.record(refused=False)
+                return response
             except _BUDGETED_ERRORS as error:
                 attempts += 1
                 last_error: RefusalError = error
@@ -196,6 +208,8 @@
                 last_error = error
                 if isinstance(error, DeadlineExceededError | QuarantinedError):
                     raise
+                if search is not None and seeks_free_slot:
+                    search.record(refused=isinstance(error, OverloadedError))
                 owner_hint = error.owner_id if isinstance(error, NotOwnerError) else None
                 if request.key:
                     if isinstance(error, OverloadedError) or self._clock.now() >= owner_wait_until:
--- a/tests/services/gate/call_model.py
+++ b/tests/services/gate/call_model.py
@@ -12,6 +12,7 @@
 from fescueward.messages.request import BytesBody
 from fescueward.services.admission import SlotAdmission
 from fescueward.services.routing.balancer import Balancer, RequestProfile
+from fescueward.services.routing.search import SlotSearch
 from tests.services.fakes import StubRegistry, make_entry
 from tests.services.groups_for_tests import member
 from tests.services.timed_fakes import AgentLoop, ManualClock, World
@@ -39,6 +40,7 @@
         self._random = random.Random(seed)
         self._gates: dict[str, dict[str, SlotAdmission]] = {}
         self._balancers: dict[str, list[Balancer]] = {}
+        self._searches: dict[str, list[SlotSearch]] = {}
         self._members: dict[str, list] = {}
         for service, count in (("pages", page_gates), ("orders", order_gates)):
             members = [member(f"{service}{number}", _SLOTS) for number in range(count)]
@@ -47,6 +49,9 @@
             self._balancers[service] = [
                 Balancer("d0", random.Random(seed + router)) for router in range(_ROUTERS)
             ]
+            self._searches[service] = [
+                SlotSearch(random.Random(seed + router)) for router in range(_ROUTERS)
+            ]
         self.ends: Counter[tuple[str, str]] = Counter()
         self.times_s: dict[str, list[float]] = {"page": [], "order": [], "call": []}
 
@@ -96,7 +101,10 @@
 
     async def _route(self, request: Request) -> bool:
         tried: frozenset[str] = frozenset()
-        balancer = self._random.choice(self._balancers[request.service])
+        router = self._random.randrange(_ROUTERS)
+        balancer = self._balancers[request.service][router]
+        search = self._searches[request.service][router]
+        seeks_free_slot = search.begin()
         for send in range(_SENDS):
             now = self._clock.now()
             useful_ms = (request.useful_until - now) * 1000
@@ -109,8 +117,13 @@
             try:
                 await asyncio.sleep(_NETWORK_S)
                 searching = send < _TIMELY_SENDS
-                sent = replace(request, has_alternatives=searching)
+                seeks_free_slot = seeks_free_slot and searching
+                sent = replace(
+                    request, has_alternatives=searching, seeks_free_slot=seeks_free_slot
+                )
                 async with gate.slot(sent, make_entry(queue_length=256)):
+                    if seeks_free_slot:
+                        search.record(refused=False)
                     served = await self._work(
                         request,
                         _SPEEDS[self._members[request.service].index(chosen) % len(_SPEEDS)],
@@ -118,6 +131,8 @@
                 run_ms = (self._clock.now() - now) * 1000
                 return served
             except RefusalError:
+                if seeks_free_slot:
+                    search.record(refused=True)
                 balancer.avoid(chosen.id, self._clock.now(), False)
                 tried |= {chosen.id}
                 if send == _SENDS - 1 or self._clock.now() >= request.deadline - 0.01:
