Read the limit on cold upstreams from the configuration

coldStartS and coldPerS of a service were not decoded. A value that is negative, enormous or no number counts as absent for this service, with one log line of bounded length (event 2111); the rest of the configuration applies.

--- a/fescueward/platform/configuration.py
+++ b/fescueward/platform/configuration.py
@@ -4,11 +4,25 @@
 
 import msgspec
 
+from ..kernel import Event, Level
 from ..kernel.errors import MalformedMessageError
 from ..messages.codec import DECODE_FAILURES, decode_json, encode_json
 from ..messages.configuration import CallerLimits, Configuration, Route, ServiceSpec, Target
 
+_LIMIT_IGNORED = Event(
+    2111,
+    "service_limit_ignored",
+    Level.WARNING,
+    "A limit of a service in the configuration has an invalid value; the service has none.",
+)
+
 _REPEATABLE_KINDS = frozenset({"idempotent"})
+# Highest values that `ServiceSpec` accepts.
+_MAX_COLD_START_S = 3600.0
+_MAX_COLD_PER_S = 1_000_000.0
+# Characters of an invalid value in the log.
+_LOGGED_CHARACTERS = 40
+_ABSENT = msgspec.Raw(b"0")
 
 
 class _SplitTarget(msgspec.Struct):
@@ -36,6 +50,9 @@
     max_conns: int = 100
     sharded: bool = False
     warmup_s: float = 0.0
+    # Decoded by themselves: a bad value must not make the whole configuration invalid.
+    cold_start_s: msgspec.Raw = _ABSENT
+    cold_per_s: msgspec.Raw = _ABSENT
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -112,4 +129,19 @@
         connections=service.max_conns,
         keyed=service.sharded,
         warmup_s=service.warmup_s,
+        cold_start_s=_limit(name, "coldStartS", service.cold_start_s, _MAX_COLD_START_S),
+        cold_per_s=_limit(name, "coldPerS", service.cold_per_s, _MAX_COLD_PER_S),
     )
+
+
+def _limit(service: str, field: str, text: msgspec.Raw, highest: float) -> float:
+    """Decodes a limit that counts as absent if its value is invalid."""
+    try:
+        value = msgspec.json.decode(text, type=float)
+    except DECODE_FAILURES:
+        value = -1.0
+    if 0 <= value <= highest:
+        return value
+    shown = bytes(text)[:_LOGGED_CHARACTERS].decode(errors="replace")
+    _LIMIT_IGNORED.emit(service=service[:_LOGGED_CHARACTERS], field=field, value=shown)
+    return 0.0
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -3,12 +3,14 @@
 import json
 import unittest
 from contextlib import suppress
+from unittest import mock
 
 from hypothesis import example, given, settings
 
 from fescueward.kernel.errors import MalformedMessageError
 from fescueward.messages.codec import decode_json, encode_json
 from fescueward.messages.configuration import Configuration
+from fescueward.platform import configuration as configuration_module
 from fescueward.platform.configuration import decode_configuration
 from tests.mutation import damaged_bytes, damaged_documents
 
@@ -94,6 +96,36 @@
             decode_configuration(json.dumps(STORED_CONFIGURATION).encode()[:-40])
 
 
+class ColdLimitTest(unittest.TestCase):
+    def decode(self, values: str):
+        stored = json.dumps(STORED_CONFIGURATION)
+        return decode_configuration(
+            stored.replace('"warmupS": 3.0', f'"warmupS": 3.0, {values}').encode()
+        )
+
+    def test_limit_is_read(self):
+        """Guards against cold upstreams that get as many requests as warm ones."""
+        services = self.decode('"coldStartS": 3, "coldPerS": 6.5').services
+        self.assertEqual((services["s1"].cold_start_s, services["s1"].cold_per_s), (3.0, 6.5))
+        self.assertEqual((services["s2"].cold_start_s, services["s2"].cold_per_s), (0.0, 0.0))
+
+    def test_invalid_limits_are_ignored(self):
+        """Guards against a configuration that is rejected, or a log that grows, for one value."""
+        invalid = ("-1", "1e9", "1e999", "9" * 5_000, '"many"', '"6.5"', "null", "true", "[[6.5]]")
+        for text in invalid:
+            for field in ("coldStartS", "coldPerS"):
+                with (
+                    self.subTest(field=field, text=text[:20]),
+                    mock.patch.object(configuration_module, "_LIMIT_IGNORED") as event,
+                ):
+                    decoded = self.decode(f'"{field}": {text}')
+                    self.assertEqual(event.emit.call_count, 1)
+                    self.assertLessEqual(len(str(event.emit.call_args)), 200)
+                    self.assertEqual(
+                        decoded, decode_configuration(json.dumps(STORED_CONFIGURATION).encode())
+                    )
+
+
 class DamagedConfigurationTest(unittest.TestCase):
     """A configuration that one agent accepts is passed on and must be readable by all others."""
 
