Read the cold time of an upstream and ask for its health

Responses may state how long the upstream is cold; a value that is no time is ignored with a log line (event 3014). check_health asks the health path on a new connection, because its response carries no request id. A response that states nothing counts as warm only with status 200 and the id of the announced instance.

--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -25,6 +25,7 @@
     CrashListener,
     CrashSource,
     Execution,
+    HealthSource,
     Liveness,
     NoticeListener,
     NoticeSource,
@@ -39,7 +40,7 @@
 from .room import CallRoom, Returns, Room
 from .routes import RangeGrants, Routes
 from .shutdown import Shutdown, ShutdownPhase
-from .warmup import Warmup
+from .warmup import Warmup, WarmupListener
 
 __all__ = [
     "Admission",
@@ -58,6 +59,7 @@
     "Grants",
     "GroupListener",
     "Groups",
+    "HealthSource",
     "Lease",
     "Liveness",
     "Load",
@@ -94,6 +96,7 @@
     "Ticket",
     "Upstream",
     "Warmup",
+    "WarmupListener",
     "WatchState",
     "WorkState",
 ]
--- a/fescueward/interfaces/requests.py
+++ b/fescueward/interfaces/requests.py
@@ -174,6 +174,25 @@
         ...
 
 
+@runtime_checkable
+class HealthSource(Protocol):
+    """Client of an upstream whose health can be checked."""
+
+    async def check_health(self, path: str) -> UpstreamNotice:
+        """Returns what the upstream says of itself at its health path.
+
+        Each check takes time of the upstream and is charged.
+
+        Args:
+            path: Health path of the service.
+
+        Raises:
+            UpstreamUnavailableError: No byte reached the upstream.
+            OutcomeLostError: The upstream has not responded in time.
+        """
+        ...
+
+
 @runtime_checkable
 class Liveness(Protocol):
     """Failure detection of the upstream on this VM, by heartbeats and connections."""
--- a/fescueward/platform/names.py
+++ b/fescueward/platform/names.py
@@ -18,6 +18,10 @@
 HANDOVER = "X-Fescueward-Handover"
 # Requests per second that the upstream takes from all machines together.
 SERVER_LIMIT = "Server-Limit"
+# Remaining time in milliseconds for which the upstream is cold, in its health responses.
+COLD_MS = "X-Fescueward-Cold-Ms"
+# Instance id of the upstream that responds, in its health responses.
+INSTANCE = "X-Fescueward-Instance"
 # `1` in the responses of an upstream that leaves.
 SERVER_LEAVING = "Server-Leaving"
 # Number of times that the store has been restored from an older copy.
--- a/fescueward/platform/responses.py
+++ b/fescueward/platform/responses.py
@@ -12,6 +12,9 @@
 from ..messages.request import BytesBody
 from .names import HOP_HEADERS, NOT_EXECUTED, RECEIPT, REQUEST_ID
 
+# Longest cold time that an upstream can state, as in its heartbeats.
+_MAX_COLD_MS = 3_600_000.0
+
 
 def check_head(request: Request, http_response: aiohttp.ClientResponse) -> None:
     """Raises unless a response belongs to a request and can be forwarded."""
@@ -49,6 +52,21 @@
     return min(rates, default=None)
 
 
+def cold_s(values: Iterable[str]) -> float | None:
+    """Returns the longest remaining cold time in a response in seconds, or None without one.
+
+    Raises:
+        ValueError: One of them is no time.
+    """
+    times = []
+    for value in values:
+        cold_ms = float(value)
+        if not 0 <= cold_ms <= _MAX_COLD_MS:
+            raise ValueError(f"the cold time is {value[:20]!r}")
+        times.append(cold_ms / 1000)
+    return max(times, default=None)
+
+
 def is_refusal(http_response: aiohttp.ClientResponse) -> bool:
     """Returns whether the upstream states that it has not run the request."""
     return NOT_EXECUTED in http_response.headers or http_response.status == 421
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -30,8 +30,10 @@
 from ..messages.upstream import UpstreamNotice
 from .names import (
     CALLER,
+    COLD_MS,
     GRANT_PATH,
     HANDOVER,
+    INSTANCE,
     KEY,
     RELEASE_PATH,
     REQUEST_ID,
@@ -40,7 +42,7 @@
     TARGET_INSTANCE,
     TIMEOUT_MS,
 )
-from .responses import check_head, is_refusal, rate_limit, to_response
+from .responses import check_head, cold_s, is_refusal, rate_limit, to_response
 from .settings import Site
 
 _UNREACHABLE = Event(
@@ -61,6 +63,14 @@
     frequent=True,
 )
 
+_MALFORMED_COLD = Event(
+    3014,
+    "upstream_cold_malformed",
+    Level.WARNING,
+    "The upstream stated a cold time that is none; it is ignored.",
+    frequent=True,
+)
+
 # Shorter than the time after which upstreams close idle connections.
 _KEEPALIVE_TIMEOUT_S = 4.0
 _CONNECT_TIMEOUT_S = 0.5
@@ -72,6 +82,7 @@
 # Limit on the response to a grant or release, which carries at most one header.
 _MAX_GRANT_RESPONSE_BYTES = 65_536
 _GRANT_TIMEOUT_S = 0.5
+_HEALTH_TIMEOUT_S = 0.5
 # The upstream confirms a release only once the work on the keys has ended.
 _RELEASE_TIMEOUT_S = 2.0
 # Refused requests that are sent to this upstream again come within a second.
@@ -107,7 +118,7 @@
         self._keepalive_session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
         self._grant_sessions: ProcessSessions | None = None
-        self._release_session: aiohttp.ClientSession | None = None
+        self._unidentified_session: aiohttp.ClientSession | None = None
         self._refused_ids: LRUCache[str, None] = LRUCache(_MAX_REFUSED_IDS)
         self._unreachable = False
         self._start_id = ""
@@ -170,9 +181,10 @@
                 for _ in range(_GRANT_CONNECTIONS)
             ]
         )
-        # Responses to grants and releases carry no id. A late second response to a grant would
-        # confirm a release on the same connection while work on the keys is still running.
-        self._release_session = self._session(_MAX_GRANT_RESPONSE_BYTES, processes=None)
+        # Responses to grants, releases and health checks carry no id. A late second response to a
+        # grant would confirm a release on the same connection while work on the keys is still
+        # running.
+        self._unidentified_session = self._session(_MAX_GRANT_RESPONSE_BYTES, processes=None)
 
     async def stop(self) -> None:
         """Closes the HTTP sessions."""
@@ -180,7 +192,7 @@
             self._keepalive_session,
             self._single_use_session,
             self._grant_sessions,
-            self._release_session,
+            self._unidentified_session,
         ):
             if session is not None:
                 await session.close()
@@ -271,8 +283,8 @@
     async def release_range(self, key_range: KeyRange) -> str:
         """Revokes a key range; see `RangeGrants.release_range`."""
         message = _Grant(key_range.first, key_range.last, key_range.epoch)
-        assert self._release_session is not None
-        sending = self._release_session.post(
+        assert self._unidentified_session is not None
+        sending = self._unidentified_session.post(
             self._base_url + RELEASE_PATH, **_grant_content(message)
         )
         status, headers = await self._receive_confirmation(
@@ -282,6 +294,25 @@
             raise OutcomeLostError(f"the upstream responded to a release with status {status}")
         return str(headers.get(HANDOVER, ""))
 
+    async def check_health(self, path: str) -> UpstreamNotice:
+        """Asks for the health of the upstream; see `HealthSource.check_health`.
+
+        A response without a cold time comes from a warm upstream if it is no refusal and names the
+        instance that has announced itself.
+        """
+        announcement = self._membership.announcement
+        if announcement is None:
+            raise UpstreamUnavailableError("the upstream has not sent a heartbeat")
+        assert self._unidentified_session is not None
+        sending = self._unidentified_session.get(self._base_url + path, allow_redirects=False)
+        status, headers = await self._receive_confirmation(sending, path, _HEALTH_TIMEOUT_S)
+        stated_s = _stated_cold_s(headers)
+        if COLD_MS not in headers and status == 200:
+            stated_s = 0.0
+        if stated_s == 0.0 and headers.get(INSTANCE) != announcement.instance:
+            stated_s = None
+        return UpstreamNotice(announcement.start, cold_s=stated_s)
+
     async def _receive_confirmation(
         self,
         sending: AbstractAsyncContextManager[aiohttp.ClientResponse],
@@ -320,7 +351,9 @@
         except ValueError as error:
             _MALFORMED_LIMIT.emit(error=error)
         leaving = "1" in headers.getall(SERVER_LEAVING, ())
-        notice = UpstreamNotice(start, self._limit_per_second, leaving)
+        notice = UpstreamNotice(
+            start, self._limit_per_second, leaving, cold_s=_stated_cold_s(headers)
+        )
         for listener in self._notice_listeners:
             listener.upstream_noticed(notice)
 
@@ -351,6 +384,14 @@
             listener.upstream_crashed()
 
 
+def _stated_cold_s(headers: Any) -> float | None:
+    try:
+        return cold_s(headers.getall(COLD_MS, ()))
+    except ValueError as error:
+        _MALFORMED_COLD.emit(error=error)
+        return None
+
+
 def _grant_content(message: _Grant) -> dict[str, Any]:
     return {
         "data": msgspec.json.encode(message),
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -126,6 +126,36 @@
                 with self.subTest(headers):
                     self.assertEqual(notices.last, UpstreamNotice("i1@0", per_second))
 
+    async def test_cold_time_is_read_in_every_form(self):
+        """Guards against a cold upstream that counts as warm, and a header that is no time."""
+        raw = RawUpstream(WHOLE)
+        self.addAsyncCleanup(raw.stop)
+        upstream = await self.start_client(await raw.start())
+        notices = RecordedNotices()
+        upstream.subscribe_notices(notices)
+        named = b"X-Fescueward-Instance: i1\r\n"
+        for headers, from_health, from_response in (
+            (named + b"X-Fescueward-Cold-Ms: 2500\r\n", 2.5, 2.5),
+            (named + b"x-fescueward-cold-ms: 0\r\n", 0.0, 0.0),
+            (b"X-Fescueward-Cold-Ms: 10\r\nX-Fescueward-Cold-Ms: 40\r\n", 0.04, 0.04),
+            (named, 0.0, None),
+            # Another start, or no health response at all, says nothing of this start.
+            (b"X-Fescueward-Instance: i2\r\n", None, None),
+            (b"", None, None),
+            (named + b"X-Fescueward-Cold-Ms: -1\r\n", None, None),
+            (named + b"X-Fescueward-Cold-Ms: nan\r\n", None, None),
+            (named + b"X-Fescueward-Cold-Ms: 1e99\r\n", None, None),
+            (named + b"X-Fescueward-Cold-Ms: soon\r\n", None, None),
+        ):
+            with self.subTest(headers):
+                raw.response = WHOLE.replace(b"\r\nContent", b"\r\n" + headers + b"Content")
+                notice = await upstream.check_health("/health")
+                self.assertEqual(notice.cold_s, from_health)
+                await upstream.run(make_request(2.0, key=""), 0, 0, CLOCK.now() + 2.0)
+                self.assertEqual(notices.last.cold_s, from_response)
+        raw.response = WHOLE.replace(b"200 OK", b"503 Full").replace(RECEIPT, named)
+        self.assertIsNone((await upstream.check_health("/health")).cold_s)
+
     async def test_departure_is_read_in_refusals_too(self):
         """Guards against new work for an upstream that has said in a response that it leaves."""
         notices = RecordedNotices()
