Limit the requests to an upstream that is or may be cold

Admission waits for the service as for a rate that the upstream names. The gate asks again directly before sending, because a request can wait for its key after it was admitted.

--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -30,6 +30,7 @@
 from ..services.snapshots import PlannerSnapshots
 from ..services.status import FleetStatusReports
 from ..services.upstream import HttpUpstream
+from ..services.warmup import NoColdStarts
 from .process import run_until_stopped
 
 
@@ -65,6 +66,7 @@
         kernel.add(RetainedOutcomes())
         kernel.add(UpstreamGrants(kernel))
         kernel.add(ShardOwnership(kernel))
+        kernel.add(NoColdStarts())
         kernel.add(SlotAdmission())
         kernel.add(CrashQuarantine(kernel))
         kernel.add(OwnerExecution())
--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -30,6 +30,7 @@
 from ..services.routing.dispatcher import DispatchRouter
 from ..services.routing.routes import ConfiguredCatalogue, RouteTable
 from ..services.shutdown import GracefulShutdown
+from ..services.warmup import ColdStartLimit
 from .process import run_until_stopped
 
 _STARTED = Event(1010, "agent_started", Level.INFO, "The agent starts with these settings.")
@@ -101,6 +102,7 @@
         kernel.add(UpstreamLiveness(kernel))
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
+        kernel.add(ColdStartLimit(kernel))
         kernel.add(SlotAdmission(upstream_names_limits=True))
         kernel.add(
             CrashQuarantine(kernel, crash_limit=_CRASH_LIMIT, success_window_s=_SUCCESS_WINDOW_S)
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -9,7 +9,7 @@
 from aiohttp.web_response import Response, StreamResponse, json_response
 from aiohttp.web_server import Server
 
-from ..interfaces import DepartureRecord, Liveness, Membership, Routes, StartListener
+from ..interfaces import DepartureRecord, Liveness, Membership, Routes, StartListener, Warmup
 from ..kernel import Event, Level, Registry
 from ..kernel.errors import InvalidAnnouncementError, MalformedMessageError
 from ..kernel.http_port import HttpPort
@@ -93,6 +93,7 @@
         self._routes = registry.find("routes", Routes)
         self._liveness = registry.find("liveness", Liveness)
         self._upstream = registry.find("upstream", StartListener)
+        self._warmup = registry.find("warmup", Warmup)
 
     async def start(self) -> None:
         """Starts to listen for heartbeats."""
@@ -170,6 +171,7 @@
         self._newest_sequence = sequence
         self._liveness.heartbeat_received()
         self._upstream.upstream_started(announcement.start)
+        self._warmup.observe_announcement(announcement)
         try:
             self._membership.announce(announcement)
         except InvalidAnnouncementError as error:
--- a/fescueward/services/admission/slots.py
+++ b/fescueward/services/admission/slots.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from types import TracebackType
 
+from ...interfaces import Warmup
 from ...kernel import Clock, Event, Level, Registry
 from ...kernel.errors import DeadlineExceededError, OverloadedError
 from ...messages import Announcement, Entry, Request
@@ -55,14 +57,15 @@
 
     The number of usable slots follows this agent's own measurements: its count of running
     requests, their run times and the requests that the upstream sheds. The load that the upstream
-    reports is not used, because it lags or is wrong. A rate that it names is kept.
+    reports is not used, because it lags or is wrong. A rate that it names is kept, and so is the
+    limit on a cold upstream.
 
     Args:
         upstream_names_limits: Whether upstreams may name a rate in their responses.
     """
 
     name = "admission"
-    requires: tuple[str, ...] = ()
+    requires = ("warmup",)
 
     def __init__(self, upstream_names_limits: bool = False) -> None:
         self._upstream_names_limits = upstream_names_limits
@@ -82,17 +85,23 @@
     @property
     def occupancy(self) -> Occupancy:
         """Load of the slots as measured by this agent."""
+        rates = [
+            rate for rate in (self._pace.per_second, self._warmup.per_second) if rate is not None
+        ]
         return Occupancy(
             self._running,
             len(self._queue),
             self._slot_limit.current(),
             round(self._run_times.mean_s * 1000, 1),
-            self._pace.per_second,
+            min(rates, default=None),
+            cold_ms=math.ceil(self._warmup.cold_left_s * 1000),
         )
 
     def bind(self, registry: Registry) -> None:
-        """Looks up the clock."""
+        """Looks up the services that this one uses and subscribes to changes of the warm-up."""
         self._clock = registry.find("clock", Clock)
+        self._warmup = registry.find("warmup", Warmup)
+        self._warmup.subscribe(self)
         self._slot_limit = SlotLimit(self._clock)
 
     async def start(self) -> None:
@@ -127,6 +136,12 @@
         self._slot_limit.begin_slow_start()
         self._run_times = RunTimes()
 
+    def warmup_changed(self) -> None:
+        """Lets requests begin that no longer have to wait; see `WarmupListener`."""
+        if self._pace_timer is not None:
+            self._pace_timer.cancel()
+            self._wake_paced()
+
     def limit_rate(self, per_second: float | None) -> None:
         """Sets the rate that the upstream takes; see `RateControl.limit_rate`."""
         was_heard, self._slot_limit.heard = self._slot_limit.heard, True
@@ -193,16 +208,23 @@
         return (
             self._running >= self._slot_limit.current()
             or len(self._queue) > 0
-            or self._pace.wait_s(0, self._clock.now()) > 0
+            or self._pace_wait_s(0) > 0
         )
 
     def _begin_run(self) -> None:
         self._running += 1
-        self._pace.take(self._clock.now())
+        now = self._clock.now()
+        self._pace.take(now)
+        self._warmup.take(now)
+
+    def _pace_wait_s(self, ahead: int) -> float:
+        """Returns the time until the rates permit a run after `ahead` others, in seconds."""
+        now = self._clock.now()
+        return max(self._pace.wait_s(ahead, now), self._warmup.wait_s(ahead, now))
 
     def _wake_at_pace(self) -> None:
         """Wakes the queue when the rate of the upstream permits the next run."""
-        wait_s = self._pace.wait_s(0, self._clock.now())
+        wait_s = self._pace_wait_s(0)
         if wait_s > 0 and self._pace_timer is None:
             self._pace_timer = asyncio.get_running_loop().call_later(wait_s, self._wake_paced)
 
@@ -224,7 +246,7 @@
         now = self._clock.now()
         run_s = self._run_times.expected_s(request.route)
         ahead = self._queue.ahead_of(request)
-        wait_s = max(self._run_times.mean_s * (ahead + 1) / limit, self._pace.wait_s(ahead, now))
+        wait_s = max(self._run_times.mean_s * (ahead + 1) / limit, self._pace_wait_s(ahead))
         drain_s = self._drain_s()
         retry_after_s = max(drain_s, entry.limits.retry_after_ms / 1000)
         if len(self._queue) >= entry.limits.queue_length:
@@ -276,7 +298,7 @@
     def _wake_next(self) -> None:
         limit = self._slot_limit.current()
         while len(self._queue) and self._running < limit:
-            if self._pace.wait_s(0, self._clock.now()) > 0:
+            if self._pace_wait_s(0) > 0:
                 self._wake_at_pace()
                 return
             waiter = self._queue.pop()
@@ -299,5 +321,5 @@
         queued_count = len(self._queue)
         return max(
             self._run_times.mean_s * (queued_count + 1) / self._slot_limit.current(),
-            self._pace.wait_s(queued_count, self._clock.now()),
+            self._pace_wait_s(queued_count),
         )
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -19,6 +19,7 @@
     Shutdown,
     SlotLoad,
     Upstream,
+    Warmup,
 )
 from ...interfaces.metrics import RunListener
 from ...interfaces.placement import Load
@@ -85,6 +86,7 @@
         self._slots = registry.find("admission", SlotLoad)
         self._quarantine = registry.find("quarantine", Quarantine)
         self._upstream = registry.find("upstream", Upstream)
+        self._warmup = registry.find("warmup", Warmup)
         self._load = registry.find("load", Load)
         registry.find("peers", Peers).serve(self.execute)
 
@@ -150,8 +152,7 @@
                 slot = self._admission.slot(request, entry)
                 await run_context.enter_async_context(slot)
                 # The upstream may have begun to leave, or the key may have moved, during the wait.
-                self._check_accepting(request)
-                epoch = await self._admitted_epoch(request)
+                epoch = await self._epoch_to_send(request)
             started_at = self._clock.now()
             run = self._upstream.run(
                 request, int(request.key or 0), epoch, self._shutdown.limit(request.deadline)
@@ -220,6 +221,16 @@
         with await pending_ticket as ticket:
             return ticket.epoch
 
+    async def _epoch_to_send(self, request: Request) -> int:
+        """Returns the epoch of the request's key once the upstream may get the request."""
+        while True:
+            self._check_accepting(request)
+            epoch = await self._admitted_epoch(request)
+            wait_s = self._warmup.begin_send()
+            if wait_s <= 0:
+                return epoch
+            await self._clock.sleep(wait_s)
+
     def _check_in_time(self, request: Request, now: float) -> None:
         if request.deadline <= now:
             raise DeadlineExceededError("the deadline passed on the way to this agent")
--- a/fescueward/services/gate/liveness.py
+++ b/fescueward/services/gate/liveness.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from ...interfaces import Membership
+from ...interfaces import Membership, Warmup
 from ...kernel import Clock, Event, Kernel, Level, Registry
 
 _UPSTREAM_LOST = Event(
@@ -46,6 +46,7 @@
         """Looks up the services that this one uses."""
         self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
+        self._warmup = registry.find("warmup", Warmup)
 
     async def start(self) -> None:
         """Starts the task that checks the upstream after failed connections."""
@@ -71,6 +72,7 @@
             self._failing_since = self._clock.now()
         self._failed_connections += 1
         self._failure_recorded.set()
+        self._warmup.suspect_cold()
 
     async def _run(self) -> None:
         while True:
--- a/fescueward/services/gate/notices.py
+++ b/fescueward/services/gate/notices.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from ...interfaces import DepartureRecord, NoticeSource, RateControl
+from ...interfaces import DepartureRecord, NoticeSource, RateControl, Warmup
 from ...kernel import Registry
 from ...messages.upstream import UpstreamNotice
 
 
 class UpstreamNotices:
-    """The `notices` service: passes a limit to admission and a departure to membership.
+    """The `notices` service: passes on a limit, a cold time and a departure.
 
     An upstream says that it leaves in responses before, or instead of, a heartbeat. The agent
     beside it hears of it first, because all requests pass it.
@@ -21,6 +21,7 @@
         """Looks up the services that this one uses and subscribes to the responses."""
         self._admission = registry.find("admission", RateControl)
         self._membership = registry.find("membership", DepartureRecord)
+        self._warmup = registry.find("warmup", Warmup)
         registry.find("upstream", NoticeSource).subscribe_notices(self)
 
     async def start(self) -> None:
@@ -35,5 +36,7 @@
         if announcement is None or announcement.start != notice.start:
             return
         self._admission.limit_rate(notice.per_second)
+        if notice.cold_s:
+            self._warmup.observe_cold(notice.cold_s)
         if notice.leaving:
             self._membership.upstream_leaves(notice.start)
--- a/fescueward/services/metrics.py
+++ b/fescueward/services/metrics.py
@@ -24,6 +24,7 @@
     RequestSource,
     RunSource,
     Upstream,
+    Warmup,
     WatchState,
     WorkState,
 )
@@ -94,6 +95,13 @@
 PEERS = _gauge("connected_peers", "Agents that a stream exists to.")
 ENTRIES = _gauge("catalogue_entries", "Entries that the agent applies.")
 CAPACITY = _gauge("usable_slots_ratio", "Usable share of the slots; below 1 on a cold upstream.")
+COLD_LEFT = _gauge(
+    "upstream_cold_seconds", "Time for which the upstream is or may be cold; 0 once it is warm."
+)
+COLD_RATE = _gauge(
+    "cold_limit_requests",
+    "Requests per second that a cold upstream gets at present; 0 without a limit.",
+)
 LOG_LINES = _gauge(
     "left_out_log_lines", "Log lines that were not written: too many in a second, or no reader."
 )
@@ -113,6 +121,8 @@
     ENTRIES,
     CAPACITY,
     CRASHES,
+    COLD_LEFT,
+    COLD_RATE,
     LOG_LINES,
 )
 
@@ -154,6 +164,7 @@
         self._watch = registry.find("groups", WatchState)
         self._admission = registry.find("admission", Admission)
         self._upstream = registry.find("upstream", Upstream)
+        self._warmup = registry.find("warmup", Warmup)
         registry.find("router", RequestSource).subscribe(self)
         registry.find("execution", RunSource).subscribe(self)
 
@@ -203,6 +214,8 @@
             ENTRIES: len(self._catalogue.entries()),
             CAPACITY: self._admission.capacity,
             CRASHES: self._upstream.crashes,
+            COLD_LEFT: round(self._warmup.cold_left_s, 3),
+            COLD_RATE: round(self._warmup.per_second or 0.0, 2),
             LOG_LINES: dropped_log_lines(),
         }
 
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -27,6 +27,7 @@
     VersionedGroup,
 )
 from fescueward.messages.request import BytesBody
+from fescueward.services.warmup import NoColdStarts
 
 CLOCK = BootClock()
 
@@ -36,7 +37,7 @@
 
     def __init__(self, **services: Any) -> None:
         super().__init__()
-        defaults = {"clock": CLOCK, "bodies": BodyBudget(1_000_000_000)}
+        defaults = {"clock": CLOCK, "bodies": BodyBudget(1_000_000_000), "warmup": NoColdStarts()}
         for name, service in {**defaults, **services}.items():
             self.register(name, service)
 
--- a/tests/services/test_metrics.py
+++ b/tests/services/test_metrics.py
@@ -26,6 +26,8 @@
         self.leaving = False
         self.capacity = 0.5
         self.crashes = 2
+        self.cold_left_s = 1.5
+        self.per_second = 5.85
         self.listeners: list = []
 
     def now(self):
--- /dev/null
+++ b/tests/services/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits on cold upstreams."""
