Count the slots that a reported rate can keep busy when choosing a member

Routers compared members by their announced slots, so a cold member was sent requests that it had to refuse. A rate in a report now limits the slots of its member while the report is fresh, and until the stated end of a cold time.

--- a/fescueward/services/routing/balancer.py
+++ b/fescueward/services/routing/balancer.py
@@ -37,6 +37,8 @@
 # Members that are compared for one request, of the own failure domain and of the others.
 _LOCAL_SAMPLES = 2
 _REMOTE_SAMPLES = 1
+# Slots of a member that takes next to nothing, which bounds the expected wait there.
+_MIN_USABLE_SLOTS = 0.1
 # Headers and framing of a request and its response.
 _OVERHEAD_BYTES = 800
 # Time for which a member is avoided after a refusal, unless all others are avoided too.
@@ -121,10 +123,10 @@
         local, remote = [], []
         for member in usable or candidates:
             (local if member.failure_domain == self._failure_domain else remote).append(member)
-        drawn = self._draw(local, _LOCAL_SAMPLES) + self._draw(remote, _REMOTE_SAMPLES)
+        drawn = self._draw(local, _LOCAL_SAMPLES, now) + self._draw(remote, _REMOTE_SAMPLES, now)
         return min(drawn, key=lambda member: (self._cost(member, now, profile), member.id))
 
-    def _draw(self, members: Sequence[Member], count: int) -> list[Member]:
+    def _draw(self, members: Sequence[Member], count: int, now: float) -> list[Member]:
         """Draws members without repetition, with chances by their rates of finished requests."""
         if len(members) <= count:
             return list(members)
@@ -132,7 +134,7 @@
         keys = {
             member.id: self._random.expovariate(1.0)
             * self._run_ms(member.id)
-            / max(member.slots, 1)
+            / self._slots(member, now)
             for member in members
         }
         return sorted(members, key=lambda member: keys[member.id])[:count]
@@ -142,6 +144,20 @@
         reported_ms = load.reported_occupancy.run_ms if load.reported_occupancy else 0.0
         return reported_ms or load.run_ms or self._mean_run_ms or _DEFAULT_RUN_MS
 
+    def _slots(self, member: Member, now: float) -> float:
+        """Returns the slots of a member that the rate it has reported can keep busy.
+
+        A rate counts as long as the report is fresh, and that of a cold member until it is warm.
+        """
+        load = self._load_of(member.id)
+        occupancy, slots = load.reported_occupancy, float(max(member.slots, 1))
+        if occupancy is None or occupancy.per_second is None:
+            return slots
+        if now - load.reported_at >= max(_REPORT_EXPIRY_S, occupancy.cold_ms / 1000):
+            return slots
+        usable_slots = occupancy.per_second * self._run_ms(member.id) / 1000
+        return min(max(usable_slots, _MIN_USABLE_SLOTS), slots)
+
     def record_start(self, member_id: str) -> None:
         """Counts a request that is sent to a member as outstanding."""
         self._load_of(member_id).outstanding += 1
@@ -205,7 +221,7 @@
             # Members report the mean run time of all routes.
             run_ms *= route.response_ms / self._mean_response_ms
             response_bytes = route.response_bytes
-        slots = max(member.slots, 1)
+        slots = self._slots(member, now)
         pending = float(load.outstanding)
         if load.reported_occupancy is not None:
             expired_share = min((now - load.reported_at) / _REPORT_EXPIRY_S, 1.0)
--- a/tests/services/routing/test_balancer.py
+++ b/tests/services/routing/test_balancer.py
@@ -83,6 +83,19 @@
         call = RequestProfile(0, 438.0, "order-status")
         self.assertEqual(self.balancer.choose(self.members, NONE, 10.0, call), self.near)
 
+    def test_cold_member_gets_what_its_rate_bears(self):
+        """Guards against requests that a cold member has to refuse while others have room."""
+        self.report(self.near, 1)
+        self.report(self.far, 1)
+        self.assertEqual(self.balancer.choose(self.members, NONE, 10.0, PAGE), self.near)
+        cold = Occupancy(1, 0, 6, 100.0, per_second=5.85, cold_ms=3_000)
+        self.balancer.record_end(self.near.id, cold, None, 10.0)
+        for now in (10.0, 12.9):
+            self.balancer.record_start(self.near.id)
+            self.assertEqual(self.balancer.choose(self.members, NONE, now, PAGE), self.far)
+            self.balancer.record_end(self.near.id, None, None, now)
+        self.assertEqual(self.balancer.choose(self.members, NONE, 13.1, PAGE), self.near)
+
     def test_tried_and_leaving_members_are_left_out(self):
         """Guards against sending a request again to the member that refused it."""
         tried = frozenset({self.near.id})
