Give a cold member as many keys as its rate bears

A new member got its full share of the keys at once, and hot blocks by its announced slots. Members now report how many slots their rate can keep busy. A new one with a limited rate gets that part of its share, and the rest once the limit has ended. Ranges of lost members are still divided by slots.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -264,12 +264,14 @@
         utilisation: Mean share of its slots in use, including waiting requests.
         work: Mean number of slots in use by key block; blocks without work are omitted.
         era: Era of the version that the sender has of its group.
+        usable_slots: Slots that the rate of its upstream can keep busy, or None without a limit.
     """
 
     member_id: str
     utilisation: Annotated[float, Meta(ge=0.0)]
     work: dict[NonNegativeInt, Annotated[float, Meta(ge=0.0)]]
     era: NonNegativeInt = 0
+    usable_slots: Annotated[float, Meta(ge=0.0)] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -23,6 +23,8 @@
 _MIN_REPORTED_WORK_SLOTS = 0.02
 # Bounds the utilisation of an upstream that takes next to nothing.
 _MIN_USABLE_SLOTS = 0.1
+# Share of the slots that a limited rate counts for before any run time is known.
+_UNMEASURED_SHARE = 0.25
 # Older reports are stale and are ignored.
 _MAX_REPORT_AGE_S = 2.0
 
@@ -116,7 +118,16 @@
             for block, block_work in hottest
             if block_work >= _MIN_REPORTED_WORK_SLOTS
         }
-        return RangeLoad(self._membership.member_id, round(self._utilisation, 3), work)
+        usable_slots: float | None = None
+        if occupancy.per_second is not None:
+            measured_share = 1.0 if occupancy.run_ms else _UNMEASURED_SHARE
+            usable_slots = round(occupancy.usable_slots * measured_share, 3)
+        return RangeLoad(
+            self._membership.member_id,
+            round(self._utilisation, 3),
+            work,
+            usable_slots=usable_slots,
+        )
 
     async def _run(self) -> None:
         while True:
--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Container, Iterable, Mapping
 from dataclasses import replace
+from types import MappingProxyType
 
 from ...messages import Group, Member, MemberState
 from ...messages.group import LAST_KEY, KeyRange
@@ -19,6 +20,8 @@
 # Fraction of its own share that a source retains when it gives keys to a new member.
 _MIN_RETAINED_SHARE = 0.75
 
+_ALL_SLOTS: Mapping[str, float] = MappingProxyType({})
+
 RangeChange = Callable[[KeyRange], KeyRange]
 
 
@@ -144,7 +147,12 @@
     return parts
 
 
-def with_new_member_shares(group: Group, reachable_ids: Container[str]) -> Group:
+def with_new_member_shares(
+    group: Group,
+    reachable_ids: Container[str],
+    usable_shares: Mapping[str, float] = _ALL_SLOTS,
+    growing_ids: Container[str] = (),
+) -> Group:
     """Returns the group with successors set so that members without keys get their shares.
 
     Members that joined together get their shares in the same change. Each share comes from few
@@ -153,6 +161,10 @@
     Args:
         group: The group.
         reachable_ids: Ids of the members that can take part in a handover now.
+        usable_shares: Share of their slots that members with a limited rate can use, by member
+            id. They get only as many keys.
+        growing_ids: Ids of the members that were given part of their share; they get the rest
+            once their rate is not limited any more.
     """
     members = active_members(group)
     key_counts = dict.fromkeys((member.id for member in members), 0)
@@ -163,8 +175,11 @@
     total_slots = sum(member.slots for member in members)
     target_counts = {member.id: KEY_COUNT * member.slots // total_slots for member in members}
     for member in members:
-        if key_counts[member.id] == 0 and member.id in reachable_ids:
-            group = _with_member_share(group, member.id, target_counts, key_counts, reachable_ids)
+        grows = member.id in growing_ids and member.id not in usable_shares
+        if member.id in reachable_ids and (key_counts[member.id] == 0 or grows):
+            target = int(target_counts[member.id] * usable_shares.get(member.id, 1.0))
+            targets = {**target_counts, member.id: target}
+            group = _with_member_share(group, member.id, targets, key_counts, reachable_ids)
     return group
 
 
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -16,6 +16,7 @@
 from . import moves
 from .moves import BLOCK_KEYS
 from .recovery import RecoveryWait
+from .usable_slots import usable_shares_of, usable_slots
 
 _RANGES_MOVING = Event(
     2830, "ranges_moving", Level.INFO, "Key ranges are being moved to other owners."
@@ -68,6 +69,8 @@
         # Time since which the group has members but no assigned keys, or None.
         self._unplaced_since: float | None = None
         self._moved_at = 0.0
+        # Members whose rate was limited when they joined, and which have part of their share.
+        self._growing_ids: set[str] = set()
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses and subscribes to group changes."""
@@ -191,6 +194,9 @@
         This does not depend on measured work, so it neither waits for reports nor fails if other
         members write the group at the same time.
         """
+        usable_shares = usable_shares_of(view.group, reports)
+        placed_ids = {key_range.successor or key_range.owner for key_range in view.group.ranges}
+        self._growing_ids |= usable_shares.keys() - placed_ids
 
         def assign_keys(group: Group) -> Group | None:
             if not group.ranges and not self._may_place_first_keys():
@@ -198,10 +204,13 @@
             if not group.ranges or any(key_range.owner is None for key_range in group.ranges):
                 changed = moves.assigned(group)
             else:
-                changed = moves.with_new_member_shares(group, reports)
+                changed = moves.with_new_member_shares(
+                    group, reports, usable_shares, self._growing_ids
+                )
             return None if changed == group else changed
 
         if assign_keys(view.group) is None:
+            self._growing_ids -= reports.keys() - usable_shares.keys()
             return None
         return await self._groups.edit(view.group.id, assign_keys)
 
@@ -283,13 +292,14 @@
         key=lambda member: (-utilisation[member.id], member.id),
     )
     others = {member.id: member for member in members if utilisation[member.id] < limit}
+    slots = {member.id: usable_slots(member, reports) for member in members}
     if not sources or not others:
         return group
     ranges, blocks_left = group.ranges, _MAX_BLOCKS_PER_ROUND
     for source in sources:
         max_blocks = min(_MAX_BLOCKS_PER_MEMBER, blocks_left)
         target_by_block = _assign_hot_blocks(
-            group, source, others, utilisation, reports[source.id].work, max_blocks
+            group, source, others, slots, utilisation, reports[source.id].work, max_blocks
         )
         blocks_left -= len(target_by_block)
         for first, last, target_id in _contiguous_ranges(target_by_block):
@@ -350,6 +360,7 @@
     group: Group,
     source: Member,
     others: dict[str, Member],
+    slots: dict[str, float],
     utilisation: dict[str, float],
     work: dict[int, float],
     max_blocks: int,
@@ -363,6 +374,7 @@
         group: The group.
         source: The member whose blocks are moved.
         others: The members that may get blocks, by member id.
+        slots: Usable slots by member id.
         utilisation: Utilisation by member id; updated in place for each assigned block.
         work: Work of the source by block, in slots.
         max_blocks: Maximum number of blocks to assign.
@@ -383,17 +395,14 @@
             continue
         # Adjacent blocks go to the same member while it has capacity, which keeps ranges few.
         target_id = target_by_block.get(block - 1) or target_by_block.get(block + 1)
-        if (
-            target_id is None
-            or utilisation[target_id] + block_work / others[target_id].slots > mean
-        ):
+        if target_id is None or utilisation[target_id] + block_work / slots[target_id] > mean:
             target_id = min(others, key=lambda member_id: utilisation[member_id])
-        new_utilisation = utilisation[target_id] + block_work / others[target_id].slots
+        new_utilisation = utilisation[target_id] + block_work / slots[target_id]
         if new_utilisation > min(_MAX_TARGET_UTILISATION, utilisation[source.id]):
             continue
         target_by_block[block] = target_id
         utilisation[target_id] = new_utilisation
-        utilisation[source.id] -= block_work / source.slots
+        utilisation[source.id] -= block_work / slots[source.id]
     return target_by_block
 
 
--- a/tests/services/keyspace/test_load.py
+++ b/tests/services/keyspace/test_load.py
@@ -32,6 +32,14 @@
             report = self.load.measure()
         self.assertAlmostEqual(report.utilisation, 1.0, delta=0.05)
 
+    def test_slots_that_a_cold_upstream_can_use_are_reported(self):
+        """Guards against a full share of keys for an upstream that takes little as yet."""
+        self.assertIsNone(self.load.measure().usable_slots)
+        self.load._slots.occupancy = Occupancy(0, 0, 6, 100.0, per_second=5.0)
+        self.assertEqual(self.load.measure().usable_slots, 0.5)
+        self.load._slots.occupancy = Occupancy(0, 0, 6, 0.0, per_second=5.0)
+        self.assertEqual(self.load.measure().usable_slots, 1.5)
+
     def test_work_beyond_the_slots_shows_in_the_report(self):
         """Guards against an overloaded server that is reported as merely full."""
         for _ in range(240):
--- a/tests/services/keyspace/test_moves.py
+++ b/tests/services/keyspace/test_moves.py
@@ -194,6 +194,20 @@
                 for width in self.shares(group).values():
                     self.assertGreaterEqual(width, moves.KEY_COUNT / after * 0.7)
 
+    def test_cold_member_gets_its_share_as_it_warms(self):
+        """Guards against a cold member that gets more keys than its rate bears."""
+        old = group_of("a", "b", "c")
+        group = with_added_members(old, member("d"))
+        full = self.shares(moves.with_new_member_shares(group, group.members))["d:1"]
+        cold = moves.with_new_member_shares(group, group.members, {"d:1": 0.2}, {"d:1"})
+        self.check(cold)
+        self.assertAlmostEqual(self.shares(cold)["d:1"], 0.2 * full, delta=0.03 * full)
+        again = moves.with_new_member_shares(cold, group.members, {"d:1": 0.2}, {"d:1"})
+        self.assertEqual(again, cold)
+        warm = moves.with_new_member_shares(cold, group.members, {}, {"d:1"})
+        self.check(warm)
+        self.assertGreater(self.shares(warm)["d:1"], 0.9 * full)
+
     def test_keys_in_handover_stay(self):
         """Guards against a successor that is replaced although it may already be the owner."""
         before, once = self.grown(4, 6)
--- a/tests/services/keyspace/test_placement.py
+++ b/tests/services/keyspace/test_placement.py
@@ -48,6 +48,16 @@
         moved_blocks = sum(width for width, _, _ in moving) // BLOCK_KEYS
         self.assertLess(moved_blocks, len(hot))
 
+    def test_cold_member_gets_few_hot_blocks(self):
+        """Guards against hot keys that are moved to a member which can run few requests."""
+        group = assigned_group("a", "b")
+        reports = {
+            "a:1": report("a", 1.4, {block: 0.2 for block in range(10, 40)}),
+            "b:1": replace(report("b", 0.1), usable_slots=0.6),
+        }
+        moved = sum(width for width, _, _ in self.moving(rebalanced(group, reports)))
+        self.assertLessEqual(moved // BLOCK_KEYS * 0.2, 0.6)
+
     def test_all_hot_members_are_relieved_together(self):
         """Guards against rounds that move work away from only one hot server each.
 
