Play cold upstreams with real agents

The emulated upstream states its cold time in heartbeats and health responses and counts the requests within it.

--- a/fescueward/testing/site/deployment.py
+++ b/fescueward/testing/site/deployment.py
@@ -348,7 +348,7 @@
         "bootstrap": "true",
         "heartbeatS": HEARTBEAT_PERIOD_S,
         "bounds": f"drainS=2,graceS={GRACE_S:g},retryRatio=0.2,budgetWindowS=10,retryBurst=64,"
-        "holdMaxS=10,thawSlackS=0.3",
+        "coldOver=1.5,coldSlack=8,holdMaxS=10,thawSlackS=0.3",
         "grants": "call",
         "appAddr": upstream,
         "service": service,
--- a/fescueward/testing/site/operator.py
+++ b/fescueward/testing/site/operator.py
@@ -156,6 +156,7 @@
 
     Attributes:
         version: Number of the newest version; 0 before the first.
+        cold_per_s: Requests per second that cold upstreams take by the next version.
     """
 
     def __init__(self, store: SiteStore, services: dict[str, bool], evidence: Evidence) -> None:
@@ -163,6 +164,7 @@
         self._store = store
         self._services = services
         self._evidence = evidence
+        self.cold_per_s = 0.0
 
     @property
     def newest_routes(self) -> tuple[str, ...]:
@@ -182,7 +184,13 @@
         version_route = versioned_route(self.version)
         self._evidence.versions[version_route] = self.version
         services = {
-            name: {"healthPath": "/health", "maxConns": 130, "sharded": keyed, "warmupS": 1.0}
+            name: {
+                "healthPath": "/health",
+                "maxConns": 130,
+                "sharded": keyed,
+                "warmupS": 1.0,
+                "coldPerS": self.cold_per_s,
+            }
             for name, keyed in self._services.items()
         }
         routes = {}
--- a/fescueward/testing/site/upstream.py
+++ b/fescueward/testing/site/upstream.py
@@ -14,9 +14,11 @@
 
 from ...platform.names import (
     CALLER,
+    COLD_MS,
     GRANT_PATH,
     HANDOVER,
     HEARTBEAT_CALL,
+    INSTANCE,
     KEY,
     LEAVE_CALL,
     NOT_EXECUTED,
@@ -33,6 +35,7 @@
 from .holds import KeyHolds
 from .records import Arrival, Departure, Evidence, RateLimit, Run, receipt, response_body
 from .stutter import ANSWERED, Answer, Script, ScriptedResponse, draw_script
+from .warmth import ColdTime
 
 HEALTH_PATH = "/health"
 # Query field with the execution time of a request, in milliseconds.
@@ -42,12 +45,12 @@
 _ACKNOWLEDGE_TIMEOUT_S = 1.0
 # Maximum number of queued requests per slot.
 _QUEUED_PER_SLOT = 1
-# Number of unacknowledged draining reports after which an upstream stops anyway.
 # Delay of a heartbeat that arrives after the departure of its upstream, and the attempts that it
 # takes while the agent restarts.
 _LATE_HEARTBEAT_S = 1.2
 _MAX_LATE_ATTEMPTS = 20
 _LATE_RETRY_S = 0.1
+# Number of unacknowledged draining reports after which an upstream stops anyway.
 _MAX_LEAVE_REPORTS = 5
 
 
@@ -114,12 +117,14 @@
         spec: Configuration of the upstream.
         faults: Faults in force; assign a new value to change them.
         instance: Instance id that the upstream announces.
+        cold_time: Its cold times and the requests within them.
     """
 
     def __init__(self, spec: UpstreamSpec, port: int, evidence: Evidence, seed: int) -> None:
         self.spec = spec
         self.faults = UpstreamFaults()
         self.instance = ""
+        self.cold_time = ColdTime()
         self._evidence = evidence
         self._random = random.Random(seed)
         self._port = port
@@ -273,7 +278,7 @@
             "status": {
                 "state": "draining" if self._leaving else "ready",
                 "seq": self._sequence,
-                "coldLeftS": 0,
+                "coldLeftS": self.cold_time.left_s,
             },
         }
         return msgspec.json.encode(report)
@@ -292,7 +297,8 @@
 
     async def _health(self, _: web.Request) -> web.Response:
         load = f"{len(self._running)},{self._queued_count},{self.spec.slots}"
-        headers = {"X-Fescueward-Instance": self.instance, "X-Fescueward-Load": load}
+        cold_ms = str(round(self.cold_time.left_s * 1000))
+        headers = {INSTANCE: self.instance, COLD_MS: cold_ms, "X-Fescueward-Load": load}
         return web.Response(status=503 if self._leaving else 200, headers=headers)
 
     async def _grant(self, request: web.Request) -> web.Response:
@@ -324,6 +330,7 @@
             return self._not_executed(400)
         if request.headers.get(TARGET_INSTANCE, self.instance) != self.instance:
             return self._not_executed(421)
+        self.cold_time.count()
         if self._queued_count >= self.spec.slots * _QUEUED_PER_SLOT:
             return self._not_executed(503)
         self._queued_count += 1
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -32,6 +32,9 @@
     Load(route="orders-once", repeatable=False, connections=8, pause_s=0.02),
 )
 LIMIT_PER_S = 6.0
+COLD_PER_S = 6.5
+# By the bounds of the deployment: 6.5 x 1.5 + 8.
+MOST_WHILE_COLD = 17
 # Interval between the stop signals of agents: less than the grace period, so that shutdowns
 # overlap.
 STOP_INTERVAL_S = 3.0
@@ -113,6 +116,29 @@
             self.assertGreater(len(site.evidence.rate_limits), 0)
             await self._assert_no_breaches(site)
 
+    async def test_cold_upstreams_get_few_requests(self):
+        """Guards against a rush on an upstream that has become cold (FAILBACK).
+
+        The agent beside one of them is killed meanwhile.
+        """
+        async with SiteDeployment(SiteSpec(seed=9)) as site:
+            site.configurator.cold_per_s = COLD_PER_S
+            site.configurator.write_next_version()
+            await site.wait_ready()
+            site.start_load(HEAVY_LOADS)
+            await site.wait_served(HEAVY_LOADS, SERVED_WITHIN_S)
+            cold = [site.machines[name] for name in ("orders-2", "catalogue-0")]
+            for machine in cold:
+                machine.upstream.cold_time.begin(6.0)
+            await asyncio.sleep(2)
+            await cold[0].agent.kill()
+            await asyncio.sleep(5)
+            for machine in cold:
+                most = machine.upstream.cold_time.most_in_a_second
+                self.assertIn(most, range(1, MOST_WHILE_COLD + 1))
+            await site.wait_served(HEAVY_LOADS, SERVED_WITHIN_S)
+            await self._assert_no_breaches(site)
+
     async def test_upstream_that_leaves_in_its_responses_gets_nothing_more(self):
         """Guards against requests to an upstream whose responses say that it leaves (DRAIN)."""
         await self._check_departure(killed=False)
