Divide the group store and let its watchers carry evacuations

Its watch loops, the choice and statuses of watchers, the exchange of newer objects and the reading of stored objects are modules of their own now. Tests reach the same code under its new names and assert what they asserted.

The watched kinds of a fleet share one loop behind the Protocol WatchedObjects, which the evacuations use too. An agent serves only once it knows the evacuations; what a restored store has lost stays in force. The gate of an agent refuses requests without a key at once, and those with one from half of the bound on.

--- a/fescueward/interfaces/evacuations.py
+++ b/fescueward/interfaces/evacuations.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from contextlib import AbstractAsyncContextManager
 from typing import Protocol, runtime_checkable
 
 from ..messages.evacuations import Evacuations
+from .platform import Changes
 
 
 class EvacuationListener(Protocol):
@@ -24,13 +26,22 @@
         """Newest known evacuations; version 0 before the first."""
         ...
 
+    @property
+    def known(self) -> bool:
+        """Whether all evacuations have been read from the platform or received once."""
+        ...
+
     @property
     def domains(self) -> frozenset[str]:
         """Names of the evacuated failure domains."""
         ...
 
     def observe(self, evacuations: Evacuations) -> bool:
-        """Applies evacuations of a higher version; returns whether they were applied."""
+        """Applies what another agent knows; returns whether this agent has learned from it."""
+        ...
+
+    def observe_changes(self, changes: Changes) -> bool:
+        """Applies what was read from the platform; returns whether this agent has learned."""
         ...
 
     def subscribe(self, listener: EvacuationListener) -> None:
@@ -40,7 +51,10 @@
 
 @runtime_checkable
 class EvacuationGate(Protocol):
-    """What the evacuation of its own failure domain means for an agent."""
+    """What the evacuation of its own failure domain means for an agent.
+
+    An agent that does not know the evacuations yet sends its upstream no request.
+    """
 
     @property
     def begun(self) -> bool:
@@ -51,3 +65,15 @@
     def closed(self) -> bool:
         """Whether no request may be sent to the upstream, with a key or without."""
         ...
+
+    def check(self, keyed: bool) -> None:
+        """Refuses a request that may not be sent to the upstream now.
+
+        Raises:
+            EvacuatedError: The request is left to other agents.
+        """
+        ...
+
+    def waiting(self, keyed: bool) -> AbstractAsyncContextManager[None]:
+        """Ends a wait with an `EvacuatedError` as soon as `check` refuses the request."""
+        ...
--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -313,6 +313,13 @@
     label = "request_withdrawn"
 
 
+class EvacuatedError(RefusalError):
+    """The failure domain of the upstream is evacuated, so no request is sent to it."""
+
+    code = 2027
+    label = "evacuated"
+
+
 class PlatformError(FescuewardError):
     """Base class of the errors of the platform client."""
 
--- a/fescueward/messages/evacuations.py
+++ b/fescueward/messages/evacuations.py
@@ -20,7 +20,10 @@
         domains: Version at which the evacuation was last written, by failure domain. One of an
             earlier era than `version` is lost to the store, which was restored from an older
             copy, and stays in force: its end was not requested.
+        removed: Version at which a domain was last known not to be evacuated any more, for those
+            that ended last. Without it, a member that missed the end would bring them back.
     """
 
     version: Annotated[int, Meta(ge=0)] = 0
     domains: dict[str, Annotated[int, Meta(ge=0)]] = field(default_factory=dict)
+    removed: dict[str, Annotated[int, Meta(ge=0)]] = field(default_factory=dict)
--- a/tests/services/groups/test_odd_objects.py
+++ b/tests/services/groups/test_odd_objects.py
@@ -19,7 +19,7 @@
 from fescueward.messages.group import LAST_KEY, KeyRange
 from fescueward.messages.group_object import decode_group
 from fescueward.messages.peer import Fetch, Publish
-from fescueward.services.groups import GroupStore, store
+from fescueward.services.groups import GroupStore, stored_objects
 from fescueward.services.routing.routes import RouteTable
 from tests.mutation import damaged_documents
 
@@ -64,7 +64,7 @@
         """Guards against a copy of a group, under a name of its own, that takes its place."""
         copy = encode_json(with_added_members(GROUP, member("stranger")))
         for key in ("groups/copy/0", "groups//odd", "groups/depot/1"):
-            self.groups._observe_fleet_object(StoredObject(key, 9, copy, False))
+            self.groups._objects.observe(StoredObject(key, 9, copy, False))
         self.assertEqual(self.groups.view(GROUP.id), VersionedGroup(3, GROUP))
 
     def test_spoiled_group_leaves_the_earlier_version_in_use(self):
@@ -72,9 +72,9 @@
         spoiled = encode_json(Group("depot", 0, 1, ranges=(RANGES[1], RANGES[0])))
         stored = StoredObject(GROUP.id.object_key, 9, spoiled, False)
         self.platform.get.return_value = stored
-        with mock.patch.object(store, "_MALFORMED_OBJECT") as event:
+        with mock.patch.object(stored_objects, "_MALFORMED_OBJECT") as event:
             for _ in range(3):
-                self.groups._observe_fleet_object(stored)
+                self.groups._objects.observe(stored)
                 with self.assertRaises(PlatformAnswerError):
                     asyncio.run(self.groups.refresh(GROUP.id))
         self.assertEqual(self.groups.view(GROUP.id), VersionedGroup(3, GROUP))
@@ -84,16 +84,16 @@
         """Guards against a damaged group that spreads between agents, and hides the next one."""
         spoiled = VersionedGroup(9, Group("depot", 0, 1, ranges=RANGES[1:]))
         other = VersionedGroup(4, with_added_members(Group("other", 0, 1), member("c")))
-        self.groups._on_publish("b:1", Publish(groups=(spoiled, other)))
+        self.groups._exchange.on_publish("b:1", Publish(groups=(spoiled, other)))
         self.assertEqual(self.groups.view(GROUP.id), VersionedGroup(3, GROUP))
         self.assertEqual(self.groups.view(GroupId("other", 0)), other)
 
     def test_delta_that_does_not_fit_fetches_the_whole_group_once(self):
         """Guards against two agents that exchange an unusable delta without end."""
         delta = GroupDelta("depot", 0, 3, 4, ranges=(KeyRange(50, 60, "b:1", 6),))
-        self.groups._on_publish("b:1", Publish(deltas=(delta,)))
+        self.groups._exchange.on_publish("b:1", Publish(deltas=(delta,)))
         self.peers.reply.assert_called_once_with("b:1", Fetch("depot", 0, 0))
-        self.groups._on_publish(
+        self.groups._exchange.on_publish(
             "b:1", Publish(groups=(VersionedGroup(4, Group("depot", 0, 1, ranges=RANGES[1:])),))
         )
         self.peers.reply.assert_called_once()
@@ -134,14 +134,14 @@
             fleet.start(name, "d0")
         fleet.world.advance(3)
         fleet.platform.on_write = lambda old, new: None
-        original = store.decode_group
+        original = stored_objects.decode_group
 
         def decode(key, value):
             if key == "groups/aaa/0":
                 raise ZeroDivisionError
             return original(key, value)
 
-        with mock.patch.object(store, "decode_group", decode):
+        with mock.patch.object(stored_objects, "decode_group", decode):
             fleet.platform.write("groups/aaa/0", b"{}", 0)
             fleet.platform.write("groups/other/0", json.dumps(OTHER).encode(), 0)
             fleet.start("a2", "d0")
--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -160,7 +160,7 @@
 
 class WatcherTest(unittest.TestCase):
     def _watchers(self, fleet) -> list[str]:
-        return [name for name, agent in fleet.agents.items() if agent.groups._is_watcher()]
+        return [name for name, agent in fleet.agents.items() if agent.groups._duty.is_watcher()]
 
     def test_unresponsive_watchers_are_replaced(self):
         """Guards against a group that receives no changes while its watchers are cut off."""
@@ -268,14 +268,14 @@
         peers = RecordingPeers("b:0")
         store = self.store("w:1", peers)
         status = WatchStatus("w:1", True, Versions(0, 5))
-        store._send_status({"w:1": member("w"), "b:1": member("b")}, status)
+        store._duty.send_status({"w:1": member("w"), "b:1": member("b")}, status)
         self.assertEqual(peers.sent, [("b:0", status)])
 
     async def test_member_that_is_being_dialled_gets_no_second_stream(self):
         """Guards against watchers that open two streams to each agent of the fleet."""
         peers = RecordingPeers("b:0", dialled=("b:1",))
         store = self.store("w:1", peers)
-        store._send_status({"b:1": member("b")}, WatchStatus("w:1", True, Versions(0, 5)))
+        store._duty.send_status({"b:1": member("b")}, WatchStatus("w:1", True, Versions(0, 5)))
         self.assertEqual(peers.sent, [])
 
     async def test_few_agents_send_status_to_a_restarted_one_in_an_outage(self):
@@ -285,7 +285,7 @@
         """
         members = {f"m{number}:1": member(f"m{number}") for number in range(9)}
         recipients = {
-            name: set(self.store(name, RecordingPeers())._outage_status_recipients(members))
+            name: set(self.store(name, RecordingPeers())._duty.outage_status_recipients(members))
             for name in (*members, "m3:2")
         }
         for name in members:
@@ -294,7 +294,7 @@
         self.assertEqual(recipients["m3:2"], recipients["m3:1"])
         pair = {name: members[name] for name in ("m0:1", "m1:1")}
         store = self.store("m1:1", RecordingPeers())
-        self.assertEqual(set(store._outage_status_recipients(pair)), {"m0:1"})
+        self.assertEqual(set(store._duty.outage_status_recipients(pair)), {"m0:1"})
 
     async def test_restarted_agent_fetches_from_members(self):
         """Guards against an agent that serves nothing until the platform is available again."""
@@ -305,7 +305,9 @@
         self.assertFalse(store.complete)
         group = VersionedGroup(3, with_added_members(Group("depot", 0, 1), member("b")))
         configuration = VersionedConfiguration(2, Configuration(2, {}, {}))
-        store._on_publish("w-seed:1", Publish(groups=(group,), configuration=configuration))
+        store._exchange.on_publish(
+            "w-seed:1", Publish(groups=(group,), configuration=configuration)
+        )
         self.assertTrue(store.complete)
         self.assertEqual(store.view(GroupId("depot", 0)), group)
         self.assertEqual(self.routes.current, configuration)
@@ -334,15 +336,15 @@
         up_to_date._routes.observe(new_configuration)
         peers = RecordingPeers("w:1")
         restarted = self.store("b:2", peers)
-        restarted._on_publish("frozen:1", from_frozen)
+        restarted._exchange.on_publish("frozen:1", from_frozen)
         restarted._on_watch_status("w:1", WatchStatus("w:1", True, up_to_date.versions()))
         await wait_until(lambda: peers.sent, 2, "the newer versions are fetched")
-        up_to_date._on_fetch("b:2", peers.sent[-1][1])
-        restarted._on_publish("w:1", up_to_date_peers.sent[-1][1])
+        up_to_date._exchange.on_fetch("b:2", peers.sent[-1][1])
+        restarted._exchange.on_publish("w:1", up_to_date_peers.sent[-1][1])
         for _ in range(2):
             self.assertEqual(restarted.view(own_group_id), new)
             self.assertEqual(restarted._routes.current, new_configuration)
-            restarted._on_publish("frozen:1", from_frozen)
+            restarted._exchange.on_publish("frozen:1", from_frozen)
 
     async def test_agent_that_has_not_joined_publishes_nothing(self):
         """Guards against a fleet start at which each agent sends each change to all others."""
@@ -357,9 +359,9 @@
             with self.subTest(agent=agent):
                 peers = RecordingPeers("b:1", "c:1")
                 store = self.store(f"{agent}:1", peers, own_group_id)
-                store._roster.expect_statuses(store._clock.now())
+                store._duty.expect_statuses()
                 for stored in objects:
-                    store._observe_fleet_object(stored)
+                    store._objects.observe(stored)
                 await asyncio.sleep(0.01)
                 self.assertEqual([target for target, _ in peers.sent], recipients * len(objects))
                 self.assertEqual(store.view(own_group_id), VersionedGroup(3, group))
@@ -383,16 +385,16 @@
 
         up_to_date = self.store("c:1", RecordingPeers(), own_group_id)
         up_to_date.observe(base)
-        up_to_date._on_publish("b:1", message)
+        up_to_date._exchange.on_publish("b:1", message)
         self.assertEqual(up_to_date.view(own_group_id), written)
 
         peers = RecordingPeers()
         behind = self.store("d:1", peers, own_group_id)
         behind.observe(replace(base, version=2))
-        behind._on_publish("b:1", message)
+        behind._exchange.on_publish("b:1", message)
         self.assertEqual(peers.sent, [("b:1", Fetch("depot", 0, 2))])
-        writer._on_fetch("d:1", peers.sent[0][1])
-        behind._on_publish(*writer_peers.sent[-1])
+        writer._exchange.on_fetch("d:1", peers.sent[0][1])
+        behind._exchange.on_publish(*writer_peers.sent[-1])
         self.assertEqual(behind.view(own_group_id), written)
 
     async def test_member_that_missed_versions_fetches_their_difference(self):
@@ -417,10 +419,10 @@
                     behind.observe(versions[-1 - missed])
                     known = behind.view(own_group_id).version
                     objects = {own_group_id.object_key: known} if by_digest else None
-                    watcher._on_fetch("c:1", Fetch("depot", 0, known, objects=objects))
+                    watcher._exchange.on_fetch("c:1", Fetch("depot", 0, known, objects=objects))
                     ((_, message),) = peers.sent
                     self.assertEqual((len(message.deltas), message.groups), (1, ()))
-                    behind._on_publish("b:1", message)
+                    behind._exchange.on_publish("b:1", message)
                     self.assertEqual(behind.view(own_group_id), versions[-1])
 
     async def test_writer_publishes_to_watchers_only(self):
@@ -440,7 +442,7 @@
             with self.subTest(case):
                 peers = RecordingPeers(*open_ids)
                 writer = self.store("d:1", peers, own_group_id)
-                writer._roster.expect_statuses(writer._clock.now())
+                writer._duty.expect_statuses()
                 writer.observe(base)
                 writer._platform = SimpleNamespace(put=mock.AsyncMock(return_value=4))
                 await writer.write(base, group)
@@ -459,10 +461,10 @@
             with self.subTest(agent=agent):
                 peers = RecordingPeers("a:1", "b:1", "c:1")
                 store = self.store(f"{agent}:1", peers, own_group_id)
-                store._roster.expect_statuses(store._clock.now())
+                store._duty.expect_statuses()
                 store._views[own_group_id] = base
                 for version in (newer, newest):
-                    store._on_publish("c:1", Publish(groups=(version,)))
+                    store._exchange.on_publish("c:1", Publish(groups=(version,)))
                 await asyncio.sleep(0.1)
                 self.assertEqual([target for target, _ in peers.sent], recipients)
                 for _, message in peers.sent:
@@ -478,12 +480,14 @@
         own_group_id = GroupId("depot", 0)
         group = with_added_members(Group("depot", 0, 1), *(member(name) for name in "abc"))
         store = self.store("d:1", RecordingPeers("a:1", "b:1", "c:1"), own_group_id)
-        store._roster.expect_statuses(store._clock.now() - 10)
+        store._duty._roster.expect_statuses(store._clock.now() - 10)
         store.observe(VersionedGroup(3, group))
         store.observe(VersionedGroup(4, with_added_members(group, member("d"))))
-        self.assertFalse(store._is_watcher())
-        with mock.patch.object(store, "_clock", SimpleNamespace(now=lambda: CLOCK.now() + 5)):
-            self.assertTrue(store._is_watcher())
+        self.assertFalse(store._duty.is_watcher())
+        with mock.patch.object(
+            store._duty, "_clock", SimpleNamespace(now=lambda: CLOCK.now() + 5)
+        ):
+            self.assertTrue(store._duty.is_watcher())
 
     async def test_watcher_publishes_a_configuration_delta(self):
         """Guards against a copy of 1,000 routes to the whole fleet when one of them changes."""
@@ -505,18 +509,18 @@
         watcher._views[own_group_id] = group
         self.routes.observe(base)
         stored = StoredObject(CONFIGURATION_KEY, 5, encode_json(changed))
-        watcher._observe_fleet_object(stored)
+        watcher._objects.observe(stored)
         ((_, message),) = peers.sent
         self.assertLess(len(FrameEncoder().encode(message)), 200)
 
         up_to_date = self.store("c:1", RecordingPeers(), own_group_id)
         self.routes.observe(base)
-        up_to_date._on_publish("b:1", message)
+        up_to_date._exchange.on_publish("b:1", message)
         self.assertEqual(self.routes.current, VersionedConfiguration(2, changed))
 
         peers_behind = RecordingPeers()
         behind = self.store("d:1", peers_behind, own_group_id)
-        behind._on_publish("b:1", message)
+        behind._exchange.on_publish("b:1", message)
         self.assertEqual(peers_behind.sent, [("b:1", Fetch(objects={}))])
         self.assertIsNone(self.routes.current)
 
@@ -537,13 +541,13 @@
         peers = RecordingPeers("c:1")
         watcher = self.store("b:1", peers, GroupId("depot", 0))
         for configuration in (first, second, third):
-            watcher._on_publish("a:1", Publish(configuration=configuration))
-        watcher._on_fetch("c:1", Fetch(objects={CONFIGURATION_KEY: 1}))
+            watcher._exchange.on_publish("a:1", Publish(configuration=configuration))
+        watcher._exchange.on_fetch("c:1", Fetch(objects={CONFIGURATION_KEY: 1}))
         ((_, message),) = peers.sent
         self.assertLess(len(FrameEncoder().encode(message)), 200)
         behind = self.store("c:1", RecordingPeers(), GroupId("depot", 0))
         self.routes.observe(first)
-        behind._on_publish("b:1", message)
+        behind._exchange.on_publish("b:1", message)
         self.assertEqual(self.routes.current, third)
 
     async def test_configurations_are_ordered_by_their_own_number(self):
@@ -553,7 +557,7 @@
         for revision, number in ((20, 5), (12, 6), (30, 4)):
             configuration = Configuration(number, {}, {})
             stored = StoredObject(CONFIGURATION_KEY, revision, encode_json(configuration))
-            store._observe_fleet_object(stored)
+            store._objects.observe(stored)
             in_force.append(self.routes.current.configuration.version)
         self.assertEqual(in_force, [5, 6, 6])
 
