Leave evacuated failure domains with requests and keys

Routers choose no member of an evacuated domain for requests without a key, the gate refuses what still comes as not run, and the planner sets successors outside for the key ranges, hottest first. No path of the placement gives keys to a member of such a domain.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -14,6 +14,7 @@
 from ..platform.store import ObjectStore
 from ..platform.upstream import LocalUpstream
 from ..services.admission import SlotAdmission
+from ..services.evacuation import EvacuatedDomains
 from ..services.gate.execution import GateExecution
 from ..services.gate.liveness import UpstreamLiveness
 from ..services.gate.notices import UpstreamNotices
@@ -83,6 +84,7 @@
         kernel.add(RouteTable())
         kernel.add(ConfiguredCatalogue())
         kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
+        kernel.add(EvacuatedDomains(kernel))
         kernel.add(GroupStore(kernel, fleet_wide=True))
         leaving_grace_s = min(LEAVING_GRACE_S, bounds.drain_s * _LEAVING_GRACE_SHARE)
         kernel.add(
--- a/fescueward/platform/store.py
+++ b/fescueward/platform/store.py
@@ -29,6 +29,7 @@
 from ..messages.codec import decode_json, decode_list, encode_json
 from ..messages.configuration import CONFIGURATION_KEY
 from ..messages.era import MAX_ERA, MAX_REVISION, era_of, revision_of, to_version
+from ..messages.evacuations import EVACUATIONS_PREFIX
 from .configuration import decode_configuration
 from .names import OBJECTS_PATH, STORE_ERA
 
@@ -41,11 +42,18 @@
     Level.WARNING,
     "An entry in a response of the store cannot be read and was skipped.",
 )
+_BAD_EVACUATION = Event(
+    2212,
+    "bad_evacuation",
+    Level.WARNING,
+    "A request to evacuate a failure domain is malformed and was skipped.",
+)
 
 _CONFIGURATION_KIND = "config"
 _CONFIGURATION_NAME = "main"
 _GROUPS_PREFIX = "groups/"
 _GROUPS_KIND = "fescueward-groups"
+_EVACUATIONS_KIND = "evacuations"
 # The response to a watch must arrive within its wait and this time.
 _WATCH_SLACK_S = 0.5
 # Delay before the next watch call after a failed one.
@@ -259,7 +267,10 @@
             return _to_stored_object(kind, item, deleted)
         except MalformedMessageError as error:
             if self._is_first_report((kind, name, revision)):
-                _BAD_CONFIGURATION.emit(kind=kind, object=name, revision=revision, error=error)
+                event = _BAD_EVACUATION if kind == _EVACUATIONS_KIND else _BAD_CONFIGURATION
+                event.emit(
+                    kind=kind, object=name[:_MAX_LOGGED_BYTES], revision=revision, error=error
+                )
             return None
 
     def _is_first_report(self, entry: object) -> bool:
@@ -359,17 +370,22 @@
 def _object_path(key: str) -> tuple[str, str]:
     if key == CONFIGURATION_KEY:
         return _CONFIGURATION_KIND, _CONFIGURATION_NAME
+    if key.startswith(EVACUATIONS_PREFIX):
+        return _EVACUATIONS_KIND, quote(key.removeprefix(EVACUATIONS_PREFIX), safe="")
     service, _, number = key.removeprefix(_GROUPS_PREFIX).rpartition("/")
     return _GROUPS_KIND, f"{service}.{number}"
 
 
 def _kind(prefix: str) -> str:
-    return _CONFIGURATION_KIND if prefix == CONFIGURATION_KEY else _GROUPS_KIND
+    kinds = {CONFIGURATION_KEY: _CONFIGURATION_KIND, EVACUATIONS_PREFIX: _EVACUATIONS_KIND}
+    return kinds.get(prefix, _GROUPS_KIND)
 
 
 def _key(kind: str, name: str) -> str:
     if kind == _CONFIGURATION_KIND:
         return CONFIGURATION_KEY
+    if kind == _EVACUATIONS_KIND:
+        return EVACUATIONS_PREFIX + name
     service, _, number = name.rpartition(".")
     return f"{_GROUPS_PREFIX}{service}/{number}"
 
@@ -378,6 +394,8 @@
     value = bytes(item.spec)
     if kind == _CONFIGURATION_KIND and not deleted:
         value = encode_json(decode_configuration(value))
+    elif kind == _EVACUATIONS_KIND and not deleted and not value.lstrip().startswith(b"{"):
+        raise MalformedMessageError(f"its specification is {value[:_MAX_LOGGED_BYTES]!r}")
     name = item.metadata.name
     return StoredObject(_key(kind, name), item.metadata.revision, value, deleted)
 
--- a/fescueward/services/evacuation/versions.py
+++ b/fescueward/services/evacuation/versions.py
@@ -51,7 +51,7 @@
     version = max(changes.revision, 1)
     names = {stored.key.removeprefix(EVACUATIONS_PREFIX): stored for stored in changes.objects}
     if changes.complete:
-        listed = {name: stored.version for name, stored in names.items()}
+        listed = {name: stored.version for name, stored in names.items() if not stored.deleted}
         return merged(current, Evacuations(version, listed))
     domains, removed = dict(current.domains), dict(current.removed)
     for name, stored in names.items():
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -34,6 +34,7 @@
 from ...kernel.tasks import finish_despite_cancellation, raise_delayed_cancellation
 from ...messages import AnnouncedState, Request, Response
 from ...messages.request import BytesBody, Occupancy
+from ..evacuation import find_gate
 from .arrivals import BodyArrivals
 
 _REQUEST_RUN = Event(
@@ -86,6 +87,7 @@
         self._quarantine = registry.find("quarantine", Quarantine)
         self._upstream = registry.find("upstream", Upstream)
         self._load = registry.find("load", Load)
+        self._evacuation = find_gate(registry)
         registry.find("peers", Peers).serve(self.execute)
 
     async def start(self) -> None:
@@ -137,7 +139,10 @@
         self._check_accepting(request)
         self._check_in_time(request, arrived_at)
         async with AsyncExitStack() as run_context:
-            async with self._shutdown.waiting(request.deadline, _is_movable(request)):
+            async with (
+                self._shutdown.waiting(request.deadline, _is_movable(request)),
+                self._evacuation.waiting(keyed=bool(request.key)),
+            ):
                 await self._admitted_epoch(request)
                 if not isinstance(request.body, BytesBody):
                     length = request.body.length or 0
@@ -149,7 +154,8 @@
                 request = await run_context.enter_async_context(guard)
                 slot = self._admission.slot(request, entry)
                 await run_context.enter_async_context(slot)
-                # The upstream may have begun to leave, or the key may have moved, during the wait.
+                # The upstream may have begun to leave, its domain may be evacuated, or the key may
+                # have moved, during the wait.
                 self._check_accepting(request)
                 epoch = await self._admitted_epoch(request)
             started_at = self._clock.now()
@@ -237,6 +243,7 @@
             raise NotOwnerError(f"the upstream of this agent serves {announcement.service!r}")
         if announcement.state is AnnouncedState.LEAVING or self._departure.closed:
             raise DrainingError("the upstream is leaving its group")
+        self._evacuation.check(keyed=bool(request.key))
         self._shutdown.check(request.deadline, _is_movable(request))
 
 
--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -21,16 +21,31 @@
 
 RangeChange = Callable[[KeyRange], KeyRange]
 
+# Failure domains whose members get no keys; the default of the functions that assign keys.
+NO_DOMAINS: frozenset[str] = frozenset()
 
-def active_members(group: Group) -> tuple[Member, ...]:
-    """Returns the members in the state `active`, which may be assigned keys, by member id."""
+
+def active_members(group: Group, evacuated: frozenset[str] = NO_DOMAINS) -> tuple[Member, ...]:
+    """Returns the members in the state `active`, which may be assigned keys, by member id.
+
+    Args:
+        group: The group.
+        evacuated: Failure domains whose members are left out.
+    """
     return tuple(
         group.members[member_id]
         for member_id in sorted(group.members)
         if group.members[member_id].state is MemberState.ACTIVE
+        and group.members[member_id].failure_domain not in evacuated
     )
 
 
+def is_evacuated(group: Group, member_id: str | None, evacuated: frozenset[str]) -> bool:
+    """Returns whether a member of the group is in one of the evacuated failure domains."""
+    member = group.members.get(member_id or "")
+    return member is not None and member.failure_domain in evacuated
+
+
 def merged(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
     """Merges adjacent ranges that are equal apart from their bounds."""
     merged_ranges: list[KeyRange] = []
@@ -96,7 +111,10 @@
 
 
 def distribute(
-    group: Group, unassigned: list[KeyRange], assign_part: Callable[[KeyRange, str], KeyRange]
+    group: Group,
+    unassigned: list[KeyRange],
+    assign_part: Callable[[KeyRange, str], KeyRange],
+    evacuated: frozenset[str] = NO_DOMAINS,
 ) -> list[KeyRange]:
     """Distributes ranges so that each active member gets close to its share of all keys.
 
@@ -106,11 +124,12 @@
         group: The group; its other ranges count for their successors or else their owners.
         unassigned: Ranges to distribute; parts are not split below a minimum width.
         assign_part: Called with a part and a member id; returns the part as it is assigned.
+        evacuated: Failure domains whose members get no keys.
 
     Returns:
-        The assigned parts, or `unassigned` unchanged if no member is active.
+        The assigned parts, or `unassigned` unchanged if no member may get keys.
     """
-    members = active_members(group)
+    members = active_members(group, evacuated)
     if not members:
         return unassigned
     key_counts = dict.fromkeys((member.id for member in members), 0)
@@ -144,7 +163,9 @@
     return parts
 
 
-def with_new_member_shares(group: Group, reachable_ids: Container[str]) -> Group:
+def with_new_member_shares(
+    group: Group, reachable_ids: Container[str], evacuated: frozenset[str] = NO_DOMAINS
+) -> Group:
     """Returns the group with successors set so that members without keys get their shares.
 
     Members that joined together get their shares in the same change. Each share comes from few
@@ -153,8 +174,9 @@
     Args:
         group: The group.
         reachable_ids: Ids of the members that can take part in a handover now.
+        evacuated: Failure domains whose members take no part.
     """
-    members = active_members(group)
+    members = active_members(group, evacuated)
     key_counts = dict.fromkeys((member.id for member in members), 0)
     for key_range in group.ranges:
         holder_id = key_range.successor or key_range.owner
@@ -260,8 +282,13 @@
     return with_ranges(group, ranges, fence)
 
 
-def without_members(group: Group, lost: frozenset[str]) -> Group:
-    """Removes lost members and assigns their ranges to their successors or to other members."""
+def without_members(
+    group: Group, lost: frozenset[str], evacuated: frozenset[str] = NO_DOMAINS
+) -> Group:
+    """Removes lost members and assigns their ranges to their successors or to other members.
+
+    A successor in an evacuated failure domain takes over nothing.
+    """
     members = {
         member_id: replace(
             member,
@@ -275,7 +302,7 @@
     owned_ranges: list[KeyRange] = []
     unowned_ranges: list[KeyRange] = []
     for key_range in group.ranges:
-        if key_range.successor in lost:
+        if key_range.successor in lost or is_evacuated(group, key_range.successor, evacuated):
             key_range = replace(key_range, successor=None)
         if key_range.owner is not None and key_range.owner in lost:
             if key_range.successor is not None:
@@ -289,34 +316,40 @@
         ranges=tuple(sorted([*owned_ranges, *unowned_ranges], key=lambda item: item.first)),
     )
     assigned_parts = distribute(
-        group, unowned_ranges, lambda part, member_id: _with_owner(part, member_id, fence)
+        group,
+        unowned_ranges,
+        lambda part, member_id: _with_owner(part, member_id, fence),
+        evacuated,
     )
     return with_ranges(group, [*owned_ranges, *assigned_parts], fence)
 
 
-def assigned(group: Group) -> Group:
+def assigned(group: Group, evacuated: frozenset[str] = NO_DOMAINS) -> Group:
     """Assigns the ranges without an owner, at first all keys, to the active members."""
     fence = group.fence + 1
     ranges = group.ranges or (KeyRange(0, LAST_KEY),)
     group = replace(group, ranges=ranges)
     unowned_ranges = [key_range for key_range in ranges if key_range.owner is None]
     owned_ranges = [key_range for key_range in ranges if key_range.owner is not None]
-    if not unowned_ranges or not active_members(group):
+    if not unowned_ranges or not active_members(group, evacuated):
         return group
     assigned_parts = distribute(
-        group, unowned_ranges, lambda part, member_id: _with_owner(part, member_id, fence)
+        group,
+        unowned_ranges,
+        lambda part, member_id: _with_owner(part, member_id, fence),
+        evacuated,
     )
     return with_ranges(group, [*owned_ranges, *assigned_parts], fence)
 
 
-def with_successors(group: Group, member_id: str) -> Group:
+def with_successors(group: Group, member_id: str, evacuated: frozenset[str] = NO_DOMAINS) -> Group:
     """Sets successors for all ranges of a member in the state `leaving`."""
     leaving_ranges = [
         key_range
         for key_range in group.ranges
         if key_range.owner == member_id and key_range.successor is None
     ]
-    if not leaving_ranges or not active_members(group):
+    if not leaving_ranges or not active_members(group, evacuated):
         return group
     other_ranges = [key_range for key_range in group.ranges if key_range not in leaving_ranges]
     other_ranges = [
@@ -324,7 +357,10 @@
         for key_range in other_ranges
     ]
     assigned_parts = distribute(
-        group, leaving_ranges, lambda part, successor_id: replace(part, successor=successor_id)
+        group,
+        leaving_ranges,
+        lambda part, successor_id: replace(part, successor=successor_id),
+        evacuated,
     )
     return with_ranges(group, [*other_ranges, *assigned_parts])
 
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -13,7 +13,9 @@
 from ...messages.era import era_of
 from ...messages.group import KeyRange
 from ...messages.peer import RangeLoad
+from ..evacuation import find_evacuations
 from . import moves
+from .evacuees import with_evacuees_moved
 from .moves import BLOCK_KEYS
 from .recovery import RecoveryWait
 
@@ -77,6 +79,7 @@
         self._membership = registry.find("membership", Membership)
         self._lease = registry.find("lease", Lease)
         self._load = registry.find("load", BlockReports)
+        self._evacuations = find_evacuations(registry)
         lease_section = registry.find("settings", Settings).lease
         self._recovery_wait = RecoveryWait(self._clock, lease_section)
         self._groups.subscribe(self)
@@ -91,13 +94,13 @@
 
     def assign(self, group: Group, lost: frozenset[str]) -> Group:
         """Returns the group without lost members and with their ranges assigned to others."""
-        return moves.without_members(group, lost)
+        return moves.without_members(group, lost, self._evacuations.domains)
 
     def drain_member(self, group: Group, member_id: str) -> Group:
         """Returns the group with a member in the state `leaving` and successors for its ranges."""
         leaving = replace(group.members[member_id], state=MemberState.LEAVING)
         marked = replace(group, members={**group.members, member_id: leaving})
-        return moves.with_successors(marked, member_id)
+        return moves.with_successors(marked, member_id, self._evacuations.domains)
 
     def planner(self, group: Group) -> Member | None:
         """Returns the member that plans moves, the active one with the lowest id, or None."""
@@ -125,6 +128,7 @@
         try:
             written = (
                 await self._end_recovery(view, reports)
+                or await self._evacuate(view, reports)
                 or await self._assign_keys(view, reports)
                 or await self._rebalance(view, reports)
             )
@@ -183,6 +187,19 @@
 
         return await self._groups.edit(view.group.id, end_recovery)
 
+    async def _evacuate(
+        self, view: VersionedGroup, reports: dict[str, RangeLoad]
+    ) -> VersionedGroup | None:
+        """Sets successors for ranges of evacuated domains; returns None if there are none."""
+
+        def evacuate(group: Group) -> Group | None:
+            changed = with_evacuees_moved(group, self._evacuations.domains, reports)
+            return None if changed == group else changed
+
+        if evacuate(view.group) is None:
+            return None
+        return await self._groups.edit(view.group.id, evacuate)
+
     async def _assign_keys(
         self, view: VersionedGroup, reports: dict[str, RangeLoad]
     ) -> VersionedGroup | None:
@@ -191,14 +208,15 @@
         This does not depend on measured work, so it neither waits for reports nor fails if other
         members write the group at the same time.
         """
+        domains = self._evacuations.domains
 
         def assign_keys(group: Group) -> Group | None:
             if not group.ranges and not self._may_place_first_keys():
                 return None
             if not group.ranges or any(key_range.owner is None for key_range in group.ranges):
-                changed = moves.assigned(group)
+                changed = moves.assigned(group, domains)
             else:
-                changed = moves.with_new_member_shares(group, reports)
+                changed = moves.with_new_member_shares(group, reports, domains)
             return None if changed == group else changed
 
         if assign_keys(view.group) is None:
@@ -231,7 +249,9 @@
         reports = _without_members_in_handover(group, reports)
         # The ranges of the last move were granted since then, so their handover tokens are used.
         compacted_group = moves.compacted(group)
-        planned = consolidated(rebalanced(compacted_group, reports), reports)
+        domains = self._evacuations.domains
+        balanced = rebalanced(compacted_group, reports, domains)
+        planned = consolidated(balanced, reports, domains)
         if (
             planned == compacted_group
             and len(group.ranges) - len(compacted_group.ranges) < _MIN_MERGED_RANGES
@@ -264,15 +284,19 @@
     }
 
 
-def rebalanced(group: Group, reports: dict[str, RangeLoad]) -> Group:
+def rebalanced(
+    group: Group, reports: dict[str, RangeLoad], evacuated: frozenset[str] = moves.NO_DOMAINS
+) -> Group:
     """Returns the group with successors set so that overloaded members move work to others.
 
     Args:
         group: The group.
         reports: Measured work by member id. Members without a report take part in no move; a
             member that takes part in a handover must have none.
+        evacuated: Failure domains whose members take part in no move.
     """
-    members = [member for member in moves.active_members(group) if member.id in reports]
+    active = moves.active_members(group, evacuated)
+    members = [member for member in active if member.id in reports]
     if len(members) < 2:
         return group
     utilisation = {member.id: reports[member.id].utilisation for member in members}
@@ -302,7 +326,9 @@
     return _with_part_of_widest_range_moved(group, sources[0], target, _FALLBACK_SHARE)
 
 
-def consolidated(group: Group, reports: dict[str, RangeLoad]) -> Group:
+def consolidated(
+    group: Group, reports: dict[str, RangeLoad], evacuated: frozenset[str] = moves.NO_DOMAINS
+) -> Group:
     """Returns the group with successors set so that small cold ranges are returned.
 
     When a hot spot moves to other keys, its former blocks remain with many owners. Each of them is
@@ -311,8 +337,9 @@
     Args:
         group: The group.
         reports: Measured work by member id; ranges of members without a report stay.
+        evacuated: Failure domains whose members get no ranges.
     """
-    active_ids = {member.id for member in moves.active_members(group)}
+    active_ids = {member.id for member in moves.active_members(group, evacuated)}
     max_width = _SMALL_RANGE_BLOCKS * BLOCK_KEYS
     wide_owner: str | None = None
     return_count = 0
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import replace
 
 from cachetools import TTLCache
@@ -13,6 +14,7 @@
 from ...kernel.errors import (
     AnswerLostError,
     DeadlineExceededError,
+    EvacuatedError,
     NoOwnerError,
     NotOwnerError,
     OutcomeLostError,
@@ -23,6 +25,7 @@
 )
 from ...kernel.settings import Settings
 from ...messages import GroupId, Member, MemberState, Request, Response, VersionedGroup
+from ..evacuation import find_evacuations
 from .balancer import Balancer, RequestProfile
 from .budget import RetryBudget
 
@@ -60,6 +63,9 @@
 _OWNER_WAIT_SHARE = 0.5
 # Retry-After of a request that is refused because its key has no owner.
 _NO_OWNER_RETRY_AFTER_S = 0.25
+# Retry-After of a request that is refused because all its upstreams are in evacuated failure
+# domains, which lasts until the operator ends an evacuation.
+_EVACUATED_RETRY_AFTER_S = 1.0
 # Starts of upstreams that leave are remembered until they have ended.
 _DEPARTED_S = 120.0
 _MAX_DEPARTED = 4_096
@@ -96,6 +102,7 @@
         self._membership = registry.find("membership", Membership)
         self._execution = registry.find("execution", Execution)
         self._shutdown = registry.find("shutdown", Shutdown)
+        self._evacuations = find_evacuations(registry)
         self._failure_domain = registry.find("settings", Settings).agent.failure_domain
         self._groups.subscribe(self)
 
@@ -178,7 +185,7 @@
                 member = self._choose(request, view, tried, owner_hint)
                 sends += 1
                 searching = sends <= _SENDS_FOR_TIMELY_RESPONSE and (
-                    not request.key and _has_others(view, tried | {member.id})
+                    not request.key and self._has_others(view, tried | {member.id})
                 )
                 return await self._send(replace(request, has_alternatives=searching), member)
             except _BUDGETED_ERRORS as error:
@@ -196,6 +203,10 @@
                 last_error = error
                 if isinstance(error, DeadlineExceededError | QuarantinedError):
                     raise
+                if isinstance(error, EvacuatedError) and not self._has_others(
+                    view, tried | {member.id}
+                ):
+                    raise
                 owner_hint = error.owner_id if isinstance(error, NotOwnerError) else None
                 if request.key:
                     if isinstance(error, OverloadedError) or self._clock.now() >= owner_wait_until:
@@ -236,12 +247,13 @@
                 request.body.length or 0, useful_ms, request.route, request.delays_others
             )
             balancer = self._balancer(request.service)
-            member = balancer.choose(members.values(), tried, now, profile)
+            evacuated = self._evacuations.domains
+            candidates: Iterable[Member] = members.values()
+            if evacuated:
+                candidates = [m for m in candidates if m.failure_domain not in evacuated]
+            member = balancer.choose(candidates, tried, now, profile)
             if member is None:
-                raise NoOwnerError(
-                    f"no other member of {request.service!r} is active",
-                    retry_after_s=_NO_OWNER_RETRY_AFTER_S,
-                )
+                raise self._no_candidate_error(request.service, view)
             return member
         key_range = view.group.range_of(int(request.key))
         owner_id = (
@@ -255,6 +267,27 @@
             )
         return members[owner_id]
 
+    def _has_others(self, view: VersionedGroup | None, tried: frozenset[str]) -> bool:
+        """Returns whether a request without a key can be sent to a member that was not tried."""
+        evacuated = self._evacuations.domains
+        return view is not None and any(
+            member.state is MemberState.ACTIVE
+            and member.id not in tried
+            and member.failure_domain not in evacuated
+            for member in view.group.members.values()
+        )
+
+    def _no_candidate_error(self, service: str, view: VersionedGroup) -> NoOwnerError:
+        evacuated = self._evacuations.domains
+        if any(member.failure_domain in evacuated for member in view.group.members.values()):
+            return NoOwnerError(
+                f"all other members of {service!r} are in evacuated failure domains",
+                retry_after_s=_EVACUATED_RETRY_AFTER_S,
+            )
+        return NoOwnerError(
+            f"no other member of {service!r} is active", retry_after_s=_NO_OWNER_RETRY_AFTER_S
+        )
+
     async def _send(self, request: Request, member: Member) -> Response:
         _REQUEST_SENT.emit(
             request=request.id,
@@ -331,11 +364,3 @@
         if budget is None:
             budget = self._budgets[service] = RetryBudget(self._bounds)
         return budget
-
-
-def _has_others(view: VersionedGroup | None, tried: frozenset[str]) -> bool:
-    """Returns whether the group has an active member that the request was not sent to."""
-    return view is not None and any(
-        member.state is MemberState.ACTIVE and member.id not in tried
-        for member in view.group.members.values()
-    )
--- a/tests/services/keyspace/test_placement.py
+++ b/tests/services/keyspace/test_placement.py
@@ -6,9 +6,11 @@
 from fescueward.kernel import BootClock, Kernel
 from fescueward.messages import Group
 from fescueward.messages.peer import RangeLoad
+from fescueward.services.evacuation import find_evacuations
 from fescueward.services.keyspace import moves
 from fescueward.services.keyspace.moves import BLOCK_KEYS
 from fescueward.services.keyspace.placement import RangePlacement, consolidated, rebalanced
+from tests.services.fakes import StubRegistry
 from tests.services.groups_for_tests import member, with_added_members
 
 
@@ -104,6 +106,7 @@
         reports["a:1"] = report("a", 1.4, hot)
         placement = RangePlacement(Kernel())
         placement._clock = BootClock()
+        placement._evacuations = find_evacuations(StubRegistry())
         planned = placement._planned_moves(group, reports)
         moving = {(moved.owner, moved.successor) for moved in planned.ranges if moved.successor}
         self.assertEqual(moving, {("a:1", "b:1"), ("d:1", "c:1")})
