--- a/fescueward/services/keyspace/evacuees.py
+++ b/fescueward/services/keyspace/evacuees.py
@@ -13,9 +13,9 @@
 from ...messages.peer import RangeLoad
 from . import moves
 
-# Ranges that one round hands over, or half of those that are left if these are more: the last
-# round begins within half of the bound of an evacuation then, up to some hundreds of ranges.
-_MIN_RANGES_PER_ROUND = 40
+# Ranges that one round hands over, or half of those that are left if these are more. With some
+# hundreds of ranges the last round begins within half of the bound of an evacuation.
+_MIN_RANGES_PER_ROUND = 16
 # Parts that a member's share of the keys is cut into, so that the receivers get about as many.
 _PARTS_PER_SHARE = 2
 # Loads that are equal to this many digits are compared by keys.
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -19,6 +19,7 @@
 from fescueward.messages.codec import decode_json
 from fescueward.messages.configuration import CONFIGURATION_KEY, Configuration
 from fescueward.messages.era import era_of, revision_of
+from fescueward.messages.evacuations import EVACUATIONS_PREFIX
 from fescueward.platform import store
 from fescueward.platform.settings import parse_site
 from fescueward.platform.store import ObjectStore
@@ -242,6 +243,23 @@
         changes = await self.store.watch((CONFIGURATION_KEY,), 0, 0)
         self.assertEqual(changes.objects, ())
 
+    async def test_evacuations(self):
+        """Guards against odd requests to evacuate that stop the agent or hide another one."""
+        names = ("zone-b", "a/b", "x" * 300, "\u5317")
+        for name in names:
+            self.server.put("evacuations", name, {})
+        for number, odd in enumerate((None, 7, "", [], [{}])):
+            self.server.put("evacuations", f"odd{number}", odd)
+        with mock.patch.object(store, "_BAD_EVACUATION") as event:
+            for _ in range(2):
+                changes = await self.store.watch((EVACUATIONS_PREFIX,), 0, 0)
+        keys = {stored.key for stored in changes.objects}
+        self.assertEqual(keys, {EVACUATIONS_PREFIX + name for name in names})
+        self.assertEqual(event.emit.call_count, 5)
+        self.assertLess(len(str(event.emit.call_args_list)), 5_000)
+        later = await self.store.watch((EVACUATIONS_PREFIX,), changes.revision, 0)
+        self.assertEqual((later.objects, later.complete), ((), False))
+
     async def test_outage_is_recorded(self):
         """Guards against metrics that show the store as available during an outage."""
         self.assertIsNone(self.store.unavailable_since)
--- /dev/null
+++ b/tests/services/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the evacuation of failure domains."""
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -10,6 +10,8 @@
 from fescueward.kernel.errors import (
     AnswerLostError,
     DrainingError,
+    EvacuatedError,
+    NoOwnerError,
     OverloadedError,
     OwnerUnreachableError,
     QuarantinedError,
@@ -58,6 +60,8 @@
         Group("depot", 0, 1, ranges=(KeyRange(0, LAST_KEY, "b:1", 1),)), member("b")
     )
 
+    evacuations: object = None
+
     def setUp(self):
         self.kernel = Kernel()
         self.shutdown = GracefulShutdown(self.kernel)
@@ -70,9 +74,11 @@
             subscribe=lambda listener: None,
             wait_until_newer=self.unchanged,
         )
+        optional = {"evacuations": self.evacuations} if self.evacuations is not None else {}
         router = DispatchRouter()
         router.bind(
             StubRegistry(
+                **optional,
                 clock=BootClock(),
                 bounds=Bounds(),
                 groups=groups,
@@ -125,6 +131,66 @@
             self.assertEqual(peers.forwarded, ["b:1"])
 
 
+class EvacuatedDomainTest(RouterCase):
+    """The owner of all keys, `b`, and `c` are in an evacuated domain; `d` is in another one."""
+
+    group = with_added_members(
+        RouterCase.group,
+        *(
+            replace(member(name), failure_domain=domain)
+            for name, domain in (("b", "d0"), ("c", "d0"), ("d", "d1"))
+        ),
+    )
+    evacuations = SimpleNamespace(domains=frozenset({"d0"}))
+
+    async def test_requests_without_a_key_go_to_other_domains(self):
+        """Guards against requests that reach an evacuated upstream and are refused there."""
+        peers = FakePeers("b:1", "c:1", "d:1")
+        for _ in range(20):
+            await self.router(peers).route(make_request(1.0, key=""))
+        self.assertEqual(set(peers.forwarded), {"d:1"})
+
+    async def test_refused_at_once_when_nothing_else_is_left(self):
+        """Guards against requests that wait for their deadline without an upstream."""
+        self.evacuations = SimpleNamespace(domains=frozenset({"d0", "d1"}))
+        peers = FakePeers("b:1", "c:1", "d:1")
+        peers.refusal = EvacuatedError("closed")
+        for key, sent in (("", []), ("7", ["b:1"])):
+            peers.forwarded.clear()
+            with self.assertRaises(NoOwnerError if not key else EvacuatedError) as refused:
+                await self.router(peers).route(make_request(5.0, key=key))
+            self.assertIs(refused.exception.outcome, Outcome.NOT_RUN)
+            self.assertEqual(peers.forwarded, sent)
+            if not key:
+                self.assertGreater(refused.exception.retry_after_s, 0)
+
+    async def test_owner_is_asked_until_its_keys_have_moved(self):
+        """Guards against keys that are refused although their owner still serves them."""
+        peers = FakePeers("b:1", "d:1")
+        self.assertEqual((await self.router(peers).route(make_request(1.0, key="7"))).status, 200)
+        peers.refusal = EvacuatedError("closed")
+        with self.assertRaises(EvacuatedError):
+            await self.router(peers).route(make_request(0.4, key="7"))
+        self.assertEqual(set(peers.forwarded), {"b:1"})
+        self.assertGreater(len(peers.forwarded), 3)
+
+    async def test_router_that_does_not_know_yet_tries_another_domain(self):
+        """Guards against a failure in the moment at which the gates know and a router does not."""
+        self.evacuations = None
+        peers = FakePeers("b:1", "c:1", "d:1")
+        forward = peers.forward
+
+        async def refuse_in_d0(member, request):
+            if member.failure_domain == "d0":
+                raise EvacuatedError("begun")
+            return await forward(member, request)
+
+        peers.forward = refuse_in_d0
+        for _ in range(20):
+            response = await self.router(peers).route(make_request(1.0, key=""))
+            self.assertEqual(response.status, 200)
+
+
 class LeavingPeers(FakePeers):
     """The upstream of the only member leaves, as the response to the first request says."""
 
