--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -25,6 +25,12 @@
 _PLAN_FAILED = Event(
     2831, "range_plan_failed", Level.WARNING, "A placement round failed; the next one retries."
 )
+_EVACUATED = Event(
+    2832,
+    "evacuation_complete",
+    Level.INFO,
+    "The failure domain of this agent is evacuated, and its last key range has moved elsewhere.",
+)
 
 _ROUND_PERIOD_S = 0.4
 # Keys are first assigned once the members have not changed for this time.
@@ -70,6 +76,8 @@
         # Time since which the group has members but no assigned keys, or None.
         self._unplaced_since: float | None = None
         self._moved_at = 0.0
+        # Ranges that this member still owned in the last version while its domain is evacuated.
+        self._evacuated_ranges = 0
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses and subscribes to group changes."""
@@ -118,6 +126,16 @@
                 self._unplaced_since = None
             elif self._unplaced_since is None:
                 self._unplaced_since = self._clock.now()
+            self._observe_evacuation(group.group)
+
+    def _observe_evacuation(self, group: Group) -> None:
+        own_id = self._membership.member_id
+        left = 0
+        if moves.is_evacuated(group, own_id, self._evacuations.domains):
+            left = sum(key_range.owner == own_id for key_range in group.ranges)
+            if self._evacuated_ranges and not left:
+                _EVACUATED.emit(group=group.id)
+        self._evacuated_ranges = left
 
     async def plan(self) -> None:
         """Runs one placement round if this agent is the planner of a service with numeric keys."""
--- a/fescueward/services/metrics.py
+++ b/fescueward/services/metrics.py
@@ -29,6 +29,7 @@
 )
 from ..kernel import Clock, RefusalError, Registry
 from ..kernel.events import dropped_log_lines
+from .evacuation import find_gate
 
 SERVED = "served"
 # Label of requests to services without an entry. Service names that callers send must not become
@@ -97,6 +98,18 @@
 LOG_LINES = _gauge(
     "left_out_log_lines", "Log lines that were not written: too many in a second, or no reader."
 )
+EVACUATED = _gauge(
+    "evacuated_bool",
+    "1 if the failure domain of the agent is evacuated or it does not know yet, else 0.",
+)
+EVACUATED_SHARDS = _gauge(
+    "evacuated_shards",
+    "Shards that the agent serves while its failure domain is evacuated; else 0.",
+)
+EVACUATED_REQUESTS = _gauge(
+    "evacuated_requests",
+    "Requests that run or wait on the upstream while its failure domain is evacuated; else 0.",
+)
 CRASHES = _gauge("upstream_crashes", "Crashes of the upstream that the agent has seen.")
 
 METRICS: tuple[MetricSpec, ...] = (
@@ -112,6 +125,9 @@
     PEERS,
     ENTRIES,
     CAPACITY,
+    EVACUATED,
+    EVACUATED_SHARDS,
+    EVACUATED_REQUESTS,
     CRASHES,
     LOG_LINES,
 )
@@ -154,6 +170,7 @@
         self._watch = registry.find("groups", WatchState)
         self._admission = registry.find("admission", Admission)
         self._upstream = registry.find("upstream", Upstream)
+        self._evacuation = find_gate(registry)
         registry.find("router", RequestSource).subscribe(self)
         registry.find("execution", RunSource).subscribe(self)
 
@@ -191,10 +208,12 @@
     def _read_gauges(self) -> dict[MetricSpec, float]:
         now = self._clock.now()
         unavailable = self._platform.unavailable_since
+        in_flight, shards = self._work.in_flight, len(self._ownership.active())
+        evacuated = self._evacuation.begun
         return {
             UPTIME: round(now - self._started_at, 3),
-            IN_FLIGHT: self._work.in_flight,
-            SHARDS: len(self._ownership.active()),
+            IN_FLIGHT: in_flight,
+            SHARDS: shards,
             LEASE: round(max(self._lease.expires_at - now, 0.0), 3),
             PLATFORM: 0.0 if unavailable is None else round(now - unavailable, 3),
             WATCHING: int(self._watch.watching),
@@ -202,6 +221,9 @@
             PEERS: len(self._peers.connected()),
             ENTRIES: len(self._catalogue.entries()),
             CAPACITY: self._admission.capacity,
+            EVACUATED: int(evacuated),
+            EVACUATED_SHARDS: shards if evacuated else 0,
+            EVACUATED_REQUESTS: in_flight if evacuated else 0,
             CRASHES: self._upstream.crashes,
             LOG_LINES: dropped_log_lines(),
         }
--- a/tests/services/evacuation/test_fleet.py
+++ b/tests/services/evacuation/test_fleet.py
@@ -133,9 +133,11 @@
         restarted.platform.response_mode = ResponseMode.REFUSED
         fleet.world.advance(1)
         self.assertTrue(restarted.evacuations.closed)
+        restarted.groups.mark_loaded()
         self.assertFalse(restarted.groups.complete)
         fleet.greet(restarted)
         self.assertIsNotNone(fleet.time_until(lambda: restarted.evacuations.known, 1))
+        self.assertTrue(restarted.groups.complete)
         self.assertTrue(restarted.evacuations.closed)
         fleet.heal()
         self.assertIsNotNone(fleet.time_until(fleet.moved_out, 10))
