--- a/fescueward/testing/site/deployment.py
+++ b/fescueward/testing/site/deployment.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -22,11 +23,12 @@
 from ..waiting import wait_until
 from .callers import AgentCallers, Load
 from .operator import GRACE_S, AgentProcess, Configurator
-from .records import STARVED, Disturbance, Evidence, Stall
+from .records import STARVED, Disturbance, Evacuation, Evidence, Stall
 from .store import SiteStore
 from .upstream import HEARTBEAT_PERIOD_S, SiteUpstream, UpstreamSpec
 
 _REPOSITORY_ROOT = Path(__file__).resolve().parents[3]
+_EVACUATIONS_KIND = "evacuations"
 _READY_TIMEOUT_S = 20.0
 _STALL_CHECK_PERIOD_S = 0.02
 # Delay of the event loop that counts as a stall: half of `judge.LOSS_SLACK_S`, the shortest bound
@@ -108,6 +110,8 @@
         self._cleanup = contextlib.AsyncExitStack()
         self._load_tasks: list[asyncio.Task[None]] = []
         self._sending = True
+        # Number of evacuations in force by failure domain.
+        self._evacuations: Counter[str] = Counter()
 
     async def __aenter__(self) -> SiteDeployment:
         if self._directory is None:
@@ -139,6 +143,11 @@
         await self.stop_load()
         await self._cleanup.aclose()
 
+    @property
+    def failure_domains(self) -> tuple[str, ...]:
+        """Names of the failure domains."""
+        return self._spec.failure_domains
+
     @property
     def directory(self) -> Path:
         """Directory of settings files and logs."""
@@ -200,6 +209,31 @@
         lines = (self.directory / f"{name}.log").read_text(errors="replace").splitlines()
         return "\n".join(lines[-count:])
 
+    async def evacuate(self, domain: str, seconds: float) -> None:
+        """Evacuates a failure domain for a number of seconds, as the operator.
+
+        Evacuations of a domain may overlap; each is recorded when it ends.
+        """
+        self.store.write(_EVACUATIONS_KIND, domain, b"{}")
+        acknowledged = time.monotonic()
+        self._evacuations[domain] += 1
+        await asyncio.sleep(seconds)
+        self._evacuations[domain] -= 1
+        self.evidence.evacuations.append(
+            Evacuation(
+                domain=domain,
+                machines=tuple(
+                    name
+                    for name, machine in self.machines.items()
+                    if machine.upstream.spec.failure_domain == domain
+                ),
+                acknowledged=acknowledged,
+                removed=time.monotonic(),
+            )
+        )
+        if not self._evacuations[domain]:
+            self.store.remove(_EVACUATIONS_KIND, domain)
+
     def start_load(self, loads: Iterable[Load]) -> None:
         """Starts callers for each kind of request on all machines."""
         for machine in self.machines.values():
--- a/fescueward/testing/site/judge.py
+++ b/fescueward/testing/site/judge.py
@@ -17,6 +17,7 @@
 LOSS_SLACK_S = 0.2
 THAW_SLACK_S = 0.3
 PROPAGATION_S = 2.0
+EVACUATE_S = 5.0
 REVERT_SLACK_S = 0.25
 # Factor on `REVERT_SLACK_S` for a machine that was paused.
 _PAUSED_SLACK_FACTOR = 8
@@ -48,6 +49,7 @@
     OWNER = "OWNER"
     MIXED = "MIXED"
     DRAIN = "DRAIN"
+    EVAC = "EVAC"
     LIMIT = "LIMIT"
     CONFIG = "CONFIG"
     GRACE = "GRACE"
@@ -81,6 +83,7 @@
         _find_mixed,
         _find_double_owners,
         _find_late_runs,
+        _find_evacuated_runs,
         _find_excess,
         _find_reverted_versions,
         _find_forced_exits,
@@ -309,6 +312,31 @@
             yield Breach(Rule.DRAIN, run.started, detail)
 
 
+def _find_evacuated_runs(index: _EvidenceIndex) -> Iterator[Breach]:
+    """Finds runs in a failure domain later than `EVACUATE_S` after it was to be evacuated.
+
+    The agent beside the upstream sends the request. One that was disturbed may have learned of the
+    evacuation that much later.
+    """
+    for evacuation in index.evidence.evacuations:
+        for run in index.evidence.runs:
+            late_s = run.started - evacuation.acknowledged
+            if run.machine not in evacuation.machines or late_s <= EVACUATE_S:
+                continue
+            if run.started >= evacuation.removed:
+                continue
+            since = run.started - EVACUATE_S - STABILITY_S
+            if index.disturbed(run.machine, since, run.started, store=True):
+                continue
+            if index.stalled(since, run.started):
+                continue
+            detail = (
+                f"request {run.id} began at {run.machine} {late_s:.2f} s after the evacuation of "
+                f"{evacuation.domain}"
+            )
+            yield Breach(Rule.EVAC, run.started, detail)
+
+
 def _find_excess(index: _EvidenceIndex) -> Iterator[Breach]:
     """Finds upstreams that got more requests than the limit that they had named permits."""
     for limit in index.evidence.rate_limits:
--- a/fescueward/testing/site/plan.py
+++ b/fescueward/testing/site/plan.py
@@ -36,6 +36,8 @@
     STORE_RESTORED = "store-restored"
     # Faults of the link between one agent and the store; `value` is a proxy mode.
     STORE_PART = "store-part"
+    # The operator evacuates a failure domain for a while; `value` is its number.
+    EVACUATE = "evacuate"
     # Writes a new configuration version.
     CONFIGURE = "configure"
     # Another program writes an entry beside the groups; `value` is its variant.
@@ -84,6 +86,8 @@
 # Minimum and maximum age of the copy that the store is restored from.
 _COPY_AGES_S = (0.5, 9.0)
 _MAX_RESTORES = 3
+_MAX_EVACUATIONS = 3
+FAILURE_DOMAINS = 3
 # Minimum and maximum duration of an action.
 _DURATIONS_S = {
     Action.PAUSE: (0.3, 5.0),
@@ -91,6 +95,7 @@
     Action.CRASH: (0.5, 4.0),
     Action.LEAVE: (2.0, 4.0),
     Action.STORE_RESTORED: (0.2, 2.5),
+    Action.EVACUATE: (1.0, 14.0),
 }
 _DEFAULT_DURATION_S = (2.0, 9.0)
 # Mean time between two draws of `STUTTER`.
@@ -127,7 +132,11 @@
 
 
 def draw_plan(
-    seed: int, seconds: float, machines: tuple[str, ...], restores: bool = False
+    seed: int,
+    seconds: float,
+    machines: tuple[str, ...],
+    restores: bool = False,
+    evacuations: bool = False,
 ) -> tuple[Step, ...]:
     """Returns the plan of a seed, in order of time.
 
@@ -140,6 +149,7 @@
         machines: Names of the machines.
         restores: Whether the store is also restored from older copies; the other steps of the
             plan stay the same.
+        evacuations: Whether failure domains are also evacuated; likewise.
     """
     rng = random.Random(seed)
     actions = (
@@ -158,6 +168,8 @@
     steps += _draw_odd_entries(seed, seconds)
     if restores:
         steps += _draw_restores(random.Random(f"{seed} restores"), seconds)
+    if evacuations:
+        steps += _draw_evacuations(random.Random(f"{seed} evacuations"), seconds)
     return tuple(
         sorted(
             (drawn for drawn in steps if drawn.at_s < seconds - _MARGIN_S),
@@ -200,6 +212,19 @@
     return steps
 
 
+def _draw_evacuations(rng: random.Random, seconds: float) -> list[Step]:
+    """Returns one to three evacuations, which may overlap and concern the same failure domain."""
+    return [
+        Step(
+            round(rng.uniform(_MARGIN_S, seconds / 2), 2),
+            Action.EVACUATE,
+            seconds=round(rng.uniform(*_DURATIONS_S[Action.EVACUATE]), 2),
+            value=str(rng.randrange(FAILURE_DOMAINS)),
+        )
+        for _ in range(rng.randint(1, _MAX_EVACUATIONS))
+    ]
+
+
 def _draw(
     rng: random.Random, at_s: float, action: Action, machines: tuple[str, ...]
 ) -> list[Step]:
--- a/fescueward/testing/site/records.py
+++ b/fescueward/testing/site/records.py
@@ -134,6 +134,23 @@
     in_response: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Evacuation:
+    """A period in which the operator has a failure domain evacuated.
+
+    Attributes:
+        domain: The failure domain.
+        machines: Its machines.
+        acknowledged: When the store acknowledged the request.
+        removed: When the operator took it back.
+    """
+
+    domain: str
+    machines: tuple[str, ...]
+    acknowledged: float
+    removed: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Arrival:
     """A request that reached an upstream, also one that it refused.
@@ -241,6 +258,7 @@
         runs: Completed executions by the upstreams.
         holds: Ended holds of key ranges by upstreams.
         departures: Reports of upstreams that they leave, acknowledged or in their responses.
+        evacuations: Ended evacuations of failure domains.
         arrivals: Requests that reached upstreams while these named limits.
         rate_limits: Ended periods of limits that upstreams named.
         processes: Signals, starts and exits of agents.
@@ -253,6 +271,7 @@
     runs: list[Run] = field(default_factory=list)
     holds: list[Hold] = field(default_factory=list)
     departures: list[Departure] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     rate_limits: list[RateLimit] = field(default_factory=list)
     processes: list[ProcessEvent] = field(default_factory=list)
--- a/fescueward/testing/site/soak.py
+++ b/fescueward/testing/site/soak.py
@@ -89,7 +89,12 @@
 
 
 async def run_soak(
-    seed: int, seconds: float, agents: int, directory: Path, restores: bool = False
+    seed: int,
+    seconds: float,
+    agents: int,
+    directory: Path,
+    restores: bool = False,
+    evacuations: bool = False,
 ) -> SoakResult:
     """Runs the soak with one seed.
 
@@ -99,6 +104,7 @@
         agents: Number of agents, at least one for each service.
         directory: Directory of plan, evidence, settings files and logs.
         restores: Whether the store is also restored from older copies.
+        evacuations: Whether failure domains are also evacuated.
 
     Raises:
         ConditionTimeoutError: An agent was not ready or did not serve each route before the first
@@ -109,7 +115,7 @@
     }
     spec = SiteSpec(services=counts, keyed=KEYED, seed=seed)
     async with SiteDeployment(spec, directory) as site:
-        plan = draw_plan(seed, seconds, tuple(site.machines), restores)
+        plan = draw_plan(seed, seconds, tuple(site.machines), restores, evacuations)
         (directory / "plan.json").write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
         breaches: list[Breach] = []
         await site.wait_ready()
@@ -180,6 +186,10 @@
         if step.action is Action.STORE_FORGET:
             store.drop_history()
             return
+        if step.action is Action.EVACUATE:
+            domain = self._site.failure_domains[int(step.value)]
+            await self._site.evacuate(domain, step.seconds)
+            return
         if step.action is Action.ODD_ENTRY:
             write_odd_entry(store, step.value)
             return
@@ -299,13 +309,14 @@
     restores: Annotated[
         bool, typer.Option(help="Also restore the store from older copies.")
     ] = False,
+    evacuations: Annotated[bool, typer.Option(help="Also evacuate failure domains.")] = False,
     keep: Annotated[Path, typer.Option(help="Directory for logs.")] = Path("runs/soak"),
 ) -> None:
     """Runs the soak with one seed; keeps plan, evidence and logs if a rule is violated."""
     directory = keep / f"seed-{seed}"
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
-    result = uvloop.run(run_soak(seed, seconds, agents, directory, restores))
+    result = uvloop.run(run_soak(seed, seconds, agents, directory, restores, evacuations))
     typer.echo(str(result))
     if not result.breaches:
         shutil.rmtree(directory)
@@ -314,7 +325,7 @@
     (directory / "breaches.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
     typer.echo("\n".join(lines))
     typer.echo(f"plan, evidence and logs: {directory}")
-    option = " --restores" if restores else ""
+    option = (" --restores" if restores else "") + (" --evacuations" if evacuations else "")
     typer.echo(
         f"repeat: scripts/soak --seed {seed} --seconds {seconds:g} --agents {agents}{option}"
     )
--- a/fescueward/testing/site/store.py
+++ b/fescueward/testing/site/store.py
@@ -132,6 +132,8 @@
         self._copies: deque[_Copy] = deque(maxlen=_COPIES_LIMIT)
         # Objects that the operator has written, by kind and name.
         self._operator_items: dict[tuple[str, str], StoredItem] = {}
+        # Objects that the operator has removed, by kind and name.
+        self._removed_items: set[tuple[str, str]] = set()
         self._random = random.Random(seed)
         self._objects: dict[str, dict[str, StoredItem]] = {}
         self._snapshot: tuple[float, dict[str, dict[str, StoredItem]]] = (-_MAX_STALENESS_S, {})
@@ -194,6 +196,8 @@
         self._keep_copy()
         for (kind, _), item in self._operator_items.items():
             self._put(kind, item)
+        for kind, name in self._removed_items:
+            self._remove(kind, name)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -210,9 +214,16 @@
         """
         item = StoredItem(name, 0, msgspec.Raw(spec))
         self._operator_items[kind, name] = item
+        self._removed_items.discard((kind, name))
         self._put(kind, item)
         return self._revision
 
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object as the operator, which faults of the store do not affect."""
+        self._operator_items.pop((kind, name), None)
+        self._removed_items.add((kind, name))
+        self._remove(kind, name)
+
     def objects(self, kind: str) -> dict[str, StoredItem]:
         """Returns a copy of the objects of a kind, by name."""
         return dict(self._objects.get(kind, {}))
@@ -317,8 +328,7 @@
             return _json(current.to_response(), status=409)
         if method == "DELETE":
             assert current is not None
-            del self._objects[kind][name]
-            self._append_change(Change(kind, replace(current, revision=self._revision + 1), True))
+            self._remove(kind, name)
             return _json(current.to_response())
         return _json(self._put(kind, StoredItem(name, 0, written.spec)).to_response())
 
@@ -332,6 +342,11 @@
         self._append_change(Change(kind, item, False))
         return item
 
+    def _remove(self, kind: str, name: str) -> None:
+        current = self._objects.get(kind, {}).pop(name, None)
+        if current is not None:
+            self._append_change(Change(kind, replace(current, revision=self._revision + 1), True))
+
     def _append_change(self, change: Change) -> None:
         self._revision = change.item.revision
         self._history.append(change)
--- a/tests/integration/test_site.py
+++ b/tests/integration/test_site.py
@@ -7,11 +7,12 @@
 
 from fescueward.testing.site.callers import Load
 from fescueward.testing.site.deployment import SiteDeployment, SiteSpec
-from fescueward.testing.site.judge import DRAIN_S, STABILITY_S, judge
+from fescueward.testing.site.judge import DRAIN_S, EVACUATE_S, STABILITY_S, judge
 from fescueward.testing.site.odd_entries import VARIANTS, write_odd_entry
 from fescueward.testing.site.records import Signal
 from fescueward.testing.site.store import StoreFaults, StoreMode
 from fescueward.testing.site.upstream import UpstreamFaults
+from fescueward.testing.waiting import wait_until
 
 SHORT_LOADS = (
     Load(route="catalogue", repeatable=True, keys=64),
@@ -113,6 +114,31 @@
             self.assertGreater(len(site.evidence.rate_limits), 0)
             await self._assert_no_breaches(site)
 
+    async def test_evacuated_domain_gets_nothing_and_comes_back(self):
+        """Guards against requests to the upstreams of an evacuated failure domain (EVAC)."""
+        async with SiteDeployment(SiteSpec(seed=9)) as site:
+            await site.wait_ready()
+            site.start_load(SHORT_LOADS)
+            await site.wait_served(SHORT_LOADS, SERVED_WITHIN_S)
+            domain = site.failure_domains[0]
+            evacuation = asyncio.create_task(site.evacuate(domain, EVACUATE_S + 4))
+            await asyncio.sleep(EVACUATE_S)
+            # The other domains serve all requests, also those of the agents of this one.
+            await site.wait_served(SHORT_LOADS, 3)
+            await evacuation
+            ended_at = site.evidence.evacuations[0].removed
+            machines = site.evidence.evacuations[0].machines
+            await site.wait_served(SHORT_LOADS, SERVED_WITHIN_S)
+            await wait_until(
+                lambda: (
+                    {run.machine for run in site.evidence.runs if run.started > ended_at}
+                    >= set(machines)
+                ),
+                SERVED_WITHIN_S,
+                "the domain serves again",
+            )
+            await self._assert_no_breaches(site)
+
     async def test_upstream_that_leaves_in_its_responses_gets_nothing_more(self):
         """Guards against requests to an upstream whose responses say that it leaves (DRAIN)."""
         await self._check_departure(killed=False)
--- a/tests/testing/site/test_judge.py
+++ b/tests/testing/site/test_judge.py
@@ -11,6 +11,7 @@
     Attempt,
     Departure,
     Disturbance,
+    Evacuation,
     Evidence,
     Hold,
     ProcessEvent,
@@ -52,6 +53,20 @@
         """Guards against breaches that the judge reports for normal operation."""
         self.assert_finds(attempts=[SERVED], runs=[RUN], processes=[TERM], holds=[HOLD])
 
+    def test_run_in_an_evacuated_domain(self):
+        """Guards against a judge that misses requests to a domain that was to be evacuated."""
+        evacuation = Evacuation(domain="d", machines=("b",), acknowledged=4.0, removed=12.0)
+        evidence = {"attempts": [SERVED], "runs": [RUN]}
+        self.assert_finds(Rule.EVAC, evacuations=[evacuation], **evidence)
+        for other in (
+            replace(evacuation, machines=("a",)),
+            replace(evacuation, acknowledged=5.2),
+            replace(evacuation, removed=10.0),
+        ):
+            self.assert_finds(evacuations=[other], **evidence)
+        cut_off = Disturbance(machine="b", since=2.0, until=6.0, what="store-part", store=True)
+        self.assert_finds(evacuations=[evacuation], disturbances=[cut_off], **evidence)
+
     def test_request_cut_after_stop_signal(self):
         """Guards against a judge that misses requests which a stopping agent does not answer."""
         self.assert_finds(Rule.LOST, attempts=[CUT], runs=[RUN], processes=[TERM])
