--- a/fescueward/kernel/bounds.py
+++ b/fescueward/kernel/bounds.py
@@ -39,6 +39,7 @@
         cold_slack: Requests that a cold upstream may get in one second beyond that.
         evacuate_s: Longest time after an evacuation was requested in which requests may be sent
             to the upstreams of the failure domain.
+        can_evacuate: Whether operators evacuate failure domains at all.
     """
 
     retry_ratio: float = 0.1
@@ -51,6 +52,7 @@
     cold_over: float = 1.0
     cold_slack: float = 1.0
     evacuate_s: float = 5.0
+    can_evacuate: bool = False
 
     @property
     def accept_until_s(self) -> float:
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -196,4 +196,5 @@
         cold_over=number("coldOver", default.cold_over),
         cold_slack=number("coldSlack", default.cold_slack),
         evacuate_s=number("evacuateS", default.evacuate_s),
+        can_evacuate="evacuateS" in values,
     )
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -36,6 +36,7 @@
 from ...kernel.tasks import finish_despite_cancellation, raise_delayed_cancellation
 from ...messages import AnnouncedState, Request, Response
 from ...messages.request import BytesBody, Occupancy
+from ..evacuation import find_gate
 from .arrivals import BodyArrivals
 from .response_sizes import ResponseSizes
 
@@ -96,6 +97,7 @@
         self._load = registry.find("load", Load)
         self._response_sizes = ResponseSizes()
         self._transit = registry.find("peers", BodyTransit)
+        self._evacuation = find_gate(registry)
         registry.find("peers", Peers).serve(self.execute)
 
     async def start(self) -> None:
@@ -147,7 +149,10 @@
         self._check_accepting(request)
         self._check_in_time(request, arrived_at)
         async with AsyncExitStack() as run_context:
-            async with self._shutdown.waiting(request.deadline, _is_movable(request)):
+            async with (
+                self._shutdown.waiting(request.deadline, _is_movable(request)),
+                self._evacuation.waiting(keyed=bool(request.key)),
+            ):
                 await self._admitted_epoch(request)
                 if not isinstance(request.body, BytesBody):
                     length = request.body.length or 0
@@ -160,7 +165,8 @@
                 self._check_sending(request)
                 slot = self._admission.slot(request, entry)
                 await run_context.enter_async_context(slot)
-                # The upstream may have begun to leave, or the key may have moved, during the wait.
+                # The upstream may have begun to leave, its domain may be evacuated, or the key may
+                # have moved, during the wait.
                 epoch = await self._epoch_to_send(request)
             started_at = self._clock.now()
             run = self._upstream.run(
@@ -278,6 +284,7 @@
             raise NotOwnerError(f"the upstream of this agent serves {announcement.service!r}")
         if announcement.state is AnnouncedState.LEAVING or self._departure.closed:
             raise DrainingError("the upstream is leaving its group")
+        self._evacuation.check(keyed=bool(request.key))
         self._shutdown.check(request.deadline, _is_movable(request))
 
 
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -13,7 +13,9 @@
 from ...messages.era import era_of
 from ...messages.group import KeyRange
 from ...messages.peer import RangeLoad
+from ..evacuation import find_evacuations
 from . import moves
+from .evacuees import with_evacuees_moved
 from .moves import BLOCK_KEYS
 from .recovery import RecoveryWait
 from .usable_slots import usable_shares_of, usable_slots
@@ -24,6 +26,12 @@
 _PLAN_FAILED = Event(
     2831, "range_plan_failed", Level.WARNING, "A placement round failed; the next one retries."
 )
+_EVACUATED = Event(
+    2832,
+    "evacuation_complete",
+    Level.INFO,
+    "The failure domain of this agent is evacuated, and its last key range has moved elsewhere.",
+)
 
 _ROUND_PERIOD_S = 0.4
 # Keys are first assigned once the members have not changed for this time.
@@ -71,6 +79,8 @@
         self._moved_at = 0.0
         # Members whose rate was limited when they joined, and which have part of their share.
         self._growing_ids: set[str] = set()
+        # Ranges that this member still owned in the last version while its domain is evacuated.
+        self._evacuated_ranges = 0
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses and subscribes to group changes."""
@@ -80,6 +90,7 @@
         self._membership = registry.find("membership", Membership)
         self._lease = registry.find("lease", Lease)
         self._load = registry.find("load", BlockReports)
+        self._evacuations = find_evacuations(registry)
         lease_section = registry.find("settings", Settings).lease
         self._recovery_wait = RecoveryWait(self._clock, lease_section)
         self._groups.subscribe(self)
@@ -94,13 +105,13 @@
 
     def assign(self, group: Group, lost: frozenset[str]) -> Group:
         """Returns the group without lost members and with their ranges assigned to others."""
-        return moves.without_members(group, lost)
+        return moves.without_members(group, lost, self._evacuations.domains)
 
     def drain_member(self, group: Group, member_id: str) -> Group:
         """Returns the group with a member in the state `leaving` and successors for its ranges."""
         leaving = replace(group.members[member_id], state=MemberState.LEAVING)
         marked = replace(group, members={**group.members, member_id: leaving})
-        return moves.with_successors(marked, member_id)
+        return moves.with_successors(marked, member_id, self._evacuations.domains)
 
     def planner(self, group: Group) -> Member | None:
         """Returns the member that plans moves, the active one with the lowest id, or None."""
@@ -118,6 +129,16 @@
                 self._unplaced_since = None
             elif self._unplaced_since is None:
                 self._unplaced_since = self._clock.now()
+            self._observe_evacuation(group.group)
+
+    def _observe_evacuation(self, group: Group) -> None:
+        own_id = self._membership.member_id
+        left = 0
+        if moves.is_evacuated(group, own_id, self._evacuations.domains):
+            left = sum(key_range.owner == own_id for key_range in group.ranges)
+            if self._evacuated_ranges and not left:
+                _EVACUATED.emit(group=group.id)
+        self._evacuated_ranges = left
 
     async def plan(self) -> None:
         """Runs one placement round if this agent is the planner of a service with numeric keys."""
@@ -128,6 +149,7 @@
         try:
             written = (
                 await self._end_recovery(view, reports)
+                or await self._evacuate(view, reports)
                 or await self._assign_keys(view, reports)
                 or await self._rebalance(view, reports)
             )
@@ -186,6 +208,19 @@
 
         return await self._groups.edit(view.group.id, end_recovery)
 
+    async def _evacuate(
+        self, view: VersionedGroup, reports: dict[str, RangeLoad]
+    ) -> VersionedGroup | None:
+        """Sets successors for ranges of evacuated domains; returns None if there are none."""
+
+        def evacuate(group: Group) -> Group | None:
+            changed = with_evacuees_moved(group, self._evacuations.domains, reports)
+            return None if changed == group else changed
+
+        if evacuate(view.group) is None:
+            return None
+        return await self._groups.edit(view.group.id, evacuate)
+
     async def _assign_keys(
         self, view: VersionedGroup, reports: dict[str, RangeLoad]
     ) -> VersionedGroup | None:
@@ -197,15 +232,16 @@
         usable_shares = usable_shares_of(view.group, reports)
         placed_ids = {key_range.successor or key_range.owner for key_range in view.group.ranges}
         self._growing_ids |= usable_shares.keys() - placed_ids
+        domains = self._evacuations.domains
 
         def assign_keys(group: Group) -> Group | None:
             if not group.ranges and not self._may_place_first_keys():
                 return None
             if not group.ranges or any(key_range.owner is None for key_range in group.ranges):
-                changed = moves.assigned(group)
+                changed = moves.assigned(group, domains)
             else:
                 changed = moves.with_new_member_shares(
-                    group, reports, usable_shares, self._growing_ids
+                    group, reports, usable_shares, self._growing_ids, domains
                 )
             return None if changed == group else changed
 
@@ -240,7 +276,9 @@
         reports = _without_members_in_handover(group, reports)
         # The ranges of the last move were granted since then, so their handover tokens are used.
         compacted_group = moves.compacted(group)
-        planned = consolidated(rebalanced(compacted_group, reports), reports)
+        domains = self._evacuations.domains
+        balanced = rebalanced(compacted_group, reports, domains)
+        planned = consolidated(balanced, reports, domains)
         if (
             planned == compacted_group
             and len(group.ranges) - len(compacted_group.ranges) < _MIN_MERGED_RANGES
@@ -273,15 +311,19 @@
     }
 
 
-def rebalanced(group: Group, reports: dict[str, RangeLoad]) -> Group:
+def rebalanced(
+    group: Group, reports: dict[str, RangeLoad], evacuated: frozenset[str] = moves.NO_DOMAINS
+) -> Group:
     """Returns the group with successors set so that overloaded members move work to others.
 
     Args:
         group: The group.
         reports: Measured work by member id. Members without a report take part in no move; a
             member that takes part in a handover must have none.
+        evacuated: Failure domains whose members take part in no move.
     """
-    members = [member for member in moves.active_members(group) if member.id in reports]
+    active = moves.active_members(group, evacuated)
+    members = [member for member in active if member.id in reports]
     if len(members) < 2:
         return group
     utilisation = {member.id: reports[member.id].utilisation for member in members}
@@ -312,7 +354,9 @@
     return _with_part_of_widest_range_moved(group, sources[0], target, _FALLBACK_SHARE)
 
 
-def consolidated(group: Group, reports: dict[str, RangeLoad]) -> Group:
+def consolidated(
+    group: Group, reports: dict[str, RangeLoad], evacuated: frozenset[str] = moves.NO_DOMAINS
+) -> Group:
     """Returns the group with successors set so that small cold ranges are returned.
 
     When a hot spot moves to other keys, its former blocks remain with many owners. Each of them is
@@ -321,8 +365,9 @@
     Args:
         group: The group.
         reports: Measured work by member id; ranges of members without a report stay.
+        evacuated: Failure domains whose members get no ranges.
     """
-    active_ids = {member.id for member in moves.active_members(group)}
+    active_ids = {member.id for member in moves.active_members(group, evacuated)}
     max_width = _SMALL_RANGE_BLOCKS * BLOCK_KEYS
     wide_owner: str | None = None
     return_count = 0
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import replace
 
 from cachetools import TTLCache
@@ -14,6 +15,7 @@
 from ...kernel.errors import (
     AnswerLostError,
     DeadlineExceededError,
+    EvacuatedError,
     NoOwnerError,
     NotOwnerError,
     OutcomeLostError,
@@ -24,6 +26,7 @@
 )
 from ...kernel.settings import Settings
 from ...messages import GroupId, Member, MemberState, Request, Response, VersionedGroup
+from ..evacuation import find_evacuations
 from .balancer import Balancer, RequestProfile
 from .budget import RetryBudget
 from .search import SlotSearch
@@ -62,6 +65,9 @@
 _OWNER_WAIT_SHARE = 0.5
 # Retry-After of a request that is refused because its key has no owner.
 _NO_OWNER_RETRY_AFTER_S = 0.25
+# Retry-After of a request that is refused because all its upstreams are in evacuated failure
+# domains, which lasts until the operator ends an evacuation.
+_EVACUATED_RETRY_AFTER_S = 1.0
 # Starts of upstreams that leave are remembered until they have ended.
 _DEPARTED_S = 120.0
 _MAX_DEPARTED = 4_096
@@ -99,6 +105,7 @@
         self._membership = registry.find("membership", Membership)
         self._execution = registry.find("execution", Execution)
         self._shutdown = registry.find("shutdown", Shutdown)
+        self._evacuations = find_evacuations(registry)
         self._failure_domain = registry.find("settings", Settings).agent.failure_domain
         self._groups.subscribe(self)
 
@@ -183,7 +190,7 @@
                 member = self._choose(request, view, tried, owner_hint)
                 sends += 1
                 searching = sends <= _SENDS_FOR_TIMELY_RESPONSE and (
-                    not request.key and _has_others(view, tried | {member.id})
+                    not request.key and self._has_others(view, tried | {member.id})
                 )
                 seeks_free_slot = seeks_free_slot and searching
                 response = await self._send(
@@ -210,6 +217,10 @@
                     raise
                 if search is not None and seeks_free_slot:
                     search.record(refused=isinstance(error, OverloadedError))
+                if isinstance(error, EvacuatedError) and not self._has_others(
+                    view, tried | {member.id}
+                ):
+                    raise
                 owner_hint = error.owner_id if isinstance(error, NotOwnerError) else None
                 if request.key:
                     if isinstance(error, OverloadedError) or self._clock.now() >= owner_wait_until:
@@ -250,12 +261,13 @@
                 request.body.length or 0, useful_ms, request.route, request.delays_others
             )
             balancer = self._balancer(request.service)
-            member = balancer.choose(members.values(), tried, now, profile)
+            evacuated = self._evacuations.domains
+            candidates: Iterable[Member] = members.values()
+            if evacuated:
+                candidates = [m for m in candidates if m.failure_domain not in evacuated]
+            member = balancer.choose(candidates, tried, now, profile)
             if member is None:
-                raise NoOwnerError(
-                    f"no other member of {request.service!r} is active",
-                    retry_after_s=_NO_OWNER_RETRY_AFTER_S,
-                )
+                raise self._no_candidate_error(request.service, view)
             return member
         key_range = view.group.range_of(int(request.key))
         owner_id = (
@@ -269,6 +281,27 @@
             )
         return members[owner_id]
 
+    def _has_others(self, view: VersionedGroup | None, tried: frozenset[str]) -> bool:
+        """Returns whether a request without a key can be sent to a member that was not tried."""
+        evacuated = self._evacuations.domains
+        return view is not None and any(
+            member.state is MemberState.ACTIVE
+            and member.id not in tried
+            and member.failure_domain not in evacuated
+            for member in view.group.members.values()
+        )
+
+    def _no_candidate_error(self, service: str, view: VersionedGroup) -> NoOwnerError:
+        evacuated = self._evacuations.domains
+        if any(member.failure_domain in evacuated for member in view.group.members.values()):
+            return NoOwnerError(
+                f"all other members of {service!r} are in evacuated failure domains",
+                retry_after_s=_EVACUATED_RETRY_AFTER_S,
+            )
+        return NoOwnerError(
+            f"no other member of {service!r} is active", retry_after_s=_NO_OWNER_RETRY_AFTER_S
+        )
+
     async def _send(self, request: Request, member: Member) -> Response:
         _REQUEST_SENT.emit(
             request=request.id,
@@ -345,11 +378,3 @@
         if budget is None:
             budget = self._budgets[service] = RetryBudget(self._bounds)
         return budget
-
-
-def _has_others(view: VersionedGroup | None, tried: frozenset[str]) -> bool:
-    """Returns whether the group has an active member that the request was not sent to."""
-    return view is not None and any(
-        member.state is MemberState.ACTIVE and member.id not in tried
-        for member in view.group.members.values()
-    )
