--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -208,6 +208,9 @@
         for service in (self.shutdown, self.execution, self.router, self.frontend):
             service.bind(registry)
 
+    def expected_send_s(self, length: int) -> float:
+        return 0.0
+
     def serve(self, handler) -> None:
         """Ignored: `forward` calls the gate of the other agent."""
 
