Describe what cold upstreams get, and test what makes them suspect

A check starts with the first request that waits for a suspect upstream, not with the one that begins. A suspect upstream counts as cold for 0.5 s at other agents instead of the whole warm-up time, because most doubts end with the first health check.

--- a/fescueward/services/warmup/service.py
+++ b/fescueward/services/warmup/service.py
@@ -19,8 +19,8 @@
 )
 _WARM = Event(3121, "upstream_warm", Level.INFO, "The upstream is warm again.")
 
-# An upstream that is suspect counts as cold for at least this long, for other agents.
-_MIN_SUSPECT_S = 1.0
+# Time for which other agents take a suspect upstream for cold; most doubts end within it.
+_SUSPECT_S = 0.5
 # Share of the permitted requests that may be sent to a warm upstream after it was last known to be
 # warm; then its health is checked, so that the rest suffices until it has responded.
 _UNCONFIRMED_SHARE = 0.6
@@ -72,10 +72,7 @@
         if self._current_limit() is None or warmth is Warmth.WARM:
             return 0.0
         left_s = max(self._state.cold_until - now, 0.0)
-        doubted_at = self._state.doubted_at
-        if doubted_at is None or self._spec is None:
-            return left_s
-        return max(left_s, doubted_at + self._spec.cold_start_s - now, _MIN_SUSPECT_S)
+        return left_s if self._state.doubted_at is None else max(left_s, _SUSPECT_S)
 
     @property
     def per_second(self) -> float | None:
@@ -120,14 +117,16 @@
             return _ASK_AGAIN_S if self._routes.current is None and unknown_s > 0 else 0.0
         rate = self._rate(now)
         rate_wait_s = self._pace.wait_s(ahead, rate, now) if rate is not None else 0.0
-        if self._observed_warmth(now) is Warmth.WARM:
+        warmth = self._observed_warmth(now)
+        if warmth is Warmth.WARM:
             # A health check is expected to permit more soon.
             since = self._state.warm_at(now)
             window_wait_s = min(self._begun.wait_s(0, limit.most, now, since), _ASK_AGAIN_S)
             if window_wait_s:
                 self._want_check(now)
             return max(min(rate_wait_s, RAMP_S), window_wait_s)
-        if not math.isinf(self._state.cold_until) and self._state.doubted_at is None:
+        self._want_check(now)
+        if warmth is Warmth.COLD and self._state.doubted_at is None:
             rate_wait_s = min(rate_wait_s, self._state.cold_until - now + RAMP_S)
         return max(
             rate_wait_s,
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -96,6 +96,19 @@
     return Announcement("depot", "127.0.0.1", port, slots, connections)
 
 
+class RecordedWarmup(NoColdStarts):
+    """Records what is said of the warmth of the upstream."""
+
+    def __init__(self) -> None:
+        self.heard: list[float | str] = []
+
+    def observe_cold(self, cold_left_s: float) -> None:
+        self.heard.append(cold_left_s)
+
+    def suspect_cold(self) -> None:
+        self.heard.append("suspect")
+
+
 class StreamedBody:
     """A body that yields chunks and may end with an error."""
 
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -20,6 +20,7 @@
 from fescueward.services.gate.execution import GateExecution
 from fescueward.services.quarantine import CrashQuarantine
 from fescueward.services.shutdown import GracefulShutdown
+from fescueward.services.warmup import NoColdStarts
 from tests.services.fakes import (
     CLOCK,
     FakePeers,
@@ -193,6 +194,16 @@
         self.assertEqual(load.records, [(70, 0.12)])
 
 
+class FullWindow(NoColdStarts):
+    """A cold upstream that takes the next request at the third time of asking."""
+
+    def __init__(self) -> None:
+        self.waits_s = [0.01, 0.01, 0.0]
+
+    def begin_send(self) -> float:
+        return self.waits_s.pop(0)
+
+
 class BodyTest(unittest.IsolatedAsyncioTestCase):
     async def test_body_arrives_before_a_slot_is_taken(self):
         """Guards against uploads over slow links that occupy the slots of an upstream."""
@@ -212,6 +223,18 @@
         self.assertEqual(response.status, 200)
         self.assertEqual([len(data) for data in received], [120_000])
 
+    async def test_request_waits_until_a_cold_upstream_may_get_it(self):
+        """Guards against requests that were admitted in turn and are sent at once (FAILBACK).
+
+        Each can wait for the handover of its key after it was admitted.
+        """
+        upstream, window = SlowUpstream(), FullWindow()
+        upstream.proceed.set()
+        execution = self.execution(FreeSlots(), upstream)
+        execution._warmup = window
+        response = await execution.execute(make_request(2.0, key=""))
+        self.assertEqual((response.status, window.waits_s), (200, []))
+
     async def test_full_upstream_refuses_before_the_body_is_sent(self):
         """Guards against uploads that fill the link of a full upstream to be refused there."""
         body = StreamedBody(b"x" * 120_000)
--- a/tests/services/gate/test_liveness.py
+++ b/tests/services/gate/test_liveness.py
@@ -5,7 +5,7 @@
 
 from fescueward.kernel import BootClock, Kernel
 from fescueward.services.gate.liveness import UpstreamLiveness
-from tests.services.fakes import StubRegistry
+from tests.services.fakes import RecordedWarmup, StubRegistry
 
 
 class ShiftedClock(BootClock):
@@ -31,7 +31,10 @@
     async def asyncSetUp(self):
         self.clock, self.membership = ShiftedClock(), FakeMembership()
         self.liveness = UpstreamLiveness(Kernel())
-        self.liveness.bind(StubRegistry(clock=self.clock, membership=self.membership))
+        self.warmup = RecordedWarmup()
+        self.liveness.bind(
+            StubRegistry(clock=self.clock, membership=self.membership, warmup=self.warmup)
+        )
         await self.liveness.start()
         self.addAsyncCleanup(self.liveness.stop)
         self.liveness.heartbeat_received()
@@ -47,6 +50,13 @@
         await self.fail_connections(2.0)
         self.assertEqual(self.membership.leave_count, 1)
 
+    async def test_failed_connection_makes_the_upstream_suspect(self):
+        """Guards against the full rate for an upstream that has restarted and is cold."""
+        self.liveness.connection_succeeded()
+        self.assertEqual(self.warmup.heard, [])
+        self.liveness.connection_failed()
+        self.assertEqual(self.warmup.heard, ["suspect"])
+
     async def test_no_connection_but_heartbeats(self):
         """Guards against leaving the group because an overloaded upstream refuses connections."""
         await self.fail_connections(0.5)
--- a/tests/services/gate/test_notices.py
+++ b/tests/services/gate/test_notices.py
@@ -18,7 +18,7 @@
 from fescueward.services.gate.execution import GateExecution
 from fescueward.services.gate.notices import UpstreamNotices
 from fescueward.services.membership import GroupMembership
-from tests.services.fakes import CLOCK, FakePeers, StubRegistry, make_request
+from tests.services.fakes import CLOCK, FakePeers, RecordedWarmup, StubRegistry, make_request
 
 from .test_execution import FreeSlots, PassingQuarantine, running_shutdown
 
@@ -60,9 +60,11 @@
         self.membership._departures.bind(StubRegistry(groups=groups))
         self.membership._admission = self.rates
         self.membership._clock = CLOCK
+        self.warmup = RecordedWarmup()
         services = StubRegistry(
             membership=self.membership,
             admission=self.rates,
+            warmup=self.warmup,
             upstream=SimpleNamespace(subscribe_notices=lambda listener: None),
         )
         self.notices.bind(services)
@@ -81,6 +83,12 @@
         self.membership.announce(READY)
         self.assertIs(self.state, AnnouncedState.LEAVING)
 
+    async def test_cold_time_of_the_present_start_is_passed_on(self):
+        """Guards against the full rate for an upstream that says in a response that it is cold."""
+        for start, cold_s in ((READY.start, 1.5), (READY.start, None), ("other", 2.0)):
+            self.notices.upstream_noticed(UpstreamNotice(start, cold_s=cold_s))
+        self.assertEqual(self.warmup.heard, [1.5])
+
     async def test_restarted_agent_learns_of_a_departure_from_others(self):
         """Guards against new work for a leaving upstream after a restart of its agent (DRAIN)."""
         execution = GateExecution()
