Take the period of heartbeats for the warm-up from the settings

Heartbeats come each 0.87 s on most sites and each 1.5 s on one, where punctual ones would have counted as late. A missing or unlikely period counts as 0.87 s. Bounds that are no number leave the configured rate, so that no request fails for them.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -102,7 +102,7 @@
         kernel.add(UpstreamLiveness(kernel))
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
-        kernel.add(ColdStartLimit(kernel))
+        kernel.add(ColdStartLimit(kernel, site.heartbeat_period_s))
         kernel.add(SlotAdmission(upstream_names_limits=True))
         kernel.add(
             CrashQuarantine(kernel, crash_limit=_CRASH_LIMIT, success_window_s=_SUCCESS_WINDOW_S)
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -45,6 +45,11 @@
 _MAX_STORE_ANSWER_BYTES = 16 * 1024 * 1024
 # Memory of a process if the settings name none.
 _DEFAULT_MEMORY_BYTES = 256_000_000
+# Period of the heartbeats if the settings name none.
+_DEFAULT_HEARTBEAT_PERIOD_S = 0.87
+# Other periods are taken for mistakes.
+_MIN_HEARTBEAT_PERIOD_S = 0.05
+_MAX_HEARTBEAT_PERIOD_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +77,7 @@
         application: Address of the upstream on this machine.
         service: Name of the service that the upstream on this machine runs.
         memory_bytes: Memory of the process, in bytes.
+        heartbeat_period_s: Time between two heartbeats of the upstream, in seconds.
     """
 
     settings: Settings
@@ -81,6 +87,7 @@
     application: Address
     service: str
     memory_bytes: int = _DEFAULT_MEMORY_BYTES
+    heartbeat_period_s: float = _DEFAULT_HEARTBEAT_PERIOD_S
 
 
 def settings_path() -> Path:
@@ -169,9 +176,20 @@
         memory_bytes=int(float(values["limits.memoryMb"]) * 1_000_000)
         if "limits.memoryMb" in values
         else _DEFAULT_MEMORY_BYTES,
+        heartbeat_period_s=_heartbeat_period_s(values.get("heartbeatS", "")),
     )
 
 
+def _heartbeat_period_s(text: str) -> float:
+    """Returns the period, or the usual one if it is missing or unlikely."""
+    try:
+        period_s = float(text)
+    except ValueError:
+        return _DEFAULT_HEARTBEAT_PERIOD_S
+    likely = _MIN_HEARTBEAT_PERIOD_S <= period_s <= _MAX_HEARTBEAT_PERIOD_S
+    return period_s if likely else _DEFAULT_HEARTBEAT_PERIOD_S
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
--- a/fescueward/services/warmup/limit.py
+++ b/fescueward/services/warmup/limit.py
@@ -39,7 +39,8 @@
     @classmethod
     def of(cls, per_second: float, over: float, slack: float) -> ColdLimit:
         """Returns the limit of a rate that may be exceeded by a factor and a number."""
-        return cls(per_second, max(math.floor(per_second * over + slack), 1))
+        most = per_second * over + slack
+        return cls(per_second, max(math.floor(most if math.isfinite(most) else per_second), 1))
 
     @property
     def target_per_second(self) -> float:
--- a/fescueward/services/warmup/service.py
+++ b/fescueward/services/warmup/service.py
@@ -12,7 +12,7 @@
 from ...messages import Announcement
 from ...messages.configuration import ServiceSpec
 from .limit import RAMP_S, WINDOW_S, ColdLimit, RatePace, RequestWindow
-from .state import HEARTBEAT_PERIOD_S, Warmth, WarmthState
+from .state import Warmth, WarmthState
 
 _COLD = Event(
     3120, "upstream_cold", Level.INFO, "The upstream is or may be cold, so it gets few requests."
@@ -43,12 +43,14 @@
 
     Args:
         kernel: Owner of the task that checks the upstream's health.
+        heartbeat_period_s: Time between two heartbeats of the upstream, in seconds.
     """
 
     name = "warmup"
     requires = ("routes", "upstream")
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, heartbeat_period_s: float) -> None:
+        self._heartbeat_period_s = heartbeat_period_s
         self._tasks = kernel.task_owner(self.name)
         self._listeners: list[WarmupListener] = []
         self._check_wanted = asyncio.Event()
@@ -88,7 +90,7 @@
         self._health = registry.find("upstream", HealthSource)
         registry.find("upstream", CrashSource).subscribe(self)
         self._started_at = self._clock.now()
-        self._state = WarmthState(self._started_at)
+        self._state = WarmthState(self._started_at, self._heartbeat_period_s)
 
     async def start(self) -> None:
         """Starts the task that checks the upstream's health when its warmth is in doubt."""
@@ -242,7 +244,7 @@
             return unconfirmed >= limit.most * _UNCONFIRMED_SHARE or (
                 unconfirmed > 0
                 and self._state.heartbeat_overdue(now)
-                and now - warm_at > HEARTBEAT_PERIOD_S
+                and now - warm_at > self._heartbeat_period_s
             )
         return warmth is Warmth.SUSPECT
 
--- a/fescueward/services/warmup/state.py
+++ b/fescueward/services/warmup/state.py
@@ -9,16 +9,14 @@
 import enum
 import math
 
-# Upstreams send a heartbeat about every 0.9 s.
-HEARTBEAT_PERIOD_S = 0.87
-# Heartbeats that arrive at longer intervals come later and later.
-_PUNCTUAL_PERIOD_S = 1.0
+# Heartbeats that arrive at longer intervals than this many periods come later and later.
+_PUNCTUAL_PERIODS = 1.15
+# Periods without a heartbeat after which the upstream may have become cold unnoticed.
+_OVERDUE_PERIODS = 1.7
 # Lateness above which a heartbeat does not say that the upstream is warm now.
 _MAX_LATENESS_S = 0.2
 # Older doubts and statements end with a heartbeat: none is later than this.
 _MAX_HEARTBEAT_DELAY_S = 3.0
-# Time without a heartbeat after which the upstream may have become cold unnoticed.
-_HEARTBEAT_OVERDUE_S = 1.5
 
 
 class Warmth(enum.StrEnum):
@@ -34,9 +32,11 @@
 
     Args:
         now: Start of the agent, before which nothing is known.
+        period_s: Time between two heartbeats.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, period_s: float) -> None:
+        self._period_s = period_s
         self._doubted_at: float | None = now
         self._cold_until = -math.inf
         # When the last statement that the upstream is cold arrived.
@@ -69,7 +69,10 @@
 
     def heartbeat_overdue(self, now: float) -> bool:
         """Returns whether heartbeats have stopped, or none has arrived."""
-        return self._heartbeat_at is None or now - self._heartbeat_at > _HEARTBEAT_OVERDUE_S
+        return (
+            self._heartbeat_at is None
+            or now - self._heartbeat_at > self._period_s * _OVERDUE_PERIODS
+        )
 
     def heartbeat_due_s(self, now: float) -> float:
         """Returns the time until the next heartbeat that can prove warmth, in seconds.
@@ -78,7 +81,7 @@
         """
         if self._heartbeat_at is None or self.heartbeat_overdue(now):
             return math.inf
-        due_at = self._heartbeat_at + HEARTBEAT_PERIOD_S
+        due_at = self._heartbeat_at + self._period_s
         provable = due_at - _MAX_HEARTBEAT_DELAY_S >= self._unproven_since
         if not provable or self._lateness_s > _MAX_LATENESS_S:
             return math.inf
@@ -91,7 +94,7 @@
     def hear_heartbeat(self, cold_left_s: float, now: float) -> None:
         """Applies a heartbeat, which may have been sent before the last doubt or statement."""
         if self._heartbeat_at is not None:
-            late_s = now - self._heartbeat_at - _PUNCTUAL_PERIOD_S
+            late_s = now - self._heartbeat_at - self._period_s * _PUNCTUAL_PERIODS
             self._lateness_s = max(self._lateness_s + late_s, 0.0)
         self._heartbeat_at = now
         warm_at = now if self._lateness_s <= _MAX_LATENESS_S else -math.inf
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -42,6 +42,12 @@
         self.assertEqual(site.bounds.retry_burst, 58)
         self.assertEqual(site.bounds.drain_s, 2)
 
+    def test_period_of_heartbeats_is_read(self):
+        """Guards against punctual heartbeats that count as late."""
+        for text, period_s in (("1.5", 1.5), ("0", 0.87), ("nan", 0.87), ("often", 0.87)):
+            site = parse_site(LINES.replace("heartbeatS=0.87", f"heartbeatS={text}"))
+            self.assertEqual(site.heartbeat_period_s, period_s)
+
     def test_missing_and_invalid_lines_are_reported(self):
         """Guards against an agent that starts with an incomplete or invalid file."""
         with self.assertRaisesRegex(SettingsError, "appAddr"):
--- a/tests/services/warmup/cold_fleet.py
+++ b/tests/services/warmup/cold_fleet.py
@@ -110,7 +110,7 @@
         kernel = SimpleNamespace(
             task_owner=lambda owner: TaskOwner(owner, lambda _, error: self.failures.append(error))
         )
-        self.warmup = ColdStartLimit(kernel)
+        self.warmup = ColdStartLimit(kernel, HEARTBEAT_S)
         self.warmup.bind(services)
         services._services["warmup"] = self.warmup
         self.admission = SlotAdmission(upstream_names_limits=True)
