--- a/fescueward/services/warmup/service.py
+++ b/fescueward/services/warmup/service.py
@@ -9,6 +9,7 @@
 from ...interfaces.warmup import WarmupListener
 from ...kernel import Clock, Event, Kernel, Level, RefusalError, Registry
 from ...kernel.bounds import Bounds
+from ...kernel.retries import ReadingRetries
 from ...messages import Announcement
 from ...messages.configuration import ServiceSpec
 from .limit import RAMP_S, WINDOW_S, ColdLimit, RatePace, RequestWindow
@@ -250,6 +251,7 @@
 
     async def _run(self) -> None:
         pause_s = _CHECK_PAUSE_S
+        retries = ReadingRetries("warmup", self._clock)
         while True:
             await self._check_wanted.wait()
             self._check_wanted.clear()
@@ -258,9 +260,14 @@
                 await self._clock.sleep(_HEARTBEAT_SOON_S)
             if not self._needs_check(self._clock.now()):
                 continue
-            succeeded = await self._check()
+            try:
+                responded = await self._check()
+                retries.succeeded()
+            except Exception as error:
+                responded = False
+                await retries.pause_after(error)
+            pause_s = _CHECK_PAUSE_S if responded else min(pause_s * 2, _MAX_CHECK_PAUSE_S)
             await self._clock.sleep(pause_s)
-            pause_s = _CHECK_PAUSE_S if succeeded else min(pause_s * 2, _MAX_CHECK_PAUSE_S)
             self._want_check(self._clock.now())
 
     async def _check(self) -> bool:
--- a/tests/services/warmup/test_service.py
+++ b/tests/services/warmup/test_service.py
@@ -2,6 +2,7 @@
 
 import unittest
 from dataclasses import replace
+from types import SimpleNamespace
 
 from tests.services.timed_fakes import World
 
@@ -139,6 +140,22 @@
         self.assertGreater(self.agent.served - served, 180)
         self.assertLess(self.server.checks - checks, 25)
 
+    def test_unreadable_health_response_ends_no_agent(self):
+        """Guards against an agent that stops for what another program has sent."""
+        self.build()
+
+        async def fail(path: str) -> None:
+            raise ValueError(path)
+
+        self.agent.warmup._health = SimpleNamespace(check_health=fail)
+        served = self.agent.served
+        self.agent.warmup.suspect_cold()
+        self.load(20.0, 6.0)
+        self.check_bound()
+        # Without a health check, heartbeats end the doubt after a while.
+        self.assertGreater(self.agent.served - served, 30)
+        self.assertIsNone(self.agent.warmup.per_second)
+
     def test_calm_warm_upstream_is_not_checked(self):
         """Guards against charged health checks while heartbeats say the same."""
         self.build()
