--- a/tests/services/keyspace/test_placement.py
+++ b/tests/services/keyspace/test_placement.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from fescueward.kernel import BootClock, Kernel
-from fescueward.messages import Group
+from fescueward.messages import Group, VersionedGroup
 from fescueward.messages.peer import RangeLoad
 from fescueward.services.keyspace import moves
 from fescueward.services.keyspace.moves import BLOCK_KEYS
@@ -119,6 +119,44 @@
         self.assertEqual(moving, {("a:1", "b:1"), ("d:1", "c:1")})
 
 
+class EditedGroups:
+    """One group, whose handovers end at once."""
+
+    def __init__(self, group: Group) -> None:
+        self.view = VersionedGroup(1, group)
+
+    async def edit(self, group_id, change) -> VersionedGroup:
+        group = change(self.view.group)
+        ranges = [
+            replace(part, owner=part.successor or part.owner, successor=None)
+            for part in group.ranges
+        ]
+        self.view = VersionedGroup(self.view.version + 1, moves.with_ranges(group, ranges))
+        return self.view
+
+    def width(self, member_id: str) -> int:
+        return sum(part.width for part in self.view.group.ranges if part.owner == member_id)
+
+
+class NewMemberTest(unittest.IsolatedAsyncioTestCase):
+    async def test_cold_member_gets_the_rest_once_it_is_warm(self):
+        """Guards against a member that keeps the few keys which it bore while it was cold."""
+        group = with_added_members(assigned_group("a", "b", "c"), member("d"))
+        placement = RangePlacement(Kernel())
+        groups = placement._groups = EditedGroups(group)
+        reports = {f"{name}:1": report(name, 0.3) for name in "abcd"}
+        cold = {**reports, "d:1": replace(reports["d:1"], usable_slots=0.8)}
+        widths = []
+        for current in (cold, cold, reports, reports, cold):
+            await placement._assign_keys(groups.view, current)
+            widths.append(groups.width("d:1"))
+        share = moves.KEY_COUNT / 4
+        self.assertLess(widths[1], 0.25 * share)
+        self.assertEqual(widths[0], widths[1])
+        self.assertGreater(widths[2], 0.9 * share)
+        self.assertEqual(widths[2:], [widths[2]] * 3)
+
+
 class ConsolidatedTest(unittest.TestCase):
     def scattered(self) -> Group:
         """Returns a group of three members, one of which has moved two of its blocks to others."""
