--- a/fescueward/services/warmup/service.py
+++ b/fescueward/services/warmup/service.py
@@ -9,18 +9,19 @@
 from ...interfaces.warmup import WarmupListener
 from ...kernel import Clock, Event, Kernel, Level, RefusalError, Registry
 from ...kernel.bounds import Bounds
+from ...kernel.retries import ReadingRetries
 from ...messages import Announcement
 from ...messages.configuration import ServiceSpec
 from .limit import RAMP_S, WINDOW_S, ColdLimit, RatePace, RequestWindow
-from .state import HEARTBEAT_PERIOD_S, Warmth, WarmthState
+from .state import Warmth, WarmthState
 
 _COLD = Event(
     3120, "upstream_cold", Level.INFO, "The upstream is or may be cold, so it gets few requests."
 )
 _WARM = Event(3121, "upstream_warm", Level.INFO, "The upstream is warm again.")
 
-# An upstream that is suspect counts as cold for at least this long, for other agents.
-_MIN_SUSPECT_S = 1.0
+# Time for which other agents take a suspect upstream for cold; most doubts end within it.
+_SUSPECT_S = 0.5
 # Share of the permitted requests that may be sent to a warm upstream after it was last known to be
 # warm; then its health is checked, so that the rest suffices until it has responded.
 _UNCONFIRMED_SHARE = 0.6
@@ -43,12 +44,14 @@
 
     Args:
         kernel: Owner of the task that checks the upstream's health.
+        heartbeat_period_s: Time between two heartbeats of the upstream, in seconds.
     """
 
     name = "warmup"
     requires = ("routes", "upstream")
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, heartbeat_period_s: float) -> None:
+        self._heartbeat_period_s = heartbeat_period_s
         self._tasks = kernel.task_owner(self.name)
         self._listeners: list[WarmupListener] = []
         self._check_wanted = asyncio.Event()
@@ -72,10 +75,7 @@
         if self._current_limit() is None or warmth is Warmth.WARM:
             return 0.0
         left_s = max(self._state.cold_until - now, 0.0)
-        doubted_at = self._state.doubted_at
-        if doubted_at is None or self._spec is None:
-            return left_s
-        return max(left_s, doubted_at + self._spec.cold_start_s - now, _MIN_SUSPECT_S)
+        return left_s if self._state.doubted_at is None else max(left_s, _SUSPECT_S)
 
     @property
     def per_second(self) -> float | None:
@@ -91,7 +91,7 @@
         self._health = registry.find("upstream", HealthSource)
         registry.find("upstream", CrashSource).subscribe(self)
         self._started_at = self._clock.now()
-        self._state = WarmthState(self._started_at)
+        self._state = WarmthState(self._started_at, self._heartbeat_period_s)
 
     async def start(self) -> None:
         """Starts the task that checks the upstream's health when its warmth is in doubt."""
@@ -120,14 +120,16 @@
             return _ASK_AGAIN_S if self._routes.current is None and unknown_s > 0 else 0.0
         rate = self._rate(now)
         rate_wait_s = self._pace.wait_s(ahead, rate, now) if rate is not None else 0.0
-        if self._observed_warmth(now) is Warmth.WARM:
+        warmth = self._observed_warmth(now)
+        if warmth is Warmth.WARM:
             # A health check is expected to permit more soon.
             since = self._state.warm_at(now)
             window_wait_s = min(self._begun.wait_s(0, limit.most, now, since), _ASK_AGAIN_S)
             if window_wait_s:
                 self._want_check(now)
             return max(min(rate_wait_s, RAMP_S), window_wait_s)
-        if not math.isinf(self._state.cold_until) and self._state.doubted_at is None:
+        self._want_check(now)
+        if warmth is Warmth.COLD and self._state.doubted_at is None:
             rate_wait_s = min(rate_wait_s, self._state.cold_until - now + RAMP_S)
         return max(
             rate_wait_s,
@@ -243,12 +245,13 @@
             return unconfirmed >= limit.most * _UNCONFIRMED_SHARE or (
                 unconfirmed > 0
                 and self._state.heartbeat_overdue(now)
-                and now - warm_at > HEARTBEAT_PERIOD_S
+                and now - warm_at > self._heartbeat_period_s
             )
         return warmth is Warmth.SUSPECT
 
     async def _run(self) -> None:
         pause_s = _CHECK_PAUSE_S
+        retries = ReadingRetries("warmup", self._clock)
         while True:
             await self._check_wanted.wait()
             self._check_wanted.clear()
@@ -257,9 +260,14 @@
                 await self._clock.sleep(_HEARTBEAT_SOON_S)
             if not self._needs_check(self._clock.now()):
                 continue
-            succeeded = await self._check()
+            try:
+                responded = await self._check()
+                retries.succeeded()
+            except Exception as error:
+                responded = False
+                await retries.pause_after(error)
+            pause_s = _CHECK_PAUSE_S if responded else min(pause_s * 2, _MAX_CHECK_PAUSE_S)
             await self._clock.sleep(pause_s)
-            pause_s = _CHECK_PAUSE_S if succeeded else min(pause_s * 2, _MAX_CHECK_PAUSE_S)
             self._want_check(self._clock.now())
 
     async def _check(self) -> bool:
