Hand over each key range when its own work has ended

Each range is now recorded once its own release is confirmed; releases within 5 ms share a message, the planner's batch shares the write. The hottest leave first. A range that loses its successor while it waits stays.

The two new tests fail on the code before: 0 != 39 handed over after 0.85 s; the hot range is not released first.

--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -41,6 +41,8 @@
 # Handovers that reach the planner within this time share one write: the owners of a placement
 # round release their ranges at about the same time, and each write reaches all agents.
 _RECORD_BATCH_S = 0.05
+# Ranges that are released within this time share one message to the planner.
+_RELEASE_BATCH_S = 0.005
 # Time for the planner to record a handover: the batch, one or two writes on a busy processor and
 # their way through a watcher. It begins anew with each version, because the planner of a large
 # group records a queue of handovers in several writes.
@@ -74,6 +76,10 @@
         self._unconfirmed_grants: list[tuple[KeyRange, float]] = []
         # Time by which all grants to the upstream, confirmed or not, have certainly expired.
         self._last_grant_end = 0.0
+        # Ranges that the upstream has released since the last record, with their tokens, and the
+        # task that will record them.
+        self._own_batches: dict[GroupId, dict[RangeId, tuple[KeyRange, str]]] = {}
+        self._recordings: dict[GroupId, asyncio.Task[None]] = {}
         # Handovers of other members that the next batch records.
         self._pending_records: list[RangesReleased] = []
 
@@ -104,9 +110,33 @@
         self._unconfirmed_grants.append((key_range, end))
         self.add_confirmed_grant(end)
 
-    async def hand_over(self, own_group_id: GroupId, leaving_ranges: list[KeyRange]) -> None:
-        """Releases ranges and returns once the group object has their new owners."""
-        released = await self.release_all(leaving_ranges)
+    async def hand_over(self, own_group_id: GroupId, leaving_range: KeyRange) -> None:
+        """Releases a range and returns once the group object has its new owner."""
+        token = await self.release(leaving_range)
+        batch = self._own_batches.get(own_group_id)
+        if batch is None:
+            batch = self._own_batches[own_group_id] = {}
+            recording = self._tasks.spawn("record own", self._record_own_batch(own_group_id))
+            self._recordings[own_group_id] = recording
+        batch[range_id(leaving_range)] = (leaving_range, token)
+        await asyncio.wait((self._recordings[own_group_id],))
+
+    async def release(self, leaving_range: KeyRange) -> str:
+        """Releases a range; afterwards the upstream has no grant for any of its keys.
+
+        Returns:
+            The token that spares the next owner a cold start, or an empty string.
+        """
+        token = await self._release_range(leaving_range, self._last_grant_end)
+        await self._wait_until_unconfirmed_grants_end(leaving_range)
+        return token
+
+    async def _record_own_batch(self, own_group_id: GroupId) -> None:
+        """Makes the successors of the ranges that are released about now their owners."""
+        await self._clock.sleep(_RELEASE_BATCH_S)
+        batch = self._own_batches.pop(own_group_id)
+        leaving_ranges = [leaving_range for leaving_range, _ in batch.values()]
+        released = {range_key: token for range_key, (_, token) in batch.items()}
         edit = _handover_edit(released, self._membership.member_id)
         written = await self._record_through_planner(own_group_id, released, edit)
         while written is None:
@@ -125,19 +155,6 @@
             ],
         )
 
-    async def release_all(self, leaving_ranges: list[KeyRange]) -> dict[RangeId, str]:
-        """Releases ranges; afterwards the upstream has no grant for any of them.
-
-        Returns:
-            For each range the token that spares its next owner a cold start, or an empty string.
-        """
-        grants_end = self._last_grant_end
-        tokens = await asyncio.gather(
-            *(self._release_range(key_range, grants_end) for key_range in leaving_ranges)
-        )
-        await self._wait_until_unconfirmed_grants_end(leaving_ranges)
-        return dict(zip(map(range_id, leaving_ranges), tokens, strict=True))
-
     async def _record_through_planner(
         self, own_group_id: GroupId, released: dict[RangeId, str], edit: GroupChange
     ) -> VersionedGroup | None:
@@ -229,7 +246,7 @@
             ranges=len(released),
         )
 
-    async def _wait_until_unconfirmed_grants_end(self, leaving_ranges: list[KeyRange]) -> None:
+    async def _wait_until_unconfirmed_grants_end(self, leaving_range: KeyRange) -> None:
         now = self._clock.now()
         self._unconfirmed_grants = [
             (granted_range, end) for granted_range, end in self._unconfirmed_grants if end > now
@@ -237,11 +254,8 @@
         ends = [
             end
             for granted_range, end in self._unconfirmed_grants
-            if any(
-                granted_range.first <= leaving_range.last
-                and leaving_range.first <= granted_range.last
-                for leaving_range in leaving_ranges
-            )
+            if granted_range.first <= leaving_range.last
+            and leaving_range.first <= granted_range.last
         ]
         if ends:
             await self._clock.sleep(max(ends) - now)
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -21,6 +21,7 @@
 from ...messages import MemberState, VersionedGroup
 from ...messages.group import KeyRange
 from .handover import RangeHandover, RangeId, range_id
+from .handover_queue import HandoverQueue
 from .moves import KEY_COUNT
 from .process_epochs import ProcessEpochs
 from .recovery import RecoveryWait
@@ -92,7 +93,7 @@
         self._tasks = kernel.task_owner(self.name)
         self._owned_ranges: dict[RangeId, KeyRange] = {}
         self._grant_ends: dict[RangeId, float] = {}
-        self._in_handover: set[RangeId] = set()
+        self._handovers = HandoverQueue()
         self._active_ranges: list[tuple[int, RangeId]] = []
         self._state_changed = asyncio.Event()
         self._renewal_due = asyncio.Event()
@@ -140,7 +141,7 @@
         return {first: epoch for (first, _, epoch), end in self._grant_ends.items() if end > now}
 
     def owned(self) -> dict[int, int]:
-        """Returns the epochs of the owned ranges without a successor, by first key."""
+        """Returns the epochs of the owned ranges that are not being released, by first key."""
         return {first: epoch for first, _, epoch in self._owned_ranges}
 
     async def admit(self, service: str, key: str, deadline: float) -> RangeTicket:
@@ -152,6 +153,7 @@
             if active_range_id is not None:
                 if not self._lease.held:
                     raise LeaseExpiredError("the lease of this agent has expired")
+                self._handovers.record_admission(key_number, self._clock.now())
                 return RangeTicket(active_range_id[0], active_range_id[2])
             self._raise_unless_pending(key_number)
             remaining_s = activation_deadline - self._clock.now()
@@ -168,7 +170,9 @@
         The next member that joins can then be granted the released ranges without delay.
         """
         while True:
-            if self._in_handover or (self._owns_ranges() and self._has_other_active_members()):
+            if not self._handovers.empty or (
+                self._owns_ranges() and self._has_other_active_members()
+            ):
                 state_changed = self._state_changed
                 await state_changed.wait()
                 continue
@@ -191,9 +195,24 @@
         for key_range in ranges:
             self._grant_ends.pop(range_id(key_range), None)
         self._rebuild_index()
-        if self._grants_in_flight:
-            await asyncio.wait(self._grants_in_flight.values())
-        await self._handover.release_all(ranges)
+        await asyncio.gather(*(self._release(key_range) for key_range in ranges))
+
+    async def _release(self, key_range: KeyRange) -> None:
+        await self._wait_for_grants_in_flight(key_range)
+        await self._handover.release(key_range)
+
+    async def _wait_for_grants_in_flight(self, key_range: KeyRange) -> None:
+        """Waits for grants of keys that are to be released.
+
+        A grant that reached the upstream after the release would give it the keys again.
+        """
+        overlapping_grants = [
+            task
+            for (first, last, _), task in self._grants_in_flight.items()
+            if first <= key_range.last and key_range.first <= last
+        ]
+        if overlapping_grants:
+            await asyncio.wait(overlapping_grants)
 
     def group_changed(self, group: VersionedGroup) -> None:
         """Activates, hands over or drops ranges as recorded in a newer group object."""
@@ -203,34 +222,24 @@
         self._drop_grants_of_earlier_start()
         own_id = self._membership.member_id
         own_ranges = [key_range for key_range in group.group.ranges if key_range.owner == own_id]
+        self._handovers.update(own_ranges)
         owned_ranges = {
             range_id(key_range): key_range
             for key_range in own_ranges
-            if key_range.successor is None
+            if range_id(key_range) not in self._handovers.released
         }
-        self._in_handover &= {range_id(key_range) for key_range in own_ranges}
         member = group.group.members.get(own_id)
         if member is None or member.state is MemberState.ACTIVE:
             # The leave has completed or was cancelled.
             self._withdrawn.clear()
         grant_ends: dict[RangeId, float] = {}
         for key_range_id in owned_ranges:
-            if key_range_id not in self._in_handover:
-                end = self._covering_grant_end(key_range_id)
-                if end is not None:
-                    grant_ends[key_range_id] = end
+            end = self._covering_grant_end(key_range_id)
+            if end is not None:
+                grant_ends[key_range_id] = end
         self._owned_ranges, self._grant_ends = owned_ranges, grant_ends
-        self._rebuild_index()
-        leaving_ranges = [
-            key_range
-            for key_range in own_ranges
-            if key_range.successor and range_id(key_range) not in self._in_handover
-        ]
-        if leaving_ranges:
-            self._in_handover.update(range_id(key_range) for key_range in leaving_ranges)
-            self._tasks.spawn("handover", self._hand_over(leaving_ranges))
+        self._start_handovers()
         self._renewal_due.set()
-        self._notify_waiters()
 
     def _covering_grant_end(self, target_id: RangeId) -> float | None:
         """Returns the earliest end of the grants that cover a range, or None if a part has none.
@@ -270,7 +279,7 @@
         if key_range is None or (key_range.owner != own_id and key_range.successor != own_id):
             owner = key_range.owner if key_range is not None else None
             raise NotOwnerError(f"key {key} is owned by {owner}", owner_id=owner)
-        if key_range.owner == own_id and key_range.successor is not None:
+        if range_id(key_range) in self._handovers.released:
             raise ShardMovingError(f"key {key} is being handed over")
 
     def _view(self) -> VersionedGroup | None:
@@ -363,7 +372,6 @@
             key_range
             for key_range_id, key_range in self._owned_ranges.items()
             if self._process_epochs.may_grant(key_range)
-            and key_range_id not in self._in_handover
             and key_range_id not in self._withdrawn
             and renew_after < self._grant_ends.get(key_range_id, 0.0) < renew_before
         ]
@@ -401,7 +409,7 @@
             self._rebuild_index()
             return
         self._handover.add_confirmed_grant(sent_at + lease_left_s)
-        if key_range_id not in self._owned_ranges or key_range_id in self._in_handover:
+        if key_range_id not in self._owned_ranges:
             return
         newly_active = key_range_id not in self._grant_ends
         self._grant_ends[key_range_id] = sent_at + hold_s
@@ -416,12 +424,23 @@
             self._rebuild_index()
             self._notify_waiters()
 
-    async def _hand_over(self, leaving_ranges: list[KeyRange]) -> None:
+    def _start_handovers(self) -> None:
+        """Begins to release ranges with a successor, as many as may be released at a time.
+
+        Requests are refused only from here on, so a key is without a server for the time that its
+        own running work takes.
+        """
+        for key_range in self._handovers.start_releases():
+            self._owned_ranges.pop(range_id(key_range), None)
+            self._grant_ends.pop(range_id(key_range), None)
+            self._tasks.spawn("handover", self._hand_over(key_range))
+        self._rebuild_index()
+        self._notify_waiters()
+
+    async def _hand_over(self, key_range: KeyRange) -> None:
         own_group_id = self._membership.own_group_id
         assert own_group_id is not None
-        # A grant that reached the upstream after the release would give it the keys again.
-        if self._grants_in_flight:
-            await asyncio.wait(self._grants_in_flight.values())
-        await self._handover.hand_over(own_group_id, leaving_ranges)
-        self._in_handover -= set(map(range_id, leaving_ranges))
-        self._notify_waiters()
+        await self._wait_for_grants_in_flight(key_range)
+        await self._handover.hand_over(own_group_id, key_range)
+        self._handovers.finish(key_range)
+        self._start_handovers()
--- a/tests/services/keyspace/test_handover.py
+++ b/tests/services/keyspace/test_handover.py
@@ -1,10 +1,13 @@
 """Tests of the platform calls of handovers that come together."""
 
+import asyncio
 import random
 import unittest
 from dataclasses import replace
 from unittest import mock
 
+from fescueward.services.keyspace import moves
+from fescueward.services.keyspace.moves import BLOCK_KEYS
 from tests.services import timed_fakes
 from tests.services.fleet import GROUP_ID
 from tests.services.timed_fakes import ResponseMode
@@ -84,3 +87,80 @@
         ):
             calls = self.count_calls_of_a_round(LONGEST_RELEASE_S, 8.0)
         self.assertLessEqual(calls, MAX_SLOW_CALLS)
+
+
+class SteadyHandoverTest(unittest.TestCase):
+    """One owner hands over 40 blocks, and the upstream still works on one of them for 1 s."""
+
+    def setUp(self):
+        self.fleet = KeyedFleet()
+        self.owner = self.fleet.start("a00", "d0")
+        successor = self.fleet.start("a01", "d1")
+        self.assertIsNotNone(self.fleet.time_until_distributed(20))
+        self.fleet.world.advance(5)
+        self.owner_id = self.owner.membership.member_id
+        self.successor_id = successor.membership.member_id
+        ranges = self.owner.groups.view(GROUP_ID).group.ranges
+        first = next(each.first for each in ranges if each.owner == self.owner_id)
+        self.keys = [first + 2 * BLOCK_KEYS * number for number in range(1, 41)]
+        self.busy_key = self.keys[3]
+        self.releases: list[int] = []
+        upstream = self.fleet.upstreams["a00"]
+        self._release_range = upstream.release_range
+        upstream.release_range = self.release_range
+
+    async def release_range(self, key_range):
+        self.releases.append(key_range.first)
+        await asyncio.sleep(1.0 if key_range.first == self.busy_key else 0.1)
+        return await self._release_range(key_range)
+
+    def move_blocks(self, group):
+        ranges = group.ranges
+        for key in self.keys:
+            ranges = moves.change_keys(
+                ranges,
+                key,
+                key + BLOCK_KEYS - 1,
+                lambda part: replace(part, successor=self.successor_id),
+            )
+        return moves.with_ranges(group, ranges)
+
+    def owners(self):
+        group = self.owner.groups.view(GROUP_ID).group
+        return [group.range_of(key).owner for key in self.keys]
+
+    def admitted(self, key):
+        """Returns whether the owner admits a request for a key at once."""
+        tickets = []
+
+        async def admit():
+            deadline = self.fleet.world.now + 0.01
+            tickets.append(await self.owner.ownership.admit("depot", str(key), deadline))
+
+        self.owner.spawn(admit)
+        self.fleet.world.advance(0.01)
+        return bool(tickets)
+
+    def test_work_on_one_range_does_not_delay_the_others(self):
+        """All ranges of a round were refused until the upstream had released the last of them.
+
+        Found on 39 servers with hot keys: 3,917 refusals of 2,845 requests in one day.
+        """
+        self.owner.spawn(lambda: self.owner.groups.edit(GROUP_ID, self.move_blocks))
+        self.fleet.world.advance(0.85)
+        self.assertEqual(self.owners().count(self.successor_id), len(self.keys) - 1)
+        self.assertEqual(self.owners()[3], self.owner_id)
+        self.fleet.world.advance(0.5)
+        self.assertEqual(self.owners().count(self.successor_id), len(self.keys))
+
+    def test_ranges_are_served_until_their_turn_and_hot_ones_leave_first(self):
+        """Guards against keys that nobody serves while other keys are being released."""
+        hot_key, last_key = self.keys[30], self.keys[-1]
+        for _ in range(4):
+            self.assertTrue(self.admitted(hot_key))
+        self.owner.spawn(lambda: self.owner.groups.edit(GROUP_ID, self.move_blocks))
+        self.fleet.world.advance(0.08)
+        self.assertEqual(self.releases[0], hot_key)
+        self.assertLess(len(self.releases), len(self.keys))
+        self.assertFalse(self.admitted(hot_key))
+        self.assertTrue(self.admitted(last_key))
