--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -14,6 +14,7 @@
     OwnerUnreachableError,
     QuarantinedError,
     RefusalError,
+    ShardMovingError,
 )
 from fescueward.messages import Group, GroupId, VersionedGroup
 from fescueward.messages.group import LAST_KEY, KeyRange
@@ -125,6 +126,45 @@
             self.assertEqual(peers.forwarded, ["b:1"])
 
 
+class MovingPeers(FakePeers):
+    """The owner of the first version refuses requests, since it hands their keys over."""
+
+    async def forward(self, member, request):
+        self.forwarded.append(member.id)
+        if member.id == "b:1":
+            raise ShardMovingError("key 5 is being handed over")
+        return make_response(b"ok")
+
+
+class HandoverTest(RouterCase):
+    group = with_added_members(
+        Group("depot", 0, 1, ranges=(KeyRange(0, LAST_KEY, "b:1", 1),)), *map(member, "bc")
+    )
+
+    async def test_versions_about_other_keys_cause_no_further_refusals(self):
+        """Requests asked the old owner again every 50 ms and with each group version.
+
+        Found on 39 servers with hot keys: 3,917 refusals of 2,845 requests in one day.
+        """
+        peers = MovingPeers("b:1", "c:1")
+        router = self.router(peers)
+        moving = KeyRange(0, LAST_KEY, "b:1", 1, successor="c:1")
+        versions = [
+            replace(self.group, ranges=ranges)
+            for ranges in ((moving,), (moving,), (KeyRange(0, LAST_KEY, "c:1", 2),))
+        ]
+        views = [VersionedGroup(number, group) for number, group in enumerate(versions, 2)]
+
+        async def next_version(group: GroupId, version: int, timeout_s: float) -> bool:
+            await asyncio.sleep(0.04)
+            router._groups.view = lambda group_id: views[version - 1]
+            return True
+
+        router._groups.wait_until_newer = next_version
+        response = await router.route(make_request(2.0, key="5"))
+        self.assertEqual((response.status, peers.forwarded), (200, ["b:1", "c:1"]))
+
+
 class LeavingPeers(FakePeers):
     """The upstream of the only member leaves, as the response to the first request says."""
 
