Size key ranges by lasting speed, and spread hot neighbours by room

On 39 servers of uneven speed the planner moved 120 blocks of 8 keys before any key was hot, cut the ranges into 240 to 390 pieces, and left the busiest server with 1.80 to 2.16 times the mean work.

- Reports carry the run time of the last 8 s without short changes, and the utilisation that follows from it and the rate of requests.
A member over 1.5 times the mean for seconds gives one wide part to a neighbour or the member with most room; shares follow slots by run time.
- A block counts as hot from 4 requests a second; single requests moved blocks before.
Work that has just begun is reported in full.
Adjacent hot blocks fill one member after the other.
A key that no member carries better stays, and the other keys of its owner leave.
- Small ranges return after 4 s without work, every 2 s.
The pause after a move holds for its members only, so that other hot keys need not wait.
- The fallback that moved a quarter of the widest range for any overload is gone.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -264,12 +264,18 @@
         utilisation: Mean share of its slots in use, including waiting requests.
         work: Mean number of slots in use by key block; blocks without work are omitted.
         era: Era of the version that the sender has of its group.
+        run_ms: Time that a request takes in its upstream, in milliseconds, without changes that
+            pass within seconds; 0.0 if unknown.
+        lasting_utilisation: Share of its slots that the requests of the last seconds take at this
+            run time, or None if unknown.
     """
 
     member_id: str
     utilisation: Annotated[float, Meta(ge=0.0)]
     work: dict[NonNegativeInt, Annotated[float, Meta(ge=0.0)]]
     era: NonNegativeInt = 0
+    run_ms: Annotated[float, Meta(ge=0.0)] = 0.0
+    lasting_utilisation: Annotated[float, Meta(ge=0.0)] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -11,6 +11,8 @@
 KEY_COUNT = LAST_KEY + 1
 # Keys in a block, the unit of measured load and of moves; hot keys are adjacent.
 BLOCK_KEYS = 8
+# A range of at most this many blocks was cut out because its keys were hot.
+SMALL_RANGE_BLOCKS = 8
 # Smallest part, in keys, that a range is split into when its load is unknown.
 _MIN_PART_KEYS = 64
 # Smallest fraction of a new member's share that comes from one source, so that about four
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -11,11 +11,12 @@
 from ...kernel.settings import Settings
 from ...messages import Group, Member, MemberState, VersionedGroup
 from ...messages.era import era_of
-from ...messages.group import KeyRange
 from ...messages.peer import RangeLoad
 from . import moves
-from .moves import BLOCK_KEYS
+from .consolidation import consolidated, is_cold, is_small
+from .rebalancing import rebalanced
 from .recovery import RecoveryWait
+from .shares import evened
 
 _RANGES_MOVING = Event(
     2830, "ranges_moving", Level.INFO, "Key ranges are being moved to other owners."
@@ -30,27 +31,15 @@
 # Keys are first assigned after this time even if members still join: half of the time within which
 # a key must be served again.
 _MAX_UNPLACED_S = 2.0
-# A member is a source of moves at this utilisation, if it is also above the mean by this factor.
-_HIGH_UTILISATION = 0.7
-_MEAN_FACTOR = 1.3
-# A member accepts work from others up to this utilisation.
-_MAX_TARGET_UTILISATION = 0.8
-# A source moves no more work once it is at or below the larger of this utilisation and the mean.
-_RELIEVED_UTILISATION = 0.55
-# Pause between moves, so that the effect of one shows in the reports before the next.
+# Pause between moves of a member, so that the effect of one shows in its report before the next.
 _MOVE_PAUSE_S = 1.2
-# Maximum blocks that one round moves from one member and in total. Each costs a release and a
-# grant.
-_MAX_BLOCKS_PER_MEMBER = 40
-_MAX_BLOCKS_PER_ROUND = 120
-# Fraction of a member's widest range that is moved when no hot block can be moved.
-_FALLBACK_SHARE = 0.25
-# A range of at most this many blocks is returned to the owner of the surrounding keys once its
-# work, in slots, is below this. Each range costs its owner grant renewals and all agents memory.
-_SMALL_RANGE_BLOCKS = 8
-_COLD_WORK_SLOTS = 0.05
-# Maximum ranges that are returned in one round.
-_MAX_RETURNS_PER_ROUND = 60
+# Time that lasting utilisation takes to show the effect of a move.
+_LASTING_PAUSE_S = 7.0
+# A small range is returned once it has been cold for this time. Each return and a second move of
+# keys that become hot again cost a time without an owner.
+_COLD_TIME_S = 4.0
+# Small ranges that become cold within this time are returned together.
+_RETURN_PERIOD_S = 2.0
 # Number of ranges that merging must save before the group is written for that alone.
 _MIN_MERGED_RANGES = 8
 
@@ -67,7 +56,13 @@
         self._members_changed_at = 0.0
         # Time since which the group has members but no assigned keys, or None.
         self._unplaced_since: float | None = None
+        # Time of the last move, of that of each member, and of that of wide parts.
         self._moved_at = 0.0
+        self._member_moved_at: dict[str, float] = {}
+        self._wide_moved_at: dict[str, float] = {}
+        # Time since which each small range has been cold, by first and last key.
+        self._cold_since: dict[tuple[int, int], float] = {}
+        self._returned_at = 0.0
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses and subscribes to group changes."""
@@ -133,7 +128,7 @@
             return
         if written is None:
             return
-        self._moved_at = self._clock.now()
+        self._record_moves(written.group)
         moving_ranges = [
             key_range for key_range in written.group.ranges if key_range.successor is not None
         ]
@@ -226,19 +221,63 @@
         now = self._clock.now()
         if not group.ranges:
             return None
-        if now - self._moved_at < _MOVE_PAUSE_S:
-            return None
-        reports = _without_members_in_handover(group, reports)
-        # The ranges of the last move were granted since then, so their handover tokens are used.
-        compacted_group = moves.compacted(group)
-        planned = consolidated(rebalanced(compacted_group, reports), reports)
-        if (
-            planned == compacted_group
-            and len(group.ranges) - len(compacted_group.ranges) < _MIN_MERGED_RANGES
-        ):
+        self._observe_cold_ranges(group, reports)
+        reports = self._settled_reports(_without_members_in_handover(group, reports))
+        base = group
+        if now - self._moved_at >= _MOVE_PAUSE_S:
+            # The ranges of the last move were granted since then, so their handover tokens are
+            # used.
+            base = moves.compacted(group)
+        planned = rebalanced(base, reports)
+        planned = evened(planned, _without_members_in_handover(planned, reports))
+        settled = {
+            bounds for bounds, since in self._cold_since.items() if now - since >= _COLD_TIME_S
+        }
+        if now - self._returned_at >= _RETURN_PERIOD_S:
+            planned = consolidated(planned, reports, settled)
+        if planned == base and len(group.ranges) - len(base.ranges) < _MIN_MERGED_RANGES:
             return None
         return planned
 
+    def _observe_cold_ranges(self, group: Group, reports: dict[str, RangeLoad]) -> None:
+        now = self._clock.now()
+        self._cold_since = {
+            bounds: self._cold_since.get(bounds, now)
+            for key_range in group.ranges
+            if is_small(key_range) and is_cold(key_range, reports)
+            for bounds in ((key_range.first, key_range.last),)
+        }
+
+    def _settled_reports(self, reports: dict[str, RangeLoad]) -> dict[str, RangeLoad]:
+        """Returns the reports that show the effect of the last moves."""
+        now = self._clock.now()
+        settled = {}
+        for member_id, report in reports.items():
+            if now - self._member_moved_at.get(member_id, -_MOVE_PAUSE_S) < _MOVE_PAUSE_S:
+                continue
+            wide_moved_at = self._wide_moved_at.get(member_id, -_LASTING_PAUSE_S)
+            if now - wide_moved_at < _LASTING_PAUSE_S:
+                report = replace(report, lasting_utilisation=None)
+            settled[member_id] = report
+        return settled
+
+    def _record_moves(self, group: Group) -> None:
+        """Records the members whose ranges move in a group that this planner has written."""
+        now = self._moved_at = self._clock.now()
+        for key_range in group.ranges:
+            if key_range.successor is not None:
+                if (key_range.first, key_range.last) in self._cold_since:
+                    # The return of a cold range changes no report.
+                    self._returned_at = now
+                    continue
+                for member_id in (key_range.owner, key_range.successor):
+                    self._member_moved_at[member_id or ""] = now
+                    if not is_small(key_range):
+                        self._wide_moved_at[member_id or ""] = now
+        for times in (self._member_moved_at, self._wide_moved_at):
+            for member_id in times.keys() - group.members.keys():
+                del times[member_id]
+
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(_ROUND_PERIOD_S)
@@ -262,163 +301,3 @@
     return {
         member_id: report for member_id, report in reports.items() if member_id not in moving_ids
     }
-
-
-def rebalanced(group: Group, reports: dict[str, RangeLoad]) -> Group:
-    """Returns the group with successors set so that overloaded members move work to others.
-
-    Args:
-        group: The group.
-        reports: Measured work by member id. Members without a report take part in no move; a
-            member that takes part in a handover must have none.
-    """
-    members = [member for member in moves.active_members(group) if member.id in reports]
-    if len(members) < 2:
-        return group
-    utilisation = {member.id: reports[member.id].utilisation for member in members}
-    mean = sum(utilisation.values()) / len(utilisation)
-    limit = max(_HIGH_UTILISATION, mean * _MEAN_FACTOR)
-    sources = sorted(
-        (member for member in members if utilisation[member.id] >= limit),
-        key=lambda member: (-utilisation[member.id], member.id),
-    )
-    others = {member.id: member for member in members if utilisation[member.id] < limit}
-    if not sources or not others:
-        return group
-    ranges, blocks_left = group.ranges, _MAX_BLOCKS_PER_ROUND
-    for source in sources:
-        max_blocks = min(_MAX_BLOCKS_PER_MEMBER, blocks_left)
-        target_by_block = _assign_hot_blocks(
-            group, source, others, utilisation, reports[source.id].work, max_blocks
-        )
-        blocks_left -= len(target_by_block)
-        for first, last, target_id in _contiguous_ranges(target_by_block):
-            ranges = moves.change_keys(ranges, first, last, _set_successor(source.id, target_id))
-    if ranges != group.ranges:
-        return moves.with_ranges(group, ranges)
-    target = min(others.values(), key=lambda member: utilisation[member.id])
-    if utilisation[target.id] >= _MAX_TARGET_UTILISATION:
-        return group
-    return _with_part_of_widest_range_moved(group, sources[0], target, _FALLBACK_SHARE)
-
-
-def consolidated(group: Group, reports: dict[str, RangeLoad]) -> Group:
-    """Returns the group with successors set so that small cold ranges are returned.
-
-    When a hot spot moves to other keys, its former blocks remain with many owners. Each of them is
-    returned to the owner of the nearest wide range below it.
-
-    Args:
-        group: The group.
-        reports: Measured work by member id; ranges of members without a report stay.
-    """
-    active_ids = {member.id for member in moves.active_members(group)}
-    max_width = _SMALL_RANGE_BLOCKS * BLOCK_KEYS
-    wide_owner: str | None = None
-    return_count = 0
-    ranges: list[KeyRange] = []
-    for key_range in group.ranges:
-        if key_range.width > max_width:
-            wide_owner = key_range.owner
-        elif (
-            key_range.successor is None
-            and key_range.owner != wide_owner
-            and wide_owner in active_ids
-            and return_count < _MAX_RETURNS_PER_ROUND
-            and key_range.owner in reports
-            and _range_work(key_range, reports[key_range.owner]) < _COLD_WORK_SLOTS
-        ):
-            key_range = replace(key_range, successor=wide_owner)
-            return_count += 1
-        ranges.append(key_range)
-    return replace(group, ranges=tuple(ranges)) if return_count else group
-
-
-def _range_work(key_range: KeyRange, report: RangeLoad) -> float:
-    blocks = range(key_range.first // BLOCK_KEYS, key_range.last // BLOCK_KEYS + 1)
-    return sum(report.work.get(block, 0.0) for block in blocks)
-
-
-def _set_successor(source_id: str, target_id: str) -> moves.RangeChange:
-    def change(part: KeyRange) -> KeyRange:
-        return replace(part, successor=target_id) if part.owner == source_id else part
-
-    return change
-
-
-def _assign_hot_blocks(
-    group: Group,
-    source: Member,
-    others: dict[str, Member],
-    utilisation: dict[str, float],
-    work: dict[int, float],
-    max_blocks: int,
-) -> dict[int, str]:
-    """Assigns the source's hottest blocks to other members until it is close to the mean.
-
-    A member that would exceed the allowed utilisation gets no block, since it would return it in
-    the next round.
-
-    Args:
-        group: The group.
-        source: The member whose blocks are moved.
-        others: The members that may get blocks, by member id.
-        utilisation: Utilisation by member id; updated in place for each assigned block.
-        work: Work of the source by block, in slots.
-        max_blocks: Maximum number of blocks to assign.
-
-    Returns:
-        The member id of the new owner, by block.
-    """
-    mean = sum(utilisation.values()) / len(utilisation)
-    target_by_block: dict[int, str] = {}
-    for block, block_work in sorted(work.items(), key=lambda item: -item[1]):
-        if (
-            utilisation[source.id] <= max(mean, _RELIEVED_UTILISATION)
-            or len(target_by_block) >= max_blocks
-        ):
-            break
-        key_range = group.range_of(block * BLOCK_KEYS)
-        if key_range is None or key_range.owner != source.id:
-            continue
-        # Adjacent blocks go to the same member while it has capacity, which keeps ranges few.
-        target_id = target_by_block.get(block - 1) or target_by_block.get(block + 1)
-        if (
-            target_id is None
-            or utilisation[target_id] + block_work / others[target_id].slots > mean
-        ):
-            target_id = min(others, key=lambda member_id: utilisation[member_id])
-        new_utilisation = utilisation[target_id] + block_work / others[target_id].slots
-        if new_utilisation > min(_MAX_TARGET_UTILISATION, utilisation[source.id]):
-            continue
-        target_by_block[block] = target_id
-        utilisation[target_id] = new_utilisation
-        utilisation[source.id] -= block_work / source.slots
-    return target_by_block
-
-
-def _contiguous_ranges(target_by_block: dict[int, str]) -> list[tuple[int, int, str]]:
-    """Merges adjacent blocks with the same new owner; returns first key, last key and owner id."""
-    runs: list[tuple[int, int, str]] = []
-    for block in sorted(target_by_block):
-        first, last = block * BLOCK_KEYS, (block + 1) * BLOCK_KEYS - 1
-        if runs and runs[-1][1] + 1 == first and runs[-1][2] == target_by_block[block]:
-            runs[-1] = (runs[-1][0], last, target_by_block[block])
-        else:
-            runs.append((first, last, target_by_block[block]))
-    return runs
-
-
-def _with_part_of_widest_range_moved(
-    group: Group, source: Member, target: Member, share: float
-) -> Group:
-    """Returns the group with the target as successor of the end of the source's widest range."""
-    owned = [key_range for key_range in group.ranges if key_range.owner == source.id]
-    widest = max(owned, key=lambda key_range: key_range.width, default=None)
-    if widest is None or widest.width < 2 * BLOCK_KEYS:
-        return group
-    width = max(int(widest.width * share), BLOCK_KEYS)
-
-    first = widest.last - width + 1
-    change = _set_successor(source.id, target.id)
-    return moves.with_ranges(group, moves.change_keys(group.ranges, first, widest.last, change))
