--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -56,10 +56,12 @@
         self._members_changed_at = 0.0
         # Time since which the group has members but no assigned keys, or None.
         self._unplaced_since: float | None = None
-        # Time of the last move, of that of each member, and of that of wide parts.
+        # Time of the last move, of that of each member, and of wide parts by their old and their
+        # new owner.
         self._moved_at = 0.0
         self._member_moved_at: dict[str, float] = {}
-        self._wide_moved_at: dict[str, float] = {}
+        self._given_at: dict[str, float] = {}
+        self._received_at: dict[str, float] = {}
         # Time since which each small range has been cold, by first and last key.
         self._cold_since: dict[tuple[int, int], float] = {}
         self._returned_at = 0.0
@@ -229,7 +231,12 @@
             # used.
             base = moves.compacted(group)
         planned = rebalanced(base, reports)
-        planned = evened(planned, _without_members_in_handover(planned, reports))
+        givers, receivers = (
+            {id_ for id_, moved_at in times.items() if now - moved_at < _LASTING_PAUSE_S}
+            for times in (self._given_at, self._received_at)
+        )
+        settled_reports = _without_members_in_handover(planned, reports)
+        planned = evened(planned, settled_reports, givers, receivers)
         settled = {
             bounds for bounds, since in self._cold_since.items() if now - since >= _COLD_TIME_S
         }
@@ -253,12 +260,8 @@
         now = self._clock.now()
         settled = {}
         for member_id, report in reports.items():
-            if now - self._member_moved_at.get(member_id, -_MOVE_PAUSE_S) < _MOVE_PAUSE_S:
-                continue
-            wide_moved_at = self._wide_moved_at.get(member_id, -_LASTING_PAUSE_S)
-            if now - wide_moved_at < _LASTING_PAUSE_S:
-                report = replace(report, lasting_utilisation=None)
-            settled[member_id] = report
+            if now - self._member_moved_at.get(member_id, -_MOVE_PAUSE_S) >= _MOVE_PAUSE_S:
+                settled[member_id] = report
         return settled
 
     def _record_moves(self, group: Group) -> None:
@@ -270,11 +273,11 @@
                     # The return of a cold range changes no report.
                     self._returned_at = now
                     continue
-                for member_id in (key_range.owner, key_range.successor):
-                    self._member_moved_at[member_id or ""] = now
-                    if not is_small(key_range):
-                        self._wide_moved_at[member_id or ""] = now
-        for times in (self._member_moved_at, self._wide_moved_at):
+                owner_id, successor_id = key_range.owner or "", key_range.successor
+                self._member_moved_at[owner_id] = self._member_moved_at[successor_id] = now
+                if not is_small(key_range):
+                    self._given_at[owner_id] = self._received_at[successor_id] = now
+        for times in (self._member_moved_at, self._given_at, self._received_at):
             for member_id in times.keys() - group.members.keys():
                 del times[member_id]
 
--- a/fescueward/services/keyspace/shares.py
+++ b/fescueward/services/keyspace/shares.py
@@ -31,7 +31,12 @@
 _MIN_WORK_PER_KEY = 1e-6
 
 
-def evened(group: Group, reports: dict[str, RangeLoad]) -> Group:
+def evened(
+    group: Group,
+    reports: dict[str, RangeLoad],
+    givers: Container[str] = (),
+    receivers: Container[str] = (),
+) -> Group:
     """Returns the group with successors set so that shares correspond to lasting speeds.
 
     Load answered: members whose work takes 0.5 to 1.6 times as long as usual for good, which the
@@ -41,14 +46,25 @@
         group: The group.
         reports: Measured work by member id. Members without a lasting utilisation take part in no
             move.
+        givers: Members that have given wide parts away lately, which their lasting utilisation
+            does not show yet. They give no more.
+        receivers: Members that have received such parts. They receive no more.
     """
-    lasting = {id_: each.lasting_utilisation for id_, each in reports.items()}
+    lasting = {
+        id_: each.lasting_utilisation
+        if each.lasting_utilisation is None or id_ not in givers
+        else min(each.lasting_utilisation, each.utilisation)
+        for id_, each in reports.items()
+    }
     fleet = member_loads(group, reports, lasting)
     if len(fleet.members) < 2:
         return group
     mean = fleet.mean
     limit = max(_LASTING_HIGH_UTILISATION, mean * _LASTING_MEAN_FACTOR)
-    by_utilisation = sorted(fleet.members, key=lambda id_: (-fleet.utilisation[id_], id_))
+    by_utilisation = sorted(
+        (id_ for id_ in fleet.members if id_ not in givers),
+        key=lambda id_: (-fleet.utilisation[id_], id_),
+    )
     idle_count = sum(each < mean * _IDLE_SHARE for each in fleet.utilisation.values())
     sources = [
         id_
@@ -56,7 +72,11 @@
         if fleet.utilisation[id_] >= limit
         or (index < idle_count and fleet.utilisation[id_] >= mean * _IDLE_MEAN_FACTOR)
     ]
-    target_ids = [id_ for id_, utilisation in fleet.utilisation.items() if utilisation < mean]
+    target_ids = [
+        id_
+        for id_, utilisation in fleet.utilisation.items()
+        if utilisation < mean and id_ not in receivers
+    ]
     ranges = group.ranges
     for source_id in sources:
         hot_work = hot_work_of(group, reports[source_id])
