Move the other keys of a hot owner only if the hot ones fill all its slots

Owners of a block that filled half of their slots gave all other keys away; after the spell they were idle and the others full.

--- a/fescueward/services/keyspace/rebalancing.py
+++ b/fescueward/services/keyspace/rebalancing.py
@@ -71,10 +71,9 @@
             ranges = moves.change_keys(ranges, first, last, set_successor(source_id, target_id))
         remaining = {block for block in hot_work if block not in target_by_block}
         remaining_work = sum(hot_work[block] for block in remaining)
-        if fleet.utilisation[source_id] >= limit and (
-            remaining_work > _RELIEVED_UTILISATION * fleet.members[source_id].slots
-        ):
-            # The hot blocks alone fill their owner.
+        if remaining_work >= fleet.members[source_id].slots:
+            # The hot blocks alone fill their owner. Below that its other keys stay: they would
+            # leave it idle at the end of the hot spell, and the others full.
             ranges = with_wide_parts_moved(
                 ranges,
                 fleet,
