Count the slots that an upstream can keep busy when key ranges are moved

A member that is cold or names a rate got work for all of its slots: reports gave its utilisation, not the slots that it refers to.

The new test fails if the reported slots are ignored.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -268,6 +268,8 @@
             pass within seconds; 0.0 if unknown.
         lasting_utilisation: Share of its slots that the requests of the last seconds take at this
             run time, or None if unknown.
+        usable_slots: Slots that are in use on average when the upstream gets all that it takes;
+            None for all of its slots.
     """
 
     member_id: str
@@ -276,6 +278,7 @@
     era: NonNegativeInt = 0
     run_ms: Annotated[float, Meta(ge=0.0)] = 0.0
     lasting_utilisation: Annotated[float, Meta(ge=0.0)] | None = None
+    usable_slots: Annotated[float, Meta(gt=0.0)] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -179,6 +179,7 @@
             lasting_utilisation=(
                 None if lasting_demand is None else round(lasting_demand / usable_slots, 3)
             ),
+            usable_slots=round(usable_slots, 2),
         )
 
     def _end_measurement(self, duration_s: float, *, slow: bool) -> float:
--- a/fescueward/services/keyspace/member_loads.py
+++ b/fescueward/services/keyspace/member_loads.py
@@ -22,27 +22,29 @@
         members: The members by id.
         utilisation: Utilisation by member id; updated in place for each planned move.
         speed: Work that a busy slot finishes in proportion to that of the other members, by id.
+        slots: Slots that their upstreams can keep busy, by member id.
     """
 
     members: dict[str, Member]
     utilisation: dict[str, float]
     speed: dict[str, float]
+    slots: dict[str, float]
 
     @property
     def mean(self) -> float:
         """Utilisation of all members if each had its share of the work."""
-        room = {id_: member.slots * self.speed[id_] for id_, member in self.members.items()}
+        room = {id_: slots * self.speed[id_] for id_, slots in self.slots.items()}
         return sum(self.utilisation[id_] * room[id_] for id_ in room) / sum(room.values())
 
     def added(self, work: float, source_id: str, target_id: str) -> float:
         """Returns the utilisation that work, in slots of the source, adds to a target."""
         ratio = self.speed[source_id] / self.speed[target_id]
-        return work * ratio / self.members[target_id].slots
+        return work * ratio / self.slots[target_id]
 
     def move(self, work: float, source_id: str, target_id: str) -> None:
         """Counts the work for its new owner."""
         self.utilisation[target_id] += self.added(work, source_id, target_id)
-        self.utilisation[source_id] -= work / self.members[source_id].slots
+        self.utilisation[source_id] -= work / self.slots[source_id]
 
 
 def member_loads(
@@ -60,6 +62,7 @@
         members,
         {id_: utilisation[id_] or 0.0 for id_ in members},
         {id_: usual_ms / (reports[id_].run_ms or usual_ms) for id_ in members},
+        {id_: reports[id_].usable_slots or float(member.slots) for id_, member in members.items()},
     )
 
 
--- a/fescueward/services/keyspace/rebalancing.py
+++ b/fescueward/services/keyspace/rebalancing.py
@@ -29,7 +29,9 @@
     """Returns the utilisation by member id; a mean over a second is low while keys become hot."""
     slots = {member.id: member.slots for member in group.members.values()}
     return {
-        id_: max(report.utilisation, sum(report.work.values()) / slots[id_])
+        id_: max(
+            report.utilisation, sum(report.work.values()) / (report.usable_slots or slots[id_])
+        )
         for id_, report in reports.items()
         if id_ in slots
     }
@@ -71,7 +73,7 @@
             ranges = moves.change_keys(ranges, first, last, set_successor(source_id, target_id))
         remaining = {block for block in hot_work if block not in target_by_block}
         remaining_work = sum(hot_work[block] for block in remaining)
-        if remaining_work >= fleet.members[source_id].slots:
+        if remaining_work >= fleet.slots[source_id]:
             # The hot blocks alone fill their owner. Below that its other keys stay: they would
             # leave it idle at the end of the hot spell, and the others full.
             ranges = with_wide_parts_moved(
@@ -81,7 +83,7 @@
                 other_ids,
                 remaining,
                 work_per_key / fleet.speed[source_id],
-                fleet.utilisation[source_id] * fleet.members[source_id].slots,
+                fleet.utilisation[source_id] * fleet.slots[source_id],
                 min(max(fleet.mean, _RELIEVED_UTILISATION), _MAX_TARGET_UTILISATION),
             )
     return moves.with_ranges(group, ranges) if ranges != group.ranges else group
@@ -96,9 +98,9 @@
         if key_range.owner in key_counts:
             key_counts[key_range.owner] += key_range.width
     work = sum(
-        max(fleet.utilisation[id_] * member.slots - sum(hot_work_by_id[id_].values()), 0.0)
+        max(fleet.utilisation[id_] * slots - sum(hot_work_by_id[id_].values()), 0.0)
         * fleet.speed[id_]
-        for id_, member in fleet.members.items()
+        for id_, slots in fleet.slots.items()
     )
     return work / max(sum(key_counts.values()), 1)
 
--- a/fescueward/services/keyspace/shares.py
+++ b/fescueward/services/keyspace/shares.py
@@ -80,7 +80,7 @@
     ranges = group.ranges
     for source_id in sources:
         hot_work = hot_work_of(group, reports[source_id])
-        slots = fleet.members[source_id].slots
+        slots = fleet.slots[source_id]
         rest_work = fleet.utilisation[source_id] * slots - sum(hot_work.values())
         surplus_work = (fleet.utilisation[source_id] - mean) * slots
         rest_keys = _key_count(_segments_without(ranges, source_id, hot_work))
--- a/tests/services/keyspace/test_rebalancing.py
+++ b/tests/services/keyspace/test_rebalancing.py
@@ -99,6 +99,14 @@
         self.assertGreater(share, 0.3)
         self.assertLess(share, 0.6)
 
+    def test_member_that_takes_little_gets_little(self):
+        """Guards against a cold or limited upstream that gets the share of all of its slots."""
+        reports = self.reports(0.7)
+        for name in ("a00", "a01", "a03"):
+            reports[f"{name}:1"] = replace(reports[f"{name}:1"], usable_slots=0.6)
+        moved = moving(evened(group_of(4), reports))
+        self.assertLess(sum(width for _, width, _, _ in moved), 0.2 * 65_536 / 4)
+
     def test_passing_load_moves_no_keys(self):
         """Guards against moves for a member that is slow for some tenths of a second."""
         group = group_of(4)
