--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -5,8 +5,6 @@
 import asyncio
 from bisect import bisect_right
 from contextlib import suppress
-from dataclasses import dataclass
-from types import TracebackType
 
 from ...interfaces import Groups, Lease, Membership, RangeGrants
 from ...kernel import Clock, Event, Kernel, Level, Outcome, Registry
@@ -20,6 +18,7 @@
 from ...kernel.settings import Settings
 from ...messages import MemberState, VersionedGroup
 from ...messages.group import KeyRange
+from .grants import RangeTicket, covering_grant_end
 from .handover import RangeHandover, RangeId, range_id
 from .handover_queue import HandoverQueue
 from .moves import KEY_COUNT
@@ -50,34 +49,6 @@
 _RENEWAL_SHARE = 0.55
 
 
-@dataclass(frozen=True, slots=True)
-class RangeTicket:
-    """Permission to run one request; see `Ticket`.
-
-    Attributes:
-        shard: First key of the range.
-        epoch: Epoch of the range.
-    """
-
-    shard: int
-    epoch: int
-
-    def __enter__(self) -> RangeTicket:
-        """Returns the ticket."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Releases nothing: the upstream finishes its work before it confirms a release."""
-
-    def check(self) -> None:
-        """Never raises: the upstream itself stops work when its grant expires."""
-
-
 class RangeOwnership:
     """The `ownership` service for numeric keys.
 
@@ -234,30 +205,13 @@
             self._withdrawn.clear()
         grant_ends: dict[RangeId, float] = {}
         for key_range_id in owned_ranges:
-            end = self._covering_grant_end(key_range_id)
+            end = covering_grant_end(self._grant_ends, key_range_id)
             if end is not None:
                 grant_ends[key_range_id] = end
         self._owned_ranges, self._grant_ends = owned_ranges, grant_ends
         self._start_handovers()
         self._renewal_due.set()
 
-    def _covering_grant_end(self, target_id: RangeId) -> float | None:
-        """Returns the earliest end of the grants that cover a range, or None if a part has none.
-
-        A grant at a lower epoch is still valid: keys change their owner only after this member has
-        released them.
-        """
-        first, last, epoch = target_id
-        ends = []
-        next_key = first
-        for low, high, granted_epoch in sorted(self._grant_ends):
-            if granted_epoch <= epoch and low <= next_key <= high:
-                ends.append(self._grant_ends[(low, high, granted_epoch)])
-                next_key = high + 1
-                if next_key > last:
-                    return min(ends)
-        return None
-
     def _rebuild_index(self) -> None:
         self._active_ranges = sorted(
             (key_range_id[0], key_range_id) for key_range_id in self._grant_ends
