--- a/fescueward/services/evacuation/absent.py
+++ b/fescueward/services/evacuation/absent.py
@@ -13,7 +13,7 @@
 _SERVICE = "evacuations"
 
 
-class _NoEvacuations:
+class NoEvacuations:
     """State and gate of an agent whose platform cannot request an evacuation."""
 
     current = Evacuations()
@@ -43,11 +43,11 @@
     """Returns the `evacuations` service, or one without any evacuation."""
     if _SERVICE in registry.names:
         return registry.find(_SERVICE, EvacuationState)
-    return _NoEvacuations()
+    return NoEvacuations()
 
 
 def find_gate(registry: Registry) -> EvacuationGate:
     """Returns the gate of the `evacuations` service, or one that is always open."""
     if _SERVICE in registry.names:
         return registry.find(_SERVICE, EvacuationGate)
-    return _NoEvacuations()
+    return NoEvacuations()
--- a/fescueward/services/keyspace/usable_slots.py
+++ b/fescueward/services/keyspace/usable_slots.py
@@ -13,6 +13,8 @@
 
 # Slots of a member that takes next to nothing, which bounds its utilisation.
 _MIN_USABLE_SLOTS = 0.1
+# Share of the slots from which a rate counts as no limit.
+_ALL_SLOTS_SHARE = 0.95
 
 
 def usable_slots(member: Member, reports: Mapping[str, RangeLoad]) -> float:
@@ -23,8 +25,9 @@
 
 def usable_shares_of(group: Group, reports: Mapping[str, RangeLoad]) -> dict[str, float]:
     """Returns the share of their slots that the members with a limited rate can use."""
-    return {
-        member.id: min(usable_slots(member, reports) / member.slots, 1.0)
+    shares = {
+        member.id: usable_slots(member, reports) / member.slots
         for member in active_members(group)
-        if member.id in reports and reports[member.id].usable_slots is not None
+        if member.id in reports
     }
+    return {id_: share for id_, share in shares.items() if share < _ALL_SLOTS_SHARE}
--- a/tests/services/keyspace/test_evacuees.py
+++ b/tests/services/keyspace/test_evacuees.py
@@ -82,7 +82,7 @@
                 if all(id_ not in (r.owner, r.successor) for r in group.ranges if r.successor)
             }
             paths["rebalanced"] = rebalanced(group, still, _EVACUATED)
-            paths["consolidated"] = consolidated(group, still, _EVACUATED)
+            paths["consolidated"] = consolidated(group, still, evacuated=_EVACUATED)
         for path, after in paths.items():
             expected = 0
             for part in after.ranges:
