Let a member give more hot blocks once its handover has ended

It rested 1.2 s like the members that were given blocks, although its report counts only blocks that it still owns.

tests.run tests.services.keyspace: 66 passed, 1 skipped (known red).

--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -31,8 +31,10 @@
 # Keys are first assigned after this time even if members still join: half of the time within which
 # a key must be served again.
 _MAX_UNPLACED_S = 2.0
-# Pause between moves of a member, so that the effect of one shows in its report before the next.
+# Pause after a move to a member, so that the effect shows in its report before the next one.
 _MOVE_PAUSE_S = 1.2
+# Pause after a move from a member. Work on blocks that it has handed over no longer counts for it.
+_SOURCE_PAUSE_S = 0.8
 # Time that lasting utilisation takes to show the effect of a move.
 _LASTING_PAUSE_S = 7.0
 # A small range is returned once it has been cold for this time. Each return and a second move of
@@ -56,10 +58,10 @@
         self._members_changed_at = 0.0
         # Time since which the group has members but no assigned keys, or None.
         self._unplaced_since: float | None = None
-        # Time of the last move, of that of each member, and of wide parts by their old and their
-        # new owner.
+        # Time of the last move, times until which members rest, and times of moves of wide parts
+        # by their old and their new owner.
         self._moved_at = 0.0
-        self._member_moved_at: dict[str, float] = {}
+        self._rests_until: dict[str, float] = {}
         self._given_at: dict[str, float] = {}
         self._received_at: dict[str, float] = {}
         # Time since which each small range has been cold, by first and last key.
@@ -258,11 +260,11 @@
     def _settled_reports(self, reports: dict[str, RangeLoad]) -> dict[str, RangeLoad]:
         """Returns the reports that show the effect of the last moves."""
         now = self._clock.now()
-        settled = {}
-        for member_id, report in reports.items():
-            if now - self._member_moved_at.get(member_id, -_MOVE_PAUSE_S) >= _MOVE_PAUSE_S:
-                settled[member_id] = report
-        return settled
+        return {
+            member_id: report
+            for member_id, report in reports.items()
+            if now >= self._rests_until.get(member_id, 0.0)
+        }
 
     def _record_moves(self, group: Group) -> None:
         """Records the members whose ranges move in a group that this planner has written."""
@@ -274,13 +276,17 @@
                     self._returned_at = now
                     continue
                 owner_id, successor_id = key_range.owner or "", key_range.successor
-                self._member_moved_at[owner_id] = self._member_moved_at[successor_id] = now
+                self._rest(owner_id, now + _SOURCE_PAUSE_S)
+                self._rest(successor_id, now + _MOVE_PAUSE_S)
                 if not is_small(key_range):
                     self._given_at[owner_id] = self._received_at[successor_id] = now
-        for times in (self._member_moved_at, self._given_at, self._received_at):
+        for times in (self._rests_until, self._given_at, self._received_at):
             for member_id in times.keys() - group.members.keys():
                 del times[member_id]
 
+    def _rest(self, member_id: str, until: float) -> None:
+        self._rests_until[member_id] = max(until, self._rests_until.get(member_id, 0.0))
+
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(_ROUND_PERIOD_S)
