--- a/fescueward/services/evacuation/absent.py
+++ b/fescueward/services/evacuation/absent.py
@@ -23,9 +23,11 @@
     closed = False
 
     def observe(self, evacuations: Evacuations) -> bool:
+        """Learns nothing."""
         return False
 
     def observe_changes(self, changes: Changes) -> bool:
+        """Learns nothing."""
         return False
 
     def subscribe(self, listener: EvacuationListener) -> None:
@@ -36,6 +38,7 @@
 
     @asynccontextmanager
     async def waiting(self, keyed: bool) -> AsyncIterator[None]:
+        """Ends no wait."""
         yield
 
 
