--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -28,6 +28,7 @@
 from ..services.monitor import LeaseMonitor
 from ..services.peers import MsgpackPeers
 from ..services.quarantine import CrashQuarantine
+from ..services.room import CallerReturns
 from ..services.routing.dispatcher import DispatchRouter
 from ..services.routing.routes import ConfiguredCatalogue, RouteTable
 from ..services.shutdown import GracefulShutdown
@@ -113,6 +114,7 @@
         kernel.add(GracefulShutdown(kernel))
         kernel.add(GateExecution())
         kernel.add(UpstreamNotices())
+        kernel.add(CallerReturns())
         kernel.add(DispatchRouter())
         kernel.add(PrometheusMetrics())
         kernel.add(Heartbeats(site))
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -8,7 +8,7 @@
 
 from cachetools import TTLCache
 
-from ...interfaces import Execution, Groups, Membership, Peers, Routes, Shutdown
+from ...interfaces import Execution, Groups, Membership, Peers, Returns, Routes, Shutdown
 from ...interfaces.metrics import RequestListener
 from ...kernel import Clock, Event, Level, Outcome, RefusalError, Registry
 from ...kernel.bounds import Bounds
@@ -71,6 +71,8 @@
 # Retry-After of a request that is refused because all its upstreams are in evacuated failure
 # domains, which lasts until the operator ends an evacuation.
 _EVACUATED_RETRY_AFTER_S = 1.0
+# Retry-After of a refusal that names none.
+_DEFAULT_RETRY_AFTER_S = 0.1
 # Starts of upstreams that leave are remembered until they have ended.
 _DEPARTED_S = 120.0
 _MAX_DEPARTED = 4_096
@@ -85,7 +87,7 @@
     """The `router` service for services with numeric keys and services without keys."""
 
     name = "router"
-    requires = ("routes", "groups", "peers", "membership", "execution", "shutdown")
+    requires = ("routes", "groups", "peers", "membership", "execution", "shutdown", "returns")
 
     def __init__(self) -> None:
         self._listeners: list[RequestListener] = []
@@ -108,6 +110,7 @@
         self._membership = registry.find("membership", Membership)
         self._execution = registry.find("execution", Execution)
         self._shutdown = registry.find("shutdown", Shutdown)
+        self._returns = registry.find("returns", Returns)
         self._evacuations = find_evacuations(registry)
         self._failure_domain = registry.find("settings", Settings).agent.failure_domain
         self._groups.subscribe(self)
@@ -137,6 +140,8 @@
         """
         started_at = self._clock.now()
         self._budget(request.service).deposit(started_at)
+        if self._returns.is_returning(request):
+            request = replace(request, returning=True)
         unknown_outcomes: list[RefusalError] = []
         try:
             response = await self._serve(request, unknown_outcomes)
@@ -148,6 +153,9 @@
                 )
                 self._report_failure(request, outcome_error, started_at)
                 raise outcome_error from error
+            if error.outcome is Outcome.NOT_RUN:
+                retry_after_s = error.retry_after_s or _DEFAULT_RETRY_AFTER_S
+                error.retry_after_s = self._returns.told(request, retry_after_s)
             self._report_failure(request, error, started_at)
             raise
         self._notify_listeners(request, None, started_at)
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -32,12 +32,27 @@
 CLOCK = BootClock()
 
 
+class NoReturns:
+    """Callers that come back when they like."""
+
+    def told(self, request: Request, retry_after_s: float) -> float:
+        return retry_after_s
+
+    def is_returning(self, request: Request) -> bool:
+        return False
+
+
 class StubRegistry(Registry):
     """A registry that returns services without checking their type."""
 
     def __init__(self, **services: Any) -> None:
         super().__init__()
-        defaults = {"clock": CLOCK, "bodies": BodyBudget(1_000_000_000), "warmup": NoColdStarts()}
+        defaults = {
+            "clock": CLOCK,
+            "bodies": BodyBudget(1_000_000_000),
+            "warmup": NoColdStarts(),
+            "returns": NoReturns(),
+        }
         for name, service in {**defaults, **services}.items():
             self.register(name, service)
 
--- /dev/null
+++ b/tests/services/room/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room of upstreams and of the order of return."""
