Record joins at the address of an ended process

All members of the group were processes that had ended, so the call to the member that records joins failed ("no open stream"), and 58 agents wrote the group themselves under new incarnations: each conditional write has the whole group, which takes 0.1 s on a link of 5 Mbit/s, and most conflicted; peers refused 3,000 handshakes a second meanwhile.

A join is now sent to the agent at the recorder's address, whichever process runs there, and an agent records joins also before it has joined itself. If no stream opens to a recorder within 0.4 s, the next one is asked, at most three, and the join is written directly without a new incarnation, because nothing was sent.

--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -13,9 +13,10 @@
     PlatformUnavailableError,
 )
 from ..kernel.settings import Settings
-from ..messages import Group, GroupId, Member, Shard, VersionedGroup
+from ..messages import Group, GroupId, Member, MemberState, Shard, VersionedGroup
 from ..messages.peer import JoinReply, JoinRequest
 from .keyspace.moves import with_transferred_ranges
+from .peer_links import SEED_SUFFIX
 from .ring import fill_monitors
 
 _JOINS_RECORDED = Event(
@@ -33,6 +34,12 @@
 _JOIN_BATCH_S = 0.1
 # Longest delay of the first request of a batch; short against the timeout of its call.
 _MAX_JOIN_BATCH_S = 0.4
+# Time within which a stream to a recorder has to open, and the pause between two looks. All agents
+# of a fleet can start together, the recorder some tenths of a second later than the others.
+_RECORDER_DIAL_S = 0.4
+_DIAL_CHECK_S = 0.02
+# Recorders that are tried before an agent writes its own join.
+_MAX_RECORDERS = 3
 
 
 class JoinRecorder:
@@ -44,8 +51,8 @@
 
     def __init__(self, tasks: TaskOwner) -> None:
         self._tasks = tasks
-        # Requests whose joins the next write records.
-        self._pending_requests: list[JoinRequest] = []
+        # Senders and requests whose joins the next write records.
+        self._pending_requests: list[tuple[str, JoinRequest]] = []
         self._recording = False
 
     def bind(self, registry: Registry) -> None:
@@ -86,12 +93,14 @@
             return self.with_members(group, (member,))
 
         def add_if_first(group: Group) -> Group | None:
-            return None if self._recorder(group) is not None else add(group)
+            return None if self._recorders(group) else add(group)
 
         current = await self._groups.edit(own_group_id, add if write_directly else add_if_first)
-        recorder = self._recorder(current.group)
-        if member.id in current.group.members or recorder is None:
+        if member.id in current.group.members or not self._recorders(current.group):
             return current
+        recorder = await self._reachable_recorder(current.group)
+        if recorder is None:
+            return await self._groups.edit(own_group_id, add)
         call = self._peers.next_call()
         request = JoinRequest(call, own_group_id.service, own_group_id.number, member)
         deadline = self._clock.now() + self._lease_s
@@ -129,27 +138,47 @@
         if message.group is not None:
             self._groups.observe(message.group)
 
-    def _recorder(self, group: Group) -> Member | None:
-        """Returns the member that writes joins, or None if this agent has to write its own."""
-        others = {
-            member_id: other
-            for member_id, other in group.members.items()
-            if other.name != self._name
-        }
-        return self._placement.planner(replace(group, members=others))
+    def _recorders(self, group: Group) -> tuple[Member, ...]:
+        """Returns the members that write joins, the first one that is reachable for all.
+
+        It is empty if this agent writes its own: there is no member, or the first one is an
+        earlier process of this agent. After the end of all agents all members are earlier
+        processes, and the agent at the address of the first one writes.
+        """
+        planner = self._placement.planner(group)
+        if planner is None or planner.name == self._name:
+            return ()
+        others = sorted(
+            (
+                other
+                for other in group.members.values()
+                if other.name != self._name and other.state is MemberState.ACTIVE
+            ),
+            key=lambda other: (other.id != planner.id, other.id),
+        )
+        return tuple(others[:_MAX_RECORDERS])
+
+    async def _reachable_recorder(self, group: Group) -> Member | None:
+        """Returns the first recorder to which a stream opens, or None if none opens in time."""
+        for recorder in self._recorders(group):
+            end = self._clock.now() + _RECORDER_DIAL_S
+            while self._clock.now() < end:
+                for target in (recorder, recorder.any_incarnation()):
+                    if self._peers.dial(target):
+                        return target
+                await self._clock.sleep(_DIAL_CHECK_S)
+        return None
 
     def _on_join_request(self, sender: str, message: JoinRequest) -> None:
         group_id = GroupId(message.service, message.number)
-        own_member = self._membership.own_member()
+        # An agent that has not joined itself knows the group as well as its members do.
         accepts_joins = (
-            group_id == self._membership.own_group_id
-            and own_member is not None
-            and not self._membership.leaving
+            self._membership.own_group_id in (None, group_id) and not self._membership.leaving
         )
-        if not accepts_joins or sender != message.member.id:
+        if not accepts_joins or not is_sent_by(sender, message.member):
             self._peers.reply(sender, JoinReply(message.call))
             return
-        self._pending_requests.append(message)
+        self._pending_requests.append((sender, message))
         if not self._recording:
             self._recording = True
             self._tasks.spawn("record-joins", self._record_joins(group_id))
@@ -159,7 +188,7 @@
         while self._pending_requests:
             await self._wait_for_batch()
             requests, self._pending_requests = tuple(self._pending_requests), []
-            members = tuple(request.member for request in requests)
+            members = tuple(request.member for _, request in requests)
             written: VersionedGroup | None = None
             try:
                 written = await self._groups.edit(
@@ -175,8 +204,8 @@
                     continue
             else:
                 _JOINS_RECORDED.emit(group=group_id, version=written.version, members=len(members))
-            for request in requests:
-                self._peers.reply(request.member.id, JoinReply(request.call, written))
+            for sender, request in requests:
+                self._peers.reply(sender, JoinReply(request.call, written))
         self._recording = False
 
     async def _wait_for_batch(self) -> None:
@@ -217,6 +246,11 @@
         return fill_monitors(self._placement.assign(group, frozenset(replaced_ids)))
 
 
+def is_sent_by(sender: str, member: Member) -> bool:
+    """Returns whether a stream belongs to a member's process, also one dialled by address."""
+    return sender in (member.id, f"{member.name}{SEED_SUFFIX}:{member.incarnation}")
+
+
 def _same_process(group: Group, member: Member) -> tuple[Member, ...]:
     """Returns the members of the same name and boot, of which only the newest can run."""
     return tuple(
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -62,6 +62,9 @@
 # An upstream that stops its work at the deadline responds this much later at most.
 _RESPONSE_SLACK_S = 0.05
 
+# Ends the name under which an agent dials an address whose agent it does not know.
+SEED_SUFFIX = "-seed"
+
 Dispatch = Callable[[str, Any], None]
 
 
@@ -405,7 +408,7 @@
         identity = self._identity()
         # A client may dial one agent both as a seed and as a member, but the accepting side keeps
         # only one stream for each name.
-        name = identity.name if link.member.incarnation else f"{identity.name}-seed"
+        name = identity.name if link.member.incarnation else identity.name + SEED_SUFFIX
         mac = handshake_mac(identity.secret, challenge.nonce, name, identity.incarnation)
         # Incarnation 0 marks an address, such as a seed, whose agent is not known yet.
         expected_id = link.member.id if link.member.incarnation else ""
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -383,7 +383,12 @@
         self.member_id = f"{self.agent_name}:{incarnation}"
 
     def dial(self, member: Any) -> bool:
-        return False
+        target = self.network.peers.get(member.name)
+        return target is not None and target.matches(member.id)
+
+    def matches(self, target_id: str) -> bool:
+        """Returns whether a dialled id is this process or stands for any at its address."""
+        return target_id in (self.member_id, f"{self.agent_name}:0")
 
     def unreachable(self, member: Any) -> bool:
         return False
@@ -413,7 +418,7 @@
             self._calls.pop(call, None)
 
     def receive(self, target_id: str, sender_id: str, event: Callable[[FakePeers], None]) -> None:
-        if target_id == self.member_id:
+        if self.matches(target_id):
             self._sender = sender_id
             event(self)
 
