Share slots between kinds of requests and estimate waits by the order in use

Cause: waiting requests ran strictly by priority and deadline. In a long shortage the least urgent kind got little or nothing, and the estimate of the wait took every request ahead for one of mean run time and knew nothing of requests that overtake. Requests were let into the queue and refused later, and requests with seconds left were refused because a few late ones waited.

Change: each gate counts what it serves and refuses by route (shares.py). The wait is estimated from the run times of those ahead by route and from the slots that preceding kinds have used lately. A request with 2 s to spare waits though it will be late.

--- a/fescueward/services/admission/run_times.py
+++ b/fescueward/services/admission/run_times.py
@@ -57,6 +57,10 @@
         if route:
             self._by_route.setdefault(route, RunTimeStats()).add(run_s)
 
+    def route_mean_s(self, route: str) -> float:
+        """Returns the mean run time of a route in seconds, that of all routes if none is known."""
+        return self._by_route.get(route, self.overall).mean_s
+
     def expected_s(self, route: str) -> float:
         """Returns a time in seconds within which most runs of a route end."""
         run_time = self._by_route.get(route, self.overall)
--- a/fescueward/services/admission/slots.py
+++ b/fescueward/services/admission/slots.py
@@ -13,6 +13,7 @@
 from .pace import StartPace
 from .queue import RequestQueue, Waiter
 from .run_times import RunTimes
+from .shares import ServedShares
 from .slot_limit import SlotLimit
 
 _RATE_LIMITED = Event(
@@ -24,6 +25,12 @@
 
 # Connections to the upstream reserved for grants, cancellations and health checks.
 _RESERVED_CONNECTIONS = 3
+# Share of the slots that a waiting request counts on, however many are used by kinds before it: a
+# starved kind goes first.
+_MIN_SLOT_SHARE = 0.5
+# A request with this much time to spare after its expected wait waits although it will be late. A
+# refusal would make its caller send it, and a long body, once more.
+_PATIENCE_S = 2.0
 
 
 class _Slot:
@@ -70,7 +77,8 @@
         self._pace_timer: asyncio.TimerHandle | None = None
         self._upstream_start: tuple[str, int, str] | None = None
         self._running = 0
-        self._queue = RequestQueue()
+        self._shares = ServedShares()
+        self._queue = RequestQueue(self._shares)
         self._run_times = RunTimes()
         self._entry_rates = EntryRates()
 
@@ -145,7 +153,7 @@
     def check(self, request: Request, entry: Entry) -> None:
         """Raises as `Admission.check` if the request would be refused now."""
         if self._must_wait():
-            self._will_be_late(request, entry)
+            self._check_wait(request, entry)
         elif request.has_alternatives:
             ends_at = self._clock.now() + self._run_times.expected_s(request.route)
             if ends_at > self._worth_until(request):
@@ -155,9 +163,9 @@
         """Waits for a slot and takes it; raises as `Admission.slot`."""
         await self._entry_rates.take(entry)
         if not self._must_wait():
-            self._begin_run()
+            self._begin_run(request)
             return
-        waiter = self._queue.add(request, self._will_be_late(request, entry))
+        waiter = self._queue.add(request, self._check_wait(request, entry))
         loop = asyncio.get_running_loop()
         timer = loop.call_later(self._latest_start_s(request), self._expire, waiter)
         self._wake_at_pace()
@@ -169,6 +177,8 @@
                 # The slot was assigned in the event loop iteration of the cancellation.
                 self._running -= 1
                 self._wake_next()
+            elif not request.has_alternatives:
+                self._shares.record_refused(request, self._clock.now())
             raise
         finally:
             timer.cancel()
@@ -196,8 +206,9 @@
             or self._pace.wait_s(0, self._clock.now()) > 0
         )
 
-    def _begin_run(self) -> None:
+    def _begin_run(self, request: Request) -> None:
         self._running += 1
+        self._shares.record_served(request, self._clock.now())
         self._pace.take(self._clock.now())
 
     def _wake_at_pace(self) -> None:
@@ -214,6 +225,18 @@
         self._run_times.add(run_s, route)
         self._slot_limit.record_run(self._run_times.mean_s)
 
+    def _check_wait(self, request: Request, entry: Entry) -> bool:
+        """Decides as `_will_be_late` and counts a final refusal.
+
+        A refusal that leaves the request to another upstream says nothing about its kind.
+        """
+        try:
+            return self._will_be_late(request, entry)
+        except OverloadedError:
+            if not request.has_alternatives:
+                self._shares.record_refused(request, self._clock.now())
+            raise
+
     def _will_be_late(self, request: Request, entry: Entry) -> bool:
         """Returns whether the response to a request that begins to wait now will be late.
 
@@ -223,8 +246,12 @@
         limit = self._slot_limit.current()
         now = self._clock.now()
         run_s = self._run_times.expected_s(request.route)
-        ahead = self._queue.ahead_of(request)
-        wait_s = max(self._run_times.mean_s * (ahead + 1) / limit, self._pace.wait_s(ahead, now))
+        ahead = self._queue.work_ahead(request, self._run_times, now)
+        slots = max(limit - ahead.overtaking_slots, limit * _MIN_SLOT_SHARE)
+        wait_s = max(
+            (self._run_times.mean_s + ahead.run_s) / slots,
+            self._pace.wait_s(ahead.requests, now),
+        )
         drain_s = self._drain_s()
         retry_after_s = max(drain_s, entry.limits.retry_after_ms / 1000)
         if len(self._queue) >= entry.limits.queue_length:
@@ -233,9 +260,13 @@
             return False
         if request.has_alternatives:
             raise OverloadedError("the response would be late here", retry_after_s=retry_after_s)
-        fits_late = now + drain_s + run_s <= request.deadline
+        # Requests that can be in time and arrive during its wait precede a late one.
+        late_slots = limit * _MIN_SLOT_SHARE
+        late_end = now + (self._run_times.mean_s + ahead.late_run_s) / late_slots + run_s
         can_be_late = (request.useful_until or request.deadline) < request.deadline
-        if fits_late and can_be_late and self._queue.late_count < limit:
+        spare_s = request.deadline - max(late_end, now + self._pace.wait_s(len(self._queue), now))
+        few_late = ahead.late_requests < limit
+        if can_be_late and spare_s >= (self._run_times.mean_s if few_late else _PATIENCE_S):
             return True
         raise OverloadedError(
             "the expected wait exceeds the deadline", retry_after_s=retry_after_s
@@ -260,6 +291,7 @@
         """
         if waiter.admitted.done():
             return
+        self._shares.record_refused(waiter.request, self._clock.now())
         if waiter.request.deadline <= self._clock.now():
             waiter.admitted.set_exception(
                 DeadlineExceededError("the deadline passed while waiting for a slot")
@@ -279,20 +311,22 @@
             if self._pace.wait_s(0, self._clock.now()) > 0:
                 self._wake_at_pace()
                 return
-            waiter = self._queue.pop()
+            waiter, was_late = self._queue.pop(self._run_times)
             if waiter.admitted.done():
                 continue
             request = waiter.request
             ends_at = self._clock.now() + self._run_times.expected_s(request.route)
             if ends_at > request.deadline:
                 # A run that cannot end in time would take the slot from one that can.
+                self._shares.record_refused(request, self._clock.now())
                 waiter.admitted.set_exception(self._too_late_error())
                 continue
-            if ends_at > self._worth_until(request) and self._queue.has_on_time:
+            turned_late = not was_late and ends_at > self._worth_until(request)
+            if turned_late and self._queue.has_on_time:
                 # Its response will be late, so requests that can be in time run first.
                 self._queue.put_late(waiter)
                 continue
-            self._begin_run()
+            self._begin_run(request)
             waiter.admitted.set_result(None)
 
     def _drain_s(self) -> float:
