Recognise calls of runs and begin fewer runs whose calls fail

Cause: calls of runs reach the port for callers without a mark, so gates ordered them as new work, and runs were begun although the service that they call had no room. Each such run held a slot in vain.

Change: the agent beside an upstream compares each request of its VM with the runs in progress there. The router marks recognised calls as `inner` and reports their ends. When recent calls of a route's runs fail, a share of these runs begins and the rest is refused as not run (call_room.py). `RunCalls` connects both with router and gate. Requests and runs are treated as before where no call is recognised.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -17,6 +17,7 @@
 from ..services.gate.execution import GateExecution
 from ..services.gate.liveness import UpstreamLiveness
 from ..services.gate.notices import UpstreamNotices
+from ..services.gate.run_calls import RunCalls
 from ..services.groups import GroupStore
 from ..services.keyspace.load import KeyBlockLoad
 from ..services.keyspace.ownership import RangeOwnership
@@ -109,6 +110,7 @@
         kernel.add(GateExecution())
         kernel.add(UpstreamNotices())
         kernel.add(DispatchRouter())
+        kernel.add(RunCalls())
         kernel.add(PrometheusMetrics())
         kernel.add(Heartbeats(site))
         kernel.add(CallerFrontend(site))
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -36,14 +36,16 @@
     StartListener,
     Upstream,
 )
-from .room import CallRoom, Returns, Room
+from .room import CallListener, CallRoom, CallSource, Returns, Room, RunGate
 from .routes import RangeGrants, Routes
 from .shutdown import Shutdown, ShutdownPhase
 from .warmup import Warmup
 
 __all__ = [
     "Admission",
+    "CallListener",
     "CallRoom",
+    "CallSource",
     "Catalogue",
     "Changes",
     "CrashListener",
@@ -83,6 +85,7 @@
     "Room",
     "Router",
     "Routes",
+    "RunGate",
     "RunListener",
     "RunSource",
     "Shutdown",
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -9,6 +9,7 @@
 
 from ...interfaces import (
     Admission,
+    CallRoom,
     Catalogue,
     Departure,
     DepartureRecord,
@@ -69,6 +70,7 @@
 
     def __init__(self) -> None:
         self._listeners: list[RunListener] = []
+        self._call_room: CallRoom | None = None
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -98,6 +100,10 @@
         """Registers a listener to be called after each run on the upstream."""
         self._listeners.append(listener)
 
+    def watch_runs(self, room: CallRoom) -> None:
+        """Asks for room for the calls of each run; see `RunGate.watch_runs`."""
+        self._call_room = room
+
     async def execute(self, request: Request) -> Response:
         """Runs a request on the upstream of this agent; see `Execution.execute`.
 
@@ -136,6 +142,8 @@
         entry = self._catalogue.entry(request.service).entry
         self._check_accepting(request)
         self._check_in_time(request, arrived_at)
+        if self._call_room is not None:
+            self._call_room.check(request)
         async with AsyncExitStack() as run_context:
             async with self._shutdown.waiting(request.deadline, _is_movable(request)):
                 await self._admitted_epoch(request)
@@ -153,12 +161,15 @@
                 self._check_accepting(request)
                 epoch = await self._admitted_epoch(request)
             started_at = self._clock.now()
-            run = self._upstream.run(
-                request, int(request.key or 0), epoch, self._shutdown.limit(request.deadline)
-            )
+            run_until = self._shutdown.limit(request.deadline)
+            run = self._upstream.run(request, int(request.key or 0), epoch, run_until)
+            if self._call_room is not None:
+                self._call_room.run_began(request, run_until)
             try:
                 response = await (run if request.repeatable else self._finish(run))
             finally:
+                if self._call_room is not None:
+                    self._call_room.run_ended(request, run_until)
                 run_s = self._clock.now() - started_at
                 if request.key:
                     self._load.record(int(request.key), request.key, run_s)
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -6,7 +6,7 @@
 
 from cachetools import TTLCache
 
-from ...interfaces import Execution, Groups, Membership, Peers, Routes, Shutdown
+from ...interfaces import CallListener, Execution, Groups, Membership, Peers, Routes, Shutdown
 from ...interfaces.metrics import RequestListener
 from ...kernel import Clock, Event, Level, Outcome, RefusalError, Registry
 from ...kernel.bounds import Bounds
@@ -78,6 +78,7 @@
 
     def __init__(self) -> None:
         self._listeners: list[RequestListener] = []
+        self._call_listener: CallListener | None = None
         self._budgets: dict[str, RetryBudget] = {}
         self._balancers: dict[str, Balancer] = {}
         self._members: dict[GroupId, dict[str, Member]] = {}
@@ -109,6 +110,10 @@
         """Registers a listener to be called at the end of each request."""
         self._listeners.append(listener)
 
+    def watch_calls(self, listener: CallListener) -> None:
+        """Asks the listener whether a request is a call; see `CallSource.watch_calls`."""
+        self._call_listener = listener
+
     def group_changed(self, group: VersionedGroup) -> None:
         """Retires the streams to removed members; their last responses may still arrive."""
         previous_members = self._members.get(group.group.id, {})
@@ -123,6 +128,8 @@
             RefusalError: The request is refused or failed.
         """
         started_at = self._clock.now()
+        if self._call_listener is not None and self._call_listener.arrived(request):
+            request = replace(request, inner=True)
         self._budget(request.service).deposit(started_at)
         unknown_outcomes: list[RefusalError] = []
         try:
@@ -160,6 +167,8 @@
         elapsed_s = self._clock.now() - started_at
         for listener in self._listeners:
             listener.request_ended(request.service, error, elapsed_s)
+        if request.inner and self._call_listener is not None:
+            self._call_listener.call_ended(request, error, elapsed_s)
 
     async def _serve(self, request: Request, unknown_outcomes: list[RefusalError]) -> Response:
         started_at = self._clock.now()
--- a/tests/services/admission/competition.py
+++ b/tests/services/admission/competition.py
@@ -21,6 +21,7 @@
 from fescueward.messages import Announcement, Request
 from fescueward.messages.request import BytesBody
 from fescueward.services.admission import SlotAdmission
+from fescueward.services.gate.call_room import RunLimits
 
 from ..fakes import StubRegistry, make_entry
 
@@ -102,7 +103,9 @@
     """
 
     def __init__(self, speed: float, clock: LoopClock) -> None:
+        self._clock = clock
         self.speed = speed
+        self.run_limits: RunLimits | None = None
         self.idle_slots = 0
         self.admission = SlotAdmission()
         self.admission.bind(StubRegistry(clock=clock))
@@ -113,6 +116,10 @@
         self, request: Request, work_s: float, calls: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
         """Waits for a slot and holds it for the work and the calls."""
+        if self.run_limits is not None:
+            retry_after_s = self.run_limits.try_begin(request.route, self._clock.now())
+            if retry_after_s is not None:
+                raise OverloadedError("its calls would fail", retry_after_s=retry_after_s)
         async with self.admission.slot(request, _ENTRY):
             await asyncio.sleep(work_s / self.speed)
             await calls()
@@ -131,6 +138,7 @@
         seed: Seed of arrivals.
         keyed_loads: Requests at the gates of the first service.
         wave_depth: Change of the rates in proportion to their means.
+        limits_runs: Whether gates begin fewer runs of a route whose calls fail.
 
     Attributes:
         counts: Number of requests by route and outcome.
@@ -146,6 +154,7 @@
         seed: int = 1,
         keyed_loads: tuple[Load, ...] = (CHECK, RESERVE),
         wave_depth: float = 0.55,
+        limits_runs: bool = False,
     ) -> None:
         self._random = random.Random(seed)
         self._scale = scale
@@ -158,6 +167,9 @@
         self._called = [
             Gate(called_speed * (0.9 + 0.2 * number), self._clock) for number in range(called)
         ]
+        if limits_runs:
+            for gate in self._keyed:
+                gate.run_limits = RunLimits()
         self.counts: Counter[tuple[str, str]] = Counter()
         self.refused_after_wait = 0
 
@@ -234,7 +246,9 @@
             sent_at = self._clock.now()
             try:
                 return await gate.run(
-                    attempt, self._work_s(load), lambda: self._calls(load, deadline)
+                    attempt,
+                    self._work_s(load),
+                    lambda gate=gate: self._calls(load, deadline, gate),
                 )
             except OverloadedError:
                 self.refused_after_wait += self._clock.now() > sent_at
@@ -245,15 +259,23 @@
         """Returns the run time of a request, of which some take several times the mean."""
         return load.work_s * self._random.lognormvariate(-(_SPREAD**2) / 2, _SPREAD)
 
-    async def _calls(self, load: Load, deadline: float) -> None:
+    async def _calls(self, load: Load, deadline: float, gate: Gate) -> None:
         for _ in range(load.calls):
             if self._random.random() > 0.7:
                 continue
             now = self._clock.now()
             until = min(deadline, now + LOOKUP.deadline_s)
+            error: RefusalError | None = None
             try:
                 await self._send(LOOKUP, self._called, now, until, inner=True)
-            except RefusalError as error:
-                self.counts["lookup", "failed"] += 1
+            except RefusalError as refusal:
+                error = refusal
+            self.counts["lookup", "failed" if error else "in aim"] += 1
+            if gate.run_limits is not None:
+                ended_at = self._clock.now()
+                retry_after_s = error.retry_after_s or 0.0 if error else 0.0
+                gate.run_limits.record_call(
+                    load.route, ended_at - now, ended_at, error is not None, retry_after_s
+                )
+            if error is not None:
                 raise RuntimeError("a call failed") from error
-            self.counts["lookup", "in aim"] += 1
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -246,6 +246,34 @@
                 self.assertEqual((await execution.execute(request)).status, 200)
         first.cancel()
 
+    async def test_run_whose_calls_would_fail_is_refused_before_it_waits(self):
+        """Guards against runs that take a slot in vain, and runs that count as in progress."""
+        in_progress, refused = [], OverloadedError("calls fail", retry_after_s=0.4)
+
+        def check(request):
+            if request.path == "/calling":
+                raise refused
+
+        upstream = SlowUpstream()
+        execution = self.execution(FreeSlots(), upstream)
+        room = SimpleNamespace(
+            check=check,
+            run_began=lambda request, deadline: in_progress.append(deadline),
+            run_ended=lambda request, deadline: in_progress.remove(deadline),
+        )
+        execution.watch_runs(room)
+        with self.assertRaises(OverloadedError) as caught:
+            await execution.execute(make_request(2.0, key="", path="/calling"))
+        self.assertIs(caught.exception, refused)
+        running = asyncio.create_task(
+            execution.execute(make_request(2.0, key="", repeatable=True))
+        )
+        await upstream.run_started.wait()
+        self.assertEqual(len(in_progress), 1)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        self.assertEqual(in_progress, [])
+
     def execution(self, slots, upstream) -> GateExecution:
         execution = GateExecution()
         registry = StubRegistry(
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -1,6 +1,7 @@
 """Tests of the attempts and retries of `DispatchRouter`."""
 
 import asyncio
+import contextlib
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -30,6 +31,7 @@
     def __init__(self, *reachable: str) -> None:
         self.reachable = set(reachable)
         self.forwarded: list[str] = []
+        self.inner: list[bool] = []
         self.refusal: RefusalError | None = None
         # Raised from the second request on; `refusal` if None.
         self.later_refusal: RefusalError | None = None
@@ -39,6 +41,7 @@
 
     async def forward(self, member, request):
         self.forwarded.append(member.id)
+        self.inner.append(request.inner)
         if self.later_refusal is not None and len(self.forwarded) > 1:
             raise self.later_refusal
         if self.refusal is not None:
@@ -124,6 +127,24 @@
                 await self.router(peers).route(make_request(0.5, key=key))
             self.assertEqual(peers.forwarded, ["b:1"])
 
+    async def test_call_is_forwarded_as_such_and_its_end_is_reported(self):
+        """Guards against calls that wait behind new work, and against ends nobody learns of."""
+        for refusal in (None, OverloadedError("full")):
+            peers, ends = FakePeers("b:1"), []
+            peers.refusal = refusal
+            router = self.router(peers)
+            router.watch_calls(
+                SimpleNamespace(
+                    arrived=lambda request: request.route == "lookup",
+                    call_ended=lambda request, error, seconds, ends=ends: ends.append(error),
+                )
+            )
+            for route in ("lookup", "page"):
+                with contextlib.suppress(OverloadedError):
+                    await router.route(make_request(1.0, key="5", route=route))
+            self.assertEqual(peers.inner, [True, False])
+            self.assertEqual(ends, [refusal])
+
 
 class LeavingPeers(FakePeers):
     """The upstream of the only member leaves, as the response to the first request says."""
