Decide on the id of a request whether a limited run begins

Cause: a request without a key that one gate refuses is offered to up to six others. Each counted the runs that it let begin by itself, so a limit of four in ten would have let 95 in 100 begin.

Change: the decision depends on the id of the request, so gates with the same limit decide alike. The model of competing callers runs on the simulated time that other models use.

--- a/fescueward/services/gate/call_room.py
+++ b/fescueward/services/gate/call_room.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+import xxhash
+
 from ...kernel import Event, Level
 
 _RUNS_LIMITED = Event(
@@ -39,7 +41,6 @@
 
     Attributes:
         share: Share of the runs that may begin.
-        credit: Runs that may begin by now; the next one needs a whole one.
         call_s: Mean time of a call in seconds.
         failed: Recent failed calls.
         ended: All recent calls.
@@ -47,7 +48,6 @@
     """
 
     share: float = 1.0
-    credit: float = 1.0
     call_s: float = 0.0
     failed: float = 0.0
     ended: float = 0.0
@@ -98,19 +98,25 @@
         limit.share = max(limit.share * _REDUCTION_FACTOR, _PROBING_SHARE)
         limit.lowered_at = now
 
-    def try_begin(self, route: str, now: float) -> float | None:
-        """Counts a run that is to begin.
+    def retry_after_s(self, route: str, request_id: str, now: float) -> float | None:
+        """Decides whether a run begins.
+
+        Agents with the same limit decide alike on a request, so that one which is offered to
+        several of them does not begin after all.
+
+        Args:
+            route: Route of the request.
+            request_id: Id of the request.
+            now: Current time in seconds of CLOCK_BOOTTIME.
 
         Returns:
-            None if it may, else the time in seconds after which its caller is to come back.
+            None if it begins, else the time in seconds after which its caller is to come back.
         """
         limit = self._limits.get(route)
         if limit is None:
             return None
         self._recover(route, limit, now)
-        limit.credit = min(limit.credit + limit.share, 2.0)
-        if limit.share == 1.0 or limit.credit >= 1.0:
-            limit.credit = max(limit.credit - 1.0, 0.0)
+        if xxhash.xxh32_intdigest(request_id.encode()) < limit.share * 2**32:
             return None
         return max(limit.retry_after_s, limit.call_s, _MIN_RETRY_AFTER_S)
 
--- a/fescueward/services/gate/run_calls.py
+++ b/fescueward/services/gate/run_calls.py
@@ -65,7 +65,8 @@
 
     def check(self, request: Request) -> None:
         """Refuses a run whose calls are expected to fail; see `CallRoom.check`."""
-        retry_after_s = self._limits.try_begin(request.route, self._clock.now())
+        now = self._clock.now()
+        retry_after_s = self._limits.retry_after_s(request.route, request.id, now)
         if retry_after_s is not None:
             raise OverloadedError(
                 "calls of the runs of this route fail", retry_after_s=retry_after_s
--- a/tests/services/admission/competition.py
+++ b/tests/services/admission/competition.py
@@ -1,4 +1,4 @@
-"""A model of gates whose callers compete, which runs the admission code in virtual time.
+"""A model of gates whose callers compete, which runs the admission code on simulated time.
 
 One service serves keyed requests that call a second service, which also has requests of its own.
 It is a fixture for decisions: there is no network, and each run takes its work at the upstream's
@@ -8,15 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import random
-import selectors
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from typing import Any
 
-from fescueward.kernel import BootClock
 from fescueward.kernel.errors import OverloadedError, RefusalError
 from fescueward.messages import Announcement, Request
 from fescueward.messages.request import BytesBody
@@ -24,8 +23,11 @@
 from fescueward.services.gate.call_room import RunLimits
 
 from ..fakes import StubRegistry, make_entry
+from ..timed_fakes import AgentLoop, ManualClock, World
 
 _WAVE_S = 11.0
+# Longest time that a caller waits after the last arrival.
+_LAST_RESPONSES_S = 30.0
 # Standard deviation of the logarithm of run times.
 _SPREAD = 0.7
 _ENTRY = make_entry(queue_length=256, retry_after_ms=100)
@@ -34,37 +36,6 @@
 _SENDS = 6
 
 
-class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop whose time jumps to the next timer."""
-
-    def __init__(self) -> None:
-        self.now_s = 1000.0
-        super().__init__(_JumpingSelector(self))
-
-    def time(self) -> float:
-        return self.now_s
-
-
-class _JumpingSelector(selectors.SelectSelector):
-    def __init__(self, loop: VirtualTimeLoop) -> None:
-        super().__init__()
-        self._loop = loop
-
-    def select(self, timeout: float | None = None) -> list[Any]:
-        self._loop.now_s += timeout or 0.0
-        return super().select(0)
-
-
-class LoopClock(BootClock):
-    """The time of a loop."""
-
-    def __init__(self, loop: VirtualTimeLoop) -> None:
-        self._loop = loop
-
-    def now(self) -> float:
-        return self._loop.now_s
-
-
 @dataclass(frozen=True)
 class Load:
     """Requests on one route.
@@ -102,7 +73,7 @@
         clock: Source of time.
     """
 
-    def __init__(self, speed: float, clock: LoopClock) -> None:
+    def __init__(self, speed: float, clock: ManualClock) -> None:
         self._clock = clock
         self.speed = speed
         self.run_limits: RunLimits | None = None
@@ -117,7 +88,9 @@
     ) -> None:
         """Waits for a slot and holds it for the work and the calls."""
         if self.run_limits is not None:
-            retry_after_s = self.run_limits.try_begin(request.route, self._clock.now())
+            retry_after_s = self.run_limits.retry_after_s(
+                request.route, request.id, self._clock.now()
+            )
             if retry_after_s is not None:
                 raise OverloadedError("its calls would fail", retry_after_s=retry_after_s)
         async with self.admission.slot(request, _ENTRY):
@@ -160,8 +133,9 @@
         self._scale = scale
         self._wave_depth = wave_depth
         self._keyed_loads = keyed_loads
-        self._loop = VirtualTimeLoop()
-        self._clock = LoopClock(self._loop)
+        self._world = World()
+        self._loop = self._world.loops["model"] = AgentLoop(self._world, 1000.0, 1.0)
+        self._clock = ManualClock(self._loop)
         speeds = (0.6 + (number + 0.5) / keyed for number in range(keyed))
         self._keyed = [Gate(speed, self._clock) for speed in speeds]
         self._called = [
@@ -172,6 +146,7 @@
                 gate.run_limits = RunLimits()
         self.counts: Counter[tuple[str, str]] = Counter()
         self.refused_after_wait = 0
+        self._ids = itertools.count()
 
     @property
     def idle_slots(self) -> int:
@@ -185,10 +160,9 @@
 
     def play(self, seconds: float) -> None:
         """Plays arrivals for some seconds and waits for the last responses."""
-        try:
-            self._loop.run_until_complete(self._play(seconds))
-        finally:
-            self._loop.close()
+        play = self._loop.create_task(self._play(seconds))
+        self._world.advance(seconds + _LAST_RESPONSES_S)
+        play.result()
 
     async def _play(self, seconds: float) -> None:
         async with asyncio.TaskGroup() as group:
@@ -236,8 +210,8 @@
     ) -> None:
         useful_until = began + load.objective_s
         request = Request(
-            "r", "depot", "", "GET", "/", (), BytesBody(b""), deadline, priority=load.priority,
-            useful_until=useful_until, route=load.route, **values,
+            str(next(self._ids)), "depot", "", "GET", "/", (), BytesBody(b""), deadline,
+            priority=load.priority, useful_until=useful_until, route=load.route, **values,
         )  # fmt: skip
         order = self._random.sample(gates, len(gates))[:_SENDS]
         for number, gate in enumerate(order):
--- a/tests/services/gate/test_run_calls.py
+++ b/tests/services/gate/test_run_calls.py
@@ -1,6 +1,7 @@
 """Tests of the limits of runs whose calls fail, and of `RunCalls` between router and gate."""
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 from unittest import mock
 
@@ -17,7 +18,8 @@
 
 class RunLimitsTest(unittest.TestCase):
     def begun(self, limits: RunLimits, now: float) -> int:
-        return sum(limits.try_begin("page", now) is None for _ in range(100))
+        decisions = (limits.retry_after_s("page", f"r{number}", now) for number in range(1000))
+        return sum(decision is None for decision in decisions) // 10
 
     def fail_calls(self, limits: RunLimits, until: float) -> None:
         for number in range(int(until * 10)):
@@ -28,7 +30,7 @@
         limits = RunLimits()
         self.fail_calls(limits, until=3.0)
         self.assertIn(self.begun(limits, 3.0), range(38, 50))
-        self.assertEqual(limits.try_begin("other", 3.0), None)
+        self.assertEqual(limits.retry_after_s("other", "r1", 3.0), None)
         self.assertIn(self.begun(limits, 5.0), range(60, 85))
         self.assertEqual(self.begun(limits, 8.0), 100)
 
@@ -39,6 +41,15 @@
             limits.record_call("page", 0.1, number / 10, failed=number % 25 == 0)
         self.assertEqual(self.begun(limits, 10.0), 100)
 
+    def test_agents_with_the_same_limit_refuse_the_same_requests(self):
+        """Guards against a limit without effect, as the router offers a request to several."""
+        first, second = RunLimits(), RunLimits()
+        for limits in (first, second):
+            self.fail_calls(limits, until=3.0)
+        for number in range(50):
+            decisions = [each.retry_after_s("page", f"r{number}", 3.0) for each in (first, second)]
+            self.assertEqual(*decisions)
+
     def test_failures_of_one_moment_lower_the_limit_once(self):
         """Guards against a limit that falls to its least by calls that failed together."""
         limits = RunLimits()
@@ -68,8 +79,8 @@
                 calls.call_ended(call, OverloadedError("full", retry_after_s=0.4), 0.0)
         page = make_request(1.0, route="page")
         with self.assertRaises(OverloadedError) as refused:
-            for _ in range(5):
-                calls.check(page)
+            for number in range(20):
+                calls.check(replace(page, id=f"r{number}"))
         self.assertIs(refused.exception.outcome, Outcome.NOT_RUN)
         self.assertEqual(refused.exception.retry_after_s, 0.4)
 
