Log starved kinds, ask for the room of calls after the owner check and forget old pairs of routes

Cause: nothing told operators that a kind was starved at a gate. A gate that is not the owner of a key could refuse a request for the calls of its own runs, though the owner had room. Pairs of routes were never forgotten, so after many changes of configuration no new calls would have been recognised.

Change: events 3110 and 3111; the check follows the admission of the key; the oldest of 256 pairs is forgotten.

--- a/fescueward/services/admission/shares.py
+++ b/fescueward/services/admission/shares.py
@@ -4,8 +4,19 @@
 
 from dataclasses import dataclass
 
+from ...kernel import Event, Level
 from ...messages import Request
 
+_KIND_STARVED = Event(
+    3110,
+    "kind_starved",
+    Level.INFO,
+    "A kind of request is served less than half as often as all here, so it goes first.",
+)
+_KIND_RECOVERED = Event(
+    3111, "kind_recovered", Level.INFO, "A kind of request is served about as often as others."
+)
+
 # Time in which counts lose half of their weight: a shortage that ended does not decide for long.
 _HALF_LIFE_S = 4.0
 _DECAY_PERIOD_S = 0.1
@@ -15,6 +26,8 @@
 _MIN_WEIGHT = 0.01
 # A kind that is served less than this share as often as all requests is starved.
 _STARVED_SHARE = 0.5
+# Share of the others at which a kind counts as recovered in the log; the order needs no margin.
+_RECOVERED_SHARE = 0.75
 # Lead in the served share that a less urgent kind may have over a more urgent one.
 _PERMITTED_LEAD = 0.05
 
@@ -58,6 +71,7 @@
 
     def __init__(self) -> None:
         self._counts: dict[RequestKind, _Counts] = {}
+        self._reported_starved: set[RequestKind] = set()
         self._decayed_at = 0.0
 
     @property
@@ -71,11 +85,25 @@
         counts.served += 1
         if request.returning:
             counts.refused = max(counts.refused - 1, 0.0)
+        kind = kind_of(request)
+        if kind in self._reported_starved and not self._is_below(kind, _RECOVERED_SHARE):
+            self._reported_starved.discard(kind)
+            _KIND_RECOVERED.emit(route=kind.route, priority=kind.priority, inner=kind.inner)
 
     def record_refused(self, request: Request, now: float) -> None:
         """Counts a refusal, for each caller the first one."""
-        if not request.returning:
-            self._counts_of(request, now).refused += 1
+        if request.returning:
+            return
+        self._counts_of(request, now).refused += 1
+        kind = kind_of(request)
+        if kind not in self._reported_starved and self.is_starved(kind):
+            self._reported_starved.add(kind)
+            _KIND_STARVED.emit(
+                route=kind.route,
+                priority=kind.priority,
+                inner=kind.inner,
+                share=round(self.share(kind), 2),
+            )
 
     def share(self, kind: RequestKind) -> float:
         """Returns the served share of the requests of a kind, 1.0 before enough are counted."""
@@ -86,9 +114,7 @@
 
     def is_starved(self, kind: RequestKind) -> bool:
         """Returns whether a kind is served less than half as often as all requests."""
-        served = sum(counts.served for counts in self._counts.values())
-        decided = sum(counts.decided for counts in self._counts.values())
-        return self.share(kind) * decided < _STARVED_SHARE * served
+        return self._is_below(kind, _STARVED_SHARE)
 
     def is_trailing(self, kind: RequestKind) -> bool:
         """Returns whether a less urgent kind is served more often, by more than is permitted.
@@ -111,6 +137,12 @@
         # The sum of weights that halve every _HALF_LIFE_S is the rate times the mean lifetime.
         return counts.served * 0.693 / _HALF_LIFE_S if counts is not None else 0.0
 
+    def _is_below(self, kind: RequestKind, share: float) -> bool:
+        """Returns whether a kind is served less often than this share of the mean of all."""
+        served = sum(counts.served for counts in self._counts.values())
+        decided = sum(counts.decided for counts in self._counts.values())
+        return self.share(kind) * decided < share * served
+
     def _counts_of(self, request: Request, now: float) -> _Counts:
         self._decay(now)
         return self._counts.setdefault(kind_of(request), _Counts())
@@ -126,3 +158,4 @@
             counts.refused *= factor
             if counts.decided < _MIN_WEIGHT:
                 del self._counts[kind]
+                self._reported_starved.discard(kind)
--- a/fescueward/services/gate/call_evidence.py
+++ b/fescueward/services/gate/call_evidence.py
@@ -12,7 +12,7 @@
 # Added to numbers of runs, so that one arrival while none is in progress only weakens a belief.
 _SMOOTHING = 0.05
 # Bounds of the evidence. Requests that do not depend on runs reach _BELIEVED with a probability of
-# e^-10 at most, since the evidence is the logarithm of a likelihood ratio.
+# about e^-10, since the evidence is the logarithm of a likelihood ratio.
 _MIN_EVIDENCE = -8.0
 _BELIEVED = 10.0
 _MAX_EVIDENCE = 20.0
@@ -20,7 +20,7 @@
 _DOUBTED = 4.0
 # Difference between the time limits of a run and of its calls, in seconds, by delays on the way.
 _LIMIT_TOLERANCE_S = 0.1
-# Routes that are watched; further ones are not taken for calls.
+# Pairs of routes that are watched; the first ones are forgotten for further ones.
 _MAX_PAIRS = 256
 
 
@@ -151,10 +151,15 @@
         arrivals = self._arrivals.get((route, parent))
         if arrivals is None:
             if len(self._arrivals) >= _MAX_PAIRS:
-                return
+                self._forget(*next(iter(self._arrivals)))
             arrivals = self._arrivals[route, parent] = _Arrivals()
         arrivals.add(runs.count, usual, now)
         if arrivals.evidence >= _BELIEVED and route not in self._believed:
             self._believed[route] = parent
         elif arrivals.evidence < _DOUBTED and self._believed.get(route) == parent:
             del self._believed[route]
+
+    def _forget(self, route: str, parent: str) -> None:
+        del self._arrivals[route, parent]
+        if self._believed.get(route) == parent:
+            del self._believed[route]
--- a/fescueward/services/gate/call_room.py
+++ b/fescueward/services/gate/call_room.py
@@ -16,7 +16,7 @@
 )
 _RUNS_UNLIMITED = Event(3421, "runs_unlimited", Level.INFO, "All runs of a route are begun again.")
 
-# Time in which counts of calls lose most of their weight.
+# Time in which counts of calls lose two thirds of their weight.
 _COUNT_S = 3.0
 # A limit is lowered when this many recent calls and this share of them have failed: single
 # failures say nothing about room.
@@ -45,6 +45,8 @@
         failed: Recent failed calls.
         ended: All recent calls.
         retry_after_s: Time until the called service has room, as its last refusal said.
+        lowered_at: When the share was lowered last, in seconds of CLOCK_BOOTTIME.
+        updated_at: Until when counts and share are computed, in seconds of CLOCK_BOOTTIME.
     """
 
     share: float = 1.0
@@ -102,7 +104,7 @@
         """Decides whether a run begins.
 
         Agents with the same limit decide alike on a request, so that one which is offered to
-        several of them does not begin after all.
+        several of them does not begin after all. An attempt that comes back has a new id.
 
         Args:
             route: Route of the request.
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -142,11 +142,11 @@
         entry = self._catalogue.entry(request.service).entry
         self._check_accepting(request)
         self._check_in_time(request, arrived_at)
-        if self._call_room is not None:
-            self._call_room.check(request)
         async with AsyncExitStack() as run_context:
             async with self._shutdown.waiting(request.deadline, _is_movable(request)):
                 await self._admitted_epoch(request)
+                if self._call_room is not None:
+                    self._call_room.check(request)
                 if not isinstance(request.body, BytesBody):
                     length = request.body.length or 0
                     self._arrivals.check(length)
--- a/tests/services/admission/test_shares.py
+++ b/tests/services/admission/test_shares.py
@@ -2,7 +2,9 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
 
+from fescueward.services.admission import shares
 from fescueward.services.admission.shares import ServedShares, kind_of
 
 from ..fakes import make_request
@@ -24,7 +26,9 @@
     def test_kind_that_is_served_half_as_often_as_all_is_starved_until_it_recovers(self):
         """Guards against a least urgent kind that gets nothing in a lasting shortage."""
         self.record(URGENT, 30, 10)
-        self.record(PLAIN, 2, 8)
+        with mock.patch.object(shares, "_KIND_STARVED") as event:
+            self.record(PLAIN, 2, 8)
+        self.assertEqual(event.emit.call_count, 1)
         self.assertTrue(self.shares.is_starved(kind_of(PLAIN)))
         self.assertFalse(self.shares.is_starved(kind_of(URGENT)))
         self.record(PLAIN, 4, 0)
