Refuse keys at once while many of their owners are unreachable

A request still waits briefly for one lost owner. While at least three owners, and three in ten of those asked in the last two seconds, are unreachable, a request for a key without a reachable owner is refused at once with the time to come back. A stream has to open within a fifth of the time that is left to a request.

--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -59,6 +59,9 @@
 # Members of one group send messages to each other every second.
 _IDLE_TIMEOUT_S = 60.0
 _IDLE_CHECK_INTERVAL_S = 15.0
+# Share of the time that is left to a request in which a stream has to open, and the least time.
+_DIAL_SHARE = 0.2
+_MIN_DIAL_S = 0.1
 # An upstream that stops its work at the deadline responds this much later at most.
 _RESPONSE_SLACK_S = 0.05
 
@@ -337,7 +340,10 @@
 
     async def _wait_for_wire(self, link: _Link, deadline: float) -> Wire:
         if not link.dial_finished.is_set():
-            limit_s = min(self._timeout_s, max(deadline - self._clock.now(), 0))
+            remaining_s = max(deadline - self._clock.now(), 0)
+            limit_s = min(
+                self._timeout_s, max(remaining_s * _DIAL_SHARE, _MIN_DIAL_S), remaining_s
+            )
             with suppress(TimeoutError):
                 async with asyncio.timeout(limit_s):
                     await link.dial_finished.wait()
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -39,6 +39,7 @@
 from ..evacuation import find_evacuations
 from .balancer import Balancer, RequestProfile
 from .budget import RetryBudget
+from .outages import OwnerOutages
 from .search import SlotSearch
 
 _REQUEST_SENT = Event(
@@ -88,6 +89,11 @@
 # With less time than this to the deadline, a request is not sent: no upstream could run it.
 _MIN_RUN_S = 0.01
 
+# Retry-After while many owners are unreachable: a fleet that starts needs about two such times.
+_OUTAGE_RETRY_AFTER_S = 0.5
+
+# The key has no owner, or its owner cannot be reached.
+_NO_OWNER_ERRORS = (NoOwnerError, OwnerUnreachableError)
 # The request may have reached an upstream, so another attempt needs the retry budget.
 _BUDGETED_ERRORS = (AnswerLostError, OutcomeLostError, UpstreamRefusedError)
 
@@ -105,6 +111,7 @@
         self._balancers: dict[str, Balancer] = {}
         self._members: dict[GroupId, dict[str, Member]] = {}
         self._searches: defaultdict[str, SlotSearch] = defaultdict(SlotSearch)
+        self._outages: defaultdict[str, OwnerOutages] = defaultdict(OwnerOutages)
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -254,6 +261,9 @@
                 if request.key:
                     if isinstance(error, OverloadedError) or self._clock.now() >= owner_wait_until:
                         raise
+                    if isinstance(error, _NO_OWNER_ERRORS) and self._is_outage(request.service):
+                        error.retry_after_s = _OUTAGE_RETRY_AFTER_S
+                        raise
                     if owner_hint is None:
                         moving = isinstance(error, ShardMovingError)
                         await self._wait_for_owner(request, view, moving, owner_wait_until)
@@ -269,6 +279,9 @@
                 attempts=attempts,
             )
 
+    def _is_outage(self, service: str) -> bool:
+        return self._outages[service].widespread(self._clock.now())
+
     async def _wait_for_owner(
         self, request: Request, view: VersionedGroup | None, moving: bool, until: float
     ) -> None:
@@ -389,11 +402,13 @@
             occupancy = response.occupancy
             run_ms = (self._clock.now() - started_at) * 1000
             response_bytes = response.body.length or 0
+            self._outages[request.service].record(member.id, True, self._clock.now())
             return response
         except RefusalError as error:
             occupancy = error.occupancy
+            unreachable = isinstance(error, OwnerUnreachableError)
+            self._outages[request.service].record(member.id, not unreachable, self._clock.now())
             if error.outcome is Outcome.NOT_RUN:
-                unreachable = isinstance(error, OwnerUnreachableError)
                 balancer.avoid(member.id, self._clock.now(), unreachable)
             raise
         finally:
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -153,6 +153,35 @@
             self.assertEqual(ends, [refusal])
 
 
+class OutageTest(RouterCase):
+    """Six owners, all of which have ended."""
+
+    group = with_added_members(
+        Group(
+            "depot",
+            0,
+            1,
+            ranges=tuple(KeyRange(n * 100, n * 100 + 99, f"m{n}:1", 1) for n in range(6)),
+        ),
+        *(member(f"m{n}") for n in range(6)),
+    )
+
+    async def test_callers_are_told_to_come_back_while_all_owners_are_unreachable(self):
+        """Guards against requests that are held until they are late while a fleet returns."""
+        peers = FakePeers()
+        router = self.router(peers)
+        for key in ("0", "100", "200"):
+            with self.assertRaises(RefusalError):
+                await router.route(make_request(0.2, key=key))
+        peers.forwarded.clear()
+        for key in ("300", "400", "500"):
+            with self.assertRaises(RefusalError) as refused:
+                await router.route(make_request(5.0, key=key))
+            self.assertIs(refused.exception.outcome, Outcome.NOT_RUN)
+            self.assertGreaterEqual(refused.exception.retry_after_s, 0.4)
+        self.assertEqual(peers.forwarded, ["m3:1", "m4:1", "m5:1"])
+
+
 class EvacuatedDomainTest(RouterCase):
     """The owner of all keys, `b`, and `c` are in an evacuated domain; `d` is in another one."""
 
