Repeat requests of the kind download

Cause: only the kind idempotent counted as repeatable. The platform's pages treat download, for large responses, as idempotent.

Result: tests.run tests.platform.test_configuration.ConfigurationTest: the new test failed before, 4 passed, 0 failed after.

--- a/fescueward/platform/configuration.py
+++ b/fescueward/platform/configuration.py
@@ -8,7 +8,8 @@
 from ..messages.codec import DECODE_FAILURES, decode_json, encode_json
 from ..messages.configuration import CallerLimits, Configuration, Route, ServiceSpec, Target
 
-_REPEATABLE_KINDS = frozenset({"idempotent"})
+# Kinds of requests that may run more than once; a download is one with a large response.
+_REPEATABLE_KINDS = frozenset({"idempotent", "download"})
 
 
 class _SplitTarget(msgspec.Struct):
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -75,6 +75,11 @@
         route = {**STORED_CONFIGURATION["routes"]["r-1"], "kind": "other"}
         self.assertFalse(decode_configuration(encode_with_routes(r=route)).routes["r"].repeatable)
 
+    def test_download_is_repeatable(self):
+        """Guards against downloads that fail with their first upstream."""
+        route = {**STORED_CONFIGURATION["routes"]["r-1"], "kind": "download"}
+        self.assertTrue(decode_configuration(encode_with_routes(r=route)).routes["r"].repeatable)
+
     def test_invalid_configurations_are_rejected(self):
         """Guards against a configuration that is applied in part."""
         valid_route = STORED_CONFIGURATION["routes"]["r-2"]
