Bound what callers send and what is held for them

Cause: the parser got all bytes of a read at once and kept heads, empty lines and trailers without a limit of the connection or of the process; a finished response was no longer counted once it was written to the transport; no time or number limited open connections. Responses of cancelled requests stayed in reference cycles, and the allocator neither used their memory again nor gave it back.

Change: a connection counts what is no body and parses in parts, a bounded number of them before the loop serves others. Head and idle timeouts are those of the configuration. A response counts until it is sent, and a budget of the process resets the connection that holds most, also for responses on their way to other agents. Connections of callers have a limit below that of descriptors. Heartbeats and peers that have not proved their identity have limits of their own. Cancelled requests free their responses, and large blocks return to the system.

--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -7,6 +7,7 @@
 
 from ..kernel import BootClock, Event, Kernel, Level, StopLimits, configure_logging
 from ..kernel.body_budget import BodyBudget
+from ..kernel.caller_budget import CallerBudget
 from ..kernel.errors import FescuewardError
 from ..platform.announcements import Heartbeats
 from ..platform.frontend import CallerFrontend
@@ -79,10 +80,11 @@
         kernel.provide("bounds", bounds)
         kernel.provide("clock", BootClock())
         kernel.provide("bodies", BodyBudget(site.memory_bytes))
+        held = CallerBudget(site.memory_bytes)
         kernel.add(ObjectStore())
         kernel.add(RouteTable())
         kernel.add(ConfiguredCatalogue())
-        kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
+        kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation, held))
         kernel.add(GroupStore(kernel, fleet_wide=True))
         leaving_grace_s = min(LEAVING_GRACE_S, bounds.drain_s * _LEAVING_GRACE_SHARE)
         kernel.add(
@@ -111,7 +113,7 @@
         kernel.add(DispatchRouter())
         kernel.add(PrometheusMetrics())
         kernel.add(Heartbeats(site))
-        kernel.add(CallerFrontend(site))
+        kernel.add(CallerFrontend(site, held))
 
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT.
--- a/fescueward/daemons/process.py
+++ b/fescueward/daemons/process.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from ..kernel import Event, Kernel, Level
+from ..kernel.memory import return_large_blocks
 
 # Thresholds of `gc.set_threshold`. A request allocates some hundred objects and few cycles, so
 # Python's default of 700 would start a collection every few requests.
@@ -36,6 +37,7 @@
     Raises:
         ServiceFailedError: A service failed.
     """
+    return_large_blocks()
     # Objects that exist now live as long as the process, so later collections skip them. Imports
     # leave no cyclic garbage, so a collection before it would only delay each start.
     gc.freeze()
--- /dev/null
+++ b/fescueward/kernel/http_meter.py
@@ -0,0 +1,147 @@
+"""Counts what one HTTP connection sends that is no body, and divides it into parts."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import Any
+
+_HEAD_END = b"\r\n\r\n"
+# Bytes that are parsed before the limits are checked again.
+_PART_BYTES = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class InboundLimits:
+    """Limits on one connection, and on their number.
+
+    Attributes:
+        header_bytes: Largest header block, and largest request line, in bytes.
+        empty_bytes: Bytes of empty lines before a request.
+        framing_bytes: Framing of a chunked body with its trailers, in bytes, beyond a share of
+            the body.
+        header_timeout_s: Time from the first byte of a head to its last, in seconds.
+        idle_timeout_s: Time after which an idle connection is closed, in seconds.
+        stall_timeout_s: Time after which a connection is reset whose caller reads nothing of its
+            response, in seconds.
+        connections: Open connections of one port.
+    """
+
+    header_bytes: int = 16_384
+    empty_bytes: int = 64
+    framing_bytes: int = 32_768
+    header_timeout_s: float = 30.0
+    idle_timeout_s: float = 3600.0
+    stall_timeout_s: float = 30.0
+    connections: int = 2_700
+
+
+class Excess(enum.Enum):
+    """What a connection has sent too much of."""
+
+    EMPTY_LINES = "too many empty lines before a request"
+    HEAD = "the head is too large"
+    FRAMING = "the framing of the body is too large for it"
+
+
+# A chunk of one byte has five bytes of framing.
+_FRAMING_PER_BODY_BYTE = 8
+
+
+class InboundMeter:
+    """Divides the bytes of a connection into parts and counts those that are no body.
+
+    Each part ends with a head at the latest. The counts are of the request whose head or body is
+    being received.
+    """
+
+    def __init__(self) -> None:
+        self._between = True
+        self._empty_bytes = 0
+        self._line_bytes = 0
+        self._field_bytes = 0
+        self._line_open = True
+        # Bytes that are left of a body with a length.
+        self._body_left = 0
+        # A chunked body, whose end only the parser knows, with the bytes that were sent for it.
+        self._chunked: Any = None
+        self._chunked_bytes = 0
+
+    @property
+    def head_bytes(self) -> int:
+        """Bytes of the head that is being received."""
+        return self._line_bytes + self._field_bytes
+
+    def empty_bytes(self, data: bytes, start: int) -> int:
+        """Returns the size of the empty lines before a request, which need no parsing."""
+        if not self._between:
+            return 0
+        end = start
+        while end < len(data) and data[end] in b"\r\n":
+            end += 1
+            if end - start > _PART_BYTES:
+                break
+        self._empty_bytes += end - start
+        return end - start
+
+    def part_end(self, data: bytes, start: int) -> int:
+        """Returns the end of the part that is parsed next."""
+        if self._body_left:
+            return min(start + self._body_left, start + _PART_BYTES, len(data))
+        boundary = data.find(_HEAD_END, start, start + _PART_BYTES)
+        if boundary >= 0:
+            return boundary + len(_HEAD_END)
+        if len(data) - start <= _PART_BYTES:
+            return len(data)
+        # The end of a head is not cut in two.
+        return start + _PART_BYTES - len(_HEAD_END) + 1
+
+    def count(self, part: bytes) -> None:
+        """Counts a part before it is parsed."""
+        if self._body_left:
+            self._body_left -= len(part)
+            self._between = not self._body_left
+        elif self._chunked is not None:
+            self._chunked_bytes += len(part)
+        else:
+            self._between = False
+            if self._line_open:
+                line_end = part.find(b"\n") + 1
+                self._line_open = not line_end
+                self._line_bytes += line_end or len(part)
+                self._field_bytes += len(part) - (line_end or len(part))
+            else:
+                self._field_bytes += len(part)
+
+    def message_parsed(self, message: Any, payload: Any) -> None:
+        """Begins the body of a request whose head is complete."""
+        self._empty_bytes = self._line_bytes = self._field_bytes = 0
+        self._line_open = True
+        self._chunked, self._chunked_bytes = None, 0
+        self._between = payload.is_eof()
+        if self._between:
+            return
+        length = message.headers.get("Content-Length", "")
+        if length.isdecimal() and not message.chunked:
+            self._body_left = int(length)
+        else:
+            self._chunked = payload
+
+    def part_parsed(self) -> None:
+        """Observes whether a chunked body has ended; a head may have begun in the same part."""
+        if self._chunked is not None and self._chunked.is_eof():
+            self._chunked, self._chunked_bytes = None, 0
+
+    def excess(self, limits: InboundLimits) -> Excess | None:
+        """Returns the limit that the connection exceeds, or None."""
+        if self._empty_bytes > limits.empty_bytes:
+            return Excess.EMPTY_LINES
+        # The empty line ends the head, and a caller need not count it.
+        if max(self._line_bytes, self._field_bytes) > limits.header_bytes + len(_HEAD_END):
+            return Excess.HEAD
+        if self._chunked is not None:
+            body_bytes = self._chunked.total_bytes
+            allowed = limits.framing_bytes + _FRAMING_PER_BODY_BYTE * body_bytes
+            if self._chunked_bytes - body_bytes > allowed:
+                return Excess.FRAMING
+        return None
--- a/fescueward/kernel/http_pipeline.py
+++ b/fescueward/kernel/http_pipeline.py
@@ -10,11 +10,9 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from typing import Any
 
 # `aiohttp.web` would also import applications, routes and files, which delays each start.
-from aiohttp.http_writer import StreamWriter
 from aiohttp.streams import StreamReader
 from aiohttp.web_exceptions import HTTPException
 from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError
@@ -22,90 +20,18 @@
 from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
 
-_HEAD_END = b"\r\n\r\n"
-
-Handler = Callable[[Any], Awaitable[StreamResponse]]
-
-
-@dataclass(frozen=True, slots=True)
-class PipelineLimits:
-    """Limits on the requests that are handled before earlier ones of their connection.
-
-    Attributes:
-        requests: Requests of one connection that are handled at the same time.
-        response_bytes: Bytes of finished responses of one connection that wait for earlier ones;
-            above it, no further request of that connection is begun.
-        total_requests: Requests of all connections that wait for an earlier response.
-    """
-
-    requests: int = 16
-    response_bytes: int = 1 << 20
-    total_requests: int = 1024
-
-
-class _OrderedWriter(StreamWriter):
-    """Writes a response once all earlier responses of its connection are complete."""
-
-    def __init__(
-        self,
-        protocol: PipelinedConnection,
-        loop: asyncio.AbstractEventLoop,
-        turn: asyncio.Future[None],
-    ) -> None:
-        super().__init__(protocol, loop)
-        self._turn = turn
-
-    async def write_headers(self, status_line: str, headers: Any) -> None:
-        if not self._turn.done():
-            await asyncio.shield(self._turn)
-        await super().write_headers(status_line, headers)
+from .caller_budget import CallerBudget
+from .http_exchange import Exchange, OrderedWriter, PipelinedRequest, PipelineLimits
+from .http_inbound import InboundConnection
+from .http_meter import InboundLimits
 
+# Period in which connections are checked for slow callers.
+_CHECK_PERIOD_S = 1.0
 
-class PipelinedRequest(BaseRequest):
-    """A request that may have been read before earlier ones of its connection were answered."""
-
-    def __init__(self, *args: Any, turn: asyncio.Future[None]) -> None:
-        super().__init__(*args)
-        self._turn = turn
-
-    @property
-    def pipelined(self) -> bool:
-        """Whether the caller has sent requests on this connection before earlier responses."""
-        connection = self.protocol
-        assert isinstance(connection, PipelinedConnection)
-        return connection.pipelined
-
-    @property
-    def has_turn(self) -> bool:
-        """Whether all earlier requests of the connection have been answered."""
-        return self._turn.done()
-
-    async def wait_for_turn(self) -> None:
-        """Waits until all earlier requests of the connection have been answered."""
-        if not self._turn.done():
-            await asyncio.shield(self._turn)
-
-
-class _Exchange:
-    """A request in progress.
-
-    Attributes:
-        request: The request.
-        turn: Done once all earlier responses are complete, so that this one may be written.
-        ahead: Whether the request was begun while an earlier one was in progress.
-        waiting_bytes: Size of the finished response while it waits for its turn.
-        task: Runs the handler and writes the response.
-    """
-
-    def __init__(self, request: PipelinedRequest, turn: asyncio.Future[None], ahead: bool) -> None:
-        self.request = request
-        self.turn = turn
-        self.ahead = ahead
-        self.waiting_bytes = 0
-        self.task: asyncio.Task[tuple[StreamResponse, bool]] | None = None
+Handler = Callable[[Any], Awaitable[StreamResponse]]
 
 
-class PipelinedConnection(RequestHandler):
+class PipelinedConnection(InboundConnection):
     """A connection that begins each request when it arrives.
 
     A response with `Connection: close` tells the caller that no request behind it was read. A
@@ -115,28 +41,37 @@
     Args:
         manager: The server.
         limits: Limits on pipelined requests.
+        inbound: Limits on what the caller sends.
+        budget: Limit that the connection shares with others, or None.
         **options: Options of `aiohttp.web_protocol.RequestHandler`.
 
-    Attributes:
-        pipelined: Whether a request was begun before the response to an earlier one.
     """
 
     __slots__ = (
+        "_budget",
         "_draining",
         "_exchanges",
         "_finishing",
+        "_held_bytes",
         "_last_payload",
         "_limits",
         "_server",
-        "pipelined",
     )
 
-    def __init__(self, manager: PipelinedServer, limits: PipelineLimits, **options: Any) -> None:
-        super().__init__(manager, **options)
+    def __init__(
+        self,
+        manager: PipelinedServer,
+        limits: PipelineLimits,
+        inbound: InboundLimits,
+        budget: CallerBudget | None = None,
+        **options: Any,
+    ) -> None:
+        super().__init__(manager, inbound, **options)
+        self._budget = budget
+        self._held_bytes = 0
         self._server = manager
         self._limits = limits
-        self._exchanges: deque[_Exchange] = deque()
-        self.pipelined = False
+        self._exchanges: deque[Exchange] = deque()
         # Body of the last request that was begun, which may arrive when later data is discarded.
         self._last_payload: StreamReader | None = None
         # Whether a response closes the connection, so that no further request is begun.
@@ -149,33 +84,32 @@
         """Bytes of finished responses that wait for earlier ones."""
         return sum(exchange.waiting_bytes for exchange in self._exchanges)
 
-    def data_received(self, data: bytes) -> None:
-        """Parses requests and begins those within the limits."""
-        # aiohttp discards the requests that it has parsed from the same data as malformed bytes.
-        # It therefore gets the data in parts that end with a head.
-        start = 0
-        while True:
-            boundary = data.find(_HEAD_END, start)
-            end = boundary + len(_HEAD_END) if boundary >= 0 else len(data)
-            if self._finishing and self._last_payload_complete():
-                return
-            super().data_received(data[start:end])
-            self._begin_requests()
-            start = end
-            if start >= len(data):
-                return
+    def held_changed(self) -> None:
+        """Records what the connection holds in the budget of the process."""
+        held_bytes = 0
+        if self.transport is not None and not self._evicted:
+            held_bytes = self.inbound_bytes
+            for exchange in self._exchanges:
+                held_bytes += exchange.request.response_bytes
+        if self._budget is not None and held_bytes != self._held_bytes:
+            self._held_bytes = held_bytes
+            self._budget.update(self, held_bytes)
+
+    def _discards_input(self) -> bool:
+        return self._finishing and self._last_payload_complete()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails the reading of bodies; the handlers are cancelled with the task of `start`."""
         for exchange in self._exchanges:
             exchange.request._cancel(exc or ConnectionResetError("the caller disconnected"))
+        if self._budget is not None:
+            self._budget.update(self, 0)
         super().connection_lost(exc)
 
     @property
     def busy(self) -> bool:
         """Whether a request is in progress or a part of a response has not been sent."""
-        unsent = self.transport is not None and self.transport.get_write_buffer_size() > 0
-        return bool(self._exchanges) or unsent
+        return bool(self._exchanges) or self.unsent_bytes > 0
 
     def close(self) -> None:
         """Closes the connection once no request is in progress.
@@ -214,6 +148,9 @@
         finally:
             while self._exchanges:
                 self._discard(self._exchanges[-1])
+            self.held_changed()
+        if self._refused and not self._force_close:
+            await self._linger()
         if not self._force_close:
             self._task_handler = None
             if self.transport is not None:
@@ -233,20 +170,26 @@
         if not exchange.turn.done():
             exchange.turn.set_result(None)
         try:
-            response, disconnected = await exchange.task
+            keep_alive, disconnected = await exchange.task
+            # The response counts as held until its caller has read it.
+            await self._drain_helper()
         except ConnectionError:
             return False
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
             self.force_close()
-            raise
+            # The frames of the handler refer to this task, which would keep them, and with them
+            # the response, until the next collection.
+            raise error.with_traceback(None) from None
         except Exception as error:
             self.log_exception("Unhandled exception", exc_info=error)
             self.force_close()
             return False
         self._discard(exchange)
+        self._idle_since = self._loop.time()
+        self.held_changed()
         if disconnected:
             return False
-        self._keepalive = bool(response.keep_alive)
+        self._keepalive = keep_alive
         await self._discard_body(exchange.request)
         return self._keepalive and not self._force_close
 
@@ -287,18 +230,19 @@
             message,
             payload,
             self,
-            _OrderedWriter(self, self._loop, turn),
+            OrderedWriter(self, self._loop, turn),
             self._task_handler,
             self._loop,
             turn=turn,
         )
-        exchange = _Exchange(request, turn, bool(self._exchanges))
+        exchange = Exchange(request, turn, bool(self._exchanges))
         self._server.requests_ahead += exchange.ahead
         self.pipelined = self.pipelined or exchange.ahead
         self._exchanges.append(exchange)
         exchange.task = self._loop.create_task(self._handle(exchange, handler))
 
-    async def _handle(self, exchange: _Exchange, handler: Handler) -> tuple[StreamResponse, bool]:
+    async def _handle(self, exchange: Exchange, handler: Handler) -> tuple[bool, bool]:
+        """Writes the response; returns whether the connection is kept, and whether it ended."""
         request = exchange.request
         try:
             response = await handler(request)
@@ -308,9 +252,10 @@
             response = self.handle_error(request, 500, error)
         if not response.prepared:
             body = getattr(response, "body", None)
+            # They stay counted until the response has been sent.
             exchange.waiting_bytes = len(body) if isinstance(body, bytes) else 0
+            request.hold_response(exchange.waiting_bytes)
             await request.wait_for_turn()
-            exchange.waiting_bytes = 0
             is_last = self._exchanges[-1] is exchange
             if response.keep_alive is False and not is_last:
                 self._finishing = True
@@ -318,7 +263,8 @@
                 response._keep_alive = None
             elif (self._finishing or self._draining) and is_last:
                 response.force_close()
-        return await self.finish_response(request, response, None)
+        response, disconnected = await self.finish_response(request, response, None)
+        return bool(response.keep_alive), disconnected
 
     async def _discard_body(self, request: BaseRequest) -> None:
         """Reads the rest of a body for a bounded time, so that the caller gets the response."""
@@ -333,12 +279,15 @@
         if not payload.is_eof():
             self.close()
 
-    def _discard(self, exchange: _Exchange) -> None:
+    def _discard(self, exchange: Exchange) -> None:
         """Removes an exchange; one that is not complete is cancelled."""
         self._exchanges.remove(exchange)
         self._server.requests_ahead -= exchange.ahead
-        if exchange.task is not None and not exchange.task.done():
-            exchange.task.cancel()
+        task, exchange.task = exchange.task, None
+        # A cancelled task keeps the frames of its error. Without the way back from them the
+        # response is freed at once, not by the next collection.
+        if task is not None and not task.done():
+            task.cancel()
 
     def _schedule_keepalive(self) -> None:
         self._next_keepalive_close_time = self._loop.time() + self._keepalive_timeout
@@ -353,7 +302,9 @@
 
     Args:
         handler: Handles one request; it is cancelled when the caller disconnects.
-        limits: Limits on pipelined requests.
+        limits: Limits on pipelined requests, or None for the usual ones.
+        inbound: Returns the limits on what a caller sends, which may change.
+        budget: Memory for what all connections hold, or None for no limit.
         **options: Options of `aiohttp.web_protocol.RequestHandler`.
 
     Attributes:
@@ -363,11 +314,19 @@
     connection_class: type[PipelinedConnection] = PipelinedConnection
 
     def __init__(
-        self, handler: Handler, limits: PipelineLimits = PipelineLimits(), **options: Any
+        self,
+        handler: Handler,
+        limits: PipelineLimits | None = None,
+        inbound: Callable[[], InboundLimits] = InboundLimits,
+        budget: CallerBudget | None = None,
+        **options: Any,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self.requests_ahead = 0
-        self._limits = limits
+        self._limits = limits or PipelineLimits()
+        self._inbound = inbound
+        self._budget = budget
+        self._check: asyncio.TimerHandle | None = None
         # A body is forwarded under the header that names its encoding.
         self._options = {"auto_decompress": False, **options}
 
@@ -379,11 +338,44 @@
             for connection in self.connections
         )
 
+    def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
+        """Records a connection; above their limit, the one that is idle for longest is closed."""
+        super().connection_made(handler, transport)
+        if self._check is None:
+            loop = asyncio.get_running_loop()
+            self._check = loop.call_later(_CHECK_PERIOD_S, self._check_times)
+        if len(self.connections) > self._inbound().connections:
+            self._surplus(handler).evict()
+
+    def _surplus(self, newest: RequestHandler) -> InboundConnection:
+        connections = [
+            connection
+            for connection in self.connections
+            if isinstance(connection, InboundConnection) and connection is not newest
+        ]
+        idle = [connection for connection in connections if not connection.busy]
+        unread = [connection for connection in connections if connection.unsent_bytes]
+        assert isinstance(newest, InboundConnection)
+        return min(idle or unread or [newest], key=lambda connection: connection.idle_since)
+
+    def _check_times(self) -> None:
+        self._check = None
+        limits = self._inbound()
+        loop = asyncio.get_running_loop()
+        for connection in self.connections:
+            if isinstance(connection, InboundConnection):
+                connection.use_limits(limits)
+                connection.check_times(loop.time())
+        if self.connections:
+            self._check = loop.call_later(_CHECK_PERIOD_S, self._check_times)
+
     def __call__(self) -> RequestHandler:
         """Returns the aiohttp protocol of a new connection."""
         return self.connection_class(
             self,
             self._limits,
+            self._inbound(),
+            self._budget,
             loop=asyncio.get_running_loop(),
             access_log=None,
             **self._options,
--- a/fescueward/kernel/http_port.py
+++ b/fescueward/kernel/http_port.py
@@ -8,8 +8,9 @@
 
 from aiohttp.web_server import Server
 
-# Connections that may wait to be accepted, for example while the process is busy.
-_BACKLOG_CONNECTIONS = 1024
+# Connections that may wait to be accepted, for example while the process is busy. All of them are
+# accepted in one iteration of the event loop, before any is closed.
+BACKLOG_CONNECTIONS = 1024
 
 
 class HttpPort:
@@ -20,9 +21,18 @@
         host: Address to listen on.
         port: Port to listen on.
         shutdown_timeout_s: Time for which `close` waits for open requests, in seconds.
+        backlog: Connections that may wait to be accepted.
     """
 
-    def __init__(self, server: Server, host: str, port: int, shutdown_timeout_s: float) -> None:
+    def __init__(
+        self,
+        server: Server,
+        host: str,
+        port: int,
+        shutdown_timeout_s: float,
+        backlog: int = BACKLOG_CONNECTIONS,
+    ) -> None:
+        self._backlog = backlog
         self._server = server
         self._address = (host, port)
         self._shutdown_timeout_s = shutdown_timeout_s
@@ -45,11 +55,11 @@
         Raises:
             OSError: The address is not available.
         """
-        self._listener = socket.create_server(self._address, backlog=_BACKLOG_CONNECTIONS)
+        self._listener = socket.create_server(self._address, backlog=self._backlog)
         self._listener.setblocking(False)
         # The acceptor closes its socket; `stop_listening` uses this one after that.
         self._acceptor = await asyncio.get_running_loop().create_server(
-            self._server, sock=self._listener.dup(), backlog=_BACKLOG_CONNECTIONS
+            self._server, sock=self._listener.dup(), backlog=self._backlog
         )
 
     async def stop_listening(self) -> None:
--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -7,11 +7,12 @@
 import msgspec
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse, json_response
-from aiohttp.web_server import Server
 
 from ..interfaces import DepartureRecord, Liveness, Membership, Routes, StartListener
 from ..kernel import Event, Level, Registry
 from ..kernel.errors import InvalidAnnouncementError, MalformedMessageError
+from ..kernel.http_meter import InboundLimits
+from ..kernel.http_pipeline import PipelinedServer
 from ..kernel.http_port import HttpPort
 from ..messages import AnnouncedState, Announcement, GroupId
 from ..messages.codec import DECODE_FAILURES, decode_json, encode_json
@@ -44,6 +45,9 @@
 _MAX_COLD_S = 3600.0
 # Closing the port waits this long for heartbeats that are partly received.
 _CLOSE_TIMEOUT_S = 0.1
+# One upstream sends small heartbeats on few connections.
+_LIMITS = InboundLimits(connections=64)
+_MAX_BODY_BYTES = 65_536
 
 
 class _Info(msgspec.Struct):
@@ -96,7 +100,7 @@
 
     async def start(self) -> None:
         """Starts to listen for heartbeats."""
-        server = Server(self._handle_call, access_log=None)
+        server = PipelinedServer(self._handle_call, inbound=lambda: _LIMITS)
         address = self._site.heartbeats
         self._port = HttpPort(server, address.host, address.port, _CLOSE_TIMEOUT_S)
         await self._port.start()
@@ -110,7 +114,9 @@
         call, instance = request.query.get("call", ""), request.query.get("of", "")
         if request.path != RPC_PATH or call not in (HEARTBEAT_CALL, LEAVE_CALL) or not instance:
             return Response(status=404)
-        body = await request.read()
+        body = await _read_body(request)
+        if body is None:
+            return Response(status=413)
         if call == LEAVE_CALL:
             self._departure_record.instance_leaves(GroupId(self._site.service, 0), instance)
             response = json_response({})
@@ -182,3 +188,13 @@
         spec = current.configuration.services.get(service) if current is not None else None
         limit = spec.connections if spec is not None else _DEFAULT_CONNECTION_LIMIT
         return min(limit, _MAX_CONNECTION_LIMIT)
+
+
+async def _read_body(request: BaseRequest) -> bytes | None:
+    """Returns the body of a call, or None if it is larger than any heartbeat."""
+    body = b""
+    async for part in request.content.iter_any():
+        body += part
+        if len(body) > _MAX_BODY_BYTES:
+            return None
+    return body
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -12,10 +11,10 @@
 from aiohttp.web_response import StreamResponse
 
 from ..interfaces import Directory, Metrics, Router, Routes, Shutdown, ShutdownPhase
-from ..kernel import Clock, Event, Level, Outcome, RefusalError, Registry
+from ..kernel import Clock, Event, Level, RefusalError, Registry
 from ..kernel.body_budget import BodyBudget, BodyHolding
+from ..kernel.caller_budget import CallerBudget
 from ..kernel.errors import (
-    BodyTooLargeError,
     DeadlineExceededError,
     DeadlineExceededRunningError,
     DrainingError,
@@ -25,13 +24,23 @@
     NoRouteError,
     OutcomeLostError,
 )
+from ..kernel.http_meter import InboundLimits
 from ..kernel.http_pipeline import Handler, PipelinedRequest, PipelinedServer
 from ..kernel.http_port import HttpPort
-from ..messages import Request, Response
+from ..messages import Request
 from ..messages.configuration import CallerLimits
-from ..messages.group import LAST_KEY
 from ..messages.request import BytesBody
-from .names import HOP_HEADERS, KEY, OWN_HEADERS, READY_PATH, REQUEST_ID, TIMEOUT_MS
+from .caller_messages import (
+    RETRY_AFTER_S,
+    caller_timeout_s,
+    check_body_size,
+    forwarded_headers,
+    http_response,
+    parse_key,
+    read_body,
+    refusal_response,
+)
+from .names import READY_PATH, REQUEST_ID
 from .settings import Site
 
 _READY = Event(3710, "ready", Level.INFO, "This agent became ready for callers.")
@@ -68,11 +77,9 @@
 # A request that waits when the agent closes is refused within this time. Its caller then learns
 # that it has not run.
 _LAST_RESULT_S = 0.1
-# Statuses that a caller receives as 503: 421 and 429 refer an agent to another agent, and 422
-# would present a quarantined request as malformed, which it is not.
-_REPLACED_STATUSES = frozenset({421, 422, 429})
-# Retry delay for callers if the refusal does not set one.
-_RETRY_AFTER_S = 0.1
+
+# More lines than any head within the limit on its size has.
+_MAX_HEADER_LINES = 1 << 16
 
 _Result = TypeVar("_Result")
 
@@ -83,11 +90,12 @@
     name = "frontend"
     requires = ("router", "routes", "groups", "announcements", "shutdown")
 
-    def __init__(self, site: Site) -> None:
+    def __init__(self, site: Site, held: CallerBudget | None = None) -> None:
         self._site = site
         self._ports: list[HttpPort] = []
         self._servers: list[PipelinedServer] = []
         self._was_ready = False
+        self._held = held or CallerBudget(site.memory_bytes)
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -123,15 +131,29 @@
     async def _listen(self, handler: Handler, host: str, port: int) -> None:
         server = PipelinedServer(
             handler,
+            inbound=self._inbound_limits,
+            budget=self._held,
             keepalive_timeout=3600.0,
             max_line_size=65_536,
             max_field_size=65_536,
+            # The size of a head limits the number of its lines.
+            max_headers=_MAX_HEADER_LINES,
         )
         self._servers.append(server)
-        http_port = HttpPort(server, host, port, _CLOSE_TIMEOUT_S)
+        http_port = HttpPort(server, host, port, _CLOSE_TIMEOUT_S, self._site.caller_backlog)
         self._ports.append(http_port)
         await http_port.start()
 
+    def _inbound_limits(self) -> InboundLimits:
+        current = self._routes.current
+        limits = current.configuration.limits if current is not None else CallerLimits()
+        return InboundLimits(
+            header_bytes=limits.header_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+            connections=self._site.caller_connections,
+        )
+
     async def _handle_readiness(self, request: BaseRequest) -> StreamResponse:
         if request.path == _METRICS_PATH:
             page = self._metrics.render()
@@ -164,7 +186,7 @@
                 response = await self._process_request(request, request_id)
         except RefusalError as error:
             refusal = error.label
-            response = _refusal_response(error)
+            response = refusal_response(error)
         except asyncio.CancelledError:
             _CALLER_DISCONNECTED.emit(
                 request=request_id, ms=round((self._clock.now() - arrived_at) * 1000, 1)
@@ -172,7 +194,7 @@
             raise
         except Exception as error:  # an unexpected exception in one request must not affect others
             _REQUEST_FAILED.emit(request=request_id, error=repr(error)[:300])
-            response = _refusal_response(InternalError(type(error).__name__))
+            response = refusal_response(InternalError(type(error).__name__))
         response.headers.setdefault(REQUEST_ID, request_id)
         if self._shutdown.phase is not ShutdownPhase.SERVING:
             response.force_close()
@@ -190,7 +212,7 @@
         current = self._routes.current
         if current is None:
             raise NoConfigurationError(
-                "this agent has not received a configuration yet", retry_after_s=_RETRY_AFTER_S
+                "this agent has not received a configuration yet", retry_after_s=RETRY_AFTER_S
             )
         configuration = current.configuration
         route = self._routes.select(configuration, http.headers.get("Host", ""), http.path)
@@ -200,8 +222,8 @@
             raise InvalidRequestError(f"the header {REQUEST_ID} is missing")
         service = self._routes.target(route)
         spec = configuration.services[service]
-        key = _key(http) if spec.keyed else ""
-        timeout_s = min(_caller_timeout_s(http, route.timeout_s), route.timeout_s)
+        key = parse_key(http) if spec.keyed else ""
+        timeout_s = min(caller_timeout_s(http, route.timeout_s), route.timeout_s)
         self._shutdown.check(arrived_at + timeout_s)
         _REQUEST_RECEIVED.emit(
             request=request_id,
@@ -216,7 +238,7 @@
         )
         deadline = arrived_at + timeout_s
         length = http.content_length or 0
-        _check_body_size(length, configuration.limits)
+        check_body_size(length, configuration.limits)
         # The body is in memory until the response is known, because it may be sent again.
         with self._bodies.hold(length) as holding:
             body = b""
@@ -233,7 +255,7 @@
                 key=key,
                 method=http.method,
                 path=http.raw_path,
-                headers=_forwarded_headers(http),
+                headers=forwarded_headers(http),
                 body=BytesBody(body),
                 deadline=self._shutdown.limit(deadline),
                 caller=self._site.service,
@@ -244,12 +266,12 @@
                 useful_until=arrived_at + min(route.objective_s or timeout_s, timeout_s),
                 delays_others=http.pipelined,
             )
-            return await self._route(request, deadline)
+            return await self._route(http, request, deadline)
 
     async def _receive_body(
         self, http: BaseRequest, limits: CallerLimits, holding: BodyHolding, deadline: float
     ) -> bytes:
-        body = await self._run_until_deadline(_read_body(http, limits, holding), deadline)
+        body = await self._run_until_deadline(read_body(http, limits, holding), deadline)
         if body is not None:
             return body
         if self._shutdown.closing.done():
@@ -266,15 +288,18 @@
         if waited is None:
             raise DeadlineExceededError("the earlier requests of the connection are not answered")
 
-    async def _route(self, request: Request, deadline: float) -> HttpResponse:
+    async def _route(
+        self, http: PipelinedRequest, request: Request, deadline: float
+    ) -> HttpResponse:
         """Routes a request, which is cancelled at its deadline or if the caller disconnects.
 
         Args:
+            http: The request as it arrived, whose connection holds the response.
             request: The request; its run may have to end before the deadline of the caller.
             deadline: Deadline of the caller in seconds of CLOCK_BOOTTIME.
         """
         response = await self._run_until_deadline(
-            self._route_and_read(request, deadline), deadline, last_result_s=_LAST_RESULT_S
+            self._route_and_read(http, request, deadline), deadline, last_result_s=_LAST_RESULT_S
         )
         if response is not None:
             return response
@@ -282,11 +307,13 @@
             raise OutcomeLostError("this agent is stopping before the request has finished")
         raise DeadlineExceededRunningError("no response before the deadline")
 
-    async def _route_and_read(self, request: Request, deadline: float) -> HttpResponse:
+    async def _route_and_read(
+        self, http: PipelinedRequest, request: Request, deadline: float
+    ) -> HttpResponse:
         response = await self._router.route(request)
         try:
             async with asyncio.timeout(max(deadline - self._clock.now(), 0)):
-                return await _http_response(response)
+                return await http_response(http, response)
         except TimeoutError:
             raise DeadlineExceededRunningError(
                 "the response is incomplete at the deadline"
@@ -331,68 +358,3 @@
 async def _wait_for_turn(http: PipelinedRequest) -> bool:
     await http.wait_for_turn()
     return True
-
-
-def _key(http: BaseRequest) -> str:
-    text = http.headers.get(KEY, "")
-    if not text.isascii() or not text.isdigit() or int(text) > LAST_KEY:
-        raise InvalidRequestError(f"the key {text[:20]!r} is not an integer from 0 to {LAST_KEY}")
-    return str(int(text))
-
-
-def _caller_timeout_s(http: BaseRequest, default_s: float) -> float:
-    text = http.headers.get(TIMEOUT_MS, "")
-    try:
-        timeout_s = float(text) / 1000
-    except ValueError:
-        return default_s
-    return max(timeout_s, 0.0) if math.isfinite(timeout_s) else default_s
-
-
-def _forwarded_headers(http: BaseRequest) -> tuple[tuple[str, str], ...]:
-    connection_names = {
-        name.strip().lower()
-        for value in http.headers.getall("Connection", ())
-        for name in value.split(",")
-    }
-    excluded = HOP_HEADERS | OWN_HEADERS | connection_names | {REQUEST_ID.lower(), KEY.lower()}
-    return tuple(
-        (str(name), value) for name, value in http.headers.items() if name.lower() not in excluded
-    )
-
-
-def _check_body_size(size: int, limits: CallerLimits) -> None:
-    if size > limits.body_bytes:
-        raise BodyTooLargeError(f"the body exceeds {limits.body_bytes} bytes")
-
-
-async def _read_body(http: BaseRequest, limits: CallerLimits, holding: BodyHolding) -> bytes:
-    parts = []
-    size = 0
-    async for part in http.content.iter_any():
-        size += len(part)
-        _check_body_size(size, limits)
-        holding.grow_to(size)
-        parts.append(part)
-    return b"".join(parts)
-
-
-async def _http_response(response: Response) -> HttpResponse:
-    body = b"".join([part async for part in response.body.chunks()])
-    http_response = HttpResponse(status=response.status, body=body)
-    http_response.headers.popall("Content-Type", None)
-    for name, value in response.headers:
-        http_response.headers.add(name, value)
-    return http_response
-
-
-def _refusal_response(error: RefusalError) -> HttpResponse:
-    headers = {"Content-Type": "application/json"}
-    status = error.http_status
-    if error.outcome is Outcome.NOT_RUN and (status >= 500 or status in _REPLACED_STATUSES):
-        # A caller has the address of this agent only, so it has to retry at this agent.
-        status = 503
-        retry_after_s = error.retry_after_s or _RETRY_AFTER_S
-        headers["Retry-After"] = f"{retry_after_s:.3f}"
-    text = f'{{"error":"{error.label}","outcome":"{error.outcome}"}}'
-    return HttpResponse(status=status, headers=headers, text=text)
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -8,6 +8,7 @@
 
 from ..kernel.bounds import Bounds
 from ..kernel.errors import SettingsError
+from ..kernel.http_port import BACKLOG_CONNECTIONS
 from ..kernel.settings import (
     AdministrationSection,
     AgentSection,
@@ -45,6 +46,13 @@
 _MAX_STORE_ANSWER_BYTES = 16 * 1024 * 1024
 # Memory of a process if the settings name none.
 _DEFAULT_MEMORY_BYTES = 256_000_000
+# Descriptors of a process if the settings name none, and those of them that are for files only.
+_DEFAULT_DESCRIPTORS = 4_100
+_FILE_DESCRIPTORS = 200
+# The other sockets are for the upstream, other agents and the store.
+_CALLER_CONNECTIONS_SHARE = 0.7
+_BACKLOG_SHARE = 0.2
+_MIN_CALLER_CONNECTIONS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +80,7 @@
         application: Address of the upstream on this machine.
         service: Name of the service that the upstream on this machine runs.
         memory_bytes: Memory of the process, in bytes.
+        descriptors: Descriptors of the process for sockets and files.
     """
 
     settings: Settings
@@ -81,6 +90,22 @@
     application: Address
     service: str
     memory_bytes: int = _DEFAULT_MEMORY_BYTES
+    descriptors: int = _DEFAULT_DESCRIPTORS
+
+    @property
+    def caller_connections(self) -> int:
+        """Connections of callers that may be open at a time."""
+        return max(int(self._sockets * _CALLER_CONNECTIONS_SHARE), _MIN_CALLER_CONNECTIONS)
+
+    @property
+    def caller_backlog(self) -> int:
+        """Connections of callers that may wait to be accepted, beyond those that are open."""
+        backlog = max(int(self._sockets * _BACKLOG_SHARE), _MIN_CALLER_CONNECTIONS)
+        return min(backlog, BACKLOG_CONNECTIONS)
+
+    @property
+    def _sockets(self) -> int:
+        return self.descriptors - _FILE_DESCRIPTORS
 
 
 def settings_path() -> Path:
@@ -169,6 +194,7 @@
         memory_bytes=int(float(values["limits.memoryMb"]) * 1_000_000)
         if "limits.memoryMb" in values
         else _DEFAULT_MEMORY_BYTES,
+        descriptors=int(float(values.get("limits.maxFds", _DEFAULT_DESCRIPTORS))),
     )
 
 
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -23,6 +23,7 @@
     UpstreamUnavailableError,
 )
 from ..kernel.http_client import ProcessChangedError, ReceptionBudget, bounded_session
+from ..kernel.memory import memory_share
 from ..kernel.process_sessions import ProcessSessions
 from ..kernel.server_process import ServerProcesses
 from ..messages import GrantSet, Request, Response
@@ -65,8 +66,10 @@
 _KEEPALIVE_TIMEOUT_S = 4.0
 _CONNECT_TIMEOUT_S = 0.5
 _GRANT_CONNECTIONS = 4
-# Responses of the largest size that fit in memory at a time.
+# Responses of the largest size that are received at a time, and the share of the memory of the
+# process that they take at most; one of them is always received.
 _LARGEST_RESPONSES = 4
+_RECEPTION_SHARE = 0.14
 # Longer request bodies are written in parts of this size.
 _PART_BYTES = 262_144
 # Limit on the response to a grant or release, which carries at most one header.
@@ -104,6 +107,10 @@
     def __init__(self, site: Site) -> None:
         self._base_url = f"http://{site.application.host}:{site.application.port}"
         self._max_answer_bytes = site.settings.upstream.max_answer_bytes
+        self._max_reception_bytes = min(
+            _LARGEST_RESPONSES * self._max_answer_bytes,
+            max(self._max_answer_bytes, memory_share(site.memory_bytes, _RECEPTION_SHARE)),
+        )
         self._keepalive_session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
         self._grant_sessions: ProcessSessions | None = None
@@ -151,7 +158,7 @@
         self._membership = registry.find("membership", Membership)
         self._liveness = registry.find("liveness", Liveness)
         self._processes = ServerProcesses(self._clock.now)
-        self._budget = ReceptionBudget(_LARGEST_RESPONSES * self._max_answer_bytes)
+        self._budget = ReceptionBudget(self._max_reception_bytes)
 
     async def start(self) -> None:
         """Opens the HTTP sessions."""
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -12,6 +12,7 @@
 
 from ..interfaces.peers import RequestHandler
 from ..kernel import Clock, Event, Level, RefusalError, TaskOwner
+from ..kernel.caller_budget import CallerBudget
 from ..kernel.errors import (
     BodyTruncatedError,
     HandshakeError,
@@ -45,6 +46,8 @@
 )
 
 _MAX_REQUESTS_PER_STREAM = 10_000
+# Connections that have not proved their identity yet; a peer that finds no place dials again.
+_MAX_HANDSHAKES = 256
 # Routing clients have a new name after each start, so the least recently used names are evicted.
 _MAX_CACHED_INCARNATIONS = 100_000
 
@@ -69,6 +72,7 @@
         timeout_s: Timeout of a handshake, in seconds.
         identity: Returns the current identity of this process.
         dispatch: Receives messages that belong to no request.
+        held: Limit on the responses that wait to be sent, or None.
     """
 
     def __init__(
@@ -78,7 +82,10 @@
         timeout_s: float,
         identity: Callable[[], Identity],
         dispatch: Dispatch,
+        held: CallerBudget | None = None,
     ) -> None:
+        self._held = held
+        self._handshakes = 0
         self._tasks = tasks
         self._clock = clock
         self._timeout_s = timeout_s
@@ -102,6 +109,9 @@
 
     def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Starts a task that serves a new connection."""
+        if self._handshakes >= _MAX_HANDSHAKES:
+            writer.transport.abort()
+            return
         self._tasks.spawn("accepted", self._run(reader, writer))
 
     def reply(self, sender: str, message: object) -> bool:
@@ -138,8 +148,12 @@
         transit = TransitDelay()
         accepted: _AcceptedStream | None = None
         try:
-            async with asyncio.timeout(self._timeout_s):
-                sender = await self._authenticate(wire, messages, transit)
+            self._handshakes += 1
+            try:
+                async with asyncio.timeout(self._timeout_s):
+                    sender = await self._authenticate(wire, messages, transit)
+            finally:
+                self._handshakes -= 1
             # A peer that dials again has abandoned its earlier stream, which may be half open.
             self.drop(sender)
             accepted = self._accepted[sender] = _AcceptedStream(sender, wire, transit)
@@ -248,7 +262,7 @@
             if self._handler is None:
                 raise NotOwnerError("this agent serves no forwarded requests")
             response = await self._handler(request)
-            await _send_response(accepted.wire, channel, response)
+            await _send_response(accepted.wire, channel, response, self._held)
         except RefusalError as error:
             accepted.wire.send(refused_message(message.stream, error))
         except BodyTruncatedError as error:
@@ -296,7 +310,20 @@
         )
 
 
-async def _send_response(wire: Wire, channel: Channel, response: Response) -> None:
+class _HeldResponse:
+    """A response that is held until the peer has read it."""
+
+    def __init__(self, channel: Channel) -> None:
+        self._channel = channel
+
+    def evict(self) -> None:
+        """Ends the response, which is then incomplete."""
+        self._channel.fail("too many response bytes are held")
+
+
+async def _send_response(
+    wire: Wire, channel: Channel, response: Response, budget: CallerBudget | None
+) -> None:
     inline = inline_data(response.body)
     head = StreamHead(
         stream=channel.stream,
@@ -313,8 +340,13 @@
     if inline is not None:
         wire.send(head)
         return
+    held = _HeldResponse(channel)
     try:
         wire.send(head)
+        if budget is not None and isinstance(response.body, BytesBody):
+            budget.update(held, len(response.body.data))
         await channel.write_body(response.body)
     finally:
+        if budget is not None:
+            budget.update(held, 0)
         await response.body.close()
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -11,7 +11,12 @@
 from typing import Any
 
 from ..kernel import RefusalError
-from ..kernel.errors import NotOwnerError, TokenRequiredError, refusal_from_label
+from ..kernel.errors import (
+    MalformedMessageError,
+    NotOwnerError,
+    TokenRequiredError,
+    refusal_from_label,
+)
 from ..messages import Request
 from ..messages.frames import FrameDecoder, FrameEncoder
 from ..messages.peer import PROTOCOL_VERSION, StreamOpen, StreamRefused
@@ -19,6 +24,9 @@
 from .streams import INLINE_BYTES
 
 _READ_BYTES = 262_144
+# Anyone who reaches the port can send a first message, which has a few hundred bytes.
+_FIRST_READ_BYTES = 4_096
+_MAX_FIRST_BYTES = 16_384
 # Above this limit the connection of a slow reader is aborted; the peer dials again.
 _MAX_WRITE_BUFFER_BYTES = 16 * 1024 * 1024
 # Lets a slow receiver read the last responses of a stopping agent.
@@ -88,12 +96,19 @@
     """Yields the messages of a connection until it is closed.
 
     Raises:
-        MalformedMessageError: The bytes do not decode to a message.
+        MalformedMessageError: The bytes do not decode to a message, or the first one, which proves
+            the identity of the peer, is too large.
     """
     decoder = FrameDecoder()
-    while data := await reader.read(_READ_BYTES):
+    first_bytes = 0
+    is_first = True
+    while data := await reader.read(_FIRST_READ_BYTES if is_first else _READ_BYTES):
         for message in decoder.feed(data):
+            is_first = False
             yield message
+        first_bytes += len(data)
+        if is_first and first_bytes > _MAX_FIRST_BYTES:
+            raise MalformedMessageError(f"no message within {_MAX_FIRST_BYTES} bytes")
 
 
 def handshake_mac(secret: bytes, nonce: bytes, name: str, incarnation: int) -> bytes:
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -11,6 +11,7 @@
 
 from ..interfaces.peers import M, MessageHandler, RequestHandler
 from ..kernel import Clock, Event, Kernel, Level, Registry
+from ..kernel.caller_budget import CallerBudget
 from ..kernel.errors import MalformedMessageError
 from ..kernel.settings import Settings
 from ..messages import Member, Request, Response
@@ -30,12 +31,21 @@
 
     A message is sent on the stream that this agent dialled, and its reply is received on the same
     stream. Each dialled stream is one long-lived connection that multiplexes all requests.
+
+    Args:
+        kernel: The kernel.
+        name: Name of this agent.
+        incarnation: Number of this start, which increases with each start.
+        held: Limit on the responses that wait to be sent to peers, or None.
     """
 
     name = "peers"
     requires: tuple[str, ...] = ()
 
-    def __init__(self, kernel: Kernel, name: str, incarnation: int) -> None:
+    def __init__(
+        self, kernel: Kernel, name: str, incarnation: int, held: CallerBudget | None = None
+    ) -> None:
+        self._held = held
         self._tasks = kernel.task_owner(self.name)
         self._agent_name = name
         self._incarnation = incarnation
@@ -51,7 +61,7 @@
         timeout_s = section.timeout_ms / 1000
         self._links = PeerLinks(self._tasks, clock, timeout_s, self._identity, self._dispatch)
         self._accepted = AcceptedStreams(
-            self._tasks, clock, timeout_s, self._identity, self._dispatch
+            self._tasks, clock, timeout_s, self._identity, self._dispatch, self._held
         )
 
     async def start(self) -> None:
--- a/tests/integration/test_faulty_responses.py
+++ b/tests/integration/test_faulty_responses.py
@@ -43,8 +43,9 @@
         """Waits until both agents serve the route: one may not know of the other's upstream."""
         async with asyncio.timeout(SERVED_WITHIN_S):
             for agent in AGENTS:
-                while (await self._send(agent))[0] != 200:
-                    await asyncio.sleep(0.05)
+                status = 0
+                while status != 200:
+                    status, _ = await self._send(agent)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError, asyncio.IncompleteReadError):
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -166,4 +166,8 @@
 
 def site_at(address: Address) -> SimpleNamespace:
     section = UpstreamSection(max_answer_bytes=MAX_ANSWER_BYTES)
-    return SimpleNamespace(application=address, settings=SimpleNamespace(upstream=section))
+    return SimpleNamespace(
+        application=address,
+        settings=SimpleNamespace(upstream=section),
+        memory_bytes=300_000_000,
+    )
