--- a/fescueward/kernel/http_exchange.py
+++ b/fescueward/kernel/http_exchange.py
@@ -12,6 +12,8 @@
 
 from .http_inbound import InboundConnection
 
+# Memory of one line of a parsed head, with its copies in the request that is passed on.
+_LINE_BYTES = 1_024
 # Longer bodies are written in parts of this size.
 _PART_BYTES = 131_072
 
@@ -97,6 +99,11 @@
             await asyncio.shield(self._turn)
 
 
+def head_bytes(message: Any) -> int:
+    """Returns the estimated memory of a parsed head, which short lines enlarge, in bytes."""
+    return _LINE_BYTES * len(getattr(message, "raw_headers", ()))
+
+
 class Exchange:
     """A request in progress.
 
@@ -104,13 +111,17 @@
         request: The request.
         turn: Done once all earlier responses are complete, so that this one may be written.
         ahead: Whether the request was begun while an earlier one was in progress.
+        head_bytes: Memory of the head of the request.
         waiting_bytes: Size of the finished response while it waits for its turn.
         task: Runs the handler and writes the response.
     """
 
-    def __init__(self, request: PipelinedRequest, turn: asyncio.Future[None], ahead: bool) -> None:
+    def __init__(
+        self, request: PipelinedRequest, turn: asyncio.Future[None], ahead: bool, head_bytes: int
+    ) -> None:
         self.request = request
         self.turn = turn
         self.ahead = ahead
+        self.head_bytes = head_bytes
         self.waiting_bytes = 0
         self.task: asyncio.Task[tuple[bool, bool]] | None = None
--- a/fescueward/kernel/http_inbound.py
+++ b/fescueward/kernel/http_inbound.py
@@ -188,13 +188,12 @@
             part = data[start:end]
             if part:
                 self._meter.count(part)
-            excess = self._meter.excess(self._inbound)
+            excess = self._meter.head_excess(self._inbound)
             turn_bytes, turn_parts = turn_bytes + end - self._unparsed_start, turn_parts + 1
             self._unparsed_start = end
             if excess is None and part:
                 self._feed(part)
-                self._meter.part_parsed()
-                excess = self._meter.excess(self._inbound)
+                excess = self._meter.body_excess(self._inbound)
             if excess is not None:
                 self._refuse(excess)
         self._unparsed, self._unparsed_start = b"", 0
--- a/fescueward/kernel/http_meter.py
+++ b/fescueward/kernel/http_meter.py
@@ -74,7 +74,7 @@
 
     def empty_bytes(self, data: bytes, start: int) -> int:
         """Returns the size of the empty lines before a request, which need no parsing."""
-        if not self._between:
+        if not self._between or data[start] not in b"\r\n":
             return 0
         end = start
         while end < len(data) and data[end] in b"\r\n":
@@ -127,21 +127,24 @@
         else:
             self._chunked = payload
 
-    def part_parsed(self) -> None:
-        """Observes whether a chunked body has ended; a head may have begun in the same part."""
-        if self._chunked is not None and self._chunked.is_eof():
-            self._chunked, self._chunked_bytes = None, 0
-
-    def excess(self, limits: InboundLimits) -> Excess | None:
-        """Returns the limit that the connection exceeds, or None."""
+    def head_excess(self, limits: InboundLimits) -> Excess | None:
+        """Returns the limit that a part exceeds before it is parsed, or None."""
         if self._empty_bytes > limits.empty_bytes:
             return Excess.EMPTY_LINES
         # The empty line ends the head, and a caller need not count it.
-        if max(self._line_bytes, self._field_bytes) > limits.header_bytes + len(_HEAD_END):
+        max_bytes = limits.header_bytes + len(_HEAD_END)
+        if self._line_bytes > max_bytes or self._field_bytes > max_bytes:
             return Excess.HEAD
-        if self._chunked is not None:
-            body_bytes = self._chunked.total_bytes
-            allowed = limits.framing_bytes + _FRAMING_PER_BODY_BYTE * body_bytes
-            if self._chunked_bytes - body_bytes > allowed:
-                return Excess.FRAMING
         return None
+
+    def body_excess(self, limits: InboundLimits) -> Excess | None:
+        """Returns the limit that a chunked body exceeds after a part was parsed, or None."""
+        if self._chunked is None:
+            return None
+        if self._chunked.is_eof():
+            # A head may have begun in the same part.
+            self._chunked, self._chunked_bytes = None, 0
+            return None
+        body_bytes = self._chunked.total_bytes
+        allowed_bytes = limits.framing_bytes + _FRAMING_PER_BODY_BYTE * body_bytes
+        return Excess.FRAMING if self._chunked_bytes - body_bytes > allowed_bytes else None
--- a/fescueward/kernel/http_pipeline.py
+++ b/fescueward/kernel/http_pipeline.py
@@ -21,7 +21,7 @@
 from aiohttp.web_server import Server
 
 from .caller_budget import CallerBudget
-from .http_exchange import Exchange, OrderedWriter, PipelinedRequest, PipelineLimits
+from .http_exchange import Exchange, OrderedWriter, PipelinedRequest, PipelineLimits, head_bytes
 from .http_inbound import InboundConnection
 from .http_meter import InboundLimits
 
@@ -86,12 +86,16 @@
 
     def held_changed(self) -> None:
         """Records what the connection holds in the budget of the process."""
+        if self._budget is None:
+            return
         held_bytes = 0
         if self.transport is not None and not self._evicted:
             held_bytes = self.inbound_bytes
             for exchange in self._exchanges:
-                held_bytes += exchange.request.response_bytes
-        if self._budget is not None and held_bytes != self._held_bytes:
+                held_bytes += exchange.head_bytes + exchange.request.response_bytes
+            for message, _ in self._messages:
+                held_bytes += head_bytes(message)
+        if held_bytes != self._held_bytes:
             self._held_bytes = held_bytes
             self._budget.update(self, held_bytes)
 
@@ -235,7 +239,7 @@
             self._loop,
             turn=turn,
         )
-        exchange = Exchange(request, turn, bool(self._exchanges))
+        exchange = Exchange(request, turn, bool(self._exchanges), head_bytes(message))
         self._server.requests_ahead += exchange.ahead
         self.pipelined = self.pipelined or exchange.ahead
         self._exchanges.append(exchange)
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any, TypeVar
 
 from aiohttp.web_request import BaseRequest
@@ -78,6 +79,8 @@
 # that it has not run.
 _LAST_RESULT_S = 0.1
 
+# Connections for readiness probes and metrics.
+_PROBE_CONNECTIONS = 64
 # More lines than any head within the limit on its size has.
 _MAX_HEADER_LINES = 1 << 16
 
@@ -110,9 +113,11 @@
     async def start(self) -> None:
         """Listens for callers and for the readiness probe."""
         callers = self._site.settings.callers
-        await self._listen(self._handle_request, callers.host, callers.port)
+        await self._listen(
+            self._handle_request, callers.host, callers.port, self._site.caller_connections
+        )
         ready = self._site.readiness
-        await self._listen(self._handle_readiness, ready.host, ready.port)
+        await self._listen(self._handle_readiness, ready.host, ready.port, _PROBE_CONNECTIONS)
 
     async def drain(self) -> None:
         """Waits until all responses have been sent; the kernel limits the time."""
@@ -128,10 +133,10 @@
         await asyncio.sleep(_ACCEPT_WAIT_S)
         await asyncio.gather(*(port.close() for port in self._ports))
 
-    async def _listen(self, handler: Handler, host: str, port: int) -> None:
+    async def _listen(self, handler: Handler, host: str, port: int, connections: int) -> None:
         server = PipelinedServer(
             handler,
-            inbound=self._inbound_limits,
+            inbound=partial(self._inbound_limits, connections),
             budget=self._held,
             keepalive_timeout=3600.0,
             max_line_size=65_536,
@@ -140,18 +145,20 @@
             max_headers=_MAX_HEADER_LINES,
         )
         self._servers.append(server)
-        http_port = HttpPort(server, host, port, _CLOSE_TIMEOUT_S, self._site.caller_backlog)
+        http_port = HttpPort(
+            server, host, port, _CLOSE_TIMEOUT_S, min(connections, self._site.caller_backlog)
+        )
         self._ports.append(http_port)
         await http_port.start()
 
-    def _inbound_limits(self) -> InboundLimits:
+    def _inbound_limits(self, connections: int) -> InboundLimits:
         current = self._routes.current
         limits = current.configuration.limits if current is not None else CallerLimits()
         return InboundLimits(
             header_bytes=limits.header_bytes,
             header_timeout_s=limits.header_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
-            connections=self._site.caller_connections,
+            connections=connections,
         )
 
     async def _handle_readiness(self, request: BaseRequest) -> StreamResponse:
--- a/fescueward/services/frontend/connections.py
+++ b/fescueward/services/frontend/connections.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from ...kernel import Event, Level, RefusalError
+from ...kernel.caller_budget import CallerBudget
 from ...kernel.errors import InternalError, InvalidRequestError
 from ...kernel.http_pipeline import Handler, PipelinedConnection, PipelinedServer
 from .refusals import refusal_response
@@ -15,6 +16,8 @@
 _MALFORMED = Event(3603, "http_malformed", Level.INFO, "A caller sent malformed HTTP.")
 # A refused caller may still be sending its body; reading on lets it receive the refusal.
 _LINGERING_TIMEOUT_S = 2.0
+# Memory of an agent.
+_MEMORY_BYTES = 256_000_000
 
 
 class CallerConnection(PipelinedConnection):
@@ -58,5 +61,6 @@
     def __init__(self, handler: Handler) -> None:
         super().__init__(
             handler,
+            budget=CallerBudget(_MEMORY_BYTES),
             lingering_time=_LINGERING_TIMEOUT_S,
         )
--- a/tests/integration/test_hard_callers.py
+++ b/tests/integration/test_hard_callers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import time
 import unittest
@@ -21,7 +22,7 @@
 from fescueward.platform.names import REQUEST_ID
 from fescueward.testing.program import LOOPBACK
 from fescueward.testing.site.deployment import SiteDeployment, SiteSpec
-from fescueward.testing.site.upstream import SIZE
+from fescueward.testing.site.upstream import SIZE, WORK_MS
 from fescueward.testing.waiting import wait_until
 
 MEMORY_MB = 150
@@ -37,6 +38,8 @@
 SENT_BYTES = 16 * 1024 * 1024
 READERS = 40
 READER_REQUESTS = 4
+# More than a connection begins at a time.
+WAITING_REQUESTS = 60
 RESPONSE_BYTES = 5_000_000
 IDLE_CONNECTIONS = 500
 # A crowd that an agent does not read ends by itself after this time.
@@ -62,9 +65,16 @@
     return connection
 
 
-def _get(size: int = 0) -> bytes:
+def _send(port: int, data: bytes) -> socket.socket:
+    connection = socket.create_connection((LOOPBACK, port), timeout=CROWD_TIMEOUT_S)
+    with suppress(OSError):
+        connection.sendall(data)
+    return connection
+
+
+def _get(size: int = 0, work_ms: int = 0) -> bytes:
     return (
-        f"GET /orders/x?{SIZE}={size} HTTP/1.1\r\nHost: orders\r\n"
+        f"GET /orders/x?{SIZE}={size}&{WORK_MS}={work_ms} HTTP/1.1\r\nHost: orders\r\n"
         f"{REQUEST_ID}: {uuid.uuid4().hex}\r\n\r\n"
     ).encode()
 
@@ -181,6 +191,17 @@
         await self._assert_runs_end()
         await self._assert_held()
 
+    async def test_heads_of_many_lines_behind_a_running_request(self):
+        """Guards against heads within the limit that wait, whose lines take far more memory."""
+        # The emulated upstream logs each head that has more lines than it takes.
+        log = logging.getLogger("aiohttp.server")
+        log.disabled = True
+        self.addCleanup(setattr, log, "disabled", False)
+        lines = b"a:b\r\n" * 3_000
+        waiting = (_get(work_ms=2_000)[:-2] + lines + b"\r\n") * WAITING_REQUESTS
+        await self._crowd(READERS, _send, waiting)
+        await self._assert_held()
+
     async def test_long_response_that_is_read_slowly(self):
         """Guards against a limit on unread responses that cuts off an ordinary slow caller."""
         reader, writer = await asyncio.open_connection(LOOPBACK, self.port, limit=4096)
