Find the end of a head that comes in two reads

Cause: the end of a head was searched in the bytes of one read. Where it came in two, a part held the head and a piece of its body, whose length was then counted from the wrong byte.

--- a/fescueward/kernel/http_inbound.py
+++ b/fescueward/kernel/http_inbound.py
@@ -233,7 +233,7 @@
 
     async def _linger(self) -> None:
         """Waits until a refused caller has closed its connection, for a bounded time."""
-        if self.transport is None or not self.transport.can_write_eof():
+        if self.transport is None or self.transport.is_closing():
             return
         self.transport.write_eof()
         super()._resume_transport_reading()
--- a/fescueward/kernel/http_meter.py
+++ b/fescueward/kernel/http_meter.py
@@ -61,6 +61,8 @@
         self._line_bytes = 0
         self._field_bytes = 0
         self._line_open = True
+        # Last bytes that were parsed, if they may be a part of the end of a head.
+        self._end_begun = b""
         # Bytes that are left of a body with a length.
         self._body_left = 0
         # A chunked body, whose end only the parser knows, with the bytes that were sent for it.
@@ -88,6 +90,10 @@
         """Returns the end of the part that is parsed next."""
         if self._body_left:
             return min(start + self._body_left, start + _PART_BYTES, len(data))
+        if self._end_begun:
+            joined = self._end_begun + data[start : start + len(_HEAD_END) - 1]
+            if (boundary := joined.find(_HEAD_END)) >= 0:
+                return start + boundary + len(_HEAD_END) - len(self._end_begun)
         boundary = data.find(_HEAD_END, start, start + _PART_BYTES)
         if boundary >= 0:
             return boundary + len(_HEAD_END)
@@ -101,7 +107,10 @@
         if self._body_left:
             self._body_left -= len(part)
             self._between = not self._body_left
-        elif self._chunked is not None:
+            return
+        is_end = part.endswith(_HEAD_END)
+        self._end_begun = b"" if is_end else (self._end_begun + part)[1 - len(_HEAD_END) :]
+        if self._chunked is not None:
             self._chunked_bytes += len(part)
         else:
             self._between = False
@@ -116,7 +125,7 @@
     def message_parsed(self, message: Any, payload: Any) -> None:
         """Begins the body of a request whose head is complete."""
         self._empty_bytes = self._line_bytes = self._field_bytes = 0
-        self._line_open = True
+        self._line_open, self._end_begun = True, b""
         self._chunked, self._chunked_bytes = None, 0
         self._between = payload.is_eof()
         if self._between:
--- a/tests/kernel/test_http_inbound.py
+++ b/tests/kernel/test_http_inbound.py
@@ -3,11 +3,12 @@
 import asyncio
 import random
 import unittest
+from types import SimpleNamespace
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestPayloadError
 
-from fescueward.kernel.http_meter import InboundLimits
+from fescueward.kernel.http_meter import InboundLimits, InboundMeter
 from fescueward.kernel.http_pipeline import PipelinedServer
 from fescueward.kernel.http_port import HttpPort
 from fescueward.testing.waiting import wait_until
@@ -18,6 +19,29 @@
 CHUNKED = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
+class MeterTest(unittest.TestCase):
+    def test_part_ends_with_a_head_that_came_in_two_reads(self):
+        """Guards against a body that is counted from the wrong byte, and heads that are not."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20000\r\n\r\n"
+        message = SimpleNamespace(headers={"Content-Length": "20000"}, chunked=False)
+        payload = SimpleNamespace(is_eof=lambda: False)
+        for cut in range(1, len(head)):
+            meter = InboundMeter()
+            meter.count(head[: meter.part_end(head[:cut], 0)])
+            rest = head[cut:] + b"x" * 20_000 + head
+            ends, end = [], 0
+            while end < len(rest):
+                start, end = end, meter.part_end(rest, end)
+                meter.count(rest[start:end])
+                if end == len(head) - cut:
+                    meter.message_parsed(message, payload)
+                ends.append(end)
+            body_end = len(rest) - len(head)
+            self.assertEqual(
+                ends, [len(head) - cut, len(head) - cut + 16_384, body_end, len(rest)]
+            )
+
+
 class InboundTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.bodies = []
