--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -90,6 +90,10 @@
         await self.post("heartbeat", "i1", make_heartbeat(9))  # out of order, from the first start
         self.assertEqual(self.starts, ["i1@1000", "i1@2000"])
 
+    async def test_body_that_is_no_heartbeat_is_not_read_whole(self):
+        """Guards against bodies without end that fill the memory at the port of heartbeats."""
+        self.assertEqual(await self.post("heartbeat", "i1", b"x" * 100_000), 413)
+
     async def test_heartbeat_becomes_an_announcement(self):
         """Guards against heartbeat fields or units that are misinterpreted."""
         self.assertEqual(await self.post("heartbeat", "i1", make_heartbeat(1)), 200)
--- a/tests/services/test_peer_wire.py
+++ b/tests/services/test_peer_wire.py
@@ -8,6 +8,7 @@
 
 import uvloop
 
+from fescueward.kernel.errors import MalformedMessageError
 from fescueward.messages.peer import StreamReset
 from fescueward.services.peer_wire import Wire, read_messages
 
@@ -70,3 +71,13 @@
 
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(send_some())
+
+
+class FirstMessageTest(unittest.IsolatedAsyncioTestCase):
+    async def test_first_message_without_end_is_given_up(self):
+        """Guards against strangers whose bytes are held up to the size of the largest frame."""
+        reader = asyncio.StreamReader()
+        # A frame that announces a part of 1 MB.
+        reader.feed_data(b"\x93\x00\xc6\x00\x10\x00\x00" + b"x" * 30_000)
+        with self.assertRaises(MalformedMessageError):
+            await asyncio.wait_for(anext(read_messages(reader)), 5.0)
