--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -7,6 +7,7 @@
 
 from ..kernel import BootClock, Event, Kernel, Level, StopLimits, configure_logging
 from ..kernel.body_budget import BodyBudget
+from ..kernel.caller_budget import CallerBudget
 from ..kernel.errors import FescuewardError
 from ..platform.announcements import Heartbeats
 from ..platform.frontend import CallerFrontend
@@ -83,10 +84,11 @@
         kernel.provide("bounds", bounds)
         kernel.provide("clock", BootClock())
         kernel.provide("bodies", BodyBudget(site.memory_bytes))
+        held = CallerBudget(site.memory_bytes)
         kernel.add(ObjectStore())
         kernel.add(RouteTable())
         kernel.add(ConfiguredCatalogue())
-        kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
+        kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation, held))
         if bounds.can_evacuate:
             kernel.add(EvacuatedDomains(kernel))
         kernel.add(GroupStore(kernel, fleet_wide=True))
@@ -120,7 +122,7 @@
         kernel.add(RunCalls())
         kernel.add(PrometheusMetrics())
         kernel.add(Heartbeats(site))
-        kernel.add(CallerFrontend(site))
+        kernel.add(CallerFrontend(site, held))
 
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT.
--- a/fescueward/platform/configuration.py
+++ b/fescueward/platform/configuration.py
@@ -16,7 +16,8 @@
     "A limit of a service in the configuration has an invalid value; the service has none.",
 )
 
-_REPEATABLE_KINDS = frozenset({"idempotent"})
+# Kinds of requests that may run more than once; a download is one with a large response.
+_REPEATABLE_KINDS = frozenset({"idempotent", "download"})
 # Highest values that `ServiceSpec` accepts.
 _MAX_COLD_START_S = 3600.0
 _MAX_COLD_PER_S = 1_000_000.0
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -8,6 +8,7 @@
 
 from ..kernel.bounds import Bounds
 from ..kernel.errors import SettingsError
+from ..kernel.http_port import BACKLOG_CONNECTIONS
 from ..kernel.settings import (
     AdministrationSection,
     AgentSection,
@@ -50,6 +51,13 @@
 # Other periods are taken for mistakes.
 _MIN_HEARTBEAT_PERIOD_S = 0.05
 _MAX_HEARTBEAT_PERIOD_S = 60.0
+# Descriptors of a process if the settings name none, and those of them that are for files only.
+_DEFAULT_DESCRIPTORS = 4_100
+_FILE_DESCRIPTORS = 200
+# The other sockets are for the upstream, other agents and the store.
+_CALLER_CONNECTIONS_SHARE = 0.7
+_BACKLOG_SHARE = 0.2
+_MIN_CALLER_CONNECTIONS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +86,7 @@
         service: Name of the service that the upstream on this machine runs.
         memory_bytes: Memory of the process, in bytes.
         heartbeat_period_s: Time between two heartbeats of the upstream, in seconds.
+        descriptors: Descriptors of the process for sockets and files.
     """
 
     settings: Settings
@@ -88,6 +97,22 @@
     service: str
     memory_bytes: int = _DEFAULT_MEMORY_BYTES
     heartbeat_period_s: float = _DEFAULT_HEARTBEAT_PERIOD_S
+    descriptors: int = _DEFAULT_DESCRIPTORS
+
+    @property
+    def caller_connections(self) -> int:
+        """Connections of callers that may be open at a time."""
+        return max(int(self._sockets * _CALLER_CONNECTIONS_SHARE), _MIN_CALLER_CONNECTIONS)
+
+    @property
+    def caller_backlog(self) -> int:
+        """Connections of callers that may wait to be accepted, beyond those that are open."""
+        backlog = max(int(self._sockets * _BACKLOG_SHARE), _MIN_CALLER_CONNECTIONS)
+        return min(backlog, BACKLOG_CONNECTIONS)
+
+    @property
+    def _sockets(self) -> int:
+        return self.descriptors - _FILE_DESCRIPTORS
 
 
 def settings_path() -> Path:
@@ -178,6 +203,7 @@
         if "limits.memoryMb" in values
         else _DEFAULT_MEMORY_BYTES,
         heartbeat_period_s=_heartbeat_period_s(values.get("heartbeatS", "")),
+        descriptors=int(float(values.get("limits.maxFds", _DEFAULT_DESCRIPTORS))),
     )
 
 
