--- a/fescueward/kernel/http_meter.py
+++ b/fescueward/kernel/http_meter.py
@@ -51,8 +51,9 @@
 class InboundMeter:
     """Divides the bytes of a connection into parts and counts those that are no body.
 
-    Each part ends with a head at the latest. The counts are of the request whose head or body is
-    being received.
+    Each part ends with a head at the latest, because aiohttp discards the requests that it has
+    parsed from the same data as malformed bytes. The counts are of the request whose head or body
+    is being received.
     """
 
     def __init__(self) -> None:
