--- a/tests/services/evacuation/test_search.py
+++ b/tests/services/evacuation/test_search.py
@@ -66,11 +66,11 @@
             fleet.world.advance(fleet.rng.choice((0.05, 0.4, 1.5, 4.0)))
         fleet.end_faults()
         fleet.world.advance(_SETTLING_S)
-        names = {member.name for member in fleet.group().members.values()}
+        member_ids = fleet.group().members.keys()
         known = {
             agent.kernel.registry.find("evacuations", EvacuatedDomains).domains
-            for name, agent in fleet.agents.items()
-            if name in names
+            for agent in fleet.agents.values()
+            if agent.member_id in member_ids
         }
         self.assertEqual(len(known), 1)
         stored = {
