Count the requests that are left in an evacuated domain by its slots

The ownership of key ranges counts no requests, so the gauge would have stayed 0. A refusal says whether the domain is evacuated or not known to be.

--- a/fescueward/services/evacuation/gate.py
+++ b/fescueward/services/evacuation/gate.py
@@ -80,7 +80,7 @@
     def check(self, keyed: bool) -> None:
         """Refuses a request that may not be sent now; see `EvacuationGate.check`."""
         if self._refuses(keyed):
-            raise _refusal()
+            raise self._refusal()
 
     @asynccontextmanager
     async def waiting(self, keyed: bool) -> AsyncIterator[None]:
@@ -96,12 +96,20 @@
                     self._waits.pop(limit, None)
         except TimeoutError:
             if limit.expired():
-                raise _refusal() from None
+                raise self._refusal() from None
             raise
 
     def _refuses(self, keyed: bool) -> bool:
         return self.closed if keyed else self.begun
 
+    def _refusal(self) -> EvacuatedError:
+        reason = (
+            "the failure domain of this agent is evacuated"
+            if self._known
+            else "this agent does not know the evacuations yet"
+        )
+        return EvacuatedError(reason, retry_after_s=_RETRY_AFTER_S)
+
     async def _close(self, delay_s: float) -> None:
         await self._clock.sleep(delay_s)
         _GATE_CLOSED.emit(waiting=len(self._waits))
@@ -113,9 +121,3 @@
                 # A timeout that has fired cannot be changed, also before its task has continued.
                 del self._waits[limit]
                 limit.reschedule(asyncio.get_running_loop().time())
-
-
-def _refusal() -> EvacuatedError:
-    return EvacuatedError(
-        "the failure domain of this agent is evacuated", retry_after_s=_RETRY_AFTER_S
-    )
--- a/fescueward/services/metrics.py
+++ b/fescueward/services/metrics.py
@@ -23,6 +23,7 @@
     PlatformState,
     RequestSource,
     RunSource,
+    SlotLoad,
     Upstream,
     WatchState,
     WorkState,
@@ -169,6 +170,7 @@
         self._platform = registry.find("platform", PlatformState)
         self._watch = registry.find("groups", WatchState)
         self._admission = registry.find("admission", Admission)
+        self._slots = registry.find("admission", SlotLoad)
         self._upstream = registry.find("upstream", Upstream)
         self._evacuation = find_gate(registry)
         registry.find("router", RequestSource).subscribe(self)
@@ -208,11 +210,11 @@
     def _read_gauges(self) -> dict[MetricSpec, float]:
         now = self._clock.now()
         unavailable = self._platform.unavailable_since
-        in_flight, shards = self._work.in_flight, len(self._ownership.active())
+        shards = len(self._ownership.active())
         evacuated = self._evacuation.begun
         return {
             UPTIME: round(now - self._started_at, 3),
-            IN_FLIGHT: in_flight,
+            IN_FLIGHT: self._work.in_flight,
             SHARDS: shards,
             LEASE: round(max(self._lease.expires_at - now, 0.0), 3),
             PLATFORM: 0.0 if unavailable is None else round(now - unavailable, 3),
@@ -223,11 +225,16 @@
             CAPACITY: self._admission.capacity,
             EVACUATED: int(evacuated),
             EVACUATED_SHARDS: shards if evacuated else 0,
-            EVACUATED_REQUESTS: in_flight if evacuated else 0,
+            EVACUATED_REQUESTS: self._pending_requests() if evacuated else 0,
             CRASHES: self._upstream.crashes,
             LOG_LINES: dropped_log_lines(),
         }
 
+    def _pending_requests(self) -> int:
+        """Returns the requests that run or wait; not all services of ownership count them."""
+        occupancy = self._slots.occupancy
+        return occupancy.running + occupancy.waiting
+
     def _request_histogram(self, service: str, outcome: str) -> Histogram:
         if service not in self._catalogue.versions():
             histogram_of_unknown = self._requests.get((UNKNOWN_SERVICE, outcome))
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -250,7 +250,11 @@
             evacuated = self._evacuations.domains
             candidates: Iterable[Member] = members.values()
             if evacuated:
-                candidates = [m for m in candidates if m.failure_domain not in evacuated]
+                candidates = [
+                    candidate
+                    for candidate in candidates
+                    if candidate.failure_domain not in evacuated
+                ]
             member = balancer.choose(candidates, tried, now, profile)
             if member is None:
                 raise self._no_candidate_error(request.service, view)
--- a/tests/services/test_metrics.py
+++ b/tests/services/test_metrics.py
@@ -70,6 +70,15 @@
         samples = [line for line in text.splitlines() if not line.startswith("#")]
         return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in samples)}
 
+    def test_rest_of_an_evacuated_domain(self):
+        """Guards against an operator who takes a domain for empty that still runs requests."""
+        names = ("evacuated_bool", "evacuated_shards", "evacuated_requests")
+        for begun, expected in ((False, [0, 0, 0]), (True, [1, 2, 5])):
+            self.metrics._evacuation = SimpleNamespace(begun=begun)
+            self.services.occupancy = SimpleNamespace(running=3, waiting=2)
+            lines = self.lines()
+            self.assertEqual([lines[f"fescueward_{name}"] for name in names], expected)
+
     def test_names_carry_units(self):
         """Guards against metric names without a unit."""
         for spec in METRICS:
