Move wide parts only when a lasting load is known, and plan on the newest version

Also, 7 of 12 rounds were lost: the group had changed by a handover since it was read.

Change: wide parts move only if 3.2 s with requests were measured, the mean is at least a quarter or the owner is above the fixed limit, and the round spreads no hot keys. A round is planned again on the newest version instead of failing.

--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -352,9 +352,9 @@
                 await asyncio.wait((task,), timeout=min(last_result_s, remaining_s))
             return task.result() if task.done() else None
         finally:
-            if not task.done():
-                task.cancel()
-                task.add_done_callback(_retrieve_exception)
+            # It may also fail in the moment in which the caller disconnects.
+            task.cancel()
+            task.add_done_callback(_retrieve_exception)
 
 
 def _retrieve_exception(task: asyncio.Task[Any]) -> None:
--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -210,9 +210,9 @@
 
     def _lasting_demand(self) -> float | None:
         """Returns the slots that the requests of the last seconds take, or None if unknown."""
-        if len(self._measurements) < _MIN_RATE_MEASUREMENTS:
-            return None
         newest = list(self._measurements)[-_RATE_MEASUREMENTS:]
+        if sum(1 for each in newest if each.requests) < _MIN_RATE_MEASUREMENTS:
+            return None
         duration_s = sum(each.duration_s for each in newest)
         requests = sum(each.requests for each in newest)
         return requests / duration_s * self._lasting_run_s()
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -256,8 +256,14 @@
         """Moves ranges according to their measured work; returns None if nothing should move."""
         if self._recovery_wait.active:
             return None
-        planned = self._planned_moves(view.group, reports)
-        return await self._groups.write(view, planned) if planned is not None else None
+        if self._planned_moves(view.group, reports) is None:
+            return None
+
+        def move(group: Group) -> Group | None:
+            # Handovers that ended meanwhile must not cost the round.
+            return self._planned_moves(group, reports)
+
+        return await self._groups.edit(view.group.id, move)
 
     def _may_place_first_keys(self) -> bool:
         now = self._clock.now()
@@ -285,7 +291,8 @@
             for times in (self._given_at, self._received_at)
         )
         settled_reports = _without_members_in_handover(planned, reports)
-        planned = evened(planned, settled_reports, givers, receivers, domains)
+        if planned == base:
+            planned = evened(planned, settled_reports, givers, receivers, domains)
         settled = {
             bounds for bounds, since in self._cold_since.items() if now - since >= _COLD_TIME_S
         }
--- a/fescueward/services/keyspace/shares.py
+++ b/fescueward/services/keyspace/shares.py
@@ -16,6 +16,8 @@
 _LASTING_HIGH_UTILISATION = 0.4
 # Factor above the mean from which a lasting difference is worth the time without an owner.
 _LASTING_MEAN_FACTOR = 1.5
+# Below this mean, chance and the first requests after a start make most of the difference.
+_MIN_LASTING_MEAN = 0.25
 # A member below this share of the mean takes work also from members that are less far above it.
 _IDLE_SHARE = 0.6
 _IDLE_MEAN_FACTOR = 1.2
@@ -72,7 +74,11 @@
         id_
         for index, id_ in enumerate(by_utilisation)
         if fleet.utilisation[id_] >= limit
-        or (index < idle_count and fleet.utilisation[id_] >= mean * _IDLE_MEAN_FACTOR)
+        or (
+            mean >= _MIN_LASTING_MEAN
+            and index < idle_count
+            and fleet.utilisation[id_] >= mean * _IDLE_MEAN_FACTOR
+        )
     ]
     target_ids = [
         id_
