--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -7,6 +7,7 @@
 
 from ..kernel import BootClock, Event, Kernel, Level, StopLimits, configure_logging
 from ..kernel.body_budget import BodyBudget
+from ..kernel.caller_budget import CallerBudget
 from ..kernel.errors import FescuewardError
 from ..platform.announcements import Heartbeats
 from ..platform.frontend import CallerFrontend
@@ -14,9 +15,11 @@
 from ..platform.store import ObjectStore
 from ..platform.upstream import LocalUpstream
 from ..services.admission import SlotAdmission
+from ..services.evacuation import EvacuatedDomains
 from ..services.gate.execution import GateExecution
 from ..services.gate.liveness import UpstreamLiveness
 from ..services.gate.notices import UpstreamNotices
+from ..services.gate.run_calls import RunCalls
 from ..services.groups import GroupStore
 from ..services.keyspace.load import KeyBlockLoad
 from ..services.keyspace.ownership import RangeOwnership
@@ -27,9 +30,11 @@
 from ..services.monitor import LeaseMonitor
 from ..services.peers import MsgpackPeers
 from ..services.quarantine import CrashQuarantine
+from ..services.room import CallerReturns
 from ..services.routing.dispatcher import DispatchRouter
 from ..services.routing.routes import ConfiguredCatalogue, RouteTable
 from ..services.shutdown import GracefulShutdown
+from ..services.warmup import ColdStartLimit
 from .process import run_until_stopped
 
 _STARTED = Event(1010, "agent_started", Level.INFO, "The agent starts with these settings.")
@@ -79,10 +84,13 @@
         kernel.provide("bounds", bounds)
         kernel.provide("clock", BootClock())
         kernel.provide("bodies", BodyBudget(site.memory_bytes))
+        held = CallerBudget(site.memory_bytes)
         kernel.add(ObjectStore())
         kernel.add(RouteTable())
         kernel.add(ConfiguredCatalogue())
-        kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
+        kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation, held))
+        if bounds.can_evacuate:
+            kernel.add(EvacuatedDomains(kernel))
         kernel.add(GroupStore(kernel, fleet_wide=True))
         leaving_grace_s = min(LEAVING_GRACE_S, bounds.drain_s * _LEAVING_GRACE_SHARE)
         kernel.add(
@@ -101,6 +109,7 @@
         kernel.add(UpstreamLiveness(kernel))
         kernel.add(LocalUpstream(site))
         kernel.add(RangeOwnership(kernel))
+        kernel.add(ColdStartLimit(kernel, site.heartbeat_period_s))
         kernel.add(SlotAdmission(upstream_names_limits=True))
         kernel.add(
             CrashQuarantine(kernel, crash_limit=_CRASH_LIMIT, success_window_s=_SUCCESS_WINDOW_S)
@@ -108,10 +117,12 @@
         kernel.add(GracefulShutdown(kernel))
         kernel.add(GateExecution())
         kernel.add(UpstreamNotices())
+        kernel.add(CallerReturns())
         kernel.add(DispatchRouter())
+        kernel.add(RunCalls())
         kernel.add(PrometheusMetrics())
         kernel.add(Heartbeats(site))
-        kernel.add(CallerFrontend(site))
+        kernel.add(CallerFrontend(site, held))
 
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT.
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -5,6 +5,7 @@
 
 from .administration import PlatformState, StatusReports, WatchState, WorkState
 from .catalogue import Catalogue
+from .evacuations import EvacuationGate, EvacuationListener, EvacuationState
 from .groups import Directory, GroupListener, Groups
 from .leases import Departure, DepartureRecord, Lease, Membership, Monitor
 from .metrics import (
@@ -16,7 +17,7 @@
     RunSource,
 )
 from .ownership import Grants, Ownership, Ticket
-from .peers import Peers
+from .peers import BodyTransit, Peers
 from .placement import Load, Placement, PlacementPolicy
 from .platform import Changes, Platform, StoredObject
 from .requests import (
@@ -24,6 +25,7 @@
     CrashListener,
     CrashSource,
     Execution,
+    HealthSource,
     Liveness,
     NoticeListener,
     NoticeSource,
@@ -35,11 +37,17 @@
     StartListener,
     Upstream,
 )
+from .room import CallListener, CallRoom, CallSource, Returns, RunGate
 from .routes import RangeGrants, Routes
 from .shutdown import Shutdown, ShutdownPhase
+from .warmup import Warmup, WarmupListener
 
 __all__ = [
     "Admission",
+    "BodyTransit",
+    "CallListener",
+    "CallRoom",
+    "CallSource",
     "Catalogue",
     "Changes",
     "CrashListener",
@@ -47,10 +55,14 @@
     "Departure",
     "DepartureRecord",
     "Directory",
+    "EvacuationGate",
+    "EvacuationListener",
+    "EvacuationState",
     "Execution",
     "Grants",
     "GroupListener",
     "Groups",
+    "HealthSource",
     "Lease",
     "Liveness",
     "Load",
@@ -72,8 +84,10 @@
     "RateControl",
     "RequestListener",
     "RequestSource",
+    "Returns",
     "Router",
     "Routes",
+    "RunGate",
     "RunListener",
     "RunSource",
     "Shutdown",
@@ -84,6 +98,8 @@
     "StoredObject",
     "Ticket",
     "Upstream",
+    "Warmup",
+    "WarmupListener",
     "WatchState",
     "WorkState",
 ]
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -11,6 +11,7 @@
 from .configuration import VersionedConfiguration
 from .delta import ConfigurationDelta, GroupDelta
 from .entry import VersionedEntry
+from .evacuations import Evacuations
 from .group import Member, VersionedGroup
 from .request import Headers, Occupancy
 
@@ -198,6 +199,7 @@
         configuration_delta: Change of the configuration, or None; a receiver with another base
             version fetches the whole configuration.
         relay: Whether the receiver passes the message on to the members of its failure domain.
+        evacuations: Evacuations of failure domains, or None.
     """
 
     groups: tuple[VersionedGroup, ...] = ()
@@ -206,6 +208,7 @@
     deltas: tuple[GroupDelta, ...] = ()
     configuration_delta: ConfigurationDelta | None = None
     relay: bool = False
+    evacuations: Evacuations | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -261,12 +264,21 @@
         utilisation: Mean share of its slots in use, including waiting requests.
         work: Mean number of slots in use by key block; blocks without work are omitted.
         era: Era of the version that the sender has of its group.
+        run_ms: Time that a request takes in its upstream, in milliseconds, without changes that
+            pass within seconds; 0.0 if unknown.
+        lasting_utilisation: Share of its slots that the requests of the last seconds take at this
+            run time, or None if unknown.
+        usable_slots: Slots that are in use on average when the upstream gets all that it takes;
+            None for all of its slots.
     """
 
     member_id: str
     utilisation: Annotated[float, Meta(ge=0.0)]
     work: dict[NonNegativeInt, Annotated[float, Meta(ge=0.0)]]
     era: NonNegativeInt = 0
+    run_ms: Annotated[float, Meta(ge=0.0)] = 0.0
+    lasting_utilisation: Annotated[float, Meta(ge=0.0)] | None = None
+    usable_slots: Annotated[float, Meta(gt=0.0)] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -483,6 +495,9 @@
         departed_start: Start of the receiver's upstream that is known to leave, or empty.
         sent_ms: Time of sending in milliseconds of the sender's CLOCK_BOOTTIME, or None from
             earlier versions of the agent.
+        seeks_free_slot: Whether the request is left to others instead of waiting for a slot.
+        inner: Whether a run on the upstream of the VM where the request originated has made it.
+        returning: Whether its caller was told to come back at about this time.
     """
 
     stream: NonNegativeInt
@@ -506,6 +521,9 @@
     has_alternatives: bool = False
     departed_start: str = ""
     sent_ms: NonNegativeInt | None = None
+    seeks_free_slot: bool = False
+    inner: bool = False
+    returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/messages/request.py
+++ b/fescueward/messages/request.py
@@ -57,6 +57,9 @@
         run_ms: Mean duration of a run in milliseconds.
         per_second: Requests per second that the upstream takes, or None without a limit.
         leaving: Whether the upstream leaves.
+        slowness: How long work takes there at present in proportion to the usual time.
+        cold_ms: Remaining time for which the upstream is cold, in milliseconds.
+        link_ms: Time until the bodies that the agent is sending have left its VM, in milliseconds.
     """
 
     running: int
@@ -65,6 +68,9 @@
     run_ms: float
     per_second: float | None = None
     leaving: bool = False
+    slowness: float = 1.0
+    cold_ms: int = 0
+    link_ms: int = 0
 
     @property
     def usable_slots(self) -> float:
@@ -106,6 +112,11 @@
             that agent may have forgotten it by a restart.
         delayed_s: Time in seconds that the request took longer than others on its way from the
             agent that forwarded it.
+        seeks_free_slot: Whether other upstreams may have a free slot, so that the request is left
+            to them instead of waiting here for one.
+        inner: Whether a run on the upstream of the VM where the request originated has made it,
+            so that this run is wasted if the request fails.
+        returning: Whether its caller was told to come back at about this time.
     """
 
     id: str
@@ -129,6 +140,9 @@
     has_alternatives: bool = False
     departed_start: str = ""
     delayed_s: float = 0.0
+    seeks_free_slot: bool = False
+    inner: bool = False
+    returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/platform/settings.py
+++ b/fescueward/platform/settings.py
@@ -8,6 +8,7 @@
 
 from ..kernel.bounds import Bounds
 from ..kernel.errors import SettingsError
+from ..kernel.http_port import BACKLOG_CONNECTIONS
 from ..kernel.settings import (
     AdministrationSection,
     AgentSection,
@@ -45,6 +46,18 @@
 _MAX_STORE_ANSWER_BYTES = 16 * 1024 * 1024
 # Memory of a process if the settings name none.
 _DEFAULT_MEMORY_BYTES = 256_000_000
+# Period of the heartbeats if the settings name none.
+_DEFAULT_HEARTBEAT_PERIOD_S = 0.87
+# Other periods are taken for mistakes.
+_MIN_HEARTBEAT_PERIOD_S = 0.05
+_MAX_HEARTBEAT_PERIOD_S = 60.0
+# Descriptors of a process if the settings name none, and those of them that are for files only.
+_DEFAULT_DESCRIPTORS = 4_100
+_FILE_DESCRIPTORS = 200
+# The other sockets are for the upstream, other agents and the store.
+_CALLER_CONNECTIONS_SHARE = 0.7
+_BACKLOG_SHARE = 0.2
+_MIN_CALLER_CONNECTIONS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +85,8 @@
         application: Address of the upstream on this machine.
         service: Name of the service that the upstream on this machine runs.
         memory_bytes: Memory of the process, in bytes.
+        heartbeat_period_s: Time between two heartbeats of the upstream, in seconds.
+        descriptors: Descriptors of the process for sockets and files.
     """
 
     settings: Settings
@@ -81,6 +96,23 @@
     application: Address
     service: str
     memory_bytes: int = _DEFAULT_MEMORY_BYTES
+    heartbeat_period_s: float = _DEFAULT_HEARTBEAT_PERIOD_S
+    descriptors: int = _DEFAULT_DESCRIPTORS
+
+    @property
+    def caller_connections(self) -> int:
+        """Connections of callers that may be open at a time."""
+        return max(int(self._sockets * _CALLER_CONNECTIONS_SHARE), _MIN_CALLER_CONNECTIONS)
+
+    @property
+    def caller_backlog(self) -> int:
+        """Connections of callers that may wait to be accepted, beyond those that are open."""
+        backlog = max(int(self._sockets * _BACKLOG_SHARE), _MIN_CALLER_CONNECTIONS)
+        return min(backlog, BACKLOG_CONNECTIONS)
+
+    @property
+    def _sockets(self) -> int:
+        return self.descriptors - _FILE_DESCRIPTORS
 
 
 def settings_path() -> Path:
@@ -140,6 +172,7 @@
             port=first_port,
             secret=_PEER_SECRET,
             timeout_ms=_PEER_TIMEOUT_MS,
+            link_kbps=max(int(float(values.get("limits.linkMbps", 0)) * 1000), 0),
         ),
         administration=AdministrationSection(
             host=values["ip"], port=min(first_port + 1, last_port), token=_ADMINISTRATION_TOKEN
@@ -169,9 +202,21 @@
         memory_bytes=int(float(values["limits.memoryMb"]) * 1_000_000)
         if "limits.memoryMb" in values
         else _DEFAULT_MEMORY_BYTES,
+        heartbeat_period_s=_heartbeat_period_s(values.get("heartbeatS", "")),
+        descriptors=int(float(values.get("limits.maxFds", _DEFAULT_DESCRIPTORS))),
     )
 
 
+def _heartbeat_period_s(text: str) -> float:
+    """Returns the period, or the usual one if it is missing or unlikely."""
+    try:
+        period_s = float(text)
+    except ValueError:
+        return _DEFAULT_HEARTBEAT_PERIOD_S
+    likely = _MIN_HEARTBEAT_PERIOD_S <= period_s <= _MAX_HEARTBEAT_PERIOD_S
+    return period_s if likely else _DEFAULT_HEARTBEAT_PERIOD_S
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
@@ -192,4 +237,8 @@
         grace_s=number("graceS", default.grace_s),
         max_hold_s=number("holdMaxS", default.max_hold_s),
         propagation_s=number("propagationS", default.propagation_s),
+        cold_over=number("coldOver", default.cold_over),
+        cold_slack=number("coldSlack", default.cold_slack),
+        evacuate_s=number("evacuateS", default.evacuate_s),
+        can_evacuate="evacuateS" in values,
     )
--- a/fescueward/services/gate/execution.py
+++ b/fescueward/services/gate/execution.py
@@ -9,6 +9,8 @@
 
 from ...interfaces import (
     Admission,
+    BodyTransit,
+    CallRoom,
     Catalogue,
     Departure,
     DepartureRecord,
@@ -19,6 +21,7 @@
     Shutdown,
     SlotLoad,
     Upstream,
+    Warmup,
 )
 from ...interfaces.metrics import RunListener
 from ...interfaces.placement import Load
@@ -34,7 +37,9 @@
 from ...kernel.tasks import finish_despite_cancellation, raise_delayed_cancellation
 from ...messages import AnnouncedState, Request, Response
 from ...messages.request import BytesBody, Occupancy
+from ..evacuation import find_gate
 from .arrivals import BodyArrivals
+from .response_sizes import ResponseSizes
 
 _REQUEST_RUN = Event(
     3410,
@@ -55,6 +60,10 @@
 # A request without a key that took this much longer than others on its way is left to other
 # upstreams: its caller may have left, and the cancellation takes as long.
 _MAX_DELAY_S = 0.5
+# Larger responses are sent in parts, which share the link.
+_LARGE_RESPONSE_BYTES = 16_384
+# Shortest time after which a caller is told to come back because of the link.
+_MIN_WAIT_S = 0.1
 
 
 class GateExecution:
@@ -69,6 +78,7 @@
 
     def __init__(self) -> None:
         self._listeners: list[RunListener] = []
+        self._call_room: CallRoom | None = None
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -85,7 +95,11 @@
         self._slots = registry.find("admission", SlotLoad)
         self._quarantine = registry.find("quarantine", Quarantine)
         self._upstream = registry.find("upstream", Upstream)
+        self._warmup = registry.find("warmup", Warmup)
         self._load = registry.find("load", Load)
+        self._response_sizes = ResponseSizes()
+        self._transit = registry.find("peers", BodyTransit)
+        self._evacuation = find_gate(registry)
         registry.find("peers", Peers).serve(self.execute)
 
     async def start(self) -> None:
@@ -98,6 +112,10 @@
         """Registers a listener to be called after each run on the upstream."""
         self._listeners.append(listener)
 
+    def watch_runs(self, room: CallRoom) -> None:
+        """Asks for room for the calls of each run; see `RunGate.watch_runs`."""
+        self._call_room = room
+
     async def execute(self, request: Request) -> Response:
         """Runs a request on the upstream of this agent; see `Execution.execute`.
 
@@ -137,8 +155,13 @@
         self._check_accepting(request)
         self._check_in_time(request, arrived_at)
         async with AsyncExitStack() as run_context:
-            async with self._shutdown.waiting(request.deadline, _is_movable(request)):
+            async with (
+                self._shutdown.waiting(request.deadline, _is_movable(request)),
+                self._evacuation.waiting(keyed=bool(request.key)),
+            ):
                 await self._admitted_epoch(request)
+                if self._call_room is not None:
+                    self._call_room.check(request)
                 if not isinstance(request.body, BytesBody):
                     length = request.body.length or 0
                     self._arrivals.check(length)
@@ -147,21 +170,26 @@
                     request = await self._with_received_body(request)
                 guard = self._quarantine.guard(request)
                 request = await run_context.enter_async_context(guard)
+                self._check_sending(request)
                 slot = self._admission.slot(request, entry)
                 await run_context.enter_async_context(slot)
-                # The upstream may have begun to leave, or the key may have moved, during the wait.
-                self._check_accepting(request)
-                epoch = await self._admitted_epoch(request)
+                # The upstream may have begun to leave, its domain may be evacuated, or the key may
+                # have moved, during the wait.
+                epoch = await self._epoch_to_send(request)
             started_at = self._clock.now()
-            run = self._upstream.run(
-                request, int(request.key or 0), epoch, self._shutdown.limit(request.deadline)
-            )
+            run_until = self._shutdown.limit(request.deadline)
+            run = self._upstream.run(request, int(request.key or 0), epoch, run_until)
+            if self._call_room is not None:
+                self._call_room.run_began(request, run_until)
             try:
                 response = await (run if request.repeatable else self._finish(run))
             finally:
+                if self._call_room is not None:
+                    self._call_room.run_ended(request, run_until)
                 run_s = self._clock.now() - started_at
                 if request.key:
                     self._load.record(int(request.key), request.key, run_s)
+        self._response_sizes.add(request.route, response.body.length or 0)
         occupancy = self._occupancy()
         _REQUEST_RUN.emit(
             request=request.id,
@@ -181,8 +209,8 @@
     def _occupancy(self) -> Occupancy:
         announcement = self._membership.announcement
         leaving = announcement is not None and announcement.state is AnnouncedState.LEAVING
-        occupancy = self._slots.occupancy
-        return replace(occupancy, leaving=True) if leaving else occupancy
+        link_ms = int(self._transit.expected_send_s(0) * 1000)
+        return replace(self._slots.occupancy, leaving=leaving, link_ms=link_ms)
 
     async def _finish(self, run: Coroutine[None, None, Response]) -> Response:
         return await finish_despite_cancellation(run, self._shutdown.closing.done)
@@ -197,6 +225,26 @@
             deadline=request.deadline - arrival_s,
         )
 
+    def _check_sending(self, request: Request) -> None:
+        """Checks whether a large response could be sent to the agent that forwarded the request.
+
+        A run whose response is late on the link would take a slot and the link from others. Small
+        responses are sent ahead of the bodies of large ones.
+
+        Raises:
+            OverloadedError: It could not, or another upstream may respond in time.
+        """
+        expected_bytes = self._response_sizes.expected_bytes(request.route)
+        if expected_bytes <= _LARGE_RESPONSE_BYTES or request.forwarded_by is None:
+            return
+        sending_s = self._transit.expected_send_s(expected_bytes)
+        ends_at = self._clock.now() + self._slots.occupancy.run_ms / 1000 + sending_s
+        useful_until = request.useful_until or request.deadline
+        if ends_at > (useful_until if request.has_alternatives else request.deadline):
+            raise OverloadedError(
+                "the response would be late on the link", retry_after_s=max(sending_s, _MIN_WAIT_S)
+            )
+
     async def _with_received_body(self, request: Request) -> Request:
         """Receives a streamed body, which would otherwise arrive while its run holds a slot.
 
@@ -220,6 +268,16 @@
         with await pending_ticket as ticket:
             return ticket.epoch
 
+    async def _epoch_to_send(self, request: Request) -> int:
+        """Returns the epoch of the request's key once the upstream may get the request."""
+        while True:
+            self._check_accepting(request)
+            epoch = await self._admitted_epoch(request)
+            wait_s = self._warmup.begin_send()
+            if wait_s <= 0:
+                return epoch
+            await self._clock.sleep(wait_s)
+
     def _check_in_time(self, request: Request, now: float) -> None:
         if request.deadline <= now:
             raise DeadlineExceededError("the deadline passed on the way to this agent")
@@ -237,6 +295,7 @@
             raise NotOwnerError(f"the upstream of this agent serves {announcement.service!r}")
         if announcement.state is AnnouncedState.LEAVING or self._departure.closed:
             raise DrainingError("the upstream is leaving its group")
+        self._evacuation.check(keyed=bool(request.key))
         self._shutdown.check(request.deadline, _is_movable(request))
 
 
--- a/fescueward/services/metrics.py
+++ b/fescueward/services/metrics.py
@@ -23,12 +23,15 @@
     PlatformState,
     RequestSource,
     RunSource,
+    SlotLoad,
     Upstream,
+    Warmup,
     WatchState,
     WorkState,
 )
 from ..kernel import Clock, RefusalError, Registry
 from ..kernel.events import dropped_log_lines
+from .evacuation import find_gate
 
 SERVED = "served"
 # Label of requests to services without an entry. Service names that callers send must not become
@@ -94,9 +97,28 @@
 PEERS = _gauge("connected_peers", "Agents that a stream exists to.")
 ENTRIES = _gauge("catalogue_entries", "Entries that the agent applies.")
 CAPACITY = _gauge("usable_slots_ratio", "Usable share of the slots; below 1 on a cold upstream.")
+COLD_LEFT = _gauge(
+    "upstream_cold_seconds", "Time for which the upstream is or may be cold; 0 once it is warm."
+)
+COLD_RATE = _gauge(
+    "cold_limit_requests",
+    "Requests per second that a cold upstream gets at present; 0 without a limit.",
+)
 LOG_LINES = _gauge(
     "left_out_log_lines", "Log lines that were not written: too many in a second, or no reader."
 )
+EVACUATED = _gauge(
+    "evacuated_bool",
+    "1 if the failure domain of the agent is evacuated or it does not know yet, else 0.",
+)
+EVACUATED_SHARDS = _gauge(
+    "evacuated_shards",
+    "Shards that the agent serves while its failure domain is evacuated; else 0.",
+)
+EVACUATED_REQUESTS = _gauge(
+    "evacuated_requests",
+    "Requests that run or wait on the upstream while its failure domain is evacuated; else 0.",
+)
 CRASHES = _gauge("upstream_crashes", "Crashes of the upstream that the agent has seen.")
 
 METRICS: tuple[MetricSpec, ...] = (
@@ -112,7 +134,12 @@
     PEERS,
     ENTRIES,
     CAPACITY,
+    EVACUATED,
+    EVACUATED_SHARDS,
+    EVACUATED_REQUESTS,
     CRASHES,
+    COLD_LEFT,
+    COLD_RATE,
     LOG_LINES,
 )
 
@@ -153,7 +180,10 @@
         self._platform = registry.find("platform", PlatformState)
         self._watch = registry.find("groups", WatchState)
         self._admission = registry.find("admission", Admission)
+        self._slots = registry.find("admission", SlotLoad)
         self._upstream = registry.find("upstream", Upstream)
+        self._warmup = registry.find("warmup", Warmup)
+        self._evacuation = find_gate(registry)
         registry.find("router", RequestSource).subscribe(self)
         registry.find("execution", RunSource).subscribe(self)
 
@@ -191,10 +221,12 @@
     def _read_gauges(self) -> dict[MetricSpec, float]:
         now = self._clock.now()
         unavailable = self._platform.unavailable_since
+        shards = len(self._ownership.active())
+        evacuated = self._evacuation.begun
         return {
             UPTIME: round(now - self._started_at, 3),
             IN_FLIGHT: self._work.in_flight,
-            SHARDS: len(self._ownership.active()),
+            SHARDS: shards,
             LEASE: round(max(self._lease.expires_at - now, 0.0), 3),
             PLATFORM: 0.0 if unavailable is None else round(now - unavailable, 3),
             WATCHING: int(self._watch.watching),
@@ -202,10 +234,20 @@
             PEERS: len(self._peers.connected()),
             ENTRIES: len(self._catalogue.entries()),
             CAPACITY: self._admission.capacity,
+            EVACUATED: int(evacuated),
+            EVACUATED_SHARDS: shards if evacuated else 0,
+            EVACUATED_REQUESTS: self._pending_requests() if evacuated else 0,
             CRASHES: self._upstream.crashes,
+            COLD_LEFT: round(self._warmup.cold_left_s, 3),
+            COLD_RATE: round(self._warmup.per_second or 0.0, 2),
             LOG_LINES: dropped_log_lines(),
         }
 
+    def _pending_requests(self) -> int:
+        """Returns the requests that run or wait; not all services of ownership count them."""
+        occupancy = self._slots.occupancy
+        return occupancy.running + occupancy.waiting
+
     def _request_histogram(self, service: str, outcome: str) -> Histogram:
         if service not in self._catalogue.versions():
             histogram_of_unknown = self._requests.get((UNKNOWN_SERVICE, outcome))
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -36,6 +36,7 @@
     Welcome,
 )
 from ..messages.request import BytesBody
+from .link.window import SendWindow
 from .peer_wire import (
     Wire,
     handshake_mac,
@@ -58,9 +59,15 @@
 # Members of one group send messages to each other every second.
 _IDLE_TIMEOUT_S = 60.0
 _IDLE_CHECK_INTERVAL_S = 15.0
+# Share of the time that is left to a request in which a stream has to open, and the least time.
+_DIAL_SHARE = 0.2
+_MIN_DIAL_S = 0.1
 # An upstream that stops its work at the deadline responds this much later at most.
 _RESPONSE_SLACK_S = 0.05
 
+# Ends the name under which an agent dials an address whose agent it does not know.
+SEED_SUFFIX = "-seed"
+
 Dispatch = Callable[[str, Any], None]
 
 
@@ -136,6 +143,7 @@
         timeout_s: Timeout of a connection attempt, a handshake or a call, in seconds.
         identity: Returns the current identity of this process.
         dispatch: Receives messages that belong to no request or call.
+        outgoing: Shared by the bodies that this agent sends.
     """
 
     def __init__(
@@ -145,7 +153,9 @@
         timeout_s: float,
         identity: Callable[[], Identity],
         dispatch: Dispatch,
+        outgoing: SendWindow | None = None,
     ) -> None:
+        self._outgoing = outgoing
         self._tasks = tasks
         self._clock = clock
         self._timeout_s = timeout_s
@@ -252,7 +262,8 @@
                 f"the deadline passed before the request was sent to {member.id}"
             )
         stream_number = next(self._sequence)
-        forwarded = _ForwardedRequest(Channel(stream_number, wire.send))
+        channel = Channel(stream_number, wire.send, outgoing=self._outgoing)
+        forwarded = _ForwardedRequest(channel)
         inline = inline_data(request.body)
         try:
             wire.send(open_message(stream_number, request, now, inline))
@@ -329,7 +340,10 @@
 
     async def _wait_for_wire(self, link: _Link, deadline: float) -> Wire:
         if not link.dial_finished.is_set():
-            limit_s = min(self._timeout_s, max(deadline - self._clock.now(), 0))
+            remaining_s = max(deadline - self._clock.now(), 0)
+            limit_s = min(
+                self._timeout_s, max(remaining_s * _DIAL_SHARE, _MIN_DIAL_S), remaining_s
+            )
             with suppress(TimeoutError):
                 async with asyncio.timeout(limit_s):
                     await link.dial_finished.wait()
@@ -400,7 +414,7 @@
         identity = self._identity()
         # A client may dial one agent both as a seed and as a member, but the accepting side keeps
         # only one stream for each name.
-        name = identity.name if link.member.incarnation else f"{identity.name}-seed"
+        name = identity.name if link.member.incarnation else identity.name + SEED_SUFFIX
         mac = handshake_mac(identity.secret, challenge.nonce, name, identity.incarnation)
         # Incarnation 0 marks an address, such as a seed, whose agent is not known yet.
         expected_id = link.member.id if link.member.incarnation else ""
--- a/fescueward/services/peers.py
+++ b/fescueward/services/peers.py
@@ -11,11 +11,14 @@
 
 from ..interfaces.peers import M, MessageHandler, RequestHandler
 from ..kernel import Clock, Event, Kernel, Level, Registry
+from ..kernel.caller_budget import CallerBudget
 from ..kernel.errors import MalformedMessageError
 from ..kernel.settings import Settings
 from ..messages import Member, Request, Response
+from .link.window import SendWindow
 from .peer_accepted import AcceptedStreams
 from .peer_links import Identity, PeerLinks
+from .streams import ReceiveWindows
 
 _MESSAGE_NOT_SENT = Event(
     2308, "peer_message_not_sent", Level.ERROR, "A message cannot be encoded or is too large."
@@ -24,18 +27,29 @@
     2305, "peer_handler_failed", Level.ERROR, "The handler of a peer message raised an exception."
 )
 
+_BYTES_PER_KBIT = 125
+
 
 class MsgpackPeers:
     """The `peers` service.
 
     A message is sent on the stream that this agent dialled, and its reply is received on the same
     stream. Each dialled stream is one long-lived connection that multiplexes all requests.
+
+    Args:
+        kernel: The kernel.
+        name: Name of this agent.
+        incarnation: Number of this start, which increases with each start.
+        held: Limit on the responses that wait to be sent to peers, or None.
     """
 
     name = "peers"
     requires: tuple[str, ...] = ()
 
-    def __init__(self, kernel: Kernel, name: str, incarnation: int) -> None:
+    def __init__(
+        self, kernel: Kernel, name: str, incarnation: int, held: CallerBudget | None = None
+    ) -> None:
+        self._held = held
         self._tasks = kernel.task_owner(self.name)
         self._agent_name = name
         self._incarnation = incarnation
@@ -49,9 +63,20 @@
         self._host, self._port = section.host, section.port
         self._secret = section.secret.encode()
         timeout_s = section.timeout_ms / 1000
-        self._links = PeerLinks(self._tasks, clock, timeout_s, self._identity, self._dispatch)
+        bytes_per_s = section.link_kbps * _BYTES_PER_KBIT
+        self._outgoing = SendWindow(bytes_per_s)
+        self._links = PeerLinks(
+            self._tasks, clock, timeout_s, self._identity, self._dispatch, self._outgoing
+        )
         self._accepted = AcceptedStreams(
-            self._tasks, clock, timeout_s, self._identity, self._dispatch
+            self._tasks,
+            clock,
+            timeout_s,
+            self._identity,
+            self._dispatch,
+            ReceiveWindows(bytes_per_s),
+            self._outgoing,
+            self._held,
         )
 
     async def start(self) -> None:
@@ -89,6 +114,10 @@
         """Returns the number of requests in flight on dialled and accepted streams."""
         return self._links.open_requests() + self._accepted.open_requests()
 
+    def expected_send_s(self, length: int) -> float:
+        """Returns when a body would be sent; see `BodyTransit.expected_send_s`."""
+        return self._outgoing.expected_s(length)
+
     def send(self, member: Member, message: object) -> bool:
         """Sends a message without waiting; see `Peers.send`."""
         try:
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -2,29 +2,45 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import replace
 
 from cachetools import TTLCache
 
-from ...interfaces import Execution, Groups, Membership, Peers, Routes, Shutdown
+from ...interfaces import (
+    CallListener,
+    Execution,
+    Groups,
+    Membership,
+    Peers,
+    Returns,
+    Routes,
+    Shutdown,
+)
 from ...interfaces.metrics import RequestListener
 from ...kernel import Clock, Event, Level, Outcome, RefusalError, Registry
 from ...kernel.bounds import Bounds
 from ...kernel.errors import (
     AnswerLostError,
     DeadlineExceededError,
+    EvacuatedError,
     NoOwnerError,
     NotOwnerError,
     OutcomeLostError,
     OverloadedError,
     OwnerUnreachableError,
     QuarantinedError,
+    ShardMovingError,
     UpstreamRefusedError,
 )
 from ...kernel.settings import Settings
 from ...messages import GroupId, Member, MemberState, Request, Response, VersionedGroup
+from ..evacuation import find_evacuations
 from .balancer import Balancer, RequestProfile
 from .budget import RetryBudget
+from .outages import OwnerOutages
+from .search import SlotSearch
 
 _REQUEST_SENT = Event(
     3510,
@@ -53,19 +69,31 @@
 # Of these, the first that look for an upstream whose response is not late. The next one accepts a
 # late response.
 _SENDS_FOR_TIMELY_RESPONSE = 2
-# Longest wait for a newer group version before the owner of a key is looked up again during a
-# handover.
+# Longest wait for a newer group version before the owner of a key is looked up again.
 _OWNER_POLL_S = 0.05
+# Longest wait for the next owner while a key is being handed over: its running work, the planner's
+# batch and a write. An owner that keeps the key after all is asked again then.
+_HANDOVER_WAIT_S = 0.4
 # Share of the time to its deadline that a request waits for an owner of its key.
 _OWNER_WAIT_SHARE = 0.5
 # Retry-After of a request that is refused because its key has no owner.
 _NO_OWNER_RETRY_AFTER_S = 0.25
+# Retry-After of a request that is refused because all its upstreams are in evacuated failure
+# domains, which lasts until the operator ends an evacuation.
+_EVACUATED_RETRY_AFTER_S = 1.0
+# Retry-After of a refusal that names none.
+_DEFAULT_RETRY_AFTER_S = 0.1
 # Starts of upstreams that leave are remembered until they have ended.
 _DEPARTED_S = 120.0
 _MAX_DEPARTED = 4_096
 # With less time than this to the deadline, a request is not sent: no upstream could run it.
 _MIN_RUN_S = 0.01
 
+# Retry-After while many owners are unreachable: a fleet that starts needs about two such times.
+_OUTAGE_RETRY_AFTER_S = 0.5
+
+# The key has no owner, or its owner cannot be reached.
+_NO_OWNER_ERRORS = (NoOwnerError, OwnerUnreachableError)
 # The request may have reached an upstream, so another attempt needs the retry budget.
 _BUDGETED_ERRORS = (AnswerLostError, OutcomeLostError, UpstreamRefusedError)
 
@@ -74,13 +102,16 @@
     """The `router` service for services with numeric keys and services without keys."""
 
     name = "router"
-    requires = ("routes", "groups", "peers", "membership", "execution", "shutdown")
+    requires = ("routes", "groups", "peers", "membership", "execution", "shutdown", "returns")
 
     def __init__(self) -> None:
         self._listeners: list[RequestListener] = []
+        self._call_listener: CallListener | None = None
         self._budgets: dict[str, RetryBudget] = {}
         self._balancers: dict[str, Balancer] = {}
         self._members: dict[GroupId, dict[str, Member]] = {}
+        self._searches: defaultdict[str, SlotSearch] = defaultdict(SlotSearch)
+        self._outages: defaultdict[str, OwnerOutages] = defaultdict(OwnerOutages)
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -96,6 +127,8 @@
         self._membership = registry.find("membership", Membership)
         self._execution = registry.find("execution", Execution)
         self._shutdown = registry.find("shutdown", Shutdown)
+        self._returns = registry.find("returns", Returns)
+        self._evacuations = find_evacuations(registry)
         self._failure_domain = registry.find("settings", Settings).agent.failure_domain
         self._groups.subscribe(self)
 
@@ -109,6 +142,10 @@
         """Registers a listener to be called at the end of each request."""
         self._listeners.append(listener)
 
+    def watch_calls(self, listener: CallListener) -> None:
+        """Asks the listener whether a request is a call; see `CallSource.watch_calls`."""
+        self._call_listener = listener
+
     def group_changed(self, group: VersionedGroup) -> None:
         """Retires the streams to removed members; their last responses may still arrive."""
         previous_members = self._members.get(group.group.id, {})
@@ -123,7 +160,11 @@
             RefusalError: The request is refused or failed.
         """
         started_at = self._clock.now()
+        if self._call_listener is not None and self._call_listener.arrived(request):
+            request = replace(request, inner=True)
         self._budget(request.service).deposit(started_at)
+        if self._returns.is_returning(request):
+            request = replace(request, returning=True)
         unknown_outcomes: list[RefusalError] = []
         try:
             response = await self._serve(request, unknown_outcomes)
@@ -135,6 +176,9 @@
                 )
                 self._report_failure(request, outcome_error, started_at)
                 raise outcome_error from error
+            if error.outcome is Outcome.NOT_RUN:
+                retry_after_s = error.retry_after_s or _DEFAULT_RETRY_AFTER_S
+                error.retry_after_s = self._returns.told(request, retry_after_s)
             self._report_failure(request, error, started_at)
             raise
         self._notify_listeners(request, None, started_at)
@@ -160,6 +204,8 @@
         elapsed_s = self._clock.now() - started_at
         for listener in self._listeners:
             listener.request_ended(request.service, error, elapsed_s)
+        if request.inner and self._call_listener is not None:
+            self._call_listener.call_ended(request, error, elapsed_s)
 
     async def _serve(self, request: Request, unknown_outcomes: list[RefusalError]) -> Response:
         started_at = self._clock.now()
@@ -168,6 +214,8 @@
         owner_hint: str | None = None
         sends = 0
         attempts = 0
+        search = None if request.key else self._searches[request.service]
+        seeks_free_slot = search is not None and search.begin()
         while True:
             if request.deadline - self._clock.now() < _MIN_RUN_S:
                 raise DeadlineExceededError("the deadline passed before an upstream was available")
@@ -178,9 +226,16 @@
                 member = self._choose(request, view, tried, owner_hint)
                 sends += 1
                 searching = sends <= _SENDS_FOR_TIMELY_RESPONSE and (
-                    not request.key and _has_others(view, tried | {member.id})
+                    not request.key and self._has_others(view, tried | {member.id})
+                )
+                seeks_free_slot = seeks_free_slot and searching
+                response = await self._send(
+                    replace(request, has_alternatives=searching, seeks_free_slot=seeks_free_slot),
+                    member,
                 )
-                return await self._send(replace(request, has_alternatives=searching), member)
+                if search is not None and seeks_free_slot:
+                    search.record(refused=False)
+                return response
             except _BUDGETED_ERRORS as error:
                 attempts += 1
                 last_error: RefusalError = error
@@ -196,15 +251,22 @@
                 last_error = error
                 if isinstance(error, DeadlineExceededError | QuarantinedError):
                     raise
+                if search is not None and seeks_free_slot:
+                    search.record(refused=isinstance(error, OverloadedError))
+                if isinstance(error, EvacuatedError) and not self._has_others(
+                    view, tried | {member.id}
+                ):
+                    raise
                 owner_hint = error.owner_id if isinstance(error, NotOwnerError) else None
                 if request.key:
                     if isinstance(error, OverloadedError) or self._clock.now() >= owner_wait_until:
                         raise
+                    if isinstance(error, _NO_OWNER_ERRORS) and self._is_outage(request.service):
+                        error.retry_after_s = _OUTAGE_RETRY_AFTER_S
+                        raise
                     if owner_hint is None:
-                        version = view.version if view is not None else 0
-                        await self._groups.wait_until_newer(
-                            GroupId(request.service, 0), version, _OWNER_POLL_S
-                        )
+                        moving = isinstance(error, ShardMovingError)
+                        await self._wait_for_owner(request, view, moving, owner_wait_until)
                 elif isinstance(error, NoOwnerError) or sends >= _MAX_SENDS_WITHOUT_RUN:
                     raise
                 else:
@@ -217,6 +279,41 @@
                 attempts=attempts,
             )
 
+    def _is_outage(self, service: str) -> bool:
+        return self._outages[service].widespread(self._clock.now())
+
+    async def _wait_for_owner(
+        self, request: Request, view: VersionedGroup | None, moving: bool, until: float
+    ) -> None:
+        """Waits until the owner of a key may be another one than in a group version.
+
+        While the key is being handed over, versions that only record other handovers don't end
+        the wait: the old owner would refuse the request again.
+
+        Args:
+            request: The request that was refused.
+            view: The version by which the request was sent, or None.
+            moving: Whether the refusal says that the key is being handed over.
+            until: Latest end of the wait, in seconds of CLOCK_BOOTTIME.
+        """
+        group_id = GroupId(request.service, 0)
+        key = int(request.key)
+        started_at = self._clock.now()
+        owner_id = _owner_of(view, key)
+        while True:
+            key_range = view.group.range_of(key) if view is not None else None
+            in_handover = moving and key_range is not None and key_range.successor is not None
+            longest_s = _HANDOVER_WAIT_S if in_handover else _OWNER_POLL_S
+            timeout_s = min(started_at + longest_s, until) - self._clock.now()
+            version = view.version if view is not None else 0
+            if timeout_s <= 0:
+                return
+            if not await self._groups.wait_until_newer(group_id, version, timeout_s):
+                return
+            view = self._groups.view(group_id)
+            if not moving or _owner_of(view, key) != owner_id:
+                return
+
     def _choose(
         self,
         request: Request,
@@ -236,12 +333,17 @@
                 request.body.length or 0, useful_ms, request.route, request.delays_others
             )
             balancer = self._balancer(request.service)
-            member = balancer.choose(members.values(), tried, now, profile)
+            evacuated = self._evacuations.domains
+            candidates: Iterable[Member] = members.values()
+            if evacuated:
+                candidates = [
+                    candidate
+                    for candidate in candidates
+                    if candidate.failure_domain not in evacuated
+                ]
+            member = balancer.choose(candidates, tried, now, profile)
             if member is None:
-                raise NoOwnerError(
-                    f"no other member of {request.service!r} is active",
-                    retry_after_s=_NO_OWNER_RETRY_AFTER_S,
-                )
+                raise self._no_candidate_error(request.service, view)
             return member
         key_range = view.group.range_of(int(request.key))
         owner_id = (
@@ -255,6 +357,27 @@
             )
         return members[owner_id]
 
+    def _has_others(self, view: VersionedGroup | None, tried: frozenset[str]) -> bool:
+        """Returns whether a request without a key can be sent to a member that was not tried."""
+        evacuated = self._evacuations.domains
+        return view is not None and any(
+            member.state is MemberState.ACTIVE
+            and member.id not in tried
+            and member.failure_domain not in evacuated
+            for member in view.group.members.values()
+        )
+
+    def _no_candidate_error(self, service: str, view: VersionedGroup) -> NoOwnerError:
+        evacuated = self._evacuations.domains
+        if any(member.failure_domain in evacuated for member in view.group.members.values()):
+            return NoOwnerError(
+                f"all other members of {service!r} are in evacuated failure domains",
+                retry_after_s=_EVACUATED_RETRY_AFTER_S,
+            )
+        return NoOwnerError(
+            f"no other member of {service!r} is active", retry_after_s=_NO_OWNER_RETRY_AFTER_S
+        )
+
     async def _send(self, request: Request, member: Member) -> Response:
         _REQUEST_SENT.emit(
             request=request.id,
@@ -283,11 +406,13 @@
             occupancy = response.occupancy
             run_ms = (self._clock.now() - started_at) * 1000
             response_bytes = response.body.length or 0
+            self._outages[request.service].record(member.id, True, self._clock.now())
             return response
         except RefusalError as error:
             occupancy = error.occupancy
+            unreachable = isinstance(error, OwnerUnreachableError)
+            self._outages[request.service].record(member.id, not unreachable, self._clock.now())
             if error.outcome is Outcome.NOT_RUN:
-                unreachable = isinstance(error, OwnerUnreachableError)
                 balancer.avoid(member.id, self._clock.now(), unreachable)
             raise
         finally:
@@ -333,9 +458,7 @@
         return budget
 
 
-def _has_others(view: VersionedGroup | None, tried: frozenset[str]) -> bool:
-    """Returns whether the group has an active member that the request was not sent to."""
-    return view is not None and any(
-        member.state is MemberState.ACTIVE and member.id not in tried
-        for member in view.group.members.values()
-    )
+def _owner_of(view: VersionedGroup | None, key: int) -> str | None:
+    """Returns the member id of a key's owner in a group version, or None."""
+    key_range = view.group.range_of(key) if view is not None else None
+    return key_range.owner if key_range is not None else None
--- a/fescueward/services/streams.py
+++ b/fescueward/services/streams.py
@@ -10,14 +10,20 @@
 from ..kernel.errors import BodyTruncatedError
 from ..messages import Body
 from ..messages.peer import StreamCredit, StreamData
+from .link.window import OutgoingBody, SendWindow
 
-# Credit that an agent grants for all bodies that it receives, and the least for one of them. Bytes
-# on their way fill the link of the receiving machine, and every message to it waits behind them.
+# Credit that an agent grants at most for all bodies that it receives. Bytes on their way fill the
+# link of the receiving machine, and every message to it waits behind them.
 WINDOW_BYTES = 49_152
-_MIN_WINDOW_BYTES = 16_384
+# With less credit a link idles until the sender knows of more.
+_MIN_WINDOW_BYTES = 18_432
+# Time for which a message may wait on the link of this VM behind parts of bodies.
+_LINK_TIME_S = 0.04
 # Bodies that are received at the same time; the others wait for credit.
-_MAX_FLOWING_BODIES = WINDOW_BYTES // _MIN_WINDOW_BYTES
-CHUNK_BYTES = 8_192
+_MAX_FLOWING_BODIES = 3
+# Size of the parts of bodies. A part crosses the links of both VMs one after the other, so large
+# parts leave slow links idle.
+CHUNK_BYTES = 4_096
 # A body up to this size is sent inside StreamOpen or StreamHead.
 INLINE_BYTES = 16_384
 
@@ -39,16 +45,23 @@
 
     A few bodies are received at a time, in the order in which their reading began. If all shared
     the link, the bytes on their way would grow with their number, and all would be late together.
+
+    Args:
+        bytes_per_s: Speed of the link, or 0 if it is unknown.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, bytes_per_s: float = 0.0) -> None:
+        self._window_bytes = WINDOW_BYTES
+        if bytes_per_s:
+            window_bytes = int(bytes_per_s * _LINK_TIME_S)
+            self._window_bytes = min(max(window_bytes, _MIN_WINDOW_BYTES), WINDOW_BYTES)
         self._flowing: set[Channel] = set()
         self._waiting: deque[Channel] = deque()
 
     @property
     def window_bytes(self) -> int:
         """Credit of each body that is being received."""
-        return max(WINDOW_BYTES // max(len(self._flowing), 1), _MIN_WINDOW_BYTES)
+        return self._window_bytes // min(max(len(self._flowing), 1), _MAX_FLOWING_BODIES)
 
     def open(self, channel: Channel) -> None:
         """Begins to receive a body as soon as there is credit for it."""
@@ -88,14 +101,24 @@
         send: Sends a message to the other end.
         windows: Shared with the other bodies that this agent receives, or None for a window of
             its own.
+        outgoing: Shared with the other bodies that this agent sends, or None for a window of its
+            own.
 
     Attributes:
         stream: Number of the request stream.
     """
 
-    def __init__(self, stream: int, send: Sender, windows: ReceiveWindows | None = None) -> None:
+    def __init__(
+        self,
+        stream: int,
+        send: Sender,
+        windows: ReceiveWindows | None = None,
+        outgoing: SendWindow | None = None,
+    ) -> None:
         self.stream = stream
         self._send = send
+        self._outgoing = outgoing or SendWindow()
+        self._outgoing_body: OutgoingBody | None = None
         self._windows = windows or ReceiveWindows()
         # Whether the body is being read, whether there is credit for it, and how much of it the
         # other end has left.
@@ -129,6 +152,8 @@
     def add_credit(self, size: int) -> None:
         """Adds `size` bytes to the credit for sending."""
         self._credit_bytes += size
+        if self._outgoing_body is not None:
+            self._outgoing_body.acknowledge(size)
         self._credit_available.set()
 
     def fail(self, reason: str) -> None:
@@ -136,6 +161,8 @@
         if self._failure is None:
             self._failure = reason
         self.close_window()
+        if self._outgoing_body is not None:
+            self._outgoing_body.end()
         self._readable.set()
         self._credit_available.set()
 
@@ -213,14 +240,25 @@
         """
         # Until the other end grants credit, the body is unread and can be sent elsewhere.
         await self._take_credit(0)
-        async with aclosing(body.chunks()) as chunks:
-            async for chunk in chunks:
-                start = 0
-                while start < len(chunk):
-                    size = await self._take_credit(min(len(chunk) - start, CHUNK_BYTES))
-                    self._send(StreamData(self.stream, chunk[start : start + size]))
-                    start += size
-        self._send(StreamData(self.stream, b"", end=True))
+        outgoing_body = self._outgoing_body = self._outgoing.begin(body.length or 0)
+        try:
+            async with aclosing(body.chunks()) as chunks:
+                async for chunk in chunks:
+                    await self._write_chunk(chunk, outgoing_body)
+            self._send(StreamData(self.stream, b"", end=True))
+        finally:
+            self._outgoing_body = None
+            outgoing_body.end()
+
+    async def _write_chunk(self, chunk: bytes, outgoing_body: OutgoingBody) -> None:
+        start = 0
+        while start < len(chunk):
+            size = await self._take_credit(min(len(chunk) - start, CHUNK_BYTES))
+            await outgoing_body.take(size)
+            if self._failure is not None:
+                raise BodyTruncatedError(self._failure)
+            self._send(StreamData(self.stream, chunk[start : start + size]))
+            start += size
 
     async def _take_credit(self, max_size: int) -> int:
         """Waits for credit and takes up to `max_size` bytes of it; returns how many."""
--- a/tests/services/test_admission.py
+++ b/tests/services/admission/test_slots.py
@@ -16,10 +16,9 @@
 )
 from fescueward.messages import Announcement, Request
 from fescueward.messages.request import Occupancy
-from fescueward.services import admission as module
-from fescueward.services.admission import SlotAdmission
+from fescueward.services.admission import SlotAdmission, slot_limit, slots
 
-from .fakes import CLOCK, StubRegistry, make_announcement, make_entry, make_request
+from ..fakes import CLOCK, StubRegistry, make_announcement, make_entry, make_request
 
 
 class SteppedClock(BootClock):
@@ -41,7 +40,7 @@
     ) -> SlotAdmission:
         admission = SlotAdmission()
         admission.bind(StubRegistry(clock=clock))
-        with mock.patch.object(module, "_COLD_SHARE", 0.25 if cold else 1.0):
+        with mock.patch.object(slot_limit, "_COLD_SHARE", 0.25 if cold else 1.0):
             admission.observe_announcement(make_announcement(slots))
         return admission
 
@@ -87,16 +86,15 @@
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
                 self.assertEqual(self.admission._running, 0)
-                self.assertEqual(len(self.admission._on_time_queue), 0)
+                self.assertEqual(len(self.admission._queue), 0)
 
     async def test_cancellation_after_a_slot_was_assigned(self):
         """Guards against leaking a slot that is assigned to a task while it is cancelled."""
         release = asyncio.Event()
         tasks = [asyncio.create_task(self.hold_slot([], n, release)) for n in "abc"]
         await self.run_pending_tasks()
-        waiter = next(iter(self.admission._on_time_queue.values()))
         self.admission.release(0.0, RuntimeError())  # assigns the slot of `a` to `c`
-        self.assertTrue(waiter.done())
+        self.assertEqual((self.admission._running, len(self.admission._queue)), (2, 0))
         tasks[2].cancel()
         await asyncio.gather(tasks[2], return_exceptions=True)
         self.assertEqual(self.admission._running, 1)
@@ -121,7 +119,7 @@
 
     async def test_expected_wait_beyond_the_deadline_is_shed(self):
         """Guards against queueing a request that cannot run before its deadline."""
-        self.admission._run_time.mean_s = 0.5
+        self.admission._run_times.overall.mean_s = 0.5
         async with (
             self.admission.slot(make_request(), make_entry()),
             self.admission.slot(make_request(), make_entry()),
@@ -171,7 +169,7 @@
         await self.run_pending_tasks()
         late = asyncio.create_task(self.hold_slot([], "late", release, 0.2))
         await self.run_pending_tasks()
-        self.admission._run_time.mean_s = 1.0
+        self.admission._run_times.overall.mean_s = 1.0
         release.set()
         with self.assertRaises(OverloadedError):
             await late
@@ -205,7 +203,9 @@
             async with self.admission.slot(make_request(), make_entry()):
                 clock.now_s += 0.002
         self.assertEqual(self.admission.capacity, 0.5)
-        self.admission._run_time.mean_s = 10.0  # slower than at first, so runs add no more slots
+        self.admission._run_times.overall.mean_s = (
+            10.0  # slower than at first, so runs add no more slots
+        )
         for _ in range(4):
             async with self.admission.slot(make_request(), make_entry()):
                 pass
@@ -237,7 +237,7 @@
     async def test_connections_are_left_for_grants(self):
         """Guards against grants that wait for a connection used by requests."""
         self.admission.observe_announcement(make_announcement(50, connections=10))
-        self.assertEqual(self.admission._slots, 7)
+        self.assertEqual(self.admission._slot_limit.slots, 7)
 
 
 class UpstreamRateTest(unittest.IsolatedAsyncioTestCase):
@@ -249,7 +249,7 @@
         self.admission.observe_announcement(replace(make_announcement(40), cold_s=0.0))
         self.begun: list[str] = []
 
-    async def run(self, name: str = "", timeout_s: float = 5.0, priority: int = 0) -> None:
+    async def begin(self, name: str = "", timeout_s: float = 5.0, priority: int = 0) -> None:
         request = replace(make_request(timeout_s), priority=priority)
         async with self.admission.slot(request, make_entry()):
             self.begun.append(name)
@@ -257,9 +257,9 @@
     async def test_runs_begin_at_the_rate_and_the_urgent_ones_first(self):
         """Guards against more runs than the upstream takes, also while all its slots are free."""
         self.admission.limit_rate(20.0)
-        waiting = [asyncio.create_task(self.run("later", priority=1)) for _ in range(8)]
+        waiting = [asyncio.create_task(self.begin("later", priority=1)) for _ in range(8)]
         await asyncio.sleep(0)
-        waiting += [asyncio.create_task(self.run("urgent")) for _ in range(8)]
+        waiting += [asyncio.create_task(self.begin("urgent")) for _ in range(8)]
         await asyncio.sleep(0.4)
         self.assertIn(len(self.begun), range(6, 11))
         self.assertLessEqual(self.begun.count("later"), 2)
@@ -268,7 +268,7 @@
     async def test_requests_beyond_the_rate_are_refused_at_once(self):
         """Guards against requests that wait for their deadline at an upstream that takes less."""
         self.admission.limit_rate(10.0)
-        tasks = [asyncio.create_task(self.run(timeout_s=0.5)) for _ in range(20)]
+        tasks = [asyncio.create_task(self.begin(timeout_s=0.5)) for _ in range(20)]
         await asyncio.sleep(0.05)
         refusals = [task.exception() for task in tasks if task.done() and task.exception()]
         self.assertGreaterEqual(len(refusals), 13)
@@ -280,7 +280,7 @@
     async def test_lifted_limit_lets_all_begin(self):
         """Guards against requests that wait for a limit which is no longer in force."""
         self.admission.limit_rate(1.0)
-        tasks = [asyncio.create_task(self.run()) for _ in range(4)]
+        tasks = [asyncio.create_task(self.begin()) for _ in range(4)]
         await asyncio.sleep(0.05)
         self.admission.limit_rate(None)
         await asyncio.wait_for(asyncio.gather(*tasks), 0.5)
@@ -312,7 +312,7 @@
 
     async def test_rate_of_zero_is_logged_once(self):
         """Guards against a log line for each response of an upstream that takes nothing."""
-        with mock.patch.object(module, "_RATE_LIMITED") as event:
+        with mock.patch.object(slots, "_RATE_LIMITED") as event:
             for _ in range(3):
                 self.admission.limit_rate(0.0)
         self.assertEqual(event.emit.call_count, 1)
@@ -333,7 +333,7 @@
         self.admission.observe_announcement(
             Announcement("depot", "127.0.0.1", 1, slots=1, connections=110, cold_s=0.0)
         )
-        self.admission._run_time.add(0.1)
+        self.admission._run_times.add(0.1, "")
         self.order: list[str] = []
 
     def request(self, name: str, useful_s: float, **values) -> Request:
@@ -376,8 +376,7 @@
         holder = asyncio.create_task(self.run_request(self.request("holder", 1.0, route="long")))
         await asyncio.sleep(0)
         short = self.request("short", 0.35, route="short")
-        queue, _ = self.admission._choose_queue(short, make_entry())
-        self.assertIs(queue, self.admission._on_time_queue)
+        self.assertFalse(self.admission._will_be_late(short, make_entry()))
         await holder
 
     async def test_request_that_becomes_late_yields_to_others(self):
@@ -388,7 +387,7 @@
         await asyncio.sleep(0)
         roomy = asyncio.create_task(self.run_request(self.request("roomy", 1.5, priority=1)))
         await asyncio.sleep(0)
-        self.admission._run_time.mean_s = 0.33
+        self.admission._run_times.overall.mean_s = 0.33
         await asyncio.gather(holder, tight, roomy)
         self.assertEqual(self.order, ["holder", "roomy", "tight"])
 
@@ -416,3 +415,37 @@
             await self.admission.acquire(replace(request, has_alternatives=True), make_entry())
         await asyncio.gather(holder, self.run_request(request))
         self.assertEqual(self.order, ["holder", "late"])
+
+
+class SlownessTest(unittest.IsolatedAsyncioTestCase):
+    """An upstream that shares its machine and is slow for some tenths of a second."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = SteppedClock()
+        self.admission = SlotAdmission()
+        self.admission.bind(StubRegistry(clock=self.clock))
+        self.admission.observe_announcement(
+            Announcement("depot", "127.0.0.1", 1, slots=1, connections=110, cold_s=0.0)
+        )
+        for _ in range(20):
+            self.admission._run_times.add(0.2, "page")
+
+    async def test_present_slowness_counts_for_waits_and_not_for_later_runs(self):
+        """Guards against waiting for an upstream that cannot respond in time at present."""
+        request = make_request(5.0, route="page", useful_until=self.clock.now() + 0.7)
+        async with self.admission.slot(request, make_entry()):
+            self.assertFalse(self.admission._will_be_late(request, make_entry()))
+            self.admission.observe_slowness(3.0)
+            self.assertTrue(self.admission._will_be_late(request, make_entry()))
+            self.clock.now_s += 0.6
+            self.admission.observe_slowness(3.0)
+        self.assertAlmostEqual(self.admission.occupancy.run_ms, 200.0, delta=1.0)
+        self.clock.now_s += 0.5
+        self.assertEqual(self.admission.occupancy.slowness, 1.0)
+
+    async def test_request_that_seeks_a_free_slot_does_not_wait(self):
+        """Guards against a queue at one upstream while another one has a free slot."""
+        request = make_request(5.0, route="page", useful_until=self.clock.now() + 0.7)
+        async with self.admission.slot(request, make_entry()):
+            with self.assertRaises(OverloadedError):
+                await self.admission.acquire(replace(request, seeks_free_slot=True), make_entry())
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -27,16 +27,32 @@
     VersionedGroup,
 )
 from fescueward.messages.request import BytesBody
+from fescueward.services.warmup import NoColdStarts
 
 CLOCK = BootClock()
 
 
+class NoReturns:
+    """Callers that come back when they like."""
+
+    def told(self, request: Request, retry_after_s: float) -> float:
+        return retry_after_s
+
+    def is_returning(self, request: Request) -> bool:
+        return False
+
+
 class StubRegistry(Registry):
     """A registry that returns services without checking their type."""
 
     def __init__(self, **services: Any) -> None:
         super().__init__()
-        defaults = {"clock": CLOCK, "bodies": BodyBudget(1_000_000_000)}
+        defaults = {
+            "clock": CLOCK,
+            "bodies": BodyBudget(1_000_000_000),
+            "warmup": NoColdStarts(),
+            "returns": NoReturns(),
+        }
         for name, service in {**defaults, **services}.items():
             self.register(name, service)
 
@@ -95,6 +111,19 @@
     return Announcement("depot", "127.0.0.1", port, slots, connections)
 
 
+class RecordedWarmup(NoColdStarts):
+    """Records what is said of the warmth of the upstream."""
+
+    def __init__(self) -> None:
+        self.heard: list[float | str] = []
+
+    def observe_cold(self, cold_left_s: float) -> None:
+        self.heard.append(cold_left_s)
+
+    def suspect_cold(self) -> None:
+        self.heard.append("suspect")
+
+
 class StreamedBody:
     """A body that yields chunks and may end with an error."""
 
@@ -204,6 +233,9 @@
     def serve(self, handler: Any) -> None:
         self.handler = handler
 
+    def expected_send_s(self, length: int) -> float:
+        return 0.0
+
 
 def make_settings(percent: int = 10, attempts: int = 4) -> Any:
     return SimpleNamespace(routing=RoutingSection(retry_percent=percent, attempts=attempts))
--- a/tests/services/gate/test_execution.py
+++ b/tests/services/gate/test_execution.py
@@ -20,6 +20,7 @@
 from fescueward.services.gate.execution import GateExecution
 from fescueward.services.quarantine import CrashQuarantine
 from fescueward.services.shutdown import GracefulShutdown
+from fescueward.services.warmup import NoColdStarts
 from tests.services.fakes import (
     CLOCK,
     FakePeers,
@@ -185,7 +186,7 @@
                 upstream=None,
                 load=load,
                 quarantine=PassingQuarantine(),
-                peers=SimpleNamespace(serve=lambda handler: None),
+                peers=FakePeers(),
             )
         )
         with self.assertRaises(OverloadedError):
@@ -193,6 +194,16 @@
         self.assertEqual(load.records, [(70, 0.12)])
 
 
+class FullWindow(NoColdStarts):
+    """A cold upstream that takes the next request at the third time of asking."""
+
+    def __init__(self) -> None:
+        self.waits_s = [0.01, 0.01, 0.0]
+
+    def begin_send(self) -> float:
+        return self.waits_s.pop(0)
+
+
 class BodyTest(unittest.IsolatedAsyncioTestCase):
     async def test_body_arrives_before_a_slot_is_taken(self):
         """Guards against uploads over slow links that occupy the slots of an upstream."""
@@ -212,6 +223,18 @@
         self.assertEqual(response.status, 200)
         self.assertEqual([len(data) for data in received], [120_000])
 
+    async def test_request_waits_until_a_cold_upstream_may_get_it(self):
+        """Guards against requests that were admitted in turn and are sent at once (FAILBACK).
+
+        Each can wait for the handover of its key after it was admitted.
+        """
+        upstream, window = SlowUpstream(), FullWindow()
+        upstream.proceed.set()
+        execution = self.execution(FreeSlots(), upstream)
+        execution._warmup = window
+        response = await execution.execute(make_request(2.0, key=""))
+        self.assertEqual((response.status, window.waits_s), (200, []))
+
     async def test_full_upstream_refuses_before_the_body_is_sent(self):
         """Guards against uploads that fill the link of a full upstream to be refused there."""
         body = StreamedBody(b"x" * 120_000)
@@ -246,6 +269,34 @@
                 self.assertEqual((await execution.execute(request)).status, 200)
         first.cancel()
 
+    async def test_run_whose_calls_would_fail_is_refused_before_it_waits(self):
+        """Guards against runs that take a slot in vain, and runs that count as in progress."""
+        in_progress, refused = [], OverloadedError("calls fail", retry_after_s=0.4)
+
+        def check(request):
+            if request.path == "/calling":
+                raise refused
+
+        upstream = SlowUpstream()
+        execution = self.execution(FreeSlots(), upstream)
+        room = SimpleNamespace(
+            check=check,
+            run_began=lambda request, deadline: in_progress.append(deadline),
+            run_ended=lambda request, deadline: in_progress.remove(deadline),
+        )
+        execution.watch_runs(room)
+        with self.assertRaises(OverloadedError) as caught:
+            await execution.execute(make_request(2.0, key="", path="/calling"))
+        self.assertIs(caught.exception, refused)
+        running = asyncio.create_task(
+            execution.execute(make_request(2.0, key="", repeatable=True))
+        )
+        await upstream.run_started.wait()
+        self.assertEqual(len(in_progress), 1)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        self.assertEqual(in_progress, [])
+
     def execution(self, slots, upstream) -> GateExecution:
         execution = GateExecution()
         registry = StubRegistry(
@@ -284,7 +335,7 @@
                 upstream=self.upstream,
                 load=None,
                 quarantine=PassingQuarantine(),
-                peers=SimpleNamespace(serve=lambda handler: None),
+                peers=FakePeers(),
             )
         )
         self.running = asyncio.create_task(self.execution.execute(make_request(2.0, key="")))
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -1,6 +1,7 @@
 """Tests of the attempts and retries of `DispatchRouter`."""
 
 import asyncio
+import contextlib
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -10,10 +11,13 @@
 from fescueward.kernel.errors import (
     AnswerLostError,
     DrainingError,
+    EvacuatedError,
+    NoOwnerError,
     OverloadedError,
     OwnerUnreachableError,
     QuarantinedError,
     RefusalError,
+    ShardMovingError,
 )
 from fescueward.messages import Group, GroupId, VersionedGroup
 from fescueward.messages.group import LAST_KEY, KeyRange
@@ -30,6 +34,7 @@
     def __init__(self, *reachable: str) -> None:
         self.reachable = set(reachable)
         self.forwarded: list[str] = []
+        self.inner: list[bool] = []
         self.refusal: RefusalError | None = None
         # Raised from the second request on; `refusal` if None.
         self.later_refusal: RefusalError | None = None
@@ -39,6 +44,7 @@
 
     async def forward(self, member, request):
         self.forwarded.append(member.id)
+        self.inner.append(request.inner)
         if self.later_refusal is not None and len(self.forwarded) > 1:
             raise self.later_refusal
         if self.refusal is not None:
@@ -58,6 +64,8 @@
         Group("depot", 0, 1, ranges=(KeyRange(0, LAST_KEY, "b:1", 1),)), member("b")
     )
 
+    evacuations: object = None
+
     def setUp(self):
         self.kernel = Kernel()
         self.shutdown = GracefulShutdown(self.kernel)
@@ -70,9 +78,11 @@
             subscribe=lambda listener: None,
             wait_until_newer=self.unchanged,
         )
+        optional = {"evacuations": self.evacuations} if self.evacuations is not None else {}
         router = DispatchRouter()
         router.bind(
             StubRegistry(
+                **optional,
                 clock=BootClock(),
                 bounds=Bounds(),
                 groups=groups,
@@ -124,6 +134,152 @@
                 await self.router(peers).route(make_request(0.5, key=key))
             self.assertEqual(peers.forwarded, ["b:1"])
 
+    async def test_call_is_forwarded_as_such_and_its_end_is_reported(self):
+        """Guards against calls that wait behind new work, and against ends nobody learns of."""
+        for refusal in (None, OverloadedError("full")):
+            peers, ends = FakePeers("b:1"), []
+            peers.refusal = refusal
+            router = self.router(peers)
+            router.watch_calls(
+                SimpleNamespace(
+                    arrived=lambda request: request.route == "lookup",
+                    call_ended=lambda request, error, seconds, ends=ends: ends.append(error),
+                )
+            )
+            for route in ("lookup", "page"):
+                with contextlib.suppress(OverloadedError):
+                    await router.route(make_request(1.0, key="5", route=route))
+            self.assertEqual(peers.inner, [True, False])
+            self.assertEqual(ends, [refusal])
+
+
+class OutageTest(RouterCase):
+    """Six owners, all of which have ended."""
+
+    group = with_added_members(
+        Group(
+            "depot",
+            0,
+            1,
+            ranges=tuple(KeyRange(n * 100, n * 100 + 99, f"m{n}:1", 1) for n in range(6)),
+        ),
+        *(member(f"m{n}") for n in range(6)),
+    )
+
+    async def test_callers_are_told_to_come_back_while_all_owners_are_unreachable(self):
+        """Guards against requests that are held until they are late while a fleet returns."""
+        peers = FakePeers()
+        router = self.router(peers)
+        for key in ("0", "100", "200"):
+            with self.assertRaises(RefusalError):
+                await router.route(make_request(0.2, key=key))
+        peers.forwarded.clear()
+        for key in ("300", "400", "500"):
+            with self.assertRaises(RefusalError) as refused:
+                await router.route(make_request(5.0, key=key))
+            self.assertIs(refused.exception.outcome, Outcome.NOT_RUN)
+            self.assertGreaterEqual(refused.exception.retry_after_s, 0.4)
+        self.assertEqual(peers.forwarded, ["m3:1", "m4:1", "m5:1"])
+
+
+class EvacuatedDomainTest(RouterCase):
+    """The owner of all keys, `b`, and `c` are in an evacuated domain; `d` is in another one."""
+
+    group = with_added_members(
+        RouterCase.group,
+        *(
+            replace(member(name), failure_domain=domain)
+            for name, domain in (("b", "d0"), ("c", "d0"), ("d", "d1"))
+        ),
+    )
+    evacuations = SimpleNamespace(domains=frozenset({"d0"}))
+
+    async def test_requests_without_a_key_go_to_other_domains(self):
+        """Guards against requests that reach an evacuated upstream and are refused there."""
+        peers = FakePeers("b:1", "c:1", "d:1")
+        for _ in range(20):
+            await self.router(peers).route(make_request(1.0, key=""))
+        self.assertEqual(set(peers.forwarded), {"d:1"})
+
+    async def test_refused_at_once_when_nothing_else_is_left(self):
+        """Guards against requests that wait for their deadline without an upstream."""
+        self.evacuations = SimpleNamespace(domains=frozenset({"d0", "d1"}))
+        peers = FakePeers("b:1", "c:1", "d:1")
+        peers.refusal = EvacuatedError("closed")
+        for key, sent in (("", []), ("7", ["b:1"])):
+            peers.forwarded.clear()
+            with self.assertRaises(NoOwnerError if not key else EvacuatedError) as refused:
+                await self.router(peers).route(make_request(5.0, key=key))
+            self.assertIs(refused.exception.outcome, Outcome.NOT_RUN)
+            self.assertEqual(peers.forwarded, sent)
+            if not key:
+                self.assertGreater(refused.exception.retry_after_s, 0)
+
+    async def test_owner_is_asked_until_its_keys_have_moved(self):
+        """Guards against keys that are refused although their owner still serves them."""
+        peers = FakePeers("b:1", "d:1")
+        self.assertEqual((await self.router(peers).route(make_request(1.0, key="7"))).status, 200)
+        peers.refusal = EvacuatedError("closed")
+        with self.assertRaises(EvacuatedError):
+            await self.router(peers).route(make_request(0.4, key="7"))
+        self.assertEqual(set(peers.forwarded), {"b:1"})
+        self.assertGreater(len(peers.forwarded), 3)
+
+    async def test_router_that_does_not_know_yet_tries_another_domain(self):
+        """Guards against a failure in the moment at which the gates know and a router does not."""
+        self.evacuations = None
+        peers = FakePeers("b:1", "c:1", "d:1")
+        forward = peers.forward
+
+        async def refuse_in_d0(member, request):
+            if member.failure_domain == "d0":
+                raise EvacuatedError("begun")
+            return await forward(member, request)
+
+        peers.forward = refuse_in_d0
+        for _ in range(20):
+            response = await self.router(peers).route(make_request(1.0, key=""))
+            self.assertEqual(response.status, 200)
+
+
+class MovingPeers(FakePeers):
+    """The owner of the first version refuses requests, since it hands their keys over."""
+
+    async def forward(self, member, request):
+        self.forwarded.append(member.id)
+        if member.id == "b:1":
+            raise ShardMovingError("key 5 is being handed over")
+        return make_response(b"ok")
+
+
+class HandoverTest(RouterCase):
+    group = with_added_members(
+        Group("depot", 0, 1, ranges=(KeyRange(0, LAST_KEY, "b:1", 1),)), *map(member, "bc")
+    )
+
+    async def test_versions_about_other_keys_cause_no_further_refusals(self):
+        """Requests asked the old owner again every 50 ms and with each group version.
+
+        Found on 39 servers with hot keys: 3,917 refusals of 2,845 requests in one day.
+        """
+        peers = MovingPeers("b:1", "c:1")
+        router = self.router(peers)
+        moving = KeyRange(0, LAST_KEY, "b:1", 1, successor="c:1")
+        versions = [
+            replace(self.group, ranges=ranges)
+            for ranges in ((moving,), (moving,), (KeyRange(0, LAST_KEY, "c:1", 2),))
+        ]
+        views = [VersionedGroup(number, group) for number, group in enumerate(versions, 2)]
+
+        async def next_version(group: GroupId, version: int, timeout_s: float) -> bool:
+            await asyncio.sleep(0.04)
+            router._groups.view = lambda group_id: views[version - 1]
+            return True
+
+        router._groups.wait_until_newer = next_version
+        response = await router.route(make_request(2.0, key="5"))
+        self.assertEqual((response.status, peers.forwarded), (200, ["b:1", "c:1"]))
+
 
 class LeavingPeers(FakePeers):
     """The upstream of the only member leaves, as the response to the first request says."""
