Dial an agent that refused the handshake after 2 s

Others dialled member ids of ended processes again every 0.05 to 1 s; the process at the address is a new one and always refuses.

Change: after a refusal the next dial waits 2 s; requests for the member fail at once meanwhile, as before.

tests.services.test_peers, test_streams: 0 failed.

--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -55,6 +55,9 @@
 
 _INITIAL_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 1.0
+# Pause after the agent at the address has refused the handshake: mostly a new process, so that the
+# dialled one never returns. A fleet that returns dials thousands of ended processes a second else.
+_REFUSED_BACKOFF_S = 2.0
 # Closes a stream on which nothing was sent for this long, and stops dialling an unreachable peer.
 # Members of one group send messages to each other every second.
 _IDLE_TIMEOUT_S = 60.0
@@ -86,6 +89,10 @@
     secret: bytes
 
 
+class _HandshakeRefusedError(HandshakeError):
+    """The agent at the dialled address has refused the handshake."""
+
+
 class _ForwardedRequest:
     """A request in flight on a dialled stream."""
 
@@ -385,6 +392,9 @@
                     reason = "end of stream"
                 finally:
                     wire.close()
+            except _HandshakeRefusedError as error:
+                reason = f"HandshakeError: {error}"
+                backoff_s = _REFUSED_BACKOFF_S
             except (OSError, TimeoutError, PeerError) as error:
                 reason = f"{type(error).__name__}: {error}"
             except Exception as error:  # an address or a message of one peer concerns it alone
@@ -402,7 +412,7 @@
                 _UNREACHABLE.emit(peer=link.member.id, reason=reason)
             if not link.retired:
                 await self._clock.sleep(backoff_s)
-                backoff_s = min(backoff_s * 2, _MAX_BACKOFF_S)
+                backoff_s = min(backoff_s * 2, max(_MAX_BACKOFF_S, backoff_s))
         self._outdated.discard(link)
         if self._links.get(link.member.id) is link:
             del self._links[link.member.id]
@@ -422,7 +432,7 @@
         wire.send(Hello(name, identity.incarnation, PROTOCOL_VERSION, mac, expected_id, sent_ms))
         welcome = await anext(messages, None)
         if not isinstance(welcome, Welcome):
-            raise HandshakeError("the peer sent no Welcome message")
+            raise _HandshakeRefusedError("the peer sent no Welcome message")
         actual_id = f"{welcome.name}:{welcome.incarnation}"
         if expected_id and actual_id != expected_id:
             raise HandshakeError(f"expected agent {expected_id}, but {actual_id} responded")
