Let agents that return together monitor each other

The first five agents that returned got members as monitors that had ended, so they renewed their leases by writing the group, 8 times a second. The recorder's write with the joins of 52 others, 0.1 to 0.3 s on its link, conflicted with these for 18 s, and no keys came back.

Change: if at least three agents of earlier members join in one write, they are preferred as monitors, unless a cycle would form.

--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -40,6 +40,8 @@
 _DIAL_CHECK_S = 0.02
 # Recorders that are tried before an agent writes its own join.
 _MAX_RECORDERS = 3
+# Agents of earlier members that join in one write from which many have ended together.
+_MIN_RESTARTED = 3
 
 
 class JoinRecorder:
@@ -231,6 +233,7 @@
         """Returns the group with the joining members added, or None if it contains all of them."""
         added: dict[str, Member] = {}
         replaced_ids: set[str] = set()
+        restarted_ids: set[str] = set()
         for member in joining:
             if member.id in group.members or member.id in added:
                 continue
@@ -238,12 +241,17 @@
             old_ids = frozenset(other.id for other in _same_process(group, member))
             group = with_transferred_ranges(group, old_ids, member.id)
             replaced_ids |= old_ids
+            if old_ids:
+                restarted_ids.add(member.id)
             added[member.id] = member
         if not added:
             return None
         shards = group.shards or (Shard(),) * group.shard_count
         group = replace(group, shards=shards, members={**group.members, **added})
-        return fill_monitors(self._placement.assign(group, frozenset(replaced_ids)))
+        # If many agents ended together, other members may have ended as well. Without a monitor
+        # that runs an agent renews its lease by writes of the group, which conflict with joins.
+        preferred_ids = restarted_ids if len(restarted_ids) >= _MIN_RESTARTED else ()
+        return fill_monitors(self._placement.assign(group, frozenset(replaced_ids)), preferred_ids)
 
 
 def is_sent_by(sender: str, member: Member) -> bool:
--- a/fescueward/services/ring.py
+++ b/fescueward/services/ring.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Container
 from dataclasses import dataclass, replace
 
 from ..messages import Group, Member, MemberState
@@ -23,13 +24,18 @@
     in_other_domains: bool
 
 
-def fill_monitors(group: Group) -> Group:
-    """Returns the group with monitors added for members that have fewer than two."""
+def fill_monitors(group: Group, preferred_ids: Container[str] = ()) -> Group:
+    """Returns the group with monitors added for members that have fewer than two.
+
+    Args:
+        group: The group.
+        preferred_ids: Members that are preferred as monitors because they certainly run.
+    """
     ring = _ring(group)
     for member_id in ring:
         member = group.members[member_id]
         while len(member.monitors) < min(MONITORS_PER_MEMBER, len(ring) - 1):
-            chosen_id = _best_monitor(group, ring, member)
+            chosen_id = _best_monitor(group, ring, member, preferred_ids)
             if chosen_id is None:
                 break
             member = replace(member, monitors=(*member.monitors, chosen_id))
@@ -107,7 +113,9 @@
     return replace(group, members={**group.members, member.id: replace(member, monitors=monitors)})
 
 
-def _best_monitor(group: Group, ring: tuple[str, ...], member: Member) -> str | None:
+def _best_monitor(
+    group: Group, ring: tuple[str, ...], member: Member, preferred_ids: Container[str] = ()
+) -> str | None:
     start = ring.index(member.id)
     placement = _placement(group)
     best: tuple[tuple[int, ...], str] | None = None
@@ -115,7 +123,9 @@
         candidate = group.members[ring[(start + distance) % len(ring)]]
         if candidate.id in member.monitors or candidate.state is MemberState.LEAVING:
             continue
-        cost = (*_cost(group, placement, member, candidate), distance)
+        first_cost, *other_costs = _cost(group, placement, member, candidate)
+        # A cycle must not form even then: its members could be lost together.
+        cost = (first_cost, candidate.id not in preferred_ids, *other_costs, distance)
         if best is None or cost < best[0]:
             best = (cost, candidate.id)
     return best[1] if best is not None else None
--- a/tests/services/test_ring.py
+++ b/tests/services/test_ring.py
@@ -101,3 +101,28 @@
         )
         for member in filled.members.values():
             self.assertNotIn("a01:1", member.monitors)
+
+
+class EndOfAllAgentsTest(unittest.TestCase):
+    def test_agents_that_return_first_do_not_depend_on_ended_ones(self):
+        """Guards against lease renewals by writes, which conflict with the joins of the others.
+
+        Found on quetza-vinos-grown trouble-1: 5 of 59 members had returned and wrote the group
+        8 times a second; 52 further joins conflicted with them for 18 s.
+        """
+        group = _group_after_joins(list(range(59)), domains=3)
+        returned = [_member(number, number % 3) for number in (1, 2, 4, 9, 12)]
+        returned = [replace(m, id=f"{m.name}:2", incarnation=2) for m in returned]
+        for member in returned:
+            members = {id_: m for id_, m in group.members.items() if m.name != member.name}
+            group = replace(group, members={**members, member.id: member})
+        returned_ids = {member.id for member in returned}
+        members = {
+            id_: replace(m, monitors=tuple(o for o in m.monitors if o in group.members))
+            for id_, m in group.members.items()
+        }
+        group = fill_monitors(replace(group, members=members), returned_ids)
+        for member_id in returned_ids:
+            self.assertTrue(returned_ids & set(group.members[member_id].monitors), member_id)
+            self.assertEqual(len(group.members[member_id].monitors), 2)
+        self.assertEqual(_mutually_monitored(group), [])
