--- a/fescueward/services/keyspace/load.py
+++ b/fescueward/services/keyspace/load.py
@@ -30,6 +30,8 @@
 # requests, chance alone makes the busiest of dozens of members exceed the mean by half.
 _MIN_RATE_MEASUREMENTS = 8
 _RATE_MEASUREMENTS = 16
+# Of these, number with requests. In the first seconds of a load the rate is mostly chance.
+_MIN_BUSY_MEASUREMENTS = 6
 # A reported slowness above this is a passing one, and runs that it made longer end within this
 # time.
 _PASSING_SLOWNESS = 1.2
@@ -211,7 +213,8 @@
     def _lasting_demand(self) -> float | None:
         """Returns the slots that the requests of the last seconds take, or None if unknown."""
         newest = list(self._measurements)[-_RATE_MEASUREMENTS:]
-        if sum(1 for each in newest if each.requests) < _MIN_RATE_MEASUREMENTS:
+        busy_count = sum(1 for each in newest if each.requests)
+        if len(newest) < _MIN_RATE_MEASUREMENTS or busy_count < _MIN_BUSY_MEASUREMENTS:
             return None
         duration_s = sum(each.duration_s for each in newest)
         requests = sum(each.requests for each in newest)
--- a/tests/services/keyspace/test_load.py
+++ b/tests/services/keyspace/test_load.py
@@ -74,6 +74,16 @@
         self.assertAlmostEqual(report.run_ms, 50, delta=1)
         self.assertAlmostEqual(report.lasting_utilisation, 50 * 0.05 / 6, delta=0.01)
 
+    def test_first_requests_after_a_start_are_no_lasting_load(self):
+        """Guards against wide moves by chance in the first seconds of a load.
+
+        Found on quetza-vinos-grown scale-1: 18 of 58 members gave nearly their whole range away.
+        """
+        for _ in range(16):
+            self.load.measure()
+        self.assertIsNone(self.measure_periods([0.05] * 5).lasting_utilisation)
+        self.assertIsNotNone(self.measure_periods([0.05]).lasting_utilisation)
+
     def test_reported_slowness_adds_no_work_to_keys(self):
         """Guards against moves of keys whose work takes longer for some tenths of a second."""
         report = self.measure_periods([0.05] * 10 + [0.15], slowness=3.0)
--- a/tests/services/keyspace/test_placement_model.py
+++ b/tests/services/keyspace/test_placement_model.py
@@ -19,7 +19,7 @@
         even = model.play(Phase(6), lambda now: 420)
         self.assertLess(even.imbalance, 1.8, even)
         self.assertLess(even.late_share, 0.05, even)
-        self.assertLess(even.moved_ranges / even.seconds, 2.5, even)
+        self.assertLess(even.moved_ranges / even.seconds, 2, even)
         for phase in (Phase(5, 1, 0.16), Phase(2, 200, 0.44, 12_004)):
             model.play(phase, lambda now: 560)
         spread = model.play(Phase(3, 200, 0.44, 12_004), lambda now: 560)
