Mark refused links instead of raising an error of its own

The private subclass of HandshakeError took its line on the generated page of errors (tests.docs failed). A link now remembers that the agent at its address refused it.

--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -89,10 +89,6 @@
     secret: bytes
 
 
-class _HandshakeRefusedError(HandshakeError):
-    """The agent at the dialled address has refused the handshake."""
-
-
 class _ForwardedRequest:
     """A request in flight on a dialled stream."""
 
@@ -119,6 +115,8 @@
         # Set once the first dial has succeeded or failed.
         self.dial_finished = asyncio.Event()
         self.retired = False
+        # Whether the agent at the address refused the last handshake.
+        self.refused = False
         self.task: asyncio.Task[None] | None = None
         self.requests: dict[int, _ForwardedRequest] = {}
         self.calls: dict[int, asyncio.Future[object]] = {}
@@ -126,6 +124,7 @@
 
     def mark_connected(self, wire: Wire) -> None:
         self.wire = wire
+        self.refused = False
         self.dial_finished.set()
 
     def mark_disconnected(self, reason: str) -> None:
@@ -392,9 +391,6 @@
                     reason = "end of stream"
                 finally:
                     wire.close()
-            except _HandshakeRefusedError as error:
-                reason = f"HandshakeError: {error}"
-                backoff_s = _REFUSED_BACKOFF_S
             except (OSError, TimeoutError, PeerError) as error:
                 reason = f"{type(error).__name__}: {error}"
             except Exception as error:  # an address or a message of one peer concerns it alone
@@ -411,8 +407,8 @@
                 failure_logged = True
                 _UNREACHABLE.emit(peer=link.member.id, reason=reason)
             if not link.retired:
-                await self._clock.sleep(backoff_s)
-                backoff_s = min(backoff_s * 2, max(_MAX_BACKOFF_S, backoff_s))
+                await self._clock.sleep(_REFUSED_BACKOFF_S if link.refused else backoff_s)
+                backoff_s = min(backoff_s * 2, _MAX_BACKOFF_S)
         self._outdated.discard(link)
         if self._links.get(link.member.id) is link:
             del self._links[link.member.id]
@@ -432,7 +428,8 @@
         wire.send(Hello(name, identity.incarnation, PROTOCOL_VERSION, mac, expected_id, sent_ms))
         welcome = await anext(messages, None)
         if not isinstance(welcome, Welcome):
-            raise _HandshakeRefusedError("the peer sent no Welcome message")
+            link.refused = True
+            raise HandshakeError("the peer sent no Welcome message")
         actual_id = f"{welcome.name}:{welcome.incarnation}"
         if expected_id and actual_id != expected_id:
             raise HandshakeError(f"expected agent {expected_id}, but {actual_id} responded")
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -432,6 +432,24 @@
         await self.forward()
         self.assertFalse(self.router.unreachable(self.member))
 
+    async def test_ended_process_is_not_dialled_at_once_again(self):
+        """Guards against thousands of refused handshakes a second after the end of all agents."""
+        pauses_s = []
+        links = self.router._links
+
+        async def sleep(seconds):
+            pauses_s.append(seconds)
+            await asyncio.sleep(0)
+
+        earlier = make_member("b", self.port, incarnation=7)
+        with mock.patch.object(
+            links, "_clock", SimpleNamespace(now=CLOCK.now, sleep=sleep, time=CLOCK.now)
+        ):
+            links.dial(earlier)
+            await wait_until(lambda: len(pauses_s) > 2, 5, "the dial was refused")
+        links.drop(earlier.id)
+        self.assertEqual(set(pauses_s), {peer_links._REFUSED_BACKOFF_S})
+
     async def test_idle_links_are_closed(self):
         """Guards against streams and dials of lost members that accumulate with fleet churn."""
         await self.forward()
