--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -40,6 +40,7 @@
 from .balancer import Balancer, RequestProfile
 from .budget import RetryBudget
 from .outages import OwnerOutages
+from .owner_waits import OwnerWaits
 from .search import SlotSearch
 
 _REQUEST_SENT = Event(
@@ -69,11 +70,6 @@
 # Of these, the first that look for an upstream whose response is not late. The next one accepts a
 # late response.
 _SENDS_FOR_TIMELY_RESPONSE = 2
-# Longest wait for a newer group version before the owner of a key is looked up again.
-_OWNER_POLL_S = 0.05
-# Longest wait for the next owner while a key is being handed over: its running work, the planner's
-# batch and a write. An owner that keeps the key after all is asked again then.
-_HANDOVER_WAIT_S = 0.4
 # Share of the time to its deadline that a request waits for an owner of its key.
 _OWNER_WAIT_SHARE = 0.5
 # Retry-After of a request that is refused because its key has no owner.
@@ -122,6 +118,7 @@
         )
         self._bounds = registry.find("bounds", Bounds)
         self._groups = registry.find("groups", Groups)
+        self._owner_waits = OwnerWaits(self._clock, self._groups)
         self._routes = registry.find("routes", Routes)
         self._peers = registry.find("peers", Peers)
         self._membership = registry.find("membership", Membership)
@@ -266,7 +263,7 @@
                         raise
                     if owner_hint is None:
                         moving = isinstance(error, ShardMovingError)
-                        await self._wait_for_owner(request, view, moving, owner_wait_until)
+                        await self._owner_waits.wait(request, view, moving, owner_wait_until)
                 elif isinstance(error, NoOwnerError) or sends >= _MAX_SENDS_WITHOUT_RUN:
                     raise
                 else:
@@ -282,38 +279,6 @@
     def _is_outage(self, service: str) -> bool:
         return self._outages[service].widespread(self._clock.now())
 
-    async def _wait_for_owner(
-        self, request: Request, view: VersionedGroup | None, moving: bool, until: float
-    ) -> None:
-        """Waits until the owner of a key may be another one than in a group version.
-
-        While the key is being handed over, versions that only record other handovers don't end
-        the wait: the old owner would refuse the request again.
-
-        Args:
-            request: The request that was refused.
-            view: The version by which the request was sent, or None.
-            moving: Whether the refusal says that the key is being handed over.
-            until: Latest end of the wait, in seconds of CLOCK_BOOTTIME.
-        """
-        group_id = GroupId(request.service, 0)
-        key = int(request.key)
-        started_at = self._clock.now()
-        owner_id = _owner_of(view, key)
-        while True:
-            key_range = view.group.range_of(key) if view is not None else None
-            in_handover = moving and key_range is not None and key_range.successor is not None
-            longest_s = _HANDOVER_WAIT_S if in_handover else _OWNER_POLL_S
-            timeout_s = min(started_at + longest_s, until) - self._clock.now()
-            version = view.version if view is not None else 0
-            if timeout_s <= 0:
-                return
-            if not await self._groups.wait_until_newer(group_id, version, timeout_s):
-                return
-            view = self._groups.view(group_id)
-            if not moving or _owner_of(view, key) != owner_id:
-                return
-
     def _choose(
         self,
         request: Request,
@@ -456,9 +421,3 @@
         if budget is None:
             budget = self._budgets[service] = RetryBudget(self._bounds)
         return budget
-
-
-def _owner_of(view: VersionedGroup | None, key: int) -> str | None:
-    """Returns the member id of a key's owner in a group version, or None."""
-    key_range = view.group.range_of(key) if view is not None else None
-    return key_range.owner if key_range is not None else None
