Refuse no request for the run time of other routes

A route without a run yet was expected to take as long as the others, too long for a lookup with 380 ms left; refused always, it was never measured. Orders that had called it failed (2,343; 780 where a lookup happened to run first).

Change: the run time of a route without a run is unknown and counts as 0; only the wait is compared with the time left.

Measured: the new test in test_slots fails before (refused) and passes after; tests.services.admission, gate, tests.platform.test_upstream: 0 failed.

--- a/fescueward/services/admission/run_times.py
+++ b/fescueward/services/admission/run_times.py
@@ -62,9 +62,13 @@
         return self._by_route.get(route, self.overall).mean_s
 
     def expected_s(self, route: str) -> float:
-        """Returns a time in seconds within which most runs of a route end."""
-        run_time = self._by_route.get(route, self.overall)
-        return run_time.mean_s + 2 * run_time.deviation_s
+        """Returns a time in seconds within which most runs of a route end, or 0.0 if unknown.
+
+        The run time of other routes says nothing: a route that was refused for it would get no
+        run, and so would never be known.
+        """
+        run_time = self._by_route.get(route) if route else self.overall
+        return run_time.mean_s + 2 * run_time.deviation_s if run_time is not None else 0.0
 
     def is_short(self, route: str) -> bool:
         """Returns whether runs of a route are worth their slot even if they end late."""
--- a/tests/services/admission/test_slots.py
+++ b/tests/services/admission/test_slots.py
@@ -365,6 +365,28 @@
         self.assertGreater(refused.exception.retry_after_s, 0)
         await asyncio.gather(first, late)
 
+    async def test_route_without_a_run_yet_is_not_refused_for_its_run_time(self):
+        """Guards against a route that is never measured because it is always refused.
+
+        After the power-off on scale-2 of kagaz-mesh the only server of a service got long runs
+        first. For 18 s it refused all of the 45 ms lookups by the run time of the others, 250 ms,
+        so that orders failed which had called them.
+        """
+        announcement = Announcement("depot", "127.0.0.1", 1, slots=12, connections=110, cold_s=0.0)
+        self.admission.observe_announcement(announcement)
+        for run_s in (0.15, 0.35) * 20:
+            self.admission._record_run(run_s, "long")
+        holders = [
+            asyncio.create_task(self.run_request(self.request(str(n), 1.0, route="long")))
+            for n in range(self.admission.occupancy.slots)
+        ]
+        await asyncio.sleep(0)
+        lookup = make_request(
+            0.37, id="lookup", route="lookup", useful_until=CLOCK.now() + 0.12, inner=True
+        )
+        await asyncio.gather(self.run_request(lookup), *holders)
+        self.assertIn("lookup", self.order)
+
     async def test_run_time_is_estimated_per_route(self):
         """Guards against refusing short requests because of long ones on the same server.
 
