--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -55,6 +55,9 @@
 
 _INITIAL_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 1.0
+# Pause after the agent at the address has refused the handshake: mostly a new process, so that the
+# dialled one never returns. A fleet that returns dials thousands of ended processes a second else.
+_REFUSED_BACKOFF_S = 2.0
 # Closes a stream on which nothing was sent for this long, and stops dialling an unreachable peer.
 # Members of one group send messages to each other every second.
 _IDLE_TIMEOUT_S = 60.0
@@ -112,6 +115,8 @@
         # Set once the first dial has succeeded or failed.
         self.dial_finished = asyncio.Event()
         self.retired = False
+        # Whether the agent at the address refused the last handshake.
+        self.refused = False
         self.task: asyncio.Task[None] | None = None
         self.requests: dict[int, _ForwardedRequest] = {}
         self.calls: dict[int, asyncio.Future[object]] = {}
@@ -119,6 +124,7 @@
 
     def mark_connected(self, wire: Wire) -> None:
         self.wire = wire
+        self.refused = False
         self.dial_finished.set()
 
     def mark_disconnected(self, reason: str) -> None:
@@ -401,7 +407,7 @@
                 failure_logged = True
                 _UNREACHABLE.emit(peer=link.member.id, reason=reason)
             if not link.retired:
-                await self._clock.sleep(backoff_s)
+                await self._clock.sleep(_REFUSED_BACKOFF_S if link.refused else backoff_s)
                 backoff_s = min(backoff_s * 2, _MAX_BACKOFF_S)
         self._outdated.discard(link)
         if self._links.get(link.member.id) is link:
@@ -422,6 +428,7 @@
         wire.send(Hello(name, identity.incarnation, PROTOCOL_VERSION, mac, expected_id, sent_ms))
         welcome = await anext(messages, None)
         if not isinstance(welcome, Welcome):
+            link.refused = True
             raise HandshakeError("the peer sent no Welcome message")
         actual_id = f"{welcome.name}:{welcome.incarnation}"
         if expected_id and actual_id != expected_id:
