Call one function for usable slots and for the work of a range

The slots that an upstream can keep busy were computed in usable_slots and again in member_loads and rebalancing, and the work of a range in consolidation and again in evacuees. Each is one function now. A request computes its fingerprint, which covers its body, only if a refusal is remembered, and a task that has ended gets no callback of its own.

--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -352,9 +352,12 @@
                 await asyncio.wait((task,), timeout=min(last_result_s, remaining_s))
             return task.result() if task.done() else None
         finally:
-            # It may also fail in the moment in which the caller disconnects.
-            task.cancel()
-            task.add_done_callback(_retrieve_exception)
+            if task.done():
+                # It may fail in the moment in which the caller disconnects.
+                _retrieve_exception(task)
+            else:
+                task.cancel()
+                task.add_done_callback(_retrieve_exception)
 
 
 def _retrieve_exception(task: asyncio.Task[Any]) -> None:
--- a/fescueward/services/keyspace/consolidation.py
+++ b/fescueward/services/keyspace/consolidation.py
@@ -9,6 +9,7 @@
 from ...messages.group import KeyRange
 from ...messages.peer import RangeLoad
 from . import moves
+from .member_loads import range_work
 from .moves import BLOCK_KEYS, SMALL_RANGE_BLOCKS
 
 # A small range is returned to the owner of the surrounding keys once its work, in slots, is below
@@ -64,7 +65,4 @@
 def is_cold(key_range: KeyRange, reports: dict[str, RangeLoad]) -> bool:
     """Returns whether the owner of a range reports next to no work on it."""
     report = reports.get(key_range.owner or "")
-    if report is None:
-        return False
-    blocks = range(key_range.first // BLOCK_KEYS, key_range.last // BLOCK_KEYS + 1)
-    return sum(report.work.get(block, 0.0) for block in blocks) < _COLD_WORK_SLOTS
+    return report is not None and range_work(key_range, report) < _COLD_WORK_SLOTS
--- a/fescueward/services/keyspace/evacuees.py
+++ b/fescueward/services/keyspace/evacuees.py
@@ -12,6 +12,7 @@
 from ...messages.group import KeyRange
 from ...messages.peer import RangeLoad
 from . import moves
+from .member_loads import range_work
 
 # Ranges that one round hands over, or half of those that are left if these are more. With some
 # hundreds of ranges the last round begins within half of the bound of an evacuation.
@@ -87,19 +88,12 @@
         while first <= key_range.last:
             last = min((first + width) // moves.BLOCK_KEYS * moves.BLOCK_KEYS - 1, key_range.last)
             part = replace(key_range, first=first, last=last)
-            parts.append(_Part(part, _work_of(part, report)))
+            work = range_work(part, report) if report is not None else 0.0
+            parts.append(_Part(part, work))
             first = last + 1
     return parts
 
 
-def _work_of(key_range: KeyRange, report: RangeLoad | None) -> float:
-    if report is None:
-        return 0.0
-    first = key_range.first // moves.BLOCK_KEYS
-    last = key_range.last // moves.BLOCK_KEYS
-    return sum(report.work.get(block, 0.0) for block in range(first, last + 1))
-
-
 def _assign(
     parts: list[_Part],
     members: tuple[Member, ...],
--- a/fescueward/services/keyspace/member_loads.py
+++ b/fescueward/services/keyspace/member_loads.py
@@ -9,6 +9,7 @@
 from ...messages.peer import RangeLoad
 from . import moves
 from .moves import BLOCK_KEYS
+from .usable_slots import usable_slots
 
 # A block is hot from this many requests a second; fewer come together by chance.
 _HOT_REQUESTS_PER_S = 4.0
@@ -72,10 +73,16 @@
         members,
         {id_: utilisation[id_] or 0.0 for id_ in members},
         {id_: usual_ms / (reports[id_].run_ms or usual_ms) for id_ in members},
-        {id_: reports[id_].usable_slots or float(member.slots) for id_, member in members.items()},
+        {id_: usable_slots(member, reports) for id_, member in members.items()},
     )
 
 
+def range_work(key_range: KeyRange, report: RangeLoad) -> float:
+    """Returns the work, in slots, that a report has for the keys of a range."""
+    blocks = range(key_range.first // BLOCK_KEYS, key_range.last // BLOCK_KEYS + 1)
+    return sum(report.work.get(block, 0.0) for block in blocks)
+
+
 def hot_work_of(group: Group, report: RangeLoad) -> dict[int, float]:
     """Returns the work of the hot blocks that the sender of a report still owns."""
     min_work = _HOT_REQUESTS_PER_S * report.run_ms / 1000
--- a/fescueward/services/keyspace/rebalancing.py
+++ b/fescueward/services/keyspace/rebalancing.py
@@ -8,6 +8,7 @@
 from .member_loads import MemberLoads, hot_work_of, member_loads, set_successor
 from .moves import BLOCK_KEYS
 from .shares import with_wide_parts_moved
+from .usable_slots import usable_slots
 
 # A member is a source of moves at this utilisation, if it is also above the mean by this factor.
 _HIGH_UTILISATION = 0.7
@@ -27,13 +28,13 @@
 
 def _present_utilisation(group: Group, reports: dict[str, RangeLoad]) -> dict[str, float | None]:
     """Returns the utilisation by member id; a mean over a second is low while keys become hot."""
-    slots = {member.id: member.slots for member in group.members.values()}
     return {
         id_: max(
-            report.utilisation, sum(report.work.values()) / (report.usable_slots or slots[id_])
+            report.utilisation,
+            sum(report.work.values()) / usable_slots(group.members[id_], reports),
         )
         for id_, report in reports.items()
-        if id_ in slots
+        if id_ in group.members
     }
 
 
--- a/fescueward/services/room/returns.py
+++ b/fescueward/services/room/returns.py
@@ -68,7 +68,8 @@
 
     def is_returning(self, request: Request) -> bool:
         """Returns whether a caller comes back as it was told; see `Returns.is_returning`."""
-        times = self._told.get(fingerprint_of(request))
+        # Without a refusal lately, no request needs its fingerprint, which covers its body.
+        times = self._told.get(fingerprint_of(request)) if self._told else None
         if not times:
             return False
         now = self._clock.now()
