--- a/review/rig2/case.py
+++ b/review/rig2/case.py
@@ -69,6 +69,7 @@
         key: int | None = None,
         timeout_ms: int = 1500,
         method: str = "GET",
+        body: bytes = b"",
     ) -> Message | None:
         """Sends a request of a client on a machine; returns its answer, or None without one."""
         request_id = f"{random.getrandbits(64):016x}"
@@ -81,9 +82,7 @@
             headers[PREFIX + "Shard-Key"] = str(key)
         self.record("send", machine.name, request_id, method, path, "key", key)
         try:
-            answer = await call(
-                machine.outbound, method, path, headers, timeout_s=timeout_ms / 1000
-            )
+            answer = await call(machine.outbound, method, path, headers, body, timeout_ms / 1000)
         except (OSError, TimeoutError) as error:
             self.record("answer", request_id, type(error).__name__)
             return None
