Review case 8: bodies of failed uploads stay in memory until the process is killed

Cause: cycles of frames and exceptions keep the body of a request that failed until a late collection.

Change: case 8, a script in which back ends lose 0.4 of their answers to uploads of 16 MB.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+exec python3 "$(dirname "$0")/case.py"
--- a/review/rig2/backend.py
+++ b/review/rig2/backend.py
@@ -57,6 +57,7 @@
         holds: The keys that it holds.
         running: Key of each request at which it works, by its id.
         idle_s: Time after which it closes an idle connection.
+        lost_share: Share of the requests that it runs and whose answers are lost with a reset.
         drops_requests: Whether it drops a request when its connection closes.
         on_grant: Called with first and last key after each grant that it has taken.
         on_release: Called with first and last key when a release arrives.
@@ -68,6 +69,7 @@
         self.holds = Holds(spec.clock_factor)
         self.running: dict[str, int | None] = {}
         self.idle_s = 10.0
+        self.lost_share = 0.0
         self.drops_requests = True
         self.on_release: Callable[[int, int], None] = lambda first, last: None
         self.on_grant: Callable[[int, int], None] = lambda first, last: None
@@ -135,6 +137,7 @@
                     return
                 answer = await self._answer(message, reader)
                 if answer is None:
+                    writer.transport.abort()
                     return
                 writer.write(answer)
                 await writer.drain()
@@ -241,6 +244,9 @@
         finally:
             del self.running[request_id]
             self._record("end", self.spec.name, request_id, status)
+        if random.random() < self.lost_share:
+            self._record("answer lost", self.spec.name, request_id)
+            return None
         headers = {
             PREFIX + "Request-Id": request_id,
             PREFIX + "Response-Sig": f"{self._instance}.{request_id}.{status}",
--- a/review/rig2/machine.py
+++ b/review/rig2/machine.py
@@ -166,6 +166,16 @@
         if self.running and self._process is not None:
             self._process.send_signal(number)
 
+    def memory_bytes(self) -> int:
+        """Returns the resident memory of the agent, 0 if it doesn't run."""
+        if not self.running or self._process is None:
+            return 0
+        try:
+            pages = Path(f"/proc/{self._process.pid}/statm").read_text().split()[1]
+        except (OSError, IndexError):
+            return 0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
     async def kill(self) -> None:
         """Kills the agent, if it runs, and waits for its end."""
         if self.running and self._process is not None:
