Release no keys until the grants of an earlier process have ended

Callers saw: keys whose requests ran on two upstreams.

Cause: the new process knew no grant of the one before, so it waited 0.2 s for the response to its release and passed the keys on.

Change: a member that replaces one of an earlier process is marked, and its process releases nothing for one lease from its start; every grant of the earlier process has ended then. It grants and serves the keys itself until then, so they are not without an owner, and a grant that the upstream applies late finds no other owner either. A last member that leaves waits as well.

--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -74,6 +74,8 @@
         monitors: Member ids of the member's monitors.
         stamp: Number of renewals that the member has written to the group object itself.
         instance: Identity of the upstream's current start, empty if upstreams have none.
+        restarted: Whether the member replaced one of an earlier process of its agent, whose grants
+            to the upstream may still be in force.
     """
 
     id: str
@@ -92,6 +94,7 @@
     monitors: tuple[str, ...] = ()
     stamp: Count = 0
     instance: str = ""
+    restarted: bool = False
 
     def any_incarnation(self) -> Member:
         """Returns this member with incarnation 0, which matches any incarnation at its address.
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -243,7 +243,7 @@
             replaced_ids |= old_ids
             if old_ids:
                 restarted_ids.add(member.id)
-            added[member.id] = member
+            added[member.id] = replace(member, restarted=bool(old_ids))
         if not added:
             return None
         shards = group.shards or (Shard(),) * group.shard_count
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -69,6 +69,10 @@
         self._state_changed = asyncio.Event()
         self._renewal_due = asyncio.Event()
         self._upstream_start = ""
+        self._started_at = 0.0
+        # Time by which grants of an earlier process of this agent have certainly ended.
+        self._earlier_grants_end = 0.0
+        self._postponed_handovers: asyncio.Task[None] | None = None
         self._process_epochs = ProcessEpochs(self._tasks)
         # Grants that were sent and have no response yet.
         self._grants_in_flight: dict[RangeId, asyncio.Task[None]] = {}
@@ -95,6 +99,8 @@
 
     async def start(self) -> None:
         """Starts the task that sends and renews grants."""
+        # This process has bound the port of its agent, so an earlier one has ended.
+        self._started_at = self._clock.now()
         self._tasks.spawn("grants", self._run_grants())
 
     async def stop(self) -> None:
@@ -163,6 +169,7 @@
             await asyncio.wait((self._release_task,))
 
     async def _release_withdrawn(self, ranges: list[KeyRange]) -> None:
+        await self._wait_until_earlier_grants_end()
         for key_range in ranges:
             self._grant_ends.pop(range_id(key_range), None)
         self._rebuild_index()
@@ -200,6 +207,8 @@
             if range_id(key_range) not in self._handovers.released
         }
         member = group.group.members.get(own_id)
+        if member is not None and member.restarted:
+            self._earlier_grants_end = self._started_at + self._lease_s
         if member is None or member.state is MemberState.ACTIVE:
             # The leave has completed or was cancelled.
             self._withdrawn.clear()
@@ -384,13 +393,31 @@
         Requests are refused only from here on, so a key is without a server for the time that its
         own running work takes.
         """
-        for key_range in self._handovers.start_releases():
+        postponed = self._clock.now() < self._earlier_grants_end
+        if postponed and self._postponed_handovers is None:
+            self._postponed_handovers = self._tasks.spawn(
+                "postponed", self._start_postponed_handovers()
+            )
+        for key_range in () if postponed else self._handovers.start_releases():
             self._owned_ranges.pop(range_id(key_range), None)
             self._grant_ends.pop(range_id(key_range), None)
             self._tasks.spawn("handover", self._hand_over(key_range))
         self._rebuild_index()
         self._notify_waiters()
 
+    async def _start_postponed_handovers(self) -> None:
+        await self._wait_until_earlier_grants_end()
+        self._start_handovers()
+
+    async def _wait_until_earlier_grants_end(self) -> None:
+        """Waits for grants of an earlier process, which this one cannot see end in another way.
+
+        The upstream responds to no release for as long as it works on the keys, and may apply a
+        grant that it received before the release after its response.
+        """
+        while (wait_s := self._earlier_grants_end - self._clock.now()) > 0:
+            await self._clock.sleep(wait_s)
+
     async def _hand_over(self, key_range: KeyRange) -> None:
         own_group_id = self._membership.own_group_id
         assert own_group_id is not None
--- a/tests/services/keyspace/test_handover.py
+++ b/tests/services/keyspace/test_handover.py
@@ -23,6 +23,8 @@
 LONGEST_RELEASE_S = 0.8
 # One batch for each slow write, and the planner's own handover.
 MAX_SLOW_CALLS = 12
+# Time that an upstream works on a key, longer than a lease.
+WORK_S = 1.5
 
 
 def move_one_range_of_each(group):
@@ -164,3 +166,59 @@
         self.assertLess(len(self.releases), len(self.keys))
         self.assertFalse(self.admitted(hot_key))
         self.assertTrue(self.admitted(last_key))
+
+
+class RestartDuringHandoverTest(unittest.TestCase):
+    """An owner is killed and restarted while it hands over keys on which its upstream works."""
+
+    def setUp(self):
+        self.fleet = KeyedFleet()
+        self.owner = self.fleet.start("a00", "d0", "boot")
+        self.successor = self.fleet.start("a01", "d1")
+        self.assertIsNotNone(self.fleet.time_until_distributed(20))
+        self.fleet.world.advance(5)
+        self._upstream = self.fleet.upstreams["a00"]
+        self._release_range = self._upstream.release_range
+        self.releases = 0
+        self._upstream.release_range = self.release_after_work
+
+    async def release_after_work(self, key_range):
+        """Keeps the grants of a range until the work on its keys has ended."""
+        self.releases += 1
+        await asyncio.sleep(WORK_S)
+        return await self._release_range(key_range)
+
+    def move_last_block(self, group):
+        owner_id = self.owner.membership.member_id
+        last = max(each.last for each in group.ranges if each.owner == owner_id)
+        return moves.with_ranges(
+            group,
+            moves.change_keys(
+                group.ranges,
+                last + 1 - BLOCK_KEYS,
+                last,
+                lambda part: replace(part, successor=self.successor.membership.member_id),
+            ),
+        )
+
+    def test_successor_gets_keys_once_the_work_of_the_upstream_has_ended(self):
+        """Guards against two upstreams that have a grant for a key (OWNER); see `KeyedFleet`.
+
+        Found by review case 8: the restarted agent knew no grant and waited 0.2 s for a response.
+        """
+        self.owner.spawn(lambda: self.owner.groups.edit(GROUP_ID, self.move_last_block))
+        self.fleet.world.advance(0.2)
+        self.assertEqual(self.releases, 1)
+        self.fleet.kill("a00")
+        self.fleet.world.advance(0.1)
+        self.owner = self.fleet.start("a00", "d0", "boot")
+        self.fleet.world.advance(0.6)
+        group = self.successor.groups.view(GROUP_ID).group
+        moving = next(each for each in group.ranges if each.successor is not None)
+        self.assertEqual(moving.owner, self.owner.membership.member_id)
+        self.assertIn(
+            (moving.first, moving.last, moving.epoch), [g[:3] for g in self._upstream.grants]
+        )
+        self.fleet.world.advance(5)
+        group = self.successor.groups.view(GROUP_ID).group
+        self.assertEqual(group.range_of(moving.first).owner, self.successor.membership.member_id)
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -244,6 +244,40 @@
         self.assertGreaterEqual(now, granted_until)
         self.assertLess(now, granted_until + 0.4)
 
+    async def test_restarted_agent_serves_keys_until_grants_of_its_earlier_process_end(self):
+        """Guards against a successor that is granted keys on which the upstream still works.
+
+        The upstream was granted them by the process before, and responds to no release until the
+        work on them has ended. Found by review case 8: 0.57 to 0.60 s before the end of its grant.
+        """
+        started_at = CLOCK.now()
+        self.lease.expires_at = started_at + 5.0
+        self.upstream.release_range = self._fail_after_delay
+        moving = self.moving(0, 99)
+        restarted = replace(moving.members["a:1"], restarted=True)
+        self.groups.publish(replace(moving, members={**moving.members, "a:1": restarted}))
+        while CLOCK.now() < started_at + 0.9:
+            await self.ownership.admit("depot", "5", CLOCK.now() + 0.1)
+            self.assertEqual(self.groups.edits, 0)
+            await asyncio.sleep(0.02)
+        del self.upstream.release_range
+        await self.wait_until(lambda: self.groups.edits)
+        key_range = self.groups.current.group.range_of(5)
+        self.assertEqual((key_range.owner, key_range.handover), ("b:1", "token"))
+        self.assertLess(CLOCK.now(), started_at + 1.3)
+
+    async def test_last_member_that_was_restarted_releases_nothing_before_earlier_grants_end(self):
+        """Guards against a new member that is granted keys of which the upstream has a grant."""
+        alone = moves.assigned(with_added_members(Group("depot", 0, 1), member("a")))
+        restarted = replace(alone.members["a:1"], restarted=True, state=MemberState.LEAVING)
+        self.groups.publish(replace(alone, members={"a:1": restarted}))
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.8):
+                await self.ownership.wait_until_drained()
+        self.assertNotIn("release", [call[0] for call in self.upstream.calls])
+        await self.ownership.wait_until_drained()
+        self.assertEqual(self.upstream.calls[-1][0], "release")
+
     async def test_successor_records_the_handover_of_an_owner_that_is_cut_off(self):
         """Guards against released keys that are not served while their owner is cut off."""
         self.groups.publish(self.group)
