Send new routes as a difference also when they are sorted among others

One of two causes: the operator's routes are sorted by name, so new ones come between others, and a difference could not say where. Each version was sent as a whole to each agent: 1.15 MB for 6,501 routes, more than a message may have.

Change: a difference names the places of the added routes. Only routes that both versions have and that change their order still need the whole.

Test: the case c, a, b of test_routes_in_another_order_need_the_whole now has a difference; test_added_routes_take_their_places_among_the_others checks for 200 drawn pairs of versions that it leads to the same routes in the same order and names only the new ones. It failed before (no difference). c, b, a takes the place in the first test.

--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -160,6 +160,8 @@
         services: Services that were added or changed.
         removed_services: Names of the services that were removed.
         limits: Limits on callers of the newer version.
+        places: Index of each added route in the newer version, in ascending order; empty if they
+            follow all others.
     """
 
     base: Annotated[int, Meta(ge=0)]
@@ -170,15 +172,20 @@
     services: tuple[ServiceSpec, ...] = ()
     removed_services: tuple[str, ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
+    places: tuple[Annotated[int, Meta(ge=0)], ...] = ()
 
     def apply_to(self, base: VersionedConfiguration) -> VersionedConfiguration | None:
         """Returns the newer version, or None if `base` is not what the delta applies to."""
         if base.version != self.base:
             return None
         current = base.configuration
+        routes = _merge(current.routes, _by_name(self.routes), self.removed)
+        if self.places:
+            added = [route.name for route in self.routes if route.name not in current.routes]
+            routes = _moved(routes, dict(zip(self.places, added, strict=False)))
         configuration = Configuration(
             self.number,
-            _merge(current.routes, _by_name(self.routes), self.removed),
+            routes,
             _merge(current.services, _by_name(self.services), self.removed_services),
             self.limits,
         )
@@ -190,10 +197,13 @@
 ) -> ConfigurationDelta | None:
     """Returns the delta from one version to another, or None if it needs the whole configuration.
 
-    A delta cannot express a change in the order of routes, nor a route or service that is listed
-    under another name than its own.
+    A delta cannot express a change in the order of routes that both versions have, nor a route or
+    service that is listed under another name than its own.
     """
     before, after = base.configuration, newer.configuration
+    places = tuple(place for place, name in enumerate(after.routes) if name not in before.routes)
+    if places == tuple(range(len(after.routes) - len(places), len(after.routes))):
+        places = ()
     delta = ConfigurationDelta(
         base=base.version,
         version=newer.version,
@@ -203,6 +213,7 @@
         services=tuple(_changed(before.services, after.services).values()),
         removed_services=_removed(before.services, after.services),
         limits=after.limits,
+        places=places,
     )
     applied = delta.apply_to(base)
     # Of two routes that match the same requests the first is used, so the order must not change.
@@ -234,6 +245,15 @@
     return remaining | changed
 
 
+def _moved(items: dict[Name, Item], names_by_place: dict[int, Name]) -> dict[Name, Item]:
+    """Moves some items to given places; the others keep their order, and all are kept."""
+    moved = frozenset(names_by_place.values())
+    others = [name for name in items if name not in moved]
+    for place, name in names_by_place.items():
+        others.insert(place, name)
+    return {name: items[name] for name in others}
+
+
 def _replace_ranges(
     ranges: tuple[KeyRange, ...], changed: tuple[KeyRange, ...]
 ) -> tuple[KeyRange, ...]:
