Send long messages between agents in parts

The other cause: a message between agents had at most 1 MiB before compression, while an object of the platform can be larger in that form. An agent that joins late or lacks more than eight versions needs the whole configuration, and so do the groups that a member fetches at once; such a message ended in a log line (peer_message_not_sent).

Change: a message of more than 32 KiB compressed, or 1 MiB uncompressed, is sent in parts of 16 KiB to peers that take them (a field of the handshake; others get what they got before). Parts share the limit on what an agent has on its way with bodies, so on a slow link renewals of leases pass between them. Messages of one type stay in order, because a difference applies to the version before it. A message has at most 16 MiB now.

Test: test_message_that_cannot_be_encoded checks the same with the new limit. test_configuration_of_the_size_of_an_object_arrives fails before.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -44,6 +44,7 @@
             at the address.
         sent_ms: Time of sending in milliseconds of the sender's CLOCK_BOOTTIME, or None from
             earlier versions of the agent.
+        takes_parts: Whether the sender takes a `MessagePart`; earlier versions do not.
     """
 
     name: Annotated[str, Meta(min_length=1, max_length=200)]
@@ -52,6 +53,7 @@
     mac: bytes
     wanted: str = ""
     sent_ms: NonNegativeInt | None = None
+    takes_parts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,10 +63,12 @@
     Attributes:
         name: Name of the accepting agent.
         incarnation: Incarnation of the accepting agent.
+        takes_parts: Whether the accepting agent takes a `MessagePart`.
     """
 
     name: str
     incarnation: NonNegativeInt
+    takes_parts: bool = False
 
 
 def version_digest(versions: dict[str, int]) -> int:
@@ -620,6 +624,32 @@
 
 
 # The index of a type is its kind on the wire, so types are only appended.
+@dataclass(frozen=True, slots=True)
+class MessagePart:
+    """Part of a long message; the parts of a message follow each other.
+
+    Attributes:
+        kind: Index of the type of the message in `PEER_MESSAGES`.
+        data: Part of the compressed message.
+        end: Whether this is the last part.
+    """
+
+    kind: NonNegativeInt
+    data: bytes = b""
+    end: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PartReceived:
+    """Reply to `MessagePart`.
+
+    Attributes:
+        size: Number of bytes of the part.
+    """
+
+    size: NonNegativeInt
+
+
 PEER_MESSAGES: tuple[type[Any], ...] = (
     Challenge,
     Hello,
@@ -649,4 +679,6 @@
     CrashNoted,
     JoinRequest,
     JoinReply,
+    MessagePart,
+    PartReceived,
 )
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -74,7 +74,7 @@
         identity: Returns the current identity of this process.
         dispatch: Receives messages that belong to no request.
         windows: Shared by the bodies that this agent receives.
-        outgoing: Shared by the bodies that this agent sends.
+        outgoing: Shared by the bodies and long messages that this agent sends.
         held: Limit on the responses that wait to be sent, or None.
     """
 
@@ -150,7 +150,8 @@
         await asyncio.gather(*(wire.flush_and_close() for wire in wires))
 
     async def _run(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        wire, messages = Wire(writer), read_messages(reader)
+        wire = Wire(writer, self._tasks, self._outgoing)
+        messages = read_messages(reader, wire)
         transit = TransitDelay()
         accepted: _AcceptedStream | None = None
         try:
@@ -219,7 +220,8 @@
                 f"{newest_incarnation}"
             )
         self._incarnations[hello.name] = hello.incarnation
-        wire.send(Welcome(identity.name, identity.incarnation))
+        wire.send(Welcome(identity.name, identity.incarnation, takes_parts=True))
+        wire.parts.accepted = hello.takes_parts
         return f"{hello.name}:{hello.incarnation}"
 
     def _receive(self, accepted: _AcceptedStream, message: Any) -> None:
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -149,7 +149,7 @@
         timeout_s: Timeout of a connection attempt, a handshake or a call, in seconds.
         identity: Returns the current identity of this process.
         dispatch: Receives messages that belong to no request or call.
-        outgoing: Shared by the bodies that this agent sends.
+        outgoing: Shared by the bodies and long messages that this agent sends.
     """
 
     def __init__(
@@ -161,7 +161,7 @@
         dispatch: Dispatch,
         outgoing: SendWindow | None = None,
     ) -> None:
-        self._outgoing = outgoing
+        self._outgoing = outgoing or SendWindow()
         self._tasks = tasks
         self._clock = clock
         self._timeout_s = timeout_s
@@ -379,7 +379,8 @@
                     reader, writer = await asyncio.open_connection(
                         link.member.peer_host, link.member.peer_port
                     )
-                wire, messages = Wire(writer), read_messages(reader)
+                wire = Wire(writer, self._tasks, self._outgoing)
+                messages = read_messages(reader, wire)
                 try:
                     async with asyncio.timeout(self._timeout_s):
                         await self._handshake(link, wire, messages)
@@ -425,7 +426,17 @@
         # Incarnation 0 marks an address, such as a seed, whose agent is not known yet.
         expected_id = link.member.id if link.member.incarnation else ""
         sent_ms = int(self._clock.now() * 1000)
-        wire.send(Hello(name, identity.incarnation, PROTOCOL_VERSION, mac, expected_id, sent_ms))
+        wire.send(
+            Hello(
+                name,
+                identity.incarnation,
+                PROTOCOL_VERSION,
+                mac,
+                expected_id,
+                sent_ms,
+                takes_parts=True,
+            )
+        )
         welcome = await anext(messages, None)
         if not isinstance(welcome, Welcome):
             link.refused = True
@@ -433,6 +444,7 @@
         actual_id = f"{welcome.name}:{welcome.incarnation}"
         if expected_id and actual_id != expected_id:
             raise HandshakeError(f"expected agent {expected_id}, but {actual_id} responded")
+        wire.parts.accepted = welcome.takes_parts
 
     def _receive(self, link: _Link, message: Any) -> None:
         stream_number = getattr(message, "stream", None)
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 from typing import Any
 
-from ..kernel import RefusalError
+from ..kernel import RefusalError, TaskOwner
 from ..kernel.errors import (
     MalformedMessageError,
     NotOwnerError,
@@ -21,6 +21,8 @@
 from ..messages.frames import FrameDecoder, FrameEncoder
 from ..messages.peer import PROTOCOL_VERSION, StreamOpen, StreamRefused
 from ..messages.request import BytesBody
+from .link.parts import MessageParts
+from .link.window import SendWindow
 from .streams import INLINE_BYTES
 
 _READ_BYTES = 262_144
@@ -47,10 +49,21 @@
 
     uvloop makes a system call for each write, so all messages sent in one iteration of the event
     loop are written together at its end.
+
+    Args:
+        writer: Writes to the connection.
+        tasks: Owner of the task that sends long messages.
+        outgoing: Limits what this agent has on its way in bodies and long messages.
+
+    Attributes:
+        parts: The long messages.
     """
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self, writer: asyncio.StreamWriter, tasks: TaskOwner, outgoing: SendWindow
+    ) -> None:
         self._writer = writer
+        self.parts = MessageParts(tasks, outgoing, self._send_frame)
         self._encoder = FrameEncoder()
         self._frames: list[bytes] = []
         connection = writer.get_extra_info("socket")
@@ -67,15 +80,23 @@
         transport = self._writer.transport
         if transport.is_closing():
             return
-        if transport.get_write_buffer_size() > _MAX_WRITE_BUFFER_BYTES:
+        unsent_bytes = transport.get_write_buffer_size() + self.parts.queued_bytes
+        if unsent_bytes > _MAX_WRITE_BUFFER_BYTES:
             transport.abort()
             return
+        if not self.parts.enqueue(message):
+            self._send_frame(message)
+
+    def _send_frame(self, message: object) -> None:
+        if self._writer.transport.is_closing():
+            return
         self._frames.append(self._encoder.encode(message))
         if len(self._frames) == 1:
             asyncio.get_running_loop().call_soon(self._flush)
 
     def close(self) -> None:
-        """Closes the connection after writing the queued messages."""
+        """Closes the connection after writing the queued messages, except long ones."""
+        self.parts.close()
         self._flush()
         self._writer.close()
 
@@ -92,8 +113,12 @@
             self._writer.writelines(frames)
 
 
-async def read_messages(reader: asyncio.StreamReader) -> AsyncIterator[Any]:
-    """Yields the messages of a connection until it is closed.
+async def read_messages(reader: asyncio.StreamReader, wire: Wire) -> AsyncIterator[Any]:
+    """Yields the messages of a connection until it is closed; a long one once it is complete.
+
+    Args:
+        reader: Reads from the connection.
+        wire: Writes to it.
 
     Raises:
         MalformedMessageError: The bytes do not decode to a message, or the first one, which proves
@@ -103,9 +128,11 @@
     first_bytes = 0
     is_first = True
     while data := await reader.read(_FIRST_READ_BYTES if is_first else _READ_BYTES):
-        for message in decoder.feed(data):
+        for received in decoder.feed(data):
             is_first = False
-            yield message
+            message = wire.parts.receive(received)
+            if message is not None:
+                yield message
         first_bytes += len(data)
         if is_first and first_bytes > _MAX_FIRST_BYTES:
             raise MalformedMessageError(f"no message within {_MAX_FIRST_BYTES} bytes")
--- a/tests/services/test_peer_wire.py
+++ b/tests/services/test_peer_wire.py
@@ -8,11 +8,17 @@
 
 import uvloop
 
+from fescueward.kernel import Kernel
 from fescueward.kernel.errors import MalformedMessageError
 from fescueward.messages.peer import StreamReset
+from fescueward.services.link.window import SendWindow
 from fescueward.services.peer_wire import Wire, read_messages
 
 
+def make_wire(writer: asyncio.StreamWriter) -> Wire:
+    return Wire(writer, Kernel().task_owner("peers"), SendWindow())
+
+
 class WireTest(unittest.TestCase):
     def test_send_on_a_closed_connection(self):
         """Guards against a 500 for a caller when its request is reset on a closed connection.
@@ -32,7 +38,7 @@
                 await asyncio.sleep(0)
                 with self.assertRaises(RuntimeError):
                     writer.write(b"uvloop raises on a closed transport")
-                Wire(writer).send(StreamReset(1, "deadline"))
+                make_wire(writer).send(StreamReset(1, "deadline"))
 
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(send_after_close())
@@ -45,14 +51,14 @@
             messages: list[object] = []
 
             async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-                async for message in read_messages(reader):
+                async for message in read_messages(reader, make_wire(writer)):
                     messages.append(message)
                 received.set()
                 writer.close()
 
             async with await asyncio.start_server(accept, "127.0.0.1", 0) as server:
                 _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
-                wire = Wire(writer)
+                wire = make_wire(writer)
                 sent = [StreamReset(number, "deadline") for number in range(4)]
                 with (
                     mock.patch.object(writer, "write") as write,
@@ -77,7 +83,8 @@
     async def test_first_message_without_end_is_given_up(self):
         """Guards against strangers whose bytes are held up to the size of the largest frame."""
         reader = asyncio.StreamReader()
+        wire = make_wire(mock.Mock())
         # A frame that announces a part of 1 MB.
         reader.feed_data(b"\x93\x00\xc6\x00\x10\x00\x00" + b"x" * 30_000)
         with self.assertRaises(MalformedMessageError):
-            await asyncio.wait_for(anext(read_messages(reader)), 5.0)
+            await asyncio.wait_for(anext(read_messages(reader, wire)), 5.0)
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
 from contextlib import suppress
 from dataclasses import replace
@@ -22,7 +23,13 @@
 )
 from fescueward.kernel.settings import PeersSection
 from fescueward.messages import Group, Response, VersionedGroup
-from fescueward.messages.frames import FrameEncoder
+from fescueward.messages.configuration import (
+    Configuration,
+    Route,
+    Target,
+    VersionedConfiguration,
+)
+from fescueward.messages.frames import MAX_MESSAGE_BYTES, FrameEncoder
 from fescueward.messages.peer import (
     CrashReport,
     Publish,
@@ -496,12 +503,42 @@
         for message in (
             Publish(relay=10**30),
             Publish(groups=(VersionedGroup(10**30, Group("depot", 0, 1)),)),
-            StatusReply(1, {"x": "x" * 2_000_000}),
+            StatusReply(1, {"x": "x" * MAX_MESSAGE_BYTES}),
         ):
             self.assertFalse(self.router.send(self.member, message))
             self.assertFalse(self.router.reply("b:1", message))
         self.assertEqual((await self.forward()).status, 200)
 
+    async def test_configuration_of_the_size_of_an_object_arrives(self):
+        """Guards against agents that never learn of a configuration that the platform takes.
+
+        Found by review case 10: from 5,900 routes on, a message had more bytes than one frame.
+        """
+        routes = {
+            f"route-{number}": Route(
+                f"route-{number}",
+                f"{random.Random(number).randbytes(90).hex()}.example",
+                "/",
+                True,
+                3,
+                4.0,
+                0.6,
+                2,
+                (Target("depot"),),
+            )
+            for number in range(5_000)
+        }
+        message = Publish(configuration=VersionedConfiguration(7, Configuration(7, routes)))
+        received: list[object] = []
+        for peers in (self.owner, self.router):
+            peers.on(Publish, lambda sender, message: received.append((sender, message)))
+        await self.forward()
+        self.assertTrue(self.router.send(self.member, message))
+        await wait_until(lambda: received, 5, "the message has arrived")
+        self.assertTrue(self.owner.reply("a:1", message))
+        await wait_until(lambda: len(received) == 2, 5, "the reply has arrived")
+        self.assertEqual(received, [("a:1", message), ("b:1", message)])
+
     async def test_unexpected_exception_on_a_stream(self):
         """Guards against a connection that ends the agent it was accepted by, or dialled from."""
         await self.forward()
