Hand over no hash shards while grants of an earlier process are in force

Cause: as for key ranges. A restarted agent counts no request of the process before, which its upstream may still run, so it let a successor have the shard as soon as the upstream had confirmed the present grants.

Change: services/earlier_grants.py knows when those grants have ended, for both kinds of ownership. A shard is served by the restarted agent until then and handed over afterwards.

--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -18,6 +18,7 @@
 from ...kernel.settings import Settings
 from ...messages import MemberState, VersionedGroup
 from ...messages.group import KeyRange
+from ..earlier_grants import EarlierGrants
 from .grants import RangeTicket, covering_grant_end
 from .handover import RangeHandover, RangeId, range_id
 from .handover_queue import HandoverQueue
@@ -69,9 +70,6 @@
         self._state_changed = asyncio.Event()
         self._renewal_due = asyncio.Event()
         self._upstream_start = ""
-        self._started_at = 0.0
-        # Time by which grants of an earlier process of this agent have certainly ended.
-        self._earlier_grants_end = 0.0
         self._postponed_handovers: asyncio.Task[None] | None = None
         self._process_epochs = ProcessEpochs(self._tasks)
         # Grants that were sent and have no response yet.
@@ -93,14 +91,14 @@
         self._renewal_s = section.renewal_ms / 1000
         self._lease_s = section.lease_ms / 1000
         self._recovery_wait = RecoveryWait(self._clock, section)
+        self._earlier_grants = EarlierGrants(self._clock, self._lease_s)
         self._handover.bind(registry)
         self._process_epochs.bind(registry)
         self._groups.subscribe(self)
 
     async def start(self) -> None:
         """Starts the task that sends and renews grants."""
-        # This process has bound the port of its agent, so an earlier one has ended.
-        self._started_at = self._clock.now()
+        self._earlier_grants.start()
         self._tasks.spawn("grants", self._run_grants())
 
     async def stop(self) -> None:
@@ -169,7 +167,7 @@
             await asyncio.wait((self._release_task,))
 
     async def _release_withdrawn(self, ranges: list[KeyRange]) -> None:
-        await self._wait_until_earlier_grants_end()
+        await self._earlier_grants.wait_until_ended()
         for key_range in ranges:
             self._grant_ends.pop(range_id(key_range), None)
         self._rebuild_index()
@@ -207,8 +205,7 @@
             if range_id(key_range) not in self._handovers.released
         }
         member = group.group.members.get(own_id)
-        if member is not None and member.restarted:
-            self._earlier_grants_end = self._started_at + self._lease_s
+        self._earlier_grants.observe(member)
         if member is None or member.state is MemberState.ACTIVE:
             # The leave has completed or was cancelled.
             self._withdrawn.clear()
@@ -393,7 +390,7 @@
         Requests are refused only from here on, so a key is without a server for the time that its
         own running work takes.
         """
-        postponed = self._clock.now() < self._earlier_grants_end
+        postponed = self._earlier_grants.in_force
         if postponed and self._postponed_handovers is None:
             self._postponed_handovers = self._tasks.spawn(
                 "postponed", self._start_postponed_handovers()
@@ -406,18 +403,9 @@
         self._notify_waiters()
 
     async def _start_postponed_handovers(self) -> None:
-        await self._wait_until_earlier_grants_end()
+        await self._earlier_grants.wait_until_ended()
         self._start_handovers()
 
-    async def _wait_until_earlier_grants_end(self) -> None:
-        """Waits for grants of an earlier process, which this one cannot see end in another way.
-
-        The upstream responds to no release for as long as it works on the keys, and may apply a
-        grant that it received before the release after its response.
-        """
-        while (wait_s := self._earlier_grants_end - self._clock.now()) > 0:
-            await self._clock.sleep(wait_s)
-
     async def _hand_over(self, key_range: KeyRange) -> None:
         own_group_id = self._membership.own_group_id
         assert own_group_id is not None
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -14,9 +14,11 @@
     NotOwnerError,
     ShardMovingError,
 )
+from ...kernel.settings import Settings
 from ...messages import Group, GroupId, MemberState, Shard, VersionedGroup
 from ...messages.group import group_of
 from ...messages.peer import Release, Released
+from ..earlier_grants import EarlierGrants
 from .releases import ReleaseSender
 from .settlement import HandoverRecorder
 from .tickets import OwnedShard, ShardState, ShardTicket
@@ -52,6 +54,7 @@
         self._state_changed = asyncio.Event()
         self._leaving_since: float | None = None
         self._handovers_in_progress = 0
+        self._postponed_handovers: asyncio.Task[None] | None = None
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -63,6 +66,8 @@
         self._lease = registry.find("lease", Lease)
         self._grants = registry.find("grants", Grants)
         self._outcomes = registry.find("outcomes", Outcomes)
+        lease_s = registry.find("settings", Settings).lease.lease_ms / 1000
+        self._earlier_grants = EarlierGrants(self._clock, lease_s)
         self._releases = ReleaseSender(self._clock, self._peers, self._view)
         self._handover_recorder = HandoverRecorder(
             self._clock, self._groups, self._membership, self._record_handovers
@@ -72,6 +77,7 @@
 
     async def start(self) -> None:
         """Starts the task that records handovers."""
+        self._earlier_grants.start()
         self._tasks.spawn("settle", self._handover_recorder.run())
 
     async def stop(self) -> None:
@@ -157,6 +163,7 @@
             self._member_id = member_id
         if member_id not in group.group.members:
             return
+        self._earlier_grants.observe(group.group.members[member_id])
         activating: dict[int, OwnedShard] = {}
         dropped_ids = []
         for shard_id, shard in enumerate(group.group.shards):
@@ -200,9 +207,23 @@
             owned_shard.state = ShardState.RELEASING
             self._tasks.spawn("epoch", self._raise_epoch(shard_id, owned_shard))
         if shard.successor is not None and owned_shard.state is ShardState.ACTIVE:
+            if self._earlier_grants.in_force:
+                # The upstream may still run requests of the earlier process.
+                self._postpone_handovers()
+                return
             owned_shard.state = ShardState.RELEASING
             self._tasks.spawn("handover", self._hand_over(shard_id, owned_shard))
 
+    def _postpone_handovers(self) -> None:
+        if self._postponed_handovers is None:
+            self._postponed_handovers = self._tasks.spawn(
+                "postponed", self._start_postponed_handovers()
+            )
+
+    async def _start_postponed_handovers(self) -> None:
+        await self._earlier_grants.wait_until_ended()
+        self._apply_newest_group()
+
     def _drop_all(self, version: int) -> None:
         if self._owned_shards:
             _DROPPED.emit(shards=len(self._owned_shards), version=version)
--- a/tests/services/ownership/test_hash_shards.py
+++ b/tests/services/ownership/test_hash_shards.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from fescueward.kernel.errors import PeerTimeoutError
+from fescueward.kernel.settings import LeaseSection
 from fescueward.messages.codec import encode_json
 from fescueward.messages.peer import Release
 
@@ -14,6 +15,8 @@
 from ..test_recovery_time import start_fleet
 from ..timed_fakes import ResponseMode
 
+LEASE_S = LeaseSection().lease_ms / 1000
+
 
 def _key(fleet: Fleet, shard: int) -> str:
     group = fleet.group()
@@ -63,6 +66,22 @@
         self.assertIsNotNone(self.fleet.time_until_served(4))
         self.assertEqual(self._serves(self.target), self.epoch + 1)
 
+    def test_restarted_owner_serves_until_grants_of_its_earlier_process_end(self):
+        """Guards against a successor while the upstream runs requests of the earlier process.
+
+        The new process knows of no request in flight. Found beside review case 8.
+        """
+        self.fleet.kill("a0")
+        self.source = self.fleet.start("a0", "d0", self.source.boot)
+        started_at = self.fleet.world.now
+        self.fleet.world.advance(0.6)
+        self.assertEqual(self._serves(self.source), self.epoch + 1)
+        move(self.fleet, self.shard, "a1")
+        self.fleet.world.advance(started_at + LEASE_S - self.fleet.world.now - 0.05)
+        self.assertEqual(self._serves(self.source), self.epoch + 1)
+        self.fleet.world.advance(0.3)
+        self.assertEqual(self._serves(self.target), self.epoch + 2)
+
     def test_successor_lost_before_and_after_the_release(self):
         """Guards against reuse of an epoch at which the lost successor may have served."""
         for released in (False, True):
