Let a successor wait for grants of an owner that was restarted

Cause: the join of a restarted agent ends the handovers of its earlier process. A hash shard went to its successor, or to a third member, at once, while the upstream had the grants of that process and could run requests under them until the end of its lease. After a loss the monitor waits that long; a join came before.

Change: such a shard gets a hold_ms of a lease and the drift margin. A successor that is active already and the restarted agent itself do not wait.

Measured: test_successor_waits_for_grants_of_an_owner_that_was_restarted failed before (the successor served 0.05 s after the kill) and passes; tests of hash shards and membership, 44 passed.

--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -113,7 +113,8 @@
         epoch: Fencing token; increases with each change of owner.
         successor: Member id that the shard is being handed over to, or None.
         hold_ms: Time in milliseconds that the owner waits after it receives this epoch before it
-            activates the shard, because the upstream of the lost owner does not check grants.
+            activates the shard, because the upstream of the previous owner checks no grants, or
+            may have grants of a process that has ended.
     """
 
     owner: str | None = None
--- a/fescueward/services/explanations.py
+++ b/fescueward/services/explanations.py
@@ -90,7 +90,7 @@
         reasons.append(Reason.HOLD)
         parts.append(
             f"the owner waited {shard.hold_ms} ms before it activated the shard, because the "
-            "previous upstream checks no grants"
+            "previous upstream could still run requests"
         )
     if shard.successor is not None:
         reasons.append(Reason.MOVING)
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import replace
 
 from ..interfaces import Groups, Membership, Peers, Placement
@@ -61,6 +62,7 @@
         """Looks up the services that this one uses."""
         settings = registry.find("settings", Settings)
         self._name = settings.agent.name
+        self._takeover_wait_ms = settings.lease.lease_ms + settings.lease.drift_margin_ms
         self._lease_s = settings.lease.lease_ms / 1000
         self._clock = registry.find("clock", Clock)
         self._groups = registry.find("groups", Groups)
@@ -232,7 +234,8 @@
     def with_members(self, group: Group, joining: tuple[Member, ...]) -> Group | None:
         """Returns the group with the joining members added, or None if it contains all of them."""
         added: dict[str, Member] = {}
-        replaced_ids: set[str] = set()
+        # New member ids by those of earlier processes.
+        replacements: dict[str, str] = {}
         restarted_ids: set[str] = set()
         for member in joining:
             if member.id in group.members or member.id in added:
@@ -240,7 +243,7 @@
             # The old process of this boot has ended: the new one has bound its port.
             old_ids = frozenset(other.id for other in _same_process(group, member))
             group = with_transferred_ranges(group, old_ids, member.id)
-            replaced_ids |= old_ids
+            replacements.update(dict.fromkeys(old_ids, member.id))
             if old_ids:
                 restarted_ids.add(member.id)
             added[member.id] = replace(member, restarted=bool(old_ids))
@@ -251,7 +254,9 @@
         # If many agents ended together, other members may have ended as well. Without a monitor
         # that runs an agent renews its lease by writes of the group, which conflict with joins.
         preferred_ids = restarted_ids if len(restarted_ids) >= _MIN_RESTARTED else ()
-        return fill_monitors(self._placement.assign(group, frozenset(replaced_ids)), preferred_ids)
+        assigned = self._placement.assign(group, frozenset(replacements))
+        assigned = _with_waits(group, assigned, replacements, self._takeover_wait_ms)
+        return fill_monitors(assigned, preferred_ids)
 
 
 def is_sent_by(sender: str, member: Member) -> bool:
@@ -259,6 +264,24 @@
     return sender in (member.id, f"{member.name}{SEED_SUFFIX}:{member.incarnation}")
 
 
+def _with_waits(
+    before: Group, after: Group, replacements: Mapping[str, str], wait_ms: int
+) -> Group:
+    """Lets members wait before they activate shards of a process that has ended on another VM.
+
+    Its upstream has grants, and may run requests under them, until the lease of the process ends.
+    The next process on its VM need not wait, since its upstream is the same.
+    """
+    shards = tuple(
+        replace(shard, hold_ms=max(shard.hold_ms, wait_ms))
+        if old_shard.owner in replacements
+        and shard.owner not in (None, replacements[old_shard.owner])
+        else shard
+        for old_shard, shard in zip(before.shards, after.shards, strict=True)
+    )
+    return replace(after, shards=shards)
+
+
 def _same_process(group: Group, member: Member) -> tuple[Member, ...]:
     """Returns the members of the same name and boot, of which only the newest can run."""
     return tuple(
--- a/tests/services/ownership/test_hash_shards.py
+++ b/tests/services/ownership/test_hash_shards.py
@@ -82,6 +82,25 @@
         self.fleet.world.advance(0.3)
         self.assertEqual(self._serves(self.target), self.epoch + 2)
 
+    def test_successor_waits_for_grants_of_an_owner_that_was_restarted(self):
+        """Guards against a successor that serves while the upstream of the owner has its grants.
+
+        The join of the new process made it the owner at once. Found beside review case 8.
+        """
+        others = [number for number in shards_of(self.fleet, "a0") if number != self.shard]
+        self._request(3.0)
+        move(self.fleet, self.shard, "a1")
+        self.fleet.world.advance(0.1)
+        self.fleet.kill("a0")
+        killed_at = self.fleet.world.now
+        restarted = self.fleet.start("a0", "d0", self.source.boot)
+        while self._serves(self.target) is None:
+            self.fleet.world.advance(0.05)
+            self.assertLess(self.fleet.world.now, killed_at + 3.0)
+        self.assertGreaterEqual(self.fleet.world.now, killed_at + LEASE_S)
+        self.assertEqual(self._serves(self.target), self.epoch + 1)
+        self.assertEqual(sorted(restarted.serving()), others)
+
     def test_successor_lost_before_and_after_the_release(self):
         """Guards against reuse of an epoch at which the lost successor may have served."""
         for released in (False, True):
