Let members read objects from the store that no message can carry

An object that no message can carry ended in a log line (peer_message_not_sent); its receivers never learned of it.

Change: such a message is replaced by one that names its objects, for published and for fetched ones, and the receivers read them from the store.

--- a/fescueward/messages/frames.py
+++ b/fescueward/messages/frames.py
@@ -88,6 +88,14 @@
     return LongMessage(number, content)
 
 
+def is_sendable(message: object) -> bool:
+    """Returns whether a message can be encoded and is not too large."""
+    try:
+        return len(_encode_content(message)) <= MAX_MESSAGE_BYTES
+    except MalformedMessageError:
+        return False
+
+
 def decode_long(message: LongMessage) -> Any:
     """Decodes a message that was received in parts.
 
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -8,7 +8,7 @@
 import xxhash
 from msgspec import Meta
 
-from .configuration import VersionedConfiguration
+from .configuration import CONFIGURATION_KEY, VersionedConfiguration
 from .delta import ConfigurationDelta, GroupDelta
 from .entry import VersionedEntry
 from .evacuations import Evacuations
@@ -204,6 +204,8 @@
             version fetches the whole configuration.
         relay: Whether the receiver passes the message on to the members of its failure domain.
         evacuations: Evacuations of failure domains, or None.
+        unsent: Platform keys of objects that are too large for a message; the receiver reads them
+            from the platform.
     """
 
     groups: tuple[VersionedGroup, ...] = ()
@@ -213,6 +215,16 @@
     configuration_delta: ConfigurationDelta | None = None
     relay: bool = False
     evacuations: Evacuations | None = None
+    unsent: tuple[str, ...] = ()
+
+    @property
+    def object_keys(self) -> tuple[str, ...]:
+        """Platform keys of the groups and of the configuration in this message."""
+        keys = [newer.group.id.object_key for newer in self.groups]
+        keys += [delta.group.object_key for delta in self.deltas]
+        if self.configuration is not None or self.configuration_delta is not None:
+            keys.append(CONFIGURATION_KEY)
+        return tuple(keys)
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/groups/exchange.py
+++ b/fescueward/services/groups/exchange.py
@@ -7,16 +7,26 @@
 from dataclasses import replace
 from typing import Protocol
 
-from ...interfaces import Catalogue, EvacuationState, Membership, Peers, Routes
-from ...kernel import Clock, TaskOwner
+from ...interfaces import Catalogue, EvacuationState, Membership, Peers, Platform, Routes
+from ...kernel import Clock, Event, Level, TaskOwner
+from ...kernel.errors import MalformedMessageError, PlatformError
 from ...messages import GroupId, Member, VersionedEntry, VersionedGroup
-from ...messages.configuration import CONFIGURATION_KEY, VersionedConfiguration
+from ...messages.codec import decode_json
+from ...messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
 from ...messages.delta import ConfigurationDelta, GroupDelta
 from ...messages.evacuations import EVACUATIONS_PREFIX
+from ...messages.group_object import decode_group
 from ...messages.peer import Fetch, Publish, Versions, version_digest
 from .confirmation import GroupConfirmation
 from .history import ConfigurationHistory, GroupHistory
-from .relay import GroupRelay
+from .relay import GroupRelay, sendable
+
+_READ_FAILED = Event(
+    2214,
+    "unsent_object_not_read",
+    Level.WARNING,
+    "An object that is too large for a message could not be read from the platform.",
+)
 
 # A version that another member reports is usually already being published to this agent, so it is
 # fetched only after this delay. The delay is short because a lost message must not hold up a
@@ -61,6 +71,7 @@
         relay: Passes messages on in the failure domain.
         routes: The configuration, or None where each group has watchers of its own.
         evacuations: Evacuated failure domains.
+        platform: The platform.
     """
 
     def __init__(
@@ -75,6 +86,7 @@
         relay: GroupRelay,
         routes: Routes | None,
         evacuations: EvacuationState,
+        platform: Platform,
     ) -> None:
         self._groups = groups
         self._catalogue = catalogue
@@ -86,6 +98,8 @@
         self._relay = relay
         self._routes = routes
         self._evacuations = evacuations
+        self._platform = platform
+        self._read_task: asyncio.Task[None] | None = None
         self._history = GroupHistory()
         self._configurations = ConfigurationHistory()
         # Earlier versions of this agent. A member that reports one of them is behind, not ahead.
@@ -180,6 +194,8 @@
             self._groups.observe(group)
         for delta in message.deltas:
             self._observe_delta(sender, delta)
+        if message.unsent and (self._read_task is None or self._read_task.done()):
+            self._read_task = self._tasks.spawn("read", self._read(message.unsent))
         if message.relay:
             self._relay.pass_on(sender, message)
 
@@ -188,7 +204,7 @@
         if message.objects is not None:
             newer_objects = self._newer_objects(message.objects)
             if newer_objects != Publish():
-                self._peers.reply(sender, newer_objects)
+                self._peers.reply(sender, sendable(newer_objects))
             return
         entries: tuple[VersionedEntry, ...] = ()
         if message.entries is not None:
@@ -200,7 +216,7 @@
         if entries:
             changes = replace(changes, entries=entries)
         if changes != Publish() or message.confirming:
-            self._peers.reply(sender, changes)
+            self._peers.reply(sender, sendable(changes))
 
     def _own_view(self) -> VersionedGroup | None:
         own_group_id = self._membership.own_group_id
@@ -230,6 +246,23 @@
         if not self._is_known(member_versions):
             self._peers.send(member, Fetch(objects=self.object_versions()))
 
+    async def _read(self, keys: tuple[str, ...]) -> None:
+        """Reads objects that are too large for messages from the platform."""
+        for key in keys:
+            try:
+                stored = await self._platform.get(key)
+                if key == CONFIGURATION_KEY:
+                    configuration = decode_json(stored.value, Configuration)
+                    self.observe_configuration(
+                        VersionedConfiguration(configuration.version, configuration)
+                    )
+                else:
+                    group = decode_group(stored.key, stored.value)
+                    self._groups.observe(VersionedGroup(stored.version, group))
+            except (PlatformError, MalformedMessageError) as error:
+                # A watcher names the object again when it learns that this agent lacks it.
+                _READ_FAILED.emit(key=key, error=error)
+
     def _newer_objects(self, known_versions: dict[str, int]) -> Publish:
         changes = [
             self._history.changes_since(view.group.id, known_version)
--- a/fescueward/services/groups/relay.py
+++ b/fescueward/services/groups/relay.py
@@ -12,12 +12,20 @@
 from dataclasses import replace
 
 from ...interfaces import Peers
-from ...kernel import Clock, TaskOwner
+from ...kernel import Clock, Event, Level, TaskOwner
 from ...messages import GroupId, Member, VersionedGroup
 from ...messages.configuration import VersionedConfiguration
 from ...messages.delta import configuration_delta, group_delta
+from ...messages.frames import is_sendable
 from ...messages.peer import Publish
 
+_NOT_SENT = Event(
+    2209,
+    "objects_not_sent",
+    Level.WARNING,
+    "Objects are too large for a message; the receivers read them from the platform.",
+)
+
 # Versions of a group within this period are combined into one message per member. While a fleet
 # starts, some dozens of versions per second are written, and each is sent to all members.
 _BATCH_PERIOD_S = 0.05
@@ -68,7 +76,7 @@
         A removal of members concerns every member, and an unreachable or missing watcher
         relays nothing. In these cases the version also goes to all members with an open stream.
         """
-        message = build_publish(base, written)
+        message = sendable(build_publish(base, written))
         sent = {watcher.id: self._peers.send(watcher, message) for watcher in watchers}
         removed = base.group.members.keys() - written.group.members.keys()
         if removed or not sent or not all(sent.values()):
@@ -106,6 +114,7 @@
             watcher_rank: Number of watchers before this one, which use other relays where there
                 are several.
         """
+        message = sendable(message)
         relayed = replace(message, relay=True)
         direct: list[Member] = []
         for domain, members in self._members_by_domain().items():
@@ -141,6 +150,14 @@
             self._peers.send(member, message)
 
 
+def sendable(message: Publish) -> Publish:
+    """Returns a message, or one that names its objects if it is too large to be sent."""
+    if is_sendable(message):
+        return message
+    _NOT_SENT.emit(keys=",".join(message.object_keys))
+    return Publish(relay=message.relay, unsent=message.object_keys)
+
+
 def build_publish(base: VersionedGroup | None, newer: VersionedGroup) -> Publish:
     """Returns the message with a newer group version for agents that have cached `base`.
 
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -36,7 +36,7 @@
 from .exchange import ObjectExchange
 from .fleet_watch import FleetWatch, WatchedObjects
 from .group_watch import GroupWatch
-from .relay import GroupRelay, build_publish
+from .relay import GroupRelay, build_publish, sendable
 from .stored_objects import MalformedObjects, StoredObjects
 from .watch_duty import WatchDuty
 from .watched_objects import ConfigurationObject, EvacuationObjects, GroupObjects
@@ -125,6 +125,7 @@
             self._relay,
             self._routes,
             self._evacuations,
+            self._platform,
         )
         self._objects = StoredObjects(
             self,
@@ -331,6 +332,7 @@
 
     def publish_to_members(self, group: VersionedGroup, message: Publish) -> None:
         """Sends newer objects to the other members of a group."""
+        message = sendable(message)
         for member in group.group.members.values():
             if member.id != self._membership.member_id:
                 self._peers.send(member, message)
--- a/tests/services/groups/test_store.py
+++ b/tests/services/groups/test_store.py
@@ -18,7 +18,7 @@
     UnknownServiceError,
     VersionConflictError,
 )
-from fescueward.messages import Group, GroupId, VersionedGroup
+from fescueward.messages import Group, GroupId, VersionedGroup, frames
 from fescueward.messages.codec import encode_json
 from fescueward.messages.configuration import (
     CONFIGURATION_KEY,
@@ -550,6 +550,33 @@
         behind._exchange.on_publish("b:1", message)
         self.assertEqual(self.routes.current, third)
 
+    async def test_object_too_large_for_a_message_is_read_from_the_platform(self):
+        """Guards against members that never learn of an object which no message can carry.
+
+        The failure to send it was logged, and nothing else was tried.
+        """
+        group_id = GroupId("depot", 0)
+        group = VersionedGroup(3, with_added_members(Group("depot", 0, 1), *map(member, "bc")))
+        route = Route("r", "a.example", "/", True, 3, 4.0, 0.6, 2, (Target("depot"),))
+        large = Configuration(2, {f"r{n}": replace(route, name=f"r{n}") for n in range(200)})
+        stored = StoredObject(CONFIGURATION_KEY, 5, encode_json(large))
+        peers = RecordingPeers("c:1")
+        watcher = self.store("b:1", peers, group_id)
+        watcher._views[group_id] = group
+        platform = mock.AsyncMock()
+        platform.get.side_effect = [PlatformUnavailableError("slow"), stored]
+        with mock.patch.object(frames, "MAX_MESSAGE_BYTES", 4_000):
+            watcher._objects.observe(stored)
+            watcher._exchange.on_fetch("c:1", Fetch(objects={group_id.object_key: 3}))
+            published, fetched = (message for _, message in peers.sent)
+        reader = self.store("c:1", RecordingPeers(), group_id, platform)
+        # The read that follows the published message fails, and the one after the fetch does not.
+        for message in (published, fetched):
+            self.assertLess(len(FrameEncoder().encode(message)), 200)
+            reader._exchange.on_publish("b:1", message)
+            await reader._exchange._read_task
+        self.assertEqual(self.routes.current, VersionedConfiguration(2, large))
+
     async def test_configurations_are_ordered_by_their_own_number(self):
         """Guards against a change that is ignored, or undone, because revisions went back."""
         store = self.store("b:1", RecordingPeers())
