Shorten a grant by the time that it waits for a connection

Cause: the duration of a grant was fixed when the grant was made. It then waited up to 0.5 s for an idle connection, or until its process was known, and the upstream counts from the arrival. So the hold outlasted the lease, which is what monitors and handovers count on.

Change: the duration is taken when the grant is sent, and a grant whose time has passed is not sent. Left: the time that the first connection of an agent to its upstream takes to open.

Measured: test_grant_that_waits_for_a_connection_does_not_last_longer failed before and passes; tests.platform.test_upstream, 32 passed.

--- a/fescueward/interfaces/routes.py
+++ b/fescueward/interfaces/routes.py
@@ -48,7 +48,8 @@
 
         Args:
             key_range: Keys, epoch and handover token.
-            hold_s: Duration of the grant from its arrival at the upstream, in seconds.
+            hold_s: Time from this call to the end of the grant, in seconds. The upstream counts
+                from the arrival, so a grant that waits for a connection is sent with less.
             process: Number of the process; no byte is sent to another one.
 
         Returns:
@@ -56,7 +57,7 @@
 
         Raises:
             UpstreamUnavailableError: No byte of the grant reached the upstream: there is no
-                connection, or `process` has changed.
+                connection, `process` has changed, or the time has passed.
             OutcomeLostError: The grant was not confirmed; it may still take effect.
         """
         ...
--- a/fescueward/kernel/process_sessions.py
+++ b/fescueward/kernel/process_sessions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager, suppress
 from typing import Any
 
@@ -33,14 +33,14 @@
 
     @asynccontextmanager
     async def post(
-        self, process: int, url: str, **options: Any
+        self, process: int, url: str, options: Callable[[], dict[str, Any]]
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Sends a POST request to a process; see `aiohttp.ClientSession.post`.
 
         Args:
             process: Number of the process; see `ServerProcesses`.
             url: URL on the server.
-            **options: Further options of the request.
+            options: Returns the further options of the request at the time of sending.
 
         Raises:
             ProcessChangedError: The server is another process now; nothing was sent.
@@ -60,7 +60,7 @@
             self._busy.add(index)
             try:
                 with requiring_process(process):
-                    response = await self._sessions[index].post(url, **options)
+                    response = await self._sessions[index].post(url, **options())
                 async with response:
                     yield response
                 return
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -284,13 +284,20 @@
 
     async def grant_range(self, key_range: KeyRange, hold_s: float, process: int) -> bool:
         """Grants a key range; see `RangeGrants.grant_range`."""
-        message = _Grant(
-            key_range.first, key_range.last, key_range.epoch, round(hold_s, 3), key_range.handover
-        )
+        ends_at = self._clock.now() + hold_s
+
+        def content() -> dict[str, Any]:
+            left_s = round(ends_at - self._clock.now(), 3)
+            if left_s <= 0:
+                raise UpstreamUnavailableError("the grant would have ended before it was sent")
+            return _grant_content(
+                _Grant(
+                    key_range.first, key_range.last, key_range.epoch, left_s, key_range.handover
+                )
+            )
+
         assert self._grant_sessions is not None
-        sending = self._grant_sessions.post(
-            process, self._base_url + GRANT_PATH, **_grant_content(message)
-        )
+        sending = self._grant_sessions.post(process, self._base_url + GRANT_PATH, content)
         status, _ = await self._receive_confirmation(sending, GRANT_PATH, _GRANT_TIMEOUT_S)
         if status not in (200, 409):
             raise OutcomeLostError(f"the upstream responded to a grant with status {status}")
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -465,11 +465,12 @@
     async def start_granting(self) -> LocalUpstream:
         """Starts a client of a server that confirms grants while `granting` is set.
 
-        `arrived` has the epochs of the grants that have reached it.
+        `arrived` has the epochs of the grants that have reached it, `holds_s` their durations.
         """
         self.granting = asyncio.Event()
         self.granting.set()
         self.arrived: list[int] = []
+        self.holds_s: list[float] = []
 
         async def serve(reader, writer):
             with suppress(asyncio.IncompleteReadError, ConnectionError):
@@ -479,6 +480,7 @@
                         length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
                         grant = json.loads(await reader.readexactly(length))
                         self.arrived.append(grant["fence"])
+                        self.holds_s.append(grant["holdS"])
                         await self.granting.wait()
                     writer.write(WHOLE)
             writer.close()
@@ -487,6 +489,34 @@
         self.addCleanup(server.close)
         return await self.start_client(Address(*server.sockets[0].getsockname()))
 
+    async def test_grant_that_waits_for_a_connection_does_not_last_longer(self):
+        """Guards against an upstream that holds keys after the lease of its agent (OWNER).
+
+        The duration was fixed before the wait, and counts from the arrival.
+        """
+        upstream = await self.start_granting()
+        process = upstream.process
+
+        def grant(epoch: int, hold_s: float) -> asyncio.Task[bool]:
+            key_range = KeyRange(epoch, epoch, epoch=epoch)
+            return asyncio.create_task(upstream.grant_range(key_range, hold_s, process))
+
+        # All connections are open afterwards, and the process that they reach is known.
+        await asyncio.gather(*(grant(epoch, 1.0) for epoch in range(1, 13)))
+        self.granting.clear()
+        busy = [grant(epoch, 1.0) for epoch in range(13, 17)]
+        await wait_until(lambda: len(self.arrived) == 16, 2, "all connections are busy")
+        waiting_since = CLOCK.now()
+        waiting, too_late = grant(17, 1.0), grant(18, 0.1)
+        await asyncio.sleep(0.2)
+        waited_s = CLOCK.now() - waiting_since
+        self.granting.set()
+        await asyncio.gather(*busy, waiting)
+        with self.assertRaises(UpstreamUnavailableError):
+            await too_late
+        self.assertEqual(self.arrived[16:], [17])
+        self.assertLessEqual(self.holds_s[-1], 1.0 - waited_s + 0.001)
+
     async def test_grants_at_the_same_time(self):
         """Guards against a process that seems new because grants share several connections."""
         upstream = await self.start_granting()
