Release the bodies of failed requests at once

Cause: exceptions and the frames of failed calls refer to each other, by tasks, futures and errors of earlier attempts, and the body is a variable of such a frame. These cycles stay until a garbage collection, which counts objects, not bytes.

Change: whoever handles the exception of a request for good drops its traceback and those of its causes. Routers keep the text of earlier errors instead of the errors.

--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -28,6 +28,7 @@
 from ..kernel.http_meter import InboundLimits
 from ..kernel.http_pipeline import Handler, PipelinedRequest, PipelinedServer
 from ..kernel.http_port import HttpPort
+from ..kernel.tracebacks import drop_traceback
 from ..messages import Request
 from ..messages.configuration import CallerLimits
 from ..messages.request import BytesBody
@@ -194,6 +195,7 @@
         except RefusalError as error:
             refusal = error.label
             response = refusal_response(error)
+            drop_traceback(error)
         except asyncio.CancelledError:
             _CALLER_DISCONNECTED.emit(
                 request=request_id, ms=round((self._clock.now() - arrived_at) * 1000, 1)
@@ -202,6 +204,7 @@
         except Exception as error:  # an unexpected exception in one request must not affect others
             _REQUEST_FAILED.emit(request=request_id, error=repr(error)[:300])
             response = refusal_response(InternalError(type(error).__name__))
+            drop_traceback(error)
         response.headers.setdefault(REQUEST_ID, request_id)
         if self._shutdown.phase is not ShutdownPhase.SERVING:
             response.force_close()
--- a/fescueward/services/frontend/service.py
+++ b/fescueward/services/frontend/service.py
@@ -19,6 +19,7 @@
 from ...kernel.http_pipeline import PipelinedRequest
 from ...kernel.http_port import HttpPort
 from ...kernel.settings import Settings
+from ...kernel.tracebacks import drop_traceback
 from ...messages import Request, Response
 from ...messages.request import BytesBody
 from ...messages.upstream import (
@@ -106,6 +107,7 @@
                 await self._wait_for_turn(http, request.deadline)
             response = await self._route(request)
         except RefusalError as error:
+            drop_traceback(error)
             return self._close_if_leaving(refusal_response(error, request_id))
         except ConnectionError:
             raise
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -21,6 +21,7 @@
     OverloadedError,
 )
 from ..kernel.retries import report_reading_failure
+from ..kernel.tracebacks import drop_traceback
 from ..messages import Request, Response
 from ..messages.peer import (
     PROTOCOL_VERSION,
@@ -273,13 +274,16 @@
             await _send_response(accepted.wire, channel, response, self._held)
         except RefusalError as error:
             accepted.wire.send(refused_message(message.stream, error))
+            drop_traceback(error)
         except BodyTruncatedError as error:
             accepted.wire.send(StreamReset(message.stream, str(error)[:500]))
+            drop_traceback(error)
         except Exception as error:  # one failing request must not close a shared stream
             _REQUEST_FAILED.emit(
                 peer=accepted.sender, request=message.request_id, error=repr(error)
             )
             accepted.wire.send(StreamReset(message.stream, type(error).__name__))
+            drop_traceback(error)
 
     def _build_request(
         self, accepted: _AcceptedStream, channel: Channel, message: StreamOpen
--- a/fescueward/services/router.py
+++ b/fescueward/services/router.py
@@ -21,6 +21,7 @@
     UpstreamUnavailableError,
 )
 from ..kernel.settings import Settings
+from ..kernel.tracebacks import drop_traceback
 from ..messages import (
     Entry,
     GroupId,
@@ -203,7 +204,8 @@
             listener.request_ended(request.service, error, elapsed_s)
 
     async def _route(self, request: Request) -> Response:
-        unknown_outcomes: list[RefusalError] = []
+        # Reasons of the attempts that may have run.
+        unknown_outcomes: list[str] = []
         try:
             return await self._try_until_served(request, unknown_outcomes)
         except RefusalError as error:
@@ -214,9 +216,7 @@
                 ) from error
             raise
 
-    async def _try_until_served(
-        self, request: Request, unknown_outcomes: list[RefusalError]
-    ) -> Response:
+    async def _try_until_served(self, request: Request, unknown_outcomes: list[str]) -> Response:
         entry = self._catalogue.entry(request.service).entry
         group_id = group_of(request.service, request.key, entry.groups)
         self._retry_budget.deposit()
@@ -226,12 +226,11 @@
         pause_s = _FIRST_PAUSE_S
         while True:
             view: VersionedGroup | None = None
-            last_error: RefusalError
             try:
                 view = await self._group_view(group_id)
                 return await self._send_to_owner(request, entry, view, owner_hint)
             except _UNSENT_ERRORS as error:
-                last_error = error
+                label = error.label
                 self._raise_unless_resendable(request, error)
                 owner_hint = error.owner_id if isinstance(error, NotOwnerError) else None
                 if owner_hint is not None and followed_hints < self._max_attempts:
@@ -241,17 +240,19 @@
                     owner_hint = None
                     await self._wait_for_owner(request, group_id, view, error, pause_s)
                     pause_s = min(pause_s * 2, _LAST_PAUSE_S)
+                drop_traceback(error)
             except _BUDGETED_ERRORS as error:
-                last_error = error
+                label = error.label
                 if error.outcome is not Outcome.NOT_RUN:
-                    unknown_outcomes.append(error)
+                    unknown_outcomes.append(str(error))
                 retries += 1
                 if not self._may_retry(request, entry, error, retries):
                     raise
                 owner_hint = None
                 await self._pause(request, group_id, view, pause_s, error)
                 pause_s = min(pause_s * 2, _LAST_PAUSE_S)
-            _REQUEST_RETRIED.emit(request=request.id, after=last_error.label)
+                drop_traceback(error)
+            _REQUEST_RETRIED.emit(request=request.id, after=label)
 
     async def _send_to_owner(
         self, request: Request, entry: Entry, view: VersionedGroup, owner_hint: str | None
--- a/fescueward/services/routing/dispatcher.py
+++ b/fescueward/services/routing/dispatcher.py
@@ -35,6 +35,7 @@
     UpstreamRefusedError,
 )
 from ...kernel.settings import Settings
+from ...kernel.tracebacks import drop_traceback
 from ...messages import GroupId, Member, MemberState, Request, Response, VersionedGroup
 from ..evacuation import find_evacuations
 from .balancer import Balancer, RequestProfile
@@ -162,7 +163,8 @@
         self._budget(request.service).deposit(started_at)
         if self._returns.is_returning(request):
             request = replace(request, returning=True)
-        unknown_outcomes: list[RefusalError] = []
+        # Reasons of the attempts that may have run.
+        unknown_outcomes: list[str] = []
         try:
             response = await self._serve(request, unknown_outcomes)
         except RefusalError as error:
@@ -204,7 +206,7 @@
         if request.inner and self._call_listener is not None:
             self._call_listener.call_ended(request, error, elapsed_s)
 
-    async def _serve(self, request: Request, unknown_outcomes: list[RefusalError]) -> Response:
+    async def _serve(self, request: Request, unknown_outcomes: list[str]) -> Response:
         started_at = self._clock.now()
         owner_wait_until = started_at + (request.deadline - started_at) * _OWNER_WAIT_SHARE
         tried: frozenset[str] = frozenset()
@@ -235,17 +237,18 @@
                 return response
             except _BUDGETED_ERRORS as error:
                 attempts += 1
-                last_error: RefusalError = error
+                label, reason = error.label, str(error)
                 if error.outcome is not Outcome.NOT_RUN:
-                    unknown_outcomes.append(error)
+                    unknown_outcomes.append(reason)
                 if not self._may_retry(request, error, attempts):
                     raise
+                drop_traceback(error)
                 tried |= {member.id}
                 request = replace(request, repeated=True)
             except RefusalError as error:
                 if error.outcome is not Outcome.NOT_RUN:
                     raise
-                last_error = error
+                label, reason = error.label, str(error)
                 if isinstance(error, DeadlineExceededError | QuarantinedError):
                     raise
                 if search is not None and seeks_free_slot:
@@ -268,10 +271,11 @@
                     raise
                 else:
                     tried |= {member.id}
+                drop_traceback(error)
             _REQUEST_SENT_AGAIN.emit(
                 request=request.id,
-                after=last_error.label,
-                reason=last_error,
+                after=label,
+                reason=reason,
                 tried=",".join(sorted(tried)),
                 attempts=attempts,
             )
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -31,7 +31,7 @@
 from fescueward.services.shutdown import GracefulShutdown
 from fescueward.testing.ports import PortReservations
 from fescueward.testing.waiting import wait_until
-from tests.services.fakes import StubRegistry, make_response
+from tests.services.fakes import FailedCall, StubRegistry, make_response
 
 from .fakes import CLOCK
 from .test_settings import LINES
@@ -124,6 +124,21 @@
         self.router.refusal = QuarantinedError("three crashes", retry_after_s=600.0)
         self.assertEqual(await self.send(), (503, 600))
 
+    async def test_failed_request_leaves_no_body_in_memory(self):
+        """Guards against bodies of failed uploads that stay in memory (review case 9)."""
+        call = FailedCall(self)
+
+        async def route(request):
+            try:
+                call.fail(OverloadedError("full"))
+            except OverloadedError as error:
+                refusal = OutcomeLostError(f"no response; then {error}")
+                raise refusal from error
+
+        self.router.route = route
+        self.assertEqual(await self.send(), (502, 0))
+        self.assertEqual(call.released, [True])
+
     async def test_stalled_body_ends_at_the_deadline(self):
         """Guards against callers that occupy a connection and its memory without a time limit."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
--- a/tests/services/fakes.py
+++ b/tests/services/fakes.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import unittest
+import weakref
 from collections import deque
 from collections.abc import Callable
 from contextlib import asynccontextmanager
@@ -32,6 +35,34 @@
 CLOCK = BootClock()
 
 
+class FailedCall:
+    """A call whose local variable refers to its exception, as those that wait for a task do.
+
+    Garbage collection is off from its creation to the end of the test.
+
+    Args:
+        test: The test.
+    """
+
+    def __init__(self, test: unittest.TestCase) -> None:
+        gc.disable()
+        test.addCleanup(gc.enable)
+        self._locals: list[weakref.ref[FailedCall._Body]] = []
+
+    class _Body:
+        """Stands for a body."""
+
+    def fail(self, error: Exception) -> None:
+        body = self._Body()
+        self._locals.append(weakref.ref(body))
+        raise error
+
+    @property
+    def released(self) -> list[bool]:
+        """Whether the local variables of each call have been released."""
+        return [local() is None for local in self._locals]
+
+
 class NoReturns:
     """Callers that come back when they like."""
 
--- a/tests/services/routing/test_dispatcher.py
+++ b/tests/services/routing/test_dispatcher.py
@@ -24,7 +24,7 @@
 from fescueward.messages.request import Occupancy
 from fescueward.services.routing.dispatcher import DispatchRouter
 from fescueward.services.shutdown import GracefulShutdown
-from tests.services.fakes import StubRegistry, make_request, make_response
+from tests.services.fakes import FailedCall, StubRegistry, make_request, make_response
 from tests.services.groups_for_tests import member, with_added_members
 
 
@@ -365,6 +365,23 @@
                 self.assertIsNot(await self.outcome(peers, repeatable=False), Outcome.NOT_RUN)
                 self.assertEqual(len(peers.forwarded), 1)
 
+    async def test_failed_attempt_leaves_no_body_in_memory(self):
+        """Guards against bodies of failed uploads that stay in memory (review case 9)."""
+        call = FailedCall(self)
+        peers = FakePeers("b:1", "c:1")
+
+        async def forward(member, request):
+            peers.forwarded.append(member.id)
+            if len(peers.forwarded) < 3:
+                call.fail((AnswerLostError, OverloadedError)[len(peers.forwarded) - 1]("first"))
+            return make_response(b"ok")
+
+        peers.forward = forward
+        request = make_request(0.5, key="", attempts=3, repeatable=True)
+        with contextlib.suppress(RefusalError):
+            await self.router(peers).route(request)
+        self.assertEqual(call.released, [True, True])
+
     async def test_refusal_after_a_lost_response_does_not_say_not_run(self):
         """Guards against 'not run' for a request whose first attempt may have run."""
         for refusal in self.refusals(not_run=True):
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -22,6 +22,7 @@
     PeerTimeoutError,
 )
 from fescueward.kernel.settings import PeersSection
+from fescueward.kernel.tasks import finish_despite_cancellation
 from fescueward.messages import Group, Response, VersionedGroup
 from fescueward.messages.configuration import (
     Configuration,
@@ -46,7 +47,15 @@
 from fescueward.testing.ports import PortReservations
 from fescueward.testing.waiting import wait_until
 
-from .fakes import CLOCK, StreamedBody, StubRegistry, make_member, make_request, make_response
+from .fakes import (
+    CLOCK,
+    FailedCall,
+    StreamedBody,
+    StubRegistry,
+    make_member,
+    make_request,
+    make_response,
+)
 
 
 class PeersTest(unittest.IsolatedAsyncioTestCase):
@@ -497,6 +506,20 @@
         self.assertEqual((await self.forward()).status, 200)
         self.assertFalse(self.router_kernel.stopping)
 
+    async def test_failed_request_leaves_no_body_in_memory(self):
+        """Guards against bodies of failed uploads that stay in memory (review case 9)."""
+        call = FailedCall(self)
+
+        async def run():
+            call.fail(OutcomeLostError("the upstream reset the connection"))
+
+        self.handler = lambda request: finish_despite_cancellation(run(), lambda: False)
+        for _ in range(3):
+            with self.assertRaises(OutcomeLostError):
+                await self.forward(body=b"x" * 100)
+        await self.assert_no_open_requests()
+        self.assertEqual(call.released, [True] * 3)
+
     async def test_message_that_cannot_be_encoded(self):
         """Guards against a task that ends its agent because what it publishes is too large."""
         await self.forward()
