Share the wait for earlier grants, and shorten what the review of the diff found

Cause: both kinds of ownership had the same task that waits and tries again; a local name in messages/delta.py and a constant in kernel/http_client.py were out of place. Reading an unsent object ended the agent on an unexpected exception.

Change: EarlierGrants.postpone. The read goes on after any exception, as all reads of what other programs write.

--- a/fescueward/kernel/http_client.py
+++ b/fescueward/kernel/http_client.py
@@ -31,8 +31,6 @@
 # and is never asked for.
 _SWITCHING_PROTOCOLS = 101
 _FIRST_STATUS, _LAST_STATUS = 100, 599
-
-
 # Longest transfer of a body. An object of 1 MB takes 1.6 s on a link of 5 Mbit/s, and longer if
 # the link is shared.
 MAX_TRANSFER_S = 6.0
--- a/fescueward/messages/delta.py
+++ b/fescueward/messages/delta.py
@@ -248,10 +248,10 @@
 def _moved(items: dict[Name, Item], names_by_place: dict[int, Name]) -> dict[Name, Item]:
     """Moves some items to given places; the others keep their order, and all are kept."""
     moved = frozenset(names_by_place.values())
-    others = [name for name in items if name not in moved]
+    names = [name for name in items if name not in moved]
     for place, name in names_by_place.items():
-        others.insert(place, name)
-    return {name: items[name] for name in others}
+        names.insert(place, name)
+    return {name: items[name] for name in names}
 
 
 def _replace_ranges(
--- a/fescueward/services/groups/exchange.py
+++ b/fescueward/services/groups/exchange.py
@@ -10,6 +10,7 @@
 from ...interfaces import Catalogue, EvacuationState, Membership, Peers, Platform, Routes
 from ...kernel import Clock, Event, Level, TaskOwner
 from ...kernel.errors import MalformedMessageError, PlatformError
+from ...kernel.retries import report_reading_failure
 from ...messages import GroupId, Member, VersionedEntry, VersionedGroup
 from ...messages.codec import decode_json
 from ...messages.configuration import CONFIGURATION_KEY, Configuration, VersionedConfiguration
@@ -262,6 +263,8 @@
             except (PlatformError, MalformedMessageError) as error:
                 # A watcher names the object again when it learns that this agent lacks it.
                 _READ_FAILED.emit(key=key, error=error)
+            except Exception as error:  # what another program wrote must not end this agent
+                report_reading_failure(f"groups:{key}", error)
 
     def _newer_objects(self, known_versions: dict[str, int]) -> Publish:
         changes = [
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -70,7 +70,6 @@
         self._state_changed = asyncio.Event()
         self._renewal_due = asyncio.Event()
         self._upstream_start = ""
-        self._postponed_handovers: asyncio.Task[None] | None = None
         self._process_epochs = ProcessEpochs(self._tasks)
         # Grants that were sent and have no response yet.
         self._grants_in_flight: dict[RangeId, asyncio.Task[None]] = {}
@@ -91,7 +90,7 @@
         self._renewal_s = section.renewal_ms / 1000
         self._lease_s = section.lease_ms / 1000
         self._recovery_wait = RecoveryWait(self._clock, section)
-        self._earlier_grants = EarlierGrants(self._clock, self._lease_s)
+        self._earlier_grants = EarlierGrants(self._clock, self._lease_s, self._tasks)
         self._handover.bind(registry)
         self._process_epochs.bind(registry)
         self._groups.subscribe(self)
@@ -390,11 +389,7 @@
         Requests are refused only from here on, so a key is without a server for the time that its
         own running work takes.
         """
-        postponed = self._earlier_grants.in_force
-        if postponed and self._postponed_handovers is None:
-            self._postponed_handovers = self._tasks.spawn(
-                "postponed", self._start_postponed_handovers()
-            )
+        postponed = self._earlier_grants.postpone(self._start_handovers)
         for key_range in () if postponed else self._handovers.start_releases():
             self._owned_ranges.pop(range_id(key_range), None)
             self._grant_ends.pop(range_id(key_range), None)
@@ -402,10 +397,6 @@
         self._rebuild_index()
         self._notify_waiters()
 
-    async def _start_postponed_handovers(self) -> None:
-        await self._earlier_grants.wait_until_ended()
-        self._start_handovers()
-
     async def _hand_over(self, key_range: KeyRange) -> None:
         own_group_id = self._membership.own_group_id
         assert own_group_id is not None
--- a/fescueward/services/ownership/hash_shards.py
+++ b/fescueward/services/ownership/hash_shards.py
@@ -54,7 +54,6 @@
         self._state_changed = asyncio.Event()
         self._leaving_since: float | None = None
         self._handovers_in_progress = 0
-        self._postponed_handovers: asyncio.Task[None] | None = None
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -67,7 +66,7 @@
         self._grants = registry.find("grants", Grants)
         self._outcomes = registry.find("outcomes", Outcomes)
         lease_s = registry.find("settings", Settings).lease.lease_ms / 1000
-        self._earlier_grants = EarlierGrants(self._clock, lease_s)
+        self._earlier_grants = EarlierGrants(self._clock, lease_s, self._tasks)
         self._releases = ReleaseSender(self._clock, self._peers, self._view)
         self._handover_recorder = HandoverRecorder(
             self._clock, self._groups, self._membership, self._record_handovers
@@ -207,23 +206,12 @@
             owned_shard.state = ShardState.RELEASING
             self._tasks.spawn("epoch", self._raise_epoch(shard_id, owned_shard))
         if shard.successor is not None and owned_shard.state is ShardState.ACTIVE:
-            if self._earlier_grants.in_force:
-                # The upstream may still run requests of the earlier process.
-                self._postpone_handovers()
+            # The upstream may still run requests of the earlier process.
+            if self._earlier_grants.postpone(self._apply_newest_group):
                 return
             owned_shard.state = ShardState.RELEASING
             self._tasks.spawn("handover", self._hand_over(shard_id, owned_shard))
 
-    def _postpone_handovers(self) -> None:
-        if self._postponed_handovers is None:
-            self._postponed_handovers = self._tasks.spawn(
-                "postponed", self._start_postponed_handovers()
-            )
-
-    async def _start_postponed_handovers(self) -> None:
-        await self._earlier_grants.wait_until_ended()
-        self._apply_newest_group()
-
     def _drop_all(self, version: int) -> None:
         if self._owned_shards:
             _DROPPED.emit(shards=len(self._owned_shards), version=version)
