Review 3: take ports that outgoing connections don't use

Cause: with several rigs at a time, an outgoing connection took the port of an agent that was restarting, which then ended at its start.

Change: review/rig3 takes ports below the range of outgoing connections.

--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import tempfile
@@ -24,6 +25,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 ZONES = ("ahmedabad", "gandhinagar", "vadodara")
+# Ports of the agents and back ends.
+PORTS = (12_000, 32_000)
 # Time from the end of a process to its next start.
 RESTART_S = 0.5
 BOUNDS = (
@@ -56,14 +59,26 @@
 
     def __init__(self) -> None:
         self._sockets: dict[int, socket.socket] = {}
+        self._given: set[int] = set()
 
     def free(self) -> int:
-        """Returns a port that is free now and is not given out again."""
-        reserved = socket.socket()
-        reserved.bind((HOST, 0))
-        port = int(reserved.getsockname()[1])
-        self._sockets[port] = reserved
-        return port
+        """Returns a port that is free now and is not given out again.
+
+        It is below the ports of outgoing connections, which could take it while an agent restarts.
+        """
+        while True:
+            port = random.randrange(*PORTS)
+            if port in self._given:
+                continue
+            reserved = socket.socket()
+            try:
+                reserved.bind((HOST, port))
+            except OSError:
+                reserved.close()
+                continue
+            self._given.add(port)
+            self._sockets[port] = reserved
+            return port
 
     def release(self, ports: Iterable[int]) -> None:
         """Leaves ports to the processes."""
