--- a/review/rig3/standins.py
+++ b/review/rig3/standins.py
@@ -182,12 +182,14 @@
         self._beats: asyncio.Task[None] | None = None
         self._sequence = 0
         self.born = 0
+        # How far the clock of its machine is ahead, in seconds.
+        self.clock_ahead_s = 0.0
         # Number of its answers to requests, grants and releases, and of the releases.
         self.answers = 0
         self.released = 0
 
     async def start(self) -> None:
-        self.born = int(time.time() * 1000)
+        self.born = int((time.time() + self.clock_ahead_s) * 1000)
         self._sequence = 0
         self.holds = []
         app = web.Application(client_max_size=16 << 20)
@@ -201,6 +203,16 @@
         await site.start()
         self._beats = asyncio.create_task(self._send_beats())
 
+    async def crash(self) -> None:
+        """Ends at once: resets its connections and sends nothing more."""
+        if self._runner is not None and self._runner.server is not None:
+            for site in tuple(self._runner.sites):
+                await site.stop()
+            for connection in tuple(self._runner.server.connections):
+                if connection.transport is not None:
+                    connection.transport.abort()
+        await self.stop()
+
     async def stop(self) -> None:
         if self._beats is not None:
             self._beats.cancel()
