--- a/review/11/case.py
+++ b/review/11/case.py
@@ -7,6 +7,8 @@
 import sys
 import time
 import traceback
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 from rig import Machine, Record, Rig, configuration, exchange, request_bytes
@@ -39,7 +41,7 @@
         self.back_ends = back_ends
         self.broken: list[str] = []
         for back_end in back_ends:
-            back_end.on_grant = lambda first, last, owner=back_end: self.granted(owner, first, last)
+            back_end.on_grant = partial(self.granted, back_end)
 
     def granted(self, owner: BackEnd, first: int, last: int) -> None:
         """Records each request on the granted keys at which another back end is at work."""
@@ -48,7 +50,7 @@
             if other is owner:
                 continue
             for request_id, (key, _) in other.at_work.items():
-                ends = [end for f, l, _, end in other.granted if f <= key <= l]
+                ends = [end for low, high, _, end in other.granted if low <= key <= high]
                 if first <= key <= last and max(ends, default=0.0) > now:
                     left_s = max(ends) - now
                     text = (
@@ -74,9 +76,10 @@
     def choose_popular(self) -> None:
         """Makes the last keys of the slow back ends' ranges popular."""
         ranges = group_ranges(self.store)
-        owners = {name: [r for r in ranges if r["owner"].startswith(name + ":")] for name in (
-            self.machines[number].name for number in SLOW
-        )}
+        owners = {
+            name: [r for r in ranges if r["owner"].startswith(name + ":")]
+            for name in (self.machines[number].name for number in SLOW)
+        }
         self.popular = [
             max(owned, key=lambda r: r["last"] - r["first"])["last"] - 40 * step - 5
             for owned in owners.values()
@@ -120,7 +123,12 @@
     return []
 
 
-async def wait_until(condition, timeout_s: float) -> bool:
+def has_keys(back_end: BackEnd) -> bool:
+    """Returns whether a back end was granted keys."""
+    return bool(back_end.granted)
+
+
+async def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
     """Waits until a condition holds; returns whether it does."""
     end = time.monotonic() + timeout_s
     while time.monotonic() < end:
@@ -131,6 +139,7 @@
 
 
 async def run() -> int:
+    """Plays the case; returns 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     record = Record(FOLDER)
     record.add(f"trouble: {int(TROUBLE)}")
     rig = Rig(record, SERVICES)
@@ -175,7 +184,7 @@
             await asyncio.sleep(SLOW_BEFORE_S)
             record.add(f"planned: {first_end.instance} is added on {first.name}")
             await first_end.start()
-            got_keys = await wait_until(lambda: bool(first_end.granted), 4.0)
+            got_keys = await wait_until(partial(has_keys, first_end), 4.0)
             record.add(f"planned: {second_end.instance} is added on {second.name}")
             await second_end.start()
             record.add(f"planned: {first_end.instance} is taken away and reports draining")
@@ -207,6 +216,7 @@
 
 
 def main() -> int:
+    """Returns the exit code."""
     try:
         return asyncio.run(run())
     except Exception:  # a case that couldn't run is no result
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from aiohttp import web
-from rig import HOST, Machine, Record, Rig, configuration, exchange, request_bytes
+from rig import Machine, Record, Rig, configuration, exchange, request_bytes
 from standins import BackEnd, Store
 
 FOLDER = Path(__file__).resolve().parent
@@ -79,6 +79,7 @@
 
 
 async def run() -> int:
+    """Plays the case; returns 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     record = Record(FOLDER)
     record.add(f"trouble: {int(TROUBLE)}")
     rig = Rig(record, SERVICES)
@@ -152,6 +153,7 @@
 
 
 def main() -> int:
+    """Returns the exit code."""
     try:
         return asyncio.run(run())
     except Exception:  # a case that couldn't run is no result
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -67,6 +67,7 @@
 
 
 async def run() -> int:
+    """Plays the case; returns 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     record = Record(FOLDER)
     record.add(f"trouble: {int(TROUBLE)}")
     rig = Rig(record, SERVICES)
@@ -102,7 +103,8 @@
             for machine in frozen:
                 rig.send_signal(machine, signal.SIGSTOP)
         await asyncio.sleep(0.1)
-        store.write_config(configuration(4, SHARDED, {**routes, "shop": ("idempotent", "proofing")}))
+        routes["shop"] = ("idempotent", "proofing")
+        store.write_config(configuration(4, SHARDED, routes))
         clients.acknowledged = record.now
         await asyncio.sleep(FREEZE_S)
         if TROUBLE:
@@ -134,6 +136,7 @@
 
 
 def main() -> int:
+    """Returns the exit code."""
     try:
         return asyncio.run(run())
     except Exception:  # a case that couldn't run is no result
--- a/review/rig3/standins.py
+++ b/review/rig3/standins.py
@@ -15,6 +15,8 @@
 from aiohttp import web
 from rig import HOST, Machine, Record
 
+AnswerHook = Callable[[web.Request], Awaitable[web.StreamResponse | None]]
+
 HEARTBEAT_S = 0.87
 HISTORY_S = 20.0
 
@@ -35,6 +37,7 @@
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
+        """Listens on a free port."""
         app = web.Application(client_max_size=4 << 20)
         for path in ("/fescueward/objects/{kind}", "/fescueward/objects/{kind}/{name}"):
             app.router.add_route("*", path, self._handle)
@@ -45,6 +48,7 @@
         self.port = site._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
+        """Closes the port."""
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -172,12 +176,12 @@
         # Called with first and last key of each grant that is taken.
         self.on_grant: Callable[[int, int], None] | None = None
         self.token = uuid.uuid4().hex[:16]
-        self.work_s: Callable[[web.Request], float] = lambda request: float(
-            request.query.get("work", "5")
-        ) / 1000
+        self.work_s: Callable[[web.Request], float] = lambda request: (
+            float(request.query.get("work", "5")) / 1000
+        )
         # Called with a request before its answer is sent; returns another answer or None.
-        self.answer_hook: Callable[[web.Request], Awaitable[web.StreamResponse | None]] | None = None
-        self.release_hook: Callable[[web.Request], Awaitable[web.StreamResponse | None]] | None = None
+        self.answer_hook: AnswerHook | None = None
+        self.release_hook: AnswerHook | None = None
         self._runner: web.AppRunner | None = None
         self._beats: asyncio.Task[None] | None = None
         self._sequence = 0
@@ -189,6 +193,7 @@
         self.released = 0
 
     async def start(self) -> None:
+        """Begins a new boot, which holds no keys."""
         self.born = int((time.time() + self.clock_ahead_s) * 1000)
         self._sequence = 0
         self.holds = []
@@ -214,6 +219,7 @@
         await self.stop()
 
     async def stop(self) -> None:
+        """Ends its requests and its pings."""
         if self._beats is not None:
             self._beats.cancel()
         if self._runner is not None:
@@ -268,7 +274,7 @@
         self.answers += 1
         first, last, fence = body["from"], body["target"], body["fence"]
         now = time.monotonic()
-        if any(f <= last and first <= l and e > fence for f, l, e, _ in self.holds):
+        if any(low <= last and first <= high and e > fence for low, high, e, _ in self.holds):
             return web.Response(status=409)
         hold = (first, last, fence, now + body["holdS"])
         self.holds.append(hold)
@@ -276,7 +282,9 @@
         self.holds = [each for each in self.holds if each[3] > now - 10]
         if self.on_grant is not None:
             self.on_grant(first, last)
-        self.record.add(f"{self.instance} is granted {first}-{last} fence {fence} {body['holdS']} s")
+        self.record.add(
+            f"{self.instance} is granted {first}-{last} fence {fence} {body['holdS']} s"
+        )
         return web.Response()
 
     async def _release(self, request: web.Request) -> web.StreamResponse:
@@ -286,21 +294,22 @@
         first, last, fence = body["from"], body["target"], body["fence"]
         now = time.monotonic()
         kept = []
-        for f, l, e, end in self.holds:
-            if f <= last and first <= l and e <= fence:
-                if f < first:
-                    kept.append((f, first - 1, e, end))
-                if l > last:
-                    kept.append((last + 1, l, e, end))
+        for low, high, epoch, end in self.holds:
+            if low <= last and first <= high and epoch <= fence:
+                if low < first:
+                    kept.append((low, first - 1, epoch, end))
+                if high > last:
+                    kept.append((last + 1, high, epoch, end))
                 # The epoch stays known although the hold has ended.
-                kept.append((max(f, first), min(l, last), e, min(end, now)))
+                kept.append((max(low, first), min(high, last), epoch, min(end, now)))
             else:
-                kept.append((f, l, e, end))
+                kept.append((low, high, epoch, end))
         self.holds = kept
         # The work that is running now; what begins later under a newer grant is not waited for.
         running = [end for key, end in self.at_work.values() if first <= key <= last]
         self.record.add(
-            f"{self.instance} is asked to release {first}-{last} fence {fence}, {len(running)} at work"
+            f"{self.instance} is asked to release {first}-{last} fence {fence}, "
+            f"{len(running)} at work"
         )
         for end in running:
             await end.wait()
@@ -312,8 +321,9 @@
         return web.Response(headers={"X-Fescueward-Handover": self.token})
 
     def holds_key(self, key: int) -> bool:
+        """Returns whether it holds a key now."""
         now = time.monotonic()
-        return any(f <= key <= l and end > now for f, l, _, end in self.holds)
+        return any(low <= key <= high and end > now for low, high, _, end in self.holds)
 
     def _refusal(self, status: int, request_id: str) -> web.Response:
         headers = {"X-Fescueward-Not-Executed": "1"}
