--- a/review/11/case.py
+++ b/review/11/case.py
@@ -27,6 +27,8 @@
 CALM_S = 4.0
 # How long the back ends are slow, beginning before a back end is added.
 SLOW_BEFORE_S, SLOW_S = 1.0, 5.0
+# How long the first added back end serves before it is taken away.
+STAY_S = 0.3
 # PROTOCOL.md: a back end that leaves serves for `drainS` after the acknowledgement and longer.
 DRAIN_S = 2.5
 PAUSE_S = 2.5
@@ -160,8 +162,11 @@
         for number, back_end in enumerate(back_ends):
             back_end.work_s = lambda _, number=number: WORK_S * (SLOW_X if number in slow else 1.0)
         judge = Judge(record, back_ends)
-        for back_end in back_ends[:KEPT]:
-            await back_end.start()
+        # All back ends start at the same time, so that the keys are dealt among all of them.
+        if not await rig.wait_listening(kept):
+            record.add("the agents don't listen")
+            return 2
+        await asyncio.gather(*(back_end.start() for back_end in back_ends[:KEPT]))
         if not await rig.wait_ready(kept):
             record.add("the agents are not ready")
             return 2
@@ -185,6 +190,7 @@
             record.add(f"planned: {first_end.instance} is added on {first.name}")
             await first_end.start()
             got_keys = await wait_until(partial(has_keys, first_end), 4.0)
+            await asyncio.sleep(STAY_S)
             record.add(f"planned: {second_end.instance} is added on {second.name}")
             await second_end.start()
             record.add(f"planned: {first_end.instance} is taken away and reports draining")
--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -242,6 +242,16 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def wait_listening(self, machines: list[Machine], timeout_s: float = 30.0) -> bool:
+        """Waits until agents answer their readiness checks, with whatever status."""
+        end = time.monotonic() + timeout_s
+        while time.monotonic() < end:
+            answers = [await ask_ready(machine) for machine in machines]
+            if all(answer.status for answer in answers):
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
     def log_tail(self, machine: Machine, events: tuple[str, ...], count: int = 10) -> list[str]:
         """Returns the last log lines that contain one of some texts."""
         lines = machine.log.read_text(errors="replace").splitlines()
@@ -325,10 +335,15 @@
         writer.close()
 
 
-async def is_ready(machine: Machine) -> bool:
-    """Asks an agent whether it is ready."""
+async def ask_ready(machine: Machine) -> Answer:
+    """Returns the answer of an agent to a readiness check."""
     data = b"GET /fescueward/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
-    return (await exchange(machine.ports["ready"], data, 1.0)).status == 200
+    return await exchange(machine.ports["ready"], data, 1.0)
+
+
+async def is_ready(machine: Machine) -> bool:
+    """Returns whether an agent says that it is ready."""
+    return (await ask_ready(machine)).status == 200
 
 
 def request_bytes(
