--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,12 +14,14 @@
 
 FOLDER = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# The last ones are added one after the other, and each is taken away again.
-ADDED = 5
+# The last ones are added two at a time (0.29 of the 7 that stay) and taken away again.
+AT_A_TIME, ADDED = 2, 10
 SERVICES = ["catalogue"] * 7 + ["orders"] * 2 + ["catalogue"] * ADDED
 # Back ends that spoil answers: 4 of the 7 of their service.
 FAULTY = slice(3, 7)
 CALM_S = 5.0
+# Least time between two answers that a back end spoils.
+SPOILED_EVERY_S = 4.0
 # Time that an added back end serves, and the time after its removal.
 STAY_S = 6.0
 PAUSE_S = 3.0
@@ -56,15 +58,14 @@
     record.add(f"answers by status (0: none): {statuses}")
 
 
-def spoil_releases(record: Record, back_end: BackEnd, spoiled: list[int]) -> None:
-    """Lets a back end spoil one byte of its next answer to a release."""
+def spoil_releases(record: Record, back_end: BackEnd, spoiled: list[float]) -> None:
+    """Lets a back end spoil one byte of some of its answers to releases."""
 
     async def spoil(request: web.Request) -> web.StreamResponse | None:
         transport = request.transport
-        back_end.release_hook = None
-        if transport is None:
+        if transport is None or (spoiled and record.now - spoiled[-1] < SPOILED_EVERY_S):
             return None
-        spoiled[0] += 1
+        spoiled.append(record.now)
         token = back_end.token.encode()
         token = token[:5] + bytes([token[5] ^ 0x80]) + token[6:]
         record.add(f"{back_end.instance} spoils one byte of its answer to a release: {token!r}")
@@ -109,23 +110,25 @@
         stopping: list[bool] = []
         requests = asyncio.create_task(send_requests(record, kept, back_ends, stopping))
         await asyncio.sleep(CALM_S)
-        spoiled = {back_end.instance: [0] for back_end in back_ends[FAULTY]}
-        for machine, back_end in zip(added, back_ends[-ADDED:], strict=True):
-            if TROUBLE:
-                for faulty in back_ends[FAULTY]:
-                    spoil_releases(record, faulty, spoiled[faulty.instance])
-            record.add(f"planned: {machine.name} is added with {back_end.instance}")
-            await rig.start([machine])
-            await back_end.start()
-            await asyncio.sleep(STAY_S)
+        spoiled: dict[str, list[float]] = {each.instance: [] for each in back_ends[FAULTY]}
+        if TROUBLE:
             for faulty in back_ends[FAULTY]:
-                faulty.release_hook = None
-            record.add(f"planned: {back_end.instance} reports draining")
-            back_end.state = "draining"
+                spoil_releases(record, faulty, spoiled[faulty.instance])
+        for first in range(0, ADDED, AT_A_TIME):
+            machines = added[first : first + AT_A_TIME]
+            ends = back_ends[len(kept) + first :][:AT_A_TIME]
+            record.add(f"planned: {[end.instance for end in ends]} are added")
+            await rig.start(machines)
+            await asyncio.gather(*(end.start() for end in ends))
+            await asyncio.sleep(STAY_S)
+            record.add(f"planned: {[end.instance for end in ends]} report draining")
+            for end in ends:
+                end.state = "draining"
             await asyncio.sleep(DRAIN_S)
-            await back_end.call("leave", b"{}")
-            await back_end.stop()
-            await rig.remove(machine)
+            for end in ends:
+                await end.call("leave", b"{}")
+                await end.stop()
+            await asyncio.gather(*(rig.remove(machine) for machine in machines))
             await asyncio.sleep(PAUSE_S)
         stopping.append(True)
         await requests
@@ -135,7 +138,7 @@
         for back_end in back_ends[FAULTY]:
             record.add(
                 f"{back_end.instance} gave {back_end.answers} answers, "
-                f"{spoiled[back_end.instance][0]} of them spoiled"
+                f"{len(spoiled[back_end.instance])} of them spoiled"
             )
         ended = 0
         for machine in kept:
