Log edits of a group that conflict, and the end of renewals by write

Change: group_edited and group_edit_delayed name the attempts, their duration and the age of the version that was written; lease_writes_ended names the duration and the numbers of renewals that were written and refused.

--- a/fescueward/services/groups/edits.py
+++ b/fescueward/services/groups/edits.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from ...interfaces.groups import GroupChange
-from ...kernel import Clock, TaskOwner
+from ...kernel import Clock, Event, Level, TaskOwner
 from ...kernel.errors import (
     FescuewardError,
     OutcomeUnknownError,
@@ -17,7 +17,16 @@
 )
 from ...messages import Group, GroupId, VersionedGroup
 
+_EDITED = Event(
+    2215, "group_edited", Level.INFO, "An edit of a group succeeded after version conflicts."
+)
+_DELAYED = Event(
+    2216, "group_edit_delayed", Level.WARNING, "An edit of a group keeps meeting other writes."
+)
+
 _MAX_ATTEMPTS = 40
+# An edit that has been refused so often is logged before it ends.
+_LOGGED_ATTEMPTS = 8
 # Upper bound of the random backoff after the first version conflict. It grows linearly up to ten
 # times this value.
 _BACKOFF_S = 0.01
@@ -132,11 +141,13 @@
         self, group: GroupId, batch: tuple[_PendingEdit, ...]
     ) -> VersionedGroup:
         base = self._groups.view(group)
+        begun_at = base_known_at = self._clock.now()
         outcome_unknown: OutcomeUnknownError | None = None
         for attempt in range(_MAX_ATTEMPTS):
             if base is None:
                 try:
                     base = await self._groups.read_or_empty(group)
+                    base_known_at = self._clock.now()
                 except PlatformError as error:
                     if outcome_unknown is None:
                         raise
@@ -148,9 +159,18 @@
                 return base
             started_at = self._clock.now()
             try:
-                return await self._groups.write(base, changed)
+                written = await self._groups.write(base, changed)
             except VersionConflictError:
                 refused_version = base.version
+                if attempt + 1 == _LOGGED_ATTEMPTS:
+                    _DELAYED.emit(
+                        group=group,
+                        edits=len(batch),
+                        attempts=attempt + 1,
+                        seconds=round(self._clock.now() - begun_at, 3),
+                        base_age_s=round(started_at - base_known_at, 3),
+                    )
+                base_known_at = self._clock.now()
                 # A large group takes long to write, so other writers need as long between them.
                 unit_s = max(_BACKOFF_S, self._clock.now() - started_at)
                 await self._clock.sleep(random.uniform(0, unit_s * min(attempt + 1, 10)))
@@ -160,6 +180,16 @@
                 # The edits are idempotent: if a fresh read leaves nothing to change, the write
                 # was made.
                 base = None
+            else:
+                if attempt:
+                    _EDITED.emit(
+                        group=group,
+                        version=written.version,
+                        edits=len(batch),
+                        attempts=attempt + 1,
+                        seconds=round(self._clock.now() - begun_at, 3),
+                    )
+                return written
         raise OutcomeUnknownError(
             f"edit of group {group} not confirmed after {_MAX_ATTEMPTS} attempts"
         )
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -28,6 +28,9 @@
     "No monitor acknowledges renewals; this agent renews by writes.",
 )
 _WRITE_FAILED = Event(2504, "lease_write_failed", Level.WARNING, "A renewal by write failed.")
+_WRITES_ENDED = Event(
+    2505, "lease_writes_ended", Level.INFO, "This agent no longer renews its lease by writes."
+)
 
 
 class MonitoredLease:
@@ -54,6 +57,10 @@
         self._extended = asyncio.Event()
         self._was_held = False
         self._renews_by_writes = False
+        # Of the present renewals by write: their start, and the numbers of writes by outcome.
+        self._writes_began_at = 0.0
+        self._written_count = 0
+        self._refused_count = 0
         self._stamp = 0
 
     @property
@@ -152,17 +159,30 @@
             or self._membership.stopped_acknowledging
             or not self._lacks_acknowledgements(member)
         ):
-            self._renews_by_writes = False
+            self._end_writes()
             return False
         if not self._renews_by_writes:
             _OWN_WRITES.emit(member=member.id, monitors=",".join(member.monitors))
             self._renews_by_writes = True
+            self._writes_began_at = self._clock.now()
+            self._written_count = self._refused_count = 0
         try:
             return await self._write_stamp(member.id)
         except PlatformError as error:
             _WRITE_FAILED.emit(member=member.id, error=error)
             return False
 
+    def _end_writes(self) -> None:
+        if not self._renews_by_writes:
+            return
+        self._renews_by_writes = False
+        _WRITES_ENDED.emit(
+            member=self._member_id,
+            seconds=round(self._clock.now() - self._writes_began_at, 3),
+            written=self._written_count,
+            refused=self._refused_count,
+        )
+
     def start_from_join(self, member_id: str, sent: float) -> None:
         """Starts the lease from a join; see `Lease.start_from_join`."""
         self._latest_join = (member_id, sent)
@@ -189,6 +209,7 @@
             try:
                 await self._groups.write(base, group)
             except VersionConflictError:
+                self._refused_count += 1
                 latest = self._groups.view(own_group_id)
                 if latest is None or latest.version <= base.version:
                     await self._groups.refresh(own_group_id)
@@ -199,6 +220,7 @@
                 # Only this agent changes the stamp.
                 if stored is None or stored.stamp != renewed.stamp:
                     return False
+            self._written_count += 1
             self._extend(member_id, sent_at)
             return True
         return False
