Joins: dial recorders together, and ask another one after a failure

Cause: an agent gave up each recorder after 0.4 s, while a stream needs as long when all agents of a fleet start. It then wrote its join itself, as did all others, and on links of 10 Mbit/s these writes of a 55 KB object conflict for seconds. An agent that had failed once never asked a recorder again.

An own write ends after 2 s, and a recorder is asked again. The lease counts from the request instead of from the first dial.

The fakes deliver calls that are addressed to any incarnation, and model the time of a dial and the rate of a link.

--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -2,22 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 from dataclasses import replace
 
-from ..interfaces import Groups, Membership, Peers, Placement
+from ..interfaces import Groups, Lease, Membership, Peers, Placement
 from ..kernel import Clock, Event, Level, Registry, TaskOwner
 from ..kernel.errors import (
     FescuewardError,
+    OutcomeUnknownError,
+    PeerError,
     PeerTimeoutError,
     PlatformError,
     PlatformUnavailableError,
 )
 from ..kernel.settings import Settings
-from ..messages import Group, GroupId, Member, MemberState, Shard, VersionedGroup
+from ..messages import Group, GroupId, Member, Shard, VersionedGroup
 from ..messages.peer import JoinReply, JoinRequest
 from .keyspace.moves import with_transferred_ranges
 from .peer_links import SEED_SUFFIX
+from .recorders import Recorders
 from .ring import fill_monitors
 
 _JOINS_RECORDED = Event(
@@ -36,11 +40,16 @@
 # Longest delay of the first request of a batch; short against the timeout of its call.
 _MAX_JOIN_BATCH_S = 0.4
 # Time within which a stream to a recorder has to open, and the pause between two looks. All agents
-# of a fleet can start together, the recorder some tenths of a second later than the others.
-_RECORDER_DIAL_S = 0.4
+# of a fleet can start together, and connecting then takes some tenths of a second.
+_RECORDER_DIAL_S = 1.6
 _DIAL_CHECK_S = 0.02
-# Recorders that are tried before an agent writes its own join.
-_MAX_RECORDERS = 3
+# After each of these periods twice as many recorders are dialled, since the first may not return.
+# The first recorder is preferred for the first period, so that most joins have the same one.
+_MORE_RECORDERS_S = 0.4
+_RECORDERS_DIALLED = 3
+# Time for which an agent tries to write its own join before it asks a recorder again. On a slow
+# link it may never succeed while a member on a faster one writes.
+_OWN_WRITE_S = 2.0
 # Agents of earlier members that join in one write from which many have ended together.
 _MIN_RESTARTED = 3
 
@@ -54,6 +63,7 @@
 
     def __init__(self, tasks: TaskOwner) -> None:
         self._tasks = tasks
+        self._recorders = Recorders()
         # Senders and requests whose joins the next write records.
         self._pending_requests: list[tuple[str, JoinRequest]] = []
         self._recording = False
@@ -66,9 +76,11 @@
         self._lease_s = settings.lease.lease_ms / 1000
         self._clock = registry.find("clock", Clock)
         self._groups = registry.find("groups", Groups)
+        self._lease = registry.find("lease", Lease)
         self._membership = registry.find("membership", Membership)
         self._peers = registry.find("peers", Peers)
         self._placement = registry.find("placement", Placement)
+        self._recorders.bind(registry)
         self._peers.on(JoinRequest, self._on_join_request)
         self._peers.on(JoinReply, self._on_join_reply)
 
@@ -97,28 +109,43 @@
             return self.with_members(group, (member,))
 
         def add_if_first(group: Group) -> Group | None:
-            return None if self._recorders(group) else add(group)
+            return None if self._candidates(group) else add(group)
 
-        current = await self._groups.edit(own_group_id, add if write_directly else add_if_first)
-        if member.id in current.group.members or not self._recorders(current.group):
+        async def write() -> VersionedGroup:
+            try:
+                async with asyncio.timeout(_OWN_WRITE_S):
+                    return await self._groups.edit(own_group_id, add)
+            except TimeoutError:
+                raise OutcomeUnknownError("the join was not written in time") from None
+
+        self._lease.start_from_join(member.id, self._clock.now())
+        if write_directly:
+            return await write()
+        current = await self._groups.edit(own_group_id, add_if_first)
+        if member.id in current.group.members or not self._candidates(current.group):
             return current
         recorder = await self._reachable_recorder(current.group)
+        self._lease.start_from_join(member.id, self._clock.now())
         if recorder is None:
-            return await self._groups.edit(own_group_id, add)
+            return await write()
         call = self._peers.next_call()
         request = JoinRequest(call, own_group_id.service, own_group_id.number, member)
         deadline = self._clock.now() + self._lease_s
         try:
             reply = await self._peers.call(recorder, request, call)
-        except PeerTimeoutError:
-            if await self._wait_until_recorded(own_group_id, member.id, deadline):
+        except PeerError as error:
+            if isinstance(error, PeerTimeoutError) and await self._wait_until_recorded(
+                own_group_id, member.id, deadline
+            ):
                 return self._groups.view(own_group_id) or current
+            self._recorders.pass_over(recorder)
             raise
         if isinstance(reply, JoinReply) and reply.group is not None:
             self._groups.observe(reply.group)
             if member.id in reply.group.group.members:
                 return reply.group
-        return await self._groups.edit(own_group_id, add)
+        self._recorders.pass_over(recorder)
+        return await write()
 
     async def _wait_until_recorded(
         self, own_group_id: GroupId, member_id: str, deadline: float
@@ -142,7 +169,7 @@
         if message.group is not None:
             self._groups.observe(message.group)
 
-    def _recorders(self, group: Group) -> tuple[Member, ...]:
+    def _candidates(self, group: Group) -> tuple[Member, ...]:
         """Returns the members that write joins, the first one that is reachable for all.
 
         It is empty if this agent writes its own: there is no member, or the first one is an
@@ -152,25 +179,31 @@
         planner = self._placement.planner(group)
         if planner is None or planner.name == self._name:
             return ()
-        others = sorted(
-            (
-                other
-                for other in group.members.values()
-                if other.name != self._name and other.state is MemberState.ACTIVE
-            ),
-            key=lambda other: (other.id != planner.id, other.id),
-        )
-        return tuple(others[:_MAX_RECORDERS])
+        others = [other for other in self._recorders.candidates(group) if other.name != self._name]
+        return tuple(sorted(others, key=lambda other: other.id != planner.id))
 
     async def _reachable_recorder(self, group: Group) -> Member | None:
-        """Returns the first recorder to which a stream opens, or None if none opens in time."""
-        for recorder in self._recorders(group):
-            end = self._clock.now() + _RECORDER_DIAL_S
-            while self._clock.now() < end:
-                for target in (recorder, recorder.any_incarnation()):
-                    if self._peers.dial(target):
-                        return target
-                await self._clock.sleep(_DIAL_CHECK_S)
+        """Returns a recorder to which a stream opens, or None if none opens in time.
+
+        Many agents that write their own joins hinder each other for seconds, so the time is long.
+        """
+        recorders = self._candidates(group)
+        begun_at = self._clock.now()
+        while (elapsed_s := self._clock.now() - begun_at) < _RECORDER_DIAL_S:
+            periods = int(elapsed_s / _MORE_RECORDERS_S)
+            dialled = recorders[: _RECORDERS_DIALLED << periods]
+            open_streams = [self._open_stream(recorder) for recorder in dialled]
+            for target in open_streams if periods else open_streams[:1]:
+                if target is not None:
+                    return target
+            await self._clock.sleep(_DIAL_CHECK_S)
+        return None
+
+    def _open_stream(self, recorder: Member) -> Member | None:
+        """Dials a recorder; returns the member id to which a stream is open, if any."""
+        for target in (recorder, recorder.any_incarnation()):
+            if self._peers.dial(target):
+                return target
         return None
 
     def _on_join_request(self, sender: str, message: JoinRequest) -> None:
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from pathlib import Path
 
-from ..interfaces import Admission, Groups, Lease, Ownership, Peers, Placement
+from ..interfaces import Admission, Groups, Ownership, Peers, Placement
 from ..interfaces.groups import GroupChange
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.clock import unix_ms
@@ -170,7 +170,6 @@
         self._placement = registry.find("placement", Placement)
         self._ownership = registry.find("ownership", Ownership)
         self._admission = registry.find("admission", Admission)
-        self._lease = registry.find("lease", Lease)
         self._groups.subscribe(self)
         self._join_recorder.bind(registry)
         self._departures.bind(registry)
@@ -419,7 +418,6 @@
     async def _join(self, announcement: Announcement) -> None:
         assert self._own_group_id is not None
         member = self._make_member(announcement)
-        self._lease.start_from_join(member.id, self._clock.now())
         try:
             joined = await self._join_recorder.record(
                 self._own_group_id, member, write_directly=self._write_directly
--- /dev/null
+++ b/tests/services/keyspace/test_return.py
@@ -0,0 +1,67 @@
+"""Tests of fleets on slow links whose agents all end and return at about the same time."""
+
+import random
+import unittest
+
+from .keyed_fleet import KeyedFleet
+
+# A link of 10 Mbit/s.
+SLOW_LINK_BYTES_PER_S = 1.25e6
+# Time until a stream opens while all agents of a fleet start.
+CONNECT_S = 0.5
+# A key is served again within this time of a loss; the target of the design.
+SERVED_AGAIN_S = 4.0
+# Platform calls of an agent that returns: a read, an attempt to join and another read.
+CALLS_PER_AGENT = 3
+# Platform calls for all agents together: plans, handovers and transfers to other monitors.
+FIXED_CALLS = 12
+# Period within which the agents start.
+START_S = 0.5
+
+
+class ReturnTest(unittest.TestCase):
+    def start_fleet(self, count: int, seed: int) -> KeyedFleet:
+        random.seed(seed)
+        fleet = KeyedFleet()
+        for number in range(count):
+            fleet.world.advance(0.3 / count)
+            fleet.start(f"a{number:03}", f"d{number % 3}")
+        self.assertIsNotNone(fleet.time_until_distributed(20))
+        fleet.world.advance(5)
+        return fleet
+
+    def restart(self, fleet: KeyedFleet, lost: int = 0) -> None:
+        """Ends all agents and starts them again, except for the first ones, on slow links."""
+        agents = sorted(fleet.agents.items())
+        for name, _ in agents:
+            fleet.kill(name)
+        fleet.world.advance(1.6)
+        fleet.network.connect_s = CONNECT_S
+        returning = agents[lost:]
+        random.shuffle(returning)
+        for name, agent in returning:
+            fleet.world.advance(START_S / len(agents))
+            restarted = fleet.start(name, agent.domain, agent.boot)
+            restarted.platform.bytes_per_s = SLOW_LINK_BYTES_PER_S
+
+    def assert_all_join(self, fleet: KeyedFleet, limit_s: float) -> None:
+        start = fleet.world.now
+        while any(agent.membership.own_member() is None for agent in fleet.agents.values()):
+            self.assertLess(fleet.world.now - start, limit_s)
+            fleet.world.advance(0.02)
+
+    def test_agents_that_connect_slowly_share_the_writes_of_their_joins(self):
+        """Guards against recorders that are given up before a stream to them can open."""
+        fleet = self.start_fleet(58, 1)
+        calls = fleet.platform.calls
+        self.restart(fleet)
+        self.assert_all_join(fleet, SERVED_AGAIN_S)
+        self.assertLessEqual(fleet.platform.calls - calls, CALLS_PER_AGENT * 58 + FIXED_CALLS)
+
+    def test_agents_share_writes_if_the_first_members_do_not_return(self):
+        """Guards against agents that each write their joins because the first recorders ended."""
+        fleet = self.start_fleet(58, 1)
+        calls = fleet.platform.calls
+        self.restart(fleet, lost=4)
+        self.assert_all_join(fleet, SERVED_AGAIN_S)
+        self.assertLessEqual(fleet.platform.calls - calls, CALLS_PER_AGENT * 54 + FIXED_CALLS)
--- a/tests/services/timed_fakes.py
+++ b/tests/services/timed_fakes.py
@@ -176,7 +176,8 @@
         old = self.objects.get(key)
         if (old.version if old else 0) != expected:
             version = old.version if old else 0
-            raise VersionConflictError(f"{key} is at {version}", version=version)
+            value = old.value if old else b""
+            raise VersionConflictError(f"{key} is at {version}", version=version, value=value)
         self.revision += 1
         self.objects[key] = StoredObject(key, self.revision, value, deleted)
         self.on_write(old, self.objects[key])
@@ -205,12 +206,17 @@
 
 
 class PlatformClient:
-    """The `platform` service of one agent."""
+    """The `platform` service of one agent.
+
+    Attributes:
+        bytes_per_s: Rate of the agent's link to the platform, in each direction.
+    """
 
     name = "platform"
 
     def __init__(self, store: FakePlatform, loop: AgentLoop) -> None:
         self.store, self._loop = store, loop
+        self.bytes_per_s = float("inf")
         self.response_mode = ResponseMode.NORMAL
         # Overrides `response_mode` for writes.
         self.write_response_mode: ResponseMode | None = None
@@ -218,7 +224,7 @@
 
     async def get(self, key: str) -> StoredObject:
         try:
-            era, stored = await self._call(lambda: self.store.read(key), self.response_mode)
+            era, stored = await self._call(lambda: self.store.read(key), self.response_mode, 0)
         except TimeoutError:
             raise PlatformUnavailableError(f"reading {key}: timeout") from None
         if era < self.era:
@@ -239,7 +245,7 @@
         expected = revision_of(expected_version)
         try:
             era, revision = await self._call(
-                lambda: self.store.write(key, value, expected, deleted), response_mode
+                lambda: self.store.write(key, value, expected, deleted), response_mode, len(value)
             )
         except TimeoutError:
             raise OutcomeUnknownError(f"writing {key}: timeout") from None
@@ -280,7 +286,9 @@
         except TimeoutError:
             raise PlatformUnavailableError("watching: timeout") from None
 
-    async def _call(self, operation: Callable[[], Any], response_mode: ResponseMode) -> Any:
+    async def _call(
+        self, operation: Callable[[], Any], response_mode: ResponseMode, sent_bytes: int
+    ) -> Any:
         self.store.calls += 1
         if response_mode is ResponseMode.REFUSED:
             raise PlatformUnavailableError("refused")
@@ -288,20 +296,27 @@
 
         def effect() -> None:
             result, error = None, None
+            received_bytes = sent_bytes
             try:
                 result = operation()
             except (ObjectNotFoundError, VersionConflictError) as failure:
                 error = failure
+                if isinstance(failure, VersionConflictError):
+                    received_bytes = len(failure.value)
+                    failure.version = to_version(self.store.era, failure.version)
+            if isinstance(result, StoredObject):
+                received_bytes = len(result.value)
             result = (self.store.era, result)
             if response_mode in _RESPONSE_DELAY_S:
                 self.era = max(self.era, self.store.era)
-                delay_s = _RESPONSE_DELAY_S[response_mode]
+                delay_s = _RESPONSE_DELAY_S[response_mode] + received_bytes / self.bytes_per_s
                 self.store.world.call_later(
                     delay_s, lambda: _set_response(response, result, error)
                 )
 
         if response_mode in _EFFECT_DELAY_S:
-            self.store.world.call_later(_EFFECT_DELAY_S[response_mode], effect)
+            delay_s = _EFFECT_DELAY_S[response_mode] + sent_bytes / self.bytes_per_s
+            self.store.world.call_later(delay_s, effect)
         return await asyncio.wait_for(response, _TIMEOUT_S)
 
 
@@ -322,6 +337,8 @@
         self.world = world
         self.peers: dict[str, FakePeers] = {}
         self.cut: set[frozenset[str]] = set()
+        # Time from the first dial of a member until its stream is open.
+        self.connect_s = 0.0
         self.delays: dict[frozenset[str], float] = {}
         self._last_arrival_s: dict[tuple[str, str], float] = {}
 
@@ -340,7 +357,7 @@
 
         def arrive() -> None:
             target = self.peers.get(target_name)
-            if target is not None and target.member_id == target_id and pair not in self.cut:
+            if target is not None and target.matches(target_id) and pair not in self.cut:
                 target.loop.call_soon(target.receive, target_id, sender_id, event)
 
         self.world.call_later(arrival_s - self.world.now, arrive)
@@ -359,6 +376,8 @@
         self.sent: list[object] = []
         self._calls: dict[int, asyncio.Future[object]] = {}
         self._numbers = itertools.count(1)
+        # Times of the first dials by the member id that was dialled.
+        self._dialled_at: dict[str, float] = {}
         network.peers[name] = self
 
     def on(self, kind: type[Any], handler: Any) -> None:
@@ -384,7 +403,13 @@
 
     def dial(self, member: Any) -> bool:
         target = self.network.peers.get(member.name)
-        return target is not None and target.matches(member.id)
+        if target is None or not target.matches(member.id):
+            return False
+        if not self.network.connect_s:
+            return True
+        now = self.network.world.now
+        dialled_at = self._dialled_at.setdefault(member.id, now)
+        return now >= dialled_at + self.network.connect_s
 
     def matches(self, target_id: str) -> bool:
         """Returns whether a dialled id is this process or stands for any at its address."""
@@ -399,6 +424,8 @@
     def send(self, member: Any, message: object) -> bool:
         self.sent.append(message)
         del self.sent[:-64]
+        if self.network.connect_s and not self.dial(member):
+            return False
         self.network.deliver(self, member.id, lambda target: target.dispatch(message))
         return True
 
@@ -409,9 +436,12 @@
     async def call(self, member: Any, message: object, call: int) -> object:
         reply: asyncio.Future[object] = self.loop.create_future()
         self._calls[call] = reply
-        self.send(member, message)
         try:
-            return await asyncio.wait_for(reply, _TIMEOUT_S)
+            async with asyncio.timeout(_TIMEOUT_S):
+                if not self.send(member, message):
+                    await asyncio.sleep(self.network.connect_s)
+                    self.send(member, message)
+                return await reply
         except TimeoutError:
             raise PeerTimeoutError(f"{member.id} did not reply") from None
         finally:
