Recorder: one member writes the renewals of all that lack their monitors

Cause: a member whose monitors do not run renews its lease by writes of the group object, three attempts each 0.3 s. After the end of all agents nearly all members do.

Change: the service recorder. It accepts a request at once, so that its members can tell a recorder that is busy from one that is lost; only without any do they write themselves. A recorder refuses the stamp of a member that does not know its era.

--- a/fescueward/daemons/agent.py
+++ b/fescueward/daemons/agent.py
@@ -25,6 +25,7 @@
 from ..services.placement import ShardPlacement
 from ..services.platform import HttpPlatform
 from ..services.quarantine import CrashQuarantine
+from ..services.recorder import EditRecorder
 from ..services.recovery import MemberRecovery
 from ..services.router import OwnerRouter
 from ..services.snapshots import PlannerSnapshots
@@ -54,6 +55,7 @@
         kernel.add(MsgpackPeers(kernel, settings.agent.name, incarnation))
         kernel.add(GroupStore(kernel))
         kernel.add(GroupMembership(kernel, incarnation))
+        kernel.add(EditRecorder(kernel))
         kernel.add(MonitoredLease(kernel))
         kernel.add(LeaseMonitor(kernel))
         kernel.add(MemberRecovery(kernel))
--- a/fescueward/daemons/platform_agent.py
+++ b/fescueward/daemons/platform_agent.py
@@ -30,6 +30,7 @@
 from ..services.monitor import LeaseMonitor
 from ..services.peers import MsgpackPeers
 from ..services.quarantine import CrashQuarantine
+from ..services.recorder import EditRecorder
 from ..services.room import CallerReturns
 from ..services.routing.dispatcher import DispatchRouter
 from ..services.routing.routes import ConfiguredCatalogue, RouteTable
@@ -102,6 +103,7 @@
                 leaving_grace_s=leaving_grace_s,
             )
         )
+        kernel.add(EditRecorder(kernel))
         kernel.add(MonitoredLease(kernel))
         kernel.add(LeaseMonitor(kernel))
         kernel.add(RangePlacement(kernel))
--- a/fescueward/interfaces/__init__.py
+++ b/fescueward/interfaces/__init__.py
@@ -6,7 +6,7 @@
 from .administration import PlatformState, StatusReports, WatchState, WorkState
 from .catalogue import Catalogue
 from .evacuations import EvacuationGate, EvacuationListener, EvacuationState
-from .groups import Directory, GroupListener, Groups
+from .groups import Directory, GroupListener, Groups, Recorder
 from .leases import Departure, DepartureRecord, Lease, Membership, Monitor
 from .metrics import (
     Metrics,
@@ -82,6 +82,7 @@
     "Quarantine",
     "RangeGrants",
     "RateControl",
+    "Recorder",
     "RequestListener",
     "RequestSource",
     "Returns",
--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -6,7 +6,7 @@
 from typing import Protocol, runtime_checkable
 
 from ..messages import Group, GroupId, Member, VersionedGroup
-from ..messages.peer import Versions
+from ..messages.peer import MemberEdit, Versions
 
 GroupChange = Callable[[Group], Group | None]
 
@@ -103,3 +103,20 @@
     async def wait_until_newer(self, group: GroupId, version: int, timeout_s: float) -> bool:
         """Waits for a version above `version`; returns False after `timeout_s` seconds."""
         ...
+
+
+@runtime_checkable
+class Recorder(Protocol):
+    """Writes of edits through one member that writes those of many."""
+
+    async def record(self, edit: MemberEdit) -> bool | None:
+        """Writes an edit of this agent through another member, or with those of others.
+
+        Args:
+            edit: The edit.
+
+        Returns:
+            Whether the group object has the edit; if not, it may still be written later. None if
+            no recorder responds, so that this agent has to write the edit itself.
+        """
+        ...
--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -76,6 +76,7 @@
         instance: Identity of the upstream's current start, empty if upstreams have none.
         restarted: Whether the member replaced one of an earlier process of its agent, whose grants
             to the upstream may still be in force.
+        records_edits: Whether the member takes a `RecordRequest`; earlier versions do not.
     """
 
     id: str
@@ -95,6 +96,7 @@
     stamp: Count = 0
     instance: str = ""
     restarted: bool = False
+    records_edits: bool = False
 
     def any_incarnation(self) -> Member:
         """Returns this member with incarnation 0, which matches any incarnation at its address.
--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -662,6 +662,68 @@
     size: NonNegativeInt
 
 
+@dataclass(frozen=True, slots=True)
+class MemberEdit:
+    """Edit of a group that concerns one member.
+
+    Attributes:
+        member_id: The member.
+        stamp: Stamp of a renewal, above all that the member has used before; 0 for none.
+        instance: Instance id of an upstream that has left, empty for none.
+        started_until_ms: Time of its latest start that has left, in Unix milliseconds.
+        leaves: Whether the member hands over its keys and leaves.
+    """
+
+    member_id: str
+    stamp: NonNegativeInt = 0
+    instance: str = ""
+    started_until_ms: int = 0
+    leaves: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RecordRequest:
+    """Request to a member of a group to write an edit of the sender with its next write.
+
+    Attributes:
+        call: Call number, which the replies repeat.
+        service: Service of the group.
+        number: Number of the group.
+        era: Era of the group that the sender knows.
+        edit: The edit.
+    """
+
+    call: NonNegativeInt
+    service: str
+    number: NonNegativeInt
+    era: NonNegativeInt
+    edit: MemberEdit
+
+
+@dataclass(frozen=True, slots=True)
+class RecordAccepted:
+    """First reply to `RecordRequest`: the receiver writes the edit with its next write.
+
+    Attributes:
+        call: Call number of the request.
+    """
+
+    call: NonNegativeInt
+
+
+@dataclass(frozen=True, slots=True)
+class RecordOutcome:
+    """Second reply to `RecordRequest`, or the only one if the request is refused.
+
+    Attributes:
+        call: Call number of the request.
+        recorded: Whether the group object has the edit.
+    """
+
+    call: NonNegativeInt
+    recorded: bool
+
+
 PEER_MESSAGES: tuple[type[Any], ...] = (
     Challenge,
     Hello,
@@ -693,4 +755,7 @@
     JoinReply,
     MessagePart,
     PartReceived,
+    RecordRequest,
+    RecordAccepted,
+    RecordOutcome,
 )
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -6,7 +6,7 @@
 from contextlib import suppress
 from dataclasses import replace
 
-from ..interfaces import Groups, Membership, Peers
+from ..interfaces import Groups, Membership, Peers, Recorder
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.errors import (
     LeaseExpiredError,
@@ -17,7 +17,7 @@
 from ..kernel.settings import Settings
 from ..messages import Member, VersionedGroup
 from ..messages.era import era_of
-from ..messages.peer import Renew, RenewAck
+from ..messages.peer import MemberEdit, Renew, RenewAck
 
 _HELD = Event(2501, "lease_held", Level.INFO, "The lease is held.")
 _EXPIRED = Event(2502, "lease_expired", Level.WARNING, "The lease has ended without a renewal.")
@@ -79,6 +79,7 @@
         self._groups = registry.find("groups", Groups)
         self._peers = registry.find("peers", Peers)
         self._membership = registry.find("membership", Membership)
+        self._recorder = registry.find("recorder", Recorder)
         section = registry.find("settings", Settings).lease
         self._lease_s = section.lease_ms / 1000
         self._renewal_s = section.renewal_ms / 1000
@@ -166,6 +167,9 @@
             self._renews_by_writes = True
             self._writes_began_at = self._clock.now()
             self._written_count = self._refused_count = 0
+        recorded = await self._record_stamp(member)
+        if recorded is not None:
+            return recorded
         try:
             return await self._write_stamp(member.id)
         except PlatformError as error:
@@ -192,6 +196,18 @@
         member = self._membership.own_member()
         return member is not None and await self._write_stamp(member.id)
 
+    async def _record_stamp(self, member: Member) -> bool | None:
+        """Renews through a member that writes the stamps of many; see `Recorder.record`."""
+        self._stamp = max(self._stamp, member.stamp) + 1
+        sent_at = self._clock.now()
+        recorded = await self._recorder.record(MemberEdit(member.id, stamp=self._stamp))
+        if recorded:
+            self._written_count += 1
+            self._extend(member.id, sent_at)
+        elif recorded is False:
+            self._refused_count += 1
+        return recorded
+
     async def _write_stamp(self, member_id: str) -> bool:
         own_group_id = self._membership.own_group_id
         assert own_group_id is not None
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -469,4 +469,5 @@
             connections=announcement.connections,
             checks_grants=announcement.checks_grants,
             instance=announcement.start,
+            records_edits=True,
         )
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -35,6 +35,7 @@
 from fescueward.services.outcomes import RetainedOutcomes
 from fescueward.services.ownership import ShardOwnership
 from fescueward.services.placement import ShardPlacement
+from fescueward.services.recorder import EditRecorder
 from fescueward.services.recovery import MemberRecovery
 
 from .timed_fakes import (
@@ -53,6 +54,7 @@
 SERVICES: dict[str, type[Any]] = {
     "groups": GroupStore,
     "membership": GroupMembership,
+    "recorder": EditRecorder,
     "lease": MonitoredLease,
     "monitor": LeaseMonitor,
     "placement": ShardPlacement,
--- a/tests/services/keyspace/keyed_fleet.py
+++ b/tests/services/keyspace/keyed_fleet.py
@@ -25,6 +25,7 @@
 from fescueward.services.lease import MonitoredLease
 from fescueward.services.membership import GroupMembership
 from fescueward.services.monitor import LeaseMonitor
+from fescueward.services.recorder import EditRecorder
 from tests.services.fleet import FakeAdmission, Fleet, SafetyError, SimulatedAgent
 
 _RESPONSE_DELAY_S = 0.002
@@ -98,6 +99,7 @@
     services = {
         "groups": fleet_wide_groups,
         "membership": GroupMembership,
+        "recorder": EditRecorder,
         "lease": MonitoredLease,
         "monitor": LeaseMonitor,
         "placement": RangePlacement,
--- a/tests/services/keyspace/test_return.py
+++ b/tests/services/keyspace/test_return.py
@@ -65,3 +65,17 @@
         self.restart(fleet, lost=4)
         self.assert_all_join(fleet, SERVED_AGAIN_S)
         self.assertLessEqual(fleet.platform.calls - calls, CALLS_PER_AGENT * 54 + FIXED_CALLS)
+
+    def test_members_without_monitors_keep_their_leases(self):
+        """Guards against renewals by write that hinder each other, so that leases expire."""
+        fleet = self.start_fleet(58, 1)
+        for agent in fleet.agents.values():
+            agent.platform.bytes_per_s = SLOW_LINK_BYTES_PER_S
+        for member in fleet.group().members.values():
+            monitors = [monitor_id.rsplit(":", 1)[0] for monitor_id in member.monitors]
+            fleet.cut(member.name, monitors)
+        fleet.world.advance(5)
+        for _ in range(50):
+            fleet.world.advance(0.2)
+            lost = [name for name, agent in fleet.agents.items() if not agent.lease.held]
+            self.assertEqual(lost, [])
