Lease: members that have joined wait for their monitors to connect

Cause: the fallback to renewals by write counted from the join request.

Change: the two periods count from the moment at which the agent learns of its join. In this time renewals are sent three times as often, because the first ones are lost while the streams to the monitors open.

Result: test_members_that_join_wait_for_their_monitors fails before and passes.

--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -49,6 +49,8 @@
         self._sequence = 0
         self._sent_at: dict[int, float] = {}
         self._acknowledged_at = 0.0
+        # When this agent learned of its join, from which its monitors have time to connect.
+        self._joined_at = 0.0
         self._member_id = ""
         self._known_member_id = ""
         # Member id of the latest join of this agent, and a time before that join was sent.
@@ -105,6 +107,7 @@
         if member is None or member.id == self._known_member_id:
             return
         self._known_member_id = member.id
+        self._joined_at = self._clock.now()
         member_id, sent_at = self._latest_join
         if member_id != member.id:
             self._check_requested.set()
@@ -242,8 +245,13 @@
         return False
 
     def _lacks_acknowledgements(self, member: Member) -> bool:
-        return (
-            not member.monitors or self._acknowledged_at + 2 * self._renewal_s < self._clock.now()
+        silent_since = max(self._acknowledged_at, self._joined_at)
+        return not member.monitors or silent_since + 2 * self._renewal_s < self._clock.now()
+
+    def _connects(self) -> bool:
+        """Whether this member has just joined, so that its streams to monitors are opening."""
+        return self._acknowledged_at <= self._joined_at and (
+            self._clock.now() < self._joined_at + 2 * self._renewal_s
         )
 
     def _on_ack(self, sender: str, message: RenewAck) -> None:
@@ -289,7 +297,7 @@
     async def _run_renewals(self) -> None:
         while True:
             self.send_renewals()
-            await self._clock.sleep(self._renewal_s)
+            await self._clock.sleep(self._renewal_s / 3 if self._connects() else self._renewal_s)
 
     async def _run_own_writes(self) -> None:
         while True:
--- a/tests/services/keyspace/test_return.py
+++ b/tests/services/keyspace/test_return.py
@@ -68,6 +68,15 @@
         self.assert_all_join(fleet, SERVED_AGAIN_S)
         self.assertLessEqual(fleet.platform.calls - calls, CALLS_PER_AGENT * 54 + FIXED_CALLS)
 
+    def test_members_that_join_wait_for_their_monitors(self):
+        """Guards against renewals by write while streams to new monitors are opening."""
+        fleet = self.start_fleet(58, 1)
+        self.restart(fleet)
+        self.assert_all_join(fleet, SERVED_AGAIN_S)
+        fleet.world.advance(2)
+        stamps = [member.stamp for member in fleet.group().members.values()]
+        self.assertLessEqual(sum(stamps), 2, stamps)
+
     def test_members_without_monitors_keep_their_leases(self):
         """Guards against renewals by write that hinder each other, so that leases expire."""
         fleet = self.start_fleet(58, 1)
