Agents that stop or have left are marked and removed by the recorder

Cause: the same as of departures without an acknowledgement: a stopping agent wrote the mark that it leaves and its removal itself, in competition with all others.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -672,6 +672,7 @@
         instance: Instance id of an upstream that has left, empty for none.
         started_until_ms: Time of its latest start that has left, in Unix milliseconds.
         leaves: Whether the member hands over its keys and leaves.
+        removed: Whether the member has left; it has given up its lease and its id.
     """
 
     member_id: str
@@ -679,6 +680,7 @@
     instance: str = ""
     started_until_ms: int = 0
     leaves: bool = False
+    removed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from pathlib import Path
 
-from ..interfaces import Admission, Groups, Ownership, Peers, Placement
+from ..interfaces import Admission, Groups, Ownership, Peers, Placement, Recorder
 from ..interfaces.groups import GroupChange
 from ..kernel import Clock, Event, Kernel, Level, Registry
 from ..kernel.clock import unix_ms
@@ -30,6 +30,7 @@
     MemberState,
     VersionedGroup,
 )
+from ..messages.peer import MemberEdit
 from .departures import Departures
 from .joins import JoinRecorder
 from .keyspace.moves import with_raised_epochs
@@ -170,6 +171,7 @@
         self._placement = registry.find("placement", Placement)
         self._ownership = registry.find("ownership", Ownership)
         self._admission = registry.find("admission", Admission)
+        self._recorder = registry.find("recorder", Recorder)
         self._groups.subscribe(self)
         self._join_recorder.bind(registry)
         self._departures.bind(registry)
@@ -304,13 +306,16 @@
 
     async def _leave_group(self) -> None:
         announcement = self._announcement
-        if announcement is not None and announcement.instance:
+        if announcement is not None and announcement.state is AnnouncedState.LEAVING:
             # The write that records the departure also marks the member as leaving.
             await self._departures.wait_until_recorded(announcement.instance)
+        else:
+            await self._recorder.record(MemberEdit(self.member_id, leaves=True))
         await self._hand_over_all_shards()
         # No renewal may be acknowledged once the write that ends the monitor's role is in flight.
         self._stopped_acknowledging = True
-        await self._edit_until_done(self._remove_own_member)
+        if not await self._recorder.record(MemberEdit(self.member_id, removed=True)):
+            await self._edit_until_done(self._remove_own_member)
         _LEFT.emit(member=self.member_id)
 
     async def _hand_over_all_shards(self) -> None:
--- a/fescueward/services/recorder.py
+++ b/fescueward/services/recorder.py
@@ -192,6 +192,10 @@
             group = with_departure(group, edit.instance, edit.started_until_ms) or group
         if member is None:
             return group
+        if edit.removed:
+            return self._membership.fill_monitors(
+                self._placement.assign(group, frozenset({member.id}))
+            )
         if edit.leaves and member.state is MemberState.ACTIVE:
             group = self._placement.drain_member(group, member.id)
         # A member that does not know of a later era may have grants that the group lacks.
@@ -211,4 +215,4 @@
         group.departures.get(edit.instance, -1) >= edit.started_until_ms
     )
     left = not edit.leaves or member is None or member.state is MemberState.LEAVING
-    return stamped and departed and left
+    return stamped and departed and left and not (edit.removed and member is not None)
