Tests of hard callers: a fixture for further modules

Cause: tests with other crowds need the same deployment and ordinary request.

Change: HardCallersCase and its requests stand in a module of their own; the tests and their bounds are unchanged.

--- a/tests/integration/test_hard_callers.py
+++ b/tests/integration/test_hard_callers.py
@@ -10,21 +10,18 @@
 import logging
 import socket
 import time
-import unittest
-import uuid
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import ExitStack, suppress
+from contextlib import suppress
 
-import aiohttp
 import psutil
 
-from fescueward.platform.names import REQUEST_ID
 from fescueward.testing.program import LOOPBACK
-from fescueward.testing.site.deployment import SiteDeployment, SiteSpec
-from fescueward.testing.site.upstream import SIZE, WORK_MS
+from fescueward.testing.site.deployment import SiteSpec
 from fescueward.testing.waiting import wait_until
 
+from .hard_callers import CHUNKED_HEAD, HANG_S, HEAD, HardCallersCase, get_request
+
 MEMORY_MB = 150
 DESCRIPTORS = 450
 SPEC = SiteSpec(
@@ -44,11 +41,7 @@
 IDLE_CONNECTIONS = 500
 # A crowd that an agent does not read ends by itself after this time.
 CROWD_TIMEOUT_S = 10.0
-# An agent that answers no ordinary request for this long counts as hanging.
-HANG_S = 15.0
 _PART = 65_536
-_HEAD = b"POST /orders/x HTTP/1.1\r\nHost: orders\r\n"
-_CHUNKED = _HEAD + b"%s: hard\r\nTransfer-Encoding: chunked\r\n\r\n" % REQUEST_ID.encode()
 
 
 def _send_without_end(port: int, first: bytes, repeated: bytes) -> socket.socket:
@@ -72,35 +65,22 @@
     return connection
 
 
-def _get(size: int = 0, work_ms: int = 0) -> bytes:
-    return (
-        f"GET /orders/x?{SIZE}={size}&{WORK_MS}={work_ms} HTTP/1.1\r\nHost: orders\r\n"
-        f"{REQUEST_ID}: {uuid.uuid4().hex}\r\n\r\n"
-    ).encode()
-
-
 def _request_and_leave_unread(port: int) -> socket.socket:
     connection = socket.socket()
     # The responses stay with the agent instead of in the buffers of this socket.
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     connection.settimeout(CROWD_TIMEOUT_S)
     connection.connect((LOOPBACK, port))
-    connection.sendall(b"".join(_get(RESPONSE_BYTES) for _ in range(READER_REQUESTS)))
+    connection.sendall(b"".join(get_request(RESPONSE_BYTES) for _ in range(READER_REQUESTS)))
     return connection
 
 
-class HardCallersTest(unittest.IsolatedAsyncioTestCase):
+class HardCallersTest(HardCallersCase):
+    spec = SPEC
+
     async def asyncSetUp(self):
-        # The test case enables debug mode, which delays upstreams and store.
-        asyncio.get_running_loop().set_debug(False)
-        self.site = await self.enterAsyncContext(SiteDeployment(SPEC))
-        await self.site.wait_ready()
-        self.machines = list(self.site.machines.values())
-        self.pids = [machine.agent.pid for machine in self.machines]
-        self.port = self.machines[0].callers._port
+        await super().asyncSetUp()
         self.threads = self.enterContext(ThreadPoolExecutor(CROWD))
-        self.connections = self.enterContext(ExitStack())
-        await self._assert_served()
 
     async def _crowd(
         self, size: int, caller: Callable[..., socket.socket], *arguments: object
@@ -113,37 +93,18 @@
         for connection in await asyncio.gather(*callers):
             self.connections.enter_context(connection)
 
-    async def _assert_served(self) -> None:
-        """Asserts that an ordinary request is answered; its caller repeats it as usual."""
-        ends_at = time.monotonic() + HANG_S
-        answers = []
-        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=3.0)) as session:
-            while time.monotonic() < ends_at:
-                url = f"http://{LOOPBACK}:{self.port}/orders/x"
-                headers = {"Host": "orders", REQUEST_ID: uuid.uuid4().hex}
-                try:
-                    async with session.get(url, headers=headers) as response:
-                        await response.read()
-                        answers.append(response.status)
-                        if response.status == 200:
-                            return
-                except (aiohttp.ClientError, OSError, TimeoutError) as error:
-                    answers.append(type(error).__name__)
-                await asyncio.sleep(0.1)
-        self.fail(f"no ordinary request was answered: {answers}")
-
     async def _assert_held(self) -> None:
         """Asserts what must hold after each crowd, whose connections are still open."""
         try:
             # Connections that came before this request have been accepted when it is answered.
-            await self._assert_served()
+            await self.assert_served()
         finally:
             memory_mb = [_peak_memory_mb(pid) for pid in self.pids if psutil.pid_exists(pid)]
             descriptors = [
                 psutil.Process(pid).num_fds() for pid in self.pids if psutil.pid_exists(pid)
             ]
             print(f"{self.id().rpartition('.')[2]}: {memory_mb} MB, {descriptors} descriptors")
-        self.assertEqual(self.pids, [machine.agent.pid for machine in self.machines])
+        self.assert_same_processes()
         self.assertLess(max(memory_mb), MEMORY_MB)
         self.assertLess(max(descriptors), DESCRIPTORS)
 
@@ -159,27 +120,29 @@
 
     async def test_header_line_without_end(self):
         """Guards against a header line that is held without a limit."""
-        await self._crowd(CROWD, _send_without_end, _HEAD + b"X-Long: ", b"x")
+        await self._crowd(CROWD, _send_without_end, HEAD + b"X-Long: ", b"x")
         await self._assert_held()
 
     async def test_header_lines_without_end(self):
         """Guards against a head of many lines that is held without a limit."""
-        await self._crowd(CROWD, _send_without_end, _HEAD, b"X-Line: 0123456789\r\n")
+        await self._crowd(CROWD, _send_without_end, HEAD, b"X-Line: 0123456789\r\n")
         await self._assert_held()
 
     async def test_trailers_without_end(self):
         """Guards against trailers behind a chunked body that are held without a limit."""
-        await self._crowd(CROWD, _send_without_end, _CHUNKED + b"0\r\n", b"X-Line: 0123456789\r\n")
+        await self._crowd(
+            CROWD, _send_without_end, CHUNKED_HEAD + b"0\r\n", b"X-Line: 0123456789\r\n"
+        )
         await self._assert_held()
 
     async def test_trailer_line_without_end(self):
         """Guards against one line of a trailer that is held without a limit."""
-        await self._crowd(CROWD, _send_without_end, _CHUNKED + b"0\r\nX-Long: ", b"x")
+        await self._crowd(CROWD, _send_without_end, CHUNKED_HEAD + b"0\r\nX-Long: ", b"x")
         await self._assert_held()
 
     async def test_chunk_extensions_without_end(self):
         """Guards against extensions of a chunk that are held or parsed without a limit."""
-        await self._crowd(CROWD, _send_without_end, _CHUNKED + b"1;e=", b"x")
+        await self._crowd(CROWD, _send_without_end, CHUNKED_HEAD + b"1;e=", b"x")
         await self._assert_held()
 
     async def test_long_responses_that_are_not_read(self):
@@ -187,7 +150,7 @@
         await self._crowd(READERS, _request_and_leave_unread)
         # The upstreams have answered all that the agent asks for by then.
         for _ in range(READER_REQUESTS):
-            await self._assert_served()
+            await self.assert_served()
         await self._assert_runs_end()
         await self._assert_held()
 
@@ -198,14 +161,14 @@
         log.disabled = True
         self.addCleanup(setattr, log, "disabled", False)
         lines = b"a:b\r\n" * 3_000
-        waiting = (_get(work_ms=2_000)[:-2] + lines + b"\r\n") * WAITING_REQUESTS
+        waiting = (get_request(work_ms=2_000)[:-2] + lines + b"\r\n") * WAITING_REQUESTS
         await self._crowd(READERS, _send, waiting)
         await self._assert_held()
 
     async def test_long_response_that_is_read_slowly(self):
         """Guards against a limit on unread responses that cuts off an ordinary slow caller."""
         reader, writer = await asyncio.open_connection(LOOPBACK, self.port, limit=4096)
-        writer.write(_get(RESPONSE_BYTES))
+        writer.write(get_request(RESPONSE_BYTES))
         head = await reader.readuntil(b"\r\n\r\n")
         self.assertTrue(head.startswith(b"HTTP/1.1 200 "), head)
         received_bytes = 0
