The receive buffers of the callers' port share a part of the memory

Operators saw callers that nobody controls end an agent: it ran out of memory.

Cause: the kernel enlarges the receive buffer of each connection to megabytes while its caller sends, and bytes that the agent has not read count towards its memory. A crowd that presses on all its connections at once filled up to 1.3 MB of each; what was read of a connection at a time, up to 256 KB, waited in the agent.

Change: each connection of callers gets a buffer from a fifth of the memory beside the process, 128 KiB at most and 8 KiB at least; connections that wait to be accepted have the smallest.

--- a/fescueward/kernel/http_pipeline.py
+++ b/fescueward/kernel/http_pipeline.py
@@ -24,6 +24,7 @@
 from .http_exchange import Exchange, OrderedWriter, PipelinedRequest, PipelineLimits, head_bytes
 from .http_inbound import InboundConnection
 from .http_meter import InboundLimits
+from .receive_buffers import ReceiveBuffers
 
 # Period in which connections are checked for slow callers.
 _CHECK_PERIOD_S = 1.0
@@ -309,6 +310,7 @@
         limits: Limits on pipelined requests, or None for the usual ones.
         inbound: Returns the limits on what a caller sends, which may change.
         budget: Memory for what all connections hold, or None for no limit.
+        receive_buffers: Sets the receive buffers of the connections, or None to leave them.
         **options: Options of `aiohttp.web_protocol.RequestHandler`.
 
     Attributes:
@@ -323,9 +325,11 @@
         limits: PipelineLimits | None = None,
         inbound: Callable[[], InboundLimits] = InboundLimits,
         budget: CallerBudget | None = None,
+        receive_buffers: ReceiveBuffers | None = None,
         **options: Any,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self._receive_buffers = receive_buffers
         self.requests_ahead = 0
         self._limits = limits or PipelineLimits()
         self._inbound = inbound
@@ -345,12 +349,20 @@
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         """Records a connection; above their limit, the one that is idle for longest is closed."""
         super().connection_made(handler, transport)
+        if self._receive_buffers is not None:
+            self._receive_buffers.assign(handler, transport)
         if self._check is None:
             loop = asyncio.get_running_loop()
             self._check = loop.call_later(_CHECK_PERIOD_S, self._check_times)
         if len(self.connections) > self._inbound().connections:
             self._surplus(handler).evict()
 
+    def connection_lost(self, handler: RequestHandler, exc: BaseException | None = None) -> None:
+        """Removes a connection that has ended."""
+        super().connection_lost(handler, exc)
+        if self._receive_buffers is not None:
+            self._receive_buffers.release(handler)
+
     def _surplus(self, newest: RequestHandler) -> InboundConnection:
         connections = [
             connection
--- a/fescueward/kernel/http_port.py
+++ b/fescueward/kernel/http_port.py
@@ -22,6 +22,8 @@
         port: Port to listen on.
         shutdown_timeout_s: Time for which `close` waits for open requests, in seconds.
         backlog: Connections that may wait to be accepted.
+        receive_bytes: Receive buffer of connections that wait to be accepted, or None for that of
+            the system.
     """
 
     def __init__(
@@ -31,7 +33,9 @@
         port: int,
         shutdown_timeout_s: float,
         backlog: int = BACKLOG_CONNECTIONS,
+        receive_bytes: int | None = None,
     ) -> None:
+        self._receive_bytes = receive_bytes
         self._backlog = backlog
         self._server = server
         self._address = (host, port)
@@ -57,6 +61,8 @@
         """
         self._listener = socket.create_server(self._address, backlog=self._backlog)
         self._listener.setblocking(False)
+        if self._receive_bytes is not None:
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_bytes)
         # The acceptor closes its socket; `stop_listening` uses this one after that.
         self._acceptor = await asyncio.get_running_loop().create_server(
             self._server, sock=self._listener.dup(), backlog=self._backlog
--- a/fescueward/platform/frontend.py
+++ b/fescueward/platform/frontend.py
@@ -28,6 +28,7 @@
 from ..kernel.http_meter import InboundLimits
 from ..kernel.http_pipeline import Handler, PipelinedRequest, PipelinedServer
 from ..kernel.http_port import HttpPort
+from ..kernel.receive_buffers import SMALLEST_BYTES, ReceiveBuffers
 from ..kernel.tracebacks import drop_traceback
 from ..messages import Request
 from ..messages.configuration import CallerLimits
@@ -100,6 +101,7 @@
         self._servers: list[PipelinedServer] = []
         self._was_ready = False
         self._held = held or CallerBudget(site.memory_bytes)
+        self._receive_buffers = ReceiveBuffers(site.memory_bytes)
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
@@ -139,6 +141,7 @@
             handler,
             inbound=partial(self._inbound_limits, connections),
             budget=self._held,
+            receive_buffers=self._receive_buffers,
             keepalive_timeout=3600.0,
             max_line_size=65_536,
             max_field_size=65_536,
@@ -147,7 +150,12 @@
         )
         self._servers.append(server)
         http_port = HttpPort(
-            server, host, port, _CLOSE_TIMEOUT_S, min(connections, self._site.caller_backlog)
+            server,
+            host,
+            port,
+            _CLOSE_TIMEOUT_S,
+            min(connections, self._site.caller_backlog),
+            SMALLEST_BYTES,
         )
         self._ports.append(http_port)
         await http_port.start()
--- a/tests/integration/test_pressing_callers.py
+++ b/tests/integration/test_pressing_callers.py
@@ -18,6 +18,7 @@
 
 import psutil
 
+from fescueward.platform.names import REQUEST_ID
 from fescueward.testing.program import LOOPBACK
 from fescueward.testing.site.deployment import SiteSpec
 
@@ -32,6 +33,7 @@
 _SAMPLE_PERIOD_S = 0.03
 # Lines of one head or trailer, which take far more memory than bytes.
 _SHORT_LINES = b"a:b\r\n" * 3_200
+_BODY_BYTES = 8_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +153,22 @@
         self.assertLess(sampler.peak_bytes, MEMORY_BYTES)
         self.assertLess(descriptors, DESCRIPTORS)
 
+    async def test_empty_lines(self):
+        """Guards against unread empty lines before a request on many connections."""
+        await self._assert_held(Pressure(b"", b"\r\n"))
+
+    async def test_request_lines(self):
+        """Guards against unread request lines without end on many connections."""
+        await self._assert_held(Pressure(b"GET /orders/", b"x"))
+
+    async def test_header_lines(self):
+        """Guards against unread header lines without end on many connections."""
+        await self._assert_held(Pressure(HEAD, b"X-Line: 0123456789\r\n"))
+
+    async def test_trailer_lines(self):
+        """Guards against unread trailers without end on many connections."""
+        await self._assert_held(Pressure(CHUNKED_HEAD + b"0\r\n", b"X-Line: 0123456789\r\n"))
+
     async def test_incomplete_heads_of_many_lines(self):
         """Guards against heads within the limit whose lines take far more memory than bytes."""
         await self._assert_held(Pressure(HEAD + _SHORT_LINES))
@@ -158,3 +176,8 @@
     async def test_incomplete_trailers_of_many_lines(self):
         """Guards against trailers within the limit whose lines take far more memory than bytes."""
         await self._assert_held(Pressure(CHUNKED_HEAD + b"0\r\n" + 2 * _SHORT_LINES))
+
+    async def test_long_bodies(self):
+        """Guards against parts of bodies that many connections hold."""
+        head = HEAD + f"{REQUEST_ID}: hard\r\nContent-Length: {_BODY_BYTES}\r\n\r\n".encode()
+        await self._assert_held(Pressure(head, b"x"))
