A cancelled handover of a key range ends with a new epoch (OWNER)

Back ends were given keys while another one worked on requests for them.

Cause: a handover was known by the bounds and the epoch of its range. If its successor was lost or left, the owner kept the range at the same epoch; merged with its neighbours it was granted again. A later handover of the same part had the same identity, and the late response to the first release was taken for its confirmation. Class of fault: an identity that is used again while answers to its first use are under way.

Change: a range that loses its successor gets a new epoch, in takeovers, departures and evacuations, and a release is neither repeated nor recorded once its handover is cancelled.

--- a/fescueward/services/keyspace/evacuees.py
+++ b/fescueward/services/keyspace/evacuees.py
@@ -57,9 +57,10 @@
     members = tuple(member for member in members if member.id in reports) or members
     staying: list[KeyRange] = []
     moving: list[KeyRange] = []
+    fence = group.fence + 1
     for key_range in group.ranges:
         if moves.is_evacuated(group, key_range.successor, evacuated):
-            key_range = replace(key_range, successor=None)
+            key_range = moves.without_successor(key_range, fence)
         leaves = key_range.successor is None and moves.is_evacuated(
             group, key_range.owner, evacuated
         )
@@ -69,7 +70,7 @@
     count = max(_MIN_RANGES_PER_ROUND, (len(parts) + 1) // 2)
     given = _assign(parts[:count], members, staying, reports)
     later = [part.key_range for part in parts[count:]]
-    changed = moves.with_ranges(group, [*staying, *given, *later])
+    changed = moves.with_ranges(group, [*staying, *given, *later], fence)
     return group if changed.ranges == group.ranges else changed
 
 
--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from ...interfaces import Groups, Membership, Peers, RangeGrants
 from ...interfaces.groups import GroupChange
@@ -110,9 +111,20 @@
         self._unconfirmed_grants.append((key_range, end))
         self.add_confirmed_grant(end)
 
-    async def hand_over(self, own_group_id: GroupId, leaving_range: KeyRange) -> None:
-        """Releases a range and returns once the group object has its new owner."""
-        token = await self.release(leaving_range)
+    async def hand_over(
+        self, own_group_id: GroupId, leaving_range: KeyRange, is_leaving: Callable[[], bool]
+    ) -> None:
+        """Releases a range and returns once the group object has its new owner.
+
+        Args:
+            own_group_id: Group of this agent.
+            leaving_range: The range.
+            is_leaving: Returns False once the handover is cancelled; the release is not repeated
+                then, since the upstream may have been granted the keys again.
+        """
+        token = await self.release(leaving_range, is_leaving)
+        if not is_leaving():
+            return
         batch = self._own_batches.get(own_group_id)
         if batch is None:
             batch = self._own_batches[own_group_id] = {}
@@ -121,13 +133,19 @@
         batch[range_id(leaving_range)] = (leaving_range, token)
         await asyncio.wait((self._recordings[own_group_id],))
 
-    async def release(self, leaving_range: KeyRange) -> str:
+    async def release(
+        self, leaving_range: KeyRange, is_leaving: Callable[[], bool] = lambda: True
+    ) -> str:
         """Releases a range; afterwards the upstream has no grant for any of its keys.
 
+        Args:
+            leaving_range: The range.
+            is_leaving: See `hand_over`.
+
         Returns:
             The token that spares the next owner a cold start, or an empty string.
         """
-        token = await self._release_range(leaving_range, self._last_grant_end)
+        token = await self._release_range(leaving_range, self._last_grant_end, is_leaving)
         await self._wait_until_unconfirmed_grants_end(leaving_range)
         return token
 
@@ -260,7 +278,9 @@
         if ends:
             await self._clock.sleep(max(ends) - now)
 
-    async def _release_range(self, key_range: KeyRange, grants_end: float) -> str:
+    async def _release_range(
+        self, key_range: KeyRange, grants_end: float, is_leaving: Callable[[], bool]
+    ) -> str:
         """Releases a range, and retries until it is confirmed or all grants have expired.
 
         Returns:
@@ -280,6 +300,8 @@
                 if now >= grants_end:
                     return ""
                 await self._clock.sleep(min(_RETRY_S, grants_end - now))
+                if not is_leaving():
+                    return ""
         _RELEASED.emit(
             first=key_range.first, last=key_range.last, epoch=key_range.epoch, warm=bool(token)
         )
--- a/fescueward/services/keyspace/moves.py
+++ b/fescueward/services/keyspace/moves.py
@@ -319,7 +319,7 @@
     unowned_ranges: list[KeyRange] = []
     for key_range in group.ranges:
         if key_range.successor in lost or is_evacuated(group, key_range.successor, evacuated):
-            key_range = replace(key_range, successor=None)
+            key_range = without_successor(key_range, fence)
         if key_range.owner is not None and key_range.owner in lost:
             if key_range.successor is not None:
                 owned_ranges.append(_with_owner(key_range, key_range.successor, fence))
@@ -368,8 +368,9 @@
     if not leaving_ranges or not active_members(group, evacuated):
         return group
     other_ranges = [key_range for key_range in group.ranges if key_range not in leaving_ranges]
+    fence = group.fence + 1
     other_ranges = [
-        replace(key_range, successor=None) if key_range.successor == member_id else key_range
+        without_successor(key_range, fence) if key_range.successor == member_id else key_range
         for key_range in other_ranges
     ]
     assigned_parts = distribute(
@@ -378,7 +379,16 @@
         lambda part, successor_id: replace(part, successor=successor_id),
         evacuated,
     )
-    return with_ranges(group, [*other_ranges, *assigned_parts])
+    return with_ranges(group, [*other_ranges, *assigned_parts], fence)
+
+
+def without_successor(key_range: KeyRange, fence: int) -> KeyRange:
+    """Returns a range whose handover is cancelled, so that its owner keeps it.
+
+    The owner may have asked its upstream for the release. Without a new epoch, the late response
+    would be taken for that of a later handover of the same keys.
+    """
+    return replace(key_range, successor=None, epoch=fence, handover="")
 
 
 def handed_over(group: Group, released: dict[tuple[int, int, int], str], owner_id: str) -> Group:
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -400,7 +400,12 @@
     async def _hand_over(self, key_range: KeyRange) -> None:
         own_group_id = self._membership.own_group_id
         assert own_group_id is not None
+
+        def is_leaving() -> bool:
+            return range_id(key_range) in self._handovers.released
+
         await self._wait_for_grants_in_flight(key_range)
-        await self._handover.hand_over(own_group_id, key_range)
+        if is_leaving():
+            await self._handover.hand_over(own_group_id, key_range, is_leaving)
         self._handovers.finish(key_range)
         self._start_handovers()
--- a/tests/services/keyspace/test_moves.py
+++ b/tests/services/keyspace/test_moves.py
@@ -6,6 +6,7 @@
 from fescueward.messages import Group, MemberState
 from fescueward.messages.group import LAST_KEY, KeyRange
 from fescueward.services.keyspace import moves
+from fescueward.services.keyspace.evacuees import with_evacuees_moved
 from tests.services.groups_for_tests import member, with_added_members
 
 
@@ -153,6 +154,31 @@
             self.assertEqual(new_range.owner, "a:1")
             self.assertGreater(new_range.epoch, old_range.epoch)
 
+    def test_confirmation_of_a_cancelled_handover_ends_no_later_one(self):
+        """Guards against keys that are handed over while their owner works on them again."""
+        for cancel in (
+            lambda group: moves.without_members(group, frozenset({"b:1"})),
+            lambda group: moves.with_successors(group, "b:1"),
+            lambda group: with_evacuees_moved(group, frozenset({"evacuated"}), {}),
+        ):
+            group = group_of("a", "b", "c")
+            first, last = next(
+                (part.first, part.last) for part in group.ranges if part.owner == "a:1"
+            )
+            evacuated = replace(group.members["b:1"], failure_domain="evacuated")
+            group = replace(group, members={**group.members, "b:1": evacuated})
+            leaving = self.with_successor(group, first, last, "b:1")
+            released = leaving.range_of(first)
+            later = self.with_successor(cancel(leaving), first, last, "c:1")
+            token = {(released.first, released.last, released.epoch): "t"}
+            self.assertEqual(moves.handed_over(later, token, "a:1"), later)
+
+    def with_successor(self, group: Group, first: int, last: int, successor_id: str) -> Group:
+        ranges = moves.change_keys(
+            group.ranges, first, last, lambda part: replace(part, successor=successor_id)
+        )
+        return moves.with_ranges(group, ranges)
+
     def test_late_handover_changes_nothing(self):
         """Guards against a late handover that takes keys from a later owner."""
         group = group_of("a", "b")
