Recorder: bounds for the edits that it writes for itself

Cause: found while reading the change. A recorder that writes its own renewal or departure waited for that write without a bound, so that a store that responds slowly delayed its own fallback; and the end of a write task by an unexpected error would have left the recorder without one.

Change: the bound of other members' edits holds for its own, any error of the package ends a request to a recorder, and the next edit starts a new write task.

Result: tests.services.keyspace.test_return and test_lease pass.

--- a/fescueward/services/recorder.py
+++ b/fescueward/services/recorder.py
@@ -14,7 +14,7 @@
 
 from ..interfaces import Groups, Membership, Peers, Placement
 from ..kernel import Clock, Kernel, Registry
-from ..kernel.errors import FescuewardError, PeerError
+from ..kernel.errors import FescuewardError
 from ..messages import Group, GroupId, Member, MemberState, VersionedGroup
 from ..messages.era import era_of
 from ..messages.peer import MemberEdit, RecordAccepted, RecordOutcome, RecordRequest
@@ -100,20 +100,27 @@
             if recorder is None:
                 return None
             if recorder.id == self._membership.member_id:
-                return await self._write(view.group.id, edit, era_of(view.version))
+                return await self._write_as_recorder(view, edit)
             call = self._peers.next_call()
             outcome = self._outcomes[call] = asyncio.get_running_loop().create_future()
             try:
                 if await self._is_accepted(recorder, view, edit, call):
                     async with asyncio.timeout(_WRITE_TIMEOUT_S):
                         return await outcome
-            except (TimeoutError, PeerError):
+            except (TimeoutError, FescuewardError):
                 pass
             finally:
                 del self._outcomes[call]
             self._recorders.pass_over(recorder)
         return None
 
+    async def _write_as_recorder(self, view: VersionedGroup, edit: MemberEdit) -> bool | None:
+        try:
+            async with asyncio.timeout(_WRITE_TIMEOUT_S):
+                return await self._write(view.group.id, edit, era_of(view.version))
+        except TimeoutError:
+            return None
+
     async def _is_accepted(
         self, recorder: Member, view: VersionedGroup, edit: MemberEdit, call: int
     ) -> bool:
@@ -164,19 +171,21 @@
         return await recorded
 
     async def _write_pending(self, group_id: GroupId) -> None:
-        while self._pending:
-            if (wait_s := self._next_write_at - self._clock.now()) > 0:
-                await self._clock.sleep(wait_s)
-            self._next_write_at = self._clock.now() + _WRITE_PERIOD_S
-            edits, self._pending = tuple(self._pending), []
-            written: VersionedGroup | None = None
-            with suppress(FescuewardError):
-                written = await self._groups.edit(
-                    group_id, lambda group, edits=edits: self._with_edits(group, edits)
-                )
-            for pending in edits:
-                pending.finish(written)
-        self._writing = False
+        try:
+            while self._pending:
+                if (wait_s := self._next_write_at - self._clock.now()) > 0:
+                    await self._clock.sleep(wait_s)
+                self._next_write_at = self._clock.now() + _WRITE_PERIOD_S
+                edits, self._pending = tuple(self._pending), []
+                written: VersionedGroup | None = None
+                with suppress(FescuewardError):
+                    written = await self._groups.edit(
+                        group_id, lambda group, edits=edits: self._with_edits(group, edits)
+                    )
+                for pending in edits:
+                    pending.finish(written)
+        finally:
+            self._writing = False
 
     def _with_edits(self, group: Group, edits: Iterable[_PendingEdit]) -> Group | None:
         """Returns the group with edits of its members, or None if they change nothing."""
