A handover token that is no text is not used (Fault)

Agents ended by themselves again and again, and broke off all requests that they had.

Cause: the token in the response to a release was taken over as it came. A byte that is no UTF-8 became a lone surrogate, which the group object cannot be encoded with; the error ended the task that writes the group, and with it the process. JSON of upstreams cannot bring such text in: its decoder refuses it.

Change: a token is used if it is one header of at most 256 printable ASCII characters. Else the release counts, the next owner starts cold, and handover_token_malformed is logged.

--- a/fescueward/platform/responses.py
+++ b/fescueward/platform/responses.py
@@ -15,6 +15,7 @@
 
 # Longest cold time that an upstream can state, as in its heartbeats.
 _MAX_COLD_MS = 3_600_000.0
+_MAX_HANDOVER_TOKEN_LENGTH = 256
 
 
 def check_head(request: Request, http_response: aiohttp.ClientResponse) -> None:
@@ -38,6 +39,24 @@
         raise AnswerLostError("the name of a header ends with a space")
 
 
+def handover_token(values: Sequence[str]) -> str:
+    """Returns the handover token of a response to a release, or an empty string for none.
+
+    The token becomes a part of the group object, so bytes that are no text are not accepted.
+
+    Raises:
+        ValueError: The token cannot be used.
+    """
+    if not values:
+        return ""
+    if len(values) > 1:
+        raise ValueError(f"the response has {len(values)} handover tokens")
+    token = values[0]
+    if not (token.isascii() and token.isprintable()) or len(token) > _MAX_HANDOVER_TOKEN_LENGTH:
+        raise ValueError(f"the handover token is {token[:20]!a}")
+    return token
+
+
 def rate_limit(values: Iterable[str]) -> float | None:
     """Returns the lowest of the limits in a response, or None without one.
 
--- a/fescueward/platform/upstream.py
+++ b/fescueward/platform/upstream.py
@@ -44,7 +44,15 @@
     TARGET_INSTANCE,
     TIMEOUT_MS,
 )
-from .responses import check_head, cold_s, is_refusal, rate_limit, reported_load, to_response
+from .responses import (
+    check_head,
+    cold_s,
+    handover_token,
+    is_refusal,
+    rate_limit,
+    reported_load,
+    to_response,
+)
 from .settings import Site
 
 _UNREACHABLE = Event(
@@ -81,6 +89,13 @@
     frequent=True,
 )
 
+_MALFORMED_TOKEN = Event(
+    3016,
+    "handover_token_malformed",
+    Level.WARNING,
+    "The upstream responded to a release with a handover token that cannot be used.",
+)
+
 # Shorter than the time after which upstreams close idle connections.
 _KEEPALIVE_TIMEOUT_S = 4.0
 _CONNECT_TIMEOUT_S = 0.5
@@ -315,7 +330,12 @@
         )
         if status != 200:
             raise OutcomeLostError(f"the upstream responded to a release with status {status}")
-        return str(headers.get(HANDOVER, ""))
+        try:
+            return handover_token(headers.getall(HANDOVER, ()))
+        except ValueError as error:
+            # The next owner starts cold, as without a token.
+            _MALFORMED_TOKEN.emit(first=key_range.first, last=key_range.last, error=error)
+            return ""
 
     async def check_health(self, path: str) -> UpstreamNotice:
         """Asks for the health of the upstream; see `HealthSource.check_health`.
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -591,6 +591,23 @@
         with self.assertRaises(UpstreamUnavailableError):
             await upstream.release_range(KeyRange(0, 9, "a:1", 1))
 
+    async def test_handover_token_that_is_no_text_is_not_used(self):
+        """Guards against bytes of one upstream that no agent can write to the group object."""
+        for token, expected in (
+            (b"X-Fescueward-Handover: 5c0e7a\r\n", "5c0e7a"),
+            (b"X-Fescueward-Handover: 5c0e7\xe1\r\n", ""),
+            (b"X-Fescueward-Handover: 5c0e7\x01\r\n", ""),
+            (b"X-Fescueward-Handover: %s\r\n" % (b"a" * 4096), ""),
+            (b"X-Fescueward-Handover: 5c\r\nX-Fescueward-Handover: 5d\r\n", ""),
+            (b"", ""),
+        ):
+            with self.subTest(token=token):
+                raw = RawUpstream(b"HTTP/1.1 200 OK\r\n" + token + b"Content-Length: 0\r\n\r\n")
+                upstream = await self.start_client(await raw.start())
+                received = await upstream.release_range(KeyRange(0, 9, "a:1", 1))
+                self.assertEqual(received, expected)
+                await raw.stop()
+
     async def test_failure_of_a_reused_connection_is_not_retried(self):
         """Guards against a resend that counts neither as an attempt nor in the retry budget.
 
