Heartbeats of a start whose clock was set back are recognised (DRAIN)

A back end whose departure was acknowledged got requests for seconds more.

Cause: heartbeats are ordered by the time of their start. After a step of the clock a start can have a lower time than the one before it; its heartbeats were ignored as late ones, and acknowledged all the same, also the one that says draining.

Change: a start with a lower time is taken once it has been the only one that sends for one and a half heartbeat periods; late heartbeats of an ended start arrive together. Until then its departure gets 503, and the upstream repeats it. The order is a class of its own.

--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -9,8 +9,9 @@
 from aiohttp.web_response import Response, StreamResponse, json_response
 
 from ..interfaces import DepartureRecord, Liveness, Membership, Routes, StartListener, Warmup
-from ..kernel import Event, Level, Registry
+from ..kernel import Clock, Event, Level, Registry
 from ..kernel.errors import InvalidAnnouncementError, MalformedMessageError
+from ..kernel.heartbeat_order import HeartbeatOrder
 from ..kernel.http_meter import InboundLimits
 from ..kernel.http_pipeline import PipelinedServer
 from ..kernel.http_port import HttpPort
@@ -87,11 +88,11 @@
     def __init__(self, site: Site) -> None:
         self._site = site
         self._port: HttpPort | None = None
-        # Start time and sequence number of the newest heartbeat, to ignore those out of order.
-        self._newest_sequence = (0, -1)
+        self._order = HeartbeatOrder(site.heartbeat_period_s)
 
     def bind(self, registry: Registry) -> None:
         """Looks up the services that this one uses."""
+        self._clock = registry.find("clock", Clock)
         self._membership = registry.find("membership", Membership)
         self._departure_record = registry.find("membership", DepartureRecord)
         self._routes = registry.find("routes", Routes)
@@ -162,19 +163,24 @@
         except _MALFORMED_HEARTBEAT as error:
             _MALFORMED.emit(instance=instance, error=repr(error)[:200])
             return Response(status=400)
-        return self._accept(announcement, (heartbeat.born, heartbeat.status.seq))
+        return self._accept(announcement, heartbeat.status.seq)
 
-    def _accept(self, announcement: Announcement, sequence: tuple[int, int]) -> Response:
+    def _accept(self, announcement: Announcement, number: int) -> Response:
         upstream_address = self._site.application
         if (announcement.host, announcement.port) != (
             upstream_address.host,
             upstream_address.port,
-        ) or sequence <= self._newest_sequence:
+        ) or not self._order.accept(announcement.started_ms, number, self._clock.now()):
             _IGNORED.emit(
-                instance=announcement.instance, number=sequence, newest=self._newest_sequence
+                instance=announcement.instance,
+                number=(announcement.started_ms, number),
+                newest=self._order.newest,
             )
+            is_departure = announcement.state is AnnouncedState.LEAVING
+            if is_departure and announcement.started_ms < self._order.newest[0]:
+                # The clock of a start that is not recognised yet may have been set back.
+                return Response(status=503)
             return json_response({})
-        self._newest_sequence = sequence
         self._liveness.heartbeat_received()
         self._upstream.upstream_started(announcement.start)
         self._warmup.observe_announcement(announcement)
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -61,7 +61,10 @@
         self.addCleanup(ports.close)
         port = ports.reserve()
         site = SimpleNamespace(
-            heartbeats=Address("127.0.0.1", port), application=APPLICATION, service="depot"
+            heartbeats=Address("127.0.0.1", port),
+            application=APPLICATION,
+            service="depot",
+            heartbeat_period_s=1.0,
         )
         self.service = Heartbeats(site)
         self.service.bind(
@@ -117,6 +120,12 @@
         self.assertEqual(await self.post("heartbeat", "i1", make_heartbeat(9, born=1000)), 200)
         self.assertEqual([announcement.instance for announcement in self.announced], ["i2"])
 
+    async def test_departure_of_a_start_that_is_not_recognised_is_not_acknowledged(self):
+        """Guards against an upstream whose clock was set back, and whose departure is ignored."""
+        await self.post("heartbeat", "i1", make_heartbeat(3, born=2000))
+        leaving = make_heartbeat(9, born=1000, status={"state": "draining", "seq": 9})
+        self.assertEqual(await self.post("heartbeat", "i1", leaving), 503)
+
     async def test_new_start_under_the_same_id_is_accepted(self):
         """Guards against ignoring an upstream whose sequence numbers restart with it."""
         await self.post("heartbeat", "i1", make_heartbeat(50, born=1000))
@@ -200,7 +209,9 @@
         """Guards against one heartbeat that makes a group unreadable, or that ends the process."""
         membership = RecordedMembership()
         service = Heartbeats(
-            SimpleNamespace(heartbeats=None, application=APPLICATION, service="depot")
+            SimpleNamespace(
+                heartbeats=None, application=APPLICATION, service="depot", heartbeat_period_s=1.0
+            )
         )
         service.bind(
             StubRegistry(
