Joins: one function for each way to join; recorders without an unused service

Cause: the function that joins had grown over a screen with three functions inside.

Change: the own write and the request to a recorder are functions of their own; no decision changes.

Result: tests of joins, starts, returns and leases pass.

--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -104,30 +104,41 @@
             PlatformError: The platform did not respond.
             PeerError: The member that was sent the request did not respond.
         """
-
-        def add(group: Group) -> Group | None:
-            return self.with_members(group, (member,))
-
-        def add_if_first(group: Group) -> Group | None:
-            return None if self._candidates(group) else add(group)
-
-        async def write() -> VersionedGroup:
-            try:
-                async with asyncio.timeout(_OWN_WRITE_S):
-                    return await self._groups.edit(own_group_id, add)
-            except TimeoutError:
-                raise OutcomeUnknownError("the join was not written in time") from None
-
         self._lease.start_from_join(member.id, self._clock.now())
         if write_directly:
-            return await write()
-        current = await self._groups.edit(own_group_id, add_if_first)
+            return await self._write_own_join(own_group_id, member)
+        current = await self._groups.edit(
+            own_group_id,
+            lambda group: None if self._candidates(group) else self.with_members(group, (member,)),
+        )
         if member.id in current.group.members or not self._candidates(current.group):
             return current
         recorder = await self._reachable_recorder(current.group)
         self._lease.start_from_join(member.id, self._clock.now())
-        if recorder is None:
-            return await write()
+        recorded = (
+            None
+            if recorder is None
+            else await self._request_join(recorder, own_group_id, member, current)
+        )
+        return recorded or await self._write_own_join(own_group_id, member)
+
+    async def _write_own_join(self, own_group_id: GroupId, member: Member) -> VersionedGroup:
+        try:
+            async with asyncio.timeout(_OWN_WRITE_S):
+                return await self._groups.edit(
+                    own_group_id, lambda group: self.with_members(group, (member,))
+                )
+        except TimeoutError:
+            raise OutcomeUnknownError("the join was not written in time") from None
+
+    async def _request_join(
+        self, recorder: Member, own_group_id: GroupId, member: Member, current: VersionedGroup
+    ) -> VersionedGroup | None:
+        """Returns a version with the member, or None if the recorder does not add it.
+
+        Raises:
+            PeerError: The recorder did not respond.
+        """
         call = self._peers.next_call()
         request = JoinRequest(call, own_group_id.service, own_group_id.number, member)
         deadline = self._clock.now() + self._lease_s
@@ -145,7 +156,7 @@
             if member.id in reply.group.group.members:
                 return reply.group
         self._recorders.pass_over(recorder)
-        return await write()
+        return None
 
     async def _wait_until_recorded(
         self, own_group_id: GroupId, member_id: str, deadline: float
--- a/fescueward/services/recorder.py
+++ b/fescueward/services/recorder.py
@@ -178,6 +178,7 @@
                 self._next_write_at = self._clock.now() + _WRITE_PERIOD_S
                 edits, self._pending = tuple(self._pending), []
                 written: VersionedGroup | None = None
+                # The members learn that nothing was written, and write themselves.
                 with suppress(FescuewardError):
                     written = await self._groups.edit(
                         group_id, lambda group, edits=edits: self._with_edits(group, edits)
--- a/fescueward/services/recorders.py
+++ b/fescueward/services/recorders.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from ..interfaces import Peers
 from ..kernel import Clock, Registry
 from ..messages import Group, Member, MemberState
 
@@ -21,9 +20,8 @@
         self._passed_over_until: dict[str, float] = {}
 
     def bind(self, registry: Registry) -> None:
-        """Looks up the services that this one uses."""
+        """Looks up the clock."""
         self._clock = registry.find("clock", Clock)
-        self._peers = registry.find("peers", Peers)
 
     def candidates(self, group: Group) -> tuple[Member, ...]:
         """Returns the active members that have replied lately or were not asked, by member id."""
