Edits for many members wait less after a conflict

Cause: the backoff after a version conflict grows to ten times the time of a write, whatever an edit is for. A recorder that writes the joins of 20 agents thereby gets the same share of the group's writes as one agent that writes its own, and its requesters give up and write themselves meanwhile. Change: the backoff is divided by the number of members that an edit is for; recorders of joins and of edits pass it on.

--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -70,13 +70,17 @@
         """
         ...
 
-    async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
+    async def edit(
+        self, group: GroupId, change: GroupChange, member_count: int = 1
+    ) -> VersionedGroup:
         """Repeats read, change and write until a write succeeds or `change` returns None.
 
         Args:
             group: Group to change; `change` gets an empty group if it does not exist.
             change: Returns the changed group, or None if nothing is left to change. It may be
                 called several times and must be idempotent.
+            member_count: Number of members that the edit is for. After a conflict, an edit for
+                more members waits for less time.
 
         Raises:
             PlatformError: The platform did not respond. After an `OutcomeUnknownError` the
--- a/fescueward/services/groups/edits.py
+++ b/fescueward/services/groups/edits.py
@@ -64,10 +64,12 @@
 
     Attributes:
         change: Function that edits the group.
+        member_count: Number of members that the edit is for.
         done: Future of the written version; cancelled once the caller has stopped waiting.
     """
 
     change: GroupChange
+    member_count: int
     done: asyncio.Future[VersionedGroup]
 
     def apply_to(self, group: Group) -> Group:
@@ -106,12 +108,15 @@
         self._pending: dict[GroupId, list[_PendingEdit]] = {}
         self._active_groups: set[GroupId] = set()
 
-    async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
+    async def edit(
+        self, group: GroupId, change: GroupChange, member_count: int = 1
+    ) -> VersionedGroup:
         """Applies an edit with read, change and conditional write; see `Groups.edit`.
 
         Pending edits of a group are applied in call order.
         """
-        pending = _PendingEdit(change, asyncio.get_running_loop().create_future())
+        done: asyncio.Future[VersionedGroup] = asyncio.get_running_loop().create_future()
+        pending = _PendingEdit(change, member_count, done)
         self._pending.setdefault(group, []).append(pending)
         if group not in self._active_groups:
             self._active_groups.add(group)
@@ -148,6 +153,8 @@
         base = self._groups.view(group)
         begun_at = base_known_at = self._clock.now()
         outcome_unknown: OutcomeUnknownError | None = None
+        # Writers get shares of the group's writes in proportion to their members.
+        member_count = max(sum(pending.member_count for pending in batch), 1)
         for attempt in range(_MAX_ATTEMPTS):
             if base is None:
                 try:
@@ -178,7 +185,9 @@
                 base_known_at = self._clock.now()
                 # A large group takes long to write, so other writers need as long between them.
                 unit_s = max(_BACKOFF_S, self._clock.now() - started_at)
-                await self._clock.sleep(random.uniform(0, unit_s * min(attempt + 1, 10)))
+                await self._clock.sleep(
+                    random.uniform(0, unit_s * min(attempt + 1, 10) / member_count)
+                )
                 # An agent that is sent no versions does not notice writes during longer waits.
                 if attempt and not self._groups.receives_versions:
                     base = None
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -295,9 +295,11 @@
         else:
             self._confirmation.begin(group.id)
 
-    async def edit(self, group: GroupId, change: GroupChange) -> VersionedGroup:
+    async def edit(
+        self, group: GroupId, change: GroupChange, member_count: int = 1
+    ) -> VersionedGroup:
         """Applies an edit with read, change and conditional write; see `Groups.edit`."""
-        return await self._edits.edit(group, change)
+        return await self._edits.edit(group, change, member_count)
 
     def observe(self, group: VersionedGroup) -> bool:
         """Caches a confirmed version if it is newer; returns whether it was cached.
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -242,6 +242,7 @@
                 written = await self._groups.edit(
                     group_id,
                     lambda group, members=members: self._with_requested(group, members),
+                    len(members),
                 )
             except FescuewardError as error:
                 _JOINS_NOT_RECORDED.emit(group=group_id, members=len(members), error=error)
--- a/fescueward/services/recorder.py
+++ b/fescueward/services/recorder.py
@@ -181,7 +181,9 @@
                 # The members learn that nothing was written, and write themselves.
                 with suppress(FescuewardError):
                     written = await self._groups.edit(
-                        group_id, lambda group, edits=edits: self._with_edits(group, edits)
+                        group_id,
+                        lambda group, edits=edits: self._with_edits(group, edits),
+                        len(edits),
                     )
                 for pending in edits:
                     pending.finish(written)
--- a/tests/services/groups/test_edits.py
+++ b/tests/services/groups/test_edits.py
@@ -15,6 +15,8 @@
 from tests.services.timed_fakes import ResponseMode
 
 WRITERS = 24
+# The edit for many members is written before half of those for one each.
+MANY_MEMBERS = 20
 # Time of one write of a large group on a slow link.
 WRITE_S = 0.35
 # Each writer needs one write that takes effect, and the writes that meet it are refused.
@@ -76,6 +78,20 @@
         Found by kagaz-mesh-large quiet-1: 468 of 543 writes in 14 s were refused.
         """
         random.seed(3)
+        written, calls = self._write_at_once({})
+        self.assertEqual(WRITERS, len(written))
+        self.assertLessEqual(calls, MAX_CALLS)
+
+    def test_edit_for_many_members_does_not_starve(self):
+        """Guards against a recorder that waits as long as each agent that writes for itself."""
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                random.seed(seed)
+                written, _ = self._write_at_once({"a05": MANY_MEMBERS})
+                self.assertIn("a05", written[: WRITERS // 2])
+
+    def _write_at_once(self, member_counts):
+        """Returns the agents in the order of their edits, and the calls that these needed."""
         fleet = KeyedFleet()
         for number in range(WRITERS):
             fleet.start(f"a{number:02}", f"d{number % 4}")
@@ -89,13 +105,13 @@
         ):
             for agent in fleet.agents.values():
                 agent.platform.write_response_mode = ResponseMode.SLOW
-                agent.spawn(lambda agent=agent: self._edit(agent, written))
+                count = member_counts.get(agent.name, 1)
+                agent.spawn(lambda agent=agent, count=count: self._edit(agent, count, written))
             while len(written) < WRITERS and fleet.world.now < 120:
                 fleet.world.advance(0.1)
-        self.assertEqual(WRITERS, len(written))
-        self.assertLessEqual(fleet.platform.calls - calls, MAX_CALLS)
+        return written, fleet.platform.calls - calls
 
-    async def _edit(self, agent, written):
+    async def _edit(self, agent, member_count, written):
         def change(group):
             member = group.members[agent.member_id]
             if member.connections == 7:
@@ -103,5 +119,5 @@
             members = {**group.members, member.id: replace(member, connections=7)}
             return replace(group, members=members)
 
-        await agent.groups.edit(GROUP_ID, change)
+        await agent.groups.edit(GROUP_ID, change, member_count)
         written.append(agent.name)
