Agents wait for a recorder that has accepted their joins

Cause: a join had to be written within the timeout of a call, 1.2 s. On a link of 10 Mbit/s with conflicts the second batch of joins takes longer. Its 14 agents then wrote their own joins 0.1 s before that write succeeded, under new incarnations, and 10 of them did not succeed within 2 s. Change: the recorder accepts a join at once (RecordAccepted, to members that take it) and has 4 s for the write. The agent stops waiting if the stream closes. The lease still counts from the request. Evidence: test_agents_wait_for_the_write_of_their_recorder failed before (125 platform calls instead of 72 at most).

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -704,7 +704,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordAccepted:
-    """First reply to `RecordRequest`: the receiver writes the edit with its next write.
+    """First reply to `RecordRequest` or `JoinRequest`: the next write contains its change.
 
     Attributes:
         call: Call number of the request.
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -13,12 +13,13 @@
     OutcomeUnknownError,
     PeerError,
     PeerTimeoutError,
+    PeerUnavailableError,
     PlatformError,
     PlatformUnavailableError,
 )
 from ..kernel.settings import Settings
 from ..messages import Group, GroupId, Member, Shard, VersionedGroup
-from ..messages.peer import JoinReply, JoinRequest
+from ..messages.peer import JoinReply, JoinRequest, RecordAccepted
 from .keyspace.moves import with_transferred_ranges
 from .peer_links import SEED_SUFFIX
 from .recorders import Recorders
@@ -47,6 +48,11 @@
 # The first recorder is preferred for the first period, so that most joins have the same one.
 _MORE_RECORDERS_S = 0.4
 _RECORDERS_DIALLED = 3
+# Time within which a recorder that has accepted a join has to write it. A large group on a slow
+# link takes several attempts, and more of them if the agents write their own joins meanwhile.
+_RECORDED_WITHIN_S = 4.0
+# Period in which an agent looks whether the stream to its recorder is still open.
+_STREAM_CHECK_S = 0.1
 # Time for which an agent tries to write its own join before it asks a recorder again. On a slow
 # link it may never succeed while a member on a faster one writes.
 _OWN_WRITE_S = 2.0
@@ -66,6 +72,8 @@
         self._recorders = Recorders()
         # Senders and requests whose joins the next write records.
         self._pending_requests: list[tuple[str, JoinRequest]] = []
+        # Replies to requests of this agent that recorders have accepted, by call number.
+        self._replies: dict[int, asyncio.Future[JoinReply]] = {}
         self._recording = False
 
     def bind(self, registry: Registry) -> None:
@@ -73,7 +81,6 @@
         settings = registry.find("settings", Settings)
         self._name = settings.agent.name
         self._takeover_wait_ms = settings.lease.lease_ms + settings.lease.drift_margin_ms
-        self._lease_s = settings.lease.lease_ms / 1000
         self._clock = registry.find("clock", Clock)
         self._groups = registry.find("groups", Groups)
         self._lease = registry.find("lease", Lease)
@@ -137,20 +144,20 @@
         """Returns a version with the member, or None if the recorder does not add it.
 
         Raises:
-            PeerError: The recorder did not respond.
+            PeerError: The recorder did not respond, or has not written the join in time.
         """
         call = self._peers.next_call()
         request = JoinRequest(call, own_group_id.service, own_group_id.number, member)
-        deadline = self._clock.now() + self._lease_s
+        self._replies[call] = asyncio.get_running_loop().create_future()
         try:
             reply = await self._peers.call(recorder, request, call)
-        except PeerError as error:
-            if isinstance(error, PeerTimeoutError) and await self._wait_until_recorded(
-                own_group_id, member.id, deadline
-            ):
-                return self._groups.view(own_group_id) or current
+            if isinstance(reply, RecordAccepted):
+                reply = await self._reply_after_write(recorder, call)
+        except PeerError:
             self._recorders.pass_over(recorder)
             raise
+        finally:
+            del self._replies[call]
         if isinstance(reply, JoinReply) and reply.group is not None:
             self._groups.observe(reply.group)
             if member.id in reply.group.group.members:
@@ -158,27 +165,29 @@
         self._recorders.pass_over(recorder)
         return None
 
-    async def _wait_until_recorded(
-        self, own_group_id: GroupId, member_id: str, deadline: float
-    ) -> bool:
-        """Waits until a busy recorder has written the join; returns False at the deadline.
+    async def _reply_after_write(self, recorder: Member, call: int) -> JoinReply:
+        """Returns the reply of a recorder that has accepted a join.
 
-        A recorder that does not write for the duration of a lease is treated as lost.
+        Raises:
+            PeerError: The stream has closed, or the recorder has not written the join in time.
         """
-        while True:
-            view = self._groups.view(own_group_id)
-            if view is not None and member_id in view.group.members:
-                return True
-            version = view.version if view is not None else 0
-            if not await self._groups.wait_until_newer(
-                own_group_id, version, deadline - self._clock.now()
-            ):
-                return False
+        reply = self._replies[call]
+        end = self._clock.now() + _RECORDED_WITHIN_S
+        while not reply.done():
+            if not self._peers.dial(recorder):
+                raise PeerUnavailableError(f"the stream to {recorder.id} has closed")
+            if self._clock.now() >= end:
+                raise PeerTimeoutError(f"{recorder.id} did not write the join in time")
+            await asyncio.wait((reply,), timeout=_STREAM_CHECK_S)
+        return reply.result()
 
     def _on_join_reply(self, sender: str, message: JoinReply) -> None:
-        """Stores the group of a reply that arrives after its call timed out."""
+        """Stores the group of a reply that arrives after its call has ended."""
         if message.group is not None:
             self._groups.observe(message.group)
+        reply = self._replies.get(message.call)
+        if reply is not None and not reply.done():
+            reply.set_result(message)
 
     def _candidates(self, group: Group) -> tuple[Member, ...]:
         """Returns the members that write joins, the first one that is reachable for all.
@@ -226,6 +235,8 @@
         if not accepts_joins or not is_sent_by(sender, message.member):
             self._peers.reply(sender, JoinReply(message.call))
             return
+        if message.member.records_edits:
+            self._peers.reply(sender, RecordAccepted(message.call))
         self._pending_requests.append((sender, message))
         if not self._recording:
             self._recording = True
--- a/tests/services/keyspace/test_return.py
+++ b/tests/services/keyspace/test_return.py
@@ -1,8 +1,12 @@
 """Tests of fleets on slow links whose agents all end and return at about the same time."""
 
+import asyncio
 import random
 import unittest
+from dataclasses import replace
 
+from ..fleet import GROUP_ID
+from ..timed_fakes import ResponseMode
 from .keyed_fleet import KeyedFleet
 
 # A link of 10 Mbit/s.
@@ -15,6 +19,10 @@
 RECOVERY_S = 15.0
 # Time within which the departure of an upstream is acknowledged; bound `ackS` of the platform.
 ACKNOWLEDGED_S = 4.0
+# Writes of another member, each of which a slower write meets, and the pause between them. All
+# together take longer than the timeout of a call.
+OTHER_WRITES = 20
+OTHER_WRITE_PERIOD_S = 0.1
 # Platform calls of an agent that returns: a read, an attempt to join and another read.
 CALLS_PER_AGENT = 3
 # Platform calls for all agents together: plans, handovers and transfers to other monitors.
@@ -83,6 +91,32 @@
         self.assert_all_join(fleet, SERVED_AGAIN_S)
         self.assertLessEqual(fleet.platform.calls - calls, CALLS_PER_AGENT * 54 + FIXED_CALLS)
 
+    def test_agents_wait_for_the_write_of_their_recorder(self):
+        """Guards against agents that write their own joins while the recorder writes them all.
+
+        Found by quetza-vinos-grown trouble-1: 14 agents gave up 0.1 s before the write succeeded.
+        """
+        fleet = self.start_fleet(4, 1)
+        calls = fleet.platform.calls
+        fleet.agents["a000"].platform.write_response_mode = ResponseMode.SLOW
+        other = fleet.agents["a003"]
+        other.spawn(lambda: self._write_often(other))
+        for number in range(20):
+            fleet.start(f"b{number:03}", f"d{number % 3}")
+        self.assert_all_join(fleet, SERVED_AGAIN_S)
+        calls = fleet.platform.calls - calls - OTHER_WRITES
+        self.assertLessEqual(calls, CALLS_PER_AGENT * 20 + FIXED_CALLS)
+
+    async def _write_often(self, agent):
+        for count in range(1, OTHER_WRITES + 1):
+
+            def change(group, count=count):
+                member = replace(group.members[agent.member_id], connections=count)
+                return replace(group, members={**group.members, member.id: member})
+
+            await agent.groups.edit(GROUP_ID, change)
+            await asyncio.sleep(OTHER_WRITE_PERIOD_S)
+
     def test_members_that_join_wait_for_their_monitors(self):
         """Guards against renewals by write while streams to new monitors are opening."""
         fleet = self.start_fleet(58, 1)
