Deputies of watchers notice their silence within the bound (CONFIG)

Cause: only two agents read the store. Another one replaces them after three missing statuses, 3 s, longer than the bound. Change: the other watcher and four members, of different failure domains if there are several, get a status four times a second and replace a silent watcher after 0.75 s, in turns. A status says after which time its sender counts as silent, so that agents that have different deputies in mind agree on it. The cost does not grow with the fleet.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -184,11 +184,13 @@
         member_id: Member id of the watcher.
         healthy: Whether its last watch call was answered.
         versions: Versions that the watcher has.
+        timeout_ms: Time after which the watcher counts as silent without a further status.
     """
 
     member_id: str
     healthy: bool
     versions: Versions = Versions()
+    timeout_ms: NonNegativeInt = 3000
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescueward/services/groups/watch_duty.py
+++ b/fescueward/services/groups/watch_duty.py
@@ -8,9 +8,16 @@
 from ...kernel import Clock
 from ...messages import Member, VersionedGroup
 from ...messages.peer import Versions, WatchStatus
-from .watchers import WATCHER_COUNT, WatcherRoster
-
-_WATCH_STATUS_PERIOD_S = 1.0
+from .watchers import (
+    DEPUTY_STATUS_TIMEOUT_S,
+    STATUS_TIMEOUT_S,
+    WATCHER_COUNT,
+    WatcherRoster,
+)
+
+_STATUS_PERIOD_S = DEPUTY_STATUS_TIMEOUT_S / 3
+# Number of statuses of which one goes to all members and the rest to other watchers and deputies.
+_STATUSES_PER_ROUND = round(STATUS_TIMEOUT_S / DEPUTY_STATUS_TIMEOUT_S)
 # Members to which an agent sends its status during a platform outage. More than the monitors of a
 # member, so that a restarted agent gets a status even if several others are restarted with it.
 _OUTAGE_STATUS_RECIPIENTS = 4
@@ -94,7 +101,9 @@
 
     def record_status(self, status: WatchStatus) -> None:
         """Records the status that a member has sent of itself."""
-        self._roster.record_status(status.member_id, status.healthy, self._clock.now())
+        self._roster.record_status(
+            status.member_id, status.healthy, self._clock.now(), status.timeout_ms / 1000
+        )
 
     def record_call(self, healthy: bool) -> None:
         """Records the result of a watch call and tells the fleet when it differs from the last."""
@@ -114,19 +123,40 @@
         self._healthy = False
 
     async def run_statuses(self) -> None:
-        """Sends the status of this agent every second while it watches or no watcher does."""
+        """Sends the status of this agent while it watches or no watcher does."""
         while True:
-            await self._clock.sleep(_WATCH_STATUS_PERIOD_S)
-            view = self._own_view()
-            if view is None:
-                continue
-            members = self._members(view)
-            if not self.watching:
-                has_watcher = self._roster.has_healthy_watcher(members, self._clock.now())
-                if not self._fleet_members or has_watcher:
-                    continue
-                members = self.outage_status_recipients(members)
-            self.send_status(members, self._own_status())
+            deputies = self._send_to_all()
+            await self._clock.sleep(_STATUS_PERIOD_S)
+            for _ in range(_STATUSES_PER_ROUND - 1):
+                if deputies and self.watching:
+                    self.send_status(deputies, self._own_status(DEPUTY_STATUS_TIMEOUT_S))
+                await self._clock.sleep(_STATUS_PERIOD_S)
+
+    def _send_to_all(self) -> dict[str, Member]:
+        """Sends a status to all members, or to few of them while no member watches.
+
+        Returns:
+            The other watchers and the deputies, which get further statuses in this round. Only a
+            status to all changes them, so that none waits for a status that goes to another one.
+        """
+        view = self._own_view()
+        if view is None:
+            return {}
+        members = self._members(view)
+        if not self.watching:
+            has_watcher = self._roster.has_healthy_watcher(members, self._clock.now())
+            if self._fleet_members and not has_watcher:
+                self.send_status(self.outage_status_recipients(members), self._own_status())
+            return {}
+        own_id, now = self._membership.member_id, self._clock.now()
+        deputies = {
+            member.id: member
+            for member in (*self.watchers(), *self._roster.deputies(members, own_id, now))
+        }
+        others = {id_: member for id_, member in members.items() if id_ not in deputies}
+        self.send_status(deputies, self._own_status(DEPUTY_STATUS_TIMEOUT_S))
+        self.send_status(others, self._own_status())
+        return deputies
 
     def send_status(self, members: Mapping[str, Member], status: WatchStatus) -> None:
         """Sends a status to members, in a fleet also to their unknown incarnations."""
@@ -159,5 +189,7 @@
     def _members(self, view: VersionedGroup) -> Mapping[str, Member]:
         return self._fleet_members() if self._fleet_members else view.group.members
 
-    def _own_status(self) -> WatchStatus:
-        return WatchStatus(self._membership.member_id, self._healthy, self._versions())
+    def _own_status(self, timeout_s: float = STATUS_TIMEOUT_S) -> WatchStatus:
+        return WatchStatus(
+            self._membership.member_id, self._healthy, self._versions(), round(timeout_s * 1000)
+        )
--- a/tests/services/groups/test_watchers.py
+++ b/tests/services/groups/test_watchers.py
@@ -1,8 +1,10 @@
 """Tests of the choice of the members that watch the platform."""
 
 import unittest
+from dataclasses import replace
 
 from fescueward.services.groups.watchers import (
+    DEPUTY_STATUS_TIMEOUT_S,
     STATUS_TIMEOUT_S,
     WATCHER_COUNT,
     WatcherRoster,
@@ -11,6 +13,8 @@
 
 FLEET_SIZE = 196
 STATUS_PERIOD_S = 1.0
+DEPUTY_STATUS_PERIOD_S = 0.25
+DOMAINS = 3
 CALL_TIMEOUT_S = 1.5
 STEP_S = 0.05
 # A configuration must reach all agents within 2 s; a watch call and its publication fit into 1 s.
@@ -22,12 +26,20 @@
 
     def __init__(self, size=FLEET_SIZE):
         self.now = 100.0
-        self.members = {f"m{number:03}:1": member(f"m{number:03}") for number in range(size)}
+        self.members = {
+            f"m{number:03}:1": replace(
+                member(f"m{number:03}"), failure_domain=f"d{number % DOMAINS}"
+            )
+            for number in range(size)
+        }
         self.rosters = {member_id: WatcherRoster() for member_id in self.members}
         self.silent = set()
         self.refused = set()
         self.healthy = set()
         self.next_status_at = dict.fromkeys(self.members, self.now)
+        self.next_deputy_status_at = dict.fromkeys(self.members, self.now)
+        # Members that get the statuses of a watcher more often, by the watcher.
+        self.deputies = {}
         self.attempts = 0
         for roster in self.rosters.values():
             roster.expect_statuses(self.now)
@@ -45,8 +57,25 @@
         ]
 
     def send(self, sender, healthy):
-        for roster in self.rosters.values():
-            roster.record_status(sender, healthy, self.now)
+        roster = self.rosters[sender]
+        self.deputies[sender] = {
+            chosen.id
+            for chosen in (
+                *roster.watchers(self.members, sender, self.now),
+                *roster.deputies(self.members, sender, self.now),
+            )
+        }
+        for member_id, roster in self.rosters.items():
+            if member_id not in self.deputies[sender]:
+                roster.record_status(sender, healthy, self.now)
+        self.send_to_deputies(sender, healthy)
+
+    def send_to_deputies(self, sender, healthy):
+        self.next_deputy_status_at[sender] = self.now + DEPUTY_STATUS_PERIOD_S
+        for member_id in self.deputies[sender]:
+            self.rosters[member_id].record_status(
+                sender, healthy, self.now, DEPUTY_STATUS_TIMEOUT_S
+            )
 
     def advance(self, duration_s):
         """Lets watchers call the platform and send their statuses; returns the most at a time."""
@@ -75,6 +104,8 @@
             self.healthy.add(member_id)
             self.next_status_at[member_id] = self.now + STATUS_PERIOD_S
             self.send(member_id, True)
+        elif self.now >= self.next_deputy_status_at[member_id]:
+            self.send_to_deputies(member_id, True)
 
 
 class WatcherRosterTest(unittest.TestCase):
@@ -96,6 +127,27 @@
         self.assertEqual(WATCHER_COUNT, len(self.fleet.watching()))
         self.assertLessEqual(most, 2 * WATCHER_COUNT)
 
+    def test_silent_watchers_are_replaced_within_the_bound(self):
+        """Guards against a configuration that no agent reads for three missing statuses."""
+        self.fleet.silent = {"m000:1", "m001:1"}
+        self.fleet.advance(REPLACEMENT_BOUND_S)
+        self.assertGreaterEqual(len(self.fleet.watching()), 1)
+
+    def test_lost_domain_of_the_first_members(self):
+        """Guards against deputies that end together with the watchers."""
+        lost = [id_ for id_, one in self.fleet.members.items() if one.failure_domain == "d0"]
+        self.fleet.silent = {*lost, "m001:1"}
+        self.fleet.advance(REPLACEMENT_BOUND_S)
+        self.assertGreaterEqual(len(self.fleet.watching()), 1)
+
+    def test_fleet_smaller_than_its_deputies(self):
+        """Guards against members without a turn."""
+        fleet = Fleet(3)
+        fleet.advance(5)
+        fleet.silent = {"m000:1", "m001:1"}
+        fleet.advance(REPLACEMENT_BOUND_S)
+        self.assertEqual(["m002:1"], fleet.watching())
+
     def test_watcher_whose_watch_fails_is_replaced_within_the_bound(self):
         """A watcher that the store refused was replaced only after three missing statuses."""
         self.fleet.refused = {"m000:1", "m001:1"}
