Agents keep a member that has joined although the reply is lost

Cause: an agent whose recorder had accepted its join looked for the reply alone, for up to 4 s. It then took a new incarnation, also if other members had sent it the version that contains its join. Change: it looks at the version that it knows, as before. The test that failed needs a request that times out; it now sets the time for the write to 0, so that the request fails as early as before, and its checks are the same. Evidence: test_join_whose_reply_is_lost failed before.

--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -52,7 +52,7 @@
 # link takes several attempts, and more of them if the agents write their own joins meanwhile.
 _RECORDED_WITHIN_S = 4.0
 # Period in which an agent looks whether the stream to its recorder is still open.
-_STREAM_CHECK_S = 0.1
+_REPLY_CHECK_S = 0.1
 # Time for which an agent tries to write its own join before it asks a recorder again. On a slow
 # link it may never succeed while a member on a faster one writes.
 _OWN_WRITE_S = 2.0
@@ -123,9 +123,7 @@
         recorder = await self._reachable_recorder(current.group)
         self._lease.start_from_join(member.id, self._clock.now())
         recorded = (
-            None
-            if recorder is None
-            else await self._request_join(recorder, own_group_id, member, current)
+            None if recorder is None else await self._request_join(recorder, own_group_id, member)
         )
         return recorded or await self._write_own_join(own_group_id, member)
 
@@ -139,7 +137,7 @@
             raise OutcomeUnknownError("the join was not written in time") from None
 
     async def _request_join(
-        self, recorder: Member, own_group_id: GroupId, member: Member, current: VersionedGroup
+        self, recorder: Member, own_group_id: GroupId, member: Member
     ) -> VersionedGroup | None:
         """Returns a version with the member, or None if the recorder does not add it.
 
@@ -152,7 +150,7 @@
         try:
             reply = await self._peers.call(recorder, request, call)
             if isinstance(reply, RecordAccepted):
-                reply = await self._reply_after_write(recorder, call)
+                reply = await self._second_reply(recorder, request)
         except PeerError:
             self._recorders.pass_over(recorder)
             raise
@@ -165,20 +163,25 @@
         self._recorders.pass_over(recorder)
         return None
 
-    async def _reply_after_write(self, recorder: Member, call: int) -> JoinReply:
-        """Returns the reply of a recorder that has accepted a join.
+    async def _second_reply(self, recorder: Member, request: JoinRequest) -> JoinReply:
+        """Returns the reply that a recorder sends after its write of an accepted join.
 
         Raises:
             PeerError: The stream has closed, or the recorder has not written the join in time.
         """
-        reply = self._replies[call]
+        reply = self._replies[request.call]
+        group_id = GroupId(request.service, request.number)
         end = self._clock.now() + _RECORDED_WITHIN_S
         while not reply.done():
+            view = self._groups.view(group_id)
+            if view is not None and request.member.id in view.group.members:
+                # Another member has sent the version.
+                return JoinReply(request.call, view)
             if not self._peers.dial(recorder):
                 raise PeerUnavailableError(f"the stream to {recorder.id} has closed")
             if self._clock.now() >= end:
                 raise PeerTimeoutError(f"{recorder.id} did not write the join in time")
-            await asyncio.wait((reply,), timeout=_STREAM_CHECK_S)
+            await asyncio.wait((reply,), timeout=_REPLY_CHECK_S)
         return reply.result()
 
     def _on_join_reply(self, sender: str, message: JoinReply) -> None:
@@ -253,7 +256,7 @@
                 written = await self._groups.edit(
                     group_id,
                     lambda group, members=members: self._with_requested(group, members),
-                    len(members),
+                    member_count=len(members),
                 )
             except FescuewardError as error:
                 _JOINS_NOT_RECORDED.emit(group=group_id, members=len(members), error=error)
--- a/fescueward/services/recorder.py
+++ b/fescueward/services/recorder.py
@@ -183,7 +183,7 @@
                     written = await self._groups.edit(
                         group_id,
                         lambda group, edits=edits: self._with_edits(group, edits),
-                        len(edits),
+                        member_count=len(edits),
                     )
                 for pending in edits:
                     pending.finish(written)
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from fescueward.kernel.errors import InvalidAnnouncementError
 from fescueward.messages import (
@@ -15,6 +16,7 @@
     VersionedGroup,
 )
 from fescueward.messages.codec import encode_json
+from fescueward.services import joins
 from fescueward.services.departures import with_departure
 
 from .fleet import GROUP_ID, Fleet
@@ -258,7 +260,8 @@
         recorder.platform.write_response_mode = ResponseMode.VERY_LATE
         agent = fleet.start("a5", "d2")
         first_id = agent.member_id
-        fleet.world.advance(1.5)
+        with mock.patch.object(joins, "_RECORDED_WITHIN_S", 0.0):
+            fleet.world.advance(1.5)
         recorder.platform.write_response_mode = ResponseMode.NORMAL
         fleet.world.advance(4)
         members = fleet.group().members
@@ -266,6 +269,19 @@
         self.assertNotEqual(agent.member_id, first_id)
         self.assertTrue(agent.lease.held)
 
+    def test_join_whose_reply_is_lost(self):
+        """Guards against an agent that leaves its member while others know that it has joined."""
+        fleet = start_fleet(3, 3)
+        fleet.agents["a0"].platform.response_mode = ResponseMode.SLOW
+        agent = fleet.start("a5", "d2")
+        first_id = agent.member_id
+        fleet.world.advance(0.4)
+        self.assertNotIn(first_id, fleet.group().members)
+        fleet.cut("a5", ["a0"])
+        fleet.world.advance(5)
+        self.assertEqual(agent.member_id, first_id)
+        self.assertTrue(agent.lease.held)
+
     def test_agent_whose_clock_went_back_joins(self):
         """Guards against an agent that cannot join because its last incarnation was higher."""
         fleet = start_fleet(3, 3)
