Silent watchers have the last turns of those that replace them

What callers saw: nothing yet; a change reached agents later than it need, by 0.15 s for each silent watcher. Cause: the members that could replace a watcher take turns in an order that begins with the lowest ids, which are those of the silent watchers themselves. Change: members whose statuses have ended come last in the order. Evidence: test_silent_watchers_have_the_last_turns failed before.

--- a/fescueward/services/groups/watchers.py
+++ b/fescueward/services/groups/watchers.py
@@ -115,7 +115,7 @@
             and own_id in members
             and own_id not in chosen
             and not self._has_failed(own_id, now)
-            and self._has_turn(self._candidates(members, chosen, now).index(own_id), now)
+            and self._has_turn(self._candidates(members, own_id, chosen, now).index(own_id), now)
         ):
             chosen = sorted([*chosen, own_id])
         return tuple(members[member_id] for member_id in chosen)
@@ -125,7 +125,7 @@
     ) -> tuple[Member, ...]:
         """Returns the members that replace the watchers first, in the order of their turns."""
         chosen = self._current_ids(members, own_id, now)
-        candidates = self._candidates(members, chosen, now)[:DEPUTY_COUNT]
+        candidates = self._candidates(members, own_id, chosen, now)[:DEPUTY_COUNT]
         return tuple(members[member_id] for member_id in candidates)
 
     def _current_ids(self, members: Mapping[str, Member], own_id: str, now: float) -> list[str]:
@@ -142,16 +142,22 @@
         return list(islice(current, WATCHER_COUNT))
 
     def _candidates(
-        self, members: Mapping[str, Member], chosen: list[str], now: float
+        self, members: Mapping[str, Member], own_id: str, chosen: list[str], now: float
     ) -> list[str]:
         """Returns the ids of the members that could become watchers, in the order of their turns.
 
-        The first ones are of different failure domains, since one domain can fail at once.
+        The first ones are of different failure domains, since one domain can fail at once. Silent
+        watchers are the last.
         """
+        silent = {id_ for id_, status in self._statuses.items() if status.expires_at <= now}
+        silent.discard(own_id)
         ids = sorted(
-            member_id
-            for member_id in members
-            if member_id not in chosen and not self._has_failed(member_id, now)
+            (
+                member_id
+                for member_id in members
+                if member_id not in chosen and not self._has_failed(member_id, now)
+            ),
+            key=lambda member_id: (member_id in silent, member_id),
         )
         first_of_domain: dict[str, str] = {}
         for member_id in ids:
--- a/tests/services/groups/test_watchers.py
+++ b/tests/services/groups/test_watchers.py
@@ -133,6 +133,14 @@
         self.fleet.advance(REPLACEMENT_BOUND_S)
         self.assertGreaterEqual(len(self.fleet.watching()), 1)
 
+    def test_silent_watchers_have_the_last_turns(self):
+        """Guards against replacements that wait for the turns of the watchers that they replace."""
+        self.fleet.silent = {"m000:1", "m001:1"}
+        self.fleet.now += DEPUTY_STATUS_TIMEOUT_S
+        roster = self.fleet.rosters["m002:1"]
+        deputies = roster.deputies(self.fleet.members, "m002:1", self.fleet.now)
+        self.assertEqual("m002:1", deputies[0].id)
+
     def test_lost_domain_of_the_first_members(self):
         """Guards against deputies that end together with the watchers."""
         lost = [id_ for id_, one in self.fleet.members.items() if one.failure_domain == "d0"]
