Reports of members that do not watch are no failures of watchers

What callers saw: nothing yet; after the loss of both watchers changes reached a fleet of six members 0.5 to 0.8 s later than need be. Cause: while no member watches, all send a status that says that their watch is not healthy, so that restarted agents learn their versions. Receivers took it for the failure of a watch, passed the sender over for 1 s and began the turns anew. Deputies did so after 0.75 s, because they take a watcher for silent then. Change: such a report says that its sender does not watch (timeout 0), and members send it after 3 s without a watcher, deputies too. Evidence: test_report_of_a_member_that_does_not_watch_is_no_failure failed before.

--- a/fescueward/messages/peer.py
+++ b/fescueward/messages/peer.py
@@ -178,13 +178,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchStatus:
-    """Report of a group's watcher on its watch of the platform.
+    """Report of a watcher on its watch of the platform.
 
     Attributes:
         member_id: Member id of the watcher.
         healthy: Whether its last watch call was answered.
         versions: Versions that the watcher has.
-        timeout_ms: Time after which the watcher counts as silent without a further status.
+        timeout_ms: Time after which the watcher counts as silent without a further status; 0 if
+            the sender does not watch and only reports its versions.
     """
 
     member_id: str
--- a/fescueward/services/groups/watch_duty.py
+++ b/fescueward/services/groups/watch_duty.py
@@ -101,6 +101,8 @@
 
     def record_status(self, status: WatchStatus) -> None:
         """Records the status that a member has sent of itself."""
+        if not status.timeout_ms:
+            return
         self._roster.record_status(
             status.member_id, status.healthy, self._clock.now(), status.timeout_ms / 1000
         )
@@ -146,7 +148,7 @@
         if not self.watching:
             has_watcher = self._roster.has_healthy_watcher(members, self._clock.now())
             if self._fleet_members and not has_watcher:
-                self.send_status(self.outage_status_recipients(members), self._own_status())
+                self.send_status(self.outage_status_recipients(members), self._own_status(0.0))
             return {}
         own_id, now = self._membership.member_id, self._clock.now()
         deputies = {
--- a/fescueward/services/groups/watchers.py
+++ b/fescueward/services/groups/watchers.py
@@ -94,7 +94,7 @@
         """Whether a member has sent a status recently and has reported no failure since."""
         return any(
             member_id in members
-            and now < status.expires_at
+            and now - status.at < STATUS_TIMEOUT_S
             and not self._has_failed(member_id, now)
             for member_id, status in self._statuses.items()
         )
--- a/tests/services/evacuation/test_fleet.py
+++ b/tests/services/evacuation/test_fleet.py
@@ -16,6 +16,9 @@
 
 _KEY = EVACUATIONS_PREFIX + "d0"
 _BOUND_S = Bounds().evacuate_s
+# Time within which agents know what an operator has written; the least `propagationS` of a
+# platform.
+_PROPAGATION_S = 2.0
 
 
 class EvacuatedFleet(KeyedFleet):
@@ -142,6 +145,18 @@
         fleet.heal()
         self.assertIsNotNone(fleet.time_until(fleet.moved_out, 10))
 
+    def test_change_is_known_in_time_while_the_watchers_are_paused(self):
+        """Guards against changes that no agent reads until three statuses are missing."""
+        for per_domain in (1, 2, 13):
+            with self.subTest(per_domain=per_domain):
+                self.assert_known_without_watchers(self.fleet(per_domain))
+
+    def assert_known_without_watchers(self, fleet):
+        fleet.world.paused |= {"a00", "a01"}
+        others = len(fleet.agents) - len(fleet.world.paused)
+        fleet.evacuate()
+        self.assertIsNotNone(fleet.time_until(lambda: fleet.knowing() == others, _PROPAGATION_S))
+
     def test_paused_agent_of_the_domain_is_taken_over(self):
         """Guards against keys that stay with an agent that learns of nothing."""
         fleet = self.fleet()
--- a/tests/services/groups/test_watchers.py
+++ b/tests/services/groups/test_watchers.py
@@ -2,7 +2,10 @@
 
 import unittest
 from dataclasses import replace
+from types import SimpleNamespace
 
+from fescueward.messages.peer import Versions, WatchStatus
+from fescueward.services.groups.watch_duty import WatchDuty
 from fescueward.services.groups.watchers import (
     DEPUTY_STATUS_TIMEOUT_S,
     STATUS_TIMEOUT_S,
@@ -134,7 +137,7 @@
         self.assertGreaterEqual(len(self.fleet.watching()), 1)
 
     def test_silent_watchers_have_the_last_turns(self):
-        """Guards against replacements that wait for the turns of the watchers that they replace."""
+        """Guards against replacements that wait for the turns of those that they replace."""
         self.fleet.silent = {"m000:1", "m001:1"}
         self.fleet.now += DEPUTY_STATUS_TIMEOUT_S
         roster = self.fleet.rosters["m002:1"]
@@ -203,3 +206,21 @@
         roster.record_status("m000:1", False, self.fleet.now)
         roster.record_status("m001:1", False, self.fleet.now)
         self.assertFalse(roster.has_healthy_watcher(self.fleet.members, self.fleet.now))
+
+
+class WatchDutyTest(unittest.TestCase):
+    def test_report_of_a_member_that_does_not_watch_is_no_failure(self):
+        """Guards against replacements of watchers that pass over each other for their reports."""
+        members = {f"m{number}:1": member(f"m{number}") for number in range(4)}
+        duty = WatchDuty(
+            SimpleNamespace(now=lambda: 100.0),
+            SimpleNamespace(),
+            SimpleNamespace(member_id="m3:1"),
+            lambda: SimpleNamespace(group=SimpleNamespace(members=members)),
+            lambda: members,
+            Versions,
+        )
+        duty.expect_statuses()
+        for member_id in ("m0:1", "m1:1"):
+            duty.record_status(WatchStatus(member_id, False, timeout_ms=0))
+        self.assertEqual(["m0:1", "m1:1"], [watcher.id for watcher in duty.watchers()])
