--- a/fescueward/services/groups/watch_duty.py
+++ b/fescueward/services/groups/watch_duty.py
@@ -100,7 +100,7 @@
         self._roster.expect_statuses(self._clock.now())
 
     def record_status(self, status: WatchStatus) -> None:
-        """Records the status that a member has sent of itself."""
+        """Records the status that a member has sent of itself, if that member watches."""
         if not status.timeout_ms:
             return
         self._roster.record_status(
