Recorders: one table of second replies for joins and edits

Cause: JoinRecorder and EditRecorder each kept futures of replies that come after the acceptance of a request, with the same registration, removal and check. Change: SecondReplies in services/recorders.py serves both. Behaviour is the same.

--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -22,7 +22,7 @@
 from ..messages.peer import JoinReply, JoinRequest, RecordAccepted
 from .keyspace.moves import with_transferred_ranges
 from .peer_links import SEED_SUFFIX
-from .recorders import Recorders
+from .recorders import Recorders, SecondReplies
 from .ring import fill_monitors
 
 _JOINS_RECORDED = Event(
@@ -72,8 +72,7 @@
         self._recorders = Recorders()
         # Senders and requests whose joins the next write records.
         self._pending_requests: list[tuple[str, JoinRequest]] = []
-        # Replies to requests of this agent that recorders have accepted, by call number.
-        self._replies: dict[int, asyncio.Future[JoinReply]] = {}
+        self._replies: SecondReplies[JoinReply] = SecondReplies()
         self._recording = False
 
     def bind(self, registry: Registry) -> None:
@@ -146,16 +145,14 @@
         """
         call = self._peers.next_call()
         request = JoinRequest(call, own_group_id.service, own_group_id.number, member)
-        self._replies[call] = asyncio.get_running_loop().create_future()
         try:
-            reply = await self._peers.call(recorder, request, call)
-            if isinstance(reply, RecordAccepted):
-                reply = await self._second_reply(recorder, request)
+            with self._replies.expect(call) as second_reply:
+                reply = await self._peers.call(recorder, request, call)
+                if isinstance(reply, RecordAccepted):
+                    reply = await self._wait_for_write(recorder, request, second_reply)
         except PeerError:
             self._recorders.pass_over(recorder)
             raise
-        finally:
-            del self._replies[call]
         if isinstance(reply, JoinReply) and reply.group is not None:
             self._groups.observe(reply.group)
             if member.id in reply.group.group.members:
@@ -163,13 +160,14 @@
         self._recorders.pass_over(recorder)
         return None
 
-    async def _second_reply(self, recorder: Member, request: JoinRequest) -> JoinReply:
+    async def _wait_for_write(
+        self, recorder: Member, request: JoinRequest, reply: asyncio.Future[JoinReply]
+    ) -> JoinReply:
         """Returns the reply that a recorder sends after its write of an accepted join.
 
         Raises:
             PeerError: The stream has closed, or the recorder has not written the join in time.
         """
-        reply = self._replies[request.call]
         group_id = GroupId(request.service, request.number)
         end = self._clock.now() + _RECORDED_WITHIN_S
         while not reply.done():
@@ -188,9 +186,7 @@
         """Stores the group of a reply that arrives after its call has ended."""
         if message.group is not None:
             self._groups.observe(message.group)
-        reply = self._replies.get(message.call)
-        if reply is not None and not reply.done():
-            reply.set_result(message)
+        self._replies.receive(message)
 
     def _candidates(self, group: Group) -> tuple[Member, ...]:
         """Returns the members that write joins, the first one that is reachable for all.
--- a/fescueward/services/recorder.py
+++ b/fescueward/services/recorder.py
@@ -19,7 +19,7 @@
 from ..messages.era import era_of
 from ..messages.peer import MemberEdit, RecordAccepted, RecordOutcome, RecordRequest
 from .departures import with_departure
-from .recorders import Recorders
+from .recorders import Recorders, SecondReplies
 
 # Shortest time between two writes of one recorder. A recorder on a fast link would otherwise write
 # so often that all edits of agents on slower links conflict.
@@ -65,8 +65,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._tasks = kernel.task_owner(self.name)
         self._recorders = Recorders()
-        # Outcomes of requests of this agent that recorders have accepted, by call number.
-        self._outcomes: dict[int, asyncio.Future[bool]] = {}
+        self._outcomes: SecondReplies[RecordOutcome] = SecondReplies()
         self._pending: list[_PendingEdit] = []
         self._writing = False
         self._next_write_at = 0.0
@@ -102,15 +101,10 @@
             if recorder.id == self._membership.member_id:
                 return await self._write_as_recorder(view, edit)
             call = self._peers.next_call()
-            outcome = self._outcomes[call] = asyncio.get_running_loop().create_future()
-            try:
+            with self._outcomes.expect(call) as outcome, suppress(TimeoutError, FescuewardError):
                 if await self._is_accepted(recorder, view, edit, call):
                     async with asyncio.timeout(_WRITE_TIMEOUT_S):
-                        return await outcome
-            except (TimeoutError, FescuewardError):
-                pass
-            finally:
-                del self._outcomes[call]
+                        return (await outcome).recorded
             self._recorders.pass_over(recorder)
         return None
 
@@ -158,9 +152,7 @@
         self._peers.reply(message.edit.member_id, RecordOutcome(message.call, recorded))
 
     def _on_outcome(self, sender: str, message: RecordOutcome) -> None:
-        outcome = self._outcomes.get(message.call)
-        if outcome is not None and not outcome.done():
-            outcome.set_result(message.recorded)
+        self._outcomes.receive(message)
 
     async def _write(self, group_id: GroupId, edit: MemberEdit, era: int) -> bool:
         recorded: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
--- a/fescueward/services/recorders.py
+++ b/fescueward/services/recorders.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Generic, Protocol, TypeVar
+
 from ..kernel import Clock, Registry
 from ..messages import Group, Member, MemberState
 
@@ -9,6 +14,40 @@
 _SILENT_RECORDER_S = 15.0
 
 
+class Reply(Protocol):
+    """A message that replies to a call."""
+
+    @property
+    def call(self) -> int:
+        """Call number of the request."""
+        ...
+
+
+_R = TypeVar("_R", bound=Reply)
+
+
+class SecondReplies(Generic[_R]):
+    """Replies to requests that a recorder has accepted, which come after its write."""
+
+    def __init__(self) -> None:
+        self._expected: dict[int, asyncio.Future[_R]] = {}
+
+    @contextmanager
+    def expect(self, call: int) -> Iterator[asyncio.Future[_R]]:
+        """Provides the future of the second reply to a call."""
+        reply = self._expected[call] = asyncio.get_running_loop().create_future()
+        try:
+            yield reply
+        finally:
+            del self._expected[call]
+
+    def receive(self, reply: _R) -> None:
+        """Sets the future of a reply, if one is expected."""
+        expected = self._expected.get(reply.call)
+        if expected is not None and not expected.done():
+            expected.set_result(reply)
+
+
 class Recorders:
     """Active members in the order in which agents ask them to write.
 
