Joins: the recorders of a group are listed once for each join

Cause: JoinRecorder.record listed and sorted the members for the check and again for the dials. Change: the first list is passed on. Behaviour is the same: both came from the same version, at the same moment. Result: tests of joins, leases and returns pass unchanged.

--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -117,9 +117,10 @@
             own_group_id,
             lambda group: None if self._candidates(group) else self.with_members(group, (member,)),
         )
-        if member.id in current.group.members or not self._candidates(current.group):
+        recorders = self._candidates(current.group)
+        if member.id in current.group.members or not recorders:
             return current
-        recorder = await self._reachable_recorder(current.group)
+        recorder = await self._reachable_recorder(recorders)
         self._lease.start_from_join(member.id, self._clock.now())
         recorded = (
             None if recorder is None else await self._request_join(recorder, own_group_id, member)
@@ -201,12 +202,11 @@
         others = [other for other in self._recorders.candidates(group) if other.name != self._name]
         return tuple(sorted(others, key=lambda other: other.id != planner.id))
 
-    async def _reachable_recorder(self, group: Group) -> Member | None:
+    async def _reachable_recorder(self, recorders: tuple[Member, ...]) -> Member | None:
         """Returns a recorder to which a stream opens, or None if none opens in time.
 
         Many agents that write their own joins hinder each other for seconds, so the time is long.
         """
-        recorders = self._candidates(group)
         begun_at = self._clock.now()
         while (elapsed_s := self._clock.now() - begun_at) < _RECORDER_DIAL_S:
             periods = int(elapsed_s / _MORE_RECORDERS_S)
