Lease: one place that raises the stamp

Cause: the renewal through a recorder repeated how _write_stamp chooses a stamp, without its reason. Change: _next_stamp serves both. Behaviour is the same. Result: tests of joins, leases and returns pass unchanged.

--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -199,11 +199,17 @@
         member = self._membership.own_member()
         return member is not None and await self._write_stamp(member.id)
 
+    def _next_stamp(self, member: Member) -> int:
+        # Each write has a stamp of its own, so the stamp in the group shows which write took
+        # effect. An earlier one whose response was lost must not be taken for this one.
+        self._stamp = max(self._stamp, member.stamp) + 1
+        return self._stamp
+
     async def _record_stamp(self, member: Member) -> bool | None:
         """Renews through a member that writes the stamps of many; see `Recorder.record`."""
-        self._stamp = max(self._stamp, member.stamp) + 1
+        stamp = self._next_stamp(member)
         sent_at = self._clock.now()
-        recorded = await self._recorder.record(MemberEdit(member.id, stamp=self._stamp))
+        recorded = await self._recorder.record(MemberEdit(member.id, stamp=stamp))
         if recorded:
             self._written_count += 1
             self._extend(member.id, sent_at)
@@ -219,10 +225,7 @@
             member = base.group.members.get(member_id) if base is not None else None
             if base is None or member is None:
                 return False
-            # Each write has a stamp of its own, so the stamp in the group shows which write took
-            # effect. An earlier one whose response was lost must not be taken for this one.
-            self._stamp = max(self._stamp, member.stamp) + 1
-            renewed = replace(member, stamp=self._stamp)
+            renewed = replace(member, stamp=self._next_stamp(member))
             group = replace(base.group, members={**base.group.members, member_id: renewed})
             sent_at = self._clock.now()
             try:
