Groups: with_member replaces one member in all places

Cause: the same expression that puts a member into a group stood in eight places of the package, one of them new (the recorder). Behaviour is the same; members keep their place in the order.

--- a/fescueward/messages/group.py
+++ b/fescueward/messages/group.py
@@ -212,6 +212,10 @@
         """Identity of this group: service and number."""
         return GroupId(self.service, self.number)
 
+    def with_member(self, member: Member) -> Group:
+        """Returns the group with a member added, or in place of the one with its id."""
+        return replace(self, members={**self.members, member.id: member})
+
     def range_of(self, key: int) -> KeyRange | None:
         """Returns the range that contains a numeric key, or None if there are no ranges."""
         index = bisect_right(self.ranges, key, key=_first_key) - 1
--- a/fescueward/services/keyspace/placement.py
+++ b/fescueward/services/keyspace/placement.py
@@ -110,7 +110,7 @@
     def drain_member(self, group: Group, member_id: str) -> Group:
         """Returns the group with a member in the state `leaving` and successors for its ranges."""
         leaving = replace(group.members[member_id], state=MemberState.LEAVING)
-        marked = replace(group, members={**group.members, member_id: leaving})
+        marked = group.with_member(leaving)
         return moves.with_successors(marked, member_id, self._evacuations.domains)
 
     def planner(self, group: Group) -> Member | None:
--- a/fescueward/services/lease.py
+++ b/fescueward/services/lease.py
@@ -226,7 +226,7 @@
             if base is None or member is None:
                 return False
             renewed = replace(member, stamp=self._next_stamp(member))
-            group = replace(base.group, members={**base.group.members, member_id: renewed})
+            group = base.group.with_member(renewed)
             sent_at = self._clock.now()
             try:
                 await self._groups.write(base, group)
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -370,8 +370,7 @@
         assert announcement is not None
         _RESTARTED.emit(member=self.member_id, before=member.instance, now=announcement.start)
         restarted = replace(member, instance=announcement.start, slots=announcement.slots)
-        group = replace(group, members={**group.members, member.id: restarted})
-        return with_raised_epochs(group, member.id)
+        return with_raised_epochs(group.with_member(restarted), member.id)
 
     def _drain_own_member(self, group: Group) -> Group | None:
         member = group.members.get(self.member_id)
@@ -423,8 +422,7 @@
         member = group.members.get(self.member_id)
         if member is None or member.state is not MemberState.LEAVING:
             return None
-        active = replace(member, state=MemberState.ACTIVE)
-        return replace(group, members={**group.members, member.id: active})
+        return group.with_member(replace(member, state=MemberState.ACTIVE))
 
     async def _join(self, announcement: Announcement) -> None:
         assert self._own_group_id is not None
--- a/fescueward/services/placement.py
+++ b/fescueward/services/placement.py
@@ -92,7 +92,7 @@
     def drain_member(self, group: Group, member_id: str) -> Group:
         """Marks a member as leaving and sets successors for all its shards."""
         leaving = replace(group.members[member_id], state=MemberState.LEAVING)
-        marked = replace(group, members={**group.members, member_id: leaving})
+        marked = group.with_member(leaving)
         entry = self._entry(group.service)
         drained = self._policy.drain_member(marked, member_id, self._complete_load(), entry)
         self._add_proposal(group, drained, "leave")
--- a/fescueward/services/recorder.py
+++ b/fescueward/services/recorder.py
@@ -204,8 +204,7 @@
             group = self._placement.drain_member(group, member.id)
         # A member that does not know of a later era may have grants that the group lacks.
         if edit.stamp > member.stamp and group.era == era:
-            stamped = replace(group.members[member.id], stamp=edit.stamp)
-            group = replace(group, members={**group.members, member.id: stamped})
+            group = group.with_member(replace(group.members[member.id], stamp=edit.stamp))
         return group
 
 
--- a/fescueward/services/ring.py
+++ b/fescueward/services/ring.py
@@ -39,7 +39,7 @@
             if chosen_id is None:
                 break
             member = replace(member, monitors=(*member.monitors, chosen_id))
-            group = replace(group, members={**group.members, member_id: member})
+            group = group.with_member(member)
     return group
 
 
@@ -110,7 +110,7 @@
 
 
 def _with_monitors(group: Group, member: Member, monitors: tuple[str, ...]) -> Group:
-    return replace(group, members={**group.members, member.id: replace(member, monitors=monitors)})
+    return group.with_member(replace(member, monitors=monitors))
 
 
 def _best_monitor(
--- a/tests/services/keyspace/test_moves.py
+++ b/tests/services/keyspace/test_moves.py
@@ -166,7 +166,7 @@
                 (part.first, part.last) for part in group.ranges if part.owner == "a:1"
             )
             evacuated = replace(group.members["b:1"], failure_domain="evacuated")
-            group = replace(group, members={**group.members, "b:1": evacuated})
+            group = group.with_member(evacuated)
             leaving = self.with_successor(group, first, last, "b:1")
             released = leaving.range_of(first)
             later = self.with_successor(cancel(leaving), first, last, "c:1")
--- a/tests/services/keyspace/test_return.py
+++ b/tests/services/keyspace/test_return.py
@@ -111,8 +111,9 @@
         for count in range(1, OTHER_WRITES + 1):
 
             def change(group, count=count):
-                member = replace(group.members[agent.member_id], connections=count)
-                return replace(group, members={**group.members, member.id: member})
+                return group.with_member(
+                    replace(group.members[agent.member_id], connections=count)
+                )
 
             await agent.groups.edit(GROUP_ID, change)
             await asyncio.sleep(OTHER_WRITE_PERIOD_S)
