The release of a last member's keys ends with its leave

Agents passed requests on to an upstream that refused all of them with 421.

Cause: the last member of a group releases its keys before it leaves. If a response is lost the release is repeated until the grants have expired, also after the leave was cancelled and the upstream was granted the keys again; the release then took them away.

Change: `RangeHandover.release` needs to be told whether the keys are still leaving.

--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -133,9 +133,7 @@
         batch[range_id(leaving_range)] = (leaving_range, token)
         await asyncio.wait((self._recordings[own_group_id],))
 
-    async def release(
-        self, leaving_range: KeyRange, is_leaving: Callable[[], bool] = lambda: True
-    ) -> str:
+    async def release(self, leaving_range: KeyRange, is_leaving: Callable[[], bool]) -> str:
         """Releases a range; afterwards the upstream has no grant for any of its keys.
 
         Args:
--- a/fescueward/services/keyspace/ownership.py
+++ b/fescueward/services/keyspace/ownership.py
@@ -174,7 +174,7 @@
 
     async def _release(self, key_range: KeyRange) -> None:
         await self._wait_for_grants_in_flight(key_range)
-        await self._handover.release(key_range)
+        await self._handover.release(key_range, lambda: range_id(key_range) in self._withdrawn)
 
     async def _wait_for_grants_in_flight(self, key_range: KeyRange) -> None:
         """Waits for grants of keys that are to be released.
--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -379,6 +379,27 @@
         self.groups.publish(alone)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
 
+    async def test_release_ends_when_the_leave_is_cancelled(self):
+        """Guards against a repeated release of keys that the upstream was granted again.
+
+        The agent would pass on requests for these keys, all of which the upstream refuses.
+        """
+        self.lease.expires_at = CLOCK.now() + 5
+        alone = moves.assigned(with_added_members(Group("depot", 0, 1), member("a")))
+        self.groups.publish(alone)
+        await self.ownership.admit("depot", "5", CLOCK.now() + 1)
+        leaving = replace(alone.members["a:1"], state=MemberState.LEAVING)
+        self.groups.publish(replace(alone, members={"a:1": leaving}))
+        with mock.patch.object(self.upstream, "release_range", self._fail_after_delay):
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await self.ownership.wait_until_drained()
+            self.groups.publish(alone)
+            await self.ownership.admit("depot", "5", CLOCK.now() + 1)
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(0.2)
+        self.assertEqual({call for call, _, _ in self.upstream.calls}, {"grant"})
+
     async def _fail_after_delay(self, key_range: KeyRange) -> str:
         await asyncio.sleep(0.2)
         raise UpstreamUnavailableError("no response yet")
