An edit that no agent could read fails alone (Fault)

Agents ended one after the other, and with them all requests that they had.

A group that could not be encoded ended the task that writes it, and its process; one that could be encoded and not decoded again (a stamp or a crash number above 64 bits with a sign, ranges with a gap) was stored, and no agent could read the group any more. The planner and the recorders write edits of others, so one odd entry of one member reached every agent that merged it. The check at the upstream's boundary is one way in.

Change: `encode_group` accepts only what `decode_group` accepts. Edits of a batch that lead to another group fail alone, with UnwritableGroupError; the others are written. A recorder makes one edit for each member, which share a write, and an unexpected exception of an edit, join or handover of another member fails that request instead of the process.

--- a/fescueward/interfaces/groups.py
+++ b/fescueward/interfaces/groups.py
@@ -67,6 +67,7 @@
             VersionConflictError: The group is at another version.
             OutcomeUnknownError: The response was lost; the write may still take effect later.
             PlatformUnavailableError: The write had no effect.
+            UnwritableGroupError: No agent could read the group, so it was not written.
         """
         ...
 
--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -372,6 +372,13 @@
     label = "bad_platform_answer"
 
 
+class UnwritableGroupError(PlatformError):
+    """An edit leads to a group object that no agent could read, so nothing was written."""
+
+    code = 3006
+    label = "unwritable_group"
+
+
 class PeerError(FescuewardError):
     """Base class of the errors of the peer protocol."""
 
--- a/fescueward/messages/codec.py
+++ b/fescueward/messages/codec.py
@@ -15,6 +15,8 @@
 
 # Failures of msgspec to decode bytes; values that are nested deeply raise RecursionError.
 DECODE_FAILURES = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+# Failures of msgspec to encode a value, such as text with lone surrogates.
+ENCODE_FAILURES = (TypeError, UnicodeEncodeError, OverflowError, RecursionError)
 # A string, which may lack its end, or a character that begins, separates or ends values.
 _JSON_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+(?:"|\Z)|[][{},]', re.DOTALL)
 # No known field is nested as deeply.
--- a/fescueward/messages/frames.py
+++ b/fescueward/messages/frames.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from ..kernel.errors import MalformedMessageError
-from .codec import DECODE_FAILURES
+from .codec import DECODE_FAILURES, ENCODE_FAILURES
 from .peer import PEER_MESSAGES, MessagePart, StreamData, StreamHead, StreamOpen
 
 MAX_FRAME_BYTES = 1024 * 1024
@@ -207,7 +207,7 @@
 def _encode_content(message: object) -> bytes:
     try:
         return _last_encoded.encode(message)
-    except (TypeError, UnicodeEncodeError, OverflowError, RecursionError) as error:
+    except ENCODE_FAILURES as error:
         raise MalformedMessageError(f"bad {type(message).__name__}: {error}") from error
 
 
--- a/fescueward/messages/group_object.py
+++ b/fescueward/messages/group_object.py
@@ -1,4 +1,4 @@
-"""Reading of group objects, which other programs may have written too."""
+"""Encoding of group objects, and reading of those that other programs may have written."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..kernel.errors import MalformedMessageError
-from .codec import DECODE_FAILURES, decode_json
+from .codec import DECODE_FAILURES, ENCODE_FAILURES, decode_json, encode_json
 from .group import LAST_KEY, Group, KeyRange, Member
 
 
@@ -15,6 +15,23 @@
     members: dict[str, msgspec.Raw]
 
 
+def encode_group(group: Group) -> bytes:
+    """Returns a group as JSON text that every agent can decode.
+
+    Raises:
+        MalformedMessageError: A value cannot be encoded or is out of range, or the group is
+            inconsistent.
+    """
+    try:
+        value = encode_json(group)
+    except ENCODE_FAILURES as error:
+        raise MalformedMessageError(f"bad Group: {error}") from error
+    # Data classes do not check the values that they are built with.
+    decode_json(value, Group)
+    check_group(group)
+    return value
+
+
 def decode_group(key: str, value: bytes) -> Group:
     """Decodes a group object.
 
--- a/fescueward/services/groups/edits.py
+++ b/fescueward/services/groups/edits.py
@@ -11,11 +11,14 @@
 from ...kernel import Clock, Event, Level, TaskOwner
 from ...kernel.errors import (
     FescuewardError,
+    MalformedMessageError,
     OutcomeUnknownError,
     PlatformError,
+    UnwritableGroupError,
     VersionConflictError,
 )
 from ...messages import Group, GroupId, VersionedGroup
+from ...messages.group_object import encode_group
 
 _EDITED = Event(
     2215, "group_edited", Level.INFO, "An edit of a group succeeded after version conflicts."
@@ -24,6 +27,13 @@
     2216, "group_edit_delayed", Level.WARNING, "An edit of a group keeps meeting other writes."
 )
 
+_UNWRITABLE = Event(
+    2217,
+    "group_edit_unwritable",
+    Level.ERROR,
+    "An edit leads to a group that no agent could read; the others of its batch are written.",
+)
+
 _MAX_ATTEMPTS = 40
 # An edit that has been refused so often is logged before it ends.
 _LOGGED_ATTEMPTS = 8
@@ -172,6 +182,8 @@
             started_at = self._clock.now()
             try:
                 written = await self._groups.write(base, changed)
+            except UnwritableGroupError:
+                _fail_unwritable(batch, base.group)
             except VersionConflictError:
                 refused_version = base.version
                 if attempt + 1 == _LOGGED_ATTEMPTS:
@@ -211,3 +223,19 @@
         raise OutcomeUnknownError(
             f"edit of group {group} not confirmed after {_MAX_ATTEMPTS} attempts"
         )
+
+
+def _fail_unwritable(batch: tuple[_PendingEdit, ...], group: Group) -> None:
+    """Fails the edits of a batch that lead from a group to one that no agent could read.
+
+    Members edit the group for others: an odd entry of one must not hold up the edits of all.
+    """
+    for pending in batch:
+        changed = pending.apply_to(group)
+        try:
+            encode_group(changed)
+        except MalformedMessageError as error:
+            _UNWRITABLE.emit(group=group.id, error=str(error)[:300])
+            pending.fail(UnwritableGroupError(f"group {group.id} is not written: {error}"))
+        else:
+            group = changed
--- a/fescueward/services/groups/store.py
+++ b/fescueward/services/groups/store.py
@@ -17,6 +17,7 @@
     OutcomeUnknownError,
     PlatformAnswerError,
     PlatformError,
+    UnwritableGroupError,
     VersionConflictError,
 )
 from ...kernel.settings import Settings
@@ -26,9 +27,8 @@
     Member,
     VersionedGroup,
 )
-from ...messages.codec import encode_json
 from ...messages.era import era_of, lowest_epoch
-from ...messages.group_object import check_group, decode_group
+from ...messages.group_object import check_group, decode_group, encode_group
 from ...messages.peer import Fetch, Publish, Versions, WatchStatus
 from ..evacuation import find_evacuations
 from .confirmation import GroupConfirmation
@@ -263,9 +263,11 @@
         era = era_of(base.version) if base.version else self._platform.era
         group = replace(group, edit_id=uuid.uuid4().hex, era=era, written_on=base.version)
         try:
-            version = await self._platform.put(
-                group.id.object_key, encode_json(group), base.version
-            )
+            value = encode_group(group)
+        except MalformedMessageError as error:
+            raise UnwritableGroupError(f"group {group.id} is not written: {error}") from error
+        try:
+            version = await self._platform.put(group.id.object_key, value, base.version)
         except VersionConflictError as error:
             self._observe_conflicting(group.id.object_key, error)
             raise
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -16,7 +16,9 @@
     PeerUnavailableError,
     PlatformError,
     PlatformUnavailableError,
+    UnwritableGroupError,
 )
+from ..kernel.retries import report_reading_failure
 from ..kernel.settings import Settings
 from ..messages import Group, GroupId, Member, Shard, VersionedGroup
 from ..messages.peer import JoinReply, JoinRequest, RecordAccepted
@@ -257,10 +259,12 @@
             except FescuewardError as error:
                 _JOINS_NOT_RECORDED.emit(group=group_id, members=len(members), error=error)
                 if isinstance(error, PlatformError) and not isinstance(
-                    error, PlatformUnavailableError
+                    error, PlatformUnavailableError | UnwritableGroupError
                 ):
                     # The write may still take effect, so no reply reports a failure.
                     continue
+            except Exception as error:  # joins of others must not end this agent
+                report_reading_failure("membership:record-joins", error)
             else:
                 _JOINS_RECORDED.emit(group=group_id, version=written.version, members=len(members))
             for sender, request in requests:
--- a/fescueward/services/keyspace/handover.py
+++ b/fescueward/services/keyspace/handover.py
@@ -10,6 +10,7 @@
 from ...interfaces.groups import GroupChange
 from ...kernel import Clock, Event, Level, Registry, TaskOwner
 from ...kernel.errors import PlatformError, RefusalError
+from ...kernel.retries import report_reading_failure
 from ...messages import Group, GroupId, VersionedGroup
 from ...messages.group import KeyRange
 from ...messages.peer import RangesReleased, ReleasedRange
@@ -255,6 +256,9 @@
             # The owner repeats its request until the handover is recorded.
             _HANDOVER_FAILED.emit(group=group_id, ranges=len(released), error=error)
             return
+        except Exception as error:  # a handover of another member must not end this agent
+            report_reading_failure("ownership:record", error)
+            return
         _RECORDED.emit(
             group=group_id,
             version=written.version,
--- a/fescueward/services/recorder.py
+++ b/fescueward/services/recorder.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass, replace
 
 from ..interfaces import Groups, Membership, Peers, Placement
 from ..kernel import Clock, Kernel, Registry
 from ..kernel.errors import FescuewardError
+from ..kernel.retries import report_reading_failure
 from ..messages import Group, GroupId, Member, MemberState, VersionedGroup
 from ..messages.era import era_of
 from ..messages.peer import MemberEdit, RecordAccepted, RecordOutcome, RecordRequest
@@ -169,28 +169,28 @@
                     await self._clock.sleep(wait_s)
                 self._next_write_at = self._clock.now() + _WRITE_PERIOD_S
                 edits, self._pending = tuple(self._pending), []
-                written: VersionedGroup | None = None
-                # The members learn that nothing was written, and write themselves.
-                with suppress(FescuewardError):
-                    written = await self._groups.edit(
-                        group_id,
-                        lambda group, edits=edits: self._with_edits(group, edits),
-                        member_count=len(edits),
-                    )
-                for pending in edits:
-                    pending.finish(written)
+                # Edits that are queued together share one write.
+                await asyncio.gather(*(self._write_edit(group_id, pending) for pending in edits))
         finally:
             self._writing = False
 
-    def _with_edits(self, group: Group, edits: Iterable[_PendingEdit]) -> Group | None:
-        """Returns the group with edits of its members, or None if they change nothing."""
-        edited = group
-        for pending in edits:
-            if not _has_edit(edited, pending.edit, pending.era):
-                edited = self._with_edit(edited, pending.edit, pending.era)
-        return edited if edited is not group else None
-
-    def _with_edit(self, group: Group, edit: MemberEdit, era: int) -> Group:
+    async def _write_edit(self, group_id: GroupId, pending: _PendingEdit) -> None:
+        """Writes one edit; if that fails, its member learns so and writes itself."""
+        written: VersionedGroup | None = None
+        try:
+            written = await self._groups.edit(
+                group_id, lambda group: self._with_edit(group, pending.edit, pending.era)
+            )
+        except FescuewardError:
+            pass
+        except Exception as error:  # an edit of another member must not end this agent
+            report_reading_failure("recorder:write", error)
+        pending.finish(written)
+
+    def _with_edit(self, group: Group, edit: MemberEdit, era: int) -> Group | None:
+        """Returns the group with an edit of a member, or None if it has the edit."""
+        if _has_edit(group, edit, era):
+            return None
         member = group.members.get(edit.member_id)
         if edit.instance:
             group = with_departure(group, edit.instance, edit.started_until_ms) or group
