Loads with figures beyond any float are malformed

Cause: X-Fescueward-Load was read as integers of any size. A fourth figure of 400 digits raised OverflowError, which is no ValueError, while the response to a request was handled, so the request failed; other large figures went into the computation of occupancy.

Change: figures above 1,000,000 are malformed. A search draws header values for all readers of response headers: text with lone surrogates, numbers of any size, NaN.

Result: the search and three cases of test_odd_figures fail before.

--- a/fescueward/platform/responses.py
+++ b/fescueward/platform/responses.py
@@ -16,6 +16,8 @@
 # Longest cold time that an upstream can state, as in its heartbeats.
 _MAX_COLD_MS = 3_600_000.0
 _MAX_HANDOVER_TOKEN_LENGTH = 256
+# Highest figure of a load; larger integers do not fit into the floats that are computed from them.
+_MAX_LOAD_FIGURE = 1_000_000
 
 
 def check_head(request: Request, http_response: aiohttp.ClientResponse) -> None:
@@ -81,7 +83,8 @@
     if not values:
         return None
     figures = [int(figure) for figure in values[0].split(",")]
-    if len(values) > 1 or len(figures) not in (3, 4) or min(figures) < 0 or not figures[2]:
+    in_range = min(figures) >= 0 and max(figures) <= _MAX_LOAD_FIGURE
+    if len(values) > 1 or len(figures) not in (3, 4) or not in_range or not figures[2]:
         raise ValueError(f"the load is {values[0][:40]!r}")
     slowness = figures[3] / 100 if len(figures) == 4 else None
     if slowness == 0:
