Instance ids that are no text or too long are refused

Cause: the id in a leave call went into the departures of the group object unchecked, 128 of them with up to 7,000 characters each, which is most of an object. A heartbeat checks the rest of its content, not the id.

Change: ids of more than 256 characters, or with characters that cannot be printed, get 400.

Result: test_calls_of_odd_instances_are_rejected fails before.

--- a/fescueward/platform/announcements.py
+++ b/fescueward/platform/announcements.py
@@ -42,6 +42,8 @@
 # heartbeat with a larger one would make every later heartbeat seem out of order.
 _MAX_SEQUENCE = 2**53
 _MAX_STARTED_MS = 253_402_300_799_999
+# Departures in the group object name their instances, which must not fill it.
+_MAX_INSTANCE_LENGTH = 256
 # Longest time for which an upstream can be slow after its start, in seconds.
 _MAX_COLD_S = 3600.0
 # Closing the port waits this long for heartbeats that are partly received.
@@ -116,6 +118,9 @@
         call, instance = request.query.get("call", ""), request.query.get("of", "")
         if request.path != RPC_PATH or call not in (HEARTBEAT_CALL, LEAVE_CALL) or not instance:
             return Response(status=404)
+        if len(instance) > _MAX_INSTANCE_LENGTH or not instance.isprintable():
+            _MALFORMED.emit(instance=ascii(instance[:20]), error="the instance id is no text")
+            return Response(status=400)
         body = await _read_body(request)
         if body is None:
             return Response(status=413)
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -173,6 +173,16 @@
         self.assertEqual(await self.post("heartbeat", "i1", draining), 200)
         self.assertEqual(await self.post("leave", "i1", b""), 200)
 
+    async def test_calls_of_odd_instances_are_rejected(self):
+        """Guards against instance ids that fill the group object, where departures are kept."""
+        for instance in ("i" * 3000, "i%00", "i%0A1"):
+            with self.subTest(instance=instance[:8]):
+                heartbeat = make_heartbeat(1)
+                self.assertEqual(await self.post("heartbeat", instance, heartbeat), 400)
+                self.assertEqual(await self.post("leave", instance, {}), 400)
+                self.assertEqual((self.announced, self.membership.left), ([], []))
+        self.assertEqual(await self.post("heartbeat", "i1", make_heartbeat(1)), 200)
+
     async def test_malformed_heartbeats_are_rejected(self):
         """Guards against announcements that are built from malformed heartbeats."""
         malformed_bodies = (
