Log lines show bytes that are no UTF-8 instead of failing

Cause: a field with a lone surrogate, as a spoiled byte of a caller or an upstream becomes, could not be encoded. The line of a frequent event raised UnicodeEncodeError in the code that emitted it, for example in the handling of the request; of other events the line was lost and a traceback went to standard error.

Change: such bytes are escaped, in text lines and in JSON.

Result: test_text_that_is_no_unicode fails before in all four forms.

--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -140,18 +140,18 @@
             head = self._heads[event.number] = b"," + _ENCODER.encode(names)[1:-1]
         if not all(type(value) in _JSON_TYPES for value in fields.values()):
             fields = {name: _json_value(value) for name, value in fields.items()}
-        tail = b"," + _ENCODER.encode(fields)[1:] if fields else b"}"
+        tail = b"," + _encode_fields(fields)[1:] if fields else b"}"
         return b'{"time":"%b"%b%b\n' % (self._time().encode(), head, tail)
 
     def _library_line(self, level: str, text: str) -> bytes:
         if not self.is_json:
             return self._render_text(level, text, {})
         line = {"time": self._time(), "level": level, "message": text}
-        return _ENCODER.encode(line) + b"\n"
+        return _encode_fields(line) + b"\n"
 
     def _render_text(self, level: str, text: str, fields: dict[str, Any]) -> bytes:
         values = "".join(f" {name}={value}" for name, value in fields.items())
-        return f"{self._time()} {level} {text}{values}\n".encode()
+        return f"{self._time()} {level} {text}{values}\n".encode(errors="backslashreplace")
 
     def _time(self) -> str:
         """Returns the current time in UTC with milliseconds, in the form of ISO 8601."""
@@ -162,6 +162,18 @@
         return f"{self._second_text}.{int(fraction * 1000):03d}+00:00"
 
 
+def _encode_fields(fields: dict[str, Any]) -> bytes:
+    """Returns fields as JSON; bytes that were no UTF-8 where they were received are escaped."""
+    try:
+        return _ENCODER.encode(fields)
+    except UnicodeEncodeError:
+        texts = {
+            name: str(value).encode(errors="backslashreplace").decode()
+            for name, value in fields.items()
+        }
+        return _ENCODER.encode(texts)
+
+
 def _json_value(value: Any) -> Any:
     """Converts a value for a JSON line: data classes and errors are written as text."""
     return value if isinstance(value, _JSON_TYPES) else str(value)
--- a/tests/kernel/test_events.py
+++ b/tests/kernel/test_events.py
@@ -8,7 +8,7 @@
 
 from fescueward.kernel import Event, Level, configure_logging, events
 from fescueward.kernel.errors import DuplicateNameError
-from fescueward.kernel.events import _EVENTS
+from fescueward.kernel.events import _EVENTS, _output
 
 
 class EventTest(unittest.TestCase):
@@ -34,6 +34,19 @@
         self.assertEqual(line["error"], 'a "quote"\nand a line')
         self.assertEqual(line["braces"], "{0} {x}")
 
+    def test_text_that_is_no_unicode(self):
+        """Guards against bytes of a caller or an upstream that fail the code which logs them."""
+        frequent = Event(9991, "frequent_event", Level.WARNING, "For tests.", frequent=True)
+        self.addCleanup(_EVENTS.pop, 9991, None)
+        for line_format in ("text", "json"):
+            configure_logging("INFO", line_format, self.lines)
+            for event in (self.event, frequent):
+                with self.subTest(line_format=line_format, event=event.name):
+                    event.emit(path="/a\udce1", text=ValueError("\udce1"))
+                    _output.lines.flush()
+                    self.assertIn(event.name, self.lines.getvalue().splitlines()[-1])
+                    self.assertIn("udce1", self.lines.getvalue().splitlines()[-1])
+
     def test_level(self):
         """Guards against the cost of formatting lines below the configured level."""
         configure_logging("WARNING", "text", self.lines)
