Members that have just joined notice silent watchers in time (CONFIG)

After a rolling restart and a freeze of both watchers, agents sent requests to the old service for up to 1.9 s of the 2 s that the rule allows.

Cause: an agent that starts or joins takes the first members for watchers for 3 s, whatever shorter time their statuses name, as a status counted until the later of both. The deputies, which notice silent watchers for all others, could not notice them for 3 s after their join.

Change: a status that was received since the join counts for as long as it says. A new deputy expects the first one within 0.75 s, all others within 3 s as before. Watchers send a status to members that joined in the present round with every period of 0.25 s. Expected watchers without a status have the last turns.

Result: both new tests fail before.

--- a/fescueward/services/groups/watch_duty.py
+++ b/fescueward/services/groups/watch_duty.py
@@ -53,6 +53,8 @@
         self._versions = versions
         self._roster = WatcherRoster()
         self._healthy = False
+        # Members that the last status to all members went to.
+        self._informed_ids: frozenset[str] = frozenset()
 
     @property
     def healthy(self) -> bool:
@@ -132,8 +134,27 @@
             for _ in range(_STATUSES_PER_ROUND - 1):
                 if deputies and self.watching:
                     self.send_status(deputies, self._own_status(DEPUTY_STATUS_TIMEOUT_S))
+                    self._send_to_new_members()
                 await self._clock.sleep(_STATUS_PERIOD_S)
 
+    def _send_to_new_members(self) -> None:
+        """Sends a status to members that have joined in this round; the first may open a stream.
+
+        Without a status they would not notice the silence of this watcher.
+        """
+        view = self._own_view()
+        if view is None:
+            return
+        members = self._members(view)
+        joined = {id_: members[id_] for id_ in members.keys() - self._informed_ids}
+        if not joined:
+            return
+        deputies = self._roster.deputies(members, self._membership.member_id, self._clock.now())
+        new_deputies = {member.id: member for member in deputies if member.id in joined}
+        others = {id_: member for id_, member in joined.items() if id_ not in new_deputies}
+        self.send_status(new_deputies, self._own_status(DEPUTY_STATUS_TIMEOUT_S))
+        self.send_status(others, self._own_status())
+
     def _send_to_all(self) -> dict[str, Member]:
         """Sends a status to all members, or to few of them while no member watches.
 
@@ -156,6 +177,7 @@
             for member in (*self.watchers(), *self._roster.deputies(members, own_id, now))
         }
         others = {id_: member for id_, member in members.items() if id_ not in deputies}
+        self._informed_ids = frozenset(members)
         self.send_status(deputies, self._own_status(DEPUTY_STATUS_TIMEOUT_S))
         self.send_status(others, self._own_status())
         return deputies
--- a/fescueward/services/groups/watchers.py
+++ b/fescueward/services/groups/watchers.py
@@ -109,35 +109,50 @@
             own_id: Id of this agent, which is among the watchers once its turn has come.
             now: The current time.
         """
-        chosen = self._current_ids(members, own_id, now)
+        due_at = self._statuses_due_at(members, own_id, now)
+        chosen = self._current_ids(members, own_id, due_at, now)
         if (
             len(chosen) < WATCHER_COUNT
             and own_id in members
             and own_id not in chosen
             and not self._has_failed(own_id, now)
-            and self._has_turn(self._candidates(members, own_id, chosen, now).index(own_id), now)
         ):
-            chosen = sorted([*chosen, own_id])
+            ahead = self._candidates(members, own_id, chosen, now).index(own_id)
+            if self._has_turn(ahead, due_at, now):
+                chosen = sorted([*chosen, own_id])
         return tuple(members[member_id] for member_id in chosen)
 
     def deputies(
         self, members: Mapping[str, Member], own_id: str, now: float
     ) -> tuple[Member, ...]:
         """Returns the members that replace the watchers first, in the order of their turns."""
-        chosen = self._current_ids(members, own_id, now)
+        due_at = self._statuses_due_at(members, own_id, now)
+        chosen = self._current_ids(members, own_id, due_at, now)
         candidates = self._candidates(members, own_id, chosen, now)[:DEPUTY_COUNT]
         return tuple(members[member_id] for member_id in candidates)
 
-    def _current_ids(self, members: Mapping[str, Member], own_id: str, now: float) -> list[str]:
+    def _statuses_due_at(self, members: Mapping[str, Member], own_id: str, now: float) -> float:
+        """Returns when this agent has had time to receive a status of each watcher."""
+        latest = self._expected_since + STATUS_TIMEOUT_S
+        if now >= latest:
+            return latest
+        expected_ids = _first_active_ids(members)
+        deputies = self._candidates(members, own_id, expected_ids, now)[:DEPUTY_COUNT]
+        # Deputies get statuses more often. They notice the silence of watchers for all others,
+        # also if they have just joined.
+        return self._expected_since + DEPUTY_STATUS_TIMEOUT_S if own_id in deputies else latest
+
+    def _current_ids(
+        self, members: Mapping[str, Member], own_id: str, due_at: float, now: float
+    ) -> list[str]:
         """Returns the ids of the first members that watch, as far as this agent knows."""
         # Once statuses are due, only members that have sent one can be current.
-        statuses_due = now - self._expected_since >= STATUS_TIMEOUT_S
         current = (
             member_id
-            for member_id in sorted(self._statuses if statuses_due else members)
+            for member_id in sorted(self._statuses if now >= due_at else members)
             if member_id in members
             and (member_id == own_id or members[member_id].state is MemberState.ACTIVE)
-            and self._is_current(member_id, now)
+            and self._is_current(member_id, due_at, now)
         )
         return list(islice(current, WATCHER_COUNT))
 
@@ -147,9 +162,10 @@
         """Returns the ids of the members that could become watchers, in the order of their turns.
 
         The first ones are of different failure domains, since one domain can fail at once. Silent
-        watchers are the last.
+        watchers are the last, also if no status of them was received.
         """
         silent = {id_ for id_, status in self._statuses.items() if status.expires_at <= now}
+        silent.update(id_ for id_ in _first_active_ids(members) if id_ not in self._statuses)
         silent.discard(own_id)
         ids = sorted(
             (
@@ -165,17 +181,18 @@
         preferred = list(first_of_domain.values())[:DEPUTY_COUNT]
         return preferred + [member_id for member_id in ids if member_id not in preferred]
 
-    def _has_turn(self, candidates_ahead: int, now: float) -> bool:
+    def _has_turn(self, candidates_ahead: int, due_at: float, now: float) -> bool:
         """Whether this agent has waited long enough for the candidates before it."""
-        vacant_since = self._vacant_since(now)
+        vacant_since = self._vacant_since(due_at, now)
         if vacant_since is None:
             return not candidates_ahead
         return now >= vacant_since + (candidates_ahead + 1) * _TURN_S
 
-    def _is_current(self, member_id: str, now: float) -> bool:
-        """Whether a member has reported no failure, and a status recently if one was expected."""
+    def _is_current(self, member_id: str, due_at: float, now: float) -> bool:
+        """Whether a member has reported no failure, and a status recently if one was due."""
         status = self._statuses.get(member_id, _NO_STATUS)
-        expires_at = max(status.expires_at, self._expected_since + STATUS_TIMEOUT_S)
+        has_status = status.at > self._expected_since
+        expires_at = status.expires_at if has_status else max(status.expires_at, due_at)
         last_at = max(status.at, self._expected_since)
         return now < expires_at and last_at > self._failed_at.get(member_id, 0.0)
 
@@ -183,11 +200,14 @@
         failed_at = self._failed_at.get(member_id)
         return failed_at is not None and now - failed_at < _FAILURE_EXPIRY_S
 
-    def _vacant_since(self, now: float) -> float | None:
+    def _vacant_since(self, due_at: float, now: float) -> float | None:
         """Returns when the latest watcher was lost, by silence or by a failure, or None."""
-        ends = (
-            *(status.expires_at for status in self._statuses.values()),
-            self._expected_since + STATUS_TIMEOUT_S,
-        )
+        ends = (*(status.expires_at for status in self._statuses.values()), due_at)
         lost_at = [end for end in ends if end <= now]
         return max((*lost_at, *self._failed_at.values()), default=None)
+
+
+def _first_active_ids(members: Mapping[str, Member]) -> list[str]:
+    """Returns the ids of the members that watch unless they are silent or their watch fails."""
+    ids = (id_ for id_ in sorted(members) if members[id_].state is MemberState.ACTIVE)
+    return list(islice(ids, WATCHER_COUNT))
--- a/tests/services/groups/test_watchers.py
+++ b/tests/services/groups/test_watchers.py
@@ -136,6 +136,23 @@
         self.fleet.advance(REPLACEMENT_BOUND_S)
         self.assertGreaterEqual(len(self.fleet.watching()), 1)
 
+    def test_silent_watchers_are_replaced_by_members_that_have_just_joined(self):
+        """Guards against agents that keep the old configuration after a rolling restart (CONFIG).
+
+        A new member took the first ones for watchers for 3 s, whatever their statuses said.
+        """
+        for ahead_s in (0.05, 0.5, 1.0, 2.0):
+            with self.subTest(ahead_s=ahead_s):
+                self.fleet = Fleet()
+                self.fleet.advance(5)
+                for member_id in list(self.fleet.members)[:6]:
+                    self.fleet.rosters[member_id] = WatcherRoster()
+                    self.fleet.rosters[member_id].expect_statuses(self.fleet.now)
+                self.fleet.advance(ahead_s)
+                self.fleet.silent = {"m000:1", "m001:1"}
+                self.fleet.advance(REPLACEMENT_BOUND_S)
+                self.assertGreaterEqual(len(self.fleet.watching()), 1)
+
     def test_silent_watchers_have_the_last_turns(self):
         """Guards against replacements that wait for the turns of those that they replace."""
         self.fleet.silent = {"m000:1", "m001:1"}
@@ -208,6 +225,40 @@
         self.assertFalse(roster.has_healthy_watcher(self.fleet.members, self.fleet.now))
 
 
+class NewMemberTest(unittest.IsolatedAsyncioTestCase):
+    async def test_members_that_join_get_a_status_soon(self):
+        """Guards against deputies that know no watcher for a second after their join (CONFIG)."""
+        members = {f"m{number}:1": member(f"m{number}") for number in range(4)}
+        sent = []
+        now = 100.0
+
+        async def sleep(seconds):
+            nonlocal now
+            now += seconds
+            if 100.2 < now < 100.4:
+                members["m2:2"] = member("m2", incarnation=2)
+            if now > 100.9:
+                raise TimeoutError
+
+        duty = WatchDuty(
+            SimpleNamespace(now=lambda: now, sleep=sleep),
+            SimpleNamespace(
+                send=lambda to, status: sent.append((now, to.id, status.timeout_ms)) or True,
+                reply=lambda to, status: True,
+            ),
+            SimpleNamespace(member_id="m0:1", own_member=lambda: members["m0:1"]),
+            lambda: SimpleNamespace(group=SimpleNamespace(members=members)),
+            lambda: members,
+            Versions,
+        )
+        duty.record_call(True)
+        with self.assertRaises(TimeoutError):
+            await duty.run_statuses()
+        joined = [(at, timeout_ms) for at, id_, timeout_ms in sent if id_ == "m2:2"]
+        self.assertEqual(joined[0], (100.25, round(DEPUTY_STATUS_TIMEOUT_S * 1000)))
+        self.assertEqual(len(joined), 3)
+
+
 class WatchDutyTest(unittest.TestCase):
     def test_report_of_a_member_that_does_not_watch_is_no_failure(self):
         """Guards against replacements of watchers that pass over each other for their reports."""
