An agent joins above its earlier incarnations although its clock was set back

Cause: the incarnation of a process is its time of day at the start. If the clock was ahead at one start and true again at the next one within that time, the new process had the lower number: its recorder left its join out, it then replaced the higher member by its own write, and peers refuse the streams of a lower incarnation than the newest one that they know, for as long as the process runs.

Change: before it joins or asks for it, an agent compares its incarnation with those of its name in the group, and starts a higher one.

--- a/fescueward/kernel/errors.py
+++ b/fescueward/kernel/errors.py
@@ -418,6 +418,21 @@
     label = "handshake_failed"
 
 
+class OutdatedIncarnationError(FescuewardError):
+    """The group has a member of this agent with a higher incarnation.
+
+    Attributes:
+        newest: The highest incarnation of this agent in the group.
+    """
+
+    code = 5002
+    label = "outdated_incarnation"
+
+    def __init__(self, message: str, *, newest: int) -> None:
+        super().__init__(message)
+        self.newest = newest
+
+
 class BodyTruncatedError(FescuewardError):
     """A body ended before it was complete."""
 
--- a/fescueward/services/joins.py
+++ b/fescueward/services/joins.py
@@ -11,6 +11,7 @@
 from ..kernel.errors import (
     FescuewardError,
     OutcomeUnknownError,
+    OutdatedIncarnationError,
     PeerError,
     PeerTimeoutError,
     PeerUnavailableError,
@@ -111,13 +112,13 @@
         Raises:
             PlatformError: The platform did not respond.
             PeerError: The member that was sent the request did not respond.
+            OutdatedIncarnationError: The group has a higher incarnation of this agent.
         """
         self._lease.start_from_join(member.id, self._clock.now())
         if write_directly:
             return await self._write_own_join(own_group_id, member)
         current = await self._groups.edit(
-            own_group_id,
-            lambda group: None if self._candidates(group) else self.with_members(group, (member,)),
+            own_group_id, lambda group: self._with_own_join(group, member, through_recorder=True)
         )
         recorders = self._candidates(current.group)
         if member.id in current.group.members or not recorders:
@@ -133,11 +134,33 @@
         try:
             async with asyncio.timeout(_OWN_WRITE_S):
                 return await self._groups.edit(
-                    own_group_id, lambda group: self.with_members(group, (member,))
+                    own_group_id,
+                    lambda group: self._with_own_join(group, member, through_recorder=False),
                 )
         except TimeoutError:
             raise OutcomeUnknownError("the join was not written in time") from None
 
+    def _with_own_join(
+        self, group: Group, member: Member, *, through_recorder: bool
+    ) -> Group | None:
+        """Returns the group with this agent, or None if it is a member or a recorder adds it.
+
+        Raises:
+            OutdatedIncarnationError: The group has a higher incarnation. Incarnations are times
+                of day, which may have been set back; peers refuse the streams of the lower one.
+        """
+        newest = max(
+            (other.incarnation for other in group.members.values() if other.name == self._name),
+            default=0,
+        )
+        if newest > member.incarnation:
+            raise OutdatedIncarnationError(
+                f"the group has incarnation {newest} of {self._name!r}", newest=newest
+            )
+        if through_recorder and self._candidates(group):
+            return None
+        return self.with_members(group, (member,))
+
     async def _request_join(
         self, recorder: Member, own_group_id: GroupId, member: Member
     ) -> VersionedGroup | None:
--- a/fescueward/services/membership.py
+++ b/fescueward/services/membership.py
@@ -16,6 +16,7 @@
     FescuewardError,
     InvalidAnnouncementError,
     OutcomeUnknownError,
+    OutdatedIncarnationError,
     PeerError,
     PlatformError,
     UnknownServiceError,
@@ -385,8 +386,9 @@
         removed_ids = frozenset({self.member_id})
         return self.fill_monitors(self._placement.assign(group, removed_ids))
 
-    def _start_incarnation(self) -> None:
-        self._incarnation = max(self._next_incarnation(), self._incarnation + 1)
+    def _start_incarnation(self, above: int = 0) -> None:
+        newest = max(self._incarnation, above)
+        self._incarnation = max(self._next_incarnation(), newest + 1)
         self._peers.set_incarnation(self._incarnation)
 
     async def _run_join(self) -> None:
@@ -431,6 +433,11 @@
             joined = await self._join_recorder.record(
                 self._own_group_id, member, write_directly=self._write_directly
             )
+        except OutdatedIncarnationError as error:
+            _JOIN_FAILED.emit(group=self._own_group_id, error=error)
+            self._start_incarnation(error.newest)
+            self._wake.set()
+            return
         except (PlatformError, PeerError, UnknownServiceError) as error:
             _JOIN_FAILED.emit(group=self._own_group_id, error=error)
             if isinstance(error, OutcomeUnknownError | PeerError):
--- a/tests/services/keyspace/test_start.py
+++ b/tests/services/keyspace/test_start.py
@@ -13,6 +13,25 @@
 FIXED_CALLS = 12
 
 
+class SetBackClockTest(unittest.TestCase):
+    def test_incarnation_rises_although_the_clock_was_set_back(self):
+        """Guards against an agent whose streams all peers refuse as those of an older process."""
+        fleet = KeyedFleet()
+        self.addCleanup(fleet.close)
+        for name in ("a0", "a1", "a2"):
+            fleet.start(name, "d0", f"boot-{name}")
+        self.assertIsNotNone(fleet.time_until_distributed(20))
+        first = fleet.agents["a1"].membership.member_id
+        fleet.kill("a1")
+        # Incarnations are times in milliseconds.
+        fleet._incarnations = 0
+        fleet.start("a1", "d0", "boot-a1")
+        fleet.world.advance(5)
+        ids = [member.id for member in fleet.group().members.values() if member.name == "a1"]
+        self.assertEqual(ids, [fleet.agents["a1"].member_id])
+        self.assertGreater(int(ids[0].split(":")[1]), int(first.split(":")[1]))
+
+
 class StartTest(unittest.TestCase):
     def join(self, fleet: KeyedFleet, prefix: str, count: int, within_s: float) -> None:
         """Starts agents at random times within a period, in seconds."""
