Refusals and resets between agents escape bytes that are no UTF-8

Cause: the text of an error that names bytes of an upstream or a caller could not be encoded. The refusal is sent from the handler of the error, so the second error ended the task of the request, and a failed task ends its process. By reading, no error of today quotes such bytes unescaped; the next one that does would bring the fault back.

Change: `encodable_text` in all texts that are sent to peers and written to the log.

Result: test_refusal_that_names_bytes_of_an_upstream fails before (MalformedMessageError).

--- a/fescueward/kernel/events.py
+++ b/fescueward/kernel/events.py
@@ -18,6 +18,7 @@
 
 from .errors import DuplicateNameError
 from .log_lines import LineOutput
+from .text import encodable_text
 
 
 class Level(enum.StrEnum):
@@ -151,7 +152,7 @@
 
     def _render_text(self, level: str, text: str, fields: dict[str, Any]) -> bytes:
         values = "".join(f" {name}={value}" for name, value in fields.items())
-        return f"{self._time()} {level} {text}{values}\n".encode(errors="backslashreplace")
+        return encodable_text(f"{self._time()} {level} {text}{values}\n").encode()
 
     def _time(self) -> str:
         """Returns the current time in UTC with milliseconds, in the form of ISO 8601."""
@@ -167,11 +168,7 @@
     try:
         return _ENCODER.encode(fields)
     except UnicodeEncodeError:
-        texts = {
-            name: str(value).encode(errors="backslashreplace").decode()
-            for name, value in fields.items()
-        }
-        return _ENCODER.encode(texts)
+        return _ENCODER.encode({name: encodable_text(value) for name, value in fields.items()})
 
 
 def _json_value(value: Any) -> Any:
--- a/fescueward/services/peer_accepted.py
+++ b/fescueward/services/peer_accepted.py
@@ -21,6 +21,7 @@
     OverloadedError,
 )
 from ..kernel.retries import report_reading_failure
+from ..kernel.text import encodable_text
 from ..kernel.tracebacks import drop_traceback
 from ..messages import Request, Response
 from ..messages.peer import (
@@ -276,7 +277,7 @@
             accepted.wire.send(refused_message(message.stream, error))
             drop_traceback(error)
         except BodyTruncatedError as error:
-            accepted.wire.send(StreamReset(message.stream, str(error)[:500]))
+            accepted.wire.send(StreamReset(message.stream, encodable_text(error)[:500]))
             drop_traceback(error)
         except Exception as error:  # one failing request must not close a shared stream
             _REQUEST_FAILED.emit(
--- a/fescueward/services/peer_links.py
+++ b/fescueward/services/peer_links.py
@@ -23,6 +23,7 @@
     PeerUnavailableError,
 )
 from ..kernel.retries import report_reading_failure
+from ..kernel.text import encodable_text
 from ..messages import Member, Request, Response
 from ..messages.peer import (
     PROTOCOL_VERSION,
@@ -490,5 +491,6 @@
     try:
         await forwarded.channel.write_body(request.body)
     except Exception as error:  # reading the body from a caller's socket can raise any exception
-        wire.send(StreamReset(forwarded.channel.stream, f"{type(error).__name__}: {error}"[:500]))
+        reason = encodable_text(f"{type(error).__name__}: {error}")
+        wire.send(StreamReset(forwarded.channel.stream, reason[:500]))
         forwarded.fail(OutcomeLostError(f"reading the request body failed: {error}"))
--- a/fescueward/services/peer_wire.py
+++ b/fescueward/services/peer_wire.py
@@ -17,6 +17,7 @@
     TokenRequiredError,
     refusal_from_label,
 )
+from ..kernel.text import encodable_text
 from ..messages import Request
 from ..messages.frames import FrameDecoder, FrameEncoder
 from ..messages.peer import PROTOCOL_VERSION, StreamOpen, StreamRefused
@@ -199,7 +200,7 @@
     return StreamRefused(
         stream=stream,
         label=error.label,
-        message=str(error),
+        message=encodable_text(error),
         owner_id=error.owner_id if isinstance(error, NotOwnerError) else None,
         token=error.token if isinstance(error, TokenRequiredError) else None,
         retry_after_ms=retry_after_ms,
--- a/tests/services/test_peer_wire.py
+++ b/tests/services/test_peer_wire.py
@@ -9,16 +9,25 @@
 import uvloop
 
 from fescueward.kernel import Kernel
-from fescueward.kernel.errors import MalformedMessageError
+from fescueward.kernel.errors import MalformedMessageError, OutcomeLostError
+from fescueward.messages.frames import FrameDecoder, FrameEncoder
 from fescueward.messages.peer import StreamReset
 from fescueward.services.link.window import SendWindow
-from fescueward.services.peer_wire import Wire, read_messages
+from fescueward.services.peer_wire import Wire, read_messages, refused_message
 
 
 def make_wire(writer: asyncio.StreamWriter) -> Wire:
     return Wire(writer, Kernel().task_owner("peers"), SendWindow())
 
 
+class RefusalTest(unittest.TestCase):
+    def test_refusal_that_names_bytes_of_an_upstream(self):
+        """Guards against a refusal that cannot be sent, whose error ends the process (Fault)."""
+        message = refused_message(7, OutcomeLostError("odd header a\udce1"))
+        (received,) = FrameDecoder().feed(FrameEncoder().encode(message))
+        self.assertEqual(received.message, "odd header a\\udce1")
+
+
 class WireTest(unittest.TestCase):
     def test_send_on_a_closed_connection(self):
         """Guards against a 500 for a caller when its request is reset on a closed connection.
