--- a/tests/services/keyspace/test_ownership.py
+++ b/tests/services/keyspace/test_ownership.py
@@ -355,17 +355,22 @@
         self.upstream.grants_open.set()
         self.assertGreater((await admitted).epoch, self.own_range.epoch)
 
-    async def test_last_member_releases_its_keys(self):
-        """Guards against a new member that is granted keys which the last member still has.
-
-        Found by the soak, seed 205: the grants overlapped for 0.63 s after an ordered leave.
-        """
+    async def leave_as_last_member(self) -> Group:
+        """Lets this agent be granted all keys and then leave; returns the group before."""
         self.lease.expires_at = CLOCK.now() + 5
         alone = moves.assigned(with_added_members(Group("depot", 0, 1), member("a")))
         self.groups.publish(alone)
         await self.ownership.admit("depot", "5", CLOCK.now() + 1)
         leaving = replace(alone.members["a:1"], state=MemberState.LEAVING)
         self.groups.publish(replace(alone, members={"a:1": leaving}))
+        return alone
+
+    async def test_last_member_releases_its_keys(self):
+        """Guards against a new member that is granted keys which the last member still has.
+
+        Found by the soak, seed 205: the grants overlapped for 0.63 s after an ordered leave.
+        """
+        alone = await self.leave_as_last_member()
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(0.05):
                 with mock.patch.object(self.upstream, "release_range", self._fail_after_delay):
@@ -384,12 +389,7 @@
 
         The agent would pass on requests for these keys, all of which the upstream refuses.
         """
-        self.lease.expires_at = CLOCK.now() + 5
-        alone = moves.assigned(with_added_members(Group("depot", 0, 1), member("a")))
-        self.groups.publish(alone)
-        await self.ownership.admit("depot", "5", CLOCK.now() + 1)
-        leaving = replace(alone.members["a:1"], state=MemberState.LEAVING)
-        self.groups.publish(replace(alone, members={"a:1": leaving}))
+        alone = await self.leave_as_last_member()
         with mock.patch.object(self.upstream, "release_range", self._fail_after_delay):
             with self.assertRaises(TimeoutError):
                 async with asyncio.timeout(0.05):
