Window tests: a stall of the process releases no bytes before they are delivered

Cause, in the test: the last bytes of a body count for the time that they take on the link, by the clock of the machine, while the link of the test delivers a part at each step of a loop.

Change: these releases come once all has been delivered, as they do without a stall.

--- a/tests/services/link/test_window.py
+++ b/tests/services/link/test_window.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
+from unittest import mock
 
 from fescueward.messages.peer import StreamCredit, StreamData
 from fescueward.messages.request import BytesBody
-from fescueward.services.link.window import SendWindow
+from fescueward.services.link.window import OutgoingBody, SendWindow
 from fescueward.services.streams import Channel
 
 # A link of 5 Mbit/s, on which 37,500 bytes take 60 ms.
@@ -51,6 +53,21 @@
         self.sent: list = []
         self.order: list = []
         self.most_unread = 0
+        # Releases of bodies that have ended, which come a time on the link later. The link here
+        # takes no time, so they come once all has been delivered, also if this process stalls.
+        self.releases: list[Callable[[], None]] = []
+        loop = asyncio.get_running_loop()
+        call_later = loop.call_later
+
+        def release_later(delay, callback, *args, **options):
+            if isinstance(getattr(callback, "__self__", None), OutgoingBody):
+                self.assertGreater(delay, 0)
+                return self.releases.append(callback)
+            return call_later(delay, callback, *args, **options)
+
+        patch = mock.patch.object(loop, "call_later", release_later)
+        patch.start()
+        self.addCleanup(patch.stop)
 
     def begin(self, count: int, stalled: bool = False) -> tuple[list[Receiver], list]:
         receivers = [Receiver(self.sent, self.window, self.order, stalled) for _ in range(count)]
@@ -71,6 +88,8 @@
                 if self.sent:
                     receiver, message = self.sent.pop(0)
                     await receiver.read(message)
+                elif self.releases:
+                    self.releases.pop(0)()
 
     async def test_bytes_on_their_way_do_not_grow_with_the_receivers(self):
         """Guards against calls that wait for seconds behind the large responses of a VM.
